Lay out modules, common types and the build

Cause: the repository is empty, and every later change needs a build, a style check and shared types to start from.

Conclusion: the cores can be written side by side on these types.

--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements of the decision cores.
+ */
+package org.comfreywall.bench;
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The comfreywall command-line tool.
+ */
+package org.comfreywall.cli;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/RecordedAnswer.java
@@ -0,0 +1,21 @@
+package org.comfreywall.common.claim;
+
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The answer of a completed request, kept for callers that send the request again.
+ *
+ * @param status the HTTP status
+ * @param contentType the media type of the body
+ * @param body the whole body
+ */
+public record RecordedAnswer(int status, String contentType, Bytes body) {
+
+	public RecordedAnswer {
+		Preconditions.check(status >= 100 && status <= 599, "status must be an HTTP status: %d", status);
+		Preconditions.notNull(contentType, "contentType");
+		Preconditions.notNull(body, "body");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Claims on idempotency keys.
+ */
+package org.comfreywall.common.claim;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/FailureDomainDescriptor.java
@@ -0,0 +1,19 @@
+package org.comfreywall.common.config;
+
+import org.comfreywall.common.id.FailureDomainId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Describes a failure domain.
+ *
+ * @param id the failure domain
+ * @param region the name of its region
+ */
+public record FailureDomainDescriptor(FailureDomainId id, String region) {
+
+	public FailureDomainDescriptor {
+		Preconditions.notNull(id, "id");
+		Preconditions.notBlank(region, "region");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/GroupDescriptor.java
@@ -0,0 +1,34 @@
+package org.comfreywall.common.config;
+
+import org.comfreywall.common.id.GroupId;
+import org.comfreywall.common.id.ServiceId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Describes an expert-parallel group.
+ *
+ * @param id the group
+ * @param service the model that the group serves
+ * @param ranks the number of ranks
+ * @param experts the number of experts a layer
+ * @param layers the number of layers with experts
+ * @param slotsPerRank the number of experts a layer that a rank has memory for
+ * @param weights the prices by which placement plans are judged
+ * @param engineChecksFencing whether the engines refuse orders with old fencing numbers
+ */
+public record GroupDescriptor(GroupId id, ServiceId service, int ranks, int experts, int layers, int slotsPerRank,
+		PlacementWeights weights, boolean engineChecksFencing) {
+
+	public GroupDescriptor {
+		Preconditions.notNull(id, "id");
+		Preconditions.notNull(service, "service");
+		Preconditions.notNull(weights, "weights");
+		Preconditions.check(ranks >= 1, "ranks must be at least 1: %d", ranks);
+		Preconditions.check(experts >= 1, "experts must be at least 1: %d", experts);
+		Preconditions.check(layers >= 1, "layers must be at least 1: %d", layers);
+		Preconditions.check((long) slotsPerRank * ranks >= experts,
+				"slotsPerRank must give every expert a slot: %d slots for %d experts", (long) slotsPerRank * ranks,
+				experts);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/ServiceKind.java
@@ -0,0 +1,13 @@
+package org.comfreywall.common.config;
+
+/**
+ * Kinds of services.
+ */
+public enum ServiceKind {
+
+	/** A language model behind the chat-completion API. */
+	MODEL,
+	/** A plain HTTP service. */
+	PLAIN
+
+}
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The configuration shared by all instances.
+ */
+package org.comfreywall.common.config;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/decision/DecisionHistory.java
@@ -0,0 +1,53 @@
+package org.comfreywall.common.decision;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Keeps the most recent decision records in memory, oldest first.
+ */
+public final class DecisionHistory implements DecisionListener {
+
+	private final int capacity;
+
+	private final Deque<DecisionRecord> records = new ArrayDeque<>();
+
+	/**
+	 * Creates an empty history.
+	 * @param capacity the number of records kept, at least 1
+	 */
+	public DecisionHistory(int capacity) {
+		Preconditions.check(capacity >= 1, "capacity must be at least 1: %d", capacity);
+		this.capacity = capacity;
+	}
+
+	@Override
+	public synchronized void onDecision(DecisionRecord record) {
+		Preconditions.notNull(record, "record");
+		if (this.records.size() == this.capacity) {
+			this.records.removeFirst();
+		}
+		this.records.addLast(record);
+	}
+
+	/**
+	 * Returns the records about one subject.
+	 * @param subject the subject, such as a request id
+	 * @return the records, oldest first
+	 */
+	public synchronized List<DecisionRecord> about(String subject) {
+		return this.records.stream().filter((record) -> record.subject().equals(subject)).toList();
+	}
+
+	/**
+	 * Returns all records kept.
+	 * @return the records, oldest first
+	 */
+	public synchronized List<DecisionRecord> all() {
+		return List.copyOf(this.records);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/decision/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Structured records of decisions.
+ */
+package org.comfreywall.common.decision;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/id/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Typed identifiers and numbers.
+ */
+package org.comfreywall.common.id;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/invariant/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Invariants asserted at run time.
+ */
+package org.comfreywall.common.invariant;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lifecycle/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Ownership and clean-up of resources.
+ */
+package org.comfreywall.common.lifecycle;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/log/EventLog.java
@@ -0,0 +1,65 @@
+package org.comfreywall.common.log;
+
+import com.google.common.flogger.FluentLogger;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Writes one line of key=value pairs for each event.
+ */
+public final class EventLog {
+
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+	private final String source;
+
+	private EventLog(String source) {
+		this.source = source;
+	}
+
+	/**
+	 * Creates a log for a class.
+	 * @param source the class that logs
+	 * @return the log
+	 */
+	public static EventLog of(Class<?> source) {
+		return new EventLog(Preconditions.notNull(source, "source").getSimpleName());
+	}
+
+	/**
+	 * Logs an event that an operator need not act on.
+	 * @param event the event's name, in lower case with dashes
+	 * @param fields the event's values; must hold no secrets
+	 */
+	public void info(String event, Field... fields) {
+		LOGGER.atInfo().log("%s", new LogLine(this.source, event, fields));
+	}
+
+	/**
+	 * Logs an event that an operator may have to act on.
+	 * @param event the event's name, in lower case with dashes
+	 * @param fields the event's values; must hold no secrets
+	 */
+	public void warn(String event, Field... fields) {
+		LOGGER.atWarning().log("%s", new LogLine(this.source, event, fields));
+	}
+
+	/**
+	 * Logs an event that an operator must act on.
+	 * @param event the event's name, in lower case with dashes
+	 * @param fields the event's values; must hold no secrets
+	 */
+	public void error(String event, Field... fields) {
+		LOGGER.atSevere().log("%s", new LogLine(this.source, event, fields));
+	}
+
+	/**
+	 * Logs an event for debugging.
+	 * @param event the event's name, in lower case with dashes
+	 * @param fields the event's values; must hold no secrets
+	 */
+	public void debug(String event, Field... fields) {
+		LOGGER.atFine().log("%s", new LogLine(this.source, event, fields));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Structured logs.
+ */
+package org.comfreywall.common.log;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests that crash the backend servers running them.
+ */
+package org.comfreywall.common.poison;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/result/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Sealed results, errors and request outcomes.
+ */
+package org.comfreywall.common.result;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/time/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Monotonic clocks.
+ */
+package org.comfreywall.common.time;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/util/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Argument checks.
+ */
+package org.comfreywall.common.util;
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Replicated log, state machine, membership and dissemination.
+ */
+package org.comfreywall.control;
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The comfreywalld daemon.
+ */
+package org.comfreywall.daemon;
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decision cores of the entry role: routing, limits, retries, admission and attempts.
+ */
+package org.comfreywall.entry;
--- /dev/null
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decision cores of the sidecar role: attempts, seals and order fencing.
+ */
+package org.comfreywall.sidecar;
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Netty and protobuf transport between processes.
+ */
+package org.comfreywall.transport;
