--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberEntries.java
@@ -0,0 +1,99 @@
+package org.comfreywall.control.member;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.comfreywall.common.id.FailureDomainId;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.control.generated.DomainFailureProto;
+import org.comfreywall.control.generated.MemberRecordProto;
+import org.comfreywall.control.spread.EntryChange;
+import org.comfreywall.control.spread.NodeDescriptor;
+import org.comfreywall.control.spread.NodeRole;
+import org.comfreywall.control.spread.SpreadCodec;
+
+/**
+ * Converts members to and from the entries of the members' stream.
+ */
+public final class MemberEntries {
+
+	private static final String MEMBER = "m/";
+
+	private static final String DOMAIN = "d/";
+
+	private static final MemberState[] STATES = MemberState.values();
+
+	private MemberEntries() {
+	}
+
+	/**
+	 * Decodes the nodes that work and are not leaving.
+	 * @param entries the entries of the members' stream
+	 * @return the nodes
+	 */
+	public static List<NodeDescriptor> activeNodes(Map<String, Bytes> entries) {
+		MemberView view = new MemberView();
+		entries.forEach((key, value) -> view.set(key, value));
+		List<NodeDescriptor> nodes = new ArrayList<>(entries.size());
+		view.records().stream().filter(view::isActive).forEach((record) -> nodes.add(record.node()));
+		return nodes;
+	}
+
+	static EntryChange set(MemberRecord record) {
+		MemberRecordProto proto = MemberRecordProto.newBuilder()
+			.setNode(SpreadCodec.toProto(record.node()))
+			.setState(record.state().ordinal())
+			.setStamp(record.stamp())
+			.build();
+		return EntryChange.set(MEMBER + record.node().id(), Bytes.of(proto.toByteArray()));
+	}
+
+	static EntryChange set(DomainFailure failure) {
+		DomainFailureProto proto = DomainFailureProto.newBuilder()
+			.setFailureDomain(failure.domain().value())
+			.setStamp(failure.stamp())
+			.build();
+		return EntryChange.set(DOMAIN + failure.domain(), Bytes.of(proto.toByteArray()));
+	}
+
+	static EntryChange remove(InstanceId id) {
+		return EntryChange.remove(MEMBER + id);
+	}
+
+	static Optional<InstanceId> memberId(String key) {
+		return key.startsWith(MEMBER) ? Optional.of(InstanceId.of(key.substring(MEMBER.length()))) : Optional.empty();
+	}
+
+	static Optional<MemberRecord> member(String key, Bytes value) {
+		if (!key.startsWith(MEMBER)) {
+			return Optional.empty();
+		}
+		try {
+			MemberRecordProto proto = MemberRecordProto.parseFrom(value.toArray());
+			boolean known = proto.getState() < STATES.length && proto.getNode().getRole() < NodeRole.values().length;
+			return known ? Optional.of(new MemberRecord(SpreadCodec.fromProto(proto.getNode()),
+					STATES[proto.getState()], proto.getStamp())) : Optional.empty();
+		}
+		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+	static Optional<DomainFailure> domainFailure(String key, Bytes value) {
+		if (!key.startsWith(DOMAIN)) {
+			return Optional.empty();
+		}
+		try {
+			DomainFailureProto proto = DomainFailureProto.parseFrom(value.toArray());
+			return Optional.of(new DomainFailure(FailureDomainId.of(proto.getFailureDomain()), proto.getStamp()));
+		}
+		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Publication.java
@@ -0,0 +1,51 @@
+package org.comfreywall.control.member;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.comfreywall.control.spread.EntryChange;
+
+/**
+ * Gathers changed entries so that a storm of changes leads to few messages.
+ */
+final class Publication {
+
+	private final long intervalNanos;
+
+	private final Map<String, EntryChange> changes = new LinkedHashMap<>();
+
+	private boolean urgent;
+
+	private long publishedAt;
+
+	Publication(long intervalNanos) {
+		this.intervalNanos = intervalNanos;
+	}
+
+	void add(EntryChange change) {
+		this.changes.put(change.key(), change);
+	}
+
+	void addUrgent(EntryChange change) {
+		add(change);
+		this.urgent = true;
+	}
+
+	void clear() {
+		this.changes.clear();
+		this.urgent = false;
+	}
+
+	List<EntryChange> take(long now) {
+		boolean due = this.urgent || now - this.publishedAt >= this.intervalNanos;
+		if (this.changes.isEmpty() || !due) {
+			return List.of();
+		}
+		this.publishedAt = now;
+		List<EntryChange> taken = List.copyOf(this.changes.values());
+		clear();
+		return taken;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/SuspicionJudge.java
@@ -0,0 +1,207 @@
+package org.comfreywall.control.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import org.comfreywall.common.id.FailureDomainId;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.control.spread.NodeDescriptor;
+import org.comfreywall.control.spread.Peer;
+import org.comfreywall.control.spread.ProbeRequest;
+import org.comfreywall.control.spread.ProbeResult;
+
+/**
+ * Gathers opinions on members that are not heard and judges them.
+ * <p>
+ * One positive opinion spares a member. It is judged to have failed on at least two
+ * negative ones of different nodes, or on that of the leader if there is no other node.
+ * If a whole failure domain is unheard, only a sample of it is probed and it is judged as
+ * one.
+ */
+final class SuspicionJudge {
+
+	private static final int MAX_PROBES = 64;
+
+	private static final int OPINIONS = 2;
+
+	private static final int DOMAIN_SAMPLE = 3;
+
+	private final Peer self;
+
+	private final MembershipSettings settings;
+
+	private final RandomGenerator random;
+
+	private final ProberSelector selector;
+
+	private final List<ProbeOrder> orders = new ArrayList<>();
+
+	SuspicionJudge(NodeDescriptor self, MembershipSettings settings, RandomGenerator random) {
+		this.self = Peer.of(self);
+		this.settings = settings;
+		this.random = random;
+		this.selector = new ProberSelector(self.id(), random.nextLong());
+	}
+
+	void clear() {
+		this.orders.clear();
+	}
+
+	List<ProbeOrder> takeProbes() {
+		List<ProbeOrder> taken = List.copyOf(this.orders);
+		this.orders.clear();
+		return taken;
+	}
+
+	void onResult(Member member, Peer prober, ProbeResult result, long now) {
+		if (!member.isAskedBy(result.nonce())) {
+			return;
+		}
+		if (result.reachable()) {
+			member.spare(now + this.settings.reprobeInterval().toNanos());
+		}
+		else {
+			member.unreached().add(prober.id());
+		}
+	}
+
+	/**
+	 * Judges the members in doubt and asks for opinions on those that lack them.
+	 * @param members all members
+	 * @param now the clock's reading
+	 * @return who has failed
+	 */
+	Verdicts judge(Collection<Member> members, long now) {
+		Map<FailureDomainId, DomainSuspects> domains = group(members, now);
+		Verdicts verdicts = new Verdicts(new ArrayList<>(), new ArrayList<>());
+		long probing = members.stream().filter(Member::isProbing).count();
+		int budget = (int) Math.max(0, MAX_PROBES - probing);
+		for (Map.Entry<FailureDomainId, DomainSuspects> entry : domains.entrySet()) {
+			DomainSuspects suspects = entry.getValue();
+			if (suspects.isWhole()) {
+				budget -= judgeDomain(entry.getKey(), suspects, members, verdicts, now);
+			}
+			else {
+				budget -= judgeEach(suspects.suspects(), members, verdicts, budget, now);
+			}
+		}
+		return verdicts;
+	}
+
+	private int judgeDomain(FailureDomainId domain, DomainSuspects suspects, Collection<Member> members,
+			Verdicts verdicts, long now) {
+		List<Member> sample = suspects.suspects().subList(0, DOMAIN_SAMPLE);
+		if (sample.stream().allMatch((member) -> isCondemned(member, members))) {
+			verdicts.failedDomains().add(new FailedDomain(domain, suspects.suspects()));
+			return 0;
+		}
+		return probe(sample, members, DOMAIN_SAMPLE, now);
+	}
+
+	private int judgeEach(List<Member> suspects, Collection<Member> members, Verdicts verdicts, int budget, long now) {
+		List<Member> open = new ArrayList<>();
+		for (Member member : suspects) {
+			if (isCondemned(member, members)) {
+				verdicts.failed().add(member);
+			}
+			else {
+				open.add(member);
+			}
+		}
+		return probe(open, members, budget, now);
+	}
+
+	private int probe(List<Member> open, Collection<Member> members, int budget, long now) {
+		int probed = 0;
+		for (Member member : open) {
+			boolean waiting = member.isProbing() && now - member.probedAt() < this.settings.probeTimeout().toNanos();
+			if (!waiting && probed < budget) {
+				probed++;
+				ask(member, members, now);
+			}
+		}
+		return probed;
+	}
+
+	private void ask(Member member, Collection<Member> members, long now) {
+		long nonce = this.random.nextLong();
+		member.beginProbe(nonce, now);
+		ProbeRequest request = new ProbeRequest(nonce, member.node());
+		this.selector.select(member.node(), members, this.self)
+			.forEach((prober) -> this.orders.add(new ProbeOrder(prober, request)));
+	}
+
+	private boolean isCondemned(Member member, Collection<Member> members) {
+		if (!member.isProbing() || member.unreached().isEmpty()) {
+			return false;
+		}
+		int available = this.selector.available(member.node(), members);
+		return member.unreached().size() >= Math.min(OPINIONS, available);
+	}
+
+	private static Map<FailureDomainId, DomainSuspects> group(Collection<Member> members, long now) {
+		Map<FailureDomainId, DomainSuspects> domains = new HashMap<>();
+		for (Member member : members) {
+			if (member.isSuspect(now)) {
+				domains.computeIfAbsent(member.node().domain(), (domain) -> new DomainSuspects(new ArrayList<>(), 0))
+					.suspects()
+					.add(member);
+			}
+		}
+		if (!domains.isEmpty()) {
+			members.stream()
+				.filter((member) -> member.state() != MemberState.FAILED)
+				.forEach((member) -> domains.computeIfPresent(member.node().domain(),
+						(domain, suspects) -> suspects.counted()));
+		}
+		return domains;
+	}
+
+	/**
+	 * The members of a failure domain that are in doubt.
+	 *
+	 * @param suspects the members in doubt
+	 * @param live the number of members that have not failed
+	 */
+	private record DomainSuspects(List<Member> suspects, int live) {
+
+		DomainSuspects counted() {
+			return new DomainSuspects(this.suspects, this.live + 1);
+		}
+
+		boolean isWhole() {
+			return this.suspects.size() == this.live && this.live >= DOMAIN_SAMPLE;
+		}
+
+	}
+
+	/**
+	 * A failure domain judged to have failed.
+	 *
+	 * @param domain the failure domain
+	 * @param members its members that had not failed before
+	 */
+	record FailedDomain(FailureDomainId domain, List<Member> members) {
+
+		FailedDomain {
+			Preconditions.notNull(domain, "domain");
+			members = List.copyOf(members);
+		}
+
+	}
+
+	/**
+	 * Who has failed.
+	 *
+	 * @param failed single members
+	 * @param failedDomains whole failure domains
+	 */
+	record Verdicts(List<Member> failed, List<FailedDomain> failedDomains) {
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
@@ -0,0 +1,149 @@
+package org.comfreywall.control.spread;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.comfreywall.common.id.InstanceId;
+
+/**
+ * What a node knows of one child.
+ */
+final class Child {
+
+	private final Map<StreamId, Position> acknowledged = new EnumMap<>(StreamId.class);
+
+	private final Map<StreamId, Version> sent = new EnumMap<>(StreamId.class);
+
+	private final Map<StreamId, Long> sentAt = new EnumMap<>(StreamId.class);
+
+	private final Map<InstanceId, MemberReport> below = new HashMap<>();
+
+	private NodeDescriptor node;
+
+	private boolean leaving;
+
+	private long heardAt;
+
+	private Coverage coverage = new Coverage(1, 0, 0, List.of());
+
+	private long resetSequence;
+
+	private long reportsReceived;
+
+	private Parents parents = Parents.NONE;
+
+	Child(NodeDescriptor node) {
+		this.node = node;
+	}
+
+	/**
+	 * Takes what a heartbeat says about the child itself.
+	 * @param heartbeat the heartbeat
+	 * @param now the clock's reading
+	 */
+	void heard(Heartbeat heartbeat, long now) {
+		if (this.node.incarnation().isBefore(heartbeat.node().incarnation())) {
+			restarted();
+		}
+		this.node = heartbeat.node();
+		this.leaving = this.leaving || heartbeat.leaving();
+		this.heardAt = now;
+		this.coverage = heartbeat.coverage();
+		this.acknowledged.put(StreamId.CONFIGURATION, heartbeat.configuration());
+		this.acknowledged.put(StreamId.MEMBERS, heartbeat.members());
+	}
+
+	/**
+	 * Tells whether a heartbeat begins a new listing of the nodes below.
+	 * @param heartbeat the heartbeat
+	 * @return {@code true} if what was reported before is void
+	 */
+	boolean beginsListing(Heartbeat heartbeat) {
+		return heartbeat.resetSequence() > this.resetSequence;
+	}
+
+	void beginListing(long sequence) {
+		this.resetSequence = sequence;
+		this.reportsReceived = sequence;
+	}
+
+	/**
+	 * Tells whether a heartbeat carries reports that were not taken before.
+	 * @param heartbeat the heartbeat
+	 * @return {@code true} if the reports are new
+	 */
+	boolean hasNewReports(Heartbeat heartbeat) {
+		return heartbeat.resetSequence() == this.resetSequence && heartbeat.reportSequence() > this.reportsReceived;
+	}
+
+	void received(long sequence) {
+		this.reportsReceived = sequence;
+	}
+
+	Version sent(StreamId stream) {
+		return this.sent.getOrDefault(stream, Version.ZERO);
+	}
+
+	long sentAt(StreamId stream) {
+		return this.sentAt.getOrDefault(stream, 0L);
+	}
+
+	void markSent(StreamId stream, Version version, long now) {
+		this.sent.put(stream, version);
+		this.sentAt.put(stream, now);
+	}
+
+	void rewind(StreamId stream) {
+		this.sent.put(stream, acknowledged(stream).version());
+	}
+
+	Position acknowledged(StreamId stream) {
+		return this.acknowledged.getOrDefault(stream, Position.ZERO);
+	}
+
+	MemberReport report() {
+		return new MemberReport(this.node, this.leaving ? Presence.LEAVING : Presence.PRESENT);
+	}
+
+	Map<InstanceId, MemberReport> below() {
+		return this.below;
+	}
+
+	NodeDescriptor node() {
+		return this.node;
+	}
+
+	Peer peer() {
+		return Peer.of(this.node);
+	}
+
+	long heardAt() {
+		return this.heardAt;
+	}
+
+	Coverage coverage() {
+		return this.coverage;
+	}
+
+	long reportsReceived() {
+		return this.reportsReceived;
+	}
+
+	Parents parents() {
+		return this.parents;
+	}
+
+	void markParents(Parents parents) {
+		this.parents = parents;
+	}
+
+	private void restarted() {
+		this.leaving = false;
+		this.resetSequence = 0;
+		this.reportsReceived = 0;
+		this.sent.clear();
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Children.java
@@ -0,0 +1,164 @@
+package org.comfreywall.control.spread;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.comfreywall.common.id.InstanceId;
+
+/**
+ * The children of a node and what they report about the nodes below them.
+ * <p>
+ * A node is present as long as one child vouches for it. At most
+ * {@link SpreadSettings#maxChildren()} children and {@value #MAX_BELOW} nodes are held.
+ */
+final class Children {
+
+	/** The number of nodes below this one that are tracked at most. */
+	static final int MAX_BELOW = 16_384;
+
+	private final int limit;
+
+	private final Consumer<MemberReport> listener;
+
+	private final Map<InstanceId, Child> children = new LinkedHashMap<>();
+
+	private final Map<InstanceId, Map<InstanceId, MemberReport>> vouchers = new HashMap<>();
+
+	private boolean coverageChanged;
+
+	Children(int limit, Consumer<MemberReport> listener) {
+		this.limit = limit;
+		this.listener = listener;
+	}
+
+	boolean isFull() {
+		return this.children.size() >= this.limit;
+	}
+
+	boolean coverageChanged() {
+		return this.coverageChanged;
+	}
+
+	void clearCoverageChanged() {
+		this.coverageChanged = false;
+	}
+
+	Collection<Child> all() {
+		return this.children.values();
+	}
+
+	Optional<Child> find(InstanceId id) {
+		return Optional.ofNullable(this.children.get(id));
+	}
+
+	/**
+	 * Takes a heartbeat and adds its sender if it is new.
+	 * @param heartbeat the heartbeat
+	 * @param now the clock's reading
+	 * @return the child
+	 */
+	Child heard(Heartbeat heartbeat, long now) {
+		Child child = this.children.computeIfAbsent(heartbeat.node().id(), (id) -> new Child(heartbeat.node()));
+		this.coverageChanged |= !child.coverage().equals(heartbeat.coverage());
+		child.heard(heartbeat, now);
+		vouch(child, child.report());
+		if (child.beginsListing(heartbeat)) {
+			List.copyOf(child.below().keySet()).forEach((id) -> withdraw(child, id));
+			child.beginListing(heartbeat.resetSequence());
+		}
+		if (child.hasNewReports(heartbeat)) {
+			heartbeat.reports().forEach((report) -> take(child, report));
+			child.received(heartbeat.reportSequence());
+		}
+		return child;
+	}
+
+	/**
+	 * Removes a child with all that it vouched for.
+	 * @param id the child
+	 */
+	void remove(InstanceId id) {
+		Child child = this.children.remove(id);
+		if (child != null) {
+			List.copyOf(child.below().keySet()).forEach((below) -> withdraw(child, below));
+			withdraw(child, id);
+		}
+	}
+
+	/**
+	 * Removes the children that have been silent for too long.
+	 * @param heardBefore the clock's reading after which a child must have been heard
+	 * @return the removed children
+	 */
+	List<InstanceId> expire(long heardBefore) {
+		List<InstanceId> silent = this.children.values()
+			.stream()
+			.filter((child) -> child.heardAt() < heardBefore)
+			.map((child) -> child.node().id())
+			.toList();
+		silent.forEach(this::remove);
+		return silent;
+	}
+
+	List<MemberReport> present() {
+		List<MemberReport> reports = new ArrayList<>(this.vouchers.size());
+		this.vouchers.values().forEach((reportsOfOne) -> reports.add(newest(reportsOfOne.values())));
+		return reports;
+	}
+
+	private void take(Child child, MemberReport report) {
+		if (report.presence() == Presence.ABSENT) {
+			withdraw(child, report.node().id());
+		}
+		else if (!report.node().id().equals(child.node().id())) {
+			child.below().put(report.node().id(), report);
+			vouch(child, report);
+		}
+	}
+
+	private void vouch(Child child, MemberReport report) {
+		InstanceId id = report.node().id();
+		if (this.vouchers.size() >= MAX_BELOW && !this.vouchers.containsKey(id)) {
+			return;
+		}
+		Map<InstanceId, MemberReport> reports = this.vouchers.computeIfAbsent(id, (key) -> new HashMap<>(2));
+		Optional<MemberReport> before = reports.isEmpty() ? Optional.empty() : Optional.of(newest(reports.values()));
+		reports.put(child.node().id(), report);
+		MemberReport after = newest(reports.values());
+		if (before.isEmpty() || !before.get().equals(after)) {
+			this.listener.accept(after);
+		}
+	}
+
+	private void withdraw(Child child, InstanceId id) {
+		child.below().remove(id);
+		Map<InstanceId, MemberReport> reports = this.vouchers.get(id);
+		MemberReport withdrawn = (reports != null) ? reports.remove(child.node().id()) : null;
+		if (withdrawn != null && reports.isEmpty()) {
+			this.vouchers.remove(id);
+			this.listener.accept(new MemberReport(withdrawn.node(), Presence.ABSENT));
+		}
+	}
+
+	private static MemberReport newest(Collection<MemberReport> reports) {
+		MemberReport newest = null;
+		for (MemberReport report : reports) {
+			if (newest == null || supersedes(report, newest)) {
+				newest = report;
+			}
+		}
+		return newest;
+	}
+
+	private static boolean supersedes(MemberReport report, MemberReport other) {
+		int order = report.node().incarnation().compareTo(other.node().incarnation());
+		return order > 0 || (order == 0 && report.presence() == Presence.LEAVING);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ConfigurationGate.java
@@ -0,0 +1,95 @@
+package org.comfreywall.control.spread;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.comfreywall.common.decision.DecisionKind;
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.decision.DecisionRecord;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.invariant.Invariants;
+
+/**
+ * Lets a configuration come into force once the floor is known and reached, and never an
+ * older one afterwards.
+ */
+final class ConfigurationGate {
+
+	private final InstanceId self;
+
+	private final StreamReplica replica;
+
+	private final Invariants invariants;
+
+	private final DecisionListener decisions;
+
+	private final Outbox outbox;
+
+	private Optional<Version> floor = Optional.empty();
+
+	private Optional<Version> inForce = Optional.empty();
+
+	ConfigurationGate(InstanceId self, StreamReplica replica, Invariants invariants, DecisionListener decisions,
+			Outbox outbox) {
+		this.self = self;
+		this.replica = replica;
+		this.invariants = invariants;
+		this.decisions = decisions;
+		this.outbox = outbox;
+	}
+
+	Optional<Version> inForce() {
+		return this.inForce;
+	}
+
+	long numberInForce() {
+		return this.inForce.map(Version::number).orElse(0L);
+	}
+
+	/**
+	 * Takes the floor that a quorum confirmed.
+	 * @param version the oldest version that may come into force
+	 */
+	void floorLearnt(Version version) {
+		this.floor = Optional.of(version);
+		replaced();
+	}
+
+	/**
+	 * Puts an applied delta into force.
+	 * @param delta the delta
+	 */
+	void advanced(Delta delta) {
+		if (this.inForce.isEmpty()) {
+			replaced();
+			return;
+		}
+		enforce(delta.changes(), false);
+	}
+
+	/**
+	 * Puts the whole state into force.
+	 */
+	void replaced() {
+		boolean reached = this.floor.isPresent() && !this.replica.version().isBefore(this.floor.get());
+		if (reached || this.inForce.isPresent()) {
+			enforce(this.replica.asChanges(), true);
+		}
+	}
+
+	private void enforce(List<EntryChange> changes, boolean whole) {
+		Version version = this.replica.version();
+		Version before = this.inForce.orElse(Version.ZERO);
+		boolean forward = version.number() >= before.number() && !version.isBefore(before);
+		if (!this.invariants.holds(forward, "revision-never-back", Field.of("held", before),
+				Field.of("offered", version))) {
+			return;
+		}
+		this.inForce = Optional.of(version);
+		this.outbox.add(new SpreadCommand.ConfigurationInForce(version, changes, whole));
+		this.decisions.onDecision(DecisionRecord.of(DecisionKind.CONFIGURE, this.self.value(), "in-force",
+				Field.of("version", version), Field.of("whole", whole)));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/DeltaUpdate.java
@@ -0,0 +1,23 @@
+package org.comfreywall.control.spread;
+
+import java.util.List;
+
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Hands a child consecutive deltas.
+ *
+ * @param stream the stream
+ * @param rootTerm the newest term known to the sender
+ * @param deltas the deltas, oldest first
+ */
+public record DeltaUpdate(StreamId stream, Term rootTerm, List<Delta> deltas) implements SpreadMessage {
+
+	public DeltaUpdate {
+		Preconditions.notNull(stream, "stream");
+		Preconditions.notNull(rootTerm, "rootTerm");
+		deltas = List.copyOf(deltas);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveAnnouncer.java
@@ -0,0 +1,59 @@
+package org.comfreywall.control.spread;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Tells the control instances directly, and more than once, that a node is leaving.
+ */
+final class LeaveAnnouncer {
+
+	private static final int ROUNDS = 8;
+
+	private static final long INTERVAL_NANOS = Duration.ofMillis(250).toNanos();
+
+	private final NodeDescriptor self;
+
+	private final List<NodeDescriptor> controls;
+
+	private final Outbox outbox;
+
+	private boolean leaving;
+
+	private int round;
+
+	private long sentAt;
+
+	LeaveAnnouncer(NodeDescriptor self, List<NodeDescriptor> controls, Outbox outbox) {
+		this.self = self;
+		this.controls = controls;
+		this.outbox = outbox;
+	}
+
+	boolean isLeaving() {
+		return this.leaving;
+	}
+
+	void start(long now) {
+		if (!this.leaving) {
+			this.leaving = true;
+			send(now);
+		}
+	}
+
+	void tick(long now) {
+		if (this.leaving && this.round < ROUNDS && now - this.sentAt >= INTERVAL_NANOS) {
+			send(now);
+		}
+	}
+
+	private void send(long now) {
+		this.sentAt = now;
+		if (!this.controls.isEmpty()) {
+			NodeDescriptor control = this.controls.get(this.round % this.controls.size());
+			this.outbox.send(Peer.of(control), new LeaveNotice(this.self));
+		}
+		this.round++;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveNotice.java
@@ -0,0 +1,16 @@
+package org.comfreywall.control.spread;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Tells a control instance directly that a node takes no new work.
+ *
+ * @param node the node that leaves
+ */
+public record LeaveNotice(NodeDescriptor node) implements SpreadMessage {
+
+	public LeaveNotice {
+		Preconditions.notNull(node, "node");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageEncoder.java
@@ -0,0 +1,180 @@
+package org.comfreywall.control.spread;
+
+import com.google.protobuf.UnsafeByteOperations;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.control.generated.BeatProto;
+import org.comfreywall.control.generated.CoverageProto;
+import org.comfreywall.control.generated.DeltaProto;
+import org.comfreywall.control.generated.DeltasProto;
+import org.comfreywall.control.generated.EntryProto;
+import org.comfreywall.control.generated.FloorProto;
+import org.comfreywall.control.generated.HeartbeatProto;
+import org.comfreywall.control.generated.LaggardProto;
+import org.comfreywall.control.generated.LeaveProto;
+import org.comfreywall.control.generated.MemberReportProto;
+import org.comfreywall.control.generated.ParentsProto;
+import org.comfreywall.control.generated.PingProto;
+import org.comfreywall.control.generated.PongProto;
+import org.comfreywall.control.generated.PositionProto;
+import org.comfreywall.control.generated.ProbeRequestProto;
+import org.comfreywall.control.generated.ProbeResultProto;
+import org.comfreywall.control.generated.SnapshotProto;
+import org.comfreywall.control.generated.SpreadEnvelopeProto;
+import org.comfreywall.control.generated.VersionProto;
+
+/**
+ * Converts messages of the relay tree to generated ones.
+ */
+final class MessageEncoder {
+
+	private MessageEncoder() {
+	}
+
+	static SpreadEnvelopeProto encode(SpreadMessage message) {
+		SpreadEnvelopeProto.Builder envelope = SpreadEnvelopeProto.newBuilder();
+		if (message instanceof Heartbeat heartbeat) {
+			envelope.setHeartbeat(heartbeat(heartbeat));
+		}
+		else if (message instanceof Beat beat) {
+			envelope.setBeat(beat(beat));
+		}
+		else if (message instanceof Parents parents) {
+			envelope.setParents(parents(parents));
+		}
+		else if (message instanceof DeltaUpdate update) {
+			envelope.setDeltas(deltas(update));
+		}
+		else if (message instanceof SnapshotUpdate update) {
+			envelope.setSnapshot(snapshot(update));
+		}
+		else if (message instanceof FloorAnswer answer) {
+			envelope.setFloor(floor(answer));
+		}
+		else {
+			encodeProbe(message, envelope);
+		}
+		return envelope.build();
+	}
+
+	private static void encodeProbe(SpreadMessage message, SpreadEnvelopeProto.Builder envelope) {
+		if (message instanceof LeaveNotice notice) {
+			envelope.setLeave(LeaveProto.newBuilder().setNode(SpreadCodec.toProto(notice.node())));
+		}
+		else if (message instanceof Ping ping) {
+			envelope.setPing(PingProto.newBuilder().setNonce(ping.nonce()));
+		}
+		else if (message instanceof Pong pong) {
+			envelope.setPong(PongProto.newBuilder().setNonce(pong.nonce()).setIncarnation(pong.incarnation().value()));
+		}
+		else if (message instanceof ProbeRequest request) {
+			envelope.setProbeRequest(ProbeRequestProto.newBuilder()
+				.setNonce(request.nonce())
+				.setTarget(SpreadCodec.toProto(request.target())));
+		}
+		else if (message instanceof ProbeResult result) {
+			envelope.setProbeResult(ProbeResultProto.newBuilder()
+				.setNonce(result.nonce())
+				.setTarget(result.target().value())
+				.setIncarnation(result.incarnation().value())
+				.setReachable(result.reachable()));
+		}
+	}
+
+	private static HeartbeatProto heartbeat(Heartbeat heartbeat) {
+		HeartbeatProto.Builder proto = HeartbeatProto.newBuilder()
+			.setNode(SpreadCodec.toProto(heartbeat.node()))
+			.setLeaving(heartbeat.leaving())
+			.setStranded(heartbeat.stranded())
+			.setResend(heartbeat.resend())
+			.setConfiguration(position(heartbeat.configuration()))
+			.setMembers(position(heartbeat.members()))
+			.setFloorNonce(heartbeat.floorNonce())
+			.setCoverage(coverage(heartbeat.coverage()))
+			.setResetSequence(heartbeat.resetSequence())
+			.setReportSequence(heartbeat.reportSequence());
+		for (MemberReport report : heartbeat.reports()) {
+			proto.addReports(MemberReportProto.newBuilder()
+				.setNode(SpreadCodec.toProto(report.node()))
+				.setPresence(report.presence().ordinal()));
+		}
+		return proto.build();
+	}
+
+	private static CoverageProto coverage(Coverage coverage) {
+		CoverageProto.Builder proto = CoverageProto.newBuilder()
+			.setNodes(coverage.nodes())
+			.setNumber(coverage.number())
+			.setBehindCount(coverage.behindCount());
+		for (Laggard laggard : coverage.behind()) {
+			proto.addLaggards(LaggardProto.newBuilder().setId(laggard.id().value()).setNumber(laggard.number()));
+		}
+		return proto.build();
+	}
+
+	private static BeatProto beat(Beat beat) {
+		return BeatProto.newBuilder()
+			.setRootTerm(beat.rootTerm().value())
+			.setRootSequence(beat.rootSequence())
+			.setConfiguration(position(beat.configuration()))
+			.setMembers(position(beat.members()))
+			.setReportsReceived(beat.reportsReceived())
+			.build();
+	}
+
+	private static ParentsProto parents(Parents parents) {
+		ParentsProto.Builder proto = ParentsProto.newBuilder()
+			.setPreferred(parents.preferred())
+			.setAdopted(parents.adopted());
+		parents.parents().forEach((parent) -> proto.addParents(SpreadCodec.toProto(parent)));
+		return proto.build();
+	}
+
+	private static DeltasProto deltas(DeltaUpdate update) {
+		DeltasProto.Builder proto = DeltasProto.newBuilder()
+			.setStream(update.stream().ordinal())
+			.setRootTerm(update.rootTerm().value());
+		for (Delta delta : update.deltas()) {
+			DeltaProto.Builder one = DeltaProto.newBuilder().setFrom(version(delta.from())).setTo(version(delta.to()));
+			delta.changes().forEach((change) -> one.addChanges(change(change)));
+			proto.addDeltas(one);
+		}
+		return proto.build();
+	}
+
+	private static EntryProto change(EntryChange change) {
+		EntryProto.Builder proto = EntryProto.newBuilder().setKey(change.key());
+		change.value().ifPresent((value) -> proto.setValue(UnsafeByteOperations.unsafeWrap(value.toArray())));
+		return proto.build();
+	}
+
+	private static SnapshotProto snapshot(SnapshotUpdate update) {
+		SnapshotProto.Builder proto = SnapshotProto.newBuilder()
+			.setStream(update.stream().ordinal())
+			.setRootTerm(update.rootTerm().value())
+			.setVersion(version(update.snapshot().version()));
+		update.snapshot().entries().forEach((key, value) -> proto.addEntries(entry(key, value)));
+		return proto.build();
+	}
+
+	private static EntryProto entry(String key, Bytes value) {
+		return EntryProto.newBuilder().setKey(key).setValue(UnsafeByteOperations.unsafeWrap(value.toArray())).build();
+	}
+
+	private static FloorProto floor(FloorAnswer answer) {
+		return FloorProto.newBuilder()
+			.setNonce(answer.nonce())
+			.setConfiguration(version(answer.floor().configuration()))
+			.setOrderTerm(answer.floor().orders().term().value())
+			.setOrderSequence(answer.floor().orders().sequence())
+			.build();
+	}
+
+	private static PositionProto position(Position position) {
+		return PositionProto.newBuilder().setVersion(version(position.version())).setDigest(position.digest()).build();
+	}
+
+	private static VersionProto version(Version version) {
+		return VersionProto.newBuilder().setTerm(version.term().value()).setNumber(version.number()).build();
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentLink.java
@@ -0,0 +1,252 @@
+package org.comfreywall.control.spread;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+
+import org.comfreywall.common.decision.DecisionKind;
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.decision.DecisionRecord;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.Term;
+
+/**
+ * Chooses a node's parent.
+ * <p>
+ * A parent is left when it does not answer, falls silent, or lives but has not heard the
+ * leader for long; the last makes dead ends and loops in the tree dissolve.
+ */
+final class ParentLink {
+
+	private static final long AVOID_NANOS = 10_000_000_000L;
+
+	private static final long MAX_MOVE_DELAY_NANOS = 5_000_000_000L;
+
+	private static final long RETRY_NANOS = 500_000_000L;
+
+	private static final int MAX_AVOIDED = 64;
+
+	private final InstanceId self;
+
+	private final List<NodeDescriptor> seeds;
+
+	private final SpreadSettings settings;
+
+	private final RandomGenerator random;
+
+	private final DecisionListener decisions;
+
+	private final Map<InstanceId, Long> avoidUntil = new HashMap<>();
+
+	private Parents candidates = Parents.NONE;
+
+	private Optional<NodeDescriptor> parent = Optional.empty();
+
+	private boolean confirmed;
+
+	private boolean stranded;
+
+	private long attachedAt;
+
+	private long heardAt;
+
+	private long moveAt = Long.MAX_VALUE;
+
+	private long retryAt = Long.MIN_VALUE;
+
+	private Term rootTerm = Term.ZERO;
+
+	private long rootSequence;
+
+	private long rootSeenAt;
+
+	private int staleFactor = 1;
+
+	ParentLink(NodeDescriptor self, List<NodeDescriptor> seeds, SpreadSettings settings, RandomGenerator random,
+			DecisionListener decisions) {
+		this.self = self.id();
+		this.seeds = new ArrayList<>(seeds);
+		Collections.shuffle(this.seeds, new Random(random.nextLong()));
+		this.seeds.sort(Comparator.comparing((seed) -> !seed.region().equals(self.region())));
+		this.settings = settings;
+		this.random = random;
+		this.decisions = decisions;
+	}
+
+	Optional<NodeDescriptor> parent() {
+		return this.parent;
+	}
+
+	boolean is(InstanceId id) {
+		return this.parent.isPresent() && this.parent.get().id().equals(id);
+	}
+
+	boolean isConfirmed() {
+		return this.confirmed;
+	}
+
+	boolean isStranded() {
+		return this.stranded;
+	}
+
+	Term rootTerm() {
+		return this.rootTerm;
+	}
+
+	long rootSequence() {
+		return this.rootSequence;
+	}
+
+	/**
+	 * Replaces the candidates without regard to the present parent.
+	 * @param leader the only candidate, or empty for none
+	 * @param now the clock's reading
+	 */
+	void follow(Optional<NodeDescriptor> leader, long now) {
+		this.seeds.clear();
+		leader.ifPresent(this.seeds::add);
+		this.candidates = Parents.NONE;
+		this.avoidUntil.clear();
+		detach();
+		if (leader.isPresent()) {
+			attach(leader.get(), "leader-changed", now);
+		}
+	}
+
+	/**
+	 * Takes a beat of the parent.
+	 * @param beat the beat
+	 * @param now the clock's reading
+	 * @return {@code true} if it passes on a new beat of the leader
+	 */
+	boolean onBeat(Beat beat, long now) {
+		this.confirmed = true;
+		this.heardAt = now;
+		this.stranded = false;
+		int order = beat.rootTerm().compareTo(this.rootTerm);
+		if (order < 0 || (order == 0 && beat.rootSequence() <= this.rootSequence)) {
+			return false;
+		}
+		rootHeard(beat.rootTerm(), beat.rootSequence(), now);
+		this.staleFactor = 1;
+		return true;
+	}
+
+	void rootHeard(Term term, long sequence, long now) {
+		this.rootTerm = term;
+		this.rootSequence = sequence;
+		this.rootSeenAt = now;
+	}
+
+	/**
+	 * Takes a list of parents to choose from.
+	 * @param from the sender
+	 * @param parents the list
+	 * @param now the clock's reading
+	 * @return {@code true} if the parent has changed
+	 */
+	boolean onParents(InstanceId from, Parents parents, long now) {
+		if (!is(from)) {
+			return false;
+		}
+		this.candidates = parents;
+		if (!parents.adopted()) {
+			this.avoidUntil.put(from, now + AVOID_NANOS);
+			return next("redirected", now);
+		}
+		boolean preferred = parents.parents().stream().limit(parents.preferred()).anyMatch((node) -> is(node.id()));
+		boolean stay = preferred || parents.preferred() == 0;
+		long delay = this.random.nextLong(MAX_MOVE_DELAY_NANOS);
+		this.moveAt = stay ? Long.MAX_VALUE : Math.min(this.moveAt, now + delay);
+		return false;
+	}
+
+	/**
+	 * Leaves a parent to which the connection has broken.
+	 * @param peer the peer
+	 * @param now the clock's reading
+	 * @return {@code true} if the parent has changed
+	 */
+	boolean onLost(InstanceId peer, long now) {
+		return is(peer) && fail("connection-lost", now);
+	}
+
+	/**
+	 * Leaves a parent that does not serve.
+	 * @param now the clock's reading
+	 * @return {@code true} if the parent has changed
+	 */
+	boolean tick(long now) {
+		if (this.parent.isEmpty()) {
+			return now >= this.retryAt && next("none", now);
+		}
+		if (!this.confirmed) {
+			boolean timedOut = now - this.attachedAt > this.settings.connectTimeout().toNanos();
+			return timedOut && fail("no-answer", now);
+		}
+		if (now - this.heardAt > this.settings.silenceTimeout().toNanos()) {
+			return fail("silent", now);
+		}
+		if (isRootStale(now)) {
+			this.staleFactor = Math.min(this.staleFactor * 2, SpreadSettings.MAX_STALE_FACTOR);
+			return fail("leader-not-heard", now);
+		}
+		if (now >= this.moveAt) {
+			return next("planned", now);
+		}
+		return false;
+	}
+
+	private boolean isRootStale(long now) {
+		long timeout = this.settings.rootStaleTimeout().toNanos() * this.staleFactor;
+		return now - Math.max(this.rootSeenAt, this.attachedAt) > timeout;
+	}
+
+	private boolean fail(String reason, long now) {
+		this.parent.ifPresent((node) -> this.avoidUntil.put(node.id(), now + AVOID_NANOS));
+		return next(reason, now);
+	}
+
+	private boolean next(String reason, long now) {
+		this.avoidUntil.values().removeIf((until) -> until <= now || this.avoidUntil.size() > MAX_AVOIDED);
+		detach();
+		Optional<NodeDescriptor> listed = firstUsable(this.candidates.parents());
+		this.stranded = listed.isEmpty() && !this.candidates.parents().isEmpty();
+		Optional<NodeDescriptor> chosen = listed.isPresent() ? listed : firstUsable(this.seeds);
+		if (chosen.isEmpty()) {
+			this.avoidUntil.clear();
+			this.candidates = Parents.NONE;
+			this.retryAt = now + RETRY_NANOS + this.random.nextLong(RETRY_NANOS);
+		}
+		chosen.ifPresent((node) -> attach(node, reason, now));
+		return chosen.isPresent();
+	}
+
+	private Optional<NodeDescriptor> firstUsable(List<NodeDescriptor> nodes) {
+		return nodes.stream()
+			.filter((node) -> !node.id().equals(this.self) && !this.avoidUntil.containsKey(node.id()))
+			.findFirst();
+	}
+
+	private void detach() {
+		this.parent = Optional.empty();
+		this.confirmed = false;
+		this.moveAt = Long.MAX_VALUE;
+	}
+
+	private void attach(NodeDescriptor node, String reason, long now) {
+		this.parent = Optional.of(node);
+		this.attachedAt = now;
+		this.heardAt = now;
+		this.decisions.onDecision(DecisionRecord.of(DecisionKind.MEMBERSHIP, this.self.value(), "parent-chosen",
+				Field.of("parent", node.id()), Field.of("reason", reason)));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Peer.java
@@ -0,0 +1,28 @@
+package org.comfreywall.control.spread;
+
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * A node and the address at which it is reached.
+ *
+ * @param id the node
+ * @param address host and port
+ */
+public record Peer(InstanceId id, String address) {
+
+	public Peer {
+		Preconditions.notNull(id, "id");
+		Preconditions.notBlank(address, "address");
+	}
+
+	/**
+	 * Takes identifier and address from a descriptor.
+	 * @param node the node's descriptor
+	 * @return the peer
+	 */
+	public static Peer of(NodeDescriptor node) {
+		return new Peer(node.id(), node.address());
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Prober.java
@@ -0,0 +1,123 @@
+package org.comfreywall.control.spread;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.comfreywall.common.id.Incarnation;
+
+/**
+ * Probes nodes in doubt on behalf of the leader.
+ */
+final class Prober {
+
+	private static final int MAX_PROBES = 256;
+
+	private static final int PINGS = 3;
+
+	private static final long PING_INTERVAL_NANOS = Duration.ofMillis(400).toNanos();
+
+	private final Map<Long, Probe> probes = new HashMap<>();
+
+	private final NodeDescriptor self;
+
+	private final Outbox outbox;
+
+	Prober(NodeDescriptor self, Outbox outbox) {
+		this.self = self;
+		this.outbox = outbox;
+	}
+
+	/**
+	 * Handles a message if it belongs to a probe.
+	 * @param from the sender
+	 * @param message the message
+	 * @param now the clock's reading
+	 */
+	void onMessage(Peer from, SpreadMessage message, long now) {
+		if (message instanceof Ping ping) {
+			this.outbox.send(from, new Pong(ping.nonce(), this.self.incarnation()));
+		}
+		else if (message instanceof Pong pong) {
+			onPong(pong);
+		}
+		else if (message instanceof ProbeRequest request) {
+			start(from, request, now);
+		}
+		else if (message instanceof ProbeResult result) {
+			this.outbox.add(new SpreadCommand.Probed(from, result));
+		}
+	}
+
+	private void start(Peer asker, ProbeRequest request, long now) {
+		if (this.probes.size() >= MAX_PROBES || this.probes.containsKey(request.nonce())) {
+			return;
+		}
+		Probe probe = new Probe(asker, request);
+		this.probes.put(request.nonce(), probe);
+		ping(probe, now);
+	}
+
+	void tick(long now) {
+		if (this.probes.isEmpty()) {
+			return;
+		}
+		for (Probe probe : List.copyOf(this.probes.values())) {
+			if (now - probe.pingedAt >= PING_INTERVAL_NANOS) {
+				advance(probe, now);
+			}
+		}
+	}
+
+	private void advance(Probe probe, long now) {
+		if (probe.pings < PINGS) {
+			ping(probe, now);
+			return;
+		}
+		this.probes.remove(probe.request.nonce());
+		end(probe, probe.request.target().incarnation(), false);
+	}
+
+	private void onPong(Pong pong) {
+		Probe probe = this.probes.remove(pong.nonce());
+		if (probe != null) {
+			end(probe, pong.incarnation(), true);
+		}
+	}
+
+	private void end(Probe probe, Incarnation incarnation, boolean reachable) {
+		ProbeResult result = new ProbeResult(probe.request.nonce(), probe.request.target().id(), incarnation,
+				reachable);
+		if (probe.asker.id().equals(this.self.id())) {
+			this.outbox.add(new SpreadCommand.Probed(probe.asker, result));
+		}
+		else {
+			this.outbox.send(probe.asker, result);
+		}
+	}
+
+	private void ping(Probe probe, long now) {
+		probe.pings++;
+		probe.pingedAt = now;
+		this.outbox.send(Peer.of(probe.request.target()), new Ping(probe.request.nonce()));
+	}
+
+	private static final class Probe {
+
+		private final Peer asker;
+
+		private final ProbeRequest request;
+
+		private int pings;
+
+		private long pingedAt;
+
+		Probe(Peer asker, ProbeRequest request) {
+			this.asker = asker;
+			this.request = request;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTree.java
@@ -0,0 +1,183 @@
+package org.comfreywall.control.spread;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.comfreywall.common.id.FailureDomainId;
+import org.comfreywall.common.id.InstanceId;
+
+/**
+ * Plans the tree from the members: control instances, heads of failure domains, relays,
+ * leaves.
+ * <p>
+ * The plan depends on the members alone. In each failure domain one entry in each
+ * {@code fanOut} nodes is a relay and one in each {@code fanOut} relays is a head, picked
+ * by the hash of their names; a node chooses among its parents by rendezvous hashing. A
+ * member that comes or goes therefore moves few others.
+ */
+final class RelayTree {
+
+	private static final int PREFERRED = 3;
+
+	private static final int ALTERNATIVES = 2;
+
+	private final int fanOut;
+
+	private final List<NodeDescriptor> controls;
+
+	private final Map<FailureDomainId, Integer> sizes = new HashMap<>();
+
+	private final Map<FailureDomainId, List<NodeDescriptor>> relays = new HashMap<>();
+
+	private final Map<FailureDomainId, String> regions = new HashMap<>();
+
+	private final Map<FailureDomainId, Integer> guests = new HashMap<>();
+
+	private final List<NodeDescriptor> allHeads = new ArrayList<>();
+
+	private final List<NodeDescriptor> allRelays = new ArrayList<>();
+
+	private RelayTree(List<NodeDescriptor> controls, int fanOut) {
+		this.controls = controls;
+		this.fanOut = fanOut;
+	}
+
+	static RelayTree of(List<NodeDescriptor> active, List<NodeDescriptor> controls, int fanOut) {
+		RelayTree tree = new RelayTree(controls, fanOut);
+		active.forEach(tree::count);
+		tree.regions.keySet().stream().sorted().forEach(tree::placeGuests);
+		tree.relays.forEach(tree::select);
+		return tree;
+	}
+
+	Parents parentsOf(NodeDescriptor node) {
+		List<NodeDescriptor> chosen = new ArrayList<>();
+		int rank = rank(node);
+		List<NodeDescriptor> domain = this.relays.getOrDefault(node.domain(), List.of());
+		if (node.role() == NodeRole.ENTRY && rank < heads(node.domain(), 1)) {
+			addNearest(chosen, node, this.controls, PREFERRED);
+			return new Parents(chosen, chosen.size(), false);
+		}
+		boolean relay = node.role() == NodeRole.ENTRY && rank < relays(node.domain(), 1);
+		int candidates = Math.min(domain.size(), relay ? heads(node.domain(), 0) : domain.size());
+		addNearest(chosen, node, domain.subList(0, candidates), PREFERRED);
+		if (chosen.isEmpty()) {
+			addNearest(chosen, node, this.allRelays, PREFERRED);
+		}
+		int preferred = chosen.size();
+		addNearest(chosen, node, this.allHeads, ALTERNATIVES);
+		addNearest(chosen, node, this.controls, 1);
+		preferred = (preferred > 0) ? preferred : chosen.size();
+		return new Parents(chosen, preferred, false);
+	}
+
+	private void count(NodeDescriptor node) {
+		if (node.role() == NodeRole.CONTROL) {
+			return;
+		}
+		this.sizes.merge(node.domain(), 1, Integer::sum);
+		this.regions.putIfAbsent(node.domain(), node.region());
+		if (node.role() == NodeRole.ENTRY) {
+			this.relays.computeIfAbsent(node.domain(), (domain) -> new ArrayList<>()).add(node);
+		}
+	}
+
+	/**
+	 * Counts the nodes of a failure domain without entries as guests of others, of the
+	 * same region if one there has entries.
+	 * @param domain the failure domain
+	 */
+	private void placeGuests(FailureDomainId domain) {
+		if (this.relays.containsKey(domain) || this.relays.isEmpty()) {
+			return;
+		}
+		String region = this.regions.get(domain);
+		List<FailureDomainId> near = this.relays.keySet()
+			.stream()
+			.filter((host) -> this.regions.get(host).equals(region))
+			.toList();
+		Collection<FailureDomainId> hosts = near.isEmpty() ? this.relays.keySet() : near;
+		int share = ceilDiv(this.sizes.get(domain), hosts.size());
+		hosts.forEach((host) -> this.guests.merge(host, share, Integer::sum));
+	}
+
+	private void select(FailureDomainId domain, List<NodeDescriptor> entries) {
+		entries
+			.sort(Comparator.comparingLong((NodeDescriptor node) -> hash(node.id())).thenComparing(NodeDescriptor::id));
+		int count = Math.min(entries.size(), relays(domain, 0));
+		entries.subList(count, entries.size()).clear();
+		List<NodeDescriptor> heads = entries.subList(0, Math.min(count, heads(domain, 0)));
+		this.allHeads.addAll(heads);
+		this.allRelays.addAll(entries);
+	}
+
+	private int relays(FailureDomainId domain, int added) {
+		int nodes = this.sizes.getOrDefault(domain, 0) + this.guests.getOrDefault(domain, 0);
+		return ceilDiv(nodes + added, this.fanOut);
+	}
+
+	private int heads(FailureDomainId domain, int added) {
+		return ceilDiv(relays(domain, added), this.fanOut);
+	}
+
+	private int rank(NodeDescriptor node) {
+		long hash = hash(node.id());
+		int rank = 0;
+		for (NodeDescriptor relay : this.relays.getOrDefault(node.domain(), List.of())) {
+			rank += (!relay.id().equals(node.id()) && hash(relay.id()) < hash) ? 1 : 0;
+		}
+		return rank;
+	}
+
+	private void addNearest(List<NodeDescriptor> chosen, NodeDescriptor node, List<NodeDescriptor> from, int limit) {
+		long own = hash(node.id());
+		List<Ranked> ranked = new ArrayList<>(from.size());
+		for (NodeDescriptor parent : from) {
+			if (!parent.id().equals(node.id()) && !contains(chosen, parent.id())) {
+				ranked
+					.add(new Ranked(parent, !parent.region().equals(node.region()), mix(own * 31 + hash(parent.id()))));
+			}
+		}
+		ranked.sort(Comparator.comparing(Ranked::distant).thenComparingLong(Ranked::rank));
+		ranked.stream().limit(limit).map(Ranked::node).forEach(chosen::add);
+	}
+
+	private static boolean contains(List<NodeDescriptor> nodes, InstanceId id) {
+		return nodes.stream().anyMatch((node) -> node.id().equals(id));
+	}
+
+	private static int ceilDiv(int dividend, int divisor) {
+		return (dividend + divisor - 1) / divisor;
+	}
+
+	private static long hash(InstanceId id) {
+		long hash = 0;
+		for (byte b : id.value().getBytes(StandardCharsets.UTF_8)) {
+			hash = hash * 0x100000001b3L + b;
+		}
+		return mix(hash);
+	}
+
+	private static long mix(long value) {
+		long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+		mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+		return mixed ^ (mixed >>> 31);
+	}
+
+	/**
+	 * A possible parent.
+	 *
+	 * @param node the parent
+	 * @param distant whether it is in another region
+	 * @param rank the rendezvous hash of child and parent
+	 */
+	private record Ranked(NodeDescriptor node, boolean distant, long rank) {
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadEvent.java
@@ -0,0 +1,128 @@
+package org.comfreywall.control.spread;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * An input of a {@link SpreadCore}.
+ */
+public sealed interface SpreadEvent {
+
+	/**
+	 * Time has passed; due every {@link SpreadSettings#tickInterval()}.
+	 */
+	record Tick() implements SpreadEvent {
+
+	}
+
+	/**
+	 * A message has arrived.
+	 *
+	 * @param from the sender
+	 * @param message the message
+	 */
+	record Received(Peer from, SpreadMessage message) implements SpreadEvent {
+
+		public Received {
+			Preconditions.notNull(from, "from");
+			Preconditions.notNull(message, "message");
+		}
+
+	}
+
+	/**
+	 * The connection to a peer has broken.
+	 *
+	 * @param peer the peer
+	 */
+	record PeerLost(InstanceId peer) implements SpreadEvent {
+
+		public PeerLost {
+			Preconditions.notNull(peer, "peer");
+		}
+
+	}
+
+	/**
+	 * The replicated log has a new leader or has lost its leader; control instances only.
+	 *
+	 * @param term the present term
+	 * @param leader the leader, or empty if none is known or this instance's lease has
+	 * ended
+	 */
+	record LeaderChanged(Term term, Optional<InstanceId> leader) implements SpreadEvent {
+
+		public LeaderChanged {
+			Preconditions.notNull(term, "term");
+			Preconditions.notNull(leader, "leader");
+		}
+
+	}
+
+	/**
+	 * The replicated log has committed a revision of the configuration; control instances
+	 * only.
+	 *
+	 * @param delta leads from the revision before to the committed one
+	 */
+	record Accepted(Delta delta) implements SpreadEvent {
+
+		public Accepted {
+			Preconditions.notNull(delta, "delta");
+		}
+
+	}
+
+	/**
+	 * The configuration was read from a snapshot of the replicated log; control instances
+	 * only.
+	 *
+	 * @param snapshot the committed configuration
+	 */
+	record Restored(Snapshot snapshot) implements SpreadEvent {
+
+		public Restored {
+			Preconditions.notNull(snapshot, "snapshot");
+		}
+
+	}
+
+	/**
+	 * A {@link SpreadCommand.ReadFloor} has ended with a linearizable read.
+	 *
+	 * @param token the command's token
+	 * @param floor the floor, confirmed by a quorum after the command was given
+	 */
+	record FloorRead(long token, Floor floor) implements SpreadEvent {
+
+		public FloorRead {
+			Preconditions.notNull(floor, "floor");
+		}
+
+	}
+
+	/**
+	 * The leader's membership has changed; given by the membership core only.
+	 *
+	 * @param changes the changed entries
+	 */
+	record MembersChanged(List<EntryChange> changes) implements SpreadEvent {
+
+		public MembersChanged {
+			changes = List.copyOf(changes);
+		}
+
+	}
+
+	/**
+	 * This node takes no new work from now on.
+	 */
+	record LeaveRequested() implements SpreadEvent {
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
@@ -0,0 +1,396 @@
+package org.comfreywall.control.spread;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The decision core of one node of the relay tree.
+ * <p>
+ * It chooses a parent, passes configuration, members and the leader's beats down, and
+ * heartbeats, coverage and floor questions up. It is not thread-safe.
+ */
+public final class SpreadNode implements SpreadCore {
+
+	private static final long PARENTS_INTERVAL_NANOS = Duration.ofSeconds(5).toNanos();
+
+	private static final long TREE_INTERVAL_NANOS = Duration.ofSeconds(2).toNanos();
+
+	private final NodeDescriptor self;
+
+	private final List<NodeDescriptor> controls;
+
+	private final SpreadSettings settings;
+
+	private final Invariants invariants = new Invariants();
+
+	private final Outbox outbox = new Outbox();
+
+	private final Streams streams;
+
+	private final ParentPlanner planner;
+
+	private final Children children;
+
+	private final ParentLink link;
+
+	private final FloorTracker floors;
+
+	private final Prober prober;
+
+	private final LeaveAnnouncer leave;
+
+	private final Uplink uplink;
+
+	private Optional<InstanceId> leader = Optional.empty();
+
+	private long now;
+
+	private long beatAt;
+
+	private long floorReadAt;
+
+	private boolean started;
+
+	/**
+	 * Creates a node that knows nothing but the control instances.
+	 * @param self the node; its incarnation is greater than that of every earlier life
+	 * @param controls the control instances; their incarnations are not used
+	 * @param settings the settings
+	 * @param directory reads the members' entries
+	 * @param random the source of randomness
+	 * @param decisions receives the decisions
+	 */
+	public SpreadNode(NodeDescriptor self, List<NodeDescriptor> controls, SpreadSettings settings,
+			MemberDirectory directory, RandomGenerator random, DecisionListener decisions) {
+		this.self = Preconditions.notNull(self, "self");
+		this.controls = List.copyOf(controls);
+		this.settings = Preconditions.notNull(settings, "settings");
+		this.streams = new Streams(self, settings, this.invariants, decisions, this.outbox);
+		ReportQueue reports = new ReportQueue();
+		this.children = new Children(settings.maxChildren(), reports::add);
+		this.link = new ParentLink(self, isControl() ? List.of() : this.controls, settings, random, decisions);
+		this.planner = new ParentPlanner(self.role(), this.controls, settings, directory, this.streams.members(),
+				this.outbox);
+		this.floors = new FloorTracker(random);
+		this.prober = new Prober(self, this.outbox);
+		this.leave = new LeaveAnnouncer(self, this.controls, this.outbox);
+		this.uplink = new Uplink(self, settings, this.link, this.streams, this.children, reports, this.outbox);
+	}
+
+	@Override
+	public List<SpreadCommand> on(SpreadEvent event, long now) {
+		Preconditions.notNull(event, "event");
+		this.now = now;
+		start();
+		if (event instanceof SpreadEvent.Tick) {
+			tick();
+		}
+		else if (event instanceof SpreadEvent.Received received) {
+			receive(received.from(), received.message());
+		}
+		else if (event instanceof SpreadEvent.PeerLost lost) {
+			parentChanged(this.link.onLost(lost.peer(), now));
+		}
+		else if (event instanceof SpreadEvent.LeaveRequested) {
+			this.leave.start(now);
+			this.uplink.leave();
+			this.uplink.hurry();
+		}
+		else {
+			onControlEvent(event);
+		}
+		this.uplink.flush(isLeader(), this.now);
+		return this.outbox.drain();
+	}
+
+	/**
+	 * Returns the version of the configuration in force.
+	 * @return the version, or empty if none may be used yet
+	 */
+	public Optional<Version> inForce() {
+		return this.streams.inForce();
+	}
+
+	/**
+	 * Returns the present parent.
+	 * @return the parent, or empty if there is none
+	 */
+	public Optional<InstanceId> parent() {
+		return this.link.parent().map(NodeDescriptor::id);
+	}
+
+	/**
+	 * Returns how far the configuration has come in this node's part of the tree.
+	 * @return the coverage; at the leader, of all nodes that are attached
+	 */
+	public Coverage coverage() {
+		return coverage(this.streams.configuration().version().number());
+	}
+
+	/**
+	 * Returns how far a revision has come in this node's part of the tree.
+	 * @param number the revision
+	 * @return the coverage; at the leader, of all nodes that are attached
+	 */
+	public Coverage coverage(long number) {
+		return this.uplink.coverage(number);
+	}
+
+	/**
+	 * Returns the number of nodes attached directly to this one.
+	 * @return the count
+	 */
+	public int childCount() {
+		return this.children.all().size();
+	}
+
+	/**
+	 * Returns the number of breaches of invariants.
+	 * @return the count
+	 */
+	public long breaches() {
+		return this.invariants.breaches();
+	}
+
+	/**
+	 * Returns the newest term of which this node has heard.
+	 * @return the term
+	 */
+	public Term term() {
+		return this.streams.term();
+	}
+
+	/**
+	 * Returns the members' stream as held by this node.
+	 * @return the state
+	 */
+	public Snapshot memberSnapshot() {
+		return this.streams.members().snapshot();
+	}
+
+	private boolean isControl() {
+		return this.self.role() == NodeRole.CONTROL;
+	}
+
+	private boolean isLeader() {
+		return this.leader.isPresent() && this.leader.get().equals(this.self.id());
+	}
+
+	private void start() {
+		if (this.started) {
+			return;
+		}
+		this.started = true;
+		if (this.floors.advance()) {
+			floorAsked();
+		}
+	}
+
+	private void tick() {
+		if (isLeader() && due(this.beatAt, this.settings.beatInterval().toNanos())) {
+			this.link.rootHeard(this.streams.term(), this.link.rootSequence() + 1, this.now);
+			beatAll();
+		}
+		else if (due(this.beatAt, this.settings.beatInterval().toNanos() * 3 / 2)) {
+			beatAll();
+		}
+		this.children.expire(this.now - this.settings.childTimeout().toNanos()).forEach(this.floors::forget);
+		if (!isLeader()) {
+			parentChanged(this.link.tick(this.now));
+		}
+		if (isControl() && this.floors.nonce() != 0 && due(this.floorReadAt, this.settings.beatInterval().toNanos())) {
+			readFloor();
+		}
+		this.prober.tick(this.now);
+		this.leave.tick(this.now);
+		this.planner.refresh(this.children.all(), this.now);
+	}
+
+	private void onControlEvent(SpreadEvent event) {
+		if (event instanceof SpreadEvent.Accepted accepted) {
+			this.streams.apply(StreamId.CONFIGURATION, accepted.delta(), this.children.all(), this.now);
+		}
+		else if (event instanceof SpreadEvent.Restored restored) {
+			this.streams.install(StreamId.CONFIGURATION, restored.snapshot(), this.children.all(), this.now);
+		}
+		else if (event instanceof SpreadEvent.FloorRead read) {
+			answerFloor(read.token(), read.floor());
+		}
+		else if (event instanceof SpreadEvent.MembersChanged changed) {
+			publishMembers(changed.changes());
+		}
+		else if (event instanceof SpreadEvent.LeaderChanged changed) {
+			leaderChanged(changed);
+		}
+	}
+
+	private void leaderChanged(SpreadEvent.LeaderChanged changed) {
+		if (changed.term().isBefore(this.streams.term())) {
+			return;
+		}
+		this.streams.learn(changed.term());
+		this.leader = changed.leader();
+		Optional<NodeDescriptor> other = this.leader.filter((id) -> !id.equals(this.self.id())).flatMap(this::control);
+		this.link.follow(other, this.now);
+		if (isLeader()) {
+			this.link.rootHeard(this.streams.term(), 0, this.now);
+			publishMembers(List.of());
+		}
+		parentChanged(true);
+	}
+
+	private Optional<NodeDescriptor> control(InstanceId id) {
+		return this.controls.stream().filter((control) -> control.id().equals(id)).findFirst();
+	}
+
+	private void publishMembers(List<EntryChange> changes) {
+		if (isLeader()) {
+			this.streams.publishMembers(changes, this.children.all(), this.now);
+		}
+	}
+
+	private void receive(Peer from, SpreadMessage message) {
+		if (message instanceof Heartbeat heartbeat) {
+			onHeartbeat(from, heartbeat);
+		}
+		else if (message instanceof Beat beat) {
+			onBeat(from, beat);
+		}
+		else if (message instanceof Parents parents) {
+			parentChanged(this.link.onParents(from.id(), parents, this.now));
+		}
+		else if (message instanceof DeltaUpdate update) {
+			this.streams.onDeltas(from.id(), update, this.children.all(), this.now);
+		}
+		else if (message instanceof SnapshotUpdate update) {
+			this.streams.onSnapshot(from.id(), update, this.children.all(), this.now);
+		}
+		else if (message instanceof FloorAnswer answer) {
+			answerFloor(answer.nonce(), answer.floor());
+		}
+		else if (message instanceof LeaveNotice notice) {
+			onLeaveNotice(notice);
+		}
+		else {
+			this.prober.onMessage(from, message, this.now);
+		}
+	}
+
+	private void onLeaveNotice(LeaveNotice notice) {
+		if (isLeader()) {
+			this.outbox.add(new SpreadCommand.LeaveReported(notice.node()));
+		}
+		else if (isControl()) {
+			this.leader.flatMap(this::control).ifPresent((node) -> this.outbox.send(Peer.of(node), notice));
+		}
+	}
+
+	private void onHeartbeat(Peer from, Heartbeat heartbeat) {
+		Optional<Child> known = this.children.find(heartbeat.node().id());
+		if (known.isPresent() && heartbeat.node().incarnation().isBefore(known.get().node().incarnation())) {
+			return;
+		}
+		if (known.isEmpty() && !adopts(from, heartbeat)) {
+			return;
+		}
+		boolean fresh = known.isEmpty() || !known.get().node().equals(heartbeat.node());
+		Child child = this.children.heard(heartbeat, this.now);
+		if (fresh) {
+			this.streams.startFrom(child);
+			beat(child);
+			this.planner.send(child, this.now);
+		}
+		if (heartbeat.floorNonce() != 0 && this.floors.ask(child.node().id(), heartbeat.floorNonce())) {
+			floorAsked();
+		}
+		this.streams.serve(child, heartbeat.resend(), this.now);
+	}
+
+	private boolean adopts(Peer from, Heartbeat heartbeat) {
+		if (heartbeat.node().role() == NodeRole.CONTROL) {
+			return isLeader();
+		}
+		if (this.self.role() == NodeRole.SIDECAR) {
+			this.outbox.send(from, Parents.NONE);
+			return false;
+		}
+		boolean open = !this.children.isFull() && !this.link.is(from.id());
+		Parents parents = this.planner.parentsOf(heartbeat.node(), this.now);
+		boolean first = parents.parents().isEmpty() || parents.parents().get(0).role() == NodeRole.CONTROL;
+		if (open && (!isControl() || heartbeat.stranded() || first)) {
+			return true;
+		}
+		this.outbox.send(from, parents.withAdopted(false));
+		return false;
+	}
+
+	private void onBeat(Peer from, Beat beat) {
+		if (!this.link.is(from.id())) {
+			return;
+		}
+		boolean fresh = this.link.onBeat(beat, this.now);
+		this.streams.learn(beat.rootTerm());
+		if (fresh) {
+			beatAll();
+		}
+		this.uplink.acknowledge(beat.reportsReceived(), this.now);
+		this.streams.compare(beat, this.now);
+	}
+
+	private void answerFloor(long nonce, Floor floor) {
+		FloorTracker.Answered answered = this.floors.answer(nonce);
+		this.uplink.askFloor(this.floors.nonce());
+		if (answered.self()) {
+			this.outbox.add(new SpreadCommand.FloorLearnt(floor));
+			this.streams.floorLearnt(floor.configuration());
+		}
+		answered.children()
+			.forEach((child, question) -> this.children.find(child)
+				.ifPresent((found) -> this.outbox.send(found.peer(), new FloorAnswer(question, floor))));
+		if (this.floors.advance()) {
+			floorAsked();
+		}
+	}
+
+	private void readFloor() {
+		this.floorReadAt = this.now;
+		this.outbox.add(new SpreadCommand.ReadFloor(this.floors.nonce()));
+	}
+
+	private void floorAsked() {
+		this.uplink.askFloor(this.floors.nonce());
+		this.uplink.hurry();
+		if (isControl()) {
+			readFloor();
+		}
+	}
+
+	private void parentChanged(boolean changed) {
+		if (changed) {
+			this.uplink.reset(this.now);
+		}
+	}
+
+	private void beatAll() {
+		this.beatAt = this.now;
+		this.children.all().forEach(this::beat);
+	}
+
+	private void beat(Child child) {
+		this.outbox.send(child.peer(), new Beat(this.link.rootTerm(), this.link.rootSequence(),
+				this.streams.configuration().position(), this.streams.members().position(), child.reportsReceived()));
+	}
+
+	private boolean due(long since, long interval) {
+		return this.now - since >= interval;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamReplica.java
@@ -0,0 +1,115 @@
+package org.comfreywall.control.spread;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.comfreywall.common.util.Bytes;
+
+/**
+ * A node's copy of one stream: the state, its version and the last {@value #MAX_HISTORY}
+ * deltas.
+ */
+final class StreamReplica {
+
+	/** The number of deltas kept for children that are behind. */
+	static final int MAX_HISTORY = 256;
+
+	private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+
+	private static final long FNV_PRIME = 0x100000001b3L;
+
+	private final Map<String, Bytes> entries = new HashMap<>();
+
+	private final Deque<Delta> history = new ArrayDeque<>();
+
+	private Position position = Position.ZERO;
+
+	Position position() {
+		return this.position;
+	}
+
+	Version version() {
+		return this.position.version();
+	}
+
+	Map<String, Bytes> entries() {
+		return this.entries;
+	}
+
+	boolean follows(Delta delta) {
+		return delta.from().equals(version());
+	}
+
+	void apply(Delta delta) {
+		long digest = this.position.digest();
+		for (EntryChange change : delta.changes()) {
+			Bytes before = change.value().isPresent() ? this.entries.put(change.key(), change.value().get())
+					: this.entries.remove(change.key());
+			digest -= (before != null) ? hash(change.key(), before) : 0;
+			digest += change.value().map((value) -> hash(change.key(), value)).orElse(0L);
+		}
+		this.position = new Position(delta.to(), digest);
+		this.history.addLast(delta);
+		if (this.history.size() > MAX_HISTORY) {
+			this.history.removeFirst();
+		}
+	}
+
+	void install(Snapshot snapshot) {
+		this.entries.clear();
+		this.entries.putAll(snapshot.entries());
+		this.history.clear();
+		long digest = 0;
+		for (Map.Entry<String, Bytes> entry : this.entries.entrySet()) {
+			digest += hash(entry.getKey(), entry.getValue());
+		}
+		this.position = new Position(snapshot.version(), digest);
+	}
+
+	/**
+	 * Finds the deltas that lead from an earlier version to the present one.
+	 * @param version the earlier version
+	 * @return the deltas, or empty if they are not kept any more
+	 */
+	Optional<List<Delta>> since(Version version) {
+		List<Delta> deltas = new ArrayList<>();
+		boolean found = false;
+		for (Delta delta : this.history) {
+			found = found || delta.from().equals(version);
+			if (found) {
+				deltas.add(delta);
+			}
+		}
+		return found ? Optional.of(deltas) : Optional.empty();
+	}
+
+	Snapshot snapshot() {
+		return new Snapshot(version(), this.entries);
+	}
+
+	List<EntryChange> asChanges() {
+		List<EntryChange> changes = new ArrayList<>(this.entries.size());
+		this.entries.forEach((key, value) -> changes.add(EntryChange.set(key, value)));
+		return changes;
+	}
+
+	private static long hash(String key, Bytes value) {
+		long hash = hash(FNV_OFFSET, key.getBytes(StandardCharsets.UTF_8));
+		return hash(hash, value.toArray());
+	}
+
+	private static long hash(long start, byte[] content) {
+		long hash = start;
+		for (byte b : content) {
+			hash = (hash ^ (b & 0xff)) * FNV_PRIME;
+		}
+		return hash ^ (hash >>> 29);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Streams.java
@@ -0,0 +1,193 @@
+package org.comfreywall.control.spread;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.invariant.Invariants;
+
+/**
+ * The two streams that a node holds, passes on and puts into force.
+ */
+final class Streams {
+
+	private final StreamReplica configuration = new StreamReplica();
+
+	private final StreamReplica members = new StreamReplica();
+
+	private final NodeRole role;
+
+	private final long patienceNanos;
+
+	private final Outbox outbox;
+
+	private final Map<StreamId, ReplicaUpdater> updaters;
+
+	private final List<Distributor> distributors;
+
+	private final ConfigurationGate gate;
+
+	private Term term = Term.ZERO;
+
+	private boolean resend;
+
+	Streams(NodeDescriptor self, SpreadSettings settings, Invariants invariants, DecisionListener decisions,
+			Outbox outbox) {
+		InstanceId id = self.id();
+		this.role = self.role();
+		this.patienceNanos = settings.beatInterval().toNanos();
+		this.outbox = outbox;
+		this.updaters = Map.of(StreamId.CONFIGURATION,
+				new ReplicaUpdater(id, StreamId.CONFIGURATION, this.configuration, decisions), StreamId.MEMBERS,
+				new ReplicaUpdater(id, StreamId.MEMBERS, this.members, decisions));
+		this.distributors = List.of(new Distributor(StreamId.CONFIGURATION, this.configuration, settings, outbox),
+				new Distributor(StreamId.MEMBERS, this.members, settings, outbox));
+		this.gate = new ConfigurationGate(id, this.configuration, invariants, decisions, outbox);
+	}
+
+	StreamReplica configuration() {
+		return this.configuration;
+	}
+
+	StreamReplica members() {
+		return this.members;
+	}
+
+	Optional<Version> inForce() {
+		return this.gate.inForce();
+	}
+
+	long numberInForce() {
+		return this.gate.numberInForce();
+	}
+
+	Term term() {
+		return this.term;
+	}
+
+	void learn(Term other) {
+		this.term = this.term.isBefore(other) ? other : this.term;
+	}
+
+	void floorLearnt(Version floor) {
+		this.gate.floorLearnt(floor);
+	}
+
+	boolean wantsResend() {
+		return this.resend;
+	}
+
+	boolean takeResend() {
+		boolean taken = this.resend;
+		this.resend = false;
+		return taken;
+	}
+
+	/**
+	 * Publishes changed members as the leader.
+	 * @param changes the changes; none begins the leader's term
+	 * @param children the children to send them to
+	 * @param now the clock's reading
+	 */
+	void publishMembers(List<EntryChange> changes, Collection<Child> children, long now) {
+		Version held = this.members.version();
+		if (this.term.isBefore(held.term())) {
+			return;
+		}
+		long number = held.term().equals(this.term) ? held.number() + 1 : 1;
+		apply(StreamId.MEMBERS, new Delta(held, new Version(this.term, number), changes), children, now);
+	}
+
+	void onDeltas(InstanceId from, DeltaUpdate update, Collection<Child> children, long now) {
+		if (accepts(update.stream(), update.rootTerm(), from)) {
+			update.deltas().forEach((delta) -> apply(update.stream(), delta, children, now));
+		}
+	}
+
+	void onSnapshot(InstanceId from, SnapshotUpdate update, Collection<Child> children, long now) {
+		if (accepts(update.stream(), update.rootTerm(), from)) {
+			install(update.stream(), update.snapshot(), children, now);
+		}
+	}
+
+	void apply(StreamId stream, Delta delta, Collection<Child> children, long now) {
+		ReplicaUpdater.Applied applied = this.updaters.get(stream).apply(delta);
+		if (applied == ReplicaUpdater.Applied.DONE) {
+			if (stream == StreamId.CONFIGURATION) {
+				this.gate.advanced(delta);
+			}
+			else {
+				this.outbox.add(new SpreadCommand.MembersInForce(delta.to(), delta.changes(), false));
+			}
+			pushAll(children, now);
+		}
+		this.resend |= applied == ReplicaUpdater.Applied.GAP;
+	}
+
+	void install(StreamId stream, Snapshot snapshot, Collection<Child> children, long now) {
+		if (this.updaters.get(stream).install(snapshot) != ReplicaUpdater.Applied.DONE) {
+			return;
+		}
+		if (stream == StreamId.CONFIGURATION) {
+			this.gate.replaced();
+		}
+		else {
+			this.outbox.add(new SpreadCommand.MembersInForce(snapshot.version(), this.members.asChanges(), true));
+		}
+		pushAll(children, now);
+	}
+
+	/**
+	 * Compares the streams with the parent's positions.
+	 * @param beat the parent's beat
+	 * @param now the clock's reading
+	 */
+	void compare(Beat beat, long now) {
+		this.resend |= this.updaters.get(StreamId.CONFIGURATION).hasGap(beat.configuration(), this.patienceNanos, now);
+		if (this.role != NodeRole.SIDECAR) {
+			this.resend |= this.updaters.get(StreamId.MEMBERS).hasGap(beat.members(), this.patienceNanos, now);
+		}
+	}
+
+	/**
+	 * Takes a new child's positions as the start of what it is sent.
+	 * @param child the child
+	 */
+	void startFrom(Child child) {
+		child.rewind(StreamId.CONFIGURATION);
+		child.rewind(StreamId.MEMBERS);
+	}
+
+	/**
+	 * Sends a child what its heartbeat shows to be missing.
+	 * @param child the child
+	 * @param asked whether the child has noticed a gap
+	 * @param now the clock's reading
+	 */
+	void serve(Child child, boolean asked, long now) {
+		for (Distributor distributor : this.distributors) {
+			distributor.rewindIfLost(child, asked, now);
+			distributor.push(child, this.term, now);
+			if (asked) {
+				distributor.repair(child, this.term, now);
+			}
+		}
+	}
+
+	private void pushAll(Collection<Child> children, long now) {
+		for (Child child : children) {
+			this.distributors.forEach((distributor) -> distributor.push(child, this.term, now));
+		}
+	}
+
+	private boolean accepts(StreamId stream, Term sent, InstanceId from) {
+		boolean accepted = this.updaters.get(stream).accepts(sent, this.term, from);
+		this.term = accepted ? sent : this.term;
+		return accepted;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Dissemination of configuration and membership through a relay tree.
+ */
+package org.comfreywall.control.spread;
--- /dev/null
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadNodeTests.java
@@ -0,0 +1,241 @@
+package org.comfreywall.control.spread;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.FencingNumber;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.util.Bytes;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link SpreadNode}.
+ */
+class SpreadNodeTests {
+
+	private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+	private final NodeDescriptor control = Nodes.CONTROL;
+
+	private final Peer controlPeer = Peer.of(this.control);
+
+	private final SpreadNode node = create(Nodes.node("entry-1", NodeRole.ENTRY, "d1"));
+
+	private long now = SECOND;
+
+	private static SpreadNode create(NodeDescriptor self) {
+		return new SpreadNode(self, List.of(Nodes.CONTROL), SpreadSettings.DEFAULTS, (entries) -> List.of(),
+				new Random(1), DecisionListener.NONE);
+	}
+
+	private static Delta delta(long term, long number) {
+		return new Delta(Version.of((number == 1) ? 0 : term, number - 1), Version.of(term, number),
+				List.of(EntryChange.set("key", Bytes.ofText("value-" + number))));
+	}
+
+	private static Beat beat(long term, long sequence) {
+		return new Beat(Term.of(term), sequence, Position.ZERO, Position.ZERO, Long.MAX_VALUE);
+	}
+
+	private static Heartbeat heartbeat(NodeDescriptor from, long floorNonce) {
+		return new Heartbeat(from, false, false, false, Position.ZERO, Position.ZERO, floorNonce,
+				new Coverage(1, 0, 0, List.of()), 1, 1, List.of());
+	}
+
+	private List<SpreadCommand> receive(SpreadMessage message) {
+		return this.node.on(new SpreadEvent.Received(this.controlPeer, message), this.now);
+	}
+
+	private Heartbeat attach() {
+		List<SpreadCommand> commands = this.node.on(new SpreadEvent.Tick(), this.now);
+		receive(beat(1, 1));
+		return Nodes.sent(commands, Heartbeat.class).get(0);
+	}
+
+	private void learnFloor(long number) {
+		long nonce = attach().floorNonce();
+		receive(new FloorAnswer(nonce, new Floor(Version.of(Math.min(number, 1), number), FencingNumber.ZERO)));
+	}
+
+	private static List<Version> inForce(List<SpreadCommand> commands) {
+		return Nodes.commands(commands, SpreadCommand.ConfigurationInForce.class)
+			.stream()
+			.map(SpreadCommand.ConfigurationInForce::version)
+			.toList();
+	}
+
+	@Nested
+	class Configuration {
+
+		@Test
+		void isNotInForceBeforeTheFloorIsKnown() {
+			attach();
+			List<SpreadCommand> commands = receive(
+					new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
+			assertThat(inForce(commands)).isEmpty();
+		}
+
+		@Test
+		void isNotInForceBelowTheFloor() {
+			learnFloor(2);
+			assertThat(inForce(receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))))))
+				.isEmpty();
+			assertThat(inForce(receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 2))))))
+				.containsExactly(Version.of(1, 2));
+		}
+
+		@Test
+		void ignoresFloorOfAnotherQuestion() {
+			long nonce = attach().floorNonce();
+			receive(new FloorAnswer(nonce + 1, new Floor(Version.ZERO, FencingNumber.ZERO)));
+			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
+			assertThat(SpreadNodeTests.this.node.inForce()).isEmpty();
+		}
+
+		@Test
+		void ignoresOlderSnapshot() {
+			learnFloor(0);
+			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1), delta(1, 2))));
+			receive(new SnapshotUpdate(StreamId.CONFIGURATION, Term.of(1), new Snapshot(Version.of(1, 1), Map.of())));
+			assertThat(SpreadNodeTests.this.node.inForce()).contains(Version.of(1, 2));
+		}
+
+		@Test
+		void refusesUpdateOfLeaderWithOlderTerm() {
+			learnFloor(0);
+			receive(beat(5, 1));
+			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(4), List.of(delta(4, 1))));
+			assertThat(SpreadNodeTests.this.node.inForce()).contains(Version.ZERO);
+		}
+
+		@Test
+		void asksAgainWhenAnUpdateIsMissing() {
+			learnFloor(0);
+			SpreadNodeTests.this.now += SECOND;
+			List<SpreadCommand> commands = receive(
+					new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 2))));
+			assertThat(Nodes.sent(commands, Heartbeat.class)).anyMatch(Heartbeat::resend);
+		}
+
+		@Test
+		void isRepairedWhenTheDigestDiffers() {
+			learnFloor(0);
+			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
+			receive(new Beat(Term.of(1), 2, new Position(Version.of(1, 1), 42), Position.ZERO, Long.MAX_VALUE));
+			List<SpreadCommand> commands = receive(new SnapshotUpdate(StreamId.CONFIGURATION, Term.of(1),
+					new Snapshot(Version.of(1, 1), Map.of("key", Bytes.ofText("right")))));
+			assertThat(inForce(commands)).containsExactly(Version.of(1, 1));
+		}
+
+	}
+
+	@Nested
+	class ParentChoice {
+
+		@Test
+		void asksControlFirst() {
+			assertThat(attach().node().id().value()).isEqualTo("entry-1");
+			assertThat(SpreadNodeTests.this.node.parent()).contains(SpreadNodeTests.this.control.id());
+		}
+
+		@Test
+		void followsARedirect() {
+			attach();
+			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
+			receive(new Parents(List.of(relay), 1, false));
+			assertThat(SpreadNodeTests.this.node.parent()).contains(relay.id());
+		}
+
+		@Test
+		void leavesASilentParent() {
+			attach();
+			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
+			receive(new Parents(List.of(SpreadNodeTests.this.control, relay), 2, true));
+			SpreadNodeTests.this.now += 2 * SECOND;
+			SpreadNodeTests.this.node.on(new SpreadEvent.Tick(), SpreadNodeTests.this.now);
+			assertThat(SpreadNodeTests.this.node.parent()).contains(relay.id());
+		}
+
+		@Test
+		void leavesAParentThatDoesNotHearTheLeader() {
+			attach();
+			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
+			receive(new Parents(List.of(SpreadNodeTests.this.control, relay), 2, true));
+			for (int i = 0; i < 5; i++) {
+				SpreadNodeTests.this.now += SECOND;
+				receive(beat(1, 1));
+				SpreadNodeTests.this.node.on(new SpreadEvent.Tick(), SpreadNodeTests.this.now);
+			}
+			assertThat(SpreadNodeTests.this.node.parent()).contains(relay.id());
+		}
+
+		@Test
+		void doesNotAdoptItsOwnParent() {
+			attach();
+			Heartbeat heartbeat = heartbeat(Nodes.node("control-0", NodeRole.ENTRY, "d0"), 0);
+			receive(heartbeat);
+			assertThat(SpreadNodeTests.this.node.childCount()).isZero();
+		}
+
+	}
+
+	@Nested
+	class Leaving {
+
+		@Test
+		void isToldToParentAndControlAtOnce() {
+			attach();
+			List<SpreadCommand> commands = SpreadNodeTests.this.node.on(new SpreadEvent.LeaveRequested(),
+					SpreadNodeTests.this.now);
+			assertThat(Nodes.sent(commands, Heartbeat.class)).singleElement().matches(Heartbeat::leaving);
+			assertThat(Nodes.sent(commands, LeaveNotice.class)).hasSize(1);
+		}
+
+	}
+
+	@Nested
+	class Relaying {
+
+		@Test
+		void answersAChildsFloorOnlyFromAQuestionAskedAfterIt() {
+			long own = attach().floorNonce();
+			Peer child = new Peer(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1").id(), "sidecar-1:7000");
+			Heartbeat heartbeat = heartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 77);
+			SpreadNodeTests.this.node.on(new SpreadEvent.Received(child, heartbeat), SpreadNodeTests.this.now);
+			Floor floor = new Floor(Version.ZERO, FencingNumber.ZERO);
+			List<SpreadCommand> first = receive(new FloorAnswer(own, floor));
+			assertThat(Nodes.sent(first, FloorAnswer.class)).isEmpty();
+			long second = Nodes.sent(first, Heartbeat.class).get(0).floorNonce();
+			assertThat(Nodes.sent(receive(new FloorAnswer(second, floor)), FloorAnswer.class))
+				.containsExactly(new FloorAnswer(77, floor));
+		}
+
+		@Test
+		void namesChildrenThatLackTheRevision() {
+			learnFloor(0);
+			Peer child = new Peer(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1").id(), "sidecar-1:7000");
+			Heartbeat heartbeat = heartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 0);
+			SpreadNodeTests.this.node.on(new SpreadEvent.Received(child, heartbeat), SpreadNodeTests.this.now);
+			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
+			assertThat(SpreadNodeTests.this.node.coverage().behind()).containsExactly(new Laggard(child.id(), 0));
+		}
+
+		@Test
+		void sendsDeltasToAChildThatIsBehind() {
+			attach();
+			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
+			Heartbeat heartbeat = heartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 0);
+			List<SpreadCommand> commands = SpreadNodeTests.this.node
+				.on(new SpreadEvent.Received(Peer.of(heartbeat.node()), heartbeat), SpreadNodeTests.this.now);
+			assertThat(Nodes.sent(commands, DeltaUpdate.class)).hasSize(1);
+		}
+
+	}
+
+}
