Number orders to engines and fence them at the sidecar

Cause: a leader that believes wrongly that it is in charge may order an engine that ignores fencing numbers, and a restarted sidecar has forgotten the last number it accepted.

Change: OrderIssuer numbers orders with term and sequence, sends one at a time to each engine, repeats it under the same number until answered, numbers anew when a restarted fence has learnt a later number of the same term, and stops when a later term shows. OrderFence admits nothing until it has learnt the present number, then nothing older; engines that check are a setting.

--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderQueue.java
@@ -0,0 +1,69 @@
+package org.comfreywall.control.order;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * The open orders of one engine; only the first has been sent.
+ */
+final class OrderQueue {
+
+	private final Deque<EngineOrder> orders = new ArrayDeque<>();
+
+	private boolean sent;
+
+	private long sentAt;
+
+	private int attempts;
+
+	int size() {
+		return this.orders.size();
+	}
+
+	boolean endsWith(EngineOrder wish) {
+		return !this.orders.isEmpty() && this.orders.getLast().isSameWish(wish);
+	}
+
+	void add(EngineOrder order) {
+		this.orders.addLast(order);
+	}
+
+	EngineOrder head() {
+		return this.orders.getFirst();
+	}
+
+	void sent(EngineOrder order, long now) {
+		this.attempts = this.sent ? this.attempts + 1 : 0;
+		this.orders.removeFirst();
+		this.orders.addFirst(order);
+		this.sent = true;
+		this.sentAt = now;
+	}
+
+	EngineOrder remove() {
+		this.sent = false;
+		return this.orders.removeFirst();
+	}
+
+	List<EngineOrder> drain() {
+		List<EngineOrder> drained = new ArrayList<>(this.orders);
+		this.orders.clear();
+		this.sent = false;
+		return drained;
+	}
+
+	boolean isSent() {
+		return this.sent;
+	}
+
+	long sentAt() {
+		return this.sentAt;
+	}
+
+	int attempts() {
+		return this.attempts;
+	}
+
+}
