Serve a request from entry through sidecar to a backend server

Cause: nothing ran yet; every later change needs a path to be measured on.

Conclusion: the path stands; claims are still local to one entry.

--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The admin HTTP interface.
+ */
+package org.comfreywall.daemon.admin;
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/Problem.java
@@ -0,0 +1,54 @@
+package org.comfreywall.daemon.entry;
+
+import java.util.Optional;
+
+import io.vertx.core.json.JsonObject;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Outcome;
+
+/**
+ * An error as callers see it, in the form of {@code application/problem+json}.
+ *
+ * @param outcome what is known of the request
+ * @param error the error
+ */
+record Problem(Outcome outcome, OperationError error) {
+
+	static final String CONTENT_TYPE = "application/problem+json";
+
+	int status() {
+		return switch (this.error.code()) {
+			case INVALID_INPUT, MALFORMED -> 400;
+			case UNAUTHENTICATED -> 401;
+			case NOT_FOUND -> 404;
+			case CONFLICT -> 409;
+			case QUARANTINED -> 422;
+			case LIMIT_EXCEEDED -> 429;
+			case CANCELLED -> 499;
+			case BACKEND_ERROR, CONNECTION_LOST, FENCED -> 502;
+			case OVERLOADED, UNAVAILABLE -> 503;
+			case DEADLINE_EXCEEDED -> 504;
+			case STORAGE, INVARIANT -> 500;
+		};
+	}
+
+	JsonObject json(Optional<String> request) {
+		JsonObject json = new JsonObject().put("type", "about:blank")
+			.put("title", this.error.code().name().toLowerCase().replace('_', ' '))
+			.put("status", status())
+			.put("detail", this.error.message())
+			.put("outcome", this.outcome.name())
+			.put("step", this.error.step().name())
+			.put("resendSafe", isResendSafe());
+		this.error.peer().map(InstanceId::value).ifPresent((peer) -> json.put("peer", peer));
+		request.ifPresent((id) -> json.put("requestId", id));
+		return json;
+	}
+
+	private boolean isResendSafe() {
+		return this.outcome == Outcome.NOT_RUN && this.error.code() != ErrorCode.QUARANTINED;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInServer.java
@@ -0,0 +1,145 @@
+package org.comfreywall.daemon.standin;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * A small backend server that streams chat completions and takes bookings.
+ * <p>
+ * A chat completion streams {@code max_tokens} words at a fixed interval. A booking
+ * counts how often it ran for each idempotency key.
+ */
+public final class StandInServer implements AutoCloseable {
+
+	private static final int DEFAULT_TOKENS = 8;
+
+	private final Vertx vertx;
+
+	private final long tokenMillis;
+
+	private final HttpServer server;
+
+	private final Map<String, AtomicInteger> bookings = new ConcurrentHashMap<>();
+
+	private final AtomicLong running = new AtomicLong();
+
+	/**
+	 * Starts the server on a free loopback port.
+	 * @param vertx runs the server
+	 * @param tokenInterval the time between tokens, at least 1 ms
+	 */
+	public StandInServer(Vertx vertx, Duration tokenInterval) {
+		this.vertx = Preconditions.notNull(vertx, "vertx");
+		this.tokenMillis = Math.max(1, Preconditions.notNull(tokenInterval, "tokenInterval").toMillis());
+		this.server = vertx.createHttpServer().requestHandler(this::accept).listen(0, "127.0.0.1").await();
+	}
+
+	/**
+	 * Returns the port that the server listens on.
+	 * @return the port
+	 */
+	public int port() {
+		return this.server.actualPort();
+	}
+
+	/**
+	 * Returns how often a booking ran.
+	 * @param key the booking's idempotency key
+	 * @return the count
+	 */
+	public int bookings(String key) {
+		AtomicInteger count = this.bookings.get(key);
+		return (count != null) ? count.get() : 0;
+	}
+
+	@Override
+	public void close() throws Exception {
+		this.server.close().await(5, TimeUnit.SECONDS);
+	}
+
+	private void accept(HttpServerRequest request) {
+		request.body().onSuccess((body) -> {
+			switch (request.path()) {
+				case "/v1/chat/completions" -> chat(request, body);
+				case "/load" -> load(request);
+				default -> book(request, body);
+			}
+		});
+	}
+
+	private void chat(HttpServerRequest request, Buffer body) {
+		JsonObject prompt = parse(body);
+		int tokens = prompt.getInteger("max_tokens", DEFAULT_TOKENS);
+		HttpServerResponse response = request.response().setChunked(true);
+		response.putHeader("Content-Type", "text/event-stream");
+		this.running.incrementAndGet();
+		AtomicInteger sent = new AtomicInteger();
+		this.vertx.setPeriodic(this.tokenMillis, (timer) -> {
+			if (response.closed()) {
+				this.vertx.cancelTimer(timer);
+				this.running.decrementAndGet();
+				return;
+			}
+			if (response.writeQueueFull()) {
+				return;
+			}
+			if (sent.get() == tokens) {
+				this.vertx.cancelTimer(timer);
+				this.running.decrementAndGet();
+				response.end("data: [DONE]\n\n");
+				return;
+			}
+			response.write(token(sent.getAndIncrement()));
+		});
+	}
+
+	private void book(HttpServerRequest request, Buffer body) {
+		String key = request.getHeader("Idempotency-Key");
+		int count = (key != null)
+				? this.bookings.computeIfAbsent(key, (unused) -> new AtomicInteger()).incrementAndGet() : 0;
+		request.response()
+			.putHeader("Content-Type", "application/json")
+			.end(new JsonObject().put("path", request.path())
+				.put("run", count)
+				.put("received", body.toString())
+				.toBuffer());
+	}
+
+	private void load(HttpServerRequest request) {
+		request.response()
+			.putHeader("Content-Type", "application/json")
+			.end(new JsonObject().put("running", this.running.get()).put("queued", 0).toBuffer());
+	}
+
+	private static Buffer token(int index) {
+		JsonObject delta = new JsonObject().put("content", "token" + index + " ");
+		JsonObject choice = new JsonObject().put("index", 0).put("delta", delta);
+		JsonObject event = new JsonObject().put("object", "chat.completion.chunk")
+			.put("choices", new JsonArray().add(choice));
+		return Buffer.buffer("data: " + event.encode() + "\n\n");
+	}
+
+	private static JsonObject parse(Buffer body) {
+		try {
+			return body.toJsonObject();
+		}
+		catch (DecodeException ex) {
+			return new JsonObject();
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
@@ -0,0 +1,122 @@
+package org.comfreywall.daemon.trial;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import io.vertx.core.Vertx;
+import org.comfreywall.common.config.AccountDescriptor;
+import org.comfreywall.common.config.AccountLimits;
+import org.comfreywall.common.config.Configuration;
+import org.comfreywall.common.config.FailureDomainDescriptor;
+import org.comfreywall.common.config.PriorityClass;
+import org.comfreywall.common.config.ServiceDescriptor;
+import org.comfreywall.common.config.ServiceKind;
+import org.comfreywall.common.id.AccountId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.FailureDomainId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.ServiceId;
+import org.comfreywall.common.lifecycle.Closer;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.daemon.entry.EntryNode;
+import org.comfreywall.daemon.sidecar.SidecarNode;
+import org.comfreywall.daemon.standin.StandInServer;
+import org.comfreywall.transport.ConnectionTimes;
+import org.comfreywall.transport.PeerAddress;
+import org.comfreywall.transport.PeerIdentity;
+import org.comfreywall.transport.Transport;
+import org.comfreywall.transport.TransportSecurity;
+
+/**
+ * All roles and stand-in backend servers in one process on loopback.
+ */
+public final class Trial implements AutoCloseable {
+
+	/** The API key of the trial's client account. */
+	public static final String API_KEY = "trial-key";
+
+	/** The model that the trial offers. */
+	public static final ServiceId MODEL = ServiceId.of("trial-model");
+
+	/** The booking service that the trial offers. */
+	public static final ServiceId BOOKING = ServiceId.of("booking");
+
+	private static final int SERVERS = 2;
+
+	private static final long REQUESTS_PER_SECOND = 1000;
+
+	private static final long TOKENS_PER_SECOND = 100_000;
+
+	private static final long IN_FLIGHT = 1000;
+
+	private static final PeerAddress LOOPBACK = new PeerAddress("127.0.0.1", 0);
+
+	private final Closer closer = new Closer();
+
+	private final Vertx vertx = Vertx.vertx();
+
+	private final EntryNode entry;
+
+	/**
+	 * Starts everything.
+	 * @param tokenInterval the time between a stand-in server's tokens
+	 */
+	public Trial(Duration tokenInterval) {
+		this.closer.register(() -> this.vertx.close().await(5, TimeUnit.SECONDS));
+		Configuration configuration = configuration();
+		this.entry = this.closer.register(new EntryNode(this.vertx, transport("entry-1"), LOOPBACK, () -> configuration,
+				RandomGenerator.getDefault()));
+		for (int i = 1; i <= SERVERS; i++) {
+			startServer("model-" + i, MODEL, tokenInterval);
+			startServer("booking-" + i, BOOKING, tokenInterval);
+		}
+	}
+
+	/**
+	 * Returns the address for callers.
+	 * @return the base address
+	 */
+	public URI entry() {
+		return URI.create("http://127.0.0.1:" + this.entry.port());
+	}
+
+	@Override
+	public void close() throws Exception {
+		this.closer.close();
+	}
+
+	Vertx vertx() {
+		return this.vertx;
+	}
+
+	private void startServer(String name, ServiceId service, Duration tokenInterval) {
+		StandInServer server = this.closer.register(new StandInServer(this.vertx, tokenInterval));
+		URI backend = URI.create("http://127.0.0.1:" + server.port());
+		SidecarNode sidecar = this.closer
+			.register(new SidecarNode(this.vertx, transport("sidecar-" + name), LOOPBACK, backend));
+		this.entry.announce(BackendServerId.of(name), service, sidecar.address());
+	}
+
+	private Transport transport(String name) {
+		PeerIdentity self = new PeerIdentity(InstanceId.of(name), Incarnation.of(System.currentTimeMillis()));
+		return this.closer.register(new Transport(self, ConnectionTimes.DEFAULT, TransportSecurity.PLAIN, 1));
+	}
+
+	private static Configuration configuration() {
+		FailureDomainDescriptor domain = new FailureDomainDescriptor(FailureDomainId.of("trial"), "local");
+		ServiceDescriptor model = new ServiceDescriptor(MODEL, ServiceKind.MODEL, "/v1/chat/completions",
+				List.of("POST /v1/chat/completions"), false);
+		ServiceDescriptor booking = new ServiceDescriptor(BOOKING, ServiceKind.PLAIN, "/booking",
+				List.of("GET /booking"), true);
+		AccountDescriptor account = new AccountDescriptor(AccountId.of("trial"),
+				List.of(Bytes.ofText(API_KEY).sha256()),
+				new AccountLimits(REQUESTS_PER_SECOND, TOKENS_PER_SECOND, IN_FLIGHT), PriorityClass.INTERACTIVE,
+				List.of(MODEL, BOOKING));
+		return new Configuration(List.of(domain), List.of(model, booking), List.of(account), List.of());
+	}
+
+}
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * All roles and stand-in backend servers in one process.
+ */
+package org.comfreywall.daemon.trial;
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLink.java
@@ -0,0 +1,187 @@
+package org.comfreywall.transport;
+
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.log.EventLog;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.transport.generated.Frame;
+
+/**
+ * Keeps one working connection to a peer.
+ * <p>
+ * A connection that goes quiet is suspected and a second one is opened; if the peer
+ * greets on the second, it replaces the first. A peer is reported down only when a
+ * connection has closed and no other is at hand.
+ */
+public final class PeerLink implements AutoCloseable {
+
+	private static final EventLog LOG = EventLog.of(PeerLink.class);
+
+	private static final long MIN_BACKOFF_MILLIS = 20;
+
+	private static final long MAX_BACKOFF_MILLIS = 1000;
+
+	private final Transport transport;
+
+	private final PeerAddress address;
+
+	private final PeerLinkListener listener;
+
+	private final PeerListener events = new ConnectionEvents();
+
+	private PeerConnection current;
+
+	private boolean connecting;
+
+	private boolean closed;
+
+	private long backoffMillis = MIN_BACKOFF_MILLIS;
+
+	/**
+	 * Creates a link that is not yet connected.
+	 * @param transport opens the connections
+	 * @param address the peer's address
+	 * @param listener receives the link's events
+	 */
+	public PeerLink(Transport transport, PeerAddress address, PeerLinkListener listener) {
+		this.transport = Preconditions.notNull(transport, "transport");
+		this.address = Preconditions.notNull(address, "address");
+		this.listener = Preconditions.notNull(listener, "listener");
+	}
+
+	/**
+	 * Starts connecting.
+	 * @return this link
+	 */
+	public PeerLink open() {
+		connect();
+		return this;
+	}
+
+	/**
+	 * Returns the working connection.
+	 * @return the connection, or empty while there is none
+	 */
+	public synchronized Optional<PeerConnection> current() {
+		return Optional.ofNullable(this.current);
+	}
+
+	/**
+	 * Returns the peer's address.
+	 * @return the address
+	 */
+	public PeerAddress address() {
+		return this.address;
+	}
+
+	@Override
+	public void close() {
+		PeerConnection last;
+		synchronized (this) {
+			this.closed = true;
+			last = this.current;
+			this.current = null;
+		}
+		if (last != null) {
+			last.close();
+		}
+	}
+
+	private void connect() {
+		synchronized (this) {
+			if (this.connecting || this.closed) {
+				return;
+			}
+			this.connecting = true;
+		}
+		this.transport.connect(this.address, this.events).thenAccept(this::connected);
+	}
+
+	private void connected(boolean success) {
+		if (success) {
+			return;
+		}
+		this.listener.onDown(unreachable());
+		retryLater();
+	}
+
+	private void retryLater() {
+		long delay;
+		synchronized (this) {
+			this.connecting = false;
+			if (this.closed) {
+				return;
+			}
+			delay = ThreadLocalRandom.current().nextLong(this.backoffMillis) + 1;
+			this.backoffMillis = Math.min(this.backoffMillis * 2, MAX_BACKOFF_MILLIS);
+		}
+		this.transport.loops().schedule(this::connect, delay, TimeUnit.MILLISECONDS);
+	}
+
+	private OperationError unreachable() {
+		return OperationError.local(ErrorCode.CONNECTION_LOST, Step.SEND, "cannot connect to " + this.address);
+	}
+
+	private final class ConnectionEvents implements PeerListener {
+
+		@Override
+		public void onOpen(PeerConnection connection) {
+			PeerConnection replaced;
+			synchronized (PeerLink.this) {
+				PeerLink.this.connecting = false;
+				PeerLink.this.backoffMillis = MIN_BACKOFF_MILLIS;
+				if (PeerLink.this.closed) {
+					connection.close();
+					return;
+				}
+				replaced = PeerLink.this.current;
+				PeerLink.this.current = connection;
+			}
+			PeerLink.this.listener.onUp(connection);
+			if (replaced != null) {
+				LOG.warn("connection-replaced", Field.of("peer", PeerLink.this.address));
+				replaced.close();
+			}
+		}
+
+		@Override
+		public void onFrame(PeerConnection connection, Frame frame) {
+			PeerLink.this.listener.onFrame(connection, frame);
+		}
+
+		@Override
+		public void onSuspicion(PeerConnection connection) {
+			if (current().filter(connection::equals).isPresent()) {
+				connect();
+			}
+		}
+
+		@Override
+		public void onClosed(PeerConnection connection, OperationError reason) {
+			boolean wasCurrent;
+			boolean neverOpened;
+			synchronized (PeerLink.this) {
+				wasCurrent = connection == PeerLink.this.current;
+				neverOpened = connection.peer().isEmpty();
+				if (wasCurrent) {
+					PeerLink.this.current = null;
+				}
+			}
+			if (neverOpened) {
+				retryLater();
+			}
+			if (wasCurrent) {
+				PeerLink.this.listener.onDown(reason);
+				connect();
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLinkListener.java
@@ -0,0 +1,32 @@
+package org.comfreywall.transport;
+
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.transport.generated.Frame;
+
+/**
+ * Receives the events of a link; must not block.
+ */
+public interface PeerLinkListener {
+
+	/**
+	 * Called when the link has a working connection, also when a silent connection was
+	 * replaced by a new one.
+	 * @param connection the connection to use from now on
+	 */
+	void onUp(PeerConnection connection);
+
+	/**
+	 * Called for each frame.
+	 * @param connection the connection on which the frame arrived
+	 * @param frame the frame
+	 */
+	void onFrame(PeerConnection connection, Frame frame);
+
+	/**
+	 * Called when the link has lost its connection or cannot open one; the link goes on
+	 * trying.
+	 * @param reason why there is no connection
+	 */
+	void onDown(OperationError reason);
+
+}
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
@@ -0,0 +1,120 @@
+package org.comfreywall.transport;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Opens and accepts connections between processes.
+ */
+public final class Transport implements AutoCloseable {
+
+	private final PeerIdentity self;
+
+	private final ConnectionTimes times;
+
+	private final TransportSecurity security;
+
+	private final EventLoopGroup loops;
+
+	/**
+	 * Creates a transport.
+	 * @param self the identity with which this process greets its peers
+	 * @param times the times that govern connections
+	 * @param security how connections are secured
+	 * @param threads the number of event loops, at least 1
+	 */
+	public Transport(PeerIdentity self, ConnectionTimes times, TransportSecurity security, int threads) {
+		this.self = Preconditions.notNull(self, "self");
+		this.times = Preconditions.notNull(times, "times");
+		this.security = Preconditions.notNull(security, "security");
+		Preconditions.check(threads >= 1, "threads must be at least 1: %d", threads);
+		this.loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+	}
+
+	/**
+	 * Returns the identity with which this process greets its peers.
+	 * @return the identity
+	 */
+	public PeerIdentity self() {
+		return this.self;
+	}
+
+	/**
+	 * Returns the times that govern connections.
+	 * @return the times
+	 */
+	public ConnectionTimes times() {
+		return this.times;
+	}
+
+	/**
+	 * Accepts connections.
+	 * @param address the address to listen on; port 0 takes a free port
+	 * @param listener receives the events of accepted connections
+	 * @return the open listener
+	 */
+	public TransportServer listen(PeerAddress address, PeerListener listener) {
+		Preconditions.notNull(address, "address");
+		Preconditions.notNull(listener, "listener");
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.loops)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new PeerChannelInitializer(this.security::server,
+					() -> new PeerHandler(this.self, this.times, listener)));
+		Channel channel = bootstrap.bind(socketAddress(address)).syncUninterruptibly().channel();
+		return new TransportServer(channel);
+	}
+
+	/**
+	 * Opens a connection; the listener learns when the peer has greeted.
+	 * @param address the peer's address
+	 * @param listener receives the connection's events
+	 * @return completes with {@code true} once connected, {@code false} if the peer
+	 * cannot be reached; in that case the listener hears nothing
+	 */
+	public CompletableFuture<Boolean> connect(PeerAddress address, PeerListener listener) {
+		Preconditions.notNull(address, "address");
+		Preconditions.notNull(listener, "listener");
+		Bootstrap bootstrap = new Bootstrap().group(this.loops)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) this.times.connect().toMillis())
+			.handler(new PeerChannelInitializer(this.security::client,
+					() -> new PeerHandler(this.self, this.times, listener)));
+		CompletableFuture<Boolean> connected = new CompletableFuture<>();
+		ChannelFuture attempt = bootstrap.connect(socketAddress(address));
+		attempt.addListener((done) -> connected.complete(done.isSuccess()));
+		return connected;
+	}
+
+	EventLoopGroup loops() {
+		return this.loops;
+	}
+
+	/**
+	 * Closes all connections and event loops.
+	 */
+	@Override
+	public void close() {
+		this.loops.shutdownGracefully(0, this.times.connect().toMillis(), TimeUnit.MILLISECONDS).syncUninterruptibly();
+	}
+
+	private static InetSocketAddress socketAddress(PeerAddress address) {
+		return new InetSocketAddress(address.host(), address.port());
+	}
+
+}
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TransportSecurity.java
@@ -0,0 +1,42 @@
+package org.comfreywall.transport;
+
+import java.util.List;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+
+/**
+ * Provides the handlers that secure new connections.
+ */
+public interface TransportSecurity {
+
+	/** Leaves connections unencrypted. */
+	TransportSecurity PLAIN = new TransportSecurity() {
+
+		@Override
+		public List<ChannelHandler> server(Channel channel) {
+			return List.of();
+		}
+
+		@Override
+		public List<ChannelHandler> client(Channel channel) {
+			return List.of();
+		}
+
+	};
+
+	/**
+	 * Returns the handlers for an accepted connection.
+	 * @param channel the connection's channel
+	 * @return the handlers, first at the network's end
+	 */
+	List<ChannelHandler> server(Channel channel);
+
+	/**
+	 * Returns the handlers for a connection opened by this process.
+	 * @param channel the connection's channel
+	 * @return the handlers, first at the network's end
+	 */
+	List<ChannelHandler> client(Channel channel);
+
+}
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TransportServer.java
@@ -0,0 +1,35 @@
+package org.comfreywall.transport;
+
+import java.net.InetSocketAddress;
+
+import io.netty.channel.Channel;
+
+/**
+ * Accepts connections from peers until closed.
+ */
+public final class TransportServer implements AutoCloseable {
+
+	private final Channel channel;
+
+	TransportServer(Channel channel) {
+		this.channel = channel;
+	}
+
+	/**
+	 * Returns the address on which connections are accepted.
+	 * @return the address with the actual port
+	 */
+	public PeerAddress address() {
+		InetSocketAddress local = (InetSocketAddress) this.channel.localAddress();
+		return new PeerAddress(local.getAddress().getHostAddress(), local.getPort());
+	}
+
+	/**
+	 * Stops accepting; connections already open stay open.
+	 */
+	@Override
+	public void close() {
+		this.channel.close().syncUninterruptibly();
+	}
+
+}
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The stream protocol for attempts between entry and sidecar.
+ */
+package org.comfreywall.transport.attempt;
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/package-info.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Netty and protobuf transport between processes.
+ * Connections between the processes of the system.
  */
 package org.comfreywall.transport;
