Add calls and notices between processes

Cause: entries and sidecars need answers from control instances, and the trial could take a request before a sidecar was connected.

Change: typed RPC methods with errors that carry step and peer, notices by topic, both over the existing links; announce() tells when the sidecar is first connected and the trial waits for it.

Conclusion: the control role can be attached to the path.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
@@ -1,6 +1,7 @@
 package org.comfreywall.daemon.entry;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -61,10 +62,12 @@
 	 * @param id the backend server
 	 * @param service the service that it offers
 	 * @param sidecar the address of its sidecar
+	 * @return completes when the sidecar is connected
 	 */
-	public void announce(BackendServerId id, ServiceId service, PeerAddress sidecar) {
+	public CompletableFuture<Void> announce(BackendServerId id, ServiceId service, PeerAddress sidecar) {
 		AttemptClient client = new AttemptClient(this.transport, sidecar, this.worker, RESUME_TIME);
 		this.directory.announce(id, service, this.closer.register(client));
+		return client.connected();
 	}
 
 	/**
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
@@ -98,7 +98,7 @@
 		URI backend = URI.create("http://127.0.0.1:" + server.port());
 		SidecarNode sidecar = this.closer
 			.register(new SidecarNode(this.vertx, transport("sidecar-" + name), LOOPBACK, backend));
-		this.entry.announce(BackendServerId.of(name), service, sidecar.address());
+		this.entry.announce(BackendServerId.of(name), service, sidecar.address()).join();
 	}
 
 	private Transport transport(String name) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptClient.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptClient.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
 import io.reactivex.rxjava3.core.Flowable;
@@ -49,6 +50,8 @@
 
 	private final PeerLink link;
 
+	private final CompletableFuture<Void> connected = new CompletableFuture<>();
+
 	private volatile boolean up;
 
 	private volatile long downSince;
@@ -76,6 +79,14 @@
 		return this.link.current().flatMap(PeerConnection::peer);
 	}
 
+	/**
+	 * Tells when the sidecar has been reached for the first time.
+	 * @return completes with the first connection
+	 */
+	public CompletableFuture<Void> connected() {
+		return this.connected;
+	}
+
 	/**
 	 * Creates the stream of an attempt's answer; the attempt is sent on subscription.
 	 * @param start the attempt; its credit is set from the subscriber's demand
@@ -176,6 +187,7 @@
 					stream.fail(lost("the sidecar restarted while the attempt may have been running"));
 				}
 			}
+			AttemptClient.this.connected.complete(null);
 			AttemptClient.this.seals.keySet().forEach(AttemptClient.this::sendSeal);
 		}
 
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
@@ -0,0 +1,209 @@
+package org.comfreywall.transport.rpc;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Message;
+import com.google.protobuf.Parser;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.transport.PeerAddress;
+import org.comfreywall.transport.PeerConnection;
+import org.comfreywall.transport.PeerIdentity;
+import org.comfreywall.transport.PeerLink;
+import org.comfreywall.transport.PeerLinkListener;
+import org.comfreywall.transport.Transport;
+import org.comfreywall.transport.WireErrors;
+import org.comfreywall.transport.generated.Call;
+import org.comfreywall.transport.generated.Frame;
+import org.comfreywall.transport.generated.Notice;
+import org.comfreywall.transport.generated.Reply;
+
+/**
+ * Calls methods of one peer and sends it notices.
+ * <p>
+ * A call that ends without a reply may have been carried out.
+ */
+public final class RpcClient implements AutoCloseable {
+
+	private static final int MAX_PENDING = 10_000;
+
+	private final AtomicLong ids = new AtomicLong();
+
+	private final Map<Long, CompletableFuture<Result<ByteString>>> pending = new ConcurrentHashMap<>();
+
+	private final Map<String, NoticeHandler> topics = new ConcurrentHashMap<>();
+
+	private final List<Runnable> upListeners = new CopyOnWriteArrayList<>();
+
+	private final PeerLink link;
+
+	/**
+	 * Creates a client and starts connecting.
+	 * @param transport opens the connections
+	 * @param address the peer's address
+	 */
+	public RpcClient(Transport transport, PeerAddress address) {
+		this.link = new PeerLink(transport, address, new LinkEvents());
+		this.link.open();
+	}
+
+	/**
+	 * Returns the peer's identity.
+	 * @return the identity, or empty while there is no connection
+	 */
+	public Optional<PeerIdentity> peer() {
+		return this.link.current().flatMap(PeerConnection::peer);
+	}
+
+	/**
+	 * Returns the peer's address.
+	 * @return the address
+	 */
+	public PeerAddress address() {
+		return this.link.address();
+	}
+
+	/**
+	 * Registers a listener that is called whenever a connection is ready.
+	 * @param listener the listener; must not block
+	 */
+	public void onUp(Runnable listener) {
+		this.upListeners.add(Preconditions.notNull(listener, "listener"));
+	}
+
+	/**
+	 * Registers the handler of a topic of notices sent by the peer.
+	 * @param topic the topic
+	 * @param handler receives its notices
+	 */
+	public void register(String topic, NoticeHandler handler) {
+		this.topics.put(Preconditions.notBlank(topic, "topic"), Preconditions.notNull(handler, "handler"));
+	}
+
+	/**
+	 * Sends a notice; it is lost while there is no connection.
+	 * @param topic the topic
+	 * @param payload the payload
+	 */
+	public void send(String topic, Message payload) {
+		Preconditions.notBlank(topic, "topic");
+		Preconditions.notNull(payload, "payload");
+		Notice notice = Notice.newBuilder().setTopic(topic).setPayload(payload.toByteString()).build();
+		this.link.current().ifPresent((connection) -> connection.send(Frame.newBuilder().setNotice(notice).build()));
+	}
+
+	/**
+	 * Calls a method.
+	 * @param <Q> the request's type
+	 * @param <R> the reply's type
+	 * @param method the method
+	 * @param request the request
+	 * @param timeout how long to wait for the reply
+	 * @return completes with the reply or an error, never exceptionally; the error
+	 * {@link ErrorCode#UNAVAILABLE} means that the call was not sent
+	 */
+	public <Q extends Message, R extends Message> CompletableFuture<Result<R>> call(RpcMethod<Q, R> method, Q request,
+			Duration timeout) {
+		Preconditions.notNull(method, "method");
+		Preconditions.notNull(request, "request");
+		Preconditions.notNull(timeout, "timeout");
+		Optional<PeerConnection> connection = this.link.current();
+		if (connection.isEmpty() || this.pending.size() >= MAX_PENDING) {
+			return CompletableFuture.completedFuture(failure(ErrorCode.UNAVAILABLE, "no connection for a call"));
+		}
+		long id = this.ids.incrementAndGet();
+		CompletableFuture<Result<ByteString>> reply = new CompletableFuture<>();
+		this.pending.put(id, reply);
+		Call call = Call.newBuilder().setId(id).setMethod(method.name()).setPayload(request.toByteString()).build();
+		connection.get().send(Frame.newBuilder().setCall(call).build());
+		return reply
+			.completeOnTimeout(
+					failure(ErrorCode.DEADLINE_EXCEEDED,
+							"no reply to " + method.name() + " within " + timeout.toMillis() + " ms"),
+					timeout.toNanos(), TimeUnit.NANOSECONDS)
+			.whenComplete((result, ex) -> this.pending.remove(id))
+			.thenApply((result) -> result.flatMap((payload) -> decode(method.replies(), payload)));
+	}
+
+	@Override
+	public void close() {
+		this.link.close();
+		failPending("the connection was closed by this process");
+	}
+
+	private <R extends Message> Result<R> decode(Parser<R> parser, ByteString payload) {
+		try {
+			return Result.success(parser.parseFrom(payload));
+		}
+		catch (InvalidProtocolBufferException ex) {
+			return failure(ErrorCode.MALFORMED, "cannot decode a reply");
+		}
+	}
+
+	private <T> Result<T> failure(ErrorCode code, String message) {
+		Optional<InstanceId> instance = peer().map(PeerIdentity::instance);
+		return Result.failure(new OperationError(code, Step.SEND, instance, this.link.address() + ": " + message));
+	}
+
+	private void failPending(String message) {
+		for (CompletableFuture<Result<ByteString>> reply : List.copyOf(this.pending.values())) {
+			reply.complete(failure(ErrorCode.CONNECTION_LOST, message));
+		}
+	}
+
+	private final class LinkEvents implements PeerLinkListener {
+
+		@Override
+		public void onUp(PeerConnection connection) {
+			failPending("the connection was replaced");
+			RpcClient.this.upListeners.forEach(Runnable::run);
+		}
+
+		@Override
+		public void onFrame(PeerConnection connection, Frame frame) {
+			switch (frame.getBodyCase()) {
+				case REPLY -> complete(connection, frame.getReply());
+				case NOTICE -> notice(connection, frame.getNotice());
+				default -> connection.close();
+			}
+		}
+
+		@Override
+		public void onDown(OperationError reason) {
+			failPending(reason.message());
+		}
+
+		private void complete(PeerConnection connection, Reply reply) {
+			CompletableFuture<Result<ByteString>> waiter = RpcClient.this.pending.get(reply.getId());
+			if (waiter == null) {
+				return;
+			}
+			InstanceId sender = connection.peer().orElseThrow().instance();
+			waiter.complete(reply.hasError() ? Result.failure(WireErrors.decode(reply.getError(), sender))
+					: Result.success(reply.getPayload()));
+		}
+
+		private void notice(PeerConnection connection, Notice notice) {
+			NoticeHandler handler = RpcClient.this.topics.get(notice.getTopic());
+			if (handler != null) {
+				handler.onNotice(connection, notice.getPayload());
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcServer.java
@@ -0,0 +1,175 @@
+package org.comfreywall.transport.rpc;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Message;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.log.EventLog;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.transport.PeerConnection;
+import org.comfreywall.transport.PeerIdentity;
+import org.comfreywall.transport.PeerListener;
+import org.comfreywall.transport.WireErrors;
+import org.comfreywall.transport.generated.Call;
+import org.comfreywall.transport.generated.Frame;
+import org.comfreywall.transport.generated.Notice;
+import org.comfreywall.transport.generated.Reply;
+
+/**
+ * Dispatches the frames of accepted connections: calls to the handlers of their methods,
+ * notices to the handlers of their topics and all other frames to a listener.
+ */
+public final class RpcServer implements PeerListener {
+
+	private static final EventLog LOG = EventLog.of(RpcServer.class);
+
+	private final Map<String, Endpoint<?, ?>> methods = new ConcurrentHashMap<>();
+
+	private final Map<String, NoticeHandler> topics = new ConcurrentHashMap<>();
+
+	private volatile PeerListener others = new RefusingListener();
+
+	/**
+	 * Registers the handler of a method.
+	 * @param <Q> the request's type
+	 * @param <R> the reply's type
+	 * @param method the method
+	 * @param handler answers its calls
+	 */
+	public <Q extends Message, R extends Message> void register(RpcMethod<Q, R> method, RpcHandler<Q, R> handler) {
+		Preconditions.notNull(method, "method");
+		Preconditions.notNull(handler, "handler");
+		this.methods.put(method.name(), new Endpoint<>(method, handler));
+	}
+
+	/**
+	 * Registers the handler of a topic.
+	 * @param topic the topic
+	 * @param handler receives its notices
+	 */
+	public void register(String topic, NoticeHandler handler) {
+		this.topics.put(Preconditions.notBlank(topic, "topic"), Preconditions.notNull(handler, "handler"));
+	}
+
+	/**
+	 * Sets the listener for frames that are neither calls nor notices.
+	 * @param listener the listener
+	 */
+	public void otherFrames(PeerListener listener) {
+		this.others = Preconditions.notNull(listener, "listener");
+	}
+
+	@Override
+	public void onOpen(PeerConnection connection) {
+		this.others.onOpen(connection);
+	}
+
+	@Override
+	public void onFrame(PeerConnection connection, Frame frame) {
+		switch (frame.getBodyCase()) {
+			case CALL -> call(connection, frame.getCall());
+			case NOTICE -> notice(connection, frame.getNotice());
+			default -> this.others.onFrame(connection, frame);
+		}
+	}
+
+	@Override
+	public void onSuspicion(PeerConnection connection) {
+		this.others.onSuspicion(connection);
+	}
+
+	@Override
+	public void onClosed(PeerConnection connection, OperationError reason) {
+		this.others.onClosed(connection, reason);
+	}
+
+	private void call(PeerConnection connection, Call call) {
+		Endpoint<?, ?> endpoint = this.methods.get(call.getMethod());
+		if (endpoint == null) {
+			String message = "this process does not offer " + call.getMethod();
+			reply(connection, call.getId(), error(ErrorCode.NOT_FOUND, message));
+			return;
+		}
+		PeerIdentity caller = connection.peer().orElseThrow();
+		endpoint.handle(caller, call.getPayload())
+			.whenComplete((result, failure) -> reply(connection, call.getId(), settle(call, result, failure)));
+	}
+
+	private void notice(PeerConnection connection, Notice notice) {
+		NoticeHandler handler = this.topics.get(notice.getTopic());
+		if (handler == null) {
+			LOG.debug("notice-ignored", Field.of("topic", notice.getTopic()));
+			return;
+		}
+		handler.onNotice(connection, notice.getPayload());
+	}
+
+	private static Result<ByteString> settle(Call call, Result<ByteString> result, Throwable failure) {
+		if (failure == null) {
+			return result;
+		}
+		LOG.error("call-failed", Field.of("method", call.getMethod()), Field.of("error", failure));
+		return error(ErrorCode.INVARIANT, "the call failed: " + failure.getMessage());
+	}
+
+	private static void reply(PeerConnection connection, long id, Result<ByteString> result) {
+		Reply.Builder reply = Reply.newBuilder().setId(id);
+		result.value().ifPresent(reply::setPayload);
+		result.error().ifPresent((error) -> reply.setError(WireErrors.encode(error)));
+		connection.send(Frame.newBuilder().setReply(reply).build());
+	}
+
+	private static <T> Result<T> error(ErrorCode code, String message) {
+		return Result.failure(OperationError.local(code, Step.SEND, message));
+	}
+
+	/**
+	 * A method with its handler.
+	 *
+	 * @param <Q> the request's type
+	 * @param <R> the reply's type
+	 */
+	private record Endpoint<Q extends Message, R extends Message>(RpcMethod<Q, R> method, RpcHandler<Q, R> handler) {
+
+		CompletionStage<Result<ByteString>> handle(PeerIdentity caller, ByteString payload) {
+			try {
+				return this.handler.handle(caller, this.method.requests().parseFrom(payload))
+					.thenApply((result) -> result.map(Message::toByteString));
+			}
+			catch (InvalidProtocolBufferException ex) {
+				Result<ByteString> malformed = error(ErrorCode.MALFORMED,
+						"cannot decode a call of " + this.method.name());
+				return CompletableFuture.completedFuture(malformed);
+			}
+		}
+
+	}
+
+	/**
+	 * Closes connections that send frames nobody expects.
+	 */
+	private static final class RefusingListener implements PeerListener {
+
+		@Override
+		public void onFrame(PeerConnection connection, Frame frame) {
+			LOG.warn("unexpected-frame", Field.of("frame", frame.getBodyCase()), Field.of("peer", connection));
+			connection.close();
+		}
+
+		@Override
+		public void onClosed(PeerConnection connection, OperationError reason) {
+			LOG.debug("peer-disconnected", Field.of("reason", reason.message()));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls with replies, and notices without, between processes.
+ */
+package org.comfreywall.transport.rpc;
