--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reading, writing and comparing configurations as TOML.
+ */
+package org.comfreywall.common.config.toml;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The settings of one instance's daemon.
+ */
+package org.comfreywall.common.settings;
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/Quantities.java
@@ -0,0 +1,52 @@
+package org.comfreywall.common.toml;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Reads durations and sizes written as a number with a unit.
+ */
+final class Quantities {
+
+	private static final Pattern DURATION = Pattern.compile("(\\d{1,9})(ms|s|m|h)");
+
+	private static final Pattern SIZE = Pattern.compile("(\\d{1,9})(B|KB|MB|GB)");
+
+	private static final long BYTES_PER_KILOBYTE = 1024;
+
+	private Quantities() {
+	}
+
+	static Optional<Duration> parseDuration(String text) {
+		Matcher matcher = DURATION.matcher(text);
+		if (!matcher.matches()) {
+			return Optional.empty();
+		}
+		long amount = Long.parseLong(matcher.group(1));
+		Duration duration = switch (matcher.group(2)) {
+			case "ms" -> Duration.ofMillis(amount);
+			case "s" -> Duration.ofSeconds(amount);
+			case "m" -> Duration.ofMinutes(amount);
+			default -> Duration.ofHours(amount);
+		};
+		return Optional.of(duration);
+	}
+
+	static Optional<Long> parseSize(String text) {
+		Matcher matcher = SIZE.matcher(text);
+		if (!matcher.matches()) {
+			return Optional.empty();
+		}
+		long amount = Long.parseLong(matcher.group(1));
+		long unit = switch (matcher.group(2)) {
+			case "B" -> 1;
+			case "KB" -> BYTES_PER_KILOBYTE;
+			case "MB" -> BYTES_PER_KILOBYTE * BYTES_PER_KILOBYTE;
+			default -> BYTES_PER_KILOBYTE * BYTES_PER_KILOBYTE * BYTES_PER_KILOBYTE;
+		};
+		return Optional.of(amount * unit);
+	}
+
+}
