Choose backend servers by expected time to first token

A router for each service keeps the lagged load reports, adds what this entry sent since they were measured, and discounts prompt tokens that a server is believed to hold. Leaving lives never come back, ejection is bounded by a share that is checked again when servers leave, and new servers grow into their share.

--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/Move.java
@@ -0,0 +1,21 @@
+package org.comfreywall.entry.kv;
+
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The server imports cache that another server exports, and computes the rest.
+ *
+ * @param source the backend server that exports
+ * @param tokens the expected number of tokens to move
+ * @param expectedNanos the expected time in nanoseconds
+ */
+public record Move(BackendServerId source, long tokens, long expectedNanos) implements KvPlan {
+
+	public Move {
+		Preconditions.notNull(source, "source");
+		Preconditions.check(tokens >= 1, "tokens must be at least 1: %d", tokens);
+		Preconditions.check(expectedNanos >= 0, "expectedNanos must not be negative: %d", expectedNanos);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/CacheSnapshot.java
@@ -0,0 +1,25 @@
+package org.comfreywall.entry.prefix;
+
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The whole content of a backend server's prefix cache after an event.
+ *
+ * @param server the backend server
+ * @param incarnation the server's life
+ * @param sequence the number of the event that the snapshot includes last
+ * @param blocks the block hashes held
+ */
+public record CacheSnapshot(BackendServerId server, Incarnation incarnation, long sequence,
+		BlockHashes blocks) implements CacheEvent {
+
+	public CacheSnapshot {
+		Preconditions.notNull(server, "server");
+		Preconditions.notNull(incarnation, "incarnation");
+		Preconditions.notNull(blocks, "blocks");
+		Preconditions.check(sequence >= 0, "sequence must not be negative: %d", sequence);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/ResyncRequest.java
@@ -0,0 +1,17 @@
+package org.comfreywall.entry.prefix;
+
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Asks a backend server for a snapshot of its prefix cache, because events are missing.
+ *
+ * @param server the backend server
+ */
+public record ResyncRequest(BackendServerId server) {
+
+	public ResyncRequest {
+		Preconditions.notNull(server, "server");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/AttemptFailed.java
@@ -0,0 +1,17 @@
+package org.comfreywall.entry.route;
+
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * An attempt ended by a fault of the backend server.
+ *
+ * @param attempt the attempt
+ */
+public record AttemptFailed(AttemptId attempt) implements RouterEvent {
+
+	public AttemptFailed {
+		Preconditions.notNull(attempt, "attempt");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/AttemptFinished.java
@@ -0,0 +1,17 @@
+package org.comfreywall.entry.route;
+
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * An attempt ended without a fault of the backend server; cancelled ones count here.
+ *
+ * @param attempt the attempt
+ */
+public record AttemptFinished(AttemptId attempt) implements RouterEvent {
+
+	public AttemptFinished {
+		Preconditions.notNull(attempt, "attempt");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Backlog.java
@@ -0,0 +1,50 @@
+package org.comfreywall.entry.route;
+
+import java.util.Arrays;
+
+import org.comfreywall.common.config.PriorityClass;
+
+/**
+ * Prompt tokens waiting on one backend server, drained at the server's rate as time
+ * passes; level {@code c} holds the tokens of class {@code c} and the higher ones.
+ */
+final class Backlog {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private final double[] levels = new double[PriorityClass.values().length];
+
+	private long at;
+
+	void reset(QueuedTokens tokens, long now) {
+		for (PriorityClass priority : PriorityClass.values()) {
+			this.levels[priority.ordinal()] = tokens.ahead(priority);
+		}
+		this.at = now;
+	}
+
+	void add(PriorityClass priority, double tokens, double tokensPerSecond, long now) {
+		for (int i = 0; i < this.levels.length; i++) {
+			this.levels[i] = drained(i, tokensPerSecond, now);
+		}
+		for (int i = priority.ordinal(); i < this.levels.length; i++) {
+			this.levels[i] += tokens;
+		}
+		this.at = Math.max(this.at, now);
+	}
+
+	double ahead(PriorityClass priority, double tokensPerSecond, long now) {
+		return drained(priority.ordinal(), tokensPerSecond, now);
+	}
+
+	private double drained(int level, double tokensPerSecond, long now) {
+		double seconds = Math.max(0, now - this.at) / NANOS_PER_SECOND;
+		return Math.max(0, this.levels[level] - seconds * tokensPerSecond);
+	}
+
+	@Override
+	public String toString() {
+		return "Backlog" + Arrays.toString(this.levels);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/BoundedMap.java
@@ -0,0 +1,28 @@
+package org.comfreywall.entry.route;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * A map that forgets the entry used least recently when it grows past its bound.
+ *
+ * @param <K> the type of the keys
+ * @param <V> the type of the values
+ */
+final class BoundedMap<K, V> extends LinkedHashMap<K, V> {
+
+	private static final long serialVersionUID = 1L;
+
+	private final int maxEntries;
+
+	BoundedMap(int maxEntries) {
+		super(16, 0.75f, true);
+		this.maxEntries = maxEntries;
+	}
+
+	@Override
+	protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+		return size() > this.maxEntries;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CacheChanged.java
@@ -0,0 +1,17 @@
+package org.comfreywall.entry.route;
+
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.entry.prefix.CacheEvent;
+
+/**
+ * A cache event of a backend server arrived.
+ *
+ * @param event the event
+ */
+public record CacheChanged(CacheEvent event) implements RouterEvent {
+
+	public CacheChanged {
+		Preconditions.notNull(event, "event");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Candidate.java
@@ -0,0 +1,18 @@
+package org.comfreywall.entry.route;
+
+import org.comfreywall.entry.kv.KvPlan;
+
+/**
+ * A backend server with its expected time to first token for one request.
+ *
+ * @param server the server
+ * @param nanos the expected time to first token in nanoseconds
+ * @param waitNanos the part of it before the prompt's computation begins
+ * @param cachedTokens the expected number of prompt tokens that the server holds
+ * @param uncachedTokens the expected number of prompt tokens that it must compute
+ * @param kvPlan how it gets the cache that it does not hold
+ */
+record Candidate(ServerState server, double nanos, double waitNanos, double cachedTokens, double uncachedTokens,
+		KvPlan kvPlan) {
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Hashes.java
@@ -0,0 +1,35 @@
+package org.comfreywall.entry.route;
+
+/**
+ * Hashes that are the same in every process.
+ */
+final class Hashes {
+
+	private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+
+	private static final long FNV_PRIME = 0x100000001b3L;
+
+	private Hashes() {
+	}
+
+	static long of(String text) {
+		long hash = FNV_OFFSET;
+		for (int i = 0; i < text.length(); i++) {
+			hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+		}
+		return mix(hash);
+	}
+
+	/**
+	 * Spreads a value over all bits, as the finalizer of SplitMix64 does.
+	 * @param value the value
+	 * @return the hash
+	 */
+	static long mix(long value) {
+		long hash = value + 0x9e3779b97f4a7c15L;
+		hash = (hash ^ (hash >>> 30)) * 0xbf58476d1ce4e5b9L;
+		hash = (hash ^ (hash >>> 27)) * 0x94d049bb133111ebL;
+		return hash ^ (hash >>> 31);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/OutlierEjector.java
@@ -0,0 +1,74 @@
+package org.comfreywall.entry.route;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Takes failing backend servers out for some time, never more than a share of them.
+ */
+final class OutlierEjector {
+
+	private static final int MAX_DOUBLINGS = 20;
+
+	private final EjectionSettings settings;
+
+	OutlierEjector(EjectionSettings settings) {
+		this.settings = settings;
+	}
+
+	/**
+	 * Takes in a failure.
+	 * @param server the server that failed
+	 * @param subset the servers in use, the failed one included or not
+	 * @param now the present time in nanoseconds
+	 * @return the duration of the ejection, or empty if the server is not ejected
+	 */
+	Optional<Duration> failed(ServerState server, Collection<ServerState> subset, long now) {
+		if (server.fail() < this.settings.failures() || server.isEjected(now) || !hasRoom(server, subset, now)) {
+			return Optional.empty();
+		}
+		Duration duration = duration(server.ejections());
+		server.eject(now + duration.toNanos());
+		return Optional.of(duration);
+	}
+
+	/**
+	 * Ends ejections, the one nearest its end first, until the share holds again.
+	 * @param subset the servers in use
+	 * @param now the present time in nanoseconds
+	 */
+	void enforceShare(Collection<ServerState> subset, long now) {
+		List<ServerState> ejected = ejected(subset, now);
+		int excess = ejected.size() - maxEjected(subset);
+		ejected.stream()
+			.sorted(Comparator.comparingLong(ServerState::ejectedUntil))
+			.limit(Math.max(0, excess))
+			.forEach((server) -> server.release(now));
+	}
+
+	boolean shareHolds(Collection<ServerState> subset, long now) {
+		return ejected(subset, now).size() <= maxEjected(subset);
+	}
+
+	private boolean hasRoom(ServerState server, Collection<ServerState> subset, long now) {
+		return subset.contains(server) && !server.isLeaving() && ejected(subset, now).size() + 1 <= maxEjected(subset);
+	}
+
+	private int maxEjected(Collection<ServerState> subset) {
+		long active = subset.stream().filter((server) -> !server.isLeaving()).count();
+		return (int) Math.floor(this.settings.maxShare() * active);
+	}
+
+	private static List<ServerState> ejected(Collection<ServerState> subset, long now) {
+		return subset.stream().filter((server) -> !server.isLeaving() && server.isEjected(now)).toList();
+	}
+
+	private Duration duration(int ejections) {
+		Duration doubled = this.settings.first().multipliedBy(1L << Math.min(ejections, MAX_DOUBLINGS));
+		return (doubled.compareTo(this.settings.longest()) < 0) ? doubled : this.settings.longest();
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouteExplainer.java
@@ -0,0 +1,42 @@
+package org.comfreywall.entry.route;
+
+import java.util.List;
+
+import org.comfreywall.common.decision.DecisionKind;
+import org.comfreywall.common.decision.DecisionRecord;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.entry.kv.Move;
+
+/**
+ * Writes the record of a routing decision.
+ */
+final class RouteExplainer {
+
+	private static final long NANOS_PER_MICRO = 1000;
+
+	private RouteExplainer() {
+	}
+
+	static DecisionRecord chosen(RouteRequest request, Selection selection, int candidates, long now) {
+		Candidate chosen = selection.candidate();
+		LoadEstimate load = chosen.server().load();
+		return new DecisionRecord(DecisionKind.ROUTE, request.request().value(), chosen.server().id().value(), List.of(
+				Field.of("expected-us", micros(chosen.nanos())), Field.of("wait-us", micros(chosen.waitNanos())),
+				Field.of("prompt-tokens", request.promptTokens()),
+				Field.of("cached-tokens", (long) chosen.cachedTokens()), Field.of("requests", load.requests(now)),
+				Field.of("report-age-us", load.reportAge(now) / NANOS_PER_MICRO),
+				Field.of("priority", request.priority()), Field.of("candidates", candidates),
+				Field.of("equal", selection.equal()), Field.of("by-session", selection.bySession()),
+				Field.of("kv", (chosen.kvPlan() instanceof Move move) ? move.source() : "recompute")));
+	}
+
+	static DecisionRecord refused(RouteRequest request, int known, int subset) {
+		return DecisionRecord.of(DecisionKind.ROUTE, request.request().value(), "none", Field.of("servers", known),
+				Field.of("subset", subset), Field.of("excluded", request.excluded().size()));
+	}
+
+	private static long micros(double nanos) {
+		return (long) nanos / NANOS_PER_MICRO;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Router.java
@@ -0,0 +1,282 @@
+package org.comfreywall.entry.route;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.decision.DecisionRecord;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.entry.prefix.PrefixIndex;
+import org.comfreywall.entry.prefix.PrefixMatch;
+
+/**
+ * Chooses the backend servers for the requests of one service at one entry, by expected
+ * time to first token.
+ * <p>
+ * A driver tells it what happens with {@link #on}, carries out the commands returned, and
+ * asks {@link #choose} for each attempt. Changes of the subset take effect with
+ * {@link TimePassed}, but leaving servers are out at once, and while no more servers are
+ * known than a subset holds, new ones are in at once. All times are nanoseconds of one
+ * monotonic clock. A choice takes time in proportion to the subset, whatever the number
+ * of servers. Not safe for use by several threads.
+ */
+public final class Router {
+
+	private final RouterSettings settings;
+
+	private final DecisionListener listener;
+
+	private final Invariants invariants = new Invariants();
+
+	private final ServerTable table;
+
+	private final Subset subset;
+
+	private final PrefixIndex prefixes;
+
+	private final OutlierEjector ejector;
+
+	private final SlowStart slowStart;
+
+	private final CandidateEvaluator evaluator;
+
+	private final CandidateSelector selector;
+
+	private final Map<SessionId, BackendServerId> sessions;
+
+	private final Map<AttemptId, InFlight> inFlight = new HashMap<>();
+
+	/**
+	 * Creates a router that knows no backend servers.
+	 * @param self this entry
+	 * @param settings the settings
+	 * @param distances the distances from this entry to the failure domains
+	 * @param random the source of randomness
+	 * @param listener receives the record of each choice
+	 */
+	public Router(InstanceId self, RouterSettings settings, Distances distances, RandomGenerator random,
+			DecisionListener listener) {
+		Preconditions.notNull(self, "self");
+		Preconditions.notNull(distances, "distances");
+		Preconditions.notNull(random, "random");
+		this.settings = Preconditions.notNull(settings, "settings");
+		this.listener = Preconditions.notNull(listener, "listener");
+		this.table = new ServerTable(settings.maxServers());
+		this.subset = new Subset(self, new SubsetAssigner(settings.subsetSize()));
+		this.prefixes = new PrefixIndex(settings.prefix());
+		this.ejector = new OutlierEjector(settings.ejection());
+		this.slowStart = new SlowStart(settings.slowStart().toNanos(), random);
+		this.evaluator = new CandidateEvaluator(distances, settings.kvPricing());
+		this.selector = new CandidateSelector(settings, random);
+		this.sessions = new BoundedMap<>(settings.maxSessions());
+	}
+
+	/**
+	 * Takes in an event.
+	 * @param event the event
+	 * @param now the present time in nanoseconds
+	 * @return the commands to carry out, often none
+	 */
+	public List<RouterCommand> on(RouterEvent event, long now) {
+		Preconditions.notNull(event, "event");
+		List<RouterCommand> commands = new ArrayList<>();
+		if (event instanceof LoadReported reported) {
+			onReport(reported.report());
+		}
+		else if (event instanceof CacheChanged changed) {
+			this.prefixes.onEvent(changed.event(), now).map(ResyncCache::new).ifPresent(commands::add);
+		}
+		else if (event instanceof TimePassed) {
+			refresh(now).ifPresent(commands::add);
+		}
+		else if (event instanceof EntriesChanged changed) {
+			this.subset.entriesChanged(changed.entries());
+		}
+		else {
+			onServerOrAttempt(event, now, commands);
+		}
+		return commands;
+	}
+
+	/**
+	 * Chooses a backend server for an attempt; the driver tells {@link AttemptSent} when
+	 * it sends it.
+	 * @param request what the choice depends on
+	 * @param now the present time in nanoseconds
+	 * @return the choice, or empty if no server may get the request
+	 */
+	public Optional<RouteChoice> choose(RouteRequest request, long now) {
+		Preconditions.notNull(request, "request");
+		if (this.subset.members().isEmpty()) {
+			return refuse(request);
+		}
+		List<ServerState> eligible = eligible(request, now);
+		if (eligible.isEmpty() || this.inFlight.size() >= this.settings.maxInFlight()) {
+			return refuse(request);
+		}
+		List<ServerState> admitted = this.slowStart.admit(eligible, now);
+		PrefixMatch match = this.prefixes.match(request.chain(), now);
+		List<Candidate> candidates = this.evaluator.evaluate(admitted, request, match, now);
+		Selection selection = this.selector.select(candidates, request.session().map(this.sessions::get));
+		return isSafe(selection.candidate().server(), request, now)
+				? Optional.of(accept(request, selection, candidates.size(), now)) : refuse(request);
+	}
+
+	/**
+	 * Returns the number of attempts in flight on a server.
+	 * @param server the backend server
+	 * @return the number sent by this entry that have not ended
+	 */
+	public int inFlight(BackendServerId server) {
+		return this.table.find(server).map((state) -> state.load().inFlight()).orElse(0);
+	}
+
+	/**
+	 * Returns the backend servers in use.
+	 * @return the subset's servers, sorted
+	 */
+	public List<BackendServerId> subset() {
+		return this.subset.members().stream().map(ServerState::id).toList();
+	}
+
+	/**
+	 * Returns the backend servers that are ejected.
+	 * @param now the present time in nanoseconds
+	 * @return the servers of the subset that are out for their failures
+	 */
+	public List<BackendServerId> ejected(long now) {
+		return this.subset.members().stream().filter((server) -> server.isEjected(now)).map(ServerState::id).toList();
+	}
+
+	/**
+	 * Returns the number of breached invariants.
+	 * @return the count, 0 unless there is a fault in this class
+	 */
+	public long breaches() {
+		return this.invariants.breaches();
+	}
+
+	private void onServerOrAttempt(RouterEvent event, long now, List<RouterCommand> commands) {
+		if (event instanceof ServerAnnounced announced) {
+			onAnnounced(announced, now).ifPresent(commands::add);
+		}
+		else if (event instanceof ServerLeaving leaving) {
+			this.table.leave(leaving.server(), leaving.incarnation());
+			this.table.find(leaving.server()).filter(ServerState::isLeaving).ifPresent((state) -> drop(state, now));
+		}
+		else if (event instanceof ServerRemoved removed) {
+			this.table.remove(removed.server(), removed.incarnation()).ifPresent((state) -> onRemoved(state, now));
+		}
+		else if (event instanceof AttemptSent sent) {
+			onSent(sent, now);
+		}
+		else if (event instanceof FirstTokenReceived received) {
+			Optional.ofNullable(this.inFlight.get(received.attempt()))
+				.ifPresent((attempt) -> attempt.server().load().firstToken(attempt));
+		}
+		else if (event instanceof AttemptFinished finished) {
+			end(finished.attempt(), now).ifPresent((attempt) -> attempt.server().succeed());
+		}
+		else if (event instanceof AttemptFailed failed) {
+			end(failed.attempt(), now).flatMap((attempt) -> onFailed(attempt.server(), now)).ifPresent(commands::add);
+		}
+	}
+
+	private Optional<RouterCommand> onAnnounced(ServerAnnounced announced, long now) {
+		Optional<ServerState> before = this.table.find(announced.server());
+		if (!this.table.announce(announced, now)) {
+			return Optional.empty();
+		}
+		before.ifPresent((state) -> drop(state, now));
+		this.prefixes.serverAnnounced(announced.server(), announced.incarnation());
+		this.subset.serversChanged();
+		return (this.table.all().size() <= this.settings.subsetSize()) ? refresh(now) : Optional.empty();
+	}
+
+	private void onRemoved(ServerState state, long now) {
+		this.prefixes.serverRemoved(state.id());
+		drop(state, now);
+	}
+
+	private void drop(ServerState state, long now) {
+		this.subset.drop(state);
+		this.ejector.enforceShare(this.subset.members(), now);
+	}
+
+	private void onReport(LoadReport report) {
+		this.table.find(report.server(), report.incarnation()).ifPresent((state) -> state.load().reported(report));
+	}
+
+	private Optional<RouterCommand> refresh(long now) {
+		Optional<SubsetChanged> change = this.subset.refresh(this.table);
+		this.ejector.enforceShare(this.subset.members(), now);
+		return change.map(RouterCommand.class::cast);
+	}
+
+	private void onSent(AttemptSent sent, long now) {
+		RouteChoice choice = sent.choice();
+		Optional<ServerState> server = this.table.find(choice.server(), choice.incarnation());
+		if (server.isEmpty() || this.inFlight.containsKey(sent.attempt())) {
+			return;
+		}
+		InFlight attempt = new InFlight(sent.attempt(), server.get(), sent.request().priority(),
+				choice.uncachedTokens(), now);
+		this.inFlight.put(sent.attempt(), attempt);
+		server.get().load().sent(attempt);
+		this.prefixes.promptSent(choice.server(), sent.request().chain(), now);
+		sent.request().session().ifPresent((session) -> this.sessions.put(session, choice.server()));
+	}
+
+	private Optional<InFlight> end(AttemptId attempt, long now) {
+		Optional<InFlight> ended = Optional.ofNullable(this.inFlight.remove(attempt));
+		ended.ifPresent((sent) -> sent.server().load().ended(sent, now));
+		return ended
+			.filter((sent) -> this.invariants.holds(sent.server().load().inFlight() >= 0, "in-flight-not-negative"));
+	}
+
+	private Optional<RouterCommand> onFailed(ServerState server, long now) {
+		return this.ejector.failed(server, this.subset.members(), now)
+			.map((duration) -> new ServerEjected(server.id(), duration));
+	}
+
+	private List<ServerState> eligible(RouteRequest request, long now) {
+		List<ServerState> eligible = new ArrayList<>(this.subset.members().size());
+		for (ServerState server : this.subset.members()) {
+			if (!server.isLeaving() && !server.isEjected(now) && !request.excluded().contains(server.id())) {
+				eligible.add(server);
+			}
+		}
+		return eligible;
+	}
+
+	private boolean isSafe(ServerState server, RouteRequest request, long now) {
+		boolean known = this.table.find(server.id(), server.incarnation()).isPresent();
+		return this.invariants.holds(known && !server.isLeaving(), "chosen-server-takes-work")
+				&& this.invariants.holds(!server.isEjected(now), "chosen-server-not-ejected")
+				&& this.invariants.holds(!request.excluded().contains(server.id()), "chosen-server-not-excluded")
+				&& this.invariants.holds(this.ejector.shareHolds(this.subset.members(), now), "ejected-share-bounded");
+	}
+
+	private RouteChoice accept(RouteRequest request, Selection selection, int candidates, long now) {
+		Candidate chosen = selection.candidate();
+		DecisionRecord record = RouteExplainer.chosen(request, selection, candidates, now);
+		this.listener.onDecision(record);
+		return new RouteChoice(chosen.server().id(), chosen.server().incarnation(), (long) chosen.nanos(),
+				(long) chosen.uncachedTokens(), chosen.kvPlan(), record);
+	}
+
+	private Optional<RouteChoice> refuse(RouteRequest request) {
+		this.listener
+			.onDecision(RouteExplainer.refused(request, this.table.all().size(), this.subset.members().size()));
+		return Optional.empty();
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerAnnounced.java
@@ -0,0 +1,27 @@
+package org.comfreywall.entry.route;
+
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.FailureDomainId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * A backend server announced itself, or announced a new profile; an older incarnation
+ * than the one known has no effect.
+ *
+ * @param server the backend server, or the group that answers as one
+ * @param incarnation the server's life
+ * @param domain the server's failure domain
+ * @param profile what the server can do
+ */
+public record ServerAnnounced(BackendServerId server, Incarnation incarnation, FailureDomainId domain,
+		ServerProfile profile) implements RouterEvent {
+
+	public ServerAnnounced {
+		Preconditions.notNull(server, "server");
+		Preconditions.notNull(incarnation, "incarnation");
+		Preconditions.notNull(domain, "domain");
+		Preconditions.notNull(profile, "profile");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerTable.java
@@ -0,0 +1,101 @@
+package org.comfreywall.entry.route;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.Incarnation;
+
+/**
+ * The backend servers announced; a life that is leaving or has ended never comes back.
+ */
+final class ServerTable {
+
+	private final int maxServers;
+
+	private final Map<BackendServerId, ServerState> servers = new HashMap<>();
+
+	private final Map<BackendServerId, Incarnation> ended;
+
+	ServerTable(int maxServers) {
+		this.maxServers = maxServers;
+		this.ended = new BoundedMap<>(maxServers);
+	}
+
+	/**
+	 * Takes in an announcement.
+	 * @param announced the announcement
+	 * @param now the present time in nanoseconds
+	 * @return {@code true} if a new life of a server was added
+	 */
+	boolean announce(ServerAnnounced announced, long now) {
+		ServerState known = this.servers.get(announced.server());
+		if (known != null && known.incarnation().equals(announced.incarnation())) {
+			known.update(announced);
+			return false;
+		}
+		if (!isNewer(announced, known) || (known == null && this.servers.size() >= this.maxServers)) {
+			return false;
+		}
+		this.servers.put(announced.server(), new ServerState(announced, now));
+		return true;
+	}
+
+	void leave(BackendServerId server, Incarnation incarnation) {
+		this.ended.merge(server, incarnation, ServerTable::later);
+		find(server).filter((state) -> !incarnation.isBefore(state.incarnation())).ifPresent(ServerState::leave);
+	}
+
+	/**
+	 * Removes a server unless a later life was announced.
+	 * @param server the backend server
+	 * @param incarnation the life that ended
+	 * @return the server's state, or empty if it was not removed
+	 */
+	Optional<ServerState> remove(BackendServerId server, Incarnation incarnation) {
+		this.ended.merge(server, incarnation, ServerTable::later);
+		Optional<ServerState> state = find(server).filter((known) -> !incarnation.isBefore(known.incarnation()));
+		state.ifPresent((known) -> this.servers.remove(server));
+		return state;
+	}
+
+	Optional<ServerState> find(BackendServerId server) {
+		return Optional.ofNullable(this.servers.get(server));
+	}
+
+	Optional<ServerState> find(BackendServerId server, Incarnation incarnation) {
+		return find(server).filter((state) -> state.incarnation().equals(incarnation));
+	}
+
+	/**
+	 * Returns the servers that may get work.
+	 * @return the servers that are not leaving
+	 */
+	Set<BackendServerId> active() {
+		return this.servers.values()
+			.stream()
+			.filter((state) -> !state.isLeaving())
+			.map(ServerState::id)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
+	Collection<ServerState> all() {
+		return Collections.unmodifiableCollection(this.servers.values());
+	}
+
+	private boolean isNewer(ServerAnnounced announced, ServerState known) {
+		Incarnation ended = this.ended.get(announced.server());
+		return (known == null || known.incarnation().isBefore(announced.incarnation()))
+				&& (ended == null || ended.isBefore(announced.incarnation()));
+	}
+
+	private static Incarnation later(Incarnation first, Incarnation second) {
+		return first.isBefore(second) ? second : first;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Subset.java
@@ -0,0 +1,93 @@
+package org.comfreywall.entry.route;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.InstanceId;
+
+/**
+ * The backend servers that this entry uses.
+ */
+final class Subset {
+
+	private final InstanceId self;
+
+	private final SubsetAssigner assigner;
+
+	private Set<InstanceId> entries;
+
+	private Set<BackendServerId> ids = Set.of();
+
+	private List<ServerState> members = List.of();
+
+	private boolean outdated;
+
+	Subset(InstanceId self, SubsetAssigner assigner) {
+		this.self = self;
+		this.assigner = assigner;
+		this.entries = Set.of(self);
+	}
+
+	void entriesChanged(Set<InstanceId> next) {
+		Set<InstanceId> all = new HashSet<>(next);
+		all.add(this.self);
+		this.outdated |= !all.equals(this.entries);
+		this.entries = all;
+	}
+
+	void serversChanged() {
+		this.outdated = true;
+	}
+
+	/**
+	 * Takes out a server at once, without a new assignment.
+	 * @param server the server
+	 */
+	void drop(ServerState server) {
+		this.outdated = true;
+		this.members = this.members.stream().filter((member) -> member != server).toList();
+	}
+
+	List<ServerState> members() {
+		return this.members;
+	}
+
+	boolean isOutdated() {
+		return this.outdated;
+	}
+
+	/**
+	 * Assigns the subset anew if entries or servers changed.
+	 * @param table the servers announced
+	 * @return the change, or empty if the subset is the same
+	 */
+	Optional<SubsetChanged> refresh(ServerTable table) {
+		if (!this.outdated) {
+			return Optional.empty();
+		}
+		this.outdated = false;
+		Set<BackendServerId> next = this.assigner.assign(this.self, this.entries, table.active());
+		Set<BackendServerId> before = this.ids;
+		this.ids = next;
+		this.members = states(next, table);
+		return before.equals(next) ? Optional.empty()
+				: Optional.of(new SubsetChanged(minus(next, before), minus(before, next)));
+	}
+
+	private static List<ServerState> states(Set<BackendServerId> ids, ServerTable table) {
+		List<ServerState> states = new ArrayList<>(ids.size());
+		ids.stream().sorted().forEach((id) -> table.find(id).ifPresent(states::add));
+		return List.copyOf(states);
+	}
+
+	private static Set<BackendServerId> minus(Set<BackendServerId> set, Set<BackendServerId> other) {
+		Set<BackendServerId> rest = new HashSet<>(set);
+		rest.removeAll(other);
+		return rest;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/kv/KvPricingTests.java
@@ -0,0 +1,43 @@
+package org.comfreywall.entry.kv;
+
+import java.time.Duration;
+
+import org.comfreywall.common.id.BackendServerId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link KvPricing}.
+ */
+class KvPricingTests {
+
+	private static final BackendServerId SOURCE = BackendServerId.of("w1");
+
+	private final KvPricing pricing = new KvPricing(1000, 1e7, 1e6, Duration.ofMillis(10));
+
+	@Test
+	void movesWithinTheFailureDomainWhenComputingIsSlower() {
+		KvPlan plan = this.pricing.plan(1000, 0, 1000, new KvSource(SOURCE, 800, true));
+		assertThat(plan).isEqualTo(new Move(SOURCE, 800, 290_000_000L));
+	}
+
+	@Test
+	void recomputesWhenTheTransferBetweenFailureDomainsIsSlower() {
+		KvPlan plan = this.pricing.plan(1000, 0, 2000, new KvSource(SOURCE, 800, false));
+		assertThat(plan).isEqualTo(new Recompute(500_000_000L));
+	}
+
+	@Test
+	void recomputesWhenTheSourceHoldsNoMore() {
+		KvPlan plan = this.pricing.plan(1000, 800, 1000, new KvSource(SOURCE, 800, true));
+		assertThat(plan).isInstanceOf(Recompute.class);
+	}
+
+	@Test
+	void recomputesShortPromptsBecauseOfTheSetup() {
+		KvPlan plan = this.pricing.plan(8, 0, 1000, new KvSource(SOURCE, 8, true));
+		assertThat(plan).isEqualTo(new Recompute(8_000_000L));
+	}
+
+}
