Plan the placement of experts from priced exchanges

Each layer is searched on its own from its present slots: a copy comes to a fast rank in place of one that is not needed, or two copies change places. The step of the lowest price is taken, so a plan stays near the present one. Traffic of an expert is split over its copies by water-filling. Copies lost with a rank come back at any price; copies of each expert are spread over failure domains where the slots allow.

--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerPacker.java
@@ -0,0 +1,150 @@
+package org.comfreywall.group.placement;
+
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.IntPredicate;
+import java.util.stream.IntStream;
+
+/**
+ * Fills an empty layer: first the copies that the spread demands, then further copies of
+ * the hottest experts until no slot is free.
+ */
+final class LayerPacker {
+
+	private final LayerState state;
+
+	private final GroupShape shape;
+
+	private final CopySpread spread;
+
+	private final int[] targets;
+
+	private final double[] packed;
+
+	private LayerPacker(LayerState state, CopySpread spread) {
+		this.state = state;
+		this.shape = state.shape();
+		this.spread = spread;
+		this.targets = new int[this.shape.experts()];
+		this.packed = new double[this.shape.ranks()];
+	}
+
+	static void pack(LayerState state, CopySpread spread) {
+		new LayerPacker(state, spread).pack();
+	}
+
+	private void pack() {
+		chooseTargets();
+		List<Integer> hottestFirst = IntStream.range(0, this.targets.length)
+			.boxed()
+			.sorted(Comparator.comparingDouble(this::copyLoad).reversed())
+			.toList();
+		hottestFirst.forEach(this::placeRequired);
+		hottestFirst.forEach(this::placeTarget);
+		fillFreeSlots(hottestFirst);
+	}
+
+	private void chooseTargets() {
+		int ranks = (int) IntStream.range(0, this.shape.ranks()).filter((rank) -> this.shape.slots(rank) > 0).count();
+		int minimum = this.spread.minimumCopies();
+		Arrays.fill(this.targets, minimum);
+		int spare = this.shape.totalSlots() - minimum * this.targets.length;
+		for (; spare > 0; spare--) {
+			int hottest = hottestBelow(ranks);
+			if (hottest < 0) {
+				return;
+			}
+			this.targets[hottest]++;
+		}
+	}
+
+	private int hottestBelow(int maximumCopies) {
+		int hottest = -1;
+		for (int expert = 0; expert < this.targets.length; expert++) {
+			if (this.targets[expert] < maximumCopies && (hottest < 0 || copyLoad(expert) > copyLoad(hottest))) {
+				hottest = expert;
+			}
+		}
+		return hottest;
+	}
+
+	private double copyLoad(int expert) {
+		return this.state.popularity(expert) / this.targets[expert];
+	}
+
+	private void placeRequired(int expert) {
+		if (this.spread == CopySpread.NONE) {
+			place(expert, leastLoaded((rank) -> true));
+			return;
+		}
+		int first = fullestRoom((rank) -> true);
+		place(expert, first);
+		place(expert, fullestRoom((rank) -> areaOf(rank) != areaOf(first)));
+	}
+
+	// Returns the area in which two copies of an expert would be lost together.
+	private int areaOf(int rank) {
+		return (this.spread == CopySpread.FAILURE_DOMAINS) ? this.shape.domain(rank) : rank;
+	}
+
+	// Chooses from the area with the most free slots, so that two areas stay free for the
+	// experts that follow.
+	private int fullestRoom(IntPredicate allowed) {
+		int[] free = new int[this.shape.ranks()
+				+ IntStream.range(0, this.shape.ranks()).map(this::areaOf).max().orElse(0)];
+		IntStream.range(0, this.shape.ranks()).forEach((rank) -> free[areaOf(rank)] += freeSlots(rank));
+		int most = IntStream.range(0, this.shape.ranks())
+			.filter(allowed)
+			.map((rank) -> free[areaOf(rank)])
+			.max()
+			.orElse(0);
+		return leastLoaded((rank) -> allowed.test(rank) && free[areaOf(rank)] == most);
+	}
+
+	private int freeSlots(int rank) {
+		int from = rank * this.shape.stride();
+		return (int) IntStream.range(from, from + this.shape.slots(rank))
+			.filter((position) -> this.state.expertAt(position) == Placement.EMPTY)
+			.count();
+	}
+
+	private void placeTarget(int expert) {
+		while (this.state.copyCount(expert) < this.targets[expert]) {
+			int rank = leastLoaded((candidate) -> !this.state.holds(candidate, expert));
+			if (rank < 0) {
+				return;
+			}
+			place(expert, rank);
+		}
+	}
+
+	private void fillFreeSlots(List<Integer> hottestFirst) {
+		for (int rank = 0; rank < this.shape.ranks(); rank++) {
+			int target = rank;
+			hottestFirst.stream()
+				.filter((expert) -> !this.state.holds(target, expert))
+				.limit(freeSlots(rank))
+				.forEach((expert) -> place(expert, target));
+		}
+	}
+
+	private int leastLoaded(IntPredicate allowed) {
+		int least = -1;
+		for (int rank = 0; rank < this.shape.ranks(); rank++) {
+			if (allowed.test(rank) && this.state.freeSlot(rank) >= 0
+					&& (least < 0 || this.packed[rank] < this.packed[least])) {
+				least = rank;
+			}
+		}
+		return least;
+	}
+
+	private void place(int expert, int rank) {
+		if (rank >= 0) {
+			this.state.put(this.state.freeSlot(rank), expert);
+			this.packed[rank] += copyLoad(expert) / this.state.speed(rank);
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerRepair.java
@@ -0,0 +1,93 @@
+package org.comfreywall.group.placement;
+
+/**
+ * Gives back their copies to experts that lost some, as when a rank is gone.
+ */
+final class LayerRepair {
+
+	private final LayerState state;
+
+	private final CopySpread spread;
+
+	LayerRepair(LayerState state, CopySpread spread) {
+		this.state = state;
+		this.spread = spread;
+	}
+
+	/**
+	 * Tells whether some expert lacks a copy or its spread.
+	 * @return {@code true} if so
+	 */
+	boolean isNeeded() {
+		for (int expert = 0; expert < this.state.shape().experts(); expert++) {
+			if (!isSpread(expert)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	/**
+	 * Adds the missing copies in place of copies that are not needed.
+	 * @return {@code true} if every expert has its spread now
+	 */
+	boolean repair() {
+		for (int expert = 0; expert < this.state.shape().experts(); expert++) {
+			for (int copy = 0; copy < this.spread.minimumCopies() && !isSpread(expert); copy++) {
+				addCopy(expert);
+			}
+		}
+		return !isNeeded();
+	}
+
+	private boolean isSpread(int expert) {
+		return this.state.keepsSpread(expert, -1, -1, this.spread);
+	}
+
+	private void addCopy(int expert) {
+		int target = -1;
+		for (int rank = 0; rank < this.state.shape().ranks(); rank++) {
+			if (!this.state.holds(rank, expert) && widens(expert, rank)) {
+				target = better(target, dispensable(rank));
+			}
+		}
+		if (target >= 0) {
+			replace(target, expert);
+		}
+	}
+
+	private void replace(int target, int expert) {
+		int evicted = this.state.expertAt(target);
+		if (evicted != Placement.EMPTY) {
+			this.state.clear(target);
+			this.state.split(evicted);
+		}
+		this.state.put(target, expert);
+		this.state.split(expert);
+	}
+
+	private boolean widens(int expert, int rank) {
+		return this.state.copyCount(expert) + 1 < this.spread.minimumCopies()
+				|| this.state.keepsSpread(expert, -1, rank, this.spread);
+	}
+
+	private int better(int target, int candidate) {
+		if (candidate < 0 || target < 0) {
+			return Math.max(candidate, target);
+		}
+		boolean faster = this.state.time(this.state.rankOf(candidate)) < this.state.time(this.state.rankOf(target));
+		return faster ? candidate : target;
+	}
+
+	private int dispensable(int rank) {
+		int least = this.state.freeSlot(rank);
+		int from = rank * this.state.shape().stride();
+		for (int position = from; least < 0 && position < from + this.state.shape().slots(rank); position++) {
+			if (this.state.keepsSpread(this.state.expertAt(position), position, -1, this.spread)) {
+				least = position;
+			}
+		}
+		return least;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementCheck.java
@@ -0,0 +1,46 @@
+package org.comfreywall.group.placement;
+
+/**
+ * Checks placements against a group's slots.
+ */
+final class PlacementCheck {
+
+	private static final double ROUNDING = 1e-6;
+
+	private PlacementCheck() {
+	}
+
+	// Tells whether every expert has a copy in a usable slot, no rank holds an expert
+	// twice, and the shares of each expert add up to 1.
+	static boolean isComplete(GroupShape shape, Placement placement) {
+		for (int layer = 0; layer < shape.layers(); layer++) {
+			if (!isComplete(shape, placement, layer)) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private static boolean isComplete(GroupShape shape, Placement placement, int layer) {
+		double[] shares = new double[shape.experts()];
+		int[] lastRank = new int[shape.experts()];
+		for (int position = 0; position < shape.ranks() * shape.stride(); position++) {
+			int expert = placement.expert(layer, position);
+			if (expert != Placement.EMPTY) {
+				int rank = position / shape.stride();
+				if (position % shape.stride() >= shape.slots(rank) || lastRank[expert] == rank + 1) {
+					return false;
+				}
+				lastRank[expert] = rank + 1;
+				shares[expert] += placement.share(layer, position);
+			}
+		}
+		for (double share : shares) {
+			if (Math.abs(share - 1) > ROUNDING) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanSearch.java
@@ -0,0 +1,204 @@
+package org.comfreywall.group.placement;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.IntStream;
+
+/**
+ * Searches one plan: every layer on its own, then the layers worth most for a byte within
+ * the bytes of a plan.
+ */
+final class PlanSearch {
+
+	private static final double LEAST_SPLIT_GAIN = 1e-3;
+
+	private final PlannerSettings settings;
+
+	private final PlanRequest request;
+
+	private final GroupShape shape;
+
+	private final CopySpread spread;
+
+	private final double meanTime;
+
+	private final double skewCost;
+
+	private final double readCost;
+
+	private final LayerOption[] chosen;
+
+	private final LayerOption[] fastest;
+
+	private final double[] slowestBefore;
+
+	private boolean first;
+
+	private boolean lost;
+
+	PlanSearch(PlannerSettings settings, PlanRequest request) {
+		this.settings = settings;
+		this.request = request;
+		this.shape = request.shape();
+		this.spread = this.shape.spread();
+		this.meanTime = Arrays.stream(request.popularity())
+			.mapToDouble((layer) -> StepSkew.balancedTime(layer, request.speeds()))
+			.sum();
+		this.skewCost = (this.meanTime > 0) ? settings.weights().skewWeight() / this.meanTime : 0;
+		this.readCost = settings.weights().moveWeight() * this.shape.expertBytes() / PlanPrice.GIBIBYTE;
+		this.chosen = new LayerOption[this.shape.layers()];
+		this.fastest = new LayerOption[this.shape.layers()];
+		this.slowestBefore = new double[this.shape.layers()];
+	}
+
+	PlacementPlan run() {
+		long budget = this.settings.maximumPlanBytes();
+		LayerOutcome[] outcomes = IntStream.range(0, this.shape.layers())
+			.mapToObj(this::searchLayer)
+			.toArray(LayerOutcome[]::new);
+		for (int layer : worthFirst(outcomes)) {
+			LayerOutcome outcome = outcomes[layer];
+			long bytes = outcome.cheapest().reads() * this.shape.expertBytes();
+			boolean fits = bytes <= budget || outcome.stay() == outcome.cheapest();
+			this.chosen[layer] = fits ? outcome.cheapest() : outcome.stay();
+			this.fastest[layer] = outcome.fastest();
+			budget -= fits ? Math.min(bytes, budget) : 0;
+		}
+		return decide();
+	}
+
+	private LayerOutcome searchLayer(int layer) {
+		LayerState state = state(layer);
+		int[] origin = this.request.present().layerExperts(layer);
+		this.slowestBefore[layer] = state.slowest();
+		if (this.request.present().isLayerEmpty(layer)) {
+			this.first = true;
+			return rebuild(state, origin);
+		}
+		LayerRepair repair = new LayerRepair(state, this.spread);
+		if (repair.isNeeded()) {
+			this.lost = true;
+			return repair.repair() ? search(state, origin) : rebuild(emptyState(layer), origin);
+		}
+		if (!this.request.changed()[layer]) {
+			LayerOption stay = new LayerOption(origin, 0, state.slowest());
+			return new LayerOutcome(stay, stay, stay);
+		}
+		return search(state, origin);
+	}
+
+	private LayerState state(int layer) {
+		return LayerState.from(this.shape, this.request.present(), layer, this.request.popularity()[layer],
+				this.request.speeds());
+	}
+
+	private LayerState emptyState(int layer) {
+		return new LayerState(this.shape, this.request.popularity()[layer], this.request.speeds());
+	}
+
+	// A layer that must be filled anyway is filled as well as possible.
+	private LayerOutcome rebuild(LayerState state, int[] origin) {
+		LayerPacker.pack(state, this.spread);
+		LayerOption fastest = layerSearch().search(state, origin, this.skewCost, 0).fastest();
+		return new LayerOutcome(fastest, fastest, fastest);
+	}
+
+	private LayerOutcome search(LayerState state, int[] origin) {
+		return layerSearch().search(state, origin, this.skewCost, this.readCost);
+	}
+
+	private LayerSearch layerSearch() {
+		return new LayerSearch(this.shape, this.spread, this.settings.maximumSteps());
+	}
+
+	private int[] worthFirst(LayerOutcome[] outcomes) {
+		return IntStream.range(0, outcomes.length)
+			.boxed()
+			.sorted(Comparator.comparingDouble((Integer layer) -> worthOfRead(outcomes[layer])).reversed())
+			.mapToInt(Integer::intValue)
+			.toArray();
+	}
+
+	private double worthOfRead(LayerOutcome outcome) {
+		return (outcome.stay().slowest() - outcome.cheapest().slowest()) / Math.max(1, outcome.cheapest().reads());
+	}
+
+	private PlacementPlan decide() {
+		PlanPrice price = price(this.chosen);
+		if (this.first || this.lost) {
+			return accept(this.first ? PlanReason.FIRST_PLAN : PlanReason.COPIES_LOST, price);
+		}
+		if (price.bytes() > 0) {
+			return accept(PlanReason.CHEAPER, price);
+		}
+		if (price.skewBefore() - price.skewForecast() >= LEAST_SPLIT_GAIN) {
+			return accept(PlanReason.SPLIT_ONLY, price);
+		}
+		return refuse(price(this.fastest));
+	}
+
+	private PlacementPlan refuse(PlanPrice considered) {
+		PlanReason reason = PlanReason.NO_IMPROVEMENT;
+		if (!IntStream.range(0, this.shape.layers()).anyMatch((layer) -> this.request.changed()[layer])) {
+			reason = PlanReason.WITHIN_NOISE;
+		}
+		else if (considered.bytes() > 0) {
+			reason = PlanReason.TOO_DEAR;
+		}
+		return new PlacementPlan(reason, this.request.present(), List.of(), considered);
+	}
+
+	private PlanPrice price(LayerOption[] options) {
+		double before = Arrays.stream(this.slowestBefore).sum();
+		double after = Arrays.stream(options).mapToDouble(LayerOption::slowest).sum();
+		long bytes = Arrays.stream(options).mapToLong(LayerOption::reads).sum() * this.shape.expertBytes();
+		double bound = StepSkew.lowerBound(this.shape, this.request.popularity(), this.request.speeds());
+		return new PlanPrice(skew(before), skew(after), bound, bytes, bytes / this.settings.storeBytesPerSecond(),
+				this.settings.weights());
+	}
+
+	private double skew(double slowest) {
+		return (this.meanTime > 0) ? slowest / this.meanTime : 1;
+	}
+
+	private PlacementPlan accept(PlanReason reason, PlanPrice price) {
+		int[][] experts = new int[this.shape.layers()][];
+		double[][] shares = new double[this.shape.layers()][];
+		List<ExpertMove> moves = new ArrayList<>();
+		for (int layer = 0; layer < experts.length; layer++) {
+			experts[layer] = this.chosen[layer].experts();
+			shares[layer] = shares(layer);
+			addMoves(layer, moves);
+		}
+		moves.sort(Comparator.comparingDouble(ExpertMove::worthPerByte).reversed());
+		return new PlacementPlan(reason, new Placement(experts, shares), moves, price);
+	}
+
+	private double[] shares(int layer) {
+		int[] experts = this.chosen[layer].experts();
+		LayerState state = emptyState(layer);
+		for (int position = 0; position < experts.length; position++) {
+			if (experts[position] != Placement.EMPTY) {
+				state.put(position, experts[position]);
+			}
+		}
+		state.splitAll(LayerSearch.FINAL_SWEEPS);
+		return state.shares();
+	}
+
+	private void addMoves(int layer, List<ExpertMove> moves) {
+		LayerOption option = this.chosen[layer];
+		int[] before = this.request.present().layerExperts(layer);
+		double worth = skew(this.slowestBefore[layer] - option.slowest()) / Math.max(1, option.reads());
+		for (int position = 0; position < before.length; position++) {
+			int expert = option.experts()[position];
+			if (expert != Placement.EMPTY && expert != before[position]) {
+				moves.add(new ExpertMove(layer, position / this.shape.stride(), position % this.shape.stride(), expert,
+						this.shape.expertBytes(), worth));
+			}
+		}
+	}
+
+}
