Measure placement policies on seeded drifts

32 ranks of 6 slots, 128 experts, 4 layers, 288 intervals: never, repacking, greedy and priced plans run on the same counts.

On the daily drift the forecast is held until it has changed beyond noise, so the traffic split lags behind, also where it would cost nothing.

--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlacementMeasurement.java
@@ -0,0 +1,105 @@
+package org.comfreywall.bench.placement;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import org.comfreywall.bench.BenchOptions;
+import org.comfreywall.bench.Measurement;
+import org.comfreywall.bench.Reporter;
+import org.comfreywall.common.config.PlacementPresets;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.group.placement.GroupShape;
+import org.comfreywall.group.placement.Placement;
+
+/**
+ * Measures skew and bytes of placement policies on the same seeded drifts, and the time
+ * of one plan.
+ */
+public final class PlacementMeasurement implements Measurement {
+
+	/** The weight store's rate in bytes a second. */
+	static final double STORE_RATE = 256L << 20;
+
+	static final int RANKS = 32;
+
+	static final int EXPERTS = 128;
+
+	private static final int LAYERS = 4;
+
+	private static final int SLOTS = 6;
+
+	private static final int DOMAINS = 3;
+
+	private static final long EXPERT_BYTES = 42L << 20;
+
+	private static final double P95_ALLOWANCE = 1.02;
+
+	@Override
+	public void run(BenchOptions options, Reporter reporter) {
+		int intervals = (int) options.steps(DriftRun.INTERVALS_PER_DAY);
+		GroupShape shape = shape(LAYERS, SLOTS);
+		for (Drift drift : Drift.values()) {
+			measure(options.seed(), drift, shape, intervals, reporter);
+		}
+		new PlanTime(options.seed()).run(reporter);
+	}
+
+	static GroupShape shape(int layers, int slots) {
+		int[] slotsOfRanks = new int[RANKS];
+		Arrays.fill(slotsOfRanks, slots);
+		int[] domains = new int[RANKS];
+		Arrays.setAll(domains, (rank) -> rank % DOMAINS);
+		return GroupShape.of(layers, EXPERTS, slotsOfRanks, domains, EXPERT_BYTES);
+	}
+
+	private void measure(long seed, Drift drift, GroupShape shape, int intervals, Reporter reporter) {
+		Placement first = firstPlacement(seed, drift, shape);
+		List<PolicyRun> runs = new ArrayList<>();
+		for (RebalancePolicy policy : policies(shape)) {
+			PolicyRun run = new PolicyRun(shape, policy, intervals);
+			run.run(new DriftRun(seed, drift, shape), first);
+			run.report(reporter, drift);
+			runs.add(run);
+		}
+		targets(drift, runs, reporter);
+	}
+
+	private static List<RebalancePolicy> policies(GroupShape shape) {
+		return List.of(new NeverPolicy(), new RepackPolicy(shape), new GreedyPolicy(shape),
+				new PricedPolicy("plume", PlacementPresets.PLUME.weights(), shape),
+				new PricedPolicy("popelar", PlacementPresets.POPELAR.weights(), shape));
+	}
+
+	private static Placement firstPlacement(long seed, Drift drift, GroupShape shape) {
+		PricedPolicy policy = new PricedPolicy("first", PlacementPresets.PLUME.weights(), shape);
+		DriftRun run = new DriftRun(seed, drift, shape);
+		for (int interval = 0; interval < PolicyRun.WARM_UP; interval++) {
+			policy.observe(run.nextCounts());
+		}
+		return policy.plan(Placement.empty(shape), run.speeds());
+	}
+
+	private static void targets(Drift drift, List<PolicyRun> runs, Reporter reporter) {
+		PolicyRun never = runs.get(0);
+		PolicyRun greedy = runs.get(2);
+		PolicyRun plume = runs.get(3);
+		PolicyRun popelar = runs.get(4);
+		String prefix = drift.text() + "-";
+		reporter.atMost(prefix + "plume-skew-p95", plume.p95(), greedy.p95() * P95_ALLOWANCE);
+		if (drift == Drift.NOISE) {
+			reporter.atMost(prefix + "plume-moved-gib", plume.gibibytes(), 0);
+			reporter.atMost(prefix + "popelar-moved-gib", popelar.gibibytes(), 0);
+			return;
+		}
+		reporter.atMost(prefix + "plume-moved-gib", plume.gibibytes(), greedy.gibibytes() / 2);
+		reporter.atMost(prefix + "popelar-moved-gib", popelar.gibibytes(), greedy.gibibytes() / 10);
+		reporter.atLeast(prefix + "popelar-skew-gain", never.mean() - popelar.mean(),
+				(never.mean() - greedy.mean()) * 2 / 3);
+		reporter.result("placement-share", Field.of("drift", drift.text()),
+				Field.of("plume-bytes-of-greedy", plume.gibibytes() / greedy.gibibytes()),
+				Field.of("popelar-bytes-of-greedy", popelar.gibibytes() / greedy.gibibytes()),
+				Field.of("popelar-gain-of-greedy", (never.mean() - popelar.mean()) / (never.mean() - greedy.mean())));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PolicyRun.java
@@ -0,0 +1,95 @@
+package org.comfreywall.bench.placement;
+
+import java.util.Arrays;
+import java.util.Locale;
+
+import org.comfreywall.bench.Reporter;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.group.placement.GroupShape;
+import org.comfreywall.group.placement.Placement;
+import org.comfreywall.group.placement.StepSkew;
+
+/**
+ * Runs one policy on one drift and gathers skew and bytes.
+ */
+final class PolicyRun {
+
+	/** Intervals that are observed before the first plan. */
+	static final int WARM_UP = 6;
+
+	private static final double GIBIBYTE = 1L << 30;
+
+	private final GroupShape shape;
+
+	private final RebalancePolicy policy;
+
+	private final double[] skews;
+
+	private final double[] bounds;
+
+	private long reads;
+
+	private int plans;
+
+	PolicyRun(GroupShape shape, RebalancePolicy policy, int intervals) {
+		this.shape = shape;
+		this.policy = policy;
+		this.skews = new double[intervals];
+		this.bounds = new double[intervals];
+	}
+
+	void run(DriftRun drift, Placement first) {
+		for (int interval = 0; interval < WARM_UP; interval++) {
+			this.policy.observe(drift.nextCounts());
+		}
+		Placement present = first;
+		for (int interval = 0; interval < this.skews.length; interval++) {
+			Placement next = this.policy.plan(present, drift.speeds());
+			count(present, next);
+			present = next;
+			double[][] counts = drift.nextCounts();
+			this.skews[interval] = StepSkew.of(this.shape, present, counts, drift.speeds());
+			this.bounds[interval] = StepSkew.lowerBound(this.shape, counts, drift.speeds());
+			this.policy.observe(counts);
+		}
+	}
+
+	private void count(Placement present, Placement next) {
+		int before = (int) this.reads;
+		for (int layer = 0; layer < this.shape.layers(); layer++) {
+			for (int position = 0; position < this.shape.ranks() * this.shape.stride(); position++) {
+				int expert = next.expert(layer, position);
+				boolean read = expert != Placement.EMPTY
+						&& !present.holds(this.shape, layer, position / this.shape.stride(), expert);
+				this.reads += read ? 1 : 0;
+			}
+		}
+		this.plans += (this.reads > before) ? 1 : 0;
+	}
+
+	double mean() {
+		return Arrays.stream(this.skews).average().orElse(1);
+	}
+
+	double p95() {
+		double[] sorted = this.skews.clone();
+		Arrays.sort(sorted);
+		return sorted[(int) Math.ceil(0.95 * sorted.length) - 1];
+	}
+
+	double gibibytes() {
+		return this.reads * this.shape.expertBytes() / GIBIBYTE;
+	}
+
+	void report(Reporter reporter, Drift drift) {
+		reporter.result("placement", Field.of("drift", drift.text()), Field.of("policy", this.policy.name()),
+				Field.of("skew-mean", decimal(mean())), Field.of("skew-p95", decimal(p95())),
+				Field.of("skew-bound-mean", decimal(Arrays.stream(this.bounds).average().orElse(1))),
+				Field.of("moved-gib", decimal(gibibytes())), Field.of("plans-with-moves", this.plans));
+	}
+
+	private static String decimal(double value) {
+		return String.format(Locale.ROOT, "%.4f", value);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures placement plans on seeded drifts of expert popularity.
+ */
+package org.comfreywall.bench.placement;
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PopularityEstimator.java
@@ -0,0 +1,76 @@
+package org.comfreywall.group.placement;
+
+import java.util.Arrays;
+import java.util.stream.IntStream;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Estimates and forecasts the popularity of a group's experts from counts of their
+ * traffic.
+ * <p>
+ * State is bounded by layers times experts.
+ */
+public final class PopularityEstimator {
+
+	private final LayerEstimate[] layers;
+
+	private final int experts;
+
+	/**
+	 * Creates an estimator.
+	 * @param settings the settings
+	 * @param layers the number of layers with experts
+	 * @param experts the number of experts a layer
+	 */
+	public PopularityEstimator(EstimatorSettings settings, int layers, int experts) {
+		Preconditions.notNull(settings, "settings");
+		this.experts = experts;
+		this.layers = IntStream.range(0, layers)
+			.mapToObj((layer) -> new LayerEstimate(settings, experts))
+			.toArray(LayerEstimate[]::new);
+	}
+
+	/**
+	 * Takes in the counts of one interval.
+	 * @param counts the traffic of each expert in the interval, for each layer, in tokens
+	 */
+	public void observe(double[][] counts) {
+		Preconditions.check(counts.length == this.layers.length, "counts must have %d layers: %d", this.layers.length,
+				counts.length);
+		for (int layer = 0; layer < counts.length; layer++) {
+			Preconditions.check(counts[layer].length == this.experts, "counts must have %d experts: %d", this.experts,
+					counts[layer].length);
+			this.layers[layer].observe(counts[layer]);
+		}
+	}
+
+	/**
+	 * Publishes the forecast of the layers that changed beyond noise.
+	 * @return for each layer whether its forecast changed
+	 */
+	public boolean[] publish() {
+		boolean[] changed = new boolean[this.layers.length];
+		for (int layer = 0; layer < changed.length; layer++) {
+			changed[layer] = this.layers[layer].publishIfChanged();
+		}
+		return changed;
+	}
+
+	/**
+	 * Returns the published forecast.
+	 * @return the traffic of each expert in an interval, for each layer
+	 */
+	public double[][] forecast() {
+		return Arrays.stream(this.layers).map(LayerEstimate::published).toArray(double[][]::new);
+	}
+
+	/**
+	 * Returns the fast average of the counts, without forecast or noise test.
+	 * @return the traffic of each expert in an interval, for each layer
+	 */
+	public double[][] smoothed() {
+		return Arrays.stream(this.layers).map(LayerEstimate::smoothed).toArray(double[][]::new);
+	}
+
+}
