Split traffic by the newest forecast at every plan

The noise test held the whole forecast, and with it the split of traffic, which reads nothing from the weight store. It now gates moves alone.

--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerEstimate.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerEstimate.java
@@ -4,8 +4,8 @@
 import java.util.stream.IntStream;
 
 /**
- * The popularity of the experts of one layer, published only when it changed beyond
- * noise.
+ * The popularity of the experts of one layer, compared with that of the last change
+ * beyond noise.
  */
 final class LayerEstimate {
 
@@ -13,9 +13,9 @@
 
 	private final ExpertEstimate[] experts;
 
-	private final double[] published;
+	private final double[] reference;
 
-	private final double[] publishedVariance;
+	private final double[] referenceVariance;
 
 	private double referenceTotal;
 
@@ -24,8 +24,8 @@
 		this.experts = IntStream.range(0, experts)
 			.mapToObj((expert) -> new ExpertEstimate(settings))
 			.toArray(ExpertEstimate[]::new);
-		this.published = new double[experts];
-		this.publishedVariance = new double[experts];
+		this.reference = new double[experts];
+		this.referenceVariance = new double[experts];
 	}
 
 	// Scales to the traffic of the first interval, so that only shares count as change.
@@ -41,16 +41,17 @@
 	}
 
 	/**
-	 * Publishes the present forecast if it differs from the published one beyond noise.
-	 * @return {@code true} if it was published
+	 * Compares with the next forecasts from now on if the present one changed beyond
+	 * noise.
+	 * @return {@code true} if it changed
 	 */
-	boolean publishIfChanged() {
+	boolean acceptChange() {
 		if (!isChanged()) {
 			return false;
 		}
 		for (int expert = 0; expert < this.experts.length; expert++) {
-			this.published[expert] = this.experts[expert].forecast();
-			this.publishedVariance[expert] = this.experts[expert].forecastVariance();
+			this.reference[expert] = this.experts[expert].forecast();
+			this.referenceVariance[expert] = this.experts[expert].forecastVariance();
 		}
 		return true;
 	}
@@ -60,8 +61,8 @@
 		double largest = 0;
 		double sum = 0;
 		for (int expert = 0; expert < this.experts.length; expert++) {
-			double change = this.experts[expert].forecast() - this.published[expert];
-			double variance = this.experts[expert].forecastVariance() + this.publishedVariance[expert];
+			double change = this.experts[expert].forecast() - this.reference[expert];
+			double variance = this.experts[expert].forecastVariance() + this.referenceVariance[expert];
 			double square = (variance > 0) ? change * change / variance : 0;
 			largest = Math.max(largest, square);
 			sum += square;
@@ -71,8 +72,8 @@
 		return largest > significance * significance || sum > count + significance * Math.sqrt(2.0 * count);
 	}
 
-	double[] published() {
-		return this.published.clone();
+	double[] forecast() {
+		return Arrays.stream(this.experts).mapToDouble(ExpertEstimate::forecast).toArray();
 	}
 
 	double[] smoothed() {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanRequest.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanRequest.java
@@ -12,7 +12,7 @@
  * @param popularity the forecast traffic of each expert, for each layer; is not changed
  * @param speeds the speed of each rank, 1 for a healthy one; is not changed
  * @param changed for each layer whether its popularity or the speeds changed beyond noise
- * since the last plan
+ * since the last plan; traffic of other layers is split anew, but their experts stay
  * @param cause why the plan is asked for, for the decision record
  */
 public record PlanRequest(GroupId group, GroupShape shape, Placement present, double[][] popularity, double[] speeds,
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanSearch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanSearch.java
@@ -83,8 +83,7 @@
 			return repair.repair() ? search(state, origin) : rebuild(emptyState(layer), origin);
 		}
 		if (!this.request.changed()[layer]) {
-			LayerOption stay = new LayerOption(origin, 0, state.slowest());
-			return new LayerOutcome(stay, stay, stay);
+			return layerSearch(0).search(state, origin, this.skewCost, this.readCost);
 		}
 		return search(state, origin);
 	}
@@ -101,16 +100,17 @@
 	// A layer that must be filled anyway is filled as well as possible.
 	private LayerOutcome rebuild(LayerState state, int[] origin) {
 		LayerPacker.pack(state, this.spread);
-		LayerOption fastest = layerSearch().search(state, origin, this.skewCost, 0).fastest();
+		LayerOption fastest = layerSearch(this.settings.maximumSteps()).search(state, origin, this.skewCost, 0)
+			.fastest();
 		return new LayerOutcome(fastest, fastest, fastest);
 	}
 
 	private LayerOutcome search(LayerState state, int[] origin) {
-		return layerSearch().search(state, origin, this.skewCost, this.readCost);
+		return layerSearch(this.settings.maximumSteps()).search(state, origin, this.skewCost, this.readCost);
 	}
 
-	private LayerSearch layerSearch() {
-		return new LayerSearch(this.shape, this.spread, this.settings.maximumSteps());
+	private LayerSearch layerSearch(int maximumSteps) {
+		return new LayerSearch(this.shape, this.spread, maximumSteps);
 	}
 
 	private int[] worthFirst(LayerOutcome[] outcomes) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PopularityEstimator.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PopularityEstimator.java
@@ -46,23 +46,23 @@
 	}
 
 	/**
-	 * Publishes the forecast of the layers that changed beyond noise.
+	 * Tells which layers changed beyond noise since they were last told to have changed.
 	 * @return for each layer whether its forecast changed
 	 */
-	public boolean[] publish() {
+	public boolean[] acceptChanges() {
 		boolean[] changed = new boolean[this.layers.length];
 		for (int layer = 0; layer < changed.length; layer++) {
-			changed[layer] = this.layers[layer].publishIfChanged();
+			changed[layer] = this.layers[layer].acceptChange();
 		}
 		return changed;
 	}
 
 	/**
-	 * Returns the published forecast.
+	 * Returns the forecast.
 	 * @return the traffic of each expert in an interval, for each layer
 	 */
 	public double[][] forecast() {
-		return Arrays.stream(this.layers).map(LayerEstimate::published).toArray(double[][]::new);
+		return Arrays.stream(this.layers).map(LayerEstimate::forecast).toArray(double[][]::new);
 	}
 
 	/**
