--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/map/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Immutable, versioned expert maps.
+ */
+package org.comfreywall.group.map;
