Add the cores of the expert map switch

Cause: two ranks on different maps in one step give wrong answers, and a coordinator may die, or come back, between any two messages.

Change: SwitchCoordinator stages, arms, decides and releases during one term; SwitchAgent allows its engine one step at a time under the decided map and holds at an armed step until it knows the decision; DecisionLedger is the deterministic record whose first decision for an attempt stands. A commit names the membership's generation, so replacing an armed rank and committing cannot both win.

--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentReport.java
@@ -0,0 +1,21 @@
+package org.comfreywall.group.mapswitch;
+
+/**
+ * A report from the agent of one rank to the coordinator.
+ */
+public sealed interface AgentReport
+		permits JoinAsked, MapStaged, SwitchArmed, ArmRefused, DecisionAsked, SwitchReleased, StepProgress {
+
+	/**
+	 * Returns the rank that reports.
+	 * @return the rank
+	 */
+	int rank();
+
+	/**
+	 * Returns the member that reports.
+	 * @return the member
+	 */
+	Member member();
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorSettings.java
@@ -0,0 +1,33 @@
+package org.comfreywall.group.mapswitch;
+
+import java.time.Duration;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Settings of the coordinator of map switches.
+ *
+ * @param retryNanos time between repeated orders and writes, in nanoseconds
+ * @param minLeadNanos shortest time between arming the ranks and the step at which they
+ * switch, in nanoseconds
+ * @param maxLeadNanos longest such time, in nanoseconds
+ * @param assumedStepNanos step time assumed until a rank reports one, in nanoseconds
+ * @param maxAttempts attempts made to switch to one map before giving up
+ */
+public record CoordinatorSettings(long retryNanos, long minLeadNanos, long maxLeadNanos, long assumedStepNanos,
+		int maxAttempts) {
+
+	/** The default settings. */
+	public static final CoordinatorSettings DEFAULT = new CoordinatorSettings(Duration.ofMillis(50).toNanos(),
+			Duration.ofMillis(400).toNanos(), Duration.ofSeconds(20).toNanos(), Duration.ofMillis(20).toNanos(), 10);
+
+	public CoordinatorSettings {
+		Preconditions.check(retryNanos > 0, "retryNanos must be positive: %d", retryNanos);
+		Preconditions.check(minLeadNanos > 0, "minLeadNanos must be positive: %d", minLeadNanos);
+		Preconditions.check(maxLeadNanos >= minLeadNanos, "maxLeadNanos must be at least minLeadNanos: %d",
+				maxLeadNanos);
+		Preconditions.check(assumedStepNanos > 0, "assumedStepNanos must be positive: %d", assumedStepNanos);
+		Preconditions.check(maxAttempts >= 1, "maxAttempts must be at least 1: %d", maxAttempts);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/DecisionLedger.java
@@ -0,0 +1,143 @@
+package org.comfreywall.group.mapswitch;
+
+import java.util.Optional;
+
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Decides, one write after the other, what a group's map and membership are.
+ * <p>
+ * The ledger is deterministic, so that a replicated log can apply the same writes on
+ * every control instance. The first decision written for an attempt stands and is never
+ * undone; writes of older terms are refused; a commit is refused if the membership
+ * changed after the ranks were armed.
+ */
+public final class DecisionLedger {
+
+	private final int ranks;
+
+	private LedgerState state;
+
+	/**
+	 * Creates a ledger.
+	 * @param ranks the number of ranks in the group
+	 * @param state the state to start from, such as one read from a snapshot
+	 */
+	public DecisionLedger(int ranks, LedgerState state) {
+		Preconditions.check(ranks >= 1, "ranks must be at least 1: %d", ranks);
+		this.ranks = ranks;
+		this.state = Preconditions.notNull(state, "state");
+	}
+
+	/**
+	 * Returns the present state.
+	 * @return the state
+	 */
+	public LedgerState state() {
+		return this.state;
+	}
+
+	/**
+	 * Applies one write.
+	 * @param write the write
+	 * @return the state after it and whether it was accepted
+	 */
+	public LedgerResult apply(LedgerWrite write) {
+		Preconditions.notNull(write, "write");
+		if (write.term().isBefore(this.state.term())) {
+			return refuse(LedgerRefusal.OLD_TERM);
+		}
+		if (write instanceof OpenTerm open) {
+			return open(open);
+		}
+		if (!write.term().equals(this.state.term())) {
+			return refuse(LedgerRefusal.OLD_TERM);
+		}
+		if (write instanceof InstallMap install) {
+			return install(install);
+		}
+		if (write instanceof AssignMember assign) {
+			return assign(assign);
+		}
+		if (write instanceof CommitSwitch commit) {
+			return commit(commit);
+		}
+		return abort((AbortSwitch) write);
+	}
+
+	private LedgerResult open(OpenTerm open) {
+		if (!open.term().equals(this.state.term())) {
+			this.state = this.state.withTerm(open.term());
+		}
+		return LedgerResult.accepted(this.state);
+	}
+
+	private LedgerResult install(InstallMap install) {
+		Optional<MapBoundary> last = this.state.timeline().last();
+		if (last.isPresent()) {
+			boolean same = last.get().map().equals(install.map());
+			return same ? LedgerResult.accepted(this.state) : refuse(LedgerRefusal.MAP_INSTALLED);
+		}
+		this.state = this.state.withFirstMap(new MapBoundary(0, install.map(), SwitchId.ZERO));
+		return LedgerResult.accepted(this.state);
+	}
+
+	private LedgerResult assign(AssignMember assign) {
+		Member member = assign.member();
+		if (this.state.holds(assign.rank(), member)) {
+			return LedgerResult.accepted(this.state);
+		}
+		if (assign.rank() >= this.ranks || holdsOtherRank(assign)) {
+			return refuse(LedgerRefusal.INVALID_RANK);
+		}
+		Incarnation latest = this.state.retired().get(member.server());
+		if (latest != null && member.incarnation().compareTo(latest) <= 0) {
+			return refuse(LedgerRefusal.REUSED_MEMBER);
+		}
+		this.state = this.state.withMember(assign.rank(), member);
+		return LedgerResult.accepted(this.state);
+	}
+
+	private boolean holdsOtherRank(AssignMember assign) {
+		return this.state.members()
+			.entrySet()
+			.stream()
+			.anyMatch((entry) -> entry.getKey() != assign.rank()
+					&& entry.getValue().server().equals(assign.member().server()));
+	}
+
+	private LedgerResult commit(CommitSwitch commit) {
+		MapBoundary boundary = commit.boundary();
+		Optional<SwitchDecision> first = this.state.decisionOf(boundary.decidedBy());
+		if (first.isPresent()) {
+			return LedgerResult.decided(this.state, first.get());
+		}
+		if (this.state.members().size() < this.ranks) {
+			return refuse(LedgerRefusal.INCOMPLETE_GROUP);
+		}
+		if (commit.generation() != this.state.generation()) {
+			return refuse(LedgerRefusal.OTHER_GENERATION);
+		}
+		Optional<MapBoundary> last = this.state.timeline().last();
+		if (last.isEmpty() || boundary.firstStep() <= last.get().firstStep()) {
+			return refuse(LedgerRefusal.STEP_NOT_AFTER_LAST);
+		}
+		this.state = this.state.withBoundary(boundary);
+		return LedgerResult.decided(this.state, new CommitDecision(boundary));
+	}
+
+	private LedgerResult abort(AbortSwitch abort) {
+		Optional<SwitchDecision> first = this.state.decisionOf(abort.id());
+		if (first.isPresent()) {
+			return LedgerResult.decided(this.state, first.get());
+		}
+		this.state = this.state.withAbort(abort.id());
+		return LedgerResult.decided(this.state, new AbortDecision(abort.id()));
+	}
+
+	private LedgerResult refuse(LedgerRefusal refusal) {
+		return LedgerResult.refused(this.state, refusal);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerResult.java
@@ -0,0 +1,35 @@
+package org.comfreywall.group.mapswitch;
+
+import java.util.Optional;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The ledger's answer to a write.
+ *
+ * @param state the state after the write
+ * @param decision for a commit or abort, the decision that stands, which is the first one
+ * written for the attempt; empty if the write was refused
+ * @param refusal why the write was refused, or empty if it was accepted
+ */
+public record LedgerResult(LedgerState state, Optional<SwitchDecision> decision, Optional<LedgerRefusal> refusal) {
+
+	public LedgerResult {
+		Preconditions.notNull(state, "state");
+		Preconditions.notNull(decision, "decision");
+		Preconditions.notNull(refusal, "refusal");
+	}
+
+	static LedgerResult accepted(LedgerState state) {
+		return new LedgerResult(state, Optional.empty(), Optional.empty());
+	}
+
+	static LedgerResult decided(LedgerState state, SwitchDecision decision) {
+		return new LedgerResult(state, Optional.of(decision), Optional.empty());
+	}
+
+	static LedgerResult refused(LedgerState state, LedgerRefusal refusal) {
+		return new LedgerResult(state, Optional.empty(), Optional.of(refusal));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LoadMap.java
@@ -0,0 +1,20 @@
+package org.comfreywall.group.mapswitch;
+
+import org.comfreywall.common.id.FencingNumber;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.group.map.MapRef;
+
+/**
+ * Has the engine load the weights of a map beside those in use.
+ *
+ * @param number the fencing number of the latest order obeyed
+ * @param map the map
+ */
+public record LoadMap(FencingNumber number, MapRef map) implements AgentCommand {
+
+	public LoadMap {
+		Preconditions.notNull(number, "number");
+		Preconditions.notNull(map, "map");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapStaged.java
@@ -0,0 +1,20 @@
+package org.comfreywall.group.mapswitch;
+
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.group.map.MapRef;
+
+/**
+ * A rank has loaded the weights of a map.
+ *
+ * @param rank the rank that reports
+ * @param member the member that reports
+ * @param map the map
+ */
+public record MapStaged(int rank, Member member, MapRef map) implements AgentReport {
+
+	public MapStaged {
+		Preconditions.notNull(member, "member");
+		Preconditions.notNull(map, "map");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MemberChosen.java
@@ -0,0 +1,18 @@
+package org.comfreywall.group.mapswitch;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * A rank is to be given to a member.
+ *
+ * @param rank the rank
+ * @param member the member
+ */
+public record MemberChosen(int rank, Member member) implements CoordinatorEvent {
+
+	public MemberChosen {
+		Preconditions.notNull(member, "member");
+		Preconditions.check(rank >= 0, "rank must not be negative: %d", rank);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/OpenTerm.java
@@ -0,0 +1,17 @@
+package org.comfreywall.group.mapswitch;
+
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Starts a coordinator's term; writes of older terms are refused from then on.
+ *
+ * @param term the term
+ */
+public record OpenTerm(Term term) implements LedgerWrite {
+
+	public OpenTerm {
+		Preconditions.notNull(term, "term");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RankTable.java
@@ -0,0 +1,63 @@
+package org.comfreywall.group.mapswitch;
+
+import java.util.Arrays;
+
+/**
+ * Knows how far each rank was when it last reported.
+ */
+final class RankTable {
+
+	private static final int NONE = -1;
+
+	private final long[] lastSteps;
+
+	private final long[] stepNanos;
+
+	private final long[] reportedAt;
+
+	private final long assumedStepNanos;
+
+	RankTable(int ranks, long assumedStepNanos) {
+		this.lastSteps = new long[ranks];
+		this.stepNanos = new long[ranks];
+		this.reportedAt = new long[ranks];
+		this.assumedStepNanos = assumedStepNanos;
+		Arrays.fill(this.lastSteps, NONE);
+	}
+
+	void reported(int rank, long lastStep, long nanos, long now) {
+		if (lastStep >= this.lastSteps[rank]) {
+			this.lastSteps[rank] = lastStep;
+			this.reportedAt[rank] = now;
+		}
+		if (nanos > 0) {
+			this.stepNanos[rank] = nanos;
+		}
+	}
+
+	void forget(int rank) {
+		this.lastSteps[rank] = NONE;
+		this.stepNanos[rank] = 0;
+	}
+
+	boolean allReached(long step) {
+		return Arrays.stream(this.lastSteps).allMatch((last) -> last >= step);
+	}
+
+	// The shortest step time reported, as it needs the lead of the most steps.
+	long stepNanos() {
+		return Arrays.stream(this.stepNanos).filter((nanos) -> nanos > 0).min().orElse(this.assumedStepNanos);
+	}
+
+	long latestStep(long now) {
+		long latest = 0;
+		for (int rank = 0; rank < this.lastSteps.length; rank++) {
+			if (this.lastSteps[rank] >= 0) {
+				long since = (now - this.reportedAt[rank]) / stepNanos();
+				latest = Math.max(latest, this.lastSteps[rank] + since);
+			}
+		}
+		return latest;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RequestedSwitch.java
@@ -0,0 +1,150 @@
+package org.comfreywall.group.mapswitch;
+
+import java.util.BitSet;
+
+import org.comfreywall.group.map.MapRef;
+
+/**
+ * Progress of one requested switch through its attempts.
+ */
+final class RequestedSwitch {
+
+	private final MapRef map;
+
+	private final int ranks;
+
+	private final BitSet staged = new BitSet();
+
+	private final BitSet armed = new BitSet();
+
+	private final BitSet released = new BitSet();
+
+	private SwitchPhase phase = SwitchPhase.STAGING;
+
+	private MapBoundary boundary;
+
+	private SwitchDecision decision;
+
+	private long armedSince;
+
+	private long decideBy;
+
+	private int attempts;
+
+	private boolean cancelled;
+
+	RequestedSwitch(MapRef map, int ranks) {
+		this.map = map;
+		this.ranks = ranks;
+	}
+
+	MapRef map() {
+		return this.map;
+	}
+
+	SwitchPhase phase() {
+		return this.phase;
+	}
+
+	MapBoundary boundary() {
+		return this.boundary;
+	}
+
+	SwitchDecision decision() {
+		return this.decision;
+	}
+
+	long armedSince() {
+		return this.armedSince;
+	}
+
+	long decideBy() {
+		return this.decideBy;
+	}
+
+	int attempts() {
+		return this.attempts;
+	}
+
+	boolean isCancelled() {
+		return this.cancelled;
+	}
+
+	void cancel() {
+		this.cancelled = true;
+	}
+
+	boolean isAttempt(SwitchId id) {
+		return this.phase != SwitchPhase.STAGING && this.boundary.decidedBy().equals(id);
+	}
+
+	boolean isStaged(int rank) {
+		return this.staged.get(rank);
+	}
+
+	boolean isArmed(int rank) {
+		return this.armed.get(rank);
+	}
+
+	boolean isReleased(int rank) {
+		return this.released.get(rank);
+	}
+
+	void stagedAt(int rank) {
+		this.staged.set(rank);
+	}
+
+	void armedAt(int rank) {
+		this.armed.set(rank);
+	}
+
+	void releasedAt(int rank) {
+		this.released.set(rank);
+	}
+
+	void forget(int rank) {
+		this.staged.clear(rank);
+		this.armed.clear(rank);
+		this.released.set(rank);
+	}
+
+	void notStaged(int rank) {
+		this.staged.clear(rank);
+	}
+
+	boolean allStaged() {
+		return this.staged.cardinality() == this.ranks;
+	}
+
+	boolean allArmed() {
+		return this.armed.cardinality() == this.ranks;
+	}
+
+	boolean allReleased() {
+		return this.released.cardinality() == this.ranks;
+	}
+
+	void startAttempt(MapBoundary newBoundary, long now, long deadline) {
+		this.boundary = newBoundary;
+		this.armedSince = now;
+		this.decideBy = deadline;
+		this.attempts++;
+		this.armed.clear();
+		this.phase = SwitchPhase.ARMING;
+	}
+
+	void decide() {
+		this.phase = SwitchPhase.DECIDING;
+	}
+
+	void decided(SwitchDecision durable) {
+		this.decision = durable;
+		this.released.clear();
+		this.phase = SwitchPhase.RELEASING;
+	}
+
+	void restage() {
+		this.phase = SwitchPhase.STAGING;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/StepReached.java
@@ -0,0 +1,16 @@
+package org.comfreywall.group.mapswitch;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The engine is ready for a step and asks under which map to run it.
+ *
+ * @param step the step
+ */
+public record StepReached(long step) implements AgentEvent {
+
+	public StepReached {
+		Preconditions.check(step >= 0, "step must not be negative: %d", step);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchCancelled.java
@@ -0,0 +1,17 @@
+package org.comfreywall.group.mapswitch;
+
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.group.map.MapRef;
+
+/**
+ * A map is no longer wanted.
+ *
+ * @param map the map
+ */
+public record SwitchCancelled(MapRef map) implements CoordinatorEvent {
+
+	public SwitchCancelled {
+		Preconditions.notNull(map, "map");
+	}
+
+}
