Add the ledgers of claims and poison requests

Cause: a resend through another entry must learn what became of its key, and a request that crashes backend servers must be recognised fleet-wide. Conclusion: ready to be embedded in the replicated state machine.

--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/NotRunProof.java
@@ -0,0 +1,39 @@
+package org.comfreywall.common.claim;
+
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Proof that a request did not run under a claim and never will.
+ * <p>
+ * The proof names the attempt's addressee, so that a late copy of the proof cannot
+ * release a newer claim of the same request.
+ *
+ * @param evidence how it is known
+ * @param owner the request that holds the claim
+ * @param backendServer the backend server to which the attempt was addressed
+ * @param incarnation the incarnation of the sidecar to which the attempt was addressed
+ */
+public record NotRunProof(NotRunEvidence evidence, RequestId owner, BackendServerId backendServer,
+		Incarnation incarnation) {
+
+	public NotRunProof {
+		Preconditions.notNull(evidence, "evidence");
+		Preconditions.notNull(owner, "owner");
+		Preconditions.notNull(backendServer, "backendServer");
+		Preconditions.notNull(incarnation, "incarnation");
+	}
+
+	/**
+	 * Tells whether the proof is about the attempt of a claim.
+	 * @param claim the claim
+	 * @return {@code true} if owner, backend server and incarnation are the claim's
+	 */
+	public boolean covers(ClaimRunning claim) {
+		return this.owner.equals(claim.owner()) && this.backendServer.equals(claim.backendServer())
+				&& this.incarnation.equals(claim.incarnation());
+	}
+
+}
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/CrashReport.java
@@ -0,0 +1,34 @@
+package org.comfreywall.common.poison;
+
+import java.util.List;
+
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Reports the loss of a backend server with the requests that were in flight on it.
+ *
+ * @param evidence how the loss was noticed
+ * @param backendServer the backend server that was lost
+ * @param incarnation the incarnation of its sidecar
+ * @param crash the number of the crash within the incarnation, starting at 1, or 0 if the
+ * sidecar was lost
+ * @param inFlight the fingerprints of the requests in flight
+ * @param isolated whether the only request in flight ran isolated
+ */
+public record CrashReport(CrashEvidence evidence, BackendServerId backendServer, Incarnation incarnation, int crash,
+		List<Fingerprint> inFlight, boolean isolated) {
+
+	public CrashReport {
+		Preconditions.notNull(evidence, "evidence");
+		Preconditions.notNull(backendServer, "backendServer");
+		Preconditions.notNull(incarnation, "incarnation");
+		Preconditions.check((evidence == CrashEvidence.SIDECAR_LOST) ? crash == 0 : crash >= 1,
+				"crash must be 0 exactly if the sidecar was lost: %d", crash);
+		inFlight = List.copyOf(inFlight);
+		Preconditions.check(!isolated || inFlight.size() == 1, "inFlight of an isolated run must be one request: %d",
+				inFlight.size());
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/ClaimLedger.java
@@ -0,0 +1,261 @@
+package org.comfreywall.control.ledger;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.comfreywall.common.claim.ClaimCompleted;
+import org.comfreywall.common.claim.ClaimFound;
+import org.comfreywall.common.claim.ClaimGranted;
+import org.comfreywall.common.claim.ClaimKey;
+import org.comfreywall.common.claim.ClaimMismatch;
+import org.comfreywall.common.claim.ClaimResult;
+import org.comfreywall.common.claim.ClaimRunning;
+import org.comfreywall.common.claim.ClaimState;
+import org.comfreywall.common.claim.ClaimUnknown;
+import org.comfreywall.common.claim.NotRunProof;
+import org.comfreywall.common.claim.RecordedAnswer;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Remembers which idempotency keys are in use and how their requests ended.
+ * <p>
+ * The ledger is deterministic: replicas that apply the same calls with the same log times
+ * hold the same claims. Applying a call twice has the effect of applying it once, unless
+ * the claim was released in between; a claim that a late copy brings back names the
+ * addressee of an attempt that is sealed or was never sent, so that it can be released
+ * again with proof. Not thread-safe.
+ */
+public final class ClaimLedger {
+
+	private final ClaimLedgerSettings settings;
+
+	/** Claims in the order of their log time; at most the capacity. */
+	private final Map<ClaimKey, ClaimEntry> claims = new LinkedHashMap<>();
+
+	/** Keys whose answers are recorded, in the order of recording. */
+	private final TreeMap<Long, ClaimKey> answered = new TreeMap<>();
+
+	private long storedBytes;
+
+	private long logTime;
+
+	/**
+	 * Creates an empty ledger.
+	 * @param settings the bounds
+	 */
+	public ClaimLedger(ClaimLedgerSettings settings) {
+		this.settings = Preconditions.notNull(settings, "settings");
+	}
+
+	/**
+	 * Claims a key for the only attempt of a request.
+	 * @param key the key
+	 * @param bodyDigest digest (SHA-256) of the request's body
+	 * @param owner the request that asks
+	 * @param backendServer the backend server to which the attempt will be addressed
+	 * @param incarnation the incarnation of the sidecar to which the attempt will be
+	 * addressed
+	 * @param now the log time in nanoseconds
+	 * @return the result, or {@link ErrorCode#OVERLOADED} if the ledger is full
+	 */
+	public Result<ClaimResult> claim(ClaimKey key, String bodyDigest, RequestId owner, BackendServerId backendServer,
+			Incarnation incarnation, long now) {
+		Preconditions.notNull(key, "key");
+		ClaimRunning claim = new ClaimRunning(owner, backendServer, incarnation);
+		advance(now);
+		ClaimEntry earlier = this.claims.get(key);
+		if (earlier != null) {
+			return Result.success(compare(earlier, bodyDigest, claim));
+		}
+		if (this.claims.size() >= this.settings.capacity()) {
+			return failure(ErrorCode.OVERLOADED, "The ledger of claims is full; send the request again later");
+		}
+		this.claims.put(key, new ClaimEntry(key, bodyDigest, claim, this.logTime, 0));
+		return Result.success(new ClaimGranted(claim));
+	}
+
+	/**
+	 * Records the answer of a claimed request.
+	 * <p>
+	 * An answer whose body exceeds the bound is not stored; the claim then counts as
+	 * unknown to later callers.
+	 * @param key the claimed key
+	 * @param owner the request that held the claim
+	 * @param answer the whole answer
+	 * @param now the log time in nanoseconds
+	 * @return the claim's state after the call, or the reason of the refusal
+	 */
+	public Result<ClaimState> finish(ClaimKey key, RequestId owner, RecordedAnswer answer, long now) {
+		Preconditions.notNull(answer, "answer");
+		advance(now);
+		return owned(key, owner).map((entry) -> finish(entry, answer));
+	}
+
+	/**
+	 * Records that it cannot be known whether a claimed request ran.
+	 * @param key the claimed key
+	 * @param owner the request that held the claim
+	 * @param now the log time in nanoseconds
+	 * @return the claim's state after the call, or the reason of the refusal
+	 */
+	public Result<ClaimState> markUnknown(ClaimKey key, RequestId owner, long now) {
+		advance(now);
+		return owned(key, owner).map((entry) -> {
+			if (entry.state() instanceof ClaimCompleted) {
+				return entry.state();
+			}
+			return replace(entry, new ClaimUnknown(owner));
+		});
+	}
+
+	/**
+	 * Forgets a claim whose request is proven not to have run.
+	 * @param key the claimed key
+	 * @param proof the proof
+	 * @param now the log time in nanoseconds
+	 * @return the claim that was released, or the reason of the refusal
+	 */
+	public Result<ClaimRunning> release(ClaimKey key, NotRunProof proof, long now) {
+		Preconditions.notNull(proof, "proof");
+		advance(now);
+		return owned(key, proof.owner()).flatMap((entry) -> {
+			if (entry.state() instanceof ClaimRunning claim && proof.covers(claim)) {
+				this.claims.remove(key);
+				return Result.success(claim);
+			}
+			return failure(ErrorCode.CONFLICT, "The proof is not about the claim's attempt; look the claim up again");
+		});
+	}
+
+	/**
+	 * Returns the state of a claim.
+	 * @param key the key
+	 * @return the state, or empty if the key is not claimed
+	 */
+	public Optional<ClaimState> find(ClaimKey key) {
+		return Optional.ofNullable(this.claims.get(key)).map(ClaimEntry::state);
+	}
+
+	/**
+	 * Returns the number of claims remembered.
+	 * @return the count
+	 */
+	public int size() {
+		return this.claims.size();
+	}
+
+	/**
+	 * Returns the whole content.
+	 * @return the snapshot
+	 */
+	public ClaimLedgerSnapshot snapshot() {
+		return new ClaimLedgerSnapshot(this.logTime, List.copyOf(this.claims.values()));
+	}
+
+	/**
+	 * Replaces the whole content by that of a snapshot.
+	 * @param snapshot the snapshot
+	 */
+	public void restore(ClaimLedgerSnapshot snapshot) {
+		this.claims.clear();
+		this.answered.clear();
+		this.storedBytes = 0;
+		this.logTime = snapshot.logTime();
+		for (ClaimEntry entry : snapshot.entries()) {
+			this.claims.put(entry.key(), entry);
+			this.storedBytes += entry.bodyLength();
+			if (entry.answerOrder() > 0) {
+				this.answered.put(entry.answerOrder(), entry.key());
+			}
+		}
+	}
+
+	private ClaimResult compare(ClaimEntry earlier, String bodyDigest, ClaimRunning claim) {
+		if (!earlier.bodyDigest().equals(bodyDigest)) {
+			return new ClaimMismatch();
+		}
+		if (earlier.state().equals(claim)) {
+			return new ClaimGranted(claim);
+		}
+		return new ClaimFound(earlier.state());
+	}
+
+	private ClaimState finish(ClaimEntry entry, RecordedAnswer answer) {
+		if (entry.state() instanceof ClaimCompleted) {
+			return entry.state();
+		}
+		if (answer.body().length() > this.settings.maxAnswerBytes()) {
+			return replace(entry, new ClaimUnknown(entry.state().owner()));
+		}
+		ClaimCompleted completed = new ClaimCompleted(entry.state().owner(), answer);
+		long order = this.answered.isEmpty() ? 1 : this.answered.lastKey() + 1;
+		this.claims.put(entry.key(), entry.withAnswer(completed, order));
+		this.answered.put(order, entry.key());
+		this.storedBytes += answer.body().length();
+		evictAnswers();
+		return completed;
+	}
+
+	private void evictAnswers() {
+		while (this.storedBytes > this.settings.maxStoredBytes()) {
+			ClaimEntry evicted = this.claims.get(this.answered.firstEntry().getValue());
+			replace(evicted, new ClaimUnknown(evicted.state().owner()));
+		}
+	}
+
+	private ClaimState replace(ClaimEntry entry, ClaimState state) {
+		forgetAnswer(entry);
+		this.claims.put(entry.key(), entry.withoutAnswer(state));
+		return state;
+	}
+
+	private void forgetAnswer(ClaimEntry entry) {
+		this.answered.remove(entry.answerOrder());
+		this.storedBytes -= entry.bodyLength();
+	}
+
+	private Result<ClaimEntry> owned(ClaimKey key, RequestId owner) {
+		ClaimEntry entry = this.claims.get(Preconditions.notNull(key, "key"));
+		if (entry == null) {
+			return failure(ErrorCode.NOT_FOUND, "The key is not claimed; the claim was released or is past retention");
+		}
+		if (!entry.state().owner().equals(owner)) {
+			return failure(ErrorCode.CONFLICT, "The key is claimed by another request");
+		}
+		return Result.success(entry);
+	}
+
+	private void advance(long now) {
+		this.logTime = Math.max(this.logTime, now);
+		long bound = this.logTime - this.settings.retention().toNanos();
+		List<ClaimEntry> expired = new ArrayList<>();
+		for (ClaimEntry entry : this.claims.values()) {
+			if (entry.claimedAt() > bound) {
+				break;
+			}
+			expired.add(entry);
+		}
+		expired.forEach(this::expire);
+	}
+
+	private void expire(ClaimEntry entry) {
+		this.claims.remove(entry.key());
+		forgetAnswer(entry);
+	}
+
+	private static <T> Result<T> failure(ErrorCode code, String message) {
+		return Result.failure(OperationError.local(code, Step.CLAIM, message));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/CrashCharge.java
@@ -0,0 +1,43 @@
+package org.comfreywall.control.ledger;
+
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.poison.CrashReport;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * One loss of a backend server that is charged to a fingerprint.
+ *
+ * @param backendServer the backend server that was lost
+ * @param incarnation the incarnation of its sidecar
+ * @param crash the number of the crash within the incarnation, or 0 if the sidecar was
+ * lost
+ * @param explained whether another fingerprint was convicted of the loss
+ */
+public record CrashCharge(BackendServerId backendServer, Incarnation incarnation, int crash, boolean explained) {
+
+	public CrashCharge {
+		Preconditions.notNull(backendServer, "backendServer");
+		Preconditions.notNull(incarnation, "incarnation");
+		Preconditions.check(crash >= 0, "crash must not be negative: %d", crash);
+	}
+
+	static CrashCharge of(CrashReport report) {
+		return new CrashCharge(report.backendServer(), report.incarnation(), report.crash(), false);
+	}
+
+	CrashCharge explain() {
+		return new CrashCharge(this.backendServer, this.incarnation, this.crash, true);
+	}
+
+	boolean isBackendCrash() {
+		return this.crash > 0;
+	}
+
+	boolean isSameLoss(CrashCharge other) {
+		boolean sameSidecar = this.backendServer.equals(other.backendServer)
+				&& this.incarnation.equals(other.incarnation);
+		return sameSidecar && (this.crash == other.crash || this.crash == 0 || other.crash == 0);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonEntry.java
@@ -0,0 +1,70 @@
+package org.comfreywall.control.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.poison.PoisonVerdict;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * What the ledger knows about one fingerprint.
+ * <p>
+ * Losses of which another fingerprint was convicted are remembered, so that a further
+ * crash still counts as the second one.
+ *
+ * @param fingerprint the fingerprint
+ * @param charges the losses charged to it, each loss once
+ * @param convicted whether a backend server was lost while the fingerprint ran isolated
+ * @param changedAt the log time of the last charge in nanoseconds
+ */
+public record PoisonEntry(Fingerprint fingerprint, List<CrashCharge> charges, boolean convicted, long changedAt) {
+
+	/** Crashes after which a fingerprint is quarantined without an isolated run. */
+	static final int MAX_CRASHES = 2;
+
+	/** Losses remembered for one fingerprint. */
+	static final int MAX_CHARGES = 8;
+
+	public PoisonEntry {
+		Preconditions.notNull(fingerprint, "fingerprint");
+		charges = List.copyOf(charges);
+	}
+
+	PoisonVerdict verdict() {
+		boolean unexplained = this.charges.stream().anyMatch((charge) -> !charge.explained());
+		boolean repeated = this.charges.stream().filter(CrashCharge::isBackendCrash).count() >= MAX_CRASHES;
+		if (this.convicted || (unexplained && repeated)) {
+			return PoisonVerdict.QUARANTINED;
+		}
+		return unexplained ? PoisonVerdict.SUSPECT : PoisonVerdict.CLEAR;
+	}
+
+	boolean knows(CrashCharge charge) {
+		return this.charges.stream()
+			.anyMatch(
+					(earlier) -> earlier.isSameLoss(charge) && (earlier.isBackendCrash() || !charge.isBackendCrash()));
+	}
+
+	PoisonEntry charge(CrashCharge charge, long now) {
+		List<CrashCharge> next = new ArrayList<>(this.charges);
+		next.removeIf(charge::isSameLoss);
+		next.add(charge);
+		if (next.size() > MAX_CHARGES) {
+			next.remove(0);
+		}
+		return new PoisonEntry(this.fingerprint, next, this.convicted, now);
+	}
+
+	PoisonEntry convict(long now) {
+		return new PoisonEntry(this.fingerprint, this.charges, true, now);
+	}
+
+	PoisonEntry explain(List<CrashCharge> losses) {
+		List<CrashCharge> next = this.charges.stream()
+			.map((charge) -> losses.stream().anyMatch(charge::isSameLoss) ? charge.explain() : charge)
+			.toList();
+		return new PoisonEntry(this.fingerprint, next, this.convicted, this.changedAt);
+	}
+
+}
