Add the registry of attempts beside each backend server

Cause: an attempt must run at most once however often it arrives, and "not run" may be told only when no later copy can run. Change: AttemptRegistry seals what has not started, refuses other incarnations, replays answers from any part on, runs suspects alone, drains, and forgets only behind a window that attempts carry. Conclusion: ready to be embedded behind the sidecar's connections.

--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AnswerHead.java
@@ -0,0 +1,23 @@
+package org.comfreywall.common.attempt;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The first part of an answer.
+ *
+ * @param status the HTTP status
+ * @param contentType the media type of the body
+ */
+public record AnswerHead(int status, String contentType) implements AnswerPart {
+
+	public AnswerHead {
+		Preconditions.notNull(contentType, "contentType");
+		Preconditions.check(status >= 100 && status <= 599, "status must be an HTTP status: %d", status);
+	}
+
+	@Override
+	public int size() {
+		return 0;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/attempt/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What entries and sidecars tell each other about attempts.
+ */
+package org.comfreywall.common.attempt;
--- /dev/null
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptDrain.java
@@ -0,0 +1,47 @@
+package org.comfreywall.sidecar.attempt;
+
+import java.time.Duration;
+
+/**
+ * Decides when a leaving sidecar has nothing left to do.
+ */
+final class AttemptDrain {
+
+	private final AttemptStore store;
+
+	private final AttemptRuns runs;
+
+	private final Duration orphanTime;
+
+	private boolean started;
+
+	private boolean finished;
+
+	AttemptDrain(AttemptStore store, AttemptRuns runs, Duration orphanTime) {
+		this.store = store;
+		this.runs = runs;
+		this.orphanTime = orphanTime;
+	}
+
+	void start() {
+		this.started = true;
+	}
+
+	boolean isStarted() {
+		return this.started;
+	}
+
+	boolean finish(long now) {
+		if (!this.started || this.finished || this.runs.size() > 0) {
+			return false;
+		}
+		long bound = now - this.orphanTime.toNanos();
+		this.finished = this.store.ended().stream().noneMatch((record) -> isAwaited(record, bound));
+		return this.finished;
+	}
+
+	private static boolean isAwaited(AttemptRecord record, long bound) {
+		return record.state() == AttemptState.FINISHED && !record.isDelivered() && record.endedAt() > bound;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRecord.java
@@ -0,0 +1,188 @@
+package org.comfreywall.sidecar.attempt;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.comfreywall.common.attempt.AnswerPart;
+import org.comfreywall.common.attempt.AttemptEnd;
+import org.comfreywall.common.attempt.AttemptTraits;
+import org.comfreywall.common.id.AttemptId;
+
+/**
+ * What the registry knows about the latest attempt of one request.
+ */
+final class AttemptRecord {
+
+	/** Connections that one answer is sent to at the same time. */
+	static final int MAX_LINKS = 8;
+
+	private final AttemptId attempt;
+
+	private final AttemptTraits traits;
+
+	private final List<AnswerPart> parts = new ArrayList<>();
+
+	private final Set<EntryLink> links = new LinkedHashSet<>();
+
+	private AttemptState state;
+
+	private long nextSequence;
+
+	private long storedBytes;
+
+	private boolean dropped;
+
+	private boolean delivered;
+
+	private AttemptEnd end = AttemptEnd.BROKEN;
+
+	private int crash;
+
+	private long lastLinkAt;
+
+	private long endedAt;
+
+	private long endedWindow;
+
+	private AttemptRecord(AttemptId attempt, AttemptTraits traits, AttemptState state) {
+		this.attempt = attempt;
+		this.traits = traits;
+		this.state = state;
+	}
+
+	static AttemptRecord accepted(AttemptId attempt, AttemptTraits traits) {
+		return new AttemptRecord(attempt, traits, AttemptState.QUEUED);
+	}
+
+	static AttemptRecord sealed(AttemptId attempt) {
+		return new AttemptRecord(attempt, null, AttemptState.SEALED);
+	}
+
+	AttemptId attempt() {
+		return this.attempt;
+	}
+
+	AttemptTraits traits() {
+		return this.traits;
+	}
+
+	AttemptState state() {
+		return this.state;
+	}
+
+	boolean isIdempotent() {
+		return this.traits != null && this.traits.idempotent();
+	}
+
+	boolean allowsAfter(AttemptId next) {
+		boolean repeatable = this.state == AttemptState.SEALED || isIdempotent();
+		return repeatable && this.state.isEnded() && next.number() > this.attempt.number();
+	}
+
+	boolean ranClaimed() {
+		return this.traits != null && this.traits.claimed() && this.state != AttemptState.SEALED;
+	}
+
+	void start() {
+		this.state = AttemptState.RUNNING;
+	}
+
+	void finish() {
+		this.state = AttemptState.FINISHED;
+		this.delivered = !this.links.isEmpty();
+	}
+
+	void fail(AttemptEnd reason, int number) {
+		this.state = AttemptState.FAILED;
+		this.end = reason;
+		this.crash = number;
+	}
+
+	void seal() {
+		this.state = AttemptState.SEALED;
+	}
+
+	void ended(long now, long window) {
+		this.links.clear();
+		this.endedAt = now;
+		this.endedWindow = window;
+	}
+
+	long add(AnswerPart part, boolean store) {
+		if (store && !this.dropped) {
+			this.parts.add(part);
+			this.storedBytes += part.size();
+		}
+		else {
+			drop();
+		}
+		return this.nextSequence++;
+	}
+
+	void drop() {
+		this.parts.clear();
+		this.storedBytes = 0;
+		this.dropped = true;
+	}
+
+	boolean canReplayFrom(long sequence) {
+		return sequence <= this.nextSequence && (!this.dropped || sequence == this.nextSequence);
+	}
+
+	List<AnswerPart> parts() {
+		return this.parts;
+	}
+
+	long storedBytes() {
+		return this.storedBytes;
+	}
+
+	Set<EntryLink> links() {
+		return this.links;
+	}
+
+	boolean follow(EntryLink link) {
+		if (this.links.size() >= MAX_LINKS && !this.links.contains(link)) {
+			return false;
+		}
+		this.links.add(link);
+		return true;
+	}
+
+	void markDelivered() {
+		this.delivered = true;
+	}
+
+	boolean isDelivered() {
+		return this.delivered;
+	}
+
+	void linkLost(EntryLink link, long now) {
+		if (this.links.remove(link)) {
+			this.lastLinkAt = now;
+		}
+	}
+
+	long lastLinkAt() {
+		return this.lastLinkAt;
+	}
+
+	AttemptEnd end() {
+		return this.end;
+	}
+
+	int crash() {
+		return this.crash;
+	}
+
+	long endedAt() {
+		return this.endedAt;
+	}
+
+	long endedWindow() {
+		return this.endedWindow;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
@@ -0,0 +1,396 @@
+package org.comfreywall.sidecar.attempt;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.comfreywall.common.attempt.AnswerEnd;
+import org.comfreywall.common.attempt.AttemptEnd;
+import org.comfreywall.common.attempt.AttemptRefusal;
+import org.comfreywall.common.attempt.AttemptTarget;
+import org.comfreywall.common.decision.DecisionKind;
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.decision.DecisionRecord;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.poison.CrashEvidence;
+import org.comfreywall.common.poison.CrashReport;
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Runs each attempt at most once and tells the truth about it.
+ * <p>
+ * An attempt that has not started can be sealed: every copy that arrives later is
+ * refused. Attempts addressed to another life of the sidecar are refused. The answer of
+ * an attempt is kept, so that it can be sent again from any part on. The registry is a
+ * state machine without input, output, threads or clock: the driver passes each event
+ * with the time and carries the commands out in their order. Not thread-safe.
+ */
+public final class AttemptRegistry {
+
+	private final BackendServerId backendServer;
+
+	private final Incarnation incarnation;
+
+	private final AttemptRegistrySettings settings;
+
+	private final DecisionListener listener;
+
+	private final AttemptStore store;
+
+	private final AttemptReplies replies;
+
+	private final AttemptRuns runs;
+
+	private final AttemptAdmission admission;
+
+	private final AttemptDrain drain;
+
+	private final long startedAt;
+
+	private int crashes;
+
+	private long now;
+
+	/**
+	 * Creates the registry of one life of a sidecar.
+	 * @param backendServer the backend server beside the sidecar
+	 * @param incarnation the incarnation of the sidecar; no earlier life had it
+	 * @param settings the bounds
+	 * @param invariants checks invariants
+	 * @param listener receives a record of each decision
+	 * @param now the time in nanoseconds
+	 */
+	public AttemptRegistry(BackendServerId backendServer, Incarnation incarnation, AttemptRegistrySettings settings,
+			Invariants invariants, DecisionListener listener, long now) {
+		this.backendServer = Preconditions.notNull(backendServer, "backendServer");
+		this.incarnation = Preconditions.notNull(incarnation, "incarnation");
+		this.settings = Preconditions.notNull(settings, "settings");
+		this.listener = Preconditions.notNull(listener, "listener");
+		this.store = new AttemptStore(settings);
+		this.replies = new AttemptReplies(incarnation, listener);
+		this.runs = new AttemptRuns(Preconditions.notNull(invariants, "invariants"), this.replies);
+		this.admission = new AttemptAdmission(settings, this.store, this.runs);
+		this.drain = new AttemptDrain(this.store, this.runs, settings.orphanTime());
+		this.startedAt = now;
+		this.now = now;
+	}
+
+	/**
+	 * Handles one event.
+	 * @param event the event
+	 * @param time the time in nanoseconds, not before that of the previous event
+	 * @return the commands to carry out, in their order
+	 */
+	public List<AttemptCommand> handle(AttemptEvent event, long time) {
+		Preconditions.notNull(event, "event");
+		this.now = Math.max(this.now, time);
+		this.store.advance((this.now - this.startedAt) / this.settings.window().toNanos(), this.now);
+		dispatch(event);
+		if (this.drain.finish(this.now)) {
+			this.replies.add(new FinishDrain());
+		}
+		return this.replies.take();
+	}
+
+	/**
+	 * Returns the present window, to be told to entries with each load report.
+	 * @return the window's number
+	 */
+	public long window() {
+		return this.store.window();
+	}
+
+	/**
+	 * Tells whether new attempts are refused because the backend server leaves.
+	 * @return {@code true} after a drain was started
+	 */
+	public boolean isDraining() {
+		return this.drain.isStarted();
+	}
+
+	/**
+	 * Returns the number of attempts that run.
+	 * @return the count
+	 */
+	public int running() {
+		return this.runs.size();
+	}
+
+	private void dispatch(AttemptEvent event) {
+		if (event instanceof StartReceived start) {
+			onStart(start);
+		}
+		else if (event instanceof PartProduced part) {
+			onPart(part);
+		}
+		else if (event instanceof SealReceived seal) {
+			onSeal(seal);
+		}
+		else if (event instanceof ClaimQueryReceived query) {
+			onClaimQuery(query);
+		}
+		else if (event instanceof ResumeReceived resume) {
+			onResume(resume);
+		}
+		else if (event instanceof CancelReceived cancel) {
+			onCancel(cancel);
+		}
+		else if (event instanceof LinkLost lost) {
+			onLinkLost(lost.link());
+		}
+		else if (event instanceof RunRefused refused) {
+			this.runs.find(refused.attempt()).ifPresent(this::onRunRefused);
+		}
+		else if (event instanceof RunBroken broken) {
+			this.runs.find(broken.attempt()).ifPresent((record) -> fail(record, AttemptEnd.BROKEN, 0));
+		}
+		else if (event instanceof BackendCrashed) {
+			onBackendCrashed();
+		}
+		else if (event instanceof DrainStarted) {
+			onDrainStarted();
+		}
+		else if (event instanceof TimePassed) {
+			cancelOrphans();
+		}
+	}
+
+	private void onStart(StartReceived start) {
+		AttemptId attempt = start.attempt();
+		if (!isAddressed(start.target())) {
+			refuse(start.link(), attempt, AttemptRefusal.OTHER_INCARNATION);
+			return;
+		}
+		Optional<AttemptRecord> known = this.store.find(attempt.request());
+		if (known.isPresent() && !isRetry(start, known.get())) {
+			onKnownStart(start, known.get());
+			return;
+		}
+		Optional<AttemptRefusal> refusal = this.admission.refusal(start, known.isPresent(), isDraining(), this.now);
+		if (refusal.isPresent()) {
+			refuse(start.link(), attempt, refusal.get());
+			return;
+		}
+		accept(start);
+	}
+
+	private boolean isRetry(StartReceived start, AttemptRecord known) {
+		return start.traits().idempotent() && known.allowsAfter(start.attempt());
+	}
+
+	private void onKnownStart(StartReceived start, AttemptRecord known) {
+		if (known.state() == AttemptState.SEALED) {
+			refuse(start.link(), start.attempt(), AttemptRefusal.SEALED);
+		}
+		else if (!known.attempt().equals(start.attempt())) {
+			refuse(start.link(), start.attempt(), AttemptRefusal.ALREADY_RUNNING);
+		}
+		else if (!known.links().contains(start.link())) {
+			this.replies.replay(known, start.link(), 0);
+		}
+	}
+
+	private void accept(StartReceived start) {
+		AttemptRecord record = AttemptRecord.accepted(start.attempt(), start.traits());
+		record.follow(start.link());
+		this.store.put(record);
+		this.runs.accept(record);
+	}
+
+	private void onPart(PartProduced event) {
+		Optional<AttemptRecord> known = this.runs.find(event.attempt());
+		if (known.isEmpty()) {
+			return;
+		}
+		AttemptRecord record = known.get();
+		long sequence = this.store.addPart(record, event.part());
+		record.links().forEach((link) -> this.replies.part(link, record, sequence, event.part()));
+		if (event.part() instanceof AnswerEnd) {
+			record.finish();
+			end(record);
+		}
+	}
+
+	private void onSeal(SealReceived seal) {
+		AttemptId attempt = seal.attempt();
+		if (!isAddressed(seal.target())) {
+			refuse(seal.link(), attempt, AttemptRefusal.OTHER_INCARNATION);
+			return;
+		}
+		Optional<AttemptRecord> known = this.store.find(attempt.request());
+		if (known.isPresent()) {
+			sealKnown(known.get(), attempt, seal.link());
+		}
+		else if (this.store.hasRunClaimed(attempt.request()) || this.store.mayHaveForgotten(seal.target().window())) {
+			refuse(seal.link(), attempt, AttemptRefusal.STALE_WINDOW);
+		}
+		else {
+			sealUnknown(attempt, seal.link());
+		}
+	}
+
+	private void onClaimQuery(ClaimQueryReceived query) {
+		AttemptId any = new AttemptId(query.owner(), Integer.MAX_VALUE);
+		if (!query.incarnation().equals(this.incarnation)) {
+			refuse(query.link(), any, AttemptRefusal.OTHER_INCARNATION);
+			return;
+		}
+		Optional<AttemptRecord> known = this.store.find(query.owner());
+		if (known.isPresent()) {
+			joinOrSeal(known.get(), query.link());
+		}
+		else if (this.store.hasRunClaimed(query.owner())) {
+			this.replies.end(query.link(), any, AttemptEnd.ANSWER_DROPPED, 0);
+		}
+		else {
+			sealUnknown(any, query.link());
+		}
+	}
+
+	private void joinOrSeal(AttemptRecord known, EntryLink link) {
+		if (known.state() == AttemptState.SEALED) {
+			this.replies.sealed(link, known.attempt());
+		}
+		else {
+			this.replies.replay(known, link, 0);
+		}
+	}
+
+	private void sealKnown(AttemptRecord known, AttemptId attempt, EntryLink link) {
+		if (known.state() == AttemptState.QUEUED && attempt.equals(known.attempt())) {
+			known.follow(link);
+			sealQueued(known);
+		}
+		else if (known.allowsAfter(attempt)) {
+			sealUnknown(attempt, link);
+		}
+		else {
+			joinOrSeal(known, link);
+		}
+	}
+
+	private void sealUnknown(AttemptId attempt, EntryLink link) {
+		this.store.seal(AttemptRecord.sealed(attempt), this.now);
+		this.replies.sealed(link, attempt);
+	}
+
+	private void sealQueued(AttemptRecord queued) {
+		List<EntryLink> links = List.copyOf(queued.links());
+		queued.seal();
+		end(queued);
+		links.forEach((link) -> this.replies.sealed(link, queued.attempt()));
+	}
+
+	private void onResume(ResumeReceived resume) {
+		AttemptId attempt = resume.attempt();
+		Optional<AttemptRecord> known = this.store.find(attempt.request())
+			.filter((record) -> record.attempt().equals(attempt));
+		if (!resume.incarnation().equals(this.incarnation)) {
+			refuse(resume.link(), attempt, AttemptRefusal.OTHER_INCARNATION);
+		}
+		else if (known.isEmpty()) {
+			refuse(resume.link(), attempt, AttemptRefusal.STALE_WINDOW);
+		}
+		else if (known.get().state() == AttemptState.SEALED) {
+			refuse(resume.link(), attempt, AttemptRefusal.SEALED);
+		}
+		else {
+			this.replies.replay(known.get(), resume.link(), resume.nextSequence());
+		}
+	}
+
+	private void onCancel(CancelReceived cancel) {
+		if (!cancel.incarnation().equals(this.incarnation)) {
+			return;
+		}
+		Optional<AttemptRecord> known = this.store.find(cancel.attempt().request());
+		if (known.isEmpty()) {
+			this.store.seal(AttemptRecord.sealed(cancel.attempt()), this.now);
+			return;
+		}
+		AttemptRecord record = known.get();
+		if (!record.attempt().equals(cancel.attempt())) {
+			return;
+		}
+		if (record.state() == AttemptState.QUEUED) {
+			sealQueued(record);
+		}
+		else if (record.state() == AttemptState.RUNNING && record.isIdempotent()) {
+			cancelRun(record);
+		}
+	}
+
+	private void cancelRun(AttemptRecord record) {
+		this.replies.add(new CancelRun(record.attempt()));
+		fail(record, AttemptEnd.CANCELLED, 0);
+	}
+
+	private void onLinkLost(EntryLink link) {
+		this.runs.all().forEach((record) -> record.linkLost(link, this.now));
+		Optional<AttemptRecord> queued = this.runs.queued().filter((record) -> record.links().contains(link));
+		queued.ifPresent((record) -> {
+			record.linkLost(link, this.now);
+			sealQueued(record);
+		});
+	}
+
+	private void onRunRefused(AttemptRecord record) {
+		List<EntryLink> links = List.copyOf(record.links());
+		record.seal();
+		end(record);
+		links.forEach((link) -> refuse(link, record.attempt(), AttemptRefusal.BACKEND_UNREACHABLE));
+	}
+
+	private void onBackendCrashed() {
+		this.crashes++;
+		List<AttemptRecord> lost = this.runs.all();
+		if (lost.isEmpty()) {
+			return;
+		}
+		boolean alone = lost.get(0).traits().isolated();
+		List<Fingerprint> inFlight = lost.stream().map((record) -> record.traits().fingerprint()).distinct().toList();
+		this.replies.add(new ReportCrash(new CrashReport(CrashEvidence.BACKEND_CRASHED, this.backendServer,
+				this.incarnation, this.crashes, inFlight, alone)));
+		lost.forEach((record) -> fail(record, AttemptEnd.CRASHED, this.crashes));
+	}
+
+	private void onDrainStarted() {
+		this.drain.start();
+		this.runs.queued().ifPresent(this::sealQueued);
+		this.listener.onDecision(DecisionRecord.of(DecisionKind.DRAIN, this.backendServer.toString(), "draining",
+				Field.of("incarnation", this.incarnation), Field.of("running", this.runs.size())));
+	}
+
+	private void cancelOrphans() {
+		long bound = this.now - this.settings.orphanTime().toNanos();
+		for (AttemptRecord record : this.runs.all()) {
+			if (record.links().isEmpty() && record.isIdempotent() && record.lastLinkAt() <= bound) {
+				cancelRun(record);
+			}
+		}
+	}
+
+	private void fail(AttemptRecord record, AttemptEnd reason, int crash) {
+		record.fail(reason, crash);
+		record.links().forEach((link) -> this.replies.end(link, record.attempt(), reason, crash));
+		end(record);
+	}
+
+	private void end(AttemptRecord record) {
+		this.store.end(record, this.now);
+		this.runs.remove(record);
+	}
+
+	private boolean isAddressed(AttemptTarget target) {
+		return target.backendServer().equals(this.backendServer) && target.incarnation().equals(this.incarnation);
+	}
+
+	private void refuse(EntryLink link, AttemptId attempt, AttemptRefusal refusal) {
+		this.replies.refuse(link, attempt, refusal, window());
+	}
+
+}
--- /dev/null
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptReplies.java
@@ -0,0 +1,89 @@
+package org.comfreywall.sidecar.attempt;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.comfreywall.common.attempt.AnswerPart;
+import org.comfreywall.common.attempt.AttemptEnd;
+import org.comfreywall.common.attempt.AttemptRefusal;
+import org.comfreywall.common.decision.DecisionKind;
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.decision.DecisionRecord;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.Incarnation;
+
+/**
+ * Gathers the commands of one event, above all the replies to entries.
+ */
+final class AttemptReplies {
+
+	private final Incarnation incarnation;
+
+	private final DecisionListener listener;
+
+	private List<AttemptCommand> commands = new ArrayList<>();
+
+	AttemptReplies(Incarnation incarnation, DecisionListener listener) {
+		this.incarnation = incarnation;
+		this.listener = listener;
+	}
+
+	List<AttemptCommand> take() {
+		List<AttemptCommand> taken = this.commands;
+		this.commands = new ArrayList<>();
+		return taken;
+	}
+
+	void add(AttemptCommand command) {
+		this.commands.add(command);
+	}
+
+	void part(EntryLink link, AttemptRecord record, long sequence, AnswerPart part) {
+		add(new SendPart(link, record.attempt(), this.incarnation, sequence, part));
+	}
+
+	void end(EntryLink link, AttemptId attempt, AttemptEnd end, int crash) {
+		add(new SendEnd(link, attempt, this.incarnation, end, crash));
+	}
+
+	void refuse(EntryLink link, AttemptId attempt, AttemptRefusal refusal, long window) {
+		record(attempt, "refused", Field.of("reason", refusal), Field.of("entry", link.entry()));
+		add(new SendRefusal(link, attempt, this.incarnation, refusal, window));
+	}
+
+	void sealed(EntryLink link, AttemptId attempt) {
+		record(attempt, "sealed", Field.of("entry", link.entry()));
+		add(new SendSealed(link, attempt.request(), this.incarnation));
+	}
+
+	/**
+	 * Lets a connection follow an attempt that was accepted, from one part of its answer
+	 * on.
+	 * @param record the attempt, which must not be sealed
+	 * @param link the connection
+	 * @param from the number of the first part to send
+	 */
+	void replay(AttemptRecord record, EntryLink link, long from) {
+		if (record.state() == AttemptState.FAILED) {
+			end(link, record.attempt(), record.end(), record.crash());
+			return;
+		}
+		boolean follows = record.canReplayFrom(from) && (record.state().isEnded() || record.follow(link));
+		if (!follows) {
+			end(link, record.attempt(), AttemptEnd.ANSWER_DROPPED, 0);
+			return;
+		}
+		add(new SendStarted(link, record.attempt(), this.incarnation));
+		List<AnswerPart> parts = record.parts();
+		for (int i = (int) from; i < parts.size(); i++) {
+			part(link, record, i, parts.get(i));
+		}
+		record.markDelivered();
+	}
+
+	private void record(AttemptId attempt, String result, Field... inputs) {
+		this.listener.onDecision(DecisionRecord.of(DecisionKind.REFUSE, attempt.request().toString(), result, inputs));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRuns.java
@@ -0,0 +1,82 @@
+package org.comfreywall.sidecar.attempt;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.invariant.Invariants;
+
+/**
+ * The attempts that run, and the suspect that runs or waits to run alone.
+ */
+final class AttemptRuns {
+
+	private final Invariants invariants;
+
+	private final AttemptReplies replies;
+
+	/** Running attempts; at most {@link AttemptRegistrySettings#maxRunning()}. */
+	private final Map<RequestId, AttemptRecord> running = new LinkedHashMap<>();
+
+	private Optional<AttemptRecord> isolated = Optional.empty();
+
+	AttemptRuns(Invariants invariants, AttemptReplies replies) {
+		this.invariants = invariants;
+		this.replies = replies;
+	}
+
+	void accept(AttemptRecord record) {
+		if (record.traits().isolated()) {
+			this.isolated = Optional.of(record);
+		}
+		if (!record.traits().isolated() || this.running.isEmpty()) {
+			run(record);
+		}
+	}
+
+	void remove(AttemptRecord record) {
+		this.running.remove(record.attempt().request());
+		if (this.isolated.filter((suspect) -> suspect == record).isPresent()) {
+			this.isolated = Optional.empty();
+		}
+		if (this.running.isEmpty()) {
+			queued().ifPresent(this::run);
+		}
+	}
+
+	boolean hasSuspect() {
+		return this.isolated.isPresent();
+	}
+
+	Optional<AttemptRecord> queued() {
+		return this.isolated.filter((suspect) -> suspect.state() == AttemptState.QUEUED);
+	}
+
+	Optional<AttemptRecord> find(AttemptId attempt) {
+		return Optional.ofNullable(this.running.get(attempt.request()))
+			.filter((record) -> record.attempt().equals(attempt));
+	}
+
+	List<AttemptRecord> all() {
+		return List.copyOf(this.running.values());
+	}
+
+	int size() {
+		return this.running.size();
+	}
+
+	private void run(AttemptRecord record) {
+		AttemptId attempt = record.attempt();
+		boolean first = record.state() == AttemptState.QUEUED;
+		if (this.invariants.holds(first, "attempt-runs-once", Field.of("attempt", attempt))) {
+			record.start();
+			this.running.put(attempt.request(), record);
+			this.replies.add(new StartRun(attempt));
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/CancelReceived.java
@@ -0,0 +1,20 @@
+package org.comfreywall.sidecar.attempt;
+
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * An entry no longer needs an attempt of an idempotent request.
+ *
+ * @param attempt the attempt
+ * @param incarnation the incarnation of the sidecar that is addressed
+ */
+public record CancelReceived(AttemptId attempt, Incarnation incarnation) implements AttemptEvent {
+
+	public CancelReceived {
+		Preconditions.notNull(attempt, "attempt");
+		Preconditions.notNull(incarnation, "incarnation");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/EntryLink.java
@@ -0,0 +1,18 @@
+package org.comfreywall.sidecar.attempt;
+
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Identifies one connection from an entry.
+ *
+ * @param entry the entry
+ * @param connection the number of the connection, unique within the life of the sidecar
+ */
+public record EntryLink(InstanceId entry, long connection) {
+
+	public EntryLink {
+		Preconditions.notNull(entry, "entry");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/ReportCrash.java
@@ -0,0 +1,17 @@
+package org.comfreywall.sidecar.attempt;
+
+import org.comfreywall.common.poison.CrashReport;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Report a crash to the control instances; to be repeated until it is acknowledged.
+ *
+ * @param report the crash
+ */
+public record ReportCrash(CrashReport report) implements AttemptCommand {
+
+	public ReportCrash {
+		Preconditions.notNull(report, "report");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/RunBroken.java
@@ -0,0 +1,17 @@
+package org.comfreywall.sidecar.attempt;
+
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The backend server broke an answer off without crashing.
+ *
+ * @param attempt the attempt
+ */
+public record RunBroken(AttemptId attempt) implements AttemptEvent {
+
+	public RunBroken {
+		Preconditions.notNull(attempt, "attempt");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendRefusal.java
@@ -0,0 +1,27 @@
+package org.comfreywall.sidecar.attempt;
+
+import org.comfreywall.common.attempt.AttemptRefusal;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Refuse an attempt.
+ *
+ * @param link the connection of the receiver
+ * @param attempt the attempt
+ * @param incarnation the incarnation of this sidecar
+ * @param refusal the reason
+ * @param window the present window of the sidecar
+ */
+public record SendRefusal(EntryLink link, AttemptId attempt, Incarnation incarnation, AttemptRefusal refusal,
+		long window) implements AttemptCommand {
+
+	public SendRefusal {
+		Preconditions.notNull(link, "link");
+		Preconditions.notNull(attempt, "attempt");
+		Preconditions.notNull(incarnation, "incarnation");
+		Preconditions.notNull(refusal, "refusal");
+	}
+
+}
