--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The deterministic state machine fed by the replicated log.
+ */
+package org.comfreywall.control.state;
