Measure requests by client account with bounded memory

Cause: nothing shows what a client account experiences, and one histogram for each of 5,300 accounts and quantity would not fit the memory of an entry.

--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/metrics/RequestMetrics.java
@@ -0,0 +1,112 @@
+package org.comfreywall.common.metrics;
+
+import java.util.List;
+
+import com.codahale.metrics.MetricRegistry;
+import org.comfreywall.common.id.AccountId;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.Outcome;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Measures callers' requests by client account.
+ */
+public final class RequestMetrics {
+
+	private static final int MAX_ACCOUNTS = 200;
+
+	private static final long NANOS_PER_MICRO = 1000;
+
+	private final MetricRegistry registry;
+
+	private final LabelledHistograms latency = byAccount("latency_us");
+
+	private final LabelledHistograms firstToken = byAccount("first_token_us");
+
+	private final LabelledHistograms betweenTokens = byAccount("between_tokens_us");
+
+	private final LabelledHistograms queueing = byAccount("queueing_us");
+
+	private final LabelledHistograms retries = byAccount("retries");
+
+	private final LabelledHistograms refusals = byAccount("refusals");
+
+	/**
+	 * Creates metrics that count in a registry.
+	 * @param registry the registry of the process
+	 */
+	public RequestMetrics(MetricRegistry registry) {
+		this.registry = Preconditions.notNull(registry, "registry");
+	}
+
+	/**
+	 * Records the end of a request.
+	 * @param account the client account
+	 * @param outcome how it ended
+	 * @param nanos the time since it arrived, in nanoseconds
+	 */
+	public void ended(AccountId account, Outcome outcome, long nanos) {
+		this.registry.counter("requests.ended." + outcome.name()).inc();
+		this.latency.update(account.value(), nanos / NANOS_PER_MICRO);
+	}
+
+	/**
+	 * Records the first part of an answer's body.
+	 * @param account the client account
+	 * @param nanos the time since the request arrived, in nanoseconds
+	 */
+	public void firstToken(AccountId account, long nanos) {
+		this.firstToken.update(account.value(), nanos / NANOS_PER_MICRO);
+	}
+
+	/**
+	 * Records a later part of an answer's body.
+	 * @param account the client account
+	 * @param nanos the time since the part before, in nanoseconds
+	 */
+	public void nextToken(AccountId account, long nanos) {
+		this.betweenTokens.update(account.value(), nanos / NANOS_PER_MICRO);
+	}
+
+	/**
+	 * Records the end of a request's wait for admission.
+	 * @param account the client account
+	 * @param nanos the time waited, in nanoseconds
+	 */
+	public void queued(AccountId account, long nanos) {
+		this.queueing.update(account.value(), nanos / NANOS_PER_MICRO);
+	}
+
+	/**
+	 * Records how many attempts after the first a request took.
+	 * @param account the client account
+	 * @param count the number of retries
+	 */
+	public void retried(AccountId account, int count) {
+		this.registry.counter("requests.retries").inc(count);
+		this.retries.update(account.value(), count);
+	}
+
+	/**
+	 * Records a refused request.
+	 * @param account the client account
+	 * @param code why it was refused
+	 */
+	public void refused(AccountId account, ErrorCode code) {
+		this.registry.counter("requests.refused." + code.name()).inc();
+		this.refusals.update(account.value(), 1);
+	}
+
+	/**
+	 * Returns all histograms.
+	 * @return the histograms
+	 */
+	public List<LabelledHistograms> histograms() {
+		return List.of(this.latency, this.firstToken, this.betweenTokens, this.queueing, this.retries, this.refusals);
+	}
+
+	private static LabelledHistograms byAccount(String name) {
+		return new LabelledHistograms(name, "account", MAX_ACCOUNTS);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics with a bounded number of labels.
+ */
+package org.comfreywall.common.metrics;
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
@@ -21,9 +21,9 @@
 import org.comfreywall.common.result.Result;
 import org.comfreywall.common.result.Step;
 import org.comfreywall.common.result.Success;
+import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.transport.PeerAddress;
 
 /**
  * Takes callers' requests over HTTP/1.1 and HTTP/2.
@@ -46,7 +46,7 @@
 
 	private final HttpServer server;
 
-	CallerServer(Vertx vertx, PeerAddress listen, RequestResolver resolver, EntryEngine engine, InstanceId self) {
+	CallerServer(Vertx vertx, HostPort listen, RequestResolver resolver, EntryEngine engine, InstanceId self) {
 		this.resolver = Preconditions.notNull(resolver, "resolver");
 		this.engine = Preconditions.notNull(engine, "engine");
 		this.self = Preconditions.notNull(self, "self");
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
@@ -12,8 +12,8 @@
 import org.comfreywall.common.id.RequestId;
 import org.comfreywall.common.id.ServiceId;
 import org.comfreywall.common.lifecycle.Closer;
+import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.transport.PeerAddress;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.Transport;
 import org.comfreywall.transport.attempt.AttemptClient;
@@ -46,7 +46,7 @@
 	 * @param configuration returns the configuration in force
 	 * @param random breaks ties between backend servers
 	 */
-	public EntryNode(Vertx vertx, Transport transport, PeerAddress listen, Supplier<Configuration> configuration,
+	public EntryNode(Vertx vertx, Transport transport, HostPort listen, Supplier<Configuration> configuration,
 			RandomGenerator random) {
 		this.transport = Preconditions.notNull(transport, "transport");
 		this.worker = this.closer.register(new SerialWorker("entry", RING_CAPACITY));
@@ -64,7 +64,7 @@
 	 * @param sidecar the address of its sidecar
 	 * @return completes when the sidecar is connected
 	 */
-	public CompletableFuture<Void> announce(BackendServerId id, ServiceId service, PeerAddress sidecar) {
+	public CompletableFuture<Void> announce(BackendServerId id, ServiceId service, HostPort sidecar) {
 		AttemptClient client = new AttemptClient(this.transport, sidecar, this.worker, RESUME_TIME);
 		this.directory.announce(id, service, this.closer.register(client));
 		return client.connected();
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarNode.java
@@ -5,8 +5,8 @@
 
 import io.vertx.core.Vertx;
 import org.comfreywall.common.lifecycle.Closer;
+import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.transport.PeerAddress;
 import org.comfreywall.transport.Transport;
 import org.comfreywall.transport.TransportServer;
 import org.comfreywall.transport.worker.SerialWorker;
@@ -31,7 +31,7 @@
 	 * @param listen the address to listen on
 	 * @param backend the backend server's base address
 	 */
-	public SidecarNode(Vertx vertx, Transport transport, PeerAddress listen, URI backend) {
+	public SidecarNode(Vertx vertx, Transport transport, HostPort listen, URI backend) {
 		Preconditions.notNull(transport, "transport");
 		BackendClient client = this.closer.register(new BackendClient(vertx, backend, transport.self().instance()));
 		SerialWorker worker = this.closer.register(new SerialWorker("sidecar", RING_CAPACITY));
@@ -43,7 +43,7 @@
 	 * Returns the address on which entries connect.
 	 * @return the address with the actual port
 	 */
-	public PeerAddress address() {
+	public HostPort address() {
 		return this.server.address();
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
@@ -21,12 +21,12 @@
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.id.ServiceId;
 import org.comfreywall.common.lifecycle.Closer;
+import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.daemon.entry.EntryNode;
 import org.comfreywall.daemon.sidecar.SidecarNode;
 import org.comfreywall.daemon.standin.StandInServer;
 import org.comfreywall.transport.ConnectionTimes;
-import org.comfreywall.transport.PeerAddress;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.Transport;
 import org.comfreywall.transport.TransportSecurity;
@@ -53,7 +53,7 @@
 
 	private static final long IN_FLIGHT = 1000;
 
-	private static final PeerAddress LOOPBACK = new PeerAddress("127.0.0.1", 0);
+	private static final HostPort LOOPBACK = new HostPort("127.0.0.1", 0);
 
 	private final Closer closer = new Closer();
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLink.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLink.java
@@ -9,6 +9,7 @@
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Step;
+import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.transport.generated.Frame;
 
@@ -29,7 +30,7 @@
 
 	private final Transport transport;
 
-	private final PeerAddress address;
+	private final HostPort address;
 
 	private final PeerLinkListener listener;
 
@@ -49,7 +50,7 @@
 	 * @param address the peer's address
 	 * @param listener receives the link's events
 	 */
-	public PeerLink(Transport transport, PeerAddress address, PeerLinkListener listener) {
+	public PeerLink(Transport transport, HostPort address, PeerLinkListener listener) {
 		this.transport = Preconditions.notNull(transport, "transport");
 		this.address = Preconditions.notNull(address, "address");
 		this.listener = Preconditions.notNull(listener, "listener");
@@ -76,7 +77,7 @@
 	 * Returns the peer's address.
 	 * @return the address
 	 */
-	public PeerAddress address() {
+	public HostPort address() {
 		return this.address;
 	}
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
@@ -14,6 +14,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
 
 /**
@@ -66,7 +67,7 @@
 	 * @param listener receives the events of accepted connections
 	 * @return the open listener
 	 */
-	public TransportServer listen(PeerAddress address, PeerListener listener) {
+	public TransportServer listen(HostPort address, PeerListener listener) {
 		Preconditions.notNull(address, "address");
 		Preconditions.notNull(listener, "listener");
 		ServerBootstrap bootstrap = new ServerBootstrap().group(this.loops)
@@ -86,7 +87,7 @@
 	 * @return completes with {@code true} once connected, {@code false} if the peer
 	 * cannot be reached; in that case the listener hears nothing
 	 */
-	public CompletableFuture<Boolean> connect(PeerAddress address, PeerListener listener) {
+	public CompletableFuture<Boolean> connect(HostPort address, PeerListener listener) {
 		Preconditions.notNull(address, "address");
 		Preconditions.notNull(listener, "listener");
 		Bootstrap bootstrap = new Bootstrap().group(this.loops)
@@ -113,7 +114,7 @@
 		this.loops.shutdownGracefully(0, this.times.connect().toMillis(), TimeUnit.MILLISECONDS).syncUninterruptibly();
 	}
 
-	private static InetSocketAddress socketAddress(PeerAddress address) {
+	private static InetSocketAddress socketAddress(HostPort address) {
 		return new InetSocketAddress(address.host(), address.port());
 	}
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TransportServer.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TransportServer.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 
 import io.netty.channel.Channel;
+import org.comfreywall.common.toml.HostPort;
 
 /**
  * Accepts connections from peers until closed.
@@ -19,9 +20,9 @@
 	 * Returns the address on which connections are accepted.
 	 * @return the address with the actual port
 	 */
-	public PeerAddress address() {
+	public HostPort address() {
 		InetSocketAddress local = (InetSocketAddress) this.channel.localAddress();
-		return new PeerAddress(local.getAddress().getHostAddress(), local.getPort());
+		return new HostPort(local.getAddress().getHostAddress(), local.getPort());
 	}
 
 	/**
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptClient.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptClient.java
@@ -13,9 +13,9 @@
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Step;
+import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.transport.OperationException;
-import org.comfreywall.transport.PeerAddress;
 import org.comfreywall.transport.PeerConnection;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.PeerLink;
@@ -63,7 +63,7 @@
 	 * @param worker runs timeouts
 	 * @param resumeTime how long streams wait for a new connection
 	 */
-	public AttemptClient(Transport transport, PeerAddress address, SerialWorker worker, Duration resumeTime) {
+	public AttemptClient(Transport transport, HostPort address, SerialWorker worker, Duration resumeTime) {
 		this.worker = Preconditions.notNull(worker, "worker");
 		this.resumeTime = Preconditions.notNull(resumeTime, "resumeTime");
 		this.downSince = System.nanoTime();
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
@@ -19,8 +19,8 @@
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Result;
 import org.comfreywall.common.result.Step;
+import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.transport.PeerAddress;
 import org.comfreywall.transport.PeerConnection;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.PeerLink;
@@ -56,7 +56,7 @@
 	 * @param transport opens the connections
 	 * @param address the peer's address
 	 */
-	public RpcClient(Transport transport, PeerAddress address) {
+	public RpcClient(Transport transport, HostPort address) {
 		this.link = new PeerLink(transport, address, new LinkEvents());
 		this.link.open();
 	}
@@ -73,7 +73,7 @@
 	 * Returns the peer's address.
 	 * @return the address
 	 */
-	public PeerAddress address() {
+	public HostPort address() {
 		return this.link.address();
 	}
 
