--- a/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AttemptTarget.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AttemptTarget.java
@@ -1,7 +1,9 @@
 package org.comfreywall.common.attempt;
 
+import org.comfreywall.common.id.AttemptId;
 import org.comfreywall.common.id.BackendServerId;
 import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.RequestId;
 import org.comfreywall.common.util.Preconditions;
 
 /**
@@ -23,6 +25,15 @@
 		Preconditions.check(window >= 0, "window must not be negative: %d", window);
 	}
 
+	/**
+	 * Returns the identifier that stands for every attempt of a request in a seal.
+	 * @param request the request
+	 * @return the identifier
+	 */
+	public static AttemptId everyAttemptOf(RequestId request) {
+		return new AttemptId(request, Integer.MAX_VALUE);
+	}
+
 	/**
 	 * Tells whether both targets name the same life of the same sidecar.
 	 * @param other the target to compare with
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedger.java
@@ -214,11 +214,13 @@
 
 	private void convict(Fingerprint fingerprint, boolean explains) {
 		PoisonEntry entry = this.entries.get(fingerprint);
-		if (entry == null || entry.convicted()) {
+		if (entry == null) {
 			return;
 		}
-		put(entry.convict(this.logTime));
-		record(fingerprint, "quarantined", Field.of("reason", "lost-in-isolated-run"));
+		if (!entry.convicted()) {
+			put(entry.convict(this.logTime));
+			record(fingerprint, "quarantined", Field.of("reason", "lost-in-isolated-run"));
+		}
 		if (explains) {
 			this.entries.replaceAll((other, innocent) -> explain(innocent, entry.charges()));
 		}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/AcquireIsolation.java
@@ -0,0 +1,20 @@
+package org.comfreywall.entry.request;
+
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Ask for the slot for isolated runs and answer with {@link IsolationAnswered}.
+ *
+ * @param request the request
+ * @param fingerprint the suspect
+ */
+public record AcquireIsolation(RequestId request, Fingerprint fingerprint) implements RequestCommand {
+
+	public AcquireIsolation {
+		Preconditions.notNull(request, "request");
+		Preconditions.notNull(fingerprint, "fingerprint");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimHold.java
@@ -0,0 +1,104 @@
+package org.comfreywall.entry.request;
+
+import java.util.Optional;
+
+import org.comfreywall.common.attempt.AttemptTarget;
+import org.comfreywall.common.claim.ClaimKey;
+import org.comfreywall.common.claim.ClaimRunning;
+import org.comfreywall.common.claim.NotRunEvidence;
+import org.comfreywall.common.claim.NotRunProof;
+import org.comfreywall.common.claim.RecordedAnswer;
+import org.comfreywall.common.id.RequestId;
+
+/**
+ * A request's hold on the claim of its idempotency key.
+ */
+final class ClaimHold {
+
+	private final RequestContext context;
+
+	private final RequestSpec spec;
+
+	private final Optional<ClaimKey> key;
+
+	private Optional<AttemptTarget> target = Optional.empty();
+
+	private Optional<NotRunEvidence> evidence = Optional.empty();
+
+	private boolean granted;
+
+	ClaimHold(RequestContext context, RequestSpec spec) {
+		this.context = context;
+		this.spec = spec;
+		this.key = spec.claimKey();
+	}
+
+	boolean isNeeded() {
+		return this.key.isPresent();
+	}
+
+	void ask(AttemptTarget asked) {
+		this.target = Optional.of(asked);
+		this.evidence = Optional.of(NotRunEvidence.NEVER_SENT);
+		this.context
+			.emit(new ClaimKeyFor(this.spec.id(), this.key.orElseThrow(), this.spec.fingerprint().bodyDigest(), asked));
+	}
+
+	boolean isAskedFor(AttemptTarget answered) {
+		return this.target.filter(answered::equals).isPresent();
+	}
+
+	void grant() {
+		this.granted = true;
+	}
+
+	boolean isGranted() {
+		return this.granted;
+	}
+
+	void sent() {
+		this.evidence = Optional.empty();
+	}
+
+	void proven(NotRunEvidence proof) {
+		this.evidence = Optional.of(proof);
+	}
+
+	/**
+	 * Tells whether this and every earlier sending with the same key are proven not to
+	 * have run.
+	 * @return {@code true} if no key is needed, or if the claim is held and its attempt
+	 * was proven not to have run
+	 */
+	boolean provesNotRun() {
+		return !isNeeded() || (this.granted && this.evidence.isPresent());
+	}
+
+	void release() {
+		if (this.target.isPresent() && this.evidence.isPresent()) {
+			AttemptTarget asked = this.target.get();
+			releaseWith(
+					new NotRunProof(this.evidence.get(), this.spec.id(), asked.backendServer(), asked.incarnation()));
+		}
+		this.target = Optional.empty();
+		this.granted = false;
+	}
+
+	void releaseWith(NotRunProof proof) {
+		this.context.emit(new ReleaseClaim(this.key.orElseThrow(), proof));
+	}
+
+	void releaseOwn(ClaimRunning earlier) {
+		releaseWith(new NotRunProof(NotRunEvidence.SEALED, earlier.owner(), earlier.backendServer(),
+				earlier.incarnation()));
+	}
+
+	void finish(RequestId owner, RecordedAnswer answer) {
+		this.key.ifPresent((claimed) -> this.context.emit(new FinishClaim(claimed, owner, answer)));
+	}
+
+	void markUnknown(RequestId owner) {
+		this.key.ifPresent((claimed) -> this.context.emit(new MarkClaimUnknown(claimed, owner)));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimKeyFor.java
@@ -0,0 +1,27 @@
+package org.comfreywall.entry.request;
+
+import org.comfreywall.common.attempt.AttemptTarget;
+import org.comfreywall.common.claim.ClaimKey;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Claim an idempotency key on a quorum and answer with {@link ClaimAnswered} or
+ * {@link ClaimFailed}.
+ *
+ * @param request the request
+ * @param key the key
+ * @param bodyDigest the digest of the body
+ * @param target the target of the only attempt
+ */
+public record ClaimKeyFor(RequestId request, ClaimKey key, String bodyDigest,
+		AttemptTarget target) implements RequestCommand {
+
+	public ClaimKeyFor {
+		Preconditions.notNull(request, "request");
+		Preconditions.notNull(key, "key");
+		Preconditions.notNull(bodyDigest, "bodyDigest");
+		Preconditions.notNull(target, "target");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/EndReceived.java
@@ -0,0 +1,29 @@
+package org.comfreywall.entry.request;
+
+import org.comfreywall.common.attempt.AttemptEnd;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * A sidecar tells that an attempt which started ended without a whole answer.
+ *
+ * @param attempt the attempt
+ * @param backendServer the backend server
+ * @param incarnation the incarnation of the sidecar
+ * @param end how it ended
+ * @param crash the number of the crash within the incarnation, or 0 if the backend server
+ * did not crash
+ */
+public record EndReceived(AttemptId attempt, BackendServerId backendServer, Incarnation incarnation, AttemptEnd end,
+		int crash) implements RequestEvent {
+
+	public EndReceived {
+		Preconditions.notNull(attempt, "attempt");
+		Preconditions.notNull(backendServer, "backendServer");
+		Preconditions.notNull(incarnation, "incarnation");
+		Preconditions.notNull(end, "end");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/IsolationAnswered.java
@@ -0,0 +1,24 @@
+package org.comfreywall.entry.request;
+
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.poison.IsolationResult;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The ledger of poison requests answered.
+ *
+ * @param request the request
+ * @param fingerprint the suspect
+ * @param result the answer, durable on a quorum
+ */
+public record IsolationAnswered(RequestId request, Fingerprint fingerprint,
+		IsolationResult result) implements RequestEvent {
+
+	public IsolationAnswered {
+		Preconditions.notNull(request, "request");
+		Preconditions.notNull(fingerprint, "fingerprint");
+		Preconditions.notNull(result, "result");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/IsolationHold.java
@@ -0,0 +1,64 @@
+package org.comfreywall.entry.request;
+
+import java.util.List;
+
+import org.comfreywall.common.poison.CrashEvidence;
+import org.comfreywall.common.poison.CrashReport;
+import org.comfreywall.common.poison.IsolationEnd;
+
+/**
+ * A suspect's hold on the fleet's slot for isolated runs.
+ */
+final class IsolationHold {
+
+	private final RequestContext context;
+
+	private final RequestSpec spec;
+
+	private boolean suspected;
+
+	private boolean held;
+
+	IsolationHold(RequestContext context, RequestSpec spec) {
+		this.context = context;
+		this.spec = spec;
+	}
+
+	void suspect() {
+		this.suspected = true;
+	}
+
+	boolean isSuspected() {
+		return this.suspected;
+	}
+
+	void ask() {
+		this.context.emit(new AcquireIsolation(this.spec.id(), this.spec.fingerprint()));
+	}
+
+	void grant() {
+		this.held = true;
+	}
+
+	void clear() {
+		this.suspected = false;
+	}
+
+	boolean isHeld() {
+		return this.held;
+	}
+
+	void charge(FollowedAttempt source, CrashEvidence evidence, int crash) {
+		this.context.emit(new RecordCrash(this.spec.id(), new CrashReport(evidence, source.backendServer(),
+				source.incarnation(), crash, List.of(this.spec.fingerprint()), this.held)));
+		release(IsolationEnd.LOST);
+	}
+
+	void release(IsolationEnd end) {
+		if (this.held) {
+			this.held = false;
+			this.context.emit(new ReleaseIsolation(this.spec.id(), this.spec.fingerprint(), end));
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestAccepted.java
@@ -0,0 +1,20 @@
+package org.comfreywall.entry.request;
+
+import org.comfreywall.common.poison.PoisonVerdict;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * A caller sent a request that passed admission.
+ *
+ * @param spec the request
+ * @param deadline the time in nanoseconds by which the caller wants the answer
+ * @param verdict what the entry has heard about the fingerprint
+ */
+public record RequestAccepted(RequestSpec spec, long deadline, PoisonVerdict verdict) implements RequestEvent {
+
+	public RequestAccepted {
+		Preconditions.notNull(spec, "spec");
+		Preconditions.notNull(verdict, "verdict");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestErrors.java
@@ -0,0 +1,59 @@
+package org.comfreywall.entry.request;
+
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Step;
+
+/**
+ * Errors with which a request can end.
+ */
+final class RequestErrors {
+
+	private RequestErrors() {
+	}
+
+	static OperationError keyMissing() {
+		return error(ErrorCode.INVALID_INPUT, Step.ACCEPT,
+				"The service requires an idempotency key for this request; send it again with one");
+	}
+
+	static OperationError keyReused() {
+		return error(ErrorCode.CONFLICT, Step.CLAIM,
+				"The idempotency key was used with another body; choose a new key for a new request");
+	}
+
+	static OperationError earlierUnknown() {
+		return error(ErrorCode.CONFLICT, Step.CLAIM, "An earlier sending with this key may or may not have run");
+	}
+
+	static OperationError quarantined() {
+		return error(ErrorCode.QUARANTINED, Step.ADMIT, "The request is quarantined because backend servers were lost "
+				+ "while they ran it; change it, or ask the operator to clear it");
+	}
+
+	static OperationError deadline() {
+		return error(ErrorCode.DEADLINE_EXCEEDED, Step.ANSWER, "The caller's deadline passed");
+	}
+
+	static OperationError cancelled() {
+		return error(ErrorCode.CANCELLED, Step.ANSWER, "The caller went away");
+	}
+
+	static OperationError unsafe() {
+		return error(ErrorCode.INVARIANT, Step.SEND, "A second attempt would be unsafe and was refused");
+	}
+
+	static OperationError unsealed() {
+		return error(ErrorCode.CONNECTION_LOST, Step.SEAL, "The sidecar did not answer whether the attempt started");
+	}
+
+	static OperationError at(ErrorCode code, Step step, FollowedAttempt source, String message) {
+		return OperationError.at(code, step, InstanceId.of(source.backendServer().value()), message);
+	}
+
+	private static OperationError error(ErrorCode code, Step step, String message) {
+		return OperationError.local(code, step, message);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestLife.java
@@ -0,0 +1,282 @@
+package org.comfreywall.entry.request;
+
+import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import org.comfreywall.common.attempt.AttemptTarget;
+import org.comfreywall.common.attempt.AttemptTraits;
+import org.comfreywall.common.claim.ClaimRunning;
+import org.comfreywall.common.claim.NotRunEvidence;
+import org.comfreywall.common.decision.DecisionKind;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.poison.IsolationEnd;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Outcome;
+
+/**
+ * The state of one request and the transitions between its phases.
+ */
+final class RequestLife {
+
+	private final RequestContext context;
+
+	private final RequestSpec spec;
+
+	private final long deadline;
+
+	private final ClaimHold claim;
+
+	private final IsolationHold isolation;
+
+	private final CallerSide caller;
+
+	/** Backend servers that refused the request; at most one for each attempt. */
+	private final Set<BackendServerId> excluded = new LinkedHashSet<>();
+
+	private RequestPhase phase = RequestPhase.ROUTING;
+
+	private Optional<FollowedAttempt> followed = Optional.empty();
+
+	private Optional<OperationError> closing = Optional.empty();
+
+	private int attempts;
+
+	private boolean mayHaveRun;
+
+	private long timer = Long.MAX_VALUE;
+
+	RequestLife(RequestContext context, RequestSpec spec, long deadline) {
+		this.context = context;
+		this.spec = spec;
+		this.deadline = deadline;
+		this.claim = new ClaimHold(context, spec);
+		this.isolation = new IsolationHold(context, spec);
+		this.caller = new CallerSide(context, spec.id());
+	}
+
+	RequestContext context() {
+		return this.context;
+	}
+
+	RequestSpec spec() {
+		return this.spec;
+	}
+
+	ClaimHold claim() {
+		return this.claim;
+	}
+
+	IsolationHold isolation() {
+		return this.isolation;
+	}
+
+	CallerSide caller() {
+		return this.caller;
+	}
+
+	RequestPhase phase() {
+		return this.phase;
+	}
+
+	Optional<FollowedAttempt> followed() {
+		return this.followed;
+	}
+
+	int attempts() {
+		return this.attempts;
+	}
+
+	boolean isClosing() {
+		return this.closing.isPresent() || this.caller.isDetached();
+	}
+
+	boolean isOverdue() {
+		return !isClosing() && this.context.now() >= this.deadline;
+	}
+
+	boolean isTimerDue() {
+		return this.context.now() >= this.timer;
+	}
+
+	long wakeAt() {
+		return isClosing() ? this.timer : Math.min(this.timer, this.deadline);
+	}
+
+	void wakeAfter(Duration delay) {
+		this.timer = this.context.after(delay);
+	}
+
+	void route() {
+		enter(RequestPhase.ROUTING);
+		this.context.emit(new ChooseRoute(this.spec.id(), this.excluded, this.isolation.isHeld()));
+	}
+
+	void routeOrIsolate() {
+		if (this.isolation.isSuspected() && !this.isolation.isHeld()) {
+			isolate();
+		}
+		else {
+			route();
+		}
+	}
+
+	void isolate() {
+		enter(RequestPhase.ISOLATING);
+		this.isolation.ask();
+	}
+
+	void send(AttemptTarget target) {
+		boolean safe = this.spec.idempotent()
+				|| (!this.mayHaveRun && (this.claim.isGranted() || (!this.claim.isNeeded() && this.attempts == 0)));
+		if (!this.context.invariants().holds(safe, "non-idempotent-runs-once", Field.of("request", this.spec.id()))) {
+			finish(Outcome.UNKNOWN, RequestErrors.unsafe());
+			return;
+		}
+		this.attempts++;
+		AttemptId attempt = new AttemptId(this.spec.id(), this.attempts);
+		this.followed = Optional.of(FollowedAttempt.own(attempt, target, this.context.settings().maxAnswerBytes()));
+		this.claim.sent();
+		enterFollowing(RequestPhase.SENT);
+		this.context.emit(new SendStart(attempt, target, new AttemptTraits(this.spec.fingerprint(),
+				this.spec.idempotent(), this.claim.isNeeded(), this.isolation.isHeld())));
+	}
+
+	void join(ClaimRunning running) {
+		this.isolation.release(IsolationEnd.NOT_RUN);
+		FollowedAttempt source = FollowedAttempt.joined(running, this.context.settings().maxAnswerBytes());
+		this.followed = Optional.of(source);
+		enterFollowing(RequestPhase.JOINING);
+		this.context.emit(new SendClaimQuery(source.request(), source.backendServer(), source.incarnation()));
+	}
+
+	void leave() {
+		this.followed = Optional.empty();
+	}
+
+	void proven(NotRunEvidence evidence, OperationError error) {
+		this.claim.proven(evidence);
+		this.isolation.release(IsolationEnd.NOT_RUN);
+		this.excluded.add(this.followed.orElseThrow().backendServer());
+		this.followed = Optional.empty();
+		boolean repeatable = this.spec.idempotent() || this.claim.isNeeded();
+		if (this.closing.isEmpty() && repeatable) {
+			tryAgain(RetryCause.REFUSED, error);
+		}
+		else {
+			giveUp(this.closing.orElse(error));
+		}
+	}
+
+	void lost(RetryCause cause, OperationError error) {
+		this.mayHaveRun = true;
+		boolean repeatable = this.spec.idempotent() && !this.followed.orElseThrow().hasParts();
+		if (repeatable && this.closing.isEmpty()) {
+			this.followed = Optional.empty();
+			tryAgain(cause, error);
+		}
+		else {
+			giveUp(this.closing.orElse(error));
+		}
+	}
+
+	void tryAgain(RetryCause cause, OperationError error) {
+		RetryDecision decision = this.context.retryPolicy()
+			.decide(new RetryQuery(this.spec.id(), this.spec.fingerprint().account(), this.spec.fingerprint().service(),
+					this.attempts, cause, this.deadline - this.context.now()));
+		boolean inTime = this.context.after(decision.delay()) < this.deadline;
+		this.context.record(DecisionKind.RETRY, this.spec.id(), (decision.allowed() && inTime) ? "retry" : "stop",
+				Field.of("cause", cause), Field.of("attempts", this.attempts), Field.of("reason", decision.reason()));
+		if (!decision.allowed() || !inTime) {
+			giveUp(error);
+			return;
+		}
+		this.claim.release();
+		if (cause == RetryCause.CRASHED || cause == RetryCause.SIDECAR_LOST) {
+			this.isolation.suspect();
+			enter(RequestPhase.CHARGING);
+		}
+		else {
+			backOff(decision.delay());
+		}
+	}
+
+	void backOff(Duration delay) {
+		enter(RequestPhase.BACKING_OFF);
+		if (delay.isZero()) {
+			routeOrIsolate();
+		}
+		else {
+			this.timer = this.context.after(delay);
+		}
+	}
+
+	void close(OperationError error) {
+		this.closing = Optional.of(error);
+		if (this.followed.isEmpty()) {
+			giveUp(error);
+		}
+		else if (this.followed.get().isJoined()) {
+			finish(Outcome.UNKNOWN, error);
+		}
+		else if (this.followed.get().hasStarted()) {
+			closeRunning();
+		}
+		else {
+			enter(RequestPhase.SEALING);
+			this.timer = this.context.after(this.context.settings().sealTime());
+			this.context.emit(this.followed.get().sealCommand());
+		}
+	}
+
+	void closeRunning() {
+		this.mayHaveRun = true;
+		if (this.spec.idempotent() && !this.isolation.isHeld()) {
+			this.context.emit(this.followed.orElseThrow().cancelCommand());
+			giveUp(this.closing.orElseThrow());
+			return;
+		}
+		this.caller.tell(Outcome.UNKNOWN, this.closing, this.attempts);
+		this.caller.detach();
+		enter(RequestPhase.RUNNING);
+		this.timer = this.context.after(this.context.settings().detachTime());
+	}
+
+	void giveUp(OperationError error) {
+		boolean notRun = !this.mayHaveRun && this.claim.provesNotRun();
+		finish(notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN, error);
+	}
+
+	void finish(Outcome outcome, OperationError error) {
+		finish(outcome, Optional.of(error));
+	}
+
+	void finish(Outcome outcome, Optional<OperationError> error) {
+		this.caller.tell(outcome, error, this.attempts);
+		this.isolation.release(this.followed.isEmpty() ? IsolationEnd.NOT_RUN : IsolationEnd.LOST);
+		this.claim.release();
+		this.followed = Optional.empty();
+		enter(RequestPhase.DONE);
+	}
+
+	void enterRunning() {
+		if (this.caller.isDetached()) {
+			return;
+		}
+		enterFollowing(RequestPhase.RUNNING);
+	}
+
+	void enterFollowing(RequestPhase next) {
+		enter(next);
+		this.timer = this.context.after(this.context.settings().progressTime());
+	}
+
+	void enter(RequestPhase next) {
+		this.phase = next;
+		this.timer = Long.MAX_VALUE;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTracker.java
@@ -0,0 +1,279 @@
+package org.comfreywall.entry.request;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.poison.IsolationEnd;
+import org.comfreywall.common.poison.IsolationResult;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Outcome;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Follows callers' requests from their acceptance to their outcome.
+ * <p>
+ * A non-idempotent request with a key is sent only after its claim was granted; without a
+ * key it is sent once. That a request did not run is told only with proof: it was never
+ * handed to a connection, or the sidecar sealed it; with a key, only while its claim is
+ * held, so that no earlier sending ran either. The tracker is a state machine without
+ * input, output, threads or clock: the driver passes each event with the time, carries
+ * the commands out in their order, and passes {@link TimePassed} at the time of the next
+ * timer. Not thread-safe.
+ */
+public final class RequestTracker {
+
+	private static final Comparator<Timer> TIMER_ORDER = Comparator.comparingLong(Timer::at)
+		.thenComparing(Timer::request);
+
+	private final RequestContext context;
+
+	/** Requests that have not ended; at most the capacity. */
+	private final Map<RequestId, RequestMachine> machines = new HashMap<>();
+
+	/** The requests that follow the attempts of each request. */
+	private final Map<RequestId, List<RequestMachine>> followers = new HashMap<>();
+
+	private final Map<RequestId, Timer> timers = new HashMap<>();
+
+	private final TreeSet<Timer> timerQueue = new TreeSet<>(TIMER_ORDER);
+
+	/**
+	 * Creates a tracker without requests.
+	 * @param settings the bounds
+	 * @param retryPolicy decides about further attempts
+	 * @param invariants checks invariants
+	 * @param listener receives a record of each decision
+	 */
+	public RequestTracker(RequestTrackerSettings settings, RetryPolicy retryPolicy, Invariants invariants,
+			DecisionListener listener) {
+		Preconditions.notNull(settings, "settings");
+		Preconditions.notNull(retryPolicy, "retryPolicy");
+		Preconditions.notNull(invariants, "invariants");
+		Preconditions.notNull(listener, "listener");
+		this.context = new RequestContext(settings, retryPolicy, invariants, listener);
+	}
+
+	/**
+	 * Handles one event.
+	 * @param event the event
+	 * @param now the time in nanoseconds, not before that of the previous event
+	 * @return the commands to carry out, in their order
+	 */
+	public List<RequestCommand> handle(RequestEvent event, long now) {
+		Preconditions.notNull(event, "event");
+		this.context.advance(now);
+		if (!dispatchByRequest(event)) {
+			dispatchByAttempt(event);
+		}
+		return this.context.take();
+	}
+
+	/**
+	 * Returns the time of the next timer.
+	 * @return the time in nanoseconds, or empty if no timer is set
+	 */
+	public OptionalLong nextTimer() {
+		return this.timerQueue.isEmpty() ? OptionalLong.empty() : OptionalLong.of(this.timerQueue.first().at());
+	}
+
+	/**
+	 * Returns the number of requests that have not ended.
+	 * @return the count
+	 */
+	public int size() {
+		return this.machines.size();
+	}
+
+	private boolean dispatchByRequest(RequestEvent event) {
+		if (event instanceof RequestAccepted accepted) {
+			accept(accepted);
+		}
+		else if (event instanceof RouteChosen route) {
+			forRequest(route.request(), (machine) -> machine.routeChosen(route.target()));
+		}
+		else if (event instanceof RouteUnavailable route) {
+			forRequest(route.request(), (machine) -> machine.routeUnavailable(route.error()));
+		}
+		else if (event instanceof ClaimAnswered claim) {
+			forRequest(claim.request(), (machine) -> machine.claimAnswered(claim.target(), claim.result()));
+		}
+		else if (event instanceof ClaimFailed claim) {
+			forRequest(claim.request(), (machine) -> machine.claimFailed(claim.error()));
+		}
+		else if (event instanceof IsolationAnswered isolation) {
+			isolationAnswered(isolation);
+		}
+		else if (event instanceof CrashRecorded crash) {
+			forRequest(crash.request(), RequestMachine::crashRecorded);
+		}
+		else if (event instanceof CallerCancelled cancelled) {
+			forRequest(cancelled.request(), RequestMachine::cancel);
+		}
+		else if (event instanceof TimePassed) {
+			fireTimers();
+		}
+		else {
+			return false;
+		}
+		return true;
+	}
+
+	private void dispatchByAttempt(RequestEvent event) {
+		if (event instanceof PartReceived part) {
+			forAttempt(part.attempt(), part.backendServer(), part.incarnation(),
+					(machine) -> machine.part(part.attempt(), part.sequence(), part.part()));
+		}
+		else if (event instanceof StartedReceived started) {
+			forAttempt(started.attempt(), started.backendServer(), started.incarnation(),
+					(machine) -> machine.started(started.attempt()));
+		}
+		else if (event instanceof EndReceived end) {
+			forAttempt(end.attempt(), end.backendServer(), end.incarnation(),
+					(machine) -> machine.ended(end.end(), end.crash()));
+		}
+		else if (event instanceof RefusalReceived refusal) {
+			forAttempt(refusal.attempt(), refusal.backendServer(), refusal.incarnation(),
+					(machine) -> machine.refused(refusal.refusal()));
+		}
+		else if (event instanceof SealedReceived sealed) {
+			forSealed(sealed);
+		}
+		else if (event instanceof StartNotSent notSent) {
+			forRequest(notSent.attempt().request(), (machine) -> machine.startNotSent(notSent.attempt()));
+		}
+		else if (event instanceof ConnectionLost lost) {
+			forSidecar(lost.backendServer(), lost.incarnation(), RequestMachine::connectionLost);
+		}
+		else if (event instanceof ConnectionRestored restored) {
+			forSidecar(restored.backendServer(), restored.incarnation(), RequestMachine::connectionRestored);
+		}
+		else if (event instanceof SidecarLost lost) {
+			forSidecar(lost.backendServer(), lost.incarnation(), RequestMachine::sidecarLost);
+		}
+	}
+
+	private void accept(RequestAccepted accepted) {
+		RequestId request = accepted.spec().id();
+		boolean unused = !this.machines.containsKey(request);
+		if (!this.context.invariants().holds(unused, "request-id-is-new")) {
+			return;
+		}
+		if (this.machines.size() >= this.context.settings().capacity()) {
+			Outcome outcome = accepted.spec().claimKey().isPresent() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+			this.context
+				.emit(new CompleteRequest(request, outcome, Optional.of(OperationError.local(ErrorCode.OVERLOADED,
+						Step.ACCEPT, "The entry follows too many requests; send it again later"))));
+			return;
+		}
+		RequestMachine machine = new RequestMachine(this.context, accepted.spec(), accepted.deadline());
+		this.machines.put(request, machine);
+		apply(machine, (accepting) -> accepting.accept(accepted.verdict()));
+	}
+
+	private void isolationAnswered(IsolationAnswered answer) {
+		RequestMachine machine = this.machines.get(answer.request());
+		if (machine != null && machine.isIsolating()) {
+			apply(machine, (waiting) -> waiting.isolationAnswered(answer.result()));
+		}
+		else if (answer.result() == IsolationResult.GRANTED && (machine == null || !machine.holdsIsolation())) {
+			this.context.emit(new ReleaseIsolation(answer.request(), answer.fingerprint(), IsolationEnd.NOT_RUN));
+		}
+	}
+
+	private void fireTimers() {
+		while (!this.timerQueue.isEmpty() && this.timerQueue.first().at() <= this.context.now()) {
+			apply(this.machines.get(this.timerQueue.first().request()), RequestMachine::timePassed);
+		}
+	}
+
+	private void forRequest(RequestId request, Consumer<RequestMachine> action) {
+		RequestMachine machine = this.machines.get(request);
+		if (machine != null) {
+			apply(machine, action);
+		}
+	}
+
+	private void forAttempt(AttemptId attempt, BackendServerId server, Incarnation life,
+			Consumer<RequestMachine> action) {
+		for (RequestMachine machine : followersOf(attempt.request())) {
+			if (machine.follows((source) -> source.matches(attempt, server, life))) {
+				apply(machine, action);
+			}
+		}
+	}
+
+	private void forSealed(SealedReceived sealed) {
+		for (RequestMachine machine : followersOf(sealed.attempt().request())) {
+			if (machine.follows((source) -> source.isSealedBy(sealed))) {
+				apply(machine, RequestMachine::sealed);
+			}
+		}
+	}
+
+	private void forSidecar(BackendServerId server, Incarnation life, Consumer<RequestMachine> action) {
+		for (RequestMachine machine : List.copyOf(this.machines.values())) {
+			if (machine.follows((source) -> source.isAt(server, life))) {
+				apply(machine, action);
+			}
+		}
+	}
+
+	private List<RequestMachine> followersOf(RequestId request) {
+		return List.copyOf(this.followers.getOrDefault(request, List.of()));
+	}
+
+	private void apply(RequestMachine machine, Consumer<RequestMachine> action) {
+		Optional<RequestId> before = machine.followedRequest();
+		action.accept(machine);
+		Optional<RequestId> after = machine.followedRequest();
+		if (!before.equals(after)) {
+			before.ifPresent((request) -> unfollow(request, machine));
+			after.ifPresent(
+					(request) -> this.followers.computeIfAbsent(request, (key) -> new ArrayList<>(1)).add(machine));
+		}
+		schedule(machine);
+		if (machine.isDone()) {
+			this.machines.remove(machine.id());
+		}
+	}
+
+	private void unfollow(RequestId request, RequestMachine machine) {
+		List<RequestMachine> list = this.followers.get(request);
+		list.remove(machine);
+		if (list.isEmpty()) {
+			this.followers.remove(request);
+		}
+	}
+
+	private void schedule(RequestMachine machine) {
+		Timer earlier = this.timers.remove(machine.id());
+		if (earlier != null) {
+			this.timerQueue.remove(earlier);
+		}
+		if (!machine.isDone() && machine.wakeAt() != Long.MAX_VALUE) {
+			Timer next = new Timer(machine.wakeAt(), machine.id());
+			this.timers.put(machine.id(), next);
+			this.timerQueue.add(next);
+		}
+	}
+
+	private record Timer(long at, RequestId request) {
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RetryQuery.java
@@ -0,0 +1,28 @@
+package org.comfreywall.entry.request;
+
+import org.comfreywall.common.id.AccountId;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.id.ServiceId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Describes a request that could be tried again.
+ *
+ * @param request the request
+ * @param account the client account
+ * @param service the service
+ * @param attempts the number of attempts made
+ * @param cause the reason
+ * @param remainingNanos the time until the caller's deadline in nanoseconds
+ */
+public record RetryQuery(RequestId request, AccountId account, ServiceId service, int attempts, RetryCause cause,
+		long remainingNanos) {
+
+	public RetryQuery {
+		Preconditions.notNull(request, "request");
+		Preconditions.notNull(account, "account");
+		Preconditions.notNull(service, "service");
+		Preconditions.notNull(cause, "cause");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SendSeal.java
@@ -0,0 +1,20 @@
+package org.comfreywall.entry.request;
+
+import org.comfreywall.common.attempt.AttemptTarget;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Ask a sidecar to seal an attempt unless it has started.
+ *
+ * @param attempt the attempt
+ * @param target the addressee
+ */
+public record SendSeal(AttemptId attempt, AttemptTarget target) implements RequestCommand {
+
+	public SendSeal {
+		Preconditions.notNull(attempt, "attempt");
+		Preconditions.notNull(target, "target");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The life of a caller's request at its entry.
+ */
+package org.comfreywall.entry.request;
--- /dev/null
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/request/RequestTrackerTests.java
@@ -0,0 +1,432 @@
+package org.comfreywall.entry.request;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.comfreywall.common.attempt.AnswerChunk;
+import org.comfreywall.common.attempt.AnswerEnd;
+import org.comfreywall.common.attempt.AnswerHead;
+import org.comfreywall.common.attempt.AnswerPart;
+import org.comfreywall.common.attempt.AttemptEnd;
+import org.comfreywall.common.attempt.AttemptRefusal;
+import org.comfreywall.common.attempt.AttemptTarget;
+import org.comfreywall.common.attempt.AttemptTraits;
+import org.comfreywall.common.claim.ClaimCompleted;
+import org.comfreywall.common.claim.ClaimFound;
+import org.comfreywall.common.claim.ClaimGranted;
+import org.comfreywall.common.claim.ClaimKey;
+import org.comfreywall.common.claim.ClaimMismatch;
+import org.comfreywall.common.claim.ClaimResult;
+import org.comfreywall.common.claim.ClaimRunning;
+import org.comfreywall.common.claim.ClaimUnknown;
+import org.comfreywall.common.claim.NotRunEvidence;
+import org.comfreywall.common.claim.NotRunProof;
+import org.comfreywall.common.claim.RecordedAnswer;
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.AccountId;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.IdempotencyKey;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.id.ServiceId;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.poison.IsolationEnd;
+import org.comfreywall.common.poison.IsolationResult;
+import org.comfreywall.common.poison.PoisonVerdict;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Outcome;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Bytes;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RequestTracker}.
+ */
+class RequestTrackerTests {
+
+	private static final RequestId REQUEST = RequestId.of("r");
+
+	private static final RequestId EARLIER = RequestId.of("earlier");
+
+	private static final BackendServerId SERVER = BackendServerId.of("booking-1");
+
+	private static final Incarnation LIFE = Incarnation.of(3);
+
+	private static final AttemptTarget TARGET = new AttemptTarget(SERVER, LIFE, 5);
+
+	private static final AttemptTarget OTHER_TARGET = new AttemptTarget(BackendServerId.of("booking-2"), LIFE, 5);
+
+	private static final Fingerprint FINGERPRINT = new Fingerprint(AccountId.of("farm"), ServiceId.of("booking"),
+			"digest");
+
+	private static final ClaimKey KEY = new ClaimKey(FINGERPRINT.account(), FINGERPRINT.service(),
+			IdempotencyKey.of("k"));
+
+	private static final AnswerPart HEAD = new AnswerHead(200, "text/plain");
+
+	private static final AnswerPart CHUNK = new AnswerChunk(Bytes.ofText("booked"));
+
+	private static final AnswerPart END = new AnswerEnd();
+
+	private static final RecordedAnswer ANSWER = new RecordedAnswer(200, "text/plain", Bytes.ofText("booked"));
+
+	private static final long DEADLINE = Duration.ofSeconds(30).toNanos();
+
+	private static final OperationError UNAVAILABLE = OperationError.local(ErrorCode.UNAVAILABLE, Step.ROUTE, "none");
+
+	private final RequestTracker tracker = new RequestTracker(RequestTrackerSettings.DEFAULT,
+			(query) -> (query.attempts() < 3) ? RetryDecision.after(Duration.ZERO) : RetryDecision.stop("attempts"),
+			new Invariants(), DecisionListener.NONE);
+
+	private long now;
+
+	private List<RequestCommand> acceptBooking() {
+		return accept(Optional.of(IdempotencyKey.of("k")), false, true, PoisonVerdict.CLEAR);
+	}
+
+	private List<RequestCommand> acceptLookup(PoisonVerdict verdict) {
+		return accept(Optional.empty(), true, true, verdict);
+	}
+
+	private List<RequestCommand> accept(Optional<IdempotencyKey> key, boolean idempotent, boolean keyRequired,
+			PoisonVerdict verdict) {
+		RequestSpec spec = new RequestSpec(REQUEST, FINGERPRINT, key, idempotent, keyRequired);
+		return handle(new RequestAccepted(spec, DEADLINE, verdict));
+	}
+
+	private List<RequestCommand> sendBooking() {
+		acceptBooking();
+		handle(new RouteChosen(REQUEST, TARGET));
+		return claimed(TARGET, new ClaimGranted(running(REQUEST, TARGET)));
+	}
+
+	private void sendLookup() {
+		acceptLookup(PoisonVerdict.CLEAR);
+		handle(new RouteChosen(REQUEST, TARGET));
+	}
+
+	private List<RequestCommand> findClaim(ClaimResult result) {
+		acceptBooking();
+		handle(new RouteChosen(REQUEST, TARGET));
+		return claimed(TARGET, result);
+	}
+
+	private List<RequestCommand> claimed(AttemptTarget target, ClaimResult result) {
+		return handle(new ClaimAnswered(REQUEST, target, result));
+	}
+
+	private List<RequestCommand> part(RequestId request, long sequence, AnswerPart part) {
+		return handle(new PartReceived(new AttemptId(request, 1), SERVER, LIFE, sequence, part));
+	}
+
+	private List<RequestCommand> end(AttemptEnd end, int crash) {
+		return handle(new EndReceived(attempt(1), SERVER, LIFE, end, crash));
+	}
+
+	private List<RequestCommand> refuse(AttemptRefusal refusal) {
+		return handle(new RefusalReceived(attempt(1), SERVER, LIFE, refusal));
+	}
+
+	private List<RequestCommand> passTime(Duration duration) {
+		this.now += duration.toNanos();
+		return handle(new TimePassed());
+	}
+
+	private List<RequestCommand> handle(RequestEvent event) {
+		return this.tracker.handle(event, this.now);
+	}
+
+	private static Optional<Outcome> outcome(List<RequestCommand> commands) {
+		return commands.stream()
+			.filter(CompleteRequest.class::isInstance)
+			.map((command) -> ((CompleteRequest) command).outcome())
+			.findFirst();
+	}
+
+	private static AttemptId attempt(int number) {
+		return new AttemptId(REQUEST, number);
+	}
+
+	private static ClaimRunning running(RequestId owner, AttemptTarget target) {
+		return new ClaimRunning(owner, target.backendServer(), target.incarnation());
+	}
+
+	private static ReleaseClaim release(NotRunEvidence evidence, RequestId owner) {
+		return new ReleaseClaim(KEY, new NotRunProof(evidence, owner, SERVER, LIFE));
+	}
+
+	private static SendStart start(int number, AttemptTarget target, boolean idempotent, boolean isolated) {
+		return new SendStart(attempt(number), target,
+				new AttemptTraits(FINGERPRINT, idempotent, !idempotent, isolated));
+	}
+
+	@Nested
+	class Claims {
+
+		@Test
+		void sendsOnlyAfterClaimIsGranted() {
+			assertThat(acceptBooking()).containsExactly(new ChooseRoute(REQUEST, Set.of(), false));
+			assertThat(handle(new RouteChosen(REQUEST, TARGET)))
+				.containsExactly(new ClaimKeyFor(REQUEST, KEY, "digest", TARGET));
+			assertThat(claimed(TARGET, new ClaimGranted(running(REQUEST, TARGET))))
+				.containsExactly(start(1, TARGET, false, false));
+		}
+
+		@Test
+		void refusesMissingKeyWhereServiceRequiresOne() {
+			assertThat(outcome(accept(Optional.empty(), false, true, PoisonVerdict.CLEAR))).contains(Outcome.NOT_RUN);
+		}
+
+		@Test
+		void recordsWholeAnswer() {
+			sendBooking();
+			assertThat(part(REQUEST, 0, HEAD)).containsExactly(new DeliverPart(REQUEST, HEAD));
+			part(REQUEST, 1, CHUNK);
+			assertThat(part(REQUEST, 2, END)).containsExactly(new DeliverPart(REQUEST, END),
+					new FinishClaim(KEY, REQUEST, ANSWER),
+					new CompleteRequest(REQUEST, Outcome.COMPLETED, Optional.empty()));
+		}
+
+		@Test
+		void deliversRecordedAnswerToResend() {
+			List<RequestCommand> commands = findClaim(new ClaimFound(new ClaimCompleted(EARLIER, ANSWER)));
+			assertThat(commands).contains(new DeliverPart(REQUEST, CHUNK));
+			assertThat(outcome(commands)).contains(Outcome.COMPLETED);
+		}
+
+		@Test
+		void tellsUnknownForUnknownClaim() {
+			assertThat(outcome(findClaim(new ClaimFound(new ClaimUnknown(EARLIER))))).contains(Outcome.UNKNOWN);
+		}
+
+		@Test
+		void refusesKeyUsedWithOtherBody() {
+			assertThat(outcome(findClaim(new ClaimMismatch()))).contains(Outcome.NOT_RUN);
+		}
+
+		@Test
+		void doesNotTellNotRunWhileEarlierSendingMayHaveRun() {
+			acceptBooking();
+			handle(new RouteChosen(REQUEST, TARGET));
+			List<RequestCommand> commands = handle(new ClaimFailed(REQUEST, UNAVAILABLE));
+			assertThat(outcome(commands)).contains(Outcome.UNKNOWN);
+			assertThat(commands).contains(release(NotRunEvidence.NEVER_SENT, REQUEST));
+		}
+
+		@Test
+		void ignoresGrantAfterRequestEnded() {
+			acceptBooking();
+			handle(new RouteChosen(REQUEST, TARGET));
+			handle(new ClaimFailed(REQUEST, UNAVAILABLE));
+			assertThat(claimed(TARGET, new ClaimGranted(running(REQUEST, TARGET)))).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class Joining {
+
+		@Test
+		void followsRunningAttemptOfEarlierSending() {
+			assertThat(findClaim(new ClaimFound(running(EARLIER, TARGET))))
+				.containsExactly(new SendClaimQuery(EARLIER, SERVER, LIFE));
+			part(EARLIER, 0, HEAD);
+			assertThat(part(EARLIER, 1, CHUNK)).containsExactly(new DeliverPart(REQUEST, CHUNK));
+			assertThat(part(EARLIER, 2, END)).contains(new FinishClaim(KEY, EARLIER, ANSWER));
+		}
+
+		@Test
+		void runsItselfWhenEarlierSendingWasSealed() {
+			findClaim(new ClaimFound(running(EARLIER, TARGET)));
+			assertThat(handle(new SealedReceived(AttemptTarget.everyAttemptOf(EARLIER), SERVER, LIFE)))
+				.containsExactly(release(NotRunEvidence.SEALED, EARLIER), new ChooseRoute(REQUEST, Set.of(), false));
+		}
+
+		@Test
+		void tellsUnknownWhenSidecarHasRestarted() {
+			findClaim(new ClaimFound(running(EARLIER, TARGET)));
+			List<RequestCommand> commands = handle(new RefusalReceived(AttemptTarget.everyAttemptOf(EARLIER), SERVER,
+					LIFE, AttemptRefusal.OTHER_INCARNATION));
+			assertThat(commands).contains(new MarkClaimUnknown(KEY, EARLIER));
+			assertThat(outcome(commands)).contains(Outcome.UNKNOWN);
+		}
+
+	}
+
+	@Nested
+	class Proofs {
+
+		@Test
+		void movesClaimToOtherServerAfterProof() {
+			sendBooking();
+			assertThat(refuse(AttemptRefusal.DRAINING)).containsExactly(release(NotRunEvidence.SEALED, REQUEST),
+					new ChooseRoute(REQUEST, Set.of(SERVER), false));
+			handle(new RouteChosen(REQUEST, OTHER_TARGET));
+			assertThat(claimed(OTHER_TARGET, new ClaimGranted(running(REQUEST, OTHER_TARGET))))
+				.containsExactly(start(2, OTHER_TARGET, false, false));
+		}
+
+		@Test
+		void sendsRequestWithoutKeyOnlyOnce() {
+			accept(Optional.empty(), false, false, PoisonVerdict.CLEAR);
+			handle(new RouteChosen(REQUEST, TARGET));
+			assertThat(outcome(refuse(AttemptRefusal.BUSY))).contains(Outcome.NOT_RUN);
+		}
+
+		@Test
+		void tellsUnknownWhenSidecarIsLost() {
+			sendBooking();
+			assertThat(outcome(handle(new SidecarLost(SERVER, LIFE)))).contains(Outcome.UNKNOWN);
+		}
+
+		@Test
+		void sealsAtDeadlineBeforeTellingNotRun() {
+			sendBooking();
+			assertThat(passTime(Duration.ofSeconds(30))).containsExactly(new SendSeal(attempt(1), TARGET));
+			List<RequestCommand> commands = handle(new SealedReceived(attempt(1), SERVER, LIFE));
+			assertThat(outcome(commands)).contains(Outcome.NOT_RUN);
+			assertThat(commands).endsWith(release(NotRunEvidence.SEALED, REQUEST));
+		}
+
+		@Test
+		void tellsUnknownWhenSealIsNotAnswered() {
+			sendBooking();
+			passTime(Duration.ofSeconds(30));
+			assertThat(outcome(passTime(Duration.ofSeconds(1)))).contains(Outcome.UNKNOWN);
+		}
+
+		@Test
+		void recordsAnswerOfBookingThatOutlivesItsCaller() {
+			sendBooking();
+			part(REQUEST, 0, HEAD);
+			assertThat(outcome(handle(new CallerCancelled(REQUEST)))).contains(Outcome.UNKNOWN);
+			part(REQUEST, 1, CHUNK);
+			assertThat(part(REQUEST, 2, END)).containsExactly(new FinishClaim(KEY, REQUEST, ANSWER));
+			assertThat(RequestTrackerTests.this.tracker.size()).isZero();
+		}
+
+		@Test
+		void ignoresSealOfOtherAttempt() {
+			sendLookup();
+			assertThat(handle(new SealedReceived(attempt(2), SERVER, LIFE))).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class Frames {
+
+		@Test
+		void ignoresDoubledPart() {
+			sendLookup();
+			part(REQUEST, 0, HEAD);
+			assertThat(part(REQUEST, 0, HEAD)).isEmpty();
+		}
+
+		@Test
+		void asksOnceForMissingPart() {
+			sendLookup();
+			part(REQUEST, 0, HEAD);
+			assertThat(part(REQUEST, 2, END)).containsExactly(new SendResume(attempt(1), SERVER, LIFE, 1));
+			assertThat(part(REQUEST, 2, END)).isEmpty();
+			assertThat(part(REQUEST, 1, CHUNK)).containsExactly(new DeliverPart(REQUEST, CHUNK));
+		}
+
+		@Test
+		void ignoresPartOfOtherIncarnationOrAttempt() {
+			sendLookup();
+			assertThat(handle(new PartReceived(attempt(1), SERVER, Incarnation.of(2), 0, HEAD))).isEmpty();
+			assertThat(handle(new PartReceived(attempt(2), SERVER, LIFE, 0, HEAD))).isEmpty();
+			assertThat(handle(new PartReceived(attempt(1), OTHER_TARGET.backendServer(), LIFE, 0, HEAD))).isEmpty();
+		}
+
+		@Test
+		void resumesAtNextPartOnNewConnection() {
+			sendLookup();
+			part(REQUEST, 0, HEAD);
+			assertThat(handle(new ConnectionLost(SERVER, LIFE))).isEmpty();
+			assertThat(handle(new ConnectionRestored(SERVER, LIFE)))
+				.containsExactly(new SendResume(attempt(1), SERVER, LIFE, 1));
+		}
+
+		@Test
+		void sealsOrJoinsWhenStartMayBeLostWithConnection() {
+			sendBooking();
+			handle(new ConnectionLost(SERVER, LIFE));
+			assertThat(handle(new ConnectionRestored(SERVER, LIFE))).containsExactly(new SendSeal(attempt(1), TARGET));
+		}
+
+		@Test
+		void probesConnectionWithoutProgress() {
+			sendLookup();
+			assertThat(passTime(Duration.ofSeconds(2))).containsExactly(new ProbeConnection(SERVER, LIFE));
+		}
+
+	}
+
+	@Nested
+	class Crashes {
+
+		@Test
+		void retriesIdempotentRequestOnlyIsolatedAfterCrash() {
+			sendLookup();
+			assertThat(end(AttemptEnd.CRASHED, 1)).hasOnlyElementsOfType(RecordCrash.class);
+			assertThat(handle(new CrashRecorded(REQUEST))).containsExactly(new AcquireIsolation(REQUEST, FINGERPRINT));
+			isolation(IsolationResult.GRANTED);
+			assertThat(handle(new RouteChosen(REQUEST, OTHER_TARGET)))
+				.containsExactly(start(2, OTHER_TARGET, true, true));
+		}
+
+		@Test
+		void neverRunsBookingAgainAfterCrash() {
+			sendBooking();
+			List<RequestCommand> commands = end(AttemptEnd.CRASHED, 1);
+			assertThat(outcome(commands)).contains(Outcome.UNKNOWN);
+			assertThat(commands).contains(new MarkClaimUnknown(KEY, REQUEST));
+		}
+
+		@Test
+		void asksAgainWhileSlotIsTaken() {
+			acceptLookup(PoisonVerdict.SUSPECT);
+			assertThat(isolation(IsolationResult.WAIT)).isEmpty();
+			assertThat(passTime(Duration.ofMillis(500))).containsExactly(new AcquireIsolation(REQUEST, FINGERPRINT));
+		}
+
+		@Test
+		void givesSlotBackAfterIsolatedRun() {
+			acceptLookup(PoisonVerdict.SUSPECT);
+			isolation(IsolationResult.GRANTED);
+			handle(new RouteChosen(REQUEST, TARGET));
+			part(REQUEST, 0, HEAD);
+			assertThat(part(REQUEST, 1, END))
+				.contains(new ReleaseIsolation(REQUEST, FINGERPRINT, IsolationEnd.SURVIVED));
+		}
+
+		@Test
+		void givesSlotBackThatIsGrantedAfterRequestEnded() {
+			acceptLookup(PoisonVerdict.SUSPECT);
+			handle(new CallerCancelled(REQUEST));
+			assertThat(isolation(IsolationResult.GRANTED))
+				.containsExactly(new ReleaseIsolation(REQUEST, FINGERPRINT, IsolationEnd.NOT_RUN));
+		}
+
+		@Test
+		void refusesQuarantinedRequest() {
+			assertThat(outcome(acceptLookup(PoisonVerdict.QUARANTINED))).contains(Outcome.NOT_RUN);
+		}
+
+		private List<RequestCommand> isolation(IsolationResult result) {
+			return handle(new IsolationAnswered(REQUEST, FINGERPRINT, result));
+		}
+
+	}
+
+}
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRecord.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRecord.java
@@ -7,6 +7,7 @@
 
 import org.comfreywall.common.attempt.AnswerPart;
 import org.comfreywall.common.attempt.AttemptEnd;
+import org.comfreywall.common.attempt.AttemptTarget;
 import org.comfreywall.common.attempt.AttemptTraits;
 import org.comfreywall.common.id.AttemptId;
 
@@ -81,6 +82,12 @@
 		return repeatable && this.state.isEnded() && next.number() > this.attempt.number();
 	}
 
+	// An earlier attempt may have run before this record took its place.
+	boolean replaced(AttemptId earlier) {
+		boolean everyAttempt = this.attempt.equals(AttemptTarget.everyAttemptOf(earlier.request()));
+		return earlier.number() < this.attempt.number() && !everyAttempt;
+	}
+
 	boolean ranClaimed() {
 		return this.traits != null && this.traits.claimed() && this.state != AttemptState.SEALED;
 	}
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
@@ -183,7 +183,7 @@
 	}
 
 	private void onKnownStart(StartReceived start, AttemptRecord known) {
-		if (known.state() == AttemptState.SEALED) {
+		if (known.state() == AttemptState.SEALED && !known.replaced(start.attempt())) {
 			refuse(start.link(), start.attempt(), AttemptRefusal.SEALED);
 		}
 		else if (!known.attempt().equals(start.attempt())) {
@@ -234,14 +234,14 @@
 	}
 
 	private void onClaimQuery(ClaimQueryReceived query) {
-		AttemptId any = new AttemptId(query.owner(), Integer.MAX_VALUE);
+		AttemptId any = AttemptTarget.everyAttemptOf(query.owner());
 		if (!query.incarnation().equals(this.incarnation)) {
 			refuse(query.link(), any, AttemptRefusal.OTHER_INCARNATION);
 			return;
 		}
 		Optional<AttemptRecord> known = this.store.find(query.owner());
 		if (known.isPresent()) {
-			joinOrSeal(known.get(), query.link());
+			joinOrSeal(known.get(), any, query.link());
 		}
 		else if (this.store.hasRunClaimed(query.owner())) {
 			this.replies.end(query.link(), any, AttemptEnd.ANSWER_DROPPED, 0);
@@ -251,9 +251,9 @@
 		}
 	}
 
-	private void joinOrSeal(AttemptRecord known, EntryLink link) {
+	private void joinOrSeal(AttemptRecord known, AttemptId attempt, EntryLink link) {
 		if (known.state() == AttemptState.SEALED) {
-			this.replies.sealed(link, known.attempt());
+			this.replies.sealed(link, attempt);
 		}
 		else {
 			this.replies.replay(known, link, 0);
@@ -268,8 +268,11 @@
 		else if (known.allowsAfter(attempt)) {
 			sealUnknown(attempt, link);
 		}
+		else if (known.replaced(attempt)) {
+			refuse(link, attempt, AttemptRefusal.ALREADY_RUNNING);
+		}
 		else {
-			joinOrSeal(known, link);
+			joinOrSeal(known, attempt, link);
 		}
 	}
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptReplies.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptReplies.java
@@ -54,7 +54,7 @@
 
 	void sealed(EntryLink link, AttemptId attempt) {
 		record(attempt, "sealed", Field.of("entry", link.entry()));
-		add(new SendSealed(link, attempt.request(), this.incarnation));
+		add(new SendSealed(link, attempt, this.incarnation));
 	}
 
 	/**
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendSealed.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendSealed.java
@@ -1,21 +1,23 @@
 package org.comfreywall.sidecar.attempt;
 
+import org.comfreywall.common.id.AttemptId;
 import org.comfreywall.common.id.Incarnation;
-import org.comfreywall.common.id.RequestId;
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Promise that the attempts of a request never ran and never will.
+ * Promise that an attempt never ran and never will.
  *
  * @param link the connection of the receiver
- * @param request the request
+ * @param attempt the attempt, or
+ * {@link org.comfreywall.common.attempt.AttemptTarget#everyAttemptOf every attempt} of a
+ * request
  * @param incarnation the incarnation of this sidecar
  */
-public record SendSealed(EntryLink link, RequestId request, Incarnation incarnation) implements AttemptCommand {
+public record SendSealed(EntryLink link, AttemptId attempt, Incarnation incarnation) implements AttemptCommand {
 
 	public SendSealed {
 		Preconditions.notNull(link, "link");
-		Preconditions.notNull(request, "request");
+		Preconditions.notNull(attempt, "attempt");
 		Preconditions.notNull(incarnation, "incarnation");
 	}
 
--- a/comfreywall-sidecar/src/test/java/org/comfreywall/sidecar/attempt/AttemptRegistryTests.java
+++ b/comfreywall-sidecar/src/test/java/org/comfreywall/sidecar/attempt/AttemptRegistryTests.java
@@ -108,7 +108,7 @@
 	}
 
 	private static SendSealed sealed(EntryLink link, String request) {
-		return new SendSealed(link, RequestId.of(request), LIFE);
+		return new SendSealed(link, attempt(request, 1), LIFE);
 	}
 
 	private static AttemptId attempt(String request, int number) {
@@ -211,6 +211,15 @@
 			assertThat(refusal(startLookup("r", 2))).contains(AttemptRefusal.SEALED);
 		}
 
+		@Test
+		void givesNoProofAboutAttemptBeforeRetry() {
+			startLookup("r", 1);
+			handle(new BackendCrashed());
+			seal("r", 2, 0);
+			assertThat(refusal(seal("r", 1, 0))).contains(AttemptRefusal.ALREADY_RUNNING);
+			assertThat(refusal(startLookup("r", 1))).contains(AttemptRefusal.ALREADY_RUNNING);
+		}
+
 		@Test
 		void cancelThatOvertakesStartSeals() {
 			handle(new CancelReceived(attempt("r", 1), LIFE));
@@ -279,7 +288,8 @@
 
 		@Test
 		void sealsClaimedRequestThatNeverArrived() {
-			assertThat(query("r")).containsExactly(sealed(OTHER_LINK, "r"));
+			assertThat(query("r"))
+				.containsExactly(new SendSealed(OTHER_LINK, AttemptTarget.everyAttemptOf(RequestId.of("r")), LIFE));
 			assertThat(refusal(startBooking("r"))).contains(AttemptRefusal.SEALED);
 		}
 
