Let identical requests start one after the other until one has finished

Cause: sent through many entries at once, a request that crashes backend servers met one for each copy before the first crash was known. Change: FlightGuard, one for each fingerprint: a first run holds back others until it ends, at most for the flight time; after a whole answer any number may run; after a recorded loss the poison ledger decides. The tracker asks it before each first attempt and charges a crash before it tells the guard.

--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/EndFlight.java
@@ -0,0 +1,22 @@
+package org.comfreywall.entry.request;
+
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Tell the guard of a fingerprint how a run ended.
+ *
+ * @param request the request
+ * @param fingerprint the fingerprint of the request
+ * @param end how the run ended
+ */
+public record EndFlight(RequestId request, Fingerprint fingerprint, FlightEnd end) implements RequestCommand {
+
+	public EndFlight {
+		Preconditions.notNull(request, "request");
+		Preconditions.notNull(fingerprint, "fingerprint");
+		Preconditions.notNull(end, "end");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuardSettings.java
@@ -0,0 +1,26 @@
+package org.comfreywall.entry.request;
+
+import java.time.Duration;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Bounds of a {@link FlightGuard}.
+ *
+ * @param flightTime how long a first run holds back others with the same fingerprint
+ * @param memoryTime how long it is remembered how the last run of a fingerprint ended
+ * @param capacity the greatest number of fingerprints remembered
+ */
+public record FlightGuardSettings(Duration flightTime, Duration memoryTime, int capacity) {
+
+	/** The settings used when none are given. */
+	public static final FlightGuardSettings DEFAULT = new FlightGuardSettings(Duration.ofSeconds(5),
+			Duration.ofMinutes(10), 50_000);
+
+	public FlightGuardSettings {
+		Preconditions.notNull(flightTime, "flightTime");
+		Preconditions.notNull(memoryTime, "memoryTime");
+		Preconditions.check(capacity >= 1, "capacity must be at least 1: %d", capacity);
+	}
+
+}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestCommand.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestCommand.java
@@ -4,7 +4,7 @@
  * A command of the request tracker to its driver.
  */
 public sealed interface RequestCommand permits ChooseRoute, ClaimKeyFor, FinishClaim, MarkClaimUnknown, ReleaseClaim,
-		SendStart, SendSeal, SendClaimQuery, SendResume, SendCancel, ProbeConnection, AcquireIsolation,
-		ReleaseIsolation, RecordCrash, DeliverPart, CompleteRequest {
+		AskFlight, EndFlight, SendStart, SendSeal, SendClaimQuery, SendResume, SendCancel, ProbeConnection,
+		AcquireIsolation, ReleaseIsolation, RecordCrash, DeliverPart, CompleteRequest {
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestLife.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestLife.java
@@ -32,6 +32,8 @@
 
 	private final IsolationHold isolation;
 
+	private final FlightHold flight;
+
 	private final CallerSide caller;
 
 	/** Backend servers that refused the request; at most one for each attempt. */
@@ -41,6 +43,8 @@
 
 	private Optional<FollowedAttempt> followed = Optional.empty();
 
+	private Optional<AttemptTarget> target = Optional.empty();
+
 	private Optional<OperationError> closing = Optional.empty();
 
 	private int attempts;
@@ -55,6 +59,7 @@
 		this.deadline = deadline;
 		this.claim = new ClaimHold(context, spec);
 		this.isolation = new IsolationHold(context, spec);
+		this.flight = new FlightHold(context, spec);
 		this.caller = new CallerSide(context, spec.id());
 	}
 
@@ -74,6 +79,10 @@
 		return this.isolation;
 	}
 
+	FlightHold flight() {
+		return this.flight;
+	}
+
 	CallerSide caller() {
 		return this.caller;
 	}
@@ -129,7 +138,27 @@
 		this.isolation.ask();
 	}
 
-	void send(AttemptTarget target) {
+	void send(AttemptTarget chosen) {
+		this.target = Optional.of(chosen);
+		if (this.isolation.isHeld() || this.flight.isPermitted()) {
+			transmit(chosen);
+		}
+		else {
+			askFlight();
+		}
+	}
+
+	void askFlight() {
+		enter(RequestPhase.PERMITTING);
+		this.flight.ask();
+	}
+
+	void transmit() {
+		this.flight.permit();
+		transmit(this.target.orElseThrow());
+	}
+
+	private void transmit(AttemptTarget addressee) {
 		boolean safe = this.spec.idempotent()
 				|| (!this.mayHaveRun && (this.claim.isGranted() || (!this.claim.isNeeded() && this.attempts == 0)));
 		if (!this.context.invariants().holds(safe, "non-idempotent-runs-once", Field.of("request", this.spec.id()))) {
@@ -138,14 +167,15 @@
 		}
 		this.attempts++;
 		AttemptId attempt = new AttemptId(this.spec.id(), this.attempts);
-		this.followed = Optional.of(FollowedAttempt.own(attempt, target, this.context.settings().maxAnswerBytes()));
+		this.followed = Optional.of(FollowedAttempt.own(attempt, addressee, this.context.settings().maxAnswerBytes()));
 		this.claim.sent();
 		enterFollowing(RequestPhase.SENT);
-		this.context.emit(new SendStart(attempt, target, new AttemptTraits(this.spec.fingerprint(),
+		this.context.emit(new SendStart(attempt, addressee, new AttemptTraits(this.spec.fingerprint(),
 				this.spec.idempotent(), this.claim.isNeeded(), this.isolation.isHeld())));
 	}
 
 	void join(ClaimRunning running) {
+		this.flight.end(FlightEnd.UNDECIDED);
 		this.isolation.release(IsolationEnd.NOT_RUN);
 		FollowedAttempt source = FollowedAttempt.joined(running, this.context.settings().maxAnswerBytes());
 		this.followed = Optional.of(source);
@@ -179,7 +209,25 @@
 			tryAgain(cause, error);
 		}
 		else {
-			giveUp(this.closing.orElse(error));
+			stop(cause == RetryCause.CRASHED || cause == RetryCause.SIDECAR_LOST, this.closing.orElse(error));
+		}
+	}
+
+	private void giveUpOnceCharged(OperationError error) {
+		this.caller.tell(Outcome.UNKNOWN, Optional.of(error), this.attempts);
+		this.caller.detach();
+		this.followed = Optional.empty();
+		enter(RequestPhase.CHARGING);
+		this.timer = this.context.after(this.context.settings().detachTime());
+	}
+
+	void charged() {
+		this.flight.end(FlightEnd.LOST);
+		if (this.caller.isDetached()) {
+			enter(RequestPhase.DONE);
+		}
+		else {
+			isolate();
 		}
 	}
 
@@ -190,12 +238,13 @@
 		boolean inTime = this.context.after(decision.delay()) < this.deadline;
 		this.context.record(DecisionKind.RETRY, this.spec.id(), (decision.allowed() && inTime) ? "retry" : "stop",
 				Field.of("cause", cause), Field.of("attempts", this.attempts), Field.of("reason", decision.reason()));
+		boolean charging = cause == RetryCause.CRASHED || cause == RetryCause.SIDECAR_LOST;
 		if (!decision.allowed() || !inTime) {
-			giveUp(error);
+			stop(charging, error);
 			return;
 		}
 		this.claim.release();
-		if (cause == RetryCause.CRASHED || cause == RetryCause.SIDECAR_LOST) {
+		if (charging) {
 			this.isolation.suspect();
 			enter(RequestPhase.CHARGING);
 		}
@@ -204,6 +253,15 @@
 		}
 	}
 
+	private void stop(boolean charging, OperationError error) {
+		if (charging) {
+			giveUpOnceCharged(error);
+		}
+		else {
+			giveUp(error);
+		}
+	}
+
 	void backOff(Duration delay) {
 		enter(RequestPhase.BACKING_OFF);
 		if (delay.isZero()) {
@@ -257,6 +315,7 @@
 	void finish(Outcome outcome, Optional<OperationError> error) {
 		this.caller.tell(outcome, error, this.attempts);
 		this.isolation.release(this.followed.isEmpty() ? IsolationEnd.NOT_RUN : IsolationEnd.LOST);
+		this.flight.end((outcome == Outcome.COMPLETED) ? FlightEnd.SURVIVED : FlightEnd.UNDECIDED);
 		this.claim.release();
 		this.followed = Optional.empty();
 		enter(RequestPhase.DONE);
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestMachine.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestMachine.java
@@ -139,6 +139,7 @@
 		}
 		else if (result == IsolationResult.NOT_SUSPECTED) {
 			this.life.isolation().clear();
+			this.life.flight().permit();
 			this.life.route();
 		}
 		else if (result == IsolationResult.QUARANTINED) {
@@ -149,9 +150,26 @@
 		}
 	}
 
+	void flightAnswered(FlightPermit permit) {
+		if (this.life.phase() != RequestPhase.PERMITTING) {
+			return;
+		}
+		if (permit == FlightPermit.GO) {
+			this.life.transmit();
+		}
+		else if (permit == FlightPermit.WAIT) {
+			this.life.wakeAfter(this.life.context().settings().flightPollTime());
+		}
+		else {
+			this.life.isolation().suspect();
+			this.life.claim().release();
+			this.life.isolate();
+		}
+	}
+
 	void crashRecorded() {
 		if (this.life.phase() == RequestPhase.CHARGING) {
-			this.life.isolate();
+			this.life.charged();
 		}
 	}
 
@@ -300,6 +318,9 @@
 		else if (this.life.phase() == RequestPhase.ISOLATING) {
 			this.life.isolate();
 		}
+		else if (this.life.phase() == RequestPhase.PERMITTING) {
+			this.life.askFlight();
+		}
 		else if (this.life.phase() == RequestPhase.SEALING) {
 			this.life.lost(RetryCause.BROKEN, RequestErrors.unsealed());
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestPhase.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestPhase.java
@@ -9,6 +9,8 @@
 	ROUTING,
 	/** Waits for the ledger of claims. */
 	CLAIMING,
+	/** Waits for the guard of its fingerprint. */
+	PERMITTING,
 	/** Was handed to a connection; the sidecar has not answered yet. */
 	SENT,
 	/** Its attempt, or that of an earlier sending, was accepted by a sidecar. */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTracker.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTracker.java
@@ -115,6 +115,9 @@
 		else if (event instanceof ClaimFailed claim) {
 			forRequest(claim.request(), (machine) -> machine.claimFailed(claim.error()));
 		}
+		else if (event instanceof FlightAnswered flight) {
+			forRequest(flight.request(), (machine) -> machine.flightAnswered(flight.permit()));
+		}
 		else if (event instanceof IsolationAnswered isolation) {
 			isolationAnswered(isolation);
 		}
