Add the replicated log core and its disk storage

The control state must survive lost instances, and there is no outside store. Members are named together with the identifier of their data folder, so an emptied folder does not count. The disk storage writes checksummed batches, cuts a torn tail, refuses damage elsewhere and never repeats a failed sync.

--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/BatchEnded.java
@@ -0,0 +1,9 @@
+package org.comfreywall.control.log;
+
+/**
+ * The driver has no further input at the moment; pending entries are written and sent as
+ * one group.
+ */
+public record BatchEnded() implements LogEvent {
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderHandler.java
@@ -0,0 +1,315 @@
+package org.comfreywall.control.log;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.control.state.LogTime;
+
+/**
+ * Leads for one term: takes proposals, replicates them and decides what is committed.
+ */
+final class LeaderHandler {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final ReplicaState state;
+
+	/** One entry for each other member. */
+	private final Map<InstanceId, FollowerProgress> progress = new TreeMap<>();
+
+	private final LeaderLease lease;
+
+	private final LeaderReads reads;
+
+	private final MembershipPolicy membershipPolicy;
+
+	private final long electedAt;
+
+	private final LogTime electedTime;
+
+	private final long barrierIndex;
+
+	private long lastHeartbeat;
+
+	private Optional<LeaderTransfer> transfer = Optional.empty();
+
+	LeaderHandler(ReplicaState state, long now) {
+		this.state = state;
+		this.electedAt = now;
+		this.electedTime = state.log().lastTime();
+		this.lease = new LeaderLease(state, this.progress, now);
+		this.reads = new LeaderReads(state);
+		this.membershipPolicy = new MembershipPolicy(state, this.progress);
+		this.barrierIndex = append(new BarrierContent(), now).index();
+		trackMembers();
+		heartbeat(now);
+	}
+
+	void onTime(long now) {
+		if (!this.lease.heardQuorum(now)) {
+			this.state.follow(this.state.term(), Optional.empty());
+			return;
+		}
+		this.state.heardLeader(now);
+		this.transfer = this.transfer.filter((pending) -> !pending.expired(now));
+		if (now - this.lastHeartbeat >= this.state.settings().heartbeatInterval().toNanos()) {
+			heartbeat(now);
+		}
+	}
+
+	void onCommand(long proposal, Bytes command, long now) {
+		Optional<OperationError> refusal = refusal(command);
+		if (refusal.isPresent()) {
+			this.state.emit(new ProposalRefused(proposal, refusal.get()));
+			return;
+		}
+		this.state.emit(new ProposalAccepted(proposal, append(new CommandContent(command), now)));
+	}
+
+	private Optional<OperationError> refusal(Bytes command) {
+		LogSettings settings = this.state.settings();
+		if (this.transfer.isPresent()) {
+			return error(ErrorCode.UNAVAILABLE, "leadership is being handed over; try again");
+		}
+		if (command.length() > settings.maxCommandBytes()) {
+			return error(ErrorCode.INVALID_INPUT,
+					"the command is larger than " + settings.maxCommandBytes() + " bytes");
+		}
+		if (this.state.log().size() >= settings.maxLogEntries()) {
+			return error(ErrorCode.OVERLOADED, "the log is full until the next snapshot; try again later");
+		}
+		return Optional.empty();
+	}
+
+	private static Optional<OperationError> error(ErrorCode code, String message) {
+		return Optional.of(OperationError.local(code, Step.REPLICATE, message));
+	}
+
+	void onMembership(long proposal, MembershipChange change, long now) {
+		boolean started = this.state.commitIndex() >= this.barrierIndex;
+		Optional<OperationError> refusal = started ? this.membershipPolicy.refusal(change)
+				: error(ErrorCode.UNAVAILABLE, "the leader has not committed in its term yet; try again");
+		if (refusal.isPresent()) {
+			this.state.emit(new ProposalRefused(proposal, refusal.get()));
+			return;
+		}
+		Membership next = this.membershipPolicy.apply(change);
+		this.state.emit(new ProposalAccepted(proposal, append(new MembershipContent(next), now)));
+		trackMembers();
+	}
+
+	void onRead(long read, long now) {
+		long index = Math.max(this.state.commitIndex(), this.barrierIndex);
+		if (holdsLease(now)) {
+			this.state.emit(new ReadReady(read, index));
+		}
+		else {
+			this.reads.add(read, index, now);
+		}
+	}
+
+	void onTransfer(InstanceId target, long now) {
+		boolean voter = this.state.log().membership().find(target).filter(Member::voter).isPresent();
+		if (voter && this.progress.containsKey(target)) {
+			this.transfer = Optional.of(new LeaderTransfer(target, now, this.state.settings().electionTimeout()));
+		}
+	}
+
+	void onAppendReply(PeerMessage message, AppendReply reply, long now) {
+		Optional<FollowerProgress> found = progressOf(message);
+		if (found.isEmpty()) {
+			return;
+		}
+		FollowerProgress peer = found.get();
+		peer.onContact(reply.sentNanos(), now);
+		if (!reply.accepted()) {
+			peer.onRefused(reply.index());
+			replicate(message.from(), peer, now, true);
+		}
+		else if (this.state.holds(reply.index() <= this.state.log().lastIndex(), "acknowledged-entry-was-sent",
+				Field.of("peer", message.from()), Field.of("index", reply.index()))) {
+			peer.onAccepted(reply.index());
+		}
+		afterReply(now);
+	}
+
+	void onSnapshotReply(PeerMessage message, SnapshotReply reply, long now) {
+		Optional<FollowerProgress> found = progressOf(message);
+		if (found.isEmpty()) {
+			return;
+		}
+		FollowerProgress peer = found.get();
+		peer.onContact(reply.sentNanos(), now);
+		boolean current = peer.snapshot().filter((image) -> image.position().index() == reply.index()).isPresent();
+		if (current && reply.installed()) {
+			peer.snapshotInstalled(reply.index());
+		}
+		else if (current && reply.nextOffset() != peer.snapshotOffset()) {
+			peer.snapshotOffset(reply.nextOffset());
+			replicate(message.from(), peer, now, true);
+		}
+		afterReply(now);
+	}
+
+	// Ignores members that were replaced and folders that are not the member's own.
+	private Optional<FollowerProgress> progressOf(PeerMessage message) {
+		return this.state.log()
+			.membership()
+			.find(message.from())
+			.filter((member) -> member.is(message.from(), message.fromStorageId()))
+			.map((member) -> this.progress.get(member.instance()));
+	}
+
+	private void afterReply(long now) {
+		advanceCommit();
+		this.reads.confirm(this.lease.age(now), now);
+	}
+
+	void onSynced(long now) {
+		afterReply(now);
+	}
+
+	// Sends everything proposed since the last call as one group.
+	void onBatchEnd(long now) {
+		if (this.reads.needConfirmation(this.lastHeartbeat)) {
+			heartbeat(now);
+		}
+		else {
+			this.progress.forEach((peer, known) -> replicate(peer, known, now, false));
+		}
+		this.transfer.ifPresent((pending) -> handOverIfReady(pending.target()));
+	}
+
+	private void handOverIfReady(InstanceId target) {
+		FollowerProgress peer = this.progress.get(target);
+		if (peer != null && peer.matchIndex() == this.state.log().lastIndex()) {
+			this.state.send(target, new TransferRequest());
+			// Stepping down first ends the lease before the target can win.
+			this.state.follow(this.state.term(), Optional.empty());
+		}
+	}
+
+	void stop() {
+		this.reads.refuseAll();
+	}
+
+	// Tells whether no other instance can have been elected up to now.
+	boolean holdsLease(long now) {
+		return this.state.commitIndex() >= this.barrierIndex && this.lease.holds(now);
+	}
+
+	private LogPosition append(EntryContent content, long now) {
+		LogPosition position = new LogPosition(this.state.log().lastIndex() + 1, this.state.term());
+		long elapsed = (now - this.electedAt) / NANOS_PER_MILLI;
+		this.state.log().append(new LogEntry(position, LogTime.of(this.electedTime.millis() + elapsed), content));
+		return position;
+	}
+
+	private void trackMembers() {
+		Membership membership = this.state.log().membership();
+		this.progress.keySet().removeIf((peer) -> membership.find(peer).isEmpty());
+		membership.members()
+			.stream()
+			.map(Member::instance)
+			.filter((peer) -> !peer.equals(this.state.self()))
+			.forEach((peer) -> this.progress.computeIfAbsent(peer,
+					(added) -> new FollowerProgress(this.state.log().lastIndex() + 1)));
+	}
+
+	private void heartbeat(long now) {
+		this.lastHeartbeat = now;
+		this.progress.forEach((peer, known) -> replicate(peer, known, now, true));
+	}
+
+	private void replicate(InstanceId peer, FollowerProgress known, long now, boolean heartbeat) {
+		if (known.snapshot().isEmpty() && known.nextIndex() <= this.state.log().base().index()) {
+			this.state.snapshot()
+				.map((snapshot) -> SnapshotImage.of(snapshot, this.state.settings().snapshotChunkBytes()))
+				.ifPresent(known::startSnapshot);
+		}
+		if (known.snapshot().isPresent()) {
+			sendChunk(peer, known, now, heartbeat);
+		}
+		else if (known.probing()) {
+			sendProbe(peer, known, now, heartbeat);
+		}
+		else {
+			sendEntries(peer, known, now, heartbeat);
+		}
+	}
+
+	private void sendChunk(InstanceId peer, FollowerProgress known, long now, boolean heartbeat) {
+		if (heartbeat) {
+			known.snapshot().ifPresent((image) -> this.state.send(peer, image.chunkAt(known.snapshotOffset(), now)));
+		}
+	}
+
+	private void sendProbe(InstanceId peer, FollowerProgress known, long now, boolean heartbeat) {
+		if (heartbeat) {
+			sendAppend(peer, known, now, 0);
+		}
+	}
+
+	private void sendEntries(InstanceId peer, FollowerProgress known, long now, boolean heartbeat) {
+		LogSettings settings = this.state.settings();
+		boolean sent = false;
+		while (known.nextIndex() <= this.state.log().lastIndex()
+				&& known.nextIndex() - known.matchIndex() <= settings.maxInFlightEntries()) {
+			sendAppend(peer, known, now, settings.maxAppendEntries());
+			sent = true;
+		}
+		if (heartbeat && !sent) {
+			sendAppend(peer, known, now, 0);
+		}
+	}
+
+	private void sendAppend(InstanceId peer, FollowerProgress known, long now, int maxEntries) {
+		EntryLog log = this.state.log();
+		long previous = known.nextIndex() - 1;
+		LogPosition position = log.termAt(previous).map((term) -> new LogPosition(previous, term)).orElseThrow();
+		AppendRequest request = new AppendRequest(position, this.state.commitIndex(), now,
+				log.limited(known.nextIndex(), maxEntries, this.state.settings().maxAppendBytes()));
+		this.state.send(peer, request);
+		known.sentUpTo(previous + request.entries().size());
+	}
+
+	private void advanceCommit() {
+		long quorumIndex = quorumIndex();
+		boolean ownTerm = this.state.log().termAt(quorumIndex).filter(this.state.term()::equals).isPresent();
+		if (!ownTerm || quorumIndex <= this.state.commitIndex()) {
+			return;
+		}
+		this.state.commitTo(quorumIndex);
+		boolean removed = this.state.log().membership().find(this.state.self()).isEmpty();
+		if (removed && this.state.log().membershipIndex() <= this.state.commitIndex()) {
+			heartbeat(this.lastHeartbeat);
+			this.state.follow(this.state.term(), Optional.empty());
+		}
+	}
+
+	// Finds the greatest index that a quorum holds on synced disk.
+	private long quorumIndex() {
+		Membership membership = this.state.log().membership();
+		long[] held = membership.voters()
+			.stream()
+			.mapToLong((voter) -> syncedIndex(voter.instance()))
+			.sorted()
+			.toArray();
+		return (held.length == 0) ? 0 : held[held.length - membership.quorum()];
+	}
+
+	private long syncedIndex(InstanceId voter) {
+		if (voter.equals(this.state.self())) {
+			return this.state.syncs().syncedIndex();
+		}
+		return this.progress.get(voter).matchIndex();
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogEntry.java
@@ -0,0 +1,33 @@
+package org.comfreywall.control.log;
+
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.control.state.LogTime;
+
+/**
+ * One entry of the replicated log.
+ *
+ * @param position the entry's position
+ * @param time the log time proposed by the leader
+ * @param content what the entry carries
+ */
+public record LogEntry(LogPosition position, LogTime time, EntryContent content) {
+
+	public LogEntry {
+		Preconditions.notNull(position, "position");
+		Preconditions.notNull(time, "time");
+		Preconditions.notNull(content, "content");
+	}
+
+	/**
+	 * Returns the entry's index.
+	 * @return the index
+	 */
+	public long index() {
+		return this.position.index();
+	}
+
+	int size() {
+		return (this.content instanceof CommandContent command) ? command.command().length() : 0;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogEvent.java
@@ -0,0 +1,9 @@
+package org.comfreywall.control.log;
+
+/**
+ * An input of the replicated log.
+ */
+public sealed interface LogEvent permits TimePassed, MessageReceived, CommandProposed, MembershipProposed,
+		ReadRequested, BatchSynced, BatchEnded, SnapshotTaken, TransferRequested, StorageFailed {
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/MembershipContent.java
@@ -0,0 +1,16 @@
+package org.comfreywall.control.log;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The members from this entry on.
+ *
+ * @param membership the members
+ */
+public record MembershipContent(Membership membership) implements EntryContent {
+
+	public MembershipContent {
+		Preconditions.notNull(membership, "membership");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ReadReady.java
@@ -0,0 +1,11 @@
+package org.comfreywall.control.log;
+
+/**
+ * A read may be answered once the given index is applied.
+ *
+ * @param read the read
+ * @param index the index
+ */
+public record ReadReady(long read, long index) implements LogCommand {
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/SaveSnapshot.java
@@ -0,0 +1,18 @@
+package org.comfreywall.control.log;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Save a snapshot on synced disk and report {@link BatchSynced}.
+ *
+ * @param sequence the number to report
+ * @param compaction the snapshot and the part of the log that is kept
+ * @param restore whether the state machine must be restored from it
+ */
+public record SaveSnapshot(long sequence, Compaction compaction, boolean restore) implements LogCommand {
+
+	public SaveSnapshot {
+		Preconditions.notNull(compaction, "compaction");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/SendMessage.java
@@ -0,0 +1,16 @@
+package org.comfreywall.control.log;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Send a message to a peer; it may be lost.
+ *
+ * @param message the message
+ */
+public record SendMessage(PeerMessage message) implements LogCommand {
+
+	public SendMessage {
+		Preconditions.notNull(message, "message");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/StorageFailed.java
@@ -0,0 +1,17 @@
+package org.comfreywall.control.log;
+
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Durable storage has failed; the instance takes no further part.
+ *
+ * @param error what failed
+ */
+public record StorageFailed(OperationError error) implements LogEvent {
+
+	public StorageFailed {
+		Preconditions.notNull(error, "error");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/SyncBatch.java
@@ -0,0 +1,17 @@
+package org.comfreywall.control.log;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Write a batch, sync it and report {@link BatchSynced}.
+ *
+ * @param sequence the number to report
+ * @param batch the batch
+ */
+public record SyncBatch(long sequence, LogBatch batch) implements LogCommand {
+
+	public SyncBatch {
+		Preconditions.notNull(batch, "batch");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/VoteRequest.java
@@ -0,0 +1,18 @@
+package org.comfreywall.control.log;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Asks for a vote. The message carries the term that the candidate stands for.
+ *
+ * @param preVote whether only the readiness to vote is asked for
+ * @param leaderTransfer whether the leader itself asked the candidate to stand
+ * @param last the last position of the candidate's log
+ */
+public record VoteRequest(boolean preVote, boolean leaderTransfer, LogPosition last) implements PeerBody {
+
+	public VoteRequest {
+		Preconditions.notNull(last, "last");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/DiskStorage.java
@@ -0,0 +1,232 @@
+package org.comfreywall.control.storage;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.Optional;
+
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.log.EventLog;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.control.log.Compaction;
+import org.comfreywall.control.log.DurableState;
+import org.comfreywall.control.log.LogBatch;
+import org.comfreywall.control.log.LogCodec;
+
+/**
+ * Keeps the replicated log in segment files with checksums in one data folder.
+ */
+public final class DiskStorage implements LogStorage {
+
+	/** The size in bytes beyond which a new segment is started. */
+	public static final long DEFAULT_SEGMENT_BYTES = 64L << 20;
+
+	private static final EventLog LOG = EventLog.of(DiskStorage.class);
+
+	private final DataFolder folder;
+
+	private final FileSync fileSync;
+
+	private final long segmentBytes;
+
+	private final SecureRandom random = new SecureRandom();
+
+	private final long storageId;
+
+	private final DurableState recovered;
+
+	private long nextSequence;
+
+	private Segment segment;
+
+	private boolean unsynced;
+
+	private Optional<OperationError> failure = Optional.empty();
+
+	private DiskStorage(DataFolder folder, FileSync fileSync, long segmentBytes, FolderOrigin origin)
+			throws IOException {
+		this.folder = folder;
+		this.fileSync = fileSync;
+		this.segmentBytes = segmentBytes;
+		FolderFormat format = folder.format(origin.instance(), origin.storageId());
+		this.storageId = format.storageId();
+		if (format.fresh()) {
+			createFirstSegment(origin);
+			folder.writeFormat(format);
+		}
+		SegmentRecovery recovery = new SegmentRecovery(folder, fileSync);
+		this.recovered = recovery.recover();
+		this.nextSequence = recovery.nextSequence();
+		this.segment = newSegment(false);
+	}
+
+	/**
+	 * Opens a data folder, creating it if need be.
+	 * @param path the folder
+	 * @param origin whose folder it is and what an empty one starts with
+	 * @param segmentBytes the size in bytes beyond which a new segment is started
+	 * @return the storage, or an error that says what to do
+	 */
+	public static Result<DiskStorage> open(Path path, FolderOrigin origin, long segmentBytes) {
+		return open(path, origin, segmentBytes, FileSync.FORCE);
+	}
+
+	static Result<DiskStorage> open(Path path, FolderOrigin origin, long segmentBytes, FileSync fileSync) {
+		Preconditions.notNull(path, "path");
+		Preconditions.notNull(origin, "origin");
+		Preconditions.check(segmentBytes >= 1, "segmentBytes must be at least 1: %d", segmentBytes);
+		try {
+			DataFolder folder = DataFolder.lock(path, fileSync);
+			return Result.success(openLocked(folder, origin, segmentBytes, fileSync));
+		}
+		catch (IOException | UncheckedIOException ex) {
+			return Result.failure(OperationError.local(ErrorCode.STORAGE, Step.STORE,
+					"the data folder cannot be opened: " + ex.getMessage()));
+		}
+	}
+
+	private static DiskStorage openLocked(DataFolder folder, FolderOrigin origin, long segmentBytes, FileSync fileSync)
+			throws IOException {
+		try {
+			return new DiskStorage(folder, fileSync, segmentBytes, origin);
+		}
+		catch (IOException ex) {
+			folder.close();
+			throw ex;
+		}
+	}
+
+	@Override
+	public long storageId() {
+		return this.storageId;
+	}
+
+	@Override
+	public DurableState recovered() {
+		return this.recovered;
+	}
+
+	@Override
+	public Optional<OperationError> write(LogBatch batch) {
+		return attempt("write", () -> {
+			if (this.unsynced) {
+				syncSegment(this.segment);
+			}
+			if (this.segment.bytes() > this.segmentBytes) {
+				roll();
+			}
+			append(LogCodec.encodeBatch(batch).toArray());
+		});
+	}
+
+	@Override
+	public Optional<OperationError> sync() {
+		return attempt("sync", () -> syncSegment(this.segment));
+	}
+
+	@Override
+	public Optional<OperationError> save(Compaction compaction) {
+		return attempt("snapshot", () -> {
+			syncSegment(this.segment);
+			SnapshotFiles.write(this.folder, compaction.snapshot());
+			long firstKept = this.nextSequence;
+			this.segment.close();
+			this.segment = newSegment(true);
+			append(LogCodec.encodeKept(compaction).toArray());
+			syncSegment(this.segment);
+			deleteSegmentsBefore(firstKept);
+			SnapshotFiles.deleteOlderThan(this.folder, compaction.snapshot());
+			this.folder.syncNames();
+		});
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.segment.close();
+			this.folder.close();
+		}
+		catch (IOException ex) {
+			LOG.warn("close-failed", Field.of("error", ex.getMessage()));
+		}
+	}
+
+	private void createFirstSegment(FolderOrigin origin) throws IOException {
+		this.nextSequence = 1;
+		this.segment = newSegment(true);
+		append(LogCodec.encodeBatch(origin.firstBatch()).toArray());
+		syncSegment(this.segment);
+		this.segment.close();
+	}
+
+	// Writes one frame. A frame is only written after the one before it is synced, so
+	// that recovery can tell a torn tail from damage.
+	private void append(byte[] body) throws IOException {
+		this.unsynced = true;
+		this.segment.append(this.nextSequence, body);
+		this.nextSequence++;
+	}
+
+	private void roll() throws IOException {
+		syncSegment(this.segment);
+		this.segment.close();
+		this.segment = newSegment(false);
+	}
+
+	private Segment newSegment(boolean startsLog) throws IOException {
+		SegmentHeader header = new SegmentHeader(this.random.nextLong(), this.nextSequence, startsLog);
+		Path file = this.folder.file(Segment.name(this.nextSequence));
+		Files.deleteIfExists(file);
+		Segment created = Segment.create(file, header, this.fileSync);
+		this.folder.syncNames();
+		return created;
+	}
+
+	private void deleteSegmentsBefore(long sequence) throws IOException {
+		for (Path file : this.folder.files(Segment.PREFIX)) {
+			if (file.getFileName().toString().compareTo(Segment.name(sequence)) < 0) {
+				Files.delete(file);
+			}
+		}
+	}
+
+	private void syncSegment(Segment synced) throws IOException {
+		try {
+			synced.sync(this.fileSync);
+			this.unsynced = false;
+		}
+		catch (IOException ex) {
+			this.folder.markSyncFailed();
+			throw ex;
+		}
+	}
+
+	private Optional<OperationError> attempt(String action, Action call) {
+		if (this.failure.isPresent()) {
+			return this.failure;
+		}
+		try {
+			call.run();
+		}
+		catch (IOException ex) {
+			this.failure = Optional.of(OperationError.local(ErrorCode.STORAGE, Step.STORE,
+					"the " + action + " failed and is not tried again: " + ex.getMessage()));
+			LOG.error("storage-failed", Field.of("action", action), Field.of("error", ex.getMessage()));
+		}
+		return this.failure;
+	}
+
+	/** An action on files. */
+	private interface Action {
+
+		void run() throws IOException;
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/Segment.java
@@ -0,0 +1,95 @@
+package org.comfreywall.control.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.zip.CRC32C;
+
+/**
+ * A segment file open for appending frames, each written and synced as a whole.
+ */
+final class Segment implements AutoCloseable {
+
+	static final String PREFIX = "log-";
+
+	static final int HEADER_BYTES = 29;
+
+	static final int FRAME_HEADER_BYTES = 20;
+
+	static final long MAGIC = 0x43465257414c4c31L;
+
+	private final FileChannel channel;
+
+	private final long salt;
+
+	private long bytes;
+
+	private Segment(FileChannel channel, long salt) {
+		this.channel = channel;
+		this.salt = salt;
+		this.bytes = HEADER_BYTES;
+	}
+
+	static String name(long firstSequence) {
+		return String.format("%s%020d", PREFIX, firstSequence);
+	}
+
+	// Creates a file with a synced header. The salt keeps bytes inside commands from
+	// being taken for frames.
+	static Segment create(Path file, SegmentHeader header, FileSync fileSync) throws IOException {
+		FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+		try {
+			writeFully(channel, header.encode());
+			fileSync.sync(channel);
+			return new Segment(channel, header.salt());
+		}
+		catch (IOException ex) {
+			channel.close();
+			throw ex;
+		}
+	}
+
+	long bytes() {
+		return this.bytes;
+	}
+
+	void append(long sequence, byte[] body) throws IOException {
+		ByteBuffer frame = ByteBuffer.allocate(FRAME_HEADER_BYTES + body.length);
+		frame.putInt(body.length).putLong(sequence).putInt(crc(body, 0, body.length));
+		frame.putInt(headerCrc(this.salt, frame.array(), 0)).put(body);
+		writeFully(this.channel, frame.array());
+		this.bytes += frame.capacity();
+	}
+
+	void sync(FileSync fileSync) throws IOException {
+		fileSync.sync(this.channel);
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.channel.close();
+	}
+
+	static int headerCrc(long salt, byte[] content, int offset) {
+		CRC32C crc = new CRC32C();
+		crc.update(ByteBuffer.allocate(Long.BYTES).putLong(0, salt));
+		crc.update(content, offset, FRAME_HEADER_BYTES - Integer.BYTES);
+		return (int) crc.getValue();
+	}
+
+	static int crc(byte[] content, int offset, int length) {
+		CRC32C crc = new CRC32C();
+		crc.update(content, offset, length);
+		return (int) crc.getValue();
+	}
+
+	static void writeFully(FileChannel channel, byte[] content) throws IOException {
+		ByteBuffer buffer = ByteBuffer.wrap(content);
+		while (buffer.hasRemaining()) {
+			channel.write(buffer);
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Durable storage of the replicated log.
+ */
+package org.comfreywall.control.storage;
