Add the state machine of the configuration and the control node

A rollback is a new revision. The control node is one thread that drains a bounded ring, syncs what a group of inputs led to once, and applies what is committed.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderHandler.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderHandler.java
@@ -205,6 +205,10 @@
 		return this.state.commitIndex() >= this.barrierIndex && this.lease.holds(now);
 	}
 
+	long leaseUntil(long now) {
+		return this.lease.until(now);
+	}
+
 	private LogPosition append(EntryContent content, long now) {
 		LogPosition position = new LogPosition(this.state.log().lastIndex() + 1, this.state.term());
 		long elapsed = (now - this.electedAt) / NANOS_PER_MILLI;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderLease.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderLease.java
@@ -35,6 +35,10 @@
 		return age(now) < this.state.settings().leaseDuration().toNanos();
 	}
 
+	long until(long now) {
+		return now - age(now) + this.state.settings().leaseDuration().toNanos();
+	}
+
 	// Tells whether a quorum answered within the election timeout or the term is younger.
 	boolean heardQuorum(long now) {
 		long timeout = this.state.settings().electionTimeout().toNanos();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaCore.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaCore.java
@@ -70,7 +70,9 @@
 	 * @return the status
 	 */
 	public ReplicaStatus status(long now) {
-		return new ReplicaStatus(this.state.role(), this.state.term(), this.state.leader(), holdsLease(now),
+		boolean holdsLease = holdsLease(now);
+		long leaseUntil = holdsLease ? this.leading.orElseThrow().leaseUntil(now) : now;
+		return new ReplicaStatus(this.state.role(), this.state.term(), this.state.leader(), holdsLease, leaseUntil,
 				this.state.commitIndex(), this.state.log().lastIndex(), this.state.syncs().syncedIndex(),
 				this.state.log().size(), this.state.log().membership());
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaStatus.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaStatus.java
@@ -13,14 +13,16 @@
  * @param term the newest term seen
  * @param leader the leader of that term, if known
  * @param holdsLease whether the instance leads and no other one can have been elected
+ * @param leaseUntil the monotonic clock's reading, in nanoseconds, at which the lease
+ * ends; without meaning unless the lease is held
  * @param commitIndex the last index known to be committed
  * @param lastIndex the last index in the log
  * @param syncedIndex the last index on synced disk
  * @param logEntries the number of entries in memory
  * @param membership the members in force
  */
-public record ReplicaStatus(Role role, Term term, Optional<InstanceId> leader, boolean holdsLease, long commitIndex,
-		long lastIndex, long syncedIndex, int logEntries, Membership membership) {
+public record ReplicaStatus(Role role, Term term, Optional<InstanceId> leader, boolean holdsLease, long leaseUntil,
+		long commitIndex, long lastIndex, long syncedIndex, int logEntries, Membership membership) {
 
 	public ReplicaStatus {
 		Preconditions.notNull(role, "role");
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNode.java
@@ -0,0 +1,279 @@
+package org.comfreywall.control.runtime;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.log.EventLog;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.time.Clock;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.control.log.CommandProposed;
+import org.comfreywall.control.log.LogEvent;
+import org.comfreywall.control.log.MembershipChange;
+import org.comfreywall.control.log.MembershipProposed;
+import org.comfreywall.control.log.MessageReceived;
+import org.comfreywall.control.log.PeerMessage;
+import org.comfreywall.control.log.ReadRequested;
+import org.comfreywall.control.log.ReplicaStatus;
+import org.comfreywall.control.log.TransferRequested;
+import org.comfreywall.control.state.StateMachine;
+
+/**
+ * One control instance: a thread that feeds the replicated log from a bounded ring and
+ * applies what is committed to the state machine.
+ * <p>
+ * All methods may be called on any thread and do not block. Futures complete on the
+ * node's thread, so what is chained to them must not block. A future never completes
+ * exceptionally: a failure is a {@link Result} with an error. {@code DEADLINE_EXCEEDED}
+ * means that the outcome is unknown; send the same command again.
+ */
+public final class ControlNode implements AutoCloseable {
+
+	private static final EventLog LOG = EventLog.of(ControlNode.class);
+
+	private static final int TICKS_PER_HEARTBEAT = 4;
+
+	private static final int DEADLINE_CHECKS_PER_TIMEOUT = 8;
+
+	private final ControlNodeSettings settings;
+
+	private final Clock clock;
+
+	private final ControlNodeMetrics metrics;
+
+	private final BlockingQueue<Runnable> ring;
+
+	private final NodeEngine engine;
+
+	private final Thread thread;
+
+	private volatile ReplicaStatus status;
+
+	private volatile boolean closed;
+
+	private volatile boolean ended;
+
+	private ControlNode(ControlNodeParts parts, ControlNodeSettings settings) {
+		this.settings = settings;
+		this.clock = parts.clock();
+		this.ring = new ArrayBlockingQueue<>(settings.ringCapacity());
+		this.metrics = new ControlNodeMetrics(parts.metrics(), () -> this.status);
+		this.engine = new NodeEngine(parts, settings, this.metrics);
+		this.status = this.engine.status();
+		this.thread = new Thread(this::run, "control-" + parts.instance());
+	}
+
+	/**
+	 * Starts a node.
+	 * @param parts what the node works with; it closes the storage when it is closed
+	 * @param settings the settings
+	 * @return the running node
+	 */
+	public static ControlNode start(ControlNodeParts parts, ControlNodeSettings settings) {
+		Preconditions.notNull(parts, "parts");
+		Preconditions.notNull(settings, "settings");
+		ControlNode node = new ControlNode(parts, settings);
+		node.thread.start();
+		return node;
+	}
+
+	/**
+	 * Takes a message from another control instance. The message is dropped if the ring
+	 * is full.
+	 * @param message the message
+	 */
+	public void receive(PeerMessage message) {
+		Preconditions.notNull(message, "message");
+		offer(new MessageReceived(message));
+	}
+
+	/**
+	 * Proposes a command for the state machine.
+	 * @param command a command encoded by
+	 * {@link org.comfreywall.control.state.LedgerCommand#encode()}
+	 * @return the state machine's answer once the command is durable on a quorum, or an
+	 * error naming the leader as its peer if this instance does not lead
+	 */
+	public CompletableFuture<Result<Bytes>> propose(Bytes command) {
+		Preconditions.notNull(command, "command");
+		return submit((id) -> new CommandProposed(id, command));
+	}
+
+	/**
+	 * Adds, promotes or removes a control instance.
+	 * @param change the change
+	 * @return an empty value once the change is durable on a quorum, or an error
+	 */
+	public CompletableFuture<Result<Bytes>> changeMembers(MembershipChange change) {
+		Preconditions.notNull(change, "change");
+		return submit((id) -> new MembershipProposed(id, change));
+	}
+
+	private CompletableFuture<Result<Bytes>> submit(Function<Long, LogEvent> event) {
+		CompletableFuture<Result<Bytes>> future = new CompletableFuture<>();
+		long since = this.clock.nanoTime();
+		if (!this.ring.offer(() -> this.engine.submit(future, since, event))) {
+			future.complete(Result.failure(overflow()));
+		}
+		return closedAware(future);
+	}
+
+	/**
+	 * Reads the state, seeing every change that was acknowledged before the call.
+	 * @param <T> the type of the value read
+	 * @param query reads the state on the node's thread; must be quick, not change the
+	 * state and not return {@code null}
+	 * @return the value, or an error naming the leader as its peer if this instance does
+	 * not lead
+	 */
+	public <T> CompletableFuture<Result<T>> read(Function<StateMachine, T> query) {
+		Preconditions.notNull(query, "query");
+		CompletableFuture<Result<T>> future = new CompletableFuture<>();
+		Consumer<OperationError> onError = (error) -> future.complete(Result.failure(error));
+		long since = this.clock.nanoTime();
+		Runnable action = () -> future.complete(answer(query));
+		if (!this.ring.offer(() -> this.engine.read(new PendingRead(action, onError, since), ReadRequested::new))) {
+			onError.accept(overflow());
+		}
+		return closedAware(future);
+	}
+
+	private <T> Result<T> answer(Function<StateMachine, T> query) {
+		try {
+			return Result.success(query.apply(this.engine.machine()));
+		}
+		catch (RuntimeException ex) {
+			return Result
+				.failure(OperationError.local(ErrorCode.INVALID_INPUT, Step.REPLICATE, "the read failed: " + ex));
+		}
+	}
+
+	/**
+	 * Asks this instance, if it leads, to hand leadership over.
+	 * @param target the voter that is to lead
+	 */
+	public void transferLeadership(InstanceId target) {
+		Preconditions.notNull(target, "target");
+		offer(new TransferRequested(target));
+	}
+
+	/**
+	 * Returns what the node knew after its last group of inputs.
+	 * @return the status
+	 */
+	public ReplicaStatus status() {
+		return this.status;
+	}
+
+	/**
+	 * Tells whether this instance leads and no other one can have been elected up to now.
+	 * To be asked right before each order is sent.
+	 * @return {@code true} while the lease runs
+	 */
+	public boolean holdsLease() {
+		ReplicaStatus known = this.status;
+		return known.holdsLease() && this.clock.nanoTime() - known.leaseUntil() < 0;
+	}
+
+	/**
+	 * Stops the node and closes its storage; waits for the node's thread. Must not be
+	 * called on that thread.
+	 */
+	@Override
+	public void close() {
+		this.closed = true;
+		try {
+			this.thread.join();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void offer(LogEvent event) {
+		if (!this.ring.offer(() -> this.engine.handle(event))) {
+			this.metrics.overflows().inc();
+		}
+	}
+
+	private OperationError overflow() {
+		this.metrics.overflows().inc();
+		return OperationError.local(ErrorCode.OVERLOADED, Step.REPLICATE,
+				"too much input waits for the control node; try again later");
+	}
+
+	// The thread may have ended between the check of the ring and the offer.
+	private <T> CompletableFuture<T> closedAware(CompletableFuture<T> future) {
+		if (this.ended) {
+			refuseWaiting();
+		}
+		return future;
+	}
+
+	private synchronized void refuseWaiting() {
+		this.engine.stop();
+		drain(Integer.MAX_VALUE);
+	}
+
+	private void run() {
+		long tick = this.settings.log().heartbeatInterval().toNanos() / TICKS_PER_HEARTBEAT;
+		long nextTick = this.clock.nanoTime();
+		long nextDeadlineCheck = nextTick;
+		try {
+			while (!this.closed) {
+				await(nextTick - this.clock.nanoTime());
+				drain(this.settings.maxGroup() - 1);
+				long now = this.clock.nanoTime();
+				if (now - nextTick >= 0) {
+					this.engine.onTime();
+					nextTick = now + tick;
+				}
+				if (now - nextDeadlineCheck >= 0) {
+					this.engine.expire();
+					nextDeadlineCheck = now + this.settings.proposalTimeout().toNanos() / DEADLINE_CHECKS_PER_TIMEOUT;
+				}
+				this.engine.endGroup();
+				this.status = this.engine.status();
+			}
+		}
+		catch (RuntimeException ex) {
+			LOG.error("control-node-failed", Field.of("error", ex));
+		}
+		finally {
+			this.ended = true;
+			refuseWaiting();
+			this.status = this.engine.status();
+		}
+	}
+
+	private void await(long nanos) {
+		try {
+			Runnable first = this.ring.poll(Math.max(nanos, 0), TimeUnit.NANOSECONDS);
+			if (first != null) {
+				first.run();
+			}
+		}
+		catch (InterruptedException ex) {
+			this.closed = true;
+		}
+	}
+
+	private void drain(int limit) {
+		List<Runnable> inputs = new ArrayList<>();
+		this.ring.drainTo(inputs, limit);
+		inputs.forEach(Runnable::run);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingCalls.java
@@ -0,0 +1,148 @@
+package org.comfreywall.control.runtime;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.control.log.LogPosition;
+
+/**
+ * Proposals and reads that wait for the log; bounded by the node's ring and log.
+ */
+final class PendingCalls {
+
+	private final Map<Long, PendingProposal> submitted = new HashMap<>();
+
+	private final TreeMap<Long, PendingProposal> accepted = new TreeMap<>();
+
+	private final Map<Long, PendingRead> reads = new HashMap<>();
+
+	private final TreeMap<Long, List<PendingRead>> confirmedReads = new TreeMap<>();
+
+	private long nextId = 1;
+
+	long add(PendingProposal proposal) {
+		this.submitted.put(this.nextId, proposal);
+		return this.nextId++;
+	}
+
+	long add(PendingRead read) {
+		this.reads.put(this.nextId, read);
+		return this.nextId++;
+	}
+
+	void accepted(long id, LogPosition position) {
+		PendingProposal proposal = this.submitted.remove(id);
+		if (proposal == null) {
+			return;
+		}
+		PendingProposal replaced = this.accepted.put(position.index(), proposal.at(position));
+		if (replaced != null) {
+			replaced.fail(replacedByOther());
+		}
+	}
+
+	void refused(long id, OperationError error) {
+		PendingProposal proposal = this.submitted.remove(id);
+		if (proposal != null) {
+			proposal.fail(error);
+		}
+	}
+
+	// Completes the proposal at an applied position.
+	void applied(LogPosition position, Result<Bytes> answer) {
+		PendingProposal proposal = this.accepted.remove(position.index());
+		if (proposal == null) {
+			return;
+		}
+		if (proposal.isAt(position)) {
+			proposal.complete(answer);
+		}
+		else {
+			proposal.fail(replacedByOther());
+		}
+	}
+
+	private static OperationError replacedByOther() {
+		return OperationError.local(ErrorCode.UNAVAILABLE, Step.REPLICATE,
+				"the proposal was not accepted because another instance leads now; submit it again there");
+	}
+
+	void readReady(long id, long index, long appliedIndex) {
+		PendingRead read = this.reads.remove(id);
+		if (read == null) {
+			return;
+		}
+		if (index <= appliedIndex) {
+			read.run();
+		}
+		else {
+			this.confirmedReads.computeIfAbsent(index, (unused) -> new ArrayList<>()).add(read);
+		}
+	}
+
+	void readRefused(long id, OperationError error) {
+		PendingRead read = this.reads.remove(id);
+		if (read != null) {
+			read.fail(error);
+		}
+	}
+
+	void runReadsUpTo(long appliedIndex) {
+		Map<Long, List<PendingRead>> ready = this.confirmedReads.headMap(appliedIndex, true);
+		ready.values().forEach((reads) -> reads.forEach(PendingRead::run));
+		ready.clear();
+	}
+
+	// Fails what was submitted before the given clock reading.
+	void expireBefore(long deadline) {
+		OperationError error = OperationError.local(ErrorCode.DEADLINE_EXCEEDED, Step.REPLICATE,
+				"no quorum answered in time; the outcome is unknown, so send the same change again");
+		expire(this.submitted.values().iterator(), deadline, error);
+		expire(this.accepted.values().iterator(), deadline, error);
+		expireReads(this.reads.values().iterator(), deadline, error);
+		this.confirmedReads.values().forEach((reads) -> expireReads(reads.iterator(), deadline, error));
+	}
+
+	private static void expire(Iterator<PendingProposal> proposals, long deadline, OperationError error) {
+		while (proposals.hasNext()) {
+			PendingProposal proposal = proposals.next();
+			if (proposal.since() - deadline < 0) {
+				proposals.remove();
+				proposal.fail(error);
+			}
+		}
+	}
+
+	private static void expireReads(Iterator<PendingRead> reads, long deadline, OperationError error) {
+		while (reads.hasNext()) {
+			PendingRead read = reads.next();
+			if (read.since() - deadline < 0) {
+				reads.remove();
+				read.fail(error);
+			}
+		}
+	}
+
+	void failAll(OperationError error) {
+		List<PendingProposal> proposals = new ArrayList<>(this.submitted.values());
+		proposals.addAll(this.accepted.values());
+		List<PendingRead> waiting = new ArrayList<>(this.reads.values());
+		this.confirmedReads.values().forEach(waiting::addAll);
+		this.submitted.clear();
+		this.accepted.clear();
+		this.reads.clear();
+		this.confirmedReads.clear();
+		proposals.forEach((proposal) -> proposal.fail(error));
+		waiting.forEach((read) -> read.fail(error));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingRead.java
@@ -0,0 +1,24 @@
+package org.comfreywall.control.runtime;
+
+import java.util.function.Consumer;
+
+import org.comfreywall.common.result.OperationError;
+
+/**
+ * A read that waits until the state is recent enough.
+ *
+ * @param action reads the state and completes the caller's future
+ * @param onError fails the caller's future
+ * @param since the clock reading at which it was submitted
+ */
+record PendingRead(Runnable action, Consumer<OperationError> onError, long since) {
+
+	void run() {
+		this.action.run();
+	}
+
+	void fail(OperationError error) {
+		this.onError.accept(error);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationLedger.java
@@ -0,0 +1,234 @@
+package org.comfreywall.control.state;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.comfreywall.common.config.Configuration;
+import org.comfreywall.common.id.ChangeId;
+import org.comfreywall.common.id.Revision;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.control.generated.ConfigurationLedgerRecord;
+
+/**
+ * The configuration with its history.
+ * <p>
+ * A change is accepted only if it expects the revision in force, so of several changes
+ * that expect the same revision exactly one wins. A resend gets the first answer. The
+ * newest {@value #MAX_HISTORY} changes and {@value #MAX_ANSWERS} answers are kept; a
+ * resend after that gets a conflict and is not applied again.
+ */
+public final class ConfigurationLedger implements Ledger {
+
+	/** The name of the ledger. */
+	public static final String NAME = "configuration";
+
+	/** The greatest number of changes in the history. */
+	public static final int MAX_HISTORY = 2_000;
+
+	/** The greatest number of answers kept for resends. */
+	public static final int MAX_ANSWERS = 20_000;
+
+	private final ConfigurationListener listener;
+
+	private final NavigableMap<Long, AcceptedChange> history = new TreeMap<>();
+
+	/** In the order in which the changes came. */
+	private final Map<ChangeId, RememberedAnswer> answers = new LinkedHashMap<>();
+
+	private Revision revision = Revision.ZERO;
+
+	private Configuration configuration = Configuration.EMPTY;
+
+	/**
+	 * Creates an empty configuration.
+	 * @param listener learns of each change
+	 */
+	public ConfigurationLedger(ConfigurationListener listener) {
+		this.listener = Preconditions.notNull(listener, "listener");
+	}
+
+	@Override
+	public String name() {
+		return NAME;
+	}
+
+	/**
+	 * Returns the revision in force.
+	 * @return the revision
+	 */
+	public Revision revision() {
+		return this.revision;
+	}
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration
+	 */
+	public Configuration configuration() {
+		return this.configuration;
+	}
+
+	/**
+	 * Returns the changes after a revision that are still kept.
+	 * @param after the revision
+	 * @return the changes, oldest first
+	 */
+	public List<AcceptedChange> historyAfter(Revision after) {
+		return List.copyOf(this.history.tailMap(after.value(), false).values());
+	}
+
+	/**
+	 * Applies a change or answers a resend.
+	 * @param time the log time
+	 * @param change the change
+	 * @return the answer
+	 */
+	public ChangeAnswer apply(LogTime time, ConfigurationChange change) {
+		Preconditions.notNull(time, "time");
+		String digest = ChangeCodec.encode(change).sha256();
+		RememberedAnswer remembered = this.answers.get(change.id());
+		if (remembered != null) {
+			return remembered.digest().equals(digest) ? remembered.answer() : reusedIdentifier(change);
+		}
+		ChangeAnswer answer = decide(change);
+		if (answer instanceof ChangeAccepted accepted) {
+			accept(time, change, accepted.revision());
+		}
+		remember(change.id(), new RememberedAnswer(digest, answer));
+		return answer;
+	}
+
+	/**
+	 * Returns the answer that a change would get now, without making it.
+	 * @param change the change
+	 * @return the answer
+	 */
+	public ChangeAnswer dryRun(ConfigurationChange change) {
+		Preconditions.notNull(change, "change");
+		RememberedAnswer remembered = this.answers.get(change.id());
+		if (remembered == null) {
+			return decide(change);
+		}
+		boolean resend = remembered.digest().equals(ChangeCodec.encode(change).sha256());
+		return resend ? remembered.answer() : reusedIdentifier(change);
+	}
+
+	private static ChangeAnswer reusedIdentifier(ConfigurationChange change) {
+		return new ChangeRefused(ErrorCode.INVALID_INPUT,
+				"change " + change.id() + " was submitted before with other content; choose another change id");
+	}
+
+	private ChangeAnswer decide(ConfigurationChange change) {
+		if (!change.expected().equals(this.revision)) {
+			return new ChangeConflict(this.revision, winnerAfter(change.expected()));
+		}
+		if (change.content() instanceof Rollback rollback && !canRestore(rollback.to())) {
+			return new ChangeRefused(ErrorCode.NOT_FOUND, "revision " + rollback.to()
+					+ " is not in the history; the oldest that can be restored is " + oldestRestorable());
+		}
+		return ConfigurationValidator.problem(after(change.content()))
+			.<ChangeAnswer>map((problem) -> new ChangeRefused(ErrorCode.INVALID_INPUT, problem))
+			.orElseGet(() -> new ChangeAccepted(this.revision.next()));
+	}
+
+	private Optional<ChangeWinner> winnerAfter(Revision expected) {
+		return Optional.ofNullable(this.history.get(expected.next().value()))
+			.map((winner) -> new ChangeWinner(winner.change(), winner.author()));
+	}
+
+	private boolean canRestore(Revision to) {
+		return to.value() >= oldestRestorable() && to.value() <= this.revision.value();
+	}
+
+	private long oldestRestorable() {
+		return this.history.isEmpty() ? this.revision.value() : this.history.firstKey() - 1;
+	}
+
+	private Configuration after(ChangeContent content) {
+		if (content instanceof ConfigurationDelta delta) {
+			return delta.applyTo(this.configuration);
+		}
+		Configuration restored = this.configuration;
+		Revision to = ((Rollback) content).to();
+		for (AcceptedChange undone : this.history.tailMap(to.value(), false).descendingMap().values()) {
+			restored = undone.backward().applyTo(restored);
+		}
+		return restored;
+	}
+
+	private void accept(LogTime time, ConfigurationChange change, Revision next) {
+		Configuration after = after(change.content());
+		ConfigurationDelta forward = ConfigurationDelta.between(this.configuration, after);
+		ConfigurationDelta backward = ConfigurationDelta.between(after, this.configuration);
+		AcceptedChange accepted = new AcceptedChange(next, change.id(), change.author(), change.reason(), time, forward,
+				backward);
+		this.history.put(next.value(), accepted);
+		if (this.history.size() > MAX_HISTORY) {
+			this.history.pollFirstEntry();
+		}
+		this.revision = next;
+		this.configuration = after;
+		this.listener.onChange(accepted, after);
+	}
+
+	private void remember(ChangeId id, RememberedAnswer answer) {
+		this.answers.put(id, answer);
+		if (this.answers.size() > MAX_ANSWERS) {
+			this.answers.remove(this.answers.keySet().iterator().next());
+		}
+	}
+
+	@Override
+	public Bytes apply(LogTime time, Bytes command) {
+		Result<ConfigurationChange> change = ChangeCodec.decode(command);
+		ChangeAnswer answer = change.value()
+			.map((decoded) -> apply(time, decoded))
+			.orElseGet(() -> malformed(change.error().orElseThrow()));
+		return ChangeCodec.encodeAnswer(answer);
+	}
+
+	private static ChangeAnswer malformed(OperationError error) {
+		return new ChangeRefused(error.code(), error.message());
+	}
+
+	@Override
+	public Bytes query(Bytes query) {
+		return ConfigurationQueries.answer(this, query);
+	}
+
+	@Override
+	public Bytes snapshot() {
+		ConfigurationLedgerRecord.Builder builder = ConfigurationLedgerRecord.newBuilder()
+			.setRevision(this.revision.value())
+			.setConfiguration(ConfigurationCodec.toRecord(this.configuration));
+		this.history.values().forEach((change) -> builder.addHistory(ChangeCodec.toRecord(change)));
+		this.answers.forEach((id, answer) -> builder.addAnswers(ChangeCodec.toRecord(id, answer)));
+		return Bytes.of(builder.build().toByteArray());
+	}
+
+	@Override
+	public void restore(Bytes snapshot) {
+		ConfigurationLedgerRecord restored = ChangeCodec.parseLedger(snapshot);
+		this.revision = Revision.of(restored.getRevision());
+		this.configuration = ConfigurationCodec.fromRecord(restored.getConfiguration());
+		this.history.clear();
+		this.answers.clear();
+		restored.getHistoryList()
+			.stream()
+			.map(ChangeCodec::fromRecord)
+			.forEach((change) -> this.history.put(change.revision().value(), change));
+		restored.getAnswersList()
+			.forEach((answer) -> this.answers.put(ChangeId.of(answer.getChangeId()), ChangeCodec.fromRecord(answer)));
+		Optional.ofNullable(this.history.lastEntry())
+			.ifPresent((newest) -> this.listener.onChange(newest.getValue(), this.configuration));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/Rollback.java
@@ -0,0 +1,17 @@
+package org.comfreywall.control.state;
+
+import org.comfreywall.common.id.Revision;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Restores the configuration of an earlier revision as a new one.
+ *
+ * @param to the earlier revision
+ */
+public record Rollback(Revision to) implements ChangeContent {
+
+	public Rollback {
+		Preconditions.notNull(to, "to");
+	}
+
+}
