--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ActiveRequest.java
@@ -0,0 +1,97 @@
+package org.comfreywall.daemon.entry;
+
+import java.util.Optional;
+
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.processors.UnicastProcessor;
+import org.comfreywall.common.attempt.AnswerChunk;
+import org.comfreywall.common.attempt.AnswerPart;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.metrics.RequestMetrics;
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Outcome;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.entry.request.CompleteRequest;
+
+/**
+ * A request that has not ended, with the stream of its answer; used on the entry's worker
+ * only.
+ */
+final class ActiveRequest {
+
+	private final CallerRequest request;
+
+	private final Fingerprint fingerprint;
+
+	private final long arrivedAt;
+
+	private final UnicastProcessor<AnswerPart> answer = UnicastProcessor.create();
+
+	private Optional<BackendServerId> followed = Optional.empty();
+
+	private long lastChunkAt;
+
+	ActiveRequest(CallerRequest request, long arrivedAt) {
+		this.request = request;
+		this.fingerprint = new Fingerprint(request.account(), request.service(), request.body().sha256());
+		this.arrivedAt = arrivedAt;
+	}
+
+	CallerRequest request() {
+		return this.request;
+	}
+
+	Fingerprint fingerprint() {
+		return this.fingerprint;
+	}
+
+	Flowable<AnswerPart> answer() {
+		return this.answer;
+	}
+
+	long remainingNanos(long now) {
+		return this.arrivedAt + this.request.timeout().toNanos() - now;
+	}
+
+	Optional<BackendServerId> followed() {
+		return this.followed;
+	}
+
+	void follow(BackendServerId server) {
+		this.followed = Optional.of(server);
+	}
+
+	boolean deliver(AnswerPart part, RequestMetrics metrics, long now) {
+		boolean first = false;
+		if (part instanceof AnswerChunk) {
+			first = this.lastChunkAt == 0;
+			measure(first, metrics, now);
+			this.lastChunkAt = now;
+		}
+		this.answer.onNext(part);
+		return first;
+	}
+
+	void complete(CompleteRequest result, RequestMetrics metrics, long now) {
+		metrics.ended(this.request.account(), result.outcome(), now - this.arrivedAt);
+		if (result.outcome() == Outcome.COMPLETED) {
+			this.answer.onComplete();
+			return;
+		}
+		OperationError error = result.error()
+			.orElseGet(() -> OperationError.local(ErrorCode.INVARIANT, Step.ANSWER, "no reason is known"));
+		this.answer.onError(new RequestFailedException(result.outcome(), error));
+	}
+
+	private void measure(boolean first, RequestMetrics metrics, long now) {
+		if (first) {
+			metrics.firstToken(this.request.account(), now - this.arrivedAt);
+		}
+		else {
+			metrics.nextToken(this.request.account(), now - this.lastChunkAt);
+		}
+	}
+
+}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerAnswerWriter.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerAnswerWriter.java
@@ -1,47 +1,53 @@
 package org.comfreywall.daemon.entry;
 
 import java.util.Optional;
+import java.util.function.IntConsumer;
 
 import io.reactivex.rxjava3.core.FlowableSubscriber;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
+import org.comfreywall.common.attempt.AnswerChunk;
+import org.comfreywall.common.attempt.AnswerHead;
+import org.comfreywall.common.attempt.AnswerPart;
 import org.comfreywall.common.decision.Field;
-import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.log.EventLog;
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Outcome;
 import org.comfreywall.common.result.Step;
-import org.comfreywall.transport.OperationException;
-import org.comfreywall.transport.WireErrors;
-import org.comfreywall.transport.generated.Answer;
-import org.comfreywall.transport.generated.AnswerEnd;
 import org.reactivestreams.Subscription;
 
 /**
  * Writes an answer to the caller as fast as the caller takes it; used on the event loop
  * of the caller's connection.
  */
-final class CallerAnswerWriter implements FlowableSubscriber<Answer> {
+final class CallerAnswerWriter implements FlowableSubscriber<AnswerPart> {
 
 	static final String OUTCOME_HEADER = "Comfreywall-Outcome";
 
 	private static final EventLog LOG = EventLog.of(CallerAnswerWriter.class);
 
+	private static final int TOLD_PARTS = 16;
+
 	private final CallerRequest request;
 
 	private final HttpServerResponse response;
 
-	private final InstanceId self;
+	private final IntConsumer taken;
+
+	private final Runnable abandoned;
 
 	private Subscription subscription;
 
+	private int untold;
+
 	private boolean done;
 
-	CallerAnswerWriter(CallerRequest request, HttpServerResponse response, InstanceId self) {
+	CallerAnswerWriter(CallerRequest request, HttpServerResponse response, IntConsumer taken, Runnable abandoned) {
 		this.request = request;
 		this.response = response;
-		this.self = self;
+		this.taken = taken;
+		this.abandoned = abandoned;
 	}
 
 	@Override
@@ -53,15 +59,12 @@
 	}
 
 	@Override
-	public void onNext(Answer message) {
+	public void onNext(AnswerPart part) {
 		if (this.done) {
 			return;
 		}
-		if (message.hasEnd()) {
-			end(message.getEnd());
-			return;
-		}
-		write(message);
+		write(part);
+		tellTaken();
 		if (this.response.writeQueueFull()) {
 			this.response.drainHandler((drained) -> this.subscription.request(1));
 		}
@@ -72,42 +75,44 @@
 
 	@Override
 	public void onError(Throwable cause) {
-		OperationError error = (cause instanceof OperationException known) ? known.error()
-				: OperationError.local(ErrorCode.INVARIANT, Step.ANSWER, String.valueOf(cause));
-		fail(new Problem(Outcome.UNKNOWN, error));
+		if (cause instanceof RequestFailedException failure) {
+			fail(failure.problem());
+			return;
+		}
+		fail(new Problem(Outcome.UNKNOWN,
+				OperationError.local(ErrorCode.INVARIANT, Step.ANSWER, String.valueOf(cause))));
 	}
 
 	@Override
 	public void onComplete() {
 		if (!this.done) {
-			fail(new Problem(Outcome.UNKNOWN,
-					OperationError.local(ErrorCode.INVARIANT, Step.ANSWER, "the answer ended without an outcome")));
+			finish(Outcome.COMPLETED);
+			this.response.putTrailer(OUTCOME_HEADER, Outcome.COMPLETED.name());
+			this.response.end();
 		}
 	}
 
-	private void write(Answer message) {
-		if (message.hasHead()) {
-			this.response.setStatusCode(message.getHead().getStatus());
-			if (!message.getHead().getContentType().isEmpty()) {
-				this.response.putHeader("Content-Type", message.getHead().getContentType());
+	private void write(AnswerPart part) {
+		if (part instanceof AnswerHead head) {
+			this.response.setStatusCode(head.status());
+			if (!head.contentType().isEmpty()) {
+				this.response.putHeader("Content-Type", head.contentType());
 			}
 			this.response.putHeader("Trailer", OUTCOME_HEADER);
 			this.response.setChunked(true);
 			this.response.writeHead();
-			return;
 		}
-		this.response.write(Buffer.buffer(message.getChunk().toByteArray()));
+		else if (part instanceof AnswerChunk chunk) {
+			this.response.write(Buffer.buffer(chunk.payload().toArray()));
+		}
 	}
 
-	private void end(AnswerEnd end) {
-		Outcome outcome = Outcome.valueOf(end.getOutcome());
-		if (outcome != Outcome.COMPLETED) {
-			fail(new Problem(outcome, WireErrors.decode(end.getError(), this.self)));
-			return;
+	private void tellTaken() {
+		this.untold++;
+		if (this.untold == TOLD_PARTS) {
+			this.taken.accept(this.untold);
+			this.untold = 0;
 		}
-		finish(outcome);
-		this.response.putTrailer(OUTCOME_HEADER, outcome.name());
-		this.response.end();
 	}
 
 	private void fail(Problem problem) {
@@ -151,6 +156,7 @@
 			LOG.info("caller-gone", Field.of("request", this.request.id()),
 					Field.of("account", this.request.account()));
 			this.subscription.cancel();
+			this.abandoned.run();
 		}
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerRequest.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerRequest.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Optional;
 
-import org.comfreywall.common.claim.ClaimKey;
 import org.comfreywall.common.config.PriorityClass;
 import org.comfreywall.common.id.AccountId;
 import org.comfreywall.common.id.IdempotencyKey;
@@ -22,18 +21,14 @@
  * @param contentType the body's media type, or an empty text
  * @param body the body
  * @param idempotent whether the request may be repeated
+ * @param keyRequired whether it is refused without an idempotency key unless it may be
+ * repeated
  * @param key the idempotency key
  * @param priority the priority class
  * @param timeout the time that the caller is willing to wait
  */
 record CallerRequest(RequestId id, AccountId account, ServiceId service, String method, String path, String contentType,
-		Bytes body, boolean idempotent, Optional<IdempotencyKey> key, PriorityClass priority, Duration timeout) {
-
-	Optional<ClaimKey> claimKey() {
-		if (this.idempotent) {
-			return Optional.empty();
-		}
-		return this.key.map((value) -> new ClaimKey(this.account, this.service, value));
-	}
+		Bytes body, boolean idempotent, boolean keyRequired, Optional<IdempotencyKey> key, PriorityClass priority,
+		Duration timeout) {
 
 }
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
@@ -13,7 +13,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import org.comfreywall.common.decision.Field;
-import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.log.EventLog;
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
@@ -42,14 +41,11 @@
 
 	private final EntryEngine engine;
 
-	private final InstanceId self;
-
 	private final HttpServer server;
 
-	CallerServer(Vertx vertx, HostPort listen, RequestResolver resolver, EntryEngine engine, InstanceId self) {
+	CallerServer(Vertx vertx, HostPort listen, RequestResolver resolver, EntryEngine engine) {
 		this.resolver = Preconditions.notNull(resolver, "resolver");
 		this.engine = Preconditions.notNull(engine, "engine");
-		this.self = Preconditions.notNull(self, "self");
 		HttpServerOptions options = new HttpServerOptions().setHost(listen.host())
 			.setPort(listen.port())
 			.setMaxHeaderSize(MAX_HEADER_BYTES);
@@ -98,7 +94,8 @@
 		Scheduler scheduler = Schedulers.from((task) -> context.runOnContext((nothing) -> task.run()));
 		this.engine.run(request)
 			.observeOn(scheduler, false, PREFETCH_MESSAGES)
-			.subscribe(new CallerAnswerWriter(request, response, this.self));
+			.subscribe(new CallerAnswerWriter(request, response, (parts) -> this.engine.taken(request.id(), parts),
+					() -> this.engine.cancel(request.id())));
 	}
 
 	private static void refuse(HttpServerResponse response, ErrorCode code, String message) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
@@ -1,168 +1,468 @@
 package org.comfreywall.daemon.entry;
 
-import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledFuture;
+import java.util.function.Function;
 
-import com.google.protobuf.ByteString;
 import io.reactivex.rxjava3.core.Flowable;
-import org.comfreywall.common.claim.ClaimCompleted;
-import org.comfreywall.common.claim.ClaimFound;
-import org.comfreywall.common.claim.ClaimGranted;
-import org.comfreywall.common.claim.ClaimKey;
-import org.comfreywall.common.claim.ClaimMismatch;
+import org.comfreywall.common.attempt.AnswerPart;
+import org.comfreywall.common.attempt.AttemptTarget;
 import org.comfreywall.common.claim.ClaimResult;
-import org.comfreywall.common.claim.ClaimRunning;
-import org.comfreywall.common.claim.ClaimState;
-import org.comfreywall.common.claim.ClaimUnknown;
-import org.comfreywall.common.claim.RecordedAnswer;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.lifecycle.Closer;
+import org.comfreywall.common.metrics.RequestMetrics;
+import org.comfreywall.common.poison.PoisonVerdict;
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Outcome;
+import org.comfreywall.common.result.Result;
 import org.comfreywall.common.result.Step;
-import org.comfreywall.common.util.Bytes;
+import org.comfreywall.common.time.Clock;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.transport.WireErrors;
-import org.comfreywall.transport.generated.Answer;
-import org.comfreywall.transport.generated.AnswerEnd;
-import org.comfreywall.transport.generated.AnswerHead;
-import org.comfreywall.transport.generated.AttemptRef;
-import org.comfreywall.transport.generated.AttemptStart;
+import org.comfreywall.entry.request.AcquireIsolation;
+import org.comfreywall.entry.request.AskFlight;
+import org.comfreywall.entry.request.CallerCancelled;
+import org.comfreywall.entry.request.ChooseRoute;
+import org.comfreywall.entry.request.ClaimAnswered;
+import org.comfreywall.entry.request.ClaimFailed;
+import org.comfreywall.entry.request.ClaimKeyFor;
+import org.comfreywall.entry.request.CompleteRequest;
+import org.comfreywall.entry.request.CrashRecorded;
+import org.comfreywall.entry.request.DeliverPart;
+import org.comfreywall.entry.request.EndFlight;
+import org.comfreywall.entry.request.FinishClaim;
+import org.comfreywall.entry.request.FlightAnswered;
+import org.comfreywall.entry.request.IsolationAnswered;
+import org.comfreywall.entry.request.MarkClaimUnknown;
+import org.comfreywall.entry.request.ProbeConnection;
+import org.comfreywall.entry.request.RecordCrash;
+import org.comfreywall.entry.request.ReleaseClaim;
+import org.comfreywall.entry.request.ReleaseIsolation;
+import org.comfreywall.entry.request.RequestAccepted;
+import org.comfreywall.entry.request.RequestCommand;
+import org.comfreywall.entry.request.RequestEvent;
+import org.comfreywall.entry.request.RequestSpec;
+import org.comfreywall.entry.request.RequestTracker;
+import org.comfreywall.entry.request.RequestTrackerSettings;
+import org.comfreywall.entry.request.RetryPolicy;
+import org.comfreywall.entry.request.RouteChosen;
+import org.comfreywall.entry.request.RouteUnavailable;
+import org.comfreywall.entry.request.SendCancel;
+import org.comfreywall.entry.request.SendClaimQuery;
+import org.comfreywall.entry.request.SendResume;
+import org.comfreywall.entry.request.SendSeal;
+import org.comfreywall.entry.request.SendStart;
+import org.comfreywall.entry.request.StartNotSent;
+import org.comfreywall.entry.request.TimePassed;
+import org.comfreywall.entry.route.AttemptFailed;
+import org.comfreywall.entry.route.AttemptFinished;
+import org.comfreywall.entry.route.FirstTokenReceived;
+import org.comfreywall.entry.route.RouteChoice;
+import org.comfreywall.entry.route.RouteRequest;
+import org.comfreywall.transport.Transport;
+import org.comfreywall.transport.attempt.AttemptPayload;
+import org.comfreywall.transport.attempt.EntryFrames;
+import org.comfreywall.transport.generated.Frame;
+import org.comfreywall.transport.generated.Load;
+import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * Runs a caller's request: claims its key, chooses a backend server and streams the
- * answer.
+ * Drives the cores of the entry role: the tracker of requests and the routers.
  */
-final class EntryEngine {
+final class EntryEngine implements AutoCloseable {
 
-	private final BackendDirectory directory;
+	private static final int CREDIT_PARTS = 64;
 
-	private final ClaimStore claims;
+	private static final int JOIN_CREDIT_PARTS = 4096;
 
-	EntryEngine(BackendDirectory directory, ClaimStore claims) {
-		this.directory = Preconditions.notNull(directory, "directory");
-		this.claims = Preconditions.notNull(claims, "claims");
+	private final Transport transport;
+
+	private final SerialWorker worker;
+
+	private final ControlPort control;
+
+	private final RouterRegistry routers;
+
+	private final RequestMetrics metrics;
+
+	private final Clock clock;
+
+	private final RequestTracker tracker;
+
+	private final SidecarLinkListener linkEvents = new LinkEvents();
+
+	private final Map<BackendServerId, SidecarLink> links = new HashMap<>();
+
+	private final Map<RequestId, ActiveRequest> active = new HashMap<>();
+
+	private final Map<RequestId, SentAttempt> sent = new HashMap<>();
+
+	private final Map<BackendServerId, CompletableFuture<Void>> awaited = new HashMap<>();
+
+	private final Closer closer = new Closer();
+
+	private final Deque<RequestEvent> pending = new ArrayDeque<>();
+
+	private boolean handling;
+
+	private Optional<ScheduledFuture<?>> timer = Optional.empty();
+
+	EntryEngine(EntryParts parts, SerialWorker worker, RouterRegistry routers, RetryPolicy retries) {
+		this.transport = parts.transport();
+		this.control = parts.control();
+		this.metrics = parts.metrics();
+		this.clock = parts.clock();
+		this.worker = Preconditions.notNull(worker, "worker");
+		this.routers = Preconditions.notNull(routers, "routers");
+		this.tracker = new RequestTracker(RequestTrackerSettings.DEFAULT, retries, new Invariants(), parts.decisions());
 	}
 
 	/**
 	 * Runs a request.
 	 * @param request the request
-	 * @return the answer's messages; the last one carries the outcome
+	 * @return the answer's parts; ends with {@link RequestFailedException} unless whole
 	 */
-	Flowable<Answer> run(CallerRequest request) {
-		Optional<BackendEndpoint> endpoint = this.directory.choose(request.service());
-		if (endpoint.isEmpty()) {
-			return failed(Outcome.NOT_RUN, OperationError.local(ErrorCode.UNAVAILABLE, Step.ROUTE,
-					"no healthy backend server offers " + request.service()));
+	Flowable<AnswerPart> run(CallerRequest request) {
+		ActiveRequest started = new ActiveRequest(request, this.clock.nanoTime());
+		if (!this.worker.offer(() -> accept(started))) {
+			return Flowable.error(new RequestFailedException(Outcome.NOT_RUN, OperationError.local(ErrorCode.OVERLOADED,
+					Step.ACCEPT, "the entry is overloaded; send the request again later")));
 		}
-		return request.claimKey()
-			.map((key) -> runClaimed(request, endpoint.get(), key))
-			.orElseGet(() -> attempt(request, endpoint.get()));
+		return started.answer();
 	}
 
-	private Flowable<Answer> runClaimed(CallerRequest request, BackendEndpoint endpoint, ClaimKey key) {
-		ClaimRunning claim = new ClaimRunning(request.id(), endpoint.id(), endpoint.incarnation());
-		return this.claims.claim(key, request.body().sha256(), claim)
-			.flatMapPublisher((result) -> continueClaimed(request, endpoint, key, result));
+	/**
+	 * Ends a request whose caller has gone.
+	 * @param request the request
+	 */
+	void cancel(RequestId request) {
+		this.worker.offer(() -> handle(new CallerCancelled(request)));
 	}
 
-	private Flowable<Answer> continueClaimed(CallerRequest request, BackendEndpoint endpoint, ClaimKey key,
-			ClaimResult result) {
-		if (result instanceof ClaimGranted granted) {
-			return record(key, granted.claim(), attempt(request, endpoint));
-		}
-		if (result instanceof ClaimFound found) {
-			return repeat(found.state());
-		}
-		Preconditions.check(result instanceof ClaimMismatch, "unknown claim result %s", result);
-		return failed(Outcome.NOT_RUN, OperationError.local(ErrorCode.CONFLICT, Step.CLAIM,
-				"the idempotency key was used before with another body; choose a new key"));
+	/**
+	 * Allows more parts of an answer because the caller took some.
+	 * @param request the request
+	 * @param parts the number of parts taken
+	 */
+	void taken(RequestId request, int parts) {
+		this.worker.offer(() -> credit(request, parts));
 	}
 
-	private Flowable<Answer> record(ClaimKey key, ClaimRunning claim, Flowable<Answer> answer) {
-		AnswerRecorder recorder = new AnswerRecorder();
-		return answer.concatMap((message) -> {
-			recorder.add(message);
-			if (!message.hasEnd()) {
-				return Flowable.just(message);
+	/**
+	 * Makes a backend server known.
+	 * @param sidecar where its sidecar is reached
+	 * @return completes when the sidecar was reached for the first time
+	 */
+	CompletableFuture<Void> announce(SidecarAddress sidecar) {
+		CompletableFuture<Void> reached = new CompletableFuture<>();
+		this.worker.execute(() -> {
+			this.awaited.put(sidecar.server(), reached);
+			SidecarLink link = new SidecarLink(sidecar, this.transport, this.worker, this.linkEvents);
+			SidecarLink replaced = this.links.put(sidecar.server(), link);
+			if (replaced != null) {
+				replaced.close();
 			}
-			return finish(key, claim, recorder, message);
+			this.closer.register(link);
+			link.open();
 		});
+		return reached;
+	}
+
+	/**
+	 * Lets time pass for the routers; called at regular intervals on the worker.
+	 */
+	void tick() {
+		this.routers.tick();
+	}
+
+	@Override
+	public void close() throws Exception {
+		this.closer.close();
+	}
+
+	private void accept(ActiveRequest started) {
+		CallerRequest request = started.request();
+		this.active.put(request.id(), started);
+		RequestSpec spec = new RequestSpec(request.id(), started.fingerprint(), request.key(), request.idempotent(),
+				request.keyRequired());
+		long now = this.clock.nanoTime();
+		handle(new RequestAccepted(spec, now + started.remainingNanos(now), PoisonVerdict.CLEAR));
+	}
+
+	private void handle(RequestEvent event) {
+		this.pending.addLast(event);
+		if (this.handling) {
+			return;
+		}
+		this.handling = true;
+		try {
+			handlePending();
+		}
+		finally {
+			this.handling = false;
+		}
+		schedule();
+	}
+
+	private void handlePending() {
+		while (!this.pending.isEmpty()) {
+			List<RequestCommand> commands = this.tracker.handle(this.pending.removeFirst(), this.clock.nanoTime());
+			commands.forEach(this::carryOut);
+		}
+	}
+
+	private void schedule() {
+		this.timer.ifPresent((scheduled) -> scheduled.cancel(false));
+		OptionalLong next = this.tracker.nextTimer();
+		if (next.isEmpty()) {
+			this.timer = Optional.empty();
+			return;
+		}
+		Duration delay = Duration.ofNanos(Math.max(0, next.getAsLong() - this.clock.nanoTime()));
+		this.timer = Optional.of(this.worker.after(delay, () -> handle(new TimePassed())));
+	}
+
+	private void carryOut(RequestCommand command) {
+		if (command instanceof DeliverPart part) {
+			deliver(part);
+		}
+		else if (command instanceof CompleteRequest result) {
+			complete(result);
+		}
+		else if (command instanceof ChooseRoute route) {
+			choose(route);
+		}
+		else if (!sendToSidecar(command)) {
+			askControl(command);
+		}
 	}
 
-	private Flowable<Answer> finish(ClaimKey key, ClaimRunning claim, AnswerRecorder recorder, Answer end) {
-		Outcome outcome = Outcome.valueOf(end.getEnd().getOutcome());
-		if (outcome == Outcome.NOT_RUN) {
-			return this.claims.release(key, claim).andThen(Flowable.just(end));
+	private boolean sendToSidecar(RequestCommand command) {
+		if (command instanceof SendStart start) {
+			start(start);
+		}
+		else if (command instanceof SendSeal seal) {
+			send(seal.target().backendServer(), seal.target().incarnation(), EntryFrames.seal(seal));
+		}
+		else if (command instanceof SendResume resume) {
+			follow(resume.attempt().request(), resume.backendServer());
+			send(resume.backendServer(), resume.incarnation(), EntryFrames.resume(resume, CREDIT_PARTS));
+		}
+		else if (command instanceof SendCancel cancel) {
+			send(cancel.backendServer(), cancel.incarnation(), EntryFrames.cancel(cancel));
+		}
+		else if (command instanceof SendClaimQuery query) {
+			send(query.backendServer(), query.incarnation(), EntryFrames.claimQuery(query, JOIN_CREDIT_PARTS));
+		}
+		else if (command instanceof ProbeConnection probe) {
+			Optional.ofNullable(this.links.get(probe.backendServer())).ifPresent(SidecarLink::probe);
+		}
+		else {
+			return false;
+		}
+		return true;
+	}
+
+	private void askControl(RequestCommand command) {
+		if (command instanceof ClaimKeyFor claim) {
+			answer(this.control.claim(claim), (result) -> claimed(claim, result));
+		}
+		else if (command instanceof FinishClaim finish) {
+			this.control.finish(finish);
+		}
+		else if (command instanceof MarkClaimUnknown unknown) {
+			this.control.markUnknown(unknown);
+		}
+		else if (command instanceof ReleaseClaim release) {
+			this.control.release(release);
+		}
+		else if (command instanceof AskFlight flight) {
+			answer(this.control.askFlight(flight.fingerprint(), flight.request()),
+					(permit) -> new FlightAnswered(flight.request(), permit));
+		}
+		else if (command instanceof EndFlight flight) {
+			this.control.endFlight(flight.fingerprint(), flight.request(), flight.end());
+		}
+		else if (command instanceof ReleaseIsolation release) {
+			this.control.releaseIsolation(release);
+		}
+		else if (command instanceof RecordCrash crash) {
+			answer(this.control.charge(crash.report()), (result) -> new CrashRecorded(crash.request()));
+		}
+		else if (command instanceof AcquireIsolation isolation) {
+			this.control.acquireIsolation(isolation.fingerprint(), isolation.request())
+				.thenAccept((result) -> result.value()
+					.ifPresent((granted) -> this.worker.execute(() -> handle(
+							new IsolationAnswered(isolation.request(), isolation.fingerprint(), granted)))));
 		}
-		ClaimState state = (outcome == Outcome.COMPLETED) ? new ClaimCompleted(claim.owner(), recorder.answer())
-				: new ClaimUnknown(claim.owner());
-		return this.claims.finish(key, state).andThen(Flowable.just(end));
 	}
 
-	private Flowable<Answer> repeat(ClaimState state) {
-		if (state instanceof ClaimCompleted completed) {
-			RecordedAnswer answer = completed.answer();
-			return Flowable.just(
-					Answer.newBuilder()
-						.setHead(
-								AnswerHead.newBuilder().setStatus(answer.status()).setContentType(answer.contentType()))
-						.build(),
-					Answer.newBuilder().setChunk(ByteString.copyFrom(answer.body().toArray())).build(),
-					end(AnswerEnd.newBuilder().setOutcome(Outcome.COMPLETED.name())));
+	private <T> void answer(CompletionStage<T> stage, Function<T, RequestEvent> event) {
+		stage.thenAccept((value) -> this.worker.execute(() -> handle(event.apply(value))));
+	}
+
+	private static RequestEvent claimed(ClaimKeyFor claim, Result<ClaimResult> result) {
+		return result.value()
+			.<RequestEvent>map((value) -> new ClaimAnswered(claim.request(), claim.target(), value))
+			.orElseGet(() -> new ClaimFailed(claim.request(), result.error().orElseThrow()));
+	}
+
+	private void choose(ChooseRoute route) {
+		ActiveRequest request = this.active.get(route.request());
+		if (request == null) {
+			return;
+		}
+		RouteRequest wanted = this.routers.routeRequest(request.request(), route.excluded());
+		Optional<RouteChoice> choice = this.routers.choose(wanted, request.request().service());
+		Optional<AttemptTarget> target = choice.flatMap((chosen) -> targetOf(chosen.server(), chosen.incarnation()));
+		if (target.isEmpty()) {
+			handle(new RouteUnavailable(route.request(), OperationError.local(ErrorCode.UNAVAILABLE, Step.ROUTE,
+					"no healthy backend server offers " + request.request().service())));
+			return;
 		}
-		return failed(Outcome.UNKNOWN, OperationError.local(ErrorCode.CONFLICT, Step.CLAIM,
-				"request " + state.owner() + " with the same idempotency key has no known outcome yet"));
+		this.sent.put(route.request(), new SentAttempt(wanted, choice.get(), Optional.empty()));
+		handle(new RouteChosen(route.request(), target.get()));
 	}
 
-	private Flowable<Answer> attempt(CallerRequest request, BackendEndpoint endpoint) {
-		AttemptStart start = AttemptStart.newBuilder()
-			.setAttempt(AttemptRef.newBuilder()
-				.setRequest(request.id().value())
-				.setNumber(1)
-				.setSidecarIncarnation(endpoint.incarnation().value()))
-			.setAccount(request.account().value())
-			.setService(request.service().value())
-			.setMethod(request.method())
-			.setPath(request.path())
-			.setContentType(request.contentType())
-			.setBody(ByteString.copyFrom(request.body().toArray()))
-			.setPriority(request.priority().ordinal())
-			.setRemainingMillis(request.timeout().toMillis())
-			.setIdempotent(request.idempotent())
-			.setIdempotencyKey(request.key().map(Object::toString).orElse(""))
-			.build();
-		return endpoint.client().start(start);
+	private Optional<AttemptTarget> targetOf(BackendServerId server, Incarnation incarnation) {
+		return Optional.ofNullable(this.links.get(server))
+			.flatMap(SidecarLink::target)
+			.filter((target) -> target.incarnation().equals(incarnation));
 	}
 
-	private static Flowable<Answer> failed(Outcome outcome, OperationError error) {
-		return Flowable.just(end(AnswerEnd.newBuilder().setOutcome(outcome.name()).setError(WireErrors.encode(error))));
+	private void start(SendStart start) {
+		RequestId id = start.attempt().request();
+		ActiveRequest request = this.active.get(id);
+		if (request == null) {
+			handle(new StartNotSent(start.attempt()));
+			return;
+		}
+		CallerRequest caller = request.request();
+		Duration remaining = Duration.ofNanos(Math.max(0, request.remainingNanos(this.clock.nanoTime())));
+		AttemptPayload payload = new AttemptPayload(caller.method(), caller.path(), caller.contentType(), caller.body(),
+				caller.priority(), remaining, caller.key());
+		request.follow(start.target().backendServer());
+		boolean handed = send(start.target().backendServer(), start.target().incarnation(),
+				EntryFrames.start(start, payload, CREDIT_PARTS));
+		if (!handed) {
+			handle(new StartNotSent(start.attempt()));
+			return;
+		}
+		SentAttempt chosen = this.sent.get(id);
+		if (chosen != null) {
+			endAttempt(id, chosen, false);
+			this.sent.put(id, chosen.with(start.attempt()));
+			this.routers.sent(caller.service(), start.attempt(), chosen.request(), chosen.choice());
+		}
 	}
 
-	private static Answer end(AnswerEnd.Builder end) {
-		return Answer.newBuilder().setEnd(end).build();
+	private boolean send(BackendServerId server, Incarnation incarnation, Frame frame) {
+		SidecarLink link = this.links.get(server);
+		return link != null && link.send(incarnation, frame);
+	}
+
+	private void follow(RequestId request, BackendServerId server) {
+		Optional.ofNullable(this.active.get(request)).ifPresent((found) -> found.follow(server));
+	}
+
+	private void deliver(DeliverPart part) {
+		ActiveRequest request = this.active.get(part.request());
+		if (request == null) {
+			return;
+		}
+		boolean first = request.deliver(part.part(), this.metrics, this.clock.nanoTime());
+		Optional<AttemptId> attempt = Optional.ofNullable(this.sent.get(part.request())).flatMap(SentAttempt::attempt);
+		if (first && attempt.isPresent()) {
+			this.routers.on(request.request().service(), new FirstTokenReceived(attempt.get()));
+		}
+	}
+
+	private void complete(CompleteRequest result) {
+		ActiveRequest request = this.active.remove(result.request());
+		SentAttempt last = this.sent.remove(result.request());
+		if (request == null) {
+			return;
+		}
+		if (last != null) {
+			last.attempt()
+				.ifPresent((attempt) -> this.routers.on(request.request().service(),
+						(result.outcome() == Outcome.COMPLETED) ? new AttemptFinished(attempt)
+								: new AttemptFailed(attempt)));
+		}
+		request.complete(result, this.metrics, this.clock.nanoTime());
+	}
+
+	private void endAttempt(RequestId id, SentAttempt earlier, boolean whole) {
+		ActiveRequest request = this.active.get(id);
+		earlier.attempt()
+			.ifPresent((attempt) -> this.routers.on(request.request().service(),
+					whole ? new AttemptFinished(attempt) : new AttemptFailed(attempt)));
+	}
+
+	private void credit(RequestId id, int parts) {
+		ActiveRequest request = this.active.get(id);
+		if (request == null) {
+			return;
+		}
+		request.followed()
+			.map(this.links::get)
+			.ifPresent((link) -> link.life()
+				.ifPresent((incarnation) -> link.send(incarnation, EntryFrames.credit(id, parts))));
 	}
 
 	/**
-	 * Collects an answer for callers that send the request again.
+	 * An attempt of a request with the choice behind it.
+	 *
+	 * @param request what the choice depended on
+	 * @param choice the choice
+	 * @param attempt the attempt, once sent
 	 */
-	private static final class AnswerRecorder {
+	private record SentAttempt(RouteRequest request, RouteChoice choice, Optional<AttemptId> attempt) {
 
-		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+		SentAttempt with(AttemptId number) {
+			return new SentAttempt(this.request, this.choice, Optional.of(number));
+		}
 
-		private AnswerHead head = AnswerHead.getDefaultInstance();
+	}
 
-		void add(Answer message) {
-			if (message.hasHead()) {
-				this.head = message.getHead();
-			}
-			else if (message.hasChunk()) {
-				this.body.writeBytes(message.getChunk().toByteArray());
-			}
+	/**
+	 * Passes the events of sidecar links to the cores.
+	 */
+	private final class LinkEvents implements SidecarLinkListener {
+
+		@Override
+		public void onReached(SidecarLink link, Incarnation incarnation) {
+			EntryEngine.this.routers.announce(link, incarnation);
+			Optional.ofNullable(EntryEngine.this.awaited.remove(link.server()))
+				.ifPresent((reached) -> reached.complete(null));
+		}
+
+		@Override
+		public void onLost(SidecarLink link, Incarnation incarnation) {
+			EntryEngine.this.routers.remove(link, incarnation);
+		}
+
+		@Override
+		public void onEvent(RequestEvent event) {
+			handle(event);
 		}
 
-		RecordedAnswer answer() {
-			return new RecordedAnswer(this.head.getStatus(), this.head.getContentType(),
-					Bytes.of(this.body.toByteArray()));
+		@Override
+		public void onLoad(SidecarLink link, Load load) {
+			EntryEngine.this.routers.report(link, load);
 		}
 
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
@@ -4,19 +4,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
-import java.util.random.RandomGenerator;
 
-import io.vertx.core.Vertx;
-import org.comfreywall.common.config.Configuration;
-import org.comfreywall.common.id.BackendServerId;
 import org.comfreywall.common.id.RequestId;
-import org.comfreywall.common.id.ServiceId;
 import org.comfreywall.common.lifecycle.Closer;
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.entry.request.RetryDecision;
+import org.comfreywall.entry.request.RetryQuery;
 import org.comfreywall.transport.PeerIdentity;
-import org.comfreywall.transport.Transport;
-import org.comfreywall.transport.attempt.AttemptClient;
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
@@ -26,48 +21,42 @@
 
 	private static final int RING_CAPACITY = 64 * 1024;
 
-	private static final Duration RESUME_TIME = Duration.ofSeconds(3);
+	private static final Duration TICK = Duration.ofMillis(100);
 
-	private final Closer closer = new Closer();
+	private static final int MAX_ATTEMPTS = 3;
 
-	private final Transport transport;
+	private static final Duration RETRY_DELAY = Duration.ofMillis(20);
 
-	private final BackendDirectory directory;
+	private final Closer closer = new Closer();
 
-	private final SerialWorker worker;
+	private final EntryEngine engine;
 
 	private final CallerServer server;
 
 	/**
 	 * Starts the role.
-	 * @param vertx runs the HTTP server
-	 * @param transport opens connections to sidecars
+	 * @param parts what the role works with
 	 * @param listen the address for callers
-	 * @param configuration returns the configuration in force
-	 * @param random breaks ties between backend servers
 	 */
-	public EntryNode(Vertx vertx, Transport transport, HostPort listen, Supplier<Configuration> configuration,
-			RandomGenerator random) {
-		this.transport = Preconditions.notNull(transport, "transport");
-		this.worker = this.closer.register(new SerialWorker("entry", RING_CAPACITY));
-		this.directory = new BackendDirectory(random);
-		EntryEngine engine = new EntryEngine(this.directory, new LocalClaimStore());
-		RequestResolver resolver = new RequestResolver(configuration, requestIds(transport.self()));
-		this.server = this.closer
-			.register(new CallerServer(vertx, listen, resolver, engine, transport.self().instance()));
+	public EntryNode(EntryParts parts, HostPort listen) {
+		Preconditions.notNull(parts, "parts");
+		PeerIdentity self = parts.transport().self();
+		SerialWorker worker = this.closer.register(new SerialWorker("entry", RING_CAPACITY));
+		RouterRegistry routers = new RouterRegistry(self.instance(), parts.domain(), parts.random(), parts.clock(),
+				parts.decisions());
+		this.engine = this.closer.register(new EntryEngine(parts, worker, routers, EntryNode::retry));
+		worker.every(TICK, this.engine::tick);
+		RequestResolver resolver = new RequestResolver(parts.configuration(), requestIds(self));
+		this.server = this.closer.register(new CallerServer(parts.vertx(), listen, resolver, this.engine));
 	}
 
 	/**
 	 * Makes a backend server known.
-	 * @param id the backend server
-	 * @param service the service that it offers
-	 * @param sidecar the address of its sidecar
-	 * @return completes when the sidecar is connected
+	 * @param sidecar where its sidecar is reached
+	 * @return completes when the sidecar was reached for the first time
 	 */
-	public CompletableFuture<Void> announce(BackendServerId id, ServiceId service, HostPort sidecar) {
-		AttemptClient client = new AttemptClient(this.transport, sidecar, this.worker, RESUME_TIME);
-		this.directory.announce(id, service, this.closer.register(client));
-		return client.connected();
+	public CompletableFuture<Void> announce(SidecarAddress sidecar) {
+		return this.engine.announce(sidecar);
 	}
 
 	/**
@@ -83,6 +72,11 @@
 		this.closer.close();
 	}
 
+	private static RetryDecision retry(RetryQuery query) {
+		return (query.attempts() < MAX_ATTEMPTS) ? RetryDecision.after(RETRY_DELAY)
+				: RetryDecision.stop("attempts are used up");
+	}
+
 	private static Supplier<RequestId> requestIds(PeerIdentity self) {
 		AtomicLong next = new AtomicLong();
 		String prefix = self.instance() + "." + Long.toString(self.incarnation().value(), Character.MAX_RADIX) + ".";
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/LocalControl.java
@@ -0,0 +1,113 @@
+package org.comfreywall.daemon.entry;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.comfreywall.common.claim.ClaimResult;
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.poison.CrashReport;
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.poison.IsolationResult;
+import org.comfreywall.common.poison.PoisonVerdict;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.time.Clock;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.control.ledger.ClaimLedger;
+import org.comfreywall.control.ledger.ClaimLedgerSettings;
+import org.comfreywall.control.ledger.PoisonLedger;
+import org.comfreywall.control.ledger.PoisonLedgerSettings;
+import org.comfreywall.entry.request.ClaimKeyFor;
+import org.comfreywall.entry.request.FinishClaim;
+import org.comfreywall.entry.request.FlightEnd;
+import org.comfreywall.entry.request.FlightGuard;
+import org.comfreywall.entry.request.FlightGuardSettings;
+import org.comfreywall.entry.request.FlightPermit;
+import org.comfreywall.entry.request.MarkClaimUnknown;
+import org.comfreywall.entry.request.ReleaseClaim;
+import org.comfreywall.entry.request.ReleaseIsolation;
+
+/**
+ * Keeps claims and suspects in the memory of one process, for an entry without control
+ * instances.
+ */
+public final class LocalControl implements ControlPort {
+
+	private final Clock clock;
+
+	private final ClaimLedger claims = new ClaimLedger(ClaimLedgerSettings.DEFAULT);
+
+	private final PoisonLedger poison;
+
+	private final FlightGuard flights = new FlightGuard(FlightGuardSettings.DEFAULT);
+
+	/**
+	 * Creates empty ledgers.
+	 * @param clock gives the log time
+	 * @param decisions receives a record of each verdict
+	 */
+	public LocalControl(Clock clock, DecisionListener decisions) {
+		this.clock = Preconditions.notNull(clock, "clock");
+		this.poison = new PoisonLedger(PoisonLedgerSettings.DEFAULT, decisions);
+	}
+
+	@Override
+	public synchronized CompletionStage<Result<ClaimResult>> claim(ClaimKeyFor command) {
+		return done(this.claims.claim(command.key(), command.bodyDigest(), command.request(),
+				command.target().backendServer(), command.target().incarnation(), now()));
+	}
+
+	@Override
+	public synchronized void finish(FinishClaim command) {
+		this.claims.finish(command.key(), command.owner(), command.answer(), now());
+	}
+
+	@Override
+	public synchronized void markUnknown(MarkClaimUnknown command) {
+		this.claims.markUnknown(command.key(), command.owner(), now());
+	}
+
+	@Override
+	public synchronized void release(ReleaseClaim command) {
+		this.claims.release(command.key(), command.proof(), now());
+	}
+
+	@Override
+	public synchronized CompletionStage<Result<IsolationResult>> acquireIsolation(Fingerprint fingerprint,
+			RequestId request) {
+		return done(Result.success(this.poison.acquire(fingerprint, request, now())));
+	}
+
+	@Override
+	public synchronized void releaseIsolation(ReleaseIsolation command) {
+		this.poison.release(command.fingerprint(), command.request(), command.end(), now());
+	}
+
+	@Override
+	public synchronized CompletionStage<Result<Boolean>> charge(CrashReport report) {
+		this.poison.charge(report, now());
+		return done(Result.success(true));
+	}
+
+	@Override
+	public synchronized CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request) {
+		if (this.poison.assess(fingerprint) != PoisonVerdict.CLEAR) {
+			return done(FlightPermit.SUSPECT);
+		}
+		return done(this.flights.ask(fingerprint, request, now()));
+	}
+
+	@Override
+	public synchronized void endFlight(Fingerprint fingerprint, RequestId request, FlightEnd end) {
+		this.flights.end(fingerprint, request, end, now());
+	}
+
+	private long now() {
+		return this.clock.nanoTime();
+	}
+
+	private static <T> CompletionStage<T> done(T value) {
+		return CompletableFuture.completedFuture(value);
+	}
+
+}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RequestResolver.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RequestResolver.java
@@ -77,7 +77,7 @@
 		return timeout(http.headers())
 			.flatMap((timeout) -> priority(http.headers(), account).map((priority) -> new CallerRequest(this.ids.get(),
 					account.id(), service.id(), http.method().name(), http.uri(), contentType(http), body, idempotent,
-					Optional.ofNullable(key).map(IdempotencyKey::of), priority, timeout)));
+					service.keyRequired(), Optional.ofNullable(key).map(IdempotencyKey::of), priority, timeout)));
 	}
 
 	private static Result<ServiceDescriptor> service(Configuration configuration, HttpServerRequest http, Bytes body) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
@@ -1,6 +1,8 @@
 package org.comfreywall.daemon.sidecar;
 
 import java.net.URI;
+import java.util.Locale;
+import java.util.concurrent.CompletionStage;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -11,13 +13,15 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import org.comfreywall.common.id.AttemptId;
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Step;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.transport.generated.AttemptStart;
+import org.comfreywall.transport.attempt.AttemptPayload;
 
 /**
  * Calls the backend server over HTTP.
@@ -43,15 +47,15 @@
 		this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
 	}
 
-	BackendCall run(AttemptStart start, BackendListener listener) {
+	BackendCall run(AttemptId attempt, AttemptPayload payload, BackendListener listener) {
 		VertxBackendCall call = new VertxBackendCall(listener);
-		RequestOptions options = new RequestOptions().setMethod(HttpMethod.valueOf(start.getMethod()))
+		RequestOptions options = new RequestOptions().setMethod(HttpMethod.valueOf(payload.method()))
 			.setHost(this.backend.getHost())
 			.setPort(this.backend.getPort())
-			.setURI(start.getPath());
+			.setURI(payload.path());
 		this.client.request(options).onComplete((result) -> {
 			if (result.succeeded()) {
-				call.send(result.result(), start);
+				call.send(result.result(), attempt, payload);
 			}
 			else {
 				call.fail(ErrorCode.UNAVAILABLE, result.cause(), false);
@@ -60,6 +64,43 @@
 		return call;
 	}
 
+	/**
+	 * Asks the backend server for its load.
+	 * @return completes with the load, or exceptionally if the server does not answer
+	 */
+	CompletionStage<BackendLoad> load() {
+		return this.client.request(loadRequest())
+			.compose(HttpClientRequest::send)
+			.compose(HttpClientResponse::body)
+			.map(BackendClient::parseLoad)
+			.toCompletionStage();
+	}
+
+	/**
+	 * Asks whether the backend server accepts connections.
+	 * @return completes with whether it does
+	 */
+	CompletionStage<Boolean> isAlive() {
+		return this.client.request(loadRequest())
+			.compose(HttpClientRequest::send)
+			.map(true)
+			.otherwise(false)
+			.toCompletionStage();
+	}
+
+	private RequestOptions loadRequest() {
+		return new RequestOptions().setMethod(HttpMethod.GET)
+			.setHost(this.backend.getHost())
+			.setPort(this.backend.getPort())
+			.setURI("/load")
+			.setTimeout(CONNECT_MILLIS);
+	}
+
+	private static BackendLoad parseLoad(Buffer body) {
+		JsonObject json = body.toJsonObject();
+		return new BackendLoad(json.getInteger("running", 0), json.getLong("queuedTokens", 0L));
+	}
+
 	@Override
 	public void close() {
 		this.client.close();
@@ -85,22 +126,19 @@
 			this.listener = listener;
 		}
 
-		synchronized void send(HttpClientRequest opened, AttemptStart start) {
+		synchronized void send(HttpClientRequest opened, AttemptId attempt, AttemptPayload payload) {
 			if (this.ended) {
 				opened.reset();
 				return;
 			}
 			this.request = opened;
-			if (!start.getContentType().isEmpty()) {
-				opened.putHeader("Content-Type", start.getContentType());
-			}
-			opened.putHeader("Comfreywall-Attempt",
-					start.getAttempt().getRequest() + "/" + start.getAttempt().getNumber());
-			opened.putHeader("Comfreywall-Priority", Integer.toString(start.getPriority()));
-			if (!start.getIdempotencyKey().isEmpty()) {
-				opened.putHeader("Idempotency-Key", start.getIdempotencyKey());
+			if (!payload.contentType().isEmpty()) {
+				opened.putHeader("Content-Type", payload.contentType());
 			}
-			opened.send(Buffer.buffer(start.getBody().toByteArray())).onComplete((result) -> {
+			opened.putHeader("Comfreywall-Attempt", attempt.toString());
+			opened.putHeader("Comfreywall-Priority", payload.priority().name().toLowerCase(Locale.ROOT));
+			payload.key().ifPresent((key) -> opened.putHeader("Idempotency-Key", key.value()));
+			opened.send(Buffer.buffer(payload.body().toArray())).onComplete((result) -> {
 				if (result.succeeded()) {
 					receive(result.result());
 				}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarEngine.java
@@ -2,39 +2,72 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
+import org.comfreywall.common.attempt.AnswerChunk;
+import org.comfreywall.common.attempt.AnswerEnd;
+import org.comfreywall.common.attempt.AnswerHead;
+import org.comfreywall.common.attempt.AnswerPart;
+import org.comfreywall.common.decision.DecisionListener;
 import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.invariant.Invariants;
 import org.comfreywall.common.log.EventLog;
-import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.poison.CrashReport;
 import org.comfreywall.common.result.OperationError;
-import org.comfreywall.common.result.Outcome;
-import org.comfreywall.common.result.Step;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.time.Clock;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.sidecar.attempt.AttemptCommand;
+import org.comfreywall.sidecar.attempt.AttemptEvent;
+import org.comfreywall.sidecar.attempt.AttemptRegistry;
+import org.comfreywall.sidecar.attempt.AttemptRegistrySettings;
+import org.comfreywall.sidecar.attempt.BackendCrashed;
+import org.comfreywall.sidecar.attempt.CancelRun;
+import org.comfreywall.sidecar.attempt.DrainStarted;
+import org.comfreywall.sidecar.attempt.EntryLink;
+import org.comfreywall.sidecar.attempt.FinishDrain;
+import org.comfreywall.sidecar.attempt.LinkLost;
+import org.comfreywall.sidecar.attempt.PartProduced;
+import org.comfreywall.sidecar.attempt.ReportCrash;
+import org.comfreywall.sidecar.attempt.RunBroken;
+import org.comfreywall.sidecar.attempt.RunRefused;
+import org.comfreywall.sidecar.attempt.SendEnd;
+import org.comfreywall.sidecar.attempt.SendPart;
+import org.comfreywall.sidecar.attempt.SendRefusal;
+import org.comfreywall.sidecar.attempt.SendSealed;
+import org.comfreywall.sidecar.attempt.SendStarted;
+import org.comfreywall.sidecar.attempt.StartRun;
+import org.comfreywall.sidecar.attempt.TimePassed;
 import org.comfreywall.transport.PeerConnection;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.PeerListener;
-import org.comfreywall.transport.generated.AttemptRef;
+import org.comfreywall.transport.attempt.AttemptDecoder;
+import org.comfreywall.transport.attempt.AttemptPayload;
+import org.comfreywall.transport.attempt.SidecarFrames;
 import org.comfreywall.transport.generated.AttemptStart;
-import org.comfreywall.transport.generated.Credit;
 import org.comfreywall.transport.generated.Frame;
-import org.comfreywall.transport.generated.Resume;
-import org.comfreywall.transport.generated.SealResult;
+import org.comfreywall.transport.generated.Load;
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * Runs attempts on the backend server, each at most once, and streams their answers to
- * the entries.
+ * Drives the registry of attempts: feeds it frames and the backend server's answers and
+ * carries its commands out.
  */
 final class SidecarEngine implements PeerListener {
 
 	private static final EventLog LOG = EventLog.of(SidecarEngine.class);
 
-	private static final Duration KEEP_ENDED = Duration.ofMinutes(1);
+	private static final int SEAL_CREDIT = 64;
+
+	private static final Duration RETRY_HANDOVER = Duration.ofMillis(50);
+
+	private final BackendServerId server;
 
 	private final PeerIdentity self;
 
@@ -42,180 +75,301 @@
 
 	private final BackendClient backend;
 
-	private final Map<AttemptRef, SidecarAttempt> attempts = new HashMap<>();
+	private final Clock clock;
+
+	private final Consumer<CrashReport> crashes;
+
+	private final AttemptRegistry registry;
+
+	private final OutboxRegistry outboxes = new OutboxRegistry();
 
-	private final Set<AttemptRef> sealed = new HashSet<>();
+	private final Map<AttemptId, BackendRun> runs = new HashMap<>();
 
 	private final CompletableFuture<Void> drained = new CompletableFuture<>();
 
-	private int running;
+	private BackendLoad load = BackendLoad.IDLE;
+
+	private long loadSequence;
 
 	private boolean draining;
 
-	SidecarEngine(PeerIdentity self, SerialWorker worker, BackendClient backend) {
+	private boolean drainFinished;
+
+	SidecarEngine(BackendServerId server, PeerIdentity self, SerialWorker worker, BackendClient backend, Clock clock,
+			Consumer<CrashReport> crashes, DecisionListener decisions) {
+		this.server = Preconditions.notNull(server, "server");
 		this.self = Preconditions.notNull(self, "self");
 		this.worker = Preconditions.notNull(worker, "worker");
 		this.backend = Preconditions.notNull(backend, "backend");
+		this.clock = Preconditions.notNull(clock, "clock");
+		this.crashes = Preconditions.notNull(crashes, "crashes");
+		this.registry = new AttemptRegistry(server, self.incarnation(), AttemptRegistrySettings.DEFAULT,
+				new Invariants(), decisions, clock.nanoTime());
 	}
 
 	/**
 	 * Refuses new attempts and finishes those that run.
-	 * @return completes when no attempt runs any more
+	 * @return completes when all answers were sent
 	 */
 	CompletableFuture<Void> drain() {
 		this.worker.execute(() -> {
 			this.draining = true;
-			completeDrain();
+			handle(new DrainStarted());
+			sendLoad();
 		});
 		return this.drained;
 	}
 
+	/**
+	 * Lets time pass and tells the entries about the load; called at regular intervals on
+	 * the worker.
+	 */
+	void tick() {
+		handle(new TimePassed());
+		sendLoad();
+		completeDrain();
+	}
+
+	/**
+	 * Takes in what the backend server reports about its load; called on the worker.
+	 * @param reported the load
+	 */
+	void loadReported(BackendLoad reported) {
+		this.load = reported;
+	}
+
+	@Override
+	public void onOpen(PeerConnection connection) {
+		offer(connection, () -> {
+			this.outboxes.link(connection);
+			connection.send(loadFrame());
+		});
+	}
+
 	@Override
 	public void onFrame(PeerConnection connection, Frame frame) {
-		if (!this.worker.offer(() -> process(connection, frame))) {
-			LOG.warn("sidecar-overloaded", Field.of("frame", frame.getBodyCase()));
-			connection.close();
-		}
+		offer(connection, () -> process(connection, frame));
 	}
 
 	@Override
 	public void onClosed(PeerConnection connection, OperationError reason) {
 		LOG.debug("entry-disconnected", Field.of("reason", reason.message()));
+		this.worker.execute(() -> this.outboxes.remove(connection).map(LinkLost::new).ifPresent(this::handle));
 	}
 
-	private void process(PeerConnection connection, Frame frame) {
-		switch (frame.getBodyCase()) {
-			case START -> start(connection, frame.getStart());
-			case CREDIT -> credit(frame.getCredit());
-			case CANCEL -> cancel(frame.getCancel().getAttempt());
-			case SEAL -> seal(connection, frame.getSeal().getAttempt());
-			case RESUME -> resume(connection, frame.getResume());
-			default -> connection.close();
+	private void offer(PeerConnection connection, Runnable task) {
+		if (!this.worker.offer(task)) {
+			LOG.warn("sidecar-overloaded", Field.of("peer", connection));
+			connection.close();
 		}
 	}
 
-	private void start(PeerConnection connection, AttemptStart start) {
-		AttemptRef ref = start.getAttempt();
-		if (this.attempts.containsKey(ref)) {
+	private void process(PeerConnection connection, Frame frame) {
+		EntryLink link = this.outboxes.link(connection);
+		if (frame.hasCredit()) {
+			RequestId request = RequestId.of(frame.getCredit().getRequest());
+			this.outboxes.addCredit(request, link, frame.getCredit().getParts());
+			regulate(request);
 			return;
 		}
-		SidecarAttempt attempt = new SidecarAttempt(ref, connection, start.getCredit());
-		if (isFenced(ref) || this.sealed.contains(ref)) {
-			attempt.fail(Outcome.NOT_RUN, error(ErrorCode.FENCED, Step.SEND, "the attempt was sealed before it came"));
+		Result<AttemptEvent> event = AttemptDecoder.fromEntry(frame, link);
+		if (event.error().isPresent() || (frame.hasStart() && !keepPayload(frame.getStart()))) {
+			LOG.warn("malformed-frame", Field.of("peer", connection), Field.of("frame", frame.getBodyCase()));
+			connection.close();
 			return;
 		}
-		if (this.draining) {
-			attempt.fail(Outcome.NOT_RUN, error(ErrorCode.UNAVAILABLE, Step.SEND, "the backend server is leaving"));
-			return;
+		openOutbox(link, frame);
+		event.value().ifPresent(this::handle);
+	}
+
+	private boolean keepPayload(AttemptStart start) {
+		Result<AttemptPayload> payload = AttemptDecoder.payload(start);
+		payload.value().ifPresent((value) -> this.runs.putIfAbsent(id(start), new BackendRun(value)));
+		return payload.value().isPresent();
+	}
+
+	private static AttemptId id(AttemptStart start) {
+		return new AttemptId(RequestId.of(start.getAttempt().getRequest()), start.getAttempt().getNumber());
+	}
+
+	private void openOutbox(EntryLink link, Frame frame) {
+		switch (frame.getBodyCase()) {
+			case START -> open(frame.getStart().getAttempt().getRequest(), link, frame.getStart().getCredit());
+			case RESUME -> open(frame.getResume().getAttempt().getRequest(), link, frame.getResume().getCredit());
+			case CLAIM_QUERY -> open(frame.getClaimQuery().getOwner(), link, frame.getClaimQuery().getCredit());
+			case SEAL -> openIfAbsent(frame.getSeal().getAttempt().getRequest(), link);
+			default -> {
+			}
 		}
-		this.attempts.put(ref, attempt);
-		this.running++;
-		attempt.running(this.backend.run(start, new AttemptProgress(attempt)));
 	}
 
-	private void credit(Credit credit) {
-		SidecarAttempt attempt = this.attempts.get(credit.getAttempt());
-		if (attempt != null) {
-			attempt.credit(credit.getMessages(), credit.getNextSequence());
+	private void openIfAbsent(String request, EntryLink link) {
+		if (!this.outboxes.isOpen(RequestId.of(request), link)) {
+			open(request, link, SEAL_CREDIT);
 		}
 	}
 
-	private void cancel(AttemptRef ref) {
-		SidecarAttempt attempt = this.attempts.get(ref);
-		if (attempt != null && attempt.outcome().isEmpty()) {
-			attempt.cancel();
-			attempt.fail(Outcome.UNKNOWN, error(ErrorCode.CANCELLED, Step.RUN, "the caller cancelled the request"));
-			ended(attempt);
+	private void open(String request, EntryLink link, int credit) {
+		this.outboxes.open(RequestId.of(request), link, credit);
+	}
+
+	private void handle(AttemptEvent event) {
+		this.registry.handle(event, this.clock.nanoTime()).forEach(this::carryOut);
+	}
+
+	private void carryOut(AttemptCommand command) {
+		if (command instanceof StartRun start) {
+			startRun(start.attempt());
+		}
+		else if (command instanceof CancelRun cancel) {
+			BackendRun run = this.runs.remove(cancel.attempt());
+			if (run != null) {
+				run.cancel();
+			}
+		}
+		else if (command instanceof ReportCrash crash) {
+			this.crashes.accept(crash.report());
+		}
+		else if (command instanceof FinishDrain) {
+			this.drainFinished = true;
+			completeDrain();
+		}
+		else {
+			send(command);
 		}
 	}
 
-	private void seal(PeerConnection connection, AttemptRef ref) {
-		SidecarAttempt attempt = this.attempts.get(ref);
-		boolean proven = isFenced(ref) ? false
-				: (attempt == null || attempt.outcome().filter(Outcome.NOT_RUN::equals).isPresent());
-		if (attempt == null && proven) {
-			this.sealed.add(ref);
+	private void send(AttemptCommand command) {
+		if (command instanceof SendStarted started) {
+			this.outboxes.send(started.link(), SidecarFrames.started(started));
+		}
+		else if (command instanceof SendPart part) {
+			this.outboxes.sendInOrder(part.attempt().request(), part.link(), SidecarFrames.part(part));
+			regulate(part.attempt().request());
+		}
+		else if (command instanceof SendEnd end) {
+			this.outboxes.sendInOrder(end.attempt().request(), end.link(), SidecarFrames.ended(end));
+		}
+		else if (command instanceof SendRefusal refusal) {
+			this.runs.remove(refusal.attempt());
+			this.outboxes.send(refusal.link(), SidecarFrames.refused(refusal));
+		}
+		else if (command instanceof SendSealed sealed) {
+			this.outboxes.send(sealed.link(), SidecarFrames.sealed(sealed));
 		}
-		SealResult result = SealResult.newBuilder().setAttempt(ref).setSealed(proven).build();
-		connection.send(Frame.newBuilder().setSealResult(result).build());
 	}
 
-	private void resume(PeerConnection connection, Resume resume) {
-		AttemptRef ref = resume.getAttempt();
-		SidecarAttempt attempt = this.attempts.get(ref);
-		if (attempt != null && attempt.resume(connection, resume.getNextSequence(), resume.getCredit())) {
-			return;
+	private void startRun(AttemptId attempt) {
+		BackendRun run = this.runs.get(attempt);
+		run.started(this.backend.run(attempt, run.payload(), new RunProgress(attempt)));
+	}
+
+	private void regulate(RequestId request) {
+		boolean blocked = this.outboxes.isBlocked(request);
+		this.runs.forEach((attempt, run) -> {
+			if (attempt.request().equals(request)) {
+				run.regulate(blocked);
+			}
+		});
+	}
+
+	private void finishRun(AttemptId attempt, AttemptEvent event) {
+		if (this.runs.remove(attempt) != null) {
+			handle(event);
+			this.outboxes.close(attempt.request());
 		}
-		SidecarAttempt refused = new SidecarAttempt(ref, connection, resume.getCredit());
-		if (attempt == null && resume.getNextSequence() == 0 && !isFenced(ref)) {
-			this.sealed.add(ref);
-			refused.fail(Outcome.NOT_RUN, error(ErrorCode.CONNECTION_LOST, Step.SEND, "the attempt never came"));
+	}
+
+	private void judgeFailure(AttemptId attempt, boolean sent) {
+		if (!sent) {
+			finishRun(attempt, new RunRefused(attempt));
 			return;
 		}
-		refused.fail(Outcome.UNKNOWN, error(ErrorCode.CONNECTION_LOST, Step.ANSWER, "the answer cannot be resumed"));
+		this.backend.isAlive()
+			.thenAccept((alive) -> this.worker.execute(() -> finishRun(attempt, failure(attempt, alive))));
 	}
 
-	private boolean isFenced(AttemptRef ref) {
-		return ref.getSidecarIncarnation() != this.self.incarnation().value();
+	private static AttemptEvent failure(AttemptId attempt, boolean alive) {
+		return alive ? new RunBroken(attempt) : new BackendCrashed();
 	}
 
-	private OperationError error(ErrorCode code, Step step, String message) {
-		return OperationError.at(code, step, this.self.instance(), message);
+	private void sendLoad() {
+		this.outboxes.sendAll(loadFrame());
 	}
 
-	private void ended(SidecarAttempt attempt) {
-		this.running--;
-		this.worker.after(KEEP_ENDED, () -> this.attempts.remove(attempt.ref(), attempt));
-		completeDrain();
+	private Frame loadFrame() {
+		this.loadSequence++;
+		Load report = Load.newBuilder()
+			.setIncarnation(this.self.incarnation().value())
+			.setWindow(this.registry.window())
+			.setSequence(this.loadSequence)
+			.setRunning(Math.max(this.load.running(), this.registry.running()))
+			.setQueuedStandardTokens(this.load.queuedTokens())
+			.setLeaving(this.draining)
+			.build();
+		return Frame.newBuilder().setLoad(report).build();
 	}
 
 	private void completeDrain() {
-		if (this.draining && this.running == 0) {
+		if (this.drainFinished && this.outboxes.isEmpty()) {
+			LOG.info("drained", Field.of("backend-server", this.server));
 			this.drained.complete(null);
 		}
 	}
 
 	/**
-	 * Hands the progress of a call over to the worker.
+	 * Hands the progress of a run over to the worker.
 	 */
-	private final class AttemptProgress implements BackendListener {
+	private final class RunProgress implements BackendListener {
 
-		private final SidecarAttempt attempt;
+		private final AttemptId attempt;
 
-		AttemptProgress(SidecarAttempt attempt) {
+		RunProgress(AttemptId attempt) {
 			this.attempt = attempt;
 		}
 
 		@Override
 		public void onHead(int status, String contentType) {
-			hand(() -> this.attempt.head(status, contentType));
+			produce(new AnswerHead(status, contentType));
 		}
 
 		@Override
 		public void onChunk(Bytes data) {
-			hand(() -> this.attempt.chunk(data));
+			produce(new AnswerChunk(data));
 		}
 
 		@Override
 		public void onComplete() {
-			hand(() -> {
-				this.attempt.complete();
-				ended(this.attempt);
-			});
+			hand(() -> finishRun(this.attempt, new PartProduced(this.attempt, new AnswerEnd())));
 		}
 
 		@Override
 		public void onFailure(OperationError error, boolean sent) {
+			LOG.warn("run-failed", Field.of("attempt", this.attempt), Field.of("error", error.message()));
+			hand(() -> judgeFailure(this.attempt, sent));
+		}
+
+		private void produce(AnswerPart part) {
 			hand(() -> {
-				this.attempt.fail(sent ? Outcome.UNKNOWN : Outcome.NOT_RUN, error);
-				ended(this.attempt);
+				if (SidecarEngine.this.runs.containsKey(this.attempt)) {
+					handle(new PartProduced(this.attempt, part));
+				}
 			});
 		}
 
-		private void hand(Runnable change) {
-			SidecarEngine.this.worker.execute(() -> {
-				if (this.attempt.outcome().isEmpty()) {
-					change.run();
+		private void hand(Runnable task) {
+			if (!SidecarEngine.this.worker.offer(task)) {
+				breakOff();
+			}
+		}
+
+		private void breakOff() {
+			LOG.warn("run-broken-off", Field.of("attempt", this.attempt), Field.of("reason", "ring is full"));
+			SidecarEngine.this.worker.after(RETRY_HANDOVER, () -> {
+				BackendRun run = SidecarEngine.this.runs.get(this.attempt);
+				if (run != null) {
+					run.cancel();
+					finishRun(this.attempt, new RunBroken(this.attempt));
 				}
 			});
 		}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
 import org.comfreywall.common.config.AccountDescriptor;
 import org.comfreywall.common.config.AccountLimits;
@@ -14,6 +15,7 @@
 import org.comfreywall.common.config.PriorityClass;
 import org.comfreywall.common.config.ServiceDescriptor;
 import org.comfreywall.common.config.ServiceKind;
+import org.comfreywall.common.decision.DecisionHistory;
 import org.comfreywall.common.id.AccountId;
 import org.comfreywall.common.id.BackendServerId;
 import org.comfreywall.common.id.FailureDomainId;
@@ -21,9 +23,14 @@
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.id.ServiceId;
 import org.comfreywall.common.lifecycle.Closer;
+import org.comfreywall.common.metrics.RequestMetrics;
+import org.comfreywall.common.time.Clock;
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.daemon.entry.EntryNode;
+import org.comfreywall.daemon.entry.EntryParts;
+import org.comfreywall.daemon.entry.LocalControl;
+import org.comfreywall.daemon.entry.SidecarAddress;
 import org.comfreywall.daemon.sidecar.SidecarNode;
 import org.comfreywall.daemon.standin.StandInServer;
 import org.comfreywall.transport.ConnectionTimes;
@@ -45,6 +52,10 @@
 	/** The booking service that the trial offers. */
 	public static final ServiceId BOOKING = ServiceId.of("booking");
 
+	private static final FailureDomainId DOMAIN = FailureDomainId.of("trial");
+
+	private static final int DECISIONS = 10_000;
+
 	private static final int SERVERS = 2;
 
 	private static final long REQUESTS_PER_SECOND = 1000;
@@ -59,6 +70,10 @@
 
 	private final Vertx vertx = Vertx.vertx();
 
+	private final DecisionHistory decisions = new DecisionHistory(DECISIONS);
+
+	private final LocalControl control;
+
 	private final EntryNode entry;
 
 	/**
@@ -68,8 +83,10 @@
 	public Trial(Duration tokenInterval) {
 		this.closer.register(() -> this.vertx.close().await(5, TimeUnit.SECONDS));
 		Configuration configuration = configuration();
-		this.entry = this.closer.register(new EntryNode(this.vertx, transport("entry-1"), LOOPBACK, () -> configuration,
-				RandomGenerator.getDefault()));
+		this.control = new LocalControl(Clock.system(), this.decisions);
+		EntryParts parts = new EntryParts(this.vertx, transport("entry-1"), DOMAIN, () -> configuration, this.control,
+				new RequestMetrics(new MetricRegistry()), Clock.system(), RandomGenerator.getDefault(), this.decisions);
+		this.entry = this.closer.register(new EntryNode(parts, LOOPBACK));
 		for (int i = 1; i <= SERVERS; i++) {
 			startServer("model-" + i, MODEL, tokenInterval);
 			startServer("booking-" + i, BOOKING, tokenInterval);
@@ -96,9 +113,9 @@
 	private void startServer(String name, ServiceId service, Duration tokenInterval) {
 		StandInServer server = this.closer.register(new StandInServer(this.vertx, tokenInterval));
 		URI backend = URI.create("http://127.0.0.1:" + server.port());
-		SidecarNode sidecar = this.closer
-			.register(new SidecarNode(this.vertx, transport("sidecar-" + name), LOOPBACK, backend));
-		this.entry.announce(BackendServerId.of(name), service, sidecar.address()).join();
+		SidecarNode sidecar = this.closer.register(new SidecarNode(this.vertx, transport("sidecar-" + name), LOOPBACK,
+				BackendServerId.of(name), backend, this.control::charge, this.decisions));
+		this.entry.announce(new SidecarAddress(BackendServerId.of(name), service, DOMAIN, sidecar.address())).join();
 	}
 
 	private Transport transport(String name) {
@@ -107,7 +124,7 @@
 	}
 
 	private static Configuration configuration() {
-		FailureDomainDescriptor domain = new FailureDomainDescriptor(FailureDomainId.of("trial"), "local");
+		FailureDomainDescriptor domain = new FailureDomainDescriptor(DOMAIN, "local");
 		ServiceDescriptor model = new ServiceDescriptor(MODEL, ServiceKind.MODEL, "/v1/chat/completions",
 				List.of("POST /v1/chat/completions"), false);
 		ServiceDescriptor booking = new ServiceDescriptor(BOOKING, ServiceKind.PLAIN, "/booking",
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLink.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLink.java
@@ -65,6 +65,14 @@
 		return this;
 	}
 
+	/**
+	 * Opens a second connection to find out whether the present one still works; it
+	 * replaces the present one once the peer greets.
+	 */
+	public void probe() {
+		connect();
+	}
+
 	/**
 	 * Returns the working connection.
 	 * @return the connection, or empty while there is none
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/EntryFrames.java
@@ -0,0 +1,137 @@
+package org.comfreywall.transport.attempt;
+
+import com.google.protobuf.ByteString;
+import org.comfreywall.common.attempt.AttemptTarget;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.IdempotencyKey;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.entry.request.SendCancel;
+import org.comfreywall.entry.request.SendClaimQuery;
+import org.comfreywall.entry.request.SendResume;
+import org.comfreywall.entry.request.SendSeal;
+import org.comfreywall.entry.request.SendStart;
+import org.comfreywall.transport.generated.AttemptCancel;
+import org.comfreywall.transport.generated.AttemptKey;
+import org.comfreywall.transport.generated.AttemptResume;
+import org.comfreywall.transport.generated.AttemptSeal;
+import org.comfreywall.transport.generated.AttemptStart;
+import org.comfreywall.transport.generated.ClaimQuery;
+import org.comfreywall.transport.generated.Credit;
+import org.comfreywall.transport.generated.Frame;
+import org.comfreywall.transport.generated.Target;
+
+/**
+ * Creates the frames that entries send to sidecars.
+ */
+public final class EntryFrames {
+
+	private EntryFrames() {
+	}
+
+	/**
+	 * Creates the frame of an attempt.
+	 * @param command the attempt
+	 * @param payload what it sends to the backend server
+	 * @param credit the number of answer parts that may be sent
+	 * @return the frame
+	 */
+	public static Frame start(SendStart command, AttemptPayload payload, int credit) {
+		AttemptStart start = AttemptStart.newBuilder()
+			.setAttempt(key(command.attempt()))
+			.setTarget(target(command.target()))
+			.setAccount(command.traits().fingerprint().account().value())
+			.setService(command.traits().fingerprint().service().value())
+			.setBodyDigest(command.traits().fingerprint().bodyDigest())
+			.setIdempotent(command.traits().idempotent())
+			.setClaimed(command.traits().claimed())
+			.setIsolated(command.traits().isolated())
+			.setMethod(payload.method())
+			.setPath(payload.path())
+			.setContentType(payload.contentType())
+			.setBody(ByteString.copyFrom(payload.body().toArray()))
+			.setPriority(payload.priority().ordinal())
+			.setRemainingMillis(Math.max(0, payload.remaining().toMillis()))
+			.setIdempotencyKey(payload.key().map(IdempotencyKey::value).orElse(""))
+			.setCredit(credit)
+			.build();
+		return Frame.newBuilder().setStart(start).build();
+	}
+
+	/**
+	 * Creates the frame that seals an attempt.
+	 * @param command the attempt
+	 * @return the frame
+	 */
+	public static Frame seal(SendSeal command) {
+		return Frame.newBuilder()
+			.setSeal(AttemptSeal.newBuilder().setAttempt(key(command.attempt())).setTarget(target(command.target())))
+			.build();
+	}
+
+	/**
+	 * Creates the frame that resumes an answer.
+	 * @param command the attempt and the next part
+	 * @param credit the number of answer parts that may be sent
+	 * @return the frame
+	 */
+	public static Frame resume(SendResume command, int credit) {
+		return Frame.newBuilder()
+			.setResume(AttemptResume.newBuilder()
+				.setAttempt(key(command.attempt()))
+				.setIncarnation(command.incarnation().value())
+				.setNextSequence(command.nextSequence())
+				.setCredit(credit))
+			.build();
+	}
+
+	/**
+	 * Creates the frame that cancels an attempt.
+	 * @param command the attempt
+	 * @return the frame
+	 */
+	public static Frame cancel(SendCancel command) {
+		return Frame.newBuilder()
+			.setCancel(AttemptCancel.newBuilder()
+				.setAttempt(key(command.attempt()))
+				.setIncarnation(command.incarnation().value()))
+			.build();
+	}
+
+	/**
+	 * Creates the frame that asks for the answer of a claim's owner.
+	 * @param command the owner
+	 * @param credit the number of answer parts that may be sent
+	 * @return the frame
+	 */
+	public static Frame claimQuery(SendClaimQuery command, int credit) {
+		return Frame.newBuilder()
+			.setClaimQuery(ClaimQuery.newBuilder()
+				.setOwner(command.owner().value())
+				.setIncarnation(command.incarnation().value())
+				.setCredit(credit))
+			.build();
+	}
+
+	/**
+	 * Creates the frame that allows more answer parts.
+	 * @param request the request whose attempt is followed
+	 * @param parts the number of further parts
+	 * @return the frame
+	 */
+	public static Frame credit(RequestId request, int parts) {
+		return Frame.newBuilder().setCredit(Credit.newBuilder().setRequest(request.value()).setParts(parts)).build();
+	}
+
+	static AttemptKey key(AttemptId attempt) {
+		return AttemptKey.newBuilder().setRequest(attempt.request().value()).setNumber(attempt.number()).build();
+	}
+
+	private static Target target(AttemptTarget target) {
+		return Target.newBuilder()
+			.setBackendServer(target.backendServer().value())
+			.setIncarnation(target.incarnation().value())
+			.setWindow(target.window())
+			.build();
+	}
+
+}
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/package-info.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The stream protocol for attempts between entry and sidecar.
+ * Frames about attempts, between entries and sidecars.
  */
 package org.comfreywall.transport.attempt;
