Lease limits to entries and admit requests under load

Limits of a client account have to hold over all entries together, and an overloaded service has to refuse early and truthfully.

The lease ledger grants requests and tokens as amounts that lapse after a term and go on occupying the bucket until then, and in-flight slots as shares that stay committed until the last request admitted under them must have ended. The limit enforcer spends them at an entry on its own monotonic clock, counted from the sending of the ask.

--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
@@ -0,0 +1,245 @@
+package org.comfreywall.control.lease;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.comfreywall.common.decision.DecisionKind;
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.decision.DecisionRecord;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.AccountId;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.lease.AccountDemand;
+import org.comfreywall.common.lease.AccountGrant;
+import org.comfreywall.common.lease.LeaseTerms;
+import org.comfreywall.common.lease.LimitPart;
+
+/**
+ * The leases of one client account's limits.
+ */
+final class AccountLedger {
+
+	/** Holders of one client account that are tracked at a time. */
+	static final int MAX_HOLDERS = 4096;
+
+	private static final long DIVISION_INTERVAL_NANOS = 100_000_000;
+
+	private static final double ROUNDING = 1e-6;
+
+	private final AccountId account;
+
+	private final LedgerContext context;
+
+	private final GrantedRate requests;
+
+	private final GrantedRate tokens;
+
+	private final Map<HolderKey, Holder> holders = new HashMap<>();
+
+	private final FairDivision division = new FairDivision();
+
+	private long slots;
+
+	private long committedSlots;
+
+	private long dividedAt = Long.MIN_VALUE;
+
+	AccountLedger(AccountId account, LedgerContext context) {
+		this.account = account;
+		this.context = context;
+		long term = context.terms().rateTerm().toNanos();
+		this.requests = new GrantedRate(term, context.ratesFrom());
+		this.tokens = new GrantedRate(term, context.ratesFrom());
+	}
+
+	void configure(LimitPart part) {
+		LeaseTerms terms = this.context.terms();
+		double seconds = terms.burst().toNanos() / 1e9;
+		double slowest = 1 - terms.clockDrift();
+		this.requests.configure(part.requestsPerSecond() * slowest, part.requestsPerSecond() * seconds);
+		this.tokens.configure(part.tokensPerSecond() * slowest, part.tokensPerSecond() * seconds);
+		this.slots = part.slots();
+	}
+
+	AccountGrant answer(HolderKey key, long sequence, Term holderTerm, AccountDemand demand, long now) {
+		Holder holder = this.holders.get(key);
+		if (holder == null) {
+			if (this.holders.size() >= MAX_HOLDERS) {
+				return new AccountGrant(this.account, 0, 0, 0);
+			}
+			holder = new Holder(key);
+			inheritSlots(holder, demand, now);
+			this.holders.put(key, holder);
+		}
+		long before = holder.slots().committed(now);
+		holder.hear(demand, now, now + this.context.longestRequestNanos());
+		this.committedSlots += holder.slots().committed(now) - before;
+		refund(holderTerm, demand, now);
+		divideIfDue(now);
+		return grant(holder, sequence, now);
+	}
+
+	long committedSlots(long now) {
+		return this.holders.values().stream().mapToLong((holder) -> holder.slots().committed(now)).sum();
+	}
+
+	long liveRequests(long now) {
+		this.requests.available(now);
+		return this.requests.live();
+	}
+
+	long liveTokens(long now) {
+		this.tokens.available(now);
+		return this.tokens.live();
+	}
+
+	/**
+	 * Tells whether the client account is gone and nothing granted for it is left.
+	 * @param now the grantor's clock in nanoseconds
+	 * @return {@code true} if this ledger may be forgotten
+	 */
+	boolean isUnused(long now) {
+		boolean gone = this.slots == 0 && this.requests.capacity() == 0 && this.tokens.capacity() == 0;
+		return gone && committedSlots(now) == 0 && liveRequests(now) == 0 && liveTokens(now) == 0;
+	}
+
+	int holders() {
+		return this.holders.size();
+	}
+
+	private void inheritSlots(Holder holder, AccountDemand demand, long now) {
+		boolean granted = demand.heldSlots() > 0 && demand.heldTerm().isBefore(this.context.term());
+		if (granted) {
+			SlotGrant inherited = new SlotGrant(demand.heldSequence(), demand.heldSlots(), slotsUntil(now));
+			holder.inherit(inherited);
+			this.committedSlots += holder.slots().committed(now);
+		}
+	}
+
+	private void refund(Term holderTerm, AccountDemand demand, long now) {
+		if (demand.refundedTokens() > 0 && holderTerm.equals(this.context.term())) {
+			this.tokens.refund(demand.refundedTokens(), now);
+		}
+	}
+
+	private void divideIfDue(long now) {
+		if (this.dividedAt != Long.MIN_VALUE && now - this.dividedAt < DIVISION_INTERVAL_NANOS) {
+			return;
+		}
+		this.dividedAt = now;
+		this.committedSlots = 0;
+		long active = now - 2 * this.context.terms().askInterval().toNanos();
+		this.holders.values().removeIf((holder) -> !holder.heardSince(active) && holder.slots().committed(now) == 0);
+		this.holders.values().forEach((holder) -> this.committedSlots += holder.slots().committed(now));
+		List<Holder> heard = this.holders.values().stream().filter((holder) -> holder.heardSince(active)).toList();
+		this.division.divide(heard, divisible(now));
+	}
+
+	private DivisionInput divisible(long now) {
+		long interval = this.context.terms().askInterval().toNanos();
+		double requestsNow = this.requests.available(now);
+		double tokensNow = this.tokens.available(now);
+		return new DivisionInput(Math.max(requestsNow, this.requests.perNano() * interval),
+				Math.max(tokensNow, this.tokens.perNano() * interval), requestsNow, tokensNow, this.slots);
+	}
+
+	private AccountGrant grant(Holder holder, long sequence, long now) {
+		AccountGrant rates = grantRates(holder, now);
+		long granted = grantSlots(holder, sequence, now);
+		AccountGrant grant = new AccountGrant(this.account, rates.requests(), rates.tokens(), granted);
+		record(holder, grant);
+		return grant;
+	}
+
+	private AccountGrant grantRates(Holder holder, long now) {
+		AccountDemand demand = holder.demand();
+		double requestsLeft = this.requests.available(now);
+		double tokensLeft = this.tokens.available(now);
+		if (!holder.rateTurn()) {
+			requestsLeft -= this.division.reservedRequests();
+			tokensLeft -= this.division.reservedTokens();
+		}
+		long requests = atMost(this.division.requests(holder), requestsLeft);
+		long tokens = atMost(this.division.tokens(holder), tokensLeft);
+		if (holder.rateTurn()) {
+			requests = Math.max(requests, atMost(Math.min(1, demand.requests()), requestsLeft));
+			tokens = Math.max(tokens, atMost(Math.min(demand.smallestTokens(), demand.tokens()), tokensLeft));
+		}
+		boolean useful = requests >= Math.min(1, demand.requests())
+				&& tokens >= Math.min(demand.smallestTokens(), demand.tokens());
+		boolean turn = holder.rateTurn();
+		holder.rateAnswered(useful || !fitsCapacity(demand), now);
+		if (!useful || !spend(requests, tokens, now)) {
+			return new AccountGrant(this.account, 0, 0, 0);
+		}
+		if (turn) {
+			this.division.release(holder);
+		}
+		return new AccountGrant(this.account, requests, tokens, 0);
+	}
+
+	private boolean fitsCapacity(AccountDemand demand) {
+		return this.requests.capacity() >= 1 && this.tokens.capacity() >= demand.smallestTokens();
+	}
+
+	private boolean spend(long requests, long tokens, long now) {
+		boolean safe = fits(this.requests, requests, "granted-requests-within-limit")
+				&& fits(this.tokens, tokens, "granted-tokens-within-limit");
+		if (safe) {
+			this.requests.grant(requests, now);
+			this.tokens.grant(tokens, now);
+		}
+		return safe;
+	}
+
+	private boolean fits(GrantedRate rate, long amount, String invariant) {
+		boolean within = amount <= rate.level() + ROUNDING
+				&& rate.level() + rate.live() <= Math.max(rate.capacity(), rate.live()) + ROUNDING;
+		return this.context.invariants()
+			.holds(within, invariant, Field.of("client-account", this.account), Field.of("amount", amount));
+	}
+
+	private long grantSlots(Holder holder, long sequence, long now) {
+		long before = holder.slots().committed(now);
+		long target = this.division.slots(holder);
+		if (now < this.context.slotsFrom()) {
+			target = Math.min(target, holder.inherited());
+		}
+		long others = this.committedSlots - before;
+		long granted = Math.max(0, Math.min(target, this.slots - others));
+		if (granted > this.division.dividedSlots(holder)) {
+			holder.slotTurnTaken(now);
+		}
+		holder.slots().add(new SlotGrant(sequence, granted, slotsUntil(now)));
+		long after = holder.slots().committed(now);
+		this.committedSlots += after - before;
+		return granted;
+	}
+
+	private long slotsUntil(long now) {
+		return now + this.context.terms().slotTerm().toNanos() + this.context.longestRequestNanos();
+	}
+
+	private void record(Holder holder, AccountGrant grant) {
+		AccountDemand demand = holder.demand();
+		if (grant.requests() >= demand.requests() && grant.tokens() >= demand.tokens()
+				&& grant.slots() >= demand.slots()) {
+			return;
+		}
+		DecisionListener listener = this.context.listener();
+		if (listener == DecisionListener.NONE) {
+			return;
+		}
+		listener.onDecision(DecisionRecord.of(DecisionKind.LEASE, this.account.value(), "granted-in-part",
+				Field.of("holder", holder.key().holder()), Field.of("wanted-requests", demand.requests()),
+				Field.of("requests", grant.requests()), Field.of("wanted-tokens", demand.tokens()),
+				Field.of("tokens", grant.tokens()), Field.of("wanted-slots", demand.slots()),
+				Field.of("slots", grant.slots()), Field.of("committed-slots", this.committedSlots)));
+	}
+
+	private static long atMost(long amount, double available) {
+		return Math.max(0, Math.min(amount, (long) available));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseRequested.java
@@ -0,0 +1,17 @@
+package org.comfreywall.control.lease;
+
+import org.comfreywall.common.lease.LeaseRequest;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * A holder's ask arrived.
+ *
+ * @param request the ask
+ */
+public record LeaseRequested(LeaseRequest request) implements LedgerEvent {
+
+	public LeaseRequested {
+		Preconditions.notNull(request, "request");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LedgerContext.java
@@ -0,0 +1,32 @@
+package org.comfreywall.control.lease;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.lease.LeaseTerms;
+
+/**
+ * What all client accounts of one ledger share.
+ *
+ * @param term the grantor's term
+ * @param terms the durations agreed with the holders
+ * @param ratesFrom when rates may be granted, in nanoseconds: an earlier grantor's grants
+ * have ended by then
+ * @param slotsFrom when slots that no holder reported may be granted, in nanoseconds
+ * @param longestRequestNanos how long to wait on the grantor's clock for the end of a
+ * request
+ * @param listener receives the decisions
+ * @param invariants checks the invariants
+ */
+record LedgerContext(Term term, LeaseTerms terms, long ratesFrom, long slotsFrom, long longestRequestNanos,
+		DecisionListener listener, Invariants invariants) {
+
+	static LedgerContext startingAt(Term term, LeaseTerms terms, long now, DecisionListener listener,
+			Invariants invariants) {
+		long longest = terms.grantorNanos(terms.longestRequest());
+		long ratesFrom = now + terms.grantorNanos(terms.rateTerm());
+		long slotsFrom = now + terms.grantorNanos(terms.slotTerm()) + longest;
+		return new LedgerContext(term, terms, ratesFrom, slotsFrom, longest, listener, invariants);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The grantor's side of limits that are leased to entry instances.
+ */
+package org.comfreywall.control.lease;
--- /dev/null
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/lease/LeaseLedgerTests.java
@@ -0,0 +1,195 @@
+package org.comfreywall.control.lease;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.AccountId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.lease.AccountDemand;
+import org.comfreywall.common.lease.AccountGrant;
+import org.comfreywall.common.lease.LeaseRequest;
+import org.comfreywall.common.lease.LeaseTerms;
+import org.comfreywall.common.lease.LimitPart;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link LeaseLedger}.
+ */
+class LeaseLedgerTests {
+
+	private static final long SECOND = 1_000_000_000;
+
+	private static final AccountId ACCOUNT = AccountId.of("farm");
+
+	private final LeaseTerms terms = new LeaseTerms(Duration.ofSeconds(1), Duration.ofSeconds(3),
+			Duration.ofSeconds(10), Duration.ofSeconds(2), Duration.ofMillis(400), 0);
+
+	private final LeaseLedger ledger = ledger(1, 0);
+
+	private long sequence;
+
+	private LeaseLedger ledger(long term, long now) {
+		LeaseLedger result = LeaseLedger.create(Term.of(term), this.terms, now, DecisionListener.NONE,
+				new Invariants());
+		result.handle(new LimitsChanged(ACCOUNT, Optional.of(new LimitPart(10, 1000, 8))), now);
+		return result;
+	}
+
+	private AccountDemand demand(long requests, long tokens, long slots) {
+		return new AccountDemand(ACCOUNT, requests, tokens, 0, 0, slots, 0, Term.ZERO, 0, 0);
+	}
+
+	private AccountGrant ask(LeaseLedger to, String holder, AccountDemand demand, long now) {
+		this.sequence++;
+		return send(to,
+				new LeaseRequest(InstanceId.of(holder), Incarnation.of(1), this.sequence, Term.of(1), List.of(demand)),
+				now)
+			.get();
+	}
+
+	private Optional<AccountGrant> send(LeaseLedger to, LeaseRequest request, long now) {
+		return to.handle(new LeaseRequested(request), now)
+			.stream()
+			.map((command) -> ((SendGrant) command).grant().grants().get(0))
+			.findFirst();
+	}
+
+	@Nested
+	class Rates {
+
+		@Test
+		void grantsNothingUntilEarlierGrantsHaveEnded() {
+			assertThat(ask(LeaseLedgerTests.this.ledger, "a", demand(1, 0, 0), SECOND).requests()).isZero();
+		}
+
+		@Test
+		void grantsNoMoreThanTheBurst() {
+			assertThat(ask(LeaseLedgerTests.this.ledger, "a", demand(100, 0, 0), 60 * SECOND).requests()).isEqualTo(20);
+		}
+
+		@Test
+		void countsUnexpiredGrantsAgainstTheBurst() {
+			ask(LeaseLedgerTests.this.ledger, "a", demand(20, 0, 0), 60 * SECOND);
+			long later = 60 * SECOND + SECOND / 2;
+			assertThat(ask(LeaseLedgerTests.this.ledger, "a", demand(20, 0, 0), later).requests()).isZero();
+			assertThat(LeaseLedgerTests.this.ledger.liveRequests(ACCOUNT, later)).isEqualTo(20);
+		}
+
+		@Test
+		void dividesByDemandUnderContention() {
+			long now = 60 * SECOND;
+			long[] granted = new long[2];
+			for (int i = 0; i < 50; i++) {
+				now += 400_000_000;
+				granted[0] += ask(LeaseLedgerTests.this.ledger, "a", demand(30, 0, 0), now).requests();
+				granted[1] += ask(LeaseLedgerTests.this.ledger, "b", demand(10, 0, 0), now).requests();
+			}
+			assertThat(granted[0] + granted[1]).isGreaterThan(190);
+			assertThat(granted[1]).isBetween(40L, 70L);
+		}
+
+		@Test
+		void servesHoldersInTurnWhenThereIsLessThanOneForEach() {
+			long now = 60 * SECOND;
+			long[] granted = new long[40];
+			for (int i = 0; i < 100; i++) {
+				now += 400_000_000;
+				for (int j = 0; j < granted.length; j++) {
+					granted[j] += ask(LeaseLedgerTests.this.ledger, "holder-" + j, demand(1, 0, 0), now).requests();
+				}
+			}
+			assertThat(granted).doesNotContain(0L, 1L, 2L, 3L, 4L);
+		}
+
+		@Test
+		void takesBackRefundedTokensOnce() {
+			long now = 60 * SECOND;
+			ask(LeaseLedgerTests.this.ledger, "a", demand(0, 2000, 0), now);
+			now += 2 * SECOND;
+			ask(LeaseLedgerTests.this.ledger, "a", demand(0, 2000, 0), now);
+			now += SECOND + SECOND / 4;
+			AccountDemand refund = new AccountDemand(ACCOUNT, 0, 0, 0, 500, 0, 0, Term.ZERO, 0, 0);
+			LeaseRequest request = new LeaseRequest(InstanceId.of("b"), Incarnation.of(1), 1, Term.of(1),
+					List.of(refund));
+			send(LeaseLedgerTests.this.ledger, request, now);
+			assertThat(send(LeaseLedgerTests.this.ledger, request, now)).isEmpty();
+			assertThat(ask(LeaseLedgerTests.this.ledger, "a", demand(0, 5000, 0), now).tokens()).isBetween(500L, 1800L);
+		}
+
+	}
+
+	@Nested
+	class Slots {
+
+		@Test
+		void leavesSharesOfSilentHolderOutUntilItsRequestsHaveEnded() {
+			long now = 60 * SECOND;
+			assertThat(ask(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 8), now).slots()).isEqualTo(8);
+			assertThat(ask(LeaseLedgerTests.this.ledger, "b", demand(0, 0, 8), now + 12 * SECOND).slots()).isZero();
+			assertThat(ask(LeaseLedgerTests.this.ledger, "b", demand(0, 0, 8), now + 14 * SECOND).slots()).isEqualTo(8);
+		}
+
+		@Test
+		void freesSharesThatTheHolderGaveUp() {
+			long now = 60 * SECOND;
+			ask(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 8), now);
+			AccountDemand released = new AccountDemand(ACCOUNT, 0, 0, 0, 0, 2, 2, Term.of(1), 1, 2);
+			ask(LeaseLedgerTests.this.ledger, "a", released, now + 1);
+			assertThat(ask(LeaseLedgerTests.this.ledger, "b", demand(0, 0, 8), now + 2).slots()).isEqualTo(6);
+		}
+
+		@Test
+		void keepsSharesWhenTheLowerGrantMayBeLost() {
+			long now = 60 * SECOND;
+			ask(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 8), now);
+			ask(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 2), now + 1);
+			assertThat(LeaseLedgerTests.this.ledger.committedSlots(ACCOUNT, now + 2)).isEqualTo(8);
+		}
+
+		@Test
+		void leavesHoldersOfAnEarlierTermWhatTheyReport() {
+			LeaseLedger second = ledger(2, 100 * SECOND);
+			AccountDemand held = new AccountDemand(ACCOUNT, 0, 0, 0, 0, 8, 5, Term.of(1), 3, 4);
+			this.askSecond(second, held);
+			assertThat(ask(second, "b", demand(0, 0, 8), 102 * SECOND).slots()).isZero();
+			assertThat(ask(second, "b", demand(0, 0, 8), 113 * SECOND + SECOND / 2).slots()).isEqualTo(3);
+		}
+
+		private void askSecond(LeaseLedger second, AccountDemand held) {
+			LeaseLedgerTests.this.sequence = 10;
+			assertThat(ask(second, "a", held, 101 * SECOND).slots()).isEqualTo(5);
+		}
+
+	}
+
+	@Nested
+	class Order {
+
+		@Test
+		void ignoresReorderedAsk() {
+			LeaseRequest newer = new LeaseRequest(InstanceId.of("a"), Incarnation.of(1), 2, Term.of(1),
+					List.of(demand(1, 0, 0)));
+			LeaseRequest older = new LeaseRequest(InstanceId.of("a"), Incarnation.of(1), 1, Term.of(1),
+					List.of(demand(1, 0, 0)));
+			assertThat(send(LeaseLedgerTests.this.ledger, newer, 60 * SECOND)).isPresent();
+			assertThat(send(LeaseLedgerTests.this.ledger, older, 60 * SECOND)).isEmpty();
+		}
+
+		@Test
+		void staysSilentWhenTheHolderKnowsANewerTerm() {
+			LeaseRequest request = new LeaseRequest(InstanceId.of("a"), Incarnation.of(1), 1, Term.of(2),
+					List.of(demand(1, 0, 0)));
+			assertThat(send(LeaseLedgerTests.this.ledger, request, 60 * SECOND)).isEmpty();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/QueueBounds.java
@@ -0,0 +1,39 @@
+package org.comfreywall.entry.admit;
+
+import java.time.Duration;
+
+import org.comfreywall.common.config.PriorityClass;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The longest time in queue for each priority class.
+ *
+ * @param interactive the bound of {@link PriorityClass#INTERACTIVE}
+ * @param standard the bound of {@link PriorityClass#STANDARD}
+ * @param batch the bound of {@link PriorityClass#BATCH}
+ */
+public record QueueBounds(Duration interactive, Duration standard, Duration batch) {
+
+	/** The bounds used unless the settings say otherwise. */
+	public static final QueueBounds DEFAULT = new QueueBounds(Duration.ofMillis(500), Duration.ofMillis(1000),
+			Duration.ofMillis(2000));
+
+	public QueueBounds {
+		Preconditions.notNull(interactive, "interactive");
+		Preconditions.notNull(standard, "standard");
+		Preconditions.notNull(batch, "batch");
+	}
+
+	/**
+	 * Returns the bound of a class.
+	 * @param priority the class
+	 * @return the longest time in queue
+	 */
+	public Duration of(PriorityClass priority) {
+		if (priority == PriorityClass.INTERACTIVE) {
+			return this.interactive;
+		}
+		return (priority == PriorityClass.STANDARD) ? this.standard : this.batch;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantedShare.java
@@ -0,0 +1,158 @@
+package org.comfreywall.entry.limit;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.lease.AccountGrant;
+
+/**
+ * What one grantor has granted for one client account and what is in use of it.
+ */
+final class GrantedShare {
+
+	private static final int MAX_AMOUNTS = 64;
+
+	private final List<SpendableAmount> amounts = new ArrayList<>();
+
+	private long requests;
+
+	private long tokens;
+
+	private long debt;
+
+	private long refund;
+
+	private long slots;
+
+	private long slotsUntil = Long.MIN_VALUE;
+
+	private long heldSequence;
+
+	private Term heldTerm = Term.ZERO;
+
+	private long used;
+
+	GrantedShare(long heldSequence) {
+		this.heldSequence = heldSequence;
+	}
+
+	void take(AccountGrant grant, Term term, long sequence, long amountUntil, long slotsUntil, long now) {
+		if (now < amountUntil && this.amounts.size() < MAX_AMOUNTS) {
+			addAmount(grant, amountUntil);
+		}
+		if (now < slotsUntil && sequence > this.heldSequence) {
+			this.slots = grant.slots();
+			this.slotsUntil = slotsUntil;
+			this.heldSequence = sequence;
+			this.heldTerm = term;
+		}
+	}
+
+	boolean canAdmit(long tokens, long now) {
+		lapse(now);
+		return this.requests >= 1 && this.tokens >= tokens && this.used < slots(now);
+	}
+
+	void admit(long tokens) {
+		this.requests--;
+		this.tokens -= tokens;
+		this.used++;
+		long requestsLeft = 1;
+		long tokensLeft = tokens;
+		for (int i = 0; i < this.amounts.size() && requestsLeft + tokensLeft > 0; i++) {
+			SpendableAmount amount = this.amounts.get(i);
+			long fromRequests = Math.min(requestsLeft, amount.requests());
+			long fromTokens = Math.min(tokensLeft, amount.tokens());
+			this.amounts.set(i, amount.less(fromRequests, fromTokens));
+			requestsLeft -= fromRequests;
+			tokensLeft -= fromTokens;
+		}
+		this.amounts.removeIf(SpendableAmount::isEmpty);
+	}
+
+	void finish(long charged, long spent) {
+		this.used--;
+		if (spent <= charged) {
+			this.refund += charged - spent;
+		}
+		else {
+			this.debt += spent - charged;
+		}
+	}
+
+	/**
+	 * Lowers the slots held without being asked to.
+	 * @param wanted the slots of use here
+	 */
+	void lowerSlots(long wanted) {
+		this.slots = Math.min(this.slots, wanted);
+	}
+
+	long takeRefund() {
+		long result = this.refund;
+		this.refund = 0;
+		return result;
+	}
+
+	long requests(long now) {
+		lapse(now);
+		return this.requests;
+	}
+
+	long tokens(long now) {
+		lapse(now);
+		return this.tokens;
+	}
+
+	long slots(long now) {
+		return (now < this.slotsUntil) ? this.slots : 0;
+	}
+
+	long used() {
+		return this.used;
+	}
+
+	long heldSequence() {
+		return this.heldSequence;
+	}
+
+	Term heldTerm() {
+		return this.heldTerm;
+	}
+
+	boolean isInUse(long now) {
+		return this.used > 0 || this.refund > 0 || slots(now) > 0;
+	}
+
+	private void addAmount(AccountGrant grant, long until) {
+		long paid = Math.min(this.debt, grant.tokens());
+		this.debt -= paid;
+		SpendableAmount amount = new SpendableAmount(grant.requests(), grant.tokens() - paid, until);
+		if (amount.isEmpty()) {
+			return;
+		}
+		int index = this.amounts.size();
+		while (index > 0 && this.amounts.get(index - 1).until() > until) {
+			index--;
+		}
+		this.amounts.add(index, amount);
+		this.requests += amount.requests();
+		this.tokens += amount.tokens();
+	}
+
+	private void lapse(long now) {
+		Iterator<SpendableAmount> iterator = this.amounts.iterator();
+		while (iterator.hasNext()) {
+			SpendableAmount amount = iterator.next();
+			if (now < amount.until()) {
+				return;
+			}
+			this.requests -= amount.requests();
+			this.tokens -= amount.tokens();
+			iterator.remove();
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/SpendableAmount.java
@@ -0,0 +1,20 @@
+package org.comfreywall.entry.limit;
+
+/**
+ * Requests and tokens granted at one time that are left to spend.
+ *
+ * @param requests the requests left
+ * @param tokens the tokens left
+ * @param until when they lapse, in nanoseconds on the entry's clock
+ */
+record SpendableAmount(long requests, long tokens, long until) {
+
+	SpendableAmount less(long requests, long tokens) {
+		return new SpendableAmount(this.requests - requests, this.tokens - tokens, this.until);
+	}
+
+	boolean isEmpty() {
+		return this.requests == 0 && this.tokens == 0;
+	}
+
+}
