--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerEstimate.java
@@ -0,0 +1,83 @@
+package org.comfreywall.group.placement;
+
+import java.util.Arrays;
+import java.util.stream.IntStream;
+
+/**
+ * The popularity of the experts of one layer, compared with that of the last change
+ * beyond noise.
+ */
+final class LayerEstimate {
+
+	private final EstimatorSettings settings;
+
+	private final ExpertEstimate[] experts;
+
+	private final double[] reference;
+
+	private final double[] referenceVariance;
+
+	private double referenceTotal;
+
+	LayerEstimate(EstimatorSettings settings, int experts) {
+		this.settings = settings;
+		this.experts = IntStream.range(0, experts)
+			.mapToObj((expert) -> new ExpertEstimate(settings))
+			.toArray(ExpertEstimate[]::new);
+		this.reference = new double[experts];
+		this.referenceVariance = new double[experts];
+	}
+
+	// Scales to the traffic of the first interval, so that only shares count as change.
+	void observe(double[] counts) {
+		double total = Arrays.stream(counts).sum();
+		if (total <= 0) {
+			return;
+		}
+		this.referenceTotal = (this.referenceTotal > 0) ? this.referenceTotal : total;
+		for (int expert = 0; expert < this.experts.length; expert++) {
+			this.experts[expert].observe(counts[expert] * this.referenceTotal / total);
+		}
+	}
+
+	/**
+	 * Compares with the next forecasts from now on if the present one changed beyond
+	 * noise.
+	 * @return {@code true} if it changed
+	 */
+	boolean acceptChange() {
+		if (!isChanged()) {
+			return false;
+		}
+		for (int expert = 0; expert < this.experts.length; expert++) {
+			this.reference[expert] = this.experts[expert].forecast();
+			this.referenceVariance[expert] = this.experts[expert].forecastVariance();
+		}
+		return true;
+	}
+
+	// Tests the largest change of one expert and the sum of all changes.
+	private boolean isChanged() {
+		double largest = 0;
+		double sum = 0;
+		for (int expert = 0; expert < this.experts.length; expert++) {
+			double change = this.experts[expert].forecast() - this.reference[expert];
+			double variance = this.experts[expert].forecastVariance() + this.referenceVariance[expert];
+			double square = (variance > 0) ? change * change / variance : 0;
+			largest = Math.max(largest, square);
+			sum += square;
+		}
+		double significance = this.settings.significance();
+		int count = this.experts.length;
+		return largest > significance * significance || sum > count + significance * Math.sqrt(2.0 * count);
+	}
+
+	double[] forecast() {
+		return Arrays.stream(this.experts).mapToDouble(ExpertEstimate::forecast).toArray();
+	}
+
+	double[] smoothed() {
+		return Arrays.stream(this.experts).mapToDouble(ExpertEstimate::fast).toArray();
+	}
+
+}
