Add the command-line tool

Operators need to generate, check, submit and follow configurations, and to ask a daemon what it did. comfreywall has the commands init, check, apply, get, status, report, drain, explain and history, with output for people or JSON, exit codes 0 to 4, and a next step with each error. The questions of init come from the descriptors of the answers, which are the sections of a configuration and the instances; settings for each instance are generated and read back before anything is written.

--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminClient.java
@@ -0,0 +1,168 @@
+package org.comfreywall.cli.admin;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.PemKeyCertOptions;
+import io.vertx.core.net.PemTrustOptions;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Calls a daemon's admin API, one request at a time.
+ */
+public final class AdminClient implements AutoCloseable {
+
+	private static final long CLOSE_TIMEOUT_SECONDS = 5;
+
+	private final AdminTarget target;
+
+	private final Vertx vertx;
+
+	private final HttpClient http;
+
+	private final AdminResponses responses;
+
+	/**
+	 * Creates a client; nothing is sent yet.
+	 * @param target the daemon
+	 */
+	public AdminClient(AdminTarget target) {
+		this.target = Preconditions.notNull(target, "target");
+		FileSystemOptions files = new FileSystemOptions().setFileCachingEnabled(false)
+			.setClassPathResolvingEnabled(false);
+		this.vertx = Vertx
+			.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setFileSystemOptions(files));
+		this.http = this.vertx.createHttpClient(options(target));
+		this.responses = new AdminResponses(target);
+	}
+
+	/**
+	 * Asks how the fleet is.
+	 * @return the daemon's answer
+	 */
+	public Result<JsonObject> status() {
+		return get("/v1/status");
+	}
+
+	/**
+	 * Asks how a group is.
+	 * @param group the group's name
+	 * @return the daemon's answer
+	 */
+	public Result<JsonObject> group(String group) {
+		return get("/v1/status/groups/" + encode(group));
+	}
+
+	/**
+	 * Fetches the configuration in force.
+	 * @return the configuration and its revision
+	 */
+	public Result<RevisedConfiguration> configuration() {
+		return get("/v1/configuration").flatMap((body) -> this.responses.read(() -> RevisedConfiguration.from(body)));
+	}
+
+	/**
+	 * Submits a change; sending it again with the same change id gives the first answer.
+	 * @param change the change
+	 * @return what became of it
+	 */
+	public Result<SubmitResult> submit(ChangeSubmission change) {
+		return exchange(HttpMethod.POST, "/v1/changes", change.toJson()).flatMap(this.responses::submitted);
+	}
+
+	/**
+	 * Asks which members have a revision in force.
+	 * @param revision the revision
+	 * @return the progress
+	 */
+	public Result<RevisionProgress> progress(long revision) {
+		return get("/v1/revisions/" + revision + "/progress")
+			.flatMap((body) -> this.responses.read(() -> RevisionProgress.from(body)));
+	}
+
+	/**
+	 * Lists accepted changes.
+	 * @param limit the greatest number of changes
+	 * @return the changes as the daemon orders them
+	 */
+	public Result<List<AcceptedChange>> history(int limit) {
+		return get("/v1/history?limit=" + limit)
+			.flatMap((body) -> this.responses.read(() -> AcceptedChange.listFrom(body)));
+	}
+
+	/**
+	 * Lists decisions about one subject.
+	 * @param subject the subject, such as a request id
+	 * @return the records as the daemon orders them
+	 */
+	public Result<List<DecisionView>> decisions(String subject) {
+		return get("/v1/decisions?subject=" + encode(subject))
+			.flatMap((body) -> this.responses.read(() -> DecisionView.listFrom(body)));
+	}
+
+	/**
+	 * Orders a backend server to take no new work and to finish what it has.
+	 * @param backendServer the backend server's name
+	 * @return the daemon's answer
+	 */
+	public Result<JsonObject> drain(String backendServer) {
+		return exchange(HttpMethod.POST, "/v1/drain", new JsonObject().put("backendServer", backendServer))
+			.flatMap(this.responses::successful);
+	}
+
+	@Override
+	public void close() throws Exception {
+		this.vertx.close().toCompletionStage().toCompletableFuture().get(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private Result<JsonObject> get(String path) {
+		return exchange(HttpMethod.GET, path, null).flatMap(this.responses::successful);
+	}
+
+	private Result<AdminResponse> exchange(HttpMethod method, String path, JsonObject body) {
+		RequestOptions request = new RequestOptions().setMethod(method)
+			.setURI(this.target.path(path))
+			.setHost(this.target.host())
+			.setPort(this.target.port())
+			.setConnectTimeout(this.target.timeout().toMillis())
+			.putHeader("accept", "application/json");
+		if (body != null) {
+			request.putHeader("content-type", "application/json");
+		}
+		Future<AdminResponse> response = this.http.request(request)
+			.compose((sent) -> (body != null) ? sent.send(body.toBuffer()) : sent.send())
+			.compose(AdminClient::whole);
+		return this.responses.await(response);
+	}
+
+	private static Future<AdminResponse> whole(HttpClientResponse response) {
+		return response.body().map((body) -> new AdminResponse(response.statusCode(), body.toString()));
+	}
+
+	private static HttpClientOptions options(AdminTarget target) {
+		HttpClientOptions options = new HttpClientOptions().setSsl(target.isTls());
+		target.trust().ifPresent((file) -> options.setTrustOptions(new PemTrustOptions().addCertPath(file.toString())));
+		target.certificate()
+			.ifPresent((file) -> options.setKeyCertOptions(new PemKeyCertOptions().addCertPath(file.toString())
+				.addKeyPath(target.key().orElseThrow().toString())));
+		return options;
+	}
+
+	private static String encode(String text) {
+		return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/RevisedConfiguration.java
@@ -0,0 +1,17 @@
+package org.comfreywall.cli.admin;
+
+import io.vertx.core.json.JsonObject;
+
+/**
+ * A configuration with its revision.
+ *
+ * @param revision the revision
+ * @param configuration the configuration in TOML
+ */
+public record RevisedConfiguration(long revision, String configuration) {
+
+	static RevisedConfiguration from(JsonObject body) {
+		return new RevisedConfiguration(JsonValues.number(body, "revision"), JsonValues.text(body, "configuration"));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/RevisionProgress.java
@@ -0,0 +1,34 @@
+package org.comfreywall.cli.admin;
+
+import java.util.List;
+
+import io.vertx.core.json.JsonObject;
+
+/**
+ * How far a revision has come.
+ *
+ * @param revision the revision
+ * @param members the number of live members
+ * @param inForce the number of live members that have it in force
+ * @param missing the names of live members that have not, possibly not all of them
+ */
+public record RevisionProgress(long revision, long members, long inForce, List<String> missing) {
+
+	public RevisionProgress {
+		missing = List.copyOf(missing);
+	}
+
+	static RevisionProgress from(JsonObject body) {
+		return new RevisionProgress(JsonValues.number(body, "revision"), JsonValues.number(body, "members"),
+				JsonValues.number(body, "inForce"), JsonValues.texts(body, "missing"));
+	}
+
+	/**
+	 * Tells whether every live member has the revision in force.
+	 * @return {@code true} if there is a member and none is missing
+	 */
+	public boolean isComplete() {
+		return this.members > 0 && this.inForce >= this.members && this.missing.isEmpty();
+	}
+
+}
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The client of a daemon's admin API.
+ */
+package org.comfreywall.cli.admin;
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentKind.java
@@ -0,0 +1,35 @@
+package org.comfreywall.cli.check;
+
+import java.util.Set;
+
+import org.comfreywall.cli.init.AnswersKeys;
+import org.comfreywall.common.settings.SettingsKeys;
+import org.comfreywall.common.toml.TomlTable;
+
+/**
+ * Kinds of documents that can be checked.
+ */
+enum DocumentKind {
+
+	/** Settings of an instance. */
+	SETTINGS,
+	/** The configuration of the fleet. */
+	CONFIGURATION,
+	/** Answers to the questionnaire. */
+	ANSWERS;
+
+	/**
+	 * Guesses the kind from the names at the top of the document.
+	 * @param text the document
+	 * @return the kind; a configuration if nothing tells
+	 */
+	static DocumentKind of(String text) {
+		Set<String> names = TomlTable.topLevelNames(text);
+		if (names.contains(AnswersKeys.INSTANCE_SECTION)) {
+			return ANSWERS;
+		}
+		boolean settings = names.stream().anyMatch(SettingsKeys.DOCUMENT.names()::contains);
+		return settings ? SETTINGS : CONFIGURATION;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Validation of settings, configurations and answers without a running fleet.
+ */
+package org.comfreywall.cli.check;
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminSession.java
@@ -0,0 +1,40 @@
+package org.comfreywall.cli.command;
+
+import java.util.function.Function;
+
+import org.comfreywall.cli.admin.AdminClient;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+
+/**
+ * Lends a client of the admin API to one action.
+ */
+public final class AdminSession {
+
+	private AdminSession() {
+	}
+
+	/**
+	 * Opens a client, runs an action with it and closes it.
+	 * @param <T> the type of the action's value
+	 * @param options say which daemon to ask
+	 * @param console the process's streams and environment
+	 * @param action the action
+	 * @return the action's result
+	 */
+	public static <T> Result<T> with(AdminOptions options, Console console, Function<AdminClient, Result<T>> action) {
+		try (AdminClient client = new AdminClient(options.target(console))) {
+			return action.apply(client);
+		}
+		catch (RuntimeException ex) {
+			throw ex;
+		}
+		catch (Exception ex) {
+			return Result.failure(OperationError.local(ErrorCode.CONNECTION_LOST, Step.SEND,
+					"the connection could not be closed: " + ex.getClass().getSimpleName()));
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/DurationConverter.java
@@ -0,0 +1,22 @@
+package org.comfreywall.cli.command;
+
+import java.time.Duration;
+
+import com.beust.jcommander.IStringConverter;
+import com.beust.jcommander.ParameterException;
+import org.comfreywall.common.toml.Quantities;
+
+/**
+ * Reads durations on the command line.
+ */
+public final class DurationConverter implements IStringConverter<Duration> {
+
+	@Override
+	public Duration convert(String text) {
+		return Quantities.parseDuration(text)
+			.filter((duration) -> !duration.isZero())
+			.orElseThrow(() -> new ParameterException(
+					"\"" + text + "\" is not a duration; allowed: a number above 0 and ms, s, m or h, such as 2s"));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The sub-commands of the command-line tool and what they share.
+ */
+package org.comfreywall.cli.command;
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Answers.java
@@ -0,0 +1,35 @@
+package org.comfreywall.cli.init;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.comfreywall.common.config.AccountDescriptor;
+import org.comfreywall.common.config.Configuration;
+import org.comfreywall.common.settings.Role;
+
+/**
+ * All answers to the questionnaire.
+ *
+ * @param configuration the answers about the fleet's configuration
+ * @param instances the answers about the instances, by name
+ */
+record Answers(Configuration configuration, List<InstanceAnswers> instances) {
+
+	static final Answers EMPTY = new Answers(Configuration.EMPTY, List.of());
+
+	Answers {
+		instances = instances.stream().sorted(Comparator.comparing(InstanceAnswers::name)).toList();
+	}
+
+	List<InstanceAnswers> controlInstances() {
+		return this.instances.stream().filter((instance) -> instance.holds(Role.CONTROL)).toList();
+	}
+
+	Answers withAccounts(List<AccountDescriptor> accounts) {
+		Configuration present = this.configuration;
+		return new Answers(new Configuration(present.failureDomains(), present.services(), new ArrayList<>(accounts),
+				present.groups()), this.instances);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersWriter.java
@@ -0,0 +1,24 @@
+package org.comfreywall.cli.init;
+
+import org.comfreywall.common.config.toml.ConfigurationTables;
+import org.comfreywall.common.toml.TomlWriter;
+
+/**
+ * Writes answers as TOML in canonical order, to be given again.
+ */
+final class AnswersWriter {
+
+	private AnswersWriter() {
+	}
+
+	static String write(Answers answers) {
+		TomlWriter writer = new TomlWriter().comment("Answers to the questionnaire of comfreywall init.")
+			.comment("Change them here, or answer again, and run comfreywall init.");
+		ConfigurationTables.of(answers.configuration())
+			.forEach((table) -> writer.element(table.section(), table.fields()));
+		answers.instances()
+			.forEach((instance) -> writer.element(AnswersKeys.INSTANCE.name(), InstanceTables.fields(instance)));
+		return writer.toString();
+	}
+
+}
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/FleetGenerator.java
@@ -0,0 +1,50 @@
+package org.comfreywall.cli.init;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.comfreywall.common.config.toml.ConfigurationReader;
+import org.comfreywall.common.config.toml.ConfigurationWriter;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.settings.SettingsReader;
+
+/**
+ * Generates the configuration, the settings of every instance and the answers themselves,
+ * and checks that each can be read.
+ */
+final class FleetGenerator {
+
+	static final Path CONFIGURATION = Path.of("configuration.toml");
+
+	static final Path ANSWERS = Path.of("answers.toml");
+
+	static final Path SETTINGS = Path.of("settings");
+
+	private FleetGenerator() {
+	}
+
+	static Result<List<GeneratedFile>> generate(Answers answers) {
+		List<GeneratedFile> files = new ArrayList<>();
+		files.add(new GeneratedFile(ANSWERS, AnswersWriter.write(answers)));
+		files.add(new GeneratedFile(CONFIGURATION, ConfigurationWriter.write(answers.configuration())));
+		SettingsGenerator settings = new SettingsGenerator(answers);
+		answers.instances()
+			.forEach((instance) -> files
+				.add(new GeneratedFile(SETTINGS.resolve(instance.name() + ".toml"), settings.generate(instance))));
+		Optional<OperationError> fault = files.stream().flatMap((file) -> fault(file).stream()).findFirst();
+		return fault.map(Result::<List<GeneratedFile>>failure).orElseGet(() -> Result.success(List.copyOf(files)));
+	}
+
+	private static Optional<OperationError> fault(GeneratedFile file) {
+		String name = file.path().toString();
+		if (file.path().equals(ANSWERS)) {
+			return AnswersReader.parse(name, file.text()).error();
+		}
+		return file.path().equals(CONFIGURATION) ? ConfigurationReader.parse(name, file.text()).error()
+				: SettingsReader.parse(name, file.text()).error();
+	}
+
+}
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InitCommand.java
@@ -0,0 +1,115 @@
+package org.comfreywall.cli.init;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.Optional;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import org.comfreywall.cli.admin.AdminClient;
+import org.comfreywall.cli.command.AdminOptions;
+import org.comfreywall.cli.command.AdminSession;
+import org.comfreywall.cli.command.Command;
+import org.comfreywall.cli.command.CommonOptions;
+import org.comfreywall.cli.command.Console;
+import org.comfreywall.cli.command.Report;
+import org.comfreywall.common.config.Configuration;
+import org.comfreywall.common.config.toml.ConfigurationReader;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+
+/**
+ * Generates a fleet's configuration and settings from answers.
+ */
+@Parameters(commandDescription = "Answer the questionnaire and generate configuration and settings from it")
+public final class InitCommand implements Command {
+
+	@ParametersDelegate
+	private final CommonOptions options = new CommonOptions();
+
+	@ParametersDelegate
+	private final AdminOptions admin = new AdminOptions();
+
+	@Parameter(names = "--out", description = "Folder for answers.toml, configuration.toml and settings/",
+			required = true)
+	private String out;
+
+	@Parameter(names = "--answers", description = "Answers file; else the questions are asked here")
+	private String answers;
+
+	@Parameter(names = "--previous",
+			description = "Earlier answers or a configuration to propose; else answers.toml in --out, if there is one")
+	private String previous;
+
+	@Parameter(names = "--against",
+			description = "Configuration file to show the change against; else the one in --out")
+	private String against;
+
+	@Parameter(names = "--against-fleet", description = "Show the change against the fleet's present configuration")
+	private boolean againstFleet;
+
+	@Override
+	public CommonOptions options() {
+		return this.options;
+	}
+
+	@Override
+	public Result<Report> run(Console console) {
+		if (this.against != null && this.againstFleet) {
+			throw new ParameterException("Give either --against or --against-fleet");
+		}
+		if (this.answers != null && this.previous != null) {
+			throw new ParameterException("Give either --answers or --previous; an answers file holds every answer");
+		}
+		Path folder = Path.of(this.out);
+		ApiKeyGenerator keys = new ApiKeyGenerator(new SecureRandom());
+		return base(folder, console).flatMap((base) -> answers(folder, console).map(keys::complete)
+			.flatMap((complete) -> new FleetWriter(folder, base).write(complete, keys.generated())));
+	}
+
+	private Result<Configuration> base(Path folder, Console console) {
+		if (this.againstFleet) {
+			return AdminSession.with(this.admin, console, AdminClient::configuration)
+				.flatMap((present) -> ConfigurationReader.parse("revision " + present.revision(),
+						present.configuration()));
+		}
+		Path present = folder.resolve(FleetGenerator.CONFIGURATION);
+		if (this.against != null) {
+			return ConfigurationReader.read(Path.of(this.against));
+		}
+		return Files.exists(present) ? ConfigurationReader.read(present) : Result.success(Configuration.EMPTY);
+	}
+
+	private Result<Answers> answers(Path folder, Console console) {
+		if (this.answers != null) {
+			return AnswersReader.read(Path.of(this.answers));
+		}
+		return previous(folder).flatMap((earlier) -> ask(console, earlier));
+	}
+
+	private Result<Answers> previous(Path folder) {
+		Path kept = folder.resolve(FleetGenerator.ANSWERS);
+		Optional<Path> file = Optional.ofNullable(this.previous)
+			.map(Path::of)
+			.or(() -> Optional.of(kept).filter(Files::exists));
+		return file.map(AnswersReader::read).orElseGet(() -> Result.success(Answers.EMPTY));
+	}
+
+	private static Result<Answers> ask(Console console, Answers earlier) {
+		try {
+			return AnswersReader.parse("answers", new Questionnaire(console, earlier).ask());
+		}
+		catch (IOException ex) {
+			return Result
+				.failure(OperationError.local(ErrorCode.INVALID_INPUT, Step.CONFIGURE, "the answers are incomplete ("
+						+ ex.getMessage() + "), nothing was written; answer again or give --answers FILE"));
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InstanceRules.java
@@ -0,0 +1,89 @@
+package org.comfreywall.cli.init;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.comfreywall.common.config.Configuration;
+import org.comfreywall.common.id.ServiceId;
+import org.comfreywall.common.settings.Role;
+import org.comfreywall.common.settings.SettingsKeys;
+import org.comfreywall.common.toml.HostPort;
+import org.comfreywall.common.toml.KeyDescriptor;
+import org.comfreywall.common.toml.Problems;
+import org.comfreywall.common.toml.TomlTable;
+
+/**
+ * Checks the rules that tie answers about instances to each other and to the
+ * configuration.
+ */
+final class InstanceRules {
+
+	private final Problems problems;
+
+	private final Configuration configuration;
+
+	private final Set<String> names = new HashSet<>();
+
+	private final Set<String> ports = new HashSet<>();
+
+	InstanceRules(Problems problems, Configuration configuration) {
+		this.problems = problems;
+		this.configuration = configuration;
+	}
+
+	void check(List<TomlTable> instances) {
+		instances.forEach(this::check);
+		long control = instances.stream().filter((table) -> holds(table, Role.CONTROL)).count();
+		if (!instances.isEmpty() && (control < 1 || control > SettingsKeys.GREATEST_CONTROL_INSTANCES)) {
+			this.problems.add("instance", "(" + control + " with the role control)", "1 to "
+					+ SettingsKeys.GREATEST_CONTROL_INSTANCES + " instances with the role \"control\"; 3 outlive one");
+		}
+	}
+
+	private void check(TomlTable table) {
+		String name = table.value(AnswersKeys.NAME);
+		if (!this.names.add(name)) {
+			add(table, AnswersKeys.NAME, name, "a name used once");
+		}
+		String domain = table.value(AnswersKeys.FAILURE_DOMAIN);
+		if (this.configuration.failureDomains().stream().noneMatch((known) -> known.id().value().equals(domain))) {
+			add(table, AnswersKeys.FAILURE_DOMAIN, domain, "a failure domain of the answers");
+		}
+		String address = table.value(AnswersKeys.ADDRESS);
+		if (HostPort.of(address, 1).isEmpty()) {
+			add(table, AnswersKeys.ADDRESS, address, AnswersKeys.ADDRESS.type().allowed());
+		}
+		checkPort(table, Role.ENTRY, AnswersKeys.ENTRY_PORT);
+		checkPort(table, Role.SIDECAR, AnswersKeys.SIDECAR_PORT);
+		checkPort(table, Role.CONTROL, AnswersKeys.CONTROL_PORT);
+		checkService(table);
+	}
+
+	private void checkPort(TomlTable table, Role role, KeyDescriptor<Integer> port) {
+		String listener = table.value(AnswersKeys.ADDRESS) + " port " + table.value(port);
+		if (holds(table, role) && !this.ports.add(listener)) {
+			add(table, port, listener, "a port that no other listener at that address has");
+		}
+	}
+
+	private void checkService(TomlTable table) {
+		if (!holds(table, Role.SIDECAR)) {
+			return;
+		}
+		String service = table.find(AnswersKeys.SERVICE).orElse("");
+		boolean known = !service.isEmpty() && this.configuration.service(ServiceId.of(service)).isPresent();
+		if (!known) {
+			add(table, AnswersKeys.SERVICE, service, "a service of the answers, because roles names \"sidecar\"");
+		}
+	}
+
+	private static boolean holds(TomlTable table, Role role) {
+		return table.value(AnswersKeys.ROLES).contains(role);
+	}
+
+	private void add(TomlTable table, KeyDescriptor<?> key, String value, String allowed) {
+		this.problems.add(table.fullName(key), "\"" + value + "\"", allowed);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The questionnaire, its answers, and what is generated from them.
+ */
+package org.comfreywall.cli.init;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationKeys.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationKeys.java
@@ -64,8 +64,9 @@
 	static final KeyDescriptor<String> ACCOUNT_NAME = KeyDescriptor.required("name", ValueTypes.name(),
 			"The client account's name.");
 
-	static final KeyDescriptor<List<String>> KEY_HASHES = KeyDescriptor.required("key-hashes",
-			ValueTypes.listOf(KEY_HASH, 1, GREATEST_KEYS), "The digests of the account's API keys.");
+	static final KeyDescriptor<List<String>> KEY_HASHES = KeyDescriptor.withDefault("key-hashes",
+			ValueTypes.listOf(KEY_HASH, 0, GREATEST_KEYS), "[]",
+			"The digests of the account's API keys; an account without one is not let in.");
 
 	static final KeyDescriptor<Long> REQUESTS = KeyDescriptor.required("requests-per-second",
 			ValueTypes.integer(1, GREATEST_RATE).in("requests/s"), "Requests admitted over all entries together.");
@@ -111,19 +112,24 @@
 	static final KeyDescriptor<Boolean> CHECKS_FENCING = KeyDescriptor.withDefault("engine-checks-fencing",
 			ValueTypes.bool(), "false", "Whether the engines refuse orders with old fencing numbers.");
 
-	static final TableDescriptor FAILURE_DOMAIN = TableDescriptor.repeated("failure-domain",
+	/** The tables of one section: failure domains. */
+	public static final TableDescriptor FAILURE_DOMAIN = TableDescriptor.repeated("failure-domain",
 			"Instances that can fail together.", DOMAIN_NAME, REGION);
 
-	static final TableDescriptor SERVICE = TableDescriptor.repeated("service",
+	/** The tables of one section: services. */
+	public static final TableDescriptor SERVICE = TableDescriptor.repeated("service",
 			"What backend servers offer to client accounts.", SERVICE_NAME, KIND, PATH_PREFIX, IDEMPOTENT_REQUESTS,
 			KEY_REQUIRED);
 
-	static final TableDescriptor ACCOUNT = TableDescriptor.repeated("client-account",
+	/** The tables of one section: client accounts. */
+	public static final TableDescriptor ACCOUNT = TableDescriptor.repeated("client-account",
 			"Who sends requests, with limits.", ACCOUNT_NAME, KEY_HASHES, REQUESTS, TOKENS, IN_FLIGHT, HIGHEST_CLASS,
 			SERVICES);
 
-	static final TableDescriptor GROUP = TableDescriptor.repeated("group", "Ranks that run one model in lock-step.",
-			GROUP_NAME, GROUP_SERVICE, RANKS, EXPERTS, LAYERS, SLOTS, SKEW_WEIGHT, MOVE_WEIGHT, CHECKS_FENCING);
+	/** The tables of one section: groups. */
+	public static final TableDescriptor GROUP = TableDescriptor.repeated("group",
+			"Ranks that run one model in lock-step.", GROUP_NAME, GROUP_SERVICE, RANKS, EXPERTS, LAYERS, SLOTS,
+			SKEW_WEIGHT, MOVE_WEIGHT, CHECKS_FENCING);
 
 	/** The whole document. */
 	public static final TableDescriptor DOCUMENT = TableDescriptor.document(
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationReader.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationReader.java
@@ -59,12 +59,20 @@
 	 */
 	public static Result<Configuration> parse(String file, String text) {
 		Problems problems = new Problems(file);
-		Optional<TomlTable> document = TomlTable.parse(text, ConfigurationKeys.DOCUMENT, problems);
-		document.ifPresent((root) -> new ConfigurationRules(problems).check(root));
-		if (!problems.isEmpty()) {
-			return Result.failure(problems.toError(Step.CONFIGURE));
-		}
-		return Result.success(configuration(document.orElseThrow()));
+		Optional<Configuration> configuration = TomlTable.parse(text, ConfigurationKeys.DOCUMENT, problems)
+			.flatMap((root) -> sections(root, problems));
+		return configuration.map(Result::success).orElseGet(() -> Result.failure(problems.toError(Step.CONFIGURE)));
+	}
+
+	/**
+	 * Reads the configuration's sections of a larger document.
+	 * @param root the document
+	 * @param problems receives the faults
+	 * @return the configuration, or empty if it has a fault
+	 */
+	public static Optional<Configuration> sections(TomlTable root, Problems problems) {
+		new ConfigurationRules(problems).check(root);
+		return problems.isEmpty() ? Optional.of(configuration(root)) : Optional.empty();
 	}
 
 	private static Configuration configuration(TomlTable root) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationTable.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationTable.java
@@ -11,13 +11,17 @@
  * @param name the name of what it describes
  * @param fields all fields in canonical order
  */
-record ConfigurationTable(String section, String name, List<TomlField> fields) {
+public record ConfigurationTable(String section, String name, List<TomlField> fields) {
 
-	ConfigurationTable {
+	public ConfigurationTable {
 		fields = List.copyOf(fields);
 	}
 
-	String id() {
+	/**
+	 * Returns section and name together.
+	 * @return the identifier, unique in a configuration
+	 */
+	public String id() {
 		return this.section + " " + this.name;
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationTables.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationTables.java
@@ -19,12 +19,17 @@
  * Turns a configuration into tables in canonical order: by section, then by name, with
  * every key given and lists sorted.
  */
-final class ConfigurationTables {
+public final class ConfigurationTables {
 
 	private ConfigurationTables() {
 	}
 
-	static List<ConfigurationTable> of(Configuration configuration) {
+	/**
+	 * Lists a configuration's tables.
+	 * @param configuration the configuration
+	 * @return the tables in canonical order
+	 */
+	public static List<ConfigurationTable> of(Configuration configuration) {
 		List<ConfigurationTable> tables = new ArrayList<>();
 		tables.addAll(sorted(configuration.failureDomains().stream().map(ConfigurationTables::failureDomain).toList()));
 		tables.addAll(sorted(configuration.services().stream().map(ConfigurationTables::service).toList()));
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/HostPort.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/HostPort.java
@@ -48,6 +48,17 @@
 		return valid ? Optional.of(new HostPort(host, port)) : Optional.empty();
 	}
 
+	/**
+	 * Joins a host and a port.
+	 * @param host the host
+	 * @param port the port
+	 * @return the address, or empty if either is malformed
+	 */
+	public static Optional<HostPort> of(String host, int port) {
+		boolean valid = isHost(host) && port >= 0 && port <= GREATEST_PORT;
+		return valid ? Optional.of(new HostPort(host, port)) : Optional.empty();
+	}
+
 	private static boolean isHost(String host) {
 		return host.equals("localhost") || IPV4.matcher(host).matches() || IPV6.matcher(host).matches();
 	}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/Quantities.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/Quantities.java
@@ -8,7 +8,7 @@
 /**
  * Reads durations and sizes written as a number with a unit.
  */
-final class Quantities {
+public final class Quantities {
 
 	private static final Pattern DURATION = Pattern.compile("(\\d{1,9})(ms|s|m|h)");
 
@@ -19,7 +19,12 @@
 	private Quantities() {
 	}
 
-	static Optional<Duration> parseDuration(String text) {
+	/**
+	 * Reads a duration such as {@code 2s}.
+	 * @param text a number and {@code ms}, {@code s}, {@code m} or {@code h}
+	 * @return the duration, or empty if the text is malformed
+	 */
+	public static Optional<Duration> parseDuration(String text) {
 		Matcher matcher = DURATION.matcher(text);
 		if (!matcher.matches()) {
 			return Optional.empty();
@@ -34,7 +39,12 @@
 		return Optional.of(duration);
 	}
 
-	static Optional<Long> parseSize(String text) {
+	/**
+	 * Reads a size such as {@code 64KB}.
+	 * @param text a number and {@code B}, {@code KB}, {@code MB} or {@code GB}
+	 * @return the size in bytes, or empty if the text is malformed
+	 */
+	public static Optional<Long> parseSize(String text) {
 		Matcher matcher = SIZE.matcher(text);
 		if (!matcher.matches()) {
 			return Optional.empty();
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableDescriptor.java
@@ -66,7 +66,11 @@
 		return new TableDescriptor(this.name, this.repeated, this.doc, this.keys, List.of(inner));
 	}
 
-	List<String> names() {
+	/**
+	 * Returns the names of all keys and tables inside this one.
+	 * @return the names in reading order
+	 */
+	public List<String> names() {
 		return Stream
 			.concat(this.keys.stream().map(KeyDescriptor::name), this.tables.stream().map(TableDescriptor::name))
 			.toList();
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlParser.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlParser.java
@@ -50,7 +50,7 @@
 		try {
 			return read("value = " + literal).get("value");
 		}
-		catch (IOException ex) {
+		catch (IOException | RuntimeException ex) {
 			throw new IllegalArgumentException("literal is not TOML: " + literal, ex);
 		}
 	}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlTable.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlTable.java
@@ -1,8 +1,10 @@
 package org.comfreywall.common.toml;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -39,6 +41,18 @@
 		return problems.isEmpty() ? root.map((node) -> new TomlTable(node, "")) : Optional.empty();
 	}
 
+	/**
+	 * Lists the keys and tables at the top of a document, whatever its descriptor.
+	 * @param text the document
+	 * @return the names, none if the document is malformed
+	 */
+	public static Set<String> topLevelNames(String text) {
+		Set<String> names = new LinkedHashSet<>();
+		TomlParser.parse(text, new Problems("document"))
+			.ifPresent((node) -> node.fieldNames().forEachRemaining(names::add));
+		return names;
+	}
+
 	/**
 	 * Returns the full name of a key in this table.
 	 * @param key the key
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueTypes.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueTypes.java
@@ -1,5 +1,6 @@
 package org.comfreywall.common.toml;
 
+import java.math.BigDecimal;
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.nio.file.InvalidPathException;
@@ -78,7 +79,7 @@
 	 * @return the type
 	 */
 	public static ValueType<Double> decimal(double least, double greatest) {
-		return new ValueType<>("number", "", least + " to " + greatest, false,
+		return new ValueType<>("number", "", plain(least) + " to " + plain(greatest), false,
 				(node) -> node.isNumber()
 						? Optional.of(node.doubleValue()).filter((value) -> value >= least && value <= greatest)
 						: Optional.empty());
@@ -176,6 +177,10 @@
 		return Preconditions.notNull(value, "value").name().toLowerCase(Locale.ROOT).replace('_', '-');
 	}
 
+	private static String plain(double value) {
+		return BigDecimal.valueOf(value).stripTrailingZeros().toPlainString();
+	}
+
 	private static Optional<String> text(JsonNode node) {
 		return node.isTextual()
 				? Optional.of(node.textValue()).filter((value) -> value.length() <= TEXT_LENGTH && isPlain(value))
