--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/CommandLine.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/CommandLine.java
@@ -1,6 +1,7 @@
 package org.comfreywall.cli;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -45,6 +46,8 @@
 
 	private final JCommander commander;
 
+	private Optional<String> named = Optional.empty();
+
 	CommandLine(Console console) {
 		this.console = console;
 		this.commands.put("init", new InitCommand());
@@ -63,6 +66,7 @@
 
 	ExitCode run(String... args) {
 		try {
+			checkOptions(List.of(args));
 			this.commander.parse(args);
 			return dispatch();
 		}
@@ -74,6 +78,14 @@
 		}
 	}
 
+	private void checkOptions(List<String> args) {
+		if (!args.isEmpty() && this.commands.containsKey(args.get(0))) {
+			this.named = Optional.of(args.get(0));
+			JCommander command = this.commander.getCommands().get(args.get(0));
+			new OptionCheck(command).check(args.subList(1, args.size()));
+		}
+	}
+
 	private ExitCode dispatch() {
 		String name = this.commander.getParsedCommand();
 		if (name == null) {
@@ -89,17 +101,24 @@
 	private ExitCode printHelp(Optional<String> command) {
 		StringBuilder text = new StringBuilder();
 		command.ifPresentOrElse((name) -> this.commander.getUsageFormatter().usage(name, text),
-				() -> this.commander.getUsageFormatter().usage(text));
+				() -> appendCommands(text));
 		this.console.out().println(text.toString().stripTrailing());
 		this.console.out().println(EXIT_CODES);
 		return ExitCode.OK;
 	}
 
+	private void appendCommands(StringBuilder text) {
+		text.append("Usage: ").append(PROGRAM).append(" COMMAND [options]\n  Commands:\n");
+		this.commands.keySet()
+			.forEach((name) -> text.append(String.format("    %-8s  %s%n", name,
+					this.commander.getUsageFormatter().getCommandDescription(name))));
+		text.append("  ").append(PROGRAM).append(" COMMAND --help lists the options of a command.");
+	}
+
 	private ExitCode usage(String message) {
-		String name = this.commander.getParsedCommand();
-		String help = (name != null) ? PROGRAM + " " + name + " --help" : PROGRAM + " --help";
+		String command = this.named.map((name) -> " " + name).orElse("");
 		this.console.note("error: " + message);
-		this.console.note("next: see " + help);
+		this.console.note("next: see " + PROGRAM + command + " --help");
 		return ExitCode.USAGE;
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminResponses.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminResponses.java
@@ -128,8 +128,7 @@
 	}
 
 	private static String reason(Throwable cause) {
-		String message = (cause.getMessage() != null) ? cause.getMessage() : "no reason";
-		return cause.getClass().getSimpleName() + ": " + message;
+		return (cause.getMessage() != null) ? cause.getMessage() : cause.getClass().getSimpleName();
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentKind.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentKind.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 
 import org.comfreywall.cli.init.AnswersKeys;
+import org.comfreywall.common.config.toml.ConfigurationKeys;
 import org.comfreywall.common.settings.SettingsKeys;
 import org.comfreywall.common.toml.TomlTable;
 
@@ -28,8 +29,9 @@
 		if (names.contains(AnswersKeys.INSTANCE_SECTION)) {
 			return ANSWERS;
 		}
-		boolean settings = names.stream().anyMatch(SettingsKeys.DOCUMENT.names()::contains);
-		return settings ? SETTINGS : CONFIGURATION;
+		long settings = names.stream().filter(SettingsKeys.DOCUMENT.names()::contains).count();
+		long configuration = names.stream().filter(ConfigurationKeys.DOCUMENT.names()::contains).count();
+		return (settings > configuration) ? SETTINGS : CONFIGURATION;
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminOptions.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminOptions.java
@@ -3,7 +3,6 @@
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.Optional;
 
 import com.beust.jcommander.Parameter;
@@ -31,9 +30,8 @@
 	@Parameter(names = "--key", description = "PEM file with the private key of --certificate")
 	private String key;
 
-	@Parameter(names = "--request-timeout", converter = DurationConverter.class,
-			description = "How long one request may take")
-	private Duration timeout = Duration.ofSeconds(10);
+	@Parameter(names = "--request-timeout", description = "How long one request may take")
+	private String timeout = "10s";
 
 	AdminTarget target(Console console) {
 		if ((this.certificate == null) != (this.key == null)) {
@@ -42,7 +40,8 @@
 		String text = Optional.ofNullable(this.url)
 			.or(() -> console.environment().apply(VARIABLE))
 			.orElse(STANDARD_URL);
-		return new AdminTarget(parse(text), file(this.trust), file(this.certificate), file(this.key), this.timeout);
+		return new AdminTarget(parse(text), file(this.trust), file(this.certificate), file(this.key),
+				DurationOption.parse("--request-timeout", this.timeout));
 	}
 
 	private static URI parse(String text) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ApplyCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ApplyCommand.java
@@ -1,7 +1,6 @@
 package org.comfreywall.cli.command;
 
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -56,8 +55,8 @@
 	@Parameter(names = "--wait", description = "Wait until every live member has the revision in force")
 	private boolean wait;
 
-	@Parameter(names = "--timeout", converter = DurationConverter.class, description = "How long --wait waits")
-	private Duration timeout = Duration.ofSeconds(10);
+	@Parameter(names = "--timeout", description = "How long --wait waits")
+	private String timeout = "10s";
 
 	@Override
 	Result<Report> run(AdminClient client, Console console) {
@@ -71,6 +70,7 @@
 	}
 
 	private void checkOptions() {
+		DurationOption.parse("--timeout", this.timeout);
 		if ((this.file == null) == (this.rollbackTo == null)) {
 			throw new ParameterException("Give either a CONFIGURATION-FILE or --rollback-to REVISION");
 		}
@@ -121,7 +121,8 @@
 			return Result.success(submitted.report());
 		}
 		long revision = submitted.revision().getAsLong();
-		Result<RevisionProgress> progress = new ProgressWaiter(client, this.timeout).waitFor(revision);
+		Result<RevisionProgress> progress = new ProgressWaiter(client, DurationOption.parse("--timeout", this.timeout))
+			.waitFor(revision);
 		return progress.error()
 			.map((error) -> Result.<Report>failure(unknownProgress(error, revision)))
 			.orElseGet(() -> progress.map(submitted::with));
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InitCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InitCommand.java
@@ -17,6 +17,7 @@
 import org.comfreywall.cli.command.CommonOptions;
 import org.comfreywall.cli.command.Console;
 import org.comfreywall.cli.command.Report;
+import org.comfreywall.cli.command.TextFiles;
 import org.comfreywall.common.config.Configuration;
 import org.comfreywall.common.config.toml.ConfigurationReader;
 import org.comfreywall.common.result.ErrorCode;
@@ -30,6 +31,8 @@
 @Parameters(commandDescription = "Answer the questionnaire and generate configuration and settings from it")
 public final class InitCommand implements Command {
 
+	private static final Path REJECTED = Path.of("answers.rejected.toml");
+
 	@ParametersDelegate
 	private final CommonOptions options = new CommonOptions();
 
@@ -90,7 +93,7 @@
 		if (this.answers != null) {
 			return AnswersReader.read(Path.of(this.answers));
 		}
-		return previous(folder).flatMap((earlier) -> ask(console, earlier));
+		return previous(folder).flatMap((earlier) -> ask(console, earlier, folder));
 	}
 
 	private Result<Answers> previous(Path folder) {
@@ -101,9 +104,13 @@
 		return file.map(AnswersReader::read).orElseGet(() -> Result.success(Answers.EMPTY));
 	}
 
-	private static Result<Answers> ask(Console console, Answers earlier) {
+	private static Result<Answers> ask(Console console, Answers earlier, Path folder) {
 		try {
-			return AnswersReader.parse("answers", new Questionnaire(console, earlier).ask());
+			String text = new Questionnaire(console, earlier).ask();
+			Result<Answers> answers = AnswersReader.parse(REJECTED.toString(), text);
+			return answers.error()
+				.map((error) -> Result.<Answers>failure(keepRejected(folder, text, error)))
+				.orElse(answers);
 		}
 		catch (IOException ex) {
 			return Result
@@ -112,4 +119,16 @@
 		}
 	}
 
+	private static OperationError keepRejected(Path folder, String text, OperationError error) {
+		Path file = folder.resolve(REJECTED);
+		try {
+			TextFiles.write(file, text);
+			return OperationError.local(error.code(), error.step(),
+					error.message() + "\nthe answers are kept: mend " + file + " and give it with --answers");
+		}
+		catch (IOException ex) {
+			return error;
+		}
+	}
+
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Questionnaire.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Questionnaire.java
@@ -26,7 +26,7 @@
 	private static final int GREATEST_ELEMENTS = 10_000;
 
 	private static final KeyDescriptor<List<String>> NAMES = KeyDescriptor.required("names",
-			ValueTypes.listOf(ValueTypes.name(), 0, GREATEST_ELEMENTS), "The names.");
+			ValueTypes.listOf(ValueTypes.name(), 0, GREATEST_ELEMENTS), "Their names.");
 
 	private final Console console;
 
@@ -97,9 +97,10 @@
 
 	private Optional<String> askValue(KeyDescriptor<?> key, String label, Optional<String> proposal)
 			throws IOException {
-		String shown = proposal.map((literal) -> " [" + literal + "]").orElse("");
+		String shown = proposal.map((literal) -> " [" + (literal.equals("[]") ? "none" : literal) + "]").orElse("");
+		this.console.note("  " + key.doc());
 		while (true) {
-			String input = this.console.ask(key.doc() + " " + label + shown + ": ");
+			String input = this.console.ask("  " + label + shown + ": ");
 			if (input.isEmpty() && (proposal.isPresent() || !key.required())) {
 				return proposal;
 			}
@@ -107,7 +108,7 @@
 			if (literal.isPresent()) {
 				return literal;
 			}
-			this.console.note("  not allowed; allowed: " + key.type().allowed());
+			this.console.note("    not allowed; allowed: " + key.type().allowed());
 		}
 	}
 
--- /dev/null
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/admin/AdminResponsesTests.java
@@ -0,0 +1,82 @@
+package org.comfreywall.cli.admin;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.vertx.core.json.JsonObject;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link AdminResponses}.
+ */
+class AdminResponsesTests {
+
+	private static final String DECISIONS = "{\"records\":[{\"kind\":\"ROUTE\",\"subject\":\"r1\",\"result\":\"chat-1\","
+			+ "\"inputs\":[{\"key\":\"queue-ms\",\"value\":\"12\"}]}]}";
+
+	private static final String ERROR = "{\"error\":{\"code\":\"FENCED\",\"step\":\"ORDER\",\"peer\":\"one\","
+			+ "\"message\":\"old term\"}}";
+
+	private final AdminResponses responses = new AdminResponses(new AdminTarget(URI.create("http://127.0.0.1:9901"),
+			Optional.empty(), Optional.empty(), Optional.empty(), Duration.ofSeconds(1)));
+
+	private Result<List<DecisionView>> decisions(int status, String body) {
+		return this.responses.successful(new AdminResponse(status, body))
+			.flatMap((json) -> this.responses.read(() -> DecisionView.listFrom(json)));
+	}
+
+	@Test
+	void keepsCodeStepAndPeerOfTheDaemonsError() {
+		OperationError error = decisions(400, ERROR).error().orElseThrow();
+		assertThat(error.code()).isEqualTo(ErrorCode.FENCED);
+		assertThat(error.step()).isEqualTo(Step.ORDER);
+		assertThat(error.peer()).hasToString("Optional[one]");
+	}
+
+	@Test
+	void takesConflictWithoutWinnerForAnError() {
+		Result<SubmitResult> result = this.responses.submitted(new AdminResponse(409, "{\"error\":{}}"));
+		assertThat(result.error().orElseThrow().code()).isEqualTo(ErrorCode.CONFLICT);
+	}
+
+	@Test
+	void refusesAcceptedChangeWithoutRevision() {
+		Result<SubmitResult> result = this.responses.submitted(new AdminResponse(200, "{\"applied\":true}"));
+		assertThat(result.error().orElseThrow().code()).isEqualTo(ErrorCode.MALFORMED);
+	}
+
+	@Property(seed = "1", tries = 2000)
+	void damagedAnswersGiveRecordsOrMalformed(@ForAll @IntRange(max = 120) int position, @ForAll char c) {
+		Result<List<DecisionView>> result = decisions(200, damaged(DECISIONS, position, c));
+		result.error().ifPresent((error) -> assertThat(error.code()).isEqualTo(ErrorCode.MALFORMED));
+	}
+
+	@Property(seed = "2", tries = 2000)
+	void damagedErrorsStayErrors(@ForAll @IntRange(max = 80) int position, @ForAll char c) {
+		assertThat(decisions(400, damaged(ERROR, position, c)).error()).isPresent();
+		assertThat(this.responses.submitted(new AdminResponse(409, damaged(ERROR, position, c))).error()).isPresent();
+	}
+
+	@Property(seed = "3", tries = 500)
+	void anyTextGivesResultOrError(@ForAll String body, @ForAll @IntRange(min = 200, max = 599) int status) {
+		Result<JsonObject> result = this.responses.successful(new AdminResponse(status, body));
+		assertThat(result.value().isPresent()).isNotEqualTo(result.error().isPresent());
+	}
+
+	private static String damaged(String body, int position, char c) {
+		int at = Math.min(position, body.length() - 1);
+		return body.substring(0, at) + c + body.substring(at + 1);
+	}
+
+}
