Believe a trend once it exceeds its noise

A trend between the fast and the slow average counted only beyond two standard deviations, so half of a daily slope was forecast by the slow average, 11 intervals behind. It counts beyond one now, forecast one interval ahead.

--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/EstimatorSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/EstimatorSettings.java
@@ -14,7 +14,7 @@
 public record EstimatorSettings(double fastWeight, double slowWeight, double horizonIntervals, double significance) {
 
 	/** Settings used unless set otherwise. */
-	public static final EstimatorSettings DEFAULT = new EstimatorSettings(0.3, 0.08, 2, 6);
+	public static final EstimatorSettings DEFAULT = new EstimatorSettings(0.3, 0.08, 1, 6);
 
 	public EstimatorSettings {
 		Preconditions.check(fastWeight > 0 && fastWeight <= 1, "fastWeight must be above 0 up to 1: %s", fastWeight);
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExpertEstimate.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExpertEstimate.java
@@ -19,7 +19,7 @@
 
 	private static final double FIRST_RELATIVE_DEVIATION = 0.1;
 
-	private static final double TREND_DEVIATIONS = 2;
+	private static final double TREND_DEVIATIONS = 1;
 
 	private final EstimatorSettings settings;
 
