Schedule expert reads under the weight store's rate

A token bucket shared by a deployment's groups grants reads, the greatest worth a byte first over all groups. A plan is durable before its first read, can be cancelled, hands staged weights to its successor and is resumed after a coordinator's crash.

--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveScheduler.java
@@ -0,0 +1,233 @@
+package org.comfreywall.group.moves;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import org.comfreywall.common.decision.DecisionKind;
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.decision.DecisionRecord;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.GroupId;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Starts the reads of accepted plans under the weight store's rate, the greatest worth a
+ * byte first over all groups.
+ * <p>
+ * No read starts before its plan is durable, so a coordinator that comes back finds every
+ * plan that a rank may have read for. A group has one unfinished plan at most; a newer
+ * plan takes over weights that are staged already.
+ */
+public final class MoveScheduler {
+
+	private final MoveSchedulerSettings settings;
+
+	private final WeightStoreBucket bucket;
+
+	private final DecisionListener listener;
+
+	private final Invariants invariants;
+
+	private final Map<GroupId, PlanProgress> plans = new TreeMap<>();
+
+	private List<MoveCommand> commands = new ArrayList<>();
+
+	/**
+	 * Creates a scheduler.
+	 * @param settings the settings
+	 * @param bucket the bucket shared by all groups of the deployment
+	 * @param listener receives a record of each plan that was staged, cancelled or
+	 * refused
+	 * @param invariants checks the scheduler's actions
+	 */
+	public MoveScheduler(MoveSchedulerSettings settings, WeightStoreBucket bucket, DecisionListener listener,
+			Invariants invariants) {
+		this.settings = Preconditions.notNull(settings, "settings");
+		this.bucket = Preconditions.notNull(bucket, "bucket");
+		this.listener = Preconditions.notNull(listener, "listener");
+		this.invariants = Preconditions.notNull(invariants, "invariants");
+	}
+
+	/**
+	 * Handles one event.
+	 * @param event the event
+	 * @param now the clock's reading in nanoseconds
+	 * @return what to do, in order
+	 */
+	public List<MoveCommand> handle(MoveEvent event, long now) {
+		Preconditions.notNull(event, "event");
+		this.commands = new ArrayList<>();
+		dispatch(event);
+		restartOverdueReads(now);
+		startReads(now);
+		return List.copyOf(this.commands);
+	}
+
+	private void dispatch(MoveEvent event) {
+		if (event instanceof MoveEvent.PlanAccepted accepted) {
+			accept(accepted.plan());
+		}
+		else if (event instanceof MoveEvent.PlanSaved saved) {
+			find(saved.plan()).ifPresent(this::saved);
+		}
+		else if (event instanceof MoveEvent.PlanRecovered recovered) {
+			recover(recovered);
+		}
+		else if (event instanceof MoveEvent.MoveStaged staged) {
+			find(staged.move()).ifPresent((plan) -> staged(plan, staged.move().index()));
+		}
+		else if (event instanceof MoveEvent.MoveFailed failed) {
+			find(failed.move()).ifPresent((plan) -> failed(plan, failed.move().index()));
+		}
+		else if (event instanceof MoveEvent.PlanCancelled cancelled) {
+			find(cancelled.plan()).ifPresent((plan) -> cancel(plan, cancelled.reason()));
+		}
+	}
+
+	private void accept(MovePlan plan) {
+		PlanProgress former = this.plans.get(plan.id().group());
+		if (!isAcceptable(plan, former)) {
+			record(plan.id(), "refused", Field.of("moves", plan.moves().size()));
+			return;
+		}
+		Set<Integer> staged = Set.of();
+		if (former != null) {
+			staged = IntStream.range(0, plan.moves().size())
+				.filter((index) -> former.holdsStaged(plan.moves().get(index)))
+				.boxed()
+				.collect(Collectors.toSet());
+			cancel(former, "replaced by plan " + plan.id());
+		}
+		this.plans.put(plan.id().group(), new PlanProgress(plan, staged));
+		this.commands.add(new MoveCommand.SavePlan(plan));
+	}
+
+	private boolean isAcceptable(MovePlan plan, PlanProgress former) {
+		boolean newer = former == null || former.id().number() < plan.id().number();
+		boolean room = former != null || this.plans.size() < this.settings.maximumGroups();
+		return newer && room && fitsBucket(plan);
+	}
+
+	private boolean fitsBucket(MovePlan plan) {
+		return plan.moves().stream().allMatch((move) -> move.bytes() <= this.bucket.burstBytes());
+	}
+
+	private void recover(MoveEvent.PlanRecovered recovered) {
+		PlanId id = recovered.plan().id();
+		PlanProgress present = this.plans.get(id.group());
+		if (!isAcceptable(recovered.plan(), present)) {
+			return;
+		}
+		PlanProgress plan = new PlanProgress(recovered.plan(), recovered.staged());
+		this.plans.put(id.group(), plan);
+		record(id, "resumed", Field.of("moves", recovered.plan().moves().size()),
+				Field.of("staged", recovered.staged().size()));
+		saved(plan);
+	}
+
+	private void saved(PlanProgress plan) {
+		plan.save();
+		completeIfStaged(plan);
+	}
+
+	private void staged(PlanProgress plan, int index) {
+		plan.stage(index);
+		completeIfStaged(plan);
+	}
+
+	private void completeIfStaged(PlanProgress plan) {
+		if (plan.isSaved() && plan.isStaged()) {
+			this.plans.remove(plan.id().group());
+			this.commands.add(new MoveCommand.PlanStaged(plan.id()));
+			record(plan.id(), "staged");
+		}
+	}
+
+	private void failed(PlanProgress plan, int index) {
+		if (plan.state(index) != MoveState.READING || find(plan.id()).isEmpty()) {
+			return;
+		}
+		plan.requeue(index);
+		if (plan.attempts(index) >= this.settings.maximumAttempts()) {
+			cancel(plan, "move " + index + " failed " + plan.attempts(index) + " times");
+		}
+	}
+
+	private void cancel(PlanProgress plan, String reason) {
+		this.plans.remove(plan.id().group());
+		plan.forEach(MoveState.READING, (index) -> this.commands.add(new MoveCommand.CancelRead(plan.moveId(index))));
+		this.commands.add(new MoveCommand.DropPlan(plan.id()));
+		record(plan.id(), "cancelled", Field.of("reason", reason));
+	}
+
+	private void restartOverdueReads(long now) {
+		long timeout = this.settings.readTimeout().toNanos();
+		for (PlanProgress plan : List.copyOf(this.plans.values())) {
+			plan.forEach(MoveState.READING, (index) -> {
+				if (now - plan.readingSince(index) >= timeout) {
+					this.commands.add(new MoveCommand.CancelRead(plan.moveId(index)));
+					failed(plan, index);
+				}
+			});
+		}
+	}
+
+	private void startReads(long now) {
+		Optional<PlanProgress> next = mostWorth();
+		while (next.isPresent()) {
+			PlanProgress plan = next.get();
+			int index = plan.next();
+			long bytes = plan.move(index).bytes();
+			if (!this.bucket.tryTake(bytes, now)) {
+				this.commands.add(new MoveCommand.WakeAfter(this.bucket.nanosUntil(bytes, now)));
+				return;
+			}
+			if (!this.invariants.holds(plan.isSaved(), "plan-durable-before-read", Field.of("plan", plan.id()))) {
+				return;
+			}
+			plan.start(index, now);
+			this.commands.add(new MoveCommand.StartRead(plan.moveId(index), plan.move(index)));
+			next = mostWorth();
+		}
+		if (!this.plans.isEmpty()) {
+			this.commands.add(new MoveCommand.WakeAfter(this.settings.readTimeout().toNanos()));
+		}
+	}
+
+	private Optional<PlanProgress> mostWorth() {
+		PlanProgress best = null;
+		for (PlanProgress plan : this.plans.values()) {
+			if (plan.isSaved() && plan.next() >= 0 && (best == null || worth(plan) > worth(best))) {
+				best = plan;
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+	private static double worth(PlanProgress plan) {
+		return plan.move(plan.next()).worthPerByte();
+	}
+
+	private Optional<PlanProgress> find(PlanId id) {
+		return Optional.ofNullable(this.plans.get(id.group())).filter((plan) -> plan.id().equals(id));
+	}
+
+	private Optional<PlanProgress> find(MoveId id) {
+		return find(id.plan()).filter((plan) -> plan.isKnown(id.index()));
+	}
+
+	private void record(PlanId id, String result, Field... fields) {
+		Field[] all = new Field[fields.length + 1];
+		all[0] = Field.of("plan", id);
+		System.arraycopy(fields, 0, all, 1, fields.length);
+		this.listener.onDecision(DecisionRecord.of(DecisionKind.REBALANCE, id.group().toString(), result, all));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/PlanId.java
@@ -0,0 +1,24 @@
+package org.comfreywall.group.moves;
+
+import org.comfreywall.common.id.GroupId;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Identifies a plan of one group.
+ *
+ * @param group the group
+ * @param number the plan's number; later plans of a group have greater ones
+ */
+public record PlanId(GroupId group, long number) {
+
+	public PlanId {
+		Preconditions.notNull(group, "group");
+		Preconditions.check(number >= 0, "number must not be negative: %d", number);
+	}
+
+	@Override
+	public String toString() {
+		return this.group + "/" + this.number;
+	}
+
+}
