--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarEngine.java
@@ -0,0 +1,379 @@
+package org.comfreywall.daemon.sidecar;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import org.comfreywall.common.attempt.AnswerChunk;
+import org.comfreywall.common.attempt.AnswerEnd;
+import org.comfreywall.common.attempt.AnswerHead;
+import org.comfreywall.common.attempt.AnswerPart;
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.log.EventLog;
+import org.comfreywall.common.poison.CrashReport;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.time.Clock;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.sidecar.attempt.AttemptCommand;
+import org.comfreywall.sidecar.attempt.AttemptEvent;
+import org.comfreywall.sidecar.attempt.AttemptRegistry;
+import org.comfreywall.sidecar.attempt.AttemptRegistrySettings;
+import org.comfreywall.sidecar.attempt.BackendCrashed;
+import org.comfreywall.sidecar.attempt.CancelRun;
+import org.comfreywall.sidecar.attempt.DrainStarted;
+import org.comfreywall.sidecar.attempt.EntryLink;
+import org.comfreywall.sidecar.attempt.FinishDrain;
+import org.comfreywall.sidecar.attempt.LinkLost;
+import org.comfreywall.sidecar.attempt.PartProduced;
+import org.comfreywall.sidecar.attempt.ReportCrash;
+import org.comfreywall.sidecar.attempt.RunBroken;
+import org.comfreywall.sidecar.attempt.RunRefused;
+import org.comfreywall.sidecar.attempt.SendEnd;
+import org.comfreywall.sidecar.attempt.SendPart;
+import org.comfreywall.sidecar.attempt.SendRefusal;
+import org.comfreywall.sidecar.attempt.SendSealed;
+import org.comfreywall.sidecar.attempt.SendStarted;
+import org.comfreywall.sidecar.attempt.StartRun;
+import org.comfreywall.sidecar.attempt.TimePassed;
+import org.comfreywall.transport.PeerConnection;
+import org.comfreywall.transport.PeerIdentity;
+import org.comfreywall.transport.PeerListener;
+import org.comfreywall.transport.attempt.AttemptDecoder;
+import org.comfreywall.transport.attempt.AttemptPayload;
+import org.comfreywall.transport.attempt.SidecarFrames;
+import org.comfreywall.transport.generated.AttemptStart;
+import org.comfreywall.transport.generated.Frame;
+import org.comfreywall.transport.generated.Load;
+import org.comfreywall.transport.worker.SerialWorker;
+
+/**
+ * Drives the registry of attempts: feeds it frames and the backend server's answers and
+ * carries its commands out.
+ */
+final class SidecarEngine implements PeerListener {
+
+	private static final EventLog LOG = EventLog.of(SidecarEngine.class);
+
+	private static final int SEAL_CREDIT = 64;
+
+	private static final Duration RETRY_HANDOVER = Duration.ofMillis(50);
+
+	private final BackendServerId server;
+
+	private final PeerIdentity self;
+
+	private final SerialWorker worker;
+
+	private final BackendClient backend;
+
+	private final Clock clock;
+
+	private final Consumer<CrashReport> crashes;
+
+	private final AttemptRegistry registry;
+
+	private final OutboxRegistry outboxes = new OutboxRegistry();
+
+	private final Map<AttemptId, BackendRun> runs = new HashMap<>();
+
+	private final CompletableFuture<Void> drained = new CompletableFuture<>();
+
+	private BackendLoad load = BackendLoad.IDLE;
+
+	private long loadSequence;
+
+	private boolean draining;
+
+	private boolean drainFinished;
+
+	SidecarEngine(BackendServerId server, PeerIdentity self, SerialWorker worker, BackendClient backend, Clock clock,
+			Consumer<CrashReport> crashes, DecisionListener decisions) {
+		this.server = Preconditions.notNull(server, "server");
+		this.self = Preconditions.notNull(self, "self");
+		this.worker = Preconditions.notNull(worker, "worker");
+		this.backend = Preconditions.notNull(backend, "backend");
+		this.clock = Preconditions.notNull(clock, "clock");
+		this.crashes = Preconditions.notNull(crashes, "crashes");
+		this.registry = new AttemptRegistry(server, self.incarnation(), AttemptRegistrySettings.DEFAULT,
+				new Invariants(), decisions, clock.nanoTime());
+	}
+
+	/**
+	 * Refuses new attempts and finishes those that run.
+	 * @return completes when all answers were sent
+	 */
+	CompletableFuture<Void> drain() {
+		this.worker.execute(() -> {
+			this.draining = true;
+			handle(new DrainStarted());
+			sendLoad();
+		});
+		return this.drained;
+	}
+
+	/**
+	 * Lets time pass and tells the entries about the load; called at regular intervals on
+	 * the worker.
+	 */
+	void tick() {
+		handle(new TimePassed());
+		sendLoad();
+		completeDrain();
+	}
+
+	/**
+	 * Takes in what the backend server reports about its load; called on the worker.
+	 * @param reported the load
+	 */
+	void loadReported(BackendLoad reported) {
+		this.load = reported;
+	}
+
+	@Override
+	public void onOpen(PeerConnection connection) {
+		offer(connection, () -> {
+			this.outboxes.link(connection);
+			connection.send(loadFrame());
+		});
+	}
+
+	@Override
+	public void onFrame(PeerConnection connection, Frame frame) {
+		offer(connection, () -> process(connection, frame));
+	}
+
+	@Override
+	public void onClosed(PeerConnection connection, OperationError reason) {
+		LOG.debug("entry-disconnected", Field.of("reason", reason.message()));
+		this.worker.execute(() -> this.outboxes.remove(connection).map(LinkLost::new).ifPresent(this::handle));
+	}
+
+	private void offer(PeerConnection connection, Runnable task) {
+		if (!this.worker.offer(task)) {
+			LOG.warn("sidecar-overloaded", Field.of("peer", connection));
+			connection.close();
+		}
+	}
+
+	private void process(PeerConnection connection, Frame frame) {
+		EntryLink link = this.outboxes.link(connection);
+		if (frame.hasCredit()) {
+			RequestId request = RequestId.of(frame.getCredit().getRequest());
+			this.outboxes.addCredit(request, link, frame.getCredit().getParts());
+			regulate(request);
+			return;
+		}
+		Result<AttemptEvent> event = AttemptDecoder.fromEntry(frame, link);
+		if (event.error().isPresent() || (frame.hasStart() && !keepPayload(frame.getStart()))) {
+			LOG.warn("malformed-frame", Field.of("peer", connection), Field.of("frame", frame.getBodyCase()));
+			connection.close();
+			return;
+		}
+		openOutbox(link, frame);
+		event.value().ifPresent(this::handle);
+	}
+
+	private boolean keepPayload(AttemptStart start) {
+		Result<AttemptPayload> payload = AttemptDecoder.payload(start);
+		payload.value().ifPresent((value) -> this.runs.putIfAbsent(id(start), new BackendRun(value)));
+		return payload.value().isPresent();
+	}
+
+	private static AttemptId id(AttemptStart start) {
+		return new AttemptId(RequestId.of(start.getAttempt().getRequest()), start.getAttempt().getNumber());
+	}
+
+	private void openOutbox(EntryLink link, Frame frame) {
+		switch (frame.getBodyCase()) {
+			case START -> open(frame.getStart().getAttempt().getRequest(), link, frame.getStart().getCredit());
+			case RESUME -> open(frame.getResume().getAttempt().getRequest(), link, frame.getResume().getCredit());
+			case CLAIM_QUERY -> open(frame.getClaimQuery().getOwner(), link, frame.getClaimQuery().getCredit());
+			case SEAL -> openIfAbsent(frame.getSeal().getAttempt().getRequest(), link);
+			default -> {
+			}
+		}
+	}
+
+	private void openIfAbsent(String request, EntryLink link) {
+		if (!this.outboxes.isOpen(RequestId.of(request), link)) {
+			open(request, link, SEAL_CREDIT);
+		}
+	}
+
+	private void open(String request, EntryLink link, int credit) {
+		this.outboxes.open(RequestId.of(request), link, credit);
+	}
+
+	private void handle(AttemptEvent event) {
+		this.registry.handle(event, this.clock.nanoTime()).forEach(this::carryOut);
+	}
+
+	private void carryOut(AttemptCommand command) {
+		if (command instanceof StartRun start) {
+			startRun(start.attempt());
+		}
+		else if (command instanceof CancelRun cancel) {
+			BackendRun run = this.runs.remove(cancel.attempt());
+			if (run != null) {
+				run.cancel();
+			}
+		}
+		else if (command instanceof ReportCrash crash) {
+			this.crashes.accept(crash.report());
+		}
+		else if (command instanceof FinishDrain) {
+			this.drainFinished = true;
+			completeDrain();
+		}
+		else {
+			send(command);
+		}
+	}
+
+	private void send(AttemptCommand command) {
+		if (command instanceof SendStarted started) {
+			this.outboxes.send(started.link(), SidecarFrames.started(started));
+		}
+		else if (command instanceof SendPart part) {
+			this.outboxes.sendInOrder(part.attempt().request(), part.link(), SidecarFrames.part(part));
+			regulate(part.attempt().request());
+		}
+		else if (command instanceof SendEnd end) {
+			this.outboxes.sendInOrder(end.attempt().request(), end.link(), SidecarFrames.ended(end));
+		}
+		else if (command instanceof SendRefusal refusal) {
+			this.runs.remove(refusal.attempt());
+			this.outboxes.send(refusal.link(), SidecarFrames.refused(refusal));
+		}
+		else if (command instanceof SendSealed sealed) {
+			this.outboxes.send(sealed.link(), SidecarFrames.sealed(sealed));
+		}
+	}
+
+	private void startRun(AttemptId attempt) {
+		BackendRun run = this.runs.get(attempt);
+		run.started(this.backend.run(attempt, run.payload(), new RunProgress(attempt)));
+	}
+
+	private void regulate(RequestId request) {
+		boolean blocked = this.outboxes.isBlocked(request);
+		this.runs.forEach((attempt, run) -> {
+			if (attempt.request().equals(request)) {
+				run.regulate(blocked);
+			}
+		});
+	}
+
+	private void finishRun(AttemptId attempt, AttemptEvent event) {
+		if (this.runs.remove(attempt) != null) {
+			handle(event);
+			this.outboxes.close(attempt.request());
+		}
+	}
+
+	private void judgeFailure(AttemptId attempt, boolean sent) {
+		if (!sent) {
+			finishRun(attempt, new RunRefused(attempt));
+			return;
+		}
+		this.backend.isAlive()
+			.thenAccept((alive) -> this.worker.execute(() -> finishRun(attempt, failure(attempt, alive))));
+	}
+
+	private static AttemptEvent failure(AttemptId attempt, boolean alive) {
+		return alive ? new RunBroken(attempt) : new BackendCrashed();
+	}
+
+	private void sendLoad() {
+		this.outboxes.sendAll(loadFrame());
+	}
+
+	private Frame loadFrame() {
+		this.loadSequence++;
+		Load report = Load.newBuilder()
+			.setIncarnation(this.self.incarnation().value())
+			.setWindow(this.registry.window())
+			.setSequence(this.loadSequence)
+			.setRunning(Math.max(this.load.running(), this.registry.running()))
+			.setQueuedStandardTokens(this.load.queuedTokens())
+			.setLeaving(this.draining)
+			.build();
+		return Frame.newBuilder().setLoad(report).build();
+	}
+
+	private void completeDrain() {
+		if (this.drainFinished && this.outboxes.isEmpty()) {
+			LOG.info("drained", Field.of("backend-server", this.server));
+			this.drained.complete(null);
+		}
+	}
+
+	/**
+	 * Hands the progress of a run over to the worker.
+	 */
+	private final class RunProgress implements BackendListener {
+
+		private final AttemptId attempt;
+
+		RunProgress(AttemptId attempt) {
+			this.attempt = attempt;
+		}
+
+		@Override
+		public void onHead(int status, String contentType) {
+			produce(new AnswerHead(status, contentType));
+		}
+
+		@Override
+		public void onChunk(Bytes data) {
+			produce(new AnswerChunk(data));
+		}
+
+		@Override
+		public void onComplete() {
+			hand(() -> finishRun(this.attempt, new PartProduced(this.attempt, new AnswerEnd())));
+		}
+
+		@Override
+		public void onFailure(OperationError error, boolean sent) {
+			LOG.warn("run-failed", Field.of("attempt", this.attempt), Field.of("error", error.message()));
+			hand(() -> judgeFailure(this.attempt, sent));
+		}
+
+		private void produce(AnswerPart part) {
+			hand(() -> {
+				if (SidecarEngine.this.runs.containsKey(this.attempt)) {
+					handle(new PartProduced(this.attempt, part));
+				}
+			});
+		}
+
+		private void hand(Runnable task) {
+			if (!SidecarEngine.this.worker.offer(task)) {
+				breakOff();
+			}
+		}
+
+		private void breakOff() {
+			LOG.warn("run-broken-off", Field.of("attempt", this.attempt), Field.of("reason", "ring is full"));
+			SidecarEngine.this.worker.after(RETRY_HANDOVER, () -> {
+				BackendRun run = SidecarEngine.this.runs.get(this.attempt);
+				if (run != null) {
+					run.cancel();
+					finishRun(this.attempt, new RunBroken(this.attempt));
+				}
+			});
+		}
+
+	}
+
+}
