Add a seeded randomised run of the replicated log

The core's promises must hold under crash, lost unsynced writes, failed syncs, isolated leaders, one-way and whole partitions, loss, delay, doubling, reordering, drifting clocks, lost disks and a second loss right after a repair. The run drives 3 and 5 cores on one schedule and checks them from outside; the test takes 100,000 steps each with seed 1.

--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRun.java
@@ -0,0 +1,59 @@
+package org.comfreywall.bench.control;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * A seeded run of the replicated log under faults.
+ */
+final class RandomRun {
+
+	private static final long SETTLE_NANOS = Duration.ofSeconds(10).toNanos();
+
+	private final RunWorld world;
+
+	private final RunClients clients;
+
+	private final RunFaults faults;
+
+	private final RunRepairs repairs;
+
+	RandomRun(long seed, int instances) {
+		this.world = new RunWorld(seed, instances);
+		this.clients = new RunClients(this.world);
+		this.faults = new RunFaults(this.world);
+		this.repairs = new RunRepairs(this.world);
+	}
+
+	RandomRunResult run(long steps) {
+		this.clients.start();
+		this.faults.start();
+		this.repairs.start();
+		RunSchedule schedule = this.world.schedule();
+		while (schedule.steps() < steps && this.world.checker().violations().isEmpty()) {
+			schedule.step();
+			this.world.checker().leases(this.world.instances());
+		}
+		long committedUnderFaults = this.world.checker().committed();
+		settle(schedule);
+		RunChecker checker = this.world.checker();
+		return new RandomRunResult(schedule.steps(), checker.terms(), checker.committed(), checker.acknowledged(),
+				committedUnderFaults, this.faults.faults(), this.repairs.repairs(), this.world.invariants().breaches(),
+				List.copyOf(checker.violations()));
+	}
+
+	// After the faults end, a leader must be found that knows all acknowledged changes.
+	private void settle(RunSchedule schedule) {
+		this.faults.stop();
+		long end = schedule.now() + SETTLE_NANOS;
+		boolean led = false;
+		while (schedule.now() < end && !led && this.world.checker().violations().isEmpty()) {
+			this.world.instances().stream().filter((instance) -> !instance.takesPart()).forEach(RunInstance::restart);
+			schedule.step();
+			this.world.checker().leases(this.world.instances());
+			led = this.world.instances().stream().anyMatch(RunInstance::holdsLease);
+		}
+		this.world.checker().check(led, "a leader is found after the faults end");
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRunResult.java
@@ -0,0 +1,21 @@
+package org.comfreywall.bench.control;
+
+import java.util.List;
+
+/**
+ * What a randomised run did and found.
+ *
+ * @param steps the events handled
+ * @param terms the terms that had a leader
+ * @param committed the entries committed
+ * @param acknowledged the proposals acknowledged
+ * @param committedUnderFaults the entries committed before the faults ended
+ * @param faults the faults injected, disk losses not counted
+ * @param repairs the lost instances replaced
+ * @param breaches the breaches that the cores found themselves
+ * @param violations what the checks outside the cores found
+ */
+record RandomRunResult(long steps, long terms, long committed, long acknowledged, long committedUnderFaults,
+		long faults, long repairs, long breaches, List<String> violations) {
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunInstance.java
@@ -0,0 +1,300 @@
+package org.comfreywall.bench.control;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.control.log.ApplyEntries;
+import org.comfreywall.control.log.BatchEnded;
+import org.comfreywall.control.log.BatchSynced;
+import org.comfreywall.control.log.CommandContent;
+import org.comfreywall.control.log.CommandProposed;
+import org.comfreywall.control.log.LogCommand;
+import org.comfreywall.control.log.LogEntry;
+import org.comfreywall.control.log.LogEvent;
+import org.comfreywall.control.log.LogPosition;
+import org.comfreywall.control.log.MembershipChange;
+import org.comfreywall.control.log.MembershipProposed;
+import org.comfreywall.control.log.ProposalAccepted;
+import org.comfreywall.control.log.ReadReady;
+import org.comfreywall.control.log.ReadRequested;
+import org.comfreywall.control.log.ReplicaCore;
+import org.comfreywall.control.log.ReplicaIdentity;
+import org.comfreywall.control.log.ReplicaStatus;
+import org.comfreywall.control.log.Role;
+import org.comfreywall.control.log.RoleChanged;
+import org.comfreywall.control.log.SaveSnapshot;
+import org.comfreywall.control.log.SendMessage;
+import org.comfreywall.control.log.Snapshot;
+import org.comfreywall.control.log.SnapshotTaken;
+import org.comfreywall.control.log.StorageFailed;
+import org.comfreywall.control.log.SyncBatch;
+import org.comfreywall.control.log.TimePassed;
+import org.comfreywall.control.storage.MemoryStorage;
+
+/**
+ * One core with a storage in memory, a clock of its own and a state machine.
+ */
+final class RunInstance {
+
+	private static final long SYNC_NANOS = Duration.ofMillis(4).toNanos();
+
+	private final RunWorld world;
+
+	private final InstanceId id;
+
+	private final MemoryStorage storage;
+
+	private final RunClock clock;
+
+	private final Map<Long, Consumer<Bytes>> submitted = new HashMap<>();
+
+	private final TreeMap<Long, Awaited> accepted = new TreeMap<>();
+
+	private final Map<Long, Runnable> reads = new HashMap<>();
+
+	private final TreeMap<Long, Runnable> confirmedReads = new TreeMap<>();
+
+	private Optional<ReplicaCore> core = Optional.empty();
+
+	private RunState state;
+
+	private int life;
+
+	private long nextId = 1;
+
+	private long digest;
+
+	private long appliedIndex;
+
+	RunInstance(RunWorld world, InstanceId id, MemoryStorage storage, RunClock clock) {
+		this.world = world;
+		this.id = id;
+		this.storage = storage;
+		this.clock = clock;
+		this.state = new RunState(world.checker());
+	}
+
+	InstanceId id() {
+		return this.id;
+	}
+
+	long storageId() {
+		return this.storage.storageId();
+	}
+
+	long digest() {
+		return this.digest;
+	}
+
+	long appliedIndex() {
+		return this.appliedIndex;
+	}
+
+	RunState state() {
+		return this.state;
+	}
+
+	boolean isUp() {
+		return this.core.isPresent();
+	}
+
+	boolean takesPart() {
+		return status().filter((status) -> status.role() != Role.DISABLED).isPresent();
+	}
+
+	boolean isLeader() {
+		return status().filter((status) -> status.role() == Role.LEADER).isPresent();
+	}
+
+	Optional<ReplicaStatus> status() {
+		return this.core.map((found) -> found.status(now()));
+	}
+
+	boolean holdsLease() {
+		return this.core.filter((found) -> found.holdsLease(now())).isPresent();
+	}
+
+	private long now() {
+		return this.clock.at(this.world.schedule().now());
+	}
+
+	void start() {
+		this.life++;
+		this.state = new RunState(this.world.checker());
+		this.digest = 0;
+		this.appliedIndex = 0;
+		this.storage.recovered().snapshot().ifPresent(this::restore);
+		ReplicaIdentity identity = new ReplicaIdentity(this.id, this.storage.storageId());
+		this.core = Optional.of(new ReplicaCore(identity, this.world.settings(), this.storage.recovered(),
+				new Random(this.world.random().nextLong()), DecisionListener.NONE, this.world.invariants(), now()));
+		tickLater(this.life);
+	}
+
+	void crash() {
+		this.life++;
+		this.core = Optional.empty();
+		this.storage.crash();
+		this.submitted.clear();
+		this.accepted.clear();
+		this.reads.clear();
+		this.confirmedReads.clear();
+	}
+
+	void restart() {
+		crash();
+		start();
+	}
+
+	void failNextSync() {
+		this.storage.failNextSync();
+	}
+
+	private void tickLater(int ofLife) {
+		long interval = this.world.settings().heartbeatInterval().toNanos() / 4;
+		this.world.schedule().after(interval, () -> {
+			if (ofLife == this.life) {
+				event(new TimePassed());
+				tickLater(ofLife);
+			}
+		});
+	}
+
+	void event(LogEvent event) {
+		handle(event);
+		handle(new BatchEnded());
+	}
+
+	private void handle(LogEvent event) {
+		this.core.ifPresent((found) -> carryOut(found.handle(event, now())));
+	}
+
+	void propose(Bytes command, Consumer<Bytes> onAnswer) {
+		long proposal = this.nextId++;
+		this.submitted.put(proposal, onAnswer);
+		event(new CommandProposed(proposal, command));
+		this.submitted.remove(proposal);
+	}
+
+	void changeMembers(MembershipChange change, Runnable onCommit) {
+		long proposal = this.nextId++;
+		this.submitted.put(proposal, (unused) -> onCommit.run());
+		event(new MembershipProposed(proposal, change));
+		this.submitted.remove(proposal);
+	}
+
+	void read(Runnable action) {
+		long read = this.nextId++;
+		this.reads.put(read, action);
+		event(new ReadRequested(read));
+	}
+
+	void takeSnapshot() {
+		if (isUp()) {
+			byte[] encoded = this.state.machine().snapshot().toArray();
+			ByteBuffer buffer = ByteBuffer.allocate(Long.BYTES + encoded.length).putLong(this.digest).put(encoded);
+			event(new SnapshotTaken(this.appliedIndex, Bytes.of(buffer.array())));
+		}
+	}
+
+	private void restore(Snapshot snapshot) {
+		byte[] encoded = snapshot.state().toArray();
+		this.digest = ByteBuffer.wrap(encoded).getLong();
+		this.appliedIndex = snapshot.position().index();
+		this.state.machine().restore(Bytes.of(Arrays.copyOfRange(encoded, Long.BYTES, encoded.length)));
+		this.world.checker().reached(this.id, this.appliedIndex, this.digest);
+	}
+
+	private void carryOut(List<LogCommand> commands) {
+		for (LogCommand command : commands) {
+			if (command instanceof SendMessage send) {
+				this.world.network().send(send.message());
+			}
+			else if (command instanceof SyncBatch sync) {
+				this.storage.write(sync.batch());
+				syncLater(sync.sequence(), this.life);
+			}
+			else if (command instanceof SaveSnapshot save) {
+				save(save);
+			}
+			else if (command instanceof ApplyEntries apply) {
+				apply.entries().forEach(this::apply);
+			}
+			else {
+				note(command);
+			}
+		}
+	}
+
+	private void note(LogCommand command) {
+		if (command instanceof RoleChanged changed && changed.role() == Role.LEADER) {
+			this.world.checker().leads(this.id, changed.term());
+		}
+		else if (command instanceof ProposalAccepted taken) {
+			Consumer<Bytes> onAnswer = this.submitted.get(taken.proposal());
+			this.accepted.put(taken.position().index(), new Awaited(taken.position(), onAnswer));
+		}
+		else if (command instanceof ReadReady ready) {
+			confirm(ready);
+		}
+	}
+
+	private void confirm(ReadReady ready) {
+		Runnable action = this.reads.remove(ready.read());
+		if (ready.index() <= this.appliedIndex) {
+			action.run();
+		}
+		else {
+			this.confirmedReads.put(ready.index(), action);
+		}
+	}
+
+	private void syncLater(long sequence, int ofLife) {
+		this.world.schedule().after(this.world.random().nextLong(SYNC_NANOS), () -> {
+			if (ofLife != this.life) {
+				return;
+			}
+			event(this.storage.sync().<LogEvent>map(StorageFailed::new).orElseGet(() -> new BatchSynced(sequence)));
+		});
+	}
+
+	private void save(SaveSnapshot save) {
+		if (this.storage.save(save.compaction()).isEmpty() && save.restore()) {
+			restore(save.compaction().snapshot());
+		}
+		syncLater(save.sequence(), this.life);
+	}
+
+	private void apply(LogEntry entry) {
+		this.world.checker()
+			.check(entry.index() == this.appliedIndex + 1, "entries are applied without gaps", this.id, entry.index());
+		this.appliedIndex = entry.index();
+		this.digest = 31 * this.digest + entry.hashCode();
+		this.world.checker().reached(this.id, this.appliedIndex, this.digest);
+		Bytes answer = (entry.content() instanceof CommandContent command)
+				? this.state.machine().apply(entry.time(), command.command()).value().orElseThrow() : Bytes.EMPTY;
+		Awaited awaited = this.accepted.remove(entry.index());
+		if (awaited != null && awaited.position().equals(entry.position())) {
+			this.world.checker().acknowledged(entry.index());
+			awaited.onAnswer().accept(answer);
+		}
+		this.confirmedReads.headMap(this.appliedIndex, true).values().forEach(Runnable::run);
+		this.confirmedReads.headMap(this.appliedIndex, true).clear();
+	}
+
+	/** A proposal that waits for its position to be applied. */
+	private record Awaited(LogPosition position, Consumer<Bytes> onAnswer) {
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunSchedule.java
@@ -0,0 +1,42 @@
+package org.comfreywall.bench.control;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/**
+ * Runs actions in the order of their times; counts each as a step.
+ */
+final class RunSchedule {
+
+	private final PriorityQueue<Scheduled> queue = new PriorityQueue<>(
+			Comparator.comparingLong(Scheduled::time).thenComparingLong(Scheduled::order));
+
+	private long now;
+
+	private long steps;
+
+	long now() {
+		return this.now;
+	}
+
+	long steps() {
+		return this.steps;
+	}
+
+	void after(long nanos, Runnable action) {
+		this.queue.add(new Scheduled(this.now + nanos, this.steps + this.queue.size(), action));
+	}
+
+	void step() {
+		Scheduled next = this.queue.remove();
+		this.now = next.time();
+		this.steps++;
+		next.action().run();
+	}
+
+	/** An action with its time. */
+	private record Scheduled(long time, long order, Runnable action) {
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunState.java
@@ -0,0 +1,31 @@
+package org.comfreywall.bench.control;
+
+import java.util.List;
+
+import org.comfreywall.control.state.ConfigurationLedger;
+import org.comfreywall.control.state.StateMachine;
+
+/**
+ * The state machine of one instance; reports each accepted change to the checker.
+ */
+final class RunState {
+
+	private final ConfigurationLedger configuration;
+
+	private final StateMachine machine;
+
+	RunState(RunChecker checker) {
+		this.configuration = new ConfigurationLedger(
+				(change, configuration) -> checker.accepted(change.revision(), change.change()));
+		this.machine = new StateMachine(List.of(this.configuration));
+	}
+
+	ConfigurationLedger configuration() {
+		return this.configuration;
+	}
+
+	StateMachine machine() {
+		return this.machine;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunWorld.java
@@ -0,0 +1,122 @@
+package org.comfreywall.bench.control;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.control.log.FoundingBatch;
+import org.comfreywall.control.log.LogSettings;
+import org.comfreywall.control.log.MessageReceived;
+import org.comfreywall.control.log.PeerMessage;
+import org.comfreywall.control.storage.MemoryStorage;
+
+/**
+ * The instances of a randomised run with their network and checker.
+ */
+final class RunWorld {
+
+	private static final LogSettings SETTINGS = new LogSettings(Duration.ofMillis(20), Duration.ofMillis(100), 10, 16,
+			1 << 12, 64, 1 << 16, 2000, 8, 512, 50);
+
+	private static final long MAX_CLOCK_OFFSET_NANOS = Duration.ofDays(1).toNanos();
+
+	private static final double MAX_CLOCK_ERROR = 0.04;
+
+	private final Random random;
+
+	private final RunSchedule schedule = new RunSchedule();
+
+	private final RunChecker checker = new RunChecker(this.schedule);
+
+	private final Invariants invariants = new Invariants();
+
+	private final RunNetwork network;
+
+	private final Map<InstanceId, RunInstance> instances = new TreeMap<>();
+
+	private int nextNumber = 1;
+
+	RunWorld(long seed, int size) {
+		this.random = new Random(seed);
+		this.network = new RunNetwork(this.schedule, this.random, this::deliver);
+		List<InstanceId> founders = IntStream.rangeClosed(1, size).mapToObj(RunWorld::name).toList();
+		founders.forEach((founder) -> add(MemoryStorage.with(FoundingBatch.STORAGE_ID, FoundingBatch.of(founders))));
+	}
+
+	private static InstanceId name(int number) {
+		return InstanceId.of(String.format("c%03d", number));
+	}
+
+	private RunInstance add(MemoryStorage storage) {
+		double speed = 1 + (2 * this.random.nextDouble() - 1) * MAX_CLOCK_ERROR;
+		RunClock clock = new RunClock(this.random.nextLong(MAX_CLOCK_OFFSET_NANOS), speed);
+		RunInstance instance = new RunInstance(this, name(this.nextNumber++), storage, clock);
+		this.instances.put(instance.id(), instance);
+		instance.start();
+		return instance;
+	}
+
+	RunInstance addEmpty() {
+		return add(MemoryStorage.empty(this.random.nextLong()));
+	}
+
+	void destroy(RunInstance instance) {
+		instance.crash();
+		this.instances.remove(instance.id());
+	}
+
+	private void deliver(PeerMessage message) {
+		Optional.ofNullable(this.instances.get(message.to()))
+			.ifPresent((receiver) -> receiver.event(new MessageReceived(message)));
+	}
+
+	Random random() {
+		return this.random;
+	}
+
+	RunSchedule schedule() {
+		return this.schedule;
+	}
+
+	RunChecker checker() {
+		return this.checker;
+	}
+
+	Invariants invariants() {
+		return this.invariants;
+	}
+
+	RunNetwork network() {
+		return this.network;
+	}
+
+	LogSettings settings() {
+		return SETTINGS;
+	}
+
+	Collection<RunInstance> instances() {
+		return this.instances.values();
+	}
+
+	RunInstance anyInstance() {
+		return pick(List.copyOf(this.instances.values()));
+	}
+
+	// Picks one that believes to lead, or any instance if there is none.
+	RunInstance anyLeader() {
+		List<RunInstance> leaders = this.instances.values().stream().filter(RunInstance::isLeader).toList();
+		return leaders.isEmpty() ? anyInstance() : pick(leaders);
+	}
+
+	private <T> T pick(List<T> choices) {
+		return choices.get(this.random.nextInt(choices.size()));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements and randomised runs of the replicated log.
+ */
+package org.comfreywall.bench.control;
--- /dev/null
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/control/RandomRunTests.java
@@ -0,0 +1,26 @@
+package org.comfreywall.bench.control;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests the replicated log with {@link RandomRun}.
+ */
+class RandomRunTests {
+
+	private static final long STEPS = 100_000;
+
+	@ParameterizedTest
+	@ValueSource(ints = { 3, 5 })
+	void findsNoViolation(int instances) {
+		RandomRunResult result = new RandomRun(1, instances).run(STEPS);
+		assertThat(result.violations()).isEmpty();
+		assertThat(result.breaches()).isZero();
+		assertThat(result.steps()).isGreaterThanOrEqualTo(STEPS);
+		assertThat(result.repairs()).as("instances replaced").isPositive();
+		assertThat(result.acknowledged()).as("changes acknowledged").isPositive();
+	}
+
+}
