Embed the ledgers of claims and crashes in the replicated state

Claims on idempotency keys and the record of crashing requests must survive on a quorum. The randomised run now also sends the same keys from several callers and checks that a claim is granted at most once.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ControlRandomMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ControlRandomMeasurement.java
@@ -27,7 +27,8 @@
 		reporter.result("control-random", Field.of("seed", options.seed()), Field.of("instances", size),
 				Field.of("steps", result.steps()), Field.of("terms", result.terms()),
 				Field.of("committed", result.committed()), Field.of("acknowledged", result.acknowledged()),
-				Field.of("faults", result.faults()), Field.of("repairs", result.repairs()));
+				Field.of("claims", result.claims()), Field.of("faults", result.faults()),
+				Field.of("repairs", result.repairs()));
 		reporter.atMost("control-random-violations", result.violations().size(), 0);
 		reporter.atMost("control-random-invariant-breaches", result.breaches(), 0);
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRun.java
@@ -14,6 +14,8 @@
 
 	private final RunClients clients;
 
+	private final RunClaimants claimants;
+
 	private final RunFaults faults;
 
 	private final RunRepairs repairs;
@@ -21,12 +23,14 @@
 	RandomRun(long seed, int instances) {
 		this.world = new RunWorld(seed, instances);
 		this.clients = new RunClients(this.world);
+		this.claimants = new RunClaimants(this.world);
 		this.faults = new RunFaults(this.world);
 		this.repairs = new RunRepairs(this.world);
 	}
 
 	RandomRunResult run(long steps) {
 		this.clients.start();
+		this.claimants.start();
 		this.faults.start();
 		this.repairs.start();
 		RunSchedule schedule = this.world.schedule();
@@ -34,11 +38,10 @@
 			schedule.step();
 			this.world.checker().leases(this.world.instances());
 		}
-		long committedUnderFaults = this.world.checker().committed();
 		settle(schedule);
 		RunChecker checker = this.world.checker();
 		return new RandomRunResult(schedule.steps(), checker.terms(), checker.committed(), checker.acknowledged(),
-				committedUnderFaults, this.faults.faults(), this.repairs.repairs(), this.world.invariants().breaches(),
+				checker.claims(), this.faults.faults(), this.repairs.repairs(), this.world.invariants().breaches(),
 				List.copyOf(checker.violations()));
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRunResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRunResult.java
@@ -9,13 +9,13 @@
  * @param terms the terms that had a leader
  * @param committed the entries committed
  * @param acknowledged the proposals acknowledged
- * @param committedUnderFaults the entries committed before the faults ended
+ * @param claims the keys on which a claim was granted
  * @param faults the faults injected, disk losses not counted
  * @param repairs the lost instances replaced
  * @param breaches the breaches that the cores found themselves
  * @param violations what the checks outside the cores found
  */
-record RandomRunResult(long steps, long terms, long committed, long acknowledged, long committedUnderFaults,
-		long faults, long repairs, long breaches, List<String> violations) {
+record RandomRunResult(long steps, long terms, long committed, long acknowledged, long claims, long faults,
+		long repairs, long breaches, List<String> violations) {
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunChecker.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunChecker.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.comfreywall.common.claim.ClaimKey;
 import org.comfreywall.common.id.ChangeId;
 import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.RequestId;
 import org.comfreywall.common.id.Revision;
 import org.comfreywall.common.id.Term;
 import org.comfreywall.control.log.ReplicaStatus;
@@ -39,6 +41,8 @@
 
 	private final Map<ChangeId, ChangeAnswer> answers = new HashMap<>();
 
+	private final Map<ClaimKey, RequestId> claims = new HashMap<>();
+
 	private long acknowledgedIndex;
 
 	private long acknowledged;
@@ -128,6 +132,15 @@
 		}
 	}
 
+	void granted(ClaimKey key, RequestId owner) {
+		RequestId first = this.claims.putIfAbsent(key, owner);
+		check(first == null || first.equals(owner), "a claim is granted at most once", key, first, owner);
+	}
+
+	long claims() {
+		return this.claims.size();
+	}
+
 	void read(Revision expected, Revision seen) {
 		check(!seen.isBefore(expected), "a read sees every acknowledged change", expected, seen);
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunState.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunState.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 
+import org.comfreywall.control.ledger.ClaimLedgerSettings;
 import org.comfreywall.control.state.ConfigurationLedger;
+import org.comfreywall.control.state.ReplicatedClaims;
 import org.comfreywall.control.state.StateMachine;
 
 /**
@@ -17,7 +19,8 @@
 	RunState(RunChecker checker) {
 		this.configuration = new ConfigurationLedger(
 				(change, configuration) -> checker.accepted(change.revision(), change.change()));
-		this.machine = new StateMachine(List.of(this.configuration));
+		ReplicatedClaims claims = new ReplicatedClaims(ClaimLedgerSettings.DEFAULT);
+		this.machine = new StateMachine(List.of(this.configuration, claims));
 	}
 
 	ConfigurationLedger configuration() {
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/control/RandomRunTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/control/RandomRunTests.java
@@ -21,6 +21,7 @@
 		assertThat(result.steps()).isGreaterThanOrEqualTo(STEPS);
 		assertThat(result.repairs()).as("instances replaced").isPositive();
 		assertThat(result.acknowledged()).as("changes acknowledged").isPositive();
+		assertThat(result.claims()).as("claims granted").isPositive();
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/LogTime.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/LogTime.java
@@ -14,6 +14,8 @@
  */
 public record LogTime(long millis) implements Comparable<LogTime> {
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	/** The time at which the log begins. */
 	public static final LogTime ZERO = new LogTime(0);
 
@@ -30,6 +32,14 @@
 		return new LogTime(millis);
 	}
 
+	/**
+	 * Returns the reading in nanoseconds.
+	 * @return nanoseconds of leadership since the log began
+	 */
+	public long nanos() {
+		return this.millis * NANOS_PER_MILLI;
+	}
+
 	/**
 	 * Returns a later reading.
 	 * @param duration how much later, zero or greater
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonAnswerCodec.java
@@ -0,0 +1,92 @@
+package org.comfreywall.control.state;
+
+import java.util.function.Function;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.comfreywall.common.poison.IsolationResult;
+import org.comfreywall.common.poison.PoisonVerdict;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.control.generated.PoisonAnswerRecord;
+import org.comfreywall.control.generated.RefusedRecord;
+
+/**
+ * Encodes and decodes the answers of {@link ReplicatedPoison}.
+ */
+public final class PoisonAnswerCodec {
+
+	private PoisonAnswerCodec() {
+	}
+
+	/**
+	 * Decodes the answer to a request for the slot for an isolated run.
+	 * @param encoded the encoded answer
+	 * @return the result, or an error if the answer is malformed
+	 */
+	public static Result<IsolationResult> decodeIsolation(Bytes encoded) {
+		return decode(encoded, (answer) -> IsolationResult.valueOf(answer.getIsolation()));
+	}
+
+	/**
+	 * Decodes the answer to a query for a verdict.
+	 * @param encoded the encoded answer
+	 * @return the verdict, or an error if the answer is malformed
+	 */
+	public static Result<PoisonVerdict> decodeVerdict(Bytes encoded) {
+		return decode(encoded, (answer) -> PoisonVerdict.valueOf(answer.getVerdict()));
+	}
+
+	/**
+	 * Decodes the answer to an operator's order to forget a fingerprint.
+	 * @param encoded the encoded answer
+	 * @return whether the fingerprint was known, or an error if the answer is malformed
+	 */
+	public static Result<Boolean> decodeKnown(Bytes encoded) {
+		return decode(encoded, PoisonAnswerRecord::getKnown);
+	}
+
+	private static <T> Result<T> decode(Bytes encoded, Function<PoisonAnswerRecord, T> decoder) {
+		try {
+			PoisonAnswerRecord answer = PoisonAnswerRecord.parseFrom(encoded.toArray());
+			Preconditions.check(!answer.hasRefused(), "%s", answer.getRefused().getMessage());
+			return Result.success(decoder.apply(answer));
+		}
+		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+			return Result.failure(OperationError.local(ErrorCode.MALFORMED, Step.CLAIM,
+					"an answer about a crash cannot be decoded: " + ex.getMessage()));
+		}
+	}
+
+	static Bytes done() {
+		return encode(PoisonAnswerRecord.newBuilder().setDone(true));
+	}
+
+	static Bytes isolation(IsolationResult result) {
+		return encode(PoisonAnswerRecord.newBuilder().setIsolation(result.name()));
+	}
+
+	static Bytes verdict(PoisonVerdict verdict) {
+		return encode(PoisonAnswerRecord.newBuilder().setVerdict(verdict.name()));
+	}
+
+	static Bytes known(boolean known) {
+		return encode(PoisonAnswerRecord.newBuilder().setKnown(known));
+	}
+
+	static Bytes malformed() {
+		RefusedRecord refused = RefusedRecord.newBuilder()
+			.setCode(ErrorCode.MALFORMED.name())
+			.setMessage("the command on crashes is malformed")
+			.build();
+		return encode(PoisonAnswerRecord.newBuilder().setRefused(refused));
+	}
+
+	private static Bytes encode(PoisonAnswerRecord.Builder answer) {
+		return Bytes.of(answer.build().toByteArray());
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonRecords.java
@@ -0,0 +1,128 @@
+package org.comfreywall.control.state;
+
+import java.util.Optional;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.comfreywall.common.id.AccountId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.id.ServiceId;
+import org.comfreywall.common.poison.CrashEvidence;
+import org.comfreywall.common.poison.CrashReport;
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.control.generated.CrashChargeRecord;
+import org.comfreywall.control.generated.CrashReportRecord;
+import org.comfreywall.control.generated.FingerprintRecord;
+import org.comfreywall.control.generated.IsolationSlotRecord;
+import org.comfreywall.control.generated.PoisonEntryRecord;
+import org.comfreywall.control.generated.PoisonLedgerRecord;
+import org.comfreywall.control.ledger.CrashCharge;
+import org.comfreywall.control.ledger.IsolationSlot;
+import org.comfreywall.control.ledger.PoisonEntry;
+import org.comfreywall.control.ledger.PoisonLedgerSnapshot;
+
+/**
+ * Converts records of crashes to and from their encoded form. Malformed records raise
+ * {@link IllegalArgumentException}.
+ */
+final class PoisonRecords {
+
+	private PoisonRecords() {
+	}
+
+	static FingerprintRecord toRecord(Fingerprint fingerprint) {
+		return FingerprintRecord.newBuilder()
+			.setAccount(fingerprint.account().value())
+			.setService(fingerprint.service().value())
+			.setBodyDigest(fingerprint.bodyDigest())
+			.build();
+	}
+
+	static Fingerprint fromRecord(FingerprintRecord fingerprint) {
+		return new Fingerprint(AccountId.of(fingerprint.getAccount()), ServiceId.of(fingerprint.getService()),
+				fingerprint.getBodyDigest());
+	}
+
+	static CrashReportRecord toRecord(CrashReport report) {
+		return CrashReportRecord.newBuilder()
+			.setEvidence(report.evidence().name())
+			.setBackendServer(report.backendServer().value())
+			.setIncarnation(report.incarnation().value())
+			.setCrash(report.crash())
+			.addAllInFlight(report.inFlight().stream().map(PoisonRecords::toRecord).toList())
+			.setIsolated(report.isolated())
+			.build();
+	}
+
+	static CrashReport fromRecord(CrashReportRecord report) {
+		return new CrashReport(CrashEvidence.valueOf(report.getEvidence()),
+				BackendServerId.of(report.getBackendServer()), Incarnation.of(report.getIncarnation()),
+				report.getCrash(), report.getInFlightList().stream().map(PoisonRecords::fromRecord).toList(),
+				report.getIsolated());
+	}
+
+	static Bytes encode(PoisonLedgerSnapshot snapshot) {
+		PoisonLedgerRecord.Builder builder = PoisonLedgerRecord.newBuilder().setLogTimeNanos(snapshot.logTime());
+		snapshot.entries().forEach((entry) -> builder.addEntries(toRecord(entry)));
+		snapshot.slot().map(PoisonRecords::toRecord).ifPresent(builder::setSlot);
+		return Bytes.of(builder.build().toByteArray());
+	}
+
+	static PoisonLedgerSnapshot decode(Bytes encoded) {
+		try {
+			PoisonLedgerRecord ledger = PoisonLedgerRecord.parseFrom(encoded.toArray());
+			Optional<IsolationSlot> slot = ledger.hasSlot() ? Optional.of(fromRecord(ledger.getSlot()))
+					: Optional.empty();
+			return new PoisonLedgerSnapshot(ledger.getLogTimeNanos(),
+					ledger.getEntriesList().stream().map(PoisonRecords::fromRecord).toList(), slot);
+		}
+		catch (InvalidProtocolBufferException ex) {
+			throw new IllegalArgumentException("the snapshot of the crashes cannot be decoded", ex);
+		}
+	}
+
+	private static PoisonEntryRecord toRecord(PoisonEntry entry) {
+		return PoisonEntryRecord.newBuilder()
+			.setFingerprint(toRecord(entry.fingerprint()))
+			.addAllCharges(entry.charges().stream().map(PoisonRecords::toRecord).toList())
+			.setConvicted(entry.convicted())
+			.setChangedAtNanos(entry.changedAt())
+			.build();
+	}
+
+	private static PoisonEntry fromRecord(PoisonEntryRecord entry) {
+		return new PoisonEntry(fromRecord(entry.getFingerprint()),
+				entry.getChargesList().stream().map(PoisonRecords::fromRecord).toList(), entry.getConvicted(),
+				entry.getChangedAtNanos());
+	}
+
+	private static CrashChargeRecord toRecord(CrashCharge charge) {
+		return CrashChargeRecord.newBuilder()
+			.setBackendServer(charge.backendServer().value())
+			.setIncarnation(charge.incarnation().value())
+			.setCrash(charge.crash())
+			.setExplained(charge.explained())
+			.build();
+	}
+
+	private static CrashCharge fromRecord(CrashChargeRecord charge) {
+		return new CrashCharge(BackendServerId.of(charge.getBackendServer()), Incarnation.of(charge.getIncarnation()),
+				charge.getCrash(), charge.getExplained());
+	}
+
+	private static IsolationSlotRecord toRecord(IsolationSlot slot) {
+		return IsolationSlotRecord.newBuilder()
+			.setFingerprint(toRecord(slot.fingerprint()))
+			.setOwner(slot.owner().value())
+			.setExpiresAtNanos(slot.expiresAt())
+			.build();
+	}
+
+	private static IsolationSlot fromRecord(IsolationSlotRecord slot) {
+		return new IsolationSlot(fromRecord(slot.getFingerprint()), RequestId.of(slot.getOwner()),
+				slot.getExpiresAtNanos());
+	}
+
+}
--- /dev/null
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ReplicatedPoison.java
@@ -0,0 +1,107 @@
+package org.comfreywall.control.state;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.poison.CrashReport;
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.poison.IsolationEnd;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.control.generated.FingerprintRecord;
+import org.comfreywall.control.generated.IsolationReleaseRecord;
+import org.comfreywall.control.generated.IsolationRequestRecord;
+import org.comfreywall.control.generated.PoisonCommandRecord;
+import org.comfreywall.control.ledger.PoisonLedger;
+import org.comfreywall.control.ledger.PoisonLedgerSettings;
+
+/**
+ * The record of requests that crash backend servers as a replicated ledger; commands are
+ * encoded by {@link PoisonCommandCodec}.
+ */
+public final class ReplicatedPoison implements Ledger {
+
+	/** The name of the ledger. */
+	public static final String NAME = "poison";
+
+	private final PoisonLedger poison;
+
+	/**
+	 * Creates an empty ledger.
+	 * @param settings the bounds, the same on all instances
+	 * @param listener receives a record of each verdict that changes
+	 */
+	public ReplicatedPoison(PoisonLedgerSettings settings, DecisionListener listener) {
+		this.poison = new PoisonLedger(settings, listener);
+	}
+
+	@Override
+	public String name() {
+		return NAME;
+	}
+
+	/**
+	 * Returns the record; it must not be changed.
+	 * @return the record
+	 */
+	public PoisonLedger poison() {
+		return this.poison;
+	}
+
+	@Override
+	public Bytes apply(LogTime time, Bytes command) {
+		try {
+			return dispatch(time.nanos(), PoisonCommandRecord.parseFrom(command.toArray()));
+		}
+		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+			return PoisonAnswerCodec.malformed();
+		}
+	}
+
+	private Bytes dispatch(long now, PoisonCommandRecord command) {
+		return switch (command.getActionCase()) {
+			case CHARGE -> charge(PoisonRecords.fromRecord(command.getCharge()), now);
+			case ACQUIRE -> acquire(command.getAcquire(), now);
+			case RELEASE -> release(command.getRelease(), now);
+			case CLEAR -> PoisonAnswerCodec.known(this.poison.clear(PoisonRecords.fromRecord(command.getClear()), now));
+			case ACTION_NOT_SET -> PoisonAnswerCodec.malformed();
+		};
+	}
+
+	private Bytes charge(CrashReport report, long now) {
+		this.poison.charge(report, now);
+		return PoisonAnswerCodec.done();
+	}
+
+	private Bytes acquire(IsolationRequestRecord request, long now) {
+		return PoisonAnswerCodec.isolation(this.poison.acquire(PoisonRecords.fromRecord(request.getFingerprint()),
+				RequestId.of(request.getOwner()), now));
+	}
+
+	private Bytes release(IsolationReleaseRecord release, long now) {
+		this.poison.release(PoisonRecords.fromRecord(release.getFingerprint()), RequestId.of(release.getOwner()),
+				IsolationEnd.valueOf(release.getEnd()), now);
+		return PoisonAnswerCodec.done();
+	}
+
+	@Override
+	public Bytes query(Bytes query) {
+		try {
+			Fingerprint fingerprint = PoisonRecords.fromRecord(FingerprintRecord.parseFrom(query.toArray()));
+			return PoisonAnswerCodec.verdict(this.poison.assess(fingerprint));
+		}
+		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+			return PoisonAnswerCodec.malformed();
+		}
+	}
+
+	@Override
+	public Bytes snapshot() {
+		return PoisonRecords.encode(this.poison.snapshot());
+	}
+
+	@Override
+	public void restore(Bytes snapshot) {
+		this.poison.restore(PoisonRecords.decode(snapshot));
+	}
+
+}
