Run entry, sidecar and control as separate processes

Cause: claims were local to one entry, configuration was fixed in code, and nothing ran outside the trial.

Change: comfreywalld run starts the roles that the settings name; control instances run the replicated log over the transport and keep configuration, claims and suspects; entries claim through the leader; members announce themselves with heartbeats, whose replies carry configuration and members; a process that has just started takes its first configuration with a confirmed read; the admin interface serves status, changes, history, decisions, metrics and drain; comfreywalld stand-in serves as a backend server.

Conclusion: the path runs through replicated state. Heartbeats still go to every control instance, which does not carry 5,500 nodes.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/Comfreywalld.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/Comfreywalld.java
@@ -5,6 +5,10 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import org.comfreywall.common.log.LogSetup;
+import org.comfreywall.daemon.run.RunCommand;
+import org.comfreywall.daemon.run.RunOptions;
+import org.comfreywall.daemon.standin.StandInCommand;
+import org.comfreywall.daemon.standin.StandInOptions;
 import org.comfreywall.daemon.trial.TrialCommand;
 import org.comfreywall.daemon.trial.TrialOptions;
 
@@ -30,19 +34,31 @@
 
 	private static int run(String[] args) throws Exception {
 		TrialOptions trial = new TrialOptions();
-		JCommander commander = JCommander.newBuilder().programName("comfreywalld").addCommand("trial", trial).build();
+		RunOptions run = new RunOptions();
+		StandInOptions standIn = new StandInOptions();
+		JCommander commander = JCommander.newBuilder()
+			.programName("comfreywalld")
+			.addCommand("run", run)
+			.addCommand("trial", trial)
+			.addCommand("stand-in", standIn)
+			.build();
 		try {
 			commander.parse(args);
 		}
 		catch (ParameterException ex) {
-			System.err.println(ex.getMessage() + "; see comfreywalld trial --help");
+			System.err.println(ex.getMessage() + "; see comfreywalld --help");
 			return USAGE;
 		}
-		if (commander.getParsedCommand() == null || trial.help()) {
+		String command = commander.getParsedCommand();
+		if (command == null || trial.help() || run.help() || standIn.help()) {
 			commander.usage();
-			return trial.help() ? 0 : USAGE;
+			return (command != null) ? 0 : USAGE;
 		}
-		return TrialCommand.run(trial);
+		return switch (command) {
+			case "run" -> RunCommand.run(run);
+			case "stand-in" -> StandInCommand.run(standIn);
+			default -> TrialCommand.run(trial);
+		};
 	}
 
 }
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeRequest.java
@@ -0,0 +1,46 @@
+package org.comfreywall.daemon.admin;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import org.comfreywall.common.id.ChangeId;
+import org.comfreywall.common.id.Revision;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+
+/**
+ * An operator's change as sent to the admin interface.
+ *
+ * @param id the change's identifier
+ * @param expected the revision that the change expects
+ * @param author who submits it
+ * @param reason why
+ * @param configuration the whole new configuration as TOML, unless the change rolls back
+ * @param rollbackTo the revision to roll back to
+ * @param dryRun whether only to say what would happen
+ */
+record ChangeRequest(ChangeId id, Revision expected, String author, String reason, Optional<String> configuration,
+		OptionalLong rollbackTo, boolean dryRun) {
+
+	static Result<ChangeRequest> parse(Buffer body) {
+		try {
+			JsonObject json = body.toJsonObject();
+			Long rollback = json.getLong("rollbackTo");
+			return Result.success(new ChangeRequest(ChangeId.of(json.getString("changeId")),
+					Revision.of(json.getLong("expectedRevision", -1L)), json.getString("author", ""),
+					json.getString("reason", ""), Optional.ofNullable(json.getString("configuration")),
+					(rollback != null) ? OptionalLong.of(rollback) : OptionalLong.empty(),
+					json.getBoolean("dryRun", false)));
+		}
+		catch (DecodeException | IllegalArgumentException | ClassCastException ex) {
+			return Result.failure(OperationError.local(ErrorCode.INVALID_INPUT, Step.CONFIGURE,
+					"the change is malformed: " + ex.getMessage()));
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/PublishedPoison.java
@@ -0,0 +1,67 @@
+package org.comfreywall.daemon.control;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.poison.PoisonVerdict;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.control.ledger.PoisonEntry;
+import org.comfreywall.control.state.Ledger;
+import org.comfreywall.control.state.LogTime;
+import org.comfreywall.control.state.ReplicatedPoison;
+
+/**
+ * Publishes the verdicts of the replicated ledger to other threads after each change.
+ */
+final class PublishedPoison implements Ledger {
+
+	private final ReplicatedPoison replicated;
+
+	private volatile Map<Fingerprint, PoisonVerdict> verdicts = Map.of();
+
+	PublishedPoison(ReplicatedPoison replicated) {
+		this.replicated = replicated;
+	}
+
+	PoisonVerdict verdict(Fingerprint fingerprint) {
+		return this.verdicts.getOrDefault(fingerprint, PoisonVerdict.CLEAR);
+	}
+
+	@Override
+	public String name() {
+		return this.replicated.name();
+	}
+
+	@Override
+	public Bytes apply(LogTime time, Bytes command) {
+		Bytes answer = this.replicated.apply(time, command);
+		publish();
+		return answer;
+	}
+
+	@Override
+	public Bytes query(Bytes query) {
+		return this.replicated.query(query);
+	}
+
+	@Override
+	public Bytes snapshot() {
+		return this.replicated.snapshot();
+	}
+
+	@Override
+	public void restore(Bytes snapshot) {
+		this.replicated.restore(snapshot);
+		publish();
+	}
+
+	private void publish() {
+		Map<Fingerprint, PoisonVerdict> present = new HashMap<>();
+		for (PoisonEntry entry : this.replicated.poison().snapshot().entries()) {
+			present.put(entry.fingerprint(), this.replicated.poison().assess(entry.fingerprint()));
+		}
+		this.verdicts = Map.copyOf(present);
+	}
+
+}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ActiveRequest.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ActiveRequest.java
@@ -85,6 +85,10 @@
 		this.answer.onError(new RequestFailedException(result.outcome(), error));
 	}
 
+	void refuse(OperationError error) {
+		this.answer.onError(new RequestFailedException(Outcome.NOT_RUN, error));
+	}
+
 	private void measure(boolean first, RequestMetrics metrics, long now) {
 		if (first) {
 			metrics.firstToken(this.request.account(), now - this.arrivedAt);
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
@@ -116,6 +116,10 @@
 
 	private final Deque<RequestEvent> pending = new ArrayDeque<>();
 
+	private final CompletableFuture<Void> drained = new CompletableFuture<>();
+
+	private boolean draining;
+
 	private boolean handling;
 
 	private Optional<ScheduledFuture<?>> timer = Optional.empty();
@@ -186,6 +190,25 @@
 	 */
 	void tick() {
 		this.routers.tick();
+		completeDrain();
+	}
+
+	/**
+	 * Refuses new requests and finishes those that run.
+	 * @return completes when no request runs any more
+	 */
+	CompletableFuture<Void> drain() {
+		this.worker.execute(() -> {
+			this.draining = true;
+			completeDrain();
+		});
+		return this.drained;
+	}
+
+	private void completeDrain() {
+		if (this.draining && this.active.isEmpty()) {
+			this.drained.complete(null);
+		}
 	}
 
 	@Override
@@ -195,6 +218,11 @@
 
 	private void accept(ActiveRequest started) {
 		CallerRequest request = started.request();
+		if (this.draining) {
+			started.refuse(OperationError.local(ErrorCode.UNAVAILABLE, Step.ACCEPT,
+					"this entry is stopping; send the request again"));
+			return;
+		}
 		this.active.put(request.id(), started);
 		RequestSpec spec = new RequestSpec(request.id(), started.fingerprint(), request.key(), request.idempotent(),
 				request.keyRequired());
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
@@ -67,6 +67,14 @@
 		return this.server.port();
 	}
 
+	/**
+	 * Refuses new requests and finishes those that run.
+	 * @return completes when no request runs any more
+	 */
+	public CompletableFuture<Void> drain() {
+		return this.engine.drain();
+	}
+
 	@Override
 	public void close() throws Exception {
 		this.closer.close();
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RemoteControl.java
@@ -0,0 +1,145 @@
+package org.comfreywall.daemon.entry;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.comfreywall.common.claim.ClaimResult;
+import org.comfreywall.common.claim.ClaimRunning;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.log.EventLog;
+import org.comfreywall.common.poison.CrashReport;
+import org.comfreywall.common.poison.Fingerprint;
+import org.comfreywall.common.poison.IsolationResult;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.control.state.ClaimAnswerCodec;
+import org.comfreywall.control.state.ClaimCommandCodec;
+import org.comfreywall.control.state.LedgerCommand;
+import org.comfreywall.control.state.PoisonAnswerCodec;
+import org.comfreywall.control.state.PoisonCommandCodec;
+import org.comfreywall.control.state.ReplicatedClaims;
+import org.comfreywall.control.state.ReplicatedPoison;
+import org.comfreywall.entry.request.ClaimKeyFor;
+import org.comfreywall.entry.request.FinishClaim;
+import org.comfreywall.entry.request.FlightEnd;
+import org.comfreywall.entry.request.FlightPermit;
+import org.comfreywall.entry.request.MarkClaimUnknown;
+import org.comfreywall.entry.request.ReleaseClaim;
+import org.comfreywall.entry.request.ReleaseIsolation;
+import org.comfreywall.transport.control.ControlClient;
+import org.comfreywall.transport.control.ControlMethods;
+import org.comfreywall.transport.generated.FlightEndRequest;
+import org.comfreywall.transport.generated.FlightRequest;
+
+/**
+ * Keeps claims and suspects in the replicated state of the control instances.
+ * <p>
+ * The guard of a fingerprint is the control instance to which the fingerprint hashes. If
+ * that instance does not answer in time, the request goes ahead: the ledger of suspects
+ * still bounds what a request can do once a crash is known.
+ */
+public final class RemoteControl implements ControlPort {
+
+	private static final EventLog LOG = EventLog.of(RemoteControl.class);
+
+	private static final Duration CLAIM_TIMEOUT = Duration.ofSeconds(5);
+
+	private static final Duration RECORD_TIMEOUT = Duration.ofSeconds(60);
+
+	private static final Duration FLIGHT_TIMEOUT = Duration.ofMillis(100);
+
+	private final ControlClient control;
+
+	/**
+	 * Creates a port.
+	 * @param control calls the control instances
+	 */
+	public RemoteControl(ControlClient control) {
+		this.control = Preconditions.notNull(control, "control");
+	}
+
+	@Override
+	public CompletionStage<Result<ClaimResult>> claim(ClaimKeyFor command) {
+		ClaimRunning claim = new ClaimRunning(command.request(), command.target().backendServer(),
+				command.target().incarnation());
+		return propose(ReplicatedClaims.NAME, ClaimCommandCodec.claim(command.key(), command.bodyDigest(), claim),
+				CLAIM_TIMEOUT)
+			.thenApply((result) -> result.flatMap(ClaimAnswerCodec::decodeResult));
+	}
+
+	@Override
+	public void finish(FinishClaim command) {
+		record("finish-claim", ReplicatedClaims.NAME,
+				ClaimCommandCodec.finish(command.key(), command.owner(), command.answer()));
+	}
+
+	@Override
+	public void markUnknown(MarkClaimUnknown command) {
+		record("mark-claim-unknown", ReplicatedClaims.NAME,
+				ClaimCommandCodec.markUnknown(command.key(), command.owner()));
+	}
+
+	@Override
+	public void release(ReleaseClaim command) {
+		record("release-claim", ReplicatedClaims.NAME, ClaimCommandCodec.release(command.key(), command.proof()));
+	}
+
+	@Override
+	public CompletionStage<Result<IsolationResult>> acquireIsolation(Fingerprint fingerprint, RequestId request) {
+		return propose(ReplicatedPoison.NAME, PoisonCommandCodec.acquire(fingerprint, request), CLAIM_TIMEOUT)
+			.thenApply((result) -> result.flatMap(PoisonAnswerCodec::decodeIsolation));
+	}
+
+	@Override
+	public void releaseIsolation(ReleaseIsolation command) {
+		record("release-isolation", ReplicatedPoison.NAME,
+				PoisonCommandCodec.release(command.fingerprint(), command.request(), command.end()));
+	}
+
+	@Override
+	public CompletionStage<Result<Boolean>> charge(CrashReport report) {
+		return propose(ReplicatedPoison.NAME, PoisonCommandCodec.charge(report), RECORD_TIMEOUT)
+			.thenApply((result) -> result.map((answer) -> true));
+	}
+
+	@Override
+	public CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request) {
+		return this.control
+			.callOne(fingerprint.hashCode(), ControlMethods.ASK_FLIGHT, flight(fingerprint, request), FLIGHT_TIMEOUT)
+			.thenApply((result) -> result.value()
+				.map((reply) -> FlightPermit.valueOf(reply.getPermit()))
+				.orElse(FlightPermit.GO));
+	}
+
+	@Override
+	public void endFlight(Fingerprint fingerprint, RequestId request, FlightEnd end) {
+		FlightEndRequest ended = FlightEndRequest.newBuilder()
+			.setFlight(flight(fingerprint, request))
+			.setEnd(end.name())
+			.build();
+		this.control.callOne(fingerprint.hashCode(), ControlMethods.END_FLIGHT, ended, FLIGHT_TIMEOUT);
+	}
+
+	private void record(String what, String ledger, Bytes command) {
+		propose(ledger, command, RECORD_TIMEOUT).thenAccept((result) -> result.error()
+			.ifPresent((error) -> LOG.error("record-failed", Field.of("record", what),
+					Field.of("error", error.message()))));
+	}
+
+	private CompletableFuture<Result<Bytes>> propose(String ledger, Bytes command, Duration timeout) {
+		return this.control.propose(new LedgerCommand(ledger, command).encode(), timeout);
+	}
+
+	private static FlightRequest flight(Fingerprint fingerprint, RequestId request) {
+		return FlightRequest.newBuilder()
+			.setAccount(fingerprint.account().value())
+			.setService(fingerprint.service().value())
+			.setBodyDigest(fingerprint.bodyDigest())
+			.setRequest(request.value())
+			.build();
+	}
+
+}
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/MemberListener.java
@@ -0,0 +1,19 @@
+package org.comfreywall.daemon.member;
+
+import java.util.List;
+
+import org.comfreywall.transport.generated.MemberInfo;
+
+/**
+ * Receives the members that a control instance knows.
+ */
+@FunctionalInterface
+public interface MemberListener {
+
+	/**
+	 * Called with each reply to a heartbeat.
+	 * @param members the live members, sorted by instance
+	 */
+	void onMembers(List<MemberInfo> members);
+
+}
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/MembershipClient.java
@@ -0,0 +1,140 @@
+package org.comfreywall.daemon.member;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.comfreywall.common.id.Revision;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.transport.control.ControlClient;
+import org.comfreywall.transport.control.ControlMethods;
+import org.comfreywall.transport.generated.HeartbeatReply;
+import org.comfreywall.transport.generated.HeartbeatRequest;
+import org.comfreywall.transport.generated.MemberInfo;
+import org.comfreywall.transport.worker.SerialWorker;
+
+/**
+ * Sends heartbeats to every control instance and takes the configuration and the members
+ * from their replies.
+ * <p>
+ * A process that has just started takes its first configuration from the leader with a
+ * confirmed read, so that it never starts with a revision older than one it had before.
+ */
+public final class MembershipClient implements AutoCloseable {
+
+	private static final Duration INTERVAL = Duration.ofMillis(500);
+
+	private static final Duration TIMEOUT = Duration.ofMillis(1500);
+
+	private final ControlClient control;
+
+	private final ConfigurationHolder holder;
+
+	private final SerialWorker worker;
+
+	private final MemberInfo self;
+
+	private final List<MemberListener> listeners = new CopyOnWriteArrayList<>();
+
+	private final CompletableFuture<Void> confirmed = new CompletableFuture<>();
+
+	private volatile List<MemberInfo> members = List.of();
+
+	private volatile boolean leaving;
+
+	/**
+	 * Creates a client.
+	 * @param control calls the control instances
+	 * @param holder takes the configuration
+	 * @param self describes this process
+	 */
+	public MembershipClient(ControlClient control, ConfigurationHolder holder, MemberInfo self) {
+		this.control = Preconditions.notNull(control, "control");
+		this.holder = Preconditions.notNull(holder, "holder");
+		this.self = Preconditions.notNull(self, "self");
+		this.worker = new SerialWorker("membership", 1024);
+	}
+
+	/**
+	 * Starts sending heartbeats.
+	 */
+	public void start() {
+		this.worker.execute(this::beat);
+		this.worker.every(INTERVAL, this::beat);
+	}
+
+	/**
+	 * Registers a listener.
+	 * @param listener receives the members; called on the client's worker
+	 */
+	public void listen(MemberListener listener) {
+		this.listeners.add(Preconditions.notNull(listener, "listener"));
+	}
+
+	/**
+	 * Returns the members of the last reply.
+	 * @return the live members, sorted by instance
+	 */
+	public List<MemberInfo> members() {
+		return this.members;
+	}
+
+	/**
+	 * Tells when the configuration is known to be current.
+	 * @return completes after the first confirmed reply
+	 */
+	public CompletableFuture<Void> confirmed() {
+		return this.confirmed;
+	}
+
+	/**
+	 * Tells the control instances that this process is leaving.
+	 */
+	public void leave() {
+		this.leaving = true;
+		this.worker.offer(this::beat);
+	}
+
+	@Override
+	public void close() {
+		this.worker.close();
+	}
+
+	private void beat() {
+		HeartbeatRequest request = HeartbeatRequest.newBuilder()
+			.setMember(this.self.toBuilder().setLeaving(this.leaving).setRevision(this.holder.revision().value()))
+			.setRevision(this.holder.revision().value())
+			.build();
+		if (!this.confirmed.isDone()) {
+			HeartbeatRequest first = request.toBuilder().setConfirmed(true).build();
+			take(this.control.callLeader(ControlMethods.HEARTBEAT, first, TIMEOUT), true);
+		}
+		for (int i = 0; i < this.control.size(); i++) {
+			take(this.control.callOne(i, ControlMethods.HEARTBEAT, request, TIMEOUT), false);
+		}
+	}
+
+	private void take(CompletionStage<Result<HeartbeatReply>> stage, boolean isConfirmed) {
+		stage.thenAccept(
+				(result) -> result.value().ifPresent((reply) -> this.worker.offer(() -> take(reply, isConfirmed))));
+	}
+
+	private void take(HeartbeatReply reply, boolean isConfirmed) {
+		boolean current = isConfirmed || this.confirmed.isDone();
+		if (current && !reply.getConfiguration().isEmpty()) {
+			this.holder.offer(Revision.of(reply.getRevision()), reply.getConfiguration().toStringUtf8());
+		}
+		else if (isConfirmed && reply.getRevision() == 0) {
+			this.holder.offerEmpty();
+		}
+		if (isConfirmed) {
+			this.confirmed.complete(null);
+		}
+		this.members = reply.getMembersList();
+		this.listeners.forEach((listener) -> listener.onMembers(reply.getMembersList()));
+	}
+
+}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarEngine.java
@@ -10,7 +10,6 @@
 import org.comfreywall.common.attempt.AnswerEnd;
 import org.comfreywall.common.attempt.AnswerHead;
 import org.comfreywall.common.attempt.AnswerPart;
-import org.comfreywall.common.decision.DecisionListener;
 import org.comfreywall.common.decision.Field;
 import org.comfreywall.common.id.AttemptId;
 import org.comfreywall.common.id.BackendServerId;
@@ -95,16 +94,15 @@
 
 	private boolean drainFinished;
 
-	SidecarEngine(BackendServerId server, PeerIdentity self, SerialWorker worker, BackendClient backend, Clock clock,
-			Consumer<CrashReport> crashes, DecisionListener decisions) {
-		this.server = Preconditions.notNull(server, "server");
-		this.self = Preconditions.notNull(self, "self");
+	SidecarEngine(SidecarParts parts, SerialWorker worker, BackendClient backend) {
+		this.server = parts.server();
+		this.self = parts.transport().self();
 		this.worker = Preconditions.notNull(worker, "worker");
 		this.backend = Preconditions.notNull(backend, "backend");
-		this.clock = Preconditions.notNull(clock, "clock");
-		this.crashes = Preconditions.notNull(crashes, "crashes");
-		this.registry = new AttemptRegistry(server, self.incarnation(), AttemptRegistrySettings.DEFAULT,
-				new Invariants(), decisions, clock.nanoTime());
+		this.clock = parts.clock();
+		this.crashes = parts.crashes();
+		this.registry = new AttemptRegistry(this.server, this.self.incarnation(), AttemptRegistrySettings.DEFAULT,
+				new Invariants(), parts.decisions(), this.clock.nanoTime());
 	}
 
 	/**
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarNode.java
@@ -1,20 +1,18 @@
 package org.comfreywall.daemon.sidecar;
 
-import java.net.URI;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
+import java.util.concurrent.CompletionStage;
 
-import io.vertx.core.Vertx;
-import org.comfreywall.common.decision.DecisionListener;
-import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.lifecycle.Closer;
-import org.comfreywall.common.poison.CrashReport;
-import org.comfreywall.common.time.Clock;
+import org.comfreywall.common.result.Result;
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.transport.Transport;
 import org.comfreywall.transport.TransportServer;
+import org.comfreywall.transport.control.ControlMethods;
+import org.comfreywall.transport.generated.DrainReply;
+import org.comfreywall.transport.rpc.RpcServer;
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
@@ -36,23 +34,22 @@
 
 	/**
 	 * Starts the role.
-	 * @param vertx runs the HTTP client
-	 * @param transport accepts connections from entries
+	 * @param parts what the role works with
 	 * @param listen the address to listen on
-	 * @param server the backend server beside this process
-	 * @param backend the backend server's base address
-	 * @param crashes receives crashes of the backend server
-	 * @param decisions receives a record of each decision
 	 */
-	public SidecarNode(Vertx vertx, Transport transport, HostPort listen, BackendServerId server, URI backend,
-			Consumer<CrashReport> crashes, DecisionListener decisions) {
-		Preconditions.notNull(transport, "transport");
-		BackendClient client = this.closer.register(new BackendClient(vertx, backend, transport.self().instance()));
+	public SidecarNode(SidecarParts parts, HostPort listen) {
+		Preconditions.notNull(parts, "parts");
+		Preconditions.notNull(listen, "listen");
+		InstanceId self = parts.transport().self().instance();
+		BackendClient client = this.closer.register(new BackendClient(parts.vertx(), parts.backend(), self));
 		SerialWorker worker = this.closer.register(new SerialWorker("sidecar", RING_CAPACITY));
-		this.engine = new SidecarEngine(server, transport.self(), worker, client, Clock.system(), crashes, decisions);
+		this.engine = new SidecarEngine(parts, worker, client);
 		worker.every(TICK, this.engine::tick);
 		worker.every(LOAD_INTERVAL, () -> pollLoad(client, worker));
-		this.server = this.closer.register(transport.listen(listen, this.engine));
+		RpcServer rpc = new RpcServer();
+		rpc.register(ControlMethods.DRAIN, (caller, request) -> startDrain());
+		rpc.otherFrames(this.engine);
+		this.server = this.closer.register(parts.transport().listen(listen, rpc));
 	}
 
 	/**
@@ -71,6 +68,11 @@
 		return this.engine.drain();
 	}
 
+	private CompletionStage<Result<DrainReply>> startDrain() {
+		this.engine.drain();
+		return CompletableFuture.completedFuture(Result.success(DrainReply.getDefaultInstance()));
+	}
+
 	private void pollLoad(BackendClient client, SerialWorker worker) {
 		client.load().thenAccept((load) -> worker.execute(() -> this.engine.loadReported(load)));
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInServer.java
@@ -38,14 +38,15 @@
 	private final AtomicLong running = new AtomicLong();
 
 	/**
-	 * Starts the server on a free loopback port.
+	 * Starts the server on loopback.
 	 * @param vertx runs the server
+	 * @param port the port to listen on; 0 takes a free one
 	 * @param tokenInterval the time between tokens, at least 1 ms
 	 */
-	public StandInServer(Vertx vertx, Duration tokenInterval) {
+	public StandInServer(Vertx vertx, int port, Duration tokenInterval) {
 		this.vertx = Preconditions.notNull(vertx, "vertx");
 		this.tokenMillis = Math.max(1, Preconditions.notNull(tokenInterval, "tokenInterval").toMillis());
-		this.server = vertx.createHttpServer().requestHandler(this::accept).listen(0, "127.0.0.1").await();
+		this.server = vertx.createHttpServer().requestHandler(this::accept).listen(port, "127.0.0.1").await();
 	}
 
 	/**
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
@@ -32,6 +32,7 @@
 import org.comfreywall.daemon.entry.LocalControl;
 import org.comfreywall.daemon.entry.SidecarAddress;
 import org.comfreywall.daemon.sidecar.SidecarNode;
+import org.comfreywall.daemon.sidecar.SidecarParts;
 import org.comfreywall.daemon.standin.StandInServer;
 import org.comfreywall.transport.ConnectionTimes;
 import org.comfreywall.transport.PeerIdentity;
@@ -111,10 +112,10 @@
 	}
 
 	private void startServer(String name, ServiceId service, Duration tokenInterval) {
-		StandInServer server = this.closer.register(new StandInServer(this.vertx, tokenInterval));
-		URI backend = URI.create("http://127.0.0.1:" + server.port());
-		SidecarNode sidecar = this.closer.register(new SidecarNode(this.vertx, transport("sidecar-" + name), LOOPBACK,
-				BackendServerId.of(name), backend, this.control::charge, this.decisions));
+		StandInServer server = this.closer.register(new StandInServer(this.vertx, 0, tokenInterval));
+		SidecarParts parts = new SidecarParts(this.vertx, transport("sidecar-" + name), BackendServerId.of(name),
+				URI.create("http://127.0.0.1:" + server.port()), this.control::charge, Clock.system(), this.decisions);
+		SidecarNode sidecar = this.closer.register(new SidecarNode(parts, LOOPBACK));
 		this.entry.announce(new SidecarAddress(BackendServerId.of(name), service, DOMAIN, sidecar.address())).join();
 	}
 
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls to control instances.
+ */
+package org.comfreywall.transport.control;
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -47,7 +46,7 @@
 
 	private final Map<String, NoticeHandler> topics = new ConcurrentHashMap<>();
 
-	private final List<Runnable> upListeners = new CopyOnWriteArrayList<>();
+	private final CompletableFuture<Void> firstConnection = new CompletableFuture<>();
 
 	private final PeerLink link;
 
@@ -78,11 +77,11 @@
 	}
 
 	/**
-	 * Registers a listener that is called whenever a connection is ready.
-	 * @param listener the listener; must not block
+	 * Tells when the peer has been reached for the first time.
+	 * @return completes with the first connection
 	 */
-	public void onUp(Runnable listener) {
-		this.upListeners.add(Preconditions.notNull(listener, "listener"));
+	public CompletableFuture<Void> firstConnection() {
+		return this.firstConnection;
 	}
 
 	/**
@@ -99,10 +98,10 @@
 	 * @param topic the topic
 	 * @param payload the payload
 	 */
-	public void send(String topic, Message payload) {
+	public void send(String topic, ByteString payload) {
 		Preconditions.notBlank(topic, "topic");
 		Preconditions.notNull(payload, "payload");
-		Notice notice = Notice.newBuilder().setTopic(topic).setPayload(payload.toByteString()).build();
+		Notice notice = Notice.newBuilder().setTopic(topic).setPayload(payload).build();
 		this.link.current().ifPresent((connection) -> connection.send(Frame.newBuilder().setNotice(notice).build()));
 	}
 
@@ -170,7 +169,7 @@
 		@Override
 		public void onUp(PeerConnection connection) {
 			failPending("the connection was replaced");
-			RpcClient.this.upListeners.forEach(Runnable::run);
+			RpcClient.this.firstConnection.complete(null);
 		}
 
 		@Override
