Run leased limits through random faults

Now one turn gives both or neither, a holder keeps the slot of its turn until it has used it, and an entry gives back slots it cannot use.

--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RandomLimitsMeasurement.java
@@ -0,0 +1,33 @@
+package org.comfreywall.bench.limits;
+
+import org.comfreywall.bench.BenchOptions;
+import org.comfreywall.bench.Measurement;
+import org.comfreywall.bench.Reporter;
+import org.comfreywall.common.decision.Field;
+
+/**
+ * Runs leased limits through random faults and checks from outside that no limit is
+ * exceeded and nothing starves.
+ */
+public final class RandomLimitsMeasurement implements Measurement {
+
+	private static final long DEFAULT_STEPS = 100_000;
+
+	@Override
+	public void run(BenchOptions options, Reporter reporter) {
+		long steps = options.steps(DEFAULT_STEPS);
+		RandomLimitsResult result = new RandomLimitsRun(options.seed()).run(steps);
+		reporter.result("limits-random", Field.of("seed", options.seed()), Field.of("steps", steps),
+				Field.of("offered", result.offered()), Field.of("admitted", result.admitted()),
+				Field.of("entry-restarts", result.entryRestarts()),
+				Field.of("grantor-restarts", result.grantorRestarts()), Field.of("cuts", result.cuts()),
+				Field.of("starvation-checks", result.starvationChecks()));
+		reporter.atMost("worst-window-share", result.worstWindow(), 1);
+		reporter.atMost("worst-in-flight-share", result.worstInFlight(), 1);
+		reporter.atMost("worst-live-lease-share", result.worstLeases(), 1);
+		reporter.atMost("starved", result.starved(), 0);
+		reporter.atMost("invariant-breaches", result.breaches(), 0);
+		reporter.atLeast("admitted", result.admitted(), 1);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedEntry.java
@@ -0,0 +1,79 @@
+package org.comfreywall.bench.limits;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.AccountId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.entry.limit.LimitEnforcer;
+import org.comfreywall.entry.limit.LimitSettings;
+import org.comfreywall.entry.limit.LimitSource;
+
+/**
+ * One life after another of an entry in virtual time.
+ */
+final class SimulatedEntry {
+
+	private final int index;
+
+	private final DriftingClock clock;
+
+	private final LimitSettings settings;
+
+	private final LimitSource source;
+
+	private final Invariants invariants;
+
+	private final Map<AccountId, List<WaitingOffer>> waiting = new HashMap<>();
+
+	private Incarnation incarnation = Incarnation.ZERO;
+
+	private LimitEnforcer enforcer;
+
+	SimulatedEntry(int index, DriftingClock clock, LimitSettings settings, LimitSource source, Invariants invariants) {
+		this.index = index;
+		this.clock = clock;
+		this.settings = settings;
+		this.source = source;
+		this.invariants = invariants;
+		restart();
+	}
+
+	void restart() {
+		this.incarnation = this.incarnation.next();
+		this.waiting.clear();
+		this.enforcer = new LimitEnforcer(InstanceId.of("entry-" + this.index), this.incarnation, this.settings,
+				this.source, DecisionListener.NONE, this.invariants);
+	}
+
+	void park(WaitingOffer offer) {
+		this.waiting.computeIfAbsent(offer.request().account(), (account) -> new ArrayList<>()).add(offer);
+	}
+
+	List<WaitingOffer> unpark(AccountId account) {
+		List<WaitingOffer> result = this.waiting.remove(account);
+		return (result != null) ? result : List.of();
+	}
+
+	int index() {
+		return this.index;
+	}
+
+	DriftingClock clock() {
+		return this.clock;
+	}
+
+	Incarnation incarnation() {
+		return this.incarnation;
+	}
+
+	LimitEnforcer enforcer() {
+		return this.enforcer;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
@@ -0,0 +1,91 @@
+package org.comfreywall.bench.limits;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.lease.LeaseGrant;
+import org.comfreywall.common.lease.LeaseRequest;
+import org.comfreywall.common.lease.LimitDivision;
+import org.comfreywall.common.lease.LimitPart;
+import org.comfreywall.control.lease.LeaseLedger;
+import org.comfreywall.control.lease.LeaseRequested;
+import org.comfreywall.control.lease.LedgerCommand;
+import org.comfreywall.control.lease.LimitsChanged;
+import org.comfreywall.control.lease.SendGrant;
+
+/**
+ * Runs one lease ledger after another in virtual time.
+ */
+final class SimulatedGrantor {
+
+	private final FleetSettings settings;
+
+	private final boolean primary;
+
+	private final DriftingClock clock;
+
+	private final Invariants invariants;
+
+	private Term term = Term.ZERO;
+
+	private LeaseLedger ledger;
+
+	private long asks;
+
+	private long demands;
+
+	private long busyNanos;
+
+	SimulatedGrantor(FleetSettings settings, boolean primary, DriftingClock clock, Invariants invariants) {
+		this.settings = settings;
+		this.primary = primary;
+		this.clock = clock;
+		this.invariants = invariants;
+	}
+
+	void restart(long trueTime) {
+		this.term = this.term.next();
+		long now = this.clock.read(trueTime);
+		this.ledger = LeaseLedger.create(this.term, this.settings.limitSettings().terms(), now, DecisionListener.NONE,
+				this.invariants);
+		LimitDivision division = this.settings.limitSettings().division();
+		for (int i = 0; i < this.settings.limits().size(); i++) {
+			LimitPart part = this.primary ? division.primary(this.settings.limits().get(i))
+					: division.reserve(this.settings.limits().get(i));
+			this.ledger.handle(new LimitsChanged(LimitsFleet.account(i), Optional.of(part)), now);
+		}
+	}
+
+	Optional<LeaseGrant> answer(LeaseRequest request, long trueTime) {
+		this.asks++;
+		this.demands += request.demands().size();
+		long start = System.nanoTime();
+		List<LedgerCommand> commands = this.ledger.handle(new LeaseRequested(request), this.clock.read(trueTime));
+		this.busyNanos += System.nanoTime() - start;
+		return commands.stream().map((command) -> ((SendGrant) command).grant()).findFirst();
+	}
+
+	DriftingClock clock() {
+		return this.clock;
+	}
+
+	Term term() {
+		return this.term;
+	}
+
+	long asks() {
+		return this.asks;
+	}
+
+	long demands() {
+		return this.demands;
+	}
+
+	long busyNanos() {
+		return this.busyNanos;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements and randomised runs of leased limits and admission.
+ */
+package org.comfreywall.bench.limits;
--- /dev/null
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/limits/RandomLimitsRunTests.java
@@ -0,0 +1,54 @@
+package org.comfreywall.bench.limits;
+
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests leased limits under random faults.
+ */
+class RandomLimitsRunTests {
+
+	private static final long SEED = 1;
+
+	private static final long STEPS = 100_000;
+
+	private static RandomLimitsResult result;
+
+	@BeforeAll
+	static void run() {
+		result = new RandomLimitsRun(SEED).run(STEPS);
+	}
+
+	@Test
+	void admitsNoMoreThanTheLimitInAnyWindow() {
+		assertThat(result.worstWindow()).isLessThanOrEqualTo(1);
+		assertThat(result.worstInFlight()).isLessThanOrEqualTo(1);
+	}
+
+	@Test
+	void leasesNoMoreThanTheLimit() {
+		assertThat(result.worstLeases()).isLessThanOrEqualTo(1);
+	}
+
+	@Test
+	void starvesNothingOnceMessagesFlow() {
+		assertThat(result.starvationChecks()).isPositive();
+		assertThat(result.starved()).isZero();
+	}
+
+	@Test
+	void breachesNoInvariant() {
+		assertThat(result.breaches()).isZero();
+	}
+
+	@Test
+	void meetsTheFaultsItIsMeantFor() {
+		assertThat(result.admitted()).isPositive();
+		assertThat(result.entryRestarts()).isPositive();
+		assertThat(result.grantorRestarts()).isPositive();
+		assertThat(result.cuts()).isPositive();
+	}
+
+}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
@@ -133,7 +133,7 @@
 		this.holders.values().removeIf((holder) -> !holder.heardSince(active) && holder.slots().committed(now) == 0);
 		this.holders.values().forEach((holder) -> this.committedSlots += holder.slots().committed(now));
 		List<Holder> heard = this.holders.values().stream().filter((holder) -> holder.heardSince(active)).toList();
-		this.division.divide(heard, divisible(now));
+		this.division.divide(heard, divisible(now), now);
 	}
 
 	private DivisionInput divisible(long now) {
@@ -145,38 +145,53 @@
 	}
 
 	private AccountGrant grant(Holder holder, long sequence, long now) {
-		AccountGrant rates = grantRates(holder, now);
-		long granted = grantSlots(holder, sequence, now);
+		AccountDemand demand = holder.demand();
+		long divided = this.division.dividedSlots(holder);
+		long granted = freeSlots(holder, now);
+		AccountGrant rates = (granted > 0 || demand.slots() == 0) ? rates(holder, now) : nothing();
+		boolean useful = granted >= Math.min(1, demand.slots()) && isUseful(rates, demand);
+		if (!useful) {
+			rates = nothing();
+			granted = holder.keepsTurn(now) ? granted : Math.min(granted, Math.max(divided, demand.usedSlots()));
+		}
+		if (!spend(rates.requests(), rates.tokens(), now)) {
+			rates = nothing();
+		}
+		holder.waiting(!useful && fitsCapacity(demand));
+		if (useful && holder.turn()) {
+			this.division.endTurn(holder);
+			holder.served(sequence, now + this.context.terms().rateTerm().toNanos(), now);
+		}
+		commitSlots(holder, sequence, granted, now);
 		AccountGrant grant = new AccountGrant(this.account, rates.requests(), rates.tokens(), granted);
 		record(holder, grant);
 		return grant;
 	}
 
-	private AccountGrant grantRates(Holder holder, long now) {
+	private AccountGrant rates(Holder holder, long now) {
 		AccountDemand demand = holder.demand();
 		double requestsLeft = this.requests.available(now);
 		double tokensLeft = this.tokens.available(now);
-		if (!holder.rateTurn()) {
+		if (!holder.turn()) {
 			requestsLeft -= this.division.reservedRequests();
 			tokensLeft -= this.division.reservedTokens();
 		}
-		long requests = atMost(this.division.requests(holder), requestsLeft);
-		long tokens = atMost(this.division.tokens(holder), tokensLeft);
-		if (holder.rateTurn()) {
-			requests = Math.max(requests, atMost(Math.min(1, demand.requests()), requestsLeft));
-			tokens = Math.max(tokens, atMost(Math.min(demand.smallestTokens(), demand.tokens()), tokensLeft));
+		long requests = this.division.requests(holder);
+		long tokens = this.division.tokens(holder);
+		if (holder.turn()) {
+			requests = Math.max(requests, Math.min(1, demand.requests()));
+			tokens = Math.max(tokens, Math.min(demand.smallestTokens(), demand.tokens()));
 		}
-		boolean useful = requests >= Math.min(1, demand.requests())
-				&& tokens >= Math.min(demand.smallestTokens(), demand.tokens());
-		boolean turn = holder.rateTurn();
-		holder.rateAnswered(useful || !fitsCapacity(demand), now);
-		if (!useful || !spend(requests, tokens, now)) {
-			return new AccountGrant(this.account, 0, 0, 0);
-		}
-		if (turn) {
-			this.division.release(holder);
-		}
-		return new AccountGrant(this.account, requests, tokens, 0);
+		return new AccountGrant(this.account, atMost(requests, requestsLeft), atMost(tokens, tokensLeft), 0);
+	}
+
+	private AccountGrant nothing() {
+		return new AccountGrant(this.account, 0, 0, 0);
+	}
+
+	private static boolean isUseful(AccountGrant rates, AccountDemand demand) {
+		return rates.requests() >= Math.min(1, demand.requests())
+				&& rates.tokens() >= Math.min(demand.smallestTokens(), demand.tokens());
 	}
 
 	private boolean fitsCapacity(AccountDemand demand) {
@@ -200,21 +215,19 @@
 			.holds(within, invariant, Field.of("client-account", this.account), Field.of("amount", amount));
 	}
 
-	private long grantSlots(Holder holder, long sequence, long now) {
-		long before = holder.slots().committed(now);
-		long target = this.division.slots(holder);
+	private long freeSlots(Holder holder, long now) {
+		long target = this.division.slots(holder, now);
 		if (now < this.context.slotsFrom()) {
 			target = Math.min(target, holder.inherited());
 		}
-		long others = this.committedSlots - before;
-		long granted = Math.max(0, Math.min(target, this.slots - others));
-		if (granted > this.division.dividedSlots(holder)) {
-			holder.slotTurnTaken(now);
-		}
+		long others = this.committedSlots - holder.slots().committed(now);
+		return Math.max(0, Math.min(target, this.slots - others));
+	}
+
+	private void commitSlots(Holder holder, long sequence, long granted, long now) {
+		long before = holder.slots().committed(now);
 		holder.slots().add(new SlotGrant(sequence, granted, slotsUntil(now)));
-		long after = holder.slots().committed(now);
-		this.committedSlots += after - before;
-		return granted;
+		this.committedSlots += holder.slots().committed(now) - before;
 	}
 
 	private long slotsUntil(long now) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/FairDivision.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/FairDivision.java
@@ -4,17 +4,21 @@
 import java.util.Comparator;
 import java.util.List;
 
+import org.comfreywall.common.lease.AccountDemand;
+
 /**
- * Divides one client account's limits between its holders in proportion to their demands,
- * and hands what cannot be divided to the holders in turn, least recently served first.
+ * Divides one client account's limits between its holders in proportion to their demands.
+ * <p>
+ * Holders whose part is too small to admit a request are served in turn, least recently
+ * served first. What a turn needs is kept until the holder asks again, so that neither
+ * quicker holders nor smaller requests can starve it.
  */
 final class FairDivision {
 
-	private static final Comparator<Holder> BY_RATE_SERVED = Comparator.comparingLong(Holder::rateServedAt)
+	private static final Comparator<Holder> BY_SERVED = Comparator.comparingLong(Holder::servedAt)
 		.thenComparing(Holder::key);
 
-	private static final Comparator<Holder> BY_SLOT_SERVED = Comparator.comparingLong(Holder::slotServedAt)
-		.thenComparing(Holder::key);
+	private static final double ROUNDING = 1e-9;
 
 	private double requestShare = 1;
 
@@ -30,8 +34,9 @@
 	 * Divides anew.
 	 * @param holders the holders heard of lately
 	 * @param input what is to be divided
+	 * @param now the time in nanoseconds
 	 */
-	void divide(Collection<Holder> holders, DivisionInput input) {
+	void divide(Collection<Holder> holders, DivisionInput input, long now) {
 		long requests = 0;
 		long tokens = 0;
 		long slots = 0;
@@ -43,25 +48,31 @@
 		this.requestShare = share(input.requests(), requests);
 		this.tokenShare = share(input.tokens(), tokens);
 		this.slotShare = share(input.slots(), slots);
-		passRateTurns(holders, input);
-		passSlotTurns(holders, input.slots());
+		passTurns(holders, input, now);
 	}
 
 	long requests(Holder holder) {
-		return (long) (this.requestShare * holder.demand().requests());
+		return part(this.requestShare, holder.demand().requests());
 	}
 
 	long tokens(Holder holder) {
-		return (long) (this.tokenShare * holder.demand().tokens());
+		return part(this.tokenShare, holder.demand().tokens());
 	}
 
-	long slots(Holder holder) {
+	/**
+	 * Returns a holder's part of the in-flight slots.
+	 * @param holder the holder
+	 * @param now the time in nanoseconds
+	 * @return the slots, one more than its proportion if it is its turn
+	 */
+	long slots(Holder holder, long now) {
 		long divided = dividedSlots(holder);
-		return (holder.slotTurn() && divided < holder.demand().slots()) ? divided + 1 : divided;
+		boolean turn = holder.turn() || holder.keepsTurn(now);
+		return (turn && divided < holder.demand().slots()) ? divided + 1 : divided;
 	}
 
 	long dividedSlots(Holder holder) {
-		return (long) (this.slotShare * holder.demand().slots());
+		return part(this.slotShare, holder.demand().slots());
 	}
 
 	/**
@@ -80,43 +91,48 @@
 		return this.reservedTokens;
 	}
 
-	void release(Holder holder) {
+	void endTurn(Holder holder) {
 		this.reservedRequests = Math.max(0, this.reservedRequests - 1);
 		this.reservedTokens = Math.max(0, this.reservedTokens - holder.demand().smallestTokens());
 	}
 
-	private void passRateTurns(Collection<Holder> holders, DivisionInput input) {
-		holders.forEach((holder) -> holder.rateTurn(false));
+	private void passTurns(Collection<Holder> holders, DivisionInput input, long now) {
 		this.reservedRequests = 0;
 		this.reservedTokens = 0;
-		List<Holder> waiting = holders.stream().filter(Holder::waiting).sorted(BY_RATE_SERVED).toList();
-		for (Holder holder : waiting) {
-			double requests = this.reservedRequests + 1;
-			double tokens = this.reservedTokens + holder.demand().smallestTokens();
-			boolean fits = requests <= input.requestsNow() && tokens <= input.tokensNow();
-			if (this.reservedRequests > 0 && !fits) {
+		long slotsLeft = input.slots();
+		for (Holder holder : holders) {
+			holder.turn(false);
+			boolean keeps = holder.keepsTurn(now) && dividedSlots(holder) < holder.demand().slots();
+			slotsLeft -= keeps ? dividedSlots(holder) + 1 : dividedSlots(holder);
+		}
+		List<Holder> queue = holders.stream()
+			.filter((holder) -> needsTurn(holder) && !holder.keepsTurn(now))
+			.sorted(BY_SERVED)
+			.toList();
+		for (Holder holder : queue) {
+			AccountDemand demand = holder.demand();
+			boolean fits = this.reservedRequests + 1 <= input.requestsNow()
+					&& this.reservedTokens + demand.smallestTokens() <= input.tokensNow();
+			boolean first = this.reservedRequests == 0;
+			if (slotsLeft <= 0 || !(first || fits)) {
 				return;
 			}
-			holder.rateTurn(true);
-			this.reservedRequests = requests;
-			this.reservedTokens = tokens;
+			holder.turn(true);
+			this.reservedRequests++;
+			this.reservedTokens += demand.smallestTokens();
+			slotsLeft -= (dividedSlots(holder) < demand.slots()) ? 1 : 0;
 		}
 	}
 
-	private void passSlotTurns(Collection<Holder> holders, long slots) {
-		long left = slots;
-		for (Holder holder : holders) {
-			left -= dividedSlots(holder);
-			holder.slotTurn(false);
-		}
-		if (left <= 0 || this.slotShare >= 1) {
-			return;
-		}
-		holders.stream()
-			.filter((holder) -> holder.demand().slots() > dividedSlots(holder))
-			.sorted(BY_SLOT_SERVED)
-			.limit(left)
-			.forEach((holder) -> holder.slotTurn(true));
+	private boolean needsTurn(Holder holder) {
+		AccountDemand demand = holder.demand();
+		boolean noSlot = demand.slots() > 0 && dividedSlots(holder) == 0;
+		return noSlot || holder.waiting() || requests(holder) < Math.min(1, demand.requests())
+				|| tokens(holder) < Math.min(demand.smallestTokens(), demand.tokens());
+	}
+
+	private static long part(double share, long wanted) {
+		return (long) (share * wanted + ROUNDING);
 	}
 
 	private static double share(double available, long wanted) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/Holder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/Holder.java
@@ -17,15 +17,15 @@
 
 	private long heardAt = NEVER;
 
-	private long rateServedAt = NEVER;
-
-	private long slotServedAt = NEVER;
+	private long servedAt = NEVER;
 
 	private boolean waiting;
 
-	private boolean rateTurn;
+	private boolean turn;
+
+	private long turnSequence;
 
-	private boolean slotTurn;
+	private long turnUntil = NEVER;
 
 	private long inherited;
 
@@ -48,16 +48,26 @@
 		this.inherited = grant.slots();
 	}
 
-	void rateAnswered(boolean served, long now) {
-		this.waiting = !served;
-		if (served) {
-			this.rateServedAt = now;
-			this.rateTurn = false;
-		}
+	void waiting(boolean waiting) {
+		this.waiting = waiting;
+	}
+
+	void served(long sequence, long until, long now) {
+		this.servedAt = now;
+		this.turn = false;
+		this.turnSequence = sequence;
+		this.turnUntil = until;
 	}
 
-	void slotTurnTaken(long now) {
-		this.slotServedAt = now;
+	/**
+	 * Tells whether the holder has yet to use the slot that its last turn gave it.
+	 * @param now the time in nanoseconds
+	 * @return {@code true} if it should keep that slot
+	 */
+	boolean keepsTurn(long now) {
+		boolean arrived = this.demand.heldSequence() >= this.turnSequence;
+		boolean unused = this.demand.heldSlots() > this.demand.usedSlots();
+		return now < this.turnUntil && (!arrived || unused);
 	}
 
 	boolean heardSince(long time) {
@@ -80,32 +90,20 @@
 		return this.inherited;
 	}
 
-	long rateServedAt() {
-		return this.rateServedAt;
-	}
-
-	long slotServedAt() {
-		return this.slotServedAt;
+	long servedAt() {
+		return this.servedAt;
 	}
 
 	boolean waiting() {
 		return this.waiting;
 	}
 
-	boolean rateTurn() {
-		return this.rateTurn;
-	}
-
-	void rateTurn(boolean turn) {
-		this.rateTurn = turn;
-	}
-
-	boolean slotTurn() {
-		return this.slotTurn;
+	boolean turn() {
+		return this.turn;
 	}
 
-	void slotTurn(boolean turn) {
-		this.slotTurn = turn;
+	void turn(boolean turn) {
+		this.turn = turn;
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/AccountShares.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/AccountShares.java
@@ -14,6 +14,8 @@
 
 	private static final long SPARE_SLOTS = 4;
 
+	private static final long SHORT_ASKS_PER_INTERVAL = 4;
+
 	private static final double HORIZON_INTERVALS = 1.5;
 
 	private final AccountId account;
@@ -32,6 +34,8 @@
 
 	private long offeredAt;
 
+	private long askedAt = Long.MIN_VALUE;
+
 	private long shortAt = Long.MIN_VALUE;
 
 	private double grantedPerNano;
@@ -81,11 +85,14 @@
 		long waits = active ? this.waiting : 0;
 		double expected = this.offered.requestsPerNano(now) * horizon;
 		long expectedTokens = Math.round(this.offered.tokensPerNano(now) * horizon);
-		long spare = Math.min(Math.round(expected), Math.max(SPARE_SLOTS, share.used() / 2));
-		long slots = active ? share.used() + waits + spare : 0;
-		share.lowerSlots(slots);
+		long stock = share.requests(now);
+		long mostSpare = isShort(now) ? 1 : Math.max(SPARE_SLOTS, share.used() / 2);
+		long spare = Math.min(Math.round(expected), mostSpare);
+		long usable = Math.max(waits + spare, Math.min(stock, SPARE_SLOTS));
+		long slots = active ? share.used() + usable : 0;
+		share.lowerSlots((isShort(now) && stock == 0) ? Math.min(slots, share.used()) : slots);
 		long smallest = active ? smallestTokens(expected, expectedTokens) : 0;
-		long requests = Math.max(0, Math.round(expected) + waits - share.requests(now));
+		long requests = Math.max(0, Math.round(expected) + waits - stock);
 		long tokens = Math.max(0, expectedTokens + waits * smallest - share.tokens(now));
 		return new AccountDemand(this.account, requests, tokens, Math.min(smallest, tokens), share.takeRefund(), slots,
 				share.slots(now), share.heldTerm(), share.heldSequence(), share.used());
@@ -93,8 +100,10 @@
 
 	/**
 	 * Forgets the requests that could not be admitted, once they have been asked for.
+	 * @param now the time in nanoseconds
 	 */
-	void asked() {
+	void asked(long now) {
+		this.askedAt = now;
 		this.waiting = 0;
 		this.waitingTokens = 0;
 	}
@@ -107,6 +116,17 @@
 		return this.shortAt != Long.MIN_VALUE && now - this.shortAt < 2 * this.terms.askInterval().toNanos();
 	}
 
+	/**
+	 * Tells whether an ask outside the usual interval is due: at once for a first share,
+	 * less often while there is not enough to go round.
+	 * @param now the time in nanoseconds
+	 * @return {@code true} if it may be sent
+	 */
+	boolean mayAskEarly(long now) {
+		long gap = this.terms.askInterval().toNanos() / SHORT_ASKS_PER_INTERVAL;
+		return this.askedAt == Long.MIN_VALUE || !isShort(now) || now - this.askedAt >= gap;
+	}
+
 	boolean isActive(long now) {
 		return now - this.offeredAt < IDLE_INTERVALS * this.terms.askInterval().toNanos();
 	}
@@ -115,6 +135,11 @@
 		return !isActive(now) && this.primary.used() == 0 && this.reserve.used() == 0;
 	}
 
+	long slots(long now) {
+		return Math.max(this.primary.slots(now), this.primary.used())
+				+ Math.max(this.reserve.slots(now), this.reserve.used());
+	}
+
 	double grantedPerNano() {
 		return this.grantedPerNano;
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
@@ -129,6 +129,9 @@
 		boolean known = shares != null && shares.share(permit.grantor()).used() > 0;
 		if (this.invariants.holds(known, "permit-returned-once", Field.of("client-account", permit.account()))) {
 			shares.share(permit.grantor()).finish(permit.tokens(), spentTokens);
+			if (shares.isShort(now)) {
+				this.urgent.add(shares);
+			}
 		}
 	}
 
@@ -175,10 +178,15 @@
 			this.reserve.forgetBefore(oldest);
 			List<LimitCommand> asks = ask(List.copyOf(this.accounts.values()), now);
 			this.accounts.values().removeIf((shares) -> shares.isUnused(now));
+			this.urgent.clear();
 			return asks;
 		}
 		boolean gapOver = this.askedAt == Long.MIN_VALUE || now - this.askedAt >= this.settings.urgentGap().toNanos();
-		return (this.urgent.isEmpty() || !gapOver) ? List.of() : ask(List.copyOf(this.urgent), now);
+		if (this.urgent.isEmpty() || !gapOver) {
+			return List.of();
+		}
+		List<AccountShares> due = this.urgent.stream().filter((shares) -> shares.mayAskEarly(now)).toList();
+		return due.isEmpty() ? List.of() : ask(due, now);
 	}
 
 	/**
@@ -189,6 +197,18 @@
 		return this.accounts.size();
 	}
 
+	/**
+	 * Returns the in-flight slots of a client account that this entry holds or has in
+	 * use, whichever are more, of each grantor.
+	 * @param account the client account
+	 * @param now this entry's monotonic clock in nanoseconds
+	 * @return the number of slots
+	 */
+	public long slots(AccountId account, long now) {
+		AccountShares shares = this.accounts.get(account);
+		return (shares != null) ? shares.slots(now) : 0;
+	}
+
 	/**
 	 * Tells whether the primary grantor has left asks unanswered for longer than a rate
 	 * term.
@@ -208,8 +228,8 @@
 			}
 		}
 		shares.unserved(request.tokens());
+		this.urgent.add(shares);
 		if (!shares.isShort(now) && now < until) {
-			this.urgent.add(shares);
 			return new LimitPending(until);
 		}
 		return refuse(request, missing(request, shares, now), retryAfter(shares));
@@ -253,9 +273,9 @@
 			if (useReserve || shares.share(GrantorRole.RESERVE).isInUse(now)) {
 				reserveDemands.add(shares.demand(GrantorRole.RESERVE, useReserve, now));
 			}
-			shares.asked();
+			shares.asked(now);
+			this.urgent.remove(shares);
 		}
-		this.urgent.clear();
 		List<LimitCommand> asks = new ArrayList<>(2);
 		if (!primaryDemands.isEmpty()) {
 			this.askedAt = now;
