--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 
 import org.comfreywall.bench.control.ControlRandomMeasurement;
+import org.comfreywall.bench.limits.RandomLimitsMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
 
 /**
@@ -22,6 +23,7 @@
 	static MeasurementRegistry create() {
 		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
 			.add("control-random", ControlRandomMeasurement::new);
+			.add("limits-random", RandomLimitsMeasurement::new);
 	}
 
 	Optional<Measurement> find(String name) {
