Measure commits on synced files and try more faults

The randomised run now loses power on all instances at once, heals cuts within 0.9 s and injects faults more often.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 
+import org.comfreywall.bench.control.ControlLogMeasurement;
 import org.comfreywall.bench.control.ControlRandomMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
 
@@ -21,6 +22,7 @@
 
 	static MeasurementRegistry create() {
 		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
+			.add("control-log", ControlLogMeasurement::new)
 			.add("control-random", ControlRandomMeasurement::new);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunFaults.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunFaults.java
@@ -11,11 +11,13 @@
  */
 final class RunFaults {
 
-	private static final long INTERVAL_NANOS = Duration.ofMillis(500).toNanos();
+	private static final long INTERVAL_NANOS = Duration.ofMillis(300).toNanos();
 
 	private static final long DOWN_NANOS = Duration.ofMillis(400).toNanos();
 
-	private static final int CHOICES = 14;
+	private static final long CUT_NANOS = Duration.ofMillis(900).toNanos();
+
+	private static final int CHOICES = 11;
 
 	private static final double MAX_LOSS_SHARE = 0.3;
 
@@ -55,13 +57,23 @@
 			case 3 -> this.world.anyInstance().failNextSync();
 			case 4 -> isolate(this.world.anyLeader());
 			case 5 -> partition();
-			case 6 -> this.world.network().lossShare(this.world.random().nextDouble() * MAX_LOSS_SHARE);
+			case 6 -> lose();
 			case 7 -> this.world.anyLeader().event(new TransferRequested(this.world.anyInstance().id()));
-			case 8 -> this.world.anyInstance().takeSnapshot();
+			case 8 -> crashAll();
+			case 9 -> this.world.anyInstance().takeSnapshot();
 			default -> this.world.network().heal();
 		}
 	}
 
+	private void lose() {
+		this.world.network().lossShare(this.world.random().nextDouble() * MAX_LOSS_SHARE);
+		healLater();
+	}
+
+	private void healLater() {
+		this.world.schedule().after(this.world.random().nextLong(CUT_NANOS), this.world.network()::heal);
+	}
+
 	private void crash(RunInstance instance) {
 		if (instance.isUp()) {
 			instance.crash();
@@ -69,6 +81,11 @@
 		}
 	}
 
+	// As a power loss does; all stand for election at about the same time afterwards.
+	private void crashAll() {
+		List.copyOf(this.world.instances()).forEach(this::crash);
+	}
+
 	private void restart(RunInstance instance) {
 		if (this.world.instances().contains(instance) && !instance.isUp()) {
 			instance.start();
@@ -78,6 +95,7 @@
 	// Cuts one instance off, in one direction only at times.
 	private void isolate(RunInstance instance) {
 		int directions = this.world.random().nextInt(3);
+		healLater();
 		for (RunInstance other : this.world.instances()) {
 			if (directions != 1) {
 				this.world.network().cut(instance.id(), other.id());
@@ -90,6 +108,7 @@
 
 	private void partition() {
 		List<RunInstance> all = List.copyOf(this.world.instances());
+		healLater();
 		int left = this.world.random().nextInt(1 << all.size());
 		for (int i = 0; i < all.size(); i++) {
 			for (int j = 0; j < all.size(); j++) {
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/Slope.java
@@ -0,0 +1,38 @@
+package org.comfreywall.bench.control;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Fits a straight line to measured points by least squares.
+ */
+final class Slope {
+
+	private final List<Point> points = new ArrayList<>();
+
+	void add(double x, double y) {
+		this.points.add(new Point(x, y));
+	}
+
+	double slope() {
+		double meanX = mean(true);
+		double meanY = mean(false);
+		double covariance = this.points.stream().mapToDouble((point) -> (point.x - meanX) * (point.y - meanY)).sum();
+		double variance = this.points.stream().mapToDouble((point) -> (point.x - meanX) * (point.x - meanX)).sum();
+		return covariance / variance;
+	}
+
+	double intercept() {
+		return mean(false) - slope() * mean(true);
+	}
+
+	private double mean(boolean ofX) {
+		return this.points.stream().mapToDouble((point) -> ofX ? point.x : point.y).average().orElseThrow();
+	}
+
+	/** A measured point. */
+	private record Point(double x, double y) {
+
+	}
+
+}
