Tell "not run" of a keyed request only once its claim's release is confirmed

Change: a request that gives up while it holds its claim waits for the answer to the release and is unknown if the claim was no longer its own; a cleared suspect asks the guard once more; a refusal names the incarnation that was addressed.

--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/AskFlight.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/AskFlight.java
@@ -10,8 +10,10 @@
  *
  * @param request the request
  * @param fingerprint the fingerprint of the request
+ * @param cleared whether the ledger of poison requests has just answered that the
+ * fingerprint is not suspected
  */
-public record AskFlight(RequestId request, Fingerprint fingerprint) implements RequestCommand {
+public record AskFlight(RequestId request, Fingerprint fingerprint, boolean cleared) implements RequestCommand {
 
 	public AskFlight {
 		Preconditions.notNull(request, "request");
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimHold.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimHold.java
@@ -25,6 +25,8 @@
 
 	private Optional<NotRunEvidence> evidence = Optional.empty();
 
+	private Optional<NotRunProof> released = Optional.empty();
+
 	private boolean granted;
 
 	ClaimHold(RequestContext context, RequestSpec spec) {
@@ -65,20 +67,24 @@
 	}
 
 	/**
-	 * Tells whether this and every earlier sending with the same key are proven not to
-	 * have run.
-	 * @return {@code true} if no key is needed, or if the claim is held and its attempt
-	 * was proven not to have run
+	 * Tells whether the claim is held and its attempt was proven not to have run.
+	 * @return {@code true} if a release can show that no sending with the key ran
 	 */
-	boolean provesNotRun() {
-		return !isNeeded() || (this.granted && this.evidence.isPresent());
+	boolean canProveNotRun() {
+		return this.granted && this.evidence.isPresent();
+	}
+
+	boolean isReleasedBy(NotRunProof proof) {
+		return this.released.filter(proof::equals).isPresent();
 	}
 
 	void release() {
 		if (this.target.isPresent() && this.evidence.isPresent()) {
 			AttemptTarget asked = this.target.get();
-			releaseWith(
-					new NotRunProof(this.evidence.get(), this.spec.id(), asked.backendServer(), asked.incarnation()));
+			NotRunProof proof = new NotRunProof(this.evidence.get(), this.spec.id(), asked.backendServer(),
+					asked.incarnation());
+			this.released = Optional.of(proof);
+			releaseWith(proof);
 		}
 		this.target = Optional.empty();
 		this.granted = false;
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimReleased.java
@@ -0,0 +1,19 @@
+package org.comfreywall.entry.request;
+
+import org.comfreywall.common.claim.NotRunProof;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * The ledger of claims answered the release of a claim.
+ *
+ * @param proof the proof with which the claim was released
+ * @param released whether the claim was held until then; if not, another sending may have
+ * run
+ */
+public record ClaimReleased(NotRunProof proof, boolean released) implements RequestEvent {
+
+	public ClaimReleased {
+		Preconditions.notNull(proof, "proof");
+	}
+
+}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuard.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuard.java
@@ -38,14 +38,17 @@
 	 * Asks whether a request may run.
 	 * @param fingerprint the fingerprint of the request
 	 * @param request the request
+	 * @param cleared whether the ledger of poison requests has just answered that the
+	 * fingerprint is not suspected, which makes the guard forget a loss
 	 * @param now the time in nanoseconds
 	 * @return the answer
 	 */
-	public FlightPermit ask(Fingerprint fingerprint, RequestId request, long now) {
+	public FlightPermit ask(Fingerprint fingerprint, RequestId request, boolean cleared, long now) {
 		Preconditions.notNull(request, "request");
 		expire(now);
 		Flight flight = this.flights.get(Preconditions.notNull(fingerprint, "fingerprint"));
-		if (flight == null || flight.isOver(now, this.settings.flightTime().toNanos())) {
+		boolean forgiven = cleared && flight != null && flight.state() == FlightState.LOST;
+		if (flight == null || forgiven || flight.isOver(now, this.settings.flightTime().toNanos())) {
 			put(fingerprint, new Flight(FlightState.FIRST_RUN, request, now));
 			return FlightPermit.GO;
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightHold.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightHold.java
@@ -13,6 +13,8 @@
 
 	private boolean permitted;
 
+	private boolean cleared;
+
 	FlightHold(RequestContext context, RequestSpec spec) {
 		this.context = context;
 		this.spec = spec;
@@ -20,18 +22,24 @@
 
 	void ask() {
 		this.asked = true;
-		this.context.emit(new AskFlight(this.spec.id(), this.spec.fingerprint()));
+		this.context.emit(new AskFlight(this.spec.id(), this.spec.fingerprint(), this.cleared));
+		this.cleared = false;
 	}
 
 	void permit() {
 		this.permitted = true;
 	}
 
+	void clear() {
+		this.cleared = true;
+	}
+
 	boolean isPermitted() {
 		return this.permitted;
 	}
 
 	void end(FlightEnd end) {
+		this.permitted = false;
 		if (this.asked) {
 			this.asked = false;
 			this.context.emit(new EndFlight(this.spec.id(), this.spec.fingerprint(), end));
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ReleaseClaim.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ReleaseClaim.java
@@ -5,7 +5,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Release a claim; to be repeated until the ledger answers.
+ * Release a claim; to be repeated until the ledger answers, and then to be answered with
+ * {@link ClaimReleased}.
  *
  * @param key the claimed key
  * @param proof the proof that the request did not run under the claim
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestLife.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestLife.java
@@ -304,8 +304,20 @@
 	}
 
 	void giveUp(OperationError error) {
-		boolean notRun = !this.mayHaveRun && this.claim.provesNotRun();
-		finish(notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN, error);
+		if (!this.mayHaveRun && this.claim.canProveNotRun()) {
+			this.closing = Optional.of(error);
+			enter(RequestPhase.RELEASING);
+			this.timer = this.context.after(this.context.settings().sealTime());
+			this.claim.release();
+		}
+		else {
+			boolean notRun = !this.mayHaveRun && !this.claim.isNeeded();
+			finish(notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN, error);
+		}
+	}
+
+	void released(boolean held) {
+		finish(held ? Outcome.NOT_RUN : Outcome.UNKNOWN, this.closing);
 	}
 
 	void finish(Outcome outcome, OperationError error) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestMachine.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestMachine.java
@@ -17,6 +17,7 @@
 import org.comfreywall.common.claim.ClaimRunning;
 import org.comfreywall.common.claim.ClaimState;
 import org.comfreywall.common.claim.NotRunEvidence;
+import org.comfreywall.common.claim.NotRunProof;
 import org.comfreywall.common.decision.DecisionKind;
 import org.comfreywall.common.decision.Field;
 import org.comfreywall.common.id.AttemptId;
@@ -139,7 +140,7 @@
 		}
 		else if (result == IsolationResult.NOT_SUSPECTED) {
 			this.life.isolation().clear();
-			this.life.flight().permit();
+			this.life.flight().clear();
 			this.life.route();
 		}
 		else if (result == IsolationResult.QUARANTINED) {
@@ -150,6 +151,12 @@
 		}
 	}
 
+	void claimReleased(NotRunProof proof, boolean released) {
+		if (this.life.phase() == RequestPhase.RELEASING && this.life.claim().isReleasedBy(proof)) {
+			this.life.released(released);
+		}
+	}
+
 	void flightAnswered(FlightPermit permit) {
 		if (this.life.phase() != RequestPhase.PERMITTING) {
 			return;
@@ -321,6 +328,9 @@
 		else if (this.life.phase() == RequestPhase.PERMITTING) {
 			this.life.askFlight();
 		}
+		else if (this.life.phase() == RequestPhase.RELEASING) {
+			this.life.released(false);
+		}
 		else if (this.life.phase() == RequestPhase.SEALING) {
 			this.life.lost(RetryCause.BROKEN, RequestErrors.unsealed());
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestPhase.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestPhase.java
@@ -23,6 +23,8 @@
 	CHARGING,
 	/** Waits for the slot for isolated runs. */
 	ISOLATING,
+	/** Waits for the answer to the release of its claim. */
+	RELEASING,
 	/** Waits before it is tried again. */
 	BACKING_OFF,
 	/** Has ended. */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTracker.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTracker.java
@@ -115,6 +115,10 @@
 		else if (event instanceof ClaimFailed claim) {
 			forRequest(claim.request(), (machine) -> machine.claimFailed(claim.error()));
 		}
+		else if (event instanceof ClaimReleased release) {
+			forRequest(release.proof().owner(),
+					(machine) -> machine.claimReleased(release.proof(), release.released()));
+		}
 		else if (event instanceof FlightAnswered flight) {
 			forRequest(flight.request(), (machine) -> machine.flightAnswered(flight.permit()));
 		}
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/request/FlightGuardTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/request/FlightGuardTests.java
@@ -47,6 +47,14 @@
 		assertThat(ask(SECOND, 3)).isEqualTo(FlightPermit.SUSPECT);
 	}
 
+	@Test
+	void letsOneRequestRunAfterLedgerClearedTheFingerprint() {
+		ask(FIRST, 0);
+		end(FIRST, FlightEnd.LOST, 1);
+		assertThat(this.guard.ask(BODY, SECOND, true, 2)).isEqualTo(FlightPermit.GO);
+		assertThat(this.guard.ask(BODY, FIRST, true, 2)).isEqualTo(FlightPermit.WAIT);
+	}
+
 	@Test
 	void letsNextRunAfterUndecidedEnd() {
 		ask(FIRST, 0);
@@ -65,14 +73,14 @@
 	@Test
 	void forgetsOldestFingerprintWhenFull() {
 		ask(FIRST, 0);
-		this.guard.ask(fingerprint("a"), SECOND, 1);
-		this.guard.ask(fingerprint("b"), SECOND, 1);
+		this.guard.ask(fingerprint("a"), SECOND, false, 1);
+		this.guard.ask(fingerprint("b"), SECOND, false, 1);
 		assertThat(this.guard.size()).isEqualTo(2);
 		assertThat(ask(SECOND, 2)).isEqualTo(FlightPermit.GO);
 	}
 
 	private FlightPermit ask(RequestId request, long now) {
-		return this.guard.ask(BODY, request, now);
+		return this.guard.ask(BODY, request, false, now);
 	}
 
 	private void end(RequestId request, FlightEnd end, long now) {
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/request/RequestTrackerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/request/RequestTrackerTests.java
@@ -183,7 +183,7 @@
 			assertThat(handle(new RouteChosen(REQUEST, TARGET)))
 				.containsExactly(new ClaimKeyFor(REQUEST, KEY, "digest", TARGET));
 			assertThat(claimed(TARGET, new ClaimGranted(running(REQUEST, TARGET))))
-				.containsExactly(new AskFlight(REQUEST, FINGERPRINT));
+				.containsExactly(new AskFlight(REQUEST, FINGERPRINT, false));
 			assertThat(permit(FlightPermit.GO)).containsExactly(start(1, TARGET, false, false));
 		}
 
@@ -300,9 +300,18 @@
 		void sealsAtDeadlineBeforeTellingNotRun() {
 			sendBooking();
 			assertThat(passTime(Duration.ofSeconds(30))).containsExactly(new SendSeal(attempt(1), TARGET));
-			List<RequestCommand> commands = handle(new SealedReceived(attempt(1), SERVER, LIFE));
-			assertThat(outcome(commands)).contains(Outcome.NOT_RUN);
-			assertThat(commands).endsWith(release(NotRunEvidence.SEALED, REQUEST));
+			ReleaseClaim release = release(NotRunEvidence.SEALED, REQUEST);
+			assertThat(handle(new SealedReceived(attempt(1), SERVER, LIFE))).containsExactly(release);
+			assertThat(outcome(handle(new ClaimReleased(release.proof(), true)))).contains(Outcome.NOT_RUN);
+		}
+
+		@Test
+		void tellsUnknownWhenOtherSendingTookTheClaimOver() {
+			sendBooking();
+			passTime(Duration.ofSeconds(30));
+			handle(new SealedReceived(attempt(1), SERVER, LIFE));
+			ReleaseClaim release = release(NotRunEvidence.SEALED, REQUEST);
+			assertThat(outcome(handle(new ClaimReleased(release.proof(), false)))).contains(Outcome.UNKNOWN);
 		}
 
 		@Test
@@ -427,7 +436,17 @@
 			acceptLookup(PoisonVerdict.CLEAR);
 			handle(new RouteChosen(REQUEST, TARGET));
 			assertThat(permit(FlightPermit.WAIT)).isEmpty();
-			assertThat(passTime(Duration.ofMillis(50))).containsExactly(new AskFlight(REQUEST, FINGERPRINT));
+			assertThat(passTime(Duration.ofMillis(50))).containsExactly(new AskFlight(REQUEST, FINGERPRINT, false));
+		}
+
+		@Test
+		void asksGuardOnceMoreAfterLedgerClearedTheFingerprint() {
+			acceptLookup(PoisonVerdict.SUSPECT);
+			isolation(IsolationResult.NOT_SUSPECTED);
+			assertThat(handle(new RouteChosen(REQUEST, TARGET)))
+				.containsExactly(new AskFlight(REQUEST, FINGERPRINT, true));
+			permit(FlightPermit.WAIT);
+			assertThat(passTime(Duration.ofMillis(50))).containsExactly(new AskFlight(REQUEST, FINGERPRINT, false));
 		}
 
 		@Test
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
@@ -162,7 +162,7 @@
 	private void onStart(StartReceived start) {
 		AttemptId attempt = start.attempt();
 		if (!isAddressed(start.target())) {
-			refuse(start.link(), attempt, AttemptRefusal.OTHER_INCARNATION);
+			refuseOtherLife(start.link(), attempt, start.target().incarnation());
 			return;
 		}
 		Optional<AttemptRecord> known = this.store.find(attempt.request());
@@ -218,7 +218,7 @@
 	private void onSeal(SealReceived seal) {
 		AttemptId attempt = seal.attempt();
 		if (!isAddressed(seal.target())) {
-			refuse(seal.link(), attempt, AttemptRefusal.OTHER_INCARNATION);
+			refuseOtherLife(seal.link(), attempt, seal.target().incarnation());
 			return;
 		}
 		Optional<AttemptRecord> known = this.store.find(attempt.request());
@@ -236,7 +236,7 @@
 	private void onClaimQuery(ClaimQueryReceived query) {
 		AttemptId any = AttemptTarget.everyAttemptOf(query.owner());
 		if (!query.incarnation().equals(this.incarnation)) {
-			refuse(query.link(), any, AttemptRefusal.OTHER_INCARNATION);
+			refuseOtherLife(query.link(), any, query.incarnation());
 			return;
 		}
 		Optional<AttemptRecord> known = this.store.find(query.owner());
@@ -293,7 +293,7 @@
 		Optional<AttemptRecord> known = this.store.find(attempt.request())
 			.filter((record) -> record.attempt().equals(attempt));
 		if (!resume.incarnation().equals(this.incarnation)) {
-			refuse(resume.link(), attempt, AttemptRefusal.OTHER_INCARNATION);
+			refuseOtherLife(resume.link(), attempt, resume.incarnation());
 		}
 		else if (known.isEmpty()) {
 			refuse(resume.link(), attempt, AttemptRefusal.STALE_WINDOW);
@@ -393,7 +393,11 @@
 	}
 
 	private void refuse(EntryLink link, AttemptId attempt, AttemptRefusal refusal) {
-		this.replies.refuse(link, attempt, refusal, window());
+		this.replies.refuse(link, attempt, this.incarnation, refusal, window());
+	}
+
+	private void refuseOtherLife(EntryLink link, AttemptId attempt, Incarnation addressed) {
+		this.replies.refuse(link, attempt, addressed, AttemptRefusal.OTHER_INCARNATION, window());
 	}
 
 }
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptReplies.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptReplies.java
@@ -47,9 +47,9 @@
 		add(new SendEnd(link, attempt, this.incarnation, end, crash));
 	}
 
-	void refuse(EntryLink link, AttemptId attempt, AttemptRefusal refusal, long window) {
+	void refuse(EntryLink link, AttemptId attempt, Incarnation addressed, AttemptRefusal refusal, long window) {
 		record(attempt, "refused", Field.of("reason", refusal), Field.of("entry", link.entry()));
-		add(new SendRefusal(link, attempt, this.incarnation, refusal, window));
+		add(new SendRefusal(link, attempt, addressed, refusal, window));
 	}
 
 	void sealed(EntryLink link, AttemptId attempt) {
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendRefusal.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendRefusal.java
@@ -10,7 +10,7 @@
  *
  * @param link the connection of the receiver
  * @param attempt the attempt
- * @param incarnation the incarnation of this sidecar
+ * @param incarnation the incarnation to which the attempt was addressed
  * @param refusal the reason
  * @param window the present window of the sidecar
  */
