Add the randomised run of the request cores

Cause: the promises about outcomes must hold under crashes at every step. Change: bench request-random drives trackers, guards, registries and ledgers in virtual time with crashes after every kind of event, lost, late, reordered and doubled messages, silent connections, stalls, drains, a region cut off, resends through other entries and poison requests sent through all entries at once; an observer checks from outside the cores.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 
 import org.comfreywall.bench.placement.PlacementMeasurement;
+import org.comfreywall.bench.request.RequestRun;
 
 /**
  * Knows the measurements by name.
@@ -19,7 +20,8 @@
 	}
 
 	static MeasurementRegistry create() {
-		return new MeasurementRegistry().add("placement", PlacementMeasurement::new);
+		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
+			.add("request-random", RequestRun::new);
 	}
 
 	Optional<Measurement> find(String name) {
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryDriver.java
@@ -0,0 +1,162 @@
+package org.comfreywall.bench.request;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+import org.comfreywall.common.claim.ClaimResult;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.entry.request.AcquireIsolation;
+import org.comfreywall.entry.request.ClaimAnswered;
+import org.comfreywall.entry.request.ClaimFailed;
+import org.comfreywall.entry.request.ClaimKeyFor;
+import org.comfreywall.entry.request.ClaimReleased;
+import org.comfreywall.entry.request.CrashRecorded;
+import org.comfreywall.entry.request.FinishClaim;
+import org.comfreywall.entry.request.IsolationAnswered;
+import org.comfreywall.entry.request.MarkClaimUnknown;
+import org.comfreywall.entry.request.RecordCrash;
+import org.comfreywall.entry.request.ReleaseClaim;
+import org.comfreywall.entry.request.ReleaseIsolation;
+import org.comfreywall.entry.request.RequestCommand;
+import org.comfreywall.entry.request.SendCancel;
+import org.comfreywall.entry.request.SendClaimQuery;
+import org.comfreywall.entry.request.SendResume;
+import org.comfreywall.entry.request.SendSeal;
+import org.comfreywall.entry.request.SendStart;
+import org.comfreywall.sidecar.attempt.AttemptEvent;
+import org.comfreywall.sidecar.attempt.CancelReceived;
+import org.comfreywall.sidecar.attempt.ClaimQueryReceived;
+import org.comfreywall.sidecar.attempt.ResumeReceived;
+import org.comfreywall.sidecar.attempt.SealReceived;
+import org.comfreywall.sidecar.attempt.StartReceived;
+
+/**
+ * Carries out an entry's commands to the ledgers and sidecars.
+ */
+final class EntryDriver {
+
+	private static final Duration CLAIM_TIME = Duration.ofMillis(300);
+
+	private final World world;
+
+	private final EntryNode entry;
+
+	EntryDriver(World world, EntryNode entry) {
+		this.world = world;
+		this.entry = entry;
+	}
+
+	void carryOut(RequestCommand command) {
+		if (!toSidecar(command)) {
+			toLedger(command);
+		}
+	}
+
+	private boolean toSidecar(RequestCommand command) {
+		if (command instanceof SendStart start) {
+			start(start);
+		}
+		else if (command instanceof SendSeal seal) {
+			send(seal.target().backendServer(), new SealReceived(seal.attempt(), seal.target(), this.entry.link()));
+		}
+		else if (command instanceof SendClaimQuery query) {
+			send(query.backendServer(), new ClaimQueryReceived(query.owner(), query.incarnation(), this.entry.link()));
+		}
+		else if (command instanceof SendResume resume) {
+			send(resume.backendServer(), new ResumeReceived(resume.attempt(), resume.incarnation(),
+					resume.nextSequence(), this.entry.link()));
+		}
+		else if (command instanceof SendCancel cancel) {
+			send(cancel.backendServer(), new CancelReceived(cancel.attempt(), cancel.incarnation()));
+		}
+		else {
+			return false;
+		}
+		return true;
+	}
+
+	private void start(SendStart start) {
+		SidecarNode sidecar = this.world.sidecar(start.target().backendServer().value());
+		Operation operation = this.entry.operation(start.attempt()).orElseThrow();
+		if (!sidecar.isAlive() && sidecar.incarnation().equals(start.target().incarnation())) {
+			this.entry.notSent(start.attempt());
+			return;
+		}
+		StartReceived event = new StartReceived(start.attempt(), start.target(), start.traits(), this.entry.link());
+		this.world.send(this.entry, sidecar, () -> sidecar.start(event, operation));
+	}
+
+	private void send(BackendServerId server, AttemptEvent event) {
+		SidecarNode sidecar = this.world.sidecar(server.value());
+		this.world.send(this.entry, sidecar, () -> sidecar.receive(event));
+	}
+
+	private void toLedger(RequestCommand command) {
+		if (command instanceof ClaimKeyFor claim) {
+			claim(claim);
+		}
+		else if (command instanceof FinishClaim finish) {
+			repeat((ledger) -> ledger.claims().finish(finish.key(), finish.owner(), finish.answer(), ledger.logTime()));
+		}
+		else if (command instanceof MarkClaimUnknown mark) {
+			repeat((ledger) -> ledger.claims().markUnknown(mark.key(), mark.owner(), ledger.logTime()));
+		}
+		else if (command instanceof ReleaseClaim release) {
+			this.world.ledger()
+				.callUntilAnswered(this.entry, (ledger) -> ledger.release(release.key(), release.proof()),
+						(released) -> this.entry.handle(new ClaimReleased(release.proof(), released)));
+		}
+		else if (command instanceof AcquireIsolation acquire) {
+			this.world.ledger()
+				.callUntilAnswered(this.entry,
+						(ledger) -> ledger.poison().acquire(acquire.fingerprint(), acquire.request(), ledger.logTime()),
+						(result) -> this.entry
+							.handle(new IsolationAnswered(acquire.request(), acquire.fingerprint(), result)));
+		}
+		else if (command instanceof ReleaseIsolation release) {
+			repeat((ledger) -> ledger.poison()
+				.release(release.fingerprint(), release.request(), release.end(), ledger.logTime()));
+		}
+		else if (command instanceof RecordCrash crash) {
+			this.world.ledger()
+				.callUntilAnswered(this.entry,
+						LedgerNode.none((ledger) -> ledger.poison().charge(crash.report(), ledger.logTime())),
+						(done) -> this.entry.handle(new CrashRecorded(crash.request())));
+		}
+	}
+
+	private void repeat(Consumer<LedgerNode> call) {
+		this.world.ledger().callUntilAnswered(this.entry, LedgerNode.none(call), (done) -> {
+		});
+	}
+
+	private void claim(ClaimKeyFor claim) {
+		AtomicBoolean answered = new AtomicBoolean();
+		this.world.ledger()
+			.call(this.entry,
+					(ledger) -> ledger.claims()
+						.claim(claim.key(), claim.bodyDigest(), claim.request(), claim.target().backendServer(),
+								claim.target().incarnation(), ledger.logTime()),
+					(result) -> claimed(claim, result, answered));
+		this.world.afterIfSame(this.entry, CLAIM_TIME, () -> {
+			if (!answered.get()) {
+				this.entry.handle(new ClaimFailed(claim.request(),
+						OperationError.local(ErrorCode.UNAVAILABLE, Step.CLAIM, "The ledger did not answer in time")));
+			}
+		});
+	}
+
+	private void claimed(ClaimKeyFor claim, Result<ClaimResult> result, AtomicBoolean answered) {
+		answered.set(true);
+		result.value()
+			.ifPresentOrElse(
+					(granted) -> this.entry.handle(new ClaimAnswered(claim.request(), claim.target(), granted)),
+					() -> this.entry.handle(new ClaimFailed(claim.request(), result.error().orElseThrow())));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/request/RequestRunTests.java
@@ -0,0 +1,26 @@
+package org.comfreywall.bench.request;
+
+import org.comfreywall.common.result.Outcome;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Runs {@link RequestRun} with a fixed seed.
+ */
+class RequestRunTests {
+
+	private static final long SEED = 20;
+
+	@Test
+	void keepsAllRulesUnderRandomFaults() {
+		RequestRun run = new RequestRun();
+		run.run(SEED, RequestRun.DEFAULT_STEPS);
+		assertThat(run.observer().notes()).isEmpty();
+		assertThat(run.invariantBreaches()).isZero();
+		assertThat(run.open()).isZero();
+		assertThat(run.eventsWithoutCrash()).isEmpty();
+		assertThat(run.observer().outcomes(Outcome.COMPLETED)).isGreaterThan((int) (RequestRun.DEFAULT_STEPS / 2));
+	}
+
+}
