--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -10,6 +10,7 @@
 import org.comfreywall.bench.control.ControlRandomMeasurement;
 import org.comfreywall.bench.limits.RandomLimitsMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
+import org.comfreywall.bench.request.RequestRun;
 
 /**
  * Knows the measurements by name.
@@ -26,6 +27,7 @@
 			.add("control-log", ControlLogMeasurement::new)
 			.add("control-random", ControlRandomMeasurement::new);
 			.add("limits-random", RandomLimitsMeasurement::new);
+			.add("request-random", RequestRun::new);
 	}
 
 	Optional<Measurement> find(String name) {
