--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/Comfreywall.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/Comfreywall.java
@@ -4,7 +4,10 @@
 import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 import org.comfreywall.cli.command.Console;
 
@@ -13,6 +16,10 @@
  */
 public final class Comfreywall {
 
+	/** Libraries log what is reported as an error anyway; the loggers stay referenced. */
+	private static final List<Logger> LIBRARY_LOGGERS = List.of(Logger.getLogger("io.vertx"),
+			Logger.getLogger("io.netty"));
+
 	private Comfreywall() {
 	}
 
@@ -21,6 +28,7 @@
 	 * @param args the command line
 	 */
 	public static void main(String[] args) {
+		LIBRARY_LOGGERS.forEach((logger) -> logger.setLevel(Level.OFF));
 		PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
 		PrintStream err = new PrintStream(System.err, true, StandardCharsets.UTF_8);
 		BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/ErrorText.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/ErrorText.java
@@ -49,7 +49,7 @@
 			case NOT_FOUND -> "check the name; comfreywall status and comfreywall get list the known ones";
 			case CONFLICT -> "fetch the present configuration with comfreywall get, make the change there and apply it";
 			case UNAVAILABLE, DEADLINE_EXCEEDED, CONNECTION_LOST ->
-				"check that the daemon runs and that --admin or COMFREYWALL_ADMIN names its admin address";
+				"check that the daemon runs and that --admin or COMFREYWALL_ADMIN names its admin address; https needs --trust";
 			case OVERLOADED, LIMIT_EXCEEDED -> "try again in a few seconds";
 			case MALFORMED -> "check that --admin names a daemon's admin address and that both have the same version";
 			case STORAGE -> "check space and permissions of the folder named, then try again";
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminResponses.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminResponses.java
@@ -127,8 +127,12 @@
 		return Arrays.stream(constants).filter((constant) -> constant.name().equalsIgnoreCase(name)).findFirst();
 	}
 
-	private static String reason(Throwable cause) {
-		return (cause.getMessage() != null) ? cause.getMessage() : cause.getClass().getSimpleName();
+	private static String reason(Throwable error) {
+		Throwable root = error;
+		while (root.getCause() != null) {
+			root = root.getCause();
+		}
+		return (root.getMessage() != null) ? root.getMessage() : root.getClass().getSimpleName();
 	}
 
 }
