--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/config/FleetSize.java
@@ -0,0 +1,17 @@
+package org.comfreywall.bench.config;
+
+/**
+ * The number of parts of a configuration.
+ *
+ * @param failureDomains the number of failure domains
+ * @param models the number of models, at least 1
+ * @param accounts the number of client accounts
+ * @param groups the number of groups
+ */
+record FleetSize(int failureDomains, int models, int accounts, int groups) {
+
+	static final FleetSize SMALL = new FleetSize(3, 2, 10, 2);
+
+	static final FleetSize LARGE = new FleetSize(20, 24, 5_300, 1_094);
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/config/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements of reading, writing and comparing configurations.
+ */
+package org.comfreywall.bench.config;
