Convert each value of a document once

Validation, rules and records each converted every value again, and each default was parsed anew. The validator now keeps what it converted, and a key its default.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/KeyDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/KeyDescriptor.java
@@ -12,16 +12,16 @@
  * @param name the key
  * @param type the values it takes
  * @param required whether the key must be given
- * @param defaultLiteral the value used when the key is not given, as a TOML literal
+ * @param standard the value used when the key is not given
  * @param doc what the key means, one sentence
  */
-public record KeyDescriptor<T>(String name, ValueType<T> type, boolean required, Optional<String> defaultLiteral,
+public record KeyDescriptor<T>(String name, ValueType<T> type, boolean required, Optional<DefaultValue<T>> standard,
 		String doc) {
 
 	public KeyDescriptor {
 		Preconditions.notBlank(name, "name");
 		Preconditions.notNull(type, "type");
-		Preconditions.notNull(defaultLiteral, "defaultLiteral");
+		Preconditions.notNull(standard, "standard");
 		Preconditions.notBlank(doc, "doc");
 	}
 
@@ -59,13 +59,22 @@
 	 * @return the descriptor
 	 */
 	public static <T> KeyDescriptor<T> withDefault(String name, ValueType<T> type, String literal, String doc) {
-		KeyDescriptor<T> key = new KeyDescriptor<>(name, type, false, Optional.of(literal), doc);
-		Preconditions.check(key.defaultValue().isPresent(), "default of %s is not allowed: %s", name, literal);
-		return key;
+		Optional<T> value = type.converter().apply(TomlParser.literal(literal));
+		Preconditions.check(value.isPresent(), "default of %s is not allowed: %s", name, literal);
+		return new KeyDescriptor<>(name, type, false, Optional.of(new DefaultValue<>(literal, value.orElseThrow())),
+				doc);
+	}
+
+	/**
+	 * Returns the default as documents write it.
+	 * @return the TOML literal, or empty if there is no default
+	 */
+	public Optional<String> defaultLiteral() {
+		return this.standard.map(DefaultValue::literal);
 	}
 
 	Optional<T> defaultValue() {
-		return this.defaultLiteral.flatMap((literal) -> convert(TomlParser.literal(literal)));
+		return this.standard.map(DefaultValue::value);
 	}
 
 	Optional<T> convert(JsonNode node) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableValidator.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableValidator.java
@@ -17,10 +17,12 @@
 		this.problems = problems;
 	}
 
-	void validate(ObjectNode node, TableDescriptor descriptor, String path) {
+	TomlTable validate(ObjectNode node, TableDescriptor descriptor, String path) {
 		refuseUnknownKeys(node, descriptor, path);
-		descriptor.keys().forEach((key) -> validateKey(node.get(key.name()), key, path + key.name()));
-		descriptor.tables().forEach((table) -> validateTable(node.get(table.name()), table, path + table.name()));
+		TomlTable table = new TomlTable(path);
+		descriptor.keys().forEach((key) -> readKey(table, node.get(key.name()), key));
+		descriptor.tables().forEach((inner) -> readTables(table, node.get(inner.name()), inner, path + inner.name()));
+		return table;
 	}
 
 	private void refuseUnknownKeys(ObjectNode node, TableDescriptor descriptor, String path) {
@@ -39,33 +41,34 @@
 			.orElseGet(() -> String.join(", ", known));
 	}
 
-	private void validateKey(JsonNode value, KeyDescriptor<?> key, String fullName) {
+	private <T> void readKey(TomlTable table, JsonNode value, KeyDescriptor<T> key) {
 		if (value == null) {
 			if (key.required()) {
-				this.problems.add(fullName, "(missing)", key.type().allowed());
+				this.problems.add(table.fullName(key), "(missing)", key.type().allowed());
 			}
+			return;
 		}
-		else if (key.convert(value).isEmpty()) {
-			this.problems.add(fullName, key.shown(value), key.type().allowed());
-		}
+		key.convert(value)
+			.ifPresentOrElse((converted) -> table.put(key, converted),
+					() -> this.problems.add(table.fullName(key), key.shown(value), key.type().allowed()));
 	}
 
-	private void validateTable(JsonNode value, TableDescriptor table, String fullName) {
+	private void readTables(TomlTable table, JsonNode value, TableDescriptor inner, String fullName) {
 		if (value == null) {
 			return;
 		}
-		if (table.repeated()) {
-			validateTables(value, table, fullName);
+		if (inner.repeated()) {
+			readRepeated(table, value, inner, fullName);
 		}
 		else if (value instanceof ObjectNode object) {
-			validate(object, table, fullName + ".");
+			table.add(inner, validate(object, inner, fullName + "."));
 		}
 		else {
 			this.problems.add(fullName, ShownValue.of(value), "a table written as [" + fullName + "]");
 		}
 	}
 
-	private void validateTables(JsonNode value, TableDescriptor table, String fullName) {
+	private void readRepeated(TomlTable table, JsonNode value, TableDescriptor inner, String fullName) {
 		if (!value.isArray()) {
 			this.problems.add(fullName, ShownValue.of(value), "tables written as [[" + fullName + "]]");
 			return;
@@ -73,7 +76,7 @@
 		for (int i = 0; i < value.size(); i++) {
 			String element = fullName + "[" + i + "]";
 			if (value.get(i) instanceof ObjectNode object) {
-				validate(object, table, element + ".");
+				table.add(inner, validate(object, inner, element + "."));
 			}
 			else {
 				this.problems.add(element, ShownValue.of(value.get(i)), "a table written as [[" + fullName + "]]");
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlTable.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlTable.java
@@ -1,13 +1,14 @@
 package org.comfreywall.common.toml;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.comfreywall.common.util.Preconditions;
 
 /**
@@ -16,15 +17,24 @@
  */
 public final class TomlTable {
 
-	private final ObjectNode node;
-
 	private final String path;
 
-	TomlTable(ObjectNode node, String path) {
-		this.node = node;
+	private final Map<KeyDescriptor<?>, Object> values = new IdentityHashMap<>();
+
+	private final Map<TableDescriptor, List<TomlTable>> inner = new IdentityHashMap<>();
+
+	TomlTable(String path) {
 		this.path = path;
 	}
 
+	<T> void put(KeyDescriptor<T> key, T value) {
+		this.values.put(key, value);
+	}
+
+	void add(TableDescriptor descriptor, TomlTable table) {
+		this.inner.computeIfAbsent(descriptor, (absent) -> new ArrayList<>()).add(table);
+	}
+
 	/**
 	 * Parses a document and checks it against its descriptor.
 	 * @param text the document
@@ -36,9 +46,9 @@
 		Preconditions.notNull(text, "text");
 		Preconditions.notNull(descriptor, "descriptor");
 		Preconditions.notNull(problems, "problems");
-		Optional<ObjectNode> root = TomlParser.parse(text, problems);
-		root.ifPresent((node) -> new TableValidator(problems).validate(node, descriptor, ""));
-		return problems.isEmpty() ? root.map((node) -> new TomlTable(node, "")) : Optional.empty();
+		return TomlParser.parse(text, problems)
+			.map((node) -> new TableValidator(problems).validate(node, descriptor, ""))
+			.filter((table) -> problems.isEmpty());
 	}
 
 	/**
@@ -78,9 +88,11 @@
 	 * @param key the key
 	 * @return the value or its default, or empty if there is neither
 	 */
+	@SuppressWarnings("unchecked")
 	public <T> Optional<T> find(KeyDescriptor<T> key) {
-		JsonNode value = this.node.get(key.name());
-		return (value != null) ? key.convert(value) : key.defaultValue();
+		// The map is only filled by put, which pairs a key with a value of its type.
+		T value = (T) this.values.get(key);
+		return (value != null) ? Optional.of(value) : key.defaultValue();
 	}
 
 	/**
@@ -89,8 +101,7 @@
 	 * @return the table, or empty if it is not given
 	 */
 	public Optional<TomlTable> table(TableDescriptor descriptor) {
-		return (this.node.get(descriptor.name()) instanceof ObjectNode inner)
-				? Optional.of(new TomlTable(inner, this.path + descriptor.name() + ".")) : Optional.empty();
+		return tables(descriptor).stream().findFirst();
 	}
 
 	/**
@@ -100,8 +111,7 @@
 	 * @return the table
 	 */
 	public TomlTable tableOrDefaults(TableDescriptor descriptor) {
-		return table(descriptor)
-			.orElseGet(() -> new TomlTable(this.node.objectNode(), this.path + descriptor.name() + "."));
+		return table(descriptor).orElseGet(() -> new TomlTable(this.path + descriptor.name() + "."));
 	}
 
 	/**
@@ -110,11 +120,7 @@
 	 * @return the tables in the document's order
 	 */
 	public List<TomlTable> tables(TableDescriptor descriptor) {
-		List<TomlTable> inner = new ArrayList<>();
-		for (JsonNode element : this.node.path(descriptor.name())) {
-			inner.add(new TomlTable((ObjectNode) element, this.path + descriptor.name() + "[" + inner.size() + "]."));
-		}
-		return inner;
+		return Collections.unmodifiableList(this.inner.getOrDefault(descriptor, List.of()));
 	}
 
 }
