Look choices up and check texts without streams

Each choice was compared with every constant in lower case, and each text went through a stream of code points. Choices are now looked up in a map, and texts without surrogates are checked in a loop.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueTypes.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueTypes.java
@@ -7,8 +7,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Pattern;
 
@@ -146,10 +148,11 @@
 	 * @return the type
 	 */
 	public static <E extends Enum<E>> ValueType<E> oneOf(Class<E> type) {
-		List<E> constants = List.of(type.getEnumConstants());
-		String allowed = String.join(", ", constants.stream().map((value) -> "\"" + lowerCase(value) + "\"").toList());
-		return new ValueType<>("choice", "", allowed, false, (node) -> text(node)
-			.flatMap((value) -> constants.stream().filter((e) -> lowerCase(e).equals(value)).findFirst()));
+		Map<String, E> constants = new LinkedHashMap<>();
+		List.of(type.getEnumConstants()).forEach((constant) -> constants.put(lowerCase(constant), constant));
+		String allowed = "\"" + String.join("\", \"", constants.keySet()) + "\"";
+		return new ValueType<>("choice", "", allowed, false,
+				(node) -> text(node).flatMap((value) -> Optional.ofNullable(constants.get(value))));
 	}
 
 	/**
@@ -187,8 +190,17 @@
 	}
 
 	private static boolean isPlain(String value) {
-		return value.codePoints()
-			.allMatch((c) -> !Character.isISOControl(c) && Character.getType(c) != Character.SURROGATE);
+		for (int i = 0; i < value.length(); i++) {
+			char c = value.charAt(i);
+			if (Character.isISOControl(c) || Character.isSurrogate(c)) {
+				return value.codePoints().allMatch(ValueTypes::isPlain);
+			}
+		}
+		return true;
+	}
+
+	private static boolean isPlain(int c) {
+		return !Character.isISOControl(c) && Character.getType(c) != Character.SURROGATE;
 	}
 
 	private static Optional<Long> longValue(JsonNode node) {
