--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -8,6 +8,7 @@
 
 import org.comfreywall.bench.control.ControlRandomMeasurement;
 import org.comfreywall.bench.limits.RandomLimitsMeasurement;
+import org.comfreywall.bench.config.ConfigurationMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
 
 /**
@@ -24,6 +25,8 @@
 		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
 			.add("control-random", ControlRandomMeasurement::new);
 			.add("limits-random", RandomLimitsMeasurement::new);
+		return new MeasurementRegistry().add("configuration", ConfigurationMeasurement::new)
+			.add("placement", PlacementMeasurement::new);
 	}
 
 	Optional<Measurement> find(String name) {
