Measure routing, subsets and one decision

The routing measurement runs the same seeded arrivals through four entries against sixteen workers for random, round-robin, least-loaded, two kinds of power of two, and the router.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -6,6 +6,11 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 
+import org.comfreywall.bench.routing.DecideMeasurement;
+import org.comfreywall.bench.routing.RouterRandomMeasurement;
+import org.comfreywall.bench.routing.RoutingMeasurement;
+import org.comfreywall.bench.routing.SubsetsMeasurement;
+
 /**
  * Knows the measurements by name.
  */
@@ -17,7 +22,10 @@
 	}
 
 	static MeasurementRegistry create() {
-		return new MeasurementRegistry();
+		return new MeasurementRegistry().add("routing", RoutingMeasurement::new)
+			.add("decide", DecideMeasurement::new)
+			.add("subsets", SubsetsMeasurement::new)
+			.add("routing-random", RouterRandomMeasurement::new);
 	}
 
 	Optional<Measurement> find(String name) {
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/DecideMeasurement.java
@@ -0,0 +1,74 @@
+package org.comfreywall.bench.routing;
+
+import java.util.Collection;
+
+import org.comfreywall.bench.BenchOptions;
+import org.comfreywall.bench.Measurement;
+import org.comfreywall.bench.Reporter;
+import org.comfreywall.common.decision.Field;
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.results.Result;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.Options;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+import org.openjdk.jmh.runner.options.VerboseMode;
+
+/**
+ * Measures time and allocation of single decisions with JMH, one benchmark class for each
+ * core.
+ */
+public final class DecideMeasurement implements Measurement {
+
+	private static final String BENCHMARKS = "org\\.comfreywall\\.bench\\..*Benchmark\\..*";
+
+	private static final String ALLOCATION = "gc.alloc.rate.norm";
+
+	private static final double TARGET_MICROS = 20;
+
+	@Override
+	public void run(BenchOptions options, Reporter reporter) throws RunnerException {
+		Options jmh = new OptionsBuilder().include(BENCHMARKS)
+			.forks(1)
+			.warmupIterations(3)
+			.warmupTime(TimeValue.seconds(1))
+			.measurementIterations(5)
+			.measurementTime(TimeValue.seconds(1))
+			.addProfiler(GCProfiler.class)
+			.verbosity(VerboseMode.SILENT)
+			.shouldFailOnError(true)
+			.build();
+		Collection<RunResult> results = new Runner(jmh).run();
+		results.forEach((result) -> report(result, reporter));
+	}
+
+	private static void report(RunResult result, Reporter reporter) {
+		Result<?> time = result.getPrimaryResult();
+		String name = name(result);
+		double allocated = result.getSecondaryResults()
+			.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().endsWith(ALLOCATION))
+			.mapToDouble((entry) -> entry.getValue().getScore())
+			.findFirst()
+			.orElse(Double.NaN);
+		reporter.result("decision", Field.of("benchmark", name),
+				Field.of("mean-us", String.format("%.3f", time.getScore())),
+				Field.of("error-us", String.format("%.3f", time.getScoreError())),
+				Field.of("allocated-bytes", String.format("%.0f", allocated)));
+		reporter.atMost("decide-us-" + name, time.getScore(), TARGET_MICROS);
+	}
+
+	private static String name(RunResult result) {
+		String benchmark = result.getParams().getBenchmark();
+		String method = benchmark.substring(benchmark.lastIndexOf('.', benchmark.lastIndexOf('.') - 1) + 1);
+		StringBuilder name = new StringBuilder(method);
+		result.getParams()
+			.getParamsKeys()
+			.forEach((key) -> name.append('-').append(key).append('-').append(result.getParams().getParam(key)));
+		return name.toString();
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterPolicy.java
@@ -0,0 +1,88 @@
+package org.comfreywall.bench.routing;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.FailureDomainId;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.entry.prefix.CacheEvent;
+import org.comfreywall.entry.route.AttemptFinished;
+import org.comfreywall.entry.route.AttemptSent;
+import org.comfreywall.entry.route.CacheChanged;
+import org.comfreywall.entry.route.FirstTokenReceived;
+import org.comfreywall.entry.route.LoadReport;
+import org.comfreywall.entry.route.LoadReported;
+import org.comfreywall.entry.route.RouteChoice;
+import org.comfreywall.entry.route.RouteRequest;
+import org.comfreywall.entry.route.Router;
+import org.comfreywall.entry.route.RouterSettings;
+import org.comfreywall.entry.route.ServerAnnounced;
+import org.comfreywall.entry.route.ServerProfile;
+import org.comfreywall.entry.route.SessionId;
+
+/**
+ * Chooses with the project's router.
+ */
+final class RouterPolicy implements EntryPolicy {
+
+	private static final ServerProfile PROFILE = new ServerProfile(Worker.SLOTS, Duration.ofMillis(20), 10_000, false);
+
+	private final Router router;
+
+	RouterPolicy(int entry, int workers, RandomGenerator random) {
+		this.router = new Router(InstanceId.of("entry-" + entry), RouterSettings.DEFAULTS,
+				(domain) -> Simulation.oneWayNanos(entry, Integer.parseInt(domain.value())), random,
+				DecisionListener.NONE);
+		for (int worker = 0; worker < workers; worker++) {
+			this.router.on(new ServerAnnounced(Worker.id(worker), Worker.LIFE,
+					FailureDomainId.of(Integer.toString(Simulation.domain(worker))), PROFILE), 0);
+		}
+	}
+
+	@Override
+	public int choose(Arrival arrival, long now) {
+		RouteRequest request = new RouteRequest(RequestId.of("request-" + arrival.number()), arrival.priority(),
+				arrival.promptTokens(), arrival.prompt(),
+				Optional.of(new SessionId(arrival.account(), "session-" + arrival.session())), Set.of());
+		RouteChoice choice = this.router.choose(request, now).orElseThrow();
+		this.router.on(new AttemptSent(attempt(arrival), request, choice), now);
+		return index(choice.server());
+	}
+
+	@Override
+	public void firstToken(Arrival arrival, long now) {
+		this.router.on(new FirstTokenReceived(attempt(arrival)), now);
+	}
+
+	@Override
+	public void finished(Arrival arrival, int worker, long now) {
+		this.router.on(new AttemptFinished(attempt(arrival)), now);
+	}
+
+	@Override
+	public void reported(int worker, LoadReport report, long now) {
+		this.router.on(new LoadReported(report), now);
+	}
+
+	@Override
+	public boolean cacheChanged(int worker, CacheEvent event, long now) {
+		List<?> commands = this.router.on(new CacheChanged(event), now);
+		return !commands.isEmpty();
+	}
+
+	private static AttemptId attempt(Arrival arrival) {
+		return new AttemptId(RequestId.of("request-" + arrival.number()), 1);
+	}
+
+	private static int index(BackendServerId server) {
+		return Integer.parseInt(server.value().substring(server.value().indexOf('-') + 1));
+	}
+
+}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Router.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Router.java
@@ -139,6 +139,15 @@
 		return this.table.find(server).map((state) -> state.load().inFlight()).orElse(0);
 	}
 
+	/**
+	 * Tells whether a backend server is known, be it leaving or not.
+	 * @param server the backend server
+	 * @return {@code true} from its announcement until its removal
+	 */
+	public boolean knows(BackendServerId server) {
+		return this.table.find(server).isPresent();
+	}
+
 	/**
 	 * Returns the backend servers in use.
 	 * @return the subset's servers, sorted
@@ -156,6 +165,15 @@
 		return this.subset.members().stream().filter((server) -> server.isEjected(now)).map(ServerState::id).toList();
 	}
 
+	/**
+	 * Returns the sizes of what the router remembers, for metrics.
+	 * @return the sizes, each within the bound of its setting
+	 */
+	public RouterStatus status() {
+		return new RouterStatus(this.table.all().size(), this.subset.members().size(), this.sessions.size(),
+				this.inFlight.size(), this.prefixes.claims());
+	}
+
 	/**
 	 * Returns the number of breached invariants.
 	 * @return the count, 0 unless there is a fault in this class
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerTable.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerTable.java
@@ -16,6 +16,9 @@
  */
 final class ServerTable {
 
+	/** Ended lives remembered for each server that may be known. */
+	private static final int ENDED_PER_SERVER = 4;
+
 	private final int maxServers;
 
 	private final Map<BackendServerId, ServerState> servers = new HashMap<>();
@@ -24,7 +27,7 @@
 
 	ServerTable(int maxServers) {
 		this.maxServers = maxServers;
-		this.ended = new BoundedMap<>(maxServers);
+		this.ended = new BoundedMap<>(ENDED_PER_SERVER * maxServers);
 	}
 
 	/**
