--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -10,6 +10,7 @@
 import org.comfreywall.bench.routing.RouterRandomMeasurement;
 import org.comfreywall.bench.routing.RoutingMeasurement;
 import org.comfreywall.bench.routing.SubsetsMeasurement;
+import org.comfreywall.bench.placement.PlacementMeasurement;
 
 /**
  * Knows the measurements by name.
@@ -26,6 +27,7 @@
 			.add("decide", DecideMeasurement::new)
 			.add("subsets", SubsetsMeasurement::new)
 			.add("routing-random", RouterRandomMeasurement::new);
+		return new MeasurementRegistry().add("placement", PlacementMeasurement::new);
 	}
 
 	Optional<Measurement> find(String name) {
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerAnswerWriter.java
@@ -0,0 +1,163 @@
+package org.comfreywall.daemon.entry;
+
+import java.util.Optional;
+import java.util.function.IntConsumer;
+
+import io.reactivex.rxjava3.core.FlowableSubscriber;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import org.comfreywall.common.attempt.AnswerChunk;
+import org.comfreywall.common.attempt.AnswerHead;
+import org.comfreywall.common.attempt.AnswerPart;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.log.EventLog;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Outcome;
+import org.comfreywall.common.result.Step;
+import org.reactivestreams.Subscription;
+
+/**
+ * Writes an answer to the caller as fast as the caller takes it; used on the event loop
+ * of the caller's connection.
+ */
+final class CallerAnswerWriter implements FlowableSubscriber<AnswerPart> {
+
+	static final String OUTCOME_HEADER = "Comfreywall-Outcome";
+
+	private static final EventLog LOG = EventLog.of(CallerAnswerWriter.class);
+
+	private static final int TOLD_PARTS = 16;
+
+	private final CallerRequest request;
+
+	private final HttpServerResponse response;
+
+	private final IntConsumer taken;
+
+	private final Runnable abandoned;
+
+	private Subscription subscription;
+
+	private int untold;
+
+	private boolean done;
+
+	CallerAnswerWriter(CallerRequest request, HttpServerResponse response, IntConsumer taken, Runnable abandoned) {
+		this.request = request;
+		this.response = response;
+		this.taken = taken;
+		this.abandoned = abandoned;
+	}
+
+	@Override
+	public void onSubscribe(Subscription opened) {
+		this.subscription = opened;
+		this.response.closeHandler((closed) -> abandon());
+		this.response.exceptionHandler((cause) -> abandon());
+		opened.request(1);
+	}
+
+	@Override
+	public void onNext(AnswerPart part) {
+		if (this.done) {
+			return;
+		}
+		write(part);
+		tellTaken();
+		if (this.response.writeQueueFull()) {
+			this.response.drainHandler((drained) -> this.subscription.request(1));
+		}
+		else {
+			this.subscription.request(1);
+		}
+	}
+
+	@Override
+	public void onError(Throwable cause) {
+		if (cause instanceof RequestFailedException failure) {
+			fail(failure.problem());
+			return;
+		}
+		fail(new Problem(Outcome.UNKNOWN,
+				OperationError.local(ErrorCode.INVARIANT, Step.ANSWER, String.valueOf(cause))));
+	}
+
+	@Override
+	public void onComplete() {
+		if (!this.done) {
+			finish(Outcome.COMPLETED);
+			this.response.putTrailer(OUTCOME_HEADER, Outcome.COMPLETED.name());
+			this.response.end();
+		}
+	}
+
+	private void write(AnswerPart part) {
+		if (part instanceof AnswerHead head) {
+			this.response.setStatusCode(head.status());
+			if (!head.contentType().isEmpty()) {
+				this.response.putHeader("Content-Type", head.contentType());
+			}
+			this.response.putHeader("Trailer", OUTCOME_HEADER);
+			this.response.setChunked(true);
+			this.response.writeHead();
+		}
+		else if (part instanceof AnswerChunk chunk) {
+			this.response.write(Buffer.buffer(chunk.payload().toArray()));
+		}
+	}
+
+	private void tellTaken() {
+		this.untold++;
+		if (this.untold == TOLD_PARTS) {
+			this.taken.accept(this.untold);
+			this.untold = 0;
+		}
+	}
+
+	private void fail(Problem problem) {
+		if (this.done) {
+			return;
+		}
+		finish(problem.outcome());
+		Optional<String> id = Optional.of(this.request.id().value());
+		if (!this.response.headWritten()) {
+			this.response.setChunked(false);
+			this.response.headers().remove("Trailer");
+			this.response.setStatusCode(problem.status())
+				.putHeader("Content-Type", Problem.CONTENT_TYPE)
+				.putHeader(OUTCOME_HEADER, problem.outcome().name())
+				.end(problem.json(id).toBuffer());
+			return;
+		}
+		if (isEventStream()) {
+			this.response.write("event: error\ndata: " + problem.json(id).encode() + "\n\n");
+			this.response.putTrailer(OUTCOME_HEADER, problem.outcome().name());
+			this.response.end();
+			return;
+		}
+		this.response.reset();
+	}
+
+	private boolean isEventStream() {
+		String type = this.response.headers().get("Content-Type");
+		return type != null && type.startsWith("text/event-stream");
+	}
+
+	private void finish(Outcome outcome) {
+		this.done = true;
+		LOG.info("request-ended", Field.of("request", this.request.id()), Field.of("account", this.request.account()),
+				Field.of("service", this.request.service()), Field.of("outcome", outcome));
+	}
+
+	private void abandon() {
+		if (!this.done) {
+			this.done = true;
+			LOG.info("caller-gone", Field.of("request", this.request.id()),
+					Field.of("account", this.request.account()));
+			this.subscription.cancel();
+			this.abandoned.run();
+		}
+	}
+
+}
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
@@ -0,0 +1,86 @@
+package org.comfreywall.daemon.entry;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.lifecycle.Closer;
+import org.comfreywall.common.toml.HostPort;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.entry.request.RetryDecision;
+import org.comfreywall.entry.request.RetryQuery;
+import org.comfreywall.transport.PeerIdentity;
+import org.comfreywall.transport.worker.SerialWorker;
+
+/**
+ * The entry role of a process.
+ */
+public final class EntryNode implements AutoCloseable {
+
+	private static final int RING_CAPACITY = 64 * 1024;
+
+	private static final Duration TICK = Duration.ofMillis(100);
+
+	private static final int MAX_ATTEMPTS = 3;
+
+	private static final Duration RETRY_DELAY = Duration.ofMillis(20);
+
+	private final Closer closer = new Closer();
+
+	private final EntryEngine engine;
+
+	private final CallerServer server;
+
+	/**
+	 * Starts the role.
+	 * @param parts what the role works with
+	 * @param listen the address for callers
+	 */
+	public EntryNode(EntryParts parts, HostPort listen) {
+		Preconditions.notNull(parts, "parts");
+		PeerIdentity self = parts.transport().self();
+		SerialWorker worker = this.closer.register(new SerialWorker("entry", RING_CAPACITY));
+		RouterRegistry routers = new RouterRegistry(self.instance(), parts.domain(), parts.random(), parts.clock(),
+				parts.decisions());
+		this.engine = this.closer.register(new EntryEngine(parts, worker, routers, EntryNode::retry));
+		worker.every(TICK, this.engine::tick);
+		RequestResolver resolver = new RequestResolver(parts.configuration(), requestIds(self));
+		this.server = this.closer.register(new CallerServer(parts.vertx(), listen, resolver, this.engine));
+	}
+
+	/**
+	 * Makes a backend server known.
+	 * @param sidecar where its sidecar is reached
+	 * @return completes when the sidecar was reached for the first time
+	 */
+	public CompletableFuture<Void> announce(SidecarAddress sidecar) {
+		return this.engine.announce(sidecar);
+	}
+
+	/**
+	 * Returns the port on which callers are served.
+	 * @return the actual port
+	 */
+	public int port() {
+		return this.server.port();
+	}
+
+	@Override
+	public void close() throws Exception {
+		this.closer.close();
+	}
+
+	private static RetryDecision retry(RetryQuery query) {
+		return (query.attempts() < MAX_ATTEMPTS) ? RetryDecision.after(RETRY_DELAY)
+				: RetryDecision.stop("attempts are used up");
+	}
+
+	private static Supplier<RequestId> requestIds(PeerIdentity self) {
+		AtomicLong next = new AtomicLong();
+		String prefix = self.instance() + "." + Long.toString(self.incarnation().value(), Character.MAX_RADIX) + ".";
+		return () -> RequestId.of(prefix + next.incrementAndGet());
+	}
+
+}
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
@@ -0,0 +1,223 @@
+package org.comfreywall.daemon.sidecar;
+
+import java.net.URI;
+import java.util.Locale;
+import java.util.concurrent.CompletionStage;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.transport.attempt.AttemptPayload;
+
+/**
+ * Calls the backend server over HTTP.
+ */
+final class BackendClient implements AutoCloseable {
+
+	private static final int MAX_CONNECTIONS = 1024;
+
+	private static final int CONNECT_MILLIS = 1000;
+
+	private final HttpClient client;
+
+	private final URI backend;
+
+	private final InstanceId self;
+
+	BackendClient(Vertx vertx, URI backend, InstanceId self) {
+		Preconditions.notNull(vertx, "vertx");
+		this.backend = Preconditions.notNull(backend, "backend");
+		this.self = Preconditions.notNull(self, "self");
+		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS)
+			.setDecompressionSupported(false);
+		this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+	}
+
+	BackendCall run(AttemptId attempt, AttemptPayload payload, BackendListener listener) {
+		VertxBackendCall call = new VertxBackendCall(listener);
+		RequestOptions options = new RequestOptions().setMethod(HttpMethod.valueOf(payload.method()))
+			.setHost(this.backend.getHost())
+			.setPort(this.backend.getPort())
+			.setURI(payload.path());
+		this.client.request(options).onComplete((result) -> {
+			if (result.succeeded()) {
+				call.send(result.result(), attempt, payload);
+			}
+			else {
+				call.fail(ErrorCode.UNAVAILABLE, result.cause(), false);
+			}
+		});
+		return call;
+	}
+
+	/**
+	 * Asks the backend server for its load.
+	 * @return completes with the load, or exceptionally if the server does not answer
+	 */
+	CompletionStage<BackendLoad> load() {
+		return this.client.request(loadRequest())
+			.compose(HttpClientRequest::send)
+			.compose(HttpClientResponse::body)
+			.map(BackendClient::parseLoad)
+			.toCompletionStage();
+	}
+
+	/**
+	 * Asks whether the backend server accepts connections.
+	 * @return completes with whether it does
+	 */
+	CompletionStage<Boolean> isAlive() {
+		return this.client.request(loadRequest())
+			.compose(HttpClientRequest::send)
+			.map(true)
+			.otherwise(false)
+			.toCompletionStage();
+	}
+
+	private RequestOptions loadRequest() {
+		return new RequestOptions().setMethod(HttpMethod.GET)
+			.setHost(this.backend.getHost())
+			.setPort(this.backend.getPort())
+			.setURI("/load")
+			.setTimeout(CONNECT_MILLIS);
+	}
+
+	private static BackendLoad parseLoad(Buffer body) {
+		JsonObject json = body.toJsonObject();
+		return new BackendLoad(json.getInteger("running", 0), json.getLong("queuedTokens", 0L));
+	}
+
+	@Override
+	public void close() {
+		this.client.close();
+	}
+
+	/**
+	 * One call; used on the client's event loop except for flow control, which Vert.x
+	 * allows from any thread.
+	 */
+	private final class VertxBackendCall implements BackendCall {
+
+		private final BackendListener listener;
+
+		private HttpClientRequest request;
+
+		private HttpClientResponse response;
+
+		private boolean paused;
+
+		private boolean ended;
+
+		VertxBackendCall(BackendListener listener) {
+			this.listener = listener;
+		}
+
+		synchronized void send(HttpClientRequest opened, AttemptId attempt, AttemptPayload payload) {
+			if (this.ended) {
+				opened.reset();
+				return;
+			}
+			this.request = opened;
+			if (!payload.contentType().isEmpty()) {
+				opened.putHeader("Content-Type", payload.contentType());
+			}
+			opened.putHeader("Comfreywall-Attempt", attempt.toString());
+			opened.putHeader("Comfreywall-Priority", payload.priority().name().toLowerCase(Locale.ROOT));
+			payload.key().ifPresent((key) -> opened.putHeader("Idempotency-Key", key.value()));
+			opened.send(Buffer.buffer(payload.body().toArray())).onComplete((result) -> {
+				if (result.succeeded()) {
+					receive(result.result());
+				}
+				else {
+					fail(ErrorCode.BACKEND_ERROR, result.cause(), true);
+				}
+			});
+		}
+
+		void fail(ErrorCode code, Throwable cause, boolean sent) {
+			synchronized (this) {
+				if (this.ended) {
+					return;
+				}
+				this.ended = true;
+			}
+			this.listener.onFailure(OperationError.at(code, Step.RUN, BackendClient.this.self,
+					"backend server " + BackendClient.this.backend + ": " + cause.getMessage()), sent);
+		}
+
+		private void receive(HttpClientResponse opened) {
+			synchronized (this) {
+				if (this.ended) {
+					return;
+				}
+				this.response = opened;
+				if (this.paused) {
+					opened.pause();
+				}
+			}
+			opened.exceptionHandler((cause) -> fail(ErrorCode.BACKEND_ERROR, cause, true));
+			opened.handler((data) -> {
+				if (isLive()) {
+					this.listener.onChunk(Bytes.of(data.getBytes()));
+				}
+			});
+			opened.endHandler((end) -> complete());
+			String type = opened.getHeader("Content-Type");
+			this.listener.onHead(opened.statusCode(), (type != null) ? type : "");
+		}
+
+		private void complete() {
+			synchronized (this) {
+				if (this.ended) {
+					return;
+				}
+				this.ended = true;
+			}
+			this.listener.onComplete();
+		}
+
+		private synchronized boolean isLive() {
+			return !this.ended;
+		}
+
+		@Override
+		public synchronized void pause() {
+			this.paused = true;
+			if (this.response != null) {
+				this.response.pause();
+			}
+		}
+
+		@Override
+		public synchronized void resume() {
+			this.paused = false;
+			if (this.response != null) {
+				this.response.resume();
+			}
+		}
+
+		@Override
+		public synchronized void cancel() {
+			this.ended = true;
+			if (this.request != null) {
+				this.request.reset();
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Frames about attempts, between entries and sidecars.
+ */
+package org.comfreywall.transport.attempt;
