--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -6,11 +6,11 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 
+import org.comfreywall.bench.placement.PlacementMeasurement;
 import org.comfreywall.bench.routing.DecideMeasurement;
 import org.comfreywall.bench.routing.RouterRandomMeasurement;
 import org.comfreywall.bench.routing.RoutingMeasurement;
 import org.comfreywall.bench.routing.SubsetsMeasurement;
-import org.comfreywall.bench.placement.PlacementMeasurement;
 
 /**
  * Knows the measurements by name.
@@ -26,8 +26,8 @@
 		return new MeasurementRegistry().add("routing", RoutingMeasurement::new)
 			.add("decide", DecideMeasurement::new)
 			.add("subsets", SubsetsMeasurement::new)
-			.add("routing-random", RouterRandomMeasurement::new);
-		return new MeasurementRegistry().add("placement", PlacementMeasurement::new);
+			.add("routing-random", RouterRandomMeasurement::new)
+			.add("placement", PlacementMeasurement::new);
 	}
 
 	Optional<Measurement> find(String name) {
