Spread entries evenly over backend servers by deferred acceptance

Plain rendezvous hashing gave each server a binomial number of entries: at 1,100 entries and 4,400 servers up to 2.85 times the mean, and none at all for some. Entries now propose along a hash ring and servers accept up to a quota near the mean, keeping the smallest pair hashes.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/SubsetsMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/SubsetsMeasurement.java
@@ -27,13 +27,13 @@
 
 	private static final int WORKERS = 4400;
 
-	private static final int ROUNDS = 12;
+	private static final int ROUNDS = 60;
 
 	private static final int WORKERS_REPLACED = 20;
 
 	private static final int DOMAIN_WORKERS = WORKERS / 20;
 
-	private static final int DOMAIN_ROUND = 6;
+	private static final int DOMAIN_ROUND = 30;
 
 	private static final double TARGET_MAX_TO_MEAN = 1.25;
 
@@ -45,6 +45,8 @@
 
 	private int named;
 
+	private long assignNanos;
+
 	@Override
 	public void run(BenchOptions options, Reporter reporter) {
 		Random random = new Random(options.seed());
@@ -87,6 +89,7 @@
 		double mean = loads.values().stream().mapToInt(Integer::intValue).sum() / (double) this.workers.size();
 		int max = loads.values().stream().mapToInt(Integer::intValue).max().orElse(0);
 		int min = this.workers.stream().mapToInt((worker) -> loads.getOrDefault(worker, 0)).min().orElse(0);
+		long below = this.workers.stream().filter((worker) -> loads.getOrDefault(worker, 0) < mean / 2).count();
 		long moved = after.entrySet()
 			.stream()
 			.filter((entry) -> before.containsKey(entry.getKey()))
@@ -97,13 +100,15 @@
 			.sum();
 		reporter.result("subsets", Field.of("change", change), Field.of("workers", this.workers.size()),
 				Field.of("max-to-mean", String.format("%.3f", max / mean)),
-				Field.of("min-to-mean", String.format("%.3f", min / mean)), Field.of("new-connections", moved));
+				Field.of("min-to-mean", String.format("%.3f", min / mean)), Field.of("new-connections", moved),
+				Field.of("assign-ms", this.assignNanos / 1_000_000));
 		return max / mean;
 	}
 
 	private Map<InstanceId, Set<BackendServerId>> assign() {
-		Map<InstanceId, Set<BackendServerId>> subsets = new HashMap<>();
-		this.entries.forEach((entry) -> subsets.put(entry, this.assigner.assign(entry, this.entries, this.workers)));
+		long start = System.nanoTime();
+		Map<InstanceId, Set<BackendServerId>> subsets = this.assigner.assignAll(this.entries, this.workers);
+		this.assignNanos = System.nanoTime() - start;
 		return subsets;
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetAssigner.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetAssigner.java
@@ -1,8 +1,10 @@
 package org.comfreywall.entry.route;
 
 import java.util.Collection;
-import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 import org.comfreywall.common.id.BackendServerId;
@@ -10,10 +12,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Assigns to each entry the backend servers that it uses, by rendezvous hashing.
+ * Assigns to each entry the backend servers that it uses, so that every server is used by
+ * nearly equally many entries.
  * <p>
  * Entries that know the same instances compute the same assignment without talking to
- * each other.
+ * each other. Where servers come and go, few entries change few servers.
  */
 public final class SubsetAssigner {
 
@@ -31,20 +34,30 @@
 	/**
 	 * Assigns the servers of one entry.
 	 * @param entry the entry
-	 * @param entries all entries
+	 * @param entries all entries, the one asked for included
 	 * @param servers all backend servers that may get work
 	 * @return the entry's servers; all of them if there are no more than the size
 	 */
 	public Set<BackendServerId> assign(InstanceId entry, Collection<InstanceId> entries,
 			Collection<BackendServerId> servers) {
+		Preconditions.check(entries.contains(entry), "entries must contain entry: %s", entry);
+		return (servers.size() <= this.size) ? Set.copyOf(servers) : assignAll(entries, servers).get(entry);
+	}
+
+	/**
+	 * Assigns the servers of all entries.
+	 * @param entries all entries
+	 * @param servers all backend servers that may get work
+	 * @return the servers of each entry
+	 */
+	public Map<InstanceId, Set<BackendServerId>> assignAll(Collection<InstanceId> entries,
+			Collection<BackendServerId> servers) {
 		if (servers.size() <= this.size) {
-			return Set.copyOf(servers);
+			return entries.stream().collect(Collectors.toMap(Function.identity(), (entry) -> Set.copyOf(servers)));
 		}
-		long seed = Hashes.of(entry.value());
-		return servers.stream()
-			.sorted(Comparator.comparingLong((server) -> Hashes.mix(seed ^ Hashes.of(server.value()))))
-			.limit(this.size)
-			.collect(Collectors.toUnmodifiableSet());
+		List<InstanceId> sortedEntries = entries.stream().distinct().sorted().toList();
+		List<BackendServerId> sortedServers = servers.stream().distinct().sorted().toList();
+		return new SubsetMatching(sortedEntries, sortedServers, this.size).match();
 	}
 
 }
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetMatching.java
@@ -0,0 +1,147 @@
+package org.comfreywall.entry.route;
+
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.comfreywall.common.id.BackendServerId;
+import org.comfreywall.common.id.InstanceId;
+
+/**
+ * Matches entries with servers by deferred acceptance (Gale and Shapley).
+ * <p>
+ * Each entry proposes to servers in an order of its own, drawn by its hash from a ring of
+ * the servers. A server accepts up to a quota near the mean and keeps the entries with
+ * the smallest hash of the pair. The result does not depend on the order in which entries
+ * propose, so a change of one instance moves only those whom its place displaces.
+ */
+final class SubsetMatching {
+
+	/** Sum of the servers' quotas over the places to fill. */
+	private static final double QUOTA_FACTOR = 1.005;
+
+	private static final int MAX_PROPOSALS_PER_PLACE = 64;
+
+	private final List<InstanceId> entries;
+
+	private final List<BackendServerId> servers;
+
+	private final ServerRing ring;
+
+	private final long[] entrySeeds;
+
+	private final long[] serverSeeds;
+
+	private final int[] missing;
+
+	private final int[] proposals;
+
+	private final int[][] accepted;
+
+	private final int[] acceptedCount;
+
+	private final int maxProposals;
+
+	SubsetMatching(List<InstanceId> entries, List<BackendServerId> servers, int size) {
+		this.entries = entries;
+		this.servers = servers;
+		this.entrySeeds = entries.stream().mapToLong((entry) -> Hashes.of(entry.value())).toArray();
+		this.serverSeeds = servers.stream().mapToLong((server) -> Hashes.of(server.value())).toArray();
+		this.ring = new ServerRing(this.serverSeeds);
+		this.missing = new int[entries.size()];
+		this.proposals = new int[entries.size()];
+		double mean = (double) size * entries.size() / servers.size();
+		this.accepted = new int[servers.size()][];
+		Arrays.setAll(this.accepted, (server) -> new int[quota(mean, this.serverSeeds[server])]);
+		this.acceptedCount = new int[servers.size()];
+		this.maxProposals = size * MAX_PROPOSALS_PER_PLACE;
+		Arrays.fill(this.missing, size);
+	}
+
+	Map<InstanceId, Set<BackendServerId>> match() {
+		Deque<Integer> waiting = new ArrayDeque<>();
+		for (int entry = 0; entry < this.missing.length; entry++) {
+			waiting.add(entry);
+		}
+		while (!waiting.isEmpty()) {
+			propose(waiting.poll(), waiting);
+		}
+		return result();
+	}
+
+	private static int quota(double mean, long seed) {
+		// Rounding by hash lets the sum of the quotas change smoothly with the numbers of
+		// entries and servers.
+		double fraction = (Hashes.mix(~seed) >>> 11) * 0x1.0p-53;
+		return Math.max(1, (int) Math.floor(mean * QUOTA_FACTOR + fraction));
+	}
+
+	private void propose(int entry, Deque<Integer> waiting) {
+		while (this.missing[entry] > 0 && this.proposals[entry] < this.maxProposals) {
+			long point = Hashes.mix(this.entrySeeds[entry] + this.proposals[entry]);
+			this.proposals[entry]++;
+			int server = this.ring.successor(point);
+			if (!isAccepted(entry, server)) {
+				offer(entry, server, waiting);
+			}
+		}
+	}
+
+	private void offer(int entry, int server, Deque<Integer> waiting) {
+		int[] held = this.accepted[server];
+		if (this.acceptedCount[server] < held.length) {
+			held[this.acceptedCount[server]] = entry;
+			this.acceptedCount[server]++;
+			this.missing[entry]--;
+			return;
+		}
+		int last = indexOfLast(held, server);
+		int displaced = held[last];
+		if (comesBefore(entry, displaced, server)) {
+			held[last] = entry;
+			this.missing[entry]--;
+			this.missing[displaced]++;
+			waiting.add(displaced);
+		}
+	}
+
+	private int indexOfLast(int[] held, int server) {
+		int last = 0;
+		for (int i = 1; i < held.length; i++) {
+			last = comesBefore(held[last], held[i], server) ? i : last;
+		}
+		return last;
+	}
+
+	private boolean comesBefore(int entry, int other, int server) {
+		long rank = Hashes.mix(this.entrySeeds[entry] ^ this.serverSeeds[server]);
+		long otherRank = Hashes.mix(this.entrySeeds[other] ^ this.serverSeeds[server]);
+		return (rank != otherRank) ? rank < otherRank : entry < other;
+	}
+
+	private boolean isAccepted(int entry, int server) {
+		for (int i = 0; i < this.acceptedCount[server]; i++) {
+			if (this.accepted[server][i] == entry) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private Map<InstanceId, Set<BackendServerId>> result() {
+		Map<InstanceId, Set<BackendServerId>> subsets = new HashMap<>();
+		this.entries.forEach((entry) -> subsets.put(entry, new HashSet<>()));
+		for (int server = 0; server < this.accepted.length; server++) {
+			for (int i = 0; i < this.acceptedCount[server]; i++) {
+				subsets.get(this.entries.get(this.accepted[server][i])).add(this.servers.get(server));
+			}
+		}
+		return subsets;
+	}
+
+}
