--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -10,6 +10,10 @@
 import org.comfreywall.bench.limits.RandomLimitsMeasurement;
 import org.comfreywall.bench.config.ConfigurationMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
+import org.comfreywall.bench.routing.DecideMeasurement;
+import org.comfreywall.bench.routing.RouterRandomMeasurement;
+import org.comfreywall.bench.routing.RoutingMeasurement;
+import org.comfreywall.bench.routing.SubsetsMeasurement;
 
 /**
  * Knows the measurements by name.
@@ -26,6 +30,10 @@
 			.add("control-random", ControlRandomMeasurement::new);
 			.add("limits-random", RandomLimitsMeasurement::new);
 		return new MeasurementRegistry().add("configuration", ConfigurationMeasurement::new)
+		return new MeasurementRegistry().add("routing", RoutingMeasurement::new)
+			.add("decide", DecideMeasurement::new)
+			.add("subsets", SubsetsMeasurement::new)
+			.add("routing-random", RouterRandomMeasurement::new)
 			.add("placement", PlacementMeasurement::new);
 	}
 
