--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/page/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Renders a self-contained page of a group's step-time skew and bytes read over time.
+ */
+package org.comfreywall.group.page;
