Run the map switch under random faults and time steps over windows

Cause: safety and progress of the switch had unit tests only.

Change: StepTimer samples 16 steps and the coordinator takes the median of the ranks. bin/bench mapswitch-random alternates windows with lost, doubled, slow and very late messages, coordinators that die after any command or stay beside their successor, sidecars restarted beside a running engine, servers replaced (often just after an arm order) and stalled ranks with quiet windows; half of the engines ignore fencing numbers. Checks outside the cores: one map a step by the weights really used, no decision told twice differently, commits only with every present member armed, no effect of writes of older terms, and in each quiet window the group runs on and switches.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -6,6 +6,8 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 
+import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
+
 /**
  * Knows the measurements by name.
  */
@@ -17,7 +19,7 @@
 	}
 
 	static MeasurementRegistry create() {
-		return new MeasurementRegistry();
+		return new MeasurementRegistry().add("mapswitch-random", RandomisedSwitchRun::new);
 	}
 
 	Optional<Measurement> find(String name) {
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchWorld.java
@@ -0,0 +1,289 @@
+package org.comfreywall.bench.mapswitch;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.LongSupplier;
+
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.group.map.MapRef;
+import org.comfreywall.group.map.MapVersion;
+import org.comfreywall.group.mapswitch.AgentReport;
+import org.comfreywall.group.mapswitch.AgentSettings;
+import org.comfreywall.group.mapswitch.CoordinatorSettings;
+import org.comfreywall.group.mapswitch.CoordinatorTick;
+import org.comfreywall.group.mapswitch.DecisionLedger;
+import org.comfreywall.group.mapswitch.LedgerResult;
+import org.comfreywall.group.mapswitch.LedgerState;
+import org.comfreywall.group.mapswitch.LedgerWrite;
+import org.comfreywall.group.mapswitch.MapInstallRequested;
+import org.comfreywall.group.mapswitch.MemberChosen;
+import org.comfreywall.group.mapswitch.ReportReceived;
+import org.comfreywall.group.mapswitch.SendOrder;
+import org.comfreywall.group.mapswitch.StepProgress;
+import org.comfreywall.group.mapswitch.SwitchEnded;
+import org.comfreywall.group.mapswitch.SwitchOutcome;
+import org.comfreywall.group.mapswitch.SwitchRequested;
+import org.comfreywall.group.mapswitch.WriteDurable;
+
+/**
+ * One group with its ledger and coordinators, in virtual time.
+ */
+final class SwitchWorld {
+
+	/** The greatest number of replaced servers kept running. */
+	private static final int REPLACED_KEPT = 8;
+
+	/** The greatest number of former coordinators kept running. */
+	private static final int FORMER_COORDINATORS_KEPT = 3;
+
+	private final EventQueue queue = new EventQueue();
+
+	private final Invariants invariants = new Invariants();
+
+	private final StepAudit audit = new StepAudit();
+
+	private final LedgerAudit ledgerAudit = new LedgerAudit(this.audit::violation);
+
+	private final TreeSet<Long> delayedSteps = new TreeSet<>();
+
+	private final List<FakeCoordinator> coordinators = new ArrayList<>();
+
+	private final List<FakeHost> replaced = new ArrayList<>();
+
+	private final WorldSettings settings;
+
+	private final Link link;
+
+	private final LockStep lockStep;
+
+	private final FakeHost[] hosts;
+
+	private final DecisionLedger ledger;
+
+	private LongSupplier computeNanos;
+
+	private long switchMessages;
+
+	private long longestWaitNanos;
+
+	private long committedSwitches;
+
+	private long term;
+
+	private long version = 1;
+
+	SwitchWorld(WorldSettings settings, LinkPolicy policy, LongSupplier computeNanos) {
+		this.settings = settings;
+		this.link = new Link(this.queue, policy);
+		this.lockStep = new LockStep(settings.ranks(), this::completed);
+		this.hosts = new FakeHost[settings.ranks()];
+		this.ledger = new DecisionLedger(settings.ranks(), LedgerState.EMPTY);
+		this.computeNanos = computeNanos;
+	}
+
+	void start() {
+		elect();
+		leader().handle(new MapInstallRequested(map()));
+		for (int rank = 0; rank < this.hosts.length; rank++) {
+			this.hosts[rank] = newHost(rank);
+			this.hosts[rank].startSidecar();
+		}
+		tick();
+	}
+
+	int ranks() {
+		return this.hosts.length;
+	}
+
+	EventQueue queue() {
+		return this.queue;
+	}
+
+	Link link() {
+		return this.link;
+	}
+
+	LockStep lockStep() {
+		return this.lockStep;
+	}
+
+	StepAudit audit() {
+		return this.audit;
+	}
+
+	Invariants invariants() {
+		return this.invariants;
+	}
+
+	AgentSettings agentSettings() {
+		return this.settings.agent();
+	}
+
+	CoordinatorSettings coordinatorSettings() {
+		return this.settings.coordinator().get();
+	}
+
+	long loadNanos() {
+		return this.settings.loadNanos();
+	}
+
+	long switchMessages() {
+		return this.switchMessages;
+	}
+
+	long delayedSteps() {
+		return this.delayedSteps.size();
+	}
+
+	long longestWaitNanos() {
+		return this.longestWaitNanos;
+	}
+
+	long committedSwitches() {
+		return this.committedSwitches;
+	}
+
+	void resetCounters() {
+		this.switchMessages = 0;
+		this.longestWaitNanos = 0;
+		this.delayedSteps.clear();
+	}
+
+	FakeCoordinator leader() {
+		return this.coordinators.get(this.coordinators.size() - 1);
+	}
+
+	FakeHost host(int rank) {
+		return this.hosts[rank];
+	}
+
+	void computeTimes(LongSupplier nanos) {
+		this.computeNanos = nanos;
+	}
+
+	void runUntil(long time) {
+		while (this.queue.now() < time) {
+			this.queue.runNext();
+		}
+	}
+
+	void elect() {
+		this.term++;
+		this.coordinators.removeIf((coordinator) -> !coordinator.isAlive());
+		if (this.coordinators.size() == FORMER_COORDINATORS_KEPT) {
+			this.coordinators.remove(0).die();
+		}
+		this.coordinators.add(new FakeCoordinator(this, Term.of(this.term)));
+		leader().start();
+	}
+
+	MapRef requestSwitch() {
+		this.version++;
+		leader().handle(new SwitchRequested(map()));
+		return map();
+	}
+
+	void replace(int rank) {
+		FakeHost former = this.hosts[rank];
+		former.freeze();
+		this.replaced.add(former);
+		if (this.replaced.size() > REPLACED_KEPT) {
+			this.replaced.remove(0).stopSidecar();
+		}
+		this.audit.replaced(rank, this.lockStep.completed());
+		this.lockStep.restart(rank);
+		this.hosts[rank] = newHost(rank);
+		this.hosts[rank].startSidecar();
+	}
+
+	void order(SendOrder send) {
+		this.audit.told(send.order());
+		this.switchMessages++;
+		this.link.send(send.rank(), send.order(), () -> deliver(send));
+	}
+
+	void report(int rank, AgentReport report) {
+		this.ledgerAudit.reported(report);
+		if (!(report instanceof StepProgress)) {
+			this.switchMessages++;
+		}
+		for (FakeCoordinator coordinator : this.coordinators) {
+			this.link.send(rank, report, () -> coordinator.handle(new ReportReceived(report)));
+		}
+	}
+
+	void write(FakeCoordinator writer, LedgerWrite write) {
+		this.switchMessages++;
+		this.link.send(Link.LEDGER, write, () -> {
+			LedgerState before = this.ledger.state();
+			LedgerResult result = this.ledger.apply(write);
+			this.ledgerAudit.written(write, before, result.state());
+			this.link.send(Link.LEDGER, result, () -> writer.handle(new WriteDurable(write, result)));
+		});
+	}
+
+	void ended(SwitchEnded ended) {
+		if (ended.outcome() == SwitchOutcome.COMMITTED) {
+			this.committedSwitches++;
+		}
+	}
+
+	void started(int rank, long step, Optional<MapRef> weights, long waitedNanos, FakeHost host) {
+		this.audit.executed(rank, step, weights);
+		if (waitedNanos > 0) {
+			this.delayedSteps.add(step);
+			this.longestWaitNanos = Math.max(this.longestWaitNanos, waitedNanos);
+		}
+		this.queue.after(this.computeNanos.getAsLong(), () -> {
+			if (!host.isFrozen()) {
+				this.lockStep.computed(rank, step);
+			}
+		});
+	}
+
+	private MapRef map() {
+		return new MapRef(MapVersion.of(this.version), "content-" + this.version);
+	}
+
+	private FakeHost newHost(int rank) {
+		String name = "server-" + rank + "-" + this.settings.names().getAsLong();
+		return new FakeHost(this, rank, name, this.settings.ahead().applyAsInt(rank),
+				this.settings.checksFencing().test(rank));
+	}
+
+	private void deliver(SendOrder send) {
+		for (FakeHost host : this.replaced) {
+			deliver(host, send);
+		}
+		deliver(this.hosts[send.rank()], send);
+	}
+
+	private static void deliver(FakeHost host, SendOrder send) {
+		if (host.server().equals(send.addressee().server())) {
+			host.receive(send.addressee(), send.order());
+		}
+	}
+
+	private void completed(long step) {
+		for (FakeHost host : this.hosts) {
+			host.stepCompleted();
+		}
+	}
+
+	private void tick() {
+		for (int rank = 0; rank < this.hosts.length; rank++) {
+			if (!this.ledger.state().holds(rank, this.hosts[rank].member())) {
+				leader().handle(new MemberChosen(rank, this.hosts[rank].member()));
+			}
+		}
+		List.copyOf(this.coordinators).forEach((coordinator) -> coordinator.handle(new CoordinatorTick()));
+		Arrays.stream(this.hosts).forEach(FakeHost::tick);
+		this.replaced.forEach(FakeHost::tick);
+		this.queue.after(this.settings.tickNanos(), this::tick);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements and the randomised run of the expert map switch.
+ */
+package org.comfreywall.bench.mapswitch;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/BoundaryChoice.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/BoundaryChoice.java
@@ -6,7 +6,7 @@
  * @param firstStep the first step under the new map
  * @param leadSteps the steps between the estimated present step and the chosen one
  * @param leadNanos the time those steps must at least take, in nanoseconds
- * @param stepNanos the shortest step time reported, in nanoseconds
+ * @param stepNanos the step time estimated, in nanoseconds
  */
 record BoundaryChoice(long firstStep, long leadSteps, long leadNanos, long stepNanos) {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RankTable.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RankTable.java
@@ -44,16 +44,18 @@
 		return Arrays.stream(this.lastSteps).allMatch((last) -> last >= step);
 	}
 
-	// The shortest step time reported, as it needs the lead of the most steps.
+	// All ranks advance together, so the median is not misled by one rank's odd samples.
 	long stepNanos() {
-		return Arrays.stream(this.stepNanos).filter((nanos) -> nanos > 0).min().orElse(this.assumedStepNanos);
+		long[] known = Arrays.stream(this.stepNanos).filter((nanos) -> nanos > 0).sorted().toArray();
+		return (known.length > 0) ? known[(known.length - 1) / 2] : this.assumedStepNanos;
 	}
 
 	long latestStep(long now) {
 		long latest = 0;
+		long nanos = stepNanos();
 		for (int rank = 0; rank < this.lastSteps.length; rank++) {
 			if (this.lastSteps[rank] >= 0) {
-				long since = (now - this.reportedAt[rank]) / stepNanos();
+				long since = (now - this.reportedAt[rank]) / nanos;
 				latest = Math.max(latest, this.lastSteps[rank] + since);
 			}
 		}
--- /dev/null
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/StepTimerTests.java
@@ -0,0 +1,36 @@
+package org.comfreywall.group.mapswitch;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link StepTimer}.
+ */
+class StepTimerTests {
+
+	private final StepTimer timer = new StepTimer();
+
+	@Test
+	void isNotMisledByTwoStepsAllowedAtOnceAfterAPause() {
+		this.timer.started(5, true, 0);
+		this.timer.started(6, false, 100);
+		for (int i = 1; i <= 15; i++) {
+			this.timer.started(6 + i, false, 100 + i * 4_000);
+		}
+
+		assertThat(this.timer.stepNanos()).isBetween(3_500L, 4_000L);
+	}
+
+	@Test
+	void leavesOutTimeForWhichAStepWasHeld() {
+		this.timer.started(0, false, 0);
+		this.timer.started(1, true, 1_000_000);
+		for (int i = 1; i <= 16; i++) {
+			this.timer.started(1 + i, false, 1_000_000 + i * 4_000);
+		}
+
+		assertThat(this.timer.stepNanos()).isEqualTo(4_000);
+	}
+
+}
