--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 
 import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
+import org.comfreywall.bench.placement.PlacementMeasurement;
 
 /**
  * Knows the measurements by name.
@@ -20,6 +21,7 @@
 
 	static MeasurementRegistry create() {
 		return new MeasurementRegistry().add("mapswitch-random", RandomisedSwitchRun::new);
+		return new MeasurementRegistry().add("placement", PlacementMeasurement::new);
 	}
 
 	Optional<Measurement> find(String name) {
