Measure the map switch at 32 ranks and repeat stage orders less often

Change: bin/bench mapswitch measures a usual switch, one late rank, a lost decision and a coordinator that dies before or after its write. Stage orders are repeated every 5 s by default. The list of measurements compiles again.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 
 import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
+import org.comfreywall.bench.mapswitch.SwitchMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
 
 /**
@@ -20,8 +21,9 @@
 	}
 
 	static MeasurementRegistry create() {
-		return new MeasurementRegistry().add("mapswitch-random", RandomisedSwitchRun::new);
-		return new MeasurementRegistry().add("placement", PlacementMeasurement::new);
+		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
+			.add("mapswitch", SwitchMeasurement::new)
+			.add("mapswitch-random", RandomisedSwitchRun::new);
 	}
 
 	Optional<Measurement> find(String name) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchRun.java
@@ -29,6 +29,8 @@
 
 	private static final long LOAD_NANOS = Duration.ofMillis(60).toNanos();
 
+	private static final long STAGE_RETRY_NANOS = Duration.ofMillis(100).toNanos();
+
 	private static final long FAULTY_NANOS = Duration.ofSeconds(10).toNanos();
 
 	private static final long QUIET_NANOS = Duration.ofSeconds(6).toNanos();
@@ -77,8 +79,8 @@
 	}
 
 	private static CoordinatorSettings coordinator(RandomGenerator random) {
-		return new CoordinatorSettings(Duration.ofMillis(20).toNanos(), LEAD_NANOS[random.nextInt(LEAD_NANOS.length)],
-				Duration.ofSeconds(1).toNanos(), STEP_NANOS, 10);
+		return new CoordinatorSettings(Duration.ofMillis(20).toNanos(), STAGE_RETRY_NANOS,
+				LEAD_NANOS[random.nextInt(LEAD_NANOS.length)], Duration.ofSeconds(1).toNanos(), STEP_NANOS, 10);
 	}
 
 	private static void faultyWindow(SwitchWorld world, FaultyPolicy policy, FaultInjector faults) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorSettings.java
@@ -8,21 +8,24 @@
  * Settings of the coordinator of map switches.
  *
  * @param retryNanos time between repeated orders and writes, in nanoseconds
+ * @param stageRetryNanos time between repeated orders to load a map, in nanoseconds
  * @param minLeadNanos shortest time between arming the ranks and the step at which they
  * switch, in nanoseconds
  * @param maxLeadNanos longest such time, in nanoseconds
  * @param assumedStepNanos step time assumed until a rank reports one, in nanoseconds
  * @param maxAttempts attempts made to switch to one map before giving up
  */
-public record CoordinatorSettings(long retryNanos, long minLeadNanos, long maxLeadNanos, long assumedStepNanos,
-		int maxAttempts) {
+public record CoordinatorSettings(long retryNanos, long stageRetryNanos, long minLeadNanos, long maxLeadNanos,
+		long assumedStepNanos, int maxAttempts) {
 
 	/** The default settings. */
 	public static final CoordinatorSettings DEFAULT = new CoordinatorSettings(Duration.ofMillis(50).toNanos(),
-			Duration.ofMillis(400).toNanos(), Duration.ofSeconds(20).toNanos(), Duration.ofMillis(20).toNanos(), 10);
+			Duration.ofSeconds(5).toNanos(), Duration.ofMillis(400).toNanos(), Duration.ofSeconds(20).toNanos(),
+			Duration.ofMillis(20).toNanos(), 10);
 
 	public CoordinatorSettings {
 		Preconditions.check(retryNanos > 0, "retryNanos must be positive: %d", retryNanos);
+		Preconditions.check(stageRetryNanos > 0, "stageRetryNanos must be positive: %d", stageRetryNanos);
 		Preconditions.check(minLeadNanos > 0, "minLeadNanos must be positive: %d", minLeadNanos);
 		Preconditions.check(maxLeadNanos >= minLeadNanos, "maxLeadNanos must be at least minLeadNanos: %d",
 				maxLeadNanos);
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerWriter.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerWriter.java
@@ -49,4 +49,8 @@
 		return Optional.of(this.pending.peek());
 	}
 
+	void clear() {
+		this.pending.clear();
+	}
+
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RequestedSwitch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RequestedSwitch.java
@@ -29,6 +29,8 @@
 
 	private long decideBy;
 
+	private long nextStageAt = Long.MIN_VALUE;
+
 	private int attempts;
 
 	private boolean cancelled;
@@ -103,13 +105,22 @@
 	}
 
 	void forget(int rank) {
-		this.staged.clear(rank);
+		notStaged(rank);
 		this.armed.clear(rank);
 		this.released.set(rank);
 	}
 
 	void notStaged(int rank) {
 		this.staged.clear(rank);
+		this.nextStageAt = Long.MIN_VALUE;
+	}
+
+	boolean isStageDue(long now, long intervalNanos) {
+		if (now < this.nextStageAt) {
+			return false;
+		}
+		this.nextStageAt = now + intervalNanos;
+		return true;
 	}
 
 	boolean allStaged() {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchCoordinator.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchCoordinator.java
@@ -113,9 +113,7 @@
 		else {
 			requestedByControl(event);
 		}
-		if (!this.lost) {
-			this.writer.due(now).ifPresent((write) -> this.commands.add(new WriteLedger(write)));
-		}
+		this.writer.due(now).ifPresent((write) -> this.commands.add(new WriteLedger(write)));
 		return List.copyOf(this.commands);
 	}
 
@@ -186,6 +184,7 @@
 
 	private void loseTerm(Term later) {
 		this.lost = true;
+		this.writer.clear();
 		this.requested.ifPresent((wanted) -> end(wanted, SwitchOutcome.TERM_LOST));
 		this.commands.add(new TermLost(later));
 	}
@@ -384,7 +383,9 @@
 	private void repeat(RequestedSwitch wanted, long now) {
 		finishWhenReleased(wanted);
 		if (wanted.phase() == SwitchPhase.STAGING) {
-			this.sender.sendWhere((rank) -> !wanted.isStaged(rank), (number) -> new StageMap(number, wanted.map()));
+			if (wanted.isStageDue(now, this.settings.stageRetryNanos())) {
+				this.sender.sendWhere((rank) -> !wanted.isStaged(rank), (number) -> new StageMap(number, wanted.map()));
+			}
 			armWhenStaged(wanted, now);
 		}
 		else if (wanted.phase() == SwitchPhase.ARMING) {
