Add the life of a group: form, run, lose, replace, dissolve

Cause: nothing decided which member runs which rank or told a rank that stalls from one that died and from one whose messages are late.

Since ranks advance together, a silent rank is alive if the group goes on; otherwise a probe on a new connection decides. Among reporting ranks the one that computes while others wait is stalled; one that holds for a switch is not.

--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/ChooseMember.java
@@ -0,0 +1,19 @@
+package org.comfreywall.group.life;
+
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.group.mapswitch.Member;
+
+/**
+ * Has the coordinator give a rank to a member.
+ *
+ * @param rank the rank
+ * @param member the member
+ */
+public record ChooseMember(int rank, Member member) implements GroupCommand {
+
+	public ChooseMember {
+		Preconditions.notNull(member, "member");
+		Preconditions.check(rank >= 0, "rank must not be negative: %d", rank);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/LifeSettings.java
@@ -0,0 +1,31 @@
+package org.comfreywall.group.life;
+
+import java.time.Duration;
+
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Timeouts of the group life core.
+ *
+ * @param suspectNanos silence after which a rank is doubted, in nanoseconds
+ * @param probeNanos time within which a probe must be answered, in nanoseconds
+ * @param failedProbes unanswered probes in a row after which a member has failed
+ * @param stallNanos time after which a rank that holds the others back has stalled, in
+ * nanoseconds
+ * @param replaceNanos time after which a stalled rank is replaced, in nanoseconds
+ */
+public record LifeSettings(long suspectNanos, long probeNanos, int failedProbes, long stallNanos, long replaceNanos) {
+
+	/** The default settings. */
+	public static final LifeSettings DEFAULT = new LifeSettings(Duration.ofSeconds(1).toNanos(),
+			Duration.ofSeconds(1).toNanos(), 2, Duration.ofMillis(500).toNanos(), Duration.ofSeconds(10).toNanos());
+
+	public LifeSettings {
+		Preconditions.check(suspectNanos > 0, "suspectNanos must be positive: %d", suspectNanos);
+		Preconditions.check(probeNanos > 0, "probeNanos must be positive: %d", probeNanos);
+		Preconditions.check(failedProbes >= 1, "failedProbes must be at least 1: %d", failedProbes);
+		Preconditions.check(stallNanos > 0, "stallNanos must be positive: %d", stallNanos);
+		Preconditions.check(replaceNanos >= stallNanos, "replaceNanos must be at least stallNanos: %d", replaceNanos);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/ProbeFailed.java
@@ -0,0 +1,17 @@
+package org.comfreywall.group.life;
+
+import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.group.mapswitch.Member;
+
+/**
+ * A member could not be reached on a new connection.
+ *
+ * @param member the member
+ */
+public record ProbeFailed(Member member) implements GroupEvent {
+
+	public ProbeFailed {
+		Preconditions.notNull(member, "member");
+	}
+
+}
