--- /dev/null
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/report/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Text views of a group for operators.
+ */
+package org.comfreywall.group.report;
