--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -9,6 +9,8 @@
 import org.comfreywall.bench.control.ControlRandomMeasurement;
 import org.comfreywall.bench.limits.RandomLimitsMeasurement;
 import org.comfreywall.bench.config.ConfigurationMeasurement;
+import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
+import org.comfreywall.bench.mapswitch.SwitchMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
 import org.comfreywall.bench.routing.DecideMeasurement;
 import org.comfreywall.bench.routing.RouterRandomMeasurement;
@@ -35,6 +37,8 @@
 			.add("subsets", SubsetsMeasurement::new)
 			.add("routing-random", RouterRandomMeasurement::new)
 			.add("placement", PlacementMeasurement::new);
+			.add("mapswitch", SwitchMeasurement::new)
+			.add("mapswitch-random", RandomisedSwitchRun::new);
 	}
 
 	Optional<Measurement> find(String name) {
