--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -11,6 +11,16 @@
 import org.comfreywall.bench.limits.RandomLimitsMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
 import org.comfreywall.bench.request.RequestRun;
+import org.comfreywall.bench.control.ControlRandomMeasurement;
+import org.comfreywall.bench.limits.RandomLimitsMeasurement;
+import org.comfreywall.bench.config.ConfigurationMeasurement;
+import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
+import org.comfreywall.bench.mapswitch.SwitchMeasurement;
+import org.comfreywall.bench.placement.PlacementMeasurement;
+import org.comfreywall.bench.routing.DecideMeasurement;
+import org.comfreywall.bench.routing.RouterRandomMeasurement;
+import org.comfreywall.bench.routing.RoutingMeasurement;
+import org.comfreywall.bench.routing.SubsetsMeasurement;
 
 /**
  * Knows the measurements by name.
@@ -28,6 +38,16 @@
 			.add("control-random", ControlRandomMeasurement::new);
 			.add("limits-random", RandomLimitsMeasurement::new);
 			.add("request-random", RequestRun::new);
+			.add("control-random", ControlRandomMeasurement::new);
+			.add("limits-random", RandomLimitsMeasurement::new);
+		return new MeasurementRegistry().add("configuration", ConfigurationMeasurement::new)
+		return new MeasurementRegistry().add("routing", RoutingMeasurement::new)
+			.add("decide", DecideMeasurement::new)
+			.add("subsets", SubsetsMeasurement::new)
+			.add("routing-random", RouterRandomMeasurement::new)
+			.add("placement", PlacementMeasurement::new);
+			.add("mapswitch", SwitchMeasurement::new)
+			.add("mapswitch-random", RandomisedSwitchRun::new);
 	}
 
 	Optional<Measurement> find(String name) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueTypes.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueTypes.java
@@ -2,14 +2,15 @@
 
 import java.math.BigDecimal;
 import java.net.URI;
-import java.net.URISyntaxException;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Pattern;
 
@@ -128,7 +129,7 @@
 	 */
 	public static ValueType<URI> httpUrl() {
 		return new ValueType<>("URL", "", "http://HOST:PORT or https://HOST:PORT, with or without a path", false,
-				(node) -> text(node).flatMap(ValueTypes::parseUrl));
+				(node) -> text(node).flatMap(HttpUrls::parse));
 	}
 
 	/**
@@ -147,10 +148,11 @@
 	 * @return the type
 	 */
 	public static <E extends Enum<E>> ValueType<E> oneOf(Class<E> type) {
-		List<E> constants = List.of(type.getEnumConstants());
-		String allowed = String.join(", ", constants.stream().map((value) -> "\"" + lowerCase(value) + "\"").toList());
-		return new ValueType<>("choice", "", allowed, false, (node) -> text(node)
-			.flatMap((value) -> constants.stream().filter((e) -> lowerCase(e).equals(value)).findFirst()));
+		Map<String, E> constants = new LinkedHashMap<>();
+		List.of(type.getEnumConstants()).forEach((constant) -> constants.put(lowerCase(constant), constant));
+		String allowed = "\"" + String.join("\", \"", constants.keySet()) + "\"";
+		return new ValueType<>("choice", "", allowed, false,
+				(node) -> text(node).flatMap((value) -> Optional.ofNullable(constants.get(value))));
 	}
 
 	/**
@@ -188,24 +190,21 @@
 	}
 
 	private static boolean isPlain(String value) {
-		return value.codePoints()
-			.allMatch((c) -> !Character.isISOControl(c) && Character.getType(c) != Character.SURROGATE);
+		for (int i = 0; i < value.length(); i++) {
+			char c = value.charAt(i);
+			if (Character.isISOControl(c) || Character.isSurrogate(c)) {
+				return value.codePoints().allMatch(ValueTypes::isPlain);
+			}
+		}
+		return true;
 	}
 
-	private static Optional<Long> longValue(JsonNode node) {
-		return (node.isIntegralNumber() && node.canConvertToLong()) ? Optional.of(node.longValue()) : Optional.empty();
+	private static boolean isPlain(int c) {
+		return !Character.isISOControl(c) && Character.getType(c) != Character.SURROGATE;
 	}
 
-	private static Optional<URI> parseUrl(String text) {
-		try {
-			URI url = new URI(text);
-			boolean http = "http".equals(url.getScheme()) || "https".equals(url.getScheme());
-			boolean plain = url.getQuery() == null && url.getFragment() == null && url.getUserInfo() == null;
-			return (http && plain && url.getHost() != null) ? Optional.of(url) : Optional.empty();
-		}
-		catch (URISyntaxException ex) {
-			return Optional.empty();
-		}
+	private static Optional<Long> longValue(JsonNode node) {
+		return (node.isIntegralNumber() && node.canConvertToLong()) ? Optional.of(node.longValue()) : Optional.empty();
 	}
 
 	private static Optional<Path> parsePath(String text) {
