--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -9,6 +9,7 @@
 import org.comfreywall.bench.control.ControlLogMeasurement;
 import org.comfreywall.bench.control.ControlRandomMeasurement;
 import org.comfreywall.bench.limits.RandomLimitsMeasurement;
+import org.comfreywall.bench.placement.MovesMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
 import org.comfreywall.bench.request.RequestRun;
 import org.comfreywall.bench.control.ControlRandomMeasurement;
@@ -48,6 +49,7 @@
 			.add("placement", PlacementMeasurement::new);
 			.add("mapswitch", SwitchMeasurement::new)
 			.add("mapswitch-random", RandomisedSwitchRun::new);
+			.add("moves", MovesMeasurement::new);
 	}
 
 	Optional<Measurement> find(String name) {
