--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlacementMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlacementMeasurement.java
@@ -66,7 +66,7 @@
 	}
 
 	private static List<RebalancePolicy> policies(GroupShape shape) {
-		return List.of(new NeverPolicy(), new RepackPolicy(shape), new GreedyPolicy(shape),
+		return List.of(new NeverPolicy(), GreedyPolicy.repacking(shape), GreedyPolicy.incremental(shape),
 				new PricedPolicy("plume", PlacementPresets.PLUME.weights(), shape),
 				new PricedPolicy("popelar", PlacementPresets.POPELAR.weights(), shape));
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerSearch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerSearch.java
@@ -41,7 +41,6 @@
 		LayerOption stay = option(start, origin);
 		LayerOption cheapest = stay;
 		LayerOption fastest = stay;
-		double cheapestPrice = stay.price(skewCost, readCost);
 		ExchangeFinder finder = new ExchangeFinder(start, this.spread);
 		int patience = PATIENCE;
 		for (int step = 0; step < this.maximumSteps && patience > 0; step++) {
@@ -52,14 +51,13 @@
 			exchange.get().apply(start);
 			start.splitAll(SWEEPS);
 			patience--;
-			double slowest = start.slowest();
-			if (slowest < fastest.slowest() - LEAST_GAIN) {
-				fastest = option(start, origin);
+			LayerOption reached = option(start, origin);
+			if (reached.slowest() < fastest.slowest() - LEAST_GAIN) {
+				fastest = reached;
 				patience = PATIENCE;
 			}
-			if (option(start, origin).price(skewCost, readCost) < cheapestPrice - LEAST_GAIN) {
-				cheapest = option(start, origin);
-				cheapestPrice = cheapest.price(skewCost, readCost);
+			if (reached.price(skewCost, readCost) < cheapest.price(skewCost, readCost) - LEAST_GAIN) {
+				cheapest = reached;
 			}
 		}
 		return new LayerOutcome(stay, cheapest, fastest);
