--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/DecideMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/DecideMeasurement.java
@@ -56,6 +56,7 @@
 			.orElse(Double.NaN);
 		reporter.result("decision", Field.of("benchmark", name),
 				Field.of("mean-us", String.format("%.3f", time.getScore())),
+				Field.of("best-iteration-us", String.format("%.3f", time.getStatistics().getMin())),
 				Field.of("error-us", String.format("%.3f", time.getScoreError())),
 				Field.of("allocated-bytes", String.format("%.0f", allocated)));
 		reporter.atMost("decide-us-" + name, time.getScore(), TARGET_MICROS);
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/PrefixIndex.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/PrefixIndex.java
@@ -156,7 +156,8 @@
 
 	private void store(BlockHashes hashes, ServerCache cache, long sequence, long now) {
 		for (int i = 0; i < hashes.size(); i++) {
-			put(hashes.get(i), new Claim(cache, sequence, now));
+			List<Claim> held = this.blocks.computeIfAbsent(hashes.get(i), (key) -> new ArrayList<>(2));
+			put(held, new Claim(cache, sequence, now));
 		}
 		evict();
 	}
@@ -174,18 +175,18 @@
 	}
 
 	private void assume(long hash, ServerCache cache, long now) {
-		List<Claim> held = this.blocks.get(hash);
-		boolean reported = held != null && held.stream()
-			.anyMatch((claim) -> claim.cache() == cache && !claim.isAssumed() && cache.covers(claim));
-		put(hash, new Claim(cache, reported ? reportedSequence(held, cache) : Claim.ASSUMED, now));
-	}
-
-	private static long reportedSequence(List<Claim> held, ServerCache cache) {
-		return held.stream().filter((claim) -> claim.cache() == cache).findFirst().orElseThrow().sequence();
+		List<Claim> held = this.blocks.computeIfAbsent(hash, (key) -> new ArrayList<>(2));
+		for (int i = 0; i < held.size(); i++) {
+			Claim claim = held.get(i);
+			if (claim.cache() == cache) {
+				held.set(i, new Claim(cache, cache.covers(claim) ? claim.sequence() : Claim.ASSUMED, now));
+				return;
+			}
+		}
+		put(held, new Claim(cache, Claim.ASSUMED, now));
 	}
 
-	private void put(long hash, Claim claim) {
-		List<Claim> held = this.blocks.computeIfAbsent(hash, (key) -> new ArrayList<>(2));
+	private void put(List<Claim> held, Claim claim) {
 		drop(held, claim.cache());
 		held.add(claim);
 		this.claims++;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CandidateSelector.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CandidateSelector.java
@@ -1,6 +1,6 @@
 package org.comfreywall.entry.route;
 
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -29,19 +29,29 @@
 	 * @return the selection
 	 */
 	Selection select(List<Candidate> candidates, Optional<BackendServerId> sessionServer) {
-		double best = candidates.stream().mapToDouble(Candidate::nanos).min().orElseThrow();
+		double best = best(candidates);
 		Optional<Candidate> kept = sessionServer.flatMap((server) -> kept(candidates, server, best));
 		if (kept.isPresent()) {
 			return new Selection(kept.get(), 1, true);
 		}
 		double limit = best * (1 + this.settings.tieShare()) + this.settings.tieTime().toNanos();
-		List<Candidate> equal = candidates.stream()
-			.filter((candidate) -> candidate.nanos() <= limit)
-			.sorted(Comparator.comparingDouble(Candidate::nanos))
-			.toList();
+		List<Candidate> equal = new ArrayList<>(candidates.size());
+		for (Candidate candidate : candidates) {
+			if (candidate.nanos() <= limit) {
+				equal.add(candidate);
+			}
+		}
 		return new Selection(equal.get(this.random.nextInt(equal.size())), equal.size(), false);
 	}
 
+	private static double best(List<Candidate> candidates) {
+		double best = Double.MAX_VALUE;
+		for (Candidate candidate : candidates) {
+			best = Math.min(best, candidate.nanos());
+		}
+		return best;
+	}
+
 	private Optional<Candidate> kept(List<Candidate> candidates, BackendServerId server, double best) {
 		double limit = best + this.settings.sessionYield().toNanos();
 		return candidates.stream()
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/LoadEstimate.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/LoadEstimate.java
@@ -28,14 +28,21 @@
 
 	private Optional<LoadReport> report = Optional.empty();
 
+	private double tokensPerSecond;
+
+	private long stepNanos;
+
+	private double finishedPerSecond;
+
 	private int inFlight;
 
 	LoadEstimate(ServerProfile profile) {
-		this.profile = profile;
+		update(profile);
 	}
 
 	void update(ServerProfile next) {
 		this.profile = next;
+		refreshRates();
 	}
 
 	/**
@@ -48,6 +55,7 @@
 			return false;
 		}
 		this.report = Optional.of(next);
+		refreshRates();
 		this.unreported.values().removeIf((sent) -> sent.sentAt() <= next.measuredAt());
 		this.finishedSince.removeIf((time) -> time <= next.measuredAt());
 		this.backlog.reset(next.queuedTokens(), next.measuredAt());
@@ -103,13 +111,11 @@
 	}
 
 	double tokensPerSecond() {
-		double reported = this.report.map(LoadReport::prefillTokensPerSecond).orElse(0.0);
-		return (reported > 0) ? reported : this.profile.prefillTokensPerSecond();
+		return this.tokensPerSecond;
 	}
 
 	long stepNanos() {
-		long reported = this.report.map(LoadReport::stepNanos).orElse(0L);
-		return (reported > 0) ? reported : this.profile.stepTime().toNanos();
+		return this.stepNanos;
 	}
 
 	/**
@@ -122,8 +128,7 @@
 		if (excess <= 0) {
 			return 0;
 		}
-		double finishedPerSecond = this.report.map(LoadReport::finishedPerSecond).orElse(0.0);
-		return (finishedPerSecond > 0) ? excess * 1e9 / finishedPerSecond : (double) excess * stepNanos();
+		return (this.finishedPerSecond > 0) ? excess * 1e9 / this.finishedPerSecond : (double) excess * this.stepNanos;
 	}
 
 	/**
@@ -132,7 +137,15 @@
 	 * @return the age in nanoseconds, -1 if there was none
 	 */
 	long reportAge(long now) {
-		return this.report.map((last) -> Math.max(0, now - last.measuredAt())).orElse(-1L);
+		return this.report.isEmpty() ? -1 : Math.max(0, now - this.report.get().measuredAt());
+	}
+
+	private void refreshRates() {
+		double rate = this.report.map(LoadReport::prefillTokensPerSecond).orElse(0.0);
+		long step = this.report.map(LoadReport::stepNanos).orElse(0L);
+		this.tokensPerSecond = (rate > 0) ? rate : this.profile.prefillTokensPerSecond();
+		this.stepNanos = (step > 0) ? step : this.profile.stepTime().toNanos();
+		this.finishedPerSecond = this.report.map(LoadReport::finishedPerSecond).orElse(0.0);
 	}
 
 	private void addToBacklog(InFlight sent) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/OutlierEjector.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/OutlierEjector.java
@@ -50,7 +50,7 @@
 	}
 
 	boolean shareHolds(Collection<ServerState> subset, long now) {
-		return ejected(subset, now).size() <= maxEjected(subset);
+		return countEjected(subset, now) <= maxEjected(subset);
 	}
 
 	private boolean hasRoom(ServerState server, Collection<ServerState> subset, long now) {
@@ -58,10 +58,21 @@
 	}
 
 	private int maxEjected(Collection<ServerState> subset) {
-		long active = subset.stream().filter((server) -> !server.isLeaving()).count();
+		int active = 0;
+		for (ServerState server : subset) {
+			active += server.isLeaving() ? 0 : 1;
+		}
 		return (int) Math.floor(this.settings.maxShare() * active);
 	}
 
+	private static int countEjected(Collection<ServerState> subset, long now) {
+		int count = 0;
+		for (ServerState server : subset) {
+			count += (!server.isLeaving() && server.isEjected(now)) ? 1 : 0;
+		}
+		return count;
+	}
+
 	private static List<ServerState> ejected(Collection<ServerState> subset, long now) {
 		return subset.stream().filter((server) -> !server.isLeaving() && server.isEjected(now)).toList();
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SlowStart.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SlowStart.java
@@ -1,5 +1,6 @@
 package org.comfreywall.entry.route;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.random.RandomGenerator;
 
@@ -26,7 +27,12 @@
 	 * @return the servers that take part; all if none would be left
 	 */
 	List<ServerState> admit(List<ServerState> servers, long now) {
-		List<ServerState> admitted = servers.stream().filter((server) -> admits(server, now)).toList();
+		List<ServerState> admitted = new ArrayList<>(servers.size());
+		for (ServerState server : servers) {
+			if (admits(server, now)) {
+				admitted.add(server);
+			}
+		}
 		return admitted.isEmpty() ? servers : admitted;
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetMatching.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetMatching.java
@@ -23,7 +23,7 @@
 final class SubsetMatching {
 
 	/** Sum of the servers' quotas over the places to fill. */
-	private static final double QUOTA_FACTOR = 1.005;
+	private static final double QUOTA_FACTOR = 1.02;
 
 	private static final int MAX_PROPOSALS_PER_PLACE = 64;
 
@@ -57,7 +57,8 @@
 		this.proposals = new int[entries.size()];
 		double mean = (double) size * entries.size() / servers.size();
 		this.accepted = new int[servers.size()][];
-		Arrays.setAll(this.accepted, (server) -> new int[quota(mean, this.serverSeeds[server])]);
+		int[] quotas = quotas(mean);
+		Arrays.setAll(this.accepted, (server) -> new int[quotas[server]]);
 		this.acceptedCount = new int[servers.size()];
 		this.maxProposals = size * MAX_PROPOSALS_PER_PLACE;
 		Arrays.fill(this.missing, size);
@@ -74,11 +75,21 @@
 		return result();
 	}
 
-	private static int quota(double mean, long seed) {
-		// Rounding by hash lets the sum of the quotas change smoothly with the numbers of
-		// entries and servers.
-		double fraction = (Hashes.mix(~seed) >>> 11) * 0x1.0p-53;
-		return Math.max(1, (int) Math.floor(mean * QUOTA_FACTOR + fraction));
+	/**
+	 * Computes the servers' quotas, rounded up or down by their rank among the hashes, so
+	 * that their sum follows the numbers of entries and servers.
+	 * @param mean the mean number of entries for a server
+	 * @return the quota of each server
+	 */
+	private int[] quotas(double mean) {
+		long[] sorted = this.serverSeeds.clone();
+		Arrays.sort(sorted);
+		int[] quotas = new int[sorted.length];
+		for (int server = 0; server < quotas.length; server++) {
+			double fraction = (Arrays.binarySearch(sorted, this.serverSeeds[server]) + 0.5) / sorted.length;
+			quotas[server] = Math.max(1, (int) Math.floor(mean * QUOTA_FACTOR + fraction));
+		}
+		return quotas;
 	}
 
 	private void propose(int entry, Deque<Integer> waiting) {
