Register each measurement with a statement of its own

Cause: the chained calls of branches that each add measurements merged into text that does not compile.

Change: one statement a measurement, sorted by name.

Measured: the registry lists every measurement once.

Conclusion: two branches can add a measurement without a conflict.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -6,18 +6,15 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 
+import org.comfreywall.bench.config.ConfigurationMeasurement;
 import org.comfreywall.bench.control.ControlLogMeasurement;
 import org.comfreywall.bench.control.ControlRandomMeasurement;
 import org.comfreywall.bench.limits.RandomLimitsMeasurement;
-import org.comfreywall.bench.placement.MovesMeasurement;
-import org.comfreywall.bench.placement.PlacementMeasurement;
-import org.comfreywall.bench.request.RequestRun;
-import org.comfreywall.bench.control.ControlRandomMeasurement;
-import org.comfreywall.bench.limits.RandomLimitsMeasurement;
-import org.comfreywall.bench.config.ConfigurationMeasurement;
 import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
 import org.comfreywall.bench.mapswitch.SwitchMeasurement;
+import org.comfreywall.bench.placement.MovesMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
+import org.comfreywall.bench.request.RequestRun;
 import org.comfreywall.bench.routing.DecideMeasurement;
 import org.comfreywall.bench.routing.RouterRandomMeasurement;
 import org.comfreywall.bench.routing.RoutingMeasurement;
@@ -34,22 +31,21 @@
 	}
 
 	static MeasurementRegistry create() {
-		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
-			.add("control-log", ControlLogMeasurement::new)
-			.add("control-random", ControlRandomMeasurement::new);
-			.add("limits-random", RandomLimitsMeasurement::new);
-			.add("request-random", RequestRun::new);
-			.add("control-random", ControlRandomMeasurement::new);
-			.add("limits-random", RandomLimitsMeasurement::new);
-		return new MeasurementRegistry().add("configuration", ConfigurationMeasurement::new)
-		return new MeasurementRegistry().add("routing", RoutingMeasurement::new)
-			.add("decide", DecideMeasurement::new)
-			.add("subsets", SubsetsMeasurement::new)
-			.add("routing-random", RouterRandomMeasurement::new)
-			.add("placement", PlacementMeasurement::new);
-			.add("mapswitch", SwitchMeasurement::new)
-			.add("mapswitch-random", RandomisedSwitchRun::new);
-			.add("moves", MovesMeasurement::new);
+		MeasurementRegistry registry = new MeasurementRegistry();
+		registry.add("configuration", ConfigurationMeasurement::new);
+		registry.add("control-log", ControlLogMeasurement::new);
+		registry.add("control-random", ControlRandomMeasurement::new);
+		registry.add("decide", DecideMeasurement::new);
+		registry.add("limits-random", RandomLimitsMeasurement::new);
+		registry.add("mapswitch", SwitchMeasurement::new);
+		registry.add("mapswitch-random", RandomisedSwitchRun::new);
+		registry.add("moves", MovesMeasurement::new);
+		registry.add("placement", PlacementMeasurement::new);
+		registry.add("request-random", RequestRun::new);
+		registry.add("routing", RoutingMeasurement::new);
+		registry.add("routing-random", RouterRandomMeasurement::new);
+		registry.add("subsets", SubsetsMeasurement::new);
+		return registry;
 	}
 
 	Optional<Measurement> find(String name) {
@@ -60,9 +56,8 @@
 		return this.measurements.keySet();
 	}
 
-	private MeasurementRegistry add(String name, Supplier<Measurement> measurement) {
+	private void add(String name, Supplier<Measurement> measurement) {
 		this.measurements.put(name, measurement);
-		return this;
 	}
 
 }
