Budget retries, bound queues by time and measure overload

Cause: retries had no bound, and the concurrency limit compared means that favour short requests, so that it fell to its minimum.

Change: retries and hedges come out of budgets of client account and service and of the service; the concurrency limit measures by Little's law and relearns its baseline with a third of the requests; admission leaves three mean run times before a deadline; entries ask only where they want or give back something.

--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/RetryStorm.java
@@ -0,0 +1,69 @@
+package org.comfreywall.bench.overload;
+
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.AccountId;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.id.ServiceId;
+import org.comfreywall.entry.request.RetryCause;
+import org.comfreywall.entry.request.RetryQuery;
+import org.comfreywall.entry.retry.RetryController;
+import org.comfreywall.entry.retry.RetrySettings;
+
+/**
+ * Requests whose every attempt fails.
+ */
+final class RetryStorm {
+
+	private static final ServiceId SERVICE = ServiceId.of("drafting");
+
+	private static final long REMAINING_NANOS = 60_000_000_000L;
+
+	private final RandomGenerator random;
+
+	private final RetryController controller;
+
+	private final int accounts;
+
+	RetryStorm(long seed, int accounts) {
+		this.random = new SplittableRandom(seed);
+		this.controller = new RetryController(RetrySettings.DEFAULT, this.random, DecisionListener.NONE);
+		this.accounts = accounts;
+	}
+
+	void healthy(int requests) {
+		for (int i = 0; i < requests; i++) {
+			this.controller.firstAttempt(account(), SERVICE);
+			this.controller.answered(SERVICE, this.random.nextLong(100_000_000));
+		}
+	}
+
+	/**
+	 * Fails every attempt and counts them.
+	 * @param requests the number of requests
+	 * @return attempts for each request
+	 */
+	double amplification(int requests) {
+		long attempts = 0;
+		for (int i = 0; i < requests; i++) {
+			AccountId account = account();
+			RequestId id = RequestId.of("request-" + i);
+			this.controller.firstAttempt(account, SERVICE);
+			int made = 1;
+			while (this.controller
+				.decide(new RetryQuery(id, account, SERVICE, made, RetryCause.CRASHED, REMAINING_NANOS))
+				.allowed()) {
+				made++;
+			}
+			attempts += made;
+		}
+		return (double) attempts / requests;
+	}
+
+	private AccountId account() {
+		return AccountId.of("account-" + this.random.nextInt(this.accounts));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements of admission and retries under overload.
+ */
+package org.comfreywall.bench.overload;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
@@ -23,6 +23,8 @@
 	/** Holders of one client account that are tracked at a time. */
 	static final int MAX_HOLDERS = 4096;
 
+	private static final int MANY_HOLDERS = 100;
+
 	private static final long DIVISION_INTERVAL_NANOS = 100_000_000;
 
 	private static final double ROUNDING = 1e-6;
@@ -124,7 +126,9 @@
 	}
 
 	private void divideIfDue(long now) {
-		if (this.dividedAt != Long.MIN_VALUE && now - this.dividedAt < DIVISION_INTERVAL_NANOS) {
+		long interval = (this.holders.size() < MANY_HOLDERS) ? DIVISION_INTERVAL_NANOS
+				: this.context.terms().askInterval().toNanos();
+		if (this.dividedAt != Long.MIN_VALUE && now - this.dividedAt < interval) {
 			return;
 		}
 		this.dividedAt = now;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionController.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionController.java
@@ -39,6 +39,10 @@
 
 	private static final double SMALLEST_RATE_SHARE = 0.02;
 
+	private static final double RUN_TIME_SMOOTHING = 0.02;
+
+	private static final double RUN_TIME_MARGIN = 3;
+
 	private final AdmissionSettings settings;
 
 	private final RandomGenerator random;
@@ -57,6 +61,8 @@
 
 	private final Map<PriorityClass, WorkRate> startedRates = new EnumMap<>(PriorityClass.class);
 
+	private double nanosPerCost;
+
 	/**
 	 * Creates a controller with nothing queued or running.
 	 * @param settings the settings
@@ -112,7 +118,11 @@
 		if (this.invariants.holds(ended != null, "finished-request-was-running", Field.of("request", id))) {
 			double cost = ended.request().cost();
 			this.finishedRate.add(cost, now);
-			this.concurrency.ended(kind, (now - ended.startedAt()) / cost, now);
+			double nanosPerCost = (now - ended.startedAt()) / cost;
+			this.concurrency.ended(kind, cost, now);
+			if (kind == FinishKind.ANSWERED) {
+				this.nanosPerCost += RUN_TIME_SMOOTHING * (nanosPerCost - this.nanosPerCost);
+			}
 		}
 		return tick(now);
 	}
@@ -180,7 +190,8 @@
 		if (wait > bound) {
 			return AdmissionResult.of(refuse(request, RefusalReason.WAIT_TOO_LONG, wait - bound));
 		}
-		if (now + wait >= request.deadline()) {
+		long latestStart = request.deadline() - (long) (RUN_TIME_MARGIN * this.nanosPerCost * request.cost());
+		if (now + wait >= latestStart) {
 			return AdmissionResult.of(refuse(request, RefusalReason.DEADLINE, wait));
 		}
 		List<AdmissionCommand> commands = new ArrayList<>(1);
@@ -192,14 +203,14 @@
 			this.waiting.remove(displaced.get().request().id());
 			commands.add(shed(displaced.get().request(), RefusalReason.DISPLACED, now));
 		}
-		long until = Math.min(now + bound, request.deadline());
+		long until = Math.min(now + bound, latestStart);
 		this.waiting.add(request, now, until);
 		return new AdmissionResult(new Queued(until), commands);
 	}
 
 	private void start(AdmissionRequest request, long now) {
 		this.running.put(request.id(), new RunningRequest(request, now));
-		this.concurrency.running(this.running.size());
+		this.concurrency.started(request.cost(), now);
 		this.startedRates.get(request.priority()).add(request.cost(), now);
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionSettings.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionSettings.java
@@ -21,7 +21,7 @@
 
 	/** The settings used unless others are given. */
 	public static final AdmissionSettings DEFAULT = new AdmissionSettings(QueueBounds.DEFAULT, 4096, 4, 64, 8192,
-			Duration.ofMillis(200), 1.5);
+			Duration.ofMillis(200), 1.4);
 
 	public AdmissionSettings {
 		Preconditions.notNull(bounds, "bounds");
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/AccountShares.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/AccountShares.java
@@ -1,5 +1,7 @@
 package org.comfreywall.entry.limit;
 
+import java.util.Optional;
+
 import org.comfreywall.common.id.AccountId;
 import org.comfreywall.common.lease.AccountDemand;
 import org.comfreywall.common.lease.AccountGrant;
@@ -78,7 +80,14 @@
 		this.grantedAt = now;
 	}
 
-	AccountDemand demand(GrantorRole role, boolean asked, long now) {
+	/**
+	 * Works out what to ask a grantor for.
+	 * @param role the grantor
+	 * @param asked whether to ask for more, or only to give back
+	 * @param now the time in nanoseconds
+	 * @return the demand, or empty if there is nothing to ask for or to give back
+	 */
+	Optional<AccountDemand> demand(GrantorRole role, boolean asked, long now) {
 		GrantedShare share = share(role);
 		boolean active = asked && isActive(now);
 		double horizon = active ? HORIZON_INTERVALS * this.terms.askInterval().toNanos() : 0;
@@ -94,8 +103,13 @@
 		long smallest = active ? smallestTokens(expected, expectedTokens) : 0;
 		long requests = Math.max(0, Math.round(expected) + waits - stock);
 		long tokens = Math.max(0, expectedTokens + waits * smallest - share.tokens(now));
-		return new AccountDemand(this.account, requests, tokens, Math.min(smallest, tokens), share.takeRefund(), slots,
-				share.slots(now), share.heldTerm(), share.heldSequence(), share.used());
+		boolean wants = requests > 0 || tokens > 0 || slots > share.used();
+		if (!wants && !share.hasToGiveBack(now)) {
+			return Optional.empty();
+		}
+		share.reported(now);
+		return Optional.of(new AccountDemand(this.account, requests, tokens, Math.min(smallest, tokens),
+				share.takeRefund(), slots, share.slots(now), share.heldTerm(), share.heldSequence(), share.used()));
 	}
 
 	/**
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantedShare.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantedShare.java
@@ -34,6 +34,8 @@
 
 	private long used;
 
+	private long believed;
+
 	GrantedShare(long heldSequence) {
 		this.heldSequence = heldSequence;
 	}
@@ -48,6 +50,7 @@
 			this.heldSequence = sequence;
 			this.heldTerm = term;
 		}
+		this.believed = Math.max(this.believed, grant.slots());
 	}
 
 	boolean canAdmit(long tokens, long now) {
@@ -90,6 +93,19 @@
 		this.slots = Math.min(this.slots, wanted);
 	}
 
+	/**
+	 * Tells whether the grantor should hear of slots given up or of refunds.
+	 * @param now the time in nanoseconds
+	 * @return {@code true} if there is something to give back
+	 */
+	boolean hasToGiveBack(long now) {
+		return this.refund > 0 || Math.max(slots(now), this.used) < this.believed;
+	}
+
+	void reported(long now) {
+		this.believed = Math.max(slots(now), this.used);
+	}
+
 	long takeRefund() {
 		long result = this.refund;
 		this.refund = 0;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
@@ -269,9 +269,9 @@
 		List<AccountDemand> primaryDemands = new ArrayList<>(all.size());
 		List<AccountDemand> reserveDemands = new ArrayList<>();
 		for (AccountShares shares : all) {
-			primaryDemands.add(shares.demand(GrantorRole.PRIMARY, true, now));
+			shares.demand(GrantorRole.PRIMARY, true, now).ifPresent(primaryDemands::add);
 			if (useReserve || shares.share(GrantorRole.RESERVE).isInUse(now)) {
-				reserveDemands.add(shares.demand(GrantorRole.RESERVE, useReserve, now));
+				shares.demand(GrantorRole.RESERVE, useReserve, now).ifPresent(reserveDemands::add);
 			}
 			shares.asked(now);
 			this.urgent.remove(shares);
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/LatencyHistogram.java
@@ -0,0 +1,70 @@
+package org.comfreywall.entry.retry;
+
+import java.util.OptionalLong;
+
+/**
+ * A histogram of recent latencies with logarithmic buckets, in which older latencies
+ * count ever less.
+ */
+final class LatencyHistogram {
+
+	private static final int BUCKETS_PER_OCTAVE = 8;
+
+	private static final int FIRST_OCTAVE = 10;
+
+	private static final int OCTAVES = 32;
+
+	private static final int HALVING_COUNT = 4096;
+
+	private static final int MIN_SAMPLES = 100;
+
+	private final long[] counts = new long[BUCKETS_PER_OCTAVE * OCTAVES];
+
+	private long total;
+
+	void add(long nanos) {
+		this.counts[bucket(nanos)]++;
+		this.total++;
+		if (this.total >= HALVING_COUNT) {
+			halve();
+		}
+	}
+
+	/**
+	 * Returns an upper bound of a quantile, at most an eighth of an octave above it.
+	 * @param quantile the share of latencies below
+	 * @return the latency in nanoseconds, or empty while there are too few samples
+	 */
+	OptionalLong quantile(double quantile) {
+		if (this.total < MIN_SAMPLES) {
+			return OptionalLong.empty();
+		}
+		long below = 0;
+		for (int i = 0; i < this.counts.length; i++) {
+			below += this.counts[i];
+			if (below >= quantile * this.total) {
+				return OptionalLong.of(upperBound(i));
+			}
+		}
+		return OptionalLong.of(upperBound(this.counts.length - 1));
+	}
+
+	private void halve() {
+		this.total = 0;
+		for (int i = 0; i < this.counts.length; i++) {
+			this.counts[i] /= 2;
+			this.total += this.counts[i];
+		}
+	}
+
+	private static int bucket(long nanos) {
+		double octave = Math.log(Math.max(1, nanos)) / Math.log(2) - FIRST_OCTAVE;
+		int index = (int) Math.floor(octave * BUCKETS_PER_OCTAVE);
+		return Math.max(0, Math.min(index, BUCKETS_PER_OCTAVE * OCTAVES - 1));
+	}
+
+	private static long upperBound(int bucket) {
+		return (long) Math.pow(2, FIRST_OCTAVE + (bucket + 1.0) / BUCKETS_PER_OCTAVE);
+	}
+
+}
--- /dev/null
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Retries and hedges within budgets and callers' deadlines.
+ */
+package org.comfreywall.entry.retry;
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/limit/LimitEnforcerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/limit/LimitEnforcerTests.java
@@ -117,6 +117,19 @@
 				.isNotInstanceOf(LimitAdmitted.class);
 		}
 
+		@Test
+		void ofSlotsLapseFromTheSendingOfTheAsk() {
+			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.ask, 0, 0, 4), 2900 * MILLI);
+			assertThat(LimitEnforcerTests.this.enforcer.slots(ACCOUNT, 2990 * MILLI)).isEqualTo(4);
+			assertThat(LimitEnforcerTests.this.enforcer.slots(ACCOUNT, 2999 * MILLI)).isZero();
+		}
+
+		@Test
+		void ofSlotsAreIgnoredWhenTheyArriveAfterTheirTerm() {
+			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.ask, 0, 0, 4), 3000 * MILLI);
+			assertThat(LimitEnforcerTests.this.enforcer.slots(ACCOUNT, 3000 * MILLI)).isZero();
+		}
+
 		@Test
 		void areTakenOnceWhenDoubled() {
 			LeaseGrant grant = answer(this.ask, 1, 0, 4);
