--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -13,6 +13,9 @@
 import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
 import org.comfreywall.bench.mapswitch.SwitchMeasurement;
 import org.comfreywall.bench.placement.MovesMeasurement;
+import org.comfreywall.bench.limits.LimitsMeasurement;
+import org.comfreywall.bench.limits.RandomLimitsMeasurement;
+import org.comfreywall.bench.overload.OverloadMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
 import org.comfreywall.bench.request.RequestRun;
 import org.comfreywall.bench.routing.DecideMeasurement;
@@ -46,6 +49,10 @@
 		registry.add("routing-random", RouterRandomMeasurement::new);
 		registry.add("subsets", SubsetsMeasurement::new);
 		return registry;
+		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
+			.add("limits", LimitsMeasurement::new)
+			.add("limits-random", RandomLimitsMeasurement::new)
+			.add("overload", OverloadMeasurement::new);
 	}
 
 	Optional<Measurement> find(String name) {
