Say that a change came first when its author is forgotten

The control instances may no longer know the change that won a conflict; the message then named nobody. It now says that another change came first and at which revision the configuration is. 87 tests of the module pass.

--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ChangeSubmitter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ChangeSubmitter.java
@@ -84,8 +84,7 @@
 
 	private static SubmittedChange conflict(SubmitConflict conflict, JsonObject json) {
 		List<String> lines = List.of(
-				"conflict: " + conflict.winnerAuthor() + " changed the configuration first, change-id "
-						+ conflict.winnerChangeId() + "; it is at revision " + conflict.revision(),
+				"conflict: " + winner(conflict) + "; the configuration is at revision " + conflict.revision(),
 				conflict.message(),
 				"next: fetch it with comfreywall get --output FILE, make your change there and apply FILE");
 		json.put("revision", conflict.revision())
@@ -95,4 +94,9 @@
 		return new SubmittedChange(new Report(ExitCode.CONFLICT, lines, json), OptionalLong.empty());
 	}
 
+	private static String winner(SubmitConflict conflict) {
+		return conflict.winnerAuthor().isBlank() ? "another change came first"
+				: conflict.winnerAuthor() + " changed the configuration first, change-id " + conflict.winnerChangeId();
+	}
+
 }
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/ApplyCommandTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/ApplyCommandTests.java
@@ -92,6 +92,14 @@
 		assertThat(run.out()).contains("bo changed the configuration first", "c4", "revision 5", "next: fetch it");
 	}
 
+	@Test
+	void reportsConflictWhoseWinnerIsForgotten() {
+		this.daemon.on(CHANGES, 409, "{\"error\":{\"code\":\"CONFLICT\",\"message\":\"past\",\"revision\":900}}");
+		CommandRun run = applyFile();
+		assertThat(run.exit()).isEqualTo(ExitCode.CONFLICT);
+		assertThat(run.out()).contains("another change came first; the configuration is at revision 900");
+	}
+
 	@Test
 	void refusesInvalidFileWithoutAskingTheDaemon() throws IOException {
 		Files.writeString(this.file, "[[failure-domian]]\n");
