Run the life of a group under random deaths, stalls and silence

Cause: the verdicts on ranks had unit tests only. The run found four faults: a silent rank was blamed for what it last reported, a silent rank was blamed from the time the group stood rather than from when all others waited, a gap in reports counted as stall, and a rank whose report was older than the group's step was blamed though the group had gone on.

Change: stalls are judged from fresh reports at the group's step only; a gap restarts the time; a silent rank is blamed once all others waited long enough. Each fault has a focused test. bin/bench group-life-random is new.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 
+import org.comfreywall.bench.life.RandomisedLifeRun;
 import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
 import org.comfreywall.bench.mapswitch.SwitchMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
@@ -22,6 +23,7 @@
 
 	static MeasurementRegistry create() {
 		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
+			.add("group-life-random", RandomisedLifeRun::new)
 			.add("mapswitch", SwitchMeasurement::new)
 			.add("mapswitch-random", RandomisedSwitchRun::new);
 	}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The randomised run of the life of a group.
+ */
+package org.comfreywall.bench.life;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupLife.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupLife.java
@@ -155,8 +155,7 @@
 			return;
 		}
 		RankRecord record = held.get();
-		record.heard(now);
-		record.moved(heartbeat.step(), heartbeat.activity(), now);
+		record.reported(heartbeat.step(), heartbeat.activity(), !isFresh(record, now), now);
 		if (heartbeat.step() > this.groupStep) {
 			this.groupStep = heartbeat.step();
 			this.groupMovedAt = now;
@@ -221,9 +220,14 @@
 	}
 
 	private void checkStalled(RankRecord record, long now) {
-		boolean holdsBack = record.activity() == EngineActivity.COMPUTING
-				&& this.ranks.stream().anyMatch((other) -> other.activity() == EngineActivity.WAITING_FOR_PEERS);
-		long since = now - record.movedAt();
+		boolean groupWentOn = record.step() >= 0 && this.groupStep > record.step() + 1;
+		if (groupWentOn) {
+			return;
+		}
+		boolean fresh = isFresh(record, now);
+		boolean holdsBack = fresh ? record.activity() == EngineActivity.COMPUTING && anyWaits()
+				: onlyOneNotWaiting(record, now);
+		long since = now - (fresh ? record.movedAt() : Math.max(record.reportedAt(), othersMovedAt(record)));
 		if (holdsBack && since >= this.settings.replaceNanos() && this.spares.size() > 0) {
 			become(record, RankHealth.FAILED, "stalled-too-long");
 		}
@@ -232,6 +236,28 @@
 		}
 	}
 
+	private boolean isFresh(RankRecord record, long now) {
+		return now - record.reportedAt() < this.settings.suspectNanos();
+	}
+
+	private boolean anyWaits() {
+		return this.ranks.stream().anyMatch((other) -> other.activity() == EngineActivity.WAITING_FOR_PEERS);
+	}
+
+	private boolean onlyOneNotWaiting(RankRecord record, long now) {
+		return this.ranks.stream()
+			.filter((other) -> other != record)
+			.allMatch((other) -> other.activity() == EngineActivity.WAITING_FOR_PEERS && isFresh(other, now));
+	}
+
+	private long othersMovedAt(RankRecord record) {
+		return this.ranks.stream()
+			.filter((other) -> other != record)
+			.mapToLong(RankRecord::movedAt)
+			.max()
+			.orElse(this.groupMovedAt);
+	}
+
 	private void fillEmptyRanks(long now) {
 		for (RankRecord record : this.ranks) {
 			boolean expired = now - record.chosenAt() >= this.settings.suspectNanos();
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/RankRecord.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/RankRecord.java
@@ -25,6 +25,8 @@
 
 	private long heardAt;
 
+	private long reportedAt;
+
 	private long movedAt;
 
 	private long chosenAt;
@@ -65,6 +67,10 @@
 		return this.heardAt;
 	}
 
+	long reportedAt() {
+		return this.reportedAt;
+	}
+
 	long movedAt() {
 		return this.movedAt;
 	}
@@ -101,6 +107,7 @@
 		this.activity = EngineActivity.LOADING;
 		this.step = NEVER;
 		this.movedAt = now;
+		this.reportedAt = now;
 		heard(now);
 	}
 
@@ -115,8 +122,11 @@
 		this.failedProbes = 0;
 	}
 
-	void moved(long newStep, EngineActivity newActivity, long now) {
-		if (newStep > this.step || newActivity != this.activity) {
+	void reported(long newStep, EngineActivity newActivity, boolean afterGap, long now) {
+		heard(now);
+		this.reportedAt = now;
+		// What the engine did during a gap in its reports is not known.
+		if (newStep > this.step || newActivity != this.activity || afterGap) {
 			this.movedAt = now;
 		}
 		this.step = Math.max(this.step, newStep);
--- a/comfreywall-group/src/test/java/org/comfreywall/group/life/GroupLifeTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/life/GroupLifeTests.java
@@ -119,6 +119,50 @@
 		assertThat(healthOfSecond()).isEqualTo(RankHealth.HEALTHY);
 	}
 
+	@Test
+	void doesNotBlameSilentRankForWhatItLastReportedWhileAnotherComputes() {
+		heartbeat(this.second, 3, EngineActivity.COMPUTING, 10);
+		heartbeat(this.first, 3, EngineActivity.COMPUTING, 110);
+		this.life.handle(new GroupTick(), 111);
+		this.life.handle(new ProbeAnswered(this.second), 112);
+		heartbeat(this.first, 3, EngineActivity.COMPUTING, 190);
+
+		assertThat(this.life.handle(new GroupTick(), 200)).isEmpty();
+		assertThat(healthOfSecond()).isEqualTo(RankHealth.LATE);
+	}
+
+	@Test
+	void doesNotBlameRankWhoseReportIsOlderThanTheGroupsStep() {
+		heartbeat(this.second, 3, EngineActivity.COMPUTING, 10);
+		heartbeat(this.first, 8, EngineActivity.WAITING_FOR_PEERS, 60);
+
+		assertThat(this.life.handle(new GroupTick(), 95)).isEmpty();
+		assertThat(healthOfSecond()).isEqualTo(RankHealth.HEALTHY);
+	}
+
+	@Test
+	void doesNotCountGapInReportsAsStall() {
+		heartbeat(this.second, 3, EngineActivity.COMPUTING, 10);
+		heartbeat(this.first, 3, EngineActivity.WAITING_FOR_PEERS, 111);
+		heartbeat(this.second, 3, EngineActivity.COMPUTING, 112);
+
+		assertThat(this.life.handle(new GroupTick(), 113)).isEmpty();
+		assertThat(healthOfSecond()).isEqualTo(RankHealth.HEALTHY);
+	}
+
+	@Test
+	void blamesSilentRankOnceAllOthersHaveWaitedLongEnough() {
+		heartbeat(this.second, 3, EngineActivity.COMPUTING, 10);
+		heartbeat(this.first, 3, EngineActivity.WAITING_FOR_PEERS, 110);
+		this.life.handle(new GroupTick(), 111);
+		this.life.handle(new ProbeAnswered(this.second), 112);
+
+		assertThat(this.life.handle(new GroupTick(), 149)).isEmpty();
+		assertThat(this.life.handle(new GroupTick(), 150)).containsExactly(new WithdrawGroup());
+		heartbeat(this.first, 3, EngineActivity.WAITING_FOR_PEERS, 180);
+		assertThat(this.life.handle(new GroupTick(), 190)).containsExactly(new ChooseMember(1, this.spare));
+	}
+
 	@Test
 	void releasesMembersWhenDissolved() {
 		assertThat(this.life.handle(new DissolveRequested(), 3)).containsExactly(new WithdrawGroup(),
