--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -10,6 +10,7 @@
 import org.comfreywall.bench.control.ControlLogMeasurement;
 import org.comfreywall.bench.control.ControlRandomMeasurement;
 import org.comfreywall.bench.limits.RandomLimitsMeasurement;
+import org.comfreywall.bench.life.RandomisedLifeRun;
 import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
 import org.comfreywall.bench.mapswitch.SwitchMeasurement;
 import org.comfreywall.bench.placement.MovesMeasurement;
@@ -53,6 +54,9 @@
 			.add("limits", LimitsMeasurement::new)
 			.add("limits-random", RandomLimitsMeasurement::new)
 			.add("overload", OverloadMeasurement::new);
+			.add("group-life-random", RandomisedLifeRun::new)
+			.add("mapswitch", SwitchMeasurement::new)
+			.add("mapswitch-random", RandomisedSwitchRun::new);
 	}
 
 	Optional<Measurement> find(String name) {
