Measure the grantor's processor time, not the time passed

Cause: the time passed in the ledger grew with whatever else ran on the machine: 26 microseconds a demand when it was busy.

Change: the simulated grantor counts its thread's processor time.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
@@ -1,5 +1,7 @@
 package org.comfreywall.bench.limits;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.List;
 import java.util.Optional;
 
@@ -21,6 +23,8 @@
  */
 final class SimulatedGrantor {
 
+	private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
 	private final FleetSettings settings;
 
 	private final boolean primary;
@@ -62,9 +66,9 @@
 	Optional<LeaseGrant> answer(LeaseRequest request, long trueTime) {
 		this.asks++;
 		this.demands += request.demands().size();
-		long start = System.nanoTime();
+		long start = THREADS.getCurrentThreadCpuTime();
 		List<LedgerCommand> commands = this.ledger.handle(new LeaseRequested(request), this.clock.read(trueTime));
-		this.busyNanos += System.nanoTime() - start;
+		this.busyNanos += THREADS.getCurrentThreadCpuTime() - start;
 		return commands.stream().map((command) -> ((SendGrant) command).grant()).findFirst();
 	}
 
