--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryNode.java
@@ -265,6 +265,7 @@
 		SidecarNode sidecar = this.world.sidecar(server.value());
 		boolean[] answered = new boolean[1];
 		EntryLink former = link();
+		this.silent.remove(server.value());
 		this.world.send(this, sidecar, () -> {
 			sidecar.receive(new LinkLost(former));
 			boolean same = sidecar.incarnation().equals(life);
@@ -285,7 +286,6 @@
 
 	private void reconnected(BackendServerId server, Incarnation life, boolean same) {
 		this.connection++;
-		this.silent.remove(server.value());
 		if (same) {
 			handle(new ConnectionLost(server, life));
 			handle(new ConnectionRestored(server, life));
@@ -325,7 +325,7 @@
 		this.views.clear();
 		this.silent.clear();
 		this.unguarded.clear();
-		this.guard = new FlightGuard(GUARD);
+		this.guard = new FlightGuard(GUARD, this.world.now());
 		this.tracker = new RequestTracker(SETTINGS,
 				(query) -> (query.attempts() < MAX_ATTEMPTS) ? RetryDecision.after(Duration.ofMillis(5))
 						: RetryDecision.stop("attempts"),
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomFaults.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomFaults.java
@@ -123,7 +123,7 @@
 		return Duration.ofNanos(1_000L * this.random.nextInt(100, 2_000));
 	}
 
-	private static boolean isSilent(Node one, Node other) {
+	static boolean isSilent(Node one, Node other) {
 		return one instanceof EntryNode entry && other instanceof SidecarNode && entry.isSilent(other.name());
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuard.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuard.java
@@ -26,12 +26,19 @@
 	/** Fingerprints in the order of their last change; at most the capacity. */
 	private final Map<Fingerprint, Flight> flights = new LinkedHashMap<>();
 
+	private final long startedAt;
+
 	/**
 	 * Creates a guard that knows no fingerprint.
+	 * <p>
+	 * For the flight time after its start it sends requests with unknown fingerprints to
+	 * the ledger of poison requests, because a former guard may have known a loss.
 	 * @param settings the bounds
+	 * @param now the time in nanoseconds
 	 */
-	public FlightGuard(FlightGuardSettings settings) {
+	public FlightGuard(FlightGuardSettings settings, long now) {
 		this.settings = Preconditions.notNull(settings, "settings");
+		this.startedAt = now;
 	}
 
 	/**
@@ -47,6 +54,10 @@
 		Preconditions.notNull(request, "request");
 		expire(now);
 		Flight flight = this.flights.get(Preconditions.notNull(fingerprint, "fingerprint"));
+		boolean starting = now - this.startedAt < this.settings.flightTime().toNanos();
+		if (flight == null && starting && !cleared) {
+			return FlightPermit.SUSPECT;
+		}
 		boolean forgiven = cleared && flight != null && flight.state() == FlightState.LOST;
 		if (flight == null || forgiven || flight.isOver(now, this.settings.flightTime().toNanos())) {
 			put(fingerprint, new Flight(FlightState.FIRST_RUN, request, now));
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestLife.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestLife.java
@@ -133,6 +133,17 @@
 		}
 	}
 
+	// A claim that is held already stays: a late copy of its release could meet a new
+	// one.
+	void sendOrRoute() {
+		if (this.claim.isGranted()) {
+			send(this.target.orElseThrow());
+		}
+		else {
+			route();
+		}
+	}
+
 	void isolate() {
 		enter(RequestPhase.ISOLATING);
 		this.isolation.ask();
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestMachine.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestMachine.java
@@ -136,12 +136,12 @@
 		this.life.context().record(DecisionKind.QUARANTINE, id(), result.name().toLowerCase(Locale.ROOT));
 		if (result == IsolationResult.GRANTED) {
 			this.life.isolation().grant();
-			this.life.route();
+			this.life.sendOrRoute();
 		}
 		else if (result == IsolationResult.NOT_SUSPECTED) {
 			this.life.isolation().clear();
 			this.life.flight().clear();
-			this.life.route();
+			this.life.sendOrRoute();
 		}
 		else if (result == IsolationResult.QUARANTINED) {
 			this.life.giveUp(RequestErrors.quarantined());
@@ -169,7 +169,6 @@
 		}
 		else {
 			this.life.isolation().suspect();
-			this.life.claim().release();
 			this.life.isolate();
 		}
 	}
