--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuard.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuard.java
@@ -1,8 +1,10 @@
 package org.comfreywall.entry.request;
 
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 import org.comfreywall.common.id.RequestId;
 import org.comfreywall.common.poison.Fingerprint;
@@ -21,6 +23,8 @@
  */
 public final class FlightGuard {
 
+	private static final int MAX_SENT_TO_LEDGER = 1_000;
+
 	private final FlightGuardSettings settings;
 
 	/** Fingerprints in the order of their last change; at most the capacity. */
@@ -58,7 +62,8 @@
 		if (flight == null && starting && !cleared) {
 			return FlightPermit.SUSPECT;
 		}
-		boolean forgiven = cleared && flight != null && flight.state() == FlightState.LOST;
+		boolean forgiven = cleared && flight != null && flight.state() == FlightState.LOST
+				&& flight.sentToLedger().contains(request);
 		if (flight == null || forgiven || flight.isOver(now, this.settings.flightTime().toNanos())) {
 			put(fingerprint, new Flight(FlightState.FIRST_RUN, request, now));
 			return FlightPermit.GO;
@@ -118,7 +123,20 @@
 
 	}
 
-	private record Flight(FlightState state, RequestId request, long changedAt) {
+	/**
+	 * What is known about one fingerprint.
+	 *
+	 * @param state how the last run ended, or that it lasts
+	 * @param request the request of the last run
+	 * @param changedAt the time of the last change in nanoseconds
+	 * @param sentToLedger the requests sent to the ledger after a loss; an answer that a
+	 * request had asked for before the loss says nothing about it
+	 */
+	private record Flight(FlightState state, RequestId request, long changedAt, Set<RequestId> sentToLedger) {
+
+		Flight(FlightState state, RequestId request, long changedAt) {
+			this(state, request, changedAt, new HashSet<>());
+		}
 
 		boolean isOver(long now, long flightNanos) {
 			return this.state == FlightState.FIRST_RUN && now - this.changedAt >= flightNanos;
@@ -126,6 +144,9 @@
 
 		FlightPermit permit(RequestId asking) {
 			if (this.state == FlightState.LOST) {
+				if (this.sentToLedger.size() < MAX_SENT_TO_LEDGER) {
+					this.sentToLedger.add(asking);
+				}
 				return FlightPermit.SUSPECT;
 			}
 			boolean allowed = this.state == FlightState.SURVIVED || this.request.equals(asking);
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/request/FlightGuardTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/request/FlightGuardTests.java
@@ -51,6 +51,7 @@
 	void letsOneRequestRunAfterLedgerClearedTheFingerprint() {
 		ask(FIRST, 0);
 		end(FIRST, FlightEnd.LOST, 1);
+		assertThat(this.guard.ask(BODY, SECOND, true, 2)).isEqualTo(FlightPermit.SUSPECT);
 		assertThat(this.guard.ask(BODY, SECOND, true, 2)).isEqualTo(FlightPermit.GO);
 		assertThat(this.guard.ask(BODY, FIRST, true, 2)).isEqualTo(FlightPermit.WAIT);
 	}
