--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/request/FlightGuardTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/request/FlightGuardTests.java
@@ -22,7 +22,7 @@
 	private static final RequestId SECOND = RequestId.of("second");
 
 	private final FlightGuard guard = new FlightGuard(
-			new FlightGuardSettings(Duration.ofNanos(10), Duration.ofNanos(100), 2));
+			new FlightGuardSettings(Duration.ofNanos(10), Duration.ofNanos(100), 2), -10);
 
 	@Test
 	void holdsBackOthersDuringFirstRun() {
@@ -51,10 +51,19 @@
 	void letsOneRequestRunAfterLedgerClearedTheFingerprint() {
 		ask(FIRST, 0);
 		end(FIRST, FlightEnd.LOST, 1);
+		assertThat(this.guard.ask(BODY, SECOND, true, 2)).isEqualTo(FlightPermit.SUSPECT);
 		assertThat(this.guard.ask(BODY, SECOND, true, 2)).isEqualTo(FlightPermit.GO);
 		assertThat(this.guard.ask(BODY, FIRST, true, 2)).isEqualTo(FlightPermit.WAIT);
 	}
 
+	@Test
+	void sendsUnknownFingerprintsToLedgerAfterItsStart() {
+		FlightGuard started = new FlightGuard(new FlightGuardSettings(Duration.ofNanos(10), Duration.ofNanos(100), 2),
+				0);
+		assertThat(started.ask(BODY, FIRST, false, 9)).isEqualTo(FlightPermit.SUSPECT);
+		assertThat(started.ask(BODY, FIRST, true, 9)).isEqualTo(FlightPermit.GO);
+	}
+
 	@Test
 	void letsNextRunAfterUndecidedEnd() {
 		ask(FIRST, 0);
