--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Fleet.java
@@ -0,0 +1,309 @@
+package org.comfreywall.bench.spread;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.FencingNumber;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.control.member.ControlNode;
+import org.comfreywall.control.member.MemberEntries;
+import org.comfreywall.control.member.MembershipSettings;
+import org.comfreywall.control.spread.Delta;
+import org.comfreywall.control.spread.EntryChange;
+import org.comfreywall.control.spread.Floor;
+import org.comfreywall.control.spread.NodeDescriptor;
+import org.comfreywall.control.spread.NodeRole;
+import org.comfreywall.control.spread.Peer;
+import org.comfreywall.control.spread.SpreadCodec;
+import org.comfreywall.control.spread.SpreadCommand;
+import org.comfreywall.control.spread.SpreadCore;
+import org.comfreywall.control.spread.SpreadEvent;
+import org.comfreywall.control.spread.SpreadMessage;
+import org.comfreywall.control.spread.SpreadNode;
+import org.comfreywall.control.spread.SpreadSettings;
+import org.comfreywall.control.spread.Version;
+
+/**
+ * Drives the real cores of many nodes in virtual time; the replicated log is replaced by
+ * a list of accepted revisions.
+ */
+final class Fleet {
+
+	private static final long FOLLOWER_DELAY_NANOS = Duration.ofMillis(100).toNanos();
+
+	private static final long READ_DELAY_NANOS = Duration.ofMillis(150).toNanos();
+
+	private final VirtualTime time = new VirtualTime();
+
+	private final Map<InstanceId, FleetNode> nodes = new LinkedHashMap<>();
+
+	private final List<NodeDescriptor> controls = new ArrayList<>();
+
+	private final List<Delta> accepted = new ArrayList<>();
+
+	private final SpreadSettings settings = SpreadSettings.DEFAULTS;
+
+	private final Random random;
+
+	private final Network network;
+
+	private final FleetListener listener;
+
+	private DecisionListener decisions = DecisionListener.NONE;
+
+	private boolean measured;
+
+	private boolean views;
+
+	private Term term = Term.ZERO;
+
+	private Optional<InstanceId> leader = Optional.empty();
+
+	private FencingNumber lastOrder = FencingNumber.ZERO;
+
+	Fleet(long seed, Network network, FleetListener listener) {
+		this.random = new Random(seed);
+		this.network = network;
+		this.listener = listener;
+	}
+
+	void decisions(DecisionListener decisions) {
+		this.decisions = decisions;
+	}
+
+	/**
+	 * Encodes and decodes each message and counts bytes and processor time.
+	 * @param measured whether to do so
+	 */
+	void measured(boolean measured) {
+		this.measured = measured;
+	}
+
+	/**
+	 * Keeps a decoded view of the members at each entry.
+	 */
+	void withViews() {
+		this.views = true;
+	}
+
+	VirtualTime time() {
+		return this.time;
+	}
+
+	Collection<FleetNode> nodes() {
+		return this.nodes.values();
+	}
+
+	FleetNode node(InstanceId id) {
+		return this.nodes.get(id);
+	}
+
+	List<NodeDescriptor> controls() {
+		return this.controls;
+	}
+
+	Optional<InstanceId> leader() {
+		return this.leader;
+	}
+
+	Term term() {
+		return this.term;
+	}
+
+	Version lastAccepted() {
+		return this.accepted.isEmpty() ? Version.ZERO : this.accepted.get(this.accepted.size() - 1).to();
+	}
+
+	List<Delta> accepted() {
+		return this.accepted;
+	}
+
+	void lastOrder(FencingNumber number) {
+		this.lastOrder = number;
+	}
+
+	void add(NodeDescriptor descriptor) {
+		this.nodes.put(descriptor.id(), new FleetNode(descriptor));
+		if (descriptor.role() == NodeRole.CONTROL) {
+			this.controls.add(descriptor);
+		}
+	}
+
+	void start(InstanceId id) {
+		FleetNode node = this.nodes.get(id);
+		NodeDescriptor before = node.descriptor();
+		NodeDescriptor life = new NodeDescriptor(id, Incarnation.of(before.incarnation().value() + 1), before.role(),
+				before.region(), before.domain(), before.address());
+		SpreadCore core = (life.role() == NodeRole.CONTROL)
+				? new ControlNode(life, this.controls, this.settings, MembershipSettings.DEFAULTS, this.random,
+						this.decisions)
+				: new SpreadNode(life, this.controls, this.settings, MemberEntries::activeNodes, this.random,
+						this.decisions);
+		node.start(life, core);
+		if (life.role() == NodeRole.CONTROL) {
+			List<Delta> onDisk = this.accepted.subList(0, node.accepted());
+			onDisk.forEach((delta) -> handle(node, new SpreadEvent.Accepted(delta)));
+		}
+		long phase = (long) (this.random.nextDouble() * this.settings.tickInterval().toNanos());
+		this.time.after(phase, () -> tick(node, core));
+	}
+
+	void crash(InstanceId id) {
+		this.nodes.get(id).crash();
+	}
+
+	/**
+	 * Makes a control instance the leader of a new term.
+	 * @param id the instance
+	 * @param informed the control instances that learn of it
+	 */
+	void elect(InstanceId id, Collection<InstanceId> informed) {
+		this.term = this.term.next();
+		this.leader = Optional.of(id);
+		Term elected = this.term;
+		informed.forEach(
+				(control) -> handle(this.nodes.get(control), new SpreadEvent.LeaderChanged(elected, Optional.of(id))));
+	}
+
+	void accept(List<EntryChange> changes, Collection<InstanceId> informed) {
+		Version held = lastAccepted();
+		Delta delta = new Delta(held, new Version(this.term, held.number() + 1), changes);
+		this.accepted.add(delta);
+		int count = this.accepted.size();
+		for (InstanceId id : informed) {
+			long delay = this.leader.filter(id::equals).isPresent() ? 0 : FOLLOWER_DELAY_NANOS;
+			FleetNode node = this.nodes.get(id);
+			SpreadCore core = node.core();
+			this.time.after(delay, () -> acceptIfNext(node, core, delta, count));
+		}
+	}
+
+	/**
+	 * Hands a control instance all accepted revisions that it has missed.
+	 * @param id the instance
+	 */
+	void catchUp(InstanceId id) {
+		FleetNode node = this.nodes.get(id);
+		List<Delta> missed = List.copyOf(this.accepted.subList(node.accepted(), this.accepted.size()));
+		node.accepted(this.accepted.size());
+		missed.forEach((delta) -> handle(node, new SpreadEvent.Accepted(delta)));
+		handle(node, new SpreadEvent.LeaderChanged(this.term, this.leader));
+	}
+
+	void handle(FleetNode node, SpreadEvent event) {
+		if (!node.isAlive()) {
+			return;
+		}
+		long before = this.measured ? System.nanoTime() : 0;
+		List<SpreadCommand> commands = node.core().on(event, this.time.now());
+		if (this.measured) {
+			node.traffic().spent(System.nanoTime() - before);
+		}
+		commands.forEach((command) -> carryOut(node, command));
+	}
+
+	void run(Duration duration) {
+		this.time.runUntil(this.time.now() + duration.toNanos());
+	}
+
+	private void tick(FleetNode node, SpreadCore core) {
+		if (node.isAlive() && node.core() == core) {
+			handle(node, new SpreadEvent.Tick());
+			this.time.after(this.settings.tickInterval().toNanos(), () -> tick(node, core));
+		}
+	}
+
+	private void acceptIfNext(FleetNode node, SpreadCore core, Delta delta, int count) {
+		if (node.isAlive() && node.core() == core && node.accepted() == count - 1) {
+			node.accepted(count);
+			handle(node, new SpreadEvent.Accepted(delta));
+		}
+	}
+
+	private void handleIfSame(FleetNode node, SpreadCore core, SpreadEvent event) {
+		if (node.core() == core) {
+			handle(node, event);
+		}
+	}
+
+	private void carryOut(FleetNode node, SpreadCommand command) {
+		if (command instanceof SpreadCommand.Send send) {
+			send(node, send.to(), send.message());
+			return;
+		}
+		this.listener.onCommand(node, command);
+		if (command instanceof SpreadCommand.ReadFloor read) {
+			readFloor(node, read.token());
+		}
+		else if (command instanceof SpreadCommand.ConfigurationInForce configuration) {
+			node.inForce(configuration.version(), this.time.now());
+		}
+		else if (command instanceof SpreadCommand.MembersInForce members && this.views) {
+			node.view().apply(members.changes(), members.whole());
+		}
+	}
+
+	private void readFloor(FleetNode node, long token) {
+		SpreadCore core = node.core();
+		boolean connected = this.leader.isPresent() && this.nodes.get(this.leader.get()).isAlive()
+				&& isConnected(node.descriptor(), this.nodes.get(this.leader.get()).descriptor());
+		if (connected) {
+			Floor floor = new Floor(lastAccepted(), this.lastOrder);
+			this.time.after(READ_DELAY_NANOS, () -> handleIfSame(node, core, new SpreadEvent.FloorRead(token, floor)));
+		}
+	}
+
+	private boolean isConnected(NodeDescriptor one, NodeDescriptor other) {
+		return one.id().equals(other.id())
+				|| (this.network.delay(one, other).isPresent() && this.network.delay(other, one).isPresent());
+	}
+
+	private void send(FleetNode from, Peer to, SpreadMessage message) {
+		FleetNode target = this.nodes.get(to.id());
+		if (target == null) {
+			return;
+		}
+		NodeDescriptor sender = from.descriptor();
+		this.listener.onSent(sender, target.descriptor(), message);
+		byte[] encoded = this.measured ? encode(from, message) : null;
+		OptionalLong delay = this.network.delay(sender, target.descriptor());
+		delay.ifPresent((nanos) -> this.time.after(nanos, () -> deliver(sender, target, message, encoded)));
+		if (delay.isPresent() && this.network.duplicates()) {
+			long late = delay.getAsLong() + (long) (this.random.nextDouble() * Duration.ofSeconds(2).toNanos());
+			this.time.after(late, () -> deliver(sender, target, message, encoded));
+		}
+	}
+
+	private byte[] encode(FleetNode from, SpreadMessage message) {
+		long before = System.nanoTime();
+		byte[] encoded = SpreadCodec.encode(message);
+		from.traffic().spent(System.nanoTime() - before);
+		from.traffic().sent(encoded.length);
+		return encoded;
+	}
+
+	private void deliver(NodeDescriptor sender, FleetNode target, SpreadMessage message, byte[] encoded) {
+		if (!target.isAlive()) {
+			return;
+		}
+		this.listener.onDelivered(sender, target.descriptor(), message);
+		if (encoded != null) {
+			long before = System.nanoTime();
+			SpreadCodec.decode(encoded);
+			target.traffic().spent(System.nanoTime() - before);
+			target.traffic().received(encoded.length);
+		}
+		handle(target, new SpreadEvent.Received(Peer.of(sender), message));
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetNode.java
@@ -0,0 +1,95 @@
+package org.comfreywall.bench.spread;
+
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.control.member.MemberView;
+import org.comfreywall.control.spread.NodeDescriptor;
+import org.comfreywall.control.spread.SpreadCore;
+import org.comfreywall.control.spread.Version;
+
+/**
+ * One node of a fleet, over all its lives.
+ */
+final class FleetNode {
+
+	private final Traffic traffic = new Traffic();
+
+	private NodeDescriptor descriptor;
+
+	private SpreadCore core;
+
+	private boolean alive;
+
+	private Version inForce = Version.ZERO;
+
+	private long inForceAt;
+
+	private int accepted;
+
+	private MemberView view = new MemberView();
+
+	FleetNode(NodeDescriptor descriptor) {
+		this.descriptor = descriptor;
+	}
+
+	InstanceId id() {
+		return this.descriptor.id();
+	}
+
+	NodeDescriptor descriptor() {
+		return this.descriptor;
+	}
+
+	SpreadCore core() {
+		return this.core;
+	}
+
+	boolean isAlive() {
+		return this.alive;
+	}
+
+	void start(NodeDescriptor life, SpreadCore started) {
+		this.descriptor = life;
+		this.core = started;
+		this.alive = true;
+		this.inForce = Version.ZERO;
+		this.view = new MemberView();
+	}
+
+	void crash() {
+		this.alive = false;
+	}
+
+	Version inForce() {
+		return this.inForce;
+	}
+
+	long inForceAt() {
+		return this.inForceAt;
+	}
+
+	void inForce(Version version, long now) {
+		this.inForce = version;
+		this.inForceAt = now;
+	}
+
+	/**
+	 * Returns how many accepted revisions a control instance holds on disk.
+	 * @return the count
+	 */
+	int accepted() {
+		return this.accepted;
+	}
+
+	void accepted(int count) {
+		this.accepted = count;
+	}
+
+	MemberView view() {
+		return this.view;
+	}
+
+	Traffic traffic() {
+		return this.traffic;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/OrderTraffic.java
@@ -0,0 +1,144 @@
+package org.comfreywall.bench.spread;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+import org.comfreywall.common.decision.DecisionListener;
+import org.comfreywall.common.id.FencingNumber;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.control.order.EngineOrder;
+import org.comfreywall.control.order.OrderCommand;
+import org.comfreywall.control.order.OrderEvent;
+import org.comfreywall.control.order.OrderIssuer;
+import org.comfreywall.control.order.OrderKind;
+import org.comfreywall.control.order.OrderReply;
+import org.comfreywall.control.order.OrderStatus;
+import org.comfreywall.sidecar.fence.EngineFencing;
+import org.comfreywall.sidecar.fence.OrderFence;
+
+/**
+ * Orders of all control instances, one of them leading rightly, to engines that ignore
+ * fencing numbers and outlive their sidecars.
+ */
+final class OrderTraffic {
+
+	private final Map<InstanceId, OrderIssuer> issuers = new HashMap<>();
+
+	private final Map<InstanceId, OrderFence> fences = new HashMap<>();
+
+	private final Map<InstanceId, FencingNumber> engines = new HashMap<>();
+
+	private final Fleet fleet;
+
+	private final Network network;
+
+	private final Violations violations;
+
+	private long accepted;
+
+	private long fenced;
+
+	OrderTraffic(Fleet fleet, Network network, Violations violations) {
+		this.fleet = fleet;
+		this.network = network;
+		this.violations = violations;
+	}
+
+	long accepted() {
+		return this.accepted;
+	}
+
+	long fenced() {
+		return this.fenced;
+	}
+
+	void controlStarted(InstanceId control) {
+		this.issuers.put(control, new OrderIssuer(DecisionListener.NONE));
+	}
+
+	void sidecarStarted(InstanceId sidecar) {
+		this.fences.put(sidecar, new OrderFence(sidecar, EngineFencing.CHECKED_BY_SIDECAR, DecisionListener.NONE));
+	}
+
+	void floorLearnt(InstanceId sidecar, FencingNumber floor) {
+		if (this.fences.containsKey(sidecar)) {
+			this.fences.get(sidecar).learnFloor(floor);
+		}
+	}
+
+	void elected(InstanceId control, Term term) {
+		on(control, new OrderEvent.LeadershipGained(term));
+		this.fleet.lastOrder(this.issuers.get(control).last());
+	}
+
+	void request(InstanceId control, InstanceId sidecar, int version) {
+		on(control, new OrderEvent.Requested(sidecar, OrderKind.LOAD_VERSION, "model", Integer.toString(version)));
+		tick(control);
+	}
+
+	void tick(InstanceId control) {
+		on(control, new OrderEvent.Tick());
+	}
+
+	private void on(InstanceId control, OrderEvent event) {
+		OrderIssuer issuer = this.issuers.get(control);
+		if (!this.fleet.node(control).isAlive()) {
+			return;
+		}
+		List<OrderCommand> commands = issuer.on(event, this.fleet.time().now());
+		if (this.fleet.leader().filter(control::equals).isPresent() && issuer.last().term().equals(this.fleet.term())) {
+			this.fleet.lastOrder(issuer.last());
+		}
+		for (OrderCommand command : commands) {
+			if (command instanceof OrderCommand.SendOrder send) {
+				transmit(control, send.order().target(), () -> arrive(control, send.order()));
+			}
+		}
+	}
+
+	private void transmit(InstanceId from, InstanceId to, Runnable arrival) {
+		int copies = this.network.duplicates() ? 2 : 1;
+		for (int i = 0; i < copies; i++) {
+			OptionalLong delay = this.network.delay(this.fleet.node(from).descriptor(),
+					this.fleet.node(to).descriptor());
+			delay.ifPresent((nanos) -> this.fleet.time().after(nanos, arrival));
+		}
+	}
+
+	private void arrive(InstanceId control, EngineOrder order) {
+		OrderFence fence = this.fences.get(order.target());
+		if (!this.fleet.node(order.target()).isAlive()) {
+			return;
+		}
+		Result<FencingNumber> admitted = fence.admit(order.number());
+		if (admitted.value().isPresent()) {
+			run(order);
+			fence.ended();
+		}
+		OrderReply reply = new OrderReply(order.target(), order.number(), status(admitted), fence.present(), "");
+		transmit(order.target(), control, () -> on(control, new OrderEvent.Replied(reply)));
+	}
+
+	private void run(EngineOrder order) {
+		FencingNumber before = this.engines.getOrDefault(order.target(), FencingNumber.ZERO);
+		this.violations.check(!order.number().isBefore(before), "older-order-accepted", "%s took %s after %s",
+				order.target(), order.number(), before);
+		this.engines.put(order.target(), order.number());
+		this.accepted++;
+	}
+
+	private OrderStatus status(Result<FencingNumber> admitted) {
+		if (admitted.value().isPresent()) {
+			return OrderStatus.DONE;
+		}
+		boolean old = admitted.error().orElseThrow().code() == ErrorCode.FENCED;
+		this.fenced += old ? 1 : 0;
+		return old ? OrderStatus.FENCED : OrderStatus.NOT_READY;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/RegionalNetwork.java
@@ -0,0 +1,46 @@
+package org.comfreywall.bench.spread;
+
+import java.util.OptionalLong;
+import java.util.Random;
+
+import org.comfreywall.control.spread.NodeDescriptor;
+
+/**
+ * Delays as within and between seven regions spread over the globe.
+ */
+final class RegionalNetwork implements Network {
+
+	private static final long MICROS = 1_000;
+
+	private static final long WITHIN_DOMAIN_MICROS = 250;
+
+	private static final long WITHIN_REGION_MICROS = 1_000;
+
+	private static final long NEAREST_REGION_MICROS = 20_000;
+
+	private static final long STEP_MICROS = 25_000;
+
+	private final Random random;
+
+	RegionalNetwork(long seed) {
+		this.random = new Random(seed);
+	}
+
+	@Override
+	public OptionalLong delay(NodeDescriptor from, NodeDescriptor to) {
+		long base = base(from, to) * MICROS;
+		return OptionalLong.of(base + (long) (this.random.nextDouble() * base / 5));
+	}
+
+	private static long base(NodeDescriptor from, NodeDescriptor to) {
+		if (from.domain().equals(to.domain())) {
+			return WITHIN_DOMAIN_MICROS;
+		}
+		if (from.region().equals(to.region())) {
+			return WITHIN_REGION_MICROS;
+		}
+		int distance = Math.abs(from.region().hashCode() - to.region().hashCode()) % 6;
+		return NEAREST_REGION_MICROS + distance * STEP_MICROS;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomRun.java
@@ -0,0 +1,337 @@
+package org.comfreywall.bench.spread;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import org.comfreywall.common.id.FailureDomainId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.control.spread.Delta;
+import org.comfreywall.control.spread.DeltaUpdate;
+import org.comfreywall.control.spread.EntryChange;
+import org.comfreywall.control.spread.NodeDescriptor;
+import org.comfreywall.control.spread.NodeRole;
+import org.comfreywall.control.spread.Peer;
+import org.comfreywall.control.spread.SpreadCommand;
+import org.comfreywall.control.spread.SpreadEvent;
+import org.comfreywall.control.spread.SpreadMessage;
+import org.comfreywall.control.spread.SpreadNode;
+import org.comfreywall.control.spread.StreamId;
+import org.comfreywall.control.spread.Version;
+
+/**
+ * Alternates between disturbing a fleet at random and letting it settle.
+ */
+final class SpreadRandomRun {
+
+	private static final int CONTROLS = 5;
+
+	private static final int NODES = 40;
+
+	private static final int DOMAINS = 4;
+
+	private static final int STEPS_A_ROUND = 1_000;
+
+	private static final Duration STEP = Duration.ofMillis(30);
+
+	private static final Duration SETTLE = Duration.ofSeconds(45);
+
+	private static final Duration LEAVE_LIMIT = Duration.ofSeconds(2);
+
+	private final Random random;
+
+	private final ChaosNetwork network;
+
+	private final Violations violations = new Violations();
+
+	private final FleetWatcher watcher = new FleetWatcher(this.violations);
+
+	private final Fleet fleet;
+
+	private final OrderTraffic orders;
+
+	private final List<InstanceId> controls = new ArrayList<>();
+
+	private final List<InstanceId> nodes = new ArrayList<>();
+
+	private final Set<InstanceId> leaving = new HashSet<>();
+
+	private long steps;
+
+	private int orderVersion;
+
+	SpreadRandomRun(long seed) {
+		this.random = new Random(seed);
+		this.network = new ChaosNetwork(this.random.nextLong());
+		this.fleet = new Fleet(this.random.nextLong(), this.network, new Listener());
+		this.fleet.withViews();
+		this.watcher.watch(this.fleet);
+		this.orders = new OrderTraffic(this.fleet, this.network, this.violations);
+	}
+
+	Violations violations() {
+		return this.violations;
+	}
+
+	Fleet fleet() {
+		return this.fleet;
+	}
+
+	OrderTraffic orders() {
+		return this.orders;
+	}
+
+	FleetWatcher watcher() {
+		return this.watcher;
+	}
+
+	void run(long limit) {
+		populate();
+		while (this.steps < limit) {
+			settle();
+			disturb(Math.min(STEPS_A_ROUND, limit - this.steps));
+		}
+		settle();
+	}
+
+	private void populate() {
+		for (int i = 0; i < CONTROLS; i++) {
+			this.controls.add(add("control-" + i, NodeRole.CONTROL, i % DOMAINS));
+		}
+		for (int i = 0; i < NODES; i++) {
+			this.nodes.add(add("node-" + i, ((i / DOMAINS) % 3 == 0) ? NodeRole.ENTRY : NodeRole.SIDECAR, i % DOMAINS));
+		}
+		this.controls.forEach(this::start);
+		elect();
+		this.nodes.forEach(this::start);
+	}
+
+	private InstanceId add(String id, NodeRole role, int domain) {
+		this.fleet.add(new NodeDescriptor(InstanceId.of(id), Incarnation.ZERO, role, "region-" + domain / 2,
+				FailureDomainId.of("domain-" + domain), id + ":7000"));
+		return InstanceId.of(id);
+	}
+
+	private void start(InstanceId id) {
+		this.leaving.remove(id);
+		this.watcher.started(id);
+		if (this.controls.contains(id)) {
+			this.orders.controlStarted(id);
+		}
+		else {
+			this.orders.sidecarStarted(id);
+		}
+		this.fleet.start(id);
+	}
+
+	private void disturb(long count) {
+		this.watcher.calm(false);
+		for (long i = 0; i < count; i++) {
+			this.steps++;
+			act(this.random.nextInt(100));
+			this.fleet.run(STEP);
+		}
+	}
+
+	private void act(int dice) {
+		if (dice < 6) {
+			accept();
+		}
+		else if (dice < 9) {
+			toggle(pick(this.nodes));
+		}
+		else if (dice < 10) {
+			toggle(pick(this.controls));
+		}
+		else if (dice < 13) {
+			this.network.cut(pick(all()), pick(all()));
+		}
+		else if (dice < 14) {
+			boolean in = this.random.nextBoolean();
+			this.network.isolate(pick(all()), all(), in, !in || this.random.nextBoolean());
+		}
+		else if (dice < 16) {
+			this.network.disturb();
+		}
+		else if (dice < 20) {
+			this.network.mendSome();
+		}
+		else if (dice < 21) {
+			elect();
+		}
+		else if (dice < 23) {
+			informOfLeader(pick(this.controls));
+		}
+		else if (dice < 25) {
+			leave(pick(this.nodes));
+		}
+		else if (dice < 29) {
+			sendStaleRevision(pick(this.nodes));
+		}
+		else if (dice < 39) {
+			this.orders.request(pick(this.controls), pick(this.nodes), this.orderVersion++);
+		}
+	}
+
+	private List<InstanceId> all() {
+		List<InstanceId> all = new ArrayList<>(this.controls);
+		all.addAll(this.nodes);
+		return all;
+	}
+
+	private <T> T pick(List<T> list) {
+		return list.get(this.random.nextInt(list.size()));
+	}
+
+	private void toggle(InstanceId id) {
+		if (!this.fleet.node(id).isAlive()) {
+			start(id);
+		}
+		else if (!this.controls.contains(id) || deadControls() < CONTROLS / 2) {
+			this.fleet.crash(id);
+		}
+	}
+
+	private long deadControls() {
+		return this.controls.stream().filter((id) -> !this.fleet.node(id).isAlive()).count();
+	}
+
+	private List<InstanceId> connected(InstanceId control) {
+		return this.controls.stream()
+			.filter((id) -> this.fleet.node(id).isAlive())
+			.filter((id) -> id.equals(control) || this.network.connects(control, id))
+			.toList();
+	}
+
+	private boolean hasQuorum(InstanceId control) {
+		return this.fleet.node(control).isAlive() && connected(control).size() > CONTROLS / 2;
+	}
+
+	private void accept() {
+		Optional<InstanceId> leader = this.fleet.leader().filter(this::hasQuorum);
+		if (leader.isPresent() && this.fleet.node(leader.get()).accepted() == this.fleet.accepted().size()) {
+			EntryChange change = EntryChange.set("key-" + this.random.nextInt(50),
+					Bytes.ofText(Long.toString(this.steps)));
+			this.fleet.accept(List.of(change), connected(leader.get()));
+		}
+	}
+
+	private void elect() {
+		List<InstanceId> candidates = this.controls.stream().filter(this::hasQuorum).toList();
+		if (candidates.isEmpty()) {
+			return;
+		}
+		InstanceId winner = pick(candidates);
+		this.fleet.catchUp(winner);
+		List<InstanceId> informed = connected(winner).stream()
+			.filter((id) -> id.equals(winner) || this.random.nextInt(4) > 0)
+			.toList();
+		this.fleet.elect(winner, informed);
+		this.orders.elected(winner, this.fleet.term());
+	}
+
+	private void informOfLeader(InstanceId control) {
+		Optional<InstanceId> leader = this.fleet.leader();
+		if (leader.isPresent() && this.network.connects(control, leader.get())) {
+			this.fleet.catchUp(control);
+		}
+	}
+
+	private void leave(InstanceId id) {
+		FleetNode node = this.fleet.node(id);
+		if (node.isAlive() && this.leaving.add(id)) {
+			this.watcher.leaveRequested(node.descriptor());
+			this.fleet.handle(node, new SpreadEvent.LeaveRequested());
+		}
+	}
+
+	/**
+	 * Sends a node what a leader of an older term holds to be the next revision.
+	 * @param id the node
+	 */
+	private void sendStaleRevision(InstanceId id) {
+		FleetNode node = this.fleet.node(id);
+		SpreadNode core = (SpreadNode) node.core();
+		Version held = node.inForce();
+		Term stale = Term.of(Math.max(held.term().value(), core.term().value() - 1));
+		if (node.isAlive() && stale.isBefore(core.term())) {
+			Delta delta = new Delta(held, new Version(stale, held.number() + 1), List.of());
+			Peer sender = Peer.of(this.fleet.node(pick(this.controls)).descriptor());
+			this.fleet.handle(node,
+					new SpreadEvent.Received(sender, new DeltaUpdate(StreamId.CONFIGURATION, stale, List.of(delta))));
+		}
+	}
+
+	private void settle() {
+		this.network.heal();
+		all().stream().filter((id) -> !this.fleet.node(id).isAlive()).forEach(this::start);
+		if (!this.fleet.leader().filter(this::hasQuorum).isPresent()) {
+			elect();
+		}
+		this.controls.forEach(this.fleet::catchUp);
+		this.fleet.run(SETTLE);
+		this.watcher.calm(true);
+		checkConverged();
+		checkLeaving();
+	}
+
+	private void checkConverged() {
+		for (FleetNode node : this.fleet.nodes()) {
+			this.violations.check(node.inForce().equals(this.fleet.lastAccepted()), "not-converged",
+					"%s holds %s, not %s, at step %d", node.id(), node.inForce(), this.fleet.lastAccepted(),
+					this.steps);
+			if (node.descriptor().role() == NodeRole.ENTRY) {
+				checkView(node);
+			}
+		}
+	}
+
+	private void checkView(FleetNode entry) {
+		for (InstanceId id : this.nodes) {
+			boolean expected = !this.leaving.contains(id);
+			this.violations.check(entry.view().isRoutable(id) == expected, "wrong-view",
+					"%s sees %s routable=%s at step %d", entry.id(), id, !expected, this.steps);
+		}
+	}
+
+	private void checkLeaving() {
+		List<InstanceId> leavers = new ArrayList<>();
+		for (int i = 0; i < 3; i++) {
+			leavers.add(pick(this.nodes));
+		}
+		leavers.forEach(this::leave);
+		this.fleet.run(LEAVE_LIMIT);
+		for (FleetNode node : this.fleet.nodes()) {
+			boolean entry = node.descriptor().role() == NodeRole.ENTRY;
+			for (InstanceId id : leavers) {
+				this.violations.check(!entry || !node.view().isRoutable(id), "work-after-leave",
+						"%s still routes to %s at step %d", node.id(), id, this.steps);
+			}
+		}
+	}
+
+	private final class Listener implements FleetListener {
+
+		@Override
+		public void onCommand(FleetNode node, SpreadCommand command) {
+			if (command instanceof SpreadCommand.FloorLearnt learnt) {
+				SpreadRandomRun.this.orders.floorLearnt(node.id(), learnt.floor().orders());
+			}
+			SpreadRandomRun.this.watcher.onCommand(node, command);
+		}
+
+		@Override
+		public void onSent(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
+			SpreadRandomRun.this.watcher.onSent(from, to, message);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Traffic.java
@@ -0,0 +1,56 @@
+package org.comfreywall.bench.spread;
+
+/**
+ * What one node has sent and spent.
+ */
+final class Traffic {
+
+	private long messagesOut;
+
+	private long bytesOut;
+
+	private long messagesIn;
+
+	private long bytesIn;
+
+	private long cpuNanos;
+
+	void sent(int bytes) {
+		this.messagesOut++;
+		this.bytesOut += bytes;
+	}
+
+	void received(int bytes) {
+		this.messagesIn++;
+		this.bytesIn += bytes;
+	}
+
+	void spent(long nanos) {
+		this.cpuNanos += nanos;
+	}
+
+	void reset() {
+		this.messagesOut = 0;
+		this.bytesOut = 0;
+		this.messagesIn = 0;
+		this.bytesIn = 0;
+		this.cpuNanos = 0;
+	}
+
+	long messages() {
+		return this.messagesOut + this.messagesIn;
+	}
+
+	long messagesIn() {
+		return this.messagesIn;
+	}
+
+	long bytes() {
+		return this.bytesOut + this.bytesIn;
+	}
+
+	long cpuNanos() {
+		return this.cpuNanos;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements of dissemination, membership and orders.
+ */
+package org.comfreywall.bench.spread;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
@@ -16,6 +16,8 @@
 
 	private MemberRecord record;
 
+	private boolean left;
+
 	private boolean heard;
 
 	private boolean probing;
@@ -35,7 +37,7 @@
 	private long failedAt;
 
 	Member(MemberRecord record) {
-		this.record = record;
+		record(record);
 	}
 
 	NodeDescriptor node() {
@@ -56,6 +58,19 @@
 
 	void record(MemberRecord record) {
 		this.record = record;
+		this.left = this.left || record.state() == MemberState.LEAVING;
+	}
+
+	/**
+	 * Tells whether the present life was ever leaving.
+	 * @return {@code true} if it may never be active again
+	 */
+	boolean isLeft() {
+		return this.left;
+	}
+
+	void beginLife() {
+		this.left = false;
 	}
 
 	boolean isHeard() {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberView.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberView.java
@@ -3,11 +3,13 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 import org.comfreywall.common.id.FailureDomainId;
+import org.comfreywall.common.id.Incarnation;
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.common.util.Preconditions;
@@ -18,10 +20,25 @@
  */
 public final class MemberView {
 
+	private static final int MAX_LEFT = 8_192;
+
 	private final Map<InstanceId, MemberRecord> records = new HashMap<>();
 
 	private final Map<FailureDomainId, Long> failedDomains = new HashMap<>();
 
+	/**
+	 * The last life of each member that was seen leaving; outlives the member's record,
+	 * because a new leader or a late message may know no better than that it is active.
+	 */
+	private final Map<InstanceId, Incarnation> left = new LinkedHashMap<>() {
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<InstanceId, Incarnation> eldest) {
+			return size() > MAX_LEFT;
+		}
+
+	};
+
 	/**
 	 * Takes over changes.
 	 * @param changes the changes
@@ -29,7 +46,6 @@
 	 */
 	public void apply(List<EntryChange> changes, boolean whole) {
 		Preconditions.notNull(changes, "changes");
-		Map<InstanceId, MemberRecord> before = whole ? new HashMap<>(this.records) : Map.of();
 		if (whole) {
 			this.records.clear();
 			this.failedDomains.clear();
@@ -42,13 +58,13 @@
 				MemberEntries.memberId(change.key()).ifPresent(this.records::remove);
 			}
 		}
-		before.values().stream().filter((record) -> record.state() == MemberState.LEAVING).forEach(this::keepLeaving);
 	}
 
 	/**
 	 * Tells whether a member may be given new work.
 	 * @param id the member
-	 * @return {@code true} if it is active and its failure domain has not failed since
+	 * @return {@code true} if it is active, this life of it was never seen leaving and
+	 * its failure domain has not failed since
 	 */
 	public boolean isRoutable(InstanceId id) {
 		return find(id).filter(this::isActive).isPresent();
@@ -77,7 +93,7 @@
 	 * @return {@code true} if it is active and its failure domain has not failed since
 	 */
 	public boolean isActive(MemberRecord record) {
-		return record.state() == MemberState.ACTIVE && !isDomainFailedSince(record);
+		return record.state() == MemberState.ACTIVE && !hasLeft(record) && !isDomainFailedSince(record);
 	}
 
 	boolean isDomainFailedSince(MemberRecord record) {
@@ -91,24 +107,16 @@
 	}
 
 	private void put(MemberRecord record) {
-		MemberRecord before = this.records.put(record.node().id(), record);
-		if (before != null && before.state() == MemberState.LEAVING) {
-			keepLeaving(before);
+		this.records.put(record.node().id(), record);
+		if (record.state() == MemberState.LEAVING) {
+			this.left.merge(record.node().id(), record.node().incarnation(),
+					(one, other) -> one.isBefore(other) ? other : one);
 		}
 	}
 
-	/**
-	 * Keeps a life of a member leaving, although a new leader may not know of it yet.
-	 * @param before the record that said so
-	 */
-	private void keepLeaving(MemberRecord before) {
-		MemberRecord present = this.records.get(before.node().id());
-		boolean undone = present != null && present.state() == MemberState.ACTIVE
-				&& present.node().incarnation().equals(before.node().incarnation());
-		if (undone) {
-			this.records.put(before.node().id(),
-					new MemberRecord(present.node(), MemberState.LEAVING, present.stamp()));
-		}
+	private boolean hasLeft(MemberRecord record) {
+		Incarnation last = this.left.get(record.node().id());
+		return last != null && !last.isBefore(record.node().incarnation());
 	}
 
 	long highestStamp() {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Membership.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Membership.java
@@ -179,6 +179,7 @@
 		}
 		else {
 			member.record(new MemberRecord(report.node(), member.state(), member.record().stamp()));
+			member.beginLife();
 			comeBack(member, state, now);
 		}
 		member.heard();
@@ -191,7 +192,7 @@
 			leave(member);
 		}
 		else if (member.state() == MemberState.FAILED && !known) {
-			comeBack(member, MemberState.ACTIVE, now);
+			comeBack(member, member.isLeft() ? MemberState.LEAVING : MemberState.ACTIVE, now);
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ProberSelector.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ProberSelector.java
@@ -48,14 +48,26 @@
 		return probers;
 	}
 
-	int available(NodeDescriptor target, Collection<Member> members) {
-		long others = members.stream().filter((member) -> isUsable(member, target)).limit(OTHERS).count();
+	/**
+	 * Counts the nodes whose opinion must be reckoned with, heard or not, so that a
+	 * leader that hears nobody judges nobody.
+	 * @param target the node in doubt
+	 * @param members all members
+	 * @return the count, the leader included
+	 */
+	int electorate(NodeDescriptor target, Collection<Member> members) {
+		long others = members.stream()
+			.filter((member) -> isOther(member, target) && member.state() != MemberState.FAILED)
+			.count();
 		return (int) others + 1;
 	}
 
 	private boolean isUsable(Member member, NodeDescriptor target) {
-		boolean other = !member.id().equals(target.id()) && !member.id().equals(this.self);
-		return other && member.isHeard() && member.state() == MemberState.ACTIVE;
+		return isOther(member, target) && member.isHeard() && member.state() == MemberState.ACTIVE;
+	}
+
+	private boolean isOther(Member member, NodeDescriptor target) {
+		return !member.id().equals(target.id()) && !member.id().equals(this.self);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/SuspicionJudge.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/SuspicionJudge.java
@@ -18,7 +18,7 @@
  * Gathers opinions on members that are not heard and judges them.
  * <p>
  * One positive opinion spares a member. It is judged to have failed on at least two
- * negative ones of different nodes, or on that of the leader if there is no other node.
+ * negative ones of different nodes, or on that of the leader if there is no third node.
  * If a whole failure domain is unheard, only a sample of it is probed and it is judged as
  * one.
  */
@@ -139,8 +139,8 @@
 		if (!member.isProbing() || member.unreached().isEmpty()) {
 			return false;
 		}
-		int available = this.selector.available(member.node(), members);
-		return member.unreached().size() >= Math.min(OPINIONS, available);
+		int electorate = this.selector.electorate(member.node(), members);
+		return member.unreached().size() >= Math.min(OPINIONS, electorate);
 	}
 
 	private static Map<FailureDomainId, DomainSuspects> group(Collection<Member> members, long now) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
@@ -75,7 +75,9 @@
 	 * @return {@code true} if the reports are new
 	 */
 	boolean hasNewReports(Heartbeat heartbeat) {
-		return heartbeat.resetSequence() == this.resetSequence && heartbeat.reportSequence() > this.reportsReceived;
+		boolean follows = heartbeat.resetSequence() == this.resetSequence
+				&& heartbeat.reportBase() <= this.reportsReceived;
+		return follows && heartbeat.reportSequence() > this.reportsReceived;
 	}
 
 	void received(long sequence) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Heartbeat.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Heartbeat.java
@@ -17,11 +17,13 @@
  * @param coverage how far the configuration has come in the sender's part of the tree
  * @param resetSequence the number of the report at which the present listing of all nodes
  * below the sender began; the parent forgets what it held before
+ * @param reportBase the number of the last report that the parent must hold for the
+ * included ones to follow without a gap
  * @param reportSequence the number of the last report included
  * @param reports changes below the sender that the parent has not confirmed
  */
 public record Heartbeat(NodeDescriptor node, boolean leaving, boolean stranded, boolean resend, Position configuration,
-		Position members, long floorNonce, Coverage coverage, long resetSequence, long reportSequence,
+		Position members, long floorNonce, Coverage coverage, long resetSequence, long reportBase, long reportSequence,
 		List<MemberReport> reports) implements SpreadMessage {
 
 	public Heartbeat {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageDecoder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageDecoder.java
@@ -67,7 +67,7 @@
 		}
 		return new Heartbeat(SpreadCodec.fromProto(proto.getNode()), proto.getLeaving(), proto.getStranded(),
 				proto.getResend(), position(proto.getConfiguration()), position(proto.getMembers()),
-				proto.getFloorNonce(), coverage(proto.getCoverage()), proto.getResetSequence(),
+				proto.getFloorNonce(), coverage(proto.getCoverage()), proto.getResetSequence(), proto.getReportBase(),
 				proto.getReportSequence(), reports);
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageEncoder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageEncoder.java
@@ -91,6 +91,7 @@
 			.setFloorNonce(heartbeat.floorNonce())
 			.setCoverage(coverage(heartbeat.coverage()))
 			.setResetSequence(heartbeat.resetSequence())
+			.setReportBase(heartbeat.reportBase())
 			.setReportSequence(heartbeat.reportSequence());
 		for (MemberReport report : heartbeat.reports()) {
 			proto.addReports(MemberReportProto.newBuilder()
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReportQueue.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReportQueue.java
@@ -72,6 +72,10 @@
 		return this.pending.isEmpty();
 	}
 
+	long acknowledged() {
+		return this.acknowledged;
+	}
+
 	long resetSequence() {
 		return this.resetSequence;
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Snapshot.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Snapshot.java
@@ -1,5 +1,7 @@
 package org.comfreywall.control.spread;
 
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.Map;
 
 import org.comfreywall.common.util.Bytes;
@@ -15,7 +17,7 @@
 
 	public Snapshot {
 		Preconditions.notNull(version, "version");
-		entries = Map.copyOf(entries);
+		entries = Collections.unmodifiableMap(new HashMap<>(entries));
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
@@ -176,6 +176,17 @@
 		return this.streams.members().snapshot();
 	}
 
+	/**
+	 * Finds one entry of the members' stream.
+	 * @param key the entry's key
+	 * @return the change that sets it, or empty if there is none
+	 */
+	public List<EntryChange> member(String key) {
+		return Optional.ofNullable(this.streams.members().entries().get(key))
+			.map((value) -> List.of(EntryChange.set(key, value)))
+			.orElse(List.of());
+	}
+
 	private boolean isControl() {
 		return this.self.role() == NodeRole.CONTROL;
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadSettings.java
@@ -14,8 +14,9 @@
  * @param heartbeatInterval how often a node sends a heartbeat when nothing changes
  * @param connectTimeout how long a node waits for the first beat of a new parent
  * @param silenceTimeout how long a parent may be silent before another is chosen
- * @param rootStaleTimeout how long the leader's beats may be missing before another
- * parent is tried; doubles up to {@value #MAX_STALE_FACTOR} times
+ * @param rootStaleTimeout how long the leader's beats may be missing before a control
+ * instance is asked for another parent; up to twice as long at random, and with each time
+ * in a row twice as long again, up to {@value #MAX_STALE_FACTOR} times
  * @param childTimeout how long a child may be silent before it is reported absent
  * @param resendTimeout how long an unconfirmed update is left before it is sent again
  */
@@ -24,7 +25,7 @@
 		Duration childTimeout, Duration resendTimeout) {
 
 	/** The greatest factor by which {@link #rootStaleTimeout()} is lengthened. */
-	public static final int MAX_STALE_FACTOR = 16;
+	public static final int MAX_STALE_FACTOR = 4;
 
 	/** Settings for up to 5,500 nodes. */
 	public static final SpreadSettings DEFAULTS = new SpreadSettings(16, 48, Duration.ofMillis(100),
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Uplink.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Uplink.java
@@ -117,8 +117,8 @@
 		Position configuration = this.streams.configuration().position();
 		Heartbeat heartbeat = new Heartbeat(this.self, this.leaving, this.link.isStranded(), this.streams.takeResend(),
 				configuration, this.streams.members().position(), this.floorNonce,
-				coverage(configuration.version().number()), this.reports.resetSequence(), batch.lastSequence(),
-				batch.reports());
+				coverage(configuration.version().number()), this.reports.resetSequence(), this.reports.acknowledged(),
+				batch.lastSequence(), batch.reports());
 		this.outbox.send(Peer.of(parent), heartbeat);
 	}
 
--- /dev/null
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/ChildrenTests.java
@@ -0,0 +1,49 @@
+package org.comfreywall.control.spread;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link Children}.
+ */
+class ChildrenTests {
+
+	private static final NodeDescriptor RELAY = Nodes.node("entry-1", NodeRole.ENTRY, "d1");
+
+	private static final NodeDescriptor LEAF = Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1");
+
+	private final List<MemberReport> reports = new ArrayList<>();
+
+	private final Children children = new Children(4, this.reports::add);
+
+	private static Heartbeat heartbeat(long base, long sequence, MemberReport... reports) {
+		return new Heartbeat(RELAY, false, false, false, Position.ZERO, Position.ZERO, 0,
+				new Coverage(1, 0, 0, List.of()), 1, base, sequence, List.of(reports));
+	}
+
+	@Test
+	void doesNotConfirmReportsThatDoNotFollowWhatItHolds() {
+		Child child = this.children.heard(heartbeat(7, 8, new MemberReport(LEAF, Presence.PRESENT)), 0);
+		assertThat(child.reportsReceived()).isEqualTo(1);
+	}
+
+	@Test
+	void ignoresReportsThatArriveLate() {
+		this.children.heard(heartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
+		this.children.heard(heartbeat(1, 2, new MemberReport(LEAF, Presence.ABSENT)), 0);
+		assertThat(this.reports).doesNotContain(new MemberReport(LEAF, Presence.ABSENT));
+	}
+
+	@Test
+	void reportsAllBelowAChildThatFallsSilent() {
+		this.children.heard(heartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
+		this.children.expire(1);
+		assertThat(this.reports).contains(new MemberReport(LEAF, Presence.ABSENT),
+				new MemberReport(RELAY, Presence.ABSENT));
+	}
+
+}
