Measure dissemination and membership and try them at random

Cause: the targets for 5,500 nodes and the invariants of the cores need runs that anyone can repeat.

Change: `control` drives the real cores at 300 to 5,500 nodes in virtual time with encoded messages; `control-spread-random` disturbs 45 nodes (crash, restart, cuts in one direction, a deaf leader, loss, delay, duplication, racing terms, stale revisions, late orders) and checks from outside.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -7,6 +7,8 @@
 import java.util.function.Supplier;
 
 import org.comfreywall.bench.placement.PlacementMeasurement;
+import org.comfreywall.bench.spread.ControlSpreadMeasurement;
+import org.comfreywall.bench.spread.SpreadRandom;
 
 /**
  * Knows the measurements by name.
@@ -19,7 +21,9 @@
 	}
 
 	static MeasurementRegistry create() {
-		return new MeasurementRegistry().add("placement", PlacementMeasurement::new);
+		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
+			.add("control", ControlSpreadMeasurement::new)
+			.add("control-spread-random", SpreadRandom::new);
 	}
 
 	Optional<Measurement> find(String name) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ChaosNetwork.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ChaosNetwork.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -27,6 +28,8 @@
 
 	private final Set<Link> cuts = new HashSet<>();
 
+	private Optional<InstanceId> deafened = Optional.empty();
+
 	private double loss;
 
 	private double duplication;
@@ -39,6 +42,7 @@
 
 	void heal() {
 		this.cuts.clear();
+		this.deafened = Optional.empty();
 		this.loss = 0;
 		this.duplication = 0;
 		this.lateness = 0;
@@ -50,6 +54,14 @@
 		this.lateness = this.random.nextDouble() * this.random.nextDouble() * 0.5;
 	}
 
+	/**
+	 * Keeps all messages from a node until the network is healed.
+	 * @param node the node
+	 */
+	void deafen(InstanceId node) {
+		this.deafened = Optional.of(node);
+	}
+
 	void cut(InstanceId from, InstanceId to) {
 		if (this.cuts.size() < MAX_CUTS) {
 			this.cuts.add(new Link(from, to));
@@ -73,18 +85,22 @@
 	}
 
 	boolean connects(InstanceId from, InstanceId to) {
-		return !this.cuts.contains(new Link(from, to)) && !this.cuts.contains(new Link(to, from));
+		return !isCut(from, to) && !isCut(to, from);
 	}
 
 	@Override
 	public OptionalLong delay(NodeDescriptor from, NodeDescriptor to) {
-		if (this.cuts.contains(new Link(from.id(), to.id())) || this.random.nextDouble() < this.loss) {
+		if (isCut(from.id(), to.id()) || this.random.nextDouble() < this.loss) {
 			return OptionalLong.empty();
 		}
 		boolean late = this.random.nextDouble() < this.lateness;
 		return OptionalLong.of(CALM_DELAY_NANOS + (late ? (long) (this.random.nextDouble() * MAX_DELAY_NANOS) : 0));
 	}
 
+	private boolean isCut(InstanceId from, InstanceId to) {
+		return this.cuts.contains(new Link(from, to)) || this.deafened.filter(to::equals).isPresent();
+	}
+
 	@Override
 	public boolean duplicates() {
 		return this.random.nextDouble() < this.duplication;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Fleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Fleet.java
@@ -1,5 +1,7 @@
 package org.comfreywall.bench.spread;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -43,6 +45,8 @@
 
 	private static final long READ_DELAY_NANOS = Duration.ofMillis(150).toNanos();
 
+	private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
 	private final VirtualTime time = new VirtualTime();
 
 	private final Map<InstanceId, FleetNode> nodes = new LinkedHashMap<>();
@@ -61,6 +65,8 @@
 
 	private DecisionListener decisions = DecisionListener.NONE;
 
+	private MembershipSettings membership = MembershipSettings.DEFAULTS;
+
 	private boolean measured;
 
 	private boolean views;
@@ -81,6 +87,10 @@
 		this.decisions = decisions;
 	}
 
+	void membership(MembershipSettings other) {
+		this.membership = other;
+	}
+
 	/**
 	 * Encodes and decodes each message and counts bytes and processor time.
 	 * @param measured whether to do so
@@ -145,8 +155,7 @@
 		NodeDescriptor life = new NodeDescriptor(id, Incarnation.of(before.incarnation().value() + 1), before.role(),
 				before.region(), before.domain(), before.address());
 		SpreadCore core = (life.role() == NodeRole.CONTROL)
-				? new ControlNode(life, this.controls, this.settings, MembershipSettings.DEFAULTS, this.random,
-						this.decisions)
+				? new ControlNode(life, this.controls, this.settings, this.membership, this.random, this.decisions)
 				: new SpreadNode(life, this.controls, this.settings, MemberEntries::activeNodes, this.random,
 						this.decisions);
 		node.start(life, core);
@@ -158,8 +167,13 @@
 		this.time.after(phase, () -> tick(node, core));
 	}
 
+	/**
+	 * Ends a node's life; a leader that comes back does not lead its old term again.
+	 * @param id the node
+	 */
 	void crash(InstanceId id) {
 		this.nodes.get(id).crash();
+		this.leader = this.leader.filter((control) -> !control.equals(id));
 	}
 
 	/**
@@ -204,10 +218,10 @@
 		if (!node.isAlive()) {
 			return;
 		}
-		long before = this.measured ? System.nanoTime() : 0;
+		long before = this.measured ? THREADS.getCurrentThreadCpuTime() : 0;
 		List<SpreadCommand> commands = node.core().on(event, this.time.now());
 		if (this.measured) {
-			node.traffic().spent(System.nanoTime() - before);
+			node.traffic().spent(THREADS.getCurrentThreadCpuTime() - before);
 		}
 		commands.forEach((command) -> carryOut(node, command));
 	}
@@ -285,9 +299,9 @@
 	}
 
 	private byte[] encode(FleetNode from, SpreadMessage message) {
-		long before = System.nanoTime();
+		long before = THREADS.getCurrentThreadCpuTime();
 		byte[] encoded = SpreadCodec.encode(message);
-		from.traffic().spent(System.nanoTime() - before);
+		from.traffic().spent(THREADS.getCurrentThreadCpuTime() - before);
 		from.traffic().sent(encoded.length);
 		return encoded;
 	}
@@ -298,9 +312,9 @@
 		}
 		this.listener.onDelivered(sender, target.descriptor(), message);
 		if (encoded != null) {
-			long before = System.nanoTime();
+			long before = THREADS.getCurrentThreadCpuTime();
 			SpreadCodec.decode(encoded);
-			target.traffic().spent(System.nanoTime() - before);
+			target.traffic().spent(THREADS.getCurrentThreadCpuTime() - before);
 			target.traffic().received(encoded.length);
 		}
 		handle(target, new SpreadEvent.Received(Peer.of(sender), message));
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetWatcher.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetWatcher.java
@@ -9,8 +9,11 @@
 import org.comfreywall.common.decision.DecisionRecord;
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.control.member.MemberRecord;
+import org.comfreywall.control.member.MemberState;
 import org.comfreywall.control.spread.NodeDescriptor;
+import org.comfreywall.control.spread.NodeRole;
 import org.comfreywall.control.spread.Ping;
+import org.comfreywall.control.spread.ProbeResult;
 import org.comfreywall.control.spread.SpreadCommand;
 import org.comfreywall.control.spread.SpreadMessage;
 import org.comfreywall.control.spread.Version;
@@ -26,7 +29,7 @@
 
 	private final Map<InstanceId, Long> highest = new HashMap<>();
 
-	private final Map<InstanceId, Map<InstanceId, Long>> pings = new HashMap<>();
+	private final Map<InstanceId, Map<InstanceId, Long>> opinions = new HashMap<>();
 
 	private final Set<NodeDescriptor> left = new HashSet<>();
 
@@ -75,11 +78,22 @@
 
 	@Override
 	public void onSent(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
-		if (message instanceof Ping) {
-			this.pings.computeIfAbsent(to.id(), (id) -> new HashMap<>()).put(from.id(), this.fleet.time().now());
+		if (message instanceof Ping && from.role() == NodeRole.CONTROL) {
+			noteOpinion(to.id(), from.id());
 		}
 	}
 
+	@Override
+	public void onDelivered(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
+		if (message instanceof ProbeResult result && !result.reachable()) {
+			noteOpinion(result.target(), from.id());
+		}
+	}
+
+	private void noteOpinion(InstanceId target, InstanceId prober) {
+		this.opinions.computeIfAbsent(target, (id) -> new HashMap<>()).put(prober, this.fleet.time().now());
+	}
+
 	private void inForce(InstanceId id, Version version) {
 		long before = this.highest.getOrDefault(id, 0L);
 		this.violations.check(version.number() >= before, "revision-back", "%s went from %d to %s", id, before,
@@ -101,7 +115,7 @@
 			boolean active = node.view().isRoutable(life.id());
 			this.violations.check(!active || !seen.contains(life), "leave-undone", "%s routes to %s again", node.id(),
 					life.id());
-			if (!active) {
+			if (record.state() == MemberState.LEAVING) {
 				seen.add(life);
 			}
 		}
@@ -130,7 +144,7 @@
 
 	private long opinions(InstanceId id) {
 		long since = this.fleet.time().now() - OPINION_NANOS;
-		return this.pings.getOrDefault(id, Map.of()).values().stream().filter((at) -> at >= since).count();
+		return this.opinions.getOrDefault(id, Map.of()).values().stream().filter((at) -> at >= since).count();
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/OrderTraffic.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/OrderTraffic.java
@@ -1,9 +1,11 @@
 package org.comfreywall.bench.spread;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Random;
 
 import org.comfreywall.common.decision.DecisionListener;
 import org.comfreywall.common.id.FencingNumber;
@@ -33,6 +35,10 @@
 
 	private final Map<InstanceId, FencingNumber> engines = new HashMap<>();
 
+	private static final long MAX_LATENESS_NANOS = Duration.ofSeconds(20).toNanos();
+
+	private final Random random;
+
 	private final Fleet fleet;
 
 	private final Network network;
@@ -43,7 +49,8 @@
 
 	private long fenced;
 
-	OrderTraffic(Fleet fleet, Network network, Violations violations) {
+	OrderTraffic(Fleet fleet, Network network, Violations violations, long seed) {
+		this.random = new Random(seed);
 		this.fleet = fleet;
 		this.network = network;
 		this.violations = violations;
@@ -108,6 +115,9 @@
 					this.fleet.node(to).descriptor());
 			delay.ifPresent((nanos) -> this.fleet.time().after(nanos, arrival));
 		}
+		if (this.random.nextInt(3) == 0) {
+			this.fleet.time().after((long) (this.random.nextDouble() * MAX_LATENESS_NANOS), arrival);
+		}
 	}
 
 	private void arrive(InstanceId control, EngineOrder order) {
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SizedFleet.java
@@ -0,0 +1,120 @@
+package org.comfreywall.bench.spread;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.comfreywall.common.id.FailureDomainId;
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.control.member.ControlNode;
+import org.comfreywall.control.spread.EntryChange;
+import org.comfreywall.control.spread.NodeDescriptor;
+import org.comfreywall.control.spread.NodeRole;
+import org.comfreywall.control.spread.SpreadNode;
+
+/**
+ * A settled fleet of a given size in seven regions and twenty failure domains, one node
+ * in five an entry.
+ */
+final class SizedFleet {
+
+	private static final int REGIONS = 7;
+
+	private static final int DOMAINS = 20;
+
+	private static final int ENTRY_SHARE = 5;
+
+	private static final int CHANGE_BYTES = 1_000;
+
+	private static final Duration START_INTERVAL = Duration.ofSeconds(1);
+
+	private static final int STARTS_A_INTERVAL = 300;
+
+	private static final Duration SETTLE = Duration.ofSeconds(25);
+
+	private final Fleet fleet;
+
+	private final Random random;
+
+	private final List<InstanceId> controls = new ArrayList<>();
+
+	private final List<InstanceId> nodes = new ArrayList<>();
+
+	private SizedFleet(long seed) {
+		this.random = new Random(seed);
+		this.fleet = new Fleet(this.random.nextLong(), new RegionalNetwork(this.random.nextLong()), FleetListener.NONE);
+	}
+
+	static SizedFleet settled(int size, long seed) {
+		SizedFleet sized = new SizedFleet(seed);
+		for (int i = 0; i < REGIONS; i++) {
+			sized.controls.add(sized.add("control-" + i, NodeRole.CONTROL, i));
+		}
+		for (int i = 0; i < size; i++) {
+			boolean entry = (i / DOMAINS) % ENTRY_SHARE == 0;
+			sized.nodes.add(sized.add("node-" + i, entry ? NodeRole.ENTRY : NodeRole.SIDECAR, i % DOMAINS));
+		}
+		sized.controls.forEach(sized.fleet::start);
+		sized.fleet.elect(sized.controls.get(0), sized.controls);
+		sized.change();
+		for (int i = 0; i < size; i++) {
+			sized.fleet.start(sized.nodes.get(i));
+			if (i % STARTS_A_INTERVAL == 0) {
+				sized.fleet.run(START_INTERVAL);
+			}
+		}
+		sized.fleet.run(SETTLE);
+		return sized;
+	}
+
+	Fleet fleet() {
+		return this.fleet;
+	}
+
+	List<InstanceId> nodes() {
+		return this.nodes;
+	}
+
+	Random random() {
+		return this.random;
+	}
+
+	void change() {
+		byte[] value = new byte[CHANGE_BYTES];
+		this.random.nextBytes(value);
+		this.fleet.accept(List.of(EntryChange.set("key-" + this.random.nextInt(500), Bytes.of(value))), this.controls);
+	}
+
+	long holding() {
+		return this.fleet.nodes()
+			.stream()
+			.filter((node) -> node.isAlive() && node.inForce().equals(this.fleet.lastAccepted()))
+			.count();
+	}
+
+	long live() {
+		return this.fleet.nodes().stream().filter(FleetNode::isAlive).count();
+	}
+
+	/**
+	 * Returns when the last live node put the newest revision into force.
+	 * @return the clock's reading in nanoseconds
+	 */
+	long lastInForceAt() {
+		return this.fleet.nodes().stream().filter(FleetNode::isAlive).mapToLong(FleetNode::inForceAt).max().orElse(0);
+	}
+
+	static SpreadNode spreadNode(FleetNode node) {
+		return (node.core() instanceof ControlNode control) ? control.node() : (SpreadNode) node.core();
+	}
+
+	private InstanceId add(String id, NodeRole role, int domain) {
+		this.fleet.add(new NodeDescriptor(InstanceId.of(id), Incarnation.ZERO, role, "region-" + domain % REGIONS,
+				FailureDomainId.of("domain-" + domain), id + ".example:7000"));
+		return InstanceId.of(id);
+	}
+
+}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomRun.java
@@ -13,6 +13,7 @@
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.id.Term;
 import org.comfreywall.common.util.Bytes;
+import org.comfreywall.control.member.MembershipSettings;
 import org.comfreywall.control.spread.Delta;
 import org.comfreywall.control.spread.DeltaUpdate;
 import org.comfreywall.control.spread.EntryChange;
@@ -37,6 +38,8 @@
 
 	private static final int DOMAINS = 4;
 
+	private static final int ORDERED = 6;
+
 	private static final int STEPS_A_ROUND = 1_000;
 
 	private static final Duration STEP = Duration.ofMillis(30);
@@ -45,6 +48,10 @@
 
 	private static final Duration LEAVE_LIMIT = Duration.ofSeconds(2);
 
+	private static final MembershipSettings SHORT_DAMPING = new MembershipSettings(Duration.ofSeconds(5),
+			Duration.ofSeconds(12), Duration.ofMillis(2500), Duration.ofSeconds(5), Duration.ofMillis(200),
+			Duration.ofMinutes(10), Duration.ofSeconds(2), Duration.ofSeconds(8));
+
 	private final Random random;
 
 	private final ChaosNetwork network;
@@ -72,8 +79,9 @@
 		this.network = new ChaosNetwork(this.random.nextLong());
 		this.fleet = new Fleet(this.random.nextLong(), this.network, new Listener());
 		this.fleet.withViews();
+		this.fleet.membership(SHORT_DAMPING);
 		this.watcher.watch(this.fleet);
-		this.orders = new OrderTraffic(this.fleet, this.network, this.violations);
+		this.orders = new OrderTraffic(this.fleet, this.network, this.violations, this.random.nextLong());
 	}
 
 	Violations violations() {
@@ -133,9 +141,13 @@
 
 	private void disturb(long count) {
 		this.watcher.calm(false);
+		if (this.random.nextInt(3) == 0) {
+			this.fleet.leader().ifPresent(this.network::deafen);
+		}
 		for (long i = 0; i < count; i++) {
 			this.steps++;
 			act(this.random.nextInt(100));
+			this.orders.tick(pick(this.controls));
 			this.fleet.run(STEP);
 		}
 	}
@@ -164,7 +176,7 @@
 			this.network.mendSome();
 		}
 		else if (dice < 21) {
-			elect();
+			electRarely();
 		}
 		else if (dice < 23) {
 			informOfLeader(pick(this.controls));
@@ -176,7 +188,10 @@
 			sendStaleRevision(pick(this.nodes));
 		}
 		else if (dice < 39) {
-			this.orders.request(pick(this.controls), pick(this.nodes), this.orderVersion++);
+			this.orders.request(pick(this.controls), pick(ordered()), this.orderVersion++);
+		}
+		else if (dice < 43) {
+			restart(pick(ordered()));
 		}
 	}
 
@@ -199,6 +214,19 @@
 		}
 	}
 
+	private void restart(InstanceId id) {
+		this.fleet.crash(id);
+		start(id);
+	}
+
+	/**
+	 * Returns the few nodes whose engines are given orders.
+	 * @return the nodes
+	 */
+	private List<InstanceId> ordered() {
+		return this.nodes.subList(0, ORDERED);
+	}
+
 	private long deadControls() {
 		return this.controls.stream().filter((id) -> !this.fleet.node(id).isAlive()).count();
 	}
@@ -223,6 +251,12 @@
 		}
 	}
 
+	private void electRarely() {
+		if (this.random.nextInt(8) == 0) {
+			elect();
+		}
+	}
+
 	private void elect() {
 		List<InstanceId> candidates = this.controls.stream().filter(this::hasQuorum).toList();
 		if (candidates.isEmpty()) {
@@ -332,6 +366,11 @@
 			SpreadRandomRun.this.watcher.onSent(from, to, message);
 		}
 
+		@Override
+		public void onDelivered(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
+			SpreadRandomRun.this.watcher.onDelivered(from, to, message);
+		}
+
 	}
 
 }
