--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -23,6 +23,8 @@
 import org.comfreywall.bench.routing.RouterRandomMeasurement;
 import org.comfreywall.bench.routing.RoutingMeasurement;
 import org.comfreywall.bench.routing.SubsetsMeasurement;
+import org.comfreywall.bench.spread.ControlSpreadMeasurement;
+import org.comfreywall.bench.spread.SpreadRandom;
 
 /**
  * Knows the measurements by name.
@@ -57,6 +59,9 @@
 			.add("group-life-random", RandomisedLifeRun::new)
 			.add("mapswitch", SwitchMeasurement::new)
 			.add("mapswitch-random", RandomisedSwitchRun::new);
+		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
+			.add("control", ControlSpreadMeasurement::new)
+			.add("control-spread-random", SpreadRandom::new);
 	}
 
 	Optional<Measurement> find(String name) {
