--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -9,14 +9,14 @@
 import org.comfreywall.bench.config.ConfigurationMeasurement;
 import org.comfreywall.bench.control.ControlLogMeasurement;
 import org.comfreywall.bench.control.ControlRandomMeasurement;
-import org.comfreywall.bench.limits.RandomLimitsMeasurement;
 import org.comfreywall.bench.life.RandomisedLifeRun;
-import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
-import org.comfreywall.bench.mapswitch.SwitchMeasurement;
-import org.comfreywall.bench.placement.MovesMeasurement;
 import org.comfreywall.bench.limits.LimitsMeasurement;
 import org.comfreywall.bench.limits.RandomLimitsMeasurement;
+import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
+import org.comfreywall.bench.mapswitch.SwitchMeasurement;
 import org.comfreywall.bench.overload.OverloadMeasurement;
+import org.comfreywall.bench.path.PathMeasurement;
+import org.comfreywall.bench.placement.MovesMeasurement;
 import org.comfreywall.bench.placement.PlacementMeasurement;
 import org.comfreywall.bench.request.RequestRun;
 import org.comfreywall.bench.routing.DecideMeasurement;
@@ -39,29 +39,25 @@
 	static MeasurementRegistry create() {
 		MeasurementRegistry registry = new MeasurementRegistry();
 		registry.add("configuration", ConfigurationMeasurement::new);
+		registry.add("control", ControlSpreadMeasurement::new);
 		registry.add("control-log", ControlLogMeasurement::new);
 		registry.add("control-random", ControlRandomMeasurement::new);
+		registry.add("control-spread-random", SpreadRandom::new);
 		registry.add("decide", DecideMeasurement::new);
+		registry.add("group-life-random", RandomisedLifeRun::new);
+		registry.add("limits", LimitsMeasurement::new);
 		registry.add("limits-random", RandomLimitsMeasurement::new);
 		registry.add("mapswitch", SwitchMeasurement::new);
 		registry.add("mapswitch-random", RandomisedSwitchRun::new);
 		registry.add("moves", MovesMeasurement::new);
+		registry.add("overload", OverloadMeasurement::new);
+		registry.add("path", PathMeasurement::new);
 		registry.add("placement", PlacementMeasurement::new);
 		registry.add("request-random", RequestRun::new);
 		registry.add("routing", RoutingMeasurement::new);
 		registry.add("routing-random", RouterRandomMeasurement::new);
 		registry.add("subsets", SubsetsMeasurement::new);
 		return registry;
-		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
-			.add("limits", LimitsMeasurement::new)
-			.add("limits-random", RandomLimitsMeasurement::new)
-			.add("overload", OverloadMeasurement::new);
-			.add("group-life-random", RandomisedLifeRun::new)
-			.add("mapswitch", SwitchMeasurement::new)
-			.add("mapswitch-random", RandomisedSwitchRun::new);
-		return new MeasurementRegistry().add("placement", PlacementMeasurement::new)
-			.add("control", ControlSpreadMeasurement::new)
-			.add("control-spread-random", SpreadRandom::new);
 	}
 
 	Optional<Measurement> find(String name) {
--- /dev/null
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/path/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures the way of a request through entry and sidecar on loopback.
+ */
+package org.comfreywall.bench.path;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
@@ -130,20 +130,21 @@
 	private void change(LimitsChanged event, long now) {
 		AccountLedger ledger = this.accounts.get(event.account());
 		if (ledger == null && event.part().isPresent()) {
-			ledger = add(event.account(), now);
+			ledger = add(event, now);
 		}
 		if (ledger != null) {
 			ledger.configure(event.part().orElse(NOTHING));
 		}
 	}
 
-	private AccountLedger add(AccountId account, long now) {
+	private AccountLedger add(LimitsChanged event, long now) {
 		if (this.accounts.size() >= MAX_ACCOUNTS) {
 			this.accounts.values().removeIf((ledger) -> ledger.isUnused(now));
 		}
 		Preconditions.check(this.accounts.size() < MAX_ACCOUNTS, "more than %d client accounts", MAX_ACCOUNTS);
-		AccountLedger ledger = new AccountLedger(account, this.context);
-		this.accounts.put(account, ledger);
+		LedgerContext granting = event.introduced() ? this.context.withoutEarlierGrants(now) : this.context;
+		AccountLedger ledger = new AccountLedger(event.account(), granting);
+		this.accounts.put(event.account(), ledger);
 		return ledger;
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LedgerContext.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LedgerContext.java
@@ -29,4 +29,9 @@
 		return new LedgerContext(term, terms, ratesFrom, slotsFrom, longest, listener, invariants);
 	}
 
+	LedgerContext withoutEarlierGrants(long now) {
+		return new LedgerContext(this.term, this.terms, now, now, this.longestRequestNanos, this.listener,
+				this.invariants);
+	}
+
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LimitsChanged.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LimitsChanged.java
@@ -14,12 +14,23 @@
  * @param account the client account
  * @param part the part of its limits this ledger may give out, or empty if the client
  * account is gone
+ * @param introduced whether the client account came into the configuration during this
+ * term, so that no earlier grantor can have granted shares of it
  */
-public record LimitsChanged(AccountId account, Optional<LimitPart> part) implements LedgerEvent {
+public record LimitsChanged(AccountId account, Optional<LimitPart> part, boolean introduced) implements LedgerEvent {
 
 	public LimitsChanged {
 		Preconditions.notNull(account, "account");
 		Preconditions.notNull(part, "part");
 	}
 
+	/**
+	 * Creates the event for a client account that an earlier grantor may have known.
+	 * @param account the client account
+	 * @param part the part of its limits to grant, or empty if it is removed
+	 */
+	public LimitsChanged(AccountId account, Optional<LimitPart> part) {
+		this(account, part, false);
+	}
+
 }
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ControlRole.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ControlRole.java
@@ -1,6 +1,9 @@
 package org.comfreywall.daemon.control;
 
+import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicReference;
@@ -10,13 +13,17 @@
 import org.comfreywall.common.config.toml.ConfigurationWriter;
 import org.comfreywall.common.decision.DecisionListener;
 import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.Term;
 import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.lease.LimitDivision;
 import org.comfreywall.common.lifecycle.Closer;
 import org.comfreywall.common.log.EventLog;
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Result;
 import org.comfreywall.common.result.Step;
+import org.comfreywall.common.settings.PeerSettings;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.control.ledger.ClaimLedgerSettings;
@@ -33,15 +40,20 @@
 import org.comfreywall.control.state.ReplicatedClaims;
 import org.comfreywall.control.state.ReplicatedPoison;
 import org.comfreywall.control.state.StateMachine;
+import org.comfreywall.entry.limit.GrantorRole;
+import org.comfreywall.entry.limit.LimitSettings;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.control.ControlMethods;
 import org.comfreywall.transport.generated.HeartbeatReply;
 import org.comfreywall.transport.generated.HeartbeatRequest;
+import org.comfreywall.transport.generated.LeaseCall;
+import org.comfreywall.transport.generated.LeaseReply;
 import org.comfreywall.transport.generated.ProposeReply;
 import org.comfreywall.transport.generated.ProposeRequest;
 import org.comfreywall.transport.generated.QueryReply;
 import org.comfreywall.transport.generated.QueryRequest;
 import org.comfreywall.transport.rpc.RpcServer;
+import org.comfreywall.transport.worker.SerialWorker;
 
 /**
  * The control role of a process.
@@ -50,6 +62,10 @@
 
 	private static final EventLog LOG = EventLog.of(ControlRole.class);
 
+	private static final int GRANTOR_RING = 16;
+
+	private static final Duration GRANTOR_INTERVAL = Duration.ofMillis(50);
+
 	private final Closer closer = new Closer();
 
 	private final AtomicReference<PublishedConfiguration> published = new AtomicReference<>(
@@ -57,6 +73,14 @@
 
 	private final MemberTable members;
 
+	private final LeaseGrantor primary;
+
+	private final LeaseGrantor reserve;
+
+	private final boolean isReserve;
+
+	private final Term life;
+
 	private final ControlNode node;
 
 	/**
@@ -71,6 +95,11 @@
 		ConfigurationLedger configuration = new ConfigurationLedger(this::publish);
 		PublishedPoison poison = new PublishedPoison(new ReplicatedPoison(PoisonLedgerSettings.DEFAULT, decisions));
 		FlightEndpoint flights = new FlightEndpoint(poison::verdict, parts.clock());
+		LimitDivision division = LimitSettings.DEFAULT.division();
+		this.primary = new LeaseGrantor(division::primary, parts.clock(), decisions);
+		this.reserve = new LeaseGrantor(division::reserve, parts.clock(), decisions);
+		this.isReserve = isReserve(parts);
+		this.life = Term.of(parts.transport().self().incarnation().value());
 		LogPeers peers = this.closer
 			.register(new LogPeers(parts.transport(), parts.transport().self().instance(), parts.peers()));
 		ControlNodeParts nodeParts = new ControlNodeParts(parts.transport().self().instance(), parts.storage(),
@@ -78,10 +107,13 @@
 						new ReplicatedClaims(ClaimLedgerSettings.DEFAULT), poison)),
 				peers, parts.clock(), parts.random(), decisions, new Invariants(), parts.metrics());
 		this.node = this.closer.register(ControlNode.start(nodeParts, ControlNodeSettings.DEFAULTS));
+		SerialWorker worker = this.closer.register(new SerialWorker("grantor", GRANTOR_RING));
+		worker.every(GRANTOR_INTERVAL, this::refreshGrantors);
 		server.register(ControlMethods.LOG_TOPIC, (connection, payload) -> receive(payload));
 		server.register(ControlMethods.PROPOSE, this::propose);
 		server.register(ControlMethods.QUERY, this::query);
 		server.register(ControlMethods.HEARTBEAT, this::heartbeat);
+		server.register(ControlMethods.LEASE, this::lease);
 		server.register(ControlMethods.ASK_FLIGHT, (caller, request) -> flights.ask(request));
 		server.register(ControlMethods.END_FLIGHT, (caller, request) -> flights.end(request));
 	}
@@ -99,7 +131,32 @@
 		this.closer.close();
 	}
 
+	private static boolean isReserve(ControlParts parts) {
+		InstanceId last = parts.peers().stream().map(PeerSettings::name).max(Comparator.naturalOrder()).orElseThrow();
+		return last.equals(parts.transport().self().instance());
+	}
+
+	private CompletionStage<Result<LeaseReply>> lease(PeerIdentity caller, LeaseCall call) {
+		boolean fromReserve = call.getRole().equals(GrantorRole.RESERVE.name());
+		return fromReserve ? this.reserve.answer(call, reserveTerm()) : this.primary.answer(call, primaryTerm());
+	}
+
+	private void refreshGrantors() {
+		this.primary.refresh(primaryTerm());
+		this.reserve.refresh(reserveTerm());
+	}
+
+	private Optional<Term> primaryTerm() {
+		return this.node.holdsLease() ? Optional.of(this.node.status().term()) : Optional.empty();
+	}
+
+	private Optional<Term> reserveTerm() {
+		return this.isReserve ? Optional.of(this.life) : Optional.empty();
+	}
+
 	private void publish(AcceptedChange change, Configuration present) {
+		this.primary.configure(present);
+		this.reserve.configure(present);
 		this.published.set(new PublishedConfiguration(change.revision(), ConfigurationWriter.write(present)));
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/FlightEndpoint.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/FlightEndpoint.java
@@ -30,7 +30,7 @@
  */
 final class FlightEndpoint {
 
-	private final FlightGuard guard = new FlightGuard(FlightGuardSettings.DEFAULT);
+	private final FlightGuard guard;
 
 	private final Function<Fingerprint, PoisonVerdict> verdicts;
 
@@ -39,6 +39,7 @@
 	FlightEndpoint(Function<Fingerprint, PoisonVerdict> verdicts, Clock clock) {
 		this.verdicts = Preconditions.notNull(verdicts, "verdicts");
 		this.clock = Preconditions.notNull(clock, "clock");
+		this.guard = new FlightGuard(FlightGuardSettings.DEFAULT, clock.nanoTime());
 	}
 
 	CompletionStage<Result<FlightReply>> ask(FlightRequest request) {
@@ -57,7 +58,8 @@
 		if (this.verdicts.apply(fingerprint) != PoisonVerdict.CLEAR) {
 			return FlightPermit.SUSPECT;
 		}
-		return this.guard.ask(fingerprint, RequestId.of(request.getRequest()), this.clock.nanoTime());
+		return this.guard.ask(fingerprint, RequestId.of(request.getRequest()), request.getCleared(),
+				this.clock.nanoTime());
 	}
 
 	private synchronized void end(FlightRequest request, FlightEnd end) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ActiveRequest.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ActiveRequest.java
@@ -1,5 +1,6 @@
 package org.comfreywall.daemon.entry;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.reactivex.rxjava3.core.Flowable;
@@ -33,6 +34,8 @@
 
 	private long lastChunkAt;
 
+	private long chunks;
+
 	ActiveRequest(CallerRequest request, long arrivedAt) {
 		this.request = request;
 		this.fingerprint = new Fingerprint(request.account(), request.service(), request.body().sha256());
@@ -69,6 +72,7 @@
 			first = this.lastChunkAt == 0;
 			measure(first, metrics, now);
 			this.lastChunkAt = now;
+			this.chunks++;
 		}
 		this.answer.onNext(part);
 		return first;
@@ -82,11 +86,23 @@
 		}
 		OperationError error = result.error()
 			.orElseGet(() -> OperationError.local(ErrorCode.INVARIANT, Step.ANSWER, "no reason is known"));
-		this.answer.onError(new RequestFailedException(result.outcome(), error));
+		this.answer.onError(new RequestFailedException(result.outcome(), error, Duration.ZERO));
+	}
+
+	void refuse(OperationError error, Duration retryAfter) {
+		this.answer.onError(new RequestFailedException(Outcome.NOT_RUN, error, retryAfter));
+	}
+
+	long age(long now) {
+		return now - this.arrivedAt;
+	}
+
+	long expectedTokens() {
+		return this.request.promptTokens() + this.request.maxTokens();
 	}
 
-	void refuse(OperationError error) {
-		this.answer.onError(new RequestFailedException(Outcome.NOT_RUN, error));
+	long spentTokens() {
+		return this.request.promptTokens() + Math.min(this.chunks, this.request.maxTokens());
 	}
 
 	private void measure(boolean first, RequestMetrics metrics, long now) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerAnswerWriter.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerAnswerWriter.java
@@ -79,7 +79,7 @@
 			fail(failure.problem());
 			return;
 		}
-		fail(new Problem(Outcome.UNKNOWN,
+		fail(Problem.of(Outcome.UNKNOWN,
 				OperationError.local(ErrorCode.INVARIANT, Step.ANSWER, String.valueOf(cause))));
 	}
 
@@ -124,6 +124,7 @@
 		if (!this.response.headWritten()) {
 			this.response.setChunked(false);
 			this.response.headers().remove("Trailer");
+			problem.retryAfterSeconds().ifPresent((seconds) -> this.response.putHeader("Retry-After", seconds));
 			this.response.setStatusCode(problem.status())
 				.putHeader("Content-Type", Problem.CONTENT_TYPE)
 				.putHeader(OUTCOME_HEADER, problem.outcome().name())
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerRequest.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerRequest.java
@@ -26,9 +26,11 @@
  * @param key the idempotency key
  * @param priority the priority class
  * @param timeout the time that the caller is willing to wait
+ * @param promptTokens the estimated number of prompt tokens; 0 for a plain service
+ * @param maxTokens the most tokens that may be generated; 0 for a plain service
  */
 record CallerRequest(RequestId id, AccountId account, ServiceId service, String method, String path, String contentType,
 		Bytes body, boolean idempotent, boolean keyRequired, Optional<IdempotencyKey> key, PriorityClass priority,
-		Duration timeout) {
+		Duration timeout, long promptTokens, long maxTokens) {
 
 }
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
@@ -86,7 +86,7 @@
 			return;
 		}
 		OperationError error = resolved.error().orElseThrow();
-		respond(http.response(), new Problem(Outcome.NOT_RUN, error));
+		respond(http.response(), Problem.of(Outcome.NOT_RUN, error));
 	}
 
 	private void stream(Context context, CallerRequest request, HttpServerResponse response) {
@@ -99,7 +99,7 @@
 	}
 
 	private static void refuse(HttpServerResponse response, ErrorCode code, String message) {
-		respond(response, new Problem(Outcome.NOT_RUN, OperationError.local(code, Step.ACCEPT, message)));
+		respond(response, Problem.of(Outcome.NOT_RUN, OperationError.local(code, Step.ACCEPT, message)));
 	}
 
 	private static void respond(HttpServerResponse response, Problem problem) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlPort.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlPort.java
@@ -4,10 +4,12 @@
 
 import org.comfreywall.common.claim.ClaimResult;
 import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.lease.LeaseGrant;
 import org.comfreywall.common.poison.CrashReport;
 import org.comfreywall.common.poison.Fingerprint;
 import org.comfreywall.common.poison.IsolationResult;
 import org.comfreywall.common.result.Result;
+import org.comfreywall.entry.limit.SendAsk;
 import org.comfreywall.entry.request.ClaimKeyFor;
 import org.comfreywall.entry.request.FinishClaim;
 import org.comfreywall.entry.request.FlightEnd;
@@ -45,8 +47,9 @@
 	/**
 	 * Frees a key whose request is proven not to have run.
 	 * @param command the key and the proof
+	 * @return completes with whether the claim was released
 	 */
-	void release(ReleaseClaim command);
+	CompletionStage<Result<Boolean>> release(ReleaseClaim command);
 
 	/**
 	 * Asks for the slot for isolated runs.
@@ -73,9 +76,17 @@
 	 * Asks whether a request with a fingerprint may run beside others with the same.
 	 * @param fingerprint the fingerprint
 	 * @param request the request
+	 * @param cleared whether the fingerprint has just been found not suspected
 	 * @return completes with the answer
 	 */
-	CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request);
+	CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request, boolean cleared);
+
+	/**
+	 * Asks a grantor for shares of limits.
+	 * @param command the grantor and the request
+	 * @return completes with the grant or an error
+	 */
+	CompletionStage<Result<LeaseGrant>> lease(SendAsk command);
 
 	/**
 	 * Tells how a run ended.
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
@@ -39,6 +39,7 @@
 import org.comfreywall.entry.request.ClaimAnswered;
 import org.comfreywall.entry.request.ClaimFailed;
 import org.comfreywall.entry.request.ClaimKeyFor;
+import org.comfreywall.entry.request.ClaimReleased;
 import org.comfreywall.entry.request.CompleteRequest;
 import org.comfreywall.entry.request.CrashRecorded;
 import org.comfreywall.entry.request.DeliverPart;
@@ -57,7 +58,6 @@
 import org.comfreywall.entry.request.RequestSpec;
 import org.comfreywall.entry.request.RequestTracker;
 import org.comfreywall.entry.request.RequestTrackerSettings;
-import org.comfreywall.entry.request.RetryPolicy;
 import org.comfreywall.entry.request.RouteChosen;
 import org.comfreywall.entry.request.RouteUnavailable;
 import org.comfreywall.entry.request.SendCancel;
@@ -65,8 +65,11 @@
 import org.comfreywall.entry.request.SendResume;
 import org.comfreywall.entry.request.SendSeal;
 import org.comfreywall.entry.request.SendStart;
+import org.comfreywall.entry.request.SidecarLost;
 import org.comfreywall.entry.request.StartNotSent;
 import org.comfreywall.entry.request.TimePassed;
+import org.comfreywall.entry.retry.RetryController;
+import org.comfreywall.entry.retry.RetrySettings;
 import org.comfreywall.entry.route.AttemptFailed;
 import org.comfreywall.entry.route.AttemptFinished;
 import org.comfreywall.entry.route.FirstTokenReceived;
@@ -86,6 +89,8 @@
 
 	private static final int CREDIT_PARTS = 64;
 
+	private static final Duration RETRY_ELSEWHERE = Duration.ofSeconds(1);
+
 	private static final int JOIN_CREDIT_PARTS = 4096;
 
 	private final Transport transport;
@@ -100,6 +105,10 @@
 
 	private final Clock clock;
 
+	private final RetryController retries;
+
+	private final AdmissionGate gate;
+
 	private final RequestTracker tracker;
 
 	private final SidecarLinkListener linkEvents = new LinkEvents();
@@ -124,14 +133,17 @@
 
 	private Optional<ScheduledFuture<?>> timer = Optional.empty();
 
-	EntryEngine(EntryParts parts, SerialWorker worker, RouterRegistry routers, RetryPolicy retries) {
+	EntryEngine(EntryParts parts, SerialWorker worker, RouterRegistry routers) {
 		this.transport = parts.transport();
 		this.control = parts.control();
 		this.metrics = parts.metrics();
 		this.clock = parts.clock();
 		this.worker = Preconditions.notNull(worker, "worker");
 		this.routers = Preconditions.notNull(routers, "routers");
-		this.tracker = new RequestTracker(RequestTrackerSettings.DEFAULT, retries, new Invariants(), parts.decisions());
+		this.retries = new RetryController(RetrySettings.DEFAULT, parts.random(), parts.decisions());
+		this.gate = new AdmissionGate(parts, worker, new AdmissionEvents());
+		this.tracker = new RequestTracker(RequestTrackerSettings.DEFAULT, this.retries, new Invariants(),
+				parts.decisions());
 	}
 
 	/**
@@ -143,7 +155,7 @@
 		ActiveRequest started = new ActiveRequest(request, this.clock.nanoTime());
 		if (!this.worker.offer(() -> accept(started))) {
 			return Flowable.error(new RequestFailedException(Outcome.NOT_RUN, OperationError.local(ErrorCode.OVERLOADED,
-					Step.ACCEPT, "the entry is overloaded; send the request again later")));
+					Step.ACCEPT, "the entry is overloaded; send the request again later"), RETRY_ELSEWHERE));
 		}
 		return started.answer();
 	}
@@ -153,7 +165,13 @@
 	 * @param request the request
 	 */
 	void cancel(RequestId request) {
-		this.worker.offer(() -> handle(new CallerCancelled(request)));
+		this.worker.offer(() -> {
+			if (this.gate.cancel(request)) {
+				this.active.remove(request);
+				return;
+			}
+			handle(new CallerCancelled(request));
+		});
 	}
 
 	/**
@@ -190,6 +208,7 @@
 	 */
 	void tick() {
 		this.routers.tick();
+		this.gate.tick();
 		completeDrain();
 	}
 
@@ -217,13 +236,18 @@
 	}
 
 	private void accept(ActiveRequest started) {
-		CallerRequest request = started.request();
 		if (this.draining) {
 			started.refuse(OperationError.local(ErrorCode.UNAVAILABLE, Step.ACCEPT,
-					"this entry is stopping; send the request again"));
+					"this entry is stopping; send the request again"), RETRY_ELSEWHERE);
 			return;
 		}
-		this.active.put(request.id(), started);
+		this.active.put(started.request().id(), started);
+		this.gate.offer(started);
+	}
+
+	private void track(ActiveRequest started) {
+		CallerRequest request = started.request();
+		this.retries.firstAttempt(request.account(), request.service());
 		RequestSpec spec = new RequestSpec(request.id(), started.fingerprint(), request.key(), request.idempotent(),
 				request.keyRequired());
 		long now = this.clock.nanoTime();
@@ -283,17 +307,17 @@
 			start(start);
 		}
 		else if (command instanceof SendSeal seal) {
-			send(seal.target().backendServer(), seal.target().incarnation(), EntryFrames.seal(seal));
+			sendOrLose(seal.target().backendServer(), seal.target().incarnation(), EntryFrames.seal(seal));
 		}
 		else if (command instanceof SendResume resume) {
 			follow(resume.attempt().request(), resume.backendServer());
-			send(resume.backendServer(), resume.incarnation(), EntryFrames.resume(resume, CREDIT_PARTS));
+			sendOrLose(resume.backendServer(), resume.incarnation(), EntryFrames.resume(resume, CREDIT_PARTS));
 		}
 		else if (command instanceof SendCancel cancel) {
-			send(cancel.backendServer(), cancel.incarnation(), EntryFrames.cancel(cancel));
+			sendOrLose(cancel.backendServer(), cancel.incarnation(), EntryFrames.cancel(cancel));
 		}
 		else if (command instanceof SendClaimQuery query) {
-			send(query.backendServer(), query.incarnation(), EntryFrames.claimQuery(query, JOIN_CREDIT_PARTS));
+			sendOrLose(query.backendServer(), query.incarnation(), EntryFrames.claimQuery(query, JOIN_CREDIT_PARTS));
 		}
 		else if (command instanceof ProbeConnection probe) {
 			Optional.ofNullable(this.links.get(probe.backendServer())).ifPresent(SidecarLink::probe);
@@ -315,10 +339,11 @@
 			this.control.markUnknown(unknown);
 		}
 		else if (command instanceof ReleaseClaim release) {
-			this.control.release(release);
+			answer(this.control.release(release),
+					(result) -> new ClaimReleased(release.proof(), result.value().isPresent()));
 		}
 		else if (command instanceof AskFlight flight) {
-			answer(this.control.askFlight(flight.fingerprint(), flight.request()),
+			answer(this.control.askFlight(flight.fingerprint(), flight.request(), flight.cleared()),
 					(permit) -> new FlightAnswered(flight.request(), permit));
 		}
 		else if (command instanceof EndFlight flight) {
@@ -402,6 +427,16 @@
 		return link != null && link.send(incarnation, frame);
 	}
 
+	private void sendOrLose(BackendServerId server, Incarnation incarnation, Frame frame) {
+		if (send(server, incarnation, frame)) {
+			return;
+		}
+		SidecarLink link = this.links.get(server);
+		if (link == null || link.life().filter(incarnation::equals).isEmpty()) {
+			handle(new SidecarLost(server, incarnation));
+		}
+	}
+
 	private void follow(RequestId request, BackendServerId server) {
 		Optional.ofNullable(this.active.get(request)).ifPresent((found) -> found.follow(server));
 	}
@@ -413,6 +448,9 @@
 		}
 		boolean first = request.deliver(part.part(), this.metrics, this.clock.nanoTime());
 		Optional<AttemptId> attempt = Optional.ofNullable(this.sent.get(part.request())).flatMap(SentAttempt::attempt);
+		if (first) {
+			this.retries.answered(request.request().service(), request.age(this.clock.nanoTime()));
+		}
 		if (first && attempt.isPresent()) {
 			this.routers.on(request.request().service(), new FirstTokenReceived(attempt.get()));
 		}
@@ -430,6 +468,7 @@
 						(result.outcome() == Outcome.COMPLETED) ? new AttemptFinished(attempt)
 								: new AttemptFailed(attempt)));
 		}
+		this.gate.finished(request, result.outcome(), result.error());
 		request.complete(result, this.metrics, this.clock.nanoTime());
 	}
 
@@ -466,6 +505,31 @@
 
 	}
 
+	/**
+	 * Starts or refuses requests as the gate decides.
+	 */
+	private final class AdmissionEvents implements AdmissionListener {
+
+		@Override
+		public void onAdmitted(RequestId id, Duration queued) {
+			ActiveRequest request = EntryEngine.this.active.get(id);
+			if (request != null) {
+				EntryEngine.this.metrics.queued(request.request().account(), queued.toNanos());
+				track(request);
+			}
+		}
+
+		@Override
+		public void onRefused(RequestId id, OperationError error, Duration retryAfter) {
+			ActiveRequest request = EntryEngine.this.active.remove(id);
+			if (request != null) {
+				EntryEngine.this.metrics.refused(request.request().account(), error.code());
+				request.refuse(error, retryAfter);
+			}
+		}
+
+	}
+
 	/**
 	 * Passes the events of sidecar links to the cores.
 	 */
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
@@ -9,8 +9,6 @@
 import org.comfreywall.common.lifecycle.Closer;
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.entry.request.RetryDecision;
-import org.comfreywall.entry.request.RetryQuery;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.worker.SerialWorker;
 
@@ -21,11 +19,7 @@
 
 	private static final int RING_CAPACITY = 64 * 1024;
 
-	private static final Duration TICK = Duration.ofMillis(100);
-
-	private static final int MAX_ATTEMPTS = 3;
-
-	private static final Duration RETRY_DELAY = Duration.ofMillis(20);
+	private static final Duration TICK = Duration.ofMillis(10);
 
 	private final Closer closer = new Closer();
 
@@ -44,7 +38,7 @@
 		SerialWorker worker = this.closer.register(new SerialWorker("entry", RING_CAPACITY));
 		RouterRegistry routers = new RouterRegistry(self.instance(), parts.domain(), parts.random(), parts.clock(),
 				parts.decisions());
-		this.engine = this.closer.register(new EntryEngine(parts, worker, routers, EntryNode::retry));
+		this.engine = this.closer.register(new EntryEngine(parts, worker, routers));
 		worker.every(TICK, this.engine::tick);
 		RequestResolver resolver = new RequestResolver(parts.configuration(), requestIds(self));
 		this.server = this.closer.register(new CallerServer(parts.vertx(), listen, resolver, this.engine));
@@ -80,11 +74,6 @@
 		this.closer.close();
 	}
 
-	private static RetryDecision retry(RetryQuery query) {
-		return (query.attempts() < MAX_ATTEMPTS) ? RetryDecision.after(RETRY_DELAY)
-				: RetryDecision.stop("attempts are used up");
-	}
-
 	private static Supplier<RequestId> requestIds(PeerIdentity self) {
 		AtomicLong next = new AtomicLong();
 		String prefix = self.instance() + "." + Long.toString(self.incarnation().value(), Character.MAX_RADIX) + ".";
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/LocalControl.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/LocalControl.java
@@ -1,11 +1,16 @@
 package org.comfreywall.daemon.entry;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 import org.comfreywall.common.claim.ClaimResult;
 import org.comfreywall.common.decision.DecisionListener;
 import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.id.Term;
+import org.comfreywall.common.lease.AccountGrant;
+import org.comfreywall.common.lease.LeaseGrant;
+import org.comfreywall.common.lease.LeaseRequest;
 import org.comfreywall.common.poison.CrashReport;
 import org.comfreywall.common.poison.Fingerprint;
 import org.comfreywall.common.poison.IsolationResult;
@@ -17,6 +22,7 @@
 import org.comfreywall.control.ledger.ClaimLedgerSettings;
 import org.comfreywall.control.ledger.PoisonLedger;
 import org.comfreywall.control.ledger.PoisonLedgerSettings;
+import org.comfreywall.entry.limit.SendAsk;
 import org.comfreywall.entry.request.ClaimKeyFor;
 import org.comfreywall.entry.request.FinishClaim;
 import org.comfreywall.entry.request.FlightEnd;
@@ -39,7 +45,7 @@
 
 	private final PoisonLedger poison;
 
-	private final FlightGuard flights = new FlightGuard(FlightGuardSettings.DEFAULT);
+	private final FlightGuard flights;
 
 	/**
 	 * Creates empty ledgers.
@@ -48,6 +54,7 @@
 	 */
 	public LocalControl(Clock clock, DecisionListener decisions) {
 		this.clock = Preconditions.notNull(clock, "clock");
+		this.flights = new FlightGuard(FlightGuardSettings.DEFAULT, clock.nanoTime());
 		this.poison = new PoisonLedger(PoisonLedgerSettings.DEFAULT, decisions);
 	}
 
@@ -68,8 +75,8 @@
 	}
 
 	@Override
-	public synchronized void release(ReleaseClaim command) {
-		this.claims.release(command.key(), command.proof(), now());
+	public synchronized CompletionStage<Result<Boolean>> release(ReleaseClaim command) {
+		return done(this.claims.release(command.key(), command.proof(), now()).map((claim) -> true));
 	}
 
 	@Override
@@ -90,11 +97,24 @@
 	}
 
 	@Override
-	public synchronized CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request) {
+	public synchronized CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request,
+			boolean cleared) {
 		if (this.poison.assess(fingerprint) != PoisonVerdict.CLEAR) {
 			return done(FlightPermit.SUSPECT);
 		}
-		return done(this.flights.ask(fingerprint, request, now()));
+		return done(this.flights.ask(fingerprint, request, cleared, now()));
+	}
+
+	@Override
+	public synchronized CompletionStage<Result<LeaseGrant>> lease(SendAsk command) {
+		List<AccountGrant> grants = command.request()
+			.demands()
+			.stream()
+			.map((demand) -> new AccountGrant(demand.account(), demand.requests(), demand.tokens(), demand.slots()))
+			.toList();
+		LeaseRequest request = command.request();
+		return done(Result
+			.success(new LeaseGrant(Term.of(1), request.holder(), request.incarnation(), request.sequence(), grants)));
 	}
 
 	@Override
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/Problem.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/Problem.java
@@ -1,5 +1,6 @@
 package org.comfreywall.daemon.entry;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.vertx.core.json.JsonObject;
@@ -13,11 +14,27 @@
  *
  * @param outcome what is known of the request
  * @param error the error
+ * @param retryAfter the time after which a resend may succeed; zero if it may at once
  */
-record Problem(Outcome outcome, OperationError error) {
+record Problem(Outcome outcome, OperationError error, Duration retryAfter) {
+
+	private static final long MILLIS_PER_SECOND = 1000;
 
 	static final String CONTENT_TYPE = "application/problem+json";
 
+	static Problem of(Outcome outcome, OperationError error) {
+		return new Problem(outcome, error, Duration.ZERO);
+	}
+
+	/**
+	 * Returns the value of the Retry-After header.
+	 * @return whole seconds, or empty if the caller need not wait
+	 */
+	Optional<String> retryAfterSeconds() {
+		return this.retryAfter.isZero() ? Optional.empty()
+				: Optional.of(Long.toString(this.retryAfter.plusMillis(MILLIS_PER_SECOND - 1).toSeconds()));
+	}
+
 	int status() {
 		return switch (this.error.code()) {
 			case INVALID_INPUT, MALFORMED -> 400;
@@ -42,6 +59,9 @@
 			.put("outcome", this.outcome.name())
 			.put("step", this.error.step().name())
 			.put("resendSafe", isResendSafe());
+		if (!this.retryAfter.isZero()) {
+			json.put("retryAfterMs", this.retryAfter.toMillis());
+		}
 		this.error.peer().map(InstanceId::value).ifPresent((peer) -> json.put("peer", peer));
 		request.ifPresent((id) -> json.put("requestId", id));
 		return json;
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RemoteControl.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RemoteControl.java
@@ -8,6 +8,7 @@
 import org.comfreywall.common.claim.ClaimRunning;
 import org.comfreywall.common.decision.Field;
 import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.lease.LeaseGrant;
 import org.comfreywall.common.log.EventLog;
 import org.comfreywall.common.poison.CrashReport;
 import org.comfreywall.common.poison.Fingerprint;
@@ -22,6 +23,8 @@
 import org.comfreywall.control.state.PoisonCommandCodec;
 import org.comfreywall.control.state.ReplicatedClaims;
 import org.comfreywall.control.state.ReplicatedPoison;
+import org.comfreywall.entry.limit.GrantorRole;
+import org.comfreywall.entry.limit.SendAsk;
 import org.comfreywall.entry.request.ClaimKeyFor;
 import org.comfreywall.entry.request.FinishClaim;
 import org.comfreywall.entry.request.FlightEnd;
@@ -31,8 +34,11 @@
 import org.comfreywall.entry.request.ReleaseIsolation;
 import org.comfreywall.transport.control.ControlClient;
 import org.comfreywall.transport.control.ControlMethods;
+import org.comfreywall.transport.control.LeaseCodec;
 import org.comfreywall.transport.generated.FlightEndRequest;
 import org.comfreywall.transport.generated.FlightRequest;
+import org.comfreywall.transport.generated.LeaseCall;
+import org.comfreywall.transport.generated.LeaseReply;
 
 /**
  * Keeps claims and suspects in the replicated state of the control instances.
@@ -49,6 +55,8 @@
 
 	private static final Duration RECORD_TIMEOUT = Duration.ofSeconds(60);
 
+	private static final Duration LEASE_TIMEOUT = Duration.ofSeconds(1);
+
 	private static final Duration FLIGHT_TIMEOUT = Duration.ofMillis(100);
 
 	private final ControlClient control;
@@ -83,8 +91,9 @@
 	}
 
 	@Override
-	public void release(ReleaseClaim command) {
-		record("release-claim", ReplicatedClaims.NAME, ClaimCommandCodec.release(command.key(), command.proof()));
+	public CompletionStage<Result<Boolean>> release(ReleaseClaim command) {
+		return propose(ReplicatedClaims.NAME, ClaimCommandCodec.release(command.key(), command.proof()), CLAIM_TIMEOUT)
+			.thenApply((result) -> result.flatMap(ClaimAnswerCodec::decodeState).map((claim) -> true));
 	}
 
 	@Override
@@ -106,14 +115,24 @@
 	}
 
 	@Override
-	public CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request) {
+	public CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request, boolean cleared) {
 		return this.control
-			.callOne(fingerprint.hashCode(), ControlMethods.ASK_FLIGHT, flight(fingerprint, request), FLIGHT_TIMEOUT)
+			.callOne(fingerprint.hashCode(), ControlMethods.ASK_FLIGHT,
+					flight(fingerprint, request).toBuilder().setCleared(cleared).build(), FLIGHT_TIMEOUT)
 			.thenApply((result) -> result.value()
 				.map((reply) -> FlightPermit.valueOf(reply.getPermit()))
 				.orElse(FlightPermit.GO));
 	}
 
+	@Override
+	public CompletionStage<Result<LeaseGrant>> lease(SendAsk command) {
+		LeaseCall call = LeaseCodec.encode(command.grantor(), command.request());
+		CompletableFuture<Result<LeaseReply>> reply = (command.grantor() == GrantorRole.PRIMARY)
+				? this.control.callLeader(ControlMethods.LEASE, call, LEASE_TIMEOUT)
+				: this.control.callLast(ControlMethods.LEASE, call, LEASE_TIMEOUT);
+		return reply.thenApply((result) -> result.map(LeaseCodec::decode));
+	}
+
 	@Override
 	public void endFlight(Fingerprint fingerprint, RequestId request, FlightEnd end) {
 		FlightEndRequest ended = FlightEndRequest.newBuilder()
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RequestFailedException.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RequestFailedException.java
@@ -1,5 +1,7 @@
 package org.comfreywall.daemon.entry;
 
+import java.time.Duration;
+
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Outcome;
 
@@ -12,9 +14,9 @@
 
 	private final transient Problem problem;
 
-	RequestFailedException(Outcome outcome, OperationError error) {
+	RequestFailedException(Outcome outcome, OperationError error, Duration retryAfter) {
 		super(error.message(), null, false, false);
-		this.problem = new Problem(outcome, error);
+		this.problem = new Problem(outcome, error, retryAfter);
 	}
 
 	Problem problem() {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RequestResolver.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RequestResolver.java
@@ -19,6 +19,7 @@
 import org.comfreywall.common.id.IdempotencyKey;
 import org.comfreywall.common.id.RequestId;
 import org.comfreywall.common.id.ServiceId;
+import org.comfreywall.common.lease.LeaseTerms;
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Result;
@@ -35,11 +36,15 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
+	private static final int BYTES_PER_TOKEN = 4;
+
+	private static final int DEFAULT_MAX_TOKENS = 512;
+
 	private static final int MAX_KEY_LENGTH = 200;
 
-	private static final Duration DEFAULT_TIMEOUT = Duration.ofMinutes(2);
+	private static final Duration DEFAULT_TIMEOUT = Duration.ofMinutes(1);
 
-	private static final Duration MAX_TIMEOUT = Duration.ofMinutes(30);
+	private static final Duration MAX_TIMEOUT = LeaseTerms.DEFAULT.longestRequest();
 
 	private final Supplier<Configuration> configuration;
 
@@ -77,7 +82,8 @@
 		return timeout(http.headers())
 			.flatMap((timeout) -> priority(http.headers(), account).map((priority) -> new CallerRequest(this.ids.get(),
 					account.id(), service.id(), http.method().name(), http.uri(), contentType(http), body, idempotent,
-					service.keyRequired(), Optional.ofNullable(key).map(IdempotencyKey::of), priority, timeout)));
+					service.keyRequired(), Optional.ofNullable(key).map(IdempotencyKey::of), priority, timeout,
+					promptTokens(service, body), maxTokens(service, body))));
 	}
 
 	private static Result<ServiceDescriptor> service(Configuration configuration, HttpServerRequest http, Bytes body) {
@@ -118,6 +124,22 @@
 		}
 	}
 
+	private static long promptTokens(ServiceDescriptor service, Bytes body) {
+		return (service.kind() == ServiceKind.MODEL) ? body.length() / BYTES_PER_TOKEN : 0;
+	}
+
+	private static long maxTokens(ServiceDescriptor service, Bytes body) {
+		if (service.kind() != ServiceKind.MODEL) {
+			return 0;
+		}
+		try {
+			return Math.max(1, MAPPER.readTree(body.toArray()).path("max_tokens").asLong(DEFAULT_MAX_TOKENS));
+		}
+		catch (IOException ex) {
+			return DEFAULT_MAX_TOKENS;
+		}
+	}
+
 	private static Result<Duration> timeout(MultiMap headers) {
 		String text = headers.get("Comfreywall-Timeout-Ms");
 		if (text == null) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
@@ -128,6 +128,10 @@
 	 */
 	public static Result<Daemon> start(InstanceSettings settings, boolean founding) {
 		Preconditions.notNull(settings, "settings");
+		if (settings.tls().isPresent()) {
+			return Result.failure(OperationError.local(ErrorCode.INVALID_INPUT, Step.SETTINGS,
+					"[tls] is not supported by this version; remove the table to run without encryption"));
+		}
 		if (settings.control().isEmpty()) {
 			return Result.success(new Daemon(settings, Optional.empty()));
 		}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
@@ -77,6 +77,8 @@
 
 	private final EntryNode entry;
 
+	private URI modelServer;
+
 	/**
 	 * Starts everything.
 	 * @param tokenInterval the time between a stand-in server's tokens
@@ -102,6 +104,14 @@
 		return URI.create("http://127.0.0.1:" + this.entry.port());
 	}
 
+	/**
+	 * Returns the address of one stand-in backend server that streams chat completions.
+	 * @return the base address
+	 */
+	public URI backend() {
+		return this.modelServer;
+	}
+
 	@Override
 	public void close() throws Exception {
 		this.closer.close();
@@ -113,8 +123,12 @@
 
 	private void startServer(String name, ServiceId service, Duration tokenInterval) {
 		StandInServer server = this.closer.register(new StandInServer(this.vertx, 0, tokenInterval));
+		URI address = URI.create("http://127.0.0.1:" + server.port());
+		if (service.equals(MODEL)) {
+			this.modelServer = address;
+		}
 		SidecarParts parts = new SidecarParts(this.vertx, transport("sidecar-" + name), BackendServerId.of(name),
-				URI.create("http://127.0.0.1:" + server.port()), this.control::charge, Clock.system(), this.decisions);
+				address, this.control::charge, Clock.system(), this.decisions);
 		SidecarNode sidecar = this.closer.register(new SidecarNode(parts, LOOPBACK));
 		this.entry.announce(new SidecarAddress(BackendServerId.of(name), service, DOMAIN, sidecar.address())).join();
 	}
--- /dev/null
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/FleetTests.java
@@ -0,0 +1,178 @@
+package org.comfreywall.daemon.fleet;
+
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.MethodOrderer;
+import org.junit.jupiter.api.Order;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestMethodOrder;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests joined failures on daemon processes.
+ */
+@TestMethodOrder(MethodOrderer.OrderAnnotation.class)
+class FleetTests {
+
+	private static final int BOOKINGS = 40;
+
+	@TempDir
+	private static Path folder;
+
+	private static Fleet fleet;
+
+	@BeforeAll
+	static void start() throws Exception {
+		fleet = new Fleet(folder);
+	}
+
+	@AfterAll
+	static void stop() throws Exception {
+		fleet.close();
+	}
+
+	@Test
+	@Order(5)
+	void bookingsRunAtMostOnceWhenTheLeaderIsKilled() throws Exception {
+		String leader = fleet.leader();
+		Map<String, CompletableFuture<HttpResponse<String>>> first = book("leader");
+		fleet.process(leader).kill();
+		Map<String, HttpResponse<String>> answers = settle(first);
+		answers.forEach(FleetTests::assertTrue);
+		for (String key : answers.keySet()) {
+			assertTrue(key, repeatOnce(key));
+			assertThat(fleet.backend("booking-1").bookings(key)).as(key).isLessThanOrEqualTo(1);
+		}
+		fleet.restart(leader);
+	}
+
+	@Test
+	@Order(4)
+	void changeIsNotLostWhenAFrozenLeaderComesBack() throws Exception {
+		Fleet.await("a leader", () -> fleet.leader() != null);
+		String frozen = fleet.leader();
+		long before = fleet.revision(frozen);
+		fleet.process(frozen).signal("STOP");
+		String other = frozen.equals("control-1") ? "control-2" : "control-1";
+		Fleet.await("another leader", () -> fleet.leader() != null && !fleet.leader().equals(frozen));
+		HttpResponse<String> accepted = fleet.change(other, before, "after-freeze", Fleet.configuration(400));
+		assertThat(accepted.statusCode()).as(accepted.body()).isEqualTo(200);
+		fleet.process(frozen).signal("CONT");
+		Fleet.await("the change at the frozen instance", () -> fleet.revision(frozen) == before + 1);
+		HttpResponse<String> late = fleet.change(frozen, before, "late", Fleet.configuration(300));
+		assertThat(late.statusCode()).as(late.body()).isEqualTo(409);
+		assertThat(late.body()).contains("after-freeze");
+	}
+
+	@Test
+	@Order(1)
+	void plannedStopOfASidecarInterruptsNoStream() throws Exception {
+		List<CompletableFuture<HttpResponse<String>>> streams = chats(60);
+		assertThat(fleet.process("chat-1").terminate()).isTrue();
+		for (CompletableFuture<HttpResponse<String>> stream : streams) {
+			HttpResponse<String> answer = stream.get();
+			assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
+			assertThat(answer.body()).endsWith("data: [DONE]\n\n");
+		}
+		fleet.restart("chat-1");
+	}
+
+	@Test
+	@Order(2)
+	void streamsEndTruthfullyWhenASidecarIsKilled() throws Exception {
+		List<CompletableFuture<HttpResponse<String>>> streams = chats(100);
+		Fleet.await("a running stream", () -> streams.stream().noneMatch(CompletableFuture::isDone));
+		fleet.process("chat-2").kill();
+		for (CompletableFuture<HttpResponse<String>> stream : streams) {
+			String body = stream.get().body();
+			boolean whole = body.endsWith("data: [DONE]\n\n");
+			boolean told = body.contains("event: error") || body.contains("\"outcome\"");
+			assertThat(whole ^ told).as(body).isTrue();
+		}
+		fleet.restart("chat-2");
+	}
+
+	@Test
+	@Order(3)
+	void bookingsRunAtMostOnceWhenSidecarAndEntryAreKilled() throws Exception {
+		Map<String, CompletableFuture<HttpResponse<String>>> first = book("joined");
+		fleet.process("booking-1").kill();
+		fleet.process("entry-2").kill();
+		fleet.restart("booking-1");
+		fleet.restart("entry-2");
+		for (Map.Entry<String, CompletableFuture<HttpResponse<String>>> booking : first.entrySet()) {
+			HttpResponse<String> answer = booking.getValue().exceptionally((ex) -> null).get();
+			if (answer != null) {
+				assertTrue(booking.getKey(), answer);
+			}
+		}
+		first.keySet()
+			.forEach((key) -> assertThat(repeatOnce(key).headers().firstValue("Comfreywall-Request-Id")).isPresent());
+		first.keySet()
+			.forEach((key) -> assertThat(fleet.backend("booking-1").bookings(key)).as(key).isLessThanOrEqualTo(1));
+	}
+
+	private static HttpResponse<String> repeatOnce(String key) {
+		try {
+			return fleet.send(fleet.post("entry-1", "/booking/pickups", key, "{}"));
+		}
+		catch (Exception ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static Map<String, CompletableFuture<HttpResponse<String>>> book(String prefix) {
+		Map<String, CompletableFuture<HttpResponse<String>>> sent = new TreeMap<>();
+		for (int i = 0; i < BOOKINGS; i++) {
+			String key = prefix + "-" + i;
+			sent.put(key, sendBooking((i % 2 == 0) ? "entry-1" : "entry-2", key));
+		}
+		return sent;
+	}
+
+	private static CompletableFuture<HttpResponse<String>> sendBooking(String entry, String key) {
+		return fleet.client()
+			.sendAsync(fleet.post(entry, "/booking/pickups", key, "{}"), HttpResponse.BodyHandlers.ofString());
+	}
+
+	private static Map<String, HttpResponse<String>> settle(Map<String, CompletableFuture<HttpResponse<String>>> sent) {
+		Map<String, HttpResponse<String>> answers = new TreeMap<>();
+		sent.forEach((key, answer) -> answers.put(key, answer.join()));
+		return answers;
+	}
+
+	private static void assertTrue(String key, HttpResponse<String> answer) {
+		String outcome = answer.headers()
+			.firstValue("Comfreywall-Outcome")
+			.orElse((answer.statusCode() == 200) ? "COMPLETED" : "UNKNOWN");
+		int runs = fleet.backend("booking-1").bookings(key);
+		if (outcome.equals("NOT_RUN")) {
+			assertThat(runs).as(key + " " + answer.body()).isZero();
+		}
+		if (outcome.equals("COMPLETED")) {
+			assertThat(runs).as(key + " " + answer.body()).isEqualTo(1);
+		}
+	}
+
+	private static List<CompletableFuture<HttpResponse<String>>> chats(int tokens) {
+		List<CompletableFuture<HttpResponse<String>>> streams = new ArrayList<>();
+		for (int i = 0; i < 8; i++) {
+			String body = "{\"model\":\"chat\",\"stream\":true,\"max_tokens\":" + tokens + ",\"user\":\"" + i + "\"}";
+			streams.add(fleet.client()
+				.sendAsync(fleet.post((i % 2 == 0) ? "entry-1" : "entry-2", "/v1/chat/completions", "chat-" + i, body),
+						HttpResponse.BodyHandlers.ofString()));
+		}
+		return streams;
+	}
+
+}
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlClient.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlClient.java
@@ -1,6 +1,7 @@
 package org.comfreywall.transport.control;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -112,6 +113,23 @@
 		return this.clients.get(Math.floorMod(index, this.clients.size())).call(method, request, timeout);
 	}
 
+	/**
+	 * Calls the control instance whose name sorts last.
+	 * @param <Q> the request's type
+	 * @param <R> the reply's type
+	 * @param method the method
+	 * @param request the request
+	 * @param timeout how long to wait
+	 * @return completes with the reply or an error
+	 */
+	public <Q extends Message, R extends Message> CompletableFuture<Result<R>> callLast(RpcMethod<Q, R> method,
+			Q request, Duration timeout) {
+		Comparator<RpcClient> byName = Comparator
+			.comparing((client) -> client.peer().map((peer) -> peer.instance().value()).orElse(""));
+		RpcClient last = this.clients.stream().max(byName).orElseThrow();
+		return last.call(method, request, timeout);
+	}
+
 	/**
 	 * Returns the number of control instances.
 	 * @return the count
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlMethods.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlMethods.java
@@ -8,6 +8,8 @@
 import org.comfreywall.transport.generated.FlightRequest;
 import org.comfreywall.transport.generated.HeartbeatReply;
 import org.comfreywall.transport.generated.HeartbeatRequest;
+import org.comfreywall.transport.generated.LeaseCall;
+import org.comfreywall.transport.generated.LeaseReply;
 import org.comfreywall.transport.generated.ProposeReply;
 import org.comfreywall.transport.generated.ProposeRequest;
 import org.comfreywall.transport.generated.QueryReply;
@@ -39,6 +41,10 @@
 	public static final RpcMethod<FlightEndRequest, FlightEndReply> END_FLIGHT = new RpcMethod<>("control.end-flight",
 			FlightEndRequest.parser(), FlightEndReply.parser());
 
+	/** Asks for shares of limits; answered by the leader or by the reserve grantor. */
+	public static final RpcMethod<LeaseCall, LeaseReply> LEASE = new RpcMethod<>("control.lease", LeaseCall.parser(),
+			LeaseReply.parser());
+
 	/** Orders a sidecar to drain its backend server. */
 	public static final RpcMethod<DrainRequest, DrainReply> DRAIN = new RpcMethod<>("sidecar.drain",
 			DrainRequest.parser(), DrainReply.parser());
