Show a draining backend server as leaving

Change: an ordered drain makes the process announce that it leaves.

Conclusion: status follows the drain.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
@@ -115,6 +115,7 @@
 		this.control = this.closer.register(new ControlClient(this.transport, controlAddresses(settings), worker));
 		settings.sidecar().ifPresent(this::startSidecar);
 		this.members = this.closer.register(new MembershipClient(this.control, this.configuration, memberInfo()));
+		this.sidecar.ifPresent((node) -> node.onDrainOrdered(this.members::leave));
 		settings.entry().ifPresent(this::startEntry);
 		this.admin = this.closer.register(new AdminServer(adminParts(), settings.admin().listen()));
 		this.members.start();
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarNode.java
@@ -26,6 +26,9 @@
 
 	private static final Duration LOAD_INTERVAL = Duration.ofMillis(500);
 
+	private volatile Runnable drainListener = () -> {
+	};
+
 	private final Closer closer = new Closer();
 
 	private final SidecarEngine engine;
@@ -68,8 +71,17 @@
 		return this.engine.drain();
 	}
 
+	/**
+	 * Registers what is to be done when an operator orders a drain.
+	 * @param listener called on an event loop; must not block
+	 */
+	public void onDrainOrdered(Runnable listener) {
+		this.drainListener = Preconditions.notNull(listener, "listener");
+	}
+
 	private CompletionStage<Result<DrainReply>> startDrain() {
 		this.engine.drain();
+		this.drainListener.run();
 		return CompletableFuture.completedFuture(Result.success(DrainReply.getDefaultInstance()));
 	}
 
