Split the entry's driver and end an attempt that is routed again

Change: links to sidecars, commands to control instances and the routers' view of attempts are types of their own; routing a request again ends its earlier attempt first.

Measured: a focused test of the routers' count fails without the end and passes with it; fleet, trial and routing tests pass (11 of 11).

--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlCommands.java
@@ -0,0 +1,96 @@
+package org.comfreywall.daemon.entry;
+
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.comfreywall.common.claim.ClaimResult;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.entry.request.AcquireIsolation;
+import org.comfreywall.entry.request.AskFlight;
+import org.comfreywall.entry.request.ClaimAnswered;
+import org.comfreywall.entry.request.ClaimFailed;
+import org.comfreywall.entry.request.ClaimKeyFor;
+import org.comfreywall.entry.request.ClaimReleased;
+import org.comfreywall.entry.request.CrashRecorded;
+import org.comfreywall.entry.request.EndFlight;
+import org.comfreywall.entry.request.FinishClaim;
+import org.comfreywall.entry.request.FlightAnswered;
+import org.comfreywall.entry.request.IsolationAnswered;
+import org.comfreywall.entry.request.MarkClaimUnknown;
+import org.comfreywall.entry.request.RecordCrash;
+import org.comfreywall.entry.request.ReleaseClaim;
+import org.comfreywall.entry.request.ReleaseIsolation;
+import org.comfreywall.entry.request.RequestCommand;
+import org.comfreywall.entry.request.RequestEvent;
+
+/**
+ * Carries out the tracker's commands to the control instances and hands their answers
+ * back as events.
+ */
+final class ControlCommands {
+
+	private final ControlPort control;
+
+	private final Consumer<RequestEvent> events;
+
+	/**
+	 * Creates the commands' executor.
+	 * @param control the control instances
+	 * @param events takes events on any thread
+	 */
+	ControlCommands(ControlPort control, Consumer<RequestEvent> events) {
+		this.control = control;
+		this.events = events;
+	}
+
+	void carryOut(RequestCommand command) {
+		if (command instanceof ClaimKeyFor claim) {
+			answer(this.control.claim(claim), (result) -> claimed(claim, result));
+		}
+		else if (command instanceof FinishClaim finish) {
+			this.control.finish(finish);
+		}
+		else if (command instanceof MarkClaimUnknown unknown) {
+			this.control.markUnknown(unknown);
+		}
+		else if (command instanceof ReleaseClaim release) {
+			answer(this.control.release(release),
+					(result) -> new ClaimReleased(release.proof(), result.value().isPresent()));
+		}
+		else if (command instanceof AskFlight flight) {
+			answer(this.control.askFlight(flight.fingerprint(), flight.request(), flight.cleared()),
+					(permit) -> new FlightAnswered(flight.request(), permit));
+		}
+		else if (command instanceof EndFlight flight) {
+			this.control.endFlight(flight.fingerprint(), flight.request(), flight.end());
+		}
+		else if (command instanceof ReleaseIsolation release) {
+			this.control.releaseIsolation(release);
+		}
+		else if (command instanceof RecordCrash crash) {
+			answer(this.control.charge(crash.report()), (result) -> new CrashRecorded(crash.request()));
+		}
+		else if (command instanceof AcquireIsolation isolation) {
+			acquire(isolation);
+		}
+	}
+
+	private void acquire(AcquireIsolation isolation) {
+		this.control.acquireIsolation(isolation.fingerprint(), isolation.request())
+			.thenAccept((result) -> result.value()
+				.ifPresent((granted) -> this.events
+					.accept(new IsolationAnswered(isolation.request(), isolation.fingerprint(), granted))));
+	}
+
+	private <T> void answer(CompletionStage<T> stage, Function<T, RequestEvent> event) {
+		stage.thenAccept((value) -> this.events.accept(event.apply(value)));
+	}
+
+	private static RequestEvent claimed(ClaimKeyFor claim, Result<ClaimResult> result) {
+		return result.value()
+			.<RequestEvent>map((value) -> new ClaimAnswered(claim.request(), claim.target(), value))
+			.orElseGet(() -> new ClaimFailed(claim.request(), result.error().orElseThrow()));
+	}
+
+}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
@@ -9,49 +9,28 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledFuture;
-import java.util.function.Function;
 
 import io.reactivex.rxjava3.core.Flowable;
 import org.comfreywall.common.attempt.AnswerPart;
 import org.comfreywall.common.attempt.AttemptTarget;
-import org.comfreywall.common.claim.ClaimResult;
-import org.comfreywall.common.id.AttemptId;
 import org.comfreywall.common.id.BackendServerId;
 import org.comfreywall.common.id.Incarnation;
 import org.comfreywall.common.id.RequestId;
 import org.comfreywall.common.invariant.Invariants;
-import org.comfreywall.common.lifecycle.Closer;
 import org.comfreywall.common.metrics.RequestMetrics;
 import org.comfreywall.common.poison.PoisonVerdict;
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Outcome;
-import org.comfreywall.common.result.Result;
 import org.comfreywall.common.result.Step;
 import org.comfreywall.common.time.Clock;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.entry.request.AcquireIsolation;
-import org.comfreywall.entry.request.AskFlight;
 import org.comfreywall.entry.request.CallerCancelled;
 import org.comfreywall.entry.request.ChooseRoute;
-import org.comfreywall.entry.request.ClaimAnswered;
-import org.comfreywall.entry.request.ClaimFailed;
-import org.comfreywall.entry.request.ClaimKeyFor;
-import org.comfreywall.entry.request.ClaimReleased;
 import org.comfreywall.entry.request.CompleteRequest;
-import org.comfreywall.entry.request.CrashRecorded;
 import org.comfreywall.entry.request.DeliverPart;
-import org.comfreywall.entry.request.EndFlight;
-import org.comfreywall.entry.request.FinishClaim;
-import org.comfreywall.entry.request.FlightAnswered;
-import org.comfreywall.entry.request.IsolationAnswered;
-import org.comfreywall.entry.request.MarkClaimUnknown;
 import org.comfreywall.entry.request.ProbeConnection;
-import org.comfreywall.entry.request.RecordCrash;
-import org.comfreywall.entry.request.ReleaseClaim;
-import org.comfreywall.entry.request.ReleaseIsolation;
 import org.comfreywall.entry.request.RequestAccepted;
 import org.comfreywall.entry.request.RequestCommand;
 import org.comfreywall.entry.request.RequestEvent;
@@ -65,20 +44,12 @@
 import org.comfreywall.entry.request.SendResume;
 import org.comfreywall.entry.request.SendSeal;
 import org.comfreywall.entry.request.SendStart;
-import org.comfreywall.entry.request.SidecarLost;
 import org.comfreywall.entry.request.StartNotSent;
 import org.comfreywall.entry.request.TimePassed;
 import org.comfreywall.entry.retry.RetryController;
 import org.comfreywall.entry.retry.RetrySettings;
-import org.comfreywall.entry.route.AttemptFailed;
-import org.comfreywall.entry.route.AttemptFinished;
-import org.comfreywall.entry.route.FirstTokenReceived;
-import org.comfreywall.entry.route.RouteChoice;
-import org.comfreywall.entry.route.RouteRequest;
-import org.comfreywall.transport.Transport;
 import org.comfreywall.transport.attempt.AttemptPayload;
 import org.comfreywall.transport.attempt.EntryFrames;
-import org.comfreywall.transport.generated.Frame;
 import org.comfreywall.transport.generated.Load;
 import org.comfreywall.transport.worker.SerialWorker;
 
@@ -93,12 +64,8 @@
 
 	private static final int JOIN_CREDIT_PARTS = 4096;
 
-	private final Transport transport;
-
 	private final SerialWorker worker;
 
-	private final ControlPort control;
-
 	private final RouterRegistry routers;
 
 	private final RequestMetrics metrics;
@@ -111,17 +78,13 @@
 
 	private final RequestTracker tracker;
 
-	private final SidecarLinkListener linkEvents = new LinkEvents();
+	private final SidecarDirectory sidecars;
 
-	private final Map<BackendServerId, SidecarLink> links = new HashMap<>();
+	private final ControlCommands controlCommands;
 
 	private final Map<RequestId, ActiveRequest> active = new HashMap<>();
 
-	private final Map<RequestId, SentAttempt> sent = new HashMap<>();
-
-	private final Map<BackendServerId, CompletableFuture<Void>> awaited = new HashMap<>();
-
-	private final Closer closer = new Closer();
+	private final RoutedAttempts attempts;
 
 	private final Deque<RequestEvent> pending = new ArrayDeque<>();
 
@@ -134,12 +97,13 @@
 	private Optional<ScheduledFuture<?>> timer = Optional.empty();
 
 	EntryEngine(EntryParts parts, SerialWorker worker, RouterRegistry routers) {
-		this.transport = parts.transport();
-		this.control = parts.control();
 		this.metrics = parts.metrics();
 		this.clock = parts.clock();
 		this.worker = Preconditions.notNull(worker, "worker");
 		this.routers = Preconditions.notNull(routers, "routers");
+		this.attempts = new RoutedAttempts(routers);
+		this.sidecars = new SidecarDirectory(parts.transport(), worker, new LinkEvents(), this::handle);
+		this.controlCommands = new ControlCommands(parts.control(), (event) -> worker.execute(() -> handle(event)));
 		this.retries = new RetryController(RetrySettings.DEFAULT, parts.random(), parts.decisions());
 		this.gate = new AdmissionGate(parts, worker, new AdmissionEvents());
 		this.tracker = new RequestTracker(RequestTrackerSettings.DEFAULT, this.retries, new Invariants(),
@@ -190,16 +154,7 @@
 	 */
 	CompletableFuture<Void> announce(SidecarAddress sidecar) {
 		CompletableFuture<Void> reached = new CompletableFuture<>();
-		this.worker.execute(() -> {
-			this.awaited.put(sidecar.server(), reached);
-			SidecarLink link = new SidecarLink(sidecar, this.transport, this.worker, this.linkEvents);
-			SidecarLink replaced = this.links.put(sidecar.server(), link);
-			if (replaced != null) {
-				replaced.close();
-			}
-			this.closer.register(link);
-			link.open();
-		});
+		this.worker.execute(() -> this.sidecars.announce(sidecar, reached));
 		return reached;
 	}
 
@@ -231,8 +186,8 @@
 	}
 
 	@Override
-	public void close() throws Exception {
-		this.closer.close();
+	public void close() {
+		this.sidecars.close();
 	}
 
 	private void accept(ActiveRequest started) {
@@ -298,7 +253,7 @@
 			choose(route);
 		}
 		else if (!sendToSidecar(command)) {
-			askControl(command);
+			this.controlCommands.carryOut(command);
 		}
 	}
 
@@ -307,20 +262,23 @@
 			start(start);
 		}
 		else if (command instanceof SendSeal seal) {
-			sendOrLose(seal.target().backendServer(), seal.target().incarnation(), EntryFrames.seal(seal));
+			this.sidecars.sendOrLose(seal.target().backendServer(), seal.target().incarnation(),
+					EntryFrames.seal(seal));
 		}
 		else if (command instanceof SendResume resume) {
 			follow(resume.attempt().request(), resume.backendServer());
-			sendOrLose(resume.backendServer(), resume.incarnation(), EntryFrames.resume(resume, CREDIT_PARTS));
+			this.sidecars.sendOrLose(resume.backendServer(), resume.incarnation(),
+					EntryFrames.resume(resume, CREDIT_PARTS));
 		}
 		else if (command instanceof SendCancel cancel) {
-			sendOrLose(cancel.backendServer(), cancel.incarnation(), EntryFrames.cancel(cancel));
+			this.sidecars.sendOrLose(cancel.backendServer(), cancel.incarnation(), EntryFrames.cancel(cancel));
 		}
 		else if (command instanceof SendClaimQuery query) {
-			sendOrLose(query.backendServer(), query.incarnation(), EntryFrames.claimQuery(query, JOIN_CREDIT_PARTS));
+			this.sidecars.sendOrLose(query.backendServer(), query.incarnation(),
+					EntryFrames.claimQuery(query, JOIN_CREDIT_PARTS));
 		}
 		else if (command instanceof ProbeConnection probe) {
-			Optional.ofNullable(this.links.get(probe.backendServer())).ifPresent(SidecarLink::probe);
+			this.sidecars.probe(probe.backendServer());
 		}
 		else {
 			return false;
@@ -328,74 +286,21 @@
 		return true;
 	}
 
-	private void askControl(RequestCommand command) {
-		if (command instanceof ClaimKeyFor claim) {
-			answer(this.control.claim(claim), (result) -> claimed(claim, result));
-		}
-		else if (command instanceof FinishClaim finish) {
-			this.control.finish(finish);
-		}
-		else if (command instanceof MarkClaimUnknown unknown) {
-			this.control.markUnknown(unknown);
-		}
-		else if (command instanceof ReleaseClaim release) {
-			answer(this.control.release(release),
-					(result) -> new ClaimReleased(release.proof(), result.value().isPresent()));
-		}
-		else if (command instanceof AskFlight flight) {
-			answer(this.control.askFlight(flight.fingerprint(), flight.request(), flight.cleared()),
-					(permit) -> new FlightAnswered(flight.request(), permit));
-		}
-		else if (command instanceof EndFlight flight) {
-			this.control.endFlight(flight.fingerprint(), flight.request(), flight.end());
-		}
-		else if (command instanceof ReleaseIsolation release) {
-			this.control.releaseIsolation(release);
-		}
-		else if (command instanceof RecordCrash crash) {
-			answer(this.control.charge(crash.report()), (result) -> new CrashRecorded(crash.request()));
-		}
-		else if (command instanceof AcquireIsolation isolation) {
-			this.control.acquireIsolation(isolation.fingerprint(), isolation.request())
-				.thenAccept((result) -> result.value()
-					.ifPresent((granted) -> this.worker.execute(() -> handle(
-							new IsolationAnswered(isolation.request(), isolation.fingerprint(), granted)))));
-		}
-	}
-
-	private <T> void answer(CompletionStage<T> stage, Function<T, RequestEvent> event) {
-		stage.thenAccept((value) -> this.worker.execute(() -> handle(event.apply(value))));
-	}
-
-	private static RequestEvent claimed(ClaimKeyFor claim, Result<ClaimResult> result) {
-		return result.value()
-			.<RequestEvent>map((value) -> new ClaimAnswered(claim.request(), claim.target(), value))
-			.orElseGet(() -> new ClaimFailed(claim.request(), result.error().orElseThrow()));
-	}
-
 	private void choose(ChooseRoute route) {
 		ActiveRequest request = this.active.get(route.request());
 		if (request == null) {
 			return;
 		}
-		RouteRequest wanted = this.routers.routeRequest(request.request(), route.excluded());
-		Optional<RouteChoice> choice = this.routers.choose(wanted, request.request().service());
-		Optional<AttemptTarget> target = choice.flatMap((chosen) -> targetOf(chosen.server(), chosen.incarnation()));
+		Optional<AttemptTarget> target = this.attempts.choose(request.request(), route.excluded())
+			.flatMap((choice) -> this.sidecars.target(choice.server(), choice.incarnation()));
 		if (target.isEmpty()) {
 			handle(new RouteUnavailable(route.request(), OperationError.local(ErrorCode.UNAVAILABLE, Step.ROUTE,
 					"no healthy backend server offers " + request.request().service())));
 			return;
 		}
-		this.sent.put(route.request(), new SentAttempt(wanted, choice.get(), Optional.empty()));
 		handle(new RouteChosen(route.request(), target.get()));
 	}
 
-	private Optional<AttemptTarget> targetOf(BackendServerId server, Incarnation incarnation) {
-		return Optional.ofNullable(this.links.get(server))
-			.flatMap(SidecarLink::target)
-			.filter((target) -> target.incarnation().equals(incarnation));
-	}
-
 	private void start(SendStart start) {
 		RequestId id = start.attempt().request();
 		ActiveRequest request = this.active.get(id);
@@ -408,33 +313,13 @@
 		AttemptPayload payload = new AttemptPayload(caller.method(), caller.path(), caller.contentType(), caller.body(),
 				caller.priority(), remaining, caller.key());
 		request.follow(start.target().backendServer());
-		boolean handed = send(start.target().backendServer(), start.target().incarnation(),
+		boolean handed = this.sidecars.send(start.target().backendServer(), start.target().incarnation(),
 				EntryFrames.start(start, payload, CREDIT_PARTS));
 		if (!handed) {
 			handle(new StartNotSent(start.attempt()));
 			return;
 		}
-		SentAttempt chosen = this.sent.get(id);
-		if (chosen != null) {
-			endAttempt(id, chosen, false);
-			this.sent.put(id, chosen.with(start.attempt()));
-			this.routers.sent(caller.service(), start.attempt(), chosen.request(), chosen.choice());
-		}
-	}
-
-	private boolean send(BackendServerId server, Incarnation incarnation, Frame frame) {
-		SidecarLink link = this.links.get(server);
-		return link != null && link.send(incarnation, frame);
-	}
-
-	private void sendOrLose(BackendServerId server, Incarnation incarnation, Frame frame) {
-		if (send(server, incarnation, frame)) {
-			return;
-		}
-		SidecarLink link = this.links.get(server);
-		if (link == null || link.life().filter(incarnation::equals).isEmpty()) {
-			handle(new SidecarLost(server, incarnation));
-		}
+		this.attempts.sent(start.attempt());
 	}
 
 	private void follow(RequestId request, BackendServerId server) {
@@ -447,62 +332,28 @@
 			return;
 		}
 		boolean first = request.deliver(part.part(), this.metrics, this.clock.nanoTime());
-		Optional<AttemptId> attempt = Optional.ofNullable(this.sent.get(part.request())).flatMap(SentAttempt::attempt);
 		if (first) {
 			this.retries.answered(request.request().service(), request.age(this.clock.nanoTime()));
-		}
-		if (first && attempt.isPresent()) {
-			this.routers.on(request.request().service(), new FirstTokenReceived(attempt.get()));
+			this.attempts.firstToken(part.request());
 		}
 	}
 
 	private void complete(CompleteRequest result) {
 		ActiveRequest request = this.active.remove(result.request());
-		SentAttempt last = this.sent.remove(result.request());
+		this.attempts.ended(result.request(), result.outcome() == Outcome.COMPLETED);
 		if (request == null) {
 			return;
 		}
-		if (last != null) {
-			last.attempt()
-				.ifPresent((attempt) -> this.routers.on(request.request().service(),
-						(result.outcome() == Outcome.COMPLETED) ? new AttemptFinished(attempt)
-								: new AttemptFailed(attempt)));
-		}
 		this.gate.finished(request, result.outcome(), result.error());
 		request.complete(result, this.metrics, this.clock.nanoTime());
 	}
 
-	private void endAttempt(RequestId id, SentAttempt earlier, boolean whole) {
-		ActiveRequest request = this.active.get(id);
-		earlier.attempt()
-			.ifPresent((attempt) -> this.routers.on(request.request().service(),
-					whole ? new AttemptFinished(attempt) : new AttemptFailed(attempt)));
-	}
-
 	private void credit(RequestId id, int parts) {
 		ActiveRequest request = this.active.get(id);
 		if (request == null) {
 			return;
 		}
-		request.followed()
-			.map(this.links::get)
-			.ifPresent((link) -> link.life()
-				.ifPresent((incarnation) -> link.send(incarnation, EntryFrames.credit(id, parts))));
-	}
-
-	/**
-	 * An attempt of a request with the choice behind it.
-	 *
-	 * @param request what the choice depended on
-	 * @param choice the choice
-	 * @param attempt the attempt, once sent
-	 */
-	private record SentAttempt(RouteRequest request, RouteChoice choice, Optional<AttemptId> attempt) {
-
-		SentAttempt with(AttemptId number) {
-			return new SentAttempt(this.request, this.choice, Optional.of(number));
-		}
-
+		request.followed().ifPresent((server) -> this.sidecars.credit(server, id, parts));
 	}
 
 	/**
@@ -538,8 +389,7 @@
 		@Override
 		public void onReached(SidecarLink link, Incarnation incarnation) {
 			EntryEngine.this.routers.announce(link, incarnation);
-			Optional.ofNullable(EntryEngine.this.awaited.remove(link.server()))
-				.ifPresent((reached) -> reached.complete(null));
+			EntryEngine.this.sidecars.reached(link.server());
 		}
 
 		@Override
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RouterRegistry.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RouterRegistry.java
@@ -97,6 +97,10 @@
 		router(service).on(event, this.clock.nanoTime());
 	}
 
+	int inFlight(ServiceId service, BackendServerId server) {
+		return router(service).inFlight(server);
+	}
+
 	void tick() {
 		this.routers.values().forEach((router) -> router.on(new TimePassed(), this.clock.nanoTime()));
 	}
