Stop an entry under streams and let its last answers leave

Cause: only the planned stop of a sidecar was tried; the entry closed its listener at once when its last request had ended, while the end of the answer could still be on its way to the caller.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
@@ -37,6 +37,8 @@
 
 	private static final int PREFETCH_MESSAGES = 64;
 
+	private static final long CLOSE_SECONDS = 5;
+
 	private final RequestResolver resolver;
 
 	private final EntryEngine engine;
@@ -61,7 +63,7 @@
 
 	@Override
 	public void close() throws Exception {
-		this.server.close().await(5, TimeUnit.SECONDS);
+		this.server.shutdown(CLOSE_SECONDS, TimeUnit.SECONDS).await(2 * CLOSE_SECONDS, TimeUnit.SECONDS);
 	}
 
 	private void accept(Context context, HttpServerRequest http) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInServer.java
@@ -67,6 +67,14 @@
 		return (count != null) ? count.get() : 0;
 	}
 
+	/**
+	 * Returns the number of chat completions that stream at present.
+	 * @return the count
+	 */
+	public long running() {
+		return this.running.get();
+	}
+
 	@Override
 	public void close() throws Exception {
 		this.server.close().await(5, TimeUnit.SECONDS);
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/Fleet.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/Fleet.java
@@ -94,6 +94,10 @@
 		return this.backends.get(name);
 	}
 
+	long running() {
+		return this.backends.values().stream().mapToLong(StandInServer::running).sum();
+	}
+
 	URI entry(String name) {
 		return URI.create("http://127.0.0.1:" + this.entryPorts.get(name));
 	}
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/FleetTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/FleetTests.java
@@ -42,7 +42,7 @@
 	}
 
 	@Test
-	@Order(5)
+	@Order(6)
 	void bookingsRunAtMostOnceWhenTheLeaderIsKilled() throws Exception {
 		String leader = fleet.leader();
 		Map<String, CompletableFuture<HttpResponse<String>>> first = book("leader");
@@ -57,7 +57,7 @@
 	}
 
 	@Test
-	@Order(4)
+	@Order(5)
 	void changeIsNotLostWhenAFrozenLeaderComesBack() throws Exception {
 		Fleet.await("a leader", () -> fleet.leader() != null);
 		String frozen = fleet.leader();
@@ -78,6 +78,7 @@
 	@Order(1)
 	void plannedStopOfASidecarInterruptsNoStream() throws Exception {
 		List<CompletableFuture<HttpResponse<String>>> streams = chats(60);
+		Fleet.await("running streams", () -> fleet.running() >= 8);
 		assertThat(fleet.process("chat-1").terminate()).isTrue();
 		for (CompletableFuture<HttpResponse<String>> stream : streams) {
 			HttpResponse<String> answer = stream.get();
@@ -89,9 +90,23 @@
 
 	@Test
 	@Order(2)
+	void plannedStopOfAnEntryInterruptsNoStream() throws Exception {
+		List<CompletableFuture<HttpResponse<String>>> streams = chats(60);
+		Fleet.await("running streams", () -> fleet.running() >= 8);
+		assertThat(fleet.process("entry-2").terminate()).isTrue();
+		for (CompletableFuture<HttpResponse<String>> stream : streams) {
+			HttpResponse<String> answer = stream.get();
+			assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
+			assertThat(answer.body()).endsWith("data: [DONE]\n\n");
+		}
+		fleet.restart("entry-2");
+	}
+
+	@Test
+	@Order(3)
 	void streamsEndTruthfullyWhenASidecarIsKilled() throws Exception {
 		List<CompletableFuture<HttpResponse<String>>> streams = chats(100);
-		Fleet.await("a running stream", () -> streams.stream().noneMatch(CompletableFuture::isDone));
+		Fleet.await("running streams", () -> fleet.running() >= 8);
 		fleet.process("chat-2").kill();
 		for (CompletableFuture<HttpResponse<String>> stream : streams) {
 			String body = stream.get().body();
@@ -103,7 +118,7 @@
 	}
 
 	@Test
-	@Order(3)
+	@Order(4)
 	void bookingsRunAtMostOnceWhenSidecarAndEntryAreKilled() throws Exception {
 		Map<String, CompletableFuture<HttpResponse<String>>> first = book("joined");
 		fleet.process("booking-1").kill();
