Secure connections with TLS and keep the ledger of limits through a lapse

Cause: the settings' [tls] table was refused.

Change: TLS between processes with both ends proving their identity, on the admin interface and towards callers, files reloaded; changes without a reason are accepted, malformed ones refused as such; frames that a caller does not expect are ignored; a lapse within a term keeps the ledger.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminServer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
+import io.vertx.core.http.ClientAuth;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -26,6 +27,7 @@
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.control.generated.HistoryRecord;
+import org.comfreywall.daemon.http.HttpSecurity;
 import org.comfreywall.transport.control.ControlMethods;
 import org.comfreywall.transport.generated.DrainRequest;
 import org.comfreywall.transport.generated.MemberInfo;
@@ -54,13 +56,17 @@
 	 * Starts the interface.
 	 * @param parts what it works with
 	 * @param listen the address to listen on
+	 * @param security how connections are secured; clients must prove their identity
 	 */
-	public AdminServer(AdminParts parts, HostPort listen) {
+	public AdminServer(AdminParts parts, HostPort listen, HttpSecurity security) {
 		this.parts = Preconditions.notNull(parts, "parts");
 		this.configurations = new ConfigurationService(parts.control());
 		this.changes = new ChangeEndpoint(this.configurations);
 		HttpServerOptions options = new HttpServerOptions().setHost(listen.host()).setPort(listen.port());
-		this.server = parts.vertx().createHttpServer(options).requestHandler(routes()).listen().await();
+		this.server = security.create(parts.vertx(), options, ClientAuth.REQUIRED)
+			.requestHandler(routes())
+			.listen()
+			.await();
 	}
 
 	/**
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeEndpoint.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeEndpoint.java
@@ -37,16 +37,16 @@
 	}
 
 	CompletableFuture<AdminResponse> submit(ChangeRequest request) {
-		return content(request).thenCompose((content) -> {
-			if (content.error().isPresent()) {
-				return CompletableFuture.completedFuture(AdminResponse.of(content.error().get()));
-			}
-			ConfigurationChange change = new ConfigurationChange(request.id(), request.expected(), request.author(),
-					request.reason(), content.value().orElseThrow());
-			CompletableFuture<Result<ChangeAnswer>> answer = request.dryRun() ? this.configurations.dryRun(change)
-					: this.configurations.apply(change);
-			return answer.thenApply((result) -> respond(result, request.dryRun()));
-		});
+		return content(request).thenApply((content) -> content.flatMap(request::change))
+			.thenCompose((change) -> change.error()
+				.map((error) -> CompletableFuture.completedFuture(AdminResponse.of(error)))
+				.orElseGet(() -> submit(change.value().orElseThrow(), request.dryRun())));
+	}
+
+	private CompletableFuture<AdminResponse> submit(ConfigurationChange change, boolean dryRun) {
+		CompletableFuture<Result<ChangeAnswer>> answer = dryRun ? this.configurations.dryRun(change)
+				: this.configurations.apply(change);
+		return answer.thenApply((result) -> respond(result, dryRun));
 	}
 
 	private CompletableFuture<Result<ChangeContent>> content(ChangeRequest request) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeRequest.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeRequest.java
@@ -12,6 +12,8 @@
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Result;
 import org.comfreywall.common.result.Step;
+import org.comfreywall.control.state.ChangeContent;
+import org.comfreywall.control.state.ConfigurationChange;
 
 /**
  * An operator's change as sent to the admin interface.
@@ -27,13 +29,15 @@
 record ChangeRequest(ChangeId id, Revision expected, String author, String reason, Optional<String> configuration,
 		OptionalLong rollbackTo, boolean dryRun) {
 
+	private static final String NO_REASON = "no reason given";
+
 	static Result<ChangeRequest> parse(Buffer body) {
 		try {
 			JsonObject json = body.toJsonObject();
 			Long rollback = json.getLong("rollbackTo");
 			return Result.success(new ChangeRequest(ChangeId.of(json.getString("changeId")),
 					Revision.of(json.getLong("expectedRevision", -1L)), json.getString("author", ""),
-					json.getString("reason", ""), Optional.ofNullable(json.getString("configuration")),
+					reason(json.getString("reason")), Optional.ofNullable(json.getString("configuration")),
 					(rollback != null) ? OptionalLong.of(rollback) : OptionalLong.empty(),
 					json.getBoolean("dryRun", false)));
 		}
@@ -43,4 +47,17 @@
 		}
 	}
 
+	Result<ConfigurationChange> change(ChangeContent content) {
+		try {
+			return Result.success(new ConfigurationChange(this.id, this.expected, this.author, this.reason, content));
+		}
+		catch (IllegalArgumentException ex) {
+			return Result.failure(OperationError.local(ErrorCode.INVALID_INPUT, Step.CONFIGURE, ex.getMessage()));
+		}
+	}
+
+	private static String reason(String given) {
+		return (given == null || given.isBlank()) ? NO_REASON : given;
+	}
+
 }
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LeaseGrantor.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LeaseGrantor.java
@@ -36,7 +36,8 @@
 /**
  * Grants one part of the client accounts' limits while this instance is its grantor.
  * <p>
- * A new term begins with an empty ledger; the ledger of an earlier one is dropped.
+ * A new term begins with an empty ledger. While the leader's lease lapses within a term
+ * nothing is granted, but the ledger is kept: no other grantor can have begun in between.
  */
 final class LeaseGrantor {
 
@@ -77,14 +78,12 @@
 	 * @param granting the term, or empty if it is not the grantor
 	 */
 	synchronized void refresh(Optional<Term> granting) {
-		if (granting.isEmpty()) {
+		Optional<Term> next = granting.filter((present) -> this.ledger.isEmpty() || !present.equals(this.term));
+		next.ifPresent((present) -> {
 			this.ledger = Optional.empty();
-		}
-		else if (!granting.get().equals(this.term) || this.ledger.isEmpty()) {
-			this.ledger = Optional.empty();
-			this.term = granting.get();
+			this.term = present;
 			this.reservations.ifPresentOrElse(this::load, () -> begin(Optional.empty()));
-		}
+		});
 	}
 
 	private void load(ReservationPort port) {
@@ -105,7 +104,7 @@
 
 	synchronized CompletionStage<Result<LeaseReply>> answer(LeaseCall call, Optional<Term> granting) {
 		refresh(granting);
-		if (this.ledger.isEmpty()) {
+		if (granting.isEmpty() || this.ledger.isEmpty()) {
 			return failure(ErrorCode.UNAVAILABLE, "this instance is not the grantor, or not yet");
 		}
 		try {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.ClientAuth;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -23,6 +24,7 @@
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.daemon.http.HttpSecurity;
 
 /**
  * Takes callers' requests over HTTP/1.1 and HTTP/2.
@@ -45,13 +47,13 @@
 
 	private final HttpServer server;
 
-	CallerServer(Vertx vertx, HostPort listen, RequestResolver resolver, EntryEngine engine) {
+	CallerServer(Vertx vertx, HostPort listen, HttpSecurity security, RequestResolver resolver, EntryEngine engine) {
 		this.resolver = Preconditions.notNull(resolver, "resolver");
 		this.engine = Preconditions.notNull(engine, "engine");
 		HttpServerOptions options = new HttpServerOptions().setHost(listen.host())
 			.setPort(listen.port())
 			.setMaxHeaderSize(MAX_HEADER_BYTES);
-		this.server = vertx.createHttpServer(options)
+		this.server = security.create(vertx, options, ClientAuth.NONE)
 			.requestHandler((http) -> accept(vertx.getOrCreateContext(), http))
 			.listen()
 			.await();
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
@@ -9,6 +9,7 @@
 import org.comfreywall.common.lifecycle.Closer;
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.daemon.http.HttpSecurity;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.worker.SerialWorker;
 
@@ -31,8 +32,9 @@
 	 * Starts the role.
 	 * @param parts what the role works with
 	 * @param listen the address for callers
+	 * @param security how callers' connections are secured
 	 */
-	public EntryNode(EntryParts parts, HostPort listen) {
+	public EntryNode(EntryParts parts, HostPort listen, HttpSecurity security) {
 		Preconditions.notNull(parts, "parts");
 		PeerIdentity self = parts.transport().self();
 		SerialWorker worker = this.closer.register(new SerialWorker("entry", RING_CAPACITY));
@@ -41,7 +43,7 @@
 		this.engine = this.closer.register(new EntryEngine(parts, worker, routers));
 		worker.every(TICK, this.engine::tick);
 		RequestResolver resolver = new RequestResolver(parts.configuration(), requestIds(self));
-		this.server = this.closer.register(new CallerServer(parts.vertx(), listen, resolver, this.engine));
+		this.server = this.closer.register(new CallerServer(parts.vertx(), listen, security, resolver, this.engine));
 	}
 
 	/**
--- /dev/null
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings shared by the HTTP listeners.
+ */
+package org.comfreywall.daemon.http;
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
@@ -44,12 +44,15 @@
 import org.comfreywall.daemon.entry.EntryNode;
 import org.comfreywall.daemon.entry.EntryParts;
 import org.comfreywall.daemon.entry.RemoteControl;
+import org.comfreywall.daemon.http.HttpSecurity;
 import org.comfreywall.daemon.member.ConfigurationHolder;
 import org.comfreywall.daemon.member.MembershipClient;
 import org.comfreywall.daemon.sidecar.SidecarNode;
 import org.comfreywall.daemon.sidecar.SidecarParts;
 import org.comfreywall.transport.ConnectionTimes;
 import org.comfreywall.transport.PeerIdentity;
+import org.comfreywall.transport.TlsFiles;
+import org.comfreywall.transport.TlsSecurity;
 import org.comfreywall.transport.Transport;
 import org.comfreywall.transport.TransportSecurity;
 import org.comfreywall.transport.control.ControlClient;
@@ -87,6 +90,8 @@
 
 	private final ConfigurationHolder configuration = new ConfigurationHolder(this.decisions);
 
+	private final HttpSecurity http;
+
 	private final Vertx vertx;
 
 	private final Transport transport;
@@ -103,13 +108,14 @@
 
 	private final AdminServer admin;
 
-	private Daemon(InstanceSettings settings, Optional<DiskStorage> storage) {
+	private Daemon(InstanceSettings settings, TransportSecurity security, Optional<DiskStorage> storage) {
 		this.settings = settings;
+		this.http = new HttpSecurity(tlsFiles(settings));
 		this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(TRANSPORT_THREADS));
 		this.closer.register(() -> this.vertx.close().await(5, TimeUnit.SECONDS));
 		Incarnation incarnation = Incarnation.of(System.currentTimeMillis());
 		this.transport = this.closer.register(new Transport(new PeerIdentity(settings.name(), incarnation),
-				ConnectionTimes.DEFAULT, TransportSecurity.PLAIN, TRANSPORT_THREADS));
+				ConnectionTimes.DEFAULT, security, TRANSPORT_THREADS));
 		SerialWorker worker = this.closer.register(new SerialWorker("control-client", WORKER_RING));
 		storage.ifPresent((opened) -> startControl(settings.control().orElseThrow(), opened));
 		this.control = this.closer.register(new ControlClient(this.transport, controlAddresses(settings), worker));
@@ -117,7 +123,7 @@
 		this.members = this.closer.register(new MembershipClient(this.control, this.configuration, memberInfo()));
 		this.sidecar.ifPresent((node) -> node.onDrainOrdered(this.members::leave));
 		settings.entry().ifPresent(this::startEntry);
-		this.admin = this.closer.register(new AdminServer(adminParts(), settings.admin().listen()));
+		this.admin = this.closer.register(new AdminServer(adminParts(), settings.admin().listen(), this.http));
 		this.members.start();
 	}
 
@@ -129,24 +135,33 @@
 	 */
 	public static Result<Daemon> start(InstanceSettings settings, boolean founding) {
 		Preconditions.notNull(settings, "settings");
-		if (settings.tls().isPresent()) {
-			return Result.failure(OperationError.local(ErrorCode.INVALID_INPUT, Step.SETTINGS,
-					"[tls] is not supported by this version; remove the table to run without encryption"));
-		}
+		return security(settings).flatMap((security) -> start(settings, security, founding));
+	}
+
+	private static Result<TransportSecurity> security(InstanceSettings settings) {
+		return tlsFiles(settings).map((files) -> TlsSecurity.from(files).<TransportSecurity>map((tls) -> tls))
+			.orElseGet(() -> Result.success(TransportSecurity.PLAIN));
+	}
+
+	private static Optional<TlsFiles> tlsFiles(InstanceSettings settings) {
+		return settings.tls().map((tls) -> new TlsFiles(tls.certificate(), tls.key(), tls.trust()));
+	}
+
+	private static Result<Daemon> start(InstanceSettings settings, TransportSecurity security, boolean founding) {
 		if (settings.control().isEmpty()) {
-			return Result.success(new Daemon(settings, Optional.empty()));
+			return Result.success(new Daemon(settings, security, Optional.empty()));
 		}
 		ControlSettings control = settings.control().get();
 		List<InstanceId> founders = control.peers().stream().map(PeerSettings::name).sorted().toList();
 		FolderOrigin origin = founding ? FolderOrigin.founding(settings.name(), founders)
 				: FolderOrigin.joining(settings.name(), new SecureRandom());
 		return DiskStorage.open(control.dataFolder(), origin, DiskStorage.DEFAULT_SEGMENT_BYTES)
-			.flatMap((storage) -> start(settings, storage));
+			.flatMap((storage) -> start(settings, security, storage));
 	}
 
-	private static Result<Daemon> start(InstanceSettings settings, DiskStorage storage) {
+	private static Result<Daemon> start(InstanceSettings settings, TransportSecurity security, DiskStorage storage) {
 		try {
-			return Result.success(new Daemon(settings, Optional.of(storage)));
+			return Result.success(new Daemon(settings, security, Optional.of(storage)));
 		}
 		catch (RuntimeException ex) {
 			storage.close();
@@ -183,10 +198,10 @@
 	 */
 	public String describe() {
 		StringBuilder text = new StringBuilder("instance=" + this.settings.name());
-		this.entry.ifPresent((node) -> text.append(" entry=http://")
+		this.entry.ifPresent((node) -> text.append(" entry=" + this.http.scheme() + "://")
 			.append(new HostPort(this.settings.entry().orElseThrow().listen().host(), node.port())));
 		this.sidecar.ifPresent((node) -> text.append(" sidecar=").append(node.address()));
-		return text.append(" admin=http://")
+		return text.append(" admin=" + this.http.scheme() + "://")
 			.append(new HostPort(this.settings.admin().listen().host(), this.admin.port()))
 			.toString();
 	}
@@ -210,7 +225,7 @@
 		EntryParts parts = new EntryParts(this.vertx, this.transport, this.settings.failureDomain(),
 				() -> this.configuration.configuration().orElse(Configuration.EMPTY), new RemoteControl(this.control),
 				this.requests, Clock.system(), new SecureRandom(), this.decisions);
-		EntryNode node = this.closer.register(new EntryNode(parts, entrySettings.listen()));
+		EntryNode node = this.closer.register(new EntryNode(parts, entrySettings.listen(), this.http));
 		this.members.listen(new SidecarDiscovery(node));
 		this.entry = Optional.of(node);
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
@@ -31,6 +31,7 @@
 import org.comfreywall.daemon.entry.EntryParts;
 import org.comfreywall.daemon.entry.LocalControl;
 import org.comfreywall.daemon.entry.SidecarAddress;
+import org.comfreywall.daemon.http.HttpSecurity;
 import org.comfreywall.daemon.sidecar.SidecarNode;
 import org.comfreywall.daemon.sidecar.SidecarParts;
 import org.comfreywall.daemon.standin.StandInServer;
@@ -89,7 +90,7 @@
 		this.control = new LocalControl(Clock.system(), this.decisions);
 		EntryParts parts = new EntryParts(this.vertx, transport("entry-1"), DOMAIN, () -> configuration, this.control,
 				new RequestMetrics(new MetricRegistry()), Clock.system(), RandomGenerator.getDefault(), this.decisions);
-		this.entry = this.closer.register(new EntryNode(parts, LOOPBACK));
+		this.entry = this.closer.register(new EntryNode(parts, LOOPBACK, HttpSecurity.PLAIN));
 		for (int i = 1; i <= SERVERS; i++) {
 			startServer("model-" + i, MODEL, tokenInterval);
 			startServer("booking-" + i, BOOKING, tokenInterval);
--- /dev/null
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
@@ -0,0 +1,112 @@
+package org.comfreywall.transport;
+
+import java.io.IOException;
+import java.nio.file.attribute.FileTime;
+import java.util.List;
+
+import javax.net.ssl.SSLException;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import org.comfreywall.common.decision.Field;
+import org.comfreywall.common.log.EventLog;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
+import org.comfreywall.common.util.Preconditions;
+
+/**
+ * Secures connections with TLS; both ends must prove their identity.
+ * <p>
+ * Any certificate signed under the trust file is accepted, whatever address it names,
+ * because peers are reached by IP number. Changed files are used for the connections
+ * opened afterwards; unreadable ones leave the former in use.
+ */
+public final class TlsSecurity implements TransportSecurity {
+
+	private static final EventLog LOG = EventLog.of(TlsSecurity.class);
+
+	private final TlsFiles files;
+
+	private Contexts contexts;
+
+	private TlsSecurity(TlsFiles files, Contexts contexts) {
+		this.files = files;
+		this.contexts = contexts;
+	}
+
+	/**
+	 * Reads the files.
+	 * @param files the files
+	 * @return the security, or why the files cannot be used
+	 */
+	public static Result<TlsSecurity> from(TlsFiles files) {
+		Preconditions.notNull(files, "files");
+		try {
+			return Result.success(new TlsSecurity(files, load(files)));
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			return Result.failure(OperationError.local(ErrorCode.INVALID_INPUT, Step.SETTINGS,
+					"[tls]: the PEM files cannot be used (" + ex.getMessage() + ")"));
+		}
+	}
+
+	@Override
+	public List<ChannelHandler> server(Channel channel) {
+		return List.of(current().server().newHandler(channel.alloc()));
+	}
+
+	@Override
+	public List<ChannelHandler> client(Channel channel) {
+		return List.of(current().client().newHandler(channel.alloc()));
+	}
+
+	private synchronized Contexts current() {
+		try {
+			if (!this.files.modified().equals(this.contexts.modified())) {
+				this.contexts = load(this.files);
+				LOG.info("tls-files-reloaded", Field.of("certificate", this.files.certificate()));
+			}
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			LOG.error("tls-files-unusable", Field.of("error", ex.getMessage()));
+		}
+		return this.contexts;
+	}
+
+	private static Contexts load(TlsFiles files) throws IOException {
+		List<FileTime> modified = files.modified();
+		return new Contexts(modified, serverContext(files), clientContext(files));
+	}
+
+	private static SslContext serverContext(TlsFiles files) throws SSLException {
+		return SslContextBuilder.forServer(files.certificate().toFile(), files.key().toFile())
+			.trustManager(files.trust().toFile())
+			.clientAuth(ClientAuth.REQUIRE)
+			.build();
+	}
+
+	private static SslContext clientContext(TlsFiles files) throws SSLException {
+		return SslContextBuilder.forClient()
+			.keyManager(files.certificate().toFile(), files.key().toFile())
+			.trustManager(files.trust().toFile())
+			.endpointIdentificationAlgorithm(null)
+			.build();
+	}
+
+	/**
+	 * Contexts made from the files at one time.
+	 *
+	 * @param modified when the files were changed last
+	 * @param server for accepted connections
+	 * @param client for opened connections
+	 */
+	private record Contexts(List<FileTime> modified, SslContext server, SslContext client) {
+
+	}
+
+}
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
@@ -13,7 +13,9 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.Message;
 import com.google.protobuf.Parser;
+import org.comfreywall.common.decision.Field;
 import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.log.EventLog;
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Result;
@@ -38,6 +40,8 @@
  */
 public final class RpcClient implements AutoCloseable {
 
+	private static final EventLog LOG = EventLog.of(RpcClient.class);
+
 	private static final int MAX_PENDING = 10_000;
 
 	private final AtomicLong ids = new AtomicLong();
@@ -177,7 +181,7 @@
 			switch (frame.getBodyCase()) {
 				case REPLY -> complete(connection, frame.getReply());
 				case NOTICE -> notice(connection, frame.getNotice());
-				default -> connection.close();
+				default -> LOG.debug("frame-ignored", Field.of("frame", frame.getBodyCase()));
 			}
 		}
 
--- /dev/null
+++ b/comfreywall-transport/src/test/java/org/comfreywall/transport/TlsSecurityTests.java
@@ -0,0 +1,111 @@
+package org.comfreywall.transport;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.FileTime;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.comfreywall.common.id.Incarnation;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.lifecycle.Closer;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.toml.HostPort;
+import org.comfreywall.transport.generated.Frame;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link TlsSecurity}.
+ */
+class TlsSecurityTests {
+
+	private static final ConnectionTimes PATIENT = new ConnectionTimes(Duration.ofSeconds(1), Duration.ofSeconds(30),
+			Duration.ofSeconds(60), Duration.ofSeconds(10));
+
+	private final Closer closer = new Closer();
+
+	@TempDir
+	private Path folder;
+
+	@AfterEach
+	void close() throws Exception {
+		this.closer.close();
+	}
+
+	@Test
+	void connectsPeersThatTrustEachOther() throws Exception {
+		TlsFiles files = TestCertificates.create(this.folder, "fleet");
+		TransportServer server = listen(files);
+		assertThat(connect(files, server)).isTrue();
+	}
+
+	@Test
+	void refusesPeersUnderAnotherCertificateUntilTheFilesAreReplaced() throws Exception {
+		TlsFiles old = TestCertificates.create(this.folder, "old");
+		TlsFiles renewed = TestCertificates.create(this.folder, "renewed");
+		TransportServer server = listen(old);
+		assertThat(connect(renewed, server)).isFalse();
+		replace(old, renewed);
+		assertThat(connect(renewed, server)).isTrue();
+	}
+
+	@Test
+	void namesFilesThatCannotBeUsed() {
+		Path missing = this.folder.resolve("missing.pem");
+		assertThat(TlsSecurity.from(new TlsFiles(missing, missing, missing)).error().map(OperationError::message))
+			.hasValueSatisfying((message) -> assertThat(message).contains("missing.pem"));
+	}
+
+	private TransportServer listen(TlsFiles files) {
+		return transport("server", files).listen(new HostPort("127.0.0.1", 0), new GreetingListener());
+	}
+
+	private boolean connect(TlsFiles files, TransportServer server) throws Exception {
+		GreetingListener listener = new GreetingListener();
+		transport("client", files).connect(server.address(), listener).get(20, TimeUnit.SECONDS);
+		return listener.greeted.get(20, TimeUnit.SECONDS);
+	}
+
+	private Transport transport(String name, TlsFiles files) {
+		TransportSecurity security = TlsSecurity.from(files).value().orElseThrow();
+		return this.closer
+			.register(new Transport(new PeerIdentity(InstanceId.of(name), Incarnation.of(1)), PATIENT, security, 1));
+	}
+
+	private static void replace(TlsFiles old, TlsFiles renewed) throws Exception {
+		Files.copy(renewed.key(), old.key(), StandardCopyOption.REPLACE_EXISTING);
+		Files.copy(renewed.certificate(), old.certificate(), StandardCopyOption.REPLACE_EXISTING);
+		Files.setLastModifiedTime(old.certificate(), FileTime.fromMillis(1));
+	}
+
+	/**
+	 * Tells whether the peer has greeted before the connection closed.
+	 */
+	private static final class GreetingListener implements PeerListener {
+
+		private final CompletableFuture<Boolean> greeted = new CompletableFuture<>();
+
+		@Override
+		public void onOpen(PeerConnection connection) {
+			this.greeted.complete(true);
+		}
+
+		@Override
+		public void onFrame(PeerConnection connection, Frame frame) {
+			connection.close();
+		}
+
+		@Override
+		public void onClosed(PeerConnection connection, OperationError reason) {
+			this.greeted.complete(false);
+		}
+
+	}
+
+}
