End a process that cannot start, and keep tests off busy ports

Cause: with five fleet tests at once one hung: a port taken by another process made a daemon fail in its constructor, and its other threads kept the process alive without a word.

Change: the daemon prints why it cannot start and exits with 1; the fleet test takes ports below the range that connections use.

Conclusion: a failed start is told and does not hang.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/Comfreywalld.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/Comfreywalld.java
@@ -17,6 +17,8 @@
  */
 public final class Comfreywalld {
 
+	private static final int FAILED = 1;
+
 	private static final int USAGE = 2;
 
 	private Comfreywalld() {
@@ -25,11 +27,20 @@
 	/**
 	 * Runs the daemon or the trial.
 	 * @param args the command line
-	 * @throws Exception if the process cannot start
 	 */
-	public static void main(String[] args) throws Exception {
+	public static void main(String[] args) {
 		LogSetup.install(Level.INFO);
-		System.exit(run(args));
+		System.exit(exitCode(args));
+	}
+
+	private static int exitCode(String[] args) {
+		try {
+			return run(args);
+		}
+		catch (Exception ex) {
+			System.err.println("cannot start: " + ex.getMessage());
+			return FAILED;
+		}
 	}
 
 	private static int run(String[] args) throws Exception {
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/Fleet.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/Fleet.java
@@ -1,6 +1,7 @@
 package org.comfreywall.daemon.fleet;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -12,6 +13,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -31,6 +33,11 @@
 
 	private static final int CONTROLS = 3;
 
+	/** Below the range from which connections take their ports. */
+	private static final int LOWEST_PORT = 12_000;
+
+	private static final int HIGHEST_PORT = 30_000;
+
 	private static final Duration PATIENCE = Duration.ofSeconds(60);
 
 	private final Closer closer = new Closer();
@@ -315,8 +322,14 @@
 	}
 
 	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
+		while (true) {
+			int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+			try (ServerSocket socket = new ServerSocket(port)) {
+				return socket.getLocalPort();
+			}
+			catch (BindException ex) {
+				continue;
+			}
 		}
 	}
 
