--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/AcquireIsolation.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/AcquireIsolation.java
@@ -5,10 +5,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Ask for the slot for isolated runs and answer with {@link IsolationAnswered}.
+ * Requests the fleet-wide slot for isolated runs. The driver responds with
+ * {@link IsolationAnswered}.
  *
  * @param request the request
- * @param fingerprint the suspect
+ * @param fingerprint the suspected fingerprint
  */
 public record AcquireIsolation(RequestId request, Fingerprint fingerprint) implements RequestCommand {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/AnswerCollector.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/AnswerCollector.java
@@ -10,7 +10,8 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * Puts the parts of an answer together for the ledger of claims, up to a bound.
+ * Assembles the parts of an answer to be recorded with its claim. An answer larger than
+ * the bound is discarded and not recorded.
  */
 final class AnswerCollector {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/AskFlight.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/AskFlight.java
@@ -5,12 +5,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Ask the guard of a fingerprint and answer with {@link FlightAnswered}; without a guard,
- * answer with {@link FlightPermit#GO} at once.
+ * Requests a permit to run from the guard of the fingerprint. The driver responds with
+ * {@link FlightAnswered}; if no guard can be reached, with {@link FlightPermit#GO} at
+ * once.
  *
  * @param request the request
  * @param fingerprint the fingerprint of the request
- * @param cleared whether the ledger of poison requests has just answered that the
+ * @param cleared whether the ledger of poison requests has just reported that the
  * fingerprint is not suspected
  */
 public record AskFlight(RequestId request, Fingerprint fingerprint, boolean cleared) implements RequestCommand {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/CallerCancelled.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/CallerCancelled.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The caller went away.
+ * The caller cancelled the request or disconnected.
  *
  * @param request the request
  */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/CallerSide.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/CallerSide.java
@@ -15,7 +15,8 @@
 import org.comfreywall.common.result.Outcome;
 
 /**
- * What a request has to tell its caller.
+ * Sends the answer and the outcome of a request to its caller, until the caller is
+ * detached.
  */
 final class CallerSide {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ChooseRoute.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ChooseRoute.java
@@ -7,12 +7,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Choose a backend server and answer with {@link RouteChosen} or
+ * Selects a backend server. The driver responds with {@link RouteChosen} or
  * {@link RouteUnavailable}.
  *
  * @param request the request
  * @param excluded the backend servers that refused the request
- * @param isolated whether the request will run alone
+ * @param isolated whether the request will run in isolation
  */
 public record ChooseRoute(RequestId request, Set<BackendServerId> excluded,
 		boolean isolated) implements RequestCommand {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimAnswered.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimAnswered.java
@@ -6,11 +6,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The ledger of claims answered.
+ * The ledger of claims responded to a claim.
  *
  * @param request the request
- * @param target the target for which the claim was asked
- * @param result the answer, durable on a quorum
+ * @param target the target that the claim was requested for
+ * @param result the result, committed on a quorum
  */
 public record ClaimAnswered(RequestId request, AttemptTarget target, ClaimResult result) implements RequestEvent {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimFailed.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimFailed.java
@@ -5,8 +5,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The ledger of claims refused or could not be reached in time; the claim may still be
- * granted later.
+ * The ledger of claims rejected the claim or could not be reached in time. The claim may
+ * still be granted later.
  *
  * @param request the request
  * @param error the reason
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimHold.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimHold.java
@@ -11,7 +11,7 @@
 import org.comfreywall.common.id.RequestId;
 
 /**
- * A request's hold on the claim of its idempotency key.
+ * The claim of a request on its idempotency key.
  */
 final class ClaimHold {
 
@@ -39,15 +39,15 @@
 		return this.key.isPresent();
 	}
 
-	void ask(AttemptTarget asked) {
-		this.target = Optional.of(asked);
+	void ask(AttemptTarget requested) {
+		this.target = Optional.of(requested);
 		this.evidence = Optional.of(NotRunEvidence.NEVER_SENT);
-		this.context
-			.emit(new ClaimKeyFor(this.spec.id(), this.key.orElseThrow(), this.spec.fingerprint().bodyDigest(), asked));
+		this.context.emit(new ClaimKeyFor(this.spec.id(), this.key.orElseThrow(), this.spec.fingerprint().bodyDigest(),
+				requested));
 	}
 
-	boolean isAskedFor(AttemptTarget answered) {
-		return this.target.filter(answered::equals).isPresent();
+	boolean isAskedFor(AttemptTarget other) {
+		return this.target.filter(other::equals).isPresent();
 	}
 
 	void grant() {
@@ -67,8 +67,9 @@
 	}
 
 	/**
-	 * Tells whether the claim is held and its attempt was proven not to have run.
-	 * @return {@code true} if a release can show that no sending with the key ran
+	 * Returns whether the claim is held and its attempt provably did not run.
+	 * @return {@code true} if releasing the claim can prove that no request with the key
+	 * ran
 	 */
 	boolean canProveNotRun() {
 		return this.granted && this.evidence.isPresent();
@@ -80,9 +81,9 @@
 
 	void release() {
 		if (this.target.isPresent() && this.evidence.isPresent()) {
-			AttemptTarget asked = this.target.get();
-			NotRunProof proof = new NotRunProof(this.evidence.get(), this.spec.id(), asked.backendServer(),
-					asked.incarnation());
+			AttemptTarget claimed = this.target.get();
+			NotRunProof proof = new NotRunProof(this.evidence.get(), this.spec.id(), claimed.backendServer(),
+					claimed.incarnation());
 			this.released = Optional.of(proof);
 			releaseWith(proof);
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimKeyFor.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimKeyFor.java
@@ -6,13 +6,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Claim an idempotency key on a quorum and answer with {@link ClaimAnswered} or
- * {@link ClaimFailed}.
+ * Claims an idempotency key on a quorum. The driver responds with {@link ClaimAnswered}
+ * or {@link ClaimFailed}.
  *
  * @param request the request
- * @param key the key
- * @param bodyDigest the digest of the body
- * @param target the target of the only attempt
+ * @param key the idempotency key
+ * @param bodyDigest the digest of the request body; a claim on the same key with another
+ * digest is rejected
+ * @param target the target of the only attempt that the claim permits
  */
 public record ClaimKeyFor(RequestId request, ClaimKey key, String bodyDigest,
 		AttemptTarget target) implements RequestCommand {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimReleased.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimReleased.java
@@ -4,11 +4,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The ledger of claims answered the release of a claim.
+ * The ledger of claims responded to the release of a claim.
  *
  * @param proof the proof with which the claim was released
- * @param released whether the claim was held until then; if not, another sending may have
- * run
+ * @param released whether the claim was held until the release; if not, another request
+ * with the key may have run
  */
 public record ClaimReleased(NotRunProof proof, boolean released) implements RequestEvent {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/CompleteRequest.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/CompleteRequest.java
@@ -8,11 +8,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tell the caller how its request ended; no command about the caller follows.
+ * Reports the outcome to the caller. No further {@link DeliverPart} or
+ * {@code CompleteRequest} follows for the request.
  *
  * @param request the request
  * @param outcome the outcome
- * @param error why there is no whole answer, or empty if the request completed
+ * @param error the reason that the answer is incomplete or missing, or empty if the
+ * request completed
  */
 public record CompleteRequest(RequestId request, Outcome outcome,
 		Optional<OperationError> error) implements RequestCommand {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ConnectionLost.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ConnectionLost.java
@@ -5,7 +5,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A connection to a sidecar broke or went silent; the sidecar itself may be well.
+ * A connection to a sidecar was closed or timed out. The sidecar itself may still be
+ * running.
  *
  * @param backendServer the backend server
  * @param incarnation the incarnation of the sidecar
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ConnectionRestored.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ConnectionRestored.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A new connection reached the same life of a sidecar.
+ * A new connection to the same incarnation of a sidecar was established.
  *
  * @param backendServer the backend server
  * @param incarnation the incarnation of the sidecar
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/CrashRecorded.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/CrashRecorded.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The report of the loss of a request's backend server is durable on a quorum.
+ * The crash report for a request's backend server was committed on a quorum.
  *
  * @param request the request
  */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/DeliverPart.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/DeliverPart.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Pass a part of the answer to the caller.
+ * Passes a part of the answer to the caller.
  *
  * @param request the request
  * @param part the part
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/EndFlight.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/EndFlight.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tell the guard of a fingerprint how a run ended.
+ * Reports to the guard of the fingerprint how a run ended.
  *
  * @param request the request
  * @param fingerprint the fingerprint of the request
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/EndReceived.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/EndReceived.java
@@ -7,14 +7,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A sidecar tells that an attempt which started ended without a whole answer.
+ * A sidecar reported that a started attempt ended without a complete answer.
  *
  * @param attempt the attempt
  * @param backendServer the backend server
  * @param incarnation the incarnation of the sidecar
  * @param end how it ended
- * @param crash the number of the crash within the incarnation, or 0 if the backend server
- * did not crash
+ * @param crash the number of the crash within the incarnation of the sidecar, starting at
+ * 1, or 0 if the backend server did not crash
  */
 public record EndReceived(AttemptId attempt, BackendServerId backendServer, Incarnation incarnation, AttemptEnd end,
 		int crash) implements RequestEvent {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FinishClaim.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FinishClaim.java
@@ -6,11 +6,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Record the answer of a claimed request; to be repeated until the ledger answers.
+ * Records the answer of a claimed request in the ledger of claims. The driver retries
+ * until the ledger responds.
  *
  * @param key the claimed key
  * @param owner the request that holds the claim
- * @param answer the whole answer
+ * @param answer the complete answer
  */
 public record FinishClaim(ClaimKey key, RequestId owner, RecordedAnswer answer) implements RequestCommand {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightAnswered.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightAnswered.java
@@ -4,11 +4,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The guard of a fingerprint answered, or it cannot be reached and the request goes
- * ahead.
+ * The guard of a fingerprint responded, or it could not be reached and the request may
+ * proceed.
  *
  * @param request the request
- * @param permit the answer
+ * @param permit the permit; {@link FlightPermit#GO} if the guard could not be reached
  */
 public record FlightAnswered(RequestId request, FlightPermit permit) implements RequestEvent {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightEnd.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightEnd.java
@@ -1,15 +1,18 @@
 package org.comfreywall.entry.request;
 
 /**
- * Ways in which a run ends that a guard allowed.
+ * Outcomes of a run that a guard permitted.
  */
 public enum FlightEnd {
 
-	/** The run finished with a whole answer. */
+	/** The run completed with a whole answer. */
 	SURVIVED,
-	/** The backend server was lost, and the loss is recorded. */
+	/**
+	 * The backend server crashed or its sidecar was lost, and the crash report is
+	 * committed.
+	 */
 	LOST,
-	/** The run did not start, or how it ended is unknown. */
+	/** The run did not start, or its result is unknown. */
 	UNDECIDED
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuard.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuard.java
@@ -11,15 +11,15 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Lets requests with one fingerprint start one after the other until one of them has
- * finished, so that a request which crashes backend servers meets few of them before the
- * first crash is known.
+ * Serializes the runs of requests with the same fingerprint until one of them has
+ * completed (single flight), so that a request which crashes backend servers reaches few
+ * of them before the first crash is recorded.
  * <p>
- * Each fingerprint has one guard, on the entry to which it hashes. A first run holds back
- * others until it ends, at most for the flight time, so that the loss of an entry delays
- * nobody for long. Once a run has finished with a whole answer, any number may run. The
- * guard keeps no durable state; the ledger of poison requests has the last word. Not
- * thread-safe.
+ * Each fingerprint has one guard, on the instance that its hash selects. A first run
+ * blocks other requests until it ends, but no longer than the flight time, which bounds
+ * the delay if the entry that started the run fails. Once a run has completed with a
+ * whole answer, any number of requests may run. The guard keeps its state in memory only;
+ * the ledger of poison requests is authoritative. Not thread-safe.
  */
 public final class FlightGuard {
 
@@ -27,17 +27,18 @@
 
 	private final FlightGuardSettings settings;
 
-	/** Fingerprints in the order of their last change; at most the capacity. */
+	/** State by fingerprint, least recently changed first; bounded by the capacity. */
 	private final Map<Fingerprint, Flight> flights = new LinkedHashMap<>();
 
 	private final long startedAt;
 
 	/**
-	 * Creates a guard that knows no fingerprint.
+	 * Creates a guard without cached fingerprints.
 	 * <p>
-	 * For the flight time after its start it sends requests with unknown fingerprints to
-	 * the ledger of poison requests, because a former guard may have known a loss.
-	 * @param settings the bounds
+	 * During the flight time after its start, the guard refers requests with unknown
+	 * fingerprints to the ledger of poison requests: the instance that guarded them
+	 * before may have received the report of a crash that is not in this guard's memory.
+	 * @param settings the timeouts and the capacity
 	 * @param now the time in nanoseconds
 	 */
 	public FlightGuard(FlightGuardSettings settings, long now) {
@@ -46,25 +47,26 @@
 	}
 
 	/**
-	 * Asks whether a request may run.
+	 * Decides whether a request may run.
 	 * @param fingerprint the fingerprint of the request
 	 * @param request the request
-	 * @param cleared whether the ledger of poison requests has just answered that the
-	 * fingerprint is not suspected, which makes the guard forget a loss
+	 * @param cleared whether the ledger of poison requests has just reported that the
+	 * fingerprint is not suspected, which clears a recorded crash if the request was
+	 * referred to the ledger after that crash
 	 * @param now the time in nanoseconds
-	 * @return the answer
+	 * @return the permit
 	 */
 	public FlightPermit ask(Fingerprint fingerprint, RequestId request, boolean cleared, long now) {
 		Preconditions.notNull(request, "request");
 		expire(now);
 		Flight flight = this.flights.get(Preconditions.notNull(fingerprint, "fingerprint"));
-		boolean starting = now - this.startedAt < this.settings.flightTime().toNanos();
-		if (flight == null && starting && !cleared) {
+		boolean inStartupPeriod = now - this.startedAt < this.settings.flightTime().toNanos();
+		if (flight == null && inStartupPeriod && !cleared) {
 			return FlightPermit.SUSPECT;
 		}
-		boolean forgiven = cleared && flight != null && flight.state() == FlightState.LOST
+		boolean crashCleared = cleared && flight != null && flight.state() == FlightState.LOST
 				&& flight.sentToLedger().contains(request);
-		if (flight == null || forgiven || flight.isOver(now, this.settings.flightTime().toNanos())) {
+		if (flight == null || crashCleared || flight.isOver(now, this.settings.flightTime().toNanos())) {
 			put(fingerprint, new Flight(FlightState.FIRST_RUN, request, now));
 			return FlightPermit.GO;
 		}
@@ -72,20 +74,20 @@
 	}
 
 	/**
-	 * Tells how a run ended.
+	 * Records how a run ended.
 	 * @param fingerprint the fingerprint of the request
 	 * @param request the request
-	 * @param end how the run ended
+	 * @param flightEnd how the run ended
 	 * @param now the time in nanoseconds
 	 */
-	public void end(Fingerprint fingerprint, RequestId request, FlightEnd end, long now) {
-		Preconditions.notNull(end, "end");
+	public void end(Fingerprint fingerprint, RequestId request, FlightEnd flightEnd, long now) {
+		Preconditions.notNull(flightEnd, "flightEnd");
 		expire(now);
 		Flight flight = this.flights.get(Preconditions.notNull(fingerprint, "fingerprint"));
-		if (end == FlightEnd.LOST) {
+		if (flightEnd == FlightEnd.LOST) {
 			put(fingerprint, new Flight(FlightState.LOST, request, now));
 		}
-		else if (end == FlightEnd.SURVIVED && (flight == null || flight.state() != FlightState.LOST)) {
+		else if (flightEnd == FlightEnd.SURVIVED && (flight == null || flight.state() != FlightState.LOST)) {
 			put(fingerprint, new Flight(FlightState.SURVIVED, request, now));
 		}
 		else if (flight != null && flight.state() == FlightState.FIRST_RUN && flight.request().equals(request)) {
@@ -94,7 +96,7 @@
 	}
 
 	/**
-	 * Returns the number of fingerprints remembered.
+	 * Returns the number of cached fingerprints.
 	 * @return the count
 	 */
 	public int size() {
@@ -110,9 +112,9 @@
 	}
 
 	private void expire(long now) {
-		long bound = now - this.settings.memoryTime().toNanos();
+		long expiredBefore = now - this.settings.memoryTime().toNanos();
 		Iterator<Flight> oldest = this.flights.values().iterator();
-		while (oldest.hasNext() && oldest.next().changedAt() <= bound) {
+		while (oldest.hasNext() && oldest.next().changedAt() <= expiredBefore) {
 			oldest.remove();
 		}
 	}
@@ -124,13 +126,15 @@
 	}
 
 	/**
-	 * What is known about one fingerprint.
+	 * The state of one fingerprint.
 	 *
-	 * @param state how the last run ended, or that it lasts
+	 * @param state the result of the last run, or {@link FlightState#FIRST_RUN} while it
+	 * is in progress
 	 * @param request the request of the last run
 	 * @param changedAt the time of the last change in nanoseconds
-	 * @param sentToLedger the requests sent to the ledger after a loss; an answer that a
-	 * request had asked for before the loss says nothing about it
+	 * @param sentToLedger the requests referred to the ledger since the last crash; a
+	 * request that queried the ledger before the crash may carry an outdated result and
+	 * cannot clear it
 	 */
 	private record Flight(FlightState state, RequestId request, long changedAt, Set<RequestId> sentToLedger) {
 
@@ -142,14 +146,14 @@
 			return this.state == FlightState.FIRST_RUN && now - this.changedAt >= flightNanos;
 		}
 
-		FlightPermit permit(RequestId asking) {
+		FlightPermit permit(RequestId candidate) {
 			if (this.state == FlightState.LOST) {
 				if (this.sentToLedger.size() < MAX_SENT_TO_LEDGER) {
-					this.sentToLedger.add(asking);
+					this.sentToLedger.add(candidate);
 				}
 				return FlightPermit.SUSPECT;
 			}
-			boolean allowed = this.state == FlightState.SURVIVED || this.request.equals(asking);
+			boolean allowed = this.state == FlightState.SURVIVED || this.request.equals(candidate);
 			return allowed ? FlightPermit.GO : FlightPermit.WAIT;
 		}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuardSettings.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuardSettings.java
@@ -5,11 +5,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Bounds of a {@link FlightGuard}.
+ * Timeouts and capacity of a {@link FlightGuard}.
  *
- * @param flightTime how long a first run holds back others with the same fingerprint
- * @param memoryTime how long it is remembered how the last run of a fingerprint ended
- * @param capacity the greatest number of fingerprints remembered
+ * @param flightTime how long a first run blocks other requests with the same fingerprint
+ * @param memoryTime how long the result of the last run of a fingerprint is cached
+ * @param capacity the maximum number of fingerprints cached
  */
 public record FlightGuardSettings(Duration flightTime, Duration memoryTime, int capacity) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightHold.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightHold.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.request;
 
 /**
- * A request's permit from the guard of its fingerprint.
+ * The permit of a request from the guard of its fingerprint.
  */
 final class FlightHold {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightPermit.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightPermit.java
@@ -1,17 +1,17 @@
 package org.comfreywall.entry.request;
 
 /**
- * Answers of the guard of a fingerprint.
+ * Responses of the guard of a fingerprint to a request for a permit.
  */
 public enum FlightPermit {
 
 	/** The request may run. */
 	GO,
-	/** Another request with the fingerprint runs for the first time; ask again soon. */
+	/** The first run of the fingerprint is still in progress; poll again. */
 	WAIT,
 	/**
-	 * A backend server was lost to the fingerprint; the ledger of poison requests
-	 * decides.
+	 * The fingerprint may have crashed a backend server; the ledger of poison requests
+	 * decides whether the request may run.
 	 */
 	SUSPECT
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FollowedAttempt.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FollowedAttempt.java
@@ -14,8 +14,8 @@
 import org.comfreywall.common.id.RequestId;
 
 /**
- * The attempt whose answer a request waits for: its own, or that of an earlier sending
- * that holds the claim.
+ * The attempt whose answer a request waits for: its own, or the attempt of an earlier
+ * request that holds the claim on the same idempotency key.
  */
 final class FollowedAttempt {
 
@@ -75,23 +75,23 @@
 		return this.target.isEmpty();
 	}
 
-	boolean isAt(BackendServerId server, Incarnation life) {
-		return this.backendServer.equals(server) && this.incarnation.equals(life);
+	boolean isAt(BackendServerId server, Incarnation expectedIncarnation) {
+		return this.backendServer.equals(server) && this.incarnation.equals(expectedIncarnation);
 	}
 
-	boolean matches(AttemptId other, BackendServerId server, Incarnation life) {
+	boolean matches(AttemptId other, BackendServerId server, Incarnation expectedIncarnation) {
 		boolean sameAttempt = this.attempt.map(other::equals).orElse(other.request().equals(this.request));
-		return sameAttempt && isAt(server, life);
+		return sameAttempt && isAt(server, expectedIncarnation);
 	}
 
 	boolean isSealedBy(SealedReceived sealed) {
-		AttemptId promised = sealed.attempt();
-		boolean covered = isJoined() ? promised.request().equals(this.request) : covers(promised);
+		AttemptId sealedAttempt = sealed.attempt();
+		boolean covered = isJoined() ? sealedAttempt.request().equals(this.request) : covers(sealedAttempt);
 		return covered && isAt(sealed.backendServer(), sealed.incarnation());
 	}
 
-	void start(AttemptId accepted) {
-		this.attempt = Optional.of(accepted);
+	void start(AttemptId startedAttempt) {
+		this.attempt = Optional.of(startedAttempt);
 		this.started = true;
 		this.suspended = false;
 	}
@@ -131,14 +131,14 @@
 	}
 
 	/**
-	 * Tells whether the rest of the answer should be asked for, once for each first
-	 * missing part.
-	 * @return whether to ask now
+	 * Returns whether to request retransmission from the next missing part. Returns
+	 * {@code true} once for each missing part and connection.
+	 * @return {@code true} if the retransmission was not requested yet
 	 */
 	boolean shouldResume() {
-		boolean first = this.resumedFrom != this.nextSequence;
+		boolean firstTime = this.resumedFrom != this.nextSequence;
 		this.resumedFrom = this.nextSequence;
-		return first;
+		return firstTime;
 	}
 
 	SendResume resumeCommand() {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/IsolationAnswered.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/IsolationAnswered.java
@@ -6,11 +6,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The ledger of poison requests answered.
+ * The ledger of poison requests responded to a request for the slot for isolated runs.
  *
  * @param request the request
- * @param fingerprint the suspect
- * @param result the answer, durable on a quorum
+ * @param fingerprint the suspected fingerprint
+ * @param result the result, committed on a quorum
  */
 public record IsolationAnswered(RequestId request, Fingerprint fingerprint,
 		IsolationResult result) implements RequestEvent {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/IsolationHold.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/IsolationHold.java
@@ -7,7 +7,7 @@
 import org.comfreywall.common.poison.IsolationEnd;
 
 /**
- * A suspect's hold on the fleet's slot for isolated runs.
+ * The suspicion against a request and its hold on the fleet-wide slot for isolated runs.
  */
 final class IsolationHold {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/MarkClaimUnknown.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/MarkClaimUnknown.java
@@ -5,7 +5,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Record that a claimed request may have run; to be repeated until the ledger answers.
+ * Records that a claimed request may have run. The driver retries until the ledger
+ * responds.
  *
  * @param key the claimed key
  * @param owner the request that holds the claim
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/PartReceived.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/PartReceived.java
@@ -12,7 +12,7 @@
  * @param attempt the attempt
  * @param backendServer the backend server
  * @param incarnation the incarnation of the sidecar
- * @param sequence the number of the part, starting at 0
+ * @param sequence the sequence number of the part within the answer, starting at 0
  * @param part the part
  */
 public record PartReceived(AttemptId attempt, BackendServerId backendServer, Incarnation incarnation, long sequence,
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ProbeConnection.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ProbeConnection.java
@@ -5,9 +5,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Open a second connection to a sidecar that has been silent for too long; then answer
- * with {@link ConnectionLost} and {@link ConnectionRestored} if the first one is silent
- * for good, or with {@link SidecarLost} if the second one fails too.
+ * Opens a second connection to a sidecar that has not sent anything within the progress
+ * timeout. The driver responds with {@link ConnectionLost} and {@link ConnectionRestored}
+ * if only the first connection is dead, or with {@link SidecarLost} if the second one
+ * fails as well.
  *
  * @param backendServer the backend server
  * @param incarnation the incarnation of the sidecar
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RecordCrash.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RecordCrash.java
@@ -5,11 +5,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Charge the loss of a backend server; to be repeated until the ledger answers, and then
- * to be answered with {@link CrashRecorded}.
+ * Records the crash or loss of a backend server under the fingerprint of the request. The
+ * driver retries until the ledger responds, and then responds with {@link CrashRecorded}.
  *
  * @param request the request
- * @param report the loss
+ * @param report the crash report
  */
 public record RecordCrash(RequestId request, CrashReport report) implements RequestCommand {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RefusalReceived.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RefusalReceived.java
@@ -11,7 +11,7 @@
  *
  * @param attempt the attempt
  * @param backendServer the backend server
- * @param incarnation the incarnation to which the attempt was addressed
+ * @param incarnation the incarnation of the sidecar that the attempt was addressed to
  * @param refusal the reason
  */
 public record RefusalReceived(AttemptId attempt, BackendServerId backendServer, Incarnation incarnation,
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ReleaseClaim.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ReleaseClaim.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Release a claim; to be repeated until the ledger answers, and then to be answered with
+ * Releases a claim. The driver retries until the ledger responds, and then responds with
  * {@link ClaimReleased}.
  *
  * @param key the claimed key
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ReleaseIsolation.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ReleaseIsolation.java
@@ -6,10 +6,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Give the slot for isolated runs back; to be repeated until the ledger answers.
+ * Releases the slot for isolated runs. The driver retries until the ledger responds.
  *
  * @param request the request
- * @param fingerprint the suspect
+ * @param fingerprint the suspected fingerprint
  * @param end how the isolated run ended
  */
 public record ReleaseIsolation(RequestId request, Fingerprint fingerprint, IsolationEnd end) implements RequestCommand {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestAccepted.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestAccepted.java
@@ -7,8 +7,8 @@
  * A caller sent a request that passed admission.
  *
  * @param spec the request
- * @param deadline the time in nanoseconds by which the caller wants the answer
- * @param verdict what the entry has heard about the fingerprint
+ * @param deadline the caller's deadline in nanoseconds on the clock of the entry
+ * @param verdict the cached verdict on the fingerprint
  */
 public record RequestAccepted(RequestSpec spec, long deadline, PoisonVerdict verdict) implements RequestEvent {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestCommand.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestCommand.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.request;
 
 /**
- * A command of the request tracker to its driver.
+ * A command that the {@link RequestTracker} returns to its driver.
  */
 public sealed interface RequestCommand permits ChooseRoute, ClaimKeyFor, FinishClaim, MarkClaimUnknown, ReleaseClaim,
 		AskFlight, EndFlight, SendStart, SendSeal, SendClaimQuery, SendResume, SendCancel, ProbeConnection,
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestContext.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestContext.java
@@ -12,7 +12,7 @@
 import org.comfreywall.common.invariant.Invariants;
 
 /**
- * What all requests of one tracker share.
+ * Settings, policies, clock and command queue shared by all requests of one tracker.
  */
 final class RequestContext {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestErrors.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestErrors.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.result.Step;
 
 /**
- * Errors with which a request can end.
+ * Errors that a request can end with.
  */
 final class RequestErrors {
 
@@ -24,7 +24,8 @@
 	}
 
 	static OperationError earlierUnknown() {
-		return error(ErrorCode.CONFLICT, Step.CLAIM, "An earlier sending with this key may or may not have run");
+		return error(ErrorCode.CONFLICT, Step.CLAIM,
+				"An earlier request with this idempotency key may or may not have run");
 	}
 
 	static OperationError quarantined() {
@@ -37,15 +38,17 @@
 	}
 
 	static OperationError cancelled() {
-		return error(ErrorCode.CANCELLED, Step.ANSWER, "The caller went away");
+		return error(ErrorCode.CANCELLED, Step.ANSWER, "The caller cancelled the request or disconnected");
 	}
 
 	static OperationError unsafe() {
-		return error(ErrorCode.INVARIANT, Step.SEND, "A second attempt would be unsafe and was refused");
+		return error(ErrorCode.INVARIANT, Step.SEND,
+				"Another attempt could run a non-idempotent request twice and was not sent");
 	}
 
 	static OperationError unsealed() {
-		return error(ErrorCode.CONNECTION_LOST, Step.SEAL, "The sidecar did not answer whether the attempt started");
+		return error(ErrorCode.CONNECTION_LOST, Step.SEAL,
+				"The sidecar did not respond to the seal in time; the attempt may have started");
 	}
 
 	static OperationError at(ErrorCode code, Step step, FollowedAttempt source, String message) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestEvent.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestEvent.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.request;
 
 /**
- * An event in the life of callers' requests.
+ * An event that the driver passes to the {@link RequestTracker}.
  */
 public sealed interface RequestEvent
 		permits RequestAccepted, RouteChosen, RouteUnavailable, ClaimAnswered, ClaimFailed, ClaimReleased,
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestLife.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestLife.java
@@ -36,7 +36,10 @@
 
 	private final CallerSide caller;
 
-	/** Backend servers that refused the request; at most one for each attempt. */
+	/**
+	 * Backend servers that provably did not run an attempt of the request; at most one
+	 * per attempt.
+	 */
 	private final Set<BackendServerId> excluded = new LinkedHashSet<>();
 
 	private RequestPhase phase = RequestPhase.ROUTING;
@@ -133,8 +136,8 @@
 		}
 	}
 
-	// A claim that is held already stays: a late copy of its release could meet a new
-	// one.
+	// A granted claim is kept instead of being released and acquired again: the driver
+	// retries releases, and a delayed duplicate could release the new claim.
 	void sendOrRoute() {
 		if (this.claim.isGranted()) {
 			send(this.target.orElseThrow());
@@ -149,10 +152,10 @@
 		this.isolation.ask();
 	}
 
-	void send(AttemptTarget chosen) {
-		this.target = Optional.of(chosen);
+	void send(AttemptTarget selected) {
+		this.target = Optional.of(selected);
 		if (this.isolation.isHeld() || this.flight.isPermitted()) {
-			transmit(chosen);
+			transmit(selected);
 		}
 		else {
 			askFlight();
@@ -169,19 +172,21 @@
 		transmit(this.target.orElseThrow());
 	}
 
-	private void transmit(AttemptTarget addressee) {
-		boolean safe = this.spec.idempotent()
+	private void transmit(AttemptTarget destination) {
+		boolean cannotRunTwice = this.spec.idempotent()
 				|| (!this.mayHaveRun && (this.claim.isGranted() || (!this.claim.isNeeded() && this.attempts == 0)));
-		if (!this.context.invariants().holds(safe, "non-idempotent-runs-once", Field.of("request", this.spec.id()))) {
+		if (!this.context.invariants()
+			.holds(cannotRunTwice, "non-idempotent-runs-once", Field.of("request", this.spec.id()))) {
 			finish(Outcome.UNKNOWN, RequestErrors.unsafe());
 			return;
 		}
 		this.attempts++;
 		AttemptId attempt = new AttemptId(this.spec.id(), this.attempts);
-		this.followed = Optional.of(FollowedAttempt.own(attempt, addressee, this.context.settings().maxAnswerBytes()));
+		this.followed = Optional
+			.of(FollowedAttempt.own(attempt, destination, this.context.settings().maxAnswerBytes()));
 		this.claim.sent();
 		enterFollowing(RequestPhase.SENT);
-		this.context.emit(new SendStart(attempt, addressee, new AttemptTraits(this.spec.fingerprint(),
+		this.context.emit(new SendStart(attempt, destination, new AttemptTraits(this.spec.fingerprint(),
 				this.spec.idempotent(), this.claim.isNeeded(), this.isolation.isHeld())));
 	}
 
@@ -203,8 +208,8 @@
 		this.isolation.release(IsolationEnd.NOT_RUN);
 		this.excluded.add(this.followed.orElseThrow().backendServer());
 		this.followed = Optional.empty();
-		boolean repeatable = this.spec.idempotent() || this.claim.isNeeded();
-		if (this.closing.isEmpty() && repeatable) {
+		boolean retryable = this.spec.idempotent() || this.claim.isNeeded();
+		if (this.closing.isEmpty() && retryable) {
 			tryAgain(RetryCause.REFUSED, error);
 		}
 		else {
@@ -214,8 +219,8 @@
 
 	void lost(RetryCause cause, OperationError error) {
 		this.mayHaveRun = true;
-		boolean repeatable = this.spec.idempotent() && !this.followed.orElseThrow().hasParts();
-		if (repeatable && this.closing.isEmpty()) {
+		boolean retryable = this.spec.idempotent() && !this.followed.orElseThrow().hasParts();
+		if (retryable && this.closing.isEmpty()) {
 			this.followed = Optional.empty();
 			tryAgain(cause, error);
 		}
@@ -249,13 +254,13 @@
 		boolean inTime = this.context.after(decision.delay()) < this.deadline;
 		this.context.record(DecisionKind.RETRY, this.spec.id(), (decision.allowed() && inTime) ? "retry" : "stop",
 				Field.of("cause", cause), Field.of("attempts", this.attempts), Field.of("reason", decision.reason()));
-		boolean charging = cause == RetryCause.CRASHED || cause == RetryCause.SIDECAR_LOST;
+		boolean crashed = cause == RetryCause.CRASHED || cause == RetryCause.SIDECAR_LOST;
 		if (!decision.allowed() || !inTime) {
-			stop(charging, error);
+			stop(crashed, error);
 			return;
 		}
 		this.claim.release();
-		if (charging) {
+		if (crashed) {
 			this.isolation.suspect();
 			enter(RequestPhase.CHARGING);
 		}
@@ -264,8 +269,8 @@
 		}
 	}
 
-	private void stop(boolean charging, OperationError error) {
-		if (charging) {
+	private void stop(boolean crashed, OperationError error) {
+		if (crashed) {
 			giveUpOnceCharged(error);
 		}
 		else {
@@ -327,8 +332,8 @@
 		}
 	}
 
-	void released(boolean held) {
-		finish(held ? Outcome.NOT_RUN : Outcome.UNKNOWN, this.closing);
+	void released(boolean wasHeld) {
+		finish(wasHeld ? Outcome.NOT_RUN : Outcome.UNKNOWN, this.closing);
 	}
 
 	void finish(Outcome outcome, OperationError error) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestMachine.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestMachine.java
@@ -32,7 +32,7 @@
 import org.comfreywall.common.result.Step;
 
 /**
- * Handles the events of one request.
+ * The state machine of one request: maps events to transitions of its state.
  */
 final class RequestMachine {
 
@@ -180,10 +180,10 @@
 	}
 
 	void startNotSent(AttemptId attempt) {
-		boolean awaited = this.life.phase() == RequestPhase.SENT || this.life.phase() == RequestPhase.SEALING;
-		if (awaited && attempt.number() == this.life.attempts()) {
+		boolean awaitsStart = this.life.phase() == RequestPhase.SENT || this.life.phase() == RequestPhase.SEALING;
+		if (awaitsStart && attempt.number() == this.life.attempts()) {
 			this.life.proven(NotRunEvidence.NEVER_SENT, RequestErrors.at(ErrorCode.UNAVAILABLE, Step.SEND,
-					this.life.followed().orElseThrow(), "No connection to the sidecar"));
+					this.life.followed().orElseThrow(), "No connection to the sidecar; the attempt was not sent"));
 		}
 	}
 
@@ -222,10 +222,10 @@
 
 	void sealed() {
 		FollowedAttempt source = this.life.followed().orElseThrow();
-		boolean unproven = !source.hasParts();
+		boolean noParts = !source.hasParts();
 		if (!this.life.context()
 			.invariants()
-			.holds(unproven, "sealed-attempt-has-no-answer", Field.of("request", id()))) {
+			.holds(noParts, "sealed-attempt-has-no-answer", Field.of("request", id()))) {
 			return;
 		}
 		if (source.isJoined()) {
@@ -234,8 +234,8 @@
 			this.life.route();
 		}
 		else {
-			this.life.proven(NotRunEvidence.SEALED,
-					RequestErrors.at(ErrorCode.UNAVAILABLE, Step.SEAL, source, "The sidecar sealed the attempt"));
+			this.life.proven(NotRunEvidence.SEALED, RequestErrors.at(ErrorCode.UNAVAILABLE, Step.SEAL, source,
+					"The sidecar sealed the attempt before it started"));
 		}
 	}
 
@@ -289,7 +289,7 @@
 	void sidecarLost() {
 		FollowedAttempt source = this.life.followed().orElseThrow();
 		OperationError error = RequestErrors.at(ErrorCode.CONNECTION_LOST, Step.RUN, source,
-				"The sidecar cannot be reached any more");
+				"The sidecar restarted or cannot be reached");
 		if (source.isJoined()) {
 			this.life.finish(Outcome.UNKNOWN, error);
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestPhase.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestPhase.java
@@ -1,33 +1,36 @@
 package org.comfreywall.entry.request;
 
 /**
- * Phases in the life of a request.
+ * Phases of a request.
  */
 enum RequestPhase {
 
-	/** Waits for a backend server to be chosen. */
+	/** Waiting for a backend server to be selected. */
 	ROUTING,
-	/** Waits for the ledger of claims. */
+	/** Waiting for the claim on the idempotency key. */
 	CLAIMING,
-	/** Waits for the guard of its fingerprint. */
+	/** Waiting for a permit from the guard of the fingerprint. */
 	PERMITTING,
-	/** Was handed to a connection; the sidecar has not answered yet. */
+	/** Attempt passed to a connection; the sidecar has not responded yet. */
 	SENT,
-	/** Its attempt, or that of an earlier sending, was accepted by a sidecar. */
+	/** The followed attempt was accepted by a sidecar. */
 	RUNNING,
-	/** Asked a sidecar to follow or seal the attempt of an earlier sending. */
+	/**
+	 * Waiting for a sidecar to attach this entry to the attempt of an earlier request
+	 * with the same key, or to seal that attempt.
+	 */
 	JOINING,
-	/** Waits for the sidecar to seal the attempt or to tell that it started. */
+	/** Waiting for the sidecar to seal the attempt or to report that it started. */
 	SEALING,
-	/** Waits until the loss of its backend server is recorded. */
+	/** Waiting for the crash report to be committed. */
 	CHARGING,
-	/** Waits for the slot for isolated runs. */
+	/** Waiting for the slot for isolated runs. */
 	ISOLATING,
-	/** Waits for the answer to the release of its claim. */
+	/** Waiting for the result of the release of the claim. */
 	RELEASING,
-	/** Waits before it is tried again. */
+	/** Waiting for the back-off delay before a retry. */
 	BACKING_OFF,
-	/** Has ended. */
+	/** Ended; the tracker removes the request. */
 	DONE;
 
 	boolean followsAttempt() {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestSpec.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestSpec.java
@@ -9,13 +9,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What an entry must know about a caller's request besides its body.
+ * The properties of a caller's request that decide how it may be sent and retried.
  *
- * @param id the request, unique for each time that a caller sends it
+ * @param id the request; a caller that resends it gets a new identifier
  * @param fingerprint client account, service and digest of the body
- * @param key the idempotency key given by the caller
- * @param idempotent whether the request may be repeated; its key is then ignored
- * @param keyRequired whether the service refuses non-idempotent requests without a key
+ * @param key the idempotency key set by the caller
+ * @param idempotent whether the request may run more than once; its key is then ignored
+ * @param keyRequired whether the service rejects non-idempotent requests without a key
  */
 public record RequestSpec(RequestId id, Fingerprint fingerprint, Optional<IdempotencyKey> key, boolean idempotent,
 		boolean keyRequired) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTracker.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTracker.java
@@ -25,15 +25,16 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Follows callers' requests from their acceptance to their outcome.
+ * Drives callers' requests from admission to their outcome.
  * <p>
- * A non-idempotent request with a key is sent only after its claim was granted; without a
- * key it is sent once. That a request did not run is told only with proof: it was never
- * handed to a connection, or the sidecar sealed it; with a key, only while its claim is
- * held, so that no earlier sending ran either. The tracker is a state machine without
- * input, output, threads or clock: the driver passes each event with the time, carries
- * the commands out in their order, and passes {@link TimePassed} at the time of the next
- * timer. Not thread-safe.
+ * A non-idempotent request with an idempotency key is sent only after its claim on the
+ * key was granted; without a key it is sent at most once. The outcome {@code NOT_RUN} is
+ * reported only with proof: the request was not passed to a connection, or the sidecar
+ * sealed it. With a key, the claim must also be held until its release, which proves that
+ * no earlier request with the key ran. The tracker performs no I/O and has no threads or
+ * clock of its own: the driver passes each event with the current time, executes the
+ * returned commands in order, and passes {@link TimePassed} at {@link #nextTimer()}. Not
+ * thread-safe.
  */
 public final class RequestTracker {
 
@@ -42,10 +43,10 @@
 
 	private final RequestContext context;
 
-	/** Requests that have not ended; at most the capacity. */
+	/** Requests in progress; bounded by the capacity. */
 	private final Map<RequestId, RequestMachine> machines = new HashMap<>();
 
-	/** The requests that follow the attempts of each request. */
+	/** The state machines that wait for an attempt of a request, by that request. */
 	private final Map<RequestId, List<RequestMachine>> followers = new HashMap<>();
 
 	private final Map<RequestId, Timer> timers = new HashMap<>();
@@ -54,8 +55,8 @@
 
 	/**
 	 * Creates a tracker without requests.
-	 * @param settings the bounds
-	 * @param retryPolicy decides about further attempts
+	 * @param settings the timeouts and bounds
+	 * @param retryPolicy decides about retries
 	 * @param invariants checks invariants
 	 * @param listener receives a record of each decision
 	 */
@@ -71,8 +72,9 @@
 	/**
 	 * Handles one event.
 	 * @param event the event
-	 * @param now the time in nanoseconds, not before that of the previous event
-	 * @return the commands to carry out, in their order
+	 * @param now the time in nanoseconds; a time before that of the previous event counts
+	 * as that of the previous event
+	 * @return the commands to execute, in order
 	 */
 	public List<RequestCommand> handle(RequestEvent event, long now) {
 		Preconditions.notNull(event, "event");
@@ -92,7 +94,7 @@
 	}
 
 	/**
-	 * Returns the number of requests that have not ended.
+	 * Returns the number of requests in progress.
 	 * @return the count
 	 */
 	public int size() {
@@ -176,15 +178,15 @@
 
 	private void accept(RequestAccepted accepted) {
 		RequestId request = accepted.spec().id();
-		boolean unused = !this.machines.containsKey(request);
-		if (!this.context.invariants().holds(unused, "request-id-is-new")) {
+		boolean isNew = !this.machines.containsKey(request);
+		if (!this.context.invariants().holds(isNew, "request-id-is-new")) {
 			return;
 		}
 		if (this.machines.size() >= this.context.settings().capacity()) {
 			Outcome outcome = accepted.spec().claimKey().isPresent() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-			this.context
-				.emit(new CompleteRequest(request, outcome, Optional.of(OperationError.local(ErrorCode.OVERLOADED,
-						Step.ACCEPT, "The entry follows too many requests; send it again later"))));
+			this.context.emit(new CompleteRequest(request, outcome,
+					Optional.of(OperationError.local(ErrorCode.OVERLOADED, Step.ACCEPT,
+							"The entry has reached its limit of concurrent requests; send the request again later"))));
 			return;
 		}
 		RequestMachine machine = new RequestMachine(this.context, accepted.spec(), accepted.deadline());
@@ -195,7 +197,7 @@
 	private void isolationAnswered(IsolationAnswered answer) {
 		RequestMachine machine = this.machines.get(answer.request());
 		if (machine != null && machine.isIsolating()) {
-			apply(machine, (waiting) -> waiting.isolationAnswered(answer.result()));
+			apply(machine, (isolating) -> isolating.isolationAnswered(answer.result()));
 		}
 		else if (answer.result() == IsolationResult.GRANTED && (machine == null || !machine.holdsIsolation())) {
 			this.context.emit(new ReleaseIsolation(answer.request(), answer.fingerprint(), IsolationEnd.NOT_RUN));
@@ -215,10 +217,10 @@
 		}
 	}
 
-	private void forAttempt(AttemptId attempt, BackendServerId server, Incarnation life,
+	private void forAttempt(AttemptId attempt, BackendServerId server, Incarnation incarnation,
 			Consumer<RequestMachine> action) {
 		for (RequestMachine machine : followersOf(attempt.request())) {
-			if (machine.follows((source) -> source.matches(attempt, server, life))) {
+			if (machine.follows((source) -> source.matches(attempt, server, incarnation))) {
 				apply(machine, action);
 			}
 		}
@@ -232,9 +234,9 @@
 		}
 	}
 
-	private void forSidecar(BackendServerId server, Incarnation life, Consumer<RequestMachine> action) {
+	private void forSidecar(BackendServerId server, Incarnation incarnation, Consumer<RequestMachine> action) {
 		for (RequestMachine machine : List.copyOf(this.machines.values())) {
-			if (machine.follows((source) -> source.isAt(server, life))) {
+			if (machine.follows((source) -> source.isAt(server, incarnation))) {
 				apply(machine, action);
 			}
 		}
@@ -268,9 +270,9 @@
 	}
 
 	private void schedule(RequestMachine machine) {
-		Timer earlier = this.timers.remove(machine.id());
-		if (earlier != null) {
-			this.timerQueue.remove(earlier);
+		Timer previous = this.timers.remove(machine.id());
+		if (previous != null) {
+			this.timerQueue.remove(previous);
 		}
 		if (!machine.isDone() && machine.wakeAt() != Long.MAX_VALUE) {
 			Timer next = new Timer(machine.wakeAt(), machine.id());
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTrackerSettings.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTrackerSettings.java
@@ -5,19 +5,19 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Bounds of a {@link RequestTracker}.
+ * Timeouts and bounds of a {@link RequestTracker}.
  *
- * @param capacity the greatest number of requests followed at the same time
- * @param sealTime how long to wait for a sidecar's answer to a seal
- * @param progressTime how long an answer may make no progress before the connection is
- * probed
- * @param flightPollTime how long to wait before asking the guard of a fingerprint again
- * @param isolationPollTime how long to wait before asking for the slot for isolated runs
- * again
- * @param detachTime how long an attempt is followed after its caller was told that the
- * outcome is unknown
- * @param maxAnswerBytes the greatest body of an answer that is recorded under a claim, in
- * bytes
+ * @param capacity the maximum number of concurrent requests
+ * @param sealTime how long to wait for the response to a seal or to the release of a
+ * claim
+ * @param progressTime how long to wait for the next message of a followed attempt before
+ * the connection is probed
+ * @param flightPollTime the polling interval for a permit from the guard of a fingerprint
+ * @param isolationPollTime the polling interval for the slot for isolated runs
+ * @param detachTime how long a request is kept after its outcome was reported as unknown,
+ * so that its answer or crash can still be recorded
+ * @param maxAnswerBytes the maximum body size, in bytes, of an answer that is recorded
+ * with a claim
  */
 public record RequestTrackerSettings(int capacity, Duration sealTime, Duration progressTime, Duration flightPollTime,
 		Duration isolationPollTime, Duration detachTime, int maxAnswerBytes) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RetryCause.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RetryCause.java
@@ -1,19 +1,22 @@
 package org.comfreywall.entry.request;
 
 /**
- * Reasons for which another attempt may be made.
+ * Failures that another attempt may follow.
  */
 public enum RetryCause {
 
-	/** The attempt was proven not to have run. */
+	/** The attempt provably did not run. */
 	REFUSED,
 	/** No backend server could take the request. */
 	NO_ROUTE,
 	/** The backend server crashed. */
 	CRASHED,
-	/** The sidecar was lost. */
+	/** The sidecar restarted or could not be reached. */
 	SIDECAR_LOST,
-	/** The answer broke off before anything was passed to the caller. */
+	/**
+	 * The attempt ended, was refused or was not sealed without proof that it did not run,
+	 * and no part of an answer was passed to the caller.
+	 */
 	BROKEN
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RetryDecision.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RetryDecision.java
@@ -5,11 +5,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Whether and when a request is tried again.
+ * Whether and when a request is retried.
  *
- * @param allowed whether it is tried again
- * @param delay how long to wait before
- * @param reason why it is or is not tried again
+ * @param allowed whether another attempt may be made
+ * @param delay the delay before the next attempt
+ * @param reason the reason for the decision, as written to decision records
  */
 public record RetryDecision(boolean allowed, Duration delay, String reason) {
 
@@ -20,7 +20,7 @@
 
 	/**
 	 * Allows another attempt.
-	 * @param delay how long to wait before
+	 * @param delay the delay before the next attempt
 	 * @return the decision
 	 */
 	public static RetryDecision after(Duration delay) {
@@ -29,7 +29,7 @@
 
 	/**
 	 * Allows no further attempt.
-	 * @param reason why
+	 * @param reason the reason, as written to decision records
 	 * @return the decision
 	 */
 	public static RetryDecision stop(String reason) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RetryPolicy.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RetryPolicy.java
@@ -1,17 +1,17 @@
 package org.comfreywall.entry.request;
 
 /**
- * Decides whether a request is tried again.
+ * Decides whether a request is retried.
  * <p>
- * It is asked only when a further attempt would be safe: the request is idempotent, or
- * its attempt was proven not to have run.
+ * Called only when another attempt is safe: the request is idempotent, or its attempts
+ * provably did not run.
  */
 @FunctionalInterface
 public interface RetryPolicy {
 
 	/**
-	 * Decides about one request.
-	 * @param query describes the request
+	 * Decides whether another attempt may be made, and after which delay.
+	 * @param query the request and the cause of the retry
 	 * @return the decision
 	 */
 	RetryDecision decide(RetryQuery query);
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RetryQuery.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RetryQuery.java
@@ -6,14 +6,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Describes a request that could be tried again.
+ * A request that may be retried, as input of a {@link RetryPolicy}.
  *
  * @param request the request
  * @param account the client account
  * @param service the service
- * @param attempts the number of attempts made
- * @param cause the reason
- * @param remainingNanos the time until the caller's deadline in nanoseconds
+ * @param attempts the number of attempts sent so far
+ * @param cause the failure that the retry would follow
+ * @param remainingNanos the time until the caller's deadline, in nanoseconds
  */
 public record RetryQuery(RequestId request, AccountId account, ServiceId service, int attempts, RetryCause cause,
 		long remainingNanos) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RouteChosen.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RouteChosen.java
@@ -5,11 +5,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A backend server was chosen.
+ * A backend server was selected.
  *
  * @param request the request
- * @param target the backend server, with the incarnation and window last heard from its
- * sidecar
+ * @param target the backend server, with the incarnation and window last received from
+ * its sidecar
  */
 public record RouteChosen(RequestId request, AttemptTarget target) implements RequestEvent {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RouteUnavailable.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RouteUnavailable.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * No backend server can take the request now.
+ * No backend server is available for the request.
  *
  * @param request the request
  * @param error the reason
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SealedReceived.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SealedReceived.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A sidecar promised that an attempt never ran and never will.
+ * A sidecar sealed an attempt: it did not run and the sidecar will never start it.
  *
  * @param attempt the attempt, or
  * {@link org.comfreywall.common.attempt.AttemptTarget#everyAttemptOf every attempt} of a
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SendCancel.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SendCancel.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tell a sidecar that the answer is no longer needed.
+ * Cancels an attempt whose answer is no longer needed.
  *
  * @param attempt the attempt
  * @param backendServer the backend server
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SendClaimQuery.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SendClaimQuery.java
@@ -6,7 +6,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Ask a sidecar to let this entry follow the attempt of a claim, or to seal it.
+ * Requests that a sidecar sends the answer of a claimed request to this entry, or seals
+ * the request if it has not started.
  *
  * @param owner the request that holds the claim
  * @param backendServer the backend server
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SendResume.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SendResume.java
@@ -6,12 +6,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Ask a sidecar for the rest of an answer.
+ * Requests the rest of an answer from a sidecar.
  *
  * @param attempt the attempt
  * @param backendServer the backend server
  * @param incarnation the incarnation of the sidecar
- * @param nextSequence the number of the first part that is missing
+ * @param nextSequence the sequence number of the first missing part
  */
 public record SendResume(AttemptId attempt, BackendServerId backendServer, Incarnation incarnation,
 		long nextSequence) implements RequestCommand {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SendSeal.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SendSeal.java
@@ -5,10 +5,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Ask a sidecar to seal an attempt unless it has started.
+ * Requests that a sidecar seals an attempt unless it has started.
  *
  * @param attempt the attempt
- * @param target the addressee
+ * @param target the backend server and the incarnation of its sidecar
  */
 public record SendSeal(AttemptId attempt, AttemptTarget target) implements RequestCommand {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SendStart.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SendStart.java
@@ -6,11 +6,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Send an attempt to a sidecar, at most once, or answer with {@link StartNotSent}.
+ * Sends an attempt to a sidecar at most once. If it was not sent, the driver responds
+ * with {@link StartNotSent}.
  *
  * @param attempt the attempt
- * @param target the addressee
- * @param traits what the sidecar must know
+ * @param target the backend server, with the incarnation and window of its sidecar
+ * @param traits the properties of the request that the sidecar checks
  */
 public record SendStart(AttemptId attempt, AttemptTarget target, AttemptTraits traits) implements RequestCommand {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SidecarLost.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SidecarLost.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A life of a sidecar ended, or it cannot be reached on a new connection either.
+ * An incarnation of a sidecar ended, or a new connection to it failed as well.
  *
  * @param backendServer the backend server
  * @param incarnation the incarnation of the sidecar
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/StartNotSent.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/StartNotSent.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An attempt was not handed to any connection and will not be.
+ * An attempt was not passed to any connection and will not be.
  *
  * @param attempt the attempt
  */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/StartedReceived.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/StartedReceived.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A sidecar tells that it accepted an attempt, which may have started.
+ * A sidecar accepted an attempt, which may have started.
  *
  * @param attempt the attempt
  * @param backendServer the backend server
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/TimePassed.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/TimePassed.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.request;
 
 /**
- * Time passed; to be sent at the time of the next timer.
+ * Advances the clock. The driver sends it at {@link RequestTracker#nextTimer()}.
  */
 public record TimePassed() implements RequestEvent {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/package-info.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/package-info.java
@@ -1,4 +1,5 @@
 /**
- * The life of a caller's request at its entry.
+ * Request handling at an entry: claims, attempts, retries, isolated runs and the outcome
+ * reported to the caller.
  */
 package org.comfreywall.entry.request;
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/request/FlightGuardTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/request/FlightGuardTests.java
@@ -25,39 +25,39 @@
 			new FlightGuardSettings(Duration.ofNanos(10), Duration.ofNanos(100), 2), -10);
 
 	@Test
-	void holdsBackOthersDuringFirstRun() {
-		assertThat(ask(FIRST, 0)).isEqualTo(FlightPermit.GO);
-		assertThat(ask(SECOND, 1)).isEqualTo(FlightPermit.WAIT);
-		assertThat(ask(FIRST, 1)).isEqualTo(FlightPermit.GO);
+	void blocksOtherRequestsDuringFirstRun() {
+		assertThat(requestPermit(FIRST, 0)).isEqualTo(FlightPermit.GO);
+		assertThat(requestPermit(SECOND, 1)).isEqualTo(FlightPermit.WAIT);
+		assertThat(requestPermit(FIRST, 1)).isEqualTo(FlightPermit.GO);
 	}
 
 	@Test
-	void letsAnyNumberRunAfterOneSurvived() {
-		ask(FIRST, 0);
-		end(FIRST, FlightEnd.SURVIVED, 1);
-		assertThat(ask(SECOND, 2)).isEqualTo(FlightPermit.GO);
-		assertThat(ask(FIRST, 2)).isEqualTo(FlightPermit.GO);
+	void permitsAllRequestsAfterOneRunCompleted() {
+		requestPermit(FIRST, 0);
+		recordEnd(FIRST, FlightEnd.SURVIVED, 1);
+		assertThat(requestPermit(SECOND, 2)).isEqualTo(FlightPermit.GO);
+		assertThat(requestPermit(FIRST, 2)).isEqualTo(FlightPermit.GO);
 	}
 
 	@Test
-	void sendsRequestsToLedgerAfterLoss() {
-		ask(FIRST, 0);
-		end(FIRST, FlightEnd.LOST, 1);
-		end(SECOND, FlightEnd.SURVIVED, 2);
-		assertThat(ask(SECOND, 3)).isEqualTo(FlightPermit.SUSPECT);
+	void refersRequestsToLedgerAfterCrash() {
+		requestPermit(FIRST, 0);
+		recordEnd(FIRST, FlightEnd.LOST, 1);
+		recordEnd(SECOND, FlightEnd.SURVIVED, 2);
+		assertThat(requestPermit(SECOND, 3)).isEqualTo(FlightPermit.SUSPECT);
 	}
 
 	@Test
-	void letsOneRequestRunAfterLedgerClearedTheFingerprint() {
-		ask(FIRST, 0);
-		end(FIRST, FlightEnd.LOST, 1);
+	void permitsOneRequestAfterLedgerClearedTheFingerprint() {
+		requestPermit(FIRST, 0);
+		recordEnd(FIRST, FlightEnd.LOST, 1);
 		assertThat(this.guard.ask(BODY, SECOND, true, 2)).isEqualTo(FlightPermit.SUSPECT);
 		assertThat(this.guard.ask(BODY, SECOND, true, 2)).isEqualTo(FlightPermit.GO);
 		assertThat(this.guard.ask(BODY, FIRST, true, 2)).isEqualTo(FlightPermit.WAIT);
 	}
 
 	@Test
-	void sendsUnknownFingerprintsToLedgerAfterItsStart() {
+	void refersUnknownFingerprintsToLedgerAfterStartup() {
 		FlightGuard started = new FlightGuard(new FlightGuardSettings(Duration.ofNanos(10), Duration.ofNanos(100), 2),
 				0);
 		assertThat(started.ask(BODY, FIRST, false, 9)).isEqualTo(FlightPermit.SUSPECT);
@@ -65,34 +65,34 @@
 	}
 
 	@Test
-	void letsNextRunAfterUndecidedEnd() {
-		ask(FIRST, 0);
-		end(SECOND, FlightEnd.UNDECIDED, 1);
-		assertThat(ask(SECOND, 1)).isEqualTo(FlightPermit.WAIT);
-		end(FIRST, FlightEnd.UNDECIDED, 1);
-		assertThat(ask(SECOND, 2)).isEqualTo(FlightPermit.GO);
+	void permitsNextRunAfterUndecidedEnd() {
+		requestPermit(FIRST, 0);
+		recordEnd(SECOND, FlightEnd.UNDECIDED, 1);
+		assertThat(requestPermit(SECOND, 1)).isEqualTo(FlightPermit.WAIT);
+		recordEnd(FIRST, FlightEnd.UNDECIDED, 1);
+		assertThat(requestPermit(SECOND, 2)).isEqualTo(FlightPermit.GO);
 	}
 
 	@Test
-	void waitsForLostEntryNoLongerThanFlightTime() {
-		ask(FIRST, 0);
-		assertThat(ask(SECOND, 10)).isEqualTo(FlightPermit.GO);
+	void permitsNextRunOnceFlightTimeHasElapsed() {
+		requestPermit(FIRST, 0);
+		assertThat(requestPermit(SECOND, 10)).isEqualTo(FlightPermit.GO);
 	}
 
 	@Test
-	void forgetsOldestFingerprintWhenFull() {
-		ask(FIRST, 0);
+	void evictsOldestFingerprintWhenFull() {
+		requestPermit(FIRST, 0);
 		this.guard.ask(fingerprint("a"), SECOND, false, 1);
 		this.guard.ask(fingerprint("b"), SECOND, false, 1);
 		assertThat(this.guard.size()).isEqualTo(2);
-		assertThat(ask(SECOND, 2)).isEqualTo(FlightPermit.GO);
+		assertThat(requestPermit(SECOND, 2)).isEqualTo(FlightPermit.GO);
 	}
 
-	private FlightPermit ask(RequestId request, long now) {
+	private FlightPermit requestPermit(RequestId request, long now) {
 		return this.guard.ask(BODY, request, false, now);
 	}
 
-	private void end(RequestId request, FlightEnd end, long now) {
+	private void recordEnd(RequestId request, FlightEnd end, long now) {
 		this.guard.end(BODY, request, end, now);
 	}
 
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/request/RequestTrackerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/request/RequestTrackerTests.java
@@ -58,11 +58,12 @@
 
 	private static final BackendServerId SERVER = BackendServerId.of("booking-1");
 
-	private static final Incarnation LIFE = Incarnation.of(3);
+	private static final Incarnation INCARNATION = Incarnation.of(3);
 
-	private static final AttemptTarget TARGET = new AttemptTarget(SERVER, LIFE, 5);
+	private static final AttemptTarget TARGET = new AttemptTarget(SERVER, INCARNATION, 5);
 
-	private static final AttemptTarget OTHER_TARGET = new AttemptTarget(BackendServerId.of("booking-2"), LIFE, 5);
+	private static final AttemptTarget OTHER_TARGET = new AttemptTarget(BackendServerId.of("booking-2"), INCARNATION,
+			5);
 
 	private static final Fingerprint FINGERPRINT = new Fingerprint(AccountId.of("farm"), ServiceId.of("booking"),
 			"digest");
@@ -130,15 +131,15 @@
 	}
 
 	private List<RequestCommand> part(RequestId request, long sequence, AnswerPart part) {
-		return handle(new PartReceived(new AttemptId(request, 1), SERVER, LIFE, sequence, part));
+		return handle(new PartReceived(new AttemptId(request, 1), SERVER, INCARNATION, sequence, part));
 	}
 
 	private List<RequestCommand> end(AttemptEnd end, int crash) {
-		return handle(new EndReceived(attempt(1), SERVER, LIFE, end, crash));
+		return handle(new EndReceived(attempt(1), SERVER, INCARNATION, end, crash));
 	}
 
 	private List<RequestCommand> refuse(AttemptRefusal refusal) {
-		return handle(new RefusalReceived(attempt(1), SERVER, LIFE, refusal));
+		return handle(new RefusalReceived(attempt(1), SERVER, INCARNATION, refusal));
 	}
 
 	private List<RequestCommand> passTime(Duration duration) {
@@ -166,7 +167,7 @@
 	}
 
 	private static ReleaseClaim release(NotRunEvidence evidence, RequestId owner) {
-		return new ReleaseClaim(KEY, new NotRunProof(evidence, owner, SERVER, LIFE));
+		return new ReleaseClaim(KEY, new NotRunProof(evidence, owner, SERVER, INCARNATION));
 	}
 
 	private static SendStart start(int number, AttemptTarget target, boolean idempotent, boolean isolated) {
@@ -188,12 +189,12 @@
 		}
 
 		@Test
-		void refusesMissingKeyWhereServiceRequiresOne() {
+		void rejectsRequestWithoutKeyIfServiceRequiresOne() {
 			assertThat(outcome(accept(Optional.empty(), false, true, PoisonVerdict.CLEAR))).contains(Outcome.NOT_RUN);
 		}
 
 		@Test
-		void recordsWholeAnswer() {
+		void recordsCompleteAnswerWithClaim() {
 			sendBooking();
 			assertThat(part(REQUEST, 0, HEAD)).containsExactly(new DeliverPart(REQUEST, HEAD));
 			part(REQUEST, 1, CHUNK);
@@ -204,24 +205,24 @@
 		}
 
 		@Test
-		void deliversRecordedAnswerToResend() {
+		void deliversRecordedAnswerToResentRequest() {
 			List<RequestCommand> commands = findClaim(new ClaimFound(new ClaimCompleted(EARLIER, ANSWER)));
 			assertThat(commands).contains(new DeliverPart(REQUEST, CHUNK));
 			assertThat(outcome(commands)).contains(Outcome.COMPLETED);
 		}
 
 		@Test
-		void tellsUnknownForUnknownClaim() {
+		void reportsUnknownIfEarlierRequestMayHaveRun() {
 			assertThat(outcome(findClaim(new ClaimFound(new ClaimUnknown(EARLIER))))).contains(Outcome.UNKNOWN);
 		}
 
 		@Test
-		void refusesKeyUsedWithOtherBody() {
+		void rejectsKeyUsedWithOtherBody() {
 			assertThat(outcome(findClaim(new ClaimMismatch()))).contains(Outcome.NOT_RUN);
 		}
 
 		@Test
-		void doesNotTellNotRunWhileEarlierSendingMayHaveRun() {
+		void reportsUnknownIfClaimFailsBecauseEarlierRequestMayHaveRun() {
 			acceptBooking();
 			handle(new RouteChosen(REQUEST, TARGET));
 			List<RequestCommand> commands = handle(new ClaimFailed(REQUEST, UNAVAILABLE));
@@ -243,26 +244,26 @@
 	class Joining {
 
 		@Test
-		void followsRunningAttemptOfEarlierSending() {
+		void followsRunningAttemptOfEarlierRequest() {
 			assertThat(findClaim(new ClaimFound(running(EARLIER, TARGET))))
-				.containsExactly(new SendClaimQuery(EARLIER, SERVER, LIFE));
+				.containsExactly(new SendClaimQuery(EARLIER, SERVER, INCARNATION));
 			part(EARLIER, 0, HEAD);
 			assertThat(part(EARLIER, 1, CHUNK)).containsExactly(new DeliverPart(REQUEST, CHUNK));
 			assertThat(part(EARLIER, 2, END)).contains(new FinishClaim(KEY, EARLIER, ANSWER));
 		}
 
 		@Test
-		void runsItselfWhenEarlierSendingWasSealed() {
+		void runsRequestItselfWhenEarlierRequestWasSealed() {
 			findClaim(new ClaimFound(running(EARLIER, TARGET)));
-			assertThat(handle(new SealedReceived(AttemptTarget.everyAttemptOf(EARLIER), SERVER, LIFE)))
+			assertThat(handle(new SealedReceived(AttemptTarget.everyAttemptOf(EARLIER), SERVER, INCARNATION)))
 				.containsExactly(release(NotRunEvidence.SEALED, EARLIER), new ChooseRoute(REQUEST, Set.of(), false));
 		}
 
 		@Test
-		void tellsUnknownWhenSidecarHasRestarted() {
+		void reportsUnknownWhenSidecarHasRestarted() {
 			findClaim(new ClaimFound(running(EARLIER, TARGET)));
 			List<RequestCommand> commands = handle(new RefusalReceived(AttemptTarget.everyAttemptOf(EARLIER), SERVER,
-					LIFE, AttemptRefusal.OTHER_INCARNATION));
+					INCARNATION, AttemptRefusal.OTHER_INCARNATION));
 			assertThat(commands).contains(new MarkClaimUnknown(KEY, EARLIER));
 			assertThat(outcome(commands)).contains(Outcome.UNKNOWN);
 		}
@@ -273,7 +274,7 @@
 	class Proofs {
 
 		@Test
-		void movesClaimToOtherServerAfterProof() {
+		void movesClaimToOtherServerAfterProofThatAttemptDidNotRun() {
 			sendBooking();
 			assertThat(refuse(AttemptRefusal.DRAINING)).containsExactly(release(NotRunEvidence.SEALED, REQUEST),
 					new ChooseRoute(REQUEST, Set.of(SERVER), false));
@@ -291,38 +292,38 @@
 		}
 
 		@Test
-		void tellsUnknownWhenSidecarIsLost() {
+		void reportsUnknownWhenSidecarIsLost() {
 			sendBooking();
-			assertThat(outcome(handle(new SidecarLost(SERVER, LIFE)))).contains(Outcome.UNKNOWN);
+			assertThat(outcome(handle(new SidecarLost(SERVER, INCARNATION)))).contains(Outcome.UNKNOWN);
 		}
 
 		@Test
-		void sealsAtDeadlineBeforeTellingNotRun() {
+		void sealsAttemptAtDeadlineBeforeReportingNotRun() {
 			sendBooking();
 			assertThat(passTime(Duration.ofSeconds(30))).containsExactly(new SendSeal(attempt(1), TARGET));
 			ReleaseClaim release = release(NotRunEvidence.SEALED, REQUEST);
-			assertThat(handle(new SealedReceived(attempt(1), SERVER, LIFE))).containsExactly(release);
+			assertThat(handle(new SealedReceived(attempt(1), SERVER, INCARNATION))).containsExactly(release);
 			assertThat(outcome(handle(new ClaimReleased(release.proof(), true)))).contains(Outcome.NOT_RUN);
 		}
 
 		@Test
-		void tellsUnknownWhenOtherSendingTookTheClaimOver() {
+		void reportsUnknownWhenClaimWasNoLongerHeldAtRelease() {
 			sendBooking();
 			passTime(Duration.ofSeconds(30));
-			handle(new SealedReceived(attempt(1), SERVER, LIFE));
+			handle(new SealedReceived(attempt(1), SERVER, INCARNATION));
 			ReleaseClaim release = release(NotRunEvidence.SEALED, REQUEST);
 			assertThat(outcome(handle(new ClaimReleased(release.proof(), false)))).contains(Outcome.UNKNOWN);
 		}
 
 		@Test
-		void tellsUnknownWhenSealIsNotAnswered() {
+		void reportsUnknownWhenSealTimesOut() {
 			sendBooking();
 			passTime(Duration.ofSeconds(30));
 			assertThat(outcome(passTime(Duration.ofSeconds(1)))).contains(Outcome.UNKNOWN);
 		}
 
 		@Test
-		void recordsAnswerOfBookingThatOutlivesItsCaller() {
+		void recordsAnswerAfterCallerCancelled() {
 			sendBooking();
 			part(REQUEST, 0, HEAD);
 			assertThat(outcome(handle(new CallerCancelled(REQUEST)))).contains(Outcome.UNKNOWN);
@@ -335,26 +336,26 @@
 		@Test
 		void ignoresSealOfOtherAttempt() {
 			sendLookup();
-			assertThat(handle(new SealedReceived(attempt(2), SERVER, LIFE))).isEmpty();
+			assertThat(handle(new SealedReceived(attempt(2), SERVER, INCARNATION))).isEmpty();
 		}
 
 	}
 
 	@Nested
-	class Frames {
+	class PartsAndConnections {
 
 		@Test
-		void ignoresDoubledPart() {
+		void ignoresDuplicatePart() {
 			sendLookup();
 			part(REQUEST, 0, HEAD);
 			assertThat(part(REQUEST, 0, HEAD)).isEmpty();
 		}
 
 		@Test
-		void asksOnceForMissingPart() {
+		void requestsMissingPartOnce() {
 			sendLookup();
 			part(REQUEST, 0, HEAD);
-			assertThat(part(REQUEST, 2, END)).containsExactly(new SendResume(attempt(1), SERVER, LIFE, 1));
+			assertThat(part(REQUEST, 2, END)).containsExactly(new SendResume(attempt(1), SERVER, INCARNATION, 1));
 			assertThat(part(REQUEST, 2, END)).isEmpty();
 			assertThat(part(REQUEST, 1, CHUNK)).containsExactly(new DeliverPart(REQUEST, CHUNK));
 		}
@@ -363,30 +364,32 @@
 		void ignoresPartOfOtherIncarnationOrAttempt() {
 			sendLookup();
 			assertThat(handle(new PartReceived(attempt(1), SERVER, Incarnation.of(2), 0, HEAD))).isEmpty();
-			assertThat(handle(new PartReceived(attempt(2), SERVER, LIFE, 0, HEAD))).isEmpty();
-			assertThat(handle(new PartReceived(attempt(1), OTHER_TARGET.backendServer(), LIFE, 0, HEAD))).isEmpty();
+			assertThat(handle(new PartReceived(attempt(2), SERVER, INCARNATION, 0, HEAD))).isEmpty();
+			assertThat(handle(new PartReceived(attempt(1), OTHER_TARGET.backendServer(), INCARNATION, 0, HEAD)))
+				.isEmpty();
 		}
 
 		@Test
 		void resumesAtNextPartOnNewConnection() {
 			sendLookup();
 			part(REQUEST, 0, HEAD);
-			assertThat(handle(new ConnectionLost(SERVER, LIFE))).isEmpty();
-			assertThat(handle(new ConnectionRestored(SERVER, LIFE)))
-				.containsExactly(new SendResume(attempt(1), SERVER, LIFE, 1));
+			assertThat(handle(new ConnectionLost(SERVER, INCARNATION))).isEmpty();
+			assertThat(handle(new ConnectionRestored(SERVER, INCARNATION)))
+				.containsExactly(new SendResume(attempt(1), SERVER, INCARNATION, 1));
 		}
 
 		@Test
-		void sealsOrJoinsWhenStartMayBeLostWithConnection() {
+		void sealsAttemptWhenStartMayBeLostWithConnection() {
 			sendBooking();
-			handle(new ConnectionLost(SERVER, LIFE));
-			assertThat(handle(new ConnectionRestored(SERVER, LIFE))).containsExactly(new SendSeal(attempt(1), TARGET));
+			handle(new ConnectionLost(SERVER, INCARNATION));
+			assertThat(handle(new ConnectionRestored(SERVER, INCARNATION)))
+				.containsExactly(new SendSeal(attempt(1), TARGET));
 		}
 
 		@Test
 		void probesConnectionWithoutProgress() {
 			sendLookup();
-			assertThat(passTime(Duration.ofSeconds(2))).containsExactly(new ProbeConnection(SERVER, LIFE));
+			assertThat(passTime(Duration.ofSeconds(2))).containsExactly(new ProbeConnection(SERVER, INCARNATION));
 		}
 
 	}
@@ -414,7 +417,7 @@
 		}
 
 		@Test
-		void tellsGuardOfCrashOnceItIsRecorded() {
+		void reportsCrashToGuardOnceItIsRecorded() {
 			sendBooking();
 			assertThat(end(AttemptEnd.CRASHED, 1)).noneMatch(EndFlight.class::isInstance);
 			assertThat(handle(new CrashRecorded(REQUEST)))
@@ -423,7 +426,7 @@
 		}
 
 		@Test
-		void keepsItsClaimWhileItWaitsForIsolation() {
+		void keepsClaimWhileWaitingForIsolation() {
 			acceptBooking();
 			handle(new RouteChosen(REQUEST, TARGET));
 			claimed(TARGET, new ClaimGranted(running(REQUEST, TARGET)));
@@ -432,7 +435,7 @@
 		}
 
 		@Test
-		void asksGuardAgainWhileFirstRunLasts() {
+		void pollsGuardDuringFirstRun() {
 			acceptLookup(PoisonVerdict.CLEAR);
 			handle(new RouteChosen(REQUEST, TARGET));
 			assertThat(permit(FlightPermit.WAIT)).isEmpty();
@@ -440,7 +443,7 @@
 		}
 
 		@Test
-		void asksGuardOnceMoreAfterLedgerClearedTheFingerprint() {
+		void notifiesGuardOnceThatLedgerClearedTheFingerprint() {
 			acceptLookup(PoisonVerdict.SUSPECT);
 			isolation(IsolationResult.NOT_SUSPECTED);
 			assertThat(handle(new RouteChosen(REQUEST, TARGET)))
@@ -450,14 +453,14 @@
 		}
 
 		@Test
-		void asksAgainWhileSlotIsTaken() {
+		void pollsForIsolationWhileSlotIsTaken() {
 			acceptLookup(PoisonVerdict.SUSPECT);
 			assertThat(isolation(IsolationResult.WAIT)).isEmpty();
 			assertThat(passTime(Duration.ofMillis(500))).containsExactly(new AcquireIsolation(REQUEST, FINGERPRINT));
 		}
 
 		@Test
-		void givesSlotBackAfterIsolatedRun() {
+		void releasesSlotAfterIsolatedRun() {
 			acceptLookup(PoisonVerdict.SUSPECT);
 			isolation(IsolationResult.GRANTED);
 			handle(new RouteChosen(REQUEST, TARGET));
@@ -467,7 +470,7 @@
 		}
 
 		@Test
-		void givesSlotBackThatIsGrantedAfterRequestEnded() {
+		void releasesSlotGrantedAfterRequestEnded() {
 			acceptLookup(PoisonVerdict.SUSPECT);
 			handle(new CallerCancelled(REQUEST));
 			assertThat(isolation(IsolationResult.GRANTED))
@@ -475,7 +478,7 @@
 		}
 
 		@Test
-		void refusesQuarantinedRequest() {
+		void rejectsQuarantinedRequest() {
 			assertThat(outcome(acceptLookup(PoisonVerdict.QUARANTINED))).contains(Outcome.NOT_RUN);
 		}
 
