Reword the retry package of the entry

The budgets were told as savings and the histogram by what its counts feel like. They now carry their usual names: token bucket, least recently used, halved counts, jitter, and the settings say in which unit each bound counts. Tests and local variables follow.

--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/LatencyHistogram.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/LatencyHistogram.java
@@ -3,13 +3,14 @@
 import java.util.OptionalLong;
 
 /**
- * A histogram of recent latencies with logarithmic buckets, in which older latencies
- * count ever less.
+ * Histogram of latencies with logarithmic buckets. All counts are halved whenever their
+ * total reaches {@value #HALVING_COUNT}, so that recent latencies dominate.
  */
 final class LatencyHistogram {
 
 	private static final int BUCKETS_PER_OCTAVE = 8;
 
+	// The first bucket starts at 2^10 ns, about 1 us.
 	private static final int FIRST_OCTAVE = 10;
 
 	private static final int OCTAVES = 32;
@@ -31,18 +32,20 @@
 	}
 
 	/**
-	 * Returns an upper bound of a quantile, at most an eighth of an octave above it.
-	 * @param quantile the share of latencies below
-	 * @return the latency in nanoseconds, or empty while there are too few samples
+	 * Returns the upper bound of the bucket that contains a quantile, which is at most an
+	 * eighth of an octave (about 9 %) above the exact value.
+	 * @param quantile the quantile, between 0 and 1
+	 * @return the latency in nanoseconds, or empty while there are fewer than
+	 * {@value #MIN_SAMPLES} samples
 	 */
 	OptionalLong quantile(double quantile) {
 		if (this.total < MIN_SAMPLES) {
 			return OptionalLong.empty();
 		}
-		long below = 0;
+		long cumulative = 0;
 		for (int i = 0; i < this.counts.length; i++) {
-			below += this.counts[i];
-			if (below >= quantile * this.total) {
+			cumulative += this.counts[i];
+			if (cumulative >= quantile * this.total) {
 				return OptionalLong.of(upperBound(i));
 			}
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/RetryBudget.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/RetryBudget.java
@@ -1,10 +1,12 @@
 package org.comfreywall.entry.retry;
 
 /**
- * Saves up a share of a retry with each first attempt.
+ * Token bucket for retries and hedges: each first attempt adds a fraction of a token, and
+ * each retry or hedge takes a whole one.
  */
 final class RetryBudget {
 
+	// Tolerance for the rounding error of the accumulated fractions.
 	private static final double ROUNDING = 1e-9;
 
 	private final double share;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/RetryController.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/RetryController.java
@@ -21,13 +21,13 @@
 import org.comfreywall.entry.request.RetryQuery;
 
 /**
- * Allows retries and hedges as far as budgets and the callers' deadlines go.
+ * Permits retries and hedges within retry budgets and callers' deadlines.
  * <p>
- * A retry or hedge must be covered both by the budget of its client account and service
- * and by the budget of the service as a whole. Both start empty and save up a share of a
- * retry with each first attempt, so that attempts stay within that share of the requests
- * whatever fails. Tracks a bounded number of budgets and forgets the one unused for
- * longest. Not safe for use by several threads.
+ * A retry or hedge takes a token from the bucket of its client account and service and
+ * one from the bucket of the service. Both buckets start empty and gain a fraction of a
+ * token with each first attempt, so that retries and hedges never exceed that fraction of
+ * the requests, even if every attempt fails. Tracks a bounded number of account budgets
+ * and evicts the least recently used one. Not thread-safe.
  */
 public final class RetryController implements RetryPolicy {
 
@@ -50,8 +50,8 @@
 	/**
 	 * Creates a controller with empty budgets.
 	 * @param settings the settings
-	 * @param random spreads the delays
-	 * @param listener receives a record of each hedge that is allowed or not
+	 * @param random the source of jitter for the delays
+	 * @param listener receives a record of each hedge decision
 	 */
 	public RetryController(RetrySettings settings, RandomGenerator random, DecisionListener listener) {
 		this.settings = Preconditions.notNull(settings, "settings");
@@ -60,7 +60,7 @@
 	}
 
 	/**
-	 * Notes the first attempt at a request.
+	 * Records the first attempt of a request, which adds to the budgets.
 	 * @param account the client account
 	 * @param service the service
 	 */
@@ -72,9 +72,10 @@
 	}
 
 	/**
-	 * Notes how long an answered attempt took.
+	 * Records the latency of an answered attempt.
 	 * @param service the service
-	 * @param latencyNanos the time from its start to its first part in nanoseconds
+	 * @param latencyNanos the time from the start of the attempt to the first part of its
+	 * answer, in nanoseconds
 	 */
 	public void answered(ServiceId service, long latencyNanos) {
 		Preconditions.notNull(service, "service");
@@ -93,18 +94,17 @@
 		if (delay.toNanos() + typicalLatency(query.service()) >= query.remainingNanos()) {
 			return RetryDecision.stop("deadline-too-near");
 		}
-		boolean sentBefore = query.attempts() > 0;
-		if (sentBefore && !spend(query.account(), query.service())) {
+		boolean isRetry = query.attempts() > 0;
+		if (isRetry && !spend(query.account(), query.service())) {
 			return RetryDecision.stop("retry-budget-exhausted");
 		}
 		return RetryDecision.after(delay);
 	}
 
 	/**
-	 * Returns how long to wait for the first part of an answer before a hedge is worth
-	 * it.
+	 * Returns how long to wait for the first part of an answer before sending a hedge.
 	 * @param service the service
-	 * @return the delay, or empty while too few latencies are known
+	 * @return the delay, or empty while too few latencies were recorded
 	 */
 	public Optional<Duration> hedgeDelay(ServiceId service) {
 		OptionalLong nanos = quantile(service, this.settings.hedgeQuantile());
@@ -112,13 +112,13 @@
 	}
 
 	/**
-	 * Allows a hedge of an idempotent request whose first attempt is slow, and charges
-	 * the budgets for it.
+	 * Decides whether an idempotent request whose first attempt is slow may be hedged. If
+	 * so, a token is taken from both budgets.
 	 * @param request the request
 	 * @param account the client account
 	 * @param service the service
-	 * @param remainingNanos the time until the caller's deadline in nanoseconds
-	 * @return {@code true} if the second attempt may be sent
+	 * @param remainingNanos the time until the caller's deadline, in nanoseconds
+	 * @return {@code true} if the hedge may be sent
 	 */
 	public boolean allowsHedge(RequestId request, AccountId account, ServiceId service, long remainingNanos) {
 		Preconditions.notNull(request, "request");
@@ -136,19 +136,19 @@
 	}
 
 	private boolean spend(AccountId account, ServiceId service) {
-		RetryBudget ofAccount = accountBudget(account, service);
-		RetryBudget ofService = serviceBudget(service);
-		if (!ofAccount.canSpend() || !ofService.canSpend()) {
+		RetryBudget accountBudget = accountBudget(account, service);
+		RetryBudget serviceBudget = serviceBudget(service);
+		if (!accountBudget.canSpend() || !serviceBudget.canSpend()) {
 			return false;
 		}
-		ofAccount.spend();
-		ofService.spend();
+		accountBudget.spend();
+		serviceBudget.spend();
 		return true;
 	}
 
 	private Duration delay(int attempts) {
-		double longest = this.settings.firstDelay().toNanos() * Math.pow(2, Math.max(0, attempts - 1));
-		double bound = Math.min(longest, this.settings.maxDelay().toNanos());
+		double uncapped = this.settings.firstDelay().toNanos() * Math.pow(2, Math.max(0, attempts - 1));
+		double bound = Math.min(uncapped, this.settings.maxDelay().toNanos());
 		return Duration.ofNanos((long) (bound * this.random.nextDouble()));
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/RetrySettings.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/RetrySettings.java
@@ -5,23 +5,26 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Settings of retries and hedges.
+ * Settings of the {@link RetryController}.
  *
- * @param budgetShare retries and hedges allowed for each first attempt
- * @param accountBurst the most retries saved up for one client account and service
- * @param serviceBurst the most retries saved up for one service over all client accounts
- * @param maxAttempts the most attempts at one request, the first one included
- * @param firstDelay the longest delay before the second attempt; doubles with each
- * further one
- * @param maxDelay the longest delay before any attempt
- * @param hedgeQuantile the share of answers that are quicker than the delay before a
- * hedge
- * @param maxBudgets the most pairs of client account and service tracked
+ * @param budgetShare the fraction of a retry or hedge that each first attempt adds to the
+ * budgets, at least 0 and less than 1
+ * @param accountBurst the capacity of the budget of one client account and service, in
+ * retries
+ * @param serviceBurst the capacity of the budget of one service over all client accounts,
+ * in retries
+ * @param maxAttempts the maximum number of attempts of one request, including the first
+ * one
+ * @param firstDelay the maximum delay before the second attempt; doubled for each further
+ * attempt
+ * @param maxDelay the upper bound of the delay before any attempt
+ * @param hedgeQuantile the latency quantile after which a hedge is sent, such as 0.95
+ * @param maxBudgets the maximum number of pairs of client account and service tracked
  */
 public record RetrySettings(double budgetShare, int accountBurst, int serviceBurst, int maxAttempts,
 		Duration firstDelay, Duration maxDelay, double hedgeQuantile, int maxBudgets) {
 
-	/** The settings used unless others are given. */
+	/** The default settings. */
 	public static final RetrySettings DEFAULT = new RetrySettings(0.07, 5, 10, 3, Duration.ofMillis(50),
 			Duration.ofSeconds(2), 0.95, 65_536);
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/package-info.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Retries and hedges within budgets and callers' deadlines.
+ * Retries and hedges, limited by retry budgets and callers' deadlines.
  */
 package org.comfreywall.entry.retry;
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/retry/RetryControllerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/retry/RetryControllerTests.java
@@ -38,7 +38,7 @@
 	}
 
 	@Test
-	void allowsNoRetryBeforeTheBudgetHasSavedOneUp() {
+	void allowsNoRetryBeforeBudgetHoldsOneToken() {
 		firstAttempts("a", 14);
 		assertThat(this.controller.decide(query("a", 1, SECOND)).reason()).isEqualTo("retry-budget-exhausted");
 		firstAttempts("a", 1);
@@ -47,13 +47,13 @@
 	}
 
 	@Test
-	void leavesOneAccountsBudgetToThatAccount() {
+	void keepsBudgetsOfAccountsSeparate() {
 		firstAttempts("a", 100);
 		assertThat(this.controller.decide(query("b", 1, SECOND)).allowed()).isFalse();
 	}
 
 	@Test
-	void spreadsTheDelayOverTheWholeBackOff() {
+	void appliesFullJitterToBackOffDelay() {
 		long longest = 0;
 		long shortest = Long.MAX_VALUE;
 		for (int i = 0; i < 30; i++) {
@@ -67,7 +67,7 @@
 	}
 
 	@Test
-	void stopsWhenTheAnswerWouldComeAfterTheDeadline() {
+	void stopsWhenAnswerWouldArriveAfterDeadline() {
 		firstAttempts("a", 100);
 		for (int i = 0; i < 200; i++) {
 			this.controller.answered(SERVICE, SECOND);
@@ -82,12 +82,12 @@
 	}
 
 	@Test
-	void spendsNothingWhenNoAttemptWasSent() {
+	void takesNothingFromBudgetIfNoAttemptWasSent() {
 		assertThat(this.controller.decide(query("a", 0, SECOND)).allowed()).isTrue();
 	}
 
 	@Test
-	void hedgesAfterTheObservedQuantile() {
+	void hedgesAfterObservedLatencyQuantile() {
 		assertThat(this.controller.hedgeDelay(SERVICE)).isEmpty();
 		for (int i = 1; i <= 1000; i++) {
 			this.controller.answered(SERVICE, i * 1_000_000L);
