Reword the limit package of the entry

Lease requests and grants were told as asks and answers, terms as lapsing and the enforcer's caller as being told what to send. Doc comments now use the terms of leases: request, grant, return, refund, expire, and name what is counted. The decision when a lease request may be sent early and the estimate of the offered rate (exponential moving average) are said plainly. Local variables, one private field and the tests follow; no test checks less than before.

--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/AccountShares.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/AccountShares.java
@@ -8,7 +8,8 @@
 import org.comfreywall.common.lease.LeaseTerms;
 
 /**
- * One client account's shares at this entry and its demand for more.
+ * The shares that this entry holds of one client account's limits, and the estimate of
+ * its demand.
  */
 final class AccountShares {
 
@@ -28,7 +29,7 @@
 
 	private final GrantedShare reserve;
 
-	private final OfferedRate offered;
+	private final OfferedRate offeredRate;
 
 	private long waiting;
 
@@ -49,19 +50,20 @@
 		this.terms = terms;
 		this.primary = new GrantedShare(primarySequence);
 		this.reserve = new GrantedShare(reserveSequence);
-		this.offered = new OfferedRate(terms.askInterval().toNanos(), now);
+		this.offeredRate = new OfferedRate(terms.askInterval().toNanos(), now);
 		this.offeredAt = now;
 		this.grantedAt = now;
 	}
 
 	void offered(long tokens, long now) {
-		this.offered.add(tokens, now);
+		this.offeredRate.add(tokens, now);
 		this.offeredAt = now;
 	}
 
 	/**
-	 * Notes a request that could not be admitted, for the next ask.
-	 * @param tokens the tokens it is charged
+	 * Counts a request that could not be admitted, so that the next lease request covers
+	 * it.
+	 * @param tokens the tokens charged for the request
 	 */
 	void unserved(long tokens) {
 		this.waiting++;
@@ -81,30 +83,31 @@
 	}
 
 	/**
-	 * Works out what to ask a grantor for.
+	 * Computes the demand to send to a grantor.
 	 * @param role the grantor
-	 * @param asked whether to ask for more, or only to give back
+	 * @param requestMore whether to request shares, or only to return slots and refund
+	 * tokens
 	 * @param now the time in nanoseconds
-	 * @return the demand, or empty if there is nothing to ask for or to give back
+	 * @return the demand, or empty if there is nothing to request, return or refund
 	 */
-	Optional<AccountDemand> demand(GrantorRole role, boolean asked, long now) {
+	Optional<AccountDemand> demand(GrantorRole role, boolean requestMore, long now) {
 		GrantedShare share = share(role);
-		boolean active = asked && isActive(now);
+		boolean active = requestMore && isActive(now);
 		double horizon = active ? HORIZON_INTERVALS * this.terms.askInterval().toNanos() : 0;
-		long waits = active ? this.waiting : 0;
-		double expected = this.offered.requestsPerNano(now) * horizon;
-		long expectedTokens = Math.round(this.offered.tokensPerNano(now) * horizon);
-		long stock = share.requests(now);
-		long mostSpare = isShort(now) ? 1 : Math.max(SPARE_SLOTS, share.used() / 2);
-		long spare = Math.min(Math.round(expected), mostSpare);
-		long usable = Math.max(waits + spare, Math.min(stock, SPARE_SLOTS));
-		long slots = active ? share.used() + usable : 0;
-		share.lowerSlots((isShort(now) && stock == 0) ? Math.min(slots, share.used()) : slots);
-		long smallest = active ? smallestTokens(expected, expectedTokens) : 0;
-		long requests = Math.max(0, Math.round(expected) + waits - stock);
-		long tokens = Math.max(0, expectedTokens + waits * smallest - share.tokens(now));
-		boolean wants = requests > 0 || tokens > 0 || slots > share.used();
-		if (!wants && !share.hasToGiveBack(now)) {
+		long waitingRequests = active ? this.waiting : 0;
+		double expectedRequests = this.offeredRate.requestsPerNano(now) * horizon;
+		long expectedTokens = Math.round(this.offeredRate.tokensPerNano(now) * horizon);
+		long availableRequests = share.requests(now);
+		long maxSpareSlots = isShort(now) ? 1 : Math.max(SPARE_SLOTS, share.used() / 2);
+		long spareSlots = Math.min(Math.round(expectedRequests), maxSpareSlots);
+		long usableSlots = Math.max(waitingRequests + spareSlots, Math.min(availableRequests, SPARE_SLOTS));
+		long slots = active ? share.used() + usableSlots : 0;
+		share.lowerSlots((isShort(now) && availableRequests == 0) ? Math.min(slots, share.used()) : slots);
+		long smallest = active ? smallestTokens(expectedRequests, expectedTokens) : 0;
+		long requests = Math.max(0, Math.round(expectedRequests) + waitingRequests - availableRequests);
+		long tokens = Math.max(0, expectedTokens + waitingRequests * smallest - share.tokens(now));
+		boolean needsMore = requests > 0 || tokens > 0 || slots > share.used();
+		if (!needsMore && !share.hasToGiveBack(now)) {
 			return Optional.empty();
 		}
 		share.reported(now);
@@ -113,7 +116,8 @@
 	}
 
 	/**
-	 * Forgets the requests that could not be admitted, once they have been asked for.
+	 * Resets the count of requests that could not be admitted, after a lease request
+	 * covered them.
 	 * @param now the time in nanoseconds
 	 */
 	void asked(long now) {
@@ -131,8 +135,10 @@
 	}
 
 	/**
-	 * Tells whether an ask outside the usual interval is due: at once for a first share,
-	 * less often while there is not enough to go round.
+	 * Returns whether a lease request may be sent before the regular interval has
+	 * elapsed. While grants fall short of the demand, at most
+	 * {@value #SHORT_ASKS_PER_INTERVAL} are sent per interval; otherwise, and for a first
+	 * share, it may be sent at once.
 	 * @param now the time in nanoseconds
 	 * @return {@code true} if it may be sent
 	 */
@@ -162,11 +168,11 @@
 		return this.waiting;
 	}
 
-	private long smallestTokens(double expected, long expectedTokens) {
+	private long smallestTokens(double expectedRequests, long expectedTokens) {
 		if (this.waitingTokens > 0) {
 			return this.waitingTokens;
 		}
-		return (expected > 0) ? Math.round(expectedTokens / expected) : 0;
+		return (expectedRequests > 0) ? Math.round(expectedTokens / expectedRequests) : 0;
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantedShare.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantedShare.java
@@ -8,7 +8,8 @@
 import org.comfreywall.common.lease.AccountGrant;
 
 /**
- * What one grantor has granted for one client account and what is in use of it.
+ * The requests, tokens and in-flight slots that one grantor has granted for one client
+ * account, and the slots in use.
  */
 final class GrantedShare {
 
@@ -86,17 +87,19 @@
 	}
 
 	/**
-	 * Lowers the slots held without being asked to.
-	 * @param wanted the slots of use here
+	 * Caps the number of held slots, which returns the rest to the grantor with the next
+	 * lease request.
+	 * @param needed the number of slots that this entry still needs
 	 */
-	void lowerSlots(long wanted) {
-		this.slots = Math.min(this.slots, wanted);
+	void lowerSlots(long needed) {
+		this.slots = Math.min(this.slots, needed);
 	}
 
 	/**
-	 * Tells whether the grantor should hear of slots given up or of refunds.
+	 * Returns whether slots or tokens are to be returned to the grantor with the next
+	 * lease request.
 	 * @param now the time in nanoseconds
-	 * @return {@code true} if there is something to give back
+	 * @return {@code true} if there are slots to return or tokens to refund
 	 */
 	boolean hasToGiveBack(long now) {
 		return this.refund > 0 || Math.max(slots(now), this.used) < this.believed;
@@ -143,9 +146,9 @@
 	}
 
 	private void addAmount(AccountGrant grant, long until) {
-		long paid = Math.min(this.debt, grant.tokens());
-		this.debt -= paid;
-		SpendableAmount amount = new SpendableAmount(grant.requests(), grant.tokens() - paid, until);
+		long repaid = Math.min(this.debt, grant.tokens());
+		this.debt -= repaid;
+		SpendableAmount amount = new SpendableAmount(grant.requests(), grant.tokens() - repaid, until);
 		if (amount.isEmpty()) {
 			return;
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantorChannel.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantorChannel.java
@@ -14,7 +14,8 @@
 import org.comfreywall.common.lease.LeaseRequest;
 
 /**
- * Numbers the asks to one grantor and matches the answers to them.
+ * Assigns sequence numbers to the lease requests sent to one grantor and matches its
+ * grants to them.
  */
 final class GrantorChannel {
 
@@ -50,26 +51,27 @@
 	}
 
 	/**
-	 * Matches an answer with its ask, once.
-	 * @param grant the answer
-	 * @return the ask, or {@code null} if the answer is doubled, too late, for an earlier
-	 * life of this process or from a grantor that has been replaced
+	 * Matches a grant to its lease request, at most once.
+	 * @param grant the grant
+	 * @return the lease request, or {@code null} if the grant is a duplicate, too late,
+	 * addressed to an earlier incarnation of this process or from a grantor of an earlier
+	 * term
 	 */
 	OpenAsk match(LeaseGrant grant) {
-		boolean mine = grant.holder().equals(this.entry) && grant.incarnation().equals(this.incarnation);
-		if (!mine || grant.term().isBefore(this.term)) {
+		boolean addressedToThis = grant.holder().equals(this.entry) && grant.incarnation().equals(this.incarnation);
+		if (!addressedToThis || grant.term().isBefore(this.term)) {
 			return null;
 		}
-		OpenAsk ask = this.open.remove(grant.sequence());
-		if (ask != null) {
+		OpenAsk request = this.open.remove(grant.sequence());
+		if (request != null) {
 			this.term = grant.term();
 			this.silentSince = Long.MAX_VALUE;
 		}
-		return ask;
+		return request;
 	}
 
 	void forgetBefore(long sentAt) {
-		this.open.values().removeIf((ask) -> ask.sentAt() < sentAt);
+		this.open.values().removeIf((request) -> request.sentAt() < sentAt);
 	}
 
 	boolean isSilent(long nanos, long now) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantorRole.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantorRole.java
@@ -1,13 +1,18 @@
 package org.comfreywall.entry.limit;
 
 /**
- * The grantors that an entry asks for shares of limits.
+ * The grantors that lease shares of limits to an entry.
  */
 public enum GrantorRole {
 
-	/** Grants nearly all of each limit; there is one for the whole fleet. */
+	/**
+	 * The only primary grantor of the fleet, which leases out nearly all of each limit.
+	 */
 	PRIMARY,
-	/** Grants a small fixed part of each limit while the primary grantor is silent. */
+	/**
+	 * Leases out a small fixed part of each limit while the primary grantor does not
+	 * respond.
+	 */
 	RESERVE
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitAdmitted.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitAdmitted.java
@@ -5,7 +5,7 @@
 /**
  * The request is within the limits.
  *
- * @param permit to be handed back when the request has ended
+ * @param permit the permit, to be returned when the request has ended
  */
 public record LimitAdmitted(LimitPermit permit) implements LimitDecision {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitCommand.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitCommand.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.limit;
 
 /**
- * What a limit enforcer wants done.
+ * A command that the {@link LimitEnforcer} returns to its caller.
  */
 public sealed interface LimitCommand permits SendAsk {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitDecision.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitDecision.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.limit;
 
 /**
- * The decision of the limits on one request.
+ * The result of checking a request against the limits of its client account.
  */
 public sealed interface LimitDecision permits LimitAdmitted, LimitPending, LimitRefused {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
@@ -25,16 +25,18 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Enforces the client accounts' limits at one entry with shares leased from the grantors.
+ * Enforces the limits of client accounts at one entry, with shares leased from the
+ * grantors.
  * <p>
- * Each share lapses on this entry's monotonic clock before it lapses on the grantor's,
- * counted from the sending of the ask. The caller ticks every few milliseconds, sends the
- * asks it is told to, and hands in the answers. Tracks at most {@value #MAX_ACCOUNTS}
- * client accounts at a time. Not safe for use by several threads.
+ * The term of a share is counted from the sending of the lease request and ends on this
+ * entry's monotonic clock before it ends on the grantor's. The caller invokes
+ * {@link #tick} every few milliseconds, sends the returned lease requests, and passes the
+ * grants to {@link #granted}. Tracks at most {@value #MAX_ACCOUNTS} client accounts at a
+ * time. Not thread-safe.
  */
 public final class LimitEnforcer {
 
-	/** Client accounts that one entry tracks at a time. */
+	/** The maximum number of client accounts that one entry tracks at a time. */
 	static final int MAX_ACCOUNTS = 16_384;
 
 	private final LimitSettings settings;
@@ -58,9 +60,9 @@
 	private long askedAt = Long.MIN_VALUE;
 
 	/**
-	 * Creates an enforcer that holds no share.
+	 * Creates an enforcer without shares.
 	 * @param entry this entry instance
-	 * @param incarnation the life of this process; must be new
+	 * @param incarnation the incarnation of this process; must not have been used before
 	 * @param settings the settings
 	 * @param source the configured limits
 	 * @param listener receives a record of each refusal
@@ -79,16 +81,16 @@
 	}
 
 	/**
-	 * Decides on a request that arrived.
+	 * Decides on a new request.
 	 * @param request the request
 	 * @param now this entry's monotonic clock in nanoseconds
 	 * @return whether it is admitted, has to wait for a share, or is refused
 	 */
 	public LimitDecision offer(LimitRequest request, long now) {
 		Preconditions.notNull(request, "request");
-		Optional<LimitKind> impossible = impossible(request);
-		if (impossible.isPresent()) {
-			return refuse(request, impossible.get(), Duration.ZERO);
+		Optional<LimitKind> violation = impossible(request);
+		if (violation.isPresent()) {
+			return refuse(request, violation.get(), Duration.ZERO);
 		}
 		AccountShares shares = this.accounts.get(request.account());
 		if (shares == null) {
@@ -106,9 +108,9 @@
 	/**
 	 * Decides again on a request that is waiting for a share.
 	 * @param request the request
-	 * @param until the end of its wait as told by {@link LimitPending#until()}
+	 * @param until the end of its wait, from {@link LimitPending#until()}
 	 * @param now this entry's monotonic clock in nanoseconds
-	 * @return whether it is admitted, has to wait on, or is refused
+	 * @return whether it is admitted, has to wait longer, or is refused
 	 */
 	public LimitDecision offerAgain(LimitRequest request, long until, long now) {
 		Preconditions.notNull(request, "request");
@@ -117,17 +119,17 @@
 	}
 
 	/**
-	 * Takes back a permit when its request has ended, whatever the outcome.
-	 * @param permit the permit, once
-	 * @param spentTokens the tokens the request cost: its prompt and what was generated
+	 * Returns the permit of a request that has ended, whatever its outcome.
+	 * @param permit the permit, which must be returned only once
+	 * @param spentTokens the tokens that the request used: prompt and generated tokens
 	 * @param now this entry's monotonic clock in nanoseconds
 	 */
 	public void finished(LimitPermit permit, long spentTokens, long now) {
 		Preconditions.notNull(permit, "permit");
 		Preconditions.check(spentTokens >= 0, "spentTokens must not be negative: %d", spentTokens);
 		AccountShares shares = this.accounts.get(permit.account());
-		boolean known = shares != null && shares.share(permit.grantor()).used() > 0;
-		if (this.invariants.holds(known, "permit-returned-once", Field.of("client-account", permit.account()))) {
+		boolean outstanding = shares != null && shares.share(permit.grantor()).used() > 0;
+		if (this.invariants.holds(outstanding, "permit-returned-once", Field.of("client-account", permit.account()))) {
 			shares.share(permit.grantor()).finish(permit.tokens(), spentTokens);
 			if (shares.isShort(now)) {
 				this.urgent.add(shares);
@@ -136,25 +138,25 @@
 	}
 
 	/**
-	 * Takes in a grantor's answer; a doubled, late or outdated one is ignored.
-	 * @param role the grantor that answered
-	 * @param grant the answer
+	 * Adds the shares of a grant. Duplicate, late and outdated grants are ignored.
+	 * @param role the grantor that sent the grant
+	 * @param grant the grant
 	 * @param now this entry's monotonic clock in nanoseconds
-	 * @return the client accounts whose waiting requests are worth offering again
+	 * @return the client accounts whose waiting requests should be offered again
 	 */
 	public Collection<AccountId> granted(GrantorRole role, LeaseGrant grant, long now) {
 		Preconditions.notNull(role, "role");
 		Preconditions.notNull(grant, "grant");
-		OpenAsk ask = channel(role).match(grant);
-		if (ask == null) {
+		OpenAsk request = channel(role).match(grant);
+		if (request == null) {
 			return List.of();
 		}
-		long amountUntil = ask.sentAt() + this.settings.terms().holderNanos(this.settings.terms().rateTerm());
-		long slotsUntil = ask.sentAt() + this.settings.terms().holderNanos(this.settings.terms().slotTerm());
+		long amountUntil = request.sentAt() + this.settings.terms().holderNanos(this.settings.terms().rateTerm());
+		long slotsUntil = request.sentAt() + this.settings.terms().holderNanos(this.settings.terms().slotTerm());
 		List<AccountId> result = new ArrayList<>(grant.grants().size());
 		for (AccountGrant each : grant.grants()) {
 			AccountShares shares = this.accounts.get(each.account());
-			AccountDemand demand = ask.demands().get(each.account());
+			AccountDemand demand = request.demands().get(each.account());
 			if (shares != null && demand != null) {
 				shares.share(role).take(each, grant.term(), grant.sequence(), amountUntil, slotsUntil, now);
 				shares.answered(demand, each, now);
@@ -165,9 +167,9 @@
 	}
 
 	/**
-	 * Asks for shares where it is time to.
+	 * Creates the lease requests that are due.
 	 * @param now this entry's monotonic clock in nanoseconds
-	 * @return the asks to send
+	 * @return the commands that send them
 	 */
 	public List<LimitCommand> tick(long now) {
 		long interval = this.settings.terms().askInterval().toNanos();
@@ -176,10 +178,10 @@
 			long oldest = now - this.settings.terms().slotTerm().toNanos();
 			this.primary.forgetBefore(oldest);
 			this.reserve.forgetBefore(oldest);
-			List<LimitCommand> asks = ask(List.copyOf(this.accounts.values()), now);
+			List<LimitCommand> commands = ask(List.copyOf(this.accounts.values()), now);
 			this.accounts.values().removeIf((shares) -> shares.isUnused(now));
 			this.urgent.clear();
-			return asks;
+			return commands;
 		}
 		boolean gapOver = this.askedAt == Long.MIN_VALUE || now - this.askedAt >= this.settings.urgentGap().toNanos();
 		if (this.urgent.isEmpty() || !gapOver) {
@@ -190,7 +192,7 @@
 	}
 
 	/**
-	 * Returns the number of client accounts in use at this entry.
+	 * Returns the number of client accounts tracked at this entry.
 	 * @return the count
 	 */
 	public int accountsInUse() {
@@ -198,8 +200,8 @@
 	}
 
 	/**
-	 * Returns the in-flight slots of a client account that this entry holds or has in
-	 * use, whichever are more, of each grantor.
+	 * Returns the in-flight slots of a client account at this entry: for each grantor,
+	 * the slots held or the slots in use, whichever are more.
 	 * @param account the client account
 	 * @param now this entry's monotonic clock in nanoseconds
 	 * @return the number of slots
@@ -210,10 +212,10 @@
 	}
 
 	/**
-	 * Tells whether the primary grantor has left asks unanswered for longer than a rate
-	 * term.
+	 * Returns whether the primary grantor has not responded to lease requests for longer
+	 * than a rate term.
 	 * @param now this entry's monotonic clock in nanoseconds
-	 * @return {@code true} while the reserve grantor is asked instead
+	 * @return {@code true} if shares are to be requested from the reserve grantor as well
 	 */
 	public boolean isPrimarySilent(long now) {
 		return this.primary.isSilent(this.settings.terms().rateTerm().toNanos(), now);
@@ -264,11 +266,11 @@
 		return (request.tokens() > burst) ? Optional.of(LimitKind.REQUEST_SIZE) : Optional.empty();
 	}
 
-	private List<LimitCommand> ask(Collection<AccountShares> all, long now) {
+	private List<LimitCommand> ask(Collection<AccountShares> due, long now) {
 		boolean useReserve = this.settings.division().reserveShare() > 0 && isPrimarySilent(now);
-		List<AccountDemand> primaryDemands = new ArrayList<>(all.size());
+		List<AccountDemand> primaryDemands = new ArrayList<>(due.size());
 		List<AccountDemand> reserveDemands = new ArrayList<>();
-		for (AccountShares shares : all) {
+		for (AccountShares shares : due) {
 			shares.demand(GrantorRole.PRIMARY, true, now).ifPresent(primaryDemands::add);
 			if (useReserve || shares.share(GrantorRole.RESERVE).isInUse(now)) {
 				shares.demand(GrantorRole.RESERVE, useReserve, now).ifPresent(reserveDemands::add);
@@ -276,15 +278,15 @@
 			shares.asked(now);
 			this.urgent.remove(shares);
 		}
-		List<LimitCommand> asks = new ArrayList<>(2);
+		List<LimitCommand> commands = new ArrayList<>(2);
 		if (!primaryDemands.isEmpty()) {
 			this.askedAt = now;
-			asks.add(new SendAsk(GrantorRole.PRIMARY, this.primary.ask(primaryDemands, now)));
+			commands.add(new SendAsk(GrantorRole.PRIMARY, this.primary.ask(primaryDemands, now)));
 		}
 		if (!reserveDemands.isEmpty()) {
-			asks.add(new SendAsk(GrantorRole.RESERVE, this.reserve.ask(reserveDemands, now)));
+			commands.add(new SendAsk(GrantorRole.RESERVE, this.reserve.ask(reserveDemands, now)));
 		}
-		return asks;
+		return commands;
 	}
 
 	private LimitRefused refuse(LimitRequest request, LimitKind kind, Duration retryAfter) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitPermit.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitPermit.java
@@ -4,11 +4,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Proves that a request was admitted; handed back once when the request has ended.
+ * The admission of one request, returned once when the request has ended.
  *
  * @param account the client account
- * @param grantor the grantor whose share it uses
- * @param tokens the tokens it was charged
+ * @param grantor the grantor of the share that the request uses
+ * @param tokens the tokens charged on admission
  */
 public record LimitPermit(AccountId account, GrantorRole grantor, long tokens) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitRequest.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitRequest.java
@@ -5,12 +5,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What the limits need to know about a request.
+ * A request to be checked against the limits of its client account.
  *
  * @param id the request
  * @param account the client account that sent it
- * @param tokens the tokens it is charged: its prompt and the most it may generate; zero
- * for a plain service
+ * @param tokens the tokens charged: the prompt tokens plus the maximum number of
+ * generated tokens; zero for a plain service
  */
 public record LimitRequest(RequestId id, AccountId account, long tokens) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitSettings.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitSettings.java
@@ -7,16 +7,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Settings of a limit enforcer.
+ * Settings of a {@link LimitEnforcer}.
  *
  * @param terms the durations agreed with the grantors
  * @param division the division of each limit between the grantors
- * @param patience how long a request waits for the first share of its client account
- * @param urgentGap the shortest time between two asks while requests wait
+ * @param patience how long a request waits for a share while the grants of its client
+ * account meet the demand
+ * @param urgentGap the minimum time between two lease requests while requests wait
  */
 public record LimitSettings(LeaseTerms terms, LimitDivision division, Duration patience, Duration urgentGap) {
 
-	/** The settings used unless others are given. */
+	/** The default settings. */
 	public static final LimitSettings DEFAULT = new LimitSettings(LeaseTerms.DEFAULT, new LimitDivision(0.04, 1),
 			Duration.ofMillis(250), Duration.ofMillis(25));
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/OfferedRate.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/OfferedRate.java
@@ -1,7 +1,9 @@
 package org.comfreywall.entry.limit;
 
 /**
- * Estimates the rate at which a client account offers requests to this entry.
+ * Estimates the rate of requests and tokens that a client account offers to this entry:
+ * an exponential moving average over windows, or the rate of the current window if that
+ * is higher.
  */
 final class OfferedRate {
 
@@ -38,10 +40,10 @@
 	}
 
 	double tokensPerNano(long now) {
-		double requestRate = requestsPerNano(now);
+		double requestsPerNano = requestsPerNano(now);
 		double mean = (this.requestsPerNano > 0) ? this.tokensPerNano / this.requestsPerNano : 0;
 		double current = (this.requests > 0) ? (double) this.tokens / this.requests : 0;
-		return requestRate * Math.max(mean, current);
+		return requestsPerNano * Math.max(mean, current);
 	}
 
 	private double perNano(long amount, long now) {
@@ -53,9 +55,9 @@
 		if (elapsed < this.windowNanos) {
 			return;
 		}
-		double keep = Math.pow(1 - SMOOTHING, Math.min(64, elapsed / this.windowNanos));
-		this.requestsPerNano = this.requestsPerNano * keep + (1 - keep) * this.requests / elapsed;
-		this.tokensPerNano = this.tokensPerNano * keep + (1 - keep) * this.tokens / elapsed;
+		double weightOfPast = Math.pow(1 - SMOOTHING, Math.min(64, elapsed / this.windowNanos));
+		this.requestsPerNano = this.requestsPerNano * weightOfPast + (1 - weightOfPast) * this.requests / elapsed;
+		this.tokensPerNano = this.tokensPerNano * weightOfPast + (1 - weightOfPast) * this.tokens / elapsed;
 		this.requests = 0;
 		this.tokens = 0;
 		this.windowStart = now;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/OpenAsk.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/OpenAsk.java
@@ -6,10 +6,10 @@
 import org.comfreywall.common.lease.AccountDemand;
 
 /**
- * An ask that has not been answered.
+ * A lease request that has not been answered yet.
  *
  * @param sentAt when it was sent, in nanoseconds on the entry's clock
- * @param demands its demands by client account
+ * @param demands the demands by client account
  */
 record OpenAsk(long sentAt, Map<AccountId, AccountDemand> demands) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/SendAsk.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/SendAsk.java
@@ -4,10 +4,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Sends an ask to a grantor; a lost one need not be sent again.
+ * Sends a lease request to a grantor. A lost one is not retransmitted; the next one
+ * follows within the request interval.
  *
- * @param grantor the grantor to send it to
- * @param request the ask
+ * @param grantor the receiving grantor
+ * @param request the lease request
  */
 public record SendAsk(GrantorRole grantor, LeaseRequest request) implements LimitCommand {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/SpendableAmount.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/SpendableAmount.java
@@ -1,11 +1,11 @@
 package org.comfreywall.entry.limit;
 
 /**
- * Requests and tokens granted at one time that are left to spend.
+ * The unspent requests and tokens of one grant.
  *
  * @param requests the requests left
  * @param tokens the tokens left
- * @param until when they lapse, in nanoseconds on the entry's clock
+ * @param until when they expire, in nanoseconds on the entry's clock
  */
 record SpendableAmount(long requests, long tokens, long until) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/package-info.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The entry's side of limits that are leased from a grantor.
+ * Enforcement of client accounts' limits at an entry, with shares leased from grantors.
  */
 package org.comfreywall.entry.limit;
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/limit/LimitEnforcerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/limit/LimitEnforcerTests.java
@@ -42,24 +42,24 @@
 		return new LimitRequest(RequestId.of("r"), ACCOUNT, tokens);
 	}
 
-	private Optional<LeaseRequest> asked(GrantorRole role, long now) {
+	private Optional<LeaseRequest> leaseRequest(GrantorRole role, long now) {
 		return this.enforcer.tick(now)
 			.stream()
 			.map((command) -> (SendAsk) command)
-			.filter((ask) -> ask.grantor() == role)
+			.filter((command) -> command.grantor() == role)
 			.map(SendAsk::request)
 			.findFirst();
 	}
 
-	private LeaseGrant answer(LeaseRequest ask, long requests, long tokens, long slots) {
-		return new LeaseGrant(Term.of(1), ENTRY, ask.incarnation(), ask.sequence(),
+	private LeaseGrant answer(LeaseRequest request, long requests, long tokens, long slots) {
+		return new LeaseGrant(Term.of(1), ENTRY, request.incarnation(), request.sequence(),
 				List.of(new AccountGrant(ACCOUNT, requests, tokens, slots)));
 	}
 
 	@Test
 	void refusesClientAccountWithoutLimits() {
-		LimitRequest stranger = new LimitRequest(RequestId.of("r"), AccountId.of("stranger"), 1);
-		assertThat(this.enforcer.offer(stranger, 0)).isInstanceOfSatisfying(LimitRefused.class,
+		LimitRequest unknownAccount = new LimitRequest(RequestId.of("r"), AccountId.of("unknown"), 1);
+		assertThat(this.enforcer.offer(unknownAccount, 0)).isInstanceOfSatisfying(LimitRefused.class,
 				(refused) -> assertThat(refused.kind()).isEqualTo(LimitKind.NOT_CONFIGURED));
 	}
 
@@ -70,47 +70,47 @@
 	}
 
 	@Test
-	void asksForTheFirstRequestAndAdmitsItWhenGranted() {
+	void requestsShareForFirstRequestAndAdmitsItOnceGranted() {
 		LimitPending pending = (LimitPending) this.enforcer.offer(request(100), 0);
-		LeaseRequest ask = asked(GrantorRole.PRIMARY, 0).get();
-		AccountDemand demand = ask.demands().get(0);
+		LeaseRequest sent = leaseRequest(GrantorRole.PRIMARY, 0).get();
+		AccountDemand demand = sent.demands().get(0);
 		assertThat(demand.requests()).isEqualTo(1);
 		assertThat(demand.tokens()).isEqualTo(100);
 		assertThat(demand.slots()).isEqualTo(1);
-		assertThat(this.enforcer.granted(GrantorRole.PRIMARY, answer(ask, 1, 100, 1), MILLI)).containsExactly(ACCOUNT);
+		assertThat(this.enforcer.granted(GrantorRole.PRIMARY, answer(sent, 1, 100, 1), MILLI)).containsExactly(ACCOUNT);
 		assertThat(this.enforcer.offerAgain(request(100), pending.until(), MILLI)).isInstanceOf(LimitAdmitted.class);
 	}
 
 	@Test
-	void refusesWhenNoGrantorAnswersInTime() {
+	void refusesRequestWhenNoGrantorRespondsInTime() {
 		LimitPending pending = (LimitPending) this.enforcer.offer(request(0), 0);
-		asked(GrantorRole.PRIMARY, 0);
+		leaseRequest(GrantorRole.PRIMARY, 0);
 		assertThat(this.enforcer.offerAgain(request(0), pending.until(), pending.until()))
 			.isInstanceOf(LimitRefused.class);
 	}
 
 	@Test
-	void asksTheReserveGrantorWhenThePrimaryIsSilent() {
+	void requestsShareFromReserveGrantorWhenPrimaryIsSilent() {
 		this.enforcer.offer(request(0), 0);
-		assertThat(asked(GrantorRole.RESERVE, 0)).isEmpty();
+		assertThat(leaseRequest(GrantorRole.RESERVE, 0)).isEmpty();
 		this.enforcer.offer(request(0), 1100 * MILLI);
-		assertThat(asked(GrantorRole.RESERVE, 1100 * MILLI)).isPresent();
+		assertThat(leaseRequest(GrantorRole.RESERVE, 1100 * MILLI)).isPresent();
 	}
 
 	@Nested
 	class Grants {
 
-		private LeaseRequest ask;
+		private LeaseRequest sent;
 
 		@BeforeEach
-		void ask() {
+		void requestShares() {
 			LimitEnforcerTests.this.enforcer.offer(request(0), 0);
-			this.ask = asked(GrantorRole.PRIMARY, 0).get();
+			this.sent = leaseRequest(GrantorRole.PRIMARY, 0).get();
 		}
 
 		@Test
-		void lapseBeforeTheGrantorsTerm() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.ask, 5, 0, 4), MILLI);
+		void expireBeforeGrantorsTerm() {
+			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 5, 0, 4), MILLI);
 			assertThat(LimitEnforcerTests.this.enforcer.offer(request(0), 990 * MILLI))
 				.isInstanceOf(LimitAdmitted.class);
 			assertThat(LimitEnforcerTests.this.enforcer.offer(request(0), 999 * MILLI))
@@ -118,21 +118,21 @@
 		}
 
 		@Test
-		void ofSlotsLapseFromTheSendingOfTheAsk() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.ask, 0, 0, 4), 2900 * MILLI);
+		void ofSlotsExpireCountedFromSendingTheLeaseRequest() {
+			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 0, 0, 4), 2900 * MILLI);
 			assertThat(LimitEnforcerTests.this.enforcer.slots(ACCOUNT, 2990 * MILLI)).isEqualTo(4);
 			assertThat(LimitEnforcerTests.this.enforcer.slots(ACCOUNT, 2999 * MILLI)).isZero();
 		}
 
 		@Test
 		void ofSlotsAreIgnoredWhenTheyArriveAfterTheirTerm() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.ask, 0, 0, 4), 3000 * MILLI);
+			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 0, 0, 4), 3000 * MILLI);
 			assertThat(LimitEnforcerTests.this.enforcer.slots(ACCOUNT, 3000 * MILLI)).isZero();
 		}
 
 		@Test
-		void areTakenOnceWhenDoubled() {
-			LeaseGrant grant = answer(this.ask, 1, 0, 4);
+		void areAppliedOnceWhenDuplicated() {
+			LeaseGrant grant = answer(this.sent, 1, 0, 4);
 			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, grant, MILLI);
 			assertThat(LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, grant, MILLI)).isEmpty();
 			LimitEnforcerTests.this.enforcer.offer(request(0), MILLI);
@@ -140,15 +140,15 @@
 		}
 
 		@Test
-		void ofAnEarlierLifeAreIgnored() {
-			LeaseGrant grant = new LeaseGrant(Term.of(1), ENTRY, Incarnation.ZERO, this.ask.sequence(),
+		void ofEarlierIncarnationAreIgnored() {
+			LeaseGrant grant = new LeaseGrant(Term.of(1), ENTRY, Incarnation.ZERO, this.sent.sequence(),
 					List.of(new AccountGrant(ACCOUNT, 1, 0, 1)));
 			assertThat(LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, grant, MILLI)).isEmpty();
 		}
 
 		@Test
 		void boundTheRequestsInFlight() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.ask, 5, 0, 1), MILLI);
+			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 5, 0, 1), MILLI);
 			LimitAdmitted admitted = (LimitAdmitted) LimitEnforcerTests.this.enforcer.offer(request(0), MILLI);
 			assertThat(LimitEnforcerTests.this.enforcer.offer(request(0), MILLI)).isNotInstanceOf(LimitAdmitted.class);
 			LimitEnforcerTests.this.enforcer.finished(admitted.permit(), 0, MILLI);
@@ -157,17 +157,17 @@
 
 		@Test
 		void areRefundedForTokensNotGenerated() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.ask, 1, 500, 1), MILLI);
+			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 1, 500, 1), MILLI);
 			LimitAdmitted admitted = (LimitAdmitted) LimitEnforcerTests.this.enforcer.offer(request(500), MILLI);
 			LimitEnforcerTests.this.enforcer.finished(admitted.permit(), 120, 2 * MILLI);
-			LeaseRequest next = asked(GrantorRole.PRIMARY, 400 * MILLI).get();
+			LeaseRequest next = leaseRequest(GrantorRole.PRIMARY, 400 * MILLI).get();
 			assertThat(next.demands().get(0).refundedTokens()).isEqualTo(380);
 		}
 
 		@Test
-		void areGivenUpWhenIdle() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.ask, 1, 0, 4), MILLI);
-			LeaseRequest last = asked(GrantorRole.PRIMARY, 2000 * MILLI).get();
+		void areReturnedWhenIdle() {
+			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 1, 0, 4), MILLI);
+			LeaseRequest last = leaseRequest(GrantorRole.PRIMARY, 2000 * MILLI).get();
 			assertThat(last.demands().get(0).heldSlots()).isZero();
 			assertThat(LimitEnforcerTests.this.enforcer.accountsInUse()).isZero();
 		}
