--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AbortDecision.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AbortDecision.java
@@ -3,9 +3,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * All ranks keep the present map.
+ * All ranks keep the current map.
  *
- * @param id the attempt that was given up
+ * @param id the aborted attempt
  */
 public record AbortDecision(SwitchId id) implements SwitchDecision {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentCommand.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentCommand.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * A command of the agent to its driver.
+ * A command that the agent returns to its driver.
  */
 public sealed interface AgentCommand permits GrantStep, LoadMap, SendReport {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentReport.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentReport.java
@@ -7,13 +7,13 @@
 		permits JoinAsked, MapStaged, SwitchArmed, ArmRefused, DecisionAsked, SwitchReleased, StepProgress {
 
 	/**
-	 * Returns the rank that reports.
+	 * Returns the reporting rank.
 	 * @return the rank
 	 */
 	int rank();
 
 	/**
-	 * Returns the member that reports.
+	 * Returns the reporting member.
 	 * @return the member
 	 */
 	Member member();
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentSettings.java
@@ -8,7 +8,7 @@
  * Settings of a rank's agent.
  *
  * @param retryNanos time between repeated reports, in nanoseconds
- * @param progressNanos time between reports of progress, in nanoseconds
+ * @param progressNanos time between progress reports, in nanoseconds
  */
 public record AgentSettings(long retryNanos, long progressNanos) {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentState.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentState.java
@@ -5,13 +5,13 @@
  */
 public enum AgentState {
 
-	/** The engine's state is not yet known. */
+	/** Waiting for the engine to connect and report its state. */
 	CONNECTING,
-	/** The decisions so far are not yet known. */
+	/** Waiting for the group's map timeline from the coordinator. */
 	JOINING,
-	/** The engine may run steps. */
+	/** The engine may start steps. */
 	ACTIVE,
-	/** Another member has the rank, or an invariant was breached. */
+	/** The rank was assigned to another member, or an invariant was violated. */
 	DISMISSED
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentTick.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentTick.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * Time passed; sent at least every retry interval.
+ * Periodic timer event, sent at least once per retry interval.
  */
 public record AgentTick() implements AgentEvent {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ArmRefusal.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ArmRefusal.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * Reasons for which a rank refuses to be armed.
+ * Reasons why a rank refuses an arm order.
  */
 public enum ArmRefusal {
 
@@ -9,9 +9,9 @@
 	STEP_STARTED,
 	/** The rank has not loaded the map. */
 	NOT_STAGED,
-	/** The rank has not yet run a step under the latest map decided. */
+	/** The rank has not yet run a step under the latest committed map. */
 	BEFORE_LAST_BOUNDARY,
-	/** The rank waits for the decision of another attempt. */
+	/** The rank is armed for another attempt that is still undecided. */
 	OTHER_UNDECIDED
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ArmRefused.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ArmRefused.java
@@ -5,14 +5,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A rank cannot hold for an attempt.
+ * A rank rejected the arm order of an attempt.
  *
- * @param rank the rank that reports
- * @param member the member that reports
- * @param id the attempt that was refused
- * @param reason why
+ * @param rank the reporting rank
+ * @param member the reporting member
+ * @param id the rejected attempt
+ * @param reason the reason for the rejection
  * @param lastStep the last step the rank was allowed to start, or -1
- * @param undecided the other attempt whose decision the rank waits for, if any
+ * @param undecided the other attempt that the rank is armed for, if any
  */
 public record ArmRefused(int rank, Member member, SwitchId id, ArmRefusal reason, long lastStep,
 		Optional<SwitchId> undecided) implements AgentReport {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ArmSwitch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ArmSwitch.java
@@ -4,12 +4,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Orders a rank not to start a step, or any later one, before it knows the decision.
+ * Orders a rank to hold before the first step of a boundary until it receives the
+ * decision.
  *
  * @param number the order's fencing number
- * @param boundary the step to hold at, the map to hold for and the attempt
- * @param askAfterNanos how long the rank waits for the decision before it asks, in
- * nanoseconds
+ * @param boundary the first held step, the new map and the attempt
+ * @param askAfterNanos time after arming at which the rank queries the decision even if
+ * it has not reached the first step, in nanoseconds
  */
 public record ArmSwitch(FencingNumber number, MapBoundary boundary, long askAfterNanos) implements AgentOrder {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AssignMember.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AssignMember.java
@@ -4,11 +4,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Gives a rank to a member, in place of the one that had it.
+ * Assigns a rank to a member and replaces its previous member, if any.
  *
  * @param term the coordinator's term
  * @param rank the rank
- * @param member the new member, never one that was replaced before
+ * @param member the new member; an incarnation that was already assigned to a rank is
+ * rejected
  */
 public record AssignMember(Term term, int rank, Member member) implements LedgerWrite {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/BoundaryChoice.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/BoundaryChoice.java
@@ -1,22 +1,23 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * The step chosen for a switch and the figures it was chosen by.
+ * The first step chosen for a switch, and the inputs of that choice.
  *
  * @param firstStep the first step under the new map
- * @param leadSteps the steps between the estimated present step and the chosen one
- * @param leadNanos the time those steps must at least take, in nanoseconds
- * @param stepNanos the step time estimated, in nanoseconds
+ * @param leadSteps the number of steps between the estimated current step and the first
+ * step
+ * @param leadNanos the minimum time that those steps must take, in nanoseconds
+ * @param stepNanos the estimated step time, in nanoseconds
  */
 record BoundaryChoice(long firstStep, long leadSteps, long leadNanos, long stepNanos) {
 
-	/** Steps by which a rank may be ahead of the estimate. */
+	/** Number of steps by which a rank may be ahead of the estimated current step. */
 	private static final int RUN_AHEAD_STEPS = 2;
 
-	static BoundaryChoice of(RankTable table, long leadNanos, long lastBoundary, long now) {
-		long stepNanos = table.stepNanos();
+	static BoundaryChoice of(RankTable progress, long leadNanos, long lastFirstStep, long now) {
+		long stepNanos = progress.stepNanos();
 		long leadSteps = leadNanos / stepNanos + 1 + RUN_AHEAD_STEPS;
-		long firstStep = Math.max(table.latestStep(now), lastBoundary) + leadSteps;
+		long firstStep = Math.max(progress.latestStep(now), lastFirstStep) + leadSteps;
 		return new BoundaryChoice(firstStep, leadSteps, leadNanos, stepNanos);
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CommitDecision.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CommitDecision.java
@@ -3,9 +3,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * All ranks use the new map from the boundary on.
+ * All ranks use the new map from the first step of the boundary onward.
  *
- * @param boundary the first step and the map
+ * @param boundary the first step, the map and the attempt
  */
 public record CommitDecision(MapBoundary boundary) implements SwitchDecision {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CommitSwitch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CommitSwitch.java
@@ -4,10 +4,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Commits an attempt that every rank is armed for.
+ * Commits an attempt for which every rank is armed.
  *
  * @param boundary the first step, the map and the attempt
- * @param generation the generation of the membership whose members are all armed
+ * @param generation the membership generation in which all members are armed; the commit
+ * is rejected if the membership changed since
  */
 public record CommitSwitch(MapBoundary boundary, long generation) implements LedgerWrite {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorCommand.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorCommand.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * A command of the coordinator to its driver.
+ * A command that the coordinator returns to its driver.
  */
 public sealed interface CoordinatorCommand permits WriteLedger, SendOrder, MembershipChanged, SwitchEnded, TermLost {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorEvent.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorEvent.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * An event at the coordinator.
+ * An input event of the coordinator.
  */
 public sealed interface CoordinatorEvent permits CoordinatorStarted, WriteDurable, SwitchRequested, SwitchCancelled,
 		MapInstallRequested, MemberChosen, ReportReceived, CoordinatorTick {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorSettings.java
@@ -9,11 +9,12 @@
  *
  * @param retryNanos time between repeated orders and writes, in nanoseconds
  * @param stageRetryNanos time between repeated orders to load a map, in nanoseconds
- * @param minLeadNanos shortest time between arming the ranks and the step at which they
- * switch, in nanoseconds
- * @param maxLeadNanos longest such time, in nanoseconds
- * @param assumedStepNanos step time assumed until a rank reports one, in nanoseconds
- * @param maxAttempts attempts made to switch to one map before giving up
+ * @param minLeadNanos minimum time between arming the ranks and the first step under the
+ * new map, in nanoseconds
+ * @param maxLeadNanos maximum time between arming the ranks and the first step under the
+ * new map, in nanoseconds
+ * @param assumedStepNanos step time used until a rank has reported one, in nanoseconds
+ * @param maxAttempts maximum number of attempts for each requested switch
  */
 public record CoordinatorSettings(long retryNanos, long stageRetryNanos, long minLeadNanos, long maxLeadNanos,
 		long assumedStepNanos, int maxAttempts) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorStarted.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorStarted.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * The control instance leads and the coordinator may open its term.
+ * The control instance became leader, so the coordinator may open its term.
  */
 public record CoordinatorStarted() implements CoordinatorEvent {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/DecisionAsked.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/DecisionAsked.java
@@ -3,10 +3,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A rank asks how an attempt was decided.
+ * A rank queries the decision of an attempt.
  *
- * @param rank the rank that reports
- * @param member the member that reports
+ * @param rank the reporting rank
+ * @param member the reporting member
  * @param id the attempt
  */
 public record DecisionAsked(int rank, Member member, SwitchId id) implements AgentReport {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/DecisionLedger.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/DecisionLedger.java
@@ -6,12 +6,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Decides, one write after the other, what a group's map and membership are.
+ * Deterministic state machine of a group's map and membership, to be replicated by a log.
  * <p>
- * The ledger is deterministic, so that a replicated log can apply the same writes on
- * every control instance. The first decision written for an attempt stands and is never
- * undone; writes of older terms are refused; a commit is refused if the membership
- * changed after the ranks were armed.
+ * Every control instance that applies the same writes in the same order reaches the same
+ * state. The first decision written for an attempt is final. Writes of earlier terms are
+ * rejected, and so is a commit if the membership changed after the ranks were armed.
  */
 public final class DecisionLedger {
 
@@ -22,7 +21,7 @@
 	/**
 	 * Creates a ledger.
 	 * @param ranks the number of ranks in the group
-	 * @param state the state to start from, such as one read from a snapshot
+	 * @param state the initial state, for example from a snapshot
 	 */
 	public DecisionLedger(int ranks, LedgerState state) {
 		Preconditions.check(ranks >= 1, "ranks must be at least 1: %d", ranks);
@@ -31,7 +30,7 @@
 	}
 
 	/**
-	 * Returns the present state.
+	 * Returns the current state.
 	 * @return the state
 	 */
 	public LedgerState state() {
@@ -41,18 +40,19 @@
 	/**
 	 * Applies one write.
 	 * @param write the write
-	 * @return the state after it and whether it was accepted
+	 * @return the state after the write, its decision if any, and the refusal if the
+	 * write was rejected
 	 */
 	public LedgerResult apply(LedgerWrite write) {
 		Preconditions.notNull(write, "write");
 		if (write.term().isBefore(this.state.term())) {
-			return refuse(LedgerRefusal.OLD_TERM);
+			return reject(LedgerRefusal.OLD_TERM);
 		}
 		if (write instanceof OpenTerm open) {
 			return open(open);
 		}
 		if (!write.term().equals(this.state.term())) {
-			return refuse(LedgerRefusal.OLD_TERM);
+			return reject(LedgerRefusal.OLD_TERM);
 		}
 		if (write instanceof InstallMap install) {
 			return install(install);
@@ -77,7 +77,7 @@
 		Optional<MapBoundary> last = this.state.timeline().last();
 		if (last.isPresent()) {
 			boolean same = last.get().map().equals(install.map());
-			return same ? LedgerResult.accepted(this.state) : refuse(LedgerRefusal.MAP_INSTALLED);
+			return same ? LedgerResult.accepted(this.state) : reject(LedgerRefusal.MAP_INSTALLED);
 		}
 		this.state = this.state.withFirstMap(new MapBoundary(0, install.map(), SwitchId.ZERO));
 		return LedgerResult.accepted(this.state);
@@ -88,18 +88,18 @@
 		if (this.state.holds(assign.rank(), member)) {
 			return LedgerResult.accepted(this.state);
 		}
-		if (assign.rank() >= this.ranks || holdsOtherRank(assign)) {
-			return refuse(LedgerRefusal.INVALID_RANK);
+		if (assign.rank() >= this.ranks || isServerAssignedToOtherRank(assign)) {
+			return reject(LedgerRefusal.INVALID_RANK);
 		}
 		Incarnation latest = this.state.retired().get(member.server());
 		if (latest != null && member.incarnation().compareTo(latest) <= 0) {
-			return refuse(LedgerRefusal.REUSED_MEMBER);
+			return reject(LedgerRefusal.REUSED_MEMBER);
 		}
 		this.state = this.state.withMember(assign.rank(), member);
 		return LedgerResult.accepted(this.state);
 	}
 
-	private boolean holdsOtherRank(AssignMember assign) {
+	private boolean isServerAssignedToOtherRank(AssignMember assign) {
 		return this.state.members()
 			.entrySet()
 			.stream()
@@ -109,34 +109,34 @@
 
 	private LedgerResult commit(CommitSwitch commit) {
 		MapBoundary boundary = commit.boundary();
-		Optional<SwitchDecision> first = this.state.decisionOf(boundary.decidedBy());
-		if (first.isPresent()) {
-			return LedgerResult.decided(this.state, first.get());
+		Optional<SwitchDecision> decided = this.state.decisionOf(boundary.decidedBy());
+		if (decided.isPresent()) {
+			return LedgerResult.decided(this.state, decided.get());
 		}
 		if (this.state.members().size() < this.ranks) {
-			return refuse(LedgerRefusal.INCOMPLETE_GROUP);
+			return reject(LedgerRefusal.INCOMPLETE_GROUP);
 		}
 		if (commit.generation() != this.state.generation()) {
-			return refuse(LedgerRefusal.OTHER_GENERATION);
+			return reject(LedgerRefusal.OTHER_GENERATION);
 		}
 		Optional<MapBoundary> last = this.state.timeline().last();
 		if (last.isEmpty() || boundary.firstStep() <= last.get().firstStep()) {
-			return refuse(LedgerRefusal.STEP_NOT_AFTER_LAST);
+			return reject(LedgerRefusal.STEP_NOT_AFTER_LAST);
 		}
 		this.state = this.state.withBoundary(boundary);
 		return LedgerResult.decided(this.state, new CommitDecision(boundary));
 	}
 
 	private LedgerResult abort(AbortSwitch abort) {
-		Optional<SwitchDecision> first = this.state.decisionOf(abort.id());
-		if (first.isPresent()) {
-			return LedgerResult.decided(this.state, first.get());
+		Optional<SwitchDecision> decided = this.state.decisionOf(abort.id());
+		if (decided.isPresent()) {
+			return LedgerResult.decided(this.state, decided.get());
 		}
 		this.state = this.state.withAbort(abort.id());
 		return LedgerResult.decided(this.state, new AbortDecision(abort.id()));
 	}
 
-	private LedgerResult refuse(LedgerRefusal refusal) {
+	private LedgerResult reject(LedgerRefusal refusal) {
 		return LedgerResult.refused(this.state, refusal);
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/Dismiss.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/Dismiss.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tells an agent that another member has its rank; its engine starts no step any more.
+ * Orders an agent to start no more steps because its rank is assigned to another member.
  *
  * @param number the order's fencing number
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/EngineMemory.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/EngineMemory.java
@@ -5,7 +5,8 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * Tracks which maps' weights an engine holds: those in use, and those beside them.
+ * Tracks the maps whose weights an engine holds: the active one, and the staged one or
+ * the one being loaded.
  */
 final class EngineMemory {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/GrantStep.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/GrantStep.java
@@ -5,11 +5,11 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * Lets the engine run a step.
+ * Allows the engine to start a step.
  *
- * @param number the fencing number of the latest order obeyed
+ * @param number the highest accepted fencing number
  * @param step the step
- * @param map the map under which it runs
+ * @param map the map under which the step runs
  */
 public record GrantStep(FencingNumber number, long step, MapRef map) implements AgentCommand {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/InstallMap.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/InstallMap.java
@@ -8,7 +8,7 @@
  * Sets the first map of a newly formed group.
  *
  * @param term the coordinator's term
- * @param map the map for all steps from zero on
+ * @param map the map for all steps from zero onward
  */
 public record InstallMap(Term term, MapRef map) implements LedgerWrite {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/JoinAsked.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/JoinAsked.java
@@ -3,10 +3,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A new member asks what was decided so far.
+ * A new member requests the membership generation and the map timeline.
  *
- * @param rank the rank that reports
- * @param member the member that reports
+ * @param rank the reporting rank
+ * @param member the reporting member
  */
 public record JoinAsked(int rank, Member member) implements AgentReport {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LeadEstimator.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LeadEstimator.java
@@ -1,15 +1,22 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * Estimates how far ahead of the present step the ranks must be armed so that the
- * decision reaches them before the step does.
+ * Estimates the lead time: how long before the first step under the new map the ranks
+ * must be armed so that the decision arrives before they reach it.
+ * <p>
+ * The estimate is a decaying peak of the time between arming and decision, times a safety
+ * factor and a penalty. The penalty doubles with each lead that was too short and halves
+ * with each committed switch.
  */
 final class LeadEstimator {
 
-	/** The lead is this many times the time that arming and deciding took at worst. */
+	/** The lead is this multiple of the decaying peak time from arming to decision. */
 	private static final int SAFETY_FACTOR = 4;
 
-	/** A peak loses one part in this many with each sample below it. */
+	/**
+	 * Each sample reduces the peak by {@code 1 / PEAK_DECAY} of it, but not below the
+	 * sample.
+	 */
 	private static final int PEAK_DECAY = 8;
 
 	private static final int MAX_PENALTY = 64;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerRefusal.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerRefusal.java
@@ -1,23 +1,23 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * Reasons for which the ledger refuses a write.
+ * Reasons why the ledger rejects a write.
  */
 public enum LedgerRefusal {
 
-	/** The writer's term is not the present one. */
+	/** The write does not belong to the current term. */
 	OLD_TERM,
 	/** The membership changed after the ranks were armed. */
 	OTHER_GENERATION,
 	/** Not every rank has a member. */
 	INCOMPLETE_GROUP,
-	/** The boundary does not lie after the last one. */
+	/** The first step of the boundary is not after that of the previous boundary. */
 	STEP_NOT_AFTER_LAST,
-	/** The group has a map already. */
+	/** The group already has a different first map. */
 	MAP_INSTALLED,
-	/** The rank does not exist, or the member holds another rank. */
+	/** The rank does not exist, or another rank is assigned to the member's server. */
 	INVALID_RANK,
-	/** The member, or a later life of its server, was a member before. */
+	/** This incarnation of the server, or a later one, was already a member. */
 	REUSED_MEMBER
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerResult.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerResult.java
@@ -5,12 +5,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The ledger's answer to a write.
+ * The result of applying a write to the ledger.
  *
  * @param state the state after the write
- * @param decision for a commit or abort, the decision that stands, which is the first one
- * written for the attempt; empty if the write was refused
- * @param refusal why the write was refused, or empty if it was accepted
+ * @param decision for a commit or abort, the first decision written for the attempt;
+ * empty for other writes and if the write was rejected
+ * @param refusal the reason for the rejection, or empty if the write was accepted
  */
 public record LedgerResult(LedgerState state, Optional<SwitchDecision> decision, Optional<LedgerRefusal> refusal) {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerState.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerState.java
@@ -16,18 +16,18 @@
  * The durable state of one group's map and membership.
  *
  * @param index the number of writes that changed the state
- * @param term the present coordinator's term
- * @param generation the number of changes of the membership
- * @param members the member of each rank that has one
- * @param retired the latest incarnation of each server that ever was a member, least
- * recently assigned first; at most {@value #RETIRED_LIMIT}
- * @param timeline the decided boundaries between maps
- * @param lastDecided the latest attempt that was decided
+ * @param term the current coordinator's term
+ * @param generation the number of membership changes
+ * @param members the members by rank; a rank without a member is absent
+ * @param retired the latest incarnation of each server that was ever assigned to a rank,
+ * least recently assigned first; at most {@value #RETIRED_LIMIT}
+ * @param timeline the committed map boundaries
+ * @param lastDecided the latest decided attempt
  */
 public record LedgerState(long index, Term term, long generation, SortedMap<Integer, Member> members,
 		Map<BackendServerId, Incarnation> retired, MapTimeline timeline, SwitchId lastDecided) {
 
-	/** The greatest number of former members remembered. */
+	/** Maximum number of servers whose latest incarnation is kept. */
 	public static final int RETIRED_LIMIT = 256;
 
 	/** The state before the first write. */
@@ -40,13 +40,14 @@
 		Preconditions.notNull(lastDecided, "lastDecided");
 		members = Collections.unmodifiableSortedMap(new TreeMap<>(members));
 		retired = Collections.unmodifiableMap(new LinkedHashMap<>(retired));
-		Preconditions.check(retired.size() <= RETIRED_LIMIT, "retired must number at most %d: %d", RETIRED_LIMIT,
-				retired.size());
+		Preconditions.check(retired.size() <= RETIRED_LIMIT, "latestIncarnations must not exceed %d entries: %d",
+				RETIRED_LIMIT, retired.size());
 	}
 
 	/**
-	 * Finds how an attempt was decided. An attempt that is not later than the last one
-	 * decided and set no boundary can never be committed, so it is aborted.
+	 * Finds the decision of an attempt. An attempt up to the latest decided one without a
+	 * boundary counts as aborted: the ledger returns the abort for any later commit of
+	 * it.
 	 * @param id the attempt
 	 * @return its decision, or empty if it is undecided
 	 */
@@ -59,10 +60,10 @@
 	}
 
 	/**
-	 * Tells whether a member holds a rank.
+	 * Returns whether a rank is assigned to a member.
 	 * @param rank the rank
 	 * @param member the member
-	 * @return {@code true} if it is the rank's present member
+	 * @return {@code true} if it is the rank's current member
 	 */
 	public boolean holds(int rank, Member member) {
 		return member.equals(this.members.get(rank));
@@ -91,13 +92,13 @@
 	LedgerState withMember(int rank, Member member) {
 		SortedMap<Integer, Member> changed = new TreeMap<>(this.members);
 		changed.put(rank, member);
-		Map<BackendServerId, Incarnation> seen = new LinkedHashMap<>(this.retired);
-		seen.remove(member.server());
-		if (seen.size() == RETIRED_LIMIT) {
-			seen.remove(seen.keySet().iterator().next());
+		Map<BackendServerId, Incarnation> latest = new LinkedHashMap<>(this.retired);
+		latest.remove(member.server());
+		if (latest.size() == RETIRED_LIMIT) {
+			latest.remove(latest.keySet().iterator().next());
 		}
-		seen.put(member.server(), member.incarnation());
-		return new LedgerState(this.index + 1, this.term, this.generation + 1, changed, seen, this.timeline,
+		latest.put(member.server(), member.incarnation());
+		return new LedgerState(this.index + 1, this.term, this.generation + 1, changed, latest, this.timeline,
 				this.lastDecided);
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerWrite.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerWrite.java
@@ -3,12 +3,12 @@
 import org.comfreywall.common.id.Term;
 
 /**
- * A write to the decision ledger.
+ * A write to the {@link DecisionLedger}.
  */
 public sealed interface LedgerWrite permits OpenTerm, InstallMap, AssignMember, CommitSwitch, AbortSwitch {
 
 	/**
-	 * Returns the term of the coordinator that writes.
+	 * Returns the term of the writing coordinator.
 	 * @return the term
 	 */
 	Term term();
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerWriter.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerWriter.java
@@ -5,7 +5,8 @@
 import java.util.Optional;
 
 /**
- * Writes to the ledger one after the other and repeats each until its result is known.
+ * Queues writes to the ledger, sends one at a time and repeats it until its result is
+ * received.
  */
 final class LedgerWriter {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LoadMap.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LoadMap.java
@@ -5,9 +5,9 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * Has the engine load the weights of a map beside those in use.
+ * Makes the engine load the weights of a map in addition to those in use.
  *
- * @param number the fencing number of the latest order obeyed
+ * @param number the highest accepted fencing number
  * @param map the map
  */
 public record LoadMap(FencingNumber number, MapRef map) implements AgentCommand {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapBoundary.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapBoundary.java
@@ -4,7 +4,7 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * The step from which a map holds, until the next boundary.
+ * The first step under a map, which stays in use until the next boundary.
  *
  * @param firstStep the first step under the map, zero or greater
  * @param map the map
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapInstallRequested.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapInstallRequested.java
@@ -4,7 +4,7 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * A newly formed group needs its first map.
+ * The control instance requested the first map of a newly formed group.
  *
  * @param map the map
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapStaged.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapStaged.java
@@ -4,10 +4,10 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * A rank has loaded the weights of a map.
+ * A rank holds the loaded weights of a map.
  *
- * @param rank the rank that reports
- * @param member the member that reports
+ * @param rank the reporting rank
+ * @param member the reporting member
  * @param map the map
  */
 public record MapStaged(int rank, Member member, MapRef map) implements AgentReport {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapTimeline.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapTimeline.java
@@ -8,16 +8,16 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * The decided boundaries between maps, oldest first.
+ * The committed map boundaries, oldest first.
  * <p>
- * Only the latest {@value #LIMIT} are kept. That suffices because a rank is armed for a
- * boundary only after it ran a step beyond the one before.
+ * Only the latest {@value #LIMIT} are kept. That suffices because a switch is armed only
+ * after every rank has started a step under the map of the previous boundary.
  *
  * @param boundaries the boundaries in ascending order of their first step
  */
 public record MapTimeline(List<MapBoundary> boundaries) {
 
-	/** The greatest number of boundaries kept. */
+	/** Maximum number of boundaries kept. */
 	public static final int LIMIT = 4;
 
 	/** A timeline without a map. */
@@ -26,17 +26,17 @@
 	public MapTimeline {
 		Preconditions.notNull(boundaries, "boundaries");
 		boundaries = List.copyOf(boundaries);
-		Preconditions.check(boundaries.size() <= LIMIT, "boundaries must number at most %d: %d", LIMIT,
+		Preconditions.check(boundaries.size() <= LIMIT, "boundaries must not exceed %d entries: %d", LIMIT,
 				boundaries.size());
 		for (int i = 1; i < boundaries.size(); i++) {
 			Preconditions.check(boundaries.get(i - 1).firstStep() < boundaries.get(i).firstStep(),
-					"boundaries must ascend: %s", boundaries);
+					"boundaries must be in ascending order of their first step: %s", boundaries);
 		}
 	}
 
 	/**
-	 * Adds a boundary after all others, dropping the oldest if there are too many.
-	 * @param boundary the new boundary, after the last one
+	 * Appends a boundary and drops the oldest one if the limit is exceeded.
+	 * @param boundary the new boundary, with a later first step than all others
 	 * @return the extended timeline
 	 */
 	public MapTimeline with(MapBoundary boundary) {
@@ -48,7 +48,7 @@
 	/**
 	 * Returns the map under which a step runs.
 	 * @param step the step
-	 * @return its map, or empty if the step lies before all boundaries kept
+	 * @return its map, or empty if the step is before the oldest boundary kept
 	 */
 	public Optional<MapRef> mapAt(long step) {
 		for (int i = this.boundaries.size() - 1; i >= 0; i--) {
@@ -69,9 +69,9 @@
 	}
 
 	/**
-	 * Finds the boundary set by an attempt.
+	 * Finds the boundary that an attempt committed.
 	 * @param id the attempt
-	 * @return the boundary, or empty if the attempt set none of those kept
+	 * @return the boundary, or empty if none of those kept belongs to the attempt
 	 */
 	public Optional<MapBoundary> decidedBy(SwitchId id) {
 		return this.boundaries.stream().filter((boundary) -> boundary.decidedBy().equals(id)).findFirst();
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/Member.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/Member.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One life of the sidecar beside one rank's engine.
+ * One incarnation of the sidecar that controls the engine of a rank.
  *
  * @param server the backend server that runs the rank
  * @param incarnation the incarnation of its sidecar
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MemberChosen.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MemberChosen.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A rank is to be given to a member.
+ * The control instance requested the assignment of a rank to a member.
  *
  * @param rank the rank
  * @param member the member
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MembershipChanged.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MembershipChanged.java
@@ -3,9 +3,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The ledger holds a new membership.
+ * The durable membership may have changed.
  *
- * @param state the state with the membership
+ * @param state the ledger state that holds the membership
  */
 public record MembershipChanged(LedgerState state) implements CoordinatorCommand {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/OpenTerm.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/OpenTerm.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Starts a coordinator's term; writes of older terms are refused from then on.
+ * Starts a coordinator's term; the ledger rejects writes of earlier terms afterwards.
  *
  * @param term the term
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/OrderReceived.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/OrderReceived.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An order from a coordinator arrived.
+ * The agent received an order from a coordinator.
  *
  * @param addressee the member to which it was sent
  * @param order the order
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/OrderSender.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/OrderSender.java
@@ -10,7 +10,8 @@
 import org.comfreywall.common.invariant.Invariants;
 
 /**
- * Numbers a coordinator's orders and refuses to send a decision that is not durable.
+ * Assigns fencing numbers to a coordinator's orders and sends no decision before it is
+ * durable.
  */
 final class OrderSender {
 
@@ -22,7 +23,7 @@
 
 	private LedgerState state = LedgerState.EMPTY;
 
-	private long numbers;
+	private long lastNumber;
 
 	OrderSender(Term term, Invariants invariants, List<CoordinatorCommand> commands) {
 		this.term = term;
@@ -44,8 +45,8 @@
 		send(rank, this.state.members().get(rank), order);
 	}
 
-	void sendWhere(IntPredicate chosen, Function<FencingNumber, AgentOrder> order) {
-		this.state.members().keySet().stream().filter(chosen::test).forEach((rank) -> send(rank, order));
+	void sendWhere(IntPredicate filter, Function<FencingNumber, AgentOrder> order) {
+		this.state.members().keySet().stream().filter(filter::test).forEach((rank) -> send(rank, order));
 	}
 
 	void welcome(int rank) {
@@ -58,8 +59,8 @@
 	}
 
 	private void send(int rank, Member addressee, Function<FencingNumber, AgentOrder> order) {
-		this.numbers++;
-		AgentOrder numbered = order.apply(new FencingNumber(this.term, this.numbers));
+		this.lastNumber++;
+		AgentOrder numbered = order.apply(new FencingNumber(this.term, this.lastNumber));
 		if (this.invariants.holds(isDurable(numbered), "decision-told-is-durable", Field.of("order", numbered))) {
 			this.commands.add(new SendOrder(rank, addressee, numbered));
 		}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RankTable.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RankTable.java
@@ -3,11 +3,11 @@
 import java.util.Arrays;
 
 /**
- * Knows how far each rank was when it last reported.
+ * Latest reported step and step time of each rank.
  */
 final class RankTable {
 
-	private static final int NONE = -1;
+	private static final int NO_STEP = -1;
 
 	private final long[] lastSteps;
 
@@ -22,7 +22,7 @@
 		this.stepNanos = new long[ranks];
 		this.reportedAt = new long[ranks];
 		this.assumedStepNanos = assumedStepNanos;
-		Arrays.fill(this.lastSteps, NONE);
+		Arrays.fill(this.lastSteps, NO_STEP);
 	}
 
 	void reported(int rank, long lastStep, long nanos, long now) {
@@ -36,7 +36,7 @@
 	}
 
 	void forget(int rank) {
-		this.lastSteps[rank] = NONE;
+		this.lastSteps[rank] = NO_STEP;
 		this.stepNanos[rank] = 0;
 	}
 
@@ -44,10 +44,11 @@
 		return Arrays.stream(this.lastSteps).allMatch((last) -> last >= step);
 	}
 
-	// All ranks advance together, so the median is not misled by one rank's odd samples.
+	// The ranks run in lockstep, so the median applies to all of them and is robust
+	// against outliers of one rank.
 	long stepNanos() {
-		long[] known = Arrays.stream(this.stepNanos).filter((nanos) -> nanos > 0).sorted().toArray();
-		return (known.length > 0) ? known[(known.length - 1) / 2] : this.assumedStepNanos;
+		long[] samples = Arrays.stream(this.stepNanos).filter((nanos) -> nanos > 0).sorted().toArray();
+		return (samples.length > 0) ? samples[(samples.length - 1) / 2] : this.assumedStepNanos;
 	}
 
 	long latestStep(long now) {
@@ -55,8 +56,8 @@
 		long nanos = stepNanos();
 		for (int rank = 0; rank < this.lastSteps.length; rank++) {
 			if (this.lastSteps[rank] >= 0) {
-				long since = (now - this.reportedAt[rank]) / nanos;
-				latest = Math.max(latest, this.lastSteps[rank] + since);
+				long stepsSinceReport = (now - this.reportedAt[rank]) / nanos;
+				latest = Math.max(latest, this.lastSteps[rank] + stepsSinceReport);
 			}
 		}
 		return latest;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ReleaseSwitch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ReleaseSwitch.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tells a rank how an attempt was decided.
+ * Sends a rank the decision of an attempt, which ends the hold.
  *
  * @param number the order's fencing number
  * @param decision the durable decision
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ReportReceived.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ReportReceived.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A report from the agent of a rank arrived.
+ * The coordinator received a report from the agent of a rank.
  *
  * @param report the report
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RequestedSwitch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RequestedSwitch.java
@@ -5,7 +5,7 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * Progress of one requested switch through its attempts.
+ * State of one requested switch across its attempts.
  */
 final class RequestedSwitch {
 
@@ -107,6 +107,7 @@
 	void forget(int rank) {
 		notStaged(rank);
 		this.armed.clear(rank);
+		// The welcome order already carries the decision to the new member.
 		this.released.set(rank);
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SendOrder.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SendOrder.java
@@ -6,7 +6,7 @@
  * Sends an order to the agent of a rank.
  *
  * @param rank the rank
- * @param addressee the member for which the order is meant
+ * @param addressee the member that must carry out the order; other incarnations ignore it
  * @param order the order
  */
 public record SendOrder(int rank, Member addressee, AgentOrder order) implements CoordinatorCommand {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SendReport.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SendReport.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Sends a report to the control instances; the one that leads handles it.
+ * Sends a report to the control instances; only the leader handles it.
  *
  * @param report the report
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/StageMap.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/StageMap.java
@@ -5,8 +5,8 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * Orders a rank to load the weights of a map beside those in use. The map itself is
- * fetched by its digest.
+ * Orders a rank to load the weights of a map in addition to those in use. The order
+ * carries only the reference; the map itself is fetched by its digest.
  *
  * @param number the order's fencing number
  * @param map the map to load
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/StepProgress.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/StepProgress.java
@@ -3,12 +3,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A rank tells how far it is.
+ * A rank reports its progress.
  *
- * @param rank the rank that reports
- * @param member the member that reports
+ * @param rank the reporting rank
+ * @param member the reporting member
  * @param lastStep the last step the rank was allowed to start, or -1
- * @param stepNanos the time between its last two steps, in nanoseconds; 0 if unknown
+ * @param stepNanos the smoothed time between two steps of the rank, in nanoseconds; 0 if
+ * not yet measured
  */
 public record StepProgress(int rank, Member member, long lastStep, long stepNanos) implements AgentReport {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/StepReached.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/StepReached.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The engine is ready for a step and asks under which map to run it.
+ * The engine is ready to start a step and requests permission for it.
  *
  * @param step the step
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/StepTimer.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/StepTimer.java
@@ -1,17 +1,18 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * Measures the time between the steps that a rank was allowed to start.
+ * Measures the time between the step starts of a rank as an exponential moving average.
  * <p>
- * Samples span several steps, because an engine that asks ahead may be allowed a few
- * steps at once after a pause.
+ * Each sample spans several steps, because an engine that requests steps ahead of time
+ * may be granted a few steps at once after a pause. A held step starts a new sample, so
+ * the hold is not counted.
  */
 final class StepTimer {
 
-	/** Steps that one sample spans. */
+	/** Number of steps in one sample. */
 	private static final int WINDOW_STEPS = 16;
 
-	/** Weight of the newest sample is one over this. */
+	/** The weight of a new sample is {@code 1 / SMOOTHING}. */
 	private static final int SMOOTHING = 4;
 
 	private long windowStep = -1;
@@ -23,9 +24,9 @@
 	private long smoothedNanos;
 
 	void started(long step, boolean held, long now) {
-		boolean continues = this.windowStep >= 0 && step == this.lastStep + 1 && !held;
+		boolean consecutive = this.windowStep >= 0 && step == this.lastStep + 1 && !held;
 		this.lastStep = step;
-		if (!continues) {
+		if (!consecutive) {
 			openWindow(step, now);
 		}
 		else if (step - this.windowStep == WINDOW_STEPS) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchAgent.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchAgent.java
@@ -14,11 +14,12 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * Allows the engine of one rank to run steps, each under the map decided for it.
+ * Grants steps to the engine of one rank, each under the map committed for that step.
  * <p>
- * The agent runs in the sidecar and refuses orders with old fencing numbers, so that
- * engines that ignore the numbers are safe too. An agent serves one incarnation; after a
- * restart of the sidecar or the engine a new agent joins anew.
+ * The agent runs in the sidecar and rejects orders with outdated fencing numbers, so an
+ * engine that does not check the numbers is protected as well. An agent serves one
+ * incarnation: after a restart of the sidecar or the engine, a new agent has to join the
+ * group.
  */
 public final class SwitchAgent {
 
@@ -40,7 +41,7 @@
 
 	private AgentState state = AgentState.CONNECTING;
 
-	private FencingNumber fence = FencingNumber.ZERO;
+	private FencingNumber highestNumber = FencingNumber.ZERO;
 
 	private MapTimeline timeline = MapTimeline.EMPTY;
 
@@ -52,17 +53,17 @@
 
 	private long lastStep = -1;
 
-	private long waitingStep = -1;
+	private long requestedStep = -1;
 
-	private long waitingSince;
+	private long requestedAt;
 
-	private long nextAskAt = Long.MIN_VALUE;
+	private long nextQueryAt = Long.MIN_VALUE;
 
 	private long nextProgressAt = Long.MIN_VALUE;
 
 	/**
 	 * Creates the agent of one incarnation.
-	 * @param rank the rank that the engine is to run, zero or greater
+	 * @param rank the rank of the engine, zero or greater
 	 * @param member the server and the sidecar's incarnation
 	 * @param settings the settings
 	 * @param listener receives the agent's decisions
@@ -104,46 +105,46 @@
 		Preconditions.notNull(event, "event");
 		this.commands.clear();
 		if (event instanceof EngineConnected connected) {
-			connected(connected, now);
+			handleEngineConnected(connected, now);
 		}
 		else if (event instanceof StepReached reached) {
-			reached(reached.step(), now);
+			handleStepReached(reached.step(), now);
 		}
 		else if (event instanceof EngineLoaded loaded) {
-			loaded(loaded.map(), now);
+			handleEngineLoaded(loaded.map(), now);
 		}
 		else if (event instanceof OrderReceived received) {
-			ordered(received, now);
+			handleOrder(received, now);
 		}
 		else {
-			ticked(now);
+			handleTick(now);
 		}
 		return List.copyOf(this.commands);
 	}
 
-	private void connected(EngineConnected event, long now) {
+	private void handleEngineConnected(EngineConnected event, long now) {
 		this.memory.reset(event.active(), event.staged());
 		this.lastStep = Math.max(this.lastStep, event.lastStep());
 		if (this.state == AgentState.CONNECTING) {
 			this.state = AgentState.JOINING;
-			ticked(now);
+			handleTick(now);
 		}
 	}
 
-	private void reached(long step, long now) {
-		this.waitingStep = step;
-		this.waitingSince = now;
+	private void handleStepReached(long step, long now) {
+		this.requestedStep = step;
+		this.requestedAt = now;
 		grantIfAllowed(now);
 	}
 
-	private void loaded(MapRef map, long now) {
+	private void handleEngineLoaded(MapRef map, long now) {
 		if (this.memory.loaded(map)) {
 			report(new MapStaged(this.rank, this.member, map));
 			grantIfAllowed(now);
 		}
 	}
 
-	private void ordered(OrderReceived received, long now) {
+	private void handleOrder(OrderReceived received, long now) {
 		AgentOrder order = received.order();
 		if (!received.addressee().equals(this.member) || this.state == AgentState.CONNECTING) {
 			return;
@@ -151,64 +152,65 @@
 		if (isFenced(order)) {
 			this.listener.onDecision(DecisionRecord.of(DecisionKind.ORDER, this.member.toString(), "refused-old-number",
 					Field.of("order", order.getClass().getSimpleName()), Field.of("number", order.number()),
-					Field.of("accepted", this.fence)));
+					Field.of("accepted", this.highestNumber)));
 			return;
 		}
-		this.fence = order.number().isBefore(this.fence) ? this.fence : order.number();
-		carryOut(order, now);
+		this.highestNumber = order.number().isBefore(this.highestNumber) ? this.highestNumber : order.number();
+		execute(order, now);
 	}
 
 	private boolean isFenced(AgentOrder order) {
-		// A decision is durable, so its place among the orders of a term does not matter.
+		// A ReleaseSwitch order may arrive out of order within a term: its decision is
+		// final, and rejecting it would make the rank hold its step until the next retry.
 		if (order instanceof ReleaseSwitch) {
-			return order.number().term().isBefore(this.fence.term());
+			return order.number().term().isBefore(this.highestNumber.term());
 		}
-		return order.number().isBefore(this.fence);
+		return order.number().isBefore(this.highestNumber);
 	}
 
-	private void carryOut(AgentOrder order, long now) {
+	private void execute(AgentOrder order, long now) {
 		if (order instanceof Dismiss) {
 			dismiss("replaced");
 		}
 		else if (order instanceof Welcome welcome) {
-			join(welcome, now);
+			completeJoin(welcome, now);
 		}
 		else if (this.state != AgentState.ACTIVE) {
 			return;
 		}
 		else if (order instanceof StageMap stage) {
-			stage(stage.map());
+			stageMap(stage.map());
 		}
 		else if (order instanceof ArmSwitch arm) {
-			arm(arm, now);
+			armSwitch(arm, now);
 		}
 		else if (order instanceof ReleaseSwitch release) {
-			release(release.decision(), now);
+			applyDecision(release.decision(), now);
 		}
 	}
 
-	private void join(Welcome welcome, long now) {
+	private void completeJoin(Welcome welcome, long now) {
 		if (this.state != AgentState.JOINING) {
 			return;
 		}
 		this.timeline = welcome.timeline();
 		this.lastDecided = welcome.lastDecided();
 		this.state = AgentState.ACTIVE;
-		this.timeline.last().map(MapBoundary::map).filter((map) -> !this.memory.holds(map)).ifPresent(this::load);
+		this.timeline.last().map(MapBoundary::map).filter((map) -> !this.memory.holds(map)).ifPresent(this::startLoad);
 		grantIfAllowed(now);
 	}
 
-	private void stage(MapRef map) {
-		boolean current = this.timeline.last().filter((last) -> this.memory.isActive(last.map())).isPresent();
+	private void stageMap(MapRef map) {
+		boolean lastMapActive = this.timeline.last().filter((last) -> this.memory.isActive(last.map())).isPresent();
 		if (this.memory.holds(map)) {
 			report(new MapStaged(this.rank, this.member, map));
 		}
-		else if (current && this.armed.isEmpty() && !this.memory.isLoading(map)) {
-			load(map);
+		else if (lastMapActive && this.armed.isEmpty() && !this.memory.isLoading(map)) {
+			startLoad(map);
 		}
 	}
 
-	private void arm(ArmSwitch order, long now) {
+	private void armSwitch(ArmSwitch order, long now) {
 		SwitchId id = order.boundary().decidedBy();
 		if (this.armed.filter((present) -> present.boundary().equals(order.boundary())).isPresent()) {
 			report(new SwitchArmed(this.rank, this.member, id));
@@ -217,7 +219,7 @@
 		if (id.compareTo(this.lastDecided) <= 0) {
 			return;
 		}
-		Optional<ArmRefusal> refusal = refusalOf(order.boundary());
+		Optional<ArmRefusal> refusal = checkArmable(order.boundary());
 		if (refusal.isPresent()) {
 			report(new ArmRefused(this.rank, this.member, id, refusal.get(), this.lastStep,
 					this.armed.map((present) -> present.boundary().decidedBy())));
@@ -228,7 +230,7 @@
 		report(new SwitchArmed(this.rank, this.member, id));
 	}
 
-	private Optional<ArmRefusal> refusalOf(MapBoundary boundary) {
+	private Optional<ArmRefusal> checkArmable(MapBoundary boundary) {
 		if (this.armed.isPresent()) {
 			return Optional.of(ArmRefusal.OTHER_UNDECIDED);
 		}
@@ -241,17 +243,17 @@
 		return this.memory.holds(boundary.map()) ? Optional.empty() : Optional.of(ArmRefusal.NOT_STAGED);
 	}
 
-	private void release(SwitchDecision decision, long now) {
+	private void applyDecision(SwitchDecision decision, long now) {
 		SwitchId id = decision.id();
-		boolean awaited = this.armed.filter((arm) -> arm.boundary().decidedBy().equals(id)).isPresent();
-		if (!awaited && this.lastDecided.isBefore(id) && decision instanceof CommitDecision) {
+		boolean armedForIt = this.armed.filter((arm) -> arm.boundary().decidedBy().equals(id)).isPresent();
+		if (!armedForIt && this.lastDecided.isBefore(id) && decision instanceof CommitDecision) {
 			this.invariants.holds(false, "commit-without-armed-rank", Field.of("member", this.member),
 					Field.of("switch", id));
 			dismiss("commit-without-armed-rank");
 			return;
 		}
-		long waited = awaited ? waitedNanos(now) : 0;
-		if (awaited) {
+		long waited = armedForIt ? waitedNanos(now) : 0;
+		if (armedForIt) {
 			this.armed = Optional.empty();
 			extendTimeline(decision);
 		}
@@ -267,7 +269,7 @@
 	}
 
 	private long waitedNanos(long now) {
-		return isHeld(this.waitingStep) ? now - this.waitingSince : 0;
+		return isHeld(this.requestedStep) ? now - this.requestedAt : 0;
 	}
 
 	private boolean isHeld(long step) {
@@ -275,38 +277,38 @@
 	}
 
 	private void grantIfAllowed(long now) {
-		if (this.waitingStep < 0 || this.state != AgentState.ACTIVE) {
+		if (this.requestedStep < 0 || this.state != AgentState.ACTIVE) {
 			return;
 		}
-		if (isHeld(this.waitingStep)) {
-			askDecision(now);
+		if (isHeld(this.requestedStep)) {
+			queryDecision(now);
 			return;
 		}
-		Optional<MapRef> map = this.timeline.mapAt(this.waitingStep);
+		Optional<MapRef> map = this.timeline.mapAt(this.requestedStep);
 		if (!this.invariants.holds(map.isPresent(), "step-has-a-map", Field.of("member", this.member),
-				Field.of("step", this.waitingStep))) {
+				Field.of("step", this.requestedStep))) {
 			return;
 		}
 		if (this.memory.holds(map.get())) {
 			grant(map.get(), now);
 		}
 		else if (!this.memory.isLoading(map.get())) {
-			load(map.get());
+			startLoad(map.get());
 		}
 	}
 
 	private void grant(MapRef map, long now) {
-		long step = this.waitingStep;
+		long step = this.requestedStep;
 		this.memory.use(map);
-		this.timer.started(step, this.waitingSince != now, now);
+		this.timer.started(step, this.requestedAt != now, now);
 		this.lastStep = Math.max(this.lastStep, step);
-		this.waitingStep = -1;
-		this.commands.add(new GrantStep(this.fence, step, map));
+		this.requestedStep = -1;
+		this.commands.add(new GrantStep(this.highestNumber, step, map));
 	}
 
-	private void load(MapRef map) {
+	private void startLoad(MapRef map) {
 		this.memory.load(map);
-		this.commands.add(new LoadMap(this.fence, map));
+		this.commands.add(new LoadMap(this.highestNumber, map));
 	}
 
 	private void dismiss(String reason) {
@@ -315,27 +317,27 @@
 				Field.of("reason", reason), Field.of("rank", this.rank), Field.of("last-step", this.lastStep)));
 	}
 
-	private void ticked(long now) {
-		if (this.state == AgentState.JOINING && now >= this.nextAskAt) {
-			this.nextAskAt = now + this.settings.retryNanos();
+	private void handleTick(long now) {
+		if (this.state == AgentState.JOINING && now >= this.nextQueryAt) {
+			this.nextQueryAt = now + this.settings.retryNanos();
 			report(new JoinAsked(this.rank, this.member));
 		}
 		if (this.state == AgentState.ACTIVE) {
-			askWhenDue(now);
+			queryDecisionWhenDue(now);
 			reportProgress(now);
 		}
 	}
 
-	private void askWhenDue(long now) {
+	private void queryDecisionWhenDue(long now) {
 		boolean due = this.armed.filter((arm) -> now - this.armedAt >= arm.askAfterNanos()).isPresent();
-		if (due || isHeld(this.waitingStep)) {
-			askDecision(now);
+		if (due || isHeld(this.requestedStep)) {
+			queryDecision(now);
 		}
 	}
 
-	private void askDecision(long now) {
-		if (now >= this.nextAskAt) {
-			this.nextAskAt = now + this.settings.retryNanos();
+	private void queryDecision(long now) {
+		if (now >= this.nextQueryAt) {
+			this.nextQueryAt = now + this.settings.retryNanos();
 			this.armed
 				.ifPresent((arm) -> report(new DecisionAsked(this.rank, this.member, arm.boundary().decidedBy())));
 		}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchArmed.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchArmed.java
@@ -3,10 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A rank holds at the step of an attempt until it knows the decision.
+ * A rank is armed: it holds before the first step of an attempt until it receives the
+ * decision.
  *
- * @param rank the rank that reports
- * @param member the member that reports
+ * @param rank the reporting rank
+ * @param member the reporting member
  * @param id the attempt
  */
 public record SwitchArmed(int rank, Member member, SwitchId id) implements AgentReport {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchCancelled.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchCancelled.java
@@ -4,7 +4,7 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * A map is no longer wanted.
+ * The control instance cancelled the switch to a map.
  *
  * @param map the map
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchCoordinator.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchCoordinator.java
@@ -13,13 +13,14 @@
 /**
  * Coordinates the map switches of one group during one term.
  * <p>
- * The coordinator stages the new map on all ranks, arms all of them for one step, writes
- * the decision to the ledger and tells the ranks. It says nothing to any rank that is not
- * durable, so a later coordinator can take over at any point.
+ * A switch is a two-phase commit. The coordinator makes all ranks load the new map
+ * (staging), orders them to hold before one step (arming), writes the decision to the
+ * ledger and sends it to the ranks (releasing). It sends a decision only after it is
+ * durable, so the coordinator of a later term can take over at any point.
  */
 public final class SwitchCoordinator {
 
-	/** The greatest number of writes queued besides one for each rank. */
+	/** Maximum number of queued writes in addition to one for each rank. */
 	private static final int QUEUED_WRITES = 64;
 
 	private final Term term;
@@ -40,11 +41,11 @@
 
 	private final OrderSender sender;
 
-	private Optional<RequestedSwitch> requested = Optional.empty();
+	private Optional<RequestedSwitch> activeSwitch = Optional.empty();
 
-	private boolean opened;
+	private boolean termOpened;
 
-	private boolean lost;
+	private boolean termLost;
 
 	private long attempts;
 
@@ -53,7 +54,7 @@
 	/**
 	 * Creates the coordinator of one term.
 	 * @param group the group's name
-	 * @param term the term, later than every earlier coordinator's
+	 * @param term the term, later than those of all previous coordinators
 	 * @param ranks the number of ranks
 	 * @param settings the settings
 	 * @param listener receives the coordinator's decisions
@@ -74,7 +75,7 @@
 	}
 
 	/**
-	 * Returns the latest durable state known.
+	 * Returns the latest durable state that this coordinator has received.
 	 * @return the state
 	 */
 	public LedgerState state() {
@@ -82,11 +83,11 @@
 	}
 
 	/**
-	 * Returns the phase of the switch under way.
-	 * @return the phase
+	 * Returns the phase of the switch in progress.
+	 * @return the phase, or {@link SwitchPhase#IDLE} if there is none
 	 */
 	public SwitchPhase phase() {
-		return this.requested.map(RequestedSwitch::phase).orElse(SwitchPhase.IDLE);
+		return this.activeSwitch.map(RequestedSwitch::phase).orElse(SwitchPhase.IDLE);
 	}
 
 	/**
@@ -98,67 +99,67 @@
 	public List<CoordinatorCommand> handle(CoordinatorEvent event, long now) {
 		Preconditions.notNull(event, "event");
 		this.commands.clear();
-		if (this.lost) {
+		if (this.termLost) {
 			return List.of();
 		}
 		if (event instanceof WriteDurable durable) {
-			written(durable, now);
+			handleWriteDurable(durable, now);
 		}
 		else if (event instanceof ReportReceived received) {
-			reported(received.report(), now);
+			handleReport(received.report(), now);
 		}
 		else if (event instanceof CoordinatorTick) {
-			ticked(now);
+			handleTick(now);
 		}
 		else {
-			requestedByControl(event);
+			handleControlEvent(event);
 		}
 		this.writer.due(now).ifPresent((write) -> this.commands.add(new WriteLedger(write)));
 		return List.copyOf(this.commands);
 	}
 
-	private void requestedByControl(CoordinatorEvent event) {
+	private void handleControlEvent(CoordinatorEvent event) {
 		if (event instanceof CoordinatorStarted) {
 			this.writer.add(new OpenTerm(this.term));
 		}
 		else if (event instanceof MapInstallRequested install) {
 			this.writer.add(new InstallMap(this.term, install.map()));
 		}
-		else if (event instanceof MemberChosen chosen) {
-			this.writer.add(new AssignMember(this.term, chosen.rank(), chosen.member()));
+		else if (event instanceof MemberChosen request) {
+			this.writer.add(new AssignMember(this.term, request.rank(), request.member()));
 		}
-		else if (event instanceof SwitchRequested wanted) {
-			request(wanted.map());
+		else if (event instanceof SwitchRequested request) {
+			startSwitch(request.map());
 		}
-		else if (event instanceof SwitchCancelled unwanted) {
-			cancel(unwanted.map());
+		else if (event instanceof SwitchCancelled cancellation) {
+			cancelSwitch(cancellation.map());
 		}
 	}
 
-	private void request(MapRef map) {
-		if (this.requested.isPresent()) {
+	private void startSwitch(MapRef map) {
+		if (this.activeSwitch.isPresent()) {
 			this.commands.add(new SwitchEnded(map, SwitchOutcome.BUSY));
 			return;
 		}
-		this.requested = Optional.of(new RequestedSwitch(map, this.ranks));
+		this.activeSwitch = Optional.of(new RequestedSwitch(map, this.ranks));
 		this.nextRepeatAt = Long.MIN_VALUE;
 	}
 
-	private void cancel(MapRef map) {
-		RequestedSwitch wanted = this.requested.filter((present) -> present.map().equals(map)).orElse(null);
-		if (wanted == null) {
+	private void cancelSwitch(MapRef map) {
+		RequestedSwitch active = this.activeSwitch.filter((pending) -> pending.map().equals(map)).orElse(null);
+		if (active == null) {
 			return;
 		}
-		wanted.cancel();
-		if (wanted.phase() == SwitchPhase.ARMING) {
-			abort(wanted, "cancelled");
+		active.cancel();
+		if (active.phase() == SwitchPhase.ARMING) {
+			abortAttempt(active, "cancelled");
 		}
-		else if (wanted.phase() == SwitchPhase.STAGING) {
-			end(wanted, SwitchOutcome.CANCELLED);
+		else if (active.phase() == SwitchPhase.STAGING) {
+			endSwitch(active, SwitchOutcome.CANCELLED);
 		}
 	}
 
-	private void written(WriteDurable durable, long now) {
+	private void handleWriteDurable(WriteDurable durable, long now) {
 		LedgerState newer = durable.result().state();
 		if (this.term.isBefore(newer.term())) {
 			loseTerm(newer.term());
@@ -169,66 +170,66 @@
 			return;
 		}
 		if (durable.write() instanceof OpenTerm) {
-			this.opened = true;
+			this.termOpened = true;
 		}
 		else if (durable.write() instanceof AssignMember assign) {
-			assigned(assign);
+			completeAssignment(assign);
 		}
 		else if (durable.write() instanceof CommitSwitch commit) {
-			committed(commit, durable.result(), now);
+			completeCommit(commit, durable.result(), now);
 		}
 		else if (durable.write() instanceof AbortSwitch) {
-			durable.result().decision().ifPresent((decision) -> decided(decision, now));
+			durable.result().decision().ifPresent((decision) -> releaseRanks(decision, now));
 		}
 	}
 
 	private void loseTerm(Term later) {
-		this.lost = true;
+		this.termLost = true;
 		this.writer.clear();
-		this.requested.ifPresent((wanted) -> end(wanted, SwitchOutcome.TERM_LOST));
+		this.activeSwitch.ifPresent((active) -> endSwitch(active, SwitchOutcome.TERM_LOST));
 		this.commands.add(new TermLost(later));
 	}
 
-	private void assigned(AssignMember assign) {
+	private void completeAssignment(AssignMember assign) {
 		int rank = assign.rank();
 		if (state().holds(rank, assign.member())) {
 			this.table.forget(rank);
-			this.requested.ifPresent((wanted) -> replaced(wanted, rank));
+			this.activeSwitch.ifPresent((active) -> handleReplacedRank(active, rank));
 			this.sender.welcome(rank);
 		}
 		this.commands.add(new MembershipChanged(state()));
 	}
 
-	private void replaced(RequestedSwitch wanted, int rank) {
-		wanted.forget(rank);
-		if (wanted.phase() == SwitchPhase.ARMING) {
-			abort(wanted, "rank-replaced");
+	private void handleReplacedRank(RequestedSwitch active, int rank) {
+		active.forget(rank);
+		if (active.phase() == SwitchPhase.ARMING) {
+			abortAttempt(active, "rank-replaced");
 		}
 	}
 
-	private void committed(CommitSwitch commit, LedgerResult result, long now) {
+	private void completeCommit(CommitSwitch commit, LedgerResult result, long now) {
 		if (result.decision().isPresent()) {
-			this.lead.decided(now - this.requested.map(RequestedSwitch::armedSince).orElse(now));
-			decided(result.decision().get(), now);
+			this.lead.decided(now - this.activeSwitch.map(RequestedSwitch::armedSince).orElse(now));
+			releaseRanks(result.decision().get(), now);
 			return;
 		}
 		this.writer.add(new AbortSwitch(this.term, commit.boundary().decidedBy()));
 	}
 
-	private void decided(SwitchDecision decision, long now) {
+	private void releaseRanks(SwitchDecision decision, long now) {
 		this.recorder.decided(decision, state());
-		this.requested.filter((wanted) -> wanted.isAttempt(decision.id()))
-			.ifPresent((wanted) -> wanted.decided(decision));
+		this.activeSwitch.filter((active) -> active.isAttempt(decision.id()))
+			.ifPresent((active) -> active.decided(decision));
 		this.sender.sendWhere((rank) -> true, (number) -> new ReleaseSwitch(number, decision));
 		this.nextRepeatAt = now + this.settings.retryNanos();
 	}
 
-	private void reported(AgentReport report, long now) {
-		if (!this.opened || report.rank() >= this.ranks) {
+	private void handleReport(AgentReport report, long now) {
+		if (!this.termOpened || report.rank() >= this.ranks) {
 			return;
 		}
 		if (!state().holds(report.rank(), report.member())) {
-			refuseStranger(report);
+			dismissNonMember(report);
 			return;
 		}
 		if (report instanceof JoinAsked) {
@@ -237,21 +238,21 @@
 		else if (report instanceof StepProgress progress) {
 			this.table.reported(report.rank(), progress.lastStep(), progress.stepNanos(), now);
 		}
-		else if (report instanceof DecisionAsked question) {
-			answer(report.rank(), question.id());
+		else if (report instanceof DecisionAsked query) {
+			answerQuery(report.rank(), query.id());
 		}
 		else {
-			this.requested.ifPresent((wanted) -> advance(wanted, report, now));
+			this.activeSwitch.ifPresent((active) -> handleSwitchReport(active, report, now));
 		}
 	}
 
-	private void refuseStranger(AgentReport report) {
+	private void dismissNonMember(AgentReport report) {
 		if (!(report instanceof JoinAsked)) {
 			this.sender.dismiss(report.rank(), report.member());
 		}
 	}
 
-	private void answer(int rank, SwitchId id) {
+	private void answerQuery(int rank, SwitchId id) {
 		Optional<SwitchDecision> decision = state().decisionOf(id);
 		if (decision.isPresent()) {
 			this.sender.send(rank, (number) -> new ReleaseSwitch(number, decision.get()));
@@ -261,139 +262,141 @@
 		}
 	}
 
-	private void advance(RequestedSwitch wanted, AgentReport report, long now) {
-		if (report instanceof MapStaged staged && staged.map().equals(wanted.map())) {
-			wanted.stagedAt(report.rank());
-			armWhenStaged(wanted, now);
+	private void handleSwitchReport(RequestedSwitch active, AgentReport report, long now) {
+		if (report instanceof MapStaged staged && staged.map().equals(active.map())) {
+			active.stagedAt(report.rank());
+			armWhenStaged(active, now);
 		}
 		else if (report instanceof SwitchArmed armed) {
-			armed(wanted, armed, now);
+			handleArmed(active, armed, now);
 		}
 		else if (report instanceof ArmRefused refused) {
-			refused(wanted, refused, now);
+			handleArmRefused(active, refused, now);
 		}
 		else if (report instanceof SwitchReleased released) {
-			released(wanted, released, now);
+			handleReleased(active, released, now);
 		}
 	}
 
-	private void armWhenStaged(RequestedSwitch wanted, long now) {
+	private void armWhenStaged(RequestedSwitch active, long now) {
 		Optional<MapBoundary> last = state().timeline().last();
-		if (wanted.phase() != SwitchPhase.STAGING || !wanted.allStaged() || last.isEmpty()
+		if (active.phase() != SwitchPhase.STAGING || !active.allStaged() || last.isEmpty()
 				|| !this.table.allReached(last.get().firstStep())) {
 			return;
 		}
 		BoundaryChoice choice = BoundaryChoice.of(this.table, this.lead.leadNanos(), last.get().firstStep(), now);
 		this.attempts++;
 		SwitchId id = new SwitchId(this.term, this.attempts);
-		wanted.startAttempt(new MapBoundary(choice.firstStep(), wanted.map(), id), now, choice.deadline(now));
-		this.recorder.armed(wanted.boundary(), choice);
-		sendArm(wanted);
+		active.startAttempt(new MapBoundary(choice.firstStep(), active.map(), id), now, choice.deadline(now));
+		this.recorder.armed(active.boundary(), choice);
+		sendArm(active);
 		this.nextRepeatAt = now + this.settings.retryNanos();
 	}
 
-	private void sendArm(RequestedSwitch wanted) {
-		long askAfterNanos = (wanted.decideBy() - wanted.armedSince()) * 3 / 2;
-		this.sender.sendWhere((rank) -> !wanted.isArmed(rank),
-				(number) -> new ArmSwitch(number, wanted.boundary(), askAfterNanos));
+	private void sendArm(RequestedSwitch active) {
+		// A rank that has not reached the held step queries the decision when it is
+		// overdue by half the arming timeout.
+		long askAfterNanos = (active.decideBy() - active.armedSince()) * 3 / 2;
+		this.sender.sendWhere((rank) -> !active.isArmed(rank),
+				(number) -> new ArmSwitch(number, active.boundary(), askAfterNanos));
 	}
 
-	private void armed(RequestedSwitch wanted, SwitchArmed report, long now) {
-		if (wanted.phase() != SwitchPhase.ARMING || !wanted.isAttempt(report.id())) {
+	private void handleArmed(RequestedSwitch active, SwitchArmed report, long now) {
+		if (active.phase() != SwitchPhase.ARMING || !active.isAttempt(report.id())) {
 			return;
 		}
-		wanted.armedAt(report.rank());
-		if (wanted.allArmed()) {
-			wanted.decide();
-			this.writer.add(new CommitSwitch(wanted.boundary(), state().generation()));
+		active.armedAt(report.rank());
+		if (active.allArmed()) {
+			active.decide();
+			this.writer.add(new CommitSwitch(active.boundary(), state().generation()));
 		}
 	}
 
-	private void refused(RequestedSwitch wanted, ArmRefused report, long now) {
+	private void handleArmRefused(RequestedSwitch active, ArmRefused report, long now) {
 		this.table.reported(report.rank(), report.lastStep(), 0, now);
-		report.undecided().ifPresent((id) -> answer(report.rank(), id));
-		if (wanted.phase() != SwitchPhase.ARMING || !wanted.isAttempt(report.id())) {
+		report.undecided().ifPresent((id) -> answerQuery(report.rank(), id));
+		if (active.phase() != SwitchPhase.ARMING || !active.isAttempt(report.id())) {
 			return;
 		}
 		if (report.reason() == ArmRefusal.STEP_STARTED) {
 			this.lead.tooShort();
 		}
 		if (report.reason() == ArmRefusal.NOT_STAGED) {
-			wanted.notStaged(report.rank());
+			active.notStaged(report.rank());
 		}
-		abort(wanted, report.reason().name());
+		abortAttempt(active, report.reason().name());
 	}
 
-	private void abort(RequestedSwitch wanted, String reason) {
-		this.recorder.givenUp(wanted.boundary().decidedBy(), reason);
-		wanted.decide();
-		this.writer.add(new AbortSwitch(this.term, wanted.boundary().decidedBy()));
+	private void abortAttempt(RequestedSwitch active, String reason) {
+		this.recorder.givenUp(active.boundary().decidedBy(), reason);
+		active.decide();
+		this.writer.add(new AbortSwitch(this.term, active.boundary().decidedBy()));
 	}
 
-	private void released(RequestedSwitch wanted, SwitchReleased report, long now) {
-		if (wanted.phase() != SwitchPhase.RELEASING || !wanted.isAttempt(report.id())) {
+	private void handleReleased(RequestedSwitch active, SwitchReleased report, long now) {
+		if (active.phase() != SwitchPhase.RELEASING || !active.isAttempt(report.id())) {
 			return;
 		}
-		if (report.waitedNanos() > 0 && !wanted.isReleased(report.rank())) {
+		if (report.waitedNanos() > 0 && !active.isReleased(report.rank())) {
 			this.lead.tooShort();
 		}
-		wanted.releasedAt(report.rank());
-		finishWhenReleased(wanted);
+		active.releasedAt(report.rank());
+		finishWhenReleased(active);
 	}
 
-	private void finishWhenReleased(RequestedSwitch wanted) {
-		if (wanted.phase() != SwitchPhase.RELEASING || !wanted.allReleased()) {
+	private void finishWhenReleased(RequestedSwitch active) {
+		if (active.phase() != SwitchPhase.RELEASING || !active.allReleased()) {
 			return;
 		}
-		if (wanted.decision() instanceof CommitDecision) {
+		if (active.decision() instanceof CommitDecision) {
 			this.lead.succeeded();
-			end(wanted, SwitchOutcome.COMMITTED);
+			endSwitch(active, SwitchOutcome.COMMITTED);
 		}
-		else if (wanted.isCancelled()) {
-			end(wanted, SwitchOutcome.CANCELLED);
+		else if (active.isCancelled()) {
+			endSwitch(active, SwitchOutcome.CANCELLED);
 		}
-		else if (wanted.attempts() >= this.settings.maxAttempts()) {
-			end(wanted, SwitchOutcome.GAVE_UP);
+		else if (active.attempts() >= this.settings.maxAttempts()) {
+			endSwitch(active, SwitchOutcome.GAVE_UP);
 		}
 		else {
-			wanted.restage();
+			active.restage();
 		}
 	}
 
-	private void end(RequestedSwitch wanted, SwitchOutcome outcome) {
-		this.requested = Optional.empty();
-		this.commands.add(new SwitchEnded(wanted.map(), outcome));
+	private void endSwitch(RequestedSwitch active, SwitchOutcome outcome) {
+		this.activeSwitch = Optional.empty();
+		this.commands.add(new SwitchEnded(active.map(), outcome));
 	}
 
-	private void ticked(long now) {
-		this.requested.ifPresent((wanted) -> checkDeadline(wanted, now));
-		if (this.opened && now >= this.nextRepeatAt) {
+	private void handleTick(long now) {
+		this.activeSwitch.ifPresent((active) -> checkDeadline(active, now));
+		if (this.termOpened && now >= this.nextRepeatAt) {
 			this.nextRepeatAt = now + this.settings.retryNanos();
-			this.requested.ifPresent((wanted) -> repeat(wanted, now));
+			this.activeSwitch.ifPresent((active) -> repeatOrders(active, now));
 		}
 	}
 
-	private void checkDeadline(RequestedSwitch wanted, long now) {
-		if (wanted.phase() == SwitchPhase.ARMING && now >= wanted.decideBy()) {
+	private void checkDeadline(RequestedSwitch active, long now) {
+		if (active.phase() == SwitchPhase.ARMING && now >= active.decideBy()) {
 			this.lead.tooShort();
-			abort(wanted, "not-armed-in-time");
+			abortAttempt(active, "not-armed-in-time");
 		}
 	}
 
-	private void repeat(RequestedSwitch wanted, long now) {
-		finishWhenReleased(wanted);
-		if (wanted.phase() == SwitchPhase.STAGING) {
-			if (wanted.isStageDue(now, this.settings.stageRetryNanos())) {
-				this.sender.sendWhere((rank) -> !wanted.isStaged(rank), (number) -> new StageMap(number, wanted.map()));
+	private void repeatOrders(RequestedSwitch active, long now) {
+		finishWhenReleased(active);
+		if (active.phase() == SwitchPhase.STAGING) {
+			if (active.isStageDue(now, this.settings.stageRetryNanos())) {
+				this.sender.sendWhere((rank) -> !active.isStaged(rank), (number) -> new StageMap(number, active.map()));
 			}
-			armWhenStaged(wanted, now);
+			armWhenStaged(active, now);
 		}
-		else if (wanted.phase() == SwitchPhase.ARMING) {
-			sendArm(wanted);
+		else if (active.phase() == SwitchPhase.ARMING) {
+			sendArm(active);
 		}
-		else if (wanted.phase() == SwitchPhase.RELEASING) {
-			this.sender.sendWhere((rank) -> !wanted.isReleased(rank),
-					(number) -> new ReleaseSwitch(number, wanted.decision()));
+		else if (active.phase() == SwitchPhase.RELEASING) {
+			this.sender.sendWhere((rank) -> !active.isReleased(rank),
+					(number) -> new ReleaseSwitch(number, active.decision()));
 		}
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchDecision.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchDecision.java
@@ -1,12 +1,12 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * The durable end of one attempt to switch the map; it is never undone.
+ * The durable and final decision of one attempt to switch the map.
  */
 public sealed interface SwitchDecision permits CommitDecision, AbortDecision {
 
 	/**
-	 * Returns the attempt that was decided.
+	 * Returns the decided attempt.
 	 * @return the attempt
 	 */
 	SwitchId id();
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchEnded.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchEnded.java
@@ -4,10 +4,10 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * A requested switch came to its end.
+ * A requested switch ended.
  *
- * @param map the map that was requested
- * @param outcome how it ended
+ * @param map the requested map
+ * @param outcome the outcome
  */
 public record SwitchEnded(MapRef map, SwitchOutcome outcome) implements CoordinatorCommand {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchId.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchId.java
@@ -14,7 +14,7 @@
  */
 public record SwitchId(Term term, long sequence) implements Comparable<SwitchId> {
 
-	/** The identifier before the first attempt. */
+	/** The identifier that is smaller than that of every attempt. */
 	public static final SwitchId ZERO = new SwitchId(Term.ZERO, 0);
 
 	private static final Comparator<SwitchId> ORDER = Comparator.comparing(SwitchId::term)
@@ -26,7 +26,7 @@
 	}
 
 	/**
-	 * Tells whether this attempt started before the given one.
+	 * Returns whether this attempt started before the given one.
 	 * @param other the attempt to compare with
 	 * @return {@code true} if this identifier is smaller
 	 */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchOutcome.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchOutcome.java
@@ -1,19 +1,19 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * Ways in which a requested switch can end.
+ * Outcomes of a requested switch.
  */
 public enum SwitchOutcome {
 
-	/** The switch was committed and every rank knows it. */
+	/** The switch was committed and every rank acknowledged the decision. */
 	COMMITTED,
-	/** Too many attempts were aborted. */
+	/** The maximum number of attempts was aborted. */
 	GAVE_UP,
 	/** The switch was cancelled before it was committed. */
 	CANCELLED,
-	/** Another switch is under way. */
+	/** The request was rejected because another switch is in progress. */
 	BUSY,
-	/** A later coordinator has taken over. */
+	/** A coordinator of a later term has taken over. */
 	TERM_LOST
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchPhase.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchPhase.java
@@ -1,19 +1,19 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * Phases of a requested switch at its coordinator.
+ * Phases of a requested switch in its coordinator.
  */
 public enum SwitchPhase {
 
-	/** No switch is under way. */
+	/** No switch is in progress. */
 	IDLE,
 	/** The ranks load the new map's weights. */
 	STAGING,
-	/** The ranks are told to hold at the first step under the new map. */
+	/** The ranks are ordered to hold before the first step under the new map. */
 	ARMING,
-	/** The decision is being written. */
+	/** The commit or abort is being written to the ledger. */
 	DECIDING,
-	/** The decision is durable and being told to the ranks. */
+	/** The decision is durable and is being sent to the ranks. */
 	RELEASING
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchRecorder.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchRecorder.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Records a coordinator's decisions with their inputs.
+ * Reports a coordinator's decisions and their inputs to a {@link DecisionListener}.
  */
 final class SwitchRecorder {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchReleased.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchReleased.java
@@ -3,12 +3,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A rank knows how an attempt was decided.
+ * A rank acknowledges the decision of an attempt.
  *
- * @param rank the rank that reports
- * @param member the member that reports
+ * @param rank the reporting rank
+ * @param member the reporting member
  * @param id the attempt
- * @param waitedNanos how long the rank held a step for the decision, in nanoseconds
+ * @param waitedNanos the time for which the rank held a step until the decision arrived,
+ * in nanoseconds; 0 if it held none
  */
 public record SwitchReleased(int rank, Member member, SwitchId id, long waitedNanos) implements AgentReport {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchRequested.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchRequested.java
@@ -4,7 +4,7 @@
 import org.comfreywall.group.map.MapRef;
 
 /**
- * A new map is wanted.
+ * The control instance requested a switch to a new map.
  *
  * @param map the map
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/TermLost.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/TermLost.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A later coordinator has taken over; this one sends nothing more.
+ * A coordinator of a later term has taken over; this one sends nothing more.
  *
  * @param later the term of the later coordinator
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/Welcome.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/Welcome.java
@@ -4,12 +4,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tells a new member of the group what was decided so far.
+ * Sends a new member of the group the membership generation and the map timeline.
  *
  * @param number the order's fencing number
  * @param generation the generation of the membership
- * @param timeline the decided boundaries between maps
- * @param lastDecided the latest attempt that was decided
+ * @param timeline the committed map boundaries
+ * @param lastDecided the latest decided attempt
  */
 public record Welcome(FencingNumber number, long generation, MapTimeline timeline,
 		SwitchId lastDecided) implements AgentOrder {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/WriteDurable.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/WriteDurable.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The ledger applied a write and the result is durable on a quorum.
+ * The ledger applied a write, and the result is durable on a quorum.
  *
  * @param write the write
  * @param result its result
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/WriteLedger.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/WriteLedger.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Writes to the replicated ledger; repeated until the result is known.
+ * Sends a write to the replicated ledger; repeated until its result is received.
  *
  * @param write the write
  */
--- a/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/DecisionLedgerTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/DecisionLedgerTests.java
@@ -47,7 +47,7 @@
 	class Decisions {
 
 		@Test
-		void commitsOnceAndGivesRepeatedWritesTheFirstDecision() {
+		void commitsOnceAndReturnsFirstDecisionForRepeatedWrites() {
 			LedgerResult first = ledger().apply(commit());
 			long index = ledger().state().index();
 
@@ -57,7 +57,7 @@
 		}
 
 		@Test
-		void keepsCommitWhenAbortFollows() {
+		void ignoresAbortAfterCommit() {
 			ledger().apply(commit());
 
 			LedgerResult result = ledger().apply(new AbortSwitch(TERM, commit().boundary().decidedBy()));
@@ -67,7 +67,7 @@
 		}
 
 		@Test
-		void keepsAbortWhenCommitFollows() {
+		void ignoresCommitAfterAbort() {
 			SwitchId id = commit().boundary().decidedBy();
 			ledger().apply(new AbortSwitch(TERM, id));
 
@@ -76,14 +76,14 @@
 		}
 
 		@Test
-		void refusesCommitAfterRankWasReplaced() {
+		void rejectsCommitAfterRankWasReplaced() {
 			ledger().apply(new AssignMember(TERM, 1, member("c", 1)));
 
 			assertThat(ledger().apply(commit()).refusal()).contains(LedgerRefusal.OTHER_GENERATION);
 		}
 
 		@Test
-		void refusesBoundaryThatIsNotAfterTheLast() {
+		void rejectsBoundaryThatIsNotAfterPreviousOne() {
 			ledger().apply(commit());
 			MapBoundary earlier = new MapBoundary(100, new MapRef(MapVersion.of(3), "third"), new SwitchId(TERM, 2));
 
@@ -97,21 +97,21 @@
 	class Terms {
 
 		@Test
-		void refusesWriteOfOlderTerm() {
+		void rejectsWriteOfEarlierTerm() {
 			ledger().apply(new OpenTerm(TERM.next()));
 
 			assertThat(ledger().apply(commit()).refusal()).contains(LedgerRefusal.OLD_TERM);
 		}
 
 		@Test
-		void refusesWriteOfTermNotOpened() {
+		void rejectsWriteOfTermNotOpened() {
 			LedgerResult result = ledger().apply(new AssignMember(TERM.next(), 1, member("c", 1)));
 
 			assertThat(result.refusal()).contains(LedgerRefusal.OLD_TERM);
 		}
 
 		@Test
-		void letsLaterTermAbortAttemptOfEarlierOne() {
+		void abortsAttemptOfEarlierTermInLaterTerm() {
 			SwitchId id = commit().boundary().decidedBy();
 			ledger().apply(new OpenTerm(TERM.next()));
 
@@ -124,7 +124,7 @@
 	class Membership {
 
 		@Test
-		void refusesMemberThatWasReplacedBefore() {
+		void rejectsReplacedMemberUntilItRestarts() {
 			ledger().apply(new AssignMember(TERM, 1, member("c", 1)));
 
 			assertThat(ledger().apply(new AssignMember(TERM, 1, member("b", 1))).refusal())
@@ -133,13 +133,13 @@
 		}
 
 		@Test
-		void refusesServerThatHoldsAnotherRank() {
+		void rejectsServerAssignedToAnotherRank() {
 			assertThat(ledger().apply(new AssignMember(TERM, 1, member("a", 2))).refusal())
 				.contains(LedgerRefusal.INVALID_RANK);
 		}
 
 		@Test
-		void countsRepeatedAssignmentOnce() {
+		void keepsGenerationForRepeatedAssignment() {
 			ledger().apply(new AssignMember(TERM, 1, member("b", 1)));
 
 			assertThat(ledger().state().generation()).isEqualTo(2);
--- a/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/StepTimerTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/StepTimerTests.java
@@ -12,7 +12,7 @@
 	private final StepTimer timer = new StepTimer();
 
 	@Test
-	void isNotMisledByTwoStepsAllowedAtOnceAfterAPause() {
+	void averagesOutTwoStepsGrantedAtOnceAfterHold() {
 		this.timer.started(5, true, 0);
 		this.timer.started(6, false, 100);
 		for (int i = 1; i <= 15; i++) {
@@ -23,7 +23,7 @@
 	}
 
 	@Test
-	void leavesOutTimeForWhichAStepWasHeld() {
+	void excludesTimeForWhichStepWasHeld() {
 		this.timer.started(0, false, 0);
 		this.timer.started(1, true, 1_000_000);
 		for (int i = 1; i <= 16; i++) {
--- a/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchAgentTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchAgentTests.java
@@ -94,7 +94,7 @@
 	class Joining {
 
 		@Test
-		void holdsEveryStepUntilWelcomed() {
+		void holdsEveryStepUntilWelcomeOrderArrives() {
 			connect(4, FIRST);
 
 			assertThat(reach(5)).isEmpty();
@@ -102,7 +102,7 @@
 		}
 
 		@Test
-		void loadsMapOfTheStepBeforeGrantingItToNewEngine() {
+		void loadsMapBeforeGrantingStepToNewEngine() {
 			agent().handle(new EngineConnected(-1, Optional.empty(), Optional.empty()), 0);
 			reach(5);
 
@@ -111,11 +111,11 @@
 		}
 
 		@Test
-		void ignoresOrderMeantForFormerIncarnation() {
+		void ignoresOrderAddressedToPreviousIncarnation() {
 			connect(4, FIRST);
-			Member former = new Member(BackendServerId.of("a"), Incarnation.of(0));
+			Member previous = new Member(BackendServerId.of("a"), Incarnation.of(0));
 
-			agent().handle(new OrderReceived(former, new Dismiss(number(1))), 0);
+			agent().handle(new OrderReceived(previous, new Dismiss(number(1))), 0);
 
 			assertThat(agent().state()).isEqualTo(AgentState.JOINING);
 		}
@@ -126,7 +126,7 @@
 	class Switching {
 
 		@Test
-		void holdsAtTheStepAndAsksUntilDecisionArrives() {
+		void holdsAtBoundaryAndQueriesDecisionUntilItArrives() {
 			armed();
 
 			assertThat(reach(9)).hasSize(1);
@@ -136,7 +136,7 @@
 		}
 
 		@Test
-		void keepsPresentMapAfterAbort() {
+		void keepsCurrentMapAfterAbort() {
 			armed();
 			order(new ReleaseSwitch(next(), new AbortDecision(ID)));
 
@@ -144,7 +144,7 @@
 		}
 
 		@Test
-		void refusesToBeArmedForStepAlreadyGranted() {
+		void refusesArmOrderForStepAlreadyGranted() {
 			staged();
 			reach(10);
 
@@ -153,7 +153,7 @@
 		}
 
 		@Test
-		void keepsWaitingForFirstAttemptWhenSecondArrives() {
+		void refusesSecondAttemptWhileFirstIsUndecided() {
 			armed();
 			SwitchId later = new SwitchId(Term.of(1), 2);
 
@@ -162,7 +162,7 @@
 		}
 
 		@Test
-		void ignoresLateCopyOfArmOrderAfterDecision() {
+		void ignoresDelayedArmOrderAfterDecision() {
 			armed();
 			order(new ReleaseSwitch(next(), new AbortDecision(ID)));
 
@@ -171,7 +171,7 @@
 		}
 
 		@Test
-		void keepsStagedMapUntilItsBoundaryIsPassed() {
+		void keepsStagedMapUntilItsFirstStep() {
 			armed();
 			order(new ReleaseSwitch(next(), new CommitDecision(BOUNDARY)));
 
@@ -179,7 +179,7 @@
 		}
 
 		@Test
-		void stopsWhenCommitArrivesForAttemptItIsNotArmedFor() {
+		void stopsOnCommitOfAttemptItIsNotArmedFor() {
 			staged();
 
 			order(new ReleaseSwitch(next(), new CommitDecision(BOUNDARY)));
@@ -195,7 +195,7 @@
 	class Fencing {
 
 		@Test
-		void refusesOrderOfOlderTerm() {
+		void rejectsOrderOfEarlierTerm() {
 			staged();
 			order(new StageMap(new FencingNumber(Term.of(2), 1), SECOND));
 
@@ -203,7 +203,7 @@
 		}
 
 		@Test
-		void refusesLateStageOrderOfSameTerm() {
+		void rejectsDelayedStageOrderOfSameTerm() {
 			staged();
 
 			assertThat(order(new StageMap(number(1), new MapRef(MapVersion.of(9), "old")))).isEmpty();
--- a/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchCoordinatorTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchCoordinatorTests.java
@@ -63,59 +63,59 @@
 	}
 
 	@Test
-	void tellsCommitOnlyWhenAllRanksAreArmed() {
+	void sendsCommitOnlyWhenAllRanksAreArmed() {
 		SwitchId id = stageAndArm();
 		report(new SwitchArmed(0, member(0), id));
 		assertThat(this.orders).noneMatch(ReleaseSwitch.class::isInstance);
 
 		report(new SwitchArmed(1, member(1), id));
 
-		assertThat(decisionTold()).contains(new CommitDecision(armOrder().boundary()));
+		assertThat(sentDecision()).contains(new CommitDecision(armOrder().boundary()));
 		report(new SwitchReleased(0, member(0), id, 0));
 		report(new SwitchReleased(1, member(1), id, 0));
 		assertThat(this.ended).containsExactly(new SwitchEnded(SECOND, SwitchOutcome.COMMITTED));
 	}
 
 	@Test
-	void abortsAtHalfOfTheLeadWhenARankIsNotArmed() {
+	void abortsWhenRankIsNotArmedWithinHalfOfTheLead() {
 		SwitchId id = stageAndArm();
 		report(new SwitchArmed(0, member(0), id));
 
 		this.now += 200;
 		handle(new CoordinatorTick());
 
-		assertThat(decisionTold()).contains(new AbortDecision(id));
+		assertThat(sentDecision()).contains(new AbortDecision(id));
 	}
 
 	@Test
-	void abortsWhenAnArmedRankIsReplaced() {
+	void abortsWhenArmedRankIsReplaced() {
 		SwitchId id = stageAndArm();
 		report(new SwitchArmed(0, member(0), id));
 
 		handle(new MemberChosen(0, new Member(BackendServerId.of("spare"), Incarnation.of(1))));
 
-		assertThat(decisionTold()).contains(new AbortDecision(id));
+		assertThat(sentDecision()).contains(new AbortDecision(id));
 	}
 
 	@Test
-	void doesNotCountArmedReportOfFormerMember() {
+	void ignoresArmedReportOfPreviousIncarnation() {
 		SwitchId id = stageAndArm();
 		report(new SwitchArmed(0, member(0), id));
 
 		report(new SwitchArmed(1, new Member(BackendServerId.of("server-1"), Incarnation.of(0)), id));
 
-		assertThat(decisionTold()).isEmpty();
+		assertThat(sentDecision()).isEmpty();
 	}
 
 	@Test
-	void successorAbortsUndecidedAttemptWhenAsked() {
+	void successorAbortsUndecidedAttemptWhenQueried() {
 		SwitchId id = stageAndArm();
 		this.coordinator = coordinator(2);
 		handle(new CoordinatorStarted());
 
 		report(new DecisionAsked(0, member(0), id));
 
-		assertThat(decisionTold()).contains(new AbortDecision(id));
+		assertThat(sentDecision()).contains(new AbortDecision(id));
 	}
 
 	@Test
@@ -129,11 +129,11 @@
 
 		report(new DecisionAsked(0, member(0), id));
 
-		assertThat(decisionTold()).containsInstanceOf(CommitDecision.class);
+		assertThat(sentDecision()).containsInstanceOf(CommitDecision.class);
 	}
 
 	@Test
-	void stopsWhenLaterTermIsOpen() {
+	void stopsWhenLaterTermIsOpened() {
 		stageAndArm();
 		this.ledger.apply(new OpenTerm(Term.of(2)));
 
@@ -160,7 +160,7 @@
 			.orElseThrow();
 	}
 
-	private Optional<SwitchDecision> decisionTold() {
+	private Optional<SwitchDecision> sentDecision() {
 		return this.orders.stream()
 			.filter(ReleaseSwitch.class::isInstance)
 			.map((order) -> ((ReleaseSwitch) order).decision())
