Reword the lifecycle of groups

Comments spoke of silence, doubt and blame and of what the core knows of a rank; private methods and locals were bare words (become, check, holder, open, since). They now say heartbeat, probe, timeout, progress and candidate, and the methods name what they handle. Comments say why ledger replies are ignored by index and why a gap between heartbeats restarts the stall timeout. Names of tests follow.

--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/ChooseMember.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/ChooseMember.java
@@ -4,7 +4,7 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * Has the coordinator give a rank to a member.
+ * Requests from the coordinator that a rank be assigned to a member.
  *
  * @param rank the rank
  * @param member the member
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/DissolveRequested.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/DissolveRequested.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.life;
 
 /**
- * The group is no longer wanted.
+ * The group was removed and has to release its members.
  */
 public record DissolveRequested() implements GroupEvent {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/EngineActivity.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/EngineActivity.java
@@ -1,19 +1,19 @@
 package org.comfreywall.group.life;
 
 /**
- * What the engine of a rank is doing.
+ * Activities of a rank's engine.
  */
 public enum EngineActivity {
 
-	/** It loads weights and runs no step. */
+	/** Loads weights and runs no step. */
 	LOADING,
-	/** It has no work. */
+	/** Has no work. */
 	IDLE,
-	/** It computes its part of a step. */
+	/** Computes its part of a step. */
 	COMPUTING,
-	/** It has computed its part and waits for the other ranks. */
+	/** Has computed its part of a step and waits for the other ranks. */
 	WAITING_FOR_PEERS,
-	/** It holds a step until a map switch is decided. */
+	/** Holds before a step until a map switch is decided. */
 	HOLDING
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupCommand.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupCommand.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.life;
 
 /**
- * A command of the group life core to its driver.
+ * A command that the group's lifecycle core returns to its driver.
  */
 public sealed interface GroupCommand permits ChooseMember, ProbeMember, RouteGroup, WithdrawGroup, ReleaseMember {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupEvent.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupEvent.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.life;
 
 /**
- * An event in the life of a group.
+ * An input event of the group's lifecycle core.
  */
 public sealed interface GroupEvent permits MemberAnnounced, HeartbeatReceived, MemberExited, ProbeAnswered, ProbeFailed,
 		MembershipDurable, DissolveRequested, GroupTick {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupLife.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupLife.java
@@ -16,14 +16,16 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * Forms a group, watches its ranks, replaces lost ones by spares and dissolves it.
+ * Lifecycle core of a group: forms it, monitors its ranks, replaces failed members with
+ * spares and dissolves it.
  * <p>
- * All ranks advance together. So a silent rank is alive if the group goes on, and of the
- * ranks that report, the one that still computes holds the others back.
+ * The ranks run in lockstep. A rank without heartbeats is therefore running as long as
+ * the group makes progress, and a rank that still computes while others wait for their
+ * peers blocks them.
  */
 public final class GroupLife {
 
-	/** A silent member without a rank is forgotten after this many suspicion timeouts. */
+	/** Number of suspicion timeouts after which a spare without announcements expires. */
 	private static final int SPARE_TIMEOUTS = 5;
 
 	private final String group;
@@ -42,16 +44,16 @@
 
 	private long groupStep = -1;
 
-	private long groupMovedAt;
+	private long groupProgressAt;
 
-	private long adoptedIndex = -1;
+	private long membershipIndex = -1;
 
 	/**
-	 * Creates the core of one group.
+	 * Creates the lifecycle core of one group.
 	 * @param group the group's name
 	 * @param ranks the number of ranks
 	 * @param settings the timeouts
-	 * @param listener receives the core's decisions
+	 * @param listener receives the membership decisions
 	 */
 	public GroupLife(String group, int ranks, LifeSettings settings, DecisionListener listener) {
 		Preconditions.check(ranks >= 1, "ranks must be at least 1: %d", ranks);
@@ -70,13 +72,13 @@
 	}
 
 	/**
-	 * Returns what is known of each rank.
+	 * Returns a snapshot of the state of each rank.
 	 * @return one view for each rank, in order
 	 */
 	public List<RankView> ranks() {
 		return this.ranks.stream()
-			.map((record) -> new RankView(record.rank(), record.member(), record.health(), record.activity(),
-					record.step()))
+			.map((rankState) -> new RankView(rankState.rank(), rankState.member(), rankState.health(),
+					rankState.activity(), rankState.step()))
 			.toList();
 	}
 
@@ -112,178 +114,180 @@
 
 	private void apply(GroupEvent event, long now) {
 		if (event instanceof MemberAnnounced announced) {
-			announced(announced.member(), now);
+			handleAnnouncement(announced.member(), now);
 		}
 		else if (event instanceof HeartbeatReceived heartbeat) {
-			heartbeat(heartbeat, now);
+			handleHeartbeat(heartbeat, now);
 		}
 		else if (event instanceof MemberExited exited) {
 			this.spares.remove(exited.member());
-			holder(exited.member()).ifPresent((record) -> become(record, RankHealth.FAILED, "exited"));
+			findRankOf(exited.member()).ifPresent((rankState) -> changeHealth(rankState, RankHealth.FAILED, "exited"));
 		}
 		else if (event instanceof ProbeAnswered answered) {
-			holder(answered.member()).ifPresent((record) -> probeAnswered(record, now));
+			findRankOf(answered.member()).ifPresent((rankState) -> handleProbeAnswered(rankState, now));
 		}
 		else if (event instanceof ProbeFailed failed) {
-			holder(failed.member()).ifPresent(this::probeFailed);
+			findRankOf(failed.member()).ifPresent(this::handleProbeFailed);
 		}
 		else if (event instanceof MembershipDurable durable) {
-			adopt(durable.state(), now);
+			applyMembership(durable.state(), now);
 		}
 		else {
 			this.spares.removeSilent(now - SPARE_TIMEOUTS * this.settings.suspectNanos());
-			this.ranks.forEach((record) -> check(record, now));
+			this.ranks.forEach((rankState) -> checkHealth(rankState, now));
 		}
 	}
 
-	private void announced(Member member, long now) {
-		Optional<RankRecord> held = this.ranks.stream()
-			.filter((record) -> record.member().filter((m) -> m.server().equals(member.server())).isPresent())
+	private void handleAnnouncement(Member member, long now) {
+		Optional<RankRecord> assigned = this.ranks.stream()
+			.filter((rankState) -> rankState.member().filter((m) -> m.server().equals(member.server())).isPresent())
 			.findFirst();
-		if (held.isEmpty()) {
-			boolean chosen = this.ranks.stream()
-				.anyMatch((record) -> record.chosen().filter(member::equals).isPresent());
-			if (!chosen) {
+		if (assigned.isEmpty()) {
+			boolean isCandidate = this.ranks.stream()
+				.anyMatch((rankState) -> rankState.chosen().filter(member::equals).isPresent());
+			if (!isCandidate) {
 				this.spares.heard(member, now);
 			}
 			return;
 		}
-		Member present = held.get().member().orElseThrow();
-		if (present.incarnation().isBefore(member.incarnation()) && held.get().chosen().isEmpty()) {
-			become(held.get(), RankHealth.FAILED, "restarted");
-			choose(held.get(), member, now);
+		Member current = assigned.get().member().orElseThrow();
+		if (current.incarnation().isBefore(member.incarnation()) && assigned.get().chosen().isEmpty()) {
+			changeHealth(assigned.get(), RankHealth.FAILED, "restarted");
+			requestAssignment(assigned.get(), member, now);
 		}
 	}
 
-	private void heartbeat(HeartbeatReceived heartbeat, long now) {
-		Optional<RankRecord> held = holder(heartbeat.member());
-		if (held.isEmpty()) {
+	private void handleHeartbeat(HeartbeatReceived heartbeat, long now) {
+		Optional<RankRecord> assigned = findRankOf(heartbeat.member());
+		if (assigned.isEmpty()) {
 			return;
 		}
-		RankRecord record = held.get();
-		record.reported(heartbeat.step(), heartbeat.activity(), !isFresh(record, now), now);
+		RankRecord rankState = assigned.get();
+		rankState.reported(heartbeat.step(), heartbeat.activity(), !hasRecentHeartbeat(rankState, now), now);
 		if (heartbeat.step() > this.groupStep) {
 			this.groupStep = heartbeat.step();
-			this.groupMovedAt = now;
+			this.groupProgressAt = now;
 		}
-		boolean stillStalled = record.health() == RankHealth.STALLED && record.movedAt() != now;
-		if (!stillStalled && record.health() != RankHealth.FAILED) {
-			become(record, RankHealth.HEALTHY, "heard");
+		boolean stillStalled = rankState.health() == RankHealth.STALLED && rankState.movedAt() != now;
+		if (!stillStalled && rankState.health() != RankHealth.FAILED) {
+			changeHealth(rankState, RankHealth.HEALTHY, "heard");
 		}
 	}
 
-	private void probeAnswered(RankRecord record, long now) {
-		record.heard(now);
-		if (record.health() == RankHealth.SUSPECTED) {
-			become(record, RankHealth.LATE, "probe-answered");
+	private void handleProbeAnswered(RankRecord rankState, long now) {
+		rankState.heard(now);
+		if (rankState.health() == RankHealth.SUSPECTED) {
+			changeHealth(rankState, RankHealth.LATE, "probe-answered");
 		}
 	}
 
-	private void probeFailed(RankRecord record) {
-		record.probeFailed();
-		if (record.failedProbes() >= this.settings.failedProbes()) {
-			become(record, RankHealth.FAILED, "probes-failed");
+	private void handleProbeFailed(RankRecord rankState) {
+		rankState.probeFailed();
+		if (rankState.failedProbes() >= this.settings.failedProbes()) {
+			changeHealth(rankState, RankHealth.FAILED, "probes-failed");
 		}
 	}
 
-	private void adopt(LedgerState durable, long now) {
-		if (durable.index() < this.adoptedIndex) {
-			// Replies of the ledger may overtake each other.
+	private void applyMembership(LedgerState durable, long now) {
+		if (durable.index() < this.membershipIndex) {
+			// Ledger replies can arrive out of order; ignore older memberships.
 			return;
 		}
-		this.adoptedIndex = durable.index();
-		for (RankRecord record : this.ranks) {
-			Member member = durable.members().get(record.rank());
-			if (member != null && !record.isHeldBy(member)) {
-				record.member().ifPresent((former) -> this.commands.add(new ReleaseMember(former)));
-				record.assign(member, now);
+		this.membershipIndex = durable.index();
+		for (RankRecord rankState : this.ranks) {
+			Member member = durable.members().get(rankState.rank());
+			if (member != null && !rankState.isHeldBy(member)) {
+				rankState.member().ifPresent((previous) -> this.commands.add(new ReleaseMember(previous)));
+				rankState.assign(member, now);
 				this.spares.remove(member);
 			}
 		}
 	}
 
-	private void check(RankRecord record, long now) {
-		if (record.member().isEmpty() || record.health() == RankHealth.FAILED) {
+	private void checkHealth(RankRecord rankState, long now) {
+		if (rankState.member().isEmpty() || rankState.health() == RankHealth.FAILED) {
 			return;
 		}
-		if (record.isProbing() && now - record.probedAt() >= this.settings.probeNanos()) {
-			probeFailed(record);
+		if (rankState.isProbing() && now - rankState.probedAt() >= this.settings.probeNanos()) {
+			handleProbeFailed(rankState);
 		}
-		else if (now - record.heardAt() >= this.settings.suspectNanos()) {
-			checkSilent(record, now);
+		else if (now - rankState.heardAt() >= this.settings.suspectNanos()) {
+			handleMissingHeartbeats(rankState, now);
 		}
 		else {
-			checkStalled(record, now);
+			checkStalled(rankState, now);
 		}
 	}
 
-	private void checkSilent(RankRecord record, long now) {
-		boolean groupGoesOn = this.groupStep > record.step() + 1
-				&& now - this.groupMovedAt < this.settings.suspectNanos();
-		if (groupGoesOn) {
-			become(record, RankHealth.LATE, "group-goes-on");
+	private void handleMissingHeartbeats(RankRecord rankState, long now) {
+		boolean groupProgresses = this.groupStep > rankState.step() + 1
+				&& now - this.groupProgressAt < this.settings.suspectNanos();
+		if (groupProgresses) {
+			changeHealth(rankState, RankHealth.LATE, "group-goes-on");
 		}
-		else if (!record.isProbing()) {
-			become(record, RankHealth.SUSPECTED, "silent");
-			record.probe(now);
-			this.commands.add(new ProbeMember(record.member().orElseThrow()));
+		else if (!rankState.isProbing()) {
+			changeHealth(rankState, RankHealth.SUSPECTED, "silent");
+			rankState.probe(now);
+			this.commands.add(new ProbeMember(rankState.member().orElseThrow()));
 		}
 	}
 
-	private void checkStalled(RankRecord record, long now) {
-		boolean groupWentOn = record.step() >= 0 && this.groupStep > record.step() + 1;
-		if (groupWentOn) {
+	private void checkStalled(RankRecord rankState, long now) {
+		boolean groupHasAdvanced = rankState.step() >= 0 && this.groupStep > rankState.step() + 1;
+		if (groupHasAdvanced) {
 			return;
 		}
-		boolean fresh = isFresh(record, now);
-		boolean holdsBack = fresh ? record.activity() == EngineActivity.COMPUTING && anyWaits()
-				: onlyOneNotWaiting(record, now);
-		long since = now - (fresh ? record.movedAt() : Math.max(record.reportedAt(), othersMovedAt(record)));
-		if (holdsBack && since >= this.settings.replaceNanos() && this.spares.size() > 0) {
-			become(record, RankHealth.FAILED, "stalled-too-long");
+		boolean recent = hasRecentHeartbeat(rankState, now);
+		boolean blocksOthers = recent ? rankState.activity() == EngineActivity.COMPUTING && anyRankWaitsForPeers()
+				: allOthersWaitForPeers(rankState, now);
+		long blockedNanos = now
+				- (recent ? rankState.movedAt() : Math.max(rankState.reportedAt(), lastChangeOfOthers(rankState)));
+		if (blocksOthers && blockedNanos >= this.settings.replaceNanos() && this.spares.size() > 0) {
+			changeHealth(rankState, RankHealth.FAILED, "stalled-too-long");
 		}
-		else if (holdsBack && since >= this.settings.stallNanos()) {
-			become(record, RankHealth.STALLED, "holds-others-back");
+		else if (blocksOthers && blockedNanos >= this.settings.stallNanos()) {
+			changeHealth(rankState, RankHealth.STALLED, "holds-others-back");
 		}
 	}
 
-	private boolean isFresh(RankRecord record, long now) {
-		return now - record.reportedAt() < this.settings.suspectNanos();
+	private boolean hasRecentHeartbeat(RankRecord rankState, long now) {
+		return now - rankState.reportedAt() < this.settings.suspectNanos();
 	}
 
-	private boolean anyWaits() {
+	private boolean anyRankWaitsForPeers() {
 		return this.ranks.stream().anyMatch((other) -> other.activity() == EngineActivity.WAITING_FOR_PEERS);
 	}
 
-	private boolean onlyOneNotWaiting(RankRecord record, long now) {
+	private boolean allOthersWaitForPeers(RankRecord rankState, long now) {
 		return this.ranks.stream()
-			.filter((other) -> other != record)
-			.allMatch((other) -> other.activity() == EngineActivity.WAITING_FOR_PEERS && isFresh(other, now));
+			.filter((other) -> other != rankState)
+			.allMatch(
+					(other) -> other.activity() == EngineActivity.WAITING_FOR_PEERS && hasRecentHeartbeat(other, now));
 	}
 
-	private long othersMovedAt(RankRecord record) {
+	private long lastChangeOfOthers(RankRecord rankState) {
 		return this.ranks.stream()
-			.filter((other) -> other != record)
+			.filter((other) -> other != rankState)
 			.mapToLong(RankRecord::movedAt)
 			.max()
-			.orElse(this.groupMovedAt);
+			.orElse(this.groupProgressAt);
 	}
 
 	private void fillEmptyRanks(long now) {
-		for (RankRecord record : this.ranks) {
-			boolean expired = now - record.chosenAt() >= this.settings.suspectNanos();
-			boolean open = record.chosen().isEmpty() || expired;
-			if (open && (record.member().isEmpty() || record.health() == RankHealth.FAILED)) {
-				this.spares.take().or(record::chosen).ifPresent((spare) -> choose(record, spare, now));
+		for (RankRecord rankState : this.ranks) {
+			boolean expired = now - rankState.chosenAt() >= this.settings.suspectNanos();
+			boolean assignable = rankState.chosen().isEmpty() || expired;
+			if (assignable && (rankState.member().isEmpty() || rankState.health() == RankHealth.FAILED)) {
+				this.spares.take().or(rankState::chosen).ifPresent((spare) -> requestAssignment(rankState, spare, now));
 			}
 		}
 	}
 
-	private void choose(RankRecord record, Member member, long now) {
-		record.choose(member, now);
-		record(record.rank(), "member-chosen", Field.of("member", member),
-				Field.of("former", record.member().map(Member::toString).orElse("none")));
-		this.commands.add(new ChooseMember(record.rank(), member));
+	private void requestAssignment(RankRecord rankState, Member member, long now) {
+		rankState.choose(member, now);
+		recordDecision(rankState.rank(), "member-chosen", Field.of("member", member),
+				Field.of("former", rankState.member().map(Member::toString).orElse("none")));
+		this.commands.add(new ChooseMember(rankState.rank(), member));
 	}
 
 	private void updateState() {
@@ -302,23 +306,24 @@
 		this.state = GroupState.DISSOLVED;
 		this.commands.add(new WithdrawGroup());
 		this.ranks.stream()
-			.flatMap((record) -> record.member().stream())
+			.flatMap((rankState) -> rankState.member().stream())
 			.sorted(Comparator.comparing(Member::server))
 			.forEach((member) -> this.commands.add(new ReleaseMember(member)));
 	}
 
-	private Optional<RankRecord> holder(Member member) {
-		return this.ranks.stream().filter((record) -> record.isHeldBy(member)).findFirst();
+	private Optional<RankRecord> findRankOf(Member member) {
+		return this.ranks.stream().filter((rankState) -> rankState.isHeldBy(member)).findFirst();
 	}
 
-	private void become(RankRecord record, RankHealth health, String reason) {
-		if (record.become(health)) {
-			record(record.rank(), "rank-" + health.name().toLowerCase(Locale.ROOT), Field.of("reason", reason),
-					Field.of("step", record.step()), Field.of("group-step", this.groupStep));
+	private void changeHealth(RankRecord rankState, RankHealth health, String reason) {
+		if (rankState.become(health)) {
+			recordDecision(rankState.rank(), "rank-" + health.name().toLowerCase(Locale.ROOT),
+					Field.of("reason", reason), Field.of("step", rankState.step()),
+					Field.of("group-step", this.groupStep));
 		}
 	}
 
-	private void record(int rank, String result, Field... inputs) {
+	private void recordDecision(int rank, String result, Field... inputs) {
 		List<Field> fields = new ArrayList<>(List.of(inputs));
 		fields.add(0, Field.of("rank", rank));
 		this.listener.onDecision(new DecisionRecord(DecisionKind.MEMBERSHIP, this.group, result, fields));
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupState.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupState.java
@@ -5,13 +5,16 @@
  */
 public enum GroupState {
 
-	/** Not every rank has run yet. */
+	/** Not every rank has started a step yet. */
 	FORMING,
-	/** All ranks run and the group takes requests. */
+	/** All ranks run, and the group receives requests. */
 	RUNNING,
-	/** A rank was lost and is being replaced. */
+	/**
+	 * A rank failed or stalled; no requests are routed to the group until all ranks run
+	 * again.
+	 */
 	REFORMING,
-	/** The group was given up. */
+	/** The group was dissolved and its members were released. */
 	DISSOLVED
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupTick.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupTick.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.life;
 
 /**
- * Time passed; sent several times within each timeout.
+ * Periodic timer event, sent several times within the shortest timeout.
  */
 public record GroupTick() implements GroupEvent {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/HeartbeatReceived.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/HeartbeatReceived.java
@@ -4,11 +4,11 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * A member tells how far its engine is.
+ * A member reported the step and the activity of its engine.
  *
  * @param member the member
- * @param step the step its engine is in, or -1 before the first
- * @param activity what its engine is doing
+ * @param step the current step of the engine, or -1 before the first step
+ * @param activity the activity of the engine
  */
 public record HeartbeatReceived(Member member, long step, EngineActivity activity) implements GroupEvent {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/LifeSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/LifeSettings.java
@@ -5,13 +5,15 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Timeouts of the group life core.
+ * Timeouts of a group's lifecycle core.
  *
- * @param suspectNanos silence after which a rank is doubted, in nanoseconds
- * @param probeNanos time within which a probe must be answered, in nanoseconds
- * @param failedProbes unanswered probes in a row after which a member has failed
- * @param stallNanos time after which a rank that holds the others back has stalled, in
- * nanoseconds
+ * @param suspectNanos time without a message after which a rank is suspected and probed,
+ * in nanoseconds
+ * @param probeNanos timeout of a probe, in nanoseconds
+ * @param failedProbes number of consecutive unanswered probes after which a member is
+ * considered failed
+ * @param stallNanos time after which a rank that blocks the others is considered stalled,
+ * in nanoseconds
  * @param replaceNanos time after which a stalled rank is replaced, in nanoseconds
  */
 public record LifeSettings(long suspectNanos, long probeNanos, int failedProbes, long stallNanos, long replaceNanos) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/MemberAnnounced.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/MemberAnnounced.java
@@ -4,7 +4,7 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * A member offers to run a rank.
+ * A member announced that it is available to run a rank.
  *
  * @param member the member
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/MemberExited.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/MemberExited.java
@@ -4,7 +4,7 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * A member or its engine has certainly ended.
+ * A member or its engine was observed to exit.
  *
  * @param member the member
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/MembershipDurable.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/MembershipDurable.java
@@ -4,9 +4,9 @@
 import org.comfreywall.group.mapswitch.LedgerState;
 
 /**
- * The ledger holds a membership.
+ * A membership became durable in the ledger.
  *
- * @param state the state with the membership
+ * @param state the ledger state that holds the membership
  */
 public record MembershipDurable(LedgerState state) implements GroupEvent {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/ProbeAnswered.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/ProbeAnswered.java
@@ -4,7 +4,7 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * A member answered on a new connection.
+ * A member answered a probe on a new connection.
  *
  * @param member the member
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/ProbeFailed.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/ProbeFailed.java
@@ -4,7 +4,7 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * A member could not be reached on a new connection.
+ * A probe of a member on a new connection failed.
  *
  * @param member the member
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/ProbeMember.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/ProbeMember.java
@@ -4,7 +4,7 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * Tries to reach a member on a new connection.
+ * Probes a member on a new connection, because its existing connection may be broken.
  *
  * @param member the member
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/RankHealth.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/RankHealth.java
@@ -1,22 +1,22 @@
 package org.comfreywall.group.life;
 
 /**
- * What is known of the member that runs a rank.
+ * Health of the member that runs a rank.
  */
 public enum RankHealth {
 
-	/** It reports and goes on. */
+	/** It sends heartbeats and does not block the other ranks. */
 	HEALTHY,
 	/**
-	 * Its messages are late or lost, but it runs: the group goes on or a probe was
-	 * answered.
+	 * Its heartbeats are delayed or lost, but it runs: the group makes progress or a
+	 * probe was answered.
 	 */
 	LATE,
-	/** It is silent and the group does not go on; a probe is under way. */
+	/** Its heartbeats are missing and the group makes no progress; a probe is pending. */
 	SUSPECTED,
-	/** It reports, but does not finish the step for which the others wait. */
+	/** It runs, but does not finish the step that the other ranks wait for. */
 	STALLED,
-	/** It exited, or neither its messages nor a probe arrive. */
+	/** It exited or restarted, its probes failed, or it was stalled for too long. */
 	FAILED
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/RankRecord.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/RankRecord.java
@@ -5,7 +5,7 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * What the group life core knows of one rank.
+ * Mutable state of one rank in the group's lifecycle core.
  */
 final class RankRecord {
 
@@ -125,7 +125,8 @@
 	void reported(long newStep, EngineActivity newActivity, boolean afterGap, long now) {
 		heard(now);
 		this.reportedAt = now;
-		// What the engine did during a gap in its reports is not known.
+		// The engine's activity during a heartbeat gap is unknown, so the gap restarts
+		// the stall timeout.
 		if (newStep > this.step || newActivity != this.activity || afterGap) {
 			this.movedAt = now;
 		}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/RankView.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/RankView.java
@@ -6,13 +6,13 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * What is known of one rank.
+ * Snapshot of the state of one rank.
  *
  * @param rank the rank
- * @param member the member that runs it, or empty if it has none
- * @param health what is known of the member
- * @param activity what its engine did when it last reported
- * @param step the latest step it reported, or -1
+ * @param member the member that runs the rank, or empty if none is assigned
+ * @param health the health of the member
+ * @param activity the activity of its engine in the latest heartbeat
+ * @param step the latest reported step, or -1 before the first step
  */
 public record RankView(int rank, Optional<Member> member, RankHealth health, EngineActivity activity, long step) {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/ReleaseMember.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/ReleaseMember.java
@@ -4,7 +4,7 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * Tells a member that it has no rank any more.
+ * Notifies a member that its rank is no longer assigned to it.
  *
  * @param member the member
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/RouteGroup.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/RouteGroup.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.life;
 
 /**
- * Offers the group to the entries as one backend server.
+ * Makes the group available to the entries as one backend server.
  */
 public record RouteGroup() implements GroupCommand {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/SparePool.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/SparePool.java
@@ -9,11 +9,12 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * Members without a rank, longest known first; at most {@value #LIMIT}.
+ * Members without a rank, in the order of their first announcement; at most
+ * {@value #LIMIT}.
  */
 final class SparePool {
 
-	/** The greatest number of spares kept. */
+	/** Maximum number of spares kept. */
 	static final int LIMIT = 64;
 
 	private final Map<BackendServerId, Spare> spares = new LinkedHashMap<>();
@@ -31,7 +32,7 @@
 	}
 
 	void removeSilent(long before) {
-		this.spares.values().removeIf((spare) -> spare.heardAt() < before);
+		this.spares.values().removeIf((spare) -> spare.lastSeenAt() < before);
 	}
 
 	int size() {
@@ -47,7 +48,7 @@
 		return first;
 	}
 
-	private record Spare(Incarnation incarnation, long heardAt) {
+	private record Spare(Incarnation incarnation, long lastSeenAt) {
 
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/WithdrawGroup.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/WithdrawGroup.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.life;
 
 /**
- * Sends the group no new requests.
+ * Stops routing new requests to the group.
  */
 public record WithdrawGroup() implements GroupCommand {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/package-info.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Life of a group: which members run its ranks and whether it takes requests.
+ * Lifecycle of a group: assigns members to its ranks, monitors them, and decides whether
+ * the group receives requests.
  */
 package org.comfreywall.group.life;
--- a/comfreywall-group/src/test/java/org/comfreywall/group/life/GroupLifeTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/life/GroupLifeTests.java
@@ -59,14 +59,14 @@
 	}
 
 	@Test
-	void givesRankBackToRestartedMember() {
+	void reassignsRankToRestartedMember() {
 		Member restarted = member("b", 2);
 
 		assertThat(this.life.handle(new MemberAnnounced(restarted), 3)).contains(new ChooseMember(1, restarted));
 	}
 
 	@Test
-	void treatsSilentRankAsLateWhileGroupGoesOn() {
+	void marksRankWithoutHeartbeatsLateWhileGroupProgresses() {
 		heartbeat(this.second, 0, EngineActivity.COMPUTING, 2);
 		heartbeat(this.first, 5, EngineActivity.COMPUTING, 100);
 
@@ -75,7 +75,7 @@
 	}
 
 	@Test
-	void probesSilentRankBeforeJudgingItWhenGroupStands() {
+	void probesRankWithoutHeartbeatsWhenGroupMakesNoProgress() {
 		heartbeat(this.second, 0, EngineActivity.COMPUTING, 2);
 		heartbeat(this.first, 1, EngineActivity.WAITING_FOR_PEERS, 100);
 
@@ -85,7 +85,7 @@
 	}
 
 	@Test
-	void failsRankOnlyAfterSecondUnansweredProbe() {
+	void failsRankOnlyAfterSecondFailedProbe() {
 		heartbeat(this.second, 0, EngineActivity.COMPUTING, 2);
 		this.life.handle(new GroupTick(), 110);
 		this.life.handle(new ProbeFailed(this.second), 120);
@@ -96,7 +96,7 @@
 	}
 
 	@Test
-	void findsTheRankThatHoldsTheOthersBackAndReplacesIt() {
+	void marksRankThatBlocksOthersStalledAndReplacesIt() {
 		heartbeat(this.second, 3, EngineActivity.COMPUTING, 10);
 		heartbeat(this.first, 3, EngineActivity.WAITING_FOR_PEERS, 11);
 		heartbeat(this.second, 3, EngineActivity.COMPUTING, 49);
@@ -109,7 +109,7 @@
 	}
 
 	@Test
-	void doesNotBlameRankThatHoldsForADecision() {
+	void keepsRankHealthyThatHoldsForDecision() {
 		heartbeat(this.second, 3, EngineActivity.HOLDING, 10);
 		heartbeat(this.first, 3, EngineActivity.WAITING_FOR_PEERS, 60);
 		heartbeat(this.second, 3, EngineActivity.HOLDING, 60);
@@ -120,7 +120,7 @@
 	}
 
 	@Test
-	void doesNotBlameSilentRankForWhatItLastReportedWhileAnotherComputes() {
+	void doesNotStallRankWithoutHeartbeatsWhileAnotherComputes() {
 		heartbeat(this.second, 3, EngineActivity.COMPUTING, 10);
 		heartbeat(this.first, 3, EngineActivity.COMPUTING, 110);
 		this.life.handle(new GroupTick(), 111);
@@ -132,7 +132,7 @@
 	}
 
 	@Test
-	void doesNotBlameRankWhoseReportIsOlderThanTheGroupsStep() {
+	void doesNotStallRankWhoseHeartbeatIsBehindTheGroupStep() {
 		heartbeat(this.second, 3, EngineActivity.COMPUTING, 10);
 		heartbeat(this.first, 8, EngineActivity.WAITING_FOR_PEERS, 60);
 
@@ -141,7 +141,7 @@
 	}
 
 	@Test
-	void doesNotCountGapInReportsAsStall() {
+	void doesNotCountHeartbeatGapAsStall() {
 		heartbeat(this.second, 3, EngineActivity.COMPUTING, 10);
 		heartbeat(this.first, 3, EngineActivity.WAITING_FOR_PEERS, 111);
 		heartbeat(this.second, 3, EngineActivity.COMPUTING, 112);
@@ -151,7 +151,7 @@
 	}
 
 	@Test
-	void blamesSilentRankOnceAllOthersHaveWaitedLongEnough() {
+	void stallsRankWithoutHeartbeatsWhenAllOthersWaitForPeers() {
 		heartbeat(this.second, 3, EngineActivity.COMPUTING, 10);
 		heartbeat(this.first, 3, EngineActivity.WAITING_FOR_PEERS, 110);
 		this.life.handle(new GroupTick(), 111);
@@ -164,7 +164,7 @@
 	}
 
 	@Test
-	void ignoresMembershipThatArrivesAfterLaterOne() {
+	void ignoresMembershipOlderThanTheAppliedOne() {
 		durable(3, this.first, this.spare, 3);
 
 		assertThat(durable(2, this.first, this.second, 4)).isEmpty();
@@ -172,7 +172,7 @@
 	}
 
 	@Test
-	void choosesSpareForOneRankOnly() {
+	void assignsSpareToOneRankOnly() {
 		assertThat(this.life.handle(new MemberExited(this.second), 3)).contains(new ChooseMember(1, this.spare));
 
 		this.life.handle(new MemberAnnounced(this.spare), 4);
