Reword expert maps

Copies are called replicas throughout, as the type is. Error messages named the parameter layers for faults of replicas, and one said that replicas must hold a copy of an expert. Names of tests follow.

--- a/comfreywall-group/src/main/java/org/comfreywall/group/map/ExpertMap.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/map/ExpertMap.java
@@ -7,13 +7,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Places the experts of all layers on the ranks of a group.
+ * Placement of the expert replicas of all layers on the ranks of a group.
  *
  * @param group the group
  * @param version the map's version
  * @param ranks the number of ranks
- * @param slotsPerRank the number of experts a layer that a rank has memory for
- * @param layers the layers with experts, in order
+ * @param slotsPerRank the number of experts per layer for which a rank has memory
+ * @param layers the placements of the layers that have experts, in order
  */
 public record ExpertMap(GroupId group, MapVersion version, int ranks, int slotsPerRank, List<LayerMap> layers) {
 
@@ -30,9 +30,9 @@
 	}
 
 	/**
-	 * Computes the reference that names this map. Hashing a large map takes about a
-	 * millisecond, so callers keep the result.
-	 * @return version and digest
+	 * Computes the reference to this map. Hashing a large map takes about a millisecond,
+	 * so callers cache the result.
+	 * @return the version and digest
 	 */
 	public MapRef ref() {
 		return new MapRef(this.version, MapEncoder.encode(this).sha256());
@@ -48,27 +48,27 @@
 	}
 
 	private static void checkLayer(LayerMap layer, int index, int ranks, int slotsPerRank) {
-		BitSet taken = new BitSet(ranks * slotsPerRank);
+		BitSet usedSlots = new BitSet(ranks * slotsPerRank);
 		for (int expert = 0; expert < layer.experts(); expert++) {
-			BitSet holders = new BitSet(ranks);
+			BitSet usedRanks = new BitSet(ranks);
 			for (Replica replica : layer.of(expert)) {
 				checkReplica(replica, index, expert, ranks, slotsPerRank);
 				int position = replica.rank() * slotsPerRank + replica.slot();
-				Preconditions.check(!taken.get(position), "layers must not use a slot twice: layer %d, %s", index,
+				Preconditions.check(!usedSlots.get(position), "replicas must not use a slot twice: layer %d, %s", index,
 						replica);
-				Preconditions.check(!holders.get(replica.rank()),
-						"layers must not hold an expert twice on a rank: layer %d, expert %d, %s", index, expert,
+				Preconditions.check(!usedRanks.get(replica.rank()),
+						"replicas must not place an expert twice on a rank: layer %d, expert %d, %s", index, expert,
 						replica);
-				taken.set(position);
-				holders.set(replica.rank());
+				usedSlots.set(position);
+				usedRanks.set(replica.rank());
 			}
 		}
 	}
 
 	private static void checkReplica(Replica replica, int layer, int expert, int ranks, int slotsPerRank) {
 		Preconditions.check(replica.rank() < ranks && replica.slot() < slotsPerRank,
-				"layers must keep to %d ranks of %d slots: layer %d, expert %d, %s", ranks, slotsPerRank, layer, expert,
-				replica);
+				"replicas must lie within %d ranks of %d slots: layer %d, expert %d, %s", ranks, slotsPerRank, layer,
+				expert, replica);
 	}
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/map/LayerMap.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/map/LayerMap.java
@@ -5,19 +5,20 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Places the experts of one layer.
+ * Placement of the expert replicas of one layer.
  *
- * @param replicas the copies of each expert, indexed by expert; each expert has at least
- * one copy
+ * @param replicas the replicas of each expert, indexed by expert; each expert has at
+ * least one
  */
 public record LayerMap(List<List<Replica>> replicas) {
 
 	public LayerMap {
 		Preconditions.notNull(replicas, "replicas");
-		Preconditions.check(!replicas.isEmpty(), "replicas must name at least one expert");
+		Preconditions.check(!replicas.isEmpty(), "replicas must contain at least one expert");
 		replicas = replicas.stream().map(List::copyOf).toList();
 		for (int expert = 0; expert < replicas.size(); expert++) {
-			Preconditions.check(!replicas.get(expert).isEmpty(), "replicas must hold a copy of expert %d", expert);
+			Preconditions.check(!replicas.get(expert).isEmpty(),
+					"replicas must contain at least one replica of expert %d", expert);
 		}
 	}
 
@@ -30,9 +31,9 @@
 	}
 
 	/**
-	 * Returns the copies of one expert.
+	 * Returns the replicas of one expert.
 	 * @param expert the expert's index
-	 * @return its copies, at least one
+	 * @return its replicas, at least one
 	 */
 	public List<Replica> of(int expert) {
 		return this.replicas.get(expert);
--- a/comfreywall-group/src/main/java/org/comfreywall/group/map/MapEncoder.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/map/MapEncoder.java
@@ -8,7 +8,7 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * Encodes a map's content in the one canonical form from which its digest is computed.
+ * Canonical binary encoding of a map's content, from which its digest is computed.
  */
 final class MapEncoder {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/map/MapRef.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/map/MapRef.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Names one expert map by version and content.
+ * Reference to an expert map by version and content digest.
  *
  * @param version the map's version
  * @param digest the SHA-256 digest of the map's content, in lower-case hexadecimal
--- a/comfreywall-group/src/main/java/org/comfreywall/group/map/MapVersion.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/map/MapVersion.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Numbers the expert maps of one group.
+ * Version number of an expert map within its group.
  *
  * @param value the version number, zero or greater
  */
@@ -26,7 +26,7 @@
 	}
 
 	/**
-	 * Returns the version that follows this one.
+	 * Returns the next version.
 	 * @return this version plus one
 	 */
 	public MapVersion next() {
@@ -34,7 +34,7 @@
 	}
 
 	/**
-	 * Tells whether this version is older than the given one.
+	 * Returns whether this version is older than the given one.
 	 * @param other the version to compare with
 	 * @return {@code true} if this version is smaller
 	 */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/map/Replica.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/map/Replica.java
@@ -3,12 +3,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One copy of an expert.
+ * A replica of an expert on one rank.
  *
- * @param rank the rank that holds the copy, zero or greater
- * @param slot the position in the rank's memory for the layer, zero or greater
- * @param weight the copy's share of the expert's traffic relative to the weights of its
- * other copies, at least 1
+ * @param rank the rank that holds the replica, zero or greater
+ * @param slot the index of the expert slot within the rank's memory for the layer, zero
+ * or greater
+ * @param weight the share of the expert's traffic, relative to the weights of the
+ * expert's other replicas, at least 1
  */
 public record Replica(int rank, int slot, int weight) {
 
@@ -19,9 +20,10 @@
 	}
 
 	/**
-	 * Creates a replica that takes an equal share of the traffic.
-	 * @param rank the rank that holds the copy
-	 * @param slot the position in the rank's memory for the layer
+	 * Creates a replica of weight 1.
+	 * @param rank the rank that holds the replica, zero or greater
+	 * @param slot the index of the expert slot within the rank's memory for the layer,
+	 * zero or greater
 	 * @return the replica
 	 */
 	public static Replica of(int rank, int slot) {
--- a/comfreywall-group/src/test/java/org/comfreywall/group/map/ExpertMapTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/map/ExpertMapTests.java
@@ -14,14 +14,14 @@
 class ExpertMapTests {
 
 	@Test
-	void givesEqualContentTheSameReference() {
+	void returnsSameReferenceForEqualContent() {
 		ExpertMap map = map(Replica.of(0, 0), Replica.of(1, 0));
 
 		assertThat(map.ref()).isEqualTo(map(Replica.of(0, 0), Replica.of(1, 0)).ref());
 	}
 
 	@Test
-	void givesAnotherPlacementAnotherDigest() {
+	void returnsDifferentDigestForDifferentPlacement() {
 		ExpertMap map = map(Replica.of(0, 0), Replica.of(1, 0));
 
 		assertThat(map.ref().digest()).isNotEqualTo(map(Replica.of(1, 0), Replica.of(0, 0)).ref().digest());
@@ -34,13 +34,13 @@
 	}
 
 	@Test
-	void rejectsReplicaOutsideTheGroup() {
+	void rejectsReplicaOutsideGroup() {
 		assertThatIllegalArgumentException().isThrownBy(() -> map(Replica.of(2, 0), Replica.of(0, 0)))
 			.withMessageContaining("2 ranks of 2 slots");
 	}
 
 	@Test
-	void rejectsExpertTwiceOnARank() {
+	void rejectsExpertTwiceOnSameRank() {
 		LayerMap layer = new LayerMap(List.of(List.of(Replica.of(0, 0), Replica.of(0, 1))));
 
 		assertThatIllegalArgumentException()
