Reword the group page

Doc comments restated names or said what the page shows without naming the value.

Compiled; tests of comfreywall-common and comfreywall-group pass (117 run).

--- a/comfreywall-group/src/main/java/org/comfreywall/group/page/GroupPage.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/page/GroupPage.java
@@ -7,8 +7,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Renders the HTML page of one group: charts of skew and bytes, and the plans with their
- * prices. The page refers to no other file.
+ * Renders the HTML page of one group: charts of step-time skew and bytes read, and a
+ * table of placement decisions with their inputs. The page references no external
+ * resources.
  */
 public final class GroupPage {
 
@@ -25,8 +26,8 @@
 	/**
 	 * Renders the page.
 	 * @param group the group
-	 * @param samples the intervals to chart, oldest first
-	 * @param plans the decisions to list, oldest first
+	 * @param samples the samples of the charts, oldest first
+	 * @param plans the decisions of the table, oldest first
 	 * @return the page as HTML
 	 */
 	public static String render(GroupId group, List<PageSample> samples, List<PagePlan> plans) {
@@ -38,31 +39,31 @@
 				+ "</title>\n<style>" + STYLE + "</style>\n</head>\n<body>\n<h1>Group " + name + "</h1>\n"
 				+ "<h2>Step-time skew</h2>\n<p>Slowest rank over mean; dashed: lower bound.</p>\n" + skewChart(samples)
 				+ "<h2>Read from the weight store (MiB)</h2>\n" + bytesChart(samples) + "<h2>Plans</h2>\n"
-				+ table(plans) + "</body>\n</html>\n";
+				+ planTable(plans) + "</body>\n</html>\n";
 	}
 
 	private static String skewChart(List<PageSample> samples) {
-		double greatest = samples.stream().mapToDouble(PageSample::skew).max().orElse(1);
-		return new Chart("Step-time skew", samples, 1, greatest).line("bound", PageSample::skewBound)
+		double max = samples.stream().mapToDouble(PageSample::skew).max().orElse(1);
+		return new Chart("Step-time skew", samples, 1, max).line("bound", PageSample::skewBound)
 			.line("skew", PageSample::skew)
 			.toSvg();
 	}
 
 	private static String bytesChart(List<PageSample> samples) {
-		double greatest = samples.stream().mapToDouble(GroupPage::mebibytes).max().orElse(0);
-		return new Chart("Bytes read", samples, 0, greatest).bars("bytes", GroupPage::mebibytes).toSvg();
+		double max = samples.stream().mapToDouble(GroupPage::mebibytes).max().orElse(0);
+		return new Chart("Bytes read", samples, 0, max).bars("bytes", GroupPage::mebibytes).toSvg();
 	}
 
 	private static double mebibytes(PageSample sample) {
 		return sample.bytes() / MEBIBYTE;
 	}
 
-	private static String table(List<PagePlan> plans) {
-		String rows = plans.stream().map(GroupPage::row).collect(Collectors.joining());
+	private static String planTable(List<PagePlan> plans) {
+		String rows = plans.stream().map(GroupPage::planRow).collect(Collectors.joining());
 		return "<table>\n<tr><th>Time</th><th>Result</th><th>Inputs</th></tr>\n" + rows + "</table>\n";
 	}
 
-	private static String row(PagePlan plan) {
+	private static String planRow(PagePlan plan) {
 		String inputs = plan.record()
 			.inputs()
 			.stream()
--- a/comfreywall-group/src/main/java/org/comfreywall/group/page/PagePlan.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/page/PagePlan.java
@@ -6,10 +6,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A decision that the page lists.
+ * A placement decision shown on the page of a group.
  *
- * @param at when it was made
- * @param record the decision
+ * @param at the time of the decision
+ * @param record the decision with its result and inputs
  */
 public record PagePlan(Instant at, DecisionRecord record) {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/page/PageSample.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/page/PageSample.java
@@ -5,12 +5,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What the page shows of one interval.
+ * Measurements of one interval, shown on the page of a group.
  *
  * @param at the end of the interval
  * @param skew the step-time skew measured in the interval, at least 1
- * @param skewBound a skew that no placement can go below
- * @param bytes the bytes read from the weight store in the interval
+ * @param skewBound a lower bound of the skew over all placements, at least 1
+ * @param bytes the number of bytes read from the weight store in the interval
  */
 public record PageSample(Instant at, double skew, double skewBound, long bytes) {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/page/package-info.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/page/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Renders a self-contained page of a group's step-time skew and bytes read over time.
+ * Renders a self-contained HTML page of a group's step-time skew and bytes read over
+ * time.
  */
 package org.comfreywall.group.page;
--- a/comfreywall-group/src/test/java/org/comfreywall/group/page/GroupPageTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/page/GroupPageTests.java
@@ -17,14 +17,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests of {@link GroupPage}.
+ * Tests for {@link GroupPage}.
  */
 class GroupPageTests {
 
 	private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
 
 	@Test
-	void drawsOnePointForEachSample() throws Exception {
+	void drawsOnePointPerSample() throws Exception {
 		List<PageSample> samples = List.of(new PageSample(START, 1.2, 1, 0),
 				new PageSample(START.plusSeconds(300), 1.1, 1, 42 << 20));
 		Document page = parse(GroupPage.render(GroupId.of("g"), samples, List.of()));
@@ -44,7 +44,7 @@
 	}
 
 	@Test
-	void escapesTextAndRefersToNoOtherFile() throws Exception {
+	void escapesTextAndReferencesNoExternalResources() throws Exception {
 		String page = GroupPage.render(GroupId.of("<b>\"x\"&"), List.of(), List.of());
 		assertThat(parse(page).getElementsByTagName("h1").item(0).getTextContent()).isEqualTo("Group <b>\"x\"&");
 		assertThat(page).doesNotContain("src=").doesNotContain("href=").doesNotContain("@import");
