--- a/comfreywall-group/src/main/java/org/comfreywall/group/report/GroupStatus.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/report/GroupStatus.java
@@ -12,15 +12,16 @@
 import org.comfreywall.group.mapswitch.SwitchPhase;
 
 /**
- * What an operator sees of a group.
+ * Status of a group as shown to operators.
  *
  * @param group the group
  * @param state the group's state
- * @param map the latest boundary decided, or empty before the first map
- * @param phase the phase of the switch under way
+ * @param map the latest committed map boundary, or empty before the first map
+ * @param phase the phase of the map switch in progress
  * @param ranks one view for each rank, in order
  * @param spares the number of members without a rank
- * @param skew the step-time skew in thousandths, as given by {@link SkewMeter#snapshot()}
+ * @param skew the step-time skew in thousandths, as returned by
+ * {@link SkewMeter#snapshot()}
  */
 public record GroupStatus(GroupId group, GroupState state, Optional<MapBoundary> map, SwitchPhase phase,
 		List<RankView> ranks, int spares, Histogram skew) {
@@ -36,7 +37,7 @@
 	}
 
 	/**
-	 * Formats the status for people.
+	 * Formats the status as human-readable text.
 	 * @return lines of text, each ended by a line feed
 	 */
 	public String toText() {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/report/SkewMeter.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/report/SkewMeter.java
@@ -7,31 +7,31 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Measures the step-time skew of a group, which is the slowest rank's step time over the
- * mean of all ranks.
+ * Measures the step-time skew of a group: the step time of the slowest rank divided by
+ * the mean of all ranks.
  * <p>
- * Steps wait for all ranks' times; only the latest {@value #OPEN_STEPS} incomplete ones
- * are kept.
+ * A step is recorded once the times of all ranks are known. Only the latest
+ * {@value #OPEN_STEPS} incomplete steps are kept.
  */
 public final class SkewMeter {
 
-	/** The greatest number of incomplete steps kept. */
+	/** Maximum number of incomplete steps kept. */
 	static final int OPEN_STEPS = 64;
 
-	/** Units in which a skew of one is recorded. */
+	/** Recorded value of a skew of 1; skews are recorded in thousandths. */
 	static final int SCALE = 1000;
 
-	private static final long HIGHEST = 1000L * SCALE;
+	private static final long MAX_SKEW = 1000L * SCALE;
 
-	private static final int DIGITS = 3;
+	private static final int SIGNIFICANT_DIGITS = 3;
 
 	private static final long MISSING = -1;
 
 	private final int ranks;
 
-	private final TreeMap<Long, long[]> open = new TreeMap<>();
+	private final TreeMap<Long, long[]> incomplete = new TreeMap<>();
 
-	private final Histogram histogram = new Histogram(HIGHEST, DIGITS);
+	private final Histogram histogram = new Histogram(MAX_SKEW, SIGNIFICANT_DIGITS);
 
 	/**
 	 * Creates a meter without samples.
@@ -43,35 +43,36 @@
 	}
 
 	/**
-	 * Records the time a rank computed in a step.
+	 * Records the compute time of a rank in a step.
 	 * @param rank the rank
 	 * @param step the step
-	 * @param nanos the time in nanoseconds, without waiting for other ranks
+	 * @param nanos the compute time in nanoseconds, without the wait for other ranks
 	 */
 	public void record(int rank, long step, long nanos) {
-		Preconditions.check(rank >= 0 && rank < this.ranks, "rank must be below %d: %d", this.ranks, rank);
+		Preconditions.check(rank >= 0 && rank < this.ranks, "rank must be at least 0 and below %d: %d", this.ranks,
+				rank);
 		Preconditions.check(nanos >= 0, "nanos must not be negative: %d", nanos);
-		long[] times = this.open.computeIfAbsent(step, (key) -> newTimes());
+		long[] times = this.incomplete.computeIfAbsent(step, (key) -> newTimes());
 		times[rank] = nanos;
 		if (Arrays.stream(times).noneMatch((time) -> time == MISSING)) {
-			this.open.remove(step);
-			this.histogram.recordValue(Math.min(HIGHEST, skew(times)));
+			this.incomplete.remove(step);
+			this.histogram.recordValue(Math.min(MAX_SKEW, skew(times)));
 		}
-		else if (this.open.size() > OPEN_STEPS) {
-			this.open.pollFirstEntry();
+		else if (this.incomplete.size() > OPEN_STEPS) {
+			this.incomplete.pollFirstEntry();
 		}
 	}
 
 	/**
-	 * Copies the skews recorded so far.
-	 * @return a histogram in thousandths, so that 1000 stands for a skew of 1
+	 * Returns a copy of the recorded skews.
+	 * @return the histogram in thousandths: a value of 1000 is a skew of 1
 	 */
 	public Histogram snapshot() {
 		return this.histogram.copy();
 	}
 
 	/**
-	 * Forgets all skews recorded so far.
+	 * Clears the recorded skews; incomplete steps are kept.
 	 */
 	public void reset() {
 		this.histogram.reset();
--- a/comfreywall-group/src/main/java/org/comfreywall/group/report/StatusText.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/report/StatusText.java
@@ -17,23 +17,24 @@
 
 	static String format(GroupStatus status) {
 		StringBuilder text = new StringBuilder();
-		line(text, "group " + status.group() + "  " + lower(status.state()) + "  ranks " + status.ranks().size()
-				+ "  spares " + status.spares());
-		line(text, map(status));
-		line(text, "");
-		line(text, String.format(Locale.ROOT, ROW, "rank", "server", "incarnation", "health", "activity", "step"));
-		status.ranks().forEach((rank) -> line(text, row(rank)));
-		line(text, "");
-		line(text, "step-time skew (slowest over mean)  " + HistogramText.summary(status.skew()));
+		appendLine(text, "group " + status.group() + "  " + displayName(status.state()) + "  ranks "
+				+ status.ranks().size() + "  spares " + status.spares());
+		appendLine(text, mapLine(status));
+		appendLine(text, "");
+		appendLine(text,
+				String.format(Locale.ROOT, ROW, "rank", "server", "incarnation", "health", "activity", "step"));
+		status.ranks().forEach((rank) -> appendLine(text, row(rank)));
+		appendLine(text, "");
+		appendLine(text, "step-time skew (slowest over mean)  " + HistogramText.summary(status.skew()));
 		return text.append(HistogramText.draw(status.skew())).toString();
 	}
 
-	private static String map(GroupStatus status) {
-		String map = status.map().map(StatusText::map).orElse("map none");
-		return map + "  switch " + lower(status.phase());
+	private static String mapLine(GroupStatus status) {
+		String map = status.map().map(StatusText::mapText).orElse("map none");
+		return map + "  switch " + displayName(status.phase());
 	}
 
-	private static String map(MapBoundary boundary) {
+	private static String mapText(MapBoundary boundary) {
 		return "map " + boundary.map() + " from step " + boundary.firstStep();
 	}
 
@@ -41,15 +42,15 @@
 		String server = rank.member().map((member) -> member.server().value()).orElse("-");
 		String incarnation = rank.member().map((member) -> member.incarnation().toString()).orElse("-");
 		String step = (rank.step() >= 0) ? Long.toString(rank.step()) : "-";
-		return String.format(Locale.ROOT, ROW, rank.rank(), server, incarnation, lower(rank.health()),
-				lower(rank.activity()), step);
+		return String.format(Locale.ROOT, ROW, rank.rank(), server, incarnation, displayName(rank.health()),
+				displayName(rank.activity()), step);
 	}
 
-	private static String lower(Enum<?> value) {
+	private static String displayName(Enum<?> value) {
 		return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
 	}
 
-	private static void line(StringBuilder text, String line) {
+	private static void appendLine(StringBuilder text, String line) {
 		text.append(line.stripTrailing()).append('\n');
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/report/package-info.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/report/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Text views of a group for operators.
+ * Status of a group as text for operators, and its step-time skew.
  */
 package org.comfreywall.group.report;
--- a/comfreywall-group/src/test/java/org/comfreywall/group/report/GroupStatusTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/report/GroupStatusTests.java
@@ -28,7 +28,7 @@
 	private final SkewMeter meter = new SkewMeter(2);
 
 	@Test
-	void measuresSlowestOverMeanOnceAllRanksReported() {
+	void recordsSlowestOverMeanOnceAllRanksReported() {
 		this.meter.record(0, 1, 100);
 		assertThat(this.meter.snapshot().getTotalCount()).isZero();
 
@@ -68,9 +68,9 @@
 		Member member = new Member(BackendServerId.of("kochi-1"), Incarnation.of(5));
 		RankView running = new RankView(0, Optional.of(member), RankHealth.HEALTHY, EngineActivity.WAITING_FOR_PEERS,
 				41);
-		RankView lost = new RankView(1, Optional.empty(), RankHealth.FAILED, EngineActivity.LOADING, -1);
+		RankView failed = new RankView(1, Optional.empty(), RankHealth.FAILED, EngineActivity.LOADING, -1);
 		return new GroupStatus(GroupId.of("chat"), GroupState.REFORMING, Optional.of(map), SwitchPhase.ARMING,
-				List.of(running, lost), 3, this.meter.snapshot());
+				List.of(running, failed), 3, this.meter.snapshot());
 	}
 
 }
