--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/AppendReply.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/AppendReply.java
@@ -1,12 +1,12 @@
 package org.comfreywall.control.log;
 
 /**
- * Answers {@link AppendRequest}.
+ * The reply to an {@link AppendRequest}.
  *
- * @param accepted whether the log held the position before the entries
+ * @param accepted whether the follower's log contains the position before the entries
  * @param index if accepted, the last index known to match and synced; otherwise the last
  * index that may match
- * @param sentNanos the clock reading carried by the request
+ * @param sentNanos the leader's clock reading copied from the request, in nanoseconds
  */
 public record AppendReply(boolean accepted, long index, long sentNanos) implements PeerBody {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/AppendRequest.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/AppendRequest.java
@@ -5,11 +5,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Carries entries, and as a heartbeat none, from the leader.
+ * Replicates entries from the leader to a follower; without entries, it is a heartbeat or
+ * probes for the last matching position.
  *
  * @param previous the position before the first entry
  * @param commitIndex the leader's commit index
- * @param sentNanos the leader's own clock, in nanoseconds, when it sent the message
+ * @param sentNanos the leader's monotonic clock reading when it sent the message, in
+ * nanoseconds
  * @param entries the entries
  */
 public record AppendRequest(LogPosition previous, long commitIndex, long sentNanos,
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/BatchSynced.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/BatchSynced.java
@@ -1,9 +1,10 @@
 package org.comfreywall.control.log;
 
 /**
- * Everything up to a {@link SyncBatch} or {@link SaveSnapshot} is on synced disk.
+ * The write of a {@link SyncBatch} or {@link SaveSnapshot} and all writes before it are
+ * synced to disk.
  *
- * @param sequence the number of the command
+ * @param sequence the sequence number of the command
  */
 public record BatchSynced(long sequence) implements LogEvent {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/CommandProposed.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/CommandProposed.java
@@ -4,9 +4,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A command is to be replicated.
+ * A command is proposed for replication.
  *
- * @param proposal identifies the proposal in the answer
+ * @param proposal identifies the proposal in {@link ProposalAccepted} or
+ * {@link ProposalRefused}
  * @param command the encoded command
  */
 public record CommandProposed(long proposal, Bytes command) implements LogEvent {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/DurableState.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/DurableState.java
@@ -6,10 +6,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What an instance finds in its data folder.
+ * The state that an instance recovers from its data folder.
  *
  * @param hardState the term and vote
- * @param snapshot the newest snapshot
+ * @param snapshot the newest snapshot, if there is one
  * @param base the position before the first entry; not after the snapshot's position
  * @param entries the entries after the base, without gaps
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ElectionHandler.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ElectionHandler.java
@@ -11,19 +11,30 @@
 import org.comfreywall.common.id.Term;
 
 /**
- * Stands for election and gives votes.
+ * Requests votes as a candidate and answers vote requests as a voter. A pre-vote round
+ * precedes each campaign.
+ * <p>
+ * If all voters have restarted, no leader lease can be in force and the election need not
+ * wait for the election timeout. A voter is <em>fresh</em> while it has neither voted nor
+ * followed a leader since its process started. Fresh voters report their incarnation in
+ * the pre-vote reply. A candidate that has collected the incarnations of all voters
+ * returns each one in the vote request, so that a voter which restarted or followed a
+ * leader in the meantime still waits.
  */
 final class ElectionHandler {
 
 	private final ReplicaState state;
 
-	/** Voters that granted the present campaign; at most the members. */
+	/** Voters that granted the current pre-vote or vote request, at most the members. */
 	private final Set<InstanceId> granted = new HashSet<>();
 
-	/** The lives of voters that have promised nothing in them; at most the members. */
-	private final Map<InstanceId, Long> restarted = new HashMap<>();
+	/**
+	 * Incarnations of the voters that reported being fresh in the current pre-vote round,
+	 * at most the members.
+	 */
+	private final Map<InstanceId, Long> freshVoters = new HashMap<>();
 
-	private long askedAt;
+	private long preVoteSentAt;
 
 	private boolean ownVoteSynced;
 
@@ -45,22 +56,23 @@
 		}
 	}
 
-	// Asks whether others would vote, without disturbing a leader they may hear. Soon
-	// after its start this voter's own vote does not count yet, as a leader's lease may
-	// rest on a promise given before; then all voters have to tell that they restarted.
+	// Sends pre-vote requests, which change no term and so do not disturb a leader that
+	// others still follow. Before the election timeout this voter does not count its own
+	// vote, because a leader's lease may depend on a reply sent before the restart; the
+	// campaign then requires that all voters are fresh.
 	private void startPreVote(boolean due, long now) {
-		this.askedAt = now;
+		this.preVoteSentAt = now;
 		this.granted.clear();
-		this.restarted.clear();
+		this.freshVoters.clear();
 		if (this.state.knowsAllVoters() && this.state.isRestarted(now)) {
-			this.restarted.put(this.state.self(), this.state.life());
+			this.freshVoters.put(this.state.self(), this.state.life());
 		}
 		if (due) {
 			this.granted.add(this.state.self());
 		}
 		this.state.changeRole(Role.PRE_CANDIDATE, Optional.empty());
 		VoteRequest request = new VoteRequest(true, false, this.state.log().last(), now, 0);
-		others((peer) -> this.state.send(peer, this.state.term().next(), request));
+		forEachOtherVoter((peer) -> this.state.send(peer, this.state.term().next(), request));
 		startCampaignIfReady(now);
 	}
 
@@ -68,26 +80,26 @@
 		if (this.state.role() != Role.PRE_CANDIDATE) {
 			return;
 		}
-		boolean afterRestart = now - this.askedAt < this.state.settings().voteRound().toNanos()
-				&& this.state.isRestarted(now) && allRestarted();
+		boolean allFresh = now - this.preVoteSentAt < this.state.settings().voteRound().toNanos()
+				&& this.state.isRestarted(now) && allVotersFresh();
 		boolean mayVoteItself = this.granted.contains(this.state.self());
-		if (afterRestart || mayVoteItself && hasQuorum()) {
-			startCampaign(false, afterRestart ? Map.copyOf(this.restarted) : Map.of());
+		if (allFresh || mayVoteItself && hasQuorum()) {
+			startCampaign(false, allFresh ? Map.copyOf(this.freshVoters) : Map.of());
 		}
 	}
 
-	private void startCampaign(boolean leaderTransfer, Map<InstanceId, Long> lives) {
+	private void startCampaign(boolean leaderTransfer, Map<InstanceId, Long> incarnations) {
 		this.granted.clear();
 		this.ownVoteSynced = false;
 		this.state.adoptTerm(this.state.term().next(), Optional.of(this.state.self()));
 		this.state.changeRole(Role.CANDIDATE, Optional.empty());
 		LogPosition last = this.state.log().last();
-		others((peer) -> this.state.sendSynced(peer,
-				new VoteRequest(false, leaderTransfer, last, this.askedAt, lives.getOrDefault(peer, 0L))));
+		forEachOtherVoter((peer) -> this.state.sendSynced(peer,
+				new VoteRequest(false, leaderTransfer, last, this.preVoteSentAt, incarnations.getOrDefault(peer, 0L))));
 	}
 
 	/**
-	 * Counts the own vote once it is on synced disk.
+	 * Counts the candidate's own vote once it is synced to disk.
 	 * @return whether the election is won
 	 */
 	boolean onSynced() {
@@ -108,38 +120,37 @@
 	}
 
 	void onRequest(PeerMessage message, VoteRequest request, long now) {
-		boolean restarted = this.state.isRestarted(now);
-		boolean allRestarted = restarted && request.life() == this.state.life();
-		boolean leaseFree = request.leaderTransfer() || allRestarted || !this.state.leaderMayHoldLease(now);
+		boolean fresh = this.state.isRestarted(now);
+		boolean allVotersFresh = fresh && request.life() == this.state.life();
+		boolean noLease = request.leaderTransfer() || allVotersFresh || !this.state.leaderMayHoldLease(now);
 		if (request.preVote()) {
-			onPreVoteRequest(message, request, leaseFree, restarted, now);
+			onPreVoteRequest(message, request, noLease, fresh, now);
 		}
-		else if (!leaseFree) {
-			refuse(message, request);
+		else if (!noLease) {
+			refuseVote(message, request);
 		}
 		else {
 			onVoteRequest(message, request, now);
 		}
 	}
 
-	private void onPreVoteRequest(PeerMessage message, VoteRequest request, boolean leaseFree, boolean restarted,
-			long now) {
-		boolean wouldVote = this.state.term().isBefore(message.term()) && isComplete(request);
-		VoteReply reply = new VoteReply(true, wouldVote && leaseFree, request.sentNanos(),
-				(wouldVote && restarted) ? this.state.life() : 0);
-		boolean helps = reply.granted() || reply.life() != 0;
-		if (helps) {
+	private void onPreVoteRequest(PeerMessage message, VoteRequest request, boolean noLease, boolean fresh, long now) {
+		boolean mayVote = this.state.term().isBefore(message.term()) && isLogUpToDate(request);
+		VoteReply reply = new VoteReply(true, mayVote && noLease, request.sentNanos(),
+				(mayVote && fresh) ? this.state.life() : 0);
+		boolean supportsCandidate = reply.granted() || reply.life() != 0;
+		if (supportsCandidate) {
 			this.state.waitToAsk(now);
 		}
-		this.state.send(message.from(), helps ? message.term() : this.state.term(), reply);
+		this.state.send(message.from(), supportsCandidate ? message.term() : this.state.term(), reply);
 	}
 
 	private void onVoteRequest(PeerMessage message, VoteRequest request, long now) {
 		if (this.state.term().isBefore(message.term())) {
 			this.state.follow(message.term(), Optional.empty());
 		}
-		if (!mayVoteFor(message.from(), message.term()) || !isComplete(request)) {
-			refuse(message, request);
+		if (!mayVoteFor(message.from(), message.term()) || !isLogUpToDate(request)) {
+			refuseVote(message, request);
 			return;
 		}
 		this.state.adoptTerm(message.term(), Optional.of(message.from()));
@@ -154,15 +165,15 @@
 				&& hardState.votedFor().filter((voted) -> !voted.equals(candidate)).isEmpty();
 	}
 
-	private boolean isComplete(VoteRequest request) {
+	private boolean isLogUpToDate(VoteRequest request) {
 		return request.last().isAtLeast(this.state.log().last());
 	}
 
-	private void refuse(PeerMessage message, VoteRequest request) {
+	private void refuseVote(PeerMessage message, VoteRequest request) {
 		this.state.send(message.from(), new VoteReply(request.preVote(), false, request.sentNanos(), 0));
 	}
 
-	// Counts a vote.
+	// Counts a vote or pre-vote and returns whether the election is won.
 	boolean onReply(PeerMessage message, VoteReply reply, long now) {
 		boolean isVoter = this.state.log().membership().isVoter(message.from(), message.fromStorageId());
 		if (!isVoter) {
@@ -184,20 +195,20 @@
 			if (reply.granted()) {
 				this.granted.add(message.from());
 			}
-			if (reply.life() != 0 && reply.sentNanos() == this.askedAt) {
-				this.restarted.put(message.from(), reply.life());
+			if (reply.life() != 0 && reply.sentNanos() == this.preVoteSentAt) {
+				this.freshVoters.put(message.from(), reply.life());
 			}
 			startCampaignIfReady(now);
 		}
 	}
 
-	private boolean allRestarted() {
+	private boolean allVotersFresh() {
 		return this.state.log()
 			.membership()
 			.voters()
 			.stream()
 			.map(Member::instance)
-			.allMatch(this.restarted::containsKey);
+			.allMatch(this.freshVoters::containsKey);
 	}
 
 	private boolean hasQuorum() {
@@ -206,7 +217,7 @@
 		return votes >= membership.quorum();
 	}
 
-	private void others(Consumer<InstanceId> action) {
+	private void forEachOtherVoter(Consumer<InstanceId> action) {
 		this.state.log()
 			.membership()
 			.voters()
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/EntryContent.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/EntryContent.java
@@ -1,7 +1,7 @@
 package org.comfreywall.control.log;
 
 /**
- * What an entry of the replicated log carries.
+ * The content of an entry of the replicated log.
  */
 public sealed interface EntryContent permits BarrierContent, CommandContent, MembershipContent {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/EntryLog.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/EntryLog.java
@@ -8,7 +8,8 @@
 import org.comfreywall.control.state.LogTime;
 
 /**
- * The entries kept in memory, with the members in force at each of them.
+ * The entries of the replicated log that are kept in memory, with the membership in force
+ * at each index.
  */
 final class EntryLog {
 
@@ -23,11 +24,11 @@
 	EntryLog(DurableState state) {
 		this.base = state.base();
 		this.baseTime = state.snapshot().map(Snapshot::time).orElse(LogTime.ZERO);
-		long known = state.snapshot().map((snapshot) -> snapshot.position().index()).orElse(0L);
-		this.memberships
-			.add(new IndexedMembership(known, state.snapshot().map(Snapshot::membership).orElse(Membership.EMPTY)));
+		long snapshotIndex = state.snapshot().map((snapshot) -> snapshot.position().index()).orElse(0L);
+		this.memberships.add(new IndexedMembership(snapshotIndex,
+				state.snapshot().map(Snapshot::membership).orElse(Membership.EMPTY)));
 		this.entries.addAll(state.entries());
-		this.entries.stream().filter((entry) -> entry.index() > known).forEach(this::noteMembership);
+		this.entries.stream().filter((entry) -> entry.index() > snapshotIndex).forEach(this::recordMembership);
 	}
 
 	LogPosition base() {
@@ -98,7 +99,7 @@
 
 	void append(LogEntry entry) {
 		this.entries.add(entry);
-		noteMembership(entry);
+		recordMembership(entry);
 	}
 
 	void truncateFrom(long index) {
@@ -106,7 +107,7 @@
 		this.memberships.removeIf((membership) -> membership.index() >= index);
 	}
 
-	// Finds the first index of the term that the entry at the given index belongs to.
+	// Returns the index of the first entry in memory with the term of the given entry.
 	long firstIndexOfTerm(long index) {
 		Optional<Term> term = termAt(index);
 		long first = index;
@@ -155,7 +156,7 @@
 		this.memberships.add(new IndexedMembership(this.base.index(), snapshot.membership()));
 	}
 
-	private void noteMembership(LogEntry entry) {
+	private void recordMembership(LogEntry entry) {
 		if (entry.content() instanceof MembershipContent content) {
 			this.memberships.add(new IndexedMembership(entry.index(), content.membership()));
 		}
@@ -165,7 +166,7 @@
 		return Math.toIntExact(index - this.base.index() - 1);
 	}
 
-	/** The members from an index on. */
+	/** The membership in force from an index on. */
 	private record IndexedMembership(long index, Membership membership) {
 
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/FollowerHandler.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/FollowerHandler.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Takes entries and snapshots from the leader.
+ * Handles entries and snapshots from the leader.
  */
 final class FollowerHandler {
 
@@ -25,7 +25,7 @@
 		}
 		LogPosition previous = request.previous();
 		if (previous.index() < this.state.log().base().index()) {
-			replyMatched(message, request, this.state.commitIndex());
+			acknowledge(message, request, this.state.commitIndex());
 		}
 		else if (this.state.log().holds(previous)) {
 			append(message, request);
@@ -36,7 +36,7 @@
 		}
 	}
 
-	// Follows the sender unless its term is old.
+	// Follows the sender as the leader and returns true, unless its term is stale.
 	private boolean acceptLeader(PeerMessage message, long now) {
 		if (message.term().isBefore(this.state.term())) {
 			return false;
@@ -59,7 +59,7 @@
 		}
 		long matched = request.previous().index() + request.entries().size();
 		this.state.commitTo(Math.min(request.commitIndex(), matched));
-		replyMatched(message, request, matched);
+		acknowledge(message, request, matched);
 	}
 
 	private boolean replaceFrom(LogEntry entry) {
@@ -80,8 +80,8 @@
 		return true;
 	}
 
-	// Reports what is synced already at once, and the rest when it is.
-	private void replyMatched(PeerMessage message, AppendRequest request, long matched) {
+	// Acknowledges the entries that are synced immediately, and the others once they are.
+	private void acknowledge(PeerMessage message, AppendRequest request, long matched) {
 		SyncTracker syncs = this.state.syncs();
 		if (syncs.hardStateSynced()) {
 			long synced = Math.min(matched, syncs.syncedIndex());
@@ -107,14 +107,14 @@
 		}
 		if (chunk.position().index() <= this.state.commitIndex()) {
 			this.receiver.clear();
-			this.state.sendSynced(message.from(), installed(chunk));
+			this.state.sendSynced(message.from(), installedReply(chunk));
 			return;
 		}
 		Optional<Snapshot> snapshot = this.receiver.onChunk(chunk);
 		if (snapshot.isPresent()) {
 			install(snapshot.get());
-			this.state.sendSynced(message.from(), installed(chunk));
-			startWrite(snapshot.get());
+			this.state.sendSynced(message.from(), installedReply(chunk));
+			saveSnapshot(snapshot.get());
 		}
 		else {
 			this.state.send(message.from(),
@@ -122,7 +122,7 @@
 		}
 	}
 
-	private static SnapshotReply installed(SnapshotChunk chunk) {
+	private static SnapshotReply installedReply(SnapshotChunk chunk) {
 		return new SnapshotReply(chunk.position().index(), 0, true, chunk.sentNanos());
 	}
 
@@ -138,7 +138,7 @@
 		this.state.restoredTo(snapshot);
 	}
 
-	private void startWrite(Snapshot snapshot) {
+	private void saveSnapshot(Snapshot snapshot) {
 		EntryLog log = this.state.log();
 		List<LogEntry> kept = log.from(log.base().index() + 1);
 		Compaction compaction = new Compaction(snapshot, log.base(), this.state.hardState(), kept);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/FollowerProgress.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/FollowerProgress.java
@@ -3,7 +3,8 @@
 import java.util.Optional;
 
 /**
- * What the leader knows about one other member.
+ * The leader's record of one other member: its replication progress, a snapshot transfer
+ * and its last reply.
  */
 final class FollowerProgress {
 
@@ -17,11 +18,11 @@
 
 	private long snapshotOffset;
 
-	private boolean contacted;
+	private boolean hasReplied;
 
-	private long lastContact;
+	private long lastReplyAt;
 
-	private long newestEcho;
+	private long newestAnsweredSentNanos;
 
 	FollowerProgress(long nextIndex) {
 		this.nextIndex = nextIndex;
@@ -48,18 +49,20 @@
 	}
 
 	void onContact(long sentNanos, long now) {
-		this.newestEcho = (this.contacted && this.newestEcho - sentNanos > 0) ? this.newestEcho : sentNanos;
-		this.contacted = true;
-		this.lastContact = now;
+		this.newestAnsweredSentNanos = (this.hasReplied && this.newestAnsweredSentNanos - sentNanos > 0)
+				? this.newestAnsweredSentNanos : sentNanos;
+		this.hasReplied = true;
+		this.lastReplyAt = now;
 	}
 
 	boolean heardWithin(long nanos, long now) {
-		return this.contacted && now - this.lastContact < nanos;
+		return this.hasReplied && now - this.lastReplyAt < nanos;
 	}
 
-	// Returns how long ago the newest message that this member answered was sent.
+	// Returns the time since the newest message that this member replied to was sent, in
+	// nanoseconds.
 	long sinceAnsweredMessage(long now) {
-		return this.contacted ? now - this.newestEcho : Long.MAX_VALUE;
+		return this.hasReplied ? now - this.newestAnsweredSentNanos : Long.MAX_VALUE;
 	}
 
 	void sentUpTo(long index) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/FoundingBatch.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/FoundingBatch.java
@@ -9,28 +9,28 @@
 import org.comfreywall.control.state.LogTime;
 
 /**
- * Creates the first batch of a log, the same on all instances that found it.
+ * Creates the bootstrap batch of a log, which is the same on all initial voters.
  */
 public final class FoundingBatch {
 
-	/** The identifier of the data folders of all instances that found a log. */
+	/** The identifier of the data folders of all initial voters. */
 	public static final long STORAGE_ID = 1;
 
-	/** The index of the entry that makes the founders voters. */
+	/** The index of the entry that sets the initial membership. */
 	static final long INDEX = 1;
 
 	private FoundingBatch() {
 	}
 
 	/**
-	 * Creates the batch.
-	 * @param founders the instances that found the log, in the same order on all of them
-	 * @return a batch with one entry that makes the founders voters
+	 * Creates the bootstrap batch.
+	 * @param initialVoters the initial voters, in the same order on all of them
+	 * @return a batch with one entry that sets the initial membership
 	 */
-	public static LogBatch of(List<InstanceId> founders) {
-		Preconditions.check(!founders.isEmpty(), "founders must not be empty");
+	public static LogBatch of(List<InstanceId> initialVoters) {
+		Preconditions.check(!initialVoters.isEmpty(), "initialVoters must not be empty");
 		Membership membership = new Membership(
-				founders.stream().map((founder) -> new Member(founder, STORAGE_ID, true)).toList());
+				initialVoters.stream().map((voter) -> new Member(voter, STORAGE_ID, true)).toList());
 		LogEntry entry = new LogEntry(new LogPosition(INDEX, Term.ZERO), LogTime.ZERO,
 				new MembershipContent(membership));
 		return new LogBatch(Optional.empty(), List.of(entry));
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/HardState.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/HardState.java
@@ -7,14 +7,15 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What an instance must remember about elections.
+ * The durable election state of an instance. It must be synced before the instance sends
+ * a reply that depends on it.
  *
  * @param term the newest term seen
- * @param votedFor the instance that received the vote in this term
+ * @param votedFor the candidate that received the vote of this instance in this term
  */
 public record HardState(Term term, Optional<InstanceId> votedFor) {
 
-	/** The state of an instance that has seen no election. */
+	/** The state before the first election. */
 	public static final HardState INITIAL = new HardState(Term.ZERO, Optional.empty());
 
 	public HardState {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderHandler.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderHandler.java
@@ -13,7 +13,8 @@
 import org.comfreywall.control.state.LogTime;
 
 /**
- * Leads for one term: takes proposals, replicates them and decides what is committed.
+ * Acts as the leader for one term: accepts proposals, replicates them and advances the
+ * commit index.
  */
 final class LeaderHandler {
 
@@ -21,7 +22,7 @@
 
 	private final ReplicaState state;
 
-	/** One entry for each other member. */
+	/** Replication progress of each other member. */
 	private final Map<InstanceId, FollowerProgress> progress = new TreeMap<>();
 
 	private final LeaderLease lease;
@@ -76,14 +77,15 @@
 	private Optional<OperationError> refusal(Bytes command) {
 		LogSettings settings = this.state.settings();
 		if (this.transfer.isPresent()) {
-			return error(ErrorCode.UNAVAILABLE, "leadership is being handed over; try again");
+			return error(ErrorCode.UNAVAILABLE, "leadership is being transferred to another voter; try again");
 		}
 		if (command.length() > settings.maxCommandBytes()) {
 			return error(ErrorCode.INVALID_INPUT,
-					"the command is larger than " + settings.maxCommandBytes() + " bytes");
+					"the command exceeds the limit of " + settings.maxCommandBytes() + " bytes");
 		}
 		if (this.state.log().size() >= settings.maxLogEntries()) {
-			return error(ErrorCode.OVERLOADED, "the log is full until the next snapshot; try again later");
+			return error(ErrorCode.OVERLOADED,
+					"the log has reached its maximum number of entries; try again after the next snapshot");
 		}
 		return Optional.empty();
 	}
@@ -95,7 +97,7 @@
 	void onMembership(long proposal, MembershipChange change, long now) {
 		boolean started = this.state.commitIndex() >= this.barrierIndex;
 		Optional<OperationError> refusal = started ? this.membershipPolicy.refusal(change)
-				: error(ErrorCode.UNAVAILABLE, "the leader has not committed in its term yet; try again");
+				: error(ErrorCode.UNAVAILABLE, "the leader has not committed an entry of its term yet; try again");
 		if (refusal.isPresent()) {
 			this.state.emit(new ProposalRefused(proposal, refusal.get()));
 			return;
@@ -158,7 +160,8 @@
 		afterReply(now);
 	}
 
-	// Ignores members that were replaced and folders that are not the member's own.
+	// Returns empty if the sender is not a member or uses another data folder than the
+	// member's.
 	private Optional<FollowerProgress> progressOf(PeerMessage message) {
 		return this.state.log()
 			.membership()
@@ -176,22 +179,24 @@
 		afterReply(now);
 	}
 
-	// Sends everything proposed since the last call as one group.
+	// Sends everything proposed since the last call as one batch.
 	void onBatchEnd(long now) {
 		if (this.reads.needConfirmation(this.lastHeartbeat)) {
 			heartbeat(now);
 		}
 		else {
-			this.progress.forEach((peer, known) -> replicate(peer, known, now, false));
+			this.progress.forEach((peer, follower) -> replicate(peer, follower, now, false));
 		}
-		this.transfer.ifPresent((pending) -> handOverIfReady(pending.target()));
+		this.transfer.ifPresent((pending) -> transferIfReady(pending.target()));
 	}
 
-	private void handOverIfReady(InstanceId target) {
+	private void transferIfReady(InstanceId target) {
 		FollowerProgress peer = this.progress.get(target);
 		if (peer != null && peer.matchIndex() == this.state.log().lastIndex()) {
 			this.state.send(target, new TransferRequest());
-			// Stepping down first ends the lease before the target can win.
+			// Steps down in the same call, so that the lease ends before the target can
+			// be
+			// elected.
 			this.state.follow(this.state.term(), Optional.empty());
 		}
 	}
@@ -200,7 +205,8 @@
 		this.reads.refuseAll();
 	}
 
-	// Tells whether no other instance can have been elected up to now.
+	// Returns whether the leader lease is in force, so that no other instance can have
+	// been elected.
 	boolean holdsLease(long now) {
 		return this.state.commitIndex() >= this.barrierIndex && this.lease.holds(now);
 	}
@@ -229,59 +235,60 @@
 
 	private void heartbeat(long now) {
 		this.lastHeartbeat = now;
-		this.progress.forEach((peer, known) -> replicate(peer, known, now, true));
+		this.progress.forEach((peer, follower) -> replicate(peer, follower, now, true));
 	}
 
-	private void replicate(InstanceId peer, FollowerProgress known, long now, boolean heartbeat) {
-		if (known.snapshot().isEmpty() && known.nextIndex() <= this.state.log().base().index()) {
+	private void replicate(InstanceId peer, FollowerProgress follower, long now, boolean heartbeat) {
+		if (follower.snapshot().isEmpty() && follower.nextIndex() <= this.state.log().base().index()) {
 			this.state.snapshot()
 				.map((snapshot) -> SnapshotImage.of(snapshot, this.state.settings().snapshotChunkBytes()))
-				.ifPresent(known::startSnapshot);
+				.ifPresent(follower::startSnapshot);
 		}
-		if (known.snapshot().isPresent()) {
-			sendChunk(peer, known, now, heartbeat);
+		if (follower.snapshot().isPresent()) {
+			sendChunk(peer, follower, now, heartbeat);
 		}
-		else if (known.probing()) {
-			sendProbe(peer, known, now, heartbeat);
+		else if (follower.probing()) {
+			sendProbe(peer, follower, now, heartbeat);
 		}
 		else {
-			sendEntries(peer, known, now, heartbeat);
+			sendEntries(peer, follower, now, heartbeat);
 		}
 	}
 
-	private void sendChunk(InstanceId peer, FollowerProgress known, long now, boolean heartbeat) {
+	private void sendChunk(InstanceId peer, FollowerProgress follower, long now, boolean heartbeat) {
 		if (heartbeat) {
-			known.snapshot().ifPresent((image) -> this.state.send(peer, image.chunkAt(known.snapshotOffset(), now)));
+			follower.snapshot()
+				.ifPresent((image) -> this.state.send(peer, image.chunkAt(follower.snapshotOffset(), now)));
 		}
 	}
 
-	private void sendProbe(InstanceId peer, FollowerProgress known, long now, boolean heartbeat) {
+	private void sendProbe(InstanceId peer, FollowerProgress follower, long now, boolean heartbeat) {
 		if (heartbeat) {
-			sendAppend(peer, known, now, 0);
+			sendAppend(peer, follower, now, 0);
 		}
 	}
 
-	private void sendEntries(InstanceId peer, FollowerProgress known, long now, boolean heartbeat) {
+	private void sendEntries(InstanceId peer, FollowerProgress follower, long now, boolean heartbeat) {
 		LogSettings settings = this.state.settings();
 		boolean sent = false;
-		while (known.nextIndex() <= this.state.log().lastIndex()
-				&& known.nextIndex() - known.matchIndex() <= settings.maxInFlightEntries()) {
-			sendAppend(peer, known, now, settings.maxAppendEntries());
+		while (follower.nextIndex() <= this.state.log().lastIndex()
+				&& follower.nextIndex() - follower.matchIndex() <= settings.maxInFlightEntries()) {
+			sendAppend(peer, follower, now, settings.maxAppendEntries());
 			sent = true;
 		}
 		if (heartbeat && !sent) {
-			sendAppend(peer, known, now, 0);
+			sendAppend(peer, follower, now, 0);
 		}
 	}
 
-	private void sendAppend(InstanceId peer, FollowerProgress known, long now, int maxEntries) {
+	private void sendAppend(InstanceId peer, FollowerProgress follower, long now, int maxEntries) {
 		EntryLog log = this.state.log();
-		long previous = known.nextIndex() - 1;
+		long previous = follower.nextIndex() - 1;
 		LogPosition position = log.termAt(previous).map((term) -> new LogPosition(previous, term)).orElseThrow();
 		AppendRequest request = new AppendRequest(position, this.state.commitIndex(), now,
-				log.limited(known.nextIndex(), maxEntries, this.state.settings().maxAppendBytes()));
+				log.limited(follower.nextIndex(), maxEntries, this.state.settings().maxAppendBytes()));
 		this.state.send(peer, request);
-		known.sentUpTo(previous + request.entries().size());
+		follower.sentUpTo(previous + request.entries().size());
 	}
 
 	private void advanceCommit() {
@@ -298,15 +305,15 @@
 		}
 	}
 
-	// Finds the greatest index that a quorum holds on synced disk.
+	// Returns the greatest index that a quorum has synced to disk.
 	private long quorumIndex() {
 		Membership membership = this.state.log().membership();
-		long[] held = membership.voters()
+		long[] synced = membership.voters()
 			.stream()
 			.mapToLong((voter) -> syncedIndex(voter.instance()))
 			.sorted()
 			.toArray();
-		return (held.length == 0) ? 0 : held[held.length - membership.quorum()];
+		return (synced.length == 0) ? 0 : synced[synced.length - membership.quorum()];
 	}
 
 	private long syncedIndex(InstanceId voter) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderLease.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderLease.java
@@ -6,10 +6,12 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Works out from the answers of a quorum how long no other instance can be elected.
+ * The leader lease: the time during which no other instance can be elected, derived from
+ * the replies of a quorum.
  * <p>
- * A voter that answered a message does not vote for another within the election timeout
- * after it received the message, so not within the election timeout after it was sent.
+ * A voter that replied to a message of the leader does not vote for another candidate
+ * within the election timeout after it received the message, and so not within the
+ * election timeout after the message was sent.
  */
 final class LeaderLease {
 
@@ -25,10 +27,10 @@
 		this.electedAt = electedAt;
 	}
 
-	// Returns how long ago the newest message that a quorum answered was sent, in
+	// Returns the time since the newest message that a quorum replied to was sent, in
 	// nanoseconds.
 	long age(long now) {
-		return quorumAge((known) -> known.sinceAnsweredMessage(now));
+		return quorumAge((follower) -> follower.sinceAnsweredMessage(now));
 	}
 
 	boolean holds(long now) {
@@ -39,13 +41,14 @@
 		return now - age(now) + this.state.settings().leaseDuration().toNanos();
 	}
 
-	// Tells whether a quorum answered within the election timeout or the term is younger.
+	// Returns whether a quorum replied within the election timeout, or the leader was
+	// elected within it.
 	boolean heardQuorum(long now) {
 		long timeout = this.state.settings().electionTimeout().toNanos();
 		if (now - this.electedAt < timeout) {
 			return true;
 		}
-		return quorumAge((known) -> known.heardWithin(timeout, now) ? 0 : Long.MAX_VALUE) == 0;
+		return quorumAge((follower) -> follower.heardWithin(timeout, now) ? 0 : Long.MAX_VALUE) == 0;
 	}
 
 	private long quorumAge(ToLongFunction<FollowerProgress> age) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderReads.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderReads.java
@@ -8,13 +8,14 @@
 import org.comfreywall.common.result.Step;
 
 /**
- * Reads that wait until a quorum confirms the leader.
+ * Linearizable reads that were requested while the leader held no lease and wait until a
+ * quorum confirms its leadership (ReadIndex).
  */
 final class LeaderReads {
 
 	private final ReplicaState state;
 
-	/** Oldest first; bounded by the settings. */
+	/** Oldest first; at most {@link LogSettings#maxPendingReads()}. */
 	private final Deque<PendingRead> pending = new ArrayDeque<>();
 
 	LeaderReads(ReplicaState state) {
@@ -23,18 +24,21 @@
 
 	void add(long read, long index, long now) {
 		if (this.pending.size() >= this.state.settings().maxPendingReads()) {
-			refuse(read, OperationError.local(ErrorCode.OVERLOADED, Step.REPLICATE, "too many reads wait; try again"));
+			refuse(read, OperationError.local(ErrorCode.OVERLOADED, Step.REPLICATE,
+					"the maximum number of pending reads is reached; try again"));
 			return;
 		}
 		this.pending.addLast(new PendingRead(read, index, now));
 	}
 
-	// Tells whether a read was asked for after the last heartbeat.
+	// Returns whether a read was requested after the last heartbeat, so that only the
+	// replies to another one can confirm it.
 	boolean needConfirmation(long lastHeartbeat) {
 		return !this.pending.isEmpty() && this.pending.peekLast().requestedAt - lastHeartbeat > 0;
 	}
 
-	// Answers the reads asked for before the newest message that a quorum answered.
+	// Releases the reads requested before the newest message that a quorum replied to was
+	// sent.
 	void confirm(long quorumAge, long now) {
 		while (!this.pending.isEmpty() && now - this.pending.peekFirst().requestedAt >= quorumAge) {
 			PendingRead read = this.pending.removeFirst();
@@ -51,7 +55,7 @@
 		this.state.emit(new ReadRefused(read, error));
 	}
 
-	/** A read with the index it must see. */
+	/** A read with the index that must be applied before it is answered. */
 	private record PendingRead(long read, long index, long requestedAt) {
 
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderTransfer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderTransfer.java
@@ -5,11 +5,11 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * A pending handover of leadership.
+ * A pending transfer of leadership.
  *
- * @param target the voter that is to lead
- * @param since the clock reading at the request
- * @param timeout how long the target may take to hold the whole log
+ * @param target the voter that is to become the leader
+ * @param since the monotonic clock reading at the request, in nanoseconds
+ * @param timeout the time within which the target must have the whole log
  */
 record LeaderTransfer(InstanceId target, long since, Duration timeout) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LogCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogCodec.java
@@ -17,7 +17,7 @@
 import org.comfreywall.control.generated.VoteRecord;
 
 /**
- * Encodes messages between control instances and records on disk.
+ * Encodes and decodes messages between control instances and records on disk.
  */
 public final class LogCodec {
 
@@ -93,9 +93,9 @@
 	}
 
 	/**
-	 * Decodes a batch and takes it into what was read so far.
+	 * Decodes a batch and adds it to the log read so far.
 	 * @param encoded the encoded batch
-	 * @param reader receives the batch
+	 * @param reader the log read so far
 	 * @return the reader, or an error if the batch is malformed or leaves a gap
 	 */
 	public static Result<LogReader> decodeBatch(Bytes encoded, LogReader reader) {
@@ -118,13 +118,13 @@
 		return new HardState(Term.of(vote.getTerm()), votedFor);
 	}
 
-	private static <T> Result<T> decode(Decoder<T> decoder, Bytes encoded, String what) {
+	private static <T> Result<T> decode(Decoder<T> decoder, Bytes encoded, String kind) {
 		try {
 			return Result.success(decoder.decode(encoded.toArray()));
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
 			return Result.failure(OperationError.local(ErrorCode.MALFORMED, Step.REPLICATE,
-					"a " + what + " cannot be decoded: " + ex.getMessage()));
+					"a " + kind + " cannot be decoded: " + ex.getMessage()));
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LogCommand.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogCommand.java
@@ -1,7 +1,7 @@
 package org.comfreywall.control.log;
 
 /**
- * An output of the replicated log, to be carried out in order.
+ * An output of {@link ReplicaCore}, which the driver executes in order.
  */
 public sealed interface LogCommand permits SendMessage, SyncBatch, SaveSnapshot, ApplyEntries, ProposalAccepted,
 		ProposalRefused, ReadReady, ReadRefused, RoleChanged {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LogEntry.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogEntry.java
@@ -7,8 +7,8 @@
  * One entry of the replicated log.
  *
  * @param position the entry's position
- * @param time the log time proposed by the leader
- * @param content what the entry carries
+ * @param time the log time assigned by the leader
+ * @param content the entry's content
  */
 public record LogEntry(LogPosition position, LogTime time, EntryContent content) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LogPosition.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogPosition.java
@@ -20,14 +20,14 @@
 	}
 
 	/**
-	 * Tells whether a log ending here is at least as complete as one ending at the given
-	 * position.
+	 * Returns whether a log ending here is at least as complete as one ending at the
+	 * given position.
 	 * @param other the other log's last position
 	 * @return {@code true} if the last term is greater, or equal with no smaller index
 	 */
 	public boolean isAtLeast(LogPosition other) {
-		int terms = this.term.compareTo(other.term);
-		return terms > 0 || (terms == 0 && this.index >= other.index);
+		int termOrder = this.term.compareTo(other.term);
+		return termOrder > 0 || (termOrder == 0 && this.index >= other.index);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LogReader.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogReader.java
@@ -40,9 +40,9 @@
 	}
 
 	/**
-	 * Joins the batches read with the newest snapshot.
+	 * Combines the batches read with the newest snapshot.
 	 * @param snapshot the newest snapshot, if there is one
-	 * @return what the instance starts from
+	 * @return the state from which the instance starts
 	 * @throws IllegalArgumentException if the log starts after the snapshot
 	 */
 	public DurableState finish(Optional<Snapshot> snapshot) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LogSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogSettings.java
@@ -8,20 +8,23 @@
  * Settings of the replicated log.
  *
  * @param heartbeatInterval the time between two heartbeats of the leader
- * @param electionTimeout the time without a leader's message after which an instance may
- * vote for another; an instance waits up to twice as long before it stands itself
- * @param clockDriftPercent by how much two instances' clocks may differ in speed
- * @param maxAppendEntries the greatest number of entries in a message
- * @param maxAppendBytes the greatest size of the commands in a message in bytes; a single
- * larger command is sent alone
- * @param maxInFlightEntries the greatest number of entries sent to a peer and not
+ * @param electionTimeout the time without a message from the leader after which a voter
+ * may vote for another candidate; an instance waits a random time between one and two
+ * election timeouts before it starts an election
+ * @param clockDriftPercent the maximum difference in speed between two instances' clocks,
+ * in percent
+ * @param maxAppendEntries the maximum number of entries in a message
+ * @param maxAppendBytes the maximum size of the commands in a message in bytes; a larger
+ * command is sent in a message of its own
+ * @param maxInFlightEntries the maximum number of entries sent to a peer and not
  * acknowledged
- * @param maxCommandBytes the greatest size of a command in bytes
- * @param maxLogEntries the greatest number of entries kept in memory; proposals are
- * refused beyond
- * @param trailingEntries the number of entries kept behind a snapshot for slow peers
- * @param snapshotChunkBytes the size of a part of a snapshot in bytes
- * @param maxPendingReads the greatest number of reads waiting for confirmation
+ * @param maxCommandBytes the maximum size of a command in bytes
+ * @param maxLogEntries the maximum number of entries kept in memory; further proposals
+ * are refused
+ * @param trailingEntries the number of entries included in a snapshot that compaction
+ * still keeps, so that slow followers need no snapshot
+ * @param snapshotChunkBytes the size of a chunk of a snapshot in bytes
+ * @param maxPendingReads the maximum number of reads waiting for confirmation by a quorum
  */
 public record LogSettings(Duration heartbeatInterval, Duration electionTimeout, int clockDriftPercent,
 		int maxAppendEntries, int maxAppendBytes, int maxInFlightEntries, int maxCommandBytes, int maxLogEntries,
@@ -50,8 +53,8 @@
 	}
 
 	/**
-	 * Returns how long a leader may act after the sending time of a heartbeat that a
-	 * quorum answered.
+	 * Returns the duration of the leader lease, counted from the sending time of the
+	 * newest message that a quorum replied to.
 	 * @return the election timeout less the allowed clock drift
 	 */
 	public Duration leaseDuration() {
@@ -59,16 +62,18 @@
 	}
 
 	/**
-	 * Returns how long a candidate that has restarted waits for answers to its question.
-	 * @return two heartbeat intervals, as the first messages of a process are slow
+	 * Returns how long pre-vote replies count towards an election without the election
+	 * timeout, which requires that all voters are fresh.
+	 * @return two heartbeat intervals, because the first messages of a process are slow
 	 */
 	Duration voteRound() {
 		return this.heartbeatInterval.multipliedBy(2);
 	}
 
 	/**
-	 * Returns how long a voter must have been up to tell that it has promised nothing.
-	 * @return the time of a round and a quarter more, as clocks differ in speed
+	 * Returns how long a voter must have been running before it reports being fresh.
+	 * @return the duration of a pre-vote round plus a quarter, because clocks differ in
+	 * speed
 	 */
 	Duration shortestLife() {
 		return voteRound().multipliedBy(5).dividedBy(4);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/Member.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/Member.java
@@ -4,11 +4,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A control instance that holds the replicated log.
+ * A control instance that replicates the log.
  *
  * @param instance the instance
  * @param storageId identifies the instance's data folder; a folder that was emptied gets
- * another one and does not count as this member
+ * a new identifier and does not count as this member
  * @param voter whether the instance counts towards a quorum
  */
 public record Member(InstanceId instance, long storageId, boolean voter) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/Membership.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/Membership.java
@@ -17,7 +17,7 @@
 	/** No members. */
 	public static final Membership EMPTY = new Membership(List.of());
 
-	/** The greatest number of members. */
+	/** The maximum number of members. */
 	public static final int MAX_MEMBERS = 9;
 
 	public Membership {
@@ -25,13 +25,13 @@
 		Preconditions.check(members.size() <= MAX_MEMBERS, "members must be at most %d: %d", MAX_MEMBERS,
 				members.size());
 		long instances = members.stream().map(Member::instance).distinct().count();
-		Preconditions.check(instances == members.size(), "members must name each instance once: %s", members);
+		Preconditions.check(instances == members.size(), "members must contain each instance only once: %s", members);
 	}
 
 	/**
 	 * Finds a member.
 	 * @param instance the instance
-	 * @return the member, or empty if the instance is none
+	 * @return the member, or empty if the instance is not a member
 	 */
 	public Optional<Member> find(InstanceId instance) {
 		return this.members.stream().filter((member) -> member.instance().equals(instance)).findFirst();
@@ -54,7 +54,7 @@
 	}
 
 	/**
-	 * Tells whether an instance with its data folder is a voter.
+	 * Returns whether an instance with its data folder is a voter.
 	 * @param instance the instance
 	 * @param storageId the identifier of its data folder
 	 * @return {@code true} if it counts towards a quorum
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/MembershipChange.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/MembershipChange.java
@@ -3,12 +3,12 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * A change of one member.
+ * A change of the membership that concerns one instance.
  */
 public sealed interface MembershipChange permits AddLearner, PromoteLearner, RemoveMember {
 
 	/**
-	 * Returns the instance that the change is about.
+	 * Returns the instance that is added, promoted or removed.
 	 * @return the instance
 	 */
 	InstanceId instance();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/MembershipContent.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/MembershipContent.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The members from this entry on.
+ * The membership in force from this entry on.
  *
  * @param membership the members
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/MembershipPolicy.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/MembershipPolicy.java
@@ -11,7 +11,7 @@
 import org.comfreywall.common.result.Step;
 
 /**
- * Decides whether a member may be added, promoted or removed.
+ * Checks and applies changes of the membership, one at a time.
  */
 final class MembershipPolicy {
 
@@ -26,7 +26,7 @@
 
 	Optional<OperationError> refusal(MembershipChange change) {
 		if (this.state.log().membershipIndex() > this.state.commitIndex()) {
-			return error(ErrorCode.CONFLICT, "another change of a member is under way; try again when it is committed");
+			return error(ErrorCode.CONFLICT, "another membership change is not committed yet; try again when it is");
 		}
 		if (change instanceof AddLearner add) {
 			return refusal(add);
@@ -38,23 +38,24 @@
 	}
 
 	Membership apply(MembershipChange change) {
-		Membership present = this.state.log().membership();
+		Membership current = this.state.log().membership();
 		this.state.decide(DecisionKind.MEMBERSHIP, change.getClass().getSimpleName(),
-				Field.of("instance", change.instance()), Field.of("members", present.members().size()));
+				Field.of("instance", change.instance()), Field.of("members", current.members().size()));
 		if (change instanceof AddLearner add) {
-			return present.withLearner(add.instance(), add.storageId());
+			return current.withLearner(add.instance(), add.storageId());
 		}
-		return (change instanceof PromoteLearner) ? present.withVoter(change.instance())
-				: present.without(change.instance());
+		return (change instanceof PromoteLearner) ? current.withVoter(change.instance())
+				: current.without(change.instance());
 	}
 
 	private Optional<OperationError> refusal(AddLearner add) {
-		Membership present = this.state.log().membership();
-		if (present.find(add.instance()).isPresent()) {
-			return error(ErrorCode.CONFLICT, add.instance() + " is a member already; remove it first to replace it");
+		Membership current = this.state.log().membership();
+		if (current.find(add.instance()).isPresent()) {
+			return error(ErrorCode.CONFLICT, add.instance() + " is already a member; remove it first to replace it");
 		}
-		if (present.members().size() >= Membership.MAX_MEMBERS) {
-			return error(ErrorCode.LIMIT_EXCEEDED, "there are " + Membership.MAX_MEMBERS + " members already");
+		if (current.members().size() >= Membership.MAX_MEMBERS) {
+			return error(ErrorCode.LIMIT_EXCEEDED,
+					"the membership has reached its maximum of " + Membership.MAX_MEMBERS + " members");
 		}
 		return Optional.empty();
 	}
@@ -62,22 +63,22 @@
 	private Optional<OperationError> refusal(PromoteLearner promote) {
 		Optional<Member> member = this.state.log().membership().find(promote.instance());
 		if (member.isEmpty()) {
-			return error(ErrorCode.NOT_FOUND, promote.instance() + " is no member; add it as a learner first");
+			return error(ErrorCode.NOT_FOUND, promote.instance() + " is not a member; add it as a learner first");
 		}
-		FollowerProgress known = this.progress.get(promote.instance());
-		if (known == null || known.matchIndex() < this.state.commitIndex()) {
+		FollowerProgress follower = this.progress.get(promote.instance());
+		if (follower == null || follower.matchIndex() < this.state.commitIndex()) {
 			return error(ErrorCode.UNAVAILABLE, promote.instance()
-					+ " does not hold the whole committed log on synced disk yet; try again when it has caught up");
+					+ " has not synced the whole committed log to disk yet; try again when it has caught up");
 		}
 		return Optional.empty();
 	}
 
 	private Optional<OperationError> refusal(RemoveMember remove) {
-		Membership present = this.state.log().membership();
-		if (present.find(remove.instance()).isEmpty()) {
-			return error(ErrorCode.NOT_FOUND, remove.instance() + " is no member");
+		Membership current = this.state.log().membership();
+		if (current.find(remove.instance()).isEmpty()) {
+			return error(ErrorCode.NOT_FOUND, remove.instance() + " is not a member");
 		}
-		if (present.without(remove.instance()).voters().isEmpty()) {
+		if (current.without(remove.instance()).voters().isEmpty()) {
 			return error(ErrorCode.INVALID_INPUT, remove.instance() + " is the last voter; promote another one first");
 		}
 		return Optional.empty();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/MembershipProposed.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/MembershipProposed.java
@@ -3,9 +3,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A member is to be added, promoted or removed.
+ * A membership change is proposed.
  *
- * @param proposal identifies the proposal in the answer
+ * @param proposal identifies the proposal in {@link ProposalAccepted} or
+ * {@link ProposalRefused}
  * @param change the change
  */
 public record MembershipProposed(long proposal, MembershipChange change) implements LogEvent {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/PeerBody.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/PeerBody.java
@@ -1,7 +1,7 @@
 package org.comfreywall.control.log;
 
 /**
- * What a message between control instances says.
+ * The body of a message between control instances.
  */
 public sealed interface PeerBody
 		permits VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, TransferRequest {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/PeerMessage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/PeerMessage.java
@@ -11,7 +11,7 @@
  * @param fromStorageId the identifier of the sender's data folder
  * @param to the receiver
  * @param term the sender's term
- * @param body what the message says
+ * @param body the body
  */
 public record PeerMessage(InstanceId from, long fromStorageId, InstanceId to, Term term, PeerBody body) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/PromoteLearner.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/PromoteLearner.java
@@ -4,7 +4,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Makes a learner a voter; refused until it holds the whole committed log on synced disk.
+ * Makes a learner a voter; refused until the learner has synced the whole committed log
+ * to disk.
  *
  * @param instance the learner
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ProposalAccepted.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ProposalAccepted.java
@@ -3,11 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A proposal has its place in the log; it is committed if an entry with this very
- * position is applied.
+ * A proposal was appended to the leader's log. It is committed once an entry with the
+ * same index and term is applied.
  *
  * @param proposal the proposal
- * @param position its position
+ * @param position the position of its entry
  */
 public record ProposalAccepted(long proposal, LogPosition position) implements LogCommand {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ProposalRefused.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ProposalRefused.java
@@ -4,10 +4,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A proposal was not taken into the log.
+ * A proposal was not appended to the log.
  *
  * @param proposal the proposal
- * @param error why
+ * @param error the reason
  */
 public record ProposalRefused(long proposal, OperationError error) implements LogCommand {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ReadRefused.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ReadRefused.java
@@ -4,10 +4,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A read cannot be answered here.
+ * A read was refused by this instance.
  *
  * @param read the read
- * @param error why
+ * @param error the reason
  */
 public record ReadRefused(long read, OperationError error) implements LogCommand {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ReadRequested.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ReadRequested.java
@@ -1,9 +1,9 @@
 package org.comfreywall.control.log;
 
 /**
- * A linearizable read is to be made.
+ * A linearizable read is requested.
  *
- * @param read identifies the read in the answer
+ * @param read identifies the read in {@link ReadReady} or {@link ReadRefused}
  */
 public record ReadRequested(long read) implements LogEvent {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaCore.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaCore.java
@@ -13,11 +13,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One instance of the replicated log, without I/O, threads or a clock of its own.
+ * One replica of the replicated log as a deterministic state machine without I/O, threads
+ * or a clock.
  * <p>
- * The driver passes events to {@link #handle} and carries out the commands returned, in
- * order. Entries are written, synced and sent as a group at {@link BatchEnded}. Messages
- * that promise durability are held back until {@link BatchSynced}. Not thread-safe.
+ * The driver passes events to {@link #handle} and executes the returned commands in
+ * order. Entries are written, synced and sent as a batch at {@link BatchEnded}. Messages
+ * that depend on durable state, such as votes and acknowledgements, are held back until
+ * {@link BatchSynced}. Not thread-safe.
  */
 public final class ReplicaCore {
 
@@ -27,16 +29,16 @@
 
 	private final FollowerHandler follower;
 
-	private Optional<LeaderHandler> leading = Optional.empty();
+	private Optional<LeaderHandler> leaderHandler = Optional.empty();
 
 	/**
-	 * Creates an instance from what its data folder holds.
+	 * Creates a replica from the state recovered from its data folder.
 	 * @param identity the instance and its data folder
 	 * @param settings the settings, the same on all instances
-	 * @param durable what the data folder holds
-	 * @param random spreads the times at which instances stand for election
-	 * @param decisions receives elections and changes of members
-	 * @param invariants checks the core at run time
+	 * @param durable the recovered state
+	 * @param random randomizes the election timeouts
+	 * @param decisions receives a record of each role change and membership change
+	 * @param invariants checks invariants at run time
 	 * @param now the monotonic clock's reading in nanoseconds
 	 */
 	public ReplicaCore(ReplicaIdentity identity, LogSettings settings, DurableState durable, RandomGenerator random,
@@ -65,26 +67,26 @@
 	}
 
 	/**
-	 * Returns what the instance knows at the moment.
+	 * Returns the current status.
 	 * @param now the monotonic clock's reading in nanoseconds
 	 * @return the status
 	 */
 	public ReplicaStatus status(long now) {
 		boolean holdsLease = holdsLease(now);
-		long leaseUntil = holdsLease ? this.leading.orElseThrow().leaseUntil(now) : now;
+		long leaseUntil = holdsLease ? this.leaderHandler.orElseThrow().leaseUntil(now) : now;
 		return new ReplicaStatus(this.state.role(), this.state.term(), this.state.leader(), holdsLease, leaseUntil,
 				this.state.commitIndex(), this.state.log().lastIndex(), this.state.syncs().syncedIndex(),
 				this.state.log().size(), this.state.log().membership());
 	}
 
 	/**
-	 * Tells whether the instance leads and no other one can have been elected up to now.
-	 * Only then may it give orders.
+	 * Returns whether the instance holds the leader lease: it is the leader and no other
+	 * instance can have been elected. Only then may it issue orders.
 	 * @param now the monotonic clock's reading in nanoseconds
-	 * @return {@code true} while the lease runs
+	 * @return {@code true} while the lease is in force
 	 */
 	public boolean holdsLease(long now) {
-		return this.leading.filter((leader) -> leader.holdsLease(now)).isPresent();
+		return this.leaderHandler.filter((leader) -> leader.holdsLease(now)).isPresent();
 	}
 
 	private void dispatch(LogEvent event, long now) {
@@ -119,7 +121,7 @@
 			onSnapshotTaken(taken.index(), taken.state());
 		}
 		else if (event instanceof TransferRequested transfer) {
-			this.leading.ifPresent((leader) -> leader.onTransfer(transfer.target(), now));
+			this.leaderHandler.ifPresent((leader) -> leader.onTransfer(transfer.target(), now));
 		}
 		else if (event instanceof StorageFailed failed) {
 			onStorageFailed(failed.error());
@@ -127,8 +129,8 @@
 	}
 
 	private void onTime(long now) {
-		if (this.leading.isPresent()) {
-			this.leading.get().onTime(now);
+		if (this.leaderHandler.isPresent()) {
+			this.leaderHandler.get().onTime(now);
 		}
 		else {
 			this.elections.onTime(now);
@@ -164,8 +166,8 @@
 		else if (this.state.term().isBefore(message.term())) {
 			this.state.follow(message.term(), Optional.empty());
 		}
-		else if (message.term().equals(this.state.term()) && this.leading.isPresent()) {
-			onLeaderReply(this.leading.get(), message, body, now);
+		else if (message.term().equals(this.state.term()) && this.leaderHandler.isPresent()) {
+			onLeaderReply(this.leaderHandler.get(), message, body, now);
 		}
 	}
 
@@ -187,19 +189,19 @@
 	private void startLeading(long now) {
 		this.state.changeRole(Role.LEADER, Optional.of(this.state.self()));
 		this.state.heardLeader(now);
-		this.leading = Optional.of(new LeaderHandler(this.state, now));
+		this.leaderHandler = Optional.of(new LeaderHandler(this.state, now));
 	}
 
 	private void stopLeadingIfDeposed() {
-		if (this.leading.isPresent() && this.state.role() != Role.LEADER) {
-			this.leading.get().stop();
-			this.leading = Optional.empty();
+		if (this.leaderHandler.isPresent() && this.state.role() != Role.LEADER) {
+			this.leaderHandler.get().stop();
+			this.leaderHandler = Optional.empty();
 		}
 	}
 
 	private void onCommand(long proposal, Bytes command, long now) {
-		if (this.leading.isPresent()) {
-			this.leading.get().onCommand(proposal, command, now);
+		if (this.leaderHandler.isPresent()) {
+			this.leaderHandler.get().onCommand(proposal, command, now);
 		}
 		else {
 			this.state.emit(new ProposalRefused(proposal, this.state.notLeader()));
@@ -207,8 +209,8 @@
 	}
 
 	private void onMembership(long proposal, MembershipChange change, long now) {
-		if (this.leading.isPresent()) {
-			this.leading.get().onMembership(proposal, change, now);
+		if (this.leaderHandler.isPresent()) {
+			this.leaderHandler.get().onMembership(proposal, change, now);
 		}
 		else {
 			this.state.emit(new ProposalRefused(proposal, this.state.notLeader()));
@@ -216,8 +218,8 @@
 	}
 
 	private void onRead(long read, long now) {
-		if (this.leading.isPresent()) {
-			this.leading.get().onRead(read, now);
+		if (this.leaderHandler.isPresent()) {
+			this.leaderHandler.get().onRead(read, now);
 		}
 		else {
 			this.state.emit(new ReadRefused(read, this.state.notLeader()));
@@ -225,7 +227,7 @@
 	}
 
 	private void onBatchEnd(long now) {
-		this.leading.ifPresent((leader) -> leader.onBatchEnd(now));
+		this.leaderHandler.ifPresent((leader) -> leader.onBatchEnd(now));
 		SyncTracker syncs = this.state.syncs();
 		EntryLog log = this.state.log();
 		if (syncs.hasWork(log.lastIndex())) {
@@ -241,14 +243,14 @@
 		if (this.elections.onSynced()) {
 			startLeading(now);
 		}
-		this.leading.ifPresent((leader) -> leader.onSynced(now));
+		this.leaderHandler.ifPresent((leader) -> leader.onSynced(now));
 	}
 
 	private void onSnapshotTaken(long index, Bytes encoded) {
 		EntryLog log = this.state.log();
-		boolean known = this.state.holds(index <= this.state.commitIndex(), "snapshot-is-committed",
+		boolean committed = this.state.holds(index <= this.state.commitIndex(), "snapshot-is-committed",
 				Field.of("index", index), Field.of("commit-index", this.state.commitIndex()));
-		if (!known || log.entryAt(index).isEmpty()) {
+		if (!committed || log.entryAt(index).isEmpty()) {
 			return;
 		}
 		LogPosition position = log.entryAt(index).map(LogEntry::position).orElseThrow();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaState.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaState.java
@@ -19,7 +19,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What an instance knows, shared by the handlers of the replicated log.
+ * The state of one replica, shared by its handlers.
  */
 final class ReplicaState {
 
@@ -53,15 +53,15 @@
 
 	private long electionDeadline;
 
-	/** Tells this life of the instance from others; not 0. */
+	/** Identifies this run of the process; random and never 0. */
 	private final long life;
 
 	private final long startedAt;
 
-	/** Whether nothing was promised to a leader or candidate since the start. */
-	private boolean restarted = true;
+	/** Whether this voter has neither voted nor followed a leader since it started. */
+	private boolean noVoteOrLeaderYet = true;
 
-	private long restartedAskAt;
+	private long earlyPreVoteAt;
 
 	ReplicaState(ReplicaIdentity identity, LogSettings settings, DurableState durable, RandomGenerator random,
 			DecisionListener decisions, Invariants invariants, long now) {
@@ -75,7 +75,8 @@
 		this.hardState = durable.hardState();
 		this.snapshot = durable.snapshot();
 		this.commitIndex = this.snapshot.map((found) -> found.position().index()).orElse(0L);
-		// A vote promised before a restart binds until the election timeout has passed.
+		// A leader's lease may depend on a reply sent before a restart until the election
+		// timeout has passed.
 		this.lastLeaderContact = now;
 		this.startedAt = now;
 		this.life = (now ^ random.nextLong()) | 1;
@@ -153,7 +154,7 @@
 		emit(new SendMessage(message(to, term, body)));
 	}
 
-	// Sends a message once everything known so far is on synced disk.
+	// Sends a message once the present term, vote and entries are synced to disk.
 	void sendSynced(InstanceId to, PeerBody body) {
 		this.syncs.hold(message(to, term(), body));
 	}
@@ -167,7 +168,7 @@
 	}
 
 	OperationError notLeader() {
-		String message = this.leader.map((found) -> "this instance does not lead; ask " + found)
+		String message = this.leader.map((found) -> "this instance is not the leader; send the request to " + found)
 			.orElse("no leader is known at the moment; try again later");
 		return new OperationError(ErrorCode.UNAVAILABLE, Step.REPLICATE, this.leader, message);
 	}
@@ -189,7 +190,7 @@
 			return;
 		}
 		HardState next = new HardState(term, votedFor);
-		this.restarted &= votedFor.isEmpty();
+		this.noVoteOrLeaderYet &= votedFor.isEmpty();
 		if (!next.equals(this.hardState)) {
 			this.hardState = next;
 			this.syncs.hardStateChanged();
@@ -205,12 +206,13 @@
 	}
 
 	void heardLeader(long now) {
-		this.restarted = false;
+		this.noVoteOrLeaderYet = false;
 		this.lastLeaderContact = now;
 		resetElectionDeadline(now);
 	}
 
-	// Tells whether a leader was heard so recently that its lease may still run.
+	// Returns whether the last message from a leader is so recent that its lease may
+	// still be in force.
 	boolean leaderMayHoldLease(long now) {
 		return now - this.lastLeaderContact < this.settings.electionTimeout().toNanos();
 	}
@@ -219,33 +221,37 @@
 		return this.life;
 	}
 
-	// Tells whether no lease rests on this voter: it has promised nothing since it
-	// started, which is longer ago than a round of questions takes, and whoever it voted
-	// for before can be asked the same.
+	// Returns whether this voter is fresh, so that no leader's lease depends on it: it
+	// has neither voted nor followed a leader since its start, it has been running for
+	// longer than a pre-vote round takes, and the candidate of its stored vote, if there
+	// is one, is a voter, so that it must be fresh as well.
 	boolean isRestarted(long now) {
 		Membership membership = this.log.membership();
-		boolean known = this.hardState.votedFor()
+		boolean votedForVoter = this.hardState.votedFor()
 			.filter((voted) -> membership.voters().stream().map(Member::instance).noneMatch(voted::equals))
 			.isEmpty();
 		boolean longEnough = now - this.startedAt >= this.settings.shortestLife().toNanos();
-		return this.restarted && longEnough && known;
+		return this.noVoteOrLeaderYet && longEnough && votedForVoter;
 	}
 
-	// Tells whether all voters are known, so whether their last change is committed.
+	// Returns whether the last membership change is committed, so that no other voters
+	// exist.
 	boolean knowsAllVoters() {
 		return this.log.membershipIndex() <= Math.max(this.commitIndex, FoundingBatch.INDEX);
 	}
 
-	// Tells whether to ask the other voters if they have restarted as well.
+	// Returns whether to start a pre-vote round before the election timeout, to find out
+	// whether all voters are fresh.
 	boolean restartedAskDue(long now) {
-		boolean useful = knowsAllVoters() && isRestarted(now) && leaderMayHoldLease(now);
-		return useful && now - this.restartedAskAt >= 0;
+		boolean possible = knowsAllVoters() && isRestarted(now) && leaderMayHoldLease(now);
+		return possible && now - this.earlyPreVoteAt >= 0;
 	}
 
-	// Waits for long enough that voters which started together do not all ask.
+	// Schedules the next early pre-vote round with a random delay, so that voters which
+	// started together do not all start one.
 	void waitToAsk(long now) {
 		long interval = this.settings.shortestLife().toNanos();
-		this.restartedAskAt = now + interval + this.random.nextLong(interval);
+		this.earlyPreVoteAt = now + interval + this.random.nextLong(interval);
 	}
 
 	boolean electionDue(long now) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaStatus.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaStatus.java
@@ -7,17 +7,18 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What an instance of the replicated log knows at one moment.
+ * The status of a replica at one time.
  *
  * @param role the role
  * @param term the newest term seen
  * @param leader the leader of that term, if known
- * @param holdsLease whether the instance leads and no other one can have been elected
+ * @param holdsLease whether the instance is the leader and no other instance can have
+ * been elected
  * @param leaseUntil the monotonic clock's reading, in nanoseconds, at which the lease
- * ends; without meaning unless the lease is held
+ * expires; undefined unless the lease is held
  * @param commitIndex the last index known to be committed
  * @param lastIndex the last index in the log
- * @param syncedIndex the last index on synced disk
+ * @param syncedIndex the last index synced to disk
  * @param logEntries the number of entries in memory
  * @param membership the members in force
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/Role.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/Role.java
@@ -7,13 +7,13 @@
 
 	/** Follows a leader or waits for one. */
 	FOLLOWER,
-	/** Asks whether others would vote for it. */
+	/** Asks in a pre-vote round whether others would vote for it. */
 	PRE_CANDIDATE,
-	/** Asks for votes. */
+	/** Requests votes for a new term. */
 	CANDIDATE,
-	/** Leads. */
+	/** Accepts proposals and replicates them. */
 	LEADER,
-	/** Takes no part any more because its storage failed. */
+	/** Has stopped participating because its storage failed. */
 	DISABLED
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/SaveSnapshot.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/SaveSnapshot.java
@@ -3,9 +3,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Save a snapshot on synced disk and report {@link BatchSynced}.
+ * Save a snapshot, sync it and report {@link BatchSynced}.
  *
- * @param sequence the number to report
+ * @param sequence the sequence number to report
  * @param compaction the snapshot and the part of the log that is kept
  * @param restore whether the state machine must be restored from it
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/SendMessage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/SendMessage.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Send a message to a peer; it may be lost.
+ * Send a message to a peer; delivery is not guaranteed.
  *
  * @param message the message
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/Snapshot.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/Snapshot.java
@@ -5,7 +5,7 @@
 import org.comfreywall.control.state.LogTime;
 
 /**
- * The state that the entries up to a position lead to.
+ * The state of the state machine after all entries up to a position.
  *
  * @param position the last entry included
  * @param time the log time of that entry
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/SnapshotChunk.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/SnapshotChunk.java
@@ -4,13 +4,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Carries a part of an encoded snapshot.
+ * One chunk of an encoded snapshot.
  *
  * @param position the snapshot's position
- * @param offset the offset of the part in bytes
- * @param data the part
- * @param last whether it is the last part
- * @param sentNanos the leader's own clock, in nanoseconds, when it sent the message
+ * @param offset the offset of the chunk in bytes
+ * @param data the content of the chunk
+ * @param last whether it is the last chunk
+ * @param sentNanos the leader's monotonic clock reading when it sent the message, in
+ * nanoseconds
  */
 public record SnapshotChunk(LogPosition position, long offset, Bytes data, boolean last,
 		long sentNanos) implements PeerBody {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/SnapshotImage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/SnapshotImage.java
@@ -7,41 +7,42 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * An encoded snapshot cut into parts.
+ * An encoded snapshot divided into chunks.
  */
 final class SnapshotImage {
 
 	private final LogPosition position;
 
-	private final List<Bytes> parts;
+	private final List<Bytes> chunks;
 
-	private final int partBytes;
+	private final int chunkBytes;
 
-	private SnapshotImage(LogPosition position, List<Bytes> parts, int partBytes) {
+	private SnapshotImage(LogPosition position, List<Bytes> chunks, int chunkBytes) {
 		this.position = position;
-		this.parts = parts;
-		this.partBytes = partBytes;
+		this.chunks = chunks;
+		this.chunkBytes = chunkBytes;
 	}
 
-	static SnapshotImage of(Snapshot snapshot, int partBytes) {
+	static SnapshotImage of(Snapshot snapshot, int chunkBytes) {
 		byte[] encoded = LogCodec.encodeSnapshot(snapshot).toArray();
-		List<Bytes> parts = new ArrayList<>();
-		for (int offset = 0; offset < encoded.length; offset += partBytes) {
-			int end = Math.min(encoded.length, offset + partBytes);
-			parts.add(Bytes.of(Arrays.copyOfRange(encoded, offset, end)));
+		List<Bytes> chunks = new ArrayList<>();
+		for (int offset = 0; offset < encoded.length; offset += chunkBytes) {
+			int end = Math.min(encoded.length, offset + chunkBytes);
+			chunks.add(Bytes.of(Arrays.copyOfRange(encoded, offset, end)));
 		}
-		return new SnapshotImage(snapshot.position(), List.copyOf(parts), partBytes);
+		return new SnapshotImage(snapshot.position(), List.copyOf(chunks), chunkBytes);
 	}
 
 	LogPosition position() {
 		return this.position;
 	}
 
+	// Returns the chunk at an offset, or the first one if the offset is past the end.
 	SnapshotChunk chunkAt(long offset, long now) {
-		int part = Math.toIntExact(offset / this.partBytes);
-		int index = (part < this.parts.size()) ? part : 0;
-		return new SnapshotChunk(this.position, (long) index * this.partBytes, this.parts.get(index),
-				index == this.parts.size() - 1, now);
+		int number = Math.toIntExact(offset / this.chunkBytes);
+		int index = (number < this.chunks.size()) ? number : 0;
+		return new SnapshotChunk(this.position, (long) index * this.chunkBytes, this.chunks.get(index),
+				index == this.chunks.size() - 1, now);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/SnapshotReceiver.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/SnapshotReceiver.java
@@ -6,7 +6,8 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * Joins the parts of a snapshot sent by the leader; holds one snapshot at a time.
+ * Reassembles the chunks of a snapshot sent by the leader; buffers one snapshot at a
+ * time.
  */
 final class SnapshotReceiver {
 
@@ -14,7 +15,7 @@
 
 	private LogPosition position = LogPosition.ORIGIN;
 
-	// Takes a part if it is the next one.
+	// Appends a chunk if it is the next one and returns the snapshot if it is complete.
 	Optional<Snapshot> onChunk(SnapshotChunk chunk) {
 		if (!chunk.position().equals(this.position)) {
 			clear();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/SnapshotTaken.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/SnapshotTaken.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The state machine has encoded its state.
+ * The state machine has encoded its state for a snapshot.
  *
  * @param index the last applied index included
  * @param state the encoded state
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/StorageFailed.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/StorageFailed.java
@@ -4,9 +4,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Durable storage has failed; the instance takes no further part.
+ * Durable storage has failed; the instance stops participating.
  *
- * @param error what failed
+ * @param error the error
  */
 public record StorageFailed(OperationError error) implements LogEvent {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/SyncTracker.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/SyncTracker.java
@@ -6,14 +6,14 @@
 import java.util.List;
 
 /**
- * Knows which entries and votes are on synced disk and holds back the messages that
- * depend on those that are not.
+ * Tracks which entries and votes are synced to disk and holds back messages that depend
+ * on unsynced ones.
  */
 final class SyncTracker {
 
 	private final Deque<PendingSync> pending = new ArrayDeque<>();
 
-	private List<PeerMessage> held = new ArrayList<>();
+	private List<PeerMessage> heldMessages = new ArrayList<>();
 
 	private long nextSequence = 1;
 
@@ -55,24 +55,27 @@
 	}
 
 	void hold(PeerMessage message) {
-		this.held.add(message);
+		this.heldMessages.add(message);
 	}
 
 	boolean hasWork(long lastIndex) {
-		return this.hardStateChanged || !this.held.isEmpty() || lastIndex > this.writtenIndex;
+		return this.hardStateChanged || !this.heldMessages.isEmpty() || lastIndex > this.writtenIndex;
 	}
 
-	// Hands everything up to the given index and the held messages over to a new write.
+	// Starts a write of everything up to the given index. The messages heldMessages so
+	// far are
+	// released once it is synced.
 	long startWrite(long lastIndex) {
-		PendingSync sync = new PendingSync(this.nextSequence++, lastIndex, this.hardStateChanged, this.held);
+		PendingSync sync = new PendingSync(this.nextSequence++, lastIndex, this.hardStateChanged, this.heldMessages);
 		this.pending.addLast(sync);
-		this.held = new ArrayList<>();
+		this.heldMessages = new ArrayList<>();
 		this.hardStateChanged = false;
 		this.writtenIndex = lastIndex;
 		return sync.sequence;
 	}
 
-	// Notes a finished write and returns the messages that depended on it.
+	// Marks the writes up to a sequence number as synced and returns the messages that
+	// depended on them.
 	List<PeerMessage> finishWrites(long sequence) {
 		List<PeerMessage> released = new ArrayList<>();
 		while (!this.pending.isEmpty() && this.pending.peekFirst().sequence <= sequence) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/TimePassed.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/TimePassed.java
@@ -1,7 +1,7 @@
 package org.comfreywall.control.log;
 
 /**
- * Time has passed; sent several times within a heartbeat interval.
+ * A timer tick; the driver sends several of them per heartbeat interval.
  */
 public record TimePassed() implements LogEvent {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/TransferRequest.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/TransferRequest.java
@@ -1,7 +1,8 @@
 package org.comfreywall.control.log;
 
 /**
- * Asks the receiver to stand for election at once; the sender has stopped leading.
+ * Requests that the receiver starts an election immediately; the sender has stepped down
+ * as leader.
  */
 public record TransferRequest() implements PeerBody {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/TransferRequested.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/TransferRequested.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The leader is to hand over to another voter.
+ * A transfer of leadership to another voter is requested.
  *
  * @param target the voter
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/VoteReply.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/VoteReply.java
@@ -1,13 +1,14 @@
 package org.comfreywall.control.log;
 
 /**
- * Answers a request for a vote.
+ * The reply to a {@link VoteRequest}.
  *
- * @param preVote whether only the readiness to vote was asked for
- * @param granted whether the vote is given
- * @param sentNanos the candidate's monotonic clock when it asked
- * @param life the voter's life if it has promised nothing in it and would vote, were it
- * not for what it may have promised before; else 0
+ * @param preVote whether it replies to a pre-vote request
+ * @param granted whether the vote is granted
+ * @param sentNanos the candidate's clock reading copied from the request, in nanoseconds
+ * @param life in a pre-vote reply, the voter's incarnation if it has neither voted nor
+ * followed a leader since its start and would vote for the candidate, apart from a lease
+ * that may depend on replies sent before its restart; otherwise 0
  */
 public record VoteReply(boolean preVote, boolean granted, long sentNanos, long life) implements PeerBody {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/VoteRequest.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/VoteRequest.java
@@ -3,14 +3,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Asks for a vote. The message carries the term that the candidate stands for.
+ * Requests a vote. The term of the message is the one in which the candidate would lead.
  *
- * @param preVote whether only the readiness to vote is asked for
- * @param leaderTransfer whether the leader itself asked the candidate to stand
+ * @param preVote whether it is a pre-vote request, which changes neither the term nor a
+ * vote
+ * @param leaderTransfer whether the leader transfers its leadership to the candidate, so
+ * that the voter need not wait for its lease
  * @param last the last position of the candidate's log
- * @param sentNanos the candidate's monotonic clock when it asked; carried back
- * @param life once all voters told that they have promised nothing since they started,
- * the life in which this voter did; else 0
+ * @param sentNanos the candidate's monotonic clock reading at the start of the pre-vote
+ * round, in nanoseconds; copied into the reply
+ * @param life if all voters have reported an incarnation in which they neither voted nor
+ * followed a leader, the incarnation that the receiver reported; otherwise 0
  */
 public record VoteRequest(boolean preVote, boolean leaderTransfer, LogPosition last, long sentNanos,
 		long life) implements PeerBody {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/package-info.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The replicated log as a pure decision core.
+ * The replicated log as a deterministic core without I/O.
  */
 package org.comfreywall.control.log;
--- a/comfreywall-control/src/test/java/org/comfreywall/control/log/ElectionTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/log/ElectionTests.java
@@ -27,14 +27,14 @@
 	}
 
 	@Test
-	void giveOneLeaderThatAllFollow() {
+	void electOneLeaderThatAllInstancesFollow() {
 		InstanceId leader = this.cluster.elect();
 		this.cluster.cores.keySet()
 			.forEach((instance) -> assertThat(this.cluster.status(instance).leader()).contains(leader));
 	}
 
 	@Test
-	void replaceADeadLeader() {
+	void replaceACrashedLeader() {
 		InstanceId first = this.cluster.elect();
 		this.cluster.crash(first);
 		InstanceId second = this.cluster.elect();
@@ -78,7 +78,7 @@
 	}
 
 	@Test
-	void areOverSoonAfterAllVotersHaveRestarted() {
+	void completeBeforeTheElectionTimeoutWhenAllVotersHaveRestarted() {
 		this.cluster.elect();
 		Set<InstanceId> all = Set.copyOf(this.cluster.cores.keySet());
 		all.forEach(this.cluster::crash);
@@ -101,7 +101,7 @@
 	}
 
 	@Test
-	void waitWhereAVoterComesBackWithoutItsData() {
+	void waitForTheElectionTimeoutWhenAVoterHasLostItsData() {
 		InstanceId leader = this.cluster.elect();
 		this.cluster.crash(leader);
 		restartAllBut(leader);
@@ -110,15 +110,15 @@
 		assertThat(this.cluster.leader()).isEmpty();
 	}
 
-	private void restartAllBut(InstanceId spared) {
+	private void restartAllBut(InstanceId excluded) {
 		Set<InstanceId> others = new HashSet<>(this.cluster.cores.keySet());
-		others.remove(spared);
+		others.remove(excluded);
 		others.forEach(this.cluster::crash);
 		others.forEach(this.cluster::restart);
 	}
 
 	@Test
-	void handLeadershipOver() {
+	void transferLeadership() {
 		InstanceId leader = this.cluster.elect();
 		InstanceId target = this.cluster.otherThan(leader);
 		this.cluster.event(leader, new TransferRequested(target));
--- a/comfreywall-control/src/test/java/org/comfreywall/control/log/LogCluster.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/log/LogCluster.java
@@ -20,7 +20,8 @@
 import org.comfreywall.control.storage.MemoryStorage;
 
 /**
- * A few cores joined by queues, with every sync done at once.
+ * A simulated cluster of cores that exchange messages through a queue and sync writes
+ * immediately.
  */
 final class LogCluster {
 
@@ -77,8 +78,8 @@
 
 	void event(InstanceId instance, LogEvent event) {
 		ReplicaCore core = this.cores.get(instance);
-		carryOut(instance, core.handle(event, this.now));
-		carryOut(instance, core.handle(new BatchEnded(), this.now));
+		execute(instance, core.handle(event, this.now));
+		execute(instance, core.handle(new BatchEnded(), this.now));
 	}
 
 	void run(Duration duration) {
@@ -93,8 +94,8 @@
 	void deliver() {
 		while (!this.network.isEmpty()) {
 			PeerMessage message = this.network.removeFirst();
-			boolean cut = this.isolated.contains(message.from()) || this.isolated.contains(message.to());
-			if (!cut && this.cores.containsKey(message.to())) {
+			boolean dropped = this.isolated.contains(message.from()) || this.isolated.contains(message.to());
+			if (!dropped && this.cores.containsKey(message.to())) {
 				event(message.to(), new MessageReceived(message));
 			}
 		}
@@ -133,7 +134,7 @@
 			.toList();
 	}
 
-	private void carryOut(InstanceId instance, List<LogCommand> commands) {
+	private void execute(InstanceId instance, List<LogCommand> commands) {
 		for (LogCommand command : commands) {
 			if (command instanceof SendMessage send) {
 				this.network.addLast(send.message());
@@ -143,7 +144,7 @@
 			}
 			else if (command instanceof SaveSnapshot save) {
 				this.storages.get(instance).save(save.compaction());
-				carryOut(instance, this.cores.get(instance).handle(new BatchSynced(save.sequence()), this.now));
+				execute(instance, this.cores.get(instance).handle(new BatchSynced(save.sequence()), this.now));
 			}
 			else if (command instanceof ApplyEntries apply) {
 				this.applied.get(instance).addAll(apply.entries());
@@ -160,7 +161,7 @@
 			.sync()
 			.<LogEvent>map(StorageFailed::new)
 			.orElseGet(() -> new BatchSynced(sync.sequence()));
-		carryOut(instance, this.cores.get(instance).handle(result, this.now));
+		execute(instance, this.cores.get(instance).handle(result, this.now));
 	}
 
 }
--- a/comfreywall-control/src/test/java/org/comfreywall/control/log/ReplicaCoreTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/log/ReplicaCoreTests.java
@@ -104,7 +104,7 @@
 		}
 
 		@Test
-		void areRefusedByAFollowerNamingTheLeader() {
+		void areRefusedByAFollowerWithTheLeaderAsPeer() {
 			InstanceId leader = this.cluster.elect();
 			InstanceId follower = this.cluster.otherThan(leader);
 			this.cluster.propose(follower, "a");
@@ -112,7 +112,7 @@
 		}
 
 		@Test
-		void thatAnIsolatedLeaderTookAreReplaced() {
+		void acceptedByAnIsolatedLeaderAreReplaced() {
 			InstanceId old = this.cluster.elect();
 			this.cluster.isolated.add(old);
 			this.cluster.propose(old, "lost");
@@ -184,7 +184,7 @@
 		private final LogCluster cluster = ReplicaCoreTests.this.cluster;
 
 		@Test
-		void areSentInPartsToAnInstanceThatMissedTheLog() {
+		void areSentInChunksToAnInstanceThatMissedEntries() {
 			InstanceId leader = this.cluster.elect();
 			InstanceId missing = this.cluster.otherThan(leader);
 			this.cluster.isolated.add(missing);
@@ -203,7 +203,7 @@
 		}
 
 		@Test
-		void bringARestartedInstanceBack() {
+		void restoreARestartedInstance() {
 			InstanceId leader = this.cluster.elect();
 			this.cluster.propose(leader, "a");
 			long index = this.cluster.status(leader).commitIndex();
@@ -247,7 +247,7 @@
 		}
 
 		@Test
-		void withAnotherDataFolderDoNotCount() {
+		void withAnotherDataFolderAreNotPromoted() {
 			InstanceId leader = this.cluster.elect();
 			change(leader, new AddLearner(this.added, 44));
 			this.cluster.add(this.added, MemoryStorage.empty(45));
@@ -272,7 +272,7 @@
 		}
 
 		@Test
-		void keepTheLastVoter() {
+		void doNotLoseTheLastVoter() {
 			LogCluster single = LogCluster.of(1);
 			InstanceId leader = single.elect();
 			single.event(leader, new MembershipProposed(1, new RemoveMember(leader)));
@@ -287,7 +287,7 @@
 		private final LogCluster cluster = ReplicaCoreTests.this.cluster;
 
 		@Test
-		void endsTheInstancesPart() {
+		void disablesTheInstance() {
 			InstanceId leader = this.cluster.elect();
 			this.cluster.storages.get(leader).failNextSync();
 			this.cluster.propose(leader, "a");
