Reword the lease ledger

Comments told what a ledger "gives out", "leaves" or "takes in", and when a client account is "gone"; times had no clock. They speak of grants that expire, reserved and unexpired amounts, proportional shares and incarnations now, and name the clock and the unit.

Private names, locals and names of tests follow (nothing is noRates, heard is activeHolders, ask of the tests is request). The tests check what they did.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
@@ -17,11 +17,12 @@
 import org.comfreywall.common.lease.LimitPart;
 
 /**
- * The leases of one client account's limits.
+ * Grants shares of one client account's limits to its holders and tracks what they may
+ * still use.
  */
 final class AccountLedger {
 
-	/** Holders of one client account that are tracked at a time. */
+	/** The maximum number of holders tracked for one client account. */
 	static final int MAX_HOLDERS = 4096;
 
 	private static final int MANY_HOLDERS = 100;
@@ -78,9 +79,9 @@
 			inheritSlots(holder, demand, now);
 			this.holders.put(key, holder);
 		}
-		long before = holder.slots().committed(now);
+		long committedBefore = holder.slots().committed(now);
 		holder.hear(demand, now, now + this.context.longestRequestNanos());
-		this.committedSlots += holder.slots().committed(now) - before;
+		this.committedSlots += holder.slots().committed(now) - committedBefore;
 		refund(holderTerm, demand, now);
 		divideIfDue(now);
 		return grant(holder, sequence, now);
@@ -109,23 +110,24 @@
 	}
 
 	/**
-	 * Tells whether the client account is gone and nothing granted for it is left.
-	 * @param now the grantor's clock in nanoseconds
-	 * @return {@code true} if this ledger may be forgotten
+	 * Returns whether the client account has no limits and all its grants have expired.
+	 * @param now the grantor's monotonic clock in nanoseconds
+	 * @return {@code true} if this ledger may be removed
 	 */
 	boolean isUnused(long now) {
-		boolean gone = this.slots == 0 && this.requests.capacity() == 0 && this.tokens.capacity() == 0;
-		return gone && committedSlots(now) == 0 && liveRequests(now) == 0 && liveTokens(now) == 0;
+		boolean noLimits = this.slots == 0 && this.requests.capacity() == 0 && this.tokens.capacity() == 0;
+		return noLimits && committedSlots(now) == 0 && liveRequests(now) == 0 && liveTokens(now) == 0;
 	}
 
 	int holders() {
 		return this.holders.size();
 	}
 
+	// Counts the slots that a new holder still has from a grantor of an earlier term.
 	private void inheritSlots(Holder holder, AccountDemand demand, long now) {
 		boolean granted = demand.heldSlots() > 0 && demand.heldTerm().isBefore(this.context.term());
 		if (granted) {
-			SlotGrant inherited = new SlotGrant(demand.heldSequence(), demand.heldSlots(), slotsUntil(now));
+			SlotGrant inherited = new SlotGrant(demand.heldSequence(), demand.heldSlots(), slotsExpireAt(now));
 			holder.inherit(inherited);
 			this.committedSlots += holder.slots().committed(now);
 		}
@@ -145,14 +147,18 @@
 		}
 		this.dividedAt = now;
 		this.committedSlots = 0;
-		long active = now - 2 * this.context.terms().askInterval().toNanos();
-		this.holders.values().removeIf((holder) -> !holder.heardSince(active) && holder.slots().committed(now) == 0);
+		long activeSince = now - 2 * this.context.terms().askInterval().toNanos();
+		this.holders.values()
+			.removeIf((holder) -> !holder.heardSince(activeSince) && holder.slots().committed(now) == 0);
 		this.holders.values().forEach((holder) -> this.committedSlots += holder.slots().committed(now));
-		List<Holder> heard = this.holders.values().stream().filter((holder) -> holder.heardSince(active)).toList();
-		this.division.divide(heard, divisible(now), now);
+		List<Holder> activeHolders = this.holders.values()
+			.stream()
+			.filter((holder) -> holder.heardSince(activeSince))
+			.toList();
+		this.division.divide(activeHolders, divisionInput(now), now);
 	}
 
-	private DivisionInput divisible(long now) {
+	private DivisionInput divisionInput(long now) {
 		long interval = this.context.terms().askInterval().toNanos();
 		double requestsNow = this.requests.available(now);
 		double tokensNow = this.tokens.available(now);
@@ -160,18 +166,20 @@
 				Math.max(tokensNow, this.tokens.perNano() * interval), requestsNow, tokensNow, this.slots);
 	}
 
+	// Grants rates only if they admit a request and the holder, if it demands slots, gets
+	// at least one.
 	private AccountGrant grant(Holder holder, long sequence, long now) {
 		AccountDemand demand = holder.demand();
 		long divided = this.division.dividedSlots(holder);
-		long granted = freeSlots(holder, now);
-		AccountGrant rates = (granted > 0 || demand.slots() == 0) ? rates(holder, now) : nothing();
+		long granted = grantableSlots(holder, now);
+		AccountGrant rates = (granted > 0 || demand.slots() == 0) ? rates(holder, now) : noRates();
 		boolean useful = granted >= Math.min(1, demand.slots()) && isUseful(rates, demand);
 		if (!useful) {
-			rates = nothing();
+			rates = noRates();
 			granted = holder.keepsTurn(now) ? granted : Math.min(granted, Math.max(divided, demand.usedSlots()));
 		}
-		if (!spend(rates.requests(), rates.tokens(), now)) {
-			rates = nothing();
+		if (!spendRates(rates.requests(), rates.tokens(), now)) {
+			rates = noRates();
 		}
 		holder.waiting(!useful && fitsCapacity(demand));
 		if (useful && holder.turn()) {
@@ -180,10 +188,12 @@
 		}
 		commitSlots(holder, sequence, granted, now);
 		AccountGrant grant = new AccountGrant(this.account, rates.requests(), rates.tokens(), granted);
-		record(holder, grant);
+		recordShortfall(holder, grant);
 		return grant;
 	}
 
+	// Returns the requests and tokens for a holder. In its turn it may use the reserved
+	// amounts and gets at least enough for its smallest request.
 	private AccountGrant rates(Holder holder, long now) {
 		AccountDemand demand = holder.demand();
 		double requestsLeft = this.requests.available(now);
@@ -198,10 +208,10 @@
 			requests = Math.max(requests, Math.min(1, demand.requests()));
 			tokens = Math.max(tokens, Math.min(demand.smallestTokens(), demand.tokens()));
 		}
-		return new AccountGrant(this.account, atMost(requests, requestsLeft), atMost(tokens, tokensLeft), 0);
+		return new AccountGrant(this.account, limitTo(requests, requestsLeft), limitTo(tokens, tokensLeft), 0);
 	}
 
-	private AccountGrant nothing() {
+	private AccountGrant noRates() {
 		return new AccountGrant(this.account, 0, 0, 0);
 	}
 
@@ -214,24 +224,26 @@
 		return this.requests.capacity() >= 1 && this.tokens.capacity() >= demand.smallestTokens();
 	}
 
-	private boolean spend(long requests, long tokens, long now) {
-		boolean safe = fits(this.requests, requests, "granted-requests-within-limit")
-				&& fits(this.tokens, tokens, "granted-tokens-within-limit");
-		if (safe) {
+	private boolean spendRates(long requests, long tokens, long now) {
+		boolean withinLimits = isWithinLimit(this.requests, requests, "granted-requests-within-limit")
+				&& isWithinLimit(this.tokens, tokens, "granted-tokens-within-limit");
+		if (withinLimits) {
 			this.requests.grant(requests, now);
 			this.tokens.grant(tokens, now);
 		}
-		return safe;
+		return withinLimits;
 	}
 
-	private boolean fits(GrantedRate rate, long amount, String invariant) {
-		boolean within = amount <= rate.level() + ROUNDING
-				&& rate.level() + rate.live() <= Math.max(rate.capacity(), rate.live()) + ROUNDING;
+	private boolean isWithinLimit(GrantedRate bucket, long amount, String invariant) {
+		boolean within = amount <= bucket.level() + ROUNDING
+				&& bucket.level() + bucket.live() <= Math.max(bucket.capacity(), bucket.live()) + ROUNDING;
 		return this.context.invariants()
 			.holds(within, invariant, Field.of("client-account", this.account), Field.of("amount", amount));
 	}
 
-	private long freeSlots(Holder holder, long now) {
+	// Returns the slots that a holder may be granted. Until the grants of earlier terms
+	// have expired, slots that no holder has reported stay reserved.
+	private long grantableSlots(Holder holder, long now) {
 		long target = this.division.slots(holder, now);
 		long others = this.committedSlots - holder.slots().committed(now);
 		if (now < this.context.slotsFrom()) {
@@ -241,16 +253,16 @@
 	}
 
 	private void commitSlots(Holder holder, long sequence, long granted, long now) {
-		long before = holder.slots().committed(now);
-		holder.slots().add(new SlotGrant(sequence, granted, slotsUntil(now)));
-		this.committedSlots += holder.slots().committed(now) - before;
+		long committedBefore = holder.slots().committed(now);
+		holder.slots().add(new SlotGrant(sequence, granted, slotsExpireAt(now)));
+		this.committedSlots += holder.slots().committed(now) - committedBefore;
 	}
 
-	private long slotsUntil(long now) {
+	private long slotsExpireAt(long now) {
 		return now + this.context.terms().slotTerm().toNanos() + this.context.longestRequestNanos();
 	}
 
-	private void record(Holder holder, AccountGrant grant) {
+	private void recordShortfall(Holder holder, AccountGrant grant) {
 		AccountDemand demand = holder.demand();
 		if (grant.requests() >= demand.requests() && grant.tokens() >= demand.tokens()
 				&& grant.slots() >= demand.slots()) {
@@ -267,7 +279,7 @@
 				Field.of("slots", grant.slots()), Field.of("committed-slots", this.committedSlots)));
 	}
 
-	private static long atMost(long amount, double available) {
+	private static long limitTo(long amount, double available) {
 		return Math.max(0, Math.min(amount, (long) available));
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/DivisionInput.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/DivisionInput.java
@@ -1,13 +1,13 @@
 package org.comfreywall.control.lease;
 
 /**
- * What one grantor has to divide for one client account.
+ * The amounts of one client account's limits that a grantor can divide between holders.
  *
- * @param requests requests that can be granted within one ask interval
- * @param tokens tokens that can be granted within one ask interval
- * @param requestsNow requests that can be granted at once
- * @param tokensNow tokens that can be granted at once
- * @param slots in-flight slots in all
+ * @param requests requests that can be granted between two lease requests of a holder
+ * @param tokens tokens that can be granted between two lease requests of a holder
+ * @param requestsNow requests that can be granted immediately
+ * @param tokensNow tokens that can be granted immediately
+ * @param slots the total number of in-flight slots
  */
 record DivisionInput(double requests, double tokens, double requestsNow, double tokensNow, long slots) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/FairDivision.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/FairDivision.java
@@ -9,9 +9,10 @@
 /**
  * Divides one client account's limits between its holders in proportion to their demands.
  * <p>
- * Holders whose part is too small to admit a request are served in turn, least recently
- * served first. What a turn needs is kept until the holder asks again, so that neither
- * quicker holders nor smaller requests can starve it.
+ * Holders whose proportional share is too small to admit a request take turns, the least
+ * recently served first. The amounts that a turn needs stay reserved until the holder
+ * sends its next lease request, so that neither more frequent lease requests of others
+ * nor smaller amounts can starve it.
  */
 final class FairDivision {
 
@@ -31,9 +32,9 @@
 	private double reservedTokens;
 
 	/**
-	 * Divides anew.
-	 * @param holders the holders heard of lately
-	 * @param input what is to be divided
+	 * Recomputes the shares, the turns and the reserved amounts.
+	 * @param holders the holders that sent a lease request recently
+	 * @param input the amounts to divide
 	 * @param now the time in nanoseconds
 	 */
 	void divide(Collection<Holder> holders, DivisionInput input, long now) {
@@ -48,22 +49,22 @@
 		this.requestShare = share(input.requests(), requests);
 		this.tokenShare = share(input.tokens(), tokens);
 		this.slotShare = share(input.slots(), slots);
-		passTurns(holders, input, now);
+		assignTurns(holders, input, now);
 	}
 
 	long requests(Holder holder) {
-		return part(this.requestShare, holder.demand().requests());
+		return scale(this.requestShare, holder.demand().requests());
 	}
 
 	long tokens(Holder holder) {
-		return part(this.tokenShare, holder.demand().tokens());
+		return scale(this.tokenShare, holder.demand().tokens());
 	}
 
 	/**
-	 * Returns a holder's part of the in-flight slots.
+	 * Returns a holder's share of the in-flight slots.
 	 * @param holder the holder
 	 * @param now the time in nanoseconds
-	 * @return the slots, one more than its proportion if it is its turn
+	 * @return the slots, one more than its proportional share if it is its turn
 	 */
 	long slots(Holder holder, long now) {
 		long divided = dividedSlots(holder);
@@ -72,11 +73,11 @@
 	}
 
 	long dividedSlots(Holder holder) {
-		return part(this.slotShare, holder.demand().slots());
+		return scale(this.slotShare, holder.demand().slots());
 	}
 
 	/**
-	 * Returns the requests kept for holders whose turn it is.
+	 * Returns the requests reserved for holders whose turn it is.
 	 * @return the number of requests
 	 */
 	double reservedRequests() {
@@ -84,7 +85,7 @@
 	}
 
 	/**
-	 * Returns the tokens kept for holders whose turn it is.
+	 * Returns the tokens reserved for holders whose turn it is.
 	 * @return the number of tokens
 	 */
 	double reservedTokens() {
@@ -96,14 +97,14 @@
 		this.reservedTokens = Math.max(0, this.reservedTokens - holder.demand().smallestTokens());
 	}
 
-	private void passTurns(Collection<Holder> holders, DivisionInput input, long now) {
+	private void assignTurns(Collection<Holder> holders, DivisionInput input, long now) {
 		this.reservedRequests = 0;
 		this.reservedTokens = 0;
 		long slotsLeft = input.slots();
 		for (Holder holder : holders) {
 			holder.turn(false);
-			boolean keeps = holder.keepsTurn(now) && dividedSlots(holder) < holder.demand().slots();
-			slotsLeft -= keeps ? dividedSlots(holder) + 1 : dividedSlots(holder);
+			boolean keepsSlot = holder.keepsTurn(now) && dividedSlots(holder) < holder.demand().slots();
+			slotsLeft -= keepsSlot ? dividedSlots(holder) + 1 : dividedSlots(holder);
 		}
 		List<Holder> queue = holders.stream()
 			.filter((holder) -> needsTurn(holder) && !holder.keepsTurn(now))
@@ -111,10 +112,10 @@
 			.toList();
 		for (Holder holder : queue) {
 			AccountDemand demand = holder.demand();
-			boolean fits = this.reservedRequests + 1 <= input.requestsNow()
+			boolean available = this.reservedRequests + 1 <= input.requestsNow()
 					&& this.reservedTokens + demand.smallestTokens() <= input.tokensNow();
 			boolean first = this.reservedRequests == 0;
-			if (slotsLeft <= 0 || !(first || fits)) {
+			if (slotsLeft <= 0 || !(first || available)) {
 				return;
 			}
 			holder.turn(true);
@@ -131,12 +132,12 @@
 				|| tokens(holder) < Math.min(demand.smallestTokens(), demand.tokens());
 	}
 
-	private static long part(double share, long wanted) {
-		return (long) (share * wanted + ROUNDING);
+	private static long scale(double share, long demanded) {
+		return (long) (share * demanded + ROUNDING);
 	}
 
-	private static double share(double available, long wanted) {
-		return (wanted <= available) ? 1 : available / wanted;
+	private static double share(double available, long demanded) {
+		return (demanded <= available) ? 1 : available / demanded;
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/GrantedRate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/GrantedRate.java
@@ -1,17 +1,19 @@
 package org.comfreywall.control.lease;
 
 /**
- * A token bucket whose granted amounts go on occupying it until their term has passed.
+ * A token bucket in which granted amounts count against the capacity until their term has
+ * expired.
  * <p>
- * Level and unexpired grants together never exceed the capacity. What holders spend in
- * any window therefore stays within the capacity plus the rate times the window, however
- * late they spend it.
+ * The level and the unexpired grants together never exceed the capacity. The amount that
+ * holders spend in any window therefore stays within the capacity plus the rate times the
+ * window, however late in its term they spend a grant.
  */
 final class GrantedRate {
 
 	private static final int SLICES_PER_TERM = 8;
 
-	private static final int RING = 16;
+	/** Slices of the ring of expiring amounts; must exceed the slices of a term. */
+	private static final int RING_SLICES = 16;
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
@@ -19,9 +21,9 @@
 
 	private final long sliceNanos;
 
-	private final long[] expiring = new long[RING];
+	private final long[] expiring = new long[RING_SLICES];
 
-	private long live;
+	private long unexpired;
 
 	private long slice;
 
@@ -31,42 +33,42 @@
 
 	private double level;
 
-	private long refreshedAt;
+	private long advancedAt;
 
 	GrantedRate(long termNanos, long startAt) {
 		this.termNanos = termNanos;
 		this.sliceNanos = Math.max(1, termNanos / SLICES_PER_TERM);
-		this.refreshedAt = startAt;
+		this.advancedAt = startAt;
 		this.slice = Math.floorDiv(startAt, this.sliceNanos);
 	}
 
 	void configure(double perSecond, double capacity) {
 		this.perNano = perSecond / NANOS_PER_SECOND;
 		this.capacity = capacity;
-		cap();
+		limitLevel();
 	}
 
 	/**
-	 * Returns what may be granted now.
-	 * @param now the grantor's clock in nanoseconds
+	 * Returns the amount that may be granted now.
+	 * @param now the grantor's monotonic clock in nanoseconds
 	 * @return the amount
 	 */
 	double available(long now) {
-		refresh(now);
+		advanceTo(now);
 		return this.level;
 	}
 
 	void grant(long amount, long now) {
 		this.level -= amount;
-		this.live += amount;
+		this.unexpired += amount;
 		long expiry = Math.floorDiv(now + this.termNanos, this.sliceNanos) + 1;
 		this.expiring[index(expiry)] += amount;
 	}
 
 	void refund(long amount, long now) {
-		refresh(now);
+		advanceTo(now);
 		this.level += amount;
-		cap();
+		limitLevel();
 	}
 
 	double perNano() {
@@ -78,40 +80,41 @@
 	}
 
 	long live() {
-		return this.live;
+		return this.unexpired;
 	}
 
 	double level() {
 		return this.level;
 	}
 
-	private void refresh(long now) {
-		if (now <= this.refreshedAt) {
+	private void advanceTo(long now) {
+		if (now <= this.advancedAt) {
 			return;
 		}
 		long last = Math.floorDiv(now, this.sliceNanos);
-		for (int i = 0; i < RING && this.slice < last; i++) {
+		for (int i = 0; i < RING_SLICES && this.slice < last; i++) {
 			this.slice++;
-			fillUntil(Math.max(this.refreshedAt, this.slice * this.sliceNanos));
-			this.live -= this.expiring[index(this.slice)];
+			refillUntil(Math.max(this.advancedAt, this.slice * this.sliceNanos));
+			this.unexpired -= this.expiring[index(this.slice)];
 			this.expiring[index(this.slice)] = 0;
 		}
 		this.slice = Math.max(this.slice, last);
-		fillUntil(now);
+		refillUntil(now);
 	}
 
-	private void fillUntil(long time) {
-		this.level += this.perNano * (time - this.refreshedAt);
-		this.refreshedAt = time;
-		cap();
+	// Refills the bucket for the time passed.
+	private void refillUntil(long time) {
+		this.level += this.perNano * (time - this.advancedAt);
+		this.advancedAt = time;
+		limitLevel();
 	}
 
-	private void cap() {
-		this.level = Math.max(0, Math.min(this.level, this.capacity - this.live));
+	private void limitLevel() {
+		this.level = Math.max(0, Math.min(this.level, this.capacity - this.unexpired));
 	}
 
 	private static int index(long slice) {
-		return (int) Math.floorMod(slice, (long) RING);
+		return (int) Math.floorMod(slice, (long) RING_SLICES);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/HeldSlots.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/HeldSlots.java
@@ -6,8 +6,8 @@
 import org.comfreywall.common.lease.AccountDemand;
 
 /**
- * Tracks the most in-flight slots that one holder can be using, whichever of the grants
- * sent to it arrived.
+ * Tracks an upper bound on the in-flight slots that one holder can be using. Any of the
+ * grants sent to it may have been lost.
  */
 final class HeldSlots {
 
@@ -20,12 +20,13 @@
 	private long usedUntil = Long.MIN_VALUE;
 
 	/**
-	 * Takes in what the holder reports: it uses no grant before the one named, and of
-	 * that one no more slots than named.
+	 * Applies a holder's report: the holder no longer uses grants before the reported
+	 * one, and uses at most the reported number of slots of that one.
 	 * @param demand the holder's report
-	 * @param until when the requests in flight have ended, in nanoseconds
+	 * @param requestsEndAt when the requests in flight have ended, in nanoseconds on the
+	 * grantor's clock
 	 */
-	void report(AccountDemand demand, long until) {
+	void report(AccountDemand demand, long requestsEndAt) {
 		this.grants.removeIf((grant) -> grant.sequence() < demand.heldSequence());
 		if (!this.grants.isEmpty() && this.grants.get(0).sequence() == demand.heldSequence()) {
 			SlotGrant held = this.grants.get(0);
@@ -33,7 +34,7 @@
 			this.grants.set(0, new SlotGrant(held.sequence(), slots, held.until()));
 		}
 		this.used = demand.usedSlots();
-		this.usedUntil = until;
+		this.usedUntil = requestsEndAt;
 	}
 
 	void add(SlotGrant grant) {
@@ -45,13 +46,13 @@
 	}
 
 	long committed(long now) {
-		long most = (now < this.usedUntil) ? this.used : 0;
+		long maximum = (now < this.usedUntil) ? this.used : 0;
 		for (SlotGrant grant : this.grants) {
 			if (now < grant.until()) {
-				most = Math.max(most, grant.slots());
+				maximum = Math.max(maximum, grant.slots());
 			}
 		}
-		return most;
+		return maximum;
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/Holder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/Holder.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.lease.AccountDemand;
 
 /**
- * One holder of shares of one client account's limits.
+ * An entry instance that holds shares of one client account's limits.
  */
 final class Holder {
 
@@ -15,7 +15,7 @@
 
 	private AccountDemand demand;
 
-	private long heardAt = NEVER;
+	private long demandReceivedAt = NEVER;
 
 	private long servedAt = NEVER;
 
@@ -35,13 +35,13 @@
 
 	void hear(AccountDemand demand, long now, long usedUntil) {
 		this.demand = demand;
-		this.heardAt = now;
+		this.demandReceivedAt = now;
 		this.slots.report(demand, usedUntil);
 	}
 
 	/**
-	 * Counts slots granted by an earlier grantor.
-	 * @param grant the slots and when they are free
+	 * Adds slots that a grantor of an earlier term granted.
+	 * @param grant the slots and when they expire
 	 */
 	void inherit(SlotGrant grant) {
 		this.slots.add(grant);
@@ -60,18 +60,19 @@
 	}
 
 	/**
-	 * Tells whether the holder has yet to use the slot that its last turn gave it.
+	 * Returns whether the holder has not used the slot of its last turn yet, because the
+	 * grant has not arrived or the slot is still free.
 	 * @param now the time in nanoseconds
 	 * @return {@code true} if it should keep that slot
 	 */
 	boolean keepsTurn(long now) {
-		boolean arrived = this.demand.heldSequence() >= this.turnSequence;
-		boolean unused = this.demand.heldSlots() > this.demand.usedSlots();
-		return now < this.turnUntil && (!arrived || unused);
+		boolean grantArrived = this.demand.heldSequence() >= this.turnSequence;
+		boolean hasFreeSlot = this.demand.heldSlots() > this.demand.usedSlots();
+		return now < this.turnUntil && (!grantArrived || hasFreeSlot);
 	}
 
 	boolean heardSince(long time) {
-		return this.heardAt >= time;
+		return this.demandReceivedAt >= time;
 	}
 
 	HolderKey key() {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/HolderKey.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/HolderKey.java
@@ -4,10 +4,10 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Identifies one life of a holder's process.
+ * Identifies one incarnation of a holder's process.
  *
  * @param holder the entry instance
- * @param incarnation the life of its process
+ * @param incarnation the incarnation of its process
  */
 record HolderKey(InstanceId holder, Incarnation incarnation) implements Comparable<HolderKey> {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
@@ -19,19 +19,20 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Leases shares of the client accounts' limits to entry instances such that the live
+ * Leases shares of the client accounts' limits to entry instances so that the unexpired
  * leases never exceed a limit.
  * <p>
  * Requests and tokens are granted as amounts to be spent once within a term; in-flight
- * slots are granted as a share that each answer replaces. Nothing is stored: a ledger
- * that takes over starts with empty buckets once the earlier grants have ended, and
- * leaves each holder the slots it reports until the longest request has ended. Only one
- * ledger for a part of the limits may answer at a time; the caller creates it when it
- * holds the leadership of a new term and drops it when it loses that.
+ * slots are granted as a share that each new grant replaces. The ledger is not stored:
+ * after a takeover, a new ledger starts with empty token buckets once the earlier grants
+ * have expired, and lets each holder keep the slots that it reports until the longest
+ * request has ended. Only one ledger for a part of the limits may grant at a time; the
+ * caller creates it on becoming the leader of a new term and discards it on losing the
+ * leadership.
  * <p>
  * Tracks at most {@value #MAX_ACCOUNTS} client accounts with 4,096 holders each, and
  * remembers the sequence numbers of {@value #MAX_HOLDER_PROCESSES} holder processes. Not
- * safe for use by several threads.
+ * thread-safe.
  */
 public final class LeaseLedger {
 
@@ -39,7 +40,7 @@
 
 	private static final int MAX_HOLDER_PROCESSES = 65_536;
 
-	private static final LimitPart NOTHING = new LimitPart(0, 0, 0);
+	private static final LimitPart NO_LIMITS = new LimitPart(0, 0, 0);
 
 	private final LedgerContext context;
 
@@ -52,12 +53,12 @@
 	}
 
 	/**
-	 * Creates a ledger that begins a term and waits until the grants of earlier terms
-	 * have ended.
-	 * @param term the term of the leadership under which it grants, at least 1
+	 * Creates a ledger for a new term, which holds back what grants of earlier terms may
+	 * still use.
+	 * @param term the term of the leader that grants, at least 1
 	 * @param terms the durations agreed with all holders
 	 * @param now the grantor's monotonic clock in nanoseconds
-	 * @param listener receives a record of each grant that falls short of its demand
+	 * @param listener receives a record of each grant below the demand
 	 * @param invariants checks the invariants
 	 * @return the ledger, without any limits
 	 */
@@ -72,22 +73,22 @@
 	}
 
 	/**
-	 * Takes in one event.
+	 * Handles one event.
 	 * @param event the event
 	 * @param now the grantor's monotonic clock in nanoseconds
-	 * @return what is to be done
+	 * @return the commands to execute
 	 */
 	public List<LedgerCommand> handle(LedgerEvent event, long now) {
 		Preconditions.notNull(event, "event");
 		if (event instanceof LeaseRequested requested) {
-			return answer(requested.request(), now);
+			return onLeaseRequest(requested.request(), now);
 		}
-		change((LimitsChanged) event, now);
+		onLimitsChanged((LimitsChanged) event, now);
 		return List.of();
 	}
 
 	/**
-	 * Returns the in-flight slots that holders may be using.
+	 * Returns the in-flight slots that this ledger's holders may be using.
 	 * @param account the client account
 	 * @param now the grantor's monotonic clock in nanoseconds
 	 * @return the number of slots
@@ -98,7 +99,8 @@
 	}
 
 	/**
-	 * Returns the in-flight slots that may be in use, those of earlier grantors included.
+	 * Returns the in-flight slots that may be in use, including slots granted by earlier
+	 * grantors.
 	 * @param account the client account
 	 * @param now the grantor's monotonic clock in nanoseconds
 	 * @return the number of slots
@@ -109,7 +111,7 @@
 	}
 
 	/**
-	 * Returns the granted requests whose term has not ended.
+	 * Returns the granted requests that have not expired.
 	 * @param account the client account
 	 * @param now the grantor's monotonic clock in nanoseconds
 	 * @return the number of requests
@@ -120,7 +122,7 @@
 	}
 
 	/**
-	 * Returns the granted tokens whose term has not ended.
+	 * Returns the granted tokens that have not expired.
 	 * @param account the client account
 	 * @param now the grantor's monotonic clock in nanoseconds
 	 * @return the number of tokens
@@ -138,13 +140,13 @@
 		return this.accounts.values().stream().mapToInt(AccountLedger::holders).sum();
 	}
 
-	private void change(LimitsChanged event, long now) {
+	private void onLimitsChanged(LimitsChanged event, long now) {
 		AccountLedger ledger = this.accounts.get(event.account());
 		if (ledger == null && event.part().isPresent()) {
 			ledger = add(event, now);
 		}
 		if (ledger != null) {
-			ledger.configure(event.part().orElse(NOTHING));
+			ledger.configure(event.part().orElse(NO_LIMITS));
 		}
 	}
 
@@ -152,15 +154,17 @@
 		if (this.accounts.size() >= MAX_ACCOUNTS) {
 			this.accounts.values().removeIf((ledger) -> ledger.isUnused(now));
 		}
-		Preconditions.check(this.accounts.size() < MAX_ACCOUNTS, "more than %d client accounts", MAX_ACCOUNTS);
+		Preconditions.check(this.accounts.size() < MAX_ACCOUNTS, "more than the maximum of %d client accounts",
+				MAX_ACCOUNTS);
 		AccountLedger ledger = new AccountLedger(event.account(), this.context, event.earlierSlots());
 		this.accounts.put(event.account(), ledger);
 		return ledger;
 	}
 
-	private List<LedgerCommand> answer(LeaseRequest request, long now) {
+	// Ignores requests of a holder that has seen a newer term, and reordered ones.
+	private List<LedgerCommand> onLeaseRequest(LeaseRequest request, long now) {
 		HolderKey key = new HolderKey(request.holder(), request.incarnation());
-		if (this.context.term().isBefore(request.term()) || !advance(key, request.sequence())) {
+		if (this.context.term().isBefore(request.term()) || !advanceSequence(key, request.sequence())) {
 			return List.of();
 		}
 		List<AccountGrant> grants = new ArrayList<>(request.demands().size());
@@ -175,7 +179,8 @@
 		return List.of(new SendGrant(grant));
 	}
 
-	private boolean advance(HolderKey key, long sequence) {
+	// Records the sequence number and returns whether it is newer than the last one.
+	private boolean advanceSequence(HolderKey key, long sequence) {
 		Long last = this.sequences.remove(key);
 		boolean newer = last == null || last < sequence;
 		this.sequences.put(key, newer ? Long.valueOf(sequence) : last);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseRequested.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseRequested.java
@@ -4,9 +4,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A holder's ask arrived.
+ * A holder's lease request has arrived.
  *
- * @param request the ask
+ * @param request the request
  */
 public record LeaseRequested(LeaseRequest request) implements LedgerEvent {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LedgerCommand.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LedgerCommand.java
@@ -1,7 +1,7 @@
 package org.comfreywall.control.lease;
 
 /**
- * What a lease ledger wants done.
+ * An output of {@link LeaseLedger}, which the caller executes.
  */
 public sealed interface LedgerCommand permits SendGrant {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LedgerContext.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LedgerContext.java
@@ -6,16 +6,17 @@
 import org.comfreywall.common.lease.LeaseTerms;
 
 /**
- * What all client accounts of one ledger share.
+ * The settings and listeners shared by all client accounts of one ledger.
  *
  * @param term the grantor's term
  * @param terms the durations agreed with the holders
- * @param ratesFrom when rates may be granted, in nanoseconds: an earlier grantor's grants
- * have ended by then
- * @param slotsFrom when slots that no holder reported may be granted, in nanoseconds
- * @param longestRequestNanos how long to wait on the grantor's clock for the end of a
- * request
- * @param listener receives the decisions
+ * @param ratesFrom when rates may be granted, in nanoseconds on the grantor's clock: the
+ * grants of earlier terms have expired by then
+ * @param slotsFrom when slots that no holder reported may be granted, in nanoseconds on
+ * the grantor's clock
+ * @param longestRequestNanos the longest duration of a request, in nanoseconds on the
+ * grantor's clock
+ * @param listener receives a record of each grant below the demand
  * @param invariants checks the invariants
  */
 record LedgerContext(Term term, LeaseTerms terms, long ratesFrom, long slotsFrom, long longestRequestNanos,
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LedgerEvent.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LedgerEvent.java
@@ -1,7 +1,7 @@
 package org.comfreywall.control.lease;
 
 /**
- * What can happen to a lease ledger.
+ * An input of {@link LeaseLedger}.
  */
 public sealed interface LedgerEvent permits LimitsChanged, LeaseRequested {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LimitsChanged.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LimitsChanged.java
@@ -10,13 +10,13 @@
 /**
  * The limits of a client account were set, changed or removed.
  * <p>
- * A lowered limit holds once the leases given out under the old one have ended.
+ * A lowered limit takes effect once the leases granted under the old one have expired.
  *
  * @param account the client account
- * @param part the part of its limits this ledger may give out, or empty if the client
- * account is gone
- * @param earlierSlots the most in-flight slots that earlier grantors may have granted, or
- * empty if unknown; counts when the client account becomes known to the ledger
+ * @param part the part of its limits that this ledger may grant, or empty if the client
+ * account was removed
+ * @param earlierSlots the maximum number of in-flight slots that earlier grantors may
+ * have granted, or empty if unknown; used only when the ledger adds the client account
  */
 public record LimitsChanged(AccountId account, Optional<LimitPart> part,
 		OptionalLong earlierSlots) implements LedgerEvent {
@@ -28,7 +28,8 @@
 	}
 
 	/**
-	 * Creates the event for a client account that an earlier grantor may have known.
+	 * Creates the event without a bound on the slots that earlier grantors may have
+	 * granted.
 	 * @param account the client account
 	 * @param part the part of its limits to grant, or empty if it is removed
 	 */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/SendGrant.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/SendGrant.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Sends a grant to its holder; a lost one need not be sent again.
+ * Sends a grant to its holder; a lost grant is not retransmitted.
  *
  * @param grant the grant
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/SlotGrant.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/SlotGrant.java
@@ -3,7 +3,7 @@
 /**
  * In-flight slots that a holder may be using.
  *
- * @param sequence the sequence number of the ask that was answered
+ * @param sequence the sequence number of the lease request
  * @param slots the slots granted
  * @param until when the last request admitted under the grant has ended, in nanoseconds
  * on the grantor's clock
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/package-info.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The grantor's side of limits that are leased to entry instances.
+ * Grants leases on shares of the client accounts' limits to entry instances.
  */
 package org.comfreywall.control.lease;
--- a/comfreywall-control/src/test/java/org/comfreywall/control/lease/LeaseLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/lease/LeaseLedgerTests.java
@@ -48,7 +48,7 @@
 		return new AccountDemand(ACCOUNT, requests, tokens, 0, 0, slots, 0, Term.ZERO, 0, 0);
 	}
 
-	private AccountGrant ask(LeaseLedger to, String holder, AccountDemand demand, long now) {
+	private AccountGrant request(LeaseLedger to, String holder, AccountDemand demand, long now) {
 		this.sequence++;
 		return send(to,
 				new LeaseRequest(InstanceId.of(holder), Incarnation.of(1), this.sequence, Term.of(1), List.of(demand)),
@@ -68,19 +68,20 @@
 
 		@Test
 		void grantsNothingUntilEarlierGrantsHaveEnded() {
-			assertThat(ask(LeaseLedgerTests.this.ledger, "a", demand(1, 0, 0), SECOND).requests()).isZero();
+			assertThat(request(LeaseLedgerTests.this.ledger, "a", demand(1, 0, 0), SECOND).requests()).isZero();
 		}
 
 		@Test
 		void grantsNoMoreThanTheBurst() {
-			assertThat(ask(LeaseLedgerTests.this.ledger, "a", demand(100, 0, 0), 60 * SECOND).requests()).isEqualTo(20);
+			assertThat(request(LeaseLedgerTests.this.ledger, "a", demand(100, 0, 0), 60 * SECOND).requests())
+				.isEqualTo(20);
 		}
 
 		@Test
 		void countsUnexpiredGrantsAgainstTheBurst() {
-			ask(LeaseLedgerTests.this.ledger, "a", demand(20, 0, 0), 60 * SECOND);
+			request(LeaseLedgerTests.this.ledger, "a", demand(20, 0, 0), 60 * SECOND);
 			long later = 60 * SECOND + SECOND / 2;
-			assertThat(ask(LeaseLedgerTests.this.ledger, "a", demand(20, 0, 0), later).requests()).isZero();
+			assertThat(request(LeaseLedgerTests.this.ledger, "a", demand(20, 0, 0), later).requests()).isZero();
 			assertThat(LeaseLedgerTests.this.ledger.liveRequests(ACCOUNT, later)).isEqualTo(20);
 		}
 
@@ -90,39 +91,40 @@
 			long[] granted = new long[2];
 			for (int i = 0; i < 50; i++) {
 				now += 400_000_000;
-				granted[0] += ask(LeaseLedgerTests.this.ledger, "a", demand(30, 0, 0), now).requests();
-				granted[1] += ask(LeaseLedgerTests.this.ledger, "b", demand(10, 0, 0), now).requests();
+				granted[0] += request(LeaseLedgerTests.this.ledger, "a", demand(30, 0, 0), now).requests();
+				granted[1] += request(LeaseLedgerTests.this.ledger, "b", demand(10, 0, 0), now).requests();
 			}
 			assertThat(granted[0] + granted[1]).isGreaterThan(190);
 			assertThat(granted[1]).isBetween(40L, 70L);
 		}
 
 		@Test
-		void servesHoldersInTurnWhenThereIsLessThanOneForEach() {
+		void servesHoldersInTurnWhenSharesAreBelowOneRequest() {
 			long now = 60 * SECOND;
 			long[] granted = new long[40];
 			for (int i = 0; i < 100; i++) {
 				now += 400_000_000;
 				for (int j = 0; j < granted.length; j++) {
-					granted[j] += ask(LeaseLedgerTests.this.ledger, "holder-" + j, demand(1, 0, 0), now).requests();
+					granted[j] += request(LeaseLedgerTests.this.ledger, "holder-" + j, demand(1, 0, 0), now).requests();
 				}
 			}
 			assertThat(granted).doesNotContain(0L, 1L, 2L, 3L, 4L);
 		}
 
 		@Test
-		void takesBackRefundedTokensOnce() {
+		void countsRefundedTokensOnce() {
 			long now = 60 * SECOND;
-			ask(LeaseLedgerTests.this.ledger, "a", demand(0, 2000, 0), now);
+			request(LeaseLedgerTests.this.ledger, "a", demand(0, 2000, 0), now);
 			now += 2 * SECOND;
-			ask(LeaseLedgerTests.this.ledger, "a", demand(0, 2000, 0), now);
+			request(LeaseLedgerTests.this.ledger, "a", demand(0, 2000, 0), now);
 			now += SECOND + SECOND / 4;
 			AccountDemand refund = new AccountDemand(ACCOUNT, 0, 0, 0, 500, 0, 0, Term.ZERO, 0, 0);
 			LeaseRequest request = new LeaseRequest(InstanceId.of("b"), Incarnation.of(1), 1, Term.of(1),
 					List.of(refund));
 			send(LeaseLedgerTests.this.ledger, request, now);
 			assertThat(send(LeaseLedgerTests.this.ledger, request, now)).isEmpty();
-			assertThat(ask(LeaseLedgerTests.this.ledger, "a", demand(0, 5000, 0), now).tokens()).isBetween(500L, 1800L);
+			assertThat(request(LeaseLedgerTests.this.ledger, "a", demand(0, 5000, 0), now).tokens()).isBetween(500L,
+					1800L);
 		}
 
 	}
@@ -131,42 +133,43 @@
 	class Slots {
 
 		@Test
-		void leavesSharesOfSilentHolderOutUntilItsRequestsHaveEnded() {
+		void reservesSlotsOfUnreachableHolderUntilItsRequestsHaveEnded() {
 			long now = 60 * SECOND;
-			assertThat(ask(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 8), now).slots()).isEqualTo(8);
-			assertThat(ask(LeaseLedgerTests.this.ledger, "b", demand(0, 0, 8), now + 12 * SECOND).slots()).isZero();
-			assertThat(ask(LeaseLedgerTests.this.ledger, "b", demand(0, 0, 8), now + 14 * SECOND).slots()).isEqualTo(8);
+			assertThat(request(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 8), now).slots()).isEqualTo(8);
+			assertThat(request(LeaseLedgerTests.this.ledger, "b", demand(0, 0, 8), now + 12 * SECOND).slots()).isZero();
+			assertThat(request(LeaseLedgerTests.this.ledger, "b", demand(0, 0, 8), now + 14 * SECOND).slots())
+				.isEqualTo(8);
 		}
 
 		@Test
-		void freesSharesThatTheHolderGaveUp() {
+		void freesSlotsThatTheHolderReleased() {
 			long now = 60 * SECOND;
-			ask(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 8), now);
+			request(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 8), now);
 			AccountDemand released = new AccountDemand(ACCOUNT, 0, 0, 0, 0, 2, 2, Term.of(1), 1, 2);
-			ask(LeaseLedgerTests.this.ledger, "a", released, now + 1);
-			assertThat(ask(LeaseLedgerTests.this.ledger, "b", demand(0, 0, 8), now + 2).slots()).isEqualTo(6);
+			request(LeaseLedgerTests.this.ledger, "a", released, now + 1);
+			assertThat(request(LeaseLedgerTests.this.ledger, "b", demand(0, 0, 8), now + 2).slots()).isEqualTo(6);
 		}
 
 		@Test
-		void keepsSharesWhenTheLowerGrantMayBeLost() {
+		void countsTheHigherGrantWhileTheLowerOneMayBeLost() {
 			long now = 60 * SECOND;
-			ask(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 8), now);
-			ask(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 2), now + 1);
+			request(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 8), now);
+			request(LeaseLedgerTests.this.ledger, "a", demand(0, 0, 2), now + 1);
 			assertThat(LeaseLedgerTests.this.ledger.committedSlots(ACCOUNT, now + 2)).isEqualTo(8);
 		}
 
 		@Test
-		void leavesHoldersOfAnEarlierTermWhatTheyReport() {
+		void letsHoldersOfAnEarlierTermKeepTheSlotsTheyReport() {
 			LeaseLedger second = ledger(2, 100 * SECOND);
 			AccountDemand held = new AccountDemand(ACCOUNT, 0, 0, 0, 0, 8, 5, Term.of(1), 3, 4);
-			this.askSecond(second, held);
-			assertThat(ask(second, "b", demand(0, 0, 8), 102 * SECOND).slots()).isZero();
-			assertThat(ask(second, "b", demand(0, 0, 8), 113 * SECOND + SECOND / 2).slots()).isEqualTo(3);
+			this.requestFromSecond(second, held);
+			assertThat(request(second, "b", demand(0, 0, 8), 102 * SECOND).slots()).isZero();
+			assertThat(request(second, "b", demand(0, 0, 8), 113 * SECOND + SECOND / 2).slots()).isEqualTo(3);
 		}
 
-		private void askSecond(LeaseLedger second, AccountDemand held) {
+		private void requestFromSecond(LeaseLedger second, AccountDemand held) {
 			LeaseLedgerTests.this.sequence = 10;
-			assertThat(ask(second, "a", held, 101 * SECOND).slots()).isEqualTo(5);
+			assertThat(request(second, "a", held, 101 * SECOND).slots()).isEqualTo(5);
 		}
 
 	}
@@ -184,15 +187,15 @@
 		}
 
 		@Test
-		void keepsBackOnlyWhatEarlierGrantorsReserved() {
-			assertThat(ask(successor(2), "a", demand(0, 0, 8), 2 * SECOND).slots()).isEqualTo(6);
-			assertThat(ask(successor(8), "a", demand(0, 0, 8), 2 * SECOND).slots()).isZero();
+		void holdsBackOnlySlotsReservedByEarlierGrantors() {
+			assertThat(request(successor(2), "a", demand(0, 0, 8), 2 * SECOND).slots()).isEqualTo(6);
+			assertThat(request(successor(8), "a", demand(0, 0, 8), 2 * SECOND).slots()).isZero();
 		}
 
 		@Test
-		void countsWhatEarlierGrantorsReservedAsOutstandingUntilItHasEnded() {
+		void countsSlotsReservedByEarlierGrantorsUntilTheyExpire() {
 			LeaseLedger successor = successor(2);
-			ask(successor, "a", demand(0, 0, 3), 2 * SECOND);
+			request(successor, "a", demand(0, 0, 3), 2 * SECOND);
 			assertThat(successor.outstandingSlots(ACCOUNT, 2 * SECOND)).isEqualTo(5);
 			assertThat(successor.outstandingSlots(ACCOUNT, 14 * SECOND)).isEqualTo(3);
 		}
@@ -203,7 +206,7 @@
 	class Order {
 
 		@Test
-		void ignoresReorderedAsk() {
+		void ignoresReorderedRequest() {
 			LeaseRequest newer = new LeaseRequest(InstanceId.of("a"), Incarnation.of(1), 2, Term.of(1),
 					List.of(demand(1, 0, 0)));
 			LeaseRequest older = new LeaseRequest(InstanceId.of("a"), Incarnation.of(1), 1, Term.of(1),
@@ -213,7 +216,7 @@
 		}
 
 		@Test
-		void staysSilentWhenTheHolderKnowsANewerTerm() {
+		void ignoresRequestOfHolderThatHasSeenANewerTerm() {
 			LeaseRequest request = new LeaseRequest(InstanceId.of("a"), Incarnation.of(1), 1, Term.of(2),
 					List.of(demand(1, 0, 0)));
 			assertThat(send(LeaseLedgerTests.this.ledger, request, 60 * SECOND)).isEmpty();
--- a/comfreywall-control/src/test/java/org/comfreywall/control/lease/SlotReservationTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/lease/SlotReservationTests.java
@@ -10,18 +10,18 @@
 class SlotReservationTests {
 
 	@Test
-	void coversWhatIsOutstanding() {
+	void coversOutstandingSlots() {
 		assertThat(SlotReservation.next(0, 1)).isEqualTo(8);
 		assertThat(SlotReservation.next(8, 9)).isEqualTo(16);
 	}
 
 	@Test
-	void staysWhileItFits() {
+	void isKeptWhileItIsSuitable() {
 		assertThat(SlotReservation.next(32, 5)).isEqualTo(32);
 	}
 
 	@Test
-	void isLoweredOnceLittleIsOutstanding() {
+	void isLoweredWhenFewSlotsAreOutstanding() {
 		assertThat(SlotReservation.next(64, 5)).isEqualTo(8);
 	}
 
