Reword the durable storage of the log

Comments and texts told of folders that "found" a log at an operator's word, of what "was found" and of syncs "not tried again"; the layout of the headers stood nowhere. They speak of initial voters, recovery, torn tails, truncation and retries now. The words that DurableControl looks for in messages ("damage", "replace this instance") stay, and so does the log event torn-tail-cut.

Private names and names of tests follow (roll is startNewSegment, cut is truncateTornTail). One description in a test of DiskStorage is reworded; the tests check what they did.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/DataFolder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/DataFolder.java
@@ -59,7 +59,7 @@
 		}
 	}
 
-	// Reads the folder's format, or writes it into an empty folder.
+	// Reads the folder's format, or returns a new one for an empty folder.
 	FolderFormat format(InstanceId instance, long newStorageId) throws IOException {
 		if (Files.exists(this.path.resolve(SYNC_FAILED))) {
 			throw new StorageException("a sync failed in the data folder " + this.path
@@ -96,8 +96,8 @@
 		return this.path.resolve(name);
 	}
 
-	// Lists the files with a prefix, ordered by name; the lock and unfinished files are
-	// left out.
+	// Lists the files with a prefix, ordered by name, without the lock file and temporary
+	// files.
 	List<Path> files(String prefix) throws IOException {
 		try (Stream<Path> files = Files.list(this.path)) {
 			return files.filter((file) -> isNamed(file, prefix)).sorted().toList();
@@ -117,7 +117,7 @@
 		}
 	}
 
-	// Writes a whole file so that after a crash it is either complete or absent.
+	// Writes a file atomically: after a crash it is either complete or absent.
 	void writeFile(String name, byte[]... parts) throws IOException {
 		Path temporary = this.path.resolve(name + TEMPORARY);
 		try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
@@ -132,7 +132,7 @@
 	}
 
 	/**
-	 * Makes created, renamed and deleted names durable.
+	 * Syncs the directory, so that created, renamed and deleted files are durable.
 	 */
 	void syncNames() throws IOException {
 		try (FileChannel directory = FileChannel.open(this.path, StandardOpenOption.READ)) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/DiskStorage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/DiskStorage.java
@@ -20,7 +20,7 @@
 import org.comfreywall.control.log.LogCodec;
 
 /**
- * Keeps the replicated log in segment files with checksums in one data folder.
+ * Stores the replicated log in checksummed segment files in one data folder.
  */
 public final class DiskStorage implements LogStorage {
 
@@ -67,11 +67,11 @@
 	}
 
 	/**
-	 * Opens a data folder, creating it if need be.
+	 * Opens a data folder and creates it if it does not exist.
 	 * @param path the folder
-	 * @param origin whose folder it is and what an empty one starts with
+	 * @param origin the owner of the folder and the initial content of an empty one
 	 * @param segmentBytes the size in bytes beyond which a new segment is started
-	 * @return the storage, or an error that says what to do
+	 * @return the storage, or an error that says what the operator has to do
 	 */
 	public static Result<DiskStorage> open(Path path, FolderOrigin origin, long segmentBytes) {
 		return open(path, origin, segmentBytes, FileSync.FORCE);
@@ -119,7 +119,7 @@
 				syncSegment(this.segment);
 			}
 			if (this.segment.bytes() > this.segmentBytes) {
-				roll();
+				startNewSegment();
 			}
 			append(LogCodec.encodeBatch(batch).toArray());
 		});
@@ -165,15 +165,15 @@
 		this.segment.close();
 	}
 
-	// Writes one frame. A frame is only written after the one before it is synced, so
-	// that recovery can tell a torn tail from damage.
+	// Writes one frame. A frame is written only after the previous one is synced, so that
+	// recovery can distinguish a torn tail from damage.
 	private void append(byte[] body) throws IOException {
 		this.unsynced = true;
 		this.segment.append(this.nextSequence, body);
 		this.nextSequence++;
 	}
 
-	private void roll() throws IOException {
+	private void startNewSegment() throws IOException {
 		syncSegment(this.segment);
 		this.segment.close();
 		this.segment = newSegment(false);
@@ -207,23 +207,24 @@
 		}
 	}
 
-	private Optional<OperationError> attempt(String action, Action call) {
+	// Runs an operation unless an earlier one failed; no operation is retried.
+	private Optional<OperationError> attempt(String action, FileOperation operation) {
 		if (this.failure.isPresent()) {
 			return this.failure;
 		}
 		try {
-			call.run();
+			operation.run();
 		}
 		catch (IOException ex) {
 			this.failure = Optional.of(OperationError.local(ErrorCode.STORAGE, Step.STORE,
-					"the " + action + " failed and is not tried again: " + ex.getMessage()));
+					"the " + action + " failed and is not retried: " + ex.getMessage()));
 			LOG.error("storage-failed", Field.of("action", action), Field.of("error", ex.getMessage()));
 		}
 		return this.failure;
 	}
 
-	/** An action on files. */
-	private interface Action {
+	/** An operation on files. */
+	private interface FileOperation {
 
 		void run() throws IOException;
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/FileSync.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/FileSync.java
@@ -4,12 +4,14 @@
 import java.nio.channels.FileChannel;
 
 /**
- * Makes what was written to a file durable.
+ * Makes the data written to a file durable.
  */
 @FunctionalInterface
 interface FileSync {
 
-	/** Syncs with the operating system's call. */
+	/**
+	 * Syncs the data of the file, but not all of its metadata, with the operating system.
+	 */
 	FileSync FORCE = (channel) -> channel.force(false);
 
 	void sync(FileChannel channel) throws IOException;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/FolderFormat.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/FolderFormat.java
@@ -11,8 +11,8 @@
  *
  * @param version the format version
  * @param instance the instance that the folder belongs to
- * @param storageId identifies the folder
- * @param fresh whether the folder was empty
+ * @param storageId the identifier of the folder
+ * @param fresh whether the folder was empty, so that it has to be initialized
  */
 record FolderFormat(int version, InstanceId instance, long storageId, boolean fresh) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/FolderOrigin.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/FolderOrigin.java
@@ -10,11 +10,11 @@
 import org.comfreywall.control.log.LogBatch;
 
 /**
- * Says whose data folder it is and what an empty one starts with.
+ * The owner of a data folder and the initial content of an empty one.
  *
  * @param instance the instance
- * @param storageId the identifier that an empty folder gets
- * @param firstBatch the batch that an empty folder starts with
+ * @param storageId the identifier assigned to an empty folder
+ * @param firstBatch the first batch written to an empty folder
  */
 public record FolderOrigin(InstanceId instance, long storageId, LogBatch firstBatch) {
 
@@ -24,21 +24,24 @@
 	}
 
 	/**
-	 * Describes the folder of an instance that founds a log together with others. To be
-	 * used only at an operator's word: an emptied folder must not found the log again.
+	 * Creates the origin of an initial voter of a new log. Use it only on an operator's
+	 * explicit request: an instance whose folder was emptied must not bootstrap the log
+	 * again.
 	 * @param instance the instance
-	 * @param founders all founders, in the same order on each of them
+	 * @param initialVoters all initial voters, in the same order on each of them
 	 * @return the origin
 	 */
-	public static FolderOrigin founding(InstanceId instance, List<InstanceId> founders) {
-		Preconditions.check(founders.contains(instance), "founders must contain %s", instance);
-		return new FolderOrigin(instance, FoundingBatch.STORAGE_ID, FoundingBatch.of(founders));
+	public static FolderOrigin founding(InstanceId instance, List<InstanceId> initialVoters) {
+		Preconditions.check(initialVoters.contains(instance), "initialVoters must contain %s", instance);
+		return new FolderOrigin(instance, FoundingBatch.STORAGE_ID, FoundingBatch.of(initialVoters));
 	}
 
 	/**
-	 * Describes the folder of an instance that waits until it is added as a learner.
+	 * Creates the origin of an instance that waits until it is added to an existing log
+	 * as a learner.
 	 * @param instance the instance
-	 * @param random a source of good random numbers
+	 * @param random a source of random numbers, which must make the storage identifier
+	 * unique
 	 * @return the origin, with a new storage identifier
 	 */
 	public static FolderOrigin joining(InstanceId instance, RandomGenerator random) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/LogStorage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/LogStorage.java
@@ -8,22 +8,22 @@
 import org.comfreywall.control.log.LogBatch;
 
 /**
- * Keeps the replicated log of one instance.
+ * Stores the replicated log of one instance.
  * <p>
- * After the first error every call fails: a failed sync is never tried again, because the
- * operating system may have dropped the data meanwhile. Used by one thread only.
+ * After the first error every call fails. A failed sync is never retried, because the
+ * operating system may have dropped the unwritten data. Not thread-safe.
  */
 public interface LogStorage extends AutoCloseable {
 
 	/**
-	 * Returns the identifier of the data folder, chosen when it was first used.
+	 * Returns the identifier of the data folder, which is assigned at its first use.
 	 * @return the identifier
 	 */
 	long storageId();
 
 	/**
-	 * Returns what was found when the storage was opened.
-	 * @return the state to start from
+	 * Returns the state recovered when the storage was opened.
+	 * @return the recovered state
 	 */
 	DurableState recovered();
 
@@ -48,7 +48,7 @@
 	Optional<OperationError> save(Compaction compaction);
 
 	/**
-	 * Closes the storage; what is not synced may be lost.
+	 * Closes the storage; unsynced writes may be lost.
 	 */
 	@Override
 	void close();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/MemoryStorage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/MemoryStorage.java
@@ -17,7 +17,8 @@
 import org.comfreywall.control.log.Snapshot;
 
 /**
- * A storage in memory that can lose what is not synced, for tests and randomised runs.
+ * A storage in memory that simulates crashes and failed syncs, for tests and randomized
+ * simulations.
  */
 public final class MemoryStorage implements LogStorage {
 
@@ -68,7 +69,7 @@
 	public DurableState recovered() {
 		LogReader reader = new LogReader();
 		this.synced.forEach((batch) -> Preconditions.check(LogCodec.decodeBatch(batch, reader).error().isEmpty(),
-				"a batch in memory must be readable"));
+				"a batch in memory cannot be decoded"));
 		return reader.finish(this.snapshot);
 	}
 
@@ -105,7 +106,7 @@
 	}
 
 	/**
-	 * Loses what is not synced, as a crash does; a failed storage works again.
+	 * Simulates a crash: discards unsynced writes and clears a failure.
 	 */
 	public void crash() {
 		this.unsynced.clear();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/Segment.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/Segment.java
@@ -8,14 +8,16 @@
 import java.util.zip.CRC32C;
 
 /**
- * A segment file open for appending frames, each written and synced as a whole.
+ * A segment file that is open for appending frames.
  */
 final class Segment implements AutoCloseable {
 
 	static final String PREFIX = "log-";
 
+	/** Magic number, salt, first sequence number, start flag and checksum. */
 	static final int HEADER_BYTES = 29;
 
+	/** Body length, sequence number, checksum of the body, checksum of the header. */
 	static final int FRAME_HEADER_BYTES = 20;
 
 	static final long MAGIC = 0x43465257414c4c31L;
@@ -36,8 +38,8 @@
 		return String.format("%s%020d", PREFIX, firstSequence);
 	}
 
-	// Creates a file with a synced header. The salt keeps bytes inside commands from
-	// being taken for frames.
+	// Creates a file with a synced header. The salt in the checksums keeps bytes of a
+	// command from being mistaken for a frame header.
 	static Segment create(Path file, SegmentHeader header, FileSync fileSync) throws IOException {
 		FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
 		try {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/SegmentContent.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/SegmentContent.java
@@ -11,9 +11,10 @@
  * The frames read from a segment file.
  *
  * @param header the segment's header
- * @param frames the bodies of the valid frames from the start
+ * @param frames the bodies of the valid frames up to the first invalid one
  * @param validBytes the length of the header and these frames
- * @param damaged whether a valid frame follows an invalid one, which a crash cannot cause
+ * @param damaged whether a valid frame header follows an invalid frame, which a crash
+ * cannot cause
  */
 record SegmentContent(SegmentHeader header, List<Bytes> frames, int validBytes, boolean damaged) {
 
@@ -35,9 +36,9 @@
 	}
 
 	/**
-	 * Looks for the header of a frame written after the invalid one. As a frame is only
-	 * written after the one before it is synced, its presence proves that the invalid
-	 * frame was synced.
+	 * Searches for the header of a frame written after the invalid one. Because a frame
+	 * is written only after the previous one is synced, such a header proves that the
+	 * invalid frame was synced and later damaged.
 	 */
 	private static boolean laterFrameExists(SegmentHeader header, byte[] content, int from, long invalid) {
 		for (int offset = from; offset + Segment.FRAME_HEADER_BYTES <= content.length; offset++) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/SegmentHeader.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/SegmentHeader.java
@@ -4,9 +4,9 @@
 import java.util.Optional;
 
 /**
- * The first bytes of a segment file.
+ * The header of a segment file.
  *
- * @param salt a random number that goes into the checksums of the frame headers
+ * @param salt a random number included in the checksums of the frame headers
  * @param firstSequence the sequence number of the first frame
  * @param startsLog whether the first frame replaces everything in earlier segments
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/SegmentRecovery.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/SegmentRecovery.java
@@ -19,8 +19,8 @@
 import org.comfreywall.control.log.Snapshot;
 
 /**
- * Reads the segments and the newest snapshot of a data folder, cuts a torn tail and
- * refuses damage anywhere else.
+ * Recovers the log from the segments and the newest snapshot of a data folder. Truncates
+ * a torn tail, and fails on any other damage.
  */
 final class SegmentRecovery {
 
@@ -45,7 +45,7 @@
 		this.folder.deleteUnfinished();
 		Optional<Snapshot> snapshot = SnapshotFiles.readNewest(this.folder);
 		LogReader reader = new LogReader();
-		List<SegmentContent> segments = startingAtBase(readSegments());
+		List<SegmentContent> segments = fromLogStart(readSegments());
 		checkSequence(segments);
 		for (SegmentContent segment : segments) {
 			read(segment, reader);
@@ -54,7 +54,7 @@
 			return reader.finish(snapshot);
 		}
 		catch (IllegalArgumentException ex) {
-			throw damage("the log and the snapshots do not fit together: " + ex.getMessage());
+			throw damage("the log does not continue the newest snapshot: " + ex.getMessage());
 		}
 	}
 
@@ -92,7 +92,7 @@
 			throw damage("the record at byte " + segment.validBytes() + " of " + file + " is damaged");
 		}
 		if (segment.validBytes() < content.length) {
-			cut(file, segment.validBytes(), content.length);
+			truncateTornTail(file, segment.validBytes(), content.length);
 		}
 		if (segment.frames().isEmpty()) {
 			delete(file);
@@ -110,7 +110,7 @@
 		this.nextSequence = segments.get(segments.size() - 1).nextSequence();
 	}
 
-	private List<SegmentContent> startingAtBase(List<SegmentContent> segments) throws IOException {
+	private List<SegmentContent> fromLogStart(List<SegmentContent> segments) throws IOException {
 		for (int i = segments.size() - 1; i >= 0; i--) {
 			if (segments.get(i).header().startsLog()) {
 				return segments.subList(i, segments.size());
@@ -119,7 +119,7 @@
 		throw damage("the segment that starts the log is missing");
 	}
 
-	private void cut(Path file, int validBytes, int length) throws IOException {
+	private void truncateTornTail(Path file, int validBytes, int length) throws IOException {
 		LOG.warn("torn-tail-cut", Field.of("file", file), Field.of("from-byte", validBytes),
 				Field.of("bytes", length - validBytes));
 		try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
@@ -133,8 +133,9 @@
 		this.folder.syncNames();
 	}
 
-	private static StorageException damage(String what) {
-		return new StorageException(what + "; nothing was changed: replace this instance by one with an empty folder");
+	private static StorageException damage(String problem) {
+		return new StorageException(
+				problem + "; nothing was changed: replace this instance by one with an empty folder");
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/SnapshotFiles.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/SnapshotFiles.java
@@ -45,8 +45,8 @@
 		}
 	}
 
-	// Reads the newest snapshot. A file with its final name was synced before it got that
-	// name, so a wrong checksum is damage.
+	// Reads the newest snapshot. A file is synced before it is renamed to its final name,
+	// so a wrong checksum means damage, not an interrupted write.
 	static Optional<Snapshot> readNewest(DataFolder folder) throws IOException {
 		List<Path> files = folder.files(PREFIX);
 		if (files.isEmpty()) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/StorageException.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/StorageException.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 
 /**
- * Thrown inside this package when a data folder must not be used as it is.
+ * Thrown within this package if a data folder cannot be used in its current state.
  */
 final class StorageException extends IOException {
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/storage/DiskStorageTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/storage/DiskStorageTests.java
@@ -63,7 +63,7 @@
 	}
 
 	@Test
-	void foundingFolderStartsWithTheMembers() {
+	void bootstrapFolderStartsWithTheInitialVoters() {
 		this.origin = FolderOrigin.founding(INSTANCE, List.of(INSTANCE));
 		assertThat(recover().entries()).isEqualTo(this.origin.firstBatch().entries());
 	}
@@ -159,7 +159,7 @@
 	class TornTail {
 
 		@Test
-		void isCutAtEveryLength() throws IOException {
+		void isTruncatedAtEveryLength() throws IOException {
 			writeAndClose(1, 3);
 			Path segment = newestSegment();
 			byte[] whole = Files.readAllBytes(segment);
@@ -171,7 +171,7 @@
 		}
 
 		@Test
-		void isCutWhenItsBytesAreWrong() throws IOException {
+		void isTruncatedWhenItsChecksumIsWrong() throws IOException {
 			writeAndClose(1, 3);
 			Path segment = newestSegment();
 			flipByte(segment, Files.size(segment) - 1);
@@ -209,7 +209,7 @@
 		}
 
 		@Test
-		void ofAnyByteIsRefusedOrCutsOnlyTheLastRecord() throws IOException {
+		void ofAnyByteIsRefusedOrLosesOnlyTheLastRecord() throws IOException {
 			writeAndClose(1, 3);
 			Path segment = newestSegment();
 			byte[] whole = Files.readAllBytes(segment);
@@ -235,7 +235,7 @@
 		}
 
 		@Test
-		void byALostSegmentIsRefused() throws IOException {
+		void byAMissingSegmentIsRefused() throws IOException {
 			DiskStorageTests.this.segmentBytes = 1;
 			writeAndClose(1, 5);
 			Files.delete(files(Segment.PREFIX).get(2));
@@ -327,7 +327,7 @@
 		}
 
 		@Test
-		void whoseSyncFailedIsNotUsedAgain() {
+		void isRefusedAfterAFailedSync() {
 			AtomicBoolean broken = new AtomicBoolean();
 			FileSync fileSync = (channel) -> {
 				if (broken.get()) {
@@ -342,7 +342,7 @@
 			storage.write(new LogBatch(Optional.of(VOTE), entries(1, 1)));
 			assertThat(storage.sync()).isPresent();
 			broken.set(false);
-			assertThat(storage.sync()).as("a failed sync is not tried again").isPresent();
+			assertThat(storage.sync()).as("a failed sync is not retried").isPresent();
 			assertThat(storage.write(new LogBatch(Optional.empty(), entries(2, 2)))).isPresent();
 			storage.close();
 			assertThat(refusal()).contains("a sync failed");
