--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ArrivalRate.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ArrivalRate.java
@@ -1,11 +1,11 @@
 package org.comfreywall.gateway.pool;
 
 /**
- * How many requests arrive a second, smoothed over the last ones.
+ * Arrival rate of requests, from an exponential moving average of the gaps between them.
  */
 final class ArrivalRate {
 
-	/** About the last twenty requests count. */
+	/** Weight of a new gap; averages over about the last 20 requests. */
 	private static final double SMOOTHING = 0.05;
 
 	private static final double NANOS_PER_SECOND = 1e9;
@@ -15,8 +15,8 @@
 	private long last = Long.MIN_VALUE;
 
 	/**
-	 * Takes in an arrival.
-	 * @param now the present time in nanoseconds
+	 * Records an arrival.
+	 * @param now the current time in nanoseconds
 	 */
 	void add(long now) {
 		if (this.last != Long.MIN_VALUE) {
@@ -27,13 +27,13 @@
 	}
 
 	/**
-	 * Returns the present rate.
-	 * @param now the present time in nanoseconds
-	 * @return the arrivals a second
+	 * Returns the current rate, which decays while no requests arrive.
+	 * @param now the current time in nanoseconds
+	 * @return the arrivals per second
 	 */
 	double perSecond(long now) {
-		double silent = (this.last != Long.MIN_VALUE) ? now - this.last : NANOS_PER_SECOND;
-		return NANOS_PER_SECOND / Math.max(1, Math.max(this.meanGapNanos, silent));
+		double sinceLast = (this.last != Long.MIN_VALUE) ? now - this.last : NANOS_PER_SECOND;
+		return NANOS_PER_SECOND / Math.max(1, Math.max(this.meanGapNanos, sinceLast));
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/AttemptResult.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/AttemptResult.java
@@ -1,19 +1,19 @@
 package org.comfreywall.gateway.pool;
 
 /**
- * How an attempt on a backend server ended, as far as it tells about the server.
+ * Outcome of an attempt, as evidence about the health of the backend server.
  */
 public enum AttemptResult {
 
-	/** The server gave an answer without an error of its own. */
+	/** The server responded without a server error. */
 	ANSWERED,
-	/** The server answered with an error of its own. */
+	/** The server responded with a server error. */
 	FAILED,
-	/** The connection broke, could not be opened or brought what is no answer. */
+	/** The connection failed, could not be opened or returned a malformed response. */
 	BROKEN,
-	/** The server said that it did not run the request. */
+	/** The server responded that it did not run the request. */
 	REJECTED,
-	/** The caller or this entry gave the attempt up. */
+	/** The caller or this entry cancelled the attempt. */
 	CANCELLED
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceAwaited.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceAwaited.java
@@ -1,9 +1,9 @@
 package org.comfreywall.gateway.pool;
 
 /**
- * The request waits in queue.
+ * The request waits in the queue for a free slot.
  *
- * @param request the request
+ * @param request the request's identifier at this entry
  */
 public record PlaceAwaited(long request) implements PlaceDecision {
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceDecision.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceDecision.java
@@ -1,13 +1,13 @@
 package org.comfreywall.gateway.pool;
 
 /**
- * What happens to a request that needs a place.
+ * Admission decision for a request that needs a slot of a backend server.
  */
 public sealed interface PlaceDecision permits PlaceGranted, PlaceAwaited, PlaceRefused {
 
 	/**
-	 * Returns the request.
-	 * @return its identifier at this entry
+	 * Returns the request's identifier.
+	 * @return the identifier, unique at this entry
 	 */
 	long request();
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceGranted.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceGranted.java
@@ -3,10 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The request is to be sent now; the place is taken until it is released.
+ * The request is to be sent now. It occupies a slot until
+ * {@link ServicePool#release(PoolServer, AttemptResult, long, long)}.
  *
- * @param request the request
- * @param server where to send it
+ * @param request the request's identifier at this entry
+ * @param server the backend server to send it to
  */
 public record PlaceGranted(long request, PoolServer server) implements PlaceDecision {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceRefused.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceRefused.java
@@ -5,11 +5,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The request cannot be started in time.
+ * The request is rejected because it is not expected to start in time.
  *
- * @param request the request
- * @param reason why, for logs
- * @param retryAfter when a place is expected
+ * @param request the request's identifier at this entry
+ * @param reason the reason, for logs
+ * @param retryAfter the delay after which the caller may retry
  */
 public record PlaceRefused(long request, String reason, Duration retryAfter) implements PlaceDecision {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
@@ -4,41 +4,42 @@
 import java.util.Map;
 
 /**
- * What one entry knows of a backend server that it may send requests to.
+ * State that one entry keeps for a backend server: the latest announcement, the requests
+ * in flight, moving averages of latency and error rate, and ejection.
  */
 public final class PoolServer {
 
-	/** Weight of a new latency sample; about the last ten requests count. */
+	/** Weight of a new latency sample; averages over about the last 10 requests. */
 	private static final double LATENCY_SMOOTHING = 0.2;
 
-	/** Weight of a new success or failure; about the last eight requests count. */
+	/** Weight of a new success or failure; averages over about the last 8 requests. */
 	private static final double ERROR_SMOOTHING = 0.12;
 
-	/** Breaks in a row after which the server is left out for a time. */
-	private static final int BREAKS_TO_EJECT = 2;
+	/** Consecutive connection failures after which the server is ejected for a while. */
+	private static final int FAILURES_TO_EJECT = 2;
 
 	private static final long FIRST_EJECTION_NANOS = 500_000_000L;
 
 	private static final long LONGEST_EJECTION_NANOS = 4_000_000_000L;
 
-	/** A full server has a free place again after about one pass. */
+	/** A full server frees a slot after about one forward pass of its engine. */
 	private static final long REJECTION_PAUSE_NANOS = 100_000_000L;
 
 	private ServerAnnouncement announcement;
 
 	private int inFlight;
 
-	private final Map<String, Integer> othersInFlight = new HashMap<>();
+	private final Map<String, Integer> inFlightByEntry = new HashMap<>();
 
-	private int others;
+	private int othersInFlight;
 
 	private double latencyNanos;
 
-	private double errors;
+	private double errorRate;
 
 	private double pace = 1;
 
-	private int breaks;
+	private int connectionFailures;
 
 	private long notBefore;
 
@@ -48,7 +49,7 @@
 	}
 
 	/**
-	 * Returns the newest announcement.
+	 * Returns the latest announcement.
 	 * @return the announcement
 	 */
 	public ServerAnnouncement announcement() {
@@ -56,15 +57,16 @@
 	}
 
 	/**
-	 * Returns the requests in flight on the server, as far as known.
-	 * @return this entry's count and the last ones heard from other entries
+	 * Returns the number of requests in flight on the server.
+	 * @return this entry's count plus the counts last received from other entries, which
+	 * may be out of date
 	 */
 	public int requests() {
-		return this.inFlight + this.others;
+		return this.inFlight + this.othersInFlight;
 	}
 
 	/**
-	 * Returns this entry's requests in flight on the server.
+	 * Returns the number of requests that this entry has in flight on the server.
 	 * @return the count
 	 */
 	public int inFlight() {
@@ -76,9 +78,9 @@
 	}
 
 	void heardOthers(String entry, int requests) {
-		int before = this.othersInFlight.getOrDefault(entry, 0);
-		this.othersInFlight.put(entry, requests);
-		this.others += requests - before;
+		int before = this.inFlightByEntry.getOrDefault(entry, 0);
+		this.inFlightByEntry.put(entry, requests);
+		this.othersInFlight += requests - before;
 	}
 
 	void sent() {
@@ -90,7 +92,7 @@
 		switch (result) {
 			case ANSWERED -> answered(nanos, 0);
 			case FAILED -> answered(nanos, 1);
-			case BROKEN -> broken(now);
+			case BROKEN -> connectionFailed(now);
 			case REJECTED -> rejected(now);
 			case CANCELLED -> {
 			}
@@ -102,17 +104,17 @@
 	}
 
 	private void answered(long nanos, double failed) {
-		this.breaks = 0;
-		this.errors += ERROR_SMOOTHING * (failed - this.errors);
+		this.connectionFailures = 0;
+		this.errorRate += ERROR_SMOOTHING * (failed - this.errorRate);
 		this.latencyNanos = (this.latencyNanos == 0) ? nanos
 				: this.latencyNanos + LATENCY_SMOOTHING * (nanos - this.latencyNanos);
 	}
 
-	private void broken(long now) {
-		this.breaks++;
-		this.errors += ERROR_SMOOTHING * (1 - this.errors);
-		if (this.breaks >= BREAKS_TO_EJECT) {
-			long pause = FIRST_EJECTION_NANOS << Math.min(this.breaks - BREAKS_TO_EJECT, 3);
+	private void connectionFailed(long now) {
+		this.connectionFailures++;
+		this.errorRate += ERROR_SMOOTHING * (1 - this.errorRate);
+		if (this.connectionFailures >= FAILURES_TO_EJECT) {
+			long pause = FIRST_EJECTION_NANOS << Math.min(this.connectionFailures - FAILURES_TO_EJECT, 3);
 			this.notBefore = now + Math.min(pause, LONGEST_EJECTION_NANOS);
 		}
 	}
@@ -137,16 +139,16 @@
 		return this.latencyNanos;
 	}
 
-	void heardPace(double told) {
-		this.pace = Math.max(1, told);
+	void heardPace(double newPace) {
+		this.pace = Math.max(1, newPace);
 	}
 
 	double pace() {
 		return this.pace;
 	}
 
-	double errors() {
-		return this.errors;
+	double errorRate() {
+		return this.errorRate;
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/RetryAllowance.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/RetryAllowance.java
@@ -7,19 +7,22 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One entry's share of the retries that all entries together may send to a service.
+ * Retry budget of one entry for a service.
  * <p>
- * In each sliding window the retries stay within a ratio of this entry's own first
- * attempts, plus a fixed part of the service's slack. The parts of all entries add up to
- * less than the slack, so the bound holds without messages, also while entries restart
- * and forget what they sent.
+ * In each sliding window, retries are limited to a ratio of this entry's own first
+ * attempts plus a fixed share of the service's slack. The shares of all entries add up to
+ * less than the slack, so the limit for the service holds without coordination, also when
+ * entries restart and lose their counts.
  */
 public final class RetryAllowance {
 
-	/** Parts handed out for each entry; the rest covers entries that restart or join. */
-	private static final double PARTS_PER_ENTRY = 2;
+	/**
+	 * Each entry uses one of its two shares of the slack; the other is the reserve for
+	 * entries that restart or join.
+	 */
+	private static final double SHARES_PER_ENTRY = 2;
 
-	/** Own retries stay below the ratio, as first attempts may not all arrive. */
+	/** Retries stay below the ratio because some first attempts may not arrive. */
 	private static final double RATIO_SHARE = 0.8;
 
 	private final double ratio;
@@ -28,15 +31,15 @@
 
 	private final long windowNanos;
 
-	private final Deque<Long> first = new ArrayDeque<>();
+	private final Deque<Long> firstAttempts = new ArrayDeque<>();
 
 	private final Deque<Long> retries = new ArrayDeque<>();
 
 	/**
-	 * Creates an allowance.
-	 * @param ratio retries allowed for each first attempt
-	 * @param slack retries allowed besides, over all entries
-	 * @param window the length of the window
+	 * Creates a retry budget.
+	 * @param ratio retries allowed per first attempt
+	 * @param slack additional retries allowed per window, over all entries
+	 * @param window the length of the sliding window
 	 */
 	public RetryAllowance(double ratio, double slack, Duration window) {
 		Preconditions.check(ratio >= 0, "ratio must not be negative: %s", ratio);
@@ -47,24 +50,24 @@
 	}
 
 	/**
-	 * Counts a first attempt.
-	 * @param now the present time in nanoseconds
+	 * Records a first attempt.
+	 * @param now the current time in nanoseconds
 	 */
 	public void sentFirst(long now) {
-		this.first.addLast(now);
+		this.firstAttempts.addLast(now);
 		expire(now);
 	}
 
 	/**
-	 * Takes a retry from the allowance.
-	 * @param entries the number of entries known
-	 * @param now the present time in nanoseconds
-	 * @return {@code false} if none is left
+	 * Consumes one retry of the budget if one is left.
+	 * @param entries the number of known entries
+	 * @param now the current time in nanoseconds
+	 * @return {@code false} if the budget is exhausted
 	 */
 	public boolean take(int entries, long now) {
 		expire(now);
-		double allowed = RATIO_SHARE * this.ratio * this.first.size()
-				+ this.slack / (PARTS_PER_ENTRY * Math.max(1, entries));
+		double allowed = RATIO_SHARE * this.ratio * this.firstAttempts.size()
+				+ this.slack / (SHARES_PER_ENTRY * Math.max(1, entries));
 		if (this.retries.size() + 1 > allowed) {
 			return false;
 		}
@@ -73,7 +76,7 @@
 	}
 
 	private void expire(long now) {
-		expire(this.first, now);
+		expire(this.firstAttempts, now);
 		expire(this.retries, now);
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerAnnouncement.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerAnnouncement.java
@@ -4,17 +4,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What one life of a backend server announced at one moment.
+ * State that one incarnation of a backend server announced.
  *
  * @param server the server's identifier
  * @param service the service that it belongs to
- * @param address where it takes requests
+ * @param address the address where it accepts requests
  * @param domain its failure domain
- * @param startedMillis when this life started, in milliseconds of the server's clock;
- * used only to order lives
- * @param sequence orders the announcements of one life
- * @param slots the number of requests that it runs at one time
- * @param state what it announced
+ * @param startedMillis the start of this incarnation, in milliseconds of the server's
+ * clock; used only to order incarnations
+ * @param sequence orders the announcements of one incarnation
+ * @param slots the number of requests that it runs concurrently
+ * @param state the announced state
  */
 public record ServerAnnouncement(String server, String service, HostPort address, String domain, long startedMillis,
 		long sequence, int slots, ServerState state) {
@@ -29,10 +29,10 @@
 	}
 
 	/**
-	 * Tells whether this announcement replaces another one of the same server.
+	 * Returns whether this announcement replaces another one of the same server.
 	 * @param other the other announcement
-	 * @return {@code true} if it is of a later life, or later in the same life and does
-	 * not take a farewell back
+	 * @return {@code true} if it is from a later incarnation, or if it is later within
+	 * the same incarnation and does not revert to an earlier {@link ServerState}
 	 */
 	public boolean replaces(ServerAnnouncement other) {
 		if (this.startedMillis != other.startedMillis) {
@@ -45,7 +45,7 @@
 	}
 
 	/**
-	 * Returns this announcement with another state.
+	 * Returns a copy of this announcement with another state.
 	 * @param changed the state
 	 * @return the announcement
 	 */
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerChoice.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerChoice.java
@@ -10,51 +10,57 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Chooses one of several servers with free places.
+ * Selects a backend server with free slots by power of k random choices.
  * <p>
- * Answers a load that several entries share: what the others have in flight is some
- * hundred milliseconds old, and all of them would send to the servers that looked best
- * then. So the better of a few servers drawn by lot is taken, the fewer the more the
- * others send meanwhile. Servers that fail, answer slowly or hold their group back are
- * drawn only without others.
+ * Several entries share the servers, and the counts received from the other entries are a
+ * few hundred milliseconds old. If every entry sent to the least loaded server, all would
+ * pick the same one until the next update. Each entry therefore compares only a few
+ * randomly sampled servers; the higher the request rate of the others, the smaller the
+ * sample. Servers that fail, respond slowly or slow down their group are sampled only if
+ * there are no healthy ones.
  */
 final class ServerChoice {
 
-	/** Spread of the lot among servers, in requests; hides the age of others' counts. */
-	private static final double LOT = 0.6;
+	/** Random jitter in the cost, in requests; masks the age of the others' counts. */
+	private static final double JITTER_REQUESTS = 0.6;
 
-	/** Entries tell their counts this often. */
-	private static final double NEWS_SECONDS = 0.2;
+	/** Interval at which entries broadcast their counts. */
+	private static final double UPDATE_INTERVAL_SECONDS = 0.2;
 
-	/** Servers that cost more than this times the best are drawn only without others. */
-	private static final double SIMILAR_BURDEN = 2;
+	/**
+	 * Servers whose cost per request exceeds the lowest by this factor are not sampled.
+	 */
+	private static final double MAX_RELATIVE_COST = 2;
 
-	/** The better of two is far better than one, and three hardly better than two. */
-	private static final int FEWEST_SAMPLED = 2;
+	/** Two choices are much better than one; a third adds little. */
+	private static final int MIN_SAMPLE_SIZE = 2;
 
-	/** What distance counts, in requests; a hop costs less than a place in a batch. */
-	private static final double OTHER_DOMAIN = 0.2;
+	/**
+	 * Cost of another failure domain, in requests; a network hop costs less than one more
+	 * request in the batch.
+	 */
+	private static final double OTHER_DOMAIN_REQUESTS = 0.2;
 
-	/** How much a server that always fails is avoided, in multiples of its cost. */
+	/** Cost added to a server whose requests all fail, in multiples of its cost. */
 	private static final double ERROR_PENALTY = 6;
 
 	/**
-	 * A slow rank's own requests make each pass of its group longer, so it gets far fewer
-	 * than its pace alone would leave it.
+	 * Requests on a slow rank lengthen every forward pass of its group, so the rank gets
+	 * far fewer than in proportion to its speed.
 	 */
 	private static final double PACE_EXPONENT = 3;
 
-	/** Bounds what a latency far from the others can do. */
-	private static final double MAX_SLOWNESS = 8;
+	/** Bounds the effect of an outlier in latency. */
+	private static final double MAX_RELATIVE_LATENCY = 8;
 
 	private final String domain;
 
 	private final RandomGenerator random;
 
 	/**
-	 * Creates a choice.
-	 * @param domain the failure domain of the entry that chooses
-	 * @param random draws servers
+	 * Creates a selector.
+	 * @param domain the failure domain of this entry
+	 * @param random the source of samples and jitter
 	 */
 	ServerChoice(String domain, RandomGenerator random) {
 		this.domain = Preconditions.notNull(domain, "domain");
@@ -62,47 +68,57 @@
 	}
 
 	/**
-	 * Chooses a server.
-	 * @param free the servers with free places
-	 * @param othersPerSecond the requests a second that other entries place on them
-	 * @return a server, or empty if there is none
+	 * Selects a server.
+	 * @param free the servers with free slots
+	 * @param othersPerSecond the requests per second that other entries send to them
+	 * @return a server, or empty if {@code free} is empty
 	 */
 	Optional<PoolServer> choose(List<PoolServer> free, double othersPerSecond) {
-		double usual = free.stream().mapToDouble(PoolServer::latencyNanos).filter((nanos) -> nanos > 0).min().orElse(1);
-		return sample(free, usual, othersPerSecond).stream()
-			.map((server) -> new Candidate(server, cost(server, usual)))
+		double lowestLatency = free.stream()
+			.mapToDouble(PoolServer::latencyNanos)
+			.filter((nanos) -> nanos > 0)
+			.min()
+			.orElse(1);
+		return sample(free, lowestLatency, othersPerSecond).stream()
+			.map((server) -> new Candidate(server, cost(server, lowestLatency)))
 			.min(Comparator.comparingDouble(Candidate::cost))
 			.map(Candidate::server);
 	}
 
-	// All entries see the same least loaded servers until the next news, so each looks at
-	// a few drawn by lot: the fewer, the more requests others place meanwhile.
-	private List<PoolServer> sample(List<PoolServer> free, double usualNanos, double othersPerSecond) {
-		double unseen = othersPerSecond * NEWS_SECONDS;
-		int size = (int) Math.max(FEWEST_SAMPLED, Math.round(free.size() / Math.max(1, unseen)));
+	// All entries see the same least loaded servers until the next update. The sample
+	// shrinks with the number of requests that others place in the meantime.
+	private List<PoolServer> sample(List<PoolServer> free, double lowestLatencyNanos, double othersPerSecond) {
+		double unseen = othersPerSecond * UPDATE_INTERVAL_SECONDS;
+		int size = (int) Math.max(MIN_SAMPLE_SIZE, Math.round(free.size() / Math.max(1, unseen)));
 		if (size >= free.size()) {
 			return free;
 		}
-		double least = free.stream().mapToDouble((server) -> burden(server, usualNanos)).min().orElse(1);
-		List<PoolServer> drawn = new ArrayList<>(
-				free.stream().filter((server) -> burden(server, usualNanos) <= SIMILAR_BURDEN * least).toList());
-		int kept = Math.min(size, drawn.size());
-		for (int i = 0; i < kept; i++) {
-			Collections.swap(drawn, i, i + this.random.nextInt(drawn.size() - i));
+		double least = free.stream()
+			.mapToDouble((server) -> costPerRequest(server, lowestLatencyNanos))
+			.min()
+			.orElse(1);
+		List<PoolServer> similar = new ArrayList<>(free.stream()
+			.filter((server) -> costPerRequest(server, lowestLatencyNanos) <= MAX_RELATIVE_COST * least)
+			.toList());
+		int sampled = Math.min(size, similar.size());
+		for (int i = 0; i < sampled; i++) {
+			Collections.swap(similar, i, i + this.random.nextInt(similar.size() - i));
 		}
-		return drawn.subList(0, kept);
+		return similar.subList(0, sampled);
 	}
 
-	private double cost(PoolServer server, double usualNanos) {
-		double distance = server.announcement().domain().equals(this.domain) ? 0 : OTHER_DOMAIN;
-		double requests = 1 + server.requests() + distance + LOT * this.random.nextDouble();
-		return requests * burden(server, usualNanos);
+	private double cost(PoolServer server, double lowestLatencyNanos) {
+		double distance = server.announcement().domain().equals(this.domain) ? 0 : OTHER_DOMAIN_REQUESTS;
+		double requests = 1 + server.requests() + distance + JITTER_REQUESTS * this.random.nextDouble();
+		return requests * costPerRequest(server, lowestLatencyNanos);
 	}
 
-	// What a request costs on this server, in multiples of a healthy one.
-	private double burden(PoolServer server, double usualNanos) {
-		double slowness = Math.min(MAX_SLOWNESS, Math.max(1, server.latencyNanos() / usualNanos));
-		return Math.sqrt(slowness) * (1 + ERROR_PENALTY * server.errors()) * Math.pow(server.pace(), PACE_EXPONENT);
+	// Cost of one request on this server, relative to a healthy server.
+	private double costPerRequest(PoolServer server, double lowestLatencyNanos) {
+		double relativeLatency = Math.min(MAX_RELATIVE_LATENCY,
+				Math.max(1, server.latencyNanos() / lowestLatencyNanos));
+		return Math.sqrt(relativeLatency) * (1 + ERROR_PENALTY * server.errorRate())
+				* Math.pow(server.pace(), PACE_EXPONENT);
 	}
 
 	private record Candidate(PoolServer server, double cost) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
@@ -12,96 +12,100 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The backend servers that announced themselves, merged from all processes that heard
- * them.
+ * Directory of backend servers, merged from the announcements that all processes of the
+ * fleet received.
  * <p>
- * Merging is commutative, so that processes which heard the same announcements in any
- * order hold the same directory. A server that says farewell is remembered for a while,
- * so that a late announcement cannot bring it back; so is the last life at an address.
+ * Merging the announcements of a server is commutative: processes that receive the same
+ * ones in any order keep the same one. Servers that have announced that they are leaving
+ * are retained for a while, so that a delayed announcement cannot make them available
+ * again; the same applies to the latest incarnation at an address.
  */
 public final class ServerDirectory {
 
-	/** How long a silent server is kept; three minutes cover a long partition. */
-	private static final Duration MEMORY = Duration.ofMinutes(3);
+	/**
+	 * Time without announcements after which a server is removed; covers a long
+	 * partition.
+	 */
+	private static final Duration RETENTION = Duration.ofMinutes(3);
 
 	private static final int MAX_SERVERS = 20_000;
 
-	private final Map<String, Heard> byServer = new HashMap<>();
+	private final Map<String, ReceivedAnnouncement> byServer = new HashMap<>();
 
-	private final Map<HostPort, Long> lastLifeAt = new HashMap<>();
+	private final Map<HostPort, Long> latestIncarnations = new HashMap<>();
 
 	/**
 	 * Merges an announcement.
 	 * @param announcement the announcement
-	 * @param heardAt when it arrived at the process that received it, in nanoseconds on
-	 * this process's clock
-	 * @return {@code true} if it is news
+	 * @param receivedAt when the first process of the fleet received it, in nanoseconds
+	 * of this process's clock
+	 * @return {@code true} if it replaced the stored one
 	 */
-	public boolean merge(ServerAnnouncement announcement, long heardAt) {
+	public boolean merge(ServerAnnouncement announcement, long receivedAt) {
 		Preconditions.notNull(announcement, "announcement");
-		Heard known = this.byServer.get(announcement.server());
-		long lastLife = this.lastLifeAt.getOrDefault(announcement.address(), Long.MIN_VALUE);
-		boolean overtaken = announcement.startedMillis() < lastLife && announcement.state() == ServerState.READY;
+		ReceivedAnnouncement known = this.byServer.get(announcement.server());
+		long latestIncarnation = this.latestIncarnations.getOrDefault(announcement.address(), Long.MIN_VALUE);
+		boolean overtaken = announcement.startedMillis() < latestIncarnation
+				&& announcement.state() == ServerState.READY;
 		boolean full = known == null && this.byServer.size() >= MAX_SERVERS;
 		if (overtaken || full || (known != null && !announcement.replaces(known.announcement()))) {
 			return false;
 		}
-		this.byServer.put(announcement.server(), new Heard(announcement, heardAt));
-		this.lastLifeAt.merge(announcement.address(), announcement.startedMillis(), Math::max);
+		this.byServer.put(announcement.server(), new ReceivedAnnouncement(announcement, receivedAt));
+		this.latestIncarnations.merge(announcement.address(), announcement.startedMillis(), Math::max);
 		return true;
 	}
 
 	/**
 	 * Finds a server.
 	 * @param server the server's identifier
-	 * @return its newest announcement, or empty if it is unknown
+	 * @return its latest announcement, or empty if the server is unknown
 	 */
 	public Optional<ServerAnnouncement> find(String server) {
-		return Optional.ofNullable(this.byServer.get(server)).map(Heard::announcement);
+		return Optional.ofNullable(this.byServer.get(server)).map(ReceivedAnnouncement::announcement);
 	}
 
 	/**
-	 * Tells how long ago a server was heard.
+	 * Returns the age of a server's latest announcement.
 	 * @param server the server's identifier
-	 * @param now the present time in nanoseconds
-	 * @return the age of its newest announcement in nanoseconds; {@link Long#MAX_VALUE}
-	 * if it is unknown
+	 * @param now the current time in nanoseconds
+	 * @return the age in nanoseconds; {@link Long#MAX_VALUE} if the server is unknown
 	 */
 	public long age(String server, long now) {
-		Heard heard = this.byServer.get(server);
-		return (heard != null) ? now - heard.heardAt() : Long.MAX_VALUE;
+		ReceivedAnnouncement latest = this.byServer.get(server);
+		return (latest != null) ? now - latest.receivedAt() : Long.MAX_VALUE;
 	}
 
 	/**
-	 * Returns all announcements, also those of servers that have left.
+	 * Returns all announcements, including those of servers that have left.
 	 * @return the announcements
 	 */
 	public List<ServerAnnouncement> all() {
-		return this.byServer.values().stream().map(Heard::announcement).toList();
+		return this.byServer.values().stream().map(ReceivedAnnouncement::announcement).toList();
 	}
 
 	/**
-	 * Forgets servers that were not heard for long.
-	 * @param now the present time in nanoseconds
-	 * @return what was forgotten
+	 * Removes servers without an announcement for the retention time.
+	 * @param now the current time in nanoseconds
+	 * @return the last announcements of the removed servers
 	 */
 	public List<ServerAnnouncement> forget(long now) {
-		List<ServerAnnouncement> forgotten = new ArrayList<>();
-		Iterator<Heard> all = this.byServer.values().iterator();
+		List<ServerAnnouncement> removed = new ArrayList<>();
+		Iterator<ReceivedAnnouncement> all = this.byServer.values().iterator();
 		while (all.hasNext()) {
-			Heard heard = all.next();
-			if (now - heard.heardAt() > MEMORY.toNanos()) {
-				forgotten.add(heard.announcement());
+			ReceivedAnnouncement latest = all.next();
+			if (now - latest.receivedAt() > RETENTION.toNanos()) {
+				removed.add(latest.announcement());
 				all.remove();
 			}
 		}
-		return forgotten;
+		return removed;
 	}
 
 	/**
-	 * An announcement with the time at which it arrived.
+	 * An announcement and the time at which the fleet received it, in nanoseconds.
 	 */
-	private record Heard(ServerAnnouncement announcement, long heardAt) {
+	private record ReceivedAnnouncement(ServerAnnouncement announcement, long receivedAt) {
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerState.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerState.java
@@ -1,15 +1,16 @@
 package org.comfreywall.gateway.pool;
 
 /**
- * What a backend server has announced about itself.
+ * State that a backend server announces; it only ever moves forward within an
+ * incarnation.
  */
 public enum ServerState {
 
-	/** Takes requests. */
+	/** Accepts requests. */
 	READY,
-	/** Finishes what it has and takes no new requests. */
+	/** Completes its requests in flight and accepts no new ones. */
 	LEAVING,
-	/** Has ended. */
+	/** Has stopped. */
 	GONE
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
@@ -19,43 +19,46 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Places the requests for one service at one of several entries that share its servers.
+ * Load balancing and admission control for the requests of one service, at one of several
+ * entries that share its backend servers.
  * <p>
- * Answers a load in which the servers' places are scarce: a request gets a free place
- * ({@link ServerChoice}); without one it waits in order of priority and arrival if a
- * place is expected in time, and is refused at once otherwise, with the time at which one
- * is expected. Under a load beyond the capacity, requests that can still be on time go
- * before those that come back after a refusal: serving one of the latter first would only
- * make another one late.
+ * A request gets a free slot of a server ({@link ServerChoice}) if there is one.
+ * Otherwise it is queued by priority and arrival if a slot is expected before its latest
+ * start, or else rejected immediately with the expected delay. Under overload, requests
+ * that can still be on time precede those that were rejected before: serving one of the
+ * latter first would only make another request late.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class ServicePool {
 
-	/** Completions that the rate is taken over; a few seconds of a busy entry. */
-	private static final int COMPLETIONS = 24;
+	/** Completions that the rate is averaged over; a few seconds of a busy entry. */
+	private static final int MAX_COMPLETIONS = 24;
 
-	private static final int FEWEST_COMPLETIONS = 4;
+	private static final int MIN_COMPLETIONS = 4;
 
-	private static final long SHORTEST_RETRY_NANOS = 200_000_000L;
+	private static final long MIN_RETRY_AFTER_NANOS = 200_000_000L;
 
-	private static final long LONGEST_RETRY_NANOS = 2_500_000_000L;
+	private static final long MAX_RETRY_AFTER_NANOS = 2_500_000_000L;
 
-	/** A pause that ends this soon is waited for; a longer one refuses. */
+	/**
+	 * Requests are queued if an ejected server is usable again within this time, and
+	 * rejected otherwise.
+	 */
 	private static final long SHORT_PAUSE_NANOS = 300_000_000L;
 
 	private static final int MAX_WAITING = 2_000;
 
-	/** Entries tell their counts five times a second; four lost in a row end them. */
-	private static final long OTHERS_VALID_NANOS = 900_000_000L;
+	/** Entries send their counts every 200 ms; four lost in a row expire them. */
+	private static final long COUNTS_VALID_NANOS = 900_000_000L;
 
-	/** After a fault of the group, a few requests try again this often. */
+	/** Interval at which a few requests probe the group after a group fault. */
 	private static final long HALT_NANOS = 300_000_000L;
 
-	/** A group needs about two seconds to notice a lost rank and form anew. */
+	/** A group needs about two seconds to detect a lost rank and re-form. */
 	private static final long GROUP_RETRY_NANOS = 2_000_000_000L;
 
-	/** A request that is late already loses less by waiting than one that is not. */
+	/** Requests that are already late lose least by waiting, so they come last. */
 	private static final Comparator<WaitingRequest> ORDER = Comparator.comparingInt(WaitingRequest::priority)
 		.thenComparing(WaitingRequest::returning)
 		.thenComparingLong(WaitingRequest::arrival)
@@ -67,7 +70,7 @@
 
 	private final Map<String, PoolServer> servers = new HashMap<>();
 
-	private final Map<String, Long> heardAt = new HashMap<>();
+	private final Map<String, Long> countsReceivedAt = new HashMap<>();
 
 	private final PriorityQueue<WaitingRequest> waiting = new PriorityQueue<>(ORDER);
 
@@ -80,7 +83,7 @@
 	/**
 	 * Creates a pool without servers.
 	 * @param domain this entry's failure domain
-	 * @param random draws among servers that look alike and spreads returns
+	 * @param random the source of samples of servers and of jitter in retry delays
 	 */
 	public ServicePool(String domain, RandomGenerator random) {
 		this.random = Preconditions.notNull(random, "random");
@@ -88,17 +91,17 @@
 	}
 
 	/**
-	 * Takes in a server's announcement.
-	 * @param announcement the newest announcement
-	 * @param now the present time in nanoseconds
+	 * Applies a server's announcement. A new incarnation replaces the server's state.
+	 * @param announcement the latest announcement
+	 * @param now the current time in nanoseconds
 	 */
 	public void announce(ServerAnnouncement announcement, long now) {
 		PoolServer known = this.servers.get(announcement.server());
-		boolean sameLife = known != null && known.announcement().startedMillis() == announcement.startedMillis();
+		boolean sameIncarnation = known != null && known.announcement().startedMillis() == announcement.startedMillis();
 		if (announcement.state() == ServerState.GONE) {
 			remove(announcement.server());
 		}
-		else if (sameLife) {
+		else if (sameIncarnation) {
 			known.announced(announcement);
 		}
 		else {
@@ -107,7 +110,7 @@
 	}
 
 	/**
-	 * Takes a server out.
+	 * Removes a server.
 	 * @param server the server's identifier
 	 */
 	public void remove(String server) {
@@ -115,42 +118,43 @@
 	}
 
 	/**
-	 * Takes in what another entry has in flight.
-	 * @param entry the entry
-	 * @param requests its requests by server; a server that is missing has none
-	 * @param now the present time in nanoseconds
+	 * Records the requests that another entry has in flight.
+	 * @param entry the entry's identifier
+	 * @param requests the number of requests by server; servers that are missing have
+	 * none
+	 * @param now the current time in nanoseconds
 	 */
 	public void heardOthers(String entry, Map<String, Integer> requests, long now) {
-		this.heardAt.put(entry, now);
+		this.countsReceivedAt.put(entry, now);
 		this.servers.forEach((id, server) -> server.heardOthers(entry, requests.getOrDefault(id, 0)));
 	}
 
 	/**
-	 * Takes in which servers are slow ranks of a group.
-	 * @param pace how much longer than usual each takes, by address; all others are
-	 * healthy
+	 * Records which servers are slow ranks of a group.
+	 * @param pace the factor by which each takes longer than usual, by address; servers
+	 * that are missing are healthy
 	 */
 	public void heardPace(Map<HostPort, Double> pace) {
 		this.servers.values()
 			.forEach((server) -> server.heardPace(pace.getOrDefault(server.announcement().address(), 1.0)));
 	}
 
-	// The requests of an entry that died ended with it; its counts must not keep places.
-	private void forgetSilentEntries(long now) {
-		this.heardAt.entrySet().removeIf((entry) -> {
-			boolean silent = now - entry.getValue() > OTHERS_VALID_NANOS;
-			if (silent) {
+	// The requests of a crashed entry ended with it; its counts must not occupy slots.
+	private void expireCounts(long now) {
+		this.countsReceivedAt.entrySet().removeIf((entry) -> {
+			boolean expired = now - entry.getValue() > COUNTS_VALID_NANOS;
+			if (expired) {
 				this.servers.values().forEach((server) -> server.heardOthers(entry.getKey(), 0));
 			}
-			return silent;
+			return expired;
 		});
 	}
 
 	/**
-	 * Decides on a request that needs a place.
+	 * Decides whether a request is sent, queued or rejected.
 	 * @param request the request
-	 * @param now the present time in nanoseconds
-	 * @return where to send it, that it waits, or that it is refused
+	 * @param now the current time in nanoseconds
+	 * @return the decision
 	 */
 	public PlaceDecision offer(WaitingRequest request, long now) {
 		this.arrivals.add(now);
@@ -174,26 +178,26 @@
 	}
 
 	/**
-	 * Releases a place.
-	 * @param server the server that had been granted
-	 * @param result how the attempt ended
-	 * @param nanos how long the first part of the answer took
-	 * @param now the present time in nanoseconds
+	 * Releases the slot of a request that was sent.
+	 * @param server the server that it was sent to
+	 * @param result the outcome of the attempt
+	 * @param nanos the time until the first part of the response, in nanoseconds
+	 * @param now the current time in nanoseconds
 	 */
 	public void release(PoolServer server, AttemptResult result, long nanos, long now) {
 		server.ended(result, nanos, now);
 		if (result == AttemptResult.ANSWERED || result == AttemptResult.FAILED) {
 			this.completions.addLast(now);
-			if (this.completions.size() > COMPLETIONS) {
+			if (this.completions.size() > MAX_COMPLETIONS) {
 				this.completions.removeFirst();
 			}
 		}
 	}
 
 	/**
-	 * Tells whether a name stands for another server of the pool.
-	 * @param server the server
-	 * @param name an identifier or address, perhaps empty
+	 * Returns whether a name identifies another server of the pool.
+	 * @param server the server to exclude
+	 * @param name an identifier or address; may be empty
 	 * @return {@code true} if another server has that identifier or address
 	 */
 	public boolean isOther(PoolServer server, String name) {
@@ -205,27 +209,29 @@
 	}
 
 	/**
-	 * Takes in that a server refused because of another one of its group: none of them
-	 * will run anything until the group has formed anew.
-	 * @param now the present time in nanoseconds
+	 * Records that a server rejected a request because of a fault of another server in
+	 * its group. Requests are rejected for a short time, as none of the group's servers
+	 * runs any until the group has re-formed.
+	 * @param now the current time in nanoseconds
 	 */
 	public void groupFault(long now) {
 		this.haltedUntil = now + HALT_NANOS;
 	}
 
 	/**
-	 * Takes a waiting request out.
-	 * @param request the request
+	 * Removes a request from the queue.
+	 * @param request the request's identifier at this entry
 	 */
 	public void cancel(long request) {
 		this.waiting.removeIf((other) -> other.id() == request);
 	}
 
 	/**
-	 * Decides again on the requests that wait; to be called when a place was released,
-	 * when news arrived and every few milliseconds.
-	 * @param now the present time in nanoseconds
-	 * @return grants and refusals; what still waits is left out
+	 * Re-evaluates the queued requests. Must be called after a slot was released, after
+	 * an update of a server and every few milliseconds.
+	 * @param now the current time in nanoseconds
+	 * @return the requests to send and those rejected; requests that remain queued are
+	 * not contained
 	 */
 	public List<PlaceDecision> tick(long now) {
 		List<PlaceDecision> decisions = new ArrayList<>();
@@ -256,7 +262,7 @@
 	}
 
 	/**
-	 * Returns the number of requests in queue.
+	 * Returns the number of queued requests.
 	 * @return the count
 	 */
 	public int waiting() {
@@ -264,7 +270,7 @@
 	}
 
 	/**
-	 * Returns the servers, also those that leave.
+	 * Returns the servers, including those that are leaving.
 	 * @return the servers
 	 */
 	public Collection<PoolServer> servers() {
@@ -277,11 +283,11 @@
 	}
 
 	private Optional<PoolServer> choose(Set<String> excluded, long now) {
-		forgetSilentEntries(now);
+		expireCounts(now);
 		List<PoolServer> free = usable(now).stream()
 			.filter((server) -> server.freePlaces() > 0 && !excluded.contains(server.announcement().server()))
 			.toList();
-		return this.choice.choose(free, this.arrivals.perSecond(now) * this.heardAt.size());
+		return this.choice.choose(free, this.arrivals.perSecond(now) * this.countsReceivedAt.size());
 	}
 
 	private List<PoolServer> usable(long now) {
@@ -294,14 +300,14 @@
 			.filter(PoolServer::takesWork)
 			.mapToLong((server) -> server.notBefore() - now)
 			.min()
-			.orElse(LONGEST_RETRY_NANOS / 2);
+			.orElse(MAX_RETRY_AFTER_NANOS / 2);
 	}
 
-	// Places free up in bursts, as a batch's requests end with one pass; so the rate is
-	// taken over many completions.
+	// Slots become free in bursts, as several requests of a batch end with the same
+	// forward pass, so the rate is averaged over many completions.
 	private double expectedWait(WaitingRequest request, long now) {
 		long ahead = this.waiting.stream().filter((other) -> ORDER.compare(other, request) < 0).count();
-		if (this.completions.size() < FEWEST_COMPLETIONS) {
+		if (this.completions.size() < MIN_COMPLETIONS) {
 			return 0;
 		}
 		double nanosPerCompletion = (double) (now - this.completions.getFirst()) / this.completions.size();
@@ -309,9 +315,9 @@
 	}
 
 	private PlaceRefused refuse(WaitingRequest request, String reason, long waitNanos) {
-		double nanos = Math.max(SHORTEST_RETRY_NANOS, Math.min(waitNanos, LONGEST_RETRY_NANOS));
-		double spread = 0.75 + 0.5 * this.random.nextDouble();
-		return new PlaceRefused(request.id(), reason, Duration.ofNanos((long) (nanos * spread)));
+		double nanos = Math.max(MIN_RETRY_AFTER_NANOS, Math.min(waitNanos, MAX_RETRY_AFTER_NANOS));
+		double jitter = 0.75 + 0.5 * this.random.nextDouble();
+		return new PlaceRefused(request.id(), reason, Duration.ofNanos((long) (nanos * jitter)));
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/WaitingRequest.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/WaitingRequest.java
@@ -5,14 +5,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A request that needs a place on a backend server.
+ * A request that needs a slot of a backend server.
  *
- * @param id identifies it at this entry
- * @param priority its rank, 0 first
- * @param returning whether it was refused before, so that it cannot be on time any more
- * @param arrival when it arrived, in nanoseconds
- * @param latestStart the latest time at which starting it is still worth while
- * @param excluded the servers that it may not be sent to
+ * @param id the identifier, unique at this entry
+ * @param priority the priority; 0 is the highest
+ * @param returning whether it was rejected before, so that it can no longer be on time
+ * @param arrival the time of arrival in nanoseconds
+ * @param latestStart the time in nanoseconds after which it is rejected if not started
+ * @param excluded the identifiers of servers that it must not be sent to
  */
 public record WaitingRequest(long id, int priority, boolean returning, long arrival, long latestStart,
 		Set<String> excluded) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/package-info.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Decisions about the backend servers of one service: which one gets a request, which
- * requests wait and which are refused. Without I/O and threads.
+ * Load balancing and admission control over the backend servers of one service: decides
+ * which server gets a request, which requests are queued and which are rejected. Performs
+ * no I/O and starts no threads.
  */
 package org.comfreywall.gateway.pool;
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/RetryAllowanceTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/RetryAllowanceTests.java
@@ -14,40 +14,40 @@
 	private static final long SECOND = 1_000_000_000L;
 
 	@Test
-	void allEntriesTogetherStayWithinTheBoundWhenEverythingFails() {
+	void retriesOfAllEntriesStayWithinTheLimitWhenEveryRequestFails() {
 		int entries = 7;
 		int requests = 0;
 		int retries = 0;
 		for (int entry = 0; entry < entries; entry++) {
-			RetryAllowance allowance = new RetryAllowance(0.2, 96, Duration.ofSeconds(10));
+			RetryAllowance budget = new RetryAllowance(0.2, 96, Duration.ofSeconds(10));
 			for (int i = 0; i < 100; i++) {
 				long now = i * SECOND / 10;
-				allowance.sentFirst(now);
+				budget.sentFirst(now);
 				requests++;
-				retries += allowance.take(entries, now) ? 1 : 0;
+				retries += budget.take(entries, now) ? 1 : 0;
 			}
 		}
 		assertThat(retries).isPositive().isLessThanOrEqualTo((int) (0.2 * requests) + 96);
 	}
 
 	@Test
-	void theBoundHoldsAlsoIfEveryEntryRestartsOnce() {
+	void theLimitHoldsIfEveryEntryRestartsOnce() {
 		int retries = 0;
-		for (int life = 0; life < 14; life++) {
-			RetryAllowance allowance = new RetryAllowance(0, 96, Duration.ofSeconds(10));
+		for (int incarnation = 0; incarnation < 14; incarnation++) {
+			RetryAllowance budget = new RetryAllowance(0, 96, Duration.ofSeconds(10));
 			for (int i = 0; i < 100; i++) {
-				retries += allowance.take(7, i) ? 1 : 0;
+				retries += budget.take(7, i) ? 1 : 0;
 			}
 		}
 		assertThat(retries).isLessThanOrEqualTo(96);
 	}
 
 	@Test
-	void theAllowanceComesBackWithTheWindow() {
-		RetryAllowance allowance = new RetryAllowance(0, 2, Duration.ofSeconds(10));
-		assertThat(allowance.take(1, 0)).isTrue();
-		assertThat(allowance.take(1, SECOND)).isFalse();
-		assertThat(allowance.take(1, 11 * SECOND)).isTrue();
+	void retriesAreAvailableAgainAfterTheWindow() {
+		RetryAllowance budget = new RetryAllowance(0, 2, Duration.ofSeconds(10));
+		assertThat(budget.take(1, 0)).isTrue();
+		assertThat(budget.take(1, SECOND)).isFalse();
+		assertThat(budget.take(1, 11 * SECOND)).isTrue();
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServerDirectoryTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServerDirectoryTests.java
@@ -23,7 +23,7 @@
 	}
 
 	@Test
-	void aLateAnnouncementDoesNotTakeAFarewellBack() {
+	void aDelayedAnnouncementDoesNotMakeALeavingServerReady() {
 		this.directory.merge(announcement("s", 1, 10, 5, ServerState.LEAVING), 0);
 		assertThat(this.directory.merge(announcement("s", 1, 10, 4, ServerState.READY), 1)).isFalse();
 		assertThat(this.directory.merge(announcement("s", 1, 10, 6, ServerState.READY), 1)).isFalse();
@@ -31,28 +31,28 @@
 	}
 
 	@Test
-	void aNewLifeUnderTheSameNameReplacesTheOldOne() {
+	void aLaterIncarnationOfAServerReplacesTheEarlierOne() {
 		this.directory.merge(announcement("s", 1, 10, 500, ServerState.LEAVING), 0);
 		assertThat(this.directory.merge(announcement("s", 1, 11, 1, ServerState.READY), 1)).isTrue();
 		assertThat(this.directory.merge(announcement("s", 1, 10, 501, ServerState.READY), 2)).isFalse();
 	}
 
 	@Test
-	void anAnnouncementOfAnEarlierLifeAtTheAddressIsIgnored() {
+	void anAnnouncementOfAnEarlierIncarnationAtTheSameAddressIsIgnored() {
 		this.directory.merge(announcement("new", 1, 20, 1, ServerState.READY), 0);
 		assertThat(this.directory.merge(announcement("old", 1, 10, 9, ServerState.READY), 1)).isFalse();
 	}
 
 	@Test
-	void theOrderOfMergingDoesNotMatterForOneServer() {
-		List<ServerAnnouncement> heard = new ArrayList<>(List.of(announcement("s", 1, 10, 1, ServerState.READY),
+	void mergingTheAnnouncementsOfOneServerIsCommutative() {
+		List<ServerAnnouncement> announcements = new ArrayList<>(List.of(announcement("s", 1, 10, 1, ServerState.READY),
 				announcement("s", 1, 10, 2, ServerState.LEAVING), announcement("s", 1, 12, 1, ServerState.READY),
 				announcement("s", 1, 12, 2, ServerState.READY)));
 		Random random = new Random(3);
 		for (int run = 0; run < 50; run++) {
-			Collections.shuffle(heard, random);
+			Collections.shuffle(announcements, random);
 			ServerDirectory merged = new ServerDirectory();
-			heard.forEach((each) -> merged.merge(each, 0));
+			announcements.forEach((each) -> merged.merge(each, 0));
 			assertThat(merged.find("s").orElseThrow().sequence()).isEqualTo(2);
 			assertThat(merged.find("s").orElseThrow().startedMillis()).isEqualTo(12);
 		}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServicePoolTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServicePoolTests.java
@@ -40,7 +40,7 @@
 	class Placing {
 
 		@Test
-		void spreadsRequestsEvenlyOverServersInLockStep() {
+		void distributesRequestsEvenlyOverServers() {
 			for (int i = 0; i < 16; i++) {
 				ServicePoolTests.this.pool.announce(server(i, 8), 0);
 			}
@@ -64,7 +64,7 @@
 		}
 
 		@Test
-		void theCountsOfAnEntryThatFellSilentKeepNoPlaces() {
+		void countsOfASilentEntryExpireAndOccupyNoSlots() {
 			ServicePoolTests.this.pool.announce(server(0, 8), 0);
 			ServicePoolTests.this.pool.heardOthers("killed", Map.of("s0", 8), 0);
 			ServicePoolTests.this.pool.heardOthers("alive", Map.of(), 0);
@@ -77,7 +77,7 @@
 		}
 
 		@Test
-		void aSlowRankGetsRequestsOnlyOnceTheOthersAreNearlyFull() {
+		void aSlowRankGetsRequestsOnlyWhenTheOtherServersAreNearlyFull() {
 			for (int i = 0; i < 4; i++) {
 				ServicePoolTests.this.pool.announce(server(i, 8), 0);
 			}
@@ -94,14 +94,14 @@
 		}
 
 		@Test
-		void leavesOutServersThatAreLeaving() {
+		void sendsNothingToServersThatAreLeaving() {
 			ServicePoolTests.this.pool.announce(server(0, 8), 0);
 			ServicePoolTests.this.pool.announce(server(0, 8).with(ServerState.LEAVING), 0);
 			assertThat(ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0)).isInstanceOf(PlaceRefused.class);
 		}
 
 		@Test
-		void pausesAServerWhoseConnectionsBreak() {
+		void ejectsAServerWhoseConnectionsFail() {
 			ServicePoolTests.this.pool.announce(server(0, 8), 0);
 			ServicePoolTests.this.pool.announce(server(1, 8), 0);
 			PoolServer broken = ServicePoolTests.this.pool.servers()
@@ -127,7 +127,7 @@
 		}
 
 		@Test
-		void aServerThatStartsAgainUnderItsNameHasNothingInFlight() {
+		void aRestartedServerHasNoRequestsInFlight() {
 			ServicePoolTests.this.pool.announce(server(0, 1), 0);
 			ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
 			ServicePoolTests.this.pool.announce(new ServerAnnouncement("s0", "service", new HostPort("127.0.0.1", 1000),
@@ -141,7 +141,7 @@
 	class Queueing {
 
 		@Test
-		void startsTheMostUrgentRequestFirst() {
+		void startsTheRequestWithTheHighestPriorityFirst() {
 			ServicePoolTests.this.pool.announce(server(0, 1), 0);
 			PlaceGranted first = (PlaceGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
 			WaitingRequest late = request(2, 1, 1000 * MILLI);
@@ -155,7 +155,7 @@
 		}
 
 		@Test
-		void refusesAtOnceWhatCannotStartInTime() {
+		void immediatelyRejectsRequestsThatCannotStartInTime() {
 			ServicePoolTests.this.pool.announce(server(0, 1), 0);
 			long now = 0;
 			for (int i = 0; i < 4; i++) {
@@ -170,7 +170,7 @@
 		}
 
 		@Test
-		void startsRequestsThatCanBeOnTimeBeforeThoseThatComeBack() {
+		void startsNewRequestsBeforeThoseThatWereRejectedBefore() {
 			ServicePoolTests.this.pool.announce(server(0, 1), 0);
 			PlaceGranted first = (PlaceGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
 			WaitingRequest back = new WaitingRequest(90, 1, true, 1, 1000 * MILLI, Set.of());
@@ -200,7 +200,7 @@
 	class GroupFault {
 
 		@Test
-		void refusesAtOnceWhileTheGroupFormsAnewAndTriesAgainSoon() {
+		void rejectsRequestsDuringAGroupFaultAndProbesTheGroupSoonAfter() {
 			ServicePoolTests.this.pool.announce(server(0, 1), 0);
 			ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
 			ServicePoolTests.this.pool.offer(request(1, 0, 1000 * MILLI), 0);
@@ -216,33 +216,33 @@
 	}
 
 	/**
-	 * Plays a load well below the capacity, placed by entries that hear of each other
-	 * five times a second. A request that comes to a full server waits there, while
-	 * others have places.
+	 * Simulates a load well below the capacity, distributed by entries that exchange
+	 * their counts five times a second. A request that is sent to a full server would
+	 * wait there although other servers have free slots.
 	 */
 	@Nested
 	class SharedServers {
 
 		@ParameterizedTest
 		@CsvSource({ "16, 72, 7, 190", "7, 16, 8, 53", "7, 16, 8, 20", "2, 16, 8, 45" })
-		void hardlyAnyRequestComesToAFullServer(int entries, int servers, int slots, double perSecond) {
+		void lessThanOnePercentOfRequestsAreSentToAFullServer(int entries, int servers, int slots, double perSecond) {
 			SharedLoad load = new SharedLoad(entries, servers, slots, new Random(3));
-			load.play(perSecond, Duration.ofMillis(1500), Duration.ofSeconds(120));
-			assertThat(load.crowdedShare()).isLessThan(0.01);
+			load.simulate(perSecond, Duration.ofMillis(1500), Duration.ofSeconds(120));
+			assertThat(load.fullServerShare()).isLessThan(0.01);
 			assertThat(load.refused()).isZero();
 		}
 
 		@Test
-		void fewRequestsComeToAFullServerNearTheCapacity() {
+		void fewRequestsAreSentToAFullServerNearTheCapacity() {
 			SharedLoad load = new SharedLoad(16, 72, 7, new Random(3));
-			load.play(260, Duration.ofMillis(1500), Duration.ofSeconds(120));
-			assertThat(load.crowdedShare()).isLessThan(0.1);
+			load.simulate(260, Duration.ofMillis(1500), Duration.ofSeconds(120));
+			assertThat(load.fullServerShare()).isLessThan(0.1);
 		}
 
 	}
 
 	/**
-	 * Plays a load of twice the capacity and checks what callers get.
+	 * Simulates a load of twice the capacity.
 	 */
 	@Nested
 	class Overload {
@@ -256,7 +256,7 @@
 		private static final long LONGEST_WAIT = 1200 * MILLI;
 
 		@Test
-		void servesAtCapacityAndAnswersEveryRequestInTime() {
+		void servesAtCapacityAndDecidesOnEveryRequestInTime() {
 			for (int i = 0; i < SERVERS; i++) {
 				ServicePoolTests.this.pool.announce(server(i, SLOTS), 0);
 			}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/SharedLoad.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/SharedLoad.java
@@ -12,14 +12,14 @@
 import org.comfreywall.common.toml.HostPort;
 
 /**
- * Several entries that place requests on the same servers and tell each other five times
- * a second what they have in flight.
+ * Simulates several entries that send requests to the same servers and exchange the
+ * counts of their requests in flight five times a second.
  */
 final class SharedLoad {
 
 	private static final long MILLI = 1_000_000;
 
-	private static final long NEWS = 200 * MILLI;
+	private static final long UPDATE_INTERVAL_NANOS = 200 * MILLI;
 
 	private final Random random;
 
@@ -33,16 +33,16 @@
 
 	private int placed;
 
-	private int crowded;
+	private int sentToFull;
 
 	private int refused;
 
 	/**
-	 * Creates entries and servers, spread over four failure domains.
+	 * Creates entries and servers in four failure domains.
 	 * @param entries the number of entries
 	 * @param servers the number of servers
-	 * @param slots the places of a server
-	 * @param random draws arrivals
+	 * @param slots the number of slots per server
+	 * @param random the source of arrival and service times
 	 */
 	SharedLoad(int entries, int servers, int slots, Random random) {
 		this.random = random;
@@ -58,20 +58,20 @@
 	}
 
 	/**
-	 * Plays arrivals at random times.
-	 * @param perSecond the arrivals a second, over all entries
-	 * @param service how long a request runs in the mean
-	 * @param length how long to play
+	 * Simulates Poisson arrivals.
+	 * @param perSecond the arrivals per second over all entries
+	 * @param service the mean service time of a request
+	 * @param length the simulated time
 	 */
-	void play(double perSecond, Duration service, Duration length) {
+	void simulate(double perSecond, Duration service, Duration length) {
 		long now = 0;
-		long news = 0;
+		long nextUpdate = 0;
 		while (now < length.toNanos()) {
 			now += (long) (-Math.log(1 - this.random.nextDouble()) / perSecond * 1e9);
-			while (news <= now) {
-				finish(news);
-				tell(news);
-				news += NEWS;
+			while (nextUpdate <= now) {
+				finish(nextUpdate);
+				exchangeCounts(nextUpdate);
+				nextUpdate += UPDATE_INTERVAL_NANOS;
 			}
 			finish(now);
 			arrive(now, service);
@@ -88,7 +88,7 @@
 		}
 		String server = granted.server().announcement().server();
 		this.placed++;
-		this.crowded += (this.running.merge(server, 1, Integer::sum) > this.slots) ? 1 : 0;
+		this.sentToFull += (this.running.merge(server, 1, Integer::sum) > this.slots) ? 1 : 0;
 		long nanos = (long) (-Math.log(1 - this.random.nextDouble()) * service.toNanos());
 		this.runs.add(new Run(entry, granted.server(), now + nanos));
 	}
@@ -101,22 +101,22 @@
 		}
 	}
 
-	private void tell(long now) {
-		for (ServicePool teller : this.entries) {
+	private void exchangeCounts(long now) {
+		for (ServicePool sender : this.entries) {
 			Map<String, Integer> requests = new HashMap<>();
-			teller.servers().forEach((server) -> requests.put(server.announcement().server(), server.inFlight()));
+			sender.servers().forEach((server) -> requests.put(server.announcement().server(), server.inFlight()));
 			this.entries.stream()
-				.filter((entry) -> entry != teller)
-				.forEach((entry) -> entry.heardOthers("e" + this.entries.indexOf(teller), requests, now));
+				.filter((entry) -> entry != sender)
+				.forEach((entry) -> entry.heardOthers("e" + this.entries.indexOf(sender), requests, now));
 		}
 	}
 
 	/**
-	 * Returns the share of requests that came to a server whose places were all taken.
+	 * Returns the share of requests that were sent to a server without a free slot.
 	 * @return the share, from 0 to 1
 	 */
-	double crowdedShare() {
-		return (double) this.crowded / this.placed;
+	double fullServerShare() {
+		return (double) this.sentToFull / this.placed;
 	}
 
 	int refused() {
