--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/DurableControl.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/DurableControl.java
@@ -34,13 +34,14 @@
 import org.comfreywall.control.storage.FolderOrigin;
 
 /**
- * This process's part in the replicated log, opened again after its disk has failed.
+ * This process's replica of the replicated log, which is reopened after its storage has
+ * failed.
  */
 final class DurableControl implements AutoCloseable {
 
 	private static final EventLog LOG = EventLog.of(DurableControl.class);
 
-	/** A whole document is one entry, so few entries fill a disk. */
+	/** Each log entry holds a whole document, so the log is compacted often. */
 	private static final int SNAPSHOT_INTERVAL = 64;
 
 	private static final int TRAILING_ENTRIES = 16;
@@ -80,23 +81,23 @@
 	}
 
 	/**
-	 * Tells whether the folder holds a log already.
-	 * @return {@code false} on an empty disk
+	 * Returns whether the folder already contains a log.
+	 * @return {@code false} if the folder is empty
 	 */
 	boolean hasLog() {
 		return Files.exists(this.folder.resolve("FORMAT"));
 	}
 
 	/**
-	 * Opens an empty folder as one of the founders.
-	 * @param founders the founders' instances
+	 * Opens an empty folder as one of the initial voters.
+	 * @param founders the instances of all initial voters
 	 */
 	void found(List<String> founders) {
 		open(FolderOrigin.founding(this.self, founders.stream().map(InstanceId::of).toList()));
 	}
 
 	/**
-	 * Opens the folder; an empty one waits until the leader adds it.
+	 * Opens the folder. The replica of an empty folder waits until the leader adds it.
 	 */
 	void open() {
 		open(FolderOrigin.joining(this.self, new SecureRandom()));
@@ -107,7 +108,7 @@
 		if (opened.error().isPresent()) {
 			LOG.error("storage-not-opened", Field.of("error", opened.error().get().message()));
 			if (isBeyondRepair(opened.error().get().message())) {
-				empty();
+				deleteContents();
 			}
 			return;
 		}
@@ -120,12 +121,12 @@
 		LOG.info("storage-opened", Field.of("storage-id", this.storageId));
 	}
 
-	// A folder that may have lost what it acknowledged must not vote again.
+	// A replica that may have lost acknowledged entries must not vote again.
 	private static boolean isBeyondRepair(String message) {
 		return message.contains("replace this instance") || message.contains("damage");
 	}
 
-	private void empty() {
+	private void deleteContents() {
 		try (Stream<Path> files = Files.list(this.folder)) {
 			for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
 				Files.delete(file);
@@ -138,7 +139,7 @@
 	}
 
 	/**
-	 * Opens the storage again if it has failed.
+	 * Reopens the storage if it has failed or could not be opened.
 	 */
 	void repair() {
 		if (this.node.filter((running) -> running.status().role() == Role.DISABLED).isPresent()) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetCodec.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetCodec.java
@@ -13,7 +13,7 @@
 import org.comfreywall.transport.generated.ServerNotice;
 
 /**
- * Converts what processes tell one another to and from messages.
+ * Converts peers, server announcements and slow servers to and from messages.
  */
 final class FleetCodec {
 
@@ -61,9 +61,9 @@
 					ServerState.values()[notice.getState()]));
 	}
 
-	static Map<HostPort, Double> decodeSlowServers(FleetNews news) {
+	static Map<HostPort, Double> decodeSlowServers(FleetNews update) {
 		Map<HostPort, Double> slow = new HashMap<>();
-		news.getSlowServersList()
+		update.getSlowServersList()
 			.forEach((server) -> HostPort.parse(server.getAddress())
 				.filter((address) -> server.getPace() > 0)
 				.ifPresent((address) -> slow.put(address, server.getPace())));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetListener.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetListener.java
@@ -7,45 +7,45 @@
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 
 /**
- * Receives what a process learns of its fleet; called on the event loop.
+ * Receives the updates of a process from its fleet; called on the event loop.
  */
 public interface FleetListener {
 
 	/**
-	 * Called when a newer document is known.
+	 * Called when a newer version of the document was received.
 	 * @param document the document
 	 */
 	void onDocument(VersionedDocument document);
 
 	/**
-	 * Called for each announcement of a backend server that is news.
+	 * Called for each announcement that changes the state kept for a backend server.
 	 * @param announcement the announcement
 	 */
 	void onServer(ServerAnnouncement announcement);
 
 	/**
-	 * Called when a backend server is forgotten.
+	 * Called when a backend server was removed because it had been silent for too long.
 	 * @param announcement its last announcement
 	 */
 	void onForgotten(ServerAnnouncement announcement);
 
 	/**
-	 * Called when another entry has told what it has in flight.
+	 * Called when another entry's counts of requests in flight were received.
 	 * @param instance the entry's instance
-	 * @param requests its requests by backend server
+	 * @param requests the number of its requests by backend server
 	 */
 	void onInFlight(String instance, Map<String, Integer> requests);
 
 	/**
-	 * Called when the leader has told which backend servers are slow.
-	 * @param pace how much longer than usual each takes, by address; all others are
-	 * healthy
+	 * Called when the leader's list of slow backend servers was received.
+	 * @param pace the factor by which each takes longer than usual, by address; all
+	 * others are healthy
 	 */
 	void onSlowServers(Map<HostPort, Double> pace);
 
 	/**
-	 * Returns what this entry has in flight.
-	 * @return its requests by backend server
+	 * Returns this entry's counts of requests in flight.
+	 * @return the number of its requests by backend server
 	 */
 	Map<String, Integer> inFlight();
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetMethods.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetMethods.java
@@ -9,23 +9,26 @@
 import org.comfreywall.transport.rpc.RpcMethod;
 
 /**
- * The calls and topics that processes of a fleet answer.
+ * RPC methods and topics between the processes of a fleet.
  */
 final class FleetMethods {
 
-	/** Tells news and has them confirmed. */
+	/** Sends an update that the receiver acknowledges once it is applied. */
 	static final RpcMethod<FleetNews, FleetNewsReply> CONFIRM_NEWS = new RpcMethod<>("fleet.confirm-news",
 			FleetNews.parser(), FleetNewsReply.parser());
 
-	/** Asks for a newer document. */
+	/** Queries a newer version of the document. */
 	static final RpcMethod<DocumentRequest, DocumentReply> DOCUMENT = new RpcMethod<>("fleet.document",
 			DocumentRequest.parser(), DocumentReply.parser());
 
-	/** Asks to found the replicated log; answered by the convener. */
+	/**
+	 * Queries the initial voters of the replicated log; only the coordinator of the
+	 * bootstrap chooses them.
+	 */
 	static final RpcMethod<FoundingRequest, FoundingReply> FOUND = new RpcMethod<>("fleet.found",
 			FoundingRequest.parser(), FoundingReply.parser());
 
-	/** The topic of news that need no confirmation. */
+	/** Topic of periodic updates, which are not acknowledged. */
 	static final String NEWS_TOPIC = "fleet.news";
 
 	private FleetMethods() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -48,8 +48,8 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * This process among the others of its fleet: finds them, tells them its news and takes
- * in theirs, and takes part in the replicated log if it has a disk.
+ * Membership of this process in its fleet: discovers the other processes, exchanges
+ * periodic updates with them and, if it has a disk, runs a replica of the replicated log.
  * <p>
  * State is confined to one event loop.
  */
@@ -57,15 +57,18 @@
 
 	private static final EventLog LOG = EventLog.of(FleetNode.class);
 
-	private static final Duration NEWS_INTERVAL = Duration.ofMillis(200);
+	private static final Duration UPDATE_INTERVAL = Duration.ofMillis(200);
 
-	/** Everything known is told again this often, for processes that missed something. */
-	private static final int ROUNDS_PER_FULL_NEWS = 10;
+	/** Every tenth update carries the full state, for processes that missed a change. */
+	private static final int UPDATES_PER_FULL_UPDATE = 10;
 
 	private static final Duration MAINTENANCE_INTERVAL = Duration.ofMillis(300);
 
-	/** A member this long silent is replaced, if another disk is at hand. */
-	private static final Duration GONE = Duration.ofSeconds(7);
+	/**
+	 * A voter that is silent for this time counts as lost and is replaced if another
+	 * process with a disk is available.
+	 */
+	private static final Duration LOST_TIMEOUT = Duration.ofSeconds(7);
 
 	private static final Duration CALL_TIMEOUT = Duration.ofMillis(500);
 
@@ -84,7 +87,7 @@
 
 	private final RpcServer server = new RpcServer();
 
-	private final FleetRoster roster = new FleetRoster();
+	private final FleetRoster peers = new FleetRoster();
 
 	private final ServerDirectory directory = new ServerDirectory();
 
@@ -96,11 +99,11 @@
 
 	private final SerialWorker storageWorker;
 
-	private final LogFounding founding;
+	private final LogFounding bootstrap;
 
 	private final VoterPlanner planner;
 
-	private final Optional<DurableControl> control;
+	private final Optional<DurableControl> replica;
 
 	private final Optional<PeerFile> peerFile;
 
@@ -108,22 +111,23 @@
 
 	private VersionedDocument document = VersionedDocument.NONE;
 
-	private Map<String, ServerAnnouncement> unsent = new HashMap<>();
+	private Map<String, ServerAnnouncement> unsentAnnouncements = new HashMap<>();
 
-	private Set<String> live = new HashSet<>();
+	private Set<String> liveInstances = new HashSet<>();
 
 	private String leader = "";
 
 	private long leaderTerm;
 
-	private long round;
+	private long updatesSent;
 
 	/**
-	 * Starts to look for the fleet.
-	 * @param settings what is known at the start
+	 * Creates a node and accepts connections from peers.
+	 * @param settings the settings at the start
 	 * @param loop the event loop that the state is confined to
-	 * @param listener receives what is learnt
-	 * @param ranks receives the reports of ranks while this process leads
+	 * @param listener receives updates of the fleet
+	 * @param ranks receives the reports of ranks while this process is the leader, and
+	 * the switches that are delegated to it
 	 */
 	public FleetNode(FleetSettings settings, EventLoop loop, FleetListener listener, RankObserver ranks) {
 		this.settings = Preconditions.notNull(settings, "settings");
@@ -133,45 +137,45 @@
 		PeerIdentity self = new PeerIdentity(InstanceId.of(settings.instance()), Incarnation.of(this.incarnation));
 		this.transport = this.closer.register(new Transport(self, TIMES, TransportSecurity.PLAIN, 1));
 		this.clients = new PeerClients(this.transport);
-		this.groups = new GroupCalls(settings, this.roster, this.clients, ranks, this::leaderAddress);
+		this.groups = new GroupCalls(settings, this.peers, this.clients, ranks, this::leaderAddress);
 		this.storageWorker = this.closer.register(new SerialWorker("storage", WORKER_RING));
-		this.founding = new LogFounding(settings, this::self, this.clients, loop, this.storageWorker);
+		this.bootstrap = new LogFounding(settings, this::self, this.clients, loop, this.storageWorker);
 		this.peerFile = PeerFile.of(settings);
-		this.control = settings.dataFolder()
+		this.replica = settings.dataFolder()
 			.map((folder) -> new DurableControl(folder, settings.instance(), this::sendToMember,
-					(newer) -> this.loop.execute(() -> learnt(newer))));
-		this.control.ifPresent(this.closer::register);
+					(newer) -> this.loop.execute(() -> updateDocument(newer))));
+		this.replica.ifPresent(this.closer::register);
 		register();
 		this.closer.register(this.transport.listen(settings.address(), this.server));
 	}
 
 	/**
-	 * Starts telling news and, with a disk, the part in the replicated log.
+	 * Starts sending updates and, with a disk, the replica of the replicated log.
 	 */
 	public void start() {
 		this.loop.execute(() -> reseed(this.settings.seeds()));
-		this.control.ifPresent((durable) -> this.storageWorker.execute(() -> {
+		this.replica.ifPresent((opened) -> this.storageWorker.execute(() -> {
 			List<HostPort> peers = this.peerFile.map(PeerFile::load).orElse(List.of());
-			this.loop.execute(() -> meet(peers));
-			this.founding.open(durable);
+			this.loop.execute(() -> addPeers(peers));
+			this.bootstrap.open(opened);
 		}));
-		every(NEWS_INTERVAL, this::tellNews);
-		every(MAINTENANCE_INTERVAL, this::maintain);
+		scheduleRepeatedly(UPDATE_INTERVAL, this::broadcastUpdate);
+		scheduleRepeatedly(MAINTENANCE_INTERVAL, this::maintain);
 	}
 
-	private void every(Duration interval, Runnable task) {
+	private void scheduleRepeatedly(Duration interval, Runnable task) {
 		this.loop.scheduleWithFixedDelay(task, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	private void register() {
 		this.server.register(ControlMethods.LOG_TOPIC, (connection, payload) -> receiveLog(payload));
-		this.server.register(FleetMethods.NEWS_TOPIC, (connection, payload) -> receiveNews(payload));
-		this.server.register(FleetMethods.CONFIRM_NEWS, (caller, news) -> onLoop(() -> {
-			heard(news);
+		this.server.register(FleetMethods.NEWS_TOPIC, (connection, payload) -> receiveUpdate(payload));
+		this.server.register(FleetMethods.CONFIRM_NEWS, (caller, update) -> onLoop(() -> {
+			applyUpdate(update);
 			return Result.success(FleetNewsReply.getDefaultInstance());
 		}));
 		this.server.register(FleetMethods.DOCUMENT, (caller, request) -> onLoop(() -> document(request)));
-		this.server.register(FleetMethods.FOUND, (caller, request) -> onLoop(() -> this.founding.answer(request)));
+		this.server.register(FleetMethods.FOUND, (caller, request) -> onLoop(() -> this.bootstrap.answer(request)));
 		this.server.register(RankMethods.RANK, (caller, notice) -> onLoop(() -> this.groups.rank(notice)));
 		this.server.register(RankMethods.SWITCH, (caller, notice) -> onLoop(() -> this.groups.switched(notice)));
 		new LogCalls(this::localNode).register(this.server);
@@ -182,65 +186,68 @@
 	}
 
 	/**
-	 * Takes other seeds in.
+	 * Replaces the seeds.
 	 * @param seeds the addresses of other processes
 	 */
 	public void reseed(List<HostPort> seeds) {
 		this.settings = this.settings.withSeeds(seeds);
-		meet(seeds);
+		addPeers(seeds);
 	}
 
-	private void meet(List<HostPort> peers) {
+	private void addPeers(List<HostPort> peers) {
 		long now = System.nanoTime();
-		peers.forEach((peer) -> this.roster.named(peer, now));
-		this.clients.connect(this.roster, this.settings);
+		peers.forEach((peer) -> this.peers.named(peer, now));
+		this.clients.connect(this.peers, this.settings);
 	}
 
 	/**
-	 * Takes in an announcement that a backend server made to this process.
+	 * Applies an announcement that a backend server sent to this process; the next
+	 * periodic update carries it to the others.
 	 * @param announcement the announcement
 	 */
 	public void announce(ServerAnnouncement announcement) {
 		if (merge(announcement, System.nanoTime())) {
-			this.unsent.put(announcement.server(), announcement);
+			this.unsentAnnouncements.put(announcement.server(), announcement);
 		}
 	}
 
 	/**
-	 * Takes in an announcement that others must know before it is acknowledged.
+	 * Applies an announcement and sends it to all live processes, which acknowledge it.
 	 * @param announcement the announcement
-	 * @return {@code true} once most processes with a disk, or all live processes, know
+	 * @return completes once every live process has replied or its call has failed;
+	 * {@code true} if the processes with a disk that acknowledged it, including this one,
+	 * are a majority of the target number of voters
 	 */
 	public CompletableFuture<Boolean> announceToAll(ServerAnnouncement announcement) {
 		merge(announcement, System.nanoTime());
-		FleetNews news = news().addServers(FleetCodec.encode(announcement, 0)).build();
-		NewsConfirmation confirmation = new NewsConfirmation(this.roster.live(System.nanoTime()),
-				this.settings.wantedVoters(), this.control.isPresent());
-		for (FleetPeer peer : this.roster.live(System.nanoTime())) {
+		FleetNews update = newUpdate().addServers(FleetCodec.encode(announcement, 0)).build();
+		NewsConfirmation acknowledgements = new NewsConfirmation(this.peers.live(System.nanoTime()),
+				this.settings.wantedVoters(), this.replica.isPresent());
+		for (FleetPeer peer : this.peers.live(System.nanoTime())) {
 			this.clients.at(peer.address())
-				.call(FleetMethods.CONFIRM_NEWS, news, CALL_TIMEOUT)
-				.thenAcceptAsync((reply) -> confirmation.answered(peer, reply.value().isPresent()), this.loop);
+				.call(FleetMethods.CONFIRM_NEWS, update, CALL_TIMEOUT)
+				.thenAcceptAsync((reply) -> acknowledgements.answered(peer, reply.value().isPresent()), this.loop);
 		}
-		return confirmation.result();
+		return acknowledgements.result();
 	}
 
 	/**
 	 * Finds a backend server.
 	 * @param server the server's identifier
-	 * @return its newest announcement
+	 * @return its latest announcement, or empty if the server is unknown
 	 */
 	public Optional<ServerAnnouncement> findServer(String server) {
 		return this.directory.find(server);
 	}
 
 	/**
-	 * Makes a document durable.
+	 * Proposes a document to the leader.
 	 * @param proposed the document
-	 * @return {@code true} once it, or a newer one, is on a majority of disks;
-	 * {@code false} if that is not known
+	 * @return {@code true} once it, or a newer version, is stored by a majority of the
+	 * voters; {@code false} if the outcome is unknown
 	 */
 	public CompletableFuture<Boolean> propose(VersionedDocument proposed) {
-		return leaderCalls().propose(proposed).thenApplyAsync((accepted) -> {
+		return leaderClient().propose(proposed).thenApplyAsync((accepted) -> {
 			if (accepted && this.document.version() < proposed.version()) {
 				readNewest();
 			}
@@ -249,64 +256,67 @@
 	}
 
 	/**
-	 * Reads the newest document, seeing all that was acknowledged before the call.
-	 * @return the document, or empty if it is not certain which is the newest
+	 * Reads the newest document with a linearizable read at the leader: it includes every
+	 * proposal that was acknowledged before the call.
+	 * @return the document, or empty if the leader did not confirm the read
 	 */
 	public CompletableFuture<Optional<VersionedDocument>> readNewest() {
-		return leaderCalls().readNewest().thenApplyAsync((newest) -> {
-			newest.ifPresent(this::learnt);
+		return leaderClient().readNewest().thenApplyAsync((newest) -> {
+			newest.ifPresent(this::updateDocument);
 			return newest;
 		}, this.loop);
 	}
 
-	private LeaderCalls leaderCalls() {
+	private LeaderCalls leaderClient() {
 		Optional<RpcClient> client = this.clients.of(currentLeader());
 		return new LeaderCalls(localNode().filter((node) -> node.status().role() == Role.LEADER), client);
 	}
 
 	/**
-	 * Returns the document that is known here.
-	 * @return the newest document heard of
+	 * Returns the newest document that this process has received.
+	 * @return the document
 	 */
 	public VersionedDocument document() {
 		return this.document;
 	}
 
 	/**
-	 * Returns the number of processes heard in the last seconds.
-	 * @return the count, with this one
+	 * Returns the number of processes that sent an update within the last 7 seconds.
+	 * @return the count, including this process
 	 */
 	public int members() {
-		return this.roster.heardWithin(GONE, System.nanoTime()).size() + 1;
+		return this.peers.heardWithin(LOST_TIMEOUT, System.nanoTime()).size() + 1;
 	}
 
 	/**
-	 * Tells whether this process hears most of the fleet.
-	 * @return {@code false} if it may be cut off
+	 * Returns whether this process receives updates from a majority of the known
+	 * processes.
+	 * @return {@code false} if it may be partitioned from the fleet
 	 */
 	public boolean isCurrent() {
-		int known = this.roster.known().size() + 1;
-		return (this.roster.live(System.nanoTime()).size() + 1) * 2 > known;
+		int known = this.peers.known().size() + 1;
+		return (this.peers.live(System.nanoTime()).size() + 1) * 2 > known;
 	}
 
 	/**
-	 * Tells whether this process leads the replicated log with a valid lease.
-	 * @return {@code true} while it may give orders
+	 * Returns whether this process is the leader of the replicated log and holds a valid
+	 * leader lease.
+	 * @return {@code true} while it may coordinate groups
 	 */
 	public boolean leads() {
 		return localNode().filter(ControlNode::holdsLease).isPresent();
 	}
 
 	/**
-	 * Returns the term of the replicated log.
-	 * @return the term known here
+	 * Returns the latest term of the replicated log that this process has seen.
+	 * @return the term
 	 */
 	public long term() {
 		return localNode().map((node) -> node.status().term().value()).orElse(this.leaderTerm);
 	}
 
 	/**
-	 * Hands leadership over before this process stops.
+	 * Transfers leadership to another live voter, before this process stops.
 	 */
 	public void yieldLeadership() {
 		localNode().filter((node) -> node.status().role() == Role.LEADER)
@@ -314,7 +324,7 @@
 				.membership()
 				.voters()
 				.stream()
-				.filter((voter) -> this.live.contains(voter.instance().value()))
+				.filter((voter) -> this.liveInstances.contains(voter.instance().value()))
 				.findFirst()
 				.ifPresent((voter) -> node.transferLeadership(voter.instance())));
 	}
@@ -325,11 +335,11 @@
 	}
 
 	private Optional<ControlNode> localNode() {
-		return this.control.flatMap(DurableControl::node);
+		return this.replica.flatMap(DurableControl::node);
 	}
 
 	private FleetPeer self() {
-		long storage = this.control.map(DurableControl::storageId).orElse(0L);
+		long storage = this.replica.map(DurableControl::storageId).orElse(0L);
 		return new FleetPeer(this.settings.instance(), this.settings.address(), this.settings.domain(),
 				this.incarnation, storage);
 	}
@@ -344,19 +354,19 @@
 
 	private Optional<HostPort> leaderAddress() {
 		return leads() ? Optional.of(this.settings.address())
-				: this.roster.find(currentLeader()).map(FleetPeer::address);
+				: this.peers.find(currentLeader()).map(FleetPeer::address);
 	}
 
 	/**
-	 * Returns the way to the processes that end a switch if this one cannot; it may be
-	 * used on any thread.
+	 * Returns the port to the deputies, which complete a switch if this process fails. It
+	 * is thread-safe.
 	 * @return the port
 	 */
 	public DeputyPort deputies() {
 		return new LoopDeputyPort(this.loop, this.groups);
 	}
 
-	private FleetNews.Builder news() {
+	private FleetNews.Builder newUpdate() {
 		return FleetNews.newBuilder()
 			.setSender(FleetCodec.encode(self()))
 			.setDocumentVersion(this.document.version())
@@ -364,74 +374,76 @@
 			.setTerm(Math.max(term(), this.leaderTerm));
 	}
 
-	private void tellNews() {
+	private void broadcastUpdate() {
 		long now = System.nanoTime();
-		boolean full = this.round++ % ROUNDS_PER_FULL_NEWS == 0;
-		FleetNews.Builder news = news().setHasInFlight(true);
+		boolean full = this.updatesSent++ % UPDATES_PER_FULL_UPDATE == 0;
+		FleetNews.Builder update = newUpdate().setHasInFlight(true);
 		this.listener.inFlight()
-			.forEach((server, requests) -> news.addInFlightBuilder().setServer(server).setRequests(requests));
+			.forEach((server, requests) -> update.addInFlightBuilder().setServer(server).setRequests(requests));
 		if (leads()) {
 			Map<HostPort, Double> slow = this.groups.slowServers();
-			news.setLeads(true);
-			slow.forEach((address, pace) -> news.addSlowServersBuilder().setAddress(address.toString()).setPace(pace));
+			update.setLeads(true);
+			slow.forEach(
+					(address, pace) -> update.addSlowServersBuilder().setAddress(address.toString()).setPace(pace));
 			this.listener.onSlowServers(slow);
 		}
 		if (full) {
-			this.roster.known().forEach((peer) -> news.addMembers(FleetCodec.encode(peer)));
+			this.peers.known().forEach((peer) -> update.addMembers(FleetCodec.encode(peer)));
 			this.directory.all()
-				.forEach((each) -> news.addServers(FleetCodec.encode(each, this.directory.age(each.server(), now))));
+				.forEach((each) -> update.addServers(FleetCodec.encode(each, this.directory.age(each.server(), now))));
 		}
 		else {
-			this.unsent.values().forEach((each) -> news.addServers(FleetCodec.encode(each, 0)));
+			this.unsentAnnouncements.values().forEach((each) -> update.addServers(FleetCodec.encode(each, 0)));
 		}
-		this.unsent = new HashMap<>();
-		broadcast(news.build());
+		this.unsentAnnouncements = new HashMap<>();
+		broadcast(update.build());
 	}
 
-	private void broadcast(FleetNews news) {
-		ByteString payload = news.toByteString();
+	private void broadcast(FleetNews update) {
+		ByteString payload = update.toByteString();
 		this.clients.sendToAll(FleetMethods.NEWS_TOPIC, payload);
 	}
 
-	private void receiveNews(ByteString payload) {
+	private void receiveUpdate(ByteString payload) {
 		try {
-			FleetNews news = FleetNews.parseFrom(payload);
-			this.loop.execute(() -> heard(news));
+			FleetNews update = FleetNews.parseFrom(payload);
+			this.loop.execute(() -> applyUpdate(update));
 		}
 		catch (InvalidProtocolBufferException ex) {
 			LOG.warn("malformed-news", Field.of("error", ex.getMessage()));
 		}
 	}
 
-	private void heard(FleetNews news) {
+	private void applyUpdate(FleetNews update) {
 		long now = System.nanoTime();
-		Optional<FleetPeer> sender = FleetCodec.decode(news.getSender());
+		Optional<FleetPeer> sender = FleetCodec.decode(update.getSender());
 		if (sender.isEmpty() || sender.get().instance().equals(this.settings.instance())) {
 			return;
 		}
-		this.roster.heard(sender.get(), now);
-		for (FleetMember member : news.getMembersList()) {
+		this.peers.heard(sender.get(), now);
+		for (FleetMember member : update.getMembersList()) {
 			FleetCodec.decode(member)
 				.filter((peer) -> !peer.address().equals(this.settings.address()))
-				.ifPresent((peer) -> this.roster.named(peer.address(), now));
+				.ifPresent((peer) -> this.peers.named(peer.address(), now));
 		}
-		this.clients.connect(this.roster, this.settings);
-		news.getServersList()
+		this.clients.connect(this.peers, this.settings);
+		update.getServersList()
 			.forEach((notice) -> FleetCodec.decode(notice)
 				.ifPresent((server) -> merge(server, now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis()))));
-		if (news.getHasInFlight()) {
+		if (update.getHasInFlight()) {
 			Map<String, Integer> requests = new HashMap<>();
-			news.getInFlightList().forEach((each) -> requests.put(each.getServer(), each.getRequests()));
+			update.getInFlightList().forEach((each) -> requests.put(each.getServer(), each.getRequests()));
 			this.listener.onInFlight(sender.get().instance(), requests);
 		}
-		if (news.getLeads()) {
-			this.listener.onSlowServers(FleetCodec.decodeSlowServers(news));
+		if (update.getLeads()) {
+			this.listener.onSlowServers(FleetCodec.decodeSlowServers(update));
 		}
-		if (news.getTerm() > this.leaderTerm || (news.getTerm() == this.leaderTerm && !news.getLeader().isEmpty())) {
-			this.leaderTerm = news.getTerm();
-			this.leader = news.getLeader();
+		if (update.getTerm() > this.leaderTerm
+				|| (update.getTerm() == this.leaderTerm && !update.getLeader().isEmpty())) {
+			this.leaderTerm = update.getTerm();
+			this.leader = update.getLeader();
 		}
-		if (news.getDocumentVersion() > this.document.version()) {
+		if (update.getDocumentVersion() > this.document.version()) {
 			fetchDocument(sender.get());
 		}
 	}
@@ -443,7 +455,7 @@
 			.thenAcceptAsync(
 					(reply) -> reply.value()
 						.filter((found) -> !found.getContent().isEmpty())
-						.ifPresent((found) -> learnt(
+						.ifPresent((found) -> updateDocument(
 								new VersionedDocument(found.getVersion(), Bytes.of(found.getContent().toByteArray())))),
 					this.loop);
 	}
@@ -456,19 +468,19 @@
 		return Result.success(reply.build());
 	}
 
-	private void learnt(VersionedDocument newer) {
+	private void updateDocument(VersionedDocument newer) {
 		if (newer.version() > this.document.version()) {
 			this.document = newer;
 			LOG.info("document-learnt", Field.of("version", newer.version()));
-			broadcast(news().build());
+			broadcast(newUpdate().build());
 			this.listener.onDocument(newer);
 		}
 	}
 
-	private boolean merge(ServerAnnouncement announcement, long heardAt) {
+	private boolean merge(ServerAnnouncement announcement, long receivedAt) {
 		Optional<ServerAnnouncement> before = this.directory.find(announcement.server());
-		boolean news = this.directory.merge(announcement, heardAt);
-		if (news) {
+		boolean changed = this.directory.merge(announcement, receivedAt);
+		if (changed) {
 			if (before
 				.filter((known) -> known.state() == announcement.state()
 						&& known.startedMillis() == announcement.startedMillis())
@@ -480,20 +492,20 @@
 			}
 			this.listener.onServer(announcement);
 		}
-		return news;
+		return changed;
 	}
 
 	private void maintain() {
 		long now = System.nanoTime();
-		this.roster.forget(now, this.settings.seeds());
-		this.clients.connect(this.roster, this.settings);
+		this.peers.forget(now, this.settings.seeds());
+		this.clients.connect(this.peers, this.settings);
 		this.directory.forget(now).forEach(this.listener::onForgotten);
-		noteLive(now);
-		this.control.ifPresent((durable) -> {
-			if (durable.storageId() != 0) {
+		updateLiveInstances(now);
+		this.replica.ifPresent((opened) -> {
+			if (opened.storageId() != 0) {
 				List<HostPort> peers = durablePeers(now);
 				this.storageWorker.offer(() -> {
-					durable.repair();
+					opened.repair();
 					this.peerFile.ifPresent((file) -> file.save(peers));
 				});
 			}
@@ -504,36 +516,36 @@
 	}
 
 	private List<HostPort> durablePeers(long now) {
-		return this.roster.heardWithin(GONE, now)
+		return this.peers.heardWithin(LOST_TIMEOUT, now)
 			.stream()
 			.filter(FleetPeer::isDurable)
 			.map(FleetPeer::address)
 			.toList();
 	}
 
-	private void noteLive(long now) {
-		Set<String> heardNow = new HashSet<>();
-		this.roster.live(now).forEach((peer) -> heardNow.add(peer.instance()));
-		heardNow.stream()
-			.filter((instance) -> !this.live.contains(instance))
+	private void updateLiveInstances(long now) {
+		Set<String> liveNow = new HashSet<>();
+		this.peers.live(now).forEach((peer) -> liveNow.add(peer.instance()));
+		liveNow.stream()
+			.filter((instance) -> !this.liveInstances.contains(instance))
 			.forEach((instance) -> LOG.info("peer-regained", Field.of("peer", instance)));
-		this.live.stream()
-			.filter((instance) -> !heardNow.contains(instance))
+		this.liveInstances.stream()
+			.filter((instance) -> !liveNow.contains(instance))
 			.forEach((instance) -> LOG.warn("peer-lost", Field.of("peer", instance)));
-		this.live = heardNow;
+		this.liveInstances = liveNow;
 	}
 
 	private void planVoters(long now) {
 		ControlNode node = localNode().orElseThrow();
 		Set<String> recent = new HashSet<>(Set.of(this.settings.instance()));
-		this.roster.heardWithin(GONE, now).forEach((peer) -> recent.add(peer.instance()));
-		Set<String> gone = new HashSet<>();
+		this.peers.heardWithin(LOST_TIMEOUT, now).forEach((peer) -> recent.add(peer.instance()));
+		Set<String> lost = new HashSet<>();
 		node.status().membership().members().forEach((member) -> {
 			if (!recent.contains(member.instance().value())) {
-				gone.add(member.instance().value());
+				lost.add(member.instance().value());
 			}
 		});
-		this.planner.next(node.status().membership(), this.roster.live(now), gone)
+		this.planner.next(node.status().membership(), this.peers.live(now), lost)
 			.ifPresent((change) -> node.changeMembers(change)
 				.thenAccept((result) -> LOG.info("voters-changed", Field.of("change", change),
 						Field.of("error", result.error().map((error) -> error.message()).orElse("none")))));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetPeer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetPeer.java
@@ -7,10 +7,10 @@
  * A process of the fleet.
  *
  * @param instance the name of its instance
- * @param address where it accepts connections of its peers
+ * @param address the address where it accepts connections from its peers
  * @param domain its failure domain
- * @param incarnation orders its lives
- * @param storageId identifier of its data folder; 0 if it has none
+ * @param incarnation orders its incarnations; a restart increases it
+ * @param storageId the identifier of its data folder; 0 if it has none
  */
 public record FleetPeer(String instance, HostPort address, String domain, long incarnation, long storageId) {
 
@@ -21,7 +21,7 @@
 	}
 
 	/**
-	 * Tells whether the process keeps state on disk.
+	 * Returns whether the process stores data on disk.
 	 * @return {@code true} if it has a data folder
 	 */
 	public boolean isDurable() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetRoster.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetRoster.java
@@ -9,37 +9,41 @@
 import org.comfreywall.common.toml.HostPort;
 
 /**
- * The processes of the fleet that this one has heard of, by address.
+ * Membership table: the processes of the fleet that this process knows, by address.
  */
 final class FleetRoster {
 
-	/** A process that was heard this recently counts as live: seven news intervals. */
+	/** A process counts as live until it has missed seven updates in a row. */
 	static final Duration LIVE = Duration.ofMillis(1500);
 
-	/** A silent process stays listed this long, so that a partition is not forgotten. */
-	private static final Duration LISTED = Duration.ofSeconds(40);
+	/**
+	 * Silent processes are kept for this time, so that those behind a partition still
+	 * count as members and are reconnected to.
+	 */
+	private static final Duration RETENTION = Duration.ofSeconds(40);
 
 	private final Map<HostPort, Entry> entries = new HashMap<>();
 
-	// The process itself told its news.
+	// Records an update that the process itself sent.
 	void heard(FleetPeer peer, long now) {
 		this.entries.values()
 			.removeIf((other) -> other.peer != null && other.peer.instance().equals(peer.instance())
 					&& !other.peer.address().equals(peer.address()));
 		Entry entry = this.entries.computeIfAbsent(peer.address(), (address) -> new Entry(now));
 		entry.peer = peer;
-		entry.heardAt = now;
-		entry.everHeard = true;
+		entry.lastUpdate = now;
+		entry.updateReceived = true;
 	}
 
-	// Settings or another process named the address.
+	// Adds an address from the settings or from another process.
 	void named(HostPort address, long now) {
 		this.entries.computeIfAbsent(address, (added) -> new Entry(now));
 	}
 
 	void forget(long now, List<HostPort> kept) {
 		this.entries.entrySet()
-			.removeIf((entry) -> !kept.contains(entry.getKey()) && now - entry.getValue().heardAt > LISTED.toNanos());
+			.removeIf((entry) -> !kept.contains(entry.getKey())
+					&& now - entry.getValue().lastUpdate > RETENTION.toNanos());
 	}
 
 	List<HostPort> addresses() {
@@ -65,7 +69,7 @@
 	List<FleetPeer> heardWithin(Duration age, long now) {
 		return this.entries.values()
 			.stream()
-			.filter((entry) -> entry.everHeard && now - entry.heardAt < age.toNanos())
+			.filter((entry) -> entry.updateReceived && now - entry.lastUpdate < age.toNanos())
 			.map((entry) -> entry.peer)
 			.toList();
 	}
@@ -74,12 +78,12 @@
 
 		private FleetPeer peer;
 
-		private long heardAt;
+		private long lastUpdate;
 
-		private boolean everHeard;
+		private boolean updateReceived;
 
-		private Entry(long heardAt) {
-			this.heardAt = heardAt;
+		private Entry(long addedAt) {
+			this.lastUpdate = addedAt;
 		}
 
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetSettings.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetSettings.java
@@ -8,16 +8,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What a process knows of its fleet when it starts.
+ * Settings of a process that are needed to join its fleet.
  *
  * @param instance the name of its instance
  * @param domain its failure domain
- * @param address where it accepts connections of its peers
- * @param seeds where it first looks for peers, the same on all processes at the first
- * start
- * @param dataFolder where it keeps state, if it has a disk
+ * @param address the address where it accepts connections from its peers
+ * @param seeds the addresses that it first connects to, the same on all processes at the
+ * first start
+ * @param dataFolder the data folder, or empty if it has no disk
  * @param firstStart whether the whole fleet starts for the first time
- * @param toleratedLosses the number of processes with a disk that may be lost at one time
+ * @param toleratedLosses the number of processes with a disk that may be lost at the same
+ * time
  */
 public record FleetSettings(String instance, String domain, HostPort address, List<HostPort> seeds,
 		Optional<Path> dataFolder, boolean firstStart, int toleratedLosses) {
@@ -32,15 +33,16 @@
 	}
 
 	/**
-	 * Returns the number of voters that lets a majority outlive the tolerated losses.
-	 * @return the number of voters wanted
+	 * Returns the number of voters of which a majority remains after the tolerated
+	 * losses.
+	 * @return the target number of voters
 	 */
 	public int wantedVoters() {
 		return 2 * this.toleratedLosses + 1;
 	}
 
 	/**
-	 * Returns the seeds with others in their place.
+	 * Returns a copy of these settings with other seeds.
 	 * @param changed the seeds
 	 * @return the settings
 	 */
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FoundingCouncil.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FoundingCouncil.java
@@ -9,70 +9,70 @@
 import java.util.TreeMap;
 
 /**
- * Chooses once which processes found the replicated log, at the process that all others
- * ask at the first start.
+ * Chooses the initial voters of the replicated log once, at the process that coordinates
+ * the bootstrap.
  * <p>
- * The choice is made when enough have asked and no further one came for a while. It never
- * changes afterwards; a process that restarts no longer convenes, as the first start is
- * over then.
+ * The choice is made when enough processes have registered and no further one did so for
+ * a while. It never changes afterwards, so that the log is bootstrapped only once. A
+ * coordinator that has restarted chooses no voters, as the first start is over.
  */
 final class FoundingCouncil {
 
-	/** All processes start within this time of each other. */
-	private static final Duration GATHERING = Duration.ofMillis(700);
+	/** Longest expected gap between the starts of two processes. */
+	private static final Duration QUIET_PERIOD = Duration.ofMillis(700);
 
-	/** After this time those that have asked are enough, if they are an odd number. */
-	private static final Duration PATIENCE = Duration.ofSeconds(6);
+	/** Time after which fewer voters are chosen; their number is odd in any case. */
+	private static final Duration TIMEOUT = Duration.ofSeconds(6);
 
-	private final int wanted;
+	private final int targetVoters;
 
-	private final Map<String, FleetPeer> asked = new LinkedHashMap<>();
+	private final Map<String, FleetPeer> candidates = new LinkedHashMap<>();
 
-	private long firstAsked;
+	private long firstRegistered;
 
-	private long lastAsked;
+	private long lastRegistered;
 
 	private List<String> founders = List.of();
 
-	FoundingCouncil(int wanted) {
-		this.wanted = wanted;
+	FoundingCouncil(int targetVoters) {
+		this.targetVoters = targetVoters;
 	}
 
 	/**
-	 * Takes in a process that asks to found the log.
-	 * @param peer the process
-	 * @param now the present time in nanoseconds
-	 * @return the founders, or none while it is too early to tell
+	 * Registers a candidate and returns the initial voters.
+	 * @param peer the candidate
+	 * @param now the current time in nanoseconds
+	 * @return the instances of the initial voters; empty until they are chosen
 	 */
 	List<String> ask(FleetPeer peer, long now) {
 		if (!this.founders.isEmpty()) {
 			return this.founders;
 		}
-		if (this.asked.isEmpty()) {
-			this.firstAsked = now;
+		if (this.candidates.isEmpty()) {
+			this.firstRegistered = now;
 		}
-		if (this.asked.put(peer.instance(), peer) == null) {
-			this.lastAsked = now;
+		if (this.candidates.put(peer.instance(), peer) == null) {
+			this.lastRegistered = now;
 		}
-		boolean gathered = now - this.lastAsked > GATHERING.toNanos();
-		boolean late = now - this.firstAsked > PATIENCE.toNanos();
-		if (gathered && (this.asked.size() >= this.wanted || late)) {
-			int count = Math.min(this.wanted, (this.asked.size() - 1) / 2 * 2 + 1);
+		boolean quiet = now - this.lastRegistered > QUIET_PERIOD.toNanos();
+		boolean timedOut = now - this.firstRegistered > TIMEOUT.toNanos();
+		if (quiet && (this.candidates.size() >= this.targetVoters || timedOut)) {
+			int count = Math.min(this.targetVoters, (this.candidates.size() - 1) / 2 * 2 + 1);
 			this.founders = acrossDomains().subList(0, count);
 		}
 		return this.founders;
 	}
 
-	// Takes one of each failure domain in turn.
+	// Orders the candidates round-robin over the failure domains.
 	private List<String> acrossDomains() {
 		Map<String, List<String>> byDomain = new TreeMap<>();
-		this.asked.values()
+		this.candidates.values()
 			.stream()
 			.sorted(Comparator.comparing(FleetPeer::instance))
 			.forEach((peer) -> byDomain.computeIfAbsent(peer.domain(), (domain) -> new ArrayList<>())
 				.add(peer.instance()));
 		List<String> ordered = new ArrayList<>();
-		for (int turn = 0; ordered.size() < this.asked.size(); turn++) {
+		for (int turn = 0; ordered.size() < this.candidates.size(); turn++) {
 			for (List<String> domain : byDomain.values()) {
 				if (turn < domain.size()) {
 					ordered.add(domain.get(turn));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/GroupCalls.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/GroupCalls.java
@@ -23,26 +23,26 @@
 import org.comfreywall.transport.generated.SwitchNoticeReply;
 
 /**
- * What processes tell one another of groups; used on the event loop.
+ * Handles and sends the messages about groups between processes; used on the event loop.
  */
 final class GroupCalls {
 
 	private static final EventLog LOG = EventLog.of(GroupCalls.class);
 
-	/** A switch is known to this many processes besides its coordinator. */
+	/** Number of processes besides the coordinator that a switch is delegated to. */
 	private static final int DEPUTIES = 2;
 
 	/**
-	 * A switch takes some round trips once its pass is chosen; the second deputy waits
-	 * until the first one has had its turn.
+	 * A switch takes a few round trips once its step is chosen. The timeout of the second
+	 * deputy is twice as long, so that the first one takes over alone.
 	 */
-	private static final Duration PATIENCE = Duration.ofMillis(80);
+	private static final Duration TAKEOVER_TIMEOUT = Duration.ofMillis(80);
 
-	private static final Duration TIMEOUT = Duration.ofMillis(200);
+	private static final Duration CALL_TIMEOUT = Duration.ofMillis(200);
 
 	private final FleetSettings settings;
 
-	private final FleetRoster roster;
+	private final FleetRoster peers;
 
 	private final PeerClients clients;
 
@@ -50,31 +50,31 @@
 
 	private final Supplier<Optional<HostPort>> leader;
 
-	private final PaceBoard paces = new PaceBoard();
+	private final PaceBoard slowRanks = new PaceBoard();
 
 	private List<FleetPeer> deputies = List.of();
 
-	GroupCalls(FleetSettings settings, FleetRoster roster, PeerClients clients, RankObserver observer,
+	GroupCalls(FleetSettings settings, FleetRoster peers, PeerClients clients, RankObserver observer,
 			Supplier<Optional<HostPort>> leader) {
 		this.settings = settings;
-		this.roster = roster;
+		this.peers = peers;
 		this.clients = clients;
 		this.observer = Preconditions.notNull(observer, "observer");
 		this.leader = leader;
 	}
 
-	// Only the leader hears ranks; others name it.
+	// Only the leader handles the notice; the reply redirects the rank to the leader.
 	Result<RankNoticeReply> rank(RankNotice notice) {
 		Optional<HostPort> address = this.leader.get();
 		boolean leads = address.filter(this.settings.address()::equals).isPresent();
 		if (leads && notice.getRank() < notice.getSize()) {
 			RankReport report = report(notice);
-			this.paces.heard(report, System.nanoTime());
+			this.slowRanks.heard(report, System.nanoTime());
 			this.observer.onRank(notice.getService(), report, notice.getChosenList());
 		}
 		RankNoticeReply.Builder reply = RankNoticeReply.newBuilder()
 			.setLeader(address.map(HostPort::toString).orElse(""));
-		this.roster.live(System.nanoTime()).forEach((peer) -> reply.addMembers(peer.address().toString()));
+		this.peers.live(System.nanoTime()).forEach((peer) -> reply.addMembers(peer.address().toString()));
 		return Result.success(reply.addMembers(this.settings.address().toString()).build());
 	}
 
@@ -88,7 +88,7 @@
 	}
 
 	Map<HostPort, Double> slowServers() {
-		return this.paces.slow(System.nanoTime());
+		return this.slowRanks.slow(System.nanoTime());
 	}
 
 	Result<SwitchNoticeReply> switched(SwitchNotice notice) {
@@ -104,25 +104,26 @@
 	}
 
 	CompletableFuture<Void> entrust(EntrustedSwitch entrusted) {
-		this.deputies = this.roster.live(System.nanoTime()).stream().limit(DEPUTIES).toList();
+		this.deputies = this.peers.live(System.nanoTime()).stream().limit(DEPUTIES).toList();
 		LOG.info("switch-entrusted", Field.of("group", entrusted.group()), Field.of("version", entrusted.version()),
 				Field.of("step", entrusted.step()),
 				Field.of("deputies", this.deputies.stream().map(FleetPeer::address).toList()));
-		CompletableFuture<Void> known = new CompletableFuture<>();
-		AtomicInteger missing = new AtomicInteger(this.deputies.size());
+		CompletableFuture<Void> completed = new CompletableFuture<>();
+		AtomicInteger outstanding = new AtomicInteger(this.deputies.size());
 		if (this.deputies.isEmpty()) {
-			known.complete(null);
+			completed.complete(null);
 		}
 		for (int i = 0; i < this.deputies.size(); i++) {
-			SwitchNotice notice = notice(entrusted).setPatienceMs((int) PATIENCE.multipliedBy(i + 1L).toMillis())
+			SwitchNotice notice = notice(entrusted)
+				.setPatienceMs((int) TAKEOVER_TIMEOUT.multipliedBy(i + 1L).toMillis())
 				.build();
 			call(this.deputies.get(i), notice).thenAccept((reached) -> {
-				if (reached || missing.decrementAndGet() == 0) {
-					known.complete(null);
+				if (reached || outstanding.decrementAndGet() == 0) {
+					completed.complete(null);
 				}
 			});
 		}
-		return known;
+		return completed;
 	}
 
 	void ended(EntrustedSwitch entrusted) {
@@ -130,7 +131,7 @@
 	}
 
 	private CompletableFuture<Boolean> call(FleetPeer deputy, SwitchNotice notice) {
-		return this.clients.at(deputy.address()).call(RankMethods.SWITCH, notice, TIMEOUT).thenApply((reply) -> {
+		return this.clients.at(deputy.address()).call(RankMethods.SWITCH, notice, CALL_TIMEOUT).thenApply((reply) -> {
 			reply.error()
 				.ifPresent((error) -> LOG.warn("deputy-not-reached", Field.of("deputy", deputy.address()),
 						Field.of("group", notice.getGroup()), Field.of("version", notice.getVersion()),
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LeaderCalls.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LeaderCalls.java
@@ -16,14 +16,14 @@
 import org.comfreywall.transport.rpc.RpcClient;
 
 /**
- * Proposes and reads documents at the leader, here or at another process.
+ * Proposes and reads documents at the leader, which is this process or another one.
  *
- * @param local the local part in the log, if it leads
- * @param remote the connection to the leader, if another process leads
+ * @param local the local replica, if it is the leader
+ * @param remote the connection to the leader, if that is another process
  */
 record LeaderCalls(Optional<ControlNode> local, Optional<RpcClient> remote) {
 
-	/** Callers of this process move on after a second. */
+	/** Callers of this process try another one after a second. */
 	private static final Duration TIMEOUT = Duration.ofMillis(900);
 
 	CompletableFuture<Boolean> propose(VersionedDocument document) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LeaderSearch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LeaderSearch.java
@@ -11,34 +11,34 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Finds the leader by asking one process after the other.
+ * Leader discovery by querying one process after the other.
  * <p>
- * Processes that have not noticed a leader's end still name it. So a process that did not
- * answer is passed over for a while, whoever names it, and the one that was asked is
- * asked again until it knows a newer leader.
+ * Processes that have not yet detected the failure of a leader still redirect to it.
+ * Redirects to a process that has timed out are therefore ignored for a while, and the
+ * process that sent the redirect is queried again until it knows the new leader.
  */
 final class LeaderSearch {
 
-	/** An election ends within this time after the leader fell silent. */
+	/** A new leader is elected within this time after the failure of the old one. */
 	private static final Duration AVOIDANCE = Duration.ofMillis(1500);
 
 	/**
-	 * One answer may be lost with its connection; a new one shows whether the other
-	 * lives.
+	 * One reply may be lost with its connection; the retry over a new connection shows
+	 * whether the process is alive.
 	 */
-	private static final int SILENCES_TO_AVOID = 2;
+	private static final int TIMEOUTS_TO_AVOID = 2;
 
-	private final Map<HostPort, Long> silentSince = new HashMap<>();
+	private final Map<HostPort, Long> timedOutAt = new HashMap<>();
 
 	private List<HostPort> candidates;
 
 	private HostPort current;
 
-	private int silences;
+	private int timeouts;
 
 	/**
 	 * Starts with the first candidate.
-	 * @param candidates processes that may know the leader
+	 * @param candidates the addresses of processes that may know the leader
 	 */
 	LeaderSearch(List<HostPort> candidates) {
 		Preconditions.check(!candidates.isEmpty(), "candidates must not be empty");
@@ -47,7 +47,7 @@
 	}
 
 	/**
-	 * Returns the process to ask next.
+	 * Returns the process to query next.
 	 * @return its address
 	 */
 	HostPort current() {
@@ -55,8 +55,8 @@
 	}
 
 	/**
-	 * Puts other candidates before those that are known.
-	 * @param seeds processes that may know the leader
+	 * Adds candidates in front of the existing ones.
+	 * @param seeds the addresses of processes that may know the leader
 	 */
 	void reseed(List<HostPort> seeds) {
 		List<HostPort> all = new ArrayList<>(seeds);
@@ -65,32 +65,32 @@
 	}
 
 	/**
-	 * Takes in an answer of the present process.
-	 * @param leader the leader that it named, or empty if it knows none
-	 * @param members the processes that it knows
-	 * @param now the present time in nanoseconds
+	 * Handles a reply of the current process.
+	 * @param leader the leader that it redirects to, or empty if it knows none
+	 * @param members the processes that it knows, which become the candidates
+	 * @param now the current time in nanoseconds
 	 */
 	void answered(Optional<HostPort> leader, List<HostPort> members, long now) {
 		if (!members.isEmpty()) {
 			this.candidates = List.copyOf(members);
 		}
-		this.silences = 0;
-		this.silentSince.remove(this.current);
-		leader.filter((named) -> !isAvoided(named, now)).ifPresent((named) -> this.current = named);
+		this.timeouts = 0;
+		this.timedOutAt.remove(this.current);
+		leader.filter((address) -> !isAvoided(address, now)).ifPresent((address) -> this.current = address);
 	}
 
 	/**
-	 * Takes in that the present process did not answer, and turns to another one if it
-	 * did not do so before either.
-	 * @param now the present time in nanoseconds
+	 * Handles a timeout of the current process. After the second one in a row, selects
+	 * the next candidate.
+	 * @param now the current time in nanoseconds
 	 */
 	void silent(long now) {
-		this.silences++;
-		if (this.silences < SILENCES_TO_AVOID) {
+		this.timeouts++;
+		if (this.timeouts < TIMEOUTS_TO_AVOID) {
 			return;
 		}
-		this.silences = 0;
-		this.silentSince.put(this.current, now);
+		this.timeouts = 0;
+		this.timedOutAt.put(this.current, now);
 		int from = this.candidates.indexOf(this.current) + 1;
 		for (int i = 0; i < this.candidates.size(); i++) {
 			HostPort next = this.candidates.get((from + i) % this.candidates.size());
@@ -103,7 +103,7 @@
 	}
 
 	private boolean isAvoided(HostPort address, long now) {
-		Long since = this.silentSince.get(address);
+		Long since = this.timedOutAt.get(address);
 		return since != null && now - since < AVOIDANCE.toNanos();
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogCalls.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogCalls.java
@@ -20,7 +20,7 @@
 import org.comfreywall.transport.rpc.RpcServer;
 
 /**
- * Answers the calls that other processes make to this one as the leader.
+ * Handles the proposals and queries that other processes send to this one as the leader.
  */
 final class LogCalls {
 
@@ -41,7 +41,7 @@
 			.map((running) -> running.propose(command)
 				.thenApply((result) -> result.map((
 						answer) -> ProposeReply.newBuilder().setAnswer(ByteString.copyFrom(answer.toArray())).build())))
-			.orElseGet(LogCalls::noLog);
+			.orElseGet(LogCalls::noReplica);
 	}
 
 	private CompletionStage<Result<QueryReply>> query(QueryRequest request) {
@@ -50,12 +50,12 @@
 			.map((running) -> running.read((machine) -> machine.query(query))
 				.thenApply((result) -> result.flatMap((answer) -> answer)
 					.map((answer) -> QueryReply.newBuilder().setAnswer(ByteString.copyFrom(answer.toArray())).build())))
-			.orElseGet(LogCalls::noLog);
+			.orElseGet(LogCalls::noReplica);
 	}
 
-	private static <T> CompletableFuture<Result<T>> noLog() {
+	private static <T> CompletableFuture<Result<T>> noReplica() {
 		return CompletableFuture.completedFuture(Result.failure(OperationError.local(ErrorCode.UNAVAILABLE,
-				Step.REPLICATE, "this process has no part in the replicated log")));
+				Step.REPLICATE, "this process has no replica of the replicated log")));
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogFounding.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogFounding.java
@@ -17,14 +17,14 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * Opens this process's part in the replicated log, and has the log founded exactly once
- * at the first start.
+ * Opens this process's replica of the replicated log, and bootstraps the log exactly once
+ * at the first start of the fleet.
  */
 final class LogFounding {
 
 	private static final EventLog LOG = EventLog.of(LogFounding.class);
 
-	private static final Duration ASK_INTERVAL = Duration.ofMillis(200);
+	private static final Duration RETRY_INTERVAL = Duration.ofMillis(200);
 
 	private static final Duration TIMEOUT = Duration.ofMillis(500);
 
@@ -38,7 +38,7 @@
 
 	private final SerialWorker storageWorker;
 
-	private final FoundingCouncil council;
+	private final FoundingCouncil quorum;
 
 	LogFounding(FleetSettings settings, Supplier<FleetPeer> self, PeerClients clients, EventLoop loop,
 			SerialWorker storageWorker) {
@@ -47,46 +47,49 @@
 		this.clients = clients;
 		this.loop = loop;
 		this.storageWorker = storageWorker;
-		this.council = new FoundingCouncil(settings.wantedVoters());
+		this.quorum = new FoundingCouncil(settings.wantedVoters());
 	}
 
-	void open(DurableControl durable) {
-		if (durable.hasLog() || !this.settings.firstStart()) {
-			durable.open();
+	void open(DurableControl replica) {
+		if (replica.hasLog() || !this.settings.firstStart()) {
+			replica.open();
 			return;
 		}
-		this.loop.execute(() -> askToFound(durable));
+		this.loop.execute(() -> requestInitialVoters(replica));
 	}
 
-	// All processes ask the same one, so that the log is founded once.
-	private void askToFound(DurableControl durable) {
-		Optional<HostPort> convener = this.settings.seeds()
+	// All processes choose the seed with the lowest address as coordinator, so that the
+	// log is bootstrapped once.
+	private void requestInitialVoters(DurableControl replica) {
+		Optional<HostPort> coordinator = this.settings.seeds()
 			.stream()
 			.min((a, b) -> a.toString().compareTo(b.toString()));
-		if (convener.isEmpty()) {
+		if (coordinator.isEmpty()) {
 			return;
 		}
 		FoundingRequest request = FoundingRequest.newBuilder().setMember(FleetCodec.encode(this.self.get())).build();
-		CompletableFuture<Result<FoundingReply>> reply = convener.get().equals(this.settings.address())
+		CompletableFuture<Result<FoundingReply>> reply = coordinator.get().equals(this.settings.address())
 				? CompletableFuture.completedFuture(answer(request))
-				: this.clients.at(convener.get()).call(FleetMethods.FOUND, request, TIMEOUT);
-		reply.thenAcceptAsync((answer) -> founded(durable, answer), this.loop);
+				: this.clients.at(coordinator.get()).call(FleetMethods.FOUND, request, TIMEOUT);
+		reply.thenAcceptAsync((answer) -> openWithInitialVoters(replica, answer), this.loop);
 	}
 
-	private void founded(DurableControl durable, Result<FoundingReply> answer) {
-		List<String> founders = answer.value().map((reply) -> List.copyOf(reply.getFoundersList())).orElse(List.of());
-		if (founders.isEmpty()) {
-			this.loop.schedule(() -> askToFound(durable), ASK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+	private void openWithInitialVoters(DurableControl replica, Result<FoundingReply> answer) {
+		List<String> initialVoters = answer.value()
+			.map((reply) -> List.copyOf(reply.getFoundersList()))
+			.orElse(List.of());
+		if (initialVoters.isEmpty()) {
+			this.loop.schedule(() -> requestInitialVoters(replica), RETRY_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 			return;
 		}
-		LOG.info("log-founded", Field.of("founders", founders), Field.of("self", this.settings.instance()));
-		boolean chosen = founders.contains(this.settings.instance());
+		LOG.info("log-founded", Field.of("founders", initialVoters), Field.of("self", this.settings.instance()));
+		boolean chosen = initialVoters.contains(this.settings.instance());
 		this.storageWorker.execute(() -> {
 			if (chosen) {
-				durable.found(founders);
+				replica.found(initialVoters);
 			}
 			else {
-				durable.open();
+				replica.open();
 			}
 		});
 	}
@@ -95,7 +98,7 @@
 		FoundingReply.Builder reply = FoundingReply.newBuilder();
 		if (this.settings.firstStart()) {
 			FleetCodec.decode(request.getMember())
-				.ifPresent((peer) -> reply.addAllFounders(this.council.ask(peer, System.nanoTime())));
+				.ifPresent((peer) -> reply.addAllFounders(this.quorum.ask(peer, System.nanoTime())));
 		}
 		return Result.success(reply.build());
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LoopDeputyPort.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LoopDeputyPort.java
@@ -8,10 +8,10 @@
 import org.comfreywall.gateway.group.EntrustedSwitch;
 
 /**
- * Carries calls of the thread that drives groups to the event loop.
+ * Dispatches calls of the thread that coordinates groups to the event loop.
  *
  * @param loop the event loop
- * @param calls the calls to other processes
+ * @param calls sends the messages to the deputies
  */
 record LoopDeputyPort(Executor loop, GroupCalls calls) implements DeputyPort {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/NewsConfirmation.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/NewsConfirmation.java
@@ -6,46 +6,48 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Counts the processes that have taken in a piece of news.
+ * Counts the processes that have acknowledged an update.
  */
 final class NewsConfirmation {
 
-	private final Set<String> open = new HashSet<>();
+	private final Set<String> outstanding = new HashSet<>();
 
-	private final int durableNeeded;
+	private final int durableQuorum;
 
 	private final CompletableFuture<Boolean> result = new CompletableFuture<>();
 
 	private int durable;
 
 	/**
-	 * Creates a count.
-	 * @param live the processes asked
-	 * @param voters the number of voters wanted; a majority of them must know
-	 * @param selfDurable whether this process has a disk
+	 * Creates a count for one update.
+	 * @param live the processes that the update is sent to
+	 * @param voters the target number of voters; a majority of this number of processes
+	 * with a disk must acknowledge the update
+	 * @param selfDurable whether this process has a disk and counts as well
 	 */
 	NewsConfirmation(List<FleetPeer> live, int voters, boolean selfDurable) {
-		live.forEach((peer) -> this.open.add(peer.instance()));
-		this.durableNeeded = voters / 2 + 1;
+		live.forEach((peer) -> this.outstanding.add(peer.instance()));
+		this.durableQuorum = voters / 2 + 1;
 		this.durable = selfDurable ? 1 : 0;
-		settle();
+		completeIfAllReplied();
 	}
 
 	void answered(FleetPeer peer, boolean confirmed) {
-		if (this.open.remove(peer.instance()) && confirmed && peer.isDurable()) {
+		if (this.outstanding.remove(peer.instance()) && confirmed && peer.isDurable()) {
 			this.durable++;
 		}
-		settle();
+		completeIfAllReplied();
 	}
 
 	CompletableFuture<Boolean> result() {
 		return this.result;
 	}
 
-	// The answers of all that are live are awaited, as each of them may send requests.
-	private void settle() {
-		if (this.open.isEmpty()) {
-			this.result.complete(this.durable >= this.durableNeeded);
+	// Waits for all live processes, as any of them may send requests based on the state
+	// before the update.
+	private void completeIfAllReplied() {
+		if (this.outstanding.isEmpty()) {
+			this.result.complete(this.durable >= this.durableQuorum);
 		}
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PaceBoard.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PaceBoard.java
@@ -8,14 +8,17 @@
 import org.comfreywall.gateway.group.RankReport;
 
 /**
- * Which ranks are slow, by the reports that the leader has heard.
+ * Tracks which ranks are slow, from the reports that the leader receives.
  */
 final class PaceBoard {
 
-	/** A smaller difference from the usual pace is not worth telling. */
+	/** Pace from which a rank counts as slow; smaller deviations are not broadcast. */
 	private static final double SLOW = 1.15;
 
-	/** A rank reports several times a second; a silent one is not known to be slow. */
+	/**
+	 * Ranks report several times a second; without a report for this time a rank no
+	 * longer counts as slow.
+	 */
 	private static final long VALID_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	private final Map<HostPort, Entry> entries = new HashMap<>();
@@ -33,17 +36,18 @@
 
 	/**
 	 * Returns the slow ranks.
-	 * @param now the present time in nanoseconds
-	 * @return how much longer than usual each takes, by the address of the backend server
+	 * @param now the current time in nanoseconds
+	 * @return the factor by which each takes longer than usual, by the address of the
+	 * backend server
 	 */
 	Map<HostPort, Double> slow(long now) {
-		this.entries.values().removeIf((entry) -> now - entry.heardAt() > VALID_NANOS);
+		this.entries.values().removeIf((entry) -> now - entry.reportedAt() > VALID_NANOS);
 		Map<HostPort, Double> slow = new HashMap<>();
 		this.entries.forEach((address, entry) -> slow.put(address, entry.pace()));
 		return slow;
 	}
 
-	private record Entry(double pace, long heardAt) {
+	private record Entry(double pace, long reportedAt) {
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerClients.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerClients.java
@@ -11,8 +11,8 @@
 import org.comfreywall.transport.rpc.RpcClient;
 
 /**
- * Connections to the other processes of the fleet. Changed on the event loop only; found
- * by instance on any thread.
+ * Connections to the other processes of the fleet. Confined to the event loop, except for
+ * the lookup by instance, which is thread-safe.
  */
 final class PeerClients {
 
@@ -38,39 +38,41 @@
 	/**
 	 * Returns the connection to an instance.
 	 * @param instance the instance
-	 * @return the connection, or empty if the instance was not heard yet
+	 * @return the connection, or empty if no update of the instance was received yet
 	 */
 	Optional<RpcClient> of(String instance) {
 		return Optional.ofNullable(this.byInstance.get(instance));
 	}
 
 	/**
-	 * Opens connections to all that are listed and closes those to the others.
-	 * @param roster the processes known
-	 * @param settings this process's address and seeds
+	 * Opens connections to all known processes and closes those to processes that are
+	 * neither known nor seeds.
+	 * @param peers the known processes
+	 * @param settings the settings with this process's address and seeds
 	 */
-	void connect(FleetRoster roster, FleetSettings settings) {
-		List<HostPort> listed = roster.addresses();
-		listed.stream().filter((address) -> !address.equals(settings.address())).forEach(this::at);
+	void connect(FleetRoster peers, FleetSettings settings) {
+		List<HostPort> known = peers.addresses();
+		known.stream().filter((address) -> !address.equals(settings.address())).forEach(this::at);
 		this.byAddress.entrySet().removeIf((entry) -> {
-			boolean forgotten = !listed.contains(entry.getKey()) && !settings.seeds().contains(entry.getKey());
-			if (forgotten) {
+			boolean unknown = !known.contains(entry.getKey()) && !settings.seeds().contains(entry.getKey());
+			if (unknown) {
 				entry.getValue().close();
 			}
-			return forgotten;
+			return unknown;
 		});
-		Map<String, RpcClient> named = new HashMap<>();
-		for (FleetPeer peer : roster.known()) {
+		Map<String, RpcClient> connected = new HashMap<>();
+		for (FleetPeer peer : peers.known()) {
 			RpcClient client = this.byAddress.get(peer.address());
 			if (client != null) {
-				named.put(peer.instance(), client);
+				connected.put(peer.instance(), client);
 			}
 		}
-		this.byInstance = Map.copyOf(named);
+		this.byInstance = Map.copyOf(connected);
 	}
 
 	/**
-	 * Sends a notice to all; it is lost where there is no connection.
+	 * Sends a message to all processes, best effort: it is dropped where no connection is
+	 * open.
 	 * @param topic the topic
 	 * @param payload the payload
 	 */
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerFile.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerFile.java
@@ -18,11 +18,11 @@
 import org.comfreywall.common.toml.HostPort;
 
 /**
- * Addresses of the other processes with a disk, kept for the next start.
+ * File with the addresses of the other processes that have a disk, for the next start.
  * <p>
- * After all processes have stopped, the seeds of the settings may be processes that come
- * back later or know nothing, while those that hold the log can elect a leader at once.
- * The file is a hint: a missing or damaged one costs time only.
+ * After all processes have stopped, the configured seeds may start late or without data,
+ * while the processes that store the log could elect a leader at once if they found each
+ * other. The file is a hint: if it is missing or damaged, the start only takes longer.
  */
 final class PeerFile {
 
@@ -30,10 +30,8 @@
 
 	private static final String NAME = "PEERS";
 
-	/**
-	 * The ending marks an unfinished file, which is deleted when the folder is opened.
-	 */
-	private static final String UNFINISHED = NAME + ".tmp";
+	/** Files with this suffix are deleted when the storage folder is opened. */
+	private static final String TEMPORARY = NAME + ".tmp";
 
 	private final Path folder;
 
@@ -45,7 +43,7 @@
 
 	/**
 	 * Reads the addresses.
-	 * @return the addresses, none if there is no file
+	 * @return the addresses; empty if there is no readable file
 	 */
 	List<HostPort> load() {
 		try {
@@ -66,7 +64,8 @@
 	}
 
 	/**
-	 * Writes the addresses if they have changed.
+	 * Writes the addresses if they have changed. An empty list is not written, so that a
+	 * process without connections keeps the addresses it had.
 	 * @param peers the addresses
 	 */
 	void save(List<HostPort> peers) {
@@ -75,12 +74,12 @@
 			return;
 		}
 		String text = sorted.stream().map(HostPort::toString).collect(Collectors.joining("\n", "", "\n"));
-		Path unfinished = this.folder.resolve(UNFINISHED);
-		try (FileChannel channel = FileChannel.open(unfinished, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+		Path temporary = this.folder.resolve(TEMPORARY);
+		try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
 				StandardOpenOption.TRUNCATE_EXISTING)) {
 			channel.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
 			channel.force(true);
-			Files.move(unfinished, this.folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE);
+			Files.move(temporary, this.folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE);
 			syncFolder();
 			this.saved = sorted;
 		}
@@ -96,7 +95,7 @@
 	}
 
 	/**
-	 * Creates the file of a process.
+	 * Returns the file in the data folder of a process.
 	 * @param settings the process's settings
 	 * @return the file, or empty if the process has no disk
 	 */
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankMethods.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankMethods.java
@@ -7,15 +7,17 @@
 import org.comfreywall.transport.rpc.RpcMethod;
 
 /**
- * The calls of processes beside the ranks of a group.
+ * RPC methods about the ranks of a group and its switches.
  */
 final class RankMethods {
 
-	/** Tells what a rank's engine said; to be sent to the leader. */
+	/** Reports the state of a rank's engine to the leader. */
 	static final RpcMethod<RankNotice, RankNoticeReply> RANK = new RpcMethod<>("fleet.rank", RankNotice.parser(),
 			RankNoticeReply.parser());
 
-	/** Entrusts a switch to another process, or tells that it has ended. */
+	/**
+	 * Delegates a switch to another process, or notifies it that the switch has ended.
+	 */
 	static final RpcMethod<SwitchNotice, SwitchNoticeReply> SWITCH = new RpcMethod<>("fleet.switch",
 			SwitchNotice.parser(), SwitchNoticeReply.parser());
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankObserver.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankObserver.java
@@ -7,7 +7,7 @@
 import org.comfreywall.gateway.group.RankReport;
 
 /**
- * Receives what ranks and leaders tell of groups; called on the event loop.
+ * Receives reports of ranks and delegated switches; called on the event loop.
  */
 public interface RankObserver {
 
@@ -15,19 +15,21 @@
 	 * Called for each report of a rank, at the leader only.
 	 * @param service the service that the rank belongs to
 	 * @param report the report
-	 * @param chosen how often its requests chose each expert since the report before
+	 * @param chosen the number of times that the rank's requests were routed to each
+	 * expert since the previous report
 	 */
 	void onRank(String service, RankReport report, List<Integer> chosen);
 
 	/**
-	 * Called when the leader entrusts a switch to this process.
+	 * Called when the leader delegates a switch to this process.
 	 * @param entrusted the switch
-	 * @param patience the time after which the leader counts as silent
+	 * @param patience the timeout after which this process takes the switch over from a
+	 * silent leader
 	 */
 	void onEntrusted(EntrustedSwitch entrusted, Duration patience);
 
 	/**
-	 * Called when the leader has brought a switch to its end.
+	 * Called when the leader has completed or cancelled a switch.
 	 * @param ended the switch
 	 */
 	void onEnded(EntrustedSwitch ended);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
@@ -22,14 +22,14 @@
 import org.comfreywall.transport.rpc.RpcClient;
 
 /**
- * Tells the leader what a rank's engine says, and finds the leader: a process that does
- * not lead names the one that does.
+ * Sends the reports of a rank to the leader, and discovers the leader: processes that are
+ * not the leader redirect to it.
  */
 public final class RankReporter implements AutoCloseable {
 
 	private static final EventLog LOG = EventLog.of(RankReporter.class);
 
-	/** A round trip within a region takes milliseconds; the rest is for a busy leader. */
+	/** Allows for a busy leader; a round trip within a region takes milliseconds. */
 	private static final Duration TIMEOUT = Duration.ofMillis(200);
 
 	private static final ConnectionTimes TIMES = new ConnectionTimes(Duration.ofMillis(1000), Duration.ofMillis(2500),
@@ -37,43 +37,43 @@
 
 	private final Transport transport;
 
-	private final Runnable onEnd;
+	private final Runnable onReportEnd;
 
-	private final LeaderSearch search;
+	private final LeaderSearch discovery;
 
-	private HostPort asked;
+	private HostPort target;
 
 	private RpcClient client;
 
 	/**
 	 * Creates a reporter.
 	 * @param instance the name of this process's instance
-	 * @param seeds processes that know the leader
-	 * @param onEnd called on a transport thread when a report was answered or lost,
-	 * unless another process was turned to meanwhile
+	 * @param seeds the addresses of processes that know the leader
+	 * @param onReportEnd called on a transport thread when a report was acknowledged or
+	 * has timed out, unless the target has changed in the meantime
 	 */
-	public RankReporter(String instance, List<HostPort> seeds, Runnable onEnd) {
+	public RankReporter(String instance, List<HostPort> seeds, Runnable onReportEnd) {
 		PeerIdentity self = new PeerIdentity(InstanceId.of(instance), Incarnation.of(System.currentTimeMillis()));
 		this.transport = new Transport(self, TIMES, TransportSecurity.PLAIN, 1);
-		this.onEnd = Preconditions.notNull(onEnd, "onEnd");
-		this.search = new LeaderSearch(seeds);
-		turn();
+		this.onReportEnd = Preconditions.notNull(onReportEnd, "onReportEnd");
+		this.discovery = new LeaderSearch(seeds);
+		updateTarget();
 	}
 
 	/**
-	 * Takes other seeds in.
-	 * @param seeds processes that know the leader
+	 * Adds seeds in front of the processes that are already known.
+	 * @param seeds the addresses of processes that know the leader
 	 */
 	public synchronized void reseed(List<HostPort> seeds) {
-		this.search.reseed(seeds);
+		this.discovery.reseed(seeds);
 	}
 
 	/**
 	 * Sends a report.
 	 * @param service the service that the rank belongs to
 	 * @param report the report
-	 * @param chosen how often its requests chose each expert since the report before;
-	 * empty if that is not known
+	 * @param chosen the number of times that the rank's requests were routed to each
+	 * expert since the previous report; empty if unknown
 	 */
 	public synchronized void report(String service, RankReport report, List<Integer> chosen) {
 		RankNotice.Builder notice = RankNotice.newBuilder()
@@ -93,10 +93,10 @@
 			.setPace(report.pace());
 		report.layout().forEach((set) -> notice.addLayout(ExpertList.newBuilder().addAllExperts(set)));
 		RpcClient used = this.client;
-		used.call(RankMethods.RANK, notice.build(), TIMEOUT).thenAccept((reply) -> ended(used, reply.value()));
+		used.call(RankMethods.RANK, notice.build(), TIMEOUT).thenAccept((reply) -> handleReply(used, reply.value()));
 	}
 
-	private synchronized void ended(RpcClient used, Optional<RankNoticeReply> reply) {
+	private synchronized void handleReply(RpcClient used, Optional<RankNoticeReply> reply) {
 		if (used != this.client) {
 			return;
 		}
@@ -104,27 +104,27 @@
 		if (reply.isPresent()) {
 			List<HostPort> members = new ArrayList<>();
 			reply.get().getMembersList().forEach((member) -> HostPort.parse(member).ifPresent(members::add));
-			this.search.answered(HostPort.parse(reply.get().getLeader()), members, now);
+			this.discovery.answered(HostPort.parse(reply.get().getLeader()), members, now);
 		}
 		else {
-			this.search.silent(now);
+			this.discovery.silent(now);
 			this.client.close();
-			this.client = new RpcClient(this.transport, this.asked);
+			this.client = new RpcClient(this.transport, this.target);
 		}
-		turn();
-		this.onEnd.run();
+		updateTarget();
+		this.onReportEnd.run();
 	}
 
-	private void turn() {
-		if (this.search.current().equals(this.asked)) {
+	private void updateTarget() {
+		if (this.discovery.current().equals(this.target)) {
 			return;
 		}
 		if (this.client != null) {
 			this.client.close();
 		}
-		this.asked = this.search.current();
-		LOG.info("reporting-to", Field.of("address", this.asked));
-		this.client = new RpcClient(this.transport, this.asked);
+		this.target = this.discovery.current();
+		LOG.info("reporting-to", Field.of("address", this.target));
+		this.client = new RpcClient(this.transport, this.target);
 	}
 
 	@Override
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/VoterPlanner.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/VoterPlanner.java
@@ -14,61 +14,61 @@
 import org.comfreywall.control.log.RemoveMember;
 
 /**
- * Decides at the leader which member of the replicated log to change next, so that the
- * wanted number of voters have their data.
+ * Plans the next membership change of the replicated log at the leader, to reach the
+ * target number of voters with intact data.
  */
 final class VoterPlanner {
 
-	private final int wanted;
+	private final int targetVoters;
 
 	/**
 	 * Creates a planner.
-	 * @param wanted the number of voters wanted
+	 * @param targetVoters the target number of voters
 	 */
-	VoterPlanner(int wanted) {
-		this.wanted = wanted;
+	VoterPlanner(int targetVoters) {
+		this.targetVoters = targetVoters;
 	}
 
 	/**
-	 * Chooses the next change.
-	 * @param present the members in force
-	 * @param live the processes that are heard now
-	 * @param gone the instances that have been silent for long
-	 * @return the change, or empty if none is due
+	 * Returns the next change.
+	 * @param current the current membership
+	 * @param live the processes that are live
+	 * @param lost the instances that count as lost, after a long silence
+	 * @return the change, or empty if none is needed
 	 */
-	Optional<MembershipChange> next(Membership present, List<FleetPeer> live, Set<String> gone) {
-		Optional<FleetPeer> emptied = live.stream().filter((peer) -> lostItsDisk(present, peer)).findFirst();
-		if (emptied.isPresent() && present.voters().size() > 1) {
-			return Optional.of(new RemoveMember(InstanceId.of(emptied.get().instance())));
+	Optional<MembershipChange> next(Membership current, List<FleetPeer> live, Set<String> lost) {
+		Optional<FleetPeer> replaced = live.stream().filter((peer) -> hasNewStorage(current, peer)).findFirst();
+		if (replaced.isPresent() && current.voters().size() > 1) {
+			return Optional.of(new RemoveMember(InstanceId.of(replaced.get().instance())));
 		}
-		Predicate<Member> isGone = (member) -> gone.contains(member.instance().value());
-		Optional<Member> goneVoter = present.voters().stream().filter(isGone).findFirst();
-		if (present.voters().size() > this.wanted && goneVoter.isPresent()) {
-			return Optional.of(new RemoveMember(goneVoter.get().instance()));
+		Predicate<Member> isLost = (member) -> lost.contains(member.instance().value());
+		Optional<Member> lostVoter = current.voters().stream().filter(isLost).findFirst();
+		if (current.voters().size() > this.targetVoters && lostVoter.isPresent()) {
+			return Optional.of(new RemoveMember(lostVoter.get().instance()));
 		}
-		Optional<Member> goneLearner = present.members()
+		Optional<Member> lostLearner = current.members()
 			.stream()
-			.filter((member) -> !member.voter() && isGone.test(member))
+			.filter((member) -> !member.voter() && isLost.test(member))
 			.findFirst();
-		if (goneLearner.isPresent()) {
-			return Optional.of(new RemoveMember(goneLearner.get().instance()));
+		if (lostLearner.isPresent()) {
+			return Optional.of(new RemoveMember(lostLearner.get().instance()));
 		}
-		boolean needsVoter = present.voters().size() < this.wanted + (goneVoter.isPresent() ? 1 : 0);
+		boolean needsVoter = current.voters().size() < this.targetVoters + (lostVoter.isPresent() ? 1 : 0);
 		if (!needsVoter) {
 			return Optional.empty();
 		}
-		Optional<Member> learner = present.members().stream().filter((member) -> !member.voter()).findFirst();
+		Optional<Member> learner = current.members().stream().filter((member) -> !member.voter()).findFirst();
 		if (learner.isPresent()) {
 			return Optional.of(new PromoteLearner(learner.get().instance()));
 		}
 		return live.stream()
-			.filter((peer) -> peer.isDurable() && present.find(InstanceId.of(peer.instance())).isEmpty())
+			.filter((peer) -> peer.isDurable() && current.find(InstanceId.of(peer.instance())).isEmpty())
 			.findFirst()
 			.map((peer) -> new AddLearner(InstanceId.of(peer.instance()), peer.storageId()));
 	}
 
-	private static boolean lostItsDisk(Membership present, FleetPeer peer) {
-		return peer.isDurable() && present.find(InstanceId.of(peer.instance()))
+	private static boolean hasNewStorage(Membership current, FleetPeer peer) {
+		return peer.isDurable() && current.find(InstanceId.of(peer.instance()))
 			.filter((member) -> member.storageId() != peer.storageId())
 			.isPresent();
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/package-info.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/package-info.java
@@ -1,4 +1,5 @@
 /**
- * How the processes of a fleet find one another and share what they know.
+ * Membership of the processes of a fleet: discovery, exchange of updates and the
+ * replicated log.
  */
 package org.comfreywall.gateway.fleet;
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
@@ -36,13 +36,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link FleetNode} with real connections and disks: three processes with a
+ * Tests for {@link FleetNode} with real connections and storage: three processes with a
  * disk and one without.
  */
 @Timeout(90)
 class FleetNodeTests {
 
-	private static final Duration PATIENCE = Duration.ofSeconds(30);
+	private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
 	private final List<Member> members = new ArrayList<>();
 
@@ -53,7 +53,7 @@
 
 	@BeforeEach
 	void start() throws IOException {
-		// A loopback address of its own keeps other processes off the ports.
+		// Uses a loopback address of its own, so that no other process takes the ports.
 		long pid = ProcessHandle.current().pid();
 		String host = "127.88." + (pid / 250 % 250) + "." + (pid % 250 + 1);
 		for (int i = 0; i < 4; i++) {
@@ -74,7 +74,7 @@
 	}
 
 	private static void await(BooleanSupplier condition) throws InterruptedException {
-		long end = System.nanoTime() + PATIENCE.toNanos();
+		long end = System.nanoTime() + TIMEOUT.toNanos();
 		while (!condition.getAsBoolean() && System.nanoTime() < end) {
 			TimeUnit.MILLISECONDS.sleep(20);
 		}
@@ -89,14 +89,14 @@
 		await(() -> this.members.get(member).node.propose(document).join());
 	}
 
-	private boolean allKnow(long version) {
+	private boolean allHaveVersion(long version) {
 		return this.members.stream().allMatch((member) -> member.node.document().version() == version);
 	}
 
 	@Test
-	void aDocumentProposedWithoutDiskIsKnownEverywhere() throws InterruptedException {
+	void aDocumentProposedByAProcessWithoutDiskReachesAllProcesses() throws InterruptedException {
 		propose(3, document(4, "four"));
-		await(() -> allKnow(4));
+		await(() -> allHaveVersion(4));
 		Optional<VersionedDocument> newest = this.members.get(3).node.readNewest().join();
 		assertThat(newest).contains(document(4, "four"));
 	}
@@ -106,30 +106,30 @@
 		propose(0, document(4, "four"));
 		propose(1, document(4, "other"));
 		propose(2, document(3, "three"));
-		await(() -> allKnow(4));
+		await(() -> allHaveVersion(4));
 		assertThat(this.members).allMatch((member) -> member.node.document().content().toText().equals("four"));
 	}
 
 	@Test
-	void aFarewellIsAcknowledgedOnlyWithAMajorityOfTheDisks() throws Exception {
+	void aLeaveAnnouncementIsAcknowledgedOnlyByAMajorityOfTheDisks() throws Exception {
 		propose(0, document(1, "one"));
 		await(() -> this.members.get(0).node.members() == 4);
-		ServerAnnouncement farewell = new ServerAnnouncement("s", "service", this.addresses.get(0), "a", 1, 2, 8,
+		ServerAnnouncement leaving = new ServerAnnouncement("s", "service", this.addresses.get(0), "a", 1, 2, 8,
 				ServerState.LEAVING);
-		assertThat(this.members.get(0).farewell(farewell)).isTrue();
+		assertThat(this.members.get(0).announceToAll(leaving)).isTrue();
 		for (Member member : this.members) {
 			assertThat(member.node.findServer("s").orElseThrow().state()).isEqualTo(ServerState.LEAVING);
 		}
 		this.members.get(1).closer.close();
 		this.members.get(2).closer.close();
 		await(() -> !this.members.get(0).node.isCurrent());
-		assertThat(this.members.get(0).farewell(farewell)).isFalse();
+		assertThat(this.members.get(0).announceToAll(leaving)).isFalse();
 	}
 
 	@Test
-	void aProcessThatLostItsDiskComesBackAsAVoterWithTheDocument() throws Exception {
+	void aProcessThatLostItsDiskRejoinsAsAVoterWithTheDocument() throws Exception {
 		propose(0, document(7, "seven"));
-		await(() -> allKnow(7));
+		await(() -> allHaveVersion(7));
 		this.members.get(2).closer.close();
 		try (Stream<Path> files = Files.list(this.disks.resolve("2"))) {
 			for (Path file : files.toList()) {
@@ -140,16 +140,16 @@
 		this.members.set(2, empty);
 		await(() -> empty.node.document().version() == 7);
 		propose(0, document(8, "eight"));
-		await(() -> allKnow(8));
+		await(() -> allHaveVersion(8));
 	}
 
 	@Test
-	void aSwitchIsKnownToTwoOtherProcessesBeforeItsPassIsHeld() throws Exception {
+	void aSwitchIsDelegatedToTwoOtherProcesses() throws Exception {
 		EntrustedSwitch entrusted = new EntrustedSwitch("s/g", 1, 5, 9, 0, List.of("10.0.0.1:1", "10.0.0.2:1"));
 		await(() -> this.members.get(0).node.members() == this.members.size());
 		DeputyPort deputies = this.members.get(0).node.deputies();
-		// A notice is given up after 200 ms, which a busy machine may take; the next one
-		// is for the same two.
+		// A notice times out after 200 ms, which is possible on a busy machine, so it is
+		// repeated; the repetition goes to the same two processes.
 		await(() -> {
 			deputies.entrust(entrusted).join();
 			return recorders(entrusted) == 2;
@@ -159,12 +159,12 @@
 	}
 
 	/**
-	 * After a stop of all, the seeds may be processes that do not come back.
+	 * After all processes have stopped, the seeds may be processes that never restart.
 	 */
 	@Test
-	void processesWithADiskFindEachOtherAgainWithoutTheSeeds() throws Exception {
+	void processesWithADiskFindEachOtherAfterARestartWithoutTheSeeds() throws Exception {
 		propose(0, document(5, "five"));
-		await(() -> allKnow(5));
+		await(() -> allHaveVersion(5));
 		await(() -> this.members.stream()
 			.limit(3)
 			.allMatch((member) -> Files.exists(this.disks.resolve(member.number + "/PEERS"))));
@@ -172,16 +172,16 @@
 			member.closer.close();
 		}
 		this.members.clear();
-		List<HostPort> nobody = List.of(new HostPort(this.addresses.get(0).host(), 1));
+		List<HostPort> unreachable = List.of(new HostPort(this.addresses.get(0).host(), 1));
 		for (int i = 0; i < 3; i++) {
-			this.members.add(new Member(i, false, nobody));
+			this.members.add(new Member(i, false, unreachable));
 		}
 		await(() -> this.members.stream().allMatch((member) -> member.node.readNewest().join().isPresent()));
-		assertThat(allKnow(5)).isTrue();
+		assertThat(allHaveVersion(5)).isTrue();
 	}
 
 	@Test
-	void allProcessesLearnFromTheLeaderWhichServersAreSlow() throws Exception {
+	void allProcessesReceiveTheSlowServersFromTheLeader() throws Exception {
 		propose(0, document(1, "one"));
 		HostPort slow = new HostPort("10.0.0.1", 80);
 		RankReport report = new RankReport(slow.toString(), "g", 1, 0, 2, true, 1, 0, 0, 0, OptionalLong.empty(),
@@ -229,28 +229,28 @@
 			this.node.start();
 		}
 
-		private boolean farewell(ServerAnnouncement announcement) throws Exception {
+		private boolean announceToAll(ServerAnnouncement announcement) throws Exception {
 			return this.loop.next().submit(() -> this.node.announceToAll(announcement)).get().get();
 		}
 
 		@Override
 		public void onDocument(VersionedDocument document) {
-			// The node keeps it.
+			// Read from the node.
 		}
 
 		@Override
 		public void onServer(ServerAnnouncement announcement) {
-			// The node keeps it.
+			// Read from the node.
 		}
 
 		@Override
 		public void onForgotten(ServerAnnouncement announcement) {
-			// Nothing is kept here.
+			// Not used.
 		}
 
 		@Override
 		public void onInFlight(String instance, Map<String, Integer> requests) {
-			// Nothing is kept here.
+			// Not used.
 		}
 
 		@Override
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FoundingCouncilTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FoundingCouncilTests.java
@@ -14,39 +14,39 @@
 
 	private static final long SECOND = 1_000_000_000L;
 
-	private final FoundingCouncil council = new FoundingCouncil(3);
+	private final FoundingCouncil quorum = new FoundingCouncil(3);
 
 	private static FleetPeer peer(String name, String domain) {
 		return new FleetPeer(name, new HostPort("127.0.0.1", Math.abs(name.hashCode()) % 60_000), domain, 1, 0);
 	}
 
 	@Test
-	void waitsUntilEnoughHaveAskedAndNoneFollows() {
-		assertThat(this.council.ask(peer("a1", "a"), 0)).isEmpty();
-		assertThat(this.council.ask(peer("b1", "b"), SECOND)).isEmpty();
-		assertThat(this.council.ask(peer("c1", "c"), 2 * SECOND)).isEmpty();
-		assertThat(this.council.ask(peer("a1", "a"), 3 * SECOND)).containsExactly("a1", "b1", "c1");
+	void waitsForEnoughCandidatesAndAQuietPeriod() {
+		assertThat(this.quorum.ask(peer("a1", "a"), 0)).isEmpty();
+		assertThat(this.quorum.ask(peer("b1", "b"), SECOND)).isEmpty();
+		assertThat(this.quorum.ask(peer("c1", "c"), 2 * SECOND)).isEmpty();
+		assertThat(this.quorum.ask(peer("a1", "a"), 3 * SECOND)).containsExactly("a1", "b1", "c1");
 	}
 
 	@Test
-	void takesOneOfEachFailureDomainFirst() {
+	void choosesOneCandidateOfEachFailureDomainFirst() {
 		for (String name : List.of("a1", "a2", "b1", "b2", "c1", "c2")) {
-			this.council.ask(peer(name, name.substring(0, 1)), 0);
+			this.quorum.ask(peer(name, name.substring(0, 1)), 0);
 		}
-		assertThat(this.council.ask(peer("a1", "a"), SECOND)).containsExactly("a1", "b1", "c1");
+		assertThat(this.quorum.ask(peer("a1", "a"), SECOND)).containsExactly("a1", "b1", "c1");
 	}
 
 	@Test
-	void neverChangesItsChoice() {
+	void neverChangesTheInitialVoters() {
 		for (String name : List.of("b1", "c1", "d1")) {
-			this.council.ask(peer(name, name), 0);
+			this.quorum.ask(peer(name, name), 0);
 		}
-		List<String> chosen = this.council.ask(peer("b1", "b1"), SECOND);
-		assertThat(this.council.ask(peer("a1", "a"), 9 * SECOND)).isEqualTo(chosen);
+		List<String> chosen = this.quorum.ask(peer("b1", "b1"), SECOND);
+		assertThat(this.quorum.ask(peer("a1", "a"), 9 * SECOND)).isEqualTo(chosen);
 	}
 
 	@Test
-	void foundsWithAnOddNumberIfTooFewCome() {
+	void choosesAnOddNumberOfVotersAfterTheTimeoutIfTooFewRegister() {
 		FoundingCouncil five = new FoundingCouncil(5);
 		for (String name : List.of("a1", "b1", "c1", "d1")) {
 			five.ask(peer(name, name), 0);
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/LeaderSearchTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/LeaderSearchTests.java
@@ -21,70 +21,70 @@
 
 	private static final HostPort C = new HostPort("10.0.0.3", 1);
 
-	private final LeaderSearch search = new LeaderSearch(List.of(A, B, C));
+	private final LeaderSearch discovery = new LeaderSearch(List.of(A, B, C));
 
-	private void silentTwice(long now) {
-		this.search.silent(now);
-		this.search.silent(now);
+	private void timeOutTwice(long now) {
+		this.discovery.silent(now);
+		this.discovery.silent(now);
 	}
 
 	@Test
-	void staysWithALeaderThatMissedOneReport() {
-		this.search.silent(0);
-		assertThat(this.search.current()).isEqualTo(A);
-		this.search.answered(Optional.of(A), List.of(B, C, A), MILLI);
-		this.search.silent(2 * MILLI);
-		assertThat(this.search.current()).isEqualTo(A);
+	void keepsTheLeaderAfterASingleTimeout() {
+		this.discovery.silent(0);
+		assertThat(this.discovery.current()).isEqualTo(A);
+		this.discovery.answered(Optional.of(A), List.of(B, C, A), MILLI);
+		this.discovery.silent(2 * MILLI);
+		assertThat(this.discovery.current()).isEqualTo(A);
 	}
 
 	@Test
-	void turnsToTheLeaderThatIsNamed() {
-		this.search.answered(Optional.of(C), List.of(A, B, C), 0);
-		assertThat(this.search.current()).isEqualTo(C);
+	void followsARedirectToTheLeader() {
+		this.discovery.answered(Optional.of(C), List.of(A, B, C), 0);
+		assertThat(this.discovery.current()).isEqualTo(C);
 	}
 
 	@Test
-	void asksAgainWhereNoLeaderIsKnown() {
-		this.search.answered(Optional.empty(), List.of(A, B, C), 0);
-		assertThat(this.search.current()).isEqualTo(A);
+	void queriesTheSameProcessAgainIfItKnowsNoLeader() {
+		this.discovery.answered(Optional.empty(), List.of(A, B, C), 0);
+		assertThat(this.discovery.current()).isEqualTo(A);
 	}
 
 	@Test
-	void doesNotGoBackToASilentLeaderThatOthersStillName() {
-		silentTwice(0);
-		assertThat(this.search.current()).isEqualTo(B);
-		this.search.answered(Optional.of(A), List.of(B, C, A), 100 * MILLI);
-		assertThat(this.search.current()).isEqualTo(B);
-		this.search.answered(Optional.of(C), List.of(B, C, A), 800 * MILLI);
-		assertThat(this.search.current()).isEqualTo(C);
+	void ignoresRedirectsToALeaderThatHasTimedOut() {
+		timeOutTwice(0);
+		assertThat(this.discovery.current()).isEqualTo(B);
+		this.discovery.answered(Optional.of(A), List.of(B, C, A), 100 * MILLI);
+		assertThat(this.discovery.current()).isEqualTo(B);
+		this.discovery.answered(Optional.of(C), List.of(B, C, A), 800 * MILLI);
+		assertThat(this.discovery.current()).isEqualTo(C);
 	}
 
 	@Test
-	void believesInASilentLeaderAgainAfterAWhile() {
-		silentTwice(0);
-		this.search.answered(Optional.of(A), List.of(B, C, A), 2000 * MILLI);
-		assertThat(this.search.current()).isEqualTo(A);
+	void followsRedirectsToATimedOutLeaderAgainAfterAWhile() {
+		timeOutTwice(0);
+		this.discovery.answered(Optional.of(A), List.of(B, C, A), 2000 * MILLI);
+		assertThat(this.discovery.current()).isEqualTo(A);
 	}
 
 	@Test
-	void goesOnWhileAllAreSilent() {
-		silentTwice(0);
-		silentTwice(MILLI);
-		silentTwice(2 * MILLI);
-		assertThat(this.search.current()).isEqualTo(A);
-		silentTwice(3 * MILLI);
-		assertThat(this.search.current()).isEqualTo(B);
+	void cyclesThroughTheCandidatesWhileAllTimeOut() {
+		timeOutTwice(0);
+		timeOutTwice(MILLI);
+		timeOutTwice(2 * MILLI);
+		assertThat(this.discovery.current()).isEqualTo(A);
+		timeOutTwice(3 * MILLI);
+		assertThat(this.discovery.current()).isEqualTo(B);
 	}
 
 	@Test
-	void newSeedsAreAskedAsWell() {
+	void addedSeedsAreQueriedAsWell() {
 		HostPort added = new HostPort("10.0.0.9", 1);
-		this.search.reseed(List.of(added));
-		silentTwice(0);
-		assertThat(this.search.current()).isEqualTo(B);
-		silentTwice(MILLI);
-		silentTwice(2 * MILLI);
-		assertThat(this.search.current()).isEqualTo(added);
+		this.discovery.reseed(List.of(added));
+		timeOutTwice(0);
+		assertThat(this.discovery.current()).isEqualTo(B);
+		timeOutTwice(MILLI);
+		timeOutTwice(2 * MILLI);
+		assertThat(this.discovery.current()).isEqualTo(added);
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/PeerFileTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/PeerFileTests.java
@@ -24,18 +24,18 @@
 	private Path folder;
 
 	@Test
-	void keepsAddressesForTheNextStart() {
+	void savesAddressesForTheNextStart() {
 		new PeerFile(this.folder).save(List.of(B, A));
 		assertThat(new PeerFile(this.folder).load()).containsExactly(A, B);
 	}
 
 	@Test
-	void anEmptyFolderNamesNobody() {
+	void anEmptyFolderContainsNoAddresses() {
 		assertThat(new PeerFile(this.folder).load()).isEmpty();
 	}
 
 	@Test
-	void aProcessThatHearsNobodyKeepsWhatItKnew() {
+	void anEmptyListDoesNotReplaceTheSavedAddresses() {
 		PeerFile file = new PeerFile(this.folder);
 		file.save(List.of(A));
 		file.save(List.of());
@@ -43,13 +43,13 @@
 	}
 
 	@Test
-	void aDamagedLineIsLeftOut() throws IOException {
+	void aDamagedLineIsSkipped() throws IOException {
 		Files.writeString(this.folder.resolve("PEERS"), "10.0.0.1:1\nnonsense\n10.0");
 		assertThat(new PeerFile(this.folder).load()).containsExactly(A);
 	}
 
 	@Test
-	void aFolderThatCannotBeWrittenDoesNoHarm() {
+	void aFolderThatCannotBeWrittenIsIgnored() {
 		PeerFile file = new PeerFile(this.folder.resolve("missing"));
 		file.save(List.of(A));
 		assertThat(file.load()).isEmpty();
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/SwitchRecorder.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/SwitchRecorder.java
@@ -9,14 +9,14 @@
 import org.comfreywall.gateway.group.RankReport;
 
 /**
- * Remembers the switches that are entrusted to a process.
+ * Records the switches that are delegated to a process and have not ended.
  */
 final class SwitchRecorder implements RankObserver {
 
-	private final Set<EntrustedSwitch> known = ConcurrentHashMap.newKeySet();
+	private final Set<EntrustedSwitch> active = ConcurrentHashMap.newKeySet();
 
 	boolean knows(EntrustedSwitch entrusted) {
-		return this.known.contains(entrusted);
+		return this.active.contains(entrusted);
 	}
 
 	@Override
@@ -26,12 +26,12 @@
 
 	@Override
 	public void onEntrusted(EntrustedSwitch entrusted, Duration patience) {
-		this.known.add(entrusted);
+		this.active.add(entrusted);
 	}
 
 	@Override
 	public void onEnded(EntrustedSwitch ended) {
-		this.known.remove(ended);
+		this.active.remove(ended);
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/VoterPlannerTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/VoterPlannerTests.java
@@ -36,14 +36,14 @@
 	}
 
 	@Test
-	void changesNothingWhileAllAreWell() {
+	void plansNoChangeWhileAllVotersAreLive() {
 		assertThat(this.planner.next(membership(voter("a"), voter("b"), voter("c")),
 				List.of(peer("a", 1), peer("b", 1), peer("c", 1), peer("d", 9)), Set.of()))
 			.isEmpty();
 	}
 
 	@Test
-	void aVoterThatLostItsDiskIsRemovedAndCaughtUpBeforeItVotesAgain() {
+	void aVoterThatLostItsDiskIsRemovedAndAddedAsALearnerBeforeItVotesAgain() {
 		Membership three = membership(voter("a"), voter("b"), voter("c"));
 		List<FleetPeer> live = List.of(peer("a", 1), peer("b", 1), peer("c", 77));
 		assertThat(this.planner.next(three, live, Set.of())).contains(new RemoveMember(InstanceId.of("c")));
@@ -56,7 +56,7 @@
 	}
 
 	@Test
-	void aVoterThatIsGoneIsRemovedOnlyAfterItsReplacementVotes() {
+	void aLostVoterIsRemovedOnlyAfterItsReplacementVotes() {
 		Membership three = membership(voter("a"), voter("b"), voter("c"));
 		List<FleetPeer> live = List.of(peer("a", 1), peer("b", 1), peer("d", 9));
 		assertThat(this.planner.next(three, live, Set.of("c"))).contains(new AddLearner(InstanceId.of("d"), 9));
@@ -65,7 +65,7 @@
 	}
 
 	@Test
-	void withoutASpareDiskAGoneVoterStays() {
+	void aLostVoterIsKeptIfNoReplacementIsAvailable() {
 		Membership three = membership(voter("a"), voter("b"), voter("c"));
 		assertThat(this.planner.next(three, List.of(peer("a", 1), peer("b", 1)), Set.of("c")))
 			.isEqualTo(Optional.empty());
