Reword the queue and the slowdowns of the pool

The field waiting is the queue, the field choice the selector of servers, and the factor by which a rank takes longer than usual is called a slowdown in parameters.

No behaviour changes.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetListener.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetListener.java
@@ -38,10 +38,10 @@
 
 	/**
 	 * Called when the leader's list of slow backend servers was received.
-	 * @param pace the factor by which each takes longer than usual, by address; all
+	 * @param slowdowns the factor by which each takes longer than usual, by address; all
 	 * others are healthy
 	 */
-	void onSlowServers(Map<HostPort, Double> pace);
+	void onSlowServers(Map<HostPort, Double> slowdowns);
 
 	/**
 	 * Returns this entry's counts of requests in flight.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
@@ -37,7 +37,7 @@
 
 	private final Transport transport;
 
-	private final Runnable onReportEnd;
+	private final Runnable onEnd;
 
 	private final LeaderSearch discovery;
 
@@ -49,13 +49,13 @@
 	 * Creates a reporter.
 	 * @param instance the name of this process's instance
 	 * @param seeds the addresses of processes that know the leader
-	 * @param onReportEnd called on a transport thread when a report was acknowledged or
-	 * has timed out, unless the target has changed in the meantime
+	 * @param onEnd called on a transport thread when a report was acknowledged or has
+	 * timed out, unless the target has changed in the meantime
 	 */
-	public RankReporter(String instance, List<HostPort> seeds, Runnable onReportEnd) {
+	public RankReporter(String instance, List<HostPort> seeds, Runnable onEnd) {
 		PeerIdentity self = new PeerIdentity(InstanceId.of(instance), Incarnation.of(System.currentTimeMillis()));
 		this.transport = new Transport(self, TIMES, TransportSecurity.PLAIN, 1);
-		this.onReportEnd = Preconditions.notNull(onReportEnd, "onReportEnd");
+		this.onEnd = Preconditions.notNull(onEnd, "onEnd");
 		this.discovery = new LeaderSearch(seeds);
 		updateTarget();
 	}
@@ -112,7 +112,7 @@
 			this.client = new RpcClient(this.transport, this.target);
 		}
 		updateTarget();
-		this.onReportEnd.run();
+		this.onEnd.run();
 	}
 
 	private void updateTarget() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
@@ -139,8 +139,8 @@
 		return this.latencyNanos;
 	}
 
-	void heardPace(double newPace) {
-		this.pace = Math.max(1, newPace);
+	void heardPace(double newSlowdown) {
+		this.pace = Math.max(1, newSlowdown);
 	}
 
 	double pace() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
@@ -66,13 +66,13 @@
 
 	private final RandomGenerator random;
 
-	private final ServerChoice choice;
+	private final ServerChoice selector;
 
 	private final Map<String, PoolServer> servers = new HashMap<>();
 
 	private final Map<String, Long> countsReceivedAt = new HashMap<>();
 
-	private final PriorityQueue<WaitingRequest> waiting = new PriorityQueue<>(ORDER);
+	private final PriorityQueue<WaitingRequest> queue = new PriorityQueue<>(ORDER);
 
 	private final Deque<Long> completions = new ArrayDeque<>();
 
@@ -87,7 +87,7 @@
 	 */
 	public ServicePool(String domain, RandomGenerator random) {
 		this.random = Preconditions.notNull(random, "random");
-		this.choice = new ServerChoice(domain, random);
+		this.selector = new ServerChoice(domain, random);
 	}
 
 	/**
@@ -131,12 +131,12 @@
 
 	/**
 	 * Records which servers are slow ranks of a group.
-	 * @param pace the factor by which each takes longer than usual, by address; servers
-	 * that are missing are healthy
+	 * @param slowdowns the factor by which each takes longer than usual, by address;
+	 * servers that are missing are healthy
 	 */
-	public void heardPace(Map<HostPort, Double> pace) {
+	public void heardPace(Map<HostPort, Double> slowdowns) {
 		this.servers.values()
-			.forEach((server) -> server.heardPace(pace.getOrDefault(server.announcement().address(), 1.0)));
+			.forEach((server) -> server.heardPace(slowdowns.getOrDefault(server.announcement().address(), 1.0)));
 	}
 
 	// The requests of a crashed entry ended with it; its counts must not occupy slots.
@@ -161,8 +161,8 @@
 		if (now < this.haltedUntil) {
 			return refuse(request, "group-fault", GROUP_RETRY_NANOS);
 		}
-		boolean othersFirst = this.waiting.stream().anyMatch((other) -> ORDER.compare(other, request) < 0);
-		Optional<PoolServer> free = othersFirst ? Optional.empty() : choose(request.excluded(), now);
+		boolean othersFirst = this.queue.stream().anyMatch((other) -> ORDER.compare(other, request) < 0);
+		Optional<PoolServer> free = othersFirst ? Optional.empty() : selectServer(request.excluded(), now);
 		if (free.isPresent()) {
 			return grant(request, free.get());
 		}
@@ -170,10 +170,10 @@
 			return refuse(request, "no-server", untilUsable(now));
 		}
 		double wait = expectedWait(request, now);
-		if (now + wait > request.latestStart() || this.waiting.size() >= MAX_WAITING) {
+		if (now + wait > request.latestStart() || this.queue.size() >= MAX_WAITING) {
 			return refuse(request, "no-place-in-time", (long) wait);
 		}
-		this.waiting.add(request);
+		this.queue.add(request);
 		return new PlaceAwaited(request.id());
 	}
 
@@ -223,7 +223,7 @@
 	 * @param request the request's identifier at this entry
 	 */
 	public void cancel(long request) {
-		this.waiting.removeIf((other) -> other.id() == request);
+		this.queue.removeIf((other) -> other.id() == request);
 	}
 
 	/**
@@ -236,10 +236,10 @@
 	public List<PlaceDecision> tick(long now) {
 		List<PlaceDecision> decisions = new ArrayList<>();
 		if (now < this.haltedUntil) {
-			this.waiting.forEach((request) -> decisions.add(refuse(request, "group-fault", GROUP_RETRY_NANOS)));
-			this.waiting.clear();
+			this.queue.forEach((request) -> decisions.add(refuse(request, "group-fault", GROUP_RETRY_NANOS)));
+			this.queue.clear();
 		}
-		Iterator<WaitingRequest> late = this.waiting.iterator();
+		Iterator<WaitingRequest> late = this.queue.iterator();
 		while (late.hasNext()) {
 			WaitingRequest request = late.next();
 			if (now > request.latestStart()) {
@@ -248,16 +248,16 @@
 			}
 		}
 		List<WaitingRequest> skipped = new ArrayList<>();
-		while (!this.waiting.isEmpty()) {
-			WaitingRequest request = this.waiting.poll();
-			Optional<PoolServer> free = choose(request.excluded(), now);
+		while (!this.queue.isEmpty()) {
+			WaitingRequest request = this.queue.poll();
+			Optional<PoolServer> free = selectServer(request.excluded(), now);
 			if (free.isEmpty()) {
 				skipped.add(request);
 				break;
 			}
 			decisions.add(grant(request, free.get()));
 		}
-		this.waiting.addAll(skipped);
+		this.queue.addAll(skipped);
 		return decisions;
 	}
 
@@ -266,7 +266,7 @@
 	 * @return the count
 	 */
 	public int waiting() {
-		return this.waiting.size();
+		return this.queue.size();
 	}
 
 	/**
@@ -282,12 +282,12 @@
 		return new PlaceGranted(request.id(), server);
 	}
 
-	private Optional<PoolServer> choose(Set<String> excluded, long now) {
+	private Optional<PoolServer> selectServer(Set<String> excluded, long now) {
 		expireCounts(now);
 		List<PoolServer> free = usable(now).stream()
 			.filter((server) -> server.freePlaces() > 0 && !excluded.contains(server.announcement().server()))
 			.toList();
-		return this.choice.choose(free, this.arrivals.perSecond(now) * this.countsReceivedAt.size());
+		return this.selector.choose(free, this.arrivals.perSecond(now) * this.countsReceivedAt.size());
 	}
 
 	private List<PoolServer> usable(long now) {
@@ -306,7 +306,7 @@
 	// Slots become free in bursts, as several requests of a batch end with the same
 	// forward pass, so the rate is averaged over many completions.
 	private double expectedWait(WaitingRequest request, long now) {
-		long ahead = this.waiting.stream().filter((other) -> ORDER.compare(other, request) < 0).count();
+		long ahead = this.queue.stream().filter((other) -> ORDER.compare(other, request) < 0).count();
 		if (this.completions.size() < MIN_COMPLETIONS) {
 			return 0;
 		}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
@@ -254,8 +254,8 @@
 		}
 
 		@Override
-		public void onSlowServers(Map<HostPort, Double> pace) {
-			this.slow = pace;
+		public void onSlowServers(Map<HostPort, Double> slowdowns) {
+			this.slow = slowdowns;
 		}
 
 		@Override
