--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/DeputyPort.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/DeputyPort.java
@@ -3,20 +3,21 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Tells other processes of a switch before its pass is held, so that one of them can end
- * it.
+ * Sends switches to deputy processes before their pass is held, so that a deputy can
+ * complete a switch if the coordinator fails.
  */
 public interface DeputyPort {
 
 	/**
-	 * Entrusts a switch to other processes.
+	 * Sends a switch to the deputies.
 	 * @param entrusted the switch
-	 * @return completes when one of them knows of it, or none can be reached
+	 * @return completes when one deputy has confirmed it, or none can be reached
 	 */
 	CompletableFuture<Void> entrust(EntrustedSwitch entrusted);
 
 	/**
-	 * Tells them that the switch has come to its end.
+	 * Notifies the deputies that the switch is complete or cancelled, so that they drop
+	 * it.
 	 * @param entrusted the switch
 	 */
 	void ended(EntrustedSwitch entrusted);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EngineOrder.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EngineOrder.java
@@ -1,13 +1,13 @@
 package org.comfreywall.gateway.group;
 
 /**
- * An order to the engine of one rank. All carry the group's epoch, so that an order that
- * is carried out late in another epoch is refused.
+ * An order to the engine of one rank. Every order carries the group's epoch, so that an
+ * engine refuses an order that arrives after the group was restarted in another epoch.
  */
 public sealed interface EngineOrder permits PrepareMap, ArmMap, DisarmMap, HoldStep, ReleaseStep {
 
 	/**
-	 * Returns the epoch in which the order is meant.
+	 * Returns the group's epoch for which the order was issued.
 	 * @return the epoch
 	 */
 	long epoch();
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EnginePort.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EnginePort.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.toml.HostPort;
 
 /**
- * Carries orders to engines.
+ * Sends orders to engines.
  */
 @FunctionalInterface
 public interface EnginePort {
@@ -15,7 +15,8 @@
 	 * @param server the backend server's identifier
 	 * @param address its address
 	 * @param order the order
-	 * @return completes with the answer, never exceptionally
+	 * @return completes with the answer, or with {@link OrderAnswer#UNKNOWN} if there was
+	 * none; never exceptionally
 	 */
 	CompletableFuture<OrderAnswer> send(String server, HostPort address, EngineOrder order);
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EvenCopyPlanner.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EvenCopyPlanner.java
@@ -9,31 +9,35 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Plans a layout near the present one in which the most loaded rank of each set has less
- * to do.
+ * Plans a layout close to the present one that lowers the load of the most loaded rank of
+ * each set, by greedy local search.
  * <p>
- * For engines that split an expert's work evenly over its copies and bound how many
- * experts a rank may take in one switch. Answers a load in which the wanted experts
- * change every few seconds: ranks copy side by side, each one expert after the other, so
- * the copies of a plan are spread over the ranks and bounded for each of them over all
- * sets together. What one switch cannot reach is left to the next. A rank that is slow
- * gets as much less as it takes longer.
+ * For engines that split an expert's work evenly over its copies and limit how many
+ * experts a rank may receive in one switch. Popular experts can change every few seconds,
+ * so a switch must be quick: ranks copy in parallel, but each rank copies one expert at a
+ * time, so a plan spreads its copies over the ranks and limits the copies of each rank
+ * over all sets together. Improvements beyond that limit are left to the next switch. The
+ * load of a slow rank is weighted by its slowdown factor.
  */
 final class EvenCopyPlanner {
 
-	/** Steps tried for one set; each takes load from the most loaded rank. */
+	/** The most steps for one set; each moves load away from the most loaded rank. */
 	private static final int MAX_STEPS = 150;
 
 	/**
-	 * A step has to lower the cost by that of this many ranks of average cost to be worth
-	 * a copy. On a large group each step takes a small part of the whole.
+	 * A step must lower the cost by this many times the average cost of a rank to be
+	 * worth a copy. The threshold is relative to one rank because in a large group each
+	 * step lowers the total cost by a small share only.
 	 */
 	private static final double WORTHWHILE_RANKS = 1.1;
 
-	/** Experts of the busiest rank that are tried; others carry too little to matter. */
+	/**
+	 * Experts of the busiest rank that are considered; the others carry too little load
+	 * to matter.
+	 */
 	private static final int EXPERTS_TRIED = 3;
 
-	/** Ranks that are tried as holders of a copy, the lightest ones. */
+	/** Least loaded ranks that are considered as targets of a copy. */
 	private static final int RANKS_TRIED = 5;
 
 	private final int placesPerRank;
@@ -45,8 +49,9 @@
 	/**
 	 * Creates a planner.
 	 * @param placesPerRank the most experts of a set on one rank
-	 * @param newPerSet the most experts of a set that one switch may bring to a rank
-	 * @param newPerRank the most experts of all sets that one switch may bring to a rank
+	 * @param newPerSet the most experts of one set that one switch may add to a rank
+	 * @param newPerRank the most experts of all sets together that one switch may add to
+	 * a rank
 	 */
 	EvenCopyPlanner(int placesPerRank, int newPerSet, int newPerRank) {
 		Preconditions.check(placesPerRank >= 1, "placesPerRank must be at least 1: %d", placesPerRank);
@@ -60,8 +65,9 @@
 	/**
 	 * Plans a layout.
 	 * @param present the layout in force
-	 * @param demand what the ranks have to do
-	 * @return a layout that one switch can reach
+	 * @param demand the load of the experts and the slowdown of the ranks
+	 * @return a layout that one switch can reach, equal to the present one if no step
+	 * pays
 	 */
 	ExpertLayout plan(ExpertLayout present, ExpertDemand demand) {
 		List<SetLoads> sets = new ArrayList<>();
@@ -121,52 +127,55 @@
 		int from = transfer.from();
 		int to = transfer.to();
 		int expert = transfer.expert();
-		if (loads.held(to).size() < this.placesPerRank && mayTake(loads, to, expert, Step.NONE)) {
+		if (loads.held(to).size() < this.placesPerRank && isWithinNewPerSet(loads, to, expert, Step.NONE)) {
 			steps.add(new Step(Step.NONE, Step.NONE, to, expert, Step.NONE));
 			steps.add(new Step(from, expert, to, expert, Step.NONE));
 			return;
 		}
 		for (int evicted : loads.held(to)) {
-			if (!mayTake(loads, to, expert, evicted)) {
+			if (!isWithinNewPerSet(loads, to, expert, evicted)) {
 				continue;
 			}
 			if (loads.copies(evicted) > 1) {
 				steps.add(new Step(Step.NONE, Step.NONE, to, expert, evicted));
 			}
-			boolean back = copies[from] < this.newPerRank && !loads.holds(from, evicted)
-					&& mayTake(loads, from, evicted, expert);
-			if (back) {
+			boolean canSwap = copies[from] < this.newPerRank && !loads.holds(from, evicted)
+					&& isWithinNewPerSet(loads, from, evicted, expert);
+			if (canSwap) {
 				steps.add(new Step(from, expert, to, expert, evicted));
 			}
 		}
 	}
 
-	// Counts what would be new to the rank after taking one expert for another.
-	private boolean mayTake(SetLoads loads, int rank, int expert, int evicted) {
-		int fresh = loads.isFresh(rank, expert) ? 1 : 0;
+	// Whether the rank stays within its limit of new experts of this set if it takes
+	// the expert and drops the evicted one.
+	private boolean isWithinNewPerSet(SetLoads loads, int rank, int expert, int evicted) {
+		int added = loads.isFresh(rank, expert) ? 1 : 0;
 		for (int held : loads.held(rank)) {
 			if (held != evicted && loads.isFresh(rank, held)) {
-				fresh++;
+				added++;
 			}
 		}
-		return fresh <= this.newPerSet;
+		return added <= this.newPerSet;
 	}
 
 	/**
-	 * An expert that may get a copy on another rank.
+	 * A possible copy of an expert to another rank.
 	 */
 	private record Transfer(int from, int expert, int to) {
 	}
 
 	/**
-	 * A change of one set: an expert leaves a rank, one comes to another, and one gives
-	 * way to it; the one that gives way changes places with the one that leaves.
+	 * A change of one set: the leaving expert is removed from one rank, the coming expert
+	 * is added to another, and the evicted expert is removed there to make room. If there
+	 * are both a leaving and an evicted expert, they swap ranks.
 	 */
 	private record Step(int from, int leaving, int to, int coming, int evicted) {
 
 		static final int NONE = -1;
 
-		// A copy that gives way again within the plan stays counted: a small loss.
+		// A copy that a later step of the plan evicts stays counted, which leaves a
+		// little of the limit unused.
 		void countCopies(SetLoads loads, int[] copies) {
 			if (this.coming != NONE && loads.isFresh(this.to, this.coming)) {
 				copies[this.to]++;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
@@ -5,10 +5,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What the ranks of a group have to do for their experts.
+ * The load of a group's experts, with the slowdown of its ranks.
  *
  * @param chosen how often each expert is chosen, by set and expert
- * @param pace how much longer than usual each rank takes, by rank; 1 if it is healthy
+ * @param pace the slowdown factor of each rank against its usual time; 1 if it is healthy
  */
 record ExpertDemand(double[][] chosen, double[] pace) {
 
@@ -18,7 +18,7 @@
 	}
 
 	/**
-	 * Creates the demand on healthy ranks.
+	 * Creates the demand for a group whose ranks are all healthy.
 	 * @param chosen how often each expert is chosen, by set and expert
 	 * @param ranks the number of ranks
 	 * @return the demand
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayout.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayout.java
@@ -18,7 +18,7 @@
 	}
 
 	/**
-	 * Creates the layout in which experts are dealt to the ranks in turn.
+	 * Creates a layout with one copy of each expert, assigned to the ranks round-robin.
 	 * @param sets the number of sets
 	 * @param experts the number of experts of a set
 	 * @param ranks the number of ranks
@@ -57,10 +57,11 @@
 	}
 
 	/**
-	 * Computes what all sets together add to a pass: in each, the most loaded rank's part
-	 * over the mean.
-	 * @param demand what the ranks have to do
-	 * @return the mean over the sets, 1 if all ranks take the same time
+	 * Computes the load imbalance of the layout: for each set the ratio of the most
+	 * loaded rank to the mean, averaged over the sets. In a pass all ranks wait for the
+	 * most loaded one.
+	 * @param demand the load of the experts and the slowdown of the ranks
+	 * @return the mean ratio, 1 if all ranks take the same time
 	 */
 	double skew(ExpertDemand demand) {
 		double sum = 0;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertTraffic.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertTraffic.java
@@ -12,48 +12,62 @@
 import java.util.TreeMap;
 
 /**
- * How often each expert was chosen lately, over all ranks of a group.
+ * Counts how often each expert was chosen recently, over all ranks of a group, and
+ * detects shifts of the load.
  * <p>
- * Answers a load in which the wanted experts change from one pass to the next and then
- * stay for seconds. Choices are gathered in rounds: the passes that all ranks, or most of
- * them if reports are late, have reported since the round before. A round that differs
- * from those before it by more than chance begins a new record, so that one pass after a
- * shift is enough to plan for it.
+ * The popular experts may change from one pass to the next and then stay the same for
+ * seconds. Choices are aggregated in rounds: a round holds the passes that all ranks, or
+ * most of them if reports are late, have reported since the previous round. If a round
+ * differs from the earlier ones by more than the usual noise, these are discarded, so
+ * that one pass after a shift is enough to plan for it.
  */
 final class ExpertTraffic {
 
-	/** Rounds kept; with a round a pass, somewhat less than the time between shifts. */
-	private static final int KEPT = 16;
+	/**
+	 * Rounds that a forecast rests on. With one round per pass they span somewhat less
+	 * than the usual time between shifts.
+	 */
+	private static final int MAX_ROUNDS = 16;
 
-	/** Passes gathered while a rank is silent; older ones tell nothing of the present. */
+	/**
+	 * Passes kept in an open round while reports of a rank are missing; older ones do not
+	 * reflect the present load.
+	 */
 	private static final int MAX_OPEN_PASSES = 64;
 
-	/** Reports of a pass come within this time, or are lost or late. */
+	/** Reports of a pass that have not arrived after this time are late or lost. */
 	private static final long ROUND_NANOS = 200_000_000L;
 
-	/** Ranks with longer lists of counts report less often. */
+	/**
+	 * Added for each count in a report, as ranks with longer lists of counts report less
+	 * often.
+	 */
 	private static final long ROUND_NANOS_PER_COUNT = 200_000L;
 
 	/**
-	 * Ranks that make up for those whose reports are late, as they serve alike requests.
+	 * Share of the ranks whose reports complete a round if others are late. Ranks serve
+	 * similar requests, so their counts are representative.
 	 */
-	private static final double ENOUGH_RANKS = 0.7;
+	private static final double QUORUM_SHARE = 0.7;
 
-	/** Usual difference between rounds of one load, until it has been measured. */
-	private static final double USUAL_CHANCE = 0.07;
+	/** Initial estimate of the distance between two rounds of the same load. */
+	private static final double INITIAL_NOISE = 0.07;
 
-	private static final double CHANCE_SMOOTHING = 0.1;
+	private static final double NOISE_SMOOTHING = 0.1;
 
-	/** A difference this many times the usual one is no chance. */
+	/** A distance of this many times the usual noise is a shift. */
 	private static final double SHIFT_FACTOR = 2.6;
 
-	/** A smaller difference than this costs less than a switch. */
-	private static final double SMALLEST_SHIFT = 0.08;
+	/** A smaller distance is never a shift: its imbalance costs less than a switch. */
+	private static final double MIN_SHIFT_DISTANCE = 0.08;
 
-	/** A larger difference than this is a shift however much rounds differ. */
-	private static final double LARGEST_CHANCE = 0.25;
+	/** A larger distance is always a shift, however large the noise is. */
+	private static final double MAX_NOISE_DISTANCE = 0.25;
 
-	/** An expert that was not chosen lately may be chosen soon. */
+	/**
+	 * Share of the mean that is added to each expert, as one that was not chosen recently
+	 * may be chosen soon.
+	 */
 	private static final double FLOOR_SHARE = 0.05;
 
 	private final int sets;
@@ -62,7 +76,7 @@
 
 	private final NavigableMap<Long, PassChoices> passes = new TreeMap<>();
 
-	private final Map<Integer, Long> reported = new HashMap<>();
+	private final Map<Integer, Long> lastStepByRank = new HashMap<>();
 
 	private final Deque<double[][]> rounds = new ArrayDeque<>();
 
@@ -72,7 +86,7 @@
 
 	private long closedAt = Long.MIN_VALUE / 2;
 
-	private double chance = USUAL_CHANCE;
+	private double noise = INITIAL_NOISE;
 
 	private double drift;
 
@@ -92,12 +106,12 @@
 	}
 
 	/**
-	 * Adds what one rank's requests chose.
+	 * Adds the expert choices of one rank's report.
 	 * @param rank the rank
 	 * @param ranks the number of ranks
-	 * @param step the last pass that the rank had begun
-	 * @param counts how often since the rank's counts before, set after set; empty if
-	 * they were not read
+	 * @param step the last pass that the rank had begun when it reported
+	 * @param counts the choices of each expert since the rank's previous counts, set by
+	 * set; empty if they were not read
 	 * @param now the present time in nanoseconds
 	 */
 	void add(int rank, int ranks, long step, List<Integer> counts, long now) {
@@ -110,21 +124,21 @@
 		if (this.passes.size() > MAX_OPEN_PASSES) {
 			this.passes.pollFirstEntry();
 		}
-		this.reported.put(rank, step);
+		this.lastStepByRank.put(rank, step);
 		boolean late = now - this.closedAt > this.roundNanos;
-		closeRound(late ? (int) Math.ceil(ENOUGH_RANKS * ranks) : ranks, now);
+		closeRound(late ? (int) Math.ceil(QUORUM_SHARE * ranks) : ranks, now);
 	}
 
-	// A round ends with the last pass of which enough ranks have told.
+	// A round ends with the last pass that enough ranks have reported.
 	private void closeRound(int ranks, long now) {
-		if (this.reported.size() < ranks) {
+		if (this.lastStepByRank.size() < ranks) {
 			return;
 		}
-		long complete = this.reported.values().stream().sorted(Comparator.reverseOrder()).toList().get(ranks - 1);
+		long complete = this.lastStepByRank.values().stream().sorted(Comparator.reverseOrder()).toList().get(ranks - 1);
 		NavigableMap<Long, PassChoices> closing = this.passes.headMap(complete, true);
-		Set<Integer> heard = new HashSet<>();
-		closing.values().forEach((pass) -> heard.addAll(pass.ranks()));
-		if (heard.size() < ranks) {
+		Set<Integer> reporters = new HashSet<>();
+		closing.values().forEach((pass) -> reporters.addAll(pass.ranks()));
+		if (reporters.size() < ranks) {
 			return;
 		}
 		double[][] round = new double[this.sets][this.experts];
@@ -132,46 +146,46 @@
 		closing.clear();
 		this.closedStep = complete;
 		this.closedAt = now;
-		take(round);
+		addRound(round);
 	}
 
-	private void take(double[][] round) {
+	private void addRound(double[][] round) {
 		if (total(round) == 0) {
 			return;
 		}
 		this.drift = this.rounds.isEmpty() ? 0 : distance(round, sum());
-		if (this.drift > Math.min(LARGEST_CHANCE, Math.max(SMALLEST_SHIFT, SHIFT_FACTOR * this.chance))) {
+		if (this.drift > Math.min(MAX_NOISE_DISTANCE, Math.max(MIN_SHIFT_DISTANCE, SHIFT_FACTOR * this.noise))) {
 			this.rounds.clear();
 			this.shifts++;
 		}
 		else if (!this.rounds.isEmpty()) {
-			this.chance += CHANCE_SMOOTHING * (this.drift - this.chance);
+			this.noise += NOISE_SMOOTHING * (this.drift - this.noise);
 		}
 		this.rounds.addLast(round);
-		if (this.rounds.size() > KEPT) {
+		if (this.rounds.size() > MAX_ROUNDS) {
 			this.rounds.removeFirst();
 		}
 		this.roundsTaken++;
 	}
 
 	/**
-	 * Returns the number of rounds taken in so far.
-	 * @return the count; a forecast changes only with it
+	 * Returns the number of rounds completed so far.
+	 * @return the count; the forecast changes only when it does
 	 */
 	long roundsTaken() {
 		return this.roundsTaken;
 	}
 
 	/**
-	 * Returns the number of rounds that a forecast rests on.
-	 * @return the count, of the present load alone
+	 * Returns the number of rounds that the forecast rests on.
+	 * @return the count of rounds since the last shift, up to a maximum
 	 */
 	int rounds() {
 		return this.rounds.size();
 	}
 
 	/**
-	 * Returns the number of shifts seen so far.
+	 * Returns the number of shifts detected so far.
 	 * @return the count
 	 */
 	long shifts() {
@@ -179,7 +193,7 @@
 	}
 
 	/**
-	 * Returns what is expected of the next second.
+	 * Returns the expected choices of the next second.
 	 * @return the forecast
 	 */
 	TrafficForecast forecast() {
@@ -215,7 +229,7 @@
 		return sum;
 	}
 
-	// Half of the sum of all differences between shares, 0 if alike and 1 if disjoint.
+	// Total variation distance between the shares, 0 if they are equal and 1 if disjoint.
 	private static double distance(double[][] one, double[][] other) {
 		double oneTotal = total(one);
 		double otherTotal = total(other);
@@ -229,7 +243,7 @@
 	}
 
 	/**
-	 * What was chosen up to one pass, by the ranks that told of it.
+	 * The choices of one pass, with the ranks that reported them.
 	 */
 	private record PassChoices(double[][] chosen, Set<Integer> ranks) {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
@@ -14,8 +14,8 @@
 import org.comfreywall.gateway.config.EngineShape;
 
 /**
- * Runs the coordinators of all groups at the leader, and the deputies for switches of
- * another leader; used on one thread.
+ * Runs the coordinators of all groups on the leader, and the deputies for switches that
+ * another leader delegated to this process. Not thread-safe: used on one thread.
  */
 public final class GroupDriver {
 
@@ -29,7 +29,7 @@
 
 	private final Map<String, RebalanceCoordinator> coordinators = new HashMap<>();
 
-	private final Map<String, EntrustedSwitch> told = new HashMap<>();
+	private final Map<String, EntrustedSwitch> delegated = new HashMap<>();
 
 	private final Map<String, SwitchDeputy> deputies = new HashMap<>();
 
@@ -37,10 +37,11 @@
 
 	/**
 	 * Creates a driver.
-	 * @param executor the thread that everything runs on
-	 * @param engines carries orders
-	 * @param deputyPort reaches the processes that end a switch if this one cannot
-	 * @param addresses finds the address of a backend server
+	 * @param executor the single thread that all callbacks run on
+	 * @param engines sends orders to engines
+	 * @param deputyPort sends switches to the processes that complete them if this one
+	 * fails
+	 * @param addresses returns the address of a backend server, or empty if it is unknown
 	 */
 	public GroupDriver(Executor executor, EnginePort engines, DeputyPort deputyPort,
 			Function<String, Optional<HostPort>> addresses) {
@@ -51,11 +52,12 @@
 	}
 
 	/**
-	 * Takes in a rank's report.
+	 * Receives a rank's report.
 	 * @param service the service that the rank belongs to
 	 * @param shape the shape of the service's engines
 	 * @param report the report
-	 * @param chosen how often its requests chose each expert since the report before
+	 * @param chosen how often its requests chose each expert since its previous report,
+	 * set by set
 	 */
 	public void onRank(String service, EngineShape shape, RankReport report, List<Integer> chosen) {
 		this.coordinators.computeIfAbsent(service + "/" + report.group(), (key) -> new RebalanceCoordinator(shape))
@@ -63,16 +65,16 @@
 	}
 
 	/**
-	 * Takes in a switch that the leader entrusts to this process.
+	 * Receives a switch that the leader delegates to this process.
 	 * @param entrusted the switch
-	 * @param patience the time after which the leader counts as silent
+	 * @param timeout the timeout after which this process takes the switch over
 	 */
-	public void onEntrusted(EntrustedSwitch entrusted, Duration patience) {
-		this.deputies.put(entrusted.group(), new SwitchDeputy(entrusted, patience.toNanos(), System.nanoTime()));
+	public void onEntrusted(EntrustedSwitch entrusted, Duration timeout) {
+		this.deputies.put(entrusted.group(), new SwitchDeputy(entrusted, timeout.toNanos(), System.nanoTime()));
 	}
 
 	/**
-	 * Takes in that the leader has brought a switch to its end.
+	 * Receives the notice that the leader has completed or cancelled a switch.
 	 * @param ended the switch
 	 */
 	public void onEnded(EntrustedSwitch ended) {
@@ -81,69 +83,70 @@
 	}
 
 	/**
-	 * Gives the orders that are due at the leader.
-	 * @param present the term in which this process leads
+	 * Sends the due orders of all coordinators. Coordinators of an earlier term are
+	 * dropped.
+	 * @param present the term in which this process is the leader
 	 */
 	public void tick(long present) {
 		if (present != this.term) {
 			this.coordinators.clear();
-			this.told.clear();
+			this.delegated.clear();
 			this.term = present;
 		}
-		List.copyOf(this.coordinators.keySet()).forEach(this::giveOrders);
+		List.copyOf(this.coordinators.keySet()).forEach(this::sendDueOrders);
 	}
 
 	/**
-	 * Gives the orders that are due for switches of another process.
+	 * Sends the due orders of the deputies, and drops deputies that are done.
 	 */
 	public void tickDeputies() {
 		long now = System.nanoTime();
 		this.deputies.values().removeIf((deputy) -> deputy.isOver(now));
-		List.copyOf(this.deputies.values()).forEach(this::giveOrders);
+		List.copyOf(this.deputies.values()).forEach(this::sendDueOrders);
 	}
 
-	private void giveOrders(String group) {
+	private void sendDueOrders(String group) {
 		RebalanceCoordinator coordinator = this.coordinators.get(group);
 		coordinator.tick(this.term, System.nanoTime())
-			.forEach((order) -> send(order, (answer) -> answered(group, coordinator, order, answer)));
-		tellDeputies(group, coordinator);
+			.forEach((order) -> send(order, (answer) -> onAnswer(group, coordinator, order, answer)));
+		updateDeputies(group, coordinator);
 	}
 
-	// What follows from an answer is ordered at once, as a held pass keeps requests
-	// waiting.
-	private void answered(String group, RebalanceCoordinator coordinator, RankOrder order, OrderAnswer answer) {
+	// Sends the next orders at once instead of with the next tick, as a held pass delays
+	// requests.
+	private void onAnswer(String group, RebalanceCoordinator coordinator, RankOrder order, OrderAnswer answer) {
 		coordinator.answered(order, answer, System.nanoTime());
 		if (answer == OrderAnswer.TAKEN && this.coordinators.get(group) == coordinator) {
-			giveOrders(group);
+			sendDueOrders(group);
 		}
 	}
 
-	private void tellDeputies(String group, RebalanceCoordinator coordinator) {
+	private void updateDeputies(String group, RebalanceCoordinator coordinator) {
 		Optional<EntrustedSwitch> present = coordinator.entrusted(group);
-		EntrustedSwitch before = this.told.get(group);
+		EntrustedSwitch before = this.delegated.get(group);
 		if (present.isPresent() && !present.get().equals(before)) {
-			this.told.put(group, present.get());
+			this.delegated.put(group, present.get());
 			this.deputyPort.entrust(present.get())
-				.thenRunAsync(() -> entrusted(group, coordinator, present.get()), this.executor);
+				.thenRunAsync(() -> onDelegationConfirmed(group, coordinator, present.get()), this.executor);
 		}
 		else if (present.isEmpty() && before != null) {
-			this.told.remove(group);
+			this.delegated.remove(group);
 			this.deputyPort.ended(before);
 		}
 	}
 
-	private void entrusted(String group, RebalanceCoordinator coordinator, EntrustedSwitch known) {
-		coordinator.entrusted(known, System.nanoTime());
+	private void onDelegationConfirmed(String group, RebalanceCoordinator coordinator, EntrustedSwitch confirmed) {
+		coordinator.delegationConfirmed(confirmed, System.nanoTime());
 		if (this.coordinators.get(group) == coordinator) {
-			giveOrders(group);
+			sendDueOrders(group);
 		}
 	}
 
-	private void giveOrders(SwitchDeputy deputy) {
+	private void sendDueOrders(SwitchDeputy deputy) {
 		deputy.tick(System.nanoTime()).forEach((order) -> send(order, (answer) -> {
 			deputy.answered(order, answer);
 			if (answer == OrderAnswer.TAKEN) {
-				giveOrders(deputy);
+				sendDueOrders(deputy);
 			}
 		}));
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/HoldStep.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/HoldStep.java
@@ -1,7 +1,7 @@
 package org.comfreywall.gateway.group;
 
 /**
- * Keeps the group from beginning a pass.
+ * Holds a pass: the group does not begin it until it is released.
  *
  * @param epoch the group's epoch
  * @param step the pass
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
@@ -13,49 +13,63 @@
 import org.comfreywall.common.log.EventLog;
 
 /**
- * Changes the map of all ranks of a group at the beginning of one pass.
+ * Changes the expert map of all ranks of a group atomically, at the beginning of one
+ * pass.
  * <p>
- * The map is prepared on all ranks. Then one rank holds a pass that has not begun, and
- * only after it does all ranks are armed for that pass; only after all are armed is the
- * pass released. So no pass begins while some ranks are armed and others are not, however
- * long orders are under way: an order that comes late is for a pass that has begun, for a
- * version that was overtaken or for another epoch, and the engine refuses it. Orders
- * without an answer are repeated as they are. A switch that another coordinator left
- * half-way is led to its end, as all ranks have the map prepared once one is armed.
+ * Works like a two-phase commit. All ranks prepare the map. Then one rank holds a pass
+ * that has not begun; after it has confirmed, all ranks are armed for that pass, and
+ * after all are armed the pass is released. So no pass begins while only some ranks are
+ * armed, however long orders are delayed: a late order is for a pass that has begun, for
+ * a superseded version or for another epoch, and the engine refuses it. Orders are
+ * idempotent and are resent unchanged if there is no answer. A new coordinator completes
+ * a switch that its predecessor left while a pass was held: once any rank is armed, all
+ * ranks have prepared the map.
  */
 public final class MapSwitch {
 
 	private static final EventLog LOG = EventLog.of(MapSwitch.class);
 
-	/** Orders without an answer are repeated after this time. */
+	/** Orders without an answer are resent after this time. */
 	private static final long REPEAT_NANOS = 300_000_000L;
 
-	/** Copying takes a fraction of a second; after this time the plan is out of date. */
+	/**
+	 * Copying experts takes a fraction of a second; a plan that is not prepared after
+	 * this time is outdated and dropped.
+	 */
 	private static final long PREPARE_NANOS = 7_000_000_000L;
 
-	/** After this time without all ranks armed the change is taken back. */
+	/** If not all ranks are armed after this time, the switch is rolled back. */
 	private static final long ARM_NANOS = 6_000_000_000L;
 
-	/** Another process answers within a round trip; a switch does not wait for more. */
+	/**
+	 * A deputy confirms within a round trip; the switch goes on without it after this
+	 * time.
+	 */
 	private static final long ENTRUST_NANOS = 40_000_000L;
 
-	/** A report may have been read this long before it arrives. */
+	/** A report may be this old when it arrives. */
 	private static final long REPORT_LAG_NANOS = 60_000_000L;
 
-	/** Time to let another coordinator's switch end by itself before it is adopted. */
+	/**
+	 * Time that another coordinator's switch has to complete before it is taken over.
+	 */
 	private static final long SETTLE_NANOS = 900_000_000L;
 
 	/**
-	 * Passes from the present one to the one that is held, if the hold is quick enough.
+	 * Passes between the present one and the held one if the hold order arrives in time.
+	 * Each refused hold raises the distance by one.
 	 */
 	private static final int SHORTEST_LEAD = 1;
 
 	private static final int LONGEST_LEAD = 8;
 
-	/** Passes more while orders get lost, so that repeated ones still come in time. */
+	/**
+	 * Added passes while orders are being lost, so that resent orders still arrive in
+	 * time.
+	 */
 	private static final int LOSS_LEAD = 2;
 
-	/** Losses come in spells of some seconds. */
+	/** Losses come in bursts of some seconds. */
 	private static final long LOSS_MEMORY_NANOS = 5_000_000_000L;
 
 	private final Map<Integer, RankReport> reports = new HashMap<>();
@@ -64,7 +78,7 @@
 
 	private final OrderPacer pacer = new OrderPacer(REPEAT_NANOS);
 
-	private final Set<Integer> taken = new HashSet<>();
+	private final Set<Integer> armedRanks = new HashSet<>();
 
 	private Phase phase = Phase.IDLE;
 
@@ -89,7 +103,8 @@
 	private final PassClock passes = new PassClock();
 
 	/**
-	 * Takes in a report.
+	 * Processes a rank's report. Reports of an earlier epoch are ignored; a newer epoch
+	 * aborts the switch.
 	 * @param report the report
 	 * @param now the present time in nanoseconds
 	 */
@@ -105,12 +120,12 @@
 		this.passes.begun(report.step(), now);
 	}
 
-	private void reset(long newer, long now) {
+	private void reset(long newEpoch, long now) {
 		if (this.phase != Phase.IDLE) {
-			LOG.info("map-switch-dropped", Field.of("reason", "epoch"), Field.of("epoch", newer),
+			LOG.info("map-switch-dropped", Field.of("reason", "epoch"), Field.of("epoch", newEpoch),
 					Field.of("phase", this.phase), Field.of("version", this.version));
 		}
-		this.epoch = newer;
+		this.epoch = newEpoch;
 		this.reports.clear();
 		this.reportedAt.clear();
 		this.passes.restart();
@@ -118,12 +133,13 @@
 	}
 
 	/**
-	 * Tells whether a plan may be carried out now.
+	 * Returns whether a switch may start now.
 	 * @param now the present time in nanoseconds
-	 * @return {@code true} if all ranks are heard, open and at rest under one map
+	 * @return {@code true} if recent reports of all ranks show them running under one
+	 * map, with no rank armed and no pass held
 	 */
 	public boolean isAtRest(long now) {
-		return this.phase == Phase.IDLE && allHeard(now)
+		return this.phase == Phase.IDLE && allReportsRecent(now)
 				&& this.reportedAt.values().stream().allMatch((at) -> at - this.since > REPORT_LAG_NANOS)
 				&& this.reports.values()
 					.stream()
@@ -132,14 +148,15 @@
 	}
 
 	/**
-	 * Tells whether ranks copy experts for a map that can still be replaced by another.
+	 * Returns whether ranks are copying experts for a map that another plan can still
+	 * replace.
 	 * @return {@code true} if no pass is held and no rank is armed
 	 */
 	public boolean isPreparing() {
 		return this.phase == Phase.PREPARING;
 	}
 
-	private boolean allHeard(long now) {
+	private boolean allReportsRecent(long now) {
 		RankReport any = this.reports.values().stream().findAny().orElse(null);
 		return any != null && this.reports.size() == any.size()
 				&& this.reportedAt.values().stream().allMatch((at) -> now - at < 2_000_000_000L);
@@ -148,7 +165,7 @@
 	/**
 	 * Returns the layout in force.
 	 * @param now the present time in nanoseconds
-	 * @return the layout; to be asked only at rest
+	 * @return the layout; valid only if {@link #isAtRest} returns {@code true}
 	 */
 	public ExpertLayout present(long now) {
 		int sets = this.reports.get(0).layout().size();
@@ -164,8 +181,8 @@
 	}
 
 	/**
-	 * Returns how much longer than usual each rank takes.
-	 * @return the pace by rank; to be asked only when all ranks are heard
+	 * Returns the slowdown factor of each rank.
+	 * @return the factors by rank, at least 1; valid only if all ranks have reported
 	 */
 	public double[] pace() {
 		double[] pace = new double[this.reports.size()];
@@ -174,17 +191,18 @@
 	}
 
 	/**
-	 * Returns how long a pass takes.
-	 * @return the smoothed time in nanoseconds
+	 * Returns the duration of a pass.
+	 * @return the moving average in nanoseconds
 	 */
 	public double passNanos() {
 		return this.passes.passNanos();
 	}
 
 	/**
-	 * Starts a switch.
+	 * Starts a switch with a version above all that the ranks have reported.
 	 * @param planned the map
-	 * @param term the coordinator's term, so that versions of two coordinators differ
+	 * @param term the coordinator's term; it forms the upper bits of the version, so that
+	 * versions of two coordinators differ
 	 * @param now the present time in nanoseconds
 	 */
 	public void start(ExpertLayout planned, long term, long now) {
@@ -199,7 +217,8 @@
 	}
 
 	/**
-	 * Takes in an engine's answer.
+	 * Processes an engine's answer. Answers to orders of an earlier phase, pass or epoch
+	 * are ignored.
 	 * @param order the order
 	 * @param answer the answer
 	 * @param now the present time in nanoseconds
@@ -215,23 +234,23 @@
 		}
 		boolean accepted = answer == OrderAnswer.TAKEN;
 		if (order.order() instanceof HoldStep hold && this.phase == Phase.HOLDING && hold.step() == this.step) {
-			held(accepted, now);
+			handleHoldAnswer(accepted, now);
 		}
 		else if (order.order() instanceof ArmMap arm && this.phase == Phase.ARMING && arm.step() == this.step) {
-			armed(order.rank(), accepted, now);
+			handleArmAnswer(order.rank(), accepted, now);
 		}
 		else if (order.order() instanceof DisarmMap && this.phase == Phase.DISARMING) {
-			this.taken.remove(order.rank());
-			if (this.taken.isEmpty()) {
+			this.armedRanks.remove(order.rank());
+			if (this.armedRanks.isEmpty()) {
 				enter(Phase.RELEASING, now);
 			}
 		}
 		else if (order.order() instanceof ReleaseStep release && release.step() == this.step) {
-			released(now);
+			handleReleaseAnswer(now);
 		}
 	}
 
-	private void held(boolean accepted, long now) {
+	private void handleHoldAnswer(boolean accepted, long now) {
 		if (accepted) {
 			enter(Phase.ARMING, now);
 		}
@@ -241,19 +260,19 @@
 		}
 	}
 
-	private void armed(int rank, boolean accepted, long now) {
+	private void handleArmAnswer(int rank, boolean accepted, long now) {
 		if (!accepted) {
 			LOG.warn("arm-refused", Field.of("rank", rank), Field.of("version", this.version),
 					Field.of("step", this.step));
 			return;
 		}
-		this.taken.add(rank);
-		if (this.taken.size() == this.reports.size()) {
+		this.armedRanks.add(rank);
+		if (this.armedRanks.size() == this.reports.size()) {
 			enter(Phase.RELEASING, now);
 		}
 	}
 
-	private void released(long now) {
+	private void handleReleaseAnswer(long now) {
 		if (this.phase == Phase.RELEASING) {
 			LOG.info("map-switched", Field.of("version", this.version), Field.of("step", this.step),
 					Field.of("epoch", this.epoch));
@@ -267,7 +286,7 @@
 		this.since = now;
 		this.pacer.restart();
 		if (next != Phase.DISARMING) {
-			this.taken.clear();
+			this.armedRanks.clear();
 		}
 	}
 
@@ -278,10 +297,11 @@
 	}
 
 	/**
-	 * Returns the switch that is to be entrusted to another process, from before its pass
-	 * is held until that is released.
-	 * @param group the group, with its service
-	 * @return the switch, or empty if no pass is held
+	 * Returns the switch to delegate to a deputy, from before its pass is held until the
+	 * pass is released.
+	 * @param group the service and group, as {@code service/group}
+	 * @return the switch, or empty if no pass is held or about to be, or if the switch
+	 * was taken over from another coordinator
 	 */
 	public Optional<EntrustedSwitch> entrusted(String group) {
 		if (this.adopted || this.phase == Phase.IDLE || this.phase == Phase.PREPARING
@@ -296,17 +316,17 @@
 	}
 
 	/**
-	 * Takes in that another process knows of the switch.
+	 * Records that a deputy has stored the switch; its pass can be held now.
 	 * @param entrusted the switch
 	 * @param now the present time in nanoseconds
 	 */
-	public void entrusted(EntrustedSwitch entrusted, long now) {
+	public void delegationConfirmed(EntrustedSwitch entrusted, long now) {
 		if (this.phase == Phase.ENTRUSTING && entrusted.step() == this.step && entrusted.epoch() == this.epoch) {
 			enter(Phase.HOLDING, now);
 		}
 	}
 
-	private List<RankOrder> entrusting(long now) {
+	private List<RankOrder> delegating(long now) {
 		if (now - this.since <= ENTRUST_NANOS) {
 			return List.of();
 		}
@@ -318,7 +338,7 @@
 	/**
 	 * Returns the orders that are due.
 	 * @param now the present time in nanoseconds
-	 * @return the orders; the driver tells what becomes of each
+	 * @return the orders; the caller passes the answer to each to {@link #answered}
 	 */
 	public List<RankOrder> tick(long now) {
 		return switch (this.phase) {
@@ -327,7 +347,7 @@
 				yield List.of();
 			}
 			case PREPARING -> preparing(now);
-			case ENTRUSTING -> entrusting(now);
+			case ENTRUSTING -> delegating(now);
 			case HOLDING -> holding(now);
 			case ARMING -> arming(now);
 			case DISARMING -> disarming(now);
@@ -335,9 +355,9 @@
 		};
 	}
 
-	// Leads a switch to its end that another coordinator left while a pass is held.
+	// Completes a switch that another coordinator left while a pass is held.
 	private void adopt(long now) {
-		if (now - this.since < SETTLE_NANOS || !allHeard(now)) {
+		if (now - this.since < SETTLE_NANOS || !allReportsRecent(now)) {
 			return;
 		}
 		for (RankReport report : this.reports.values()) {
@@ -380,7 +400,7 @@
 	private List<RankOrder> holding(long now) {
 		RankReport report = this.reports.get(this.holder);
 		if (report != null && report.step() >= this.step && report.heldStep().isEmpty()) {
-			held(false, now);
+			handleHoldAnswer(false, now);
 		}
 		return toHolder(new HoldStep(this.epoch, this.step), now);
 	}
@@ -388,13 +408,13 @@
 	private List<RankOrder> arming(long now) {
 		if (now - this.since > ARM_NANOS) {
 			LOG.error("map-switch-taken-back", Field.of("version", this.version), Field.of("step", this.step),
-					Field.of("armed", this.taken.size()));
-			enter(this.taken.isEmpty() ? Phase.RELEASING : Phase.DISARMING, now);
+					Field.of("armed", this.armedRanks.size()));
+			enter(this.armedRanks.isEmpty() ? Phase.RELEASING : Phase.DISARMING, now);
 			return tick(now);
 		}
 		List<RankOrder> orders = new ArrayList<>();
 		for (RankReport report : this.reports.values()) {
-			if (!this.taken.contains(report.rank()) && this.pacer.take(report.rank(), now)) {
+			if (!this.armedRanks.contains(report.rank()) && this.pacer.take(report.rank(), now)) {
 				orders.add(order(report, new ArmMap(this.epoch, this.version, this.step)));
 			}
 		}
@@ -404,7 +424,7 @@
 	private List<RankOrder> disarming(long now) {
 		List<RankOrder> orders = new ArrayList<>();
 		for (RankReport report : this.reports.values()) {
-			if (this.taken.contains(report.rank()) && this.pacer.take(report.rank(), now)) {
+			if (this.armedRanks.contains(report.rank()) && this.pacer.take(report.rank(), now)) {
 				orders.add(order(report, new DisarmMap(this.epoch, this.version)));
 			}
 		}
@@ -420,22 +440,22 @@
 		return new RankOrder(report.server(), report.rank(), order);
 	}
 
-	/** The parts of a switch. */
+	/** The phases of a switch. */
 	private enum Phase {
 
-		/** Nothing is under way. */
+		/** No switch is in progress. */
 		IDLE,
 		/** Ranks copy experts. */
 		PREPARING,
-		/** Another process is told, so that it can end what follows. */
+		/** The switch is sent to a deputy, which can complete the remaining phases. */
 		ENTRUSTING,
-		/** One rank is asked to hold a pass; none is armed. */
+		/** One rank is ordered to hold a pass; no rank is armed. */
 		HOLDING,
-		/** The pass is held and ranks are armed. */
+		/** The pass is held and all ranks are being armed. */
 		ARMING,
-		/** The pass is held and armed ranks are disarmed. */
+		/** The pass is held and the armed ranks are being disarmed. */
 		DISARMING,
-		/** All ranks are alike again and the pass is released. */
+		/** All ranks or none are armed, and the pass is being released. */
 		RELEASING
 
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderAnswer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderAnswer.java
@@ -1,15 +1,17 @@
 package org.comfreywall.gateway.group;
 
 /**
- * What an engine answered to an order.
+ * The result of an order to an engine.
  */
 public enum OrderAnswer {
 
-	/** The order has begun, is done, or its state holds already. */
+	/**
+	 * The engine has begun or completed the order, or was already in the ordered state.
+	 */
 	TAKEN,
-	/** The order does not fit the engine's state. */
+	/** The engine refused the order, as its state does not permit it. */
 	REFUSED,
-	/** No answer: the order may have been taken, or may be carried out later. */
+	/** There was no answer: the order may have been carried out, or may be later. */
 	UNKNOWN
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderPacer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderPacer.java
@@ -4,50 +4,52 @@
 import java.util.Map;
 
 /**
- * Tells when an order to a rank is due: at first, and again while it has no answer.
+ * Schedules the orders to each rank: the first is due at once, and it is due again after
+ * a fixed time without an answer.
  */
 final class OrderPacer {
 
 	private final long repeatNanos;
 
-	private final Map<Integer, Long> orderedAt = new HashMap<>();
+	private final Map<Integer, Long> sentAt = new HashMap<>();
 
 	/**
-	 * Creates a pacer.
-	 * @param repeatNanos the time in nanoseconds after which an order is repeated
+	 * Creates a timer without any orders sent.
+	 * @param repeatNanos the time in nanoseconds after which an unanswered order is
+	 * resent
 	 */
 	OrderPacer(long repeatNanos) {
 		this.repeatNanos = repeatNanos;
 	}
 
 	/**
-	 * Tells whether a rank is to get its order now, and if so counts it as given.
+	 * Returns whether the order to a rank is due now, and if so records it as sent.
 	 * @param rank the rank
 	 * @param now the present time in nanoseconds
 	 * @return {@code true} if the order is due
 	 */
 	boolean take(int rank, long now) {
-		Long last = this.orderedAt.get(rank);
+		Long last = this.sentAt.get(rank);
 		if (last != null && now - last < this.repeatNanos) {
 			return false;
 		}
-		this.orderedAt.put(rank, now);
+		this.sentAt.put(rank, now);
 		return true;
 	}
 
 	/**
-	 * Takes in that an order was lost, so that it is due at once.
+	 * Records that an order was lost, so that it is due again at once.
 	 * @param rank the rank
 	 */
 	void lost(int rank) {
-		this.orderedAt.remove(rank);
+		this.sentAt.remove(rank);
 	}
 
 	/**
-	 * Forgets all orders, as others are to be given.
+	 * Clears all send times, as other orders follow.
 	 */
 	void restart() {
-		this.orderedAt.clear();
+		this.sentAt.clear();
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PassClock.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PassClock.java
@@ -1,26 +1,34 @@
 package org.comfreywall.gateway.group;
 
 /**
- * Which pass a group is in and how long its passes take, by the reports of its ranks.
+ * Estimates the present pass of a group and the duration of its passes from the reports
+ * of its ranks.
  */
 final class PassClock {
 
 	private static final double SMOOTHING = 0.3;
 
-	private static final double USUAL_NANOS = 60_000_000.0;
+	private static final double INITIAL_NANOS = 60_000_000.0;
 
-	/** A longer time between passes is a rest of an idle or held group. */
-	private static final double LONGEST_NANOS = 500_000_000.0;
+	/**
+	 * A longer time between passes means that the group was idle or held, and is not
+	 * measured.
+	 */
+	private static final double MAX_PASS_NANOS = 500_000_000.0;
 
 	/**
-	 * A pass that has lasted longer than this part of the usual time may end too soon.
+	 * If more than this share of the present pass is over, the next one may begin before
+	 * an order arrives.
 	 */
-	private static final double LATE_IN_PASS = 0.5;
+	private static final double LATE_SHARE = 0.5;
 
-	/** Passes that reports may not have told of yet; an idle group makes none. */
-	private static final double MOST_UNSEEN = 8;
+	/**
+	 * The most passes that are assumed to have begun since the last report; an idle group
+	 * runs none.
+	 */
+	private static final double MAX_UNREPORTED_PASSES = 8;
 
-	private double passNanos = USUAL_NANOS;
+	private double passNanos = INITIAL_NANOS;
 
 	private boolean measured;
 
@@ -29,9 +37,9 @@
 	private long begunAt;
 
 	/**
-	 * Takes in that a pass has begun. All ranks begin it together, so the first report of
-	 * it counts.
-	 * @param begun the pass
+	 * Records that a pass has begun. All ranks begin it together, so only the first
+	 * report of it is measured.
+	 * @param begun the number of the pass
 	 * @param now the present time in nanoseconds
 	 */
 	void begun(long begun, long now) {
@@ -39,8 +47,8 @@
 		if (!first && begun <= this.step) {
 			return;
 		}
-		double sample = first ? LONGEST_NANOS : (double) (now - this.begunAt) / (begun - this.step);
-		if (sample < LONGEST_NANOS) {
+		double sample = first ? MAX_PASS_NANOS : (double) (now - this.begunAt) / (begun - this.step);
+		if (sample < MAX_PASS_NANOS) {
 			this.passNanos += (this.measured ? SMOOTHING : 1) * (sample - this.passNanos);
 			this.measured = true;
 		}
@@ -48,29 +56,32 @@
 		this.begunAt = now;
 	}
 
-	/** Forgets the pass: a group that has formed anew counts from the beginning. */
+	/**
+	 * Forgets the present pass, as a group that was formed again restarts its numbering.
+	 */
 	void restart() {
 		this.step = Long.MIN_VALUE;
 	}
 
 	/**
-	 * Returns how long a pass takes.
-	 * @return the smoothed time in nanoseconds
+	 * Returns the duration of a pass.
+	 * @return the exponential moving average in nanoseconds
 	 */
 	double passNanos() {
 		return this.passNanos;
 	}
 
 	/**
-	 * Returns a pass that an order reaches before it begins. An order that comes too late
-	 * is refused and costs a round trip; one that is too early waits.
-	 * @param lead the passes between the present one and the one returned
+	 * Returns a pass that an order sent now should reach before it begins. An order that
+	 * arrives too late is refused and costs a round trip; one for a pass too far ahead
+	 * delays the switch.
+	 * @param lead the number of passes from the present one to the one returned
 	 * @param now the present time in nanoseconds
 	 * @return the pass
 	 */
 	long passAhead(int lead, long now) {
-		double elapsed = Math.min(MOST_UNSEEN, (now - this.begunAt) / this.passNanos);
-		boolean late = elapsed - Math.floor(elapsed) > LATE_IN_PASS;
+		double elapsed = Math.min(MAX_UNREPORTED_PASSES, (now - this.begunAt) / this.passNanos);
+		boolean late = elapsed - Math.floor(elapsed) > LATE_SHARE;
 		return this.step + (long) Math.floor(elapsed) + lead + (late ? 1 : 0);
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PlanSchedule.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PlanSchedule.java
@@ -3,16 +3,17 @@
 import java.util.Arrays;
 
 /**
- * Tells when another plan for the same map may differ from the one before.
+ * Decides when it is worth computing a new plan for the same map.
  * <p>
- * A plan for a large group takes tens of milliseconds of the leader's processor. Answers
- * a load that stays alike for seconds: each round of choices makes the forecast a little
- * better, so the next plan is due after as many new rounds as the last one rested on, at
- * another load, or at other paces of the ranks.
+ * A plan for a large group takes tens of milliseconds of CPU time on the leader. While
+ * the load is stable for seconds, each round of choices improves the forecast only a
+ * little. So the next plan is due after as many new rounds as the last one rested on
+ * (exponential backoff, up to the rounds that a forecast keeps), after a shift of the
+ * load, or when the slowdown of a rank changes.
  */
 final class PlanSchedule {
 
-	/** A rank's pace is measured to within this share. */
+	/** Relative measurement error of a rank's slowdown; smaller changes are ignored. */
 	private static final double PACE_CHANGE = 0.1;
 
 	private static final double[] NO_PACE = {};
@@ -26,24 +27,24 @@
 	private double[] pace = NO_PACE;
 
 	/**
-	 * Tells whether a round has ended since the last plan; without one, none is due. This
-	 * is asked far more often than rounds end.
+	 * Returns whether a round has ended since the last plan; otherwise no plan is due. A
+	 * cheap check, as it is called far more often than rounds end.
 	 * @param traffic the record of choices
-	 * @return {@code true} if so
+	 * @return {@code true} if there is a new round
 	 */
 	boolean hasNews(ExpertTraffic traffic) {
 		return traffic.roundsTaken() > this.roundsTaken;
 	}
 
 	/**
-	 * Tells whether to plan.
+	 * Returns whether a new plan is due.
 	 * @param traffic the record of choices
-	 * @param present how much longer than usual each rank takes
+	 * @param present the slowdown factors of the ranks
 	 * @return {@code true} if the last plan may be out of date
 	 */
 	boolean isDue(ExpertTraffic traffic, double[] present) {
-		boolean renewed = traffic.roundsTaken() - this.roundsTaken >= this.rounds;
-		return hasNews(traffic) && (renewed || traffic.shifts() != this.shifts || hasChanged(present));
+		boolean enoughRounds = traffic.roundsTaken() - this.roundsTaken >= this.rounds;
+		return hasNews(traffic) && (enoughRounds || traffic.shifts() != this.shifts || hasChanged(present));
 	}
 
 	private boolean hasChanged(double[] present) {
@@ -59,9 +60,9 @@
 	}
 
 	/**
-	 * Takes in that a plan was made.
-	 * @param traffic the record of choices that it rested on
-	 * @param present the paces that it rested on
+	 * Records that a plan was computed.
+	 * @param traffic the record of choices that it was computed from
+	 * @param present the slowdown factors that it was computed from
 	 */
 	void planned(ExpertTraffic traffic, double[] present) {
 		this.roundsTaken = traffic.roundsTaken();
@@ -71,7 +72,8 @@
 	}
 
 	/**
-	 * Takes in that the map changed, or that the group formed anew.
+	 * Resets the schedule after the map changed or the group was formed again, so that a
+	 * plan is due with the next round.
 	 */
 	void restart() {
 		this.shifts = -1;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PrepareMap.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PrepareMap.java
@@ -3,11 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Copies the experts that a map brings to the rank.
+ * Prepares a map: the rank copies the experts that it does not hold yet.
  *
  * @param epoch the group's epoch
- * @param version the map's version, higher than any before
- * @param layout the map
+ * @param version the map's version, higher than all earlier ones
+ * @param layout the experts of each rank under the map
  */
 public record PrepareMap(long epoch, long version, ExpertLayout layout) implements EngineOrder {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RankOrder.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RankOrder.java
@@ -3,9 +3,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An order with the rank that it is for.
+ * An order, addressed to one rank.
  *
- * @param server the backend server that is the rank
+ * @param server the backend server that runs the rank
  * @param rank the rank's number
  * @param order the order
  */
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RankReport.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RankReport.java
@@ -6,21 +6,21 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What one rank's engine said at one moment.
+ * The state of one rank's engine when it was read.
  *
- * @param server the backend server that is the rank
+ * @param server the backend server that runs the rank
  * @param group the group
- * @param epoch the group's epoch; a group that formed anew has another one
+ * @param epoch the group's epoch, which increases whenever the group is formed again
  * @param rank the rank's number
  * @param size the number of ranks
- * @param open whether the group makes passes
+ * @param open whether the group runs passes
  * @param step the last pass that was begun
  * @param mapVersion the version of the map in force
- * @param preparedVersion the version whose experts are all copied
- * @param armedVersion the version that the rank will change to, or 0
- * @param heldStep the pass that does not begin until it is released
+ * @param preparedVersion the version whose experts the rank has copied completely, or 0
+ * @param armedVersion the version that the rank is armed to change to, or 0
+ * @param heldStep the pass that the rank holds until it is released
  * @param layout the experts that the rank holds, by set
- * @param pace how much longer than usual the rank takes; 1 if it is healthy
+ * @param pace the rank's slowdown factor against its usual time; 1 if it is healthy
  */
 public record RankReport(String server, String group, long epoch, int rank, int size, boolean open, long step,
 		long mapVersion, long preparedVersion, long armedVersion, OptionalLong heldStep, List<List<Integer>> layout,
@@ -36,7 +36,7 @@
 	}
 
 	/**
-	 * Returns the same report with the rank's experts.
+	 * Returns a copy of this report with the given experts.
 	 * @param held the experts that the rank holds, by set
 	 * @return the report
 	 */
@@ -46,10 +46,11 @@
 	}
 
 	/**
-	 * Tells whether anything but the pass has changed, so that the leader must hear of it
-	 * at once.
+	 * Returns whether the state differs in more than the number of the pass, so that the
+	 * report must be sent to the leader at once.
 	 * @param before an earlier report of the same rank
-	 * @return {@code true} if the group or the rank's maps changed
+	 * @return {@code true} if the group, the rank's maps, its held pass or its slowdown
+	 * changed
 	 */
 	public boolean differsBesidesStep(RankReport before) {
 		return this.epoch != before.epoch || this.open != before.open || this.mapVersion != before.mapVersion
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RebalanceCoordinator.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RebalanceCoordinator.java
@@ -9,38 +9,44 @@
 import org.comfreywall.gateway.config.EngineShape;
 
 /**
- * Decides when the experts of one group move, and leads the switch.
+ * Decides when to move the experts of one group, and coordinates the switch.
  * <p>
- * A plan is carried out if it lowers the skew by enough; a small gain waits, as each
- * switch costs copies and slower passes while they last.
+ * A plan is carried out only if it lowers the skew by enough, as each switch copies
+ * experts and slows passes while they are copied.
  */
 public final class RebalanceCoordinator {
 
 	private static final EventLog LOG = EventLog.of(RebalanceCoordinator.class);
 
-	/** A plan must shorten the pass by this much, a small part of a usual objective. */
-	private static final double WORTHWHILE_NANOS = 5_000_000;
+	/**
+	 * A plan must shorten a pass by at least this much, a small share of a usual latency
+	 * objective.
+	 */
+	private static final double MIN_SAVING_NANOS = 5_000_000;
 
 	/**
-	 * A group that is nearly idle is planned for as if each rank had this many requests:
-	 * after an outage callers come back sooner than ranks can copy.
+	 * A nearly idle group is planned as if each rank had this many requests: after an
+	 * outage, callers return before ranks can copy experts.
 	 */
-	private static final int LEAST_REQUESTS = 2;
+	private static final int MIN_REQUESTS = 2;
 
-	/** A plan must lower the skew by this share; less is within the forecast's error. */
-	private static final double WORTHWHILE_GAIN = 0.08;
+	/**
+	 * A plan must lower the skew by at least this share; less is within the error of the
+	 * forecast.
+	 */
+	private static final double MIN_GAIN = 0.08;
 
-	/** With fewer choices than this many an expert, the traffic is mostly noise. */
-	private static final double FEWEST_CHOICES = 20;
+	/** Least choices per expert; with fewer the counts are mostly noise. */
+	private static final double MIN_CHOICES_PER_EXPERT = 20;
 
-	/** One round holds few requests, so a plan that rests on it must gain more. */
-	private static final double WORTHWHILE_GAIN_OF_ONE_ROUND = 0.2;
+	/** The least gain of a plan that rests on one round, which holds few requests. */
+	private static final double MIN_GAIN_OF_ONE_ROUND = 0.2;
 
 	/**
-	 * Ranks copy for no longer than this in one switch: passes stay slow until it is
-	 * done, and a second switch brings what the first one left out.
+	 * The longest time that a rank copies in one switch: passes are slow while ranks
+	 * copy, and the next switch can move the remaining experts.
 	 */
-	private static final long LONGEST_COPY_NANOS = 250_000_000L;
+	private static final long MAX_COPY_NANOS = 250_000_000L;
 
 	private static final long STAY_LOG_INTERVAL_NANOS = 1_000_000_000L;
 
@@ -48,7 +54,7 @@
 
 	private final EvenCopyPlanner planner;
 
-	private final MapSwitch change = new MapSwitch();
+	private final MapSwitch mapSwitch = new MapSwitch();
 
 	private ExpertTraffic traffic;
 
@@ -72,7 +78,7 @@
 
 	private static int newPerRank(EngineShape shape) {
 		long copyNanos = Math.max(1, shape.expertCopy().toNanos());
-		return (int) Math.max(1, Math.min(shape.layerSets() * shape.newPerSwitch(), LONGEST_COPY_NANOS / copyNanos));
+		return (int) Math.max(1, Math.min(shape.layerSets() * shape.newPerSwitch(), MAX_COPY_NANOS / copyNanos));
 	}
 
 	private ExpertTraffic emptyTraffic() {
@@ -80,15 +86,16 @@
 	}
 
 	/**
-	 * Takes in a rank's report.
+	 * Processes a rank's report.
 	 * @param report the report
-	 * @param chosen how often its requests chose each expert since the report before
+	 * @param chosen how often its requests chose each expert since its previous report,
+	 * set by set
 	 * @param now the present time in nanoseconds
 	 */
 	public void reported(RankReport report, List<Integer> chosen, long now) {
-		this.change.reported(report, now);
+		this.mapSwitch.reported(report, now);
 		if (report.epoch() > this.epoch) {
-			// Passes are counted anew by a group that has formed anew.
+			// A group that was formed again restarts its pass numbers.
 			this.epoch = report.epoch();
 			this.traffic = emptyTraffic();
 			this.schedule.restart();
@@ -100,75 +107,75 @@
 	}
 
 	/**
-	 * Takes in an engine's answer.
+	 * Processes an engine's answer.
 	 * @param order the order
 	 * @param answer the answer
 	 * @param now the present time in nanoseconds
 	 */
 	public void answered(RankOrder order, OrderAnswer answer, long now) {
-		this.change.answered(order, answer, now);
+		this.mapSwitch.answered(order, answer, now);
 	}
 
 	/**
-	 * Returns the switch that another process is to know of.
-	 * @param group the group, with its service
-	 * @return the switch, or empty if no pass is held
+	 * Returns the switch to delegate to a deputy.
+	 * @param group the service and group, as {@code service/group}
+	 * @return the switch, or empty if there is none to delegate
 	 */
 	public Optional<EntrustedSwitch> entrusted(String group) {
-		return this.change.entrusted(group);
+		return this.mapSwitch.entrusted(group);
 	}
 
 	/**
-	 * Takes in that another process knows of a switch.
+	 * Records that a deputy has stored a switch.
 	 * @param entrusted the switch
 	 * @param now the present time in nanoseconds
 	 */
-	public void entrusted(EntrustedSwitch entrusted, long now) {
-		this.change.entrusted(entrusted, now);
+	public void delegationConfirmed(EntrustedSwitch entrusted, long now) {
+		this.mapSwitch.delegationConfirmed(entrusted, now);
 	}
 
 	/**
-	 * Returns the orders that are due.
+	 * Plans a switch if one is due, and returns the orders that are due.
 	 * @param term the coordinator's term
 	 * @param now the present time in nanoseconds
 	 * @return the orders
 	 */
 	public List<RankOrder> tick(long term, long now) {
-		boolean news = this.schedule.hasNews(this.traffic) && this.change.isAtRest(now)
-				&& this.schedule.isDue(this.traffic, this.change.pace());
-		boolean outdated = this.traffic.shifts() > this.shiftsPlanned && this.change.isPreparing();
-		if (news || outdated) {
+		boolean newRounds = this.schedule.hasNews(this.traffic) && this.mapSwitch.isAtRest(now)
+				&& this.schedule.isDue(this.traffic, this.mapSwitch.pace());
+		boolean outdated = this.traffic.shifts() > this.shiftsPlanned && this.mapSwitch.isPreparing();
+		if (newRounds || outdated) {
 			this.shiftsPlanned = this.traffic.shifts();
 			plan(term, now);
 		}
-		return this.change.tick(now);
+		return this.mapSwitch.tick(now);
 	}
 
 	private void plan(long term, long now) {
 		TrafficForecast forecast = this.traffic.forecast();
-		if (forecast.total() < FEWEST_CHOICES * this.shape.experts()) {
+		if (forecast.total() < MIN_CHOICES_PER_EXPERT * this.shape.experts()) {
 			return;
 		}
-		ExpertLayout present = this.change.present(now);
+		ExpertLayout present = this.mapSwitch.present(now);
 		if (present.sets() != this.shape.layerSets()) {
 			return;
 		}
-		double[] pace = this.change.pace();
+		double[] pace = this.mapSwitch.pace();
 		this.schedule.planned(this.traffic, pace);
-		ExpertDemand wanted = new ExpertDemand(forecast.chosen(), pace);
-		double before = present.skew(wanted);
-		ExpertLayout planned = this.planner.plan(present, wanted);
-		double after = planned.skew(wanted);
-		double gain = (forecast.rounds() > 1) ? WORTHWHILE_GAIN : WORTHWHILE_GAIN_OF_ONE_ROUND;
-		boolean worthwhile = after < before * (1 - gain) && saving(before, after) > WORTHWHILE_NANOS;
+		ExpertDemand demand = new ExpertDemand(forecast.chosen(), pace);
+		double before = present.skew(demand);
+		ExpertLayout planned = this.planner.plan(present, demand);
+		double after = planned.skew(demand);
+		double gain = (forecast.rounds() > 1) ? MIN_GAIN : MIN_GAIN_OF_ONE_ROUND;
+		boolean worthwhile = after < before * (1 - gain) && saving(before, after) > MIN_SAVING_NANOS;
 		log(worthwhile, before, after, forecast, now);
 		if (worthwhile) {
-			this.change.start(planned, term, now);
+			this.mapSwitch.start(planned, term, now);
 			this.schedule.restart();
 		}
 	}
 
-	// Most rounds change nothing; one line a second tells of those.
+	// Most rounds cause no switch; these are logged at most once a second.
 	private void log(boolean worthwhile, double before, double after, TrafficForecast forecast, long now) {
 		if (!worthwhile && now - this.stayLoggedAt < STAY_LOG_INTERVAL_NANOS) {
 			return;
@@ -178,14 +185,15 @@
 				Field.of("skew-before", decimal(before)), Field.of("skew-after", decimal(after)),
 				Field.of("choices", Math.round(forecast.total())), Field.of("rounds", forecast.rounds()),
 				Field.of("drift", decimal(forecast.drift())),
-				Field.of("pass-ms", decimal(this.change.passNanos() / 1e6)));
+				Field.of("pass-ms", decimal(this.mapSwitch.passNanos() / 1e6)));
 	}
 
-	// The fixed part of a pass does not depend on where experts are.
+	// Returns the estimated time saved per pass in nanoseconds. Only the work of the
+	// experts depends on their placement, not the fixed part of a pass.
 	private double saving(double before, double after) {
 		double fixed = (double) this.shape.stepBase().toNanos() * this.shape.stride();
-		double even = (double) this.shape.stepPerRequest().toNanos() * this.shape.stride() * LEAST_REQUESTS;
-		double varying = Math.max(even * before, this.change.passNanos() - fixed);
+		double even = (double) this.shape.stepPerRequest().toNanos() * this.shape.stride() * MIN_REQUESTS;
+		double varying = Math.max(even * before, this.mapSwitch.passNanos() - fixed);
 		return this.shape.expertShare() * varying * (before - after) / before;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ReleaseStep.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ReleaseStep.java
@@ -1,7 +1,7 @@
 package org.comfreywall.gateway.group;
 
 /**
- * Lets a pass begin that was held.
+ * Releases a held pass, so that the group begins it.
  *
  * @param epoch the group's epoch
  * @param step the pass
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SetLoads.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SetLoads.java
@@ -7,8 +7,9 @@
 import java.util.stream.IntStream;
 
 /**
- * The time that each rank takes for one set of layers while experts are placed anew. A
- * change costs time in proportion to the copies of one expert, not to the ranks.
+ * The load of each rank for one set of layers, updated incrementally while a plan moves
+ * experts. Adding or removing a copy takes time in proportion to the copies of that
+ * expert, not to the number of ranks.
  */
 final class SetLoads {
 
@@ -53,7 +54,7 @@
 		return set;
 	}
 
-	// Takes rounding errors out that changes leave behind.
+	// Computes loads and cost afresh to remove rounding errors of incremental updates.
 	void recompute() {
 		this.cost = 0;
 		for (int rank = 0; rank < this.loads.length; rank++) {
@@ -85,7 +86,7 @@
 		return this.holders.get(expert).contains(rank);
 	}
 
-	// Whether the rank would have to copy the expert.
+	// Whether the rank does not hold the expert in the layout in force and must copy it.
 	boolean isFresh(int rank, int expert) {
 		return !this.present.get(rank).contains(expert);
 	}
@@ -121,7 +122,8 @@
 		return busiest;
 	}
 
-	// The mean is that of healthy ranks, so that a slow one counts as skew.
+	// Returns the ratio of the highest load to the mean. The mean excludes the
+	// slowdown factors, so that a slow rank counts as skew.
 	double skew() {
 		double sum = 0;
 		for (int rank = 0; rank < this.loads.length; rank++) {
@@ -156,7 +158,8 @@
 		this.cost += costOf(this.loads[rank]);
 	}
 
-	// The highest loads dominate, so that a step helps even if several ranks are alike.
+	// The eighth power lets the highest loads dominate, and unlike the maximum it still
+	// decreases with each step if several ranks share the highest load.
 	private static double costOf(double load) {
 		double square = load * load;
 		return square * square * square * square;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
@@ -9,29 +9,32 @@
 import org.comfreywall.common.log.EventLog;
 
 /**
- * Brings a switch to its end whose coordinator fell silent while a pass was held.
+ * Completes a delegated switch whose coordinator failed while a pass was held.
  * <p>
- * The deputy knows the switch before the pass is held. If the end is not told in time, it
- * goes through the same steps for the same pass: hold it, arm all ranks, release it. An
- * engine takes an order again that it has taken already, and refuses one for a pass that
- * has begun, which it can do only after all ranks were armed. So it does no harm if the
- * coordinator is alive after all, or if both give orders at the same time.
+ * The deputy receives the switch before the pass is held. If no completion notice arrives
+ * within the timeout, it repeats the steps for the same pass: hold it, arm all ranks,
+ * release it. Orders are idempotent, and an engine refuses an order for a pass that has
+ * begun, which happens only after all ranks were armed. So it is safe if the coordinator
+ * is still running and both send orders at the same time.
  */
 final class SwitchDeputy {
 
 	private static final EventLog LOG = EventLog.of(SwitchDeputy.class);
 
-	/** Orders without an answer are repeated after this time. */
+	/** Orders without an answer are resent after this time. */
 	private static final long REPEAT_NANOS = 60_000_000L;
 
-	/** After this time the next leader finds the held pass in the ranks' reports. */
+	/**
+	 * After this time the deputy gives up, as the next leader takes over the held pass
+	 * that it finds in the ranks' reports.
+	 */
 	private static final long GIVE_UP_NANOS = 3_000_000_000L;
 
 	private final EntrustedSwitch entrusted;
 
-	private final long since;
+	private final long createdAt;
 
-	private final long patienceNanos;
+	private final long timeoutNanos;
 
 	private final OrderPacer pacer = new OrderPacer(REPEAT_NANOS);
 
@@ -42,13 +45,14 @@
 	/**
 	 * Creates a deputy for one switch.
 	 * @param entrusted the switch
-	 * @param patienceNanos the time after which the coordinator counts as silent
+	 * @param timeoutNanos the time in nanoseconds after which the coordinator is assumed
+	 * to have failed
 	 * @param now the present time in nanoseconds
 	 */
-	SwitchDeputy(EntrustedSwitch entrusted, long patienceNanos, long now) {
+	SwitchDeputy(EntrustedSwitch entrusted, long timeoutNanos, long now) {
 		this.entrusted = entrusted;
-		this.patienceNanos = patienceNanos;
-		this.since = now;
+		this.timeoutNanos = timeoutNanos;
+		this.createdAt = now;
 	}
 
 	EntrustedSwitch entrusted() {
@@ -56,16 +60,16 @@
 	}
 
 	/**
-	 * Tells whether there is nothing left to do.
+	 * Returns whether the deputy has nothing left to do.
 	 * @param now the present time in nanoseconds
 	 * @return {@code true} once the pass is released or the deputy has given up
 	 */
 	boolean isOver(long now) {
-		return this.phase == Phase.OVER || now - this.since > GIVE_UP_NANOS;
+		return this.phase == Phase.OVER || now - this.createdAt > GIVE_UP_NANOS;
 	}
 
 	/**
-	 * Takes in an engine's answer.
+	 * Processes an engine's answer. Answers to orders of an earlier phase are ignored.
 	 * @param order the order
 	 * @param answer the answer
 	 */
@@ -100,7 +104,7 @@
 	 * @return the orders
 	 */
 	List<RankOrder> tick(long now) {
-		if (this.phase == Phase.WAITING && now - this.since > this.patienceNanos) {
+		if (this.phase == Phase.WAITING && now - this.createdAt > this.timeoutNanos) {
 			LOG.warn("switch-taken-over", Field.of("group", this.entrusted.group()),
 					Field.of("version", this.entrusted.version()), Field.of("step", this.entrusted.step()));
 			enter(Phase.HOLDING);
@@ -108,14 +112,14 @@
 		long epoch = this.entrusted.epoch();
 		long step = this.entrusted.step();
 		return switch (this.phase) {
-			case HOLDING -> due(List.of(this.entrusted.holder()), new HoldStep(epoch, step), now);
-			case ARMING -> due(notArmed(), new ArmMap(epoch, this.entrusted.version(), step), now);
-			case RELEASING -> due(List.of(this.entrusted.holder()), new ReleaseStep(epoch, step), now);
+			case HOLDING -> dueOrders(List.of(this.entrusted.holder()), new HoldStep(epoch, step), now);
+			case ARMING -> dueOrders(ranksNotArmed(), new ArmMap(epoch, this.entrusted.version(), step), now);
+			case RELEASING -> dueOrders(List.of(this.entrusted.holder()), new ReleaseStep(epoch, step), now);
 			case WAITING, OVER -> List.of();
 		};
 	}
 
-	private List<Integer> notArmed() {
+	private List<Integer> ranksNotArmed() {
 		List<Integer> ranks = new ArrayList<>();
 		for (int rank = 0; rank < this.entrusted.servers().size(); rank++) {
 			if (!this.armed.contains(rank)) {
@@ -125,7 +129,7 @@
 		return ranks;
 	}
 
-	private List<RankOrder> due(List<Integer> ranks, EngineOrder order, long now) {
+	private List<RankOrder> dueOrders(List<Integer> ranks, EngineOrder order, long now) {
 		List<RankOrder> orders = new ArrayList<>();
 		for (int rank : ranks) {
 			if (this.pacer.take(rank, now)) {
@@ -135,18 +139,18 @@
 		return orders;
 	}
 
-	/** The parts of a deputy's work. */
+	/** The phases of a deputy. */
 	private enum Phase {
 
-		/** The coordinator may still end the switch itself. */
+		/** The coordinator may still complete the switch itself. */
 		WAITING,
-		/** The pass is to be held. */
+		/** The holder is ordered to hold the pass. */
 		HOLDING,
-		/** Ranks are armed. */
+		/** All ranks are being armed. */
 		ARMING,
-		/** All ranks are armed and the pass is released. */
+		/** All ranks are armed, and the pass is being released. */
 		RELEASING,
-		/** There is nothing left to do. */
+		/** The pass was released, or the engine refused to hold it. */
 		OVER
 
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/EvenCopyPlannerTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/EvenCopyPlannerTests.java
@@ -25,9 +25,9 @@
 
 	private static final int PLACES = 5;
 
-	private static final int FRESH = 2;
+	private static final int NEW_PER_SET = 2;
 
-	private final EvenCopyPlanner planner = new EvenCopyPlanner(PLACES, FRESH, SETS * FRESH);
+	private final EvenCopyPlanner planner = new EvenCopyPlanner(PLACES, NEW_PER_SET, SETS * NEW_PER_SET);
 
 	private static ExpertDemand skewedDemand(long seed) {
 		Random random = new Random(seed);
@@ -42,7 +42,7 @@
 
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
-	void aPlanKeepsWhatTheEnginesDemand(long seed) {
+	void aPlanRespectsTheLimitsOfTheEngines(long seed) {
 		ExpertLayout present = ExpertLayout.inTurn(SETS, EXPERTS, RANKS);
 		for (int shift = 0; shift < 4; shift++) {
 			ExpertLayout planned = this.planner.plan(present, skewedDemand(seed * 10 + shift));
@@ -54,7 +54,7 @@
 					placed.addAll(held);
 					assertThat(held).doesNotHaveDuplicates().hasSizeLessThanOrEqualTo(PLACES);
 					assertThat(held.stream().filter((expert) -> !had.contains(expert)).count())
-						.isLessThanOrEqualTo(FRESH);
+						.isLessThanOrEqualTo(NEW_PER_SET);
 				}
 				assertThat(placed).hasSize(EXPERTS);
 			}
@@ -64,7 +64,7 @@
 
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
-	void oneSwitchLowersTheSkewByAThirdAtLeast(long seed) {
+	void oneSwitchLowersTheSkewByAtLeastAThird(long seed) {
 		ExpertLayout present = ExpertLayout.inTurn(SETS, EXPERTS, RANKS);
 		ExpertDemand traffic = skewedDemand(seed);
 		double before = present.skew(traffic);
@@ -73,20 +73,20 @@
 	}
 
 	/**
-	 * Shifts of wanted experts as a group sees them: a few experts get a large part of
-	 * the choices, and most of those change places with others from one pass to the next.
+	 * Shifts of a Zipf-distributed load: a few experts get a large share of the choices,
+	 * and most of them swap popularity with others from one pass to the next.
 	 */
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
-	void twoCopiesARankTakeMostOfTheSkewOfAShift(long seed) {
-		EvenCopyPlanner quick = new EvenCopyPlanner(PLACES, FRESH, 2);
+	void twoCopiesPerRankRemoveMostOfTheSkewAfterAShift(long seed) {
+		EvenCopyPlanner quick = new EvenCopyPlanner(PLACES, NEW_PER_SET, 2);
 		WantedExperts wanted = new WantedExperts(SETS, EXPERTS, 1.1, new Random(seed));
 		ExpertLayout present = ExpertLayout.inTurn(SETS, EXPERTS, RANKS);
 		for (int shift = 0; shift < 6; shift++) {
 			ExpertDemand traffic = ExpertDemand.onHealthyRanks(wanted.traffic(), RANKS);
 			double before = present.skew(traffic);
 			ExpertLayout planned = quick.plan(present, traffic);
-			assertThat(mostCopies(present, planned)).isLessThanOrEqualTo(2);
+			assertThat(maxCopiesPerRank(present, planned)).isLessThanOrEqualTo(2);
 			assertThat(planned.skew(traffic) - 1).isLessThan((before - 1) / 3);
 			present = quick.plan(planned, traffic);
 			wanted.shift(0.62);
@@ -94,27 +94,28 @@
 	}
 
 	/**
-	 * On a large group many ranks are near the highest load, and each step takes a small
-	 * part of the cost. No rank is to have a quarter more than its part.
+	 * Guards against a planner that stops too early on a large group, where many ranks
+	 * are near the highest load and each step lowers the cost by a small share. No rank
+	 * may have 25 % more than the mean.
 	 */
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4 })
-	void oneSwitchEvensOutAShiftOfALargeGroup(long seed) {
+	void oneSwitchBalancesALargeGroupAfterAShift(long seed) {
 		int ranks = 72;
-		EvenCopyPlanner large = new EvenCopyPlanner(3, FRESH, 15);
+		EvenCopyPlanner large = new EvenCopyPlanner(3, NEW_PER_SET, 15);
 		WantedExperts wanted = new WantedExperts(12, 144, 0.54, new Random(seed));
 		ExpertLayout present = ExpertLayout.inTurn(12, 144, ranks);
 		for (int shift = 0; shift < 4; shift++) {
 			ExpertDemand traffic = ExpertDemand.onHealthyRanks(wanted.traffic(), ranks);
 			ExpertLayout planned = large.plan(present, traffic);
-			assertThat(mostCopies(present, planned)).isLessThanOrEqualTo(15);
+			assertThat(maxCopiesPerRank(present, planned)).isLessThanOrEqualTo(15);
 			assertThat(planned.skew(traffic)).isLessThan(1.25);
 			present = planned;
 			wanted.shift(0.62);
 		}
 	}
 
-	private static int mostCopies(ExpertLayout present, ExpertLayout planned) {
+	private static int maxCopiesPerRank(ExpertLayout present, ExpertLayout planned) {
 		int most = 0;
 		for (int rank = 0; rank < present.ranks(); rank++) {
 			int copies = 0;
@@ -141,13 +142,13 @@
 	}
 
 	/**
-	 * A rank that takes three times as long is to hold the others back no more than by
-	 * half of what a healthy rank does.
+	 * A rank with a slowdown of almost three may make passes at most 50 % longer than the
+	 * mean of healthy ranks.
 	 */
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4 })
-	void aSlowRankGetsLessToDo(long seed) {
-		EvenCopyPlanner quick = new EvenCopyPlanner(PLACES, FRESH, 2);
+	void aSlowRankGetsLessLoad(long seed) {
+		EvenCopyPlanner quick = new EvenCopyPlanner(PLACES, NEW_PER_SET, 2);
 		WantedExperts wanted = new WantedExperts(SETS, EXPERTS, 1.1, new Random(seed));
 		double[] pace = new double[RANKS];
 		Arrays.fill(pace, 1);
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ExpertTrafficTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ExpertTrafficTests.java
@@ -23,27 +23,27 @@
 
 	private long now;
 
-	private static List<Integer> counts(int liked) {
+	private static List<Integer> counts(int popular) {
 		List<Integer> counts = new ArrayList<>();
 		for (int expert = 0; expert < 8; expert++) {
-			counts.add((expert == liked) ? 100 : 10);
+			counts.add((expert == popular) ? 100 : 10);
 		}
 		return counts;
 	}
 
-	private void play(int liked, int passes) {
+	private void reportPasses(int popular, int passes) {
 		for (int i = 0; i < passes; i++) {
 			this.step++;
 			this.now += 50 * MILLI;
 			for (int rank = 0; rank < RANKS; rank++) {
-				this.traffic.add(rank, RANKS, this.step, counts(liked), this.now);
+				this.traffic.add(rank, RANKS, this.step, counts(popular), this.now);
 			}
 		}
 	}
 
 	@Test
-	void countsAllChoicesWhileTheyLookAlike() {
-		play(0, 10);
+	void sumsAllRoundsWhileTheLoadIsStable() {
+		reportPasses(0, 10);
 		TrafficForecast forecast = this.traffic.forecast();
 		assertThat(forecast.rounds()).isEqualTo(10);
 		assertThat(forecast.drift()).isLessThan(0.01);
@@ -51,17 +51,17 @@
 	}
 
 	@Test
-	void onePassAfterAShiftIsEnoughToForgetWhatWasLikedBefore() {
-		play(0, 20);
-		play(5, 1);
+	void onePassAfterAShiftDiscardsEarlierRounds() {
+		reportPasses(0, 20);
+		reportPasses(5, 1);
 		TrafficForecast forecast = this.traffic.forecast();
 		assertThat(forecast.rounds()).isEqualTo(1);
 		assertThat(forecast.chosen()[0][5]).isGreaterThan(5 * forecast.chosen()[0][0]);
 	}
 
 	@Test
-	void aRankThatIsAPassBehindDoesNotBlurAShift() {
-		play(0, 20);
+	void aRankThatIsOnePassBehindDoesNotHideAShift() {
+		reportPasses(0, 20);
 		this.step++;
 		for (int rank = 1; rank < RANKS; rank++) {
 			this.traffic.add(rank, RANKS, this.step, counts(5), this.now);
@@ -72,8 +72,8 @@
 	}
 
 	@Test
-	void aRankWhoseReportsAreLateDoesNotHideAShift() {
-		play(0, 20);
+	void aRankWithLateReportsDoesNotHideAShift() {
+		reportPasses(0, 20);
 		for (int pass = 0; pass < 12; pass++) {
 			this.step++;
 			this.now += 50 * MILLI;
@@ -88,7 +88,7 @@
 	}
 
 	@Test
-	void chanceOfFewRequestsIsNoShift() {
+	void noiseOfFewRequestsIsNoShift() {
 		Random random = new Random(3);
 		for (int pass = 1; pass <= 60; pass++) {
 			for (int rank = 0; rank < RANKS; rank++) {
@@ -103,8 +103,8 @@
 	}
 
 	@Test
-	void countsThatWereNotReadAreLeftOut() {
-		play(0, 3);
+	void reportsWithoutCountsAreIgnored() {
+		reportPasses(0, 3);
 		this.traffic.add(0, RANKS, this.step + 1, List.of(), this.now);
 		assertThat(this.traffic.roundsTaken()).isEqualTo(3);
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/FakeGroup.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/FakeGroup.java
@@ -9,8 +9,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Engines of one group in virtual time: they make passes together, answer orders as real
- * ones do, leave some without an answer and carry those out seconds later.
+ * Simulates the engines of one group in virtual time. They run passes together and answer
+ * orders as real engines do, but leave a share of the orders unanswered and carry these
+ * out seconds later. Asserts in each pass that all ranks have the same map.
  */
 final class FakeGroup {
 
@@ -142,7 +143,7 @@
 	}
 
 	/**
-	 * A rank crashed and the group formed anew.
+	 * Simulates a crash of a rank, after which the group is formed again.
 	 */
 	void reform() {
 		this.epoch++;
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
@@ -14,8 +14,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link MapSwitch} on engines that leave orders unanswered and carry them out
- * late. Every pass checks that all ranks have one map.
+ * Tests for {@link MapSwitch} on engines that leave orders timeouts and carry them out
+ * late. {@link FakeGroup} asserts in every pass that all ranks have the same map.
  */
 class MapSwitchTests {
 
@@ -25,7 +25,7 @@
 
 	private static final ExpertLayout LAYOUT = ExpertLayout.inTurn(1, 4, 4);
 
-	private MapSwitch change = new MapSwitch();
+	private MapSwitch mapSwitch = new MapSwitch();
 
 	private long term = 1;
 
@@ -39,31 +39,31 @@
 			group.advance(now);
 			if (now % reportInterval == 0) {
 				for (int rank = 0; rank < group.size(); rank++) {
-					this.change.reported(group.report(rank, now), now);
+					this.mapSwitch.reported(group.report(rank, now), now);
 				}
 			}
 			if (random.nextDouble() < leaderChange) {
-				this.change = new MapSwitch();
+				this.mapSwitch = new MapSwitch();
 				this.term++;
 			}
 			if (random.nextDouble() < crash) {
 				group.reform();
 			}
-			if (this.change.isAtRest(now)) {
-				this.change.start(LAYOUT, this.term, now);
+			if (this.mapSwitch.isAtRest(now)) {
+				this.mapSwitch.start(LAYOUT, this.term, now);
 			}
 			for (RankOrder order : orders(now)) {
-				this.change.answered(order, group.order(order.rank(), order.order(), now), now);
+				this.mapSwitch.answered(order, group.order(order.rank(), order.order(), now), now);
 			}
 		}
 	}
 
-	// Another process learns of a switch at once.
+	// Simulates a deputy that confirms each switch at once.
 	private List<RankOrder> orders(long now) {
-		List<RankOrder> orders = new ArrayList<>(this.change.tick(now));
-		this.change.entrusted("g").ifPresent((entrusted) -> {
-			this.change.entrusted(entrusted, now);
-			orders.addAll(this.change.tick(now));
+		List<RankOrder> orders = new ArrayList<>(this.mapSwitch.tick(now));
+		this.mapSwitch.entrusted("g").ifPresent((entrusted) -> {
+			this.mapSwitch.delegationConfirmed(entrusted, now);
+			orders.addAll(this.mapSwitch.tick(now));
 		});
 		return orders;
 	}
@@ -77,11 +77,10 @@
 	}
 
 	/**
-	 * Copies take 800 ms; a map that is ready is to be in force some passes of 50 ms
-	 * later.
+	 * Copies take 800 ms; a prepared map must come into force within six passes of 50 ms.
 	 */
 	@Test
-	void aMapThatIsReadyComesIntoForceWithinAFewPasses() {
+	void aPreparedMapComesIntoForceWithinAFewPasses() {
 		FakeGroup group = new FakeGroup(4, 0, new Random(1));
 		run(group, new Random(1), 60, 0, 0, 40 * MILLI);
 		assertThat(group.switches()).isGreaterThan(60_000 / (800 + 6 * 50));
@@ -89,36 +88,37 @@
 	}
 
 	/**
-	 * One order in ten gets no answer, which is known 50 ms later; repeated orders are to
-	 * come before the pass that they are for, so that hardly any pass is held.
+	 * Guards against lost orders that delay a held pass. One order in ten gets no answer,
+	 * which is detected after 50 ms; the resent order must arrive before its pass is due,
+	 * so that on average a switch holds less than one pass.
 	 */
 	@ParameterizedTest
 	@ValueSource(longs = { 41, 42, 43, 44 })
-	void lostOrdersHoldFewPasses(long seed) {
+	void lostOrdersDelayFewPasses(long seed) {
 		FakeGroup group = new FakeGroup(16, 0.1, new Random(seed));
-		Deque<Runnable> unanswered = new ArrayDeque<>();
-		Deque<Long> knownAt = new ArrayDeque<>();
+		Deque<Runnable> timeouts = new ArrayDeque<>();
+		Deque<Long> timeoutAt = new ArrayDeque<>();
 		for (long now = 0; now < 120_000 * MILLI; now += 10 * MILLI) {
 			group.advance(now);
 			for (int rank = 0; rank < group.size() && now % (40 * MILLI) == 0; rank++) {
-				this.change.reported(group.report(rank, now), now);
+				this.mapSwitch.reported(group.report(rank, now), now);
 			}
-			while (!knownAt.isEmpty() && knownAt.peek() <= now) {
-				knownAt.poll();
-				unanswered.poll().run();
+			while (!timeoutAt.isEmpty() && timeoutAt.peek() <= now) {
+				timeoutAt.poll();
+				timeouts.poll().run();
 			}
-			if (this.change.isAtRest(now)) {
-				this.change.start(ExpertLayout.inTurn(1, 16, 16), this.term, now);
+			if (this.mapSwitch.isAtRest(now)) {
+				this.mapSwitch.start(ExpertLayout.inTurn(1, 16, 16), this.term, now);
 			}
 			long at = now;
 			for (RankOrder order : orders(now)) {
 				OrderAnswer answer = group.order(order.rank(), order.order(), now);
 				if (answer == OrderAnswer.UNKNOWN) {
-					knownAt.add(now + 50 * MILLI);
-					unanswered.add(() -> this.change.answered(order, answer, at + 50 * MILLI));
+					timeoutAt.add(now + 50 * MILLI);
+					timeouts.add(() -> this.mapSwitch.answered(order, answer, at + 50 * MILLI));
 				}
 				else {
-					this.change.answered(order, answer, now);
+					this.mapSwitch.answered(order, answer, now);
 				}
 			}
 		}
@@ -128,7 +128,7 @@
 
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12 })
-	void keepsOneMapWhileOrdersAreLate(long seed) {
+	void allRanksKeepTheSameMapWhileOrdersAreLate(long seed) {
 		FakeGroup group = new FakeGroup(4, 0.35, new Random(seed));
 		run(group, new Random(seed), 200, 0, 0);
 		assertThat(group.switches()).isGreaterThan(5);
@@ -136,32 +136,32 @@
 
 	@ParameterizedTest
 	@ValueSource(longs = { 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32 })
-	void keepsOneMapAndEndsEveryHoldWhileCoordinatorsChange(long seed) {
+	void keepsTheSameMapAndReleasesEveryPassAcrossCoordinatorChanges(long seed) {
 		FakeGroup group = new FakeGroup(4, 0.2, new Random(seed));
 		run(group, new Random(seed), 200, 0.004, 0.001);
 		assertThat(group.longestHold()).isLessThan(15_000 * MILLI);
 	}
 
 	@Test
-	void aSwitchThatNobodyElseKnowsOfGoesOnAfterAWhile() {
+	void aSwitchContinuesWithoutADeputyAfterATimeout() {
 		FakeGroup group = new FakeGroup(4, 0, new Random(1));
 		for (long now = 0; now < 5_000 * MILLI; now += TICK) {
 			group.advance(now);
 			for (int rank = 0; rank < group.size(); rank++) {
-				this.change.reported(group.report(rank, now), now);
+				this.mapSwitch.reported(group.report(rank, now), now);
 			}
-			if (this.change.isAtRest(now)) {
-				this.change.start(LAYOUT, this.term, now);
+			if (this.mapSwitch.isAtRest(now)) {
+				this.mapSwitch.start(LAYOUT, this.term, now);
 			}
-			for (RankOrder order : this.change.tick(now)) {
-				this.change.answered(order, group.order(order.rank(), order.order(), now), now);
+			for (RankOrder order : this.mapSwitch.tick(now)) {
+				this.mapSwitch.answered(order, group.order(order.rank(), order.order(), now), now);
 			}
 		}
 		assertThat(group.switches()).isPositive();
 	}
 
 	@Test
-	void ordersAreRefusedInAnotherEpoch() {
+	void ordersOfAnotherEpochAreRefused() {
 		FakeGroup group = new FakeGroup(4, 0, new Random(1));
 		assertThat(group.order(0, new PrepareMap(0, 1, LAYOUT), 0)).isEqualTo(OrderAnswer.REFUSED);
 	}
@@ -172,12 +172,12 @@
 				1);
 		RankReport present = new RankReport("s", "g", 2, 0, 1, true, 1, 0, 0, 0, OptionalLong.empty(),
 				List.of(List.of(0)), 1);
-		this.change.reported(present, 0);
-		this.change.reported(old, 1);
-		assertThat(this.change.isAtRest(1)).isFalse();
-		this.change.reported(present, 100 * MILLI);
-		this.change.reported(old, 101 * MILLI);
-		assertThat(this.change.isAtRest(2_000 * MILLI)).isTrue();
+		this.mapSwitch.reported(present, 0);
+		this.mapSwitch.reported(old, 1);
+		assertThat(this.mapSwitch.isAtRest(1)).isFalse();
+		this.mapSwitch.reported(present, 100 * MILLI);
+		this.mapSwitch.reported(old, 101 * MILLI);
+		assertThat(this.mapSwitch.isAtRest(2_000 * MILLI)).isTrue();
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PassClockTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PassClockTests.java
@@ -24,30 +24,30 @@
 	}
 
 	@Test
-	void measuresThePassByItsFirstReport() {
+	void measuresPassesByTheirFirstReport() {
 		assertThat(this.clock.passNanos()).isCloseTo(50 * MILLI, within(1.0));
 	}
 
 	@Test
-	void namesTheNextPassEarlyInOneAndTheOneAfterThatLateInOne() {
+	void returnsTheNextPassEarlyInAPassAndTheOneAfterItLateInAPass() {
 		assertThat(this.clock.passAhead(1, 1010 * MILLI)).isEqualTo(21);
 		assertThat(this.clock.passAhead(1, 1040 * MILLI)).isEqualTo(22);
 		assertThat(this.clock.passAhead(1, 1060 * MILLI)).isEqualTo(22);
 	}
 
 	@Test
-	void aRestOfTheGroupIsNoLongPass() {
+	void idleTimeIsNotMeasuredAsALongPass() {
 		this.clock.begun(21, 9_000 * MILLI);
 		assertThat(this.clock.passNanos()).isCloseTo(50 * MILLI, within(1.0));
 	}
 
 	@Test
-	void doesNotRunFarAheadOfAGroupThatRests() {
+	void limitsTheEstimateForAnIdleGroup() {
 		assertThat(this.clock.passAhead(1, 60_000 * MILLI)).isLessThan(31);
 	}
 
 	@Test
-	void countsAnewAfterTheGroupHasFormedAnew() {
+	void restartsTheCountAfterTheGroupWasFormedAgain() {
 		this.clock.restart();
 		this.clock.begun(1, 2_000 * MILLI);
 		assertThat(this.clock.passAhead(1, 2_001 * MILLI)).isEqualTo(2);
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PlanScheduleTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PlanScheduleTests.java
@@ -24,10 +24,10 @@
 
 	private long step;
 
-	private int plansIn(int rounds, int liked) {
+	private int plansIn(int rounds, int popular) {
 		int plans = 0;
 		for (int i = 0; i < rounds; i++) {
-			round(liked);
+			round(popular);
 			if (this.schedule.isDue(this.traffic, PACE)) {
 				this.schedule.planned(this.traffic, PACE);
 				plans++;
@@ -36,10 +36,10 @@
 		return plans;
 	}
 
-	private void round(int liked) {
+	private void round(int popular) {
 		List<Integer> chosen = new ArrayList<>();
 		for (int expert = 0; expert < EXPERTS; expert++) {
-			chosen.add((expert == liked) ? 9000 : 1000);
+			chosen.add((expert == popular) ? 9000 : 1000);
 		}
 		this.step++;
 		this.traffic.add(0, 1, this.step, chosen, this.step * ROUND_NANOS);
@@ -49,19 +49,19 @@
 	 * Plans rest on 1, 2, 4, 8 and 16 rounds and then on 16 new ones each.
 	 */
 	@Test
-	void aLoadThatStaysAlikeIsPlannedForLessAndLessOften() {
+	void plansLessAndLessOftenWhileTheLoadIsStable() {
 		assertThat(plansIn(16, 0)).isEqualTo(5);
 		assertThat(plansIn(160, 0)).isEqualTo(10);
 	}
 
 	@Test
-	void aShiftIsPlannedForAtOnce() {
+	void plansAtOnceAfterAShift() {
 		plansIn(40, 0);
 		assertThat(plansIn(1, 5)).isEqualTo(1);
 	}
 
 	@Test
-	void anotherPaceOfARankIsPlannedForInTheNextRound() {
+	void plansInTheNextRoundAfterTheSlowdownOfARankChanged() {
 		plansIn(32, 0);
 		double[] slower = { 1.3 };
 		assertThat(this.schedule.isDue(this.traffic, slower)).isFalse();
@@ -70,7 +70,7 @@
 	}
 
 	@Test
-	void aMapThatHasChangedIsPlannedForInTheNextRound() {
+	void plansInTheNextRoundAfterTheMapChanged() {
 		plansIn(40, 0);
 		this.schedule.restart();
 		round(0);
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/RebalanceCoordinatorTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/RebalanceCoordinatorTests.java
@@ -28,9 +28,9 @@
 
 	private int plans;
 
-	// Plays reports in which one expert is wanted more than the others.
-	private void play(int liked, int times, long passMillis, boolean open, long millis) {
-		List<Integer> chosen = wanted(liked, times);
+	// Adds reports in which one expert is chosen more often than the others.
+	private void simulate(int popular, int times, long passMillis, boolean open, long millis) {
+		List<Integer> chosen = choices(popular, times);
 		for (long now = MILLI; now < millis * MILLI; now += 20 * MILLI) {
 			if (now % (100 * MILLI) < 20 * MILLI) {
 				for (int rank = 0; rank < RANKS; rank++) {
@@ -49,48 +49,48 @@
 	}
 
 	@Test
-	void movesExpertsWhenOneRankHoldsTheOthersBack() {
-		play(3, 12, 100, true, 2_000);
+	void movesExpertsIfOneRankIsOverloaded() {
+		simulate(3, 12, 100, true, 2_000);
 		assertThat(this.plans).isPositive();
 	}
 
 	@Test
-	void leavesExpertsWherePassesAreShortAnyway() {
-		play(3, 3, 32, true, 2_000);
+	void keepsExpertsIfPassesAreShortUnderLoad() {
+		simulate(3, 3, 32, true, 2_000);
 		assertThat(this.plans).isZero();
 	}
 
 	@Test
-	void movesThemWherePassesAreShortOnlyForWantOfRequests() {
-		play(3, 12, 32, true, 2_000);
+	void movesExpertsIfPassesAreShortOnlyBecauseTheGroupIsIdle() {
+		simulate(3, 12, 32, true, 2_000);
 		assertThat(this.plans).isPositive();
 	}
 
 	@Test
-	void leavesExpertsWhereTheTrafficIsEven() {
-		play(3, 1, 100, true, 2_000);
+	void keepsExpertsIfTheLoadIsBalanced() {
+		simulate(3, 1, 100, true, 2_000);
 		assertThat(this.plans).isZero();
 	}
 
 	@Test
-	void givesNoOrdersToAGroupThatMakesNoPasses() {
-		play(3, 12, 100, false, 2_000);
+	void sendsNoOrdersToAGroupThatRunsNoPasses() {
+		simulate(3, 12, 100, false, 2_000);
 		assertThat(this.plans).isZero();
 	}
 
 	/**
-	 * The pass in which a shift falls mixes both loads; the plan for it is replaced while
-	 * ranks still copy.
+	 * Guards against keeping an outdated plan: the pass during a shift mixes the old and
+	 * the new load, so its plan must be replaced while ranks are still copying.
 	 */
 	@Test
-	void aPlanForAPassThatMixedTwoLoadsIsReplacedByTheNext() {
+	void aPlanForAPassDuringAShiftIsReplacedByTheNext() {
 		Set<Long> versions = new TreeSet<>();
-		List<Integer> mixed = new ArrayList<>(wanted(0, 40));
+		List<Integer> mixed = new ArrayList<>(choices(0, 40));
 		for (int expert = 0; expert < EXPERTS; expert++) {
-			mixed.set(expert, mixed.get(expert) + wanted(7, 40).get(expert));
+			mixed.set(expert, mixed.get(expert) + choices(7, 40).get(expert));
 		}
 		for (int step = 1; step < 16; step++) {
-			List<Integer> chosen = (step < 10) ? wanted(0, 1) : wanted(7, 40);
+			List<Integer> chosen = (step < 10) ? choices(0, 1) : choices(7, 40);
 			long now = step * 100 * MILLI;
 			for (int rank = 0; rank < RANKS; rank++) {
 				this.coordinator.reported(report(rank, step, true), (step == 10) ? mixed : chosen, now);
@@ -104,10 +104,10 @@
 		assertThat(versions).hasSize(2);
 	}
 
-	private static List<Integer> wanted(int liked, int times) {
+	private static List<Integer> choices(int popular, int times) {
 		List<Integer> chosen = new ArrayList<>();
 		for (int expert = 0; expert < EXPERTS; expert++) {
-			chosen.add((expert == liked) ? 1000 * times : 1000);
+			chosen.add((expert == popular) ? 1000 * times : 1000);
 		}
 		return chosen;
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/SwitchDeputyTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/SwitchDeputyTests.java
@@ -12,8 +12,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link SwitchDeputy} on engines whose passes check that all ranks have one
- * map.
+ * Tests for {@link SwitchDeputy}. {@link FakeGroup} asserts in every pass that all ranks
+ * have the same map.
  */
 class SwitchDeputyTests {
 
@@ -21,27 +21,28 @@
 
 	private static final long TICK = 10 * MILLI;
 
-	private static final long PATIENCE = 80 * MILLI;
+	private static final long TIMEOUT = 80 * MILLI;
 
 	private static final ExpertLayout LAYOUT = ExpertLayout.inTurn(1, 8, 8);
 
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 2, 5, 9, 10 })
-	void endsASwitchWhoseCoordinatorDiesInIt(int orders) {
+	void completesASwitchWhoseCoordinatorFails(int orders) {
 		FakeGroup group = new FakeGroup(8, 0, new Random(1));
-		new Play(group, orders).run(4);
+		new Simulation(group, orders).run(4);
 		assertThat(group.switches()).isEqualTo(1);
 		assertThat(group.longestHold()).isLessThanOrEqualTo(200 * MILLI);
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16 })
-	void keepsOneMapWhileOrdersAreLateAndBothGiveThem(long seed) {
+	void allRanksKeepTheSameMapWhileCoordinatorAndDeputySendLateOrders(long seed) {
 		Random random = new Random(seed);
 		FakeGroup group = new FakeGroup(8, 0.25, random);
-		Play play = new Play(group, (random.nextInt(3) == 0) ? 1 + random.nextInt(12) : Integer.MAX_VALUE);
-		play.endsUntold = true;
-		play.run(120);
+		Simulation simulation = new Simulation(group,
+				(random.nextInt(3) == 0) ? 1 + random.nextInt(12) : Integer.MAX_VALUE);
+		simulation.completionNoticeLost = true;
+		simulation.run(120);
 		assertThat(group.switches()).isPositive();
 	}
 
@@ -49,15 +50,14 @@
 	class Refused {
 
 		@Test
-		void doesNothingAboutAPassThatHasBegun() {
-			SwitchDeputy deputy = new SwitchDeputy(new EntrustedSwitch("g", 1, 5, 9, 0, List.of("a", "b")), PATIENCE,
-					0);
-			assertThat(deputy.tick(PATIENCE)).isEmpty();
-			List<RankOrder> orders = deputy.tick(PATIENCE + TICK);
+		void endsIfThePassHasBegun() {
+			SwitchDeputy deputy = new SwitchDeputy(new EntrustedSwitch("g", 1, 5, 9, 0, List.of("a", "b")), TIMEOUT, 0);
+			assertThat(deputy.tick(TIMEOUT)).isEmpty();
+			List<RankOrder> orders = deputy.tick(TIMEOUT + TICK);
 			assertThat(orders).singleElement().extracting(RankOrder::order).isEqualTo(new HoldStep(1, 9));
 			deputy.answered(orders.get(0), OrderAnswer.REFUSED);
-			assertThat(deputy.isOver(PATIENCE + TICK)).isTrue();
-			assertThat(deputy.tick(PATIENCE + 100 * TICK)).isEmpty();
+			assertThat(deputy.isOver(TIMEOUT + TICK)).isTrue();
+			assertThat(deputy.tick(TIMEOUT + 100 * TICK)).isEmpty();
 		}
 
 		@Test
@@ -76,9 +76,9 @@
 	}
 
 	/**
-	 * Plays a coordinator that ends after a number of its orders, and its deputy.
+	 * Simulates a coordinator that fails after a number of orders, and its deputy.
 	 */
-	private static final class Play {
+	private static final class Simulation {
 
 		private final FakeGroup group;
 
@@ -88,9 +88,9 @@
 
 		private int ordersLeft;
 
-		private boolean endsUntold;
+		private boolean completionNoticeLost;
 
-		private Play(FakeGroup group, int ordersLeft) {
+		private Simulation(FakeGroup group, int ordersLeft) {
 			this.group = group;
 			this.ordersLeft = ordersLeft;
 		}
@@ -113,19 +113,19 @@
 			if (this.coordinator.isAtRest(now)) {
 				this.coordinator.start(LAYOUT, 1, now);
 			}
-			give(this.coordinator.tick(now), now);
+			send(this.coordinator.tick(now), now);
 			Optional<EntrustedSwitch> entrusted = this.coordinator.entrusted("g");
 			if (entrusted.isPresent()
 					&& (this.deputy.isEmpty() || !this.deputy.get().entrusted().equals(entrusted.get()))) {
-				this.deputy = Optional.of(new SwitchDeputy(entrusted.get(), PATIENCE, now));
-				this.coordinator.entrusted(entrusted.get(), now);
+				this.deputy = Optional.of(new SwitchDeputy(entrusted.get(), TIMEOUT, now));
+				this.coordinator.delegationConfirmed(entrusted.get(), now);
 			}
-			else if (entrusted.isEmpty() && !this.endsUntold) {
+			else if (entrusted.isEmpty() && !this.completionNoticeLost) {
 				this.deputy = Optional.empty();
 			}
 		}
 
-		private void give(List<RankOrder> orders, long now) {
+		private void send(List<RankOrder> orders, long now) {
 			for (RankOrder order : orders) {
 				boolean counts = !(order.order() instanceof PrepareMap);
 				if (this.ordersLeft > 0) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/WantedExperts.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/WantedExperts.java
@@ -6,8 +6,8 @@
 import java.util.Random;
 
 /**
- * Which experts the requests of a group want: in each set a few get a large part of the
- * choices, and a shift lets others take their places.
+ * Generates expert choices by Zipf's law: in each set a few experts get a large share of
+ * the choices, and a shift swaps their popularity with others.
  */
 final class WantedExperts {
 
@@ -20,11 +20,11 @@
 	private final List<List<Integer>> ranking = new ArrayList<>();
 
 	/**
-	 * Draws which experts are wanted first.
+	 * Draws a random popularity ranking for each set.
 	 * @param sets the number of sets
 	 * @param experts the number of experts of a set
-	 * @param exponent how much more the first ones are wanted, as in Zipf's law
-	 * @param random draws
+	 * @param exponent the exponent of Zipf's law
+	 * @param random the source of randomness
 	 */
 	WantedExperts(int sets, int experts, double exponent, Random random) {
 		this.exponent = exponent;
@@ -40,7 +40,7 @@
 	}
 
 	/**
-	 * Lets a share of the experts change places.
+	 * Shuffles a random share of the experts in the popularity ranking.
 	 * @param share the share, from 0 to 1
 	 */
 	void shift(double share) {
@@ -61,7 +61,7 @@
 	}
 
 	/**
-	 * Returns what one pass chooses, with the chance of few requests.
+	 * Returns the choices of one pass, with the noise of few requests.
 	 * @return the choices by set and expert
 	 */
 	double[][] traffic() {
@@ -69,8 +69,8 @@
 		for (int set = 0; set < traffic.length; set++) {
 			List<Integer> order = this.ranking.get(set);
 			for (int place = 0; place < order.size(); place++) {
-				double chance = 0.85 + 0.3 * this.random.nextDouble();
-				traffic[set][order.get(place)] = CHOICES * chance * Math.pow(place + 1, -this.exponent);
+				double noise = 0.85 + 0.3 * this.random.nextDouble();
+				traffic[set][order.get(place)] = CHOICES * noise * Math.pow(place + 1, -this.exponent);
 			}
 		}
 		return traffic;
