Reword the bounds of rank numbers in error messages

The messages named the upper bound alone, also for a negative number. They now name both bounds. Nothing matches them.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EntrustedSwitch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EntrustedSwitch.java
@@ -20,8 +20,8 @@
 	public EntrustedSwitch {
 		Preconditions.notBlank(group, "group");
 		servers = List.copyOf(servers);
-		Preconditions.check(holder >= 0 && holder < servers.size(), "holder must be below %d: %d", servers.size(),
-				holder);
+		Preconditions.check(holder >= 0 && holder < servers.size(), "holder must be at least 0 and below %d: %d",
+				servers.size(), holder);
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/EvenCopyPlannerTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/EvenCopyPlannerTests.java
@@ -80,16 +80,16 @@
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
 	void twoCopiesPerRankRemoveMostOfTheSkewAfterAShift(long seed) {
 		EvenCopyPlanner quick = new EvenCopyPlanner(PLACES, NEW_PER_SET, 2);
-		WantedExperts wanted = new WantedExperts(SETS, EXPERTS, 1.1, new Random(seed));
+		WantedExperts zipf = new WantedExperts(SETS, EXPERTS, 1.1, new Random(seed));
 		ExpertLayout present = ExpertLayout.inTurn(SETS, EXPERTS, RANKS);
 		for (int shift = 0; shift < 6; shift++) {
-			ExpertDemand traffic = ExpertDemand.onHealthyRanks(wanted.traffic(), RANKS);
+			ExpertDemand traffic = ExpertDemand.onHealthyRanks(zipf.traffic(), RANKS);
 			double before = present.skew(traffic);
 			ExpertLayout planned = quick.plan(present, traffic);
 			assertThat(maxCopiesPerRank(present, planned)).isLessThanOrEqualTo(2);
 			assertThat(planned.skew(traffic) - 1).isLessThan((before - 1) / 3);
 			present = quick.plan(planned, traffic);
-			wanted.shift(0.62);
+			zipf.shift(0.62);
 		}
 	}
 
@@ -103,15 +103,15 @@
 	void oneSwitchBalancesALargeGroupAfterAShift(long seed) {
 		int ranks = 72;
 		EvenCopyPlanner large = new EvenCopyPlanner(3, NEW_PER_SET, 15);
-		WantedExperts wanted = new WantedExperts(12, 144, 0.54, new Random(seed));
+		WantedExperts zipf = new WantedExperts(12, 144, 0.54, new Random(seed));
 		ExpertLayout present = ExpertLayout.inTurn(12, 144, ranks);
 		for (int shift = 0; shift < 4; shift++) {
-			ExpertDemand traffic = ExpertDemand.onHealthyRanks(wanted.traffic(), ranks);
+			ExpertDemand traffic = ExpertDemand.onHealthyRanks(zipf.traffic(), ranks);
 			ExpertLayout planned = large.plan(present, traffic);
 			assertThat(maxCopiesPerRank(present, planned)).isLessThanOrEqualTo(15);
 			assertThat(planned.skew(traffic)).isLessThan(1.25);
 			present = planned;
-			wanted.shift(0.62);
+			zipf.shift(0.62);
 		}
 	}
 
@@ -149,11 +149,11 @@
 	@ValueSource(longs = { 1, 2, 3, 4 })
 	void aSlowRankGetsLessLoad(long seed) {
 		EvenCopyPlanner quick = new EvenCopyPlanner(PLACES, NEW_PER_SET, 2);
-		WantedExperts wanted = new WantedExperts(SETS, EXPERTS, 1.1, new Random(seed));
+		WantedExperts zipf = new WantedExperts(SETS, EXPERTS, 1.1, new Random(seed));
 		double[] pace = new double[RANKS];
 		Arrays.fill(pace, 1);
 		pace[5] = 2.88;
-		ExpertDemand demand = new ExpertDemand(wanted.traffic(), pace);
+		ExpertDemand demand = new ExpertDemand(zipf.traffic(), pace);
 		ExpertLayout present = ExpertLayout.inTurn(SETS, EXPERTS, RANKS);
 		for (int round = 0; round < 3; round++) {
 			present = quick.plan(present, demand);
