--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/AnswerPace.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/AnswerPace.java
@@ -1,33 +1,34 @@
 package org.comfreywall.gateway.http;
 
 /**
- * How an answer reached its caller: when it began and the longest pause in it.
+ * Measures how a response reached its caller: the time to its first part and the longest
+ * pause between parts.
  */
 final class AnswerPace {
 
 	private final long arrival;
 
-	private long beganAt;
+	private long firstAt;
 
 	private long lastAt;
 
 	private long longestPause;
 
 	/**
-	 * Creates the record of an answer that has not begun.
-	 * @param arrival when the request had arrived, in nanoseconds
+	 * Creates the timing of a response that has not begun.
+	 * @param arrival when the request was read completely, in nanoseconds
 	 */
 	AnswerPace(long arrival) {
 		this.arrival = arrival;
 	}
 
 	/**
-	 * Takes in that a part was sent to the caller.
+	 * Records that a part was sent to the caller.
 	 * @param now the present time in nanoseconds
 	 */
 	void sent(long now) {
-		if (this.beganAt == 0) {
-			this.beganAt = now;
+		if (this.firstAt == 0) {
+			this.firstAt = now;
 		}
 		else {
 			this.longestPause = Math.max(this.longestPause, now - this.lastAt);
@@ -36,16 +37,16 @@
 	}
 
 	/**
-	 * Returns how long the caller waited for the first part.
-	 * @return the nanoseconds, or 0 if there was none
+	 * Returns the time from the request to the first part.
+	 * @return the time in nanoseconds, or 0 if no part was sent
 	 */
 	long firstNanos() {
-		return (this.beganAt != 0) ? this.beganAt - this.arrival : 0;
+		return (this.firstAt != 0) ? this.firstAt - this.arrival : 0;
 	}
 
 	/**
 	 * Returns the longest time between two parts.
-	 * @return the nanoseconds
+	 * @return the time in nanoseconds, or 0 if fewer than two parts were sent
 	 */
 	long longestPauseNanos() {
 		return this.longestPause;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -16,15 +16,15 @@
 import org.comfreywall.gateway.pool.ServicePool;
 
 /**
- * One sending of a request to one backend server.
+ * One attempt to have a request answered by one backend server.
  */
 final class Attempt implements AttemptListener {
 
 	/**
-	 * Answers up to this size are held until they are complete, so that one that breaks
-	 * off can be replaced.
+	 * Responses up to this size are buffered until they are complete, so that a retry can
+	 * replace one that breaks off.
 	 */
-	private static final int HELD_BYTES = 64 << 10;
+	private static final int MAX_BUFFERED_BYTES = 64 << 10;
 
 	private final Exchange exchange;
 
@@ -34,19 +34,19 @@
 
 	private final PoolServer server;
 
-	private final long began = System.nanoTime();
+	private final long startedAt = System.nanoTime();
 
 	private ServerConnection connection;
 
-	private boolean over;
+	private boolean ended;
 
 	private HttpResponse head;
 
-	private ByteArrayOutputStream held;
+	private ByteArrayOutputStream buffered;
 
-	private boolean dropping;
+	private boolean discarding;
 
-	private long firstPart;
+	private long firstPartAt;
 
 	Attempt(Exchange exchange, Gateway gateway, ServicePool pool, PoolServer server) {
 		this.exchange = exchange;
@@ -65,16 +65,16 @@
 	}
 
 	void pauseReading(boolean paused) {
-		if (this.connection != null && !this.over) {
+		if (this.connection != null && !this.ended) {
 			this.connection.pauseReading(paused);
 		}
 	}
 
 	/**
-	 * Gives the attempt up; the server notices that the connection closes.
+	 * Cancels the attempt by closing its connection, which the server detects.
 	 */
 	void cancel() {
-		if (!this.over) {
+		if (!this.ended) {
 			if (this.connection != null) {
 				this.connection.abort();
 			}
@@ -83,7 +83,7 @@
 	}
 
 	private void connected(ServerConnection opened) {
-		if (this.over) {
+		if (this.ended) {
 			this.gateway.connections().release(opened);
 			return;
 		}
@@ -94,7 +94,7 @@
 	}
 
 	private void notConnected() {
-		if (!this.over) {
+		if (!this.ended) {
 			end(AttemptResult.BROKEN);
 			this.exchange.notConnected(this.server);
 		}
@@ -125,7 +125,7 @@
 		HeaderNames names = this.gateway.names();
 		boolean misdirected = received.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
 		if (misdirected || received.headers().contains(names.notRun())) {
-			this.dropping = true;
+			this.discarding = true;
 			end(AttemptResult.REJECTED);
 			this.gateway.log().rejected(this.exchange, this.server, received);
 			this.exchange.rejected(this.server, received);
@@ -142,7 +142,7 @@
 			return;
 		}
 		if (received.status().code() >= 500 && this.exchange.takesRetry("error " + received.status().code())) {
-			this.dropping = true;
+			this.discarding = true;
 			end(AttemptResult.FAILED);
 			this.exchange.repeat(this.server);
 			return;
@@ -153,16 +153,16 @@
 			return;
 		}
 		this.head = received;
-		this.held = new ByteArrayOutputStream();
+		this.buffered = new ByteArrayOutputStream();
 	}
 
 	@Override
 	public void onBody(ByteBuf part) {
-		if (this.dropping) {
+		if (this.discarding) {
 			return;
 		}
-		if (this.firstPart == 0) {
-			this.firstPart = System.nanoTime();
+		if (this.firstPartAt == 0) {
+			this.firstPartAt = System.nanoTime();
 		}
 		CallerAnswer answer = this.exchange.answer();
 		if (answer.begun()) {
@@ -173,7 +173,7 @@
 			answer.body(part);
 		}
 		else {
-			hold(part);
+			buffer(part);
 		}
 	}
 
@@ -181,19 +181,19 @@
 		return this.exchange.isStream() && this.head.status().code() == HttpResponseStatus.OK.code();
 	}
 
-	private void hold(ByteBuf part) {
+	private void buffer(ByteBuf part) {
 		byte[] bytes = new byte[part.readableBytes()];
 		part.readBytes(bytes);
-		this.held.writeBytes(bytes);
-		if (this.held.size() > HELD_BYTES) {
+		this.buffered.writeBytes(bytes);
+		if (this.buffered.size() > MAX_BUFFERED_BYTES) {
 			this.exchange.answer().begin(this.head, this.exchange.keepAlive());
-			this.exchange.answer().body(Unpooled.wrappedBuffer(this.held.toByteArray()));
+			this.exchange.answer().body(Unpooled.wrappedBuffer(this.buffered.toByteArray()));
 		}
 	}
 
 	@Override
 	public void onComplete() {
-		if (this.dropping || this.over) {
+		if (this.discarding || this.ended) {
 			return;
 		}
 		end(Exchange.resultOf(this.head.status().code()));
@@ -205,14 +205,14 @@
 			answer.complete();
 		}
 		else {
-			answer.whole(this.head, this.held.toByteArray(), this.exchange.keepAlive());
+			answer.whole(this.head, this.buffered.toByteArray(), this.exchange.keepAlive());
 		}
 		this.exchange.completed(this.head.status().code());
 	}
 
 	@Override
 	public void onBroken(String reason) {
-		if (this.dropping || this.over) {
+		if (this.discarding || this.ended) {
 			return;
 		}
 		end(AttemptResult.BROKEN);
@@ -221,10 +221,10 @@
 	}
 
 	private void end(AttemptResult result) {
-		this.over = true;
+		this.ended = true;
 		long now = System.nanoTime();
-		long first = (this.firstPart != 0) ? this.firstPart : now;
-		this.pool.release(this.server, result, first - this.began, now);
+		long first = (this.firstPartAt != 0) ? this.firstPartAt : now;
+		this.pool.release(this.server, result, first - this.startedAt, now);
 		this.gateway.placesChanged(this.pool);
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/AttemptListener.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/AttemptListener.java
@@ -4,13 +4,13 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
- * Receives what a backend server answers to one attempt; called on the event loop.
+ * Receives the response of a backend server to one attempt. Called on the event loop.
  */
 interface AttemptListener {
 
 	/**
-	 * Called when the head of the answer has arrived.
-	 * @param head status and headers
+	 * Called when status and headers of the response have arrived.
+	 * @param head the status and headers
 	 */
 	void onHead(HttpResponse head);
 
@@ -21,13 +21,13 @@
 	void onBody(ByteBuf part);
 
 	/**
-	 * Called when the answer is complete.
+	 * Called when the response is complete.
 	 */
 	void onComplete();
 
 	/**
-	 * Called when the connection broke or brought what is no answer.
-	 * @param reason what happened, for logs
+	 * Called when the connection failed or delivered no valid HTTP response.
+	 * @param reason the reason, for logs and metrics
 	 */
 	void onBroken(String reason);
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerAnswer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerAnswer.java
@@ -21,11 +21,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Writes the answer to one request.
+ * Writes the response to one request.
  */
 final class CallerAnswer {
 
-	/** The standard header with which an event stream is continued. */
+	/** The standard header of a request that resumes an event stream. */
 	static final String LAST_EVENT_ID = "Last-Event-Id";
 
 	private static final double MILLIS_PER_SECOND = 1000;
@@ -36,7 +36,7 @@
 
 	private EventFramer framer;
 
-	private boolean begun;
+	private boolean started;
 
 	private boolean keptAlive = true;
 
@@ -46,8 +46,8 @@
 	}
 
 	/**
-	 * Says that the answer is an event stream.
-	 * @param resumable whether another server can continue it
+	 * Prepares an event stream as the response.
+	 * @param resumable whether another server can resume it
 	 * @param request the request's headers
 	 */
 	void stream(boolean resumable, HttpHeaders request) {
@@ -61,8 +61,9 @@
 	}
 
 	/**
-	 * Returns the identifier of the last event that the caller has.
-	 * @return the identifier, or empty if the stream is to start at its beginning
+	 * Returns the identifier of the last event that the caller has received.
+	 * @return the identifier, or empty if the stream starts at its beginning or cannot be
+	 * resumed
 	 */
 	Optional<String> lastEventId() {
 		return (this.framer != null && this.framer.lastId().isPresent())
@@ -70,24 +71,26 @@
 	}
 
 	/**
-	 * Tells whether anything of an answer was written.
-	 * @return {@code true} once the head was
+	 * Returns whether a part of the response was written.
+	 * @return {@code true} once the head was written
 	 */
 	boolean begun() {
-		return this.begun;
+		return this.started;
 	}
 
 	/**
-	 * Tells whether another server's answer can take the place of the present one.
-	 * @return {@code true} if nothing was written, or only whole events were
+	 * Returns whether the response of another server can replace or resume the present
+	 * one.
+	 * @return {@code true} if nothing was written, or only whole events of a resumable
+	 * stream
 	 */
 	boolean isContinuable() {
-		return !this.begun || (this.framer != null && this.framer.isContinuable() && lastEventId().isPresent());
+		return !this.started || (this.framer != null && this.framer.isContinuable() && lastEventId().isPresent());
 	}
 
 	/**
-	 * Tells whether the connection stays open after the answer.
-	 * @return {@code false} if the answer closes it
+	 * Returns whether the connection stays open after the response.
+	 * @return {@code false} if the response ends with closing it
 	 */
 	boolean keptAlive() {
 		return this.keptAlive;
@@ -100,7 +103,7 @@
 	}
 
 	void begin(HttpResponse head, boolean keepAlive) {
-		this.begun = true;
+		this.started = true;
 		HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
 		EndToEndHeaders.copy(head.headers(), out.headers());
 		out.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
@@ -125,7 +128,7 @@
 	}
 
 	void whole(HttpResponse head, byte[] body, boolean keepAlive) {
-		this.begun = true;
+		this.started = true;
 		FullHttpResponse out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(),
 				Unpooled.wrappedBuffer(body));
 		EndToEndHeaders.copy(head.headers(), out.headers());
@@ -137,13 +140,14 @@
 	}
 
 	/**
-	 * Answers with a status of this process.
+	 * Sends a response without body that this process generates.
 	 * @param status the status
-	 * @param retryAfter when to come back
+	 * @param retryAfter the time after which the caller may retry, or empty to send no
+	 * such header
 	 * @param keepAlive whether the connection stays open
 	 */
 	void refuse(HttpResponseStatus status, Optional<Duration> retryAfter, boolean keepAlive) {
-		this.begun = true;
+		this.started = true;
 		FullHttpResponse out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
 		out.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
 		retryAfter.ifPresent((wait) -> out.headers()
@@ -153,7 +157,8 @@
 	}
 
 	/**
-	 * Ends an answer that cannot be completed, so that it does not look complete.
+	 * Closes the connection within a response that cannot be completed, so that the
+	 * caller does not take it for complete.
 	 */
 	void breakOff() {
 		this.keptAlive = false;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
@@ -23,16 +23,20 @@
 import io.netty.util.concurrent.ScheduledFuture;
 
 /**
- * A connection from a caller: reads whole requests and has them answered one by one.
+ * A connection from a caller. Reads whole requests and processes them one after the
+ * other, including pipelined ones.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
 
-	/** Requests read ahead while one is being answered; then reading stops. */
-	private static final int MAX_AHEAD = 4;
+	/**
+	 * The most pipelined requests that are queued while one is processed; then reading
+	 * pauses.
+	 */
+	private static final int MAX_PIPELINED = 4;
 
 	private final Gateway gateway;
 
-	private final Deque<CallerRequest> ahead = new ArrayDeque<>();
+	private final Deque<CallerRequest> pipelined = new ArrayDeque<>();
 
 	private ChannelHandlerContext context;
 
@@ -42,9 +46,9 @@
 
 	private Exchange exchange;
 
-	private boolean refusing;
+	private boolean closing;
 
-	private ScheduledFuture<?> silence;
+	private ScheduledFuture<?> idleTimer;
 
 	CallerConnection(Gateway gateway) {
 		this.gateway = gateway;
@@ -54,14 +58,14 @@
 	public void channelActive(ChannelHandlerContext active) {
 		this.context = active;
 		this.gateway.opened(this);
-		awaitHead();
+		startIdleTimer();
 	}
 
-	// A caller that sends nothing is idle; one that has begun a request is slow.
-	private void awaitHead() {
-		cancelSilence();
+	// The idle timeout applies until the head of the next request has been read.
+	private void startIdleTimer() {
+		cancelIdleTimer();
 		long nanos = this.gateway.limits().idleTimeout().toNanos();
-		this.silence = this.context.executor().schedule(this::closeIdle, nanos, TimeUnit.NANOSECONDS);
+		this.idleTimer = this.context.executor().schedule(this::closeIdle, nanos, TimeUnit.NANOSECONDS);
 	}
 
 	private void closeIdle() {
@@ -70,23 +74,24 @@
 		}
 	}
 
-	private void cancelSilence() {
-		if (this.silence != null) {
-			this.silence.cancel(false);
-			this.silence = null;
+	private void cancelIdleTimer() {
+		if (this.idleTimer != null) {
+			this.idleTimer.cancel(false);
+			this.idleTimer = null;
 		}
 	}
 
 	boolean isIdle() {
-		return this.exchange == null && this.head == null && this.ahead.isEmpty();
+		return this.exchange == null && this.head == null && this.pipelined.isEmpty();
 	}
 
 	/**
-	 * Tells whether the connection ends with the present answer.
-	 * @return {@code true} once something was read that is no request
+	 * Returns whether the connection closes after the present response.
+	 * @return {@code true} once the connection is closing, for instance after an invalid
+	 * request
 	 */
 	boolean closesNext() {
-		return this.refusing;
+		return this.closing;
 	}
 
 	void close() {
@@ -99,11 +104,11 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext read, HttpObject message) {
-		if (this.refusing) {
+		if (this.closing) {
 			return;
 		}
 		if (message.decoderResult().isFailure()) {
-			malformed(message.decoderResult().cause());
+			refuseMalformed(message.decoderResult().cause());
 			return;
 		}
 		if (message instanceof HttpRequest request) {
@@ -114,13 +119,13 @@
 		}
 	}
 
-	private void malformed(Throwable cause) {
+	private void refuseMalformed(Throwable cause) {
 		boolean tooLong = cause instanceof TooLongHttpHeaderException;
 		refuse(tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
 	}
 
 	private void begin(HttpRequest request) {
-		cancelSilence();
+		cancelIdleTimer();
 		this.head = request;
 		this.body = new ByteArrayOutputStream();
 		if (HttpUtil.getContentLength(request, 0L) > this.gateway.limits().maxBodyBytes()) {
@@ -145,21 +150,21 @@
 					this.body.toByteArray(), HttpUtil.isKeepAlive(this.head), System.nanoTime());
 			this.head = null;
 			this.body = null;
-			queue(request);
+			enqueue(request);
 		}
 	}
 
-	private void queue(CallerRequest request) {
-		this.ahead.addLast(request);
-		if (this.ahead.size() >= MAX_AHEAD) {
+	private void enqueue(CallerRequest request) {
+		this.pipelined.addLast(request);
+		if (this.pipelined.size() >= MAX_PIPELINED) {
 			this.context.channel().config().setAutoRead(false);
 		}
-		next();
+		startNext();
 	}
 
-	private void next() {
-		if (this.exchange == null && !this.ahead.isEmpty()) {
-			CallerRequest request = this.ahead.pollFirst();
+	private void startNext() {
+		if (this.exchange == null && !this.pipelined.isEmpty()) {
+			CallerRequest request = this.pipelined.pollFirst();
 			this.context.channel().config().setAutoRead(true);
 			this.exchange = new Exchange(this.gateway, this, request);
 			this.exchange.start();
@@ -167,28 +172,29 @@
 	}
 
 	/**
-	 * Called when the answer has been written completely.
+	 * Called when the response was written completely or was aborted.
 	 * @param keepAlive whether the connection may carry another request
 	 */
 	void answered(boolean keepAlive) {
 		this.exchange = null;
 		if (keepAlive && this.gateway.isStopping()) {
-			// The answer's head promised more before the stop began; a request that
-			// crosses the close was not read and may be sent elsewhere.
-			this.refusing = true;
+			// The response head, sent before the stop began, announced keep-alive. A
+			// request that arrives after the close is not processed and can be retried
+			// elsewhere.
+			this.closing = true;
 			this.context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
 			return;
 		}
 		if (!keepAlive) {
-			this.refusing = true;
+			this.closing = true;
 			return;
 		}
-		awaitHead();
-		next();
+		startIdleTimer();
+		startNext();
 	}
 
 	private void refuse(HttpResponseStatus status) {
-		this.refusing = true;
+		this.closing = true;
 		this.head = null;
 		if (this.exchange != null) {
 			return;
@@ -207,7 +213,7 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext inactive) {
-		cancelSilence();
+		cancelIdleTimer();
 		this.gateway.closed(this);
 		if (this.exchange != null) {
 			this.exchange.callerGone();
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerPatience.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerPatience.java
@@ -4,13 +4,16 @@
 import java.util.Map;
 
 /**
- * Tells requests that come back after a refusal from new ones: they have less time left
- * than callers of the route state at first.
+ * Heuristic that distinguishes retries of refused requests from new requests: a retry
+ * states a shorter deadline than the route's callers state in their first request.
  */
 final class CallerPatience {
 
-	/** A caller that comes back has lost more than this share of its time. */
-	private static final double RETURNING = 0.975;
+	/**
+	 * A request is taken for a retry if its timeout is below this share of the longest
+	 * one of the route.
+	 */
+	private static final double RETRY_SHARE = 0.975;
 
 	private static final int MAX_ROUTES = 2_000;
 
@@ -26,14 +29,15 @@
 	};
 
 	/**
-	 * Takes in a request's stated time.
+	 * Records the timeout that a request states, and returns whether it is probably a
+	 * retry.
 	 * @param route the route's name
-	 * @param millis the milliseconds for which the caller waits
-	 * @return whether the caller has probably waited before
+	 * @param millis the timeout that the caller states, in milliseconds
+	 * @return {@code true} if the request is probably a retry
 	 */
 	boolean isReturning(String route, long millis) {
 		long known = this.longest.merge(route, millis, Math::max);
-		return millis < RETURNING * known;
+		return millis < RETRY_SHARE * known;
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerRequest.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerRequest.java
@@ -8,13 +8,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A request that was read completely.
+ * A request of a caller that was read completely.
  *
  * @param method its method
  * @param uri its path and query as sent
  * @param headers its headers
  * @param body its body
- * @param keepAlive whether the caller keeps the connection open
+ * @param keepAlive whether the caller wants the connection to stay open
  * @param arrival when its last byte was read, in nanoseconds
  */
 record CallerRequest(HttpMethod method, String uri, HttpHeaders headers, byte[] body, boolean keepAlive, long arrival) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EndToEndHeaders.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EndToEndHeaders.java
@@ -9,7 +9,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 
 /**
- * Copies headers that are meant for more than one connection.
+ * Copies end-to-end headers, without the hop-by-hop headers that concern one connection
+ * only.
  */
 final class EndToEndHeaders {
 
@@ -21,15 +22,15 @@
 	}
 
 	static void copy(HttpHeaders from, HttpHeaders to) {
-		Set<String> named = new HashSet<>();
+		Set<String> listed = new HashSet<>();
 		for (String value : from.getAll(HttpHeaderNames.CONNECTION)) {
 			for (String name : value.split(",")) {
-				named.add(name.trim().toLowerCase(Locale.ROOT));
+				listed.add(name.trim().toLowerCase(Locale.ROOT));
 			}
 		}
 		for (Map.Entry<String, String> header : from) {
 			String name = header.getKey().toLowerCase(Locale.ROOT);
-			if (!HOP_BY_HOP.contains(name) && !named.contains(name)) {
+			if (!HOP_BY_HOP.contains(name) && !listed.contains(name)) {
 				to.add(header.getKey(), header.getValue());
 			}
 		}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EventFramer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EventFramer.java
@@ -8,12 +8,12 @@
 import io.netty.buffer.Unpooled;
 
 /**
- * Cuts an event stream after whole events, so that another backend server can continue
- * it.
+ * Splits an event stream into whole events, so that another backend server can resume it
+ * after the last one, and filters duplicates by event identifier.
  */
 final class EventFramer {
 
-	/** A longer event is passed on in parts; the stream can then not be continued. */
+	/** A longer event is forwarded in parts; the stream can then not be resumed. */
 	private static final int MAX_EVENT_BYTES = 256 << 10;
 
 	private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
@@ -22,12 +22,13 @@
 
 	private long lastId = Long.MIN_VALUE;
 
-	private boolean unframed;
+	private boolean splitEvent;
 
 	/**
-	 * Takes in bytes of the stream.
+	 * Appends bytes of the stream and returns the whole events that the caller does not
+	 * have yet.
 	 * @param bytes the next bytes; read completely, not released
-	 * @return the whole events that are new, perhaps empty
+	 * @return the new whole events, may be empty
 	 */
 	ByteBuf take(ByteBuf bytes) {
 		byte[] all = append(bytes);
@@ -41,7 +42,7 @@
 		}
 		this.rest = Arrays.copyOfRange(all, start, all.length);
 		if (this.rest.length > MAX_EVENT_BYTES) {
-			this.unframed = true;
+			this.splitEvent = true;
 			whole.writeBytes(this.rest);
 			this.rest = new byte[0];
 		}
@@ -49,39 +50,40 @@
 	}
 
 	/**
-	 * Returns what followed the last whole event of a stream that ended properly.
-	 * @return the bytes, perhaps none
+	 * Returns the bytes after the last whole event.
+	 * @return the bytes, may be empty
 	 */
 	byte[] rest() {
 		return this.rest;
 	}
 
 	/**
-	 * Drops an event that was cut off.
+	 * Discards a partial event, before another server resumes the stream.
 	 */
 	void restart() {
 		this.rest = new byte[0];
 	}
 
 	/**
-	 * Returns the identifier of the last event handed out.
-	 * @return the identifier, or empty if none had one
+	 * Returns the identifier of the last event that was forwarded.
+	 * @return the identifier, or empty if no event had one
 	 */
 	OptionalLong lastId() {
 		return (this.lastId != Long.MIN_VALUE) ? OptionalLong.of(this.lastId) : OptionalLong.empty();
 	}
 
 	/**
-	 * Tells whether the stream can be continued after the last event handed out.
-	 * @return {@code false} once part of an event was handed out
+	 * Returns whether another server can resume the stream after the last forwarded
+	 * event.
+	 * @return {@code false} once part of an event was forwarded
 	 */
 	boolean isContinuable() {
-		return !this.unframed;
+		return !this.splitEvent;
 	}
 
 	/**
-	 * Sets the event after which the stream starts.
-	 * @param id the identifier of the last event that the caller has
+	 * Sets the event after which the stream starts; events up to it are filtered.
+	 * @param id the identifier of the last event that the caller has received
 	 */
 	void startAfter(long id) {
 		this.lastId = id;
@@ -102,7 +104,7 @@
 		whole.writeBytes(all, start, end - start);
 	}
 
-	// Returns the position behind the blank line that ends the event, or -1.
+	// Returns the position after the blank line that ends the event, or -1.
 	private static int endOfEvent(byte[] all, int start) {
 		for (int i = start; i + 1 < all.length; i++) {
 			if (all[i] != '\n') {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
@@ -22,35 +22,42 @@
 import org.comfreywall.gateway.pool.WaitingRequest;
 
 /**
- * Answers one request: finds its route, has it placed, sends it to one backend server
- * after the other as far as that is allowed, and passes the answer on.
+ * Processes one request: finds its route, waits for a slot on a backend server, sends it,
+ * retries on other servers within the limits of route and retry budget, and forwards the
+ * response.
  * <p>
- * The request is refused with 503 only while no backend server can have run it; once one
- * may have, a failure is answered with 502 or 504, or the connection is closed.
+ * A failure is answered with 503 only if no backend server can have run the request, so
+ * that the caller can retry it safely. Once one may have run it, the status is 502 or
+ * 504, or the connection is closed if the response has begun.
  */
 final class Exchange {
 
 	/**
-	 * How long a request may stay in queue, in objectives; callers leave a stream that
-	 * has not begun after five.
+	 * The longest time in queue, as a multiple of the route's latency objective. Callers
+	 * abandon a stream that has not begun after five objectives.
 	 */
-	private static final double LONGEST_WAIT_OBJECTIVES = 3;
+	private static final double MAX_WAIT_OBJECTIVES = 3;
 
-	/** Share of the time left that a request may spend in queue. */
-	private static final double LONGEST_WAIT_SHARE = 0.5;
+	/** The longest time in queue, as a share of the time left until the deadline. */
+	private static final double MAX_WAIT_SHARE = 0.5;
 
 	/**
-	 * Connections tried for one request before it is refused; none of them carried it.
+	 * The most failed connection attempts for one request; none of them has sent it.
 	 */
-	private static final int MAX_UNSENT = 4;
+	private static final int MAX_FAILED_CONNECTS = 4;
 
-	/** Rejections after which a request that did not run is refused. */
+	/**
+	 * The number of rejections by backend servers after which the request is given up.
+	 */
 	private static final int MAX_REJECTIONS = 3;
 
-	/** Time that a server needs at least to answer; with less left none is tried. */
-	private static final long SHORTEST_ATTEMPT_NANOS = 20_000_000L;
+	/**
+	 * The least time that a server needs to respond; no attempt is started with less time
+	 * left.
+	 */
+	private static final long MIN_ATTEMPT_NANOS = 20_000_000L;
 
-	private static final Duration SOON = Duration.ofMillis(400);
+	private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(400);
 
 	private final Gateway gateway;
 
@@ -76,15 +83,15 @@
 
 	private int priority;
 
-	private boolean returning;
+	private boolean probableRetry;
 
-	private long end;
+	private long deadline;
 
 	private ScheduledFuture<?> timer;
 
 	private boolean queued;
 
-	private long offeredAt;
+	private long queuedAt;
 
 	private Attempt attempt;
 
@@ -94,7 +101,7 @@
 
 	private int sent;
 
-	private int unsent;
+	private int failedConnects;
 
 	private int rejections;
 
@@ -123,23 +130,23 @@
 			return;
 		}
 		this.route = found.get();
-		if (!identify(known.get())) {
+		if (!authenticate(known.get())) {
 			deny(HttpResponseStatus.UNAUTHORIZED, "unknown-key");
 			return;
 		}
 		this.service = this.route.pickService(this.gateway.random().nextDouble());
 		this.pool = this.gateway.pool(this.service);
-		this.end = this.request.arrival() + patience();
+		this.deadline = this.request.arrival() + timeoutNanos();
 		this.timer = this.caller.context()
 			.executor()
-			.schedule(this::timedOut, this.end - this.request.arrival(), TimeUnit.NANOSECONDS);
+			.schedule(this::timedOut, this.deadline - this.request.arrival(), TimeUnit.NANOSECONDS);
 		if (this.route.kind().isStream()) {
 			this.answer.stream(this.route.kind() == RequestKind.RESUMABLE_STREAM, this.request.headers());
 		}
-		place();
+		enqueue();
 	}
 
-	private boolean identify(GatewayConfiguration configuration) {
+	private boolean authenticate(GatewayConfiguration configuration) {
 		this.priority = this.route.priority();
 		String key = this.request.headers().get(this.gateway.names().key());
 		Optional<ClientAccount> owner = (key != null) ? configuration.findAccount(key) : Optional.empty();
@@ -150,34 +157,34 @@
 		return owner.isPresent() || this.route.open() || !configuration.keysRequired();
 	}
 
-	private long patience() {
+	private long timeoutNanos() {
 		long timeout = this.route.timeout().toNanos();
 		String stated = this.request.headers().get(this.gateway.names().deadline(), "");
 		if (stated.matches("\\d{1,9}")) {
-			this.returning = this.gateway.patience().isReturning(this.route.name(), Long.parseLong(stated));
+			this.probableRetry = this.gateway.patience().isReturning(this.route.name(), Long.parseLong(stated));
 			return Math.min(timeout, TimeUnit.MILLISECONDS.toNanos(Long.parseLong(stated)));
 		}
 		return timeout;
 	}
 
-	private void place() {
+	private void enqueue() {
 		long now = System.nanoTime();
-		long left = this.end - now;
-		if (left < SHORTEST_ATTEMPT_NANOS) {
+		long left = this.deadline - now;
+		if (left < MIN_ATTEMPT_NANOS) {
 			giveUp("no-time-left");
 			return;
 		}
-		double wait = Math.min(LONGEST_WAIT_OBJECTIVES * this.route.objective().toNanos(), LONGEST_WAIT_SHARE * left);
-		WaitingRequest waiting = new WaitingRequest(this.id, this.priority, this.returning, this.request.arrival(),
+		double wait = Math.min(MAX_WAIT_OBJECTIVES * this.route.objective().toNanos(), MAX_WAIT_SHARE * left);
+		WaitingRequest waiting = new WaitingRequest(this.id, this.priority, this.probableRetry, this.request.arrival(),
 				now + (long) wait, this.excluded);
 		this.queued = true;
-		this.offeredAt = now;
+		this.queuedAt = now;
 		this.gateway.waiting(this.id, this);
 		decided(this.pool.offer(waiting, now));
 	}
 
 	/**
-	 * Takes in what the pool decided.
+	 * Handles the pool's decision about the waiting request.
 	 * @param decision the decision
 	 */
 	void decided(PlaceDecision decision) {
@@ -203,14 +210,14 @@
 
 	private void send(PoolServer granted) {
 		this.server = granted.announcement().server();
-		this.queuedNanos += System.nanoTime() - this.offeredAt;
+		this.queuedNanos += System.nanoTime() - this.queuedAt;
 		this.attempt = new Attempt(this, this.gateway, this.pool, granted);
-		this.attempt.connect(longestIdle());
+		this.attempt.connect(maxIdleNanos());
 	}
 
-	// A kept connection may close just as the request arrives, which a request that must
-	// not run twice cannot survive.
-	private long longestIdle() {
+	// The server may close a reused connection just as the request arrives. A request
+	// that must not run twice then fails, so it gets a recently used or new connection.
+	private long maxIdleNanos() {
 		return this.route.kind().isRepeatable() ? Long.MAX_VALUE : Gateway.FRESH_CONNECTION_NANOS;
 	}
 
@@ -235,7 +242,7 @@
 	}
 
 	long millisLeft(long now) {
-		return Math.max(1, TimeUnit.NANOSECONDS.toMillis(this.end - now));
+		return Math.max(1, TimeUnit.NANOSECONDS.toMillis(this.deadline - now));
 	}
 
 	void connected() {
@@ -246,10 +253,10 @@
 	}
 
 	void notConnected(PoolServer server) {
-		leave(server);
-		this.unsent++;
-		if (this.unsent < MAX_UNSENT) {
-			place();
+		exclude(server);
+		this.failedConnects++;
+		if (this.failedConnects < MAX_FAILED_CONNECTS) {
+			enqueue();
 		}
 		else {
 			giveUp("no-connection");
@@ -257,25 +264,26 @@
 	}
 
 	/**
-	 * The backend server did not run the request.
+	 * Called when the backend server rejected the request without running it.
 	 * @param server the server
-	 * @param head its answer
+	 * @param head the head of its response
 	 */
 	void rejected(PoolServer server, HttpResponse head) {
-		leave(server);
+		exclude(server);
 		this.rejections++;
 		String faulty = head.headers().get(this.gateway.names().faultyServer(), "");
 		boolean unavailable = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
 		if (unavailable && this.pool.isOther(server, faulty)) {
-			// The pool refuses at once and says when the group is expected back.
+			// From now on the pool refuses requests at once, with the expected recovery
+			// time of the group as retry-after.
 			this.pool.groupFault(System.nanoTime());
-			place();
+			enqueue();
 			return;
 		}
 		boolean misdirected = head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
 		boolean allowed = misdirected || this.sent < this.route.attempts();
-		if (allowed && this.rejections < MAX_REJECTIONS && takeRetry("rejected")) {
-			place();
+		if (allowed && this.rejections < MAX_REJECTIONS && takeFromRetryBudget("rejected")) {
+			enqueue();
 		}
 		else {
 			giveUp("rejected");
@@ -283,42 +291,44 @@
 	}
 
 	/**
-	 * The attempt failed after the backend server may have begun it.
+	 * Called when an attempt failed after the backend server may have begun to run the
+	 * request.
 	 * @param server the server
-	 * @param reason what happened, for logs
+	 * @param reason the reason, for logs and metrics
 	 */
 	void failed(PoolServer server, String reason) {
 		if (takesRetry(reason)) {
 			repeat(server);
 		}
 		else {
-			leave(server);
+			exclude(server);
 			this.mayHaveRun = true;
 			giveUp(reason);
 		}
 	}
 
 	/**
-	 * Takes a retry for a request that a backend server may have begun.
-	 * @param reason why it is wanted, for logs
-	 * @return {@code true} if {@link #repeat} may follow
+	 * Takes a retry from the retry budget for a request that a backend server may have
+	 * begun.
+	 * @param reason the reason, for logs
+	 * @return {@code true} if the request may be sent again with {@link #repeat}
 	 */
 	boolean takesRetry(String reason) {
-		return canRepeat() && this.sent < this.route.attempts() && takeRetry(reason);
+		return canRepeat() && this.sent < this.route.attempts() && takeFromRetryBudget(reason);
 	}
 
 	/**
-	 * Sends the request to another server.
-	 * @param server the server that may have begun it
+	 * Sends the request again, to another server.
+	 * @param server the server that may have begun to run it
 	 */
 	void repeat(PoolServer server) {
-		leave(server);
+		exclude(server);
 		this.mayHaveRun = true;
 		this.answer.restart();
-		place();
+		enqueue();
 	}
 
-	private void leave(PoolServer server) {
+	private void exclude(PoolServer server) {
 		this.attempt = null;
 		this.excluded.add(server.announcement().server());
 	}
@@ -327,7 +337,7 @@
 		return this.route.kind().isRepeatable() && this.answer.isContinuable();
 	}
 
-	private boolean takeRetry(String reason) {
+	private boolean takeFromRetryBudget(String reason) {
 		boolean taken = this.gateway.allowance(this.service).take(this.gateway.entries(), System.nanoTime());
 		this.gateway.log().retry(this, reason, taken);
 		return taken;
@@ -347,7 +357,7 @@
 			fail(HttpResponseStatus.BAD_GATEWAY, reason);
 		}
 		else {
-			refuse(reason, SOON);
+			refuse(reason, DEFAULT_RETRY_AFTER);
 		}
 	}
 
@@ -366,7 +376,7 @@
 			fail(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout");
 		}
 		else {
-			refuse("timeout", SOON);
+			refuse("timeout", DEFAULT_RETRY_AFTER);
 		}
 	}
 
@@ -376,10 +386,11 @@
 		finish(reason, HttpResponseStatus.SERVICE_UNAVAILABLE.code(), keepAlive);
 	}
 
-	// A gateway that may be behind does not know that a route or key is missing.
+	// If its configuration may be outdated, the gateway cannot tell that a route or key
+	// does not exist, so it answers with 503 instead of a permanent error.
 	private void deny(HttpResponseStatus status, String reason) {
 		if (!this.gateway.isCurrent()) {
-			refuse(reason + "-not-current", SOON);
+			refuse(reason + "-not-current", DEFAULT_RETRY_AFTER);
 			return;
 		}
 		fail(status, reason);
@@ -396,8 +407,8 @@
 	}
 
 	/**
-	 * Tells whether the caller's connection stays open, for the answer's head.
-	 * @return {@code true} unless the caller or this process ends it
+	 * Returns whether the response head may announce keep-alive.
+	 * @return {@code true} unless the caller or this process is closing the connection
 	 */
 	boolean keepAlive() {
 		return keepsAlive();
@@ -452,16 +463,16 @@
 	}
 
 	/**
-	 * Returns the server that the request was sent to last.
-	 * @return the identifier, empty if it was not sent
+	 * Returns the server that the last attempt was assigned to.
+	 * @return the identifier, empty if no attempt was made
 	 */
 	String lastServer() {
 		return this.server;
 	}
 
 	/**
-	 * Returns how long the request waited for places.
-	 * @return the nanoseconds
+	 * Returns the total time that the request waited for slots before its attempts.
+	 * @return the time in nanoseconds
 	 */
 	long queuedNanos() {
 		return this.queuedNanos;
@@ -472,9 +483,9 @@
 	}
 
 	/**
-	 * Returns the result that an answer's status tells about its server.
+	 * Returns the result of an attempt by the status of its response.
 	 * @param status the status
-	 * @return {@link AttemptResult#FAILED} for the server's own errors
+	 * @return {@link AttemptResult#FAILED} for status 500 and above
 	 */
 	static AttemptResult resultOf(int status) {
 		return (status >= 500) ? AttemptResult.FAILED : AttemptResult.ANSWERED;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/FleetView.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/FleetView.java
@@ -1,19 +1,20 @@
 package org.comfreywall.gateway.http;
 
 /**
- * What a gateway asks of the process's knowledge of the fleet.
+ * The state of the fleet that a gateway depends on.
  */
 public interface FleetView {
 
 	/**
-	 * Returns the number of entries that share the backend servers.
-	 * @return the count, with this one
+	 * Returns the number of entries that send requests to the same backend servers.
+	 * @return the count, including this one
 	 */
 	int entries();
 
 	/**
-	 * Tells whether this process would have heard of a newer configuration.
-	 * @return {@code false} if it may be cut off
+	 * Returns whether the configuration of this process is up to date.
+	 * @return {@code false} if the process may be partitioned from the fleet and miss a
+	 * newer version
 	 */
 	boolean isCurrent();
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -25,25 +25,30 @@
 import org.comfreywall.gateway.pool.ServicePool;
 
 /**
- * What all requests at this entry share; used on one event loop only.
+ * The state that all requests of this entry share: configuration, server pools, retry
+ * budgets and connections. Not thread-safe: used on one event loop only.
  */
 public final class Gateway {
 
-	/** A connection that was used this recently is still open, but for a rare race. */
+	/** A connection that was idle for less than this is almost always still open. */
 	static final long FRESH_CONNECTION_NANOS = 150_000_000L;
 
 	private static final long TICK_MILLIS = 20;
 
 	/**
-	 * After a stop of the whole fleet a leader is elected within 1.4 s and told of within
-	 * some news.
+	 * The usual time until a process that has just started has a configuration: after a
+	 * restart of the whole fleet a leader is elected within 1.4 s and then announced with
+	 * the next updates.
 	 */
-	private static final Duration USUAL_START = Duration.ofMillis(1500);
+	private static final Duration USUAL_CONFIGURATION_TIME = Duration.ofMillis(1500);
 
-	/** Where the usual time was not enough, a majority is missing. */
-	private static final Duration LONGER_START = Duration.ofMillis(1000);
+	/**
+	 * The retry-after once that time has passed without a configuration, as then no
+	 * majority is available.
+	 */
+	private static final Duration LATE_RETRY_AFTER = Duration.ofMillis(1000);
 
-	private static final Duration SHORTEST_RETURN = Duration.ofMillis(300);
+	private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(300);
 
 	private final GatewaySettings settings;
 
@@ -61,7 +66,7 @@
 
 	private final Map<String, RetryAllowance> allowances = new HashMap<>();
 
-	private final Map<Long, Exchange> waiting = new HashMap<>();
+	private final Map<Long, Exchange> waitingExchanges = new HashMap<>();
 
 	private final Set<CallerConnection> callers = new HashSet<>();
 
@@ -80,8 +85,8 @@
 	/**
 	 * Creates a gateway.
 	 * @param settings the settings
-	 * @param loop the event loop, with one thread, that everything runs on
-	 * @param fleet what is known of the fleet
+	 * @param loop the event loop, with one thread, that all callbacks run on
+	 * @param fleet the state of the fleet
 	 * @param random the source of randomness
 	 * @param metrics receives counters
 	 */
@@ -97,9 +102,9 @@
 	}
 
 	/**
-	 * Puts a configuration in force unless a newer one is.
+	 * Applies a configuration unless the same or a newer version is in force.
 	 * @param newer the configuration
-	 * @return {@code true} if it is in force now
+	 * @return {@code true} if it was applied
 	 */
 	public boolean configure(GatewayConfiguration newer) {
 		if (this.configuration.filter((present) -> present.version() >= newer.version()).isPresent()) {
@@ -110,7 +115,7 @@
 	}
 
 	/**
-	 * Takes in a backend server's announcement.
+	 * Adds or updates a backend server by its announcement.
 	 * @param announcement the newest announcement
 	 */
 	public void announce(ServerAnnouncement announcement) {
@@ -120,7 +125,7 @@
 	}
 
 	/**
-	 * Takes a backend server out.
+	 * Removes a backend server.
 	 * @param announcement its last announcement
 	 */
 	public void forget(ServerAnnouncement announcement) {
@@ -128,8 +133,8 @@
 	}
 
 	/**
-	 * Takes in what another entry has in flight.
-	 * @param entry the entry
+	 * Updates the number of requests that another entry has in flight.
+	 * @param entry the identifier of the other entry
 	 * @param requests its requests by backend server
 	 */
 	public void heardOthers(String entry, Map<String, Integer> requests) {
@@ -140,16 +145,16 @@
 	}
 
 	/**
-	 * Takes in which backend servers are slow ranks of a group.
-	 * @param pace how much longer than usual each takes, by address
+	 * Updates the slowdown of backend servers that are ranks of a group.
+	 * @param pace the slowdown factor of each server, by address
 	 */
 	public void heardPace(Map<HostPort, Double> pace) {
 		this.pools.values().forEach((pool) -> pool.heardPace(pace));
 	}
 
 	/**
-	 * Returns what this entry has in flight.
-	 * @return its requests by backend server, without those that have none
+	 * Returns the requests that this entry has in flight.
+	 * @return the number of requests by backend server, without servers that have none
 	 */
 	public Map<String, Integer> inFlight() {
 		Map<String, Integer> requests = new HashMap<>();
@@ -164,15 +169,15 @@
 	}
 
 	/**
-	 * Lets each connection end with its next answer.
+	 * Closes each connection after its next response.
 	 */
 	public void endConnections() {
 		this.stopping = true;
 	}
 
 	/**
-	 * Accepts no further connections, ends idle ones and lets the others end with their
-	 * present answer. A request that came later might not end before the process does.
+	 * Stops accepting connections, closes idle ones and closes the others after their
+	 * present response, as a later request might not complete before the process exits.
 	 */
 	public void stop() {
 		endConnections();
@@ -193,7 +198,7 @@
 	}
 
 	/**
-	 * Returns the latencies of requests by route.
+	 * Returns the latency histograms of requests by route.
 	 * @return the histograms
 	 */
 	public LabelledHistograms latency() {
@@ -202,7 +207,7 @@
 
 	/**
 	 * Returns the configuration in force.
-	 * @return the configuration, or empty if none is known
+	 * @return the configuration, or empty if there is none yet
 	 */
 	public Optional<GatewayConfiguration> configuration() {
 		return this.configuration;
@@ -213,15 +218,16 @@
 	}
 
 	/**
-	 * Returns when a request that found no configuration had better come back.
-	 * @return the time until a process that has just started usually knows one
+	 * Returns the retry-after for a request that arrives before this process has a
+	 * configuration, with random jitter.
+	 * @return the time until a process that has just started usually has one
 	 */
 	Duration configurationExpectedIn() {
 		long age = System.nanoTime() - this.started;
-		double spread = 0.9 + 0.3 * this.random.nextDouble();
-		long wait = (age < USUAL_START.toNanos()) ? USUAL_START.toNanos() - age + SHORTEST_RETURN.toNanos()
-				: LONGER_START.toNanos();
-		return Duration.ofNanos((long) (wait * spread));
+		double jitter = 0.9 + 0.3 * this.random.nextDouble();
+		long wait = (age < USUAL_CONFIGURATION_TIME.toNanos())
+				? USUAL_CONFIGURATION_TIME.toNanos() - age + MIN_RETRY_AFTER.toNanos() : LATE_RETRY_AFTER.toNanos();
+		return Duration.ofNanos((long) (wait * jitter));
 	}
 
 	HttpLimits limits() {
@@ -274,17 +280,17 @@
 	}
 
 	void waiting(long request, Exchange exchange) {
-		this.waiting.put(request, exchange);
+		this.waitingExchanges.put(request, exchange);
 	}
 
 	void notWaiting(long request) {
-		this.waiting.remove(request);
+		this.waitingExchanges.remove(request);
 	}
 
 	void placesChanged(ServicePool pool) {
 		if (pool.waiting() > 0) {
 			for (PlaceDecision decision : pool.tick(System.nanoTime())) {
-				Optional.ofNullable(this.waiting.get(decision.request()))
+				Optional.ofNullable(this.waitingExchanges.get(decision.request()))
 					.ifPresent((exchange) -> exchange.decided(decision));
 			}
 		}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/GatewayServer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/GatewayServer.java
@@ -13,11 +13,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Accepts connections from callers.
+ * Listening socket that accepts connections from callers.
  */
 public final class GatewayServer implements AutoCloseable {
 
-	/** Bursts of new connections wait here while the process is busy. */
+	/**
+	 * Length of the accept queue, for bursts of new connections while the event loop is
+	 * busy.
+	 */
 	private static final int BACKLOG = 1024;
 
 	private static final int MAX_LINE_BYTES = 8 << 10;
@@ -29,9 +32,9 @@
 	}
 
 	/**
-	 * Listens for callers.
-	 * @param gateway answers their requests
-	 * @param address where to listen; port 0 takes a free port
+	 * Binds a listening socket.
+	 * @param gateway the gateway that processes the requests
+	 * @param address the address to listen on; port 0 selects a free port
 	 * @return the open server
 	 */
 	public static GatewayServer open(Gateway gateway, HostPort address) {
@@ -58,7 +61,7 @@
 	}
 
 	/**
-	 * Returns the port that is listened on.
+	 * Returns the port that the server listens on.
 	 * @return the port
 	 */
 	public int port() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/GatewaySettings.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/GatewaySettings.java
@@ -5,13 +5,15 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Settings of a gateway.
+ * Settings of a gateway that stay fixed while the process runs.
  *
  * @param domain the failure domain that it runs in
  * @param names the names of the headers
- * @param retryRatio retries to a service allowed for each first attempt, over all entries
- * @param retrySlack retries allowed besides, over all entries
- * @param retryWindow the window in which retries are counted
+ * @param retryRatio the ratio of retries to first attempts that the retry budget of a
+ * service allows, over all entries
+ * @param retrySlack the retries that the budget allows in addition within a window, over
+ * all entries
+ * @param retryWindow the sliding window in which attempts and retries are counted
  */
 public record GatewaySettings(String domain, HeaderNames names, double retryRatio, double retrySlack,
 		Duration retryWindow) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/HeaderNames.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/HeaderNames.java
@@ -5,14 +5,14 @@
 /**
  * The names of the headers that the gateway reads and sets.
  *
- * @param request identifies one sending of a request; echoed in answers
- * @param deadline the milliseconds for which the sender waits
- * @param seal the backend server's signature of an answer
- * @param account the client account, set for backend servers
- * @param key the caller's key, never passed on
- * @param expectedServer the backend server that alone may run the request
+ * @param request identifies one sending of a request by its caller; echoed in responses
+ * @param deadline the time for which the sender waits, in milliseconds
+ * @param seal the backend server's signature of a response
+ * @param account the client account, set in requests to backend servers
+ * @param key the caller's key, never forwarded
+ * @param expectedServer the only backend server that may run the request
  * @param notRun present if a backend server did not run the request
- * @param faultyServer names the backend server that a rejection is due to
+ * @param faultyServer the backend server that caused a rejection
  */
 public record HeaderNames(String request, String deadline, String seal, String account, String key,
 		String expectedServer, String notRun, String faultyServer) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
@@ -9,7 +9,7 @@
 import org.comfreywall.gateway.pool.PoolServer;
 
 /**
- * Logs each decision about a request in one line and counts it.
+ * Logs each decision about a request as one event and updates its metrics.
  */
 final class RequestLog {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -13,17 +13,20 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * A connection to one backend server; carries one attempt at a time.
+ * A connection to one backend server, used for one attempt at a time.
  * <p>
- * An answer whose request identifier is not that of the attempt is a late answer to an
- * earlier one: it is skipped, and the connection is not used again.
+ * A response whose request identifier differs from that of the attempt is a late response
+ * to an earlier attempt: it is skipped, and the connection is not reused.
  */
 final class ServerConnection extends SimpleChannelInboundHandler<HttpObject> {
 
-	/** Reuse ends well before the server's idle timeout, so that a close is not met. */
+	/**
+	 * Share of the server's idle timeout for which a connection is reused, so that the
+	 * server does not close it just as a request is sent.
+	 */
 	private static final double IDLE_SHARE = 0.6;
 
-	private static final long UNSTATED_IDLE_NANOS = 600_000_000L;
+	private static final long DEFAULT_IDLE_NANOS = 600_000_000L;
 
 	private final ServerConnections owner;
 
@@ -49,7 +52,7 @@
 
 	private boolean inAnswer;
 
-	private long idleNanos = UNSTATED_IDLE_NANOS;
+	private long idleNanos = DEFAULT_IDLE_NANOS;
 
 	private long idleSince;
 
@@ -70,13 +73,14 @@
 		this.channel.writeAndFlush(sent).addListener((done) -> {
 			this.written = done.isSuccess();
 			if (!done.isSuccess()) {
-				breakOff("write failed");
+				fail("write failed");
 			}
 		});
 	}
 
 	/**
-	 * Ends the attempt by closing the connection, which makes the server stop.
+	 * Aborts the attempt by closing the connection, which makes the server cancel the
+	 * request.
 	 */
 	void abort() {
 		this.listener = null;
@@ -104,7 +108,7 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
 		if (message.decoderResult().isFailure()) {
-			breakOff("no HTTP answer");
+			fail("no HTTP answer");
 			return;
 		}
 		if (this.listener == null) {
@@ -137,7 +141,7 @@
 	private static long idleNanos(HttpResponse head) {
 		String keepAlive = head.headers().get("Keep-Alive");
 		if (keepAlive == null) {
-			return UNSTATED_IDLE_NANOS;
+			return DEFAULT_IDLE_NANOS;
 		}
 		for (String part : keepAlive.split(",")) {
 			String[] pair = part.trim().split("=");
@@ -145,7 +149,7 @@
 				return (long) (Integer.parseInt(pair[1]) * IDLE_SHARE * 1e9);
 			}
 		}
-		return UNSTATED_IDLE_NANOS;
+		return DEFAULT_IDLE_NANOS;
 	}
 
 	private void content(HttpContent content) {
@@ -165,7 +169,7 @@
 
 	private void complete() {
 		if (this.reset && !this.lengthDelimited) {
-			breakOff("reset within an answer without length");
+			fail("reset within an answer without length");
 			return;
 		}
 		AttemptListener ended = this.listener;
@@ -182,7 +186,7 @@
 		ended.onComplete();
 	}
 
-	private void breakOff(String reason) {
+	private void fail(String reason) {
 		this.reusable = false;
 		AttemptListener ended = this.listener;
 		this.listener = null;
@@ -195,7 +199,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.owner.closed(this);
-		breakOff(this.inAnswer ? "closed within the answer" : "closed before an answer");
+		fail(this.inAnswer ? "closed within the answer" : "closed before an answer");
 	}
 
 	@Override
@@ -203,7 +207,7 @@
 		if (cause instanceof IOException) {
 			this.reset = true;
 		}
-		breakOff((cause instanceof IOException) ? "reset" : "unreadable: " + cause.getMessage());
+		fail((cause instanceof IOException) ? "reset" : "unreadable: " + cause.getMessage());
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnections.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnections.java
@@ -18,14 +18,16 @@
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 
 /**
- * Connections to backend servers, kept for reuse.
+ * Pool of idle connections to backend servers.
  */
 final class ServerConnections {
 
-	/** Three round trips to the farthest failure domain of a region, with margin. */
+	/**
+	 * Three round trips to the most distant failure domain of a region, with a margin.
+	 */
 	private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
-	/** Idle connections kept to one server; more are closed. */
+	/** The most idle connections to one server; the oldest ones are closed. */
 	private static final int MAX_IDLE = 12;
 
 	private static final int MAX_HEADER_BYTES = 16 << 10;
@@ -42,18 +44,19 @@
 	}
 
 	/**
-	 * Hands out a connection.
+	 * Reuses an idle connection or opens one.
 	 * @param server the server
-	 * @param longestIdleNanos reuses only a connection that was idle for less
+	 * @param longestIdleNanos the longest time in nanoseconds that a reused connection
+	 * may have been idle
 	 * @param ready receives the connection
-	 * @param failed called if none can be opened
+	 * @param failed called if no connection can be opened
 	 */
 	void acquire(ServerAnnouncement server, long longestIdleNanos, Consumer<ServerConnection> ready, Runnable failed) {
 		long now = System.nanoTime();
 		String key = key(server);
-		Deque<ServerConnection> kept = this.idle.get(key);
-		while (kept != null && !kept.isEmpty()) {
-			ServerConnection connection = kept.pollLast();
+		Deque<ServerConnection> idleConnections = this.idle.get(key);
+		while (idleConnections != null && !idleConnections.isEmpty()) {
+			ServerConnection connection = idleConnections.pollLast();
 			if (connection.isUsable(now, longestIdleNanos)) {
 				ready.accept(connection);
 				return;
@@ -90,18 +93,19 @@
 	}
 
 	void release(ServerConnection connection) {
-		Deque<ServerConnection> kept = this.idle.computeIfAbsent(connection.server(), (key) -> new ArrayDeque<>());
-		kept.addLast(connection);
-		if (kept.size() > MAX_IDLE) {
-			kept.pollFirst().close();
+		Deque<ServerConnection> idleConnections = this.idle.computeIfAbsent(connection.server(),
+				(key) -> new ArrayDeque<>());
+		idleConnections.addLast(connection);
+		if (idleConnections.size() > MAX_IDLE) {
+			idleConnections.pollFirst().close();
 		}
 	}
 
 	void closed(ServerConnection connection) {
-		Deque<ServerConnection> kept = this.idle.get(connection.server());
-		if (kept != null) {
-			kept.remove(connection);
-			if (kept.isEmpty()) {
+		Deque<ServerConnection> idleConnections = this.idle.get(connection.server());
+		if (idleConnections != null) {
+			idleConnections.remove(connection);
+			if (idleConnections.isEmpty()) {
 				this.idle.remove(connection.server());
 			}
 		}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/package-info.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/package-info.java
@@ -1,4 +1,5 @@
 /**
- * HTTP connections to callers and backend servers, and the forwarding between them.
+ * HTTP connections to callers and backend servers, and forwarding of requests and
+ * responses between them.
  */
 package org.comfreywall.gateway.http;
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/EventFramerTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/EventFramerTests.java
@@ -24,14 +24,14 @@
 	}
 
 	@Test
-	void holdsAnEventBackUntilItIsWhole() {
+	void returnsAnEventOnlyWhenItIsComplete() {
 		assertThat(take("id: 1\nda")).isEmpty();
 		assertThat(take("ta: x\n\nid: 2")).isEqualTo("id: 1\ndata: x\n\n");
 		assertThat(this.framer.lastId()).hasValue(1);
 	}
 
 	@Test
-	void dropsAnEventThatWasCutOffAndContinuesWithTheNextServer() {
+	void discardsAPartialEventAndResumesWithTheNextServer() {
 		String first = take(event(1) + "id: 2\ndata: pi");
 		this.framer.restart();
 		String second = take(event(2) + event(3));
@@ -39,14 +39,14 @@
 	}
 
 	@Test
-	void leavesOutEventsThatTheCallerHas() {
+	void skipsEventsThatTheCallerHasReceived() {
 		take(event(1) + event(2));
 		this.framer.restart();
 		assertThat(take(event(1) + event(2) + event(3))).isEqualTo(event(3));
 	}
 
 	@Test
-	void givesTheSameEventsHoweverTheBytesArrive() {
+	void returnsTheSameEventsHoweverTheBytesAreSplit() {
 		StringBuilder all = new StringBuilder();
 		for (int id = 0; id < 40; id++) {
 			all.append(event(id));
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -40,7 +40,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
- * Tests for {@link Gateway} on sockets, against backend servers that misbehave.
+ * Tests for {@link Gateway} over sockets, with faulty backend servers.
  */
 @Timeout(20)
 class GatewayTests {
@@ -135,7 +135,7 @@
 		socket.getOutputStream().write(lines.getBytes(StandardCharsets.UTF_8));
 	}
 
-	// Asks for the connection to be closed, so that the answer ends with it.
+	// Requests that the connection is closed, so that the response ends with it.
 	private String call(String path, String id) throws IOException {
 		try (Socket socket = connect()) {
 			send(socket, path, id, "Connection: close\r\n");
@@ -147,7 +147,7 @@
 	class Starting {
 
 		@Test
-		void tellsCallersToComeBackWhenAConfigurationIsUsuallyKnown() throws Exception {
+		void answersWithTheTimeUntilAConfigurationIsUsuallyAvailable() throws Exception {
 			GatewayTests.this.port = GatewayServer.open(newGateway(), new HostPort("127.0.0.1", 0)).port();
 			String answer = call("/safe/x", "r1");
 			assertThat(answer).startsWith("HTTP/1.1 503");
@@ -162,21 +162,23 @@
 	class Stopping {
 
 		/**
-		 * While most processes of a failure domain stop, callers are still sent to them;
-		 * what they take late, they cannot end.
+		 * While most processes of a failure domain stop, callers may still connect to
+		 * them. A process must accept these connections until it stops, but none
+		 * afterwards, as it could not complete their requests.
 		 */
 		@Test
-		void acceptsConnectionsUntilTheyAreToEnd() throws Exception {
+		void acceptsConnectionsUntilItStops() throws Exception {
 			announce(GatewayTests.this.first.answer(WHOLE), "s1");
 			onLoop(GatewayTests.this.gateway::endConnections);
 			assertThat(call("/safe/x", "r1")).startsWith("HTTP/1.1 200").endsWith("hello");
 
 			onLoop(GatewayTests.this.gateway::stop);
-			assertThatThrownBy(this::connectAgainAndAgain).isInstanceOf(ConnectException.class);
+			assertThatThrownBy(this::connectRepeatedly).isInstanceOf(ConnectException.class);
 		}
 
-		// The loop closes the socket in its next round; it may accept until then.
-		private void connectAgainAndAgain() throws Exception {
+		// The event loop closes the socket in its next iteration and may accept until
+		// then.
+		private void connectRepeatedly() throws Exception {
 			long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
 			while (System.nanoTime() < end) {
 				connect().close();
@@ -191,13 +193,13 @@
 	class Forwarding {
 
 		@Test
-		void passesTheWholeAnswerOnWithItsSeal() throws Exception {
+		void forwardsTheWholeResponseWithItsSeal() throws Exception {
 			announce(GatewayTests.this.first.answer(WHOLE), "s1");
 			assertThat(call("/safe/x?q=1", "r1")).startsWith("HTTP/1.1 200").contains("Seal: s").endsWith("hello");
 		}
 
 		@Test
-		void namesTheAccountAndKeepsTheKey() throws Exception {
+		void sendsTheAccountButNotTheKey() throws Exception {
 			announce(GatewayTests.this.first.answer(WHOLE), "s1");
 			call("/safe/x?q=1", "r1");
 			String request = GatewayTests.this.first.requests().get(0);
@@ -208,7 +210,7 @@
 		}
 
 		@Test
-		void deniesAnUnknownRouteOnlyWhileItsConfigurationIsCurrent() throws Exception {
+		void answers404ForAnUnknownRouteOnlyWhileItsConfigurationIsCurrent() throws Exception {
 			assertThat(call("/none/", "r1")).startsWith("HTTP/1.1 404");
 			GatewayTests.this.current = false;
 			assertThat(call("/none/", "r2")).startsWith("HTTP/1.1 503").contains("retry-after");
@@ -220,7 +222,7 @@
 	class AtMostOnce {
 
 		@Test
-		void aRequestThatMayHaveRunIsNeitherSentAgainNorCalledNotRun() throws Exception {
+		void aRequestThatMayHaveRunIsNeitherRetriedNorReportedAsNotRun() throws Exception {
 			announce(GatewayTests.this.first.answer(ScriptedServer.CLOSE), "s1");
 			announce(GatewayTests.this.second.answer(ScriptedServer.CLOSE), "s2");
 			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 502");
@@ -229,14 +231,14 @@
 		}
 
 		@Test
-		void aRequestThatDidNotRunIsRefusedWithATimeToComeBack() throws Exception {
+		void aRequestThatDidNotRunIsRefusedWithARetryAfter() throws Exception {
 			announce(GatewayTests.this.first.answer(FULL), "s1");
 			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 503").contains("retry-after");
 			assertThat(GatewayTests.this.first.requests()).hasSize(1);
 		}
 
 		@Test
-		void anErrorAnswerIsPassedOnUnchanged() throws Exception {
+		void anErrorResponseIsForwardedUnchanged() throws Exception {
 			announce(GatewayTests.this.first.answer(FAILED), "s1");
 			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 500").contains("Seal: e").endsWith("bad");
 		}
@@ -247,14 +249,14 @@
 	class Repeating {
 
 		@Test
-		void anIdempotentRequestIsSentToAnotherServer() throws Exception {
+		void anIdempotentRequestIsRetriedOnAnotherServer() throws Exception {
 			announce(GatewayTests.this.first.answer(ScriptedServer.CLOSE).answer(WHOLE), "s1");
 			announce(GatewayTests.this.second, "s2");
 			assertThat(call("/safe/", "r1")).startsWith("HTTP/1.1 200").endsWith("hello");
 		}
 
 		@Test
-		void anAnswerThatBreaksOffIsReplacedByAWholeOne() throws Exception {
+		void aTruncatedResponseIsReplacedByAWholeOne() throws Exception {
 			String cut = "HTTP/1.1 200 OK\r\nRequest-Id: @id\r\nSeal: s\r\nContent-Length: 5\r\n\r\nhel"
 					+ ScriptedServer.CLOSE;
 			announce(GatewayTests.this.first.answer(cut).answer(WHOLE), "s1");
@@ -263,13 +265,13 @@
 		}
 
 		@Test
-		void aSuccessWithoutSealIsNoAnswer() throws Exception {
+		void aSuccessWithoutSealIsRejected() throws Exception {
 			announce(GatewayTests.this.first.answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"), "s1");
 			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 502").doesNotContain("other");
 		}
 
 		@Test
-		void aStreamThatIsCutWithinAnEventIsContinuedAfterTheLastWholeOne() throws Exception {
+		void aStreamThatIsCutWithinAnEventIsResumedAfterTheLastWholeOne() throws Exception {
 			String cut = EVENTS + "13\r\nid: 0\ndata: a\n\nid: \r\n" + ScriptedServer.CLOSE;
 			String rest = EVENTS + "f\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n";
 			announce(GatewayTests.this.first.answer(cut).answer(rest), "s1");
@@ -282,7 +284,7 @@
 		}
 
 		@Test
-		void aStreamThatCannotBeContinuedDoesNotLookComplete() throws Exception {
+		void aStreamThatCannotBeResumedDoesNotLookComplete() throws Exception {
 			String cut = EVENTS + "13\r\nid: 0\ndata: a\n\nid: \r\n" + ScriptedServer.CLOSE;
 			announce(GatewayTests.this.first.answer(cut), "s1");
 			assertThat(call("/stream/", "r1")).contains("data: a").doesNotEndWith("0\r\n\r\n");
@@ -294,14 +296,14 @@
 	class LateAnswers {
 
 		@Test
-		void anAnswerToAnEarlierRequestIsGivenToNobody() throws Exception {
+		void aLateResponseToAnEarlierRequestIsDiscarded() throws Exception {
 			String late = "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nSeal: s\r\nContent-Length: 5\r\n\r\nolder" + WHOLE;
 			announce(GatewayTests.this.first.answer(late), "s1");
 			assertThat(call("/once/", "r1")).endsWith("hello").doesNotContain("older");
 		}
 
 		@Test
-		void anExtraAnswerIsGivenToNobody() throws Exception {
+		void anExtraResponseIsDiscarded() throws Exception {
 			announce(GatewayTests.this.first.answer(WHOLE + WHOLE.replace("hello", "extra")).answer(WHOLE), "s1");
 			try (Socket socket = connect()) {
 				send(socket, "/safe/", "r1");
@@ -318,7 +320,7 @@
 	class Leaving {
 
 		@Test
-		void aServerIsToldThatTheCallerHasGone() throws Exception {
+		void theServerConnectionIsClosedWhenTheCallerDisconnects() throws Exception {
 			announce(GatewayTests.this.first.answer(ScriptedServer.SILENT), "s1");
 			try (Socket socket = connect()) {
 				send(socket, "/once/", "r1");
@@ -330,7 +332,7 @@
 		}
 
 		@Test
-		void aStreamThatEndsWhileTheProcessStopsEndsItsConnection() throws Exception {
+		void aStreamThatEndsWhileTheProcessStopsClosesItsConnection() throws Exception {
 			String event = "f\r\nid: 1\ndata: b\n\n\r\n";
 			announce(GatewayTests.this.first.answer(EVENTS + event + ScriptedServer.WAIT + "0\r\n\r\n"), "s1");
 			try (Socket socket = connect()) {
@@ -344,7 +346,7 @@
 		}
 
 		@Test
-		void aFaultOfTheGroupIsNotTriedOnItsOtherServers() throws Exception {
+		void aFaultOfTheGroupIsNotRetriedOnItsOtherServers() throws Exception {
 			String fault = FULL.replace("Not-Run: 1", "Not-Run: 1\r\nFaulty: gone");
 			announce(GatewayTests.this.first.answer(fault).answer(fault), "s1");
 			announce(GatewayTests.this.second, "s2");
@@ -357,7 +359,7 @@
 		}
 
 		@Test
-		void aRequestWithoutServerIsRefusedAtOnce() throws Exception {
+		void aRequestWithoutAvailableServerIsRefusedAtOnce() throws Exception {
 			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 503").contains("retry-after");
 		}
 
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ScriptedServer.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ScriptedServer.java
@@ -12,17 +12,17 @@
 import java.util.concurrent.LinkedBlockingQueue;
 
 /**
- * A backend server that answers with prepared bytes, one piece a request.
+ * A backend server that sends prepared bytes as responses, one entry per request.
  */
 final class ScriptedServer implements AutoCloseable {
 
-	/** Closes the connection where it stands in an answer. */
+	/** Closes the connection at the end of a response. */
 	static final String CLOSE = "<close>";
 
-	/** Waits within an answer until the test goes on. */
+	/** Pauses within a response until {@link #goOn} is called. */
 	static final String WAIT = "<wait>";
 
-	/** Leaves the request without an answer. */
+	/** Sends no response to the request. */
 	static final String SILENT = "<silent>";
 
 	private final ServerSocket socket;
@@ -39,7 +39,7 @@
 		this(new LinkedBlockingQueue<>());
 	}
 
-	// Servers that share their answers give them in order, whichever is asked.
+	// Servers that share a queue send its responses in order, whichever gets the request.
 	private ScriptedServer(BlockingQueue<String> answers) throws IOException {
 		this.answers = answers;
 		this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -57,7 +57,8 @@
 	}
 
 	/**
-	 * Prepares the answer to the next request; {@code @id} stands for its identifier.
+	 * Prepares the response to the next request; {@code @id} is replaced by the
+	 * identifier of the request.
 	 */
 	ScriptedServer answer(String bytes) {
 		this.answers.add(bytes);
