Reword the configuration of the gateway

Parameters named no unit or scale, and three error messages of contradicting configurations were vague. Parameters of limits, cost model and priorities now say what they bound and which value is highest; the messages say what is defined twice or not at all. Nothing matches these messages.

Compiled, and ran all tests of the gateway module and those it depends on: passed.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/ClientAccount.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/ClientAccount.java
@@ -6,11 +6,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A client account.
+ * A client account with its keys and priority.
  *
  * @param name the account's name
- * @param keys the keys that its requests carry
- * @param priority the rank of its requests under overload, before that of the route
+ * @param keys the keys that identify its requests
+ * @param priority the priority of its requests under overload, 0 highest; if empty, that
+ * of the route applies
  */
 public record ClientAccount(String name, List<String> keys, OptionalInt priority) {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/EngineShape.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/EngineShape.java
@@ -5,18 +5,18 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The shape of the engines of a service whose backend servers are ranks of one
- * expert-parallel group.
+ * Dimensions and cost model of the engines of a service whose backend servers are the
+ * ranks of expert-parallel groups.
  *
- * @param layerSets the number of sets of layers with expert maps of their own
+ * @param layerSets the number of sets of layers, each with its own expert map
  * @param experts the number of experts of a set
  * @param placesPerRank the most experts that one rank may hold in one set
- * @param newPerSwitch the most experts of one set that may be new to a rank in one switch
- * @param expertShare the share of the work on tokens that the experts do, from 0 to 1
- * @param stepBase the time of a token step without any request
- * @param stepPerRequest the time that each writing request adds to a token step
+ * @param newPerSwitch the most experts of one set that one switch may add to a rank
+ * @param expertShare the share of the time per token that the experts take, from 0 to 1
+ * @param stepBase the fixed time of a token step, without any request
+ * @param stepPerRequest the time that each generating request adds to a token step
  * @param stride the number of token steps in a pass
- * @param expertCopy the time in which a rank copies one expert
+ * @param expertCopy the time that a rank takes to copy one expert
  */
 public record EngineShape(int layerSets, int experts, int placesPerRank, int newPerSwitch, double expertShare,
 		Duration stepBase, Duration stepPerRequest, int stride, Duration expertCopy) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/GatewayConfiguration.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/GatewayConfiguration.java
@@ -9,7 +9,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One version of the configuration, indexed for lookups.
+ * An immutable version of the configuration, indexed for lookups.
  */
 public final class GatewayConfiguration {
 
@@ -27,12 +27,15 @@
 
 	/**
 	 * Creates a configuration.
-	 * @param version its version
-	 * @param routes the routes, each host and prefix once
-	 * @param services the services, which contain all that routes name
-	 * @param accounts the client accounts, each key once; empty if requests carry no keys
-	 * @param limits bounds on requests
-	 * @throws IllegalArgumentException if routes, services or keys contradict each other
+	 * @param version the version, which increases with each change
+	 * @param routes the routes, with unique pairs of host and path prefix
+	 * @param services the services, including all that routes refer to
+	 * @param accounts the client accounts, with unique keys; empty if requests need no
+	 * key
+	 * @param limits the limits on requests
+	 * @throws IllegalArgumentException if a service is defined twice, two routes share
+	 * host and path prefix, two accounts share a key, or a route refers to an unknown
+	 * service
 	 */
 	public GatewayConfiguration(long version, List<Route> routes, List<ServiceSettings> services,
 			List<ClientAccount> accounts, HttpLimits limits) {
@@ -40,7 +43,7 @@
 		this.limits = Preconditions.notNull(limits, "limits");
 		this.keysRequired = !accounts.isEmpty();
 		for (ServiceSettings service : services) {
-			Preconditions.check(this.services.put(service.name(), service) == null, "service %s is given twice",
+			Preconditions.check(this.services.put(service.name(), service) == null, "service %s is defined twice",
 					service.name());
 		}
 		routes.forEach(this::add);
@@ -49,13 +52,13 @@
 
 	private void add(Route route) {
 		for (WeightedService target : route.services()) {
-			Preconditions.check(this.services.containsKey(target.service()), "route %s names the unknown service %s",
-					route.name(), target.service());
+			Preconditions.check(this.services.containsKey(target.service()),
+					"route %s refers to the unknown service %s", route.name(), target.service());
 		}
 		List<Route> sameHost = this.routesByHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>());
 		for (Route other : sameHost) {
-			Preconditions.check(!other.pathPrefix().equals(route.pathPrefix()), "two routes share %s%s", route.host(),
-					route.pathPrefix());
+			Preconditions.check(!other.pathPrefix().equals(route.pathPrefix()),
+					"two routes match the same host and path prefix: %s%s", route.host(), route.pathPrefix());
 		}
 		sameHost.add(route);
 	}
@@ -69,11 +72,11 @@
 	}
 
 	/**
-	 * Finds the route of a request: among the routes of the host, the one with the
-	 * longest prefix.
+	 * Finds the route of a request: the one with the longest matching path prefix among
+	 * the routes of its host.
 	 * @param host the host without port
 	 * @param path the path without query
-	 * @return the route, or empty if there is none
+	 * @return the route, or empty if no route matches
 	 */
 	public Optional<Route> findRoute(String host, String path) {
 		Route best = null;
@@ -113,7 +116,7 @@
 	}
 
 	/**
-	 * Returns the bounds on requests.
+	 * Returns the limits on requests.
 	 * @return the limits
 	 */
 	public HttpLimits limits() {
@@ -121,7 +124,7 @@
 	}
 
 	/**
-	 * Tells whether requests on routes that are not open must carry a key.
+	 * Returns whether requests must carry a key, except on open routes.
 	 * @return {@code true} if there are client accounts
 	 */
 	public boolean keysRequired() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/HttpLimits.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/HttpLimits.java
@@ -5,17 +5,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Bounds on what a caller may send.
+ * Limits on the connections and requests of callers.
  *
- * @param maxHeaderBytes the greatest size of a request's header in bytes
- * @param maxBodyBytes the greatest size of a request's body in bytes
- * @param headerTimeout the longest time that a header may take to arrive
- * @param idleTimeout the longest time that a connection may be idle
+ * @param maxHeaderBytes the maximum size of a request's headers in bytes
+ * @param maxBodyBytes the maximum size of a request's body in bytes
+ * @param headerTimeout the maximum time in which the headers must arrive
+ * @param idleTimeout the maximum time that a connection may be idle
  */
 public record HttpLimits(int maxHeaderBytes, int maxBodyBytes, Duration headerTimeout, Duration idleTimeout) {
 
 	/**
-	 * The limits before any are configured; the values match the platform's usual ones.
+	 * The limits until a configuration is available, equal to the platform's defaults.
 	 */
 	public static final HttpLimits DEFAULT = new HttpLimits(16 << 10, 4 << 20, Duration.ofSeconds(3),
 			Duration.ofSeconds(15));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/RequestKind.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/RequestKind.java
@@ -1,21 +1,21 @@
 package org.comfreywall.gateway.config;
 
 /**
- * What may be done again when an attempt of a request has failed.
+ * Determines whether a request may be retried after a failed attempt.
  */
 public enum RequestKind {
 
-	/** May run more than once. */
+	/** May safely run more than once. */
 	IDEMPOTENT,
 	/** Runs at most once. */
 	NON_IDEMPOTENT,
 	/** An event stream that runs at most once. */
 	STREAM,
-	/** An event stream that another backend server can continue after a given event. */
+	/** An event stream that another backend server can resume after a given event. */
 	RESUMABLE_STREAM;
 
 	/**
-	 * Tells whether a request that may have run can be sent again.
+	 * Returns whether a request that may have run can be sent again.
 	 * @return {@code true} for idempotent requests and resumable streams
 	 */
 	public boolean isRepeatable() {
@@ -23,7 +23,7 @@
 	}
 
 	/**
-	 * Tells whether the answer is a series of events.
+	 * Returns whether the response is an event stream.
 	 * @return {@code true} for both kinds of stream
 	 */
 	public boolean isStream() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/Route.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/Route.java
@@ -6,17 +6,19 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Where the requests of one host and path prefix go.
+ * Maps requests of one host and path prefix to services.
  *
  * @param name the route's name
- * @param host the host that requests name
- * @param pathPrefix the prefix of their paths
- * @param kind what may be repeated
- * @param timeout the longest time that a request may take
- * @param objective the time within which an answer, or a stream's first event, is on time
- * @param priority the rank under overload, 0 first
- * @param services the services that share the requests, not all with weight 0
- * @param attempts the most backend servers that one request may be sent to
+ * @param host the host of the requests
+ * @param pathPrefix the prefix of the paths of the requests
+ * @param kind whether requests can be retried and whether responses are streams
+ * @param timeout the maximum time that a request may take
+ * @param objective the latency objective for a response, or for the first event of a
+ * stream
+ * @param priority the priority under overload, 0 highest
+ * @param services the services that the requests are distributed to; at least one has a
+ * positive weight
+ * @param attempts the maximum number of attempts for one request
  * @param open whether requests need no key
  */
 public record Route(String name, String host, String pathPrefix, RequestKind kind, Duration timeout, Duration objective,
@@ -36,8 +38,8 @@
 	}
 
 	/**
-	 * Picks one of the services by weight.
-	 * @param random a number from 0 to 1, 1 excluded
+	 * Selects a service by weight.
+	 * @param random a uniformly distributed random number from 0 inclusive to 1 exclusive
 	 * @return the service's name
 	 */
 	public String pickService(double random) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/ServiceSettings.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/ServiceSettings.java
@@ -5,12 +5,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What is configured for one service.
+ * Settings of one service.
  *
  * @param name the service's name
- * @param maxConnections the most connections that one backend server accepts from all
- * callers
- * @param engine the engines' shape, if the backend servers form an expert-parallel group
+ * @param maxConnections the maximum number of connections that one backend server accepts
+ * from all callers together
+ * @param engine the shape of the engines, if the backend servers form expert-parallel
+ * groups
  */
 public record ServiceSettings(String name, int maxConnections, Optional<EngineShape> engine) {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/WeightedService.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/WeightedService.java
@@ -3,10 +3,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A service with its share of a route's requests.
+ * A service with its weight in a route.
  *
  * @param service the service's name
- * @param weight its weight against the route's other services, not negative
+ * @param weight its weight relative to the route's other services, not negative
  */
 public record WeightedService(String service, int weight) {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/package-info.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The configuration that a gateway routes by, and the lookup of routes and accounts.
+ * The configuration of a gateway, with lookup of routes, services and client accounts.
  */
 package org.comfreywall.gateway.config;
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/config/GatewayConfigurationTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/config/GatewayConfigurationTests.java
@@ -37,13 +37,13 @@
 	}
 
 	@Test
-	void twoRoutesCannotShareAPlace() {
+	void twoRoutesCannotShareHostAndPathPrefix() {
 		assertThatIllegalArgumentException()
 			.isThrownBy(() -> configuration(List.of(route("one", "/a/"), route("two", "/a/")), List.of()));
 	}
 
 	@Test
-	void aRouteCannotNameAnUnknownService() {
+	void aRouteCannotReferToAnUnknownService() {
 		assertThatIllegalArgumentException().isThrownBy(() -> new GatewayConfiguration(1, List.of(route("one", "/a/")),
 				List.of(), List.of(), HttpLimits.DEFAULT));
 	}
@@ -56,7 +56,7 @@
 	}
 
 	@Test
-	void requestsAreSplitByWeight() {
+	void requestsAreDistributedByWeight() {
 		Route split = new Route("split", "host", "/", RequestKind.IDEMPOTENT, Duration.ofSeconds(1),
 				Duration.ofSeconds(1), 0, List.of(new WeightedService("a", 90), new WeightedService("b", 10)), 1,
 				false);
