Reword local names for delegated switches and slowdown factors

Locals and parameters named a factor that grows as a rank gets slower "pace", and a switch that a deputy may complete "entrusted". They are now slowdown and delegatedSwitch, and the check of a rank's report names the slowdown.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/DeputyPort.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/DeputyPort.java
@@ -10,16 +10,16 @@
 
 	/**
 	 * Sends a switch to the deputies.
-	 * @param entrusted the switch
+	 * @param delegatedSwitch the switch
 	 * @return completes when one deputy has confirmed it, or none can be reached
 	 */
-	CompletableFuture<Void> entrust(EntrustedSwitch entrusted);
+	CompletableFuture<Void> entrust(EntrustedSwitch delegatedSwitch);
 
 	/**
 	 * Notifies the deputies that the switch is complete or cancelled, so that they drop
 	 * it.
-	 * @param entrusted the switch
+	 * @param delegatedSwitch the switch
 	 */
-	void ended(EntrustedSwitch entrusted);
+	void ended(EntrustedSwitch delegatedSwitch);
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
@@ -14,7 +14,7 @@
 
 	ExpertDemand {
 		Preconditions.notNull(chosen, "chosen");
-		Preconditions.notNull(pace, "pace");
+		Preconditions.notNull(pace, "slowdown");
 	}
 
 	/**
@@ -24,9 +24,9 @@
 	 * @return the demand
 	 */
 	static ExpertDemand onHealthyRanks(double[][] chosen, int ranks) {
-		double[] pace = new double[ranks];
-		Arrays.fill(pace, 1);
-		return new ExpertDemand(chosen, pace);
+		double[] slowdown = new double[ranks];
+		Arrays.fill(slowdown, 1);
+		return new ExpertDemand(chosen, slowdown);
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
@@ -66,11 +66,12 @@
 
 	/**
 	 * Receives a switch that the leader delegates to this process.
-	 * @param entrusted the switch
+	 * @param delegatedSwitch the switch
 	 * @param timeout the timeout after which this process takes the switch over
 	 */
-	public void onEntrusted(EntrustedSwitch entrusted, Duration timeout) {
-		this.deputies.put(entrusted.group(), new SwitchDeputy(entrusted, timeout.toNanos(), System.nanoTime()));
+	public void onEntrusted(EntrustedSwitch delegatedSwitch, Duration timeout) {
+		this.deputies.put(delegatedSwitch.group(),
+				new SwitchDeputy(delegatedSwitch, timeout.toNanos(), System.nanoTime()));
 	}
 
 	/**
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
@@ -185,9 +185,9 @@
 	 * @return the factors by rank, at least 1; valid only if all ranks have reported
 	 */
 	public double[] pace() {
-		double[] pace = new double[this.reports.size()];
-		this.reports.forEach((rank, report) -> pace[rank] = Math.max(1, report.pace()));
-		return pace;
+		double[] slowdowns = new double[this.reports.size()];
+		this.reports.forEach((rank, report) -> slowdowns[rank] = Math.max(1, report.pace()));
+		return slowdowns;
 	}
 
 	/**
@@ -317,11 +317,12 @@
 
 	/**
 	 * Records that a deputy has stored the switch; its pass can be held now.
-	 * @param entrusted the switch
+	 * @param delegatedSwitch the switch
 	 * @param now the present time in nanoseconds
 	 */
-	public void delegationConfirmed(EntrustedSwitch entrusted, long now) {
-		if (this.phase == Phase.ENTRUSTING && entrusted.step() == this.step && entrusted.epoch() == this.epoch) {
+	public void delegationConfirmed(EntrustedSwitch delegatedSwitch, long now) {
+		if (this.phase == Phase.ENTRUSTING && delegatedSwitch.step() == this.step
+				&& delegatedSwitch.epoch() == this.epoch) {
 			enter(Phase.HOLDING, now);
 		}
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RankReport.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RankReport.java
@@ -31,7 +31,7 @@
 		Preconditions.notNull(group, "group");
 		Preconditions.notNull(heldStep, "heldStep");
 		Preconditions.check(rank >= 0 && rank < size, "rank must be at least 0 and below %d: %d", size, rank);
-		Preconditions.check(pace > 0, "pace must be positive: %s", pace);
+		Preconditions.check(pace > 0, "slowdown must be positive: %s", pace);
 		layout = layout.stream().map(List::copyOf).toList();
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RebalanceCoordinator.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RebalanceCoordinator.java
@@ -127,11 +127,11 @@
 
 	/**
 	 * Records that a deputy has stored a switch.
-	 * @param entrusted the switch
+	 * @param delegatedSwitch the switch
 	 * @param now the present time in nanoseconds
 	 */
-	public void delegationConfirmed(EntrustedSwitch entrusted, long now) {
-		this.mapSwitch.delegationConfirmed(entrusted, now);
+	public void delegationConfirmed(EntrustedSwitch delegatedSwitch, long now) {
+		this.mapSwitch.delegationConfirmed(delegatedSwitch, now);
 	}
 
 	/**
@@ -160,9 +160,9 @@
 		if (present.sets() != this.shape.layerSets()) {
 			return;
 		}
-		double[] pace = this.mapSwitch.pace();
-		this.schedule.planned(this.traffic, pace);
-		ExpertDemand demand = new ExpertDemand(forecast.chosen(), pace);
+		double[] slowdowns = this.mapSwitch.pace();
+		this.schedule.planned(this.traffic, slowdowns);
+		ExpertDemand demand = new ExpertDemand(forecast.chosen(), slowdowns);
 		double before = present.skew(demand);
 		ExpertLayout planned = this.planner.plan(present, demand);
 		double after = planned.skew(demand);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SetLoads.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SetLoads.java
@@ -27,17 +27,17 @@
 
 	private double cost;
 
-	private SetLoads(double[] traffic, double[] pace, List<List<Integer>> present, List<List<Integer>> holders,
+	private SetLoads(double[] traffic, double[] slowdown, List<List<Integer>> present, List<List<Integer>> holders,
 			List<List<Integer>> held) {
 		this.traffic = traffic;
-		this.pace = pace;
+		this.pace = slowdown;
 		this.present = present;
 		this.holders = holders;
 		this.held = held;
 		this.loads = new double[held.size()];
 	}
 
-	static SetLoads of(List<List<Integer>> experts, double[] traffic, double[] pace) {
+	static SetLoads of(List<List<Integer>> experts, double[] traffic, double[] slowdown) {
 		List<List<Integer>> holders = new ArrayList<>();
 		for (int expert = 0; expert < traffic.length; expert++) {
 			holders.add(new ArrayList<>());
@@ -49,7 +49,7 @@
 				holders.get(expert).add(rank);
 			}
 		}
-		SetLoads set = new SetLoads(traffic, pace, experts, holders, held);
+		SetLoads set = new SetLoads(traffic, slowdown, experts, holders, held);
 		set.recompute();
 		return set;
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
@@ -44,13 +44,13 @@
 
 	/**
 	 * Creates a deputy for one switch.
-	 * @param entrusted the switch
+	 * @param delegatedSwitch the switch
 	 * @param timeoutNanos the time in nanoseconds after which the coordinator is assumed
 	 * to have failed
 	 * @param now the present time in nanoseconds
 	 */
-	SwitchDeputy(EntrustedSwitch entrusted, long timeoutNanos, long now) {
-		this.entrusted = entrusted;
+	SwitchDeputy(EntrustedSwitch delegatedSwitch, long timeoutNanos, long now) {
+		this.entrusted = delegatedSwitch;
 		this.timeoutNanos = timeoutNanos;
 		this.createdAt = now;
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -164,13 +164,13 @@
 		if (this.firstPartAt == 0) {
 			this.firstPartAt = System.nanoTime();
 		}
-		CallerAnswer answer = this.exchange.answer();
-		if (answer.begun()) {
-			answer.body(part);
+		CallerAnswer response = this.exchange.answer();
+		if (response.begun()) {
+			response.body(part);
 		}
 		else if (isEventStream()) {
-			answer.begin(this.head, this.exchange.keepAlive());
-			answer.body(part);
+			response.begin(this.head, this.exchange.keepAlive());
+			response.body(part);
 		}
 		else {
 			buffer(part);
@@ -197,15 +197,15 @@
 			return;
 		}
 		end(Exchange.resultOf(this.head.status().code()));
-		CallerAnswer answer = this.exchange.answer();
-		if (!answer.begun() && isEventStream()) {
-			answer.begin(this.head, this.exchange.keepAlive());
+		CallerAnswer response = this.exchange.answer();
+		if (!response.begun() && isEventStream()) {
+			response.begin(this.head, this.exchange.keepAlive());
 		}
-		if (answer.begun()) {
-			answer.complete();
+		if (response.begun()) {
+			response.complete();
 		}
 		else {
-			answer.whole(this.head, this.buffered.toByteArray(), this.exchange.keepAlive());
+			response.whole(this.head, this.buffered.toByteArray(), this.exchange.keepAlive());
 		}
 		this.exchange.completed(this.head.status().code());
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerAnswer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerAnswer.java
@@ -40,9 +40,9 @@
 
 	private boolean keptAlive = true;
 
-	CallerAnswer(ChannelHandlerContext context, AnswerPace pace) {
+	CallerAnswer(ChannelHandlerContext context, AnswerPace timing) {
 		this.context = context;
-		this.pace = pace;
+		this.pace = timing;
 	}
 
 	/**
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -146,10 +146,10 @@
 
 	/**
 	 * Updates the slowdown of backend servers that are ranks of a group.
-	 * @param pace the slowdown factor of each server, by address
+	 * @param slowdowns the slowdown factor of each server, by address
 	 */
-	public void heardPace(Map<HostPort, Double> pace) {
-		this.pools.values().forEach((pool) -> pool.heardPace(pace));
+	public void heardPace(Map<HostPort, Double> slowdowns) {
+		this.pools.values().forEach((pool) -> pool.heardPace(slowdowns));
 	}
 
 	/**
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/EvenCopyPlannerTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/EvenCopyPlannerTests.java
@@ -150,10 +150,10 @@
 	void aSlowRankGetsLessLoad(long seed) {
 		EvenCopyPlanner quick = new EvenCopyPlanner(PLACES, NEW_PER_SET, 2);
 		WantedExperts zipf = new WantedExperts(SETS, EXPERTS, 1.1, new Random(seed));
-		double[] pace = new double[RANKS];
-		Arrays.fill(pace, 1);
-		pace[5] = 2.88;
-		ExpertDemand demand = new ExpertDemand(zipf.traffic(), pace);
+		double[] slowdown = new double[RANKS];
+		Arrays.fill(slowdown, 1);
+		slowdown[5] = 2.88;
+		ExpertDemand demand = new ExpertDemand(zipf.traffic(), slowdown);
 		ExpertLayout present = ExpertLayout.inTurn(SETS, EXPERTS, RANKS);
 		for (int round = 0; round < 3; round++) {
 			present = quick.plan(present, demand);
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
@@ -61,8 +61,8 @@
 	// Simulates a deputy that confirms each switch at once.
 	private List<RankOrder> orders(long now) {
 		List<RankOrder> orders = new ArrayList<>(this.mapSwitch.tick(now));
-		this.mapSwitch.entrusted("g").ifPresent((entrusted) -> {
-			this.mapSwitch.delegationConfirmed(entrusted, now);
+		this.mapSwitch.entrusted("g").ifPresent((delegatedSwitch) -> {
+			this.mapSwitch.delegationConfirmed(delegatedSwitch, now);
 			orders.addAll(this.mapSwitch.tick(now));
 		});
 		return orders;
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PlanScheduleTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PlanScheduleTests.java
@@ -14,7 +14,7 @@
 
 	private static final int EXPERTS = 8;
 
-	private static final double[] PACE = { 1 };
+	private static final double[] SLOWDOWNS = { 1 };
 
 	private static final long ROUND_NANOS = 100_000_000;
 
@@ -28,8 +28,8 @@
 		int plans = 0;
 		for (int i = 0; i < rounds; i++) {
 			round(popular);
-			if (this.schedule.isDue(this.traffic, PACE)) {
-				this.schedule.planned(this.traffic, PACE);
+			if (this.schedule.isDue(this.traffic, SLOWDOWNS)) {
+				this.schedule.planned(this.traffic, SLOWDOWNS);
 				plans++;
 			}
 		}
@@ -74,7 +74,7 @@
 		plansIn(40, 0);
 		this.schedule.restart();
 		round(0);
-		assertThat(this.schedule.isDue(this.traffic, PACE)).isTrue();
+		assertThat(this.schedule.isDue(this.traffic, SLOWDOWNS)).isTrue();
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/SwitchDeputyTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/SwitchDeputyTests.java
@@ -114,13 +114,13 @@
 				this.coordinator.start(LAYOUT, 1, now);
 			}
 			send(this.coordinator.tick(now), now);
-			Optional<EntrustedSwitch> entrusted = this.coordinator.entrusted("g");
-			if (entrusted.isPresent()
-					&& (this.deputy.isEmpty() || !this.deputy.get().entrusted().equals(entrusted.get()))) {
-				this.deputy = Optional.of(new SwitchDeputy(entrusted.get(), TIMEOUT, now));
-				this.coordinator.delegationConfirmed(entrusted.get(), now);
+			Optional<EntrustedSwitch> delegatedSwitch = this.coordinator.entrusted("g");
+			if (delegatedSwitch.isPresent()
+					&& (this.deputy.isEmpty() || !this.deputy.get().entrusted().equals(delegatedSwitch.get()))) {
+				this.deputy = Optional.of(new SwitchDeputy(delegatedSwitch.get(), TIMEOUT, now));
+				this.coordinator.delegationConfirmed(delegatedSwitch.get(), now);
 			}
-			else if (entrusted.isEmpty() && !this.completionNoticeLost) {
+			else if (delegatedSwitch.isEmpty() && !this.completionNoticeLost) {
 				this.deputy = Optional.empty();
 			}
 		}
