--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
@@ -76,11 +76,11 @@
 
 	/**
 	 * Receives the notice that the leader has completed or cancelled a switch.
-	 * @param ended the switch
+	 * @param completed the switch
 	 */
-	public void onEnded(EntrustedSwitch ended) {
-		this.deputies.computeIfPresent(ended.group(),
-				(group, deputy) -> deputy.entrusted().equals(ended) ? null : deputy);
+	public void onEnded(EntrustedSwitch completed) {
+		this.deputies.computeIfPresent(completed.group(),
+				(group, deputy) -> deputy.entrusted().equals(completed) ? null : deputy);
 	}
 
 	/**
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PassClock.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PassClock.java
@@ -39,20 +39,20 @@
 	/**
 	 * Records that a pass has begun. All ranks begin it together, so only the first
 	 * report of it is measured.
-	 * @param begun the number of the pass
+	 * @param pass the number of the pass
 	 * @param now the present time in nanoseconds
 	 */
-	void begun(long begun, long now) {
+	void begun(long pass, long now) {
 		boolean first = this.step == Long.MIN_VALUE;
-		if (!first && begun <= this.step) {
+		if (!first && pass <= this.step) {
 			return;
 		}
-		double sample = first ? MAX_PASS_NANOS : (double) (now - this.begunAt) / (begun - this.step);
+		double sample = first ? MAX_PASS_NANOS : (double) (now - this.begunAt) / (pass - this.step);
 		if (sample < MAX_PASS_NANOS) {
 			this.passNanos += (this.measured ? SMOOTHING : 1) * (sample - this.passNanos);
 			this.measured = true;
 		}
-		this.step = begun;
+		this.step = pass;
 		this.begunAt = now;
 	}
 
