--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
@@ -5,28 +5,28 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What the ranks of a group have to do for their experts.
+ * The load of a group's experts, with the slowdown of its ranks.
  *
  * @param chosen how often each expert is chosen, by set and expert
- * @param pace how much longer than usual each rank takes, by rank; 1 if it is healthy
+ * @param pace the slowdown factor of each rank against its usual time; 1 if it is healthy
  */
 record ExpertDemand(double[][] chosen, double[] pace) {
 
 	ExpertDemand {
 		Preconditions.notNull(chosen, "chosen");
-		Preconditions.notNull(pace, "pace");
+		Preconditions.notNull(pace, "slowdown");
 	}
 
 	/**
-	 * Creates the demand on healthy ranks.
+	 * Creates the demand for a group whose ranks are all healthy.
 	 * @param chosen how often each expert is chosen, by set and expert
 	 * @param ranks the number of ranks
 	 * @return the demand
 	 */
 	static ExpertDemand onHealthyRanks(double[][] chosen, int ranks) {
-		double[] pace = new double[ranks];
-		Arrays.fill(pace, 1);
-		return new ExpertDemand(chosen, pace);
+		double[] slowdown = new double[ranks];
+		Arrays.fill(slowdown, 1);
+		return new ExpertDemand(chosen, slowdown);
 	}
 
 }
