--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/AttemptFailed.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/AttemptFailed.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An attempt ended by a fault of the backend server.
+ * An attempt failed because of its backend server; it counts towards ejection.
  *
  * @param attempt the attempt
  */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/AttemptFinished.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/AttemptFinished.java
@@ -4,7 +4,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An attempt ended without a fault of the backend server; cancelled ones count here.
+ * An attempt ended without a failure of its backend server; this includes cancelled
+ * attempts.
  *
  * @param attempt the attempt
  */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/AttemptSent.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/AttemptSent.java
@@ -4,11 +4,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An attempt left for the chosen backend server.
+ * An attempt was sent to the chosen backend server.
  *
- * @param attempt the attempt; one that was sent before has no effect
- * @param request what was asked of {@link Router#choose}
- * @param choice what it answered
+ * @param attempt the attempt; a second event for the same attempt has no effect
+ * @param request the request passed to {@link Router#choose}
+ * @param choice the choice that it returned
  */
 public record AttemptSent(AttemptId attempt, RouteRequest request, RouteChoice choice) implements RouterEvent {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Backlog.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Backlog.java
@@ -5,8 +5,9 @@
 import org.comfreywall.common.config.PriorityClass;
 
 /**
- * Prompt tokens waiting on one backend server, drained at the server's rate as time
- * passes; level {@code c} holds the tokens of class {@code c} and the higher ones.
+ * Estimates the prompt tokens queued on one backend server, assuming that the server
+ * computes them at a constant rate. Level {@code c} counts the tokens of priority class
+ * {@code c} and all higher classes.
  */
 final class Backlog {
 
@@ -44,7 +45,7 @@
 
 	@Override
 	public String toString() {
-		return "Backlog" + Arrays.toString(this.levels);
+		return "PromptBacklog" + Arrays.toString(this.levels);
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/BoundedMap.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/BoundedMap.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /**
- * A map that forgets the entry used least recently when it grows past its bound.
+ * A map that evicts the least recently used entry when it exceeds its maximum size.
  *
  * @param <K> the type of the keys
  * @param <V> the type of the values
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CacheChanged.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CacheChanged.java
@@ -4,7 +4,7 @@
 import org.comfreywall.entry.prefix.CacheEvent;
 
 /**
- * A cache event of a backend server arrived.
+ * A prefix cache event of a backend server was received.
  *
  * @param event the event
  */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Candidate.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Candidate.java
@@ -7,10 +7,11 @@
  *
  * @param server the server
  * @param nanos the expected time to first token in nanoseconds
- * @param waitNanos the part of it before the prompt's computation begins
+ * @param waitNanos the part of it before the server starts to compute the prompt: network
+ * round trip, queued prompt tokens and wait for a free slot
  * @param cachedTokens the expected number of prompt tokens that the server holds
  * @param uncachedTokens the expected number of prompt tokens that it must compute
- * @param kvPlan how it gets the cache that it does not hold
+ * @param kvPlan how the server obtains the key-value cache that it lacks
  */
 record Candidate(ServerState server, double nanos, double waitNanos, double cachedTokens, double uncachedTokens,
 		KvPlan kvPlan) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CandidateEvaluator.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CandidateEvaluator.java
@@ -12,7 +12,9 @@
 import org.comfreywall.entry.prefix.PrefixMatch;
 
 /**
- * Computes the expected time to first token on each backend server.
+ * Estimates the time to first token on each backend server: the wait before the prompt is
+ * computed, the time to complete its key-value cache, and one step at the present
+ * occupancy.
  */
 final class CandidateEvaluator {
 
@@ -22,9 +24,9 @@
 
 	private final KvPricing pricing;
 
-	CandidateEvaluator(Distances distances, KvPricing pricing) {
+	CandidateEvaluator(Distances distances, KvPricing planner) {
 		this.distances = distances;
-		this.pricing = pricing;
+		this.pricing = planner;
 	}
 
 	List<Candidate> evaluate(List<ServerState> servers, RouteRequest request, PrefixMatch match, long now) {
@@ -42,12 +44,12 @@
 		double rate = load.tokensPerSecond();
 		double cached = Math.min(request.promptTokens(), match.cachedTokens(server.id()));
 		KvPlan plan = plan(server, request.promptTokens(), cached, match, exporter);
-		double moved = (plan instanceof Move move) ? move.tokens() : 0;
+		double imported = (plan instanceof Move transfer) ? transfer.tokens() : 0;
 		double queue = load.tokensAhead(request.priority(), now) / rate * NANOS_PER_SECOND;
 		double wait = 2.0 * this.distances.oneWayNanos(server.domain()) + queue + load.slotWaitNanos(now);
 		double occupancy = (double) load.requests(now) / server.profile().slots();
 		double step = load.stepNanos() * (1 + occupancy);
-		double uncached = request.promptTokens() - cached - moved;
+		double uncached = request.promptTokens() - cached - imported;
 		return new Candidate(server, wait + plan.expectedNanos() + step, wait, cached, uncached, plan);
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CandidateSelector.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CandidateSelector.java
@@ -8,8 +8,9 @@
 import org.comfreywall.common.id.BackendServerId;
 
 /**
- * Selects one of several candidates: the session's server while it is not much slower
- * than the best, otherwise one of the best at random.
+ * Selects one of several candidates: the session's server while its expected time is
+ * within a margin of the lowest (session affinity), otherwise a random one of those tied
+ * for the lowest.
  */
 final class CandidateSelector {
 
@@ -25,23 +26,23 @@
 	/**
 	 * Selects a candidate.
 	 * @param candidates the candidates, at least one
-	 * @param sessionServer the server of the request's session
+	 * @param sessionServer the last server of the request's session, if any
 	 * @return the selection
 	 */
 	Selection select(List<Candidate> candidates, Optional<BackendServerId> sessionServer) {
 		double best = best(candidates);
-		Optional<Candidate> kept = sessionServer.flatMap((server) -> kept(candidates, server, best));
-		if (kept.isPresent()) {
-			return new Selection(kept.get(), 1, true);
+		Optional<Candidate> affinity = sessionServer.flatMap((server) -> kept(candidates, server, best));
+		if (affinity.isPresent()) {
+			return new Selection(affinity.get(), 1, true);
 		}
 		double limit = best * (1 + this.settings.tieShare()) + this.settings.tieTime().toNanos();
-		List<Candidate> equal = new ArrayList<>(candidates.size());
+		List<Candidate> tied = new ArrayList<>(candidates.size());
 		for (Candidate candidate : candidates) {
 			if (candidate.nanos() <= limit) {
-				equal.add(candidate);
+				tied.add(candidate);
 			}
 		}
-		return new Selection(equal.get(this.random.nextInt(equal.size())), equal.size(), false);
+		return new Selection(tied.get(this.random.nextInt(tied.size())), tied.size(), false);
 	}
 
 	private static double best(List<Candidate> candidates) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Distances.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Distances.java
@@ -3,15 +3,15 @@
 import org.comfreywall.common.id.FailureDomainId;
 
 /**
- * Distances from this entry to the failure domains.
+ * Network distances from this entry to the failure domains.
  */
 @FunctionalInterface
 public interface Distances {
 
 	/**
-	 * Returns the time that a message takes.
+	 * Returns the one-way network latency to a failure domain.
 	 * @param domain the failure domain
-	 * @return the time one way in nanoseconds
+	 * @return the latency in nanoseconds
 	 */
 	long oneWayNanos(FailureDomainId domain);
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/EntriesChanged.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/EntriesChanged.java
@@ -5,9 +5,9 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * The entry instances that share the backend servers.
+ * The set of entry instances that share the backend servers changed.
  *
- * @param entries all entry instances that are alive, this one included
+ * @param entries all running entry instances, including this one
  */
 public record EntriesChanged(Set<InstanceId> entries) implements RouterEvent {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/FirstTokenReceived.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/FirstTokenReceived.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The first token, or byte, of an attempt's answer arrived.
+ * The first token, or byte, of an attempt's answer was received.
  *
  * @param attempt the attempt
  */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Hashes.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Hashes.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.route;
 
 /**
- * Hashes that are the same in every process.
+ * Hash functions with the same results in every process.
  */
 final class Hashes {
 
@@ -12,6 +12,12 @@
 	private Hashes() {
 	}
 
+	/**
+	 * Computes the FNV-1a hash of the UTF-16 code units of a text, with {@link #mix}
+	 * applied.
+	 * @param text the text
+	 * @return the hash
+	 */
 	static long of(String text) {
 		long hash = FNV_OFFSET;
 		for (int i = 0; i < text.length(); i++) {
@@ -21,7 +27,7 @@
 	}
 
 	/**
-	 * Spreads a value over all bits, as the finalizer of SplitMix64 does.
+	 * Mixes the bits of a value with one step of SplitMix64.
 	 * @param value the value
 	 * @return the hash
 	 */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/LoadEstimate.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/LoadEstimate.java
@@ -10,12 +10,12 @@
 import org.comfreywall.common.id.AttemptId;
 
 /**
- * The load of one backend server: its last report and what this entry did since it was
- * measured.
+ * Estimates the load of one backend server from its last report and the attempts that
+ * this entry sent or finished after the report was measured.
  */
 final class LoadEstimate {
 
-	/** Age at which a report's request counts are no longer used. */
+	/** Age above which the request counts of a report are ignored. */
 	private static final long STALE_NANOS = 10_000_000_000L;
 
 	private ServerProfile profile;
@@ -46,9 +46,10 @@
 	}
 
 	/**
-	 * Takes in a report.
+	 * Replaces the last report. Attempts sent up to its measurement are from now on
+	 * counted by the report alone.
 	 * @param next the report
-	 * @return {@code false} if it is not newer than the last one
+	 * @return {@code false} if its sequence number is not above that of the last report
 	 */
 	boolean reported(LoadReport next) {
 		if (this.report.isPresent() && next.sequence() <= this.report.get().sequence()) {
@@ -56,35 +57,37 @@
 		}
 		this.report = Optional.of(next);
 		refreshRates();
-		this.unreported.values().removeIf((sent) -> sent.sentAt() <= next.measuredAt());
+		this.unreported.values().removeIf((attempt) -> attempt.sentAt() <= next.measuredAt());
 		this.finishedSince.removeIf((time) -> time <= next.measuredAt());
 		this.backlog.reset(next.queuedTokens(), next.measuredAt());
 		this.unreported.values().forEach(this::addToBacklog);
 		return true;
 	}
 
-	void sent(InFlight sent) {
+	void sent(InFlight attempt) {
 		this.inFlight++;
-		this.unreported.put(sent.attempt(), sent);
-		addToBacklog(sent);
+		this.unreported.put(attempt.attempt(), attempt);
+		addToBacklog(attempt);
 	}
 
 	/**
-	 * Takes in the first token of an attempt: its prompt has been computed.
-	 * @param sent the attempt
+	 * Records that the prompt of an attempt has been computed, so that its tokens are not
+	 * added to the backlog again when the next report resets it.
+	 * @param attempt the attempt
 	 */
-	void firstToken(InFlight sent) {
-		this.unreported.computeIfPresent(sent.attempt(), (attempt, known) -> known.withPromptComputed());
+	void firstToken(InFlight attempt) {
+		this.unreported.computeIfPresent(attempt.attempt(), (id, present) -> present.withPromptComputed());
 	}
 
 	/**
-	 * Takes in the end of an attempt.
-	 * @param sent the attempt
+	 * Records the end of an attempt. If the last report counts the attempt, it is
+	 * subtracted from the reported requests until the next report.
+	 * @param attempt the attempt
 	 * @param now the present time in nanoseconds
 	 */
-	void ended(InFlight sent, long now) {
+	void ended(InFlight attempt, long now) {
 		this.inFlight--;
-		if (this.unreported.remove(sent.attempt()) == null && this.report.isPresent()) {
+		if (this.unreported.remove(attempt.attempt()) == null && this.report.isPresent()) {
 			this.finishedSince.addLast(now);
 		}
 	}
@@ -94,7 +97,7 @@
 	}
 
 	/**
-	 * Estimates the requests on the server, running or waiting.
+	 * Estimates the number of running and queued requests on the server.
 	 * @param now the present time in nanoseconds
 	 * @return the number, at least 0
 	 */
@@ -148,8 +151,8 @@
 		this.finishedPerSecond = this.report.map(LoadReport::finishedPerSecond).orElse(0.0);
 	}
 
-	private void addToBacklog(InFlight sent) {
-		this.backlog.add(sent.priority(), sent.uncachedTokens(), tokensPerSecond(), sent.sentAt());
+	private void addToBacklog(InFlight attempt) {
+		this.backlog.add(attempt.priority(), attempt.uncachedTokens(), tokensPerSecond(), attempt.sentAt());
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/LoadReport.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/LoadReport.java
@@ -5,21 +5,21 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The load of a backend server as it was some time ago.
+ * The load of a backend server at the time when it was measured.
  *
  * @param server the backend server
- * @param incarnation the server's life
- * @param sequence the report's number, rising within one life
- * @param measuredAt when it was measured, in nanoseconds of the entry's clock: the time
- * of arrival less the age that the report carries
- * @param running the requests that run
- * @param queued the requests that wait to run
+ * @param incarnation the server's incarnation
+ * @param sequence the report's number, increasing within one incarnation
+ * @param measuredAt when the load was measured, in nanoseconds on the entry's clock: the
+ * time of receipt minus the age that the report carries
+ * @param running the number of running requests
+ * @param queued the number of queued requests
  * @param queuedTokens the prompt tokens still to be computed, by priority class
- * @param stepNanos the mean time of a recent step in nanoseconds; for a group, of its
+ * @param stepNanos the mean duration of recent steps in nanoseconds; for a group, on its
  * slowest rank
- * @param prefillTokensPerSecond the prompt tokens computed a second while some were
- * waiting; 0 if unknown
- * @param finishedPerSecond the requests finished a second; 0 if unknown
+ * @param prefillTokensPerSecond the prompt tokens computed per second, measured while
+ * some were queued; 0 if unknown
+ * @param finishedPerSecond the requests finished per second; 0 if unknown
  */
 public record LoadReport(BackendServerId server, Incarnation incarnation, long sequence, long measuredAt, int running,
 		int queued, QueuedTokens queuedTokens, long stepNanos, double prefillTokensPerSecond,
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/LoadReported.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/LoadReported.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A load report arrived; one that is not newer than the last has no effect.
+ * A load report was received; one that is not newer than the last has no effect.
  *
  * @param report the report
  */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/OutlierEjector.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/OutlierEjector.java
@@ -7,7 +7,8 @@
 import java.util.Optional;
 
 /**
- * Takes failing backend servers out for some time, never more than a share of them.
+ * Outlier ejection: stops using a backend server for some time after consecutive
+ * failures, for at most a given share of the servers at one time.
  */
 final class OutlierEjector {
 
@@ -20,9 +21,9 @@
 	}
 
 	/**
-	 * Takes in a failure.
+	 * Records a failure of a server and ejects it if it has failed too often.
 	 * @param server the server that failed
-	 * @param subset the servers in use, the failed one included or not
+	 * @param subset the servers in use, with or without the failed one
 	 * @param now the present time in nanoseconds
 	 * @return the duration of the ejection, or empty if the server is not ejected
 	 */
@@ -36,7 +37,8 @@
 	}
 
 	/**
-	 * Ends ejections, the one nearest its end first, until the share holds again.
+	 * Ends ejections, those that expire first, until the ejected share is within its
+	 * maximum.
 	 * @param subset the servers in use
 	 * @param now the present time in nanoseconds
 	 */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/QueuedTokens.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/QueuedTokens.java
@@ -22,10 +22,10 @@
 	}
 
 	/**
-	 * Returns the tokens that an engine honouring priorities computes before a request of
-	 * a class that arrives now.
-	 * @param priority the request's class
-	 * @return the tokens of this class and the higher ones
+	 * Returns the tokens ahead of a new request on an engine that serves higher priority
+	 * classes first.
+	 * @param priority the class of the new request
+	 * @return the tokens of this class and all higher ones
 	 */
 	public long ahead(PriorityClass priority) {
 		if (priority == PriorityClass.INTERACTIVE) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ResyncCache.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ResyncCache.java
@@ -4,7 +4,7 @@
 import org.comfreywall.entry.prefix.ResyncRequest;
 
 /**
- * Ask a backend server for a snapshot of its prefix cache.
+ * Requests a snapshot of a backend server's prefix cache.
  *
  * @param request the request
  */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouteChoice.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouteChoice.java
@@ -10,10 +10,10 @@
  * A chosen backend server.
  *
  * @param server the backend server
- * @param incarnation the life that an attempt must be addressed to
+ * @param incarnation the incarnation that the attempt must be addressed to
  * @param expectedNanos the expected time to first token in nanoseconds
  * @param uncachedTokens the expected number of prompt tokens that the server must compute
- * @param kvPlan how the server gets the cache that it does not hold
+ * @param kvPlan how the server obtains the key-value cache that it lacks
  * @param record the decision with its inputs
  */
 public record RouteChoice(BackendServerId server, Incarnation incarnation, long expectedNanos, long uncachedTokens,
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouteExplainer.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouteExplainer.java
@@ -8,7 +8,7 @@
 import org.comfreywall.entry.kv.Move;
 
 /**
- * Writes the record of a routing decision.
+ * Creates the decision records of a router.
  */
 final class RouteExplainer {
 
@@ -27,7 +27,7 @@
 				Field.of("report-age-us", load.reportAge(now) / NANOS_PER_MICRO),
 				Field.of("priority", request.priority()), Field.of("candidates", candidates),
 				Field.of("equal", selection.equal()), Field.of("by-session", selection.bySession()),
-				Field.of("kv", (chosen.kvPlan() instanceof Move move) ? move.source() : "recompute")));
+				Field.of("kv", (chosen.kvPlan() instanceof Move transfer) ? transfer.source() : "recompute")));
 	}
 
 	static DecisionRecord refused(RouteRequest request, int known, int subset) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouteRequest.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouteRequest.java
@@ -10,14 +10,14 @@
 import org.comfreywall.entry.prefix.PromptChain;
 
 /**
- * What the choice of a backend server depends on.
+ * The properties of a request that determine the choice of its backend server.
  *
  * @param request the request
  * @param priority its priority class
  * @param promptTokens the estimated number of prompt tokens; 0 for a plain service
- * @param chain the prompt's blocks
- * @param session the session that the request belongs to
- * @param excluded the backend servers that may not be chosen
+ * @param chain the chained block hashes of the prompt
+ * @param session the session that the request belongs to, if any
+ * @param excluded the backend servers that must not be chosen
  */
 public record RouteRequest(RequestId request, PriorityClass priority, int promptTokens, PromptChain chain,
 		Optional<SessionId> session, Set<BackendServerId> excluded) {
@@ -33,7 +33,7 @@
 
 	/**
 	 * Creates a request to a plain service.
-	 * @param request the request
+	 * @param request the id of the request
 	 * @param priority its priority class
 	 * @return the request without prompt, session and exclusions
 	 */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Router.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Router.java
@@ -21,12 +21,12 @@
  * Chooses the backend servers for the requests of one service at one entry, by expected
  * time to first token.
  * <p>
- * A driver tells it what happens with {@link #on}, carries out the commands returned, and
- * asks {@link #choose} for each attempt. Changes of the subset take effect with
- * {@link TimePassed}, but leaving servers are out at once, and while no more servers are
- * known than a subset holds, new ones are in at once. All times are nanoseconds of one
- * monotonic clock. A choice takes time in proportion to the subset, whatever the number
- * of servers. Not safe for use by several threads.
+ * The driver passes events to {@link #on}, executes the returned commands, and calls
+ * {@link #choose} for each attempt. Changes of the subset take effect with the next
+ * {@link TimePassed}, except that a leaving server is removed at once, and a new server
+ * is added at once while all known servers fit into the subset. All times are nanoseconds
+ * of one monotonic clock. The cost of a choice is linear in the size of the subset and
+ * independent of the number of known servers. Not thread-safe.
  */
 public final class Router {
 
@@ -55,7 +55,7 @@
 	private final Map<AttemptId, InFlight> inFlight = new HashMap<>();
 
 	/**
-	 * Creates a router that knows no backend servers.
+	 * Creates a router without backend servers.
 	 * @param self this entry
 	 * @param settings the settings
 	 * @param distances the distances from this entry to the failure domains
@@ -80,10 +80,10 @@
 	}
 
 	/**
-	 * Takes in an event.
+	 * Applies an event.
 	 * @param event the event
 	 * @param now the present time in nanoseconds
-	 * @return the commands to carry out, often none
+	 * @return the commands to execute, often none
 	 */
 	public List<RouterCommand> on(RouterEvent event, long now) {
 		Preconditions.notNull(event, "event");
@@ -91,8 +91,8 @@
 		if (event instanceof LoadReported reported) {
 			onReport(reported.report());
 		}
-		else if (event instanceof CacheChanged changed) {
-			this.prefixes.onEvent(changed.event(), now).map(ResyncCache::new).ifPresent(commands::add);
+		else if (event instanceof CacheChanged received) {
+			this.prefixes.onEvent(received.event(), now).map(ResyncCache::new).ifPresent(commands::add);
 		}
 		else if (event instanceof TimePassed) {
 			refresh(now).ifPresent(commands::add);
@@ -107,11 +107,12 @@
 	}
 
 	/**
-	 * Chooses a backend server for an attempt; the driver tells {@link AttemptSent} when
-	 * it sends it.
+	 * Chooses a backend server for an attempt. The driver passes {@link AttemptSent} to
+	 * {@link #on} when it sends the attempt.
 	 * @param request what the choice depends on
 	 * @param now the present time in nanoseconds
-	 * @return the choice, or empty if no server may get the request
+	 * @return the choice, or empty if no server is eligible or too many attempts are in
+	 * flight
 	 */
 	public Optional<RouteChoice> choose(RouteRequest request, long now) {
 		Preconditions.notNull(request, "request");
@@ -122,9 +123,9 @@
 		if (eligible.isEmpty() || this.inFlight.size() >= this.settings.maxInFlight()) {
 			return refuse(request);
 		}
-		List<ServerState> admitted = this.slowStart.admit(eligible, now);
+		List<ServerState> included = this.slowStart.admit(eligible, now);
 		PrefixMatch match = this.prefixes.match(request.chain(), now);
-		List<Candidate> candidates = this.evaluator.evaluate(admitted, request, match, now);
+		List<Candidate> candidates = this.evaluator.evaluate(included, request, match, now);
 		Selection selection = this.selector.select(candidates, request.session().map(this.sessions::get));
 		return isSafe(selection.candidate().server(), request, now)
 				? Optional.of(accept(request, selection, candidates.size(), now)) : refuse(request);
@@ -140,7 +141,7 @@
 	}
 
 	/**
-	 * Tells whether a backend server is known, be it leaving or not.
+	 * Returns whether a backend server is known, including one that is leaving.
 	 * @param server the backend server
 	 * @return {@code true} from its announcement until its removal
 	 */
@@ -159,15 +160,15 @@
 	/**
 	 * Returns the backend servers that are ejected.
 	 * @param now the present time in nanoseconds
-	 * @return the servers of the subset that are out for their failures
+	 * @return the ejected servers of the subset, sorted
 	 */
 	public List<BackendServerId> ejected(long now) {
 		return this.subset.members().stream().filter((server) -> server.isEjected(now)).map(ServerState::id).toList();
 	}
 
 	/**
-	 * Returns the sizes of what the router remembers, for metrics.
-	 * @return the sizes, each within the bound of its setting
+	 * Returns the sizes of the router's tables, for metrics.
+	 * @return the sizes, each at most the maximum in the settings
 	 */
 	public RouterStatus status() {
 		return new RouterStatus(this.table.all().size(), this.subset.members().size(), this.sessions.size(),
@@ -175,8 +176,8 @@
 	}
 
 	/**
-	 * Returns the number of breached invariants.
-	 * @return the count, 0 unless there is a fault in this class
+	 * Returns the number of violated invariants.
+	 * @return the count, above 0 only if this class has a bug
 	 */
 	public long breaches() {
 		return this.invariants.breaches();
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouterCommand.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouterCommand.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.route;
 
 /**
- * What a router asks of its driver.
+ * A command that a router returns to its driver.
  */
 public sealed interface RouterCommand permits SubsetChanged, ResyncCache, ServerEjected {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouterEvent.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouterEvent.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.route;
 
 /**
- * What a router is told.
+ * An event that the driver passes to a router.
  */
 public sealed interface RouterEvent permits ServerAnnounced, ServerLeaving, ServerRemoved, EntriesChanged, LoadReported,
 		CacheChanged, AttemptSent, FirstTokenReceived, AttemptFinished, AttemptFailed, TimePassed {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Selection.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Selection.java
@@ -4,8 +4,8 @@
  * A selected candidate.
  *
  * @param candidate the candidate
- * @param equal the number of candidates that counted as equal
- * @param bySession whether the session's server was kept
+ * @param equal the number of candidates tied with it, itself included
+ * @param bySession whether it was selected by session affinity
  */
 record Selection(Candidate candidate, int equal, boolean bySession) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerAnnounced.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerAnnounced.java
@@ -6,13 +6,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A backend server announced itself, or announced a new profile; an older incarnation
- * than the one known has no effect.
+ * A backend server announced itself or a new profile. An incarnation older than the known
+ * one has no effect.
  *
- * @param server the backend server, or the group that answers as one
- * @param incarnation the server's life
+ * @param server the backend server, or the group that serves as one
+ * @param incarnation the server's incarnation
  * @param domain the server's failure domain
- * @param profile what the server can do
+ * @param profile the server's capabilities
  */
 public record ServerAnnounced(BackendServerId server, Incarnation incarnation, FailureDomainId domain,
 		ServerProfile profile) implements RouterEvent {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerEjected.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerEjected.java
@@ -6,10 +6,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Note that a backend server gets no work from this entry for some time.
+ * Reports that a backend server was ejected, so that this entry sends it no requests for
+ * some time.
  *
  * @param server the backend server
- * @param duration how long
+ * @param duration the duration of the ejection
  */
 public record ServerEjected(BackendServerId server, Duration duration) implements RouterCommand {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerLeaving.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerLeaving.java
@@ -5,10 +5,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A backend server is leaving and gets no new work in this life.
+ * A backend server is leaving: this incarnation gets no new requests.
  *
  * @param server the backend server
- * @param incarnation the life that ends
+ * @param incarnation the incarnation that is leaving
  */
 public record ServerLeaving(BackendServerId server, Incarnation incarnation) implements RouterEvent {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerProfile.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerProfile.java
@@ -5,17 +5,18 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What a backend server can do, used until its load reports tell more.
+ * The announced capacity of a backend server, used until its load reports contain
+ * measured values.
  *
- * @param slots the number of requests that run at one time
- * @param stepTime the time of one step at little load; for a plain service, of one
+ * @param slots the maximum number of requests that run at one time
+ * @param stepTime the duration of one step at low load; for a plain service, of one
  * request
- * @param prefillTokensPerSecond the prompt tokens computed a second
- * @param movesCache whether the engine exports and imports key-value cache
+ * @param prefillTokensPerSecond the prompt tokens computed per second
+ * @param movesCache whether the engine can export and import key-value cache
  */
 public record ServerProfile(int slots, Duration stepTime, double prefillTokensPerSecond, boolean movesCache) {
 
-	/** A profile for servers that announce none. */
+	/** The profile of servers that announce none. */
 	public static final ServerProfile DEFAULT = new ServerProfile(64, Duration.ofMillis(20), 10_000, false);
 
 	public ServerProfile {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerRemoved.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerRemoved.java
@@ -8,7 +8,7 @@
  * A backend server has left or failed.
  *
  * @param server the backend server
- * @param incarnation the life that ended
+ * @param incarnation the incarnation that ended
  */
 public record ServerRemoved(BackendServerId server, Incarnation incarnation) implements RouterEvent {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerRing.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerRing.java
@@ -3,7 +3,8 @@
 import java.util.Arrays;
 
 /**
- * A hash ring on which each server has several points.
+ * A consistent-hash ring with several points for each server. The low
+ * {@value #INDEX_BITS} bits of a point hold the index of its server.
  */
 final class ServerRing {
 
@@ -29,8 +30,9 @@
 	}
 
 	/**
-	 * Returns the server that follows a point.
-	 * @param point the point
+	 * Returns the server whose point is the first at or after a position, wrapping
+	 * around.
+	 * @param point the position
 	 * @return the server's index
 	 */
 	int successor(long point) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerState.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerState.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.id.Incarnation;
 
 /**
- * What a router knows of one life of a backend server.
+ * The state that a router keeps for one incarnation of a backend server.
  */
 final class ServerState {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerTable.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerTable.java
@@ -12,11 +12,12 @@
 import org.comfreywall.common.id.Incarnation;
 
 /**
- * The backend servers announced; a life that is leaving or has ended never comes back.
+ * The announced backend servers. An incarnation that is leaving or has ended is never
+ * added again.
  */
 final class ServerTable {
 
-	/** Ended lives remembered for each server that may be known. */
+	/** Number of ended incarnations stored, as a multiple of {@code maxServers}. */
 	private static final int ENDED_PER_SERVER = 4;
 
 	private final int maxServers;
@@ -31,10 +32,10 @@
 	}
 
 	/**
-	 * Takes in an announcement.
+	 * Adds the announced incarnation of a server, or updates it if it is present.
 	 * @param announced the announcement
 	 * @param now the present time in nanoseconds
-	 * @return {@code true} if a new life of a server was added
+	 * @return {@code true} if a new incarnation was added
 	 */
 	boolean announce(ServerAnnounced announced, long now) {
 		ServerState known = this.servers.get(announced.server());
@@ -55,9 +56,9 @@
 	}
 
 	/**
-	 * Removes a server unless a later life was announced.
+	 * Removes a server unless a later incarnation was announced.
 	 * @param server the backend server
-	 * @param incarnation the life that ended
+	 * @param incarnation the incarnation that ended
 	 * @return the server's state, or empty if it was not removed
 	 */
 	Optional<ServerState> remove(BackendServerId server, Incarnation incarnation) {
@@ -76,7 +77,7 @@
 	}
 
 	/**
-	 * Returns the servers that may get work.
+	 * Returns the servers that may be assigned to entries.
 	 * @return the servers that are not leaving
 	 */
 	Set<BackendServerId> active() {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SessionId.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SessionId.java
@@ -7,7 +7,7 @@
  * Identifies a session of a client account.
  *
  * @param account the client account
- * @param value the session's name
+ * @param value the session's name within the client account
  */
 public record SessionId(AccountId account, String value) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SlowStart.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SlowStart.java
@@ -5,7 +5,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Lets a new backend server take part in a growing share of the choices.
+ * Slow start: includes a backend server that is new or was ejected in a linearly growing
+ * share of the choices.
  */
 final class SlowStart {
 
@@ -21,19 +22,19 @@
 	}
 
 	/**
-	 * Leaves out new servers at random.
-	 * @param servers the servers that may be chosen
+	 * Omits servers in slow start at random.
+	 * @param servers the eligible servers
 	 * @param now the present time in nanoseconds
-	 * @return the servers that take part; all if none would be left
+	 * @return the remaining servers; all servers if none would remain
 	 */
 	List<ServerState> admit(List<ServerState> servers, long now) {
-		List<ServerState> admitted = new ArrayList<>(servers.size());
+		List<ServerState> included = new ArrayList<>(servers.size());
 		for (ServerState server : servers) {
 			if (admits(server, now)) {
-				admitted.add(server);
+				included.add(server);
 			}
 		}
-		return admitted.isEmpty() ? servers : admitted;
+		return included.isEmpty() ? servers : included;
 	}
 
 	private boolean admits(ServerState server, long now) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Subset.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Subset.java
@@ -10,7 +10,7 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * The backend servers that this entry uses.
+ * The subset of the backend servers that this entry uses.
  */
 final class Subset {
 
@@ -44,7 +44,7 @@
 	}
 
 	/**
-	 * Takes out a server at once, without a new assignment.
+	 * Removes a server at once, without a new assignment.
 	 * @param server the server
 	 */
 	void drop(ServerState server) {
@@ -61,9 +61,9 @@
 	}
 
 	/**
-	 * Assigns the subset anew if entries or servers changed.
-	 * @param table the servers announced
-	 * @return the change, or empty if the subset is the same
+	 * Computes the subset again if entries or servers have changed.
+	 * @param table the announced servers
+	 * @return the difference from the last assignment, or empty if there is none
 	 */
 	Optional<SubsetChanged> refresh(ServerTable table) {
 		if (!this.outdated) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetAssigner.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetAssigner.java
@@ -12,11 +12,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Assigns to each entry the backend servers that it uses, so that every server is used by
- * nearly equally many entries.
+ * Assigns a subset of the backend servers to each entry, so that nearly the same number
+ * of entries uses each server.
  * <p>
- * Entries that know the same instances compute the same assignment without talking to
- * each other. Where servers come and go, few entries change few servers.
+ * The assignment is deterministic: entries with the same lists of instances compute the
+ * same result without communication. When servers are added or removed, few entries
+ * change few of their servers.
  */
 public final class SubsetAssigner {
 
@@ -24,7 +25,7 @@
 
 	/**
 	 * Creates an assigner.
-	 * @param size the number of servers for each entry, at least 1
+	 * @param size the number of servers in each subset, at least 1
 	 */
 	public SubsetAssigner(int size) {
 		Preconditions.check(size >= 1, "size must be at least 1: %d", size);
@@ -34,8 +35,8 @@
 	/**
 	 * Assigns the servers of one entry.
 	 * @param entry the entry
-	 * @param entries all entries, the one asked for included
-	 * @param servers all backend servers that may get work
+	 * @param entries all entries, including this one
+	 * @param servers all backend servers that are not leaving
 	 * @return the entry's servers; all of them if there are no more than the size
 	 */
 	public Set<BackendServerId> assign(InstanceId entry, Collection<InstanceId> entries,
@@ -47,7 +48,7 @@
 	/**
 	 * Assigns the servers of all entries.
 	 * @param entries all entries
-	 * @param servers all backend servers that may get work
+	 * @param servers all backend servers that are not leaving
 	 * @return the servers of each entry
 	 */
 	public Map<InstanceId, Set<BackendServerId>> assignAll(Collection<InstanceId> entries,
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetChanged.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetChanged.java
@@ -5,11 +5,11 @@
 import org.comfreywall.common.id.BackendServerId;
 
 /**
- * Subscribe to the reports and cache events of some backend servers and to those of
- * others no more.
+ * Subscribes to the load reports and cache events of the added backend servers, and
+ * unsubscribes from those of the removed ones.
  *
- * @param added the servers that joined the subset
- * @param removed the servers that left it
+ * @param added the servers added to the subset
+ * @param removed the servers removed from it
  */
 public record SubsetChanged(Set<BackendServerId> added, Set<BackendServerId> removed) implements RouterCommand {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetMatching.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetMatching.java
@@ -13,16 +13,17 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Matches entries with servers by deferred acceptance (Gale and Shapley).
+ * Matches entries with servers by deferred acceptance (the Gale-Shapley algorithm).
  * <p>
- * Each entry proposes to servers in an order of its own, drawn by its hash from a ring of
- * the servers. A server accepts up to a quota near the mean and keeps the entries with
- * the smallest hash of the pair. The result does not depend on the order in which entries
- * propose, so a change of one instance moves only those whom its place displaces.
+ * Each entry proposes to servers in its own pseudo-random order, the successors of its
+ * hashes on a hash ring of the servers. A server accepts entries up to a quota near the
+ * mean and prefers those with the smallest hash of the pair. The result does not depend
+ * on the order in which the entries propose, so the addition or removal of one instance
+ * changes only the matches that it displaces.
  */
 final class SubsetMatching {
 
-	/** Sum of the servers' quotas over the places to fill. */
+	/** Ratio of the sum of all quotas to the number of subset places to fill. */
 	private static final double QUOTA_FACTOR = 1.02;
 
 	private static final int MAX_PROPOSALS_PER_PLACE = 64;
@@ -76,8 +77,8 @@
 	}
 
 	/**
-	 * Computes the servers' quotas, rounded up or down by their rank among the hashes, so
-	 * that their sum follows the numbers of entries and servers.
+	 * Computes the servers' quotas. Each is rounded up or down by the rank of the
+	 * server's hash, so that their sum follows the number of places to fill.
 	 * @param mean the mean number of entries for a server
 	 * @return the quota of each server
 	 */
@@ -104,27 +105,27 @@
 	}
 
 	private void offer(int entry, int server, Deque<Integer> waiting) {
-		int[] held = this.accepted[server];
-		if (this.acceptedCount[server] < held.length) {
-			held[this.acceptedCount[server]] = entry;
+		int[] members = this.accepted[server];
+		if (this.acceptedCount[server] < members.length) {
+			members[this.acceptedCount[server]] = entry;
 			this.acceptedCount[server]++;
 			this.missing[entry]--;
 			return;
 		}
-		int last = indexOfLast(held, server);
-		int displaced = held[last];
+		int last = indexOfLast(members, server);
+		int displaced = members[last];
 		if (comesBefore(entry, displaced, server)) {
-			held[last] = entry;
+			members[last] = entry;
 			this.missing[entry]--;
 			this.missing[displaced]++;
 			waiting.add(displaced);
 		}
 	}
 
-	private int indexOfLast(int[] held, int server) {
+	private int indexOfLast(int[] members, int server) {
 		int last = 0;
-		for (int i = 1; i < held.length; i++) {
-			last = comesBefore(held[last], held[i], server) ? i : last;
+		for (int i = 1; i < members.length; i++) {
+			last = comesBefore(members[last], members[i], server) ? i : last;
 		}
 		return last;
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/TimePassed.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/TimePassed.java
@@ -1,8 +1,8 @@
 package org.comfreywall.entry.route;
 
 /**
- * Time passed; the driver tells it about every 100 ms, and the router then brings its
- * subset up to date.
+ * A timer event, sent by the driver about every 100 ms; the router then refreshes its
+ * subset.
  */
 public record TimePassed() implements RouterEvent {
 
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/route/RouterTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/route/RouterTests.java
@@ -31,7 +31,7 @@
  */
 class RouterTests {
 
-	private static final Incarnation LIFE = Incarnation.of(1);
+	private static final Incarnation INCARNATION = Incarnation.of(1);
 
 	private static final FailureDomainId NEAR = FailureDomainId.of("near");
 
@@ -61,15 +61,15 @@
 
 	@Test
 	void choosesTheServerWithTheShorterQueue() {
-		announceWarm("w1", "w2");
+		announceAndPassSlowStart("w1", "w2");
 		report("w1", 6, 20_000);
 		report("w2", 6, 1000);
 		assertThat(chosen(request(1000))).contains("w2");
 	}
 
 	@Test
-	void addsWhatItSentSinceTheReport() {
-		announceWarm("w1", "w2");
+	void addsAttemptsSentSinceTheReport() {
+		announceAndPassSlowStart("w1", "w2");
 		report("w1", 0, 0);
 		report("w2", 0, 500);
 		send(request(4000));
@@ -77,8 +77,8 @@
 	}
 
 	@Test
-	void countsNoAttemptTwiceOnceTheReportCoversIt() {
-		announceWarm("w1", "w2");
+	void doesNotCountAnAttemptTwiceOnceAReportIncludesIt() {
+		announceAndPassSlowStart("w1", "w2");
 		report("w2", 7, 50_000);
 		send(request(4000));
 		this.now += 1;
@@ -89,7 +89,7 @@
 
 	@Test
 	void olderReportHasNoEffect() {
-		announceWarm("w1", "w2");
+		announceAndPassSlowStart("w1", "w2");
 		report("w1", 0, 0);
 		report("w2", 0, 5000);
 		this.reports = 0;
@@ -99,14 +99,14 @@
 
 	@Test
 	void prefersTheServerThatHoldsThePrefix() {
-		announceWarm("w1", "w2", "w3");
+		announceAndPassSlowStart("w1", "w2", "w3");
 		store("w2");
 		assertThat(chosen(request(2000))).contains("w2");
 	}
 
 	@Test
-	void leavesTheServerThatHoldsThePrefixWhenItsQueueIsLonger() {
-		announceWarm("w1", "w2");
+	void avoidsTheServerThatHoldsThePrefixWhenItsQueueIsLonger() {
+		announceAndPassSlowStart("w1", "w2");
 		store("w2");
 		report("w2", 8, 5000);
 		assertThat(chosen(request(2000))).contains("w1");
@@ -114,7 +114,7 @@
 
 	@Test
 	void higherClassWaitsOnlyForItsOwnQueue() {
-		announceWarm("w1", "w2");
+		announceAndPassSlowStart("w1", "w2");
 		report("w1", new QueuedTokens(0, 0, 50_000));
 		report("w2", new QueuedTokens(2000, 0, 0));
 		assertThat(this.router.choose(RouteRequest.plain(RequestId.of("r"), PriorityClass.INTERACTIVE), this.now))
@@ -125,24 +125,24 @@
 	void prefersTheNearerFailureDomain() {
 		announce("w1", 1, FAR, PROFILE);
 		announce("w2", 1, NEAR, PROFILE);
-		warm();
+		passSlowStart();
 		assertThat(chosen(request(100))).contains("w2");
 	}
 
 	@Test
 	void excludedServersAreNotChosen() {
-		announceWarm("w1", "w2");
+		announceAndPassSlowStart("w1", "w2");
 		RouteRequest request = new RouteRequest(RequestId.of("r"), PriorityClass.STANDARD, 100, PromptChain.EMPTY,
 				Optional.empty(), Set.of(BackendServerId.of("w1")));
 		assertThat(chosen(request)).contains("w2");
 	}
 
 	@Test
-	void offersToMoveCacheFromALoadedServerWhereEnginesCan() {
+	void transfersCacheFromALoadedServerWhenEnginesSupportIt() {
 		ServerProfile profile = new ServerProfile(8, Duration.ofMillis(10), 10_000, true);
 		announce("w1", 1, NEAR, profile);
 		announce("w2", 1, NEAR, profile);
-		warm();
+		passSlowStart();
 		store("w1");
 		report("w1", 8, 50_000);
 		RouteChoice choice = this.router.choose(request(2000), this.now).orElseThrow();
@@ -152,8 +152,8 @@
 	}
 
 	@Test
-	void sessionKeepsItsServerUntilThatIsMuchSlower() {
-		announceWarm("w1", "w2");
+	void sessionKeepsItsServerUntilItIsMuchSlower() {
+		announceAndPassSlowStart("w1", "w2");
 		RouteRequest request = sessionRequest();
 		RouteChoice first = send(request);
 		report(first.server().value(), 4, 300);
@@ -164,10 +164,10 @@
 
 	@Test
 	void newServerGetsAGrowingShare() {
-		announceWarm("w1", "w2");
+		announceAndPassSlowStart("w1", "w2");
 		announce("w3", 1, NEAR, PROFILE);
 		long early = shareOf("w3");
-		warm();
+		passSlowStart();
 		assertThat(early).isLessThan(shareOf("w3") / 2);
 	}
 
@@ -175,38 +175,39 @@
 		return IntStream.range(0, 300).filter((i) -> chosen(request(0)).get().equals(server)).count();
 	}
 
-	private void announceWarm(String... servers) {
+	private void announceAndPassSlowStart(String... servers) {
 		for (String server : servers) {
 			announce(server, 1, NEAR, PROFILE);
 		}
-		warm();
+		passSlowStart();
 	}
 
-	private void announce(String server, long life, FailureDomainId domain, ServerProfile profile) {
-		this.router.on(new ServerAnnounced(BackendServerId.of(server), Incarnation.of(life), domain, profile),
+	private void announce(String server, long incarnation, FailureDomainId domain, ServerProfile profile) {
+		this.router.on(new ServerAnnounced(BackendServerId.of(server), Incarnation.of(incarnation), domain, profile),
 				this.now);
 	}
 
-	private void warm() {
+	private void passSlowStart() {
 		this.now += RouterSettings.DEFAULTS.slowStart().toNanos();
 	}
 
 	private void store(String server) {
 		this.router.on(
-				new CacheChanged(new BlocksStored(BackendServerId.of(server), LIFE, 1, BlockHashes.of(1, 2, 3, 4))),
+				new CacheChanged(
+						new BlocksStored(BackendServerId.of(server), INCARNATION, 1, BlockHashes.of(1, 2, 3, 4))),
 				this.now);
 	}
 
 	private void report(String server, int running, long tokens) {
 		this.reports++;
-		this.router.on(new LoadReported(new LoadReport(BackendServerId.of(server), LIFE, this.reports, this.now,
+		this.router.on(new LoadReported(new LoadReport(BackendServerId.of(server), INCARNATION, this.reports, this.now,
 				running, 0, new QueuedTokens(0, tokens, 0), 10_000_000, 10_000, 10)), this.now);
 	}
 
 	private void report(String server, QueuedTokens tokens) {
 		this.reports++;
-		this.router.on(new LoadReported(new LoadReport(BackendServerId.of(server), LIFE, this.reports, this.now, 1, 0,
-				tokens, 10_000_000, 10_000, 10)), this.now);
+		this.router.on(new LoadReported(new LoadReport(BackendServerId.of(server), INCARNATION, this.reports, this.now,
+				1, 0, tokens, 10_000_000, 10_000, 10)), this.now);
 	}
 
 	private RouteRequest request(int tokens) {
@@ -238,33 +239,33 @@
 		private final Router router = RouterTests.this.router;
 
 		@Test
-		void leavingServerGetsNothingAtOnce() {
-			announceWarm("w1", "w2");
-			this.router.on(new ServerLeaving(BackendServerId.of("w1"), LIFE), RouterTests.this.now);
+		void leavingServerIsNoLongerChosen() {
+			announceAndPassSlowStart("w1", "w2");
+			this.router.on(new ServerLeaving(BackendServerId.of("w1"), INCARNATION), RouterTests.this.now);
 			assertThat(shareOf("w1")).isZero();
 		}
 
 		@Test
-		void lateAnnouncementDoesNotBringALeavingLifeBack() {
-			announceWarm("w1", "w2");
-			this.router.on(new ServerLeaving(BackendServerId.of("w1"), LIFE), RouterTests.this.now);
-			this.router.on(new ServerRemoved(BackendServerId.of("w1"), LIFE), RouterTests.this.now);
-			announceWarm("w1");
+		void lateAnnouncementDoesNotRestoreALeavingIncarnation() {
+			announceAndPassSlowStart("w1", "w2");
+			this.router.on(new ServerLeaving(BackendServerId.of("w1"), INCARNATION), RouterTests.this.now);
+			this.router.on(new ServerRemoved(BackendServerId.of("w1"), INCARNATION), RouterTests.this.now);
+			announceAndPassSlowStart("w1");
 			assertThat(this.router.subset()).extracting(BackendServerId::value).containsExactly("w2");
 		}
 
 		@Test
-		void newLifeOfAServerThatLeftIsUsed() {
-			announceWarm("w1", "w2");
-			this.router.on(new ServerLeaving(BackendServerId.of("w1"), LIFE), RouterTests.this.now);
+		void newIncarnationOfALeavingServerIsUsed() {
+			announceAndPassSlowStart("w1", "w2");
+			this.router.on(new ServerLeaving(BackendServerId.of("w1"), INCARNATION), RouterTests.this.now);
 			announce("w1", 2, NEAR, PROFILE);
-			warm();
+			passSlowStart();
 			assertThat(shareOf("w1")).isPositive();
 		}
 
 		@Test
-		void attemptsOfAnEarlierLifeEndWithoutEffectOnTheNewOne() {
-			announceWarm("w1");
+		void endOfAnAttemptOfAnEarlierIncarnationDoesNotAffectTheNewOne() {
+			announceAndPassSlowStart("w1");
 			RouteChoice choice = send(request(10));
 			announce("w1", 2, NEAR, PROFILE);
 			this.router.on(new AttemptFinished(new AttemptId(RequestId.of("r1"), 1)), RouterTests.this.now);
@@ -281,31 +282,31 @@
 
 		@Test
 		void ejectsAServerThatFailsInARow() {
-			announceWarm("w1", "w2", "w3");
+			announceAndPassSlowStart("w1", "w2", "w3");
 			fail("w1", 5);
 			assertThat(this.router.ejected(RouterTests.this.now)).containsExactly(BackendServerId.of("w1"));
 			assertThat(shareOf("w1")).isZero();
 		}
 
 		@Test
-		void neverEjectsMoreThanTheShare() {
-			announceWarm("w1", "w2", "w3");
+		void neverEjectsMoreThanTheMaximumShare() {
+			announceAndPassSlowStart("w1", "w2", "w3");
 			fail("w1", 5);
 			fail("w2", 5);
 			assertThat(this.router.ejected(RouterTests.this.now)).hasSize(1);
 		}
 
 		@Test
-		void releasesAServerWhenOthersLeave() {
-			announceWarm("w1", "w2", "w3");
+		void endsAnEjectionWhenOtherServersLeave() {
+			announceAndPassSlowStart("w1", "w2", "w3");
 			fail("w1", 5);
-			this.router.on(new ServerLeaving(BackendServerId.of("w2"), LIFE), RouterTests.this.now);
+			this.router.on(new ServerLeaving(BackendServerId.of("w2"), INCARNATION), RouterTests.this.now);
 			assertThat(this.router.ejected(RouterTests.this.now)).isEmpty();
 		}
 
 		@Test
-		void ejectedServerComesBackAndIsEjectedLongerTheNextTime() {
-			announceWarm("w1", "w2", "w3");
+		void ejectedServerIsUsedAgainAndEjectedLongerTheNextTime() {
+			announceAndPassSlowStart("w1", "w2", "w3");
 			fail("w1", 5);
 			RouterTests.this.now += Duration.ofSeconds(10).toNanos();
 			assertThat(this.router.ejected(RouterTests.this.now)).isEmpty();
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/route/ServerTableTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/route/ServerTableTests.java
@@ -12,32 +12,32 @@
  */
 class ServerTableTests {
 
-	private static final Incarnation LIFE = Incarnation.of(1);
+	private static final Incarnation INCARNATION = Incarnation.of(1);
 
 	private final ServerTable table = new ServerTable(1);
 
 	@Test
-	void endedLifeStaysOutWhenMoreServersEndedThanMayBeKnown() {
-		this.table.remove(BackendServerId.of("w1"), LIFE);
-		this.table.remove(BackendServerId.of("w2"), LIFE);
+	void endedIncarnationIsRejectedWhenMoreServersEndedThanMayBeKnown() {
+		this.table.remove(BackendServerId.of("w1"), INCARNATION);
+		this.table.remove(BackendServerId.of("w2"), INCARNATION);
 		assertThat(this.table.announce(announced("w1", 1), 0)).isFalse();
 	}
 
 	@Test
-	void refusesMoreServersThanMayBeKnown() {
+	void rejectsServersBeyondTheMaximum() {
 		assertThat(this.table.announce(announced("w1", 1), 0)).isTrue();
 		assertThat(this.table.announce(announced("w2", 1), 0)).isFalse();
 	}
 
 	@Test
-	void laterLifeReplacesTheEarlierOne() {
+	void laterIncarnationReplacesTheEarlierOne() {
 		this.table.announce(announced("w1", 1), 0);
 		assertThat(this.table.announce(announced("w1", 2), 0)).isTrue();
-		assertThat(this.table.remove(BackendServerId.of("w1"), LIFE)).isEmpty();
+		assertThat(this.table.remove(BackendServerId.of("w1"), INCARNATION)).isEmpty();
 	}
 
-	private static ServerAnnounced announced(String server, long life) {
-		return new ServerAnnounced(BackendServerId.of(server), Incarnation.of(life), FailureDomainId.of("d"),
+	private static ServerAnnounced announced(String server, long incarnation) {
+		return new ServerAnnounced(BackendServerId.of(server), Incarnation.of(incarnation), FailureDomainId.of("d"),
 				ServerProfile.DEFAULT);
 	}
 
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/route/SubsetAssignerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/route/SubsetAssignerTests.java
@@ -26,7 +26,7 @@
 	}
 
 	@Test
-	void everyEntryGetsItsNumberAndNoServerMoreThanTheQuota() {
+	void everyEntryGetsAFullSubsetAndNoServerExceedsItsQuota() {
 		Map<InstanceId, Set<BackendServerId>> subsets = this.assigner.assignAll(entries(100), servers(200));
 		assertThat(subsets.values()).allSatisfy((subset) -> assertThat(subset).hasSize(10));
 		assertThat(servers(200)).allSatisfy(
@@ -35,7 +35,7 @@
 	}
 
 	@Test
-	void orderOfTheListsDoesNotMatter() {
+	void resultDoesNotDependOnTheOrderOfTheLists() {
 		List<BackendServerId> reversed = new ArrayList<>(servers(200));
 		Collections.reverse(reversed);
 		assertThat(this.assigner.assignAll(entries(100), reversed))
@@ -43,7 +43,7 @@
 	}
 
 	@Test
-	void lossOfAServerMovesFewOthers() {
+	void removalOfAServerChangesFewOtherAssignments() {
 		Map<InstanceId, Set<BackendServerId>> before = this.assigner.assignAll(entries(100), servers(200));
 		Map<InstanceId, Set<BackendServerId>> after = this.assigner.assignAll(entries(100), servers(199));
 		long moved = entries(100).stream()
