Reword the entry's admission control

Doc comments spoke of requests that give way or get in and of callers that go away, and several constants of the concurrency limit were vague. They now name displacement, retry times, virtual finish time and the baseline; constants say which factor, share or limit they are.

--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AccountWeights.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AccountWeights.java
@@ -3,12 +3,12 @@
 import org.comfreywall.common.id.AccountId;
 
 /**
- * Weighs client accounts against each other within a priority class.
+ * Weights of the client accounts for fair queueing within a priority class.
  */
 @FunctionalInterface
 public interface AccountWeights {
 
-	/** Gives every client account the same weight. */
+	/** The same weight for every client account. */
 	AccountWeights EQUAL = (account) -> 1;
 
 	/**
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionCommand.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionCommand.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.admit;
 
 /**
- * What an admission controller wants done with a queued request.
+ * A command for a queued request that an admission controller returns to its driver.
  */
 public sealed interface AdmissionCommand permits StartRequest, ShedRequest {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionController.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionController.java
@@ -19,28 +19,38 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Admits requests to one service at one entry, queues them for a bounded time, and sheds
- * what cannot be answered in time, lowest class first.
+ * Admission control for one service at one entry: starts requests, queues them for a
+ * bounded time, and sheds those that cannot be answered in time, lowest class first.
  * <p>
- * The number of requests that run at one time follows the time they take. A request that
- * would wait longer than its class allows, or beyond its caller's deadline, is refused at
- * once with the time after which it is expected to get in. Within a class, client
- * accounts are served by weighted fair queueing. Queue and running requests are bounded
- * by the settings. The caller ticks every few milliseconds. Not safe for use by several
- * threads.
+ * The number of requests that run at one time adapts to their run time. A request whose
+ * expected wait exceeds the limit of its class, or that would miss its caller's deadline,
+ * is refused at once with a time after which to retry. Within a class, client accounts
+ * are served by weighted fair queueing. The settings limit the numbers of queued and
+ * running requests. The driver calls {@link #tick} every few milliseconds. Not
+ * thread-safe.
  */
 public final class AdmissionController {
 
-	private static final long SHORTEST_RETRY_NANOS = 100_000_000;
+	private static final long MIN_RETRY_AFTER_NANOS = 100_000_000;
 
-	private static final long LONGEST_RETRY_NANOS = 30_000_000_000L;
+	private static final long MAX_RETRY_AFTER_NANOS = 30_000_000_000L;
 
-	private static final double RETRY_SPREAD = 0.5;
+	/** Maximum jitter, as a share of the time after which to retry. */
+	private static final double RETRY_JITTER = 0.5;
 
-	private static final double SMALLEST_RATE_SHARE = 0.02;
+	/**
+	 * Lower bound of the work rate left to a class by the higher ones, as a share of the
+	 * total rate.
+	 */
+	private static final double MIN_RATE_SHARE = 0.02;
 
+	/** Factor of the exponential moving average of the run time per unit of cost. */
 	private static final double RUN_TIME_SMOOTHING = 0.02;
 
+	/**
+	 * Multiple of the mean run time that must remain until the deadline when a request
+	 * starts.
+	 */
 	private static final double RUN_TIME_MARGIN = 3;
 
 	private final AdmissionSettings settings;
@@ -67,9 +77,9 @@
 	 * Creates a controller with nothing queued or running.
 	 * @param settings the settings
 	 * @param weights the weights of the client accounts
-	 * @param random spreads the times after which refused callers come back
+	 * @param random adds jitter to the times after which refused callers retry
 	 * @param listener receives a record of each request that is refused or shed
-	 * @param invariants checks the invariants
+	 * @param invariants checks the invariants and counts violations
 	 */
 	public AdmissionController(AdmissionSettings settings, AccountWeights weights, RandomGenerator random,
 			DecisionListener listener, Invariants invariants) {
@@ -85,10 +95,10 @@
 	}
 
 	/**
-	 * Decides on a request that arrived.
+	 * Decides whether a new request is started, queued or refused.
 	 * @param request the request
 	 * @param now the entry's monotonic clock in nanoseconds
-	 * @return the decision, and commands for queued requests that have to give way
+	 * @return the decision, and commands for queued requests that it displaces
 	 */
 	public AdmissionResult offer(AdmissionRequest request, long now) {
 		Preconditions.notNull(request, "request");
@@ -105,7 +115,8 @@
 	}
 
 	/**
-	 * Takes in the end of a started request.
+	 * Records the end of a started request, adapts the concurrency, and starts or sheds
+	 * queued requests.
 	 * @param id the request
 	 * @param kind how it ended
 	 * @param now the entry's monotonic clock in nanoseconds
@@ -128,7 +139,7 @@
 	}
 
 	/**
-	 * Takes a queued request out because its caller went away.
+	 * Removes a queued request whose caller no longer waits for it.
 	 * @param id the request
 	 * @return {@code true} if it was queued
 	 */
@@ -138,7 +149,8 @@
 	}
 
 	/**
-	 * Sheds requests whose wait has ended and starts those there is room for.
+	 * Sheds requests whose time in queue has expired, then starts queued requests up to
+	 * the concurrency limit.
 	 * @param now the entry's monotonic clock in nanoseconds
 	 * @return commands for queued requests
 	 */
@@ -161,7 +173,7 @@
 	}
 
 	/**
-	 * Returns the number of requests in queue.
+	 * Returns the number of queued requests.
 	 * @return the count
 	 */
 	public int queued() {
@@ -169,7 +181,7 @@
 	}
 
 	/**
-	 * Returns the number of requests running.
+	 * Returns the number of running requests.
 	 * @return the count
 	 */
 	public int running() {
@@ -178,17 +190,17 @@
 
 	/**
 	 * Returns the number of requests that may run at one time.
-	 * @return the present limit
+	 * @return the current limit
 	 */
 	public int concurrency() {
 		return this.concurrency.limit();
 	}
 
 	private AdmissionResult queue(AdmissionRequest request, long now) {
-		long bound = this.settings.bounds().of(request.priority()).toNanos();
+		long maxWait = this.settings.bounds().of(request.priority()).toNanos();
 		double wait = expectedWait(request, now);
-		if (wait > bound) {
-			return AdmissionResult.of(refuse(request, RefusalReason.WAIT_TOO_LONG, wait - bound));
+		if (wait > maxWait) {
+			return AdmissionResult.of(refuse(request, RefusalReason.WAIT_TOO_LONG, wait - maxWait));
 		}
 		long latestStart = request.deadline() - (long) (RUN_TIME_MARGIN * this.nanosPerCost * request.cost());
 		if (now + wait >= latestStart) {
@@ -203,9 +215,9 @@
 			this.waiting.remove(displaced.get().request().id());
 			commands.add(shed(displaced.get().request(), RefusalReason.DISPLACED, now));
 		}
-		long until = Math.min(now + bound, latestStart);
-		this.waiting.add(request, now, until);
-		return new AdmissionResult(new Queued(until), commands);
+		long expiresAt = Math.min(now + maxWait, latestStart);
+		this.waiting.add(request, now, expiresAt);
+		return new AdmissionResult(new Queued(expiresAt), commands);
 	}
 
 	private void start(AdmissionRequest request, long now) {
@@ -219,13 +231,13 @@
 		if (!this.finishedRate.isKnown() || rate <= 0) {
 			return 0;
 		}
-		double left = rate;
+		double remaining = rate;
 		for (PriorityClass priority : PriorityClass.values()) {
 			if (priority.compareTo(request.priority()) < 0) {
-				left -= this.startedRates.get(priority).perNano(now);
+				remaining -= this.startedRates.get(priority).perNano(now);
 			}
 		}
-		return this.waiting.costAhead(request) / Math.max(left, SMALLEST_RATE_SHARE * rate);
+		return this.waiting.costAhead(request) / Math.max(remaining, MIN_RATE_SHARE * rate);
 	}
 
 	private ShedRequest shed(AdmissionRequest request, RefusalReason reason, long now) {
@@ -234,8 +246,8 @@
 	}
 
 	private Refused refuse(AdmissionRequest request, RefusalReason reason, double waitNanos) {
-		double spread = 1 + RETRY_SPREAD * this.random.nextDouble();
-		double nanos = spread * Math.max(SHORTEST_RETRY_NANOS, Math.min(waitNanos, LONGEST_RETRY_NANOS));
+		double jitter = 1 + RETRY_JITTER * this.random.nextDouble();
+		double nanos = jitter * Math.max(MIN_RETRY_AFTER_NANOS, Math.min(waitNanos, MAX_RETRY_AFTER_NANOS));
 		Duration retryAfter = Duration.ofNanos((long) nanos);
 		if (this.listener != DecisionListener.NONE) {
 			this.listener.onDecision(DecisionRecord.of(DecisionKind.SHED, request.id().value(), "not-run",
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionDecision.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionDecision.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.admit;
 
 /**
- * The decision on a request that arrived.
+ * The decision on a new request.
  */
 public sealed interface AdmissionDecision permits Admitted, Queued, Refused {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionRequest.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionRequest.java
@@ -6,14 +6,15 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What admission needs to know about a request.
+ * The properties of a request that admission control depends on.
  *
  * @param id the request; must not be queued or running already
  * @param account the client account that sent it
  * @param priority its priority class
- * @param cost its expected work, in any unit that is the same for all requests of the
- * service, above zero
- * @param deadline when the caller stops waiting, in nanoseconds on the entry's clock
+ * @param cost its expected work, above zero, in a unit shared by all requests of the
+ * service
+ * @param deadline the time at which the caller stops waiting, in nanoseconds on the
+ * entry's clock
  */
 public record AdmissionRequest(RequestId id, AccountId account, PriorityClass priority, double cost, long deadline) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionResult.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionResult.java
@@ -5,10 +5,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The decision on a request and what it means for requests queued before.
+ * The decision on a request and its effect on requests already queued.
  *
  * @param decision the decision
- * @param commands commands for queued requests that have to give way
+ * @param commands commands for queued requests that are displaced
  */
 public record AdmissionResult(AdmissionDecision decision, List<AdmissionCommand> commands) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionSettings.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionSettings.java
@@ -7,24 +7,25 @@
 /**
  * Settings of an admission controller.
  *
- * @param bounds the longest times in queue
- * @param maxQueued the most requests in queue
- * @param minConcurrency the fewest requests allowed to run at one time
- * @param initialConcurrency the requests allowed to run at one time after the start
- * @param maxConcurrency the most requests allowed to run at one time
- * @param adaptInterval the shortest time between two changes of the concurrency
- * @param latencyTolerance how many times its unloaded time a request may take before the
- * concurrency is lowered, above 1
+ * @param bounds the maximum time in queue of each priority class
+ * @param maxQueued the maximum number of queued requests
+ * @param minConcurrency the lower limit of the concurrency
+ * @param initialConcurrency the number of requests that may run at one time after the
+ * start
+ * @param maxConcurrency the upper limit of the concurrency
+ * @param adaptInterval the minimum time between two changes of the concurrency
+ * @param latencyTolerance the ratio of the mean run time to that at low load, above 1,
+ * beyond which the concurrency is reduced
  */
 public record AdmissionSettings(QueueBounds bounds, int maxQueued, int minConcurrency, int initialConcurrency,
 		int maxConcurrency, Duration adaptInterval, double latencyTolerance) {
 
-	/** The settings used unless others are given. */
+	/** The default settings. */
 	public static final AdmissionSettings DEFAULT = new AdmissionSettings(QueueBounds.DEFAULT, 4096, 4, 64, 8192,
 			Duration.ofMillis(200), 1.4);
 
 	public AdmissionSettings {
-		Preconditions.notNull(bounds, "bounds");
+		Preconditions.notNull(bounds, "queueTimeLimits");
 		Preconditions.notNull(adaptInterval, "adaptInterval");
 		Preconditions.check(maxQueued >= 1, "maxQueued must be at least 1: %d", maxQueued);
 		Preconditions.check(minConcurrency >= 1, "minConcurrency must be at least 1: %d", minConcurrency);
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/Admitted.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/Admitted.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.admit;
 
 /**
- * The request may start at once; its end must be reported.
+ * The request may start at once; the driver must report its end.
  */
 public record Admitted() implements AdmissionDecision {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ClassQueue.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ClassQueue.java
@@ -10,7 +10,7 @@
 
 /**
  * The queue of one priority class, which serves its client accounts by weighted fair
- * queueing.
+ * queueing: the account with the lowest virtual finish time is served next.
  */
 final class ClassQueue {
 
@@ -77,7 +77,7 @@
 	}
 
 	/**
-	 * Returns the newest request of the client account with the most in queue.
+	 * Returns the newest request of the client account with the most queued requests.
 	 * @return the request, or empty if the queue is empty
 	 */
 	Optional<QueuedRequest> newestOfLongest() {
@@ -94,7 +94,8 @@
 	}
 
 	/**
-	 * Estimates the work done before a new request of a client account starts.
+	 * Estimates the work to be done before a new request of a client account starts,
+	 * assuming equal weights.
 	 * @param account the client account
 	 * @param requestCost the new request's cost
 	 * @return the cost of the requests of this class ahead of it
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ConcurrencyLimit.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ConcurrencyLimit.java
@@ -1,12 +1,13 @@
 package org.comfreywall.entry.admit;
 
 /**
- * Adapts the number of requests that may run at one time to the time they take.
+ * An adaptive concurrency limit, based on the ratio of the run time to a baseline.
  * <p>
- * The mean time of a window is compared with a baseline, the mean time with little load.
- * The baseline follows the mean while the limit is not reached, since only then does a
- * longer time not stem from too many requests at one time. If the limit stays reached,
- * the baseline is measured anew now and then with a third of the requests.
+ * The mean run time of a window is compared with a baseline, the mean run time at low
+ * load. The baseline tracks the mean while the limit is not reached: only then is a
+ * longer run time not caused by the concurrency. If the limit stays reached, the baseline
+ * is measured again from time to time (a probe) with a third of the concurrency. Run
+ * times are in nanoseconds per unit of cost.
  */
 final class ConcurrencyLimit {
 
@@ -16,31 +17,39 @@
 
 	private static final int PROBE_DIVISOR = 3;
 
-	private static final int SETTLING_TURNS = 2;
+	/** Requests that must end before a probe measures, as a multiple of the limit. */
+	private static final int SETTLING_ROUNDS = 2;
 
-	private static final double MOST_BASELINE_RISE = 1.2;
+	/** Upper bound of a probed mean, as a multiple of the present baseline. */
+	private static final double MAX_BASELINE_RATIO = 1.2;
 
-	private static final long PROBE_AFTER_NANOS = 10_000_000_000L;
+	private static final long MAX_BASELINE_AGE_NANOS = 10_000_000_000L;
 
-	private static final long LONGEST_PROBE_NANOS = 5_000_000_000L;
+	private static final long MAX_PROBE_NANOS = 5_000_000_000L;
 
-	private static final double DISTURBED_SHARE = 0.05;
+	/**
+	 * Share of a window's requests: with more overloaded ones the limit is reduced, with
+	 * more failed ones the window is ignored.
+	 */
+	private static final double MAX_FAILURE_SHARE = 0.05;
 
-	private static final double SMALLEST_STEP = 0.8;
+	private static final double OVERLOAD_DECREASE_FACTOR = 0.8;
 
-	private static final double SMALLEST_LATENCY_STEP = 0.9;
+	private static final double MIN_LATENCY_DECREASE_FACTOR = 0.9;
 
-	private static final double GROWTH = 0.03;
+	private static final double GROWTH_SHARE = 0.03;
 
-	private static final double QUICK_GROWTH = 0.15;
+	private static final double FAST_GROWTH_SHARE = 0.15;
 
-	private static final double BASELINE_RISE = 0.1;
+	private static final double BASELINE_SMOOTHING = 0.1;
 
-	private static final double SMOOTHING = 0.4;
+	private static final double MEAN_SMOOTHING = 0.4;
 
-	private static final double NEAR_BASELINE = 1.1;
+	/** Ratio of the smoothed mean to the baseline below which the limit grows fast. */
+	private static final double FAST_GROWTH_MAX_RATIO = 1.1;
 
-	private static final double REACHED = 0.9;
+	/** Share of the limit from which it counts as reached. */
+	private static final double REACHED_SHARE = 0.9;
 
 	private final AdmissionSettings settings;
 
@@ -54,7 +63,7 @@
 
 	private long baselineAt;
 
-	private Probe probe = Probe.NONE;
+	private ProbePhase probePhase = ProbePhase.NONE;
 
 	private long probeFrom;
 
@@ -71,8 +80,8 @@
 
 	void ended(FinishKind kind, double cost, long now) {
 		this.window.ended(kind, cost, now);
-		if (this.probe != Probe.NONE) {
-			probe(now);
+		if (this.probePhase != ProbePhase.NONE) {
+			continueProbe(now);
 		}
 		else if (this.window.count() >= MIN_SAMPLES && isLongEnough(now)) {
 			adapt(now);
@@ -88,16 +97,16 @@
 	}
 
 	private void adapt(long now) {
-		boolean reached = this.window.mostRunning() >= REACHED * this.limit;
-		if (this.window.share(FinishKind.OVERLOADED) > DISTURBED_SHARE) {
-			change(this.limit * SMALLEST_STEP);
+		boolean reached = this.window.mostRunning() >= REACHED_SHARE * this.limit;
+		if (this.window.share(FinishKind.OVERLOADED) > MAX_FAILURE_SHARE) {
+			change(this.limit * OVERLOAD_DECREASE_FACTOR);
 		}
-		else if (this.window.share(FinishKind.FAILED) <= DISTURBED_SHARE) {
+		else if (this.window.share(FinishKind.FAILED) <= MAX_FAILURE_SHARE) {
 			follow(this.window.meanNanosPerCost(), reached, now);
 		}
 		this.window.restart(now);
-		if (reached && now - this.baselineAt > PROBE_AFTER_NANOS) {
-			this.probe = Probe.SETTLING;
+		if (reached && now - this.baselineAt > MAX_BASELINE_AGE_NANOS) {
+			this.probePhase = ProbePhase.SETTLING;
 			this.probeFrom = now;
 			this.limitAfterProbe = this.limit;
 			change(this.limit / PROBE_DIVISOR);
@@ -106,13 +115,13 @@
 
 	private void follow(double mean, boolean reached, long now) {
 		learn(mean, reached, now);
-		this.smoothed += SMOOTHING * (mean - this.smoothed);
+		this.smoothed += MEAN_SMOOTHING * (mean - this.smoothed);
 		double gradient = this.baseline * this.settings.latencyTolerance() / this.smoothed;
 		if (gradient < 1) {
-			change(this.limit * Math.max(SMALLEST_LATENCY_STEP, gradient));
+			change(this.limit * Math.max(MIN_LATENCY_DECREASE_FACTOR, gradient));
 		}
 		else if (reached) {
-			double growth = (this.smoothed < NEAR_BASELINE * this.baseline) ? QUICK_GROWTH : GROWTH;
+			double growth = (this.smoothed < FAST_GROWTH_MAX_RATIO * this.baseline) ? FAST_GROWTH_SHARE : GROWTH_SHARE;
 			change(this.limit + Math.max(1, growth * this.limit));
 		}
 	}
@@ -123,20 +132,20 @@
 			this.smoothed = mean;
 		}
 		if (!reached) {
-			this.baseline += BASELINE_RISE * (mean - this.baseline);
+			this.baseline += BASELINE_SMOOTHING * (mean - this.baseline);
 			this.baselineAt = now;
 		}
 	}
 
-	private void probe(long now) {
-		if (now - this.probeFrom > LONGEST_PROBE_NANOS) {
+	private void continueProbe(long now) {
+		if (now - this.probeFrom > MAX_PROBE_NANOS) {
 			endProbe(now);
 		}
-		else if (this.probe == Probe.SETTLING) {
+		else if (this.probePhase == ProbePhase.SETTLING) {
 			settle(now);
 		}
 		else if (this.window.count() >= PROBE_SAMPLES && isLongEnough(now)) {
-			double measured = Math.min(this.window.meanNanosPerCost(), MOST_BASELINE_RISE * this.baseline);
+			double measured = Math.min(this.window.meanNanosPerCost(), MAX_BASELINE_RATIO * this.baseline);
 			this.baseline = (this.baseline + measured) / 2;
 			endProbe(now);
 		}
@@ -146,14 +155,14 @@
 		if (this.window.running() > this.limit) {
 			this.window.restart(now);
 		}
-		else if (this.window.count() >= SETTLING_TURNS * this.limit) {
-			this.probe = Probe.MEASURING;
+		else if (this.window.count() >= SETTLING_ROUNDS * this.limit) {
+			this.probePhase = ProbePhase.MEASURING;
 			this.window.restart(now);
 		}
 	}
 
 	private void endProbe(long now) {
-		this.probe = Probe.NONE;
+		this.probePhase = ProbePhase.NONE;
 		this.baselineAt = now;
 		this.limit = this.limitAfterProbe;
 		this.window.restart(now);
@@ -163,7 +172,7 @@
 		this.limit = Math.max(this.settings.minConcurrency(), Math.min(next, this.settings.maxConcurrency()));
 	}
 
-	private enum Probe {
+	private enum ProbePhase {
 
 		NONE, SETTLING, MEASURING
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/FinishKind.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/FinishKind.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.admit;
 
 /**
- * How a started request ended, as far as the load of the backend servers goes.
+ * How a started request ended, with regard to the load of the backend servers.
  */
 public enum FinishKind {
 
@@ -11,7 +11,7 @@
 	FAILED,
 	/** It timed out or was refused because of the backend servers' load. */
 	OVERLOADED,
-	/** The caller went away. */
+	/** The caller disconnected or cancelled the request. */
 	CANCELLED
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/LoadWindow.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/LoadWindow.java
@@ -4,12 +4,13 @@
 import java.util.Map;
 
 /**
- * Measures the mean time of requests in a window as the work running over the work done
- * (Little's law), which does not favour the requests that end first.
+ * Measures the mean run time of the requests in a window by Little's law, as the integral
+ * of the running work over the finished work. Unlike a mean over the finished requests,
+ * this is not biased towards those that end first.
  */
 final class LoadWindow {
 
-	private final Map<FinishKind, Integer> ended = new EnumMap<>(FinishKind.class);
+	private final Map<FinishKind, Integer> endedByKind = new EnumMap<>(FinishKind.class);
 
 	private long startedAt;
 
@@ -40,7 +41,7 @@
 		this.runningCost = (this.running > 0) ? this.runningCost - cost : 0;
 		this.doneCost += cost;
 		this.count++;
-		this.ended.merge(kind, 1, Integer::sum);
+		this.endedByKind.merge(kind, 1, Integer::sum);
 	}
 
 	void restart(long now) {
@@ -50,7 +51,7 @@
 		this.costNanos = 0;
 		this.doneCost = 0;
 		this.count = 0;
-		this.ended.clear();
+		this.endedByKind.clear();
 	}
 
 	double meanNanosPerCost() {
@@ -58,7 +59,7 @@
 	}
 
 	double share(FinishKind kind) {
-		return (double) this.ended.getOrDefault(kind, 0) / this.count;
+		return (double) this.endedByKind.getOrDefault(kind, 0) / this.count;
 	}
 
 	long length(long now) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/QueueBounds.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/QueueBounds.java
@@ -6,15 +6,15 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The longest time in queue for each priority class.
+ * The maximum time in queue for each priority class.
  *
- * @param interactive the bound of {@link PriorityClass#INTERACTIVE}
- * @param standard the bound of {@link PriorityClass#STANDARD}
- * @param batch the bound of {@link PriorityClass#BATCH}
+ * @param interactive the limit of {@link PriorityClass#INTERACTIVE}
+ * @param standard the limit of {@link PriorityClass#STANDARD}
+ * @param batch the limit of {@link PriorityClass#BATCH}
  */
 public record QueueBounds(Duration interactive, Duration standard, Duration batch) {
 
-	/** The bounds used unless the settings say otherwise. */
+	/** The default limits. */
 	public static final QueueBounds DEFAULT = new QueueBounds(Duration.ofMillis(500), Duration.ofMillis(1000),
 			Duration.ofMillis(2000));
 
@@ -25,9 +25,9 @@
 	}
 
 	/**
-	 * Returns the bound of a class.
+	 * Returns the limit of a class.
 	 * @param priority the class
-	 * @return the longest time in queue
+	 * @return the maximum time in queue
 	 */
 	public Duration of(PriorityClass priority) {
 		if (priority == PriorityClass.INTERACTIVE) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/Queued.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/Queued.java
@@ -1,9 +1,10 @@
 package org.comfreywall.entry.admit;
 
 /**
- * The request waits; a command starts or sheds it by the given time.
+ * The request was queued; a command starts or sheds it by the given time.
  *
- * @param until when it is shed at the latest, in nanoseconds on the entry's clock
+ * @param until the time at which it is shed unless it was started, in nanoseconds on the
+ * entry's clock
  */
 public record Queued(long until) implements AdmissionDecision {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/RefusalReason.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/RefusalReason.java
@@ -5,17 +5,21 @@
  */
 public enum RefusalReason {
 
-	/** The expected wait exceeds the bound of its class. */
+	/** The expected wait exceeds the maximum time in queue of its class. */
 	WAIT_TOO_LONG,
-	/** The caller's deadline would pass before the answer. */
+	/** The caller's deadline would expire before the answer. */
 	DEADLINE,
-	/** The queue is full and holds no request that should give way. */
+	/** The queue is full and contains no request that the new one may displace. */
 	QUEUE_FULL,
 	/**
-	 * It gave way to a request of a higher class or of a client account with less queued.
+	 * It was displaced by a request of a higher class, or of a client account with fewer
+	 * queued requests.
 	 */
 	DISPLACED,
-	/** It waited in the queue for as long as its class allows. */
+	/**
+	 * Its time in queue expired: the maximum of its class, or the latest start for its
+	 * deadline.
+	 */
 	WAITED_IN_VAIN
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/Refused.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/Refused.java
@@ -5,10 +5,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The request is not run.
+ * The request was refused and is not run.
  *
- * @param reason why
- * @param retryAfter when the backlog is expected to let such a request in
+ * @param reason the reason for the refusal
+ * @param retryAfter the time after which the caller should retry, from the expected wait
+ * and random jitter
  */
 public record Refused(RefusalReason reason, Duration retryAfter) implements AdmissionDecision {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/RunningRequest.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/RunningRequest.java
@@ -1,10 +1,10 @@
 package org.comfreywall.entry.admit;
 
 /**
- * A request that was started and has not ended.
+ * A started request that has not ended.
  *
  * @param request the request
- * @param startedAt when it was started, in nanoseconds
+ * @param startedAt the time at which it was started, in nanoseconds
  */
 record RunningRequest(AdmissionRequest request, long startedAt) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ShedRequest.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ShedRequest.java
@@ -6,11 +6,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tells the caller of a queued request that it was not run.
+ * Reports to the caller of a queued request that it was not run.
  *
  * @param id the request
- * @param reason why
- * @param retryAfter when the backlog is expected to let such a request in
+ * @param reason the reason for shedding it
+ * @param retryAfter the time after which the caller should retry, from the expected wait
+ * and random jitter
  */
 public record ShedRequest(RequestId id, RefusalReason reason, Duration retryAfter) implements AdmissionCommand {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/StartRequest.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/StartRequest.java
@@ -6,16 +6,16 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Starts a queued request; its end must be reported.
+ * Starts a queued request; the driver must report its end.
  *
  * @param id the request
- * @param queued how long it was queued
+ * @param queued its time in queue
  */
 public record StartRequest(RequestId id, Duration queued) implements AdmissionCommand {
 
 	public StartRequest {
 		Preconditions.notNull(id, "id");
-		Preconditions.notNull(queued, "queued");
+		Preconditions.notNull(queued, "queueTime");
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/WaitingRequests.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/WaitingRequests.java
@@ -12,7 +12,7 @@
 import org.comfreywall.common.id.RequestId;
 
 /**
- * All queued requests, by priority class and by the end of their wait.
+ * All queued requests, by priority class and by the expiry of their time in queue.
  */
 final class WaitingRequests {
 
@@ -35,18 +35,18 @@
 		}
 	}
 
-	void add(AdmissionRequest request, long now, long until) {
+	void add(AdmissionRequest request, long now, long expiresAt) {
 		this.number++;
-		QueuedRequest queued = new QueuedRequest(request, this.number, now, until);
+		QueuedRequest queued = new QueuedRequest(request, this.number, now, expiresAt);
 		this.classes.get(request.priority()).add(queued);
 		this.byId.put(request.id(), queued);
 		this.byEnd.add(queued);
 	}
 
 	/**
-	 * Takes out the next request to start: the highest class first, within it fairly
-	 * between the client accounts.
-	 * @return the request, or empty if none waits
+	 * Removes the next request to start: the highest class first, by weighted fair
+	 * queueing between the client accounts within it.
+	 * @return the request, or empty if none is queued
 	 */
 	Optional<QueuedRequest> poll() {
 		for (PriorityClass priority : CLASSES) {
@@ -60,7 +60,7 @@
 	}
 
 	/**
-	 * Takes out a request whose wait has ended.
+	 * Removes a request whose time in queue has expired.
 	 * @param now the time in nanoseconds
 	 * @return the request, or empty if there is none
 	 */
@@ -82,10 +82,11 @@
 	}
 
 	/**
-	 * Finds the request that should give way to a new one: one of the lowest class below
-	 * the new one's, else of a client account of the same class with more in queue.
+	 * Finds the queued request that a new one displaces when the queue is full: one of
+	 * the lowest class below its own, otherwise one of the same class from the client
+	 * account with the most queued requests, if that has more than the new one's account.
 	 * @param request the new request
-	 * @return the request to displace, or empty if the new one should give way
+	 * @return the request to displace, or empty if the new one is to be refused
 	 */
 	Optional<QueuedRequest> displacedBy(AdmissionRequest request) {
 		for (int i = CLASSES.length - 1; i > request.priority().ordinal(); i--) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/WorkRate.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/WorkRate.java
@@ -1,7 +1,7 @@
 package org.comfreywall.entry.admit;
 
 /**
- * A moving average of work a nanosecond.
+ * An exponential moving average of work per nanosecond, updated once a window.
  */
 final class WorkRate {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/package-info.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Admission under load: adaptive concurrency, queues bounded in time, and shedding.
+ * Admission control: adaptive concurrency limits, queues with a maximum waiting time, and
+ * load shedding.
  */
 package org.comfreywall.entry.admit;
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/admit/AdmissionControllerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/admit/AdmissionControllerTests.java
@@ -49,7 +49,7 @@
 	}
 
 	@Test
-	void admitsUpToTheConcurrencyAndQueuesTheRest() {
+	void admitsRequestsUpToTheConcurrencyLimitAndQueuesTheRest() {
 		AdmissionController controller = controller(1, 10);
 		assertThat(controller.offer(request("1", "a", PriorityClass.STANDARD), 0).decision())
 			.isInstanceOf(Admitted.class);
@@ -58,7 +58,7 @@
 	}
 
 	@Test
-	void rejectsRequestThatIsQueuedAlready() {
+	void rejectsRequestThatIsAlreadyRunning() {
 		AdmissionController controller = controller(1, 10);
 		controller.offer(request("1", "a", PriorityClass.STANDARD), 0);
 		assertThatIllegalArgumentException()
@@ -67,7 +67,7 @@
 	}
 
 	@Test
-	void countsAnEndReportedTwiceAsBreach() {
+	void countsAnEndReportedTwiceAsInvariantViolation() {
 		AdmissionController controller = controller(1, 10);
 		controller.offer(request("1", "a", PriorityClass.STANDARD), 0);
 		controller.finished(RequestId.of("1"), FinishKind.ANSWERED, 1);
@@ -89,7 +89,7 @@
 		}
 
 		@Test
-		void servesSmallAccountsBesideOneLarge() {
+		void servesSmallAccountsFairlyBesideALargeOne() {
 			AdmissionController controller = controller(1, 200);
 			controller.offer(request("running", "large", PriorityClass.STANDARD), 0);
 			for (int i = 0; i < 100; i++) {
@@ -112,7 +112,7 @@
 	class Shedding {
 
 		@Test
-		void shedsRequestAtTheEndOfItsBoundedWait() {
+		void shedsRequestWhenItsTimeInQueueExpires() {
 			AdmissionController controller = controller(1, 10);
 			controller.offer(request("1", "a", PriorityClass.INTERACTIVE), 0);
 			controller.offer(request("2", "a", PriorityClass.INTERACTIVE), 0);
@@ -123,7 +123,7 @@
 		}
 
 		@Test
-		void neverStartsRequestWhoseCallerIsGone() {
+		void neverStartsRequestWhoseDeadlineHasPassed() {
 			AdmissionController controller = controller(1, 10);
 			controller.offer(request("1", "a", PriorityClass.STANDARD), 0);
 			controller.offer(
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/admit/ConcurrencyLimitTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/admit/ConcurrencyLimitTests.java
@@ -18,7 +18,7 @@
 
 	private long now;
 
-	private void window(FinishKind kind, long nanos, int running) {
+	private void runRequests(FinishKind kind, long nanos, int running) {
 		for (int i = 0; i < 20; i++) {
 			for (int j = 0; j < running; j++) {
 				this.limit.started(1, this.now);
@@ -31,37 +31,37 @@
 	}
 
 	@Test
-	void growsWhileReachedAndQuick() {
-		window(FinishKind.ANSWERED, 20 * MILLI, 32);
+	void growsWhileTheLimitIsReachedAndLatencyIsLow() {
+		runRequests(FinishKind.ANSWERED, 20 * MILLI, 32);
 		assertThat(this.limit.limit()).isGreaterThan(32);
 	}
 
 	@Test
-	void staysWhileNotReached() {
-		window(FinishKind.ANSWERED, 20 * MILLI, 20);
+	void staysUnchangedWhileTheLimitIsNotReached() {
+		runRequests(FinishKind.ANSWERED, 20 * MILLI, 20);
 		assertThat(this.limit.limit()).isEqualTo(32);
 	}
 
 	@Test
 	void shrinksWhenRequestsTakeLonger() {
-		window(FinishKind.ANSWERED, 20 * MILLI, 20);
-		window(FinishKind.ANSWERED, 80 * MILLI, 32);
+		runRequests(FinishKind.ANSWERED, 20 * MILLI, 20);
+		runRequests(FinishKind.ANSWERED, 80 * MILLI, 32);
 		assertThat(this.limit.limit()).isLessThan(32);
 	}
 
 	@Test
-	void shrinksNoFurtherThanTheLeastConcurrency() {
+	void doesNotShrinkBelowTheMinimumConcurrency() {
 		for (int i = 0; i < 20; i++) {
-			window(FinishKind.OVERLOADED, 20 * MILLI, 32);
+			runRequests(FinishKind.OVERLOADED, 20 * MILLI, 32);
 		}
 		assertThat(this.limit.limit()).isEqualTo(4);
 	}
 
 	@Test
-	void growsBackWhenLongerTimesDoNotStemFromTheLoad() {
-		window(FinishKind.ANSWERED, 20 * MILLI, 20);
+	void growsAgainWhenLongerRunTimesAreNotCausedByTheLoad() {
+		runRequests(FinishKind.ANSWERED, 20 * MILLI, 20);
 		for (int i = 0; i < 100; i++) {
-			window(FinishKind.ANSWERED, 80 * MILLI, this.limit.limit());
+			runRequests(FinishKind.ANSWERED, 80 * MILLI, this.limit.limit());
 		}
 		assertThat(this.limit.limit()).isGreaterThan(32);
 	}
