--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/BlocksStored.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/BlocksStored.java
@@ -5,12 +5,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Blocks that entered a backend server's prefix cache.
+ * Reports that blocks were stored in a backend server's prefix cache.
  *
  * @param server the backend server
- * @param incarnation the server's life
- * @param sequence the number of the event
- * @param blocks the block hashes stored
+ * @param incarnation the server's incarnation
+ * @param sequence the sequence number of the event
+ * @param blocks the hashes of the stored blocks
  */
 public record BlocksStored(BackendServerId server, Incarnation incarnation, long sequence,
 		BlockHashes blocks) implements CacheEvent {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/CacheEvent.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/CacheEvent.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.id.Incarnation;
 
 /**
- * What a backend server tells about its prefix cache.
+ * An event that a backend server sends about its prefix cache.
  */
 public sealed interface CacheEvent permits BlocksStored, BlocksRemoved, CacheSnapshot {
 
@@ -15,13 +15,13 @@
 	BackendServerId server();
 
 	/**
-	 * Returns the life of the backend server that the event belongs to.
+	 * Returns the incarnation of the backend server that sent the event.
 	 * @return the incarnation
 	 */
 	Incarnation incarnation();
 
 	/**
-	 * Returns the event's number; a server numbers its events without gaps from 1.
+	 * Returns the sequence number; a server numbers its events without gaps from 1.
 	 * @return the sequence number
 	 */
 	long sequence();
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/CacheSnapshot.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/CacheSnapshot.java
@@ -5,12 +5,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The whole content of a backend server's prefix cache after an event.
+ * The complete content of a backend server's prefix cache after an event.
  *
  * @param server the backend server
- * @param incarnation the server's life
- * @param sequence the number of the event that the snapshot includes last
- * @param blocks the block hashes held
+ * @param incarnation the server's incarnation
+ * @param sequence the sequence number of the last event that the snapshot includes
+ * @param blocks the hashes of all cached blocks
  */
 public record CacheSnapshot(BackendServerId server, Incarnation incarnation, long sequence,
 		BlockHashes blocks) implements CacheEvent {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/Claim.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/Claim.java
@@ -1,11 +1,13 @@
 package org.comfreywall.entry.prefix;
 
 /**
- * The belief that a backend server holds a block.
+ * Records that a backend server is expected to hold a block, because an event reported it
+ * or because a prompt with this block was sent to the server.
  *
- * @param cache the server's event stream
- * @param sequence the number of the event that told it; {@link #ASSUMED} if none did
- * @param learnedAt when it was learnt, in nanoseconds
+ * @param cache the state of the server's prefix cache
+ * @param sequence the sequence number of the event that reported the block;
+ * {@link #ASSUMED} if none did
+ * @param learnedAt when it was last reported or assumed, in nanoseconds
  */
 record Claim(ServerCache cache, long sequence, long learnedAt) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/PrefixIndex.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/PrefixIndex.java
@@ -13,11 +13,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Remembers which backend servers hold which prompt blocks, each with a probability that
- * decays with age.
+ * Index of the prompt blocks that backend servers are expected to hold in their prefix
+ * caches, each with a probability that decays hyperbolically with age.
  * <p>
- * The memory is bounded by the number of claims, pairs of a block and a server; the block
- * used least recently is forgotten first. Not safe for use by several threads.
+ * The size is limited by the number of pairs of a block and a server; the least recently
+ * used blocks are evicted first. Not thread-safe.
  */
 public final class PrefixIndex {
 
@@ -40,9 +40,9 @@
 	}
 
 	/**
-	 * Starts to follow one life of a backend server and forgets its earlier lives.
+	 * Adds an incarnation of a backend server and discards the blocks of earlier ones.
 	 * @param server the backend server
-	 * @param incarnation the life that was announced
+	 * @param incarnation the announced incarnation
 	 */
 	public void serverAnnounced(BackendServerId server, Incarnation incarnation) {
 		ServerCache known = this.caches.get(server);
@@ -53,7 +53,7 @@
 	}
 
 	/**
-	 * Forgets what a backend server holds.
+	 * Discards the blocks of a backend server.
 	 * @param server the backend server
 	 */
 	public void serverRemoved(BackendServerId server) {
@@ -61,11 +61,12 @@
 	}
 
 	/**
-	 * Takes in a cache event; one of an unknown server or another life, or an old or
-	 * doubled one, has no effect.
+	 * Applies a cache event. An event of an unknown server or another incarnation, or one
+	 * that is not newer than the last, has no effect.
 	 * @param event the event
 	 * @param now the present time in nanoseconds
-	 * @return the request for a snapshot that has become due, or empty
+	 * @return the request for a snapshot if events are missing and a request is due,
+	 * otherwise empty
 	 */
 	public Optional<ResyncRequest> onEvent(CacheEvent event, long now) {
 		Preconditions.notNull(event, "event");
@@ -79,7 +80,8 @@
 	}
 
 	/**
-	 * Assumes that a backend server will hold the blocks of a prompt that was sent to it.
+	 * Records that a prompt was sent to a backend server, which is then assumed to hold
+	 * its blocks.
 	 * @param server the backend server
 	 * @param chain the prompt's blocks
 	 * @param now the present time in nanoseconds
@@ -96,38 +98,40 @@
 	}
 
 	/**
-	 * Computes how much of a prompt each backend server is expected to hold.
+	 * Computes the expected number of tokens of a prompt that each backend server holds.
+	 * Only an unbroken prefix counts.
 	 * @param chain the prompt's blocks
 	 * @param now the present time in nanoseconds
-	 * @return the expected tokens for each server
+	 * @return the expected tokens of each server
 	 */
 	public PrefixMatch match(PromptChain chain, long now) {
 		this.matches++;
-		List<ServerCache> found = new ArrayList<>();
+		List<ServerCache> matched = new ArrayList<>();
 		for (int i = 0; i < chain.size(); i++) {
-			List<Claim> held = this.blocks.get(chain.hash(i));
-			if (held == null) {
+			List<Claim> locations = this.blocks.get(chain.hash(i));
+			if (locations == null) {
 				break;
 			}
-			for (Claim claim : held) {
-				if (claim.cache().covers(claim) && claim.cache().matchBlock(this.matches, i, probability(claim, now))) {
-					found.add(claim.cache());
+			for (Claim location : locations) {
+				if (location.cache().covers(location)
+						&& location.cache().matchBlock(this.matches, i, probability(location, now))) {
+					matched.add(location.cache());
 				}
 			}
 		}
-		return found.isEmpty() ? PrefixMatch.NONE : toMatch(found, chain.blockTokens());
+		return matched.isEmpty() ? PrefixMatch.NONE : toMatch(matched, chain.blockTokens());
 	}
 
 	/**
-	 * Returns the number of claims remembered.
-	 * @return the claims, at most {@link PrefixSettings#maxClaims()}
+	 * Returns the number of pairs of a block and a server.
+	 * @return the number, at most {@link PrefixSettings#maxClaims()}
 	 */
 	public int claims() {
 		return this.claims;
 	}
 
 	/**
-	 * Tells whether events of a server are missing.
+	 * Returns whether events of a server are missing.
 	 * @param server the backend server
 	 * @return {@code true} from a gap until a snapshot closes it
 	 */
@@ -136,9 +140,9 @@
 		return cache != null && cache.hasGap();
 	}
 
-	private static PrefixMatch toMatch(List<ServerCache> found, int blockTokens) {
-		Map<BackendServerId, Double> tokens = new HashMap<>(found.size() * 2);
-		found.forEach((cache) -> tokens.put(cache.server(), cache.expectedBlocks() * blockTokens));
+	private static PrefixMatch toMatch(List<ServerCache> matched, int blockTokens) {
+		Map<BackendServerId, Double> tokens = new HashMap<>(matched.size() * 2);
+		matched.forEach((cache) -> tokens.put(cache.server(), cache.expectedBlocks() * blockTokens));
 		return new PrefixMatch(tokens);
 	}
 
@@ -156,18 +160,18 @@
 
 	private void store(BlockHashes hashes, ServerCache cache, long sequence, long now) {
 		for (int i = 0; i < hashes.size(); i++) {
-			List<Claim> held = this.blocks.computeIfAbsent(hashes.get(i), (key) -> new ArrayList<>(2));
-			put(held, new Claim(cache, sequence, now));
+			List<Claim> locations = this.blocks.computeIfAbsent(hashes.get(i), (key) -> new ArrayList<>(2));
+			put(locations, new Claim(cache, sequence, now));
 		}
 		evict();
 	}
 
 	private void remove(BlockHashes hashes, ServerCache cache) {
 		for (int i = 0; i < hashes.size(); i++) {
-			List<Claim> held = this.blocks.get(hashes.get(i));
-			if (held != null) {
-				drop(held, cache);
-				if (held.isEmpty()) {
+			List<Claim> locations = this.blocks.get(hashes.get(i));
+			if (locations != null) {
+				drop(locations, cache);
+				if (locations.isEmpty()) {
 					this.blocks.remove(hashes.get(i));
 				}
 			}
@@ -175,27 +179,27 @@
 	}
 
 	private void assume(long hash, ServerCache cache, long now) {
-		List<Claim> held = this.blocks.computeIfAbsent(hash, (key) -> new ArrayList<>(2));
-		for (int i = 0; i < held.size(); i++) {
-			Claim claim = held.get(i);
-			if (claim.cache() == cache) {
-				held.set(i, new Claim(cache, cache.covers(claim) ? claim.sequence() : Claim.ASSUMED, now));
+		List<Claim> locations = this.blocks.computeIfAbsent(hash, (key) -> new ArrayList<>(2));
+		for (int i = 0; i < locations.size(); i++) {
+			Claim location = locations.get(i);
+			if (location.cache() == cache) {
+				locations.set(i, new Claim(cache, cache.covers(location) ? location.sequence() : Claim.ASSUMED, now));
 				return;
 			}
 		}
-		put(held, new Claim(cache, Claim.ASSUMED, now));
+		put(locations, new Claim(cache, Claim.ASSUMED, now));
 	}
 
-	private void put(List<Claim> held, Claim claim) {
-		drop(held, claim.cache());
-		held.add(claim);
+	private void put(List<Claim> locations, Claim location) {
+		drop(locations, location.cache());
+		locations.add(location);
 		this.claims++;
 	}
 
-	private void drop(List<Claim> held, ServerCache cache) {
-		int before = held.size();
-		held.removeIf((claim) -> claim.cache() == cache || !claim.cache().covers(claim));
-		this.claims -= before - held.size();
+	private void drop(List<Claim> locations, ServerCache cache) {
+		int before = locations.size();
+		locations.removeIf((location) -> location.cache() == cache || !location.cache().covers(location));
+		this.claims -= before - locations.size();
 	}
 
 	private void evict() {
@@ -206,13 +210,13 @@
 		}
 	}
 
-	private double probability(Claim claim, long now) {
-		long halfLife = (claim.isAssumed() ? this.settings.assumedHalfLife() : this.settings.reportedHalfLife())
+	private double probability(Claim location, long now) {
+		long halfLife = (location.isAssumed() ? this.settings.assumedHalfLife() : this.settings.reportedHalfLife())
 			.toNanos();
-		double first = claim.isAssumed() ? this.settings.assumedProbability() : 1;
-		double trust = claim.cache().hasGap() ? this.settings.gapTrust() : 1;
-		double age = Math.max(0, now - claim.learnedAt());
-		return first * trust * halfLife / (halfLife + age);
+		double initial = location.isAssumed() ? this.settings.assumedProbability() : 1;
+		double gapFactor = location.cache().hasGap() ? this.settings.gapTrust() : 1;
+		double age = Math.max(0, now - location.learnedAt());
+		return initial * gapFactor * halfLife / (halfLife + age);
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/PrefixMatch.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/PrefixMatch.java
@@ -6,11 +6,11 @@
 import org.comfreywall.common.id.BackendServerId;
 
 /**
- * The expected number of a prompt's tokens that each backend server holds.
+ * The expected number of a prompt's tokens in the prefix cache of each backend server.
  */
 public final class PrefixMatch {
 
-	/** A match of nothing. */
+	/** The match of a prompt of which no server holds a block. */
 	public static final PrefixMatch NONE = new PrefixMatch(Map.of());
 
 	private final Map<BackendServerId, Double> tokens;
@@ -22,14 +22,14 @@
 	/**
 	 * Returns the expected number of cached tokens on a server.
 	 * @param server the backend server
-	 * @return the tokens, 0 if nothing is known
+	 * @return the expected tokens, 0 if the server is not expected to hold any
 	 */
 	public double cachedTokens(BackendServerId server) {
 		return this.tokens.getOrDefault(server, 0.0);
 	}
 
 	/**
-	 * Returns the server expected to hold most.
+	 * Returns the server with the most expected tokens.
 	 * @return the backend server, or empty if none holds anything
 	 */
 	public Optional<BackendServerId> best() {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/PromptChain.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/PromptChain.java
@@ -11,7 +11,7 @@
  */
 public final class PromptChain {
 
-	/** The greatest number of blocks kept of one prompt. */
+	/** The maximum number of blocks of one prompt. */
 	public static final int MAX_BLOCKS = 256;
 
 	/** The chain of a prompt that is shorter than one block or unknown. */
@@ -31,7 +31,7 @@
 	}
 
 	/**
-	 * Creates a chain from block hashes that are chained already, as engines report them.
+	 * Creates a chain from block hashes that are already chained, as engines report them.
 	 * @param hashes the hashes in prompt order; those past {@link #MAX_BLOCKS} are
 	 * ignored
 	 * @param blockTokens the number of tokens in a block, at least 1
@@ -44,10 +44,11 @@
 	}
 
 	/**
-	 * Computes the chain of a prompt's text; a last block that is not full is left out.
+	 * Computes the chain of a prompt's text with FNV-1a; an incomplete last block is
+	 * omitted.
 	 * @param prompt the prompt
 	 * @param blockBytes the number of bytes in a block, at least 1
-	 * @param blockTokens the number of tokens that a block stands for, at least 1
+	 * @param blockTokens the assumed number of tokens in a block, at least 1
 	 * @return the chain
 	 */
 	public static PromptChain of(Bytes prompt, int blockBytes, int blockTokens) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/ResyncRequest.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/ResyncRequest.java
@@ -4,7 +4,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Asks a backend server for a snapshot of its prefix cache, because events are missing.
+ * A request for a snapshot of a backend server's prefix cache, because events are
+ * missing.
  *
  * @param server the backend server
  */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/ServerCache.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/ServerCache.java
@@ -4,8 +4,8 @@
 import org.comfreywall.common.id.Incarnation;
 
 /**
- * State of one life of a backend server's event stream, with scratch values of the match
- * that is being computed.
+ * The state of the cache events from one incarnation of a backend server, with temporary
+ * values of the match that is being computed.
  */
 final class ServerCache {
 
@@ -57,9 +57,10 @@
 	}
 
 	/**
-	 * Notes the number of an event.
-	 * @param sequence the event's number
-	 * @return {@code false} if an event with this number or a later one came before
+	 * Records the sequence number of an event, and a gap if numbers were skipped.
+	 * @param sequence the event's sequence number
+	 * @return {@code false} if an event with this number or a higher one was received
+	 * before
 	 */
 	boolean advance(long sequence) {
 		if (sequence <= this.lastSequence) {
@@ -73,9 +74,10 @@
 	}
 
 	/**
-	 * Notes a snapshot.
-	 * @param sequence the number of the last event in the snapshot
-	 * @return {@code false} if a snapshot at least as new came before
+	 * Records the sequence number of a snapshot, which closes a gap if it includes all
+	 * missing events.
+	 * @param sequence the sequence number of the last event in the snapshot
+	 * @return {@code false} if a snapshot at least as new was received before
 	 */
 	boolean advanceToSnapshot(long sequence) {
 		if (sequence <= this.snapshotSequence) {
@@ -95,10 +97,10 @@
 	}
 
 	/**
-	 * Notes a request for a snapshot unless one was made a short time ago.
+	 * Returns whether to request a snapshot now, and if so records the request.
 	 * @param now the present time in nanoseconds
-	 * @param interval the least time between requests in nanoseconds
-	 * @return {@code true} if the request is to be made
+	 * @param interval the minimum time between requests in nanoseconds
+	 * @return {@code true} if there is a gap and no request was made within the interval
 	 */
 	boolean askResync(long now, long interval) {
 		if (!hasGap() || (this.resyncAsked && now - this.resyncAskedAt < interval)) {
@@ -109,21 +111,22 @@
 		return true;
 	}
 
-	boolean covers(Claim claim) {
-		return this.alive && claim.sequence() >= this.snapshotSequence;
+	boolean covers(Claim location) {
+		return this.alive && location.sequence() >= this.snapshotSequence;
 	}
 
 	/**
-	 * Adds a block to the match that is being computed.
-	 * @param stamp the number of the match
+	 * Adds a block to the match that is being computed, if the server also holds all
+	 * blocks before it.
+	 * @param match the number of the match
 	 * @param block the block's position in the prompt
 	 * @param held the probability that the server holds the block
 	 * @return {@code true} if this is the server's first block in the match
 	 */
-	boolean matchBlock(long stamp, int block, double held) {
-		boolean first = this.matchStamp != stamp;
+	boolean matchBlock(long match, int block, double held) {
+		boolean first = this.matchStamp != match;
 		if (first) {
-			this.matchStamp = stamp;
+			this.matchStamp = match;
 			this.matchedBlocks = 0;
 			this.probability = 1;
 			this.expectedBlocks = 0;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/package-info.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Knowledge of which backend servers hold the key-value cache of which prompt prefixes.
+ * Index of the backend servers that hold the key-value cache of prompt prefixes.
  */
 package org.comfreywall.entry.prefix;
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/prefix/PrefixIndexTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/prefix/PrefixIndexTests.java
@@ -19,7 +19,7 @@
 
 	private static final BackendServerId SERVER = BackendServerId.of("w1");
 
-	private static final Incarnation LIFE = Incarnation.of(1);
+	private static final Incarnation INCARNATION = Incarnation.of(1);
 
 	private static final PromptChain CHAIN = PromptChain.of(new long[] { 11, 12, 13, 14 }, 100);
 
@@ -30,7 +30,7 @@
 
 	@BeforeEach
 	void announce() {
-		this.index.serverAnnounced(SERVER, LIFE);
+		this.index.serverAnnounced(SERVER, INCARNATION);
 	}
 
 	@Test
@@ -52,27 +52,27 @@
 	}
 
 	@Test
-	void removedBlocksAreForgotten() {
+	void removedBlocksNoLongerMatch() {
 		this.index.onEvent(stored(1, 11, 12), 0);
-		this.index.onEvent(new BlocksRemoved(SERVER, LIFE, 2, BlockHashes.of(12)), 0);
+		this.index.onEvent(new BlocksRemoved(SERVER, INCARNATION, 2, BlockHashes.of(12)), 0);
 		assertThat(tokens(0)).isEqualTo(100);
 	}
 
 	@Test
-	void eventsOfAnotherLifeHaveNoEffect() {
+	void eventsOfAnotherIncarnationHaveNoEffect() {
 		this.index.onEvent(new BlocksStored(SERVER, Incarnation.of(2), 1, BlockHashes.of(11)), 0);
 		assertThat(tokens(0)).isZero();
 	}
 
 	@Test
-	void newLifeHoldsNothing() {
+	void newIncarnationHoldsNoBlocks() {
 		this.index.onEvent(stored(1, 11), 0);
 		this.index.serverAnnounced(SERVER, Incarnation.of(2));
 		assertThat(tokens(0)).isZero();
 	}
 
 	@Test
-	void claimsStayWithinTheBound() {
+	void locationsStayWithinTheMaximum() {
 		Random random = new Random(7);
 		for (int i = 1; i <= 1000; i++) {
 			this.index.onEvent(stored(i, random.nextInt(500), random.nextInt(500)), i);
@@ -85,7 +85,7 @@
 	}
 
 	private static BlocksStored stored(long sequence, long... hashes) {
-		return new BlocksStored(SERVER, LIFE, sequence, BlockHashes.of(hashes));
+		return new BlocksStored(SERVER, INCARNATION, sequence, BlockHashes.of(hashes));
 	}
 
 	@Nested
@@ -94,28 +94,28 @@
 		private final PrefixIndex index = PrefixIndexTests.this.index;
 
 		@BeforeEach
-		void loseSecondEvent() {
+		void storeFirstBlock() {
 			this.index.onEvent(stored(1, 11), 0);
 		}
 
 		@Test
-		void asksForSnapshotOnceInAnInterval() {
+		void requestsASnapshotOncePerInterval() {
 			assertThat(this.index.onEvent(stored(3, 12), 0)).contains(new ResyncRequest(SERVER));
 			assertThat(this.index.onEvent(stored(4, 13), 1)).isEmpty();
 			assertThat(this.index.onEvent(stored(5, 14), Duration.ofSeconds(2).toNanos())).isPresent();
 		}
 
 		@Test
-		void trustsTheServerLess() {
+		void reducesTheProbabilitiesOfTheServer() {
 			this.index.onEvent(stored(3, 12), 0);
 			assertThat(tokens(0)).isCloseTo(100, within(0.01));
 		}
 
 		@Test
-		void snapshotReplacesWhatWasKnownAndKeepsLaterEvents() {
+		void snapshotReplacesEarlierBlocksAndKeepsLaterEvents() {
 			this.index.onEvent(stored(3, 12), 0);
 			this.index.onEvent(stored(5, 13), 0);
-			this.index.onEvent(new CacheSnapshot(SERVER, LIFE, 4, BlockHashes.of(11, 12)), 0);
+			this.index.onEvent(new CacheSnapshot(SERVER, INCARNATION, 4, BlockHashes.of(11, 12)), 0);
 			assertThat(this.index.hasGap(SERVER)).isFalse();
 			assertThat(tokens(0)).isEqualTo(300);
 		}
@@ -123,7 +123,7 @@
 		@Test
 		void snapshotFromBeforeTheGapDoesNotCloseIt() {
 			this.index.onEvent(stored(3, 12), 0);
-			this.index.onEvent(new CacheSnapshot(SERVER, LIFE, 1, BlockHashes.of(11)), 0);
+			this.index.onEvent(new CacheSnapshot(SERVER, INCARNATION, 1, BlockHashes.of(11)), 0);
 			assertThat(this.index.hasGap(SERVER)).isTrue();
 		}
 
