Reword the entry's key-value cache plans

Prices are now called costs, and the parameters have units.

Ran the tests of the module; no test checks less than before.

--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/KvPlan.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/KvPlan.java
@@ -1,7 +1,8 @@
 package org.comfreywall.entry.kv;
 
 /**
- * How a chosen backend server gets the key-value cache of a prompt that it does not hold.
+ * How a chosen backend server obtains the part of a prompt's key-value cache that it
+ * lacks.
  */
 public sealed interface KvPlan permits Recompute, Move {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/KvPricing.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/KvPricing.java
@@ -5,17 +5,20 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Prices of moving key-value cache between backend servers.
+ * Decides by expected time whether a backend server imports key-value cache from another
+ * or computes it.
  *
- * @param bytesPerToken the size of one token's cache in bytes
- * @param sameDomainBytesPerSecond the transfer rate within a failure domain
- * @param crossDomainBytesPerSecond the transfer rate between failure domains
- * @param setup the time that a transfer takes apart from its bytes
+ * @param bytesPerToken the size of one token's key-value cache in bytes
+ * @param sameDomainBytesPerSecond the transfer rate within a failure domain, in bytes per
+ * second
+ * @param crossDomainBytesPerSecond the transfer rate between failure domains, in bytes
+ * per second
+ * @param setup the fixed time of a transfer, independent of its size
  */
 public record KvPricing(long bytesPerToken, double sameDomainBytesPerSecond, double crossDomainBytesPerSecond,
 		Duration setup) {
 
-	/** The prices used where none are given. */
+	/** The default costs. */
 	public static final KvPricing DEFAULTS = new KvPricing(70_000, 2.5e9, 6e8, Duration.ofMillis(5));
 
 	public KvPricing {
@@ -24,29 +27,29 @@
 				sameDomainBytesPerSecond);
 		Preconditions.check(crossDomainBytesPerSecond > 0, "crossDomainBytesPerSecond must be positive: %s",
 				crossDomainBytesPerSecond);
-		Preconditions.check(!setup.isNegative(), "setup must not be negative: %s", setup);
+		Preconditions.check(!setup.isNegative(), "transferSetup must not be negative: %s", setup);
 	}
 
 	/**
-	 * Decides by price whether a server imports cache or computes it.
+	 * Chooses the plan with the lower expected time.
 	 * @param promptTokens the prompt's tokens
-	 * @param cachedTokens the tokens that the server is expected to hold
-	 * @param tokensPerSecond the tokens that the server computes a second
-	 * @param source the server that holds most and can export
-	 * @return the cheaper plan
+	 * @param cachedTokens the expected number of them in the cache of the server
+	 * @param tokensPerSecond the tokens that the server computes per second
+	 * @param source the server that holds the most of them and can export cache
+	 * @return the plan; recomputing if both take the same time
 	 */
 	public KvPlan plan(double promptTokens, double cachedTokens, double tokensPerSecond, KvSource source) {
 		Preconditions.check(tokensPerSecond > 0, "tokensPerSecond must be positive: %s", tokensPerSecond);
 		double missing = Math.max(0, promptTokens - cachedTokens);
-		double moved = Math.min(missing, source.cachedTokens() - cachedTokens);
+		double imported = Math.min(missing, source.cachedTokens() - cachedTokens);
 		long recompute = nanos(missing / tokensPerSecond);
-		if (moved < 1) {
+		if (imported < 1) {
 			return new Recompute(recompute);
 		}
 		double rate = source.sameDomain() ? this.sameDomainBytesPerSecond : this.crossDomainBytesPerSecond;
-		double seconds = moved * this.bytesPerToken / rate + (missing - moved) / tokensPerSecond;
-		long move = nanos(seconds) + this.setup.toNanos();
-		return (move < recompute) ? new Move(source.server(), (long) moved, move) : new Recompute(recompute);
+		double seconds = imported * this.bytesPerToken / rate + (missing - imported) / tokensPerSecond;
+		long transfer = nanos(seconds) + this.setup.toNanos();
+		return (transfer < recompute) ? new Move(source.server(), (long) imported, transfer) : new Recompute(recompute);
 	}
 
 	private static long nanos(double seconds) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/KvSource.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/KvSource.java
@@ -7,7 +7,7 @@
  * A backend server that can export key-value cache.
  *
  * @param server the backend server
- * @param cachedTokens the expected number of the prompt's tokens that it holds
+ * @param cachedTokens the expected number of the prompt's tokens in its cache
  * @param sameDomain whether it is in the failure domain of the importing server
  */
 public record KvSource(BackendServerId server, double cachedTokens, boolean sameDomain) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/Move.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/Move.java
@@ -4,10 +4,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The server imports cache that another server exports, and computes the rest.
+ * The server imports key-value cache that another server exports, and computes the rest.
  *
- * @param source the backend server that exports
- * @param tokens the expected number of tokens to move
+ * @param source the exporting backend server
+ * @param tokens the expected number of imported tokens
  * @param expectedNanos the expected time in nanoseconds
  */
 public record Move(BackendServerId source, long tokens, long expectedNanos) implements KvPlan {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/Recompute.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/Recompute.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The server computes what it does not hold.
+ * The server computes all of the key-value cache that it lacks.
  *
  * @param expectedNanos the expected time in nanoseconds
  */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/package-info.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Price of moving key-value cache between backend servers against computing it again.
+ * Choice between transferring key-value cache from another backend server and computing
+ * it.
  */
 package org.comfreywall.entry.kv;
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/kv/KvPricingTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/kv/KvPricingTests.java
@@ -17,7 +17,7 @@
 	private final KvPricing pricing = new KvPricing(1000, 1e7, 1e6, Duration.ofMillis(10));
 
 	@Test
-	void movesWithinTheFailureDomainWhenComputingIsSlower() {
+	void transfersWithinTheFailureDomainWhenComputingIsSlower() {
 		KvPlan plan = this.pricing.plan(1000, 0, 1000, new KvSource(SOURCE, 800, true));
 		assertThat(plan).isEqualTo(new Move(SOURCE, 800, 290_000_000L));
 	}
@@ -35,7 +35,7 @@
 	}
 
 	@Test
-	void recomputesShortPromptsBecauseOfTheSetup() {
+	void recomputesShortPromptsBecauseOfTheTransferSetup() {
 		KvPlan plan = this.pricing.plan(8, 0, 1000, new KvSource(SOURCE, 8, true));
 		assertThat(plan).isEqualTo(new Recompute(8_000_000L));
 	}
