--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/CopySpread.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/CopySpread.java
@@ -1,20 +1,20 @@
 package org.comfreywall.group.placement;
 
 /**
- * How far the copies of each expert of a group are spread.
+ * The fault isolation required between the copies of an expert.
  */
 public enum CopySpread {
 
-	/** Experts may have a single copy; losing a rank may lose experts. */
+	/** An expert may have a single copy, which is lost with its rank. */
 	NONE,
-	/** Every expert has copies on two ranks at least. */
+	/** Every expert has copies on at least two ranks. */
 	RANKS,
-	/** Every expert has copies in two failure domains at least. */
+	/** Every expert has copies in at least two failure domains. */
 	FAILURE_DOMAINS;
 
 	/**
-	 * Returns the number of copies that each expert must have.
-	 * @return the count
+	 * Returns the minimum number of copies of each expert.
+	 * @return 1 for {@link #NONE}, otherwise 2
 	 */
 	public int minimumCopies() {
 		return (this == NONE) ? 1 : 2;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/EstimatorSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/EstimatorSettings.java
@@ -5,15 +5,16 @@
 /**
  * Settings of the popularity estimator.
  *
- * @param fastWeight the weight of a new count in the fast average, above 0 up to 1
- * @param slowWeight the weight of a new count in the slow average, above 0 and below the
- * fast one
+ * @param fastWeight the weight of a new count in the fast moving average, above 0 up to 1
+ * @param slowWeight the weight of a new count in the slow moving average, above 0 and
+ * below {@code fastWeight}
  * @param horizonIntervals how far ahead popularity is forecast, in intervals
- * @param significance how many standard deviations a change must exceed to count as one
+ * @param significance the number of standard deviations that a change must exceed to be
+ * significant
  */
 public record EstimatorSettings(double fastWeight, double slowWeight, double horizonIntervals, double significance) {
 
-	/** Settings used unless set otherwise. */
+	/** The default settings. */
 	public static final EstimatorSettings DEFAULT = new EstimatorSettings(0.3, 0.08, 1, 6);
 
 	public EstimatorSettings {
@@ -25,7 +26,7 @@
 	}
 
 	/**
-	 * Returns the mean age of the counts in the fast average.
+	 * Returns the weighted mean age of the counts in the fast average.
 	 * @return the lag in intervals
 	 */
 	double fastLag() {
@@ -33,7 +34,7 @@
 	}
 
 	/**
-	 * Returns the mean age of the counts in the slow average.
+	 * Returns the weighted mean age of the counts in the slow average.
 	 * @return the lag in intervals
 	 */
 	double slowLag() {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/Exchange.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/Exchange.java
@@ -1,13 +1,13 @@
 package org.comfreywall.group.placement;
 
 /**
- * A step of the search: a copy of an expert comes to a slot and the slot's expert goes,
- * to the expert's former slot if the two are exchanged.
+ * One step of the local search: puts a copy of an expert into a slot. The expert evicted
+ * from that slot, if any, is dropped or swapped into the slot that the copy came from.
  *
- * @param expert the expert that comes
- * @param target the position to which it comes
- * @param evicted the expert that goes, or {@link Placement#EMPTY}
- * @param source the position that the evicted expert takes, or -1 if it is dropped
+ * @param expert the expert to add
+ * @param target the position that receives the expert
+ * @param evicted the expert removed from the target, or {@link Placement#EMPTY}
+ * @param source the position that receives the evicted expert, or {@link #DROPPED}
  */
 record Exchange(int expert, int target, int evicted, int source) {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExchangeFinder.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExchangeFinder.java
@@ -5,7 +5,8 @@
 import java.util.stream.IntStream;
 
 /**
- * Finds the exchange that relieves the slowest rank of a layer most for each read.
+ * Finds the exchange that takes an expert from the slowest rank of a layer and lowers the
+ * potential of the rank times most for each expert read.
  */
 final class ExchangeFinder {
 
@@ -75,22 +76,23 @@
 		}
 	}
 
-	// Returns the slot with the least traffic whose copy is not needed, or -1.
+	// Returns a free slot of the rank, or else the slot with the least traffic whose copy
+	// can be dropped without breaking its expert's spread, or -1.
 	private int replaceable(int rank) {
 		int free = this.state.freeSlot(rank);
 		if (free >= 0) {
 			return free;
 		}
-		int least = -1;
+		int candidate = -1;
 		int from = rank * this.state.shape().stride();
 		for (int position = from; position < from + this.state.shape().slots(rank); position++) {
 			int expert = this.state.expertAt(position);
-			if ((least < 0 || this.state.flowAt(position) < this.state.flowAt(least))
+			if ((candidate < 0 || this.state.flowAt(position) < this.state.flowAt(candidate))
 					&& this.state.keepsSpread(expert, position, -1, this.spread)) {
-				least = position;
+				candidate = position;
 			}
 		}
-		return least;
+		return candidate;
 	}
 
 	private void trySwaps(int source, int[] fastestFirst) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExpertEstimate.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExpertEstimate.java
@@ -1,11 +1,12 @@
 package org.comfreywall.group.placement;
 
 /**
- * The popularity of one expert: a fast and a slow average of its traffic, and the
- * variance of single counts around them.
+ * Estimates the traffic of one expert by a fast and a slow exponential moving average,
+ * and the variance of single counts around the fast one.
  * <p>
- * A step in the traffic restarts both averages. The forecast follows the trend between
- * the averages as far as it stands out of the noise.
+ * A level shift in the traffic restarts both averages. The forecast extrapolates the
+ * trend given by the difference of the averages, and shrinks it towards the slow average
+ * as that difference approaches the noise level.
  */
 final class ExpertEstimate {
 
@@ -59,18 +60,20 @@
 		this.slow += Math.max(this.settings.slowWeight(), 1.0 / this.counts) * (count - this.slow);
 	}
 
-	// A jump is one very unlikely count or two unlikely ones to the same side.
+	// A level shift is one very unlikely count, or two successive unlikely counts in the
+	// same direction.
 	private boolean isJump(double residual) {
 		double deviation = Math.sqrt(this.variance * (1 + 1 / effectiveCounts(this.settings.fastWeight())));
-		int side = (Math.abs(residual) > JUMP_DEVIATIONS * deviation) ? (int) Math.signum(residual) : 0;
-		boolean jump = Math.abs(residual) > LARGE_JUMP_DEVIATIONS * deviation || (side != 0 && side == this.lastJump);
-		if (jump && side != this.lastJump) {
+		int direction = (Math.abs(residual) > JUMP_DEVIATIONS * deviation) ? (int) Math.signum(residual) : 0;
+		boolean levelShift = Math.abs(residual) > LARGE_JUMP_DEVIATIONS * deviation
+				|| (direction != 0 && direction == this.lastJump);
+		if (levelShift && direction != this.lastJump) {
 			this.lastJump = 0;
 		}
-		else if (!jump) {
-			this.lastJump = side;
+		else if (!levelShift) {
+			this.lastJump = direction;
 		}
-		return jump;
+		return levelShift;
 	}
 
 	private void restart(double level) {
@@ -96,10 +99,10 @@
 	}
 
 	double forecastVariance() {
-		double share = trendShare();
+		double weight = trendShare();
 		double fastVariance = trendFactor() * this.variance / effectiveCounts(this.settings.fastWeight());
 		double slowVariance = this.variance / effectiveCounts(this.settings.slowWeight());
-		return square(share) * fastVariance + square(1 - share) * slowVariance;
+		return square(weight) * fastVariance + square(1 - weight) * slowVariance;
 	}
 
 	private double trendLevel() {
@@ -112,7 +115,8 @@
 				/ (this.settings.slowLag() - this.settings.fastLag()));
 	}
 
-	// Returns how far the trend is believed, from 0 to 1.
+	// Returns the weight of the trend in the forecast, from 0 for noise to 1. The
+	// shrinkage factor is 1 - noise variance / squared difference, at least 0.
 	private double trendShare() {
 		double difference = square(this.fast - this.slow);
 		double noise = this.variance / effectiveCounts(this.settings.fastWeight());
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExpertMove.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExpertMove.java
@@ -3,15 +3,15 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One read from the weight store that puts a copy of an expert into a slot.
+ * A read from the weight store that loads a copy of an expert into a slot.
  *
- * @param layer the layer
- * @param rank the rank that reads
- * @param slot the slot of the rank
- * @param expert the expert whose weights are read
+ * @param layer the index of the layer
+ * @param rank the rank that reads the weights
+ * @param slot the index of the slot on the rank
+ * @param expert the index of the expert in its layer
  * @param bytes the size of the weights in bytes
- * @param worth the fall of the forecast step-time skew that the move takes part in, for
- * each move of its layer alike
+ * @param worth the move's share of the reduction in forecast step-time skew; the
+ * reduction in a layer is divided equally among the layer's moves
  */
 public record ExpertMove(int layer, int rank, int slot, int expert, long bytes, double worth) {
 
@@ -24,8 +24,8 @@
 	}
 
 	/**
-	 * Returns the worth of the move for each byte that it reads.
-	 * @return the fall of skew a byte
+	 * Returns the reduction in forecast step-time skew per byte read.
+	 * @return the reduction per byte
 	 */
 	public double worthPerByte() {
 		return this.worth / this.bytes;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/GroupShape.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/GroupShape.java
@@ -6,10 +6,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The fixed sizes of a group: layers, experts, and the slots and failure domain of each
- * rank.
+ * The fixed dimensions of a group: layers, experts, and the slots and failure domain of
+ * each rank.
  * <p>
- * A slot holds one expert of one layer. Every rank has the same number of slots in each
+ * A slot holds one expert of one layer. A rank has the same number of slots in every
  * layer; a rank without slots holds no expert.
  */
 public final class GroupShape {
@@ -38,8 +38,9 @@
 	/**
 	 * Creates a shape.
 	 * @param layers the number of layers with experts, at least 1
-	 * @param experts the number of experts a layer, at least 1
-	 * @param slots the number of slots a layer of each rank
+	 * @param experts the number of experts per layer, at least 1
+	 * @param slots the number of slots per layer of each rank; slots beyond the number of
+	 * experts are ignored
 	 * @param domains the index of the failure domain of each rank
 	 * @param expertBytes the size of one expert's weights in bytes, at least 1
 	 * @return the shape
@@ -47,28 +48,28 @@
 	public static GroupShape of(int layers, int experts, int[] slots, int[] domains, long expertBytes) {
 		Preconditions.check(layers >= 1, "layers must be at least 1: %d", layers);
 		Preconditions.check(experts >= 1, "experts must be at least 1: %d", experts);
-		Preconditions.check(slots.length == domains.length, "domains must name one failure domain for each of %d ranks",
+		Preconditions.check(slots.length == domains.length, "domains must have one entry for each of %d ranks",
 				slots.length);
 		Preconditions.check(expertBytes >= 1, "expertBytes must be at least 1: %d", expertBytes);
 		int[] usable = Arrays.stream(slots).map((count) -> Math.min(count, experts)).toArray();
 		Preconditions.check(Arrays.stream(usable).allMatch((count) -> count >= 0), "slots must not be negative");
 		Preconditions.check(Arrays.stream(usable).asLongStream().sum() >= experts,
-				"slots must give each of %d experts a place", experts);
+				"slots must hold %d experts per layer", experts);
 		return new GroupShape(layers, experts, usable, domains.clone(), expertBytes);
 	}
 
 	/**
-	 * Creates a shape from a group's descriptor and the memory of its ranks.
+	 * Creates a shape from a group's descriptor and the memory available on its ranks.
 	 * @param group the group
 	 * @param memoryBytes the memory for experts on each rank in bytes; 0 for a rank that
-	 * must hold none
+	 * must not hold experts
 	 * @param domains the index of the failure domain of each rank
 	 * @param expertBytes the size of one expert's weights in bytes
-	 * @return the shape, in which a rank has as many slots as its memory and the
-	 * descriptor allow
+	 * @return the shape; a rank has as many slots as fit its memory, up to the
+	 * descriptor's slots per rank
 	 */
 	public static GroupShape of(GroupDescriptor group, long[] memoryBytes, int[] domains, long expertBytes) {
-		Preconditions.check(memoryBytes.length == group.ranks(), "memoryBytes must name the memory of %d ranks",
+		Preconditions.check(memoryBytes.length == group.ranks(), "memoryBytes must have one entry for each of %d ranks",
 				group.ranks());
 		Preconditions.check(expertBytes >= 1, "expertBytes must be at least 1: %d", expertBytes);
 		long bytesPerSlot = expertBytes * group.layers();
@@ -87,7 +88,7 @@
 	}
 
 	/**
-	 * Returns the number of experts a layer.
+	 * Returns the number of experts per layer.
 	 * @return the count
 	 */
 	public int experts() {
@@ -103,7 +104,7 @@
 	}
 
 	/**
-	 * Returns the number of slots a layer of one rank.
+	 * Returns the number of slots per layer of a rank.
 	 * @param rank the rank
 	 * @return the count
 	 */
@@ -112,7 +113,7 @@
 	}
 
 	/**
-	 * Returns the failure domain of one rank.
+	 * Returns the failure domain of a rank.
 	 * @param rank the rank
 	 * @return the failure domain's index
 	 */
@@ -129,8 +130,8 @@
 	}
 
 	/**
-	 * Returns the greatest number of slots a layer of any rank; rank {@code r} has the
-	 * positions from {@code r * stride}.
+	 * Returns the maximum number of slots per layer of any rank. The positions of rank
+	 * {@code r} start at {@code r * stride}.
 	 * @return the count
 	 */
 	public int stride() {
@@ -138,7 +139,7 @@
 	}
 
 	/**
-	 * Returns the number of slots a layer of all ranks.
+	 * Returns the number of slots per layer of all ranks together.
 	 * @return the count
 	 */
 	public int totalSlots() {
@@ -146,8 +147,8 @@
 	}
 
 	/**
-	 * Tells how far the slots allow the copies of every expert to be spread.
-	 * @return the widest spread that every expert can have
+	 * Returns the strongest spread for which the slots suffice.
+	 * @return the spread that every expert can have
 	 */
 	public CopySpread spread() {
 		int[] slotsOfDomain = new int[Arrays.stream(this.domains).max().orElse(0) + 1];
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerEstimate.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerEstimate.java
@@ -4,8 +4,8 @@
 import java.util.stream.IntStream;
 
 /**
- * The popularity of the experts of one layer, compared with that of the last change
- * beyond noise.
+ * Estimates the popularity of the experts of one layer, and detects when the forecast
+ * differs significantly from a reference forecast.
  */
 final class LayerEstimate {
 
@@ -28,7 +28,8 @@
 		this.referenceVariance = new double[experts];
 	}
 
-	// Scales to the traffic of the first interval, so that only shares count as change.
+	// Scales the counts to the total of the first interval: only a change in the relative
+	// popularity of experts is a change, not one in the total load.
 	void observe(double[] counts) {
 		double total = Arrays.stream(counts).sum();
 		if (total <= 0) {
@@ -41,9 +42,9 @@
 	}
 
 	/**
-	 * Compares with the next forecasts from now on if the present one changed beyond
-	 * noise.
-	 * @return {@code true} if it changed
+	 * Makes the current forecast the new reference if it differs significantly from the
+	 * old one.
+	 * @return {@code true} if the reference was replaced
 	 */
 	boolean acceptChange() {
 		if (!isChanged()) {
@@ -56,7 +57,8 @@
 		return true;
 	}
 
-	// Tests the largest change of one expert and the sum of all changes.
+	// Tests the largest normalised change of a single expert, and the sum of the squared
+	// changes against the normal approximation of its chi-squared distribution.
 	private boolean isChanged() {
 		double largest = 0;
 		double sum = 0;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerOption.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerOption.java
@@ -1,11 +1,11 @@
 package org.comfreywall.group.placement;
 
 /**
- * One way to place a layer.
+ * A candidate placement of one layer.
  *
- * @param experts the expert of each position
- * @param reads the number of experts read from the weight store
- * @param slowest the forecast time of the slowest rank
+ * @param experts the expert of each position, or {@link Placement#EMPTY}
+ * @param reads the number of experts to read from the weight store
+ * @param slowest the forecast time of the slowest rank, in units of traffic at speed 1
  */
 record LayerOption(int[] experts, int reads, double slowest) {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerOutcome.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerOutcome.java
@@ -1,11 +1,11 @@
 package org.comfreywall.group.placement;
 
 /**
- * What the search found for one layer.
+ * The result of the search for one layer.
  *
- * @param stay the present slots with traffic split anew
+ * @param stay the placement that the search started from, with traffic redistributed
  * @param cheapest the option of the lowest price
- * @param fastest the option of the lowest skew
+ * @param fastest the option with the fastest slowest rank
  */
 record LayerOutcome(LayerOption stay, LayerOption cheapest, LayerOption fastest) {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerPacker.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerPacker.java
@@ -7,8 +7,8 @@
 import java.util.stream.IntStream;
 
 /**
- * Fills an empty layer: first the copies that the spread demands, then further copies of
- * the hottest experts until no slot is free.
+ * Fills an empty layer greedily: first the copies required by the spread, then additional
+ * copies of the hottest experts until no slot is free.
  */
 final class LayerPacker {
 
@@ -51,7 +51,7 @@
 		Arrays.fill(this.targets, minimum);
 		int spare = this.shape.totalSlots() - minimum * this.targets.length;
 		for (; spare > 0; spare--) {
-			int hottest = hottestBelow(ranks);
+			int hottest = hottestWithFewerCopies(ranks);
 			if (hottest < 0) {
 				return;
 			}
@@ -59,7 +59,7 @@
 		}
 	}
 
-	private int hottestBelow(int maximumCopies) {
+	private int hottestWithFewerCopies(int maximumCopies) {
 		int hottest = -1;
 		for (int expert = 0; expert < this.targets.length; expert++) {
 			if (this.targets[expert] < maximumCopies && (hottest < 0 || copyLoad(expert) > copyLoad(hottest))) {
@@ -78,28 +78,29 @@
 			place(expert, leastLoaded((rank) -> true));
 			return;
 		}
-		int first = fullestRoom((rank) -> true);
+		int first = leastLoadedInFreestDomain((rank) -> true);
 		place(expert, first);
-		place(expert, fullestRoom((rank) -> areaOf(rank) != areaOf(first)));
+		place(expert, leastLoadedInFreestDomain((rank) -> domainOf(rank) != domainOf(first)));
 	}
 
-	// Returns the area in which two copies of an expert would be lost together.
-	private int areaOf(int rank) {
+	// Returns the index of the rank or failure domain that may hold only one of the two
+	// required copies, depending on the spread.
+	private int domainOf(int rank) {
 		return (this.spread == CopySpread.FAILURE_DOMAINS) ? this.shape.domain(rank) : rank;
 	}
 
-	// Chooses from the area with the most free slots, so that two areas stay free for the
-	// experts that follow.
-	private int fullestRoom(IntPredicate allowed) {
+	// Picks from the domain with the most free slots. Filling domains evenly keeps free
+	// slots in two of them for the remaining experts.
+	private int leastLoadedInFreestDomain(IntPredicate allowed) {
 		int[] free = new int[this.shape.ranks()
-				+ IntStream.range(0, this.shape.ranks()).map(this::areaOf).max().orElse(0)];
-		IntStream.range(0, this.shape.ranks()).forEach((rank) -> free[areaOf(rank)] += freeSlots(rank));
+				+ IntStream.range(0, this.shape.ranks()).map(this::domainOf).max().orElse(0)];
+		IntStream.range(0, this.shape.ranks()).forEach((rank) -> free[domainOf(rank)] += freeSlots(rank));
 		int most = IntStream.range(0, this.shape.ranks())
 			.filter(allowed)
-			.map((rank) -> free[areaOf(rank)])
+			.map((rank) -> free[domainOf(rank)])
 			.max()
 			.orElse(0);
-		return leastLoaded((rank) -> allowed.test(rank) && free[areaOf(rank)] == most);
+		return leastLoaded((rank) -> allowed.test(rank) && free[domainOf(rank)] == most);
 	}
 
 	private int freeSlots(int rank) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerRepair.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerRepair.java
@@ -1,7 +1,8 @@
 package org.comfreywall.group.placement;
 
 /**
- * Gives back their copies to experts that lost some, as when a rank is gone.
+ * Restores the required copies of experts that lost some, for example because a rank
+ * failed.
  */
 final class LayerRepair {
 
@@ -15,8 +16,8 @@
 	}
 
 	/**
-	 * Tells whether some expert lacks a copy or its spread.
-	 * @return {@code true} if so
+	 * Returns whether any expert lacks a copy or its spread.
+	 * @return {@code true} if the layer needs repair
 	 */
 	boolean isNeeded() {
 		for (int expert = 0; expert < this.state.shape().experts(); expert++) {
@@ -28,8 +29,9 @@
 	}
 
 	/**
-	 * Adds the missing copies in place of copies that are not needed.
-	 * @return {@code true} if every expert has its spread now
+	 * Adds the missing copies, in free slots or in place of copies that their experts do
+	 * not need for their spread.
+	 * @return {@code true} if every expert has its spread afterwards
 	 */
 	boolean repair() {
 		for (int expert = 0; expert < this.state.shape().experts(); expert++) {
@@ -80,14 +82,14 @@
 	}
 
 	private int dispensable(int rank) {
-		int least = this.state.freeSlot(rank);
+		int replaceable = this.state.freeSlot(rank);
 		int from = rank * this.state.shape().stride();
-		for (int position = from; least < 0 && position < from + this.state.shape().slots(rank); position++) {
+		for (int position = from; replaceable < 0 && position < from + this.state.shape().slots(rank); position++) {
 			if (this.state.keepsSpread(this.state.expertAt(position), position, -1, this.spread)) {
-				least = position;
+				replaceable = position;
 			}
 		}
-		return least;
+		return replaceable;
 	}
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerSearch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerSearch.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 
 /**
- * Improves one layer step by step and keeps the step of the lowest price and the one of
- * the lowest skew.
+ * Improves the placement of one layer by local search, and returns the cheapest and the
+ * fastest placement found on the way.
  */
 final class LayerSearch {
 
@@ -12,9 +12,9 @@
 
 	static final int FINAL_SWEEPS = 60;
 
-	private static final int PATIENCE = 6;
+	private static final int MAX_STEPS_WITHOUT_GAIN = 6;
 
-	private static final double LEAST_GAIN = 1e-9;
+	private static final double MIN_GAIN = 1e-9;
 
 	private final GroupShape shape;
 
@@ -29,38 +29,39 @@
 	}
 
 	/**
-	 * Searches from a layer's present placement.
-	 * @param start the layer, whose traffic may be split anew; is changed
-	 * @param origin the experts from which reads are counted
-	 * @param skewCost the price of one unit of the layer's slowest rank time
+	 * Searches from a given state of the layer.
+	 * @param start the initial state, modified by the search
+	 * @param origin the experts that the positions hold now; an expert elsewhere must be
+	 * read
+	 * @param skewCost the price of one unit of the slowest rank's time
 	 * @param readCost the price of reading one expert
-	 * @return the outcome
+	 * @return the unchanged, the cheapest and the fastest placement
 	 */
 	LayerOutcome search(LayerState start, int[] origin, double skewCost, double readCost) {
 		start.splitAll(FINAL_SWEEPS);
-		LayerOption stay = option(start, origin);
-		LayerOption cheapest = stay;
-		LayerOption fastest = stay;
+		LayerOption initial = option(start, origin);
+		LayerOption cheapest = initial;
+		LayerOption fastest = initial;
 		ExchangeFinder finder = new ExchangeFinder(start, this.spread);
-		int patience = PATIENCE;
-		for (int step = 0; step < this.maximumSteps && patience > 0; step++) {
+		int stepsLeft = MAX_STEPS_WITHOUT_GAIN;
+		for (int step = 0; step < this.maximumSteps && stepsLeft > 0; step++) {
 			Optional<Exchange> exchange = finder.find();
 			if (exchange.isEmpty()) {
 				break;
 			}
 			exchange.get().apply(start);
 			start.splitAll(SWEEPS);
-			patience--;
-			LayerOption reached = option(start, origin);
-			if (reached.slowest() < fastest.slowest() - LEAST_GAIN) {
-				fastest = reached;
-				patience = PATIENCE;
+			stepsLeft--;
+			LayerOption option = option(start, origin);
+			if (option.slowest() < fastest.slowest() - MIN_GAIN) {
+				fastest = option;
+				stepsLeft = MAX_STEPS_WITHOUT_GAIN;
 			}
-			if (reached.price(skewCost, readCost) < cheapest.price(skewCost, readCost) - LEAST_GAIN) {
-				cheapest = reached;
+			if (option.price(skewCost, readCost) < cheapest.price(skewCost, readCost) - MIN_GAIN) {
+				cheapest = option;
 			}
 		}
-		return new LayerOutcome(stay, cheapest, fastest);
+		return new LayerOutcome(initial, cheapest, fastest);
 	}
 
 	private LayerOption option(LayerState state, int[] origin) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerState.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerState.java
@@ -3,10 +3,11 @@
 import java.util.Arrays;
 
 /**
- * The slots, copies and traffic of one layer while a plan is searched.
+ * The slots, copies and traffic of one layer during the search for a plan.
  * <p>
- * Traffic of an expert is split over its copies so that the sum over ranks of squared
- * load over speed falls; its minimum also has the smallest greatest rank time.
+ * The traffic of each expert is distributed over its copies by coordinate descent on the
+ * sum over ranks of {@code load^2 / speed}. The distribution that minimises this sum also
+ * minimises the time of the slowest rank.
  */
 final class LayerState {
 
@@ -30,7 +31,7 @@
 
 	private final int[] copyCounts;
 
-	private final double[] filled;
+	private final double[] otherLoads;
 
 	LayerState(GroupShape shape, double[] popularity, double[] speeds) {
 		this.shape = shape;
@@ -43,7 +44,7 @@
 		this.loads = new double[shape.ranks()];
 		this.copies = new int[shape.experts() * shape.ranks()];
 		this.copyCounts = new int[shape.experts()];
-		this.filled = new double[shape.ranks()];
+		this.otherLoads = new double[shape.ranks()];
 	}
 
 	static LayerState from(GroupShape shape, Placement placement, int layer, double[] popularity, double[] speeds) {
@@ -71,7 +72,7 @@
 		return this.speeds[rank];
 	}
 
-	// Returns the rank time of a layer that is balanced perfectly.
+	// Returns the rank time of a perfectly balanced layer.
 	double mean() {
 		return Arrays.stream(this.popularity).sum() / Arrays.stream(this.speeds).sum();
 	}
@@ -112,7 +113,8 @@
 		return slowest;
 	}
 
-	// Sums a high power of the rank times, relative to a reference time.
+	// Returns the sum of the 12th powers of the rank times, relative to a reference time.
+	// It is a smooth approximation of the maximum.
 	double potential(double reference) {
 		double sum = 0;
 		for (int rank = 0; rank < this.loads.length; rank++) {
@@ -141,7 +143,7 @@
 		return -1;
 	}
 
-	// Returns a free slot of the rank, or -1.
+	// Returns the position of a free slot of the rank, or -1.
 	int freeSlot(int rank) {
 		int from = rank * this.stride;
 		for (int position = from; position < from + this.shape.slots(rank); position++) {
@@ -173,7 +175,8 @@
 		}
 	}
 
-	// Tells whether an expert would keep its spread if one copy went and another came.
+	// Returns whether an expert has its spread after removing the copy at one position
+	// and adding a copy to one rank; -1 removes or adds none.
 	boolean keepsSpread(int expert, int removed, int addedRank, CopySpread spread) {
 		int count = 0;
 		int firstDomain = -1;
@@ -198,7 +201,8 @@
 		return (position == removed) ? -1 : rankOf(position);
 	}
 
-	// Splits an expert's traffic over its copies, given the traffic of all others.
+	// Distributes an expert's traffic over its copies by water-filling, with the traffic
+	// of all other experts fixed. Returns the largest change of a copy's traffic.
 	double split(int expert) {
 		int count = this.copyCounts[expert];
 		if (count == 0) {
@@ -209,7 +213,7 @@
 		for (int index = 0; index < count; index++) {
 			int position = copy(expert, index);
 			int rank = rankOf(position);
-			double flow = Math.max(0, level * this.speeds[rank] - this.filled[index]);
+			double flow = Math.max(0, level * this.speeds[rank] - this.otherLoads[index]);
 			change = Math.max(change, Math.abs(flow - this.flows[position]));
 			this.loads[rank] += flow - this.flows[position];
 			this.flows[position] = flow;
@@ -222,26 +226,26 @@
 		double speed = 0;
 		for (int index = 0; index < count; index++) {
 			int position = copy(expert, index);
-			this.filled[index] = this.loads[rankOf(position)] - this.flows[position];
-			load += this.filled[index];
+			this.otherLoads[index] = this.loads[rankOf(position)] - this.flows[position];
+			load += this.otherLoads[index];
 			speed += this.speeds[rankOf(position)];
 		}
 		return lowerToActive(expert, count, load, speed);
 	}
 
-	// Leaves out copies whose ranks are above the level already.
+	// Excludes copies on ranks whose other traffic already exceeds the water level.
 	private double lowerToActive(int expert, int count, double load, double speed) {
 		double level = load / speed;
-		boolean[] left = null;
+		boolean[] excluded = null;
 		boolean changed = count > 1;
 		while (changed) {
 			changed = false;
 			for (int index = 0; index < count; index++) {
 				double rankSpeed = this.speeds[rankOf(copy(expert, index))];
-				if ((left == null || !left[index]) && this.filled[index] > level * rankSpeed) {
-					left = (left != null) ? left : new boolean[count];
-					left[index] = true;
-					load -= this.filled[index];
+				if ((excluded == null || !excluded[index]) && this.otherLoads[index] > level * rankSpeed) {
+					excluded = (excluded != null) ? excluded : new boolean[count];
+					excluded[index] = true;
+					load -= this.otherLoads[index];
 					speed -= rankSpeed;
 					level = load / speed;
 					changed = true;
@@ -251,7 +255,7 @@
 		return level;
 	}
 
-	// Splits the traffic of the experts on one rank.
+	// Redistributes the traffic of the experts on one rank.
 	void splitRank(int rank) {
 		int from = rank * this.stride;
 		for (int position = from; position < from + this.shape.slots(rank); position++) {
@@ -262,7 +266,8 @@
 		}
 	}
 
-	// Splits all traffic, for a number of sweeps or until nothing changes any more.
+	// Redistributes the traffic of all experts until it converges, for at most the given
+	// number of sweeps.
 	void splitAll(int sweeps) {
 		double mean = mean();
 		for (int sweep = 0; sweep < sweeps; sweep++) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/Placement.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/Placement.java
@@ -5,10 +5,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Which expert each slot holds in every layer, and the share of the expert's traffic that
- * the copy takes.
+ * The expert held by each slot of every layer, and the share of the expert's traffic
+ * routed to that copy.
  * <p>
- * Slots are numbered by position: rank times {@link GroupShape#stride()} plus slot.
+ * The position of a slot is the rank times {@link GroupShape#stride()} plus the slot's
+ * index on the rank.
  */
 public final class Placement {
 
@@ -40,9 +41,9 @@
 
 	/**
 	 * Creates a placement from its slots.
-	 * @param experts the expert of each position, for each layer
-	 * @param shares the share of its expert's traffic for each position and layer, from 0
-	 * to 1
+	 * @param experts for each layer, the expert of each position or {@link #EMPTY}
+	 * @param shares for each layer, the share of its expert's traffic that each position
+	 * receives, from 0 to 1
 	 * @return the placement
 	 */
 	public static Placement of(int[][] experts, double[][] shares) {
@@ -71,7 +72,7 @@
 	}
 
 	/**
-	 * Returns the share of its expert's traffic that a copy takes.
+	 * Returns the share of its expert's traffic that a copy receives.
 	 * @param layer the layer
 	 * @param position the slot's position
 	 * @return the share, from 0 to 1; the shares of all copies of an expert add up to 1
@@ -81,12 +82,12 @@
 	}
 
 	/**
-	 * Tells whether a rank holds a copy of an expert.
+	 * Returns whether a rank holds a copy of an expert.
 	 * @param shape the group's shape
 	 * @param layer the layer
 	 * @param rank the rank
 	 * @param expert the expert
-	 * @return {@code true} if it does
+	 * @return {@code true} if one of the rank's slots holds the expert
 	 */
 	public boolean holds(GroupShape shape, int layer, int rank, int expert) {
 		int from = rank * shape.stride();
@@ -99,7 +100,7 @@
 	}
 
 	/**
-	 * Computes the time that each rank spends on one layer.
+	 * Computes the time that each rank needs for one layer.
 	 * @param shape the group's shape
 	 * @param layer the layer
 	 * @param popularity the traffic of each expert of the layer
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementCheck.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementCheck.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.placement;
 
 /**
- * Checks placements against a group's slots.
+ * Validates placements against a group's shape.
  */
 final class PlacementCheck {
 
@@ -10,8 +10,8 @@
 	private PlacementCheck() {
 	}
 
-	// Tells whether every expert has a copy in a usable slot, no rank holds an expert
-	// twice, and the shares of each expert add up to 1.
+	// Returns whether every expert has a copy, all copies are in usable slots, no rank
+	// holds an expert twice, and the shares of each expert add up to 1.
 	static boolean isComplete(GroupShape shape, Placement placement) {
 		for (int layer = 0; layer < shape.layers(); layer++) {
 			if (!isComplete(shape, placement, layer)) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementMaps.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementMaps.java
@@ -16,19 +16,19 @@
  */
 public final class PlacementMaps {
 
-	/** The weight of a copy that takes all traffic of its expert. */
+	/** The weight of a copy that receives all traffic of its expert. */
 	public static final int FULL_WEIGHT = 10_000;
 
 	private PlacementMaps() {
 	}
 
 	/**
-	 * Converts a placement.
+	 * Converts a placement to an expert map.
 	 * @param shape the group's shape
 	 * @param placement the placement, in which every expert has a copy
 	 * @param group the group
 	 * @param version the version of the map
-	 * @return the map; a copy without traffic has weight 1
+	 * @return the map; weights are at least 1, also for a copy without traffic
 	 */
 	public static ExpertMap toMap(GroupShape shape, Placement placement, GroupId group, MapVersion version) {
 		List<LayerMap> layers = IntStream.range(0, shape.layers())
@@ -53,7 +53,7 @@
 	}
 
 	/**
-	 * Converts an expert map.
+	 * Converts an expert map to a placement.
 	 * @param shape the group's shape
 	 * @param map the map, with the shape's ranks, slots, layers and experts
 	 * @return the placement
@@ -71,8 +71,8 @@
 	}
 
 	private static void fill(GroupShape shape, LayerMap layer, int[] experts, double[] shares) {
-		Preconditions.check(layer.experts() == shape.experts(), "map must have %d experts a layer: %d", shape.experts(),
-				layer.experts());
+		Preconditions.check(layer.experts() == shape.experts(), "map must have %d experts per layer: %d",
+				shape.experts(), layer.experts());
 		for (int expert = 0; expert < layer.experts(); expert++) {
 			double total = layer.of(expert).stream().mapToInt(Replica::weight).sum();
 			for (Replica replica : layer.of(expert)) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementPlan.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementPlan.java
@@ -5,13 +5,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The planner's answer.
+ * The result of planning a placement.
  *
  * @param reason why the plan was accepted or refused
- * @param placement the placement to go to; the present one if the plan was refused
- * @param moves the reads that lead there, the greatest worth a byte first; empty if the
- * plan was refused
- * @param price the price of the plan, or of the best one that was refused
+ * @param placement the planned placement; the current one if the plan was refused
+ * @param moves the reads required for the placement, in descending order of gain per
+ * byte; empty if the plan was refused
+ * @param price the price of the plan, or of the fastest alternative if it was refused
  */
 public record PlacementPlan(PlanReason reason, Placement placement, List<ExpertMove> moves, PlanPrice price) {
 
@@ -23,7 +23,7 @@
 	}
 
 	/**
-	 * Tells whether the plan is to be carried out.
+	 * Returns whether the plan should be executed.
 	 * @return {@code true} if it was accepted
 	 */
 	public boolean isAccepted() {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementPlanner.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementPlanner.java
@@ -11,12 +11,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Plans where the replicas of a group's experts are placed and how traffic is split over
+ * Plans the placement of a group's expert copies and the distribution of traffic over
  * them.
  * <p>
- * A plan is priced as {@code skewWeight * skew + moveWeight * gibibytes read}. Each layer
- * is searched from its present placement, so a plan stays near the present one, and the
- * layer's cheapest step is taken. Copies that were lost are given back at any price.
+ * The price of a plan is {@code skewWeight * skew + moveWeight * gibibytes read}. The
+ * local search of each layer starts from the current placement, which keeps the number of
+ * reads small, and the cheapest placement found is chosen. Lost copies are restored
+ * regardless of the price.
  */
 public final class PlacementPlanner {
 
@@ -40,7 +41,7 @@
 
 	/**
 	 * Plans a placement.
-	 * @param request the present state and the forecast
+	 * @param request the current placement and the forecast
 	 * @return the plan, accepted or refused
 	 */
 	public PlacementPlan plan(PlanRequest request) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanPrice.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanPrice.java
@@ -4,14 +4,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The price of a plan beside that of staying.
+ * The price of a plan, compared with that of keeping the current placement.
  *
- * @param skewBefore the forecast step-time skew of the present placement
+ * @param skewBefore the forecast step-time skew of the current placement
  * @param skewForecast the forecast step-time skew of the plan
- * @param skewBound a skew that no placement of the group's slots can go below
- * @param bytes the bytes read from the weight store
- * @param storeSeconds the time that the weight store needs for them, in seconds
- * @param weights the prices of skew and of bytes read
+ * @param skewBound a lower bound of the skew of any placement in the group's slots
+ * @param bytes the number of bytes to read from the weight store
+ * @param storeSeconds the time in seconds to read them at the weight store's rate
+ * @param weights the price of one unit of skew and of one gibibyte read
  */
 public record PlanPrice(double skewBefore, double skewForecast, double skewBound, long bytes, double storeSeconds,
 		PlacementWeights weights) {
@@ -24,7 +24,7 @@
 	}
 
 	/**
-	 * Returns the price of staying.
+	 * Returns the price of keeping the current placement.
 	 * @return the weighted skew
 	 */
 	public double before() {
@@ -33,7 +33,7 @@
 
 	/**
 	 * Returns the price of the plan.
-	 * @return the weighted skew and bytes
+	 * @return the sum of the weighted skew and the weighted gibibytes read
 	 */
 	public double after() {
 		return this.weights.skewWeight() * this.skewForecast + this.weights.moveWeight() * this.bytes / GIBIBYTE;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanReason.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanReason.java
@@ -3,25 +3,25 @@
 import java.util.Locale;
 
 /**
- * Why a plan was accepted or refused.
+ * The reason for which a plan was accepted or refused.
  */
 public enum PlanReason {
 
-	/** Accepted: some layer had no placement yet. */
+	/** Accepted: a layer had no placement yet. */
 	FIRST_PLAN(true),
 	/** Accepted: an expert lacked a copy or its spread. */
 	COPIES_LOST(true),
-	/** Accepted: the saved skew is worth more than the bytes. */
+	/** Accepted: the reduction in skew outweighs the price of the bytes read. */
 	CHEAPER(true),
-	/** Accepted: splitting traffic anew lowers the skew and reads nothing. */
+	/** Accepted: only traffic is redistributed, which lowers the skew without reads. */
 	SPLIT_ONLY(true),
-	/** Refused: popularity and speeds changed no more than noise does. */
+	/** Refused: no layer's popularity or speeds changed beyond noise. */
 	WITHIN_NOISE(false),
-	/** Refused: the bytes would cost more than the saved skew is worth. */
+	/** Refused: each improvement costs more than it saves or exceeds the plan's bytes. */
 	TOO_DEAR(false),
-	/** Refused: nothing was found that lowers the skew. */
+	/** Refused: the search found no placement with a lower skew. */
 	NO_IMPROVEMENT(false),
-	/** Refused: the plan would breach an invariant. */
+	/** Refused: the plan violates an invariant. */
 	INVARIANT(false);
 
 	private final boolean accepted;
@@ -31,8 +31,8 @@
 	}
 
 	/**
-	 * Tells whether a plan with this reason is carried out.
-	 * @return {@code true} if it is
+	 * Returns whether a plan with this reason should be executed.
+	 * @return {@code true} if it was accepted
 	 */
 	public boolean isAccepted() {
 		return this.accepted;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanRequest.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanRequest.java
@@ -4,16 +4,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Asks for a plan.
+ * The input of the placement planner.
  *
  * @param group the group
- * @param shape the group's shape; a rank that must hold no expert has no slots
- * @param present the present placement
- * @param popularity the forecast traffic of each expert, for each layer; is not changed
- * @param speeds the speed of each rank, 1 for a healthy one; is not changed
+ * @param shape the group's shape; a rank that must not hold experts has no slots
+ * @param present the current placement
+ * @param popularity the forecast traffic of each expert, for each layer; not modified
+ * @param speeds the speed of each rank, 1 for a healthy one; not modified
  * @param changed for each layer whether its popularity or the speeds changed beyond noise
- * since the last plan; traffic of other layers is split anew, but their experts stay
- * @param cause why the plan is asked for, for the decision record
+ * since the last plan; other layers only have their traffic redistributed, unless they
+ * lost copies
+ * @param cause what triggered the request, for the decision record
  */
 public record PlanRequest(GroupId group, GroupShape shape, Placement present, double[][] popularity, double[] speeds,
 		boolean[] changed, String cause) {
@@ -21,13 +22,13 @@
 	public PlanRequest {
 		Preconditions.notNull(group, "group");
 		Preconditions.notNull(shape, "shape");
-		Preconditions.notNull(present, "present");
+		Preconditions.notNull(present, "current");
 		Preconditions.notBlank(cause, "cause");
-		Preconditions.check(present.layers() == shape.layers(), "present must have %d layers: %d", shape.layers(),
+		Preconditions.check(present.layers() == shape.layers(), "current must have %d layers: %d", shape.layers(),
 				present.layers());
 		Preconditions.check(popularity.length == shape.layers(), "popularity must have %d layers: %d", shape.layers(),
 				popularity.length);
-		Preconditions.check(speeds.length == shape.ranks(), "speeds must name %d ranks: %d", shape.ranks(),
+		Preconditions.check(speeds.length == shape.ranks(), "speeds must have %d ranks: %d", shape.ranks(),
 				speeds.length);
 		Preconditions.check(changed.length == shape.layers(), "changed must have %d layers: %d", shape.layers(),
 				changed.length);
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanSearch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanSearch.java
@@ -7,12 +7,12 @@
 import java.util.stream.IntStream;
 
 /**
- * Searches one plan: every layer on its own, then the layers worth most for a byte within
- * the bytes of a plan.
+ * Searches for one plan. Layers are searched independently; then the plan takes their
+ * improvements in descending order of gain per byte read, within its byte budget.
  */
 final class PlanSearch {
 
-	private static final double LEAST_SPLIT_GAIN = 1e-3;
+	private static final double MIN_SPLIT_GAIN = 1e-3;
 
 	private final PlannerSettings settings;
 
@@ -34,9 +34,9 @@
 
 	private final double[] slowestBefore;
 
-	private boolean first;
+	private boolean hasEmptyLayer;
 
-	private boolean lost;
+	private boolean hasLostCopies;
 
 	PlanSearch(PlannerSettings settings, PlanRequest request) {
 		this.settings = settings;
@@ -58,7 +58,7 @@
 		LayerOutcome[] outcomes = IntStream.range(0, this.shape.layers())
 			.mapToObj(this::searchLayer)
 			.toArray(LayerOutcome[]::new);
-		for (int layer : worthFirst(outcomes)) {
+		for (int layer : byGainPerRead(outcomes)) {
 			LayerOutcome outcome = outcomes[layer];
 			long bytes = outcome.cheapest().reads() * this.shape.expertBytes();
 			boolean fits = bytes <= budget || outcome.stay() == outcome.cheapest();
@@ -74,12 +74,12 @@
 		int[] origin = this.request.present().layerExperts(layer);
 		this.slowestBefore[layer] = state.slowest();
 		if (this.request.present().isLayerEmpty(layer)) {
-			this.first = true;
+			this.hasEmptyLayer = true;
 			return rebuild(state, origin);
 		}
 		LayerRepair repair = new LayerRepair(state, this.spread);
 		if (repair.isNeeded()) {
-			this.lost = true;
+			this.hasLostCopies = true;
 			return repair.repair() ? search(state, origin) : rebuild(emptyState(layer), origin);
 		}
 		if (!this.request.changed()[layer]) {
@@ -97,7 +97,8 @@
 		return new LayerState(this.shape, this.request.popularity()[layer], this.request.speeds());
 	}
 
-	// A layer that must be filled anyway is filled as well as possible.
+	// Packs a layer from scratch. Its reads are needed in any case, so their price is not
+	// taken into account.
 	private LayerOutcome rebuild(LayerState state, int[] origin) {
 		LayerPacker.pack(state, this.spread);
 		LayerOption fastest = layerSearch(this.settings.maximumSteps()).search(state, origin, this.skewCost, 0)
@@ -113,27 +114,27 @@
 		return new LayerSearch(this.shape, this.spread, maximumSteps);
 	}
 
-	private int[] worthFirst(LayerOutcome[] outcomes) {
+	private int[] byGainPerRead(LayerOutcome[] outcomes) {
 		return IntStream.range(0, outcomes.length)
 			.boxed()
-			.sorted(Comparator.comparingDouble((Integer layer) -> worthOfRead(outcomes[layer])).reversed())
+			.sorted(Comparator.comparingDouble((Integer layer) -> gainPerRead(outcomes[layer])).reversed())
 			.mapToInt(Integer::intValue)
 			.toArray();
 	}
 
-	private double worthOfRead(LayerOutcome outcome) {
+	private double gainPerRead(LayerOutcome outcome) {
 		return (outcome.stay().slowest() - outcome.cheapest().slowest()) / Math.max(1, outcome.cheapest().reads());
 	}
 
 	private PlacementPlan decide() {
 		PlanPrice price = price(this.chosen);
-		if (this.first || this.lost) {
-			return accept(this.first ? PlanReason.FIRST_PLAN : PlanReason.COPIES_LOST, price);
+		if (this.hasEmptyLayer || this.hasLostCopies) {
+			return accept(this.hasEmptyLayer ? PlanReason.FIRST_PLAN : PlanReason.COPIES_LOST, price);
 		}
 		if (price.bytes() > 0) {
 			return accept(PlanReason.CHEAPER, price);
 		}
-		if (price.skewBefore() - price.skewForecast() >= LEAST_SPLIT_GAIN) {
+		if (price.skewBefore() - price.skewForecast() >= MIN_SPLIT_GAIN) {
 			return accept(PlanReason.SPLIT_ONLY, price);
 		}
 		return refuse(price(this.fastest));
@@ -191,12 +192,12 @@
 	private void addMoves(int layer, List<ExpertMove> moves) {
 		LayerOption option = this.chosen[layer];
 		int[] before = this.request.present().layerExperts(layer);
-		double worth = skew(this.slowestBefore[layer] - option.slowest()) / Math.max(1, option.reads());
+		double gain = skew(this.slowestBefore[layer] - option.slowest()) / Math.max(1, option.reads());
 		for (int position = 0; position < before.length; position++) {
 			int expert = option.experts()[position];
 			if (expert != Placement.EMPTY && expert != before[position]) {
 				moves.add(new ExpertMove(layer, position / this.shape.stride(), position % this.shape.stride(), expert,
-						this.shape.expertBytes(), worth));
+						this.shape.expertBytes(), gain));
 			}
 		}
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlannerSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlannerSettings.java
@@ -6,16 +6,16 @@
 /**
  * Settings of the placement planner.
  *
- * @param weights the prices of skew and of bytes read
- * @param storeBytesPerSecond the weight store's rate in bytes a second
- * @param maximumPlanBytes the most bytes that one plan may read, but for copies that were
- * lost
- * @param maximumSteps the most exchanges tried for one layer
+ * @param weights the price of one unit of skew and of one gibibyte read
+ * @param storeBytesPerSecond the weight store's rate in bytes per second
+ * @param maximumPlanBytes the maximum number of bytes that one plan may read; reads that
+ * restore lost copies or fill an empty layer may exceed it
+ * @param maximumSteps the maximum number of exchanges per layer
  */
 public record PlannerSettings(PlacementWeights weights, double storeBytesPerSecond, long maximumPlanBytes,
 		int maximumSteps) {
 
-	/** Exchanges tried for one layer unless set otherwise. */
+	/** The default maximum number of exchanges per layer. */
 	public static final int DEFAULT_MAXIMUM_STEPS = 64;
 
 	public PlannerSettings {
@@ -26,9 +26,9 @@
 	}
 
 	/**
-	 * Creates settings without a bound on the bytes of a plan.
-	 * @param weights the prices of skew and of bytes read
-	 * @param storeBytesPerSecond the weight store's rate in bytes a second
+	 * Creates settings with no limit on the bytes of a plan.
+	 * @param weights the price of one unit of skew and of one gibibyte read
+	 * @param storeBytesPerSecond the weight store's rate in bytes per second
 	 * @return the settings
 	 */
 	public static PlannerSettings of(PlacementWeights weights, double storeBytesPerSecond) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PopularityEstimator.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PopularityEstimator.java
@@ -9,7 +9,7 @@
  * Estimates and forecasts the popularity of a group's experts from counts of their
  * traffic.
  * <p>
- * State is bounded by layers times experts.
+ * Memory is proportional to layers times experts.
  */
 public final class PopularityEstimator {
 
@@ -21,7 +21,7 @@
 	 * Creates an estimator.
 	 * @param settings the settings
 	 * @param layers the number of layers with experts
-	 * @param experts the number of experts a layer
+	 * @param experts the number of experts per layer
 	 */
 	public PopularityEstimator(EstimatorSettings settings, int layers, int experts) {
 		Preconditions.notNull(settings, "settings");
@@ -32,7 +32,7 @@
 	}
 
 	/**
-	 * Takes in the counts of one interval.
+	 * Adds the counts of one interval.
 	 * @param counts the traffic of each expert in the interval, for each layer, in tokens
 	 */
 	public void observe(double[][] counts) {
@@ -46,7 +46,9 @@
 	}
 
 	/**
-	 * Tells which layers changed beyond noise since they were last told to have changed.
+	 * Returns which layers' forecasts changed beyond noise since the last call that
+	 * reported them as changed. The forecast of a reported layer becomes the reference
+	 * for the next calls.
 	 * @return for each layer whether its forecast changed
 	 */
 	public boolean[] acceptChanges() {
@@ -58,16 +60,16 @@
 	}
 
 	/**
-	 * Returns the forecast.
-	 * @return the traffic of each expert in an interval, for each layer
+	 * Returns the forecast traffic.
+	 * @return for each layer, the traffic of each expert per interval in tokens
 	 */
 	public double[][] forecast() {
 		return Arrays.stream(this.layers).map(LayerEstimate::forecast).toArray(double[][]::new);
 	}
 
 	/**
-	 * Returns the fast average of the counts, without forecast or noise test.
-	 * @return the traffic of each expert in an interval, for each layer
+	 * Returns the fast moving average of the counts, without extrapolating the trend.
+	 * @return for each layer, the traffic of each expert per interval in tokens
 	 */
 	public double[][] smoothed() {
 		return Arrays.stream(this.layers).map(LayerEstimate::smoothed).toArray(double[][]::new);
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PositionKeeper.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PositionKeeper.java
@@ -3,7 +3,8 @@
 import java.util.Arrays;
 
 /**
- * Keeps an expert in its slot when it stays on its rank, so that only true reads remain.
+ * Keeps experts that remain on their rank in their current slot: changing the slot would
+ * need a read of the weights.
  */
 final class PositionKeeper {
 
@@ -11,7 +12,7 @@
 	}
 
 	/**
-	 * Orders the experts of each rank so that those it held before keep their slots.
+	 * Reorders the experts of each rank so that those it held before keep their slots.
 	 * @param shape the group's shape
 	 * @param before the expert of each position before
 	 * @param after the expert of each position after
@@ -38,7 +39,7 @@
 	}
 
 	/**
-	 * Counts the positions whose expert must be read.
+	 * Counts the positions whose expert must be read from the weight store.
 	 * @param before the expert of each position before
 	 * @param after the expert of each position after
 	 * @return the count
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/StepSkew.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/StepSkew.java
@@ -5,8 +5,9 @@
 /**
  * Computes the step-time skew of a group.
  * <p>
- * Ranks wait for each other at every layer with experts. The skew of a step is the sum
- * over layers of the slowest rank's time over the sum over layers of the mean rank time.
+ * All ranks synchronise at every layer with experts. The skew of a step is the sum over
+ * layers of the slowest rank's time, divided by the sum over layers of the rank time
+ * under perfect balance.
  */
 public final class StepSkew {
 
@@ -37,11 +38,12 @@
 	}
 
 	/**
-	 * Computes a skew that no placement in the group's slots can go below.
+	 * Computes a lower bound of the skew of any placement in the group's slots.
 	 * <p>
-	 * If every rank time of a layer is at most {@code t}, an expert of traffic {@code p}
-	 * needs {@code p / (t * speed)} copies of the fastest rank at least, rounded up. The
-	 * bound is the least {@code t} for which the copies fit into the slots.
+	 * If no rank time of a layer exceeds {@code t}, an expert of traffic {@code p} needs
+	 * at least {@code p / (t * speed)} copies, rounded up, where {@code speed} is that of
+	 * the fastest rank. The bound of a layer is the smallest {@code t} for which all
+	 * copies fit into the slots, found by bisection.
 	 * @param shape the group's shape
 	 * @param popularity the traffic of each expert, for each layer
 	 * @param speeds the speed of each rank, 1 for a healthy one
@@ -58,7 +60,7 @@
 		return (mean > 0) ? slowest / mean : 1;
 	}
 
-	// Returns the rank time of a layer that is balanced perfectly.
+	// Returns the rank time of a perfectly balanced layer.
 	static double balancedTime(double[] popularity, double[] speeds) {
 		return Arrays.stream(popularity).sum() / Arrays.stream(speeds).sum();
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/TrafficSnapshot.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/TrafficSnapshot.java
@@ -1,7 +1,8 @@
 package org.comfreywall.group.placement;
 
 /**
- * A saved split of one layer's traffic, refilled in place to spare allocations.
+ * A saved distribution of one layer's traffic, reused between trials of the search to
+ * avoid allocations.
  *
  * @param flows the traffic of each position
  * @param loads the traffic of each rank
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/package-info.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Estimates the popularity of experts and plans where their replicas are placed.
+ * Popularity forecasts and placement planning for the replicas of experts.
  */
 package org.comfreywall.group.placement;
--- a/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementMapsTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementMapsTests.java
@@ -26,11 +26,11 @@
 	}
 
 	@Test
-	void convertsBack() {
-		Placement back = PlacementMaps.fromMap(this.shape, toMap());
+	void convertsMapBackToPlacement() {
+		Placement restored = PlacementMaps.fromMap(this.shape, toMap());
 		for (int position = 0; position < 4; position++) {
-			assertThat(back.expert(0, position)).isEqualTo(this.placement.expert(0, position));
-			assertThat(back.share(0, position)).isEqualTo(this.placement.share(0, position));
+			assertThat(restored.expert(0, position)).isEqualTo(this.placement.expert(0, position));
+			assertThat(restored.share(0, position)).isEqualTo(this.placement.share(0, position));
 		}
 	}
 
--- a/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementPlannerPropertyTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementPlannerPropertyTests.java
@@ -14,7 +14,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Seeded property tests of the placement planner over random groups and drifts.
+ * Seeded property tests of the placement planner with random groups and drifting
+ * popularity.
  */
 class PlacementPlannerPropertyTests {
 
@@ -33,12 +34,12 @@
 		double[][] popularity = RandomPopularity.create(random, shape);
 		double[] speeds = new double[shape.ranks()];
 		Arrays.fill(speeds, 1);
-		Placement present = Placement.empty(shape);
+		Placement current = Placement.empty(shape);
 		for (int round = 0; round < PLANS; round++) {
-			PlanRequest request = request(shape, present, popularity, speeds);
+			PlanRequest request = request(shape, current, popularity, speeds);
 			PlacementPlan plan = planner.plan(request);
 			verify(request, plan, round);
-			present = plan.placement();
+			current = plan.placement();
 			RandomPopularity.drift(random, popularity);
 			speeds[random.nextInt(speeds.length)] = 0.5 + random.nextDouble();
 		}
@@ -48,7 +49,7 @@
 
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
-	void losingARankLeavesEveryExpertACopyAndIsRepaired(long seed) {
+	void everyExpertKeepsACopyWhenARankIsLostAndTheNextPlanRestoresTheSpread(long seed) {
 		Random random = new Random(seed);
 		int[] slots = new int[8];
 		Arrays.fill(slots, 10);
@@ -57,19 +58,19 @@
 		double[][] popularity = RandomPopularity.create(random, shape);
 		double[] speeds = { 1, 1, 1, 1, 1, 1, 1, 1 };
 		PlacementPlanner planner = new PlacementPlanner(settings(1, 1e9), this.history, this.invariants);
-		Placement present = planner.plan(request(shape, Placement.empty(shape), popularity, speeds)).placement();
+		Placement current = planner.plan(request(shape, Placement.empty(shape), popularity, speeds)).placement();
 		slots[random.nextInt(8)] = 0;
-		GroupShape smaller = GroupShape.of(2, 32, slots, domains, 1 << 20);
-		assertEveryExpertHasCopies(smaller, present, CopySpread.NONE);
-		PlacementPlan repaired = planner.plan(request(smaller, present, popularity, speeds));
+		GroupShape withoutRank = GroupShape.of(2, 32, slots, domains, 1 << 20);
+		assertEveryExpertHasCopies(withoutRank, current, CopySpread.NONE);
+		PlacementPlan repaired = planner.plan(request(withoutRank, current, popularity, speeds));
 		assertThat(repaired.reason()).isEqualTo(PlanReason.COPIES_LOST);
-		assertEveryExpertHasCopies(smaller, repaired.placement(), smaller.spread());
+		assertEveryExpertHasCopies(withoutRank, repaired.placement(), withoutRank.spread());
 	}
 
-	private static PlanRequest request(GroupShape shape, Placement present, double[][] popularity, double[] speeds) {
+	private static PlanRequest request(GroupShape shape, Placement current, double[][] popularity, double[] speeds) {
 		boolean[] changed = new boolean[shape.layers()];
 		Arrays.fill(changed, true);
-		return new PlanRequest(GroupId.of("g"), shape, present, popularity, speeds, changed, "test");
+		return new PlanRequest(GroupId.of("g"), shape, current, popularity, speeds, changed, "test");
 	}
 
 	private static void verify(PlanRequest request, PlacementPlan plan, int round) {
@@ -81,11 +82,11 @@
 		assertThat(skew)
 			.isGreaterThanOrEqualTo(StepSkew.lowerBound(shape, request.popularity(), request.speeds()) - 1e-6);
 		if (round > 0) {
-			double stay = StepSkew.of(shape, request.present(), request.popularity(), request.speeds());
+			double currentSkew = StepSkew.of(shape, request.present(), request.popularity(), request.speeds());
 			PlacementWeights weights = plan.price().weights();
 			double bytes = plan.moves().stream().mapToLong(ExpertMove::bytes).sum();
 			assertThat(weights.skewWeight() * skew + weights.moveWeight() * bytes / (1 << 30))
-				.isLessThanOrEqualTo(weights.skewWeight() * stay * 1.001);
+				.isLessThanOrEqualTo(weights.skewWeight() * currentSkew * 1.001);
 		}
 	}
 
@@ -109,10 +110,10 @@
 	private static void assertEveryExpertHasCopies(GroupShape shape, Placement placement, CopySpread spread) {
 		for (int layer = 0; layer < shape.layers(); layer++) {
 			for (int expert = 0; expert < shape.experts(); expert++) {
-				int holder = layer;
-				int wanted = expert;
+				int layerIndex = layer;
+				int expertIndex = expert;
 				int[] ranks = IntStream.range(0, shape.ranks())
-					.filter((rank) -> shape.slots(rank) > 0 && placement.holds(shape, holder, rank, wanted))
+					.filter((rank) -> shape.slots(rank) > 0 && placement.holds(shape, layerIndex, rank, expertIndex))
 					.toArray();
 				assertThat(ranks.length).isGreaterThanOrEqualTo(spread.minimumCopies());
 				if (spread == CopySpread.FAILURE_DOMAINS) {
--- a/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementPlannerTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementPlannerTests.java
@@ -15,7 +15,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests of {@link PlacementPlanner} and its records.
+ * Tests of {@link PlacementPlanner} and its decision records.
  */
 class PlacementPlannerTests {
 
@@ -34,9 +34,9 @@
 
 	@Test
 	void recordsAnAcceptedPlanWithItsPrice() {
-		Placement first = first();
+		Placement initialPlacement = initialPlacement();
 		this.popularity[0][0] *= 8;
-		PlacementPlan plan = plan(PlannerSettings.of(FREE_MOVES, STORE_RATE), first, true);
+		PlacementPlan plan = plan(PlannerSettings.of(FREE_MOVES, STORE_RATE), initialPlacement, true);
 		assertThat(plan.reason()).isEqualTo(PlanReason.CHEAPER);
 		assertThat(plan.price().skewForecast()).isLessThan(plan.price().skewBefore());
 		assertThat(plan.price().bytes()).isEqualTo(plan.moves().size() * EXPERT_BYTES);
@@ -47,23 +47,23 @@
 	}
 
 	@Test
-	void sortsMovesByWorthPerByte() {
-		Placement first = first();
+	void sortsMovesByGainPerByte() {
+		Placement initialPlacement = initialPlacement();
 		this.popularity[0][0] *= 8;
-		PlacementPlan plan = plan(PlannerSettings.of(FREE_MOVES, STORE_RATE), first, true);
+		PlacementPlan plan = plan(PlannerSettings.of(FREE_MOVES, STORE_RATE), initialPlacement, true);
 		assertThat(plan.moves())
 			.isSortedAccordingTo((left, right) -> Double.compare(right.worthPerByte(), left.worthPerByte()));
 	}
 
-	private Placement first() {
+	private Placement initialPlacement() {
 		return plan(PlannerSettings.of(FREE_MOVES, STORE_RATE), Placement.empty(this.shape), true).placement();
 	}
 
-	private PlacementPlan plan(PlannerSettings settings, Placement present, boolean changed) {
+	private PlacementPlan plan(PlannerSettings settings, Placement current, boolean changed) {
 		double[] speeds = new double[this.shape.ranks()];
 		Arrays.fill(speeds, 1);
 		return new PlacementPlanner(settings, this.history, new Invariants()).plan(new PlanRequest(GroupId.of("g"),
-				this.shape, present, this.popularity, speeds, new boolean[] { changed }, "test"));
+				this.shape, current, this.popularity, speeds, new boolean[] { changed }, "test"));
 	}
 
 	private DecisionRecord lastRecord() {
@@ -74,31 +74,31 @@
 	class Refuses {
 
 		@Test
-		void movesThatCostMoreThanTheySave() {
-			Placement first = first();
+		void movesWhosePriceExceedsTheirGain() {
+			Placement initialPlacement = initialPlacement();
 			PlacementPlannerTests.this.popularity[0][0] *= 8;
-			PlannerSettings dear = PlannerSettings.of(new PlacementWeights(1, 1e6), STORE_RATE);
-			PlacementPlan split = plan(dear, first, true);
-			PlacementPlan plan = plan(dear, split.placement(), true);
+			PlannerSettings expensiveMoves = PlannerSettings.of(new PlacementWeights(1, 1e6), STORE_RATE);
+			PlacementPlan redistributed = plan(expensiveMoves, initialPlacement, true);
+			PlacementPlan plan = plan(expensiveMoves, redistributed.placement(), true);
 			assertThat(plan.reason()).isEqualTo(PlanReason.TOO_DEAR);
-			assertThat(plan.placement()).isSameAs(split.placement());
+			assertThat(plan.placement()).isSameAs(redistributed.placement());
 			assertThat(plan.price().bytes()).isPositive();
 			assertThat(lastRecord().result()).isEqualTo("refused");
 		}
 
 		@Test
 		void movesWhenNothingChangedBeyondNoise() {
-			Placement first = first();
-			PlacementPlan plan = plan(PlannerSettings.of(FREE_MOVES, STORE_RATE), first, false);
+			Placement initialPlacement = initialPlacement();
+			PlacementPlan plan = plan(PlannerSettings.of(FREE_MOVES, STORE_RATE), initialPlacement, false);
 			assertThat(plan.reason()).isEqualTo(PlanReason.WITHIN_NOISE);
 			assertThat(plan.moves()).isEmpty();
 		}
 
 		@Test
 		void moreBytesThanAPlanMayRead() {
-			Placement first = first();
+			Placement initialPlacement = initialPlacement();
 			PlacementPlannerTests.this.popularity[0][0] *= 8;
-			PlacementPlan plan = plan(new PlannerSettings(FREE_MOVES, STORE_RATE, 0, 64), first, true);
+			PlacementPlan plan = plan(new PlannerSettings(FREE_MOVES, STORE_RATE, 0, 64), initialPlacement, true);
 			assertThat(plan.moves()).isEmpty();
 		}
 
--- a/comfreywall-group/src/test/java/org/comfreywall/group/placement/PopularityEstimatorTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/placement/PopularityEstimatorTests.java
@@ -20,7 +20,7 @@
 	private final PopularityEstimator estimator = new PopularityEstimator(EstimatorSettings.DEFAULT, 1, EXPERTS);
 
 	@Test
-	void seesNoChangeInNoise() {
+	void reportsNoChangeForNoise() {
 		run(12, 1, 1);
 		this.estimator.acceptChanges();
 		int changes = 0;
@@ -32,7 +32,7 @@
 	}
 
 	@Test
-	void ignoresAChangeOfTheWholeLoad() {
+	void ignoresAChangeOfTheTotalLoad() {
 		run(12, 1, 1);
 		this.estimator.acceptChanges();
 		run(12, 3, 3);
@@ -40,7 +40,7 @@
 	}
 
 	@Test
-	void followsASuddenShiftWithinTwoIntervals() {
+	void detectsASuddenShiftWithinTwoIntervals() {
 		run(20, 1, 1);
 		this.estimator.acceptChanges();
 		run(2, 1, 3);
--- a/comfreywall-group/src/test/java/org/comfreywall/group/placement/RandomPopularity.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/placement/RandomPopularity.java
@@ -3,7 +3,7 @@
 import java.util.Random;
 
 /**
- * Random popularity of experts for tests.
+ * Generates random expert popularity for tests.
  */
 final class RandomPopularity {
 
