Reword the move scheduler

Commands and events read as orders and as talk ("time went by", "a coordinator came back", "a plan is no longer wanted"). They now say what each command does and what each event reports, and parameters say whether they hold a plan or its identifier. The reason for the empty token bucket after a restart is kept in plain words.

Compiled; the tests of comfreywall-group and of the modules it needs pass.

--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveCommand.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveCommand.java
@@ -4,12 +4,12 @@
 import org.comfreywall.group.placement.ExpertMove;
 
 /**
- * What the move scheduler orders.
+ * A command that the move scheduler issues.
  */
 public sealed interface MoveCommand {
 
 	/**
-	 * Make a plan durable, then report {@link MoveEvent.PlanSaved}.
+	 * Writes a plan to durable storage; {@link MoveEvent.PlanSaved} confirms it.
 	 *
 	 * @param plan the plan
 	 */
@@ -22,10 +22,10 @@
 	}
 
 	/**
-	 * Let a rank read weights from the store.
+	 * Starts a rank's read from the weight store.
 	 *
-	 * @param id the move
-	 * @param move what to read and where to put it
+	 * @param id the identifier of the move
+	 * @param move the expert to read and the slot that receives it
 	 */
 	record StartRead(MoveId id, ExpertMove move) implements MoveCommand {
 
@@ -37,9 +37,9 @@
 	}
 
 	/**
-	 * Stop a read that was started.
+	 * Cancels a read in progress.
 	 *
-	 * @param id the move
+	 * @param id the identifier of the move
 	 */
 	record CancelRead(MoveId id) implements MoveCommand {
 
@@ -50,9 +50,9 @@
 	}
 
 	/**
-	 * Remove a cancelled plan from durable state.
+	 * Removes a cancelled plan from durable storage.
 	 *
-	 * @param plan the plan
+	 * @param plan the identifier of the plan
 	 */
 	record DropPlan(PlanId plan) implements MoveCommand {
 
@@ -63,9 +63,9 @@
 	}
 
 	/**
-	 * All weights of a plan are staged; the expert map may be switched.
+	 * Reports that all weights of a plan are staged, so the expert map can be switched.
 	 *
-	 * @param plan the plan
+	 * @param plan the identifier of the plan
 	 */
 	record PlanStaged(PlanId plan) implements MoveCommand {
 
@@ -76,9 +76,9 @@
 	}
 
 	/**
-	 * Report a {@link MoveEvent.Tick} after a time.
+	 * Schedules a {@link MoveEvent.Tick}.
 	 *
-	 * @param nanos the time in nanoseconds
+	 * @param nanos the delay in nanoseconds
 	 */
 	record WakeAfter(long nanos) implements MoveCommand {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveEvent.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveEvent.java
@@ -10,7 +10,7 @@
 public sealed interface MoveEvent {
 
 	/**
-	 * A plan was accepted; it replaces the group's unfinished plan.
+	 * A plan was accepted. It replaces the group's unfinished plan, if any.
 	 *
 	 * @param plan the plan
 	 */
@@ -23,9 +23,9 @@
 	}
 
 	/**
-	 * A plan is durable and its reads may start.
+	 * A plan was written to durable storage; its reads may start.
 	 *
-	 * @param plan the plan
+	 * @param plan the identifier of the plan
 	 */
 	record PlanSaved(PlanId plan) implements MoveEvent {
 
@@ -36,10 +36,10 @@
 	}
 
 	/**
-	 * A coordinator came back and found an unfinished plan in durable state.
+	 * A restarted coordinator found an unfinished plan in durable storage.
 	 *
 	 * @param plan the plan
-	 * @param staged the indexes of moves whose weights the ranks hold already
+	 * @param staged the indexes of the moves whose weights are already staged
 	 */
 	record PlanRecovered(MovePlan plan, Set<Integer> staged) implements MoveEvent {
 
@@ -51,9 +51,9 @@
 	}
 
 	/**
-	 * A rank holds the weights of a move.
+	 * A rank has staged the weights of a move.
 	 *
-	 * @param move the move
+	 * @param move the identifier of the move
 	 */
 	record MoveStaged(MoveId move) implements MoveEvent {
 
@@ -64,9 +64,9 @@
 	}
 
 	/**
-	 * A read failed and is to be tried again.
+	 * A read failed. It is retried, up to the maximum number of attempts.
 	 *
-	 * @param move the move
+	 * @param move the identifier of the move
 	 */
 	record MoveFailed(MoveId move) implements MoveEvent {
 
@@ -77,10 +77,10 @@
 	}
 
 	/**
-	 * A plan is no longer wanted.
+	 * A plan was cancelled from outside the scheduler.
 	 *
-	 * @param plan the plan
-	 * @param reason why, for the decision record
+	 * @param plan the identifier of the plan
+	 * @param reason the reason, for the decision record
 	 */
 	record PlanCancelled(PlanId plan, String reason) implements MoveEvent {
 
@@ -92,7 +92,8 @@
 	}
 
 	/**
-	 * Time went by.
+	 * A scheduled delay expired. Overdue reads are restarted, and new reads are started
+	 * if the weight store's rate allows.
 	 */
 	record Tick() implements MoveEvent {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/MovePlan.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/MovePlan.java
@@ -6,10 +6,10 @@
 import org.comfreywall.group.placement.ExpertMove;
 
 /**
- * The moves of an accepted plan, as they are made durable.
+ * The moves of an accepted plan, as written to durable storage.
  *
- * @param id the plan
- * @param moves the moves; a move's index in this list names it
+ * @param id the identifier of the plan
+ * @param moves the moves, identified by their index in this list
  */
 public record MovePlan(PlanId id, List<ExpertMove> moves) {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveScheduler.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveScheduler.java
@@ -18,12 +18,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Starts the reads of accepted plans under the weight store's rate, the greatest worth a
- * byte first over all groups.
+ * Starts the reads of accepted plans within the rate limit of the weight store, in
+ * descending order of gain per byte across all groups.
  * <p>
- * No read starts before its plan is durable, so a coordinator that comes back finds every
- * plan that a rank may have read for. A group has one unfinished plan at most; a newer
- * plan takes over weights that are staged already.
+ * No read starts before its plan is durable, so a restarted coordinator finds every plan
+ * for which a rank may have read weights. A group has at most one unfinished plan; a plan
+ * that replaces it keeps the weights that are already staged.
  */
 public final class MoveScheduler {
 
@@ -42,10 +42,10 @@
 	/**
 	 * Creates a scheduler.
 	 * @param settings the settings
-	 * @param bucket the bucket shared by all groups of the deployment
-	 * @param listener receives a record of each plan that was staged, cancelled or
-	 * refused
-	 * @param invariants checks the scheduler's actions
+	 * @param bucket the rate limit shared by all groups of the deployment
+	 * @param listener receives a record of each plan that was staged, resumed, cancelled
+	 * or refused
+	 * @param invariants checks that reads start after their plan is durable
 	 */
 	public MoveScheduler(MoveSchedulerSettings settings, WeightStoreBucket bucket, DecisionListener listener,
 			Invariants invariants) {
@@ -58,8 +58,8 @@
 	/**
 	 * Handles one event.
 	 * @param event the event
-	 * @param now the clock's reading in nanoseconds
-	 * @return what to do, in order
+	 * @param now the current time in nanoseconds
+	 * @return the commands to execute, in order
 	 */
 	public List<MoveCommand> handle(MoveEvent event, long now) {
 		Preconditions.notNull(event, "event");
@@ -92,27 +92,27 @@
 	}
 
 	private void accept(MovePlan plan) {
-		PlanProgress former = this.plans.get(plan.id().group());
-		if (!isAcceptable(plan, former)) {
+		PlanProgress replaced = this.plans.get(plan.id().group());
+		if (!isAcceptable(plan, replaced)) {
 			record(plan.id(), "refused", Field.of("moves", plan.moves().size()));
 			return;
 		}
 		Set<Integer> staged = Set.of();
-		if (former != null) {
+		if (replaced != null) {
 			staged = IntStream.range(0, plan.moves().size())
-				.filter((index) -> former.holdsStaged(plan.moves().get(index)))
+				.filter((index) -> replaced.holdsStaged(plan.moves().get(index)))
 				.boxed()
 				.collect(Collectors.toSet());
-			cancel(former, "replaced by plan " + plan.id());
+			cancel(replaced, "replaced by plan " + plan.id());
 		}
 		this.plans.put(plan.id().group(), new PlanProgress(plan, staged));
 		this.commands.add(new MoveCommand.SavePlan(plan));
 	}
 
-	private boolean isAcceptable(MovePlan plan, PlanProgress former) {
-		boolean newer = former == null || former.id().number() < plan.id().number();
-		boolean room = former != null || this.plans.size() < this.settings.maximumGroups();
-		return newer && room && fitsBucket(plan);
+	private boolean isAcceptable(MovePlan plan, PlanProgress replaced) {
+		boolean isNewer = replaced == null || replaced.id().number() < plan.id().number();
+		boolean hasCapacity = replaced != null || this.plans.size() < this.settings.maximumGroups();
+		return isNewer && hasCapacity && fitsBucket(plan);
 	}
 
 	private boolean fitsBucket(MovePlan plan) {
@@ -121,8 +121,8 @@
 
 	private void recover(MoveEvent.PlanRecovered recovered) {
 		PlanId id = recovered.plan().id();
-		PlanProgress present = this.plans.get(id.group());
-		if (!isAcceptable(recovered.plan(), present)) {
+		PlanProgress current = this.plans.get(id.group());
+		if (!isAcceptable(recovered.plan(), current)) {
 			return;
 		}
 		PlanProgress plan = new PlanProgress(recovered.plan(), recovered.staged());
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveSchedulerSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveSchedulerSettings.java
@@ -7,13 +7,15 @@
 /**
  * Settings of the move scheduler.
  *
- * @param readTimeout how long a read may take before it is started again
- * @param maximumAttempts how often a move is tried before its plan is cancelled
- * @param maximumGroups the most groups with unfinished plans; bounds the state
+ * @param readTimeout the time after which a read is cancelled and restarted
+ * @param maximumAttempts the number of attempts of a move, after which its plan is
+ * cancelled
+ * @param maximumGroups the maximum number of groups with unfinished plans; bounds the
+ * scheduler's memory
  */
 public record MoveSchedulerSettings(Duration readTimeout, int maximumAttempts, int maximumGroups) {
 
-	/** Settings used unless set otherwise. */
+	/** The default settings. */
 	public static final MoveSchedulerSettings DEFAULT = new MoveSchedulerSettings(Duration.ofSeconds(30), 5, 256);
 
 	public MoveSchedulerSettings {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveState.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveState.java
@@ -1,15 +1,15 @@
 package org.comfreywall.group.moves;
 
 /**
- * How far a move is.
+ * The state of a move.
  */
 enum MoveState {
 
-	/** The read waits for bytes of the bucket. */
+	/** The read has not started; it waits for the weight store's rate limit. */
 	PENDING,
-	/** The rank reads. */
+	/** The rank is reading the weights. */
 	READING,
-	/** The rank holds the weights. */
+	/** The rank has staged the weights. */
 	STAGED
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/PlanId.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/PlanId.java
@@ -7,7 +7,7 @@
  * Identifies a plan of one group.
  *
  * @param group the group
- * @param number the plan's number; later plans of a group have greater ones
+ * @param number the plan's number, greater for later plans of the group
  */
 public record PlanId(GroupId group, long number) {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/PlanProgress.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/PlanProgress.java
@@ -8,7 +8,7 @@
 import org.comfreywall.group.placement.ExpertMove;
 
 /**
- * The progress of one plan's moves.
+ * The state of a plan and of each of its moves.
  */
 final class PlanProgress {
 
@@ -80,9 +80,9 @@
 		return Arrays.stream(this.states).allMatch((state) -> state == MoveState.STAGED);
 	}
 
-	boolean holdsStaged(ExpertMove wanted) {
+	boolean holdsStaged(ExpertMove required) {
 		return IntStream.range(0, this.states.length)
-			.anyMatch((index) -> this.states[index] == MoveState.STAGED && isSameRead(move(index), wanted));
+			.anyMatch((index) -> this.states[index] == MoveState.STAGED && isSameRead(move(index), required));
 	}
 
 	private static boolean isSameRead(ExpertMove left, ExpertMove right) {
@@ -103,7 +103,7 @@
 	}
 
 	/**
-	 * Returns the pending move of the greatest worth a byte.
+	 * Returns the pending move with the greatest gain per byte.
 	 * @return its index, or -1 if none is pending
 	 */
 	int next() {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/WeightStoreBucket.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/WeightStoreBucket.java
@@ -3,11 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A token bucket of the bytes that a deployment may read from its weight store.
+ * A token bucket that limits the bytes read from a deployment's weight store.
  * <p>
  * In any window of {@code t} seconds at most {@code burst + rate * t} bytes are granted.
- * One bucket is shared by all groups of a deployment. A new bucket is empty, so that a
- * restart grants no burst on top of the reads made before it.
+ * One bucket is shared by all groups of a deployment. A new bucket is empty: a full one
+ * would grant another burst right after a restart, on top of the reads before it.
  */
 public final class WeightStoreBucket {
 
@@ -23,9 +23,9 @@
 
 	/**
 	 * Creates an empty bucket.
-	 * @param bytesPerSecond the rate at which it fills, in bytes a second
-	 * @param burstBytes the most that it holds, in bytes
-	 * @param now the clock's reading in nanoseconds
+	 * @param bytesPerSecond the refill rate in bytes per second
+	 * @param burstBytes the capacity in bytes
+	 * @param now the current time in nanoseconds
 	 */
 	public WeightStoreBucket(double bytesPerSecond, long burstBytes, long now) {
 		Preconditions.check(bytesPerSecond > 0, "bytesPerSecond must be positive: %s", bytesPerSecond);
@@ -36,15 +36,15 @@
 	}
 
 	/**
-	 * Takes bytes if the bucket holds them.
-	 * @param bytes the bytes to take, no more than the burst
-	 * @param now the clock's reading in nanoseconds
+	 * Takes bytes from the bucket if enough are available.
+	 * @param bytes the number of bytes, at most the capacity
+	 * @param now the current time in nanoseconds
 	 * @return {@code true} if they were taken
 	 */
 	public boolean tryTake(long bytes, long now) {
 		Preconditions.check(bytes >= 0 && bytes <= this.burstBytes, "bytes must be 0 to %d: %d", this.burstBytes,
 				bytes);
-		fill(now);
+		refill(now);
 		if (this.available < bytes) {
 			return false;
 		}
@@ -53,26 +53,26 @@
 	}
 
 	/**
-	 * Returns how long it takes until bytes are available if no others are taken.
-	 * @param bytes the bytes wanted
-	 * @param now the clock's reading in nanoseconds
-	 * @return the time in nanoseconds, 0 if they are available
+	 * Returns the time until bytes are available, if none are taken before.
+	 * @param bytes the number of bytes
+	 * @param now the current time in nanoseconds
+	 * @return the time in nanoseconds, 0 if they are available now
 	 */
 	public long nanosUntil(long bytes, long now) {
-		fill(now);
+		refill(now);
 		double missing = Math.max(0, bytes - this.available);
 		return (long) Math.ceil(missing / this.bytesPerSecond * SECOND_NANOS);
 	}
 
 	/**
-	 * Returns the most bytes that one read may take.
-	 * @return the burst in bytes
+	 * Returns the capacity of the bucket, which is the maximum size of a single read.
+	 * @return the capacity in bytes
 	 */
 	public long burstBytes() {
 		return this.burstBytes;
 	}
 
-	private void fill(long now) {
+	private void refill(long now) {
 		if (now > this.updatedAt) {
 			double filled = (now - this.updatedAt) / SECOND_NANOS * this.bytesPerSecond;
 			this.available = Math.min(this.burstBytes, this.available + filled);
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/package-info.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Schedules the reads of expert weights under the weight store's rate.
+ * Scheduling of expert weight reads within the rate limit of the weight store.
  */
 package org.comfreywall.group.moves;
--- a/comfreywall-group/src/test/java/org/comfreywall/group/moves/MoveSchedulerPropertyTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/moves/MoveSchedulerPropertyTests.java
@@ -20,8 +20,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Seeded property tests of {@link MoveScheduler} under crashes of the coordinator, lost
- * answers and newer plans.
+ * Seeded property tests of {@link MoveScheduler} with coordinator restarts, lost replies
+ * and replaced plans.
  */
 class MoveSchedulerPropertyTests {
 
@@ -51,7 +51,7 @@
 
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6 })
-	void neverExceedsTheRateAndCompletesOnceAnswersFlow(long seed) {
+	void neverExceedsTheRateAndCompletesAllPlansOnceNoReplyIsLost(long seed) {
 		this.random = new Random(seed);
 		restart();
 		for (int step = 0; step < STEPS; step++) {
@@ -60,13 +60,13 @@
 		}
 		for (int step = 0; step < STEPS && !this.durable.isEmpty(); step++) {
 			this.now += (long) 5e7;
-			answerAll();
+			completeAllReads();
 			handle(new MoveEvent.Tick());
 		}
 		assertThat(this.durable).isEmpty();
 		assertThat(this.complete).isNotEmpty();
 		assertThat(this.invariants.breaches()).isZero();
-		assertRateHolds();
+		assertRateIsNeverExceeded();
 	}
 
 	private void step(int number) {
@@ -79,7 +79,7 @@
 			restart();
 		}
 		else if (choice < 50 && !this.reading.isEmpty()) {
-			answer(this.reading.remove(this.random.nextInt(this.reading.size())), this.random.nextInt(10));
+			completeRead(this.reading.remove(this.random.nextInt(this.reading.size())), this.random.nextInt(10));
 		}
 		else {
 			handle(new MoveEvent.Tick());
@@ -105,13 +105,13 @@
 					new MoveEvent.PlanRecovered(plan, this.staged.getOrDefault(plan.id(), new TreeSet<>()))));
 	}
 
-	private void answerAll() {
+	private void completeAllReads() {
 		List<MoveId> pending = List.copyOf(this.reading);
 		this.reading.clear();
-		pending.forEach((move) -> answer(move, 9));
+		pending.forEach((move) -> completeRead(move, 9));
 	}
 
-	private void answer(MoveId move, int chance) {
+	private void completeRead(MoveId move, int chance) {
 		if (chance == 0) {
 			return;
 		}
@@ -125,11 +125,11 @@
 
 	private void handle(MoveEvent event) {
 		for (MoveCommand command : this.scheduler.handle(event, this.now)) {
-			carryOut(command);
+			execute(command);
 		}
 	}
 
-	private void carryOut(MoveCommand command) {
+	private void execute(MoveCommand command) {
 		if (command instanceof MoveCommand.SavePlan save) {
 			this.durable.put(save.plan().id(), save.plan());
 			handle(new MoveEvent.PlanSaved(save.plan().id()));
@@ -149,7 +149,7 @@
 		}
 	}
 
-	private void assertRateHolds() {
+	private void assertRateIsNeverExceeded() {
 		assertThat(this.grants).isNotEmpty();
 		for (int from = 0; from < this.grants.size(); from++) {
 			long bytes = 0;
--- a/comfreywall-group/src/test/java/org/comfreywall/group/moves/MoveSchedulerTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/moves/MoveSchedulerTests.java
@@ -43,7 +43,7 @@
 	}
 
 	@Test
-	void readsTheGreatestWorthPerByteFirstOverAllGroups() {
+	void readsInOrderOfGainPerByteAcrossAllGroups() {
 		accept(new MovePlan(FIRST, List.of(move(0, 50, 1), move(1, 50, 4))), 0);
 		accept(new MovePlan(OTHER, List.of(move(0, 25, 1), move(1, 50, 8))), 0);
 		assertThat(started(new MoveEvent.Tick(), SECOND)).containsExactly(new MoveId(OTHER, 1), new MoveId(FIRST, 1));
@@ -60,7 +60,7 @@
 	}
 
 	@Test
-	void resumesARecoveredPlanWithoutStagedMoves() {
+	void resumesARecoveredPlanWithoutReadingStagedMovesAgain() {
 		MovePlan plan = new MovePlan(FIRST, List.of(move(0, 50, 2), move(1, 50, 1)));
 		assertThat(started(new MoveEvent.PlanRecovered(plan, Set.of(0)), SECOND)).containsExactly(new MoveId(FIRST, 1));
 	}
@@ -78,8 +78,8 @@
 			.toList();
 	}
 
-	private static ExpertMove move(int expert, long bytes, double worth) {
-		return new ExpertMove(0, 0, expert, expert, bytes, worth);
+	private static ExpertMove move(int expert, long bytes, double gain) {
+		return new ExpertMove(0, 0, expert, expert, bytes, gain);
 	}
 
 	@Nested
@@ -95,7 +95,7 @@
 		}
 
 		@Test
-		void handsStagedWeightsToTheNewerPlan() {
+		void keepsStagedWeightsForTheNewerPlan() {
 			accept(new MovePlan(FIRST, List.of(move(0, 50, 2), move(1, 100, 1))), 0);
 			MoveSchedulerTests.this.scheduler.handle(new MoveEvent.Tick(), SECOND);
 			MoveSchedulerTests.this.scheduler.handle(new MoveEvent.MoveStaged(new MoveId(FIRST, 0)), SECOND);
@@ -114,7 +114,7 @@
 		}
 
 		@Test
-		void cancelsItAfterTheLastAttempt() {
+		void cancelsThePlanAfterTheLastAttempt() {
 			accept(new MovePlan(FIRST, List.of(move(0, 50, 1))), 0);
 			assertThat(started(new MoveEvent.Tick(), SECOND)).hasSize(1);
 			assertThat(started(new MoveEvent.Tick(), 40 * SECOND)).hasSize(1);
