Reword the straggler detector and the role advisor

Conditions were what the detector "believes", a rank was "judged", a role "gave" a group to a "needy" one. The text now speaks of outliers, the median absolute deviation, consecutive windows and offered load. The reason of an advised role change reads "prefill utilisation 1.90, ..." instead of "prefill is used to 1.90"; its test matches the new text with the same figure.

--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/GroupRole.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/GroupRole.java
@@ -1,11 +1,11 @@
 package org.comfreywall.group.straggler;
 
 /**
- * The part of a request that a group runs.
+ * The phase of inference that a group runs.
  */
 public enum GroupRole {
 
-	/** The group reads prompts and fills the KV cache. */
+	/** The group processes prompts and fills the KV cache. */
 	PREFILL,
 	/** The group generates tokens. */
 	DECODE;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RankCondition.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RankCondition.java
@@ -1,17 +1,17 @@
 package org.comfreywall.group.straggler;
 
 /**
- * What the detector believes of a rank.
+ * The detector's classification of a rank.
  */
 public enum RankCondition {
 
-	/** The rank keeps up. */
+	/** The rank is not an outlier. */
 	HEALTHY,
-	/** The rank is late because it holds hot experts. */
+	/** The rank is slow because it holds hot experts. */
 	HOT_EXPERT,
-	/** The rank is late for its load; its hardware is slow. */
+	/** The rank is slow for its load, which points to slow hardware. */
 	SLOW_HARDWARE,
-	/** The rank stayed slow after it shed experts; it is to be replaced. */
+	/** The rank stayed slow after it shed experts; its replacement was requested. */
 	REPLACE
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RankRecord.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RankRecord.java
@@ -1,13 +1,13 @@
 package org.comfreywall.group.straggler;
 
 /**
- * What the detector remembers of one rank.
+ * The detector's state for one rank.
  */
 final class RankRecord {
 
 	private static final double RATIO_WEIGHT = 0.3;
 
-	private static final int CALM_PERIODS = 8;
+	private static final int PENALTY_DECAY_PERIODS = 8;
 
 	private RankCondition condition = RankCondition.HEALTHY;
 
@@ -19,7 +19,7 @@
 
 	private int penalty = 1;
 
-	private boolean recovered;
+	private boolean recentlyRecovered;
 
 	private double ratio = 1;
 
@@ -54,15 +54,15 @@
 	}
 
 	void observe(double newRatio, boolean slow, boolean healthy) {
-		boolean begins = slow && this.slowWindows == 0 && this.condition == RankCondition.HEALTHY;
-		this.ratio = begins ? newRatio : this.ratio + RATIO_WEIGHT * (newRatio - this.ratio);
+		boolean firstSlow = slow && this.slowWindows == 0 && this.condition == RankCondition.HEALTHY;
+		this.ratio = firstSlow ? newRatio : this.ratio + RATIO_WEIGHT * (newRatio - this.ratio);
 		this.slowWindows = slow ? this.slowWindows + 1 : 0;
 		this.healthyWindows = healthy ? this.healthyWindows + 1 : 0;
 		this.windowsInCondition++;
 	}
 
 	void enter(RankCondition newCondition, int maximumPenalty) {
-		if (this.condition == RankCondition.HEALTHY && this.recovered) {
+		if (this.condition == RankCondition.HEALTHY && this.recentlyRecovered) {
 			this.penalty = Math.min(maximumPenalty, this.penalty * 2);
 		}
 		this.condition = newCondition;
@@ -77,18 +77,18 @@
 
 	void recover() {
 		this.condition = RankCondition.HEALTHY;
-		this.recovered = true;
+		this.recentlyRecovered = true;
 		this.healthyWindows = 0;
 		this.windowsInCondition = 0;
 		this.reportedSpeed = 1;
 	}
 
-	// Forgets relapses after a long calm, one doubling at a time.
+	// Halves the penalty after each sufficiently long healthy period, down to 1.
 	void calmDown(int windowsToLeave) {
 		if (this.condition == RankCondition.HEALTHY
-				&& this.healthyWindows >= CALM_PERIODS * windowsToLeave * this.penalty) {
+				&& this.healthyWindows >= PENALTY_DECAY_PERIODS * windowsToLeave * this.penalty) {
 			this.penalty = Math.max(1, this.penalty / 2);
-			this.recovered = this.penalty > 1;
+			this.recentlyRecovered = this.penalty > 1;
 			this.healthyWindows = 0;
 		}
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RobustOutliers.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RobustOutliers.java
@@ -3,17 +3,18 @@
 import java.util.Arrays;
 
 /**
- * Compares values with their median, in robust standard deviations.
+ * Detects outliers by the distance from the median, in standard deviations estimated from
+ * the median absolute deviation (MAD).
  *
- * @param ratios each value over the median; 0 for a value that is missing
- * @param deviation the robust standard deviation of the ratios
+ * @param ratios each value divided by the median; 0 for a missing value
+ * @param deviation the estimated standard deviation of the ratios
  */
 record RobustOutliers(double[] ratios, double deviation) {
 
-	// Turns a median absolute deviation into a standard deviation of normal values.
+	// Ratio of the standard deviation to the MAD for a normal distribution.
 	private static final double NORMAL_FACTOR = 1.4826;
 
-	private static final double LEAST_DEVIATION = 0.01;
+	private static final double MIN_DEVIATION = 0.01;
 
 	static RobustOutliers of(double[] values) {
 		double median = median(Arrays.stream(values).filter((value) -> value > 0).toArray());
@@ -22,7 +23,7 @@
 			.filter((ratio) -> ratio > 0)
 			.map((ratio) -> Math.abs(ratio - 1))
 			.toArray();
-		return new RobustOutliers(ratios, Math.max(LEAST_DEVIATION, NORMAL_FACTOR * median(distances)));
+		return new RobustOutliers(ratios, Math.max(MIN_DEVIATION, NORMAL_FACTOR * median(distances)));
 	}
 
 	double ratio(int index) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RoleAdvisor.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RoleAdvisor.java
@@ -11,11 +11,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Advises when a group of a service changes between prefill and decode.
+ * Advises when a group of a service should change between prefill and decode.
  * <p>
- * A group changes if the busier role is short of capacity, the change lowers the higher
- * of the two utilisations by enough, and both held for several windows. The role that
- * gives a group keeps one at least.
+ * A change is advised if the utilisation of the busier role is high, the change lowers
+ * the higher of the two utilisations by a minimum, and both conditions held for several
+ * consecutive windows. The role that loses a group keeps at least one.
  */
 public final class RoleAdvisor {
 
@@ -29,17 +29,17 @@
 
 	private double decodeDemand = Double.NaN;
 
-	private GroupRole wanted;
+	private GroupRole favouredRole;
 
-	private int windowsWanted;
+	private int windowsFavoured;
 
 	private int windowsSinceChange;
 
 	/**
 	 * Creates an advisor.
-	 * @param service the service whose groups share the work
+	 * @param service the service that the groups serve
 	 * @param settings the settings
-	 * @param listener receives a record of each advice
+	 * @param listener receives a record of each advised change
 	 */
 	public RoleAdvisor(ServiceId service, RoleSettings settings, DecisionListener listener) {
 		this.service = Preconditions.notNull(service, "service");
@@ -49,10 +49,10 @@
 	}
 
 	/**
-	 * Takes in the loads of one window.
+	 * Adds the loads of one window.
 	 * @param prefill the load of the prefill groups
 	 * @param decode the load of the decode groups
-	 * @return the change to make, or empty to leave the roles as they are
+	 * @return the advised change, or empty to keep the current roles
 	 */
 	public Optional<RoleChange> observe(RoleLoad prefill, RoleLoad decode) {
 		Preconditions.notNull(prefill, "prefill");
@@ -64,41 +64,42 @@
 		RoleLoad smoothDecode = new RoleLoad(decode.groups(), this.decodeDemand);
 		boolean prefillBusier = smoothPrefill.utilisation() >= smoothDecode.utilisation();
 		GroupRole busier = prefillBusier ? GroupRole.PREFILL : GroupRole.DECODE;
-		RoleLoad needy = prefillBusier ? smoothPrefill : smoothDecode;
-		RoleLoad giver = prefillBusier ? smoothDecode : smoothPrefill;
-		count(isWorthwhile(needy, giver) ? busier : null);
-		return advise(needy, giver);
+		RoleLoad busierLoad = prefillBusier ? smoothPrefill : smoothDecode;
+		RoleLoad donor = prefillBusier ? smoothDecode : smoothPrefill;
+		countWindow(isWorthwhile(busierLoad, donor) ? busier : null);
+		return advise(busierLoad, donor);
 	}
 
-	private double smooth(double present, double demand) {
-		return Double.isNaN(present) ? demand : present + this.settings.demandWeight() * (demand - present);
+	private double smooth(double average, double demand) {
+		return Double.isNaN(average) ? demand : average + this.settings.demandWeight() * (demand - average);
 	}
 
-	private boolean isWorthwhile(RoleLoad needy, RoleLoad giver) {
-		if (giver.groups() < 2 || needy.utilisation() < this.settings.highUtilisation()) {
+	private boolean isWorthwhile(RoleLoad busierLoad, RoleLoad donor) {
+		if (donor.groups() < 2 || busierLoad.utilisation() < this.settings.highUtilisation()) {
 			return false;
 		}
-		double after = Math.max(needy.withGroups(1).utilisation(), giver.withGroups(-1).utilisation());
-		return needy.utilisation() - after >= this.settings.leastGain();
+		double after = Math.max(busierLoad.withGroups(1).utilisation(), donor.withGroups(-1).utilisation());
+		return busierLoad.utilisation() - after >= this.settings.leastGain();
 	}
 
-	private void count(GroupRole role) {
-		this.windowsWanted = (role != null && role == this.wanted) ? this.windowsWanted + 1 : 1;
-		this.wanted = role;
+	private void countWindow(GroupRole role) {
+		this.windowsFavoured = (role != null && role == this.favouredRole) ? this.windowsFavoured + 1 : 1;
+		this.favouredRole = role;
 	}
 
-	private Optional<RoleChange> advise(RoleLoad needy, RoleLoad giver) {
-		if (this.wanted == null || this.windowsWanted < this.settings.windowsToChange()
+	private Optional<RoleChange> advise(RoleLoad busierLoad, RoleLoad donor) {
+		if (this.favouredRole == null || this.windowsFavoured < this.settings.windowsToChange()
 				|| this.windowsSinceChange < this.settings.windowsBetweenChanges()) {
 			return Optional.empty();
 		}
-		GroupRole from = this.wanted.other();
-		String reason = String.format(Locale.ROOT, "%s is used to %.2f and %s to %.2f; after the change %.2f and %.2f",
-				text(this.wanted), needy.utilisation(), text(from), giver.utilisation(),
-				needy.withGroups(1).utilisation(), giver.withGroups(-1).utilisation());
-		RoleChange change = new RoleChange(from, this.wanted, reason);
+		GroupRole from = this.favouredRole.other();
+		String reason = String.format(Locale.ROOT,
+				"%s utilisation %.2f, %s utilisation %.2f; %.2f and %.2f after the change", text(this.favouredRole),
+				busierLoad.utilisation(), text(from), donor.utilisation(), busierLoad.withGroups(1).utilisation(),
+				donor.withGroups(-1).utilisation());
+		RoleChange change = new RoleChange(from, this.favouredRole, reason);
 		this.windowsSinceChange = 0;
-		this.windowsWanted = 0;
+		this.windowsFavoured = 0;
 		this.listener.onDecision(DecisionRecord.of(DecisionKind.REBALANCE, this.service.toString(), "change-role",
 				Field.of("from", text(from)), Field.of("to", text(change.to())), Field.of("reason", reason)));
 		return Optional.of(change);
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RoleLoad.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RoleLoad.java
@@ -3,10 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The load of all groups of one role in one window.
+ * The offered load of all groups of one role in one window.
  *
  * @param groups the number of groups
- * @param demand the work that arrived, in groups that it keeps fully busy
+ * @param demand the work that arrived in the window, as the number of groups that it
+ * would fully occupy
  */
 public record RoleLoad(int groups, double demand) {
 
@@ -16,8 +17,9 @@
 	}
 
 	/**
-	 * Returns the share of the groups' capacity that is used.
-	 * @return the utilisation; infinite if there is demand but no group
+	 * Returns the ratio of demand to the number of groups.
+	 * @return the utilisation, above 1 if the role is overloaded; infinite if there is
+	 * demand but no group
 	 */
 	public double utilisation() {
 		return (this.demand == 0) ? 0 : this.demand / this.groups;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RoleSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RoleSettings.java
@@ -3,19 +3,20 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Settings of the role advisor. A window is the time over which one set of loads was
+ * Settings of the role advisor. A window is the interval over which one set of loads was
  * measured.
  *
  * @param highUtilisation the utilisation from which a role needs another group
- * @param leastGain the fall of the higher utilisation that a change must bring
- * @param windowsToChange the number of successive windows that must ask for the change
- * @param windowsBetweenChanges the least number of windows between two changes
+ * @param leastGain the minimum reduction of the higher of the two utilisations by a
+ * change
+ * @param windowsToChange the number of consecutive windows that must favour the change
+ * @param windowsBetweenChanges the minimum number of windows between two changes
  * @param demandWeight the weight of a new window in the smoothed demand, above 0 up to 1
  */
 public record RoleSettings(double highUtilisation, double leastGain, int windowsToChange, int windowsBetweenChanges,
 		double demandWeight) {
 
-	/** Settings used unless set otherwise. */
+	/** The default settings. */
 	public static final RoleSettings DEFAULT = new RoleSettings(0.85, 0.1, 3, 12, 0.3);
 
 	public RoleSettings {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/StragglerCommand.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/StragglerCommand.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * How a late rank is to be relieved.
+ * A command that the straggler detector issues for a rank.
  */
 public sealed interface StragglerCommand {
 
@@ -14,7 +14,7 @@
 	int rank();
 
 	/**
-	 * Plan the placement anew: the rank holds hot experts.
+	 * Requests a new placement, because the rank is slowed by hot experts.
 	 *
 	 * @param rank the rank
 	 */
@@ -23,10 +23,11 @@
 	}
 
 	/**
-	 * Plan with a lower speed of the rank, so that it sheds experts.
+	 * Requests a placement that assumes a lower speed of the rank, so that it sheds
+	 * experts.
 	 *
 	 * @param rank the rank
-	 * @param speed its speed against the median rank, below 1
+	 * @param speed the speed relative to the median rank, between 0 and 1
 	 */
 	record ShedExperts(int rank, double speed) implements StragglerCommand {
 
@@ -37,7 +38,7 @@
 	}
 
 	/**
-	 * Replace the rank by a spare.
+	 * Requests that the rank is replaced by a spare.
 	 *
 	 * @param rank the rank
 	 */
@@ -46,7 +47,7 @@
 	}
 
 	/**
-	 * Plan with full speed again: the rank recovered.
+	 * Requests a placement that assumes full speed again, because the rank recovered.
 	 *
 	 * @param rank the rank
 	 */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/StragglerDetector.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/StragglerDetector.java
@@ -14,13 +14,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Finds slow ranks from step times and tells a hot expert from slow hardware.
+ * Detects slow ranks from step times, and distinguishes hot experts from slow hardware.
  * <p>
- * A rank is late if its busy time stands out above the median of all ranks for several
- * windows. Its hardware is slow if the time for its load stands out as well, or, where
- * the load is not known, if it is still late after the placement was planned anew. A
- * relapse doubles the healthy time that is asked for before the rank is trusted again.
- * State is bounded by the number of ranks.
+ * A rank is slow if its busy time is an outlier above the median of all ranks for several
+ * windows. Its hardware is considered slow if its busy time per load is an outlier as
+ * well or, if the load is unknown, if it is still slow some windows after a new placement
+ * was requested. To damp flapping, each relapse doubles the healthy time required before
+ * the rank counts as recovered. Memory is proportional to the number of ranks.
  */
 public final class StragglerDetector {
 
@@ -39,7 +39,7 @@
 	private List<StragglerCommand> commands = new ArrayList<>();
 
 	/**
-	 * Creates a detector that believes all ranks healthy.
+	 * Creates a detector that initially assumes all ranks healthy.
 	 * @param group the group
 	 * @param ranks the number of ranks
 	 * @param settings the settings
@@ -54,29 +54,29 @@
 	}
 
 	/**
-	 * Takes in the step times of one window.
+	 * Adds the step times of one window.
 	 * @param times the step times of all ranks
-	 * @return how late ranks are to be relieved
+	 * @return the commands to execute, in order
 	 */
 	public List<StragglerCommand> observe(StepTimes times) {
 		Preconditions.notNull(times, "times");
 		double[] busy = times.busyNanos();
-		Preconditions.check(busy.length == this.records.length, "times must name %d ranks: %d", this.records.length,
+		Preconditions.check(busy.length == this.records.length, "times must have %d ranks: %d", this.records.length,
 				busy.length);
 		this.commands = new ArrayList<>();
-		RobustOutliers late = RobustOutliers.of(busy);
-		RobustOutliers slow = RobustOutliers.of(perLoad(times));
+		RobustOutliers byTime = RobustOutliers.of(busy);
+		RobustOutliers byTimePerLoad = RobustOutliers.of(perLoad(times));
 		boolean loadKnown = times.expectedLoad().length > 0;
 		for (int rank = 0; rank < busy.length; rank++) {
 			if (busy[rank] > 0) {
-				observe(rank, late, slow, loadKnown);
+				observe(rank, byTime, byTimePerLoad, loadKnown);
 			}
 		}
 		return List.copyOf(this.commands);
 	}
 
 	/**
-	 * Forgets a rank that was replaced.
+	 * Resets the state of a rank that was replaced to healthy.
 	 * @param rank the rank
 	 */
 	public void replaced(int rank) {
@@ -84,7 +84,7 @@
 	}
 
 	/**
-	 * Returns what is believed of a rank.
+	 * Returns the classification of a rank.
 	 * @param rank the rank
 	 * @return its condition
 	 */
@@ -93,7 +93,7 @@
 	}
 
 	/**
-	 * Returns the speeds with which placements are to be planned.
+	 * Returns the speeds to assume when planning a placement.
 	 * @return the speed of each rank, 1 for a healthy one
 	 */
 	public double[] speeds() {
@@ -109,90 +109,90 @@
 		return values;
 	}
 
-	private void observe(int rank, RobustOutliers late, RobustOutliers slow, boolean loadKnown) {
-		RankRecord entry = this.records[rank];
-		boolean hardware = entry.condition() == RankCondition.SLOW_HARDWARE
-				|| entry.condition() == RankCondition.REPLACE;
-		RobustOutliers judged = hardware ? slow : late;
-		boolean isSlow = judged.isAbove(rank, this.settings.slowRatio(), this.settings.deviations());
-		double ratio = (loadKnown && slow.ratio(rank) > 0) ? slow.ratio(rank) : late.ratio(rank);
-		entry.observe(ratio, isSlow, judged.ratio(rank) < this.settings.healthyRatio());
-		entry.calmDown(this.settings.windowsToLeave());
-		if (entry.hasRecovered(this.settings.windowsToLeave())) {
-			recover(rank, entry);
+	private void observe(int rank, RobustOutliers byTime, RobustOutliers byTimePerLoad, boolean loadKnown) {
+		RankRecord tracker = this.records[rank];
+		boolean hardware = tracker.condition() == RankCondition.SLOW_HARDWARE
+				|| tracker.condition() == RankCondition.REPLACE;
+		RobustOutliers outliers = hardware ? byTimePerLoad : byTime;
+		boolean isSlow = outliers.isAbove(rank, this.settings.slowRatio(), this.settings.deviations());
+		double ratio = (loadKnown && byTimePerLoad.ratio(rank) > 0) ? byTimePerLoad.ratio(rank) : byTime.ratio(rank);
+		tracker.observe(ratio, isSlow, outliers.ratio(rank) < this.settings.healthyRatio());
+		tracker.calmDown(this.settings.windowsToLeave());
+		if (tracker.hasRecovered(this.settings.windowsToLeave())) {
+			recover(rank, tracker);
 			return;
 		}
-		boolean slowForLoad = slow.isAbove(rank, this.settings.slowRatio(), this.settings.deviations());
-		decide(rank, entry, loadKnown, slowForLoad);
+		boolean slowForLoad = byTimePerLoad.isAbove(rank, this.settings.slowRatio(), this.settings.deviations());
+		decide(rank, tracker, loadKnown, slowForLoad);
 	}
 
-	private void decide(int rank, RankRecord entry, boolean loadKnown, boolean slowForLoad) {
-		boolean late = entry.slowWindows() >= this.settings.windowsToEnter();
-		switch (entry.condition()) {
+	private void decide(int rank, RankRecord tracker, boolean loadKnown, boolean slowForLoad) {
+		boolean slow = tracker.slowWindows() >= this.settings.windowsToEnter();
+		switch (tracker.condition()) {
 			case HEALTHY -> {
-				if (late) {
-					enter(rank, entry, loadKnown && slowForLoad);
+				if (slow) {
+					enter(rank, tracker, loadKnown && slowForLoad);
 				}
 			}
 			case HOT_EXPERT -> {
-				boolean replanned = entry.windowsInCondition() >= REPLAN_WINDOWS * this.settings.windowsToEnter();
-				if (late && (loadKnown ? slowForLoad : replanned)) {
-					enter(rank, entry, true);
+				boolean replanned = tracker.windowsInCondition() >= REPLAN_WINDOWS * this.settings.windowsToEnter();
+				if (slow && (loadKnown ? slowForLoad : replanned)) {
+					enter(rank, tracker, true);
 				}
 			}
-			case SLOW_HARDWARE -> shedOrReplace(rank, entry);
+			case SLOW_HARDWARE -> shedOrReplace(rank, tracker);
 			case REPLACE -> {
 			}
 		}
 	}
 
-	private void enter(int rank, RankRecord entry, boolean hardware) {
+	private void enter(int rank, RankRecord tracker, boolean hardware) {
 		if (hardware) {
-			entry.enter(RankCondition.SLOW_HARDWARE, this.settings.maximumPenalty());
-			shed(rank, entry, "slow-hardware");
+			tracker.enter(RankCondition.SLOW_HARDWARE, this.settings.maximumPenalty());
+			shed(rank, tracker, "slow-hardware");
 			return;
 		}
-		entry.enter(RankCondition.HOT_EXPERT, this.settings.maximumPenalty());
+		tracker.enter(RankCondition.HOT_EXPERT, this.settings.maximumPenalty());
 		this.commands.add(new StragglerCommand.PlanPlacement(rank));
-		record(rank, entry, "plan-placement", "hot-expert");
+		record(rank, tracker, "plan-placement", "hot-expert");
 	}
 
-	private void shedOrReplace(int rank, RankRecord entry) {
-		if (entry.windowsInCondition() >= this.settings.windowsToReplace()
-				&& entry.ratio() >= this.settings.replaceRatio()) {
-			entry.enter(RankCondition.REPLACE, this.settings.maximumPenalty());
+	private void shedOrReplace(int rank, RankRecord tracker) {
+		if (tracker.windowsInCondition() >= this.settings.windowsToReplace()
+				&& tracker.ratio() >= this.settings.replaceRatio()) {
+			tracker.enter(RankCondition.REPLACE, this.settings.maximumPenalty());
 			this.commands.add(new StragglerCommand.ReplaceRank(rank));
-			record(rank, entry, "replace-rank", "still-slow-after-shedding");
+			record(rank, tracker, "replace-rank", "still-slow-after-shedding");
 			return;
 		}
-		double change = Math.abs(entry.speed() / entry.reportedSpeed() - 1);
-		if (change > REPORTED_SPEED_CHANGE && entry.speed() < 1) {
-			shed(rank, entry, "speed-changed");
+		double change = Math.abs(tracker.speed() / tracker.reportedSpeed() - 1);
+		if (change > REPORTED_SPEED_CHANGE && tracker.speed() < 1) {
+			shed(rank, tracker, "speed-changed");
 		}
 	}
 
-	private void shed(int rank, RankRecord entry, String reason) {
-		entry.reportSpeed(entry.speed());
-		if (entry.speed() < 1) {
-			this.commands.add(new StragglerCommand.ShedExperts(rank, entry.speed()));
-			record(rank, entry, "shed-experts", reason);
+	private void shed(int rank, RankRecord tracker, String reason) {
+		tracker.reportSpeed(tracker.speed());
+		if (tracker.speed() < 1) {
+			this.commands.add(new StragglerCommand.ShedExperts(rank, tracker.speed()));
+			record(rank, tracker, "shed-experts", reason);
 		}
 	}
 
-	private void recover(int rank, RankRecord entry) {
-		boolean shed = entry.reportedSpeed() < 1;
-		entry.recover();
-		if (shed) {
+	private void recover(int rank, RankRecord tracker) {
+		boolean wasSlowed = tracker.reportedSpeed() < 1;
+		tracker.recover();
+		if (wasSlowed) {
 			this.commands.add(new StragglerCommand.RestoreRank(rank));
 		}
-		record(rank, entry, "restore-rank", "healthy-again");
+		record(rank, tracker, "restore-rank", "healthy-again");
 	}
 
-	private void record(int rank, RankRecord entry, String result, String reason) {
+	private void record(int rank, RankRecord tracker, String result, String reason) {
 		this.listener.onDecision(DecisionRecord.of(DecisionKind.REBALANCE, this.group.toString(), result,
 				Field.of("rank", rank), Field.of("reason", reason),
-				Field.of("ratio-to-median", String.format(Locale.ROOT, "%.3f", entry.ratio())),
-				Field.of("windows-in-condition", entry.windowsInCondition())));
+				Field.of("ratio-to-median", String.format(Locale.ROOT, "%.3f", tracker.ratio())),
+				Field.of("windows-in-condition", tracker.windowsInCondition())));
 	}
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/StragglerSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/StragglerSettings.java
@@ -3,25 +3,28 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Settings of the straggler detector. A window is the time over which one set of step
- * times was averaged.
+ * Settings of the straggler detector. A window is the interval over which one set of step
+ * times was averaged. Ratios are relative to the median of all ranks.
  *
- * @param slowRatio the ratio to the median of the ranks from which a rank is slow
- * @param healthyRatio the ratio below which a slow rank is healthy again; below slowRatio
- * @param deviations how many robust standard deviations a slow rank must stand out
- * @param windowsToEnter the number of successive slow windows after which a rank is
+ * @param slowRatio the ratio from which a rank is slow
+ * @param healthyRatio the ratio below which a rank is healthy, at least 1 and below
+ * {@code slowRatio}
+ * @param deviations the minimum distance of a slow rank from the median, in standard
+ * deviations estimated from the median absolute deviation
+ * @param windowsToEnter the number of consecutive slow windows after which a rank is
  * treated as slow
- * @param windowsToLeave the number of successive healthy windows after which it is not
- * @param windowsToReplace the number of windows that a rank may stay slow after it shed
- * experts before its replacement is asked for
- * @param replaceRatio the ratio from which a slow rank is worth replacing
- * @param maximumPenalty the greatest factor by which repeated relapses lengthen
- * windowsToLeave
+ * @param windowsToLeave the number of consecutive healthy windows after which a slow rank
+ * has recovered
+ * @param windowsToReplace the number of windows after shedding experts for which a rank
+ * may stay slow before its replacement is requested
+ * @param replaceRatio the minimum ratio for which a slow rank is replaced
+ * @param maximumPenalty the maximum factor by which relapses extend
+ * {@code windowsToLeave}
  */
 public record StragglerSettings(double slowRatio, double healthyRatio, double deviations, int windowsToEnter,
 		int windowsToLeave, int windowsToReplace, double replaceRatio, int maximumPenalty) {
 
-	/** Settings used unless set otherwise. */
+	/** The default settings. */
 	public static final StragglerSettings DEFAULT = new StragglerSettings(1.15, 1.07, 4, 3, 6, 24, 1.3, 16);
 
 	public StragglerSettings {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/package-info.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Detects slow ranks from step times and decides how to relieve them, and advises changes
- * between prefill and decode.
+ * Detection of slow ranks from step times, and advice on changing groups between prefill
+ * and decode.
  */
 package org.comfreywall.group.straggler;
--- a/comfreywall-group/src/test/java/org/comfreywall/group/straggler/RoleAdvisorTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/straggler/RoleAdvisorTests.java
@@ -18,19 +18,19 @@
 	private final RoleAdvisor advisor = new RoleAdvisor(ServiceId.of("chat"), RoleSettings.DEFAULT, this.history);
 
 	@Test
-	void movesAGroupToTheRoleThatIsShort() {
+	void movesAGroupToTheOverloadedRole() {
 		assertThat(observe(2, 4, 3.8, 1)).isEmpty();
 		assertThat(observe(2, 4, 3.8, 1)).isEmpty();
 		assertThat(observe(2, 4, 3.8, 1)).hasValueSatisfying((change) -> {
 			assertThat(change.from()).isEqualTo(GroupRole.DECODE);
 			assertThat(change.to()).isEqualTo(GroupRole.PREFILL);
-			assertThat(change.reason()).contains("prefill is used to 1.90");
+			assertThat(change.reason()).contains("prefill utilisation 1.90");
 		});
 		assertThat(this.history.about("chat")).hasSize(1);
 	}
 
 	@Test
-	void waitsBetweenChanges() {
+	void limitsTheRateOfChanges() {
 		int changes = 0;
 		for (int window = 0; window < 14; window++) {
 			changes += observe(2, 4, 3.8, 1).isPresent() ? 1 : 0;
@@ -48,7 +48,7 @@
 	}
 
 	@Test
-	void leavesRolesThatAreBothShort() {
+	void advisesNoChangeWhenBothRolesAreOverloaded() {
 		for (int window = 0; window < 10; window++) {
 			assertThat(observe(3, 3, 4, 4)).isEmpty();
 		}
--- a/comfreywall-group/src/test/java/org/comfreywall/group/straggler/StragglerDetectorTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/straggler/StragglerDetectorTests.java
@@ -19,7 +19,7 @@
 
 	private static final int RANKS = 32;
 
-	private static final int SLOW = 7;
+	private static final int SLOW_RANK = 7;
 
 	private final Random random = new Random(1);
 
@@ -31,44 +31,44 @@
 	private final List<StragglerCommand> commands = new ArrayList<>();
 
 	@Test
-	void noiseIsNoStraggler() {
+	void ignoresNoise() {
 		run(2000, 1, 1, true);
 		assertThat(this.commands).isEmpty();
 	}
 
 	@Test
-	void oneSlowWindowIsNoStraggler() {
+	void ignoresASingleSlowWindow() {
 		run(1, 0.5, 1, true);
 		run(20, 1, 1, true);
 		assertThat(this.commands).isEmpty();
 	}
 
 	@Test
-	void aRankThatIsLateForItsLoadShedsExperts() {
+	void aRankThatIsSlowForItsLoadShedsExperts() {
 		run(3, 0.6, 1, true);
 		assertThat(this.commands).singleElement().isInstanceOf(StragglerCommand.ShedExperts.class);
-		assertThat(this.detector.condition(SLOW)).isEqualTo(RankCondition.SLOW_HARDWARE);
-		assertThat(this.detector.speeds()[SLOW]).isBetween(0.55, 0.65);
+		assertThat(this.detector.condition(SLOW_RANK)).isEqualTo(RankCondition.SLOW_HARDWARE);
+		assertThat(this.detector.speeds()[SLOW_RANK]).isBetween(0.55, 0.65);
 		assertThat(this.history.about("g")).hasSize(1);
 	}
 
 	@Test
-	void aRankWithMoreLoadGetsANewPlacement() {
+	void aRankWithMoreLoadCausesANewPlacement() {
 		run(20, 1, 1.5, true);
-		assertThat(this.commands).containsExactly(new StragglerCommand.PlanPlacement(SLOW));
-		assertThat(this.detector.condition(SLOW)).isEqualTo(RankCondition.HOT_EXPERT);
+		assertThat(this.commands).containsExactly(new StragglerCommand.PlanPlacement(SLOW_RANK));
+		assertThat(this.detector.condition(SLOW_RANK)).isEqualTo(RankCondition.HOT_EXPERT);
 	}
 
 	@Test
-	void withoutKnownLoadARankThatStaysLateAfterAPlanHasSlowHardware() {
+	void withUnknownLoadARankThatStaysSlowAfterANewPlacementHasSlowHardware() {
 		run(12, 0.6, 1, false);
-		assertThat(this.commands).containsExactly(new StragglerCommand.PlanPlacement(SLOW));
+		assertThat(this.commands).containsExactly(new StragglerCommand.PlanPlacement(SLOW_RANK));
 		run(12, 0.6, 1, false);
 		assertThat(this.commands).last().isInstanceOf(StragglerCommand.ShedExperts.class);
 	}
 
 	@Test
-	void aWholeSlowGroupHasNoStraggler() {
+	void aUniformlySlowGroupHasNoStraggler() {
 		double[] busy = new double[RANKS];
 		Arrays.fill(busy, 5e7);
 		for (int window = 0; window < 10; window++) {
@@ -82,8 +82,8 @@
 			double[] busy = new double[RANKS];
 			double[] loads = new double[RANKS];
 			for (int rank = 0; rank < RANKS; rank++) {
-				loads[rank] = (rank == SLOW) ? load : 1;
-				double time = loads[rank] / ((rank == SLOW) ? speed : 1);
+				loads[rank] = (rank == SLOW_RANK) ? load : 1;
+				double time = loads[rank] / ((rank == SLOW_RANK) ? speed : 1);
 				busy[rank] = 2e7 * time * (1 + 0.03 * this.random.nextGaussian());
 			}
 			this.commands.addAll(this.detector.observe(new StepTimes(busy, loadKnown ? loads : new double[0])));
@@ -99,16 +99,17 @@
 			run(60, 0.6, 0.6, true);
 			assertThat(StragglerDetectorTests.this.commands).filteredOn(StragglerCommand.ReplaceRank.class::isInstance)
 				.hasSize(1);
-			StragglerDetectorTests.this.detector.replaced(SLOW);
-			assertThat(StragglerDetectorTests.this.detector.condition(SLOW)).isEqualTo(RankCondition.HEALTHY);
+			StragglerDetectorTests.this.detector.replaced(SLOW_RANK);
+			assertThat(StragglerDetectorTests.this.detector.condition(SLOW_RANK)).isEqualTo(RankCondition.HEALTHY);
 		}
 
 		@Test
 		void aRankThatRecoversIsRestored() {
 			run(3, 0.6, 1, true);
 			run(12, 1, 0.6, true);
-			assertThat(StragglerDetectorTests.this.commands).last().isEqualTo(new StragglerCommand.RestoreRank(SLOW));
-			assertThat(StragglerDetectorTests.this.detector.speeds()[SLOW]).isEqualTo(1);
+			assertThat(StragglerDetectorTests.this.commands).last()
+				.isEqualTo(new StragglerCommand.RestoreRank(SLOW_RANK));
+			assertThat(StragglerDetectorTests.this.detector.speeds()[SLOW_RANK]).isEqualTo(1);
 		}
 
 		@Test
