--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/AcceptedChange.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/AcceptedChange.java
@@ -5,15 +5,15 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A change in the history of the configuration.
+ * An accepted change in the history of the configuration.
  *
- * @param revision the revision that it made
- * @param change the change
- * @param author who submitted it
- * @param reason why
+ * @param revision the revision that the change created
+ * @param change the id of the change
+ * @param author the operator who submitted the change
+ * @param reason the reason that the operator gave
  * @param time the log time at which it was accepted
- * @param forward the difference from the revision before
- * @param backward the difference back to the revision before
+ * @param forward the difference from the previous revision to this one
+ * @param backward the difference from this revision back to the previous one
  */
 public record AcceptedChange(Revision revision, ChangeId change, String author, String reason, LogTime time,
 		ConfigurationDelta forward, ConfigurationDelta backward) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeAccepted.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeAccepted.java
@@ -4,9 +4,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The change is durable on a quorum.
+ * The change was accepted, or would be in a dry run. The submitter of an accepted change
+ * receives this answer only once the change is durable on a quorum.
  *
- * @param revision the revision that it made
+ * @param revision the revision that the change creates
  */
 public record ChangeAccepted(Revision revision) implements ChangeAnswer {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeCodec.java
@@ -48,7 +48,7 @@
 			return Result.success(fromRecord(ChangeRecord.parseFrom(encoded.toArray())));
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			return malformed("change", ex);
+			return malformed("configuration change", ex);
 		}
 	}
 
@@ -71,7 +71,7 @@
 			return Result.success(fromRecord(ChangeAnswerRecord.parseFrom(encoded.toArray())));
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			return malformed("answer to a change", ex);
+			return malformed("answer to a configuration change", ex);
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeConflict.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeConflict.java
@@ -6,10 +6,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The change expects another revision than the one in force.
+ * The change was rejected because its expected revision is not the current one.
  *
- * @param revision the revision in force
- * @param winner the change that followed the expected revision, if still known
+ * @param revision the current revision
+ * @param winner the change that was accepted on the expected revision, or empty if the
+ * history no longer holds it
  */
 public record ChangeConflict(Revision revision, Optional<ChangeWinner> winner) implements ChangeAnswer {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeContent.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeContent.java
@@ -1,7 +1,7 @@
 package org.comfreywall.control.state;
 
 /**
- * What a configuration change consists of.
+ * The content of a configuration change: a difference or a rollback.
  */
 public sealed interface ChangeContent permits ConfigurationDelta, Rollback {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeRefused.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeRefused.java
@@ -4,7 +4,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The change is not allowed.
+ * The change was rejected: it is malformed, fails validation, reuses a change id or rolls
+ * back to a revision that the history does not hold.
  *
  * @param code the kind of error
  * @param message what is wrong and what to do
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeWinner.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeWinner.java
@@ -4,10 +4,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The change that was accepted in place of another one.
+ * The change that was accepted on the revision that a conflicting change expected.
  *
- * @param change the change
- * @param author who submitted it
+ * @param change the id of the accepted change
+ * @param author the operator who submitted it
  */
 public record ChangeWinner(ChangeId change, String author) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimAnswerCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimAnswerCodec.java
@@ -27,18 +27,18 @@
 	}
 
 	/**
-	 * Decodes the answer to a claim.
+	 * Decodes the answer to {@link ClaimCommandCodec#claim}.
 	 * @param encoded the encoded answer
-	 * @return the result, or the reason of the refusal
+	 * @return the result, or the error with which the ledger rejected the command
 	 */
 	public static Result<ClaimResult> decodeResult(Bytes encoded) {
 		return decode(encoded, ClaimAnswerCodec::result);
 	}
 
 	/**
-	 * Decodes the answer to any other command.
+	 * Decodes the answer to a command that changes an existing claim.
 	 * @param encoded the encoded answer
-	 * @return the claim's state, or the reason of the refusal
+	 * @return the claim's state, or the error with which the ledger rejected the command
 	 */
 	public static Result<ClaimState> decodeState(Bytes encoded) {
 		return decode(encoded, (answer) -> ClaimRecords.fromRecord(answer.getState()));
@@ -47,7 +47,8 @@
 	/**
 	 * Decodes the answer to a query.
 	 * @param encoded the encoded answer
-	 * @return the claim's state or empty if there is none, or the reason of the refusal
+	 * @return the claim's state or empty if there is none, or the error with which the
+	 * ledger rejected the query
 	 */
 	public static Result<Optional<ClaimState>> decodeLookup(Bytes encoded) {
 		return decode(encoded, (answer) -> answer.getAbsent() ? Optional.empty()
@@ -59,7 +60,7 @@
 			case GRANTED -> new ClaimGranted((ClaimRunning) ClaimRecords.fromRecord(answer.getGranted()));
 			case FOUND -> new ClaimFound(ClaimRecords.fromRecord(answer.getFound()));
 			case MISMATCH -> new ClaimMismatch();
-			default -> throw new IllegalArgumentException("it does not answer a claim");
+			default -> throw new IllegalArgumentException("the answer must be granted, found or mismatch");
 		};
 	}
 
@@ -72,7 +73,7 @@
 			return Result.success(decoder.apply(answer));
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			return error(ErrorCode.MALFORMED, "an answer about a claim cannot be decoded: " + ex.getMessage());
+			return error(ErrorCode.MALFORMED, "the answer of the claim ledger cannot be decoded: " + ex.getMessage());
 		}
 	}
 
@@ -120,7 +121,8 @@
 	}
 
 	static Bytes malformed() {
-		return refused(OperationError.local(ErrorCode.MALFORMED, Step.CLAIM, "the command on claims is malformed"));
+		return refused(OperationError.local(ErrorCode.MALFORMED, Step.CLAIM,
+				"the command or query for the claim ledger is malformed"));
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimCommandCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimCommandCodec.java
@@ -26,10 +26,12 @@
 	}
 
 	/**
-	 * Encodes a claim on a key for the only attempt of a request.
+	 * Encodes a command that claims a key for the only attempt of a request.
 	 * @param key the key
-	 * @param bodyDigest the digest of the request's body
-	 * @param claim the request with the addressee of its attempt
+	 * @param bodyDigest the SHA-256 digest of the request's body in lower-case
+	 * hexadecimal
+	 * @param claim the claiming request, and the backend server and incarnation to which
+	 * its attempt will be sent
 	 * @return the encoded command, answered by {@link ClaimAnswerCodec#decodeResult}
 	 */
 	public static Bytes claim(ClaimKey key, String bodyDigest, ClaimRunning claim) {
@@ -42,7 +44,7 @@
 	}
 
 	/**
-	 * Encodes the record of a claimed request's answer.
+	 * Encodes a command that records the answer to a claimed request.
 	 * @param key the claimed key
 	 * @param owner the request that holds the claim
 	 * @param answer the whole answer
@@ -53,7 +55,7 @@
 	}
 
 	/**
-	 * Encodes that it cannot be known whether a claimed request ran.
+	 * Encodes a command that marks the outcome of a claimed request as unknown.
 	 * @param key the claimed key
 	 * @param owner the request that holds the claim
 	 * @return the encoded command, answered by {@link ClaimAnswerCodec#decodeState}
@@ -63,7 +65,7 @@
 	}
 
 	/**
-	 * Encodes the release of a claim whose request is proven not to have run.
+	 * Encodes a command that releases a claim whose request is proven not to have run.
 	 * @param key the claimed key
 	 * @param proof the proof
 	 * @return the encoded command, answered by {@link ClaimAnswerCodec#decodeState} with
@@ -106,7 +108,7 @@
 
 	private static <T> Result<T> malformed(Exception cause) {
 		return Result.failure(OperationError.local(ErrorCode.MALFORMED, Step.CLAIM,
-				"a command on claims cannot be decoded: " + cause.getMessage()));
+				"the command or query for the claim ledger cannot be decoded: " + cause.getMessage()));
 	}
 
 	private static ClaimCommandRecord.Builder command(ClaimKey key, RequestId owner) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimRecords.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimRecords.java
@@ -25,7 +25,7 @@
 import org.comfreywall.control.ledger.ClaimLedgerSnapshot;
 
 /**
- * Converts claims to and from their records. Malformed records raise
+ * Converts claims to and from Protobuf records. Malformed records raise
  * {@link IllegalArgumentException}.
  */
 final class ClaimRecords {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationChange.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationChange.java
@@ -7,15 +7,15 @@
 /**
  * A change of the configuration, submitted by an operator.
  *
- * @param id identifies the change; a resend carries the same one
- * @param expected the revision that the operator saw
- * @param author who submits the change
- * @param reason why
- * @param content what is changed
+ * @param id identifies the change; a resend must carry the same id
+ * @param expected the revision on which the change is based
+ * @param author the operator who submits the change
+ * @param reason the reason that the operator gives
+ * @param content the difference or rollback to apply
  */
 public record ConfigurationChange(ChangeId id, Revision expected, String author, String reason, ChangeContent content) {
 
-	/** The greatest length of the identifier, the author and the reason in characters. */
+	/** Maximum length of the id, the author and the reason, in characters. */
 	public static final int MAX_TEXT_LENGTH = 500;
 
 	public ConfigurationChange {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationCodec.java
@@ -21,7 +21,7 @@
 import org.comfreywall.control.generated.ServiceRecord;
 
 /**
- * Converts configurations and their differences to and from their records. Malformed
+ * Converts configurations and their differences to and from Protobuf records. Malformed
  * records raise {@link IllegalArgumentException}.
  */
 public final class ConfigurationCodec {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationDelta.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationDelta.java
@@ -44,10 +44,10 @@
 	}
 
 	/**
-	 * Works out the difference between two configurations.
+	 * Computes the difference between two configurations.
 	 * @param before the configuration before
 	 * @param after the configuration after
-	 * @return the difference that leads from one to the other
+	 * @return the difference that turns {@code before} into {@code after}
 	 */
 	public static ConfigurationDelta between(Configuration before, Configuration after) {
 		Configuration put = new Configuration(DescriptorLists.changed(before.failureDomains(), after.failureDomains()),
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationLedger.java
@@ -20,27 +20,28 @@
 /**
  * The configuration with its history.
  * <p>
- * A change is accepted only if it expects the revision in force, so of several changes
- * that expect the same revision exactly one wins. A resend gets the first answer. The
+ * Changes use optimistic concurrency control: a change is accepted only if it expects the
+ * current revision, so at most one of several changes that expect the same revision is
+ * accepted. Answers are cached by change id, and a resend gets the cached answer. The
  * newest {@value #MAX_HISTORY} changes and {@value #MAX_ANSWERS} answers are kept; a
- * resend after that gets a conflict and is not applied again.
+ * resend whose answer was evicted gets a conflict and is not applied again.
  */
 public final class ConfigurationLedger implements Ledger {
 
 	/** The name of the ledger. */
 	public static final String NAME = "configuration";
 
-	/** The greatest number of changes in the history. */
+	/** Maximum number of changes in the history. */
 	public static final int MAX_HISTORY = 2_000;
 
-	/** The greatest number of answers kept for resends. */
+	/** Maximum number of answers cached for resends. */
 	public static final int MAX_ANSWERS = 20_000;
 
 	private final ConfigurationListener listener;
 
 	private final NavigableMap<Long, AcceptedChange> history = new TreeMap<>();
 
-	/** In the order in which the changes came. */
+	/** In insertion order, so that the oldest answer is evicted first. */
 	private final Map<ChangeId, RememberedAnswer> answers = new LinkedHashMap<>();
 
 	private Revision revision = Revision.ZERO;
@@ -49,7 +50,7 @@
 
 	/**
 	 * Creates an empty configuration.
-	 * @param listener learns of each change
+	 * @param listener called after each applied change
 	 */
 	public ConfigurationLedger(ConfigurationListener listener) {
 		this.listener = Preconditions.notNull(listener, "listener");
@@ -61,7 +62,7 @@
 	}
 
 	/**
-	 * Returns the revision in force.
+	 * Returns the current revision.
 	 * @return the revision
 	 */
 	public Revision revision() {
@@ -69,7 +70,7 @@
 	}
 
 	/**
-	 * Returns the configuration in force.
+	 * Returns the configuration of the current revision.
 	 * @return the configuration
 	 */
 	public Configuration configuration() {
@@ -77,7 +78,7 @@
 	}
 
 	/**
-	 * Returns the changes after a revision that are still kept.
+	 * Returns the changes after a revision, as far as the history still holds them.
 	 * @param after the revision
 	 * @return the changes, oldest first
 	 */
@@ -86,7 +87,7 @@
 	}
 
 	/**
-	 * Applies a change or answers a resend.
+	 * Applies a change, or returns the cached answer if the change is a resend.
 	 * @param time the log time
 	 * @param change the change
 	 * @return the answer
@@ -94,9 +95,9 @@
 	public ChangeAnswer apply(LogTime time, ConfigurationChange change) {
 		Preconditions.notNull(time, "time");
 		String digest = ChangeCodec.encode(change).sha256();
-		RememberedAnswer remembered = this.answers.get(change.id());
-		if (remembered != null) {
-			return remembered.digest().equals(digest) ? remembered.answer() : reusedIdentifier(change);
+		RememberedAnswer cached = this.answers.get(change.id());
+		if (cached != null) {
+			return cached.digest().equals(digest) ? cached.answer() : reusedIdentifier(change);
 		}
 		ChangeAnswer answer = decide(change);
 		if (answer instanceof ChangeAccepted accepted) {
@@ -107,23 +108,23 @@
 	}
 
 	/**
-	 * Returns the answer that a change would get now, without making it.
+	 * Returns the answer that a change would get now, without applying it.
 	 * @param change the change
 	 * @return the answer
 	 */
 	public ChangeAnswer dryRun(ConfigurationChange change) {
 		Preconditions.notNull(change, "change");
-		RememberedAnswer remembered = this.answers.get(change.id());
-		if (remembered == null) {
+		RememberedAnswer cached = this.answers.get(change.id());
+		if (cached == null) {
 			return decide(change);
 		}
-		boolean resend = remembered.digest().equals(ChangeCodec.encode(change).sha256());
-		return resend ? remembered.answer() : reusedIdentifier(change);
+		boolean resend = cached.digest().equals(ChangeCodec.encode(change).sha256());
+		return resend ? cached.answer() : reusedIdentifier(change);
 	}
 
 	private static ChangeAnswer reusedIdentifier(ConfigurationChange change) {
 		return new ChangeRefused(ErrorCode.INVALID_INPUT,
-				"change " + change.id() + " was submitted before with other content; choose another change id");
+				"change " + change.id() + " was submitted before with different content; use another change id");
 	}
 
 	private ChangeAnswer decide(ConfigurationChange change) {
@@ -158,8 +159,8 @@
 		}
 		Configuration restored = this.configuration;
 		Revision to = ((Rollback) content).to();
-		for (AcceptedChange undone : this.history.tailMap(to.value(), false).descendingMap().values()) {
-			restored = undone.backward().applyTo(restored);
+		for (AcceptedChange reverted : this.history.tailMap(to.value(), false).descendingMap().values()) {
+			restored = reverted.backward().applyTo(restored);
 		}
 		return restored;
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationListener.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationListener.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.config.Configuration;
 
 /**
- * Learns of each change on the instance on which it is applied.
+ * Receives each configuration change that this instance applies.
  */
 @FunctionalInterface
 public interface ConfigurationListener {
@@ -13,11 +13,11 @@
 	};
 
 	/**
-	 * Called on the control node's thread after a change was applied. After a snapshot
-	 * was restored it is called with the newest change in the snapshot, so revisions may
+	 * Called on the control node's thread after a change is applied. After a snapshot is
+	 * restored it is called once with the newest change in the snapshot, so revisions may
 	 * be skipped but never decrease.
 	 * @param change the change
-	 * @param configuration the configuration after it
+	 * @param configuration the configuration after the change
 	 */
 	void onChange(AcceptedChange change, Configuration configuration);
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationQueries.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationQueries.java
@@ -9,7 +9,7 @@
 import org.comfreywall.control.generated.HistoryListRecord;
 
 /**
- * Answers encoded queries of the configuration.
+ * Answers encoded queries to the {@link ConfigurationLedger}.
  */
 final class ConfigurationQueries {
 
@@ -24,7 +24,7 @@
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
 			ChangeAnswer refused = new ChangeRefused(ErrorCode.MALFORMED,
-					"the query cannot be decoded: " + ex.getMessage());
+					"the configuration query cannot be decoded: " + ex.getMessage());
 			reply.setAnswer(ChangeCodec.toRecord(refused));
 		}
 		return Bytes.of(reply.build().toByteArray());
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationValidator.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationValidator.java
@@ -9,14 +9,14 @@
 import org.comfreywall.common.id.ServiceId;
 
 /**
- * Checks that the parts of a configuration fit together.
+ * Checks that the services that accounts and groups refer to exist.
  */
 final class ConfigurationValidator {
 
 	private ConfigurationValidator() {
 	}
 
-	// Returns what is wrong, or empty if nothing is.
+	// Returns a description of the first problem, or empty if the configuration is valid.
 	static Optional<String> problem(Configuration configuration) {
 		Set<ServiceId> services = new HashSet<>(configuration.services().stream().map(ServiceDescriptor::id).toList());
 		return accountProblem(configuration, services).or(() -> groupProblem(configuration, services));
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/DescriptorLists.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/DescriptorLists.java
@@ -16,13 +16,13 @@
 	}
 
 	static <T> List<T> changed(List<T> before, List<T> after) {
-		Set<T> known = new HashSet<>(before);
-		return after.stream().filter((descriptor) -> !known.contains(descriptor)).toList();
+		Set<T> unchanged = new HashSet<>(before);
+		return after.stream().filter((descriptor) -> !unchanged.contains(descriptor)).toList();
 	}
 
 	static <T, I> List<I> missing(List<T> before, List<T> after, Function<T, I> id) {
-		Set<I> present = new HashSet<>(after.stream().map(id).toList());
-		return before.stream().map(id).filter((found) -> !present.contains(found)).toList();
+		Set<I> remaining = new HashSet<>(after.stream().map(id).toList());
+		return before.stream().map(id).filter((candidate) -> !remaining.contains(candidate)).toList();
 	}
 
 	static <T, I extends Comparable<? super I>> List<T> merge(List<T> before, List<T> put, List<I> removed,
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/DocumentLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/DocumentLedger.java
@@ -7,12 +7,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Keeps the newest version of one document that operators replace as a whole.
+ * Stores the highest version of one document that operators replace as a whole.
  * <p>
- * A document takes effect if its version is higher than the one held; any other one
- * changes nothing, also if it carries the same version with other content, so that a
- * resend is always safe. Command and answer are in the form of
- * {@link VersionedDocument#encode()}; the answer holds what is in force afterwards.
+ * A document replaces the stored one only if its version is higher. A document with the
+ * same or a lower version is ignored even if its content differs, so a resend is always
+ * safe. Commands are encoded with {@link VersionedDocument#encode()}; the answer is the
+ * stored version afterwards, as a big-endian 64-bit integer.
  */
 public final class DocumentLedger implements Ledger {
 
@@ -25,8 +25,8 @@
 
 	/**
 	 * Creates an empty ledger.
-	 * @param listener receives each document that takes effect, on the control node's
-	 * thread
+	 * @param listener receives each document that replaces the stored one, on the control
+	 * node's thread
 	 */
 	public DocumentLedger(Consumer<VersionedDocument> listener) {
 		this.listener = Preconditions.notNull(listener, "listener");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/Ledger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/Ledger.java
@@ -5,31 +5,35 @@
 /**
  * A deterministic part of the replicated state machine with its own commands.
  * <p>
- * The same commands in the same order must give the same answers and the same snapshot on
- * every instance: no clock, no randomness and no iteration over unordered collections.
- * Time passes only through the {@link LogTime} handed in. A command may be delivered
- * twice if its answer was lost, so commands must be idempotent. The state must be
- * bounded. Called on one thread only.
+ * The same commands in the same order must produce the same answers and the same snapshot
+ * on every instance: an implementation must not use a clock, randomness or the iteration
+ * order of unordered collections. Its only source of time is the {@link LogTime} passed
+ * in. A command may be delivered twice if its answer was lost, so commands must be
+ * idempotent. The size of the state must be bounded. All methods are called on one
+ * thread.
  */
 public interface Ledger {
 
 	/**
-	 * Returns the name by which commands are addressed to this ledger.
-	 * @return the name, in lower case with dashes; never changes
+	 * Returns the name that {@link LedgerCommand} uses to address this ledger.
+	 * @return the name, in lower case with dashes; stored in the log and in snapshots, so
+	 * it must never change
 	 */
 	String name();
 
 	/**
 	 * Applies a committed command.
-	 * @param time the log time of the command, never before that of an earlier one
-	 * @param command the encoded command; a malformed one must be answered, not thrown
+	 * @param time the log time of the command, at least that of the previous command
+	 * @param command the encoded command; a malformed one must get an error answer, not
+	 * an exception
 	 * @return the encoded answer
 	 */
 	Bytes apply(LogTime time, Bytes command);
 
 	/**
-	 * Answers a query from the present state without changing it.
-	 * @param query the encoded query; a malformed one must be answered, not thrown
+	 * Answers a query from the current state without changing it.
+	 * @param query the encoded query; a malformed one must get an error answer, not an
+	 * exception
 	 * @return the encoded answer
 	 */
 	Bytes query(Bytes query);
@@ -41,7 +45,7 @@
 	Bytes snapshot();
 
 	/**
-	 * Replaces the state by an encoded one.
+	 * Replaces the whole state with an encoded one.
 	 * @param snapshot a state encoded by {@link #snapshot()}
 	 * @throws IllegalArgumentException if the encoded state is malformed
 	 */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/LedgerCommand.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/LedgerCommand.java
@@ -24,7 +24,7 @@
 	}
 
 	/**
-	 * Encodes the command with its address.
+	 * Encodes the command together with the name of its ledger.
 	 * @return the encoded command
 	 */
 	public Bytes encode() {
@@ -42,7 +42,7 @@
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
 			return Result.failure(OperationError.local(ErrorCode.MALFORMED, Step.REPLICATE,
-					"a command cannot be decoded: " + ex.getMessage()));
+					"the command or query cannot be decoded: " + ex.getMessage()));
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/LogTime.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/LogTime.java
@@ -5,18 +5,19 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A reading of the time that leaders propose with the entries of the replicated log.
+ * A timestamp that the leader assigns to each entry of the replicated log.
  * <p>
- * It never decreases along the log, is the same on every instance and stands still while
- * there is no leader. It is unrelated to any instance's clock.
+ * It never decreases along the log, is the same on every instance and does not advance
+ * while there is no leader. It is unrelated to any instance's clock.
  *
- * @param millis milliseconds of leadership since the log began, zero or greater
+ * @param millis milliseconds since the start of the log, not counting periods without a
+ * leader; zero or greater
  */
 public record LogTime(long millis) implements Comparable<LogTime> {
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
-	/** The time at which the log begins. */
+	/** The time at the start of the log. */
 	public static final LogTime ZERO = new LogTime(0);
 
 	public LogTime {
@@ -24,35 +25,35 @@
 	}
 
 	/**
-	 * Creates a reading.
-	 * @param millis milliseconds since the log began
-	 * @return the reading
+	 * Creates a log time.
+	 * @param millis milliseconds since the start of the log, zero or greater
+	 * @return the log time
 	 */
 	public static LogTime of(long millis) {
 		return new LogTime(millis);
 	}
 
 	/**
-	 * Returns the reading in nanoseconds.
-	 * @return nanoseconds of leadership since the log began
+	 * Returns the log time in nanoseconds.
+	 * @return nanoseconds since the start of the log
 	 */
 	public long nanos() {
 		return this.millis * NANOS_PER_MILLI;
 	}
 
 	/**
-	 * Returns a later reading.
-	 * @param duration how much later, zero or greater
-	 * @return the later reading
+	 * Returns the log time after a duration.
+	 * @param duration the duration to add, zero or greater; truncated to milliseconds
+	 * @return the later log time
 	 */
 	public LogTime plus(Duration duration) {
 		return new LogTime(this.millis + duration.toMillis());
 	}
 
 	/**
-	 * Tells whether this reading is earlier than the given one.
-	 * @param other the reading to compare with
-	 * @return {@code true} if this reading is smaller
+	 * Returns whether this log time is earlier than another one.
+	 * @param other the log time to compare with
+	 * @return {@code true} if this log time is earlier
 	 */
 	public boolean isBefore(LogTime other) {
 		return this.millis < other.millis;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/OrderTerm.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/OrderTerm.java
@@ -5,11 +5,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A term issued for orders to engines.
+ * A fencing term under which one instance may issue the orders of a subject.
  *
- * @param subject what the orders are about
- * @param holder the instance that gives them
- * @param request identifies the request for the term
+ * @param subject the subject of the orders, such as a group
+ * @param holder the instance that may issue the orders
+ * @param request identifies the request that obtained the term
  * @param term the term
  */
 public record OrderTerm(String subject, InstanceId holder, String request, Term term) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/OrderTermCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/OrderTermCodec.java
@@ -14,7 +14,7 @@
 import org.comfreywall.control.generated.OrderTermsRecord;
 
 /**
- * Encodes requests for order terms and the terms.
+ * Encodes and decodes order terms and requests for them.
  */
 public final class OrderTermCodec {
 
@@ -23,8 +23,8 @@
 
 	/**
 	 * Encodes a request as a command of the {@link OrderTermsLedger}.
-	 * @param subject what the orders are about
-	 * @param holder the instance that gives them
+	 * @param subject the subject of the orders, such as a group
+	 * @param holder the instance that will issue the orders
 	 * @param request identifies the request, so that a resend gets the same term
 	 * @return the encoded request
 	 */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/OrderTermsLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/OrderTermsLedger.java
@@ -9,18 +9,18 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * Issues the terms with which orders to engines are numbered.
+ * Issues the fencing terms of orders to engines.
  * <p>
- * Each subject, such as a group, has one holder at a time that may give orders. A new
- * holder gets a greater term, so that engines and sidecars refuse the old one's orders.
- * At most {@value #MAX_SUBJECTS} subjects.
+ * Each subject, such as a group, has one holder at a time that may issue orders. A new
+ * holder gets a higher term, so that engines and sidecars refuse orders of the previous
+ * holder. At most {@value #MAX_SUBJECTS} subjects are kept.
  */
 public final class OrderTermsLedger implements Ledger {
 
 	/** The name of the ledger. */
 	public static final String NAME = "order-terms";
 
-	/** The greatest number of subjects. */
+	/** Maximum number of subjects. */
 	public static final int MAX_SUBJECTS = 50_000;
 
 	private final Map<String, OrderTerm> terms = new TreeMap<>();
@@ -31,11 +31,12 @@
 	}
 
 	/**
-	 * Issues a term, or returns the one issued if the request is a resend of the newest.
-	 * @param subject what the orders are about
-	 * @param holder the instance that gives them
+	 * Issues a new term, or returns the latest one if the request is a resend of the
+	 * request that obtained it.
+	 * @param subject the subject of the orders
+	 * @param holder the instance that will issue the orders
 	 * @param request identifies the request
-	 * @return the term, or empty if there are too many subjects
+	 * @return the term, or empty if the subject is new and the ledger is full
 	 */
 	public Optional<OrderTerm> issue(String subject, InstanceId holder, String request) {
 		OrderTerm present = this.terms.get(subject);
@@ -52,7 +53,7 @@
 	}
 
 	/**
-	 * Returns the newest term of a subject.
+	 * Returns the latest term of a subject.
 	 * @param subject the subject
 	 * @return the term, or empty if none was issued
 	 */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonAnswerCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonAnswerCodec.java
@@ -23,7 +23,7 @@
 	}
 
 	/**
-	 * Decodes the answer to a request for the slot for an isolated run.
+	 * Decodes the answer to {@link PoisonCommandCodec#acquire}.
 	 * @param encoded the encoded answer
 	 * @return the result, or an error if the answer is malformed
 	 */
@@ -32,7 +32,7 @@
 	}
 
 	/**
-	 * Decodes the answer to a query for a verdict.
+	 * Decodes the answer to {@link PoisonCommandCodec#assess}.
 	 * @param encoded the encoded answer
 	 * @return the verdict, or an error if the answer is malformed
 	 */
@@ -41,9 +41,10 @@
 	}
 
 	/**
-	 * Decodes the answer to an operator's order to forget a fingerprint.
+	 * Decodes the answer to {@link PoisonCommandCodec#clear}.
 	 * @param encoded the encoded answer
-	 * @return whether the fingerprint was known, or an error if the answer is malformed
+	 * @return whether the ledger held the fingerprint, or an error if the answer is
+	 * malformed
 	 */
 	public static Result<Boolean> decodeKnown(Bytes encoded) {
 		return decode(encoded, PoisonAnswerRecord::getKnown);
@@ -57,7 +58,7 @@
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
 			return Result.failure(OperationError.local(ErrorCode.MALFORMED, Step.CLAIM,
-					"an answer about a crash cannot be decoded: " + ex.getMessage()));
+					"the answer of the poison ledger cannot be decoded: " + ex.getMessage()));
 		}
 	}
 
@@ -80,7 +81,7 @@
 	static Bytes malformed() {
 		RefusedRecord refused = RefusedRecord.newBuilder()
 			.setCode(ErrorCode.MALFORMED.name())
-			.setMessage("the command on crashes is malformed")
+			.setMessage("the command or query for the poison ledger is malformed")
 			.build();
 		return encode(PoisonAnswerRecord.newBuilder().setRefused(refused));
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonCommandCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonCommandCodec.java
@@ -18,8 +18,8 @@
 	}
 
 	/**
-	 * Encodes the report of a lost backend server.
-	 * @param report the report
+	 * Encodes a command that records the loss of a backend server.
+	 * @param report the loss and the requests that were in flight
 	 * @return the encoded command
 	 */
 	public static Bytes charge(CrashReport report) {
@@ -27,9 +27,9 @@
 	}
 
 	/**
-	 * Encodes the request for the slot for an isolated run.
-	 * @param fingerprint the suspect
-	 * @param owner the request that would run it
+	 * Encodes a command that requests the slot for isolated runs.
+	 * @param fingerprint the suspected fingerprint
+	 * @param owner the request that is to run in isolation
 	 * @return the encoded command, answered by {@link PoisonAnswerCodec#decodeIsolation}
 	 */
 	public static Bytes acquire(Fingerprint fingerprint, RequestId owner) {
@@ -41,9 +41,9 @@
 	}
 
 	/**
-	 * Encodes the return of the slot.
-	 * @param fingerprint the suspect
-	 * @param owner the request that ran it
+	 * Encodes a command that returns the slot for isolated runs.
+	 * @param fingerprint the suspected fingerprint
+	 * @param owner the request that holds the slot
 	 * @param end how the run ended
 	 * @return the encoded command
 	 */
@@ -57,9 +57,9 @@
 	}
 
 	/**
-	 * Encodes an operator's order to forget a fingerprint.
+	 * Encodes an operator's command that removes a fingerprint from the ledger.
 	 * @param fingerprint the fingerprint
-	 * @return the encoded command
+	 * @return the encoded command, answered by {@link PoisonAnswerCodec#decodeKnown}
 	 */
 	public static Bytes clear(Fingerprint fingerprint) {
 		return encode(PoisonCommandRecord.newBuilder().setClear(PoisonRecords.toRecord(fingerprint)));
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonRecords.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonRecords.java
@@ -24,8 +24,8 @@
 import org.comfreywall.control.ledger.PoisonLedgerSnapshot;
 
 /**
- * Converts records of crashes to and from their encoded form. Malformed records raise
- * {@link IllegalArgumentException}.
+ * Converts the data of the poison ledger to and from Protobuf records. Malformed records
+ * raise {@link IllegalArgumentException}.
  */
 final class PoisonRecords {
 
@@ -79,7 +79,7 @@
 					ledger.getEntriesList().stream().map(PoisonRecords::fromRecord).toList(), slot);
 		}
 		catch (InvalidProtocolBufferException ex) {
-			throw new IllegalArgumentException("the snapshot of the crashes cannot be decoded", ex);
+			throw new IllegalArgumentException("the snapshot of the poison ledger cannot be decoded", ex);
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/RememberedAnswer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/RememberedAnswer.java
@@ -1,9 +1,10 @@
 package org.comfreywall.control.state;
 
 /**
- * The first answer to a change, kept for a resend.
+ * The answer to a change, cached for resends.
  *
- * @param digest the digest of the change
+ * @param digest the SHA-256 digest of the encoded change, which detects a change id that
+ * is reused for other content
  * @param answer the answer
  */
 record RememberedAnswer(String digest, ChangeAnswer answer) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ReplicatedClaims.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ReplicatedClaims.java
@@ -17,8 +17,7 @@
 import org.comfreywall.control.ledger.ClaimLedgerSettings;
 
 /**
- * The claims on idempotency keys as a replicated ledger; commands are encoded by
- * {@link ClaimCommandCodec}.
+ * Replicates a {@link ClaimLedger}; commands are encoded by {@link ClaimCommandCodec}.
  */
 public final class ReplicatedClaims implements Ledger {
 
@@ -29,7 +28,7 @@
 
 	/**
 	 * Creates an empty ledger.
-	 * @param settings the bounds, the same on all instances
+	 * @param settings the limits, which must be the same on all instances
 	 */
 	public ReplicatedClaims(ClaimLedgerSettings settings) {
 		this.claims = new ClaimLedger(settings);
@@ -41,8 +40,8 @@
 	}
 
 	/**
-	 * Returns the claims; they must not be changed.
-	 * @return the claims
+	 * Returns the replicated ledger for reading; callers must not change it.
+	 * @return the ledger
 	 */
 	public ClaimLedger claims() {
 		return this.claims;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ReplicatedPoison.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ReplicatedPoison.java
@@ -15,8 +15,7 @@
 import org.comfreywall.control.ledger.PoisonLedgerSettings;
 
 /**
- * The record of requests that crash backend servers as a replicated ledger; commands are
- * encoded by {@link PoisonCommandCodec}.
+ * Replicates a {@link PoisonLedger}; commands are encoded by {@link PoisonCommandCodec}.
  */
 public final class ReplicatedPoison implements Ledger {
 
@@ -27,8 +26,9 @@
 
 	/**
 	 * Creates an empty ledger.
-	 * @param settings the bounds, the same on all instances
-	 * @param listener receives a record of each verdict that changes
+	 * @param settings the limits, which must be the same on all instances
+	 * @param listener receives a decision record for each change of a verdict and each
+	 * isolated run
 	 */
 	public ReplicatedPoison(PoisonLedgerSettings settings, DecisionListener listener) {
 		this.poison = new PoisonLedger(settings, listener);
@@ -40,8 +40,8 @@
 	}
 
 	/**
-	 * Returns the record; it must not be changed.
-	 * @return the record
+	 * Returns the replicated ledger for reading; callers must not change it.
+	 * @return the ledger
 	 */
 	public PoisonLedger poison() {
 		return this.poison;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/Rollback.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/Rollback.java
@@ -4,9 +4,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Restores the configuration of an earlier revision as a new one.
+ * Restores the configuration of an earlier revision as a new revision.
  *
- * @param to the earlier revision
+ * @param to the revision to restore
  */
 public record Rollback(Revision to) implements ChangeContent {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/SlotReservations.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/SlotReservations.java
@@ -11,12 +11,12 @@
 import org.comfreywall.control.generated.SlotReservationsRecord;
 
 /**
- * The most in-flight slots of each client account that grantors may have granted, as a
- * replicated ledger.
+ * A replicated upper bound, per client account, on the in-flight slots that grantors may
+ * have granted.
  * <p>
- * The leader raises a reservation before a grant beyond it leaves. At most
- * {@value #MAX_ACCOUNTS} client accounts are kept; further ones are refused, which keeps
- * their grants from leaving.
+ * The leader raises the reservation of an account before it sends a grant that exceeds
+ * it. At most {@value #MAX_ACCOUNTS} client accounts are kept; reservations for further
+ * accounts are refused, so their grants are not sent.
  */
 public final class SlotReservations implements Ledger {
 
@@ -32,10 +32,10 @@
 	private final Map<AccountId, Long> reservations = new TreeMap<>();
 
 	/**
-	 * Encodes the change of a reservation.
+	 * Encodes a command that sets the reservation of a client account.
 	 * @param account the client account
-	 * @param slots the slots that may be in use, zero or greater
-	 * @return the command, answered as {@link #isDone(Bytes)} tells
+	 * @param slots the number of in-flight slots, zero or greater
+	 * @return the encoded command; {@link #isDone(Bytes)} interprets its answer
 	 */
 	public static Bytes reserve(AccountId account, long slots) {
 		Preconditions.notNull(account, "account");
@@ -44,7 +44,7 @@
 	}
 
 	/**
-	 * Tells whether a change was made.
+	 * Returns whether a reservation was set.
 	 * @param answer the answer to the command
 	 * @return {@code true} if the reservation is durable
 	 */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/StateMachine.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/StateMachine.java
@@ -18,25 +18,26 @@
 import org.comfreywall.control.generated.StateSnapshotRecord;
 
 /**
- * The replicated state: a few ledgers, each with its own commands. Not thread-safe.
+ * The replicated state machine: dispatches each command to the ledger that it names. Not
+ * thread-safe.
  */
 public final class StateMachine {
 
 	private static final EventLog LOG = EventLog.of(StateMachine.class);
 
-	/** By name, so that snapshots are equal on all instances. */
+	/** Sorted by name, so that snapshots are equal on all instances. */
 	private final NavigableMap<String, Ledger> ledgers = new TreeMap<>();
 
 	private LogTime time = LogTime.ZERO;
 
 	/**
 	 * Creates a state machine.
-	 * @param ledgers the ledgers, the same on all instances, each name once
+	 * @param ledgers the ledgers, the same on all instances, with unique names
 	 */
 	public StateMachine(List<Ledger> ledgers) {
 		for (Ledger ledger : ledgers) {
-			Preconditions.check(this.ledgers.put(ledger.name(), ledger) == null, "ledger %s is given twice",
-					ledger.name());
+			Preconditions.check(this.ledgers.put(ledger.name(), ledger) == null,
+					"the ledger name %s is used more than once", ledger.name());
 		}
 	}
 
@@ -44,7 +45,8 @@
 	 * Applies a committed command.
 	 * @param time the log time of the command
 	 * @param command a command encoded by {@link LedgerCommand#encode()}
-	 * @return the ledger's answer, or an error if no ledger takes the command
+	 * @return the ledger's answer, or an error if the command is malformed, its ledger
+	 * does not exist or the ledger throws
 	 */
 	public Result<Bytes> apply(LogTime time, Bytes command) {
 		Preconditions.notNull(time, "time");
@@ -53,7 +55,8 @@
 			.flatMap((decoded) -> find(decoded.ledger()).flatMap((ledger) -> apply(ledger, decoded.command())));
 	}
 
-	// A ledger that throws does so on every instance alike, so the log must go on.
+	// Ledgers are deterministic: a command that throws here throws on every instance, so
+	// it is answered with an error and the following entries are still applied.
 	private Result<Bytes> apply(Ledger ledger, Bytes command) {
 		try {
 			return Result.success(ledger.apply(this.time, command));
@@ -68,7 +71,8 @@
 	/**
 	 * Answers a query.
 	 * @param query a query encoded by {@link LedgerCommand#encode()}
-	 * @return the ledger's answer, or an error if no ledger takes the query
+	 * @return the ledger's answer, or an error if the query is malformed or its ledger
+	 * does not exist
 	 */
 	public Result<Bytes> query(Bytes query) {
 		return LedgerCommand.decode(query)
@@ -86,17 +90,17 @@
 	}
 
 	/**
-	 * Replaces the state. A ledger that the snapshot does not hold keeps its state.
+	 * Replaces the state. A ledger that is missing from the snapshot keeps its state.
 	 * @param snapshot a state encoded by {@link #snapshot()}
-	 * @throws IllegalArgumentException if the snapshot is malformed or holds an unknown
-	 * ledger
+	 * @throws IllegalArgumentException if the snapshot is malformed or contains an
+	 * unknown ledger
 	 */
 	public void restore(Bytes snapshot) {
 		StateSnapshotRecord restored = parse(snapshot);
 		this.time = LogTime.of(restored.getLogTimeMillis());
 		for (LedgerSnapshotRecord ledger : restored.getLedgersList()) {
 			Ledger found = this.ledgers.get(ledger.getLedger());
-			Preconditions.check(found != null, "the snapshot holds ledger %s, which this program does not know",
+			Preconditions.check(found != null, "the snapshot contains ledger %s, which this version does not support",
 					ledger.getLedger());
 			found.restore(Bytes.of(ledger.getState().toByteArray()));
 		}
@@ -123,7 +127,7 @@
 			return StateSnapshotRecord.parseFrom(snapshot.toArray());
 		}
 		catch (InvalidProtocolBufferException ex) {
-			throw new IllegalArgumentException("the snapshot cannot be decoded", ex);
+			throw new IllegalArgumentException("the snapshot of the state machine cannot be decoded", ex);
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/VersionedDocument.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/VersionedDocument.java
@@ -7,14 +7,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A document with the version that its operator gave it.
+ * A document with the version that the operator assigned to it.
  *
- * @param version the version; {@link Long#MIN_VALUE} stands for no document
+ * @param version the version; {@link Long#MIN_VALUE} means that there is no document
  * @param content the content, opaque to the ledger
  */
 public record VersionedDocument(long version, Bytes content) {
 
-	/** No document. */
+	/** Stands for a missing document. */
 	public static final VersionedDocument NONE = new VersionedDocument(Long.MIN_VALUE, Bytes.EMPTY);
 
 	public VersionedDocument {
@@ -22,7 +22,7 @@
 	}
 
 	/**
-	 * Tells whether there is a document.
+	 * Returns whether there is a document.
 	 * @return {@code false} for {@link #NONE}
 	 */
 	public boolean isPresent() {
@@ -30,8 +30,9 @@
 	}
 
 	/**
-	 * Encodes the document.
-	 * @return the encoded form
+	 * Encodes the document as its version, a big-endian 64-bit integer, followed by its
+	 * content.
+	 * @return the encoded document
 	 */
 	public Bytes encode() {
 		ByteBuffer buffer = ByteBuffer.allocate(Long.BYTES + this.content.length());
@@ -40,8 +41,8 @@
 
 	/**
 	 * Decodes a document.
-	 * @param encoded the form that {@link #encode()} returns
-	 * @return the document, or empty if the form is malformed
+	 * @param encoded a document encoded by {@link #encode()}
+	 * @return the document, or empty if the input is too short to hold a version
 	 */
 	public static Optional<VersionedDocument> decode(Bytes encoded) {
 		if (encoded.length() < Long.BYTES) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/package-info.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The deterministic state machine fed by the replicated log.
+ * The deterministic state machine that applies the entries of the replicated log.
  */
 package org.comfreywall.control.state;
--- a/comfreywall-control/src/test/java/org/comfreywall/control/state/ConfigurationLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/state/ConfigurationLedgerTests.java
@@ -65,14 +65,14 @@
 	}
 
 	@Test
-	void acceptsAChangeThatExpectsThePresentRevision() {
+	void acceptsChangeThatExpectsCurrentRevision() {
 		assertThat(apply(put("a", 0, DRAFTING))).isEqualTo(accepted(1));
 		assertThat(this.ledger.configuration()).isEqualTo(services(DRAFTING));
 		assertThat(this.notified).containsExactly(Revision.of(1));
 	}
 
 	@Test
-	void tellsTheLoserOfARaceWhoWon() {
+	void reportsWinningChangeOnConflict() {
 		apply(put("a", 0, DRAFTING));
 		ChangeAnswer answer = apply(put("b", 0, BOOKING));
 		assertThat(answer)
@@ -81,7 +81,7 @@
 	}
 
 	@Test
-	void answersAResendAsTheFirstTimeWithoutApplyingIt() {
+	void returnsFirstAnswerToResendWithoutApplyingItAgain() {
 		ConfigurationChange change = put("a", 0, DRAFTING);
 		apply(change);
 		apply(put("b", 1, BOOKING));
@@ -90,14 +90,14 @@
 	}
 
 	@Test
-	void refusesAChangeIdUsedForOtherContent() {
+	void refusesChangeIdReusedForOtherContent() {
 		apply(put("a", 0, DRAFTING));
 		assertThat(apply(put("a", 1, BOOKING))).isInstanceOfSatisfying(ChangeRefused.class,
 				(refused) -> assertThat(refused.code()).isEqualTo(ErrorCode.INVALID_INPUT));
 	}
 
 	@Test
-	void refusesAnAccountThatCallsAnUnknownService() {
+	void refusesAccountThatCallsUnknownService() {
 		AccountDescriptor account = new AccountDescriptor(AccountId.of("farm"), List.of(), new AccountLimits(1, 1, 1),
 				PriorityClass.BATCH, List.of(ServiceId.of("nothing")));
 		Configuration put = new Configuration(List.of(), List.of(), List.of(account), List.of());
@@ -106,14 +106,14 @@
 	}
 
 	@Test
-	void dryRunAnswersWithoutChange() {
+	void dryRunChangesNothing() {
 		assertThat(this.ledger.dryRun(put("a", 0, DRAFTING))).isEqualTo(accepted(1));
 		assertThat(this.ledger.revision()).isEqualTo(Revision.ZERO);
 		assertThat(apply(put("b", 0, BOOKING))).isEqualTo(accepted(1));
 	}
 
 	@Test
-	void keepsWhoAndWhyInItsHistory() {
+	void keepsAuthorReasonAndTimeInHistory() {
 		apply(put("a", 0, DRAFTING));
 		assertThat(this.ledger.historyAfter(Revision.ZERO)).singleElement().satisfies((change) -> {
 			assertThat(change.author()).isEqualTo("jana");
@@ -123,7 +123,7 @@
 	}
 
 	@Test
-	void boundsHistoryAndAnswersButNeverAppliesAnOldResend() {
+	void boundsHistoryAndAnswersAndDoesNotReapplyEvictedChange() {
 		ConfigurationChange first = put("0", 0, DRAFTING);
 		apply(first);
 		for (int i = 1; i <= ConfigurationLedger.MAX_ANSWERS; i++) {
--- a/comfreywall-control/src/test/java/org/comfreywall/control/state/OrderTermsLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/state/OrderTermsLedgerTests.java
@@ -20,12 +20,12 @@
 	}
 
 	@Test
-	void givesANewHolderAGreaterTerm() {
+	void issuesHigherTermToNewHolder() {
 		assertThat(issue("a", "1").isBefore(issue("b", "2"))).isTrue();
 	}
 
 	@Test
-	void answersAResendWithTheSameTerm() {
+	void issuesSameTermForResend() {
 		assertThat(issue("a", "1")).isEqualTo(issue("a", "1"));
 	}
 
@@ -38,7 +38,7 @@
 	}
 
 	@Test
-	void answersMalformedCommandsWithNothing() {
+	void returnsEmptyAnswerForMalformedCommands() {
 		assertThat(this.ledger.apply(LogTime.ZERO, Bytes.of(new byte[] { 1 }))).isEqualTo(Bytes.EMPTY);
 	}
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/state/ReplicatedClaimsTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/state/ReplicatedClaimsTests.java
@@ -56,14 +56,14 @@
 	}
 
 	@Test
-	void grantsAKeyOnce() {
+	void grantsKeyOnce() {
 		assertThat(claim(LogTime.ZERO, "d", FIRST)).isEqualTo(new ClaimGranted(FIRST));
 		assertThat(claim(LogTime.ZERO, "d", claim("r2"))).isEqualTo(new ClaimFound(FIRST));
 		assertThat(claim(LogTime.ZERO, "other", claim("r3"))).isEqualTo(new ClaimMismatch());
 	}
 
 	@Test
-	void keepsTheAnswerInSnapshots() {
+	void keepsAnswerInSnapshots() {
 		claim(LogTime.ZERO, "d", FIRST);
 		this.ledger.apply(LogTime.ZERO, ClaimCommandCodec.finish(KEY, FIRST.owner(), ANSWER));
 		ReplicatedClaims restored = new ReplicatedClaims(ClaimLedgerSettings.DEFAULT);
@@ -73,14 +73,14 @@
 	}
 
 	@Test
-	void marksAClaimUnknown() {
+	void marksClaimUnknown() {
 		claim(LogTime.ZERO, "d", FIRST);
 		this.ledger.apply(LogTime.ZERO, ClaimCommandCodec.markUnknown(KEY, FIRST.owner()));
 		assertThat(lookup(this.ledger)).contains(new ClaimUnknown(FIRST.owner()));
 	}
 
 	@Test
-	void releasesAClaimWithProof() {
+	void releasesClaimWithProof() {
 		claim(LogTime.ZERO, "d", FIRST);
 		NotRunProof proof = new NotRunProof(NotRunEvidence.SEALED, FIRST.owner(), FIRST.backendServer(),
 				FIRST.incarnation());
@@ -90,7 +90,7 @@
 	}
 
 	@Test
-	void answersWithTheReasonOfARefusal() {
+	void returnsErrorCodeOfRejectedCommand() {
 		Bytes answer = this.ledger.apply(LogTime.ZERO, ClaimCommandCodec.markUnknown(KEY, FIRST.owner()));
 		assertThat(ClaimAnswerCodec.decodeState(answer).error())
 			.hasValueSatisfying((error) -> assertThat(error.code()).isEqualTo(ErrorCode.NOT_FOUND));
--- a/comfreywall-control/src/test/java/org/comfreywall/control/state/ReplicatedPoisonTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/state/ReplicatedPoisonTests.java
@@ -50,7 +50,7 @@
 	}
 
 	@Test
-	void quarantinesAfterASecondCrash() {
+	void quarantinesAfterSecondCrash() {
 		crash(1);
 		assertThat(verdict(this.ledger)).isEqualTo(PoisonVerdict.SUSPECT);
 		crash(2);
@@ -58,7 +58,7 @@
 	}
 
 	@Test
-	void clearsASuspectThatSurvivedItsIsolatedRun() {
+	void clearsSuspectThatSurvivesIsolatedRun() {
 		crash(1);
 		assertThat(acquire()).isEqualTo(IsolationResult.GRANTED);
 		this.ledger.apply(LATER, PoisonCommandCodec.release(SUSPECT, OWNER, IsolationEnd.SURVIVED));
@@ -66,7 +66,7 @@
 	}
 
 	@Test
-	void forgetsAFingerprintAtAnOperatorsOrder() {
+	void removesFingerprintOnOperatorCommand() {
 		crash(1);
 		Bytes answer = this.ledger.apply(LATER, PoisonCommandCodec.clear(SUSPECT));
 		assertThat(PoisonAnswerCodec.decodeKnown(answer).value()).contains(true);
@@ -74,7 +74,7 @@
 	}
 
 	@Test
-	void keepsVerdictsAndTheSlotInSnapshots() {
+	void keepsVerdictsAndIsolationSlotInSnapshots() {
 		crash(1);
 		acquire();
 		ReplicatedPoison restored = new ReplicatedPoison(PoisonLedgerSettings.DEFAULT, DecisionListener.NONE);
--- a/comfreywall-control/src/test/java/org/comfreywall/control/state/SlotReservationsTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/state/SlotReservationsTests.java
@@ -18,7 +18,7 @@
 	private final SlotReservations ledger = new SlotReservations();
 
 	@Test
-	void keepsTheLatestReservationThroughASnapshot() {
+	void keepsLatestReservationInSnapshots() {
 		assertThat(SlotReservations.isDone(this.ledger.apply(LogTime.ZERO, SlotReservations.reserve(FARM, 8))))
 			.isTrue();
 		this.ledger.apply(LogTime.ZERO, SlotReservations.reserve(FARM, 16));
