Reword the texts of the claim and poison ledgers

The ledgers were said to remember, know and forget claims and fingerprints, and some comments could only be solved with the design at hand: which late copy creates a released claim again, which charges a conviction explains, what settle time is for. They now state the event, the state and what follows from it, with units and limits. Errors of the claim ledger use the same terms. Tests call an incarnation an incarnation and a fingerprint that crashes nothing harmless.

Formatted; the tests of comfreywall-control and its modules pass.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/ClaimEntry.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/ClaimEntry.java
@@ -6,14 +6,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One claim as it stands in the ledger and in its snapshots.
+ * A claim on an idempotency key, as stored in the {@link ClaimLedger} and its snapshots.
  *
  * @param key the claimed key
- * @param bodyDigest SHA-256 digest of the request's body in lower-case hexadecimal
+ * @param bodyDigest the SHA-256 digest of the request's body in lower-case hexadecimal
  * @param state the claim's state
  * @param claimedAt the log time of the claim in nanoseconds
- * @param answerOrder the number of the recorded answer in the order of recording, or 0 if
- * none is recorded
+ * @param answerOrder the position of the answer in the order of recording, starting at 1,
+ * or 0 if no answer is recorded
  */
 public record ClaimEntry(ClaimKey key, String bodyDigest, ClaimState state, long claimedAt, long answerOrder) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/ClaimLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/ClaimLedger.java
@@ -28,22 +28,22 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Remembers which idempotency keys are in use and how their requests ended.
+ * Stores the claims on idempotency keys and the outcomes of the claimed requests.
  * <p>
  * The ledger is deterministic: replicas that apply the same calls with the same log times
- * hold the same claims. Applying a call twice has the effect of applying it once, unless
- * the claim was released in between; a claim that a late copy brings back names the
- * addressee of an attempt that is sealed or was never sent, so that it can be released
- * again with proof. Not thread-safe.
+ * store the same claims. Calls are idempotent, with one exception: a duplicate of
+ * {@link #claim} that arrives after the release of the claim creates the claim again. Its
+ * attempt is sealed or was never sent, so the claim can be released again with proof. Not
+ * thread-safe.
  */
 public final class ClaimLedger {
 
 	private final ClaimLedgerSettings settings;
 
-	/** Claims in the order of their log time; at most the capacity. */
+	/** Claims in the order of their log time, at most {@code settings.capacity()}. */
 	private final Map<ClaimKey, ClaimEntry> claims = new LinkedHashMap<>();
 
-	/** Keys whose answers are recorded, in the order of recording. */
+	/** Keys of the claims with a recorded answer, by {@link ClaimEntry#answerOrder}. */
 	private final TreeMap<Long, ClaimKey> answered = new TreeMap<>();
 
 	private long storedBytes;
@@ -52,7 +52,7 @@
 
 	/**
 	 * Creates an empty ledger.
-	 * @param settings the bounds
+	 * @param settings the limits
 	 */
 	public ClaimLedger(ClaimLedgerSettings settings) {
 		this.settings = Preconditions.notNull(settings, "settings");
@@ -61,11 +61,11 @@
 	/**
 	 * Claims a key for the only attempt of a request.
 	 * @param key the key
-	 * @param bodyDigest digest (SHA-256) of the request's body
-	 * @param owner the request that asks
-	 * @param backendServer the backend server to which the attempt will be addressed
-	 * @param incarnation the incarnation of the sidecar to which the attempt will be
-	 * addressed
+	 * @param bodyDigest the SHA-256 digest of the request's body in lower-case
+	 * hexadecimal
+	 * @param owner the request that claims the key
+	 * @param backendServer the backend server to which the attempt will be sent
+	 * @param incarnation the incarnation of the sidecar to which the attempt will be sent
 	 * @param now the log time in nanoseconds
 	 * @return the result, or {@link ErrorCode#OVERLOADED} if the ledger is full
 	 */
@@ -79,7 +79,7 @@
 			return Result.success(compare(earlier, bodyDigest, claim));
 		}
 		if (this.claims.size() >= this.settings.capacity()) {
-			return failure(ErrorCode.OVERLOADED, "The ledger of claims is full; send the request again later");
+			return failure(ErrorCode.OVERLOADED, "The claim ledger is full; send the request again later");
 		}
 		this.claims.put(key, new ClaimEntry(key, bodyDigest, claim, this.logTime, 0));
 		return Result.success(new ClaimGranted(claim));
@@ -88,13 +88,14 @@
 	/**
 	 * Records the answer of a claimed request.
 	 * <p>
-	 * An answer whose body exceeds the bound is not stored; the claim then counts as
-	 * unknown to later callers.
+	 * An answer whose body exceeds {@link ClaimLedgerSettings#maxAnswerBytes()} is not
+	 * stored; the outcome of the claimed request is then unknown to later callers.
 	 * @param key the claimed key
 	 * @param owner the request that held the claim
-	 * @param answer the whole answer
+	 * @param answer the complete answer
 	 * @param now the log time in nanoseconds
-	 * @return the claim's state after the call, or the reason of the refusal
+	 * @return the claim's state after the call, or the error with which the call was
+	 * rejected
 	 */
 	public Result<ClaimState> finish(ClaimKey key, RequestId owner, RecordedAnswer answer, long now) {
 		Preconditions.notNull(answer, "answer");
@@ -103,11 +104,12 @@
 	}
 
 	/**
-	 * Records that it cannot be known whether a claimed request ran.
+	 * Marks the outcome of a claimed request as unknown, unless an answer is recorded.
 	 * @param key the claimed key
 	 * @param owner the request that held the claim
 	 * @param now the log time in nanoseconds
-	 * @return the claim's state after the call, or the reason of the refusal
+	 * @return the claim's state after the call, or the error with which the call was
+	 * rejected
 	 */
 	public Result<ClaimState> markUnknown(ClaimKey key, RequestId owner, long now) {
 		advance(now);
@@ -120,11 +122,11 @@
 	}
 
 	/**
-	 * Forgets a claim whose request is proven not to have run.
+	 * Removes a claim whose request is proven not to have run.
 	 * @param key the claimed key
 	 * @param proof the proof
 	 * @param now the log time in nanoseconds
-	 * @return the claim that was released, or the reason of the refusal
+	 * @return the claim that was released, or the error with which the call was rejected
 	 */
 	public Result<ClaimRunning> release(ClaimKey key, NotRunProof proof, long now) {
 		Preconditions.notNull(proof, "proof");
@@ -134,7 +136,7 @@
 				this.claims.remove(key);
 				return Result.success(claim);
 			}
-			return failure(ErrorCode.CONFLICT, "The proof is not about the claim's attempt; look the claim up again");
+			return failure(ErrorCode.CONFLICT, "The proof does not cover the claim's attempt; query the claim again");
 		});
 	}
 
@@ -148,7 +150,7 @@
 	}
 
 	/**
-	 * Returns the number of claims remembered.
+	 * Returns the number of claims in the ledger.
 	 * @return the count
 	 */
 	public int size() {
@@ -156,7 +158,7 @@
 	}
 
 	/**
-	 * Returns the whole content.
+	 * Returns a copy of the whole state.
 	 * @return the snapshot
 	 */
 	public ClaimLedgerSnapshot snapshot() {
@@ -164,7 +166,7 @@
 	}
 
 	/**
-	 * Replaces the whole content by that of a snapshot.
+	 * Replaces the whole state with that of a snapshot.
 	 * @param snapshot the snapshot
 	 */
 	public void restore(ClaimLedgerSnapshot snapshot) {
@@ -228,7 +230,7 @@
 	private Result<ClaimEntry> owned(ClaimKey key, RequestId owner) {
 		ClaimEntry entry = this.claims.get(Preconditions.notNull(key, "key"));
 		if (entry == null) {
-			return failure(ErrorCode.NOT_FOUND, "The key is not claimed; the claim was released or is past retention");
+			return failure(ErrorCode.NOT_FOUND, "The key is not claimed; the claim was released or has expired");
 		}
 		if (!entry.state().owner().equals(owner)) {
 			return failure(ErrorCode.CONFLICT, "The key is claimed by another request");
@@ -238,10 +240,10 @@
 
 	private void advance(long now) {
 		this.logTime = Math.max(this.logTime, now);
-		long bound = this.logTime - this.settings.retention().toNanos();
+		long cutoff = this.logTime - this.settings.retention().toNanos();
 		List<ClaimEntry> expired = new ArrayList<>();
 		for (ClaimEntry entry : this.claims.values()) {
-			if (entry.claimedAt() > bound) {
+			if (entry.claimedAt() > cutoff) {
 				break;
 			}
 			expired.add(entry);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/ClaimLedgerSnapshot.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/ClaimLedgerSnapshot.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The whole content of a {@link ClaimLedger}.
+ * The whole state of a {@link ClaimLedger}.
  *
  * @param logTime the log time of the last call in nanoseconds
  * @param entries the claims in the order of their log time
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/CrashCharge.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/CrashCharge.java
@@ -6,13 +6,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One loss of a backend server that is charged to a fingerprint.
+ * The loss of a backend server, charged to a fingerprint that was in flight on it.
  *
  * @param backendServer the backend server that was lost
  * @param incarnation the incarnation of its sidecar
- * @param crash the number of the crash within the incarnation, or 0 if the sidecar was
- * lost
- * @param explained whether another fingerprint was convicted of the loss
+ * @param crash the number of the crash within the incarnation, starting at 1, or 0 if the
+ * sidecar was lost
+ * @param explained whether the loss is attributed to another, convicted fingerprint
  */
 public record CrashCharge(BackendServerId backendServer, Incarnation incarnation, int crash, boolean explained) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/IsolationSlot.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/IsolationSlot.java
@@ -5,11 +5,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The holder of the fleet's only slot for isolated runs.
+ * The holder of the only slot for isolated runs in the fleet.
  *
- * @param fingerprint the suspect that may run
- * @param owner the request that may run it
- * @param expiresAt the log time in nanoseconds at which the run counts as a loss
+ * @param fingerprint the suspected fingerprint
+ * @param owner the request that may run in isolation
+ * @param expiresAt the log time in nanoseconds at which the run counts as a loss of the
+ * backend server
  */
 public record IsolationSlot(Fingerprint fingerprint, RequestId owner, long expiresAt) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonEntry.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonEntry.java
@@ -8,22 +8,23 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What the ledger knows about one fingerprint.
+ * The losses of backend servers that the {@link PoisonLedger} charges to one fingerprint.
  * <p>
- * Losses of which another fingerprint was convicted are remembered, so that a further
- * crash still counts as the second one.
+ * Losses attributed to another fingerprint are kept as explained, so that a further crash
+ * still counts as the second one.
  *
  * @param fingerprint the fingerprint
- * @param charges the losses charged to it, each loss once
- * @param convicted whether a backend server was lost while the fingerprint ran isolated
- * @param changedAt the log time of the last charge in nanoseconds
+ * @param charges the losses charged to it, without duplicates, oldest first
+ * @param convicted whether a backend server was lost while the fingerprint ran in
+ * isolation
+ * @param changedAt the log time of the last charge or conviction in nanoseconds
  */
 public record PoisonEntry(Fingerprint fingerprint, List<CrashCharge> charges, boolean convicted, long changedAt) {
 
-	/** Crashes after which a fingerprint is quarantined without an isolated run. */
+	/** Number of crashes that quarantine a fingerprint without an isolated run. */
 	static final int MAX_CRASHES = 2;
 
-	/** Losses remembered for one fingerprint. */
+	/** Maximum number of losses kept for one fingerprint. */
 	static final int MAX_CHARGES = 8;
 
 	public PoisonEntry {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedger.java
@@ -20,15 +20,16 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Remembers which requests were in flight when backend servers were lost, and decides
- * which of them may run isolated and which are quarantined.
+ * Detects requests that crash backend servers (poison requests): stores which
+ * fingerprints were in flight when backend servers were lost, grants suspected ones an
+ * isolated run and quarantines those that cause losses.
  * <p>
  * A fingerprint is quarantined once two crashes of backend servers are charged to it, or
- * once a backend server is lost while it runs isolated. If its sidecar saw the backend
- * server crash, the conviction explains the losses charged to it, which clears the
- * fingerprints that were in flight beside it and are charged with nothing else. The
- * ledger is deterministic, and applying a call twice has the effect of applying it once.
- * Not thread-safe.
+ * convicted once a backend server is lost while it runs in isolation. If the sidecar
+ * observed the crash of the backend server, the conviction also explains all losses
+ * charged to the fingerprint: other fingerprints that were in flight at the same time are
+ * cleared unless they are charged with further losses. The ledger is deterministic and
+ * its calls are idempotent. Not thread-safe.
  */
 public final class PoisonLedger {
 
@@ -36,7 +37,7 @@
 
 	private final DecisionListener listener;
 
-	/** Fingerprints in the order of their last charge; at most the capacity. */
+	/** Entries in the order of their last change, at most {@code settings.capacity()}. */
 	private final Map<Fingerprint, PoisonEntry> entries = new LinkedHashMap<>();
 
 	private Optional<IsolationSlot> slot = Optional.empty();
@@ -47,8 +48,9 @@
 
 	/**
 	 * Creates an empty ledger.
-	 * @param settings the bounds
-	 * @param listener receives a record of each verdict that changes
+	 * @param settings the limits
+	 * @param listener receives a decision record for each change of a verdict and each
+	 * isolated run
 	 */
 	public PoisonLedger(PoisonLedgerSettings settings, DecisionListener listener) {
 		this.settings = Preconditions.notNull(settings, "settings");
@@ -57,7 +59,7 @@
 
 	/**
 	 * Charges the loss of a backend server to the requests that were in flight on it.
-	 * @param report the loss
+	 * @param report the loss and the requests that were in flight
 	 * @param now the log time in nanoseconds
 	 */
 	public void charge(CrashReport report, long now) {
@@ -71,12 +73,12 @@
 	}
 
 	/**
-	 * Asks for the slot for an isolated run.
-	 * @param fingerprint the suspect
-	 * @param owner the request that would run it
+	 * Requests the slot for isolated runs.
+	 * @param fingerprint the suspected fingerprint
+	 * @param owner the request that is to run in isolation
 	 * @param now the log time in nanoseconds
-	 * @return the result; asking again while holding the slot is granted again without
-	 * extending it
+	 * @return the result; a repeated call of the holder is granted again but does not
+	 * extend the slot
 	 */
 	public IsolationResult acquire(Fingerprint fingerprint, RequestId owner, long now) {
 		Preconditions.notNull(owner, "owner");
@@ -101,9 +103,9 @@
 	}
 
 	/**
-	 * Gives the slot for isolated runs back; has no effect unless the request holds it.
-	 * @param fingerprint the suspect
-	 * @param owner the request that ran it
+	 * Returns the slot for isolated runs; ignored unless the request holds it.
+	 * @param fingerprint the suspected fingerprint
+	 * @param owner the request that holds the slot
 	 * @param end how the run ended
 	 * @param now the log time in nanoseconds
 	 */
@@ -124,22 +126,23 @@
 	}
 
 	/**
-	 * Forgets a fingerprint on an operator's order.
+	 * Removes a fingerprint and the losses charged to it, on behalf of an operator.
 	 * @param fingerprint the fingerprint
 	 * @param now the log time in nanoseconds
-	 * @return whether the fingerprint was known
+	 * @return whether the ledger held the fingerprint
 	 */
 	public boolean clear(Fingerprint fingerprint, long now) {
 		advance(now);
-		boolean known = this.entries.remove(Preconditions.notNull(fingerprint, "fingerprint")) != null;
-		if (known) {
+		boolean removed = this.entries.remove(Preconditions.notNull(fingerprint, "fingerprint")) != null;
+		if (removed) {
 			record(fingerprint, "cleared", Field.of("reason", "operator"));
 		}
-		return known;
+		return removed;
 	}
 
 	/**
-	 * Forgets what is past its time; called by every other change as well.
+	 * Removes expired entries and convicts the holder of an expired slot. Every other
+	 * call that takes a log time does so first.
 	 * @param now the log time in nanoseconds
 	 */
 	public void advance(long now) {
@@ -149,10 +152,10 @@
 			this.slot = Optional.empty();
 			convict(lost, false);
 		}
-		long bound = this.logTime - this.settings.retention().toNanos();
+		long cutoff = this.logTime - this.settings.retention().toNanos();
 		List<Fingerprint> expired = new ArrayList<>();
 		for (PoisonEntry entry : this.entries.values()) {
-			if (entry.changedAt() > bound) {
+			if (entry.changedAt() > cutoff) {
 				break;
 			}
 			expired.add(entry.fingerprint());
@@ -161,9 +164,9 @@
 	}
 
 	/**
-	 * Returns what is known about a fingerprint.
+	 * Returns the verdict on a fingerprint as of the last log time.
 	 * @param fingerprint the fingerprint
-	 * @return the verdict
+	 * @return the verdict, clear if the ledger does not hold the fingerprint
 	 */
 	public PoisonVerdict assess(Fingerprint fingerprint) {
 		PoisonEntry entry = this.entries.get(Preconditions.notNull(fingerprint, "fingerprint"));
@@ -171,15 +174,16 @@
 	}
 
 	/**
-	 * Returns the number of fingerprints forgotten early because the ledger was full.
-	 * @return the count since the ledger was created
+	 * Returns the number of fingerprints evicted before they expired because the ledger
+	 * was full.
+	 * @return the count since the ledger was created; not part of snapshots
 	 */
 	public long evicted() {
 		return this.evicted;
 	}
 
 	/**
-	 * Returns the whole content.
+	 * Returns a copy of the whole state.
 	 * @return the snapshot
 	 */
 	public PoisonLedgerSnapshot snapshot() {
@@ -187,7 +191,7 @@
 	}
 
 	/**
-	 * Replaces the whole content by that of a snapshot.
+	 * Replaces the whole state with that of a snapshot.
 	 * @param snapshot the snapshot
 	 */
 	public void restore(PoisonLedgerSnapshot snapshot) {
@@ -222,7 +226,7 @@
 			record(fingerprint, "quarantined", Field.of("reason", "lost-in-isolated-run"));
 		}
 		if (explains) {
-			this.entries.replaceAll((other, innocent) -> explain(innocent, entry.charges()));
+			this.entries.replaceAll((key, other) -> explain(other, entry.charges()));
 		}
 	}
 
@@ -243,12 +247,12 @@
 		if (this.entries.size() < this.settings.capacity()) {
 			return;
 		}
-		PoisonEntry victim = this.entries.values()
+		PoisonEntry oldest = this.entries.values()
 			.stream()
 			.filter((entry) -> entry.verdict() != PoisonVerdict.QUARANTINED)
 			.findFirst()
 			.orElseGet(() -> this.entries.values().iterator().next());
-		this.entries.remove(victim.fingerprint());
+		this.entries.remove(oldest.fingerprint());
 		this.evicted++;
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedgerSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedgerSettings.java
@@ -5,17 +5,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Bounds of a {@link PoisonLedger}; must be equal on all replicas.
+ * Limits of a {@link PoisonLedger}; must be equal on all replicas.
  *
- * @param retention how long a suspicion or quarantine lasts after its last change
- * @param settleTime how long after its last crash a suspect must wait for its isolated
- * run; other runs of it must have ended or been cancelled by then
- * @param slotTime how long an isolated run may hold the slot
- * @param capacity the greatest number of fingerprints remembered
+ * @param retention how long a fingerprint is kept after its last charge or conviction
+ * @param settleTime how long after its last charge a suspected fingerprint must wait for
+ * its isolated run; must be long enough for its other runs to end or be cancelled
+ * @param slotTime how long an isolated run may hold the slot before it counts as a loss
+ * @param capacity the maximum number of fingerprints
  */
 public record PoisonLedgerSettings(Duration retention, Duration settleTime, Duration slotTime, int capacity) {
 
-	/** The settings used when none are given. */
+	/** The default settings. */
 	public static final PoisonLedgerSettings DEFAULT = new PoisonLedgerSettings(Duration.ofHours(24),
 			Duration.ofSeconds(15), Duration.ofMinutes(2), 50_000);
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedgerSnapshot.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedgerSnapshot.java
@@ -6,11 +6,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The whole content of a {@link PoisonLedger}.
+ * The whole state of a {@link PoisonLedger}.
  *
  * @param logTime the log time of the last call in nanoseconds
- * @param entries the fingerprints in the order of their last charge
- * @param slot the holder of the slot for isolated runs
+ * @param entries the entries in the order of their last change
+ * @param slot the holder of the slot for isolated runs, or empty if it is free
  */
 public record PoisonLedgerSnapshot(long logTime, List<PoisonEntry> entries, Optional<IsolationSlot> slot) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/package-info.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Deterministic ledgers of claims and poison requests, embedded in the replicated state
- * machine.
+ * Deterministic ledgers of idempotency claims and of requests that crash backend servers,
+ * replicated by the state machine.
  */
 package org.comfreywall.control.ledger;
--- a/comfreywall-control/src/test/java/org/comfreywall/control/ledger/ClaimLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/ledger/ClaimLedgerTests.java
@@ -40,22 +40,22 @@
 
 	private static final BackendServerId BOOKING_2 = BackendServerId.of("booking-2");
 
-	private static final Incarnation LIFE = Incarnation.of(7);
+	private static final Incarnation INCARNATION = Incarnation.of(7);
 
 	private static final RecordedAnswer ANSWER = answer("booked");
 
 	private final ClaimLedger ledger = new ClaimLedger(new ClaimLedgerSettings(Duration.ofNanos(100), 3, 10, 16));
 
 	private ClaimResult claim(String key, RequestId owner, long now) {
-		return this.ledger.claim(key(key), "digest", owner, BOOKING_1, LIFE, now).value().orElseThrow();
+		return this.ledger.claim(key(key), "digest", owner, BOOKING_1, INCARNATION, now).value().orElseThrow();
 	}
 
 	private static ClaimRunning running(RequestId owner) {
-		return new ClaimRunning(owner, BOOKING_1, LIFE);
+		return new ClaimRunning(owner, BOOKING_1, INCARNATION);
 	}
 
 	private static NotRunProof proof(RequestId owner, BackendServerId server) {
-		return new NotRunProof(NotRunEvidence.SEALED, owner, server, LIFE);
+		return new NotRunProof(NotRunEvidence.SEALED, owner, server, INCARNATION);
 	}
 
 	private static RecordedAnswer answer(String text) {
@@ -81,15 +81,16 @@
 		}
 
 		@Test
-		void showsRunningClaimToOtherRequest() {
+		void returnsRunningClaimToOtherRequest() {
 			claim("k", FIRST, 0);
 			assertThat(claim("k", SECOND, 1)).isEqualTo(new ClaimFound(running(FIRST)));
 		}
 
 		@Test
-		void refusesSecondAddresseeForSameOwner() {
+		void refusesSecondBackendServerForSameOwner() {
 			claim("k", FIRST, 0);
-			ClaimResult result = ClaimLedgerTests.this.ledger.claim(key("k"), "digest", FIRST, BOOKING_2, LIFE, 1)
+			ClaimResult result = ClaimLedgerTests.this.ledger
+				.claim(key("k"), "digest", FIRST, BOOKING_2, INCARNATION, 1)
 				.value()
 				.orElseThrow();
 			assertThat(result).isEqualTo(new ClaimFound(running(FIRST)));
@@ -98,7 +99,8 @@
 		@Test
 		void rejectsKeyUsedWithOtherBody() {
 			claim("k", FIRST, 0);
-			ClaimResult result = ClaimLedgerTests.this.ledger.claim(key("k"), "other", SECOND, BOOKING_1, LIFE, 1)
+			ClaimResult result = ClaimLedgerTests.this.ledger
+				.claim(key("k"), "other", SECOND, BOOKING_1, INCARNATION, 1)
 				.value()
 				.orElseThrow();
 			assertThat(result).isEqualTo(new ClaimMismatch());
@@ -109,7 +111,8 @@
 			claim("a", FIRST, 0);
 			claim("b", FIRST, 0);
 			claim("c", FIRST, 0);
-			OperationError error = ClaimLedgerTests.this.ledger.claim(key("d"), "digest", FIRST, BOOKING_1, LIFE, 1)
+			OperationError error = ClaimLedgerTests.this.ledger
+				.claim(key("d"), "digest", FIRST, BOOKING_1, INCARNATION, 1)
 				.error()
 				.orElseThrow();
 			assertThat(error.code()).isEqualTo(ErrorCode.OVERLOADED);
@@ -117,14 +120,14 @@
 		}
 
 		@Test
-		void forgetsClaimAfterRetention() {
+		void expiresClaimAfterRetention() {
 			claim("k", FIRST, 0);
 			assertThat(claim("k", SECOND, 99)).isEqualTo(new ClaimFound(running(FIRST)));
 			assertThat(claim("k", SECOND, 100)).isEqualTo(new ClaimGranted(running(SECOND)));
 		}
 
 		@Test
-		void ignoresLogTimeThatStepsBack() {
+		void ignoresLogTimeThatMovesBackward() {
 			claim("k", FIRST, 50);
 			claim("l", FIRST, 20);
 			assertThat(claim("l", SECOND, 149)).isEqualTo(new ClaimFound(running(FIRST)));
@@ -136,7 +139,7 @@
 	class Finishing {
 
 		@Test
-		void showsRecordedAnswer() {
+		void returnsRecordedAnswer() {
 			claim("k", FIRST, 0);
 			ClaimLedgerTests.this.ledger.finish(key("k"), FIRST, ANSWER, 1);
 			assertThat(claim("k", SECOND, 2)).isEqualTo(new ClaimFound(new ClaimCompleted(FIRST, ANSWER)));
@@ -160,7 +163,7 @@
 		}
 
 		@Test
-		void keepsAnswerAgainstLateUnknown() {
+		void keepsAnswerWhenMarkedUnknownLater() {
 			claim("k", FIRST, 0);
 			ClaimLedgerTests.this.ledger.finish(key("k"), FIRST, ANSWER, 1);
 			ClaimLedgerTests.this.ledger.markUnknown(key("k"), FIRST, 2);
@@ -208,14 +211,14 @@
 		}
 
 		@Test
-		void rejectsProofAboutOtherAddressee() {
+		void rejectsProofAboutOtherBackendServer() {
 			claim("k", FIRST, 0);
 			ClaimLedgerTests.this.ledger.release(key("k"), proof(FIRST, BOOKING_2), 1);
 			assertThat(ClaimLedgerTests.this.ledger.find(key("k"))).contains(running(FIRST));
 		}
 
 		@Test
-		void rejectsProofOnceUnknown() {
+		void rejectsProofForUnknownOutcome() {
 			claim("k", FIRST, 0);
 			ClaimLedgerTests.this.ledger.markUnknown(key("k"), FIRST, 1);
 			ClaimLedgerTests.this.ledger.release(key("k"), proof(FIRST, BOOKING_1), 2);
@@ -236,7 +239,7 @@
 			ClaimLedger copy = new ClaimLedger(new ClaimLedgerSettings(Duration.ofNanos(100), 3, 10, 16));
 			copy.restore(ClaimLedgerTests.this.ledger.snapshot());
 			claim("c", FIRST, 8);
-			copy.claim(key("c"), "digest", FIRST, BOOKING_1, LIFE, 8);
+			copy.claim(key("c"), "digest", FIRST, BOOKING_1, INCARNATION, 8);
 			ClaimLedgerTests.this.ledger.finish(key("c"), FIRST, ANSWER, 9);
 			copy.finish(key("c"), FIRST, ANSWER, 9);
 			assertThat(copy.snapshot()).isEqualTo(ClaimLedgerTests.this.ledger.snapshot());
--- a/comfreywall-control/src/test/java/org/comfreywall/control/ledger/PoisonLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/ledger/PoisonLedgerTests.java
@@ -27,7 +27,7 @@
 
 	private static final Fingerprint POISON = fingerprint("poison");
 
-	private static final Fingerprint INNOCENT = fingerprint("innocent");
+	private static final Fingerprint HARMLESS = fingerprint("harmless");
 
 	private static final RequestId RUN = RequestId.of("run");
 
@@ -40,7 +40,7 @@
 
 	@Test
 	void restoresEqualLedgerFromSnapshot() {
-		crash("a", 0, POISON, INNOCENT);
+		crash("a", 0, POISON, HARMLESS);
 		acquire(POISON, RUN, 10);
 		PoisonLedger copy = new PoisonLedger(SETTINGS, DecisionListener.NONE);
 		copy.restore(this.ledger.snapshot());
@@ -89,9 +89,9 @@
 
 		@Test
 		void suspectsAllRequestsInFlight() {
-			crash("a", 0, POISON, INNOCENT);
+			crash("a", 0, POISON, HARMLESS);
 			assertVerdict(POISON, PoisonVerdict.SUSPECT);
-			assertVerdict(INNOCENT, PoisonVerdict.SUSPECT);
+			assertVerdict(HARMLESS, PoisonVerdict.SUSPECT);
 		}
 
 		@Test
@@ -118,28 +118,28 @@
 
 		@Test
 		void doesNotQuarantineForLossOfManySidecars() {
-			lose("a", 0, INNOCENT);
-			lose("b", 0, INNOCENT);
-			lose("c", 0, INNOCENT);
-			assertVerdict(INNOCENT, PoisonVerdict.SUSPECT);
+			lose("a", 0, HARMLESS);
+			lose("b", 0, HARMLESS);
+			lose("c", 0, HARMLESS);
+			assertVerdict(HARMLESS, PoisonVerdict.SUSPECT);
 		}
 
 		@Test
-		void forgetsAfterRetention() {
+		void expiresAfterRetention() {
 			crash("a", 0, POISON);
 			PoisonLedgerTests.this.ledger.advance(1000);
 			assertVerdict(POISON, PoisonVerdict.CLEAR);
 		}
 
 		@Test
-		void forgetsOldestSuspectWhenFull() {
+		void evictsOldestSuspectWhenFull() {
 			crash("a", 0, POISON);
 			crash("b", 0, POISON);
-			crash("c", 1, INNOCENT);
+			crash("c", 1, HARMLESS);
 			crash("d", 2, fingerprint("x"));
 			crash("e", 3, fingerprint("y"));
 			assertVerdict(POISON, PoisonVerdict.QUARANTINED);
-			assertVerdict(INNOCENT, PoisonVerdict.CLEAR);
+			assertVerdict(HARMLESS, PoisonVerdict.CLEAR);
 			assertThat(PoisonLedgerTests.this.ledger.evicted()).isOne();
 		}
 
@@ -149,7 +149,7 @@
 	class Isolating {
 
 		@Test
-		void makesSuspectWaitUntilOtherRunsEnded() {
+		void makesSuspectWaitForSettleTime() {
 			crash("a", 0, POISON);
 			assertThat(acquire(POISON, RUN, 9)).isEqualTo(IsolationResult.WAIT);
 			assertThat(acquire(POISON, RUN, 10)).isEqualTo(IsolationResult.GRANTED);
@@ -157,19 +157,19 @@
 
 		@Test
 		void runsOneSuspectAtATime() {
-			crash("a", 0, POISON, INNOCENT);
+			crash("a", 0, POISON, HARMLESS);
 			acquire(POISON, RUN, 10);
-			assertThat(acquire(INNOCENT, OTHER_RUN, 11)).isEqualTo(IsolationResult.WAIT);
+			assertThat(acquire(HARMLESS, OTHER_RUN, 11)).isEqualTo(IsolationResult.WAIT);
 			assertThat(acquire(POISON, OTHER_RUN, 11)).isEqualTo(IsolationResult.WAIT);
 			assertThat(acquire(POISON, RUN, 11)).isEqualTo(IsolationResult.GRANTED);
 		}
 
 		@Test
 		void clearsSuspectThatSurvives() {
-			crash("a", 0, INNOCENT);
-			acquire(INNOCENT, RUN, 10);
-			release(INNOCENT, RUN, IsolationEnd.SURVIVED, 11);
-			assertThat(acquire(INNOCENT, RUN, 12)).isEqualTo(IsolationResult.NOT_SUSPECTED);
+			crash("a", 0, HARMLESS);
+			acquire(HARMLESS, RUN, 10);
+			release(HARMLESS, RUN, IsolationEnd.SURVIVED, 11);
+			assertThat(acquire(HARMLESS, RUN, 12)).isEqualTo(IsolationResult.NOT_SUSPECTED);
 		}
 
 		@Test
@@ -211,34 +211,34 @@
 	class Clearing {
 
 		@Test
-		void clearsInnocentsBesideConvictedRequest() {
-			crash("a", 0, POISON, INNOCENT);
+		void clearsOtherFingerprintsInFlightWithConvictedOne() {
+			crash("a", 0, POISON, HARMLESS);
 			acquire(POISON, RUN, 10);
 			crashIsolated("b", 11, POISON);
 			assertVerdict(POISON, PoisonVerdict.QUARANTINED);
-			assertVerdict(INNOCENT, PoisonVerdict.CLEAR);
+			assertVerdict(HARMLESS, PoisonVerdict.CLEAR);
 		}
 
 		@Test
-		void remembersExplainedLossForSecondCrash() {
-			crash("a", 0, POISON, INNOCENT);
-			acquire(INNOCENT, RUN, 10);
-			crashIsolated("b", 11, INNOCENT);
+		void countsExplainedLossTowardsSecondCrash() {
+			crash("a", 0, POISON, HARMLESS);
+			acquire(HARMLESS, RUN, 10);
+			crashIsolated("b", 11, HARMLESS);
 			assertVerdict(POISON, PoisonVerdict.CLEAR);
 			crash("c", 12, POISON);
 			assertVerdict(POISON, PoisonVerdict.QUARANTINED);
 		}
 
 		@Test
-		void doesNotExplainLossesBySlotThatExpires() {
-			crash("a", 0, POISON, INNOCENT);
-			acquire(INNOCENT, RUN, 10);
+		void doesNotExplainLossesWhenSlotExpires() {
+			crash("a", 0, POISON, HARMLESS);
+			acquire(HARMLESS, RUN, 10);
 			PoisonLedgerTests.this.ledger.advance(60);
 			assertVerdict(POISON, PoisonVerdict.SUSPECT);
 		}
 
 		@Test
-		void forgetsFingerprintOnOrder() {
+		void removesFingerprintOnOperatorCommand() {
 			crash("a", 0, POISON);
 			crash("b", 0, POISON);
 			assertThat(PoisonLedgerTests.this.ledger.clear(POISON, 1)).isTrue();
