Reword the texts of the control node

The node's comments spoke of a ring, of groups of inputs and of asking and telling; they now describe the input queue, batches, linearizable reads, the leader lease and the transfer of leadership. The maps of pending calls say what they hold and by which key. Error messages name the full input queue and the change of the leader.

Formatted; the tests of comfreywall-control and its modules pass.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNode.java
@@ -31,13 +31,13 @@
 import org.comfreywall.control.state.StateMachine;
 
 /**
- * One control instance: a thread that feeds the replicated log from a bounded ring and
- * applies what is committed to the state machine.
+ * One control instance: a thread that feeds inputs from a bounded queue to the replicated
+ * log and applies committed entries to the state machine.
  * <p>
- * All methods may be called on any thread and do not block. Futures complete on the
- * node's thread, so what is chained to them must not block. A future never completes
- * exceptionally: a failure is a {@link Result} with an error. {@code DEADLINE_EXCEEDED}
- * means that the outcome is unknown; send the same command again.
+ * Methods may be called on any thread and, except for {@link #close()}, do not block.
+ * Futures complete on the node's thread, so dependent actions must not block. A future
+ * never completes exceptionally: a failure is a {@link Result} with an error. After
+ * {@code DEADLINE_EXCEEDED} the outcome is unknown; send the same command again.
  */
 public final class ControlNode implements AutoCloseable {
 
@@ -77,7 +77,8 @@
 
 	/**
 	 * Starts a node.
-	 * @param parts what the node works with; it closes the storage when it is closed
+	 * @param parts the collaborators of the node, which closes the storage when it is
+	 * closed
 	 * @param settings the settings
 	 * @return the running node
 	 */
@@ -90,8 +91,8 @@
 	}
 
 	/**
-	 * Takes a message from another control instance. The message is dropped if the ring
-	 * is full.
+	 * Receives a message from another control instance. The message is dropped if the
+	 * input queue is full.
 	 * @param message the message
 	 */
 	public void receive(PeerMessage message) {
@@ -104,7 +105,7 @@
 	 * @param command a command encoded by
 	 * {@link org.comfreywall.control.state.LedgerCommand#encode()}
 	 * @return the state machine's answer once the command is durable on a quorum, or an
-	 * error naming the leader as its peer if this instance does not lead
+	 * error; if this instance is not the leader, the error's peer is the leader, if known
 	 */
 	public CompletableFuture<Result<Bytes>> propose(Bytes command) {
 		Preconditions.notNull(command, "command");
@@ -112,7 +113,7 @@
 	}
 
 	/**
-	 * Adds, promotes or removes a control instance.
+	 * Proposes to add, promote or remove a control instance.
 	 * @param change the change
 	 * @return an empty value once the change is durable on a quorum, or an error
 	 */
@@ -131,12 +132,13 @@
 	}
 
 	/**
-	 * Reads the state, seeing every change that was acknowledged before the call.
+	 * Performs a linearizable read: it sees every change that was acknowledged before the
+	 * call.
 	 * @param <T> the type of the value read
-	 * @param query reads the state on the node's thread; must be quick, not change the
-	 * state and not return {@code null}
-	 * @return the value, or an error naming the leader as its peer if this instance does
-	 * not lead
+	 * @param query reads the state on the node's thread; must not block, change the state
+	 * or return {@code null}
+	 * @return the value, or an error; if this instance is not the leader, the error's
+	 * peer is the leader, if known
 	 */
 	public <T> CompletableFuture<Result<T>> read(Function<StateMachine, T> query) {
 		Preconditions.notNull(query, "query");
@@ -161,8 +163,8 @@
 	}
 
 	/**
-	 * Asks this instance, if it leads, to hand leadership over.
-	 * @param target the voter that is to lead
+	 * Transfers leadership to another voter; ignored unless this instance is the leader.
+	 * @param target the voter that is to become the leader
 	 */
 	public void transferLeadership(InstanceId target) {
 		Preconditions.notNull(target, "target");
@@ -170,7 +172,7 @@
 	}
 
 	/**
-	 * Returns what the node knew after its last group of inputs.
+	 * Returns the status after the last batch of inputs.
 	 * @return the status
 	 */
 	public ReplicaStatus status() {
@@ -178,18 +180,18 @@
 	}
 
 	/**
-	 * Tells whether this instance leads and no other one can have been elected up to now.
-	 * To be asked right before each order is sent.
-	 * @return {@code true} while the lease runs
+	 * Returns whether this instance holds the leader lease, so that no other instance can
+	 * have been elected yet. Check it immediately before sending each order.
+	 * @return {@code true} while the lease is valid
 	 */
 	public boolean holdsLease() {
-		ReplicaStatus known = this.status;
-		return known.holdsLease() && this.clock.nanoTime() - known.leaseUntil() < 0;
+		ReplicaStatus current = this.status;
+		return current.holdsLease() && this.clock.nanoTime() - current.leaseUntil() < 0;
 	}
 
 	/**
-	 * Stops the node and closes its storage; waits for the node's thread. Must not be
-	 * called on that thread.
+	 * Stops the node, closes its storage and waits for the node's thread to end. Must not
+	 * be called on that thread.
 	 */
 	@Override
 	public void close() {
@@ -211,10 +213,11 @@
 	private OperationError overflow() {
 		this.metrics.overflows().inc();
 		return OperationError.local(ErrorCode.OVERLOADED, Step.REPLICATE,
-				"too much input waits for the control node; try again later");
+				"the input queue of the control node is full; try again later");
 	}
 
-	// The thread may have ended between the check of the ring and the offer.
+	// An input that is queued after the node's thread has ended would never be processed,
+	// so it is failed here.
 	private <T> CompletableFuture<T> closedAware(CompletableFuture<T> future) {
 		if (this.ended) {
 			refuseWaiting();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNodeParts.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNodeParts.java
@@ -12,17 +12,17 @@
 import org.comfreywall.control.storage.LogStorage;
 
 /**
- * What a control node works with.
+ * The collaborators of a {@link ControlNode}.
  *
- * @param instance the instance
+ * @param instance the id of the control instance
  * @param storage its opened storage
  * @param machine the state machine, in its initial state
  * @param sender sends messages to the other control instances
  * @param clock the monotonic clock
- * @param random spreads the times at which instances stand for election
- * @param decisions receives elections and changes of members
- * @param invariants checks the replicated log at run time
- * @param metrics receives the node's metrics
+ * @param random randomizes election timeouts
+ * @param decisions receives records of elections and membership changes
+ * @param invariants checks invariants of the replicated log at run time
+ * @param metrics the registry for the node's metrics
  */
 public record ControlNodeParts(InstanceId instance, LogStorage storage, StateMachine machine, PeerSender sender,
 		Clock clock, RandomGenerator random, DecisionListener decisions, Invariants invariants,
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNodeSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNodeSettings.java
@@ -6,27 +6,28 @@
 import org.comfreywall.control.log.LogSettings;
 
 /**
- * Settings of a control node.
+ * Settings of a {@link ControlNode}.
  *
  * @param log the settings of the replicated log
- * @param ringCapacity the greatest number of waiting inputs; more are refused or dropped
- * @param maxGroup the greatest number of inputs handled before what they lead to is
- * written and synced as one group
- * @param proposalTimeout how long a proposal or read may take; afterwards its outcome is
- * unknown
- * @param snapshotInterval the number of entries after which a snapshot is taken
+ * @param ringCapacity the maximum number of queued inputs; further calls are refused,
+ * further messages dropped
+ * @param maxGroup the maximum number of inputs per batch; the log entries of a batch are
+ * written and synced together
+ * @param proposalTimeout the time after which a pending proposal or read fails with
+ * {@code DEADLINE_EXCEEDED}; its outcome is then unknown
+ * @param snapshotInterval the number of entries applied between two snapshots
  */
 public record ControlNodeSettings(LogSettings log, int ringCapacity, int maxGroup, Duration proposalTimeout,
 		int snapshotInterval) {
 
-	/** The settings used unless an operator sets others. */
+	/** The default settings. */
 	public static final ControlNodeSettings DEFAULTS = new ControlNodeSettings(LogSettings.DEFAULTS, 65_536, 4_096,
 			Duration.ofSeconds(5), 100_000);
 
 	public ControlNodeSettings {
 		Preconditions.notNull(log, "log");
-		Preconditions.check(ringCapacity >= 1, "ringCapacity must be at least 1: %d", ringCapacity);
-		Preconditions.check(maxGroup >= 1, "maxGroup must be at least 1: %d", maxGroup);
+		Preconditions.check(ringCapacity >= 1, "the input queue capacity must be at least 1: %d", ringCapacity);
+		Preconditions.check(maxGroup >= 1, "the maximum batch size must be at least 1: %d", maxGroup);
 		Preconditions.check(!proposalTimeout.isNegative() && !proposalTimeout.isZero(),
 				"proposalTimeout must be positive: %s", proposalTimeout);
 		Preconditions.check(snapshotInterval >= 1 && snapshotInterval < log.maxLogEntries(),
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/NodeEngine.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/NodeEngine.java
@@ -42,7 +42,8 @@
 import org.comfreywall.control.storage.LogStorage;
 
 /**
- * Carries out what the replicated log decides; used on the node's thread only.
+ * Feeds events to the {@link ReplicaCore} and executes the commands that it returns; used
+ * on the node's thread only.
  */
 final class NodeEngine {
 
@@ -149,7 +150,7 @@
 
 	private static OperationError closedError() {
 		return OperationError.local(ErrorCode.UNAVAILABLE, Step.REPLICATE,
-				"this control node has stopped; whether a waiting change was accepted is unknown");
+				"this control node has stopped; the outcome of pending changes is unknown");
 	}
 
 	private void takeSnapshot() {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingCalls.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingCalls.java
@@ -15,16 +15,21 @@
 import org.comfreywall.control.log.LogPosition;
 
 /**
- * Proposals and reads that wait for the log; bounded by the node's ring and log.
+ * Proposals and reads that have not completed; bounded by the limits of the input queue
+ * and the log.
  */
 final class PendingCalls {
 
+	/** Proposals without a log position yet, by call id. */
 	private final Map<Long, PendingProposal> submitted = new HashMap<>();
 
+	/** Proposals in the log that are not applied yet, by log index. */
 	private final TreeMap<Long, PendingProposal> accepted = new TreeMap<>();
 
+	/** Reads that the log has not confirmed yet, by call id. */
 	private final Map<Long, PendingRead> reads = new HashMap<>();
 
+	/** Confirmed reads, by the log index that must be applied first. */
 	private final TreeMap<Long, List<PendingRead>> confirmedReads = new TreeMap<>();
 
 	private long nextId = 1;
@@ -57,7 +62,9 @@
 		}
 	}
 
-	// Completes the proposal at an applied position.
+	// Completes the proposal at an applied index, or fails it if the index was
+	// overwritten
+	// by an entry of another term.
 	void applied(LogPosition position, Result<Bytes> answer) {
 		PendingProposal proposal = this.accepted.remove(position.index());
 		if (proposal == null) {
@@ -73,7 +80,7 @@
 
 	private static OperationError replacedByOther() {
 		return OperationError.local(ErrorCode.UNAVAILABLE, Step.REPLICATE,
-				"the proposal was not accepted because another instance leads now; submit it again there");
+				"the proposal was not accepted because the leader changed; submit it again to the new leader");
 	}
 
 	void readReady(long id, long index, long appliedIndex) {
@@ -102,10 +109,11 @@
 		ready.clear();
 	}
 
-	// Fails what was submitted before the given clock reading.
+	// Fails the calls that were submitted before the given reading of the monotonic
+	// clock.
 	void expireBefore(long deadline) {
 		OperationError error = OperationError.local(ErrorCode.DEADLINE_EXCEEDED, Step.REPLICATE,
-				"no quorum answered in time; the outcome is unknown, so send the same change again");
+				"no quorum responded before the timeout; the outcome is unknown, so send the same change again");
 		expire(this.submitted.values().iterator(), deadline, error);
 		expire(this.accepted.values().iterator(), deadline, error);
 		expireReads(this.reads.values().iterator(), deadline, error);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingProposal.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingProposal.java
@@ -8,16 +8,17 @@
 import org.comfreywall.control.log.LogPosition;
 
 /**
- * A proposal whose outcome is awaited.
+ * A proposal that has not completed.
  *
  * @param future receives the answer
- * @param since the clock reading at which it was submitted
- * @param position its position in the log, or the origin while it has none
+ * @param since the monotonic clock's reading at submission, in nanoseconds
+ * @param position its position in the log, or {@link LogPosition#ORIGIN} before one is
+ * assigned
  */
 record PendingProposal(CompletableFuture<Result<Bytes>> future, long since, LogPosition position) {
 
-	PendingProposal at(LogPosition taken) {
-		return new PendingProposal(this.future, this.since, taken);
+	PendingProposal at(LogPosition assigned) {
+		return new PendingProposal(this.future, this.since, assigned);
 	}
 
 	boolean isAt(LogPosition other) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingRead.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingRead.java
@@ -5,11 +5,11 @@
 import org.comfreywall.common.result.OperationError;
 
 /**
- * A read that waits until the state is recent enough.
+ * A read that waits until the applied state is recent enough.
  *
  * @param action reads the state and completes the caller's future
  * @param onError fails the caller's future
- * @param since the clock reading at which it was submitted
+ * @param since the monotonic clock's reading at submission, in nanoseconds
  */
 record PendingRead(Runnable action, Consumer<OperationError> onError, long since) {
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/runtime/ControlNodeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/runtime/ControlNodeTests.java
@@ -108,14 +108,14 @@
 	}
 
 	@Test
-	void answersAProposalWithTheLedgersAnswer() throws Exception {
+	void completesProposalWithAnswerOfLedger() throws Exception {
 		startAll();
 		assertThat(propose("1")).isEqualTo(Term.of(1));
 		assertThat(propose("2")).isEqualTo(Term.of(2));
 	}
 
 	@Test
-	void readsWhatWasAcknowledged() throws Exception {
+	void readsAcknowledgedChanges() throws Exception {
 		startAll();
 		Term term = propose("1");
 		Result<Term> read = await(leader().read(ControlNodeTests::newestTerm));
@@ -123,7 +123,7 @@
 	}
 
 	@Test
-	void refusesAProposalAtAFollowerNamingTheLeader() throws Exception {
+	void refusesProposalAtFollowerWithLeaderAsPeer() throws Exception {
 		startAll();
 		propose("1");
 		InstanceId leader = this.instances.stream()
@@ -159,7 +159,7 @@
 	}
 
 	@Test
-	void failsWaitingCallsWhenItsStorageFails() throws Exception {
+	void failsPendingCallsWhenStorageFails() throws Exception {
 		startAll();
 		propose("1");
 		ControlNode leader = leader();
