Reword the texts of orders to engines

Orders were described as what is to hold and numbers as learnt or known by a fence. The comments now use desired state, fencing number, reply and exponential backoff, and the errors say that the instance is not the leader or that too many orders are open.

Formatted; the tests of comfreywall-control and its modules pass.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/EngineOrder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/EngineOrder.java
@@ -5,13 +5,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An order to the engine of one backend server.
+ * An order that sets a desired state of the engine of one backend server.
  *
  * @param target the sidecar beside the engine
- * @param number the order's number
+ * @param number the order's fencing number
  * @param kind the kind of order
  * @param subject the model, adapter or engine that the order is about
- * @param value what is to hold, such as the version or the role
+ * @param value the desired value, such as the version or the role
  */
 public record EngineOrder(InstanceId target, FencingNumber number, OrderKind kind, String subject,
 		String value) implements OrderMessage {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderCodec.java
@@ -14,7 +14,7 @@
 import org.comfreywall.control.generated.OrderReplyProto;
 
 /**
- * Encodes and decodes orders and their answers.
+ * Encodes and decodes orders and the replies to them.
  */
 public final class OrderCodec {
 
@@ -53,7 +53,7 @@
 			return switch (envelope.getBodyCase()) {
 				case ORDER -> Result.success(fromProto(envelope.getOrder()));
 				case REPLY -> Result.success(fromProto(envelope.getReply()));
-				case BODY_NOT_SET -> malformed("the message has no known body");
+				case BODY_NOT_SET -> malformed("the message is neither an order nor a reply");
 			};
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
@@ -85,14 +85,14 @@
 	}
 
 	private static EngineOrder fromProto(OrderProto proto) {
-		Preconditions.check(proto.getKind() >= 0 && proto.getKind() < KINDS.length, "kind is unknown: %d",
+		Preconditions.check(proto.getKind() >= 0 && proto.getKind() < KINDS.length, "unknown order kind: %d",
 				proto.getKind());
 		return new EngineOrder(InstanceId.of(proto.getTarget()), number(proto.getTerm(), proto.getSequence()),
 				KINDS[proto.getKind()], proto.getSubject(), proto.getValue());
 	}
 
 	private static OrderReply fromProto(OrderReplyProto proto) {
-		Preconditions.check(proto.getStatus() >= 0 && proto.getStatus() < STATUSES.length, "status is unknown: %d",
+		Preconditions.check(proto.getStatus() >= 0 && proto.getStatus() < STATUSES.length, "unknown order status: %d",
 				proto.getStatus());
 		return new OrderReply(InstanceId.of(proto.getTarget()), number(proto.getTerm(), proto.getSequence()),
 				STATUSES[proto.getStatus()], number(proto.getPresentTerm(), proto.getPresentSequence()),
@@ -105,7 +105,7 @@
 
 	private static Result<OrderMessage> malformed(String reason) {
 		return Result.failure(
-				OperationError.local(ErrorCode.MALFORMED, Step.ORDER, "Cannot decode an order's message: " + reason));
+				OperationError.local(ErrorCode.MALFORMED, Step.ORDER, "cannot decode an order or a reply: " + reason));
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderCommand.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderCommand.java
@@ -11,7 +11,7 @@
 public sealed interface OrderCommand {
 
 	/**
-	 * Send an order to its target; it may be lost.
+	 * Sends an order to its target; the message may be lost.
 	 *
 	 * @param order the order
 	 */
@@ -24,12 +24,13 @@
 	}
 
 	/**
-	 * An order has ended.
+	 * Reports that an order has ended.
 	 *
 	 * @param order the order
-	 * @param error why it was not carried out, or empty if it was; after
+	 * @param error why the order failed, or empty if it was carried out; after
 	 * {@link org.comfreywall.common.result.ErrorCode#FENCED} and
-	 * {@link org.comfreywall.common.result.ErrorCode#CANCELLED} it may have been
+	 * {@link org.comfreywall.common.result.ErrorCode#CANCELLED} the order may
+	 * nevertheless have been carried out
 	 */
 	record Settled(EngineOrder order, Optional<OperationError> error) implements OrderCommand {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderEvent.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderEvent.java
@@ -10,9 +10,9 @@
 public sealed interface OrderEvent {
 
 	/**
-	 * This instance has begun to lead with a valid lease.
+	 * This instance became the leader and holds a valid lease.
 	 *
-	 * @param term the term
+	 * @param term the term of the leader
 	 */
 	record LeadershipGained(Term term) implements OrderEvent {
 
@@ -23,19 +23,19 @@
 	}
 
 	/**
-	 * This instance no longer leads, or its lease has ended.
+	 * This instance is no longer the leader, or its lease has expired.
 	 */
 	record LeadershipLost() implements OrderEvent {
 
 	}
 
 	/**
-	 * An engine is to be given an order.
+	 * An order to an engine was requested.
 	 *
 	 * @param target the sidecar beside the engine
 	 * @param kind the kind of order
 	 * @param subject the model, adapter or engine that the order is about
-	 * @param value what is to hold
+	 * @param value the desired value
 	 */
 	record Requested(InstanceId target, OrderKind kind, String subject, String value) implements OrderEvent {
 
@@ -49,9 +49,9 @@
 	}
 
 	/**
-	 * A sidecar has answered.
+	 * A reply of a sidecar was received.
 	 *
-	 * @param reply the answer
+	 * @param reply the reply
 	 */
 	record Replied(OrderReply reply) implements OrderEvent {
 
@@ -62,7 +62,7 @@
 	}
 
 	/**
-	 * Time has passed.
+	 * Periodic tick, which resends unanswered orders that are due.
 	 */
 	record Tick() implements OrderEvent {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderIssuer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderIssuer.java
@@ -22,15 +22,16 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The leader's core that numbers orders to engines, sends them one at a time to each
- * engine and again until they are answered. It is not thread-safe.
+ * State machine of the leader that assigns fencing numbers to orders, sends one order at
+ * a time to each engine and resends it with exponential backoff until it is answered. Not
+ * thread-safe.
  */
 public final class OrderIssuer {
 
-	/** The number of engines with open orders at most. */
+	/** Maximum number of engines with open orders. */
 	public static final int MAX_TARGETS = 16_384;
 
-	/** The number of open orders of one engine at most. */
+	/** Maximum number of open orders of one engine. */
 	public static final int MAX_QUEUED = 64;
 
 	private static final long RETRY_NANOS = Duration.ofMillis(500).toNanos();
@@ -50,8 +51,8 @@
 	private List<OrderCommand> commands = new ArrayList<>();
 
 	/**
-	 * Creates an issuer that does not lead.
-	 * @param decisions receives the decisions
+	 * Creates an issuer for an instance that is not the leader.
+	 * @param decisions receives a decision record for each order that has ended
 	 */
 	public OrderIssuer(DecisionListener decisions) {
 		this.decisions = Preconditions.notNull(decisions, "decisions");
@@ -61,7 +62,7 @@
 	 * Handles one event.
 	 * @param event the event
 	 * @param now the monotonic clock's reading in nanoseconds
-	 * @return the commands to be carried out in order
+	 * @return the commands, to be executed in this order
 	 */
 	public List<OrderCommand> on(OrderEvent event, long now) {
 		Preconditions.notNull(event, "event");
@@ -69,7 +70,7 @@
 			lead(gained.term());
 		}
 		else if (event instanceof OrderEvent.LeadershipLost) {
-			stop(ErrorCode.CANCELLED, "this instance no longer leads; ask the new leader");
+			stop(ErrorCode.CANCELLED, "this instance is no longer the leader; send the request to the new leader");
 		}
 		else if (event instanceof OrderEvent.Requested requested) {
 			request(requested, now);
@@ -86,15 +87,16 @@
 	}
 
 	/**
-	 * Returns the number of the last order issued; the floor for fences that ask.
-	 * @return the number, at least the one that begins the present term
+	 * Returns the highest fencing number issued. Fences that query the leader use it as
+	 * their lower bound.
+	 * @return the number, at least the first one of the current term
 	 */
 	public FencingNumber last() {
 		return this.last;
 	}
 
 	/**
-	 * Returns the number of orders that have not ended.
+	 * Returns the number of open orders.
 	 * @return the count
 	 */
 	public int open() {
@@ -102,7 +104,7 @@
 	}
 
 	private void lead(Term gained) {
-		stop(ErrorCode.CANCELLED, "a new term has begun");
+		stop(ErrorCode.CANCELLED, "this instance started a new term; request the order again");
 		FencingNumber first = new FencingNumber(gained, 0);
 		if (this.invariants.holds(this.last.isBefore(first), "order-terms-increase", Field.of("last", this.last),
 				Field.of("term", gained))) {
@@ -120,23 +122,23 @@
 	}
 
 	private void request(OrderEvent.Requested requested, long now) {
-		EngineOrder wish = new EngineOrder(requested.target(), FencingNumber.ZERO, requested.kind(),
+		EngineOrder order = new EngineOrder(requested.target(), FencingNumber.ZERO, requested.kind(),
 				requested.subject(), requested.value());
-		OrderQueue queue = this.queues.get(wish.target());
+		OrderQueue queue = this.queues.get(order.target());
 		if (this.term.isEmpty()) {
-			settle(wish, Optional.of(error(ErrorCode.UNAVAILABLE, wish, "this instance does not lead")));
+			settle(order, Optional.of(error(ErrorCode.UNAVAILABLE, order, "this instance is not the leader")));
 			return;
 		}
 		if (queue == null && this.queues.size() < MAX_TARGETS) {
 			queue = new OrderQueue();
-			this.queues.put(wish.target(), queue);
+			this.queues.put(order.target(), queue);
 		}
 		if (queue == null || queue.size() >= MAX_QUEUED) {
-			settle(wish, Optional.of(error(ErrorCode.OVERLOADED, wish, "too many orders are open; try later")));
+			settle(order, Optional.of(error(ErrorCode.OVERLOADED, order, "too many open orders; try again later")));
 			return;
 		}
-		if (!queue.endsWith(wish)) {
-			queue.add(wish);
+		if (!queue.endsWith(order)) {
+			queue.add(order);
 			sendNext(queue, now);
 		}
 	}
@@ -158,8 +160,8 @@
 	}
 
 	private void retry(OrderQueue queue, long now) {
-		long pause = RETRY_NANOS << Math.min(queue.attempts(), MAX_BACKOFF);
-		if (queue.isSent() && now - queue.sentAt() >= pause) {
+		long backoff = RETRY_NANOS << Math.min(queue.attempts(), MAX_BACKOFF);
+		if (queue.isSent() && now - queue.sentAt() >= backoff) {
 			send(queue, queue.head(), now);
 		}
 	}
@@ -186,7 +188,7 @@
 
 	private void fenced(OrderQueue queue, OrderReply reply, long now) {
 		if (this.last.term().isBefore(reply.present().term())) {
-			stop(ErrorCode.FENCED, "a leader of term " + reply.present().term() + " gives the orders");
+			stop(ErrorCode.FENCED, "a leader of term " + reply.present().term() + " issues the orders now");
 			return;
 		}
 		send(queue, queue.head().withNumber(nextNumber()), now);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderKind.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderKind.java
@@ -1,18 +1,17 @@
 package org.comfreywall.control.order;
 
 /**
- * Kinds of orders; each states what is to hold, so that carrying one out twice changes
- * nothing.
+ * Kinds of orders. Each sets a desired state, so orders are idempotent.
  */
 public enum OrderKind {
 
-	/** The engine is to have a model loaded. */
+	/** The engine must have a model loaded. */
 	LOAD_MODEL,
-	/** The engine is to have an adapter loaded. */
+	/** The engine must have an adapter loaded. */
 	LOAD_ADAPTER,
-	/** The engine is to serve a version of a model. */
+	/** The engine must serve a version of a model. */
 	LOAD_VERSION,
-	/** The engine is to take a role. */
+	/** The engine must have a role. */
 	CHANGE_ROLE
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderQueue.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderQueue.java
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /**
- * The open orders of one engine; only the first has been sent.
+ * The open orders of one engine; only the first one may have been sent.
  */
 final class OrderQueue {
 
@@ -22,8 +22,8 @@
 		return this.orders.size();
 	}
 
-	boolean endsWith(EngineOrder wish) {
-		return !this.orders.isEmpty() && this.orders.getLast().isSameWish(wish);
+	boolean endsWith(EngineOrder order) {
+		return !this.orders.isEmpty() && this.orders.getLast().isSameWish(order);
 	}
 
 	void add(EngineOrder order) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderReply.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderReply.java
@@ -5,13 +5,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Answers an order.
+ * The reply of a sidecar to an order.
  *
  * @param target the sidecar beside the engine
- * @param number the order's number
- * @param status what became of the order
- * @param present the greatest number known to the fence
- * @param message what happened, for people
+ * @param number the order's fencing number
+ * @param status the outcome of the order
+ * @param present the highest fencing number that the fence has recorded
+ * @param message a human-readable description of the outcome
  */
 public record OrderReply(InstanceId target, FencingNumber number, OrderStatus status, FencingNumber present,
 		String message) implements OrderMessage {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderStatus.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderStatus.java
@@ -1,17 +1,17 @@
 package org.comfreywall.control.order;
 
 /**
- * What became of an order.
+ * The outcome of an order.
  */
 public enum OrderStatus {
 
 	/** The engine has carried the order out. */
 	DONE,
-	/** The order's number is older than one already accepted. */
+	/** The fence rejected the order's fencing number as too old. */
 	FENCED,
-	/** The sidecar does not know the present number yet; the order may be sent again. */
+	/** The fence of the sidecar is not initialized yet; the order may be sent again. */
 	NOT_READY,
-	/** The engine cannot carry the order out. */
+	/** The engine failed to carry out the order. */
 	FAILED
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/package-info.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Orders of the leader to engines, numbered so that older ones can be refused.
+ * Orders of the leader to engines, with fencing numbers so that outdated orders are
+ * refused.
  */
 package org.comfreywall.control.order;
--- a/comfreywall-control/src/test/java/org/comfreywall/control/order/OrderIssuerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/order/OrderIssuerTests.java
@@ -54,7 +54,7 @@
 	}
 
 	@Test
-	void givesNoOrderWithoutLeading() {
+	void sendsNoOrderUnlessLeader() {
 		assertThat(settledWith(request("m"))).contains(ErrorCode.UNAVAILABLE);
 	}
 
@@ -65,7 +65,7 @@
 	}
 
 	@Test
-	void mergesARepeatedRequest() {
+	void mergesRepeatedRequest() {
 		lead(4);
 		request("m");
 		assertThat(request("m")).isEmpty();
@@ -73,7 +73,7 @@
 	}
 
 	@Test
-	void sendsTheSameNumberAgainUntilAnswered() {
+	void resendsSameNumberUntilAnswered() {
 		lead(4);
 		request("m");
 		List<OrderCommand> commands = this.issuer.on(new OrderEvent.Tick(), Duration.ofSeconds(1).toNanos());
@@ -81,7 +81,7 @@
 	}
 
 	@Test
-	void sendsTheNextOrderWhenTheFirstHasEnded() {
+	void sendsNextOrderAfterFirstHasEnded() {
 		lead(4);
 		request("m");
 		assertThat(sent(request("n"))).isEmpty();
@@ -89,14 +89,14 @@
 	}
 
 	@Test
-	void numbersAnewWhenTheFenceHasLearntALaterNumberOfItsTerm() {
+	void resendsWithNewNumberWhenFencedWithinItsTerm() {
 		lead(4);
 		request("m");
 		assertThat(sent(reply(number(4, 1), OrderStatus.FENCED, number(4, 1)))).containsExactly(number(4, 2));
 	}
 
 	@Test
-	void stopsWhenALaterLeaderGivesOrders() {
+	void stopsWhenFencedByLaterTerm() {
 		lead(4);
 		request("m");
 		assertThat(settledWith(reply(number(4, 1), OrderStatus.FENCED, number(5, 1)))).contains(ErrorCode.FENCED);
@@ -104,7 +104,7 @@
 	}
 
 	@Test
-	void keepsAnOrderThatTheFenceCannotJudgeYet() {
+	void keepsOrderWhileFenceIsNotReady() {
 		lead(4);
 		request("m");
 		reply(number(4, 1), OrderStatus.NOT_READY, FencingNumber.ZERO);
@@ -112,7 +112,7 @@
 	}
 
 	@Test
-	void decodesWhatItEncoded() {
+	void decodesEncodedMessages() {
 		EngineOrder order = new EngineOrder(TARGET, number(4, 1), OrderKind.CHANGE_ROLE, "engine", "prefill");
 		OrderReply reply = new OrderReply(TARGET, number(4, 1), OrderStatus.FENCED, number(5, 2), "too old");
 		assertThat(OrderCodec.decode(OrderCodec.encode(order)).value()).contains(order);
