Name the maps of pending calls and the sent flag after what they hold

Fields of PendingCalls and OrderQueue had the names of the methods beside them (accepted, sent). Formatted; comfreywall-control and its modules compile with their tests.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderQueue.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderQueue.java
@@ -12,7 +12,7 @@
 
 	private final Deque<EngineOrder> orders = new ArrayDeque<>();
 
-	private boolean sent;
+	private boolean headSent;
 
 	private long sentAt;
 
@@ -35,27 +35,27 @@
 	}
 
 	void sent(EngineOrder order, long now) {
-		this.attempts = this.sent ? this.attempts + 1 : 0;
+		this.attempts = this.headSent ? this.attempts + 1 : 0;
 		this.orders.removeFirst();
 		this.orders.addFirst(order);
-		this.sent = true;
+		this.headSent = true;
 		this.sentAt = now;
 	}
 
 	EngineOrder remove() {
-		this.sent = false;
+		this.headSent = false;
 		return this.orders.removeFirst();
 	}
 
 	List<EngineOrder> drain() {
 		List<EngineOrder> drained = new ArrayList<>(this.orders);
 		this.orders.clear();
-		this.sent = false;
+		this.headSent = false;
 		return drained;
 	}
 
 	boolean isSent() {
-		return this.sent;
+		return this.headSent;
 	}
 
 	long sentAt() {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingCalls.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingCalls.java
@@ -21,13 +21,13 @@
 final class PendingCalls {
 
 	/** Proposals without a log position yet, by call id. */
-	private final Map<Long, PendingProposal> submitted = new HashMap<>();
+	private final Map<Long, PendingProposal> submittedProposals = new HashMap<>();
 
 	/** Proposals in the log that are not applied yet, by log index. */
-	private final TreeMap<Long, PendingProposal> accepted = new TreeMap<>();
+	private final TreeMap<Long, PendingProposal> acceptedProposals = new TreeMap<>();
 
 	/** Reads that the log has not confirmed yet, by call id. */
-	private final Map<Long, PendingRead> reads = new HashMap<>();
+	private final Map<Long, PendingRead> unconfirmedReads = new HashMap<>();
 
 	/** Confirmed reads, by the log index that must be applied first. */
 	private final TreeMap<Long, List<PendingRead>> confirmedReads = new TreeMap<>();
@@ -35,28 +35,28 @@
 	private long nextId = 1;
 
 	long add(PendingProposal proposal) {
-		this.submitted.put(this.nextId, proposal);
+		this.submittedProposals.put(this.nextId, proposal);
 		return this.nextId++;
 	}
 
 	long add(PendingRead read) {
-		this.reads.put(this.nextId, read);
+		this.unconfirmedReads.put(this.nextId, read);
 		return this.nextId++;
 	}
 
 	void accepted(long id, LogPosition position) {
-		PendingProposal proposal = this.submitted.remove(id);
+		PendingProposal proposal = this.submittedProposals.remove(id);
 		if (proposal == null) {
 			return;
 		}
-		PendingProposal replaced = this.accepted.put(position.index(), proposal.at(position));
+		PendingProposal replaced = this.acceptedProposals.put(position.index(), proposal.at(position));
 		if (replaced != null) {
 			replaced.fail(replacedByOther());
 		}
 	}
 
 	void refused(long id, OperationError error) {
-		PendingProposal proposal = this.submitted.remove(id);
+		PendingProposal proposal = this.submittedProposals.remove(id);
 		if (proposal != null) {
 			proposal.fail(error);
 		}
@@ -66,7 +66,7 @@
 	// overwritten
 	// by an entry of another term.
 	void applied(LogPosition position, Result<Bytes> answer) {
-		PendingProposal proposal = this.accepted.remove(position.index());
+		PendingProposal proposal = this.acceptedProposals.remove(position.index());
 		if (proposal == null) {
 			return;
 		}
@@ -84,7 +84,7 @@
 	}
 
 	void readReady(long id, long index, long appliedIndex) {
-		PendingRead read = this.reads.remove(id);
+		PendingRead read = this.unconfirmedReads.remove(id);
 		if (read == null) {
 			return;
 		}
@@ -97,7 +97,7 @@
 	}
 
 	void readRefused(long id, OperationError error) {
-		PendingRead read = this.reads.remove(id);
+		PendingRead read = this.unconfirmedReads.remove(id);
 		if (read != null) {
 			read.fail(error);
 		}
@@ -114,9 +114,9 @@
 	void expireBefore(long deadline) {
 		OperationError error = OperationError.local(ErrorCode.DEADLINE_EXCEEDED, Step.REPLICATE,
 				"no quorum responded before the timeout; the outcome is unknown, so send the same change again");
-		expire(this.submitted.values().iterator(), deadline, error);
-		expire(this.accepted.values().iterator(), deadline, error);
-		expireReads(this.reads.values().iterator(), deadline, error);
+		expire(this.submittedProposals.values().iterator(), deadline, error);
+		expire(this.acceptedProposals.values().iterator(), deadline, error);
+		expireReads(this.unconfirmedReads.values().iterator(), deadline, error);
 		this.confirmedReads.values().forEach((reads) -> expireReads(reads.iterator(), deadline, error));
 	}
 
@@ -141,13 +141,13 @@
 	}
 
 	void failAll(OperationError error) {
-		List<PendingProposal> proposals = new ArrayList<>(this.submitted.values());
-		proposals.addAll(this.accepted.values());
-		List<PendingRead> waiting = new ArrayList<>(this.reads.values());
+		List<PendingProposal> proposals = new ArrayList<>(this.submittedProposals.values());
+		proposals.addAll(this.acceptedProposals.values());
+		List<PendingRead> waiting = new ArrayList<>(this.unconfirmedReads.values());
 		this.confirmedReads.values().forEach(waiting::addAll);
-		this.submitted.clear();
-		this.accepted.clear();
-		this.reads.clear();
+		this.submittedProposals.clear();
+		this.acceptedProposals.clear();
+		this.unconfirmedReads.clear();
 		this.confirmedReads.clear();
 		proposals.forEach((proposal) -> proposal.fail(error));
 		waiting.forEach((read) -> read.fail(error));
