Reword locals and comments of pending calls and dependencies

The node's collaborators were called parts, a configuration method and a local both after. Comments of pending calls name the entry of another term and the unit of the clock reading.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNode.java
@@ -65,27 +65,27 @@
 
 	private volatile boolean ended;
 
-	private ControlNode(ControlNodeParts parts, ControlNodeSettings settings) {
+	private ControlNode(ControlNodeParts dependencies, ControlNodeSettings settings) {
 		this.settings = settings;
-		this.clock = parts.clock();
+		this.clock = dependencies.clock();
 		this.ring = new ArrayBlockingQueue<>(settings.ringCapacity());
-		this.metrics = new ControlNodeMetrics(parts.metrics(), () -> this.status);
-		this.engine = new NodeEngine(parts, settings, this.metrics);
+		this.metrics = new ControlNodeMetrics(dependencies.metrics(), () -> this.status);
+		this.engine = new NodeEngine(dependencies, settings, this.metrics);
 		this.status = this.engine.status();
-		this.thread = new Thread(this::run, "control-" + parts.instance());
+		this.thread = new Thread(this::run, "control-" + dependencies.instance());
 	}
 
 	/**
 	 * Starts a node.
-	 * @param parts the collaborators of the node, which closes the storage when it is
-	 * closed
+	 * @param dependencies the collaborators of the node, which closes the storage when it
+	 * is closed
 	 * @param settings the settings
 	 * @return the running node
 	 */
-	public static ControlNode start(ControlNodeParts parts, ControlNodeSettings settings) {
-		Preconditions.notNull(parts, "parts");
+	public static ControlNode start(ControlNodeParts dependencies, ControlNodeSettings settings) {
+		Preconditions.notNull(dependencies, "dependencies");
 		Preconditions.notNull(settings, "settings");
-		ControlNode node = new ControlNode(parts, settings);
+		ControlNode node = new ControlNode(dependencies, settings);
 		node.thread.start();
 		return node;
 	}
@@ -216,7 +216,7 @@
 				"the input queue of the control node is full; try again later");
 	}
 
-	// An input that is queued after the node's thread has ended would never be processed,
+	// An input queued after the node's thread has ended would never be processed,
 	// so it is failed here.
 	private <T> CompletableFuture<T> closedAware(CompletableFuture<T> future) {
 		if (this.ended) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/NodeEngine.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/NodeEngine.java
@@ -71,18 +71,18 @@
 
 	private boolean stopped;
 
-	NodeEngine(ControlNodeParts parts, ControlNodeSettings settings, ControlNodeMetrics metrics) {
+	NodeEngine(ControlNodeParts dependencies, ControlNodeSettings settings, ControlNodeMetrics metrics) {
 		this.settings = settings;
 		this.metrics = metrics;
-		this.clock = parts.clock();
-		this.storage = parts.storage();
-		this.machine = parts.machine();
-		this.sender = parts.sender();
-		DurableState durable = parts.storage().recovered();
+		this.clock = dependencies.clock();
+		this.storage = dependencies.storage();
+		this.machine = dependencies.machine();
+		this.sender = dependencies.sender();
+		DurableState durable = dependencies.storage().recovered();
 		durable.snapshot().ifPresent((snapshot) -> restore(snapshot.position().index(), snapshot.state()));
-		ReplicaIdentity identity = new ReplicaIdentity(parts.instance(), parts.storage().storageId());
-		this.core = new ReplicaCore(identity, settings.log(), durable, parts.random(), parts.decisions(),
-				parts.invariants(), this.clock.nanoTime());
+		ReplicaIdentity identity = new ReplicaIdentity(dependencies.instance(), dependencies.storage().storageId());
+		this.core = new ReplicaCore(identity, settings.log(), durable, dependencies.random(), dependencies.decisions(),
+				dependencies.invariants(), this.clock.nanoTime());
 	}
 
 	StateMachine machine() {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingCalls.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingCalls.java
@@ -62,9 +62,8 @@
 		}
 	}
 
-	// Completes the proposal at an applied index, or fails it if the index was
-	// overwritten
-	// by an entry of another term.
+	// Completes the proposal at an applied index, or fails it if the index holds an
+	// entry of another term.
 	void applied(LogPosition position, Result<Bytes> answer) {
 		PendingProposal proposal = this.acceptedProposals.remove(position.index());
 		if (proposal == null) {
@@ -109,8 +108,7 @@
 		ready.clear();
 	}
 
-	// Fails the calls that were submitted before the given reading of the monotonic
-	// clock.
+	// Fails the calls submitted before the given clock reading in nanoseconds.
 	void expireBefore(long deadline) {
 		OperationError error = OperationError.local(ErrorCode.DEADLINE_EXCEEDED, Step.REPLICATE,
 				"no quorum responded before the timeout; the outcome is unknown, so send the same change again");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationLedger.java
@@ -135,7 +135,7 @@
 			return new ChangeRefused(ErrorCode.NOT_FOUND, "revision " + rollback.to()
 					+ " is not in the history; the oldest that can be restored is " + oldestRestorable());
 		}
-		return ConfigurationValidator.problem(after(change.content()))
+		return ConfigurationValidator.problem(resultOf(change.content()))
 			.<ChangeAnswer>map((problem) -> new ChangeRefused(ErrorCode.INVALID_INPUT, problem))
 			.orElseGet(() -> new ChangeAccepted(this.revision.next()));
 	}
@@ -153,7 +153,7 @@
 		return this.history.isEmpty() ? this.revision.value() : this.history.firstKey() - 1;
 	}
 
-	private Configuration after(ChangeContent content) {
+	private Configuration resultOf(ChangeContent content) {
 		if (content instanceof ConfigurationDelta delta) {
 			return delta.applyTo(this.configuration);
 		}
@@ -166,7 +166,7 @@
 	}
 
 	private void accept(LogTime time, ConfigurationChange change, Revision next) {
-		Configuration after = after(change.content());
+		Configuration after = resultOf(change.content());
 		ConfigurationDelta forward = ConfigurationDelta.between(this.configuration, after);
 		ConfigurationDelta backward = ConfigurationDelta.between(after, this.configuration);
 		AcceptedChange accepted = new AcceptedChange(next, change.id(), change.author(), change.reason(), time, forward,
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonAnswerCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonAnswerCodec.java
@@ -74,8 +74,8 @@
 		return encode(PoisonAnswerRecord.newBuilder().setVerdict(verdict.name()));
 	}
 
-	static Bytes known(boolean known) {
-		return encode(PoisonAnswerRecord.newBuilder().setKnown(known));
+	static Bytes known(boolean cleared) {
+		return encode(PoisonAnswerRecord.newBuilder().setKnown(cleared));
 	}
 
 	static Bytes malformed() {
--- a/comfreywall-control/src/test/java/org/comfreywall/control/runtime/ControlNodeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/runtime/ControlNodeTests.java
@@ -62,7 +62,7 @@
 	private void start(InstanceId instance) {
 		MemoryStorage storage = this.storages.computeIfAbsent(instance,
 				(added) -> MemoryStorage.with(FoundingBatch.STORAGE_ID, FoundingBatch.of(this.instances)));
-		ControlNodeParts parts = new ControlNodeParts(instance, storage,
+		ControlNodeParts dependencies = new ControlNodeParts(instance, storage,
 				new StateMachine(List.of(new OrderTermsLedger())), (message) -> {
 					ControlNode peer = this.nodes.get(message.to());
 					if (peer != null) {
@@ -70,7 +70,7 @@
 					}
 				}, Clock.system(), new Random(instance.value().hashCode()), DecisionListener.NONE, this.invariants,
 				new MetricRegistry());
-		this.nodes.put(instance, ControlNode.start(parts, SETTINGS));
+		this.nodes.put(instance, ControlNode.start(dependencies, SETTINGS));
 	}
 
 	private static Bytes command(String request) {
