--- a/comfreywall-control/src/test/java/org/comfreywall/control/runtime/ControlNodeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/runtime/ControlNodeTests.java
@@ -62,7 +62,7 @@
 	private void start(InstanceId instance) {
 		MemoryStorage storage = this.storages.computeIfAbsent(instance,
 				(added) -> MemoryStorage.with(FoundingBatch.STORAGE_ID, FoundingBatch.of(this.instances)));
-		ControlNodeParts parts = new ControlNodeParts(instance, storage,
+		ControlNodeParts dependencies = new ControlNodeParts(instance, storage,
 				new StateMachine(List.of(new OrderTermsLedger())), (message) -> {
 					ControlNode peer = this.nodes.get(message.to());
 					if (peer != null) {
@@ -70,7 +70,7 @@
 					}
 				}, Clock.system(), new Random(instance.value().hashCode()), DecisionListener.NONE, this.invariants,
 				new MetricRegistry());
-		this.nodes.put(instance, ControlNode.start(parts, SETTINGS));
+		this.nodes.put(instance, ControlNode.start(dependencies, SETTINGS));
 	}
 
 	private static Bytes command(String request) {
@@ -108,14 +108,14 @@
 	}
 
 	@Test
-	void answersAProposalWithTheLedgersAnswer() throws Exception {
+	void completesProposalWithAnswerOfLedger() throws Exception {
 		startAll();
 		assertThat(propose("1")).isEqualTo(Term.of(1));
 		assertThat(propose("2")).isEqualTo(Term.of(2));
 	}
 
 	@Test
-	void readsWhatWasAcknowledged() throws Exception {
+	void readsAcknowledgedChanges() throws Exception {
 		startAll();
 		Term term = propose("1");
 		Result<Term> read = await(leader().read(ControlNodeTests::newestTerm));
@@ -123,7 +123,7 @@
 	}
 
 	@Test
-	void refusesAProposalAtAFollowerNamingTheLeader() throws Exception {
+	void refusesProposalAtFollowerWithLeaderAsPeer() throws Exception {
 		startAll();
 		propose("1");
 		InstanceId leader = this.instances.stream()
@@ -159,7 +159,7 @@
 	}
 
 	@Test
-	void failsWaitingCallsWhenItsStorageFails() throws Exception {
+	void failsPendingCallsWhenStorageFails() throws Exception {
 		startAll();
 		propose("1");
 		ControlNode leader = leader();
