--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
@@ -8,7 +8,7 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * What a node knows of one child.
+ * The state that a parent keeps for one child: stream positions, coverage and reports.
  */
 final class Child {
 
@@ -39,9 +39,10 @@
 	}
 
 	/**
-	 * Takes what a heartbeat says about the child itself.
+	 * Records the child's descriptor, coverage and acknowledged positions. What was sent
+	 * to an earlier incarnation is forgotten.
 	 * @param heartbeat the heartbeat
-	 * @param now the clock's reading
+	 * @param now the current monotonic time in nanoseconds
 	 */
 	void heard(Heartbeat heartbeat, long now) {
 		if (this.node.incarnation().isBefore(heartbeat.node().incarnation())) {
@@ -56,9 +57,9 @@
 	}
 
 	/**
-	 * Tells whether a heartbeat begins a new listing of the nodes below.
+	 * Returns whether a heartbeat starts a new full report of the child's descendants.
 	 * @param heartbeat the heartbeat
-	 * @return {@code true} if what was reported before is void
+	 * @return {@code true} if all earlier reports must be discarded
 	 */
 	boolean beginsListing(Heartbeat heartbeat) {
 		return heartbeat.resetSequence() > this.resetSequence;
@@ -70,14 +71,15 @@
 	}
 
 	/**
-	 * Tells whether a heartbeat carries reports that were not taken before.
+	 * Returns whether a heartbeat carries reports that have not been applied yet and
+	 * follow the applied ones without a gap.
 	 * @param heartbeat the heartbeat
-	 * @return {@code true} if the reports are new
+	 * @return {@code true} if the reports must be applied
 	 */
 	boolean hasNewReports(Heartbeat heartbeat) {
-		boolean follows = heartbeat.resetSequence() == this.resetSequence
+		boolean contiguous = heartbeat.resetSequence() == this.resetSequence
 				&& heartbeat.reportBase() <= this.reportsReceived;
-		return follows && heartbeat.reportSequence() > this.reportsReceived;
+		return contiguous && heartbeat.reportSequence() > this.reportsReceived;
 	}
 
 	void received(long sequence) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Children.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Children.java
@@ -12,14 +12,15 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * The children of a node and what they report about the nodes below them.
+ * The children of a node and their reports about their descendants.
  * <p>
- * A node is present as long as one child vouches for it. At most
- * {@link SpreadSettings#maxChildren()} children and {@value #MAX_BELOW} nodes are held.
+ * A descendant is present as long as at least one child reports it. At most
+ * {@link SpreadSettings#maxChildren()} children and {@value #MAX_BELOW} descendants are
+ * tracked.
  */
 final class Children {
 
-	/** The number of nodes below this one that are tracked at most. */
+	/** The maximum number of descendants that are tracked. */
 	static final int MAX_BELOW = 16_384;
 
 	private final int limit;
@@ -58,9 +59,9 @@
 	}
 
 	/**
-	 * Takes a heartbeat and adds its sender if it is new.
+	 * Applies a heartbeat, adding its sender as a child if necessary.
 	 * @param heartbeat the heartbeat
-	 * @param now the clock's reading
+	 * @param now the current monotonic time in nanoseconds
 	 * @return the child
 	 */
 	Child heard(Heartbeat heartbeat, long now) {
@@ -80,7 +81,7 @@
 	}
 
 	/**
-	 * Removes a child with all that it vouched for.
+	 * Removes a child and all its reports.
 	 * @param id the child
 	 */
 	void remove(InstanceId id) {
@@ -92,23 +93,24 @@
 	}
 
 	/**
-	 * Removes the children that have been silent for too long.
-	 * @param heardBefore the clock's reading after which a child must have been heard
+	 * Removes the children whose last heartbeat is too old.
+	 * @param deadline the monotonic time in nanoseconds; children whose last heartbeat
+	 * arrived earlier are removed
 	 * @return the removed children
 	 */
-	List<InstanceId> expire(long heardBefore) {
-		List<InstanceId> silent = this.children.values()
+	List<InstanceId> expire(long deadline) {
+		List<InstanceId> expired = this.children.values()
 			.stream()
-			.filter((child) -> child.heardAt() < heardBefore)
+			.filter((child) -> child.heardAt() < deadline)
 			.map((child) -> child.node().id())
 			.toList();
-		silent.forEach(this::remove);
-		return silent;
+		expired.forEach(this::remove);
+		return expired;
 	}
 
 	List<MemberReport> present() {
 		List<MemberReport> reports = new ArrayList<>(this.vouchers.size());
-		this.vouchers.values().forEach((reportsOfOne) -> reports.add(newest(reportsOfOne.values())));
+		this.vouchers.values().forEach((byChild) -> reports.add(newest(byChild.values())));
 		return reports;
 	}
 
@@ -139,10 +141,10 @@
 	private void withdraw(Child child, InstanceId id) {
 		child.below().remove(id);
 		Map<InstanceId, MemberReport> reports = this.vouchers.get(id);
-		MemberReport withdrawn = (reports != null) ? reports.remove(child.node().id()) : null;
-		if (withdrawn != null && reports.isEmpty()) {
+		MemberReport removed = (reports != null) ? reports.remove(child.node().id()) : null;
+		if (removed != null && reports.isEmpty()) {
 			this.vouchers.remove(id);
-			this.listener.accept(new MemberReport(withdrawn.node(), Presence.ABSENT));
+			this.listener.accept(new MemberReport(removed.node(), Presence.ABSENT));
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ConfigurationGate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ConfigurationGate.java
@@ -11,8 +11,9 @@
 import org.comfreywall.common.invariant.Invariants;
 
 /**
- * Lets a configuration come into force once the floor is known and reached, and never an
- * older one afterwards.
+ * Activates the replicated configuration once it is at least as new as the floor, the
+ * version that a quorum confirmed after this node started. Later updates never activate
+ * an older version.
  */
 final class ConfigurationGate {
 
@@ -48,8 +49,9 @@
 	}
 
 	/**
-	 * Takes the floor that a quorum confirmed.
-	 * @param version the oldest version that may come into force
+	 * Sets the floor that a quorum confirmed and activates the configuration if it has
+	 * reached it.
+	 * @param version the oldest version that may be activated
 	 */
 	void floorLearnt(Version version) {
 		this.floor = Optional.of(version);
@@ -57,7 +59,7 @@
 	}
 
 	/**
-	 * Puts an applied delta into force.
+	 * Activates a delta that the replica has applied.
 	 * @param delta the delta
 	 */
 	void advanced(Delta delta) {
@@ -69,7 +71,7 @@
 	}
 
 	/**
-	 * Puts the whole state into force.
+	 * Activates the replica's whole state if it has reached the floor.
 	 */
 	void replaced() {
 		boolean reached = this.floor.isPresent() && !this.replica.version().isBefore(this.floor.get());
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Coverage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Coverage.java
@@ -5,23 +5,23 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tells how far the configuration has come in a part of the tree.
+ * The progress of a configuration revision in a subtree.
  *
- * @param nodes the number of nodes in the part, its top included
- * @param number the revision that all nodes hold but those behind
- * @param behindCount the number of nodes that hold an older revision
- * @param behind the first {@value #MAX_NAMED} nodes that hold an older revision
+ * @param nodes the number of nodes in the subtree, its root included
+ * @param number the revision that is in force at all nodes except the lagging ones
+ * @param behindCount the number of nodes with an older revision in force
+ * @param behind the first {@value #MAX_NAMED} nodes with an older revision in force
  */
 public record Coverage(int nodes, long number, int behindCount, List<Laggard> behind) {
 
-	/** The greatest number of nodes that are named. */
+	/** The maximum number of lagging nodes that are listed. */
 	public static final int MAX_NAMED = 32;
 
 	public Coverage {
 		Preconditions.check(nodes >= 0, "nodes must not be negative: %d", nodes);
 		Preconditions.check(behindCount >= 0, "behindCount must not be negative: %d", behindCount);
 		behind = List.copyOf(behind);
-		Preconditions.check(behind.size() <= MAX_NAMED, "behind must name at most %d nodes: %d", MAX_NAMED,
+		Preconditions.check(behind.size() <= MAX_NAMED, "behind must list at most %d nodes: %d", MAX_NAMED,
 				behind.size());
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/CoverageCalculator.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/CoverageCalculator.java
@@ -7,7 +7,7 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Adds up how far the configuration has come below a node.
+ * Aggregates the coverage of a configuration revision over a node's subtree.
  */
 final class CoverageCalculator {
 
@@ -24,8 +24,9 @@
 	}
 
 	/**
-	 * Adds up a node and its children.
-	 * @param number the revision that all are to hold
+	 * Aggregates the coverage of a node and its children. A child that reports on an
+	 * older revision counts as behind with all its descendants.
+	 * @param number the target revision
 	 * @param self the node
 	 * @param inForce the revision in force at the node
 	 * @param children the node's children
@@ -50,9 +51,9 @@
 		coverage.behind().forEach(this::addLaggard);
 	}
 
-	private void addNode(InstanceId id, long held) {
+	private void addNode(InstanceId id, long revision) {
 		this.nodes++;
-		addLaggard(new Laggard(id, held));
+		addLaggard(new Laggard(id, revision));
 	}
 
 	private void addLaggard(Laggard laggard) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Delta.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Delta.java
@@ -5,10 +5,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Leads from one state of a stream to a later one.
+ * The changes between two versions of a stream.
  *
- * @param from the version that the delta applies to
- * @param to the version that results
+ * @param from the version to which the changes apply
+ * @param to the resulting version
  * @param changes the changed entries
  */
 public record Delta(Version from, Version to, List<EntryChange> changes) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/DeltaUpdate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/DeltaUpdate.java
@@ -6,10 +6,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Hands a child consecutive deltas.
+ * Sends consecutive deltas of a stream to a child.
  *
  * @param stream the stream
- * @param rootTerm the newest term known to the sender
+ * @param rootTerm the latest leader term known to the sender
  * @param deltas the deltas, oldest first
  */
 public record DeltaUpdate(StreamId stream, Term rootTerm, List<Delta> deltas) implements SpreadMessage {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Distributor.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Distributor.java
@@ -6,7 +6,8 @@
 import org.comfreywall.common.id.Term;
 
 /**
- * Pushes a stream's changes to the children.
+ * Sends the updates of one stream to the children: deltas while the history reaches back
+ * far enough, otherwise a snapshot.
  */
 final class Distributor {
 
@@ -28,30 +29,32 @@
 	}
 
 	/**
-	 * Brings a child's sent position back to the confirmed one if an update seems lost.
+	 * Resets a child's sent version to the acknowledged one if an update was probably
+	 * lost. Snapshots are resent after {@value #SNAPSHOT_RESEND_FACTOR} times the timeout
+	 * of deltas.
 	 * @param child the child
-	 * @param asked whether the child has noticed a gap
-	 * @param now the clock's reading
+	 * @param requested whether the child has requested a resend
+	 * @param now the current monotonic time in nanoseconds
 	 */
-	void rewindIfLost(Child child, boolean asked, long now) {
-		Version confirmed = child.acknowledged(this.stream).version();
+	void rewindIfLost(Child child, boolean requested, long now) {
+		Version acknowledged = child.acknowledged(this.stream).version();
 		Version sent = child.sent(this.stream);
-		if (sent.isBefore(confirmed)) {
+		if (sent.isBefore(acknowledged)) {
 			child.rewind(this.stream);
 		}
-		boolean history = this.replica.since(confirmed).isPresent();
-		long patience = history ? this.resendNanos : SNAPSHOT_RESEND_FACTOR * this.resendNanos;
-		boolean overdue = now - child.sentAt(this.stream) > patience;
-		if (confirmed.isBefore(sent) && (overdue || (asked && history))) {
+		boolean hasDeltas = this.replica.since(acknowledged).isPresent();
+		long timeout = hasDeltas ? this.resendNanos : SNAPSHOT_RESEND_FACTOR * this.resendNanos;
+		boolean overdue = now - child.sentAt(this.stream) > timeout;
+		if (acknowledged.isBefore(sent) && (overdue || (requested && hasDeltas))) {
 			child.rewind(this.stream);
 		}
 	}
 
 	/**
-	 * Sends a child what it lacks.
+	 * Sends a child the updates after its sent version.
 	 * @param child the child
-	 * @param term the newest term known to this node
-	 * @param now the clock's reading
+	 * @param term the latest leader term known to this node
+	 * @param now the current monotonic time in nanoseconds
 	 */
 	void push(Child child, Term term, long now) {
 		if (this.stream == StreamId.MEMBERS && child.node().role() == NodeRole.SIDECAR) {
@@ -72,15 +75,16 @@
 	}
 
 	/**
-	 * Sends a child the whole state if its state differs at the same version.
+	 * Sends a child a snapshot if its digest differs from this node's at the same
+	 * version.
 	 * @param child the child
-	 * @param term the newest term known to this node
-	 * @param now the clock's reading
+	 * @param term the latest leader term known to this node
+	 * @param now the current monotonic time in nanoseconds
 	 */
 	void repair(Child child, Term term, long now) {
-		Position held = child.acknowledged(this.stream);
+		Position acknowledged = child.acknowledged(this.stream);
 		Position own = this.replica.position();
-		if (held.version().equals(own.version()) && held.digest() != own.digest()) {
+		if (acknowledged.version().equals(own.version()) && acknowledged.digest() != own.digest()) {
 			sendSnapshot(child, term);
 			child.markSent(this.stream, own.version(), now);
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Floor.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Floor.java
@@ -4,11 +4,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What a quorum of control instances confirmed at one moment; nothing older may be used
- * by a node that asked before that moment.
+ * The lower bounds that a newly started node must observe, as returned by a linearizable
+ * read of the control instances' log. A node that requested the floor before the read
+ * must not use an older configuration or execute an older order.
  *
- * @param configuration the version of the last accepted configuration
- * @param orders the number of the last order issued to any engine
+ * @param configuration the version of the last committed configuration
+ * @param orders the fencing number of the last order issued to any engine
  */
 public record Floor(Version configuration, FencingNumber orders) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorAnswer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorAnswer.java
@@ -3,10 +3,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Answers a node that asked for the floor.
+ * The response to a request for the floor.
  *
- * @param nonce the number that the node sent
- * @param floor the floor, confirmed by a quorum after the question was asked
+ * @param nonce the nonce of the request
+ * @param floor the floor, confirmed by a quorum after the request was sent
  */
 public record FloorAnswer(long nonce, Floor floor) implements SpreadMessage {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorTracker.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorTracker.java
@@ -7,10 +7,11 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Asks for the floor on behalf of a node and its children, with one question at a time.
+ * Requests the floor for a node and its children, with one outstanding request at a time.
  * <p>
- * An answer serves only those who asked before the question was sent on, so that what
- * they learn was confirmed by a quorum after they had started.
+ * A response is passed only to those whose request arrived before the outstanding one was
+ * sent. Any other response could have been confirmed before the requesting node started,
+ * and would then be too old for it.
  */
 final class FloorTracker {
 
@@ -35,22 +36,22 @@
 	}
 
 	/**
-	 * Adds a child's question.
+	 * Adds a child's request.
 	 * @param child the child
-	 * @param question the child's number
-	 * @return {@code true} if a new question must be sent on
+	 * @param request the nonce of the child's request
+	 * @return {@code true} if a new request must be sent to the parent
 	 */
-	boolean ask(InstanceId child, long question) {
-		if (Long.valueOf(question).equals(this.covered.get(child))) {
+	boolean ask(InstanceId child, long request) {
+		if (Long.valueOf(request).equals(this.covered.get(child))) {
 			return false;
 		}
-		this.waiting.put(child, question);
+		this.waiting.put(child, request);
 		return advance();
 	}
 
 	/**
-	 * Sends on the waiting questions unless one is outstanding.
-	 * @return {@code true} if a new question must be sent on
+	 * Combines the waiting requests into a new one unless a request is outstanding.
+	 * @return {@code true} if a new request must be sent to the parent
 	 */
 	boolean advance() {
 		if (this.nonce != 0 || (this.waiting.isEmpty() && !this.selfWaiting)) {
@@ -65,10 +66,10 @@
 	}
 
 	/**
-	 * Takes an answer.
-	 * @param answered the number of the question
-	 * @return whom it serves, by their own numbers; empty if the question is not the
-	 * outstanding one
+	 * Completes the outstanding request.
+	 * @param answered the nonce of the response
+	 * @return the requests that the response completes; none if the nonce is not that of
+	 * the outstanding request
 	 */
 	Answered answer(long answered) {
 		if (answered == 0 || answered != this.nonce) {
@@ -92,10 +93,10 @@
 	}
 
 	/**
-	 * Whom an answer serves.
+	 * The requests that a response completes.
 	 *
-	 * @param self whether it serves this node
-	 * @param children the children with their numbers
+	 * @param self whether this node's own request is among them
+	 * @param children the children with the nonces of their requests
 	 */
 	record Answered(boolean self, Map<InstanceId, Long> children) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Laggard.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Laggard.java
@@ -4,10 +4,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A node that holds an older revision than its relay.
+ * A node at which an older configuration revision is in force than the target revision.
  *
  * @param id the node
- * @param number the revision that the node was last known to hold
+ * @param number the last revision that the node reported
  */
 public record Laggard(InstanceId id, long number) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveAnnouncer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveAnnouncer.java
@@ -4,7 +4,8 @@
 import java.util.List;
 
 /**
- * Tells the control instances directly, and more than once, that a node is leaving.
+ * Sends leave notices directly to the control instances in turn. It repeats them because
+ * messages may be lost, and a control instance that knows no leader drops them.
  */
 final class LeaveAnnouncer {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveNotice.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveNotice.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tells a control instance directly that a node takes no new work.
+ * Notifies a control instance directly that a node accepts no new work.
  *
  * @param node the node that leaves
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MemberDirectory.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MemberDirectory.java
@@ -6,15 +6,15 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * Reads the nodes that can take part in the tree from the entries of
+ * Decodes the nodes that can be part of the tree from the entries of
  * {@link StreamId#MEMBERS}.
  */
 @FunctionalInterface
 public interface MemberDirectory {
 
 	/**
-	 * Decodes the nodes that work and are not leaving.
-	 * @param entries the entries of the members' stream
+	 * Decodes the nodes that have neither failed nor started to leave.
+	 * @param entries the entries of the membership stream
 	 * @return the nodes
 	 */
 	List<NodeDescriptor> activeNodes(Map<String, Bytes> entries);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MemberReport.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MemberReport.java
@@ -3,10 +3,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What a part of the tree says about one life of a node.
+ * The presence of one incarnation of a node, as reported from a subtree.
  *
  * @param node the node
- * @param presence whether the node is heard
+ * @param presence whether heartbeats of the node arrive
  */
 public record MemberReport(NodeDescriptor node, Presence presence) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageDecoder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageDecoder.java
@@ -28,7 +28,7 @@
 import org.comfreywall.control.generated.VersionProto;
 
 /**
- * Converts generated messages to those of the relay tree.
+ * Converts Protocol Buffers messages to messages of the relay tree.
  */
 final class MessageDecoder {
 
@@ -62,7 +62,7 @@
 		List<MemberReport> reports = new ArrayList<>(proto.getReportsCount());
 		for (MemberReportProto report : proto.getReportsList()) {
 			Preconditions.check(report.getPresence() >= 0 && report.getPresence() < PRESENCES.length,
-					"presence is unknown: %d", report.getPresence());
+					"unknown presence: %d", report.getPresence());
 			reports.add(new MemberReport(SpreadCodec.fromProto(report.getNode()), PRESENCES[report.getPresence()]));
 		}
 		return new Heartbeat(SpreadCodec.fromProto(proto.getNode()), proto.getLeaving(), proto.getStranded(),
@@ -122,7 +122,7 @@
 	}
 
 	private static StreamId stream(int ordinal) {
-		Preconditions.check(ordinal >= 0 && ordinal < STREAMS.length, "stream is unknown: %d", ordinal);
+		Preconditions.check(ordinal >= 0 && ordinal < STREAMS.length, "unknown stream: %d", ordinal);
 		return STREAMS[ordinal];
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageEncoder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageEncoder.java
@@ -23,7 +23,7 @@
 import org.comfreywall.control.generated.VersionProto;
 
 /**
- * Converts messages of the relay tree to generated ones.
+ * Converts messages of the relay tree to Protocol Buffers messages.
  */
 final class MessageEncoder {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/NodeDescriptor.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/NodeDescriptor.java
@@ -6,10 +6,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Describes one life of a node.
+ * Describes one incarnation of a node.
  *
  * @param id the instance
- * @param incarnation the number of this life, greater than that of every earlier one
+ * @param incarnation the incarnation number, greater than that of every earlier start
  * @param role the node's role in the tree
  * @param region the region of the failure domain
  * @param domain the failure domain
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/NodeRole.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/NodeRole.java
@@ -5,9 +5,9 @@
  */
 public enum NodeRole {
 
-	/** Keeps durable state and is a root of the tree. */
+	/** Holds durable state; the leader among them is the root of the tree. */
 	CONTROL,
-	/** Takes callers' requests and may relay to other nodes. */
+	/** Accepts callers' requests and may relay to other nodes. */
 	ENTRY,
 	/** Runs beside a backend server and is always a leaf. */
 	SIDECAR
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Outbox.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Outbox.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * Collects the commands that one event leads to.
+ * Collects the commands issued while one event is handled.
  */
 final class Outbox {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentLink.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentLink.java
@@ -18,10 +18,11 @@
 import org.comfreywall.common.id.Term;
 
 /**
- * Chooses a node's parent.
+ * Selects a node's parent and monitors it.
  * <p>
- * A parent is left when it does not answer, falls silent, or lives but has not heard the
- * leader for long; the last makes dead ends and loops in the tree dissolve.
+ * A parent is replaced when it does not respond, when its beats stop, or when its beats
+ * carry no new leader beat for too long. The last condition breaks cycles and subtrees
+ * that are cut off from the leader.
  */
 final class ParentLink {
 
@@ -107,9 +108,9 @@
 	}
 
 	/**
-	 * Replaces the candidates without regard to the present parent.
-	 * @param leader the only candidate, or empty for none
-	 * @param now the clock's reading
+	 * Makes the leader the only candidate and detaches from the current parent.
+	 * @param leader the leader, or empty if there is none or this node is the leader
+	 * @param now the current monotonic time in nanoseconds
 	 */
 	void follow(Optional<NodeDescriptor> leader, long now) {
 		this.seeds.clear();
@@ -123,10 +124,10 @@
 	}
 
 	/**
-	 * Takes a beat of the parent.
+	 * Records a beat from the parent.
 	 * @param beat the beat
-	 * @param now the clock's reading
-	 * @return {@code true} if it passes on a new beat of the leader
+	 * @param now the current monotonic time in nanoseconds
+	 * @return {@code true} if it carries a new beat of the leader
 	 */
 	boolean onBeat(Beat beat, long now) {
 		this.confirmed = true;
@@ -148,10 +149,12 @@
 	}
 
 	/**
-	 * Takes a list of parents to choose from.
+	 * Handles the current parent's list of candidates. If the parent rejects this node,
+	 * the next candidate is selected at once; if the parent is not a preferred one, this
+	 * node moves after a random delay so that not all children move at the same time.
 	 * @param from the sender
 	 * @param parents the list
-	 * @param now the clock's reading
+	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
 	boolean onParents(InstanceId from, Parents parents, long now) {
@@ -171,9 +174,9 @@
 	}
 
 	/**
-	 * Leaves a parent to which the connection has broken.
+	 * Replaces the parent if the connection to it was lost.
 	 * @param peer the peer
-	 * @param now the clock's reading
+	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
 	boolean onLost(InstanceId peer, long now) {
@@ -181,8 +184,8 @@
 	}
 
 	/**
-	 * Leaves a parent that does not serve.
-	 * @param now the clock's reading
+	 * Replaces the parent if it has failed or a planned move is due.
+	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
 	boolean tick(long now) {
@@ -212,14 +215,14 @@
 	}
 
 	/**
-	 * Turns to a control instance, whose plan of the tree has neither dead ends nor
-	 * loops.
-	 * @param now the clock's reading
+	 * Attaches to a control instance, whose planned tree contains no cycles and no
+	 * subtree without a path to the leader.
+	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
 	private boolean askControl(long now) {
-		Optional<NodeDescriptor> before = this.parent;
-		before.ifPresent((node) -> this.avoidUntil.put(node.id(), now + AVOID_NANOS));
+		Optional<NodeDescriptor> previous = this.parent;
+		previous.ifPresent((node) -> this.avoidUntil.put(node.id(), now + AVOID_NANOS));
 		Optional<NodeDescriptor> control = firstUsable(this.seeds);
 		if (control.isEmpty()) {
 			return next("leader-not-heard", now);
@@ -237,9 +240,9 @@
 	private boolean next(String reason, long now) {
 		this.avoidUntil.values().removeIf((until) -> until <= now || this.avoidUntil.size() > MAX_AVOIDED);
 		detach();
-		Optional<NodeDescriptor> listed = firstUsable(this.candidates.parents());
-		this.stranded = listed.isEmpty() && !this.candidates.parents().isEmpty();
-		Optional<NodeDescriptor> chosen = listed.isPresent() ? listed : firstUsable(this.seeds);
+		Optional<NodeDescriptor> candidate = firstUsable(this.candidates.parents());
+		this.stranded = candidate.isEmpty() && !this.candidates.parents().isEmpty();
+		Optional<NodeDescriptor> chosen = candidate.isPresent() ? candidate : firstUsable(this.seeds);
 		if (chosen.isEmpty()) {
 			this.avoidUntil.clear();
 			this.candidates = Parents.NONE;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentPlanner.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentPlanner.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /**
- * Tells children which parents the tree plans for them.
+ * Computes the relay tree from the members and sends children their parent candidates.
  */
 final class ParentPlanner {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Parents.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Parents.java
@@ -5,22 +5,22 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tells a node which parents to choose from, best first.
+ * The candidates for a node's parent, in order of preference.
  *
- * @param parents the parents
- * @param preferred the number of parents at the head of the list that the node should
- * stay with; the others are for when those fail
- * @param adopted whether the sender has taken the node as a child
+ * @param parents the candidates
+ * @param preferred the number of preferred candidates at the head of the list; the others
+ * are fallbacks
+ * @param adopted whether the sender has accepted the node as a child
  */
 public record Parents(List<NodeDescriptor> parents, int preferred, boolean adopted) implements SpreadMessage {
 
-	/** A list without parents. */
+	/** An empty list. */
 	public static final Parents NONE = new Parents(List.of(), 0, false);
 
 	public Parents {
 		parents = List.copyOf(parents);
-		Preconditions.check(preferred >= 0 && preferred <= parents.size(), "preferred must be within the list: %d",
-				preferred);
+		Preconditions.check(preferred >= 0 && preferred <= parents.size(),
+				"preferred must be between 0 and the number of parents: %d", preferred);
 	}
 
 	Parents withAdopted(boolean adopted) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Peer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Peer.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A node and the address at which it is reached.
+ * A node and its network address.
  *
  * @param id the node
  * @param address host and port
@@ -17,7 +17,7 @@
 	}
 
 	/**
-	 * Takes identifier and address from a descriptor.
+	 * Creates a peer from a node's descriptor.
 	 * @param node the node's descriptor
 	 * @return the peer
 	 */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Ping.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Ping.java
@@ -1,9 +1,9 @@
 package org.comfreywall.control.spread;
 
 /**
- * Asks a node whether it lives.
+ * Checks whether a node is reachable.
  *
- * @param nonce a number to be returned
+ * @param nonce the nonce that the {@link Pong} returns
  */
 public record Ping(long nonce) implements SpreadMessage {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Pong.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Pong.java
@@ -4,9 +4,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Answers a ping.
+ * The response to a {@link Ping}.
  *
- * @param nonce the ping's number
+ * @param nonce the nonce of the ping
  * @param incarnation the sender's incarnation
  */
 public record Pong(long nonce, Incarnation incarnation) implements SpreadMessage {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Presence.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Presence.java
@@ -1,15 +1,15 @@
 package org.comfreywall.control.spread;
 
 /**
- * What a part of the tree says about a node.
+ * The presence of a node as reported from a subtree.
  */
 public enum Presence {
 
 	/** The node's heartbeats arrive. */
 	PRESENT,
-	/** The node's heartbeats arrive and say that it is leaving. */
+	/** The node's heartbeats arrive and announce that it is leaving. */
 	LEAVING,
-	/** Nobody in this part of the tree hears the node any more. */
+	/** The node's heartbeats no longer arrive in this subtree. */
 	ABSENT
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeRequest.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeRequest.java
@@ -3,10 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Asks a node to find out over its own path whether another one lives.
+ * Requests that a node check over its own network path whether a suspected node is
+ * reachable.
  *
- * @param nonce the probe's number
- * @param target the node in doubt
+ * @param nonce the nonce of the probe
+ * @param target the suspected node
  */
 public record ProbeRequest(long nonce, NodeDescriptor target) implements SpreadMessage {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeResult.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeResult.java
@@ -5,12 +5,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tells what a probe found.
+ * The result of a probe.
  *
- * @param nonce the probe's number
- * @param target the node in doubt
- * @param incarnation the incarnation that answered, or the one asked about
- * @param reachable whether the node answered
+ * @param nonce the nonce of the probe
+ * @param target the suspected node
+ * @param incarnation the incarnation that responded, or the requested one if none did
+ * @param reachable whether the node responded
  */
 public record ProbeResult(long nonce, InstanceId target, Incarnation incarnation,
 		boolean reachable) implements SpreadMessage {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Prober.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Prober.java
@@ -8,13 +8,13 @@
 import org.comfreywall.common.id.Incarnation;
 
 /**
- * Probes nodes in doubt on behalf of the leader.
+ * Pings suspected nodes on behalf of the leader and responds to pings.
  */
 final class Prober {
 
 	private static final int MAX_PROBES = 256;
 
-	private static final int PINGS = 3;
+	private static final int MAX_PINGS = 3;
 
 	private static final long PING_INTERVAL_NANOS = Duration.ofMillis(400).toNanos();
 
@@ -30,10 +30,10 @@
 	}
 
 	/**
-	 * Handles a message if it belongs to a probe.
+	 * Handles a ping, a pong, a probe request or a probe result.
 	 * @param from the sender
 	 * @param message the message
-	 * @param now the clock's reading
+	 * @param now the current monotonic time in nanoseconds
 	 */
 	void onMessage(Peer from, SpreadMessage message, long now) {
 		if (message instanceof Ping ping) {
@@ -50,11 +50,11 @@
 		}
 	}
 
-	private void start(Peer asker, ProbeRequest request, long now) {
+	private void start(Peer requester, ProbeRequest request, long now) {
 		if (this.probes.size() >= MAX_PROBES || this.probes.containsKey(request.nonce())) {
 			return;
 		}
-		Probe probe = new Probe(asker, request);
+		Probe probe = new Probe(requester, request);
 		this.probes.put(request.nonce(), probe);
 		ping(probe, now);
 	}
@@ -71,29 +71,29 @@
 	}
 
 	private void advance(Probe probe, long now) {
-		if (probe.pings < PINGS) {
+		if (probe.pings < MAX_PINGS) {
 			ping(probe, now);
 			return;
 		}
 		this.probes.remove(probe.request.nonce());
-		end(probe, probe.request.target().incarnation(), false);
+		complete(probe, probe.request.target().incarnation(), false);
 	}
 
 	private void onPong(Pong pong) {
 		Probe probe = this.probes.remove(pong.nonce());
 		if (probe != null) {
-			end(probe, pong.incarnation(), true);
+			complete(probe, pong.incarnation(), true);
 		}
 	}
 
-	private void end(Probe probe, Incarnation incarnation, boolean reachable) {
+	private void complete(Probe probe, Incarnation incarnation, boolean reachable) {
 		ProbeResult result = new ProbeResult(probe.request.nonce(), probe.request.target().id(), incarnation,
 				reachable);
-		if (probe.asker.id().equals(this.self.id())) {
-			this.outbox.add(new SpreadCommand.Probed(probe.asker, result));
+		if (probe.requester.id().equals(this.self.id())) {
+			this.outbox.add(new SpreadCommand.Probed(probe.requester, result));
 		}
 		else {
-			this.outbox.send(probe.asker, result);
+			this.outbox.send(probe.requester, result);
 		}
 	}
 
@@ -105,7 +105,7 @@
 
 	private static final class Probe {
 
-		private final Peer asker;
+		private final Peer requester;
 
 		private final ProbeRequest request;
 
@@ -113,8 +113,8 @@
 
 		private long pingedAt;
 
-		Probe(Peer asker, ProbeRequest request) {
-			this.asker = asker;
+		Probe(Peer requester, ProbeRequest request) {
+			this.requester = requester;
 			this.request = request;
 		}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTree.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTree.java
@@ -12,19 +12,20 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Plans the tree from the members: control instances, heads of failure domains, relays,
- * leaves.
+ * Computes the relay tree from the members. Its levels are control instances, heads (the
+ * relays of a failure domain that attach to control instances), other relays and leaves.
  * <p>
- * The plan depends on the members alone. In each failure domain one entry in each
- * {@code fanOut} nodes is a relay and one in each {@code fanOut} relays is a head, picked
- * by the hash of their names; a node chooses among its parents by rendezvous hashing. A
- * member that comes or goes therefore moves few others.
+ * The tree is a pure function of the members. A failure domain has one relay per
+ * {@code fanOut} nodes and one head per {@code fanOut} relays. Relays are the entries
+ * with the lowest hashes of their identifiers, and heads the relays with the lowest ones.
+ * A node's parents are selected by rendezvous hashing, so that a joining or leaving
+ * member changes the parents of few others.
  */
 final class RelayTree {
 
-	private static final int PREFERRED = 3;
+	private static final int PREFERRED_PARENTS = 3;
 
-	private static final int ALTERNATIVES = 2;
+	private static final int FALLBACK_HEADS = 2;
 
 	private final int fanOut;
 
@@ -36,7 +37,7 @@
 
 	private final Map<FailureDomainId, String> regions = new HashMap<>();
 
-	private final Map<FailureDomainId, Integer> guests = new HashMap<>();
+	private final Map<FailureDomainId, Integer> assignedNodes = new HashMap<>();
 
 	private final List<NodeDescriptor> allHeads = new ArrayList<>();
 
@@ -49,34 +50,34 @@
 
 	static RelayTree of(List<NodeDescriptor> active, List<NodeDescriptor> controls, int fanOut) {
 		RelayTree tree = new RelayTree(controls, fanOut);
-		active.forEach(tree::count);
-		tree.regions.keySet().stream().sorted().forEach(tree::placeGuests);
-		tree.relays.forEach(tree::select);
+		active.forEach(tree::addNode);
+		tree.regions.keySet().stream().sorted().forEach(tree::assignToOtherDomains);
+		tree.relays.forEach(tree::selectRelays);
 		return tree;
 	}
 
 	Parents parentsOf(NodeDescriptor node) {
 		List<NodeDescriptor> chosen = new ArrayList<>();
-		int rank = rank(node);
+		int rank = relayRank(node);
 		List<NodeDescriptor> domain = this.relays.getOrDefault(node.domain(), List.of());
-		if (node.role() == NodeRole.ENTRY && rank < heads(node.domain(), 1)) {
-			addNearest(chosen, node, this.controls, PREFERRED);
+		if (node.role() == NodeRole.ENTRY && rank < headCount(node.domain(), 1)) {
+			addNearest(chosen, node, this.controls, PREFERRED_PARENTS);
 			return new Parents(chosen, chosen.size(), false);
 		}
-		boolean relay = node.role() == NodeRole.ENTRY && rank < relays(node.domain(), 1);
-		int candidates = Math.min(domain.size(), relay ? heads(node.domain(), 0) : domain.size());
-		addNearest(chosen, node, domain.subList(0, candidates), PREFERRED);
+		boolean relay = node.role() == NodeRole.ENTRY && rank < relayCount(node.domain(), 1);
+		int candidates = Math.min(domain.size(), relay ? headCount(node.domain(), 0) : domain.size());
+		addNearest(chosen, node, domain.subList(0, candidates), PREFERRED_PARENTS);
 		if (chosen.isEmpty()) {
-			addNearest(chosen, node, this.allRelays, PREFERRED);
+			addNearest(chosen, node, this.allRelays, PREFERRED_PARENTS);
 		}
 		int preferred = chosen.size();
-		addNearest(chosen, node, this.allHeads, ALTERNATIVES);
+		addNearest(chosen, node, this.allHeads, FALLBACK_HEADS);
 		addNearest(chosen, node, this.controls, 1);
 		preferred = (preferred > 0) ? preferred : chosen.size();
 		return new Parents(chosen, preferred, false);
 	}
 
-	private void count(NodeDescriptor node) {
+	private void addNode(NodeDescriptor node) {
 		if (node.role() == NodeRole.CONTROL) {
 			return;
 		}
@@ -88,11 +89,11 @@
 	}
 
 	/**
-	 * Counts the nodes of a failure domain without entries as guests of others, of the
-	 * same region if one there has entries.
+	 * Distributes the nodes of a failure domain without entries over failure domains with
+	 * entries, of the same region if there are any, so that these get enough relays.
 	 * @param domain the failure domain
 	 */
-	private void placeGuests(FailureDomainId domain) {
+	private void assignToOtherDomains(FailureDomainId domain) {
 		if (this.relays.containsKey(domain) || this.relays.isEmpty()) {
 			return;
 		}
@@ -103,29 +104,29 @@
 			.toList();
 		Collection<FailureDomainId> hosts = near.isEmpty() ? this.relays.keySet() : near;
 		int share = ceilDiv(this.sizes.get(domain), hosts.size());
-		hosts.forEach((host) -> this.guests.merge(host, share, Integer::sum));
+		hosts.forEach((host) -> this.assignedNodes.merge(host, share, Integer::sum));
 	}
 
-	private void select(FailureDomainId domain, List<NodeDescriptor> entries) {
+	private void selectRelays(FailureDomainId domain, List<NodeDescriptor> entries) {
 		entries
 			.sort(Comparator.comparingLong((NodeDescriptor node) -> hash(node.id())).thenComparing(NodeDescriptor::id));
-		int count = Math.min(entries.size(), relays(domain, 0));
+		int count = Math.min(entries.size(), relayCount(domain, 0));
 		entries.subList(count, entries.size()).clear();
-		List<NodeDescriptor> heads = entries.subList(0, Math.min(count, heads(domain, 0)));
+		List<NodeDescriptor> heads = entries.subList(0, Math.min(count, headCount(domain, 0)));
 		this.allHeads.addAll(heads);
 		this.allRelays.addAll(entries);
 	}
 
-	private int relays(FailureDomainId domain, int added) {
-		int nodes = this.sizes.getOrDefault(domain, 0) + this.guests.getOrDefault(domain, 0);
+	private int relayCount(FailureDomainId domain, int added) {
+		int nodes = this.sizes.getOrDefault(domain, 0) + this.assignedNodes.getOrDefault(domain, 0);
 		return ceilDiv(nodes + added, this.fanOut);
 	}
 
-	private int heads(FailureDomainId domain, int added) {
-		return ceilDiv(relays(domain, added), this.fanOut);
+	private int headCount(FailureDomainId domain, int added) {
+		return ceilDiv(relayCount(domain, added), this.fanOut);
 	}
 
-	private int rank(NodeDescriptor node) {
+	private int relayRank(NodeDescriptor node) {
 		long hash = hash(node.id());
 		int rank = 0;
 		for (NodeDescriptor relay : this.relays.getOrDefault(node.domain(), List.of())) {
@@ -170,11 +171,11 @@
 	}
 
 	/**
-	 * A possible parent.
+	 * A candidate for a node's parent.
 	 *
-	 * @param node the parent
+	 * @param node the candidate
 	 * @param distant whether it is in another region
-	 * @param rank the rendezvous hash of child and parent
+	 * @param rank the rendezvous hash of child and candidate; lower is better
 	 */
 	private record Ranked(NodeDescriptor node, boolean distant, long rank) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReplicaUpdater.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReplicaUpdater.java
@@ -8,7 +8,7 @@
 import org.comfreywall.common.id.Term;
 
 /**
- * Decides which updates of one stream are taken over and which are refused.
+ * Applies updates to the replica of one stream and rejects stale ones.
  */
 final class ReplicaUpdater {
 
@@ -34,12 +34,11 @@
 	}
 
 	/**
-	 * Tells whether an update comes from a sender that does not know a term older than
-	 * this node's.
-	 * @param sent the newest term known to the sender
-	 * @param known the newest term known to this node
+	 * Returns whether the term of an update is at least as new as the latest known one.
+	 * @param sent the latest leader term known to the sender
+	 * @param known the latest leader term known to this node
 	 * @param from the sender
-	 * @return {@code true} if the update may be looked at
+	 * @return {@code true} if the update may be applied
 	 */
 	boolean accepts(Term sent, Term known, InstanceId from) {
 		if (sent.isBefore(known)) {
@@ -52,9 +51,9 @@
 	}
 
 	/**
-	 * Applies a delta if it follows the state held.
+	 * Applies a delta if it starts at the current version.
 	 * @param delta the delta
-	 * @return what came of it
+	 * @return the result
 	 */
 	Applied apply(Delta delta) {
 		if (!this.replica.version().isBefore(delta.to())) {
@@ -69,9 +68,10 @@
 	}
 
 	/**
-	 * Installs a whole state if it is newer, or if the state held is known to differ.
-	 * @param snapshot the state
-	 * @return what came of it
+	 * Installs a snapshot if it is newer, or if it has the current version and the last
+	 * comparison of digests showed that the replica has diverged.
+	 * @param snapshot the snapshot
+	 * @return the result
 	 */
 	Applied install(Snapshot snapshot) {
 		int order = snapshot.version().compareTo(this.replica.version());
@@ -85,13 +85,14 @@
 	}
 
 	/**
-	 * Compares the state held with the parent's.
+	 * Compares the replica with the parent's position.
 	 * @param parent the parent's position
-	 * @param patienceNanos how long an announced update may take to arrive
-	 * @param now the clock's reading
-	 * @return {@code true} if an update must be asked for
+	 * @param timeoutNanos how long the replica may stay behind the parent before a resend
+	 * is requested, in nanoseconds
+	 * @param now the current monotonic time in nanoseconds
+	 * @return {@code true} if a resend must be requested
 	 */
-	boolean hasGap(Position parent, long patienceNanos, long now) {
+	boolean hasGap(Position parent, long timeoutNanos, long now) {
 		int order = parent.version().compareTo(this.replica.version());
 		this.diverged = order == 0 && parent.digest() != this.replica.position().digest();
 		if (order <= 0) {
@@ -103,7 +104,7 @@
 			this.behindSince = now;
 			return false;
 		}
-		if (now - this.behindSince < patienceNanos) {
+		if (now - this.behindSince < timeoutNanos) {
 			return false;
 		}
 		this.behindSince = now;
@@ -111,13 +112,13 @@
 	}
 
 	/**
-	 * What came of an update.
+	 * The result of an update.
 	 */
 	enum Applied {
 
-		/** The state has changed. */
+		/** The update was applied. */
 		DONE,
-		/** The update was older than the state held. */
+		/** The update was not newer than the replica. */
 		OLD,
 		/** Updates in between are missing. */
 		GAP
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReportQueue.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReportQueue.java
@@ -9,7 +9,8 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Holds the reports that the parent has not confirmed; of each node only the newest.
+ * Holds the reports that the parent has not acknowledged, at most one for each node: the
+ * latest.
  */
 final class ReportQueue {
 
@@ -55,9 +56,10 @@
 	}
 
 	/**
-	 * Removes what the parent holds.
-	 * @param received the number of the last report that the parent holds
-	 * @return {@code false} if the parent has forgotten reports and needs all of them
+	 * Removes the reports that the parent has received.
+	 * @param received the sequence number of the last report that the parent has received
+	 * @return {@code false} if the parent has lost acknowledged reports and needs a full
+	 * report
 	 */
 	boolean acknowledge(long received) {
 		if (received < this.acknowledged) {
@@ -81,9 +83,9 @@
 	}
 
 	/**
-	 * One report with its number.
+	 * A report with its sequence number.
 	 *
-	 * @param sequence the number
+	 * @param sequence the sequence number
 	 * @param report the report
 	 */
 	private record Numbered(long sequence, MemberReport report) {
@@ -91,9 +93,9 @@
 	}
 
 	/**
-	 * The oldest unconfirmed reports.
+	 * The oldest unacknowledged reports.
 	 *
-	 * @param lastSequence the number of the last report
+	 * @param lastSequence the sequence number of the last report
 	 * @param reports the reports
 	 */
 	record Batch(long lastSequence, List<MemberReport> reports) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Snapshot.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Snapshot.java
@@ -8,9 +8,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A whole state of a stream.
+ * The complete state of a stream at one version.
  *
- * @param version the state's version
+ * @param version the version
  * @param entries all entries
  */
 public record Snapshot(Version version, Map<String, Bytes> entries) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SnapshotUpdate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SnapshotUpdate.java
@@ -4,11 +4,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Hands a child a whole state.
+ * Sends a snapshot of a stream to a child.
  *
  * @param stream the stream
- * @param rootTerm the newest term known to the sender
- * @param snapshot the state
+ * @param rootTerm the latest leader term known to the sender
+ * @param snapshot the snapshot
  */
 public record SnapshotUpdate(StreamId stream, Term rootTerm, Snapshot snapshot) implements SpreadMessage {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCodec.java
@@ -48,9 +48,9 @@
 	}
 
 	/**
-	 * Converts a node's descriptor for use in other messages.
+	 * Converts a node descriptor to its Protocol Buffers message.
 	 * @param node the node
-	 * @return the generated message
+	 * @return the message
 	 */
 	public static NodeProto toProto(NodeDescriptor node) {
 		return NodeProto.newBuilder()
@@ -64,13 +64,13 @@
 	}
 
 	/**
-	 * Converts a node's descriptor from a generated message.
-	 * @param proto the generated message
+	 * Converts a Protocol Buffers message to a node descriptor.
+	 * @param proto the message
 	 * @return the node
-	 * @throws IllegalArgumentException if a value is missing or not allowed
+	 * @throws IllegalArgumentException if a value is missing or invalid
 	 */
 	public static NodeDescriptor fromProto(NodeProto proto) {
-		Preconditions.check(proto.getRole() >= 0 && proto.getRole() < ROLES.length, "role is unknown: %d",
+		Preconditions.check(proto.getRole() >= 0 && proto.getRole() < ROLES.length, "unknown role: %d",
 				proto.getRole());
 		return new NodeDescriptor(InstanceId.of(proto.getId()), Incarnation.of(proto.getIncarnation()),
 				ROLES[proto.getRole()], proto.getRegion(), FailureDomainId.of(proto.getFailureDomain()),
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCommand.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCommand.java
@@ -10,7 +10,7 @@
 public sealed interface SpreadCommand {
 
 	/**
-	 * Send a message; it may be lost.
+	 * Send a message. Delivery is not guaranteed.
 	 *
 	 * @param to the receiver
 	 * @param message the message
@@ -26,21 +26,23 @@
 
 	/**
 	 * Read the floor from the replicated log with a linearizable read that starts after
-	 * this command; control instances only. The command is repeated until it is answered.
+	 * this command. Issued by control instances only and repeated until a
+	 * {@link SpreadEvent.FloorRead} with its token arrives.
 	 *
-	 * @param token the token to be returned
+	 * @param token the token that the event returns
 	 */
 	record ReadFloor(long token) implements SpreadCommand {
 
 	}
 
 	/**
-	 * The configuration to be used from now on has changed. Not given before the node has
-	 * learnt a floor and holds a revision at least as new.
+	 * Use a changed configuration. Not issued before a quorum has confirmed a floor and
+	 * the configuration has reached it.
 	 *
-	 * @param version the version now in force; never older than any given before
+	 * @param version the version now in force; never older than an earlier one
 	 * @param changes the changed entries
-	 * @param whole whether the changes are the whole state and entries not named are gone
+	 * @param whole whether the changes are the complete state and all other entries are
+	 * removed
 	 */
 	record ConfigurationInForce(Version version, List<EntryChange> changes, boolean whole) implements SpreadCommand {
 
@@ -52,11 +54,12 @@
 	}
 
 	/**
-	 * The known members have changed; see {@code MemberView}.
+	 * Apply changes of the membership; see {@code MemberView}.
 	 *
-	 * @param version the version of the members
+	 * @param version the version of the membership stream
 	 * @param changes the changed entries
-	 * @param whole whether the changes are the whole state and entries not named are gone
+	 * @param whole whether the changes are the complete state and all other entries are
+	 * removed
 	 */
 	record MembersInForce(Version version, List<EntryChange> changes, boolean whole) implements SpreadCommand {
 
@@ -68,7 +71,7 @@
 	}
 
 	/**
-	 * The node has learnt its floor; a sidecar's fence takes the order number from it.
+	 * Use a confirmed floor; a sidecar rejects orders with a lower fencing number.
 	 *
 	 * @param floor the floor
 	 */
@@ -81,7 +84,8 @@
 	}
 
 	/**
-	 * The leader has heard about members; consumed by the membership core.
+	 * Handle reports of members that arrived at the leader; consumed by the membership
+	 * core.
 	 *
 	 * @param reports the reports
 	 */
@@ -94,8 +98,7 @@
 	}
 
 	/**
-	 * A node has told the leader directly that it is leaving; consumed by the membership
-	 * core.
+	 * Handle a leave notice that arrived at the leader; consumed by the membership core.
 	 *
 	 * @param node the node
 	 */
@@ -108,10 +111,11 @@
 	}
 
 	/**
-	 * A probe asked for by this node has ended; consumed by the membership core.
+	 * Handle the result of a probe that this node requested; consumed by the membership
+	 * core.
 	 *
 	 * @param prober the node that probed
-	 * @param result what it found
+	 * @param result the result
 	 */
 	record Probed(Peer prober, ProbeResult result) implements SpreadCommand {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadEvent.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadEvent.java
@@ -20,7 +20,7 @@
 	}
 
 	/**
-	 * A message has arrived.
+	 * A message was received.
 	 *
 	 * @param from the sender
 	 * @param message the message
@@ -35,7 +35,7 @@
 	}
 
 	/**
-	 * The connection to a peer has broken.
+	 * The connection to a peer was lost.
 	 *
 	 * @param peer the peer
 	 */
@@ -48,11 +48,11 @@
 	}
 
 	/**
-	 * The replicated log has a new leader or has lost its leader; control instances only.
+	 * The leader of the replicated log has changed; control instances only.
 	 *
-	 * @param term the present term
-	 * @param leader the leader, or empty if none is known or this instance's lease has
-	 * ended
+	 * @param term the current term
+	 * @param leader the leader, or empty if none is known or this instance's leader lease
+	 * has expired
 	 */
 	record LeaderChanged(Term term, Optional<InstanceId> leader) implements SpreadEvent {
 
@@ -67,7 +67,7 @@
 	 * The replicated log has committed a revision of the configuration; control instances
 	 * only.
 	 *
-	 * @param delta leads from the revision before to the committed one
+	 * @param delta the changes from the previous revision to the committed one
 	 */
 	record Accepted(Delta delta) implements SpreadEvent {
 
@@ -92,10 +92,10 @@
 	}
 
 	/**
-	 * A {@link SpreadCommand.ReadFloor} has ended with a linearizable read.
+	 * The linearizable read of a {@link SpreadCommand.ReadFloor} has completed.
 	 *
 	 * @param token the command's token
-	 * @param floor the floor, confirmed by a quorum after the command was given
+	 * @param floor the floor, confirmed by a quorum after the command was issued
 	 */
 	record FloorRead(long token, Floor floor) implements SpreadEvent {
 
@@ -106,7 +106,7 @@
 	}
 
 	/**
-	 * The leader's membership has changed; given by the membership core only.
+	 * The leader's membership has changed; sent by the membership core only.
 	 *
 	 * @param changes the changed entries
 	 */
@@ -119,7 +119,7 @@
 	}
 
 	/**
-	 * This node takes no new work from now on.
+	 * This node accepts no new work from now on.
 	 */
 	record LeaveRequested() implements SpreadEvent {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
@@ -12,10 +12,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The decision core of one node of the relay tree.
+ * The core of one node of the relay tree.
  * <p>
- * It chooses a parent, passes configuration, members and the leader's beats down, and
- * heartbeats, coverage and floor questions up. It is not thread-safe.
+ * It selects a parent. It sends configuration, membership and the leader's beats down the
+ * tree, and heartbeats, reports, coverage and requests for the floor up. It is not
+ * thread-safe.
  */
 public final class SpreadNode implements SpreadCore {
 
@@ -60,11 +61,11 @@
 	private boolean started;
 
 	/**
-	 * Creates a node that knows nothing but the control instances.
-	 * @param self the node; its incarnation is greater than that of every earlier life
+	 * Creates a node without a parent; its only known peers are the control instances.
+	 * @param self the node; its incarnation is greater than that of every earlier start
 	 * @param controls the control instances; their incarnations are not used
 	 * @param settings the settings
-	 * @param directory reads the members' entries
+	 * @param directory decodes the entries of the membership stream
 	 * @param random the source of randomness
 	 * @param decisions receives the decisions
 	 */
@@ -113,14 +114,14 @@
 
 	/**
 	 * Returns the version of the configuration in force.
-	 * @return the version, or empty if none may be used yet
+	 * @return the version, or empty if the floor has not been confirmed and reached yet
 	 */
 	public Optional<Version> inForce() {
 		return this.streams.inForce();
 	}
 
 	/**
-	 * Returns the present parent.
+	 * Returns the current parent.
 	 * @return the parent, or empty if there is none
 	 */
 	public Optional<InstanceId> parent() {
@@ -128,7 +129,7 @@
 	}
 
 	/**
-	 * Returns how far the configuration has come in this node's part of the tree.
+	 * Returns the coverage of this node's latest configuration revision in its subtree.
 	 * @return the coverage; at the leader, of all nodes that are attached
 	 */
 	public Coverage coverage() {
@@ -136,7 +137,7 @@
 	}
 
 	/**
-	 * Returns how far a revision has come in this node's part of the tree.
+	 * Returns the coverage of a configuration revision in this node's subtree.
 	 * @param number the revision
 	 * @return the coverage; at the leader, of all nodes that are attached
 	 */
@@ -145,7 +146,7 @@
 	}
 
 	/**
-	 * Returns the number of nodes attached directly to this one.
+	 * Returns the number of children.
 	 * @return the count
 	 */
 	public int childCount() {
@@ -153,7 +154,7 @@
 	}
 
 	/**
-	 * Returns the number of breaches of invariants.
+	 * Returns the number of invariant violations.
 	 * @return the count
 	 */
 	public long breaches() {
@@ -161,7 +162,7 @@
 	}
 
 	/**
-	 * Returns the newest term of which this node has heard.
+	 * Returns the latest leader term known to this node.
 	 * @return the term
 	 */
 	public Term term() {
@@ -169,15 +170,15 @@
 	}
 
 	/**
-	 * Returns the members' stream as held by this node.
-	 * @return the state
+	 * Returns this node's copy of the membership stream.
+	 * @return the snapshot
 	 */
 	public Snapshot memberSnapshot() {
 		return this.streams.members().snapshot();
 	}
 
 	/**
-	 * Finds one entry of the members' stream.
+	 * Finds one entry of the membership stream.
 	 * @param key the entry's key
 	 * @return the change that sets it, or empty if there is none
 	 */
@@ -249,8 +250,9 @@
 		}
 		this.streams.learn(changed.term());
 		this.leader = changed.leader();
-		Optional<NodeDescriptor> other = this.leader.filter((id) -> !id.equals(this.self.id())).flatMap(this::control);
-		this.link.follow(other, this.now);
+		Optional<NodeDescriptor> newParent = this.leader.filter((id) -> !id.equals(this.self.id()))
+			.flatMap(this::control);
+		this.link.follow(newParent, this.now);
 		if (isLeader()) {
 			this.link.rootHeard(this.streams.term(), 0, this.now);
 			publishMembers(List.of());
@@ -312,9 +314,9 @@
 		if (known.isEmpty() && !adopts(from, heartbeat)) {
 			return;
 		}
-		boolean fresh = known.isEmpty() || !known.get().node().equals(heartbeat.node());
+		boolean isNew = known.isEmpty() || !known.get().node().equals(heartbeat.node());
 		Child child = this.children.heard(heartbeat, this.now);
-		if (fresh) {
+		if (isNew) {
 			this.streams.startFrom(child);
 			beat(child);
 			this.planner.send(child, this.now);
@@ -333,10 +335,11 @@
 			this.outbox.send(from, Parents.NONE);
 			return false;
 		}
-		boolean open = !this.children.isFull() && !this.link.is(from.id());
+		boolean hasCapacity = !this.children.isFull() && !this.link.is(from.id());
 		Parents parents = this.planner.parentsOf(heartbeat.node(), this.now);
-		boolean first = parents.parents().isEmpty() || parents.parents().get(0).role() == NodeRole.CONTROL;
-		if (open && (!isControl() || heartbeat.stranded() || first)) {
+		boolean plannedBelowControl = parents.parents().isEmpty()
+				|| parents.parents().get(0).role() == NodeRole.CONTROL;
+		if (hasCapacity && (!isControl() || heartbeat.stranded() || plannedBelowControl)) {
 			return true;
 		}
 		this.outbox.send(from, parents.withAdopted(false));
@@ -347,9 +350,9 @@
 		if (!this.link.is(from.id())) {
 			return;
 		}
-		boolean fresh = this.link.onBeat(beat, this.now);
+		boolean isNewRootBeat = this.link.onBeat(beat, this.now);
 		this.streams.learn(beat.rootTerm());
-		if (fresh) {
+		if (isNewRootBeat) {
 			beatAll();
 		}
 		this.uplink.acknowledge(beat.reportsReceived(), this.now);
@@ -364,8 +367,8 @@
 			this.streams.floorLearnt(floor.configuration());
 		}
 		answered.children()
-			.forEach((child, question) -> this.children.find(child)
-				.ifPresent((found) -> this.outbox.send(found.peer(), new FloorAnswer(question, floor))));
+			.forEach((child, request) -> this.children.find(child)
+				.ifPresent((found) -> this.outbox.send(found.peer(), new FloorAnswer(request, floor))));
 		if (this.floors.advance()) {
 			floorAsked();
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadSettings.java
@@ -7,24 +7,25 @@
 /**
  * Settings of the relay tree.
  *
- * @param fanOut the number of children that the tree plans for each relay
- * @param maxChildren the number of children that a node accepts at most
+ * @param fanOut the planned number of children of each relay
+ * @param maxChildren the maximum number of children that a node accepts
  * @param tickInterval how often a {@link SpreadEvent.Tick} is due
- * @param beatInterval how often the leader sends a beat
- * @param heartbeatInterval how often a node sends a heartbeat when nothing changes
+ * @param beatInterval the interval of the leader's beats
+ * @param heartbeatInterval the interval of a node's heartbeats while nothing changes
  * @param connectTimeout how long a node waits for the first beat of a new parent
- * @param silenceTimeout how long a parent may be silent before another is chosen
- * @param rootStaleTimeout how long the leader's beats may be missing before a control
- * instance is asked for another parent; up to twice as long at random, and with each time
- * in a row twice as long again, up to {@value #MAX_STALE_FACTOR} times
- * @param childTimeout how long a child may be silent before it is reported absent
- * @param resendTimeout how long an unconfirmed update is left before it is sent again
+ * @param silenceTimeout the time without a beat from the parent after which another
+ * parent is selected
+ * @param rootStaleTimeout the time without a new leader beat after which a node attaches
+ * to a control instance; randomized up to twice the value, and doubled with each
+ * consecutive timeout up to {@value #MAX_STALE_FACTOR} times the value
+ * @param childTimeout the time without a heartbeat after which a child is reported absent
+ * @param resendTimeout the time after which an unacknowledged update is sent again
  */
 public record SpreadSettings(int fanOut, int maxChildren, Duration tickInterval, Duration beatInterval,
 		Duration heartbeatInterval, Duration connectTimeout, Duration silenceTimeout, Duration rootStaleTimeout,
 		Duration childTimeout, Duration resendTimeout) {
 
-	/** The greatest factor by which {@link #rootStaleTimeout()} is lengthened. */
+	/** The maximum backoff factor of {@link #rootStaleTimeout()}. */
 	public static final int MAX_STALE_FACTOR = 4;
 
 	/** Settings for up to 5,500 nodes. */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamId.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamId.java
@@ -1,13 +1,13 @@
 package org.comfreywall.control.spread;
 
 /**
- * Streams of changes that the tree carries.
+ * The streams that are replicated through the relay tree.
  */
 public enum StreamId {
 
-	/** The accepted configuration; every node receives it. */
+	/** The committed configuration, replicated to every node. */
 	CONFIGURATION,
-	/** The members; control instances and entries receive it. */
+	/** The members, replicated to control instances and entries. */
 	MEMBERS
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamReplica.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamReplica.java
@@ -12,12 +12,12 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * A node's copy of one stream: the state, its version and the last {@value #MAX_HISTORY}
- * deltas.
+ * A node's copy of one stream: its entries, its position and the last
+ * {@value #MAX_HISTORY} deltas.
  */
 final class StreamReplica {
 
-	/** The number of deltas kept for children that are behind. */
+	/** The maximum number of deltas retained for children that are behind. */
 	static final int MAX_HISTORY = 256;
 
 	private static final long FNV_OFFSET = 0xcbf29ce484222325L;
@@ -49,9 +49,9 @@
 	void apply(Delta delta) {
 		long digest = this.position.digest();
 		for (EntryChange change : delta.changes()) {
-			Bytes before = change.value().isPresent() ? this.entries.put(change.key(), change.value().get())
+			Bytes previous = change.value().isPresent() ? this.entries.put(change.key(), change.value().get())
 					: this.entries.remove(change.key());
-			digest -= (before != null) ? hash(change.key(), before) : 0;
+			digest -= (previous != null) ? hash(change.key(), previous) : 0;
 			digest += change.value().map((value) -> hash(change.key(), value)).orElse(0L);
 		}
 		this.position = new Position(delta.to(), digest);
@@ -73,9 +73,9 @@
 	}
 
 	/**
-	 * Finds the deltas that lead from an earlier version to the present one.
+	 * Finds the deltas from an earlier version to the current one.
 	 * @param version the earlier version
-	 * @return the deltas, or empty if they are not kept any more
+	 * @return the deltas, or empty if they are no longer retained
 	 */
 	Optional<List<Delta>> since(Version version) {
 		List<Delta> deltas = new ArrayList<>();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Streams.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Streams.java
@@ -11,7 +11,8 @@
 import org.comfreywall.common.invariant.Invariants;
 
 /**
- * The two streams that a node holds, passes on and puts into force.
+ * A node's replicas of the configuration and membership streams, with their distribution
+ * to the children.
  */
 final class Streams {
 
@@ -82,16 +83,17 @@
 	}
 
 	boolean takeResend() {
-		boolean taken = this.resend;
+		boolean requested = this.resend;
 		this.resend = false;
-		return taken;
+		return requested;
 	}
 
 	/**
-	 * Publishes changed members as the leader.
-	 * @param changes the changes; none begins the leader's term
+	 * Publishes membership changes as the leader.
+	 * @param changes the changes; an empty list publishes the first version of the
+	 * leader's term
 	 * @param children the children to send them to
-	 * @param now the clock's reading
+	 * @param now the current monotonic time in nanoseconds
 	 */
 	void publishMembers(List<EntryChange> changes, Collection<Child> children, long now) {
 		Version held = this.members.version();
@@ -142,9 +144,10 @@
 	}
 
 	/**
-	 * Compares the streams with the parent's positions.
+	 * Compares the replicas with the parent's positions and requests a resend if one lags
+	 * behind or has diverged.
 	 * @param beat the parent's beat
-	 * @param now the clock's reading
+	 * @param now the current monotonic time in nanoseconds
 	 */
 	void compare(Beat beat, long now) {
 		this.resend |= this.updaters.get(StreamId.CONFIGURATION).hasGap(beat.configuration(), this.patienceNanos, now);
@@ -154,7 +157,7 @@
 	}
 
 	/**
-	 * Takes a new child's positions as the start of what it is sent.
+	 * Initializes the sent versions of a new child with its acknowledged positions.
 	 * @param child the child
 	 */
 	void startFrom(Child child) {
@@ -163,16 +166,16 @@
 	}
 
 	/**
-	 * Sends a child what its heartbeat shows to be missing.
+	 * Sends a child the updates that its latest heartbeat does not acknowledge.
 	 * @param child the child
-	 * @param asked whether the child has noticed a gap
-	 * @param now the clock's reading
+	 * @param requested whether the child has requested a resend
+	 * @param now the current monotonic time in nanoseconds
 	 */
-	void serve(Child child, boolean asked, long now) {
+	void serve(Child child, boolean requested, long now) {
 		for (Distributor distributor : this.distributors) {
-			distributor.rewindIfLost(child, asked, now);
+			distributor.rewindIfLost(child, requested, now);
 			distributor.push(child, this.term, now);
-			if (asked) {
+			if (requested) {
 				distributor.repair(child, this.term, now);
 			}
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Uplink.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Uplink.java
@@ -1,7 +1,8 @@
 package org.comfreywall.control.spread;
 
 /**
- * Sends heartbeats to the parent: at a regular interval, and sooner when there is news.
+ * Sends heartbeats to the parent: at a regular interval, and earlier when there are
+ * changes to report.
  */
 final class Uplink {
 
@@ -43,7 +44,7 @@
 	}
 
 	/**
-	 * Lets the next heartbeat leave at once.
+	 * Makes the next flush send a heartbeat regardless of the interval.
 	 */
 	void hurry() {
 		this.urgent = true;
@@ -58,9 +59,9 @@
 	}
 
 	/**
-	 * Starts to report all nodes below anew, to a new parent or to one that has forgotten
-	 * them.
-	 * @param now the clock's reading
+	 * Starts a new full report of all descendants, for a new parent or one that has lost
+	 * reports.
+	 * @param now the current monotonic time in nanoseconds
 	 */
 	void reset(long now) {
 		this.resetAt = now;
@@ -69,13 +70,15 @@
 	}
 
 	/**
-	 * Takes the parent's confirmation of reports.
-	 * @param received the number of the last report that the parent holds
-	 * @param now the clock's reading
+	 * Handles the parent's acknowledgement of reports. A full report is repeated only
+	 * after two heartbeat intervals, because beats that the parent sent before receiving
+	 * the last one may still arrive.
+	 * @param received the sequence number of the last report that the parent has received
+	 * @param now the current monotonic time in nanoseconds
 	 */
 	void acknowledge(long received, long now) {
-		boolean known = this.reports.acknowledge(received);
-		if (!known && now - this.resetAt >= 2 * this.settings.heartbeatInterval().toNanos()) {
+		boolean accepted = this.reports.acknowledge(received);
+		if (!accepted && now - this.resetAt >= 2 * this.settings.heartbeatInterval().toNanos()) {
 			reset(now);
 		}
 	}
@@ -85,9 +88,10 @@
 	}
 
 	/**
-	 * Sends what is due.
-	 * @param leader whether this node leads and consumes the reports itself
-	 * @param now the clock's reading
+	 * Sends a heartbeat to the parent if one is due. The leader has no parent and passes
+	 * the reports to its own membership core.
+	 * @param leader whether this node is the leader
+	 * @param now the current monotonic time in nanoseconds
 	 */
 	void flush(boolean leader, long now) {
 		if (leader) {
@@ -97,8 +101,8 @@
 			return;
 		}
 		boolean regular = now - this.sentAt >= this.settings.heartbeatInterval().toNanos();
-		boolean soon = hasNews() && now - this.sentAt >= 2 * this.settings.tickInterval().toNanos();
-		if (this.link.parent().isPresent() && (this.urgent || regular || soon)) {
+		boolean early = hasNews() && now - this.sentAt >= 2 * this.settings.tickInterval().toNanos();
+		if (this.link.parent().isPresent() && (this.urgent || regular || early)) {
 			send(this.link.parent().get(), now);
 		}
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Version.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Version.java
@@ -6,10 +6,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Orders the states of one stream.
+ * The version of a stream's state, ordered by term and number.
  *
- * @param term the term in which the state was accepted
- * @param number the state's number; for the configuration its revision
+ * @param term the leader term in which the state was committed or published
+ * @param number the number of the state; for the configuration its revision
  */
 public record Version(Term term, long number) implements Comparable<Version> {
 
@@ -35,7 +35,7 @@
 	}
 
 	/**
-	 * Tells whether this version is older than the given one.
+	 * Returns whether this version is older than another.
 	 * @param other the version to compare with
 	 * @return {@code true} if this version is older
 	 */
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/ChildrenTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/ChildrenTests.java
@@ -26,20 +26,20 @@
 	}
 
 	@Test
-	void doesNotConfirmReportsThatDoNotFollowWhatItHolds() {
+	void doesNotAcknowledgeReportsAfterAGap() {
 		Child child = this.children.heard(heartbeat(7, 8, new MemberReport(LEAF, Presence.PRESENT)), 0);
 		assertThat(child.reportsReceived()).isEqualTo(1);
 	}
 
 	@Test
-	void ignoresReportsThatArriveLate() {
+	void ignoresOutdatedReports() {
 		this.children.heard(heartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
 		this.children.heard(heartbeat(1, 2, new MemberReport(LEAF, Presence.ABSENT)), 0);
 		assertThat(this.reports).doesNotContain(new MemberReport(LEAF, Presence.ABSENT));
 	}
 
 	@Test
-	void reportsAllBelowAChildThatFallsSilent() {
+	void reportsAnExpiredChildAndItsDescendantsAsAbsent() {
 		this.children.heard(heartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
 		this.children.expire(1);
 		assertThat(this.reports).contains(new MemberReport(LEAF, Presence.ABSENT),
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/Nodes.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/Nodes.java
@@ -7,7 +7,7 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Descriptors for tests.
+ * Node descriptors and command filters for tests.
  */
 final class Nodes {
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/RelayTreeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/RelayTreeTests.java
@@ -32,7 +32,7 @@
 	}
 
 	@Test
-	void dependsOnTheMembersAlone() {
+	void isIndependentOfTheOrderOfMembers() {
 		List<NodeDescriptor> nodes = fleet(800);
 		List<NodeDescriptor> shuffled = new ArrayList<>(nodes);
 		Collections.shuffle(shuffled, new Random(3));
@@ -42,7 +42,7 @@
 	}
 
 	@Test
-	void keepsWithinTheChildLimit() {
+	void assignsNoMoreThanTheMaximumNumberOfChildren() {
 		RelayTree tree = tree(fleet(1_100));
 		Map<InstanceId, Integer> children = new HashMap<>();
 		fleet(1_100).forEach((node) -> children.merge(tree.parentsOf(node).parents().get(0).id(), 1, Integer::sum));
@@ -50,7 +50,7 @@
 	}
 
 	@Test
-	void leadsEveryNodeToControl() {
+	void connectsEveryNodeToAControlInstance() {
 		List<NodeDescriptor> nodes = fleet(1_100);
 		RelayTree tree = tree(nodes);
 		assertThat(nodes).allMatch((node) -> depth(tree, node) <= 3);
@@ -66,7 +66,7 @@
 	}
 
 	@Test
-	void movesFewNodesWhenOneLeaves() {
+	void changesTheParentsOfFewNodesWhenOneLeaves() {
 		List<NodeDescriptor> nodes = fleet(1_100);
 		RelayTree before = tree(nodes);
 		RelayTree after = tree(nodes.subList(0, 1_099));
@@ -77,9 +77,9 @@
 	}
 
 	@Test
-	void givesNodesOfADomainWithoutEntriesParentsElsewhere() {
-		NodeDescriptor lonely = Nodes.node("sidecar-lonely", NodeRole.SIDECAR, "d9");
-		assertThat(tree(fleet(100)).parentsOf(lonely).parents().get(0).role()).isEqualTo(NodeRole.ENTRY);
+	void assignsEntriesOfOtherDomainsToNodesOfADomainWithoutEntries() {
+		NodeDescriptor sidecar = Nodes.node("sidecar-lonely", NodeRole.SIDECAR, "d9");
+		assertThat(tree(fleet(100)).parentsOf(sidecar).parents().get(0).role()).isEqualTo(NodeRole.ENTRY);
 	}
 
 	private static int depth(RelayTree tree, NodeDescriptor node) {
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadCodecTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadCodecTests.java
@@ -41,7 +41,7 @@
 
 	@ParameterizedTest
 	@MethodSource("messages")
-	void decodesWhatItEncoded(SpreadMessage message) {
+	void decodesEncodedMessage(SpreadMessage message) {
 		assertThat(SpreadCodec.decode(SpreadCodec.encode(message)).value()).contains(message);
 	}
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadNodeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadNodeTests.java
@@ -60,7 +60,7 @@
 		return Nodes.sent(commands, Heartbeat.class).get(0);
 	}
 
-	private void learnFloor(long number) {
+	private void confirmFloor(long number) {
 		long nonce = attach().floorNonce();
 		receive(new FloorAnswer(nonce, new Floor(Version.of(Math.min(number, 1), number), FencingNumber.ZERO)));
 	}
@@ -76,7 +76,7 @@
 	class Configuration {
 
 		@Test
-		void isNotInForceBeforeTheFloorIsKnown() {
+		void isNotActivatedBeforeTheFloorIsConfirmed() {
 			attach();
 			List<SpreadCommand> commands = receive(
 					new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
@@ -84,8 +84,8 @@
 		}
 
 		@Test
-		void isNotInForceBelowTheFloor() {
-			learnFloor(2);
+		void isNotActivatedBelowTheFloor() {
+			confirmFloor(2);
 			assertThat(inForce(receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))))))
 				.isEmpty();
 			assertThat(inForce(receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 2))))))
@@ -93,7 +93,7 @@
 		}
 
 		@Test
-		void ignoresFloorOfAnotherQuestion() {
+		void ignoresFloorOfAnotherRequest() {
 			long nonce = attach().floorNonce();
 			receive(new FloorAnswer(nonce + 1, new Floor(Version.ZERO, FencingNumber.ZERO)));
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
@@ -102,23 +102,23 @@
 
 		@Test
 		void ignoresOlderSnapshot() {
-			learnFloor(0);
+			confirmFloor(0);
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1), delta(1, 2))));
 			receive(new SnapshotUpdate(StreamId.CONFIGURATION, Term.of(1), new Snapshot(Version.of(1, 1), Map.of())));
 			assertThat(SpreadNodeTests.this.node.inForce()).contains(Version.of(1, 2));
 		}
 
 		@Test
-		void refusesUpdateOfLeaderWithOlderTerm() {
-			learnFloor(0);
+		void rejectsUpdateOfLeaderWithOlderTerm() {
+			confirmFloor(0);
 			receive(beat(5, 1));
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(4), List.of(delta(4, 1))));
 			assertThat(SpreadNodeTests.this.node.inForce()).contains(Version.ZERO);
 		}
 
 		@Test
-		void asksAgainWhenAnUpdateIsMissing() {
-			learnFloor(0);
+		void requestsResendWhenAnUpdateIsMissing() {
+			confirmFloor(0);
 			SpreadNodeTests.this.now += SECOND;
 			List<SpreadCommand> commands = receive(
 					new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 2))));
@@ -126,8 +126,8 @@
 		}
 
 		@Test
-		void isRepairedWhenTheDigestDiffers() {
-			learnFloor(0);
+		void installsSnapshotOfTheSameVersionWhenTheDigestDiffers() {
+			confirmFloor(0);
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
 			receive(new Beat(Term.of(1), 2, new Position(Version.of(1, 1), 42), Position.ZERO, Long.MAX_VALUE));
 			List<SpreadCommand> commands = receive(new SnapshotUpdate(StreamId.CONFIGURATION, Term.of(1),
@@ -141,7 +141,7 @@
 	class ParentChoice {
 
 		@Test
-		void asksControlFirst() {
+		void attachesToAControlInstanceFirst() {
 			assertThat(attach().node().id().value()).isEqualTo("entry-1");
 			assertThat(SpreadNodeTests.this.node.parent()).contains(SpreadNodeTests.this.control.id());
 		}
@@ -155,7 +155,7 @@
 		}
 
 		@Test
-		void leavesASilentParent() {
+		void replacesAParentWhoseBeatsStop() {
 			attach();
 			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
 			receive(new Parents(List.of(SpreadNodeTests.this.control, relay), 2, true));
@@ -165,7 +165,7 @@
 		}
 
 		@Test
-		void leavesAParentThatDoesNotHearTheLeader() {
+		void replacesAParentWithoutNewLeaderBeats() {
 			attach();
 			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
 			receive(new Parents(List.of(SpreadNodeTests.this.control, relay), 2, true));
@@ -193,7 +193,7 @@
 	class Leaving {
 
 		@Test
-		void isToldToParentAndControlAtOnce() {
+		void isSentToParentAndControlInstanceAtOnce() {
 			attach();
 			List<SpreadCommand> commands = SpreadNodeTests.this.node.on(new SpreadEvent.LeaveRequested(),
 					SpreadNodeTests.this.now);
@@ -207,22 +207,22 @@
 	class Relaying {
 
 		@Test
-		void answersAChildsFloorOnlyFromAQuestionAskedAfterIt() {
-			long own = attach().floorNonce();
+		void answersAChildOnlyWithAFloorRequestedAfterTheChildsRequest() {
+			long first = attach().floorNonce();
 			Peer child = new Peer(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1").id(), "sidecar-1:7000");
 			Heartbeat heartbeat = heartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 77);
 			SpreadNodeTests.this.node.on(new SpreadEvent.Received(child, heartbeat), SpreadNodeTests.this.now);
 			Floor floor = new Floor(Version.ZERO, FencingNumber.ZERO);
-			List<SpreadCommand> first = receive(new FloorAnswer(own, floor));
-			assertThat(Nodes.sent(first, FloorAnswer.class)).isEmpty();
-			long second = Nodes.sent(first, Heartbeat.class).get(0).floorNonce();
+			List<SpreadCommand> commands = receive(new FloorAnswer(first, floor));
+			assertThat(Nodes.sent(commands, FloorAnswer.class)).isEmpty();
+			long second = Nodes.sent(commands, Heartbeat.class).get(0).floorNonce();
 			assertThat(Nodes.sent(receive(new FloorAnswer(second, floor)), FloorAnswer.class))
 				.containsExactly(new FloorAnswer(77, floor));
 		}
 
 		@Test
-		void namesChildrenThatLackTheRevision() {
-			learnFloor(0);
+		void listsChildrenThatLackTheRevision() {
+			confirmFloor(0);
 			Peer child = new Peer(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1").id(), "sidecar-1:7000");
 			Heartbeat heartbeat = heartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 0);
 			SpreadNodeTests.this.node.on(new SpreadEvent.Received(child, heartbeat), SpreadNodeTests.this.now);
