Reword the membership core

Doc comments spoke of opinions, verdicts, lives and nodes that are heard. The comments now describe a failure detector with probes, incarnations and damping, with the numbers in force (two failed probes, a sample of three members for a whole failure domain) and why members that are not reported count as possible probers: a leader that is cut off from all of them must not declare them failed on its own.

Locals and private names follow (reported, unreported, forwarded, candidates, possibleProbers). Names of tests are plain sentences now; the tests check the same. No behaviour changes.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
@@ -19,8 +19,8 @@
 import org.comfreywall.control.spread.SpreadSettings;
 
 /**
- * The decision core of a control instance: a node of the relay tree that, while its
- * instance leads, also keeps the members.
+ * The core of a control instance: a node of the relay tree that also maintains the
+ * members while its instance is the leader.
  */
 public final class ControlNode implements SpreadCore {
 
@@ -34,8 +34,8 @@
 	 * Creates a control instance's node.
 	 * @param self the instance, of role {@link NodeRole#CONTROL}
 	 * @param controls all control instances
-	 * @param spread the settings of the tree
-	 * @param member the settings of the membership
+	 * @param spread the settings of the relay tree
+	 * @param member the settings of the membership core
 	 * @param random the source of randomness
 	 * @param decisions receives the decisions
 	 */
@@ -53,46 +53,47 @@
 		if (event instanceof SpreadEvent.LeaderChanged changed) {
 			leaderChanged(changed, now);
 		}
-		List<SpreadCommand> passed = new ArrayList<>(commands.size());
-		consume(commands, passed, now);
+		List<SpreadCommand> forwarded = new ArrayList<>(commands.size());
+		consume(commands, forwarded, now);
 		if (event instanceof SpreadEvent.Tick) {
 			this.membership.tick(now);
 		}
-		for (ProbeOrder order : this.membership.takeProbes()) {
-			probe(order, passed, now);
+		for (ProbeOrder assignment : this.membership.takeProbes()) {
+			probe(assignment, forwarded, now);
 		}
 		List<EntryChange> changes = this.membership.takeChanges(now);
 		if (!changes.isEmpty()) {
-			consume(this.node.on(new SpreadEvent.MembersChanged(changes), now), passed, now);
+			consume(this.node.on(new SpreadEvent.MembersChanged(changes), now), forwarded, now);
 		}
-		return passed;
+		return forwarded;
 	}
 
 	/**
 	 * Returns the node of the relay tree.
-	 * @return the node, to be read only
+	 * @return the node; callers must not send it events
 	 */
 	public SpreadNode node() {
 		return this.node;
 	}
 
 	/**
-	 * Tells which nodes have not got a revision; meaningful at the leader.
+	 * Returns the coverage of a configuration revision; meaningful at the leader only.
 	 * @param number the revision
-	 * @return the coverage of all members that have not failed; nodes that are not
-	 * attached at the moment count as behind
+	 * @return the coverage of all members that have not failed; nodes that are currently
+	 * not attached to the tree count as behind
 	 */
 	public Coverage coverage(long number) {
 		Coverage attached = this.node.coverage(number);
 		List<Laggard> behind = new ArrayList<>(attached.behind());
-		List<InstanceId> unheard = this.membership.unheard();
-		unheard.stream().limit(Coverage.MAX_NAMED - behind.size()).forEach((id) -> behind.add(new Laggard(id, 0)));
-		return new Coverage(attached.nodes() + unheard.size(), number, attached.behindCount() + unheard.size(), behind);
+		List<InstanceId> unreported = this.membership.unheard();
+		unreported.stream().limit(Coverage.MAX_NAMED - behind.size()).forEach((id) -> behind.add(new Laggard(id, 0)));
+		return new Coverage(attached.nodes() + unreported.size(), number, attached.behindCount() + unreported.size(),
+				behind);
 	}
 
 	private void leaderChanged(SpreadEvent.LeaderChanged changed, long now) {
-		boolean leads = changed.leader().filter(this.self.id()::equals).isPresent();
-		if (leads && !changed.term().isBefore(this.node.term())) {
+		boolean isLeader = changed.leader().filter(this.self.id()::equals).isPresent();
+		if (isLeader && !changed.term().isBefore(this.node.term())) {
 			this.membership.lead(this.node.memberSnapshot().entries(), now);
 		}
 		else {
@@ -100,7 +101,7 @@
 		}
 	}
 
-	private void consume(List<SpreadCommand> commands, List<SpreadCommand> passed, long now) {
+	private void consume(List<SpreadCommand> commands, List<SpreadCommand> forwarded, long now) {
 		for (SpreadCommand command : commands) {
 			if (command instanceof SpreadCommand.Reported reported) {
 				this.membership.onReports(reported.reports(), now);
@@ -112,18 +113,18 @@
 				this.membership.onProbed(probed.prober(), probed.result(), now);
 			}
 			else {
-				passed.add(command);
+				forwarded.add(command);
 			}
 		}
 	}
 
-	private void probe(ProbeOrder order, List<SpreadCommand> passed, long now) {
-		if (order.prober().id().equals(this.self.id())) {
-			SpreadEvent own = new SpreadEvent.Received(order.prober(), order.request());
-			consume(this.node.on(own, now), passed, now);
+	private void probe(ProbeOrder assignment, List<SpreadCommand> forwarded, long now) {
+		if (assignment.prober().id().equals(this.self.id())) {
+			SpreadEvent received = new SpreadEvent.Received(assignment.prober(), assignment.request());
+			consume(this.node.on(received, now), forwarded, now);
 		}
 		else {
-			passed.add(new SpreadCommand.Send(order.prober(), order.request()));
+			forwarded.add(new SpreadCommand.Send(assignment.prober(), assignment.request()));
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/DomainFailure.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/DomainFailure.java
@@ -4,10 +4,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tells all nodes that a whole failure domain has failed.
+ * Marks a whole failure domain as failed with a single entry of the membership stream.
  *
  * @param domain the failure domain
- * @param stamp members of the domain with a smaller stamp have failed
+ * @param stamp the stamp of the failure; members of the domain with a smaller stamp have
+ * failed
  */
 public record DomainFailure(FailureDomainId domain, long stamp) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
@@ -7,18 +7,18 @@
 import org.comfreywall.control.spread.NodeDescriptor;
 
 /**
- * What the leader knows of one member.
+ * The leader's state of one member: its published record, presence, probe and damping.
  */
 final class Member {
 
-	/** The nodes that did not reach the member in the present round of probes. */
+	/** The nodes that could not reach the member in the current round of probes. */
 	private final Set<InstanceId> unreached = new HashSet<>();
 
 	private MemberRecord record;
 
 	private boolean left;
 
-	private boolean heard;
+	private boolean reported;
 
 	private boolean probing;
 
@@ -28,9 +28,9 @@
 
 	private long judgeAfter;
 
-	private int returns;
+	private int returnCount;
 
-	private long returnedAt;
+	private long lastReturnAt;
 
 	private long heldUntil;
 
@@ -62,8 +62,8 @@
 	}
 
 	/**
-	 * Tells whether the present life was ever leaving.
-	 * @return {@code true} if it may never be active again
+	 * Returns whether the current incarnation was leaving at any time.
+	 * @return {@code true} if the incarnation must not become active again
 	 */
 	boolean isLeft() {
 		return this.left;
@@ -74,21 +74,21 @@
 	}
 
 	boolean isHeard() {
-		return this.heard;
+		return this.reported;
 	}
 
 	void heard() {
-		this.heard = true;
+		this.reported = true;
 		endProbe();
 	}
 
 	void unheard(long now, long graceNanos) {
-		this.heard = false;
+		this.reported = false;
 		this.judgeAfter = now + graceNanos;
 	}
 
 	boolean isSuspect(long now) {
-		return !this.heard && this.record.state() != MemberState.FAILED && now >= this.judgeAfter;
+		return !this.reported && this.record.state() != MemberState.FAILED && now >= this.judgeAfter;
 	}
 
 	boolean isProbing() {
@@ -125,9 +125,9 @@
 	}
 
 	int countReturn(long now, long windowNanos) {
-		this.returns = (now - this.returnedAt > windowNanos) ? 1 : this.returns + 1;
-		this.returnedAt = now;
-		return this.returns;
+		this.returnCount = (now - this.lastReturnAt > windowNanos) ? 1 : this.returnCount + 1;
+		this.lastReturnAt = now;
+		return this.returnCount;
 	}
 
 	void hold(long until) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberEntries.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberEntries.java
@@ -17,7 +17,8 @@
 import org.comfreywall.control.spread.SpreadCodec;
 
 /**
- * Converts members to and from the entries of the members' stream.
+ * Converts members and failed failure domains to and from entries of the membership
+ * stream.
  */
 public final class MemberEntries {
 
@@ -31,8 +32,8 @@
 	}
 
 	/**
-	 * Decodes the nodes that work and are not leaving.
-	 * @param entries the entries of the members' stream
+	 * Decodes the nodes that have neither failed nor started to leave.
+	 * @param entries the entries of the membership stream
 	 * @return the nodes
 	 */
 	public static List<NodeDescriptor> activeNodes(Map<String, Bytes> entries) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberRecord.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberRecord.java
@@ -4,11 +4,12 @@
 import org.comfreywall.control.spread.NodeDescriptor;
 
 /**
- * What all nodes are told about a member.
+ * The state of a member as published to all nodes.
  *
  * @param node the member
- * @param state its state
- * @param stamp orders the record against failures of its failure domain
+ * @param state the state
+ * @param stamp a number that increases with each published change and orders the record
+ * relative to failures of its failure domain
  */
 public record MemberRecord(NodeDescriptor node, MemberState state, long stamp) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberState.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberState.java
@@ -5,11 +5,11 @@
  */
 public enum MemberState {
 
-	/** The member takes work. */
+	/** The member accepts new work. */
 	ACTIVE,
-	/** The member finishes what it has and takes no new work. */
+	/** The member completes its current work and accepts no new work. */
 	LEAVING,
-	/** The member was judged to have failed. */
+	/** The leader has confirmed that the member failed. */
 	FAILED
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberView.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberView.java
@@ -16,7 +16,7 @@
 import org.comfreywall.control.spread.EntryChange;
 
 /**
- * The members as one node knows them; fed with the changes of the members' stream.
+ * A node's view of the members, updated with the changes of the membership stream.
  */
 public final class MemberView {
 
@@ -27,8 +27,9 @@
 	private final Map<FailureDomainId, Long> failedDomains = new HashMap<>();
 
 	/**
-	 * The last life of each member that was seen leaving; outlives the member's record,
-	 * because a new leader or a late message may know no better than that it is active.
+	 * The latest leaving incarnation of each member. It is retained after the member's
+	 * record was removed, because a delayed message or a new leader that missed the leave
+	 * may publish the same incarnation as active again.
 	 */
 	private final Map<InstanceId, Incarnation> left = new LinkedHashMap<>() {
 
@@ -40,9 +41,10 @@
 	};
 
 	/**
-	 * Takes over changes.
+	 * Applies changes of the membership stream.
 	 * @param changes the changes
-	 * @param whole whether members not named are gone
+	 * @param whole whether the changes are the complete state and all other members are
+	 * removed
 	 */
 	public void apply(List<EntryChange> changes, boolean whole) {
 		Preconditions.notNull(changes, "changes");
@@ -61,10 +63,10 @@
 	}
 
 	/**
-	 * Tells whether a member may be given new work.
+	 * Returns whether new work may be routed to a member.
 	 * @param id the member
-	 * @return {@code true} if it is active, this life of it was never seen leaving and
-	 * its failure domain has not failed since
+	 * @return {@code true} if the member is active, its incarnation has never been
+	 * leaving and its failure domain has not failed since the record was published
 	 */
 	public boolean isRoutable(InstanceId id) {
 		return find(id).filter(this::isActive).isPresent();
@@ -88,9 +90,10 @@
 	}
 
 	/**
-	 * Tells whether a record's member takes work.
+	 * Returns whether the member of a record accepts new work.
 	 * @param record a record of this view
-	 * @return {@code true} if it is active and its failure domain has not failed since
+	 * @return {@code true} if the member is active, its incarnation has never been
+	 * leaving and its failure domain has not failed since the record was published
 	 */
 	public boolean isActive(MemberRecord record) {
 		return record.state() == MemberState.ACTIVE && !hasLeft(record) && !isDomainFailedSince(record);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Membership.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Membership.java
@@ -22,14 +22,17 @@
 import org.comfreywall.control.spread.ProbeResult;
 
 /**
- * The leader's core that turns reports of the relay tree into members.
+ * The leader's membership core: it derives the members from the reports of the relay
+ * tree.
  * <p>
- * A member that nobody reports any more is judged only after other nodes have failed to
- * reach it over their own paths. At most {@value #MAX_MEMBERS} members are held.
+ * A member that is no longer reported is marked as failed only after probes by other
+ * nodes over their own network paths have failed as well. Members that return too often
+ * are held back with exponentially increasing delays. At most {@value #MAX_MEMBERS}
+ * members are tracked.
  */
 final class Membership {
 
-	/** The number of members held at most. */
+	/** The maximum number of tracked members. */
 	static final int MAX_MEMBERS = 16_384;
 
 	private static final int FREE_RETURNS = 3;
@@ -61,9 +64,9 @@
 	}
 
 	/**
-	 * Starts from the members that the stream holds.
-	 * @param entries the stream's entries
-	 * @param now the clock's reading
+	 * Starts maintaining the members as the leader, from those of the membership stream.
+	 * @param entries the entries of the stream
+	 * @param now the current monotonic time in nanoseconds
 	 */
 	void lead(Map<String, Bytes> entries, long now) {
 		resign();
@@ -120,9 +123,9 @@
 			return;
 		}
 		List.copyOf(this.members.values()).forEach((member) -> maintain(member, now));
-		SuspicionJudge.Verdicts verdicts = this.judge.judge(this.members.values(), now);
-		verdicts.failed().forEach((member) -> fail(member, now));
-		verdicts.failedDomains().forEach((failure) -> failDomain(failure, now));
+		SuspicionJudge.Verdicts failures = this.judge.judge(this.members.values(), now);
+		failures.failed().forEach((member) -> fail(member, now));
+		failures.failedDomains().forEach((failure) -> failDomain(failure, now));
 	}
 
 	List<EntryChange> takeChanges(long now) {
@@ -134,17 +137,17 @@
 	}
 
 	/**
-	 * Returns the members that have not failed but are not heard at the moment.
+	 * Returns the members that have not failed but are currently not reported.
 	 * @return their identifiers
 	 */
 	List<InstanceId> unheard() {
-		List<InstanceId> unheard = new ArrayList<>();
+		List<InstanceId> unreported = new ArrayList<>();
 		for (Member member : this.members.values()) {
 			if (!member.isHeard() && member.state() != MemberState.FAILED) {
-				unheard.add(member.id());
+				unreported.add(member.id());
 			}
 		}
-		return unheard;
+		return unreported;
 	}
 
 	private void restore(MemberRecord record, boolean domainFailed, long now) {
@@ -186,12 +189,12 @@
 	}
 
 	private void heardAgain(Member member, MemberReport report, long now) {
-		boolean known = member.isHeard();
+		boolean wasReported = member.isHeard();
 		member.heard();
 		if (report.presence() == Presence.LEAVING) {
 			leave(member);
 		}
-		else if (member.state() == MemberState.FAILED && !known) {
+		else if (member.state() == MemberState.FAILED && !wasReported) {
 			comeBack(member, member.isLeft() ? MemberState.LEAVING : MemberState.ACTIVE, now);
 		}
 	}
@@ -203,8 +206,8 @@
 			publish(member, state, "returned");
 			return;
 		}
-		long hold = this.settings.damping().toNanos() << Math.min(excess - 1, 10);
-		member.hold(now + Math.min(hold, this.settings.maxDamping().toNanos()));
+		long delay = this.settings.damping().toNanos() << Math.min(excess - 1, 10);
+		member.hold(now + Math.min(delay, this.settings.maxDamping().toNanos()));
 		member.failed(now);
 		publish(member, MemberState.FAILED, "held-back");
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MembershipSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MembershipSettings.java
@@ -7,21 +7,24 @@
 /**
  * Settings of the membership core.
  *
- * @param grace how long a member may be unheard before others are asked about it
- * @param takeoverGrace how long a new leader waits for members to be reported
- * @param probeTimeout how long the leader waits for the answers of probes
- * @param reprobeInterval how long a member that answered a probe is left alone
- * @param publishInterval how long joins and failures are gathered before they are
- * published
- * @param keepFailed how long a failed member is kept on record
- * @param damping how long the first return after too many is held back; doubles with each
- * @param maxDamping how long a return is held back at most
+ * @param grace the time after a member was last reported until it is probed
+ * @param takeoverGrace the time that a new leader waits for members to be reported before
+ * it probes them
+ * @param probeTimeout the time that the leader waits for the results of probes
+ * @param reprobeInterval the time after a successful probe until a member that is still
+ * not reported is probed again
+ * @param publishInterval the minimum interval between publications; joins and failures in
+ * between are batched
+ * @param keepFailed the time after which the record of a failed member is removed
+ * @param damping the time that the first return beyond the permitted number is held back;
+ * doubles with each further return
+ * @param maxDamping the maximum time that a return is held back
  */
 public record MembershipSettings(Duration grace, Duration takeoverGrace, Duration probeTimeout,
 		Duration reprobeInterval, Duration publishInterval, Duration keepFailed, Duration damping,
 		Duration maxDamping) {
 
-	/** The settings used when none are given. */
+	/** The default settings. */
 	public static final MembershipSettings DEFAULTS = new MembershipSettings(Duration.ofSeconds(5),
 			Duration.ofSeconds(12), Duration.ofMillis(2500), Duration.ofSeconds(5), Duration.ofMillis(200),
 			Duration.ofMinutes(10), Duration.ofSeconds(5), Duration.ofSeconds(60));
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ProbeOrder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ProbeOrder.java
@@ -4,10 +4,10 @@
 import org.comfreywall.control.spread.ProbeRequest;
 
 /**
- * Asks one node to probe another.
+ * A probe request and the node that must execute it.
  *
- * @param prober the node that is to probe
- * @param request the probe
+ * @param prober the node that executes the probe
+ * @param request the request
  */
 record ProbeOrder(Peer prober, ProbeRequest request) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ProberSelector.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ProberSelector.java
@@ -13,8 +13,9 @@
 import org.comfreywall.control.spread.Peer;
 
 /**
- * Picks the nodes that give an opinion on a node in doubt: the leader itself and others
- * that are heard, of other failure domains where there are such.
+ * Selects the nodes that probe a suspected node: the leader and up to {@value #OTHERS}
+ * active members that are currently reported. Members of other failure domains are
+ * preferred, then those that aren't sidecars.
  */
 final class ProberSelector {
 
@@ -32,14 +33,14 @@
 	}
 
 	List<Peer> select(NodeDescriptor target, Collection<Member> members, Peer leader) {
-		List<NodeDescriptor> usable = new ArrayList<>();
+		List<NodeDescriptor> candidates = new ArrayList<>();
 		for (Member member : members) {
 			if (isUsable(member, target)) {
-				usable.add(member.node());
+				candidates.add(member.node());
 			}
 		}
-		Collections.shuffle(usable, this.random);
-		List<NodeDescriptor> sample = usable.subList(0, Math.min(SAMPLE, usable.size()));
+		Collections.shuffle(candidates, this.random);
+		List<NodeDescriptor> sample = candidates.subList(0, Math.min(SAMPLE, candidates.size()));
 		sample.sort(Comparator.comparing((NodeDescriptor node) -> node.domain().equals(target.domain()))
 			.thenComparing((node) -> node.role() == NodeRole.SIDECAR));
 		List<Peer> probers = new ArrayList<>();
@@ -49,11 +50,12 @@
 	}
 
 	/**
-	 * Counts the nodes whose opinion must be reckoned with, heard or not, so that a
-	 * leader that hears nobody judges nobody.
-	 * @param target the node in doubt
+	 * Counts the nodes that could probe a suspected node. Members that are currently not
+	 * reported are included; otherwise a leader that is cut off from all members could
+	 * declare them failed on its own.
+	 * @param target the suspected node
 	 * @param members all members
-	 * @return the count, the leader included
+	 * @return the count, including the leader
 	 */
 	int electorate(NodeDescriptor target, Collection<Member> members) {
 		long others = members.stream()
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Publication.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Publication.java
@@ -7,7 +7,8 @@
 import org.comfreywall.control.spread.EntryChange;
 
 /**
- * Gathers changed entries so that a storm of changes leads to few messages.
+ * Batches changed entries, so that many changes in a short time are published in few
+ * messages. Urgent changes are published at once, together with all pending ones.
  */
 final class Publication {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/SuspicionJudge.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/SuspicionJudge.java
@@ -15,12 +15,13 @@
 import org.comfreywall.control.spread.ProbeResult;
 
 /**
- * Gathers opinions on members that are not heard and judges them.
+ * Failure detector for members that are no longer reported, based on probes.
  * <p>
- * One positive opinion spares a member. It is judged to have failed on at least two
- * negative ones of different nodes, or on that of the leader if there is no third node.
- * If a whole failure domain is unheard, only a sample of it is probed and it is judged as
- * one.
+ * One successful probe clears a member of suspicion. It is declared failed after failed
+ * probes by at least {@value #OPINIONS} different nodes, or by the leader alone if there
+ * is no other node to probe it. If no member of a failure domain is reported, only a
+ * sample of {@value #DOMAIN_SAMPLE} members is probed, and the domain is declared failed
+ * as a whole.
  */
 final class SuspicionJudge {
 
@@ -38,7 +39,7 @@
 
 	private final ProberSelector selector;
 
-	private final List<ProbeOrder> orders = new ArrayList<>();
+	private final List<ProbeOrder> assignments = new ArrayList<>();
 
 	SuspicionJudge(NodeDescriptor self, MembershipSettings settings, RandomGenerator random) {
 		this.self = Peer.of(self);
@@ -48,12 +49,12 @@
 	}
 
 	void clear() {
-		this.orders.clear();
+		this.assignments.clear();
 	}
 
 	List<ProbeOrder> takeProbes() {
-		List<ProbeOrder> taken = List.copyOf(this.orders);
-		this.orders.clear();
+		List<ProbeOrder> taken = List.copyOf(this.assignments);
+		this.assignments.clear();
 		return taken;
 	}
 
@@ -70,56 +71,56 @@
 	}
 
 	/**
-	 * Judges the members in doubt and asks for opinions on those that lack them.
+	 * Evaluates the probes of all suspected members and requests those that are missing.
 	 * @param members all members
-	 * @param now the clock's reading
-	 * @return who has failed
+	 * @param now the current monotonic time in nanoseconds
+	 * @return the members and failure domains that have failed
 	 */
 	Verdicts judge(Collection<Member> members, long now) {
 		Map<FailureDomainId, DomainSuspects> domains = group(members, now);
-		Verdicts verdicts = new Verdicts(new ArrayList<>(), new ArrayList<>());
+		Verdicts failures = new Verdicts(new ArrayList<>(), new ArrayList<>());
 		long probing = members.stream().filter(Member::isProbing).count();
 		int budget = (int) Math.max(0, MAX_PROBES - probing);
 		for (Map.Entry<FailureDomainId, DomainSuspects> entry : domains.entrySet()) {
 			DomainSuspects suspects = entry.getValue();
 			if (suspects.isWhole()) {
-				budget -= judgeDomain(entry.getKey(), suspects, members, verdicts, now);
+				budget -= judgeDomain(entry.getKey(), suspects, members, failures, now);
 			}
 			else {
-				budget -= judgeEach(suspects.suspects(), members, verdicts, budget, now);
+				budget -= judgeEach(suspects.suspects(), members, failures, budget, now);
 			}
 		}
-		return verdicts;
+		return failures;
 	}
 
 	private int judgeDomain(FailureDomainId domain, DomainSuspects suspects, Collection<Member> members,
-			Verdicts verdicts, long now) {
+			Verdicts failures, long now) {
 		List<Member> sample = suspects.suspects().subList(0, DOMAIN_SAMPLE);
 		if (sample.stream().allMatch((member) -> isCondemned(member, members))) {
-			verdicts.failedDomains().add(new FailedDomain(domain, suspects.suspects()));
+			failures.failedDomains().add(new FailedDomain(domain, suspects.suspects()));
 			return 0;
 		}
 		return probe(sample, members, DOMAIN_SAMPLE, now);
 	}
 
-	private int judgeEach(List<Member> suspects, Collection<Member> members, Verdicts verdicts, int budget, long now) {
-		List<Member> open = new ArrayList<>();
+	private int judgeEach(List<Member> suspects, Collection<Member> members, Verdicts failures, int budget, long now) {
+		List<Member> unconfirmed = new ArrayList<>();
 		for (Member member : suspects) {
 			if (isCondemned(member, members)) {
-				verdicts.failed().add(member);
+				failures.failed().add(member);
 			}
 			else {
-				open.add(member);
+				unconfirmed.add(member);
 			}
 		}
-		return probe(open, members, budget, now);
+		return probe(unconfirmed, members, budget, now);
 	}
 
-	private int probe(List<Member> open, Collection<Member> members, int budget, long now) {
+	private int probe(List<Member> suspects, Collection<Member> members, int budget, long now) {
 		int probed = 0;
-		for (Member member : open) {
-			boolean waiting = member.isProbing() && now - member.probedAt() < this.settings.probeTimeout().toNanos();
-			if (!waiting && probed < budget) {
+		for (Member member : suspects) {
+			boolean pending = member.isProbing() && now - member.probedAt() < this.settings.probeTimeout().toNanos();
+			if (!pending && probed < budget) {
 				probed++;
 				ask(member, members, now);
 			}
@@ -132,15 +133,15 @@
 		member.beginProbe(nonce, now);
 		ProbeRequest request = new ProbeRequest(nonce, member.node());
 		this.selector.select(member.node(), members, this.self)
-			.forEach((prober) -> this.orders.add(new ProbeOrder(prober, request)));
+			.forEach((prober) -> this.assignments.add(new ProbeOrder(prober, request)));
 	}
 
 	private boolean isCondemned(Member member, Collection<Member> members) {
 		if (!member.isProbing() || member.unreached().isEmpty()) {
 			return false;
 		}
-		int electorate = this.selector.electorate(member.node(), members);
-		return member.unreached().size() >= Math.min(OPINIONS, electorate);
+		int possibleProbers = this.selector.electorate(member.node(), members);
+		return member.unreached().size() >= Math.min(OPINIONS, possibleProbers);
 	}
 
 	private static Map<FailureDomainId, DomainSuspects> group(Collection<Member> members, long now) {
@@ -162,10 +163,10 @@
 	}
 
 	/**
-	 * The members of a failure domain that are in doubt.
+	 * The suspected members of a failure domain.
 	 *
-	 * @param suspects the members in doubt
-	 * @param live the number of members that have not failed
+	 * @param suspects the suspected members
+	 * @param live the number of the domain's members that have not failed
 	 */
 	private record DomainSuspects(List<Member> suspects, int live) {
 
@@ -180,7 +181,7 @@
 	}
 
 	/**
-	 * A failure domain judged to have failed.
+	 * A failure domain that has failed as a whole.
 	 *
 	 * @param domain the failure domain
 	 * @param members its members that had not failed before
@@ -195,9 +196,9 @@
 	}
 
 	/**
-	 * Who has failed.
+	 * Newly detected failures.
 	 *
-	 * @param failed single members
+	 * @param failed individual members
 	 * @param failedDomains whole failure domains
 	 */
 	record Verdicts(List<Member> failed, List<FailedDomain> failedDomains) {
--- a/comfreywall-control/src/test/java/org/comfreywall/control/member/MembershipTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/member/MembershipTests.java
@@ -24,7 +24,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link Membership} and the {@link MemberView} that follows it.
+ * Tests for {@link Membership} and a {@link MemberView} that applies its changes.
  */
 class MembershipTests {
 
@@ -65,7 +65,7 @@
 		publish();
 	}
 
-	private List<ProbeOrder> pass(Duration duration) {
+	private List<ProbeOrder> advance(Duration duration) {
 		this.now += duration.toNanos();
 		this.membership.tick(this.now);
 		publish();
@@ -79,14 +79,14 @@
 		this.view.apply(changes, false);
 	}
 
-	private void answer(List<ProbeOrder> orders, boolean reachable, int count) {
-		orders.stream().limit(count).forEach((order) -> answer(order, reachable));
+	private void answer(List<ProbeOrder> probes, boolean reachable, int count) {
+		probes.stream().limit(count).forEach((probe) -> answer(probe, reachable));
 	}
 
-	private void answer(ProbeOrder order, boolean reachable) {
-		NodeDescriptor target = order.request().target();
-		this.membership.onProbed(order.prober(),
-				new ProbeResult(order.request().nonce(), target.id(), target.incarnation(), reachable), this.now);
+	private void answer(ProbeOrder probe, boolean reachable) {
+		NodeDescriptor target = probe.request().target();
+		this.membership.onProbed(probe.prober(),
+				new ProbeResult(probe.request().nonce(), target.id(), target.incarnation(), reachable), this.now);
 	}
 
 	private boolean isRoutable(NodeDescriptor node) {
@@ -94,73 +94,75 @@
 	}
 
 	@Test
-	void givesANewLeaderTimeToHearMembers() {
+	void waitsForReportsAfterLeaderChangeBeforeProbing() {
 		NodeDescriptor node = entry(1, "d1");
 		MemberRecord record = new MemberRecord(node, MemberState.ACTIVE, 7);
 		EntryChange change = MemberEntries.set(record);
 		this.membership.lead(Map.of(change.key(), change.value().orElseThrow()), this.now);
-		assertThat(pass(SETTINGS.grace())).isEmpty();
-		assertThat(pass(SETTINGS.takeoverGrace())).isNotEmpty().extracting(ProbeOrder::prober).contains(Peer.of(SELF));
+		assertThat(advance(SETTINGS.grace())).isEmpty();
+		assertThat(advance(SETTINGS.takeoverGrace())).isNotEmpty()
+			.extracting(ProbeOrder::prober)
+			.contains(Peer.of(SELF));
 	}
 
 	@Nested
 	class Suspicion {
 
-		private final NodeDescriptor doubted = entry(1, "d1");
+		private final NodeDescriptor suspected = entry(1, "d1");
 
 		private List<ProbeOrder> suspect() {
-			report(Presence.PRESENT, this.doubted, entry(2, "d1"), entry(3, "d2"), entry(4, "d3"));
-			pass(Duration.ofSeconds(1));
-			report(Presence.ABSENT, this.doubted);
-			return pass(SETTINGS.grace());
+			report(Presence.PRESENT, this.suspected, entry(2, "d1"), entry(3, "d2"), entry(4, "d3"));
+			advance(Duration.ofSeconds(1));
+			report(Presence.ABSENT, this.suspected);
+			return advance(SETTINGS.grace());
 		}
 
 		@Test
-		void asksOthersBeforeJudging() {
+		void probesFromSeveralNodesBeforeDeclaringFailure() {
 			assertThat(suspect()).extracting(ProbeOrder::prober).doesNotHaveDuplicates().hasSize(3);
-			assertThat(isRoutable(this.doubted)).isTrue();
+			assertThat(isRoutable(this.suspected)).isTrue();
 		}
 
 		@Test
-		void doesNotJudgeOnOneOpinion() {
+		void doesNotDeclareFailureAfterOneFailedProbe() {
 			answer(suspect(), false, 1);
-			pass(Duration.ofSeconds(1));
-			assertThat(isRoutable(this.doubted)).isTrue();
+			advance(Duration.ofSeconds(1));
+			assertThat(isRoutable(this.suspected)).isTrue();
 		}
 
 		@Test
-		void judgesOnTwoOpinions() {
+		void declaresFailureAfterTwoFailedProbes() {
 			answer(suspect(), false, 2);
-			pass(Duration.ofSeconds(1));
-			assertThat(isRoutable(this.doubted)).isFalse();
+			advance(Duration.ofSeconds(1));
+			assertThat(isRoutable(this.suspected)).isFalse();
 		}
 
 		@Test
-		void countsTheSameOpinionOnce() {
-			List<ProbeOrder> orders = suspect();
-			answer(orders.get(0), false);
-			answer(orders.get(0), false);
-			pass(Duration.ofSeconds(1));
-			assertThat(isRoutable(this.doubted)).isTrue();
+		void countsRepeatedResultsOfOneProberOnce() {
+			List<ProbeOrder> probes = suspect();
+			answer(probes.get(0), false);
+			answer(probes.get(0), false);
+			advance(Duration.ofSeconds(1));
+			assertThat(isRoutable(this.suspected)).isTrue();
 		}
 
 		@Test
-		void sparesAMemberThatOnePeerReaches() {
-			List<ProbeOrder> orders = suspect();
-			answer(orders.get(0), true);
-			answer(orders.get(1), false);
-			answer(orders.get(2), false);
-			pass(Duration.ofSeconds(1));
-			assertThat(isRoutable(this.doubted)).isTrue();
+		void clearsAMemberThatOneProberReaches() {
+			List<ProbeOrder> probes = suspect();
+			answer(probes.get(0), true);
+			answer(probes.get(1), false);
+			answer(probes.get(2), false);
+			advance(Duration.ofSeconds(1));
+			assertThat(isRoutable(this.suspected)).isTrue();
 		}
 
 		@Test
-		void takesBackAMemberThatIsHeardAgain() {
+		void reactivatesAFailedMemberThatIsReportedAgain() {
 			answer(suspect(), false, 2);
-			pass(Duration.ofSeconds(1));
-			report(Presence.PRESENT, this.doubted);
-			pass(Duration.ofSeconds(1));
-			assertThat(isRoutable(this.doubted)).isTrue();
+			advance(Duration.ofSeconds(1));
+			report(Presence.PRESENT, this.suspected);
+			advance(Duration.ofSeconds(1));
+			assertThat(isRoutable(this.suspected)).isTrue();
 		}
 
 	}
@@ -175,18 +177,18 @@
 			}
 			report(Presence.PRESENT, domain);
 			report(Presence.PRESENT, entry(100, "d2"), entry(101, "d3"));
-			pass(Duration.ofSeconds(1));
+			advance(Duration.ofSeconds(1));
 			report(Presence.ABSENT, domain);
 			MembershipTests.this.publishedChanges = 0;
-			List<ProbeOrder> orders = pass(SETTINGS.grace());
-			assertThat(orders).hasSize(9);
-			answer(orders, false, 9);
-			pass(Duration.ofSeconds(1));
+			List<ProbeOrder> probes = advance(SETTINGS.grace());
+			assertThat(probes).hasSize(9);
+			answer(probes, false, 9);
+			advance(Duration.ofSeconds(1));
 			return domain;
 		}
 
 		@Test
-		void failsInOneEvent() {
+		void isPublishedAsOneChange() {
 			NodeDescriptor[] domain = fail();
 			assertThat(MembershipTests.this.publishedChanges).isEqualTo(1);
 			assertThat(domain).noneMatch(MembershipTests.this::isRoutable);
@@ -197,16 +199,16 @@
 			NodeDescriptor[] domain = fail();
 			MembershipTests.this.published = 0;
 			report(Presence.PRESENT, domain);
-			pass(Duration.ofSeconds(1));
+			advance(Duration.ofSeconds(1));
 			assertThat(MembershipTests.this.published).isLessThanOrEqualTo(2);
 			assertThat(domain).allMatch(MembershipTests.this::isRoutable);
 		}
 
 		@Test
-		void leavesMembersOutThatHaveNotReturned() {
+		void keepsMembersFailedThatHaveNotReturned() {
 			NodeDescriptor[] domain = fail();
 			report(Presence.PRESENT, domain[0]);
-			pass(Duration.ofSeconds(1));
+			advance(Duration.ofSeconds(1));
 			assertThat(isRoutable(domain[0])).isTrue();
 			assertThat(isRoutable(domain[1])).isFalse();
 		}
@@ -221,7 +223,7 @@
 		@Test
 		void isPublishedAtOnce() {
 			report(Presence.PRESENT, this.node);
-			pass(Duration.ofSeconds(1));
+			advance(Duration.ofSeconds(1));
 			report(Presence.PRESENT, entry(2, "d1"));
 			report(Presence.LEAVING, this.node);
 			assertThat(isRoutable(this.node)).isFalse();
@@ -231,34 +233,34 @@
 		void isNotUndoneByALateReport() {
 			report(Presence.LEAVING, this.node);
 			report(Presence.PRESENT, this.node);
-			pass(Duration.ofSeconds(1));
+			advance(Duration.ofSeconds(1));
 			assertThat(isRoutable(this.node)).isFalse();
 		}
 
 		@Test
-		void isNotUndoneByALeaderThatDoesNotKnow() {
+		void isNotUndoneByALeaderThatMissedIt() {
 			report(Presence.LEAVING, this.node);
-			pass(Duration.ofSeconds(1));
+			advance(Duration.ofSeconds(1));
 			MemberRecord stale = new MemberRecord(this.node, MemberState.ACTIVE, 99);
 			MembershipTests.this.view.apply(List.of(MemberEntries.set(stale)), true);
 			assertThat(isRoutable(this.node)).isFalse();
 		}
 
 		@Test
-		void endsWithTheNextLife() {
+		void endsWithTheNextIncarnation() {
 			report(Presence.LEAVING, this.node);
 			report(Presence.PRESENT, node("entry-1", NodeRole.ENTRY, "d1", 2));
-			pass(Duration.ofSeconds(1));
+			advance(Duration.ofSeconds(1));
 			assertThat(isRoutable(this.node)).isTrue();
 		}
 
 		@Test
-		void endsInRemovalWhenTheMemberIsGone() {
+		void removesTheMemberOnceItIsNoLongerReported() {
 			report(Presence.LEAVING, this.node);
-			pass(Duration.ofSeconds(1));
+			advance(Duration.ofSeconds(1));
 			report(Presence.ABSENT, this.node);
-			pass(SETTINGS.grace());
-			pass(Duration.ofSeconds(1));
+			advance(SETTINGS.grace());
+			advance(Duration.ofSeconds(1));
 			assertThat(MembershipTests.this.view.find(this.node.id())).isEmpty();
 		}
 
@@ -269,21 +271,21 @@
 
 		@Test
 		void holdsBackAMemberThatReturnsTooOften() {
-			for (int life = 1; life <= 5; life++) {
-				report(Presence.PRESENT, node("entry-1", NodeRole.ENTRY, "d1", life));
-				pass(Duration.ofSeconds(1));
+			for (int incarnation = 1; incarnation <= 5; incarnation++) {
+				report(Presence.PRESENT, node("entry-1", NodeRole.ENTRY, "d1", incarnation));
+				advance(Duration.ofSeconds(1));
 			}
 			assertThat(MembershipTests.this.view.isRoutable(InstanceId.of("entry-1"))).isFalse();
-			pass(SETTINGS.damping());
-			pass(Duration.ofSeconds(1));
+			advance(SETTINGS.damping());
+			advance(Duration.ofSeconds(1));
 			assertThat(MembershipTests.this.view.isRoutable(InstanceId.of("entry-1"))).isTrue();
 		}
 
 		@Test
-		void ignoresReportsOfAnEarlierLife() {
+		void ignoresReportsOfAnEarlierIncarnation() {
 			report(Presence.PRESENT, node("entry-1", NodeRole.ENTRY, "d1", 2));
 			report(Presence.LEAVING, node("entry-1", NodeRole.ENTRY, "d1", 1));
-			pass(Duration.ofSeconds(1));
+			advance(Duration.ofSeconds(1));
 			assertThat(MembershipTests.this.view.isRoutable(InstanceId.of("entry-1"))).isTrue();
 		}
 
