--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/OperationException.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/OperationException.java
@@ -4,7 +4,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Carries an operation's error through a reactive stream or future.
+ * Carries an {@link OperationError} through a reactive stream or future; has no stack
+ * trace.
  */
 public final class OperationException extends RuntimeException {
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerChannelInitializer.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerChannelInitializer.java
@@ -14,13 +14,14 @@
 import org.comfreywall.transport.generated.Frame;
 
 /**
- * Sets up the pipeline of a connection between processes.
+ * Sets up the channel pipeline of a connection: security, length-prefixed framing,
+ * protobuf and the {@link PeerHandler}.
  */
 final class PeerChannelInitializer extends ChannelInitializer<Channel> {
 
 	static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
-	private static final int LENGTH_BYTES = 4;
+	private static final int LENGTH_FIELD_BYTES = 4;
 
 	private final Function<Channel, ? extends Iterable<ChannelHandler>> security;
 
@@ -36,8 +37,9 @@
 	protected void initChannel(Channel channel) {
 		ChannelPipeline pipeline = channel.pipeline();
 		this.security.apply(channel).forEach(pipeline::addLast);
-		pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
-		pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+		pipeline
+			.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES));
+		pipeline.addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES));
 		pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
 		pipeline.addLast(new ProtobufEncoder());
 		pipeline.addLast(this.handlers.get());
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerConnection.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerConnection.java
@@ -20,8 +20,8 @@
 	}
 
 	/**
-	 * Sends a frame; frames are delivered in the order in which one thread sends them, or
-	 * the connection closes.
+	 * Sends a frame. Frames sent by one thread arrive in order; a failed write closes the
+	 * connection.
 	 * @param frame the frame
 	 */
 	public void send(Frame frame) {
@@ -31,22 +31,22 @@
 
 	/**
 	 * Returns the peer's identity.
-	 * @return the identity, or empty until the peer has greeted
+	 * @return the identity, or empty until the peer's {@code Hello} has been received
 	 */
 	public Optional<PeerIdentity> peer() {
 		return Optional.ofNullable(this.peer);
 	}
 
 	/**
-	 * Tells whether the connection's send buffer has room.
-	 * @return {@code true} if more may be sent without growing memory
+	 * Returns whether the send buffer has room, by Netty's write buffer water marks.
+	 * @return {@code true} if more frames may be sent
 	 */
 	public boolean isWritable() {
 		return this.channel.isWritable();
 	}
 
 	/**
-	 * Closes the connection; the listener is told.
+	 * Closes the connection and notifies the listener.
 	 */
 	@Override
 	public void close() {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerHandler.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerHandler.java
@@ -20,7 +20,8 @@
 import org.comfreywall.transport.generated.Pong;
 
 /**
- * Greets the peer, exchanges heartbeats and passes frames to the listener.
+ * Exchanges identities and heartbeats with the peer, detects an unresponsive peer and
+ * passes all other frames to the listener.
  */
 final class PeerHandler extends SimpleChannelInboundHandler<Frame> {
 
@@ -56,7 +57,7 @@
 	public void channelActive(ChannelHandlerContext context) {
 		this.connection = new PeerConnection(context.channel());
 		this.lastRead = System.nanoTime();
-		long interval = this.times.heartbeat().toNanos();
+		long interval = this.times.heartbeatInterval().toNanos();
 		this.heartbeat = context.executor()
 			.scheduleAtFixedRate(() -> beat(context), interval, interval, TimeUnit.NANOSECONDS);
 		context.writeAndFlush(greeting());
@@ -97,7 +98,7 @@
 
 	private void greet(ChannelHandlerContext context, Frame frame) {
 		if (!frame.hasHello()) {
-			fail(context, ErrorCode.MALFORMED, "first frame is not a greeting: " + frame.getBodyCase());
+			fail(context, ErrorCode.MALFORMED, "expected HELLO as the first frame but received " + frame.getBodyCase());
 			return;
 		}
 		Hello hello = frame.getHello();
@@ -111,12 +112,13 @@
 	}
 
 	private void beat(ChannelHandlerContext context) {
-		long quiet = System.nanoTime() - this.lastRead;
-		if (quiet > this.times.silence().toNanos()) {
-			fail(context, ErrorCode.CONNECTION_LOST, "peer silent for " + TimeUnit.NANOSECONDS.toMillis(quiet) + " ms");
+		long idleNanos = System.nanoTime() - this.lastRead;
+		if (idleNanos > this.times.idleTimeout().toNanos()) {
+			fail(context, ErrorCode.CONNECTION_LOST,
+					"no frame from the peer for " + TimeUnit.NANOSECONDS.toMillis(idleNanos) + " ms");
 			return;
 		}
-		if (quiet > this.times.suspicion().toNanos()) {
+		if (idleNanos > this.times.suspicionTimeout().toNanos()) {
 			this.listener.onSuspicion(this.connection);
 		}
 		context.writeAndFlush(PING);
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerIdentity.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerIdentity.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Identifies one life of a process at either end of a connection.
+ * Identifies one incarnation of a process at either end of a connection.
  *
  * @param instance the process's name
  * @param incarnation the process's incarnation
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLink.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLink.java
@@ -14,11 +14,11 @@
 import org.comfreywall.transport.generated.Frame;
 
 /**
- * Keeps one working connection to a peer.
+ * Maintains one connection to a peer and reconnects with exponential backoff and jitter.
  * <p>
- * A connection that goes quiet is suspected and a second one is opened; if the peer
- * greets on the second, it replaces the first. A peer is reported down only when a
- * connection has closed and no other is at hand.
+ * When no frame has arrived for the suspicion timeout, a second connection is opened; it
+ * replaces the first once the peer has identified itself on it. The listener is notified
+ * of a loss only if the current connection closes before it is replaced.
  */
 public final class PeerLink implements AutoCloseable {
 
@@ -45,7 +45,7 @@
 	private long backoffMillis = MIN_BACKOFF_MILLIS;
 
 	/**
-	 * Creates a link that is not yet connected.
+	 * Creates an unconnected link.
 	 * @param transport opens the connections
 	 * @param address the peer's address
 	 * @param listener receives the link's events
@@ -66,16 +66,16 @@
 	}
 
 	/**
-	 * Opens a second connection to find out whether the present one still works; it
-	 * replaces the present one once the peer greets.
+	 * Opens a second connection to check whether the peer still responds; it replaces the
+	 * current one once the peer has identified itself.
 	 */
 	public void probe() {
 		connect();
 	}
 
 	/**
-	 * Returns the working connection.
-	 * @return the connection, or empty while there is none
+	 * Returns the current connection.
+	 * @return the connection, or empty while disconnected
 	 */
 	public synchronized Optional<PeerConnection> current() {
 		return Optional.ofNullable(this.current);
@@ -174,15 +174,15 @@
 		@Override
 		public void onClosed(PeerConnection connection, OperationError reason) {
 			boolean wasCurrent;
-			boolean neverOpened;
+			boolean handshakeFailed;
 			synchronized (PeerLink.this) {
 				wasCurrent = connection == PeerLink.this.current;
-				neverOpened = connection.peer().isEmpty();
+				handshakeFailed = connection.peer().isEmpty();
 				if (wasCurrent) {
 					PeerLink.this.current = null;
 				}
 			}
-			if (neverOpened) {
+			if (handshakeFailed) {
 				retryLater();
 			}
 			if (wasCurrent) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLinkListener.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLinkListener.java
@@ -9,8 +9,7 @@
 public interface PeerLinkListener {
 
 	/**
-	 * Called when the link has a working connection, also when a silent connection was
-	 * replaced by a new one.
+	 * Called when a connection is established, also when it replaces an unresponsive one.
 	 * @param connection the connection to use from now on
 	 */
 	void onUp(PeerConnection connection);
@@ -23,8 +22,8 @@
 	void onFrame(PeerConnection connection, Frame frame);
 
 	/**
-	 * Called when the link has lost its connection or cannot open one; the link goes on
-	 * trying.
+	 * Called when the connection was lost or an attempt to connect failed; the link keeps
+	 * reconnecting.
 	 * @param reason why there is no connection
 	 */
 	void onDown(OperationError reason);
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerListener.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerListener.java
@@ -9,22 +9,23 @@
 public interface PeerListener {
 
 	/**
-	 * Called once the peer has identified itself.
+	 * Called once the peer's identity has been received and its protocol version
+	 * accepted.
 	 * @param connection the connection
 	 */
 	default void onOpen(PeerConnection connection) {
 	}
 
 	/**
-	 * Called for each frame other than greetings and heartbeats.
+	 * Called for each frame other than {@code Hello}, {@code Ping} and {@code Pong}.
 	 * @param connection the connection
 	 * @param frame the frame
 	 */
 	void onFrame(PeerConnection connection, Frame frame);
 
 	/**
-	 * Called while the peer has been quiet for the suspicion time, once a heartbeat
-	 * interval.
+	 * Called once per heartbeat interval while no frame has arrived for longer than the
+	 * suspicion timeout.
 	 * @param connection the connection
 	 */
 	default void onSuspicion(PeerConnection connection) {
@@ -33,7 +34,7 @@
 	/**
 	 * Called once when the connection has closed.
 	 * @param connection the connection
-	 * @param reason why it closed
+	 * @param reason the error that closed the connection
 	 */
 	void onClosed(PeerConnection connection, OperationError reason);
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsFiles.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsFiles.java
@@ -10,11 +10,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * PEM files with which a process proves its identity and checks that of others.
+ * PEM files with which a process authenticates itself and verifies its peers.
  *
  * @param certificate the certificate chain
  * @param key the private key
- * @param trust the certificates that others must be signed with
+ * @param trust the CA certificates that peers' certificates must chain to
  */
 public record TlsFiles(Path certificate, Path key, Path trust) {
 
@@ -25,9 +25,9 @@
 	}
 
 	/**
-	 * Returns the times at which the files were changed last.
+	 * Returns the modification times of the files.
 	 * @return the times, in the order of the record's components
-	 * @throws IOException if a file cannot be looked at
+	 * @throws IOException if the attributes of a file cannot be read
 	 */
 	public List<FileTime> modified() throws IOException {
 		List<FileTime> times = new ArrayList<>();
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
@@ -20,11 +20,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Secures connections with TLS; both ends must prove their identity.
+ * Secures connections with mutual TLS.
  * <p>
- * Any certificate signed under the trust file is accepted, whatever address it names,
- * because peers are reached by IP number. Changed files are used for the connections
- * opened afterwards; unreadable ones leave the former in use.
+ * Any certificate that chains to the trust file is accepted. The host name in it is not
+ * verified, because peers are addressed by IP address. Files are checked for changes
+ * whenever a connection is opened or accepted: changed files apply to that and later
+ * connections, and if they cannot be loaded the previous contexts stay in use.
  */
 public final class TlsSecurity implements TransportSecurity {
 
@@ -40,9 +41,10 @@
 	}
 
 	/**
-	 * Reads the files.
+	 * Loads the PEM files.
 	 * @param files the files
-	 * @return the security, or why the files cannot be used
+	 * @return the security, or an error that gives the reason why the files cannot be
+	 * loaded
 	 */
 	public static Result<TlsSecurity> from(TlsFiles files) {
 		Preconditions.notNull(files, "files");
@@ -51,7 +53,7 @@
 		}
 		catch (IOException | IllegalArgumentException ex) {
 			return Result.failure(OperationError.local(ErrorCode.INVALID_INPUT, Step.SETTINGS,
-					"[tls]: the PEM files cannot be used (" + ex.getMessage() + ")"));
+					"[tls]: cannot load the PEM files (" + ex.getMessage() + ")"));
 		}
 	}
 
@@ -99,11 +101,11 @@
 	}
 
 	/**
-	 * Contexts made from the files at one time.
+	 * TLS contexts with the file versions they were loaded from.
 	 *
-	 * @param modified when the files were changed last
-	 * @param server for accepted connections
-	 * @param client for opened connections
+	 * @param modified the modification times of the files
+	 * @param server the context for accepted connections
+	 * @param client the context for connections opened by this process
 	 */
 	private record Contexts(List<FileTime> modified, SslContext server, SslContext client) {
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
@@ -32,8 +32,8 @@
 
 	/**
 	 * Creates a transport.
-	 * @param self the identity with which this process greets its peers
-	 * @param times the times that govern connections
+	 * @param self the identity that this process sends to its peers
+	 * @param times the heartbeat interval and the timeouts of connections
 	 * @param security how connections are secured
 	 * @param threads the number of event loops, at least 1
 	 */
@@ -46,7 +46,7 @@
 	}
 
 	/**
-	 * Returns the identity with which this process greets its peers.
+	 * Returns the identity that this process sends to its peers.
 	 * @return the identity
 	 */
 	public PeerIdentity self() {
@@ -54,7 +54,7 @@
 	}
 
 	/**
-	 * Returns the times that govern connections.
+	 * Returns the heartbeat interval and the timeouts of connections.
 	 * @return the times
 	 */
 	public ConnectionTimes times() {
@@ -63,9 +63,9 @@
 
 	/**
 	 * Accepts connections.
-	 * @param address the address to listen on; port 0 takes a free port
+	 * @param address the address to listen on; port 0 selects a free port
 	 * @param listener receives the events of accepted connections
-	 * @return the open listener
+	 * @return the listening server
 	 */
 	public TransportServer listen(HostPort address, PeerListener listener) {
 		Preconditions.notNull(address, "address");
@@ -81,11 +81,12 @@
 	}
 
 	/**
-	 * Opens a connection; the listener learns when the peer has greeted.
+	 * Opens a connection. {@link PeerListener#onOpen} is called once the peer's identity
+	 * has been received.
 	 * @param address the peer's address
 	 * @param listener receives the connection's events
 	 * @return completes with {@code true} once connected, {@code false} if the peer
-	 * cannot be reached; in that case the listener hears nothing
+	 * cannot be reached; in that case the listener is not called
 	 */
 	public CompletableFuture<Boolean> connect(HostPort address, PeerListener listener) {
 		Preconditions.notNull(address, "address");
@@ -93,12 +94,12 @@
 		Bootstrap bootstrap = new Bootstrap().group(this.loops)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) this.times.connect().toMillis())
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) this.times.connectTimeout().toMillis())
 			.handler(new PeerChannelInitializer(this.security::client,
 					() -> new PeerHandler(this.self, this.times, listener)));
 		CompletableFuture<Boolean> connected = new CompletableFuture<>();
-		ChannelFuture attempt = bootstrap.connect(socketAddress(address));
-		attempt.addListener((done) -> connected.complete(done.isSuccess()));
+		ChannelFuture future = bootstrap.connect(socketAddress(address));
+		future.addListener((done) -> connected.complete(done.isSuccess()));
 		return connected;
 	}
 
@@ -111,7 +112,8 @@
 	 */
 	@Override
 	public void close() {
-		this.loops.shutdownGracefully(0, this.times.connect().toMillis(), TimeUnit.MILLISECONDS).syncUninterruptibly();
+		this.loops.shutdownGracefully(0, this.times.connectTimeout().toMillis(), TimeUnit.MILLISECONDS)
+			.syncUninterruptibly();
 	}
 
 	private static InetSocketAddress socketAddress(HostPort address) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TransportSecurity.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TransportSecurity.java
@@ -10,7 +10,7 @@
  */
 public interface TransportSecurity {
 
-	/** Leaves connections unencrypted. */
+	/** Unencrypted, unauthenticated connections. */
 	TransportSecurity PLAIN = new TransportSecurity() {
 
 		@Override
@@ -28,14 +28,14 @@
 	/**
 	 * Returns the handlers for an accepted connection.
 	 * @param channel the connection's channel
-	 * @return the handlers, first at the network's end
+	 * @return the handlers, starting with the one nearest to the network
 	 */
 	List<ChannelHandler> server(Channel channel);
 
 	/**
 	 * Returns the handlers for a connection opened by this process.
 	 * @param channel the connection's channel
-	 * @return the handlers, first at the network's end
+	 * @return the handlers, starting with the one nearest to the network
 	 */
 	List<ChannelHandler> client(Channel channel);
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TransportServer.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TransportServer.java
@@ -18,7 +18,7 @@
 
 	/**
 	 * Returns the address on which connections are accepted.
-	 * @return the address with the actual port
+	 * @return the local address with the bound port
 	 */
 	public HostPort address() {
 		InetSocketAddress local = (InetSocketAddress) this.channel.localAddress();
@@ -26,7 +26,7 @@
 	}
 
 	/**
-	 * Stops accepting; connections already open stay open.
+	 * Stops accepting connections; established ones stay open.
 	 */
 	@Override
 	public void close() {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/WireErrors.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/WireErrors.java
@@ -9,7 +9,7 @@
 import org.comfreywall.transport.generated.WireError;
 
 /**
- * Converts errors to and from their wire form.
+ * Converts errors to and from their protobuf messages.
  */
 public final class WireErrors {
 
@@ -19,7 +19,7 @@
 	/**
 	 * Encodes an error.
 	 * @param error the error
-	 * @return its wire form
+	 * @return the protobuf message
 	 */
 	public static WireError encode(OperationError error) {
 		return WireError.newBuilder()
@@ -31,25 +31,26 @@
 	}
 
 	/**
-	 * Decodes an error; a code or step of a newer version becomes a general one.
-	 * @param error the wire form
-	 * @param sender the peer that sent it, used where the error names none
+	 * Decodes an error. A code or step that this version does not define is replaced by
+	 * {@link ErrorCode#BACKEND_ERROR} or {@link Step#RUN}.
+	 * @param error the protobuf message
+	 * @param sender the peer that sent it, used if the error names no peer
 	 * @return the error
 	 */
 	public static OperationError decode(WireError error, InstanceId sender) {
 		InstanceId peer = error.getPeer().isBlank() ? sender : InstanceId.of(error.getPeer());
-		String message = error.getMessage().isBlank() ? "no details given" : error.getMessage();
+		String message = error.getMessage().isBlank() ? "error without a message" : error.getMessage();
 		return new OperationError(parse(ErrorCode.class, error.getCode(), ErrorCode.BACKEND_ERROR),
 				parse(Step.class, error.getStep(), Step.RUN), Optional.of(peer), message);
 	}
 
-	private static <E extends Enum<E>> E parse(Class<E> type, String name, E otherwise) {
+	private static <E extends Enum<E>> E parse(Class<E> type, String name, E defaultValue) {
 		for (E constant : type.getEnumConstants()) {
 			if (constant.name().equals(name)) {
 				return constant;
 			}
 		}
-		return otherwise;
+		return defaultValue;
 	}
 
 }
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptDecoder.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptDecoder.java
@@ -46,9 +46,10 @@
 import org.comfreywall.transport.generated.Target;
 
 /**
- * Turns frames about attempts into events of the decision cores.
+ * Decodes frames about attempts into events of the entry's and the sidecar's state
+ * machines.
  * <p>
- * A frame that cannot be an event gives {@link ErrorCode#MALFORMED}.
+ * Invalid frames result in {@link ErrorCode#MALFORMED}.
  */
 public final class AttemptDecoder {
 
@@ -58,7 +59,7 @@
 	/**
 	 * Decodes a frame from an entry.
 	 * @param frame the frame
-	 * @param link the connection on which it came
+	 * @param link the connection on which it arrived
 	 * @return the event
 	 */
 	public static Result<AttemptEvent> fromEntry(Frame frame, EntryLink link) {
@@ -72,7 +73,7 @@
 					Incarnation.of(frame.getCancel().getIncarnation()));
 			case CLAIM_QUERY -> new ClaimQueryReceived(RequestId.of(frame.getClaimQuery().getOwner()),
 					Incarnation.of(frame.getClaimQuery().getIncarnation()), link);
-			default -> throw new IllegalArgumentException("no frame of an entry");
+			default -> throw new IllegalArgumentException("not a frame that an entry sends");
 		});
 	}
 
@@ -97,13 +98,13 @@
 					AttemptRefusal.valueOf(frame.getRefused().getRefusal()));
 			case SEALED -> new SealedReceived(attempt(frame.getSealed().getAttempt()), server,
 					Incarnation.of(frame.getSealed().getIncarnation()));
-			default -> throw new IllegalArgumentException("no frame of a sidecar");
+			default -> throw new IllegalArgumentException("not a frame that a sidecar sends");
 		});
 	}
 
 	/**
-	 * Decodes what an attempt sends to the backend server.
-	 * @param start the attempt
+	 * Decodes the HTTP request that an attempt sends to the backend server.
+	 * @param start the message that starts the attempt
 	 * @return the payload
 	 */
 	public static Result<AttemptPayload> payload(AttemptStart start) {
@@ -126,14 +127,14 @@
 			case HEAD -> new AnswerHead(part.getHead().getStatus(), part.getHead().getContentType());
 			case CHUNK -> new AnswerChunk(Bytes.of(part.getChunk().toByteArray()));
 			case END -> new AnswerEnd();
-			default -> throw new IllegalArgumentException("a part without content");
+			default -> throw new IllegalArgumentException("answer part without HEAD, CHUNK or END");
 		};
 	}
 
 	private static PriorityClass priority(int ordinal) {
 		PriorityClass[] all = PriorityClass.values();
 		if (ordinal >= all.length) {
-			throw new IllegalArgumentException("unknown priority class " + ordinal);
+			throw new IllegalArgumentException("unknown ordinal of a priority class: " + ordinal);
 		}
 		return all[ordinal];
 	}
@@ -147,9 +148,9 @@
 				target.getWindow());
 	}
 
-	private static <T> Result<T> decode(Object message, Supplier<T> decoding) {
+	private static <T> Result<T> decode(Object message, Supplier<T> decoder) {
 		try {
-			return Result.success(decoding.get());
+			return Result.success(decoder.get());
 		}
 		catch (IllegalArgumentException ex) {
 			return Result.failure(OperationError.local(ErrorCode.MALFORMED, Step.SEND,
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptPayload.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptPayload.java
@@ -9,11 +9,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What an attempt sends to the backend server.
+ * The HTTP request that an attempt sends to the backend server.
  *
  * @param method the HTTP method
  * @param path the path with its query
- * @param contentType the body's media type, or an empty text
+ * @param contentType the body's media type, or an empty string
  * @param body the body
  * @param priority the priority class
  * @param remaining the time left until the caller's deadline
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/EntryFrames.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/EntryFrames.java
@@ -29,10 +29,10 @@
 	}
 
 	/**
-	 * Creates the frame of an attempt.
+	 * Creates the frame that starts an attempt.
 	 * @param command the attempt
-	 * @param payload what it sends to the backend server
-	 * @param credit the number of answer parts that may be sent
+	 * @param payload the HTTP request for the backend server
+	 * @param credit the number of answer parts that the sidecar may send
 	 * @return the frame
 	 */
 	public static Frame start(SendStart command, AttemptPayload payload, int credit) {
@@ -69,9 +69,9 @@
 	}
 
 	/**
-	 * Creates the frame that resumes an answer.
+	 * Creates the frame that resumes the stream of an answer.
 	 * @param command the attempt and the next part
-	 * @param credit the number of answer parts that may be sent
+	 * @param credit the number of answer parts that the sidecar may send
 	 * @return the frame
 	 */
 	public static Frame resume(SendResume command, int credit) {
@@ -98,9 +98,9 @@
 	}
 
 	/**
-	 * Creates the frame that asks for the answer of a claim's owner.
-	 * @param command the owner
-	 * @param credit the number of answer parts that may be sent
+	 * Creates the frame that queries the attempt of the request that owns a claim.
+	 * @param command the owner and the incarnation of its sidecar
+	 * @param credit the number of answer parts that the sidecar may send
 	 * @return the frame
 	 */
 	public static Frame claimQuery(SendClaimQuery command, int credit) {
@@ -113,9 +113,9 @@
 	}
 
 	/**
-	 * Creates the frame that allows more answer parts.
-	 * @param request the request whose attempt is followed
-	 * @param parts the number of further parts
+	 * Creates the frame that grants credit for more answer parts.
+	 * @param request the request whose answer is received
+	 * @param parts the number of additional parts
 	 * @return the frame
 	 */
 	public static Frame credit(RequestId request, int parts) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/SidecarFrames.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/SidecarFrames.java
@@ -26,7 +26,7 @@
 	}
 
 	/**
-	 * Creates the frame that tells that an attempt started.
+	 * Creates the frame that reports that an attempt was accepted and may have started.
 	 * @param command the attempt
 	 * @return the frame
 	 */
@@ -39,7 +39,7 @@
 	}
 
 	/**
-	 * Creates the frame of a part of an answer.
+	 * Creates the frame that carries one part of an answer.
 	 * @param command the part
 	 * @return the frame
 	 */
@@ -61,7 +61,7 @@
 	}
 
 	/**
-	 * Creates the frame that tells that an attempt ended without a whole answer.
+	 * Creates the frame that reports that an attempt ended without a complete answer.
 	 * @param command the attempt and the reason
 	 * @return the frame
 	 */
@@ -91,7 +91,7 @@
 	}
 
 	/**
-	 * Creates the frame that tells that an attempt is sealed.
+	 * Creates the frame that confirms that an attempt is sealed.
 	 * @param command the attempt
 	 * @return the frame
 	 */
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlClient.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlClient.java
@@ -27,10 +27,10 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * Calls the control instances and finds the leader among them.
+ * Calls the control instances and discovers the leader among them.
  * <p>
- * Commands are idempotent, so a call whose answer is lost is sent again until its time is
- * over.
+ * Calls to the leader are retried until their timeout, also if a reply was lost; that is
+ * safe because commands are idempotent.
  */
 public final class ControlClient implements AutoCloseable {
 
@@ -60,8 +60,8 @@
 	/**
 	 * Proposes a command to the leader.
 	 * @param command the encoded command
-	 * @param timeout how long to try
-	 * @return completes with the state machine's answer or an error
+	 * @param timeout the longest time to retry
+	 * @return completes with the answer of the state machine or an error
 	 */
 	public CompletableFuture<Result<Bytes>> propose(Bytes command, Duration timeout) {
 		ProposeRequest request = ProposeRequest.newBuilder().setCommand(ByteString.copyFrom(command.toArray())).build();
@@ -72,7 +72,7 @@
 	/**
 	 * Reads the replicated state at the leader.
 	 * @param query the encoded query
-	 * @param timeout how long to try
+	 * @param timeout the longest time to retry
 	 * @return completes with the answer or an error
 	 */
 	public CompletableFuture<Result<Bytes>> query(Bytes query, Duration timeout) {
@@ -82,12 +82,13 @@
 	}
 
 	/**
-	 * Calls the leader.
+	 * Calls the leader, retrying on other instances until it replies or the timeout is
+	 * exceeded.
 	 * @param <Q> the request's type
 	 * @param <R> the reply's type
 	 * @param method the method
 	 * @param request the request
-	 * @param timeout how long to try
+	 * @param timeout the longest time to retry
 	 * @return completes with the reply or an error
 	 */
 	public <Q extends Message, R extends Message> CompletableFuture<Result<R>> callLeader(RpcMethod<Q, R> method,
@@ -99,13 +100,13 @@
 	}
 
 	/**
-	 * Calls one control instance, chosen by a number.
+	 * Calls one control instance without retries.
 	 * @param <Q> the request's type
 	 * @param <R> the reply's type
-	 * @param index chooses the instance; any number
+	 * @param index any number, taken modulo the number of instances
 	 * @param method the method
 	 * @param request the request
-	 * @param timeout how long to wait
+	 * @param timeout the longest time to wait for the reply
 	 * @return completes with the reply or an error
 	 */
 	public <Q extends Message, R extends Message> CompletableFuture<Result<R>> callOne(int index,
@@ -114,12 +115,13 @@
 	}
 
 	/**
-	 * Calls the control instance whose name sorts last.
+	 * Calls the connected control instance with the greatest name, which clients use as
+	 * the reserve grantor, without retries.
 	 * @param <Q> the request's type
 	 * @param <R> the reply's type
 	 * @param method the method
 	 * @param request the request
-	 * @param timeout how long to wait
+	 * @param timeout the longest time to wait for the reply
 	 * @return completes with the reply or an error
 	 */
 	public <Q extends Message, R extends Message> CompletableFuture<Result<R>> callLast(RpcMethod<Q, R> method,
@@ -159,7 +161,7 @@
 	}
 
 	/**
-	 * One call that goes on until the leader answers or its time is over.
+	 * A call that is retried until the leader replies or the deadline is exceeded.
 	 *
 	 * @param <Q> the request's type
 	 * @param <R> the reply's type
@@ -183,8 +185,8 @@
 
 		void attempt() {
 			int tried = ControlClient.this.preferred;
-			Duration left = Duration.ofNanos(Math.max(1, this.deadline - System.nanoTime()));
-			Duration timeout = (left.compareTo(ATTEMPT_TIMEOUT) < 0) ? left : ATTEMPT_TIMEOUT;
+			Duration remaining = Duration.ofNanos(Math.max(1, this.deadline - System.nanoTime()));
+			Duration timeout = (remaining.compareTo(ATTEMPT_TIMEOUT) < 0) ? remaining : ATTEMPT_TIMEOUT;
 			ControlClient.this.clients.get(tried)
 				.call(this.method, this.request, timeout)
 				.thenAccept((result) -> settle(tried, result));
@@ -199,7 +201,8 @@
 			prefer(error.get().peer(), tried);
 			if (System.nanoTime() + RETRY_DELAY.toNanos() >= this.deadline) {
 				this.done.complete(Result.failure(OperationError.local(ErrorCode.UNAVAILABLE, Step.REPLICATE,
-						"no control instance leads: " + error.get().message())));
+						"no leader among the control instances replied before the deadline; last error: "
+								+ error.get().message())));
 				return;
 			}
 			ControlClient.this.worker.after(RETRY_DELAY, this::attempt);
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlMethods.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlMethods.java
@@ -21,27 +21,27 @@
  */
 public final class ControlMethods {
 
-	/** Proposes a command of the replicated state machine; answered by the leader. */
+	/** Proposes a command to the replicated state machine; handled by the leader. */
 	public static final RpcMethod<ProposeRequest, ProposeReply> PROPOSE = new RpcMethod<>("control.propose",
 			ProposeRequest.parser(), ProposeReply.parser());
 
-	/** Reads the replicated state; answered by the leader. */
+	/** Reads the replicated state; handled by the leader. */
 	public static final RpcMethod<QueryRequest, QueryReply> QUERY = new RpcMethod<>("control.query",
 			QueryRequest.parser(), QueryReply.parser());
 
-	/** Tells that a process lives; answered by every control instance. */
+	/** Sends the heartbeat of a process; handled by every control instance. */
 	public static final RpcMethod<HeartbeatRequest, HeartbeatReply> HEARTBEAT = new RpcMethod<>("control.heartbeat",
 			HeartbeatRequest.parser(), HeartbeatReply.parser());
 
-	/** Asks whether a request may run beside others with the same fingerprint. */
+	/** Requests a permit to run a request alongside others with the same fingerprint. */
 	public static final RpcMethod<FlightRequest, FlightReply> ASK_FLIGHT = new RpcMethod<>("control.ask-flight",
 			FlightRequest.parser(), FlightReply.parser());
 
-	/** Tells how a run ended that was allowed before. */
+	/** Reports the result of a permitted run. */
 	public static final RpcMethod<FlightEndRequest, FlightEndReply> END_FLIGHT = new RpcMethod<>("control.end-flight",
 			FlightEndRequest.parser(), FlightEndReply.parser());
 
-	/** Asks for shares of limits; answered by the leader or by the reserve grantor. */
+	/** Requests leases of limits; handled by the leader or by the reserve grantor. */
 	public static final RpcMethod<LeaseCall, LeaseReply> LEASE = new RpcMethod<>("control.lease", LeaseCall.parser(),
 			LeaseReply.parser());
 
@@ -49,7 +49,7 @@
 	public static final RpcMethod<DrainRequest, DrainReply> DRAIN = new RpcMethod<>("sidecar.drain",
 			DrainRequest.parser(), DrainReply.parser());
 
-	/** The topic of messages of the replicated log. */
+	/** The topic of the replicated log's messages. */
 	public static final String LOG_TOPIC = "control.log";
 
 	private ControlMethods() {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/control/LeaseCodec.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/control/LeaseCodec.java
@@ -15,9 +15,9 @@
 import org.comfreywall.transport.generated.LeaseShare;
 
 /**
- * Converts lease requests and grants to and from their wire form.
+ * Converts lease requests and grants to and from their protobuf messages.
  * <p>
- * Malformed messages raise {@link IllegalArgumentException}.
+ * Decoding a malformed message throws {@link IllegalArgumentException}.
  */
 public final class LeaseCodec {
 
@@ -26,9 +26,9 @@
 
 	/**
 	 * Encodes a request.
-	 * @param role the grantor asked
+	 * @param role the role of the grantor that receives the request
 	 * @param request the request
-	 * @return its wire form
+	 * @return the protobuf message
 	 */
 	public static LeaseCall encode(GrantorRole role, LeaseRequest request) {
 		LeaseCall.Builder call = LeaseCall.newBuilder()
@@ -43,7 +43,7 @@
 
 	/**
 	 * Decodes a request.
-	 * @param call the wire form
+	 * @param call the protobuf message
 	 * @return the request
 	 */
 	public static LeaseRequest decode(LeaseCall call) {
@@ -55,7 +55,7 @@
 	/**
 	 * Encodes a grant.
 	 * @param grant the grant
-	 * @return its wire form
+	 * @return the protobuf message
 	 */
 	public static LeaseReply encode(LeaseGrant grant) {
 		LeaseReply.Builder reply = LeaseReply.newBuilder()
@@ -74,7 +74,7 @@
 
 	/**
 	 * Decodes a grant.
-	 * @param reply the wire form
+	 * @param reply the protobuf message
 	 * @return the grant
 	 */
 	public static LeaseGrant decode(LeaseReply reply) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/control/package-info.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/control/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Calls to control instances.
+ * Client and message codecs for calls to control instances.
  */
 package org.comfreywall.transport.control;
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/package-info.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Connections between the processes of the system.
+ * Framed, optionally TLS-secured connections between the processes of the system.
  */
 package org.comfreywall.transport;
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/NoticeHandler.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/NoticeHandler.java
@@ -4,7 +4,7 @@
 import org.comfreywall.transport.PeerConnection;
 
 /**
- * Receives the notices of one topic; must not block.
+ * Handles the notices of one topic; must not block.
  */
 @FunctionalInterface
 public interface NoticeHandler {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
@@ -34,9 +34,9 @@
 import org.comfreywall.transport.generated.Reply;
 
 /**
- * Calls methods of one peer and sends it notices.
+ * Calls the methods of one peer and exchanges notices with it.
  * <p>
- * A call that ends without a reply may have been carried out.
+ * A call that fails without a reply may have been executed by the peer.
  */
 public final class RpcClient implements AutoCloseable {
 
@@ -66,7 +66,7 @@
 
 	/**
 	 * Returns the peer's identity.
-	 * @return the identity, or empty while there is no connection
+	 * @return the identity, or empty while disconnected
 	 */
 	public Optional<PeerIdentity> peer() {
 		return this.link.current().flatMap(PeerConnection::peer);
@@ -81,15 +81,15 @@
 	}
 
 	/**
-	 * Tells when the peer has been reached for the first time.
-	 * @return completes with the first connection
+	 * Returns a future that completes when the first connection is established.
+	 * @return the future
 	 */
 	public CompletableFuture<Void> firstConnection() {
 		return this.firstConnection;
 	}
 
 	/**
-	 * Registers the handler of a topic of notices sent by the peer.
+	 * Registers the handler of a topic for notices that the peer sends.
 	 * @param topic the topic
 	 * @param handler receives its notices
 	 */
@@ -98,7 +98,7 @@
 	}
 
 	/**
-	 * Sends a notice; it is lost while there is no connection.
+	 * Sends a notice, or drops it while disconnected.
 	 * @param topic the topic
 	 * @param payload the payload
 	 */
@@ -115,9 +115,9 @@
 	 * @param <R> the reply's type
 	 * @param method the method
 	 * @param request the request
-	 * @param timeout how long to wait for the reply
-	 * @return completes with the reply or an error, never exceptionally; the error
-	 * {@link ErrorCode#UNAVAILABLE} means that the call was not sent
+	 * @param timeout the longest time to wait for the reply
+	 * @return completes with the reply or an error, never exceptionally;
+	 * {@link ErrorCode#UNAVAILABLE} if the call was not sent
 	 */
 	public <Q extends Message, R extends Message> CompletableFuture<Result<R>> call(RpcMethod<Q, R> method, Q request,
 			Duration timeout) {
@@ -126,7 +126,8 @@
 		Preconditions.notNull(timeout, "timeout");
 		Optional<PeerConnection> connection = this.link.current();
 		if (connection.isEmpty() || this.pending.size() >= MAX_PENDING) {
-			return CompletableFuture.completedFuture(failure(ErrorCode.UNAVAILABLE, "no connection for a call"));
+			return CompletableFuture
+				.completedFuture(failure(ErrorCode.UNAVAILABLE, "not connected, or too many pending calls"));
 		}
 		long id = this.ids.incrementAndGet();
 		CompletableFuture<Result<ByteString>> reply = new CompletableFuture<>();
@@ -145,7 +146,7 @@
 	@Override
 	public void close() {
 		this.link.close();
-		failPending("the connection was closed by this process");
+		failPending("the client was closed");
 	}
 
 	private <R extends Message> Result<R> decode(Parser<R> parser, ByteString payload) {
@@ -153,7 +154,7 @@
 			return Result.success(parser.parseFrom(payload));
 		}
 		catch (InvalidProtocolBufferException ex) {
-			return failure(ErrorCode.MALFORMED, "cannot decode a reply");
+			return failure(ErrorCode.MALFORMED, "cannot decode the reply");
 		}
 	}
 
@@ -172,7 +173,7 @@
 
 		@Override
 		public void onUp(PeerConnection connection) {
-			failPending("the connection was replaced");
+			failPending("the connection was replaced before the reply arrived");
 			RpcClient.this.firstConnection.complete(null);
 		}
 
@@ -191,12 +192,12 @@
 		}
 
 		private void complete(PeerConnection connection, Reply reply) {
-			CompletableFuture<Result<ByteString>> waiter = RpcClient.this.pending.get(reply.getId());
-			if (waiter == null) {
+			CompletableFuture<Result<ByteString>> call = RpcClient.this.pending.get(reply.getId());
+			if (call == null) {
 				return;
 			}
 			InstanceId sender = connection.peer().orElseThrow().instance();
-			waiter.complete(reply.hasError() ? Result.failure(WireErrors.decode(reply.getError(), sender))
+			call.complete(reply.hasError() ? Result.failure(WireErrors.decode(reply.getError(), sender))
 					: Result.success(reply.getPayload()));
 		}
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcHandler.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcHandler.java
@@ -7,7 +7,7 @@
 import org.comfreywall.transport.PeerIdentity;
 
 /**
- * Answers the calls of one method; must not block.
+ * Handles the calls of one method; must not block.
  *
  * @param <Q> the request's type
  * @param <R> the reply's type
@@ -16,8 +16,8 @@
 public interface RpcHandler<Q extends Message, R extends Message> {
 
 	/**
-	 * Answers a call.
-	 * @param caller the process that called
+	 * Handles a call.
+	 * @param caller the identity of the calling process
 	 * @param request the request
 	 * @return completes with the reply or an error
 	 */
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcMethod.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcMethod.java
@@ -5,13 +5,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Names a method and the types of its request and reply.
+ * Describes a remote method.
  *
  * @param <Q> the request's type
  * @param <R> the reply's type
- * @param name the method's name, unique in the system
- * @param requests decodes requests
- * @param replies decodes replies
+ * @param name the method's name on the wire, unique in the system
+ * @param requests the parser of requests
+ * @param replies the parser of replies
  */
 public record RpcMethod<Q extends Message, R extends Message>(String name, Parser<Q> requests, Parser<R> replies) {
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcServer.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcServer.java
@@ -25,8 +25,8 @@
 import org.comfreywall.transport.generated.Reply;
 
 /**
- * Dispatches the frames of accepted connections: calls to the handlers of their methods,
- * notices to the handlers of their topics and all other frames to a listener.
+ * Dispatches the frames of accepted connections: calls by method, notices by topic and
+ * all other frames to a listener.
  */
 public final class RpcServer implements PeerListener {
 
@@ -43,7 +43,7 @@
 	 * @param <Q> the request's type
 	 * @param <R> the reply's type
 	 * @param method the method
-	 * @param handler answers its calls
+	 * @param handler handles its calls
 	 */
 	public <Q extends Message, R extends Message> void register(RpcMethod<Q, R> method, RpcHandler<Q, R> handler) {
 		Preconditions.notNull(method, "method");
@@ -95,7 +95,7 @@
 	private void call(PeerConnection connection, Call call) {
 		Endpoint<?, ?> endpoint = this.methods.get(call.getMethod());
 		if (endpoint == null) {
-			String message = "this process does not offer " + call.getMethod();
+			String message = "this process has no handler for the method " + call.getMethod();
 			reply(connection, call.getId(), error(ErrorCode.NOT_FOUND, message));
 			return;
 		}
@@ -118,7 +118,7 @@
 			return result;
 		}
 		LOG.error("call-failed", Field.of("method", call.getMethod()), Field.of("error", failure));
-		return error(ErrorCode.INVARIANT, "the call failed: " + failure.getMessage());
+		return error(ErrorCode.INVARIANT, "the handler failed: " + failure.getMessage());
 	}
 
 	private static void reply(PeerConnection connection, long id, Result<ByteString> result) {
@@ -147,7 +147,7 @@
 			}
 			catch (InvalidProtocolBufferException ex) {
 				Result<ByteString> malformed = error(ErrorCode.MALFORMED,
-						"cannot decode a call of " + this.method.name());
+						"cannot decode the request of a call to " + this.method.name());
 				return CompletableFuture.completedFuture(malformed);
 			}
 		}
@@ -155,7 +155,7 @@
 	}
 
 	/**
-	 * Closes connections that send frames nobody expects.
+	 * Closes connections that send frames for which no listener is set.
 	 */
 	private static final class RefusingListener implements PeerListener {
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/package-info.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Calls with replies, and notices without, between processes.
+ * Remote procedure calls and one-way notices between processes.
  */
 package org.comfreywall.transport.rpc;
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/worker/SerialWorker.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/worker/SerialWorker.java
@@ -14,17 +14,17 @@
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
 
 /**
- * A thread that runs the tasks of one duty in order, fed by a bounded ring.
+ * A single-threaded executor that runs tasks in submission order from a bounded queue.
  */
 public final class SerialWorker implements Executor, AutoCloseable {
 
 	private static final EventLog LOG = EventLog.of(SerialWorker.class);
 
-	private static final long CLOSE_MILLIS = 2000;
+	private static final long CLOSE_TIMEOUT_MILLIS = 2000;
 
 	private final String name;
 
-	private final MpscBlockingConsumerArrayQueue<Runnable> ring;
+	private final MpscBlockingConsumerArrayQueue<Runnable> queue;
 
 	private final ScheduledExecutorService timer;
 
@@ -35,12 +35,12 @@
 	/**
 	 * Creates and starts a worker.
 	 * @param name the thread's name
-	 * @param capacity the number of tasks that may wait, at least 2
+	 * @param capacity the greatest number of queued tasks, at least 2
 	 */
 	public SerialWorker(String name, int capacity) {
 		this.name = Preconditions.notBlank(name, "name");
 		Preconditions.check(capacity >= 2, "capacity must be at least 2: %d", capacity);
-		this.ring = new MpscBlockingConsumerArrayQueue<>(capacity);
+		this.queue = new MpscBlockingConsumerArrayQueue<>(capacity);
 		this.timer = createTimer(name);
 		this.thread = new Thread(this::run, name);
 		this.thread.setDaemon(true);
@@ -48,32 +48,31 @@
 	}
 
 	/**
-	 * Hands over a task unless the ring is full.
+	 * Queues a task unless the queue is full.
 	 * @param task the task
-	 * @return {@code false} if the ring is full or the worker closed
+	 * @return {@code false} if the queue is full or the worker is closed
 	 */
 	public boolean offer(Runnable task) {
-		return !this.closed && this.ring.offer(Preconditions.notNull(task, "task"));
+		return !this.closed && this.queue.offer(Preconditions.notNull(task, "task"));
 	}
 
 	/**
-	 * Hands over a task.
+	 * Queues a task.
 	 * @param task the task
-	 * @throws RejectedExecutionException if the ring is full or the worker closed
+	 * @throws RejectedExecutionException if the queue is full or the worker is closed
 	 */
 	@Override
 	public void execute(Runnable task) {
 		if (!offer(task)) {
-			throw new RejectedExecutionException(this.name + " takes no more tasks");
+			throw new RejectedExecutionException(this.name + " rejected a task: its queue is full or it is closed");
 		}
 	}
 
 	/**
-	 * Runs a task on this worker at regular intervals; a run is left out while the ring
-	 * is full.
+	 * Runs a task on this worker at a fixed rate; a run is skipped if the queue is full.
 	 * @param task the task
 	 * @param interval the time between runs
-	 * @return cancels further runs
+	 * @return a future that cancels further runs
 	 */
 	public ScheduledFuture<?> every(Duration interval, Runnable task) {
 		long nanos = interval.toNanos();
@@ -81,25 +80,27 @@
 	}
 
 	/**
-	 * Runs a task on this worker once after a delay.
+	 * Runs a task on this worker once after a delay; the run is skipped if the queue is
+	 * full.
 	 * @param delay the delay
 	 * @param task the task
-	 * @return cancels the run
+	 * @return a future that cancels the run
 	 */
 	public ScheduledFuture<?> after(Duration delay, Runnable task) {
-		Runnable handOver = () -> offer(task);
-		return this.timer.schedule(handOver, delay.toNanos(), TimeUnit.NANOSECONDS);
+		Runnable offerTask = () -> offer(task);
+		return this.timer.schedule(offerTask, delay.toNanos(), TimeUnit.NANOSECONDS);
 	}
 
 	/**
-	 * Runs the tasks that wait and ends the thread.
+	 * Runs the queued tasks and ends the thread; interrupts it if they take longer than
+	 * the close timeout.
 	 */
 	@Override
 	public void close() {
 		this.timer.shutdownNow();
-		this.ring.offer(() -> this.closed = true);
+		this.queue.offer(() -> this.closed = true);
 		try {
-			this.thread.join(CLOSE_MILLIS);
+			this.thread.join(CLOSE_TIMEOUT_MILLIS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -113,7 +114,7 @@
 	private void run() {
 		while (!this.closed) {
 			try {
-				this.ring.take().run();
+				this.queue.take().run();
 			}
 			catch (InterruptedException ex) {
 				return;
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/worker/package-info.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/worker/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Threads that each carry one duty, fed by bounded rings.
+ * Single-threaded executors with bounded queues.
  */
 package org.comfreywall.transport.worker;
--- a/comfreywall-transport/src/test/java/org/comfreywall/transport/MalformedFrameTests.java
+++ b/comfreywall-transport/src/test/java/org/comfreywall/transport/MalformedFrameTests.java
@@ -27,17 +27,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests how connections treat frames that cannot be decoded.
+ * Tests that connections with malformed or unexpected frames are closed.
  */
 class MalformedFrameTests {
 
 	private static final int TIMEOUT_MILLIS = 20_000;
 
-	private final ConnectionTimes patient = new ConnectionTimes(Duration.ofSeconds(1), Duration.ofSeconds(30),
+	private final ConnectionTimes times = new ConnectionTimes(Duration.ofSeconds(1), Duration.ofSeconds(30),
 			Duration.ofSeconds(60), Duration.ofSeconds(10));
 
 	private final Transport transport = new Transport(new PeerIdentity(InstanceId.of("server"), Incarnation.of(1)),
-			this.patient, TransportSecurity.PLAIN, 1);
+			this.times, TransportSecurity.PLAIN, 1);
 
 	private final RecordingListener listener = new RecordingListener();
 
@@ -56,35 +56,35 @@
 
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
-	void randomBytesCloseTheirConnectionAndHarmNoOther(long seed) throws Exception {
+	void randomBytesCloseOnlyTheirOwnConnection(long seed) throws Exception {
 		try (Socket good = open(); Socket bad = open()) {
-			greet(good);
-			byte[] noise = new byte[256];
-			new Random(seed).nextBytes(noise);
-			noise[0] = 0;
-			noise[1] = 0;
-			noise[2] = 0;
-			noise[3] = 100;
-			bad.getOutputStream().write(noise);
-			assertThat(readToEnd(bad)).isTrue();
+			sendHello(good);
+			byte[] malformed = new byte[256];
+			new Random(seed).nextBytes(malformed);
+			malformed[0] = 0;
+			malformed[1] = 0;
+			malformed[2] = 0;
+			malformed[3] = 100;
+			bad.getOutputStream().write(malformed);
+			assertThat(isClosedByPeer(bad)).isTrue();
 			send(good, Frame.newBuilder().setCredit(Credit.newBuilder().setRequest("r1")).build());
 			assertThat(this.listener.frames.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).hasCredit()).isTrue();
 		}
 	}
 
 	@Test
-	void oversizedFrameClosesItsConnectionBeforeItIsRead() throws Exception {
+	void oversizedFrameClosesConnectionBeforeFrameIsRead() throws Exception {
 		try (Socket socket = open()) {
 			new DataOutputStream(socket.getOutputStream()).writeInt(Integer.MAX_VALUE);
-			assertThat(readToEnd(socket)).isTrue();
+			assertThat(isClosedByPeer(socket)).isTrue();
 		}
 	}
 
 	@Test
-	void otherProtocolVersionIsRefusedWithItsReason() throws Exception {
+	void unsupportedProtocolVersionIsRejectedWithReason() throws Exception {
 		try (Socket socket = open()) {
 			send(socket, Frame.newBuilder().setHello(Hello.newBuilder().setVersion(99).setInstance("x")).build());
-			assertThat(readToEnd(socket)).isTrue();
+			assertThat(isClosedByPeer(socket)).isTrue();
 			OperationError reason = this.listener.reasons.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 			assertThat(reason.code()).isEqualTo(ErrorCode.MALFORMED);
 			assertThat(reason.message()).contains("version 99");
@@ -92,10 +92,10 @@
 	}
 
 	@Test
-	void frameBeforeTheGreetingIsRefused() throws Exception {
+	void frameBeforeHelloIsRejected() throws Exception {
 		try (Socket socket = open()) {
 			send(socket, Frame.newBuilder().setCredit(Credit.getDefaultInstance()).build());
-			assertThat(readToEnd(socket)).isTrue();
+			assertThat(isClosedByPeer(socket)).isTrue();
 			assertThat(this.listener.frames).isEmpty();
 		}
 	}
@@ -106,7 +106,7 @@
 		return socket;
 	}
 
-	private static void greet(Socket socket) throws IOException {
+	private static void sendHello(Socket socket) throws IOException {
 		Hello hello = Hello.newBuilder()
 			.setVersion(PeerHandler.VERSION)
 			.setInstance("client")
@@ -122,7 +122,7 @@
 		output.flush();
 	}
 
-	private static boolean readToEnd(Socket socket) throws IOException {
+	private static boolean isClosedByPeer(Socket socket) throws IOException {
 		try {
 			while (socket.getInputStream().read() >= 0) {
 				continue;
@@ -138,7 +138,7 @@
 	}
 
 	/**
-	 * Keeps frames and the reasons of closed connections.
+	 * Records received frames and the reasons of closed connections.
 	 */
 	private static final class RecordingListener implements PeerListener {
 
--- a/comfreywall-transport/src/test/java/org/comfreywall/transport/TestCertificates.java
+++ b/comfreywall-transport/src/test/java/org/comfreywall/transport/TestCertificates.java
@@ -26,7 +26,7 @@
 			.start()
 			.waitFor();
 		if (code != 0) {
-			throw new IllegalStateException("keytool failed with " + code);
+			throw new IllegalStateException("keytool failed with exit code " + code);
 		}
 		KeyStore keys = KeyStore.getInstance("PKCS12");
 		try (InputStream input = Files.newInputStream(store)) {
--- a/comfreywall-transport/src/test/java/org/comfreywall/transport/TlsSecurityTests.java
+++ b/comfreywall-transport/src/test/java/org/comfreywall/transport/TlsSecurityTests.java
@@ -25,7 +25,7 @@
  */
 class TlsSecurityTests {
 
-	private static final ConnectionTimes PATIENT = new ConnectionTimes(Duration.ofSeconds(1), Duration.ofSeconds(30),
+	private static final ConnectionTimes TIMES = new ConnectionTimes(Duration.ofSeconds(1), Duration.ofSeconds(30),
 			Duration.ofSeconds(60), Duration.ofSeconds(10));
 
 	private final Closer closer = new Closer();
@@ -39,14 +39,14 @@
 	}
 
 	@Test
-	void connectsPeersThatTrustEachOther() throws Exception {
+	void connectsPeersWithTrustedCertificates() throws Exception {
 		TlsFiles files = TestCertificates.create(this.folder, "fleet");
 		TransportServer server = listen(files);
 		assertThat(connect(files, server)).isTrue();
 	}
 
 	@Test
-	void refusesPeersUnderAnotherCertificateUntilTheFilesAreReplaced() throws Exception {
+	void rejectsUntrustedPeersUntilFilesAreReplaced() throws Exception {
 		TlsFiles old = TestCertificates.create(this.folder, "old");
 		TlsFiles renewed = TestCertificates.create(this.folder, "renewed");
 		TransportServer server = listen(old);
@@ -56,26 +56,26 @@
 	}
 
 	@Test
-	void namesFilesThatCannotBeUsed() {
+	void reportsMissingFileInError() {
 		Path missing = this.folder.resolve("missing.pem");
 		assertThat(TlsSecurity.from(new TlsFiles(missing, missing, missing)).error().map(OperationError::message))
 			.hasValueSatisfying((message) -> assertThat(message).contains("missing.pem"));
 	}
 
 	private TransportServer listen(TlsFiles files) {
-		return transport("server", files).listen(new HostPort("127.0.0.1", 0), new GreetingListener());
+		return transport("server", files).listen(new HostPort("127.0.0.1", 0), new OpenListener());
 	}
 
 	private boolean connect(TlsFiles files, TransportServer server) throws Exception {
-		GreetingListener listener = new GreetingListener();
+		OpenListener listener = new OpenListener();
 		transport("client", files).connect(server.address(), listener).get(20, TimeUnit.SECONDS);
-		return listener.greeted.get(20, TimeUnit.SECONDS);
+		return listener.opened.get(20, TimeUnit.SECONDS);
 	}
 
 	private Transport transport(String name, TlsFiles files) {
 		TransportSecurity security = TlsSecurity.from(files).value().orElseThrow();
 		return this.closer
-			.register(new Transport(new PeerIdentity(InstanceId.of(name), Incarnation.of(1)), PATIENT, security, 1));
+			.register(new Transport(new PeerIdentity(InstanceId.of(name), Incarnation.of(1)), TIMES, security, 1));
 	}
 
 	private static void replace(TlsFiles old, TlsFiles renewed) throws Exception {
@@ -85,15 +85,15 @@
 	}
 
 	/**
-	 * Tells whether the peer has greeted before the connection closed.
+	 * Records whether the connection opened before it closed.
 	 */
-	private static final class GreetingListener implements PeerListener {
+	private static final class OpenListener implements PeerListener {
 
-		private final CompletableFuture<Boolean> greeted = new CompletableFuture<>();
+		private final CompletableFuture<Boolean> opened = new CompletableFuture<>();
 
 		@Override
 		public void onOpen(PeerConnection connection) {
-			this.greeted.complete(true);
+			this.opened.complete(true);
 		}
 
 		@Override
@@ -103,7 +103,7 @@
 
 		@Override
 		public void onClosed(PeerConnection connection, OperationError reason) {
-			this.greeted.complete(false);
+			this.opened.complete(false);
 		}
 
 	}
