Reword the sidecar module

Comments spoke of lives of a sidecar, of telling, promising, forgetting and remembering, and of a leaving sidecar. They now speak of incarnations, reports, confirmations, expiry, retention and draining. The order fence says why a new fence admits nothing before a quorum has confirmed the number. Test names say the behaviour; assertions are unchanged.

--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptAdmission.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptAdmission.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.attempt.AttemptRefusal;
 
 /**
- * Decides whether an attempt that is not known yet may run.
+ * Decides whether a new attempt may run.
  */
 final class AttemptAdmission {
 
@@ -21,15 +21,15 @@
 		this.runs = runs;
 	}
 
-	Optional<AttemptRefusal> refusal(StartReceived start, boolean retried, boolean draining, long now) {
+	Optional<AttemptRefusal> refusal(StartReceived start, boolean isRetry, boolean draining, long now) {
 		long window = start.target().window();
 		if (this.store.hasRunClaimed(start.attempt().request())) {
 			return Optional.of(AttemptRefusal.ALREADY_RUNNING);
 		}
-		if (!retried && this.store.mayHaveForgotten(window)) {
+		if (!isRetry && this.store.mayHaveForgotten(window)) {
 			return Optional.of(AttemptRefusal.STALE_WINDOW);
 		}
-		if (!retried && this.store.isClosed(window)) {
+		if (!isRetry && this.store.isClosed(window)) {
 			return Optional.of(AttemptRefusal.SEALED);
 		}
 		if (draining) {
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptCommand.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptCommand.java
@@ -1,7 +1,7 @@
 package org.comfreywall.sidecar.attempt;
 
 /**
- * A command of the registry of attempts to its driver.
+ * A command that {@link AttemptRegistry} returns to its driver.
  */
 public sealed interface AttemptCommand
 		permits StartRun, CancelRun, SendStarted, SendPart, SendEnd, SendRefusal, SendSealed, ReportCrash, FinishDrain {
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptDrain.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptDrain.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * Decides when a leaving sidecar has nothing left to do.
+ * Determines when the drain of a sidecar is complete.
  */
 final class AttemptDrain {
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptEvent.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptEvent.java
@@ -1,7 +1,7 @@
 package org.comfreywall.sidecar.attempt;
 
 /**
- * An event that the registry of attempts handles.
+ * An input event of {@link AttemptRegistry}.
  */
 public sealed interface AttemptEvent permits StartReceived, SealReceived, ClaimQueryReceived, ResumeReceived,
 		CancelReceived, LinkLost, PartProduced, RunRefused, RunBroken, BackendCrashed, DrainStarted, TimePassed {
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRecord.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRecord.java
@@ -12,11 +12,11 @@
 import org.comfreywall.common.id.AttemptId;
 
 /**
- * What the registry knows about the latest attempt of one request.
+ * State and stored answer of the latest attempt of one request.
  */
 final class AttemptRecord {
 
-	/** Connections that one answer is sent to at the same time. */
+	/** The greatest number of connections that follow one attempt. */
 	static final int MAX_LINKS = 8;
 
 	private final AttemptId attempt;
@@ -78,11 +78,13 @@
 	}
 
 	boolean allowsAfter(AttemptId next) {
-		boolean repeatable = this.state == AttemptState.SEALED || isIdempotent();
-		return repeatable && this.state.isEnded() && next.number() > this.attempt.number();
+		boolean retryable = this.state == AttemptState.SEALED || isIdempotent();
+		return retryable && this.state.isEnded() && next.number() > this.attempt.number();
 	}
 
-	// An earlier attempt may have run before this record took its place.
+	// An earlier attempt may have run before this record replaced it, except if this
+	// record
+	// seals every attempt of the request.
 	boolean replaced(AttemptId earlier) {
 		boolean everyAttempt = this.attempt.equals(AttemptTarget.everyAttemptOf(earlier.request()));
 		return earlier.number() < this.attempt.number() && !everyAttempt;
@@ -101,10 +103,10 @@
 		this.delivered = !this.links.isEmpty();
 	}
 
-	void fail(AttemptEnd reason, int number) {
+	void fail(AttemptEnd reason, int crashNumber) {
 		this.state = AttemptState.FAILED;
 		this.end = reason;
-		this.crash = number;
+		this.crash = crashNumber;
 	}
 
 	void seal() {
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
@@ -21,13 +21,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Runs each attempt at most once and tells the truth about it.
+ * Runs each attempt at most once and answers entries' queries about its state.
  * <p>
- * An attempt that has not started can be sealed: every copy that arrives later is
- * refused. Attempts addressed to another life of the sidecar are refused. The answer of
- * an attempt is kept, so that it can be sent again from any part on. The registry is a
- * state machine without input, output, threads or clock: the driver passes each event
- * with the time and carries the commands out in their order. Not thread-safe.
+ * An attempt that has not started can be sealed: every duplicate that arrives later is
+ * refused. Attempts addressed to another incarnation of the sidecar are refused. The
+ * answer of an attempt is kept, so that it can be resumed from any part. The registry is
+ * a deterministic state machine without I/O, threads or a clock: the driver passes each
+ * event with the time and executes the commands in order. Not thread-safe.
  */
 public final class AttemptRegistry {
 
@@ -56,10 +56,10 @@
 	private long now;
 
 	/**
-	 * Creates the registry of one life of a sidecar.
-	 * @param backendServer the backend server beside the sidecar
-	 * @param incarnation the incarnation of the sidecar; no earlier life had it
-	 * @param settings the bounds
+	 * Creates the registry of one incarnation of a sidecar.
+	 * @param backendServer the backend server of the sidecar
+	 * @param incarnation the incarnation of the sidecar, never used before
+	 * @param settings the limits and retention times
 	 * @param invariants checks invariants
 	 * @param listener receives a record of each decision
 	 * @param now the time in nanoseconds
@@ -82,8 +82,8 @@
 	/**
 	 * Handles one event.
 	 * @param event the event
-	 * @param time the time in nanoseconds, not before that of the previous event
-	 * @return the commands to carry out, in their order
+	 * @param time the time in nanoseconds, monotonic
+	 * @return the commands to execute, in order
 	 */
 	public List<AttemptCommand> handle(AttemptEvent event, long time) {
 		Preconditions.notNull(event, "event");
@@ -97,7 +97,7 @@
 	}
 
 	/**
-	 * Returns the present window, to be told to entries with each load report.
+	 * Returns the current window, which each load report sends to entries.
 	 * @return the window's number
 	 */
 	public long window() {
@@ -105,7 +105,7 @@
 	}
 
 	/**
-	 * Tells whether new attempts are refused because the backend server leaves.
+	 * Returns whether new attempts are refused because a drain was started.
 	 * @return {@code true} after a drain was started
 	 */
 	public boolean isDraining() {
@@ -113,7 +113,7 @@
 	}
 
 	/**
-	 * Returns the number of attempts that run.
+	 * Returns the number of running attempts.
 	 * @return the count
 	 */
 	public int running() {
@@ -234,20 +234,20 @@
 	}
 
 	private void onClaimQuery(ClaimQueryReceived query) {
-		AttemptId any = AttemptTarget.everyAttemptOf(query.owner());
+		AttemptId everyAttempt = AttemptTarget.everyAttemptOf(query.owner());
 		if (!query.incarnation().equals(this.incarnation)) {
-			refuseOtherLife(query.link(), any, query.incarnation());
+			refuseOtherLife(query.link(), everyAttempt, query.incarnation());
 			return;
 		}
 		Optional<AttemptRecord> known = this.store.find(query.owner());
 		if (known.isPresent()) {
-			joinOrSeal(known.get(), any, query.link());
+			joinOrSeal(known.get(), everyAttempt, query.link());
 		}
 		else if (this.store.hasRunClaimed(query.owner())) {
-			this.replies.end(query.link(), any, AttemptEnd.ANSWER_DROPPED, 0);
+			this.replies.end(query.link(), everyAttempt, AttemptEnd.ANSWER_DROPPED, 0);
 		}
 		else {
-			sealUnknown(any, query.link());
+			sealUnknown(everyAttempt, query.link());
 		}
 	}
 
@@ -350,15 +350,18 @@
 
 	private void onBackendCrashed() {
 		this.crashes++;
-		List<AttemptRecord> lost = this.runs.all();
-		if (lost.isEmpty()) {
+		List<AttemptRecord> running = this.runs.all();
+		if (running.isEmpty()) {
 			return;
 		}
-		boolean alone = lost.get(0).traits().isolated();
-		List<Fingerprint> inFlight = lost.stream().map((record) -> record.traits().fingerprint()).distinct().toList();
+		boolean isolated = running.get(0).traits().isolated();
+		List<Fingerprint> inFlight = running.stream()
+			.map((record) -> record.traits().fingerprint())
+			.distinct()
+			.toList();
 		this.replies.add(new ReportCrash(new CrashReport(CrashEvidence.BACKEND_CRASHED, this.backendServer,
-				this.incarnation, this.crashes, inFlight, alone)));
-		lost.forEach((record) -> fail(record, AttemptEnd.CRASHED, this.crashes));
+				this.incarnation, this.crashes, inFlight, isolated)));
+		running.forEach((record) -> fail(record, AttemptEnd.CRASHED, this.crashes));
 	}
 
 	private void onDrainStarted() {
@@ -369,9 +372,9 @@
 	}
 
 	private void cancelOrphans() {
-		long bound = this.now - this.settings.orphanTime().toNanos();
+		long detachedBefore = this.now - this.settings.orphanTime().toNanos();
 		for (AttemptRecord record : this.runs.all()) {
-			if (record.links().isEmpty() && record.isIdempotent() && record.lastLinkAt() <= bound) {
+			if (record.links().isEmpty() && record.isIdempotent() && record.lastLinkAt() <= detachedBefore) {
 				cancelRun(record);
 			}
 		}
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistrySettings.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistrySettings.java
@@ -5,24 +5,25 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Bounds of an {@link AttemptRegistry}.
+ * Limits and retention times of an {@link AttemptRegistry}.
  *
- * @param window length of one window
- * @param retainedWindows how many windows an ended attempt is remembered, with its answer
- * @param claimRetention how long it is remembered that a claimed request started; must
- * exceed the retention of the ledger of claims by the greatest drift between two clocks
- * @param orphanTime how long an attempt of an idempotent request runs on without a
- * connection, and how long a leaving sidecar keeps an answer that nobody received
- * @param capacity the greatest number of attempts remembered
- * @param claimCapacity the greatest number of claimed requests remembered beyond their
- * windows
- * @param maxRunning the greatest number of attempts that run at the same time
- * @param maxStoredBytes the greatest sum of all stored answers, in bytes
+ * @param window the length of one window
+ * @param retainedWindows the number of windows for which an ended attempt and its answer
+ * are kept
+ * @param claimRetention how long the fact that a claimed request started is kept; must
+ * exceed the retention of the claim ledger by the greatest drift between two clocks
+ * @param orphanTime how long an attempt of an idempotent request keeps running without a
+ * connection, and how long a draining sidecar waits for an entry to fetch an answer
+ * @param capacity the greatest number of attempts kept
+ * @param claimCapacity the greatest number of claimed requests kept, including those
+ * whose attempts have expired
+ * @param maxRunning the greatest number of concurrently running attempts
+ * @param maxStoredBytes the greatest total size of the stored answers, in bytes
  */
 public record AttemptRegistrySettings(Duration window, int retainedWindows, Duration claimRetention,
 		Duration orphanTime, int capacity, int claimCapacity, int maxRunning, long maxStoredBytes) {
 
-	/** The settings used when none are given. */
+	/** The default settings. */
 	public static final AttemptRegistrySettings DEFAULT = new AttemptRegistrySettings(Duration.ofSeconds(10), 6,
 			Duration.ofHours(27), Duration.ofSeconds(20), 100_000, 400_000, 1_000, 64L * 1024 * 1024);
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptReplies.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptReplies.java
@@ -14,7 +14,7 @@
 import org.comfreywall.common.id.Incarnation;
 
 /**
- * Gathers the commands of one event, above all the replies to entries.
+ * Collects the commands that result from one event, most of them replies to entries.
  */
 final class AttemptReplies {
 
@@ -30,9 +30,9 @@
 	}
 
 	List<AttemptCommand> take() {
-		List<AttemptCommand> taken = this.commands;
+		List<AttemptCommand> result = this.commands;
 		this.commands = new ArrayList<>();
-		return taken;
+		return result;
 	}
 
 	void add(AttemptCommand command) {
@@ -58,19 +58,19 @@
 	}
 
 	/**
-	 * Lets a connection follow an attempt that was accepted, from one part of its answer
-	 * on.
+	 * Sends the stored parts of an accepted attempt's answer and subscribes the
+	 * connection to the following ones.
 	 * @param record the attempt, which must not be sealed
 	 * @param link the connection
-	 * @param from the number of the first part to send
+	 * @param from the sequence number of the first part to send
 	 */
 	void replay(AttemptRecord record, EntryLink link, long from) {
 		if (record.state() == AttemptState.FAILED) {
 			end(link, record.attempt(), record.end(), record.crash());
 			return;
 		}
-		boolean follows = record.canReplayFrom(from) && (record.state().isEnded() || record.follow(link));
-		if (!follows) {
+		boolean canFollow = record.canReplayFrom(from) && (record.state().isEnded() || record.follow(link));
+		if (!canFollow) {
 			end(link, record.attempt(), AttemptEnd.ANSWER_DROPPED, 0);
 			return;
 		}
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRuns.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRuns.java
@@ -11,7 +11,8 @@
 import org.comfreywall.common.invariant.Invariants;
 
 /**
- * The attempts that run, and the suspect that runs or waits to run alone.
+ * The running attempts and the isolated attempt, which runs alone or waits until no other
+ * attempt runs.
  */
 final class AttemptRuns {
 
@@ -40,7 +41,7 @@
 
 	void remove(AttemptRecord record) {
 		this.running.remove(record.attempt().request());
-		if (this.isolated.filter((suspect) -> suspect == record).isPresent()) {
+		if (this.isolated.filter((attempt) -> attempt == record).isPresent()) {
 			this.isolated = Optional.empty();
 		}
 		if (this.running.isEmpty()) {
@@ -53,7 +54,7 @@
 	}
 
 	Optional<AttemptRecord> queued() {
-		return this.isolated.filter((suspect) -> suspect.state() == AttemptState.QUEUED);
+		return this.isolated.filter((record) -> record.state() == AttemptState.QUEUED);
 	}
 
 	Optional<AttemptRecord> find(AttemptId attempt) {
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptState.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptState.java
@@ -5,15 +5,15 @@
  */
 enum AttemptState {
 
-	/** Waits until it is alone. */
+	/** Waits until no other attempt runs. */
 	QUEUED,
-	/** Was handed to the backend server. */
+	/** Was sent to the backend server. */
 	RUNNING,
-	/** Ended with a whole answer. */
+	/** Ended with a complete answer. */
 	FINISHED,
-	/** Started and ended without a whole answer. */
+	/** Started and ended without a complete answer. */
 	FAILED,
-	/** Never started and never will. */
+	/** Has not started and will never start. */
 	SEALED;
 
 	boolean isEnded() {
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptStore.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptStore.java
@@ -13,29 +13,33 @@
 import org.comfreywall.common.id.RequestId;
 
 /**
- * Bounded memory of attempts.
+ * Bounded in-memory store of attempts.
  * <p>
- * Attempts carry the window in which their target was chosen, which is never later than
- * the window in which they end. An ended attempt is forgotten only when its window is
- * past retention; from then on, attempts of that window or an older one that are not
- * remembered are neither run nor said not to have run. That a claimed request started is
- * remembered for the retention of claims. When a record cannot be kept, the window is
- * closed instead: no unknown attempt of that window or an older one is run.
+ * An attempt carries the window in which its target was selected, which is never later
+ * than the window in which it ends. An ended attempt expires once the window in which it
+ * ended is past retention. From then on an unknown attempt of that window or an earlier
+ * one may be an expired one, so it is neither run nor reported as not run. The fact that
+ * a claimed request started is kept for the claim retention. If a seal does not fit into
+ * the store, the current window is closed instead: no unknown attempt of that window or
+ * an earlier one is run.
  */
 final class AttemptStore {
 
 	private final AttemptRegistrySettings settings;
 
-	/** The latest attempt of each request; at most the capacity. */
+	/** The latest attempt of each request, bounded by the capacity. */
 	private final Map<RequestId, AttemptRecord> records = new HashMap<>();
 
-	/** Ended attempts in the order of their end. */
+	/** Ended attempts in the order in which they ended. */
 	private final Map<RequestId, AttemptRecord> ended = new LinkedHashMap<>();
 
-	/** When claimed requests past their windows ended; at most the claim capacity. */
+	/**
+	 * End time of each claimed request whose attempt has expired, in nanoseconds; bounded
+	 * by the claim capacity.
+	 */
 	private final Map<RequestId, Long> ranClaims = new LinkedHashMap<>();
 
-	/** Ended attempts whose answers are stored, in the order of their end. */
+	/** Ended attempts with a stored answer, in the order in which they ended. */
 	private final Set<AttemptRecord> answers = new LinkedHashSet<>();
 
 	private long storedBytes;
@@ -62,12 +66,12 @@
 		return this.ranClaims.containsKey(request);
 	}
 
-	// An unknown attempt of such a window may have run and been forgotten.
+	// An unknown attempt of such a window may have run and expired.
 	boolean mayHaveForgotten(long attemptWindow) {
 		return attemptWindow <= this.forgottenWindow || attemptWindow > this.window;
 	}
 
-	// No unknown attempt of such a window is run any more.
+	// Unknown attempts of such a window are never run.
 	boolean isClosed(long attemptWindow) {
 		return attemptWindow <= this.closedWindow;
 	}
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/BackendCrashed.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/BackendCrashed.java
@@ -1,7 +1,7 @@
 package org.comfreywall.sidecar.attempt;
 
 /**
- * The backend server crashed, which ended all runs.
+ * The backend server crashed, which ended all running attempts.
  */
 public record BackendCrashed() implements AttemptEvent {
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/CancelReceived.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/CancelReceived.java
@@ -5,10 +5,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An entry no longer needs an attempt of an idempotent request.
+ * An entry cancelled an attempt of an idempotent request.
  *
  * @param attempt the attempt
- * @param incarnation the incarnation of the sidecar that is addressed
+ * @param incarnation the addressed incarnation of the sidecar
  */
 public record CancelReceived(AttemptId attempt, Incarnation incarnation) implements AttemptEvent {
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/CancelRun.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/CancelRun.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Cancel the run on the backend server.
+ * Cancels the run on the backend server.
  *
  * @param attempt the attempt
  */
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/ClaimQueryReceived.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/ClaimQueryReceived.java
@@ -5,12 +5,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An entry that found a running claim asks to join its attempt, or to seal it unless it
- * has started.
+ * An entry that found the claim of a running request requested to follow the owner's
+ * attempt, or to seal it if it has not started.
  *
  * @param owner the request that holds the claim
- * @param incarnation the incarnation of the sidecar that is addressed
- * @param link the connection of the sender
+ * @param incarnation the addressed incarnation of the sidecar
+ * @param link the connection from the entry
  */
 public record ClaimQueryReceived(RequestId owner, Incarnation incarnation, EntryLink link) implements AttemptEvent {
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/DrainStarted.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/DrainStarted.java
@@ -1,7 +1,7 @@
 package org.comfreywall.sidecar.attempt;
 
 /**
- * The backend server is to leave.
+ * The sidecar was ordered to drain its backend server.
  */
 public record DrainStarted() implements AttemptEvent {
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/EntryLink.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/EntryLink.java
@@ -7,7 +7,8 @@
  * Identifies one connection from an entry.
  *
  * @param entry the entry
- * @param connection the number of the connection, unique within the life of the sidecar
+ * @param connection the number of the connection, unique within an incarnation of the
+ * sidecar
  */
 public record EntryLink(InstanceId entry, long connection) {
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/FinishDrain.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/FinishDrain.java
@@ -1,7 +1,8 @@
 package org.comfreywall.sidecar.attempt;
 
 /**
- * All runs ended and all answers were sent; the process may stop.
+ * Reports that the drain is complete: no attempt runs, and every answer was sent or its
+ * entry did not reconnect in time. The process may stop.
  */
 public record FinishDrain() implements AttemptCommand {
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/ReportCrash.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/ReportCrash.java
@@ -4,7 +4,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Report a crash to the control instances; to be repeated until it is acknowledged.
+ * Reports a crash to the control instances; the driver must retry until it is
+ * acknowledged.
  *
  * @param report the crash
  */
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/ResumeReceived.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/ResumeReceived.java
@@ -5,12 +5,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An entry asks for the rest of an answer on a new connection.
+ * An entry requested the rest of an answer on a new connection.
  *
  * @param attempt the attempt
- * @param incarnation the incarnation of the sidecar that is addressed
- * @param nextSequence the number of the first part that the entry lacks
- * @param link the connection of the sender
+ * @param incarnation the addressed incarnation of the sidecar
+ * @param nextSequence the sequence number of the first part that the entry has not
+ * received
+ * @param link the connection from the entry
  */
 public record ResumeReceived(AttemptId attempt, Incarnation incarnation, long nextSequence,
 		EntryLink link) implements AttemptEvent {
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/RunBroken.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/RunBroken.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The backend server broke an answer off without crashing.
+ * The backend server aborted an answer without crashing.
  *
  * @param attempt the attempt
  */
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/RunRefused.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/RunRefused.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A run could not be started, and nothing was sent to the backend server.
+ * A run could not be started and the backend server received no part of the request.
  *
  * @param attempt the attempt
  */
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SealReceived.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SealReceived.java
@@ -5,11 +5,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An entry asks to seal its attempt unless it has started.
+ * An entry requested to seal its attempt unless it has started.
  *
  * @param attempt the attempt
- * @param target the addressee
- * @param link the connection of the sender
+ * @param target the addressed backend server and incarnation
+ * @param link the connection from the entry
  */
 public record SealReceived(AttemptId attempt, AttemptTarget target, EntryLink link) implements AttemptEvent {
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendEnd.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendEnd.java
@@ -6,14 +6,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tell that an attempt which started ended without a whole answer.
+ * Reports to an entry that a started attempt ended without a complete answer.
  *
- * @param link the connection of the receiver
+ * @param link the connection to the entry
  * @param attempt the attempt
  * @param incarnation the incarnation of this sidecar
  * @param end how it ended
- * @param crash the number of the crash within the incarnation, or 0 if the backend server
- * did not crash
+ * @param crash the number of the crash within the sidecar's incarnation, counted from 1,
+ * or 0 if the backend server did not crash
  */
 public record SendEnd(EntryLink link, AttemptId attempt, Incarnation incarnation, AttemptEnd end,
 		int crash) implements AttemptCommand {
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendPart.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendPart.java
@@ -6,12 +6,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Send a part of an answer.
+ * Sends a part of an answer to an entry.
  *
- * @param link the connection of the receiver
+ * @param link the connection to the entry
  * @param attempt the attempt
  * @param incarnation the incarnation of this sidecar
- * @param sequence the number of the part, starting at 0
+ * @param sequence the sequence number of the part, starting at 0
  * @param part the part
  */
 public record SendPart(EntryLink link, AttemptId attempt, Incarnation incarnation, long sequence,
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendRefusal.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendRefusal.java
@@ -6,13 +6,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Refuse an attempt.
+ * Sends a refusal of an attempt to an entry.
  *
- * @param link the connection of the receiver
+ * @param link the connection to the entry
  * @param attempt the attempt
  * @param incarnation the incarnation to which the attempt was addressed
  * @param refusal the reason
- * @param window the present window of the sidecar
+ * @param window the current window of the sidecar
  */
 public record SendRefusal(EntryLink link, AttemptId attempt, Incarnation incarnation, AttemptRefusal refusal,
 		long window) implements AttemptCommand {
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendSealed.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendSealed.java
@@ -5,9 +5,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Promise that an attempt never ran and never will.
+ * Confirms to an entry that an attempt has not run and will never run.
  *
- * @param link the connection of the receiver
+ * @param link the connection to the entry
  * @param attempt the attempt, or
  * {@link org.comfreywall.common.attempt.AttemptTarget#everyAttemptOf every attempt} of a
  * request
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendStarted.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/SendStarted.java
@@ -5,9 +5,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Tell that an attempt was accepted and may have started.
+ * Reports to an entry that an attempt was accepted and may have started.
  *
- * @param link the connection of the receiver
+ * @param link the connection to the entry
  * @param attempt the attempt
  * @param incarnation the incarnation of this sidecar
  */
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/StartReceived.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/StartReceived.java
@@ -6,12 +6,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An entry asks to run an attempt.
+ * An entry requested to run an attempt.
  *
  * @param attempt the attempt
- * @param target the addressee
- * @param traits what is known about the request
- * @param link the connection of the sender
+ * @param target the addressed backend server and incarnation
+ * @param traits the properties of the request
+ * @param link the connection from the entry
  */
 public record StartReceived(AttemptId attempt, AttemptTarget target, AttemptTraits traits,
 		EntryLink link) implements AttemptEvent {
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/StartRun.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/StartRun.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Hand the request to the backend server.
+ * Sends the request to the backend server.
  *
  * @param attempt the attempt
  */
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/TimePassed.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/TimePassed.java
@@ -1,7 +1,7 @@
 package org.comfreywall.sidecar.attempt;
 
 /**
- * Time passed; sent at least once in each window.
+ * Clock tick; sent at least once per window.
  */
 public record TimePassed() implements AttemptEvent {
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/package-info.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Registry of the attempts that a sidecar has seen.
+ * Runs attempts on the backend server and keeps their state and answers.
  */
 package org.comfreywall.sidecar.attempt;
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/fence/EngineFencing.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/fence/EngineFencing.java
@@ -1,14 +1,14 @@
 package org.comfreywall.sidecar.fence;
 
 /**
- * Whether an engine checks the fencing numbers of its orders; a setting of the engine's
+ * Which process checks the fencing numbers of an engine's orders; configured per engine
  * deployment.
  */
 public enum EngineFencing {
 
-	/** The engine refuses older numbers itself, also after a restart of its sidecar. */
+	/** The engine rejects older numbers itself, also after a restart of its sidecar. */
 	CHECKED_BY_ENGINE,
-	/** The engine ignores the numbers; its sidecar refuses older ones. */
+	/** The engine ignores the numbers; its sidecar rejects older ones. */
 	CHECKED_BY_SIDECAR
 
 }
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/fence/OrderFence.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/fence/OrderFence.java
@@ -14,12 +14,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The sidecar's core that refuses orders older than one already accepted.
+ * Rejects orders whose fencing number is lower than the highest one admitted.
  * <p>
- * A new fence knows nothing and admits no order until it has learnt the present number
- * from a quorum. Admitted orders must reach the engine one at a time and in the order in
- * which they were admitted; {@link #ended} makes room for the next. It is not
- * thread-safe.
+ * The number is not persisted. Unless the engine checks numbers itself, a new fence
+ * admits no order until a quorum has confirmed the number of the last order issued;
+ * otherwise a restarted sidecar could admit an order of a former leader. Orders must
+ * reach the engine one at a time and in the order of their admission, so the next one is
+ * admitted only after {@link #ended}. Not thread-safe.
  */
 public final class OrderFence {
 
@@ -38,10 +39,10 @@
 	private boolean busy;
 
 	/**
-	 * Creates a fence that knows nothing.
-	 * @param self the sidecar
-	 * @param engine whether the engine checks numbers itself
-	 * @param decisions receives the decisions
+	 * Creates a fence without a known number.
+	 * @param self the instance of the sidecar
+	 * @param engine which process checks the numbers
+	 * @param decisions receives a record of each decision
 	 */
 	public OrderFence(InstanceId self, EngineFencing engine, DecisionListener decisions) {
 		this.self = Preconditions.notNull(self, "self");
@@ -50,9 +51,10 @@
 	}
 
 	/**
-	 * Takes the number of the last order issued, as a quorum confirmed it after this
-	 * fence was created.
-	 * @param floor the number
+	 * Raises the current number to that of the last order issued. A quorum must have
+	 * confirmed it after this fence was created.
+	 * @param floor the lowest number to admit; a lower one than the current number has no
+	 * effect
 	 */
 	public void learnFloor(FencingNumber floor) {
 		Preconditions.notNull(floor, "floor");
@@ -61,36 +63,39 @@
 	}
 
 	/**
-	 * Decides whether an order may be handed to the engine.
+	 * Decides whether an order may be sent to the engine.
 	 * @param number the order's number
-	 * @return the number now present, or {@link ErrorCode#FENCED} if it is too old,
-	 * {@link ErrorCode#UNAVAILABLE} if the present number is not known yet and
+	 * @return the order's number, or {@link ErrorCode#FENCED} if it is lower than the
+	 * current one, {@link ErrorCode#UNAVAILABLE} if the current number is unknown and
 	 * {@link ErrorCode#OVERLOADED} if an earlier order has not ended; the latter two may
-	 * be tried again
+	 * be retried
 	 */
 	public Result<FencingNumber> admit(FencingNumber number) {
 		Preconditions.notNull(number, "number");
 		if (this.engine == EngineFencing.CHECKED_BY_SIDECAR && !this.learnt) {
-			return refuse(number, ErrorCode.UNAVAILABLE, "the present number is not known yet; try again");
+			return refuse(number, ErrorCode.UNAVAILABLE,
+					"the current fencing number is not yet confirmed by a quorum; retry");
 		}
 		if (number.isBefore(this.present)) {
-			return refuse(number, ErrorCode.FENCED, "the order is older than " + this.present);
+			return refuse(number, ErrorCode.FENCED,
+					"the order's fencing number is lower than the current number " + this.present);
 		}
 		if (this.busy) {
-			return refuse(number, ErrorCode.OVERLOADED, "an earlier order has not ended; try again");
+			return refuse(number, ErrorCode.OVERLOADED, "an earlier order has not ended; retry");
 		}
 		return accept(number);
 	}
 
 	/**
-	 * Notes that the engine has ended the admitted order.
+	 * Records that the engine has ended the admitted order, so that the next one may be
+	 * admitted.
 	 */
 	public void ended() {
 		this.busy = false;
 	}
 
 	/**
-	 * Returns the greatest number accepted or learnt.
+	 * Returns the highest number admitted or confirmed by a quorum.
 	 * @return the number
 	 */
 	public FencingNumber present() {
@@ -98,8 +103,9 @@
 	}
 
 	/**
-	 * Tells whether the fence can admit orders.
-	 * @return {@code true} once the present number was learnt, or if the engine checks
+	 * Returns whether the fence can admit orders.
+	 * @return {@code true} if the current number is known or the engine checks numbers
+	 * itself
 	 */
 	public boolean isReady() {
 		return this.learnt || this.engine == EngineFencing.CHECKED_BY_ENGINE;
@@ -108,7 +114,8 @@
 	private Result<FencingNumber> accept(FencingNumber number) {
 		if (!this.invariants.holds(!number.isBefore(this.present), "order-number-never-back",
 				Field.of("present", this.present), Field.of("offered", number))) {
-			return refuse(number, ErrorCode.INVARIANT, "the order would step back behind " + this.present);
+			return refuse(number, ErrorCode.INVARIANT,
+					"the order would decrease the current fencing number " + this.present);
 		}
 		this.present = number;
 		this.busy = true;
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/fence/package-info.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/fence/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Protects engines that do not check fencing numbers from orders of old leaders.
+ * Rejects orders of former leaders on behalf of engines that do not check fencing
+ * numbers.
  */
 package org.comfreywall.sidecar.fence;
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/package-info.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Decision cores of the sidecar role: attempts, seals and order fencing.
+ * State machines of the sidecar role: attempts, seals and order fencing.
  */
 package org.comfreywall.sidecar;
--- a/comfreywall-sidecar/src/test/java/org/comfreywall/sidecar/attempt/AttemptRegistryTests.java
+++ b/comfreywall-sidecar/src/test/java/org/comfreywall/sidecar/attempt/AttemptRegistryTests.java
@@ -35,7 +35,7 @@
 
 	private static final BackendServerId SERVER = BackendServerId.of("booking-1");
 
-	private static final Incarnation LIFE = Incarnation.of(3);
+	private static final Incarnation INCARNATION = Incarnation.of(3);
 
 	private static final EntryLink LINK = new EntryLink(InstanceId.of("entry-1"), 1);
 
@@ -52,7 +52,7 @@
 	private static final AttemptRegistrySettings SETTINGS = new AttemptRegistrySettings(Duration.ofNanos(WINDOW_NANOS),
 			2, Duration.ofNanos(1000), Duration.ofNanos(50), 4, 6, 3, 14);
 
-	private final AttemptRegistry registry = new AttemptRegistry(SERVER, LIFE, SETTINGS, new Invariants(),
+	private final AttemptRegistry registry = new AttemptRegistry(SERVER, INCARNATION, SETTINGS, new Invariants(),
 			DecisionListener.NONE, 0);
 
 	private long now;
@@ -80,14 +80,14 @@
 	}
 
 	private List<AttemptCommand> query(String request) {
-		return handle(new ClaimQueryReceived(RequestId.of(request), LIFE, OTHER_LINK));
+		return handle(new ClaimQueryReceived(RequestId.of(request), INCARNATION, OTHER_LINK));
 	}
 
 	private List<AttemptCommand> handle(AttemptEvent event) {
 		return this.registry.handle(event, this.now);
 	}
 
-	private List<AttemptCommand> passWindows(int count) {
+	private List<AttemptCommand> advanceWindows(int count) {
 		this.now += count * WINDOW_NANOS;
 		return handle(new TimePassed());
 	}
@@ -104,11 +104,11 @@
 	}
 
 	private static SendPart part(EntryLink link, String request, long sequence, AnswerPart part) {
-		return new SendPart(link, attempt(request, 1), LIFE, sequence, part);
+		return new SendPart(link, attempt(request, 1), INCARNATION, sequence, part);
 	}
 
 	private static SendSealed sealed(EntryLink link, String request) {
-		return new SendSealed(link, attempt(request, 1), LIFE);
+		return new SendSealed(link, attempt(request, 1), INCARNATION);
 	}
 
 	private static AttemptId attempt(String request, int number) {
@@ -116,7 +116,7 @@
 	}
 
 	private static AttemptTarget target(long window) {
-		return new AttemptTarget(SERVER, LIFE, window);
+		return new AttemptTarget(SERVER, INCARNATION, window);
 	}
 
 	private static AttemptTraits booking(String body) {
@@ -140,7 +140,7 @@
 		}
 
 		@Test
-		void runsDoubledAttemptOnce() {
+		void runsDuplicatedAttemptOnce() {
 			startBooking("r");
 			assertThat(startBooking("r")).isEmpty();
 			answer("r");
@@ -148,9 +148,10 @@
 		}
 
 		@Test
-		void refusesAttemptForOtherIncarnationWithoutProof() {
-			AttemptTarget former = new AttemptTarget(SERVER, Incarnation.of(2), 0);
-			List<AttemptCommand> commands = handle(new StartReceived(attempt("r", 1), former, booking("r"), LINK));
+		void refusesAttemptForOtherIncarnationWithoutProvingThatItDidNotRun() {
+			AttemptTarget previousIncarnation = new AttemptTarget(SERVER, Incarnation.of(2), 0);
+			List<AttemptCommand> commands = handle(
+					new StartReceived(attempt("r", 1), previousIncarnation, booking("r"), LINK));
 			assertThat(refusal(commands)).contains(AttemptRefusal.OTHER_INCARNATION);
 			assertThat(AttemptRefusal.OTHER_INCARNATION.provesNotRun()).isFalse();
 		}
@@ -170,7 +171,7 @@
 		}
 
 		@Test
-		void refusesLaterCopyOfAttemptRefusedAsBusy() {
+		void refusesLaterDuplicateOfAttemptRefusedAsBusy() {
 			startBooking("a");
 			startBooking("b");
 			startBooking("c");
@@ -180,7 +181,7 @@
 		}
 
 		@Test
-		void sealsAttemptThatBackendServerNeverGot() {
+		void sealsAttemptThatBackendServerDidNotReceive() {
 			startBooking("r");
 			assertThat(refusal(handle(new RunRefused(attempt("r", 1))))).contains(AttemptRefusal.BACKEND_UNREACHABLE);
 			assertThat(refusal(startBooking("r"))).contains(AttemptRefusal.SEALED);
@@ -192,7 +193,7 @@
 	class Sealing {
 
 		@Test
-		void refusesLateCopyOfSealedAttempt() {
+		void refusesLateDuplicateOfSealedAttempt() {
 			assertThat(seal("r", 1, 0)).containsExactly(sealed(LINK, "r"));
 			assertThat(refusal(startBooking("r"))).contains(AttemptRefusal.SEALED);
 		}
@@ -201,18 +202,18 @@
 		void doesNotSealAttemptThatStarted() {
 			startBooking("r");
 			assertThat(handle(new SealReceived(attempt("r", 1), target(0), OTHER_LINK)))
-				.containsExactly(new SendStarted(OTHER_LINK, attempt("r", 1), LIFE));
+				.containsExactly(new SendStarted(OTHER_LINK, attempt("r", 1), INCARNATION));
 		}
 
 		@Test
-		void sealsNextAttemptAfterSealedOne() {
+		void sealsSecondAttemptAfterSealedFirst() {
 			seal("r", 1, 0);
 			seal("r", 2, 0);
 			assertThat(refusal(startLookup("r", 2))).contains(AttemptRefusal.SEALED);
 		}
 
 		@Test
-		void givesNoProofAboutAttemptBeforeRetry() {
+		void doesNotConfirmThatAttemptBeforeRetryDidNotRun() {
 			startLookup("r", 1);
 			handle(new BackendCrashed());
 			seal("r", 2, 0);
@@ -221,8 +222,8 @@
 		}
 
 		@Test
-		void cancelThatOvertakesStartSeals() {
-			handle(new CancelReceived(attempt("r", 1), LIFE));
+		void cancelReceivedBeforeStartSealsAttempt() {
+			handle(new CancelReceived(attempt("r", 1), INCARNATION));
 			assertThat(refusal(startLookup("r", 1))).contains(AttemptRefusal.SEALED);
 		}
 
@@ -231,7 +232,7 @@
 			List.of("a", "b", "c", "d").forEach((request) -> seal(request, 1, 0));
 			long window = AttemptRegistryTests.this.registry.window();
 			assertThat(seal("e", 1, window)).containsExactly(sealed(LINK, "e"));
-			passWindows(4);
+			advanceWindows(4);
 			List<AttemptCommand> late = handle(new StartReceived(attempt("e", 1), target(window), booking("e"), LINK));
 			assertThat(refusal(late)).isPresent();
 		}
@@ -239,35 +240,35 @@
 	}
 
 	@Nested
-	class Forgetting {
+	class Retention {
 
 		@Test
-		void givesNoProofAboutWindowThatMayBeForgotten() {
+		void refusesUnknownAttemptOfExpiredWindowAsStale() {
 			startLookup("r", 1);
 			answer("r");
-			passWindows(3);
+			advanceWindows(3);
 			assertThat(refusal(seal("r", 1, 0))).contains(AttemptRefusal.STALE_WINDOW);
 			assertThat(refusal(handle(new StartReceived(attempt("r", 1), target(0), lookup("r", false), LINK))))
 				.contains(AttemptRefusal.STALE_WINDOW);
 		}
 
 		@Test
-		void remembersForClaimRetentionThatClaimedRequestRan() {
+		void keepsClaimedRequestForClaimRetention() {
 			startBooking("r");
 			answer("r");
-			passWindows(50);
+			advanceWindows(50);
 			assertThat(query("r")).containsExactly(new SendEnd(OTHER_LINK,
-					new AttemptId(RequestId.of("r"), Integer.MAX_VALUE), LIFE, AttemptEnd.ANSWER_DROPPED, 0));
+					new AttemptId(RequestId.of("r"), Integer.MAX_VALUE), INCARNATION, AttemptEnd.ANSWER_DROPPED, 0));
 		}
 
 		@Test
-		void dropsOldestAnswersBeyondStoredBytes() {
+		void dropsOldestAnswersAboveMaxStoredBytes() {
 			for (String request : List.of("a", "b", "c")) {
 				startBooking(request);
 				answer(request);
 			}
 			assertThat(query("a"))
-				.containsExactly(new SendEnd(OTHER_LINK, attempt("a", 1), LIFE, AttemptEnd.ANSWER_DROPPED, 0));
+				.containsExactly(new SendEnd(OTHER_LINK, attempt("a", 1), INCARNATION, AttemptEnd.ANSWER_DROPPED, 0));
 			assertThat(query("c")).contains(part(OTHER_LINK, "c", 1, CHUNK));
 		}
 
@@ -277,40 +278,40 @@
 	class Resuming {
 
 		@Test
-		void joinsRunningAttemptFromItsFirstPart() {
+		void followsRunningAttemptFromFirstPart() {
 			startBooking("r");
 			handle(new PartProduced(attempt("r", 1), HEAD));
-			assertThat(query("r")).containsExactly(new SendStarted(OTHER_LINK, attempt("r", 1), LIFE),
+			assertThat(query("r")).containsExactly(new SendStarted(OTHER_LINK, attempt("r", 1), INCARNATION),
 					part(OTHER_LINK, "r", 0, HEAD));
 			assertThat(handle(new PartProduced(attempt("r", 1), CHUNK))).containsExactly(part(LINK, "r", 1, CHUNK),
 					part(OTHER_LINK, "r", 1, CHUNK));
 		}
 
 		@Test
-		void sealsClaimedRequestThatNeverArrived() {
-			assertThat(query("r"))
-				.containsExactly(new SendSealed(OTHER_LINK, AttemptTarget.everyAttemptOf(RequestId.of("r")), LIFE));
+		void sealsClaimedRequestThatWasNotReceived() {
+			assertThat(query("r")).containsExactly(
+					new SendSealed(OTHER_LINK, AttemptTarget.everyAttemptOf(RequestId.of("r")), INCARNATION));
 			assertThat(refusal(startBooking("r"))).contains(AttemptRefusal.SEALED);
 		}
 
 		@Test
-		void resumesWithoutGapOrRepeat() {
+		void resumesWithoutMissingOrRepeatedPart() {
 			startBooking("r");
 			handle(new PartProduced(attempt("r", 1), HEAD));
 			handle(new LinkLost(LINK));
 			handle(new PartProduced(attempt("r", 1), CHUNK));
-			List<AttemptCommand> resumed = handle(new ResumeReceived(attempt("r", 1), LIFE, 1, OTHER_LINK));
-			assertThat(resumed).containsExactly(new SendStarted(OTHER_LINK, attempt("r", 1), LIFE),
+			List<AttemptCommand> resumed = handle(new ResumeReceived(attempt("r", 1), INCARNATION, 1, OTHER_LINK));
+			assertThat(resumed).containsExactly(new SendStarted(OTHER_LINK, attempt("r", 1), INCARNATION),
 					part(OTHER_LINK, "r", 1, CHUNK));
 			assertThat(handle(new PartProduced(attempt("r", 1), END))).containsExactly(part(OTHER_LINK, "r", 2, END));
 		}
 
 		@Test
-		void cancelsOnlyIdempotentAttemptWithoutConnection() {
+		void cancelsOrphanedAttemptOnlyIfIdempotent() {
 			startBooking("booking");
 			startLookup("lookup", 1);
 			handle(new LinkLost(LINK));
-			assertThat(passWindows(5)).containsExactly(new CancelRun(attempt("lookup", 1)));
+			assertThat(advanceWindows(5)).containsExactly(new CancelRun(attempt("lookup", 1)));
 		}
 
 	}
@@ -319,18 +320,18 @@
 	class Crashing {
 
 		@Test
-		void chargesAllRequestsInFlight() {
+		void reportsAllRunningRequestsAfterCrash() {
 			startBooking("a");
 			startBooking("b");
 			List<AttemptCommand> commands = handle(new BackendCrashed());
 			ReportCrash report = (ReportCrash) commands.get(0);
 			assertThat(report.report().inFlight()).containsExactly(fingerprint("a"), fingerprint("b"));
 			assertThat(report.report().isolated()).isFalse();
-			assertThat(commands).contains(new SendEnd(LINK, attempt("a", 1), LIFE, AttemptEnd.CRASHED, 1));
+			assertThat(commands).contains(new SendEnd(LINK, attempt("a", 1), INCARNATION, AttemptEnd.CRASHED, 1));
 		}
 
 		@Test
-		void runsSuspectAlone() {
+		void runsIsolatedAttemptAlone() {
 			startLookup("a", 1);
 			assertThat(start("suspect", 1, lookup("suspect", true))).isEmpty();
 			assertThat(refusal(startLookup("b", 1))).contains(AttemptRefusal.BUSY);
@@ -347,7 +348,7 @@
 	class Draining {
 
 		@Test
-		void refusesNewWithProofAndFinishesRunning() {
+		void refusesNewAttemptsAndFinishesRunningOnes() {
 			startBooking("r");
 			assertThat(handle(new DrainStarted())).isEmpty();
 			assertThat(refusal(startBooking("s"))).contains(AttemptRefusal.DRAINING);
@@ -356,12 +357,12 @@
 		}
 
 		@Test
-		void waitsForEntryThatLostItsConnection() {
+		void waitsForDisconnectedEntryToResume() {
 			startBooking("r");
 			handle(new LinkLost(LINK));
 			handle(new DrainStarted());
 			assertThat(answer("r")).isEmpty();
-			assertThat(handle(new ResumeReceived(attempt("r", 1), LIFE, 0, OTHER_LINK)))
+			assertThat(handle(new ResumeReceived(attempt("r", 1), INCARNATION, 0, OTHER_LINK)))
 				.endsWith(part(OTHER_LINK, "r", 2, END), new FinishDrain());
 		}
 
--- a/comfreywall-sidecar/src/test/java/org/comfreywall/sidecar/fence/OrderFenceTests.java
+++ b/comfreywall-sidecar/src/test/java/org/comfreywall/sidecar/fence/OrderFenceTests.java
@@ -30,18 +30,18 @@
 	}
 
 	@Test
-	void admitsNothingBeforeThePresentNumberIsKnown() {
+	void admitsNoOrderBeforeCurrentNumberIsConfirmed() {
 		assertThat(code(this.fence.admit(number(9, 9)))).isEqualTo(ErrorCode.UNAVAILABLE);
 	}
 
 	@Test
-	void refusesOrdersBelowTheLearntNumber() {
+	void rejectsOrderBelowConfirmedNumber() {
 		this.fence.learnFloor(number(3, 5));
 		assertThat(code(this.fence.admit(number(3, 4)))).isEqualTo(ErrorCode.FENCED);
 	}
 
 	@Test
-	void refusesOrdersOfAnOlderTerm() {
+	void rejectsOrderOfOlderTerm() {
 		this.fence.learnFloor(number(1, 0));
 		this.fence.admit(number(2, 1));
 		this.fence.ended();
@@ -49,7 +49,7 @@
 	}
 
 	@Test
-	void admitsTheSameOrderAgain() {
+	void admitsSameOrderAgainAfterItEnded() {
 		this.fence.learnFloor(number(1, 0));
 		this.fence.admit(number(2, 1));
 		this.fence.ended();
@@ -64,16 +64,16 @@
 	}
 
 	@Test
-	void doesNotStepBackWhenALateFloorArrives() {
+	void keepsCurrentNumberWhenLowerFloorArrivesLate() {
 		this.fence.learnFloor(number(3, 5));
 		this.fence.learnFloor(number(2, 1));
 		assertThat(this.fence.present()).isEqualTo(number(3, 5));
 	}
 
 	@Test
-	void leavesTheCheckToEnginesThatDoIt() {
-		OrderFence open = create(EngineFencing.CHECKED_BY_ENGINE);
-		assertThat(open.admit(number(1, 1)).value()).contains(number(1, 1));
+	void admitsOrderWithoutConfirmedNumberIfEngineChecks() {
+		OrderFence engineChecked = create(EngineFencing.CHECKED_BY_ENGINE);
+		assertThat(engineChecked.admit(number(1, 1)).value()).contains(number(1, 1));
 	}
 
 }
