Reword the attempt record and the registry's settings

A comment was broken over three lines by the formatter, and the claim capacity was described as including claims whose attempts are still kept. Compiled; the transport and order fence tests pass.

--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRecord.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRecord.java
@@ -82,9 +82,8 @@
 		return retryable && this.state.isEnded() && next.number() > this.attempt.number();
 	}
 
-	// An earlier attempt may have run before this record replaced it, except if this
-	// record
-	// seals every attempt of the request.
+	// An earlier attempt may have run before this record replaced it, unless this
+	// record seals every attempt of the request.
 	boolean replaced(AttemptId earlier) {
 		boolean everyAttempt = this.attempt.equals(AttemptTarget.everyAttemptOf(earlier.request()));
 		return earlier.number() < this.attempt.number() && !everyAttempt;
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistrySettings.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistrySettings.java
@@ -15,8 +15,8 @@
  * @param orphanTime how long an attempt of an idempotent request keeps running without a
  * connection, and how long a draining sidecar waits for an entry to fetch an answer
  * @param capacity the greatest number of attempts kept
- * @param claimCapacity the greatest number of claimed requests kept, including those
- * whose attempts have expired
+ * @param claimCapacity the greatest number of claimed requests kept after their attempts
+ * have expired
  * @param maxRunning the greatest number of concurrently running attempts
  * @param maxStoredBytes the greatest total size of the stored answers, in bytes
  */
