Reword parameters of the transport's timeouts

The parameter of type ConnectionTimes holds timeouts, and AttemptReplies had a method of one word that records a decision.

--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptReplies.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptReplies.java
@@ -48,12 +48,12 @@
 	}
 
 	void refuse(EntryLink link, AttemptId attempt, Incarnation addressed, AttemptRefusal refusal, long window) {
-		record(attempt, "refused", Field.of("reason", refusal), Field.of("entry", link.entry()));
+		recordDecision(attempt, "refused", Field.of("reason", refusal), Field.of("entry", link.entry()));
 		add(new SendRefusal(link, attempt, addressed, refusal, window));
 	}
 
 	void sealed(EntryLink link, AttemptId attempt) {
-		record(attempt, "sealed", Field.of("entry", link.entry()));
+		recordDecision(attempt, "sealed", Field.of("entry", link.entry()));
 		add(new SendSealed(link, attempt, this.incarnation));
 	}
 
@@ -82,7 +82,7 @@
 		record.markDelivered();
 	}
 
-	private void record(AttemptId attempt, String result, Field... inputs) {
+	private void recordDecision(AttemptId attempt, String result, Field... inputs) {
 		this.listener.onDecision(DecisionRecord.of(DecisionKind.REFUSE, attempt.request().toString(), result, inputs));
 	}
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerHandler.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerHandler.java
@@ -47,9 +47,9 @@
 
 	private OperationError reason;
 
-	PeerHandler(PeerIdentity self, ConnectionTimes times, PeerListener listener) {
+	PeerHandler(PeerIdentity self, ConnectionTimes timeouts, PeerListener listener) {
 		this.self = self;
-		this.times = times;
+		this.times = timeouts;
 		this.listener = listener;
 	}
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
@@ -33,13 +33,13 @@
 	/**
 	 * Creates a transport.
 	 * @param self the identity that this process sends to its peers
-	 * @param times the heartbeat interval and the timeouts of connections
+	 * @param timeouts the heartbeat interval and the timeouts of connections
 	 * @param security how connections are secured
 	 * @param threads the number of event loops, at least 1
 	 */
-	public Transport(PeerIdentity self, ConnectionTimes times, TransportSecurity security, int threads) {
+	public Transport(PeerIdentity self, ConnectionTimes timeouts, TransportSecurity security, int threads) {
 		this.self = Preconditions.notNull(self, "self");
-		this.times = Preconditions.notNull(times, "times");
+		this.times = Preconditions.notNull(timeouts, "timeouts");
 		this.security = Preconditions.notNull(security, "security");
 		Preconditions.check(threads >= 1, "threads must be at least 1: %d", threads);
 		this.loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
@@ -55,7 +55,7 @@
 
 	/**
 	 * Returns the heartbeat interval and the timeouts of connections.
-	 * @return the times
+	 * @return the timeouts
 	 */
 	public ConnectionTimes times() {
 		return this.times;
