Reword the parsers of remote methods and the TLS contexts

RpcMethod held parsers under the names requests and replies, and the TLS contexts were named after the end of the connection alone.

--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRuns.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRuns.java
@@ -25,9 +25,9 @@
 
 	private Optional<AttemptRecord> isolated = Optional.empty();
 
-	AttemptRuns(Invariants invariants, AttemptReplies replies) {
+	AttemptRuns(Invariants invariants, AttemptReplies commands) {
 		this.invariants = invariants;
-		this.replies = replies;
+		this.replies = commands;
 	}
 
 	void accept(AttemptRecord record) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
@@ -59,12 +59,12 @@
 
 	@Override
 	public List<ChannelHandler> server(Channel channel) {
-		return List.of(current().server().newHandler(channel.alloc()));
+		return List.of(current().serverContext().newHandler(channel.alloc()));
 	}
 
 	@Override
 	public List<ChannelHandler> client(Channel channel) {
-		return List.of(current().client().newHandler(channel.alloc()));
+		return List.of(current().clientContext().newHandler(channel.alloc()));
 	}
 
 	private synchronized Contexts current() {
@@ -82,17 +82,17 @@
 
 	private static Contexts load(TlsFiles files) throws IOException {
 		List<FileTime> modified = files.modified();
-		return new Contexts(modified, serverContext(files), clientContext(files));
+		return new Contexts(modified, createServerContext(files), createClientContext(files));
 	}
 
-	private static SslContext serverContext(TlsFiles files) throws SSLException {
+	private static SslContext createServerContext(TlsFiles files) throws SSLException {
 		return SslContextBuilder.forServer(files.certificate().toFile(), files.key().toFile())
 			.trustManager(files.trust().toFile())
 			.clientAuth(ClientAuth.REQUIRE)
 			.build();
 	}
 
-	private static SslContext clientContext(TlsFiles files) throws SSLException {
+	private static SslContext createClientContext(TlsFiles files) throws SSLException {
 		return SslContextBuilder.forClient()
 			.keyManager(files.certificate().toFile(), files.key().toFile())
 			.trustManager(files.trust().toFile())
@@ -104,10 +104,10 @@
 	 * TLS contexts with the file versions they were loaded from.
 	 *
 	 * @param modified the modification times of the files
-	 * @param server the context for accepted connections
-	 * @param client the context for connections opened by this process
+	 * @param serverContext the context for accepted connections
+	 * @param clientContext the context for connections opened by this process
 	 */
-	private record Contexts(List<FileTime> modified, SslContext server, SslContext client) {
+	private record Contexts(List<FileTime> modified, SslContext serverContext, SslContext clientContext) {
 
 	}
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
@@ -140,7 +140,7 @@
 							"no reply to " + method.name() + " within " + timeout.toMillis() + " ms"),
 					timeout.toNanos(), TimeUnit.NANOSECONDS)
 			.whenComplete((result, ex) -> this.pending.remove(id))
-			.thenApply((result) -> result.flatMap((payload) -> decode(method.replies(), payload)));
+			.thenApply((result) -> result.flatMap((payload) -> decode(method.replyParser(), payload)));
 	}
 
 	@Override
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcMethod.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcMethod.java
@@ -10,15 +10,16 @@
  * @param <Q> the request's type
  * @param <R> the reply's type
  * @param name the method's name on the wire, unique in the system
- * @param requests the parser of requests
- * @param replies the parser of replies
+ * @param requestParser the parser of requests
+ * @param replyParser the parser of replies
  */
-public record RpcMethod<Q extends Message, R extends Message>(String name, Parser<Q> requests, Parser<R> replies) {
+public record RpcMethod<Q extends Message, R extends Message>(String name, Parser<Q> requestParser,
+		Parser<R> replyParser) {
 
 	public RpcMethod {
 		Preconditions.notBlank(name, "name");
-		Preconditions.notNull(requests, "requests");
-		Preconditions.notNull(replies, "replies");
+		Preconditions.notNull(requestParser, "requestParser");
+		Preconditions.notNull(replyParser, "replyParser");
 	}
 
 }
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcServer.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcServer.java
@@ -142,7 +142,7 @@
 
 		CompletionStage<Result<ByteString>> handle(PeerIdentity caller, ByteString payload) {
 			try {
-				return this.handler.handle(caller, this.method.requests().parseFrom(payload))
+				return this.handler.handle(caller, this.method.requestParser().parseFrom(payload))
 					.thenApply((result) -> result.map(Message::toByteString));
 			}
 			catch (InvalidProtocolBufferException ex) {
