--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
@@ -20,11 +20,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Secures connections with TLS; both ends must prove their identity.
+ * Secures connections with mutual TLS.
  * <p>
- * Any certificate signed under the trust file is accepted, whatever address it names,
- * because peers are reached by IP number. Changed files are used for the connections
- * opened afterwards; unreadable ones leave the former in use.
+ * Any certificate that chains to the trust file is accepted. The host name in it is not
+ * verified, because peers are addressed by IP address. Files are checked for changes
+ * whenever a connection is opened or accepted: changed files apply to that and later
+ * connections, and if they cannot be loaded the previous contexts stay in use.
  */
 public final class TlsSecurity implements TransportSecurity {
 
@@ -40,9 +41,10 @@
 	}
 
 	/**
-	 * Reads the files.
+	 * Loads the PEM files.
 	 * @param files the files
-	 * @return the security, or why the files cannot be used
+	 * @return the security, or an error that gives the reason why the files cannot be
+	 * loaded
 	 */
 	public static Result<TlsSecurity> from(TlsFiles files) {
 		Preconditions.notNull(files, "files");
@@ -51,18 +53,18 @@
 		}
 		catch (IOException | IllegalArgumentException ex) {
 			return Result.failure(OperationError.local(ErrorCode.INVALID_INPUT, Step.SETTINGS,
-					"[tls]: the PEM files cannot be used (" + ex.getMessage() + ")"));
+					"[tls]: cannot load the PEM files (" + ex.getMessage() + ")"));
 		}
 	}
 
 	@Override
 	public List<ChannelHandler> server(Channel channel) {
-		return List.of(current().server().newHandler(channel.alloc()));
+		return List.of(current().serverContext().newHandler(channel.alloc()));
 	}
 
 	@Override
 	public List<ChannelHandler> client(Channel channel) {
-		return List.of(current().client().newHandler(channel.alloc()));
+		return List.of(current().clientContext().newHandler(channel.alloc()));
 	}
 
 	private synchronized Contexts current() {
@@ -80,17 +82,17 @@
 
 	private static Contexts load(TlsFiles files) throws IOException {
 		List<FileTime> modified = files.modified();
-		return new Contexts(modified, serverContext(files), clientContext(files));
+		return new Contexts(modified, createServerContext(files), createClientContext(files));
 	}
 
-	private static SslContext serverContext(TlsFiles files) throws SSLException {
+	private static SslContext createServerContext(TlsFiles files) throws SSLException {
 		return SslContextBuilder.forServer(files.certificate().toFile(), files.key().toFile())
 			.trustManager(files.trust().toFile())
 			.clientAuth(ClientAuth.REQUIRE)
 			.build();
 	}
 
-	private static SslContext clientContext(TlsFiles files) throws SSLException {
+	private static SslContext createClientContext(TlsFiles files) throws SSLException {
 		return SslContextBuilder.forClient()
 			.keyManager(files.certificate().toFile(), files.key().toFile())
 			.trustManager(files.trust().toFile())
@@ -99,13 +101,13 @@
 	}
 
 	/**
-	 * Contexts made from the files at one time.
+	 * TLS contexts with the file versions they were loaded from.
 	 *
-	 * @param modified when the files were changed last
-	 * @param server for accepted connections
-	 * @param client for opened connections
+	 * @param modified the modification times of the files
+	 * @param serverContext the context for accepted connections
+	 * @param clientContext the context for connections opened by this process
 	 */
-	private record Contexts(List<FileTime> modified, SslContext server, SslContext client) {
+	private record Contexts(List<FileTime> modified, SslContext serverContext, SslContext clientContext) {
 
 	}
 
