Reword the lease messages and durations

The comments spoke of asks, lives and what is given out. They now name lease requests, incarnations, grants and the clock on which each duration is measured. Comments only; compiled with the module's tests.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/lease/AccountDemand.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lease/AccountDemand.java
@@ -5,19 +5,20 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What a holder asks for one client account and what it holds.
+ * A lease holder's demand for one client account, and what the holder has already been
+ * granted.
  *
  * @param account the client account
- * @param requests further requests wanted for the next ask interval
- * @param tokens further tokens wanted for the next ask interval
- * @param smallestTokens the fewest tokens that are of use: the charge of one request
- * @param refundedTokens tokens spent earlier that were not generated
- * @param slots in-flight slots wanted in all, zero to give all back
- * @param heldSlots the slots the holder may use by the newest grant it took; until a
- * newer grant it uses no more
+ * @param requests additional requests needed for the next request interval
+ * @param tokens additional tokens needed for the next request interval
+ * @param smallestTokens the smallest useful grant of tokens: the cost of one request
+ * @param refundedTokens tokens that were charged earlier but not generated
+ * @param slots total number of in-flight slots needed; zero returns all slots
+ * @param heldSlots the in-flight slots of the newest grant that the holder applied; it
+ * uses no more until it applies a newer grant
  * @param heldTerm the grantor's term in which these slots were granted
- * @param heldSequence the sequence number of that grant, zero if none
- * @param usedSlots requests in flight now
+ * @param heldSequence the sequence number of that grant, zero if there is none
+ * @param usedSlots the requests currently in flight
  */
 public record AccountDemand(AccountId account, long requests, long tokens, long smallestTokens, long refundedTokens,
 		long slots, long heldSlots, Term heldTerm, long heldSequence, long usedSlots) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/lease/AccountGrant.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lease/AccountGrant.java
@@ -4,13 +4,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What a grantor grants for one client account.
+ * A share of one client account's limits, granted to one holder.
  *
  * @param account the client account
- * @param requests requests that may be spent once within the rate term
- * @param tokens tokens that may be spent once within the rate term
- * @param slots in-flight slots the holder may use in all within the slot term; replaces
- * the earlier grant
+ * @param requests requests that the holder may admit within the rate lease, each once
+ * @param tokens tokens that the holder may spend within the rate lease, each once
+ * @param slots total in-flight slots that the holder may use within the slot lease;
+ * replaces the slots of the earlier grant
  */
 public record AccountGrant(AccountId account, long requests, long tokens, long slots) {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/lease/LeaseGrant.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lease/LeaseGrant.java
@@ -8,13 +8,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A grantor's answer to one ask.
+ * A grantor's response to one lease request.
  *
  * @param term the grantor's term
- * @param holder the entry instance that asked
- * @param incarnation the life of the holder's process that asked
- * @param sequence the sequence number of the ask that is answered
- * @param grants the grants, one for each demand that was taken
+ * @param holder the entry instance that sent the lease request
+ * @param incarnation the incarnation of the holder that sent the lease request
+ * @param sequence the sequence number of that lease request
+ * @param grants the grants, one for each accepted demand
  */
 public record LeaseGrant(Term term, InstanceId holder, Incarnation incarnation, long sequence,
 		List<AccountGrant> grants) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/lease/LeaseRequest.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lease/LeaseRequest.java
@@ -8,12 +8,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A holder's ask for shares of the limits of the client accounts it has in use.
+ * A holder's request for shares of the limits of the client accounts that it serves.
  *
- * @param holder the entry instance that asks
- * @param incarnation the life of the holder's process
- * @param sequence numbers the holder's asks to one grantor, from 1
- * @param term the newest term of the grantor that the holder knows
+ * @param holder the entry instance that sends the lease request
+ * @param incarnation the holder's incarnation
+ * @param sequence the number of the holder's lease request to this grantor, starting at 1
+ * @param term the newest term that the holder has received from the grantor
  * @param demands the demands, at most one for each client account
  */
 public record LeaseRequest(InstanceId holder, Incarnation incarnation, long sequence, Term term,
--- a/comfreywall-common/src/main/java/org/comfreywall/common/lease/LeaseTerms.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lease/LeaseTerms.java
@@ -5,23 +5,25 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Durations on which the grantor and all holders of leases must agree.
+ * Lease durations and clock bounds that must be equal on the grantor and all holders.
  *
- * @param rateTerm how long granted requests and tokens may be spent, on the grantor's
- * clock
- * @param slotTerm how long granted in-flight slots may admit requests, on the grantor's
- * clock
- * @param longestRequest the longest time a request may stay in flight after its admission
- * @param burst the depth of the token bucket, as the time in which the limit's rate fills
- * it
- * @param askInterval the time between two asks of a holder for one client account
- * @param clockDrift the greatest relative error of any instance's monotonic clock, such
- * as 0.001
+ * @param rateTerm the duration of a lease of requests and tokens, measured on the
+ * grantor's clock
+ * @param slotTerm the duration of a lease of in-flight slots, measured on the grantor's
+ * clock; requests may be admitted into the slots until it ends
+ * @param longestRequest the maximum time that a request may stay in flight after its
+ * admission
+ * @param burst the capacity of the token bucket, given as the time in which the limit's
+ * rate fills it
+ * @param askInterval the interval between a holder's regular lease requests for one
+ * client account
+ * @param clockDrift the maximum relative rate error of any instance's monotonic clock,
+ * such as 0.001
  */
 public record LeaseTerms(Duration rateTerm, Duration slotTerm, Duration longestRequest, Duration burst,
 		Duration askInterval, double clockDrift) {
 
-	/** The terms used unless the settings say otherwise. */
+	/** The terms used unless the settings override them. */
 	public static final LeaseTerms DEFAULT = new LeaseTerms(Duration.ofSeconds(1), Duration.ofSeconds(3),
 			Duration.ofSeconds(120), Duration.ofSeconds(2), Duration.ofMillis(400), 0.001);
 
@@ -36,19 +38,20 @@
 	}
 
 	/**
-	 * Shortens a term counted from the sending of an ask on the holder's clock, so that
-	 * it ends before the grantor's, whichever clock is fast.
-	 * @param term the grantor's term
-	 * @return the holder's term in nanoseconds
+	 * Returns the duration of a lease as the holder measures it, on its own clock and
+	 * from the moment it sent the lease request. It is shortened by the maximum clock
+	 * drift, so that the lease never ends later on the holder than on the grantor.
+	 * @param term the lease duration on the grantor's clock
+	 * @return the lease duration on the holder's clock in nanoseconds
 	 */
 	public long holderNanos(Duration term) {
 		return (long) (term.toNanos() * (1 - this.clockDrift) / (1 + this.clockDrift));
 	}
 
 	/**
-	 * Lengthens a time counted on a holder's clock so that it has passed there, whichever
-	 * clock is fast.
-	 * @param duration the time on the holder's clock
+	 * Returns how long the grantor must wait, on its own clock, until a duration has
+	 * certainly elapsed on a holder's clock. It is lengthened by the maximum clock drift.
+	 * @param duration the duration on the holder's clock
 	 * @return the time to wait on the grantor's clock in nanoseconds
 	 */
 	public long grantorNanos(Duration duration) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/lease/LimitDivision.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lease/LimitDivision.java
@@ -4,15 +4,18 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Divides each limit once and for all between the primary grantor and the grantors that
- * serve their surroundings while these are cut off.
+ * Static division of each account limit between the primary grantor and the reserve
+ * grantors, which serve the holders near them that a network partition separates from the
+ * primary grantor. As the division is fixed, the sum of all grants stays within the limit
+ * without coordination.
  *
- * @param reserveShare the part of each limit set aside for all reserve grantors together
+ * @param reserveShare the fraction of each limit reserved for all reserve grantors
+ * together
  * @param reserveGrantors the number of reserve grantors
  */
 public record LimitDivision(double reserveShare, int reserveGrantors) {
 
-	/** Leaves everything to the primary grantor. */
+	/** Assigns all limits to the primary grantor. */
 	public static final LimitDivision UNDIVIDED = new LimitDivision(0, 1);
 
 	public LimitDivision {
@@ -21,9 +24,9 @@
 	}
 
 	/**
-	 * Returns what the primary grantor may give out.
+	 * Returns the limits within which the primary grantor may issue grants.
 	 * @param limits the limits of a client account
-	 * @return the primary part
+	 * @return the limits of the primary grantor
 	 */
 	public LimitPart primary(AccountLimits limits) {
 		return new LimitPart(limits.requestsPerSecond() * (1 - this.reserveShare),
@@ -32,9 +35,9 @@
 	}
 
 	/**
-	 * Returns what each reserve grantor may give out.
+	 * Returns the limits within which each reserve grantor may issue grants.
 	 * @param limits the limits of a client account
-	 * @return the part of one reserve grantor
+	 * @return the limits of one reserve grantor
 	 */
 	public LimitPart reserve(AccountLimits limits) {
 		double share = this.reserveShare / this.reserveGrantors;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/lease/LimitPart.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lease/LimitPart.java
@@ -3,11 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The part of a client account's limits that one grantor may give out.
+ * The part of a client account's limits within which one grantor may issue grants.
  *
- * @param requestsPerSecond requests a second
- * @param tokensPerSecond tokens a second
- * @param slots requests in flight
+ * @param requestsPerSecond requests per second
+ * @param tokensPerSecond tokens per second
+ * @param slots in-flight slots
  */
 public record LimitPart(double requestsPerSecond, double tokensPerSecond, long slots) {
 
