Reword the instance settings

Roles were held, listeners took requests and faults were named. The comments now say which connections are accepted, what is limited and in which unit, and the test names say what is reported. One precondition message names roles instead of 'held'. Private constants and locals renamed. Compiled with the module's tests.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/AdminSettings.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/AdminSettings.java
@@ -6,7 +6,7 @@
 /**
  * Settings of the admin listener.
  *
- * @param listen the address on which operators' requests are taken
+ * @param listen the address on which operators' requests are accepted
  */
 public record AdminSettings(HostPort listen) {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/ControlSettings.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/ControlSettings.java
@@ -7,11 +7,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Settings of the role control.
+ * Settings of the control role.
  *
- * @param listen the address on which other instances connect
- * @param dataFolder the folder that holds the durable state
- * @param peers all control instances, this one among them
+ * @param listen the address on which connections of other instances are accepted
+ * @param dataFolder the folder that stores the durable state
+ * @param peers all control instances, including this one
  */
 public record ControlSettings(HostPort listen, Path dataFolder, List<PeerSettings> peers) {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/EngineRole.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/EngineRole.java
@@ -1,15 +1,15 @@
 package org.comfreywall.common.settings;
 
 /**
- * Parts of a request that a backend server runs.
+ * The phases of inference that a backend server runs.
  */
 public enum EngineRole {
 
-	/** Whole requests. */
+	/** Prefill and decode. */
 	MIXED,
-	/** Prompts only; the KV cache is handed on. */
+	/** Prefill only; the KV cache is transferred to a decode server. */
 	PREFILL,
-	/** Generation only, from a KV cache handed over. */
+	/** Decode only, from a KV cache received from a prefill server. */
 	DECODE
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/EntrySettings.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/EntrySettings.java
@@ -7,15 +7,15 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Settings of the role entry.
+ * Settings of the entry role.
  *
- * @param listen the address on which callers' requests are taken
+ * @param listen the address on which callers' requests are accepted
  * @param control the addresses of the control instances
- * @param maxBodyBytes the largest request body
- * @param maxHeaderBytes the largest request head, all headers together
- * @param headerTimeout how long a caller may take to send a request's head
- * @param bodyTimeout how long a caller may take to send a request's body
- * @param requestTimeout the deadline of requests that bring none
+ * @param maxBodyBytes the maximum size of a request body in bytes
+ * @param maxHeaderBytes the maximum size of all headers of a request together in bytes
+ * @param headerTimeout the time limit for receiving a request's headers
+ * @param bodyTimeout the time limit for receiving a request's body
+ * @param requestTimeout the timeout of requests that specify no deadline
  */
 public record EntrySettings(HostPort listen, List<HostPort> control, long maxBodyBytes, int maxHeaderBytes,
 		Duration headerTimeout, Duration bodyTimeout, Duration requestTimeout) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/InstanceSettings.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/InstanceSettings.java
@@ -11,15 +11,15 @@
  * The settings of one instance.
  *
  * @param name the instance's name, unique in the fleet
- * @param roles the roles it holds, at least one
- * @param failureDomain the failure domain it is in
+ * @param roles the instance's roles, at least one
+ * @param failureDomain the failure domain of the instance
  * @param region the region of the failure domain
- * @param logLevel the least severe events that are logged
+ * @param logLevel the minimum severity of logged events
  * @param admin the admin listener
- * @param entry the settings of the role entry, present if it is held
- * @param sidecar the settings of the role sidecar, present if it is held
- * @param control the settings of the role control, present if it is held
- * @param tls the key files of all listeners, or empty for plain connections
+ * @param entry the settings of the entry role, present only with that role
+ * @param sidecar the settings of the sidecar role, present only with that role
+ * @param control the settings of the control role, present only with that role
+ * @param tls the TLS files of all listeners, or empty for unencrypted connections
  */
 public record InstanceSettings(InstanceId name, Set<Role> roles, FailureDomainId failureDomain, String region,
 		LogLevel logLevel, AdminSettings admin, Optional<EntrySettings> entry, Optional<SidecarSettings> sidecar,
@@ -41,7 +41,7 @@
 
 	private static void checkRole(Set<Role> roles, Role role, Optional<?> settings) {
 		Preconditions.check(roles.contains(role) == settings.isPresent(),
-				"settings of the role %s must be present if, and only if, it is held", role);
+				"settings of the role %s must be present if, and only if, roles contains it", role);
 	}
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/LogLevel.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/LogLevel.java
@@ -1,13 +1,13 @@
 package org.comfreywall.common.settings;
 
 /**
- * The least severe events that are logged.
+ * The minimum severity of logged events.
  */
 public enum LogLevel {
 
 	/** Every event. */
 	DEBUG,
-	/** Events of ordinary operation. */
+	/** Events of normal operation. */
 	INFO,
 	/** Events that an operator may have to act on. */
 	WARN,
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/PeerSettings.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/PeerSettings.java
@@ -5,10 +5,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Names one control instance.
+ * Name and address of one control instance.
  *
  * @param name the instance's name
- * @param address the address at which the others reach it
+ * @param address the address to which the other control instances connect
  */
 public record PeerSettings(InstanceId name, HostPort address) {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/Role.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/Role.java
@@ -1,15 +1,15 @@
 package org.comfreywall.common.settings;
 
 /**
- * Roles that an instance can hold.
+ * Roles of an instance.
  */
 public enum Role {
 
-	/** Takes callers' requests. */
+	/** Accepts callers' requests. */
 	ENTRY,
-	/** Runs beside one backend server. */
+	/** Runs beside one backend server and forwards requests to it. */
 	SIDECAR,
-	/** Keeps durable state on disk. */
+	/** Stores durable state on disk. */
 	CONTROL
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsKeys.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsKeys.java
@@ -12,14 +12,14 @@
 import org.comfreywall.common.toml.ValueTypes;
 
 /**
- * Describes every key of an instance's settings.
+ * The descriptors of all keys of an instance's settings.
  */
 public final class SettingsKeys {
 
-	/** The greatest number of control instances. */
+	/** The maximum number of control instances. */
 	public static final int GREATEST_CONTROL_INSTANCES = 7;
 
-	private static final int ROLES = Role.values().length;
+	private static final int ROLE_COUNT = Role.values().length;
 
 	private static final ValueType<List<HostPort>> CONTROL_ADDRESSES = ValueTypes.listOf(ValueTypes.address(), 1,
 			GREATEST_CONTROL_INSTANCES);
@@ -28,7 +28,7 @@
 			"The instance's name, unique in the fleet; a sidecar's backend server goes by it too.");
 
 	static final KeyDescriptor<List<Role>> ROLES_HELD = KeyDescriptor.required("roles",
-			ValueTypes.listOf(ValueTypes.oneOf(Role.class), 1, ROLES),
+			ValueTypes.listOf(ValueTypes.oneOf(Role.class), 1, ROLE_COUNT),
 			"The roles that the instance holds; each needs its own table below.");
 
 	static final KeyDescriptor<String> FAILURE_DOMAIN = KeyDescriptor.required("failure-domain", ValueTypes.name(),
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsReader.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsReader.java
@@ -18,7 +18,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Reads an instance's settings from TOML and refuses whatever is not allowed.
+ * Reads and validates an instance's settings in TOML.
  */
 public final class SettingsReader {
 
@@ -28,8 +28,8 @@
 	/**
 	 * Reads the settings in a file.
 	 * @param file the file
-	 * @return the settings, or an error that names file, key, value and what is allowed,
-	 * one line a fault
+	 * @return the settings, or an error with one line per problem, each with the file,
+	 * key, value and allowed values
 	 */
 	public static Result<InstanceSettings> read(Path file) {
 		Preconditions.notNull(file, "file");
@@ -47,8 +47,8 @@
 	 * Reads settings from text.
 	 * @param file the name of the file that the text is from
 	 * @param text the settings in TOML
-	 * @return the settings, or an error that names file, key, value and what is allowed,
-	 * one line a fault
+	 * @return the settings, or an error with one line per problem, each with the file,
+	 * key, value and allowed values
 	 */
 	public static Result<InstanceSettings> parse(String file, String text) {
 		Problems problems = new Problems(file);
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsRules.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsRules.java
@@ -13,11 +13,11 @@
 import org.comfreywall.common.toml.ValueTypes;
 
 /**
- * Checks the rules that tie several settings together.
+ * Validates rules that involve several settings.
  */
 final class SettingsRules {
 
-	private static final Map<Role, TableDescriptor> TABLES = Map.of(Role.ENTRY, SettingsKeys.ENTRY, Role.SIDECAR,
+	private static final Map<Role, TableDescriptor> ROLE_TABLES = Map.of(Role.ENTRY, SettingsKeys.ENTRY, Role.SIDECAR,
 			SettingsKeys.SIDECAR, Role.CONTROL, SettingsKeys.CONTROL);
 
 	private final Problems problems;
@@ -36,32 +36,34 @@
 			.ifPresent((control) -> checkPeers(control.tables(SettingsKeys.PEER), root.value(SettingsKeys.NAME)));
 	}
 
-	private void checkTable(TomlTable root, Role role, boolean held) {
-		Optional<TomlTable> table = root.table(TABLES.get(role));
+	private void checkTable(TomlTable root, Role role, boolean hasRole) {
+		Optional<TomlTable> table = root.table(ROLE_TABLES.get(role));
 		String name = ValueTypes.lowerCase(role);
-		if (held && table.isEmpty()) {
+		if (hasRole && table.isEmpty()) {
 			this.problems.add(name, "(missing)", "a table [" + name + "], because roles names \"" + name + "\"");
 		}
-		if (!held && table.isPresent()) {
+		if (!hasRole && table.isPresent()) {
 			this.problems.add(name, "(not used)",
 					"no table [" + name + "], or \"" + name + "\" added to roles if the instance holds that role");
 		}
 	}
 
 	private void checkListeners(TomlTable root) {
-		Set<HostPort> used = new HashSet<>();
+		Set<HostPort> usedAddresses = new HashSet<>();
 		checkListener("admin.listen",
-				Optional.of(root.tableOrDefaults(SettingsKeys.ADMIN).value(SettingsKeys.ADMIN_LISTEN)), used);
+				Optional.of(root.tableOrDefaults(SettingsKeys.ADMIN).value(SettingsKeys.ADMIN_LISTEN)), usedAddresses);
 		checkListener("entry.listen",
-				root.table(SettingsKeys.ENTRY).map((table) -> table.value(SettingsKeys.ENTRY_LISTEN)), used);
+				root.table(SettingsKeys.ENTRY).map((table) -> table.value(SettingsKeys.ENTRY_LISTEN)), usedAddresses);
 		checkListener("sidecar.listen",
-				root.table(SettingsKeys.SIDECAR).map((table) -> table.value(SettingsKeys.SIDECAR_LISTEN)), used);
+				root.table(SettingsKeys.SIDECAR).map((table) -> table.value(SettingsKeys.SIDECAR_LISTEN)),
+				usedAddresses);
 		checkListener("control.listen",
-				root.table(SettingsKeys.CONTROL).map((table) -> table.value(SettingsKeys.CONTROL_LISTEN)), used);
+				root.table(SettingsKeys.CONTROL).map((table) -> table.value(SettingsKeys.CONTROL_LISTEN)),
+				usedAddresses);
 	}
 
-	private void checkListener(String key, Optional<HostPort> listen, Set<HostPort> used) {
-		listen.filter((address) -> address.port() != 0 && !used.add(address))
+	private void checkListener(String key, Optional<HostPort> listen, Set<HostPort> usedAddresses) {
+		listen.filter((address) -> address.port() != 0 && !usedAddresses.add(address))
 			.ifPresent((address) -> this.problems.add(key, "\"" + address + "\"",
 					"an address that no other listener of the instance has"));
 	}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/SidecarSettings.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/SidecarSettings.java
@@ -8,13 +8,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Settings of the role sidecar.
+ * Settings of the sidecar role.
  *
- * @param listen the address on which entries connect
+ * @param listen the address on which connections of entry instances are accepted
  * @param service the service that the backend server offers
  * @param backend the base URL of the backend server
- * @param role the part of requests that the backend server runs
- * @param engineChecksFencing whether the engine refuses orders with old fencing numbers
+ * @param role the phases of inference that the backend server runs
+ * @param engineChecksFencing whether the engine itself rejects commands with stale
+ * fencing numbers
  * @param control the addresses of the control instances
  */
 public record SidecarSettings(HostPort listen, ServiceId service, URI backend, EngineRole role,
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/TlsSettings.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/TlsSettings.java
@@ -5,12 +5,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Files with the keys of all listeners and of connections between instances; they are
- * read again when they change.
+ * The certificate and key files for TLS on all listeners and on connections between
+ * instances. Changed files are reloaded.
  *
- * @param certificate the instance's certificate chain, PEM
- * @param key the certificate's private key, PEM
- * @param trust the certificates that other instances' certificates must lead to, PEM
+ * @param certificate the file with the instance's certificate chain, PEM
+ * @param key the file with the certificate's private key, PEM
+ * @param trust the file with the trusted CA certificates for other instances, PEM
  */
 public record TlsSettings(Path certificate, Path key, Path trust) {
 
--- a/comfreywall-common/src/test/java/org/comfreywall/common/settings/SettingsReaderTests.java
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/settings/SettingsReaderTests.java
@@ -75,20 +75,20 @@
 	}
 
 	@Test
-	void saysWhatToDoAboutMissingFile() {
+	void explainsHowToFixAMissingFile() {
 		OperationError error = SettingsReader.read(Path.of("no-such-file.toml")).error().orElseThrow();
 		assertThat(error.code()).isEqualTo(ErrorCode.NOT_FOUND);
 		assertThat(error.message()).contains("no-such-file.toml", "check that the file exists");
 	}
 
 	@Property(seed = "1", tries = 1000)
-	void anyTextGivesSettingsOrAnError(@ForAll String text) {
+	void anyTextYieldsSettingsOrAnError(@ForAll String text) {
 		Result<InstanceSettings> result = parse(text);
 		assertThat(result.error().map(OperationError::code)).contains(ErrorCode.INVALID_INPUT);
 	}
 
 	@Property(seed = "2", tries = 3000)
-	void damagedSettingsGiveSettingsOrAnError(@ForAll @IntRange(max = 600) int position, @ForAll char c,
+	void corruptedSettingsYieldSettingsOrAnError(@ForAll @IntRange(max = 600) int position, @ForAll char c,
 			@ForAll @IntRange(max = 3) int removed) {
 		int from = Math.min(position, VALID.length());
 		int to = Math.min(from + removed, VALID.length());
@@ -100,7 +100,7 @@
 	class Refusals {
 
 		@Test
-		void nameFileKeyValueAndWhatIsAllowed() {
+		void containFileKeyValueAndAllowedValues() {
 			assertThat(errorOf(VALID.replace("\"2s\"", "\"2 sec\"")))
 				.isEqualTo("all-1.toml: entry.body-timeout = \"2 sec\"; allowed: \"100ms\" to \"1h\"");
 		}
@@ -112,43 +112,43 @@
 		}
 
 		@Test
-		void nameEveryFaultAtOnce() {
+		void listAllProblemsAtOnce() {
 			String error = errorOf(VALID.replace("\"chat\"", "7").replace("8080", "80800"));
 			assertThat(error.lines()).hasSize(2);
 			assertThat(error).contains("entry.listen = \"0.0.0.0:80800\"", "sidecar.service = 7");
 		}
 
 		@Test
-		void coverRoleWithoutTable() {
+		void reportARoleWithoutItsTable() {
 			String text = "name=\"a\"\nroles=[\"entry\"]\nfailure-domain=\"d\"\nregion=\"r\"";
 			assertThat(errorOf(text)).contains("entry = (missing)", "a table [entry]");
 		}
 
 		@Test
-		void coverTableWithoutRole() {
+		void reportATableWithoutItsRole() {
 			assertThat(errorOf(VALID.replace("\"sidecar\", ", ""))).contains("sidecar = (not used)");
 		}
 
 		@Test
-		void coverListenersWithOneAddress() {
+		void reportListenersWithTheSameAddress() {
 			assertThat(errorOf(VALID.replace("10.0.0.1:7300", "0.0.0.0:8080"))).contains("sidecar.listen");
 		}
 
 		@Test
-		void coverPeersWithoutThisInstance() {
+		void reportPeersWithoutThisInstance() {
 			assertThat(errorOf(VALID.replace("[[control.peer]]\nname = \"all-1\"", "[[control.peer]]\nname = \"b\"")))
 				.contains("control.peer = (without this instance)");
 		}
 
 		@Test
-		void coverDeeplyNestedDocuments() {
+		void reportDocumentsNestedTooDeeply() {
 			assertThat(parse("a = " + "[".repeat(200_000)).error()).isPresent();
 			assertThat(parse("a = " + "{a=".repeat(200_000)).error()).isPresent();
 			assertThat(parse("a" + ".a".repeat(200_000) + " = 1").error()).isPresent();
 		}
 
 		@Test
-		void coverNumbersTooLargeToRead() {
+		void reportNumbersTooLargeToParse() {
 			assertThat(parse("name = 1e999999999").error()).isPresent();
 			assertThat(parse("name = " + "9".repeat(5000)).error()).isPresent();
 		}
--- a/comfreywall-common/src/test/java/org/comfreywall/common/settings/SettingsReferenceTests.java
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/settings/SettingsReferenceTests.java
@@ -12,7 +12,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests that the operators' page lists exactly the keys that the readers know.
+ * Tests that the operators' reference page lists exactly the keys that the readers
+ * accept.
  */
 class SettingsReferenceTests {
 
