--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/AccountDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/AccountDescriptor.java
@@ -7,13 +7,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Describes a client account.
+ * Configuration of a client account.
  *
  * @param id the client account
  * @param keyHashes SHA-256 digests of the account's API keys, in lower-case hexadecimal
- * @param limits the account's limits over all entry instances
- * @param highestClass the highest priority class the account may ask for
- * @param services the services the account may call
+ * @param limits the account's limits, summed over all entry instances
+ * @param highestClass the highest priority class that the account may request
+ * @param services the services that the account may call
  */
 public record AccountDescriptor(AccountId id, List<String> keyHashes, AccountLimits limits, PriorityClass highestClass,
 		List<ServiceId> services) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/AccountLimits.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/AccountLimits.java
@@ -3,11 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Limits of a client account over all entry instances together.
+ * Limits of a client account, summed over all entry instances.
  *
- * @param requestsPerSecond requests admitted a second
- * @param tokensPerSecond tokens, prompt and generated, admitted a second
- * @param inFlight requests in flight at one time
+ * @param requestsPerSecond requests admitted per second
+ * @param tokensPerSecond prompt and generated tokens admitted per second
+ * @param inFlight the maximum number of requests in flight
  */
 public record AccountLimits(long requestsPerSecond, long tokensPerSecond, long inFlight) {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/Configuration.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/Configuration.java
@@ -18,7 +18,7 @@
 public record Configuration(List<FailureDomainDescriptor> failureDomains, List<ServiceDescriptor> services,
 		List<AccountDescriptor> accounts, List<GroupDescriptor> groups) {
 
-	/** A configuration without entries. */
+	/** A configuration without any elements. */
 	public static final Configuration EMPTY = new Configuration(List.of(), List.of(), List.of(), List.of());
 
 	public Configuration {
@@ -33,8 +33,8 @@
 	}
 
 	/**
-	 * Finds a service.
-	 * @param id the service
+	 * Finds a service by its identifier.
+	 * @param id the service's identifier
 	 * @return its descriptor, or empty if there is none
 	 */
 	public Optional<ServiceDescriptor> service(ServiceId id) {
@@ -42,8 +42,8 @@
 	}
 
 	/**
-	 * Finds a client account.
-	 * @param id the client account
+	 * Finds a client account by its identifier.
+	 * @param id the client account's identifier
 	 * @return its descriptor, or empty if there is none
 	 */
 	public Optional<AccountDescriptor> account(AccountId id) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/FailureDomainDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/FailureDomainDescriptor.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Describes a failure domain.
+ * Configuration of a failure domain.
  *
  * @param id the failure domain
  * @param region the name of its region
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/GroupDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/GroupDescriptor.java
@@ -5,16 +5,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Describes an expert-parallel group.
+ * Configuration of an expert-parallel group.
  *
  * @param id the group
  * @param service the model that the group serves
  * @param ranks the number of ranks
- * @param experts the number of experts a layer
+ * @param experts the number of experts per layer
  * @param layers the number of layers with experts
- * @param slotsPerRank the number of experts a layer that a rank has memory for
- * @param weights the prices by which placement plans are judged
- * @param engineChecksFencing whether the engines refuse orders with old fencing numbers
+ * @param slotsPerRank the number of experts per layer that fit into a rank's memory
+ * @param weights the cost weights of placement plans
+ * @param engineChecksFencing whether the engines themselves reject commands with stale
+ * fencing numbers
  */
 public record GroupDescriptor(GroupId id, ServiceId service, int ranks, int experts, int layers, int slotsPerRank,
 		PlacementWeights weights, boolean engineChecksFencing) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/PlacementPresets.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/PlacementPresets.java
@@ -3,13 +3,13 @@
 import java.util.Optional;
 
 /**
- * Named placement weights to choose from.
+ * Named presets of placement weights.
  */
 public enum PlacementPresets {
 
-	/** Weighs step-time skew more heavily than bytes read. */
+	/** Favours low step-time skew over few bytes read. */
 	PLUME(new PlacementWeights(100, 0.02)),
-	/** Weighs bytes read more heavily than step-time skew. */
+	/** Favours few bytes read over low step-time skew. */
 	POPELAR(new PlacementWeights(100, 3));
 
 	private final PlacementWeights weights;
@@ -20,14 +20,14 @@
 
 	/**
 	 * Returns the weights.
-	 * @return the prices by which placement plans are judged
+	 * @return the cost weights of placement plans
 	 */
 	public PlacementWeights weights() {
 		return this.weights;
 	}
 
 	/**
-	 * Finds a preset by its name, in any case.
+	 * Finds a preset by its name, ignoring case.
 	 * @param name the name, such as {@code plume}
 	 * @return the preset, or empty if there is none
 	 */
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/PlacementWeights.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/PlacementWeights.java
@@ -3,10 +3,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Prices by which a placement plan is judged.
+ * Weights of the cost function by which placement plans are compared.
  *
- * @param skewWeight cost of one unit of expected step-time skew above 1
- * @param moveWeight cost of one gibibyte read from the weight store
+ * @param skewWeight the cost per unit of expected step-time skew above 1
+ * @param moveWeight the cost per GiB read from the weight store
  */
 public record PlacementWeights(double skewWeight, double moveWeight) {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/PriorityClass.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/PriorityClass.java
@@ -5,11 +5,11 @@
  */
 public enum PriorityClass {
 
-	/** A person waits for the answer. */
+	/** Requests on whose answer a person is waiting. */
 	INTERACTIVE,
-	/** The usual class. */
+	/** Requests without special requirements. */
 	STANDARD,
-	/** Work that can wait. */
+	/** Requests that tolerate delay. */
 	BATCH
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/ServiceDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/ServiceDescriptor.java
@@ -6,16 +6,16 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Describes a service that backend servers offer to client accounts.
+ * Configuration of a service that backend servers offer to client accounts.
  *
  * @param id the service
  * @param kind the kind of service
- * @param pathPrefix the path prefix under which callers reach a plain service, starting
- * with a slash; for a model, the chat-completion path
- * @param idempotentRequests the requests that may be repeated, each as method and path
- * prefix such as {@code GET /schedule}
+ * @param pathPrefix the path prefix of a plain service's requests, starting with a slash;
+ * for a model, the chat-completion path
+ * @param idempotentRequests the requests that may be run more than once, each as method
+ * and path prefix such as {@code GET /schedule}
  * @param keyRequired whether a non-idempotent request without an idempotency key is
- * refused
+ * rejected
  */
 public record ServiceDescriptor(ServiceId id, ServiceKind kind, String pathPrefix, List<String> idempotentRequests,
 		boolean keyRequired) {
@@ -29,10 +29,10 @@
 	}
 
 	/**
-	 * Tells whether a request may be repeated.
+	 * Returns whether a request may be run more than once.
 	 * @param method the HTTP method
 	 * @param path the request's path
-	 * @return {@code true} if an entry of {@link #idempotentRequests()} matches
+	 * @return {@code true} if an element of {@link #idempotentRequests()} matches
 	 */
 	public boolean isIdempotent(String method, String path) {
 		String request = method + " " + path;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/ServiceKind.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/ServiceKind.java
@@ -7,7 +7,7 @@
 
 	/** A language model behind the chat-completion API. */
 	MODEL,
-	/** A plain HTTP service. */
+	/** Any other HTTP service. */
 	PLAIN
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ChangeKind.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ChangeKind.java
@@ -5,11 +5,11 @@
  */
 public enum ChangeKind {
 
-	/** Only the new configuration has it. */
+	/** Only the new configuration contains the element. */
 	ADDED,
-	/** Only the old configuration has it. */
+	/** Only the old configuration contains the element. */
 	REMOVED,
-	/** Both have it, with different values. */
+	/** Both configurations contain the element, with different values. */
 	CHANGED
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationDiff.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationDiff.java
@@ -18,10 +18,11 @@
 	}
 
 	/**
-	 * Lists what changed; order and defaults make no difference.
+	 * Lists the changes between two configurations. The order of elements and whether a
+	 * default is written out make no difference.
 	 * @param before the old configuration
 	 * @param after the new configuration
-	 * @return the changes: removed and changed parts, then added ones, each in canonical
+	 * @return the removed and changed elements, then the added ones, each in canonical
 	 * order
 	 */
 	public static List<ConfigurationChange> between(Configuration before, Configuration after) {
@@ -31,12 +32,12 @@
 		ConfigurationTables.of(after).forEach((table) -> added.put(table.id(), table));
 		List<ConfigurationChange> changes = new ArrayList<>();
 		for (ConfigurationTable old : ConfigurationTables.of(before)) {
-			ConfigurationTable present = added.remove(old.id());
-			if (present == null) {
+			ConfigurationTable current = added.remove(old.id());
+			if (current == null) {
 				changes.add(change(ChangeKind.REMOVED, old, fields(old.fields(), List.of())));
 			}
-			else if (!present.equals(old)) {
-				changes.add(change(ChangeKind.CHANGED, old, fields(old.fields(), present.fields())));
+			else if (!current.equals(old)) {
+				changes.add(change(ChangeKind.CHANGED, old, fields(old.fields(), current.fields())));
 			}
 		}
 		added.values()
@@ -50,12 +51,12 @@
 
 	private static List<FieldChange> fields(List<TomlField> before, List<TomlField> after) {
 		Map<String, String> old = literals(before);
-		Map<String, String> present = literals(after);
+		Map<String, String> current = literals(after);
 		Map<String, String> all = new LinkedHashMap<>(old);
-		all.putAll(present);
+		all.putAll(current);
 		return all.keySet()
 			.stream()
-			.map((key) -> new FieldChange(key, old.getOrDefault(key, ""), present.getOrDefault(key, "")))
+			.map((key) -> new FieldChange(key, old.getOrDefault(key, ""), current.getOrDefault(key, "")))
 			.filter((field) -> !field.before().equals(field.after()))
 			.toList();
 	}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationKeys.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationKeys.java
@@ -11,20 +11,20 @@
 import org.comfreywall.common.toml.ValueTypes;
 
 /**
- * Describes every key of the configuration.
+ * The descriptors of all keys of the configuration.
  */
 public final class ConfigurationKeys {
 
-	/** The greatest number of keys of one client account. */
-	private static final int GREATEST_KEYS = 16;
+	/** The maximum number of API keys per client account. */
+	private static final int MAX_KEYS = 16;
 
-	private static final int GREATEST_SERVICES = 1_000;
+	private static final int MAX_SERVICES = 1_000;
 
-	private static final int GREATEST_IDEMPOTENT_REQUESTS = 1_000;
+	private static final int MAX_IDEMPOTENT_REQUESTS = 1_000;
 
-	private static final long GREATEST_RATE = 1_000_000_000L;
+	private static final long MAX_LIMIT = 1_000_000_000L;
 
-	private static final double GREATEST_WEIGHT = 1e9;
+	private static final double MAX_WEIGHT = 1e9;
 
 	private static final ValueType<String> PATH = ValueTypes.pattern("URL path",
 			Pattern.compile("/[A-Za-z0-9._~/-]{0,255}"),
@@ -55,7 +55,7 @@
 			"The path under which callers reach it; models may share one.");
 
 	static final KeyDescriptor<List<String>> IDEMPOTENT_REQUESTS = KeyDescriptor.withDefault("idempotent-requests",
-			ValueTypes.listOf(REQUEST, 0, GREATEST_IDEMPOTENT_REQUESTS), "[]",
+			ValueTypes.listOf(REQUEST, 0, MAX_IDEMPOTENT_REQUESTS), "[]",
 			"The requests that may be run more than once; all others run at most once.");
 
 	static final KeyDescriptor<Boolean> KEY_REQUIRED = KeyDescriptor.withDefault("key-required", ValueTypes.bool(),
@@ -65,25 +65,25 @@
 			"The client account's name.");
 
 	static final KeyDescriptor<List<String>> KEY_HASHES = KeyDescriptor.withDefault("key-hashes",
-			ValueTypes.listOf(KEY_HASH, 0, GREATEST_KEYS), "[]",
+			ValueTypes.listOf(KEY_HASH, 0, MAX_KEYS), "[]",
 			"The digests of the account's API keys; an account without one is not let in.");
 
 	static final KeyDescriptor<Long> REQUESTS = KeyDescriptor.required("requests-per-second",
-			ValueTypes.integer(1, GREATEST_RATE).in("requests/s"), "Requests admitted over all entries together.");
+			ValueTypes.integer(1, MAX_LIMIT).in("requests/s"), "Requests admitted over all entries together.");
 
 	static final KeyDescriptor<Long> TOKENS = KeyDescriptor.required("tokens-per-second",
-			ValueTypes.integer(1, GREATEST_RATE).in("tokens/s"),
+			ValueTypes.integer(1, MAX_LIMIT).in("tokens/s"),
 			"Tokens, prompt and generated, admitted over all entries together.");
 
 	static final KeyDescriptor<Long> IN_FLIGHT = KeyDescriptor.required("in-flight",
-			ValueTypes.integer(1, GREATEST_RATE).in("requests"), "Requests in flight at one time.");
+			ValueTypes.integer(1, MAX_LIMIT).in("requests"), "Requests in flight at one time.");
 
 	static final KeyDescriptor<PriorityClass> HIGHEST_CLASS = KeyDescriptor.withDefault("highest-class",
 			ValueTypes.oneOf(PriorityClass.class), "\"standard\"",
 			"The highest priority class the account may ask for.");
 
 	static final KeyDescriptor<List<String>> SERVICES = KeyDescriptor.required("services",
-			ValueTypes.listOf(ValueTypes.name(), 1, GREATEST_SERVICES), "The services the account may call.");
+			ValueTypes.listOf(ValueTypes.name(), 1, MAX_SERVICES), "The services the account may call.");
 
 	static final KeyDescriptor<String> GROUP_NAME = KeyDescriptor.required("name", ValueTypes.name(),
 			"The group's name.");
@@ -103,30 +103,29 @@
 			"The number of experts a layer that a rank has memory for; ranks * slots-per-rank is at least experts.");
 
 	static final KeyDescriptor<Double> SKEW_WEIGHT = KeyDescriptor.required("skew-weight",
-			ValueTypes.decimal(0, GREATEST_WEIGHT), "The price of one unit of expected step-time skew above 1.");
+			ValueTypes.decimal(0, MAX_WEIGHT), "The price of one unit of expected step-time skew above 1.");
 
 	static final KeyDescriptor<Double> MOVE_WEIGHT = KeyDescriptor.required("move-weight",
-			ValueTypes.decimal(0, GREATEST_WEIGHT).in("per GiB"),
-			"The price of one gibibyte read from the weight store.");
+			ValueTypes.decimal(0, MAX_WEIGHT).in("per GiB"), "The price of one gibibyte read from the weight store.");
 
 	static final KeyDescriptor<Boolean> CHECKS_FENCING = KeyDescriptor.withDefault("engine-checks-fencing",
 			ValueTypes.bool(), "false", "Whether the engines refuse orders with old fencing numbers.");
 
-	/** The tables of one section: failure domains. */
+	/** The failure-domain section. */
 	public static final TableDescriptor FAILURE_DOMAIN = TableDescriptor.repeated("failure-domain",
 			"Instances that can fail together.", DOMAIN_NAME, REGION);
 
-	/** The tables of one section: services. */
+	/** The service section. */
 	public static final TableDescriptor SERVICE = TableDescriptor.repeated("service",
 			"What backend servers offer to client accounts.", SERVICE_NAME, KIND, PATH_PREFIX, IDEMPOTENT_REQUESTS,
 			KEY_REQUIRED);
 
-	/** The tables of one section: client accounts. */
+	/** The client-account section. */
 	public static final TableDescriptor ACCOUNT = TableDescriptor.repeated("client-account",
 			"Who sends requests, with limits.", ACCOUNT_NAME, KEY_HASHES, REQUESTS, TOKENS, IN_FLIGHT, HIGHEST_CLASS,
 			SERVICES);
 
-	/** The tables of one section: groups. */
+	/** The section of expert-parallel groups. */
 	public static final TableDescriptor GROUP = TableDescriptor.repeated("group",
 			"Ranks that run one model in lock-step.", GROUP_NAME, GROUP_SERVICE, RANKS, EXPERTS, LAYERS, SLOTS,
 			SKEW_WEIGHT, MOVE_WEIGHT, CHECKS_FENCING);
@@ -138,8 +137,8 @@
 	private ConfigurationKeys() {
 	}
 
-	private static ValueType<Integer> count(int greatest) {
-		return ValueTypes.integer(1, greatest).map(Long::intValue);
+	private static ValueType<Integer> count(int max) {
+		return ValueTypes.integer(1, max).map(Long::intValue);
 	}
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationReader.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationReader.java
@@ -25,7 +25,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Reads a configuration from TOML and refuses whatever is not allowed.
+ * Reads and validates a configuration in TOML.
  */
 public final class ConfigurationReader {
 
@@ -35,8 +35,8 @@
 	/**
 	 * Reads the configuration in a file.
 	 * @param file the file
-	 * @return the configuration, or an error that names file, key, value and what is
-	 * allowed, one line a fault
+	 * @return the configuration, or an error with one line per problem, each with the
+	 * file, key, value and allowed values
 	 */
 	public static Result<Configuration> read(Path file) {
 		Preconditions.notNull(file, "file");
@@ -54,8 +54,8 @@
 	 * Reads a configuration from text.
 	 * @param file the name of the file that the text is from
 	 * @param text the configuration in TOML
-	 * @return the configuration, or an error that names file, key, value and what is
-	 * allowed, one line a fault
+	 * @return the configuration, or an error with one line per problem, each with the
+	 * file, key, value and allowed values
 	 */
 	public static Result<Configuration> parse(String file, String text) {
 		Problems problems = new Problems(file);
@@ -65,10 +65,10 @@
 	}
 
 	/**
-	 * Reads the configuration's sections of a larger document.
+	 * Reads the configuration's sections of a document that may also have other sections.
 	 * @param root the document
-	 * @param problems receives the faults
-	 * @return the configuration, or empty if it has a fault
+	 * @param problems collects the problems found
+	 * @return the configuration, or empty if it is invalid
 	 */
 	public static Optional<Configuration> sections(TomlTable root, Problems problems) {
 		new ConfigurationRules(problems).check(root);
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationRules.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationRules.java
@@ -13,7 +13,7 @@
 import org.comfreywall.common.toml.TomlTable;
 
 /**
- * Checks the rules that tie several parts of a configuration together.
+ * Validates rules that involve several elements of a configuration.
  */
 final class ConfigurationRules {
 
@@ -43,7 +43,7 @@
 		Set<String> names = new HashSet<>();
 		tables.stream()
 			.filter((table) -> !names.add(table.value(key)))
-			.forEach((table) -> add(table, key, table.value(key), "a name used once"));
+			.forEach((table) -> addProblem(table, key, table.value(key), "a name used once"));
 	}
 
 	private void checkService(TomlTable table) {
@@ -52,13 +52,13 @@
 		this.services.put(table.value(ConfigurationKeys.SERVICE_NAME), kind);
 		ServiceKind other = this.pathPrefixes.put(prefix, kind);
 		if (other != null && (other == ServiceKind.PLAIN || kind == ServiceKind.PLAIN)) {
-			add(table, ConfigurationKeys.PATH_PREFIX, prefix,
+			addProblem(table, ConfigurationKeys.PATH_PREFIX, prefix,
 					"a path that no other service has; only models share one");
 		}
 		table.value(ConfigurationKeys.IDEMPOTENT_REQUESTS)
 			.stream()
 			.filter((request) -> !request.substring(request.indexOf('/')).startsWith(prefix))
-			.forEach((request) -> add(table, ConfigurationKeys.IDEMPOTENT_REQUESTS, request,
+			.forEach((request) -> addProblem(table, ConfigurationKeys.IDEMPOTENT_REQUESTS, request,
 					"requests whose path starts with the service's path-prefix \"" + prefix + "\""));
 	}
 
@@ -66,8 +66,8 @@
 		table.value(ConfigurationKeys.SERVICES)
 			.stream()
 			.filter((service) -> !this.services.containsKey(service))
-			.forEach((service) -> add(table, ConfigurationKeys.SERVICES, service, "services of the configuration",
-					this.services.keySet()));
+			.forEach((service) -> addProblem(table, ConfigurationKeys.SERVICES, service,
+					"services of the configuration", this.services.keySet()));
 		boolean unused = table.value(ConfigurationKeys.KEY_HASHES).stream().allMatch(this.keyHashes::add);
 		if (!unused) {
 			this.problems.add(table.fullName(ConfigurationKeys.KEY_HASHES), "(hidden)",
@@ -82,7 +82,8 @@
 				.stream()
 				.filter((name) -> this.services.get(name) == ServiceKind.MODEL)
 				.toList();
-			add(table, ConfigurationKeys.GROUP_SERVICE, service, "a service of the kind \"model\"", Set.copyOf(models));
+			addProblem(table, ConfigurationKeys.GROUP_SERVICE, service, "a service of the kind \"model\"",
+					Set.copyOf(models));
 		}
 		long ranks = table.value(ConfigurationKeys.RANKS);
 		int experts = table.value(ConfigurationKeys.EXPERTS);
@@ -93,12 +94,14 @@
 		}
 	}
 
-	private void add(TomlTable table, KeyDescriptor<?> key, String value, String allowed, Set<String> known) {
-		String suggestion = NearestName.find(value, known).map((near) -> "; did you mean \"" + near + "\"?").orElse("");
-		add(table, key, value, allowed + suggestion);
+	private void addProblem(TomlTable table, KeyDescriptor<?> key, String value, String allowed, Set<String> known) {
+		String suggestion = NearestName.find(value, known)
+			.map((nearest) -> "; did you mean \"" + nearest + "\"?")
+			.orElse("");
+		addProblem(table, key, value, allowed + suggestion);
 	}
 
-	private void add(TomlTable table, KeyDescriptor<?> key, String value, String allowed) {
+	private void addProblem(TomlTable table, KeyDescriptor<?> key, String value, String allowed) {
 		this.problems.add(table.fullName(key), "\"" + value + "\"", allowed);
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationTable.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationTable.java
@@ -5,10 +5,10 @@
 import org.comfreywall.common.toml.TomlField;
 
 /**
- * One table of a configuration in canonical form.
+ * One element of a configuration as a TOML table in canonical form.
  *
  * @param section the table's key, such as {@code service}
- * @param name the name of what it describes
+ * @param name the name of the configured element
  * @param fields all fields in canonical order
  */
 public record ConfigurationTable(String section, String name, List<TomlField> fields) {
@@ -18,7 +18,7 @@
 	}
 
 	/**
-	 * Returns section and name together.
+	 * Returns the section and name as one identifier.
 	 * @return the identifier, unique in a configuration
 	 */
 	public String id() {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationTables.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationTables.java
@@ -16,8 +16,8 @@
 import org.comfreywall.common.toml.ValueTypes;
 
 /**
- * Turns a configuration into tables in canonical order: by section, then by name, with
- * every key given and lists sorted.
+ * Converts a configuration into tables in canonical form: ordered by section, then by
+ * name, with defaults written out and lists sorted.
  */
 public final class ConfigurationTables {
 
@@ -25,7 +25,7 @@
 	}
 
 	/**
-	 * Lists a configuration's tables.
+	 * Converts a configuration into tables.
 	 * @param configuration the configuration
 	 * @return the tables in canonical order
 	 */
@@ -44,35 +44,35 @@
 
 	private static ConfigurationTable failureDomain(FailureDomainDescriptor domain) {
 		return table(ConfigurationKeys.FAILURE_DOMAIN, domain.id().value(),
-				text(ConfigurationKeys.DOMAIN_NAME, domain.id().value()),
-				text(ConfigurationKeys.REGION, domain.region()));
+				stringField(ConfigurationKeys.DOMAIN_NAME, domain.id().value()),
+				stringField(ConfigurationKeys.REGION, domain.region()));
 	}
 
 	private static ConfigurationTable service(ServiceDescriptor service) {
 		return table(ConfigurationKeys.SERVICE, service.id().value(),
-				text(ConfigurationKeys.SERVICE_NAME, service.id().value()),
-				text(ConfigurationKeys.KIND, ValueTypes.lowerCase(service.kind())),
-				text(ConfigurationKeys.PATH_PREFIX, service.pathPrefix()),
-				list(ConfigurationKeys.IDEMPOTENT_REQUESTS, service.idempotentRequests()),
+				stringField(ConfigurationKeys.SERVICE_NAME, service.id().value()),
+				stringField(ConfigurationKeys.KIND, ValueTypes.lowerCase(service.kind())),
+				stringField(ConfigurationKeys.PATH_PREFIX, service.pathPrefix()),
+				listField(ConfigurationKeys.IDEMPOTENT_REQUESTS, service.idempotentRequests()),
 				TomlField.of(ConfigurationKeys.KEY_REQUIRED.name(), service.keyRequired()));
 	}
 
 	private static ConfigurationTable account(AccountDescriptor account) {
 		return table(ConfigurationKeys.ACCOUNT, account.id().value(),
-				text(ConfigurationKeys.ACCOUNT_NAME, account.id().value()),
-				list(ConfigurationKeys.KEY_HASHES, account.keyHashes()),
+				stringField(ConfigurationKeys.ACCOUNT_NAME, account.id().value()),
+				listField(ConfigurationKeys.KEY_HASHES, account.keyHashes()),
 				TomlField.of(ConfigurationKeys.REQUESTS.name(), account.limits().requestsPerSecond()),
 				TomlField.of(ConfigurationKeys.TOKENS.name(), account.limits().tokensPerSecond()),
 				TomlField.of(ConfigurationKeys.IN_FLIGHT.name(), account.limits().inFlight()),
-				text(ConfigurationKeys.HIGHEST_CLASS, ValueTypes.lowerCase(account.highestClass())),
-				list(ConfigurationKeys.SERVICES,
+				stringField(ConfigurationKeys.HIGHEST_CLASS, ValueTypes.lowerCase(account.highestClass())),
+				listField(ConfigurationKeys.SERVICES,
 						account.services().stream().map((service) -> service.value()).toList()));
 	}
 
 	private static ConfigurationTable group(GroupDescriptor group) {
 		return table(ConfigurationKeys.GROUP, group.id().value(),
-				text(ConfigurationKeys.GROUP_NAME, group.id().value()),
-				text(ConfigurationKeys.GROUP_SERVICE, group.service().value()),
+				stringField(ConfigurationKeys.GROUP_NAME, group.id().value()),
+				stringField(ConfigurationKeys.GROUP_SERVICE, group.service().value()),
 				TomlField.of(ConfigurationKeys.RANKS.name(), group.ranks()),
 				TomlField.of(ConfigurationKeys.EXPERTS.name(), group.experts()),
 				TomlField.of(ConfigurationKeys.LAYERS.name(), group.layers()),
@@ -86,11 +86,11 @@
 		return new ConfigurationTable(descriptor.name(), name, List.of(fields));
 	}
 
-	private static TomlField text(KeyDescriptor<?> key, String value) {
+	private static TomlField stringField(KeyDescriptor<?> key, String value) {
 		return TomlField.of(key.name(), value);
 	}
 
-	private static TomlField list(KeyDescriptor<?> key, Collection<String> values) {
+	private static TomlField listField(KeyDescriptor<?> key, Collection<String> values) {
 		return TomlField.of(key.name(), values.stream().sorted().toList());
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationWriter.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationWriter.java
@@ -5,8 +5,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Writes a configuration as TOML; equal configurations, whatever their order, give the
- * same text.
+ * Writes a configuration as TOML in canonical order, so that configurations that differ
+ * only in the order of their elements yield the same text.
  */
 public final class ConfigurationWriter {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/FieldChange.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/FieldChange.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A value that two configurations differ in.
+ * A key whose value differs between two configurations.
  *
  * @param key the key
  * @param before the old value as a TOML literal; empty if there is none
--- a/comfreywall-common/src/test/java/org/comfreywall/common/config/toml/ConfigurationReaderTests.java
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/config/toml/ConfigurationReaderTests.java
@@ -101,7 +101,7 @@
 	}
 
 	@Property(seed = "1", tries = 3000)
-	void damagedConfigurationsGiveConfigurationOrError(@ForAll @IntRange(max = 900) int position, @ForAll char c,
+	void corruptedConfigurationsYieldConfigurationOrError(@ForAll @IntRange(max = 900) int position, @ForAll char c,
 			@ForAll @IntRange(max = 3) int removed) {
 		int from = Math.min(position, VALID.length());
 		int to = Math.min(from + removed, VALID.length());
@@ -116,43 +116,43 @@
 	class Refusals {
 
 		@Test
-		void coverUnknownServiceWithSuggestion() {
+		void suggestAKnownServiceForAnUnknownOne() {
 			assertThat(errorOf(VALID.replace("[\"chat\", \"booking\"]", "[\"chat\", \"bookin\"]")))
 				.isEqualTo("fleet.toml: client-account[0].services = \"bookin\"; allowed: "
 						+ "services of the configuration; did you mean \"booking\"?");
 		}
 
 		@Test
-		void hideKeysWrittenInPlaceOfDigests() {
+		void hideApiKeysWrittenInPlaceOfDigests() {
 			assertThat(errorOf(VALID.replace(HASH, "cwk_secret"))).contains("client-account[0].key-hashes = (hidden)")
 				.doesNotContain("cwk_secret");
 		}
 
 		@Test
-		void coverRepeatedNames() {
+		void reportRepeatedNames() {
 			assertThat(errorOf(VALID.replace("\"south\"", "\"north\""))).contains("failure-domain[1].name");
 		}
 
 		@Test
-		void coverSharedKeys() {
+		void reportApiKeysSharedByAccounts() {
 			String account = VALID.substring(VALID.indexOf("[[client-account]]"), VALID.indexOf("[[group]]"));
 			assertThat(errorOf(VALID + account.replace("desk", "office"))).contains("client-account[1].key-hashes");
 		}
 
 		@Test
-		void coverGroupOfPlainService() {
+		void reportAGroupOfAPlainService() {
 			assertThat(errorOf(VALID.replace("service = \"chat\"", "service = \"booking\"")))
 				.contains("group[0].service = \"booking\"", "kind \"model\"");
 		}
 
 		@Test
-		void coverTooFewSlots() {
+		void reportTooFewSlots() {
 			assertThat(errorOf(VALID.replace("slots-per-rank = 5", "slots-per-rank = 3")))
 				.contains("group[0].slots-per-rank = 3", "at least 4");
 		}
 
 		@Test
-		void coverIdempotentRequestsOfOtherPaths() {
+		void reportIdempotentRequestsOutsideThePathPrefix() {
 			assertThat(errorOf(VALID.replace("GET /booking/schedule", "GET /schedule")))
 				.contains("service[1].idempotent-requests");
 		}
@@ -163,7 +163,7 @@
 	class Differences {
 
 		@Test
-		void nameChangedValues() {
+		void listChangedValues() {
 			List<ConfigurationChange> changes = ConfigurationDiff.between(valid(VALID),
 					valid(VALID.replace("in-flight = 100", "in-flight = 200")));
 			assertThat(changes).containsExactly(new ConfigurationChange(ChangeKind.CHANGED, "client-account", "desk",
@@ -171,7 +171,7 @@
 		}
 
 		@Test
-		void nameAddedAndRemovedParts() {
+		void listAddedAndRemovedElements() {
 			List<ConfigurationChange> changes = ConfigurationDiff.between(valid(VALID),
 					valid(VALID.replace("\"south\"", "\"west\"")));
 			assertThat(changes).extracting(ConfigurationChange::kind)
