Reword the TOML descriptors, parser and value types

Keys 'took' values, documents had faults and texts, and descriptors described what a table is for. Messages changed: the precondition of HostPort, the parser's reason and two internal errors; the texts of the operators' reference page are unchanged.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/DefaultValue.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/DefaultValue.java
@@ -3,11 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The value of a key that is not given.
+ * The default value of a key.
  *
  * @param <T> the type of the value
- * @param literal the value as a TOML literal
- * @param value the value
+ * @param literal the default as a TOML literal
+ * @param value the default, converted
  */
 public record DefaultValue<T>(String literal, T value) {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/HostPort.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/HostPort.java
@@ -7,18 +7,18 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A network address: an IP number or {@code localhost}, and a port.
+ * A network address: an IP address or {@code localhost}, and a port.
  *
- * @param host the IP number, without brackets, or {@code localhost}
- * @param port the port, 0 to 65535; 0 lets the system choose one to listen on
+ * @param host the IP address, without brackets, or {@code localhost}
+ * @param port the port, 0 to 65535; for a listener, 0 requests an ephemeral port
  */
 public record HostPort(String host, int port) {
 
-	private static final int GREATEST_PORT = 65535;
+	private static final int MAX_PORT = 65535;
 
-	private static final String BYTE = "(25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)";
+	private static final String IPV4_OCTET = "(25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)";
 
-	private static final Pattern IPV4 = Pattern.compile(BYTE + "(\\." + BYTE + "){3}");
+	private static final Pattern IPV4 = Pattern.compile(IPV4_OCTET + "(\\." + IPV4_OCTET + "){3}");
 
 	private static final Pattern IPV6 = Pattern
 		.compile("(?=.*:.*:)(?!.*::.*::)[0-9a-f]{0,4}(:[0-9a-f]{0,4}){2,7}(%[a-z0-9]{1,15})?");
@@ -27,12 +27,12 @@
 
 	public HostPort {
 		Preconditions.notBlank(host, "host");
-		Preconditions.check(isHost(host), "host must be an IP number or localhost: %s", host);
-		Preconditions.check(port >= 0 && port <= GREATEST_PORT, "port must be 0 to 65535: %d", port);
+		Preconditions.check(isHost(host), "host must be an IP address or localhost: %s", host);
+		Preconditions.check(port >= 0 && port <= MAX_PORT, "port must be 0 to 65535: %d", port);
 	}
 
 	/**
-	 * Reads an address such as {@code 10.0.0.1:7400} or {@code [::1]:7400}.
+	 * Parses an address such as {@code 10.0.0.1:7400} or {@code [::1]:7400}.
 	 * @param text the address
 	 * @return the address, or empty if it is malformed
 	 */
@@ -44,18 +44,18 @@
 		boolean bracketed = matcher.group(1) != null;
 		String host = bracketed ? matcher.group(1) : matcher.group(2);
 		int port = Integer.parseInt(matcher.group(3));
-		boolean valid = port <= GREATEST_PORT && isHost(host) && bracketed == host.contains(":");
+		boolean valid = port <= MAX_PORT && isHost(host) && bracketed == host.contains(":");
 		return valid ? Optional.of(new HostPort(host, port)) : Optional.empty();
 	}
 
 	/**
-	 * Joins a host and a port.
+	 * Creates an address from a host and a port.
 	 * @param host the host
 	 * @param port the port
 	 * @return the address, or empty if either is malformed
 	 */
 	public static Optional<HostPort> of(String host, int port) {
-		boolean valid = isHost(host) && port >= 0 && port <= GREATEST_PORT;
+		boolean valid = isHost(host) && port >= 0 && port <= MAX_PORT;
 		return valid ? Optional.of(new HostPort(host, port)) : Optional.empty();
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/HttpUrls.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/HttpUrls.java
@@ -5,18 +5,18 @@
 import java.util.Optional;
 
 /**
- * Reads base URLs of HTTP servers.
+ * Parses base URLs of HTTP servers.
  */
 public final class HttpUrls {
 
-	private static final int GREATEST_PORT = 65535;
+	private static final int MAX_PORT = 65535;
 
 	private HttpUrls() {
 	}
 
 	/**
-	 * Reads a URL with the scheme {@code http} or {@code https}, a host, and neither
-	 * credentials nor query.
+	 * Parses a URL with the scheme {@code http} or {@code https}, a host, and neither
+	 * credentials, query nor fragment.
 	 * @param text the URL
 	 * @return the URL, or empty if it is malformed
 	 */
@@ -30,9 +30,9 @@
 	}
 
 	private static boolean isAllowed(URI url) {
-		boolean http = "http".equals(url.getScheme()) || "https".equals(url.getScheme());
-		boolean plain = url.getQuery() == null && url.getFragment() == null && url.getUserInfo() == null;
-		return http && plain && url.getHost() != null && url.getPort() <= GREATEST_PORT;
+		boolean isHttp = "http".equals(url.getScheme()) || "https".equals(url.getScheme());
+		boolean hasOnlyPath = url.getQuery() == null && url.getFragment() == null && url.getUserInfo() == null;
+		return isHttp && hasOnlyPath && url.getHost() != null && url.getPort() <= MAX_PORT;
 	}
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/KeyDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/KeyDescriptor.java
@@ -6,14 +6,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Describes one key of a table.
+ * Definition of one key of a table.
  *
  * @param <T> the type of the key's value
  * @param name the key
- * @param type the values it takes
- * @param required whether the key must be given
- * @param standard the value used when the key is not given
- * @param doc what the key means, one sentence
+ * @param type the type of its values
+ * @param required whether the key must be present
+ * @param standard the default value, used if the key is absent
+ * @param doc the description of the key, one sentence
  */
 public record KeyDescriptor<T>(String name, ValueType<T> type, boolean required, Optional<DefaultValue<T>> standard,
 		String doc) {
@@ -26,11 +26,11 @@
 	}
 
 	/**
-	 * Describes a key that must be given.
+	 * Defines a required key.
 	 * @param <T> the type of the key's value
 	 * @param name the key
-	 * @param type the values it takes
-	 * @param doc what the key means
+	 * @param type the type of its values
+	 * @param doc the description of the key
 	 * @return the descriptor
 	 */
 	public static <T> KeyDescriptor<T> required(String name, ValueType<T> type, String doc) {
@@ -38,11 +38,11 @@
 	}
 
 	/**
-	 * Describes a key that need not be given and has no default.
+	 * Defines an optional key without a default.
 	 * @param <T> the type of the key's value
 	 * @param name the key
-	 * @param type the values it takes
-	 * @param doc what the key means
+	 * @param type the type of its values
+	 * @param doc the description of the key
 	 * @return the descriptor
 	 */
 	public static <T> KeyDescriptor<T> optional(String name, ValueType<T> type, String doc) {
@@ -50,12 +50,12 @@
 	}
 
 	/**
-	 * Describes a key with a default.
+	 * Defines an optional key with a default.
 	 * @param <T> the type of the key's value
 	 * @param name the key
-	 * @param type the values it takes
-	 * @param literal the default as a TOML literal, which the type must allow
-	 * @param doc what the key means
+	 * @param type the type of its values
+	 * @param literal the default as a TOML literal; must be a valid value of the type
+	 * @param doc the description of the key
 	 * @return the descriptor
 	 */
 	public static <T> KeyDescriptor<T> withDefault(String name, ValueType<T> type, String literal, String doc) {
@@ -66,7 +66,7 @@
 	}
 
 	/**
-	 * Returns the default as documents write it.
+	 * Returns the default as a TOML literal.
 	 * @return the TOML literal, or empty if there is no default
 	 */
 	public Optional<String> defaultLiteral() {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/LiteralInput.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/LiteralInput.java
@@ -7,32 +7,34 @@
 import java.util.stream.Stream;
 
 /**
- * Turns what a person types into TOML literals.
+ * Converts values typed by an operator into TOML literals.
  */
 public final class LiteralInput {
 
-	private static final String NOTHING = "none";
+	private static final String EMPTY_LIST_INPUT = "none";
 
 	private LiteralInput() {
 	}
 
 	/**
-	 * Finds the literal that a key allows and that the input stands for: a text without
-	 * quotes, a list with commas only, {@code yes}, {@code no}, or any TOML literal.
+	 * Converts input into a literal that is valid for a key. Accepts a string without
+	 * quotes, a list separated by commas, {@code none} for an empty list, {@code yes},
+	 * {@code no}, or any TOML literal.
 	 * @param key the key
 	 * @param input the input
-	 * @return the literal, or empty if the key does not allow the input
+	 * @return the literal, or empty if the input is no valid value of the key
 	 */
 	public static Optional<String> literal(KeyDescriptor<?> key, String input) {
 		String text = input.strip();
-		Stream<String> candidates = Stream.of(TomlField.of(key.name(), text).literal(), truth(text), text, list(text));
-		return candidates.filter((literal) -> isAllowed(key, literal)).findFirst();
+		Stream<String> literals = Stream.of(TomlField.of(key.name(), text).literal(), booleanLiteral(text), text,
+				listLiteral(text));
+		return literals.filter((literal) -> isValid(key, literal)).findFirst();
 	}
 
 	/**
-	 * Lists the texts in a literal.
-	 * @param literal a TOML list of texts
-	 * @return the texts
+	 * Parses a TOML array of strings.
+	 * @param literal the array as a TOML literal
+	 * @return the strings
 	 */
 	public static List<String> texts(String literal) {
 		List<String> texts = new ArrayList<>();
@@ -40,7 +42,7 @@
 		return texts;
 	}
 
-	private static boolean isAllowed(KeyDescriptor<?> key, String literal) {
+	private static boolean isValid(KeyDescriptor<?> key, String literal) {
 		try {
 			return key.convert(TomlParser.literal(literal)).isPresent();
 		}
@@ -49,7 +51,7 @@
 		}
 	}
 
-	private static String truth(String text) {
+	private static String booleanLiteral(String text) {
 		return switch (text) {
 			case "yes", "y" -> "true";
 			case "no", "n" -> "false";
@@ -57,8 +59,8 @@
 		};
 	}
 
-	private static String list(String text) {
-		List<String> elements = text.equals(NOTHING) ? List.of()
+	private static String listLiteral(String text) {
+		List<String> elements = text.equals(EMPTY_LIST_INPUT) ? List.of()
 				: Arrays.stream(text.split(",")).map(String::strip).filter((element) -> !element.isEmpty()).toList();
 		return TomlField.of("list", elements).literal();
 	}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/NearestName.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/NearestName.java
@@ -5,23 +5,24 @@
 import java.util.Optional;
 
 /**
- * Finds the known name that a misspelt one is nearest to.
+ * Finds the known name that is most similar to a misspelt one.
  */
 public final class NearestName {
 
-	private static final int LONGEST_NAME = 64;
+	private static final int MAX_NAME_LENGTH = 64;
 
 	private NearestName() {
 	}
 
 	/**
-	 * Finds the nearest name by edit distance.
+	 * Finds the known name with the smallest Levenshtein distance, which must be at most
+	 * a third of its length, or 2 for short names.
 	 * @param name the misspelt name
 	 * @param known the known names
-	 * @return the nearest known name, or empty if none is near
+	 * @return the nearest known name, or empty if none is similar enough
 	 */
 	public static Optional<String> find(String name, Collection<String> known) {
-		if (name.length() > LONGEST_NAME) {
+		if (name.length() > MAX_NAME_LENGTH) {
 			return Optional.empty();
 		}
 		return known.stream()
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/Problem.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/Problem.java
@@ -3,12 +3,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One fault in a TOML document.
+ * One validation problem in a TOML document.
  *
  * @param file the name of the document's file
- * @param key the full key at fault, or a position such as {@code line 3 column 7}
- * @param value the value found, shortened, or a remark in parentheses
- * @param allowed what is allowed instead
+ * @param key the full name of the invalid key, or a position such as
+ * {@code line 3 column 7}
+ * @param value the value found, truncated, or a remark in parentheses
+ * @param allowed the description of the allowed values
  */
 public record Problem(String file, String key, String value, String allowed) {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/Problems.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/Problems.java
@@ -9,13 +9,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Gathers the faults of one TOML document; keeps at most {@value #CAPACITY} of them.
+ * Collects the problems of one TOML document, up to {@value #CAPACITY}. Later ones are
+ * dropped.
  */
 public final class Problems {
 
 	private static final int CAPACITY = 100;
 
-	private static final int SHOWN_CHARACTERS = 80;
+	private static final int MAX_SHOWN_CHARACTERS = 80;
 
 	private final String file;
 
@@ -30,19 +31,19 @@
 	}
 
 	/**
-	 * Adds a fault.
-	 * @param key the full key at fault
+	 * Adds a problem.
+	 * @param key the full name of the invalid key
 	 * @param value the value found
-	 * @param allowed what is allowed instead
+	 * @param allowed the description of the allowed values
 	 */
 	public void add(String key, String value, String allowed) {
 		if (this.entries.size() < CAPACITY) {
-			this.entries.add(new Problem(this.file, printable(key), printable(value), allowed));
+			this.entries.add(new Problem(this.file, toPrintable(key), toPrintable(value), allowed));
 		}
 	}
 
 	/**
-	 * Tells whether no fault was found.
+	 * Returns whether no problem was found.
 	 * @return {@code true} if there is none
 	 */
 	public boolean isEmpty() {
@@ -50,16 +51,16 @@
 	}
 
 	/**
-	 * Returns the faults in the order in which they were found.
-	 * @return the faults
+	 * Returns the problems in the order in which they were added.
+	 * @return the problems
 	 */
 	public List<Problem> entries() {
 		return List.copyOf(this.entries);
 	}
 
 	/**
-	 * Describes all faults as one error, one line a fault.
-	 * @param step the step in which the document was read
+	 * Creates an error whose message has one line per problem.
+	 * @param step the processing step that read the document
 	 * @return the error
 	 */
 	public OperationError toError(Step step) {
@@ -67,9 +68,10 @@
 		return OperationError.local(ErrorCode.INVALID_INPUT, step, String.join("\n", lines));
 	}
 
-	private static String printable(String text) {
-		String shown = (text.length() > SHOWN_CHARACTERS) ? text.substring(0, SHOWN_CHARACTERS) + "..." : text;
-		return shown.replaceAll("\\p{Cntrl}", "?");
+	private static String toPrintable(String text) {
+		String truncated = (text.length() > MAX_SHOWN_CHARACTERS) ? text.substring(0, MAX_SHOWN_CHARACTERS) + "..."
+				: text;
+		return truncated.replaceAll("\\p{Cntrl}", "?");
 	}
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/Quantities.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/Quantities.java
@@ -6,7 +6,7 @@
 import java.util.regex.Pattern;
 
 /**
- * Reads durations and sizes written as a number with a unit.
+ * Parses durations and sizes written as a number with a unit.
  */
 public final class Quantities {
 
@@ -20,7 +20,7 @@
 	}
 
 	/**
-	 * Reads a duration such as {@code 2s}.
+	 * Parses a duration such as {@code 2s}.
 	 * @param text a number and {@code ms}, {@code s}, {@code m} or {@code h}
 	 * @return the duration, or empty if the text is malformed
 	 */
@@ -40,7 +40,7 @@
 	}
 
 	/**
-	 * Reads a size such as {@code 64KB}.
+	 * Parses a size such as {@code 64KB}.
 	 * @param text a number and {@code B}, {@code KB}, {@code MB} or {@code GB}
 	 * @return the size in bytes, or empty if the text is malformed
 	 */
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/ReferenceWriter.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/ReferenceWriter.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * Writes the reference of a document's keys as Markdown tables.
+ * Writes a reference of all keys of a document as Markdown tables.
  */
 public final class ReferenceWriter {
 
@@ -16,7 +16,7 @@
 	/**
 	 * Writes the reference of a document.
 	 * @param document the document's descriptor
-	 * @return the reference
+	 * @return the reference in Markdown
 	 */
 	public static String write(TableDescriptor document) {
 		ReferenceWriter writer = new ReferenceWriter();
@@ -46,14 +46,14 @@
 		cells.add("`" + key.name() + "`");
 		cells.add(key.type().name());
 		cells.add(key.type().unit());
-		cells.add(standard(key));
+		cells.add(defaultCell(key));
 		cells.add(key.type().allowed());
 		cells.add(key.doc());
 		cells.replaceAll((cell) -> cell.replace("|", "\\|"));
 		this.text.append("| ").append(String.join(" | ", cells)).append(" |\n");
 	}
 
-	private static String standard(KeyDescriptor<?> key) {
+	private static String defaultCell(KeyDescriptor<?> key) {
 		return key.defaultLiteral()
 			.map((literal) -> "`" + literal + "`")
 			.orElseGet(() -> key.required() ? "required" : "none");
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/ShownValue.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/ShownValue.java
@@ -6,11 +6,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
- * Shows values in messages about them.
+ * Formats TOML values for error messages, with long lists truncated.
  */
 final class ShownValue {
 
-	private static final int SHOWN_ELEMENTS = 5;
+	private static final int MAX_SHOWN_ELEMENTS = 5;
 
 	private ShownValue() {
 	}
@@ -27,11 +27,11 @@
 
 	private static String list(JsonNode array) {
 		List<String> elements = new ArrayList<>();
-		for (int i = 0; i < Math.min(array.size(), SHOWN_ELEMENTS); i++) {
+		for (int i = 0; i < Math.min(array.size(), MAX_SHOWN_ELEMENTS); i++) {
 			JsonNode element = array.get(i);
 			elements.add(element.isArray() ? "(a list)" : of(element));
 		}
-		if (array.size() > SHOWN_ELEMENTS) {
+		if (array.size() > MAX_SHOWN_ELEMENTS) {
 			elements.add("...");
 		}
 		return "[" + String.join(", ", elements) + "]";
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableDescriptor.java
@@ -6,13 +6,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Describes one table of a document with all keys and tables it may hold.
+ * Definition of one table of a document with its allowed keys and nested tables.
  *
  * @param name the table's key within its parent; empty for the document itself
- * @param repeated whether the document holds any number of such tables
- * @param doc what the table is for, one sentence
- * @param keys the table's keys in reading order
- * @param tables the tables inside it in reading order
+ * @param repeated whether the table is an element of an array of tables
+ * @param doc the description of the table, one sentence
+ * @param keys the table's keys in documentation order
+ * @param tables the nested tables in documentation order
  */
 public record TableDescriptor(String name, boolean repeated, String doc, List<KeyDescriptor<?>> keys,
 		List<TableDescriptor> tables) {
@@ -25,10 +25,10 @@
 	}
 
 	/**
-	 * Describes a whole document.
-	 * @param doc what the document is for
-	 * @param keys the keys at the top
-	 * @param tables the tables
+	 * Defines a document.
+	 * @param doc the description of the document
+	 * @param keys the top-level keys
+	 * @param tables the top-level tables
 	 * @return the descriptor
 	 */
 	public static TableDescriptor document(String doc, List<KeyDescriptor<?>> keys, List<TableDescriptor> tables) {
@@ -36,10 +36,10 @@
 	}
 
 	/**
-	 * Describes a table that occurs at most once.
+	 * Defines a table that occurs at most once.
 	 * @param name the table's key
-	 * @param doc what the table is for
-	 * @param keys its keys
+	 * @param doc the description of the table
+	 * @param keys the table's keys
 	 * @return the descriptor
 	 */
 	public static TableDescriptor single(String name, String doc, KeyDescriptor<?>... keys) {
@@ -47,10 +47,10 @@
 	}
 
 	/**
-	 * Describes a table that may occur any number of times.
-	 * @param name the table's key
-	 * @param doc what each table is for
-	 * @param keys the keys of each
+	 * Defines an array of tables.
+	 * @param name the array's key
+	 * @param doc the description of the tables
+	 * @param keys the keys of each table
 	 * @return the descriptor
 	 */
 	public static TableDescriptor repeated(String name, String doc, KeyDescriptor<?>... keys) {
@@ -58,17 +58,17 @@
 	}
 
 	/**
-	 * Adds tables inside this one.
-	 * @param inner the tables
-	 * @return the descriptor with those tables
+	 * Returns a copy with the given nested tables.
+	 * @param inner the nested tables
+	 * @return the descriptor with these tables
 	 */
 	public TableDescriptor with(TableDescriptor... inner) {
 		return new TableDescriptor(this.name, this.repeated, this.doc, this.keys, List.of(inner));
 	}
 
 	/**
-	 * Returns the names of all keys and tables inside this one.
-	 * @return the names in reading order
+	 * Returns the names of all keys and nested tables.
+	 * @return the names in documentation order
 	 */
 	public List<String> names() {
 		return Stream
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableValidator.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableValidator.java
@@ -7,7 +7,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
- * Checks a parsed document against its descriptor.
+ * Validates a parsed document against its descriptor.
  */
 final class TableValidator {
 
@@ -18,14 +18,14 @@
 	}
 
 	TomlTable validate(ObjectNode node, TableDescriptor descriptor, String path) {
-		refuseUnknownKeys(node, descriptor, path);
+		reportUnknownKeys(node, descriptor, path);
 		TomlTable table = new TomlTable(path);
 		descriptor.keys().forEach((key) -> readKey(table, node.get(key.name()), key));
 		descriptor.tables().forEach((inner) -> readTables(table, node.get(inner.name()), inner, path + inner.name()));
 		return table;
 	}
 
-	private void refuseUnknownKeys(ObjectNode node, TableDescriptor descriptor, String path) {
+	private void reportUnknownKeys(ObjectNode node, TableDescriptor descriptor, String path) {
 		List<String> known = descriptor.names();
 		for (Iterator<String> names = node.fieldNames(); names.hasNext();) {
 			String name = names.next();
@@ -37,7 +37,7 @@
 
 	private static String suggestion(String name, List<String> known) {
 		return NearestName.find(name, known)
-			.map((near) -> "did you mean \"" + near + "\"?")
+			.map((nearest) -> "did you mean \"" + nearest + "\"?")
 			.orElseGet(() -> String.join(", ", known));
 	}
 
@@ -58,7 +58,7 @@
 			return;
 		}
 		if (inner.repeated()) {
-			readRepeated(table, value, inner, fullName);
+			readTableArray(table, value, inner, fullName);
 		}
 		else if (value instanceof ObjectNode object) {
 			table.add(inner, validate(object, inner, fullName + "."));
@@ -68,7 +68,7 @@
 		}
 	}
 
-	private void readRepeated(TomlTable table, JsonNode value, TableDescriptor inner, String fullName) {
+	private void readTableArray(TomlTable table, JsonNode value, TableDescriptor inner, String fullName) {
 		if (!value.isArray()) {
 			this.problems.add(fullName, ShownValue.of(value), "tables written as [[" + fullName + "]]");
 			return;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlField.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlField.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One key of a table with its value as a TOML literal.
+ * A key of a table with its value as a TOML literal.
  *
  * @param key the bare key
  * @param literal the value as a TOML literal
@@ -18,9 +18,9 @@
 	}
 
 	/**
-	 * Creates a field with a text.
+	 * Creates a field with a string value.
 	 * @param key the bare key
-	 * @param text the text
+	 * @param text the string
 	 * @return the field
 	 */
 	public static TomlField of(String key, String text) {
@@ -28,7 +28,7 @@
 	}
 
 	/**
-	 * Creates a field with an integer.
+	 * Creates a field with an integer value.
 	 * @param key the bare key
 	 * @param value the integer
 	 * @return the field
@@ -38,7 +38,7 @@
 	}
 
 	/**
-	 * Creates a field with a decimal number.
+	 * Creates a field with a floating-point value.
 	 * @param key the bare key
 	 * @param value the number, finite
 	 * @return the field
@@ -49,9 +49,9 @@
 	}
 
 	/**
-	 * Creates a field with a truth value.
+	 * Creates a field with a boolean value.
 	 * @param key the bare key
-	 * @param value the truth value
+	 * @param value the boolean
 	 * @return the field
 	 */
 	public static TomlField of(String key, boolean value) {
@@ -59,9 +59,9 @@
 	}
 
 	/**
-	 * Creates a field with a list of texts.
+	 * Creates a field with an array of strings.
 	 * @param key the bare key
-	 * @param texts the texts in the order to write
+	 * @param texts the strings in output order
 	 * @return the field
 	 */
 	public static TomlField of(String key, List<String> texts) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlParser.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlParser.java
@@ -12,11 +12,11 @@
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 
 /**
- * Parses TOML text into nodes.
+ * Parses TOML into a tree of JSON nodes.
  */
 final class TomlParser {
 
-	private static final int LARGEST_DOCUMENT_CHARACTERS = 16 * 1024 * 1024;
+	private static final int MAX_DOCUMENT_CHARACTERS = 16 * 1024 * 1024;
 
 	private static final TomlFactory FACTORY = new TomlFactory();
 
@@ -24,19 +24,20 @@
 	}
 
 	static Optional<ObjectNode> parse(String text, Problems problems) {
-		if (text.length() > LARGEST_DOCUMENT_CHARACTERS) {
+		if (text.length() > MAX_DOCUMENT_CHARACTERS) {
 			problems.add("document", "(" + text.length() + " characters)",
-					"at most " + LARGEST_DOCUMENT_CHARACTERS + " characters");
+					"at most " + MAX_DOCUMENT_CHARACTERS + " characters");
 			return Optional.empty();
 		}
 		try {
 			return Optional.of(read(text));
 		}
 		catch (JsonProcessingException ex) {
-			problems.add(position(ex.getLocation()), "(not TOML)", "valid TOML 1.0; the parser says: " + reason(ex));
+			problems.add(describePosition(ex.getLocation()), "(not TOML)",
+					"valid TOML 1.0; parser error: " + firstLine(ex));
 		}
 		catch (IOException ex) {
-			throw new UncheckedIOException("Reading from memory cannot fail", ex);
+			throw new UncheckedIOException("unexpected I/O error while parsing a string", ex);
 		}
 		return Optional.empty();
 	}
@@ -56,11 +57,11 @@
 		}
 	}
 
-	private static String position(JsonLocation location) {
+	private static String describePosition(JsonLocation location) {
 		return (location != null) ? "line " + location.getLineNr() + " column " + location.getColumnNr() : "document";
 	}
 
-	private static String reason(JsonProcessingException ex) {
+	private static String firstLine(JsonProcessingException ex) {
 		String message = ex.getOriginalMessage();
 		return (message != null) ? message.lines().findFirst().orElse("no reason") : "no reason";
 	}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlTable.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlTable.java
@@ -12,8 +12,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A table of a document that has been checked against its descriptor, so that every
- * required key has an allowed value.
+ * A table of a document that has been validated against its descriptor, so that every
+ * required key has a valid value.
  */
 public final class TomlTable {
 
@@ -36,11 +36,11 @@
 	}
 
 	/**
-	 * Parses a document and checks it against its descriptor.
+	 * Parses a document and validates it against its descriptor.
 	 * @param text the document
-	 * @param descriptor the keys and tables that it may hold
-	 * @param problems receives the faults
-	 * @return the document, or empty if it has a fault
+	 * @param descriptor the allowed keys and tables
+	 * @param problems collects the problems found
+	 * @return the document, or empty if it is invalid
 	 */
 	public static Optional<TomlTable> parse(String text, TableDescriptor descriptor, Problems problems) {
 		Preconditions.notNull(text, "text");
@@ -52,9 +52,10 @@
 	}
 
 	/**
-	 * Lists the keys and tables at the top of a document, whatever its descriptor.
+	 * Returns the names of the top-level keys and tables of a document without validating
+	 * it.
 	 * @param text the document
-	 * @return the names, none if the document is malformed
+	 * @return the names, none if the document is not valid TOML
 	 */
 	public static Set<String> topLevelNames(String text) {
 		Set<String> names = new LinkedHashSet<>();
@@ -79,35 +80,35 @@
 	 * @return the value
 	 */
 	public <T> T value(KeyDescriptor<T> key) {
-		return find(key).orElseThrow(() -> new IllegalStateException(fullName(key) + " was not checked"));
+		return find(key)
+			.orElseThrow(() -> new IllegalStateException(fullName(key) + " has neither a value nor a default"));
 	}
 
 	/**
-	 * Returns the value of a key that need not be given.
+	 * Returns the value of an optional key.
 	 * @param <T> the type of the value
 	 * @param key the key
 	 * @return the value or its default, or empty if there is neither
 	 */
 	@SuppressWarnings("unchecked")
 	public <T> Optional<T> find(KeyDescriptor<T> key) {
-		// The map is only filled by put, which pairs a key with a value of its type.
+		// Safe because put stores only values of the key's type.
 		T value = (T) this.values.get(key);
 		return (value != null) ? Optional.of(value) : key.defaultValue();
 	}
 
 	/**
-	 * Returns a table inside this one.
-	 * @param descriptor the inner table's descriptor
-	 * @return the table, or empty if it is not given
+	 * Returns a nested table.
+	 * @param descriptor the nested table's descriptor
+	 * @return the table, or empty if it is absent
 	 */
 	public Optional<TomlTable> table(TableDescriptor descriptor) {
 		return tables(descriptor).stream().findFirst();
 	}
 
 	/**
-	 * Returns a table inside this one, in which every key has its default if the table is
-	 * not given.
-	 * @param descriptor the inner table's descriptor
+	 * Returns a nested table, or one in which every key has its default if it is absent.
+	 * @param descriptor the nested table's descriptor
 	 * @return the table
 	 */
 	public TomlTable tableOrDefaults(TableDescriptor descriptor) {
@@ -115,9 +116,9 @@
 	}
 
 	/**
-	 * Returns the repeated tables inside this one.
-	 * @param descriptor the inner tables' descriptor
-	 * @return the tables in the document's order
+	 * Returns the elements of a nested array of tables.
+	 * @param descriptor the elements' descriptor
+	 * @return the tables in document order
 	 */
 	public List<TomlTable> tables(TableDescriptor descriptor) {
 		return Collections.unmodifiableList(this.inner.getOrDefault(descriptor, List.of()));
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlWriter.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlWriter.java
@@ -5,8 +5,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Writes a TOML document for people to read: comments, then keys, then tables, each after
- * an empty line.
+ * Writes a TOML document for human readers: comments, then keys, then tables, each
+ * preceded by an empty line.
  */
 public final class TomlWriter {
 
@@ -24,27 +24,28 @@
 	}
 
 	/**
-	 * Starts a table that occurs once.
+	 * Writes a table that occurs once.
 	 * @param name the table's full name
 	 * @param fields the table's fields
 	 * @return this writer
 	 */
 	public TomlWriter table(String name, List<TomlField> fields) {
-		return start("[" + name + "]").fields(fields);
+		return writeHeader("[" + name + "]").fields(fields);
 	}
 
 	/**
-	 * Starts the next of the tables with one name.
-	 * @param name the tables' full name
+	 * Writes the next element of an array of tables.
+	 * @param name the array's full name
 	 * @param fields the table's fields
 	 * @return this writer
 	 */
 	public TomlWriter element(String name, List<TomlField> fields) {
-		return start("[[" + name + "]]").fields(fields);
+		return writeHeader("[[" + name + "]]").fields(fields);
 	}
 
 	/**
-	 * Writes fields into the table started last.
+	 * Writes fields into the most recently written table, or at the top level if there is
+	 * none.
 	 * @param fields the fields
 	 * @return this writer
 	 */
@@ -53,7 +54,7 @@
 		return this;
 	}
 
-	private TomlWriter start(String header) {
+	private TomlWriter writeHeader(String header) {
 		if (!this.text.isEmpty()) {
 			this.text.append('\n');
 		}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TreeBuilder.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TreeBuilder.java
@@ -10,8 +10,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
- * Builds the tree of a document from its tokens, without data binding; the parser bounds
- * the depth.
+ * Builds the tree of a document from its tokens, without data binding. The parser limits
+ * the nesting depth, so the recursion cannot overflow the stack.
  */
 final class TreeBuilder {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueType.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueType.java
@@ -7,14 +7,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Describes the values that a key takes.
+ * The type of a key's values.
  *
  * @param <T> the type that a value is converted to
  * @param name the type's name in the reference
  * @param unit the unit of a bare number, or empty
- * @param allowed the values allowed, in words
- * @param secret whether a wrong value must not be shown
- * @param converter converts a value; empty if it is not allowed
+ * @param allowed the description of the allowed values
+ * @param secret whether values must not appear in error messages
+ * @param converter converts a value; returns empty if the value is invalid
  */
 public record ValueType<T>(String name, String unit, String allowed, boolean secret,
 		Function<JsonNode, Optional<T>> converter) {
@@ -27,26 +27,26 @@
 	}
 
 	/**
-	 * Gives the type's numbers a unit.
-	 * @param newUnit the unit
-	 * @return the type with that unit
+	 * Returns a copy with the given unit.
+	 * @param newUnit the unit of a bare number
+	 * @return the type with this unit
 	 */
 	public ValueType<T> in(String newUnit) {
 		return new ValueType<>(this.name, newUnit, this.allowed, this.secret, this.converter);
 	}
 
 	/**
-	 * Hides wrong values from messages.
-	 * @return the type with hidden values
+	 * Returns a copy whose values do not appear in error messages.
+	 * @return the type with secret values
 	 */
 	public ValueType<T> hidden() {
 		return new ValueType<>(this.name, this.unit, this.allowed, true, this.converter);
 	}
 
 	/**
-	 * Converts allowed values further.
+	 * Returns a type that applies a further conversion to valid values.
 	 * @param <R> the type of the converted value
-	 * @param mapper the conversion, which must accept every allowed value
+	 * @param mapper the conversion; must accept every valid value
 	 * @return the type of the converted values
 	 */
 	public <R> ValueType<R> map(Function<? super T, ? extends R> mapper) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueTypes.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueTypes.java
@@ -18,13 +18,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Creates the types of values that documents use.
+ * The types of values in settings and configurations.
  */
 public final class ValueTypes {
 
-	private static final int NAME_LENGTH = 63;
+	private static final int MAX_NAME_LENGTH = 63;
 
-	private static final int TEXT_LENGTH = 1024;
+	private static final int MAX_TEXT_LENGTH = 1024;
 
 	private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?");
 
@@ -37,24 +37,24 @@
 	 * @return the type
 	 */
 	public static ValueType<String> name() {
-		return pattern("name", NAME, "1 to " + NAME_LENGTH
+		return pattern("name", NAME, "1 to " + MAX_NAME_LENGTH
 				+ " lower-case letters, digits, '.', '-' and '_', with a letter or digit first and last");
 	}
 
 	/**
-	 * Creates a type of texts that match a pattern as a whole.
+	 * Creates a type of strings that match a pattern completely.
 	 * @param type the type's name
 	 * @param pattern the pattern
-	 * @param allowed the allowed texts, in words
+	 * @param allowed the description of the allowed strings
 	 * @return the type
 	 */
 	public static ValueType<String> pattern(String type, Pattern pattern, String allowed) {
 		return new ValueType<>(type, "", allowed, false,
-				(node) -> text(node).filter((value) -> pattern.matcher(value).matches()));
+				(node) -> stringValue(node).filter((value) -> pattern.matcher(value).matches()));
 	}
 
 	/**
-	 * Creates the type of truth values.
+	 * Creates the type of booleans.
 	 * @return the type
 	 */
 	public static ValueType<Boolean> bool() {
@@ -64,53 +64,54 @@
 
 	/**
 	 * Creates a type of integers.
-	 * @param least the least value allowed
-	 * @param greatest the greatest value allowed
+	 * @param min the minimum value, inclusive
+	 * @param max the maximum value, inclusive
 	 * @return the type
 	 */
-	public static ValueType<Long> integer(long least, long greatest) {
-		return new ValueType<>("integer", "", least + " to " + greatest, false,
-				(node) -> longValue(node).filter((value) -> value >= least && value <= greatest));
+	public static ValueType<Long> integer(long min, long max) {
+		return new ValueType<>("integer", "", min + " to " + max, false,
+				(node) -> longValue(node).filter((value) -> value >= min && value <= max));
 	}
 
 	/**
 	 * Creates a type of decimal numbers.
-	 * @param least the least value allowed
-	 * @param greatest the greatest value allowed
+	 * @param min the minimum value, inclusive
+	 * @param max the maximum value, inclusive
 	 * @return the type
 	 */
-	public static ValueType<Double> decimal(double least, double greatest) {
-		return new ValueType<>("number", "", plain(least) + " to " + plain(greatest), false,
+	public static ValueType<Double> decimal(double min, double max) {
+		return new ValueType<>("number", "", toPlainString(min) + " to " + toPlainString(max), false,
 				(node) -> node.isNumber()
-						? Optional.of(node.doubleValue()).filter((value) -> value >= least && value <= greatest)
+						? Optional.of(node.doubleValue()).filter((value) -> value >= min && value <= max)
 						: Optional.empty());
 	}
 
 	/**
 	 * Creates a type of durations such as {@code "2s"}.
-	 * @param least the shortest duration allowed
-	 * @param greatest the longest duration allowed
+	 * @param min the minimum duration, inclusive
+	 * @param max the maximum duration, inclusive
 	 * @return the type
 	 */
-	public static ValueType<Duration> duration(String least, String greatest) {
-		Duration from = Quantities.parseDuration(least).orElseThrow();
-		Duration to = Quantities.parseDuration(greatest).orElseThrow();
-		return new ValueType<>("duration", "ms, s, m or h", "\"" + least + "\" to \"" + greatest + "\"", false,
-				(node) -> text(node).flatMap(Quantities::parseDuration)
+	public static ValueType<Duration> duration(String min, String max) {
+		Duration from = Quantities.parseDuration(min).orElseThrow();
+		Duration to = Quantities.parseDuration(max).orElseThrow();
+		return new ValueType<>("duration", "ms, s, m or h", "\"" + min + "\" to \"" + max + "\"", false,
+				(node) -> stringValue(node).flatMap(Quantities::parseDuration)
 					.filter((value) -> value.compareTo(from) >= 0 && value.compareTo(to) <= 0));
 	}
 
 	/**
 	 * Creates a type of sizes such as {@code "64KB"}, converted to bytes.
-	 * @param least the smallest size allowed
-	 * @param greatest the largest size allowed
+	 * @param min the minimum size, inclusive
+	 * @param max the maximum size, inclusive
 	 * @return the type
 	 */
-	public static ValueType<Long> size(String least, String greatest) {
-		long from = Quantities.parseSize(least).orElseThrow();
-		long to = Quantities.parseSize(greatest).orElseThrow();
-		return new ValueType<>("size", "B, KB, MB or GB", "\"" + least + "\" to \"" + greatest + "\"", false,
-				(node) -> text(node).flatMap(Quantities::parseSize).filter((value) -> value >= from && value <= to));
+	public static ValueType<Long> size(String min, String max) {
+		long from = Quantities.parseSize(min).orElseThrow();
+		long to = Quantities.parseSize(max).orElseThrow();
+		return new ValueType<>("size", "B, KB, MB or GB", "\"" + min + "\" to \"" + max + "\"", false,
+				(node) -> stringValue(node).flatMap(Quantities::parseSize)
+					.filter((value) -> value >= from && value <= to));
 	}
 
 	/**
@@ -120,7 +121,7 @@
 	public static ValueType<HostPort> address() {
 		return new ValueType<>("address", "",
 				"IP:PORT or localhost:PORT with a port of 0 to 65535, an IPv6 number in brackets", false,
-				(node) -> text(node).flatMap(HostPort::parse));
+				(node) -> stringValue(node).flatMap(HostPort::parse));
 	}
 
 	/**
@@ -129,7 +130,7 @@
 	 */
 	public static ValueType<URI> httpUrl() {
 		return new ValueType<>("URL", "", "http://HOST:PORT or https://HOST:PORT, with or without a path", false,
-				(node) -> text(node).flatMap(HttpUrls::parse));
+				(node) -> stringValue(node).flatMap(HttpUrls::parse));
 	}
 
 	/**
@@ -138,11 +139,11 @@
 	 */
 	public static ValueType<Path> path() {
 		return new ValueType<>("path", "", "the path of a file or folder", false,
-				(node) -> text(node).filter((value) -> !value.isBlank()).flatMap(ValueTypes::parsePath));
+				(node) -> stringValue(node).filter((value) -> !value.isBlank()).flatMap(ValueTypes::parsePath));
 	}
 
 	/**
-	 * Creates a type from the constants of an enum, written in lower case with dashes.
+	 * Creates the type of an enum's constants, written in lower case with dashes.
 	 * @param <E> the enum
 	 * @param type the enum's class
 	 * @return the type
@@ -152,26 +153,26 @@
 		List.of(type.getEnumConstants()).forEach((constant) -> constants.put(lowerCase(constant), constant));
 		String allowed = "\"" + String.join("\", \"", constants.keySet()) + "\"";
 		return new ValueType<>("choice", "", allowed, false,
-				(node) -> text(node).flatMap((value) -> Optional.ofNullable(constants.get(value))));
+				(node) -> stringValue(node).flatMap((value) -> Optional.ofNullable(constants.get(value))));
 	}
 
 	/**
-	 * Creates a type of lists without repeated elements.
+	 * Creates a type of lists without duplicate elements.
 	 * @param <T> the type of the elements
 	 * @param element the elements' type
-	 * @param least the least number of elements
-	 * @param greatest the greatest number of elements
+	 * @param min the minimum number of elements
+	 * @param max the maximum number of elements
 	 * @return the type
 	 */
-	public static <T> ValueType<List<T>> listOf(ValueType<T> element, int least, int greatest) {
-		String count = (least == 0) ? "up to " + greatest : least + " to " + greatest;
+	public static <T> ValueType<List<T>> listOf(ValueType<T> element, int min, int max) {
+		String count = (min == 0) ? "up to " + max : min + " to " + max;
 		return new ValueType<>("list of " + element.name(), element.unit(),
 				count + " different values, each " + element.allowed(), element.secret(),
-				(node) -> elements(node, element).filter((list) -> list.size() >= least && list.size() <= greatest));
+				(node) -> convertElements(node, element).filter((list) -> list.size() >= min && list.size() <= max));
 	}
 
 	/**
-	 * Writes an enum constant as documents do.
+	 * Returns an enum constant's name as it is written in documents.
 	 * @param value the constant
 	 * @return its name in lower case with dashes
 	 */
@@ -179,27 +180,26 @@
 		return Preconditions.notNull(value, "value").name().toLowerCase(Locale.ROOT).replace('_', '-');
 	}
 
-	private static String plain(double value) {
+	private static String toPlainString(double value) {
 		return BigDecimal.valueOf(value).stripTrailingZeros().toPlainString();
 	}
 
-	private static Optional<String> text(JsonNode node) {
-		return node.isTextual()
-				? Optional.of(node.textValue()).filter((value) -> value.length() <= TEXT_LENGTH && isPlain(value))
-				: Optional.empty();
+	private static Optional<String> stringValue(JsonNode node) {
+		return node.isTextual() ? Optional.of(node.textValue())
+			.filter((value) -> value.length() <= MAX_TEXT_LENGTH && isPrintable(value)) : Optional.empty();
 	}
 
-	private static boolean isPlain(String value) {
+	private static boolean isPrintable(String value) {
 		for (int i = 0; i < value.length(); i++) {
 			char c = value.charAt(i);
 			if (Character.isISOControl(c) || Character.isSurrogate(c)) {
-				return value.codePoints().allMatch(ValueTypes::isPlain);
+				return value.codePoints().allMatch(ValueTypes::isPrintable);
 			}
 		}
 		return true;
 	}
 
-	private static boolean isPlain(int c) {
+	private static boolean isPrintable(int c) {
 		return !Character.isISOControl(c) && Character.getType(c) != Character.SURROGATE;
 	}
 
@@ -216,7 +216,7 @@
 		}
 	}
 
-	private static <T> Optional<List<T>> elements(JsonNode node, ValueType<T> type) {
+	private static <T> Optional<List<T>> convertElements(JsonNode node, ValueType<T> type) {
 		if (!node.isArray()) {
 			return Optional.empty();
 		}
@@ -224,8 +224,8 @@
 		for (JsonNode element : node) {
 			type.converter().apply(element).ifPresent(values::add);
 		}
-		boolean whole = values.size() == node.size() && new HashSet<>(values).size() == values.size();
-		return whole ? Optional.of(List.copyOf(values)) : Optional.empty();
+		boolean valid = values.size() == node.size() && new HashSet<>(values).size() == values.size();
+		return valid ? Optional.of(List.copyOf(values)) : Optional.empty();
 	}
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Strict, descriptor-driven reading of TOML documents and canonical writing.
+ * Reading of TOML documents with strict validation against descriptors, and writing.
  */
 package org.comfreywall.common.toml;
--- a/comfreywall-common/src/test/java/org/comfreywall/common/toml/LiteralInputTests.java
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/toml/LiteralInputTests.java
@@ -23,31 +23,31 @@
 	private static final KeyDescriptor<String> NAME = KeyDescriptor.required("name", ValueTypes.name(), "x");
 
 	@Test
-	void takesTextsWithoutQuotes() {
+	void acceptsStringsWithoutQuotes() {
 		assertThat(LiteralInput.literal(NAME, " north ")).contains("\"north\"");
 	}
 
 	@Test
-	void takesNumbersInRangeOnly() {
+	void acceptsOnlyNumbersInRange() {
 		assertThat(LiteralInput.literal(COUNT, "7")).contains("7");
 		assertThat(LiteralInput.literal(COUNT, "11")).isEmpty();
 	}
 
 	@Test
-	void takesYesAndNo() {
+	void acceptsYesAndNo() {
 		assertThat(LiteralInput.literal(FLAG, "yes")).contains("true");
 		assertThat(LiteralInput.literal(FLAG, "n")).contains("false");
 	}
 
 	@Test
-	void takesListsWithCommas() {
+	void acceptsListsSeparatedByCommas() {
 		assertThat(LiteralInput.literal(NAMES, "a, b")).contains("[\"a\", \"b\"]");
 		assertThat(LiteralInput.literal(NAMES, "none")).contains("[]");
 		assertThat(LiteralInput.literal(NAMES, "a, a")).isEmpty();
 	}
 
 	@Property(seed = "1", tries = 1000)
-	void givesOnlyLiteralsThatTheKeyAllows(@ForAll String input) {
+	void returnsOnlyLiteralsThatAreValidForTheKey(@ForAll String input) {
 		LiteralInput.literal(NAMES, input)
 			.ifPresent((literal) -> assertThat(LiteralInput.texts(literal)).hasSizeLessThanOrEqualTo(3));
 	}
