Reword logging and metrics

Records 'waited', labels 'gave up their place' and the story at the head of a test didn't say why the thread ended. Compiled with the module's tests.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/log/BoundedHandler.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/log/BoundedHandler.java
@@ -11,50 +11,51 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Writes log records on a thread of its own and drops them while too many wait, so that
- * the threads that log never block. How many were dropped is written with the next line.
+ * Writes log records on a dedicated thread and drops records while its queue is full, so
+ * that logging never blocks the calling thread. The number of dropped records is logged
+ * once the writer catches up.
  */
 final class BoundedHandler extends Handler {
 
-	private final BlockingQueue<LogRecord> waiting;
+	private final BlockingQueue<LogRecord> queue;
 
 	private final AtomicLong dropped = new AtomicLong();
 
 	private final PrintStream out;
 
 	/**
-	 * Starts to write.
-	 * @param out where lines go
-	 * @param capacity the records that may wait
-	 * @param formatter forms the lines; set before the writer starts, which would end
-	 * without one
+	 * Creates a handler and starts its writer thread.
+	 * @param out the output for the formatted lines
+	 * @param capacity the capacity of the queue in records
+	 * @param formatter the formatter; set before the writer thread starts, which would
+	 * otherwise terminate with a {@code NullPointerException}
 	 */
 	BoundedHandler(PrintStream out, int capacity, Formatter formatter) {
 		this.out = Preconditions.notNull(out, "out");
-		this.waiting = new ArrayBlockingQueue<>(capacity);
+		this.queue = new ArrayBlockingQueue<>(capacity);
 		setFormatter(formatter);
-		Thread writer = new Thread(this::write, "log");
+		Thread writer = new Thread(this::writeRecords, "log");
 		writer.setDaemon(true);
 		writer.start();
 	}
 
 	@Override
 	public void publish(LogRecord entry) {
-		if (isLoggable(entry) && !this.waiting.offer(entry)) {
+		if (isLoggable(entry) && !this.queue.offer(entry)) {
 			this.dropped.incrementAndGet();
 		}
 	}
 
-	private void write() {
+	private void writeRecords() {
 		try {
 			while (true) {
-				StringBuilder lines = new StringBuilder(getFormatter().format(this.waiting.take()));
-				for (LogRecord next = this.waiting.poll(); next != null; next = this.waiting.poll()) {
+				StringBuilder lines = new StringBuilder(getFormatter().format(this.queue.take()));
+				for (LogRecord next = this.queue.poll(); next != null; next = this.queue.poll()) {
 					lines.append(getFormatter().format(next));
 				}
-				long lost = this.dropped.getAndSet(0);
-				if (lost > 0) {
-					lines.append("event=log-lines-dropped count=").append(lost).append('\n');
+				long droppedCount = this.dropped.getAndSet(0);
+				if (droppedCount > 0) {
+					lines.append("event=log-lines-dropped count=").append(droppedCount).append('\n');
 				}
 				this.out.print(lines.toString());
 				this.out.flush();
--- a/comfreywall-common/src/main/java/org/comfreywall/common/log/EventLog.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/log/EventLog.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Writes one line of key=value pairs for each event.
+ * Logs events, each as one line of key=value pairs.
  */
 public final class EventLog {
 
@@ -27,27 +27,27 @@
 	}
 
 	/**
-	 * Logs an event that an operator need not act on.
+	 * Logs an event that requires no action of an operator.
 	 * @param event the event's name, in lower case with dashes
-	 * @param fields the event's values; must hold no secrets
+	 * @param fields the event's fields; must not contain secrets
 	 */
 	public void info(String event, Field... fields) {
 		LOGGER.atInfo().log("%s", new LogLine(this.source, event, fields));
 	}
 
 	/**
-	 * Logs an event that an operator may have to act on.
+	 * Logs an event that may require action of an operator.
 	 * @param event the event's name, in lower case with dashes
-	 * @param fields the event's values; must hold no secrets
+	 * @param fields the event's fields; must not contain secrets
 	 */
 	public void warn(String event, Field... fields) {
 		LOGGER.atWarning().log("%s", new LogLine(this.source, event, fields));
 	}
 
 	/**
-	 * Logs an event that an operator must act on.
+	 * Logs an event that requires action of an operator.
 	 * @param event the event's name, in lower case with dashes
-	 * @param fields the event's values; must hold no secrets
+	 * @param fields the event's fields; must not contain secrets
 	 */
 	public void error(String event, Field... fields) {
 		LOGGER.atSevere().log("%s", new LogLine(this.source, event, fields));
@@ -56,7 +56,7 @@
 	/**
 	 * Logs an event for debugging.
 	 * @param event the event's name, in lower case with dashes
-	 * @param fields the event's values; must hold no secrets
+	 * @param fields the event's fields; must not contain secrets
 	 */
 	public void debug(String event, Field... fields) {
 		LOGGER.atFine().log("%s", new LogLine(this.source, event, fields));
--- a/comfreywall-common/src/main/java/org/comfreywall/common/log/KeyValueFormatter.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/log/KeyValueFormatter.java
@@ -6,16 +6,17 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Formats a log record as one line; records of libraries become an event of their own.
+ * Formats a log record as one line of key=value pairs. Records of libraries, which log
+ * plain messages, become events named {@code library}.
  */
 final class KeyValueFormatter extends Formatter {
 
-	private static final String OWN_PREFIX = "event=";
+	private static final String EVENT_PREFIX = "event=";
 
 	@Override
 	public String format(LogRecord record) {
 		String message = formatMessage(record);
-		String event = message.startsWith(OWN_PREFIX) ? message : libraryEvent(record, message);
+		String event = message.startsWith(EVENT_PREFIX) ? message : libraryEvent(record, message);
 		return "time=" + record.getInstant() + " level=" + record.getLevel().getName() + " " + event + "\n";
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/log/LogLine.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/log/LogLine.java
@@ -3,8 +3,8 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Formats an event as key=value pairs; values with spaces, quotes or control characters
- * are quoted and escaped.
+ * Formats an event as key=value pairs. Values with spaces, quotes, equals signs or
+ * control characters are quoted and escaped.
  */
 final class LogLine {
 
@@ -36,7 +36,7 @@
 			line.append(' ');
 		}
 		line.append(key).append('=');
-		if (isPlain(value)) {
+		if (needsNoQuotes(value)) {
 			line.append(value);
 		}
 		else {
@@ -44,7 +44,7 @@
 		}
 	}
 
-	private static boolean isPlain(String value) {
+	private static boolean needsNoQuotes(String value) {
 		return !value.isEmpty() && value.chars().allMatch((c) -> c > ' ' && c != '"' && c != '=' && c != 0x7f);
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/log/LogSetup.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/log/LogSetup.java
@@ -7,19 +7,19 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Configures the logs of a process.
+ * Configures the logging of a process.
  */
 public final class LogSetup {
 
-	/** About ten seconds of a busy entry's lines. */
-	private static final int MAX_WAITING_LINES = 4096;
+	/** About ten seconds of log output of a busy entry instance. */
+	private static final int MAX_QUEUED_LINES = 4096;
 
 	private LogSetup() {
 	}
 
 	/**
-	 * Writes one line of key=value pairs for each event to standard error.
-	 * @param level the lowest level written
+	 * Logs to standard error.
+	 * @param level the minimum level
 	 */
 	public static void install(Level level) {
 		Preconditions.notNull(level, "level");
@@ -32,9 +32,9 @@
 	}
 
 	/**
-	 * Writes one line of key=value pairs for each event to standard output, without
-	 * blocking the threads that log; lines beyond a bound are dropped and counted.
-	 * @param level the lowest level written
+	 * Logs to standard output through a bounded queue, so that logging never blocks the
+	 * calling thread. Lines that do not fit are dropped and counted.
+	 * @param level the minimum level
 	 */
 	public static void installBounded(Level level) {
 		Preconditions.notNull(level, "level");
@@ -43,7 +43,7 @@
 		for (Handler handler : root.getHandlers()) {
 			root.removeHandler(handler);
 		}
-		Handler bounded = new BoundedHandler(System.out, MAX_WAITING_LINES, new KeyValueFormatter());
+		Handler bounded = new BoundedHandler(System.out, MAX_QUEUED_LINES, new KeyValueFormatter());
 		bounded.setLevel(level);
 		root.addHandler(bounded);
 	}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/log/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/log/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Structured logs.
+ * Structured logging as key=value pairs.
  */
 package org.comfreywall.common.log;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/metrics/HdrReservoir.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/metrics/HdrReservoir.java
@@ -6,15 +6,17 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Keeps all values of a histogram's life with two significant digits.
+ * Records all values since the histogram's creation with a precision of two significant
+ * digits.
  */
 final class HdrReservoir implements Reservoir {
 
+	/** One hour in microseconds; greater values are recorded as this value. */
 	private static final long MAX_VALUE = 3_600_000_000L;
 
-	private static final int DIGITS = 2;
+	private static final int SIGNIFICANT_DIGITS = 2;
 
-	private final Histogram values = new ConcurrentHistogram(1, MAX_VALUE, DIGITS);
+	private final Histogram values = new ConcurrentHistogram(1, MAX_VALUE, SIGNIFICANT_DIGITS);
 
 	@Override
 	public int size() {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/metrics/HdrSnapshot.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/metrics/HdrSnapshot.java
@@ -8,7 +8,7 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * The state of an {@link HdrReservoir} at one moment.
+ * An immutable copy of the values of an {@link HdrReservoir}.
  */
 final class HdrSnapshot extends Snapshot {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/metrics/LabelledHistograms.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/metrics/LabelledHistograms.java
@@ -7,11 +7,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Histograms of one quantity by label, such as a client account.
+ * Histograms of one quantity, one per value of a label, such as the client account, and
+ * one over all values.
  * <p>
- * At most a fixed number of labels have a histogram of their own; when another label
- * comes, the one used least recently gives its place up, and its later values start a new
- * histogram.
+ * The number of label values is bounded: a new one evicts the least recently used, whose
+ * histogram is discarded.
  */
 public final class LabelledHistograms {
 
@@ -21,14 +21,14 @@
 
 	private final Map<String, Histogram> byLabel;
 
-	private final Histogram all = new Histogram(new HdrReservoir());
+	private final Histogram total = new Histogram(new HdrReservoir());
 
 	/**
-	 * Creates an empty set of histograms.
+	 * Creates histograms without values.
 	 * @param name the quantity's name with its unit as suffix, such as
 	 * {@code first_token_us}
 	 * @param labelName the label's name, such as {@code account}
-	 * @param maxLabels the greatest number of labels kept, at least 1
+	 * @param maxLabels the maximum number of label values, at least 1
 	 */
 	public LabelledHistograms(String name, String labelName, int maxLabels) {
 		this.name = Preconditions.notBlank(name, "name");
@@ -48,11 +48,11 @@
 
 	/**
 	 * Records a value.
-	 * @param label the label
-	 * @param value the value, zero or greater
+	 * @param label the label's value
+	 * @param value the value to record, zero or greater
 	 */
 	public synchronized void update(String label, long value) {
-		this.all.update(value);
+		this.total.update(value);
 		this.byLabel.computeIfAbsent(label, (unused) -> new Histogram(new HdrReservoir())).update(value);
 	}
 
@@ -73,16 +73,16 @@
 	}
 
 	/**
-	 * Returns the histogram over all labels.
+	 * Returns the histogram over all label values, including evicted ones.
 	 * @return the histogram
 	 */
 	public Histogram total() {
-		return this.all;
+		return this.total;
 	}
 
 	/**
-	 * Returns the histograms kept.
-	 * @return a copy, by label
+	 * Returns the histograms of the label values that were not evicted.
+	 * @return a copy, by label value
 	 */
 	public synchronized Map<String, Histogram> byLabel() {
 		return new LinkedHashMap<>(this.byLabel);
--- a/comfreywall-common/src/main/java/org/comfreywall/common/metrics/PrometheusWriter.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/metrics/PrometheusWriter.java
@@ -26,41 +26,41 @@
 
 	/**
 	 * Writes metrics.
-	 * @param registry counters and gauges
-	 * @param histograms histograms by label
-	 * @return the text
+	 * @param registry the registry with counters and gauges
+	 * @param histograms the labelled histograms, written as summaries
+	 * @return the metrics in the text format
 	 */
 	public static String write(MetricRegistry registry, List<LabelledHistograms> histograms) {
 		Preconditions.notNull(registry, "registry");
 		PrometheusWriter writer = new PrometheusWriter();
-		registry.getCounters().forEach((name, counter) -> writer.single(name, "counter", counter.getCount()));
-		registry.getGauges().forEach(writer::gauge);
-		histograms.forEach(writer::histograms);
+		registry.getCounters().forEach((name, counter) -> writer.writeSample(name, "counter", counter.getCount()));
+		registry.getGauges().forEach(writer::writeGauge);
+		histograms.forEach(writer::writeHistograms);
 		return writer.text.toString();
 	}
 
-	private void gauge(String name, Gauge<?> gauge) {
+	private void writeGauge(String name, Gauge<?> gauge) {
 		if (gauge.getValue() instanceof Number value) {
-			single(name, "gauge", value);
+			writeSample(name, "gauge", value);
 		}
 	}
 
-	private void single(String name, String type, Number value) {
-		String metric = metric(name);
+	private void writeSample(String name, String type, Number value) {
+		String metric = metricName(name);
 		this.text.append("# TYPE ").append(metric).append(' ').append(type).append('\n');
 		this.text.append(metric).append(' ').append(value).append('\n');
 	}
 
-	private void histograms(LabelledHistograms histograms) {
-		String metric = metric(histograms.name());
+	private void writeHistograms(LabelledHistograms histograms) {
+		String metric = metricName(histograms.name());
 		this.text.append("# TYPE ").append(metric).append(" summary\n");
-		summary(metric, "", histograms.total());
+		writeSummary(metric, "", histograms.total());
 		for (Map.Entry<String, Histogram> entry : histograms.byLabel().entrySet()) {
-			summary(metric, histograms.labelName() + "=\"" + escape(entry.getKey()) + "\"", entry.getValue());
+			writeSummary(metric, histograms.labelName() + "=\"" + escape(entry.getKey()) + "\"", entry.getValue());
 		}
 	}
 
-	private void summary(String metric, String label, Histogram histogram) {
+	private void writeSummary(String metric, String label, Histogram histogram) {
 		Snapshot snapshot = histogram.getSnapshot();
 		String separator = label.isEmpty() ? "" : ",";
 		for (double quantile : QUANTILES) {
@@ -78,7 +78,7 @@
 		this.text.append(metric).append("_count").append(braces).append(' ').append(histogram.getCount()).append('\n');
 	}
 
-	private static String metric(String name) {
+	private static String metricName(String name) {
 		return PREFIX + name.toLowerCase(Locale.ROOT).replaceAll("[^a-z0-9_]", "_");
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/metrics/RequestMetrics.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/metrics/RequestMetrics.java
@@ -9,7 +9,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Measures callers' requests by client account.
+ * Metrics of callers' requests by client account.
  */
 public final class RequestMetrics {
 
@@ -21,7 +21,7 @@
 
 	private final LabelledHistograms latency = byAccount("latency_us");
 
-	private final LabelledHistograms firstToken = byAccount("first_token_us");
+	private final LabelledHistograms timeToFirstToken = byAccount("first_token_us");
 
 	private final LabelledHistograms betweenTokens = byAccount("between_tokens_us");
 
@@ -32,18 +32,19 @@
 	private final LabelledHistograms refusals = byAccount("refusals");
 
 	/**
-	 * Creates metrics that count in a registry.
-	 * @param registry the registry of the process
+	 * Creates metrics without values.
+	 * @param registry the process's registry, which also counts requests over all
+	 * accounts
 	 */
 	public RequestMetrics(MetricRegistry registry) {
 		this.registry = Preconditions.notNull(registry, "registry");
 	}
 
 	/**
-	 * Records the end of a request.
+	 * Records the outcome and latency of a request.
 	 * @param account the client account
-	 * @param outcome how it ended
-	 * @param nanos the time since it arrived, in nanoseconds
+	 * @param outcome the outcome
+	 * @param nanos the time since the request arrived, in nanoseconds
 	 */
 	public void ended(AccountId account, Outcome outcome, long nanos) {
 		this.registry.counter("requests.ended." + outcome.name()).inc();
@@ -51,34 +52,34 @@
 	}
 
 	/**
-	 * Records the first part of an answer's body.
+	 * Records the time to the first chunk of an answer's body.
 	 * @param account the client account
 	 * @param nanos the time since the request arrived, in nanoseconds
 	 */
 	public void firstToken(AccountId account, long nanos) {
-		this.firstToken.update(account.value(), nanos / NANOS_PER_MICRO);
+		this.timeToFirstToken.update(account.value(), nanos / NANOS_PER_MICRO);
 	}
 
 	/**
-	 * Records a later part of an answer's body.
+	 * Records the time between two chunks of an answer's body.
 	 * @param account the client account
-	 * @param nanos the time since the part before, in nanoseconds
+	 * @param nanos the time since the previous chunk, in nanoseconds
 	 */
 	public void nextToken(AccountId account, long nanos) {
 		this.betweenTokens.update(account.value(), nanos / NANOS_PER_MICRO);
 	}
 
 	/**
-	 * Records the end of a request's wait for admission.
+	 * Records how long a request was queued for admission.
 	 * @param account the client account
-	 * @param nanos the time waited, in nanoseconds
+	 * @param nanos the time in the queue, in nanoseconds
 	 */
 	public void queued(AccountId account, long nanos) {
 		this.queueing.update(account.value(), nanos / NANOS_PER_MICRO);
 	}
 
 	/**
-	 * Records how many attempts after the first a request took.
+	 * Records the number of retries of a request.
 	 * @param account the client account
 	 * @param count the number of retries
 	 */
@@ -88,9 +89,9 @@
 	}
 
 	/**
-	 * Records a refused request.
+	 * Records the rejection of a request.
 	 * @param account the client account
-	 * @param code why it was refused
+	 * @param code the error code of the rejection
 	 */
 	public void refused(AccountId account, ErrorCode code) {
 		this.registry.counter("requests.refused." + code.name()).inc();
@@ -102,7 +103,8 @@
 	 * @return the histograms
 	 */
 	public List<LabelledHistograms> histograms() {
-		return List.of(this.latency, this.firstToken, this.betweenTokens, this.queueing, this.retries, this.refusals);
+		return List.of(this.latency, this.timeToFirstToken, this.betweenTokens, this.queueing, this.retries,
+				this.refusals);
 	}
 
 	private static LabelledHistograms byAccount(String name) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/metrics/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/metrics/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Metrics with a bounded number of labels.
+ * Metrics with a bounded number of label values.
  */
 package org.comfreywall.common.metrics;
--- a/comfreywall-common/src/test/java/org/comfreywall/common/log/BoundedHandlerTests.java
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/log/BoundedHandlerTests.java
@@ -46,11 +46,12 @@
 	}
 
 	/**
-	 * The writer ended when it ran before its formatter was set, and nothing was written
-	 * from then on.
+	 * The writer thread reads the formatter as soon as it starts. If the formatter were
+	 * set only afterwards, the first record would end the thread with a
+	 * {@code NullPointerException}, and no record would be written.
 	 */
 	@Test
-	void aWriterThatRunsAtOnceHasItsFormatter() throws InterruptedException {
+	void formatterIsSetBeforeTheWriterThreadStarts() throws InterruptedException {
 		for (int i = 0; i < 200; i++) {
 			BoundedHandler handler = new BoundedHandler(new PrintStream(this.written, true), 8, MESSAGE_ONLY);
 			handler.publish(new LogRecord(Level.INFO, "line-" + i));
@@ -59,7 +60,7 @@
 	}
 
 	@Test
-	void demandsAFormatter() {
+	void requiresAFormatter() {
 		assertThatNullPointerException().isThrownBy(() -> new BoundedHandler(System.out, 8, null));
 	}
 
--- a/comfreywall-common/src/test/java/org/comfreywall/common/metrics/LabelledHistogramsTests.java
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/metrics/LabelledHistogramsTests.java
@@ -15,7 +15,7 @@
 	private final LabelledHistograms histograms = new LabelledHistograms("latency_us", "account", 2);
 
 	@Test
-	void keepsTheLabelsUsedMostRecently() {
+	void evictsTheLeastRecentlyUsedLabel() {
 		this.histograms.update("a", 1);
 		this.histograms.update("b", 2);
 		this.histograms.update("a", 3);
