Reword identifiers, results, claims, attempts and crash reports

Processes had lives, entries learned and sidecars promised, errors arose and actions were refused or asked for. The comments now use incarnation, request, rejection, release and evidence, and say which delayed message or deposed leader a rule guards against.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AnswerChunk.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AnswerChunk.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Some bytes of the body of an answer, such as one generated token.
+ * A chunk of an answer's body, such as one generated token.
  *
  * @param payload the bytes
  */
--- a/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AnswerEnd.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AnswerEnd.java
@@ -1,7 +1,7 @@
 package org.comfreywall.common.attempt;
 
 /**
- * The last part of a whole answer.
+ * The last part of a complete answer.
  */
 public record AnswerEnd() implements AnswerPart {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AnswerPart.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AnswerPart.java
@@ -1,7 +1,8 @@
 package org.comfreywall.common.attempt;
 
 /**
- * One part of an answer; an answer is one head, any number of chunks and one end.
+ * A part of a streamed answer, which consists of one head, any number of chunks and one
+ * end.
  */
 public sealed interface AnswerPart permits AnswerHead, AnswerChunk, AnswerEnd {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AttemptEnd.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AttemptEnd.java
@@ -1,7 +1,7 @@
 package org.comfreywall.common.attempt;
 
 /**
- * Ways in which an attempt that started ends without a whole answer.
+ * Reasons why a started attempt ended without a complete answer.
  */
 public enum AttemptEnd {
 
@@ -9,9 +9,9 @@
 	CRASHED,
 	/** The attempt was cancelled. */
 	CANCELLED,
-	/** The backend server broke the answer off. */
+	/** The backend server ended the answer early. */
 	BROKEN,
-	/** The answer is no longer stored as a whole. */
+	/** Parts of the answer are no longer stored. */
 	ANSWER_DROPPED
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AttemptTarget.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AttemptTarget.java
@@ -7,15 +7,16 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Addresses an attempt to one life of one sidecar.
+ * The backend server and the incarnation of its sidecar to which an attempt is addressed.
  * <p>
- * The window is the last one that the entry had learned from the sidecar when it chose
- * the backend server; a sidecar refuses attempts whose window is too old, so that it may
- * forget old attempts safely.
+ * The window is the newest one that the entry instance had received from the sidecar when
+ * it chose the backend server. The sidecar rejects attempts with older windows than it
+ * retains, so that it can discard the records of old attempts: a late copy of a discarded
+ * attempt is rejected rather than run again.
  *
  * @param backendServer the backend server
  * @param incarnation the incarnation of its sidecar
- * @param window the number of the sidecar's window, zero or greater
+ * @param window the window number, zero or greater
  */
 public record AttemptTarget(BackendServerId backendServer, Incarnation incarnation, long window) {
 
@@ -26,7 +27,7 @@
 	}
 
 	/**
-	 * Returns the identifier that stands for every attempt of a request in a seal.
+	 * Returns the identifier that covers all attempts of a request when it is sealed.
 	 * @param request the request
 	 * @return the identifier
 	 */
@@ -35,7 +36,7 @@
 	}
 
 	/**
-	 * Tells whether both targets name the same life of the same sidecar.
+	 * Returns whether both targets have the same sidecar and incarnation.
 	 * @param other the target to compare with
 	 * @return {@code true} if backend server and incarnation are equal
 	 */
--- a/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AttemptTraits.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AttemptTraits.java
@@ -4,12 +4,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What a sidecar must know about a request besides its body.
+ * Properties of a request that the sidecar needs besides its body.
  *
- * @param fingerprint recognises the request when it is sent again
- * @param idempotent whether the request may be repeated
+ * @param fingerprint identifies repetitions of the request
+ * @param idempotent whether the request may be run more than once
  * @param claimed whether an idempotency key is claimed for the request
- * @param isolated whether the request must run alone
+ * @param isolated whether the request must run alone on the backend server
  */
 public record AttemptTraits(Fingerprint fingerprint, boolean idempotent, boolean claimed, boolean isolated) {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/attempt/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/attempt/package-info.java
@@ -1,4 +1,4 @@
 /**
- * What entries and sidecars tell each other about attempts.
+ * Messages about attempts between entry instances and sidecars.
  */
 package org.comfreywall.common.attempt;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimCompleted.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimCompleted.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A claim whose request ran and whose answer is recorded.
+ * The state of a claim whose request ran and whose answer is recorded.
  *
  * @param owner the request that held the claim
  * @param answer the recorded answer
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimFound.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimFound.java
@@ -3,9 +3,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The key was claimed before by another request.
+ * The key is already claimed by another request.
  *
- * @param state the state of the earlier claim
+ * @param state the state of the existing claim
  */
 public record ClaimFound(ClaimState state) implements ClaimResult {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimGranted.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimGranted.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The claim is durable on a quorum and belongs to the asking request.
+ * The claim is durable on a quorum and is held by the requesting request.
  *
  * @param claim the claim as recorded
  */
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimKey.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimKey.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Identifies a non-idempotent operation over all entry instances.
+ * Identifies a non-idempotent operation across all entry instances.
  *
  * @param account the client account
  * @param service the service
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimMismatch.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimMismatch.java
@@ -1,7 +1,7 @@
 package org.comfreywall.common.claim;
 
 /**
- * The key was claimed before with another request body.
+ * The key is already claimed for a request with a different body.
  */
 public record ClaimMismatch() implements ClaimResult {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimResult.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimResult.java
@@ -1,7 +1,7 @@
 package org.comfreywall.common.claim;
 
 /**
- * The result of asking for a claim.
+ * The result of an attempt to claim an idempotency key.
  */
 public sealed interface ClaimResult permits ClaimGranted, ClaimFound, ClaimMismatch {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimRunning.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimRunning.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A claim whose request may be running.
+ * The state of a claim whose request may be running.
  *
  * @param owner the request that holds the claim
  * @param backendServer the backend server to which the only attempt is addressed
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimUnknown.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimUnknown.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A claim whose request may or may not have run; it is never run again.
+ * The state of a claim whose request may or may not have run. It is never run again.
  *
  * @param owner the request that held the claim
  */
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/NotRunEvidence.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/NotRunEvidence.java
@@ -1,13 +1,15 @@
 package org.comfreywall.common.claim;
 
 /**
- * Ways in which it can be known that an attempt never ran and never will.
+ * Kinds of evidence that an attempt has not run and never will.
  */
 public enum NotRunEvidence {
 
-	/** The entry that owns the request never handed the attempt to a connection. */
+	/**
+	 * The entry instance that owns the request never passed the attempt to a connection.
+	 */
 	NEVER_SENT,
-	/** The sidecar promised to refuse every copy of the attempt. */
+	/** The sidecar sealed the attempt and rejects every copy of it. */
 	SEALED
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/NotRunProof.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/NotRunProof.java
@@ -8,10 +8,10 @@
 /**
  * Proof that a request did not run under a claim and never will.
  * <p>
- * The proof names the attempt's addressee, so that a late copy of the proof cannot
+ * The proof contains the attempt's target, so that a delayed copy of the proof cannot
  * release a newer claim of the same request.
  *
- * @param evidence how it is known
+ * @param evidence the kind of evidence
  * @param owner the request that holds the claim
  * @param backendServer the backend server to which the attempt was addressed
  * @param incarnation the incarnation of the sidecar to which the attempt was addressed
@@ -27,9 +27,9 @@
 	}
 
 	/**
-	 * Tells whether the proof is about the attempt of a claim.
+	 * Returns whether the proof applies to the attempt of a claim.
 	 * @param claim the claim
-	 * @return {@code true} if owner, backend server and incarnation are the claim's
+	 * @return {@code true} if owner, backend server and incarnation are equal
 	 */
 	public boolean covers(ClaimRunning claim) {
 		return this.owner.equals(claim.owner()) && this.backendServer.equals(claim.backendServer())
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Claims on idempotency keys.
+ * Claims on idempotency keys, which ensure that non-idempotent requests run at most once.
  */
 package org.comfreywall.common.claim;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/decision/DecisionHistory.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/decision/DecisionHistory.java
@@ -7,7 +7,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Keeps the most recent decision records in memory, oldest first.
+ * Bounded in-memory history of the most recent decision records.
  */
 public final class DecisionHistory implements DecisionListener {
 
@@ -17,7 +17,7 @@
 
 	/**
 	 * Creates an empty history.
-	 * @param capacity the number of records kept, at least 1
+	 * @param capacity the maximum number of records, at least 1
 	 */
 	public DecisionHistory(int capacity) {
 		Preconditions.check(capacity >= 1, "capacity must be at least 1: %d", capacity);
@@ -43,7 +43,7 @@
 	}
 
 	/**
-	 * Returns all records kept.
+	 * Returns all retained records.
 	 * @return the records, oldest first
 	 */
 	public synchronized List<DecisionRecord> all() {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/decision/DecisionKind.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/decision/DecisionKind.java
@@ -1,29 +1,29 @@
 package org.comfreywall.common.decision;
 
 /**
- * Kinds of decisions that leave a record.
+ * Kinds of recorded decisions.
  */
 public enum DecisionKind {
 
 	/** A backend server was chosen. */
 	ROUTE,
-	/** A request was refused. */
+	/** A request was rejected. */
 	REFUSE,
-	/** A request was tried again. */
+	/** A request was retried. */
 	RETRY,
-	/** A second attempt was started beside a slow one. */
+	/** A second attempt was started in parallel to a slow one. */
 	HEDGE,
 	/** A request was shed because of overload. */
 	SHED,
 	/** A request was suspected, isolated, quarantined or cleared. */
 	QUARANTINE,
-	/** An idempotency key was claimed or its claim found. */
+	/** An idempotency key was claimed, or an existing claim was found. */
 	CLAIM,
 	/** A request ended. */
 	OUTCOME,
-	/** A limit's share was granted or taken back. */
+	/** A share of a limit was granted or revoked. */
 	LEASE,
-	/** A placement plan was accepted or refused. */
+	/** A placement plan was accepted or rejected. */
 	REBALANCE,
 	/** An expert map was switched or the switch aborted. */
 	SWITCH,
@@ -35,7 +35,7 @@
 	DRAIN,
 	/** The configuration changed. */
 	CONFIGURE,
-	/** An engine was given an order. */
+	/** A command was sent to an engine. */
 	ORDER
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/decision/DecisionListener.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/decision/DecisionListener.java
@@ -11,7 +11,7 @@
 	};
 
 	/**
-	 * Called once for each decision, on the thread that made it.
+	 * Invoked once per decision, on the thread that made it.
 	 * @param record the decision
 	 */
 	void onDecision(DecisionRecord record);
--- a/comfreywall-common/src/main/java/org/comfreywall/common/decision/DecisionRecord.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/decision/DecisionRecord.java
@@ -5,12 +5,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One decision with its inputs.
+ * A decision with the inputs that led to it.
  *
  * @param kind the kind of decision
- * @param subject what the decision is about, such as a request id or group id
- * @param result what was decided
- * @param inputs the inputs of the decision in reading order
+ * @param subject the subject of the decision, such as a request id or group id
+ * @param result the result of the decision
+ * @param inputs the inputs in display order
  */
 public record DecisionRecord(DecisionKind kind, String subject, String result, List<Field> inputs) {
 
@@ -24,9 +24,9 @@
 	/**
 	 * Creates a record.
 	 * @param kind the kind of decision
-	 * @param subject what the decision is about
-	 * @param result what was decided
-	 * @param inputs the inputs in reading order
+	 * @param subject the subject of the decision
+	 * @param result the result of the decision
+	 * @param inputs the inputs in display order
 	 * @return the record
 	 */
 	public static DecisionRecord of(DecisionKind kind, String subject, String result, Field... inputs) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/decision/Field.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/decision/Field.java
@@ -3,10 +3,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * One named value of a decision record or log event.
+ * A key-value pair of a decision record or log event.
  *
- * @param key the name, in lower case with dashes
- * @param value the value's text form
+ * @param key the key, in lower case with dashes
+ * @param value the value as text
  */
 public record Field(String key, String value) {
 
@@ -17,7 +17,7 @@
 
 	/**
 	 * Creates a field from any value.
-	 * @param key the name
+	 * @param key the key
 	 * @param value the value, converted with {@link String#valueOf(Object)}
 	 * @return the field
 	 */
--- a/comfreywall-common/src/main/java/org/comfreywall/common/decision/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/decision/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Structured records of decisions.
+ * Structured records of decisions and their inputs.
  */
 package org.comfreywall.common.decision;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/id/AttemptId.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/id/AttemptId.java
@@ -3,9 +3,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Identifies one attempt to run a request on a backend server.
+ * Identifies an attempt to run a request on a backend server.
  *
- * @param request the request attempted
+ * @param request the request
  * @param number the attempt's number within the request, starting at 1
  */
 public record AttemptId(RequestId request, int number) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/id/ChangeId.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/id/ChangeId.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Identifies a configuration change submitted by an operator by name.
+ * Identifies a configuration change that an operator submitted.
  *
  * @param value the name, not blank
  */
--- a/comfreywall-common/src/main/java/org/comfreywall/common/id/FencingNumber.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/id/FencingNumber.java
@@ -5,15 +5,15 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Orders commands to an engine: a command with a smaller number than one already accepted
- * is refused.
+ * Fencing token of a command to an engine: a command with a smaller number than one that
+ * was already accepted is rejected, so that a deposed leader cannot control the engine.
  *
  * @param term the term of the leader that issued the command
  * @param sequence the command's number within the term, zero or greater
  */
 public record FencingNumber(Term term, long sequence) implements Comparable<FencingNumber> {
 
-	/** The number before the first command. */
+	/** Smaller than the number of any command. */
 	public static final FencingNumber ZERO = new FencingNumber(Term.ZERO, 0);
 
 	private static final Comparator<FencingNumber> ORDER = Comparator.comparing(FencingNumber::term)
@@ -25,9 +25,9 @@
 	}
 
 	/**
-	 * Tells whether this number is older than the given one.
+	 * Returns whether this number is smaller than the given one.
 	 * @param other the number to compare with
-	 * @return {@code true} if a command with this number must be refused after
+	 * @return {@code true} if a command with this number must be rejected after
 	 * {@code other} was accepted
 	 */
 	public boolean isBefore(FencingNumber other) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/id/IdempotencyKey.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/id/IdempotencyKey.java
@@ -3,10 +3,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Identifies a non-idempotent operation chosen by the caller, unique within its client
- * account and service by name.
+ * The key by which a caller identifies repetitions of a non-idempotent request, unique
+ * within the client account and service.
  *
- * @param value the name, not blank
+ * @param value the key, not blank
  */
 public record IdempotencyKey(String value) implements Comparable<IdempotencyKey> {
 
@@ -15,9 +15,9 @@
 	}
 
 	/**
-	 * Creates an identifier from its name.
-	 * @param value the name, not blank
-	 * @return the identifier
+	 * Creates an idempotency key.
+	 * @param value the key, not blank
+	 * @return the idempotency key
 	 */
 	public static IdempotencyKey of(String value) {
 		return new IdempotencyKey(value);
--- a/comfreywall-common/src/main/java/org/comfreywall/common/id/Incarnation.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/id/Incarnation.java
@@ -3,13 +3,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Numbers one life of a process; a restarted process has a greater one.
+ * Identifies one run of a process; each restart has a greater incarnation.
  *
  * @param value the incarnation number, zero or greater
  */
 public record Incarnation(long value) implements Comparable<Incarnation> {
 
-	/** The value before the first one issued. */
+	/** Smaller than any issued incarnation. */
 	public static final Incarnation ZERO = new Incarnation(0);
 
 	public Incarnation {
@@ -17,25 +17,25 @@
 	}
 
 	/**
-	 * Creates an instance from its number.
+	 * Creates an incarnation from its number.
 	 * @param value the incarnation number, zero or greater
-	 * @return the typed number
+	 * @return the incarnation
 	 */
 	public static Incarnation of(long value) {
 		return new Incarnation(value);
 	}
 
 	/**
-	 * Returns the number that follows this one.
-	 * @return this number plus one
+	 * Returns the next incarnation.
+	 * @return the incarnation with this number plus one
 	 */
 	public Incarnation next() {
 		return new Incarnation(this.value + 1);
 	}
 
 	/**
-	 * Tells whether this number is older than the given one.
-	 * @param other the number to compare with
+	 * Returns whether this incarnation is older than the given one.
+	 * @param other the incarnation to compare with
 	 * @return {@code true} if this number is smaller
 	 */
 	public boolean isBefore(Incarnation other) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/id/InstanceId.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/id/InstanceId.java
@@ -3,7 +3,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Identifies an instance running processes of the system or a backend server by name.
+ * Identifies an instance, which runs processes of the system or a backend server, by
+ * name.
  *
  * @param value the name, not blank
  */
--- a/comfreywall-common/src/main/java/org/comfreywall/common/id/Revision.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/id/Revision.java
@@ -3,13 +3,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Numbers an accepted state of the configuration.
+ * The revision of the configuration, incremented by every accepted change.
  *
  * @param value the revision number, zero or greater
  */
 public record Revision(long value) implements Comparable<Revision> {
 
-	/** The value before the first one issued. */
+	/** Smaller than any issued revision. */
 	public static final Revision ZERO = new Revision(0);
 
 	public Revision {
@@ -17,25 +17,25 @@
 	}
 
 	/**
-	 * Creates an instance from its number.
+	 * Creates a revision from its number.
 	 * @param value the revision number, zero or greater
-	 * @return the typed number
+	 * @return the revision
 	 */
 	public static Revision of(long value) {
 		return new Revision(value);
 	}
 
 	/**
-	 * Returns the number that follows this one.
-	 * @return this number plus one
+	 * Returns the next revision.
+	 * @return the revision with this number plus one
 	 */
 	public Revision next() {
 		return new Revision(this.value + 1);
 	}
 
 	/**
-	 * Tells whether this number is older than the given one.
-	 * @param other the number to compare with
+	 * Returns whether this revision is older than the given one.
+	 * @param other the revision to compare with
 	 * @return {@code true} if this number is smaller
 	 */
 	public boolean isBefore(Revision other) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/id/Term.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/id/Term.java
@@ -3,13 +3,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Numbers a period with at most one leader.
+ * The number of a leader term; each term has at most one leader.
  *
  * @param value the term number, zero or greater
  */
 public record Term(long value) implements Comparable<Term> {
 
-	/** The value before the first one issued. */
+	/** Smaller than any issued term. */
 	public static final Term ZERO = new Term(0);
 
 	public Term {
@@ -17,25 +17,25 @@
 	}
 
 	/**
-	 * Creates an instance from its number.
+	 * Creates a term from its number.
 	 * @param value the term number, zero or greater
-	 * @return the typed number
+	 * @return the term
 	 */
 	public static Term of(long value) {
 		return new Term(value);
 	}
 
 	/**
-	 * Returns the number that follows this one.
-	 * @return this number plus one
+	 * Returns the next term.
+	 * @return the term with this number plus one
 	 */
 	public Term next() {
 		return new Term(this.value + 1);
 	}
 
 	/**
-	 * Tells whether this number is older than the given one.
-	 * @param other the number to compare with
+	 * Returns whether this term is older than the given one.
+	 * @param other the term to compare with
 	 * @return {@code true} if this number is smaller
 	 */
 	public boolean isBefore(Term other) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/id/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/id/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Typed identifiers and numbers.
+ * Typed identifiers and sequence numbers.
  */
 package org.comfreywall.common.id;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/invariant/Invariants.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/invariant/Invariants.java
@@ -7,41 +7,41 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Checks invariants inside the decision cores.
+ * Checks invariants of decision logic at run time.
  * <p>
- * A breach is counted and logged; the caller must refuse the unsafe action.
+ * A violation is counted and logged but not thrown: the caller must then skip the action.
  */
 public final class Invariants {
 
 	private static final EventLog LOG = EventLog.of(Invariants.class);
 
-	private final LongAdder breaches = new LongAdder();
+	private final LongAdder violations = new LongAdder();
 
 	/**
 	 * Checks one invariant.
-	 * @param condition the condition that must hold
+	 * @param condition the invariant's condition
 	 * @param name the invariant's name, in lower case with dashes
-	 * @param fields what was seen
-	 * @return {@code true} if the condition holds and the action may go on
+	 * @param fields the observed values, logged with a violation
+	 * @return {@code true} if the invariant holds and the action may proceed
 	 */
 	public boolean holds(boolean condition, String name, Field... fields) {
 		Preconditions.notBlank(name, "name");
 		if (!condition) {
-			this.breaches.increment();
-			LOG.error("invariant-breached", withName(name, fields));
+			this.violations.increment();
+			LOG.error("invariant-breached", prependName(name, fields));
 		}
 		return condition;
 	}
 
 	/**
-	 * Returns the number of breaches so far.
+	 * Returns the number of violations since this object was created.
 	 * @return the count
 	 */
 	public long breaches() {
-		return this.breaches.sum();
+		return this.violations.sum();
 	}
 
-	private static Field[] withName(String name, Field[] fields) {
+	private static Field[] prependName(String name, Field[] fields) {
 		Field[] all = new Field[fields.length + 1];
 		all[0] = Field.of("invariant", name);
 		System.arraycopy(fields, 0, all, 1, fields.length);
--- a/comfreywall-common/src/main/java/org/comfreywall/common/invariant/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/invariant/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Invariants asserted at run time.
+ * Invariants checked at run time.
  */
 package org.comfreywall.common.invariant;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/lifecycle/Closer.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lifecycle/Closer.java
@@ -6,10 +6,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Gathers resources and closes them in the reverse order of their registration.
+ * Closes registered resources in the reverse order of their registration.
  * <p>
- * Every resource is closed even if closing another one fails; later failures are
- * suppressed under the first.
+ * All resources are closed even if closing some of them fails. The first exception is
+ * thrown, with the later ones as suppressed exceptions.
  */
 public final class Closer implements AutoCloseable {
 
@@ -28,8 +28,8 @@
 	}
 
 	/**
-	 * Closes all registered resources; closing again has no effect.
-	 * @throws Exception the first failure, with later ones suppressed
+	 * Closes all registered resources. Closing again has no effect.
+	 * @throws Exception the first exception, with later ones as suppressed exceptions
 	 */
 	@Override
 	public void close() throws Exception {
@@ -40,7 +40,7 @@
 				next.close();
 			}
 			catch (Exception ex) {
-				first = collect(first, ex);
+				first = addSuppressed(first, ex);
 			}
 			next = poll();
 		}
@@ -53,7 +53,7 @@
 		return this.resources.poll();
 	}
 
-	private static Exception collect(Exception first, Exception later) {
+	private static Exception addSuppressed(Exception first, Exception later) {
 		if (first == null) {
 			return later;
 		}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/lifecycle/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lifecycle/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Ownership and clean-up of resources.
+ * Management and closing of resources.
  */
 package org.comfreywall.common.lifecycle;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Identifiers, results, settings, clocks, metrics and logs shared by every module.
+ * Types shared by all modules: identifiers, results, settings, clocks, metrics and logs.
  */
 package org.comfreywall.common;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/poison/CrashEvidence.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/CrashEvidence.java
@@ -1,13 +1,15 @@
 package org.comfreywall.common.poison;
 
 /**
- * Ways in which the loss of a backend server is noticed.
+ * Ways in which the crash of a backend server is detected.
  */
 public enum CrashEvidence {
 
-	/** The sidecar saw its backend server crash. */
+	/** The sidecar detected that its backend server crashed. */
 	BACKEND_CRASHED,
-	/** The sidecar itself was lost, as when an instance or its network fails. */
+	/**
+	 * The sidecar itself failed or became unreachable, such as by an instance failure.
+	 */
 	SIDECAR_LOST
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/poison/CrashReport.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/CrashReport.java
@@ -7,13 +7,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Reports the loss of a backend server with the requests that were in flight on it.
+ * Report of the loss of a backend server, with the requests that were in flight on it.
  *
- * @param evidence how the loss was noticed
- * @param backendServer the backend server that was lost
+ * @param evidence how the loss was detected
+ * @param backendServer the lost backend server
  * @param incarnation the incarnation of its sidecar
- * @param crash the number of the crash within the incarnation, starting at 1, or 0 if the
- * sidecar was lost
+ * @param crash the number of the crash within the sidecar's incarnation, starting at 1,
+ * or 0 if the sidecar was lost
  * @param inFlight the fingerprints of the requests in flight
  * @param isolated whether the only request in flight ran isolated
  */
@@ -25,9 +25,9 @@
 		Preconditions.notNull(backendServer, "backendServer");
 		Preconditions.notNull(incarnation, "incarnation");
 		Preconditions.check((evidence == CrashEvidence.SIDECAR_LOST) ? crash == 0 : crash >= 1,
-				"crash must be 0 exactly if the sidecar was lost: %d", crash);
+				"crash must be 0 if the sidecar was lost and at least 1 otherwise: %d", crash);
 		inFlight = List.copyOf(inFlight);
-		Preconditions.check(!isolated || inFlight.size() == 1, "inFlight of an isolated run must be one request: %d",
+		Preconditions.check(!isolated || inFlight.size() == 1, "inFlight of an isolated run must have one element: %d",
 				inFlight.size());
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/poison/Fingerprint.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/Fingerprint.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Recognises a request that is sent again, whatever its request id or idempotency key.
+ * Identifies repetitions of a request independently of request id and idempotency key.
  *
  * @param account the client account
  * @param service the service
--- a/comfreywall-common/src/main/java/org/comfreywall/common/poison/IsolationEnd.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/IsolationEnd.java
@@ -1,15 +1,17 @@
 package org.comfreywall.common.poison;
 
 /**
- * Ways in which an isolated run ends.
+ * The possible ends of an isolated run.
  */
 public enum IsolationEnd {
 
 	/** The run finished and the backend server survived. */
 	SURVIVED,
-	/** The backend server was lost during the run, or whether it survived is unknown. */
+	/**
+	 * The backend server was lost during the run, or it is unknown whether it survived.
+	 */
 	LOST,
-	/** The run never started and never will. */
+	/** The run has not started and never will. */
 	NOT_RUN
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/poison/IsolationResult.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/IsolationResult.java
@@ -1,19 +1,20 @@
 package org.comfreywall.common.poison;
 
 /**
- * The result of asking for the fleet's only slot for isolated runs.
+ * The result of a request for the fleet's single slot for isolated runs.
  */
 public enum IsolationResult {
 
-	/** The slot belongs to the asking request until it is given back or expires. */
+	/** The request holds the slot until it releases it or the slot expires. */
 	GRANTED,
 	/**
-	 * Another request holds the slot, or other runs of the suspect may not have ended.
+	 * Another request holds the slot, or other runs with the suspected fingerprint may be
+	 * in progress.
 	 */
 	WAIT,
-	/** The fingerprint is not suspected and may run as usual. */
+	/** The fingerprint is not suspected; the request needs no isolation. */
 	NOT_SUSPECTED,
-	/** The fingerprint is refused. */
+	/** Requests with the fingerprint are rejected. */
 	QUARANTINED
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/poison/PoisonVerdict.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/PoisonVerdict.java
@@ -1,15 +1,15 @@
 package org.comfreywall.common.poison;
 
 /**
- * What is known about a fingerprint.
+ * The classification of a fingerprint.
  */
 public enum PoisonVerdict {
 
-	/** No crash is charged to the fingerprint. */
+	/** No crash is attributed to the fingerprint. */
 	CLEAR,
-	/** A crash is charged to the fingerprint; it may run only isolated. */
+	/** A crash is attributed to the fingerprint; its requests run only in isolation. */
 	SUSPECT,
-	/** The fingerprint is refused. */
+	/** Requests with the fingerprint are rejected. */
 	QUARANTINED
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/poison/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Requests that crash the backend servers running them.
+ * Detection and isolation of requests that crash backend servers.
  */
 package org.comfreywall.common.poison;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/result/Failure.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/result/Failure.java
@@ -9,7 +9,7 @@
  * The result of an operation that failed.
  *
  * @param <T> the type of the missing value
- * @param reason the error that ended the operation
+ * @param reason the error
  */
 public record Failure<T>(OperationError reason) implements Result<T> {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/result/OperationError.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/result/OperationError.java
@@ -6,12 +6,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Describes why an operation failed, at which step and at which peer.
+ * The error of a failed operation, with the processing step and peer at which it
+ * occurred.
  *
  * @param code the kind of error
- * @param step the step of processing in which the error arose
- * @param peer the instance at which the error arose, or empty if it arose locally
- * @param message what happened and what to do next
+ * @param step the processing step in which the error occurred
+ * @param peer the instance on which the error occurred, or empty for the local one
+ * @param message the description of the error and of how to resolve it
  */
 public record OperationError(ErrorCode code, Step step, Optional<InstanceId> peer, String message) {
 
@@ -23,10 +24,10 @@
 	}
 
 	/**
-	 * Creates an error that arose locally.
+	 * Creates an error that occurred locally.
 	 * @param code the kind of error
-	 * @param step the step in which it arose
-	 * @param message what happened
+	 * @param step the processing step in which it occurred
+	 * @param message the description of the error
 	 * @return the error
 	 */
 	public static OperationError local(ErrorCode code, Step step, String message) {
@@ -34,11 +35,11 @@
 	}
 
 	/**
-	 * Creates an error that arose at a peer.
+	 * Creates an error that occurred on a peer.
 	 * @param code the kind of error
-	 * @param step the step in which it arose
-	 * @param peer the instance at which it arose
-	 * @param message what happened
+	 * @param step the processing step in which it occurred
+	 * @param peer the instance on which it occurred
+	 * @param message the description of the error
 	 * @return the error
 	 */
 	public static OperationError at(ErrorCode code, Step step, InstanceId peer, String message) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/result/Outcome.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/result/Outcome.java
@@ -1,15 +1,15 @@
 package org.comfreywall.common.result;
 
 /**
- * The three ways in which a caller's request can end.
+ * The possible outcomes of a caller's request.
  */
 public enum Outcome {
 
-	/** The request ran and its whole answer is known. */
+	/** The request ran, and its complete answer is available. */
 	COMPLETED,
-	/** The request is proven not to have run and never to run later. */
+	/** It is proven that the request has not run and never will. */
 	NOT_RUN,
-	/** Whether the request ran cannot be proven. */
+	/** It cannot be determined whether the request ran. */
 	UNKNOWN
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/result/Result.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/result/Result.java
@@ -4,7 +4,7 @@
 import java.util.function.Function;
 
 /**
- * Holds either the value of an operation or the error that ended it.
+ * The result of an operation: either a value or an error.
  *
  * @param <T> the type of the value
  */
@@ -43,7 +43,7 @@
 	Optional<OperationError> error();
 
 	/**
-	 * Converts the value and leaves an error as it is.
+	 * Converts the value of a success; returns a failure unchanged.
 	 * @param <R> the type of the converted value
 	 * @param mapper the conversion, which must not return {@code null}
 	 * @return the converted result
@@ -51,7 +51,7 @@
 	<R> Result<R> map(Function<? super T, ? extends R> mapper);
 
 	/**
-	 * Continues with another operation unless this one failed.
+	 * Runs another operation on the value of a success; returns a failure unchanged.
 	 * @param <R> the type of the next operation's value
 	 * @param mapper the next operation
 	 * @return the next operation's result, or this error
--- a/comfreywall-common/src/main/java/org/comfreywall/common/result/Step.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/result/Step.java
@@ -1,7 +1,7 @@
 package org.comfreywall.common.result;
 
 /**
- * Steps of processing at which an error can arise.
+ * Processing steps in which an error can occur.
  */
 public enum Step {
 
@@ -21,7 +21,7 @@
 	SEND,
 	/** Running the attempt on the backend server. */
 	RUN,
-	/** Passing the answer back. */
+	/** Returning the answer to the caller. */
 	ANSWER,
 	/** Sealing an attempt. */
 	SEAL,
@@ -31,9 +31,9 @@
 	REPLICATE,
 	/** Reading or writing durable storage. */
 	STORE,
-	/** Tracking members. */
+	/** Tracking the fleet's members. */
 	MEMBERSHIP,
-	/** Ordering an engine. */
+	/** Sending a command to an engine. */
 	ORDER,
 	/** Planning the placement of experts. */
 	PLAN,
--- a/comfreywall-common/src/main/java/org/comfreywall/common/time/ManualClock.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/time/ManualClock.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A clock that moves only when told to, for tests and measurements.
+ * A clock that advances only by explicit calls, for tests and simulations.
  */
 public final class ManualClock implements Clock {
 
@@ -17,8 +17,8 @@
 	}
 
 	/**
-	 * Moves the clock forward.
-	 * @param duration how far, zero or greater
+	 * Advances the clock by a duration.
+	 * @param duration the duration, zero or greater
 	 */
 	public void advance(Duration duration) {
 		Preconditions.check(!duration.isNegative(), "duration must not be negative: %s", duration);
@@ -26,11 +26,11 @@
 	}
 
 	/**
-	 * Moves the clock forward to a reading.
-	 * @param reading the new reading in nanoseconds, not before the present one
+	 * Advances the clock to a reading.
+	 * @param reading the new reading in nanoseconds, not before the current one
 	 */
 	public void advanceTo(long reading) {
-		Preconditions.check(reading >= this.nanos, "reading %d is before the present reading %d", reading, this.nanos);
+		Preconditions.check(reading >= this.nanos, "reading %d is before the current reading %d", reading, this.nanos);
 		this.nanos = reading;
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/util/Bytes.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/util/Bytes.java
@@ -11,7 +11,7 @@
  */
 public final class Bytes {
 
-	/** No bytes. */
+	/** The empty sequence. */
 	public static final Bytes EMPTY = new Bytes(new byte[0]);
 
 	private final byte[] content;
@@ -30,8 +30,8 @@
 	}
 
 	/**
-	 * Encodes a text as UTF-8.
-	 * @param text the text
+	 * Encodes a string as UTF-8.
+	 * @param text the string
 	 * @return the encoded bytes
 	 */
 	public static Bytes ofText(String text) {
@@ -56,14 +56,14 @@
 
 	/**
 	 * Decodes the bytes as UTF-8.
-	 * @return the text
+	 * @return the string
 	 */
 	public String toText() {
 		return new String(this.content, StandardCharsets.UTF_8);
 	}
 
 	/**
-	 * Computes the SHA-256 digest.
+	 * Computes the SHA-256 digest of the bytes.
 	 * @return the digest in lower-case hexadecimal
 	 */
 	public String sha256() {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/util/Preconditions.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/util/Preconditions.java
@@ -1,7 +1,7 @@
 package org.comfreywall.common.util;
 
 /**
- * Checks arguments and names the offending one in the message.
+ * Argument checks whose exceptions name the invalid argument.
  */
 public final class Preconditions {
 
@@ -24,7 +24,7 @@
 	}
 
 	/**
-	 * Checks that a text argument is neither {@code null} nor blank.
+	 * Checks that a string argument is neither {@code null} nor blank.
 	 * @param value the argument
 	 * @param name the argument's name
 	 * @return the argument
--- a/comfreywall-common/src/main/java/org/comfreywall/common/util/package-info.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/util/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Argument checks.
+ * Argument checks and immutable byte sequences.
  */
 package org.comfreywall.common.util;
