Name the default of a key and the input of a literal parser

The component standard held a key's default, and the parameter literal shared its name with a method. Renamed by hand inside the package; two precondition messages now name defaultValue and the limit ranks * slotsPerRank.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/GroupDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/GroupDescriptor.java
@@ -28,7 +28,7 @@
 		Preconditions.check(experts >= 1, "experts must be at least 1: %d", experts);
 		Preconditions.check(layers >= 1, "layers must be at least 1: %d", layers);
 		Preconditions.check((long) slotsPerRank * ranks >= experts,
-				"slotsPerRank must give every expert a slot: %d slots for %d experts", (long) slotsPerRank * ranks,
+				"slotsPerRank * ranks must be at least experts: %d slots for %d experts", (long) slotsPerRank * ranks,
 				experts);
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/KeyDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/KeyDescriptor.java
@@ -12,16 +12,16 @@
  * @param name the key
  * @param type the type of its values
  * @param required whether the key must be present
- * @param standard the default value, used if the key is absent
+ * @param defaultValue the default value, used if the key is absent
  * @param doc the description of the key, one sentence
  */
-public record KeyDescriptor<T>(String name, ValueType<T> type, boolean required, Optional<DefaultValue<T>> standard,
+public record KeyDescriptor<T>(String name, ValueType<T> type, boolean required, Optional<DefaultValue<T>> defaultValue,
 		String doc) {
 
 	public KeyDescriptor {
 		Preconditions.notBlank(name, "name");
 		Preconditions.notNull(type, "type");
-		Preconditions.notNull(standard, "standard");
+		Preconditions.notNull(defaultValue, "defaultValue");
 		Preconditions.notBlank(doc, "doc");
 	}
 
@@ -70,11 +70,11 @@
 	 * @return the TOML literal, or empty if there is no default
 	 */
 	public Optional<String> defaultLiteral() {
-		return this.standard.map(DefaultValue::literal);
+		return this.defaultValue.map(DefaultValue::literal);
 	}
 
-	Optional<T> defaultValue() {
-		return this.standard.map(DefaultValue::value);
+	Optional<T> convertedDefault() {
+		return this.defaultValue.map(DefaultValue::value);
 	}
 
 	Optional<T> convert(JsonNode node) {
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/LiteralInput.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/LiteralInput.java
@@ -33,12 +33,12 @@
 
 	/**
 	 * Parses a TOML array of strings.
-	 * @param literal the array as a TOML literal
+	 * @param array the array as a TOML literal
 	 * @return the strings
 	 */
-	public static List<String> texts(String literal) {
+	public static List<String> texts(String array) {
 		List<String> texts = new ArrayList<>();
-		TomlParser.literal(literal).forEach((element) -> texts.add(element.asText()));
+		TomlParser.literal(array).forEach((element) -> texts.add(element.asText()));
 		return texts;
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlTable.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlTable.java
@@ -94,7 +94,7 @@
 	public <T> Optional<T> find(KeyDescriptor<T> key) {
 		// Safe because put stores only values of the key's type.
 		T value = (T) this.values.get(key);
-		return (value != null) ? Optional.of(value) : key.defaultValue();
+		return (value != null) ? Optional.of(value) : key.convertedDefault();
 	}
 
 	/**
