--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ActiveRequest.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ActiveRequest.java
@@ -17,8 +17,8 @@
 import org.comfreywall.entry.request.CompleteRequest;
 
 /**
- * A request that has not ended, with the stream of its answer; used on the entry's worker
- * only.
+ * An unfinished request and the stream of its answer. Confined to the entry's worker
+ * thread.
  */
 final class ActiveRequest {
 
@@ -70,7 +70,7 @@
 		boolean first = false;
 		if (part instanceof AnswerChunk) {
 			first = this.lastChunkAt == 0;
-			measure(first, metrics, now);
+			recordLatency(first, metrics, now);
 			this.lastChunkAt = now;
 			this.chunks++;
 		}
@@ -85,7 +85,8 @@
 			return;
 		}
 		OperationError error = result.error()
-			.orElseGet(() -> OperationError.local(ErrorCode.INVARIANT, Step.ANSWER, "no reason is known"));
+			.orElseGet(() -> OperationError.local(ErrorCode.INVARIANT, Step.ANSWER,
+					"the request failed without an error description"));
 		this.answer.onError(new RequestFailedException(result.outcome(), error, Duration.ZERO));
 	}
 
@@ -105,7 +106,7 @@
 		return this.request.promptTokens() + Math.min(this.chunks, this.request.maxTokens());
 	}
 
-	private void measure(boolean first, RequestMetrics metrics, long now) {
+	private void recordLatency(boolean first, RequestMetrics metrics, long now) {
 		if (first) {
 			metrics.firstToken(this.request.account(), now - this.arrivedAt);
 		}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
@@ -43,8 +43,8 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * Lets requests in: first under the limits of their client account, then under the
- * capacity of their service; used on the entry's worker only.
+ * Admits requests in two steps: first against the limits of their client account, then
+ * against the capacity of their service. Confined to the entry's worker thread.
  */
 final class AdmissionGate {
 
@@ -58,9 +58,9 @@
 
 	private final Map<ServiceId, AdmissionController> controllers = new HashMap<>();
 
-	private final Map<RequestId, Waiting> waiting = new LinkedHashMap<>();
+	private final Map<RequestId, PendingRequest> pendingRequests = new LinkedHashMap<>();
 
-	private final Map<RequestId, Entered> entered = new HashMap<>();
+	private final Map<RequestId, PermitHolder> permitHolders = new HashMap<>();
 
 	AdmissionGate(EntryParts parts, SerialWorker worker, AdmissionListener listener) {
 		this.parts = parts;
@@ -73,80 +73,81 @@
 	}
 
 	void offer(ActiveRequest request) {
-		LimitRequest wanted = new LimitRequest(request.request().id(), request.request().account(),
+		LimitRequest limitRequest = new LimitRequest(request.request().id(), request.request().account(),
 				request.expectedTokens());
-		decide(request, wanted, this.limits.offer(wanted, now()));
+		applyDecision(request, limitRequest, this.limits.offer(limitRequest, now()));
 	}
 
 	boolean cancel(RequestId id) {
-		if (this.waiting.remove(id) != null) {
+		if (this.pendingRequests.remove(id) != null) {
 			return true;
 		}
-		Entered known = this.entered.get(id);
-		boolean queued = known != null && controller(known.service()).cancel(id);
+		PermitHolder holder = this.permitHolders.get(id);
+		boolean queued = holder != null && controller(holder.service()).cancel(id);
 		if (queued) {
-			this.entered.remove(id);
-			this.limits.finished(known.permit(), 0, now());
+			this.permitHolders.remove(id);
+			this.limits.finished(holder.permit(), 0, now());
 		}
 		return queued;
 	}
 
 	void finished(ActiveRequest request, Outcome outcome, Optional<OperationError> error) {
-		Entered known = this.entered.remove(request.request().id());
-		if (known == null) {
+		PermitHolder holder = this.permitHolders.remove(request.request().id());
+		if (holder == null) {
 			return;
 		}
-		this.limits.finished(known.permit(), request.spentTokens(), now());
-		carryOut(known.service(),
-				controller(known.service()).finished(request.request().id(), kind(outcome, error), now()));
+		this.limits.finished(holder.permit(), request.spentTokens(), now());
+		execute(holder.service(),
+				controller(holder.service()).finished(request.request().id(), finishKind(outcome, error), now()));
 	}
 
 	void tick() {
-		askForShares();
-		List.copyOf(this.waiting.values()).forEach(this::offerAgain);
-		this.controllers.forEach((service, controller) -> carryOut(service, controller.tick(now())));
+		requestShares();
+		List.copyOf(this.pendingRequests.values()).forEach(this::retryPending);
+		this.controllers.forEach((service, controller) -> execute(service, controller.tick(now())));
 	}
 
-	private void decide(ActiveRequest request, LimitRequest wanted, LimitDecision decision) {
-		RequestId id = wanted.id();
-		this.waiting.remove(id);
+	private void applyDecision(ActiveRequest request, LimitRequest limitRequest, LimitDecision decision) {
+		RequestId id = limitRequest.id();
+		this.pendingRequests.remove(id);
 		if (decision instanceof LimitAdmitted admitted) {
-			enter(request, admitted.permit());
+			requestCapacity(request, admitted.permit());
 		}
 		else if (decision instanceof LimitPending pending) {
-			this.waiting.put(id, new Waiting(request, wanted, pending.until()));
-			askForShares();
+			this.pendingRequests.put(id, new PendingRequest(request, limitRequest, pending.until()));
+			requestShares();
 		}
 		else {
 			LimitRefused refused = (LimitRefused) decision;
 			this.listener.onRefused(id,
 					OperationError.local(ErrorCode.LIMIT_EXCEEDED, Step.ADMIT,
-							"limit of client account " + wanted.account() + ": " + refused.kind()),
+							"limit exceeded for client account " + limitRequest.account() + ": " + refused.kind()),
 					refused.retryAfter());
 		}
 	}
 
-	private void offerAgain(Waiting request) {
-		decide(request.request(), request.wanted(), this.limits.offerAgain(request.wanted(), request.until(), now()));
+	private void retryPending(PendingRequest request) {
+		applyDecision(request.request(), request.limitRequest(),
+				this.limits.offerAgain(request.limitRequest(), request.until(), now()));
 	}
 
-	private void enter(ActiveRequest request, LimitPermit permit) {
+	private void requestCapacity(ActiveRequest request, LimitPermit permit) {
 		RequestId id = request.request().id();
 		ServiceId service = request.request().service();
-		this.entered.put(id, new Entered(service, permit));
-		AdmissionRequest wanted = new AdmissionRequest(id, request.request().account(), request.request().priority(),
+		this.permitHolders.put(id, new PermitHolder(service, permit));
+		AdmissionRequest admission = new AdmissionRequest(id, request.request().account(), request.request().priority(),
 				1 + request.expectedTokens(), now() + request.remainingNanos(now()));
-		AdmissionResult result = controller(service).offer(wanted, now());
+		AdmissionResult result = controller(service).offer(admission, now());
 		if (result.decision() instanceof Admitted) {
 			this.listener.onAdmitted(id, Duration.ZERO);
 		}
 		else if (result.decision() instanceof Refused refused) {
 			refuse(id, refused.reason().name(), refused.retryAfter());
 		}
-		carryOut(service, result.commands());
+		execute(service, result.commands());
 	}
 
-	private void carryOut(ServiceId service, List<AdmissionCommand> commands) {
+	private void execute(ServiceId service, List<AdmissionCommand> commands) {
 		for (AdmissionCommand command : new ArrayList<>(commands)) {
 			if (command instanceof StartRequest start) {
 				this.listener.onAdmitted(start.id(), start.queued());
@@ -158,31 +159,32 @@
 	}
 
 	private void refuse(RequestId id, String reason, Duration retryAfter) {
-		Entered known = this.entered.remove(id);
-		if (known != null) {
-			this.limits.finished(known.permit(), 0, now());
+		PermitHolder holder = this.permitHolders.remove(id);
+		if (holder != null) {
+			this.limits.finished(holder.permit(), 0, now());
 		}
 		this.listener.onRefused(id,
 				OperationError.local(ErrorCode.OVERLOADED, Step.ADMIT, "the service is overloaded: " + reason),
 				retryAfter);
 	}
 
-	private void ask(SendAsk command) {
+	private void sendLeaseRequest(SendAsk command) {
 		GrantorRole role = command.grantor();
 		this.parts.control()
 			.lease(command)
-			.thenAccept((result) -> result.value().ifPresent((grant) -> this.worker.offer(() -> granted(role, grant))));
+			.thenAccept(
+					(result) -> result.value().ifPresent((grant) -> this.worker.offer(() -> handleGrant(role, grant))));
 	}
 
-	private void askForShares() {
-		this.limits.tick(now()).forEach((command) -> ask((SendAsk) command));
+	private void requestShares() {
+		this.limits.tick(now()).forEach((command) -> sendLeaseRequest((SendAsk) command));
 	}
 
-	private void granted(GrantorRole role, LeaseGrant grant) {
+	private void handleGrant(GrantorRole role, LeaseGrant grant) {
 		Collection<AccountId> served = this.limits.granted(role, grant, now());
-		for (Waiting request : List.copyOf(this.waiting.values())) {
-			if (served.contains(request.wanted().account())) {
-				offerAgain(request);
+		for (PendingRequest request : List.copyOf(this.pendingRequests.values())) {
+			if (served.contains(request.limitRequest().account())) {
+				retryPending(request);
 			}
 		}
 	}
@@ -200,14 +202,14 @@
 		return this.parts.clock().nanoTime();
 	}
 
-	private static FinishKind kind(Outcome outcome, Optional<OperationError> error) {
+	private static FinishKind finishKind(Outcome outcome, Optional<OperationError> error) {
 		if (outcome == Outcome.COMPLETED) {
 			return FinishKind.ANSWERED;
 		}
-		return error.map(OperationError::code).map(AdmissionGate::kind).orElse(FinishKind.FAILED);
+		return error.map(OperationError::code).map(AdmissionGate::finishKind).orElse(FinishKind.FAILED);
 	}
 
-	private static FinishKind kind(ErrorCode code) {
+	private static FinishKind finishKind(ErrorCode code) {
 		return switch (code) {
 			case DEADLINE_EXCEEDED, OVERLOADED -> FinishKind.OVERLOADED;
 			case CANCELLED -> FinishKind.CANCELLED;
@@ -216,23 +218,24 @@
 	}
 
 	/**
-	 * A request that waits for a share of a limit.
+	 * A request that waits until this entry receives a share of its client account's
+	 * limit.
 	 *
 	 * @param request the request
-	 * @param wanted what it asks for
-	 * @param until when its wait ends, in nanoseconds
+	 * @param limitRequest the amounts that it needs
+	 * @param until the deadline of its wait, as monotonic time in nanoseconds
 	 */
-	private record Waiting(ActiveRequest request, LimitRequest wanted, long until) {
+	private record PendingRequest(ActiveRequest request, LimitRequest limitRequest, long until) {
 
 	}
 
 	/**
-	 * A request that holds a permit.
+	 * A request that holds a limit permit and either waits for capacity or runs.
 	 *
-	 * @param service its service
-	 * @param permit the permit
+	 * @param service the service of the request
+	 * @param permit the permit, returned when the request ends
 	 */
-	private record Entered(ServiceId service, LimitPermit permit) {
+	private record PermitHolder(ServiceId service, LimitPermit permit) {
 
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/Authenticator.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/Authenticator.java
@@ -9,7 +9,7 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * Finds the client account that an API key belongs to.
+ * Authenticates callers by API key.
  */
 final class Authenticator {
 
@@ -19,8 +19,9 @@
 	}
 
 	/**
-	 * Authenticates a caller in time independent of which key matches.
-	 * @param configuration the client accounts
+	 * Returns the client account that an API key belongs to. Compares all key hashes,
+	 * each in constant time, so that the duration does not reveal which key matches.
+	 * @param configuration the configuration with the client accounts
 	 * @param authorization the Authorization header, or {@code null}
 	 * @return the client account, or empty if the key is missing or unknown
 	 */
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerAnswerWriter.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerAnswerWriter.java
@@ -18,8 +18,9 @@
 import org.reactivestreams.Subscription;
 
 /**
- * Writes an answer to the caller as fast as the caller takes it; used on the event loop
- * of the caller's connection.
+ * Writes an answer to the caller with backpressure: requests the next part only once the
+ * connection's write queue has room. Confined to the event loop of the caller's
+ * connection.
  */
 final class CallerAnswerWriter implements FlowableSubscriber<AnswerPart> {
 
@@ -27,34 +28,35 @@
 
 	private static final EventLog LOG = EventLog.of(CallerAnswerWriter.class);
 
-	private static final int TOLD_PARTS = 16;
+	private static final int CREDIT_BATCH_PARTS = 16;
 
 	private final CallerRequest request;
 
 	private final HttpServerResponse response;
 
-	private final IntConsumer taken;
+	private final IntConsumer creditGrant;
 
-	private final Runnable abandoned;
+	private final Runnable onDisconnect;
 
 	private Subscription subscription;
 
-	private int untold;
+	private int writtenParts;
 
 	private boolean done;
 
-	CallerAnswerWriter(CallerRequest request, HttpServerResponse response, IntConsumer taken, Runnable abandoned) {
+	CallerAnswerWriter(CallerRequest request, HttpServerResponse response, IntConsumer creditGrant,
+			Runnable onDisconnect) {
 		this.request = request;
 		this.response = response;
-		this.taken = taken;
-		this.abandoned = abandoned;
+		this.creditGrant = creditGrant;
+		this.onDisconnect = onDisconnect;
 	}
 
 	@Override
 	public void onSubscribe(Subscription opened) {
 		this.subscription = opened;
-		this.response.closeHandler((closed) -> abandon());
-		this.response.exceptionHandler((cause) -> abandon());
+		this.response.closeHandler((closed) -> handleDisconnect());
+		this.response.exceptionHandler((cause) -> handleDisconnect());
 		opened.request(1);
 	}
 
@@ -64,7 +66,7 @@
 			return;
 		}
 		write(part);
-		tellTaken();
+		grantCredit();
 		if (this.response.writeQueueFull()) {
 			this.response.drainHandler((drained) -> this.subscription.request(1));
 		}
@@ -107,11 +109,11 @@
 		}
 	}
 
-	private void tellTaken() {
-		this.untold++;
-		if (this.untold == TOLD_PARTS) {
-			this.taken.accept(this.untold);
-			this.untold = 0;
+	private void grantCredit() {
+		this.writtenParts++;
+		if (this.writtenParts == CREDIT_BATCH_PARTS) {
+			this.creditGrant.accept(this.writtenParts);
+			this.writtenParts = 0;
 		}
 	}
 
@@ -151,13 +153,13 @@
 				Field.of("service", this.request.service()), Field.of("outcome", outcome));
 	}
 
-	private void abandon() {
+	private void handleDisconnect() {
 		if (!this.done) {
 			this.done = true;
 			LOG.info("caller-gone", Field.of("request", this.request.id()),
 					Field.of("account", this.request.account()));
 			this.subscription.cancel();
-			this.abandoned.run();
+			this.onDisconnect.run();
 		}
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerRequest.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerRequest.java
@@ -11,23 +11,23 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * An authenticated request of a caller.
+ * An authenticated and validated request of a caller.
  *
  * @param id the request's identifier
  * @param account the client account
- * @param service the service asked for
+ * @param service the requested service
  * @param method the HTTP method
  * @param path the path with its query
- * @param contentType the body's media type, or an empty text
+ * @param contentType the media type of the body, or an empty string
  * @param body the body
- * @param idempotent whether the request may be repeated
- * @param keyRequired whether it is refused without an idempotency key unless it may be
- * repeated
- * @param key the idempotency key
+ * @param idempotent whether the request may run more than once
+ * @param keyRequired whether the service refuses a non-idempotent request without an
+ * idempotency key
+ * @param key the idempotency key, if the caller sent one
  * @param priority the priority class
- * @param timeout the time that the caller is willing to wait
+ * @param timeout the time from arrival to the request's deadline
  * @param promptTokens the estimated number of prompt tokens; 0 for a plain service
- * @param maxTokens the most tokens that may be generated; 0 for a plain service
+ * @param maxTokens the maximum number of generated tokens; 0 for a plain service
  */
 record CallerRequest(RequestId id, AccountId account, ServiceId service, String method, String path, String contentType,
 		Bytes body, boolean idempotent, boolean keyRequired, Optional<IdempotencyKey> key, PriorityClass priority,
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
@@ -27,7 +27,7 @@
 import org.comfreywall.daemon.http.HttpSecurity;
 
 /**
- * Takes callers' requests over HTTP/1.1 and HTTP/2.
+ * Serves callers' requests over HTTP/1.1 and HTTP/2.
  */
 final class CallerServer implements AutoCloseable {
 
@@ -39,7 +39,7 @@
 
 	private static final int PREFETCH_MESSAGES = 64;
 
-	private static final long CLOSE_SECONDS = 5;
+	private static final long SHUTDOWN_SECONDS = 5;
 
 	private final RequestResolver resolver;
 
@@ -65,7 +65,7 @@
 
 	@Override
 	public void close() throws Exception {
-		this.server.shutdown(CLOSE_SECONDS, TimeUnit.SECONDS).await(2 * CLOSE_SECONDS, TimeUnit.SECONDS);
+		this.server.shutdown(SHUTDOWN_SECONDS, TimeUnit.SECONDS).await(2 * SHUTDOWN_SECONDS, TimeUnit.SECONDS);
 	}
 
 	private void accept(Context context, HttpServerRequest http) {
@@ -74,7 +74,8 @@
 			if (body.length() + part.length() > MAX_BODY_BYTES) {
 				http.handler(null);
 				http.endHandler(null);
-				refuse(http.response(), ErrorCode.INVALID_INPUT, "the body exceeds " + MAX_BODY_BYTES + " bytes");
+				respondWithError(http.response(), ErrorCode.INVALID_INPUT,
+						"the request body exceeds " + MAX_BODY_BYTES + " bytes");
 				return;
 			}
 			body.appendBuffer(part);
@@ -102,7 +103,7 @@
 					() -> this.engine.cancel(request.id())));
 	}
 
-	private static void refuse(HttpServerResponse response, ErrorCode code, String message) {
+	private static void respondWithError(HttpServerResponse response, ErrorCode code, String message) {
 		respond(response, Problem.of(Outcome.NOT_RUN, OperationError.local(code, Step.ACCEPT, message)));
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlCommands.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlCommands.java
@@ -25,8 +25,8 @@
 import org.comfreywall.entry.request.RequestEvent;
 
 /**
- * Carries out the tracker's commands to the control instances and hands their answers
- * back as events.
+ * Executes request commands that are addressed to the control instances and publishes the
+ * replies as request events.
  */
 final class ControlCommands {
 
@@ -35,9 +35,9 @@
 	private final Consumer<RequestEvent> events;
 
 	/**
-	 * Creates the commands' executor.
+	 * Creates an executor.
 	 * @param control the control instances
-	 * @param events takes events on any thread
+	 * @param events receives the events, on any thread
 	 */
 	ControlCommands(ControlPort control, Consumer<RequestEvent> events) {
 		this.control = control;
@@ -46,7 +46,7 @@
 
 	void carryOut(RequestCommand command) {
 		if (command instanceof ClaimKeyFor claim) {
-			answer(this.control.claim(claim), (result) -> claimed(claim, result));
+			publishReply(this.control.claim(claim), (result) -> claimEvent(claim, result));
 		}
 		else if (command instanceof FinishClaim finish) {
 			this.control.finish(finish);
@@ -55,11 +55,11 @@
 			this.control.markUnknown(unknown);
 		}
 		else if (command instanceof ReleaseClaim release) {
-			answer(this.control.release(release),
+			publishReply(this.control.release(release),
 					(result) -> new ClaimReleased(release.proof(), result.value().isPresent()));
 		}
 		else if (command instanceof AskFlight flight) {
-			answer(this.control.askFlight(flight.fingerprint(), flight.request(), flight.cleared()),
+			publishReply(this.control.askFlight(flight.fingerprint(), flight.request(), flight.cleared()),
 					(permit) -> new FlightAnswered(flight.request(), permit));
 		}
 		else if (command instanceof EndFlight flight) {
@@ -69,25 +69,25 @@
 			this.control.releaseIsolation(release);
 		}
 		else if (command instanceof RecordCrash crash) {
-			answer(this.control.charge(crash.report()), (result) -> new CrashRecorded(crash.request()));
+			publishReply(this.control.charge(crash.report()), (result) -> new CrashRecorded(crash.request()));
 		}
 		else if (command instanceof AcquireIsolation isolation) {
-			acquire(isolation);
+			acquireIsolation(isolation);
 		}
 	}
 
-	private void acquire(AcquireIsolation isolation) {
+	private void acquireIsolation(AcquireIsolation isolation) {
 		this.control.acquireIsolation(isolation.fingerprint(), isolation.request())
 			.thenAccept((result) -> result.value()
 				.ifPresent((granted) -> this.events
 					.accept(new IsolationAnswered(isolation.request(), isolation.fingerprint(), granted))));
 	}
 
-	private <T> void answer(CompletionStage<T> stage, Function<T, RequestEvent> event) {
+	private <T> void publishReply(CompletionStage<T> stage, Function<T, RequestEvent> event) {
 		stage.thenAccept((value) -> this.events.accept(event.apply(value)));
 	}
 
-	private static RequestEvent claimed(ClaimKeyFor claim, Result<ClaimResult> result) {
+	private static RequestEvent claimEvent(ClaimKeyFor claim, Result<ClaimResult> result) {
 		return result.value()
 			.<RequestEvent>map((value) -> new ClaimAnswered(claim.request(), claim.target(), value))
 			.orElseGet(() -> new ClaimFailed(claim.request(), result.error().orElseThrow()));
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlPort.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlPort.java
@@ -19,16 +19,17 @@
 import org.comfreywall.entry.request.ReleaseIsolation;
 
 /**
- * The control instances as an entry sees them.
+ * Operations of an entry on the state kept by the control instances.
  * <p>
- * All answers come later and on any thread; none completes exceptionally.
+ * The returned stages complete on any thread, and never exceptionally: a failure is
+ * reported in the result.
  */
 public interface ControlPort {
 
 	/**
 	 * Claims an idempotency key.
-	 * @param command the key and the attempt's address
-	 * @return completes with the result once it is durable on a quorum
+	 * @param command the key, the request and the target of its attempt
+	 * @return completes with the result once the claim is durable on a quorum
 	 */
 	CompletionStage<Result<ClaimResult>> claim(ClaimKeyFor command);
 
@@ -45,54 +46,55 @@
 	void markUnknown(MarkClaimUnknown command);
 
 	/**
-	 * Frees a key whose request is proven not to have run.
+	 * Releases the claim of a request that is proven not to have run.
 	 * @param command the key and the proof
-	 * @return completes with whether the claim was released
+	 * @return completes with {@code true} once the claim is released, or with an error
 	 */
 	CompletionStage<Result<Boolean>> release(ReleaseClaim command);
 
 	/**
-	 * Asks for the slot for isolated runs.
-	 * @param fingerprint the suspect
-	 * @param request the request that would run it
-	 * @return completes with the answer
+	 * Requests the slot for an isolated run of a suspect.
+	 * @param fingerprint the suspect fingerprint
+	 * @param request the request that needs the slot
+	 * @return completes with whether the slot is granted, or with an error
 	 */
 	CompletionStage<Result<IsolationResult>> acquireIsolation(Fingerprint fingerprint, RequestId request);
 
 	/**
-	 * Gives the slot for isolated runs back.
-	 * @param command the suspect and how its run ended
+	 * Releases the slot for isolated runs.
+	 * @param command the fingerprint and the result of its run
 	 */
 	void releaseIsolation(ReleaseIsolation command);
 
 	/**
-	 * Charges a crash to the requests in flight.
-	 * @param report the crash
-	 * @return completes once it is recorded
+	 * Records a crash of a backend server against the fingerprints that were in flight.
+	 * @param report the crash and the attempts in flight
+	 * @return completes once the crash is recorded, or with an error
 	 */
 	CompletionStage<Result<Boolean>> charge(CrashReport report);
 
 	/**
-	 * Asks whether a request with a fingerprint may run beside others with the same.
+	 * Requests a permit to run a request concurrently with others of the same
+	 * fingerprint.
 	 * @param fingerprint the fingerprint
 	 * @param request the request
-	 * @param cleared whether the fingerprint has just been found not suspected
-	 * @return completes with the answer
+	 * @param cleared whether the fingerprint was just found not to be suspect
+	 * @return completes with the decision
 	 */
 	CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request, boolean cleared);
 
 	/**
-	 * Asks a grantor for shares of limits.
-	 * @param command the grantor and the request
-	 * @return completes with the grant or an error
+	 * Requests shares of client account limits from a grantor.
+	 * @param command the grantor and the lease request
+	 * @return completes with the grant, or with an error
 	 */
 	CompletionStage<Result<LeaseGrant>> lease(SendAsk command);
 
 	/**
-	 * Tells how a run ended.
+	 * Reports the end of a run, which ends its flight permit.
 	 * @param fingerprint the fingerprint
 	 * @param request the request
-	 * @param end how it ended
+	 * @param end the result of the run
 	 */
 	void endFlight(Fingerprint fingerprint, RequestId request, FlightEnd end);
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
@@ -54,15 +54,16 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * Drives the cores of the entry role: the tracker of requests and the routers.
+ * Executes the commands of the request tracker and feeds it and the routers with events.
+ * Its state is confined to the entry's worker thread.
  */
 final class EntryEngine implements AutoCloseable {
 
-	private static final int CREDIT_PARTS = 64;
+	private static final int INITIAL_CREDIT_PARTS = 64;
 
-	private static final Duration RETRY_ELSEWHERE = Duration.ofSeconds(1);
+	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
-	private static final int JOIN_CREDIT_PARTS = 4096;
+	private static final int CLAIM_QUERY_CREDIT_PARTS = 4096;
 
 	private final SerialWorker worker;
 
@@ -113,19 +114,20 @@
 	/**
 	 * Runs a request.
 	 * @param request the request
-	 * @return the answer's parts; ends with {@link RequestFailedException} unless whole
+	 * @return the answer's parts; an incomplete answer ends with a
+	 * {@link RequestFailedException}
 	 */
 	Flowable<AnswerPart> run(CallerRequest request) {
 		ActiveRequest started = new ActiveRequest(request, this.clock.nanoTime());
 		if (!this.worker.offer(() -> accept(started))) {
 			return Flowable.error(new RequestFailedException(Outcome.NOT_RUN, OperationError.local(ErrorCode.OVERLOADED,
-					Step.ACCEPT, "the entry is overloaded; send the request again later"), RETRY_ELSEWHERE));
+					Step.ACCEPT, "the task queue of this entry is full; retry later"), RETRY_AFTER));
 		}
 		return started.answer();
 	}
 
 	/**
-	 * Ends a request whose caller has gone.
+	 * Cancels a request whose caller has disconnected.
 	 * @param request the request
 	 */
 	void cancel(RequestId request) {
@@ -139,18 +141,18 @@
 	}
 
 	/**
-	 * Allows more parts of an answer because the caller took some.
+	 * Grants credit for more parts of an answer after the caller's connection took some.
 	 * @param request the request
-	 * @param parts the number of parts taken
+	 * @param parts the number of parts written to the caller
 	 */
 	void taken(RequestId request, int parts) {
-		this.worker.offer(() -> credit(request, parts));
+		this.worker.offer(() -> sendCredit(request, parts));
 	}
 
 	/**
-	 * Makes a backend server known.
-	 * @param sidecar where its sidecar is reached
-	 * @return completes when the sidecar was reached for the first time
+	 * Adds a backend server, or replaces the address of its sidecar.
+	 * @param sidecar the address of its sidecar
+	 * @return completes when the sidecar is connected for the first time
 	 */
 	CompletableFuture<Void> announce(SidecarAddress sidecar) {
 		CompletableFuture<Void> reached = new CompletableFuture<>();
@@ -159,7 +161,8 @@
 	}
 
 	/**
-	 * Lets time pass for the routers; called at regular intervals on the worker.
+	 * Advances the timers of the routers and the admission gate; called periodically on
+	 * the worker thread.
 	 */
 	void tick() {
 		this.routers.tick();
@@ -168,8 +171,8 @@
 	}
 
 	/**
-	 * Refuses new requests and finishes those that run.
-	 * @return completes when no request runs any more
+	 * Refuses new requests and lets active ones finish.
+	 * @return completes when no request is active
 	 */
 	CompletableFuture<Void> drain() {
 		this.worker.execute(() -> {
@@ -193,7 +196,7 @@
 	private void accept(ActiveRequest started) {
 		if (this.draining) {
 			started.refuse(OperationError.local(ErrorCode.UNAVAILABLE, Step.ACCEPT,
-					"this entry is stopping; send the request again"), RETRY_ELSEWHERE);
+					"this entry is shutting down; retry the request"), RETRY_AFTER);
 			return;
 		}
 		this.active.put(started.request().id(), started);
@@ -221,17 +224,17 @@
 		finally {
 			this.handling = false;
 		}
-		schedule();
+		scheduleTimer();
 	}
 
 	private void handlePending() {
 		while (!this.pending.isEmpty()) {
 			List<RequestCommand> commands = this.tracker.handle(this.pending.removeFirst(), this.clock.nanoTime());
-			commands.forEach(this::carryOut);
+			commands.forEach(this::execute);
 		}
 	}
 
-	private void schedule() {
+	private void scheduleTimer() {
 		this.timer.ifPresent((scheduled) -> scheduled.cancel(false));
 		OptionalLong next = this.tracker.nextTimer();
 		if (next.isEmpty()) {
@@ -242,7 +245,7 @@
 		this.timer = Optional.of(this.worker.after(delay, () -> handle(new TimePassed())));
 	}
 
-	private void carryOut(RequestCommand command) {
+	private void execute(RequestCommand command) {
 		if (command instanceof DeliverPart part) {
 			deliver(part);
 		}
@@ -250,7 +253,7 @@
 			complete(result);
 		}
 		else if (command instanceof ChooseRoute route) {
-			choose(route);
+			chooseRoute(route);
 		}
 		else if (!sendToSidecar(command)) {
 			this.controlCommands.carryOut(command);
@@ -266,16 +269,16 @@
 					EntryFrames.seal(seal));
 		}
 		else if (command instanceof SendResume resume) {
-			follow(resume.attempt().request(), resume.backendServer());
+			setAnsweringServer(resume.attempt().request(), resume.backendServer());
 			this.sidecars.sendOrLose(resume.backendServer(), resume.incarnation(),
-					EntryFrames.resume(resume, CREDIT_PARTS));
+					EntryFrames.resume(resume, INITIAL_CREDIT_PARTS));
 		}
 		else if (command instanceof SendCancel cancel) {
 			this.sidecars.sendOrLose(cancel.backendServer(), cancel.incarnation(), EntryFrames.cancel(cancel));
 		}
 		else if (command instanceof SendClaimQuery query) {
 			this.sidecars.sendOrLose(query.backendServer(), query.incarnation(),
-					EntryFrames.claimQuery(query, JOIN_CREDIT_PARTS));
+					EntryFrames.claimQuery(query, CLAIM_QUERY_CREDIT_PARTS));
 		}
 		else if (command instanceof ProbeConnection probe) {
 			this.sidecars.probe(probe.backendServer());
@@ -286,7 +289,7 @@
 		return true;
 	}
 
-	private void choose(ChooseRoute route) {
+	private void chooseRoute(ChooseRoute route) {
 		ActiveRequest request = this.active.get(route.request());
 		if (request == null) {
 			return;
@@ -295,7 +298,7 @@
 			.flatMap((choice) -> this.sidecars.target(choice.server(), choice.incarnation()));
 		if (target.isEmpty()) {
 			handle(new RouteUnavailable(route.request(), OperationError.local(ErrorCode.UNAVAILABLE, Step.ROUTE,
-					"no healthy backend server offers " + request.request().service())));
+					"no healthy backend server for service " + request.request().service())));
 			return;
 		}
 		handle(new RouteChosen(route.request(), target.get()));
@@ -313,16 +316,16 @@
 		AttemptPayload payload = new AttemptPayload(caller.method(), caller.path(), caller.contentType(), caller.body(),
 				caller.priority(), remaining, caller.key());
 		request.follow(start.target().backendServer());
-		boolean handed = this.sidecars.send(start.target().backendServer(), start.target().incarnation(),
-				EntryFrames.start(start, payload, CREDIT_PARTS));
-		if (!handed) {
+		boolean sent = this.sidecars.send(start.target().backendServer(), start.target().incarnation(),
+				EntryFrames.start(start, payload, INITIAL_CREDIT_PARTS));
+		if (!sent) {
 			handle(new StartNotSent(start.attempt()));
 			return;
 		}
 		this.attempts.sent(start.attempt());
 	}
 
-	private void follow(RequestId request, BackendServerId server) {
+	private void setAnsweringServer(RequestId request, BackendServerId server) {
 		Optional.ofNullable(this.active.get(request)).ifPresent((found) -> found.follow(server));
 	}
 
@@ -348,7 +351,7 @@
 		request.complete(result, this.metrics, this.clock.nanoTime());
 	}
 
-	private void credit(RequestId id, int parts) {
+	private void sendCredit(RequestId id, int parts) {
 		ActiveRequest request = this.active.get(id);
 		if (request == null) {
 			return;
@@ -357,7 +360,7 @@
 	}
 
 	/**
-	 * Starts or refuses requests as the gate decides.
+	 * Starts or refuses requests according to the admission decision.
 	 */
 	private final class AdmissionEvents implements AdmissionListener {
 
@@ -382,7 +385,7 @@
 	}
 
 	/**
-	 * Passes the events of sidecar links to the cores.
+	 * Forwards the events of sidecar links to the request tracker and the routers.
 	 */
 	private final class LinkEvents implements SidecarLinkListener {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
@@ -18,9 +18,9 @@
  */
 public final class EntryNode implements AutoCloseable {
 
-	private static final int RING_CAPACITY = 64 * 1024;
+	private static final int TASK_QUEUE_CAPACITY = 64 * 1024;
 
-	private static final Duration TICK = Duration.ofMillis(10);
+	private static final Duration TICK_INTERVAL = Duration.ofMillis(10);
 
 	private final Closer closer = new Closer();
 
@@ -30,26 +30,26 @@
 
 	/**
 	 * Starts the role.
-	 * @param parts what the role works with
-	 * @param listen the address for callers
-	 * @param security how callers' connections are secured
+	 * @param parts the dependencies of the role
+	 * @param listen the address on which callers connect
+	 * @param security the TLS settings of callers' connections
 	 */
 	public EntryNode(EntryParts parts, HostPort listen, HttpSecurity security) {
 		Preconditions.notNull(parts, "parts");
 		PeerIdentity self = parts.transport().self();
-		SerialWorker worker = this.closer.register(new SerialWorker("entry", RING_CAPACITY));
+		SerialWorker worker = this.closer.register(new SerialWorker("entry", TASK_QUEUE_CAPACITY));
 		RouterRegistry routers = new RouterRegistry(self.instance(), parts.domain(), parts.random(), parts.clock(),
 				parts.decisions());
 		this.engine = this.closer.register(new EntryEngine(parts, worker, routers));
-		worker.every(TICK, this.engine::tick);
+		worker.every(TICK_INTERVAL, this.engine::tick);
 		RequestResolver resolver = new RequestResolver(parts.configuration(), requestIds(self));
 		this.server = this.closer.register(new CallerServer(parts.vertx(), listen, security, resolver, this.engine));
 	}
 
 	/**
-	 * Makes a backend server known.
-	 * @param sidecar where its sidecar is reached
-	 * @return completes when the sidecar was reached for the first time
+	 * Adds a backend server, or replaces the address of its sidecar.
+	 * @param sidecar the address of its sidecar
+	 * @return completes when the sidecar is connected for the first time
 	 */
 	public CompletableFuture<Void> announce(SidecarAddress sidecar) {
 		return this.engine.announce(sidecar);
@@ -64,8 +64,8 @@
 	}
 
 	/**
-	 * Refuses new requests and finishes those that run.
-	 * @return completes when no request runs any more
+	 * Refuses new requests and lets active ones finish.
+	 * @return completes when no request is active
 	 */
 	public CompletableFuture<Void> drain() {
 		return this.engine.drain();
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryParts.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryParts.java
@@ -13,16 +13,16 @@
 import org.comfreywall.transport.Transport;
 
 /**
- * What the entry role works with.
+ * Dependencies of the entry role.
  *
  * @param vertx runs the HTTP server
  * @param transport opens connections to sidecars
  * @param domain the failure domain of this process
  * @param configuration returns the configuration in force
- * @param control the control instances
- * @param metrics measures requests
+ * @param control accesses the state of the control instances
+ * @param metrics records request counts and latencies
  * @param clock the monotonic clock
- * @param random breaks ties between backend servers
+ * @param random the source of randomness for routing, retries and admission
  * @param decisions receives a record of each decision
  */
 public record EntryParts(Vertx vertx, Transport transport, FailureDomainId domain,
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/LocalControl.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/LocalControl.java
@@ -34,8 +34,8 @@
 import org.comfreywall.entry.request.ReleaseIsolation;
 
 /**
- * Keeps claims and suspects in the memory of one process, for an entry without control
- * instances.
+ * Keeps claims, suspects and flight permits in memory, for an entry that runs without
+ * control instances. Limits are granted in full.
  */
 public final class LocalControl implements ControlPort {
 
@@ -48,8 +48,8 @@
 	private final FlightGuard flights;
 
 	/**
-	 * Creates empty ledgers.
-	 * @param clock gives the log time
+	 * Creates an instance without claims and suspects.
+	 * @param clock the clock that replaces the time of the replicated log
 	 * @param decisions receives a record of each verdict
 	 */
 	public LocalControl(Clock clock, DecisionListener decisions) {
@@ -60,7 +60,7 @@
 
 	@Override
 	public synchronized CompletionStage<Result<ClaimResult>> claim(ClaimKeyFor command) {
-		return done(this.claims.claim(command.key(), command.bodyDigest(), command.request(),
+		return completed(this.claims.claim(command.key(), command.bodyDigest(), command.request(),
 				command.target().backendServer(), command.target().incarnation(), now()));
 	}
 
@@ -76,13 +76,13 @@
 
 	@Override
 	public synchronized CompletionStage<Result<Boolean>> release(ReleaseClaim command) {
-		return done(this.claims.release(command.key(), command.proof(), now()).map((claim) -> true));
+		return completed(this.claims.release(command.key(), command.proof(), now()).map((claim) -> true));
 	}
 
 	@Override
 	public synchronized CompletionStage<Result<IsolationResult>> acquireIsolation(Fingerprint fingerprint,
 			RequestId request) {
-		return done(Result.success(this.poison.acquire(fingerprint, request, now())));
+		return completed(Result.success(this.poison.acquire(fingerprint, request, now())));
 	}
 
 	@Override
@@ -93,16 +93,16 @@
 	@Override
 	public synchronized CompletionStage<Result<Boolean>> charge(CrashReport report) {
 		this.poison.charge(report, now());
-		return done(Result.success(true));
+		return completed(Result.success(true));
 	}
 
 	@Override
 	public synchronized CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request,
 			boolean cleared) {
 		if (this.poison.assess(fingerprint) != PoisonVerdict.CLEAR) {
-			return done(FlightPermit.SUSPECT);
+			return completed(FlightPermit.SUSPECT);
 		}
-		return done(this.flights.ask(fingerprint, request, cleared, now()));
+		return completed(this.flights.ask(fingerprint, request, cleared, now()));
 	}
 
 	@Override
@@ -113,7 +113,7 @@
 			.map((demand) -> new AccountGrant(demand.account(), demand.requests(), demand.tokens(), demand.slots()))
 			.toList();
 		LeaseRequest request = command.request();
-		return done(Result
+		return completed(Result
 			.success(new LeaseGrant(Term.of(1), request.holder(), request.incarnation(), request.sequence(), grants)));
 	}
 
@@ -126,7 +126,7 @@
 		return this.clock.nanoTime();
 	}
 
-	private static <T> CompletionStage<T> done(T value) {
+	private static <T> CompletionStage<T> completed(T value) {
 		return CompletableFuture.completedFuture(value);
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/Problem.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/Problem.java
@@ -10,11 +10,11 @@
 import org.comfreywall.common.result.Outcome;
 
 /**
- * An error as callers see it, in the form of {@code application/problem+json}.
+ * An error response to a caller as {@code application/problem+json} (RFC 9457).
  *
- * @param outcome what is known of the request
+ * @param outcome whether the request ran, as far as known
  * @param error the error
- * @param retryAfter the time after which a resend may succeed; zero if it may at once
+ * @param retryAfter the time to wait before a retry; zero if none
  */
 record Problem(Outcome outcome, OperationError error, Duration retryAfter) {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RemoteControl.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RemoteControl.java
@@ -43,9 +43,9 @@
 /**
  * Keeps claims and suspects in the replicated state of the control instances.
  * <p>
- * The guard of a fingerprint is the control instance to which the fingerprint hashes. If
- * that instance does not answer in time, the request goes ahead: the ledger of suspects
- * still bounds what a request can do once a crash is known.
+ * Flight permits are not replicated: the control instance to which a fingerprint hashes
+ * decides on them. If it does not reply in time the request is permitted (fail open),
+ * because suspects are still isolated once a crash has been recorded.
  */
 public final class RemoteControl implements ControlPort {
 
@@ -63,7 +63,7 @@
 
 	/**
 	 * Creates a port.
-	 * @param control calls the control instances
+	 * @param control the client of the control instances
 	 */
 	public RemoteControl(ControlClient control) {
 		this.control = Preconditions.notNull(control, "control");
@@ -80,13 +80,13 @@
 
 	@Override
 	public void finish(FinishClaim command) {
-		record("finish-claim", ReplicatedClaims.NAME,
+		proposeAndLogFailure("finish-claim", ReplicatedClaims.NAME,
 				ClaimCommandCodec.finish(command.key(), command.owner(), command.answer()));
 	}
 
 	@Override
 	public void markUnknown(MarkClaimUnknown command) {
-		record("mark-claim-unknown", ReplicatedClaims.NAME,
+		proposeAndLogFailure("mark-claim-unknown", ReplicatedClaims.NAME,
 				ClaimCommandCodec.markUnknown(command.key(), command.owner()));
 	}
 
@@ -104,7 +104,7 @@
 
 	@Override
 	public void releaseIsolation(ReleaseIsolation command) {
-		record("release-isolation", ReplicatedPoison.NAME,
+		proposeAndLogFailure("release-isolation", ReplicatedPoison.NAME,
 				PoisonCommandCodec.release(command.fingerprint(), command.request(), command.end()));
 	}
 
@@ -118,7 +118,7 @@
 	public CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request, boolean cleared) {
 		return this.control
 			.callOne(fingerprint.hashCode(), ControlMethods.ASK_FLIGHT,
-					flight(fingerprint, request).toBuilder().setCleared(cleared).build(), FLIGHT_TIMEOUT)
+					flightRequest(fingerprint, request).toBuilder().setCleared(cleared).build(), FLIGHT_TIMEOUT)
 			.thenApply((result) -> result.value()
 				.map((reply) -> FlightPermit.valueOf(reply.getPermit()))
 				.orElse(FlightPermit.GO));
@@ -136,15 +136,15 @@
 	@Override
 	public void endFlight(Fingerprint fingerprint, RequestId request, FlightEnd end) {
 		FlightEndRequest ended = FlightEndRequest.newBuilder()
-			.setFlight(flight(fingerprint, request))
+			.setFlight(flightRequest(fingerprint, request))
 			.setEnd(end.name())
 			.build();
 		this.control.callOne(fingerprint.hashCode(), ControlMethods.END_FLIGHT, ended, FLIGHT_TIMEOUT);
 	}
 
-	private void record(String what, String ledger, Bytes command) {
+	private void proposeAndLogFailure(String operation, String ledger, Bytes command) {
 		propose(ledger, command, RECORD_TIMEOUT).thenAccept((result) -> result.error()
-			.ifPresent((error) -> LOG.error("record-failed", Field.of("record", what),
+			.ifPresent((error) -> LOG.error("record-failed", Field.of("record", operation),
 					Field.of("error", error.message()))));
 	}
 
@@ -152,7 +152,7 @@
 		return this.control.propose(new LedgerCommand(ledger, command).encode(), timeout);
 	}
 
-	private static FlightRequest flight(Fingerprint fingerprint, RequestId request) {
+	private static FlightRequest flightRequest(Fingerprint fingerprint, RequestId request) {
 		return FlightRequest.newBuilder()
 			.setAccount(fingerprint.account().value())
 			.setService(fingerprint.service().value())
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RequestFailedException.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RequestFailedException.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.result.Outcome;
 
 /**
- * Ends the stream of an answer that is not whole.
+ * Terminates the stream of an answer that is incomplete or was never started.
  */
 final class RequestFailedException extends RuntimeException {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RequestResolver.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RequestResolver.java
@@ -28,7 +28,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Turns an HTTP request into an authenticated request of a caller.
+ * Authenticates and validates an HTTP request and resolves the service it addresses.
  */
 final class RequestResolver {
 
@@ -36,7 +36,7 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
-	private static final int BYTES_PER_TOKEN = 4;
+	private static final int ESTIMATED_BYTES_PER_TOKEN = 4;
 
 	private static final int DEFAULT_MAX_TOKENS = 512;
 
@@ -56,28 +56,30 @@
 	}
 
 	Result<CallerRequest> resolve(HttpServerRequest http, Bytes body) {
-		Configuration present = this.configuration.get();
-		Optional<AccountDescriptor> account = Authenticator.authenticate(present, http.getHeader("Authorization"));
+		Configuration current = this.configuration.get();
+		Optional<AccountDescriptor> account = Authenticator.authenticate(current, http.getHeader("Authorization"));
 		if (account.isEmpty()) {
 			return Result.failure(OperationError.local(ErrorCode.UNAUTHENTICATED, Step.AUTHENTICATE,
-					"send a known API key in the Authorization header as 'Bearer KEY'"));
+					"missing or unknown API key; send the header 'Authorization: Bearer KEY'"));
 		}
-		return service(present, http, body).flatMap((service) -> resolve(http, body, account.get(), service));
+		return service(current, http, body).flatMap((service) -> resolve(http, body, account.get(), service));
 	}
 
 	private Result<CallerRequest> resolve(HttpServerRequest http, Bytes body, AccountDescriptor account,
 			ServiceDescriptor service) {
 		if (!account.services().contains(service.id())) {
-			return invalid(ErrorCode.NOT_FOUND, "client account " + account.id() + " may not call " + service.id());
+			return invalid(ErrorCode.NOT_FOUND,
+					"client account " + account.id() + " has no access to service " + service.id());
 		}
 		boolean idempotent = service.isIdempotent(http.method().name(), http.path());
 		String key = http.getHeader("Idempotency-Key");
 		if (!idempotent && key == null && service.keyRequired()) {
 			return invalid(ErrorCode.INVALID_INPUT,
-					"a request that is not idempotent needs an Idempotency-Key header with a value of your choice");
+					"a request that is not idempotent requires an Idempotency-Key header");
 		}
 		if (key != null && (key.isBlank() || key.length() > MAX_KEY_LENGTH)) {
-			return invalid(ErrorCode.INVALID_INPUT, "Idempotency-Key must have 1 to " + MAX_KEY_LENGTH + " characters");
+			return invalid(ErrorCode.INVALID_INPUT,
+					"Idempotency-Key must be non-blank and have 1 to " + MAX_KEY_LENGTH + " characters");
 		}
 		return timeout(http.headers())
 			.flatMap((timeout) -> priority(http.headers(), account).map((priority) -> new CallerRequest(this.ids.get(),
@@ -92,13 +94,13 @@
 		}
 		return configuration.services()
 			.stream()
-			.filter((service) -> service.kind() == ServiceKind.PLAIN && covers(service, http.path()))
+			.filter((service) -> service.kind() == ServiceKind.PLAIN && matchesPrefix(service, http.path()))
 			.max(Comparator.comparingInt((service) -> service.pathPrefix().length()))
 			.map(Result::success)
-			.orElseGet(() -> invalid(ErrorCode.NOT_FOUND, "no service answers at " + http.path()));
+			.orElseGet(() -> invalid(ErrorCode.NOT_FOUND, "no service is configured for path " + http.path()));
 	}
 
-	private static boolean covers(ServiceDescriptor service, String path) {
+	private static boolean matchesPrefix(ServiceDescriptor service, String path) {
 		String prefix = service.pathPrefix();
 		return path.startsWith(prefix)
 				&& (path.length() == prefix.length() || prefix.endsWith("/") || path.charAt(prefix.length()) == '/');
@@ -108,7 +110,7 @@
 		return configuration.service(ServiceId.of(model))
 			.filter((service) -> service.kind() == ServiceKind.MODEL)
 			.map(Result::success)
-			.orElseGet(() -> invalid(ErrorCode.NOT_FOUND, "no model is called " + model));
+			.orElseGet(() -> invalid(ErrorCode.NOT_FOUND, "unknown model: " + model));
 	}
 
 	private static Result<String> model(Bytes body) {
@@ -117,15 +119,15 @@
 			if (model.isTextual() && !model.textValue().isBlank()) {
 				return Result.success(model.textValue());
 			}
-			return invalid(ErrorCode.INVALID_INPUT, "the body's field 'model' must name a model");
+			return invalid(ErrorCode.INVALID_INPUT, "the field 'model' of the body must be a non-blank string");
 		}
 		catch (IOException ex) {
-			return invalid(ErrorCode.INVALID_INPUT, "the body is not valid JSON");
+			return invalid(ErrorCode.INVALID_INPUT, "the request body is not valid JSON");
 		}
 	}
 
 	private static long promptTokens(ServiceDescriptor service, Bytes body) {
-		return (service.kind() == ServiceKind.MODEL) ? body.length() / BYTES_PER_TOKEN : 0;
+		return (service.kind() == ServiceKind.MODEL) ? body.length() / ESTIMATED_BYTES_PER_TOKEN : 0;
 	}
 
 	private static long maxTokens(ServiceDescriptor service, Bytes body) {
@@ -152,27 +154,27 @@
 			}
 		}
 		catch (NumberFormatException ex) {
-			// Falls through to the error that names what is allowed.
+			// Reported below together with values out of range.
 		}
 		return invalid(ErrorCode.INVALID_INPUT,
-				"Comfreywall-Timeout-Ms must be a number from 1 to " + MAX_TIMEOUT.toMillis());
+				"Comfreywall-Timeout-Ms must be an integer from 1 to " + MAX_TIMEOUT.toMillis());
 	}
 
 	private static Result<PriorityClass> priority(MultiMap headers, AccountDescriptor account) {
 		String text = headers.get("Comfreywall-Priority");
 		if (text == null) {
-			return Result.success(lower(PriorityClass.STANDARD, account.highestClass()));
+			return Result.success(capPriority(PriorityClass.STANDARD, account.highestClass()));
 		}
 		for (PriorityClass priority : PriorityClass.values()) {
 			if (priority.name().equals(text.trim().toUpperCase(Locale.ROOT))) {
-				return Result.success(lower(priority, account.highestClass()));
+				return Result.success(capPriority(priority, account.highestClass()));
 			}
 		}
 		return invalid(ErrorCode.INVALID_INPUT, "Comfreywall-Priority must be interactive, standard or batch");
 	}
 
-	private static PriorityClass lower(PriorityClass asked, PriorityClass highest) {
-		return (asked.compareTo(highest) < 0) ? highest : asked;
+	private static PriorityClass capPriority(PriorityClass requested, PriorityClass highest) {
+		return (requested.compareTo(highest) < 0) ? highest : requested;
 	}
 
 	private static String contentType(HttpServerRequest http) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RoutedAttempts.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RoutedAttempts.java
@@ -16,8 +16,8 @@
 import org.comfreywall.entry.route.RouteRequest;
 
 /**
- * Tells the routers what becomes of the attempts that they chose backend servers for;
- * each attempt is reported as sent once and as ended once.
+ * Reports the progress of attempts to the routers that chose their backend servers: each
+ * attempt is reported as sent once and as ended once.
  */
 final class RoutedAttempts {
 
@@ -31,17 +31,17 @@
 
 	Optional<RouteChoice> choose(CallerRequest request, Set<BackendServerId> excluded) {
 		ended(request.id(), false);
-		RouteRequest wanted = this.routers.routeRequest(request, excluded);
-		Optional<RouteChoice> choice = this.routers.choose(wanted, request.service());
+		RouteRequest routeRequest = this.routers.routeRequest(request, excluded);
+		Optional<RouteChoice> choice = this.routers.choose(routeRequest, request.service());
 		choice.ifPresent((chosen) -> this.latest.put(request.id(),
-				new RoutedAttempt(request.service(), wanted, chosen, Optional.empty())));
+				new RoutedAttempt(request.service(), routeRequest, chosen, Optional.empty())));
 		return choice;
 	}
 
 	void sent(AttemptId attempt) {
 		RoutedAttempt chosen = this.latest.get(attempt.request());
 		if (chosen != null && chosen.attempt().isEmpty()) {
-			this.latest.put(attempt.request(), chosen.sentAs(attempt));
+			this.latest.put(attempt.request(), chosen.withAttempt(attempt));
 			this.routers.sent(chosen.service(), attempt, chosen.request(), chosen.choice());
 		}
 	}
@@ -66,15 +66,15 @@
 	 * The latest attempt of a request.
 	 *
 	 * @param service the request's service
-	 * @param request what the choice depended on
-	 * @param choice the choice
-	 * @param attempt the attempt, once sent
+	 * @param request the route request that the choice was made for
+	 * @param choice the chosen backend server
+	 * @param attempt the identifier of the attempt, once it was sent
 	 */
 	private record RoutedAttempt(ServiceId service, RouteRequest request, RouteChoice choice,
 			Optional<AttemptId> attempt) {
 
-		RoutedAttempt sentAs(AttemptId number) {
-			return new RoutedAttempt(this.service, this.request, this.choice, Optional.of(number));
+		RoutedAttempt withAttempt(AttemptId id) {
+			return new RoutedAttempt(this.service, this.request, this.choice, Optional.of(id));
 		}
 
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RouterRegistry.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RouterRegistry.java
@@ -36,11 +36,11 @@
 import org.comfreywall.transport.generated.Load;
 
 /**
- * The routers of an entry, one for each service.
+ * The routers of an entry, one per service, created on first use.
  */
 final class RouterRegistry {
 
-	private static final int BYTES_PER_TOKEN = 4;
+	private static final int ESTIMATED_BYTES_PER_TOKEN = 4;
 
 	private static final int BLOCK_TOKENS = 64;
 
@@ -112,8 +112,8 @@
 					excluded);
 		}
 		Bytes body = request.body();
-		int tokens = body.length() / BYTES_PER_TOKEN;
-		PromptChain chain = PromptChain.of(body, BLOCK_TOKENS * BYTES_PER_TOKEN, BLOCK_TOKENS);
+		int tokens = body.length() / ESTIMATED_BYTES_PER_TOKEN;
+		PromptChain chain = PromptChain.of(body, BLOCK_TOKENS * ESTIMATED_BYTES_PER_TOKEN, BLOCK_TOKENS);
 		return new RouteRequest(request.id(), request.priority(), tokens, chain, Optional.empty(), excluded);
 	}
 
@@ -126,8 +126,8 @@
 	}
 
 	private Distances distances() {
-		long far = Duration.ofMillis(1).toNanos();
-		return (other) -> other.equals(this.domain) ? 0 : far;
+		long otherDomainNanos = Duration.ofMillis(1).toNanos();
+		return (other) -> other.equals(this.domain) ? 0 : otherDomainNanos;
 	}
 
 }
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarAddress.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarAddress.java
@@ -7,11 +7,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Where a backend server's sidecar is reached.
+ * The address of a backend server's sidecar, with the service and failure domain of the
+ * backend server.
  *
  * @param server the backend server
- * @param service the service that it offers
- * @param domain its failure domain
+ * @param service the service that the backend server offers
+ * @param domain the failure domain of the backend server
  * @param address the sidecar's address
  */
 public record SidecarAddress(BackendServerId server, ServiceId service, FailureDomainId domain, HostPort address) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarDirectory.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarDirectory.java
@@ -18,8 +18,8 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * The links to the sidecars of all known backend servers; used on the entry's worker
- * only.
+ * The links to the sidecars of all known backend servers. Confined to the entry's worker
+ * thread.
  */
 final class SidecarDirectory implements AutoCloseable {
 
@@ -33,7 +33,7 @@
 
 	private final Map<BackendServerId, SidecarLink> links = new HashMap<>();
 
-	private final Map<BackendServerId, CompletableFuture<Void>> awaited = new HashMap<>();
+	private final Map<BackendServerId, CompletableFuture<Void>> pendingConnects = new HashMap<>();
 
 	SidecarDirectory(Transport transport, SerialWorker worker, SidecarLinkListener listener,
 			Consumer<RequestEvent> events) {
@@ -44,7 +44,7 @@
 	}
 
 	void announce(SidecarAddress sidecar, CompletableFuture<Void> reached) {
-		this.awaited.put(sidecar.server(), reached);
+		this.pendingConnects.put(sidecar.server(), reached);
 		SidecarLink link = new SidecarLink(sidecar, this.transport, this.worker, this.listener);
 		SidecarLink replaced = this.links.put(sidecar.server(), link);
 		if (replaced != null) {
@@ -54,7 +54,7 @@
 	}
 
 	void reached(BackendServerId server) {
-		Optional.ofNullable(this.awaited.remove(server)).ifPresent((reached) -> reached.complete(null));
+		Optional.ofNullable(this.pendingConnects.remove(server)).ifPresent((reached) -> reached.complete(null));
 	}
 
 	void probe(BackendServerId server) {
@@ -75,10 +75,11 @@
 	}
 
 	/**
-	 * Sends a frame to one life of a sidecar; if that life has ended, the sidecar is
-	 * reported lost.
+	 * Sends a frame to one incarnation of a sidecar. If the link is not assigned to that
+	 * incarnation, the incarnation is reported lost; while it is merely disconnected, the
+	 * frame is dropped.
 	 * @param server the backend server
-	 * @param incarnation the life meant
+	 * @param incarnation the incarnation that the frame is for
 	 * @param frame the frame
 	 */
 	void sendOrLose(BackendServerId server, Incarnation incarnation, Frame frame) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarLink.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarLink.java
@@ -27,14 +27,15 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * The link to the sidecar beside one backend server; its state is used on the entry's
- * worker only.
+ * The link to the sidecar of one backend server. Its state is confined to the entry's
+ * worker thread.
  */
 final class SidecarLink implements AutoCloseable {
 
 	private static final EventLog LOG = EventLog.of(SidecarLink.class);
 
-	private static final Duration LOST_AFTER = Duration.ofSeconds(3);
+	/** The time without a connection after which the sidecar is reported lost. */
+	private static final Duration LOST_TIMEOUT = Duration.ofSeconds(3);
 
 	private final BackendServerId server;
 
@@ -52,9 +53,9 @@
 
 	private long window;
 
-	private long outages;
+	private long outageCount;
 
-	private boolean up;
+	private boolean connected;
 
 	SidecarLink(SidecarAddress sidecar, Transport transport, SerialWorker worker, SidecarLinkListener listener) {
 		this.server = sidecar.server();
@@ -93,9 +94,9 @@
 		return this.life.map((incarnation) -> new AttemptTarget(this.server, incarnation, this.window));
 	}
 
-	boolean send(Incarnation meant, Frame frame) {
+	boolean send(Incarnation recipient, Frame frame) {
 		Optional<PeerConnection> connection = this.link.current()
-			.filter((open) -> open.peer().filter((peer) -> peer.incarnation().equals(meant)).isPresent());
+			.filter((open) -> open.peer().filter((peer) -> peer.incarnation().equals(recipient)).isPresent());
 		connection.ifPresent((open) -> open.send(frame));
 		return connection.isPresent();
 	}
@@ -109,35 +110,35 @@
 		this.link.close();
 	}
 
-	private void reached(Incarnation incarnation) {
-		this.up = true;
+	private void handleUp(Incarnation incarnation) {
+		this.connected = true;
 		Optional<Incarnation> known = this.life;
 		if (known.filter(incarnation::equals).isPresent()) {
 			this.listener.onEvent(new ConnectionRestored(this.server, incarnation));
 			return;
 		}
-		lose();
+		reportLost();
 		this.life = Optional.of(incarnation);
 		this.window = 0;
 		this.listener.onReached(this, incarnation);
 	}
 
-	private void down() {
-		if (!this.up) {
+	private void handleDown() {
+		if (!this.connected) {
 			return;
 		}
-		this.up = false;
-		this.outages++;
-		long outage = this.outages;
+		this.connected = false;
+		this.outageCount++;
+		long outageNumber = this.outageCount;
 		this.life.ifPresent((incarnation) -> this.listener.onEvent(new ConnectionLost(this.server, incarnation)));
-		this.worker.after(LOST_AFTER, () -> {
-			if (!this.up && this.outages == outage) {
-				lose();
+		this.worker.after(LOST_TIMEOUT, () -> {
+			if (!this.connected && this.outageCount == outageNumber) {
+				reportLost();
 			}
 		});
 	}
 
-	private void lose() {
+	private void reportLost() {
 		this.life.ifPresent((incarnation) -> {
 			this.life = Optional.empty();
 			this.listener.onEvent(new SidecarLost(this.server, incarnation));
@@ -145,9 +146,9 @@
 		});
 	}
 
-	private void process(PeerConnection connection, Frame frame) {
+	private void handleFrame(PeerConnection connection, Frame frame) {
 		if (frame.hasLoad()) {
-			load(frame.getLoad());
+			handleLoad(frame.getLoad());
 			return;
 		}
 		Result<RequestEvent> event = AttemptDecoder.fromSidecar(frame, this.server);
@@ -158,7 +159,7 @@
 		});
 	}
 
-	private void load(Load load) {
+	private void handleLoad(Load load) {
 		if (this.life.filter((incarnation) -> incarnation.value() == load.getIncarnation()).isPresent()) {
 			this.window = Math.max(this.window, load.getWindow());
 			this.listener.onLoad(this, load);
@@ -166,24 +167,25 @@
 	}
 
 	/**
-	 * Hands the link's events over to the worker.
+	 * Forwards the link's events to the worker thread. If the task queue is full, closes
+	 * the connection, so that no frame is skipped unnoticed.
 	 */
 	private final class LinkEvents implements PeerLinkListener {
 
 		@Override
 		public void onUp(PeerConnection connection) {
 			Incarnation incarnation = connection.peer().orElseThrow().incarnation();
-			offer(connection, () -> reached(incarnation));
+			offer(connection, () -> handleUp(incarnation));
 		}
 
 		@Override
 		public void onFrame(PeerConnection connection, Frame frame) {
-			offer(connection, () -> process(connection, frame));
+			offer(connection, () -> handleFrame(connection, frame));
 		}
 
 		@Override
 		public void onDown(OperationError reason) {
-			SidecarLink.this.worker.offer(SidecarLink.this::down);
+			SidecarLink.this.worker.offer(SidecarLink.this::handleDown);
 		}
 
 		private void offer(PeerConnection connection, Runnable task) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarLinkListener.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarLinkListener.java
@@ -5,26 +5,28 @@
 import org.comfreywall.transport.generated.Load;
 
 /**
- * Receives the events of a link to a sidecar on the entry's worker.
+ * Receives the events of a link to a sidecar on the entry's worker thread.
  */
 interface SidecarLinkListener {
 
 	/**
-	 * Called when a life of the sidecar was reached for the first time.
+	 * Called when the link is connected to an incarnation of the sidecar for the first
+	 * time.
 	 * @param link the link
-	 * @param incarnation the sidecar's life
+	 * @param incarnation the sidecar's incarnation
 	 */
 	void onReached(SidecarLink link, Incarnation incarnation);
 
 	/**
-	 * Called when a life of the sidecar has ended or cannot be reached any more.
+	 * Called when an incarnation of the sidecar was replaced by a newer one or stayed
+	 * disconnected for too long.
 	 * @param link the link
-	 * @param incarnation the sidecar's life
+	 * @param incarnation the sidecar's incarnation
 	 */
 	void onLost(SidecarLink link, Incarnation incarnation);
 
 	/**
-	 * Called for each event about requests.
+	 * Called for each event that concerns requests.
 	 * @param event the event
 	 */
 	void onEvent(RequestEvent event);
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/package-info.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The entry role: takes callers' requests over HTTP.
+ * The entry role: receives callers' requests over HTTP and routes them to sidecars.
  */
 package org.comfreywall.daemon.entry;
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/RoutedAttemptsTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/RoutedAttemptsTests.java
@@ -48,7 +48,7 @@
 	}
 
 	@Test
-	void reportsSentAttemptAsInFlightUntilItEnds() {
+	void countsSentAttemptAsInFlightUntilItEnds() {
 		assertThat(this.attempts.choose(request(), Set.of())).isPresent();
 		this.attempts.sent(new AttemptId(REQUEST, 1));
 		assertThat(this.routers.inFlight(SERVICE, SERVER)).isEqualTo(1);
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/SilentConnectionTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/SilentConnectionTests.java
@@ -48,7 +48,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests streams over connections that go silent.
+ * Tests that a stream resumes when the connection between entry and sidecar drops all
+ * bytes without being closed, so that only a timeout can detect the failure.
  */
 class SilentConnectionTests {
 
@@ -91,7 +92,7 @@
 	}
 
 	@Test
-	void streamGoesOnWithoutGapOrRepeatWhenItsConnectionGoesSilent() throws Exception {
+	void streamResumesWithoutLossOrDuplicationWhenConnectionDropsAllBytes() throws Exception {
 		HttpRequest request = HttpRequest
 			.newBuilder(URI.create("http://127.0.0.1:" + this.entry.port() + "/v1/chat/completions"))
 			.timeout(Duration.ofSeconds(60))
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/SilentRelay.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/SilentRelay.java
@@ -8,8 +8,8 @@
 import org.comfreywall.common.toml.HostPort;
 
 /**
- * Passes bytes between two ends until told to drop those of all connections open so far,
- * without closing them; later connections work.
+ * TCP proxy that can drop all bytes of the connections open so far without closing them;
+ * later connections are forwarded.
  */
 final class SilentRelay {
 
@@ -24,7 +24,7 @@
 	SilentRelay(Vertx vertx, HostPort target) {
 		this.vertx = vertx;
 		this.target = target;
-		this.server = vertx.createNetServer().connectHandler(this::accept).listen(0, "127.0.0.1").await();
+		this.server = vertx.createNetServer().connectHandler(this::handleConnection).listen(0, "127.0.0.1").await();
 	}
 
 	HostPort address() {
@@ -35,17 +35,17 @@
 		this.generation.incrementAndGet();
 	}
 
-	private void accept(NetSocket near) {
+	private void handleConnection(NetSocket client) {
 		int opened = this.generation.get();
-		near.pause();
-		this.vertx.createNetClient().connect(this.target.port(), this.target.host()).onSuccess((far) -> {
-			pass(near, far, opened);
-			pass(far, near, opened);
-			near.resume();
-		}).onFailure((cause) -> near.close());
+		client.pause();
+		this.vertx.createNetClient().connect(this.target.port(), this.target.host()).onSuccess((upstream) -> {
+			forward(client, upstream, opened);
+			forward(upstream, client, opened);
+			client.resume();
+		}).onFailure((cause) -> client.close());
 	}
 
-	private void pass(NetSocket from, NetSocket to, int opened) {
+	private void forward(NetSocket from, NetSocket to, int opened) {
 		from.handler((data) -> {
 			if (this.generation.get() == opened) {
 				to.write(data);
