Reword the sidecar role of the daemon

Comments told of carrying out, hearing and taking in; they name the queue, the flow control by credit and the worker thread now. judgeFailure, hand, breakOff and regulate became handleFailure, enqueue, abort and updatePaused. No behaviour changes.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendCall.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendCall.java
@@ -1,7 +1,7 @@
 package org.comfreywall.daemon.sidecar;
 
 /**
- * One running call to the backend server.
+ * A call to the backend server that has not ended.
  */
 interface BackendCall {
 
@@ -11,12 +11,12 @@
 	void pause();
 
 	/**
-	 * Goes on reading the answer.
+	 * Resumes reading the answer.
 	 */
 	void resume();
 
 	/**
-	 * Breaks off the call; the listener hears nothing more.
+	 * Aborts the call. The listener receives no event that starts after this returns.
 	 */
 	void cancel();
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
@@ -24,13 +24,13 @@
 import org.comfreywall.transport.attempt.AttemptPayload;
 
 /**
- * Calls the backend server over HTTP.
+ * HTTP client of the backend server.
  */
 final class BackendClient implements AutoCloseable {
 
 	private static final int MAX_CONNECTIONS = 1024;
 
-	private static final int CONNECT_MILLIS = 1000;
+	private static final int TIMEOUT_MILLIS = 1000;
 
 	private final HttpClient client;
 
@@ -42,7 +42,7 @@
 		Preconditions.notNull(vertx, "vertx");
 		this.backend = Preconditions.notNull(backend, "backend");
 		this.self = Preconditions.notNull(self, "self");
-		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS)
+		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(TIMEOUT_MILLIS)
 			.setDecompressionSupported(false);
 		this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
 	}
@@ -65,8 +65,9 @@
 	}
 
 	/**
-	 * Asks the backend server for its load.
-	 * @return completes with the load, or exceptionally if the server does not answer
+	 * Queries the load of the backend server.
+	 * @return completes with the load, or exceptionally if the server does not respond or
+	 * the response is not valid JSON
 	 */
 	CompletionStage<BackendLoad> load() {
 		return this.client.request(loadRequest())
@@ -77,8 +78,8 @@
 	}
 
 	/**
-	 * Asks whether the backend server accepts connections.
-	 * @return completes with whether it does
+	 * Checks whether the backend server responds to HTTP requests.
+	 * @return completes with whether it responded in time; never exceptionally
 	 */
 	CompletionStage<Boolean> isAlive() {
 		return this.client.request(loadRequest())
@@ -93,7 +94,7 @@
 			.setHost(this.backend.getHost())
 			.setPort(this.backend.getPort())
 			.setURI("/load")
-			.setTimeout(CONNECT_MILLIS);
+			.setTimeout(TIMEOUT_MILLIS);
 	}
 
 	private static BackendLoad parseLoad(Buffer body) {
@@ -107,8 +108,8 @@
 	}
 
 	/**
-	 * One call; used on the client's event loop except for flow control, which Vert.x
-	 * allows from any thread.
+	 * A call whose events arrive on the client's event loop. Flow control and
+	 * cancellation come from other threads, so state changes are synchronized.
 	 */
 	private final class VertxBackendCall implements BackendCall {
 
@@ -171,7 +172,7 @@
 			}
 			opened.exceptionHandler((cause) -> fail(ErrorCode.BACKEND_ERROR, cause, true));
 			opened.handler((data) -> {
-				if (isLive()) {
+				if (isActive()) {
 					this.listener.onChunk(Bytes.of(data.getBytes()));
 				}
 			});
@@ -190,7 +191,7 @@
 			this.listener.onComplete();
 		}
 
-		private synchronized boolean isLive() {
+		private synchronized boolean isActive() {
 			return !this.ended;
 		}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendListener.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendListener.java
@@ -4,14 +4,14 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * Receives the progress of one call to the backend server.
+ * Receives the events of one call to the backend server.
  */
 interface BackendListener {
 
 	/**
 	 * Called once when the answer begins.
 	 * @param status the HTTP status
-	 * @param contentType the media type, or an empty text
+	 * @param contentType the media type, or an empty string
 	 */
 	void onHead(int status, String contentType);
 
@@ -28,7 +28,7 @@
 
 	/**
 	 * Called once when the call failed.
-	 * @param error why it failed
+	 * @param error the reason
 	 * @param sent whether any part of the request may have reached the backend server
 	 */
 	void onFailure(OperationError error, boolean sent);
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendLoad.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendLoad.java
@@ -5,12 +5,12 @@
 /**
  * The load that a backend server reports.
  *
- * @param running the requests that run
- * @param queuedTokens the prompt tokens still to be computed
+ * @param running the number of running requests
+ * @param queuedTokens the number of prompt tokens not yet processed
  */
 record BackendLoad(int running, long queuedTokens) {
 
-	/** No load. */
+	/** The load assumed until the backend server has reported one. */
 	static final BackendLoad IDLE = new BackendLoad(0, 0);
 
 	BackendLoad {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendRun.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendRun.java
@@ -3,7 +3,7 @@
 import org.comfreywall.transport.attempt.AttemptPayload;
 
 /**
- * One attempt's run on the backend server.
+ * An attempt that runs, or is about to run, on the backend server.
  */
 final class BackendRun {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/Outbox.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/Outbox.java
@@ -7,9 +7,10 @@
 import org.comfreywall.transport.generated.Frame;
 
 /**
- * Frames of one answer that wait for credit of one entry.
+ * Queue of the frames of one answer to one entry, with credit-based flow control.
  * <p>
- * Parts use up credit; other frames only keep their place behind the parts.
+ * Each answer part consumes one credit. Other frames consume none, but are not sent
+ * before the parts queued ahead of them.
  */
 final class Outbox {
 
@@ -17,7 +18,7 @@
 
 	private final PeerConnection connection;
 
-	private final Deque<Frame> waiting = new ArrayDeque<>();
+	private final Deque<Frame> queue = new ArrayDeque<>();
 
 	private long credit;
 
@@ -27,7 +28,7 @@
 	}
 
 	void add(Frame frame) {
-		this.waiting.addLast(frame);
+		this.queue.addLast(frame);
 		flush();
 	}
 
@@ -37,16 +38,16 @@
 	}
 
 	boolean isFull() {
-		return this.waiting.size() >= FULL_FRAMES;
+		return this.queue.size() >= FULL_FRAMES;
 	}
 
 	boolean isEmpty() {
-		return this.waiting.isEmpty();
+		return this.queue.isEmpty();
 	}
 
 	private void flush() {
-		while (!this.waiting.isEmpty() && (this.credit > 0 || !this.waiting.peekFirst().hasPart())) {
-			Frame frame = this.waiting.removeFirst();
+		while (!this.queue.isEmpty() && (this.credit > 0 || !this.queue.peekFirst().hasPart())) {
+			Frame frame = this.queue.removeFirst();
 			if (frame.hasPart()) {
 				this.credit--;
 			}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/OutboxRegistry.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/OutboxRegistry.java
@@ -10,7 +10,7 @@
 import org.comfreywall.transport.generated.Frame;
 
 /**
- * Knows the connections of entries and the answers that flow over them.
+ * Tracks the connections of entries and the outboxes of the answers sent to them.
  */
 final class OutboxRegistry {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarEngine.java
@@ -55,16 +55,16 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * Drives the registry of attempts: feeds it frames and the backend server's answers and
- * carries its commands out.
+ * Feeds the attempt registry with frames from entries and events of the backend server,
+ * and executes its commands. Its state is confined to the sidecar's worker thread.
  */
 final class SidecarEngine implements PeerListener {
 
 	private static final EventLog LOG = EventLog.of(SidecarEngine.class);
 
-	private static final int SEAL_CREDIT = 64;
+	private static final int SEAL_CREDIT_PARTS = 64;
 
-	private static final Duration RETRY_HANDOVER = Duration.ofMillis(50);
+	private static final Duration ABORT_DELAY = Duration.ofMillis(50);
 
 	private final BackendServerId server;
 
@@ -106,8 +106,8 @@
 	}
 
 	/**
-	 * Refuses new attempts and finishes those that run.
-	 * @return completes when all answers were sent
+	 * Refuses new attempts and lets running ones finish.
+	 * @return completes when all answers have been sent
 	 */
 	CompletableFuture<Void> drain() {
 		this.worker.execute(() -> {
@@ -119,8 +119,8 @@
 	}
 
 	/**
-	 * Lets time pass and tells the entries about the load; called at regular intervals on
-	 * the worker.
+	 * Advances the timers of the attempt registry and sends the load to all entries;
+	 * called periodically on the worker thread.
 	 */
 	void tick() {
 		handle(new TimePassed());
@@ -129,7 +129,7 @@
 	}
 
 	/**
-	 * Takes in what the backend server reports about its load; called on the worker.
+	 * Stores the load last reported by the backend server; called on the worker thread.
 	 * @param reported the load
 	 */
 	void loadReported(BackendLoad reported) {
@@ -167,11 +167,11 @@
 		if (frame.hasCredit()) {
 			RequestId request = RequestId.of(frame.getCredit().getRequest());
 			this.outboxes.addCredit(request, link, frame.getCredit().getParts());
-			regulate(request);
+			updatePaused(request);
 			return;
 		}
 		Result<AttemptEvent> event = AttemptDecoder.fromEntry(frame, link);
-		if (event.error().isPresent() || (frame.hasStart() && !keepPayload(frame.getStart()))) {
+		if (event.error().isPresent() || (frame.hasStart() && !storePayload(frame.getStart()))) {
 			LOG.warn("malformed-frame", Field.of("peer", connection), Field.of("frame", frame.getBodyCase()));
 			connection.close();
 			return;
@@ -180,7 +180,7 @@
 		event.value().ifPresent(this::handle);
 	}
 
-	private boolean keepPayload(AttemptStart start) {
+	private boolean storePayload(AttemptStart start) {
 		Result<AttemptPayload> payload = AttemptDecoder.payload(start);
 		payload.value().ifPresent((value) -> this.runs.putIfAbsent(id(start), new BackendRun(value)));
 		return payload.value().isPresent();
@@ -203,7 +203,7 @@
 
 	private void openIfAbsent(String request, EntryLink link) {
 		if (!this.outboxes.isOpen(RequestId.of(request), link)) {
-			open(request, link, SEAL_CREDIT);
+			open(request, link, SEAL_CREDIT_PARTS);
 		}
 	}
 
@@ -212,10 +212,10 @@
 	}
 
 	private void handle(AttemptEvent event) {
-		this.registry.handle(event, this.clock.nanoTime()).forEach(this::carryOut);
+		this.registry.handle(event, this.clock.nanoTime()).forEach(this::execute);
 	}
 
-	private void carryOut(AttemptCommand command) {
+	private void execute(AttemptCommand command) {
 		if (command instanceof StartRun start) {
 			startRun(start.attempt());
 		}
@@ -243,7 +243,7 @@
 		}
 		else if (command instanceof SendPart part) {
 			this.outboxes.sendInOrder(part.attempt().request(), part.link(), SidecarFrames.part(part));
-			regulate(part.attempt().request());
+			updatePaused(part.attempt().request());
 		}
 		else if (command instanceof SendEnd end) {
 			this.outboxes.sendInOrder(end.attempt().request(), end.link(), SidecarFrames.ended(end));
@@ -262,7 +262,7 @@
 		run.started(this.backend.run(attempt, run.payload(), new RunProgress(attempt)));
 	}
 
-	private void regulate(RequestId request) {
+	private void updatePaused(RequestId request) {
 		boolean blocked = this.outboxes.isBlocked(request);
 		this.runs.forEach((attempt, run) -> {
 			if (attempt.request().equals(request)) {
@@ -278,16 +278,16 @@
 		}
 	}
 
-	private void judgeFailure(AttemptId attempt, boolean sent) {
+	private void handleFailure(AttemptId attempt, boolean sent) {
 		if (!sent) {
 			finishRun(attempt, new RunRefused(attempt));
 			return;
 		}
 		this.backend.isAlive()
-			.thenAccept((alive) -> this.worker.execute(() -> finishRun(attempt, failure(attempt, alive))));
+			.thenAccept((alive) -> this.worker.execute(() -> finishRun(attempt, failureEvent(attempt, alive))));
 	}
 
-	private static AttemptEvent failure(AttemptId attempt, boolean alive) {
+	private static AttemptEvent failureEvent(AttemptId attempt, boolean alive) {
 		return alive ? new RunBroken(attempt) : new BackendCrashed();
 	}
 
@@ -316,7 +316,7 @@
 	}
 
 	/**
-	 * Hands the progress of a run over to the worker.
+	 * Forwards the events of a run to the worker thread.
 	 */
 	private final class RunProgress implements BackendListener {
 
@@ -328,42 +328,42 @@
 
 		@Override
 		public void onHead(int status, String contentType) {
-			produce(new AnswerHead(status, contentType));
+			deliver(new AnswerHead(status, contentType));
 		}
 
 		@Override
 		public void onChunk(Bytes data) {
-			produce(new AnswerChunk(data));
+			deliver(new AnswerChunk(data));
 		}
 
 		@Override
 		public void onComplete() {
-			hand(() -> finishRun(this.attempt, new PartProduced(this.attempt, new AnswerEnd())));
+			enqueue(() -> finishRun(this.attempt, new PartProduced(this.attempt, new AnswerEnd())));
 		}
 
 		@Override
 		public void onFailure(OperationError error, boolean sent) {
 			LOG.warn("run-failed", Field.of("attempt", this.attempt), Field.of("error", error.message()));
-			hand(() -> judgeFailure(this.attempt, sent));
+			enqueue(() -> handleFailure(this.attempt, sent));
 		}
 
-		private void produce(AnswerPart part) {
-			hand(() -> {
+		private void deliver(AnswerPart part) {
+			enqueue(() -> {
 				if (SidecarEngine.this.runs.containsKey(this.attempt)) {
 					handle(new PartProduced(this.attempt, part));
 				}
 			});
 		}
 
-		private void hand(Runnable task) {
+		private void enqueue(Runnable task) {
 			if (!SidecarEngine.this.worker.offer(task)) {
-				breakOff();
+				abort();
 			}
 		}
 
-		private void breakOff() {
-			LOG.warn("run-broken-off", Field.of("attempt", this.attempt), Field.of("reason", "ring is full"));
-			SidecarEngine.this.worker.after(RETRY_HANDOVER, () -> {
+		private void abort() {
+			LOG.warn("run-broken-off", Field.of("attempt", this.attempt), Field.of("reason", "task queue is full"));
+			SidecarEngine.this.worker.after(ABORT_DELAY, () -> {
 				BackendRun run = SidecarEngine.this.runs.get(this.attempt);
 				if (run != null) {
 					run.cancel();
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarNode.java
@@ -20,11 +20,11 @@
  */
 public final class SidecarNode implements AutoCloseable {
 
-	private static final int RING_CAPACITY = 64 * 1024;
+	private static final int TASK_QUEUE_CAPACITY = 64 * 1024;
 
-	private static final Duration TICK = Duration.ofMillis(200);
+	private static final Duration TICK_INTERVAL = Duration.ofMillis(200);
 
-	private static final Duration LOAD_INTERVAL = Duration.ofMillis(500);
+	private static final Duration LOAD_POLL_INTERVAL = Duration.ofMillis(500);
 
 	private volatile Runnable drainListener = () -> {
 	};
@@ -37,7 +37,7 @@
 
 	/**
 	 * Starts the role.
-	 * @param parts what the role works with
+	 * @param parts the dependencies of the role
 	 * @param listen the address to listen on
 	 */
 	public SidecarNode(SidecarParts parts, HostPort listen) {
@@ -45,10 +45,10 @@
 		Preconditions.notNull(listen, "listen");
 		InstanceId self = parts.transport().self().instance();
 		BackendClient client = this.closer.register(new BackendClient(parts.vertx(), parts.backend(), self));
-		SerialWorker worker = this.closer.register(new SerialWorker("sidecar", RING_CAPACITY));
+		SerialWorker worker = this.closer.register(new SerialWorker("sidecar", TASK_QUEUE_CAPACITY));
 		this.engine = new SidecarEngine(parts, worker, client);
-		worker.every(TICK, this.engine::tick);
-		worker.every(LOAD_INTERVAL, () -> pollLoad(client, worker));
+		worker.every(TICK_INTERVAL, this.engine::tick);
+		worker.every(LOAD_POLL_INTERVAL, () -> pollLoad(client, worker));
 		RpcServer rpc = new RpcServer();
 		rpc.register(ControlMethods.DRAIN, (caller, request) -> startDrain());
 		rpc.otherFrames(this.engine);
@@ -64,15 +64,15 @@
 	}
 
 	/**
-	 * Refuses new attempts and finishes those that run.
-	 * @return completes when no attempt runs any more
+	 * Refuses new attempts and lets running ones finish.
+	 * @return completes when all answers have been sent
 	 */
 	public CompletableFuture<Void> drain() {
 		return this.engine.drain();
 	}
 
 	/**
-	 * Registers what is to be done when an operator orders a drain.
+	 * Sets the listener for drains requested by an operator, replacing an earlier one.
 	 * @param listener called on an event loop; must not block
 	 */
 	public void onDrainOrdered(Runnable listener) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarParts.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarParts.java
@@ -12,13 +12,13 @@
 import org.comfreywall.transport.Transport;
 
 /**
- * What the sidecar role works with.
+ * Dependencies of the sidecar role.
  *
  * @param vertx runs the HTTP client
  * @param transport accepts connections from entries
- * @param server the backend server beside this process
- * @param backend the backend server's base address
- * @param crashes receives crashes of the backend server
+ * @param server the backend server that this sidecar serves
+ * @param backend the base URL of the backend server
+ * @param crashes receives a report of each crash of the backend server
  * @param clock the monotonic clock
  * @param decisions receives a record of each decision
  */
