Reword the control role of the daemon

Comments told of members that are known and terms that are noted; they name heartbeats, the leader lease, flight permits and linearizable reads now. The error for a refused heartbeat names both possible causes, a newer incarnation and a full member table. Test names are plain sentences. No behaviour changes.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ControlParts.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ControlParts.java
@@ -12,13 +12,13 @@
 import org.comfreywall.transport.Transport;
 
 /**
- * What the control role works with.
+ * Dependencies of the control role.
  *
  * @param transport opens connections to the other control instances
- * @param storage the opened data folder
- * @param peers all control instances, this one among them
+ * @param storage the storage of the replicated log in the opened data folder
+ * @param peers all control instances, including this one
  * @param clock the monotonic clock
- * @param random spreads the times of elections
+ * @param random randomizes election timeouts
  * @param metrics receives the role's metrics
  * @param decisions receives a record of each decision
  */
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ControlRole.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ControlRole.java
@@ -57,15 +57,16 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * The control role of a process.
+ * The control role of a process: a replica of the replicated log, the grantors of limits,
+ * the membership table and the flight guard.
  */
 public final class ControlRole implements AutoCloseable {
 
 	private static final EventLog LOG = EventLog.of(ControlRole.class);
 
-	private static final int GRANTOR_RING = 16;
+	private static final int GRANTOR_QUEUE_CAPACITY = 16;
 
-	private static final Duration GRANTOR_INTERVAL = Duration.ofMillis(50);
+	private static final Duration GRANTOR_REFRESH_INTERVAL = Duration.ofMillis(50);
 
 	private final Closer closer = new Closer();
 
@@ -80,14 +81,14 @@
 
 	private final boolean isReserve;
 
-	private final Term life;
+	private final Term incarnationTerm;
 
 	private final ControlNode node;
 
 	/**
 	 * Starts the role.
-	 * @param parts what the role works with
-	 * @param server the server on which calls and messages arrive
+	 * @param parts the dependencies of the role
+	 * @param server the RPC server on which the role registers its handlers
 	 */
 	public ControlRole(ControlParts parts, RpcServer server) {
 		Preconditions.notNull(parts, "parts");
@@ -102,7 +103,7 @@
 				Optional.of(new LoggedReservations(this::node, reservations)), parts.clock(), decisions);
 		this.reserve = new LeaseGrantor(division::reserve, Optional.empty(), parts.clock(), decisions);
 		this.isReserve = isReserve(parts);
-		this.life = Term.of(parts.transport().self().incarnation().value());
+		this.incarnationTerm = Term.of(parts.transport().self().incarnation().value());
 		LogPeers peers = this.closer
 			.register(new LogPeers(parts.transport(), parts.transport().self().instance(), parts.peers()));
 		ControlNodeParts nodeParts = new ControlNodeParts(parts.transport().self().instance(), parts.storage(),
@@ -110,8 +111,8 @@
 						new ReplicatedClaims(ClaimLedgerSettings.DEFAULT), poison, reservations)),
 				peers, parts.clock(), parts.random(), decisions, new Invariants(), parts.metrics());
 		this.node = this.closer.register(ControlNode.start(nodeParts, ControlNodeSettings.DEFAULTS));
-		SerialWorker worker = this.closer.register(new SerialWorker("grantor", GRANTOR_RING));
-		worker.every(GRANTOR_INTERVAL, this::refreshGrantors);
+		SerialWorker worker = this.closer.register(new SerialWorker("grantor", GRANTOR_QUEUE_CAPACITY));
+		worker.every(GRANTOR_REFRESH_INTERVAL, this::refreshGrantors);
 		server.register(ControlMethods.LOG_TOPIC, (connection, payload) -> receive(payload));
 		server.register(ControlMethods.PROPOSE, this::propose);
 		server.register(ControlMethods.QUERY, this::query);
@@ -122,7 +123,7 @@
 	}
 
 	/**
-	 * Returns what the replicated log knows.
+	 * Returns the status of the replicated log on this instance.
 	 * @return the status
 	 */
 	public ReplicaStatus status() {
@@ -154,17 +155,17 @@
 	}
 
 	private Optional<Term> reserveTerm() {
-		return this.isReserve ? Optional.of(this.life) : Optional.empty();
+		return this.isReserve ? Optional.of(this.incarnationTerm) : Optional.empty();
 	}
 
 	private ControlNode node() {
 		return this.node;
 	}
 
-	private void publish(AcceptedChange change, Configuration present) {
-		this.primary.configure(present);
-		this.reserve.configure(present);
-		this.published.set(new PublishedConfiguration(change.revision(), ConfigurationWriter.write(present)));
+	private void publish(AcceptedChange change, Configuration current) {
+		this.primary.configure(current);
+		this.reserve.configure(current);
+		this.published.set(new PublishedConfiguration(change.revision(), ConfigurationWriter.write(current)));
 	}
 
 	private void receive(ByteString payload) {
@@ -188,8 +189,9 @@
 
 	private CompletionStage<Result<HeartbeatReply>> heartbeat(PeerIdentity caller, HeartbeatRequest request) {
 		if (!this.members.heard(request.getMember())) {
-			return CompletableFuture.completedFuture(Result.failure(OperationError.local(ErrorCode.FENCED,
-					Step.MEMBERSHIP, "a newer incarnation of " + request.getMember().getInstance() + " is known")));
+			return CompletableFuture.completedFuture(Result.failure(
+					OperationError.local(ErrorCode.FENCED, Step.MEMBERSHIP, "refused heartbeat: a newer incarnation of "
+							+ request.getMember().getInstance() + " is registered, or the member table is full")));
 		}
 		if (!request.getConfirmed()) {
 			return CompletableFuture.completedFuture(Result.success(reply(request)));
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/FlightEndpoint.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/FlightEndpoint.java
@@ -26,7 +26,8 @@
 import org.comfreywall.transport.generated.FlightRequest;
 
 /**
- * Guards the fingerprints that hash to this control instance.
+ * Handles calls for flight permits: decides whether requests with a fingerprint that
+ * hashes to this control instance may run concurrently.
  */
 final class FlightEndpoint {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LeaseGrantor.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LeaseGrantor.java
@@ -34,14 +34,16 @@
 import org.comfreywall.transport.generated.LeaseReply;
 
 /**
- * Grants one part of the client accounts' limits while this instance is its grantor.
+ * Grants one part of the client accounts' limits while this instance is the grantor of
+ * that part.
  * <p>
- * A new term begins with an empty ledger. While the leader's lease lapses within a term
- * nothing is granted, but the ledger is kept: no other grantor can have begun in between.
+ * Each term starts with an empty ledger. If the leader lease expires within a term,
+ * nothing is granted until it is renewed, but the ledger is kept: only a newer term can
+ * have another grantor.
  */
 final class LeaseGrantor {
 
-	private final Function<AccountLimits, LimitPart> part;
+	private final Function<AccountLimits, LimitPart> limitPart;
 
 	private final Optional<ReservationPort> reservations;
 
@@ -59,30 +61,31 @@
 
 	private boolean loading;
 
-	LeaseGrantor(Function<AccountLimits, LimitPart> part, Optional<ReservationPort> reservations, Clock clock,
+	LeaseGrantor(Function<AccountLimits, LimitPart> limitPart, Optional<ReservationPort> reservations, Clock clock,
 			DecisionListener decisions) {
-		this.part = part;
+		this.limitPart = limitPart;
 		this.reservations = reservations;
 		this.clock = clock;
 		this.decisions = decisions;
 	}
 
-	synchronized void configure(Configuration present) {
+	synchronized void configure(Configuration current) {
 		Configuration before = this.configuration;
-		this.configuration = present;
-		this.ledger.ifPresent((grantor) -> change(grantor, before, present));
+		this.configuration = current;
+		this.ledger.ifPresent((opened) -> applyLimits(opened, before, current));
 	}
 
 	/**
-	 * Takes note of the term under which this instance grants.
-	 * @param granting the term, or empty if it is not the grantor
+	 * Starts a new ledger if the term differs from the ledger's; otherwise has no effect.
+	 * @param granting the term in which this instance grants, or empty if it is not the
+	 * grantor at present
 	 */
 	synchronized void refresh(Optional<Term> granting) {
 		Optional<Term> next = granting.filter((present) -> this.ledger.isEmpty() || !present.equals(this.term));
 		next.ifPresent((present) -> {
 			this.ledger = Optional.empty();
 			this.term = present;
-			this.reservations.ifPresentOrElse(this::load, () -> begin(Optional.empty()));
+			this.reservations.ifPresentOrElse(this::load, () -> startLedger(Optional.empty()));
 		});
 	}
 
@@ -91,28 +94,30 @@
 			return;
 		}
 		this.loading = true;
-		Term wanted = this.term;
-		port.load().thenAccept((result) -> loaded(wanted, result.value().map((all) -> new SlotReserver(port, all))));
+		Term loadTerm = this.term;
+		port.load()
+			.thenAccept((result) -> handleLoaded(loadTerm, result.value().map((all) -> new SlotReserver(port, all))));
 	}
 
-	private synchronized void loaded(Term wanted, Optional<SlotReserver> fresh) {
+	private synchronized void handleLoaded(Term loadTerm, Optional<SlotReserver> loadedReserver) {
 		this.loading = false;
-		if (wanted.equals(this.term) && this.ledger.isEmpty() && fresh.isPresent()) {
-			begin(fresh);
+		if (loadTerm.equals(this.term) && this.ledger.isEmpty() && loadedReserver.isPresent()) {
+			startLedger(loadedReserver);
 		}
 	}
 
 	synchronized CompletionStage<Result<LeaseReply>> answer(LeaseCall call, Optional<Term> granting) {
 		refresh(granting);
 		if (granting.isEmpty() || this.ledger.isEmpty()) {
-			return failure(ErrorCode.UNAVAILABLE, "this instance is not the grantor, or not yet");
+			return failure(ErrorCode.UNAVAILABLE,
+					"this instance is not the grantor, or has not loaded the reservations yet");
 		}
 		try {
 			return grant(LeaseCodec.decode(call)).map(this::replyOnceReserved)
-				.orElseGet(() -> failure(ErrorCode.FENCED, "the request is outdated"));
+				.orElseGet(() -> failure(ErrorCode.FENCED, "the lease request is outdated"));
 		}
 		catch (IllegalArgumentException ex) {
-			return failure(ErrorCode.MALFORMED, "the request is malformed: " + ex.getMessage());
+			return failure(ErrorCode.MALFORMED, "the lease request is malformed: " + ex.getMessage());
 		}
 	}
 
@@ -128,40 +133,40 @@
 	private CompletionStage<Result<LeaseReply>> replyOnceReserved(LeaseGrant grant) {
 		CompletionStage<Boolean> durable = CompletableFuture.completedFuture(true);
 		for (AccountGrant share : grant.grants()) {
-			durable = durable.thenCombine(cover(share.account()), (left, right) -> left && right);
+			durable = durable.thenCombine(ensureReserved(share.account()), (left, right) -> left && right);
 		}
 		Result<LeaseReply> reply = Result.success(LeaseCodec.encode(grant));
 		Result<LeaseReply> refused = Result.failure(OperationError.local(ErrorCode.UNAVAILABLE, Step.ADMIT,
-				"the reservation of in-flight slots is not durable"));
+				"the reservation of in-flight slots could not be made durable"));
 		return durable.thenApply((done) -> done ? reply : refused);
 	}
 
-	private CompletionStage<Boolean> cover(AccountId account) {
+	private CompletionStage<Boolean> ensureReserved(AccountId account) {
 		long outstanding = this.ledger.orElseThrow().outstandingSlots(account, this.clock.nanoTime());
-		return this.reserver.map((known) -> known.cover(account, outstanding))
+		return this.reserver.map((current) -> current.cover(account, outstanding))
 			.orElseGet(() -> CompletableFuture.completedFuture(true));
 	}
 
-	private void begin(Optional<SlotReserver> fresh) {
-		this.reserver = fresh;
+	private void startLedger(Optional<SlotReserver> loadedReserver) {
+		this.reserver = loadedReserver;
 		LeaseLedger opened = LeaseLedger.create(this.term, LeaseTerms.DEFAULT, this.clock.nanoTime(), this.decisions,
 				new Invariants());
-		change(opened, Configuration.EMPTY, this.configuration);
+		applyLimits(opened, Configuration.EMPTY, this.configuration);
 		this.ledger = Optional.of(opened);
 	}
 
-	private void change(LeaseLedger target, Configuration before, Configuration after) {
+	private void applyLimits(LeaseLedger target, Configuration before, Configuration after) {
 		for (AccountDescriptor account : before.accounts()) {
 			if (after.account(account.id()).isEmpty()) {
-				set(target, account.id(), Optional.empty());
+				setLimit(target, account.id(), Optional.empty());
 			}
 		}
 		after.accounts()
-			.forEach((account) -> set(target, account.id(), Optional.of(this.part.apply(account.limits()))));
+			.forEach((account) -> setLimit(target, account.id(), Optional.of(this.limitPart.apply(account.limits()))));
 	}
 
-	private void set(LeaseLedger target, AccountId account, Optional<LimitPart> share) {
-		OptionalLong earlierSlots = this.reserver.map((known) -> OptionalLong.of(known.reserved(account)))
+	private void setLimit(LeaseLedger target, AccountId account, Optional<LimitPart> share) {
+		OptionalLong earlierSlots = this.reserver.map((current) -> OptionalLong.of(current.reserved(account)))
 			.orElseGet(OptionalLong::empty);
 		target.handle(new LimitsChanged(account, share, earlierSlots), this.clock.nanoTime());
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LoggedReservations.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LoggedReservations.java
@@ -11,7 +11,7 @@
 import org.comfreywall.control.state.SlotReservations;
 
 /**
- * Keeps reservations in the replicated log.
+ * Stores reservations of in-flight slots in the replicated log.
  */
 final class LoggedReservations implements ReservationPort {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/MemberTable.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/MemberTable.java
@@ -15,11 +15,11 @@
 import org.comfreywall.transport.generated.MemberInfo;
 
 /**
- * Knows the members from the heartbeats that reach this control instance.
+ * Tracks the live members from the heartbeats received by this control instance.
  */
 final class MemberTable {
 
-	private static final Duration SILENCE = Duration.ofSeconds(5);
+	private static final Duration HEARTBEAT_TIMEOUT = Duration.ofSeconds(5);
 
 	private static final int MAX_MEMBERS = 10_000;
 
@@ -58,13 +58,13 @@
 	}
 
 	private void expire() {
-		long bound = this.clock.nanoTime() - SILENCE.toNanos();
+		long oldestLive = this.clock.nanoTime() - HEARTBEAT_TIMEOUT.toNanos();
 		this.members.values().removeIf((member) -> {
-			boolean silent = member.heardAt < bound;
-			if (silent) {
+			boolean expired = member.lastHeartbeatAt < oldestLive;
+			if (expired) {
 				record(member.info, "silent");
 			}
-			return silent;
+			return expired;
 		});
 	}
 
@@ -75,9 +75,9 @@
 	}
 
 	/**
-	 * A member and when it was last heard.
+	 * A member and the monotonic time of its last heartbeat in nanoseconds.
 	 */
-	private record Member(MemberInfo info, long heardAt) {
+	private record Member(MemberInfo info, long lastHeartbeatAt) {
 
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/PublishedConfiguration.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/PublishedConfiguration.java
@@ -4,14 +4,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An accepted configuration in the form in which members receive it.
+ * The latest accepted configuration, serialized for heartbeat replies.
  *
- * @param revision its revision
+ * @param revision the revision of the configuration
  * @param toml the configuration as TOML
  */
 record PublishedConfiguration(Revision revision, String toml) {
 
-	/** No configuration was accepted yet. */
+	/** The state before the first configuration is accepted. */
 	static final PublishedConfiguration NONE = new PublishedConfiguration(Revision.ZERO, "");
 
 	PublishedConfiguration {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/PublishedPoison.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/PublishedPoison.java
@@ -12,7 +12,8 @@
 import org.comfreywall.control.state.ReplicatedPoison;
 
 /**
- * Publishes the verdicts of the replicated ledger to other threads after each change.
+ * Replicated ledger that makes its verdicts readable from other threads: publishes an
+ * immutable copy after each change.
  */
 final class PublishedPoison implements Ledger {
 
@@ -57,11 +58,11 @@
 	}
 
 	private void publish() {
-		Map<Fingerprint, PoisonVerdict> present = new HashMap<>();
+		Map<Fingerprint, PoisonVerdict> updated = new HashMap<>();
 		for (PoisonEntry entry : this.replicated.poison().snapshot().entries()) {
-			present.put(entry.fingerprint(), this.replicated.poison().assess(entry.fingerprint()));
+			updated.put(entry.fingerprint(), this.replicated.poison().assess(entry.fingerprint()));
 		}
-		this.verdicts = Map.copyOf(present);
+		this.verdicts = Map.copyOf(updated);
 	}
 
 }
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ReservationPort.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ReservationPort.java
@@ -7,20 +7,21 @@
 import org.comfreywall.common.result.Result;
 
 /**
- * Durable reservations of in-flight slots.
+ * Reads and writes durable reservations of in-flight slots.
  */
 interface ReservationPort {
 
 	/**
-	 * Reads all reservations, seeing every one made durable before the call.
+	 * Reads all reservations; linearizable, so it includes every reservation that was
+	 * durable before the call.
 	 * @return completes with the reservations by client account, or an error
 	 */
 	CompletionStage<Result<Map<AccountId, Long>>> load();
 
 	/**
-	 * Makes a reservation durable.
+	 * Sets the reservation of a client account.
 	 * @param account the client account
-	 * @param slots the slots that may be in use
+	 * @param slots the number of slots that may be in use
 	 * @return completes with whether it is durable; never exceptionally
 	 */
 	CompletionStage<Boolean> reserve(AccountId account, long slots);
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/SlotReserver.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/SlotReserver.java
@@ -9,7 +9,8 @@
 import org.comfreywall.control.lease.SlotReservation;
 
 /**
- * Keeps the durable reservations of one term in step with the slots that may be in use.
+ * Keeps the durable reservations of one term at or above the number of in-flight slots
+ * that may be in use.
  */
 final class SlotReserver {
 
@@ -31,22 +32,23 @@
 	}
 
 	/**
-	 * Makes sure that the reservation of a client account covers its slots.
+	 * Updates the reservation of a client account if the number of its slots requires it.
 	 * @param account the client account
-	 * @param outstanding the slots that may be in use
-	 * @return completes with whether the reservation is durable
+	 * @param outstanding the number of slots that may be in use
+	 * @return completes with whether the latest reservation is durable
 	 */
 	synchronized CompletionStage<Boolean> cover(AccountId account, long outstanding) {
-		long present = reserved(account);
-		long next = SlotReservation.next(present, outstanding);
-		if (next != present) {
+		long current = reserved(account);
+		long next = SlotReservation.next(current, outstanding);
+		if (next != current) {
 			this.reserved.put(account, next);
-			this.latest.put(account, this.port.reserve(account, next).thenApply((done) -> settle(account, done)));
+			this.latest.put(account,
+					this.port.reserve(account, next).thenApply((done) -> handleReserved(account, done)));
 		}
 		return this.latest.getOrDefault(account, DONE);
 	}
 
-	private synchronized boolean settle(AccountId account, boolean done) {
+	private synchronized boolean handleReserved(AccountId account, boolean done) {
 		if (!done) {
 			this.reserved.remove(account);
 		}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/package-info.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The control role: keeps the durable state and knows the members.
+ * The control role: replicates the durable state, grants limits and tracks the members.
  */
 package org.comfreywall.daemon.control;
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/control/LeaseGrantorTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/control/LeaseGrantorTests.java
@@ -33,7 +33,7 @@
 			new ManualClock(), DecisionListener.NONE);
 
 	@Test
-	void keepsItsLedgerWhenTheLeaseLapsesWithinATerm() {
+	void keepsLedgerWhenLeaderLeaseExpiresWithinTerm() {
 		this.grantor.refresh(Optional.of(Term.of(1)));
 		assertThat(answers(1, Optional.empty())).isFalse();
 		assertThat(answers(2, Optional.of(Term.of(1)))).isTrue();
@@ -41,7 +41,7 @@
 	}
 
 	@Test
-	void beginsAnewInANewTerm() {
+	void startsNewLedgerInNewTerm() {
 		this.grantor.refresh(Optional.of(Term.of(1)));
 		this.grantor.refresh(Optional.of(Term.of(2)));
 		assertThat(answers(1, Optional.of(Term.of(2)))).isTrue();
@@ -55,7 +55,7 @@
 	}
 
 	/**
-	 * Counts how often reservations are read.
+	 * Counts the calls that read the reservations.
 	 */
 	private static final class CountingPort implements ReservationPort {
 
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/control/SlotReserverTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/control/SlotReserverTests.java
@@ -19,23 +19,23 @@
 
 	private static final AccountId FARM = AccountId.of("farm");
 
-	private final List<Long> asked = new ArrayList<>();
+	private final List<Long> requested = new ArrayList<>();
 
 	private final List<CompletableFuture<Boolean>> answers = new ArrayList<>();
 
 	private final SlotReserver reserver = new SlotReserver(new ManualPort(), Map.of(FARM, 8L));
 
 	@Test
-	void asksForNothingWhileTheReservationFits() {
+	void requestsNoReservationWhileTheCurrentOneSuffices() {
 		assertThat(this.reserver.cover(FARM, 8).toCompletableFuture()).isCompletedWithValue(true);
-		assertThat(this.asked).isEmpty();
+		assertThat(this.requested).isEmpty();
 	}
 
 	@Test
-	void laterGrantWaitsForTheRaiseThatIsUnderWay() {
+	void laterGrantWaitsForPendingReservation() {
 		CompletableFuture<Boolean> first = this.reserver.cover(FARM, 9).toCompletableFuture();
 		CompletableFuture<Boolean> second = this.reserver.cover(FARM, 10).toCompletableFuture();
-		assertThat(this.asked).containsExactly(16L);
+		assertThat(this.requested).containsExactly(16L);
 		assertThat(second).isNotDone();
 		this.answers.get(0).complete(true);
 		assertThat(first).isCompletedWithValue(true);
@@ -43,16 +43,16 @@
 	}
 
 	@Test
-	void asksAgainAfterAFailedRaise() {
+	void requestsReservationAgainAfterFailure() {
 		CompletableFuture<Boolean> first = this.reserver.cover(FARM, 9).toCompletableFuture();
 		this.answers.get(0).complete(false);
 		assertThat(first).isCompletedWithValue(false);
 		this.reserver.cover(FARM, 9);
-		assertThat(this.asked).containsExactly(16L, 16L);
+		assertThat(this.requested).containsExactly(16L, 16L);
 	}
 
 	/**
-	 * Answers when told to.
+	 * Leaves the reservations pending until the test completes them.
 	 */
 	private final class ManualPort implements ReservationPort {
 
@@ -63,7 +63,7 @@
 
 		@Override
 		public CompletionStage<Boolean> reserve(AccountId account, long slots) {
-			SlotReserverTests.this.asked.add(slots);
+			SlotReserverTests.this.requested.add(slots);
 			CompletableFuture<Boolean> answer = new CompletableFuture<>();
 			SlotReserverTests.this.answers.add(answer);
 			return answer;
