Reword the membership of the daemon

Comments told what replies bring; they say why the first configuration needs a confirmed read. beat, take and put became sendHeartbeats, handleReply and replaceIfNewer. No behaviour changes.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/ConfigurationHolder.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/ConfigurationHolder.java
@@ -15,14 +15,14 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Holds the configuration in force at this process; it never goes back to an older
- * revision.
+ * Holds the configuration in force in this process. Its revision never decreases.
  */
 public final class ConfigurationHolder {
 
 	private static final EventLog LOG = EventLog.of(ConfigurationHolder.class);
 
-	private final AtomicReference<Held> held = new AtomicReference<>(new Held(Revision.ZERO, Optional.empty()));
+	private final AtomicReference<RevisedConfiguration> current = new AtomicReference<>(
+			new RevisedConfiguration(Revision.ZERO, Optional.empty()));
 
 	private final DecisionListener decisions;
 
@@ -39,20 +39,21 @@
 	 * @return the revision, zero if there is none
 	 */
 	public Revision revision() {
-		return this.held.get().revision();
+		return this.current.get().revision();
 	}
 
 	/**
 	 * Returns the configuration in force.
-	 * @return the configuration, or empty if none is known to be current
+	 * @return the configuration, or empty until a current one has been received
 	 */
 	public Optional<Configuration> configuration() {
-		return this.held.get().configuration();
+		return this.current.get().configuration();
 	}
 
 	/**
-	 * Takes a configuration unless the present one is as new.
-	 * @param revision its revision
+	 * Replaces the configuration if the revision is newer than the one in force. A
+	 * configuration that cannot be parsed is logged and ignored.
+	 * @param revision the revision of the configuration
 	 * @param toml the configuration as TOML
 	 */
 	public void offer(Revision revision, String toml) {
@@ -61,20 +62,21 @@
 		parsed.error()
 			.ifPresent((error) -> LOG.error("configuration-unreadable", Field.of("revision", revision),
 					Field.of("error", error.message())));
-		parsed.value().ifPresent((configuration) -> put(revision, configuration));
+		parsed.value().ifPresent((configuration) -> replaceIfNewer(revision, configuration));
 	}
 
 	/**
-	 * Takes note that a quorum has accepted no configuration yet.
+	 * Puts the empty configuration in force after a confirmed read found that none has
+	 * been accepted yet. Has no effect if a configuration is in force.
 	 */
 	public void offerEmpty() {
-		this.held.compareAndSet(new Held(Revision.ZERO, Optional.empty()),
-				new Held(Revision.ZERO, Optional.of(Configuration.EMPTY)));
+		this.current.compareAndSet(new RevisedConfiguration(Revision.ZERO, Optional.empty()),
+				new RevisedConfiguration(Revision.ZERO, Optional.of(Configuration.EMPTY)));
 	}
 
-	private void put(Revision revision, Configuration configuration) {
-		Held before = this.held.getAndUpdate((present) -> present.revision().isBefore(revision)
-				? new Held(revision, Optional.of(configuration)) : present);
+	private void replaceIfNewer(Revision revision, Configuration configuration) {
+		RevisedConfiguration before = this.current.getAndUpdate((present) -> present.revision().isBefore(revision)
+				? new RevisedConfiguration(revision, Optional.of(configuration)) : present);
 		if (before.revision().isBefore(revision)) {
 			LOG.info("configuration-in-force", Field.of("revision", revision));
 			this.decisions.onDecision(DecisionRecord.of(DecisionKind.CONFIGURE, "configuration", "revision " + revision,
@@ -83,9 +85,9 @@
 	}
 
 	/**
-	 * A revision and its configuration.
+	 * The configuration in force and its revision.
 	 */
-	private record Held(Revision revision, Optional<Configuration> configuration) {
+	private record RevisedConfiguration(Revision revision, Optional<Configuration> configuration) {
 
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/MemberListener.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/MemberListener.java
@@ -5,7 +5,7 @@
 import org.comfreywall.transport.generated.MemberInfo;
 
 /**
- * Receives the members that a control instance knows.
+ * Receives the live members as reported by a control instance.
  */
 @FunctionalInterface
 public interface MemberListener {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/MembershipClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/MembershipClient.java
@@ -17,17 +17,18 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * Sends heartbeats to every control instance and takes the configuration and the members
- * from their replies.
+ * Sends heartbeats to every control instance, and receives the configuration and the live
+ * members with the replies.
  * <p>
- * A process that has just started takes its first configuration from the leader with a
- * confirmed read, so that it never starts with a revision older than one it had before.
+ * After a start the first configuration comes from a confirmed read at the leader,
+ * because a reply of a lagging control instance could hold an older revision than the
+ * process used before it restarted.
  */
 public final class MembershipClient implements AutoCloseable {
 
-	private static final Duration INTERVAL = Duration.ofMillis(500);
+	private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
 
-	private static final Duration TIMEOUT = Duration.ofMillis(1500);
+	private static final Duration HEARTBEAT_TIMEOUT = Duration.ofMillis(1500);
 
 	private final ControlClient control;
 
@@ -47,9 +48,9 @@
 
 	/**
 	 * Creates a client.
-	 * @param control calls the control instances
-	 * @param holder takes the configuration
-	 * @param self describes this process
+	 * @param control the client of the control instances
+	 * @param holder receives the configurations
+	 * @param self the description of this process in heartbeats
 	 */
 	public MembershipClient(ControlClient control, ConfigurationHolder holder, MemberInfo self) {
 		this.control = Preconditions.notNull(control, "control");
@@ -59,16 +60,16 @@
 	}
 
 	/**
-	 * Starts sending heartbeats.
+	 * Starts the periodic heartbeats.
 	 */
 	public void start() {
-		this.worker.execute(this::beat);
-		this.worker.every(INTERVAL, this::beat);
+		this.worker.execute(this::sendHeartbeats);
+		this.worker.every(HEARTBEAT_INTERVAL, this::sendHeartbeats);
 	}
 
 	/**
 	 * Registers a listener.
-	 * @param listener receives the members; called on the client's worker
+	 * @param listener receives the members; called on the client's worker thread
 	 */
 	public void listen(MemberListener listener) {
 		this.listeners.add(Preconditions.notNull(listener, "listener"));
@@ -83,7 +84,7 @@
 	}
 
 	/**
-	 * Tells when the configuration is known to be current.
+	 * Returns a future for the first confirmed configuration.
 	 * @return completes after the first confirmed reply
 	 */
 	public CompletableFuture<Void> confirmed() {
@@ -91,11 +92,12 @@
 	}
 
 	/**
-	 * Tells the control instances that this process is leaving.
+	 * Reports to the control instances that this process is leaving, at once and with
+	 * every later heartbeat.
 	 */
 	public void leave() {
 		this.leaving = true;
-		this.worker.offer(this::beat);
+		this.worker.offer(this::sendHeartbeats);
 	}
 
 	@Override
@@ -103,26 +105,26 @@
 		this.worker.close();
 	}
 
-	private void beat() {
+	private void sendHeartbeats() {
 		HeartbeatRequest request = HeartbeatRequest.newBuilder()
 			.setMember(this.self.toBuilder().setLeaving(this.leaving).setRevision(this.holder.revision().value()))
 			.setRevision(this.holder.revision().value())
 			.build();
 		if (!this.confirmed.isDone()) {
 			HeartbeatRequest first = request.toBuilder().setConfirmed(true).build();
-			take(this.control.callLeader(ControlMethods.HEARTBEAT, first, TIMEOUT), true);
+			handleWhenReceived(this.control.callLeader(ControlMethods.HEARTBEAT, first, HEARTBEAT_TIMEOUT), true);
 		}
 		for (int i = 0; i < this.control.size(); i++) {
-			take(this.control.callOne(i, ControlMethods.HEARTBEAT, request, TIMEOUT), false);
+			handleWhenReceived(this.control.callOne(i, ControlMethods.HEARTBEAT, request, HEARTBEAT_TIMEOUT), false);
 		}
 	}
 
-	private void take(CompletionStage<Result<HeartbeatReply>> stage, boolean isConfirmed) {
-		stage.thenAccept(
-				(result) -> result.value().ifPresent((reply) -> this.worker.offer(() -> take(reply, isConfirmed))));
+	private void handleWhenReceived(CompletionStage<Result<HeartbeatReply>> stage, boolean isConfirmed) {
+		stage.thenAccept((result) -> result.value()
+			.ifPresent((reply) -> this.worker.offer(() -> handleReply(reply, isConfirmed))));
 	}
 
-	private void take(HeartbeatReply reply, boolean isConfirmed) {
+	private void handleReply(HeartbeatReply reply, boolean isConfirmed) {
 		boolean current = isConfirmed || this.confirmed.isDone();
 		if (current && !reply.getConfiguration().isEmpty()) {
 			this.holder.offer(Revision.of(reply.getRevision()), reply.getConfiguration().toStringUtf8());
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/package-info.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Heartbeats to the control instances, and what their replies bring.
+ * Membership of this process: heartbeats to the control instances, and the configuration
+ * and members received with the replies.
  */
 package org.comfreywall.daemon.member;
