Reword the admin interface and the TLS settings of the daemon

Comments restated names or left the effect open (the expected revision, a dry run). Errors name what a change requires. number, otherwise and respondLater became parseInt, fallback and respondWhenComplete. No behaviour changes.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminJson.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminJson.java
@@ -12,7 +12,7 @@
 import org.comfreywall.transport.generated.MemberInfo;
 
 /**
- * Converts what the admin interface shows to JSON.
+ * Builds the JSON bodies of admin responses.
  */
 final class AdminJson {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminParts.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminParts.java
@@ -16,18 +16,18 @@
 import org.comfreywall.transport.control.ControlClient;
 
 /**
- * What the admin interface works with.
+ * Dependencies of the admin interface.
  *
  * @param vertx runs the HTTP server
  * @param transport opens connections to sidecars
- * @param control calls the control instances
- * @param members knows the members
+ * @param control the client of the control instances
+ * @param members provides the live members
  * @param configuration the configuration in force
  * @param decisions the decision records of this process
- * @param registry counters and gauges
- * @param histograms histograms by label
- * @param status describes the roles of this process
- * @param notReady returns why the process is not ready, or empty if it is
+ * @param registry the counters and gauges
+ * @param histograms the histograms, each with a label
+ * @param status returns the status of the roles of this process
+ * @param notReady returns the reason why the process is not ready, or empty if it is
  */
 public record AdminParts(Vertx vertx, Transport transport, ControlClient control, MembershipClient members,
 		ConfigurationHolder configuration, DecisionHistory decisions, MetricRegistry registry,
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminResponse.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminResponse.java
@@ -4,10 +4,10 @@
 import org.comfreywall.common.result.OperationError;
 
 /**
- * An answer of the admin interface.
+ * A response of the admin interface.
  *
  * @param status the HTTP status
- * @param body the body
+ * @param body the JSON body
  */
 record AdminResponse(int status, JsonObject body) {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminServer.java
@@ -42,7 +42,7 @@
 
 	private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(2);
 
-	private static final int DEFAULT_HISTORY = 20;
+	private static final int DEFAULT_HISTORY_LIMIT = 20;
 
 	private final AdminParts parts;
 
@@ -54,9 +54,9 @@
 
 	/**
 	 * Starts the interface.
-	 * @param parts what it works with
+	 * @param parts the dependencies of the interface
 	 * @param listen the address to listen on
-	 * @param security how connections are secured; clients must prove their identity
+	 * @param security the TLS settings; with TLS, clients must present a certificate
 	 */
 	public AdminServer(AdminParts parts, HostPort listen, HttpSecurity security) {
 		this.parts = Preconditions.notNull(parts, "parts");
@@ -127,7 +127,7 @@
 	}
 
 	private void history(RoutingContext context) {
-		int limit = number(context.request().getParam("limit"), DEFAULT_HISTORY);
+		int limit = parseInt(context.request().getParam("limit"), DEFAULT_HISTORY_LIMIT);
 		respond(context, this.configurations.history(Revision.ZERO), (all) -> AdminJson.history(last(all, limit)));
 	}
 
@@ -142,9 +142,9 @@
 	}
 
 	private void progress(RoutingContext context) {
-		int revision = number(context.pathParam("revision"), -1);
+		int revision = parseInt(context.pathParam("revision"), -1);
 		if (revision < 0) {
-			respond(context, AdminResponse.of(invalid("the revision must be a number")));
+			respond(context, AdminResponse.of(invalid("the revision must be a non-negative integer")));
 			return;
 		}
 		List<MemberInfo> members = this.parts.members().members();
@@ -165,7 +165,7 @@
 			respond(context, AdminResponse.of(request.error().get()));
 			return;
 		}
-		respondLater(context, this.changes.submit(request.value().orElseThrow()));
+		respondWhenComplete(context, this.changes.submit(request.value().orElseThrow()));
 	}
 
 	private void drain(RoutingContext context) {
@@ -178,7 +178,7 @@
 		Optional<HostPort> address = member.flatMap((info) -> HostPort.parse(info.getAddress()));
 		if (address.isEmpty()) {
 			respond(context, AdminResponse.of(OperationError.local(ErrorCode.NOT_FOUND, Step.MEMBERSHIP,
-					"no live backend server is called " + name + "; see comfreywall status")));
+					"no live backend server is named " + name + "; see comfreywall status")));
 			return;
 		}
 		RpcClient client = new RpcClient(this.parts.transport(), address.get());
@@ -189,30 +189,30 @@
 			.thenApply((result) -> result.error()
 				.map(AdminResponse::of)
 				.orElseGet(() -> new AdminResponse(202, new JsonObject().put("backendServer", name))));
-		respondLater(context, answer.whenComplete((done, ex) -> client.close()));
+		respondWhenComplete(context, answer.whenComplete((done, ex) -> client.close()));
 	}
 
 	private static OperationError invalid(String message) {
 		return OperationError.local(ErrorCode.INVALID_INPUT, Step.ACCEPT, message);
 	}
 
-	private static int number(String text, int otherwise) {
+	private static int parseInt(String text, int fallback) {
 		try {
-			return (text != null) ? Integer.parseInt(text) : otherwise;
+			return (text != null) ? Integer.parseInt(text) : fallback;
 		}
 		catch (NumberFormatException ex) {
-			return otherwise;
+			return fallback;
 		}
 	}
 
 	private <T> void respond(RoutingContext context, CompletionStage<Result<T>> stage, Function<T, JsonObject> toJson) {
-		respondLater(context,
+		respondWhenComplete(context,
 				stage.thenApply((result) -> result.error()
 					.map(AdminResponse::of)
 					.orElseGet(() -> AdminResponse.ok(toJson.apply(result.value().orElseThrow())))));
 	}
 
-	private void respondLater(RoutingContext context, CompletionStage<AdminResponse> stage) {
+	private void respondWhenComplete(RoutingContext context, CompletionStage<AdminResponse> stage) {
 		stage.whenComplete((response, ex) -> {
 			AdminResponse known = (ex != null)
 					? AdminResponse.of(OperationError.local(ErrorCode.UNAVAILABLE, Step.SEND, String.valueOf(ex)))
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeEndpoint.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeEndpoint.java
@@ -20,7 +20,7 @@
 import org.comfreywall.control.state.Rollback;
 
 /**
- * Carries out operators' changes.
+ * Handles configuration changes submitted by operators.
  */
 final class ChangeEndpoint {
 
@@ -56,11 +56,11 @@
 		}
 		if (request.configuration().isEmpty()) {
 			return CompletableFuture.completedFuture(Result.failure(OperationError.local(ErrorCode.INVALID_INPUT,
-					Step.CONFIGURE, "give either 'configuration' or 'rollbackTo'")));
+					Step.CONFIGURE, "the change requires either 'configuration' or 'rollbackTo'")));
 		}
-		Result<Configuration> wanted = ConfigurationReader.parse("configuration", request.configuration().get());
+		Result<Configuration> submitted = ConfigurationReader.parse("configuration", request.configuration().get());
 		return this.configurations.present()
-			.thenApply((present) -> wanted.flatMap(
+			.thenApply((present) -> submitted.flatMap(
 					(after) -> present.map((before) -> ConfigurationDelta.between(before.configuration(), after))));
 	}
 
@@ -76,17 +76,17 @@
 						.put("dryRun", dryRun));
 		}
 		if (answer instanceof ChangeConflict conflict) {
-			return new AdminResponse(CONFLICT, new JsonObject().put("error", describe(conflict)));
+			return new AdminResponse(CONFLICT, new JsonObject().put("error", conflictJson(conflict)));
 		}
 		ChangeRefused refused = (ChangeRefused) answer;
 		OperationError error = OperationError.local(refused.code(), Step.CONFIGURE, refused.message());
 		return new AdminResponse(UNPROCESSABLE, AdminJson.error(error));
 	}
 
-	private static JsonObject describe(ChangeConflict conflict) {
+	private static JsonObject conflictJson(ChangeConflict conflict) {
 		JsonObject json = new JsonObject().put("code", ErrorCode.CONFLICT.name())
 			.put("step", Step.CONFIGURE.name())
-			.put("message", "the configuration has changed; it is at revision " + conflict.revision())
+			.put("message", "the configuration has changed; the current revision is " + conflict.revision())
 			.put("revision", conflict.revision().value());
 		conflict.winner()
 			.ifPresent((winner) -> json.put("winnerChangeId", winner.change().value())
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeRequest.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeRequest.java
@@ -16,15 +16,16 @@
 import org.comfreywall.control.state.ConfigurationChange;
 
 /**
- * An operator's change as sent to the admin interface.
+ * A configuration change as an operator submits it to the admin interface.
  *
  * @param id the change's identifier
- * @param expected the revision that the change expects
- * @param author who submits it
- * @param reason why
- * @param configuration the whole new configuration as TOML, unless the change rolls back
- * @param rollbackTo the revision to roll back to
- * @param dryRun whether only to say what would happen
+ * @param expected the revision that the change is based on; it conflicts if another is
+ * current
+ * @param author the operator who submits the change
+ * @param reason the reason for the change, kept in the history
+ * @param configuration the complete new configuration as TOML, or empty for a rollback
+ * @param rollbackTo the revision to restore, or empty for a new configuration
+ * @param dryRun whether to validate the change without applying it
  */
 record ChangeRequest(ChangeId id, Revision expected, String author, String reason, Optional<String> configuration,
 		OptionalLong rollbackTo, boolean dryRun) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/http/HttpSecurity.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/http/HttpSecurity.java
@@ -20,8 +20,8 @@
 import org.comfreywall.transport.TlsFiles;
 
 /**
- * Secures HTTP listeners with TLS where the settings ask for it, and follows changes of
- * the files.
+ * TLS configuration of HTTP listeners. Reloads the certificate, key and trust files when
+ * they change.
  */
 public final class HttpSecurity {
 
@@ -30,12 +30,12 @@
 
 	private static final EventLog LOG = EventLog.of(HttpSecurity.class);
 
-	private static final Duration CHECK_INTERVAL = Duration.ofSeconds(5);
+	private static final Duration RELOAD_CHECK_INTERVAL = Duration.ofSeconds(5);
 
 	private final Optional<TlsFiles> files;
 
 	/**
-	 * Creates the security of listeners.
+	 * Creates a TLS configuration.
 	 * @param files the PEM files, or empty to leave listeners unencrypted
 	 */
 	public HttpSecurity(Optional<TlsFiles> files) {
@@ -43,7 +43,7 @@
 	}
 
 	/**
-	 * Returns the scheme under which listeners are reached.
+	 * Returns the URL scheme of the listeners.
 	 * @return {@code http} or {@code https}
 	 */
 	public String scheme() {
@@ -51,10 +51,10 @@
 	}
 
 	/**
-	 * Opens a listener.
+	 * Creates a listener.
 	 * @param vertx runs the listener
-	 * @param options its address and limits
-	 * @param clients whether clients must prove their identity
+	 * @param options the address and limits of the listener
+	 * @param clients whether clients must present a certificate
 	 * @return the listener, not yet listening
 	 */
 	public HttpServer create(Vertx vertx, HttpServerOptions options, ClientAuth clients) {
@@ -69,7 +69,7 @@
 			.setTrustOptions(trust(pem));
 		HttpServer server = vertx.createHttpServer(options);
 		AtomicReference<List<FileTime>> loaded = new AtomicReference<>(modified(pem));
-		vertx.setPeriodic(CHECK_INTERVAL.toMillis(), (timer) -> reload(server, pem, clients, loaded));
+		vertx.setPeriodic(RELOAD_CHECK_INTERVAL.toMillis(), (timer) -> reload(server, pem, clients, loaded));
 		return server;
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/http/package-info.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/http/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Settings shared by the HTTP listeners.
+ * TLS for the HTTP listeners.
  */
 package org.comfreywall.daemon.http;
