Reword the commands and the fleet tests of the daemon

Comments and option texts spoke of founding, telling and stand-ins; they name bootstrap, termination signals and fake backend servers now. Constants say what they bound. The fleet tests name the failure in plain sentences, and their await reports a timeout. No check changes.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
@@ -61,7 +61,7 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * A process with the roles that its settings name.
+ * A daemon process with the roles that are enabled in its settings.
  * <p>
  * Roles start in the order control, sidecar, entry and admin, and stop in the reverse
  * order after the sidecar and the entry have finished their requests.
@@ -72,9 +72,9 @@
 
 	private static final int TRANSPORT_THREADS = 2;
 
-	private static final int DECISIONS = 20_000;
+	private static final int DECISION_HISTORY_CAPACITY = 20_000;
 
-	private static final int WORKER_RING = 4096;
+	private static final int CONTROL_CLIENT_QUEUE_CAPACITY = 4096;
 
 	private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(60);
 
@@ -82,7 +82,7 @@
 
 	private final InstanceSettings settings;
 
-	private final DecisionHistory decisions = new DecisionHistory(DECISIONS);
+	private final DecisionHistory decisions = new DecisionHistory(DECISION_HISTORY_CAPACITY);
 
 	private final MetricRegistry registry = new MetricRegistry();
 
@@ -116,7 +116,7 @@
 		Incarnation incarnation = Incarnation.of(System.currentTimeMillis());
 		this.transport = this.closer.register(new Transport(new PeerIdentity(settings.name(), incarnation),
 				ConnectionTimes.DEFAULT, security, TRANSPORT_THREADS));
-		SerialWorker worker = this.closer.register(new SerialWorker("control-client", WORKER_RING));
+		SerialWorker worker = this.closer.register(new SerialWorker("control-client", CONTROL_CLIENT_QUEUE_CAPACITY));
 		storage.ifPresent((opened) -> startControl(settings.control().orElseThrow(), opened));
 		this.control = this.closer.register(new ControlClient(this.transport, controlAddresses(settings), worker));
 		settings.sidecar().ifPresent(this::startSidecar);
@@ -130,12 +130,13 @@
 	/**
 	 * Starts the roles.
 	 * @param settings the settings
-	 * @param founding whether an empty data folder founds the replicated log
-	 * @return the running daemon, or why the data folder cannot be used
+	 * @param bootstrap whether an empty data folder bootstraps the replicated log;
+	 * otherwise the instance joins an existing log
+	 * @return the running daemon, or the error that prevented its start
 	 */
-	public static Result<Daemon> start(InstanceSettings settings, boolean founding) {
+	public static Result<Daemon> start(InstanceSettings settings, boolean bootstrap) {
 		Preconditions.notNull(settings, "settings");
-		return security(settings).flatMap((security) -> start(settings, security, founding));
+		return security(settings).flatMap((security) -> start(settings, security, bootstrap));
 	}
 
 	private static Result<TransportSecurity> security(InstanceSettings settings) {
@@ -147,13 +148,13 @@
 		return settings.tls().map((tls) -> new TlsFiles(tls.certificate(), tls.key(), tls.trust()));
 	}
 
-	private static Result<Daemon> start(InstanceSettings settings, TransportSecurity security, boolean founding) {
+	private static Result<Daemon> start(InstanceSettings settings, TransportSecurity security, boolean bootstrap) {
 		if (settings.control().isEmpty()) {
 			return Result.success(new Daemon(settings, security, Optional.empty()));
 		}
 		ControlSettings control = settings.control().get();
-		List<InstanceId> founders = control.peers().stream().map(PeerSettings::name).sorted().toList();
-		FolderOrigin origin = founding ? FolderOrigin.founding(settings.name(), founders)
+		List<InstanceId> initialVoters = control.peers().stream().map(PeerSettings::name).sorted().toList();
+		FolderOrigin origin = bootstrap ? FolderOrigin.founding(settings.name(), initialVoters)
 				: FolderOrigin.joining(settings.name(), new SecureRandom());
 		return DiskStorage.open(control.dataFolder(), origin, DiskStorage.DEFAULT_SEGMENT_BYTES)
 			.flatMap((storage) -> start(settings, security, storage));
@@ -171,7 +172,8 @@
 	}
 
 	/**
-	 * Finishes all requests and stops; a second call has no effect.
+	 * Shuts down gracefully: leaves the membership, drains the sidecar and the entry,
+	 * each for at most a minute, and closes all roles. A second call has no effect.
 	 */
 	public void stop() {
 		LOG.info("stopping", Field.of("instance", this.settings.name()));
@@ -194,7 +196,7 @@
 
 	/**
 	 * Returns the addresses of the running roles.
-	 * @return key=value pairs
+	 * @return key=value pairs, separated by spaces
 	 */
 	public String describe() {
 		StringBuilder text = new StringBuilder("instance=" + this.settings.name());
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunCommand.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunCommand.java
@@ -11,7 +11,7 @@
 import org.comfreywall.common.settings.SettingsReader;
 
 /**
- * Runs the daemon from the command line.
+ * The run command: runs the daemon.
  */
 public final class RunCommand {
 
@@ -21,7 +21,8 @@
 	}
 
 	/**
-	 * Runs the daemon until the process is told to stop, then stops it gracefully.
+	 * Runs the daemon until the process receives a termination signal, then shuts it down
+	 * gracefully.
 	 * @param options the options given on the command line
 	 * @return the exit code
 	 * @throws Exception if the daemon cannot start
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunOptions.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunOptions.java
@@ -6,15 +6,15 @@
 /**
  * Options of the run command.
  */
-@Parameters(commandDescription = "Runs the roles that the settings name until the process is stopped")
+@Parameters(commandDescription = "Runs the roles enabled in the settings until the process is stopped")
 public final class RunOptions {
 
 	@Parameter(names = "--settings", description = "The settings file", required = true)
 	private String settings;
 
 	@Parameter(names = "--found",
-			description = "Let an empty data folder found the replicated log together with all peers; "
-					+ "use it once, when the fleet is set up")
+			description = "Bootstrap the replicated log from an empty data folder, together with all peers; "
+					+ "use it only once, when the fleet is first set up")
 	private boolean found;
 
 	@Parameter(names = { "--help", "-h" }, help = true, description = "Print this help")
@@ -29,7 +29,7 @@
 	}
 
 	/**
-	 * Tells whether help was asked for.
+	 * Returns whether help was requested.
 	 * @return {@code true} with {@code --help}
 	 */
 	public boolean help() {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/SidecarDiscovery.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/SidecarDiscovery.java
@@ -17,7 +17,8 @@
 import org.comfreywall.transport.generated.MemberInfo;
 
 /**
- * Tells the entry about sidecars among the members, each address once.
+ * Adds the sidecars among the live members to the entry. A sidecar is added again only if
+ * its address, service or failure domain changes.
  */
 final class SidecarDiscovery implements MemberListener {
 
@@ -35,10 +36,10 @@
 	public void onMembers(List<MemberInfo> members) {
 		members.stream()
 			.filter((member) -> !member.getBackendServer().isBlank() && !member.getLeaving())
-			.forEach(this::discover);
+			.forEach(this::addSidecar);
 	}
 
-	private void discover(MemberInfo member) {
+	private void addSidecar(MemberInfo member) {
 		Optional<HostPort> address = HostPort.parse(member.getAddress());
 		if (address.isEmpty() || member.getService().isBlank() || member.getFailureDomain().isBlank()) {
 			LOG.warn("member-malformed", Field.of("member", member.getInstance()));
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/package-info.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/package-info.java
@@ -1,4 +1,4 @@
 /**
- * A process with the roles that its settings name.
+ * The run command and the daemon process that it starts.
  */
 package org.comfreywall.daemon.run;
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInCommand.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInCommand.java
@@ -6,7 +6,7 @@
 import io.vertx.core.Vertx;
 
 /**
- * Runs a stand-in backend server from the command line.
+ * The stand-in command: runs a fake backend server.
  */
 public final class StandInCommand {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInOptions.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInOptions.java
@@ -6,10 +6,10 @@
 /**
  * Options of the stand-in command.
  */
-@Parameters(commandDescription = "Runs a stand-in backend server for trying a fleet")
+@Parameters(commandDescription = "Runs a fake backend server for trying out a fleet")
 public final class StandInOptions {
 
-	@Parameter(names = "--port", description = "The loopback port to listen on; 0 takes a free one")
+	@Parameter(names = "--port", description = "The loopback port to listen on; 0 selects a free port")
 	private int port;
 
 	@Parameter(names = "--token-interval-ms", description = "The time between tokens in milliseconds")
@@ -27,7 +27,7 @@
 	}
 
 	/**
-	 * Tells whether help was asked for.
+	 * Returns whether help was requested.
 	 * @return {@code true} with {@code --help}
 	 */
 	public boolean help() {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInServer.java
@@ -18,10 +18,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A small backend server that streams chat completions and takes bookings.
+ * Fake backend server for tests and trials.
  * <p>
- * A chat completion streams {@code max_tokens} words at a fixed interval. A booking
- * counts how often it ran for each idempotency key.
+ * A chat completion streams {@code max_tokens} words at a fixed interval. Any other path
+ * is a booking; the server counts the bookings of each idempotency key, so that a test
+ * can detect a request that ran twice.
  */
 public final class StandInServer implements AutoCloseable {
 
@@ -37,12 +38,12 @@
 
 	private final AtomicLong running = new AtomicLong();
 
-	private volatile boolean held;
+	private volatile boolean paused;
 
 	/**
 	 * Starts the server on loopback.
 	 * @param vertx runs the server
-	 * @param port the port to listen on; 0 takes a free one
+	 * @param port the port to listen on; 0 selects a free port
 	 * @param tokenInterval the time between tokens, at least 1 ms
 	 */
 	public StandInServer(Vertx vertx, int port, Duration tokenInterval) {
@@ -60,7 +61,7 @@
 	}
 
 	/**
-	 * Returns how often a booking ran.
+	 * Returns the number of times that a booking ran.
 	 * @param key the booking's idempotency key
 	 * @return the count
 	 */
@@ -70,7 +71,7 @@
 	}
 
 	/**
-	 * Returns the number of chat completions that stream at present.
+	 * Returns the number of chat completions being streamed.
 	 * @return the count
 	 */
 	public long running() {
@@ -78,18 +79,18 @@
 	}
 
 	/**
-	 * Keeps chat completions from going on after their first word, until released. Tests
-	 * use it to have streams run at the same time however late each began.
+	 * Pauses chat completions after their first word until {@link #release()}. Tests use
+	 * it to make streams overlap even if some of them start late.
 	 */
 	public void hold() {
-		this.held = true;
+		this.paused = true;
 	}
 
 	/**
-	 * Lets held chat completions go on.
+	 * Resumes paused chat completions.
 	 */
 	public void release() {
-		this.held = false;
+		this.paused = false;
 	}
 
 	@Override
@@ -120,7 +121,7 @@
 				this.running.decrementAndGet();
 				return;
 			}
-			boolean waits = this.held && sent.get() > 0;
+			boolean waits = this.paused && sent.get() > 0;
 			if (waits || response.writeQueueFull()) {
 				return;
 			}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/package-info.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Small stand-in backend servers for the trial and for tests.
+ * A fake backend server for the trial and for tests.
  */
 package org.comfreywall.daemon.standin;
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
@@ -41,7 +41,8 @@
 import org.comfreywall.transport.TransportSecurity;
 
 /**
- * All roles and stand-in backend servers in one process on loopback.
+ * Runs an entry, sidecars and fake backend servers in one process on loopback. Claims and
+ * suspects are kept in memory instead of by control instances.
  */
 public final class Trial implements AutoCloseable {
 
@@ -56,15 +57,15 @@
 
 	private static final FailureDomainId DOMAIN = FailureDomainId.of("trial");
 
-	private static final int DECISIONS = 10_000;
+	private static final int DECISION_HISTORY_CAPACITY = 10_000;
 
-	private static final int SERVERS = 2;
+	private static final int SERVERS_PER_SERVICE = 2;
 
 	private static final long REQUESTS_PER_SECOND = 1000;
 
 	private static final long TOKENS_PER_SECOND = 100_000;
 
-	private static final long IN_FLIGHT = 1000;
+	private static final long MAX_IN_FLIGHT = 1000;
 
 	private static final HostPort LOOPBACK = new HostPort("127.0.0.1", 0);
 
@@ -72,7 +73,7 @@
 
 	private final Vertx vertx = Vertx.vertx();
 
-	private final DecisionHistory decisions = new DecisionHistory(DECISIONS);
+	private final DecisionHistory decisions = new DecisionHistory(DECISION_HISTORY_CAPACITY);
 
 	private final LocalControl control;
 
@@ -81,8 +82,9 @@
 	private URI modelServer;
 
 	/**
-	 * Starts everything.
-	 * @param tokenInterval the time between a stand-in server's tokens
+	 * Starts the entry, the sidecars and the backend servers.
+	 * @param tokenInterval the time between the tokens of a chat completion, at least 1
+	 * ms
 	 */
 	public Trial(Duration tokenInterval) {
 		this.closer.register(() -> this.vertx.close().await(5, TimeUnit.SECONDS));
@@ -91,14 +93,14 @@
 		EntryParts parts = new EntryParts(this.vertx, transport("entry-1"), DOMAIN, () -> configuration, this.control,
 				new RequestMetrics(new MetricRegistry()), Clock.system(), RandomGenerator.getDefault(), this.decisions);
 		this.entry = this.closer.register(new EntryNode(parts, LOOPBACK, HttpSecurity.PLAIN));
-		for (int i = 1; i <= SERVERS; i++) {
+		for (int i = 1; i <= SERVERS_PER_SERVICE; i++) {
 			startServer("model-" + i, MODEL, tokenInterval);
 			startServer("booking-" + i, BOOKING, tokenInterval);
 		}
 	}
 
 	/**
-	 * Returns the address for callers.
+	 * Returns the address on which callers connect.
 	 * @return the base address
 	 */
 	public URI entry() {
@@ -106,7 +108,7 @@
 	}
 
 	/**
-	 * Returns the address of one stand-in backend server that streams chat completions.
+	 * Returns the address of one backend server of the model, bypassing the entry.
 	 * @return the base address
 	 */
 	public URI backend() {
@@ -147,7 +149,7 @@
 				List.of("GET /booking"), true);
 		AccountDescriptor account = new AccountDescriptor(AccountId.of("trial"),
 				List.of(Bytes.ofText(API_KEY).sha256()),
-				new AccountLimits(REQUESTS_PER_SECOND, TOKENS_PER_SECOND, IN_FLIGHT), PriorityClass.INTERACTIVE,
+				new AccountLimits(REQUESTS_PER_SECOND, TOKENS_PER_SECOND, MAX_IN_FLIGHT), PriorityClass.INTERACTIVE,
 				List.of(MODEL, BOOKING));
 		return new Configuration(List.of(domain), List.of(model, booking), List.of(account), List.of());
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/TrialCheck.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/TrialCheck.java
@@ -9,7 +9,8 @@
 import java.util.UUID;
 
 /**
- * Sends a streamed chat and a repeated booking through the trial.
+ * Checks a running trial: a streamed chat completion must be complete, and a booking sent
+ * twice with one idempotency key must run once.
  */
 final class TrialCheck {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/TrialCommand.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/TrialCommand.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * Runs the trial from the command line.
+ * The trial command.
  */
 public final class TrialCommand {
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/TrialOptions.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/TrialOptions.java
@@ -6,7 +6,7 @@
 /**
  * Options of the trial command.
  */
-@Parameters(commandDescription = "Runs all roles and stand-in backend servers in one process on loopback")
+@Parameters(commandDescription = "Runs an entry, sidecars and fake backend servers in one process on loopback")
 public final class TrialOptions {
 
 	@Parameter(names = "--check", description = "Send one chat and one booking, print their outcomes and exit")
@@ -16,7 +16,7 @@
 	private boolean help;
 
 	/**
-	 * Tells whether the trial checks itself and ends.
+	 * Returns whether to check the trial and exit.
 	 * @return {@code true} with {@code --check}
 	 */
 	public boolean check() {
@@ -24,7 +24,7 @@
 	}
 
 	/**
-	 * Tells whether help was asked for.
+	 * Returns whether help was requested.
 	 * @return {@code true} with {@code --help}
 	 */
 	public boolean help() {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/package-info.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/package-info.java
@@ -1,4 +1,4 @@
 /**
- * All roles and stand-in backend servers in one process.
+ * The trial command: entry, sidecars and fake backend servers in one process.
  */
 package org.comfreywall.daemon.trial;
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/LayeringTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/LayeringTests.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Tests that dependencies between modules point downwards only.
+ * Tests the layering of the modules: each layer depends only on lower layers.
  */
 class LayeringTests {
 
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/Fleet.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/Fleet.java
@@ -26,19 +26,22 @@
 import org.comfreywall.daemon.standin.StandInServer;
 
 /**
- * Three control instances, two entries and sidecars with stand-in backend servers, each a
- * process on loopback.
+ * A fleet on loopback: three control instances, two entries and three sidecars, each a
+ * process of its own. The backend servers are fakes in the test's process.
  */
 final class Fleet implements AutoCloseable {
 
 	private static final int CONTROLS = 3;
 
-	/** Below the range from which connections take their ports. */
+	/**
+	 * Listeners use ports below the ephemeral range, so that no outgoing connection
+	 * occupies one before its process listens.
+	 */
 	private static final int LOWEST_PORT = 12_000;
 
 	private static final int HIGHEST_PORT = 30_000;
 
-	private static final Duration PATIENCE = Duration.ofSeconds(60);
+	private static final Duration TIMEOUT = Duration.ofSeconds(60);
 
 	private final Closer closer = new Closer();
 
@@ -91,7 +94,7 @@
 			process.awaitReady();
 		}
 		await("a leader", () -> leader() != null);
-		configure();
+		applyConfiguration();
 	}
 
 	FleetProcess process(String name) {
@@ -180,7 +183,7 @@
 
 	HttpRequest post(String entry, String path, String key, String body) {
 		return HttpRequest.newBuilder(entry(entry).resolve(path))
-			.timeout(PATIENCE)
+			.timeout(TIMEOUT)
 			.header("Authorization", "Bearer fleet-key")
 			.header("Idempotency-Key", key)
 			.POST(HttpRequest.BodyPublishers.ofString(body))
@@ -200,10 +203,10 @@
 	}
 
 	static void await(Supplier<String> what, BooleanSupplier condition) throws InterruptedException {
-		long deadline = System.nanoTime() + PATIENCE.toNanos();
+		long deadline = System.nanoTime() + TIMEOUT.toNanos();
 		while (!condition.getAsBoolean()) {
 			if (System.nanoTime() > deadline) {
-				throw new IllegalStateException("waited in vain for " + what.get());
+				throw new IllegalStateException("timed out waiting for " + what.get());
 			}
 			Thread.sleep(50);
 		}
@@ -245,16 +248,16 @@
 		this.closer.close();
 	}
 
-	private void configure() throws Exception {
+	private void applyConfiguration() throws Exception {
 		HttpResponse<String> accepted = change("control-1", 0, UUID.randomUUID().toString(), configuration(500));
 		if (accepted.statusCode() != 200) {
-			throw new IllegalStateException("configuration refused: " + accepted.body());
+			throw new IllegalStateException("configuration change failed: " + accepted.body());
 		}
 		await("the configuration at all entries", () -> revision("entry-1") >= 1 && revision("entry-2") >= 1);
-		await("bookings at both entries", () -> books("entry-1") && books("entry-2"));
+		await("successful bookings through both entries", () -> servesBooking("entry-1") && servesBooking("entry-2"));
 	}
 
-	private boolean books(String entry) {
+	private boolean servesBooking(String entry) {
 		try {
 			HttpRequest request = HttpRequest.newBuilder(entry(entry).resolve("/booking/schedule"))
 				.header("Authorization", "Bearer fleet-key")
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/FleetProcess.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/FleetProcess.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One daemon process started by a test.
+ * A daemon process started by a test.
  */
 final class FleetProcess implements AutoCloseable {
 
@@ -31,8 +31,8 @@
 	}
 
 	/**
-	 * Waits until the process has printed that it is ready.
-	 * @return the line that it printed
+	 * Waits for the ready line on the standard output of the process.
+	 * @return the line
 	 */
 	String awaitReady() throws IOException {
 		BufferedReader output = this.process.inputReader();
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/FleetTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/FleetTests.java
@@ -21,7 +21,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests joined failures on daemon processes.
+ * Tests failures, planned stops and drains on a fleet of daemon processes under load. The
+ * tests share one fleet and run in a fixed order.
  */
 @TestMethodOrder(MethodOrderer.OrderAnnotation.class)
 class FleetTests {
@@ -49,10 +50,10 @@
 	@Order(6)
 	void bookingsRunAtMostOnceWhenTheLeaderIsKilled() throws Exception {
 		String leader = fleet.leader();
-		Map<String, CompletableFuture<HttpResponse<String>>> first = book("leader");
+		Map<String, CompletableFuture<HttpResponse<String>>> first = sendBookings("leader");
 		fleet.process(leader).kill();
-		Map<String, HttpResponse<String>> answers = settle(first);
-		answers.forEach(FleetTests::assertTrue);
+		Map<String, HttpResponse<String>> answers = awaitAll(first);
+		answers.forEach(FleetTests::assertOutcomeMatchesRuns);
 		for (String key : answers.keySet()) {
 			AtomicReference<String> last = new AtomicReference<>("");
 			Fleet.await(() -> "the outcome of " + key + ", last " + last, () -> {
@@ -67,25 +68,25 @@
 
 	@Test
 	@Order(5)
-	void changeIsNotLostWhenAFrozenLeaderComesBack() throws Exception {
+	void changeIsNotLostWhenPausedLeaderResumes() throws Exception {
 		Fleet.await("a leader", () -> fleet.leader() != null);
-		String frozen = fleet.leader();
-		long before = fleet.revision(frozen);
-		fleet.process(frozen).signal("STOP");
-		String other = frozen.equals("control-1") ? "control-2" : "control-1";
-		Fleet.await("another leader", () -> fleet.leader() != null && !fleet.leader().equals(frozen));
+		String paused = fleet.leader();
+		long before = fleet.revision(paused);
+		fleet.process(paused).signal("STOP");
+		String other = paused.equals("control-1") ? "control-2" : "control-1";
+		Fleet.await("another leader", () -> fleet.leader() != null && !fleet.leader().equals(paused));
 		HttpResponse<String> accepted = fleet.change(other, before, "after-freeze", Fleet.configuration(400));
 		assertThat(accepted.statusCode()).as(accepted.body()).isEqualTo(200);
-		fleet.process(frozen).signal("CONT");
-		Fleet.await("the change at the frozen instance", () -> fleet.revision(frozen) == before + 1);
-		HttpResponse<String> late = fleet.change(frozen, before, "late", Fleet.configuration(300));
+		fleet.process(paused).signal("CONT");
+		Fleet.await("the change at the paused instance", () -> fleet.revision(paused) == before + 1);
+		HttpResponse<String> late = fleet.change(paused, before, "late", Fleet.configuration(300));
 		assertThat(late.statusCode()).as(late.body()).isEqualTo(409);
 		assertThat(late.body()).contains("after-freeze");
 	}
 
 	@Test
 	@Order(1)
-	void plannedStopOfASidecarInterruptsNoStream() throws Exception {
+	void gracefulSidecarShutdownInterruptsNoStream() throws Exception {
 		List<CompletableFuture<HttpResponse<String>>> streams = runningChats(60);
 		assertThat(fleet.process("chat-1").terminate()).isTrue();
 		for (CompletableFuture<HttpResponse<String>> stream : streams) {
@@ -98,7 +99,7 @@
 
 	@Test
 	@Order(2)
-	void plannedStopOfAnEntryInterruptsNoStream() throws Exception {
+	void gracefulEntryShutdownInterruptsNoStream() throws Exception {
 		List<CompletableFuture<HttpResponse<String>>> streams = runningChats(60);
 		assertThat(fleet.process("entry-2").terminate()).isTrue();
 		for (CompletableFuture<HttpResponse<String>> stream : streams) {
@@ -111,14 +112,14 @@
 
 	@Test
 	@Order(3)
-	void streamsEndTruthfullyWhenASidecarIsKilled() throws Exception {
+	void streamsCompleteOrReportErrorWhenSidecarIsKilled() throws Exception {
 		List<CompletableFuture<HttpResponse<String>>> streams = runningChats(100);
 		fleet.process("chat-2").kill();
 		for (CompletableFuture<HttpResponse<String>> stream : streams) {
 			String body = stream.get().body();
 			boolean whole = body.endsWith("data: [DONE]\n\n");
-			boolean told = body.contains("event: error") || body.contains("\"outcome\"");
-			assertThat(whole ^ told).as(body).isTrue();
+			boolean reported = body.contains("event: error") || body.contains("\"outcome\"");
+			assertThat(whole ^ reported).as(body).isTrue();
 		}
 		fleet.restart("chat-2");
 	}
@@ -126,7 +127,7 @@
 	@Test
 	@Order(4)
 	void bookingsRunAtMostOnceWhenSidecarAndEntryAreKilled() throws Exception {
-		Map<String, CompletableFuture<HttpResponse<String>>> first = book("joined");
+		Map<String, CompletableFuture<HttpResponse<String>>> first = sendBookings("joined");
 		fleet.process("booking-1").kill();
 		fleet.process("entry-2").kill();
 		fleet.restart("booking-1");
@@ -134,7 +135,7 @@
 		for (Map.Entry<String, CompletableFuture<HttpResponse<String>>> booking : first.entrySet()) {
 			HttpResponse<String> answer = booking.getValue().exceptionally((ex) -> null).get();
 			if (answer != null) {
-				assertTrue(booking.getKey(), answer);
+				assertOutcomeMatchesRuns(booking.getKey(), answer);
 			}
 		}
 		first.keySet()
@@ -145,7 +146,7 @@
 
 	@Test
 	@Order(7)
-	void drainedBackendServerGetsNoNewWork() throws Exception {
+	void drainedBackendServerReceivesNoNewRequests() throws Exception {
 		Fleet.await("a member to drain", () -> fleet.drain("chat-1") == 202);
 		Fleet.await("the drain at the entry", () -> fleet.status("entry-1").encode().contains("leaving"));
 		List<CompletableFuture<HttpResponse<String>>> streams = runningChats(20);
@@ -164,7 +165,7 @@
 		}
 	}
 
-	private static Map<String, CompletableFuture<HttpResponse<String>>> book(String prefix) {
+	private static Map<String, CompletableFuture<HttpResponse<String>>> sendBookings(String prefix) {
 		Map<String, CompletableFuture<HttpResponse<String>>> sent = new TreeMap<>();
 		for (int i = 0; i < BOOKINGS; i++) {
 			String key = prefix + "-" + i;
@@ -178,13 +179,14 @@
 			.sendAsync(fleet.post(entry, "/booking/pickups", key, "{}"), HttpResponse.BodyHandlers.ofString());
 	}
 
-	private static Map<String, HttpResponse<String>> settle(Map<String, CompletableFuture<HttpResponse<String>>> sent) {
+	private static Map<String, HttpResponse<String>> awaitAll(
+			Map<String, CompletableFuture<HttpResponse<String>>> sent) {
 		Map<String, HttpResponse<String>> answers = new TreeMap<>();
 		sent.forEach((key, answer) -> answers.put(key, answer.join()));
 		return answers;
 	}
 
-	private static void assertTrue(String key, HttpResponse<String> answer) {
+	private static void assertOutcomeMatchesRuns(String key, HttpResponse<String> answer) {
 		String outcome = answer.headers()
 			.firstValue("Comfreywall-Outcome")
 			.orElse((answer.statusCode() == 200) ? "COMPLETED" : "UNKNOWN");
@@ -198,9 +200,9 @@
 	}
 
 	/**
-	 * Starts chat completions and returns once all of them run. They are held until then:
-	 * an entry's first request takes seconds on a busy machine, in which the others would
-	 * end.
+	 * Starts chat completions and returns once all of them run. The backend servers pause
+	 * them until then: an entry's first request can take seconds on a busy machine, in
+	 * which the other streams would end.
 	 */
 	private static List<CompletableFuture<HttpResponse<String>>> runningChats(int tokens) throws InterruptedException {
 		fleet.holdStreams();
@@ -218,21 +220,21 @@
 		List<CompletableFuture<HttpResponse<String>>> streams = new ArrayList<>();
 		for (int i = 0; i < CHATS; i++) {
 			String body = "{\"model\":\"chat\",\"stream\":true,\"max_tokens\":" + tokens + ",\"user\":\"" + i + "\"}";
-			streams.add(admitted((i % 2 == 0) ? "entry-1" : "entry-2", "chat-" + i, body));
+			streams.add(sendUntilAdmitted((i % 2 == 0) ? "entry-1" : "entry-2", "chat-" + i, body));
 		}
 		return streams;
 	}
 
-	private static CompletableFuture<HttpResponse<String>> admitted(String entry, String key, String body) {
+	private static CompletableFuture<HttpResponse<String>> sendUntilAdmitted(String entry, String key, String body) {
 		return fleet.client()
 			.sendAsync(fleet.post(entry, "/v1/chat/completions", key, body), HttpResponse.BodyHandlers.ofString())
 			.thenCompose((answer) -> (answer.statusCode() != 429) ? CompletableFuture.completedFuture(answer)
-					: resend(entry, key, body));
+					: resendAfterDelay(entry, key, body));
 	}
 
-	private static CompletableFuture<HttpResponse<String>> resend(String entry, String key, String body) {
+	private static CompletableFuture<HttpResponse<String>> resendAfterDelay(String entry, String key, String body) {
 		return CompletableFuture.supplyAsync(() -> body, CompletableFuture.delayedExecutor(100, TimeUnit.MILLISECONDS))
-			.thenCompose((same) -> admitted(entry, key, same));
+			.thenCompose((same) -> sendUntilAdmitted(entry, key, same));
 	}
 
 }
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/trial/TrialTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/trial/TrialTests.java
@@ -37,7 +37,7 @@
 	}
 
 	@Test
-	void refusesUnknownKeyAsNotRun() throws Exception {
+	void refusesUnknownApiKeyAsNotRun() throws Exception {
 		HttpResponse<String> answer = post("/booking/pickups", "wrong", "k1");
 		assertThat(answer.statusCode()).isEqualTo(401);
 		assertThat(answer.headers().firstValue("Comfreywall-Outcome")).contains("NOT_RUN");
@@ -52,7 +52,7 @@
 	}
 
 	@Test
-	void refusesKeyUsedBeforeWithAnotherBody() throws Exception {
+	void refusesIdempotencyKeyReusedWithAnotherBody() throws Exception {
 		assertThat(post("/booking/pickups", Trial.API_KEY, "k2").statusCode()).isEqualTo(200);
 		HttpRequest other = request("/booking/pickups", Trial.API_KEY, "k2")
 			.POST(HttpRequest.BodyPublishers.ofString("other"))
