Keep the text of a backlog in logs as it was

Cause: the rewording of the entry's routing changed the first word of Backlog's toString, which is on the list of names that may leave the process.

--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Backlog.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Backlog.java
@@ -45,7 +45,7 @@
 
 	@Override
 	public String toString() {
-		return "PromptBacklog" + Arrays.toString(this.levels);
+		return "Backlog" + Arrays.toString(this.levels);
 	}
 
 }
