Reword the client of the admin API

Doc comments restated names or spoke of what became of a change and how the fleet is; error messages called a response an answer. They now name the response, the timeout's scope, idempotent resends and empty values. Private methods of AdminResponses have names that say what they return.

--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AcceptedChange.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AcceptedChange.java
@@ -5,13 +5,13 @@
 import io.vertx.core.json.JsonObject;
 
 /**
- * An accepted change of the configuration.
+ * An entry of the configuration history.
  *
- * @param revision the revision that it made
- * @param changeId the change's id
- * @param author who made it
- * @param reason why it was made
- * @param time when it was accepted, as the daemon writes it
+ * @param revision the revision that the change created
+ * @param changeId the id that identifies resends of the change
+ * @param author the author of the change
+ * @param reason the reason given by the author
+ * @param time the time of acceptance, in the format of the daemon
  */
 public record AcceptedChange(long revision, String changeId, String author, String reason, String time) {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminClient.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminClient.java
@@ -21,7 +21,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Calls a daemon's admin API, one request at a time.
+ * Blocking client of a daemon's admin API; each call waits for its response.
  */
 public final class AdminClient implements AutoCloseable {
 
@@ -36,8 +36,8 @@
 	private final AdminResponses responses;
 
 	/**
-	 * Creates a client; nothing is sent yet.
-	 * @param target the daemon
+	 * Creates a client without connecting to the daemon.
+	 * @param target the address and credentials of the daemon
 	 */
 	public AdminClient(AdminTarget target) {
 		this.target = Preconditions.notNull(target, "target");
@@ -50,24 +50,24 @@
 	}
 
 	/**
-	 * Asks how the fleet is.
-	 * @return the daemon's answer
+	 * Fetches the status of the fleet.
+	 * @return the response body
 	 */
 	public Result<JsonObject> status() {
 		return get("/v1/status");
 	}
 
 	/**
-	 * Asks how a group is.
+	 * Fetches the status of a group.
 	 * @param group the group's name
-	 * @return the daemon's answer
+	 * @return the response body
 	 */
 	public Result<JsonObject> group(String group) {
 		return get("/v1/status/groups/" + encode(group));
 	}
 
 	/**
-	 * Fetches the configuration in force.
+	 * Fetches the current configuration.
 	 * @return the configuration and its revision
 	 */
 	public Result<RevisedConfiguration> configuration() {
@@ -75,18 +75,19 @@
 	}
 
 	/**
-	 * Submits a change; sending it again with the same change id gives the first answer.
+	 * Submits a change. The call is idempotent: a resend with the same change id returns
+	 * the first outcome.
 	 * @param change the change
-	 * @return what became of it
+	 * @return the acceptance or the conflict with an earlier change
 	 */
 	public Result<SubmitResult> submit(ChangeSubmission change) {
 		return exchange(HttpMethod.POST, "/v1/changes", change.toJson()).flatMap(this.responses::submitted);
 	}
 
 	/**
-	 * Asks which members have a revision in force.
+	 * Fetches how many live members have applied a revision.
 	 * @param revision the revision
-	 * @return the progress
+	 * @return the progress of the rollout
 	 */
 	public Result<RevisionProgress> progress(long revision) {
 		return get("/v1/revisions/" + revision + "/progress")
@@ -95,8 +96,8 @@
 
 	/**
 	 * Lists accepted changes.
-	 * @param limit the greatest number of changes
-	 * @return the changes as the daemon orders them
+	 * @param limit the maximum number of changes
+	 * @return the changes in the order of the response
 	 */
 	public Result<List<AcceptedChange>> history(int limit) {
 		return get("/v1/history?limit=" + limit)
@@ -104,9 +105,9 @@
 	}
 
 	/**
-	 * Lists decisions about one subject.
+	 * Lists recorded decisions about one subject.
 	 * @param subject the subject, such as a request id
-	 * @return the records as the daemon orders them
+	 * @return the records in the order of the response
 	 */
 	public Result<List<DecisionView>> decisions(String subject) {
 		return get("/v1/decisions?subject=" + encode(subject))
@@ -114,9 +115,9 @@
 	}
 
 	/**
-	 * Orders a backend server to take no new work and to finish what it has.
+	 * Drains a backend server: it accepts no new requests and finishes running ones.
 	 * @param backendServer the backend server's name
-	 * @return the daemon's answer
+	 * @return the response body
 	 */
 	public Result<JsonObject> drain(String backendServer) {
 		return exchange(HttpMethod.POST, "/v1/drain", new JsonObject().put("backendServer", backendServer))
@@ -144,11 +145,11 @@
 		}
 		Future<AdminResponse> response = this.http.request(request)
 			.compose((sent) -> (body != null) ? sent.send(body.toBuffer()) : sent.send())
-			.compose(AdminClient::whole);
+			.compose(AdminClient::readBody);
 		return this.responses.await(response);
 	}
 
-	private static Future<AdminResponse> whole(HttpClientResponse response) {
+	private static Future<AdminResponse> readBody(HttpClientResponse response) {
 		return response.body().map((body) -> new AdminResponse(response.statusCode(), body.toString()));
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminResponse.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminResponse.java
@@ -1,10 +1,10 @@
 package org.comfreywall.cli.admin;
 
 /**
- * A whole response of the admin API.
+ * An HTTP response of the admin API.
  *
- * @param status the HTTP status
- * @param body the body
+ * @param status the HTTP status code
+ * @param body the complete body as text
  */
 record AdminResponse(int status, String body) {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminResponses.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminResponses.java
@@ -17,7 +17,7 @@
 import org.comfreywall.common.result.Step;
 
 /**
- * Turns responses of the admin API, and their absence, into results.
+ * Converts responses of the admin API, timeouts and connection failures into results.
  */
 final class AdminResponses {
 
@@ -40,28 +40,29 @@
 				.get(this.target.timeout().toMillis(), TimeUnit.MILLISECONDS));
 		}
 		catch (TimeoutException ex) {
-			return failure(ErrorCode.DEADLINE_EXCEEDED, "no answer within " + this.target.timeout().toMillis() + " ms");
+			return failure(ErrorCode.DEADLINE_EXCEEDED,
+					"no response within " + this.target.timeout().toMillis() + " ms");
 		}
 		catch (ExecutionException ex) {
-			return failure(ErrorCode.UNAVAILABLE, reason(ex.getCause()));
+			return failure(ErrorCode.UNAVAILABLE, rootMessage(ex.getCause()));
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
-			return failure(ErrorCode.CANCELLED, "interrupted while waiting for the answer");
+			return failure(ErrorCode.CANCELLED, "interrupted while waiting for the response");
 		}
 	}
 
 	Result<JsonObject> successful(AdminResponse response) {
-		return response.isSuccessful() ? json(response) : refused(response);
+		return response.isSuccessful() ? parseBody(response) : toFailure(response);
 	}
 
 	Result<SubmitResult> submitted(AdminResponse response) {
 		if (response.isSuccessful()) {
-			return json(response).flatMap((body) -> read(() -> SubmitAccepted.from(body)));
+			return parseBody(response).flatMap((body) -> read(() -> SubmitAccepted.from(body)));
 		}
-		Optional<JsonObject> conflict = error(response)
+		Optional<JsonObject> conflict = findError(response)
 			.filter((error) -> response.status() == CONFLICT && error.containsKey("revision"));
-		return conflict.isPresent() ? read(() -> SubmitConflict.from(conflict.get())) : refused(response);
+		return conflict.isPresent() ? read(() -> SubmitConflict.from(conflict.get())) : toFailure(response);
 	}
 
 	<T> Result<T> read(Supplier<T> reader) {
@@ -69,46 +70,48 @@
 			return Result.success(reader.get());
 		}
 		catch (ClassCastException | IllegalArgumentException ex) {
-			return failure(ErrorCode.MALFORMED, "the answer lacks a value or has one of another type");
+			return failure(ErrorCode.MALFORMED, "the response lacks a required value or has a value of the wrong type");
 		}
 	}
 
-	private Result<JsonObject> json(AdminResponse response) {
+	private Result<JsonObject> parseBody(AdminResponse response) {
 		try {
 			return Result.success(response.body().isBlank() ? new JsonObject() : new JsonObject(response.body()));
 		}
 		catch (DecodeException | ClassCastException ex) {
-			return failure(ErrorCode.MALFORMED, "the answer is not a JSON object");
+			return failure(ErrorCode.MALFORMED, "the response is not a JSON object");
 		}
 	}
 
-	private <T> Result<T> refused(AdminResponse response) {
-		Optional<JsonObject> error = error(response);
+	private <T> Result<T> toFailure(AdminResponse response) {
+		Optional<JsonObject> error = findError(response);
 		if (error.isEmpty()) {
-			return failure(codeOf(response.status()), "HTTP status " + response.status() + " without an error object");
+			return failure(defaultCode(response.status()),
+					"HTTP status " + response.status() + " without an error object");
 		}
 		JsonObject body = error.get();
-		ErrorCode code = constant(ErrorCode.values(), text(body, "code")).orElse(codeOf(response.status()));
-		Step step = constant(Step.values(), text(body, "step")).orElse(Step.CONFIGURE);
-		Optional<InstanceId> peer = Optional.of(text(body, "peer"))
+		ErrorCode code = findConstant(ErrorCode.values(), textOrEmpty(body, "code"))
+			.orElse(defaultCode(response.status()));
+		Step step = findConstant(Step.values(), textOrEmpty(body, "step")).orElse(Step.CONFIGURE);
+		Optional<InstanceId> peer = Optional.of(textOrEmpty(body, "peer"))
 			.filter((name) -> !name.isBlank())
 			.map(InstanceId::of);
-		String message = text(body, "message");
+		String message = textOrEmpty(body, "message");
 		return Result.failure(new OperationError(code, step, peer, message.isBlank() ? "no reason given" : message));
 	}
 
-	private Optional<JsonObject> error(AdminResponse response) {
-		return json(response).value()
+	private Optional<JsonObject> findError(AdminResponse response) {
+		return parseBody(response).value()
 			.map((body) -> body.getValue("error"))
 			.filter(JsonObject.class::isInstance)
 			.map(JsonObject.class::cast);
 	}
 
-	private <T> Result<T> failure(ErrorCode code, String what) {
-		return Result.failure(OperationError.at(code, Step.SEND, InstanceId.of(this.target.url().toString()), what));
+	private <T> Result<T> failure(ErrorCode code, String message) {
+		return Result.failure(OperationError.at(code, Step.SEND, InstanceId.of(this.target.url().toString()), message));
 	}
 
-	private static ErrorCode codeOf(int status) {
+	private static ErrorCode defaultCode(int status) {
 		if (status == CONFLICT) {
 			return ErrorCode.CONFLICT;
 		}
@@ -118,16 +121,16 @@
 		return (status >= SERVER_ERROR) ? ErrorCode.UNAVAILABLE : ErrorCode.INVALID_INPUT;
 	}
 
-	private static String text(JsonObject body, String key) {
+	private static String textOrEmpty(JsonObject body, String key) {
 		Object value = body.getValue(key);
 		return (value != null) ? value.toString() : "";
 	}
 
-	private static <E extends Enum<E>> Optional<E> constant(E[] constants, String name) {
+	private static <E extends Enum<E>> Optional<E> findConstant(E[] constants, String name) {
 		return Arrays.stream(constants).filter((constant) -> constant.name().equalsIgnoreCase(name)).findFirst();
 	}
 
-	private static String reason(Throwable error) {
+	private static String rootMessage(Throwable error) {
 		Throwable root = error;
 		while (root.getCause() != null) {
 			root = root.getCause();
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminTarget.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminTarget.java
@@ -8,13 +8,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Where a daemon's admin API is and how to reach it.
+ * Address, TLS files and timeout for calls to a daemon's admin API.
  *
  * @param url the base URL
- * @param trust the certificates that the daemon's certificate must lead to, PEM
- * @param certificate the operator's own certificate, PEM
- * @param key the private key of the operator's certificate, PEM
- * @param timeout how long one request may take
+ * @param trust the PEM file with the trust anchors for the daemon's certificate
+ * @param certificate the PEM file with the operator's client certificate
+ * @param key the PEM file with the private key of the client certificate
+ * @param timeout the timeout for connecting and for one whole request, at least 1 ms
  */
 public record AdminTarget(URI url, Optional<Path> trust, Optional<Path> certificate, Optional<Path> key,
 		Duration timeout) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/ChangeSubmission.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/ChangeSubmission.java
@@ -8,15 +8,15 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A change of the configuration to submit.
+ * A configuration change or rollback to submit.
  *
- * @param changeId the change's id; a resend carries the same
+ * @param changeId the idempotency key of the change; a resend carries the same id
  * @param expectedRevision the revision that the change is based on
- * @param author who makes the change
- * @param reason why it is made
+ * @param author the author of the change
+ * @param reason the reason for the change, possibly empty
  * @param configuration the new configuration in TOML; empty for a rollback
- * @param rollbackTo the revision to return to; empty for a new configuration
- * @param dryRun whether the change is only checked
+ * @param rollbackTo the revision to roll back to; empty for a new configuration
+ * @param dryRun whether the change is only validated, not applied
  */
 public record ChangeSubmission(ChangeId changeId, long expectedRevision, String author, String reason,
 		Optional<String> configuration, OptionalLong rollbackTo, boolean dryRun) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/DecisionView.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/DecisionView.java
@@ -6,12 +6,13 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * A decision as the admin API tells it; kinds that this version does not know are kept.
+ * A decision record returned by the admin API. The kind is text, so that kinds added by
+ * newer daemons can be shown.
  *
  * @param kind the kind of decision
- * @param subject what it is about
- * @param result what was decided
- * @param inputs the inputs in reading order
+ * @param subject the subject, such as a request id
+ * @param result the outcome of the decision
+ * @param inputs the inputs of the decision in display order
  */
 public record DecisionView(String kind, String subject, String result, List<Field> inputs) {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/JsonValues.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/JsonValues.java
@@ -8,7 +8,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Reads required values of JSON objects.
+ * Reads typed values of JSON objects and rejects missing required values.
  */
 final class JsonValues {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/RevisedConfiguration.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/RevisedConfiguration.java
@@ -3,9 +3,9 @@
 import io.vertx.core.json.JsonObject;
 
 /**
- * A configuration with its revision.
+ * A configuration together with its revision.
  *
- * @param revision the revision
+ * @param revision the revision of the configuration
  * @param configuration the configuration in TOML
  */
 public record RevisedConfiguration(long revision, String configuration) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/RevisionProgress.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/RevisionProgress.java
@@ -5,12 +5,13 @@
 import io.vertx.core.json.JsonObject;
 
 /**
- * How far a revision has come.
+ * Rollout progress of a configuration revision among the live members.
  *
  * @param revision the revision
  * @param members the number of live members
- * @param inForce the number of live members that have it in force
- * @param missing the names of live members that have not, possibly not all of them
+ * @param inForce the number of live members that have applied the revision
+ * @param missing the names of live members that have not applied it; the daemon may
+ * truncate the list
  */
 public record RevisionProgress(long revision, long members, long inForce, List<String> missing) {
 
@@ -24,7 +25,7 @@
 	}
 
 	/**
-	 * Tells whether every live member has the revision in force.
+	 * Returns whether every live member has applied the revision.
 	 * @return {@code true} if there is a member and none is missing
 	 */
 	public boolean isComplete() {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/SubmitAccepted.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/SubmitAccepted.java
@@ -3,10 +3,10 @@
 import io.vertx.core.json.JsonObject;
 
 /**
- * The change was accepted, or would be in a dry run.
+ * Result of an accepted change, or of a dry run that would be accepted.
  *
- * @param revision the revision that the change made, or would make
- * @param applied whether the change was made
+ * @param revision the revision that the change created or, in a dry run, would create
+ * @param applied whether the change was applied; {@code false} in a dry run
  */
 public record SubmitAccepted(long revision, boolean applied) implements SubmitResult {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/SubmitConflict.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/SubmitConflict.java
@@ -3,11 +3,13 @@
 import io.vertx.core.json.JsonObject;
 
 /**
- * Another change came first.
+ * Result of a change that was rejected because another change was accepted after its
+ * expected revision.
  *
- * @param revision the present revision
- * @param winnerChangeId the id of the change that came first
- * @param winnerAuthor who made it
+ * @param revision the current revision
+ * @param winnerChangeId the id of the change accepted first; empty if the daemon no
+ * longer has it
+ * @param winnerAuthor the author of that change; empty if unknown
  * @param message the daemon's explanation
  */
 public record SubmitConflict(long revision, String winnerChangeId, String winnerAuthor,
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/SubmitResult.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/SubmitResult.java
@@ -1,7 +1,7 @@
 package org.comfreywall.cli.admin;
 
 /**
- * What became of a submitted change.
+ * Outcome of a submitted change that the daemon has processed.
  */
 public sealed interface SubmitResult permits SubmitAccepted, SubmitConflict {
 
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/admin/AdminResponsesTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/admin/AdminResponsesTests.java
@@ -45,36 +45,37 @@
 	}
 
 	@Test
-	void takesConflictWithoutWinnerForAnError() {
+	void reportsConflictWithoutRevisionAsError() {
 		Result<SubmitResult> result = this.responses.submitted(new AdminResponse(409, "{\"error\":{}}"));
 		assertThat(result.error().orElseThrow().code()).isEqualTo(ErrorCode.CONFLICT);
 	}
 
 	@Test
-	void refusesAcceptedChangeWithoutRevision() {
+	void rejectsAcceptanceWithoutRevision() {
 		Result<SubmitResult> result = this.responses.submitted(new AdminResponse(200, "{\"applied\":true}"));
 		assertThat(result.error().orElseThrow().code()).isEqualTo(ErrorCode.MALFORMED);
 	}
 
 	@Property(seed = "1", tries = 2000)
-	void damagedAnswersGiveRecordsOrMalformed(@ForAll @IntRange(max = 120) int position, @ForAll char c) {
-		Result<List<DecisionView>> result = decisions(200, damaged(DECISIONS, position, c));
+	void corruptedResponsesGiveRecordsOrMalformed(@ForAll @IntRange(max = 120) int position, @ForAll char c) {
+		Result<List<DecisionView>> result = decisions(200, withReplacedCharacter(DECISIONS, position, c));
 		result.error().ifPresent((error) -> assertThat(error.code()).isEqualTo(ErrorCode.MALFORMED));
 	}
 
 	@Property(seed = "2", tries = 2000)
-	void damagedErrorsStayErrors(@ForAll @IntRange(max = 80) int position, @ForAll char c) {
-		assertThat(decisions(400, damaged(ERROR, position, c)).error()).isPresent();
-		assertThat(this.responses.submitted(new AdminResponse(409, damaged(ERROR, position, c))).error()).isPresent();
+	void corruptedErrorResponsesStayErrors(@ForAll @IntRange(max = 80) int position, @ForAll char c) {
+		assertThat(decisions(400, withReplacedCharacter(ERROR, position, c)).error()).isPresent();
+		assertThat(this.responses.submitted(new AdminResponse(409, withReplacedCharacter(ERROR, position, c))).error())
+			.isPresent();
 	}
 
 	@Property(seed = "3", tries = 500)
-	void anyTextGivesResultOrError(@ForAll String body, @ForAll @IntRange(min = 200, max = 599) int status) {
+	void anyBodyGivesEitherValueOrError(@ForAll String body, @ForAll @IntRange(min = 200, max = 599) int status) {
 		Result<JsonObject> result = this.responses.successful(new AdminResponse(status, body));
 		assertThat(result.value().isPresent()).isNotEqualTo(result.error().isPresent());
 	}
 
-	private static String damaged(String body, int position, char c) {
+	private static String withReplacedCharacter(String body, int position, char c) {
 		int at = Math.min(position, body.length() - 1);
 		return body.substring(0, at) + c + body.substring(at + 1);
 	}
