Reword the check command

Comments called invalid documents faulty or not fitting, and the help text did not say that files are checked against each other. Private methods of FleetRules and DocumentChecker are named after what they check. CheckCommandTests matches the new next step with the same strictness.

--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/check/CheckCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/CheckCommand.java
@@ -23,9 +23,10 @@
 import org.comfreywall.common.toml.ValueTypes;
 
 /**
- * Checks settings, configurations and answers without a running fleet.
+ * Validates settings, configuration and answers files without a running fleet.
  */
-@Parameters(commandDescription = "Check settings, configuration and answers files, alone and together")
+@Parameters(
+		commandDescription = "Validate settings, configuration and answers files, each alone and against each other")
 public final class CheckCommand implements Command {
 
 	@ParametersDelegate
@@ -34,7 +35,7 @@
 	@Parameter(description = "FILES")
 	private List<String> files = new ArrayList<>();
 
-	@Parameter(names = "--reference", description = "Print the reference of all keys as Markdown")
+	@Parameter(names = "--reference", description = "Print a Markdown reference of all settings and configuration keys")
 	private boolean reference;
 
 	@Override
@@ -45,23 +46,23 @@
 	@Override
 	public Result<Report> run(Console console) {
 		if (this.reference) {
-			return Result.success(reference());
+			return Result.success(referenceReport());
 		}
 		if (this.files.isEmpty()) {
-			throw new ParameterException("Name at least one file to check, or give --reference");
+			throw new ParameterException("at least one file, or --reference, is required");
 		}
 		List<CheckedDocument> documents = this.files.stream().map(Path::of).map(DocumentChecker::check).toList();
-		return Result.success(report(documents, together(documents)));
+		return Result.success(report(documents, crossCheck(documents)));
 	}
 
-	private static Report reference() {
+	private static Report referenceReport() {
 		String settings = ReferenceWriter.write(SettingsKeys.DOCUMENT);
 		String configuration = ReferenceWriter.write(ConfigurationKeys.DOCUMENT);
 		return Report.ok((settings + configuration).lines().toList(),
 				new JsonObject().put("settings", settings).put("configuration", configuration));
 	}
 
-	private static List<String> together(List<CheckedDocument> documents) {
+	private static List<String> crossCheck(List<CheckedDocument> documents) {
 		FleetRules rules = new FleetRules(
 				documents.stream().flatMap((document) -> document.configuration().stream()).findFirst());
 		return rules.check(documents).stream().map(Problem::toString).toList();
@@ -71,15 +72,14 @@
 		List<String> lines = new ArrayList<>();
 		documents.forEach((document) -> lines.addAll(lines(document)));
 		lines.addAll(together);
-		boolean faultless = together.isEmpty()
-				&& documents.stream().allMatch((document) -> document.faults().isEmpty());
-		if (!faultless) {
-			lines.add("next: mend the lines above and check again; docs/operators/settings.md lists every key");
+		boolean valid = together.isEmpty() && documents.stream().allMatch((document) -> document.faults().isEmpty());
+		if (!valid) {
+			lines.add("next: correct the values above and run check again; docs/operators/settings.md lists every key");
 		}
 		JsonObject json = new JsonObject()
 			.put("files", new JsonArray(documents.stream().map(CheckCommand::json).toList()))
 			.put("together", new JsonArray(together));
-		return new Report(faultless ? ExitCode.OK : ExitCode.FAILED, lines, json);
+		return new Report(valid ? ExitCode.OK : ExitCode.FAILED, lines, json);
 	}
 
 	private static List<String> lines(CheckedDocument document) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/check/CheckedDocument.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/CheckedDocument.java
@@ -7,13 +7,14 @@
 import org.comfreywall.common.settings.InstanceSettings;
 
 /**
- * A document after its check.
+ * Validation result of one document.
  *
- * @param file the file's name
- * @param kind the kind of document
- * @param faults the faults, one line each
- * @param settings the settings, if the document is without fault and holds settings
- * @param configuration the configuration, if the document is without fault and holds one
+ * @param file the path as given on the command line
+ * @param kind the detected kind; a configuration if the file cannot be read
+ * @param faults the error messages, one line each; empty if the document is valid
+ * @param settings the settings, if the document holds valid settings
+ * @param configuration the configuration, if the document holds a valid configuration or
+ * valid answers
  */
 record CheckedDocument(String file, DocumentKind kind, List<String> faults, Optional<InstanceSettings> settings,
 		Optional<Configuration> configuration) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentChecker.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentChecker.java
@@ -14,7 +14,7 @@
 import org.comfreywall.common.settings.SettingsReader;
 
 /**
- * Checks one document by itself.
+ * Validates one document on its own, without cross-references to other documents.
  */
 final class DocumentChecker {
 
@@ -27,9 +27,9 @@
 			return check(file, Files.readString(path));
 		}
 		catch (IOException ex) {
-			String fault = file + ": cannot be read as UTF-8 text (" + ex.getClass().getSimpleName()
+			String error = file + ": cannot be read as UTF-8 text (" + ex.getClass().getSimpleName()
 					+ "); check that the file exists and is readable";
-			return new CheckedDocument(file, DocumentKind.CONFIGURATION, List.of(fault), Optional.empty(),
+			return new CheckedDocument(file, DocumentKind.CONFIGURATION, List.of(error), Optional.empty(),
 					Optional.empty());
 		}
 	}
@@ -37,17 +37,17 @@
 	private static CheckedDocument check(String file, String text) {
 		DocumentKind kind = DocumentKind.of(text);
 		return switch (kind) {
-			case SETTINGS -> settings(file, SettingsReader.parse(file, text));
-			case CONFIGURATION -> configuration(file, kind, ConfigurationReader.parse(file, text));
-			case ANSWERS -> configuration(file, kind, AnswersCheck.parse(file, text));
+			case SETTINGS -> checkSettings(file, SettingsReader.parse(file, text));
+			case CONFIGURATION -> checkConfiguration(file, kind, ConfigurationReader.parse(file, text));
+			case ANSWERS -> checkConfiguration(file, kind, AnswersCheck.parse(file, text));
 		};
 	}
 
-	private static CheckedDocument settings(String file, Result<InstanceSettings> result) {
+	private static CheckedDocument checkSettings(String file, Result<InstanceSettings> result) {
 		return new CheckedDocument(file, DocumentKind.SETTINGS, faults(result), result.value(), Optional.empty());
 	}
 
-	private static CheckedDocument configuration(String file, DocumentKind kind, Result<Configuration> result) {
+	private static CheckedDocument checkConfiguration(String file, DocumentKind kind, Result<Configuration> result) {
 		return new CheckedDocument(file, kind, faults(result), Optional.empty(), result.value());
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentKind.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentKind.java
@@ -8,7 +8,7 @@
 import org.comfreywall.common.toml.TomlTable;
 
 /**
- * Kinds of documents that can be checked.
+ * Kinds of documents that {@code check} validates.
  */
 enum DocumentKind {
 
@@ -20,9 +20,10 @@
 	ANSWERS;
 
 	/**
-	 * Guesses the kind from the names at the top of the document.
-	 * @param text the document
-	 * @return the kind; a configuration if nothing tells
+	 * Detects the kind by the top-level keys and tables. An {@code instance} table occurs
+	 * only in answers; otherwise the kind with more matching names wins.
+	 * @param text the document in TOML
+	 * @return the kind; a configuration if neither kind has more matches
 	 */
 	static DocumentKind of(String text) {
 		Set<String> names = TomlTable.topLevelNames(text);
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/check/FleetRules.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/FleetRules.java
@@ -17,15 +17,16 @@
 import org.comfreywall.common.toml.Problem;
 
 /**
- * Checks that documents given together fit each other.
+ * Validates cross-references between the settings of several instances and the fleet's
+ * configuration.
  */
 final class FleetRules {
 
 	private final Optional<Configuration> configuration;
 
-	private final Set<PeerSettings> peers = new HashSet<>();
+	private final Set<PeerSettings> expectedPeers = new HashSet<>();
 
-	private final Set<InstanceId> names = new HashSet<>();
+	private final Set<InstanceId> seenNames = new HashSet<>();
 
 	FleetRules(Optional<Configuration> configuration) {
 		this.configuration = configuration;
@@ -36,7 +37,7 @@
 			.flatMap((document) -> document.settings().stream())
 			.flatMap((settings) -> settings.control().stream())
 			.findFirst()
-			.ifPresent((control) -> this.peers.addAll(control.peers()));
+			.ifPresent((control) -> this.expectedPeers.addAll(control.peers()));
 		return documents.stream()
 			.flatMap((document) -> document.settings().stream().flatMap((s) -> check(document.file(), s)))
 			.toList();
@@ -44,17 +45,17 @@
 
 	private Stream<Problem> check(String file, InstanceSettings settings) {
 		return Stream
-			.of(name(file, settings), failureDomain(file, settings), service(file, settings), peers(file, settings),
-					controlAddresses(file, settings))
+			.of(checkName(file, settings), checkFailureDomain(file, settings), checkService(file, settings),
+					checkPeers(file, settings), checkControlAddresses(file, settings))
 			.flatMap(Optional::stream);
 	}
 
-	private Optional<Problem> name(String file, InstanceSettings settings) {
-		return problem(this.names.add(settings.name()), file, "name", settings.name(),
+	private Optional<Problem> checkName(String file, InstanceSettings settings) {
+		return problem(this.seenNames.add(settings.name()), file, "name", settings.name(),
 				"a name that no other instance has");
 	}
 
-	private Optional<Problem> failureDomain(String file, InstanceSettings settings) {
+	private Optional<Problem> checkFailureDomain(String file, InstanceSettings settings) {
 		if (this.configuration.isEmpty()) {
 			return Optional.empty();
 		}
@@ -65,41 +66,41 @@
 			.findFirst();
 		if (domain.isEmpty()) {
 			return problem(false, file, "failure-domain", settings.failureDomain(),
-					"a failure domain of the configuration");
+					"a failure domain in the configuration");
 		}
 		String region = domain.get().region();
 		return problem(region.equals(settings.region()), file, "region", settings.region(),
 				"\"" + region + "\", the failure domain's region in the configuration");
 	}
 
-	private Optional<Problem> service(String file, InstanceSettings settings) {
+	private Optional<Problem> checkService(String file, InstanceSettings settings) {
 		return settings.sidecar()
 			.filter((sidecar) -> this.configuration.filter((c) -> c.service(sidecar.service()).isEmpty()).isPresent())
 			.flatMap((sidecar) -> problem(false, file, "sidecar.service", sidecar.service(),
-					"a service of the configuration"));
+					"a service in the configuration"));
 	}
 
-	private Optional<Problem> peers(String file, InstanceSettings settings) {
+	private Optional<Problem> checkPeers(String file, InstanceSettings settings) {
 		boolean same = settings.control()
 			.map(ControlSettings::peers)
 			.map(Set::copyOf)
-			.map(this.peers::equals)
+			.map(this.expectedPeers::equals)
 			.orElse(true);
-		return problem(same, file, "control.peer", "(other peers)", "the same peers on every control instance");
+		return problem(same, file, "control.peer", "(differs from the first control instance)",
+				"the same peers on every control instance");
 	}
 
-	private Optional<Problem> controlAddresses(String file, InstanceSettings settings) {
-		Set<HostPort> known = this.peers.stream().map(PeerSettings::address).collect(Collectors.toSet());
+	private Optional<Problem> checkControlAddresses(String file, InstanceSettings settings) {
+		Set<HostPort> known = this.expectedPeers.stream().map(PeerSettings::address).collect(Collectors.toSet());
 		Stream<HostPort> used = Stream.concat(settings.entry().stream().flatMap((entry) -> entry.control().stream()),
 				settings.sidecar().stream().flatMap((sidecar) -> sidecar.control().stream()));
 		Optional<HostPort> unknown = used.filter((address) -> !known.contains(address)).findFirst();
 		return unknown.filter((address) -> !known.isEmpty())
-			.flatMap(
-					(address) -> problem(false, file, "control", address, "addresses of the control instances' peers"));
+			.flatMap((address) -> problem(false, file, "control", address, "addresses of the control.peer tables"));
 	}
 
-	private static Optional<Problem> problem(boolean holds, String file, String key, Object value, String allowed) {
-		return holds ? Optional.empty() : Optional.of(new Problem(file, key, "\"" + value + "\"", allowed));
+	private static Optional<Problem> problem(boolean valid, String file, String key, Object value, String allowed) {
+		return valid ? Optional.empty() : Optional.of(new Problem(file, key, "\"" + value + "\"", allowed));
 	}
 
 }
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/check/CheckCommandTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/check/CheckCommandTests.java
@@ -46,30 +46,30 @@
 	}
 
 	@Test
-	void passesDocumentsThatFit() throws IOException {
+	void acceptsConsistentDocuments() throws IOException {
 		CommandRun run = CommandRun.of("check", file("c.toml", CONFIGURATION), file("s.toml", SETTINGS));
 		assertThat(run.exit()).isEqualTo(ExitCode.OK);
 		assertThat(run.out()).contains("c.toml: configuration, no fault", "s.toml: settings, no fault");
 	}
 
 	@Test
-	void namesRegionAndServiceThatDiffer() throws IOException {
+	void reportsRegionAndServiceThatDiffer() throws IOException {
 		String settings = SETTINGS.replace("\"home\"", "\"away\"").replace("\"chat\"", "\"chess\"");
 		CommandRun run = CommandRun.of("check", file("c.toml", CONFIGURATION), file("s.toml", settings));
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
 		assertThat(run.out()).contains("region = \"away\"; allowed: \"home\"", "sidecar.service = \"chess\"",
-				"next: mend");
+				"next: correct");
 	}
 
 	@Test
-	void namesInstancesWithOneName() throws IOException {
+	void reportsDuplicateInstanceNames() throws IOException {
 		CommandRun run = CommandRun.of("check", file("a.toml", SETTINGS), file("b.toml", SETTINGS));
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
 		assertThat(run.out()).contains("b.toml: name = \"side-1\"");
 	}
 
 	@Test
-	void namesControlAddressesThatNoPeerHas() throws IOException {
+	void reportsControlAddressesThatNoPeerHas() throws IOException {
 		String control = """
 				name = "one"
 				roles = ["control"]
@@ -87,14 +87,14 @@
 	}
 
 	@Test
-	void listsFaultsAsJson() throws IOException {
+	void reportsFaultsAsJson() throws IOException {
 		CommandRun run = CommandRun.of("check", "--json", file("s.toml", SETTINGS.replace("\"sidecar\"", "\"side\"")));
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
 		assertThat(run.json().getJsonArray("files").getJsonObject(0).getJsonArray("faults")).hasSize(1);
 	}
 
 	@Test
-	void namesFilesThatAreNotText() throws IOException {
+	void reportsFilesThatAreNotText() throws IOException {
 		Path file = Files.write(this.folder.resolve("s.toml"), new byte[] { (byte) 0xff, (byte) 0xfe, 0 });
 		CommandRun run = CommandRun.of("check", file.toString());
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
