Reword the commands that call a daemon

Help texts used "else" for defaults and left out examples of durations; notes spoke of lost answers and learning an outcome. They now name defaults, units and the next command to run. Two tests match the new texts as strictly as before; test names are plain sentences.

--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminCommand.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.result.Result;
 
 /**
- * A command that asks a daemon.
+ * Base class of commands that call a daemon's admin API.
  */
 abstract class AdminCommand implements Command {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminOptions.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminOptions.java
@@ -11,50 +11,52 @@
 import org.comfreywall.common.toml.HttpUrls;
 
 /**
- * Options that say which daemon to ask.
+ * Options with the address, TLS files and timeout for calls to a daemon.
  */
 public final class AdminOptions {
 
-	private static final String VARIABLE = "COMFREYWALL_ADMIN";
+	private static final String URL_VARIABLE = "COMFREYWALL_ADMIN";
 
-	private static final String STANDARD_URL = "http://127.0.0.1:9901";
+	private static final String DEFAULT_URL = "http://127.0.0.1:9901";
 
-	@Parameter(names = "--admin", description = "Admin URL of a daemon; else " + VARIABLE + ", else " + STANDARD_URL)
+	@Parameter(names = "--admin",
+			description = "Admin URL of a daemon; default: $" + URL_VARIABLE + ", otherwise " + DEFAULT_URL)
 	private String url;
 
-	@Parameter(names = "--trust", description = "PEM file with the certificates to trust, for https")
+	@Parameter(names = "--trust", description = "PEM file with the trusted certificates, for https")
 	private String trust;
 
-	@Parameter(names = "--certificate", description = "PEM file with your certificate, for https")
+	@Parameter(names = "--certificate", description = "PEM file with the client certificate, for https")
 	private String certificate;
 
 	@Parameter(names = "--key", description = "PEM file with the private key of --certificate")
 	private String key;
 
-	@Parameter(names = "--request-timeout", description = "How long one request may take")
+	@Parameter(names = "--request-timeout", description = "Timeout of one request, such as 500ms or 10s")
 	private String timeout = "10s";
 
 	AdminTarget target(Console console) {
 		if ((this.certificate == null) != (this.key == null)) {
-			throw new ParameterException("Give --certificate and --key together");
+			throw new ParameterException("--certificate and --key must be given together");
 		}
 		String text = Optional.ofNullable(this.url)
-			.or(() -> console.environment().apply(VARIABLE))
-			.orElse(STANDARD_URL);
-		return new AdminTarget(parse(text), file("--trust", this.trust), file("--certificate", this.certificate),
-				file("--key", this.key), DurationOption.parse("--request-timeout", this.timeout));
+			.or(() -> console.environment().apply(URL_VARIABLE))
+			.orElse(DEFAULT_URL);
+		return new AdminTarget(parseUrl(text), readableFile("--trust", this.trust),
+				readableFile("--certificate", this.certificate), readableFile("--key", this.key),
+				DurationOption.parse("--request-timeout", this.timeout));
 	}
 
-	private static URI parse(String text) {
+	private static URI parseUrl(String text) {
 		return HttpUrls.parse(text)
 			.orElseThrow(() -> new ParameterException(
 					"\"" + text + "\" is not an admin URL; allowed: http://HOST:PORT or https://HOST:PORT"));
 	}
 
-	private static Optional<Path> file(String option, String name) {
+	private static Optional<Path> readableFile(String option, String name) {
 		Optional<Path> file = Optional.ofNullable(name).map(Path::of);
 		if (file.isPresent() && !Files.isReadable(file.get())) {
-			throw new ParameterException(option + " " + name + " cannot be read; name a readable PEM file");
+			throw new ParameterException(option + " " + name + " cannot be read; give a readable PEM file");
 		}
 		return file;
 	}
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminSession.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminSession.java
@@ -9,7 +9,7 @@
 import org.comfreywall.common.result.Step;
 
 /**
- * Lends a client of the admin API to one action.
+ * Opens an admin API client for the duration of one action.
  */
 public final class AdminSession {
 
@@ -19,7 +19,7 @@
 	/**
 	 * Opens a client, runs an action with it and closes it.
 	 * @param <T> the type of the action's value
-	 * @param options say which daemon to ask
+	 * @param options the address and credentials of the daemon
 	 * @param console the process's streams and environment
 	 * @param action the action
 	 * @return the action's result
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ApplyCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ApplyCommand.java
@@ -24,55 +24,58 @@
 import org.comfreywall.common.result.Result;
 
 /**
- * Submits a change of the configuration and, if asked, waits until it is in force.
+ * Submits a configuration change or rollback. With {@code --wait}, waits until every live
+ * member has applied it.
  */
-@Parameters(commandDescription = "Submit a change of the configuration")
+@Parameters(commandDescription = "Submit a configuration change or a rollback")
 public final class ApplyCommand extends AdminCommand {
 
-	private static final String STANDARD_AUTHOR = "unknown";
+	private static final String DEFAULT_AUTHOR = "unknown";
 
 	@Parameter(description = "CONFIGURATION-FILE")
 	private String file;
 
-	@Parameter(names = "--rollback-to", description = "Revision to return to, in place of a file")
+	@Parameter(names = "--rollback-to", description = "Revision to roll back to, instead of a file")
 	private Long rollbackTo;
 
-	@Parameter(names = "--expected-revision", description = "Revision the change is based on; else the present one")
+	@Parameter(names = "--expected-revision", description = "Revision the change is based on; default: the current one")
 	private Long expectedRevision;
 
-	@Parameter(names = "--change-id", description = "Id of the change; give the same one to send a change again")
+	@Parameter(names = "--change-id",
+			description = "Id of the change; reuse it to resend a change. Default: a random UUID")
 	private String changeId;
 
-	@Parameter(names = "--author", description = "Who makes the change; else the user's name")
-	private String author = System.getProperty("user.name", STANDARD_AUTHOR);
+	@Parameter(names = "--author", description = "Author of the change; default: the name of the current user")
+	private String author = System.getProperty("user.name", DEFAULT_AUTHOR);
 
-	@Parameter(names = "--reason", description = "Why the change is made")
+	@Parameter(names = "--reason", description = "Reason for the change, kept in the history")
 	private String reason = "";
 
-	@Parameter(names = "--dry-run", description = "Only check the change")
+	@Parameter(names = "--dry-run", description = "Validate the change without applying it")
 	private boolean dryRun;
 
-	@Parameter(names = "--wait", description = "Wait until every live member has the revision in force")
+	@Parameter(names = "--wait", description = "Wait until every live member has applied the revision")
 	private boolean wait;
 
-	@Parameter(names = "--timeout", description = "How long --wait waits")
+	@Parameter(names = "--timeout", description = "Timeout of --wait, such as 500ms or 10s")
 	private String timeout = "10s";
 
 	@Override
 	Result<Report> run(AdminClient client, Console console) {
 		checkOptions();
 		if (this.file == null) {
-			return client.configuration().flatMap((present) -> submit(client, console, present, Optional.empty()));
+			return client.configuration().flatMap((current) -> submit(client, console, current, Optional.empty()));
 		}
 		return ConfigurationReader.read(Path.of(this.file))
-			.flatMap((wanted) -> client.configuration()
-				.flatMap((present) -> submit(client, console, present, Optional.of(wanted))));
+			.flatMap((desired) -> client.configuration()
+				.flatMap((current) -> submit(client, console, current, Optional.of(desired))));
 	}
 
 	private void checkOptions() {
 		DurationOption.parse("--timeout", this.timeout);
 		if ((this.file == null) == (this.rollbackTo == null)) {
-			throw new ParameterException("Give either a CONFIGURATION-FILE or --rollback-to REVISION");
+			throw new ParameterException(
+					"either a CONFIGURATION-FILE or --rollback-to REVISION is required, but not both");
 		}
 		if (this.author.isBlank() || (this.changeId != null && this.changeId.isBlank())) {
 			throw new ParameterException("--author and --change-id must not be blank");
@@ -86,37 +89,37 @@
 		return number != null && number < 0;
 	}
 
-	private Result<Report> submit(AdminClient client, Console console, RevisedConfiguration present,
-			Optional<Configuration> wanted) {
-		Result<List<ConfigurationChange>> changes = changes(present, wanted);
+	private Result<Report> submit(AdminClient client, Console console, RevisedConfiguration current,
+			Optional<Configuration> desired) {
+		Result<List<ConfigurationChange>> changes = changes(current, desired);
 		return changes.flatMap((list) -> {
-			if (wanted.isPresent() && list.isEmpty() && this.changeId == null) {
-				return Result.success(nothingToChange(present.revision()));
+			if (desired.isPresent() && list.isEmpty() && this.changeId == null) {
+				return Result.success(unchangedReport(current.revision()));
 			}
-			ChangeSubmission change = submission(present.revision(), wanted);
+			ChangeSubmission change = createSubmission(current.revision(), desired);
 			return new ChangeSubmitter(client, console).submit(change, list)
-				.flatMap((report) -> follow(client, report));
+				.flatMap((report) -> waitIfRequested(client, report));
 		});
 	}
 
-	private static Result<List<ConfigurationChange>> changes(RevisedConfiguration present,
-			Optional<Configuration> wanted) {
-		if (wanted.isEmpty()) {
+	private static Result<List<ConfigurationChange>> changes(RevisedConfiguration current,
+			Optional<Configuration> desired) {
+		if (desired.isEmpty()) {
 			return Result.success(List.of());
 		}
-		return ConfigurationReader.parse("revision " + present.revision(), present.configuration())
-			.map((configuration) -> ConfigurationDiff.between(configuration, wanted.get()));
+		return ConfigurationReader.parse("revision " + current.revision(), current.configuration())
+			.map((configuration) -> ConfigurationDiff.between(configuration, desired.get()));
 	}
 
-	private ChangeSubmission submission(long presentRevision, Optional<Configuration> wanted) {
+	private ChangeSubmission createSubmission(long currentRevision, Optional<Configuration> desired) {
 		String id = (this.changeId != null) ? this.changeId : UUID.randomUUID().toString();
-		long expected = (this.expectedRevision != null) ? this.expectedRevision : presentRevision;
+		long expected = (this.expectedRevision != null) ? this.expectedRevision : currentRevision;
 		OptionalLong rollback = (this.rollbackTo != null) ? OptionalLong.of(this.rollbackTo) : OptionalLong.empty();
 		return new ChangeSubmission(ChangeId.of(id), expected, this.author, this.reason,
-				wanted.map(ConfigurationWriter::write), rollback, this.dryRun);
+				desired.map(ConfigurationWriter::write), rollback, this.dryRun);
 	}
 
-	private Result<Report> follow(AdminClient client, SubmittedChange submitted) {
+	private Result<Report> waitIfRequested(AdminClient client, SubmittedChange submitted) {
 		if (!this.wait || submitted.revision().isEmpty()) {
 			return Result.success(submitted.report());
 		}
@@ -124,16 +127,16 @@
 		Result<RevisionProgress> progress = new ProgressWaiter(client, DurationOption.parse("--timeout", this.timeout))
 			.waitFor(revision);
 		return progress.error()
-			.map((error) -> Result.<Report>failure(unknownProgress(error, revision)))
+			.map((error) -> Result.<Report>failure(progressError(error, revision)))
 			.orElseGet(() -> progress.map(submitted::with));
 	}
 
-	private static OperationError unknownProgress(OperationError error, long revision) {
+	private static OperationError progressError(OperationError error, long revision) {
 		return new OperationError(error.code(), error.step(), error.peer(), "the change was accepted as revision "
-				+ revision + ", but how far it has come is not known: " + error.message());
+				+ revision + ", but its progress is not known: " + error.message());
 	}
 
-	private static Report nothingToChange(long revision) {
+	private static Report unchangedReport(long revision) {
 		return Report.ok(List.of("nothing to change: revision " + revision + " already holds this configuration"),
 				new JsonObject().put("revision", revision)
 					.put("applied", false)
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ChangeSubmitter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ChangeSubmitter.java
@@ -15,12 +15,12 @@
 import org.comfreywall.common.result.Result;
 
 /**
- * Sends a change, again under the same change id while the answer is lost, and tells what
- * became of it.
+ * Submits a change and reports its outcome. If no response arrives, the change is resent
+ * with the same change id, which the daemon applies at most once.
  */
 final class ChangeSubmitter {
 
-	private static final int GREATEST_SENDS = 3;
+	private static final int MAX_SEND_ATTEMPTS = 3;
 
 	private final AdminClient client;
 
@@ -34,39 +34,39 @@
 	Result<SubmittedChange> submit(ChangeSubmission change, List<ConfigurationChange> differences) {
 		this.console.note("change-id " + change.changeId() + " on expected revision " + change.expectedRevision());
 		Result<SubmitResult> result = this.client.submit(change);
-		for (int sent = 1; sent < GREATEST_SENDS && isLost(result); sent++) {
-			this.console.note("the answer was lost; sending the same change again");
+		for (int sent = 1; sent < MAX_SEND_ATTEMPTS && isResponseLost(result); sent++) {
+			this.console.note("no response received; resending the change with the same change-id");
 			result = this.client.submit(change);
 		}
-		if (isLost(result)) {
-			return Result.failure(lost(result.error().orElseThrow(), change));
+		if (isResponseLost(result)) {
+			return Result.failure(outcomeUnknown(result.error().orElseThrow(), change));
 		}
-		return result.map((outcome) -> submitted(outcome, change, differences));
+		return result.map((outcome) -> toSubmittedChange(outcome, change, differences));
 	}
 
-	private static boolean isLost(Result<SubmitResult> result) {
+	private static boolean isResponseLost(Result<SubmitResult> result) {
 		return result.error().filter((error) -> ExitCode.of(error.code()) == ExitCode.UNREACHABLE).isPresent();
 	}
 
-	private static OperationError lost(OperationError error, ChangeSubmission change) {
+	private static OperationError outcomeUnknown(OperationError error, ChangeSubmission change) {
 		return new OperationError(error.code(), error.step(), error.peer(),
 				error.message()
-						+ "; whether the change was accepted is not known: run the same command with --change-id "
+						+ "; whether the change was accepted is not known: rerun the same command with --change-id "
 						+ change.changeId() + " --expected-revision " + change.expectedRevision()
-						+ " to learn it, which makes the change at most once");
+						+ " to find out; the change is applied at most once");
 	}
 
-	private static SubmittedChange submitted(SubmitResult outcome, ChangeSubmission change,
+	private static SubmittedChange toSubmittedChange(SubmitResult outcome, ChangeSubmission change,
 			List<ConfigurationChange> differences) {
 		JsonObject json = new JsonObject().put("changeId", change.changeId().value())
 			.put("expectedRevision", change.expectedRevision())
 			.put("dryRun", change.dryRun())
 			.put("changes", DiffFormatter.json(differences));
-		return (outcome instanceof SubmitConflict conflict) ? conflict(conflict, json)
-				: accepted((SubmitAccepted) outcome, change, differences, json);
+		return (outcome instanceof SubmitConflict conflict) ? conflictReport(conflict, json)
+				: acceptedReport((SubmitAccepted) outcome, change, differences, json);
 	}
 
-	private static SubmittedChange accepted(SubmitAccepted accepted, ChangeSubmission change,
+	private static SubmittedChange acceptedReport(SubmitAccepted accepted, ChangeSubmission change,
 			List<ConfigurationChange> differences, JsonObject json) {
 		List<String> lines = new ArrayList<>(DiffFormatter.lines(differences));
 		json.put("revision", accepted.revision()).put("applied", accepted.applied());
@@ -75,18 +75,19 @@
 			return new SubmittedChange(Report.ok(lines, json), OptionalLong.of(accepted.revision()));
 		}
 		if (change.dryRun()) {
-			lines.add("would be accepted as revision " + accepted.revision() + "; next: run it without --dry-run");
+			lines.add("would be accepted as revision " + accepted.revision()
+					+ "; next: run the command without --dry-run");
 			return new SubmittedChange(Report.ok(lines, json), OptionalLong.empty());
 		}
 		lines.add("not applied; next: compare with comfreywall get and comfreywall history");
 		return new SubmittedChange(new Report(ExitCode.FAILED, lines, json), OptionalLong.empty());
 	}
 
-	private static SubmittedChange conflict(SubmitConflict conflict, JsonObject json) {
+	private static SubmittedChange conflictReport(SubmitConflict conflict, JsonObject json) {
 		List<String> lines = List.of(
-				"conflict: " + winner(conflict) + "; the configuration is at revision " + conflict.revision(),
+				"conflict: " + describeWinner(conflict) + "; the configuration is at revision " + conflict.revision(),
 				conflict.message(),
-				"next: fetch it with comfreywall get --output FILE, make your change there and apply FILE");
+				"next: run comfreywall get --output FILE, repeat the change in FILE and apply FILE");
 		json.put("revision", conflict.revision())
 			.put("applied", false)
 			.put("winnerChangeId", conflict.winnerChangeId())
@@ -94,7 +95,7 @@
 		return new SubmittedChange(new Report(ExitCode.CONFLICT, lines, json), OptionalLong.empty());
 	}
 
-	private static String winner(SubmitConflict conflict) {
+	private static String describeWinner(SubmitConflict conflict) {
 		return conflict.winnerAuthor().isBlank() ? "another change came first"
 				: conflict.winnerAuthor() + " changed the configuration first, change-id " + conflict.winnerChangeId();
 	}
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/Command.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/Command.java
@@ -3,12 +3,12 @@
 import org.comfreywall.common.result.Result;
 
 /**
- * A sub-command with its options, which JCommander fills in.
+ * A subcommand; JCommander sets its annotated option fields before it runs.
  */
 public interface Command {
 
 	/**
-	 * Returns the options that every command has.
+	 * Returns the options that all commands share.
 	 * @return the options
 	 */
 	CommonOptions options();
@@ -16,8 +16,9 @@
 	/**
 	 * Runs the command.
 	 * @param console the process's streams and environment
-	 * @return the report, or the error that ended the command
-	 * @throws com.beust.jcommander.ParameterException if the options do not fit together
+	 * @return the report, or the error that aborted the command
+	 * @throws com.beust.jcommander.ParameterException if the options are invalid or
+	 * contradict each other
 	 */
 	Result<Report> run(Console console);
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/Console.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/Console.java
@@ -8,18 +8,19 @@
 import java.util.function.Function;
 
 /**
- * The process's streams and environment.
+ * Standard streams and environment variables of the process.
  *
- * @param in what the operator types
- * @param out results
- * @param err prompts, notes and errors
- * @param environment looks up environment variables
+ * @param in the standard input
+ * @param out the standard output, for results
+ * @param err the standard error, for prompts, notes and errors
+ * @param environment the lookup of environment variables by name
  */
 public record Console(BufferedReader in, PrintStream out, PrintStream err,
 		Function<String, Optional<String>> environment) {
 
 	/**
-	 * Prints a note beside the results.
+	 * Prints a line to the standard error, so that the standard output holds only
+	 * results.
 	 * @param line the note
 	 */
 	public void note(String line) {
@@ -27,9 +28,9 @@
 	}
 
 	/**
-	 * Asks for a line.
+	 * Prints a prompt and reads a line.
 	 * @param prompt the prompt
-	 * @return the line without blanks around it
+	 * @return the line without leading and trailing white space
 	 * @throws EOFException if the input has ended
 	 * @throws IOException if the input cannot be read
 	 */
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/DiffFormatter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/DiffFormatter.java
@@ -11,7 +11,7 @@
 import org.comfreywall.common.toml.ValueTypes;
 
 /**
- * Prints differences between configurations.
+ * Formats differences between two configurations.
  */
 public final class DiffFormatter {
 
@@ -19,9 +19,9 @@
 	}
 
 	/**
-	 * Prints differences for people.
+	 * Formats differences as text.
 	 * @param changes the differences
-	 * @return a line for each part and each changed value
+	 * @return a line for each added, removed or changed element and each changed field
 	 */
 	public static List<String> lines(List<ConfigurationChange> changes) {
 		List<String> lines = new ArrayList<>();
@@ -30,9 +30,9 @@
 	}
 
 	/**
-	 * Prints differences for programs.
+	 * Formats differences as JSON.
 	 * @param changes the differences
-	 * @return an object for each part
+	 * @return an object for each added, removed or changed element
 	 */
 	public static JsonArray json(List<ConfigurationChange> changes) {
 		return new JsonArray(changes.stream().map(DiffFormatter::json).toList());
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/DrainCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/DrainCommand.java
@@ -9,9 +9,9 @@
 import org.comfreywall.common.result.Result;
 
 /**
- * Drains a backend server.
+ * Drains a backend server through the admin API.
  */
-@Parameters(commandDescription = "Give a backend server no new work and let it finish what it has")
+@Parameters(commandDescription = "Drain a backend server: it gets no new requests and finishes running ones")
 public final class DrainCommand extends AdminCommand {
 
 	@Parameter(description = "BACKEND-SERVER", required = true)
@@ -24,8 +24,8 @@
 
 	private Report report() {
 		return Report.ok(
-				List.of("draining " + this.backendServer + "; it gets no new work and finishes what it has",
-						"next: comfreywall status shows when it has finished"),
+				List.of("draining " + this.backendServer + "; it gets no new requests and finishes running ones",
+						"next: run comfreywall status to see whether it has finished"),
 				new JsonObject().put("backendServer", this.backendServer).put("draining", true));
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/DurationOption.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/DurationOption.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.toml.Quantities;
 
 /**
- * Reads durations on the command line.
+ * Parses durations given as command-line options.
  */
 final class DurationOption {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ExitCode.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ExitCode.java
@@ -7,15 +7,15 @@
  */
 public enum ExitCode {
 
-	/** Done. */
+	/** The command succeeded. */
 	OK(0),
-	/** Refused or failed. */
+	/** The request was rejected or the command failed. */
 	FAILED(1),
-	/** The command line is wrong. */
+	/** The command line is invalid. */
 	USAGE(2),
-	/** The daemon cannot be reached or did not answer in time. */
+	/** The daemon cannot be reached or did not respond in time. */
 	UNREACHABLE(3),
-	/** Another change came first. */
+	/** Another change was accepted first. */
 	CONFLICT(4);
 
 	private final int number;
@@ -25,16 +25,16 @@
 	}
 
 	/**
-	 * Returns the number that the process exits with.
-	 * @return the number
+	 * Returns the exit status of the process.
+	 * @return the exit status
 	 */
 	public int number() {
 		return this.number;
 	}
 
 	/**
-	 * Chooses the exit code for an error.
-	 * @param code the kind of error
+	 * Maps an error to an exit code.
+	 * @param code the error code
 	 * @return the exit code
 	 */
 	public static ExitCode of(ErrorCode code) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ExplainCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ExplainCommand.java
@@ -16,9 +16,9 @@
 import org.comfreywall.common.result.Step;
 
 /**
- * Prints the decisions about one request, or about another subject such as a group.
+ * Prints the recorded decisions about one request or another subject, such as a group.
  */
-@Parameters(commandDescription = "Print the decisions about a request with their inputs")
+@Parameters(commandDescription = "Print the recorded decisions about a request and their inputs")
 public final class ExplainCommand extends AdminCommand {
 
 	@Parameter(description = "REQUEST", required = true)
@@ -31,9 +31,9 @@
 
 	private Result<Report> report(List<DecisionView> records) {
 		if (records.isEmpty()) {
-			return Result
-				.failure(OperationError.local(ErrorCode.NOT_FOUND, Step.SEND, "this daemon keeps no decision about "
-						+ this.subject + "; ask the entry that took the request with --admin, and check the id"));
+			return Result.failure(OperationError.local(ErrorCode.NOT_FOUND, Step.SEND,
+					"this daemon has no recorded decision about " + this.subject
+							+ "; check the id, and use --admin to query the entry that received the request"));
 		}
 		JsonArray json = new JsonArray(records.stream().map(ExplainCommand::json).toList());
 		return Result.success(Report.ok(records.stream().flatMap((record) -> lines(record).stream()).toList(),
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/GetCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/GetCommand.java
@@ -16,12 +16,12 @@
 import org.comfreywall.common.result.Step;
 
 /**
- * Fetches the configuration in force.
+ * Fetches the current configuration and prints it or writes it to a file.
  */
-@Parameters(commandDescription = "Print the configuration in force, or write it to a file")
+@Parameters(commandDescription = "Print the current configuration or write it to a file")
 public final class GetCommand extends AdminCommand {
 
-	@Parameter(names = "--output", description = "File to write the configuration to")
+	@Parameter(names = "--output", description = "File to write the configuration to; default: standard output")
 	private String output;
 
 	@Override
@@ -29,17 +29,17 @@
 		return client.configuration().flatMap(this::report);
 	}
 
-	private Result<Report> report(RevisedConfiguration present) {
-		JsonObject json = new JsonObject().put("revision", present.revision())
-			.put("configuration", present.configuration());
+	private Result<Report> report(RevisedConfiguration current) {
+		JsonObject json = new JsonObject().put("revision", current.revision())
+			.put("configuration", current.configuration());
 		if (this.output == null) {
-			List<String> lines = present.configuration().lines().toList();
-			return Result.success(Report.ok(prepend("# revision " + present.revision(), lines), json));
+			List<String> lines = current.configuration().lines().toList();
+			return Result.success(Report.ok(prepend("# revision " + current.revision(), lines), json));
 		}
 		try {
-			TextFiles.write(Path.of(this.output), present.configuration());
+			TextFiles.write(Path.of(this.output), current.configuration());
 			return Result
-				.success(Report.ok(List.of("wrote revision " + present.revision() + " to " + this.output), json));
+				.success(Report.ok(List.of("wrote revision " + current.revision() + " to " + this.output), json));
 		}
 		catch (IOException ex) {
 			return Result.failure(OperationError.local(ErrorCode.STORAGE, Step.STORE,
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/HistoryCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/HistoryCommand.java
@@ -12,26 +12,26 @@
 import org.comfreywall.common.result.Result;
 
 /**
- * Lists accepted changes of the configuration.
+ * Lists accepted configuration changes.
  */
-@Parameters(commandDescription = "List accepted changes of the configuration")
+@Parameters(commandDescription = "List accepted configuration changes")
 public final class HistoryCommand extends AdminCommand {
 
-	private static final int GREATEST_LIMIT = 1000;
+	private static final int MAX_LIMIT = 1000;
 
-	@Parameter(names = "--limit", description = "Greatest number of changes, 1 to " + GREATEST_LIMIT)
+	@Parameter(names = "--limit", description = "Maximum number of changes, 1 to " + MAX_LIMIT)
 	private int limit = 20;
 
 	@Override
 	Result<Report> run(AdminClient client, Console console) {
-		if (this.limit < 1 || this.limit > GREATEST_LIMIT) {
-			throw new ParameterException("--limit " + this.limit + " is not allowed; allowed: 1 to " + GREATEST_LIMIT);
+		if (this.limit < 1 || this.limit > MAX_LIMIT) {
+			throw new ParameterException("--limit " + this.limit + " is out of range; allowed: 1 to " + MAX_LIMIT);
 		}
 		return client.history(this.limit).map(HistoryCommand::report);
 	}
 
 	private static Report report(List<AcceptedChange> changes) {
-		List<String> lines = changes.isEmpty() ? List.of("no change was accepted yet")
+		List<String> lines = changes.isEmpty() ? List.of("no changes have been accepted yet")
 				: changes.stream().map(HistoryCommand::line).toList();
 		return Report.ok(lines,
 				new JsonObject().put("changes", new JsonArray(changes.stream().map(HistoryCommand::json).toList())));
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/JsonTree.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/JsonTree.java
@@ -7,7 +7,7 @@
 import io.vertx.core.json.JsonObject;
 
 /**
- * Prints JSON objects as indented lines for people.
+ * Formats JSON objects as indented text.
  */
 final class JsonTree {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ProgressWaiter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ProgressWaiter.java
@@ -7,7 +7,8 @@
 import org.comfreywall.common.result.Result;
 
 /**
- * Polls the progress of a revision until it is in force everywhere or time is up.
+ * Polls the progress of a revision until every live member has applied it or the timeout
+ * elapses.
  */
 final class ProgressWaiter {
 
@@ -25,7 +26,7 @@
 	Result<RevisionProgress> waitFor(long revision) {
 		long deadline = System.nanoTime() + this.timeout.toNanos();
 		Result<RevisionProgress> progress = this.client.progress(revision);
-		while (!isComplete(progress) && System.nanoTime() < deadline && pause(deadline)) {
+		while (!isComplete(progress) && System.nanoTime() < deadline && sleepUntilNextPoll(deadline)) {
 			progress = this.client.progress(revision);
 		}
 		return progress;
@@ -35,7 +36,7 @@
 		return progress.value().filter(RevisionProgress::isComplete).isPresent();
 	}
 
-	private static boolean pause(long deadline) {
+	private static boolean sleepUntilNextPoll(long deadline) {
 		try {
 			long nanos = Math.min(POLL_INTERVAL_NANOS, Math.max(1, deadline - System.nanoTime()));
 			Thread.sleep(Duration.ofNanos(nanos).toMillis() + 1);
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/Report.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/Report.java
@@ -6,11 +6,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * What a command has to say, for people and for programs.
+ * Result of a command, as text and as JSON.
  *
  * @param exit the exit code
- * @param lines the report for people
- * @param json the report for programs
+ * @param lines the lines of text
+ * @param json the same result for {@code --json}
  */
 public record Report(ExitCode exit, List<String> lines, JsonObject json) {
 
@@ -21,9 +21,9 @@
 	}
 
 	/**
-	 * Creates the report of a command that did what it was asked.
-	 * @param lines the report for people
-	 * @param json the report for programs
+	 * Creates the report of a successful command.
+	 * @param lines the lines of text
+	 * @param json the same result for {@code --json}
 	 * @return the report
 	 */
 	public static Report ok(List<String> lines, JsonObject json) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ReportCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ReportCommand.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.result.Result;
 
 /**
- * Shows how a group is.
+ * Shows the status of a group of model servers.
  */
 @Parameters(commandDescription = "Show a group's step-time skew, rebalancing cost and ranks")
 public final class ReportCommand extends AdminCommand {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/StatusCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/StatusCommand.java
@@ -5,9 +5,9 @@
 import org.comfreywall.common.result.Result;
 
 /**
- * Shows how the fleet is.
+ * Shows the status of the fleet.
  */
-@Parameters(commandDescription = "Show how the fleet is, as the asked daemon sees it")
+@Parameters(commandDescription = "Show the status of the fleet as seen by the queried daemon")
 public final class StatusCommand extends AdminCommand {
 
 	@Override
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/SubmittedChange.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/SubmittedChange.java
@@ -9,10 +9,11 @@
 import org.comfreywall.cli.admin.RevisionProgress;
 
 /**
- * A change that a daemon has judged.
+ * Outcome of a change that a daemon has accepted or rejected.
  *
- * @param report what became of it
- * @param revision the revision that it made; empty if it made none
+ * @param report the report of the outcome
+ * @param revision the revision that the change created; empty after a dry run or a
+ * rejection
  */
 record SubmittedChange(Report report, OptionalLong revision) {
 
@@ -28,7 +29,8 @@
 		}
 		lines.add("in force on " + progress.inForce() + " of " + progress.members() + " live members; missing: "
 				+ String.join(", ", progress.missing()));
-		lines.add("next: the change stands and will reach them; look at the missing members with comfreywall status");
+		lines.add(
+				"next: the change stays accepted and will reach them; check the missing members with comfreywall status");
 		return new Report(ExitCode.FAILED, lines, json);
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/TextFiles.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/TextFiles.java
@@ -6,7 +6,7 @@
 import java.nio.file.StandardCopyOption;
 
 /**
- * Writes text files whole: a reader sees the old or the new text.
+ * Writes text files atomically: a concurrent reader sees either the old or the new text.
  */
 public final class TextFiles {
 
@@ -14,7 +14,8 @@
 	}
 
 	/**
-	 * Writes a text, creating missing folders.
+	 * Writes a text through a temporary file in the same folder, creating missing
+	 * folders.
 	 * @param file the file
 	 * @param text the text
 	 * @throws IOException if the file cannot be written
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/package-info.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The sub-commands of the command-line tool and what they share.
+ * Subcommands of the command-line tool and the classes they share.
  */
 package org.comfreywall.cli.command;
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/AdminCommandTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/AdminCommandTests.java
@@ -12,7 +12,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for the commands that ask a daemon, against a stand-in for its admin API.
+ * Tests for the commands that call a daemon's admin API, against a fake of that API.
  */
 class AdminCommandTests {
 
@@ -35,7 +35,7 @@
 	}
 
 	@Test
-	void statusPrintsTheAnswerAsTree() {
+	void statusPrintsTheResponseAsTree() {
 		this.daemon.on("GET /v1/status", 200,
 				"{\"revision\":3,\"members\":[{\"name\":\"one\"}],\"roles\":[\"entry\"]}");
 		CommandRun run = run("status");
@@ -44,13 +44,13 @@
 	}
 
 	@Test
-	void statusPassesTheAnswerOnAsJson() {
+	void statusPrintsTheResponseAsJson() {
 		this.daemon.on("GET /v1/status", 200, "{\"revision\":3}");
 		assertThat(run("status", "--json").json()).isEqualTo(new JsonObject().put("revision", 3).put("exitCode", 0));
 	}
 
 	@Test
-	void reportAsksForTheGroup() {
+	void reportRequestsTheGroup() {
 		this.daemon.on("GET /v1/status/groups/chat%201", 200, "{\"skew\":1.2}");
 		assertThat(run("report", "chat 1").out()).contains("skew: 1.2");
 	}
@@ -71,7 +71,7 @@
 	}
 
 	@Test
-	void drainNamesTheBackendServer() {
+	void drainSendsTheNameOfTheBackendServer() {
 		this.daemon.on("POST /v1/drain", 202, "");
 		CommandRun run = run("drain", "chat-1");
 		assertThat(run.exit()).isEqualTo(ExitCode.OK);
@@ -79,7 +79,7 @@
 	}
 
 	@Test
-	void drainPassesOnTheDaemonsError() {
+	void drainReportsTheErrorOfTheDaemon() {
 		this.daemon.on("POST /v1/drain", 404,
 				"{\"error\":{\"code\":\"NOT_FOUND\",\"step\":\"MEMBERSHIP\",\"peer\":\"one\",\"message\":\"no such server\"}}");
 		CommandRun run = run("drain", "chat-9");
@@ -96,11 +96,11 @@
 	}
 
 	@Test
-	void explainSaysWhomToAskWhenNothingIsKept() {
+	void explainNamesTheDaemonToQueryWhenNoDecisionIsRecorded() {
 		this.daemon.on("GET /v1/decisions?subject=r1", 200, "{\"records\":[]}");
 		CommandRun run = run("explain", "r1");
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
-		assertThat(run.err()).contains("ask the entry that took the request");
+		assertThat(run.err()).contains("query the entry that received the request");
 	}
 
 	@Test
@@ -111,7 +111,7 @@
 	}
 
 	@Test
-	void errorsWithoutObjectTellTheStatus() {
+	void errorsWithoutErrorObjectReportTheHttpStatus() {
 		this.daemon.on("GET /v1/status", 503, "busy");
 		CommandRun run = run("status");
 		assertThat(run.exit()).isEqualTo(ExitCode.UNREACHABLE);
@@ -119,7 +119,7 @@
 	}
 
 	@Test
-	void answersOfOtherServersAreMalformed() {
+	void responsesOfAnUnexpectedFormatAreMalformed() {
 		this.daemon.on("GET /v1/history?limit=20", 200, "{\"changes\":[7]}");
 		CommandRun run = run("history");
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/ApplyCommandTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/ApplyCommandTests.java
@@ -17,7 +17,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@code apply} against a stand-in for the admin API.
+ * Tests for {@link org.comfreywall.cli.command.ApplyCommand} against a fake admin API.
  */
 class ApplyCommandTests {
 
@@ -27,7 +27,7 @@
 
 	private static final String ACCEPTED = "{\"revision\":5,\"applied\":true}";
 
-	private static final String WANTED = "[[failure-domain]]\nname = \"north\"\nregion = \"home\"\n";
+	private static final String DESIRED = "[[failure-domain]]\nname = \"north\"\nregion = \"home\"\n";
 
 	private final AdminStandIn daemon = new AdminStandIn();
 
@@ -39,7 +39,7 @@
 	@BeforeEach
 	void prepare() throws IOException {
 		this.file = this.folder.resolve("wanted.toml");
-		Files.writeString(this.file, WANTED);
+		Files.writeString(this.file, DESIRED);
 		this.daemon.on("GET /v1/configuration", 200, "{\"revision\":4,\"configuration\":\"\"}");
 	}
 
@@ -61,7 +61,7 @@
 	}
 
 	@Test
-	void submitsTheChangeOnThePresentRevision() {
+	void submitsTheChangeBasedOnTheCurrentRevision() {
 		this.daemon.on(CHANGES, 200, ACCEPTED);
 		CommandRun run = applyFile("--author", "ana", "--reason", "grow", "--change-id", "c5");
 		assertThat(run.exit()).isEqualTo(ExitCode.OK);
@@ -71,7 +71,7 @@
 			.put("author", "ana")
 			.put("reason", "grow")
 			.put("dryRun", false)
-			.put("configuration", WANTED));
+			.put("configuration", DESIRED));
 	}
 
 	@Test
@@ -84,16 +84,17 @@
 	}
 
 	@Test
-	void namesTheWinnerOfAConflict() {
+	void reportsTheChangeThatWonAConflict() {
 		this.daemon.on(CHANGES, 409, "{\"error\":{\"code\":\"CONFLICT\",\"message\":\"revision 4 is past\","
 				+ "\"winnerChangeId\":\"c4\",\"winnerAuthor\":\"bo\",\"revision\":5}}");
 		CommandRun run = applyFile();
 		assertThat(run.exit()).isEqualTo(ExitCode.CONFLICT);
-		assertThat(run.out()).contains("bo changed the configuration first", "c4", "revision 5", "next: fetch it");
+		assertThat(run.out()).contains("bo changed the configuration first", "c4", "revision 5",
+				"next: run comfreywall get");
 	}
 
 	@Test
-	void reportsConflictWhoseWinnerIsForgotten() {
+	void reportsConflictWithAnUnknownWinner() {
 		this.daemon.on(CHANGES, 409, "{\"error\":{\"code\":\"CONFLICT\",\"message\":\"past\",\"revision\":900}}");
 		CommandRun run = applyFile();
 		assertThat(run.exit()).isEqualTo(ExitCode.CONFLICT);
@@ -101,7 +102,7 @@
 	}
 
 	@Test
-	void refusesInvalidFileWithoutAskingTheDaemon() throws IOException {
+	void rejectsInvalidFileWithoutSubmittingIt() throws IOException {
 		Files.writeString(this.file, "[[failure-domian]]\n");
 		CommandRun run = applyFile();
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
@@ -128,7 +129,7 @@
 	}
 
 	@Test
-	void dryRunIsPassedOnAndReported() {
+	void sendsAndReportsDryRun() {
 		this.daemon.on(CHANGES, 200, "{\"revision\":5,\"applied\":false}");
 		CommandRun run = applyFile("--dry-run", "--wait");
 		assertThat(run.exit()).isEqualTo(ExitCode.OK);
@@ -137,10 +138,10 @@
 	}
 
 	@Nested
-	class LostAnswers {
+	class LostResponses {
 
 		@Test
-		void areFollowedByAResendUnderTheSameChangeId() {
+		void causeAResendWithTheSameChangeId() {
 			ApplyCommandTests.this.daemon.loseAnswer(CHANGES).on(CHANGES, 200, ACCEPTED);
 			CommandRun run = applyFile();
 			assertThat(run.exit()).isEqualTo(ExitCode.OK);
@@ -150,7 +151,7 @@
 		}
 
 		@Test
-		void endWithTheCommandThatLearnsTheOutcome() {
+		void endWithTheCommandThatFindsOutTheOutcome() {
 			ApplyCommandTests.this.daemon.loseAnswer(CHANGES);
 			CommandRun run = applyFile("--change-id", "c5");
 			assertThat(run.exit()).isEqualTo(ExitCode.UNREACHABLE);
@@ -163,7 +164,7 @@
 	class Waiting {
 
 		@Test
-		void endsWhenEveryMemberHasTheRevision() {
+		void endsWhenEveryMemberHasAppliedTheRevision() {
 			ApplyCommandTests.this.daemon.on(CHANGES, 200, ACCEPTED)
 				.on(PROGRESS, 200, "{\"revision\":5,\"members\":2,\"inForce\":1,\"missing\":[\"two\"]}")
 				.on(PROGRESS, 200, "{\"revision\":5,\"members\":2,\"inForce\":2,\"missing\":[]}");
@@ -173,7 +174,7 @@
 		}
 
 		@Test
-		void namesTheMissingMembersAfterTheTimeout() {
+		void reportsTheMissingMembersAfterTheTimeout() {
 			ApplyCommandTests.this.daemon.on(CHANGES, 200, ACCEPTED)
 				.on(PROGRESS, 200, "{\"revision\":5,\"members\":2,\"inForce\":1,\"missing\":[\"two\"]}");
 			CommandRun run = applyFile("--wait", "--timeout", "10ms");
@@ -182,7 +183,7 @@
 		}
 
 		@Test
-		void tellsThatTheChangeStandsWhenProgressIsUnknown() {
+		void reportsTheAcceptedRevisionWhenProgressIsUnknown() {
 			ApplyCommandTests.this.daemon.on(CHANGES, 200, ACCEPTED).loseAnswer(PROGRESS);
 			CommandRun run = applyFile("--wait", "--timeout", "10ms");
 			assertThat(run.exit()).isEqualTo(ExitCode.UNREACHABLE);
