Reword the init command and its questions

The questions said "its" and "beside it" without an object; comments on proposed answers and API keys were hard to solve. Questions, error messages and comments now name the address, role or file that is meant. Texts in generated files are unchanged. Test names are plain sentences.

--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswerTables.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswerTables.java
@@ -9,7 +9,7 @@
 import org.comfreywall.common.toml.TomlField;
 
 /**
- * Earlier answers, looked up by section, name and key.
+ * Lookup of earlier answers by section, element name and key.
  */
 final class AnswerTables {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Answers.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Answers.java
@@ -9,10 +9,10 @@
 import org.comfreywall.common.settings.Role;
 
 /**
- * All answers to the questionnaire.
+ * Answers to the questionnaire: the input for a fleet's configuration and settings files.
  *
- * @param configuration the answers about the fleet's configuration
- * @param instances the answers about the instances, by name
+ * @param configuration the fleet's configuration
+ * @param instances the answers about the instances, sorted by name
  */
 record Answers(Configuration configuration, List<InstanceAnswers> instances) {
 
@@ -27,9 +27,9 @@
 	}
 
 	Answers withAccounts(List<AccountDescriptor> accounts) {
-		Configuration present = this.configuration;
-		return new Answers(new Configuration(present.failureDomains(), present.services(), new ArrayList<>(accounts),
-				present.groups()), this.instances);
+		Configuration current = this.configuration;
+		return new Answers(new Configuration(current.failureDomains(), current.services(), new ArrayList<>(accounts),
+				current.groups()), this.instances);
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersCheck.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersCheck.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.result.Result;
 
 /**
- * Checks answers without generating anything.
+ * Validates answers files without generating files.
  */
 public final class AnswersCheck {
 
@@ -12,10 +12,11 @@
 	}
 
 	/**
-	 * Checks answers.
-	 * @param file the name of the file that the text is from
+	 * Parses and validates answers.
+	 * @param file the file name for error messages
 	 * @param text the answers in TOML
-	 * @return the configuration that they describe, or an error with one line a fault
+	 * @return the configuration that they describe, or an error with one line for each
+	 * fault
 	 */
 	public static Result<Configuration> parse(String file, String text) {
 		return AnswersReader.parse(file, text).map(Answers::configuration);
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersReader.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersReader.java
@@ -15,7 +15,8 @@
 import org.comfreywall.common.toml.TomlTable;
 
 /**
- * Reads answers from TOML; a configuration is read as answers without instances.
+ * Parses and validates answers in TOML. A configuration file is accepted as answers
+ * without instances.
  */
 final class AnswersReader {
 
@@ -36,21 +37,21 @@
 	static Result<Answers> parse(String file, String text) {
 		Problems problems = new Problems(file);
 		Optional<Answers> answers = TomlTable.parse(text, AnswersKeys.DOCUMENT, problems)
-			.flatMap((root) -> answers(root, problems));
+			.flatMap((root) -> readAnswers(root, problems));
 		return answers.map(Result::success).orElseGet(() -> Result.failure(problems.toError(Step.CONFIGURE)));
 	}
 
-	private static Optional<Answers> answers(TomlTable root, Problems problems) {
+	private static Optional<Answers> readAnswers(TomlTable root, Problems problems) {
 		Optional<Configuration> configuration = ConfigurationReader.sections(root, problems);
 		configuration.ifPresent((value) -> new InstanceRules(problems, value).check(root.tables(AnswersKeys.INSTANCE)));
 		if (!problems.isEmpty()) {
 			return Optional.empty();
 		}
 		return configuration.map((value) -> new Answers(value,
-				root.tables(AnswersKeys.INSTANCE).stream().map(AnswersReader::instance).toList()));
+				root.tables(AnswersKeys.INSTANCE).stream().map(AnswersReader::readInstance).toList()));
 	}
 
-	private static InstanceAnswers instance(TomlTable table) {
+	private static InstanceAnswers readInstance(TomlTable table) {
 		return new InstanceAnswers(table.value(AnswersKeys.NAME), table.value(AnswersKeys.FAILURE_DOMAIN),
 				table.value(AnswersKeys.ADDRESS), table.value(AnswersKeys.ROLES), table.value(AnswersKeys.ADMIN_LISTEN),
 				table.value(AnswersKeys.ENTRY_PORT), table.value(AnswersKeys.SIDECAR_PORT),
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersWriter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersWriter.java
@@ -4,7 +4,8 @@
 import org.comfreywall.common.toml.TomlWriter;
 
 /**
- * Writes answers as TOML in canonical order, to be given again.
+ * Writes answers as TOML in canonical order, so that a later run can read and propose
+ * them.
  */
 final class AnswersWriter {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/ApiKey.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/ApiKey.java
@@ -3,10 +3,10 @@
 import org.comfreywall.common.id.AccountId;
 
 /**
- * A new API key of a client account; shown once and stored nowhere.
+ * A generated API key of a client account. It is shown once; only its hash is stored.
  *
  * @param account the client account
- * @param secret the key
+ * @param secret the key in plain text
  */
 record ApiKey(AccountId account, String secret) {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/ApiKeyGenerator.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/ApiKeyGenerator.java
@@ -9,7 +9,7 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * Generates API keys for client accounts that have none.
+ * Generates an API key for each client account without key hashes.
  */
 final class ApiKeyGenerator {
 
@@ -23,32 +23,32 @@
 
 	/**
 	 * Creates a generator.
-	 * @param random the source of keys; must be a {@link java.security.SecureRandom}
-	 * wherever the keys are used
+	 * @param random the source of randomness; must be a
+	 * {@link java.security.SecureRandom} unless the keys are only used in tests
 	 */
 	ApiKeyGenerator(RandomGenerator random) {
 		this.random = random;
 	}
 
 	Answers complete(Answers answers) {
-		return answers.withAccounts(answers.configuration().accounts().stream().map(this::complete).toList());
+		return answers.withAccounts(answers.configuration().accounts().stream().map(this::withKey).toList());
 	}
 
 	List<ApiKey> generated() {
 		return List.copyOf(this.generated);
 	}
 
-	private AccountDescriptor complete(AccountDescriptor account) {
+	private AccountDescriptor withKey(AccountDescriptor account) {
 		if (!account.keyHashes().isEmpty()) {
 			return account;
 		}
-		ApiKey key = new ApiKey(account.id(), secret());
+		ApiKey key = new ApiKey(account.id(), generateSecret());
 		this.generated.add(key);
 		return new AccountDescriptor(account.id(), List.of(Bytes.ofText(key.secret()).sha256()), account.limits(),
 				account.highestClass(), account.services());
 	}
 
-	private String secret() {
+	private String generateSecret() {
 		byte[] bytes = new byte[KEY_BYTES];
 		this.random.nextBytes(bytes);
 		return PREFIX + Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/FleetGenerator.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/FleetGenerator.java
@@ -12,8 +12,8 @@
 import org.comfreywall.common.settings.SettingsReader;
 
 /**
- * Generates the configuration, the settings of every instance and the answers themselves,
- * and checks that each can be read.
+ * Generates the answers file, the configuration and the settings of every instance, and
+ * parses each generated file to verify that it is valid.
  */
 final class FleetGenerator {
 
@@ -34,11 +34,11 @@
 		answers.instances()
 			.forEach((instance) -> files
 				.add(new GeneratedFile(SETTINGS.resolve(instance.name() + ".toml"), settings.generate(instance))));
-		Optional<OperationError> fault = files.stream().flatMap((file) -> fault(file).stream()).findFirst();
-		return fault.map(Result::<List<GeneratedFile>>failure).orElseGet(() -> Result.success(List.copyOf(files)));
+		Optional<OperationError> error = files.stream().flatMap((file) -> validate(file).stream()).findFirst();
+		return error.map(Result::<List<GeneratedFile>>failure).orElseGet(() -> Result.success(List.copyOf(files)));
 	}
 
-	private static Optional<OperationError> fault(GeneratedFile file) {
+	private static Optional<OperationError> validate(GeneratedFile file) {
 		String name = file.path().toString();
 		if (file.path().equals(ANSWERS)) {
 			return AnswersReader.parse(name, file.text()).error();
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/FleetWriter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/FleetWriter.java
@@ -21,7 +21,7 @@
 import org.comfreywall.common.result.Step;
 
 /**
- * Writes what is generated from answers and reports what changed.
+ * Writes the files generated from answers and reports the configuration changes.
  */
 final class FleetWriter {
 
@@ -40,7 +40,7 @@
 				for (GeneratedFile file : files) {
 					TextFiles.write(this.folder.resolve(file.path()), file.text());
 				}
-				return Result.success(report(answers, files, keys, leftover(files)));
+				return Result.success(report(answers, files, keys, findObsolete(files)));
 			}
 			catch (IOException ex) {
 				return Result
@@ -50,41 +50,41 @@
 		});
 	}
 
-	private List<String> leftover(List<GeneratedFile> files) throws IOException {
+	private List<String> findObsolete(List<GeneratedFile> files) throws IOException {
 		Path settings = this.folder.resolve(FleetGenerator.SETTINGS);
-		List<String> leftover = new ArrayList<>();
+		List<String> obsolete = new ArrayList<>();
 		if (Files.isDirectory(settings)) {
 			try (DirectoryStream<Path> present = Files.newDirectoryStream(settings, "*.toml")) {
-				present.forEach((path) -> leftover.add(this.folder.relativize(path).toString()));
+				present.forEach((path) -> obsolete.add(this.folder.relativize(path).toString()));
 			}
 		}
-		files.forEach((file) -> leftover.remove(file.path().toString()));
-		leftover.sort(null);
-		return leftover;
+		files.forEach((file) -> obsolete.remove(file.path().toString()));
+		obsolete.sort(null);
+		return obsolete;
 	}
 
-	private Report report(Answers answers, List<GeneratedFile> files, List<ApiKey> keys, List<String> leftover) {
+	private Report report(Answers answers, List<GeneratedFile> files, List<ApiKey> keys, List<String> obsolete) {
 		List<ConfigurationChange> changes = ConfigurationDiff.between(this.base, answers.configuration());
 		List<String> lines = new ArrayList<>();
 		lines.add("wrote " + files.size() + " files to " + this.folder);
-		leftover.forEach((file) -> lines
+		obsolete.forEach((file) -> lines
 			.add("no longer generated: " + file + "; drain its instance, stop it, then remove the file"));
-		lines.add(changes.isEmpty() ? "the configuration is unchanged" : "change of the configuration:");
+		lines.add(changes.isEmpty() ? "the configuration is unchanged" : "changes of the configuration:");
 		lines.addAll(DiffFormatter.lines(changes));
 		keys.forEach((key) -> lines.add("API key of " + key.account() + ", shown only now: " + key.secret()));
-		lines.add(next());
+		lines.add(nextStep());
 		JsonObject json = new JsonObject()
 			.put("files", new JsonArray(files.stream().map((file) -> file.path().toString()).toList()))
-			.put("leftover", new JsonArray(leftover))
+			.put("leftover", new JsonArray(obsolete))
 			.put("changes", DiffFormatter.json(changes))
 			.put("keys", new JsonArray(keys.stream().map(FleetWriter::json).toList()));
 		return Report.ok(lines, json);
 	}
 
-	private String next() {
+	private String nextStep() {
 		Path configuration = this.folder.resolve(FleetGenerator.CONFIGURATION);
-		return "next: start comfreywalld on each instance with its file of "
-				+ this.folder.resolve(FleetGenerator.SETTINGS) + ", then comfreywall apply --wait " + configuration;
+		return "next: start comfreywalld on each instance with its settings file in "
+				+ this.folder.resolve(FleetGenerator.SETTINGS) + ", then run comfreywall apply --wait " + configuration;
 	}
 
 	private static JsonObject json(ApiKey key) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InitCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InitCommand.java
@@ -26,9 +26,10 @@
 import org.comfreywall.common.result.Step;
 
 /**
- * Generates a fleet's configuration and settings from answers.
+ * Generates a fleet's configuration and settings from answers that are read from a file
+ * or asked on the terminal.
  */
-@Parameters(commandDescription = "Answer the questionnaire and generate configuration and settings from it")
+@Parameters(commandDescription = "Generate configuration and settings files from an answers file or a questionnaire")
 public final class InitCommand implements Command {
 
 	private static final Path REJECTED = Path.of("answers.rejected.toml");
@@ -43,18 +44,18 @@
 			required = true)
 	private String out;
 
-	@Parameter(names = "--answers", description = "Answers file; else the questions are asked here")
+	@Parameter(names = "--answers", description = "Answers file; without it, the questions are asked on the terminal")
 	private String answers;
 
 	@Parameter(names = "--previous",
-			description = "Earlier answers or a configuration to propose; else answers.toml in --out, if there is one")
+			description = "Answers or configuration file with values to propose; default: answers.toml in --out, if it exists")
 	private String previous;
 
 	@Parameter(names = "--against",
-			description = "Configuration file to show the change against; else the one in --out")
+			description = "Configuration file to compare with; default: configuration.toml in --out, if it exists")
 	private String against;
 
-	@Parameter(names = "--against-fleet", description = "Show the change against the fleet's present configuration")
+	@Parameter(names = "--against-fleet", description = "Compare with the current configuration of the running fleet")
 	private boolean againstFleet;
 
 	@Override
@@ -65,42 +66,43 @@
 	@Override
 	public Result<Report> run(Console console) {
 		if (this.against != null && this.againstFleet) {
-			throw new ParameterException("Give either --against or --against-fleet");
+			throw new ParameterException("--against and --against-fleet exclude each other");
 		}
 		if (this.answers != null && this.previous != null) {
-			throw new ParameterException("Give either --answers or --previous; an answers file holds every answer");
+			throw new ParameterException(
+					"--answers and --previous exclude each other: an answers file contains every answer");
 		}
 		Path folder = Path.of(this.out);
 		ApiKeyGenerator keys = new ApiKeyGenerator(new SecureRandom());
-		return base(folder, console).flatMap((base) -> answers(folder, console).map(keys::complete)
+		return readBase(folder, console).flatMap((base) -> readOrAsk(folder, console).map(keys::complete)
 			.flatMap((complete) -> new FleetWriter(folder, base).write(complete, keys.generated())));
 	}
 
-	private Result<Configuration> base(Path folder, Console console) {
+	private Result<Configuration> readBase(Path folder, Console console) {
 		if (this.againstFleet) {
 			return AdminSession.with(this.admin, console, AdminClient::configuration)
-				.flatMap((present) -> ConfigurationReader.parse("revision " + present.revision(),
-						present.configuration()));
+				.flatMap((current) -> ConfigurationReader.parse("revision " + current.revision(),
+						current.configuration()));
 		}
-		Path present = folder.resolve(FleetGenerator.CONFIGURATION);
+		Path current = folder.resolve(FleetGenerator.CONFIGURATION);
 		if (this.against != null) {
 			return ConfigurationReader.read(Path.of(this.against));
 		}
-		return Files.exists(present) ? ConfigurationReader.read(present) : Result.success(Configuration.EMPTY);
+		return Files.exists(current) ? ConfigurationReader.read(current) : Result.success(Configuration.EMPTY);
 	}
 
-	private Result<Answers> answers(Path folder, Console console) {
+	private Result<Answers> readOrAsk(Path folder, Console console) {
 		if (this.answers != null) {
 			return AnswersReader.read(Path.of(this.answers));
 		}
-		return previous(folder).flatMap((earlier) -> ask(console, earlier, folder));
+		return readPrevious(folder).flatMap((earlier) -> ask(console, earlier, folder));
 	}
 
-	private Result<Answers> previous(Path folder) {
-		Path kept = folder.resolve(FleetGenerator.ANSWERS);
+	private Result<Answers> readPrevious(Path folder) {
+		Path defaultFile = folder.resolve(FleetGenerator.ANSWERS);
 		Optional<Path> file = Optional.ofNullable(this.previous)
 			.map(Path::of)
-			.or(() -> Optional.of(kept).filter(Files::exists));
+			.or(() -> Optional.of(defaultFile).filter(Files::exists));
 		return file.map(AnswersReader::read).orElseGet(() -> Result.success(Answers.EMPTY));
 	}
 
@@ -109,22 +111,22 @@
 			String text = new Questionnaire(console, earlier).ask();
 			Result<Answers> answers = AnswersReader.parse(REJECTED.toString(), text);
 			return answers.error()
-				.map((error) -> Result.<Answers>failure(keepRejected(folder, text, error)))
+				.map((error) -> Result.<Answers>failure(saveRejected(folder, text, error)))
 				.orElse(answers);
 		}
 		catch (IOException ex) {
 			return Result
 				.failure(OperationError.local(ErrorCode.INVALID_INPUT, Step.CONFIGURE, "the answers are incomplete ("
-						+ ex.getMessage() + "), nothing was written; answer again or give --answers FILE"));
+						+ ex.getMessage() + "); nothing was written; run init again or give --answers FILE"));
 		}
 	}
 
-	private static OperationError keepRejected(Path folder, String text, OperationError error) {
+	private static OperationError saveRejected(Path folder, String text, OperationError error) {
 		Path file = folder.resolve(REJECTED);
 		try {
 			TextFiles.write(file, text);
 			return OperationError.local(error.code(), error.step(),
-					error.message() + "\nthe answers are kept: mend " + file + " and give it with --answers");
+					error.message() + "\nthe answers are saved: correct " + file + " and give it with --answers");
 		}
 		catch (IOException ex) {
 			return error;
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InstanceRules.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InstanceRules.java
@@ -14,8 +14,9 @@
 import org.comfreywall.common.toml.TomlTable;
 
 /**
- * Checks the rules that tie answers about instances to each other and to the
- * configuration.
+ * Validates answers about instances against each other and against the configuration:
+ * unique names and ports, known failure domains and services, and the number of control
+ * instances.
  */
 final class InstanceRules {
 
@@ -23,9 +24,9 @@
 
 	private final Configuration configuration;
 
-	private final Set<String> names = new HashSet<>();
+	private final Set<String> seenNames = new HashSet<>();
 
-	private final Set<String> ports = new HashSet<>();
+	private final Set<String> seenListeners = new HashSet<>();
 
 	InstanceRules(Problems problems, Configuration configuration) {
 		this.problems = problems;
@@ -34,25 +35,26 @@
 
 	void check(List<TomlTable> instances) {
 		instances.forEach(this::check);
-		long control = instances.stream().filter((table) -> holds(table, Role.CONTROL)).count();
+		long control = instances.stream().filter((table) -> hasRole(table, Role.CONTROL)).count();
 		if (!instances.isEmpty() && (control < 1 || control > SettingsKeys.GREATEST_CONTROL_INSTANCES)) {
-			this.problems.add("instance", "(" + control + " with the role control)", "1 to "
-					+ SettingsKeys.GREATEST_CONTROL_INSTANCES + " instances with the role \"control\"; 3 outlive one");
+			this.problems.add("instance", "(" + control + " with the role control)",
+					"1 to " + SettingsKeys.GREATEST_CONTROL_INSTANCES
+							+ " instances with the role \"control\"; 3 tolerate the failure of one");
 		}
 	}
 
 	private void check(TomlTable table) {
 		String name = table.value(AnswersKeys.NAME);
-		if (!this.names.add(name)) {
-			add(table, AnswersKeys.NAME, name, "a name used once");
+		if (!this.seenNames.add(name)) {
+			addProblem(table, AnswersKeys.NAME, name, "a unique name");
 		}
 		String domain = table.value(AnswersKeys.FAILURE_DOMAIN);
 		if (this.configuration.failureDomains().stream().noneMatch((known) -> known.id().value().equals(domain))) {
-			add(table, AnswersKeys.FAILURE_DOMAIN, domain, "a failure domain of the answers");
+			addProblem(table, AnswersKeys.FAILURE_DOMAIN, domain, "a failure domain in the answers");
 		}
 		String address = table.value(AnswersKeys.ADDRESS);
 		if (HostPort.of(address, 1).isEmpty()) {
-			add(table, AnswersKeys.ADDRESS, address, AnswersKeys.ADDRESS.type().allowed());
+			addProblem(table, AnswersKeys.ADDRESS, address, AnswersKeys.ADDRESS.type().allowed());
 		}
 		checkPort(table, Role.ENTRY, AnswersKeys.ENTRY_PORT);
 		checkPort(table, Role.SIDECAR, AnswersKeys.SIDECAR_PORT);
@@ -62,27 +64,28 @@
 
 	private void checkPort(TomlTable table, Role role, KeyDescriptor<Integer> port) {
 		String listener = table.value(AnswersKeys.ADDRESS) + " port " + table.value(port);
-		if (holds(table, role) && !this.ports.add(listener)) {
-			add(table, port, listener, "a port that no other listener at that address has");
+		if (hasRole(table, role) && !this.seenListeners.add(listener)) {
+			addProblem(table, port, listener, "a port that no other listener at this address uses");
 		}
 	}
 
 	private void checkService(TomlTable table) {
-		if (!holds(table, Role.SIDECAR)) {
+		if (!hasRole(table, Role.SIDECAR)) {
 			return;
 		}
 		String service = table.find(AnswersKeys.SERVICE).orElse("");
 		boolean known = !service.isEmpty() && this.configuration.service(ServiceId.of(service)).isPresent();
 		if (!known) {
-			add(table, AnswersKeys.SERVICE, service, "a service of the answers, because roles names \"sidecar\"");
+			addProblem(table, AnswersKeys.SERVICE, service,
+					"a service in the answers, because roles contains \"sidecar\"");
 		}
 	}
 
-	private static boolean holds(TomlTable table, Role role) {
+	private static boolean hasRole(TomlTable table, Role role) {
 		return table.value(AnswersKeys.ROLES).contains(role);
 	}
 
-	private void add(TomlTable table, KeyDescriptor<?> key, String value, String allowed) {
+	private void addProblem(TomlTable table, KeyDescriptor<?> key, String value, String allowed) {
 		this.problems.add(table.fullName(key), "\"" + value + "\"", allowed);
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InstanceTables.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InstanceTables.java
@@ -10,7 +10,8 @@
 import org.comfreywall.common.toml.ValueTypes;
 
 /**
- * Turns answers about an instance into fields in canonical order, leaving out defaults.
+ * Converts answers about an instance to TOML fields in canonical order. Fields with the
+ * default value and fields of roles that the instance lacks are omitted.
  */
 final class InstanceTables {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/QuestionFilter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/QuestionFilter.java
@@ -9,19 +9,19 @@
 import org.comfreywall.common.toml.ValueTypes;
 
 /**
- * Says which questions are asked.
+ * Decides which questions are asked and which answers are proposed for the next element.
  */
 final class QuestionFilter {
 
 	private static final String KEY_HASHES = "key-hashes";
 
-	private static final Map<String, Role> NEEDED_BY = Map.of(AnswersKeys.ENTRY_PORT.name(), Role.ENTRY,
+	private static final Map<String, Role> REQUIRED_ROLES = Map.of(AnswersKeys.ENTRY_PORT.name(), Role.ENTRY,
 			AnswersKeys.SIDECAR_PORT.name(), Role.SIDECAR, AnswersKeys.SERVICE.name(), Role.SIDECAR,
 			AnswersKeys.BACKEND.name(), Role.SIDECAR, AnswersKeys.ENGINE_ROLE.name(), Role.SIDECAR,
 			AnswersKeys.CHECKS_FENCING.name(), Role.SIDECAR, AnswersKeys.CONTROL_PORT.name(), Role.CONTROL,
 			AnswersKeys.DATA_FOLDER.name(), Role.CONTROL);
 
-	private static final Set<String> OWN_TO_EACH = Set.of(AnswersKeys.ADDRESS.name(), "path-prefix",
+	private static final Set<String> UNIQUE_KEYS = Set.of(AnswersKeys.ADDRESS.name(), "path-prefix",
 			"idempotent-requests");
 
 	private QuestionFilter() {
@@ -32,15 +32,15 @@
 	}
 
 	static boolean isAsked(TableDescriptor section, KeyDescriptor<?> key, Map<String, String> answers) {
-		if (!section.name().equals(AnswersKeys.INSTANCE_SECTION) || !NEEDED_BY.containsKey(key.name())) {
+		if (!section.name().equals(AnswersKeys.INSTANCE_SECTION) || !REQUIRED_ROLES.containsKey(key.name())) {
 			return true;
 		}
-		String role = "\"" + ValueTypes.lowerCase(NEEDED_BY.get(key.name())) + "\"";
+		String role = "\"" + ValueTypes.lowerCase(REQUIRED_ROLES.get(key.name())) + "\"";
 		return answers.getOrDefault(AnswersKeys.ROLES.name(), "").contains(role);
 	}
 
 	static boolean isShared(KeyDescriptor<?> key) {
-		return !OWN_TO_EACH.contains(key.name());
+		return !UNIQUE_KEYS.contains(key.name());
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Questionnaire.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Questionnaire.java
@@ -16,17 +16,20 @@
 import org.comfreywall.common.toml.ValueTypes;
 
 /**
- * Asks for answers on a terminal; the questions come from the descriptors of the answers.
+ * Asks for answers on a terminal. The questions are the descriptions of the keys in
+ * {@link AnswersKeys}.
  * <p>
- * An empty line takes the value in brackets: the earlier answer, else the answer about
- * the element before, else the default.
+ * An empty line accepts the proposed value in brackets. For an element of the earlier
+ * answers that is the earlier answer; for a new element, the answer for the previous
+ * element. Without either, the default of the key is proposed.
  */
 final class Questionnaire {
 
-	private static final int GREATEST_ELEMENTS = 10_000;
+	private static final int MAX_ELEMENTS = 10_000;
 
 	private static final KeyDescriptor<List<String>> NAMES = KeyDescriptor.required("names",
-			ValueTypes.listOf(ValueTypes.name(), 0, GREATEST_ELEMENTS), "Their names.");
+			ValueTypes.listOf(ValueTypes.name(), 0, MAX_ELEMENTS),
+			"The names of all elements of this section, separated by commas.");
 
 	private final Console console;
 
@@ -41,12 +44,13 @@
 
 	/**
 	 * Asks all questions.
-	 * @return the answers in TOML, each allowed by itself
+	 * @return the answers in TOML; each value is valid on its own, but references between
+	 * values are not checked
 	 * @throws IOException if the input ends or cannot be read
 	 */
 	String ask() throws IOException {
-		this.console
-			.note("An empty line takes the value in brackets. Lists are separated by commas; none is an empty list.");
+		this.console.note(
+				"Press Enter to accept the value in brackets. Separate list items by commas; enter none for an empty list.");
 		for (TableDescriptor section : AnswersKeys.DOCUMENT.tables()) {
 			askSection(section);
 		}
@@ -56,15 +60,15 @@
 	private void askSection(TableDescriptor section) throws IOException {
 		this.console.note("");
 		this.console.note(section.name() + ": " + section.doc());
-		String present = TomlField.of(NAMES.name(), this.earlier.names(section.name())).literal();
-		String literal = askValue(NAMES, "names", Optional.of(present)).orElse(present);
-		Map<String, String> before = new LinkedHashMap<>();
+		String current = TomlField.of(NAMES.name(), this.earlier.names(section.name())).literal();
+		String literal = askValue(NAMES, "names", Optional.of(current)).orElse(current);
+		Map<String, String> previous = new LinkedHashMap<>();
 		for (String name : LiteralInput.texts(literal)) {
-			before = askElement(section, name, before);
+			previous = askElement(section, name, previous);
 		}
 	}
 
-	private Map<String, String> askElement(TableDescriptor section, String name, Map<String, String> before)
+	private Map<String, String> askElement(TableDescriptor section, String name, Map<String, String> previous)
 			throws IOException {
 		Map<String, String> values = new LinkedHashMap<>();
 		for (KeyDescriptor<?> key : section.keys()) {
@@ -72,7 +76,8 @@
 				values.put(key.name(), TomlField.of(key.name(), name).literal());
 			}
 			else {
-				answer(section, key, name, values, before).ifPresent((literal) -> values.put(key.name(), literal));
+				findAnswer(section, key, name, values, previous)
+					.ifPresent((literal) -> values.put(key.name(), literal));
 			}
 		}
 		List<TomlField> fields = new ArrayList<>();
@@ -81,8 +86,8 @@
 		return values;
 	}
 
-	private Optional<String> answer(TableDescriptor section, KeyDescriptor<?> key, String name,
-			Map<String, String> values, Map<String, String> before) throws IOException {
+	private Optional<String> findAnswer(TableDescriptor section, KeyDescriptor<?> key, String name,
+			Map<String, String> values, Map<String, String> previous) throws IOException {
 		Optional<String> earlierLiteral = this.earlier.literal(section.name(), name, key.name());
 		if (QuestionFilter.isKept(key)) {
 			return earlierLiteral;
@@ -91,16 +96,16 @@
 			return Optional.empty();
 		}
 		Optional<String> proposal = this.earlier.contains(section.name(), name) ? earlierLiteral
-				: Optional.ofNullable(before.get(key.name())).filter((literal) -> QuestionFilter.isShared(key));
+				: Optional.ofNullable(previous.get(key.name())).filter((literal) -> QuestionFilter.isShared(key));
 		return askValue(key, name + " " + key.name(), proposal.or(key::defaultLiteral));
 	}
 
 	private Optional<String> askValue(KeyDescriptor<?> key, String label, Optional<String> proposal)
 			throws IOException {
-		String shown = proposal.map((literal) -> " [" + (literal.equals("[]") ? "none" : literal) + "]").orElse("");
+		String suffix = proposal.map((literal) -> " [" + (literal.equals("[]") ? "none" : literal) + "]").orElse("");
 		this.console.note("  " + key.doc());
 		while (true) {
-			String input = this.console.ask("  " + label + shown + ": ");
+			String input = this.console.ask("  " + label + suffix + ": ");
 			if (input.isEmpty() && (proposal.isPresent() || !key.required())) {
 				return proposal;
 			}
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/SettingsGenerator.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/SettingsGenerator.java
@@ -9,7 +9,7 @@
 import org.comfreywall.common.toml.ValueTypes;
 
 /**
- * Generates each instance's settings from the answers.
+ * Generates the settings file of an instance from the answers.
  */
 final class SettingsGenerator {
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/package-info.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/package-info.java
@@ -1,4 +1,5 @@
 /**
- * The questionnaire, its answers, and what is generated from them.
+ * The {@code init} command: questionnaire, answers files, and generation of a fleet's
+ * configuration and settings.
  */
 package org.comfreywall.cli.init;
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/init/AnswersReaderTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/init/AnswersReaderTests.java
@@ -14,7 +14,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link AnswersReader} and the page that describes answers.
+ * Tests for {@link AnswersReader} and the operators' page with the keys of answers.
  */
 class AnswersReaderTests {
 
@@ -36,13 +36,13 @@
 			""";
 
 	@Test
-	void pageListsEveryKeyOfAnInstance() throws IOException {
+	void documentationListsEveryKeyOfAnInstance() throws IOException {
 		String page = Files.readString(Path.of("..", "docs", "operators", "cli.md"));
 		assertThat(AnswersKeys.INSTANCE.keys()).allSatisfy((key) -> assertThat(page).contains("`" + key.name() + "`"));
 	}
 
 	@Property(seed = "1", tries = 2000)
-	void damagedAnswersGiveGeneratedFilesOrError(@ForAll @IntRange(max = 400) int position, @ForAll char c,
+	void corruptedAnswersGiveValidFilesOrAnError(@ForAll @IntRange(max = 400) int position, @ForAll char c,
 			@ForAll @IntRange(max = 3) int removed) {
 		int from = Math.min(position, ANSWERS.length());
 		int to = Math.min(from + removed, ANSWERS.length());
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/init/ExamplesTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/init/ExamplesTests.java
@@ -16,7 +16,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests that the examples are what {@code init} generates from their answers.
+ * Tests that the files in {@code examples} match the output of {@code init} for their
+ * answers.
  */
 class ExamplesTests {
 
@@ -25,7 +26,7 @@
 
 	@ParameterizedTest
 	@ValueSource(strings = { "popelar", "plume" })
-	void areGeneratedByteForByte(String name) throws IOException {
+	void initGeneratesTheCommittedFiles(String name) throws IOException {
 		Path example = Path.of("..", "examples", name);
 		CommandRun run = CommandRun.of("init", "--out", this.folder.toString(), "--answers",
 				example.resolve("answers.toml").toString());
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/init/InitCommandTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/init/InitCommandTests.java
@@ -72,7 +72,7 @@
 	}
 
 	@Test
-	void generatesFilesThatPassTheCheck() throws IOException {
+	void generatesFilesThatPassCheck() throws IOException {
 		assertThat(init(ANSWERS).exit()).isEqualTo(ExitCode.OK);
 		CommandRun check = CommandRun.of("check", this.out.resolve("answers.toml").toString(),
 				this.out.resolve("configuration.toml").toString(), this.out.resolve("settings/one.toml").toString(),
@@ -84,7 +84,7 @@
 	}
 
 	@Test
-	void showsAGeneratedKeyOnceAndStoresItsDigest() throws IOException {
+	void showsAGeneratedKeyOnceAndStoresItsHash() throws IOException {
 		JsonObject key = init(ANSWERS, "--json").json().getJsonArray("keys").getJsonObject(0);
 		assertThat(key.getString("account")).isEqualTo("desk");
 		assertThat(this.out.resolve("configuration.toml")).content()
@@ -102,10 +102,10 @@
 	}
 
 	@Nested
-	class AnsweringAgain {
+	class RepeatedRuns {
 
 		@Test
-		void showsTheChangeAgainstThePresentConfiguration() throws IOException {
+		void showChangesFromTheCurrentConfiguration() throws IOException {
 			init(ANSWERS);
 			String answers = Files.readString(InitCommandTests.this.out.resolve("answers.toml"));
 			CommandRun run = init(answers.replace("in-flight = 100", "in-flight = 200"));
@@ -113,14 +113,14 @@
 		}
 
 		@Test
-		void namesSettingsThatAreNoLongerGenerated() throws IOException {
+		void reportSettingsFilesThatAreNoLongerGenerated() throws IOException {
 			init(ANSWERS);
 			CommandRun run = init(ANSWERS.substring(0, ANSWERS.lastIndexOf("[[instance]]")));
 			assertThat(run.out()).contains("no longer generated: settings/two.toml");
 		}
 
 		@Test
-		void showsTheChangeAgainstAnotherFile() throws IOException {
+		void showChangesFromAnotherFile() throws IOException {
 			Path empty = Files.writeString(InitCommandTests.this.folder.resolve("empty.toml"), "");
 			init(ANSWERS);
 			assertThat(init(ANSWERS, "--against", empty.toString()).out()).contains("+ service chat");
@@ -129,9 +129,9 @@
 	}
 
 	@Nested
-	class Refusals {
+	class InvalidAnswers {
 
-		private void refused(String answers, String fault) throws IOException {
+		private void assertRejected(String answers, String fault) throws IOException {
 			CommandRun run = init(answers);
 			assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
 			assertThat(run.err()).contains(fault);
@@ -139,29 +139,31 @@
 		}
 
 		@Test
-		void coverFleetsWithoutControl() throws IOException {
-			refused(ANSWERS.replace(", \"control\"", ""), "instance = (0 with the role control)");
+		void includeFleetsWithoutControlInstances() throws IOException {
+			assertRejected(ANSWERS.replace(", \"control\"", ""), "instance = (0 with the role control)");
 		}
 
 		@Test
-		void coverSidecarsWithoutService() throws IOException {
-			refused(ANSWERS.replace("service = \"chat\"\nengine", "engine"), "instance[1].service");
+		void includeSidecarsWithoutService() throws IOException {
+			assertRejected(ANSWERS.replace("service = \"chat\"\nengine", "engine"), "instance[1].service");
 		}
 
 		@Test
-		void coverUnknownFailureDomains() throws IOException {
-			refused(ANSWERS.replace("failure-domain = \"north\"\naddress = \"10.0.0.2\"",
-					"failure-domain = \"west\"\naddress = \"10.0.0.2\""), "instance[1].failure-domain = \"west\"");
+		void includeUnknownFailureDomains() throws IOException {
+			assertRejected(
+					ANSWERS.replace("failure-domain = \"north\"\naddress = \"10.0.0.2\"",
+							"failure-domain = \"west\"\naddress = \"10.0.0.2\""),
+					"instance[1].failure-domain = \"west\"");
 		}
 
 		@Test
-		void coverAddressesThatAreNone() throws IOException {
-			refused(ANSWERS.replace("10.0.0.2", "10.0.0.299"), "instance[1].address");
+		void includeMalformedAddresses() throws IOException {
+			assertRejected(ANSWERS.replace("10.0.0.2", "10.0.0.299"), "instance[1].address");
 		}
 
 		@Test
-		void coverPortsUsedTwice() throws IOException {
-			refused(ANSWERS.replace("address = \"10.0.0.2\"", "address = \"10.0.0.1\"\nsidecar-port = 8080"),
+		void includePortsUsedTwice() throws IOException {
+			assertRejected(ANSWERS.replace("address = \"10.0.0.2\"", "address = \"10.0.0.1\"\nsidecar-port = 8080"),
 					"instance[1].sidecar-port");
 		}
 
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/init/QuestionnaireTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/init/QuestionnaireTests.java
@@ -66,7 +66,7 @@
 	}
 
 	@Test
-	void asksAgainAfterAnswerThatIsNotAllowed() {
+	void asksAgainAfterAnInvalidAnswer() {
 		List<String> accounts = List.of("desk", "many", "50", "20000", "100", "interactive", "chat");
 		CommandRun run = answer(lines(List.of(DOMAINS, SERVICES, accounts, GROUPS, INSTANCES)));
 		assertThat(run.exit()).describedAs(run.err()).isEqualTo(ExitCode.OK);
@@ -82,7 +82,7 @@
 	}
 
 	@Test
-	void keepsAnswersThatDoNotFitTogether() {
+	void savesAnswersWithUnresolvedReferences() {
 		List<String> accounts = List.of("desk", "50", "20000", "100", "interactive", "chess");
 		CommandRun run = answer(lines(List.of(DOMAINS, SERVICES, accounts, GROUPS, INSTANCES)));
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
