Reword the command line's errors and next steps

Error messages called positional arguments names, and next steps told to mend what a message names. They now say which argument, option or file to correct.

--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/ArgumentCheck.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/ArgumentCheck.java
@@ -10,34 +10,35 @@
 import org.comfreywall.common.toml.NearestName;
 
 /**
- * Refuses arguments that a command does not have; JCommander would take misspelt options
- * for names and drop surplus names.
+ * Rejects unknown options and surplus positional arguments before JCommander parses them.
+ * JCommander would treat a misspelt option as a positional argument and silently drop
+ * surplus ones.
  */
 final class ArgumentCheck {
 
-	private final List<ParameterDescription> known;
+	private final List<ParameterDescription> options;
 
-	private final int greatestNames;
+	private final int maxPositionals;
 
 	ArgumentCheck(JCommander command) {
-		this.known = command.getParameters();
-		this.greatestNames = greatestNames(Optional.ofNullable(command.getMainParameterValue()));
+		this.options = command.getParameters();
+		this.maxPositionals = maxPositionals(Optional.ofNullable(command.getMainParameterValue()));
 	}
 
 	/**
-	 * Checks a command's arguments.
+	 * Checks the arguments of a command.
 	 * @param arguments the arguments after the command's name
-	 * @throws ParameterException if one looks like an option but is none, or a name is
-	 * surplus
+	 * @throws ParameterException if an option is unknown or there are too many positional
+	 * arguments
 	 */
 	void check(List<String> arguments) {
-		int names = 0;
+		int positionals = 0;
 		Iterator<String> remaining = arguments.iterator();
 		while (remaining.hasNext()) {
 			String argument = remaining.next();
 			if (!argument.startsWith("-")) {
-				names++;
-				checkName(argument, names);
+				positionals++;
+				checkPositional(argument, positionals);
 			}
 			else if (takesValue(argument) && remaining.hasNext()) {
 				remaining.next();
@@ -45,30 +46,31 @@
 		}
 	}
 
-	private void checkName(String argument, int number) {
-		if (number > this.greatestNames) {
-			throw new ParameterException("\"" + argument + "\" is one name too many for this command");
+	private void checkPositional(String argument, int number) {
+		if (number > this.maxPositionals) {
+			throw new ParameterException(
+					"\"" + argument + "\" exceeds the number of positional arguments of this command");
 		}
 	}
 
 	private boolean takesValue(String option) {
-		Optional<ParameterDescription> description = this.known.stream()
+		Optional<ParameterDescription> description = this.options.stream()
 			.filter((candidate) -> names(candidate).contains(option))
 			.findFirst();
-		Class<?> type = description.orElseThrow(() -> unknown(option)).getParameterized().getType();
+		Class<?> type = description.orElseThrow(() -> unknownOption(option)).getParameterized().getType();
 		return type != boolean.class;
 	}
 
-	private ParameterException unknown(String option) {
-		List<String> names = this.known.stream().flatMap((candidate) -> names(candidate).stream()).toList();
+	private ParameterException unknownOption(String option) {
+		List<String> names = this.options.stream().flatMap((candidate) -> names(candidate).stream()).toList();
 		String suggestion = NearestName.find(option, names)
 			.map((near) -> "; did you mean \"" + near + "\"?")
 			.orElse("");
-		return new ParameterException("\"" + option + "\" is not an option of this command" + suggestion);
+		return new ParameterException("unknown option \"" + option + "\"" + suggestion);
 	}
 
-	private static int greatestNames(Optional<ParameterDescription> names) {
-		return names
+	private static int maxPositionals(Optional<ParameterDescription> positional) {
+		return positional
 			.map((description) -> (description.getParameterized().getType() == List.class) ? Integer.MAX_VALUE : 1)
 			.orElse(0);
 	}
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/Comfreywall.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/Comfreywall.java
@@ -12,11 +12,14 @@
 import org.comfreywall.cli.command.Console;
 
 /**
- * The command-line tool for operators.
+ * Entry point of the command-line tool for operators.
  */
 public final class Comfreywall {
 
-	/** Libraries log what is reported as an error anyway; the loggers stay referenced. */
+	/**
+	 * Loggers that are turned off because the commands report these errors themselves.
+	 * The references keep the loggers and their levels from being garbage-collected.
+	 */
 	private static final List<Logger> LIBRARY_LOGGERS = List.of(Logger.getLogger("io.vertx"),
 			Logger.getLogger("io.netty"));
 
@@ -25,7 +28,7 @@
 
 	/**
 	 * Runs one command and exits with its exit code.
-	 * @param args the command line
+	 * @param args the command-line arguments
 	 */
 	public static void main(String[] args) {
 		LIBRARY_LOGGERS.forEach((logger) -> logger.setLevel(Level.OFF));
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/CommandLine.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/CommandLine.java
@@ -28,14 +28,14 @@
 import org.comfreywall.common.toml.NearestName;
 
 /**
- * Parses one command line, runs its command and prints the outcome.
+ * Parses one command line, runs its command and prints the report or the error.
  */
 final class CommandLine {
 
 	private static final String PROGRAM = "comfreywall";
 
-	private static final String EXIT_CODES = "  Exit codes: 0 done, 1 refused or failed, 2 wrong command line,"
-			+ " 3 daemon not reached, 4 another change came first";
+	private static final String EXIT_CODES = "  Exit codes: 0 success, 1 rejected or failed, 2 invalid command line,"
+			+ " 3 daemon unreachable, 4 another change was accepted first";
 
 	@Parameter(names = { "--help", "-h" }, help = true, description = "Print this help")
 	private boolean help;
@@ -46,7 +46,7 @@
 
 	private final JCommander commander;
 
-	private Optional<String> named = Optional.empty();
+	private Optional<String> commandName = Optional.empty();
 
 	CommandLine(Console console) {
 		this.console = console;
@@ -71,16 +71,17 @@
 			return dispatch();
 		}
 		catch (MissingCommandException ex) {
-			return usage("\"" + ex.getUnknownCommand() + "\" is not a command" + suggestion(ex.getUnknownCommand()));
+			return usageError(
+					"unknown command \"" + ex.getUnknownCommand() + "\"" + suggestion(ex.getUnknownCommand()));
 		}
 		catch (ParameterException ex) {
-			return usage(ex.getMessage());
+			return usageError(ex.getMessage());
 		}
 	}
 
 	private void checkArguments(List<String> args) {
 		if (!args.isEmpty() && this.commands.containsKey(args.get(0))) {
-			this.named = Optional.of(args.get(0));
+			this.commandName = Optional.of(args.get(0));
 			JCommander command = this.commander.getCommands().get(args.get(0));
 			new ArgumentCheck(command).check(args.subList(1, args.size()));
 		}
@@ -89,7 +90,7 @@
 	private ExitCode dispatch() {
 		String name = this.commander.getParsedCommand();
 		if (name == null) {
-			return this.help ? printHelp(Optional.empty()) : usage("Name a command");
+			return this.help ? printHelp(Optional.empty()) : usageError("a command is required");
 		}
 		Command command = this.commands.get(name);
 		if (this.help || command.options().help()) {
@@ -115,8 +116,8 @@
 		text.append("  ").append(PROGRAM).append(" COMMAND --help lists the options of a command.");
 	}
 
-	private ExitCode usage(String message) {
-		String command = this.named.map((name) -> " " + name).orElse("");
+	private ExitCode usageError(String message) {
+		String command = this.commandName.map((name) -> " " + name).orElse("");
 		this.console.note("error: " + message);
 		this.console.note("next: see " + PROGRAM + command + " --help");
 		return ExitCode.USAGE;
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/ErrorText.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/ErrorText.java
@@ -11,7 +11,7 @@
 import org.comfreywall.common.toml.ValueTypes;
 
 /**
- * Prints errors with what to do next.
+ * Formats errors together with a suggested next step.
  */
 final class ErrorText {
 
@@ -37,23 +37,24 @@
 	}
 
 	private static String nextStep(OperationError error) {
-		boolean localName = error.code() == ErrorCode.NOT_FOUND && error.peer().isEmpty();
-		return localName ? "check the name that the message tells and try again" : nextStep(error.code());
+		boolean isLocal = error.code() == ErrorCode.NOT_FOUND && error.peer().isEmpty();
+		return isLocal ? "check the name in the message and try again" : nextStep(error.code());
 	}
 
 	private static String nextStep(ErrorCode code) {
 		return switch (code) {
 			case INVALID_INPUT ->
-				"mend what the message names and try again; docs/operators/settings.md lists every key";
-			case UNAUTHENTICATED -> "give --certificate and --key of an operator that the daemon trusts";
-			case NOT_FOUND -> "check the name; comfreywall status and comfreywall get list the known ones";
-			case CONFLICT -> "fetch the present configuration with comfreywall get, make the change there and apply it";
+				"correct the values in the message and try again; docs/operators/settings.md lists every key";
+			case UNAUTHENTICATED -> "give --certificate and --key with a client certificate that the daemon trusts";
+			case NOT_FOUND -> "check the name; comfreywall status and comfreywall get list the existing names";
+			case CONFLICT ->
+				"fetch the current configuration with comfreywall get, repeat the change in it and apply it";
 			case UNAVAILABLE, DEADLINE_EXCEEDED, CONNECTION_LOST ->
-				"check that the daemon runs and that --admin or COMFREYWALL_ADMIN names its admin address; https needs --trust";
+				"check that the daemon is running and that --admin or COMFREYWALL_ADMIN is its admin URL; https requires --trust";
 			case OVERLOADED, LIMIT_EXCEEDED -> "try again in a few seconds";
-			case MALFORMED -> "check that --admin names a daemon's admin address and that both have the same version";
-			case STORAGE -> "check space and permissions of the folder named, then try again";
-			default -> "try again; if it persists, look at the daemon's log at the step and peer named";
+			case MALFORMED -> "check that --admin is the admin URL of a daemon and that both have the same version";
+			case STORAGE -> "check the free space and permissions of the folder in the message, then try again";
+			default -> "try again; if the error persists, search the daemon's log for the step and peer above";
 		};
 	}
 
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/CommandRun.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/CommandRun.java
@@ -12,11 +12,11 @@
 import org.comfreywall.cli.command.ExitCode;
 
 /**
- * One run of the command line in a test.
+ * Result of one run of the command line in a test.
  *
  * @param exit the exit code
- * @param out what was printed as result
- * @param err what was printed as prompts, notes and errors
+ * @param out the text printed to the standard output
+ * @param err the text printed to the standard error
  */
 public record CommandRun(ExitCode exit, String out, String err) {
 
@@ -31,7 +31,7 @@
 
 	/**
 	 * Runs a command line with input.
-	 * @param input what the operator types
+	 * @param input the text of the standard input
 	 * @param args the command line
 	 * @return the run
 	 */
@@ -46,7 +46,7 @@
 	}
 
 	/**
-	 * Parses the result as JSON.
+	 * Parses the standard output as JSON.
 	 * @return the object
 	 */
 	public JsonObject json() {
