--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/AdmissionBenchmark.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/AdmissionBenchmark.java
@@ -62,8 +62,8 @@
 	public void fill() {
 		int concurrency = 4 * this.workers;
 		AdmissionSettings defaults = AdmissionSettings.DEFAULT;
-		AdmissionSettings settings = new AdmissionSettings(defaults.bounds(), defaults.maxQueued(), concurrency,
-				concurrency, concurrency, defaults.adaptInterval(), defaults.latencyTolerance());
+		AdmissionSettings settings = new AdmissionSettings(defaults.queueTimeLimits(), defaults.maxQueued(),
+				concurrency, concurrency, concurrency, defaults.adaptInterval(), defaults.latencyTolerance());
 		this.controller = new AdmissionController(settings, AccountWeights.EQUAL, new SplittableRandom(1),
 				DecisionListener.NONE, new Invariants());
 		for (int i = 0; i < this.accounts.length; i++) {
@@ -81,7 +81,7 @@
 	@Benchmark
 	public AdmissionResult admit() {
 		AdmissionResult result = offer();
-		for (AdmissionCommand command : this.controller.finished(this.running.removeFirst(), FinishKind.ANSWERED,
+		for (AdmissionCommand command : this.controller.handleFinished(this.running.removeFirst(), FinishKind.ANSWERED,
 				this.now)) {
 			if (command instanceof StartRequest start) {
 				this.running.addLast(start.id());
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsFleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsFleet.java
@@ -23,7 +23,7 @@
 import org.comfreywall.entry.limit.LimitPermit;
 import org.comfreywall.entry.limit.LimitRequest;
 import org.comfreywall.entry.limit.LimitSource;
-import org.comfreywall.entry.limit.SendAsk;
+import org.comfreywall.entry.limit.SendLeaseRequest;
 
 /**
  * Entries and grantors joined by links, in virtual time, with an audit of each client
@@ -149,14 +149,14 @@
 		this.events.after(offer.runNanos(), () -> {
 			audit.ended();
 			if (entry.incarnation().equals(incarnation)) {
-				entry.enforcer().finished(permit, spent, localTime(entry));
+				entry.enforcer().returnPermit(permit, spent, localTime(entry));
 			}
 		});
 	}
 
 	private void tick(SimulatedEntry entry) {
 		for (LimitCommand command : entry.enforcer().tick(localTime(entry))) {
-			SendAsk ask = (SendAsk) command;
+			SendLeaseRequest ask = (SendLeaseRequest) command;
 			int grantor = grantorFor(entry, ask.grantor());
 			long sentAt = this.events.now();
 			for (long delay : this.link.deliver(entry.index(), grantor)) {
@@ -166,7 +166,7 @@
 		this.events.after(this.settings.tickNanos(), () -> tick(entry));
 	}
 
-	private void arrive(SimulatedEntry entry, SendAsk ask, int grantorIndex, long sentAt) {
+	private void arrive(SimulatedEntry entry, SendLeaseRequest ask, int grantorIndex, long sentAt) {
 		SimulatedGrantor grantor = this.grantors.get(grantorIndex);
 		Optional<LeaseGrant> grant = grantor.answer(ask.request(), this.events.now());
 		if (grant.isEmpty()) {
@@ -193,7 +193,7 @@
 
 	private void granted(SimulatedEntry entry, GrantorRole role, LeaseGrant grant) {
 		long now = localTime(entry);
-		for (AccountId account : entry.enforcer().granted(role, grant, now)) {
+		for (AccountId account : entry.enforcer().handleGrant(role, grant, now)) {
 			for (WaitingOffer offer : entry.unpark(account)) {
 				apply(entry, offer, entry.enforcer().offerAgain(offer.request(), offer.until(), now));
 			}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/AdmittedService.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/AdmittedService.java
@@ -69,7 +69,7 @@
 	private void start(RequestId id, SentRequest request) {
 		this.pool.run(request, () -> {
 			this.callers.answered(request);
-			carryOut(this.controller.finished(id, FinishKind.ANSWERED, this.events.now()));
+			carryOut(this.controller.handleFinished(id, FinishKind.ANSWERED, this.events.now()));
 		});
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/RetryStorm.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/RetryStorm.java
@@ -35,8 +35,8 @@
 
 	void healthy(int requests) {
 		for (int i = 0; i < requests; i++) {
-			this.controller.firstAttempt(account(), SERVICE);
-			this.controller.answered(SERVICE, this.random.nextLong(100_000_000));
+			this.controller.recordFirstAttempt(account(), SERVICE);
+			this.controller.recordLatency(SERVICE, this.random.nextLong(100_000_000));
 		}
 	}
 
@@ -50,7 +50,7 @@
 		for (int i = 0; i < requests; i++) {
 			AccountId account = account();
 			RequestId id = RequestId.of("request-" + i);
-			this.controller.firstAttempt(account, SERVICE);
+			this.controller.recordFirstAttempt(account, SERVICE);
 			int made = 1;
 			while (this.controller
 				.decide(new RetryQuery(id, account, SERVICE, made, RetryCause.CRASHED, REMAINING_NANOS))
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryDriver.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryDriver.java
@@ -10,10 +10,10 @@
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Result;
 import org.comfreywall.common.result.Step;
+import org.comfreywall.entry.request.AcquireClaim;
 import org.comfreywall.entry.request.AcquireIsolation;
 import org.comfreywall.entry.request.ClaimAnswered;
 import org.comfreywall.entry.request.ClaimFailed;
-import org.comfreywall.entry.request.ClaimKeyFor;
 import org.comfreywall.entry.request.ClaimReleased;
 import org.comfreywall.entry.request.CrashRecorded;
 import org.comfreywall.entry.request.FinishClaim;
@@ -97,7 +97,7 @@
 	}
 
 	private void toLedger(RequestCommand command) {
-		if (command instanceof ClaimKeyFor claim) {
+		if (command instanceof AcquireClaim claim) {
 			claim(claim);
 		}
 		else if (command instanceof FinishClaim finish) {
@@ -135,7 +135,7 @@
 		});
 	}
 
-	private void claim(ClaimKeyFor claim) {
+	private void claim(AcquireClaim claim) {
 		AtomicBoolean answered = new AtomicBoolean();
 		this.world.ledger()
 			.call(this.entry,
@@ -151,7 +151,7 @@
 		});
 	}
 
-	private void claimed(ClaimKeyFor claim, Result<ClaimResult> result, AtomicBoolean answered) {
+	private void claimed(AcquireClaim claim, Result<ClaimResult> result, AtomicBoolean answered) {
 		answered.set(true);
 		result.value()
 			.ifPresentOrElse(
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryNode.java
@@ -21,27 +21,27 @@
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Step;
-import org.comfreywall.entry.request.AskFlight;
 import org.comfreywall.entry.request.ChooseRoute;
 import org.comfreywall.entry.request.CompleteRequest;
 import org.comfreywall.entry.request.ConnectionLost;
 import org.comfreywall.entry.request.ConnectionRestored;
 import org.comfreywall.entry.request.DeliverPart;
-import org.comfreywall.entry.request.EndFlight;
 import org.comfreywall.entry.request.FlightAnswered;
-import org.comfreywall.entry.request.FlightGuard;
-import org.comfreywall.entry.request.FlightGuardSettings;
 import org.comfreywall.entry.request.FlightPermit;
 import org.comfreywall.entry.request.ProbeConnection;
+import org.comfreywall.entry.request.ReportFlightEnd;
 import org.comfreywall.entry.request.RequestAccepted;
 import org.comfreywall.entry.request.RequestCommand;
 import org.comfreywall.entry.request.RequestEvent;
+import org.comfreywall.entry.request.RequestFlightPermit;
 import org.comfreywall.entry.request.RequestTracker;
 import org.comfreywall.entry.request.RequestTrackerSettings;
 import org.comfreywall.entry.request.RetryDecision;
 import org.comfreywall.entry.request.RouteChosen;
 import org.comfreywall.entry.request.RouteUnavailable;
 import org.comfreywall.entry.request.SidecarLost;
+import org.comfreywall.entry.request.SingleFlightGuard;
+import org.comfreywall.entry.request.SingleFlightGuardSettings;
 import org.comfreywall.entry.request.StartNotSent;
 import org.comfreywall.entry.request.TimePassed;
 import org.comfreywall.sidecar.attempt.EntryLink;
@@ -54,8 +54,8 @@
 
 	static final Duration DEADLINE = Duration.ofSeconds(4);
 
-	static final FlightGuardSettings GUARD = new FlightGuardSettings(Duration.ofSeconds(1), Duration.ofMinutes(10),
-			100_000);
+	static final SingleFlightGuardSettings GUARD = new SingleFlightGuardSettings(Duration.ofSeconds(1),
+			Duration.ofMinutes(10), 100_000);
 
 	private static final RequestTrackerSettings SETTINGS = new RequestTrackerSettings(10_000, Duration.ofMillis(150),
 			Duration.ofMillis(200), Duration.ofMillis(10), Duration.ofMillis(50), Duration.ofSeconds(4), 1024);
@@ -89,7 +89,7 @@
 
 	private RequestTracker tracker;
 
-	private FlightGuard guard;
+	private SingleFlightGuard guard;
 
 	private long connection;
 
@@ -172,7 +172,7 @@
 		return new EntryLink(InstanceId.of(name()), this.connection);
 	}
 
-	FlightGuard guard() {
+	SingleFlightGuard guard() {
 		return this.guard;
 	}
 
@@ -189,13 +189,13 @@
 			this.unguarded.remove(complete.request());
 			sending.complete(complete.outcome());
 		}
-		else if (command instanceof AskFlight ask) {
+		else if (command instanceof RequestFlightPermit ask) {
 			askGuard(ask);
 		}
-		else if (command instanceof EndFlight end) {
+		else if (command instanceof ReportFlightEnd end) {
 			EntryNode owner = guardOf(end.fingerprint());
 			this.world.send(this, owner,
-					() -> owner.guard.end(end.fingerprint(), end.request(), end.end(), this.world.now()));
+					() -> owner.guard.recordEnd(end.fingerprint(), end.request(), end.end(), this.world.now()));
 		}
 		else if (command instanceof ProbeConnection probe) {
 			probe(probe.backendServer(), probe.incarnation());
@@ -226,12 +226,13 @@
 		handle(new RouteChosen(route.request(), chosen.target()));
 	}
 
-	private void askGuard(AskFlight ask) {
+	private void askGuard(RequestFlightPermit ask) {
 		EntryNode owner = guardOf(ask.fingerprint());
 		boolean[] answered = new boolean[1];
 		long life = life();
 		this.world.send(this, owner, () -> {
-			FlightPermit permit = owner.guard.ask(ask.fingerprint(), ask.request(), ask.cleared(), this.world.now());
+			FlightPermit permit = owner.guard.requestPermit(ask.fingerprint(), ask.request(), ask.cleared(),
+					this.world.now());
 			this.world.send(owner, this, () -> {
 				if (!answered[0] && life() == life) {
 					answered[0] = true;
@@ -325,7 +326,7 @@
 		this.views.clear();
 		this.silent.clear();
 		this.unguarded.clear();
-		this.guard = new FlightGuard(GUARD, this.world.now());
+		this.guard = new SingleFlightGuard(GUARD, this.world.now());
 		this.tracker = new RequestTracker(SETTINGS,
 				(query) -> (query.attempts() < MAX_ATTEMPTS) ? RetryDecision.after(Duration.ofMillis(5))
 						: RetryDecision.stop("attempts"),
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterBenchmark.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterBenchmark.java
@@ -23,7 +23,7 @@
 import org.comfreywall.entry.prefix.PromptChain;
 import org.comfreywall.entry.route.AttemptFinished;
 import org.comfreywall.entry.route.AttemptSent;
-import org.comfreywall.entry.route.CacheChanged;
+import org.comfreywall.entry.route.CacheEventReceived;
 import org.comfreywall.entry.route.EntriesChanged;
 import org.comfreywall.entry.route.LoadReport;
 import org.comfreywall.entry.route.LoadReported;
@@ -127,7 +127,7 @@
 		this.router.on(new LoadReported(new LoadReport(server, LIFE, 1, this.now, number % 32, 0,
 				new QueuedTokens(0, number * 100L % 5000, 0), 20_000_000, 8000, 5)), this.now);
 		long[] held = IntStream.range(0, 1 + number % BLOCKS).mapToLong(this.chain::hash).toArray();
-		this.router.on(new CacheChanged(new BlocksStored(server, LIFE, 1, BlockHashes.of(held))), this.now);
+		this.router.on(new CacheEventReceived(new BlocksStored(server, LIFE, 1, BlockHashes.of(held))), this.now);
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterPolicy.java
@@ -15,7 +15,7 @@
 import org.comfreywall.entry.prefix.CacheEvent;
 import org.comfreywall.entry.route.AttemptFinished;
 import org.comfreywall.entry.route.AttemptSent;
-import org.comfreywall.entry.route.CacheChanged;
+import org.comfreywall.entry.route.CacheEventReceived;
 import org.comfreywall.entry.route.FirstTokenReceived;
 import org.comfreywall.entry.route.LoadReport;
 import org.comfreywall.entry.route.LoadReported;
@@ -73,7 +73,7 @@
 
 	@Override
 	public boolean cacheChanged(int worker, CacheEvent event, long now) {
-		List<?> commands = this.router.on(new CacheChanged(event), now);
+		List<?> commands = this.router.on(new CacheEventReceived(event), now);
 		return !commands.isEmpty();
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterRandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterRandomRun.java
@@ -19,7 +19,7 @@
 import org.comfreywall.common.id.Incarnation;
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.id.RequestId;
-import org.comfreywall.entry.kv.KvPricing;
+import org.comfreywall.entry.kv.KvPlanner;
 import org.comfreywall.entry.prefix.BlockHashes;
 import org.comfreywall.entry.prefix.BlocksRemoved;
 import org.comfreywall.entry.prefix.BlocksStored;
@@ -30,7 +30,7 @@
 import org.comfreywall.entry.route.AttemptFailed;
 import org.comfreywall.entry.route.AttemptFinished;
 import org.comfreywall.entry.route.AttemptSent;
-import org.comfreywall.entry.route.CacheChanged;
+import org.comfreywall.entry.route.CacheEventReceived;
 import org.comfreywall.entry.route.EjectionSettings;
 import org.comfreywall.entry.route.EntriesChanged;
 import org.comfreywall.entry.route.FirstTokenReceived;
@@ -65,7 +65,7 @@
 			Duration.ofMillis(50), Duration.ofSeconds(1), 12, 8, 200,
 			new EjectionSettings(2, 0.34, Duration.ofSeconds(1), Duration.ofSeconds(20)),
 			new PrefixSettings(50, Duration.ofSeconds(60), Duration.ofSeconds(20), 0.9, 0.8, Duration.ofSeconds(2)),
-			KvPricing.DEFAULTS);
+			KvPlanner.DEFAULTS);
 
 	private final Random random;
 
@@ -168,7 +168,7 @@
 		Set<BackendServerId> ejected = new HashSet<>(this.router.ejected(this.now));
 		ejected.forEach(
 				(server) -> require(this.ejectedUntil.getOrDefault(server, 0L) > this.now, "ejected-without-command"));
-		require(ejected.size() <= Math.floor(SETTINGS.ejection().maxShare() * this.router.subset().size()),
+		require(ejected.size() <= Math.floor(SETTINGS.ejection().maxEjectedShare() * this.router.subset().size()),
 				"too-many-ejected");
 		for (BackendServerId server : this.router.subset()) {
 			long life = this.announced[index(server)];
@@ -181,7 +181,7 @@
 		require(this.router.status().servers() <= SETTINGS.maxServers(), "too-many-servers");
 		require(this.router.status().sessions() <= SETTINGS.maxSessions(), "too-many-sessions");
 		require(this.router.status().inFlight() <= SETTINGS.maxInFlight(), "too-many-in-flight");
-		require(this.router.status().prefixClaims() <= SETTINGS.prefix().maxClaims(), "too-many-prefix-claims");
+		require(this.router.status().blockLocations() <= SETTINGS.prefix().maxLocations(), "too-many-prefix-claims");
 		require(this.router.breaches() == 0, "internal-invariant-breached");
 	}
 
@@ -237,7 +237,7 @@
 	}
 
 	private boolean hasRoom(int index) {
-		return this.router.status().servers() < SETTINGS.maxServers() || this.router.knows(server(index));
+		return this.router.status().servers() < SETTINGS.maxServers() || this.router.isAnnounced(server(index));
 	}
 
 	private RouterEvent loadOrCache() {
@@ -250,7 +250,7 @@
 					new QueuedTokens(this.random.nextInt(5000), this.random.nextInt(5000), this.random.nextInt(5000)),
 					this.random.nextInt(50_000_000), this.random.nextInt(9000), this.random.nextInt(9)));
 		}
-		return new CacheChanged(cacheEvent(server(index), life));
+		return new CacheEventReceived(cacheEvent(server(index), life));
 	}
 
 	private CacheEvent cacheEvent(BackendServerId server, Incarnation life) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/FlightEndpoint.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/FlightEndpoint.java
@@ -17,9 +17,9 @@
 import org.comfreywall.common.time.Clock;
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.entry.request.FlightEnd;
-import org.comfreywall.entry.request.FlightGuard;
-import org.comfreywall.entry.request.FlightGuardSettings;
 import org.comfreywall.entry.request.FlightPermit;
+import org.comfreywall.entry.request.SingleFlightGuard;
+import org.comfreywall.entry.request.SingleFlightGuardSettings;
 import org.comfreywall.transport.generated.FlightEndReply;
 import org.comfreywall.transport.generated.FlightEndRequest;
 import org.comfreywall.transport.generated.FlightReply;
@@ -31,7 +31,7 @@
  */
 final class FlightEndpoint {
 
-	private final FlightGuard guard;
+	private final SingleFlightGuard guard;
 
 	private final Function<Fingerprint, PoisonVerdict> verdicts;
 
@@ -40,7 +40,7 @@
 	FlightEndpoint(Function<Fingerprint, PoisonVerdict> verdicts, Clock clock) {
 		this.verdicts = Preconditions.notNull(verdicts, "verdicts");
 		this.clock = Preconditions.notNull(clock, "clock");
-		this.guard = new FlightGuard(FlightGuardSettings.DEFAULT, clock.nanoTime());
+		this.guard = new SingleFlightGuard(SingleFlightGuardSettings.DEFAULT, clock.nanoTime());
 	}
 
 	CompletionStage<Result<FlightReply>> ask(FlightRequest request) {
@@ -59,12 +59,12 @@
 		if (this.verdicts.apply(fingerprint) != PoisonVerdict.CLEAR) {
 			return FlightPermit.SUSPECT;
 		}
-		return this.guard.ask(fingerprint, RequestId.of(request.getRequest()), request.getCleared(),
+		return this.guard.requestPermit(fingerprint, RequestId.of(request.getRequest()), request.getCleared(),
 				this.clock.nanoTime());
 	}
 
 	private synchronized void end(FlightRequest request, FlightEnd end) {
-		this.guard.end(fingerprint(request), RequestId.of(request.getRequest()), end, this.clock.nanoTime());
+		this.guard.recordEnd(fingerprint(request), RequestId.of(request.getRequest()), end, this.clock.nanoTime());
 	}
 
 	private static Fingerprint fingerprint(FlightRequest request) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
@@ -39,7 +39,7 @@
 import org.comfreywall.entry.limit.LimitRefused;
 import org.comfreywall.entry.limit.LimitRequest;
 import org.comfreywall.entry.limit.LimitSettings;
-import org.comfreywall.entry.limit.SendAsk;
+import org.comfreywall.entry.limit.SendLeaseRequest;
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
@@ -86,7 +86,7 @@
 		boolean queued = holder != null && controller(holder.service()).cancel(id);
 		if (queued) {
 			this.permitHolders.remove(id);
-			this.limits.finished(holder.permit(), 0, now());
+			this.limits.returnPermit(holder.permit(), 0, now());
 		}
 		return queued;
 	}
@@ -96,9 +96,9 @@
 		if (holder == null) {
 			return;
 		}
-		this.limits.finished(holder.permit(), request.spentTokens(), now());
+		this.limits.returnPermit(holder.permit(), request.spentTokens(), now());
 		execute(holder.service(),
-				controller(holder.service()).finished(request.request().id(), finishKind(outcome, error), now()));
+				controller(holder.service()).handleFinished(request.request().id(), finishKind(outcome, error), now()));
 	}
 
 	void tick() {
@@ -150,7 +150,7 @@
 	private void execute(ServiceId service, List<AdmissionCommand> commands) {
 		for (AdmissionCommand command : new ArrayList<>(commands)) {
 			if (command instanceof StartRequest start) {
-				this.listener.onAdmitted(start.id(), start.queued());
+				this.listener.onAdmitted(start.id(), start.queueTime());
 			}
 			else if (command instanceof ShedRequest shed) {
 				refuse(shed.id(), shed.reason().name(), shed.retryAfter());
@@ -161,14 +161,14 @@
 	private void refuse(RequestId id, String reason, Duration retryAfter) {
 		PermitHolder holder = this.permitHolders.remove(id);
 		if (holder != null) {
-			this.limits.finished(holder.permit(), 0, now());
+			this.limits.returnPermit(holder.permit(), 0, now());
 		}
 		this.listener.onRefused(id,
 				OperationError.local(ErrorCode.OVERLOADED, Step.ADMIT, "the service is overloaded: " + reason),
 				retryAfter);
 	}
 
-	private void sendLeaseRequest(SendAsk command) {
+	private void sendLeaseRequest(SendLeaseRequest command) {
 		GrantorRole role = command.grantor();
 		this.parts.control()
 			.lease(command)
@@ -177,11 +177,11 @@
 	}
 
 	private void requestShares() {
-		this.limits.tick(now()).forEach((command) -> sendLeaseRequest((SendAsk) command));
+		this.limits.tick(now()).forEach((command) -> sendLeaseRequest((SendLeaseRequest) command));
 	}
 
 	private void handleGrant(GrantorRole role, LeaseGrant grant) {
-		Collection<AccountId> served = this.limits.granted(role, grant, now());
+		Collection<AccountId> served = this.limits.handleGrant(role, grant, now());
 		for (PendingRequest request : List.copyOf(this.pendingRequests.values())) {
 			if (served.contains(request.limitRequest().account())) {
 				retryPending(request);
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlCommands.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlCommands.java
@@ -6,14 +6,12 @@
 
 import org.comfreywall.common.claim.ClaimResult;
 import org.comfreywall.common.result.Result;
+import org.comfreywall.entry.request.AcquireClaim;
 import org.comfreywall.entry.request.AcquireIsolation;
-import org.comfreywall.entry.request.AskFlight;
 import org.comfreywall.entry.request.ClaimAnswered;
 import org.comfreywall.entry.request.ClaimFailed;
-import org.comfreywall.entry.request.ClaimKeyFor;
 import org.comfreywall.entry.request.ClaimReleased;
 import org.comfreywall.entry.request.CrashRecorded;
-import org.comfreywall.entry.request.EndFlight;
 import org.comfreywall.entry.request.FinishClaim;
 import org.comfreywall.entry.request.FlightAnswered;
 import org.comfreywall.entry.request.IsolationAnswered;
@@ -21,8 +19,10 @@
 import org.comfreywall.entry.request.RecordCrash;
 import org.comfreywall.entry.request.ReleaseClaim;
 import org.comfreywall.entry.request.ReleaseIsolation;
+import org.comfreywall.entry.request.ReportFlightEnd;
 import org.comfreywall.entry.request.RequestCommand;
 import org.comfreywall.entry.request.RequestEvent;
+import org.comfreywall.entry.request.RequestFlightPermit;
 
 /**
  * Executes request commands that are addressed to the control instances and publishes the
@@ -45,7 +45,7 @@
 	}
 
 	void carryOut(RequestCommand command) {
-		if (command instanceof ClaimKeyFor claim) {
+		if (command instanceof AcquireClaim claim) {
 			publishReply(this.control.claim(claim), (result) -> claimEvent(claim, result));
 		}
 		else if (command instanceof FinishClaim finish) {
@@ -58,11 +58,11 @@
 			publishReply(this.control.release(release),
 					(result) -> new ClaimReleased(release.proof(), result.value().isPresent()));
 		}
-		else if (command instanceof AskFlight flight) {
+		else if (command instanceof RequestFlightPermit flight) {
 			publishReply(this.control.askFlight(flight.fingerprint(), flight.request(), flight.cleared()),
 					(permit) -> new FlightAnswered(flight.request(), permit));
 		}
-		else if (command instanceof EndFlight flight) {
+		else if (command instanceof ReportFlightEnd flight) {
 			this.control.endFlight(flight.fingerprint(), flight.request(), flight.end());
 		}
 		else if (command instanceof ReleaseIsolation release) {
@@ -87,7 +87,7 @@
 		stage.thenAccept((value) -> this.events.accept(event.apply(value)));
 	}
 
-	private static RequestEvent claimEvent(ClaimKeyFor claim, Result<ClaimResult> result) {
+	private static RequestEvent claimEvent(AcquireClaim claim, Result<ClaimResult> result) {
 		return result.value()
 			.<RequestEvent>map((value) -> new ClaimAnswered(claim.request(), claim.target(), value))
 			.orElseGet(() -> new ClaimFailed(claim.request(), result.error().orElseThrow()));
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlPort.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlPort.java
@@ -9,8 +9,8 @@
 import org.comfreywall.common.poison.Fingerprint;
 import org.comfreywall.common.poison.IsolationResult;
 import org.comfreywall.common.result.Result;
-import org.comfreywall.entry.limit.SendAsk;
-import org.comfreywall.entry.request.ClaimKeyFor;
+import org.comfreywall.entry.limit.SendLeaseRequest;
+import org.comfreywall.entry.request.AcquireClaim;
 import org.comfreywall.entry.request.FinishClaim;
 import org.comfreywall.entry.request.FlightEnd;
 import org.comfreywall.entry.request.FlightPermit;
@@ -31,7 +31,7 @@
 	 * @param command the key, the request and the target of its attempt
 	 * @return completes with the result once the claim is durable on a quorum
 	 */
-	CompletionStage<Result<ClaimResult>> claim(ClaimKeyFor command);
+	CompletionStage<Result<ClaimResult>> claim(AcquireClaim command);
 
 	/**
 	 * Records the answer of a claimed request.
@@ -88,7 +88,7 @@
 	 * @param command the grantor and the lease request
 	 * @return completes with the grant, or with an error
 	 */
-	CompletionStage<Result<LeaseGrant>> lease(SendAsk command);
+	CompletionStage<Result<LeaseGrant>> lease(SendLeaseRequest command);
 
 	/**
 	 * Reports the end of a run, which ends its flight permit.
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
@@ -205,7 +205,7 @@
 
 	private void track(ActiveRequest started) {
 		CallerRequest request = started.request();
-		this.retries.firstAttempt(request.account(), request.service());
+		this.retries.recordFirstAttempt(request.account(), request.service());
 		RequestSpec spec = new RequestSpec(request.id(), started.fingerprint(), request.key(), request.idempotent(),
 				request.keyRequired());
 		long now = this.clock.nanoTime();
@@ -336,7 +336,7 @@
 		}
 		boolean first = request.deliver(part.part(), this.metrics, this.clock.nanoTime());
 		if (first) {
-			this.retries.answered(request.request().service(), request.age(this.clock.nanoTime()));
+			this.retries.recordLatency(request.request().service(), request.age(this.clock.nanoTime()));
 			this.attempts.firstToken(part.request());
 		}
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/LocalControl.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/LocalControl.java
@@ -22,16 +22,16 @@
 import org.comfreywall.control.ledger.ClaimLedgerSettings;
 import org.comfreywall.control.ledger.PoisonLedger;
 import org.comfreywall.control.ledger.PoisonLedgerSettings;
-import org.comfreywall.entry.limit.SendAsk;
-import org.comfreywall.entry.request.ClaimKeyFor;
+import org.comfreywall.entry.limit.SendLeaseRequest;
+import org.comfreywall.entry.request.AcquireClaim;
 import org.comfreywall.entry.request.FinishClaim;
 import org.comfreywall.entry.request.FlightEnd;
-import org.comfreywall.entry.request.FlightGuard;
-import org.comfreywall.entry.request.FlightGuardSettings;
 import org.comfreywall.entry.request.FlightPermit;
 import org.comfreywall.entry.request.MarkClaimUnknown;
 import org.comfreywall.entry.request.ReleaseClaim;
 import org.comfreywall.entry.request.ReleaseIsolation;
+import org.comfreywall.entry.request.SingleFlightGuard;
+import org.comfreywall.entry.request.SingleFlightGuardSettings;
 
 /**
  * Keeps claims, suspects and flight permits in memory, for an entry that runs without
@@ -45,7 +45,7 @@
 
 	private final PoisonLedger poison;
 
-	private final FlightGuard flights;
+	private final SingleFlightGuard flights;
 
 	/**
 	 * Creates an instance without claims and suspects.
@@ -54,12 +54,12 @@
 	 */
 	public LocalControl(Clock clock, DecisionListener decisions) {
 		this.clock = Preconditions.notNull(clock, "clock");
-		this.flights = new FlightGuard(FlightGuardSettings.DEFAULT, clock.nanoTime());
+		this.flights = new SingleFlightGuard(SingleFlightGuardSettings.DEFAULT, clock.nanoTime());
 		this.poison = new PoisonLedger(PoisonLedgerSettings.DEFAULT, decisions);
 	}
 
 	@Override
-	public synchronized CompletionStage<Result<ClaimResult>> claim(ClaimKeyFor command) {
+	public synchronized CompletionStage<Result<ClaimResult>> claim(AcquireClaim command) {
 		return completed(this.claims.claim(command.key(), command.bodyDigest(), command.request(),
 				command.target().backendServer(), command.target().incarnation(), now()));
 	}
@@ -102,11 +102,11 @@
 		if (this.poison.assess(fingerprint) != PoisonVerdict.CLEAR) {
 			return completed(FlightPermit.SUSPECT);
 		}
-		return completed(this.flights.ask(fingerprint, request, cleared, now()));
+		return completed(this.flights.requestPermit(fingerprint, request, cleared, now()));
 	}
 
 	@Override
-	public synchronized CompletionStage<Result<LeaseGrant>> lease(SendAsk command) {
+	public synchronized CompletionStage<Result<LeaseGrant>> lease(SendLeaseRequest command) {
 		List<AccountGrant> grants = command.request()
 			.demands()
 			.stream()
@@ -119,7 +119,7 @@
 
 	@Override
 	public synchronized void endFlight(Fingerprint fingerprint, RequestId request, FlightEnd end) {
-		this.flights.end(fingerprint, request, end, now());
+		this.flights.recordEnd(fingerprint, request, end, now());
 	}
 
 	private long now() {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RemoteControl.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RemoteControl.java
@@ -24,8 +24,8 @@
 import org.comfreywall.control.state.ReplicatedClaims;
 import org.comfreywall.control.state.ReplicatedPoison;
 import org.comfreywall.entry.limit.GrantorRole;
-import org.comfreywall.entry.limit.SendAsk;
-import org.comfreywall.entry.request.ClaimKeyFor;
+import org.comfreywall.entry.limit.SendLeaseRequest;
+import org.comfreywall.entry.request.AcquireClaim;
 import org.comfreywall.entry.request.FinishClaim;
 import org.comfreywall.entry.request.FlightEnd;
 import org.comfreywall.entry.request.FlightPermit;
@@ -70,7 +70,7 @@
 	}
 
 	@Override
-	public CompletionStage<Result<ClaimResult>> claim(ClaimKeyFor command) {
+	public CompletionStage<Result<ClaimResult>> claim(AcquireClaim command) {
 		ClaimRunning claim = new ClaimRunning(command.request(), command.target().backendServer(),
 				command.target().incarnation());
 		return propose(ReplicatedClaims.NAME, ClaimCommandCodec.claim(command.key(), command.bodyDigest(), claim),
@@ -125,7 +125,7 @@
 	}
 
 	@Override
-	public CompletionStage<Result<LeaseGrant>> lease(SendAsk command) {
+	public CompletionStage<Result<LeaseGrant>> lease(SendLeaseRequest command) {
 		LeaseCall call = LeaseCodec.encode(command.grantor(), command.request());
 		CompletableFuture<Result<LeaseReply>> reply = (command.grantor() == GrantorRole.PRIMARY)
 				? this.control.callLeader(ControlMethods.LEASE, call, LEASE_TIMEOUT)
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AccountQueue.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AccountQueue.java
@@ -16,7 +16,7 @@
 
 	private final Deque<QueuedRequest> requests = new ArrayDeque<>();
 
-	private double tag;
+	private double finishTag;
 
 	private double cost;
 
@@ -54,12 +54,12 @@
 		return this.weight;
 	}
 
-	double tag() {
-		return this.tag;
+	double finishTag() {
+		return this.finishTag;
 	}
 
-	void advanceTo(double tag) {
-		this.tag = tag;
+	void setFinishTag(double tag) {
+		this.finishTag = tag;
 	}
 
 	double cost() {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionController.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/AdmissionController.java
@@ -61,7 +61,7 @@
 
 	private final Invariants invariants;
 
-	private final WaitingRequests waiting;
+	private final RequestQueue queue;
 
 	private final ConcurrencyLimit concurrency;
 
@@ -71,7 +71,7 @@
 
 	private final Map<PriorityClass, WorkRate> startedRates = new EnumMap<>(PriorityClass.class);
 
-	private double nanosPerCost;
+	private double meanNanosPerCost;
 
 	/**
 	 * Creates a controller with nothing queued or running.
@@ -87,7 +87,7 @@
 		this.random = Preconditions.notNull(random, "random");
 		this.listener = Preconditions.notNull(listener, "listener");
 		this.invariants = Preconditions.notNull(invariants, "invariants");
-		this.waiting = new WaitingRequests(Preconditions.notNull(weights, "weights"));
+		this.queue = new RequestQueue(Preconditions.notNull(weights, "weights"));
 		this.concurrency = new ConcurrencyLimit(settings);
 		for (PriorityClass priority : PriorityClass.values()) {
 			this.startedRates.put(priority, new WorkRate());
@@ -102,16 +102,16 @@
 	 */
 	public AdmissionResult offer(AdmissionRequest request, long now) {
 		Preconditions.notNull(request, "request");
-		boolean known = this.running.containsKey(request.id()) || this.waiting.contains(request.id());
+		boolean known = this.running.containsKey(request.id()) || this.queue.contains(request.id());
 		Preconditions.check(!known, "request %s is queued or running already", request.id());
 		if (request.deadline() <= now) {
 			return AdmissionResult.of(refuse(request, RefusalReason.DEADLINE, 0));
 		}
-		if (this.waiting.size() == 0 && this.running.size() < this.concurrency.limit()) {
+		if (this.queue.size() == 0 && this.running.size() < this.concurrency.limit()) {
 			start(request, now);
 			return AdmissionResult.of(new Admitted());
 		}
-		return queue(request, now);
+		return queueOrRefuse(request, now);
 	}
 
 	/**
@@ -122,7 +122,7 @@
 	 * @param now the entry's monotonic clock in nanoseconds
 	 * @return commands for queued requests
 	 */
-	public List<AdmissionCommand> finished(RequestId id, FinishKind kind, long now) {
+	public List<AdmissionCommand> handleFinished(RequestId id, FinishKind kind, long now) {
 		Preconditions.notNull(id, "id");
 		Preconditions.notNull(kind, "kind");
 		RunningRequest ended = this.running.remove(id);
@@ -130,9 +130,9 @@
 			double cost = ended.request().cost();
 			this.finishedRate.add(cost, now);
 			double nanosPerCost = (now - ended.startedAt()) / cost;
-			this.concurrency.ended(kind, cost, now);
+			this.concurrency.requestEnded(kind, cost, now);
 			if (kind == FinishKind.ANSWERED) {
-				this.nanosPerCost += RUN_TIME_SMOOTHING * (nanosPerCost - this.nanosPerCost);
+				this.meanNanosPerCost += RUN_TIME_SMOOTHING * (nanosPerCost - this.meanNanosPerCost);
 			}
 		}
 		return tick(now);
@@ -145,7 +145,7 @@
 	 */
 	public boolean cancel(RequestId id) {
 		Preconditions.notNull(id, "id");
-		return this.waiting.remove(id).isPresent();
+		return this.queue.remove(id).isPresent();
 	}
 
 	/**
@@ -155,17 +155,17 @@
 	 * @return commands for queued requests
 	 */
 	public List<AdmissionCommand> tick(long now) {
-		if (this.waiting.size() == 0) {
+		if (this.queue.size() == 0) {
 			return List.of();
 		}
 		List<AdmissionCommand> commands = new ArrayList<>();
-		Optional<QueuedRequest> ended = this.waiting.pollEnded(now);
+		Optional<QueuedRequest> ended = this.queue.pollExpired(now);
 		while (ended.isPresent()) {
 			commands.add(shed(ended.get().request(), RefusalReason.WAITED_IN_VAIN, now));
-			ended = this.waiting.pollEnded(now);
+			ended = this.queue.pollExpired(now);
 		}
-		while (this.waiting.size() > 0 && this.running.size() < this.concurrency.limit()) {
-			QueuedRequest queued = this.waiting.poll().get();
+		while (this.queue.size() > 0 && this.running.size() < this.concurrency.limit()) {
+			QueuedRequest queued = this.queue.poll().get();
 			start(queued.request(), now);
 			commands.add(new StartRequest(queued.request().id(), Duration.ofNanos(now - queued.queuedAt())));
 		}
@@ -177,7 +177,7 @@
 	 * @return the count
 	 */
 	public int queued() {
-		return this.waiting.size();
+		return this.queue.size();
 	}
 
 	/**
@@ -196,33 +196,33 @@
 		return this.concurrency.limit();
 	}
 
-	private AdmissionResult queue(AdmissionRequest request, long now) {
-		long maxWait = this.settings.bounds().of(request.priority()).toNanos();
+	private AdmissionResult queueOrRefuse(AdmissionRequest request, long now) {
+		long maxWait = this.settings.queueTimeLimits().forClass(request.priority()).toNanos();
 		double wait = expectedWait(request, now);
 		if (wait > maxWait) {
 			return AdmissionResult.of(refuse(request, RefusalReason.WAIT_TOO_LONG, wait - maxWait));
 		}
-		long latestStart = request.deadline() - (long) (RUN_TIME_MARGIN * this.nanosPerCost * request.cost());
+		long latestStart = request.deadline() - (long) (RUN_TIME_MARGIN * this.meanNanosPerCost * request.cost());
 		if (now + wait >= latestStart) {
 			return AdmissionResult.of(refuse(request, RefusalReason.DEADLINE, wait));
 		}
 		List<AdmissionCommand> commands = new ArrayList<>(1);
-		if (this.waiting.size() >= this.settings.maxQueued()) {
-			Optional<QueuedRequest> displaced = this.waiting.displacedBy(request);
+		if (this.queue.size() >= this.settings.maxQueued()) {
+			Optional<QueuedRequest> displaced = this.queue.findDisplaceable(request);
 			if (displaced.isEmpty()) {
 				return AdmissionResult.of(refuse(request, RefusalReason.QUEUE_FULL, wait));
 			}
-			this.waiting.remove(displaced.get().request().id());
+			this.queue.remove(displaced.get().request().id());
 			commands.add(shed(displaced.get().request(), RefusalReason.DISPLACED, now));
 		}
 		long expiresAt = Math.min(now + maxWait, latestStart);
-		this.waiting.add(request, now, expiresAt);
+		this.queue.add(request, now, expiresAt);
 		return new AdmissionResult(new Queued(expiresAt), commands);
 	}
 
 	private void start(AdmissionRequest request, long now) {
 		this.running.put(request.id(), new RunningRequest(request, now));
-		this.concurrency.started(request.cost(), now);
+		this.concurrency.requestStarted(request.cost(), now);
 		this.startedRates.get(request.priority()).add(request.cost(), now);
 	}
 
@@ -237,7 +237,7 @@
 				remaining -= this.startedRates.get(priority).perNano(now);
 			}
 		}
-		return this.waiting.costAhead(request) / Math.max(remaining, MIN_RATE_SHARE * rate);
+		return this.queue.costAhead(request) / Math.max(remaining, MIN_RATE_SHARE * rate);
 	}
 
 	private ShedRequest shed(AdmissionRequest request, RefusalReason reason, long now) {
@@ -252,7 +252,7 @@
 		if (this.listener != DecisionListener.NONE) {
 			this.listener.onDecision(DecisionRecord.of(DecisionKind.SHED, request.id().value(), "not-run",
 					Field.of("reason", reason), Field.of("class", request.priority()),
-					Field.of("client-account", request.account()), Field.of("queued", this.waiting.size()),
+					Field.of("client-account", request.account()), Field.of("queued", this.queue.size()),
 					Field.of("running", this.running.size()), Field.of("concurrency", this.concurrency.limit()),
 					Field.of("retry-after-ms", retryAfter.toMillis())));
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ClassQueue.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ClassQueue.java
@@ -14,7 +14,7 @@
  */
 final class ClassQueue {
 
-	private static final Comparator<AccountQueue> BY_TAG = Comparator.comparingDouble(AccountQueue::tag)
+	private static final Comparator<AccountQueue> BY_FINISH_TAG = Comparator.comparingDouble(AccountQueue::finishTag)
 		.thenComparing(AccountQueue::account);
 
 	private static final Comparator<AccountQueue> BY_SIZE = Comparator.comparingInt(AccountQueue::size)
@@ -24,9 +24,9 @@
 
 	private final Map<AccountId, AccountQueue> accounts = new HashMap<>();
 
-	private final TreeSet<AccountQueue> order = new TreeSet<>(BY_TAG);
+	private final TreeSet<AccountQueue> byFinishTag = new TreeSet<>(BY_FINISH_TAG);
 
-	private final TreeSet<AccountQueue> sizes = new TreeSet<>(BY_SIZE);
+	private final TreeSet<AccountQueue> bySize = new TreeSet<>(BY_SIZE);
 
 	private double virtualTime;
 
@@ -41,51 +41,51 @@
 		AccountQueue queue = this.accounts.get(account);
 		if (queue == null) {
 			queue = new AccountQueue(account, this.weights.weight(account));
-			queue.advanceTo(this.virtualTime + queued.request().cost() / queue.weight());
+			queue.setFinishTag(this.virtualTime + queued.request().cost() / queue.weight());
 			this.accounts.put(account, queue);
-			this.order.add(queue);
+			this.byFinishTag.add(queue);
 		}
-		this.sizes.remove(queue);
+		this.bySize.remove(queue);
 		queue.add(queued);
-		this.sizes.add(queue);
+		this.bySize.add(queue);
 		this.cost += queued.request().cost();
 	}
 
 	Optional<QueuedRequest> poll() {
-		AccountQueue queue = this.order.pollFirst();
+		AccountQueue queue = this.byFinishTag.pollFirst();
 		if (queue == null) {
 			return Optional.empty();
 		}
-		this.virtualTime = Math.max(this.virtualTime, queue.tag());
-		this.sizes.remove(queue);
+		this.virtualTime = Math.max(this.virtualTime, queue.finishTag());
+		this.bySize.remove(queue);
 		QueuedRequest queued = queue.poll();
 		this.cost -= queued.request().cost();
-		queue.advanceTo(this.virtualTime + queued.request().cost() / queue.weight());
-		this.order.add(queue);
-		this.sizes.add(queue);
-		dropIfEmpty(queue);
+		queue.setFinishTag(this.virtualTime + queued.request().cost() / queue.weight());
+		this.byFinishTag.add(queue);
+		this.bySize.add(queue);
+		removeIfEmpty(queue);
 		return Optional.of(queued);
 	}
 
 	void remove(QueuedRequest queued) {
 		AccountQueue queue = this.accounts.get(queued.request().account());
-		this.sizes.remove(queue);
+		this.bySize.remove(queue);
 		queue.remove(queued);
-		this.sizes.add(queue);
+		this.bySize.add(queue);
 		this.cost -= queued.request().cost();
-		dropIfEmpty(queue);
+		removeIfEmpty(queue);
 	}
 
 	/**
 	 * Returns the newest request of the client account with the most queued requests.
 	 * @return the request, or empty if the queue is empty
 	 */
-	Optional<QueuedRequest> newestOfLongest() {
-		return this.sizes.isEmpty() ? Optional.empty() : Optional.of(this.sizes.last().newest());
+	Optional<QueuedRequest> newestOfLongestQueue() {
+		return this.bySize.isEmpty() ? Optional.empty() : Optional.of(this.bySize.last().newest());
 	}
 
-	int longest() {
-		return this.sizes.isEmpty() ? 0 : this.sizes.last().size();
+	int longestQueueSize() {
+		return this.bySize.isEmpty() ? 0 : this.bySize.last().size();
 	}
 
 	int size(AccountId account) {
@@ -115,11 +115,11 @@
 		return this.accounts.isEmpty();
 	}
 
-	private void dropIfEmpty(AccountQueue queue) {
+	private void removeIfEmpty(AccountQueue queue) {
 		if (queue.isEmpty()) {
 			this.accounts.remove(queue.account());
-			this.order.remove(queue);
-			this.sizes.remove(queue);
+			this.byFinishTag.remove(queue);
+			this.bySize.remove(queue);
 		}
 		if (this.accounts.isEmpty()) {
 			this.cost = 0;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ConcurrencyLimit.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ConcurrencyLimit.java
@@ -53,19 +53,19 @@
 
 	private final AdmissionSettings settings;
 
-	private final LoadWindow window = new LoadWindow();
+	private final LatencyWindow window = new LatencyWindow();
 
 	private double limit;
 
-	private double baseline;
+	private double baselineNanosPerCost;
 
-	private double smoothed;
+	private double smoothedNanosPerCost;
 
-	private long baselineAt;
+	private long baselineUpdatedAt;
 
 	private ProbePhase probePhase = ProbePhase.NONE;
 
-	private long probeFrom;
+	private long probeStartedAt;
 
 	private double limitAfterProbe;
 
@@ -74,16 +74,16 @@
 		this.limit = settings.initialConcurrency();
 	}
 
-	void started(double cost, long now) {
-		this.window.started(cost, now);
+	void requestStarted(double cost, long now) {
+		this.window.requestStarted(cost, now);
 	}
 
-	void ended(FinishKind kind, double cost, long now) {
-		this.window.ended(kind, cost, now);
+	void requestEnded(FinishKind kind, double cost, long now) {
+		this.window.requestEnded(kind, cost, now);
 		if (this.probePhase != ProbePhase.NONE) {
 			continueProbe(now);
 		}
-		else if (this.window.count() >= MIN_SAMPLES && isLongEnough(now)) {
+		else if (this.window.endedCount() >= MIN_SAMPLES && isLongEnough(now)) {
 			adapt(now);
 		}
 	}
@@ -97,65 +97,66 @@
 	}
 
 	private void adapt(long now) {
-		boolean reached = this.window.mostRunning() >= REACHED_SHARE * this.limit;
+		boolean reached = this.window.maxRunning() >= REACHED_SHARE * this.limit;
 		if (this.window.share(FinishKind.OVERLOADED) > MAX_FAILURE_SHARE) {
-			change(this.limit * OVERLOAD_DECREASE_FACTOR);
+			setLimit(this.limit * OVERLOAD_DECREASE_FACTOR);
 		}
 		else if (this.window.share(FinishKind.FAILED) <= MAX_FAILURE_SHARE) {
-			follow(this.window.meanNanosPerCost(), reached, now);
+			adjustToLatency(this.window.meanNanosPerCost(), reached, now);
 		}
 		this.window.restart(now);
-		if (reached && now - this.baselineAt > MAX_BASELINE_AGE_NANOS) {
+		if (reached && now - this.baselineUpdatedAt > MAX_BASELINE_AGE_NANOS) {
 			this.probePhase = ProbePhase.SETTLING;
-			this.probeFrom = now;
+			this.probeStartedAt = now;
 			this.limitAfterProbe = this.limit;
-			change(this.limit / PROBE_DIVISOR);
+			setLimit(this.limit / PROBE_DIVISOR);
 		}
 	}
 
-	private void follow(double mean, boolean reached, long now) {
-		learn(mean, reached, now);
-		this.smoothed += MEAN_SMOOTHING * (mean - this.smoothed);
-		double gradient = this.baseline * this.settings.latencyTolerance() / this.smoothed;
+	private void adjustToLatency(double mean, boolean reached, long now) {
+		updateBaseline(mean, reached, now);
+		this.smoothedNanosPerCost += MEAN_SMOOTHING * (mean - this.smoothedNanosPerCost);
+		double gradient = this.baselineNanosPerCost * this.settings.latencyTolerance() / this.smoothedNanosPerCost;
 		if (gradient < 1) {
-			change(this.limit * Math.max(MIN_LATENCY_DECREASE_FACTOR, gradient));
+			setLimit(this.limit * Math.max(MIN_LATENCY_DECREASE_FACTOR, gradient));
 		}
 		else if (reached) {
-			double growth = (this.smoothed < FAST_GROWTH_MAX_RATIO * this.baseline) ? FAST_GROWTH_SHARE : GROWTH_SHARE;
-			change(this.limit + Math.max(1, growth * this.limit));
+			double growth = (this.smoothedNanosPerCost < FAST_GROWTH_MAX_RATIO * this.baselineNanosPerCost)
+					? FAST_GROWTH_SHARE : GROWTH_SHARE;
+			setLimit(this.limit + Math.max(1, growth * this.limit));
 		}
 	}
 
-	private void learn(double mean, boolean reached, long now) {
-		if (this.baseline == 0) {
-			this.baseline = mean;
-			this.smoothed = mean;
+	private void updateBaseline(double mean, boolean reached, long now) {
+		if (this.baselineNanosPerCost == 0) {
+			this.baselineNanosPerCost = mean;
+			this.smoothedNanosPerCost = mean;
 		}
 		if (!reached) {
-			this.baseline += BASELINE_SMOOTHING * (mean - this.baseline);
-			this.baselineAt = now;
+			this.baselineNanosPerCost += BASELINE_SMOOTHING * (mean - this.baselineNanosPerCost);
+			this.baselineUpdatedAt = now;
 		}
 	}
 
 	private void continueProbe(long now) {
-		if (now - this.probeFrom > MAX_PROBE_NANOS) {
+		if (now - this.probeStartedAt > MAX_PROBE_NANOS) {
 			endProbe(now);
 		}
 		else if (this.probePhase == ProbePhase.SETTLING) {
-			settle(now);
+			startMeasuringOnceSettled(now);
 		}
-		else if (this.window.count() >= PROBE_SAMPLES && isLongEnough(now)) {
-			double measured = Math.min(this.window.meanNanosPerCost(), MAX_BASELINE_RATIO * this.baseline);
-			this.baseline = (this.baseline + measured) / 2;
+		else if (this.window.endedCount() >= PROBE_SAMPLES && isLongEnough(now)) {
+			double measured = Math.min(this.window.meanNanosPerCost(), MAX_BASELINE_RATIO * this.baselineNanosPerCost);
+			this.baselineNanosPerCost = (this.baselineNanosPerCost + measured) / 2;
 			endProbe(now);
 		}
 	}
 
-	private void settle(long now) {
+	private void startMeasuringOnceSettled(long now) {
 		if (this.window.running() > this.limit) {
 			this.window.restart(now);
 		}
-		else if (this.window.count() >= SETTLING_ROUNDS * this.limit) {
+		else if (this.window.endedCount() >= SETTLING_ROUNDS * this.limit) {
 			this.probePhase = ProbePhase.MEASURING;
 			this.window.restart(now);
 		}
@@ -163,12 +164,12 @@
 
 	private void endProbe(long now) {
 		this.probePhase = ProbePhase.NONE;
-		this.baselineAt = now;
+		this.baselineUpdatedAt = now;
 		this.limit = this.limitAfterProbe;
 		this.window.restart(now);
 	}
 
-	private void change(double next) {
+	private void setLimit(double next) {
 		this.limit = Math.max(this.settings.minConcurrency(), Math.min(next, this.settings.maxConcurrency()));
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/LoadWindow.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/LatencyWindow.java
@@ -8,84 +8,84 @@
  * of the running work over the finished work. Unlike a mean over the finished requests,
  * this is not biased towards those that end first.
  */
-final class LoadWindow {
+final class LatencyWindow {
 
 	private final Map<FinishKind, Integer> endedByKind = new EnumMap<>(FinishKind.class);
 
 	private long startedAt;
 
-	private long changedAt;
+	private long lastChangeAt;
 
 	private int running;
 
-	private int mostRunning;
+	private int maxRunning;
 
 	private double runningCost;
 
-	private double costNanos;
+	private double runningCostIntegral;
 
-	private double doneCost;
+	private double finishedCost;
 
-	private int count;
+	private int endedCount;
 
-	void started(double cost, long now) {
-		advance(now);
+	void requestStarted(double cost, long now) {
+		integrateUntil(now);
 		this.running++;
 		this.runningCost += cost;
-		this.mostRunning = Math.max(this.mostRunning, this.running);
+		this.maxRunning = Math.max(this.maxRunning, this.running);
 	}
 
-	void ended(FinishKind kind, double cost, long now) {
-		advance(now);
+	void requestEnded(FinishKind kind, double cost, long now) {
+		integrateUntil(now);
 		this.running--;
 		this.runningCost = (this.running > 0) ? this.runningCost - cost : 0;
-		this.doneCost += cost;
-		this.count++;
+		this.finishedCost += cost;
+		this.endedCount++;
 		this.endedByKind.merge(kind, 1, Integer::sum);
 	}
 
 	void restart(long now) {
-		advance(now);
+		integrateUntil(now);
 		this.startedAt = now;
-		this.mostRunning = this.running;
-		this.costNanos = 0;
-		this.doneCost = 0;
-		this.count = 0;
+		this.maxRunning = this.running;
+		this.runningCostIntegral = 0;
+		this.finishedCost = 0;
+		this.endedCount = 0;
 		this.endedByKind.clear();
 	}
 
 	double meanNanosPerCost() {
-		return this.costNanos / this.doneCost;
+		return this.runningCostIntegral / this.finishedCost;
 	}
 
 	double share(FinishKind kind) {
-		return (double) this.endedByKind.getOrDefault(kind, 0) / this.count;
+		return (double) this.endedByKind.getOrDefault(kind, 0) / this.endedCount;
 	}
 
 	long length(long now) {
 		return now - this.startedAt;
 	}
 
-	int count() {
-		return this.count;
+	int endedCount() {
+		return this.endedCount;
 	}
 
 	int running() {
 		return this.running;
 	}
 
-	int mostRunning() {
-		return this.mostRunning;
+	int maxRunning() {
+		return this.maxRunning;
 	}
 
-	private void advance(long now) {
-		if (this.changedAt == 0 && this.startedAt == 0) {
+	private void integrateUntil(long now) {
+		if (this.lastChangeAt == 0 && this.startedAt == 0) {
 			this.startedAt = now;
 		}
 		else {
-			this.costNanos += this.runningCost * (now - this.changedAt);
+			this.runningCostIntegral += this.runningCost * (now - this.lastChangeAt);
 		}
-		this.changedAt = now;
+		this.lastChangeAt = now;
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/QueueBounds.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/QueueTimeLimits.java
@@ -12,13 +12,13 @@
  * @param standard the limit of {@link PriorityClass#STANDARD}
  * @param batch the limit of {@link PriorityClass#BATCH}
  */
-public record QueueBounds(Duration interactive, Duration standard, Duration batch) {
+public record QueueTimeLimits(Duration interactive, Duration standard, Duration batch) {
 
 	/** The default limits. */
-	public static final QueueBounds DEFAULT = new QueueBounds(Duration.ofMillis(500), Duration.ofMillis(1000),
+	public static final QueueTimeLimits DEFAULT = new QueueTimeLimits(Duration.ofMillis(500), Duration.ofMillis(1000),
 			Duration.ofMillis(2000));
 
-	public QueueBounds {
+	public QueueTimeLimits {
 		Preconditions.notNull(interactive, "interactive");
 		Preconditions.notNull(standard, "standard");
 		Preconditions.notNull(batch, "batch");
@@ -29,7 +29,7 @@
 	 * @param priority the class
 	 * @return the maximum time in queue
 	 */
-	public Duration of(PriorityClass priority) {
+	public Duration forClass(PriorityClass priority) {
 		if (priority == PriorityClass.INTERACTIVE) {
 			return this.interactive;
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/WaitingRequests.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/RequestQueue.java
@@ -14,10 +14,10 @@
 /**
  * All queued requests, by priority class and by the expiry of their time in queue.
  */
-final class WaitingRequests {
+final class RequestQueue {
 
-	private static final Comparator<QueuedRequest> BY_END = Comparator.comparingLong(QueuedRequest::until)
-		.thenComparingLong(QueuedRequest::number);
+	private static final Comparator<QueuedRequest> BY_EXPIRY = Comparator.comparingLong(QueuedRequest::expiresAt)
+		.thenComparingLong(QueuedRequest::arrivalNumber);
 
 	private static final PriorityClass[] CLASSES = PriorityClass.values();
 
@@ -25,22 +25,22 @@
 
 	private final Map<RequestId, QueuedRequest> byId = new HashMap<>();
 
-	private final TreeSet<QueuedRequest> byEnd = new TreeSet<>(BY_END);
+	private final TreeSet<QueuedRequest> byExpiry = new TreeSet<>(BY_EXPIRY);
 
-	private long number;
+	private long lastArrivalNumber;
 
-	WaitingRequests(AccountWeights weights) {
+	RequestQueue(AccountWeights weights) {
 		for (PriorityClass priority : CLASSES) {
 			this.classes.put(priority, new ClassQueue(weights));
 		}
 	}
 
 	void add(AdmissionRequest request, long now, long expiresAt) {
-		this.number++;
-		QueuedRequest queued = new QueuedRequest(request, this.number, now, expiresAt);
+		this.lastArrivalNumber++;
+		QueuedRequest queued = new QueuedRequest(request, this.lastArrivalNumber, now, expiresAt);
 		this.classes.get(request.priority()).add(queued);
 		this.byId.put(request.id(), queued);
-		this.byEnd.add(queued);
+		this.byExpiry.add(queued);
 	}
 
 	/**
@@ -52,7 +52,7 @@
 		for (PriorityClass priority : CLASSES) {
 			Optional<QueuedRequest> queued = this.classes.get(priority).poll();
 			if (queued.isPresent()) {
-				forget(queued.get());
+				removeFromIndexes(queued.get());
 				return queued;
 			}
 		}
@@ -64,11 +64,11 @@
 	 * @param now the time in nanoseconds
 	 * @return the request, or empty if there is none
 	 */
-	Optional<QueuedRequest> pollEnded(long now) {
-		if (this.byEnd.isEmpty() || this.byEnd.first().until() > now) {
+	Optional<QueuedRequest> pollExpired(long now) {
+		if (this.byExpiry.isEmpty() || this.byExpiry.first().expiresAt() > now) {
 			return Optional.empty();
 		}
-		return remove(this.byEnd.first().request().id());
+		return remove(this.byExpiry.first().request().id());
 	}
 
 	Optional<QueuedRequest> remove(RequestId id) {
@@ -77,7 +77,7 @@
 			return Optional.empty();
 		}
 		this.classes.get(queued.request().priority()).remove(queued);
-		forget(queued);
+		removeFromIndexes(queued);
 		return Optional.of(queued);
 	}
 
@@ -88,15 +88,16 @@
 	 * @param request the new request
 	 * @return the request to displace, or empty if the new one is to be refused
 	 */
-	Optional<QueuedRequest> displacedBy(AdmissionRequest request) {
+	Optional<QueuedRequest> findDisplaceable(AdmissionRequest request) {
 		for (int i = CLASSES.length - 1; i > request.priority().ordinal(); i--) {
-			Optional<QueuedRequest> newest = this.classes.get(CLASSES[i]).newestOfLongest();
+			Optional<QueuedRequest> newest = this.classes.get(CLASSES[i]).newestOfLongestQueue();
 			if (newest.isPresent()) {
 				return newest;
 			}
 		}
 		ClassQueue same = this.classes.get(request.priority());
-		return (same.longest() > same.size(request.account()) + 1) ? same.newestOfLongest() : Optional.empty();
+		return (same.longestQueueSize() > same.size(request.account()) + 1) ? same.newestOfLongestQueue()
+				: Optional.empty();
 	}
 
 	double costAhead(AdmissionRequest request) {
@@ -119,9 +120,9 @@
 		return this.classes.get(priority).costAhead(account, cost);
 	}
 
-	private void forget(QueuedRequest queued) {
+	private void removeFromIndexes(QueuedRequest queued) {
 		this.byId.remove(queued.request().id());
-		this.byEnd.remove(queued);
+		this.byExpiry.remove(queued);
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/StartRequest.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/StartRequest.java
@@ -9,13 +9,13 @@
  * Starts a queued request; the driver must report its end.
  *
  * @param id the request
- * @param queued its time in queue
+ * @param queueTime its time in queue
  */
-public record StartRequest(RequestId id, Duration queued) implements AdmissionCommand {
+public record StartRequest(RequestId id, Duration queueTime) implements AdmissionCommand {
 
 	public StartRequest {
 		Preconditions.notNull(id, "id");
-		Preconditions.notNull(queued, "queueTime");
+		Preconditions.notNull(queueTime, "queueTime");
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/WorkRate.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/WorkRate.java
@@ -18,12 +18,12 @@
 	private boolean known;
 
 	void add(double work, long now) {
-		roll(now);
+		rollWindow(now);
 		this.work += work;
 	}
 
 	double perNano(long now) {
-		roll(now);
+		rollWindow(now);
 		return this.perNano;
 	}
 
@@ -31,7 +31,7 @@
 		return this.known;
 	}
 
-	private void roll(long now) {
+	private void rollWindow(long now) {
 		if (!this.known && this.windowStart == 0) {
 			this.windowStart = now;
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/KvPricing.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/KvPlanner.java
@@ -13,21 +13,21 @@
  * second
  * @param crossDomainBytesPerSecond the transfer rate between failure domains, in bytes
  * per second
- * @param setup the fixed time of a transfer, independent of its size
+ * @param transferSetup the fixed time of a transfer, independent of its size
  */
-public record KvPricing(long bytesPerToken, double sameDomainBytesPerSecond, double crossDomainBytesPerSecond,
-		Duration setup) {
+public record KvPlanner(long bytesPerToken, double sameDomainBytesPerSecond, double crossDomainBytesPerSecond,
+		Duration transferSetup) {
 
 	/** The default costs. */
-	public static final KvPricing DEFAULTS = new KvPricing(70_000, 2.5e9, 6e8, Duration.ofMillis(5));
+	public static final KvPlanner DEFAULTS = new KvPlanner(70_000, 2.5e9, 6e8, Duration.ofMillis(5));
 
-	public KvPricing {
+	public KvPlanner {
 		Preconditions.check(bytesPerToken >= 1, "bytesPerToken must be at least 1: %d", bytesPerToken);
 		Preconditions.check(sameDomainBytesPerSecond > 0, "sameDomainBytesPerSecond must be positive: %s",
 				sameDomainBytesPerSecond);
 		Preconditions.check(crossDomainBytesPerSecond > 0, "crossDomainBytesPerSecond must be positive: %s",
 				crossDomainBytesPerSecond);
-		Preconditions.check(!setup.isNegative(), "transferSetup must not be negative: %s", setup);
+		Preconditions.check(!transferSetup.isNegative(), "transferSetup must not be negative: %s", transferSetup);
 	}
 
 	/**
@@ -48,8 +48,9 @@
 		}
 		double rate = source.sameDomain() ? this.sameDomainBytesPerSecond : this.crossDomainBytesPerSecond;
 		double seconds = imported * this.bytesPerToken / rate + (missing - imported) / tokensPerSecond;
-		long transfer = nanos(seconds) + this.setup.toNanos();
-		return (transfer < recompute) ? new Move(source.server(), (long) imported, transfer) : new Recompute(recompute);
+		long transfer = nanos(seconds) + this.transferSetup.toNanos();
+		return (transfer < recompute) ? new KvTransfer(source.server(), (long) imported, transfer)
+				: new Recompute(recompute);
 	}
 
 	private static long nanos(double seconds) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/Move.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/kv/KvTransfer.java
@@ -10,9 +10,9 @@
  * @param tokens the expected number of imported tokens
  * @param expectedNanos the expected time in nanoseconds
  */
-public record Move(BackendServerId source, long tokens, long expectedNanos) implements KvPlan {
+public record KvTransfer(BackendServerId source, long tokens, long expectedNanos) implements KvPlan {
 
-	public Move {
+	public KvTransfer {
 		Preconditions.notNull(source, "source");
 		Preconditions.check(tokens >= 1, "tokens must be at least 1: %d", tokens);
 		Preconditions.check(expectedNanos >= 0, "expectedNanos must not be negative: %d", expectedNanos);
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/AccountShares.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/AccountShares.java
@@ -17,7 +17,7 @@
 
 	private static final long SPARE_SLOTS = 4;
 
-	private static final long SHORT_ASKS_PER_INTERVAL = 4;
+	private static final long SHORTFALL_REQUESTS_PER_INTERVAL = 4;
 
 	private static final double HORIZON_INTERVALS = 1.5;
 
@@ -31,19 +31,19 @@
 
 	private final OfferedRate offeredRate;
 
-	private long waiting;
+	private long unadmittedRequests;
 
-	private long waitingTokens;
+	private long maxUnadmittedTokens;
 
-	private long offeredAt;
+	private long lastOfferAt;
 
-	private long askedAt = Long.MIN_VALUE;
+	private long lastRequestAt = Long.MIN_VALUE;
 
-	private long shortAt = Long.MIN_VALUE;
+	private long lastShortfallAt = Long.MIN_VALUE;
 
 	private double grantedPerNano;
 
-	private long grantedAt;
+	private long lastGrantAt;
 
 	AccountShares(AccountId account, LeaseTerms terms, long primarySequence, long reserveSequence, long now) {
 		this.account = account;
@@ -51,13 +51,13 @@
 		this.primary = new GrantedShare(primarySequence);
 		this.reserve = new GrantedShare(reserveSequence);
 		this.offeredRate = new OfferedRate(terms.askInterval().toNanos(), now);
-		this.offeredAt = now;
-		this.grantedAt = now;
+		this.lastOfferAt = now;
+		this.lastGrantAt = now;
 	}
 
-	void offered(long tokens, long now) {
+	void recordOffer(long tokens, long now) {
 		this.offeredRate.add(tokens, now);
-		this.offeredAt = now;
+		this.lastOfferAt = now;
 	}
 
 	/**
@@ -65,21 +65,21 @@
 	 * it.
 	 * @param tokens the tokens charged for the request
 	 */
-	void unserved(long tokens) {
-		this.waiting++;
-		this.waitingTokens = Math.max(this.waitingTokens, tokens);
+	void recordUnadmitted(long tokens) {
+		this.unadmittedRequests++;
+		this.maxUnadmittedTokens = Math.max(this.maxUnadmittedTokens, tokens);
 	}
 
-	void answered(AccountDemand demand, AccountGrant grant, long now) {
+	void recordGrant(AccountDemand demand, AccountGrant grant, long now) {
 		boolean ratesShort = grant.requests() < Math.min(1, demand.requests())
 				|| grant.tokens() < Math.min(demand.smallestTokens(), demand.tokens());
 		boolean slotsShort = grant.slots() < demand.slots() && grant.slots() <= demand.usedSlots();
 		if (ratesShort || slotsShort || grant.requests() < demand.requests() || grant.tokens() < demand.tokens()) {
-			this.shortAt = now;
+			this.lastShortfallAt = now;
 		}
-		long elapsed = Math.max(this.terms.askInterval().toNanos() / 4, now - this.grantedAt);
+		long elapsed = Math.max(this.terms.askInterval().toNanos() / 4, now - this.lastGrantAt);
 		this.grantedPerNano = (this.grantedPerNano + (double) grant.requests() / elapsed) / 2;
-		this.grantedAt = now;
+		this.lastGrantAt = now;
 	}
 
 	/**
@@ -94,25 +94,26 @@
 		GrantedShare share = share(role);
 		boolean active = requestMore && isActive(now);
 		double horizon = active ? HORIZON_INTERVALS * this.terms.askInterval().toNanos() : 0;
-		long waitingRequests = active ? this.waiting : 0;
+		long waitingRequests = active ? this.unadmittedRequests : 0;
 		double expectedRequests = this.offeredRate.requestsPerNano(now) * horizon;
 		long expectedTokens = Math.round(this.offeredRate.tokensPerNano(now) * horizon);
 		long availableRequests = share.requests(now);
-		long maxSpareSlots = isShort(now) ? 1 : Math.max(SPARE_SLOTS, share.used() / 2);
+		long maxSpareSlots = hasShortfall(now) ? 1 : Math.max(SPARE_SLOTS, share.usedSlots() / 2);
 		long spareSlots = Math.min(Math.round(expectedRequests), maxSpareSlots);
 		long usableSlots = Math.max(waitingRequests + spareSlots, Math.min(availableRequests, SPARE_SLOTS));
-		long slots = active ? share.used() + usableSlots : 0;
-		share.lowerSlots((isShort(now) && availableRequests == 0) ? Math.min(slots, share.used()) : slots);
+		long slots = active ? share.usedSlots() + usableSlots : 0;
+		share.lowerSlots((hasShortfall(now) && availableRequests == 0) ? Math.min(slots, share.usedSlots()) : slots);
 		long smallest = active ? smallestTokens(expectedRequests, expectedTokens) : 0;
 		long requests = Math.max(0, Math.round(expectedRequests) + waitingRequests - availableRequests);
 		long tokens = Math.max(0, expectedTokens + waitingRequests * smallest - share.tokens(now));
-		boolean needsMore = requests > 0 || tokens > 0 || slots > share.used();
-		if (!needsMore && !share.hasToGiveBack(now)) {
+		boolean needsMore = requests > 0 || tokens > 0 || slots > share.usedSlots();
+		if (!needsMore && !share.hasUnreportedReturns(now)) {
 			return Optional.empty();
 		}
-		share.reported(now);
-		return Optional.of(new AccountDemand(this.account, requests, tokens, Math.min(smallest, tokens),
-				share.takeRefund(), slots, share.slots(now), share.heldTerm(), share.heldSequence(), share.used()));
+		share.markReported(now);
+		return Optional
+			.of(new AccountDemand(this.account, requests, tokens, Math.min(smallest, tokens), share.takeRefund(), slots,
+					share.slots(now), share.heldTerm(), share.heldSequence(), share.usedSlots()));
 	}
 
 	/**
@@ -120,57 +121,58 @@
 	 * covered them.
 	 * @param now the time in nanoseconds
 	 */
-	void asked(long now) {
-		this.askedAt = now;
-		this.waiting = 0;
-		this.waitingTokens = 0;
+	void markRequested(long now) {
+		this.lastRequestAt = now;
+		this.unadmittedRequests = 0;
+		this.maxUnadmittedTokens = 0;
 	}
 
 	GrantedShare share(GrantorRole role) {
 		return (role == GrantorRole.PRIMARY) ? this.primary : this.reserve;
 	}
 
-	boolean isShort(long now) {
-		return this.shortAt != Long.MIN_VALUE && now - this.shortAt < 2 * this.terms.askInterval().toNanos();
+	boolean hasShortfall(long now) {
+		return this.lastShortfallAt != Long.MIN_VALUE
+				&& now - this.lastShortfallAt < 2 * this.terms.askInterval().toNanos();
 	}
 
 	/**
 	 * Returns whether a lease request may be sent before the regular interval has
 	 * elapsed. While grants fall short of the demand, at most
-	 * {@value #SHORT_ASKS_PER_INTERVAL} are sent per interval; otherwise, and for a first
-	 * share, it may be sent at once.
+	 * {@value #SHORTFALL_REQUESTS_PER_INTERVAL} are sent per interval; otherwise, and for
+	 * a first share, it may be sent at once.
 	 * @param now the time in nanoseconds
 	 * @return {@code true} if it may be sent
 	 */
-	boolean mayAskEarly(long now) {
-		long gap = this.terms.askInterval().toNanos() / SHORT_ASKS_PER_INTERVAL;
-		return this.askedAt == Long.MIN_VALUE || !isShort(now) || now - this.askedAt >= gap;
+	boolean mayRequestEarly(long now) {
+		long gap = this.terms.askInterval().toNanos() / SHORTFALL_REQUESTS_PER_INTERVAL;
+		return this.lastRequestAt == Long.MIN_VALUE || !hasShortfall(now) || now - this.lastRequestAt >= gap;
 	}
 
 	boolean isActive(long now) {
-		return now - this.offeredAt < IDLE_INTERVALS * this.terms.askInterval().toNanos();
+		return now - this.lastOfferAt < IDLE_INTERVALS * this.terms.askInterval().toNanos();
 	}
 
 	boolean isUnused(long now) {
-		return !isActive(now) && this.primary.used() == 0 && this.reserve.used() == 0;
+		return !isActive(now) && this.primary.usedSlots() == 0 && this.reserve.usedSlots() == 0;
 	}
 
 	long slots(long now) {
-		return Math.max(this.primary.slots(now), this.primary.used())
-				+ Math.max(this.reserve.slots(now), this.reserve.used());
+		return Math.max(this.primary.slots(now), this.primary.usedSlots())
+				+ Math.max(this.reserve.slots(now), this.reserve.usedSlots());
 	}
 
 	double grantedPerNano() {
 		return this.grantedPerNano;
 	}
 
-	long waiting() {
-		return this.waiting;
+	long unadmittedRequests() {
+		return this.unadmittedRequests;
 	}
 
 	private long smallestTokens(double expectedRequests, long expectedTokens) {
-		if (this.waitingTokens > 0) {
-			return this.waitingTokens;
+		if (this.maxUnadmittedTokens > 0) {
+			return this.maxUnadmittedTokens;
 		}
 		return (expectedRequests > 0) ? Math.round(expectedTokens / expectedRequests) : 0;
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantedShare.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantedShare.java
@@ -21,9 +21,9 @@
 
 	private long tokens;
 
-	private long debt;
+	private long tokenDebt;
 
-	private long refund;
+	private long tokenRefund;
 
 	private long slots;
 
@@ -33,15 +33,15 @@
 
 	private Term heldTerm = Term.ZERO;
 
-	private long used;
+	private long usedSlots;
 
-	private long believed;
+	private long reportedSlots;
 
 	GrantedShare(long heldSequence) {
 		this.heldSequence = heldSequence;
 	}
 
-	void take(AccountGrant grant, Term term, long sequence, long amountUntil, long slotsUntil, long now) {
+	void addGrant(AccountGrant grant, Term term, long sequence, long amountUntil, long slotsUntil, long now) {
 		if (now < amountUntil && this.amounts.size() < MAX_AMOUNTS) {
 			addAmount(grant, amountUntil);
 		}
@@ -51,25 +51,25 @@
 			this.heldSequence = sequence;
 			this.heldTerm = term;
 		}
-		this.believed = Math.max(this.believed, grant.slots());
+		this.reportedSlots = Math.max(this.reportedSlots, grant.slots());
 	}
 
 	boolean canAdmit(long tokens, long now) {
-		lapse(now);
-		return this.requests >= 1 && this.tokens >= tokens && this.used < slots(now);
+		removeExpired(now);
+		return this.requests >= 1 && this.tokens >= tokens && this.usedSlots < slots(now);
 	}
 
 	void admit(long tokens) {
 		this.requests--;
 		this.tokens -= tokens;
-		this.used++;
+		this.usedSlots++;
 		long requestsLeft = 1;
 		long tokensLeft = tokens;
 		for (int i = 0; i < this.amounts.size() && requestsLeft + tokensLeft > 0; i++) {
 			SpendableAmount amount = this.amounts.get(i);
 			long fromRequests = Math.min(requestsLeft, amount.requests());
 			long fromTokens = Math.min(tokensLeft, amount.tokens());
-			this.amounts.set(i, amount.less(fromRequests, fromTokens));
+			this.amounts.set(i, amount.minus(fromRequests, fromTokens));
 			requestsLeft -= fromRequests;
 			tokensLeft -= fromTokens;
 		}
@@ -77,12 +77,12 @@
 	}
 
 	void finish(long charged, long spent) {
-		this.used--;
+		this.usedSlots--;
 		if (spent <= charged) {
-			this.refund += charged - spent;
+			this.tokenRefund += charged - spent;
 		}
 		else {
-			this.debt += spent - charged;
+			this.tokenDebt += spent - charged;
 		}
 	}
 
@@ -101,27 +101,27 @@
 	 * @param now the time in nanoseconds
 	 * @return {@code true} if there are slots to return or tokens to refund
 	 */
-	boolean hasToGiveBack(long now) {
-		return this.refund > 0 || Math.max(slots(now), this.used) < this.believed;
+	boolean hasUnreportedReturns(long now) {
+		return this.tokenRefund > 0 || Math.max(slots(now), this.usedSlots) < this.reportedSlots;
 	}
 
-	void reported(long now) {
-		this.believed = Math.max(slots(now), this.used);
+	void markReported(long now) {
+		this.reportedSlots = Math.max(slots(now), this.usedSlots);
 	}
 
 	long takeRefund() {
-		long result = this.refund;
-		this.refund = 0;
+		long result = this.tokenRefund;
+		this.tokenRefund = 0;
 		return result;
 	}
 
 	long requests(long now) {
-		lapse(now);
+		removeExpired(now);
 		return this.requests;
 	}
 
 	long tokens(long now) {
-		lapse(now);
+		removeExpired(now);
 		return this.tokens;
 	}
 
@@ -129,8 +129,8 @@
 		return (now < this.slotsUntil) ? this.slots : 0;
 	}
 
-	long used() {
-		return this.used;
+	long usedSlots() {
+		return this.usedSlots;
 	}
 
 	long heldSequence() {
@@ -142,12 +142,12 @@
 	}
 
 	boolean isInUse(long now) {
-		return this.used > 0 || this.refund > 0 || slots(now) > 0;
+		return this.usedSlots > 0 || this.tokenRefund > 0 || slots(now) > 0;
 	}
 
 	private void addAmount(AccountGrant grant, long until) {
-		long repaid = Math.min(this.debt, grant.tokens());
-		this.debt -= repaid;
+		long repaid = Math.min(this.tokenDebt, grant.tokens());
+		this.tokenDebt -= repaid;
 		SpendableAmount amount = new SpendableAmount(grant.requests(), grant.tokens() - repaid, until);
 		if (amount.isEmpty()) {
 			return;
@@ -161,7 +161,7 @@
 		this.tokens += amount.tokens();
 	}
 
-	private void lapse(long now) {
+	private void removeExpired(long now) {
 		Iterator<SpendableAmount> iterator = this.amounts.iterator();
 		while (iterator.hasNext()) {
 			SpendableAmount amount = iterator.next();
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantorChannel.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantorChannel.java
@@ -19,34 +19,34 @@
  */
 final class GrantorChannel {
 
-	private static final int MAX_OPEN_ASKS = 256;
+	private static final int MAX_OPEN_REQUESTS = 256;
 
 	private final InstanceId entry;
 
 	private final Incarnation incarnation;
 
-	private final Map<Long, OpenAsk> open = new LinkedHashMap<>();
+	private final Map<Long, OpenLeaseRequest> openRequests = new LinkedHashMap<>();
 
 	private long sequence;
 
 	private Term term = Term.ZERO;
 
-	private long silentSince = Long.MAX_VALUE;
+	private long unansweredSince = Long.MAX_VALUE;
 
 	GrantorChannel(InstanceId entry, Incarnation incarnation) {
 		this.entry = entry;
 		this.incarnation = incarnation;
 	}
 
-	LeaseRequest ask(List<AccountDemand> demands, long now) {
+	LeaseRequest createRequest(List<AccountDemand> demands, long now) {
 		this.sequence++;
 		Map<AccountId, AccountDemand> byAccount = new HashMap<>();
 		demands.forEach((demand) -> byAccount.put(demand.account(), demand));
-		this.open.put(this.sequence, new OpenAsk(now, byAccount));
-		if (this.open.size() > MAX_OPEN_ASKS) {
-			this.open.remove(this.open.keySet().iterator().next());
+		this.openRequests.put(this.sequence, new OpenLeaseRequest(now, byAccount));
+		if (this.openRequests.size() > MAX_OPEN_REQUESTS) {
+			this.openRequests.remove(this.openRequests.keySet().iterator().next());
 		}
-		this.silentSince = Math.min(this.silentSince, now);
+		this.unansweredSince = Math.min(this.unansweredSince, now);
 		return new LeaseRequest(this.entry, this.incarnation, this.sequence, this.term, demands);
 	}
 
@@ -57,25 +57,25 @@
 	 * addressed to an earlier incarnation of this process or from a grantor of an earlier
 	 * term
 	 */
-	OpenAsk match(LeaseGrant grant) {
+	OpenLeaseRequest match(LeaseGrant grant) {
 		boolean addressedToThis = grant.holder().equals(this.entry) && grant.incarnation().equals(this.incarnation);
 		if (!addressedToThis || grant.term().isBefore(this.term)) {
 			return null;
 		}
-		OpenAsk request = this.open.remove(grant.sequence());
+		OpenLeaseRequest request = this.openRequests.remove(grant.sequence());
 		if (request != null) {
 			this.term = grant.term();
-			this.silentSince = Long.MAX_VALUE;
+			this.unansweredSince = Long.MAX_VALUE;
 		}
 		return request;
 	}
 
-	void forgetBefore(long sentAt) {
-		this.open.values().removeIf((request) -> request.sentAt() < sentAt);
+	void discardBefore(long sentAt) {
+		this.openRequests.values().removeIf((request) -> request.sentAt() < sentAt);
 	}
 
 	boolean isSilent(long nanos, long now) {
-		return this.silentSince != Long.MAX_VALUE && now - this.silentSince > nanos;
+		return this.unansweredSince != Long.MAX_VALUE && now - this.unansweredSince > nanos;
 	}
 
 	long sequence() {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
@@ -31,8 +31,8 @@
  * The term of a share is counted from the sending of the lease request and ends on this
  * entry's monotonic clock before it ends on the grantor's. The caller invokes
  * {@link #tick} every few milliseconds, sends the returned lease requests, and passes the
- * grants to {@link #granted}. Tracks at most {@value #MAX_ACCOUNTS} client accounts at a
- * time. Not thread-safe.
+ * grants to {@link #handleGrant}. Tracks at most {@value #MAX_ACCOUNTS} client accounts
+ * at a time. Not thread-safe.
  */
 public final class LimitEnforcer {
 
@@ -53,11 +53,11 @@
 
 	private final Map<AccountId, AccountShares> accounts = new HashMap<>();
 
-	private final Set<AccountShares> urgent = new LinkedHashSet<>();
+	private final Set<AccountShares> accountsWithUnmetDemand = new LinkedHashSet<>();
 
-	private long askedAllAt = Long.MIN_VALUE;
+	private long lastRegularRequestAt = Long.MIN_VALUE;
 
-	private long askedAt = Long.MIN_VALUE;
+	private long lastRequestAt = Long.MIN_VALUE;
 
 	/**
 	 * Creates an enforcer without shares.
@@ -88,7 +88,7 @@
 	 */
 	public LimitDecision offer(LimitRequest request, long now) {
 		Preconditions.notNull(request, "request");
-		Optional<LimitKind> violation = impossible(request);
+		Optional<LimitKind> violation = findPermanentViolation(request);
 		if (violation.isPresent()) {
 			return refuse(request, violation.get(), Duration.ZERO);
 		}
@@ -101,7 +101,7 @@
 					this.reserve.sequence(), now);
 			this.accounts.put(request.account(), shares);
 		}
-		shares.offered(request.tokens(), now);
+		shares.recordOffer(request.tokens(), now);
 		return decide(request, shares, now + this.settings.patience().toNanos(), now);
 	}
 
@@ -124,15 +124,15 @@
 	 * @param spentTokens the tokens that the request used: prompt and generated tokens
 	 * @param now this entry's monotonic clock in nanoseconds
 	 */
-	public void finished(LimitPermit permit, long spentTokens, long now) {
+	public void returnPermit(LimitPermit permit, long spentTokens, long now) {
 		Preconditions.notNull(permit, "permit");
 		Preconditions.check(spentTokens >= 0, "spentTokens must not be negative: %d", spentTokens);
 		AccountShares shares = this.accounts.get(permit.account());
-		boolean outstanding = shares != null && shares.share(permit.grantor()).used() > 0;
+		boolean outstanding = shares != null && shares.share(permit.grantor()).usedSlots() > 0;
 		if (this.invariants.holds(outstanding, "permit-returned-once", Field.of("client-account", permit.account()))) {
 			shares.share(permit.grantor()).finish(permit.tokens(), spentTokens);
-			if (shares.isShort(now)) {
-				this.urgent.add(shares);
+			if (shares.hasShortfall(now)) {
+				this.accountsWithUnmetDemand.add(shares);
 			}
 		}
 	}
@@ -144,10 +144,10 @@
 	 * @param now this entry's monotonic clock in nanoseconds
 	 * @return the client accounts whose waiting requests should be offered again
 	 */
-	public Collection<AccountId> granted(GrantorRole role, LeaseGrant grant, long now) {
+	public Collection<AccountId> handleGrant(GrantorRole role, LeaseGrant grant, long now) {
 		Preconditions.notNull(role, "role");
 		Preconditions.notNull(grant, "grant");
-		OpenAsk request = channel(role).match(grant);
+		OpenLeaseRequest request = channel(role).match(grant);
 		if (request == null) {
 			return List.of();
 		}
@@ -158,8 +158,8 @@
 			AccountShares shares = this.accounts.get(each.account());
 			AccountDemand demand = request.demands().get(each.account());
 			if (shares != null && demand != null) {
-				shares.share(role).take(each, grant.term(), grant.sequence(), amountUntil, slotsUntil, now);
-				shares.answered(demand, each, now);
+				shares.share(role).addGrant(each, grant.term(), grant.sequence(), amountUntil, slotsUntil, now);
+				shares.recordGrant(demand, each, now);
 				result.add(each.account());
 			}
 		}
@@ -173,22 +173,25 @@
 	 */
 	public List<LimitCommand> tick(long now) {
 		long interval = this.settings.terms().askInterval().toNanos();
-		if (this.askedAllAt == Long.MIN_VALUE || now - this.askedAllAt >= interval) {
-			this.askedAllAt = now;
+		if (this.lastRegularRequestAt == Long.MIN_VALUE || now - this.lastRegularRequestAt >= interval) {
+			this.lastRegularRequestAt = now;
 			long oldest = now - this.settings.terms().slotTerm().toNanos();
-			this.primary.forgetBefore(oldest);
-			this.reserve.forgetBefore(oldest);
-			List<LimitCommand> commands = ask(List.copyOf(this.accounts.values()), now);
+			this.primary.discardBefore(oldest);
+			this.reserve.discardBefore(oldest);
+			List<LimitCommand> commands = createLeaseRequests(List.copyOf(this.accounts.values()), now);
 			this.accounts.values().removeIf((shares) -> shares.isUnused(now));
-			this.urgent.clear();
+			this.accountsWithUnmetDemand.clear();
 			return commands;
 		}
-		boolean gapOver = this.askedAt == Long.MIN_VALUE || now - this.askedAt >= this.settings.urgentGap().toNanos();
-		if (this.urgent.isEmpty() || !gapOver) {
+		boolean gapOver = this.lastRequestAt == Long.MIN_VALUE
+				|| now - this.lastRequestAt >= this.settings.urgentGap().toNanos();
+		if (this.accountsWithUnmetDemand.isEmpty() || !gapOver) {
 			return List.of();
 		}
-		List<AccountShares> due = this.urgent.stream().filter((shares) -> shares.mayAskEarly(now)).toList();
-		return due.isEmpty() ? List.of() : ask(due, now);
+		List<AccountShares> due = this.accountsWithUnmetDemand.stream()
+			.filter((shares) -> shares.mayRequestEarly(now))
+			.toList();
+		return due.isEmpty() ? List.of() : createLeaseRequests(due, now);
 	}
 
 	/**
@@ -229,15 +232,15 @@
 				return new LimitAdmitted(new LimitPermit(request.account(), role, request.tokens()));
 			}
 		}
-		shares.unserved(request.tokens());
-		this.urgent.add(shares);
-		if (!shares.isShort(now) && now < until) {
+		shares.recordUnadmitted(request.tokens());
+		this.accountsWithUnmetDemand.add(shares);
+		if (!shares.hasShortfall(now) && now < until) {
 			return new LimitPending(until);
 		}
-		return refuse(request, missing(request, shares, now), retryAfter(shares));
+		return refuse(request, findExhaustedLimit(request, shares, now), retryAfter(shares));
 	}
 
-	private LimitKind missing(LimitRequest request, AccountShares shares, long now) {
+	private LimitKind findExhaustedLimit(LimitRequest request, AccountShares shares, long now) {
 		GrantedShare share = shares.share(GrantorRole.PRIMARY);
 		if (isPrimarySilent(now)) {
 			return LimitKind.GRANTOR_SILENT;
@@ -252,11 +255,12 @@
 		long shortest = this.settings.terms().askInterval().toNanos();
 		long longest = 25 * shortest;
 		double rate = shares.grantedPerNano();
-		double wait = (rate > 0) ? (shares.waiting() + 1) / rate : 2.0 * this.settings.terms().rateTerm().toNanos();
+		double wait = (rate > 0) ? (shares.unadmittedRequests() + 1) / rate
+				: 2.0 * this.settings.terms().rateTerm().toNanos();
 		return Duration.ofNanos((long) Math.max(shortest, Math.min(wait, longest)));
 	}
 
-	private Optional<LimitKind> impossible(LimitRequest request) {
+	private Optional<LimitKind> findPermanentViolation(LimitRequest request) {
 		Optional<AccountLimits> limits = this.source.limits(request.account());
 		if (limits.isEmpty()) {
 			return Optional.of(LimitKind.NOT_CONFIGURED);
@@ -266,7 +270,7 @@
 		return (request.tokens() > burst) ? Optional.of(LimitKind.REQUEST_SIZE) : Optional.empty();
 	}
 
-	private List<LimitCommand> ask(Collection<AccountShares> due, long now) {
+	private List<LimitCommand> createLeaseRequests(Collection<AccountShares> due, long now) {
 		boolean useReserve = this.settings.division().reserveShare() > 0 && isPrimarySilent(now);
 		List<AccountDemand> primaryDemands = new ArrayList<>(due.size());
 		List<AccountDemand> reserveDemands = new ArrayList<>();
@@ -275,16 +279,16 @@
 			if (useReserve || shares.share(GrantorRole.RESERVE).isInUse(now)) {
 				shares.demand(GrantorRole.RESERVE, useReserve, now).ifPresent(reserveDemands::add);
 			}
-			shares.asked(now);
-			this.urgent.remove(shares);
+			shares.markRequested(now);
+			this.accountsWithUnmetDemand.remove(shares);
 		}
 		List<LimitCommand> commands = new ArrayList<>(2);
 		if (!primaryDemands.isEmpty()) {
-			this.askedAt = now;
-			commands.add(new SendAsk(GrantorRole.PRIMARY, this.primary.ask(primaryDemands, now)));
+			this.lastRequestAt = now;
+			commands.add(new SendLeaseRequest(GrantorRole.PRIMARY, this.primary.createRequest(primaryDemands, now)));
 		}
 		if (!reserveDemands.isEmpty()) {
-			commands.add(new SendAsk(GrantorRole.RESERVE, this.reserve.ask(reserveDemands, now)));
+			commands.add(new SendLeaseRequest(GrantorRole.RESERVE, this.reserve.createRequest(reserveDemands, now)));
 		}
 		return commands;
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/OfferedRate.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/OfferedRate.java
@@ -9,7 +9,7 @@
 
 	private static final double SMOOTHING = 0.5;
 
-	private static final long SHORTEST_WINDOW_NANOS = 50_000_000;
+	private static final long MIN_WINDOW_NANOS = 50_000_000;
 
 	private final long windowNanos;
 
@@ -29,13 +29,13 @@
 	}
 
 	void add(long tokens, long now) {
-		roll(now);
+		rollWindow(now);
 		this.requests++;
 		this.tokens += tokens;
 	}
 
 	double requestsPerNano(long now) {
-		roll(now);
+		rollWindow(now);
 		return Math.max(this.requestsPerNano, perNano(this.requests - 1, now));
 	}
 
@@ -47,10 +47,10 @@
 	}
 
 	private double perNano(long amount, long now) {
-		return Math.max(0, amount) / (double) Math.max(SHORTEST_WINDOW_NANOS, now - this.windowStart);
+		return Math.max(0, amount) / (double) Math.max(MIN_WINDOW_NANOS, now - this.windowStart);
 	}
 
-	private void roll(long now) {
+	private void rollWindow(long now) {
 		long elapsed = now - this.windowStart;
 		if (elapsed < this.windowNanos) {
 			return;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/OpenAsk.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/OpenLeaseRequest.java
@@ -11,6 +11,6 @@
  * @param sentAt when it was sent, in nanoseconds on the entry's clock
  * @param demands the demands by client account
  */
-record OpenAsk(long sentAt, Map<AccountId, AccountDemand> demands) {
+record OpenLeaseRequest(long sentAt, Map<AccountId, AccountDemand> demands) {
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/SendAsk.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/SendLeaseRequest.java
@@ -10,9 +10,9 @@
  * @param grantor the receiving grantor
  * @param request the lease request
  */
-public record SendAsk(GrantorRole grantor, LeaseRequest request) implements LimitCommand {
+public record SendLeaseRequest(GrantorRole grantor, LeaseRequest request) implements LimitCommand {
 
-	public SendAsk {
+	public SendLeaseRequest {
 		Preconditions.notNull(grantor, "grantor");
 		Preconditions.notNull(request, "request");
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/SpendableAmount.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/SpendableAmount.java
@@ -9,7 +9,7 @@
  */
 record SpendableAmount(long requests, long tokens, long until) {
 
-	SpendableAmount less(long requests, long tokens) {
+	SpendableAmount minus(long requests, long tokens) {
 		return new SpendableAmount(this.requests - requests, this.tokens - tokens, this.until);
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/Claim.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/BlockLocation.java
@@ -7,9 +7,9 @@
  * @param cache the state of the server's prefix cache
  * @param sequence the sequence number of the event that reported the block;
  * {@link #ASSUMED} if none did
- * @param learnedAt when it was last reported or assumed, in nanoseconds
+ * @param recordedAt when it was last reported or assumed, in nanoseconds
  */
-record Claim(ServerCache cache, long sequence, long learnedAt) {
+record BlockLocation(ServerCacheState cache, long sequence, long recordedAt) {
 
 	static final long ASSUMED = Long.MAX_VALUE;
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/PrefixIndex.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/PrefixIndex.java
@@ -23,11 +23,11 @@
 
 	private final PrefixSettings settings;
 
-	private final Map<BackendServerId, ServerCache> caches = new HashMap<>();
+	private final Map<BackendServerId, ServerCacheState> caches = new HashMap<>();
 
-	private final LinkedHashMap<Long, List<Claim>> blocks = new LinkedHashMap<>(16, 0.75f, true);
+	private final LinkedHashMap<Long, List<BlockLocation>> blocks = new LinkedHashMap<>(16, 0.75f, true);
 
-	private int claims;
+	private int locationCount;
 
 	private long matches;
 
@@ -44,11 +44,11 @@
 	 * @param server the backend server
 	 * @param incarnation the announced incarnation
 	 */
-	public void serverAnnounced(BackendServerId server, Incarnation incarnation) {
-		ServerCache known = this.caches.get(server);
+	public void addServer(BackendServerId server, Incarnation incarnation) {
+		ServerCacheState known = this.caches.get(server);
 		if (known == null || known.incarnation().isBefore(incarnation)) {
-			serverRemoved(server);
-			this.caches.put(server, new ServerCache(server, incarnation));
+			removeServer(server);
+			this.caches.put(server, new ServerCacheState(server, incarnation));
 		}
 	}
 
@@ -56,8 +56,8 @@
 	 * Discards the blocks of a backend server.
 	 * @param server the backend server
 	 */
-	public void serverRemoved(BackendServerId server) {
-		Optional.ofNullable(this.caches.remove(server)).ifPresent(ServerCache::retire);
+	public void removeServer(BackendServerId server) {
+		Optional.ofNullable(this.caches.remove(server)).ifPresent(ServerCacheState::deactivate);
 	}
 
 	/**
@@ -70,12 +70,12 @@
 	 */
 	public Optional<ResyncRequest> onEvent(CacheEvent event, long now) {
 		Preconditions.notNull(event, "event");
-		ServerCache cache = this.caches.get(event.server());
+		ServerCacheState cache = this.caches.get(event.server());
 		if (cache == null || !cache.incarnation().equals(event.incarnation())) {
 			return Optional.empty();
 		}
 		apply(event, cache, now);
-		return cache.askResync(now, this.settings.resyncInterval().toNanos())
+		return cache.pollResyncDue(now, this.settings.resyncInterval().toNanos())
 				? Optional.of(new ResyncRequest(event.server())) : Optional.empty();
 	}
 
@@ -86,13 +86,13 @@
 	 * @param chain the prompt's blocks
 	 * @param now the present time in nanoseconds
 	 */
-	public void promptSent(BackendServerId server, PromptChain chain, long now) {
-		ServerCache cache = this.caches.get(server);
+	public void recordSentPrompt(BackendServerId server, PromptChain chain, long now) {
+		ServerCacheState cache = this.caches.get(server);
 		if (cache == null) {
 			return;
 		}
 		for (int i = 0; i < chain.size(); i++) {
-			assume(chain.hash(i), cache, now);
+			assumeCached(chain.hash(i), cache, now);
 		}
 		evict();
 	}
@@ -106,15 +106,15 @@
 	 */
 	public PrefixMatch match(PromptChain chain, long now) {
 		this.matches++;
-		List<ServerCache> matched = new ArrayList<>();
+		List<ServerCacheState> matched = new ArrayList<>();
 		for (int i = 0; i < chain.size(); i++) {
-			List<Claim> locations = this.blocks.get(chain.hash(i));
+			List<BlockLocation> locations = this.blocks.get(chain.hash(i));
 			if (locations == null) {
 				break;
 			}
-			for (Claim location : locations) {
-				if (location.cache().covers(location)
-						&& location.cache().matchBlock(this.matches, i, probability(location, now))) {
+			for (BlockLocation location : locations) {
+				if (location.cache().isCurrent(location)
+						&& location.cache().addToMatch(this.matches, i, probability(location, now))) {
 					matched.add(location.cache());
 				}
 			}
@@ -124,10 +124,10 @@
 
 	/**
 	 * Returns the number of pairs of a block and a server.
-	 * @return the number, at most {@link PrefixSettings#maxClaims()}
+	 * @return the number, at most {@link PrefixSettings#maxLocations()}
 	 */
-	public int claims() {
-		return this.claims;
+	public int locationCount() {
+		return this.locationCount;
 	}
 
 	/**
@@ -136,41 +136,41 @@
 	 * @return {@code true} from a gap until a snapshot closes it
 	 */
 	public boolean hasGap(BackendServerId server) {
-		ServerCache cache = this.caches.get(server);
+		ServerCacheState cache = this.caches.get(server);
 		return cache != null && cache.hasGap();
 	}
 
-	private static PrefixMatch toMatch(List<ServerCache> matched, int blockTokens) {
+	private static PrefixMatch toMatch(List<ServerCacheState> matched, int blockTokens) {
 		Map<BackendServerId, Double> tokens = new HashMap<>(matched.size() * 2);
 		matched.forEach((cache) -> tokens.put(cache.server(), cache.expectedBlocks() * blockTokens));
 		return new PrefixMatch(tokens);
 	}
 
-	private void apply(CacheEvent event, ServerCache cache, long now) {
-		if (event instanceof BlocksStored stored && cache.advance(stored.sequence())) {
+	private void apply(CacheEvent event, ServerCacheState cache, long now) {
+		if (event instanceof BlocksStored stored && cache.acceptEvent(stored.sequence())) {
 			store(stored.blocks(), cache, stored.sequence(), now);
 		}
-		else if (event instanceof BlocksRemoved removed && cache.advance(removed.sequence())) {
+		else if (event instanceof BlocksRemoved removed && cache.acceptEvent(removed.sequence())) {
 			remove(removed.blocks(), cache);
 		}
-		else if (event instanceof CacheSnapshot snapshot && cache.advanceToSnapshot(snapshot.sequence())) {
+		else if (event instanceof CacheSnapshot snapshot && cache.acceptSnapshot(snapshot.sequence())) {
 			store(snapshot.blocks(), cache, snapshot.sequence(), now);
 		}
 	}
 
-	private void store(BlockHashes hashes, ServerCache cache, long sequence, long now) {
+	private void store(BlockHashes hashes, ServerCacheState cache, long sequence, long now) {
 		for (int i = 0; i < hashes.size(); i++) {
-			List<Claim> locations = this.blocks.computeIfAbsent(hashes.get(i), (key) -> new ArrayList<>(2));
-			put(locations, new Claim(cache, sequence, now));
+			List<BlockLocation> locations = this.blocks.computeIfAbsent(hashes.get(i), (key) -> new ArrayList<>(2));
+			addLocation(locations, new BlockLocation(cache, sequence, now));
 		}
 		evict();
 	}
 
-	private void remove(BlockHashes hashes, ServerCache cache) {
+	private void remove(BlockHashes hashes, ServerCacheState cache) {
 		for (int i = 0; i < hashes.size(); i++) {
-			List<Claim> locations = this.blocks.get(hashes.get(i));
+			List<BlockLocation> locations = this.blocks.get(hashes.get(i));
 			if (locations != null) {
-				drop(locations, cache);
+				removeLocations(locations, cache);
 				if (locations.isEmpty()) {
 					this.blocks.remove(hashes.get(i));
 				}
@@ -178,44 +178,45 @@
 		}
 	}
 
-	private void assume(long hash, ServerCache cache, long now) {
-		List<Claim> locations = this.blocks.computeIfAbsent(hash, (key) -> new ArrayList<>(2));
+	private void assumeCached(long hash, ServerCacheState cache, long now) {
+		List<BlockLocation> locations = this.blocks.computeIfAbsent(hash, (key) -> new ArrayList<>(2));
 		for (int i = 0; i < locations.size(); i++) {
-			Claim location = locations.get(i);
+			BlockLocation location = locations.get(i);
 			if (location.cache() == cache) {
-				locations.set(i, new Claim(cache, cache.covers(location) ? location.sequence() : Claim.ASSUMED, now));
+				locations.set(i, new BlockLocation(cache,
+						cache.isCurrent(location) ? location.sequence() : BlockLocation.ASSUMED, now));
 				return;
 			}
 		}
-		put(locations, new Claim(cache, Claim.ASSUMED, now));
+		addLocation(locations, new BlockLocation(cache, BlockLocation.ASSUMED, now));
 	}
 
-	private void put(List<Claim> locations, Claim location) {
-		drop(locations, location.cache());
+	private void addLocation(List<BlockLocation> locations, BlockLocation location) {
+		removeLocations(locations, location.cache());
 		locations.add(location);
-		this.claims++;
+		this.locationCount++;
 	}
 
-	private void drop(List<Claim> locations, ServerCache cache) {
+	private void removeLocations(List<BlockLocation> locations, ServerCacheState cache) {
 		int before = locations.size();
-		locations.removeIf((location) -> location.cache() == cache || !location.cache().covers(location));
-		this.claims -= before - locations.size();
+		locations.removeIf((location) -> location.cache() == cache || !location.cache().isCurrent(location));
+		this.locationCount -= before - locations.size();
 	}
 
 	private void evict() {
-		Iterator<List<Claim>> eldest = this.blocks.values().iterator();
-		while (this.claims > this.settings.maxClaims() && eldest.hasNext()) {
-			this.claims -= eldest.next().size();
+		Iterator<List<BlockLocation>> eldest = this.blocks.values().iterator();
+		while (this.locationCount > this.settings.maxLocations() && eldest.hasNext()) {
+			this.locationCount -= eldest.next().size();
 			eldest.remove();
 		}
 	}
 
-	private double probability(Claim location, long now) {
+	private double probability(BlockLocation location, long now) {
 		long halfLife = (location.isAssumed() ? this.settings.assumedHalfLife() : this.settings.reportedHalfLife())
 			.toNanos();
 		double initial = location.isAssumed() ? this.settings.assumedProbability() : 1;
-		double gapFactor = location.cache().hasGap() ? this.settings.gapTrust() : 1;
-		double age = Math.max(0, now - location.learnedAt());
+		double gapFactor = location.cache().hasGap() ? this.settings.gapFactor() : 1;
+		double age = Math.max(0, now - location.recordedAt());
 		return initial * gapFactor * halfLife / (halfLife + age);
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/ServerCache.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/ServerCacheState.java
@@ -7,7 +7,7 @@
  * The state of the cache events from one incarnation of a backend server, with temporary
  * values of the match that is being computed.
  */
-final class ServerCache {
+final class ServerCacheState {
 
 	private static final long NONE = -1;
 
@@ -15,7 +15,7 @@
 
 	private final Incarnation incarnation;
 
-	private boolean alive = true;
+	private boolean active = true;
 
 	private long lastSequence;
 
@@ -23,11 +23,11 @@
 
 	private long snapshotSequence = NONE;
 
-	private boolean resyncAsked;
+	private boolean resyncRequested;
 
-	private long resyncAskedAt;
+	private long resyncRequestedAt;
 
-	private long matchStamp;
+	private long matchNumber;
 
 	private int matchedBlocks;
 
@@ -35,7 +35,7 @@
 
 	private double expectedBlocks;
 
-	ServerCache(BackendServerId server, Incarnation incarnation) {
+	ServerCacheState(BackendServerId server, Incarnation incarnation) {
 		this.server = server;
 		this.incarnation = incarnation;
 	}
@@ -48,12 +48,12 @@
 		return this.incarnation;
 	}
 
-	boolean isAlive() {
-		return this.alive;
+	boolean isActive() {
+		return this.active;
 	}
 
-	void retire() {
-		this.alive = false;
+	void deactivate() {
+		this.active = false;
 	}
 
 	/**
@@ -62,7 +62,7 @@
 	 * @return {@code false} if an event with this number or a higher one was received
 	 * before
 	 */
-	boolean advance(long sequence) {
+	boolean acceptEvent(long sequence) {
 		if (sequence <= this.lastSequence) {
 			return false;
 		}
@@ -79,13 +79,13 @@
 	 * @param sequence the sequence number of the last event in the snapshot
 	 * @return {@code false} if a snapshot at least as new was received before
 	 */
-	boolean advanceToSnapshot(long sequence) {
+	boolean acceptSnapshot(long sequence) {
 		if (sequence <= this.snapshotSequence) {
 			return false;
 		}
 		this.snapshotSequence = sequence;
 		this.lastSequence = Math.max(this.lastSequence, sequence);
-		this.resyncAsked = false;
+		this.resyncRequested = false;
 		if (this.gapSequence <= sequence + 1) {
 			this.gapSequence = NONE;
 		}
@@ -102,17 +102,17 @@
 	 * @param interval the minimum time between requests in nanoseconds
 	 * @return {@code true} if there is a gap and no request was made within the interval
 	 */
-	boolean askResync(long now, long interval) {
-		if (!hasGap() || (this.resyncAsked && now - this.resyncAskedAt < interval)) {
+	boolean pollResyncDue(long now, long interval) {
+		if (!hasGap() || (this.resyncRequested && now - this.resyncRequestedAt < interval)) {
 			return false;
 		}
-		this.resyncAsked = true;
-		this.resyncAskedAt = now;
+		this.resyncRequested = true;
+		this.resyncRequestedAt = now;
 		return true;
 	}
 
-	boolean covers(Claim location) {
-		return this.alive && location.sequence() >= this.snapshotSequence;
+	boolean isCurrent(BlockLocation location) {
+		return this.active && location.sequence() >= this.snapshotSequence;
 	}
 
 	/**
@@ -123,10 +123,10 @@
 	 * @param held the probability that the server holds the block
 	 * @return {@code true} if this is the server's first block in the match
 	 */
-	boolean matchBlock(long match, int block, double held) {
-		boolean first = this.matchStamp != match;
+	boolean addToMatch(long match, int block, double held) {
+		boolean first = this.matchNumber != match;
 		if (first) {
-			this.matchStamp = match;
+			this.matchNumber = match;
 			this.matchedBlocks = 0;
 			this.probability = 1;
 			this.expectedBlocks = 0;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimKeyFor.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/AcquireClaim.java
@@ -15,10 +15,10 @@
  * digest is rejected
  * @param target the target of the only attempt that the claim permits
  */
-public record ClaimKeyFor(RequestId request, ClaimKey key, String bodyDigest,
+public record AcquireClaim(RequestId request, ClaimKey key, String bodyDigest,
 		AttemptTarget target) implements RequestCommand {
 
-	public ClaimKeyFor {
+	public AcquireClaim {
 		Preconditions.notNull(request, "request");
 		Preconditions.notNull(key, "key");
 		Preconditions.notNull(bodyDigest, "bodyDigest");
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/CallerSide.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/CallerResponder.java
@@ -18,7 +18,7 @@
  * Sends the answer and the outcome of a request to its caller, until the caller is
  * detached.
  */
-final class CallerSide {
+final class CallerResponder {
 
 	private final RequestContext context;
 
@@ -26,7 +26,7 @@
 
 	private boolean detached;
 
-	CallerSide(RequestContext context, RequestId request) {
+	CallerResponder(RequestContext context, RequestId request) {
 		this.context = context;
 		this.request = request;
 	}
@@ -43,7 +43,7 @@
 		deliver(new AnswerEnd());
 	}
 
-	void tell(Outcome outcome, Optional<OperationError> error, int attempts) {
+	void complete(Outcome outcome, Optional<OperationError> error, int attempts) {
 		if (this.detached) {
 			return;
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimHold.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ClaimHandle.java
@@ -13,7 +13,7 @@
 /**
  * The claim of a request on its idempotency key.
  */
-final class ClaimHold {
+final class ClaimHandle {
 
 	private final RequestContext context;
 
@@ -25,11 +25,11 @@
 
 	private Optional<NotRunEvidence> evidence = Optional.empty();
 
-	private Optional<NotRunProof> released = Optional.empty();
+	private Optional<NotRunProof> releaseProof = Optional.empty();
 
 	private boolean granted;
 
-	ClaimHold(RequestContext context, RequestSpec spec) {
+	ClaimHandle(RequestContext context, RequestSpec spec) {
 		this.context = context;
 		this.spec = spec;
 		this.key = spec.claimKey();
@@ -39,18 +39,18 @@
 		return this.key.isPresent();
 	}
 
-	void ask(AttemptTarget requested) {
+	void acquire(AttemptTarget requested) {
 		this.target = Optional.of(requested);
 		this.evidence = Optional.of(NotRunEvidence.NEVER_SENT);
-		this.context.emit(new ClaimKeyFor(this.spec.id(), this.key.orElseThrow(), this.spec.fingerprint().bodyDigest(),
+		this.context.emit(new AcquireClaim(this.spec.id(), this.key.orElseThrow(), this.spec.fingerprint().bodyDigest(),
 				requested));
 	}
 
-	boolean isAskedFor(AttemptTarget other) {
+	boolean isRequestedFor(AttemptTarget other) {
 		return this.target.filter(other::equals).isPresent();
 	}
 
-	void grant() {
+	void markGranted() {
 		this.granted = true;
 	}
 
@@ -58,11 +58,11 @@
 		return this.granted;
 	}
 
-	void sent() {
+	void markSent() {
 		this.evidence = Optional.empty();
 	}
 
-	void proven(NotRunEvidence proof) {
+	void recordEvidence(NotRunEvidence proof) {
 		this.evidence = Optional.of(proof);
 	}
 
@@ -76,7 +76,7 @@
 	}
 
 	boolean isReleasedBy(NotRunProof proof) {
-		return this.released.filter(proof::equals).isPresent();
+		return this.releaseProof.filter(proof::equals).isPresent();
 	}
 
 	void release() {
@@ -84,7 +84,7 @@
 			AttemptTarget claimed = this.target.get();
 			NotRunProof proof = new NotRunProof(this.evidence.get(), this.spec.id(), claimed.backendServer(),
 					claimed.incarnation());
-			this.released = Optional.of(proof);
+			this.releaseProof = Optional.of(proof);
 			releaseWith(proof);
 		}
 		this.target = Optional.empty();
@@ -100,7 +100,7 @@
 				earlier.incarnation()));
 	}
 
-	void finish(RequestId owner, RecordedAnswer answer) {
+	void recordAnswer(RequestId owner, RecordedAnswer answer) {
 		this.key.ifPresent((claimed) -> this.context.emit(new FinishClaim(claimed, owner, answer)));
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FollowedAttempt.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FollowedAttempt.java
@@ -37,7 +37,7 @@
 
 	private long nextSequence;
 
-	private long resumedFrom = -1;
+	private long resumeRequestedFrom = -1;
 
 	private FollowedAttempt(RequestId request, BackendServerId backendServer, Incarnation incarnation,
 			Optional<AttemptId> attempt, Optional<AttemptTarget> target, int maxAnswerBytes) {
@@ -75,22 +75,22 @@
 		return this.target.isEmpty();
 	}
 
-	boolean isAt(BackendServerId server, Incarnation expectedIncarnation) {
+	boolean isOnSidecar(BackendServerId server, Incarnation expectedIncarnation) {
 		return this.backendServer.equals(server) && this.incarnation.equals(expectedIncarnation);
 	}
 
 	boolean matches(AttemptId other, BackendServerId server, Incarnation expectedIncarnation) {
 		boolean sameAttempt = this.attempt.map(other::equals).orElse(other.request().equals(this.request));
-		return sameAttempt && isAt(server, expectedIncarnation);
+		return sameAttempt && isOnSidecar(server, expectedIncarnation);
 	}
 
 	boolean isSealedBy(SealedReceived sealed) {
 		AttemptId sealedAttempt = sealed.attempt();
 		boolean covered = isJoined() ? sealedAttempt.request().equals(this.request) : covers(sealedAttempt);
-		return covered && isAt(sealed.backendServer(), sealed.incarnation());
+		return covered && isOnSidecar(sealed.backendServer(), sealed.incarnation());
 	}
 
-	void start(AttemptId startedAttempt) {
+	void markStarted(AttemptId startedAttempt) {
 		this.attempt = Optional.of(startedAttempt);
 		this.started = true;
 		this.suspended = false;
@@ -106,7 +106,7 @@
 
 	void suspend() {
 		this.suspended = true;
-		this.resumedFrom = -1;
+		this.resumeRequestedFrom = -1;
 	}
 
 	void resume() {
@@ -135,9 +135,9 @@
 	 * {@code true} once for each missing part and connection.
 	 * @return {@code true} if the retransmission was not requested yet
 	 */
-	boolean shouldResume() {
-		boolean firstTime = this.resumedFrom != this.nextSequence;
-		this.resumedFrom = this.nextSequence;
+	boolean markResumeRequested() {
+		boolean firstTime = this.resumeRequestedFrom != this.nextSequence;
+		this.resumeRequestedFrom = this.nextSequence;
 		return firstTime;
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/IsolationHold.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/IsolationHandle.java
@@ -9,7 +9,7 @@
 /**
  * The suspicion against a request and its hold on the fleet-wide slot for isolated runs.
  */
-final class IsolationHold {
+final class IsolationHandle {
 
 	private final RequestContext context;
 
@@ -19,12 +19,12 @@
 
 	private boolean held;
 
-	IsolationHold(RequestContext context, RequestSpec spec) {
+	IsolationHandle(RequestContext context, RequestSpec spec) {
 		this.context = context;
 		this.spec = spec;
 	}
 
-	void suspect() {
+	void markSuspected() {
 		this.suspected = true;
 	}
 
@@ -32,15 +32,15 @@
 		return this.suspected;
 	}
 
-	void ask() {
+	void acquire() {
 		this.context.emit(new AcquireIsolation(this.spec.id(), this.spec.fingerprint()));
 	}
 
-	void grant() {
+	void markHeld() {
 		this.held = true;
 	}
 
-	void clear() {
+	void clearSuspicion() {
 		this.suspected = false;
 	}
 
@@ -48,7 +48,7 @@
 		return this.held;
 	}
 
-	void charge(FollowedAttempt source, CrashEvidence evidence, int crash) {
+	void recordCrash(FollowedAttempt source, CrashEvidence evidence, int crash) {
 		this.context.emit(new RecordCrash(this.spec.id(), new CrashReport(evidence, source.backendServer(),
 				source.incarnation(), crash, List.of(this.spec.fingerprint()), this.held)));
 		release(IsolationEnd.LOST);
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/EndFlight.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/ReportFlightEnd.java
@@ -11,9 +11,9 @@
  * @param fingerprint the fingerprint of the request
  * @param end how the run ended
  */
-public record EndFlight(RequestId request, Fingerprint fingerprint, FlightEnd end) implements RequestCommand {
+public record ReportFlightEnd(RequestId request, Fingerprint fingerprint, FlightEnd end) implements RequestCommand {
 
-	public EndFlight {
+	public ReportFlightEnd {
 		Preconditions.notNull(request, "request");
 		Preconditions.notNull(fingerprint, "fingerprint");
 		Preconditions.notNull(end, "end");
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestCommand.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestCommand.java
@@ -3,8 +3,8 @@
 /**
  * A command that the {@link RequestTracker} returns to its driver.
  */
-public sealed interface RequestCommand permits ChooseRoute, ClaimKeyFor, FinishClaim, MarkClaimUnknown, ReleaseClaim,
-		AskFlight, EndFlight, SendStart, SendSeal, SendClaimQuery, SendResume, SendCancel, ProbeConnection,
-		AcquireIsolation, ReleaseIsolation, RecordCrash, DeliverPart, CompleteRequest {
+public sealed interface RequestCommand permits ChooseRoute, AcquireClaim, FinishClaim, MarkClaimUnknown, ReleaseClaim,
+		RequestFlightPermit, ReportFlightEnd, SendStart, SendSeal, SendClaimQuery, SendResume, SendCancel,
+		ProbeConnection, AcquireIsolation, ReleaseIsolation, RecordCrash, DeliverPart, CompleteRequest {
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestContext.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestContext.java
@@ -44,7 +44,7 @@
 		return this.now;
 	}
 
-	long after(Duration delay) {
+	long timeAfter(Duration delay) {
 		return this.now + delay.toNanos();
 	}
 
@@ -64,7 +64,7 @@
 		this.commands.add(command);
 	}
 
-	List<RequestCommand> take() {
+	List<RequestCommand> drainCommands() {
 		List<RequestCommand> taken = this.commands;
 		this.commands = new ArrayList<>();
 		return taken;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestErrors.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestErrors.java
@@ -23,7 +23,7 @@
 				"The idempotency key was used with another body; choose a new key for a new request");
 	}
 
-	static OperationError earlierUnknown() {
+	static OperationError earlierRequestUnknown() {
 		return error(ErrorCode.CONFLICT, Step.CLAIM,
 				"An earlier request with this idempotency key may or may not have run");
 	}
@@ -33,7 +33,7 @@
 				+ "while they ran it; change it, or ask the operator to clear it");
 	}
 
-	static OperationError deadline() {
+	static OperationError deadlineExceeded() {
 		return error(ErrorCode.DEADLINE_EXCEEDED, Step.ANSWER, "The caller's deadline passed");
 	}
 
@@ -41,17 +41,17 @@
 		return error(ErrorCode.CANCELLED, Step.ANSWER, "The caller cancelled the request or disconnected");
 	}
 
-	static OperationError unsafe() {
+	static OperationError mayRunTwice() {
 		return error(ErrorCode.INVARIANT, Step.SEND,
 				"Another attempt could run a non-idempotent request twice and was not sent");
 	}
 
-	static OperationError unsealed() {
+	static OperationError sealTimedOut() {
 		return error(ErrorCode.CONNECTION_LOST, Step.SEAL,
 				"The sidecar did not respond to the seal in time; the attempt may have started");
 	}
 
-	static OperationError at(ErrorCode code, Step step, FollowedAttempt source, String message) {
+	static OperationError atBackendServer(ErrorCode code, Step step, FollowedAttempt source, String message) {
 		return OperationError.at(code, step, InstanceId.of(source.backendServer().value()), message);
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/AskFlight.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestFlightPermit.java
@@ -14,9 +14,10 @@
  * @param cleared whether the ledger of poison requests has just reported that the
  * fingerprint is not suspected
  */
-public record AskFlight(RequestId request, Fingerprint fingerprint, boolean cleared) implements RequestCommand {
+public record RequestFlightPermit(RequestId request, Fingerprint fingerprint,
+		boolean cleared) implements RequestCommand {
 
-	public AskFlight {
+	public RequestFlightPermit {
 		Preconditions.notNull(request, "request");
 		Preconditions.notNull(fingerprint, "fingerprint");
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestPhase.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestPhase.java
@@ -10,7 +10,7 @@
 	/** Waiting for the claim on the idempotency key. */
 	CLAIMING,
 	/** Waiting for a permit from the guard of the fingerprint. */
-	PERMITTING,
+	AWAITING_PERMIT,
 	/** Attempt passed to a connection; the sidecar has not responded yet. */
 	SENT,
 	/** The followed attempt was accepted by a sidecar. */
@@ -23,7 +23,7 @@
 	/** Waiting for the sidecar to seal the attempt or to report that it started. */
 	SEALING,
 	/** Waiting for the crash report to be committed. */
-	CHARGING,
+	RECORDING_CRASH,
 	/** Waiting for the slot for isolated runs. */
 	ISOLATING,
 	/** Waiting for the result of the release of the claim. */
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestLife.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestState.java
@@ -20,7 +20,7 @@
 /**
  * The state of one request and the transitions between its phases.
  */
-final class RequestLife {
+final class RequestState {
 
 	private final RequestContext context;
 
@@ -28,13 +28,13 @@
 
 	private final long deadline;
 
-	private final ClaimHold claim;
+	private final ClaimHandle claim;
 
-	private final IsolationHold isolation;
+	private final IsolationHandle isolation;
 
-	private final FlightHold flight;
+	private final FlightPermitHandle flight;
 
-	private final CallerSide caller;
+	private final CallerResponder caller;
 
 	/**
 	 * Backend servers that provably did not run an attempt of the request; at most one
@@ -48,7 +48,7 @@
 
 	private Optional<AttemptTarget> target = Optional.empty();
 
-	private Optional<OperationError> closing = Optional.empty();
+	private Optional<OperationError> closeReason = Optional.empty();
 
 	private int attempts;
 
@@ -56,14 +56,14 @@
 
 	private long timer = Long.MAX_VALUE;
 
-	RequestLife(RequestContext context, RequestSpec spec, long deadline) {
+	RequestState(RequestContext context, RequestSpec spec, long deadline) {
 		this.context = context;
 		this.spec = spec;
 		this.deadline = deadline;
-		this.claim = new ClaimHold(context, spec);
-		this.isolation = new IsolationHold(context, spec);
-		this.flight = new FlightHold(context, spec);
-		this.caller = new CallerSide(context, spec.id());
+		this.claim = new ClaimHandle(context, spec);
+		this.isolation = new IsolationHandle(context, spec);
+		this.flight = new FlightPermitHandle(context, spec);
+		this.caller = new CallerResponder(context, spec.id());
 	}
 
 	RequestContext context() {
@@ -74,19 +74,19 @@
 		return this.spec;
 	}
 
-	ClaimHold claim() {
+	ClaimHandle claim() {
 		return this.claim;
 	}
 
-	IsolationHold isolation() {
+	IsolationHandle isolation() {
 		return this.isolation;
 	}
 
-	FlightHold flight() {
+	FlightPermitHandle flight() {
 		return this.flight;
 	}
 
-	CallerSide caller() {
+	CallerResponder caller() {
 		return this.caller;
 	}
 
@@ -103,10 +103,10 @@
 	}
 
 	boolean isClosing() {
-		return this.closing.isPresent() || this.caller.isDetached();
+		return this.closeReason.isPresent() || this.caller.isDetached();
 	}
 
-	boolean isOverdue() {
+	boolean isDeadlineExceeded() {
 		return !isClosing() && this.context.now() >= this.deadline;
 	}
 
@@ -114,12 +114,12 @@
 		return this.context.now() >= this.timer;
 	}
 
-	long wakeAt() {
+	long nextTimer() {
 		return isClosing() ? this.timer : Math.min(this.timer, this.deadline);
 	}
 
-	void wakeAfter(Duration delay) {
-		this.timer = this.context.after(delay);
+	void setTimer(Duration delay) {
+		this.timer = this.context.timeAfter(delay);
 	}
 
 	void route() {
@@ -129,7 +129,7 @@
 
 	void routeOrIsolate() {
 		if (this.isolation.isSuspected() && !this.isolation.isHeld()) {
-			isolate();
+			acquireIsolation();
 		}
 		else {
 			route();
@@ -147,9 +147,9 @@
 		}
 	}
 
-	void isolate() {
+	void acquireIsolation() {
 		enter(RequestPhase.ISOLATING);
-		this.isolation.ask();
+		this.isolation.acquire();
 	}
 
 	void send(AttemptTarget selected) {
@@ -158,17 +158,17 @@
 			transmit(selected);
 		}
 		else {
-			askFlight();
+			requestFlightPermit();
 		}
 	}
 
-	void askFlight() {
-		enter(RequestPhase.PERMITTING);
-		this.flight.ask();
+	void requestFlightPermit() {
+		enter(RequestPhase.AWAITING_PERMIT);
+		this.flight.requestPermit();
 	}
 
 	void transmit() {
-		this.flight.permit();
+		this.flight.markPermitted();
 		transmit(this.target.orElseThrow());
 	}
 
@@ -177,21 +177,21 @@
 				|| (!this.mayHaveRun && (this.claim.isGranted() || (!this.claim.isNeeded() && this.attempts == 0)));
 		if (!this.context.invariants()
 			.holds(cannotRunTwice, "non-idempotent-runs-once", Field.of("request", this.spec.id()))) {
-			finish(Outcome.UNKNOWN, RequestErrors.unsafe());
+			finish(Outcome.UNKNOWN, RequestErrors.mayRunTwice());
 			return;
 		}
 		this.attempts++;
 		AttemptId attempt = new AttemptId(this.spec.id(), this.attempts);
 		this.followed = Optional
 			.of(FollowedAttempt.own(attempt, destination, this.context.settings().maxAnswerBytes()));
-		this.claim.sent();
+		this.claim.markSent();
 		enterFollowing(RequestPhase.SENT);
 		this.context.emit(new SendStart(attempt, destination, new AttemptTraits(this.spec.fingerprint(),
 				this.spec.idempotent(), this.claim.isNeeded(), this.isolation.isHeld())));
 	}
 
 	void join(ClaimRunning running) {
-		this.flight.end(FlightEnd.UNDECIDED);
+		this.flight.reportEnd(FlightEnd.UNDECIDED);
 		this.isolation.release(IsolationEnd.NOT_RUN);
 		FollowedAttempt source = FollowedAttempt.joined(running, this.context.settings().maxAnswerBytes());
 		this.followed = Optional.of(source);
@@ -199,79 +199,80 @@
 		this.context.emit(new SendClaimQuery(source.request(), source.backendServer(), source.incarnation()));
 	}
 
-	void leave() {
+	void stopFollowing() {
 		this.followed = Optional.empty();
 	}
 
-	void proven(NotRunEvidence evidence, OperationError error) {
-		this.claim.proven(evidence);
+	void handleNotRun(NotRunEvidence evidence, OperationError error) {
+		this.claim.recordEvidence(evidence);
 		this.isolation.release(IsolationEnd.NOT_RUN);
 		this.excluded.add(this.followed.orElseThrow().backendServer());
 		this.followed = Optional.empty();
 		boolean retryable = this.spec.idempotent() || this.claim.isNeeded();
-		if (this.closing.isEmpty() && retryable) {
-			tryAgain(RetryCause.REFUSED, error);
+		if (this.closeReason.isEmpty() && retryable) {
+			retry(RetryCause.REFUSED, error);
 		}
 		else {
-			giveUp(this.closing.orElse(error));
+			giveUp(this.closeReason.orElse(error));
 		}
 	}
 
-	void lost(RetryCause cause, OperationError error) {
+	void handleAttemptFailure(RetryCause cause, OperationError error) {
 		this.mayHaveRun = true;
 		boolean retryable = this.spec.idempotent() && !this.followed.orElseThrow().hasParts();
-		if (retryable && this.closing.isEmpty()) {
+		if (retryable && this.closeReason.isEmpty()) {
 			this.followed = Optional.empty();
-			tryAgain(cause, error);
+			retry(cause, error);
 		}
 		else {
-			stop(cause == RetryCause.CRASHED || cause == RetryCause.SIDECAR_LOST, this.closing.orElse(error));
+			endWithoutRetry(cause == RetryCause.CRASHED || cause == RetryCause.SIDECAR_LOST,
+					this.closeReason.orElse(error));
 		}
 	}
 
-	private void giveUpOnceCharged(OperationError error) {
-		this.caller.tell(Outcome.UNKNOWN, Optional.of(error), this.attempts);
+	private void giveUpAfterRecordingCrash(OperationError error) {
+		this.caller.complete(Outcome.UNKNOWN, Optional.of(error), this.attempts);
 		this.caller.detach();
 		this.followed = Optional.empty();
-		enter(RequestPhase.CHARGING);
-		this.timer = this.context.after(this.context.settings().detachTime());
+		enter(RequestPhase.RECORDING_CRASH);
+		this.timer = this.context.timeAfter(this.context.settings().detachTime());
 	}
 
-	void charged() {
-		this.flight.end(FlightEnd.LOST);
+	void handleCrashRecorded() {
+		this.flight.reportEnd(FlightEnd.LOST);
 		if (this.caller.isDetached()) {
 			enter(RequestPhase.DONE);
 		}
 		else {
-			isolate();
+			acquireIsolation();
 		}
 	}
 
-	void tryAgain(RetryCause cause, OperationError error) {
+	void retry(RetryCause cause, OperationError error) {
 		RetryDecision decision = this.context.retryPolicy()
 			.decide(new RetryQuery(this.spec.id(), this.spec.fingerprint().account(), this.spec.fingerprint().service(),
 					this.attempts, cause, this.deadline - this.context.now()));
-		boolean inTime = this.context.after(decision.delay()) < this.deadline;
+		boolean inTime = this.context.timeAfter(decision.delay()) < this.deadline;
 		this.context.record(DecisionKind.RETRY, this.spec.id(), (decision.allowed() && inTime) ? "retry" : "stop",
 				Field.of("cause", cause), Field.of("attempts", this.attempts), Field.of("reason", decision.reason()));
 		boolean crashed = cause == RetryCause.CRASHED || cause == RetryCause.SIDECAR_LOST;
 		if (!decision.allowed() || !inTime) {
-			stop(crashed, error);
+			endWithoutRetry(crashed, error);
 			return;
 		}
 		this.claim.release();
 		if (crashed) {
-			this.isolation.suspect();
-			enter(RequestPhase.CHARGING);
+			this.isolation.markSuspected();
+			enter(RequestPhase.RECORDING_CRASH);
 		}
 		else {
 			backOff(decision.delay());
 		}
 	}
 
-	private void stop(boolean crashed, OperationError error) {
+	private void endWithoutRetry(boolean crashed, OperationError error) {
 		if (crashed) {
-			giveUpOnceCharged(error);
+			giveUpAfterRecordingCrash(error);
 		}
 		else {
 			giveUp(error);
@@ -284,12 +285,12 @@
 			routeOrIsolate();
 		}
 		else {
-			this.timer = this.context.after(delay);
+			this.timer = this.context.timeAfter(delay);
 		}
 	}
 
 	void close(OperationError error) {
-		this.closing = Optional.of(error);
+		this.closeReason = Optional.of(error);
 		if (this.followed.isEmpty()) {
 			giveUp(error);
 		}
@@ -301,7 +302,7 @@
 		}
 		else {
 			enter(RequestPhase.SEALING);
-			this.timer = this.context.after(this.context.settings().sealTime());
+			this.timer = this.context.timeAfter(this.context.settings().sealTime());
 			this.context.emit(this.followed.get().sealCommand());
 		}
 	}
@@ -310,20 +311,20 @@
 		this.mayHaveRun = true;
 		if (this.spec.idempotent() && !this.isolation.isHeld()) {
 			this.context.emit(this.followed.orElseThrow().cancelCommand());
-			giveUp(this.closing.orElseThrow());
+			giveUp(this.closeReason.orElseThrow());
 			return;
 		}
-		this.caller.tell(Outcome.UNKNOWN, this.closing, this.attempts);
+		this.caller.complete(Outcome.UNKNOWN, this.closeReason, this.attempts);
 		this.caller.detach();
 		enter(RequestPhase.RUNNING);
-		this.timer = this.context.after(this.context.settings().detachTime());
+		this.timer = this.context.timeAfter(this.context.settings().detachTime());
 	}
 
 	void giveUp(OperationError error) {
 		if (!this.mayHaveRun && this.claim.canProveNotRun()) {
-			this.closing = Optional.of(error);
+			this.closeReason = Optional.of(error);
 			enter(RequestPhase.RELEASING);
-			this.timer = this.context.after(this.context.settings().sealTime());
+			this.timer = this.context.timeAfter(this.context.settings().sealTime());
 			this.claim.release();
 		}
 		else {
@@ -332,8 +333,8 @@
 		}
 	}
 
-	void released(boolean wasHeld) {
-		finish(wasHeld ? Outcome.NOT_RUN : Outcome.UNKNOWN, this.closing);
+	void finishAfterRelease(boolean wasHeld) {
+		finish(wasHeld ? Outcome.NOT_RUN : Outcome.UNKNOWN, this.closeReason);
 	}
 
 	void finish(Outcome outcome, OperationError error) {
@@ -341,9 +342,9 @@
 	}
 
 	void finish(Outcome outcome, Optional<OperationError> error) {
-		this.caller.tell(outcome, error, this.attempts);
+		this.caller.complete(outcome, error, this.attempts);
 		this.isolation.release(this.followed.isEmpty() ? IsolationEnd.NOT_RUN : IsolationEnd.LOST);
-		this.flight.end((outcome == Outcome.COMPLETED) ? FlightEnd.SURVIVED : FlightEnd.UNDECIDED);
+		this.flight.reportEnd((outcome == Outcome.COMPLETED) ? FlightEnd.SURVIVED : FlightEnd.UNDECIDED);
 		this.claim.release();
 		this.followed = Optional.empty();
 		enter(RequestPhase.DONE);
@@ -358,7 +359,7 @@
 
 	void enterFollowing(RequestPhase next) {
 		enter(next);
-		this.timer = this.context.after(this.context.settings().progressTime());
+		this.timer = this.context.timeAfter(this.context.settings().progressTime());
 	}
 
 	void enter(RequestPhase next) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTracker.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTracker.java
@@ -44,10 +44,10 @@
 	private final RequestContext context;
 
 	/** Requests in progress; bounded by the capacity. */
-	private final Map<RequestId, RequestMachine> machines = new HashMap<>();
+	private final Map<RequestId, RequestStateMachine> machines = new HashMap<>();
 
 	/** The state machines that wait for an attempt of a request, by that request. */
-	private final Map<RequestId, List<RequestMachine>> followers = new HashMap<>();
+	private final Map<RequestId, List<RequestStateMachine>> followers = new HashMap<>();
 
 	private final Map<RequestId, Timer> timers = new HashMap<>();
 
@@ -82,7 +82,7 @@
 		if (!dispatchByRequest(event)) {
 			dispatchByAttempt(event);
 		}
-		return this.context.take();
+		return this.context.drainCommands();
 	}
 
 	/**
@@ -106,32 +106,32 @@
 			accept(accepted);
 		}
 		else if (event instanceof RouteChosen route) {
-			forRequest(route.request(), (machine) -> machine.routeChosen(route.target()));
+			applyToRequest(route.request(), (machine) -> machine.routeChosen(route.target()));
 		}
 		else if (event instanceof RouteUnavailable route) {
-			forRequest(route.request(), (machine) -> machine.routeUnavailable(route.error()));
+			applyToRequest(route.request(), (machine) -> machine.routeUnavailable(route.error()));
 		}
 		else if (event instanceof ClaimAnswered claim) {
-			forRequest(claim.request(), (machine) -> machine.claimAnswered(claim.target(), claim.result()));
+			applyToRequest(claim.request(), (machine) -> machine.claimAnswered(claim.target(), claim.result()));
 		}
 		else if (event instanceof ClaimFailed claim) {
-			forRequest(claim.request(), (machine) -> machine.claimFailed(claim.error()));
+			applyToRequest(claim.request(), (machine) -> machine.claimFailed(claim.error()));
 		}
 		else if (event instanceof ClaimReleased release) {
-			forRequest(release.proof().owner(),
+			applyToRequest(release.proof().owner(),
 					(machine) -> machine.claimReleased(release.proof(), release.released()));
 		}
 		else if (event instanceof FlightAnswered flight) {
-			forRequest(flight.request(), (machine) -> machine.flightAnswered(flight.permit()));
+			applyToRequest(flight.request(), (machine) -> machine.flightAnswered(flight.permit()));
 		}
 		else if (event instanceof IsolationAnswered isolation) {
 			isolationAnswered(isolation);
 		}
 		else if (event instanceof CrashRecorded crash) {
-			forRequest(crash.request(), RequestMachine::crashRecorded);
+			applyToRequest(crash.request(), RequestStateMachine::crashRecorded);
 		}
 		else if (event instanceof CallerCancelled cancelled) {
-			forRequest(cancelled.request(), RequestMachine::cancel);
+			applyToRequest(cancelled.request(), RequestStateMachine::cancel);
 		}
 		else if (event instanceof TimePassed) {
 			fireTimers();
@@ -144,35 +144,35 @@
 
 	private void dispatchByAttempt(RequestEvent event) {
 		if (event instanceof PartReceived part) {
-			forAttempt(part.attempt(), part.backendServer(), part.incarnation(),
-					(machine) -> machine.part(part.attempt(), part.sequence(), part.part()));
+			applyToAttempt(part.attempt(), part.backendServer(), part.incarnation(),
+					(machine) -> machine.partReceived(part.attempt(), part.sequence(), part.part()));
 		}
 		else if (event instanceof StartedReceived started) {
-			forAttempt(started.attempt(), started.backendServer(), started.incarnation(),
-					(machine) -> machine.started(started.attempt()));
+			applyToAttempt(started.attempt(), started.backendServer(), started.incarnation(),
+					(machine) -> machine.attemptStarted(started.attempt()));
 		}
 		else if (event instanceof EndReceived end) {
-			forAttempt(end.attempt(), end.backendServer(), end.incarnation(),
-					(machine) -> machine.ended(end.end(), end.crash()));
+			applyToAttempt(end.attempt(), end.backendServer(), end.incarnation(),
+					(machine) -> machine.attemptEnded(end.end(), end.crash()));
 		}
 		else if (event instanceof RefusalReceived refusal) {
-			forAttempt(refusal.attempt(), refusal.backendServer(), refusal.incarnation(),
-					(machine) -> machine.refused(refusal.refusal()));
+			applyToAttempt(refusal.attempt(), refusal.backendServer(), refusal.incarnation(),
+					(machine) -> machine.attemptRefused(refusal.refusal()));
 		}
 		else if (event instanceof SealedReceived sealed) {
-			forSealed(sealed);
+			applyToSealed(sealed);
 		}
 		else if (event instanceof StartNotSent notSent) {
-			forRequest(notSent.attempt().request(), (machine) -> machine.startNotSent(notSent.attempt()));
+			applyToRequest(notSent.attempt().request(), (machine) -> machine.startNotSent(notSent.attempt()));
 		}
 		else if (event instanceof ConnectionLost lost) {
-			forSidecar(lost.backendServer(), lost.incarnation(), RequestMachine::connectionLost);
+			applyToSidecar(lost.backendServer(), lost.incarnation(), RequestStateMachine::connectionLost);
 		}
 		else if (event instanceof ConnectionRestored restored) {
-			forSidecar(restored.backendServer(), restored.incarnation(), RequestMachine::connectionRestored);
+			applyToSidecar(restored.backendServer(), restored.incarnation(), RequestStateMachine::connectionRestored);
 		}
 		else if (event instanceof SidecarLost lost) {
-			forSidecar(lost.backendServer(), lost.incarnation(), RequestMachine::sidecarLost);
+			applyToSidecar(lost.backendServer(), lost.incarnation(), RequestStateMachine::sidecarLost);
 		}
 	}
 
@@ -189,13 +189,13 @@
 							"The entry has reached its limit of concurrent requests; send the request again later"))));
 			return;
 		}
-		RequestMachine machine = new RequestMachine(this.context, accepted.spec(), accepted.deadline());
+		RequestStateMachine machine = new RequestStateMachine(this.context, accepted.spec(), accepted.deadline());
 		this.machines.put(request, machine);
-		apply(machine, (accepting) -> accepting.accept(accepted.verdict()));
+		apply(machine, (accepting) -> accepting.accepted(accepted.verdict()));
 	}
 
 	private void isolationAnswered(IsolationAnswered answer) {
-		RequestMachine machine = this.machines.get(answer.request());
+		RequestStateMachine machine = this.machines.get(answer.request());
 		if (machine != null && machine.isIsolating()) {
 			apply(machine, (isolating) -> isolating.isolationAnswered(answer.result()));
 		}
@@ -206,47 +206,47 @@
 
 	private void fireTimers() {
 		while (!this.timerQueue.isEmpty() && this.timerQueue.first().at() <= this.context.now()) {
-			apply(this.machines.get(this.timerQueue.first().request()), RequestMachine::timePassed);
+			apply(this.machines.get(this.timerQueue.first().request()), RequestStateMachine::timePassed);
 		}
 	}
 
-	private void forRequest(RequestId request, Consumer<RequestMachine> action) {
-		RequestMachine machine = this.machines.get(request);
+	private void applyToRequest(RequestId request, Consumer<RequestStateMachine> action) {
+		RequestStateMachine machine = this.machines.get(request);
 		if (machine != null) {
 			apply(machine, action);
 		}
 	}
 
-	private void forAttempt(AttemptId attempt, BackendServerId server, Incarnation incarnation,
-			Consumer<RequestMachine> action) {
-		for (RequestMachine machine : followersOf(attempt.request())) {
+	private void applyToAttempt(AttemptId attempt, BackendServerId server, Incarnation incarnation,
+			Consumer<RequestStateMachine> action) {
+		for (RequestStateMachine machine : followersOf(attempt.request())) {
 			if (machine.follows((source) -> source.matches(attempt, server, incarnation))) {
 				apply(machine, action);
 			}
 		}
 	}
 
-	private void forSealed(SealedReceived sealed) {
-		for (RequestMachine machine : followersOf(sealed.attempt().request())) {
+	private void applyToSealed(SealedReceived sealed) {
+		for (RequestStateMachine machine : followersOf(sealed.attempt().request())) {
 			if (machine.follows((source) -> source.isSealedBy(sealed))) {
-				apply(machine, RequestMachine::sealed);
+				apply(machine, RequestStateMachine::attemptSealed);
 			}
 		}
 	}
 
-	private void forSidecar(BackendServerId server, Incarnation incarnation, Consumer<RequestMachine> action) {
-		for (RequestMachine machine : List.copyOf(this.machines.values())) {
-			if (machine.follows((source) -> source.isAt(server, incarnation))) {
+	private void applyToSidecar(BackendServerId server, Incarnation incarnation, Consumer<RequestStateMachine> action) {
+		for (RequestStateMachine machine : List.copyOf(this.machines.values())) {
+			if (machine.follows((source) -> source.isOnSidecar(server, incarnation))) {
 				apply(machine, action);
 			}
 		}
 	}
 
-	private List<RequestMachine> followersOf(RequestId request) {
+	private List<RequestStateMachine> followersOf(RequestId request) {
 		return List.copyOf(this.followers.getOrDefault(request, List.of()));
 	}
 
-	private void apply(RequestMachine machine, Consumer<RequestMachine> action) {
+	private void apply(RequestStateMachine machine, Consumer<RequestStateMachine> action) {
 		Optional<RequestId> before = machine.followedRequest();
 		action.accept(machine);
 		Optional<RequestId> after = machine.followedRequest();
@@ -261,21 +261,21 @@
 		}
 	}
 
-	private void unfollow(RequestId request, RequestMachine machine) {
-		List<RequestMachine> list = this.followers.get(request);
+	private void unfollow(RequestId request, RequestStateMachine machine) {
+		List<RequestStateMachine> list = this.followers.get(request);
 		list.remove(machine);
 		if (list.isEmpty()) {
 			this.followers.remove(request);
 		}
 	}
 
-	private void schedule(RequestMachine machine) {
+	private void schedule(RequestStateMachine machine) {
 		Timer previous = this.timers.remove(machine.id());
 		if (previous != null) {
 			this.timerQueue.remove(previous);
 		}
-		if (!machine.isDone() && machine.wakeAt() != Long.MAX_VALUE) {
-			Timer next = new Timer(machine.wakeAt(), machine.id());
+		if (!machine.isDone() && machine.nextTimer() != Long.MAX_VALUE) {
+			Timer next = new Timer(machine.nextTimer(), machine.id());
 			this.timers.put(machine.id(), next);
 			this.timerQueue.add(next);
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuard.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SingleFlightGuard.java
@@ -21,11 +21,11 @@
  * whole answer, any number of requests may run. The guard keeps its state in memory only;
  * the ledger of poison requests is authoritative. Not thread-safe.
  */
-public final class FlightGuard {
+public final class SingleFlightGuard {
 
 	private static final int MAX_SENT_TO_LEDGER = 1_000;
 
-	private final FlightGuardSettings settings;
+	private final SingleFlightGuardSettings settings;
 
 	/** State by fingerprint, least recently changed first; bounded by the capacity. */
 	private final Map<Fingerprint, Flight> flights = new LinkedHashMap<>();
@@ -41,7 +41,7 @@
 	 * @param settings the timeouts and the capacity
 	 * @param now the time in nanoseconds
 	 */
-	public FlightGuard(FlightGuardSettings settings, long now) {
+	public SingleFlightGuard(SingleFlightGuardSettings settings, long now) {
 		this.settings = Preconditions.notNull(settings, "settings");
 		this.startedAt = now;
 	}
@@ -56,7 +56,7 @@
 	 * @param now the time in nanoseconds
 	 * @return the permit
 	 */
-	public FlightPermit ask(Fingerprint fingerprint, RequestId request, boolean cleared, long now) {
+	public FlightPermit requestPermit(Fingerprint fingerprint, RequestId request, boolean cleared, long now) {
 		Preconditions.notNull(request, "request");
 		expire(now);
 		Flight flight = this.flights.get(Preconditions.notNull(fingerprint, "fingerprint"));
@@ -80,7 +80,7 @@
 	 * @param flightEnd how the run ended
 	 * @param now the time in nanoseconds
 	 */
-	public void end(Fingerprint fingerprint, RequestId request, FlightEnd flightEnd, long now) {
+	public void recordEnd(Fingerprint fingerprint, RequestId request, FlightEnd flightEnd, long now) {
 		Preconditions.notNull(flightEnd, "flightEnd");
 		expire(now);
 		Flight flight = this.flights.get(Preconditions.notNull(fingerprint, "fingerprint"));
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/FlightGuardSettings.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SingleFlightGuardSettings.java
@@ -11,13 +11,13 @@
  * @param memoryTime how long the result of the last run of a fingerprint is cached
  * @param capacity the maximum number of fingerprints cached
  */
-public record FlightGuardSettings(Duration flightTime, Duration memoryTime, int capacity) {
+public record SingleFlightGuardSettings(Duration flightTime, Duration memoryTime, int capacity) {
 
 	/** The settings used when none are given. */
-	public static final FlightGuardSettings DEFAULT = new FlightGuardSettings(Duration.ofSeconds(5),
+	public static final SingleFlightGuardSettings DEFAULT = new SingleFlightGuardSettings(Duration.ofSeconds(5),
 			Duration.ofMinutes(10), 50_000);
 
-	public FlightGuardSettings {
+	public SingleFlightGuardSettings {
 		Preconditions.notNull(flightTime, "flightTime");
 		Preconditions.notNull(memoryTime, "memoryTime");
 		Preconditions.check(capacity >= 1, "capacity must be at least 1: %d", capacity);
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/LatencyHistogram.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/LatencyHistogram.java
@@ -11,7 +11,7 @@
 	private static final int BUCKETS_PER_OCTAVE = 8;
 
 	// The first bucket starts at 2^10 ns, about 1 us.
-	private static final int FIRST_OCTAVE = 10;
+	private static final int MIN_EXPONENT = 10;
 
 	private static final int OCTAVES = 32;
 
@@ -61,13 +61,13 @@
 	}
 
 	private static int bucket(long nanos) {
-		double octave = Math.log(Math.max(1, nanos)) / Math.log(2) - FIRST_OCTAVE;
+		double octave = Math.log(Math.max(1, nanos)) / Math.log(2) - MIN_EXPONENT;
 		int index = (int) Math.floor(octave * BUCKETS_PER_OCTAVE);
 		return Math.max(0, Math.min(index, BUCKETS_PER_OCTAVE * OCTAVES - 1));
 	}
 
 	private static long upperBound(int bucket) {
-		return (long) Math.pow(2, FIRST_OCTAVE + (bucket + 1.0) / BUCKETS_PER_OCTAVE);
+		return (long) Math.pow(2, MIN_EXPONENT + (bucket + 1.0) / BUCKETS_PER_OCTAVE);
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/RetryBudget.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/RetryBudget.java
@@ -7,29 +7,29 @@
 final class RetryBudget {
 
 	// Tolerance for the rounding error of the accumulated fractions.
-	private static final double ROUNDING = 1e-9;
+	private static final double ROUNDING_TOLERANCE = 1e-9;
 
-	private final double share;
+	private final double tokensPerAttempt;
 
-	private final double burst;
+	private final double capacity;
 
-	private double saved;
+	private double tokens;
 
 	RetryBudget(double share, int burst) {
-		this.share = share;
-		this.burst = burst;
+		this.tokensPerAttempt = share;
+		this.capacity = burst;
 	}
 
-	void firstAttempt() {
-		this.saved = Math.min(this.burst, this.saved + this.share);
+	void recordFirstAttempt() {
+		this.tokens = Math.min(this.capacity, this.tokens + this.tokensPerAttempt);
 	}
 
 	boolean canSpend() {
-		return this.saved >= 1 - ROUNDING;
+		return this.tokens >= 1 - ROUNDING_TOLERANCE;
 	}
 
 	void spend() {
-		this.saved -= 1;
+		this.tokens -= 1;
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/RetryController.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/retry/RetryController.java
@@ -64,11 +64,11 @@
 	 * @param account the client account
 	 * @param service the service
 	 */
-	public void firstAttempt(AccountId account, ServiceId service) {
+	public void recordFirstAttempt(AccountId account, ServiceId service) {
 		Preconditions.notNull(account, "account");
 		Preconditions.notNull(service, "service");
-		accountBudget(account, service).firstAttempt();
-		serviceBudget(service).firstAttempt();
+		accountBudget(account, service).recordFirstAttempt();
+		serviceBudget(service).recordFirstAttempt();
 	}
 
 	/**
@@ -77,7 +77,7 @@
 	 * @param latencyNanos the time from the start of the attempt to the first part of its
 	 * answer, in nanoseconds
 	 */
-	public void answered(ServiceId service, long latencyNanos) {
+	public void recordLatency(ServiceId service, long latencyNanos) {
 		Preconditions.notNull(service, "service");
 		if (this.latencies.size() < MAX_SERVICES || this.latencies.containsKey(service)) {
 			this.latencies.computeIfAbsent(service, (id) -> new LatencyHistogram()).add(latencyNanos);
@@ -90,12 +90,12 @@
 		if (query.attempts() >= this.settings.maxAttempts()) {
 			return RetryDecision.stop("attempts-exhausted");
 		}
-		Duration delay = delay(query.attempts());
+		Duration delay = jitteredDelay(query.attempts());
 		if (delay.toNanos() + typicalLatency(query.service()) >= query.remainingNanos()) {
 			return RetryDecision.stop("deadline-too-near");
 		}
 		boolean isRetry = query.attempts() > 0;
-		if (isRetry && !spend(query.account(), query.service())) {
+		if (isRetry && !spendBudgets(query.account(), query.service())) {
 			return RetryDecision.stop("retry-budget-exhausted");
 		}
 		return RetryDecision.after(delay);
@@ -120,12 +120,12 @@
 	 * @param remainingNanos the time until the caller's deadline, in nanoseconds
 	 * @return {@code true} if the hedge may be sent
 	 */
-	public boolean allowsHedge(RequestId request, AccountId account, ServiceId service, long remainingNanos) {
+	public boolean acquireHedge(RequestId request, AccountId account, ServiceId service, long remainingNanos) {
 		Preconditions.notNull(request, "request");
 		Preconditions.notNull(account, "account");
 		Preconditions.notNull(service, "service");
 		boolean inTime = typicalLatency(service) < remainingNanos;
-		boolean allowed = inTime && spend(account, service);
+		boolean allowed = inTime && spendBudgets(account, service);
 		if (this.listener != DecisionListener.NONE) {
 			String reason = inTime ? "retry-budget" : "deadline";
 			this.listener
@@ -135,7 +135,7 @@
 		return allowed;
 	}
 
-	private boolean spend(AccountId account, ServiceId service) {
+	private boolean spendBudgets(AccountId account, ServiceId service) {
 		RetryBudget accountBudget = accountBudget(account, service);
 		RetryBudget serviceBudget = serviceBudget(service);
 		if (!accountBudget.canSpend() || !serviceBudget.canSpend()) {
@@ -146,7 +146,7 @@
 		return true;
 	}
 
-	private Duration delay(int attempts) {
+	private Duration jitteredDelay(int attempts) {
 		double uncapped = this.settings.firstDelay().toNanos() * Math.pow(2, Math.max(0, attempts - 1));
 		double bound = Math.min(uncapped, this.settings.maxDelay().toNanos());
 		return Duration.ofNanos((long) (bound * this.random.nextDouble()));
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CacheChanged.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CacheEventReceived.java
@@ -8,9 +8,9 @@
  *
  * @param event the event
  */
-public record CacheChanged(CacheEvent event) implements RouterEvent {
+public record CacheEventReceived(CacheEvent event) implements RouterEvent {
 
-	public CacheChanged {
+	public CacheEventReceived {
 		Preconditions.notNull(event, "event");
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CandidateSelector.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CandidateSelector.java
@@ -30,33 +30,33 @@
 	 * @return the selection
 	 */
 	Selection select(List<Candidate> candidates, Optional<BackendServerId> sessionServer) {
-		double best = best(candidates);
-		Optional<Candidate> affinity = sessionServer.flatMap((server) -> kept(candidates, server, best));
+		double best = minExpectedNanos(candidates);
+		Optional<Candidate> affinity = sessionServer.flatMap((server) -> affinityCandidate(candidates, server, best));
 		if (affinity.isPresent()) {
 			return new Selection(affinity.get(), 1, true);
 		}
-		double limit = best * (1 + this.settings.tieShare()) + this.settings.tieTime().toNanos();
+		double limit = best * (1 + this.settings.relativeTieMargin()) + this.settings.constantTieMargin().toNanos();
 		List<Candidate> tied = new ArrayList<>(candidates.size());
 		for (Candidate candidate : candidates) {
-			if (candidate.nanos() <= limit) {
+			if (candidate.expectedNanos() <= limit) {
 				tied.add(candidate);
 			}
 		}
 		return new Selection(tied.get(this.random.nextInt(tied.size())), tied.size(), false);
 	}
 
-	private static double best(List<Candidate> candidates) {
+	private static double minExpectedNanos(List<Candidate> candidates) {
 		double best = Double.MAX_VALUE;
 		for (Candidate candidate : candidates) {
-			best = Math.min(best, candidate.nanos());
+			best = Math.min(best, candidate.expectedNanos());
 		}
 		return best;
 	}
 
-	private Optional<Candidate> kept(List<Candidate> candidates, BackendServerId server, double best) {
-		double limit = best + this.settings.sessionYield().toNanos();
+	private Optional<Candidate> affinityCandidate(List<Candidate> candidates, BackendServerId server, double best) {
+		double limit = best + this.settings.sessionAffinityMargin().toNanos();
 		return candidates.stream()
-			.filter((candidate) -> candidate.server().id().equals(server) && candidate.nanos() <= limit)
+			.filter((candidate) -> candidate.server().id().equals(server) && candidate.expectedNanos() <= limit)
 			.findFirst();
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Hashes.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Hashes.java
@@ -18,7 +18,7 @@
 	 * @param text the text
 	 * @return the hash
 	 */
-	static long of(String text) {
+	static long hash(String text) {
 		long hash = FNV_OFFSET;
 		for (int i = 0; i < text.length(); i++) {
 			hash = (hash ^ text.charAt(i)) * FNV_PRIME;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/InFlight.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/InFlightAttempt.java
@@ -12,10 +12,11 @@
  * @param uncachedTokens the prompt tokens that the server must compute
  * @param sentAt when it was sent, in nanoseconds
  */
-record InFlight(AttemptId attempt, ServerState server, PriorityClass priority, long uncachedTokens, long sentAt) {
+record InFlightAttempt(AttemptId attempt, ServerState server, PriorityClass priority, long uncachedTokens,
+		long sentAt) {
 
-	InFlight withPromptComputed() {
-		return new InFlight(this.attempt, this.server, this.priority, 0, this.sentAt);
+	InFlightAttempt withPromptComputed() {
+		return new InFlightAttempt(this.attempt, this.server, this.priority, 0, this.sentAt);
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/LoadEstimate.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/LoadEstimate.java
@@ -20,11 +20,11 @@
 
 	private ServerProfile profile;
 
-	private final Backlog backlog = new Backlog();
+	private final PromptBacklog backlog = new PromptBacklog();
 
-	private final Map<AttemptId, InFlight> unreported = new LinkedHashMap<>();
+	private final Map<AttemptId, InFlightAttempt> unreportedAttempts = new LinkedHashMap<>();
 
-	private final Deque<Long> finishedSince = new ArrayDeque<>();
+	private final Deque<Long> finishedSinceReport = new ArrayDeque<>();
 
 	private Optional<LoadReport> report = Optional.empty();
 
@@ -37,10 +37,10 @@
 	private int inFlight;
 
 	LoadEstimate(ServerProfile profile) {
-		update(profile);
+		updateProfile(profile);
 	}
 
-	void update(ServerProfile next) {
+	void updateProfile(ServerProfile next) {
 		this.profile = next;
 		refreshRates();
 	}
@@ -51,22 +51,22 @@
 	 * @param next the report
 	 * @return {@code false} if its sequence number is not above that of the last report
 	 */
-	boolean reported(LoadReport next) {
+	boolean applyReport(LoadReport next) {
 		if (this.report.isPresent() && next.sequence() <= this.report.get().sequence()) {
 			return false;
 		}
 		this.report = Optional.of(next);
 		refreshRates();
-		this.unreported.values().removeIf((attempt) -> attempt.sentAt() <= next.measuredAt());
-		this.finishedSince.removeIf((time) -> time <= next.measuredAt());
+		this.unreportedAttempts.values().removeIf((attempt) -> attempt.sentAt() <= next.measuredAt());
+		this.finishedSinceReport.removeIf((time) -> time <= next.measuredAt());
 		this.backlog.reset(next.queuedTokens(), next.measuredAt());
-		this.unreported.values().forEach(this::addToBacklog);
+		this.unreportedAttempts.values().forEach(this::addToBacklog);
 		return true;
 	}
 
-	void sent(InFlight attempt) {
+	void addAttempt(InFlightAttempt attempt) {
 		this.inFlight++;
-		this.unreported.put(attempt.attempt(), attempt);
+		this.unreportedAttempts.put(attempt.attempt(), attempt);
 		addToBacklog(attempt);
 	}
 
@@ -75,8 +75,8 @@
 	 * added to the backlog again when the next report resets it.
 	 * @param attempt the attempt
 	 */
-	void firstToken(InFlight attempt) {
-		this.unreported.computeIfPresent(attempt.attempt(), (id, present) -> present.withPromptComputed());
+	void markPromptComputed(InFlightAttempt attempt) {
+		this.unreportedAttempts.computeIfPresent(attempt.attempt(), (id, present) -> present.withPromptComputed());
 	}
 
 	/**
@@ -85,10 +85,10 @@
 	 * @param attempt the attempt
 	 * @param now the present time in nanoseconds
 	 */
-	void ended(InFlight attempt, long now) {
+	void removeAttempt(InFlightAttempt attempt, long now) {
 		this.inFlight--;
-		if (this.unreported.remove(attempt.attempt()) == null && this.report.isPresent()) {
-			this.finishedSince.addLast(now);
+		if (this.unreportedAttempts.remove(attempt.attempt()) == null && this.report.isPresent()) {
+			this.finishedSinceReport.addLast(now);
 		}
 	}
 
@@ -101,16 +101,16 @@
 	 * @param now the present time in nanoseconds
 	 * @return the number, at least 0
 	 */
-	int requests(long now) {
+	int estimateRequests(long now) {
 		if (this.report.isEmpty() || reportAge(now) > STALE_NANOS) {
 			return this.inFlight;
 		}
-		int reported = this.report.get().running() + this.report.get().queued() - this.finishedSince.size();
-		return Math.max(0, reported) + this.unreported.size();
+		int reported = this.report.get().running() + this.report.get().queued() - this.finishedSinceReport.size();
+		return Math.max(0, reported) + this.unreportedAttempts.size();
 	}
 
 	double tokensAhead(PriorityClass priority, long now) {
-		return this.backlog.ahead(priority, tokensPerSecond(), now);
+		return this.backlog.tokensAhead(priority, tokensPerSecond(), now);
 	}
 
 	double tokensPerSecond() {
@@ -127,7 +127,7 @@
 	 * @return the time in nanoseconds, 0 if a slot is free
 	 */
 	double slotWaitNanos(long now) {
-		int excess = requests(now) + 1 - this.profile.slots();
+		int excess = estimateRequests(now) + 1 - this.profile.slots();
 		if (excess <= 0) {
 			return 0;
 		}
@@ -151,7 +151,7 @@
 		this.finishedPerSecond = this.report.map(LoadReport::finishedPerSecond).orElse(0.0);
 	}
 
-	private void addToBacklog(InFlight attempt) {
+	private void addToBacklog(InFlightAttempt attempt) {
 		this.backlog.add(attempt.priority(), attempt.uncachedTokens(), tokensPerSecond(), attempt.sentAt());
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/BoundedMap.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/LruMap.java
@@ -9,13 +9,13 @@
  * @param <K> the type of the keys
  * @param <V> the type of the values
  */
-final class BoundedMap<K, V> extends LinkedHashMap<K, V> {
+final class LruMap<K, V> extends LinkedHashMap<K, V> {
 
 	private static final long serialVersionUID = 1L;
 
 	private final int maxEntries;
 
-	BoundedMap(int maxEntries) {
+	LruMap(int maxEntries) {
 		super(16, 0.75f, true);
 		this.maxEntries = maxEntries;
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/OutlierEjector.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/OutlierEjector.java
@@ -27,11 +27,12 @@
 	 * @param now the present time in nanoseconds
 	 * @return the duration of the ejection, or empty if the server is not ejected
 	 */
-	Optional<Duration> failed(ServerState server, Collection<ServerState> subset, long now) {
-		if (server.fail() < this.settings.failures() || server.isEjected(now) || !hasRoom(server, subset, now)) {
+	Optional<Duration> recordFailure(ServerState server, Collection<ServerState> subset, long now) {
+		if (server.recordFailure() < this.settings.consecutiveFailures() || server.isEjected(now)
+				|| !mayEject(server, subset, now)) {
 			return Optional.empty();
 		}
-		Duration duration = duration(server.ejections());
+		Duration duration = ejectionDuration(server.ejectionsSinceSuccess());
 		server.eject(now + duration.toNanos());
 		return Optional.of(duration);
 	}
@@ -42,21 +43,22 @@
 	 * @param subset the servers in use
 	 * @param now the present time in nanoseconds
 	 */
-	void enforceShare(Collection<ServerState> subset, long now) {
-		List<ServerState> ejected = ejected(subset, now);
+	void enforceMaxShare(Collection<ServerState> subset, long now) {
+		List<ServerState> ejected = ejectedServers(subset, now);
 		int excess = ejected.size() - maxEjected(subset);
 		ejected.stream()
 			.sorted(Comparator.comparingLong(ServerState::ejectedUntil))
 			.limit(Math.max(0, excess))
-			.forEach((server) -> server.release(now));
+			.forEach((server) -> server.endEjection(now));
 	}
 
-	boolean shareHolds(Collection<ServerState> subset, long now) {
+	boolean isWithinMaxShare(Collection<ServerState> subset, long now) {
 		return countEjected(subset, now) <= maxEjected(subset);
 	}
 
-	private boolean hasRoom(ServerState server, Collection<ServerState> subset, long now) {
-		return subset.contains(server) && !server.isLeaving() && ejected(subset, now).size() + 1 <= maxEjected(subset);
+	private boolean mayEject(ServerState server, Collection<ServerState> subset, long now) {
+		return subset.contains(server) && !server.isLeaving()
+				&& ejectedServers(subset, now).size() + 1 <= maxEjected(subset);
 	}
 
 	private int maxEjected(Collection<ServerState> subset) {
@@ -64,7 +66,7 @@
 		for (ServerState server : subset) {
 			active += server.isLeaving() ? 0 : 1;
 		}
-		return (int) Math.floor(this.settings.maxShare() * active);
+		return (int) Math.floor(this.settings.maxEjectedShare() * active);
 	}
 
 	private static int countEjected(Collection<ServerState> subset, long now) {
@@ -75,13 +77,13 @@
 		return count;
 	}
 
-	private static List<ServerState> ejected(Collection<ServerState> subset, long now) {
+	private static List<ServerState> ejectedServers(Collection<ServerState> subset, long now) {
 		return subset.stream().filter((server) -> !server.isLeaving() && server.isEjected(now)).toList();
 	}
 
-	private Duration duration(int ejections) {
-		Duration doubled = this.settings.first().multipliedBy(1L << Math.min(ejections, MAX_DOUBLINGS));
-		return (doubled.compareTo(this.settings.longest()) < 0) ? doubled : this.settings.longest();
+	private Duration ejectionDuration(int ejections) {
+		Duration doubled = this.settings.baseDuration().multipliedBy(1L << Math.min(ejections, MAX_DOUBLINGS));
+		return (doubled.compareTo(this.settings.maxDuration()) < 0) ? doubled : this.settings.maxDuration();
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/QueuedTokens.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/QueuedTokens.java
@@ -27,7 +27,7 @@
 	 * @param priority the class of the new request
 	 * @return the tokens of this class and all higher ones
 	 */
-	public long ahead(PriorityClass priority) {
+	public long tokensAhead(PriorityClass priority) {
 		if (priority == PriorityClass.INTERACTIVE) {
 			return this.interactive;
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouteExplainer.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouteDecisionRecords.java
@@ -5,32 +5,33 @@
 import org.comfreywall.common.decision.DecisionKind;
 import org.comfreywall.common.decision.DecisionRecord;
 import org.comfreywall.common.decision.Field;
-import org.comfreywall.entry.kv.Move;
+import org.comfreywall.entry.kv.KvTransfer;
 
 /**
  * Creates the decision records of a router.
  */
-final class RouteExplainer {
+final class RouteDecisionRecords {
 
 	private static final long NANOS_PER_MICRO = 1000;
 
-	private RouteExplainer() {
+	private RouteDecisionRecords() {
 	}
 
-	static DecisionRecord chosen(RouteRequest request, Selection selection, int candidates, long now) {
+	static DecisionRecord forChoice(RouteRequest request, Selection selection, int candidates, long now) {
 		Candidate chosen = selection.candidate();
 		LoadEstimate load = chosen.server().load();
 		return new DecisionRecord(DecisionKind.ROUTE, request.request().value(), chosen.server().id().value(), List.of(
-				Field.of("expected-us", micros(chosen.nanos())), Field.of("wait-us", micros(chosen.waitNanos())),
-				Field.of("prompt-tokens", request.promptTokens()),
-				Field.of("cached-tokens", (long) chosen.cachedTokens()), Field.of("requests", load.requests(now)),
+				Field.of("expected-us", micros(chosen.expectedNanos())),
+				Field.of("wait-us", micros(chosen.waitNanos())), Field.of("prompt-tokens", request.promptTokens()),
+				Field.of("cached-tokens", (long) chosen.cachedTokens()),
+				Field.of("requests", load.estimateRequests(now)),
 				Field.of("report-age-us", load.reportAge(now) / NANOS_PER_MICRO),
 				Field.of("priority", request.priority()), Field.of("candidates", candidates),
-				Field.of("equal", selection.equal()), Field.of("by-session", selection.bySession()),
-				Field.of("kv", (chosen.kvPlan() instanceof Move transfer) ? transfer.source() : "recompute")));
+				Field.of("equal", selection.tiedCandidates()), Field.of("by-session", selection.bySessionAffinity()),
+				Field.of("kv", (chosen.kvPlan() instanceof KvTransfer transfer) ? transfer.source() : "recompute")));
 	}
 
-	static DecisionRecord refused(RouteRequest request, int known, int subset) {
+	static DecisionRecord forRefusal(RouteRequest request, int known, int subset) {
 		return DecisionRecord.of(DecisionKind.ROUTE, request.request().value(), "none", Field.of("servers", known),
 				Field.of("subset", subset), Field.of("excluded", request.excluded().size()));
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Router.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Router.java
@@ -52,7 +52,7 @@
 
 	private final Map<SessionId, BackendServerId> sessions;
 
-	private final Map<AttemptId, InFlight> inFlight = new HashMap<>();
+	private final Map<AttemptId, InFlightAttempt> inFlight = new HashMap<>();
 
 	/**
 	 * Creates a router without backend servers.
@@ -74,9 +74,9 @@
 		this.prefixes = new PrefixIndex(settings.prefix());
 		this.ejector = new OutlierEjector(settings.ejection());
 		this.slowStart = new SlowStart(settings.slowStart().toNanos(), random);
-		this.evaluator = new CandidateEvaluator(distances, settings.kvPricing());
+		this.evaluator = new CandidateEvaluator(distances, settings.kvPlanner());
 		this.selector = new CandidateSelector(settings, random);
-		this.sessions = new BoundedMap<>(settings.maxSessions());
+		this.sessions = new LruMap<>(settings.maxSessions());
 	}
 
 	/**
@@ -91,14 +91,14 @@
 		if (event instanceof LoadReported reported) {
 			onReport(reported.report());
 		}
-		else if (event instanceof CacheChanged received) {
+		else if (event instanceof CacheEventReceived received) {
 			this.prefixes.onEvent(received.event(), now).map(ResyncCache::new).ifPresent(commands::add);
 		}
 		else if (event instanceof TimePassed) {
-			refresh(now).ifPresent(commands::add);
+			refreshSubset(now).ifPresent(commands::add);
 		}
 		else if (event instanceof EntriesChanged changed) {
-			this.subset.entriesChanged(changed.entries());
+			this.subset.setEntries(changed.entries());
 		}
 		else {
 			onServerOrAttempt(event, now, commands);
@@ -117,18 +117,18 @@
 	public Optional<RouteChoice> choose(RouteRequest request, long now) {
 		Preconditions.notNull(request, "request");
 		if (this.subset.members().isEmpty()) {
-			return refuse(request);
+			return recordRefusal(request);
 		}
-		List<ServerState> eligible = eligible(request, now);
+		List<ServerState> eligible = eligibleServers(request, now);
 		if (eligible.isEmpty() || this.inFlight.size() >= this.settings.maxInFlight()) {
-			return refuse(request);
+			return recordRefusal(request);
 		}
-		List<ServerState> included = this.slowStart.admit(eligible, now);
+		List<ServerState> included = this.slowStart.filterServers(eligible, now);
 		PrefixMatch match = this.prefixes.match(request.chain(), now);
 		List<Candidate> candidates = this.evaluator.evaluate(included, request, match, now);
 		Selection selection = this.selector.select(candidates, request.session().map(this.sessions::get));
-		return isSafe(selection.candidate().server(), request, now)
-				? Optional.of(accept(request, selection, candidates.size(), now)) : refuse(request);
+		return satisfiesInvariants(selection.candidate().server(), request, now)
+				? Optional.of(recordChoice(request, selection, candidates.size(), now)) : recordRefusal(request);
 	}
 
 	/**
@@ -145,7 +145,7 @@
 	 * @param server the backend server
 	 * @return {@code true} from its announcement until its removal
 	 */
-	public boolean knows(BackendServerId server) {
+	public boolean isAnnounced(BackendServerId server) {
 		return this.table.find(server).isPresent();
 	}
 
@@ -172,7 +172,7 @@
 	 */
 	public RouterStatus status() {
 		return new RouterStatus(this.table.all().size(), this.subset.members().size(), this.sessions.size(),
-				this.inFlight.size(), this.prefixes.claims());
+				this.inFlight.size(), this.prefixes.locationCount());
 	}
 
 	/**
@@ -188,8 +188,10 @@
 			onAnnounced(announced, now).ifPresent(commands::add);
 		}
 		else if (event instanceof ServerLeaving leaving) {
-			this.table.leave(leaving.server(), leaving.incarnation());
-			this.table.find(leaving.server()).filter(ServerState::isLeaving).ifPresent((state) -> drop(state, now));
+			this.table.markLeaving(leaving.server(), leaving.incarnation());
+			this.table.find(leaving.server())
+				.filter(ServerState::isLeaving)
+				.ifPresent((state) -> removeFromSubset(state, now));
 		}
 		else if (event instanceof ServerRemoved removed) {
 			this.table.remove(removed.server(), removed.incarnation()).ifPresent((state) -> onRemoved(state, now));
@@ -199,44 +201,45 @@
 		}
 		else if (event instanceof FirstTokenReceived received) {
 			Optional.ofNullable(this.inFlight.get(received.attempt()))
-				.ifPresent((attempt) -> attempt.server().load().firstToken(attempt));
+				.ifPresent((attempt) -> attempt.server().load().markPromptComputed(attempt));
 		}
 		else if (event instanceof AttemptFinished finished) {
-			end(finished.attempt(), now).ifPresent((attempt) -> attempt.server().succeed());
+			endAttempt(finished.attempt(), now).ifPresent((attempt) -> attempt.server().recordSuccess());
 		}
 		else if (event instanceof AttemptFailed failed) {
-			end(failed.attempt(), now).flatMap((attempt) -> onFailed(attempt.server(), now)).ifPresent(commands::add);
+			endAttempt(failed.attempt(), now).flatMap((attempt) -> onFailed(attempt.server(), now))
+				.ifPresent(commands::add);
 		}
 	}
 
 	private Optional<RouterCommand> onAnnounced(ServerAnnounced announced, long now) {
 		Optional<ServerState> before = this.table.find(announced.server());
-		if (!this.table.announce(announced, now)) {
+		if (!this.table.applyAnnouncement(announced, now)) {
 			return Optional.empty();
 		}
-		before.ifPresent((state) -> drop(state, now));
-		this.prefixes.serverAnnounced(announced.server(), announced.incarnation());
-		this.subset.serversChanged();
-		return (this.table.all().size() <= this.settings.subsetSize()) ? refresh(now) : Optional.empty();
+		before.ifPresent((state) -> removeFromSubset(state, now));
+		this.prefixes.addServer(announced.server(), announced.incarnation());
+		this.subset.markOutdated();
+		return (this.table.all().size() <= this.settings.subsetSize()) ? refreshSubset(now) : Optional.empty();
 	}
 
 	private void onRemoved(ServerState state, long now) {
-		this.prefixes.serverRemoved(state.id());
-		drop(state, now);
+		this.prefixes.removeServer(state.id());
+		removeFromSubset(state, now);
 	}
 
-	private void drop(ServerState state, long now) {
-		this.subset.drop(state);
-		this.ejector.enforceShare(this.subset.members(), now);
+	private void removeFromSubset(ServerState state, long now) {
+		this.subset.remove(state);
+		this.ejector.enforceMaxShare(this.subset.members(), now);
 	}
 
 	private void onReport(LoadReport report) {
-		this.table.find(report.server(), report.incarnation()).ifPresent((state) -> state.load().reported(report));
+		this.table.find(report.server(), report.incarnation()).ifPresent((state) -> state.load().applyReport(report));
 	}
 
-	private Optional<RouterCommand> refresh(long now) {
+	private Optional<RouterCommand> refreshSubset(long now) {
 		Optional<SubsetChanged> change = this.subset.refresh(this.table);
-		this.ejector.enforceShare(this.subset.members(), now);
+		this.ejector.enforceMaxShare(this.subset.members(), now);
 		return change.map(RouterCommand.class::cast);
 	}
 
@@ -246,27 +249,27 @@
 		if (server.isEmpty() || this.inFlight.containsKey(sent.attempt())) {
 			return;
 		}
-		InFlight attempt = new InFlight(sent.attempt(), server.get(), sent.request().priority(),
+		InFlightAttempt attempt = new InFlightAttempt(sent.attempt(), server.get(), sent.request().priority(),
 				choice.uncachedTokens(), now);
 		this.inFlight.put(sent.attempt(), attempt);
-		server.get().load().sent(attempt);
-		this.prefixes.promptSent(choice.server(), sent.request().chain(), now);
+		server.get().load().addAttempt(attempt);
+		this.prefixes.recordSentPrompt(choice.server(), sent.request().chain(), now);
 		sent.request().session().ifPresent((session) -> this.sessions.put(session, choice.server()));
 	}
 
-	private Optional<InFlight> end(AttemptId attempt, long now) {
-		Optional<InFlight> ended = Optional.ofNullable(this.inFlight.remove(attempt));
-		ended.ifPresent((sent) -> sent.server().load().ended(sent, now));
+	private Optional<InFlightAttempt> endAttempt(AttemptId attempt, long now) {
+		Optional<InFlightAttempt> ended = Optional.ofNullable(this.inFlight.remove(attempt));
+		ended.ifPresent((sent) -> sent.server().load().removeAttempt(sent, now));
 		return ended
 			.filter((sent) -> this.invariants.holds(sent.server().load().inFlight() >= 0, "in-flight-not-negative"));
 	}
 
 	private Optional<RouterCommand> onFailed(ServerState server, long now) {
-		return this.ejector.failed(server, this.subset.members(), now)
+		return this.ejector.recordFailure(server, this.subset.members(), now)
 			.map((duration) -> new ServerEjected(server.id(), duration));
 	}
 
-	private List<ServerState> eligible(RouteRequest request, long now) {
+	private List<ServerState> eligibleServers(RouteRequest request, long now) {
 		List<ServerState> eligible = new ArrayList<>(this.subset.members().size());
 		for (ServerState server : this.subset.members()) {
 			if (!server.isLeaving() && !server.isEjected(now) && !request.excluded().contains(server.id())) {
@@ -276,25 +279,26 @@
 		return eligible;
 	}
 
-	private boolean isSafe(ServerState server, RouteRequest request, long now) {
+	private boolean satisfiesInvariants(ServerState server, RouteRequest request, long now) {
 		boolean known = this.table.find(server.id(), server.incarnation()).isPresent();
 		return this.invariants.holds(known && !server.isLeaving(), "chosen-server-takes-work")
 				&& this.invariants.holds(!server.isEjected(now), "chosen-server-not-ejected")
 				&& this.invariants.holds(!request.excluded().contains(server.id()), "chosen-server-not-excluded")
-				&& this.invariants.holds(this.ejector.shareHolds(this.subset.members(), now), "ejected-share-bounded");
+				&& this.invariants.holds(this.ejector.isWithinMaxShare(this.subset.members(), now),
+						"ejected-share-bounded");
 	}
 
-	private RouteChoice accept(RouteRequest request, Selection selection, int candidates, long now) {
+	private RouteChoice recordChoice(RouteRequest request, Selection selection, int candidates, long now) {
 		Candidate chosen = selection.candidate();
-		DecisionRecord record = RouteExplainer.chosen(request, selection, candidates, now);
+		DecisionRecord record = RouteDecisionRecords.forChoice(request, selection, candidates, now);
 		this.listener.onDecision(record);
-		return new RouteChoice(chosen.server().id(), chosen.server().incarnation(), (long) chosen.nanos(),
+		return new RouteChoice(chosen.server().id(), chosen.server().incarnation(), (long) chosen.expectedNanos(),
 				(long) chosen.uncachedTokens(), chosen.kvPlan(), record);
 	}
 
-	private Optional<RouteChoice> refuse(RouteRequest request) {
-		this.listener
-			.onDecision(RouteExplainer.refused(request, this.table.all().size(), this.subset.members().size()));
+	private Optional<RouteChoice> recordRefusal(RouteRequest request) {
+		this.listener.onDecision(
+				RouteDecisionRecords.forRefusal(request, this.table.all().size(), this.subset.members().size()));
 		return Optional.empty();
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouterStatus.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/RouterStatus.java
@@ -7,8 +7,8 @@
  * @param subset the backend servers in use
  * @param sessions the sessions whose last server is stored
  * @param inFlight the attempts in flight
- * @param prefixClaims the pairs of prompt block and backend server in the prefix index
+ * @param blockLocations the pairs of prompt block and backend server in the prefix index
  */
-public record RouterStatus(int servers, int subset, int sessions, int inFlight, int prefixClaims) {
+public record RouterStatus(int servers, int subset, int sessions, int inFlight, int blockLocations) {
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerRing.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerHashRing.java
@@ -6,7 +6,7 @@
  * A consistent-hash ring with several points for each server. The low
  * {@value #INDEX_BITS} bits of a point hold the index of its server.
  */
-final class ServerRing {
+final class ServerHashRing {
 
 	private static final int POINTS_PER_SERVER = 32;
 
@@ -20,7 +20,7 @@
 	 * Creates a ring.
 	 * @param seeds the servers' hashes, fewer than 2^20
 	 */
-	ServerRing(long[] seeds) {
+	ServerHashRing(long[] seeds) {
 		this.points = new long[seeds.length * POINTS_PER_SERVER];
 		for (int i = 0; i < this.points.length; i++) {
 			int server = i / POINTS_PER_SERVER;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerProfile.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerProfile.java
@@ -12,9 +12,10 @@
  * @param stepTime the duration of one step at low load; for a plain service, of one
  * request
  * @param prefillTokensPerSecond the prompt tokens computed per second
- * @param movesCache whether the engine can export and import key-value cache
+ * @param supportsCacheTransfer whether the engine can export and import key-value cache
  */
-public record ServerProfile(int slots, Duration stepTime, double prefillTokensPerSecond, boolean movesCache) {
+public record ServerProfile(int slots, Duration stepTime, double prefillTokensPerSecond,
+		boolean supportsCacheTransfer) {
 
 	/** The profile of servers that announce none. */
 	public static final ServerProfile DEFAULT = new ServerProfile(64, Duration.ofMillis(20), 10_000, false);
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerState.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerState.java
@@ -23,9 +23,9 @@
 
 	private boolean leaving;
 
-	private int failures;
+	private int consecutiveFailures;
 
-	private int ejections;
+	private int ejectionsSinceSuccess;
 
 	private long ejectedUntil = Long.MIN_VALUE;
 
@@ -61,7 +61,7 @@
 	void update(ServerAnnounced announced) {
 		this.domain = announced.domain();
 		this.profile = announced.profile();
-		this.load.update(announced.profile());
+		this.load.updateProfile(announced.profile());
 	}
 
 	long slowStartFrom() {
@@ -72,22 +72,22 @@
 		return this.leaving;
 	}
 
-	void leave() {
+	void markLeaving() {
 		this.leaving = true;
 	}
 
-	void succeed() {
-		this.failures = 0;
-		this.ejections = 0;
+	void recordSuccess() {
+		this.consecutiveFailures = 0;
+		this.ejectionsSinceSuccess = 0;
 	}
 
-	int fail() {
-		this.failures++;
-		return this.failures;
+	int recordFailure() {
+		this.consecutiveFailures++;
+		return this.consecutiveFailures;
 	}
 
-	int ejections() {
-		return this.ejections;
+	int ejectionsSinceSuccess() {
+		return this.ejectionsSinceSuccess;
 	}
 
 	boolean isEjected(long now) {
@@ -99,13 +99,13 @@
 	}
 
 	void eject(long until) {
-		this.failures = 0;
-		this.ejections++;
+		this.consecutiveFailures = 0;
+		this.ejectionsSinceSuccess++;
 		this.ejectedUntil = until;
 		this.slowStartFrom = until;
 	}
 
-	void release(long now) {
+	void endEjection(long now) {
 		this.ejectedUntil = now;
 		this.slowStartFrom = now;
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerTable.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/ServerTable.java
@@ -18,17 +18,17 @@
 final class ServerTable {
 
 	/** Number of ended incarnations stored, as a multiple of {@code maxServers}. */
-	private static final int ENDED_PER_SERVER = 4;
+	private static final int ENDED_INCARNATIONS_PER_SERVER = 4;
 
 	private final int maxServers;
 
 	private final Map<BackendServerId, ServerState> servers = new HashMap<>();
 
-	private final Map<BackendServerId, Incarnation> ended;
+	private final Map<BackendServerId, Incarnation> endedIncarnations;
 
 	ServerTable(int maxServers) {
 		this.maxServers = maxServers;
-		this.ended = new BoundedMap<>(ENDED_PER_SERVER * maxServers);
+		this.endedIncarnations = new LruMap<>(ENDED_INCARNATIONS_PER_SERVER * maxServers);
 	}
 
 	/**
@@ -37,7 +37,7 @@
 	 * @param now the present time in nanoseconds
 	 * @return {@code true} if a new incarnation was added
 	 */
-	boolean announce(ServerAnnounced announced, long now) {
+	boolean applyAnnouncement(ServerAnnounced announced, long now) {
 		ServerState known = this.servers.get(announced.server());
 		if (known != null && known.incarnation().equals(announced.incarnation())) {
 			known.update(announced);
@@ -50,9 +50,9 @@
 		return true;
 	}
 
-	void leave(BackendServerId server, Incarnation incarnation) {
-		this.ended.merge(server, incarnation, ServerTable::later);
-		find(server).filter((state) -> !incarnation.isBefore(state.incarnation())).ifPresent(ServerState::leave);
+	void markLeaving(BackendServerId server, Incarnation incarnation) {
+		this.endedIncarnations.merge(server, incarnation, ServerTable::latest);
+		find(server).filter((state) -> !incarnation.isBefore(state.incarnation())).ifPresent(ServerState::markLeaving);
 	}
 
 	/**
@@ -62,7 +62,7 @@
 	 * @return the server's state, or empty if it was not removed
 	 */
 	Optional<ServerState> remove(BackendServerId server, Incarnation incarnation) {
-		this.ended.merge(server, incarnation, ServerTable::later);
+		this.endedIncarnations.merge(server, incarnation, ServerTable::latest);
 		Optional<ServerState> state = find(server).filter((known) -> !incarnation.isBefore(known.incarnation()));
 		state.ifPresent((known) -> this.servers.remove(server));
 		return state;
@@ -80,7 +80,7 @@
 	 * Returns the servers that may be assigned to entries.
 	 * @return the servers that are not leaving
 	 */
-	Set<BackendServerId> active() {
+	Set<BackendServerId> activeServers() {
 		return this.servers.values()
 			.stream()
 			.filter((state) -> !state.isLeaving())
@@ -93,12 +93,12 @@
 	}
 
 	private boolean isNewer(ServerAnnounced announced, ServerState known) {
-		Incarnation ended = this.ended.get(announced.server());
+		Incarnation ended = this.endedIncarnations.get(announced.server());
 		return (known == null || known.incarnation().isBefore(announced.incarnation()))
 				&& (ended == null || ended.isBefore(announced.incarnation()));
 	}
 
-	private static Incarnation later(Incarnation first, Incarnation second) {
+	private static Incarnation latest(Incarnation first, Incarnation second) {
 		return first.isBefore(second) ? second : first;
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SlowStart.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SlowStart.java
@@ -27,17 +27,17 @@
 	 * @param now the present time in nanoseconds
 	 * @return the remaining servers; all servers if none would remain
 	 */
-	List<ServerState> admit(List<ServerState> servers, long now) {
+	List<ServerState> filterServers(List<ServerState> servers, long now) {
 		List<ServerState> included = new ArrayList<>(servers.size());
 		for (ServerState server : servers) {
-			if (admits(server, now)) {
+			if (includesServer(server, now)) {
 				included.add(server);
 			}
 		}
 		return included.isEmpty() ? servers : included;
 	}
 
-	private boolean admits(ServerState server, long now) {
+	private boolean includesServer(ServerState server, long now) {
 		long age = now - server.slowStartFrom();
 		return age >= this.windowNanos
 				|| this.random.nextDouble() < Math.max(MIN_SHARE, (double) age / this.windowNanos);
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Subset.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Subset.java
@@ -32,14 +32,14 @@
 		this.entries = Set.of(self);
 	}
 
-	void entriesChanged(Set<InstanceId> next) {
+	void setEntries(Set<InstanceId> next) {
 		Set<InstanceId> all = new HashSet<>(next);
 		all.add(this.self);
 		this.outdated |= !all.equals(this.entries);
 		this.entries = all;
 	}
 
-	void serversChanged() {
+	void markOutdated() {
 		this.outdated = true;
 	}
 
@@ -47,7 +47,7 @@
 	 * Removes a server at once, without a new assignment.
 	 * @param server the server
 	 */
-	void drop(ServerState server) {
+	void remove(ServerState server) {
 		this.outdated = true;
 		this.members = this.members.stream().filter((member) -> member != server).toList();
 	}
@@ -70,12 +70,12 @@
 			return Optional.empty();
 		}
 		this.outdated = false;
-		Set<BackendServerId> next = this.assigner.assign(this.self, this.entries, table.active());
+		Set<BackendServerId> next = this.assigner.assign(this.self, this.entries, table.activeServers());
 		Set<BackendServerId> before = this.ids;
 		this.ids = next;
 		this.members = states(next, table);
 		return before.equals(next) ? Optional.empty()
-				: Optional.of(new SubsetChanged(minus(next, before), minus(before, next)));
+				: Optional.of(new SubsetChanged(difference(next, before), difference(before, next)));
 	}
 
 	private static List<ServerState> states(Set<BackendServerId> ids, ServerTable table) {
@@ -84,7 +84,7 @@
 		return List.copyOf(states);
 	}
 
-	private static Set<BackendServerId> minus(Set<BackendServerId> set, Set<BackendServerId> other) {
+	private static Set<BackendServerId> difference(Set<BackendServerId> set, Set<BackendServerId> other) {
 		Set<BackendServerId> rest = new HashSet<>(set);
 		rest.removeAll(other);
 		return rest;
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetMatching.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/SubsetMatching.java
@@ -32,46 +32,46 @@
 
 	private final List<BackendServerId> servers;
 
-	private final ServerRing ring;
+	private final ServerHashRing ring;
 
 	private final long[] entrySeeds;
 
 	private final long[] serverSeeds;
 
-	private final int[] missing;
+	private final int[] unfilledPlaces;
 
-	private final int[] proposals;
+	private final int[] proposalCounts;
 
-	private final int[][] accepted;
+	private final int[][] acceptedEntries;
 
-	private final int[] acceptedCount;
+	private final int[] acceptedCounts;
 
 	private final int maxProposals;
 
 	SubsetMatching(List<InstanceId> entries, List<BackendServerId> servers, int size) {
 		this.entries = entries;
 		this.servers = servers;
-		this.entrySeeds = entries.stream().mapToLong((entry) -> Hashes.of(entry.value())).toArray();
-		this.serverSeeds = servers.stream().mapToLong((server) -> Hashes.of(server.value())).toArray();
-		this.ring = new ServerRing(this.serverSeeds);
-		this.missing = new int[entries.size()];
-		this.proposals = new int[entries.size()];
+		this.entrySeeds = entries.stream().mapToLong((entry) -> Hashes.hash(entry.value())).toArray();
+		this.serverSeeds = servers.stream().mapToLong((server) -> Hashes.hash(server.value())).toArray();
+		this.ring = new ServerHashRing(this.serverSeeds);
+		this.unfilledPlaces = new int[entries.size()];
+		this.proposalCounts = new int[entries.size()];
 		double mean = (double) size * entries.size() / servers.size();
-		this.accepted = new int[servers.size()][];
+		this.acceptedEntries = new int[servers.size()][];
 		int[] quotas = quotas(mean);
-		Arrays.setAll(this.accepted, (server) -> new int[quotas[server]]);
-		this.acceptedCount = new int[servers.size()];
+		Arrays.setAll(this.acceptedEntries, (server) -> new int[quotas[server]]);
+		this.acceptedCounts = new int[servers.size()];
 		this.maxProposals = size * MAX_PROPOSALS_PER_PLACE;
-		Arrays.fill(this.missing, size);
+		Arrays.fill(this.unfilledPlaces, size);
 	}
 
 	Map<InstanceId, Set<BackendServerId>> match() {
 		Deque<Integer> waiting = new ArrayDeque<>();
-		for (int entry = 0; entry < this.missing.length; entry++) {
+		for (int entry = 0; entry < this.unfilledPlaces.length; entry++) {
 			waiting.add(entry);
 		}
 		while (!waiting.isEmpty()) {
-			propose(waiting.poll(), waiting);
+			fillPlaces(waiting.poll(), waiting);
 		}
 		return result();
 	}
@@ -93,52 +93,52 @@
 		return quotas;
 	}
 
-	private void propose(int entry, Deque<Integer> waiting) {
-		while (this.missing[entry] > 0 && this.proposals[entry] < this.maxProposals) {
-			long point = Hashes.mix(this.entrySeeds[entry] + this.proposals[entry]);
-			this.proposals[entry]++;
+	private void fillPlaces(int entry, Deque<Integer> waiting) {
+		while (this.unfilledPlaces[entry] > 0 && this.proposalCounts[entry] < this.maxProposals) {
+			long point = Hashes.mix(this.entrySeeds[entry] + this.proposalCounts[entry]);
+			this.proposalCounts[entry]++;
 			int server = this.ring.successor(point);
 			if (!isAccepted(entry, server)) {
-				offer(entry, server, waiting);
+				proposeTo(entry, server, waiting);
 			}
 		}
 	}
 
-	private void offer(int entry, int server, Deque<Integer> waiting) {
-		int[] members = this.accepted[server];
-		if (this.acceptedCount[server] < members.length) {
-			members[this.acceptedCount[server]] = entry;
-			this.acceptedCount[server]++;
-			this.missing[entry]--;
+	private void proposeTo(int entry, int server, Deque<Integer> waiting) {
+		int[] members = this.acceptedEntries[server];
+		if (this.acceptedCounts[server] < members.length) {
+			members[this.acceptedCounts[server]] = entry;
+			this.acceptedCounts[server]++;
+			this.unfilledPlaces[entry]--;
 			return;
 		}
-		int last = indexOfLast(members, server);
+		int last = indexOfLeastPreferred(members, server);
 		int displaced = members[last];
-		if (comesBefore(entry, displaced, server)) {
+		if (isPreferred(entry, displaced, server)) {
 			members[last] = entry;
-			this.missing[entry]--;
-			this.missing[displaced]++;
+			this.unfilledPlaces[entry]--;
+			this.unfilledPlaces[displaced]++;
 			waiting.add(displaced);
 		}
 	}
 
-	private int indexOfLast(int[] members, int server) {
+	private int indexOfLeastPreferred(int[] members, int server) {
 		int last = 0;
 		for (int i = 1; i < members.length; i++) {
-			last = comesBefore(members[last], members[i], server) ? i : last;
+			last = isPreferred(members[last], members[i], server) ? i : last;
 		}
 		return last;
 	}
 
-	private boolean comesBefore(int entry, int other, int server) {
+	private boolean isPreferred(int entry, int other, int server) {
 		long rank = Hashes.mix(this.entrySeeds[entry] ^ this.serverSeeds[server]);
 		long otherRank = Hashes.mix(this.entrySeeds[other] ^ this.serverSeeds[server]);
 		return (rank != otherRank) ? rank < otherRank : entry < other;
 	}
 
 	private boolean isAccepted(int entry, int server) {
-		for (int i = 0; i < this.acceptedCount[server]; i++) {
-			if (this.accepted[server][i] == entry) {
+		for (int i = 0; i < this.acceptedCounts[server]; i++) {
+			if (this.acceptedEntries[server][i] == entry) {
 				return true;
 			}
 		}
@@ -148,9 +148,9 @@
 	private Map<InstanceId, Set<BackendServerId>> result() {
 		Map<InstanceId, Set<BackendServerId>> subsets = new HashMap<>();
 		this.entries.forEach((entry) -> subsets.put(entry, new HashSet<>()));
-		for (int server = 0; server < this.accepted.length; server++) {
-			for (int i = 0; i < this.acceptedCount[server]; i++) {
-				subsets.get(this.entries.get(this.accepted[server][i])).add(this.servers.get(server));
+		for (int server = 0; server < this.acceptedEntries.length; server++) {
+			for (int i = 0; i < this.acceptedCounts[server]; i++) {
+				subsets.get(this.entries.get(this.acceptedEntries[server][i])).add(this.servers.get(server));
 			}
 		}
 		return subsets;
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/admit/AdmissionControllerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/admit/AdmissionControllerTests.java
@@ -28,7 +28,7 @@
 	private final Invariants invariants = new Invariants();
 
 	private AdmissionController controller(int concurrency, int maxQueued) {
-		AdmissionSettings settings = new AdmissionSettings(QueueBounds.DEFAULT, maxQueued, concurrency, concurrency,
+		AdmissionSettings settings = new AdmissionSettings(QueueTimeLimits.DEFAULT, maxQueued, concurrency, concurrency,
 				concurrency, Duration.ofMillis(200), 1.5);
 		return new AdmissionController(settings, AccountWeights.EQUAL, new SplittableRandom(1), DecisionListener.NONE,
 				this.invariants);
@@ -70,8 +70,8 @@
 	void countsAnEndReportedTwiceAsInvariantViolation() {
 		AdmissionController controller = controller(1, 10);
 		controller.offer(request("1", "a", PriorityClass.STANDARD), 0);
-		controller.finished(RequestId.of("1"), FinishKind.ANSWERED, 1);
-		controller.finished(RequestId.of("1"), FinishKind.ANSWERED, 2);
+		controller.handleFinished(RequestId.of("1"), FinishKind.ANSWERED, 1);
+		controller.handleFinished(RequestId.of("1"), FinishKind.ANSWERED, 2);
 		assertThat(this.invariants.breaches()).isEqualTo(1);
 	}
 
@@ -84,7 +84,7 @@
 			controller.offer(request("running", "a", PriorityClass.STANDARD), 0);
 			controller.offer(request("batch", "a", PriorityClass.BATCH), 0);
 			controller.offer(request("interactive", "a", PriorityClass.INTERACTIVE), 1);
-			assertThat(started(controller.finished(RequestId.of("running"), FinishKind.ANSWERED, 2)))
+			assertThat(started(controller.handleFinished(RequestId.of("running"), FinishKind.ANSWERED, 2)))
 				.containsExactly("interactive");
 		}
 
@@ -101,7 +101,7 @@
 			List<String> order = new ArrayList<>(List.of("running"));
 			while (order.size() < 13) {
 				String last = order.get(order.size() - 1);
-				order.addAll(started(controller.finished(RequestId.of(last), FinishKind.ANSWERED, 2)));
+				order.addAll(started(controller.handleFinished(RequestId.of(last), FinishKind.ANSWERED, 2)));
 			}
 			assertThat(order.stream().filter((id) -> id.startsWith("small"))).hasSize(10);
 		}
@@ -129,7 +129,8 @@
 			controller.offer(
 					new AdmissionRequest(RequestId.of("2"), AccountId.of("a"), PriorityClass.STANDARD, 1, 10 * MILLI),
 					0);
-			List<AdmissionCommand> commands = controller.finished(RequestId.of("1"), FinishKind.ANSWERED, 10 * MILLI);
+			List<AdmissionCommand> commands = controller.handleFinished(RequestId.of("1"), FinishKind.ANSWERED,
+					10 * MILLI);
 			assertThat(started(commands)).isEmpty();
 			assertThat(controller.running()).isZero();
 		}
@@ -152,7 +153,7 @@
 			controller.offer(request("0", "a", PriorityClass.INTERACTIVE), now);
 			for (int i = 1; i <= 8; i++) {
 				now += 100 * MILLI;
-				controller.finished(RequestId.of(String.valueOf(i - 1)), FinishKind.ANSWERED, now);
+				controller.handleFinished(RequestId.of(String.valueOf(i - 1)), FinishKind.ANSWERED, now);
 				controller.offer(request(String.valueOf(i), "a", PriorityClass.INTERACTIVE), now);
 			}
 			AdmissionDecision last = null;
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/admit/ConcurrencyLimitTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/admit/ConcurrencyLimitTests.java
@@ -14,18 +14,18 @@
 	private static final long MILLI = 1_000_000;
 
 	private final ConcurrencyLimit limit = new ConcurrencyLimit(
-			new AdmissionSettings(QueueBounds.DEFAULT, 100, 4, 32, 1000, Duration.ofMillis(100), 1.5));
+			new AdmissionSettings(QueueTimeLimits.DEFAULT, 100, 4, 32, 1000, Duration.ofMillis(100), 1.5));
 
 	private long now;
 
 	private void runRequests(FinishKind kind, long nanos, int running) {
 		for (int i = 0; i < 20; i++) {
 			for (int j = 0; j < running; j++) {
-				this.limit.started(1, this.now);
+				this.limit.requestStarted(1, this.now);
 			}
 			this.now += nanos;
 			for (int j = 0; j < running; j++) {
-				this.limit.ended(kind, 1, this.now);
+				this.limit.requestEnded(kind, 1, this.now);
 			}
 		}
 	}
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/kv/KvPricingTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/kv/KvPlannerTests.java
@@ -8,18 +8,18 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link KvPricing}.
+ * Tests for {@link KvPlanner}.
  */
-class KvPricingTests {
+class KvPlannerTests {
 
 	private static final BackendServerId SOURCE = BackendServerId.of("w1");
 
-	private final KvPricing pricing = new KvPricing(1000, 1e7, 1e6, Duration.ofMillis(10));
+	private final KvPlanner pricing = new KvPlanner(1000, 1e7, 1e6, Duration.ofMillis(10));
 
 	@Test
 	void transfersWithinTheFailureDomainWhenComputingIsSlower() {
 		KvPlan plan = this.pricing.plan(1000, 0, 1000, new KvSource(SOURCE, 800, true));
-		assertThat(plan).isEqualTo(new Move(SOURCE, 800, 290_000_000L));
+		assertThat(plan).isEqualTo(new KvTransfer(SOURCE, 800, 290_000_000L));
 	}
 
 	@Test
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/limit/LimitEnforcerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/limit/LimitEnforcerTests.java
@@ -45,9 +45,9 @@
 	private Optional<LeaseRequest> leaseRequest(GrantorRole role, long now) {
 		return this.enforcer.tick(now)
 			.stream()
-			.map((command) -> (SendAsk) command)
+			.map((command) -> (SendLeaseRequest) command)
 			.filter((command) -> command.grantor() == role)
-			.map(SendAsk::request)
+			.map(SendLeaseRequest::request)
 			.findFirst();
 	}
 
@@ -77,7 +77,8 @@
 		assertThat(demand.requests()).isEqualTo(1);
 		assertThat(demand.tokens()).isEqualTo(100);
 		assertThat(demand.slots()).isEqualTo(1);
-		assertThat(this.enforcer.granted(GrantorRole.PRIMARY, answer(sent, 1, 100, 1), MILLI)).containsExactly(ACCOUNT);
+		assertThat(this.enforcer.handleGrant(GrantorRole.PRIMARY, answer(sent, 1, 100, 1), MILLI))
+			.containsExactly(ACCOUNT);
 		assertThat(this.enforcer.offerAgain(request(100), pending.until(), MILLI)).isInstanceOf(LimitAdmitted.class);
 	}
 
@@ -110,7 +111,7 @@
 
 		@Test
 		void expireBeforeGrantorsTerm() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 5, 0, 4), MILLI);
+			LimitEnforcerTests.this.enforcer.handleGrant(GrantorRole.PRIMARY, answer(this.sent, 5, 0, 4), MILLI);
 			assertThat(LimitEnforcerTests.this.enforcer.offer(request(0), 990 * MILLI))
 				.isInstanceOf(LimitAdmitted.class);
 			assertThat(LimitEnforcerTests.this.enforcer.offer(request(0), 999 * MILLI))
@@ -119,22 +120,22 @@
 
 		@Test
 		void ofSlotsExpireCountedFromSendingTheLeaseRequest() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 0, 0, 4), 2900 * MILLI);
+			LimitEnforcerTests.this.enforcer.handleGrant(GrantorRole.PRIMARY, answer(this.sent, 0, 0, 4), 2900 * MILLI);
 			assertThat(LimitEnforcerTests.this.enforcer.slots(ACCOUNT, 2990 * MILLI)).isEqualTo(4);
 			assertThat(LimitEnforcerTests.this.enforcer.slots(ACCOUNT, 2999 * MILLI)).isZero();
 		}
 
 		@Test
 		void ofSlotsAreIgnoredWhenTheyArriveAfterTheirTerm() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 0, 0, 4), 3000 * MILLI);
+			LimitEnforcerTests.this.enforcer.handleGrant(GrantorRole.PRIMARY, answer(this.sent, 0, 0, 4), 3000 * MILLI);
 			assertThat(LimitEnforcerTests.this.enforcer.slots(ACCOUNT, 3000 * MILLI)).isZero();
 		}
 
 		@Test
 		void areAppliedOnceWhenDuplicated() {
 			LeaseGrant grant = answer(this.sent, 1, 0, 4);
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, grant, MILLI);
-			assertThat(LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, grant, MILLI)).isEmpty();
+			LimitEnforcerTests.this.enforcer.handleGrant(GrantorRole.PRIMARY, grant, MILLI);
+			assertThat(LimitEnforcerTests.this.enforcer.handleGrant(GrantorRole.PRIMARY, grant, MILLI)).isEmpty();
 			LimitEnforcerTests.this.enforcer.offer(request(0), MILLI);
 			assertThat(LimitEnforcerTests.this.enforcer.offer(request(0), MILLI)).isNotInstanceOf(LimitAdmitted.class);
 		}
@@ -143,30 +144,30 @@
 		void ofEarlierIncarnationAreIgnored() {
 			LeaseGrant grant = new LeaseGrant(Term.of(1), ENTRY, Incarnation.ZERO, this.sent.sequence(),
 					List.of(new AccountGrant(ACCOUNT, 1, 0, 1)));
-			assertThat(LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, grant, MILLI)).isEmpty();
+			assertThat(LimitEnforcerTests.this.enforcer.handleGrant(GrantorRole.PRIMARY, grant, MILLI)).isEmpty();
 		}
 
 		@Test
 		void boundTheRequestsInFlight() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 5, 0, 1), MILLI);
+			LimitEnforcerTests.this.enforcer.handleGrant(GrantorRole.PRIMARY, answer(this.sent, 5, 0, 1), MILLI);
 			LimitAdmitted admitted = (LimitAdmitted) LimitEnforcerTests.this.enforcer.offer(request(0), MILLI);
 			assertThat(LimitEnforcerTests.this.enforcer.offer(request(0), MILLI)).isNotInstanceOf(LimitAdmitted.class);
-			LimitEnforcerTests.this.enforcer.finished(admitted.permit(), 0, MILLI);
+			LimitEnforcerTests.this.enforcer.returnPermit(admitted.permit(), 0, MILLI);
 			assertThat(LimitEnforcerTests.this.enforcer.offer(request(0), MILLI)).isInstanceOf(LimitAdmitted.class);
 		}
 
 		@Test
 		void areRefundedForTokensNotGenerated() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 1, 500, 1), MILLI);
+			LimitEnforcerTests.this.enforcer.handleGrant(GrantorRole.PRIMARY, answer(this.sent, 1, 500, 1), MILLI);
 			LimitAdmitted admitted = (LimitAdmitted) LimitEnforcerTests.this.enforcer.offer(request(500), MILLI);
-			LimitEnforcerTests.this.enforcer.finished(admitted.permit(), 120, 2 * MILLI);
+			LimitEnforcerTests.this.enforcer.returnPermit(admitted.permit(), 120, 2 * MILLI);
 			LeaseRequest next = leaseRequest(GrantorRole.PRIMARY, 400 * MILLI).get();
 			assertThat(next.demands().get(0).refundedTokens()).isEqualTo(380);
 		}
 
 		@Test
 		void areReturnedWhenIdle() {
-			LimitEnforcerTests.this.enforcer.granted(GrantorRole.PRIMARY, answer(this.sent, 1, 0, 4), MILLI);
+			LimitEnforcerTests.this.enforcer.handleGrant(GrantorRole.PRIMARY, answer(this.sent, 1, 0, 4), MILLI);
 			LeaseRequest last = leaseRequest(GrantorRole.PRIMARY, 2000 * MILLI).get();
 			assertThat(last.demands().get(0).heldSlots()).isZero();
 			assertThat(LimitEnforcerTests.this.enforcer.accountsInUse()).isZero();
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/prefix/PrefixIndexTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/prefix/PrefixIndexTests.java
@@ -30,7 +30,7 @@
 
 	@BeforeEach
 	void announce() {
-		this.index.serverAnnounced(SERVER, INCARNATION);
+		this.index.addServer(SERVER, INCARNATION);
 	}
 
 	@Test
@@ -47,7 +47,7 @@
 
 	@Test
 	void sentPromptIsAssumedToBeCached() {
-		this.index.promptSent(SERVER, CHAIN, 0);
+		this.index.recordSentPrompt(SERVER, CHAIN, 0);
 		assertThat(tokens(0)).isCloseTo(360, within(0.01));
 	}
 
@@ -67,7 +67,7 @@
 	@Test
 	void newIncarnationHoldsNoBlocks() {
 		this.index.onEvent(stored(1, 11), 0);
-		this.index.serverAnnounced(SERVER, Incarnation.of(2));
+		this.index.addServer(SERVER, Incarnation.of(2));
 		assertThat(tokens(0)).isZero();
 	}
 
@@ -76,7 +76,7 @@
 		Random random = new Random(7);
 		for (int i = 1; i <= 1000; i++) {
 			this.index.onEvent(stored(i, random.nextInt(500), random.nextInt(500)), i);
-			assertThat(this.index.claims()).isBetween(0, 100);
+			assertThat(this.index.locationCount()).isBetween(0, 100);
 		}
 	}
 
