--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/request/RequestTrackerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/request/RequestTrackerTests.java
@@ -182,9 +182,9 @@
 		void sendsOnlyAfterClaimIsGranted() {
 			assertThat(acceptBooking()).containsExactly(new ChooseRoute(REQUEST, Set.of(), false));
 			assertThat(handle(new RouteChosen(REQUEST, TARGET)))
-				.containsExactly(new ClaimKeyFor(REQUEST, KEY, "digest", TARGET));
+				.containsExactly(new AcquireClaim(REQUEST, KEY, "digest", TARGET));
 			assertThat(claimed(TARGET, new ClaimGranted(running(REQUEST, TARGET))))
-				.containsExactly(new AskFlight(REQUEST, FINGERPRINT, false));
+				.containsExactly(new RequestFlightPermit(REQUEST, FINGERPRINT, false));
 			assertThat(permit(FlightPermit.GO)).containsExactly(start(1, TARGET, false, false));
 		}
 
@@ -201,7 +201,7 @@
 			assertThat(part(REQUEST, 2, END)).containsExactly(new DeliverPart(REQUEST, END),
 					new FinishClaim(KEY, REQUEST, ANSWER),
 					new CompleteRequest(REQUEST, Outcome.COMPLETED, Optional.empty()),
-					new EndFlight(REQUEST, FINGERPRINT, FlightEnd.SURVIVED));
+					new ReportFlightEnd(REQUEST, FINGERPRINT, FlightEnd.SURVIVED));
 		}
 
 		@Test
@@ -329,7 +329,7 @@
 			assertThat(outcome(handle(new CallerCancelled(REQUEST)))).contains(Outcome.UNKNOWN);
 			part(REQUEST, 1, CHUNK);
 			assertThat(part(REQUEST, 2, END)).containsExactly(new FinishClaim(KEY, REQUEST, ANSWER),
-					new EndFlight(REQUEST, FINGERPRINT, FlightEnd.SURVIVED));
+					new ReportFlightEnd(REQUEST, FINGERPRINT, FlightEnd.SURVIVED));
 			assertThat(RequestTrackerTests.this.tracker.size()).isZero();
 		}
 
@@ -402,7 +402,8 @@
 			sendLookup();
 			assertThat(end(AttemptEnd.CRASHED, 1)).hasOnlyElementsOfType(RecordCrash.class);
 			assertThat(handle(new CrashRecorded(REQUEST))).containsExactly(
-					new EndFlight(REQUEST, FINGERPRINT, FlightEnd.LOST), new AcquireIsolation(REQUEST, FINGERPRINT));
+					new ReportFlightEnd(REQUEST, FINGERPRINT, FlightEnd.LOST),
+					new AcquireIsolation(REQUEST, FINGERPRINT));
 			isolation(IsolationResult.GRANTED);
 			assertThat(handle(new RouteChosen(REQUEST, OTHER_TARGET)))
 				.containsExactly(start(2, OTHER_TARGET, true, true));
@@ -419,9 +420,9 @@
 		@Test
 		void reportsCrashToGuardOnceItIsRecorded() {
 			sendBooking();
-			assertThat(end(AttemptEnd.CRASHED, 1)).noneMatch(EndFlight.class::isInstance);
+			assertThat(end(AttemptEnd.CRASHED, 1)).noneMatch(ReportFlightEnd.class::isInstance);
 			assertThat(handle(new CrashRecorded(REQUEST)))
-				.containsExactly(new EndFlight(REQUEST, FINGERPRINT, FlightEnd.LOST));
+				.containsExactly(new ReportFlightEnd(REQUEST, FINGERPRINT, FlightEnd.LOST));
 			assertThat(RequestTrackerTests.this.tracker.size()).isZero();
 		}
 
@@ -439,7 +440,8 @@
 			acceptLookup(PoisonVerdict.CLEAR);
 			handle(new RouteChosen(REQUEST, TARGET));
 			assertThat(permit(FlightPermit.WAIT)).isEmpty();
-			assertThat(passTime(Duration.ofMillis(50))).containsExactly(new AskFlight(REQUEST, FINGERPRINT, false));
+			assertThat(passTime(Duration.ofMillis(50)))
+				.containsExactly(new RequestFlightPermit(REQUEST, FINGERPRINT, false));
 		}
 
 		@Test
@@ -447,9 +449,10 @@
 			acceptLookup(PoisonVerdict.SUSPECT);
 			isolation(IsolationResult.NOT_SUSPECTED);
 			assertThat(handle(new RouteChosen(REQUEST, TARGET)))
-				.containsExactly(new AskFlight(REQUEST, FINGERPRINT, true));
+				.containsExactly(new RequestFlightPermit(REQUEST, FINGERPRINT, true));
 			permit(FlightPermit.WAIT);
-			assertThat(passTime(Duration.ofMillis(50))).containsExactly(new AskFlight(REQUEST, FINGERPRINT, false));
+			assertThat(passTime(Duration.ofMillis(50)))
+				.containsExactly(new RequestFlightPermit(REQUEST, FINGERPRINT, false));
 		}
 
 		@Test
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/request/FlightGuardTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/request/SingleFlightGuardTests.java
@@ -11,9 +11,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link FlightGuard}.
+ * Tests for {@link SingleFlightGuard}.
  */
-class FlightGuardTests {
+class SingleFlightGuardTests {
 
 	private static final Fingerprint BODY = fingerprint("body");
 
@@ -21,8 +21,8 @@
 
 	private static final RequestId SECOND = RequestId.of("second");
 
-	private final FlightGuard guard = new FlightGuard(
-			new FlightGuardSettings(Duration.ofNanos(10), Duration.ofNanos(100), 2), -10);
+	private final SingleFlightGuard guard = new SingleFlightGuard(
+			new SingleFlightGuardSettings(Duration.ofNanos(10), Duration.ofNanos(100), 2), -10);
 
 	@Test
 	void blocksOtherRequestsDuringFirstRun() {
@@ -51,17 +51,17 @@
 	void permitsOneRequestAfterLedgerClearedTheFingerprint() {
 		requestPermit(FIRST, 0);
 		recordEnd(FIRST, FlightEnd.LOST, 1);
-		assertThat(this.guard.ask(BODY, SECOND, true, 2)).isEqualTo(FlightPermit.SUSPECT);
-		assertThat(this.guard.ask(BODY, SECOND, true, 2)).isEqualTo(FlightPermit.GO);
-		assertThat(this.guard.ask(BODY, FIRST, true, 2)).isEqualTo(FlightPermit.WAIT);
+		assertThat(this.guard.requestPermit(BODY, SECOND, true, 2)).isEqualTo(FlightPermit.SUSPECT);
+		assertThat(this.guard.requestPermit(BODY, SECOND, true, 2)).isEqualTo(FlightPermit.GO);
+		assertThat(this.guard.requestPermit(BODY, FIRST, true, 2)).isEqualTo(FlightPermit.WAIT);
 	}
 
 	@Test
 	void refersUnknownFingerprintsToLedgerAfterStartup() {
-		FlightGuard started = new FlightGuard(new FlightGuardSettings(Duration.ofNanos(10), Duration.ofNanos(100), 2),
-				0);
-		assertThat(started.ask(BODY, FIRST, false, 9)).isEqualTo(FlightPermit.SUSPECT);
-		assertThat(started.ask(BODY, FIRST, true, 9)).isEqualTo(FlightPermit.GO);
+		SingleFlightGuard started = new SingleFlightGuard(
+				new SingleFlightGuardSettings(Duration.ofNanos(10), Duration.ofNanos(100), 2), 0);
+		assertThat(started.requestPermit(BODY, FIRST, false, 9)).isEqualTo(FlightPermit.SUSPECT);
+		assertThat(started.requestPermit(BODY, FIRST, true, 9)).isEqualTo(FlightPermit.GO);
 	}
 
 	@Test
@@ -82,18 +82,18 @@
 	@Test
 	void evictsOldestFingerprintWhenFull() {
 		requestPermit(FIRST, 0);
-		this.guard.ask(fingerprint("a"), SECOND, false, 1);
-		this.guard.ask(fingerprint("b"), SECOND, false, 1);
+		this.guard.requestPermit(fingerprint("a"), SECOND, false, 1);
+		this.guard.requestPermit(fingerprint("b"), SECOND, false, 1);
 		assertThat(this.guard.size()).isEqualTo(2);
 		assertThat(requestPermit(SECOND, 2)).isEqualTo(FlightPermit.GO);
 	}
 
 	private FlightPermit requestPermit(RequestId request, long now) {
-		return this.guard.ask(BODY, request, false, now);
+		return this.guard.requestPermit(BODY, request, false, now);
 	}
 
 	private void recordEnd(RequestId request, FlightEnd end, long now) {
-		this.guard.end(BODY, request, end, now);
+		this.guard.recordEnd(BODY, request, end, now);
 	}
 
 	private static Fingerprint fingerprint(String digest) {
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/retry/RetryControllerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/retry/RetryControllerTests.java
@@ -33,7 +33,7 @@
 
 	private void firstAttempts(String account, int count) {
 		for (int i = 0; i < count; i++) {
-			this.controller.firstAttempt(AccountId.of(account), SERVICE);
+			this.controller.recordFirstAttempt(AccountId.of(account), SERVICE);
 		}
 	}
 
@@ -70,7 +70,7 @@
 	void stopsWhenAnswerWouldArriveAfterDeadline() {
 		firstAttempts("a", 100);
 		for (int i = 0; i < 200; i++) {
-			this.controller.answered(SERVICE, SECOND);
+			this.controller.recordLatency(SERVICE, SECOND);
 		}
 		assertThat(this.controller.decide(query("a", 1, SECOND / 2)).reason()).isEqualTo("deadline-too-near");
 	}
@@ -90,7 +90,7 @@
 	void hedgesAfterObservedLatencyQuantile() {
 		assertThat(this.controller.hedgeDelay(SERVICE)).isEmpty();
 		for (int i = 1; i <= 1000; i++) {
-			this.controller.answered(SERVICE, i * 1_000_000L);
+			this.controller.recordLatency(SERVICE, i * 1_000_000L);
 		}
 		assertThat(this.controller.hedgeDelay(SERVICE).get()).isBetween(Duration.ofMillis(940),
 				Duration.ofMillis(1050));
@@ -99,8 +99,8 @@
 	@Test
 	void hedgesWithinTheRetryBudget() {
 		firstAttempts("a", 15);
-		assertThat(this.controller.allowsHedge(RequestId.of("r"), AccountId.of("a"), SERVICE, SECOND)).isTrue();
-		assertThat(this.controller.allowsHedge(RequestId.of("r"), AccountId.of("a"), SERVICE, SECOND)).isFalse();
+		assertThat(this.controller.acquireHedge(RequestId.of("r"), AccountId.of("a"), SERVICE, SECOND)).isTrue();
+		assertThat(this.controller.acquireHedge(RequestId.of("r"), AccountId.of("a"), SERVICE, SECOND)).isFalse();
 	}
 
 }
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/route/RouterTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/route/RouterTests.java
@@ -17,7 +17,7 @@
 import org.comfreywall.common.id.Incarnation;
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.id.RequestId;
-import org.comfreywall.entry.kv.Move;
+import org.comfreywall.entry.kv.KvTransfer;
 import org.comfreywall.entry.prefix.BlockHashes;
 import org.comfreywall.entry.prefix.BlocksStored;
 import org.comfreywall.entry.prefix.PromptChain;
@@ -147,7 +147,7 @@
 		report("w1", 8, 50_000);
 		RouteChoice choice = this.router.choose(request(2000), this.now).orElseThrow();
 		assertThat(choice.server().value()).isEqualTo("w2");
-		assertThat(choice.kvPlan()).isInstanceOfSatisfying(Move.class,
+		assertThat(choice.kvPlan()).isInstanceOfSatisfying(KvTransfer.class,
 				(move) -> assertThat(move.source().value()).isEqualTo("w1"));
 	}
 
@@ -193,7 +193,7 @@
 
 	private void store(String server) {
 		this.router.on(
-				new CacheChanged(
+				new CacheEventReceived(
 						new BlocksStored(BackendServerId.of(server), INCARNATION, 1, BlockHashes.of(1, 2, 3, 4))),
 				this.now);
 	}
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/route/ServerTableTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/route/ServerTableTests.java
@@ -20,19 +20,19 @@
 	void endedIncarnationIsRejectedWhenMoreServersEndedThanMayBeKnown() {
 		this.table.remove(BackendServerId.of("w1"), INCARNATION);
 		this.table.remove(BackendServerId.of("w2"), INCARNATION);
-		assertThat(this.table.announce(announced("w1", 1), 0)).isFalse();
+		assertThat(this.table.applyAnnouncement(announced("w1", 1), 0)).isFalse();
 	}
 
 	@Test
 	void rejectsServersBeyondTheMaximum() {
-		assertThat(this.table.announce(announced("w1", 1), 0)).isTrue();
-		assertThat(this.table.announce(announced("w2", 1), 0)).isFalse();
+		assertThat(this.table.applyAnnouncement(announced("w1", 1), 0)).isTrue();
+		assertThat(this.table.applyAnnouncement(announced("w2", 1), 0)).isFalse();
 	}
 
 	@Test
 	void laterIncarnationReplacesTheEarlierOne() {
-		this.table.announce(announced("w1", 1), 0);
-		assertThat(this.table.announce(announced("w1", 2), 0)).isTrue();
+		this.table.applyAnnouncement(announced("w1", 1), 0);
+		assertThat(this.table.applyAnnouncement(announced("w1", 2), 0)).isTrue();
 		assertThat(this.table.remove(BackendServerId.of("w1"), INCARNATION)).isEmpty();
 	}
 
