--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/RequestKind.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/RequestKind.java
@@ -18,7 +18,7 @@
 	 * Returns whether a request that may have run can be sent again.
 	 * @return {@code true} for idempotent requests and resumable streams
 	 */
-	public boolean isRepeatable() {
+	public boolean isRetryable() {
 		return this == IDEMPOTENT || this == RESUMABLE_STREAM;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FoundingCouncil.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/BootstrapQuorum.java
@@ -16,7 +16,7 @@
  * a while. It never changes afterwards, so that the log is bootstrapped only once. A
  * coordinator that has restarted chooses no voters, as the first start is over.
  */
-final class FoundingCouncil {
+final class BootstrapQuorum {
 
 	/** Longest expected gap between the starts of two processes. */
 	private static final Duration QUIET_PERIOD = Duration.ofMillis(700);
@@ -32,9 +32,9 @@
 
 	private long lastRegistered;
 
-	private List<String> founders = List.of();
+	private List<String> initialVoters = List.of();
 
-	FoundingCouncil(int targetVoters) {
+	BootstrapQuorum(int targetVoters) {
 		this.targetVoters = targetVoters;
 	}
 
@@ -44,9 +44,9 @@
 	 * @param now the current time in nanoseconds
 	 * @return the instances of the initial voters; empty until they are chosen
 	 */
-	List<String> ask(FleetPeer peer, long now) {
-		if (!this.founders.isEmpty()) {
-			return this.founders;
+	List<String> register(FleetPeer peer, long now) {
+		if (!this.initialVoters.isEmpty()) {
+			return this.initialVoters;
 		}
 		if (this.candidates.isEmpty()) {
 			this.firstRegistered = now;
@@ -58,9 +58,9 @@
 		boolean timedOut = now - this.firstRegistered > TIMEOUT.toNanos();
 		if (quiet && (this.candidates.size() >= this.targetVoters || timedOut)) {
 			int count = Math.min(this.targetVoters, (this.candidates.size() - 1) / 2 * 2 + 1);
-			this.founders = acrossDomains().subList(0, count);
+			this.initialVoters = acrossDomains().subList(0, count);
 		}
-		return this.founders;
+		return this.initialVoters;
 	}
 
 	// Orders the candidates round-robin over the failure domains.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LoopDeputyPort.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/EventLoopDeputyPort.java
@@ -4,8 +4,8 @@
 import java.util.concurrent.Executor;
 import java.util.function.Function;
 
+import org.comfreywall.gateway.group.DelegatedSwitch;
 import org.comfreywall.gateway.group.DeputyPort;
-import org.comfreywall.gateway.group.EntrustedSwitch;
 
 /**
  * Dispatches calls of the thread that coordinates groups to the event loop.
@@ -13,17 +13,17 @@
  * @param loop the event loop
  * @param calls sends the messages to the deputies
  */
-record LoopDeputyPort(Executor loop, GroupCalls calls) implements DeputyPort {
+record EventLoopDeputyPort(Executor loop, GroupMessenger calls) implements DeputyPort {
 
 	@Override
-	public CompletableFuture<Void> entrust(EntrustedSwitch entrusted) {
-		return CompletableFuture.supplyAsync(() -> this.calls.entrust(entrusted), this.loop)
+	public CompletableFuture<Void> delegate(DelegatedSwitch entrusted) {
+		return CompletableFuture.supplyAsync(() -> this.calls.delegate(entrusted), this.loop)
 			.thenCompose(Function.identity());
 	}
 
 	@Override
-	public void ended(EntrustedSwitch entrusted) {
-		this.loop.execute(() -> this.calls.ended(entrusted));
+	public void notifyEnded(DelegatedSwitch entrusted) {
+		this.loop.execute(() -> this.calls.notifyEnded(entrusted));
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetListener.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetListener.java
@@ -21,13 +21,13 @@
 	 * Called for each announcement that changes the state kept for a backend server.
 	 * @param announcement the announcement
 	 */
-	void onServer(ServerAnnouncement announcement);
+	void onServerChanged(ServerAnnouncement announcement);
 
 	/**
 	 * Called when a backend server was removed because it had been silent for too long.
 	 * @param announcement its last announcement
 	 */
-	void onForgotten(ServerAnnouncement announcement);
+	void onServerRemoved(ServerAnnouncement announcement);
 
 	/**
 	 * Called when another entry's counts of requests in flight were received.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetMethods.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetMethods.java
@@ -14,7 +14,7 @@
 final class FleetMethods {
 
 	/** Sends an update that the receiver acknowledges once it is applied. */
-	static final RpcMethod<FleetNews, FleetNewsReply> CONFIRM_NEWS = new RpcMethod<>("fleet.confirm-news",
+	static final RpcMethod<FleetNews, FleetNewsReply> ACKNOWLEDGED_UPDATE = new RpcMethod<>("fleet.confirm-news",
 			FleetNews.parser(), FleetNewsReply.parser());
 
 	/** Queries a newer version of the document. */
@@ -25,11 +25,11 @@
 	 * Queries the initial voters of the replicated log; only the coordinator of the
 	 * bootstrap chooses them.
 	 */
-	static final RpcMethod<FoundingRequest, FoundingReply> FOUND = new RpcMethod<>("fleet.found",
+	static final RpcMethod<FoundingRequest, FoundingReply> BOOTSTRAP = new RpcMethod<>("fleet.found",
 			FoundingRequest.parser(), FoundingReply.parser());
 
 	/** Topic of periodic updates, which are not acknowledged. */
-	static final String NEWS_TOPIC = "fleet.news";
+	static final String UPDATE_TOPIC = "fleet.news";
 
 	private FleetMethods() {
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -87,23 +87,23 @@
 
 	private final RpcServer server = new RpcServer();
 
-	private final FleetRoster peers = new FleetRoster();
+	private final PeerTable peers = new PeerTable();
 
 	private final ServerDirectory directory = new ServerDirectory();
 
 	private final PeerClients clients;
 
-	private final GroupCalls groups;
+	private final GroupMessenger groups;
 
 	private final long incarnation = System.currentTimeMillis();
 
 	private final SerialWorker storageWorker;
 
-	private final LogFounding bootstrap;
+	private final LogBootstrap bootstrap;
 
 	private final VoterPlanner planner;
 
-	private final Optional<DurableControl> replica;
+	private final Optional<LocalReplica> replica;
 
 	private final Optional<PeerFile> peerFile;
 
@@ -133,16 +133,16 @@
 		this.settings = Preconditions.notNull(settings, "settings");
 		this.loop = Preconditions.notNull(loop, "loop");
 		this.listener = Preconditions.notNull(listener, "listener");
-		this.planner = new VoterPlanner(settings.wantedVoters());
+		this.planner = new VoterPlanner(settings.targetVoters());
 		PeerIdentity self = new PeerIdentity(InstanceId.of(settings.instance()), Incarnation.of(this.incarnation));
 		this.transport = this.closer.register(new Transport(self, TIMES, TransportSecurity.PLAIN, 1));
 		this.clients = new PeerClients(this.transport);
-		this.groups = new GroupCalls(settings, this.peers, this.clients, ranks, this::leaderAddress);
+		this.groups = new GroupMessenger(settings, this.peers, this.clients, ranks, this::leaderAddress);
 		this.storageWorker = this.closer.register(new SerialWorker("storage", WORKER_RING));
-		this.bootstrap = new LogFounding(settings, this::self, this.clients, loop, this.storageWorker);
+		this.bootstrap = new LogBootstrap(settings, this::self, this.clients, loop, this.storageWorker);
 		this.peerFile = PeerFile.of(settings);
 		this.replica = settings.dataFolder()
-			.map((folder) -> new DurableControl(folder, settings.instance(), this::sendToMember,
+			.map((folder) -> new LocalReplica(folder, settings.instance(), this::sendToMember,
 					(newer) -> this.loop.execute(() -> updateDocument(newer))));
 		this.replica.ifPresent(this.closer::register);
 		register();
@@ -153,7 +153,7 @@
 	 * Starts sending updates and, with a disk, the replica of the replicated log.
 	 */
 	public void start() {
-		this.loop.execute(() -> reseed(this.settings.seeds()));
+		this.loop.execute(() -> updateSeeds(this.settings.seeds()));
 		this.replica.ifPresent((opened) -> this.storageWorker.execute(() -> {
 			List<HostPort> peers = this.peerFile.map(PeerFile::load).orElse(List.of());
 			this.loop.execute(() -> addPeers(peers));
@@ -169,16 +169,18 @@
 
 	private void register() {
 		this.server.register(ControlMethods.LOG_TOPIC, (connection, payload) -> receiveLog(payload));
-		this.server.register(FleetMethods.NEWS_TOPIC, (connection, payload) -> receiveUpdate(payload));
-		this.server.register(FleetMethods.CONFIRM_NEWS, (caller, update) -> onLoop(() -> {
+		this.server.register(FleetMethods.UPDATE_TOPIC, (connection, payload) -> receiveUpdate(payload));
+		this.server.register(FleetMethods.ACKNOWLEDGED_UPDATE, (caller, update) -> onLoop(() -> {
 			applyUpdate(update);
 			return Result.success(FleetNewsReply.getDefaultInstance());
 		}));
 		this.server.register(FleetMethods.DOCUMENT, (caller, request) -> onLoop(() -> document(request)));
-		this.server.register(FleetMethods.FOUND, (caller, request) -> onLoop(() -> this.bootstrap.answer(request)));
-		this.server.register(RankMethods.RANK, (caller, notice) -> onLoop(() -> this.groups.rank(notice)));
-		this.server.register(RankMethods.SWITCH, (caller, notice) -> onLoop(() -> this.groups.switched(notice)));
-		new LogCalls(this::localNode).register(this.server);
+		this.server.register(FleetMethods.BOOTSTRAP,
+				(caller, request) -> onLoop(() -> this.bootstrap.handleRequest(request)));
+		this.server.register(RankMethods.RANK, (caller, notice) -> onLoop(() -> this.groups.handleRankNotice(notice)));
+		this.server.register(RankMethods.SWITCH,
+				(caller, notice) -> onLoop(() -> this.groups.handleSwitchNotice(notice)));
+		new LogRequestHandler(this::localNode).register(this.server);
 	}
 
 	private <T> CompletionStage<T> onLoop(Supplier<T> action) {
@@ -189,15 +191,15 @@
 	 * Replaces the seeds.
 	 * @param seeds the addresses of other processes
 	 */
-	public void reseed(List<HostPort> seeds) {
+	public void updateSeeds(List<HostPort> seeds) {
 		this.settings = this.settings.withSeeds(seeds);
 		addPeers(seeds);
 	}
 
 	private void addPeers(List<HostPort> peers) {
 		long now = System.nanoTime();
-		peers.forEach((peer) -> this.peers.named(peer, now));
-		this.clients.connect(this.peers, this.settings);
+		peers.forEach((peer) -> this.peers.addAddress(peer, now));
+		this.clients.updateConnections(this.peers, this.settings);
 	}
 
 	/**
@@ -221,12 +223,12 @@
 	public CompletableFuture<Boolean> announceToAll(ServerAnnouncement announcement) {
 		merge(announcement, System.nanoTime());
 		FleetNews update = newUpdate().addServers(FleetCodec.encode(announcement, 0)).build();
-		NewsConfirmation acknowledgements = new NewsConfirmation(this.peers.live(System.nanoTime()),
-				this.settings.wantedVoters(), this.replica.isPresent());
+		UpdateAcknowledgements acknowledgements = new UpdateAcknowledgements(this.peers.live(System.nanoTime()),
+				this.settings.targetVoters(), this.replica.isPresent());
 		for (FleetPeer peer : this.peers.live(System.nanoTime())) {
-			this.clients.at(peer.address())
-				.call(FleetMethods.CONFIRM_NEWS, update, CALL_TIMEOUT)
-				.thenAcceptAsync((reply) -> acknowledgements.answered(peer, reply.value().isPresent()), this.loop);
+			this.clients.findOrOpen(peer.address())
+				.call(FleetMethods.ACKNOWLEDGED_UPDATE, update, CALL_TIMEOUT)
+				.thenAcceptAsync((reply) -> acknowledgements.recordReply(peer, reply.value().isPresent()), this.loop);
 		}
 		return acknowledgements.result();
 	}
@@ -267,9 +269,9 @@
 		}, this.loop);
 	}
 
-	private LeaderCalls leaderClient() {
-		Optional<RpcClient> client = this.clients.of(currentLeader());
-		return new LeaderCalls(localNode().filter((node) -> node.status().role() == Role.LEADER), client);
+	private LeaderClient leaderClient() {
+		Optional<RpcClient> client = this.clients.findByInstance(currentLeader());
+		return new LeaderClient(localNode().filter((node) -> node.status().role() == Role.LEADER), client);
 	}
 
 	/**
@@ -284,8 +286,8 @@
 	 * Returns the number of processes that sent an update within the last 7 seconds.
 	 * @return the count, including this process
 	 */
-	public int members() {
-		return this.peers.heardWithin(LOST_TIMEOUT, System.nanoTime()).size() + 1;
+	public int liveProcesses() {
+		return this.peers.updatedWithin(LOST_TIMEOUT, System.nanoTime()).size() + 1;
 	}
 
 	/**
@@ -293,7 +295,7 @@
 	 * processes.
 	 * @return {@code false} if it may be partitioned from the fleet
 	 */
-	public boolean isCurrent() {
+	public boolean reachesMajority() {
 		int known = this.peers.known().size() + 1;
 		return (this.peers.live(System.nanoTime()).size() + 1) * 2 > known;
 	}
@@ -303,7 +305,7 @@
 	 * leader lease.
 	 * @return {@code true} while it may coordinate groups
 	 */
-	public boolean leads() {
+	public boolean holdsLeaderLease() {
 		return localNode().filter(ControlNode::holdsLease).isPresent();
 	}
 
@@ -318,7 +320,7 @@
 	/**
 	 * Transfers leadership to another live voter, before this process stops.
 	 */
-	public void yieldLeadership() {
+	public void transferLeadership() {
 		localNode().filter((node) -> node.status().role() == Role.LEADER)
 			.ifPresent((node) -> node.status()
 				.membership()
@@ -335,11 +337,11 @@
 	}
 
 	private Optional<ControlNode> localNode() {
-		return this.replica.flatMap(DurableControl::node);
+		return this.replica.flatMap(LocalReplica::node);
 	}
 
 	private FleetPeer self() {
-		long storage = this.replica.map(DurableControl::storageId).orElse(0L);
+		long storage = this.replica.map(LocalReplica::storageId).orElse(0L);
 		return new FleetPeer(this.settings.instance(), this.settings.address(), this.settings.domain(),
 				this.incarnation, storage);
 	}
@@ -353,7 +355,7 @@
 	}
 
 	private Optional<HostPort> leaderAddress() {
-		return leads() ? Optional.of(this.settings.address())
+		return holdsLeaderLease() ? Optional.of(this.settings.address())
 				: this.peers.find(currentLeader()).map(FleetPeer::address);
 	}
 
@@ -363,7 +365,7 @@
 	 * @return the port
 	 */
 	public DeputyPort deputies() {
-		return new LoopDeputyPort(this.loop, this.groups);
+		return new EventLoopDeputyPort(this.loop, this.groups);
 	}
 
 	private FleetNews.Builder newUpdate() {
@@ -380,7 +382,7 @@
 		FleetNews.Builder update = newUpdate().setHasInFlight(true);
 		this.listener.inFlight()
 			.forEach((server, requests) -> update.addInFlightBuilder().setServer(server).setRequests(requests));
-		if (leads()) {
+		if (holdsLeaderLease()) {
 			Map<HostPort, Double> slow = this.groups.slowServers();
 			update.setLeads(true);
 			slow.forEach(
@@ -401,7 +403,7 @@
 
 	private void broadcast(FleetNews update) {
 		ByteString payload = update.toByteString();
-		this.clients.sendToAll(FleetMethods.NEWS_TOPIC, payload);
+		this.clients.sendToAll(FleetMethods.UPDATE_TOPIC, payload);
 	}
 
 	private void receiveUpdate(ByteString payload) {
@@ -420,13 +422,13 @@
 		if (sender.isEmpty() || sender.get().instance().equals(this.settings.instance())) {
 			return;
 		}
-		this.peers.heard(sender.get(), now);
+		this.peers.recordUpdate(sender.get(), now);
 		for (FleetMember member : update.getMembersList()) {
 			FleetCodec.decode(member)
 				.filter((peer) -> !peer.address().equals(this.settings.address()))
-				.ifPresent((peer) -> this.peers.named(peer.address(), now));
+				.ifPresent((peer) -> this.peers.addAddress(peer.address(), now));
 		}
-		this.clients.connect(this.peers, this.settings);
+		this.clients.updateConnections(this.peers, this.settings);
 		update.getServersList()
 			.forEach((notice) -> FleetCodec.decode(notice)
 				.ifPresent((server) -> merge(server, now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis()))));
@@ -450,7 +452,7 @@
 
 	private void fetchDocument(FleetPeer from) {
 		DocumentRequest request = DocumentRequest.newBuilder().setKnownVersion(this.document.version()).build();
-		this.clients.at(from.address())
+		this.clients.findOrOpen(from.address())
 			.call(FleetMethods.DOCUMENT, request, CALL_TIMEOUT)
 			.thenAcceptAsync(
 					(reply) -> reply.value()
@@ -490,33 +492,33 @@
 						Field.of("started", announcement.startedMillis()),
 						Field.of("sequence", announcement.sequence()));
 			}
-			this.listener.onServer(announcement);
+			this.listener.onServerChanged(announcement);
 		}
 		return changed;
 	}
 
 	private void maintain() {
 		long now = System.nanoTime();
-		this.peers.forget(now, this.settings.seeds());
-		this.clients.connect(this.peers, this.settings);
-		this.directory.forget(now).forEach(this.listener::onForgotten);
+		this.peers.removeExpired(now, this.settings.seeds());
+		this.clients.updateConnections(this.peers, this.settings);
+		this.directory.removeExpired(now).forEach(this.listener::onServerRemoved);
 		updateLiveInstances(now);
 		this.replica.ifPresent((opened) -> {
 			if (opened.storageId() != 0) {
 				List<HostPort> peers = durablePeers(now);
 				this.storageWorker.offer(() -> {
-					opened.repair();
+					opened.reopenIfFailed();
 					this.peerFile.ifPresent((file) -> file.save(peers));
 				});
 			}
 		});
-		if (leads()) {
+		if (holdsLeaderLease()) {
 			planVoters(now);
 		}
 	}
 
 	private List<HostPort> durablePeers(long now) {
-		return this.peers.heardWithin(LOST_TIMEOUT, now)
+		return this.peers.updatedWithin(LOST_TIMEOUT, now)
 			.stream()
 			.filter(FleetPeer::isDurable)
 			.map(FleetPeer::address)
@@ -538,14 +540,14 @@
 	private void planVoters(long now) {
 		ControlNode node = localNode().orElseThrow();
 		Set<String> recent = new HashSet<>(Set.of(this.settings.instance()));
-		this.peers.heardWithin(LOST_TIMEOUT, now).forEach((peer) -> recent.add(peer.instance()));
+		this.peers.updatedWithin(LOST_TIMEOUT, now).forEach((peer) -> recent.add(peer.instance()));
 		Set<String> lost = new HashSet<>();
 		node.status().membership().members().forEach((member) -> {
 			if (!recent.contains(member.instance().value())) {
 				lost.add(member.instance().value());
 			}
 		});
-		this.planner.next(node.status().membership(), this.peers.live(now), lost)
+		this.planner.nextChange(node.status().membership(), this.peers.live(now), lost)
 			.ifPresent((change) -> node.changeMembers(change)
 				.thenAccept((result) -> LOG.info("voters-changed", Field.of("change", change),
 						Field.of("error", result.error().map((error) -> error.message()).orElse("none")))));
@@ -558,7 +560,7 @@
 	}
 
 	private void sendToMember(PeerMessage message) {
-		this.clients.of(message.to().value())
+		this.clients.findByInstance(message.to().value())
 			.ifPresent((client) -> client.send(ControlMethods.LOG_TOPIC,
 					ByteString.copyFrom(LogCodec.encodeMessage(message).toArray())));
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetSettings.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetSettings.java
@@ -37,7 +37,7 @@
 	 * losses.
 	 * @return the target number of voters
 	 */
-	public int wantedVoters() {
+	public int targetVoters() {
 		return 2 * this.toleratedLosses + 1;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/GroupCalls.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/GroupMessenger.java
@@ -14,7 +14,7 @@
 import org.comfreywall.common.result.Result;
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.gateway.group.EntrustedSwitch;
+import org.comfreywall.gateway.group.DelegatedSwitch;
 import org.comfreywall.gateway.group.RankReport;
 import org.comfreywall.transport.generated.ExpertList;
 import org.comfreywall.transport.generated.RankNotice;
@@ -25,9 +25,9 @@
 /**
  * Handles and sends the messages about groups between processes; used on the event loop.
  */
-final class GroupCalls {
+final class GroupMessenger {
 
-	private static final EventLog LOG = EventLog.of(GroupCalls.class);
+	private static final EventLog LOG = EventLog.of(GroupMessenger.class);
 
 	/** Number of processes besides the coordinator that a switch is delegated to. */
 	private static final int DEPUTIES = 2;
@@ -42,7 +42,7 @@
 
 	private final FleetSettings settings;
 
-	private final FleetRoster peers;
+	private final PeerTable peers;
 
 	private final PeerClients clients;
 
@@ -50,11 +50,11 @@
 
 	private final Supplier<Optional<HostPort>> leader;
 
-	private final PaceBoard slowRanks = new PaceBoard();
+	private final SlowRankTracker slowRanks = new SlowRankTracker();
 
 	private List<FleetPeer> deputies = List.of();
 
-	GroupCalls(FleetSettings settings, FleetRoster peers, PeerClients clients, RankObserver observer,
+	GroupMessenger(FleetSettings settings, PeerTable peers, PeerClients clients, RankObserver observer,
 			Supplier<Optional<HostPort>> leader) {
 		this.settings = settings;
 		this.peers = peers;
@@ -64,13 +64,13 @@
 	}
 
 	// Only the leader handles the notice; the reply redirects the rank to the leader.
-	Result<RankNoticeReply> rank(RankNotice notice) {
+	Result<RankNoticeReply> handleRankNotice(RankNotice notice) {
 		Optional<HostPort> address = this.leader.get();
 		boolean leads = address.filter(this.settings.address()::equals).isPresent();
 		if (leads && notice.getRank() < notice.getSize()) {
 			RankReport report = report(notice);
-			this.slowRanks.heard(report, System.nanoTime());
-			this.observer.onRank(notice.getService(), report, notice.getChosenList());
+			this.slowRanks.addReport(report, System.nanoTime());
+			this.observer.onRankReport(notice.getService(), report, notice.getChosenList());
 		}
 		RankNoticeReply.Builder reply = RankNoticeReply.newBuilder()
 			.setLeader(address.map(HostPort::toString).orElse(""));
@@ -88,22 +88,22 @@
 	}
 
 	Map<HostPort, Double> slowServers() {
-		return this.slowRanks.slow(System.nanoTime());
+		return this.slowRanks.slowServers(System.nanoTime());
 	}
 
-	Result<SwitchNoticeReply> switched(SwitchNotice notice) {
-		EntrustedSwitch entrusted = new EntrustedSwitch(notice.getGroup(), notice.getEpoch(), notice.getVersion(),
+	Result<SwitchNoticeReply> handleSwitchNotice(SwitchNotice notice) {
+		DelegatedSwitch entrusted = new DelegatedSwitch(notice.getGroup(), notice.getEpoch(), notice.getVersion(),
 				notice.getStep(), notice.getHolder(), notice.getServersList());
 		if (notice.getEnded()) {
-			this.observer.onEnded(entrusted);
+			this.observer.onSwitchEnded(entrusted);
 		}
 		else {
-			this.observer.onEntrusted(entrusted, Duration.ofMillis(notice.getPatienceMs()));
+			this.observer.onSwitchDelegated(entrusted, Duration.ofMillis(notice.getPatienceMs()));
 		}
 		return Result.success(SwitchNoticeReply.getDefaultInstance());
 	}
 
-	CompletableFuture<Void> entrust(EntrustedSwitch entrusted) {
+	CompletableFuture<Void> delegate(DelegatedSwitch entrusted) {
 		this.deputies = this.peers.live(System.nanoTime()).stream().limit(DEPUTIES).toList();
 		LOG.info("switch-entrusted", Field.of("group", entrusted.group()), Field.of("version", entrusted.version()),
 				Field.of("step", entrusted.step()),
@@ -126,21 +126,23 @@
 		return completed;
 	}
 
-	void ended(EntrustedSwitch entrusted) {
+	void notifyEnded(DelegatedSwitch entrusted) {
 		this.deputies.forEach((deputy) -> call(deputy, notice(entrusted).setEnded(true).build()));
 	}
 
 	private CompletableFuture<Boolean> call(FleetPeer deputy, SwitchNotice notice) {
-		return this.clients.at(deputy.address()).call(RankMethods.SWITCH, notice, CALL_TIMEOUT).thenApply((reply) -> {
-			reply.error()
-				.ifPresent((error) -> LOG.warn("deputy-not-reached", Field.of("deputy", deputy.address()),
-						Field.of("group", notice.getGroup()), Field.of("version", notice.getVersion()),
-						Field.of("error", error)));
-			return reply.value().isPresent();
-		});
+		return this.clients.findOrOpen(deputy.address())
+			.call(RankMethods.SWITCH, notice, CALL_TIMEOUT)
+			.thenApply((reply) -> {
+				reply.error()
+					.ifPresent((error) -> LOG.warn("deputy-not-reached", Field.of("deputy", deputy.address()),
+							Field.of("group", notice.getGroup()), Field.of("version", notice.getVersion()),
+							Field.of("error", error)));
+				return reply.value().isPresent();
+			});
 	}
 
-	private static SwitchNotice.Builder notice(EntrustedSwitch entrusted) {
+	private static SwitchNotice.Builder notice(DelegatedSwitch entrusted) {
 		return SwitchNotice.newBuilder()
 			.setGroup(entrusted.group())
 			.setEpoch(entrusted.epoch())
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LeaderCalls.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LeaderClient.java
@@ -21,7 +21,7 @@
  * @param local the local replica, if it is the leader
  * @param remote the connection to the leader, if that is another process
  */
-record LeaderCalls(Optional<ControlNode> local, Optional<RpcClient> remote) {
+record LeaderClient(Optional<ControlNode> local, Optional<RpcClient> remote) {
 
 	/** Callers of this process try another one after a second. */
 	private static final Duration TIMEOUT = Duration.ofMillis(900);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LeaderSearch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LeaderDiscovery.java
@@ -17,7 +17,7 @@
  * Redirects to a process that has timed out are therefore ignored for a while, and the
  * process that sent the redirect is queried again until it knows the new leader.
  */
-final class LeaderSearch {
+final class LeaderDiscovery {
 
 	/** A new leader is elected within this time after the failure of the old one. */
 	private static final Duration AVOIDANCE = Duration.ofMillis(1500);
@@ -40,7 +40,7 @@
 	 * Starts with the first candidate.
 	 * @param candidates the addresses of processes that may know the leader
 	 */
-	LeaderSearch(List<HostPort> candidates) {
+	LeaderDiscovery(List<HostPort> candidates) {
 		Preconditions.check(!candidates.isEmpty(), "candidates must not be empty");
 		this.candidates = List.copyOf(candidates);
 		this.current = this.candidates.get(0);
@@ -58,7 +58,7 @@
 	 * Adds candidates in front of the existing ones.
 	 * @param seeds the addresses of processes that may know the leader
 	 */
-	void reseed(List<HostPort> seeds) {
+	void addSeeds(List<HostPort> seeds) {
 		List<HostPort> all = new ArrayList<>(seeds);
 		this.candidates.stream().filter((known) -> !all.contains(known)).forEach(all::add);
 		this.candidates = all;
@@ -70,7 +70,7 @@
 	 * @param members the processes that it knows, which become the candidates
 	 * @param now the current time in nanoseconds
 	 */
-	void answered(Optional<HostPort> leader, List<HostPort> members, long now) {
+	void handleReply(Optional<HostPort> leader, List<HostPort> members, long now) {
 		if (!members.isEmpty()) {
 			this.candidates = List.copyOf(members);
 		}
@@ -84,7 +84,7 @@
 	 * the next candidate.
 	 * @param now the current time in nanoseconds
 	 */
-	void silent(long now) {
+	void handleTimeout(long now) {
 		this.timeouts++;
 		if (this.timeouts < TIMEOUTS_TO_AVOID) {
 			return;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/DurableControl.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LocalReplica.java
@@ -37,9 +37,9 @@
  * This process's replica of the replicated log, which is reopened after its storage has
  * failed.
  */
-final class DurableControl implements AutoCloseable {
+final class LocalReplica implements AutoCloseable {
 
-	private static final EventLog LOG = EventLog.of(DurableControl.class);
+	private static final EventLog LOG = EventLog.of(LocalReplica.class);
 
 	/** Each log entry holds a whole document, so the log is compacted often. */
 	private static final int SNAPSHOT_INTERVAL = 64;
@@ -73,7 +73,7 @@
 
 	private long storageId;
 
-	DurableControl(Path folder, String self, PeerSender sender, Consumer<VersionedDocument> listener) {
+	LocalReplica(Path folder, String self, PeerSender sender, Consumer<VersionedDocument> listener) {
 		this.folder = folder;
 		this.self = InstanceId.of(self);
 		this.sender = sender;
@@ -92,7 +92,7 @@
 	 * Opens an empty folder as one of the initial voters.
 	 * @param founders the instances of all initial voters
 	 */
-	void found(List<String> founders) {
+	void bootstrap(List<String> founders) {
 		open(FolderOrigin.founding(this.self, founders.stream().map(InstanceId::of).toList()));
 	}
 
@@ -141,7 +141,7 @@
 	/**
 	 * Reopens the storage if it has failed or could not be opened.
 	 */
-	void repair() {
+	void reopenIfFailed() {
 		if (this.node.filter((running) -> running.status().role() == Role.DISABLED).isPresent()) {
 			LOG.warn("storage-reopened", Field.of("storage-id", this.storageId));
 			this.node.ifPresent(ControlNode::close);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogFounding.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogBootstrap.java
@@ -20,9 +20,9 @@
  * Opens this process's replica of the replicated log, and bootstraps the log exactly once
  * at the first start of the fleet.
  */
-final class LogFounding {
+final class LogBootstrap {
 
-	private static final EventLog LOG = EventLog.of(LogFounding.class);
+	private static final EventLog LOG = EventLog.of(LogBootstrap.class);
 
 	private static final Duration RETRY_INTERVAL = Duration.ofMillis(200);
 
@@ -38,19 +38,19 @@
 
 	private final SerialWorker storageWorker;
 
-	private final FoundingCouncil quorum;
+	private final BootstrapQuorum quorum;
 
-	LogFounding(FleetSettings settings, Supplier<FleetPeer> self, PeerClients clients, EventLoop loop,
+	LogBootstrap(FleetSettings settings, Supplier<FleetPeer> self, PeerClients clients, EventLoop loop,
 			SerialWorker storageWorker) {
 		this.settings = settings;
 		this.self = self;
 		this.clients = clients;
 		this.loop = loop;
 		this.storageWorker = storageWorker;
-		this.quorum = new FoundingCouncil(settings.wantedVoters());
+		this.quorum = new BootstrapQuorum(settings.targetVoters());
 	}
 
-	void open(DurableControl replica) {
+	void open(LocalReplica replica) {
 		if (replica.hasLog() || !this.settings.firstStart()) {
 			replica.open();
 			return;
@@ -60,7 +60,7 @@
 
 	// All processes choose the seed with the lowest address as coordinator, so that the
 	// log is bootstrapped once.
-	private void requestInitialVoters(DurableControl replica) {
+	private void requestInitialVoters(LocalReplica replica) {
 		Optional<HostPort> coordinator = this.settings.seeds()
 			.stream()
 			.min((a, b) -> a.toString().compareTo(b.toString()));
@@ -69,12 +69,12 @@
 		}
 		FoundingRequest request = FoundingRequest.newBuilder().setMember(FleetCodec.encode(this.self.get())).build();
 		CompletableFuture<Result<FoundingReply>> reply = coordinator.get().equals(this.settings.address())
-				? CompletableFuture.completedFuture(answer(request))
-				: this.clients.at(coordinator.get()).call(FleetMethods.FOUND, request, TIMEOUT);
+				? CompletableFuture.completedFuture(handleRequest(request))
+				: this.clients.findOrOpen(coordinator.get()).call(FleetMethods.BOOTSTRAP, request, TIMEOUT);
 		reply.thenAcceptAsync((answer) -> openWithInitialVoters(replica, answer), this.loop);
 	}
 
-	private void openWithInitialVoters(DurableControl replica, Result<FoundingReply> answer) {
+	private void openWithInitialVoters(LocalReplica replica, Result<FoundingReply> answer) {
 		List<String> initialVoters = answer.value()
 			.map((reply) -> List.copyOf(reply.getFoundersList()))
 			.orElse(List.of());
@@ -86,7 +86,7 @@
 		boolean chosen = initialVoters.contains(this.settings.instance());
 		this.storageWorker.execute(() -> {
 			if (chosen) {
-				replica.found(initialVoters);
+				replica.bootstrap(initialVoters);
 			}
 			else {
 				replica.open();
@@ -94,11 +94,11 @@
 		});
 	}
 
-	Result<FoundingReply> answer(FoundingRequest request) {
+	Result<FoundingReply> handleRequest(FoundingRequest request) {
 		FoundingReply.Builder reply = FoundingReply.newBuilder();
 		if (this.settings.firstStart()) {
 			FleetCodec.decode(request.getMember())
-				.ifPresent((peer) -> reply.addAllFounders(this.quorum.ask(peer, System.nanoTime())));
+				.ifPresent((peer) -> reply.addAllFounders(this.quorum.register(peer, System.nanoTime())));
 		}
 		return Result.success(reply.build());
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogCalls.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogRequestHandler.java
@@ -22,11 +22,11 @@
 /**
  * Handles the proposals and queries that other processes send to this one as the leader.
  */
-final class LogCalls {
+final class LogRequestHandler {
 
 	private final Supplier<Optional<ControlNode>> node;
 
-	LogCalls(Supplier<Optional<ControlNode>> node) {
+	LogRequestHandler(Supplier<Optional<ControlNode>> node) {
 		this.node = node;
 	}
 
@@ -41,7 +41,7 @@
 			.map((running) -> running.propose(command)
 				.thenApply((result) -> result.map((
 						answer) -> ProposeReply.newBuilder().setAnswer(ByteString.copyFrom(answer.toArray())).build())))
-			.orElseGet(LogCalls::noReplica);
+			.orElseGet(LogRequestHandler::noReplica);
 	}
 
 	private CompletionStage<Result<QueryReply>> query(QueryRequest request) {
@@ -50,7 +50,7 @@
 			.map((running) -> running.read((machine) -> machine.query(query))
 				.thenApply((result) -> result.flatMap((answer) -> answer)
 					.map((answer) -> QueryReply.newBuilder().setAnswer(ByteString.copyFrom(answer.toArray())).build())))
-			.orElseGet(LogCalls::noReplica);
+			.orElseGet(LogRequestHandler::noReplica);
 	}
 
 	private static <T> CompletableFuture<Result<T>> noReplica() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerClients.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerClients.java
@@ -31,7 +31,7 @@
 	 * @param address the address
 	 * @return the connection
 	 */
-	RpcClient at(HostPort address) {
+	RpcClient findOrOpen(HostPort address) {
 		return this.byAddress.computeIfAbsent(address, (added) -> new RpcClient(this.transport, added));
 	}
 
@@ -40,7 +40,7 @@
 	 * @param instance the instance
 	 * @return the connection, or empty if no update of the instance was received yet
 	 */
-	Optional<RpcClient> of(String instance) {
+	Optional<RpcClient> findByInstance(String instance) {
 		return Optional.ofNullable(this.byInstance.get(instance));
 	}
 
@@ -50,9 +50,9 @@
 	 * @param peers the known processes
 	 * @param settings the settings with this process's address and seeds
 	 */
-	void connect(FleetRoster peers, FleetSettings settings) {
+	void updateConnections(PeerTable peers, FleetSettings settings) {
 		List<HostPort> known = peers.addresses();
-		known.stream().filter((address) -> !address.equals(settings.address())).forEach(this::at);
+		known.stream().filter((address) -> !address.equals(settings.address())).forEach(this::findOrOpen);
 		this.byAddress.entrySet().removeIf((entry) -> {
 			boolean unknown = !known.contains(entry.getKey()) && !settings.seeds().contains(entry.getKey());
 			if (unknown) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetRoster.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerTable.java
@@ -11,7 +11,7 @@
 /**
  * Membership table: the processes of the fleet that this process knows, by address.
  */
-final class FleetRoster {
+final class PeerTable {
 
 	/** A process counts as live until it has missed seven updates in a row. */
 	static final Duration LIVE = Duration.ofMillis(1500);
@@ -25,7 +25,7 @@
 	private final Map<HostPort, Entry> entries = new HashMap<>();
 
 	// Records an update that the process itself sent.
-	void heard(FleetPeer peer, long now) {
+	void recordUpdate(FleetPeer peer, long now) {
 		this.entries.values()
 			.removeIf((other) -> other.peer != null && other.peer.instance().equals(peer.instance())
 					&& !other.peer.address().equals(peer.address()));
@@ -36,11 +36,11 @@
 	}
 
 	// Adds an address from the settings or from another process.
-	void named(HostPort address, long now) {
+	void addAddress(HostPort address, long now) {
 		this.entries.computeIfAbsent(address, (added) -> new Entry(now));
 	}
 
-	void forget(long now, List<HostPort> kept) {
+	void removeExpired(long now, List<HostPort> kept) {
 		this.entries.entrySet()
 			.removeIf((entry) -> !kept.contains(entry.getKey())
 					&& now - entry.getValue().lastUpdate > RETENTION.toNanos());
@@ -63,10 +63,10 @@
 	}
 
 	List<FleetPeer> live(long now) {
-		return heardWithin(LIVE, now);
+		return updatedWithin(LIVE, now);
 	}
 
-	List<FleetPeer> heardWithin(Duration age, long now) {
+	List<FleetPeer> updatedWithin(Duration age, long now) {
 		return this.entries.values()
 			.stream()
 			.filter((entry) -> entry.updateReceived && now - entry.lastUpdate < age.toNanos())
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankObserver.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankObserver.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 
-import org.comfreywall.gateway.group.EntrustedSwitch;
+import org.comfreywall.gateway.group.DelegatedSwitch;
 import org.comfreywall.gateway.group.RankReport;
 
 /**
@@ -18,7 +18,7 @@
 	 * @param chosen the number of times that the rank's requests were routed to each
 	 * expert since the previous report
 	 */
-	void onRank(String service, RankReport report, List<Integer> chosen);
+	void onRankReport(String service, RankReport report, List<Integer> chosen);
 
 	/**
 	 * Called when the leader delegates a switch to this process.
@@ -26,12 +26,12 @@
 	 * @param patience the timeout after which this process takes the switch over from a
 	 * silent leader
 	 */
-	void onEntrusted(EntrustedSwitch entrusted, Duration patience);
+	void onSwitchDelegated(DelegatedSwitch entrusted, Duration patience);
 
 	/**
 	 * Called when the leader has completed or cancelled a switch.
 	 * @param ended the switch
 	 */
-	void onEnded(EntrustedSwitch ended);
+	void onSwitchEnded(DelegatedSwitch ended);
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
@@ -39,7 +39,7 @@
 
 	private final Runnable onEnd;
 
-	private final LeaderSearch discovery;
+	private final LeaderDiscovery discovery;
 
 	private HostPort target;
 
@@ -56,7 +56,7 @@
 		PeerIdentity self = new PeerIdentity(InstanceId.of(instance), Incarnation.of(System.currentTimeMillis()));
 		this.transport = new Transport(self, TIMES, TransportSecurity.PLAIN, 1);
 		this.onEnd = Preconditions.notNull(onEnd, "onEnd");
-		this.discovery = new LeaderSearch(seeds);
+		this.discovery = new LeaderDiscovery(seeds);
 		updateTarget();
 	}
 
@@ -64,8 +64,8 @@
 	 * Adds seeds in front of the processes that are already known.
 	 * @param seeds the addresses of processes that know the leader
 	 */
-	public synchronized void reseed(List<HostPort> seeds) {
-		this.discovery.reseed(seeds);
+	public synchronized void addSeeds(List<HostPort> seeds) {
+		this.discovery.addSeeds(seeds);
 	}
 
 	/**
@@ -90,7 +90,7 @@
 			.setArmedVersion(report.armedVersion())
 			.setHeldStep(report.heldStep().orElse(-1))
 			.addAllChosen(chosen)
-			.setPace(report.pace());
+			.setPace(report.slowdown());
 		report.layout().forEach((set) -> notice.addLayout(ExpertList.newBuilder().addAllExperts(set)));
 		RpcClient used = this.client;
 		used.call(RankMethods.RANK, notice.build(), TIMEOUT).thenAccept((reply) -> handleReply(used, reply.value()));
@@ -104,10 +104,10 @@
 		if (reply.isPresent()) {
 			List<HostPort> members = new ArrayList<>();
 			reply.get().getMembersList().forEach((member) -> HostPort.parse(member).ifPresent(members::add));
-			this.discovery.answered(HostPort.parse(reply.get().getLeader()), members, now);
+			this.discovery.handleReply(HostPort.parse(reply.get().getLeader()), members, now);
 		}
 		else {
-			this.discovery.silent(now);
+			this.discovery.handleTimeout(now);
 			this.client.close();
 			this.client = new RpcClient(this.transport, this.target);
 		}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PaceBoard.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/SlowRankTracker.java
@@ -10,7 +10,7 @@
 /**
  * Tracks which ranks are slow, from the reports that the leader receives.
  */
-final class PaceBoard {
+final class SlowRankTracker {
 
 	/** Pace from which a rank counts as slow; smaller deviations are not broadcast. */
 	private static final double SLOW = 1.15;
@@ -23,10 +23,10 @@
 
 	private final Map<HostPort, Entry> entries = new HashMap<>();
 
-	void heard(RankReport report, long now) {
+	void addReport(RankReport report, long now) {
 		HostPort.parse(report.server()).ifPresent((address) -> {
-			if (report.pace() >= SLOW) {
-				this.entries.put(address, new Entry(report.pace(), now));
+			if (report.slowdown() >= SLOW) {
+				this.entries.put(address, new Entry(report.slowdown(), now));
 			}
 			else {
 				this.entries.remove(address);
@@ -40,7 +40,7 @@
 	 * @return the factor by which each takes longer than usual, by the address of the
 	 * backend server
 	 */
-	Map<HostPort, Double> slow(long now) {
+	Map<HostPort, Double> slowServers(long now) {
 		this.entries.values().removeIf((entry) -> now - entry.reportedAt() > VALID_NANOS);
 		Map<HostPort, Double> slow = new HashMap<>();
 		this.entries.forEach((address, entry) -> slow.put(address, entry.pace()));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/NewsConfirmation.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/UpdateAcknowledgements.java
@@ -8,7 +8,7 @@
 /**
  * Counts the processes that have acknowledged an update.
  */
-final class NewsConfirmation {
+final class UpdateAcknowledgements {
 
 	private final Set<String> outstanding = new HashSet<>();
 
@@ -25,14 +25,14 @@
 	 * with a disk must acknowledge the update
 	 * @param selfDurable whether this process has a disk and counts as well
 	 */
-	NewsConfirmation(List<FleetPeer> live, int voters, boolean selfDurable) {
+	UpdateAcknowledgements(List<FleetPeer> live, int voters, boolean selfDurable) {
 		live.forEach((peer) -> this.outstanding.add(peer.instance()));
 		this.durableQuorum = voters / 2 + 1;
 		this.durable = selfDurable ? 1 : 0;
 		completeIfAllReplied();
 	}
 
-	void answered(FleetPeer peer, boolean confirmed) {
+	void recordReply(FleetPeer peer, boolean confirmed) {
 		if (this.outstanding.remove(peer.instance()) && confirmed && peer.isDurable()) {
 			this.durable++;
 		}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/VoterPlanner.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/VoterPlanner.java
@@ -36,7 +36,7 @@
 	 * @param lost the instances that count as lost, after a long silence
 	 * @return the change, or empty if none is needed
 	 */
-	Optional<MembershipChange> next(Membership current, List<FleetPeer> live, Set<String> lost) {
+	Optional<MembershipChange> nextChange(Membership current, List<FleetPeer> live, Set<String> lost) {
 		Optional<FleetPeer> replaced = live.stream().filter((peer) -> hasNewStorage(current, peer)).findFirst();
 		if (replaced.isPresent() && current.voters().size() > 1) {
 			return Optional.of(new RemoveMember(InstanceId.of(replaced.get().instance())));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EntrustedSwitch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/DelegatedSwitch.java
@@ -15,9 +15,9 @@
  * @param holder the rank that holds the pass
  * @param servers the backend servers of the group, by rank
  */
-public record EntrustedSwitch(String group, long epoch, long version, long step, int holder, List<String> servers) {
+public record DelegatedSwitch(String group, long epoch, long version, long step, int holder, List<String> servers) {
 
-	public EntrustedSwitch {
+	public DelegatedSwitch {
 		Preconditions.notBlank(group, "group");
 		servers = List.copyOf(servers);
 		Preconditions.check(holder >= 0 && holder < servers.size(), "holder must be at least 0 and below %d: %d",
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/DeputyPort.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/DeputyPort.java
@@ -13,13 +13,13 @@
 	 * @param delegatedSwitch the switch
 	 * @return completes when one deputy has confirmed it, or none can be reached
 	 */
-	CompletableFuture<Void> entrust(EntrustedSwitch delegatedSwitch);
+	CompletableFuture<Void> delegate(DelegatedSwitch delegatedSwitch);
 
 	/**
 	 * Notifies the deputies that the switch is complete or cancelled, so that they drop
 	 * it.
 	 * @param delegatedSwitch the switch
 	 */
-	void ended(EntrustedSwitch delegatedSwitch);
+	void notifyEnded(DelegatedSwitch delegatedSwitch);
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
@@ -8,13 +8,14 @@
  * The load of a group's experts, with the slowdown of its ranks.
  *
  * @param chosen how often each expert is chosen, by set and expert
- * @param pace the slowdown factor of each rank against its usual time; 1 if it is healthy
+ * @param slowdown the slowdown factor of each rank against its usual time; 1 if it is
+ * healthy
  */
-record ExpertDemand(double[][] chosen, double[] pace) {
+record ExpertDemand(double[][] chosen, double[] slowdown) {
 
 	ExpertDemand {
 		Preconditions.notNull(chosen, "chosen");
-		Preconditions.notNull(pace, "slowdown");
+		Preconditions.notNull(slowdown, "slowdown");
 	}
 
 	/**
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayout.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayout.java
@@ -24,7 +24,7 @@
 	 * @param ranks the number of ranks
 	 * @return the layout
 	 */
-	public static ExpertLayout inTurn(int sets, int experts, int ranks) {
+	public static ExpertLayout roundRobin(int sets, int experts, int ranks) {
 		List<List<Integer>> set = new ArrayList<>();
 		for (int rank = 0; rank < ranks; rank++) {
 			List<Integer> held = new ArrayList<>();
@@ -66,7 +66,7 @@
 	double skew(ExpertDemand demand) {
 		double sum = 0;
 		for (int set = 0; set < sets(); set++) {
-			sum += SetLoads.of(this.experts.get(set), demand.chosen()[set], demand.pace()).skew();
+			sum += LayerSetLoads.of(this.experts.get(set), demand.chosen()[set], demand.slowdown()).skew();
 		}
 		return sum / sets();
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EvenCopyPlanner.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayoutPlanner.java
@@ -19,7 +19,7 @@
  * over all sets together. Improvements beyond that limit are left to the next switch. The
  * load of a slow rank is weighted by its slowdown factor.
  */
-final class EvenCopyPlanner {
+final class ExpertLayoutPlanner {
 
 	/** The most steps for one set; each moves load away from the most loaded rank. */
 	private static final int MAX_STEPS = 150;
@@ -53,7 +53,7 @@
 	 * @param newPerRank the most experts of all sets together that one switch may add to
 	 * a rank
 	 */
-	EvenCopyPlanner(int placesPerRank, int newPerSet, int newPerRank) {
+	ExpertLayoutPlanner(int placesPerRank, int newPerSet, int newPerRank) {
 		Preconditions.check(placesPerRank >= 1, "placesPerRank must be at least 1: %d", placesPerRank);
 		Preconditions.check(newPerSet >= 0, "newPerSet must not be negative: %d", newPerSet);
 		Preconditions.check(newPerRank >= 0, "newPerRank must not be negative: %d", newPerRank);
@@ -70,14 +70,14 @@
 	 * pays
 	 */
 	ExpertLayout plan(ExpertLayout present, ExpertDemand demand) {
-		List<SetLoads> sets = new ArrayList<>();
+		List<LayerSetLoads> sets = new ArrayList<>();
 		for (int set = 0; set < present.sets(); set++) {
-			sets.add(SetLoads.of(present.experts().get(set), demand.chosen()[set], demand.pace()));
+			sets.add(LayerSetLoads.of(present.experts().get(set), demand.chosen()[set], demand.slowdown()));
 		}
 		int[] copies = new int[present.ranks()];
-		List<SetLoads> improvable = new ArrayList<>(sets);
+		List<LayerSetLoads> improvable = new ArrayList<>(sets);
 		for (int step = 0; step < MAX_STEPS * sets.size() && !improvable.isEmpty(); step++) {
-			SetLoads worst = Collections.max(improvable, Comparator.comparingDouble(SetLoads::skew));
+			LayerSetLoads worst = Collections.max(improvable, Comparator.comparingDouble(LayerSetLoads::skew));
 			Optional<Step> best = bestStep(worst, copies);
 			if (best.isPresent()) {
 				best.get().apply(worst);
@@ -88,10 +88,10 @@
 				improvable.remove(worst);
 			}
 		}
-		return new ExpertLayout(sets.stream().map(SetLoads::layout).toList());
+		return new ExpertLayout(sets.stream().map(LayerSetLoads::layout).toList());
 	}
 
-	private Optional<Step> bestStep(SetLoads loads, int[] copies) {
+	private Optional<Step> bestStep(LayerSetLoads loads, int[] copies) {
 		double least = loads.cost() * (1 - WORTHWHILE_RANKS / loads.ranks());
 		Step best = null;
 		for (Step step : steps(loads, copies)) {
@@ -106,7 +106,7 @@
 		return Optional.ofNullable(best);
 	}
 
-	private List<Step> steps(SetLoads loads, int[] copies) {
+	private List<Step> steps(LayerSetLoads loads, int[] copies) {
 		List<Step> steps = new ArrayList<>();
 		int busiest = loads.busiest();
 		List<Integer> lightest = loads.lightest(RANKS_TRIED, (rank) -> copies[rank] < this.newPerRank);
@@ -123,16 +123,16 @@
 		return steps;
 	}
 
-	private void addCopies(List<Step> steps, SetLoads loads, int[] copies, Transfer transfer) {
+	private void addCopies(List<Step> steps, LayerSetLoads loads, int[] copies, Transfer transfer) {
 		int from = transfer.from();
 		int to = transfer.to();
 		int expert = transfer.expert();
-		if (loads.held(to).size() < this.placesPerRank && isWithinNewPerSet(loads, to, expert, Step.NONE)) {
+		if (loads.expertsOf(to).size() < this.placesPerRank && isWithinNewPerSet(loads, to, expert, Step.NONE)) {
 			steps.add(new Step(Step.NONE, Step.NONE, to, expert, Step.NONE));
 			steps.add(new Step(from, expert, to, expert, Step.NONE));
 			return;
 		}
-		for (int evicted : loads.held(to)) {
+		for (int evicted : loads.expertsOf(to)) {
 			if (!isWithinNewPerSet(loads, to, expert, evicted)) {
 				continue;
 			}
@@ -149,10 +149,10 @@
 
 	// Whether the rank stays within its limit of new experts of this set if it takes
 	// the expert and drops the evicted one.
-	private boolean isWithinNewPerSet(SetLoads loads, int rank, int expert, int evicted) {
-		int added = loads.isFresh(rank, expert) ? 1 : 0;
-		for (int held : loads.held(rank)) {
-			if (held != evicted && loads.isFresh(rank, held)) {
+	private boolean isWithinNewPerSet(LayerSetLoads loads, int rank, int expert, int evicted) {
+		int added = loads.mustCopy(rank, expert) ? 1 : 0;
+		for (int held : loads.expertsOf(rank)) {
+			if (held != evicted && loads.mustCopy(rank, held)) {
 				added++;
 			}
 		}
@@ -176,16 +176,16 @@
 
 		// A copy that a later step of the plan evicts stays counted, which leaves a
 		// little of the limit unused.
-		void countCopies(SetLoads loads, int[] copies) {
-			if (this.coming != NONE && loads.isFresh(this.to, this.coming)) {
+		void countCopies(LayerSetLoads loads, int[] copies) {
+			if (this.coming != NONE && loads.mustCopy(this.to, this.coming)) {
 				copies[this.to]++;
 			}
-			if (this.evicted != NONE && this.leaving != NONE && loads.isFresh(this.from, this.evicted)) {
+			if (this.evicted != NONE && this.leaving != NONE && loads.mustCopy(this.from, this.evicted)) {
 				copies[this.from]++;
 			}
 		}
 
-		void apply(SetLoads loads) {
+		void apply(LayerSetLoads loads) {
 			if (this.coming != NONE) {
 				loads.add(this.to, this.coming);
 			}
@@ -200,7 +200,7 @@
 			}
 		}
 
-		void undo(SetLoads loads) {
+		void undo(LayerSetLoads loads) {
 			if (this.evicted != NONE) {
 				loads.add(this.to, this.evicted);
 			}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertTraffic.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertTraffic.java
@@ -78,7 +78,7 @@
 
 	private final Map<Integer, Long> lastStepByRank = new HashMap<>();
 
-	private final Deque<double[][]> rounds = new ArrayDeque<>();
+	private final Deque<double[][]> retainedRounds = new ArrayDeque<>();
 
 	private final long roundNanos;
 
@@ -90,9 +90,9 @@
 
 	private double drift;
 
-	private long roundsTaken;
+	private long completedRounds;
 
-	private long shifts;
+	private long shiftCount;
 
 	/**
 	 * Creates an empty record.
@@ -153,43 +153,43 @@
 		if (total(round) == 0) {
 			return;
 		}
-		this.drift = this.rounds.isEmpty() ? 0 : distance(round, sum());
+		this.drift = this.retainedRounds.isEmpty() ? 0 : distance(round, sum());
 		if (this.drift > Math.min(MAX_NOISE_DISTANCE, Math.max(MIN_SHIFT_DISTANCE, SHIFT_FACTOR * this.noise))) {
-			this.rounds.clear();
-			this.shifts++;
+			this.retainedRounds.clear();
+			this.shiftCount++;
 		}
-		else if (!this.rounds.isEmpty()) {
+		else if (!this.retainedRounds.isEmpty()) {
 			this.noise += NOISE_SMOOTHING * (this.drift - this.noise);
 		}
-		this.rounds.addLast(round);
-		if (this.rounds.size() > MAX_ROUNDS) {
-			this.rounds.removeFirst();
+		this.retainedRounds.addLast(round);
+		if (this.retainedRounds.size() > MAX_ROUNDS) {
+			this.retainedRounds.removeFirst();
 		}
-		this.roundsTaken++;
+		this.completedRounds++;
 	}
 
 	/**
 	 * Returns the number of rounds completed so far.
 	 * @return the count; the forecast changes only when it does
 	 */
-	long roundsTaken() {
-		return this.roundsTaken;
+	long completedRounds() {
+		return this.completedRounds;
 	}
 
 	/**
 	 * Returns the number of rounds that the forecast rests on.
 	 * @return the count of rounds since the last shift, up to a maximum
 	 */
-	int rounds() {
-		return this.rounds.size();
+	int retainedRounds() {
+		return this.retainedRounds.size();
 	}
 
 	/**
 	 * Returns the number of shifts detected so far.
 	 * @return the count
 	 */
-	long shifts() {
-		return this.shifts;
+	long shiftCount() {
+		return this.shiftCount;
 	}
 
 	/**
@@ -204,12 +204,12 @@
 				set[expert] += FLOOR_SHARE * total / this.experts;
 			}
 		}
-		return new TrafficForecast(chosen, total, this.drift, this.rounds.size());
+		return new TrafficForecast(chosen, total, this.drift, this.retainedRounds.size());
 	}
 
 	private double[][] sum() {
 		double[][] sum = new double[this.sets][this.experts];
-		this.rounds.forEach((round) -> add(sum, round));
+		this.retainedRounds.forEach((round) -> add(sum, round));
 		return sum;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
@@ -29,7 +29,7 @@
 
 	private final Map<String, RebalanceCoordinator> coordinators = new HashMap<>();
 
-	private final Map<String, EntrustedSwitch> delegated = new HashMap<>();
+	private final Map<String, DelegatedSwitch> delegated = new HashMap<>();
 
 	private final Map<String, SwitchDeputy> deputies = new HashMap<>();
 
@@ -59,9 +59,9 @@
 	 * @param chosen how often its requests chose each expert since its previous report,
 	 * set by set
 	 */
-	public void onRank(String service, EngineShape shape, RankReport report, List<Integer> chosen) {
+	public void onRankReport(String service, EngineShape shape, RankReport report, List<Integer> chosen) {
 		this.coordinators.computeIfAbsent(service + "/" + report.group(), (key) -> new RebalanceCoordinator(shape))
-			.reported(report, chosen, System.nanoTime());
+			.addReport(report, chosen, System.nanoTime());
 	}
 
 	/**
@@ -69,7 +69,7 @@
 	 * @param delegatedSwitch the switch
 	 * @param timeout the timeout after which this process takes the switch over
 	 */
-	public void onEntrusted(EntrustedSwitch delegatedSwitch, Duration timeout) {
+	public void onSwitchDelegated(DelegatedSwitch delegatedSwitch, Duration timeout) {
 		this.deputies.put(delegatedSwitch.group(),
 				new SwitchDeputy(delegatedSwitch, timeout.toNanos(), System.nanoTime()));
 	}
@@ -78,9 +78,9 @@
 	 * Receives the notice that the leader has completed or cancelled a switch.
 	 * @param completed the switch
 	 */
-	public void onEnded(EntrustedSwitch completed) {
+	public void onSwitchEnded(DelegatedSwitch completed) {
 		this.deputies.computeIfPresent(completed.group(),
-				(group, deputy) -> deputy.entrusted().equals(completed) ? null : deputy);
+				(group, deputy) -> deputy.delegatedSwitch().equals(completed) ? null : deputy);
 	}
 
 	/**
@@ -102,7 +102,7 @@
 	 */
 	public void tickDeputies() {
 		long now = System.nanoTime();
-		this.deputies.values().removeIf((deputy) -> deputy.isOver(now));
+		this.deputies.values().removeIf((deputy) -> deputy.isDone(now));
 		List.copyOf(this.deputies.values()).forEach(this::sendDueOrders);
 	}
 
@@ -116,27 +116,27 @@
 	// Sends the next orders at once instead of with the next tick, as a held pass delays
 	// requests.
 	private void onAnswer(String group, RebalanceCoordinator coordinator, RankOrder order, OrderAnswer answer) {
-		coordinator.answered(order, answer, System.nanoTime());
+		coordinator.handleAnswer(order, answer, System.nanoTime());
 		if (answer == OrderAnswer.TAKEN && this.coordinators.get(group) == coordinator) {
 			sendDueOrders(group);
 		}
 	}
 
 	private void updateDeputies(String group, RebalanceCoordinator coordinator) {
-		Optional<EntrustedSwitch> present = coordinator.entrusted(group);
-		EntrustedSwitch before = this.delegated.get(group);
+		Optional<DelegatedSwitch> present = coordinator.delegatedSwitch(group);
+		DelegatedSwitch before = this.delegated.get(group);
 		if (present.isPresent() && !present.get().equals(before)) {
 			this.delegated.put(group, present.get());
-			this.deputyPort.entrust(present.get())
+			this.deputyPort.delegate(present.get())
 				.thenRunAsync(() -> onDelegationConfirmed(group, coordinator, present.get()), this.executor);
 		}
 		else if (present.isEmpty() && before != null) {
 			this.delegated.remove(group);
-			this.deputyPort.ended(before);
+			this.deputyPort.notifyEnded(before);
 		}
 	}
 
-	private void onDelegationConfirmed(String group, RebalanceCoordinator coordinator, EntrustedSwitch confirmed) {
+	private void onDelegationConfirmed(String group, RebalanceCoordinator coordinator, DelegatedSwitch confirmed) {
 		coordinator.delegationConfirmed(confirmed, System.nanoTime());
 		if (this.coordinators.get(group) == coordinator) {
 			sendDueOrders(group);
@@ -145,7 +145,7 @@
 
 	private void sendDueOrders(SwitchDeputy deputy) {
 		deputy.tick(System.nanoTime()).forEach((order) -> send(order, (answer) -> {
-			deputy.answered(order, answer);
+			deputy.handleAnswer(order, answer);
 			if (answer == OrderAnswer.TAKEN) {
 				sendDueOrders(deputy);
 			}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SetLoads.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/LayerSetLoads.java
@@ -11,33 +11,33 @@
  * experts. Adding or removing a copy takes time in proportion to the copies of that
  * expert, not to the number of ranks.
  */
-final class SetLoads {
+final class LayerSetLoads {
 
 	private final double[] traffic;
 
-	private final double[] pace;
+	private final double[] slowdown;
 
 	private final List<List<Integer>> present;
 
 	private final List<List<Integer>> holders;
 
-	private final List<List<Integer>> held;
+	private final List<List<Integer>> expertsOf;
 
 	private final double[] loads;
 
 	private double cost;
 
-	private SetLoads(double[] traffic, double[] slowdown, List<List<Integer>> present, List<List<Integer>> holders,
+	private LayerSetLoads(double[] traffic, double[] slowdown, List<List<Integer>> present, List<List<Integer>> holders,
 			List<List<Integer>> held) {
 		this.traffic = traffic;
-		this.pace = slowdown;
+		this.slowdown = slowdown;
 		this.present = present;
 		this.holders = holders;
-		this.held = held;
+		this.expertsOf = held;
 		this.loads = new double[held.size()];
 	}
 
-	static SetLoads of(List<List<Integer>> experts, double[] traffic, double[] slowdown) {
+	static LayerSetLoads of(List<List<Integer>> experts, double[] traffic, double[] slowdown) {
 		List<List<Integer>> holders = new ArrayList<>();
 		for (int expert = 0; expert < traffic.length; expert++) {
 			holders.add(new ArrayList<>());
@@ -49,7 +49,7 @@
 				holders.get(expert).add(rank);
 			}
 		}
-		SetLoads set = new SetLoads(traffic, slowdown, experts, holders, held);
+		LayerSetLoads set = new LayerSetLoads(traffic, slowdown, experts, holders, held);
 		set.recompute();
 		return set;
 	}
@@ -59,8 +59,8 @@
 		this.cost = 0;
 		for (int rank = 0; rank < this.loads.length; rank++) {
 			this.loads[rank] = 0;
-			for (int expert : this.held.get(rank)) {
-				this.loads[rank] += share(expert) * this.pace[rank];
+			for (int expert : this.expertsOf.get(rank)) {
+				this.loads[rank] += share(expert) * this.slowdown[rank];
 			}
 			this.cost += costOf(this.loads[rank]);
 		}
@@ -78,8 +78,8 @@
 		return this.holders.get(expert).size();
 	}
 
-	List<Integer> held(int rank) {
-		return this.held.get(rank);
+	List<Integer> expertsOf(int rank) {
+		return this.expertsOf.get(rank);
 	}
 
 	boolean holds(int rank, int expert) {
@@ -87,16 +87,16 @@
 	}
 
 	// Whether the rank does not hold the expert in the layout in force and must copy it.
-	boolean isFresh(int rank, int expert) {
+	boolean mustCopy(int rank, int expert) {
 		return !this.present.get(rank).contains(expert);
 	}
 
 	List<List<Integer>> layout() {
-		return this.held.stream().map((experts) -> experts.stream().sorted().toList()).toList();
+		return this.expertsOf.stream().map((experts) -> experts.stream().sorted().toList()).toList();
 	}
 
 	List<Integer> heaviest(int rank, int most) {
-		return this.held.get(rank)
+		return this.expertsOf.get(rank)
 			.stream()
 			.sorted(Comparator.comparingDouble((Integer expert) -> -share(expert)))
 			.limit(most)
@@ -127,7 +127,7 @@
 	double skew() {
 		double sum = 0;
 		for (int rank = 0; rank < this.loads.length; rank++) {
-			sum += this.loads[rank] / this.pace[rank];
+			sum += this.loads[rank] / this.slowdown[rank];
 		}
 		return (sum > 0) ? this.loads[busiest()] * this.loads.length / sum : 1;
 	}
@@ -137,14 +137,14 @@
 		double after = this.traffic[expert] / (copies(expert) + 1);
 		this.holders.get(expert).forEach((holder) -> change(holder, after - before));
 		this.holders.get(expert).add(rank);
-		this.held.get(rank).add(expert);
+		this.expertsOf.get(rank).add(expert);
 		change(rank, after);
 	}
 
 	void remove(int rank, int expert) {
 		double before = share(expert);
 		this.holders.get(expert).remove((Integer) rank);
-		this.held.get(rank).remove((Integer) expert);
+		this.expertsOf.get(rank).remove((Integer) expert);
 		change(rank, -before);
 		if (copies(expert) > 0) {
 			double after = share(expert);
@@ -154,7 +154,7 @@
 
 	private void change(int rank, double difference) {
 		this.cost -= costOf(this.loads[rank]);
-		this.loads[rank] += difference * this.pace[rank];
+		this.loads[rank] += difference * this.slowdown[rank];
 		this.cost += costOf(this.loads[rank]);
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
@@ -76,7 +76,7 @@
 
 	private final Map<Integer, Long> reportedAt = new HashMap<>();
 
-	private final OrderPacer pacer = new OrderPacer(REPEAT_NANOS);
+	private final OrderRetryTimer retryTimer = new OrderRetryTimer(REPEAT_NANOS);
 
 	private final Set<Integer> armedRanks = new HashSet<>();
 
@@ -100,7 +100,7 @@
 
 	private long orderLostAt = Long.MIN_VALUE / 2;
 
-	private final PassClock passes = new PassClock();
+	private final PassEstimator passes = new PassEstimator();
 
 	/**
 	 * Processes a rank's report. Reports of an earlier epoch are ignored; a newer epoch
@@ -108,7 +108,7 @@
 	 * @param report the report
 	 * @param now the present time in nanoseconds
 	 */
-	public void reported(RankReport report, long now) {
+	public void addReport(RankReport report, long now) {
 		if (report.epoch() != this.epoch) {
 			if (report.epoch() < this.epoch) {
 				return;
@@ -117,7 +117,7 @@
 		}
 		this.reports.put(report.rank(), report);
 		this.reportedAt.put(report.rank(), now);
-		this.passes.begun(report.step(), now);
+		this.passes.recordPassStart(report.step(), now);
 	}
 
 	private void reset(long newEpoch, long now) {
@@ -128,7 +128,7 @@
 		this.epoch = newEpoch;
 		this.reports.clear();
 		this.reportedAt.clear();
-		this.passes.restart();
+		this.passes.reset();
 		enter(Phase.IDLE, now);
 	}
 
@@ -138,7 +138,7 @@
 	 * @return {@code true} if recent reports of all ranks show them running under one
 	 * map, with no rank armed and no pass held
 	 */
-	public boolean isAtRest(long now) {
+	public boolean canStart(long now) {
 		return this.phase == Phase.IDLE && allReportsRecent(now)
 				&& this.reportedAt.values().stream().allMatch((at) -> at - this.since > REPORT_LAG_NANOS)
 				&& this.reports.values()
@@ -165,9 +165,9 @@
 	/**
 	 * Returns the layout in force.
 	 * @param now the present time in nanoseconds
-	 * @return the layout; valid only if {@link #isAtRest} returns {@code true}
+	 * @return the layout; valid only if {@link #canStart} returns {@code true}
 	 */
-	public ExpertLayout present(long now) {
+	public ExpertLayout currentLayout(long now) {
 		int sets = this.reports.get(0).layout().size();
 		List<List<List<Integer>>> all = new ArrayList<>();
 		for (int set = 0; set < sets; set++) {
@@ -184,9 +184,9 @@
 	 * Returns the slowdown factor of each rank.
 	 * @return the factors by rank, at least 1; valid only if all ranks have reported
 	 */
-	public double[] pace() {
+	public double[] slowdowns() {
 		double[] slowdowns = new double[this.reports.size()];
-		this.reports.forEach((rank, report) -> slowdowns[rank] = Math.max(1, report.pace()));
+		this.reports.forEach((rank, report) -> slowdowns[rank] = Math.max(1, report.slowdown()));
 		return slowdowns;
 	}
 
@@ -194,8 +194,8 @@
 	 * Returns the duration of a pass.
 	 * @return the moving average in nanoseconds
 	 */
-	public double passNanos() {
-		return this.passes.passNanos();
+	public double averagePassNanos() {
+		return this.passes.averagePassNanos();
 	}
 
 	/**
@@ -223,12 +223,12 @@
 	 * @param answer the answer
 	 * @param now the present time in nanoseconds
 	 */
-	public void answered(RankOrder order, OrderAnswer answer, long now) {
+	public void handleAnswer(RankOrder order, OrderAnswer answer, long now) {
 		if (order.order().epoch() != this.epoch) {
 			return;
 		}
 		if (answer == OrderAnswer.UNKNOWN) {
-			this.pacer.lost(order.rank());
+			this.retryTimer.markLost(order.rank());
 			this.orderLostAt = now;
 			return;
 		}
@@ -284,7 +284,7 @@
 	private void enter(Phase next, long now) {
 		this.phase = next;
 		this.since = now;
-		this.pacer.restart();
+		this.retryTimer.reset();
 		if (next != Phase.DISARMING) {
 			this.armedRanks.clear();
 		}
@@ -303,7 +303,7 @@
 	 * @return the switch, or empty if no pass is held or about to be, or if the switch
 	 * was taken over from another coordinator
 	 */
-	public Optional<EntrustedSwitch> entrusted(String group) {
+	public Optional<DelegatedSwitch> delegatedSwitch(String group) {
 		if (this.adopted || this.phase == Phase.IDLE || this.phase == Phase.PREPARING
 				|| this.phase == Phase.DISARMING) {
 			return Optional.empty();
@@ -312,7 +312,7 @@
 		for (int rank = 0; rank < this.reports.size(); rank++) {
 			servers.add(this.reports.get(rank).server());
 		}
-		return Optional.of(new EntrustedSwitch(group, this.epoch, this.version, this.step, this.holder, servers));
+		return Optional.of(new DelegatedSwitch(group, this.epoch, this.version, this.step, this.holder, servers));
 	}
 
 	/**
@@ -320,7 +320,7 @@
 	 * @param delegatedSwitch the switch
 	 * @param now the present time in nanoseconds
 	 */
-	public void delegationConfirmed(EntrustedSwitch delegatedSwitch, long now) {
+	public void delegationConfirmed(DelegatedSwitch delegatedSwitch, long now) {
 		if (this.phase == Phase.ENTRUSTING && delegatedSwitch.step() == this.step
 				&& delegatedSwitch.epoch() == this.epoch) {
 			enter(Phase.HOLDING, now);
@@ -339,12 +339,12 @@
 	/**
 	 * Returns the orders that are due.
 	 * @param now the present time in nanoseconds
-	 * @return the orders; the caller passes the answer to each to {@link #answered}
+	 * @return the orders; the caller passes the answer to each to {@link #handleAnswer}
 	 */
 	public List<RankOrder> tick(long now) {
 		return switch (this.phase) {
 			case IDLE -> {
-				adopt(now);
+				takeOver(now);
 				yield List.of();
 			}
 			case PREPARING -> preparing(now);
@@ -357,7 +357,7 @@
 	}
 
 	// Completes a switch that another coordinator left while a pass is held.
-	private void adopt(long now) {
+	private void takeOver(long now) {
 		if (now - this.since < SETTLE_NANOS || !allReportsRecent(now)) {
 			return;
 		}
@@ -391,7 +391,7 @@
 		}
 		List<RankOrder> orders = new ArrayList<>();
 		for (RankReport report : this.reports.values()) {
-			if (report.preparedVersion() != this.version && this.pacer.take(report.rank(), now)) {
+			if (report.preparedVersion() != this.version && this.retryTimer.markSentIfDue(report.rank(), now)) {
 				orders.add(order(report, new PrepareMap(this.epoch, this.version, this.layout)));
 			}
 		}
@@ -415,7 +415,7 @@
 		}
 		List<RankOrder> orders = new ArrayList<>();
 		for (RankReport report : this.reports.values()) {
-			if (!this.armedRanks.contains(report.rank()) && this.pacer.take(report.rank(), now)) {
+			if (!this.armedRanks.contains(report.rank()) && this.retryTimer.markSentIfDue(report.rank(), now)) {
 				orders.add(order(report, new ArmMap(this.epoch, this.version, this.step)));
 			}
 		}
@@ -425,7 +425,7 @@
 	private List<RankOrder> disarming(long now) {
 		List<RankOrder> orders = new ArrayList<>();
 		for (RankReport report : this.reports.values()) {
-			if (this.armedRanks.contains(report.rank()) && this.pacer.take(report.rank(), now)) {
+			if (this.armedRanks.contains(report.rank()) && this.retryTimer.markSentIfDue(report.rank(), now)) {
 				orders.add(order(report, new DisarmMap(this.epoch, this.version)));
 			}
 		}
@@ -434,7 +434,8 @@
 
 	private List<RankOrder> toHolder(EngineOrder order, long now) {
 		RankReport report = this.reports.get(this.holder);
-		return (report != null && this.pacer.take(this.holder, now)) ? List.of(order(report, order)) : List.of();
+		return (report != null && this.retryTimer.markSentIfDue(this.holder, now)) ? List.of(order(report, order))
+				: List.of();
 	}
 
 	private static RankOrder order(RankReport report, EngineOrder order) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderPacer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderRetryTimer.java
@@ -7,7 +7,7 @@
  * Schedules the orders to each rank: the first is due at once, and it is due again after
  * a fixed time without an answer.
  */
-final class OrderPacer {
+final class OrderRetryTimer {
 
 	private final long repeatNanos;
 
@@ -18,7 +18,7 @@
 	 * @param repeatNanos the time in nanoseconds after which an unanswered order is
 	 * resent
 	 */
-	OrderPacer(long repeatNanos) {
+	OrderRetryTimer(long repeatNanos) {
 		this.repeatNanos = repeatNanos;
 	}
 
@@ -28,7 +28,7 @@
 	 * @param now the present time in nanoseconds
 	 * @return {@code true} if the order is due
 	 */
-	boolean take(int rank, long now) {
+	boolean markSentIfDue(int rank, long now) {
 		Long last = this.sentAt.get(rank);
 		if (last != null && now - last < this.repeatNanos) {
 			return false;
@@ -41,14 +41,14 @@
 	 * Records that an order was lost, so that it is due again at once.
 	 * @param rank the rank
 	 */
-	void lost(int rank) {
+	void markLost(int rank) {
 		this.sentAt.remove(rank);
 	}
 
 	/**
 	 * Clears all send times, as other orders follow.
 	 */
-	void restart() {
+	void reset() {
 		this.sentAt.clear();
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PassClock.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PassEstimator.java
@@ -4,7 +4,7 @@
  * Estimates the present pass of a group and the duration of its passes from the reports
  * of its ranks.
  */
-final class PassClock {
+final class PassEstimator {
 
 	private static final double SMOOTHING = 0.3;
 
@@ -28,7 +28,7 @@
 	 */
 	private static final double MAX_UNREPORTED_PASSES = 8;
 
-	private double passNanos = INITIAL_NANOS;
+	private double averagePassNanos = INITIAL_NANOS;
 
 	private boolean measured;
 
@@ -42,14 +42,14 @@
 	 * @param pass the number of the pass
 	 * @param now the present time in nanoseconds
 	 */
-	void begun(long pass, long now) {
+	void recordPassStart(long pass, long now) {
 		boolean first = this.step == Long.MIN_VALUE;
 		if (!first && pass <= this.step) {
 			return;
 		}
 		double sample = first ? MAX_PASS_NANOS : (double) (now - this.begunAt) / (pass - this.step);
 		if (sample < MAX_PASS_NANOS) {
-			this.passNanos += (this.measured ? SMOOTHING : 1) * (sample - this.passNanos);
+			this.averagePassNanos += (this.measured ? SMOOTHING : 1) * (sample - this.averagePassNanos);
 			this.measured = true;
 		}
 		this.step = pass;
@@ -59,7 +59,7 @@
 	/**
 	 * Forgets the present pass, as a group that was formed again restarts its numbering.
 	 */
-	void restart() {
+	void reset() {
 		this.step = Long.MIN_VALUE;
 	}
 
@@ -67,8 +67,8 @@
 	 * Returns the duration of a pass.
 	 * @return the exponential moving average in nanoseconds
 	 */
-	double passNanos() {
-		return this.passNanos;
+	double averagePassNanos() {
+		return this.averagePassNanos;
 	}
 
 	/**
@@ -80,7 +80,7 @@
 	 * @return the pass
 	 */
 	long passAhead(int lead, long now) {
-		double elapsed = Math.min(MAX_UNREPORTED_PASSES, (now - this.begunAt) / this.passNanos);
+		double elapsed = Math.min(MAX_UNREPORTED_PASSES, (now - this.begunAt) / this.averagePassNanos);
 		boolean late = elapsed - Math.floor(elapsed) > LATE_SHARE;
 		return this.step + (long) Math.floor(elapsed) + lead + (late ? 1 : 0);
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PlanSchedule.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/PlanSchedule.java
@@ -18,13 +18,13 @@
 
 	private static final double[] NO_PACE = {};
 
-	private long roundsTaken;
+	private long completedRounds;
 
 	private long shifts = -1;
 
 	private int rounds;
 
-	private double[] pace = NO_PACE;
+	private double[] slowdowns = NO_PACE;
 
 	/**
 	 * Returns whether a round has ended since the last plan; otherwise no plan is due. A
@@ -32,8 +32,8 @@
 	 * @param traffic the record of choices
 	 * @return {@code true} if there is a new round
 	 */
-	boolean hasNews(ExpertTraffic traffic) {
-		return traffic.roundsTaken() > this.roundsTaken;
+	boolean hasNewRounds(ExpertTraffic traffic) {
+		return traffic.completedRounds() > this.completedRounds;
 	}
 
 	/**
@@ -43,16 +43,16 @@
 	 * @return {@code true} if the last plan may be out of date
 	 */
 	boolean isDue(ExpertTraffic traffic, double[] present) {
-		boolean enoughRounds = traffic.roundsTaken() - this.roundsTaken >= this.rounds;
-		return hasNews(traffic) && (enoughRounds || traffic.shifts() != this.shifts || hasChanged(present));
+		boolean enoughRounds = traffic.completedRounds() - this.completedRounds >= this.rounds;
+		return hasNewRounds(traffic) && (enoughRounds || traffic.shiftCount() != this.shifts || hasChanged(present));
 	}
 
 	private boolean hasChanged(double[] present) {
-		if (present.length != this.pace.length) {
+		if (present.length != this.slowdowns.length) {
 			return true;
 		}
 		for (int rank = 0; rank < present.length; rank++) {
-			if (Math.abs(present[rank] - this.pace[rank]) > PACE_CHANGE * this.pace[rank]) {
+			if (Math.abs(present[rank] - this.slowdowns[rank]) > PACE_CHANGE * this.slowdowns[rank]) {
 				return true;
 			}
 		}
@@ -64,20 +64,20 @@
 	 * @param traffic the record of choices that it was computed from
 	 * @param present the slowdown factors that it was computed from
 	 */
-	void planned(ExpertTraffic traffic, double[] present) {
-		this.roundsTaken = traffic.roundsTaken();
-		this.shifts = traffic.shifts();
-		this.rounds = traffic.rounds();
-		this.pace = Arrays.copyOf(present, present.length);
+	void recordPlan(ExpertTraffic traffic, double[] present) {
+		this.completedRounds = traffic.completedRounds();
+		this.shifts = traffic.shiftCount();
+		this.rounds = traffic.retainedRounds();
+		this.slowdowns = Arrays.copyOf(present, present.length);
 	}
 
 	/**
 	 * Resets the schedule after the map changed or the group was formed again, so that a
 	 * plan is due with the next round.
 	 */
-	void restart() {
+	void reset() {
 		this.shifts = -1;
-		this.roundsTaken = 0;
+		this.completedRounds = 0;
 		this.rounds = 0;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RankReport.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RankReport.java
@@ -20,18 +20,18 @@
  * @param armedVersion the version that the rank is armed to change to, or 0
  * @param heldStep the pass that the rank holds until it is released
  * @param layout the experts that the rank holds, by set
- * @param pace the rank's slowdown factor against its usual time; 1 if it is healthy
+ * @param slowdown the rank's slowdown factor against its usual time; 1 if it is healthy
  */
 public record RankReport(String server, String group, long epoch, int rank, int size, boolean open, long step,
 		long mapVersion, long preparedVersion, long armedVersion, OptionalLong heldStep, List<List<Integer>> layout,
-		double pace) {
+		double slowdown) {
 
 	public RankReport {
 		Preconditions.notBlank(server, "server");
 		Preconditions.notNull(group, "group");
 		Preconditions.notNull(heldStep, "heldStep");
 		Preconditions.check(rank >= 0 && rank < size, "rank must be at least 0 and below %d: %d", size, rank);
-		Preconditions.check(pace > 0, "slowdown must be positive: %s", pace);
+		Preconditions.check(slowdown > 0, "slowdown must be positive: %s", slowdown);
 		layout = layout.stream().map(List::copyOf).toList();
 	}
 
@@ -42,7 +42,7 @@
 	 */
 	public RankReport withLayout(List<List<Integer>> held) {
 		return new RankReport(this.server, this.group, this.epoch, this.rank, this.size, this.open, this.step,
-				this.mapVersion, this.preparedVersion, this.armedVersion, this.heldStep, held, this.pace);
+				this.mapVersion, this.preparedVersion, this.armedVersion, this.heldStep, held, this.slowdown);
 	}
 
 	/**
@@ -52,10 +52,10 @@
 	 * @return {@code true} if the group, the rank's maps, its held pass or its slowdown
 	 * changed
 	 */
-	public boolean differsBesidesStep(RankReport before) {
+	public boolean differsIgnoringStep(RankReport before) {
 		return this.epoch != before.epoch || this.open != before.open || this.mapVersion != before.mapVersion
 				|| this.preparedVersion != before.preparedVersion || this.armedVersion != before.armedVersion
-				|| !this.heldStep.equals(before.heldStep) || this.pace != before.pace;
+				|| !this.heldStep.equals(before.heldStep) || this.slowdown != before.slowdown;
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RebalanceCoordinator.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RebalanceCoordinator.java
@@ -52,7 +52,7 @@
 
 	private final EngineShape shape;
 
-	private final EvenCopyPlanner planner;
+	private final ExpertLayoutPlanner planner;
 
 	private final MapSwitch mapSwitch = new MapSwitch();
 
@@ -72,7 +72,7 @@
 	 */
 	public RebalanceCoordinator(EngineShape shape) {
 		this.shape = shape;
-		this.planner = new EvenCopyPlanner(shape.placesPerRank(), shape.newPerSwitch(), newPerRank(shape));
+		this.planner = new ExpertLayoutPlanner(shape.placesPerRank(), shape.newPerSwitch(), newPerRank(shape));
 		this.traffic = emptyTraffic();
 	}
 
@@ -92,13 +92,13 @@
 	 * set by set
 	 * @param now the present time in nanoseconds
 	 */
-	public void reported(RankReport report, List<Integer> chosen, long now) {
-		this.mapSwitch.reported(report, now);
+	public void addReport(RankReport report, List<Integer> chosen, long now) {
+		this.mapSwitch.addReport(report, now);
 		if (report.epoch() > this.epoch) {
 			// A group that was formed again restarts its pass numbers.
 			this.epoch = report.epoch();
 			this.traffic = emptyTraffic();
-			this.schedule.restart();
+			this.schedule.reset();
 			this.shiftsPlanned = 0;
 		}
 		if (report.epoch() == this.epoch) {
@@ -112,8 +112,8 @@
 	 * @param answer the answer
 	 * @param now the present time in nanoseconds
 	 */
-	public void answered(RankOrder order, OrderAnswer answer, long now) {
-		this.mapSwitch.answered(order, answer, now);
+	public void handleAnswer(RankOrder order, OrderAnswer answer, long now) {
+		this.mapSwitch.handleAnswer(order, answer, now);
 	}
 
 	/**
@@ -121,8 +121,8 @@
 	 * @param group the service and group, as {@code service/group}
 	 * @return the switch, or empty if there is none to delegate
 	 */
-	public Optional<EntrustedSwitch> entrusted(String group) {
-		return this.mapSwitch.entrusted(group);
+	public Optional<DelegatedSwitch> delegatedSwitch(String group) {
+		return this.mapSwitch.delegatedSwitch(group);
 	}
 
 	/**
@@ -130,7 +130,7 @@
 	 * @param delegatedSwitch the switch
 	 * @param now the present time in nanoseconds
 	 */
-	public void delegationConfirmed(EntrustedSwitch delegatedSwitch, long now) {
+	public void delegationConfirmed(DelegatedSwitch delegatedSwitch, long now) {
 		this.mapSwitch.delegationConfirmed(delegatedSwitch, now);
 	}
 
@@ -141,11 +141,11 @@
 	 * @return the orders
 	 */
 	public List<RankOrder> tick(long term, long now) {
-		boolean newRounds = this.schedule.hasNews(this.traffic) && this.mapSwitch.isAtRest(now)
-				&& this.schedule.isDue(this.traffic, this.mapSwitch.pace());
-		boolean outdated = this.traffic.shifts() > this.shiftsPlanned && this.mapSwitch.isPreparing();
+		boolean newRounds = this.schedule.hasNewRounds(this.traffic) && this.mapSwitch.canStart(now)
+				&& this.schedule.isDue(this.traffic, this.mapSwitch.slowdowns());
+		boolean outdated = this.traffic.shiftCount() > this.shiftsPlanned && this.mapSwitch.isPreparing();
 		if (newRounds || outdated) {
-			this.shiftsPlanned = this.traffic.shifts();
+			this.shiftsPlanned = this.traffic.shiftCount();
 			plan(term, now);
 		}
 		return this.mapSwitch.tick(now);
@@ -156,12 +156,12 @@
 		if (forecast.total() < MIN_CHOICES_PER_EXPERT * this.shape.experts()) {
 			return;
 		}
-		ExpertLayout present = this.mapSwitch.present(now);
+		ExpertLayout present = this.mapSwitch.currentLayout(now);
 		if (present.sets() != this.shape.layerSets()) {
 			return;
 		}
-		double[] slowdowns = this.mapSwitch.pace();
-		this.schedule.planned(this.traffic, slowdowns);
+		double[] slowdowns = this.mapSwitch.slowdowns();
+		this.schedule.recordPlan(this.traffic, slowdowns);
 		ExpertDemand demand = new ExpertDemand(forecast.chosen(), slowdowns);
 		double before = present.skew(demand);
 		ExpertLayout planned = this.planner.plan(present, demand);
@@ -171,7 +171,7 @@
 		log(worthwhile, before, after, forecast, now);
 		if (worthwhile) {
 			this.mapSwitch.start(planned, term, now);
-			this.schedule.restart();
+			this.schedule.reset();
 		}
 	}
 
@@ -185,7 +185,7 @@
 				Field.of("skew-before", decimal(before)), Field.of("skew-after", decimal(after)),
 				Field.of("choices", Math.round(forecast.total())), Field.of("rounds", forecast.rounds()),
 				Field.of("drift", decimal(forecast.drift())),
-				Field.of("pass-ms", decimal(this.mapSwitch.passNanos() / 1e6)));
+				Field.of("pass-ms", decimal(this.mapSwitch.averagePassNanos() / 1e6)));
 	}
 
 	// Returns the estimated time saved per pass in nanoseconds. Only the work of the
@@ -193,7 +193,7 @@
 	private double saving(double before, double after) {
 		double fixed = (double) this.shape.stepBase().toNanos() * this.shape.stride();
 		double even = (double) this.shape.stepPerRequest().toNanos() * this.shape.stride() * MIN_REQUESTS;
-		double varying = Math.max(even * before, this.mapSwitch.passNanos() - fixed);
+		double varying = Math.max(even * before, this.mapSwitch.averagePassNanos() - fixed);
 		return this.shape.expertShare() * varying * (before - after) / before;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
@@ -30,13 +30,13 @@
 	 */
 	private static final long GIVE_UP_NANOS = 3_000_000_000L;
 
-	private final EntrustedSwitch entrusted;
+	private final DelegatedSwitch delegatedSwitch;
 
 	private final long createdAt;
 
 	private final long timeoutNanos;
 
-	private final OrderPacer pacer = new OrderPacer(REPEAT_NANOS);
+	private final OrderRetryTimer retryTimer = new OrderRetryTimer(REPEAT_NANOS);
 
 	private final Set<Integer> armed = new HashSet<>();
 
@@ -49,14 +49,14 @@
 	 * to have failed
 	 * @param now the present time in nanoseconds
 	 */
-	SwitchDeputy(EntrustedSwitch delegatedSwitch, long timeoutNanos, long now) {
-		this.entrusted = delegatedSwitch;
+	SwitchDeputy(DelegatedSwitch delegatedSwitch, long timeoutNanos, long now) {
+		this.delegatedSwitch = delegatedSwitch;
 		this.timeoutNanos = timeoutNanos;
 		this.createdAt = now;
 	}
 
-	EntrustedSwitch entrusted() {
-		return this.entrusted;
+	DelegatedSwitch delegatedSwitch() {
+		return this.delegatedSwitch;
 	}
 
 	/**
@@ -64,7 +64,7 @@
 	 * @param now the present time in nanoseconds
 	 * @return {@code true} once the pass is released or the deputy has given up
 	 */
-	boolean isOver(long now) {
+	boolean isDone(long now) {
 		return this.phase == Phase.OVER || now - this.createdAt > GIVE_UP_NANOS;
 	}
 
@@ -73,29 +73,29 @@
 	 * @param order the order
 	 * @param answer the answer
 	 */
-	void answered(RankOrder order, OrderAnswer answer) {
+	void handleAnswer(RankOrder order, OrderAnswer answer) {
 		if (answer == OrderAnswer.UNKNOWN) {
-			this.pacer.lost(order.rank());
+			this.retryTimer.markLost(order.rank());
 		}
 		else if (order.order() instanceof HoldStep && this.phase == Phase.HOLDING) {
 			enter((answer == OrderAnswer.TAKEN) ? Phase.ARMING : Phase.OVER);
 		}
 		else if (order.order() instanceof ArmMap && this.phase == Phase.ARMING && answer == OrderAnswer.TAKEN) {
 			this.armed.add(order.rank());
-			if (this.armed.size() == this.entrusted.servers().size()) {
+			if (this.armed.size() == this.delegatedSwitch.servers().size()) {
 				enter(Phase.RELEASING);
 			}
 		}
 		else if (order.order() instanceof ReleaseStep && this.phase == Phase.RELEASING) {
-			LOG.warn("map-switched-by-deputy", Field.of("group", this.entrusted.group()),
-					Field.of("version", this.entrusted.version()), Field.of("step", this.entrusted.step()));
+			LOG.warn("map-switched-by-deputy", Field.of("group", this.delegatedSwitch.group()),
+					Field.of("version", this.delegatedSwitch.version()), Field.of("step", this.delegatedSwitch.step()));
 			enter(Phase.OVER);
 		}
 	}
 
 	private void enter(Phase next) {
 		this.phase = next;
-		this.pacer.restart();
+		this.retryTimer.reset();
 	}
 
 	/**
@@ -105,23 +105,23 @@
 	 */
 	List<RankOrder> tick(long now) {
 		if (this.phase == Phase.WAITING && now - this.createdAt > this.timeoutNanos) {
-			LOG.warn("switch-taken-over", Field.of("group", this.entrusted.group()),
-					Field.of("version", this.entrusted.version()), Field.of("step", this.entrusted.step()));
+			LOG.warn("switch-taken-over", Field.of("group", this.delegatedSwitch.group()),
+					Field.of("version", this.delegatedSwitch.version()), Field.of("step", this.delegatedSwitch.step()));
 			enter(Phase.HOLDING);
 		}
-		long epoch = this.entrusted.epoch();
-		long step = this.entrusted.step();
+		long epoch = this.delegatedSwitch.epoch();
+		long step = this.delegatedSwitch.step();
 		return switch (this.phase) {
-			case HOLDING -> dueOrders(List.of(this.entrusted.holder()), new HoldStep(epoch, step), now);
-			case ARMING -> dueOrders(ranksNotArmed(), new ArmMap(epoch, this.entrusted.version(), step), now);
-			case RELEASING -> dueOrders(List.of(this.entrusted.holder()), new ReleaseStep(epoch, step), now);
+			case HOLDING -> dueOrders(List.of(this.delegatedSwitch.holder()), new HoldStep(epoch, step), now);
+			case ARMING -> dueOrders(ranksNotArmed(), new ArmMap(epoch, this.delegatedSwitch.version(), step), now);
+			case RELEASING -> dueOrders(List.of(this.delegatedSwitch.holder()), new ReleaseStep(epoch, step), now);
 			case WAITING, OVER -> List.of();
 		};
 	}
 
 	private List<Integer> ranksNotArmed() {
 		List<Integer> ranks = new ArrayList<>();
-		for (int rank = 0; rank < this.entrusted.servers().size(); rank++) {
+		for (int rank = 0; rank < this.delegatedSwitch.servers().size(); rank++) {
 			if (!this.armed.contains(rank)) {
 				ranks.add(rank);
 			}
@@ -132,8 +132,8 @@
 	private List<RankOrder> dueOrders(List<Integer> ranks, EngineOrder order, long now) {
 		List<RankOrder> orders = new ArrayList<>();
 		for (int rank : ranks) {
-			if (this.pacer.take(rank, now)) {
-				orders.add(new RankOrder(this.entrusted.servers().get(rank), rank, order));
+			if (this.retryTimer.markSentIfDue(rank, now)) {
+				orders.add(new RankOrder(this.delegatedSwitch.servers().get(rank), rank, order));
 			}
 		}
 		return orders;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -57,7 +57,7 @@
 
 	void connect(long longestIdleNanos) {
 		this.gateway.connections()
-			.acquire(this.server.announcement(), longestIdleNanos, this::connected, this::notConnected);
+			.acquire(this.server.announcement(), longestIdleNanos, this::connected, this::connectFailed);
 	}
 
 	boolean isSent() {
@@ -93,10 +93,10 @@
 		opened.send(message(), this);
 	}
 
-	private void notConnected() {
+	private void connectFailed() {
 		if (!this.ended) {
 			end(AttemptResult.BROKEN);
-			this.exchange.notConnected(this.server);
+			this.exchange.connectFailed(this.server);
 		}
 	}
 
@@ -113,7 +113,7 @@
 		}
 		headers.set(names.expectedServer(), this.server.announcement().server());
 		headers.set(names.deadline(), this.exchange.millisLeft(System.nanoTime()));
-		this.exchange.answer().lastEventId().ifPresent((last) -> headers.set(CallerAnswer.LAST_EVENT_ID, last));
+		this.exchange.response().lastEventId().ifPresent((last) -> headers.set(CallerResponse.LAST_EVENT_ID, last));
 		if (request.body().length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
 		}
@@ -137,17 +137,17 @@
 			onBroken("success without seal");
 			return;
 		}
-		if (success && this.exchange.answer().begun()) {
+		if (success && this.exchange.response().isStarted()) {
 			this.head = received;
 			return;
 		}
-		if (received.status().code() >= 500 && this.exchange.takesRetry("error " + received.status().code())) {
+		if (received.status().code() >= 500 && this.exchange.tryTakeRetry("error " + received.status().code())) {
 			this.discarding = true;
 			end(AttemptResult.FAILED);
-			this.exchange.repeat(this.server);
+			this.exchange.sendAgain(this.server);
 			return;
 		}
-		if (this.exchange.answer().begun()) {
+		if (this.exchange.response().isStarted()) {
 			this.connection.abort();
 			onBroken("stream could not be continued");
 			return;
@@ -164,13 +164,13 @@
 		if (this.firstPartAt == 0) {
 			this.firstPartAt = System.nanoTime();
 		}
-		CallerAnswer response = this.exchange.answer();
-		if (response.begun()) {
-			response.body(part);
+		CallerResponse response = this.exchange.response();
+		if (response.isStarted()) {
+			response.writePart(part);
 		}
 		else if (isEventStream()) {
-			response.begin(this.head, this.exchange.keepAlive());
-			response.body(part);
+			response.start(this.head, this.exchange.keepAlive());
+			response.writePart(part);
 		}
 		else {
 			buffer(part);
@@ -186,8 +186,8 @@
 		part.readBytes(bytes);
 		this.buffered.writeBytes(bytes);
 		if (this.buffered.size() > MAX_BUFFERED_BYTES) {
-			this.exchange.answer().begin(this.head, this.exchange.keepAlive());
-			this.exchange.answer().body(Unpooled.wrappedBuffer(this.buffered.toByteArray()));
+			this.exchange.response().start(this.head, this.exchange.keepAlive());
+			this.exchange.response().writePart(Unpooled.wrappedBuffer(this.buffered.toByteArray()));
 		}
 	}
 
@@ -197,15 +197,15 @@
 			return;
 		}
 		end(Exchange.resultOf(this.head.status().code()));
-		CallerAnswer response = this.exchange.answer();
-		if (!response.begun() && isEventStream()) {
-			response.begin(this.head, this.exchange.keepAlive());
+		CallerResponse response = this.exchange.response();
+		if (!response.isStarted() && isEventStream()) {
+			response.start(this.head, this.exchange.keepAlive());
 		}
-		if (response.begun()) {
+		if (response.isStarted()) {
 			response.complete();
 		}
 		else {
-			response.whole(this.head, this.buffered.toByteArray(), this.exchange.keepAlive());
+			response.writeWhole(this.head, this.buffered.toByteArray(), this.exchange.keepAlive());
 		}
 		this.exchange.completed(this.head.status().code());
 	}
@@ -225,7 +225,7 @@
 		long now = System.nanoTime();
 		long first = (this.firstPartAt != 0) ? this.firstPartAt : now;
 		this.pool.release(this.server, result, first - this.startedAt, now);
-		this.gateway.placesChanged(this.pool);
+		this.gateway.dispatchWaiting(this.pool);
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
@@ -57,7 +57,7 @@
 	@Override
 	public void channelActive(ChannelHandlerContext active) {
 		this.context = active;
-		this.gateway.opened(this);
+		this.gateway.addCaller(this);
 		startIdleTimer();
 	}
 
@@ -90,7 +90,7 @@
 	 * @return {@code true} once the connection is closing, for instance after an invalid
 	 * request
 	 */
-	boolean closesNext() {
+	boolean isClosing() {
 		return this.closing;
 	}
 
@@ -175,7 +175,7 @@
 	 * Called when the response was written completely or was aborted.
 	 * @param keepAlive whether the connection may carry another request
 	 */
-	void answered(boolean keepAlive) {
+	void exchangeEnded(boolean keepAlive) {
 		this.exchange = null;
 		if (keepAlive && this.gateway.isStopping()) {
 			// The response head, sent before the stop began, announced keep-alive. A
@@ -214,9 +214,9 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext inactive) {
 		cancelIdleTimer();
-		this.gateway.closed(this);
+		this.gateway.removeCaller(this);
 		if (this.exchange != null) {
-			this.exchange.callerGone();
+			this.exchange.callerDisconnected();
 			this.exchange = null;
 		}
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerAnswer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
@@ -23,7 +23,7 @@
 /**
  * Writes the response to one request.
  */
-final class CallerAnswer {
+final class CallerResponse {
 
 	/** The standard header of a request that resumes an event stream. */
 	static final String LAST_EVENT_ID = "Last-Event-Id";
@@ -32,7 +32,7 @@
 
 	private final ChannelHandlerContext context;
 
-	private final AnswerPace pace;
+	private final ResponseTiming timing;
 
 	private EventFramer framer;
 
@@ -40,9 +40,9 @@
 
 	private boolean keptAlive = true;
 
-	CallerAnswer(ChannelHandlerContext context, AnswerPace timing) {
+	CallerResponse(ChannelHandlerContext context, ResponseTiming timing) {
 		this.context = context;
-		this.pace = timing;
+		this.timing = timing;
 	}
 
 	/**
@@ -50,7 +50,7 @@
 	 * @param resumable whether another server can resume it
 	 * @param request the request's headers
 	 */
-	void stream(boolean resumable, HttpHeaders request) {
+	void prepareStream(boolean resumable, HttpHeaders request) {
 		if (resumable) {
 			this.framer = new EventFramer();
 			String last = request.get(LAST_EVENT_ID, "");
@@ -74,7 +74,7 @@
 	 * Returns whether a part of the response was written.
 	 * @return {@code true} once the head was written
 	 */
-	boolean begun() {
+	boolean isStarted() {
 		return this.started;
 	}
 
@@ -84,8 +84,8 @@
 	 * @return {@code true} if nothing was written, or only whole events of a resumable
 	 * stream
 	 */
-	boolean isContinuable() {
-		return !this.started || (this.framer != null && this.framer.isContinuable() && lastEventId().isPresent());
+	boolean isResumable() {
+		return !this.started || (this.framer != null && this.framer.isResumable() && lastEventId().isPresent());
 	}
 
 	/**
@@ -96,13 +96,13 @@
 		return this.keptAlive;
 	}
 
-	void restart() {
+	void discardPartialEvent() {
 		if (this.framer != null) {
-			this.framer.restart();
+			this.framer.discardPartialEvent();
 		}
 	}
 
-	void begin(HttpResponse head, boolean keepAlive) {
+	void start(HttpResponse head, boolean keepAlive) {
 		this.started = true;
 		HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
 		EndToEndHeaders.copy(head.headers(), out.headers());
@@ -111,23 +111,23 @@
 		this.context.write(out, this.context.voidPromise());
 	}
 
-	void body(ByteBuf part) {
-		ByteBuf out = (this.framer != null) ? this.framer.take(part) : Unpooled.copiedBuffer(part);
+	void writePart(ByteBuf part) {
+		ByteBuf out = (this.framer != null) ? this.framer.feed(part) : Unpooled.copiedBuffer(part);
 		if (out.isReadable()) {
-			this.pace.sent(System.nanoTime());
+			this.timing.recordPart(System.nanoTime());
 			this.context.writeAndFlush(new DefaultHttpContent(out), this.context.voidPromise());
 		}
 	}
 
 	void complete() {
-		if (this.framer != null && this.framer.rest().length > 0) {
-			ByteBuf rest = Unpooled.wrappedBuffer(this.framer.rest());
+		if (this.framer != null && this.framer.remainder().length > 0) {
+			ByteBuf rest = Unpooled.wrappedBuffer(this.framer.remainder());
 			this.context.write(new DefaultHttpContent(rest), this.context.voidPromise());
 		}
 		end(LastHttpContent.EMPTY_LAST_CONTENT);
 	}
 
-	void whole(HttpResponse head, byte[] body, boolean keepAlive) {
+	void writeWhole(HttpResponse head, byte[] body, boolean keepAlive) {
 		this.started = true;
 		FullHttpResponse out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(),
 				Unpooled.wrappedBuffer(body));
@@ -146,7 +146,7 @@
 	 * such header
 	 * @param keepAlive whether the connection stays open
 	 */
-	void refuse(HttpResponseStatus status, Optional<Duration> retryAfter, boolean keepAlive) {
+	void sendStatus(HttpResponseStatus status, Optional<Duration> retryAfter, boolean keepAlive) {
 		this.started = true;
 		FullHttpResponse out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
 		out.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
@@ -160,7 +160,7 @@
 	 * Closes the connection within a response that cannot be completed, so that the
 	 * caller does not take it for complete.
 	 */
-	void breakOff() {
+	void abort() {
 		this.keptAlive = false;
 		this.context.close();
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerPatience.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerRetryDetector.java
@@ -7,7 +7,7 @@
  * Heuristic that distinguishes retries of refused requests from new requests: a retry
  * states a shorter deadline than the route's callers state in their first request.
  */
-final class CallerPatience {
+final class CallerRetryDetector {
 
 	/**
 	 * A request is taken for a retry if its timeout is below this share of the longest
@@ -35,7 +35,7 @@
 	 * @param millis the timeout that the caller states, in milliseconds
 	 * @return {@code true} if the request is probably a retry
 	 */
-	boolean isReturning(String route, long millis) {
+	boolean isProbableRetry(String route, long millis) {
 		long known = this.longest.merge(route, millis, Math::max);
 		return millis < RETRY_SHARE * known;
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EventFramer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EventFramer.java
@@ -18,7 +18,7 @@
 
 	private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
-	private byte[] rest = new byte[0];
+	private byte[] remainder = new byte[0];
 
 	private long lastId = Long.MIN_VALUE;
 
@@ -30,7 +30,7 @@
 	 * @param bytes the next bytes; read completely, not released
 	 * @return the new whole events, may be empty
 	 */
-	ByteBuf take(ByteBuf bytes) {
+	ByteBuf feed(ByteBuf bytes) {
 		byte[] all = append(bytes);
 		ByteBuf whole = Unpooled.buffer(all.length);
 		int start = 0;
@@ -40,11 +40,11 @@
 			start = end;
 			end = endOfEvent(all, start);
 		}
-		this.rest = Arrays.copyOfRange(all, start, all.length);
-		if (this.rest.length > MAX_EVENT_BYTES) {
+		this.remainder = Arrays.copyOfRange(all, start, all.length);
+		if (this.remainder.length > MAX_EVENT_BYTES) {
 			this.splitEvent = true;
-			whole.writeBytes(this.rest);
-			this.rest = new byte[0];
+			whole.writeBytes(this.remainder);
+			this.remainder = new byte[0];
 		}
 		return whole;
 	}
@@ -53,15 +53,15 @@
 	 * Returns the bytes after the last whole event.
 	 * @return the bytes, may be empty
 	 */
-	byte[] rest() {
-		return this.rest;
+	byte[] remainder() {
+		return this.remainder;
 	}
 
 	/**
 	 * Discards a partial event, before another server resumes the stream.
 	 */
-	void restart() {
-		this.rest = new byte[0];
+	void discardPartialEvent() {
+		this.remainder = new byte[0];
 	}
 
 	/**
@@ -77,7 +77,7 @@
 	 * event.
 	 * @return {@code false} once part of an event was forwarded
 	 */
-	boolean isContinuable() {
+	boolean isResumable() {
 		return !this.splitEvent;
 	}
 
@@ -90,8 +90,8 @@
 	}
 
 	private byte[] append(ByteBuf bytes) {
-		byte[] all = Arrays.copyOf(this.rest, this.rest.length + bytes.readableBytes());
-		bytes.readBytes(all, this.rest.length, bytes.readableBytes());
+		byte[] all = Arrays.copyOf(this.remainder, this.remainder.length + bytes.readableBytes());
+		bytes.readBytes(all, this.remainder.length, bytes.readableBytes());
 		return all;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
@@ -14,11 +14,11 @@
 import org.comfreywall.gateway.config.RequestKind;
 import org.comfreywall.gateway.config.Route;
 import org.comfreywall.gateway.pool.AttemptResult;
-import org.comfreywall.gateway.pool.PlaceDecision;
-import org.comfreywall.gateway.pool.PlaceGranted;
-import org.comfreywall.gateway.pool.PlaceRefused;
 import org.comfreywall.gateway.pool.PoolServer;
 import org.comfreywall.gateway.pool.ServicePool;
+import org.comfreywall.gateway.pool.SlotDecision;
+import org.comfreywall.gateway.pool.SlotGranted;
+import org.comfreywall.gateway.pool.SlotRefused;
 import org.comfreywall.gateway.pool.WaitingRequest;
 
 /**
@@ -69,9 +69,9 @@
 
 	private final Set<String> excluded = new HashSet<>();
 
-	private final AnswerPace pace;
+	private final ResponseTiming timing;
 
-	private final CallerAnswer answer;
+	private final CallerResponse response;
 
 	private Route route;
 
@@ -114,14 +114,14 @@
 		this.caller = caller;
 		this.request = request;
 		this.id = gateway.nextId();
-		this.pace = new AnswerPace(request.arrival());
-		this.answer = new CallerAnswer(caller.context(), this.pace);
+		this.timing = new ResponseTiming(request.arrival());
+		this.response = new CallerResponse(caller.context(), this.timing);
 	}
 
 	void start() {
 		Optional<GatewayConfiguration> known = this.gateway.configuration();
 		if (known.isEmpty()) {
-			refuse("no-configuration", this.gateway.configurationExpectedIn());
+			refuse("no-configuration", this.gateway.configurationRetryAfter());
 			return;
 		}
 		Optional<Route> found = known.get().findRoute(this.request.host(), this.request.path());
@@ -141,7 +141,7 @@
 			.executor()
 			.schedule(this::timedOut, this.deadline - this.request.arrival(), TimeUnit.NANOSECONDS);
 		if (this.route.kind().isStream()) {
-			this.answer.stream(this.route.kind() == RequestKind.RESUMABLE_STREAM, this.request.headers());
+			this.response.prepareStream(this.route.kind() == RequestKind.RESUMABLE_STREAM, this.request.headers());
 		}
 		enqueue();
 	}
@@ -161,7 +161,8 @@
 		long timeout = this.route.timeout().toNanos();
 		String stated = this.request.headers().get(this.gateway.names().deadline(), "");
 		if (stated.matches("\\d{1,9}")) {
-			this.probableRetry = this.gateway.patience().isReturning(this.route.name(), Long.parseLong(stated));
+			this.probableRetry = this.gateway.retryDetector()
+				.isProbableRetry(this.route.name(), Long.parseLong(stated));
 			return Math.min(timeout, TimeUnit.MILLISECONDS.toNanos(Long.parseLong(stated)));
 		}
 		return timeout;
@@ -179,20 +180,20 @@
 				now + (long) wait, this.excluded);
 		this.queued = true;
 		this.queuedAt = now;
-		this.gateway.waiting(this.id, this);
-		decided(this.pool.offer(waiting, now));
+		this.gateway.addWaiting(this.id, this);
+		handleDecision(this.pool.offer(waiting, now));
 	}
 
 	/**
 	 * Handles the pool's decision about the waiting request.
 	 * @param decision the decision
 	 */
-	void decided(PlaceDecision decision) {
-		if (decision instanceof PlaceGranted granted) {
+	void handleDecision(SlotDecision decision) {
+		if (decision instanceof SlotGranted granted) {
 			leaveQueue();
 			send(granted.server());
 		}
-		else if (decision instanceof PlaceRefused refused) {
+		else if (decision instanceof SlotRefused refused) {
 			leaveQueue();
 			if (this.mayHaveRun) {
 				giveUp(refused.reason());
@@ -205,7 +206,7 @@
 
 	private void leaveQueue() {
 		this.queued = false;
-		this.gateway.notWaiting(this.id);
+		this.gateway.removeWaiting(this.id);
 	}
 
 	private void send(PoolServer granted) {
@@ -218,7 +219,7 @@
 	// The server may close a reused connection just as the request arrives. A request
 	// that must not run twice then fails, so it gets a recently used or new connection.
 	private long maxIdleNanos() {
-		return this.route.kind().isRepeatable() ? Long.MAX_VALUE : Gateway.FRESH_CONNECTION_NANOS;
+		return this.route.kind().isRetryable() ? Long.MAX_VALUE : Gateway.FRESH_CONNECTION_NANOS;
 	}
 
 	CallerRequest request() {
@@ -229,8 +230,8 @@
 		return this.account;
 	}
 
-	CallerAnswer answer() {
-		return this.answer;
+	CallerResponse response() {
+		return this.response;
 	}
 
 	long id() {
@@ -248,11 +249,11 @@
 	void connected() {
 		this.sent++;
 		if (this.sent == 1) {
-			this.gateway.allowance(this.service).sentFirst(System.nanoTime());
+			this.gateway.retryBudget(this.service).recordFirstAttempt(System.nanoTime());
 		}
 	}
 
-	void notConnected(PoolServer server) {
+	void connectFailed(PoolServer server) {
 		exclude(server);
 		this.failedConnects++;
 		if (this.failedConnects < MAX_FAILED_CONNECTS) {
@@ -273,10 +274,10 @@
 		this.rejections++;
 		String faulty = head.headers().get(this.gateway.names().faultyServer(), "");
 		boolean unavailable = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
-		if (unavailable && this.pool.isOther(server, faulty)) {
+		if (unavailable && this.pool.isOtherServer(server, faulty)) {
 			// From now on the pool refuses requests at once, with the expected recovery
 			// time of the group as retry-after.
-			this.pool.groupFault(System.nanoTime());
+			this.pool.recordGroupFault(System.nanoTime());
 			enqueue();
 			return;
 		}
@@ -297,8 +298,8 @@
 	 * @param reason the reason, for logs and metrics
 	 */
 	void failed(PoolServer server, String reason) {
-		if (takesRetry(reason)) {
-			repeat(server);
+		if (tryTakeRetry(reason)) {
+			sendAgain(server);
 		}
 		else {
 			exclude(server);
@@ -311,9 +312,9 @@
 	 * Takes a retry from the retry budget for a request that a backend server may have
 	 * begun.
 	 * @param reason the reason, for logs
-	 * @return {@code true} if the request may be sent again with {@link #repeat}
+	 * @return {@code true} if the request may be sent again with {@link #sendAgain}
 	 */
-	boolean takesRetry(String reason) {
+	boolean tryTakeRetry(String reason) {
 		return canRepeat() && this.sent < this.route.attempts() && takeFromRetryBudget(reason);
 	}
 
@@ -321,10 +322,10 @@
 	 * Sends the request again, to another server.
 	 * @param server the server that may have begun to run it
 	 */
-	void repeat(PoolServer server) {
+	void sendAgain(PoolServer server) {
 		exclude(server);
 		this.mayHaveRun = true;
-		this.answer.restart();
+		this.response.discardPartialEvent();
 		enqueue();
 	}
 
@@ -334,11 +335,11 @@
 	}
 
 	private boolean canRepeat() {
-		return this.route.kind().isRepeatable() && this.answer.isContinuable();
+		return this.route.kind().isRetryable() && this.response.isResumable();
 	}
 
 	private boolean takeFromRetryBudget(String reason) {
-		boolean taken = this.gateway.allowance(this.service).take(this.gateway.entries(), System.nanoTime());
+		boolean taken = this.gateway.retryBudget(this.service).tryAcquire(this.gateway.entries(), System.nanoTime());
 		this.gateway.log().retry(this, reason, taken);
 		return taken;
 	}
@@ -349,8 +350,8 @@
 	}
 
 	private void giveUp(String reason) {
-		if (this.answer.begun()) {
-			this.answer.breakOff();
+		if (this.response.isStarted()) {
+			this.response.abort();
 			finish(reason, 0, false);
 		}
 		else if (this.mayHaveRun) {
@@ -368,8 +369,8 @@
 		Attempt running = this.attempt;
 		boolean wasSent = running != null && running.isSent();
 		abandon();
-		if (this.answer.begun()) {
-			this.answer.breakOff();
+		if (this.response.isStarted()) {
+			this.response.abort();
 			finish("timeout", 0, false);
 		}
 		else if (wasSent || this.mayHaveRun) {
@@ -382,7 +383,7 @@
 
 	private void refuse(String reason, Duration retryAfter) {
 		boolean keepAlive = keepsAlive();
-		this.answer.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, Optional.of(retryAfter), keepAlive);
+		this.response.sendStatus(HttpResponseStatus.SERVICE_UNAVAILABLE, Optional.of(retryAfter), keepAlive);
 		finish(reason, HttpResponseStatus.SERVICE_UNAVAILABLE.code(), keepAlive);
 	}
 
@@ -398,12 +399,12 @@
 
 	private void fail(HttpResponseStatus status, String reason) {
 		boolean keepAlive = keepsAlive();
-		this.answer.refuse(status, Optional.empty(), keepAlive);
+		this.response.sendStatus(status, Optional.empty(), keepAlive);
 		finish(reason, status.code(), keepAlive);
 	}
 
 	private boolean keepsAlive() {
-		return this.request.keepAlive() && !this.caller.closesNext() && !this.gateway.isStopping();
+		return this.request.keepAlive() && !this.caller.isClosing() && !this.gateway.isStopping();
 	}
 
 	/**
@@ -420,7 +421,7 @@
 		}
 	}
 
-	void callerGone() {
+	void callerDisconnected() {
 		if (!this.done) {
 			abandon();
 			finish("caller-gone", 0, false);
@@ -429,7 +430,7 @@
 
 	private void abandon() {
 		if (this.queued) {
-			this.pool.cancel(this.id);
+			this.pool.cancelWaiting(this.id);
 			leaveQueue();
 		}
 		if (this.attempt != null) {
@@ -447,7 +448,7 @@
 			this.timer.cancel(false);
 		}
 		this.gateway.log().ended(this, reason, status);
-		this.caller.answered(keepAlive && this.answer.keptAlive());
+		this.caller.exchangeEnded(keepAlive && this.response.keptAlive());
 	}
 
 	String routeName() {
@@ -458,8 +459,8 @@
 		return (this.service != null) ? this.service : "";
 	}
 
-	AnswerPace pace() {
-		return this.pace;
+	ResponseTiming timing() {
+		return this.timing;
 	}
 
 	/**
@@ -478,7 +479,7 @@
 		return this.queuedNanos;
 	}
 
-	int sendings() {
+	int attemptCount() {
 		return this.sent;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -18,11 +18,11 @@
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.gateway.config.GatewayConfiguration;
 import org.comfreywall.gateway.config.HttpLimits;
-import org.comfreywall.gateway.pool.PlaceDecision;
 import org.comfreywall.gateway.pool.PoolServer;
-import org.comfreywall.gateway.pool.RetryAllowance;
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 import org.comfreywall.gateway.pool.ServicePool;
+import org.comfreywall.gateway.pool.ServiceRetryBudget;
+import org.comfreywall.gateway.pool.SlotDecision;
 
 /**
  * The state that all requests of this entry share: configuration, server pools, retry
@@ -60,17 +60,17 @@
 
 	private final RequestLog log;
 
-	private final ServerConnections connections;
+	private final ServerConnectionPool connections;
 
 	private final Map<String, ServicePool> pools = new HashMap<>();
 
-	private final Map<String, RetryAllowance> allowances = new HashMap<>();
+	private final Map<String, ServiceRetryBudget> retryBudgets = new HashMap<>();
 
 	private final Map<Long, Exchange> waitingExchanges = new HashMap<>();
 
 	private final Set<CallerConnection> callers = new HashSet<>();
 
-	private final CallerPatience patience = new CallerPatience();
+	private final CallerRetryDetector retryDetector = new CallerRetryDetector();
 
 	private Optional<GatewayConfiguration> configuration = Optional.empty();
 
@@ -97,7 +97,7 @@
 		this.fleet = Preconditions.notNull(fleet, "fleet");
 		this.random = Preconditions.notNull(random, "random");
 		this.log = new RequestLog(settings.names(), Preconditions.notNull(metrics, "metrics"));
-		this.connections = new ServerConnections(loop, settings.names());
+		this.connections = new ServerConnectionPool(loop, settings.names());
 		loop.next().scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
@@ -118,17 +118,17 @@
 	 * Adds or updates a backend server by its announcement.
 	 * @param announcement the newest announcement
 	 */
-	public void announce(ServerAnnouncement announcement) {
+	public void updateServer(ServerAnnouncement announcement) {
 		ServicePool pool = pool(announcement.service());
-		pool.announce(announcement, System.nanoTime());
-		placesChanged(pool);
+		pool.updateServer(announcement, System.nanoTime());
+		dispatchWaiting(pool);
 	}
 
 	/**
 	 * Removes a backend server.
 	 * @param announcement its last announcement
 	 */
-	public void forget(ServerAnnouncement announcement) {
+	public void removeServer(ServerAnnouncement announcement) {
 		pool(announcement.service()).remove(announcement.server());
 	}
 
@@ -137,10 +137,10 @@
 	 * @param entry the identifier of the other entry
 	 * @param requests its requests by backend server
 	 */
-	public void heardOthers(String entry, Map<String, Integer> requests) {
+	public void updateInFlight(String entry, Map<String, Integer> requests) {
 		this.pools.values().forEach((pool) -> {
-			pool.heardOthers(entry, requests, System.nanoTime());
-			placesChanged(pool);
+			pool.updateInFlight(entry, requests, System.nanoTime());
+			dispatchWaiting(pool);
 		});
 	}
 
@@ -148,8 +148,8 @@
 	 * Updates the slowdown of backend servers that are ranks of a group.
 	 * @param slowdowns the slowdown factor of each server, by address
 	 */
-	public void heardPace(Map<HostPort, Double> slowdowns) {
-		this.pools.values().forEach((pool) -> pool.heardPace(slowdowns));
+	public void updateSlowdowns(Map<HostPort, Double> slowdowns) {
+		this.pools.values().forEach((pool) -> pool.updateSlowdowns(slowdowns));
 	}
 
 	/**
@@ -171,7 +171,7 @@
 	/**
 	 * Closes each connection after its next response.
 	 */
-	public void endConnections() {
+	public void drainConnections() {
 		this.stopping = true;
 	}
 
@@ -180,12 +180,12 @@
 	 * present response, as a later request might not complete before the process exits.
 	 */
 	public void stop() {
-		endConnections();
+		drainConnections();
 		this.servers.forEach(GatewayServer::close);
 		List.copyOf(this.callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
 	}
 
-	void listens(GatewayServer server) {
+	void addServer(GatewayServer server) {
 		this.servers.add(server);
 	}
 
@@ -213,8 +213,8 @@
 		return this.configuration;
 	}
 
-	CallerPatience patience() {
-		return this.patience;
+	CallerRetryDetector retryDetector() {
+		return this.retryDetector;
 	}
 
 	/**
@@ -222,7 +222,7 @@
 	 * configuration, with random jitter.
 	 * @return the time until a process that has just started usually has one
 	 */
-	Duration configurationExpectedIn() {
+	Duration configurationRetryAfter() {
 		long age = System.nanoTime() - this.started;
 		double jitter = 0.9 + 0.3 * this.random.nextDouble();
 		long wait = (age < USUAL_CONFIGURATION_TIME.toNanos())
@@ -246,7 +246,7 @@
 		return this.log;
 	}
 
-	ServerConnections connections() {
+	ServerConnectionPool connections() {
 		return this.connections;
 	}
 
@@ -274,38 +274,38 @@
 		return this.pools.computeIfAbsent(service, (name) -> new ServicePool(this.settings.domain(), this.random));
 	}
 
-	RetryAllowance allowance(String service) {
-		return this.allowances.computeIfAbsent(service, (name) -> new RetryAllowance(this.settings.retryRatio(),
+	ServiceRetryBudget retryBudget(String service) {
+		return this.retryBudgets.computeIfAbsent(service, (name) -> new ServiceRetryBudget(this.settings.retryRatio(),
 				this.settings.retrySlack(), this.settings.retryWindow()));
 	}
 
-	void waiting(long request, Exchange exchange) {
+	void addWaiting(long request, Exchange exchange) {
 		this.waitingExchanges.put(request, exchange);
 	}
 
-	void notWaiting(long request) {
+	void removeWaiting(long request) {
 		this.waitingExchanges.remove(request);
 	}
 
-	void placesChanged(ServicePool pool) {
-		if (pool.waiting() > 0) {
-			for (PlaceDecision decision : pool.tick(System.nanoTime())) {
+	void dispatchWaiting(ServicePool pool) {
+		if (pool.queueLength() > 0) {
+			for (SlotDecision decision : pool.processQueue(System.nanoTime())) {
 				Optional.ofNullable(this.waitingExchanges.get(decision.request()))
-					.ifPresent((exchange) -> exchange.decided(decision));
+					.ifPresent((exchange) -> exchange.handleDecision(decision));
 			}
 		}
 	}
 
-	void opened(CallerConnection caller) {
+	void addCaller(CallerConnection caller) {
 		this.callers.add(caller);
 	}
 
-	void closed(CallerConnection caller) {
+	void removeCaller(CallerConnection caller) {
 		this.callers.remove(caller);
 	}
 
 	private void tick() {
-		List.copyOf(this.pools.values()).forEach(this::placesChanged);
+		List.copyOf(this.pools.values()).forEach(this::dispatchWaiting);
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/GatewayServer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/GatewayServer.java
@@ -56,7 +56,7 @@
 			});
 		Channel channel = bootstrap.bind(address.host(), address.port()).syncUninterruptibly().channel();
 		GatewayServer server = new GatewayServer(channel);
-		gateway.listens(server);
+		gateway.addServer(server);
 		return server;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
@@ -39,13 +39,13 @@
 	void sent(Exchange exchange, PoolServer server) {
 		this.metrics.counter("attempts").inc();
 		LOG.debug("attempt-sent", request(exchange), Field.of("server", server.announcement().server()),
-				Field.of("requests", server.requests()));
+				Field.of("requests", server.totalInFlight()));
 	}
 
 	void rejected(Exchange exchange, PoolServer server, HttpResponse head) {
 		this.metrics.counter("attempts_rejected").inc();
 		LOG.info("attempt-rejected", request(exchange), Field.of("server", server.announcement().server()),
-				Field.of("status", head.status().code()), Field.of("requests", server.requests()),
+				Field.of("status", head.status().code()), Field.of("requests", server.totalInFlight()),
 				Field.of("faulty", head.headers().get(this.names.faultyServer(), "")));
 	}
 
@@ -58,7 +58,7 @@
 	void retry(Exchange exchange, String reason, boolean allowed) {
 		this.metrics.counter(allowed ? "retries" : "retries_denied").inc();
 		LOG.info("retry", request(exchange), Field.of("reason", reason), Field.of("allowed", allowed),
-				Field.of("sent", exchange.sendings()));
+				Field.of("sent", exchange.attemptCount()));
 	}
 
 	void ended(Exchange exchange, String reason, int status) {
@@ -67,11 +67,11 @@
 		this.latency.update(exchange.routeName(), nanos / NANOS_PER_MICRO);
 		LOG.info("request-ended", request(exchange), Field.of("route", exchange.routeName()),
 				Field.of("account", exchange.account()), Field.of("service", exchange.serviceName()),
-				Field.of("outcome", reason), Field.of("status", status), Field.of("sent", exchange.sendings()),
+				Field.of("outcome", reason), Field.of("status", status), Field.of("sent", exchange.attemptCount()),
 				Field.of("server", exchange.lastServer()),
 				Field.of("queued-ms", exchange.queuedNanos() / NANOS_PER_MILLI),
-				Field.of("first-ms", exchange.pace().firstNanos() / NANOS_PER_MILLI),
-				Field.of("pause-ms", exchange.pace().longestPauseNanos() / NANOS_PER_MILLI),
+				Field.of("first-ms", exchange.timing().timeToFirstPartNanos() / NANOS_PER_MILLI),
+				Field.of("pause-ms", exchange.timing().longestPauseNanos() / NANOS_PER_MILLI),
 				Field.of("ms", nanos / NANOS_PER_MILLI));
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/AnswerPace.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ResponseTiming.java
@@ -4,7 +4,7 @@
  * Measures how a response reached its caller: the time to its first part and the longest
  * pause between parts.
  */
-final class AnswerPace {
+final class ResponseTiming {
 
 	private final long arrival;
 
@@ -18,7 +18,7 @@
 	 * Creates the timing of a response that has not begun.
 	 * @param arrival when the request was read completely, in nanoseconds
 	 */
-	AnswerPace(long arrival) {
+	ResponseTiming(long arrival) {
 		this.arrival = arrival;
 	}
 
@@ -26,7 +26,7 @@
 	 * Records that a part was sent to the caller.
 	 * @param now the present time in nanoseconds
 	 */
-	void sent(long now) {
+	void recordPart(long now) {
 		if (this.firstAt == 0) {
 			this.firstAt = now;
 		}
@@ -40,7 +40,7 @@
 	 * Returns the time from the request to the first part.
 	 * @return the time in nanoseconds, or 0 if no part was sent
 	 */
-	long firstNanos() {
+	long timeToFirstPartNanos() {
 		return (this.firstAt != 0) ? this.firstAt - this.arrival : 0;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -28,7 +28,7 @@
 
 	private static final long DEFAULT_IDLE_NANOS = 600_000_000L;
 
-	private final ServerConnections owner;
+	private final ServerConnectionPool owner;
 
 	private final String server;
 
@@ -56,7 +56,7 @@
 
 	private long idleSince;
 
-	ServerConnection(ServerConnections owner, String server, HeaderNames names) {
+	ServerConnection(ServerConnectionPool owner, String server, HeaderNames names) {
 		this.owner = owner;
 		this.server = server;
 		this.names = names;
@@ -198,7 +198,7 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		this.owner.closed(this);
+		this.owner.remove(this);
 		fail(this.inAnswer ? "closed within the answer" : "closed before an answer");
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnections.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnectionPool.java
@@ -20,7 +20,7 @@
 /**
  * Pool of idle connections to backend servers.
  */
-final class ServerConnections {
+final class ServerConnectionPool {
 
 	/**
 	 * Three round trips to the most distant failure domain of a region, with a margin.
@@ -38,7 +38,7 @@
 
 	private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
 
-	ServerConnections(EventLoopGroup loop, HeaderNames names) {
+	ServerConnectionPool(EventLoopGroup loop, HeaderNames names) {
 		this.loop = loop;
 		this.names = names;
 	}
@@ -101,7 +101,7 @@
 		}
 	}
 
-	void closed(ServerConnection connection) {
+	void remove(ServerConnection connection) {
 		Deque<ServerConnection> idleConnections = this.idle.get(connection.server());
 		if (idleConnections != null) {
 			idleConnections.remove(connection);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ArrivalRate.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ArrivalRate.java
@@ -18,7 +18,7 @@
 	 * Records an arrival.
 	 * @param now the current time in nanoseconds
 	 */
-	void add(long now) {
+	void recordArrival(long now) {
 		if (this.last != Long.MIN_VALUE) {
 			double gap = Math.min(now - this.last, NANOS_PER_SECOND);
 			this.meanGapNanos += SMOOTHING * (gap - this.meanGapNanos);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
@@ -37,15 +37,15 @@
 
 	private double errorRate;
 
-	private double pace = 1;
+	private double slowdown = 1;
 
 	private int connectionFailures;
 
-	private long notBefore;
+	private long pausedUntil;
 
 	PoolServer(ServerAnnouncement announcement, long now) {
 		this.announcement = announcement;
-		this.notBefore = now;
+		this.pausedUntil = now;
 	}
 
 	/**
@@ -61,7 +61,7 @@
 	 * @return this entry's count plus the counts last received from other entries, which
 	 * may be out of date
 	 */
-	public int requests() {
+	public int totalInFlight() {
 		return this.inFlight + this.othersInFlight;
 	}
 
@@ -73,21 +73,21 @@
 		return this.inFlight;
 	}
 
-	void announced(ServerAnnouncement newer) {
+	void updateAnnouncement(ServerAnnouncement newer) {
 		this.announcement = newer;
 	}
 
-	void heardOthers(String entry, int requests) {
+	void updateInFlight(String entry, int requests) {
 		int before = this.inFlightByEntry.getOrDefault(entry, 0);
 		this.inFlightByEntry.put(entry, requests);
 		this.othersInFlight += requests - before;
 	}
 
-	void sent() {
+	void recordSent() {
 		this.inFlight++;
 	}
 
-	void ended(AttemptResult result, long nanos, long now) {
+	void recordResult(AttemptResult result, long nanos, long now) {
 		this.inFlight--;
 		switch (result) {
 			case ANSWERED -> answered(nanos, 0);
@@ -100,7 +100,7 @@
 	}
 
 	private void rejected(long now) {
-		this.notBefore = now + REJECTION_PAUSE_NANOS;
+		this.pausedUntil = now + REJECTION_PAUSE_NANOS;
 	}
 
 	private void answered(long nanos, double failed) {
@@ -115,36 +115,36 @@
 		this.errorRate += ERROR_SMOOTHING * (1 - this.errorRate);
 		if (this.connectionFailures >= FAILURES_TO_EJECT) {
 			long pause = FIRST_EJECTION_NANOS << Math.min(this.connectionFailures - FAILURES_TO_EJECT, 3);
-			this.notBefore = now + Math.min(pause, LONGEST_EJECTION_NANOS);
+			this.pausedUntil = now + Math.min(pause, LONGEST_EJECTION_NANOS);
 		}
 	}
 
 	boolean isPaused(long now) {
-		return now < this.notBefore;
+		return now < this.pausedUntil;
 	}
 
-	long notBefore() {
-		return this.notBefore;
+	long pausedUntil() {
+		return this.pausedUntil;
 	}
 
-	boolean takesWork() {
+	boolean acceptsRequests() {
 		return this.announcement.state() == ServerState.READY;
 	}
 
-	int freePlaces() {
-		return Math.max(0, this.announcement.slots() - requests());
+	int freeSlots() {
+		return Math.max(0, this.announcement.slots() - totalInFlight());
 	}
 
 	double latencyNanos() {
 		return this.latencyNanos;
 	}
 
-	void heardPace(double newSlowdown) {
-		this.pace = Math.max(1, newSlowdown);
+	void updateSlowdown(double newSlowdown) {
+		this.slowdown = Math.max(1, newSlowdown);
 	}
 
-	double pace() {
-		return this.pace;
+	double slowdown() {
+		return this.slowdown;
 	}
 
 	double errorRate() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerAnnouncement.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerAnnouncement.java
@@ -49,7 +49,7 @@
 	 * @param changed the state
 	 * @return the announcement
 	 */
-	public ServerAnnouncement with(ServerState changed) {
+	public ServerAnnouncement withState(ServerState changed) {
 		return new ServerAnnouncement(this.server, this.service, this.address, this.domain, this.startedMillis,
 				this.sequence, this.slots, changed);
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
@@ -89,7 +89,7 @@
 	 * @param now the current time in nanoseconds
 	 * @return the last announcements of the removed servers
 	 */
-	public List<ServerAnnouncement> forget(long now) {
+	public List<ServerAnnouncement> removeExpired(long now) {
 		List<ServerAnnouncement> removed = new ArrayList<>();
 		Iterator<ReceivedAnnouncement> all = this.byServer.values().iterator();
 		while (all.hasNext()) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerChoice.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerSelector.java
@@ -19,7 +19,7 @@
  * sample. Servers that fail, respond slowly or slow down their group are sampled only if
  * there are no healthy ones.
  */
-final class ServerChoice {
+final class ServerSelector {
 
 	/** Random jitter in the cost, in requests; masks the age of the others' counts. */
 	private static final double JITTER_REQUESTS = 0.6;
@@ -48,7 +48,7 @@
 	 * Requests on a slow rank lengthen every forward pass of its group, so the rank gets
 	 * far fewer than in proportion to its speed.
 	 */
-	private static final double PACE_EXPONENT = 3;
+	private static final double SLOWDOWN_EXPONENT = 3;
 
 	/** Bounds the effect of an outlier in latency. */
 	private static final double MAX_RELATIVE_LATENCY = 8;
@@ -62,7 +62,7 @@
 	 * @param domain the failure domain of this entry
 	 * @param random the source of samples and jitter
 	 */
-	ServerChoice(String domain, RandomGenerator random) {
+	ServerSelector(String domain, RandomGenerator random) {
 		this.domain = Preconditions.notNull(domain, "domain");
 		this.random = Preconditions.notNull(random, "random");
 	}
@@ -73,7 +73,7 @@
 	 * @param othersPerSecond the requests per second that other entries send to them
 	 * @return a server, or empty if {@code free} is empty
 	 */
-	Optional<PoolServer> choose(List<PoolServer> free, double othersPerSecond) {
+	Optional<PoolServer> select(List<PoolServer> free, double othersPerSecond) {
 		double lowestLatency = free.stream()
 			.mapToDouble(PoolServer::latencyNanos)
 			.filter((nanos) -> nanos > 0)
@@ -109,7 +109,7 @@
 
 	private double cost(PoolServer server, double lowestLatencyNanos) {
 		double distance = server.announcement().domain().equals(this.domain) ? 0 : OTHER_DOMAIN_REQUESTS;
-		double requests = 1 + server.requests() + distance + JITTER_REQUESTS * this.random.nextDouble();
+		double requests = 1 + server.totalInFlight() + distance + JITTER_REQUESTS * this.random.nextDouble();
 		return requests * costPerRequest(server, lowestLatencyNanos);
 	}
 
@@ -118,7 +118,7 @@
 		double relativeLatency = Math.min(MAX_RELATIVE_LATENCY,
 				Math.max(1, server.latencyNanos() / lowestLatencyNanos));
 		return Math.sqrt(relativeLatency) * (1 + ERROR_PENALTY * server.errorRate())
-				* Math.pow(server.pace(), PACE_EXPONENT);
+				* Math.pow(server.slowdown(), SLOWDOWN_EXPONENT);
 	}
 
 	private record Candidate(PoolServer server, double cost) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
@@ -22,7 +22,7 @@
  * Load balancing and admission control for the requests of one service, at one of several
  * entries that share its backend servers.
  * <p>
- * A request gets a free slot of a server ({@link ServerChoice}) if there is one.
+ * A request gets a free slot of a server ({@link ServerSelector}) if there is one.
  * Otherwise it is queued by priority and arrival if a slot is expected before its latest
  * start, or else rejected immediately with the expected delay. Under overload, requests
  * that can still be on time precede those that were rejected before: serving one of the
@@ -60,13 +60,13 @@
 
 	/** Requests that are already late lose least by waiting, so they come last. */
 	private static final Comparator<WaitingRequest> ORDER = Comparator.comparingInt(WaitingRequest::priority)
-		.thenComparing(WaitingRequest::returning)
+		.thenComparing(WaitingRequest::rejectedBefore)
 		.thenComparingLong(WaitingRequest::arrival)
 		.thenComparingLong(WaitingRequest::id);
 
 	private final RandomGenerator random;
 
-	private final ServerChoice selector;
+	private final ServerSelector selector;
 
 	private final Map<String, PoolServer> servers = new HashMap<>();
 
@@ -87,7 +87,7 @@
 	 */
 	public ServicePool(String domain, RandomGenerator random) {
 		this.random = Preconditions.notNull(random, "random");
-		this.selector = new ServerChoice(domain, random);
+		this.selector = new ServerSelector(domain, random);
 	}
 
 	/**
@@ -95,14 +95,14 @@
 	 * @param announcement the latest announcement
 	 * @param now the current time in nanoseconds
 	 */
-	public void announce(ServerAnnouncement announcement, long now) {
+	public void updateServer(ServerAnnouncement announcement, long now) {
 		PoolServer known = this.servers.get(announcement.server());
 		boolean sameIncarnation = known != null && known.announcement().startedMillis() == announcement.startedMillis();
 		if (announcement.state() == ServerState.GONE) {
 			remove(announcement.server());
 		}
 		else if (sameIncarnation) {
-			known.announced(announcement);
+			known.updateAnnouncement(announcement);
 		}
 		else {
 			this.servers.put(announcement.server(), new PoolServer(announcement, now));
@@ -124,9 +124,9 @@
 	 * none
 	 * @param now the current time in nanoseconds
 	 */
-	public void heardOthers(String entry, Map<String, Integer> requests, long now) {
+	public void updateInFlight(String entry, Map<String, Integer> requests, long now) {
 		this.countsReceivedAt.put(entry, now);
-		this.servers.forEach((id, server) -> server.heardOthers(entry, requests.getOrDefault(id, 0)));
+		this.servers.forEach((id, server) -> server.updateInFlight(entry, requests.getOrDefault(id, 0)));
 	}
 
 	/**
@@ -134,9 +134,9 @@
 	 * @param slowdowns the factor by which each takes longer than usual, by address;
 	 * servers that are missing are healthy
 	 */
-	public void heardPace(Map<HostPort, Double> slowdowns) {
+	public void updateSlowdowns(Map<HostPort, Double> slowdowns) {
 		this.servers.values()
-			.forEach((server) -> server.heardPace(slowdowns.getOrDefault(server.announcement().address(), 1.0)));
+			.forEach((server) -> server.updateSlowdown(slowdowns.getOrDefault(server.announcement().address(), 1.0)));
 	}
 
 	// The requests of a crashed entry ended with it; its counts must not occupy slots.
@@ -144,7 +144,7 @@
 		this.countsReceivedAt.entrySet().removeIf((entry) -> {
 			boolean expired = now - entry.getValue() > COUNTS_VALID_NANOS;
 			if (expired) {
-				this.servers.values().forEach((server) -> server.heardOthers(entry.getKey(), 0));
+				this.servers.values().forEach((server) -> server.updateInFlight(entry.getKey(), 0));
 			}
 			return expired;
 		});
@@ -156,8 +156,8 @@
 	 * @param now the current time in nanoseconds
 	 * @return the decision
 	 */
-	public PlaceDecision offer(WaitingRequest request, long now) {
-		this.arrivals.add(now);
+	public SlotDecision offer(WaitingRequest request, long now) {
+		this.arrivals.recordArrival(now);
 		if (now < this.haltedUntil) {
 			return refuse(request, "group-fault", GROUP_RETRY_NANOS);
 		}
@@ -174,7 +174,7 @@
 			return refuse(request, "no-place-in-time", (long) wait);
 		}
 		this.queue.add(request);
-		return new PlaceAwaited(request.id());
+		return new SlotPending(request.id());
 	}
 
 	/**
@@ -185,7 +185,7 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public void release(PoolServer server, AttemptResult result, long nanos, long now) {
-		server.ended(result, nanos, now);
+		server.recordResult(result, nanos, now);
 		if (result == AttemptResult.ANSWERED || result == AttemptResult.FAILED) {
 			this.completions.addLast(now);
 			if (this.completions.size() > MAX_COMPLETIONS) {
@@ -200,7 +200,7 @@
 	 * @param name an identifier or address; may be empty
 	 * @return {@code true} if another server has that identifier or address
 	 */
-	public boolean isOther(PoolServer server, String name) {
+	public boolean isOtherServer(PoolServer server, String name) {
 		return this.servers.values()
 			.stream()
 			.filter((other) -> other != server)
@@ -214,7 +214,7 @@
 	 * runs any until the group has re-formed.
 	 * @param now the current time in nanoseconds
 	 */
-	public void groupFault(long now) {
+	public void recordGroupFault(long now) {
 		this.haltedUntil = now + HALT_NANOS;
 	}
 
@@ -222,7 +222,7 @@
 	 * Removes a request from the queue.
 	 * @param request the request's identifier at this entry
 	 */
-	public void cancel(long request) {
+	public void cancelWaiting(long request) {
 		this.queue.removeIf((other) -> other.id() == request);
 	}
 
@@ -233,8 +233,8 @@
 	 * @return the requests to send and those rejected; requests that remain queued are
 	 * not contained
 	 */
-	public List<PlaceDecision> tick(long now) {
-		List<PlaceDecision> decisions = new ArrayList<>();
+	public List<SlotDecision> processQueue(long now) {
+		List<SlotDecision> decisions = new ArrayList<>();
 		if (now < this.haltedUntil) {
 			this.queue.forEach((request) -> decisions.add(refuse(request, "group-fault", GROUP_RETRY_NANOS)));
 			this.queue.clear();
@@ -265,7 +265,7 @@
 	 * Returns the number of queued requests.
 	 * @return the count
 	 */
-	public int waiting() {
+	public int queueLength() {
 		return this.queue.size();
 	}
 
@@ -277,28 +277,31 @@
 		return this.servers.values();
 	}
 
-	private PlaceDecision grant(WaitingRequest request, PoolServer server) {
-		server.sent();
-		return new PlaceGranted(request.id(), server);
+	private SlotDecision grant(WaitingRequest request, PoolServer server) {
+		server.recordSent();
+		return new SlotGranted(request.id(), server);
 	}
 
 	private Optional<PoolServer> selectServer(Set<String> excluded, long now) {
 		expireCounts(now);
 		List<PoolServer> free = usable(now).stream()
-			.filter((server) -> server.freePlaces() > 0 && !excluded.contains(server.announcement().server()))
+			.filter((server) -> server.freeSlots() > 0 && !excluded.contains(server.announcement().server()))
 			.toList();
-		return this.selector.choose(free, this.arrivals.perSecond(now) * this.countsReceivedAt.size());
+		return this.selector.select(free, this.arrivals.perSecond(now) * this.countsReceivedAt.size());
 	}
 
 	private List<PoolServer> usable(long now) {
-		return this.servers.values().stream().filter((server) -> server.takesWork() && !server.isPaused(now)).toList();
+		return this.servers.values()
+			.stream()
+			.filter((server) -> server.acceptsRequests() && !server.isPaused(now))
+			.toList();
 	}
 
 	private long untilUsable(long now) {
 		return this.servers.values()
 			.stream()
-			.filter(PoolServer::takesWork)
-			.mapToLong((server) -> server.notBefore() - now)
+			.filter(PoolServer::acceptsRequests)
+			.mapToLong((server) -> server.pausedUntil() - now)
 			.min()
 			.orElse(MAX_RETRY_AFTER_NANOS / 2);
 	}
@@ -314,10 +317,10 @@
 		return (ahead + 1) * nanosPerCompletion;
 	}
 
-	private PlaceRefused refuse(WaitingRequest request, String reason, long waitNanos) {
+	private SlotRefused refuse(WaitingRequest request, String reason, long waitNanos) {
 		double nanos = Math.max(MIN_RETRY_AFTER_NANOS, Math.min(waitNanos, MAX_RETRY_AFTER_NANOS));
 		double jitter = 0.75 + 0.5 * this.random.nextDouble();
-		return new PlaceRefused(request.id(), reason, Duration.ofNanos((long) (nanos * jitter)));
+		return new SlotRefused(request.id(), reason, Duration.ofNanos((long) (nanos * jitter)));
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/RetryAllowance.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServiceRetryBudget.java
@@ -14,7 +14,7 @@
  * less than the slack, so the limit for the service holds without coordination, also when
  * entries restart and lose their counts.
  */
-public final class RetryAllowance {
+public final class ServiceRetryBudget {
 
 	/**
 	 * Each entry uses one of its two shares of the slack; the other is the reserve for
@@ -41,7 +41,7 @@
 	 * @param slack additional retries allowed per window, over all entries
 	 * @param window the length of the sliding window
 	 */
-	public RetryAllowance(double ratio, double slack, Duration window) {
+	public ServiceRetryBudget(double ratio, double slack, Duration window) {
 		Preconditions.check(ratio >= 0, "ratio must not be negative: %s", ratio);
 		Preconditions.check(slack >= 0, "slack must not be negative: %s", slack);
 		this.ratio = ratio;
@@ -53,7 +53,7 @@
 	 * Records a first attempt.
 	 * @param now the current time in nanoseconds
 	 */
-	public void sentFirst(long now) {
+	public void recordFirstAttempt(long now) {
 		this.firstAttempts.addLast(now);
 		expire(now);
 	}
@@ -64,7 +64,7 @@
 	 * @param now the current time in nanoseconds
 	 * @return {@code false} if the budget is exhausted
 	 */
-	public boolean take(int entries, long now) {
+	public boolean tryAcquire(int entries, long now) {
 		expire(now);
 		double allowed = RATIO_SHARE * this.ratio * this.firstAttempts.size()
 				+ this.slack / (SHARES_PER_ENTRY * Math.max(1, entries));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceDecision.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/SlotDecision.java
@@ -3,7 +3,7 @@
 /**
  * Admission decision for a request that needs a slot of a backend server.
  */
-public sealed interface PlaceDecision permits PlaceGranted, PlaceAwaited, PlaceRefused {
+public sealed interface SlotDecision permits SlotGranted, SlotPending, SlotRefused {
 
 	/**
 	 * Returns the request's identifier.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceGranted.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/SlotGranted.java
@@ -9,9 +9,9 @@
  * @param request the request's identifier at this entry
  * @param server the backend server to send it to
  */
-public record PlaceGranted(long request, PoolServer server) implements PlaceDecision {
+public record SlotGranted(long request, PoolServer server) implements SlotDecision {
 
-	public PlaceGranted {
+	public SlotGranted {
 		Preconditions.notNull(server, "server");
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceAwaited.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/SlotPending.java
@@ -5,5 +5,5 @@
  *
  * @param request the request's identifier at this entry
  */
-public record PlaceAwaited(long request) implements PlaceDecision {
+public record SlotPending(long request) implements SlotDecision {
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PlaceRefused.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/SlotRefused.java
@@ -11,9 +11,9 @@
  * @param reason the reason, for logs
  * @param retryAfter the delay after which the caller may retry
  */
-public record PlaceRefused(long request, String reason, Duration retryAfter) implements PlaceDecision {
+public record SlotRefused(long request, String reason, Duration retryAfter) implements SlotDecision {
 
-	public PlaceRefused {
+	public SlotRefused {
 		Preconditions.notBlank(reason, "reason");
 		Preconditions.notNull(retryAfter, "retryAfter");
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
@@ -22,8 +22,8 @@
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.control.state.VersionedDocument;
+import org.comfreywall.gateway.group.DelegatedSwitch;
 import org.comfreywall.gateway.group.DeputyPort;
-import org.comfreywall.gateway.group.EntrustedSwitch;
 import org.comfreywall.gateway.group.RankReport;
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 import org.comfreywall.gateway.pool.ServerState;
@@ -113,7 +113,7 @@
 	@Test
 	void aLeaveAnnouncementIsAcknowledgedOnlyByAMajorityOfTheDisks() throws Exception {
 		propose(0, document(1, "one"));
-		await(() -> this.members.get(0).node.members() == 4);
+		await(() -> this.members.get(0).node.liveProcesses() == 4);
 		ServerAnnouncement leaving = new ServerAnnouncement("s", "service", this.addresses.get(0), "a", 1, 2, 8,
 				ServerState.LEAVING);
 		assertThat(this.members.get(0).announceToAll(leaving)).isTrue();
@@ -122,7 +122,7 @@
 		}
 		this.members.get(1).closer.close();
 		this.members.get(2).closer.close();
-		await(() -> !this.members.get(0).node.isCurrent());
+		await(() -> !this.members.get(0).node.reachesMajority());
 		assertThat(this.members.get(0).announceToAll(leaving)).isFalse();
 	}
 
@@ -145,16 +145,16 @@
 
 	@Test
 	void aSwitchIsDelegatedToTwoOtherProcesses() throws Exception {
-		EntrustedSwitch entrusted = new EntrustedSwitch("s/g", 1, 5, 9, 0, List.of("10.0.0.1:1", "10.0.0.2:1"));
-		await(() -> this.members.get(0).node.members() == this.members.size());
+		DelegatedSwitch entrusted = new DelegatedSwitch("s/g", 1, 5, 9, 0, List.of("10.0.0.1:1", "10.0.0.2:1"));
+		await(() -> this.members.get(0).node.liveProcesses() == this.members.size());
 		DeputyPort deputies = this.members.get(0).node.deputies();
 		// A notice times out after 200 ms, which is possible on a busy machine, so it is
 		// repeated; the repetition goes to the same two processes.
 		await(() -> {
-			deputies.entrust(entrusted).join();
+			deputies.delegate(entrusted).join();
 			return recorders(entrusted) == 2;
 		});
-		deputies.ended(entrusted);
+		deputies.notifyEnded(entrusted);
 		await(() -> recorders(entrusted) == 0);
 	}
 
@@ -195,8 +195,8 @@
 		}
 	}
 
-	private long recorders(EntrustedSwitch entrusted) {
-		return this.members.stream().filter((member) -> member.observer.knows(entrusted)).count();
+	private long recorders(DelegatedSwitch entrusted) {
+		return this.members.stream().filter((member) -> member.observer.contains(entrusted)).count();
 	}
 
 	/** A process of the fleet. */
@@ -239,12 +239,12 @@
 		}
 
 		@Override
-		public void onServer(ServerAnnouncement announcement) {
+		public void onServerChanged(ServerAnnouncement announcement) {
 			// Read from the node.
 		}
 
 		@Override
-		public void onForgotten(ServerAnnouncement announcement) {
+		public void onServerRemoved(ServerAnnouncement announcement) {
 			// Not used.
 		}
 
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/LeaderSearchTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/LeaderDiscoveryTests.java
@@ -9,9 +9,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link LeaderSearch}.
+ * Tests for {@link LeaderDiscovery}.
  */
-class LeaderSearchTests {
+class LeaderDiscoveryTests {
 
 	private static final long MILLI = 1_000_000;
 
@@ -21,31 +21,31 @@
 
 	private static final HostPort C = new HostPort("10.0.0.3", 1);
 
-	private final LeaderSearch discovery = new LeaderSearch(List.of(A, B, C));
+	private final LeaderDiscovery discovery = new LeaderDiscovery(List.of(A, B, C));
 
 	private void timeOutTwice(long now) {
-		this.discovery.silent(now);
-		this.discovery.silent(now);
+		this.discovery.handleTimeout(now);
+		this.discovery.handleTimeout(now);
 	}
 
 	@Test
 	void keepsTheLeaderAfterASingleTimeout() {
-		this.discovery.silent(0);
+		this.discovery.handleTimeout(0);
 		assertThat(this.discovery.current()).isEqualTo(A);
-		this.discovery.answered(Optional.of(A), List.of(B, C, A), MILLI);
-		this.discovery.silent(2 * MILLI);
+		this.discovery.handleReply(Optional.of(A), List.of(B, C, A), MILLI);
+		this.discovery.handleTimeout(2 * MILLI);
 		assertThat(this.discovery.current()).isEqualTo(A);
 	}
 
 	@Test
 	void followsARedirectToTheLeader() {
-		this.discovery.answered(Optional.of(C), List.of(A, B, C), 0);
+		this.discovery.handleReply(Optional.of(C), List.of(A, B, C), 0);
 		assertThat(this.discovery.current()).isEqualTo(C);
 	}
 
 	@Test
 	void queriesTheSameProcessAgainIfItKnowsNoLeader() {
-		this.discovery.answered(Optional.empty(), List.of(A, B, C), 0);
+		this.discovery.handleReply(Optional.empty(), List.of(A, B, C), 0);
 		assertThat(this.discovery.current()).isEqualTo(A);
 	}
 
@@ -53,16 +53,16 @@
 	void ignoresRedirectsToALeaderThatHasTimedOut() {
 		timeOutTwice(0);
 		assertThat(this.discovery.current()).isEqualTo(B);
-		this.discovery.answered(Optional.of(A), List.of(B, C, A), 100 * MILLI);
+		this.discovery.handleReply(Optional.of(A), List.of(B, C, A), 100 * MILLI);
 		assertThat(this.discovery.current()).isEqualTo(B);
-		this.discovery.answered(Optional.of(C), List.of(B, C, A), 800 * MILLI);
+		this.discovery.handleReply(Optional.of(C), List.of(B, C, A), 800 * MILLI);
 		assertThat(this.discovery.current()).isEqualTo(C);
 	}
 
 	@Test
 	void followsRedirectsToATimedOutLeaderAgainAfterAWhile() {
 		timeOutTwice(0);
-		this.discovery.answered(Optional.of(A), List.of(B, C, A), 2000 * MILLI);
+		this.discovery.handleReply(Optional.of(A), List.of(B, C, A), 2000 * MILLI);
 		assertThat(this.discovery.current()).isEqualTo(A);
 	}
 
@@ -79,7 +79,7 @@
 	@Test
 	void addedSeedsAreQueriedAsWell() {
 		HostPort added = new HostPort("10.0.0.9", 1);
-		this.discovery.reseed(List.of(added));
+		this.discovery.addSeeds(List.of(added));
 		timeOutTwice(0);
 		assertThat(this.discovery.current()).isEqualTo(B);
 		timeOutTwice(MILLI);
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/SwitchRecorder.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/SwitchRecorder.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-import org.comfreywall.gateway.group.EntrustedSwitch;
+import org.comfreywall.gateway.group.DelegatedSwitch;
 import org.comfreywall.gateway.group.RankReport;
 
 /**
@@ -13,24 +13,24 @@
  */
 final class SwitchRecorder implements RankObserver {
 
-	private final Set<EntrustedSwitch> active = ConcurrentHashMap.newKeySet();
+	private final Set<DelegatedSwitch> active = ConcurrentHashMap.newKeySet();
 
-	boolean knows(EntrustedSwitch entrusted) {
+	boolean contains(DelegatedSwitch entrusted) {
 		return this.active.contains(entrusted);
 	}
 
 	@Override
-	public void onRank(String service, RankReport report, List<Integer> chosen) {
+	public void onRankReport(String service, RankReport report, List<Integer> chosen) {
 		// Reports are not recorded.
 	}
 
 	@Override
-	public void onEntrusted(EntrustedSwitch entrusted, Duration patience) {
+	public void onSwitchDelegated(DelegatedSwitch entrusted, Duration patience) {
 		this.active.add(entrusted);
 	}
 
 	@Override
-	public void onEnded(EntrustedSwitch ended) {
+	public void onSwitchEnded(DelegatedSwitch ended) {
 		this.active.remove(ended);
 	}
 
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/VoterPlannerTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/VoterPlannerTests.java
@@ -37,7 +37,7 @@
 
 	@Test
 	void plansNoChangeWhileAllVotersAreLive() {
-		assertThat(this.planner.next(membership(voter("a"), voter("b"), voter("c")),
+		assertThat(this.planner.nextChange(membership(voter("a"), voter("b"), voter("c")),
 				List.of(peer("a", 1), peer("b", 1), peer("c", 1), peer("d", 9)), Set.of()))
 			.isEmpty();
 	}
@@ -46,12 +46,12 @@
 	void aVoterThatLostItsDiskIsRemovedAndAddedAsALearnerBeforeItVotesAgain() {
 		Membership three = membership(voter("a"), voter("b"), voter("c"));
 		List<FleetPeer> live = List.of(peer("a", 1), peer("b", 1), peer("c", 77));
-		assertThat(this.planner.next(three, live, Set.of())).contains(new RemoveMember(InstanceId.of("c")));
+		assertThat(this.planner.nextChange(three, live, Set.of())).contains(new RemoveMember(InstanceId.of("c")));
 		Membership two = membership(voter("a"), voter("b"));
-		assertThat(this.planner.next(two, live, Set.of())).contains(new AddLearner(InstanceId.of("c"), 77));
+		assertThat(this.planner.nextChange(two, live, Set.of())).contains(new AddLearner(InstanceId.of("c"), 77));
 		List<Member> withLearner = new ArrayList<>(two.members());
 		withLearner.add(new Member(InstanceId.of("c"), 77, false));
-		assertThat(this.planner.next(new Membership(withLearner), live, Set.of()))
+		assertThat(this.planner.nextChange(new Membership(withLearner), live, Set.of()))
 			.contains(new PromoteLearner(InstanceId.of("c")));
 	}
 
@@ -59,21 +59,22 @@
 	void aLostVoterIsRemovedOnlyAfterItsReplacementVotes() {
 		Membership three = membership(voter("a"), voter("b"), voter("c"));
 		List<FleetPeer> live = List.of(peer("a", 1), peer("b", 1), peer("d", 9));
-		assertThat(this.planner.next(three, live, Set.of("c"))).contains(new AddLearner(InstanceId.of("d"), 9));
+		assertThat(this.planner.nextChange(three, live, Set.of("c"))).contains(new AddLearner(InstanceId.of("d"), 9));
 		Membership four = membership(voter("a"), voter("b"), voter("c"), new Member(InstanceId.of("d"), 9, true));
-		assertThat(this.planner.next(four, live, Set.of("c"))).contains(new RemoveMember(InstanceId.of("c")));
+		assertThat(this.planner.nextChange(four, live, Set.of("c"))).contains(new RemoveMember(InstanceId.of("c")));
 	}
 
 	@Test
 	void aLostVoterIsKeptIfNoReplacementIsAvailable() {
 		Membership three = membership(voter("a"), voter("b"), voter("c"));
-		assertThat(this.planner.next(three, List.of(peer("a", 1), peer("b", 1)), Set.of("c")))
+		assertThat(this.planner.nextChange(three, List.of(peer("a", 1), peer("b", 1)), Set.of("c")))
 			.isEqualTo(Optional.empty());
 	}
 
 	@Test
 	void aProcessWithoutDiskNeverBecomesAMember() {
-		assertThat(this.planner.next(membership(voter("a"), voter("b")), List.of(peer("d", 0)), Set.of())).isEmpty();
+		assertThat(this.planner.nextChange(membership(voter("a"), voter("b")), List.of(peer("d", 0)), Set.of()))
+			.isEmpty();
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/EvenCopyPlannerTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ExpertLayoutPlannerTests.java
@@ -13,9 +13,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link EvenCopyPlanner}.
+ * Tests for {@link ExpertLayoutPlanner}.
  */
-class EvenCopyPlannerTests {
+class ExpertLayoutPlannerTests {
 
 	private static final int RANKS = 16;
 
@@ -27,7 +27,7 @@
 
 	private static final int NEW_PER_SET = 2;
 
-	private final EvenCopyPlanner planner = new EvenCopyPlanner(PLACES, NEW_PER_SET, SETS * NEW_PER_SET);
+	private final ExpertLayoutPlanner planner = new ExpertLayoutPlanner(PLACES, NEW_PER_SET, SETS * NEW_PER_SET);
 
 	private static ExpertDemand skewedDemand(long seed) {
 		Random random = new Random(seed);
@@ -43,7 +43,7 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
 	void aPlanRespectsTheLimitsOfTheEngines(long seed) {
-		ExpertLayout present = ExpertLayout.inTurn(SETS, EXPERTS, RANKS);
+		ExpertLayout present = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
 		for (int shift = 0; shift < 4; shift++) {
 			ExpertLayout planned = this.planner.plan(present, skewedDemand(seed * 10 + shift));
 			for (int set = 0; set < SETS; set++) {
@@ -65,7 +65,7 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
 	void oneSwitchLowersTheSkewByAtLeastAThird(long seed) {
-		ExpertLayout present = ExpertLayout.inTurn(SETS, EXPERTS, RANKS);
+		ExpertLayout present = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
 		ExpertDemand traffic = skewedDemand(seed);
 		double before = present.skew(traffic);
 		double after = this.planner.plan(present, traffic).skew(traffic);
@@ -79,9 +79,9 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
 	void twoCopiesPerRankRemoveMostOfTheSkewAfterAShift(long seed) {
-		EvenCopyPlanner quick = new EvenCopyPlanner(PLACES, NEW_PER_SET, 2);
-		WantedExperts zipf = new WantedExperts(SETS, EXPERTS, 1.1, new Random(seed));
-		ExpertLayout present = ExpertLayout.inTurn(SETS, EXPERTS, RANKS);
+		ExpertLayoutPlanner quick = new ExpertLayoutPlanner(PLACES, NEW_PER_SET, 2);
+		ZipfTraffic zipf = new ZipfTraffic(SETS, EXPERTS, 1.1, new Random(seed));
+		ExpertLayout present = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
 		for (int shift = 0; shift < 6; shift++) {
 			ExpertDemand traffic = ExpertDemand.onHealthyRanks(zipf.traffic(), RANKS);
 			double before = present.skew(traffic);
@@ -102,9 +102,9 @@
 	@ValueSource(longs = { 1, 2, 3, 4 })
 	void oneSwitchBalancesALargeGroupAfterAShift(long seed) {
 		int ranks = 72;
-		EvenCopyPlanner large = new EvenCopyPlanner(3, NEW_PER_SET, 15);
-		WantedExperts zipf = new WantedExperts(12, 144, 0.54, new Random(seed));
-		ExpertLayout present = ExpertLayout.inTurn(12, 144, ranks);
+		ExpertLayoutPlanner large = new ExpertLayoutPlanner(3, NEW_PER_SET, 15);
+		ZipfTraffic zipf = new ZipfTraffic(12, 144, 0.54, new Random(seed));
+		ExpertLayout present = ExpertLayout.roundRobin(12, 144, ranks);
 		for (int shift = 0; shift < 4; shift++) {
 			ExpertDemand traffic = ExpertDemand.onHealthyRanks(zipf.traffic(), ranks);
 			ExpertLayout planned = large.plan(present, traffic);
@@ -131,7 +131,7 @@
 
 	@Test
 	void evenTrafficMovesNothing() {
-		ExpertLayout present = ExpertLayout.inTurn(SETS, EXPERTS, RANKS);
+		ExpertLayout present = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
 		double[][] even = new double[SETS][EXPERTS];
 		for (double[] set : even) {
 			Arrays.fill(set, 5);
@@ -148,13 +148,13 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4 })
 	void aSlowRankGetsLessLoad(long seed) {
-		EvenCopyPlanner quick = new EvenCopyPlanner(PLACES, NEW_PER_SET, 2);
-		WantedExperts zipf = new WantedExperts(SETS, EXPERTS, 1.1, new Random(seed));
+		ExpertLayoutPlanner quick = new ExpertLayoutPlanner(PLACES, NEW_PER_SET, 2);
+		ZipfTraffic zipf = new ZipfTraffic(SETS, EXPERTS, 1.1, new Random(seed));
 		double[] slowdown = new double[RANKS];
 		Arrays.fill(slowdown, 1);
 		slowdown[5] = 2.88;
 		ExpertDemand demand = new ExpertDemand(zipf.traffic(), slowdown);
-		ExpertLayout present = ExpertLayout.inTurn(SETS, EXPERTS, RANKS);
+		ExpertLayout present = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
 		for (int round = 0; round < 3; round++) {
 			present = quick.plan(present, demand);
 		}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ExpertTrafficTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ExpertTrafficTests.java
@@ -82,9 +82,9 @@
 			}
 		}
 		assertThat(this.traffic.forecast().chosen()[0][5]).isGreaterThan(5 * this.traffic.forecast().chosen()[0][0]);
-		long rounds = this.traffic.roundsTaken();
+		long rounds = this.traffic.completedRounds();
 		this.traffic.add(0, RANKS, 20, counts(0), this.now);
-		assertThat(this.traffic.roundsTaken()).isEqualTo(rounds);
+		assertThat(this.traffic.completedRounds()).isEqualTo(rounds);
 	}
 
 	@Test
@@ -106,7 +106,7 @@
 	void reportsWithoutCountsAreIgnored() {
 		reportPasses(0, 3);
 		this.traffic.add(0, RANKS, this.step + 1, List.of(), this.now);
-		assertThat(this.traffic.roundsTaken()).isEqualTo(3);
+		assertThat(this.traffic.completedRounds()).isEqualTo(3);
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
@@ -23,7 +23,7 @@
 
 	private static final long TICK = 20 * MILLI;
 
-	private static final ExpertLayout LAYOUT = ExpertLayout.inTurn(1, 4, 4);
+	private static final ExpertLayout LAYOUT = ExpertLayout.roundRobin(1, 4, 4);
 
 	private MapSwitch mapSwitch = new MapSwitch();
 
@@ -39,7 +39,7 @@
 			group.advance(now);
 			if (now % reportInterval == 0) {
 				for (int rank = 0; rank < group.size(); rank++) {
-					this.mapSwitch.reported(group.report(rank, now), now);
+					this.mapSwitch.addReport(group.report(rank, now), now);
 				}
 			}
 			if (random.nextDouble() < leaderChange) {
@@ -49,11 +49,11 @@
 			if (random.nextDouble() < crash) {
 				group.reform();
 			}
-			if (this.mapSwitch.isAtRest(now)) {
+			if (this.mapSwitch.canStart(now)) {
 				this.mapSwitch.start(LAYOUT, this.term, now);
 			}
 			for (RankOrder order : orders(now)) {
-				this.mapSwitch.answered(order, group.order(order.rank(), order.order(), now), now);
+				this.mapSwitch.handleAnswer(order, group.order(order.rank(), order.order(), now), now);
 			}
 		}
 	}
@@ -61,7 +61,7 @@
 	// Simulates a deputy that confirms each switch at once.
 	private List<RankOrder> orders(long now) {
 		List<RankOrder> orders = new ArrayList<>(this.mapSwitch.tick(now));
-		this.mapSwitch.entrusted("g").ifPresent((delegatedSwitch) -> {
+		this.mapSwitch.delegatedSwitch("g").ifPresent((delegatedSwitch) -> {
 			this.mapSwitch.delegationConfirmed(delegatedSwitch, now);
 			orders.addAll(this.mapSwitch.tick(now));
 		});
@@ -101,24 +101,24 @@
 		for (long now = 0; now < 120_000 * MILLI; now += 10 * MILLI) {
 			group.advance(now);
 			for (int rank = 0; rank < group.size() && now % (40 * MILLI) == 0; rank++) {
-				this.mapSwitch.reported(group.report(rank, now), now);
+				this.mapSwitch.addReport(group.report(rank, now), now);
 			}
 			while (!timeoutAt.isEmpty() && timeoutAt.peek() <= now) {
 				timeoutAt.poll();
 				timeouts.poll().run();
 			}
-			if (this.mapSwitch.isAtRest(now)) {
-				this.mapSwitch.start(ExpertLayout.inTurn(1, 16, 16), this.term, now);
+			if (this.mapSwitch.canStart(now)) {
+				this.mapSwitch.start(ExpertLayout.roundRobin(1, 16, 16), this.term, now);
 			}
 			long at = now;
 			for (RankOrder order : orders(now)) {
 				OrderAnswer answer = group.order(order.rank(), order.order(), now);
 				if (answer == OrderAnswer.UNKNOWN) {
 					timeoutAt.add(now + 50 * MILLI);
-					timeouts.add(() -> this.mapSwitch.answered(order, answer, at + 50 * MILLI));
+					timeouts.add(() -> this.mapSwitch.handleAnswer(order, answer, at + 50 * MILLI));
 				}
 				else {
-					this.mapSwitch.answered(order, answer, now);
+					this.mapSwitch.handleAnswer(order, answer, now);
 				}
 			}
 		}
@@ -148,13 +148,13 @@
 		for (long now = 0; now < 5_000 * MILLI; now += TICK) {
 			group.advance(now);
 			for (int rank = 0; rank < group.size(); rank++) {
-				this.mapSwitch.reported(group.report(rank, now), now);
+				this.mapSwitch.addReport(group.report(rank, now), now);
 			}
-			if (this.mapSwitch.isAtRest(now)) {
+			if (this.mapSwitch.canStart(now)) {
 				this.mapSwitch.start(LAYOUT, this.term, now);
 			}
 			for (RankOrder order : this.mapSwitch.tick(now)) {
-				this.mapSwitch.answered(order, group.order(order.rank(), order.order(), now), now);
+				this.mapSwitch.handleAnswer(order, group.order(order.rank(), order.order(), now), now);
 			}
 		}
 		assertThat(group.switches()).isPositive();
@@ -172,12 +172,12 @@
 				1);
 		RankReport present = new RankReport("s", "g", 2, 0, 1, true, 1, 0, 0, 0, OptionalLong.empty(),
 				List.of(List.of(0)), 1);
-		this.mapSwitch.reported(present, 0);
-		this.mapSwitch.reported(old, 1);
-		assertThat(this.mapSwitch.isAtRest(1)).isFalse();
-		this.mapSwitch.reported(present, 100 * MILLI);
-		this.mapSwitch.reported(old, 101 * MILLI);
-		assertThat(this.mapSwitch.isAtRest(2_000 * MILLI)).isTrue();
+		this.mapSwitch.addReport(present, 0);
+		this.mapSwitch.addReport(old, 1);
+		assertThat(this.mapSwitch.canStart(1)).isFalse();
+		this.mapSwitch.addReport(present, 100 * MILLI);
+		this.mapSwitch.addReport(old, 101 * MILLI);
+		assertThat(this.mapSwitch.canStart(2_000 * MILLI)).isTrue();
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PassClockTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PassEstimatorTests.java
@@ -7,25 +7,25 @@
 import static org.assertj.core.api.Assertions.within;
 
 /**
- * Tests for {@link PassClock}.
+ * Tests for {@link PassEstimator}.
  */
-class PassClockTests {
+class PassEstimatorTests {
 
 	private static final long MILLI = 1_000_000;
 
-	private final PassClock clock = new PassClock();
+	private final PassEstimator clock = new PassEstimator();
 
 	@BeforeEach
 	void passesOf50Millis() {
 		for (int pass = 1; pass <= 20; pass++) {
-			this.clock.begun(pass, pass * 50 * MILLI);
-			this.clock.begun(pass, pass * 50 * MILLI + MILLI);
+			this.clock.recordPassStart(pass, pass * 50 * MILLI);
+			this.clock.recordPassStart(pass, pass * 50 * MILLI + MILLI);
 		}
 	}
 
 	@Test
 	void measuresPassesByTheirFirstReport() {
-		assertThat(this.clock.passNanos()).isCloseTo(50 * MILLI, within(1.0));
+		assertThat(this.clock.averagePassNanos()).isCloseTo(50 * MILLI, within(1.0));
 	}
 
 	@Test
@@ -37,8 +37,8 @@
 
 	@Test
 	void idleTimeIsNotMeasuredAsALongPass() {
-		this.clock.begun(21, 9_000 * MILLI);
-		assertThat(this.clock.passNanos()).isCloseTo(50 * MILLI, within(1.0));
+		this.clock.recordPassStart(21, 9_000 * MILLI);
+		assertThat(this.clock.averagePassNanos()).isCloseTo(50 * MILLI, within(1.0));
 	}
 
 	@Test
@@ -48,8 +48,8 @@
 
 	@Test
 	void restartsTheCountAfterTheGroupWasFormedAgain() {
-		this.clock.restart();
-		this.clock.begun(1, 2_000 * MILLI);
+		this.clock.reset();
+		this.clock.recordPassStart(1, 2_000 * MILLI);
 		assertThat(this.clock.passAhead(1, 2_001 * MILLI)).isEqualTo(2);
 	}
 
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PlanScheduleTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PlanScheduleTests.java
@@ -29,7 +29,7 @@
 		for (int i = 0; i < rounds; i++) {
 			round(popular);
 			if (this.schedule.isDue(this.traffic, SLOWDOWNS)) {
-				this.schedule.planned(this.traffic, SLOWDOWNS);
+				this.schedule.recordPlan(this.traffic, SLOWDOWNS);
 				plans++;
 			}
 		}
@@ -72,7 +72,7 @@
 	@Test
 	void plansInTheNextRoundAfterTheMapChanged() {
 		plansIn(40, 0);
-		this.schedule.restart();
+		this.schedule.reset();
 		round(0);
 		assertThat(this.schedule.isDue(this.traffic, SLOWDOWNS)).isTrue();
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/RebalanceCoordinatorTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/RebalanceCoordinatorTests.java
@@ -34,7 +34,7 @@
 		for (long now = MILLI; now < millis * MILLI; now += 20 * MILLI) {
 			if (now % (100 * MILLI) < 20 * MILLI) {
 				for (int rank = 0; rank < RANKS; rank++) {
-					this.coordinator.reported(report(rank, now / (passMillis * MILLI), open), chosen, now);
+					this.coordinator.addReport(report(rank, now / (passMillis * MILLI), open), chosen, now);
 				}
 			}
 			for (RankOrder order : this.coordinator.tick(1, now)) {
@@ -93,7 +93,7 @@
 			List<Integer> chosen = (step < 10) ? choices(0, 1) : choices(7, 40);
 			long now = step * 100 * MILLI;
 			for (int rank = 0; rank < RANKS; rank++) {
-				this.coordinator.reported(report(rank, step, true), (step == 10) ? mixed : chosen, now);
+				this.coordinator.addReport(report(rank, step, true), (step == 10) ? mixed : chosen, now);
 			}
 			for (RankOrder order : this.coordinator.tick(1, now)) {
 				if (order.order() instanceof PrepareMap prepare) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/SwitchDeputyTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/SwitchDeputyTests.java
@@ -23,7 +23,7 @@
 
 	private static final long TIMEOUT = 80 * MILLI;
 
-	private static final ExpertLayout LAYOUT = ExpertLayout.inTurn(1, 8, 8);
+	private static final ExpertLayout LAYOUT = ExpertLayout.roundRobin(1, 8, 8);
 
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 2, 5, 9, 10 })
@@ -51,23 +51,23 @@
 
 		@Test
 		void endsIfThePassHasBegun() {
-			SwitchDeputy deputy = new SwitchDeputy(new EntrustedSwitch("g", 1, 5, 9, 0, List.of("a", "b")), TIMEOUT, 0);
+			SwitchDeputy deputy = new SwitchDeputy(new DelegatedSwitch("g", 1, 5, 9, 0, List.of("a", "b")), TIMEOUT, 0);
 			assertThat(deputy.tick(TIMEOUT)).isEmpty();
 			List<RankOrder> orders = deputy.tick(TIMEOUT + TICK);
 			assertThat(orders).singleElement().extracting(RankOrder::order).isEqualTo(new HoldStep(1, 9));
-			deputy.answered(orders.get(0), OrderAnswer.REFUSED);
-			assertThat(deputy.isOver(TIMEOUT + TICK)).isTrue();
+			deputy.handleAnswer(orders.get(0), OrderAnswer.REFUSED);
+			assertThat(deputy.isDone(TIMEOUT + TICK)).isTrue();
 			assertThat(deputy.tick(TIMEOUT + 100 * TICK)).isEmpty();
 		}
 
 		@Test
 		void doesNotReleaseAPassBeforeAllRanksAreArmed() {
-			SwitchDeputy deputy = new SwitchDeputy(new EntrustedSwitch("g", 1, 5, 9, 0, List.of("a", "b")), 0, 0);
-			deputy.answered(deputy.tick(TICK).get(0), OrderAnswer.TAKEN);
+			SwitchDeputy deputy = new SwitchDeputy(new DelegatedSwitch("g", 1, 5, 9, 0, List.of("a", "b")), 0, 0);
+			deputy.handleAnswer(deputy.tick(TICK).get(0), OrderAnswer.TAKEN);
 			List<RankOrder> arms = deputy.tick(2 * TICK);
 			assertThat(arms).hasSize(2);
-			deputy.answered(arms.get(0), OrderAnswer.TAKEN);
-			deputy.answered(arms.get(1), OrderAnswer.REFUSED);
+			deputy.handleAnswer(arms.get(0), OrderAnswer.TAKEN);
+			deputy.handleAnswer(arms.get(1), OrderAnswer.REFUSED);
 			assertThat(deputy.tick(20 * TICK)).singleElement()
 				.extracting(RankOrder::order)
 				.isEqualTo(new ArmMap(1, 5, 9));
@@ -108,15 +108,15 @@
 				return;
 			}
 			for (int rank = 0; rank < this.group.size(); rank++) {
-				this.coordinator.reported(this.group.report(rank, now), now);
+				this.coordinator.addReport(this.group.report(rank, now), now);
 			}
-			if (this.coordinator.isAtRest(now)) {
+			if (this.coordinator.canStart(now)) {
 				this.coordinator.start(LAYOUT, 1, now);
 			}
 			send(this.coordinator.tick(now), now);
-			Optional<EntrustedSwitch> delegatedSwitch = this.coordinator.entrusted("g");
+			Optional<DelegatedSwitch> delegatedSwitch = this.coordinator.delegatedSwitch("g");
 			if (delegatedSwitch.isPresent()
-					&& (this.deputy.isEmpty() || !this.deputy.get().entrusted().equals(delegatedSwitch.get()))) {
+					&& (this.deputy.isEmpty() || !this.deputy.get().delegatedSwitch().equals(delegatedSwitch.get()))) {
 				this.deputy = Optional.of(new SwitchDeputy(delegatedSwitch.get(), TIMEOUT, now));
 				this.coordinator.delegationConfirmed(delegatedSwitch.get(), now);
 			}
@@ -132,16 +132,17 @@
 					OrderAnswer answer = this.group.order(order.rank(), order.order(), now);
 					this.ordersLeft -= counts ? 1 : 0;
 					if (this.ordersLeft > 0) {
-						this.coordinator.answered(order, answer, now);
+						this.coordinator.handleAnswer(order, answer, now);
 					}
 				}
 			}
 		}
 
 		private void actAsDeputy(long now) {
-			this.deputy.filter((acting) -> !acting.isOver(now))
+			this.deputy.filter((acting) -> !acting.isDone(now))
 				.ifPresent((acting) -> acting.tick(now)
-					.forEach((order) -> acting.answered(order, this.group.order(order.rank(), order.order(), now))));
+					.forEach(
+							(order) -> acting.handleAnswer(order, this.group.order(order.rank(), order.order(), now))));
 		}
 
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/WantedExperts.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ZipfTraffic.java
@@ -9,7 +9,7 @@
  * Generates expert choices by Zipf's law: in each set a few experts get a large share of
  * the choices, and a shift swaps their popularity with others.
  */
-final class WantedExperts {
+final class ZipfTraffic {
 
 	private static final double CHOICES = 100_000;
 
@@ -26,7 +26,7 @@
 	 * @param exponent the exponent of Zipf's law
 	 * @param random the source of randomness
 	 */
-	WantedExperts(int sets, int experts, double exponent, Random random) {
+	ZipfTraffic(int sets, int experts, double exponent, Random random) {
 		this.exponent = exponent;
 		this.random = random;
 		for (int set = 0; set < sets; set++) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/EventFramerTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/EventFramerTests.java
@@ -16,7 +16,7 @@
 	private final EventFramer framer = new EventFramer();
 
 	private String take(String text) {
-		return this.framer.take(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)).toString(StandardCharsets.UTF_8);
+		return this.framer.feed(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)).toString(StandardCharsets.UTF_8);
 	}
 
 	private static String event(int id) {
@@ -33,7 +33,7 @@
 	@Test
 	void discardsAPartialEventAndResumesWithTheNextServer() {
 		String first = take(event(1) + "id: 2\ndata: pi");
-		this.framer.restart();
+		this.framer.discardPartialEvent();
 		String second = take(event(2) + event(3));
 		assertThat(first + second).isEqualTo(event(1) + event(2) + event(3));
 	}
@@ -41,7 +41,7 @@
 	@Test
 	void skipsEventsThatTheCallerHasReceived() {
 		take(event(1) + event(2));
-		this.framer.restart();
+		this.framer.discardPartialEvent();
 		assertThat(take(event(1) + event(2) + event(3))).isEqualTo(event(3));
 	}
 
@@ -58,7 +58,7 @@
 			int position = 0;
 			while (position < all.length()) {
 				int end = Math.min(all.length(), position + 1 + random.nextInt(30));
-				out.append(split.take(Unpooled.copiedBuffer(all.substring(position, end), StandardCharsets.UTF_8))
+				out.append(split.feed(Unpooled.copiedBuffer(all.substring(position, end), StandardCharsets.UTF_8))
 					.toString(StandardCharsets.UTF_8));
 				position = end;
 			}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -75,7 +75,7 @@
 		this.closer.register(() -> this.loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync());
 		this.gateway = newGateway();
 		this.first = this.closer.register(new ScriptedServer());
-		this.second = this.closer.register(this.first.twin());
+		this.second = this.closer.register(this.first.withSharedResponses());
 		this.port = GatewayServer.open(this.gateway, new HostPort("127.0.0.1", 0)).port();
 		onLoop(() -> this.gateway.configure(configuration()));
 	}
@@ -121,7 +121,7 @@
 	}
 
 	private void announce(ScriptedServer server, String id) throws Exception {
-		onLoop(() -> this.gateway.announce(new ServerAnnouncement(id, "service",
+		onLoop(() -> this.gateway.updateServer(new ServerAnnouncement(id, "service",
 				new HostPort("127.0.0.1", server.port()), "a", 1, 1, 8, ServerState.READY)));
 	}
 
@@ -169,7 +169,7 @@
 		@Test
 		void acceptsConnectionsUntilItStops() throws Exception {
 			announce(GatewayTests.this.first.answer(WHOLE), "s1");
-			onLoop(GatewayTests.this.gateway::endConnections);
+			onLoop(GatewayTests.this.gateway::drainConnections);
 			assertThat(call("/safe/x", "r1")).startsWith("HTTP/1.1 200").endsWith("hello");
 
 			onLoop(GatewayTests.this.gateway::stop);
@@ -339,7 +339,7 @@
 				send(socket, "/stream/", "r1");
 				assertThat(socket.getInputStream().read()).isEqualTo('H');
 				onLoop(GatewayTests.this.gateway::stop);
-				GatewayTests.this.first.goOn();
+				GatewayTests.this.first.resume();
 				String rest = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
 				assertThat(rest).contains("data: b").endsWith("0\r\n\r\n");
 			}
@@ -350,7 +350,7 @@
 			String fault = FULL.replace("Not-Run: 1", "Not-Run: 1\r\nFaulty: gone");
 			announce(GatewayTests.this.first.answer(fault).answer(fault), "s1");
 			announce(GatewayTests.this.second, "s2");
-			onLoop(() -> GatewayTests.this.gateway.announce(new ServerAnnouncement("gone", "service",
+			onLoop(() -> GatewayTests.this.gateway.updateServer(new ServerAnnouncement("gone", "service",
 					new HostPort("127.0.0.1", 1), "a", 1, 1, 8, ServerState.LEAVING)));
 			assertThat(call("/stream/", "r1")).startsWith("HTTP/1.1 503").contains("retry-after");
 			assertThat(call("/stream/", "r2")).startsWith("HTTP/1.1 503").contains("retry-after");
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ScriptedServer.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ScriptedServer.java
@@ -19,7 +19,7 @@
 	/** Closes the connection at the end of a response. */
 	static final String CLOSE = "<close>";
 
-	/** Pauses within a response until {@link #goOn} is called. */
+	/** Pauses within a response until {@link #resume} is called. */
 	static final String WAIT = "<wait>";
 
 	/** Sends no response to the request. */
@@ -48,7 +48,7 @@
 		thread.start();
 	}
 
-	ScriptedServer twin() throws IOException {
+	ScriptedServer withSharedResponses() throws IOException {
 		return new ScriptedServer(this.answers);
 	}
 
@@ -124,7 +124,7 @@
 		}
 	}
 
-	void goOn() {
+	void resume() {
 		this.released.add("go on");
 	}
 
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServicePoolTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServicePoolTests.java
@@ -42,97 +42,98 @@
 		@Test
 		void distributesRequestsEvenlyOverServers() {
 			for (int i = 0; i < 16; i++) {
-				ServicePoolTests.this.pool.announce(server(i, 8), 0);
+				ServicePoolTests.this.pool.updateServer(server(i, 8), 0);
 			}
 			Map<String, Integer> sent = new HashMap<>();
 			for (int i = 0; i < 64; i++) {
-				PlaceDecision decision = ServicePoolTests.this.pool.offer(request(1, i, MILLI), i);
-				sent.merge(((PlaceGranted) decision).server().announcement().server(), 1, Integer::sum);
+				SlotDecision decision = ServicePoolTests.this.pool.offer(request(1, i, MILLI), i);
+				sent.merge(((SlotGranted) decision).server().announcement().server(), 1, Integer::sum);
 			}
 			assertThat(sent.values()).allMatch((count) -> count == 4);
 		}
 
 		@Test
 		void countsWhatOtherEntriesHaveInFlight() {
-			ServicePoolTests.this.pool.announce(server(0, 8), 0);
-			ServicePoolTests.this.pool.announce(server(1, 8), 0);
-			ServicePoolTests.this.pool.heardOthers("other", Map.of("s0", 6), 0);
+			ServicePoolTests.this.pool.updateServer(server(0, 8), 0);
+			ServicePoolTests.this.pool.updateServer(server(1, 8), 0);
+			ServicePoolTests.this.pool.updateInFlight("other", Map.of("s0", 6), 0);
 			for (int i = 0; i < 4; i++) {
-				PlaceGranted granted = (PlaceGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
+				SlotGranted granted = (SlotGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
 				assertThat(granted.server().announcement().server()).isEqualTo("s1");
 			}
 		}
 
 		@Test
 		void countsOfASilentEntryExpireAndOccupyNoSlots() {
-			ServicePoolTests.this.pool.announce(server(0, 8), 0);
-			ServicePoolTests.this.pool.heardOthers("killed", Map.of("s0", 8), 0);
-			ServicePoolTests.this.pool.heardOthers("alive", Map.of(), 0);
+			ServicePoolTests.this.pool.updateServer(server(0, 8), 0);
+			ServicePoolTests.this.pool.updateInFlight("killed", Map.of("s0", 8), 0);
+			ServicePoolTests.this.pool.updateInFlight("alive", Map.of(), 0);
 			assertThat(ServicePoolTests.this.pool.offer(request(1, 0, 2000 * MILLI), 0))
-				.isInstanceOf(PlaceAwaited.class);
-			ServicePoolTests.this.pool.heardOthers("alive", Map.of("s0", 7), 1000 * MILLI);
-			assertThat(ServicePoolTests.this.pool.tick(1000 * MILLI)).singleElement().isInstanceOf(PlaceGranted.class);
+				.isInstanceOf(SlotPending.class);
+			ServicePoolTests.this.pool.updateInFlight("alive", Map.of("s0", 7), 1000 * MILLI);
+			assertThat(ServicePoolTests.this.pool.processQueue(1000 * MILLI)).singleElement()
+				.isInstanceOf(SlotGranted.class);
 			assertThat(ServicePoolTests.this.pool.offer(request(1, 0, 2000 * MILLI), 1000 * MILLI))
-				.isInstanceOf(PlaceAwaited.class);
+				.isInstanceOf(SlotPending.class);
 		}
 
 		@Test
 		void aSlowRankGetsRequestsOnlyWhenTheOtherServersAreNearlyFull() {
 			for (int i = 0; i < 4; i++) {
-				ServicePoolTests.this.pool.announce(server(i, 8), 0);
+				ServicePoolTests.this.pool.updateServer(server(i, 8), 0);
 			}
-			ServicePoolTests.this.pool.heardPace(Map.of(new HostPort("127.0.0.1", 1000), 2.5));
+			ServicePoolTests.this.pool.updateSlowdowns(Map.of(new HostPort("127.0.0.1", 1000), 2.5));
 			Map<String, Integer> sent = new HashMap<>();
 			for (int i = 0; i < 21; i++) {
-				PlaceGranted granted = (PlaceGranted) ServicePoolTests.this.pool.offer(request(1, i, MILLI), i);
+				SlotGranted granted = (SlotGranted) ServicePoolTests.this.pool.offer(request(1, i, MILLI), i);
 				sent.merge(granted.server().announcement().server(), 1, Integer::sum);
 			}
 			assertThat(sent.getOrDefault("s0", 0)).isZero();
 			for (int i = 0; i < 11; i++) {
-				assertThat(ServicePoolTests.this.pool.offer(request(1, i, MILLI), i)).isInstanceOf(PlaceGranted.class);
+				assertThat(ServicePoolTests.this.pool.offer(request(1, i, MILLI), i)).isInstanceOf(SlotGranted.class);
 			}
 		}
 
 		@Test
 		void sendsNothingToServersThatAreLeaving() {
-			ServicePoolTests.this.pool.announce(server(0, 8), 0);
-			ServicePoolTests.this.pool.announce(server(0, 8).with(ServerState.LEAVING), 0);
-			assertThat(ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0)).isInstanceOf(PlaceRefused.class);
+			ServicePoolTests.this.pool.updateServer(server(0, 8), 0);
+			ServicePoolTests.this.pool.updateServer(server(0, 8).withState(ServerState.LEAVING), 0);
+			assertThat(ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0)).isInstanceOf(SlotRefused.class);
 		}
 
 		@Test
 		void ejectsAServerWhoseConnectionsFail() {
-			ServicePoolTests.this.pool.announce(server(0, 8), 0);
-			ServicePoolTests.this.pool.announce(server(1, 8), 0);
+			ServicePoolTests.this.pool.updateServer(server(0, 8), 0);
+			ServicePoolTests.this.pool.updateServer(server(1, 8), 0);
 			PoolServer broken = ServicePoolTests.this.pool.servers()
 				.stream()
 				.filter((server) -> server.announcement().server().equals("s0"))
 				.findFirst()
 				.orElseThrow();
 			for (int i = 0; i < 2; i++) {
-				broken.sent();
+				broken.recordSent();
 				ServicePoolTests.this.pool.release(broken, AttemptResult.BROKEN, 0, 0);
 			}
 			for (int i = 0; i < 8; i++) {
-				PlaceGranted granted = (PlaceGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
+				SlotGranted granted = (SlotGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
 				assertThat(granted.server().announcement().server()).isEqualTo("s1");
 			}
 		}
 
 		@Test
 		void neverSendsToAnExcludedServer() {
-			ServicePoolTests.this.pool.announce(server(0, 8), 0);
+			ServicePoolTests.this.pool.updateServer(server(0, 8), 0);
 			WaitingRequest request = new WaitingRequest(1, 1, false, 0, MILLI, Set.of("s0"));
-			assertThat(ServicePoolTests.this.pool.offer(request, 0)).isNotInstanceOf(PlaceGranted.class);
+			assertThat(ServicePoolTests.this.pool.offer(request, 0)).isNotInstanceOf(SlotGranted.class);
 		}
 
 		@Test
 		void aRestartedServerHasNoRequestsInFlight() {
-			ServicePoolTests.this.pool.announce(server(0, 1), 0);
+			ServicePoolTests.this.pool.updateServer(server(0, 1), 0);
 			ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
-			ServicePoolTests.this.pool.announce(new ServerAnnouncement("s0", "service", new HostPort("127.0.0.1", 1000),
-					"a", 2, 1, 1, ServerState.READY), 0);
-			assertThat(ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0)).isInstanceOf(PlaceGranted.class);
+			ServicePoolTests.this.pool.updateServer(new ServerAnnouncement("s0", "service",
+					new HostPort("127.0.0.1", 1000), "a", 2, 1, 1, ServerState.READY), 0);
+			assertThat(ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0)).isInstanceOf(SlotGranted.class);
 		}
 
 	}
@@ -142,56 +143,56 @@
 
 		@Test
 		void startsTheRequestWithTheHighestPriorityFirst() {
-			ServicePoolTests.this.pool.announce(server(0, 1), 0);
-			PlaceGranted first = (PlaceGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
+			ServicePoolTests.this.pool.updateServer(server(0, 1), 0);
+			SlotGranted first = (SlotGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
 			WaitingRequest late = request(2, 1, 1000 * MILLI);
 			WaitingRequest urgent = request(0, 2, 1000 * MILLI);
 			ServicePoolTests.this.pool.offer(late, 1);
 			ServicePoolTests.this.pool.offer(urgent, 2);
 			ServicePoolTests.this.pool.release(first.server(), AttemptResult.ANSWERED, MILLI, MILLI);
-			List<PlaceDecision> decisions = ServicePoolTests.this.pool.tick(MILLI);
-			assertThat(decisions).singleElement().isInstanceOf(PlaceGranted.class);
+			List<SlotDecision> decisions = ServicePoolTests.this.pool.processQueue(MILLI);
+			assertThat(decisions).singleElement().isInstanceOf(SlotGranted.class);
 			assertThat(decisions.get(0).request()).isEqualTo(urgent.id());
 		}
 
 		@Test
 		void immediatelyRejectsRequestsThatCannotStartInTime() {
-			ServicePoolTests.this.pool.announce(server(0, 1), 0);
+			ServicePoolTests.this.pool.updateServer(server(0, 1), 0);
 			long now = 0;
 			for (int i = 0; i < 4; i++) {
-				PlaceGranted run = (PlaceGranted) ServicePoolTests.this.pool.offer(request(1, now, MILLI), now);
+				SlotGranted run = (SlotGranted) ServicePoolTests.this.pool.offer(request(1, now, MILLI), now);
 				now += 500 * MILLI;
 				ServicePoolTests.this.pool.release(run.server(), AttemptResult.ANSWERED, 0, now);
 			}
 			ServicePoolTests.this.pool.offer(request(1, now, MILLI), now);
-			PlaceDecision decision = ServicePoolTests.this.pool.offer(request(1, now, 100 * MILLI), now);
-			assertThat(decision).isInstanceOf(PlaceRefused.class);
-			assertThat(((PlaceRefused) decision).retryAfter()).isPositive();
+			SlotDecision decision = ServicePoolTests.this.pool.offer(request(1, now, 100 * MILLI), now);
+			assertThat(decision).isInstanceOf(SlotRefused.class);
+			assertThat(((SlotRefused) decision).retryAfter()).isPositive();
 		}
 
 		@Test
 		void startsNewRequestsBeforeThoseThatWereRejectedBefore() {
-			ServicePoolTests.this.pool.announce(server(0, 1), 0);
-			PlaceGranted first = (PlaceGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
+			ServicePoolTests.this.pool.updateServer(server(0, 1), 0);
+			SlotGranted first = (SlotGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
 			WaitingRequest back = new WaitingRequest(90, 1, true, 1, 1000 * MILLI, Set.of());
 			WaitingRequest fresh = request(1, 2, 1000 * MILLI);
 			ServicePoolTests.this.pool.offer(back, 1);
 			ServicePoolTests.this.pool.offer(fresh, 2);
 			ServicePoolTests.this.pool.release(first.server(), AttemptResult.ANSWERED, MILLI, MILLI);
-			assertThat(ServicePoolTests.this.pool.tick(MILLI)).singleElement()
-				.extracting(PlaceDecision::request)
+			assertThat(ServicePoolTests.this.pool.processQueue(MILLI)).singleElement()
+				.extracting(SlotDecision::request)
 				.isEqualTo(fresh.id());
 		}
 
 		@Test
 		void aCancelledRequestIsNotStarted() {
-			ServicePoolTests.this.pool.announce(server(0, 1), 0);
-			PlaceGranted first = (PlaceGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
+			ServicePoolTests.this.pool.updateServer(server(0, 1), 0);
+			SlotGranted first = (SlotGranted) ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
 			WaitingRequest waiting = request(1, 1, 1000 * MILLI);
 			ServicePoolTests.this.pool.offer(waiting, 1);
-			ServicePoolTests.this.pool.cancel(waiting.id());
+			ServicePoolTests.this.pool.cancelWaiting(waiting.id());
 			ServicePoolTests.this.pool.release(first.server(), AttemptResult.ANSWERED, MILLI, MILLI);
-			assertThat(ServicePoolTests.this.pool.tick(MILLI)).isEmpty();
+			assertThat(ServicePoolTests.this.pool.processQueue(MILLI)).isEmpty();
 		}
 
 	}
@@ -201,16 +202,16 @@
 
 		@Test
 		void rejectsRequestsDuringAGroupFaultAndProbesTheGroupSoonAfter() {
-			ServicePoolTests.this.pool.announce(server(0, 1), 0);
+			ServicePoolTests.this.pool.updateServer(server(0, 1), 0);
 			ServicePoolTests.this.pool.offer(request(1, 0, MILLI), 0);
 			ServicePoolTests.this.pool.offer(request(1, 0, 1000 * MILLI), 0);
-			ServicePoolTests.this.pool.groupFault(MILLI);
-			assertThat(ServicePoolTests.this.pool.tick(MILLI)).singleElement().isInstanceOf(PlaceRefused.class);
-			ServicePoolTests.this.pool.announce(server(1, 1), 0);
-			PlaceDecision refused = ServicePoolTests.this.pool.offer(request(1, MILLI, 1000 * MILLI), MILLI);
-			assertThat(((PlaceRefused) refused).retryAfter()).isGreaterThan(Duration.ofSeconds(1));
+			ServicePoolTests.this.pool.recordGroupFault(MILLI);
+			assertThat(ServicePoolTests.this.pool.processQueue(MILLI)).singleElement().isInstanceOf(SlotRefused.class);
+			ServicePoolTests.this.pool.updateServer(server(1, 1), 0);
+			SlotDecision refused = ServicePoolTests.this.pool.offer(request(1, MILLI, 1000 * MILLI), MILLI);
+			assertThat(((SlotRefused) refused).retryAfter()).isGreaterThan(Duration.ofSeconds(1));
 			assertThat(ServicePoolTests.this.pool.offer(request(1, 0, 1000 * MILLI), 400 * MILLI))
-				.isInstanceOf(PlaceGranted.class);
+				.isInstanceOf(SlotGranted.class);
 		}
 
 	}
@@ -226,7 +227,7 @@
 		@ParameterizedTest
 		@CsvSource({ "16, 72, 7, 190", "7, 16, 8, 53", "7, 16, 8, 20", "2, 16, 8, 45" })
 		void lessThanOnePercentOfRequestsAreSentToAFullServer(int entries, int servers, int slots, double perSecond) {
-			SharedLoad load = new SharedLoad(entries, servers, slots, new Random(3));
+			SharedLoadSimulation load = new SharedLoadSimulation(entries, servers, slots, new Random(3));
 			load.simulate(perSecond, Duration.ofMillis(1500), Duration.ofSeconds(120));
 			assertThat(load.fullServerShare()).isLessThan(0.01);
 			assertThat(load.refused()).isZero();
@@ -234,7 +235,7 @@
 
 		@Test
 		void fewRequestsAreSentToAFullServerNearTheCapacity() {
-			SharedLoad load = new SharedLoad(16, 72, 7, new Random(3));
+			SharedLoadSimulation load = new SharedLoadSimulation(16, 72, 7, new Random(3));
 			load.simulate(260, Duration.ofMillis(1500), Duration.ofSeconds(120));
 			assertThat(load.fullServerShare()).isLessThan(0.1);
 		}
@@ -258,7 +259,7 @@
 		@Test
 		void servesAtCapacityAndDecidesOnEveryRequestInTime() {
 			for (int i = 0; i < SERVERS; i++) {
-				ServicePoolTests.this.pool.announce(server(i, SLOTS), 0);
+				ServicePoolTests.this.pool.updateServer(server(i, SLOTS), 0);
 			}
 			Map<Long, PoolServer> running = new HashMap<>();
 			Map<Long, Long> ends = new HashMap<>();
@@ -267,28 +268,28 @@
 			int refusedLate = 0;
 			int refused = 0;
 			for (long now = 0; now < 20_000 * MILLI; now += 10 * MILLI) {
-				List<PlaceDecision> decisions = new ArrayList<>();
+				List<SlotDecision> decisions = new ArrayList<>();
 				for (long id : List.copyOf(ends.keySet())) {
 					if (ends.get(id) <= now) {
 						ends.remove(id);
 						ServicePoolTests.this.pool.release(running.remove(id), AttemptResult.ANSWERED, RUN, now);
 					}
 				}
-				decisions.addAll(ServicePoolTests.this.pool.tick(now));
+				decisions.addAll(ServicePoolTests.this.pool.processQueue(now));
 				if (now % (30 * MILLI) == 0) {
 					WaitingRequest request = request(1, now, LONGEST_WAIT);
 					arrivals.put(request.id(), now);
 					decisions.add(ServicePoolTests.this.pool.offer(request, now));
 				}
-				for (PlaceDecision decision : decisions) {
+				for (SlotDecision decision : decisions) {
 					long waited = now - arrivals.get(decision.request());
 					assertThat(waited).isLessThanOrEqualTo(LONGEST_WAIT + 10 * MILLI);
-					if (decision instanceof PlaceGranted place) {
+					if (decision instanceof SlotGranted place) {
 						granted++;
 						running.put(decision.request(), place.server());
 						ends.put(decision.request(), now + RUN);
 					}
-					else if (decision instanceof PlaceRefused) {
+					else if (decision instanceof SlotRefused) {
 						refused++;
 						refusedLate += (waited > 0) ? 1 : 0;
 					}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/RetryAllowanceTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServiceRetryBudgetTests.java
@@ -7,9 +7,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link RetryAllowance}.
+ * Tests for {@link ServiceRetryBudget}.
  */
-class RetryAllowanceTests {
+class ServiceRetryBudgetTests {
 
 	private static final long SECOND = 1_000_000_000L;
 
@@ -19,12 +19,12 @@
 		int requests = 0;
 		int retries = 0;
 		for (int entry = 0; entry < entries; entry++) {
-			RetryAllowance budget = new RetryAllowance(0.2, 96, Duration.ofSeconds(10));
+			ServiceRetryBudget budget = new ServiceRetryBudget(0.2, 96, Duration.ofSeconds(10));
 			for (int i = 0; i < 100; i++) {
 				long now = i * SECOND / 10;
-				budget.sentFirst(now);
+				budget.recordFirstAttempt(now);
 				requests++;
-				retries += budget.take(entries, now) ? 1 : 0;
+				retries += budget.tryAcquire(entries, now) ? 1 : 0;
 			}
 		}
 		assertThat(retries).isPositive().isLessThanOrEqualTo((int) (0.2 * requests) + 96);
@@ -34,9 +34,9 @@
 	void theLimitHoldsIfEveryEntryRestartsOnce() {
 		int retries = 0;
 		for (int incarnation = 0; incarnation < 14; incarnation++) {
-			RetryAllowance budget = new RetryAllowance(0, 96, Duration.ofSeconds(10));
+			ServiceRetryBudget budget = new ServiceRetryBudget(0, 96, Duration.ofSeconds(10));
 			for (int i = 0; i < 100; i++) {
-				retries += budget.take(7, i) ? 1 : 0;
+				retries += budget.tryAcquire(7, i) ? 1 : 0;
 			}
 		}
 		assertThat(retries).isLessThanOrEqualTo(96);
@@ -44,10 +44,10 @@
 
 	@Test
 	void retriesAreAvailableAgainAfterTheWindow() {
-		RetryAllowance budget = new RetryAllowance(0, 2, Duration.ofSeconds(10));
-		assertThat(budget.take(1, 0)).isTrue();
-		assertThat(budget.take(1, SECOND)).isFalse();
-		assertThat(budget.take(1, 11 * SECOND)).isTrue();
+		ServiceRetryBudget budget = new ServiceRetryBudget(0, 2, Duration.ofSeconds(10));
+		assertThat(budget.tryAcquire(1, 0)).isTrue();
+		assertThat(budget.tryAcquire(1, SECOND)).isFalse();
+		assertThat(budget.tryAcquire(1, 11 * SECOND)).isTrue();
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/SharedLoad.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/SharedLoadSimulation.java
@@ -15,7 +15,7 @@
  * Simulates several entries that send requests to the same servers and exchange the
  * counts of their requests in flight five times a second.
  */
-final class SharedLoad {
+final class SharedLoadSimulation {
 
 	private static final long MILLI = 1_000_000;
 
@@ -44,14 +44,14 @@
 	 * @param slots the number of slots per server
 	 * @param random the source of arrival and service times
 	 */
-	SharedLoad(int entries, int servers, int slots, Random random) {
+	SharedLoadSimulation(int entries, int servers, int slots, Random random) {
 		this.random = random;
 		this.slots = slots;
 		for (int entry = 0; entry < entries; entry++) {
 			ServicePool pool = new ServicePool("d" + entry % 4, new Random(random.nextLong()));
 			for (int server = 0; server < servers; server++) {
-				pool.announce(new ServerAnnouncement("s" + server, "service", new HostPort("127.0.0.1", 1000 + server),
-						"d" + server % 4, 1, 1, slots, ServerState.READY), 0);
+				pool.updateServer(new ServerAnnouncement("s" + server, "service",
+						new HostPort("127.0.0.1", 1000 + server), "d" + server % 4, 1, 1, slots, ServerState.READY), 0);
 			}
 			this.entries.add(pool);
 		}
@@ -81,8 +81,8 @@
 	private void arrive(long now, Duration service) {
 		ServicePool entry = this.entries.get(this.random.nextInt(this.entries.size()));
 		WaitingRequest request = new WaitingRequest(this.placed + this.refused, 1, false, now, now, Set.of());
-		if (!(entry.offer(request, now) instanceof PlaceGranted granted)) {
-			entry.cancel(request.id());
+		if (!(entry.offer(request, now) instanceof SlotGranted granted)) {
+			entry.cancelWaiting(request.id());
 			this.refused++;
 			return;
 		}
@@ -107,7 +107,7 @@
 			sender.servers().forEach((server) -> requests.put(server.announcement().server(), server.inFlight()));
 			this.entries.stream()
 				.filter((entry) -> entry != sender)
-				.forEach((entry) -> entry.heardOthers("e" + this.entries.indexOf(sender), requests, now));
+				.forEach((entry) -> entry.updateInFlight("e" + this.entries.indexOf(sender), requests, now));
 		}
 	}
 
