--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/LifeWorld.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/LifeWorld.java
@@ -13,21 +13,21 @@
 import org.comfreywall.common.decision.DecisionListener;
 import org.comfreywall.common.id.BackendServerId;
 import org.comfreywall.common.id.Term;
-import org.comfreywall.group.life.ChooseMember;
 import org.comfreywall.group.life.EngineActivity;
 import org.comfreywall.group.life.GroupCommand;
 import org.comfreywall.group.life.GroupEvent;
-import org.comfreywall.group.life.GroupLife;
+import org.comfreywall.group.life.GroupLifecycle;
 import org.comfreywall.group.life.GroupState;
 import org.comfreywall.group.life.GroupTick;
 import org.comfreywall.group.life.HeartbeatReceived;
-import org.comfreywall.group.life.LifeSettings;
+import org.comfreywall.group.life.LifecycleSettings;
 import org.comfreywall.group.life.MemberAnnounced;
 import org.comfreywall.group.life.MembershipDurable;
 import org.comfreywall.group.life.ProbeAnswered;
 import org.comfreywall.group.life.ProbeFailed;
 import org.comfreywall.group.life.ProbeMember;
 import org.comfreywall.group.life.ReleaseMember;
+import org.comfreywall.group.life.RequestAssignment;
 import org.comfreywall.group.mapswitch.AssignMember;
 import org.comfreywall.group.mapswitch.DecisionLedger;
 import org.comfreywall.group.mapswitch.LedgerState;
@@ -52,7 +52,7 @@
 
 	private final List<String> violations = new ArrayList<>();
 
-	private final LifeSettings settings;
+	private final LifecycleSettings settings;
 
 	private final RandomGenerator random;
 
@@ -62,7 +62,7 @@
 
 	private final DecisionLedger ledger;
 
-	private final GroupLife life;
+	private final GroupLifecycle life;
 
 	private long slowestMessageNanos = TICK_NANOS;
 
@@ -76,14 +76,14 @@
 
 	private long replacements;
 
-	LifeWorld(int ranks, int servers, LifeSettings settings, RandomGenerator random) {
+	LifeWorld(int ranks, int servers, LifecycleSettings settings, RandomGenerator random) {
 		this.ranks = ranks;
 		this.settings = settings;
 		this.random = random;
 		this.members = IntStream.range(0, servers).mapToObj((i) -> new FakeMember("server-" + i)).toList();
 		this.ledger = new DecisionLedger(ranks, LedgerState.EMPTY);
 		this.ledger.apply(new OpenTerm(TERM));
-		this.life = new GroupLife("group", ranks, settings, DecisionListener.NONE);
+		this.life = new GroupLifecycle("group", ranks, settings, DecisionListener.NONE);
 	}
 
 	long now() {
@@ -170,7 +170,7 @@
 	}
 
 	private void carryOut(GroupCommand command) {
-		if (command instanceof ChooseMember choose) {
+		if (command instanceof RequestAssignment choose) {
 			choose(choose);
 		}
 		else if (command instanceof ProbeMember probe) {
@@ -182,7 +182,7 @@
 		}
 	}
 
-	private void choose(ChooseMember choose) {
+	private void choose(RequestAssignment choose) {
 		Member present = this.ledger.state().members().get(choose.rank());
 		if (present != null && !present.equals(choose.member())) {
 			this.replacements++;
@@ -193,7 +193,7 @@
 		send(new MembershipDurable(state));
 	}
 
-	private void checkReason(Member present, ChooseMember choose) {
+	private void checkReason(Member present, RequestAssignment choose) {
 		Optional<FakeMember> fake = find(present).filter((found) -> !found.isDead(this.now));
 		boolean stalled = fake.filter(this::stalledLong).isPresent();
 		if (fake.isPresent() && !stalled) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifeRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifeRun.java
@@ -9,7 +9,7 @@
 import org.comfreywall.bench.Reporter;
 import org.comfreywall.common.decision.Field;
 import org.comfreywall.group.life.GroupState;
-import org.comfreywall.group.life.LifeSettings;
+import org.comfreywall.group.life.LifecycleSettings;
 
 /**
  * Lets servers die, stall and fall silent and checks from outside that only those that
@@ -40,7 +40,7 @@
 
 	private static final long SLOW_MESSAGE_NANOS = Duration.ofMillis(150).toNanos();
 
-	private static final LifeSettings SETTINGS = new LifeSettings(Duration.ofMillis(400).toNanos(),
+	private static final LifecycleSettings SETTINGS = new LifecycleSettings(Duration.ofMillis(400).toNanos(),
 			Duration.ofMillis(300).toNanos(), 2, Duration.ofMillis(300).toNanos(), Duration.ofSeconds(2).toNanos());
 
 	@Override
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchWorld.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchWorld.java
@@ -13,6 +13,7 @@
 import org.comfreywall.group.map.MapVersion;
 import org.comfreywall.group.mapswitch.AgentReport;
 import org.comfreywall.group.mapswitch.AgentSettings;
+import org.comfreywall.group.mapswitch.AssignmentRequested;
 import org.comfreywall.group.mapswitch.CoordinatorSettings;
 import org.comfreywall.group.mapswitch.CoordinatorTick;
 import org.comfreywall.group.mapswitch.DecisionLedger;
@@ -20,7 +21,6 @@
 import org.comfreywall.group.mapswitch.LedgerState;
 import org.comfreywall.group.mapswitch.LedgerWrite;
 import org.comfreywall.group.mapswitch.MapInstallRequested;
-import org.comfreywall.group.mapswitch.MemberChosen;
 import org.comfreywall.group.mapswitch.ReportReceived;
 import org.comfreywall.group.mapswitch.SendOrder;
 import org.comfreywall.group.mapswitch.StepProgress;
@@ -276,8 +276,8 @@
 
 	private void tick() {
 		for (int rank = 0; rank < this.hosts.length; rank++) {
-			if (!this.ledger.state().holds(rank, this.hosts[rank].member())) {
-				leader().handle(new MemberChosen(rank, this.hosts[rank].member()));
+			if (!this.ledger.state().isAssigned(rank, this.hosts[rank].member())) {
+				leader().handle(new AssignmentRequested(rank, this.hosts[rank].member()));
 			}
 		}
 		List.copyOf(this.coordinators).forEach((coordinator) -> coordinator.handle(new CoordinatorTick()));
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MoveRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MoveRun.java
@@ -122,7 +122,7 @@
 				MoveId other = new MoveId(plan.id(), index);
 				boolean waiting = !this.reading.contains(other)
 						&& !this.staged.getOrDefault(plan.id(), Set.of()).contains(index);
-				if (waiting && plan.moves().get(index).worthPerByte() > read.move().worthPerByte()) {
+				if (waiting && plan.moves().get(index).gainPerByte() > read.move().gainPerByte()) {
 					this.readsOutOfOrder++;
 					return;
 				}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PricedPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PricedPolicy.java
@@ -51,7 +51,7 @@
 
 	@Override
 	public Placement plan(Placement present, double[] speeds) {
-		boolean[] changed = this.estimator.acceptChanges();
+		boolean[] changed = this.estimator.pollChanges();
 		if (!Arrays.equals(speeds, this.plannedSpeeds)) {
 			Arrays.fill(changed, true);
 			this.plannedSpeeds = speeds;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupCommand.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupCommand.java
@@ -3,6 +3,6 @@
 /**
  * A command that the group's lifecycle core returns to its driver.
  */
-public sealed interface GroupCommand permits ChooseMember, ProbeMember, RouteGroup, WithdrawGroup, ReleaseMember {
+public sealed interface GroupCommand permits RequestAssignment, ProbeMember, RouteGroup, WithdrawGroup, ReleaseMember {
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupLife.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/GroupLifecycle.java
@@ -23,18 +23,18 @@
  * the group makes progress, and a rank that still computes while others wait for their
  * peers blocks them.
  */
-public final class GroupLife {
+public final class GroupLifecycle {
 
 	/** Number of suspicion timeouts after which a spare without announcements expires. */
 	private static final int SPARE_TIMEOUTS = 5;
 
 	private final String group;
 
-	private final LifeSettings settings;
+	private final LifecycleSettings settings;
 
 	private final DecisionListener listener;
 
-	private final List<RankRecord> ranks;
+	private final List<RankState> ranks;
 
 	private final SparePool spares = new SparePool();
 
@@ -55,12 +55,12 @@
 	 * @param settings the timeouts
 	 * @param listener receives the membership decisions
 	 */
-	public GroupLife(String group, int ranks, LifeSettings settings, DecisionListener listener) {
+	public GroupLifecycle(String group, int ranks, LifecycleSettings settings, DecisionListener listener) {
 		Preconditions.check(ranks >= 1, "ranks must be at least 1: %d", ranks);
 		this.group = Preconditions.notBlank(group, "group");
 		this.settings = Preconditions.notNull(settings, "settings");
 		this.listener = Preconditions.notNull(listener, "listener");
-		this.ranks = IntStream.range(0, ranks).mapToObj(RankRecord::new).toList();
+		this.ranks = IntStream.range(0, ranks).mapToObj(RankState::new).toList();
 	}
 
 	/**
@@ -133,56 +133,56 @@
 			applyMembership(durable.state(), now);
 		}
 		else {
-			this.spares.removeSilent(now - SPARE_TIMEOUTS * this.settings.suspectNanos());
+			this.spares.removeExpired(now - SPARE_TIMEOUTS * this.settings.suspectNanos());
 			this.ranks.forEach((rankState) -> checkHealth(rankState, now));
 		}
 	}
 
 	private void handleAnnouncement(Member member, long now) {
-		Optional<RankRecord> assigned = this.ranks.stream()
+		Optional<RankState> assigned = this.ranks.stream()
 			.filter((rankState) -> rankState.member().filter((m) -> m.server().equals(member.server())).isPresent())
 			.findFirst();
 		if (assigned.isEmpty()) {
 			boolean isCandidate = this.ranks.stream()
-				.anyMatch((rankState) -> rankState.chosen().filter(member::equals).isPresent());
+				.anyMatch((rankState) -> rankState.candidate().filter(member::equals).isPresent());
 			if (!isCandidate) {
-				this.spares.heard(member, now);
+				this.spares.addOrRefresh(member, now);
 			}
 			return;
 		}
 		Member current = assigned.get().member().orElseThrow();
-		if (current.incarnation().isBefore(member.incarnation()) && assigned.get().chosen().isEmpty()) {
+		if (current.incarnation().isBefore(member.incarnation()) && assigned.get().candidate().isEmpty()) {
 			changeHealth(assigned.get(), RankHealth.FAILED, "restarted");
 			requestAssignment(assigned.get(), member, now);
 		}
 	}
 
 	private void handleHeartbeat(HeartbeatReceived heartbeat, long now) {
-		Optional<RankRecord> assigned = findRankOf(heartbeat.member());
+		Optional<RankState> assigned = findRankOf(heartbeat.member());
 		if (assigned.isEmpty()) {
 			return;
 		}
-		RankRecord rankState = assigned.get();
-		rankState.reported(heartbeat.step(), heartbeat.activity(), !hasRecentHeartbeat(rankState, now), now);
+		RankState rankState = assigned.get();
+		rankState.recordHeartbeat(heartbeat.step(), heartbeat.activity(), !hasRecentHeartbeat(rankState, now), now);
 		if (heartbeat.step() > this.groupStep) {
 			this.groupStep = heartbeat.step();
 			this.groupProgressAt = now;
 		}
-		boolean stillStalled = rankState.health() == RankHealth.STALLED && rankState.movedAt() != now;
+		boolean stillStalled = rankState.health() == RankHealth.STALLED && rankState.lastChangeAt() != now;
 		if (!stillStalled && rankState.health() != RankHealth.FAILED) {
 			changeHealth(rankState, RankHealth.HEALTHY, "heard");
 		}
 	}
 
-	private void handleProbeAnswered(RankRecord rankState, long now) {
-		rankState.heard(now);
+	private void handleProbeAnswered(RankState rankState, long now) {
+		rankState.recordContact(now);
 		if (rankState.health() == RankHealth.SUSPECTED) {
 			changeHealth(rankState, RankHealth.LATE, "probe-answered");
 		}
 	}
 
-	private void handleProbeFailed(RankRecord rankState) {
-		rankState.probeFailed();
+	private void handleProbeFailed(RankState rankState) {
+		rankState.recordFailedProbe();
 		if (rankState.failedProbes() >= this.settings.failedProbes()) {
 			changeHealth(rankState, RankHealth.FAILED, "probes-failed");
 		}
@@ -194,9 +194,9 @@
 			return;
 		}
 		this.membershipIndex = durable.index();
-		for (RankRecord rankState : this.ranks) {
+		for (RankState rankState : this.ranks) {
 			Member member = durable.members().get(rankState.rank());
-			if (member != null && !rankState.isHeldBy(member)) {
+			if (member != null && !rankState.isAssignedTo(member)) {
 				rankState.member().ifPresent((previous) -> this.commands.add(new ReleaseMember(previous)));
 				rankState.assign(member, now);
 				this.spares.remove(member);
@@ -204,14 +204,14 @@
 		}
 	}
 
-	private void checkHealth(RankRecord rankState, long now) {
+	private void checkHealth(RankState rankState, long now) {
 		if (rankState.member().isEmpty() || rankState.health() == RankHealth.FAILED) {
 			return;
 		}
-		if (rankState.isProbing() && now - rankState.probedAt() >= this.settings.probeNanos()) {
+		if (rankState.isProbing() && now - rankState.probeStartedAt() >= this.settings.probeNanos()) {
 			handleProbeFailed(rankState);
 		}
-		else if (now - rankState.heardAt() >= this.settings.suspectNanos()) {
+		else if (now - rankState.lastContactAt() >= this.settings.suspectNanos()) {
 			handleMissingHeartbeats(rankState, now);
 		}
 		else {
@@ -219,7 +219,7 @@
 		}
 	}
 
-	private void handleMissingHeartbeats(RankRecord rankState, long now) {
+	private void handleMissingHeartbeats(RankState rankState, long now) {
 		boolean groupProgresses = this.groupStep > rankState.step() + 1
 				&& now - this.groupProgressAt < this.settings.suspectNanos();
 		if (groupProgresses) {
@@ -227,12 +227,12 @@
 		}
 		else if (!rankState.isProbing()) {
 			changeHealth(rankState, RankHealth.SUSPECTED, "silent");
-			rankState.probe(now);
+			rankState.startProbe(now);
 			this.commands.add(new ProbeMember(rankState.member().orElseThrow()));
 		}
 	}
 
-	private void checkStalled(RankRecord rankState, long now) {
+	private void checkStalled(RankState rankState, long now) {
 		boolean groupHasAdvanced = rankState.step() >= 0 && this.groupStep > rankState.step() + 1;
 		if (groupHasAdvanced) {
 			return;
@@ -240,8 +240,8 @@
 		boolean recent = hasRecentHeartbeat(rankState, now);
 		boolean blocksOthers = recent ? rankState.activity() == EngineActivity.COMPUTING && anyRankWaitsForPeers()
 				: allOthersWaitForPeers(rankState, now);
-		long blockedNanos = now
-				- (recent ? rankState.movedAt() : Math.max(rankState.reportedAt(), lastChangeOfOthers(rankState)));
+		long blockedNanos = now - (recent ? rankState.lastChangeAt()
+				: Math.max(rankState.lastHeartbeatAt(), lastChangeOfOthers(rankState)));
 		if (blocksOthers && blockedNanos >= this.settings.replaceNanos() && this.spares.size() > 0) {
 			changeHealth(rankState, RankHealth.FAILED, "stalled-too-long");
 		}
@@ -250,48 +250,50 @@
 		}
 	}
 
-	private boolean hasRecentHeartbeat(RankRecord rankState, long now) {
-		return now - rankState.reportedAt() < this.settings.suspectNanos();
+	private boolean hasRecentHeartbeat(RankState rankState, long now) {
+		return now - rankState.lastHeartbeatAt() < this.settings.suspectNanos();
 	}
 
 	private boolean anyRankWaitsForPeers() {
 		return this.ranks.stream().anyMatch((other) -> other.activity() == EngineActivity.WAITING_FOR_PEERS);
 	}
 
-	private boolean allOthersWaitForPeers(RankRecord rankState, long now) {
+	private boolean allOthersWaitForPeers(RankState rankState, long now) {
 		return this.ranks.stream()
 			.filter((other) -> other != rankState)
 			.allMatch(
 					(other) -> other.activity() == EngineActivity.WAITING_FOR_PEERS && hasRecentHeartbeat(other, now));
 	}
 
-	private long lastChangeOfOthers(RankRecord rankState) {
+	private long lastChangeOfOthers(RankState rankState) {
 		return this.ranks.stream()
 			.filter((other) -> other != rankState)
-			.mapToLong(RankRecord::movedAt)
+			.mapToLong(RankState::lastChangeAt)
 			.max()
 			.orElse(this.groupProgressAt);
 	}
 
 	private void fillEmptyRanks(long now) {
-		for (RankRecord rankState : this.ranks) {
-			boolean expired = now - rankState.chosenAt() >= this.settings.suspectNanos();
-			boolean assignable = rankState.chosen().isEmpty() || expired;
+		for (RankState rankState : this.ranks) {
+			boolean expired = now - rankState.candidateSince() >= this.settings.suspectNanos();
+			boolean assignable = rankState.candidate().isEmpty() || expired;
 			if (assignable && (rankState.member().isEmpty() || rankState.health() == RankHealth.FAILED)) {
-				this.spares.take().or(rankState::chosen).ifPresent((spare) -> requestAssignment(rankState, spare, now));
+				this.spares.poll()
+					.or(rankState::candidate)
+					.ifPresent((spare) -> requestAssignment(rankState, spare, now));
 			}
 		}
 	}
 
-	private void requestAssignment(RankRecord rankState, Member member, long now) {
-		rankState.choose(member, now);
+	private void requestAssignment(RankState rankState, Member member, long now) {
+		rankState.setCandidate(member, now);
 		recordDecision(rankState.rank(), "member-chosen", Field.of("member", member),
 				Field.of("former", rankState.member().map(Member::toString).orElse("none")));
-		this.commands.add(new ChooseMember(rankState.rank(), member));
+		this.commands.add(new RequestAssignment(rankState.rank(), member));
 	}
 
 	private void updateState() {
-		boolean running = this.ranks.stream().allMatch(RankRecord::isRunning);
+		boolean running = this.ranks.stream().allMatch(RankState::isRunning);
 		if (running && this.state != GroupState.RUNNING) {
 			this.state = GroupState.RUNNING;
 			this.commands.add(new RouteGroup());
@@ -311,12 +313,12 @@
 			.forEach((member) -> this.commands.add(new ReleaseMember(member)));
 	}
 
-	private Optional<RankRecord> findRankOf(Member member) {
-		return this.ranks.stream().filter((rankState) -> rankState.isHeldBy(member)).findFirst();
+	private Optional<RankState> findRankOf(Member member) {
+		return this.ranks.stream().filter((rankState) -> rankState.isAssignedTo(member)).findFirst();
 	}
 
-	private void changeHealth(RankRecord rankState, RankHealth health, String reason) {
-		if (rankState.become(health)) {
+	private void changeHealth(RankState rankState, RankHealth health, String reason) {
+		if (rankState.updateHealth(health)) {
 			recordDecision(rankState.rank(), "rank-" + health.name().toLowerCase(Locale.ROOT),
 					Field.of("reason", reason), Field.of("step", rankState.step()),
 					Field.of("group-step", this.groupStep));
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/LifeSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/LifecycleSettings.java
@@ -16,13 +16,14 @@
  * in nanoseconds
  * @param replaceNanos time after which a stalled rank is replaced, in nanoseconds
  */
-public record LifeSettings(long suspectNanos, long probeNanos, int failedProbes, long stallNanos, long replaceNanos) {
+public record LifecycleSettings(long suspectNanos, long probeNanos, int failedProbes, long stallNanos,
+		long replaceNanos) {
 
 	/** The default settings. */
-	public static final LifeSettings DEFAULT = new LifeSettings(Duration.ofSeconds(1).toNanos(),
+	public static final LifecycleSettings DEFAULT = new LifecycleSettings(Duration.ofSeconds(1).toNanos(),
 			Duration.ofSeconds(1).toNanos(), 2, Duration.ofMillis(500).toNanos(), Duration.ofSeconds(10).toNanos());
 
-	public LifeSettings {
+	public LifecycleSettings {
 		Preconditions.check(suspectNanos > 0, "suspectNanos must be positive: %d", suspectNanos);
 		Preconditions.check(probeNanos > 0, "probeNanos must be positive: %d", probeNanos);
 		Preconditions.check(failedProbes >= 1, "failedProbes must be at least 1: %d", failedProbes);
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/RankRecord.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/RankState.java
@@ -7,7 +7,7 @@
 /**
  * Mutable state of one rank in the group's lifecycle core.
  */
-final class RankRecord {
+final class RankState {
 
 	private static final long NEVER = -1;
 
@@ -15,7 +15,7 @@
 
 	private Optional<Member> member = Optional.empty();
 
-	private Optional<Member> chosen = Optional.empty();
+	private Optional<Member> candidate = Optional.empty();
 
 	private RankHealth health = RankHealth.HEALTHY;
 
@@ -23,19 +23,19 @@
 
 	private long step = NEVER;
 
-	private long heardAt;
+	private long lastContactAt;
 
-	private long reportedAt;
+	private long lastHeartbeatAt;
 
-	private long movedAt;
+	private long lastChangeAt;
 
-	private long chosenAt;
+	private long candidateSince;
 
-	private long probedAt = NEVER;
+	private long probeStartedAt = NEVER;
 
 	private int failedProbes;
 
-	RankRecord(int rank) {
+	RankState(int rank) {
 		this.rank = rank;
 	}
 
@@ -47,8 +47,8 @@
 		return this.member;
 	}
 
-	Optional<Member> chosen() {
-		return this.chosen;
+	Optional<Member> candidate() {
+		return this.candidate;
 	}
 
 	RankHealth health() {
@@ -63,28 +63,28 @@
 		return this.step;
 	}
 
-	long heardAt() {
-		return this.heardAt;
+	long lastContactAt() {
+		return this.lastContactAt;
 	}
 
-	long reportedAt() {
-		return this.reportedAt;
+	long lastHeartbeatAt() {
+		return this.lastHeartbeatAt;
 	}
 
-	long movedAt() {
-		return this.movedAt;
+	long lastChangeAt() {
+		return this.lastChangeAt;
 	}
 
-	long chosenAt() {
-		return this.chosenAt;
+	long candidateSince() {
+		return this.candidateSince;
 	}
 
 	boolean isProbing() {
-		return this.probedAt != NEVER;
+		return this.probeStartedAt != NEVER;
 	}
 
-	long probedAt() {
-		return this.probedAt;
+	long probeStartedAt() {
+		return this.probeStartedAt;
 	}
 
 	int failedProbes() {
@@ -96,54 +96,54 @@
 				&& this.health != RankHealth.STALLED;
 	}
 
-	boolean isHeldBy(Member candidate) {
+	boolean isAssignedTo(Member candidate) {
 		return this.member.filter(candidate::equals).isPresent();
 	}
 
 	void assign(Member newMember, long now) {
 		this.member = Optional.of(newMember);
-		this.chosen = Optional.empty();
+		this.candidate = Optional.empty();
 		this.health = RankHealth.HEALTHY;
 		this.activity = EngineActivity.LOADING;
 		this.step = NEVER;
-		this.movedAt = now;
-		this.reportedAt = now;
-		heard(now);
+		this.lastChangeAt = now;
+		this.lastHeartbeatAt = now;
+		recordContact(now);
 	}
 
-	void choose(Member candidate, long now) {
-		this.chosen = Optional.of(candidate);
-		this.chosenAt = now;
+	void setCandidate(Member candidate, long now) {
+		this.candidate = Optional.of(candidate);
+		this.candidateSince = now;
 	}
 
-	void heard(long now) {
-		this.heardAt = now;
-		this.probedAt = NEVER;
+	void recordContact(long now) {
+		this.lastContactAt = now;
+		this.probeStartedAt = NEVER;
 		this.failedProbes = 0;
 	}
 
-	void reported(long newStep, EngineActivity newActivity, boolean afterGap, long now) {
-		heard(now);
-		this.reportedAt = now;
+	void recordHeartbeat(long newStep, EngineActivity newActivity, boolean afterGap, long now) {
+		recordContact(now);
+		this.lastHeartbeatAt = now;
 		// The engine's activity during a heartbeat gap is unknown, so the gap restarts
 		// the stall timeout.
 		if (newStep > this.step || newActivity != this.activity || afterGap) {
-			this.movedAt = now;
+			this.lastChangeAt = now;
 		}
 		this.step = Math.max(this.step, newStep);
 		this.activity = newActivity;
 	}
 
-	void probe(long now) {
-		this.probedAt = now;
+	void startProbe(long now) {
+		this.probeStartedAt = now;
 	}
 
-	void probeFailed() {
-		this.probedAt = NEVER;
+	void recordFailedProbe() {
+		this.probeStartedAt = NEVER;
 		this.failedProbes++;
 	}
 
-	boolean become(RankHealth newHealth) {
+	boolean updateHealth(RankHealth newHealth) {
 		boolean changed = this.health != newHealth;
 		this.health = newHealth;
 		return changed;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/ChooseMember.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/RequestAssignment.java
@@ -9,9 +9,9 @@
  * @param rank the rank
  * @param member the member
  */
-public record ChooseMember(int rank, Member member) implements GroupCommand {
+public record RequestAssignment(int rank, Member member) implements GroupCommand {
 
-	public ChooseMember {
+	public RequestAssignment {
 		Preconditions.notNull(member, "member");
 		Preconditions.check(rank >= 0, "rank must not be negative: %d", rank);
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/life/SparePool.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/life/SparePool.java
@@ -19,7 +19,7 @@
 
 	private final Map<BackendServerId, Spare> spares = new LinkedHashMap<>();
 
-	void heard(Member member, long now) {
+	void addOrRefresh(Member member, long now) {
 		Spare present = this.spares.get(member.server());
 		boolean older = present != null && member.incarnation().isBefore(present.incarnation());
 		if (!older && (present != null || this.spares.size() < LIMIT)) {
@@ -31,7 +31,7 @@
 		this.spares.remove(member.server());
 	}
 
-	void removeSilent(long before) {
+	void removeExpired(long before) {
 		this.spares.values().removeIf((spare) -> spare.lastSeenAt() < before);
 	}
 
@@ -39,7 +39,7 @@
 		return this.spares.size();
 	}
 
-	Optional<Member> take() {
+	Optional<Member> poll() {
 		Optional<Member> first = this.spares.entrySet()
 			.stream()
 			.findFirst()
--- a/comfreywall-group/src/main/java/org/comfreywall/group/map/ExpertMap.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/map/ExpertMap.java
@@ -51,7 +51,7 @@
 		BitSet usedSlots = new BitSet(ranks * slotsPerRank);
 		for (int expert = 0; expert < layer.experts(); expert++) {
 			BitSet usedRanks = new BitSet(ranks);
-			for (Replica replica : layer.of(expert)) {
+			for (Replica replica : layer.replicasOf(expert)) {
 				checkReplica(replica, index, expert, ranks, slotsPerRank);
 				int position = replica.rank() * slotsPerRank + replica.slot();
 				Preconditions.check(!usedSlots.get(position), "replicas must not use a slot twice: layer %d, %s", index,
--- a/comfreywall-group/src/main/java/org/comfreywall/group/map/LayerMap.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/map/LayerMap.java
@@ -35,7 +35,7 @@
 	 * @param expert the expert's index
 	 * @return its replicas, at least one
 	 */
-	public List<Replica> of(int expert) {
+	public List<Replica> replicasOf(int expert) {
 		return this.replicas.get(expert);
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/map/MapEncoder.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/map/MapEncoder.java
@@ -36,8 +36,8 @@
 	private static void writeLayer(DataOutputStream out, LayerMap layer) throws IOException {
 		out.writeInt(layer.experts());
 		for (int expert = 0; expert < layer.experts(); expert++) {
-			out.writeInt(layer.of(expert).size());
-			for (Replica replica : layer.of(expert)) {
+			out.writeInt(layer.replicasOf(expert).size());
+			for (Replica replica : layer.replicasOf(expert)) {
 				out.writeInt(replica.rank());
 				out.writeInt(replica.slot());
 				out.writeInt(replica.weight());
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentReport.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AgentReport.java
@@ -4,7 +4,7 @@
  * A report from the agent of one rank to the coordinator.
  */
 public sealed interface AgentReport
-		permits JoinAsked, MapStaged, SwitchArmed, ArmRefused, DecisionAsked, SwitchReleased, StepProgress {
+		permits JoinRequest, MapStaged, SwitchArmed, ArmRefused, DecisionQuery, SwitchReleased, StepProgress {
 
 	/**
 	 * Returns the reporting rank.
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MemberChosen.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/AssignmentRequested.java
@@ -8,9 +8,9 @@
  * @param rank the rank
  * @param member the member
  */
-public record MemberChosen(int rank, Member member) implements CoordinatorEvent {
+public record AssignmentRequested(int rank, Member member) implements CoordinatorEvent {
 
-	public MemberChosen {
+	public AssignmentRequested {
 		Preconditions.notNull(member, "member");
 		Preconditions.check(rank >= 0, "rank must not be negative: %d", rank);
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/BoundaryChoice.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/BoundaryChoice.java
@@ -14,14 +14,14 @@
 	/** Number of steps by which a rank may be ahead of the estimated current step. */
 	private static final int RUN_AHEAD_STEPS = 2;
 
-	static BoundaryChoice of(RankTable progress, long leadNanos, long lastFirstStep, long now) {
+	static BoundaryChoice of(RankProgress progress, long leadNanos, long lastFirstStep, long now) {
 		long stepNanos = progress.stepNanos();
 		long leadSteps = leadNanos / stepNanos + 1 + RUN_AHEAD_STEPS;
-		long firstStep = Math.max(progress.latestStep(now), lastFirstStep) + leadSteps;
+		long firstStep = Math.max(progress.estimateLatestStep(now), lastFirstStep) + leadSteps;
 		return new BoundaryChoice(firstStep, leadSteps, leadNanos, stepNanos);
 	}
 
-	long deadline(long now) {
+	long armDeadline(long now) {
 		return now + this.leadNanos / 2;
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorEvent.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorEvent.java
@@ -4,6 +4,6 @@
  * An input event of the coordinator.
  */
 public sealed interface CoordinatorEvent permits CoordinatorStarted, WriteDurable, SwitchRequested, SwitchCancelled,
-		MapInstallRequested, MemberChosen, ReportReceived, CoordinatorTick {
+		MapInstallRequested, AssignmentRequested, ReportReceived, CoordinatorTick {
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/DecisionLedger.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/DecisionLedger.java
@@ -85,13 +85,13 @@
 
 	private LedgerResult assign(AssignMember assign) {
 		Member member = assign.member();
-		if (this.state.holds(assign.rank(), member)) {
+		if (this.state.isAssigned(assign.rank(), member)) {
 			return LedgerResult.accepted(this.state);
 		}
 		if (assign.rank() >= this.ranks || isServerAssignedToOtherRank(assign)) {
 			return reject(LedgerRefusal.INVALID_RANK);
 		}
-		Incarnation latest = this.state.retired().get(member.server());
+		Incarnation latest = this.state.latestIncarnations().get(member.server());
 		if (latest != null && member.incarnation().compareTo(latest) <= 0) {
 			return reject(LedgerRefusal.REUSED_MEMBER);
 		}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/DecisionAsked.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/DecisionQuery.java
@@ -9,9 +9,9 @@
  * @param member the reporting member
  * @param id the attempt
  */
-public record DecisionAsked(int rank, Member member, SwitchId id) implements AgentReport {
+public record DecisionQuery(int rank, Member member, SwitchId id) implements AgentReport {
 
-	public DecisionAsked {
+	public DecisionQuery {
 		Preconditions.notNull(member, "member");
 		Preconditions.notNull(id, "id");
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/EngineMemory.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/EngineMemory.java
@@ -38,12 +38,12 @@
 		return this.loading.filter(map::equals).isPresent();
 	}
 
-	void load(MapRef map) {
+	void startLoad(MapRef map) {
 		this.staged = Optional.empty();
 		this.loading = Optional.of(map);
 	}
 
-	boolean loaded(MapRef map) {
+	boolean completeLoad(MapRef map) {
 		if (!isLoading(map)) {
 			return false;
 		}
@@ -52,7 +52,7 @@
 		return true;
 	}
 
-	void use(MapRef map) {
+	void activate(MapRef map) {
 		if (!isActive(map)) {
 			this.active = Optional.of(map);
 			this.staged = Optional.empty();
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/JoinAsked.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/JoinRequest.java
@@ -8,9 +8,9 @@
  * @param rank the reporting rank
  * @param member the reporting member
  */
-public record JoinAsked(int rank, Member member) implements AgentReport {
+public record JoinRequest(int rank, Member member) implements AgentReport {
 
-	public JoinAsked {
+	public JoinRequest {
 		Preconditions.notNull(member, "member");
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LeadEstimator.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LeadEstimator.java
@@ -31,15 +31,15 @@
 		this.settings = settings;
 	}
 
-	void decided(long armToDecisionNanos) {
+	void addSample(long armToDecisionNanos) {
 		this.peakNanos = Math.max(armToDecisionNanos, this.peakNanos - this.peakNanos / PEAK_DECAY);
 	}
 
-	void succeeded() {
+	void decreasePenalty() {
 		this.penalty = Math.max(1, this.penalty / 2);
 	}
 
-	void tooShort() {
+	void increasePenalty() {
 		this.penalty = Math.min(MAX_PENALTY, this.penalty * 2);
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerState.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerState.java
@@ -19,16 +19,16 @@
  * @param term the current coordinator's term
  * @param generation the number of membership changes
  * @param members the members by rank; a rank without a member is absent
- * @param retired the latest incarnation of each server that was ever assigned to a rank,
- * least recently assigned first; at most {@value #RETIRED_LIMIT}
+ * @param latestIncarnations the latest incarnation of each server that was ever assigned
+ * to a rank, least recently assigned first; at most {@value #MAX_INCARNATIONS}
  * @param timeline the committed map boundaries
  * @param lastDecided the latest decided attempt
  */
 public record LedgerState(long index, Term term, long generation, SortedMap<Integer, Member> members,
-		Map<BackendServerId, Incarnation> retired, MapTimeline timeline, SwitchId lastDecided) {
+		Map<BackendServerId, Incarnation> latestIncarnations, MapTimeline timeline, SwitchId lastDecided) {
 
 	/** Maximum number of servers whose latest incarnation is kept. */
-	public static final int RETIRED_LIMIT = 256;
+	public static final int MAX_INCARNATIONS = 256;
 
 	/** The state before the first write. */
 	public static final LedgerState EMPTY = new LedgerState(0, Term.ZERO, 0, new TreeMap<>(), Map.of(),
@@ -39,9 +39,9 @@
 		Preconditions.notNull(timeline, "timeline");
 		Preconditions.notNull(lastDecided, "lastDecided");
 		members = Collections.unmodifiableSortedMap(new TreeMap<>(members));
-		retired = Collections.unmodifiableMap(new LinkedHashMap<>(retired));
-		Preconditions.check(retired.size() <= RETIRED_LIMIT, "latestIncarnations must not exceed %d entries: %d",
-				RETIRED_LIMIT, retired.size());
+		latestIncarnations = Collections.unmodifiableMap(new LinkedHashMap<>(latestIncarnations));
+		Preconditions.check(latestIncarnations.size() <= MAX_INCARNATIONS,
+				"latestIncarnations must not exceed %d entries: %d", MAX_INCARNATIONS, latestIncarnations.size());
 	}
 
 	/**
@@ -65,36 +65,36 @@
 	 * @param member the member
 	 * @return {@code true} if it is the rank's current member
 	 */
-	public boolean holds(int rank, Member member) {
+	public boolean isAssigned(int rank, Member member) {
 		return member.equals(this.members.get(rank));
 	}
 
 	LedgerState withTerm(Term newTerm) {
-		return new LedgerState(this.index + 1, newTerm, this.generation, this.members, this.retired, this.timeline,
-				this.lastDecided);
+		return new LedgerState(this.index + 1, newTerm, this.generation, this.members, this.latestIncarnations,
+				this.timeline, this.lastDecided);
 	}
 
 	LedgerState withFirstMap(MapBoundary boundary) {
-		return new LedgerState(this.index + 1, this.term, this.generation, this.members, this.retired,
+		return new LedgerState(this.index + 1, this.term, this.generation, this.members, this.latestIncarnations,
 				this.timeline.with(boundary), this.lastDecided);
 	}
 
 	LedgerState withBoundary(MapBoundary boundary) {
-		return new LedgerState(this.index + 1, this.term, this.generation, this.members, this.retired,
+		return new LedgerState(this.index + 1, this.term, this.generation, this.members, this.latestIncarnations,
 				this.timeline.with(boundary), boundary.decidedBy());
 	}
 
 	LedgerState withAbort(SwitchId id) {
-		return new LedgerState(this.index + 1, this.term, this.generation, this.members, this.retired, this.timeline,
-				id);
+		return new LedgerState(this.index + 1, this.term, this.generation, this.members, this.latestIncarnations,
+				this.timeline, id);
 	}
 
 	LedgerState withMember(int rank, Member member) {
 		SortedMap<Integer, Member> changed = new TreeMap<>(this.members);
 		changed.put(rank, member);
-		Map<BackendServerId, Incarnation> latest = new LinkedHashMap<>(this.retired);
+		Map<BackendServerId, Incarnation> latest = new LinkedHashMap<>(this.latestIncarnations);
 		latest.remove(member.server());
-		if (latest.size() == RETIRED_LIMIT) {
+		if (latest.size() == MAX_INCARNATIONS) {
 			latest.remove(latest.keySet().iterator().next());
 		}
 		latest.put(member.server(), member.incarnation());
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerWriter.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerWriteQueue.java
@@ -8,7 +8,7 @@
  * Queues writes to the ledger, sends one at a time and repeats it until its result is
  * received.
  */
-final class LedgerWriter {
+final class LedgerWriteQueue {
 
 	private final int capacity;
 
@@ -20,7 +20,7 @@
 
 	private boolean sent;
 
-	LedgerWriter(int capacity, long retryNanos) {
+	LedgerWriteQueue(int capacity, long retryNanos) {
 		this.capacity = capacity;
 		this.retryNanos = retryNanos;
 	}
@@ -32,7 +32,7 @@
 		return this.pending.size() < this.capacity && this.pending.add(write);
 	}
 
-	boolean completed(LedgerWrite write) {
+	boolean complete(LedgerWrite write) {
 		if (!this.sent || !write.equals(this.pending.peek())) {
 			return false;
 		}
@@ -41,7 +41,7 @@
 		return true;
 	}
 
-	Optional<LedgerWrite> due(long now) {
+	Optional<LedgerWrite> pollDue(long now) {
 		if (this.pending.isEmpty() || (this.sent && now - this.sentAt < this.retryNanos)) {
 			return Optional.empty();
 		}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/OrderSender.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/OrderSender.java
@@ -35,7 +35,7 @@
 		return this.state;
 	}
 
-	void adopt(LedgerState newer) {
+	void updateState(LedgerState newer) {
 		if (newer.index() >= this.state.index()) {
 			this.state = newer;
 		}
@@ -45,16 +45,16 @@
 		send(rank, this.state.members().get(rank), order);
 	}
 
-	void sendWhere(IntPredicate filter, Function<FencingNumber, AgentOrder> order) {
+	void sendToRanks(IntPredicate filter, Function<FencingNumber, AgentOrder> order) {
 		this.state.members().keySet().stream().filter(filter::test).forEach((rank) -> send(rank, order));
 	}
 
-	void welcome(int rank) {
+	void sendWelcome(int rank) {
 		send(rank, (number) -> new Welcome(number, this.state.generation(), this.state.timeline(),
 				this.state.lastDecided()));
 	}
 
-	void dismiss(int rank, Member member) {
+	void sendDismiss(int rank, Member member) {
 		send(rank, member, Dismiss::new);
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RankTable.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RankProgress.java
@@ -5,7 +5,7 @@
 /**
  * Latest reported step and step time of each rank.
  */
-final class RankTable {
+final class RankProgress {
 
 	private static final int NO_STEP = -1;
 
@@ -17,7 +17,7 @@
 
 	private final long assumedStepNanos;
 
-	RankTable(int ranks, long assumedStepNanos) {
+	RankProgress(int ranks, long assumedStepNanos) {
 		this.lastSteps = new long[ranks];
 		this.stepNanos = new long[ranks];
 		this.reportedAt = new long[ranks];
@@ -25,7 +25,7 @@
 		Arrays.fill(this.lastSteps, NO_STEP);
 	}
 
-	void reported(int rank, long lastStep, long nanos, long now) {
+	void update(int rank, long lastStep, long nanos, long now) {
 		if (lastStep >= this.lastSteps[rank]) {
 			this.lastSteps[rank] = lastStep;
 			this.reportedAt[rank] = now;
@@ -35,7 +35,7 @@
 		}
 	}
 
-	void forget(int rank) {
+	void reset(int rank) {
 		this.lastSteps[rank] = NO_STEP;
 		this.stepNanos[rank] = 0;
 	}
@@ -51,7 +51,7 @@
 		return (samples.length > 0) ? samples[(samples.length - 1) / 2] : this.assumedStepNanos;
 	}
 
-	long latestStep(long now) {
+	long estimateLatestStep(long now) {
 		long latest = 0;
 		long nanos = stepNanos();
 		for (int rank = 0; rank < this.lastSteps.length; rank++) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RequestedSwitch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RequestedSwitch.java
@@ -25,9 +25,9 @@
 
 	private SwitchDecision decision;
 
-	private long armedSince;
+	private long armingStartedAt;
 
-	private long decideBy;
+	private long armDeadline;
 
 	private long nextStageAt = Long.MIN_VALUE;
 
@@ -56,12 +56,12 @@
 		return this.decision;
 	}
 
-	long armedSince() {
-		return this.armedSince;
+	long armingStartedAt() {
+		return this.armingStartedAt;
 	}
 
-	long decideBy() {
-		return this.decideBy;
+	long armDeadline() {
+		return this.armDeadline;
 	}
 
 	int attempts() {
@@ -76,7 +76,7 @@
 		this.cancelled = true;
 	}
 
-	boolean isAttempt(SwitchId id) {
+	boolean isCurrentAttempt(SwitchId id) {
 		return this.phase != SwitchPhase.STAGING && this.boundary.decidedBy().equals(id);
 	}
 
@@ -92,31 +92,31 @@
 		return this.released.get(rank);
 	}
 
-	void stagedAt(int rank) {
+	void markStaged(int rank) {
 		this.staged.set(rank);
 	}
 
-	void armedAt(int rank) {
+	void markArmed(int rank) {
 		this.armed.set(rank);
 	}
 
-	void releasedAt(int rank) {
+	void markReleased(int rank) {
 		this.released.set(rank);
 	}
 
-	void forget(int rank) {
-		notStaged(rank);
+	void resetReplacedRank(int rank) {
+		clearStaged(rank);
 		this.armed.clear(rank);
 		// The welcome order already carries the decision to the new member.
 		this.released.set(rank);
 	}
 
-	void notStaged(int rank) {
+	void clearStaged(int rank) {
 		this.staged.clear(rank);
 		this.nextStageAt = Long.MIN_VALUE;
 	}
 
-	boolean isStageDue(long now, long intervalNanos) {
+	boolean pollStageDue(long now, long intervalNanos) {
 		if (now < this.nextStageAt) {
 			return false;
 		}
@@ -138,24 +138,24 @@
 
 	void startAttempt(MapBoundary newBoundary, long now, long deadline) {
 		this.boundary = newBoundary;
-		this.armedSince = now;
-		this.decideBy = deadline;
+		this.armingStartedAt = now;
+		this.armDeadline = deadline;
 		this.attempts++;
 		this.armed.clear();
 		this.phase = SwitchPhase.ARMING;
 	}
 
-	void decide() {
+	void startDeciding() {
 		this.phase = SwitchPhase.DECIDING;
 	}
 
-	void decided(SwitchDecision durable) {
+	void startReleasing(SwitchDecision durable) {
 		this.decision = durable;
 		this.released.clear();
 		this.phase = SwitchPhase.RELEASING;
 	}
 
-	void restage() {
+	void startStaging() {
 		this.phase = SwitchPhase.STAGING;
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/StepTimer.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/StepTimer.java
@@ -23,7 +23,7 @@
 
 	private long smoothedNanos;
 
-	void started(long step, boolean held, long now) {
+	void recordStart(long step, boolean held, long now) {
 		boolean consecutive = this.windowStep >= 0 && step == this.lastStep + 1 && !held;
 		this.lastStep = step;
 		if (!consecutive) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchAgent.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchAgent.java
@@ -138,7 +138,7 @@
 	}
 
 	private void handleEngineLoaded(MapRef map, long now) {
-		if (this.memory.loaded(map)) {
+		if (this.memory.completeLoad(map)) {
 			report(new MapStaged(this.rank, this.member, map));
 			grantIfAllowed(now);
 		}
@@ -299,15 +299,15 @@
 
 	private void grant(MapRef map, long now) {
 		long step = this.requestedStep;
-		this.memory.use(map);
-		this.timer.started(step, this.requestedAt != now, now);
+		this.memory.activate(map);
+		this.timer.recordStart(step, this.requestedAt != now, now);
 		this.lastStep = Math.max(this.lastStep, step);
 		this.requestedStep = -1;
 		this.commands.add(new GrantStep(this.highestNumber, step, map));
 	}
 
 	private void startLoad(MapRef map) {
-		this.memory.load(map);
+		this.memory.startLoad(map);
 		this.commands.add(new LoadMap(this.highestNumber, map));
 	}
 
@@ -320,7 +320,7 @@
 	private void handleTick(long now) {
 		if (this.state == AgentState.JOINING && now >= this.nextQueryAt) {
 			this.nextQueryAt = now + this.settings.retryNanos();
-			report(new JoinAsked(this.rank, this.member));
+			report(new JoinRequest(this.rank, this.member));
 		}
 		if (this.state == AgentState.ACTIVE) {
 			queryDecisionWhenDue(now);
@@ -339,7 +339,7 @@
 		if (now >= this.nextQueryAt) {
 			this.nextQueryAt = now + this.settings.retryNanos();
 			this.armed
-				.ifPresent((arm) -> report(new DecisionAsked(this.rank, this.member, arm.boundary().decidedBy())));
+				.ifPresent((arm) -> report(new DecisionQuery(this.rank, this.member, arm.boundary().decidedBy())));
 		}
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchCoordinator.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchCoordinator.java
@@ -31,11 +31,11 @@
 
 	private final SwitchRecorder recorder;
 
-	private final RankTable table;
+	private final RankProgress rankProgress;
 
-	private final LeadEstimator lead;
+	private final LeadEstimator leadEstimator;
 
-	private final LedgerWriter writer;
+	private final LedgerWriteQueue ledgerWrites;
 
 	private final List<CoordinatorCommand> commands = new ArrayList<>();
 
@@ -69,9 +69,9 @@
 		this.recorder = new SwitchRecorder(Preconditions.notBlank(group, "group"),
 				Preconditions.notNull(listener, "listener"));
 		this.sender = new OrderSender(term, Preconditions.notNull(invariants, "invariants"), this.commands);
-		this.table = new RankTable(ranks, settings.assumedStepNanos());
-		this.lead = new LeadEstimator(settings);
-		this.writer = new LedgerWriter(ranks + QUEUED_WRITES, settings.retryNanos());
+		this.rankProgress = new RankProgress(ranks, settings.assumedStepNanos());
+		this.leadEstimator = new LeadEstimator(settings);
+		this.ledgerWrites = new LedgerWriteQueue(ranks + QUEUED_WRITES, settings.retryNanos());
 	}
 
 	/**
@@ -114,19 +114,19 @@
 		else {
 			handleControlEvent(event);
 		}
-		this.writer.due(now).ifPresent((write) -> this.commands.add(new WriteLedger(write)));
+		this.ledgerWrites.pollDue(now).ifPresent((write) -> this.commands.add(new WriteLedger(write)));
 		return List.copyOf(this.commands);
 	}
 
 	private void handleControlEvent(CoordinatorEvent event) {
 		if (event instanceof CoordinatorStarted) {
-			this.writer.add(new OpenTerm(this.term));
+			this.ledgerWrites.add(new OpenTerm(this.term));
 		}
 		else if (event instanceof MapInstallRequested install) {
-			this.writer.add(new InstallMap(this.term, install.map()));
+			this.ledgerWrites.add(new InstallMap(this.term, install.map()));
 		}
-		else if (event instanceof MemberChosen request) {
-			this.writer.add(new AssignMember(this.term, request.rank(), request.member()));
+		else if (event instanceof AssignmentRequested request) {
+			this.ledgerWrites.add(new AssignMember(this.term, request.rank(), request.member()));
 		}
 		else if (event instanceof SwitchRequested request) {
 			startSwitch(request.map());
@@ -165,8 +165,8 @@
 			loseTerm(newer.term());
 			return;
 		}
-		this.sender.adopt(newer);
-		if (!this.writer.completed(durable.write())) {
+		this.sender.updateState(newer);
+		if (!this.ledgerWrites.complete(durable.write())) {
 			return;
 		}
 		if (durable.write() instanceof OpenTerm) {
@@ -185,23 +185,23 @@
 
 	private void loseTerm(Term later) {
 		this.termLost = true;
-		this.writer.clear();
+		this.ledgerWrites.clear();
 		this.activeSwitch.ifPresent((active) -> endSwitch(active, SwitchOutcome.TERM_LOST));
 		this.commands.add(new TermLost(later));
 	}
 
 	private void completeAssignment(AssignMember assign) {
 		int rank = assign.rank();
-		if (state().holds(rank, assign.member())) {
-			this.table.forget(rank);
+		if (state().isAssigned(rank, assign.member())) {
+			this.rankProgress.reset(rank);
 			this.activeSwitch.ifPresent((active) -> handleReplacedRank(active, rank));
-			this.sender.welcome(rank);
+			this.sender.sendWelcome(rank);
 		}
 		this.commands.add(new MembershipChanged(state()));
 	}
 
 	private void handleReplacedRank(RequestedSwitch active, int rank) {
-		active.forget(rank);
+		active.resetReplacedRank(rank);
 		if (active.phase() == SwitchPhase.ARMING) {
 			abortAttempt(active, "rank-replaced");
 		}
@@ -209,18 +209,18 @@
 
 	private void completeCommit(CommitSwitch commit, LedgerResult result, long now) {
 		if (result.decision().isPresent()) {
-			this.lead.decided(now - this.activeSwitch.map(RequestedSwitch::armedSince).orElse(now));
+			this.leadEstimator.addSample(now - this.activeSwitch.map(RequestedSwitch::armingStartedAt).orElse(now));
 			releaseRanks(result.decision().get(), now);
 			return;
 		}
-		this.writer.add(new AbortSwitch(this.term, commit.boundary().decidedBy()));
+		this.ledgerWrites.add(new AbortSwitch(this.term, commit.boundary().decidedBy()));
 	}
 
 	private void releaseRanks(SwitchDecision decision, long now) {
-		this.recorder.decided(decision, state());
-		this.activeSwitch.filter((active) -> active.isAttempt(decision.id()))
-			.ifPresent((active) -> active.decided(decision));
-		this.sender.sendWhere((rank) -> true, (number) -> new ReleaseSwitch(number, decision));
+		this.recorder.recordDecision(decision, state());
+		this.activeSwitch.filter((active) -> active.isCurrentAttempt(decision.id()))
+			.ifPresent((active) -> active.startReleasing(decision));
+		this.sender.sendToRanks((rank) -> true, (number) -> new ReleaseSwitch(number, decision));
 		this.nextRepeatAt = now + this.settings.retryNanos();
 	}
 
@@ -228,17 +228,17 @@
 		if (!this.termOpened || report.rank() >= this.ranks) {
 			return;
 		}
-		if (!state().holds(report.rank(), report.member())) {
+		if (!state().isAssigned(report.rank(), report.member())) {
 			dismissNonMember(report);
 			return;
 		}
-		if (report instanceof JoinAsked) {
-			this.sender.welcome(report.rank());
+		if (report instanceof JoinRequest) {
+			this.sender.sendWelcome(report.rank());
 		}
 		else if (report instanceof StepProgress progress) {
-			this.table.reported(report.rank(), progress.lastStep(), progress.stepNanos(), now);
+			this.rankProgress.update(report.rank(), progress.lastStep(), progress.stepNanos(), now);
 		}
-		else if (report instanceof DecisionAsked query) {
+		else if (report instanceof DecisionQuery query) {
 			answerQuery(report.rank(), query.id());
 		}
 		else {
@@ -247,8 +247,8 @@
 	}
 
 	private void dismissNonMember(AgentReport report) {
-		if (!(report instanceof JoinAsked)) {
-			this.sender.dismiss(report.rank(), report.member());
+		if (!(report instanceof JoinRequest)) {
+			this.sender.sendDismiss(report.rank(), report.member());
 		}
 	}
 
@@ -258,13 +258,13 @@
 			this.sender.send(rank, (number) -> new ReleaseSwitch(number, decision.get()));
 		}
 		else if (id.term().isBefore(this.term)) {
-			this.writer.add(new AbortSwitch(this.term, id));
+			this.ledgerWrites.add(new AbortSwitch(this.term, id));
 		}
 	}
 
 	private void handleSwitchReport(RequestedSwitch active, AgentReport report, long now) {
 		if (report instanceof MapStaged staged && staged.map().equals(active.map())) {
-			active.stagedAt(report.rank());
+			active.markStaged(report.rank());
 			armWhenStaged(active, now);
 		}
 		else if (report instanceof SwitchArmed armed) {
@@ -281,14 +281,15 @@
 	private void armWhenStaged(RequestedSwitch active, long now) {
 		Optional<MapBoundary> last = state().timeline().last();
 		if (active.phase() != SwitchPhase.STAGING || !active.allStaged() || last.isEmpty()
-				|| !this.table.allReached(last.get().firstStep())) {
+				|| !this.rankProgress.allReached(last.get().firstStep())) {
 			return;
 		}
-		BoundaryChoice choice = BoundaryChoice.of(this.table, this.lead.leadNanos(), last.get().firstStep(), now);
+		BoundaryChoice choice = BoundaryChoice.of(this.rankProgress, this.leadEstimator.leadNanos(),
+				last.get().firstStep(), now);
 		this.attempts++;
 		SwitchId id = new SwitchId(this.term, this.attempts);
-		active.startAttempt(new MapBoundary(choice.firstStep(), active.map(), id), now, choice.deadline(now));
-		this.recorder.armed(active.boundary(), choice);
+		active.startAttempt(new MapBoundary(choice.firstStep(), active.map(), id), now, choice.armDeadline(now));
+		this.recorder.recordArming(active.boundary(), choice);
 		sendArm(active);
 		this.nextRepeatAt = now + this.settings.retryNanos();
 	}
@@ -296,51 +297,51 @@
 	private void sendArm(RequestedSwitch active) {
 		// A rank that has not reached the held step queries the decision when it is
 		// overdue by half the arming timeout.
-		long askAfterNanos = (active.decideBy() - active.armedSince()) * 3 / 2;
-		this.sender.sendWhere((rank) -> !active.isArmed(rank),
+		long askAfterNanos = (active.armDeadline() - active.armingStartedAt()) * 3 / 2;
+		this.sender.sendToRanks((rank) -> !active.isArmed(rank),
 				(number) -> new ArmSwitch(number, active.boundary(), askAfterNanos));
 	}
 
 	private void handleArmed(RequestedSwitch active, SwitchArmed report, long now) {
-		if (active.phase() != SwitchPhase.ARMING || !active.isAttempt(report.id())) {
+		if (active.phase() != SwitchPhase.ARMING || !active.isCurrentAttempt(report.id())) {
 			return;
 		}
-		active.armedAt(report.rank());
+		active.markArmed(report.rank());
 		if (active.allArmed()) {
-			active.decide();
-			this.writer.add(new CommitSwitch(active.boundary(), state().generation()));
+			active.startDeciding();
+			this.ledgerWrites.add(new CommitSwitch(active.boundary(), state().generation()));
 		}
 	}
 
 	private void handleArmRefused(RequestedSwitch active, ArmRefused report, long now) {
-		this.table.reported(report.rank(), report.lastStep(), 0, now);
+		this.rankProgress.update(report.rank(), report.lastStep(), 0, now);
 		report.undecided().ifPresent((id) -> answerQuery(report.rank(), id));
-		if (active.phase() != SwitchPhase.ARMING || !active.isAttempt(report.id())) {
+		if (active.phase() != SwitchPhase.ARMING || !active.isCurrentAttempt(report.id())) {
 			return;
 		}
 		if (report.reason() == ArmRefusal.STEP_STARTED) {
-			this.lead.tooShort();
+			this.leadEstimator.increasePenalty();
 		}
 		if (report.reason() == ArmRefusal.NOT_STAGED) {
-			active.notStaged(report.rank());
+			active.clearStaged(report.rank());
 		}
 		abortAttempt(active, report.reason().name());
 	}
 
 	private void abortAttempt(RequestedSwitch active, String reason) {
-		this.recorder.givenUp(active.boundary().decidedBy(), reason);
-		active.decide();
-		this.writer.add(new AbortSwitch(this.term, active.boundary().decidedBy()));
+		this.recorder.recordAbort(active.boundary().decidedBy(), reason);
+		active.startDeciding();
+		this.ledgerWrites.add(new AbortSwitch(this.term, active.boundary().decidedBy()));
 	}
 
 	private void handleReleased(RequestedSwitch active, SwitchReleased report, long now) {
-		if (active.phase() != SwitchPhase.RELEASING || !active.isAttempt(report.id())) {
+		if (active.phase() != SwitchPhase.RELEASING || !active.isCurrentAttempt(report.id())) {
 			return;
 		}
 		if (report.waitedNanos() > 0 && !active.isReleased(report.rank())) {
-			this.lead.tooShort();
+			this.leadEstimator.increasePenalty();
 		}
-		active.releasedAt(report.rank());
+		active.markReleased(report.rank());
 		finishWhenReleased(active);
 	}
 
@@ -349,7 +350,7 @@
 			return;
 		}
 		if (active.decision() instanceof CommitDecision) {
-			this.lead.succeeded();
+			this.leadEstimator.decreasePenalty();
 			endSwitch(active, SwitchOutcome.COMMITTED);
 		}
 		else if (active.isCancelled()) {
@@ -359,7 +360,7 @@
 			endSwitch(active, SwitchOutcome.GAVE_UP);
 		}
 		else {
-			active.restage();
+			active.startStaging();
 		}
 	}
 
@@ -377,8 +378,8 @@
 	}
 
 	private void checkDeadline(RequestedSwitch active, long now) {
-		if (active.phase() == SwitchPhase.ARMING && now >= active.decideBy()) {
-			this.lead.tooShort();
+		if (active.phase() == SwitchPhase.ARMING && now >= active.armDeadline()) {
+			this.leadEstimator.increasePenalty();
 			abortAttempt(active, "not-armed-in-time");
 		}
 	}
@@ -386,8 +387,9 @@
 	private void repeatOrders(RequestedSwitch active, long now) {
 		finishWhenReleased(active);
 		if (active.phase() == SwitchPhase.STAGING) {
-			if (active.isStageDue(now, this.settings.stageRetryNanos())) {
-				this.sender.sendWhere((rank) -> !active.isStaged(rank), (number) -> new StageMap(number, active.map()));
+			if (active.pollStageDue(now, this.settings.stageRetryNanos())) {
+				this.sender.sendToRanks((rank) -> !active.isStaged(rank),
+						(number) -> new StageMap(number, active.map()));
 			}
 			armWhenStaged(active, now);
 		}
@@ -395,7 +397,7 @@
 			sendArm(active);
 		}
 		else if (active.phase() == SwitchPhase.RELEASING) {
-			this.sender.sendWhere((rank) -> !active.isReleased(rank),
+			this.sender.sendToRanks((rank) -> !active.isReleased(rank),
 					(number) -> new ReleaseSwitch(number, active.decision()));
 		}
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchRecorder.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchRecorder.java
@@ -19,17 +19,17 @@
 		this.listener = listener;
 	}
 
-	void armed(MapBoundary boundary, BoundaryChoice choice) {
+	void recordArming(MapBoundary boundary, BoundaryChoice choice) {
 		record("armed", Field.of("switch", boundary.decidedBy()), Field.of("map", boundary.map()),
 				Field.of("first-step", boundary.firstStep()), Field.of("lead-steps", choice.leadSteps()),
 				Field.of("lead-ns", choice.leadNanos()), Field.of("step-ns", choice.stepNanos()));
 	}
 
-	void givenUp(SwitchId id, String reason) {
+	void recordAbort(SwitchId id, String reason) {
 		record("attempt-given-up", Field.of("switch", id), Field.of("reason", reason));
 	}
 
-	void decided(SwitchDecision decision, LedgerState state) {
+	void recordDecision(SwitchDecision decision, LedgerState state) {
 		record((decision instanceof CommitDecision) ? "committed" : "aborted", Field.of("switch", decision.id()),
 				Field.of("term", state.term()), Field.of("generation", state.generation()));
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveCommand.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveCommand.java
@@ -80,9 +80,9 @@
 	 *
 	 * @param nanos the delay in nanoseconds
 	 */
-	record WakeAfter(long nanos) implements MoveCommand {
+	record ScheduleTick(long nanos) implements MoveCommand {
 
-		public WakeAfter {
+		public ScheduleTick {
 			Preconditions.check(nanos >= 0, "nanos must not be negative: %d", nanos);
 		}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveScheduler.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/MoveScheduler.java
@@ -72,38 +72,38 @@
 
 	private void dispatch(MoveEvent event) {
 		if (event instanceof MoveEvent.PlanAccepted accepted) {
-			accept(accepted.plan());
+			acceptPlan(accepted.plan());
 		}
 		else if (event instanceof MoveEvent.PlanSaved saved) {
-			find(saved.plan()).ifPresent(this::saved);
+			find(saved.plan()).ifPresent(this::handlePlanSaved);
 		}
 		else if (event instanceof MoveEvent.PlanRecovered recovered) {
-			recover(recovered);
+			recoverPlan(recovered);
 		}
 		else if (event instanceof MoveEvent.MoveStaged staged) {
-			find(staged.move()).ifPresent((plan) -> staged(plan, staged.move().index()));
+			find(staged.move()).ifPresent((plan) -> handleMoveStaged(plan, staged.move().index()));
 		}
 		else if (event instanceof MoveEvent.MoveFailed failed) {
-			find(failed.move()).ifPresent((plan) -> failed(plan, failed.move().index()));
+			find(failed.move()).ifPresent((plan) -> handleReadFailed(plan, failed.move().index()));
 		}
 		else if (event instanceof MoveEvent.PlanCancelled cancelled) {
-			find(cancelled.plan()).ifPresent((plan) -> cancel(plan, cancelled.reason()));
+			find(cancelled.plan()).ifPresent((plan) -> cancelPlan(plan, cancelled.reason()));
 		}
 	}
 
-	private void accept(MovePlan plan) {
+	private void acceptPlan(MovePlan plan) {
 		PlanProgress replaced = this.plans.get(plan.id().group());
 		if (!isAcceptable(plan, replaced)) {
-			record(plan.id(), "refused", Field.of("moves", plan.moves().size()));
+			recordDecision(plan.id(), "refused", Field.of("moves", plan.moves().size()));
 			return;
 		}
 		Set<Integer> staged = Set.of();
 		if (replaced != null) {
 			staged = IntStream.range(0, plan.moves().size())
-				.filter((index) -> replaced.holdsStaged(plan.moves().get(index)))
+				.filter((index) -> replaced.hasStaged(plan.moves().get(index)))
 				.boxed()
 				.collect(Collectors.toSet());
-			cancel(replaced, "replaced by plan " + plan.id());
+			cancelPlan(replaced, "replaced by plan " + plan.id());
 		}
 		this.plans.put(plan.id().group(), new PlanProgress(plan, staged));
 		this.commands.add(new MoveCommand.SavePlan(plan));
@@ -119,7 +119,7 @@
 		return plan.moves().stream().allMatch((move) -> move.bytes() <= this.bucket.burstBytes());
 	}
 
-	private void recover(MoveEvent.PlanRecovered recovered) {
+	private void recoverPlan(MoveEvent.PlanRecovered recovered) {
 		PlanId id = recovered.plan().id();
 		PlanProgress current = this.plans.get(id.group());
 		if (!isAcceptable(recovered.plan(), current)) {
@@ -127,92 +127,94 @@
 		}
 		PlanProgress plan = new PlanProgress(recovered.plan(), recovered.staged());
 		this.plans.put(id.group(), plan);
-		record(id, "resumed", Field.of("moves", recovered.plan().moves().size()),
+		recordDecision(id, "resumed", Field.of("moves", recovered.plan().moves().size()),
 				Field.of("staged", recovered.staged().size()));
-		saved(plan);
+		handlePlanSaved(plan);
 	}
 
-	private void saved(PlanProgress plan) {
-		plan.save();
+	private void handlePlanSaved(PlanProgress plan) {
+		plan.markSaved();
 		completeIfStaged(plan);
 	}
 
-	private void staged(PlanProgress plan, int index) {
-		plan.stage(index);
+	private void handleMoveStaged(PlanProgress plan, int index) {
+		plan.markStaged(index);
 		completeIfStaged(plan);
 	}
 
 	private void completeIfStaged(PlanProgress plan) {
-		if (plan.isSaved() && plan.isStaged()) {
+		if (plan.isSaved() && plan.isFullyStaged()) {
 			this.plans.remove(plan.id().group());
 			this.commands.add(new MoveCommand.PlanStaged(plan.id()));
-			record(plan.id(), "staged");
+			recordDecision(plan.id(), "staged");
 		}
 	}
 
-	private void failed(PlanProgress plan, int index) {
+	private void handleReadFailed(PlanProgress plan, int index) {
 		if (plan.state(index) != MoveState.READING || find(plan.id()).isEmpty()) {
 			return;
 		}
 		plan.requeue(index);
 		if (plan.attempts(index) >= this.settings.maximumAttempts()) {
-			cancel(plan, "move " + index + " failed " + plan.attempts(index) + " times");
+			cancelPlan(plan, "move " + index + " failed " + plan.attempts(index) + " times");
 		}
 	}
 
-	private void cancel(PlanProgress plan, String reason) {
+	private void cancelPlan(PlanProgress plan, String reason) {
 		this.plans.remove(plan.id().group());
-		plan.forEach(MoveState.READING, (index) -> this.commands.add(new MoveCommand.CancelRead(plan.moveId(index))));
+		plan.forEachInState(MoveState.READING,
+				(index) -> this.commands.add(new MoveCommand.CancelRead(plan.moveId(index))));
 		this.commands.add(new MoveCommand.DropPlan(plan.id()));
-		record(plan.id(), "cancelled", Field.of("reason", reason));
+		recordDecision(plan.id(), "cancelled", Field.of("reason", reason));
 	}
 
 	private void restartOverdueReads(long now) {
 		long timeout = this.settings.readTimeout().toNanos();
 		for (PlanProgress plan : List.copyOf(this.plans.values())) {
-			plan.forEach(MoveState.READING, (index) -> {
-				if (now - plan.readingSince(index) >= timeout) {
+			plan.forEachInState(MoveState.READING, (index) -> {
+				if (now - plan.readStartedAt(index) >= timeout) {
 					this.commands.add(new MoveCommand.CancelRead(plan.moveId(index)));
-					failed(plan, index);
+					handleReadFailed(plan, index);
 				}
 			});
 		}
 	}
 
 	private void startReads(long now) {
-		Optional<PlanProgress> next = mostWorth();
+		Optional<PlanProgress> next = findPlanWithGreatestGain();
 		while (next.isPresent()) {
 			PlanProgress plan = next.get();
-			int index = plan.next();
+			int index = plan.nextPendingMove();
 			long bytes = plan.move(index).bytes();
 			if (!this.bucket.tryTake(bytes, now)) {
-				this.commands.add(new MoveCommand.WakeAfter(this.bucket.nanosUntil(bytes, now)));
+				this.commands.add(new MoveCommand.ScheduleTick(this.bucket.nanosUntilAvailable(bytes, now)));
 				return;
 			}
 			if (!this.invariants.holds(plan.isSaved(), "plan-durable-before-read", Field.of("plan", plan.id()))) {
 				return;
 			}
-			plan.start(index, now);
+			plan.markReading(index, now);
 			this.commands.add(new MoveCommand.StartRead(plan.moveId(index), plan.move(index)));
-			next = mostWorth();
+			next = findPlanWithGreatestGain();
 		}
 		if (!this.plans.isEmpty()) {
-			this.commands.add(new MoveCommand.WakeAfter(this.settings.readTimeout().toNanos()));
+			this.commands.add(new MoveCommand.ScheduleTick(this.settings.readTimeout().toNanos()));
 		}
 	}
 
-	private Optional<PlanProgress> mostWorth() {
+	private Optional<PlanProgress> findPlanWithGreatestGain() {
 		PlanProgress best = null;
 		for (PlanProgress plan : this.plans.values()) {
-			if (plan.isSaved() && plan.next() >= 0 && (best == null || worth(plan) > worth(best))) {
+			if (plan.isSaved() && plan.nextPendingMove() >= 0
+					&& (best == null || nextGainPerByte(plan) > nextGainPerByte(best))) {
 				best = plan;
 			}
 		}
 		return Optional.ofNullable(best);
 	}
 
-	private static double worth(PlanProgress plan) {
-		return plan.move(plan.next()).worthPerByte();
+	private static double nextGainPerByte(PlanProgress plan) {
+		return plan.move(plan.nextPendingMove()).gainPerByte();
 	}
 
 	private Optional<PlanProgress> find(PlanId id) {
@@ -220,10 +222,10 @@
 	}
 
 	private Optional<PlanProgress> find(MoveId id) {
-		return find(id.plan()).filter((plan) -> plan.isKnown(id.index()));
+		return find(id.plan()).filter((plan) -> plan.hasMove(id.index()));
 	}
 
-	private void record(PlanId id, String result, Field... fields) {
+	private void recordDecision(PlanId id, String result, Field... fields) {
 		Field[] all = new Field[fields.length + 1];
 		all[0] = Field.of("plan", id);
 		System.arraycopy(fields, 0, all, 1, fields.length);
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/PlanProgress.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/PlanProgress.java
@@ -46,11 +46,11 @@
 		return this.saved;
 	}
 
-	void save() {
+	void markSaved() {
 		this.saved = true;
 	}
 
-	boolean isKnown(int index) {
+	boolean hasMove(int index) {
 		return index < this.states.length;
 	}
 
@@ -62,13 +62,13 @@
 		return this.attempts[index];
 	}
 
-	void start(int index, long now) {
+	void markReading(int index, long now) {
 		this.states[index] = MoveState.READING;
 		this.startedAt[index] = now;
 		this.attempts[index]++;
 	}
 
-	void stage(int index) {
+	void markStaged(int index) {
 		this.states[index] = MoveState.STAGED;
 	}
 
@@ -76,11 +76,11 @@
 		this.states[index] = MoveState.PENDING;
 	}
 
-	boolean isStaged() {
+	boolean isFullyStaged() {
 		return Arrays.stream(this.states).allMatch((state) -> state == MoveState.STAGED);
 	}
 
-	boolean holdsStaged(ExpertMove required) {
+	boolean hasStaged(ExpertMove required) {
 		return IntStream.range(0, this.states.length)
 			.anyMatch((index) -> this.states[index] == MoveState.STAGED && isSameRead(move(index), required));
 	}
@@ -90,7 +90,7 @@
 				&& left.expert() == right.expert();
 	}
 
-	void forEach(MoveState state, IntConsumer action) {
+	void forEachInState(MoveState state, IntConsumer action) {
 		for (int index = 0; index < this.states.length; index++) {
 			if (this.states[index] == state) {
 				action.accept(index);
@@ -98,7 +98,7 @@
 		}
 	}
 
-	long readingSince(int index) {
+	long readStartedAt(int index) {
 		return this.startedAt[index];
 	}
 
@@ -106,11 +106,11 @@
 	 * Returns the pending move with the greatest gain per byte.
 	 * @return its index, or -1 if none is pending
 	 */
-	int next() {
+	int nextPendingMove() {
 		int best = -1;
 		for (int index = 0; index < this.states.length; index++) {
 			if (this.states[index] == MoveState.PENDING
-					&& (best < 0 || move(index).worthPerByte() > move(best).worthPerByte())) {
+					&& (best < 0 || move(index).gainPerByte() > move(best).gainPerByte())) {
 				best = index;
 			}
 		}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/moves/WeightStoreBucket.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/moves/WeightStoreBucket.java
@@ -19,7 +19,7 @@
 
 	private double available;
 
-	private long updatedAt;
+	private long lastRefillAt;
 
 	/**
 	 * Creates an empty bucket.
@@ -32,7 +32,7 @@
 		Preconditions.check(burstBytes >= 1, "burstBytes must be at least 1: %d", burstBytes);
 		this.bytesPerSecond = bytesPerSecond;
 		this.burstBytes = burstBytes;
-		this.updatedAt = now;
+		this.lastRefillAt = now;
 	}
 
 	/**
@@ -58,7 +58,7 @@
 	 * @param now the current time in nanoseconds
 	 * @return the time in nanoseconds, 0 if they are available now
 	 */
-	public long nanosUntil(long bytes, long now) {
+	public long nanosUntilAvailable(long bytes, long now) {
 		refill(now);
 		double missing = Math.max(0, bytes - this.available);
 		return (long) Math.ceil(missing / this.bytesPerSecond * SECOND_NANOS);
@@ -73,10 +73,10 @@
 	}
 
 	private void refill(long now) {
-		if (now > this.updatedAt) {
-			double filled = (now - this.updatedAt) / SECOND_NANOS * this.bytesPerSecond;
+		if (now > this.lastRefillAt) {
+			double filled = (now - this.lastRefillAt) / SECOND_NANOS * this.bytesPerSecond;
 			this.available = Math.min(this.burstBytes, this.available + filled);
-			this.updatedAt = now;
+			this.lastRefillAt = now;
 		}
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/Exchange.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/Exchange.java
@@ -13,29 +13,29 @@
 
 	static final int DROPPED = -1;
 
-	int reads() {
+	int readCount() {
 		return (this.source == DROPPED) ? 1 : 2;
 	}
 
 	void apply(LayerState state) {
 		if (this.evicted != Placement.EMPTY) {
-			state.clear(this.target);
+			state.removeCopy(this.target);
 		}
 		if (this.source != DROPPED) {
-			state.clear(this.source);
-			state.put(this.source, this.evicted);
+			state.removeCopy(this.source);
+			state.addCopy(this.source, this.evicted);
 		}
-		state.put(this.target, this.expert);
+		state.addCopy(this.target, this.expert);
 	}
 
 	void undo(LayerState state) {
-		state.clear(this.target);
+		state.removeCopy(this.target);
 		if (this.source != DROPPED) {
-			state.clear(this.source);
-			state.put(this.source, this.expert);
+			state.removeCopy(this.source);
+			state.addCopy(this.source, this.expert);
 		}
 		if (this.evicted != Placement.EMPTY) {
-			state.put(this.target, this.evicted);
+			state.addCopy(this.target, this.evicted);
 		}
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExchangeFinder.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExchangeFinder.java
@@ -10,9 +10,9 @@
  */
 final class ExchangeFinder {
 
-	private static final int REPLACE_TARGETS = 10;
+	private static final int MAX_REPLACE_TARGETS = 10;
 
-	private static final int SWAP_TARGETS = 5;
+	private static final int MAX_SWAP_TARGETS = 5;
 
 	private static final int LOCAL_SWEEPS = 2;
 
@@ -20,7 +20,7 @@
 
 	private final CopySpread spread;
 
-	private final double reference;
+	private final double referenceTime;
 
 	private final TrafficSnapshot traffic;
 
@@ -33,13 +33,13 @@
 	ExchangeFinder(LayerState state, CopySpread spread) {
 		this.state = state;
 		this.spread = spread;
-		this.reference = state.mean();
+		this.referenceTime = state.balancedTime();
 		this.traffic = state.traffic();
 	}
 
 	Optional<Exchange> find() {
 		this.state.saveTraffic(this.traffic);
-		this.potential = this.state.potential(this.reference);
+		this.potential = this.state.potential(this.referenceTime);
 		this.bestScore = 0;
 		this.best = null;
 		int[] fastestFirst = fastestFirst();
@@ -66,9 +66,9 @@
 	private void tryReplacements(int source, int[] fastestFirst) {
 		int expert = this.state.expertAt(source);
 		int tried = 0;
-		for (int index = 0; index < fastestFirst.length - 1 && tried < REPLACE_TARGETS; index++) {
+		for (int index = 0; index < fastestFirst.length - 1 && tried < MAX_REPLACE_TARGETS; index++) {
 			int rank = fastestFirst[index];
-			int target = this.state.holds(rank, expert) ? -1 : replaceable(rank);
+			int target = this.state.holds(rank, expert) ? -1 : findReplaceableSlot(rank);
 			if (target >= 0) {
 				tried++;
 				evaluate(new Exchange(expert, target, this.state.expertAt(target), Exchange.DROPPED), source);
@@ -78,7 +78,7 @@
 
 	// Returns a free slot of the rank, or else the slot with the least traffic whose copy
 	// can be dropped without breaking its expert's spread, or -1.
-	private int replaceable(int rank) {
+	private int findReplaceableSlot(int rank) {
 		int free = this.state.freeSlot(rank);
 		if (free >= 0) {
 			return free;
@@ -88,7 +88,7 @@
 		for (int position = from; position < from + this.state.shape().slots(rank); position++) {
 			int expert = this.state.expertAt(position);
 			if ((candidate < 0 || this.state.flowAt(position) < this.state.flowAt(candidate))
-					&& this.state.keepsSpread(expert, position, -1, this.spread)) {
+					&& this.state.hasSpreadAfter(expert, position, -1, this.spread)) {
 				candidate = position;
 			}
 		}
@@ -96,7 +96,7 @@
 	}
 
 	private void trySwaps(int source, int[] fastestFirst) {
-		int targets = Math.min(SWAP_TARGETS, fastestFirst.length - 1);
+		int targets = Math.min(MAX_SWAP_TARGETS, fastestFirst.length - 1);
 		for (int index = 0; index < targets; index++) {
 			int from = fastestFirst[index] * this.state.shape().stride();
 			int to = from + this.state.shape().slots(fastestFirst[index]);
@@ -116,8 +116,8 @@
 		int targetRank = this.state.rankOf(target);
 		return other != Placement.EMPTY && this.state.flowAt(target) < this.state.flowAt(source)
 				&& !this.state.holds(targetRank, expert) && !this.state.holds(sourceRank, other)
-				&& this.state.keepsSpread(expert, source, targetRank, this.spread)
-				&& this.state.keepsSpread(other, target, sourceRank, this.spread);
+				&& this.state.hasSpreadAfter(expert, source, targetRank, this.spread)
+				&& this.state.hasSpreadAfter(other, target, sourceRank, this.spread);
 	}
 
 	private void evaluate(Exchange exchange, int source) {
@@ -130,7 +130,7 @@
 			this.state.splitRank(this.state.rankOf(exchange.target()));
 			this.state.splitRank(this.state.rankOf(source));
 		}
-		double score = (this.potential - this.state.potential(this.reference)) / exchange.reads();
+		double score = (this.potential - this.state.potential(this.referenceTime)) / exchange.readCount();
 		exchange.undo(this.state);
 		this.state.restoreTraffic(this.traffic);
 		if (score > this.bestScore) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExpertEstimate.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExpertEstimate.java
@@ -10,31 +10,31 @@
  */
 final class ExpertEstimate {
 
-	private static final double JUMP_DEVIATIONS = 4;
+	private static final double OUTLIER_DEVIATIONS = 4;
 
-	private static final double LARGE_JUMP_DEVIATIONS = 9;
+	private static final double LEVEL_SHIFT_DEVIATIONS = 9;
 
 	private static final double VARIANCE_WEIGHT = 0.04;
 
-	private static final double CLIPPED_DEVIATIONS = 3;
+	private static final double MAX_RESIDUAL_DEVIATIONS = 3;
 
-	private static final double FIRST_RELATIVE_DEVIATION = 0.1;
+	private static final double INITIAL_RELATIVE_DEVIATION = 0.1;
 
 	private static final double TREND_DEVIATIONS = 1;
 
 	private final EstimatorSettings settings;
 
-	private double fast;
+	private double fastAverage;
 
-	private double slow;
+	private double slowAverage;
 
 	private double variance;
 
-	private long counts;
+	private long countsSinceRestart;
 
 	private long totalCounts;
 
-	private int lastJump;
+	private int lastOutlierDirection;
 
 	private double lastCount;
 
@@ -44,90 +44,92 @@
 
 	void observe(double count) {
 		if (this.totalCounts++ == 0) {
-			this.variance = poissonFloor(count) + square(FIRST_RELATIVE_DEVIATION * count);
+			this.variance = poissonVariance(count) + square(INITIAL_RELATIVE_DEVIATION * count);
 			restart(count);
 			return;
 		}
-		double residual = count - this.fast;
-		if (isJump(residual)) {
-			restart(((this.lastJump != 0) ? this.lastCount + count : 2 * count) / 2);
+		double residual = count - this.fastAverage;
+		if (isLevelShift(residual)) {
+			restart(((this.lastOutlierDirection != 0) ? this.lastCount + count : 2 * count) / 2);
 			return;
 		}
 		this.lastCount = count;
-		learnVariance(residual);
-		this.counts++;
-		this.fast += Math.max(this.settings.fastWeight(), 1.0 / this.counts) * residual;
-		this.slow += Math.max(this.settings.slowWeight(), 1.0 / this.counts) * (count - this.slow);
+		updateVariance(residual);
+		this.countsSinceRestart++;
+		this.fastAverage += Math.max(this.settings.fastWeight(), 1.0 / this.countsSinceRestart) * residual;
+		this.slowAverage += Math.max(this.settings.slowWeight(), 1.0 / this.countsSinceRestart)
+				* (count - this.slowAverage);
 	}
 
 	// A level shift is one very unlikely count, or two successive unlikely counts in the
 	// same direction.
-	private boolean isJump(double residual) {
-		double deviation = Math.sqrt(this.variance * (1 + 1 / effectiveCounts(this.settings.fastWeight())));
-		int direction = (Math.abs(residual) > JUMP_DEVIATIONS * deviation) ? (int) Math.signum(residual) : 0;
-		boolean levelShift = Math.abs(residual) > LARGE_JUMP_DEVIATIONS * deviation
-				|| (direction != 0 && direction == this.lastJump);
-		if (levelShift && direction != this.lastJump) {
-			this.lastJump = 0;
+	private boolean isLevelShift(double residual) {
+		double deviation = Math.sqrt(this.variance * (1 + 1 / effectiveSampleSize(this.settings.fastWeight())));
+		int direction = (Math.abs(residual) > OUTLIER_DEVIATIONS * deviation) ? (int) Math.signum(residual) : 0;
+		boolean levelShift = Math.abs(residual) > LEVEL_SHIFT_DEVIATIONS * deviation
+				|| (direction != 0 && direction == this.lastOutlierDirection);
+		if (levelShift && direction != this.lastOutlierDirection) {
+			this.lastOutlierDirection = 0;
 		}
 		else if (!levelShift) {
-			this.lastJump = direction;
+			this.lastOutlierDirection = direction;
 		}
 		return levelShift;
 	}
 
 	private void restart(double level) {
-		this.fast = level;
-		this.slow = level;
-		this.counts = 1;
-		this.lastJump = 0;
-		this.variance = Math.max(this.variance, poissonFloor(level));
+		this.fastAverage = level;
+		this.slowAverage = level;
+		this.countsSinceRestart = 1;
+		this.lastOutlierDirection = 0;
+		this.variance = Math.max(this.variance, poissonVariance(level));
 	}
 
-	private void learnVariance(double residual) {
-		double clipped = Math.min(square(residual), square(CLIPPED_DEVIATIONS) * this.variance);
+	private void updateVariance(double residual) {
+		double clipped = Math.min(square(residual), square(MAX_RESIDUAL_DEVIATIONS) * this.variance);
 		this.variance += VARIANCE_WEIGHT * (clipped - this.variance);
-		this.variance = Math.max(this.variance, poissonFloor(this.fast));
+		this.variance = Math.max(this.variance, poissonVariance(this.fastAverage));
 	}
 
 	double forecast() {
-		return Math.max(0, this.slow + trendShare() * (trendLevel() - this.slow));
+		return Math.max(0, this.slowAverage + trendWeight() * (extrapolatedLevel() - this.slowAverage));
 	}
 
-	double fast() {
-		return this.fast;
+	double fastAverage() {
+		return this.fastAverage;
 	}
 
 	double forecastVariance() {
-		double weight = trendShare();
-		double fastVariance = trendFactor() * this.variance / effectiveCounts(this.settings.fastWeight());
-		double slowVariance = this.variance / effectiveCounts(this.settings.slowWeight());
+		double weight = trendWeight();
+		double fastVariance = extrapolationVarianceFactor() * this.variance
+				/ effectiveSampleSize(this.settings.fastWeight());
+		double slowVariance = this.variance / effectiveSampleSize(this.settings.slowWeight());
 		return square(weight) * fastVariance + square(1 - weight) * slowVariance;
 	}
 
-	private double trendLevel() {
-		double slope = (this.fast - this.slow) / (this.settings.slowLag() - this.settings.fastLag());
-		return this.fast + slope * (this.settings.fastLag() + this.settings.horizonIntervals());
+	private double extrapolatedLevel() {
+		double slope = (this.fastAverage - this.slowAverage) / (this.settings.slowLag() - this.settings.fastLag());
+		return this.fastAverage + slope * (this.settings.fastLag() + this.settings.horizonIntervals());
 	}
 
-	private double trendFactor() {
+	private double extrapolationVarianceFactor() {
 		return square(1 + (this.settings.fastLag() + this.settings.horizonIntervals())
 				/ (this.settings.slowLag() - this.settings.fastLag()));
 	}
 
 	// Returns the weight of the trend in the forecast, from 0 for noise to 1. The
 	// shrinkage factor is 1 - noise variance / squared difference, at least 0.
-	private double trendShare() {
-		double difference = square(this.fast - this.slow);
-		double noise = this.variance / effectiveCounts(this.settings.fastWeight());
+	private double trendWeight() {
+		double difference = square(this.fastAverage - this.slowAverage);
+		double noise = this.variance / effectiveSampleSize(this.settings.fastWeight());
 		return (difference > 0) ? Math.max(0, 1 - square(TREND_DEVIATIONS) * noise / difference) : 0;
 	}
 
-	private double effectiveCounts(double weight) {
-		return Math.min(this.counts, (2 - weight) / weight);
+	private double effectiveSampleSize(double weight) {
+		return Math.min(this.countsSinceRestart, (2 - weight) / weight);
 	}
 
-	private static double poissonFloor(double count) {
+	private static double poissonVariance(double count) {
 		return Math.max(1, count);
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExpertMove.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/ExpertMove.java
@@ -10,10 +10,10 @@
  * @param slot the index of the slot on the rank
  * @param expert the index of the expert in its layer
  * @param bytes the size of the weights in bytes
- * @param worth the move's share of the reduction in forecast step-time skew; the
- * reduction in a layer is divided equally among the layer's moves
+ * @param gain the move's share of the reduction in forecast step-time skew; the reduction
+ * in a layer is divided equally among the layer's moves
  */
-public record ExpertMove(int layer, int rank, int slot, int expert, long bytes, double worth) {
+public record ExpertMove(int layer, int rank, int slot, int expert, long bytes, double gain) {
 
 	public ExpertMove {
 		Preconditions.check(layer >= 0, "layer must not be negative: %d", layer);
@@ -27,8 +27,8 @@
 	 * Returns the reduction in forecast step-time skew per byte read.
 	 * @return the reduction per byte
 	 */
-	public double worthPerByte() {
-		return this.worth / this.bytes;
+	public double gainPerByte() {
+		return this.gain / this.bytes;
 	}
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerEstimate.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerEstimate.java
@@ -17,7 +17,7 @@
 
 	private final double[] referenceVariance;
 
-	private double referenceTotal;
+	private double totalScale;
 
 	LayerEstimate(EstimatorSettings settings, int experts) {
 		this.settings = settings;
@@ -35,9 +35,9 @@
 		if (total <= 0) {
 			return;
 		}
-		this.referenceTotal = (this.referenceTotal > 0) ? this.referenceTotal : total;
+		this.totalScale = (this.totalScale > 0) ? this.totalScale : total;
 		for (int expert = 0; expert < this.experts.length; expert++) {
-			this.experts[expert].observe(counts[expert] * this.referenceTotal / total);
+			this.experts[expert].observe(counts[expert] * this.totalScale / total);
 		}
 	}
 
@@ -46,7 +46,7 @@
 	 * old one.
 	 * @return {@code true} if the reference was replaced
 	 */
-	boolean acceptChange() {
+	boolean updateReferenceIfChanged() {
 		if (!isChanged()) {
 			return false;
 		}
@@ -79,7 +79,7 @@
 	}
 
 	double[] smoothed() {
-		return Arrays.stream(this.experts).mapToDouble(ExpertEstimate::fast).toArray();
+		return Arrays.stream(this.experts).mapToDouble(ExpertEstimate::fastAverage).toArray();
 	}
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerOutcome.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerOutcome.java
@@ -3,10 +3,10 @@
 /**
  * The result of the search for one layer.
  *
- * @param stay the placement that the search started from, with traffic redistributed
+ * @param initial the placement that the search started from, with traffic redistributed
  * @param cheapest the option of the lowest price
  * @param fastest the option with the fastest slowest rank
  */
-record LayerOutcome(LayerOption stay, LayerOption cheapest, LayerOption fastest) {
+record LayerOutcome(LayerOption initial, LayerOption cheapest, LayerOption fastest) {
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerPacker.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerPacker.java
@@ -18,16 +18,16 @@
 
 	private final CopySpread spread;
 
-	private final int[] targets;
+	private final int[] copyTargets;
 
-	private final double[] packed;
+	private final double[] packedTimes;
 
 	private LayerPacker(LayerState state, CopySpread spread) {
 		this.state = state;
 		this.shape = state.shape();
 		this.spread = spread;
-		this.targets = new int[this.shape.experts()];
-		this.packed = new double[this.shape.ranks()];
+		this.copyTargets = new int[this.shape.experts()];
+		this.packedTimes = new double[this.shape.ranks()];
 	}
 
 	static void pack(LayerState state, CopySpread spread) {
@@ -35,34 +35,34 @@
 	}
 
 	private void pack() {
-		chooseTargets();
-		List<Integer> hottestFirst = IntStream.range(0, this.targets.length)
+		chooseCopyTargets();
+		List<Integer> hottestFirst = IntStream.range(0, this.copyTargets.length)
 			.boxed()
 			.sorted(Comparator.comparingDouble(this::copyLoad).reversed())
 			.toList();
-		hottestFirst.forEach(this::placeRequired);
-		hottestFirst.forEach(this::placeTarget);
+		hottestFirst.forEach(this::placeRequiredCopies);
+		hottestFirst.forEach(this::placeExtraCopies);
 		fillFreeSlots(hottestFirst);
 	}
 
-	private void chooseTargets() {
+	private void chooseCopyTargets() {
 		int ranks = (int) IntStream.range(0, this.shape.ranks()).filter((rank) -> this.shape.slots(rank) > 0).count();
 		int minimum = this.spread.minimumCopies();
-		Arrays.fill(this.targets, minimum);
-		int spare = this.shape.totalSlots() - minimum * this.targets.length;
+		Arrays.fill(this.copyTargets, minimum);
+		int spare = this.shape.totalSlots() - minimum * this.copyTargets.length;
 		for (; spare > 0; spare--) {
 			int hottest = hottestWithFewerCopies(ranks);
 			if (hottest < 0) {
 				return;
 			}
-			this.targets[hottest]++;
+			this.copyTargets[hottest]++;
 		}
 	}
 
 	private int hottestWithFewerCopies(int maximumCopies) {
 		int hottest = -1;
-		for (int expert = 0; expert < this.targets.length; expert++) {
-			if (this.targets[expert] < maximumCopies && (hottest < 0 || copyLoad(expert) > copyLoad(hottest))) {
+		for (int expert = 0; expert < this.copyTargets.length; expert++) {
+			if (this.copyTargets[expert] < maximumCopies && (hottest < 0 || copyLoad(expert) > copyLoad(hottest))) {
 				hottest = expert;
 			}
 		}
@@ -70,12 +70,12 @@
 	}
 
 	private double copyLoad(int expert) {
-		return this.state.popularity(expert) / this.targets[expert];
+		return this.state.popularity(expert) / this.copyTargets[expert];
 	}
 
-	private void placeRequired(int expert) {
+	private void placeRequiredCopies(int expert) {
 		if (this.spread == CopySpread.NONE) {
-			place(expert, leastLoaded((rank) -> true));
+			place(expert, leastLoadedRank((rank) -> true));
 			return;
 		}
 		int first = leastLoadedInFreestDomain((rank) -> true);
@@ -100,7 +100,7 @@
 			.map((rank) -> free[domainOf(rank)])
 			.max()
 			.orElse(0);
-		return leastLoaded((rank) -> allowed.test(rank) && free[domainOf(rank)] == most);
+		return leastLoadedRank((rank) -> allowed.test(rank) && free[domainOf(rank)] == most);
 	}
 
 	private int freeSlots(int rank) {
@@ -110,9 +110,9 @@
 			.count();
 	}
 
-	private void placeTarget(int expert) {
-		while (this.state.copyCount(expert) < this.targets[expert]) {
-			int rank = leastLoaded((candidate) -> !this.state.holds(candidate, expert));
+	private void placeExtraCopies(int expert) {
+		while (this.state.copyCount(expert) < this.copyTargets[expert]) {
+			int rank = leastLoadedRank((candidate) -> !this.state.holds(candidate, expert));
 			if (rank < 0) {
 				return;
 			}
@@ -130,11 +130,11 @@
 		}
 	}
 
-	private int leastLoaded(IntPredicate allowed) {
+	private int leastLoadedRank(IntPredicate allowed) {
 		int least = -1;
 		for (int rank = 0; rank < this.shape.ranks(); rank++) {
 			if (allowed.test(rank) && this.state.freeSlot(rank) >= 0
-					&& (least < 0 || this.packed[rank] < this.packed[least])) {
+					&& (least < 0 || this.packedTimes[rank] < this.packedTimes[least])) {
 				least = rank;
 			}
 		}
@@ -143,8 +143,8 @@
 
 	private void place(int expert, int rank) {
 		if (rank >= 0) {
-			this.state.put(this.state.freeSlot(rank), expert);
-			this.packed[rank] += copyLoad(expert) / this.state.speed(rank);
+			this.state.addCopy(this.state.freeSlot(rank), expert);
+			this.packedTimes[rank] += copyLoad(expert) / this.state.speed(rank);
 		}
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerRepair.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerRepair.java
@@ -21,7 +21,7 @@
 	 */
 	boolean isNeeded() {
 		for (int expert = 0; expert < this.state.shape().experts(); expert++) {
-			if (!isSpread(expert)) {
+			if (!hasSpread(expert)) {
 				return true;
 			}
 		}
@@ -35,22 +35,22 @@
 	 */
 	boolean repair() {
 		for (int expert = 0; expert < this.state.shape().experts(); expert++) {
-			for (int copy = 0; copy < this.spread.minimumCopies() && !isSpread(expert); copy++) {
+			for (int copy = 0; copy < this.spread.minimumCopies() && !hasSpread(expert); copy++) {
 				addCopy(expert);
 			}
 		}
 		return !isNeeded();
 	}
 
-	private boolean isSpread(int expert) {
-		return this.state.keepsSpread(expert, -1, -1, this.spread);
+	private boolean hasSpread(int expert) {
+		return this.state.hasSpreadAfter(expert, -1, -1, this.spread);
 	}
 
 	private void addCopy(int expert) {
 		int target = -1;
 		for (int rank = 0; rank < this.state.shape().ranks(); rank++) {
-			if (!this.state.holds(rank, expert) && widens(expert, rank)) {
-				target = better(target, dispensable(rank));
+			if (!this.state.holds(rank, expert) && improvesSpread(expert, rank)) {
+				target = pickOnFasterRank(target, findReplaceableSlot(rank));
 			}
 		}
 		if (target >= 0) {
@@ -61,19 +61,19 @@
 	private void replace(int target, int expert) {
 		int evicted = this.state.expertAt(target);
 		if (evicted != Placement.EMPTY) {
-			this.state.clear(target);
+			this.state.removeCopy(target);
 			this.state.split(evicted);
 		}
-		this.state.put(target, expert);
+		this.state.addCopy(target, expert);
 		this.state.split(expert);
 	}
 
-	private boolean widens(int expert, int rank) {
+	private boolean improvesSpread(int expert, int rank) {
 		return this.state.copyCount(expert) + 1 < this.spread.minimumCopies()
-				|| this.state.keepsSpread(expert, -1, rank, this.spread);
+				|| this.state.hasSpreadAfter(expert, -1, rank, this.spread);
 	}
 
-	private int better(int target, int candidate) {
+	private int pickOnFasterRank(int target, int candidate) {
 		if (candidate < 0 || target < 0) {
 			return Math.max(candidate, target);
 		}
@@ -81,11 +81,11 @@
 		return faster ? candidate : target;
 	}
 
-	private int dispensable(int rank) {
+	private int findReplaceableSlot(int rank) {
 		int replaceable = this.state.freeSlot(rank);
 		int from = rank * this.state.shape().stride();
 		for (int position = from; replaceable < 0 && position < from + this.state.shape().slots(rank); position++) {
-			if (this.state.keepsSpread(this.state.expertAt(position), position, -1, this.spread)) {
+			if (this.state.hasSpreadAfter(this.state.expertAt(position), position, -1, this.spread)) {
 				replaceable = position;
 			}
 		}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerSearch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerSearch.java
@@ -53,7 +53,7 @@
 			start.splitAll(SWEEPS);
 			stepsLeft--;
 			LayerOption option = option(start, origin);
-			if (option.slowest() < fastest.slowest() - MIN_GAIN) {
+			if (option.slowestTime() < fastest.slowestTime() - MIN_GAIN) {
 				fastest = option;
 				stepsLeft = MAX_STEPS_WITHOUT_GAIN;
 			}
@@ -65,8 +65,8 @@
 	}
 
 	private LayerOption option(LayerState state, int[] origin) {
-		int[] experts = PositionKeeper.keep(this.shape, origin, state.experts());
-		return new LayerOption(experts, PositionKeeper.reads(origin, experts), state.slowest());
+		int[] experts = SlotKeeper.keepSlots(this.shape, origin, state.experts());
+		return new LayerOption(experts, SlotKeeper.countReads(origin, experts), state.slowestTime());
 	}
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerState.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/LayerState.java
@@ -11,7 +11,7 @@
  */
 final class LayerState {
 
-	private static final double TOLERANCE = 1e-4;
+	private static final double CONVERGENCE_TOLERANCE = 1e-4;
 
 	private final GroupShape shape;
 
@@ -53,7 +53,7 @@
 		double[] shares = placement.layerShares(layer);
 		for (int position = 0; position < experts.length; position++) {
 			if (experts[position] != Placement.EMPTY && state.isUsable(position)) {
-				state.put(position, experts[position]);
+				state.addCopy(position, experts[position]);
 				state.addFlow(position, shares[position] * popularity[experts[position]]);
 			}
 		}
@@ -73,7 +73,7 @@
 	}
 
 	// Returns the rank time of a perfectly balanced layer.
-	double mean() {
+	double balancedTime() {
 		return Arrays.stream(this.popularity).sum() / Arrays.stream(this.speeds).sum();
 	}
 
@@ -93,7 +93,7 @@
 		return this.copyCounts[expert];
 	}
 
-	int copy(int expert, int index) {
+	int copyPosition(int expert, int index) {
 		return this.copies[expert * this.shape.ranks() + index];
 	}
 
@@ -105,7 +105,7 @@
 		return this.loads[rank] / this.speeds[rank];
 	}
 
-	double slowest() {
+	double slowestTime() {
 		double slowest = 0;
 		for (int rank = 0; rank < this.loads.length; rank++) {
 			slowest = Math.max(slowest, time(rank));
@@ -136,8 +136,8 @@
 
 	int copyOn(int rank, int expert) {
 		for (int index = 0; index < this.copyCounts[expert]; index++) {
-			if (rankOf(copy(expert, index)) == rank) {
-				return copy(expert, index);
+			if (rankOf(copyPosition(expert, index)) == rank) {
+				return copyPosition(expert, index);
 			}
 		}
 		return -1;
@@ -154,13 +154,13 @@
 		return -1;
 	}
 
-	void put(int position, int expert) {
+	void addCopy(int position, int expert) {
 		this.experts[position] = expert;
 		this.copies[expert * this.shape.ranks() + this.copyCounts[expert]] = position;
 		this.copyCounts[expert]++;
 	}
 
-	void clear(int position) {
+	void removeCopy(int position) {
 		int expert = this.experts[position];
 		addFlow(position, -this.flows[position]);
 		this.flows[position] = 0;
@@ -177,7 +177,7 @@
 
 	// Returns whether an expert has its spread after removing the copy at one position
 	// and adding a copy to one rank; -1 removes or adds none.
-	boolean keepsSpread(int expert, int removed, int addedRank, CopySpread spread) {
+	boolean hasSpreadAfter(int expert, int removed, int addedRank, CopySpread spread) {
 		int count = 0;
 		int firstDomain = -1;
 		boolean domainsDiffer = false;
@@ -197,7 +197,7 @@
 		if (index == this.copyCounts[expert]) {
 			return addedRank;
 		}
-		int position = copy(expert, index);
+		int position = copyPosition(expert, index);
 		return (position == removed) ? -1 : rankOf(position);
 	}
 
@@ -208,10 +208,10 @@
 		if (count == 0) {
 			return 0;
 		}
-		double level = level(expert, count);
+		double level = waterLevel(expert, count);
 		double change = 0;
 		for (int index = 0; index < count; index++) {
-			int position = copy(expert, index);
+			int position = copyPosition(expert, index);
 			int rank = rankOf(position);
 			double flow = Math.max(0, level * this.speeds[rank] - this.otherLoads[index]);
 			change = Math.max(change, Math.abs(flow - this.flows[position]));
@@ -221,27 +221,27 @@
 		return change;
 	}
 
-	private double level(int expert, int count) {
+	private double waterLevel(int expert, int count) {
 		double load = this.popularity[expert];
 		double speed = 0;
 		for (int index = 0; index < count; index++) {
-			int position = copy(expert, index);
+			int position = copyPosition(expert, index);
 			this.otherLoads[index] = this.loads[rankOf(position)] - this.flows[position];
 			load += this.otherLoads[index];
 			speed += this.speeds[rankOf(position)];
 		}
-		return lowerToActive(expert, count, load, speed);
+		return excludeOverloadedRanks(expert, count, load, speed);
 	}
 
 	// Excludes copies on ranks whose other traffic already exceeds the water level.
-	private double lowerToActive(int expert, int count, double load, double speed) {
+	private double excludeOverloadedRanks(int expert, int count, double load, double speed) {
 		double level = load / speed;
 		boolean[] excluded = null;
 		boolean changed = count > 1;
 		while (changed) {
 			changed = false;
 			for (int index = 0; index < count; index++) {
-				double rankSpeed = this.speeds[rankOf(copy(expert, index))];
+				double rankSpeed = this.speeds[rankOf(copyPosition(expert, index))];
 				if ((excluded == null || !excluded[index]) && this.otherLoads[index] > level * rankSpeed) {
 					excluded = (excluded != null) ? excluded : new boolean[count];
 					excluded[index] = true;
@@ -269,13 +269,13 @@
 	// Redistributes the traffic of all experts until it converges, for at most the given
 	// number of sweeps.
 	void splitAll(int sweeps) {
-		double mean = mean();
+		double mean = balancedTime();
 		for (int sweep = 0; sweep < sweeps; sweep++) {
 			double change = 0;
 			for (int expert = 0; expert < this.copyCounts.length; expert++) {
 				change = Math.max(change, split(expert));
 			}
-			if (change < TOLERANCE * mean) {
+			if (change < CONVERGENCE_TOLERANCE * mean) {
 				return;
 			}
 		}
@@ -286,7 +286,7 @@
 		for (int expert = 0; expert < this.copyCounts.length; expert++) {
 			int count = this.copyCounts[expert];
 			for (int index = 0; index < count; index++) {
-				int position = copy(expert, index);
+				int position = copyPosition(expert, index);
 				shares[position] = (this.popularity[expert] > 0) ? this.flows[position] / this.popularity[expert]
 						: 1.0 / count;
 			}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementCheck.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementCheck.java
@@ -5,7 +5,7 @@
  */
 final class PlacementCheck {
 
-	private static final double ROUNDING = 1e-6;
+	private static final double ROUNDING_TOLERANCE = 1e-6;
 
 	private PlacementCheck() {
 	}
@@ -36,7 +36,7 @@
 			}
 		}
 		for (double share : shares) {
-			if (Math.abs(share - 1) > ROUNDING) {
+			if (Math.abs(share - 1) > ROUNDING_TOLERANCE) {
 				return false;
 			}
 		}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementMaps.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementMaps.java
@@ -65,17 +65,17 @@
 				map.layers().size());
 		Placement placement = Placement.empty(shape);
 		for (int layer = 0; layer < shape.layers(); layer++) {
-			fill(shape, map.layers().get(layer), placement.layerExperts(layer), placement.layerShares(layer));
+			fillLayer(shape, map.layers().get(layer), placement.layerExperts(layer), placement.layerShares(layer));
 		}
 		return placement;
 	}
 
-	private static void fill(GroupShape shape, LayerMap layer, int[] experts, double[] shares) {
+	private static void fillLayer(GroupShape shape, LayerMap layer, int[] experts, double[] shares) {
 		Preconditions.check(layer.experts() == shape.experts(), "map must have %d experts per layer: %d",
 				shape.experts(), layer.experts());
 		for (int expert = 0; expert < layer.experts(); expert++) {
-			double total = layer.of(expert).stream().mapToInt(Replica::weight).sum();
-			for (Replica replica : layer.of(expert)) {
+			double total = layer.replicasOf(expert).stream().mapToInt(Replica::weight).sum();
+			for (Replica replica : layer.replicasOf(expert)) {
 				int position = replica.rank() * shape.stride() + replica.slot();
 				experts[position] = expert;
 				shares[position] = replica.weight() / total;
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementPlanner.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementPlanner.java
@@ -57,12 +57,13 @@
 		}
 		boolean complete = this.invariants.holds(PlacementCheck.isComplete(request.shape(), plan.placement()),
 				"every-expert-placed", Field.of("group", request.group()));
-		boolean cheaper = this.invariants.holds(isMandatory(plan) || plan.price().after() <= plan.price().before(),
+		boolean cheaper = this.invariants.holds(
+				isMandatory(plan) || plan.price().priceAfter() <= plan.price().priceBefore(),
 				"plan-not-dearer-than-staying", Field.of("group", request.group()));
 		if (complete && cheaper) {
 			return plan;
 		}
-		return new PlacementPlan(PlanReason.INVARIANT, request.present(), List.of(), plan.price());
+		return new PlacementPlan(PlanReason.INVARIANT, request.current(), List.of(), plan.price());
 	}
 
 	private static boolean isMandatory(PlacementPlan plan) {
@@ -77,7 +78,8 @@
 				Field.of("skew-forecast", decimal(price.skewForecast())),
 				Field.of("skew-bound", decimal(price.skewBound())), Field.of("bytes", price.bytes()),
 				Field.of("store-seconds", decimal(price.storeSeconds())),
-				Field.of("price-before", decimal(price.before())), Field.of("price-after", decimal(price.after())),
+				Field.of("price-before", decimal(price.priceBefore())),
+				Field.of("price-after", decimal(price.priceAfter())),
 				Field.of("skew-weight", price.weights().skewWeight()),
 				Field.of("move-weight", price.weights().moveWeight())));
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanPrice.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanPrice.java
@@ -27,7 +27,7 @@
 	 * Returns the price of keeping the current placement.
 	 * @return the weighted skew
 	 */
-	public double before() {
+	public double priceBefore() {
 		return this.weights.skewWeight() * this.skewBefore;
 	}
 
@@ -35,7 +35,7 @@
 	 * Returns the price of the plan.
 	 * @return the sum of the weighted skew and the weighted gibibytes read
 	 */
-	public double after() {
+	public double priceAfter() {
 		return this.weights.skewWeight() * this.skewForecast + this.weights.moveWeight() * this.bytes / GIBIBYTE;
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanSearch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlanSearch.java
@@ -61,8 +61,8 @@
 		for (int layer : byGainPerRead(outcomes)) {
 			LayerOutcome outcome = outcomes[layer];
 			long bytes = outcome.cheapest().reads() * this.shape.expertBytes();
-			boolean fits = bytes <= budget || outcome.stay() == outcome.cheapest();
-			this.chosen[layer] = fits ? outcome.cheapest() : outcome.stay();
+			boolean fits = bytes <= budget || outcome.initial() == outcome.cheapest();
+			this.chosen[layer] = fits ? outcome.cheapest() : outcome.initial();
 			this.fastest[layer] = outcome.fastest();
 			budget -= fits ? Math.min(bytes, budget) : 0;
 		}
@@ -70,10 +70,10 @@
 	}
 
 	private LayerOutcome searchLayer(int layer) {
-		LayerState state = state(layer);
-		int[] origin = this.request.present().layerExperts(layer);
-		this.slowestBefore[layer] = state.slowest();
-		if (this.request.present().isLayerEmpty(layer)) {
+		LayerState state = currentState(layer);
+		int[] origin = this.request.current().layerExperts(layer);
+		this.slowestBefore[layer] = state.slowestTime();
+		if (this.request.current().isLayerEmpty(layer)) {
 			this.hasEmptyLayer = true;
 			return rebuild(state, origin);
 		}
@@ -88,8 +88,8 @@
 		return search(state, origin);
 	}
 
-	private LayerState state(int layer) {
-		return LayerState.from(this.shape, this.request.present(), layer, this.request.popularity()[layer],
+	private LayerState currentState(int layer) {
+		return LayerState.from(this.shape, this.request.current(), layer, this.request.popularity()[layer],
 				this.request.speeds());
 	}
 
@@ -123,7 +123,8 @@
 	}
 
 	private double gainPerRead(LayerOutcome outcome) {
-		return (outcome.stay().slowest() - outcome.cheapest().slowest()) / Math.max(1, outcome.cheapest().reads());
+		return (outcome.initial().slowestTime() - outcome.cheapest().slowestTime())
+				/ Math.max(1, outcome.cheapest().reads());
 	}
 
 	private PlacementPlan decide() {
@@ -148,19 +149,19 @@
 		else if (considered.bytes() > 0) {
 			reason = PlanReason.TOO_DEAR;
 		}
-		return new PlacementPlan(reason, this.request.present(), List.of(), considered);
+		return new PlacementPlan(reason, this.request.current(), List.of(), considered);
 	}
 
 	private PlanPrice price(LayerOption[] options) {
 		double before = Arrays.stream(this.slowestBefore).sum();
-		double after = Arrays.stream(options).mapToDouble(LayerOption::slowest).sum();
+		double after = Arrays.stream(options).mapToDouble(LayerOption::slowestTime).sum();
 		long bytes = Arrays.stream(options).mapToLong(LayerOption::reads).sum() * this.shape.expertBytes();
 		double bound = StepSkew.lowerBound(this.shape, this.request.popularity(), this.request.speeds());
-		return new PlanPrice(skew(before), skew(after), bound, bytes, bytes / this.settings.storeBytesPerSecond(),
+		return new PlanPrice(toSkew(before), toSkew(after), bound, bytes, bytes / this.settings.storeBytesPerSecond(),
 				this.settings.weights());
 	}
 
-	private double skew(double slowest) {
+	private double toSkew(double slowest) {
 		return (this.meanTime > 0) ? slowest / this.meanTime : 1;
 	}
 
@@ -170,19 +171,19 @@
 		List<ExpertMove> moves = new ArrayList<>();
 		for (int layer = 0; layer < experts.length; layer++) {
 			experts[layer] = this.chosen[layer].experts();
-			shares[layer] = shares(layer);
+			shares[layer] = trafficShares(layer);
 			addMoves(layer, moves);
 		}
-		moves.sort(Comparator.comparingDouble(ExpertMove::worthPerByte).reversed());
+		moves.sort(Comparator.comparingDouble(ExpertMove::gainPerByte).reversed());
 		return new PlacementPlan(reason, new Placement(experts, shares), moves, price);
 	}
 
-	private double[] shares(int layer) {
+	private double[] trafficShares(int layer) {
 		int[] experts = this.chosen[layer].experts();
 		LayerState state = emptyState(layer);
 		for (int position = 0; position < experts.length; position++) {
 			if (experts[position] != Placement.EMPTY) {
-				state.put(position, experts[position]);
+				state.addCopy(position, experts[position]);
 			}
 		}
 		state.splitAll(LayerSearch.FINAL_SWEEPS);
@@ -191,8 +192,8 @@
 
 	private void addMoves(int layer, List<ExpertMove> moves) {
 		LayerOption option = this.chosen[layer];
-		int[] before = this.request.present().layerExperts(layer);
-		double gain = skew(this.slowestBefore[layer] - option.slowest()) / Math.max(1, option.reads());
+		int[] before = this.request.current().layerExperts(layer);
+		double gain = toSkew(this.slowestBefore[layer] - option.slowestTime()) / Math.max(1, option.reads());
 		for (int position = 0; position < before.length; position++) {
 			int expert = option.experts()[position];
 			if (expert != Placement.EMPTY && expert != before[position]) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PopularityEstimator.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PopularityEstimator.java
@@ -51,10 +51,10 @@
 	 * for the next calls.
 	 * @return for each layer whether its forecast changed
 	 */
-	public boolean[] acceptChanges() {
+	public boolean[] pollChanges() {
 		boolean[] changed = new boolean[this.layers.length];
 		for (int layer = 0; layer < changed.length; layer++) {
-			changed[layer] = this.layers[layer].acceptChange();
+			changed[layer] = this.layers[layer].updateReferenceIfChanged();
 		}
 		return changed;
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PositionKeeper.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/SlotKeeper.java
@@ -6,9 +6,9 @@
  * Keeps experts that remain on their rank in their current slot: changing the slot would
  * need a read of the weights.
  */
-final class PositionKeeper {
+final class SlotKeeper {
 
-	private PositionKeeper() {
+	private SlotKeeper() {
 	}
 
 	/**
@@ -18,7 +18,7 @@
 	 * @param after the expert of each position after
 	 * @return the experts of {@code after} in the slots of {@code before} where possible
 	 */
-	static int[] keep(GroupShape shape, int[] before, int[] after) {
+	static int[] keepSlots(GroupShape shape, int[] before, int[] after) {
 		int[] kept = new int[after.length];
 		Arrays.fill(kept, Placement.EMPTY);
 		boolean[] placed = new boolean[shape.experts()];
@@ -26,14 +26,14 @@
 			int from = rank * shape.stride();
 			int to = from + shape.slots(rank);
 			Arrays.fill(placed, false);
-			markHeld(after, from, to, placed);
+			markPresent(after, from, to, placed);
 			for (int position = from; position < to; position++) {
 				if (before[position] != Placement.EMPTY && placed[before[position]]) {
 					kept[position] = before[position];
 					placed[before[position]] = false;
 				}
 			}
-			fill(after, kept, from, to, placed);
+			fillFreeSlots(after, kept, from, to, placed);
 		}
 		return kept;
 	}
@@ -44,7 +44,7 @@
 	 * @param after the expert of each position after
 	 * @return the count
 	 */
-	static int reads(int[] before, int[] after) {
+	static int countReads(int[] before, int[] after) {
 		int reads = 0;
 		for (int position = 0; position < after.length; position++) {
 			if (after[position] != Placement.EMPTY && after[position] != before[position]) {
@@ -54,7 +54,7 @@
 		return reads;
 	}
 
-	private static void markHeld(int[] experts, int from, int to, boolean[] held) {
+	private static void markPresent(int[] experts, int from, int to, boolean[] held) {
 		for (int position = from; position < to; position++) {
 			if (experts[position] != Placement.EMPTY) {
 				held[experts[position]] = true;
@@ -62,7 +62,7 @@
 		}
 	}
 
-	private static void fill(int[] after, int[] kept, int from, int to, boolean[] missing) {
+	private static void fillFreeSlots(int[] after, int[] kept, int from, int to, boolean[] missing) {
 		int free = from;
 		for (int position = from; position < to; position++) {
 			int expert = after[position];
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/StepSkew.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/StepSkew.java
@@ -13,7 +13,7 @@
 
 	private static final int BISECTIONS = 50;
 
-	private static final double ROUNDING = 1e-9;
+	private static final double ROUNDING_TOLERANCE = 1e-9;
 
 	private StepSkew() {
 	}
@@ -55,7 +55,7 @@
 		for (double[] layer : popularity) {
 			double balanced = balancedTime(layer, speeds);
 			mean += balanced;
-			slowest += leastTime(shape, layer, balanced, Arrays.stream(speeds).max().orElse(1));
+			slowest += minimumTime(shape, layer, balanced, Arrays.stream(speeds).max().orElse(1));
 		}
 		return (mean > 0) ? slowest / mean : 1;
 	}
@@ -65,7 +65,7 @@
 		return Arrays.stream(popularity).sum() / Arrays.stream(speeds).sum();
 	}
 
-	private static double leastTime(GroupShape shape, double[] popularity, double balanced, double speed) {
+	private static double minimumTime(GroupShape shape, double[] popularity, double balanced, double speed) {
 		if (balanced == 0 || copiesFit(shape, popularity, balanced * speed)) {
 			return balanced;
 		}
@@ -86,7 +86,7 @@
 	private static boolean copiesFit(GroupShape shape, double[] popularity, double largestCopy) {
 		long copies = 0;
 		for (double load : popularity) {
-			copies += Math.max(1, (long) Math.ceil(load / largestCopy - ROUNDING));
+			copies += Math.max(1, (long) Math.ceil(load / largestCopy - ROUNDING_TOLERANCE));
 		}
 		return copies <= shape.totalSlots();
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/report/SkewMeter.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/report/SkewMeter.java
@@ -11,12 +11,12 @@
  * the mean of all ranks.
  * <p>
  * A step is recorded once the times of all ranks are known. Only the latest
- * {@value #OPEN_STEPS} incomplete steps are kept.
+ * {@value #MAX_INCOMPLETE_STEPS} incomplete steps are kept.
  */
 public final class SkewMeter {
 
 	/** Maximum number of incomplete steps kept. */
-	static final int OPEN_STEPS = 64;
+	static final int MAX_INCOMPLETE_STEPS = 64;
 
 	/** Recorded value of a skew of 1; skews are recorded in thousandths. */
 	static final int SCALE = 1000;
@@ -58,7 +58,7 @@
 			this.incomplete.remove(step);
 			this.histogram.recordValue(Math.min(MAX_SKEW, skew(times)));
 		}
-		else if (this.incomplete.size() > OPEN_STEPS) {
+		else if (this.incomplete.size() > MAX_INCOMPLETE_STEPS) {
 			this.incomplete.pollFirstEntry();
 		}
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RankRecord.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RankTracker.java
@@ -3,7 +3,7 @@
 /**
  * The detector's state for one rank.
  */
-final class RankRecord {
+final class RankTracker {
 
 	private static final double RATIO_WEIGHT = 0.3;
 
@@ -23,7 +23,7 @@
 
 	private double ratio = 1;
 
-	private double reportedSpeed = 1;
+	private double plannedSpeed = 1;
 
 	RankCondition condition() {
 		return this.condition;
@@ -41,16 +41,16 @@
 		return this.ratio;
 	}
 
-	double speed() {
+	double estimatedSpeed() {
 		return Math.min(1, 1 / this.ratio);
 	}
 
-	double reportedSpeed() {
-		return this.reportedSpeed;
+	double plannedSpeed() {
+		return this.plannedSpeed;
 	}
 
-	void reportSpeed(double speed) {
-		this.reportedSpeed = speed;
+	void setPlannedSpeed(double speed) {
+		this.plannedSpeed = speed;
 	}
 
 	void observe(double newRatio, boolean slow, boolean healthy) {
@@ -61,7 +61,7 @@
 		this.windowsInCondition++;
 	}
 
-	void enter(RankCondition newCondition, int maximumPenalty) {
+	void changeCondition(RankCondition newCondition, int maximumPenalty) {
 		if (this.condition == RankCondition.HEALTHY && this.recentlyRecovered) {
 			this.penalty = Math.min(maximumPenalty, this.penalty * 2);
 		}
@@ -75,16 +75,16 @@
 		return this.condition != RankCondition.HEALTHY && this.healthyWindows >= windowsToLeave * this.penalty;
 	}
 
-	void recover() {
+	void markHealthy() {
 		this.condition = RankCondition.HEALTHY;
 		this.recentlyRecovered = true;
 		this.healthyWindows = 0;
 		this.windowsInCondition = 0;
-		this.reportedSpeed = 1;
+		this.plannedSpeed = 1;
 	}
 
 	// Halves the penalty after each sufficiently long healthy period, down to 1.
-	void calmDown(int windowsToLeave) {
+	void decayPenalty(int windowsToLeave) {
 		if (this.condition == RankCondition.HEALTHY
 				&& this.healthyWindows >= PENALTY_DECAY_PERIODS * windowsToLeave * this.penalty) {
 			this.penalty = Math.max(1, this.penalty / 2);
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RobustOutliers.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/RobustOutliers.java
@@ -12,7 +12,7 @@
 record RobustOutliers(double[] ratios, double deviation) {
 
 	// Ratio of the standard deviation to the MAD for a normal distribution.
-	private static final double NORMAL_FACTOR = 1.4826;
+	private static final double MAD_TO_STANDARD_DEVIATION = 1.4826;
 
 	private static final double MIN_DEVIATION = 0.01;
 
@@ -23,7 +23,7 @@
 			.filter((ratio) -> ratio > 0)
 			.map((ratio) -> Math.abs(ratio - 1))
 			.toArray();
-		return new RobustOutliers(ratios, Math.max(MIN_DEVIATION, NORMAL_FACTOR * median(distances)));
+		return new RobustOutliers(ratios, Math.max(MIN_DEVIATION, MAD_TO_STANDARD_DEVIATION * median(distances)));
 	}
 
 	double ratio(int index) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/straggler/StragglerDetector.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/straggler/StragglerDetector.java
@@ -24,9 +24,9 @@
  */
 public final class StragglerDetector {
 
-	private static final double REPORTED_SPEED_CHANGE = 0.15;
+	private static final double MIN_SPEED_CHANGE = 0.15;
 
-	private static final int REPLAN_WINDOWS = 4;
+	private static final int REPLAN_PERIODS = 4;
 
 	private final GroupId group;
 
@@ -34,7 +34,7 @@
 
 	private final DecisionListener listener;
 
-	private final RankRecord[] records;
+	private final RankTracker[] trackers;
 
 	private List<StragglerCommand> commands = new ArrayList<>();
 
@@ -50,7 +50,7 @@
 		Preconditions.check(ranks >= 1, "ranks must be at least 1: %d", ranks);
 		this.settings = Preconditions.notNull(settings, "settings");
 		this.listener = Preconditions.notNull(listener, "listener");
-		this.records = IntStream.range(0, ranks).mapToObj((rank) -> new RankRecord()).toArray(RankRecord[]::new);
+		this.trackers = IntStream.range(0, ranks).mapToObj((rank) -> new RankTracker()).toArray(RankTracker[]::new);
 	}
 
 	/**
@@ -61,11 +61,11 @@
 	public List<StragglerCommand> observe(StepTimes times) {
 		Preconditions.notNull(times, "times");
 		double[] busy = times.busyNanos();
-		Preconditions.check(busy.length == this.records.length, "times must have %d ranks: %d", this.records.length,
+		Preconditions.check(busy.length == this.trackers.length, "times must have %d ranks: %d", this.trackers.length,
 				busy.length);
 		this.commands = new ArrayList<>();
 		RobustOutliers byTime = RobustOutliers.of(busy);
-		RobustOutliers byTimePerLoad = RobustOutliers.of(perLoad(times));
+		RobustOutliers byTimePerLoad = RobustOutliers.of(timePerLoad(times));
 		boolean loadKnown = times.expectedLoad().length > 0;
 		for (int rank = 0; rank < busy.length; rank++) {
 			if (busy[rank] > 0) {
@@ -79,8 +79,8 @@
 	 * Resets the state of a rank that was replaced to healthy.
 	 * @param rank the rank
 	 */
-	public void replaced(int rank) {
-		this.records[rank] = new RankRecord();
+	public void resetRank(int rank) {
+		this.trackers[rank] = new RankTracker();
 	}
 
 	/**
@@ -89,7 +89,7 @@
 	 * @return its condition
 	 */
 	public RankCondition condition(int rank) {
-		return this.records[rank].condition();
+		return this.trackers[rank].condition();
 	}
 
 	/**
@@ -97,10 +97,10 @@
 	 * @return the speed of each rank, 1 for a healthy one
 	 */
 	public double[] speeds() {
-		return Arrays.stream(this.records).mapToDouble(RankRecord::reportedSpeed).toArray();
+		return Arrays.stream(this.trackers).mapToDouble(RankTracker::plannedSpeed).toArray();
 	}
 
-	private static double[] perLoad(StepTimes times) {
+	private static double[] timePerLoad(StepTimes times) {
 		double[] values = times.busyNanos();
 		double[] load = times.expectedLoad();
 		for (int rank = 0; rank < load.length; rank++) {
@@ -110,34 +110,34 @@
 	}
 
 	private void observe(int rank, RobustOutliers byTime, RobustOutliers byTimePerLoad, boolean loadKnown) {
-		RankRecord tracker = this.records[rank];
+		RankTracker tracker = this.trackers[rank];
 		boolean hardware = tracker.condition() == RankCondition.SLOW_HARDWARE
 				|| tracker.condition() == RankCondition.REPLACE;
 		RobustOutliers outliers = hardware ? byTimePerLoad : byTime;
 		boolean isSlow = outliers.isAbove(rank, this.settings.slowRatio(), this.settings.deviations());
 		double ratio = (loadKnown && byTimePerLoad.ratio(rank) > 0) ? byTimePerLoad.ratio(rank) : byTime.ratio(rank);
 		tracker.observe(ratio, isSlow, outliers.ratio(rank) < this.settings.healthyRatio());
-		tracker.calmDown(this.settings.windowsToLeave());
+		tracker.decayPenalty(this.settings.windowsToLeave());
 		if (tracker.hasRecovered(this.settings.windowsToLeave())) {
-			recover(rank, tracker);
+			restoreRank(rank, tracker);
 			return;
 		}
 		boolean slowForLoad = byTimePerLoad.isAbove(rank, this.settings.slowRatio(), this.settings.deviations());
 		decide(rank, tracker, loadKnown, slowForLoad);
 	}
 
-	private void decide(int rank, RankRecord tracker, boolean loadKnown, boolean slowForLoad) {
+	private void decide(int rank, RankTracker tracker, boolean loadKnown, boolean slowForLoad) {
 		boolean slow = tracker.slowWindows() >= this.settings.windowsToEnter();
 		switch (tracker.condition()) {
 			case HEALTHY -> {
 				if (slow) {
-					enter(rank, tracker, loadKnown && slowForLoad);
+					markSlow(rank, tracker, loadKnown && slowForLoad);
 				}
 			}
 			case HOT_EXPERT -> {
-				boolean replanned = tracker.windowsInCondition() >= REPLAN_WINDOWS * this.settings.windowsToEnter();
+				boolean replanned = tracker.windowsInCondition() >= REPLAN_PERIODS * this.settings.windowsToEnter();
 				if (slow && (loadKnown ? slowForLoad : replanned)) {
-					enter(rank, tracker, true);
+					markSlow(rank, tracker, true);
 				}
 			}
 			case SLOW_HARDWARE -> shedOrReplace(rank, tracker);
@@ -146,49 +146,49 @@
 		}
 	}
 
-	private void enter(int rank, RankRecord tracker, boolean hardware) {
+	private void markSlow(int rank, RankTracker tracker, boolean hardware) {
 		if (hardware) {
-			tracker.enter(RankCondition.SLOW_HARDWARE, this.settings.maximumPenalty());
-			shed(rank, tracker, "slow-hardware");
+			tracker.changeCondition(RankCondition.SLOW_HARDWARE, this.settings.maximumPenalty());
+			shedExperts(rank, tracker, "slow-hardware");
 			return;
 		}
-		tracker.enter(RankCondition.HOT_EXPERT, this.settings.maximumPenalty());
+		tracker.changeCondition(RankCondition.HOT_EXPERT, this.settings.maximumPenalty());
 		this.commands.add(new StragglerCommand.PlanPlacement(rank));
-		record(rank, tracker, "plan-placement", "hot-expert");
+		recordDecision(rank, tracker, "plan-placement", "hot-expert");
 	}
 
-	private void shedOrReplace(int rank, RankRecord tracker) {
+	private void shedOrReplace(int rank, RankTracker tracker) {
 		if (tracker.windowsInCondition() >= this.settings.windowsToReplace()
 				&& tracker.ratio() >= this.settings.replaceRatio()) {
-			tracker.enter(RankCondition.REPLACE, this.settings.maximumPenalty());
+			tracker.changeCondition(RankCondition.REPLACE, this.settings.maximumPenalty());
 			this.commands.add(new StragglerCommand.ReplaceRank(rank));
-			record(rank, tracker, "replace-rank", "still-slow-after-shedding");
+			recordDecision(rank, tracker, "replace-rank", "still-slow-after-shedding");
 			return;
 		}
-		double change = Math.abs(tracker.speed() / tracker.reportedSpeed() - 1);
-		if (change > REPORTED_SPEED_CHANGE && tracker.speed() < 1) {
-			shed(rank, tracker, "speed-changed");
+		double change = Math.abs(tracker.estimatedSpeed() / tracker.plannedSpeed() - 1);
+		if (change > MIN_SPEED_CHANGE && tracker.estimatedSpeed() < 1) {
+			shedExperts(rank, tracker, "speed-changed");
 		}
 	}
 
-	private void shed(int rank, RankRecord tracker, String reason) {
-		tracker.reportSpeed(tracker.speed());
-		if (tracker.speed() < 1) {
-			this.commands.add(new StragglerCommand.ShedExperts(rank, tracker.speed()));
-			record(rank, tracker, "shed-experts", reason);
+	private void shedExperts(int rank, RankTracker tracker, String reason) {
+		tracker.setPlannedSpeed(tracker.estimatedSpeed());
+		if (tracker.estimatedSpeed() < 1) {
+			this.commands.add(new StragglerCommand.ShedExperts(rank, tracker.estimatedSpeed()));
+			recordDecision(rank, tracker, "shed-experts", reason);
 		}
 	}
 
-	private void recover(int rank, RankRecord tracker) {
-		boolean wasSlowed = tracker.reportedSpeed() < 1;
-		tracker.recover();
+	private void restoreRank(int rank, RankTracker tracker) {
+		boolean wasSlowed = tracker.plannedSpeed() < 1;
+		tracker.markHealthy();
 		if (wasSlowed) {
 			this.commands.add(new StragglerCommand.RestoreRank(rank));
 		}
-		record(rank, tracker, "restore-rank", "healthy-again");
+		recordDecision(rank, tracker, "restore-rank", "healthy-again");
 	}
 
-	private void record(int rank, RankRecord tracker, String result, String reason) {
+	private void recordDecision(int rank, RankTracker tracker, String result, String reason) {
 		this.listener.onDecision(DecisionRecord.of(DecisionKind.REBALANCE, this.group.toString(), result,
 				Field.of("rank", rank), Field.of("reason", reason),
 				Field.of("ratio-to-median", String.format(Locale.ROOT, "%.3f", tracker.ratio())),
--- a/comfreywall-group/src/test/java/org/comfreywall/group/life/GroupLifeTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/life/GroupLifecycleTests.java
@@ -18,11 +18,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link GroupLife}.
+ * Tests for {@link GroupLifecycle}.
  */
-class GroupLifeTests {
+class GroupLifecycleTests {
 
-	private static final LifeSettings SETTINGS = new LifeSettings(100, 50, 2, 40, 80);
+	private static final LifecycleSettings SETTINGS = new LifecycleSettings(100, 50, 2, 40, 80);
 
 	private final Member first = member("a", 1);
 
@@ -30,7 +30,7 @@
 
 	private final Member spare = member("c", 1);
 
-	private final GroupLife life = new GroupLife("g", 2, SETTINGS, DecisionListener.NONE);
+	private final GroupLifecycle life = new GroupLifecycle("g", 2, SETTINGS, DecisionListener.NONE);
 
 	@BeforeEach
 	void formGroup() {
@@ -52,8 +52,8 @@
 	void replacesExitedMemberBySpareAndWithdrawsGroup() {
 		heartbeat(this.second, 0, EngineActivity.COMPUTING, 2);
 
-		assertThat(this.life.handle(new MemberExited(this.second), 3)).containsExactly(new ChooseMember(1, this.spare),
-				new WithdrawGroup());
+		assertThat(this.life.handle(new MemberExited(this.second), 3))
+			.containsExactly(new RequestAssignment(1, this.spare), new WithdrawGroup());
 		assertThat(durable(this.first, this.spare, 4)).containsExactly(new ReleaseMember(this.second));
 		assertThat(heartbeat(this.spare, 0, EngineActivity.COMPUTING, 5)).containsExactly(new RouteGroup());
 	}
@@ -62,7 +62,7 @@
 	void reassignsRankToRestartedMember() {
 		Member restarted = member("b", 2);
 
-		assertThat(this.life.handle(new MemberAnnounced(restarted), 3)).contains(new ChooseMember(1, restarted));
+		assertThat(this.life.handle(new MemberAnnounced(restarted), 3)).contains(new RequestAssignment(1, restarted));
 	}
 
 	@Test
@@ -92,7 +92,7 @@
 		assertThat(healthOfSecond()).isEqualTo(RankHealth.SUSPECTED);
 
 		this.life.handle(new GroupTick(), 121);
-		assertThat(this.life.handle(new ProbeFailed(this.second), 122)).contains(new ChooseMember(1, this.spare));
+		assertThat(this.life.handle(new ProbeFailed(this.second), 122)).contains(new RequestAssignment(1, this.spare));
 	}
 
 	@Test
@@ -105,7 +105,7 @@
 		assertThat(this.life.handle(new GroupTick(), 50)).containsExactly(new WithdrawGroup());
 		assertThat(healthOfSecond()).isEqualTo(RankHealth.STALLED);
 		heartbeat(this.second, 3, EngineActivity.COMPUTING, 89);
-		assertThat(this.life.handle(new GroupTick(), 90)).containsExactly(new ChooseMember(1, this.spare));
+		assertThat(this.life.handle(new GroupTick(), 90)).containsExactly(new RequestAssignment(1, this.spare));
 	}
 
 	@Test
@@ -160,7 +160,7 @@
 		assertThat(this.life.handle(new GroupTick(), 149)).isEmpty();
 		assertThat(this.life.handle(new GroupTick(), 150)).containsExactly(new WithdrawGroup());
 		heartbeat(this.first, 3, EngineActivity.WAITING_FOR_PEERS, 180);
-		assertThat(this.life.handle(new GroupTick(), 190)).containsExactly(new ChooseMember(1, this.spare));
+		assertThat(this.life.handle(new GroupTick(), 190)).containsExactly(new RequestAssignment(1, this.spare));
 	}
 
 	@Test
@@ -173,11 +173,12 @@
 
 	@Test
 	void assignsSpareToOneRankOnly() {
-		assertThat(this.life.handle(new MemberExited(this.second), 3)).contains(new ChooseMember(1, this.spare));
+		assertThat(this.life.handle(new MemberExited(this.second), 3)).contains(new RequestAssignment(1, this.spare));
 
 		this.life.handle(new MemberAnnounced(this.spare), 4);
 
-		assertThat(this.life.handle(new MemberExited(this.first), 5)).doesNotContain(new ChooseMember(0, this.spare));
+		assertThat(this.life.handle(new MemberExited(this.first), 5))
+			.doesNotContain(new RequestAssignment(0, this.spare));
 	}
 
 	@Test
--- a/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/StepTimerTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/StepTimerTests.java
@@ -13,10 +13,10 @@
 
 	@Test
 	void averagesOutTwoStepsGrantedAtOnceAfterHold() {
-		this.timer.started(5, true, 0);
-		this.timer.started(6, false, 100);
+		this.timer.recordStart(5, true, 0);
+		this.timer.recordStart(6, false, 100);
 		for (int i = 1; i <= 15; i++) {
-			this.timer.started(6 + i, false, 100 + i * 4_000);
+			this.timer.recordStart(6 + i, false, 100 + i * 4_000);
 		}
 
 		assertThat(this.timer.stepNanos()).isBetween(3_500L, 4_000L);
@@ -24,10 +24,10 @@
 
 	@Test
 	void excludesTimeForWhichStepWasHeld() {
-		this.timer.started(0, false, 0);
-		this.timer.started(1, true, 1_000_000);
+		this.timer.recordStart(0, false, 0);
+		this.timer.recordStart(1, true, 1_000_000);
 		for (int i = 1; i <= 16; i++) {
-			this.timer.started(1 + i, false, 1_000_000 + i * 4_000);
+			this.timer.recordStart(1 + i, false, 1_000_000 + i * 4_000);
 		}
 
 		assertThat(this.timer.stepNanos()).isEqualTo(4_000);
--- a/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchAgentTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchAgentTests.java
@@ -130,7 +130,7 @@
 			armed();
 
 			assertThat(reach(9)).hasSize(1);
-			assertThat(reach(10)).containsExactly(new SendReport(new DecisionAsked(3, member(), ID)));
+			assertThat(reach(10)).containsExactly(new SendReport(new DecisionQuery(3, member(), ID)));
 			assertThat(order(new ReleaseSwitch(next(), new CommitDecision(BOUNDARY))))
 				.endsWith(new GrantStep(number(sequence()), 10, SECOND));
 		}
--- a/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchCoordinatorTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchCoordinatorTests.java
@@ -43,8 +43,8 @@
 	void formGroup() {
 		handle(new CoordinatorStarted());
 		handle(new MapInstallRequested(FIRST));
-		handle(new MemberChosen(0, member(0)));
-		handle(new MemberChosen(1, member(1)));
+		handle(new AssignmentRequested(0, member(0)));
+		handle(new AssignmentRequested(1, member(1)));
 		report(new StepProgress(0, member(0), 50, 0));
 		report(new StepProgress(1, member(1), 51, 0));
 		this.orders.clear();
@@ -92,7 +92,7 @@
 		SwitchId id = stageAndArm();
 		report(new SwitchArmed(0, member(0), id));
 
-		handle(new MemberChosen(0, new Member(BackendServerId.of("spare"), Incarnation.of(1))));
+		handle(new AssignmentRequested(0, new Member(BackendServerId.of("spare"), Incarnation.of(1))));
 
 		assertThat(sentDecision()).contains(new AbortDecision(id));
 	}
@@ -113,7 +113,7 @@
 		this.coordinator = coordinator(2);
 		handle(new CoordinatorStarted());
 
-		report(new DecisionAsked(0, member(0), id));
+		report(new DecisionQuery(0, member(0), id));
 
 		assertThat(sentDecision()).contains(new AbortDecision(id));
 	}
@@ -127,7 +127,7 @@
 		this.coordinator = coordinator(2);
 		handle(new CoordinatorStarted());
 
-		report(new DecisionAsked(0, member(0), id));
+		report(new DecisionQuery(0, member(0), id));
 
 		assertThat(sentDecision()).containsInstanceOf(CommitDecision.class);
 	}
--- a/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementMapsTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementMapsTests.java
@@ -21,8 +21,8 @@
 	@Test
 	void convertsSharesToWeights() {
 		ExpertMap map = toMap();
-		assertThat(map.layers().get(0).of(0)).containsExactly(new Replica(0, 0, 2500), new Replica(1, 1, 7500));
-		assertThat(map.layers().get(0).of(1)).containsExactly(new Replica(1, 0, 10_000));
+		assertThat(map.layers().get(0).replicasOf(0)).containsExactly(new Replica(0, 0, 2500), new Replica(1, 1, 7500));
+		assertThat(map.layers().get(0).replicasOf(1)).containsExactly(new Replica(1, 0, 10_000));
 	}
 
 	@Test
--- a/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementPlannerPropertyTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementPlannerPropertyTests.java
@@ -82,7 +82,7 @@
 		assertThat(skew)
 			.isGreaterThanOrEqualTo(StepSkew.lowerBound(shape, request.popularity(), request.speeds()) - 1e-6);
 		if (round > 0) {
-			double currentSkew = StepSkew.of(shape, request.present(), request.popularity(), request.speeds());
+			double currentSkew = StepSkew.of(shape, request.current(), request.popularity(), request.speeds());
 			PlacementWeights weights = plan.price().weights();
 			double bytes = plan.moves().stream().mapToLong(ExpertMove::bytes).sum();
 			assertThat(weights.skewWeight() * skew + weights.moveWeight() * bytes / (1 << 30))
@@ -96,7 +96,7 @@
 		for (int layer = 0; layer < shape.layers(); layer++) {
 			for (int position = 0; position < shape.ranks() * shape.stride(); position++) {
 				int expert = plan.placement().expert(layer, position);
-				if (expert != Placement.EMPTY && expert != request.present().expert(layer, position)) {
+				if (expert != Placement.EMPTY && expert != request.current().expert(layer, position)) {
 					moved++;
 				}
 			}
--- a/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementPlannerTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementPlannerTests.java
@@ -52,7 +52,7 @@
 		this.popularity[0][0] *= 8;
 		PlacementPlan plan = plan(PlannerSettings.of(FREE_MOVES, STORE_RATE), initialPlacement, true);
 		assertThat(plan.moves())
-			.isSortedAccordingTo((left, right) -> Double.compare(right.worthPerByte(), left.worthPerByte()));
+			.isSortedAccordingTo((left, right) -> Double.compare(right.gainPerByte(), left.gainPerByte()));
 	}
 
 	private Placement initialPlacement() {
--- a/comfreywall-group/src/test/java/org/comfreywall/group/placement/PopularityEstimatorTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/placement/PopularityEstimatorTests.java
@@ -22,11 +22,11 @@
 	@Test
 	void reportsNoChangeForNoise() {
 		run(12, 1, 1);
-		this.estimator.acceptChanges();
+		this.estimator.pollChanges();
 		int changes = 0;
 		for (int interval = 0; interval < 500; interval++) {
 			run(1, 1, 1);
-			changes += (this.estimator.acceptChanges()[0]) ? 1 : 0;
+			changes += (this.estimator.pollChanges()[0]) ? 1 : 0;
 		}
 		assertThat(changes).isZero();
 	}
@@ -34,17 +34,17 @@
 	@Test
 	void ignoresAChangeOfTheTotalLoad() {
 		run(12, 1, 1);
-		this.estimator.acceptChanges();
+		this.estimator.pollChanges();
 		run(12, 3, 3);
-		assertThat(this.estimator.acceptChanges()[0]).isFalse();
+		assertThat(this.estimator.pollChanges()[0]).isFalse();
 	}
 
 	@Test
 	void detectsASuddenShiftWithinTwoIntervals() {
 		run(20, 1, 1);
-		this.estimator.acceptChanges();
+		this.estimator.pollChanges();
 		run(2, 1, 3);
-		assertThat(this.estimator.acceptChanges()[0]).isTrue();
+		assertThat(this.estimator.pollChanges()[0]).isTrue();
 		double[] forecast = this.estimator.forecast()[0];
 		assertThat(forecast[0] / forecast[1]).isCloseTo(3, within(0.3));
 	}
--- a/comfreywall-group/src/test/java/org/comfreywall/group/report/GroupStatusTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/report/GroupStatusTests.java
@@ -39,7 +39,7 @@
 
 	@Test
 	void dropsOldestIncompleteStep() {
-		for (int step = 0; step <= SkewMeter.OPEN_STEPS; step++) {
+		for (int step = 0; step <= SkewMeter.MAX_INCOMPLETE_STEPS; step++) {
 			this.meter.record(0, step, 100);
 		}
 		this.meter.record(1, 0, 100);
--- a/comfreywall-group/src/test/java/org/comfreywall/group/straggler/StragglerDetectorTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/straggler/StragglerDetectorTests.java
@@ -99,7 +99,7 @@
 			run(60, 0.6, 0.6, true);
 			assertThat(StragglerDetectorTests.this.commands).filteredOn(StragglerCommand.ReplaceRank.class::isInstance)
 				.hasSize(1);
-			StragglerDetectorTests.this.detector.replaced(SLOW_RANK);
+			StragglerDetectorTests.this.detector.resetRank(SLOW_RANK);
 			assertThat(StragglerDetectorTests.this.detector.condition(SLOW_RANK)).isEqualTo(RankCondition.HEALTHY);
 		}
 
