--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/CommitCluster.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/CommitCluster.java
@@ -24,7 +24,7 @@
 import org.comfreywall.control.log.LogSettings;
 import org.comfreywall.control.log.PeerMessage;
 import org.comfreywall.control.runtime.ControlNode;
-import org.comfreywall.control.runtime.ControlNodeParts;
+import org.comfreywall.control.runtime.ControlNodeDependencies;
 import org.comfreywall.control.runtime.ControlNodeSettings;
 import org.comfreywall.control.state.ReplicatedClaims;
 import org.comfreywall.control.state.StateMachine;
@@ -60,7 +60,7 @@
 					DiskStorage.DEFAULT_SEGMENT_BYTES)
 			.value()
 			.orElseThrow();
-		ControlNodeParts parts = new ControlNodeParts(instance, storage,
+		ControlNodeDependencies parts = new ControlNodeDependencies(instance, storage,
 				new StateMachine(List.of(new ReplicatedClaims(ClaimLedgerSettings.DEFAULT))), this::pass,
 				Clock.system(), new Random(instance.value().hashCode()), DecisionListener.NONE, new Invariants(),
 				new MetricRegistry());
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClaimants.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClaimants.java
@@ -64,7 +64,7 @@
 		this.world.checker().granted(key, owner);
 		if (this.world.random().nextDouble() < FINISHED_SHARE) {
 			RecordedAnswer recorded = new RecordedAnswer(200, "text/plain", Bytes.ofText("booked"));
-			submit(ClaimCommandCodec.finish(key, owner, recorded), (finished) -> checkFinished(key, finished));
+			submit(ClaimCommandCodec.recordAnswer(key, owner, recorded), (finished) -> checkFinished(key, finished));
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunWorld.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunWorld.java
@@ -11,7 +11,7 @@
 
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.invariant.Invariants;
-import org.comfreywall.control.log.FoundingBatch;
+import org.comfreywall.control.log.BootstrapBatch;
 import org.comfreywall.control.log.LogSettings;
 import org.comfreywall.control.log.MessageReceived;
 import org.comfreywall.control.log.PeerMessage;
@@ -47,7 +47,7 @@
 		this.random = new Random(seed);
 		this.network = new RunNetwork(this.schedule, this.random, this::deliver);
 		List<InstanceId> founders = IntStream.rangeClosed(1, size).mapToObj(RunWorld::name).toList();
-		founders.forEach((founder) -> add(MemoryStorage.with(FoundingBatch.STORAGE_ID, FoundingBatch.of(founders))));
+		founders.forEach((founder) -> add(MemoryStorage.with(BootstrapBatch.STORAGE_ID, BootstrapBatch.of(founders))));
 	}
 
 	private static InstanceId name(int number) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryDriver.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryDriver.java
@@ -101,7 +101,8 @@
 			claim(claim);
 		}
 		else if (command instanceof FinishClaim finish) {
-			repeat((ledger) -> ledger.claims().finish(finish.key(), finish.owner(), finish.answer(), ledger.logTime()));
+			repeat((ledger) -> ledger.claims()
+				.recordAnswer(finish.key(), finish.owner(), finish.answer(), ledger.logTime()));
 		}
 		else if (command instanceof MarkClaimUnknown mark) {
 			repeat((ledger) -> ledger.claims().markUnknown(mark.key(), mark.owner(), ledger.logTime()));
@@ -125,7 +126,7 @@
 		else if (command instanceof RecordCrash crash) {
 			this.world.ledger()
 				.callUntilAnswered(this.entry,
-						LedgerNode.none((ledger) -> ledger.poison().charge(crash.report(), ledger.logTime())),
+						LedgerNode.none((ledger) -> ledger.poison().recordCrash(crash.report(), ledger.logTime())),
 						(done) -> this.entry.handle(new CrashRecorded(crash.request())));
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/SidecarNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/SidecarNode.java
@@ -193,7 +193,7 @@
 		else if (command instanceof ReportCrash report) {
 			this.world.ledger()
 				.callUntilAnswered(this,
-						LedgerNode.none((ledger) -> ledger.poison().charge(report.report(), ledger.logTime())),
+						LedgerNode.none((ledger) -> ledger.poison().recordCrash(report.report(), ledger.logTime())),
 						(done) -> {
 						});
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ControlSpreadMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ControlSpreadMeasurement.java
@@ -182,7 +182,7 @@
 	private static long routes(List<FleetNode> entries, InstanceId leaver) {
 		return entries.stream().filter((entry) -> {
 			MemberView view = new MemberView();
-			view.apply(SizedFleet.spreadNode(entry).member("m/" + leaver), true);
+			view.apply(SizedFleet.spreadNode(entry).findMember("m/" + leaver), true);
 			return view.isRoutable(leaver);
 		}).count();
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Fleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Fleet.java
@@ -161,7 +161,7 @@
 		node.start(life, core);
 		if (life.role() == NodeRole.CONTROL) {
 			List<Delta> onDisk = this.accepted.subList(0, node.accepted());
-			onDisk.forEach((delta) -> handle(node, new SpreadEvent.Accepted(delta)));
+			onDisk.forEach((delta) -> handle(node, new SpreadEvent.ConfigurationCommitted(delta)));
 		}
 		long phase = (long) (this.random.nextDouble() * this.settings.tickInterval().toNanos());
 		this.time.after(phase, () -> tick(node, core));
@@ -210,7 +210,7 @@
 		FleetNode node = this.nodes.get(id);
 		List<Delta> missed = List.copyOf(this.accepted.subList(node.accepted(), this.accepted.size()));
 		node.accepted(this.accepted.size());
-		missed.forEach((delta) -> handle(node, new SpreadEvent.Accepted(delta)));
+		missed.forEach((delta) -> handle(node, new SpreadEvent.ConfigurationCommitted(delta)));
 		handle(node, new SpreadEvent.LeaderChanged(this.term, this.leader));
 	}
 
@@ -240,7 +240,7 @@
 	private void acceptIfNext(FleetNode node, SpreadCore core, Delta delta, int count) {
 		if (node.isAlive() && node.core() == core && node.accepted() == count - 1) {
 			node.accepted(count);
-			handle(node, new SpreadEvent.Accepted(delta));
+			handle(node, new SpreadEvent.ConfigurationCommitted(delta));
 		}
 	}
 
@@ -262,7 +262,7 @@
 		else if (command instanceof SpreadCommand.ConfigurationInForce configuration) {
 			node.inForce(configuration.version(), this.time.now());
 		}
-		else if (command instanceof SpreadCommand.MembersInForce members && this.views) {
+		else if (command instanceof SpreadCommand.MembersUpdated members && this.views) {
 			node.view().apply(members.changes(), members.whole());
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetWatcher.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetWatcher.java
@@ -71,7 +71,7 @@
 		if (command instanceof SpreadCommand.ConfigurationInForce configuration) {
 			inForce(node.id(), configuration.version());
 		}
-		else if (command instanceof SpreadCommand.MembersInForce) {
+		else if (command instanceof SpreadCommand.MembersUpdated) {
 			membersInForce(node);
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/OrderTraffic.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/OrderTraffic.java
@@ -80,7 +80,7 @@
 
 	void elected(InstanceId control, Term term) {
 		on(control, new OrderEvent.LeadershipGained(term));
-		this.fleet.lastOrder(this.issuers.get(control).last());
+		this.fleet.lastOrder(this.issuers.get(control).lastNumber());
 	}
 
 	void request(InstanceId control, InstanceId sidecar, int version) {
@@ -97,9 +97,10 @@
 		if (!this.fleet.node(control).isAlive()) {
 			return;
 		}
-		List<OrderCommand> commands = issuer.on(event, this.fleet.time().now());
-		if (this.fleet.leader().filter(control::equals).isPresent() && issuer.last().term().equals(this.fleet.term())) {
-			this.fleet.lastOrder(issuer.last());
+		List<OrderCommand> commands = issuer.handle(event, this.fleet.time().now());
+		if (this.fleet.leader().filter(control::equals).isPresent()
+				&& issuer.lastNumber().term().equals(this.fleet.term())) {
+			this.fleet.lastOrder(issuer.lastNumber());
 		}
 		for (OrderCommand command : commands) {
 			if (command instanceof OrderCommand.SendOrder send) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomRun.java
@@ -355,7 +355,7 @@
 
 		@Override
 		public void onCommand(FleetNode node, SpreadCommand command) {
-			if (command instanceof SpreadCommand.FloorLearnt learnt) {
+			if (command instanceof SpreadCommand.FloorConfirmed learnt) {
 				SpreadRandomRun.this.orders.floorLearnt(node.id(), learnt.floor().orders());
 			}
 			SpreadRandomRun.this.watcher.onCommand(node, command);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
@@ -37,9 +37,9 @@
 
 	private final OptionalLong earlierSlots;
 
-	private final GrantedRate requests;
+	private final LeaseTokenBucket requests;
 
-	private final GrantedRate tokens;
+	private final LeaseTokenBucket tokens;
 
 	private final Map<HolderKey, Holder> holders = new HashMap<>();
 
@@ -56,8 +56,8 @@
 		this.context = context;
 		this.earlierSlots = earlierSlots;
 		long term = context.terms().rateTerm().toNanos();
-		this.requests = new GrantedRate(term, context.ratesFrom());
-		this.tokens = new GrantedRate(term, context.ratesFrom());
+		this.requests = new LeaseTokenBucket(term, context.ratesFrom());
+		this.tokens = new LeaseTokenBucket(term, context.ratesFrom());
 	}
 
 	void configure(LimitPart part) {
@@ -69,7 +69,7 @@
 		this.slots = part.slots();
 	}
 
-	AccountGrant answer(HolderKey key, long sequence, Term holderTerm, AccountDemand demand, long now) {
+	AccountGrant handleDemand(HolderKey key, long sequence, Term holderTerm, AccountDemand demand, long now) {
 		Holder holder = this.holders.get(key);
 		if (holder == null) {
 			if (this.holders.size() >= MAX_HOLDERS) {
@@ -80,7 +80,7 @@
 			this.holders.put(key, holder);
 		}
 		long committedBefore = holder.slots().committed(now);
-		holder.hear(demand, now, now + this.context.longestRequestNanos());
+		holder.recordDemand(demand, now, now + this.context.longestRequestNanos());
 		this.committedSlots += holder.slots().committed(now) - committedBefore;
 		refund(holderTerm, demand, now);
 		divideIfDue(now);
@@ -99,14 +99,14 @@
 		return this.holders.values().stream().mapToLong((holder) -> holder.slots().committed(now)).sum();
 	}
 
-	long liveRequests(long now) {
+	long unexpiredRequests(long now) {
 		this.requests.available(now);
-		return this.requests.live();
+		return this.requests.unexpired();
 	}
 
-	long liveTokens(long now) {
+	long unexpiredTokens(long now) {
 		this.tokens.available(now);
-		return this.tokens.live();
+		return this.tokens.unexpired();
 	}
 
 	/**
@@ -116,7 +116,7 @@
 	 */
 	boolean isUnused(long now) {
 		boolean noLimits = this.slots == 0 && this.requests.capacity() == 0 && this.tokens.capacity() == 0;
-		return noLimits && committedSlots(now) == 0 && liveRequests(now) == 0 && liveTokens(now) == 0;
+		return noLimits && committedSlots(now) == 0 && unexpiredRequests(now) == 0 && unexpiredTokens(now) == 0;
 	}
 
 	int holders() {
@@ -128,7 +128,7 @@
 		boolean granted = demand.heldSlots() > 0 && demand.heldTerm().isBefore(this.context.term());
 		if (granted) {
 			SlotGrant inherited = new SlotGrant(demand.heldSequence(), demand.heldSlots(), slotsExpireAt(now));
-			holder.inherit(inherited);
+			holder.addInheritedSlots(inherited);
 			this.committedSlots += holder.slots().committed(now);
 		}
 	}
@@ -149,11 +149,11 @@
 		this.committedSlots = 0;
 		long activeSince = now - 2 * this.context.terms().askInterval().toNanos();
 		this.holders.values()
-			.removeIf((holder) -> !holder.heardSince(activeSince) && holder.slots().committed(now) == 0);
+			.removeIf((holder) -> !holder.wasActiveSince(activeSince) && holder.slots().committed(now) == 0);
 		this.holders.values().forEach((holder) -> this.committedSlots += holder.slots().committed(now));
 		List<Holder> activeHolders = this.holders.values()
 			.stream()
-			.filter((holder) -> holder.heardSince(activeSince))
+			.filter((holder) -> holder.wasActiveSince(activeSince))
 			.toList();
 		this.division.divide(activeHolders, divisionInput(now), now);
 	}
@@ -176,15 +176,15 @@
 		boolean useful = granted >= Math.min(1, demand.slots()) && isUseful(rates, demand);
 		if (!useful) {
 			rates = noRates();
-			granted = holder.keepsTurn(now) ? granted : Math.min(granted, Math.max(divided, demand.usedSlots()));
+			granted = holder.keepsTurnSlot(now) ? granted : Math.min(granted, Math.max(divided, demand.usedSlots()));
 		}
 		if (!spendRates(rates.requests(), rates.tokens(), now)) {
 			rates = noRates();
 		}
 		holder.waiting(!useful && fitsCapacity(demand));
-		if (useful && holder.turn()) {
+		if (useful && holder.inTurn()) {
 			this.division.endTurn(holder);
-			holder.served(sequence, now + this.context.terms().rateTerm().toNanos(), now);
+			holder.recordServed(sequence, now + this.context.terms().rateTerm().toNanos(), now);
 		}
 		commitSlots(holder, sequence, granted, now);
 		AccountGrant grant = new AccountGrant(this.account, rates.requests(), rates.tokens(), granted);
@@ -198,13 +198,13 @@
 		AccountDemand demand = holder.demand();
 		double requestsLeft = this.requests.available(now);
 		double tokensLeft = this.tokens.available(now);
-		if (!holder.turn()) {
+		if (!holder.inTurn()) {
 			requestsLeft -= this.division.reservedRequests();
 			tokensLeft -= this.division.reservedTokens();
 		}
 		long requests = this.division.requests(holder);
 		long tokens = this.division.tokens(holder);
-		if (holder.turn()) {
+		if (holder.inTurn()) {
 			requests = Math.max(requests, Math.min(1, demand.requests()));
 			tokens = Math.max(tokens, Math.min(demand.smallestTokens(), demand.tokens()));
 		}
@@ -234,9 +234,9 @@
 		return withinLimits;
 	}
 
-	private boolean isWithinLimit(GrantedRate bucket, long amount, String invariant) {
+	private boolean isWithinLimit(LeaseTokenBucket bucket, long amount, String invariant) {
 		boolean within = amount <= bucket.level() + ROUNDING
-				&& bucket.level() + bucket.live() <= Math.max(bucket.capacity(), bucket.live()) + ROUNDING;
+				&& bucket.level() + bucket.unexpired() <= Math.max(bucket.capacity(), bucket.unexpired()) + ROUNDING;
 		return this.context.invariants()
 			.holds(within, invariant, Field.of("client-account", this.account), Field.of("amount", amount));
 	}
@@ -247,14 +247,14 @@
 		long target = this.division.slots(holder, now);
 		long others = this.committedSlots - holder.slots().committed(now);
 		if (now < this.context.slotsFrom()) {
-			target = Math.min(target, Math.max(holder.inherited(), this.slots - others - earlierSlots(now)));
+			target = Math.min(target, Math.max(holder.inheritedSlots(), this.slots - others - earlierSlots(now)));
 		}
 		return Math.max(0, Math.min(target, this.slots - others));
 	}
 
 	private void commitSlots(Holder holder, long sequence, long granted, long now) {
 		long committedBefore = holder.slots().committed(now);
-		holder.slots().add(new SlotGrant(sequence, granted, slotsExpireAt(now)));
+		holder.slots().addGrant(new SlotGrant(sequence, granted, slotsExpireAt(now)));
 		this.committedSlots += holder.slots().committed(now) - committedBefore;
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/FairDivision.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/FairDivision.java
@@ -68,7 +68,7 @@
 	 */
 	long slots(Holder holder, long now) {
 		long divided = dividedSlots(holder);
-		boolean turn = holder.turn() || holder.keepsTurn(now);
+		boolean turn = holder.inTurn() || holder.keepsTurnSlot(now);
 		return (turn && divided < holder.demand().slots()) ? divided + 1 : divided;
 	}
 
@@ -102,12 +102,12 @@
 		this.reservedTokens = 0;
 		long slotsLeft = input.slots();
 		for (Holder holder : holders) {
-			holder.turn(false);
-			boolean keepsSlot = holder.keepsTurn(now) && dividedSlots(holder) < holder.demand().slots();
+			holder.inTurn(false);
+			boolean keepsSlot = holder.keepsTurnSlot(now) && dividedSlots(holder) < holder.demand().slots();
 			slotsLeft -= keepsSlot ? dividedSlots(holder) + 1 : dividedSlots(holder);
 		}
 		List<Holder> queue = holders.stream()
-			.filter((holder) -> needsTurn(holder) && !holder.keepsTurn(now))
+			.filter((holder) -> needsTurn(holder) && !holder.keepsTurnSlot(now))
 			.sorted(BY_SERVED)
 			.toList();
 		for (Holder holder : queue) {
@@ -118,7 +118,7 @@
 			if (slotsLeft <= 0 || !(first || available)) {
 				return;
 			}
-			holder.turn(true);
+			holder.inTurn(true);
 			this.reservedRequests++;
 			this.reservedTokens += demand.smallestTokens();
 			slotsLeft -= (dividedSlots(holder) < demand.slots()) ? 1 : 0;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/HeldSlots.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/HeldSlots.java
@@ -26,18 +26,18 @@
 	 * @param requestsEndAt when the requests in flight have ended, in nanoseconds on the
 	 * grantor's clock
 	 */
-	void report(AccountDemand demand, long requestsEndAt) {
+	void applyReport(AccountDemand demand, long requestsEndAt) {
 		this.grants.removeIf((grant) -> grant.sequence() < demand.heldSequence());
 		if (!this.grants.isEmpty() && this.grants.get(0).sequence() == demand.heldSequence()) {
 			SlotGrant held = this.grants.get(0);
 			long slots = Math.min(held.slots(), demand.heldSlots());
-			this.grants.set(0, new SlotGrant(held.sequence(), slots, held.until()));
+			this.grants.set(0, new SlotGrant(held.sequence(), slots, held.expiresAt()));
 		}
 		this.used = demand.usedSlots();
 		this.usedUntil = requestsEndAt;
 	}
 
-	void add(SlotGrant grant) {
+	void addGrant(SlotGrant grant) {
 		if (this.grants.size() == MAX_GRANTS) {
 			SlotGrant oldest = this.grants.remove(0);
 			this.grants.set(0, oldest.merge(this.grants.get(0)));
@@ -48,7 +48,7 @@
 	long committed(long now) {
 		long maximum = (now < this.usedUntil) ? this.used : 0;
 		for (SlotGrant grant : this.grants) {
-			if (now < grant.until()) {
+			if (now < grant.expiresAt()) {
 				maximum = Math.max(maximum, grant.slots());
 			}
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/Holder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/Holder.java
@@ -21,40 +21,40 @@
 
 	private boolean waiting;
 
-	private boolean turn;
+	private boolean inTurn;
 
 	private long turnSequence;
 
 	private long turnUntil = NEVER;
 
-	private long inherited;
+	private long inheritedSlots;
 
 	Holder(HolderKey key) {
 		this.key = key;
 	}
 
-	void hear(AccountDemand demand, long now, long usedUntil) {
+	void recordDemand(AccountDemand demand, long now, long usedUntil) {
 		this.demand = demand;
 		this.demandReceivedAt = now;
-		this.slots.report(demand, usedUntil);
+		this.slots.applyReport(demand, usedUntil);
 	}
 
 	/**
 	 * Adds slots that a grantor of an earlier term granted.
 	 * @param grant the slots and when they expire
 	 */
-	void inherit(SlotGrant grant) {
-		this.slots.add(grant);
-		this.inherited = grant.slots();
+	void addInheritedSlots(SlotGrant grant) {
+		this.slots.addGrant(grant);
+		this.inheritedSlots = grant.slots();
 	}
 
 	void waiting(boolean waiting) {
 		this.waiting = waiting;
 	}
 
-	void served(long sequence, long until, long now) {
+	void recordServed(long sequence, long until, long now) {
 		this.servedAt = now;
-		this.turn = false;
+		this.inTurn = false;
 		this.turnSequence = sequence;
 		this.turnUntil = until;
 	}
@@ -65,13 +65,13 @@
 	 * @param now the time in nanoseconds
 	 * @return {@code true} if it should keep that slot
 	 */
-	boolean keepsTurn(long now) {
+	boolean keepsTurnSlot(long now) {
 		boolean grantArrived = this.demand.heldSequence() >= this.turnSequence;
 		boolean hasFreeSlot = this.demand.heldSlots() > this.demand.usedSlots();
 		return now < this.turnUntil && (!grantArrived || hasFreeSlot);
 	}
 
-	boolean heardSince(long time) {
+	boolean wasActiveSince(long time) {
 		return this.demandReceivedAt >= time;
 	}
 
@@ -87,8 +87,8 @@
 		return this.demand;
 	}
 
-	long inherited() {
-		return this.inherited;
+	long inheritedSlots() {
+		return this.inheritedSlots;
 	}
 
 	long servedAt() {
@@ -99,12 +99,12 @@
 		return this.waiting;
 	}
 
-	boolean turn() {
-		return this.turn;
+	boolean inTurn() {
+		return this.inTurn;
 	}
 
-	void turn(boolean turn) {
-		this.turn = turn;
+	void inTurn(boolean turn) {
+		this.inTurn = turn;
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
@@ -116,9 +116,9 @@
 	 * @param now the grantor's monotonic clock in nanoseconds
 	 * @return the number of requests
 	 */
-	public long liveRequests(AccountId account, long now) {
+	public long unexpiredRequests(AccountId account, long now) {
 		AccountLedger ledger = this.accounts.get(account);
-		return (ledger != null) ? ledger.liveRequests(now) : 0;
+		return (ledger != null) ? ledger.unexpiredRequests(now) : 0;
 	}
 
 	/**
@@ -127,9 +127,9 @@
 	 * @param now the grantor's monotonic clock in nanoseconds
 	 * @return the number of tokens
 	 */
-	public long liveTokens(AccountId account, long now) {
+	public long unexpiredTokens(AccountId account, long now) {
 		AccountLedger ledger = this.accounts.get(account);
-		return (ledger != null) ? ledger.liveTokens(now) : 0;
+		return (ledger != null) ? ledger.unexpiredTokens(now) : 0;
 	}
 
 	/**
@@ -171,7 +171,7 @@
 		for (AccountDemand demand : request.demands()) {
 			AccountLedger ledger = this.accounts.get(demand.account());
 			if (ledger != null) {
-				grants.add(ledger.answer(key, request.sequence(), request.term(), demand, now));
+				grants.add(ledger.handleDemand(key, request.sequence(), request.term(), demand, now));
 			}
 		}
 		LeaseGrant grant = new LeaseGrant(this.context.term(), request.holder(), request.incarnation(),
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/GrantedRate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseTokenBucket.java
@@ -8,7 +8,7 @@
  * holders spend in any window therefore stays within the capacity plus the rate times the
  * window, however late in its term they spend a grant.
  */
-final class GrantedRate {
+final class LeaseTokenBucket {
 
 	private static final int SLICES_PER_TERM = 8;
 
@@ -35,7 +35,7 @@
 
 	private long advancedAt;
 
-	GrantedRate(long termNanos, long startAt) {
+	LeaseTokenBucket(long termNanos, long startAt) {
 		this.termNanos = termNanos;
 		this.sliceNanos = Math.max(1, termNanos / SLICES_PER_TERM);
 		this.advancedAt = startAt;
@@ -79,7 +79,7 @@
 		return this.capacity;
 	}
 
-	long live() {
+	long unexpired() {
 		return this.unexpired;
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/SlotGrant.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/SlotGrant.java
@@ -5,13 +5,14 @@
  *
  * @param sequence the sequence number of the lease request
  * @param slots the slots granted
- * @param until when the last request admitted under the grant has ended, in nanoseconds
- * on the grantor's clock
+ * @param expiresAt when the last request admitted under the grant has ended, in
+ * nanoseconds on the grantor's clock
  */
-record SlotGrant(long sequence, long slots, long until) {
+record SlotGrant(long sequence, long slots, long expiresAt) {
 
 	SlotGrant merge(SlotGrant newer) {
-		return new SlotGrant(newer.sequence, Math.max(this.slots, newer.slots), Math.max(this.until, newer.until));
+		return new SlotGrant(newer.sequence, Math.max(this.slots, newer.slots),
+				Math.max(this.expiresAt, newer.expiresAt));
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/ClaimLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/ClaimLedger.java
@@ -44,9 +44,9 @@
 	private final Map<ClaimKey, ClaimEntry> claims = new LinkedHashMap<>();
 
 	/** Keys of the claims with a recorded answer, by {@link ClaimEntry#answerOrder}. */
-	private final TreeMap<Long, ClaimKey> answered = new TreeMap<>();
+	private final TreeMap<Long, ClaimKey> answersByOrder = new TreeMap<>();
 
-	private long storedBytes;
+	private long storedAnswerBytes;
 
 	private long logTime;
 
@@ -73,10 +73,10 @@
 			Incarnation incarnation, long now) {
 		Preconditions.notNull(key, "key");
 		ClaimRunning claim = new ClaimRunning(owner, backendServer, incarnation);
-		advance(now);
+		advanceTime(now);
 		ClaimEntry earlier = this.claims.get(key);
 		if (earlier != null) {
-			return Result.success(compare(earlier, bodyDigest, claim));
+			return Result.success(resultForExisting(earlier, bodyDigest, claim));
 		}
 		if (this.claims.size() >= this.settings.capacity()) {
 			return failure(ErrorCode.OVERLOADED, "The claim ledger is full; send the request again later");
@@ -97,10 +97,10 @@
 	 * @return the claim's state after the call, or the error with which the call was
 	 * rejected
 	 */
-	public Result<ClaimState> finish(ClaimKey key, RequestId owner, RecordedAnswer answer, long now) {
+	public Result<ClaimState> recordAnswer(ClaimKey key, RequestId owner, RecordedAnswer answer, long now) {
 		Preconditions.notNull(answer, "answer");
-		advance(now);
-		return owned(key, owner).map((entry) -> finish(entry, answer));
+		advanceTime(now);
+		return findOwned(key, owner).map((entry) -> recordAnswer(entry, answer));
 	}
 
 	/**
@@ -112,12 +112,12 @@
 	 * rejected
 	 */
 	public Result<ClaimState> markUnknown(ClaimKey key, RequestId owner, long now) {
-		advance(now);
-		return owned(key, owner).map((entry) -> {
+		advanceTime(now);
+		return findOwned(key, owner).map((entry) -> {
 			if (entry.state() instanceof ClaimCompleted) {
 				return entry.state();
 			}
-			return replace(entry, new ClaimUnknown(owner));
+			return replaceState(entry, new ClaimUnknown(owner));
 		});
 	}
 
@@ -130,8 +130,8 @@
 	 */
 	public Result<ClaimRunning> release(ClaimKey key, NotRunProof proof, long now) {
 		Preconditions.notNull(proof, "proof");
-		advance(now);
-		return owned(key, proof.owner()).flatMap((entry) -> {
+		advanceTime(now);
+		return findOwned(key, proof.owner()).flatMap((entry) -> {
 			if (entry.state() instanceof ClaimRunning claim && proof.covers(claim)) {
 				this.claims.remove(key);
 				return Result.success(claim);
@@ -171,19 +171,19 @@
 	 */
 	public void restore(ClaimLedgerSnapshot snapshot) {
 		this.claims.clear();
-		this.answered.clear();
-		this.storedBytes = 0;
+		this.answersByOrder.clear();
+		this.storedAnswerBytes = 0;
 		this.logTime = snapshot.logTime();
 		for (ClaimEntry entry : snapshot.entries()) {
 			this.claims.put(entry.key(), entry);
-			this.storedBytes += entry.bodyLength();
+			this.storedAnswerBytes += entry.bodyLength();
 			if (entry.answerOrder() > 0) {
-				this.answered.put(entry.answerOrder(), entry.key());
+				this.answersByOrder.put(entry.answerOrder(), entry.key());
 			}
 		}
 	}
 
-	private ClaimResult compare(ClaimEntry earlier, String bodyDigest, ClaimRunning claim) {
+	private ClaimResult resultForExisting(ClaimEntry earlier, String bodyDigest, ClaimRunning claim) {
 		if (!earlier.bodyDigest().equals(bodyDigest)) {
 			return new ClaimMismatch();
 		}
@@ -193,41 +193,41 @@
 		return new ClaimFound(earlier.state());
 	}
 
-	private ClaimState finish(ClaimEntry entry, RecordedAnswer answer) {
+	private ClaimState recordAnswer(ClaimEntry entry, RecordedAnswer answer) {
 		if (entry.state() instanceof ClaimCompleted) {
 			return entry.state();
 		}
 		if (answer.body().length() > this.settings.maxAnswerBytes()) {
-			return replace(entry, new ClaimUnknown(entry.state().owner()));
+			return replaceState(entry, new ClaimUnknown(entry.state().owner()));
 		}
 		ClaimCompleted completed = new ClaimCompleted(entry.state().owner(), answer);
-		long order = this.answered.isEmpty() ? 1 : this.answered.lastKey() + 1;
+		long order = this.answersByOrder.isEmpty() ? 1 : this.answersByOrder.lastKey() + 1;
 		this.claims.put(entry.key(), entry.withAnswer(completed, order));
-		this.answered.put(order, entry.key());
-		this.storedBytes += answer.body().length();
+		this.answersByOrder.put(order, entry.key());
+		this.storedAnswerBytes += answer.body().length();
 		evictAnswers();
 		return completed;
 	}
 
 	private void evictAnswers() {
-		while (this.storedBytes > this.settings.maxStoredBytes()) {
-			ClaimEntry evicted = this.claims.get(this.answered.firstEntry().getValue());
-			replace(evicted, new ClaimUnknown(evicted.state().owner()));
+		while (this.storedAnswerBytes > this.settings.maxStoredBytes()) {
+			ClaimEntry evicted = this.claims.get(this.answersByOrder.firstEntry().getValue());
+			replaceState(evicted, new ClaimUnknown(evicted.state().owner()));
 		}
 	}
 
-	private ClaimState replace(ClaimEntry entry, ClaimState state) {
-		forgetAnswer(entry);
+	private ClaimState replaceState(ClaimEntry entry, ClaimState state) {
+		removeAnswer(entry);
 		this.claims.put(entry.key(), entry.withoutAnswer(state));
 		return state;
 	}
 
-	private void forgetAnswer(ClaimEntry entry) {
-		this.answered.remove(entry.answerOrder());
-		this.storedBytes -= entry.bodyLength();
+	private void removeAnswer(ClaimEntry entry) {
+		this.answersByOrder.remove(entry.answerOrder());
+		this.storedAnswerBytes -= entry.bodyLength();
 	}
 
-	private Result<ClaimEntry> owned(ClaimKey key, RequestId owner) {
+	private Result<ClaimEntry> findOwned(ClaimKey key, RequestId owner) {
 		ClaimEntry entry = this.claims.get(Preconditions.notNull(key, "key"));
 		if (entry == null) {
 			return failure(ErrorCode.NOT_FOUND, "The key is not claimed; the claim was released or has expired");
@@ -238,7 +238,7 @@
 		return Result.success(entry);
 	}
 
-	private void advance(long now) {
+	private void advanceTime(long now) {
 		this.logTime = Math.max(this.logTime, now);
 		long cutoff = this.logTime - this.settings.retention().toNanos();
 		List<ClaimEntry> expired = new ArrayList<>();
@@ -253,7 +253,7 @@
 
 	private void expire(ClaimEntry entry) {
 		this.claims.remove(entry.key());
-		forgetAnswer(entry);
+		removeAnswer(entry);
 	}
 
 	private static <T> Result<T> failure(ErrorCode code, String message) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/CrashCharge.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/CrashCharge.java
@@ -26,7 +26,7 @@
 		return new CrashCharge(report.backendServer(), report.incarnation(), report.crash(), false);
 	}
 
-	CrashCharge explain() {
+	CrashCharge asExplained() {
 		return new CrashCharge(this.backendServer, this.incarnation, this.crash, true);
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonEntry.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonEntry.java
@@ -41,13 +41,13 @@
 		return unexplained ? PoisonVerdict.SUSPECT : PoisonVerdict.CLEAR;
 	}
 
-	boolean knows(CrashCharge charge) {
+	boolean covers(CrashCharge charge) {
 		return this.charges.stream()
 			.anyMatch(
 					(earlier) -> earlier.isSameLoss(charge) && (earlier.isBackendCrash() || !charge.isBackendCrash()));
 	}
 
-	PoisonEntry charge(CrashCharge charge, long now) {
+	PoisonEntry withCharge(CrashCharge charge, long now) {
 		List<CrashCharge> next = new ArrayList<>(this.charges);
 		next.removeIf(charge::isSameLoss);
 		next.add(charge);
@@ -57,13 +57,13 @@
 		return new PoisonEntry(this.fingerprint, next, this.convicted, now);
 	}
 
-	PoisonEntry convict(long now) {
+	PoisonEntry asConvicted(long now) {
 		return new PoisonEntry(this.fingerprint, this.charges, true, now);
 	}
 
-	PoisonEntry explain(List<CrashCharge> losses) {
+	PoisonEntry withExplained(List<CrashCharge> losses) {
 		List<CrashCharge> next = this.charges.stream()
-			.map((charge) -> losses.stream().anyMatch(charge::isSameLoss) ? charge.explain() : charge)
+			.map((charge) -> losses.stream().anyMatch(charge::isSameLoss) ? charge.asExplained() : charge)
 			.toList();
 		return new PoisonEntry(this.fingerprint, next, this.convicted, this.changedAt);
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedger.java
@@ -44,7 +44,7 @@
 
 	private long logTime;
 
-	private long evicted;
+	private long evictions;
 
 	/**
 	 * Creates an empty ledger.
@@ -62,11 +62,11 @@
 	 * @param report the loss and the requests that were in flight
 	 * @param now the log time in nanoseconds
 	 */
-	public void charge(CrashReport report, long now) {
+	public void recordCrash(CrashReport report, long now) {
 		Preconditions.notNull(report, "report");
-		advance(now);
+		advanceTime(now);
 		CrashCharge charge = CrashCharge.of(report);
-		report.inFlight().forEach((fingerprint) -> charge(fingerprint, charge));
+		report.inFlight().forEach((fingerprint) -> recordCrash(fingerprint, charge));
 		if (report.isolated()) {
 			convict(report.inFlight().get(0), charge.isBackendCrash());
 		}
@@ -82,7 +82,7 @@
 	 */
 	public IsolationResult acquire(Fingerprint fingerprint, RequestId owner, long now) {
 		Preconditions.notNull(owner, "owner");
-		advance(now);
+		advanceTime(now);
 		PoisonVerdict verdict = assess(fingerprint);
 		if (verdict == PoisonVerdict.CLEAR) {
 			return IsolationResult.NOT_SUSPECTED;
@@ -98,7 +98,7 @@
 		}
 		long expiresAt = this.logTime + this.settings.slotTime().toNanos();
 		this.slot = Optional.of(new IsolationSlot(fingerprint, owner, expiresAt));
-		record(fingerprint, "isolated", Field.of("request", owner), Field.of("expires-at-ns", expiresAt));
+		recordDecision(fingerprint, "isolated", Field.of("request", owner), Field.of("expires-at-ns", expiresAt));
 		return IsolationResult.GRANTED;
 	}
 
@@ -111,7 +111,7 @@
 	 */
 	public void release(Fingerprint fingerprint, RequestId owner, IsolationEnd end, long now) {
 		Preconditions.notNull(end, "end");
-		advance(now);
+		advanceTime(now);
 		if (this.slot.isEmpty() || !this.slot.get().isHeldBy(fingerprint, owner)) {
 			return;
 		}
@@ -121,7 +121,7 @@
 		}
 		else if (end == IsolationEnd.SURVIVED && assess(fingerprint) == PoisonVerdict.SUSPECT) {
 			this.entries.remove(fingerprint);
-			record(fingerprint, "cleared", Field.of("reason", "survived-isolated-run"));
+			recordDecision(fingerprint, "cleared", Field.of("reason", "survived-isolated-run"));
 		}
 	}
 
@@ -132,10 +132,10 @@
 	 * @return whether the ledger held the fingerprint
 	 */
 	public boolean clear(Fingerprint fingerprint, long now) {
-		advance(now);
+		advanceTime(now);
 		boolean removed = this.entries.remove(Preconditions.notNull(fingerprint, "fingerprint")) != null;
 		if (removed) {
-			record(fingerprint, "cleared", Field.of("reason", "operator"));
+			recordDecision(fingerprint, "cleared", Field.of("reason", "operator"));
 		}
 		return removed;
 	}
@@ -145,7 +145,7 @@
 	 * call that takes a log time does so first.
 	 * @param now the log time in nanoseconds
 	 */
-	public void advance(long now) {
+	public void advanceTime(long now) {
 		this.logTime = Math.max(this.logTime, now);
 		if (this.slot.isPresent() && this.slot.get().expiresAt() <= this.logTime) {
 			Fingerprint lost = this.slot.get().fingerprint();
@@ -178,8 +178,8 @@
 	 * was full.
 	 * @return the count since the ledger was created; not part of snapshots
 	 */
-	public long evicted() {
-		return this.evicted;
+	public long evictions() {
+		return this.evictions;
 	}
 
 	/**
@@ -201,16 +201,16 @@
 		snapshot.entries().forEach((entry) -> this.entries.put(entry.fingerprint(), entry));
 	}
 
-	private void charge(Fingerprint fingerprint, CrashCharge charge) {
+	private void recordCrash(Fingerprint fingerprint, CrashCharge charge) {
 		PoisonEntry entry = this.entries.get(fingerprint);
 		if (entry == null) {
-			makeRoom();
+			evictIfFull();
 			entry = new PoisonEntry(fingerprint, List.of(), false, this.logTime);
 		}
-		if (!entry.knows(charge)) {
-			PoisonEntry charged = entry.charge(charge, this.logTime);
-			put(charged);
-			record(fingerprint, charged.verdict().name().toLowerCase(Locale.ROOT),
+		if (!entry.covers(charge)) {
+			PoisonEntry charged = entry.withCharge(charge, this.logTime);
+			putLast(charged);
+			recordDecision(fingerprint, charged.verdict().name().toLowerCase(Locale.ROOT),
 					Field.of("backend-server", charge.backendServer()), Field.of("incarnation", charge.incarnation()),
 					Field.of("crash", charge.crash()));
 		}
@@ -222,28 +222,28 @@
 			return;
 		}
 		if (!entry.convicted()) {
-			put(entry.convict(this.logTime));
-			record(fingerprint, "quarantined", Field.of("reason", "lost-in-isolated-run"));
+			putLast(entry.asConvicted(this.logTime));
+			recordDecision(fingerprint, "quarantined", Field.of("reason", "lost-in-isolated-run"));
 		}
 		if (explains) {
-			this.entries.replaceAll((key, other) -> explain(other, entry.charges()));
+			this.entries.replaceAll((key, other) -> explainLosses(other, entry.charges()));
 		}
 	}
 
-	private PoisonEntry explain(PoisonEntry entry, List<CrashCharge> losses) {
-		PoisonEntry explained = entry.explain(losses);
+	private PoisonEntry explainLosses(PoisonEntry entry, List<CrashCharge> losses) {
+		PoisonEntry explained = entry.withExplained(losses);
 		if (explained.verdict() != entry.verdict()) {
-			record(entry.fingerprint(), "cleared", Field.of("reason", "losses-explained"));
+			recordDecision(entry.fingerprint(), "cleared", Field.of("reason", "losses-explained"));
 		}
 		return explained;
 	}
 
-	private void put(PoisonEntry entry) {
+	private void putLast(PoisonEntry entry) {
 		this.entries.remove(entry.fingerprint());
 		this.entries.put(entry.fingerprint(), entry);
 	}
 
-	private void makeRoom() {
+	private void evictIfFull() {
 		if (this.entries.size() < this.settings.capacity()) {
 			return;
 		}
@@ -253,10 +253,10 @@
 			.findFirst()
 			.orElseGet(() -> this.entries.values().iterator().next());
 		this.entries.remove(oldest.fingerprint());
-		this.evicted++;
+		this.evictions++;
 	}
 
-	private void record(Fingerprint fingerprint, String result, Field... inputs) {
+	private void recordDecision(Fingerprint fingerprint, String result, Field... inputs) {
 		this.listener.onDecision(DecisionRecord.of(DecisionKind.QUARANTINE, fingerprint.toString(), result, inputs));
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/FoundingBatch.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/BootstrapBatch.java
@@ -11,7 +11,7 @@
 /**
  * Creates the bootstrap batch of a log, which is the same on all initial voters.
  */
-public final class FoundingBatch {
+public final class BootstrapBatch {
 
 	/** The identifier of the data folders of all initial voters. */
 	public static final long STORAGE_ID = 1;
@@ -19,7 +19,7 @@
 	/** The index of the entry that sets the initial membership. */
 	static final long INDEX = 1;
 
-	private FoundingBatch() {
+	private BootstrapBatch() {
 	}
 
 	/**
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/SnapshotImage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ChunkedSnapshot.java
@@ -9,7 +9,7 @@
 /**
  * An encoded snapshot divided into chunks.
  */
-final class SnapshotImage {
+final class ChunkedSnapshot {
 
 	private final LogPosition position;
 
@@ -17,20 +17,20 @@
 
 	private final int chunkBytes;
 
-	private SnapshotImage(LogPosition position, List<Bytes> chunks, int chunkBytes) {
+	private ChunkedSnapshot(LogPosition position, List<Bytes> chunks, int chunkBytes) {
 		this.position = position;
 		this.chunks = chunks;
 		this.chunkBytes = chunkBytes;
 	}
 
-	static SnapshotImage of(Snapshot snapshot, int chunkBytes) {
+	static ChunkedSnapshot of(Snapshot snapshot, int chunkBytes) {
 		byte[] encoded = LogCodec.encodeSnapshot(snapshot).toArray();
 		List<Bytes> chunks = new ArrayList<>();
 		for (int offset = 0; offset < encoded.length; offset += chunkBytes) {
 			int end = Math.min(encoded.length, offset + chunkBytes);
 			chunks.add(Bytes.of(Arrays.copyOfRange(encoded, offset, end)));
 		}
-		return new SnapshotImage(snapshot.position(), List.copyOf(chunks), chunkBytes);
+		return new ChunkedSnapshot(snapshot.position(), List.copyOf(chunks), chunkBytes);
 	}
 
 	LogPosition position() {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ElectionHandler.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ElectionHandler.java
@@ -47,10 +47,10 @@
 		if (due) {
 			this.state.resetElectionDeadline(now);
 		}
-		else if (!this.state.restartedAskDue(now)) {
+		else if (!this.state.earlyPreVoteDue(now)) {
 			return;
 		}
-		this.state.waitToAsk(now);
+		this.state.scheduleEarlyPreVote(now);
 		if (this.state.isVoter()) {
 			startPreVote(due, now);
 		}
@@ -64,14 +64,14 @@
 		this.preVoteSentAt = now;
 		this.granted.clear();
 		this.freshVoters.clear();
-		if (this.state.knowsAllVoters() && this.state.isRestarted(now)) {
-			this.freshVoters.put(this.state.self(), this.state.life());
+		if (this.state.isMembershipCommitted() && this.state.isFresh(now)) {
+			this.freshVoters.put(this.state.self(), this.state.incarnation());
 		}
 		if (due) {
 			this.granted.add(this.state.self());
 		}
 		this.state.changeRole(Role.PRE_CANDIDATE, Optional.empty());
-		VoteRequest request = new VoteRequest(true, false, this.state.log().last(), now, 0);
+		VoteRequest request = new VoteRequest(true, false, this.state.log().lastPosition(), now, 0);
 		forEachOtherVoter((peer) -> this.state.send(peer, this.state.term().next(), request));
 		startCampaignIfReady(now);
 	}
@@ -80,8 +80,8 @@
 		if (this.state.role() != Role.PRE_CANDIDATE) {
 			return;
 		}
-		boolean allFresh = now - this.preVoteSentAt < this.state.settings().voteRound().toNanos()
-				&& this.state.isRestarted(now) && allVotersFresh();
+		boolean allFresh = now - this.preVoteSentAt < this.state.settings().preVoteRound().toNanos()
+				&& this.state.isFresh(now) && allVotersFresh();
 		boolean mayVoteItself = this.granted.contains(this.state.self());
 		if (allFresh || mayVoteItself && hasQuorum()) {
 			startCampaign(false, allFresh ? Map.copyOf(this.freshVoters) : Map.of());
@@ -93,7 +93,7 @@
 		this.ownVoteSynced = false;
 		this.state.adoptTerm(this.state.term().next(), Optional.of(this.state.self()));
 		this.state.changeRole(Role.CANDIDATE, Optional.empty());
-		LogPosition last = this.state.log().last();
+		LogPosition last = this.state.log().lastPosition();
 		forEachOtherVoter((peer) -> this.state.sendSynced(peer,
 				new VoteRequest(false, leaderTransfer, last, this.preVoteSentAt, incarnations.getOrDefault(peer, 0L))));
 	}
@@ -120,8 +120,8 @@
 	}
 
 	void onRequest(PeerMessage message, VoteRequest request, long now) {
-		boolean fresh = this.state.isRestarted(now);
-		boolean allVotersFresh = fresh && request.life() == this.state.life();
+		boolean fresh = this.state.isFresh(now);
+		boolean allVotersFresh = fresh && request.voterIncarnation() == this.state.incarnation();
 		boolean noLease = request.leaderTransfer() || allVotersFresh || !this.state.leaderMayHoldLease(now);
 		if (request.preVote()) {
 			onPreVoteRequest(message, request, noLease, fresh, now);
@@ -137,17 +137,17 @@
 	private void onPreVoteRequest(PeerMessage message, VoteRequest request, boolean noLease, boolean fresh, long now) {
 		boolean mayVote = this.state.term().isBefore(message.term()) && isLogUpToDate(request);
 		VoteReply reply = new VoteReply(true, mayVote && noLease, request.sentNanos(),
-				(mayVote && fresh) ? this.state.life() : 0);
-		boolean supportsCandidate = reply.granted() || reply.life() != 0;
+				(mayVote && fresh) ? this.state.incarnation() : 0);
+		boolean supportsCandidate = reply.granted() || reply.incarnation() != 0;
 		if (supportsCandidate) {
-			this.state.waitToAsk(now);
+			this.state.scheduleEarlyPreVote(now);
 		}
 		this.state.send(message.from(), supportsCandidate ? message.term() : this.state.term(), reply);
 	}
 
 	private void onVoteRequest(PeerMessage message, VoteRequest request, long now) {
 		if (this.state.term().isBefore(message.term())) {
-			this.state.follow(message.term(), Optional.empty());
+			this.state.becomeFollower(message.term(), Optional.empty());
 		}
 		if (!mayVoteFor(message.from(), message.term()) || !isLogUpToDate(request)) {
 			refuseVote(message, request);
@@ -166,7 +166,7 @@
 	}
 
 	private boolean isLogUpToDate(VoteRequest request) {
-		return request.last().isAtLeast(this.state.log().last());
+		return request.last().isAtLeast(this.state.log().lastPosition());
 	}
 
 	private void refuseVote(PeerMessage message, VoteRequest request) {
@@ -195,8 +195,8 @@
 			if (reply.granted()) {
 				this.granted.add(message.from());
 			}
-			if (reply.life() != 0 && reply.sentNanos() == this.preVoteSentAt) {
-				this.freshVoters.put(message.from(), reply.life());
+			if (reply.incarnation() != 0 && reply.sentNanos() == this.preVoteSentAt) {
+				this.freshVoters.put(message.from(), reply.incarnation());
 			}
 			startCampaignIfReady(now);
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/EntryLog.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/EntryLog.java
@@ -39,7 +39,7 @@
 		return this.base.index() + this.entries.size();
 	}
 
-	LogPosition last() {
+	LogPosition lastPosition() {
 		return this.entries.isEmpty() ? this.base : this.entries.get(this.entries.size() - 1).position();
 	}
 
@@ -58,7 +58,7 @@
 		return entryAt(index).map((entry) -> entry.position().term());
 	}
 
-	boolean holds(LogPosition position) {
+	boolean contains(LogPosition position) {
 		return termAt(position.index()).filter(position.term()::equals).isPresent();
 	}
 
@@ -73,7 +73,7 @@
 		return entryAt(index).map(LogEntry::time).orElse(this.baseTime);
 	}
 
-	List<LogEntry> from(long index) {
+	List<LogEntry> entriesFrom(long index) {
 		return range(index, lastIndex());
 	}
 
@@ -84,11 +84,11 @@
 		return List.copyOf(this.entries.subList(offset(first), offset(last) + 1));
 	}
 
-	List<LogEntry> limited(long first, int maxEntries, int maxBytes) {
+	List<LogEntry> boundedRange(long first, int maxEntries, int maxBytes) {
 		long last = first - 1;
 		long bytes = 0;
 		while (last < lastIndex() && last - first + 1 < maxEntries) {
-			bytes += this.entries.get(offset(last + 1)).size();
+			bytes += this.entries.get(offset(last + 1)).commandBytes();
 			if (bytes > maxBytes && last >= first) {
 				break;
 			}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/FollowerHandler.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/FollowerHandler.java
@@ -27,7 +27,7 @@
 		if (previous.index() < this.state.log().base().index()) {
 			acknowledge(message, request, this.state.commitIndex());
 		}
-		else if (this.state.log().holds(previous)) {
+		else if (this.state.log().contains(previous)) {
 			append(message, request);
 		}
 		else {
@@ -42,18 +42,18 @@
 			return false;
 		}
 		boolean otherLeader = message.term().equals(this.state.term()) && this.state.role() == Role.LEADER;
-		if (!this.state.holds(!otherLeader, "one-leader-a-term", Field.of("term", message.term()),
+		if (!this.state.checkInvariant(!otherLeader, "one-leader-a-term", Field.of("term", message.term()),
 				Field.of("peer", message.from()))) {
 			return false;
 		}
-		this.state.follow(message.term(), Optional.of(message.from()));
-		this.state.heardLeader(now);
+		this.state.becomeFollower(message.term(), Optional.of(message.from()));
+		this.state.recordLeaderContact(now);
 		return true;
 	}
 
 	private void append(PeerMessage message, AppendRequest request) {
 		for (LogEntry entry : request.entries()) {
-			if (!this.state.log().holds(entry.position()) && !replaceFrom(entry)) {
+			if (!this.state.log().contains(entry.position()) && !replaceFrom(entry)) {
 				return;
 			}
 		}
@@ -65,15 +65,15 @@
 	private boolean replaceFrom(LogEntry entry) {
 		EntryLog log = this.state.log();
 		if (entry.index() <= log.lastIndex()) {
-			if (!this.state.holds(entry.index() > this.state.commitIndex(), "committed-entry-is-not-replaced",
+			if (!this.state.checkInvariant(entry.index() > this.state.commitIndex(), "committed-entry-is-not-replaced",
 					Field.of("index", entry.index()), Field.of("commit-index", this.state.commitIndex()))) {
 				return false;
 			}
 			log.truncateFrom(entry.index());
-			this.state.syncs().truncatedFrom(entry.index());
+			this.state.syncs().truncateFrom(entry.index());
 		}
-		if (!this.state.holds(entry.index() == log.lastIndex() + 1, "log-has-no-gap", Field.of("index", entry.index()),
-				Field.of("last-index", log.lastIndex()))) {
+		if (!this.state.checkInvariant(entry.index() == log.lastIndex() + 1, "log-has-no-gap",
+				Field.of("index", entry.index()), Field.of("last-index", log.lastIndex()))) {
 			return false;
 		}
 		log.append(entry);
@@ -128,19 +128,19 @@
 
 	private void install(Snapshot snapshot) {
 		EntryLog log = this.state.log();
-		if (!log.holds(snapshot.position())) {
+		if (!log.contains(snapshot.position())) {
 			log.resetTo(snapshot);
-			this.state.syncs().truncatedFrom(this.state.commitIndex() + 1);
+			this.state.syncs().truncateFrom(this.state.commitIndex() + 1);
 		}
 		else {
 			log.compactTo(snapshot.position().index());
 		}
-		this.state.restoredTo(snapshot);
+		this.state.restoreFrom(snapshot);
 	}
 
 	private void saveSnapshot(Snapshot snapshot) {
 		EntryLog log = this.state.log();
-		List<LogEntry> kept = log.from(log.base().index() + 1);
+		List<LogEntry> kept = log.entriesFrom(log.base().index() + 1);
 		Compaction compaction = new Compaction(snapshot, log.base(), this.state.hardState(), kept);
 		long sequence = this.state.syncs().startWrite(log.lastIndex());
 		this.state.emit(new SaveSnapshot(sequence, compaction, true));
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/FollowerProgress.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/FollowerProgress.java
@@ -14,7 +14,7 @@
 
 	private boolean probing = true;
 
-	private Optional<SnapshotImage> snapshot = Optional.empty();
+	private Optional<ChunkedSnapshot> snapshot = Optional.empty();
 
 	private long snapshotOffset;
 
@@ -40,7 +40,7 @@
 		return this.probing;
 	}
 
-	Optional<SnapshotImage> snapshot() {
+	Optional<ChunkedSnapshot> snapshot() {
 		return this.snapshot;
 	}
 
@@ -48,24 +48,24 @@
 		return this.snapshotOffset;
 	}
 
-	void onContact(long sentNanos, long now) {
+	void recordReply(long sentNanos, long now) {
 		this.newestAnsweredSentNanos = (this.hasReplied && this.newestAnsweredSentNanos - sentNanos > 0)
 				? this.newestAnsweredSentNanos : sentNanos;
 		this.hasReplied = true;
 		this.lastReplyAt = now;
 	}
 
-	boolean heardWithin(long nanos, long now) {
+	boolean repliedWithin(long nanos, long now) {
 		return this.hasReplied && now - this.lastReplyAt < nanos;
 	}
 
 	// Returns the time since the newest message that this member replied to was sent, in
 	// nanoseconds.
-	long sinceAnsweredMessage(long now) {
+	long answeredMessageAge(long now) {
 		return this.hasReplied ? now - this.newestAnsweredSentNanos : Long.MAX_VALUE;
 	}
 
-	void sentUpTo(long index) {
+	void recordSent(long index) {
 		this.nextIndex = index + 1;
 	}
 
@@ -80,7 +80,7 @@
 		this.probing = true;
 	}
 
-	void startSnapshot(SnapshotImage image) {
+	void startSnapshot(ChunkedSnapshot image) {
 		this.snapshot = Optional.of(image);
 		this.snapshotOffset = 0;
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderHandler.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderHandler.java
@@ -27,7 +27,7 @@
 
 	private final LeaderLease lease;
 
-	private final LeaderReads reads;
+	private final PendingReads reads;
 
 	private final MembershipPolicy membershipPolicy;
 
@@ -46,7 +46,7 @@
 		this.electedAt = now;
 		this.electedTime = state.log().lastTime();
 		this.lease = new LeaderLease(state, this.progress, now);
-		this.reads = new LeaderReads(state);
+		this.reads = new PendingReads(state);
 		this.membershipPolicy = new MembershipPolicy(state, this.progress);
 		this.barrierIndex = append(new BarrierContent(), now).index();
 		trackMembers();
@@ -54,11 +54,11 @@
 	}
 
 	void onTime(long now) {
-		if (!this.lease.heardQuorum(now)) {
-			this.state.follow(this.state.term(), Optional.empty());
+		if (!this.lease.hasQuorumContact(now)) {
+			this.state.becomeFollower(this.state.term(), Optional.empty());
 			return;
 		}
-		this.state.heardLeader(now);
+		this.state.recordLeaderContact(now);
 		this.transfer = this.transfer.filter((pending) -> !pending.expired(now));
 		if (now - this.lastHeartbeat >= this.state.settings().heartbeatInterval().toNanos()) {
 			heartbeat(now);
@@ -130,12 +130,12 @@
 			return;
 		}
 		FollowerProgress peer = found.get();
-		peer.onContact(reply.sentNanos(), now);
+		peer.recordReply(reply.sentNanos(), now);
 		if (!reply.accepted()) {
 			peer.onRefused(reply.index());
 			replicate(message.from(), peer, now, true);
 		}
-		else if (this.state.holds(reply.index() <= this.state.log().lastIndex(), "acknowledged-entry-was-sent",
+		else if (this.state.checkInvariant(reply.index() <= this.state.log().lastIndex(), "acknowledged-entry-was-sent",
 				Field.of("peer", message.from()), Field.of("index", reply.index()))) {
 			peer.onAccepted(reply.index());
 		}
@@ -148,7 +148,7 @@
 			return;
 		}
 		FollowerProgress peer = found.get();
-		peer.onContact(reply.sentNanos(), now);
+		peer.recordReply(reply.sentNanos(), now);
 		boolean current = peer.snapshot().filter((image) -> image.position().index() == reply.index()).isPresent();
 		if (current && reply.installed()) {
 			peer.snapshotInstalled(reply.index());
@@ -166,7 +166,7 @@
 		return this.state.log()
 			.membership()
 			.find(message.from())
-			.filter((member) -> member.is(message.from(), message.fromStorageId()))
+			.filter((member) -> member.matches(message.from(), message.fromStorageId()))
 			.map((member) -> this.progress.get(member.instance()));
 	}
 
@@ -181,7 +181,7 @@
 
 	// Sends everything proposed since the last call as one batch.
 	void onBatchEnd(long now) {
-		if (this.reads.needConfirmation(this.lastHeartbeat)) {
+		if (this.reads.needsConfirmation(this.lastHeartbeat)) {
 			heartbeat(now);
 		}
 		else {
@@ -197,7 +197,7 @@
 			// Steps down in the same call, so that the lease ends before the target can
 			// be
 			// elected.
-			this.state.follow(this.state.term(), Optional.empty());
+			this.state.becomeFollower(this.state.term(), Optional.empty());
 		}
 	}
 
@@ -208,11 +208,11 @@
 	// Returns whether the leader lease is in force, so that no other instance can have
 	// been elected.
 	boolean holdsLease(long now) {
-		return this.state.commitIndex() >= this.barrierIndex && this.lease.holds(now);
+		return this.state.commitIndex() >= this.barrierIndex && this.lease.isInForce(now);
 	}
 
 	long leaseUntil(long now) {
-		return this.lease.until(now);
+		return this.lease.expiresAt(now);
 	}
 
 	private LogPosition append(EntryContent content, long now) {
@@ -241,7 +241,7 @@
 	private void replicate(InstanceId peer, FollowerProgress follower, long now, boolean heartbeat) {
 		if (follower.snapshot().isEmpty() && follower.nextIndex() <= this.state.log().base().index()) {
 			this.state.snapshot()
-				.map((snapshot) -> SnapshotImage.of(snapshot, this.state.settings().snapshotChunkBytes()))
+				.map((snapshot) -> ChunkedSnapshot.of(snapshot, this.state.settings().snapshotChunkBytes()))
 				.ifPresent(follower::startSnapshot);
 		}
 		if (follower.snapshot().isPresent()) {
@@ -286,9 +286,9 @@
 		long previous = follower.nextIndex() - 1;
 		LogPosition position = log.termAt(previous).map((term) -> new LogPosition(previous, term)).orElseThrow();
 		AppendRequest request = new AppendRequest(position, this.state.commitIndex(), now,
-				log.limited(follower.nextIndex(), maxEntries, this.state.settings().maxAppendBytes()));
+				log.boundedRange(follower.nextIndex(), maxEntries, this.state.settings().maxAppendBytes()));
 		this.state.send(peer, request);
-		follower.sentUpTo(previous + request.entries().size());
+		follower.recordSent(previous + request.entries().size());
 	}
 
 	private void advanceCommit() {
@@ -301,7 +301,7 @@
 		boolean removed = this.state.log().membership().find(this.state.self()).isEmpty();
 		if (removed && this.state.log().membershipIndex() <= this.state.commitIndex()) {
 			heartbeat(this.lastHeartbeat);
-			this.state.follow(this.state.term(), Optional.empty());
+			this.state.becomeFollower(this.state.term(), Optional.empty());
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderLease.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderLease.java
@@ -30,25 +30,25 @@
 	// Returns the time since the newest message that a quorum replied to was sent, in
 	// nanoseconds.
 	long age(long now) {
-		return quorumAge((follower) -> follower.sinceAnsweredMessage(now));
+		return quorumAge((follower) -> follower.answeredMessageAge(now));
 	}
 
-	boolean holds(long now) {
+	boolean isInForce(long now) {
 		return age(now) < this.state.settings().leaseDuration().toNanos();
 	}
 
-	long until(long now) {
+	long expiresAt(long now) {
 		return now - age(now) + this.state.settings().leaseDuration().toNanos();
 	}
 
 	// Returns whether a quorum replied within the election timeout, or the leader was
 	// elected within it.
-	boolean heardQuorum(long now) {
+	boolean hasQuorumContact(long now) {
 		long timeout = this.state.settings().electionTimeout().toNanos();
 		if (now - this.electedAt < timeout) {
 			return true;
 		}
-		return quorumAge((follower) -> follower.heardWithin(timeout, now) ? 0 : Long.MAX_VALUE) == 0;
+		return quorumAge((follower) -> follower.repliedWithin(timeout, now) ? 0 : Long.MAX_VALUE) == 0;
 	}
 
 	private long quorumAge(ToLongFunction<FollowerProgress> age) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LogCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogCodec.java
@@ -83,7 +83,7 @@
 	 * @param compaction the compaction
 	 * @return the encoded batch
 	 */
-	public static Bytes encodeKept(Compaction compaction) {
+	public static Bytes encodeCompaction(Compaction compaction) {
 		Preconditions.notNull(compaction, "compaction");
 		BatchRecord.Builder builder = BatchRecord.newBuilder()
 			.setVote(toRecord(compaction.hardState()))
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LogEntry.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogEntry.java
@@ -26,7 +26,7 @@
 		return this.position.index();
 	}
 
-	int size() {
+	int commandBytes() {
 		return (this.content instanceof CommandContent command) ? command.command().length() : 0;
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LogReader.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogReader.java
@@ -45,17 +45,17 @@
 	 * @return the state from which the instance starts
 	 * @throws IllegalArgumentException if the log starts after the snapshot
 	 */
-	public DurableState finish(Optional<Snapshot> snapshot) {
+	public DurableState toDurableState(Optional<Snapshot> snapshot) {
 		LogPosition covered = snapshot.map(Snapshot::position).orElse(LogPosition.ORIGIN);
 		Preconditions.check(this.base.index() <= covered.index(),
 				"the log starts after index %d but the newest snapshot ends at %d", this.base.index(), covered.index());
-		if (holds(covered)) {
+		if (contains(covered)) {
 			return new DurableState(this.hardState, snapshot, this.base, this.entries);
 		}
 		return new DurableState(this.hardState, snapshot, covered, List.of());
 	}
 
-	private boolean holds(LogPosition position) {
+	private boolean contains(LogPosition position) {
 		if (position.equals(this.base)) {
 			return true;
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LogSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LogSettings.java
@@ -66,7 +66,7 @@
 	 * timeout, which requires that all voters are fresh.
 	 * @return two heartbeat intervals, because the first messages of a process are slow
 	 */
-	Duration voteRound() {
+	Duration preVoteRound() {
 		return this.heartbeatInterval.multipliedBy(2);
 	}
 
@@ -75,8 +75,8 @@
 	 * @return the duration of a pre-vote round plus a quarter, because clocks differ in
 	 * speed
 	 */
-	Duration shortestLife() {
-		return voteRound().multipliedBy(5).dividedBy(4);
+	Duration minFreshUptime() {
+		return preVoteRound().multipliedBy(5).dividedBy(4);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/Member.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/Member.java
@@ -17,7 +17,7 @@
 		Preconditions.notNull(instance, "instance");
 	}
 
-	boolean is(InstanceId instance, long storageId) {
+	boolean matches(InstanceId instance, long storageId) {
 		return this.instance.equals(instance) && this.storageId == storageId;
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/Membership.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/Membership.java
@@ -60,7 +60,7 @@
 	 * @return {@code true} if it counts towards a quorum
 	 */
 	public boolean isVoter(InstanceId instance, long storageId) {
-		return this.members.stream().anyMatch((member) -> member.voter() && member.is(instance, storageId));
+		return this.members.stream().anyMatch((member) -> member.voter() && member.matches(instance, storageId));
 	}
 
 	Membership withLearner(InstanceId instance, long storageId) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/MembershipPolicy.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/MembershipPolicy.java
@@ -39,7 +39,7 @@
 
 	Membership apply(MembershipChange change) {
 		Membership current = this.state.log().membership();
-		this.state.decide(DecisionKind.MEMBERSHIP, change.getClass().getSimpleName(),
+		this.state.recordDecision(DecisionKind.MEMBERSHIP, change.getClass().getSimpleName(),
 				Field.of("instance", change.instance()), Field.of("members", current.members().size()));
 		if (change instanceof AddLearner add) {
 			return current.withLearner(add.instance(), add.storageId());
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/PeerMessageCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/PeerMessageCodec.java
@@ -69,7 +69,7 @@
 			.setPreVote(request.preVote())
 			.setLeaderTransfer(request.leaderTransfer())
 			.setSentNanos(request.sentNanos())
-			.setLife(request.life())
+			.setLife(request.voterIncarnation())
 			.setLastIndex(request.last().index())
 			.setLastTerm(request.last().term().value())
 			.build();
@@ -86,7 +86,7 @@
 			.setPreVote(reply.preVote())
 			.setGranted(reply.granted())
 			.setSentNanos(reply.sentNanos())
-			.setLife(reply.life())
+			.setLife(reply.incarnation())
 			.build();
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderReads.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/PendingReads.java
@@ -11,14 +11,14 @@
  * Linearizable reads that were requested while the leader held no lease and wait until a
  * quorum confirms its leadership (ReadIndex).
  */
-final class LeaderReads {
+final class PendingReads {
 
 	private final ReplicaState state;
 
 	/** Oldest first; at most {@link LogSettings#maxPendingReads()}. */
 	private final Deque<PendingRead> pending = new ArrayDeque<>();
 
-	LeaderReads(ReplicaState state) {
+	PendingReads(ReplicaState state) {
 		this.state = state;
 	}
 
@@ -33,7 +33,7 @@
 
 	// Returns whether a read was requested after the last heartbeat, so that only the
 	// replies to another one can confirm it.
-	boolean needConfirmation(long lastHeartbeat) {
+	boolean needsConfirmation(long lastHeartbeat) {
 		return !this.pending.isEmpty() && this.pending.peekLast().requestedAt - lastHeartbeat > 0;
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaCore.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaCore.java
@@ -160,11 +160,11 @@
 	}
 
 	private void onReply(PeerMessage message, PeerBody body, long now) {
-		if (body instanceof VoteReply reply && (reply.granted() || reply.life() != 0)) {
+		if (body instanceof VoteReply reply && (reply.granted() || reply.incarnation() != 0)) {
 			onVote(message, reply, now);
 		}
 		else if (this.state.term().isBefore(message.term())) {
-			this.state.follow(message.term(), Optional.empty());
+			this.state.becomeFollower(message.term(), Optional.empty());
 		}
 		else if (message.term().equals(this.state.term()) && this.leaderHandler.isPresent()) {
 			onLeaderReply(this.leaderHandler.get(), message, body, now);
@@ -188,7 +188,7 @@
 
 	private void startLeading(long now) {
 		this.state.changeRole(Role.LEADER, Optional.of(this.state.self()));
-		this.state.heardLeader(now);
+		this.state.recordLeaderContact(now);
 		this.leaderHandler = Optional.of(new LeaderHandler(this.state, now));
 	}
 
@@ -230,10 +230,11 @@
 		this.leaderHandler.ifPresent((leader) -> leader.onBatchEnd(now));
 		SyncTracker syncs = this.state.syncs();
 		EntryLog log = this.state.log();
-		if (syncs.hasWork(log.lastIndex())) {
+		if (syncs.hasUnwritten(log.lastIndex())) {
 			Optional<HardState> hardState = syncs.hardStateDirty() ? Optional.of(this.state.hardState())
 					: Optional.empty();
-			LogBatch batch = new LogBatch(hardState, log.from(Math.max(syncs.writtenIndex(), log.base().index()) + 1));
+			LogBatch batch = new LogBatch(hardState,
+					log.entriesFrom(Math.max(syncs.writtenIndex(), log.base().index()) + 1));
 			this.state.emit(new SyncBatch(syncs.startWrite(log.lastIndex()), batch));
 		}
 	}
@@ -248,7 +249,7 @@
 
 	private void onSnapshotTaken(long index, Bytes encoded) {
 		EntryLog log = this.state.log();
-		boolean committed = this.state.holds(index <= this.state.commitIndex(), "snapshot-is-committed",
+		boolean committed = this.state.checkInvariant(index <= this.state.commitIndex(), "snapshot-is-committed",
 				Field.of("index", index), Field.of("commit-index", this.state.commitIndex()));
 		if (!committed || log.entryAt(index).isEmpty()) {
 			return;
@@ -258,12 +259,12 @@
 		this.state.snapshot(snapshot);
 		log.compactTo(index - this.state.settings().trailingEntries());
 		Compaction compaction = new Compaction(snapshot, log.base(), this.state.hardState(),
-				log.from(log.base().index() + 1));
+				log.entriesFrom(log.base().index() + 1));
 		this.state.emit(new SaveSnapshot(this.state.syncs().startWrite(log.lastIndex()), compaction, false));
 	}
 
 	private void onStorageFailed(OperationError error) {
-		this.state.decide(DecisionKind.ELECT, "storage-failed", Field.of("error", error.message()));
+		this.state.recordDecision(DecisionKind.ELECT, "storage-failed", Field.of("error", error.message()));
 		this.state.changeRole(Role.DISABLED, Optional.empty());
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaState.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/ReplicaState.java
@@ -54,7 +54,7 @@
 	private long electionDeadline;
 
 	/** Identifies this run of the process; random and never 0. */
-	private final long life;
+	private final long incarnation;
 
 	private final long startedAt;
 
@@ -79,9 +79,9 @@
 		// timeout has passed.
 		this.lastLeaderContact = now;
 		this.startedAt = now;
-		this.life = (now ^ random.nextLong()) | 1;
+		this.incarnation = (now ^ random.nextLong()) | 1;
 		resetElectionDeadline(now);
-		waitToAsk(now);
+		scheduleEarlyPreVote(now);
 	}
 
 	ReplicaIdentity identity() {
@@ -156,14 +156,14 @@
 
 	// Sends a message once the present term, vote and entries are synced to disk.
 	void sendSynced(InstanceId to, PeerBody body) {
-		this.syncs.hold(message(to, term(), body));
+		this.syncs.holdUntilSynced(message(to, term(), body));
 	}
 
-	boolean holds(boolean condition, String invariant, Field... fields) {
+	boolean checkInvariant(boolean condition, String invariant, Field... fields) {
 		return this.invariants.holds(condition, invariant, fields);
 	}
 
-	void decide(DecisionKind kind, String result, Field... inputs) {
+	void recordDecision(DecisionKind kind, String result, Field... inputs) {
 		this.decisions.onDecision(DecisionRecord.of(kind, self().value(), result, inputs));
 	}
 
@@ -180,13 +180,14 @@
 		this.role = next;
 		this.leader = nextLeader;
 		emit(new RoleChanged(next, term(), nextLeader));
-		decide(DecisionKind.ELECT, next.name().toLowerCase(Locale.ROOT), Field.of("term", term()),
+		recordDecision(DecisionKind.ELECT, next.name().toLowerCase(Locale.ROOT), Field.of("term", term()),
 				Field.of("leader", nextLeader.map(InstanceId::value).orElse("none")),
 				Field.of("commit-index", this.commitIndex), Field.of("last-index", this.log.lastIndex()));
 	}
 
 	void adoptTerm(Term term, Optional<InstanceId> votedFor) {
-		if (!holds(!term.isBefore(term()), "term-never-decreases", Field.of("from", term()), Field.of("to", term))) {
+		if (!checkInvariant(!term.isBefore(term()), "term-never-decreases", Field.of("from", term()),
+				Field.of("to", term))) {
 			return;
 		}
 		HardState next = new HardState(term, votedFor);
@@ -197,7 +198,7 @@
 		}
 	}
 
-	void follow(Term term, Optional<InstanceId> nextLeader) {
+	void becomeFollower(Term term, Optional<InstanceId> nextLeader) {
 		if (term().isBefore(term)) {
 			adoptTerm(term, Optional.empty());
 			this.leader = Optional.empty();
@@ -205,7 +206,7 @@
 		changeRole(Role.FOLLOWER, nextLeader);
 	}
 
-	void heardLeader(long now) {
+	void recordLeaderContact(long now) {
 		this.noVoteOrLeaderYet = false;
 		this.lastLeaderContact = now;
 		resetElectionDeadline(now);
@@ -217,40 +218,40 @@
 		return now - this.lastLeaderContact < this.settings.electionTimeout().toNanos();
 	}
 
-	long life() {
-		return this.life;
+	long incarnation() {
+		return this.incarnation;
 	}
 
 	// Returns whether this voter is fresh, so that no leader's lease depends on it: it
 	// has neither voted nor followed a leader since its start, it has been running for
 	// longer than a pre-vote round takes, and the candidate of its stored vote, if there
 	// is one, is a voter, so that it must be fresh as well.
-	boolean isRestarted(long now) {
+	boolean isFresh(long now) {
 		Membership membership = this.log.membership();
 		boolean votedForVoter = this.hardState.votedFor()
 			.filter((voted) -> membership.voters().stream().map(Member::instance).noneMatch(voted::equals))
 			.isEmpty();
-		boolean longEnough = now - this.startedAt >= this.settings.shortestLife().toNanos();
+		boolean longEnough = now - this.startedAt >= this.settings.minFreshUptime().toNanos();
 		return this.noVoteOrLeaderYet && longEnough && votedForVoter;
 	}
 
 	// Returns whether the last membership change is committed, so that no other voters
 	// exist.
-	boolean knowsAllVoters() {
-		return this.log.membershipIndex() <= Math.max(this.commitIndex, FoundingBatch.INDEX);
+	boolean isMembershipCommitted() {
+		return this.log.membershipIndex() <= Math.max(this.commitIndex, BootstrapBatch.INDEX);
 	}
 
 	// Returns whether to start a pre-vote round before the election timeout, to find out
 	// whether all voters are fresh.
-	boolean restartedAskDue(long now) {
-		boolean possible = knowsAllVoters() && isRestarted(now) && leaderMayHoldLease(now);
+	boolean earlyPreVoteDue(long now) {
+		boolean possible = isMembershipCommitted() && isFresh(now) && leaderMayHoldLease(now);
 		return possible && now - this.earlyPreVoteAt >= 0;
 	}
 
 	// Schedules the next early pre-vote round with a random delay, so that voters which
 	// started together do not all start one.
-	void waitToAsk(long now) {
-		long interval = this.settings.shortestLife().toNanos();
+	void scheduleEarlyPreVote(long now) {
+		long interval = this.settings.minFreshUptime().toNanos();
 		this.earlyPreVoteAt = now + interval + this.random.nextLong(interval);
 	}
 
@@ -267,7 +268,7 @@
 		if (index <= this.commitIndex) {
 			return;
 		}
-		if (!holds(index <= this.log.lastIndex(), "committed-entry-is-held", Field.of("commit-index", index),
+		if (!checkInvariant(index <= this.log.lastIndex(), "committed-entry-is-held", Field.of("commit-index", index),
 				Field.of("last-index", this.log.lastIndex()))) {
 			return;
 		}
@@ -275,7 +276,7 @@
 		this.commitIndex = index;
 	}
 
-	void restoredTo(Snapshot restored) {
+	void restoreFrom(Snapshot restored) {
 		this.snapshot = Optional.of(restored);
 		this.commitIndex = restored.position().index();
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/SyncTracker.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/SyncTracker.java
@@ -48,17 +48,17 @@
 		return !this.hardStateChanged && this.pending.stream().noneMatch((sync) -> sync.hardState);
 	}
 
-	void truncatedFrom(long index) {
+	void truncateFrom(long index) {
 		this.syncedIndex = Math.min(this.syncedIndex, index - 1);
 		this.writtenIndex = Math.min(this.writtenIndex, index - 1);
 		this.pending.forEach((sync) -> sync.lastIndex = Math.min(sync.lastIndex, index - 1));
 	}
 
-	void hold(PeerMessage message) {
+	void holdUntilSynced(PeerMessage message) {
 		this.heldMessages.add(message);
 	}
 
-	boolean hasWork(long lastIndex) {
+	boolean hasUnwritten(long lastIndex) {
 		return this.hardStateChanged || !this.heldMessages.isEmpty() || lastIndex > this.writtenIndex;
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/VoteReply.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/VoteReply.java
@@ -6,10 +6,10 @@
  * @param preVote whether it replies to a pre-vote request
  * @param granted whether the vote is granted
  * @param sentNanos the candidate's clock reading copied from the request, in nanoseconds
- * @param life in a pre-vote reply, the voter's incarnation if it has neither voted nor
- * followed a leader since its start and would vote for the candidate, apart from a lease
- * that may depend on replies sent before its restart; otherwise 0
+ * @param incarnation in a pre-vote reply, the voter's incarnation if it has neither voted
+ * nor followed a leader since its start and would vote for the candidate, apart from a
+ * lease that may depend on replies sent before its restart; otherwise 0
  */
-public record VoteReply(boolean preVote, boolean granted, long sentNanos, long life) implements PeerBody {
+public record VoteReply(boolean preVote, boolean granted, long sentNanos, long incarnation) implements PeerBody {
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/VoteRequest.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/VoteRequest.java
@@ -12,11 +12,12 @@
  * @param last the last position of the candidate's log
  * @param sentNanos the candidate's monotonic clock reading at the start of the pre-vote
  * round, in nanoseconds; copied into the reply
- * @param life if all voters have reported an incarnation in which they neither voted nor
- * followed a leader, the incarnation that the receiver reported; otherwise 0
+ * @param voterIncarnation if all voters have reported an incarnation in which they
+ * neither voted nor followed a leader, the incarnation that the receiver reported;
+ * otherwise 0
  */
 public record VoteRequest(boolean preVote, boolean leaderTransfer, LogPosition last, long sentNanos,
-		long life) implements PeerBody {
+		long voterIncarnation) implements PeerBody {
 
 	public VoteRequest {
 		Preconditions.notNull(last, "last");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Publication.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ChangeBatcher.java
@@ -10,7 +10,7 @@
  * Batches changed entries, so that many changes in a short time are published in few
  * messages. Urgent changes are published at once, together with all pending ones.
  */
-final class Publication {
+final class ChangeBatcher {
 
 	private final long intervalNanos;
 
@@ -20,7 +20,7 @@
 
 	private long publishedAt;
 
-	Publication(long intervalNanos) {
+	ChangeBatcher(long intervalNanos) {
 		this.intervalNanos = intervalNanos;
 	}
 
@@ -38,7 +38,7 @@
 		this.urgent = false;
 	}
 
-	List<EntryChange> take(long now) {
+	List<EntryChange> takeIfDue(long now) {
 		boolean due = this.urgent || now - this.publishedAt >= this.intervalNanos;
 		if (this.changes.isEmpty() || !due) {
 			return List.of();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
@@ -54,16 +54,16 @@
 			leaderChanged(changed, now);
 		}
 		List<SpreadCommand> forwarded = new ArrayList<>(commands.size());
-		consume(commands, forwarded, now);
+		dispatch(commands, forwarded, now);
 		if (event instanceof SpreadEvent.Tick) {
 			this.membership.tick(now);
 		}
-		for (ProbeOrder assignment : this.membership.takeProbes()) {
-			probe(assignment, forwarded, now);
+		for (ProbeAssignment assignment : this.membership.takeProbes()) {
+			startProbe(assignment, forwarded, now);
 		}
 		List<EntryChange> changes = this.membership.takeChanges(now);
 		if (!changes.isEmpty()) {
-			consume(this.node.on(new SpreadEvent.MembersChanged(changes), now), forwarded, now);
+			dispatch(this.node.on(new SpreadEvent.MembersChanged(changes), now), forwarded, now);
 		}
 		return forwarded;
 	}
@@ -85,8 +85,8 @@
 	public Coverage coverage(long number) {
 		Coverage attached = this.node.coverage(number);
 		List<Laggard> behind = new ArrayList<>(attached.behind());
-		List<InstanceId> unreported = this.membership.unheard();
-		unreported.stream().limit(Coverage.MAX_NAMED - behind.size()).forEach((id) -> behind.add(new Laggard(id, 0)));
+		List<InstanceId> unreported = this.membership.unreportedMembers();
+		unreported.stream().limit(Coverage.MAX_LISTED - behind.size()).forEach((id) -> behind.add(new Laggard(id, 0)));
 		return new Coverage(attached.nodes() + unreported.size(), number, attached.behindCount() + unreported.size(),
 				behind);
 	}
@@ -94,22 +94,22 @@
 	private void leaderChanged(SpreadEvent.LeaderChanged changed, long now) {
 		boolean isLeader = changed.leader().filter(this.self.id()::equals).isPresent();
 		if (isLeader && !changed.term().isBefore(this.node.term())) {
-			this.membership.lead(this.node.memberSnapshot().entries(), now);
+			this.membership.startLeading(this.node.memberSnapshot().entries(), now);
 		}
 		else {
-			this.membership.resign();
+			this.membership.stopLeading();
 		}
 	}
 
-	private void consume(List<SpreadCommand> commands, List<SpreadCommand> forwarded, long now) {
+	private void dispatch(List<SpreadCommand> commands, List<SpreadCommand> forwarded, long now) {
 		for (SpreadCommand command : commands) {
-			if (command instanceof SpreadCommand.Reported reported) {
+			if (command instanceof SpreadCommand.ReportsReceived reported) {
 				this.membership.onReports(reported.reports(), now);
 			}
-			else if (command instanceof SpreadCommand.LeaveReported leave) {
+			else if (command instanceof SpreadCommand.LeaveNoticeReceived leave) {
 				this.membership.onLeave(leave.node(), now);
 			}
-			else if (command instanceof SpreadCommand.Probed probed) {
+			else if (command instanceof SpreadCommand.ProbeCompleted probed) {
 				this.membership.onProbed(probed.prober(), probed.result(), now);
 			}
 			else {
@@ -118,10 +118,10 @@
 		}
 	}
 
-	private void probe(ProbeOrder assignment, List<SpreadCommand> forwarded, long now) {
+	private void startProbe(ProbeAssignment assignment, List<SpreadCommand> forwarded, long now) {
 		if (assignment.prober().id().equals(this.self.id())) {
 			SpreadEvent received = new SpreadEvent.Received(assignment.prober(), assignment.request());
-			consume(this.node.on(received, now), forwarded, now);
+			dispatch(this.node.on(received, now), forwarded, now);
 		}
 		else {
 			forwarded.add(new SpreadCommand.Send(assignment.prober(), assignment.request()));
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/SuspicionJudge.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/FailureDetector.java
@@ -18,16 +18,16 @@
  * Failure detector for members that are no longer reported, based on probes.
  * <p>
  * One successful probe clears a member of suspicion. It is declared failed after failed
- * probes by at least {@value #OPINIONS} different nodes, or by the leader alone if there
- * is no other node to probe it. If no member of a failure domain is reported, only a
- * sample of {@value #DOMAIN_SAMPLE} members is probed, and the domain is declared failed
- * as a whole.
+ * probes by at least {@value #REQUIRED_FAILED_PROBES} different nodes, or by the leader
+ * alone if there is no other node to probe it. If no member of a failure domain is
+ * reported, only a sample of {@value #DOMAIN_SAMPLE} members is probed, and the domain is
+ * declared failed as a whole.
  */
-final class SuspicionJudge {
+final class FailureDetector {
 
 	private static final int MAX_PROBES = 64;
 
-	private static final int OPINIONS = 2;
+	private static final int REQUIRED_FAILED_PROBES = 2;
 
 	private static final int DOMAIN_SAMPLE = 3;
 
@@ -39,9 +39,9 @@
 
 	private final ProberSelector selector;
 
-	private final List<ProbeOrder> assignments = new ArrayList<>();
+	private final List<ProbeAssignment> assignments = new ArrayList<>();
 
-	SuspicionJudge(NodeDescriptor self, MembershipSettings settings, RandomGenerator random) {
+	FailureDetector(NodeDescriptor self, MembershipSettings settings, RandomGenerator random) {
 		this.self = Peer.of(self);
 		this.settings = settings;
 		this.random = random;
@@ -52,21 +52,21 @@
 		this.assignments.clear();
 	}
 
-	List<ProbeOrder> takeProbes() {
-		List<ProbeOrder> taken = List.copyOf(this.assignments);
+	List<ProbeAssignment> takeProbes() {
+		List<ProbeAssignment> taken = List.copyOf(this.assignments);
 		this.assignments.clear();
 		return taken;
 	}
 
 	void onResult(Member member, Peer prober, ProbeResult result, long now) {
-		if (!member.isAskedBy(result.nonce())) {
+		if (!member.isCurrentProbe(result.nonce())) {
 			return;
 		}
 		if (result.reachable()) {
-			member.spare(now + this.settings.reprobeInterval().toNanos());
+			member.deferSuspicion(now + this.settings.reprobeInterval().toNanos());
 		}
 		else {
-			member.unreached().add(prober.id());
+			member.failedProbers().add(prober.id());
 		}
 	}
 
@@ -76,37 +76,38 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return the members and failure domains that have failed
 	 */
-	Verdicts judge(Collection<Member> members, long now) {
+	DetectedFailures detect(Collection<Member> members, long now) {
 		Map<FailureDomainId, DomainSuspects> domains = group(members, now);
-		Verdicts failures = new Verdicts(new ArrayList<>(), new ArrayList<>());
+		DetectedFailures failures = new DetectedFailures(new ArrayList<>(), new ArrayList<>());
 		long probing = members.stream().filter(Member::isProbing).count();
 		int budget = (int) Math.max(0, MAX_PROBES - probing);
 		for (Map.Entry<FailureDomainId, DomainSuspects> entry : domains.entrySet()) {
 			DomainSuspects suspects = entry.getValue();
-			if (suspects.isWhole()) {
-				budget -= judgeDomain(entry.getKey(), suspects, members, failures, now);
+			if (suspects.isWholeDomain()) {
+				budget -= detectDomain(entry.getKey(), suspects, members, failures, now);
 			}
 			else {
-				budget -= judgeEach(suspects.suspects(), members, failures, budget, now);
+				budget -= detectMembers(suspects.suspects(), members, failures, budget, now);
 			}
 		}
 		return failures;
 	}
 
-	private int judgeDomain(FailureDomainId domain, DomainSuspects suspects, Collection<Member> members,
-			Verdicts failures, long now) {
+	private int detectDomain(FailureDomainId domain, DomainSuspects suspects, Collection<Member> members,
+			DetectedFailures failures, long now) {
 		List<Member> sample = suspects.suspects().subList(0, DOMAIN_SAMPLE);
-		if (sample.stream().allMatch((member) -> isCondemned(member, members))) {
+		if (sample.stream().allMatch((member) -> isConfirmedFailed(member, members))) {
 			failures.failedDomains().add(new FailedDomain(domain, suspects.suspects()));
 			return 0;
 		}
 		return probe(sample, members, DOMAIN_SAMPLE, now);
 	}
 
-	private int judgeEach(List<Member> suspects, Collection<Member> members, Verdicts failures, int budget, long now) {
+	private int detectMembers(List<Member> suspects, Collection<Member> members, DetectedFailures failures, int budget,
+			long now) {
 		List<Member> unconfirmed = new ArrayList<>();
 		for (Member member : suspects) {
-			if (isCondemned(member, members)) {
+			if (isConfirmedFailed(member, members)) {
 				failures.failed().add(member);
 			}
 			else {
@@ -119,35 +120,36 @@
 	private int probe(List<Member> suspects, Collection<Member> members, int budget, long now) {
 		int probed = 0;
 		for (Member member : suspects) {
-			boolean pending = member.isProbing() && now - member.probedAt() < this.settings.probeTimeout().toNanos();
+			boolean pending = member.isProbing()
+					&& now - member.probeStartedAt() < this.settings.probeTimeout().toNanos();
 			if (!pending && probed < budget) {
 				probed++;
-				ask(member, members, now);
+				requestProbes(member, members, now);
 			}
 		}
 		return probed;
 	}
 
-	private void ask(Member member, Collection<Member> members, long now) {
+	private void requestProbes(Member member, Collection<Member> members, long now) {
 		long nonce = this.random.nextLong();
-		member.beginProbe(nonce, now);
+		member.startProbe(nonce, now);
 		ProbeRequest request = new ProbeRequest(nonce, member.node());
 		this.selector.select(member.node(), members, this.self)
-			.forEach((prober) -> this.assignments.add(new ProbeOrder(prober, request)));
+			.forEach((prober) -> this.assignments.add(new ProbeAssignment(prober, request)));
 	}
 
-	private boolean isCondemned(Member member, Collection<Member> members) {
-		if (!member.isProbing() || member.unreached().isEmpty()) {
+	private boolean isConfirmedFailed(Member member, Collection<Member> members) {
+		if (!member.isProbing() || member.failedProbers().isEmpty()) {
 			return false;
 		}
-		int possibleProbers = this.selector.electorate(member.node(), members);
-		return member.unreached().size() >= Math.min(OPINIONS, possibleProbers);
+		int possibleProbers = this.selector.possibleProberCount(member.node(), members);
+		return member.failedProbers().size() >= Math.min(REQUIRED_FAILED_PROBES, possibleProbers);
 	}
 
 	private static Map<FailureDomainId, DomainSuspects> group(Collection<Member> members, long now) {
 		Map<FailureDomainId, DomainSuspects> domains = new HashMap<>();
 		for (Member member : members) {
-			if (member.isSuspect(now)) {
+			if (member.isSuspected(now)) {
 				domains.computeIfAbsent(member.node().domain(), (domain) -> new DomainSuspects(new ArrayList<>(), 0))
 					.suspects()
 					.add(member);
@@ -157,7 +159,7 @@
 			members.stream()
 				.filter((member) -> member.state() != MemberState.FAILED)
 				.forEach((member) -> domains.computeIfPresent(member.node().domain(),
-						(domain, suspects) -> suspects.counted()));
+						(domain, suspects) -> suspects.withOneMoreLive()));
 		}
 		return domains;
 	}
@@ -166,16 +168,16 @@
 	 * The suspected members of a failure domain.
 	 *
 	 * @param suspects the suspected members
-	 * @param live the number of the domain's members that have not failed
+	 * @param liveMembers the number of the domain's members that have not failed
 	 */
-	private record DomainSuspects(List<Member> suspects, int live) {
+	private record DomainSuspects(List<Member> suspects, int liveMembers) {
 
-		DomainSuspects counted() {
-			return new DomainSuspects(this.suspects, this.live + 1);
+		DomainSuspects withOneMoreLive() {
+			return new DomainSuspects(this.suspects, this.liveMembers + 1);
 		}
 
-		boolean isWhole() {
-			return this.suspects.size() == this.live && this.live >= DOMAIN_SAMPLE;
+		boolean isWholeDomain() {
+			return this.suspects.size() == this.liveMembers && this.liveMembers >= DOMAIN_SAMPLE;
 		}
 
 	}
@@ -201,7 +203,7 @@
 	 * @param failed individual members
 	 * @param failedDomains whole failure domains
 	 */
-	record Verdicts(List<Member> failed, List<FailedDomain> failedDomains) {
+	record DetectedFailures(List<Member> failed, List<FailedDomain> failedDomains) {
 
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
@@ -12,7 +12,7 @@
 final class Member {
 
 	/** The nodes that could not reach the member in the current round of probes. */
-	private final Set<InstanceId> unreached = new HashSet<>();
+	private final Set<InstanceId> failedProbers = new HashSet<>();
 
 	private MemberRecord record;
 
@@ -22,17 +22,17 @@
 
 	private boolean probing;
 
-	private long probedAt;
+	private long probeStartedAt;
 
 	private long probeNonce;
 
-	private long judgeAfter;
+	private long suspectAfter;
 
 	private int returnCount;
 
 	private long lastReturnAt;
 
-	private long heldUntil;
+	private long heldBackUntil;
 
 	private long failedAt;
 
@@ -65,63 +65,63 @@
 	 * Returns whether the current incarnation was leaving at any time.
 	 * @return {@code true} if the incarnation must not become active again
 	 */
-	boolean isLeft() {
+	boolean hasLeft() {
 		return this.left;
 	}
 
-	void beginLife() {
+	void beginIncarnation() {
 		this.left = false;
 	}
 
-	boolean isHeard() {
+	boolean isReported() {
 		return this.reported;
 	}
 
-	void heard() {
+	void markReported() {
 		this.reported = true;
 		endProbe();
 	}
 
-	void unheard(long now, long graceNanos) {
+	void markUnreported(long now, long graceNanos) {
 		this.reported = false;
-		this.judgeAfter = now + graceNanos;
+		this.suspectAfter = now + graceNanos;
 	}
 
-	boolean isSuspect(long now) {
-		return !this.reported && this.record.state() != MemberState.FAILED && now >= this.judgeAfter;
+	boolean isSuspected(long now) {
+		return !this.reported && this.record.state() != MemberState.FAILED && now >= this.suspectAfter;
 	}
 
 	boolean isProbing() {
 		return this.probing;
 	}
 
-	long probedAt() {
-		return this.probedAt;
+	long probeStartedAt() {
+		return this.probeStartedAt;
 	}
 
-	Set<InstanceId> unreached() {
-		return this.unreached;
+	Set<InstanceId> failedProbers() {
+		return this.failedProbers;
 	}
 
-	boolean isAskedBy(long nonce) {
+	boolean isCurrentProbe(long nonce) {
 		return this.probing && this.probeNonce == nonce;
 	}
 
-	void beginProbe(long nonce, long now) {
+	void startProbe(long nonce, long now) {
 		this.probing = true;
 		this.probeNonce = nonce;
-		this.probedAt = now;
-		this.unreached.clear();
+		this.probeStartedAt = now;
+		this.failedProbers.clear();
 	}
 
 	void endProbe() {
 		this.probing = false;
-		this.unreached.clear();
+		this.failedProbers.clear();
 	}
 
-	void spare(long until) {
+	void deferSuspicion(long until) {
 		endProbe();
-		this.judgeAfter = until;
+		this.suspectAfter = until;
 	}
 
 	int countReturn(long now, long windowNanos) {
@@ -130,11 +130,11 @@
 		return this.returnCount;
 	}
 
-	void hold(long until) {
-		this.heldUntil = until;
+	void holdBack(long until) {
+		this.heldBackUntil = until;
 	}
 
-	void failed(long now) {
+	void markFailed(long now) {
 		this.failedAt = now;
 		endProbe();
 	}
@@ -143,8 +143,8 @@
 		return this.failedAt;
 	}
 
-	long heldUntil() {
-		return this.heldUntil;
+	long heldBackUntil() {
+		return this.heldBackUntil;
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberEntries.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberEntries.java
@@ -22,9 +22,9 @@
  */
 public final class MemberEntries {
 
-	private static final String MEMBER = "m/";
+	private static final String MEMBER_PREFIX = "m/";
 
-	private static final String DOMAIN = "d/";
+	private static final String DOMAIN_PREFIX = "d/";
 
 	private static final MemberState[] STATES = MemberState.values();
 
@@ -38,39 +38,40 @@
 	 */
 	public static List<NodeDescriptor> activeNodes(Map<String, Bytes> entries) {
 		MemberView view = new MemberView();
-		entries.forEach((key, value) -> view.set(key, value));
+		entries.forEach((key, value) -> view.applyEntry(key, value));
 		List<NodeDescriptor> nodes = new ArrayList<>(entries.size());
 		view.records().stream().filter(view::isActive).forEach((record) -> nodes.add(record.node()));
 		return nodes;
 	}
 
-	static EntryChange set(MemberRecord record) {
+	static EntryChange toEntryChange(MemberRecord record) {
 		MemberRecordProto proto = MemberRecordProto.newBuilder()
 			.setNode(SpreadCodec.toProto(record.node()))
 			.setState(record.state().ordinal())
 			.setStamp(record.stamp())
 			.build();
-		return EntryChange.set(MEMBER + record.node().id(), Bytes.of(proto.toByteArray()));
+		return EntryChange.set(MEMBER_PREFIX + record.node().id(), Bytes.of(proto.toByteArray()));
 	}
 
-	static EntryChange set(DomainFailure failure) {
+	static EntryChange toEntryChange(DomainFailure failure) {
 		DomainFailureProto proto = DomainFailureProto.newBuilder()
 			.setFailureDomain(failure.domain().value())
 			.setStamp(failure.stamp())
 			.build();
-		return EntryChange.set(DOMAIN + failure.domain(), Bytes.of(proto.toByteArray()));
+		return EntryChange.set(DOMAIN_PREFIX + failure.domain(), Bytes.of(proto.toByteArray()));
 	}
 
-	static EntryChange remove(InstanceId id) {
-		return EntryChange.remove(MEMBER + id);
+	static EntryChange toRemoval(InstanceId id) {
+		return EntryChange.remove(MEMBER_PREFIX + id);
 	}
 
-	static Optional<InstanceId> memberId(String key) {
-		return key.startsWith(MEMBER) ? Optional.of(InstanceId.of(key.substring(MEMBER.length()))) : Optional.empty();
+	static Optional<InstanceId> parseMemberId(String key) {
+		return key.startsWith(MEMBER_PREFIX) ? Optional.of(InstanceId.of(key.substring(MEMBER_PREFIX.length())))
+				: Optional.empty();
 	}
 
-	static Optional<MemberRecord> member(String key, Bytes value) {
-		if (!key.startsWith(MEMBER)) {
+	static Optional<MemberRecord> parseMember(String key, Bytes value) {
+		if (!key.startsWith(MEMBER_PREFIX)) {
 			return Optional.empty();
 		}
 		try {
@@ -84,8 +85,8 @@
 		}
 	}
 
-	static Optional<DomainFailure> domainFailure(String key, Bytes value) {
-		if (!key.startsWith(DOMAIN)) {
+	static Optional<DomainFailure> parseDomainFailure(String key, Bytes value) {
+		if (!key.startsWith(DOMAIN_PREFIX)) {
 			return Optional.empty();
 		}
 		try {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberView.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberView.java
@@ -20,7 +20,7 @@
  */
 public final class MemberView {
 
-	private static final int MAX_LEFT = 8_192;
+	private static final int MAX_LEAVING_INCARNATIONS = 8_192;
 
 	private final Map<InstanceId, MemberRecord> records = new HashMap<>();
 
@@ -31,11 +31,11 @@
 	 * record was removed, because a delayed message or a new leader that missed the leave
 	 * may publish the same incarnation as active again.
 	 */
-	private final Map<InstanceId, Incarnation> left = new LinkedHashMap<>() {
+	private final Map<InstanceId, Incarnation> leavingIncarnations = new LinkedHashMap<>() {
 
 		@Override
 		protected boolean removeEldestEntry(Map.Entry<InstanceId, Incarnation> eldest) {
-			return size() > MAX_LEFT;
+			return size() > MAX_LEAVING_INCARNATIONS;
 		}
 
 	};
@@ -54,10 +54,10 @@
 		}
 		for (EntryChange change : changes) {
 			if (change.value().isPresent()) {
-				set(change.key(), change.value().get());
+				applyEntry(change.key(), change.value().get());
 			}
 			else {
-				MemberEntries.memberId(change.key()).ifPresent(this.records::remove);
+				MemberEntries.parseMemberId(change.key()).ifPresent(this.records::remove);
 			}
 		}
 	}
@@ -103,22 +103,22 @@
 		return record.stamp() < this.failedDomains.getOrDefault(record.node().domain(), 0L);
 	}
 
-	void set(String key, Bytes value) {
-		MemberEntries.member(key, value).ifPresent(this::put);
-		MemberEntries.domainFailure(key, value)
+	void applyEntry(String key, Bytes value) {
+		MemberEntries.parseMember(key, value).ifPresent(this::putRecord);
+		MemberEntries.parseDomainFailure(key, value)
 			.ifPresent((failure) -> this.failedDomains.put(failure.domain(), failure.stamp()));
 	}
 
-	private void put(MemberRecord record) {
+	private void putRecord(MemberRecord record) {
 		this.records.put(record.node().id(), record);
 		if (record.state() == MemberState.LEAVING) {
-			this.left.merge(record.node().id(), record.node().incarnation(),
+			this.leavingIncarnations.merge(record.node().id(), record.node().incarnation(),
 					(one, other) -> one.isBefore(other) ? other : one);
 		}
 	}
 
 	private boolean hasLeft(MemberRecord record) {
-		Incarnation last = this.left.get(record.node().id());
+		Incarnation last = this.leavingIncarnations.get(record.node().id());
 		return last != null && !last.isBefore(record.node().incarnation());
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Membership.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Membership.java
@@ -35,7 +35,7 @@
 	/** The maximum number of tracked members. */
 	static final int MAX_MEMBERS = 16_384;
 
-	private static final int FREE_RETURNS = 3;
+	private static final int MAX_UNDAMPED_RETURNS = 3;
 
 	private static final long RETURN_WINDOW_NANOS = Duration.ofMinutes(10).toNanos();
 
@@ -45,9 +45,9 @@
 
 	private final DecisionListener decisions;
 
-	private final Publication publication;
+	private final ChangeBatcher changeBatcher;
 
-	private final SuspicionJudge judge;
+	private final FailureDetector failureDetector;
 
 	private final Map<InstanceId, Member> members = new HashMap<>();
 
@@ -59,8 +59,8 @@
 		this.self = self;
 		this.settings = settings;
 		this.decisions = decisions;
-		this.publication = new Publication(settings.publishInterval().toNanos());
-		this.judge = new SuspicionJudge(self, settings, random);
+		this.changeBatcher = new ChangeBatcher(settings.publishInterval().toNanos());
+		this.failureDetector = new FailureDetector(self, settings, random);
 	}
 
 	/**
@@ -68,21 +68,21 @@
 	 * @param entries the entries of the stream
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void lead(Map<String, Bytes> entries, long now) {
-		resign();
+	void startLeading(Map<String, Bytes> entries, long now) {
+		stopLeading();
 		this.leading = true;
 		MemberView view = new MemberView();
-		entries.forEach(view::set);
+		entries.forEach(view::applyEntry);
 		this.stamp = view.highestStamp();
 		view.records().forEach((record) -> restore(record, view.isDomainFailedSince(record), now));
-		present(new MemberReport(this.self, Presence.PRESENT), now);
+		handlePresent(new MemberReport(this.self, Presence.PRESENT), now);
 	}
 
-	void resign() {
+	void stopLeading() {
 		this.leading = false;
 		this.members.clear();
-		this.publication.clear();
-		this.judge.clear();
+		this.changeBatcher.clear();
+		this.failureDetector.clear();
 	}
 
 	void onReports(List<MemberReport> reports, long now) {
@@ -91,10 +91,10 @@
 		}
 		for (MemberReport report : reports) {
 			if (report.presence() == Presence.ABSENT) {
-				absent(report.node(), now);
+				handleAbsent(report.node(), now);
 			}
 			else {
-				present(report, now);
+				handlePresent(report, now);
 			}
 		}
 	}
@@ -106,44 +106,44 @@
 		}
 		if (member == null || member.node().incarnation().isBefore(node.incarnation())) {
 			join(new MemberReport(node, Presence.LEAVING), now);
-			this.members.get(node.id()).unheard(now, this.settings.grace().toNanos());
+			this.members.get(node.id()).markUnreported(now, this.settings.grace().toNanos());
 		}
 		else if (member.node().incarnation().equals(node.incarnation())) {
-			leave(member);
+			markLeaving(member);
 		}
 	}
 
 	void onProbed(Peer prober, ProbeResult result, long now) {
 		Optional.ofNullable(this.members.get(result.target()))
-			.ifPresent((member) -> this.judge.onResult(member, prober, result, now));
+			.ifPresent((member) -> this.failureDetector.onResult(member, prober, result, now));
 	}
 
 	void tick(long now) {
 		if (!this.leading) {
 			return;
 		}
-		List.copyOf(this.members.values()).forEach((member) -> maintain(member, now));
-		SuspicionJudge.Verdicts failures = this.judge.judge(this.members.values(), now);
-		failures.failed().forEach((member) -> fail(member, now));
-		failures.failedDomains().forEach((failure) -> failDomain(failure, now));
+		List.copyOf(this.members.values()).forEach((member) -> applyTimeouts(member, now));
+		FailureDetector.DetectedFailures failures = this.failureDetector.detect(this.members.values(), now);
+		failures.failed().forEach((member) -> markFailed(member, now));
+		failures.failedDomains().forEach((failure) -> markDomainFailed(failure, now));
 	}
 
 	List<EntryChange> takeChanges(long now) {
-		return this.publication.take(now);
+		return this.changeBatcher.takeIfDue(now);
 	}
 
-	List<ProbeOrder> takeProbes() {
-		return this.judge.takeProbes();
+	List<ProbeAssignment> takeProbes() {
+		return this.failureDetector.takeProbes();
 	}
 
 	/**
 	 * Returns the members that have not failed but are currently not reported.
 	 * @return their identifiers
 	 */
-	List<InstanceId> unheard() {
+	List<InstanceId> unreportedMembers() {
 		List<InstanceId> unreported = new ArrayList<>();
 		for (Member member : this.members.values()) {
-			if (!member.isHeard() && member.state() != MemberState.FAILED) {
+			if (!member.isReported() && member.state() != MemberState.FAILED) {
 				unreported.add(member.id());
 			}
 		}
@@ -153,25 +153,25 @@
 	private void restore(MemberRecord record, boolean domainFailed, long now) {
 		MemberState state = domainFailed ? MemberState.FAILED : record.state();
 		Member member = new Member(new MemberRecord(record.node(), state, record.stamp()));
-		member.unheard(now, this.settings.takeoverGrace().toNanos());
-		member.failed(now);
+		member.markUnreported(now, this.settings.takeoverGrace().toNanos());
+		member.markFailed(now);
 		this.members.put(member.id(), member);
 	}
 
-	private void present(MemberReport report, long now) {
+	private void handlePresent(MemberReport report, long now) {
 		Member member = this.members.get(report.node().id());
 		if (member == null || member.node().incarnation().isBefore(report.node().incarnation())) {
 			join(report, now);
 		}
 		else if (report.node().incarnation().equals(member.node().incarnation())) {
-			heardAgain(member, report, now);
+			handleReported(member, report, now);
 		}
 	}
 
 	private void join(MemberReport report, long now) {
 		Member member = this.members.get(report.node().id());
 		if (member == null && this.members.size() >= MAX_MEMBERS) {
-			decide(report.node(), "refused-full");
+			recordDecision(report.node(), "refused-full");
 			return;
 		}
 		MemberState state = (report.presence() == Presence.LEAVING) ? MemberState.LEAVING : MemberState.ACTIVE;
@@ -182,95 +182,95 @@
 		}
 		else {
 			member.record(new MemberRecord(report.node(), member.state(), member.record().stamp()));
-			member.beginLife();
-			comeBack(member, state, now);
+			member.beginIncarnation();
+			handleReturn(member, state, now);
 		}
-		member.heard();
+		member.markReported();
 	}
 
-	private void heardAgain(Member member, MemberReport report, long now) {
-		boolean wasReported = member.isHeard();
-		member.heard();
+	private void handleReported(Member member, MemberReport report, long now) {
+		boolean wasReported = member.isReported();
+		member.markReported();
 		if (report.presence() == Presence.LEAVING) {
-			leave(member);
+			markLeaving(member);
 		}
 		else if (member.state() == MemberState.FAILED && !wasReported) {
-			comeBack(member, member.isLeft() ? MemberState.LEAVING : MemberState.ACTIVE, now);
+			handleReturn(member, member.hasLeft() ? MemberState.LEAVING : MemberState.ACTIVE, now);
 		}
 	}
 
-	private void comeBack(Member member, MemberState state, long now) {
-		int excess = member.countReturn(now, RETURN_WINDOW_NANOS) - FREE_RETURNS;
+	private void handleReturn(Member member, MemberState state, long now) {
+		int excess = member.countReturn(now, RETURN_WINDOW_NANOS) - MAX_UNDAMPED_RETURNS;
 		if (excess <= 0 || state == MemberState.LEAVING) {
-			member.hold(0);
+			member.holdBack(0);
 			publish(member, state, "returned");
 			return;
 		}
 		long delay = this.settings.damping().toNanos() << Math.min(excess - 1, 10);
-		member.hold(now + Math.min(delay, this.settings.maxDamping().toNanos()));
-		member.failed(now);
+		member.holdBack(now + Math.min(delay, this.settings.maxDamping().toNanos()));
+		member.markFailed(now);
 		publish(member, MemberState.FAILED, "held-back");
 	}
 
-	private void leave(Member member) {
+	private void markLeaving(Member member) {
 		if (member.state() != MemberState.LEAVING) {
 			member.record(new MemberRecord(member.node(), MemberState.LEAVING, ++this.stamp));
-			this.publication.addUrgent(MemberEntries.set(member.record()));
-			decide(member.node(), "leaving");
+			this.changeBatcher.addUrgent(MemberEntries.toEntryChange(member.record()));
+			recordDecision(member.node(), "leaving");
 		}
 	}
 
-	private void absent(NodeDescriptor node, long now) {
+	private void handleAbsent(NodeDescriptor node, long now) {
 		Member member = this.members.get(node.id());
-		if (member != null && member.isHeard() && !node.incarnation().isBefore(member.node().incarnation())) {
-			member.unheard(now, this.settings.grace().toNanos());
+		if (member != null && member.isReported() && !node.incarnation().isBefore(member.node().incarnation())) {
+			member.markUnreported(now, this.settings.grace().toNanos());
 		}
 	}
 
-	private void maintain(Member member, long now) {
+	private void applyTimeouts(Member member, long now) {
 		boolean failed = member.state() == MemberState.FAILED;
-		if (failed && member.isHeard() && member.heldUntil() != 0 && now >= member.heldUntil()) {
-			member.hold(0);
+		if (failed && member.isReported() && member.heldBackUntil() != 0 && now >= member.heldBackUntil()) {
+			member.holdBack(0);
 			publish(member, MemberState.ACTIVE, "released");
 		}
-		else if (member.state() == MemberState.LEAVING && member.isSuspect(now)) {
+		else if (member.state() == MemberState.LEAVING && member.isSuspected(now)) {
 			remove(member, "left");
 		}
-		else if (failed && !member.isHeard() && now - member.failedAt() >= this.settings.keepFailed().toNanos()) {
+		else if (failed && !member.isReported() && now - member.failedAt() >= this.settings.keepFailed().toNanos()) {
 			remove(member, "forgotten");
 		}
 	}
 
 	private void remove(Member member, String reason) {
 		this.members.remove(member.id());
-		this.publication.add(MemberEntries.remove(member.id()));
-		decide(member.node(), reason);
+		this.changeBatcher.add(MemberEntries.toRemoval(member.id()));
+		recordDecision(member.node(), reason);
 	}
 
-	private void fail(Member member, long now) {
-		Field opinions = Field.of("opinions", member.unreached().size());
-		member.failed(now);
+	private void markFailed(Member member, long now) {
+		Field opinions = Field.of("opinions", member.failedProbers().size());
+		member.markFailed(now);
 		publish(member, MemberState.FAILED, "failed", opinions);
 	}
 
-	private void failDomain(SuspicionJudge.FailedDomain failed, long now) {
+	private void markDomainFailed(FailureDetector.FailedDomain failed, long now) {
 		DomainFailure failure = new DomainFailure(failed.domain(), ++this.stamp);
 		for (Member member : failed.members()) {
-			member.failed(now);
+			member.markFailed(now);
 			member.record(new MemberRecord(member.node(), MemberState.FAILED, member.record().stamp()));
 		}
-		this.publication.add(MemberEntries.set(failure));
+		this.changeBatcher.add(MemberEntries.toEntryChange(failure));
 		this.decisions.onDecision(DecisionRecord.of(DecisionKind.MEMBERSHIP, failed.domain().value(), "domain-failed",
 				Field.of("members", failed.members().size())));
 	}
 
 	private void publish(Member member, MemberState state, String reason, Field... inputs) {
 		member.record(new MemberRecord(member.node(), state, ++this.stamp));
-		this.publication.add(MemberEntries.set(member.record()));
-		decide(member.node(), reason, inputs);
+		this.changeBatcher.add(MemberEntries.toEntryChange(member.record()));
+		recordDecision(member.node(), reason, inputs);
 	}
 
-	private void decide(NodeDescriptor node, String result, Field... inputs) {
+	private void recordDecision(NodeDescriptor node, String result, Field... inputs) {
 		List<Field> fields = new ArrayList<>(List.of(inputs));
 		fields.add(Field.of("incarnation", node.incarnation()));
 		fields.add(Field.of("domain", node.domain()));
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ProbeOrder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ProbeAssignment.java
@@ -9,6 +9,6 @@
  * @param prober the node that executes the probe
  * @param request the request
  */
-record ProbeOrder(Peer prober, ProbeRequest request) {
+record ProbeAssignment(Peer prober, ProbeRequest request) {
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ProberSelector.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ProberSelector.java
@@ -13,15 +13,15 @@
 import org.comfreywall.control.spread.Peer;
 
 /**
- * Selects the nodes that probe a suspected node: the leader and up to {@value #OTHERS}
- * active members that are currently reported. Members of other failure domains are
- * preferred, then those that aren't sidecars.
+ * Selects the nodes that probe a suspected node: the leader and up to
+ * {@value #MAX_OTHER_PROBERS} active members that are currently reported. Members of
+ * other failure domains are preferred, then those that aren't sidecars.
  */
 final class ProberSelector {
 
-	private static final int OTHERS = 2;
+	private static final int MAX_OTHER_PROBERS = 2;
 
-	private static final int SAMPLE = 24;
+	private static final int MAX_SAMPLE_SIZE = 24;
 
 	private final InstanceId self;
 
@@ -35,17 +35,17 @@
 	List<Peer> select(NodeDescriptor target, Collection<Member> members, Peer leader) {
 		List<NodeDescriptor> candidates = new ArrayList<>();
 		for (Member member : members) {
-			if (isUsable(member, target)) {
+			if (canProbe(member, target)) {
 				candidates.add(member.node());
 			}
 		}
 		Collections.shuffle(candidates, this.random);
-		List<NodeDescriptor> sample = candidates.subList(0, Math.min(SAMPLE, candidates.size()));
+		List<NodeDescriptor> sample = candidates.subList(0, Math.min(MAX_SAMPLE_SIZE, candidates.size()));
 		sample.sort(Comparator.comparing((NodeDescriptor node) -> node.domain().equals(target.domain()))
 			.thenComparing((node) -> node.role() == NodeRole.SIDECAR));
 		List<Peer> probers = new ArrayList<>();
 		probers.add(leader);
-		sample.stream().limit(OTHERS).map(Peer::of).forEach(probers::add);
+		sample.stream().limit(MAX_OTHER_PROBERS).map(Peer::of).forEach(probers::add);
 		return probers;
 	}
 
@@ -57,15 +57,15 @@
 	 * @param members all members
 	 * @return the count, including the leader
 	 */
-	int electorate(NodeDescriptor target, Collection<Member> members) {
+	int possibleProberCount(NodeDescriptor target, Collection<Member> members) {
 		long others = members.stream()
 			.filter((member) -> isOther(member, target) && member.state() != MemberState.FAILED)
 			.count();
 		return (int) others + 1;
 	}
 
-	private boolean isUsable(Member member, NodeDescriptor target) {
-		return isOther(member, target) && member.isHeard() && member.state() == MemberState.ACTIVE;
+	private boolean canProbe(Member member, NodeDescriptor target) {
+		return isOther(member, target) && member.isReported() && member.state() == MemberState.ACTIVE;
 	}
 
 	private boolean isOther(Member member, NodeDescriptor target) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/EngineOrder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/EngineOrder.java
@@ -24,7 +24,7 @@
 		Preconditions.notNull(value, "value");
 	}
 
-	boolean isSameWish(EngineOrder other) {
+	boolean hasSameContent(EngineOrder other) {
 		return this.kind == other.kind && this.subject.equals(other.subject) && this.value.equals(other.value);
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderIssuer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderIssuer.java
@@ -34,9 +34,9 @@
 	/** Maximum number of open orders of one engine. */
 	public static final int MAX_QUEUED = 64;
 
-	private static final long RETRY_NANOS = Duration.ofMillis(500).toNanos();
+	private static final long INITIAL_BACKOFF_NANOS = Duration.ofMillis(500).toNanos();
 
-	private static final int MAX_BACKOFF = 6;
+	private static final int MAX_BACKOFF_DOUBLINGS = 6;
 
 	private final Map<InstanceId, OrderQueue> queues = new HashMap<>();
 
@@ -46,7 +46,7 @@
 
 	private Optional<Term> term = Optional.empty();
 
-	private FencingNumber last = FencingNumber.ZERO;
+	private FencingNumber lastNumber = FencingNumber.ZERO;
 
 	private List<OrderCommand> commands = new ArrayList<>();
 
@@ -64,22 +64,22 @@
 	 * @param now the monotonic clock's reading in nanoseconds
 	 * @return the commands, to be executed in this order
 	 */
-	public List<OrderCommand> on(OrderEvent event, long now) {
+	public List<OrderCommand> handle(OrderEvent event, long now) {
 		Preconditions.notNull(event, "event");
 		if (event instanceof OrderEvent.LeadershipGained gained) {
-			lead(gained.term());
+			startTerm(gained.term());
 		}
 		else if (event instanceof OrderEvent.LeadershipLost) {
-			stop(ErrorCode.CANCELLED, "this instance is no longer the leader; send the request to the new leader");
+			endAll(ErrorCode.CANCELLED, "this instance is no longer the leader; send the request to the new leader");
 		}
 		else if (event instanceof OrderEvent.Requested requested) {
-			request(requested, now);
+			enqueue(requested, now);
 		}
 		else if (event instanceof OrderEvent.Replied replied) {
-			reply(replied.reply(), now);
+			handleReply(replied.reply(), now);
 		}
 		else {
-			this.queues.values().forEach((queue) -> retry(queue, now));
+			this.queues.values().forEach((queue) -> resendIfDue(queue, now));
 		}
 		List<OrderCommand> drained = this.commands;
 		this.commands = new ArrayList<>();
@@ -91,29 +91,29 @@
 	 * their lower bound.
 	 * @return the number, at least the first one of the current term
 	 */
-	public FencingNumber last() {
-		return this.last;
+	public FencingNumber lastNumber() {
+		return this.lastNumber;
 	}
 
 	/**
 	 * Returns the number of open orders.
 	 * @return the count
 	 */
-	public int open() {
+	public int openOrders() {
 		return this.queues.values().stream().mapToInt(OrderQueue::size).sum();
 	}
 
-	private void lead(Term gained) {
-		stop(ErrorCode.CANCELLED, "this instance started a new term; request the order again");
+	private void startTerm(Term gained) {
+		endAll(ErrorCode.CANCELLED, "this instance started a new term; request the order again");
 		FencingNumber first = new FencingNumber(gained, 0);
-		if (this.invariants.holds(this.last.isBefore(first), "order-terms-increase", Field.of("last", this.last),
-				Field.of("term", gained))) {
+		if (this.invariants.holds(this.lastNumber.isBefore(first), "order-terms-increase",
+				Field.of("last", this.lastNumber), Field.of("term", gained))) {
 			this.term = Optional.of(gained);
-			this.last = first;
+			this.lastNumber = first;
 		}
 	}
 
-	private void stop(ErrorCode code, String reason) {
+	private void endAll(ErrorCode code, String reason) {
 		this.term = Optional.empty();
 		for (OrderQueue queue : this.queues.values()) {
 			queue.drain().forEach((order) -> settle(order, Optional.of(error(code, order, reason))));
@@ -121,7 +121,7 @@
 		this.queues.clear();
 	}
 
-	private void request(OrderEvent.Requested requested, long now) {
+	private void enqueue(OrderEvent.Requested requested, long now) {
 		EngineOrder order = new EngineOrder(requested.target(), FencingNumber.ZERO, requested.kind(),
 				requested.subject(), requested.value());
 		OrderQueue queue = this.queues.get(order.target());
@@ -144,35 +144,35 @@
 	}
 
 	private void sendNext(OrderQueue queue, long now) {
-		if (!queue.isSent() && queue.size() > 0) {
+		if (!queue.isHeadSent() && queue.size() > 0) {
 			send(queue, queue.head().withNumber(nextNumber()), now);
 		}
 	}
 
 	private void send(OrderQueue queue, EngineOrder order, long now) {
-		queue.sent(order, now);
+		queue.markSent(order, now);
 		this.commands.add(new OrderCommand.SendOrder(order));
 	}
 
 	private FencingNumber nextNumber() {
-		this.last = new FencingNumber(this.last.term(), this.last.sequence() + 1);
-		return this.last;
+		this.lastNumber = new FencingNumber(this.lastNumber.term(), this.lastNumber.sequence() + 1);
+		return this.lastNumber;
 	}
 
-	private void retry(OrderQueue queue, long now) {
-		long backoff = RETRY_NANOS << Math.min(queue.attempts(), MAX_BACKOFF);
-		if (queue.isSent() && now - queue.sentAt() >= backoff) {
+	private void resendIfDue(OrderQueue queue, long now) {
+		long backoff = INITIAL_BACKOFF_NANOS << Math.min(queue.attempts(), MAX_BACKOFF_DOUBLINGS);
+		if (queue.isHeadSent() && now - queue.headSentAt() >= backoff) {
 			send(queue, queue.head(), now);
 		}
 	}
 
-	private void reply(OrderReply reply, long now) {
+	private void handleReply(OrderReply reply, long now) {
 		OrderQueue queue = this.queues.get(reply.target());
-		if (queue == null || !queue.isSent() || !queue.head().number().equals(reply.number())) {
+		if (queue == null || !queue.isHeadSent() || !queue.head().number().equals(reply.number())) {
 			return;
 		}
 		if (reply.status() == OrderStatus.FENCED) {
-			fenced(queue, reply, now);
+			handleFenced(queue, reply, now);
 		}
 		else if (reply.status() != OrderStatus.NOT_READY) {
 			EngineOrder order = queue.remove();
@@ -186,9 +186,9 @@
 		}
 	}
 
-	private void fenced(OrderQueue queue, OrderReply reply, long now) {
-		if (this.last.term().isBefore(reply.present().term())) {
-			stop(ErrorCode.FENCED, "a leader of term " + reply.present().term() + " issues the orders now");
+	private void handleFenced(OrderQueue queue, OrderReply reply, long now) {
+		if (this.lastNumber.term().isBefore(reply.present().term())) {
+			endAll(ErrorCode.FENCED, "a leader of term " + reply.present().term() + " issues the orders now");
 			return;
 		}
 		send(queue, queue.head().withNumber(nextNumber()), now);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderQueue.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderQueue.java
@@ -14,7 +14,7 @@
 
 	private boolean headSent;
 
-	private long sentAt;
+	private long headSentAt;
 
 	private int attempts;
 
@@ -23,7 +23,7 @@
 	}
 
 	boolean endsWith(EngineOrder order) {
-		return !this.orders.isEmpty() && this.orders.getLast().isSameWish(order);
+		return !this.orders.isEmpty() && this.orders.getLast().hasSameContent(order);
 	}
 
 	void add(EngineOrder order) {
@@ -34,12 +34,12 @@
 		return this.orders.getFirst();
 	}
 
-	void sent(EngineOrder order, long now) {
+	void markSent(EngineOrder order, long now) {
 		this.attempts = this.headSent ? this.attempts + 1 : 0;
 		this.orders.removeFirst();
 		this.orders.addFirst(order);
 		this.headSent = true;
-		this.sentAt = now;
+		this.headSentAt = now;
 	}
 
 	EngineOrder remove() {
@@ -54,12 +54,12 @@
 		return drained;
 	}
 
-	boolean isSent() {
+	boolean isHeadSent() {
 		return this.headSent;
 	}
 
-	long sentAt() {
-		return this.sentAt;
+	long headSentAt() {
+		return this.headSentAt;
 	}
 
 	int attempts() {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNode.java
@@ -53,7 +53,7 @@
 
 	private final ControlNodeMetrics metrics;
 
-	private final BlockingQueue<Runnable> ring;
+	private final BlockingQueue<Runnable> inputQueue;
 
 	private final NodeEngine engine;
 
@@ -65,10 +65,10 @@
 
 	private volatile boolean ended;
 
-	private ControlNode(ControlNodeParts dependencies, ControlNodeSettings settings) {
+	private ControlNode(ControlNodeDependencies dependencies, ControlNodeSettings settings) {
 		this.settings = settings;
 		this.clock = dependencies.clock();
-		this.ring = new ArrayBlockingQueue<>(settings.ringCapacity());
+		this.inputQueue = new ArrayBlockingQueue<>(settings.queueCapacity());
 		this.metrics = new ControlNodeMetrics(dependencies.metrics(), () -> this.status);
 		this.engine = new NodeEngine(dependencies, settings, this.metrics);
 		this.status = this.engine.status();
@@ -82,7 +82,7 @@
 	 * @param settings the settings
 	 * @return the running node
 	 */
-	public static ControlNode start(ControlNodeParts dependencies, ControlNodeSettings settings) {
+	public static ControlNode start(ControlNodeDependencies dependencies, ControlNodeSettings settings) {
 		Preconditions.notNull(dependencies, "dependencies");
 		Preconditions.notNull(settings, "settings");
 		ControlNode node = new ControlNode(dependencies, settings);
@@ -97,7 +97,7 @@
 	 */
 	public void receive(PeerMessage message) {
 		Preconditions.notNull(message, "message");
-		offer(new MessageReceived(message));
+		enqueue(new MessageReceived(message));
 	}
 
 	/**
@@ -125,10 +125,10 @@
 	private CompletableFuture<Result<Bytes>> submit(Function<Long, LogEvent> event) {
 		CompletableFuture<Result<Bytes>> future = new CompletableFuture<>();
 		long since = this.clock.nanoTime();
-		if (!this.ring.offer(() -> this.engine.submit(future, since, event))) {
-			future.complete(Result.failure(overflow()));
+		if (!this.inputQueue.offer(() -> this.engine.submit(future, since, event))) {
+			future.complete(Result.failure(queueFullError()));
 		}
-		return closedAware(future);
+		return failIfEnded(future);
 	}
 
 	/**
@@ -145,14 +145,15 @@
 		CompletableFuture<Result<T>> future = new CompletableFuture<>();
 		Consumer<OperationError> onError = (error) -> future.complete(Result.failure(error));
 		long since = this.clock.nanoTime();
-		Runnable action = () -> future.complete(answer(query));
-		if (!this.ring.offer(() -> this.engine.read(new PendingRead(action, onError, since), ReadRequested::new))) {
-			onError.accept(overflow());
+		Runnable action = () -> future.complete(evaluate(query));
+		if (!this.inputQueue
+			.offer(() -> this.engine.read(new PendingRead(action, onError, since), ReadRequested::new))) {
+			onError.accept(queueFullError());
 		}
-		return closedAware(future);
+		return failIfEnded(future);
 	}
 
-	private <T> Result<T> answer(Function<StateMachine, T> query) {
+	private <T> Result<T> evaluate(Function<StateMachine, T> query) {
 		try {
 			return Result.success(query.apply(this.engine.machine()));
 		}
@@ -168,7 +169,7 @@
 	 */
 	public void transferLeadership(InstanceId target) {
 		Preconditions.notNull(target, "target");
-		offer(new TransferRequested(target));
+		enqueue(new TransferRequested(target));
 	}
 
 	/**
@@ -204,13 +205,13 @@
 		}
 	}
 
-	private void offer(LogEvent event) {
-		if (!this.ring.offer(() -> this.engine.handle(event))) {
+	private void enqueue(LogEvent event) {
+		if (!this.inputQueue.offer(() -> this.engine.handle(event))) {
 			this.metrics.overflows().inc();
 		}
 	}
 
-	private OperationError overflow() {
+	private OperationError queueFullError() {
 		this.metrics.overflows().inc();
 		return OperationError.local(ErrorCode.OVERLOADED, Step.REPLICATE,
 				"the input queue of the control node is full; try again later");
@@ -218,16 +219,16 @@
 
 	// An input queued after the node's thread has ended would never be processed,
 	// so it is failed here.
-	private <T> CompletableFuture<T> closedAware(CompletableFuture<T> future) {
+	private <T> CompletableFuture<T> failIfEnded(CompletableFuture<T> future) {
 		if (this.ended) {
-			refuseWaiting();
+			failPending();
 		}
 		return future;
 	}
 
-	private synchronized void refuseWaiting() {
+	private synchronized void failPending() {
 		this.engine.stop();
-		drain(Integer.MAX_VALUE);
+		processQueued(Integer.MAX_VALUE);
 	}
 
 	private void run() {
@@ -236,18 +237,18 @@
 		long nextDeadlineCheck = nextTick;
 		try {
 			while (!this.closed) {
-				await(nextTick - this.clock.nanoTime());
-				drain(this.settings.maxGroup() - 1);
+				awaitInput(nextTick - this.clock.nanoTime());
+				processQueued(this.settings.maxBatch() - 1);
 				long now = this.clock.nanoTime();
 				if (now - nextTick >= 0) {
-					this.engine.onTime();
+					this.engine.tick();
 					nextTick = now + tick;
 				}
 				if (now - nextDeadlineCheck >= 0) {
-					this.engine.expire();
+					this.engine.expireCalls();
 					nextDeadlineCheck = now + this.settings.proposalTimeout().toNanos() / DEADLINE_CHECKS_PER_TIMEOUT;
 				}
-				this.engine.endGroup();
+				this.engine.endBatch();
 				this.status = this.engine.status();
 			}
 		}
@@ -256,14 +257,14 @@
 		}
 		finally {
 			this.ended = true;
-			refuseWaiting();
+			failPending();
 			this.status = this.engine.status();
 		}
 	}
 
-	private void await(long nanos) {
+	private void awaitInput(long nanos) {
 		try {
-			Runnable first = this.ring.poll(Math.max(nanos, 0), TimeUnit.NANOSECONDS);
+			Runnable first = this.inputQueue.poll(Math.max(nanos, 0), TimeUnit.NANOSECONDS);
 			if (first != null) {
 				first.run();
 			}
@@ -273,9 +274,9 @@
 		}
 	}
 
-	private void drain(int limit) {
+	private void processQueued(int limit) {
 		List<Runnable> inputs = new ArrayList<>();
-		this.ring.drainTo(inputs, limit);
+		this.inputQueue.drainTo(inputs, limit);
 		inputs.forEach(Runnable::run);
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNodeParts.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNodeDependencies.java
@@ -24,11 +24,11 @@
  * @param invariants checks invariants of the replicated log at run time
  * @param metrics the registry for the node's metrics
  */
-public record ControlNodeParts(InstanceId instance, LogStorage storage, StateMachine machine, PeerSender sender,
+public record ControlNodeDependencies(InstanceId instance, LogStorage storage, StateMachine machine, PeerSender sender,
 		Clock clock, RandomGenerator random, DecisionListener decisions, Invariants invariants,
 		MetricRegistry metrics) {
 
-	public ControlNodeParts {
+	public ControlNodeDependencies {
 		Preconditions.notNull(instance, "instance");
 		Preconditions.notNull(storage, "storage");
 		Preconditions.notNull(machine, "machine");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNodeMetrics.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNodeMetrics.java
@@ -23,7 +23,7 @@
 
 	private final Timer snapshot;
 
-	private final Histogram groupEntries;
+	private final Histogram batchEntries;
 
 	private final Meter proposals;
 
@@ -33,7 +33,7 @@
 		this.sync = registry.timer(PREFIX + "sync");
 		this.commit = registry.timer(PREFIX + "commit");
 		this.snapshot = registry.timer(PREFIX + "snapshot");
-		this.groupEntries = registry.histogram(PREFIX + "group-entries");
+		this.batchEntries = registry.histogram(PREFIX + "group-entries");
 		this.proposals = registry.meter(PREFIX + "proposals");
 		this.overflows = registry.counter(PREFIX + "ring-overflows");
 		gauge(registry, "term", () -> status.get().term().value());
@@ -58,8 +58,8 @@
 		return this.snapshot;
 	}
 
-	Histogram groupEntries() {
-		return this.groupEntries;
+	Histogram batchEntries() {
+		return this.batchEntries;
 	}
 
 	Meter proposals() {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNodeSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNodeSettings.java
@@ -9,15 +9,15 @@
  * Settings of a {@link ControlNode}.
  *
  * @param log the settings of the replicated log
- * @param ringCapacity the maximum number of queued inputs; further calls are refused,
+ * @param queueCapacity the maximum number of queued inputs; further calls are refused,
  * further messages dropped
- * @param maxGroup the maximum number of inputs per batch; the log entries of a batch are
+ * @param maxBatch the maximum number of inputs per batch; the log entries of a batch are
  * written and synced together
  * @param proposalTimeout the time after which a pending proposal or read fails with
  * {@code DEADLINE_EXCEEDED}; its outcome is then unknown
  * @param snapshotInterval the number of entries applied between two snapshots
  */
-public record ControlNodeSettings(LogSettings log, int ringCapacity, int maxGroup, Duration proposalTimeout,
+public record ControlNodeSettings(LogSettings log, int queueCapacity, int maxBatch, Duration proposalTimeout,
 		int snapshotInterval) {
 
 	/** The default settings. */
@@ -26,8 +26,8 @@
 
 	public ControlNodeSettings {
 		Preconditions.notNull(log, "log");
-		Preconditions.check(ringCapacity >= 1, "the input queue capacity must be at least 1: %d", ringCapacity);
-		Preconditions.check(maxGroup >= 1, "the maximum batch size must be at least 1: %d", maxGroup);
+		Preconditions.check(queueCapacity >= 1, "the input queue capacity must be at least 1: %d", queueCapacity);
+		Preconditions.check(maxBatch >= 1, "the maximum batch size must be at least 1: %d", maxBatch);
 		Preconditions.check(!proposalTimeout.isNegative() && !proposalTimeout.isZero(),
 				"proposalTimeout must be positive: %s", proposalTimeout);
 		Preconditions.check(snapshotInterval >= 1 && snapshotInterval < log.maxLogEntries(),
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/NodeEngine.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/NodeEngine.java
@@ -71,7 +71,7 @@
 
 	private boolean stopped;
 
-	NodeEngine(ControlNodeParts dependencies, ControlNodeSettings settings, ControlNodeMetrics metrics) {
+	NodeEngine(ControlNodeDependencies dependencies, ControlNodeSettings settings, ControlNodeMetrics metrics) {
 		this.settings = settings;
 		this.metrics = metrics;
 		this.clock = dependencies.clock();
@@ -97,7 +97,7 @@
 		if (this.stopped) {
 			return;
 		}
-		carryOut(this.core.handle(event, this.clock.nanoTime()));
+		execute(this.core.handle(event, this.clock.nanoTime()));
 	}
 
 	void submit(CompletableFuture<Result<Bytes>> future, long since, Function<Long, LogEvent> event) {
@@ -106,12 +106,12 @@
 			return;
 		}
 		this.metrics.proposals().mark();
-		future.thenAccept((result) -> noteCommit(result, since));
+		future.thenAccept((result) -> recordCommitLatency(result, since));
 		long id = this.pending.add(new PendingProposal(future, since, LogPosition.ORIGIN));
 		handle(event.apply(id));
 	}
 
-	private void noteCommit(Result<Bytes> result, long since) {
+	private void recordCommitLatency(Result<Bytes> result, long since) {
 		if (result.value().isPresent()) {
 			this.metrics.commit().update(this.clock.nanoTime() - since, TimeUnit.NANOSECONDS);
 		}
@@ -125,15 +125,15 @@
 		handle(event.apply(this.pending.add(read)));
 	}
 
-	void onTime() {
+	void tick() {
 		handle(new TimePassed());
 	}
 
-	void expire() {
+	void expireCalls() {
 		this.pending.expireBefore(this.clock.nanoTime() - this.settings.proposalTimeout().toNanos());
 	}
 
-	void endGroup() {
+	void endBatch() {
 		handle(new BatchEnded());
 		if (this.appliedIndex - this.snapshotIndex >= this.settings.snapshotInterval()) {
 			takeSnapshot();
@@ -160,7 +160,7 @@
 		this.metrics.snapshot().update(this.clock.nanoTime() - start, TimeUnit.NANOSECONDS);
 	}
 
-	private void carryOut(List<LogCommand> commands) {
+	private void execute(List<LogCommand> commands) {
 		for (LogCommand command : commands) {
 			if (command instanceof SendMessage send) {
 				this.sender.send(send.message());
@@ -172,26 +172,26 @@
 				apply(apply.entries());
 			}
 			else if (command instanceof SaveSnapshot save) {
-				save(save);
+				saveSnapshot(save);
 			}
 			else {
-				answer(command);
+				completeCall(command);
 			}
 		}
 	}
 
-	private void answer(LogCommand command) {
+	private void completeCall(LogCommand command) {
 		if (command instanceof ProposalAccepted accepted) {
-			this.pending.accepted(accepted.proposal(), accepted.position());
+			this.pending.assignPosition(accepted.proposal(), accepted.position());
 		}
 		else if (command instanceof ProposalRefused refused) {
-			this.pending.refused(refused.proposal(), refused.error());
+			this.pending.failProposal(refused.proposal(), refused.error());
 		}
 		else if (command instanceof ReadReady ready) {
-			this.pending.readReady(ready.read(), ready.index(), this.appliedIndex);
+			this.pending.confirmRead(ready.read(), ready.index(), this.appliedIndex);
 		}
 		else if (command instanceof ReadRefused refused) {
-			this.pending.readRefused(refused.read(), refused.error());
+			this.pending.failRead(refused.read(), refused.error());
 		}
 		else if (command instanceof RoleChanged changed) {
 			LOG.info("role-changed", Field.of("role", changed.role()), Field.of("term", changed.term()),
@@ -203,11 +203,11 @@
 		long start = this.clock.nanoTime();
 		Optional<OperationError> error = this.storage.write(sync.batch()).or(this.storage::sync);
 		this.metrics.sync().update(this.clock.nanoTime() - start, TimeUnit.NANOSECONDS);
-		this.metrics.groupEntries().update(sync.batch().entries().size());
+		this.metrics.batchEntries().update(sync.batch().entries().size());
 		reportSync(error, sync.sequence());
 	}
 
-	private void save(SaveSnapshot save) {
+	private void saveSnapshot(SaveSnapshot save) {
 		Optional<OperationError> error = this.storage.save(save.compaction());
 		if (save.restore() && error.isEmpty()) {
 			restore(save.compaction().snapshot().position().index(), save.compaction().snapshot().state());
@@ -237,7 +237,7 @@
 			Result<Bytes> answer = (entry.content() instanceof CommandContent command)
 					? this.machine.apply(entry.time(), command.command()) : Result.success(Bytes.EMPTY);
 			this.appliedIndex = entry.index();
-			this.pending.applied(entry.position(), answer);
+			this.pending.completeAt(entry.position(), answer);
 		}
 		this.pending.runReadsUpTo(this.appliedIndex);
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingCalls.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingCalls.java
@@ -44,18 +44,18 @@
 		return this.nextId++;
 	}
 
-	void accepted(long id, LogPosition position) {
+	void assignPosition(long id, LogPosition position) {
 		PendingProposal proposal = this.submittedProposals.remove(id);
 		if (proposal == null) {
 			return;
 		}
-		PendingProposal replaced = this.acceptedProposals.put(position.index(), proposal.at(position));
+		PendingProposal replaced = this.acceptedProposals.put(position.index(), proposal.withPosition(position));
 		if (replaced != null) {
-			replaced.fail(replacedByOther());
+			replaced.fail(leaderChangedError());
 		}
 	}
 
-	void refused(long id, OperationError error) {
+	void failProposal(long id, OperationError error) {
 		PendingProposal proposal = this.submittedProposals.remove(id);
 		if (proposal != null) {
 			proposal.fail(error);
@@ -64,25 +64,25 @@
 
 	// Completes the proposal at an applied index, or fails it if the index holds an
 	// entry of another term.
-	void applied(LogPosition position, Result<Bytes> answer) {
+	void completeAt(LogPosition position, Result<Bytes> answer) {
 		PendingProposal proposal = this.acceptedProposals.remove(position.index());
 		if (proposal == null) {
 			return;
 		}
-		if (proposal.isAt(position)) {
+		if (proposal.hasPosition(position)) {
 			proposal.complete(answer);
 		}
 		else {
-			proposal.fail(replacedByOther());
+			proposal.fail(leaderChangedError());
 		}
 	}
 
-	private static OperationError replacedByOther() {
+	private static OperationError leaderChangedError() {
 		return OperationError.local(ErrorCode.UNAVAILABLE, Step.REPLICATE,
 				"the proposal was not accepted because the leader changed; submit it again to the new leader");
 	}
 
-	void readReady(long id, long index, long appliedIndex) {
+	void confirmRead(long id, long index, long appliedIndex) {
 		PendingRead read = this.unconfirmedReads.remove(id);
 		if (read == null) {
 			return;
@@ -95,7 +95,7 @@
 		}
 	}
 
-	void readRefused(long id, OperationError error) {
+	void failRead(long id, OperationError error) {
 		PendingRead read = this.unconfirmedReads.remove(id);
 		if (read != null) {
 			read.fail(error);
@@ -121,7 +121,7 @@
 	private static void expire(Iterator<PendingProposal> proposals, long deadline, OperationError error) {
 		while (proposals.hasNext()) {
 			PendingProposal proposal = proposals.next();
-			if (proposal.since() - deadline < 0) {
+			if (proposal.submittedAt() - deadline < 0) {
 				proposals.remove();
 				proposal.fail(error);
 			}
@@ -131,7 +131,7 @@
 	private static void expireReads(Iterator<PendingRead> reads, long deadline, OperationError error) {
 		while (reads.hasNext()) {
 			PendingRead read = reads.next();
-			if (read.since() - deadline < 0) {
+			if (read.submittedAt() - deadline < 0) {
 				reads.remove();
 				read.fail(error);
 			}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingProposal.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingProposal.java
@@ -11,17 +11,17 @@
  * A proposal that has not completed.
  *
  * @param future receives the answer
- * @param since the monotonic clock's reading at submission, in nanoseconds
+ * @param submittedAt the monotonic clock's reading at submission, in nanoseconds
  * @param position its position in the log, or {@link LogPosition#ORIGIN} before one is
  * assigned
  */
-record PendingProposal(CompletableFuture<Result<Bytes>> future, long since, LogPosition position) {
+record PendingProposal(CompletableFuture<Result<Bytes>> future, long submittedAt, LogPosition position) {
 
-	PendingProposal at(LogPosition assigned) {
-		return new PendingProposal(this.future, this.since, assigned);
+	PendingProposal withPosition(LogPosition assigned) {
+		return new PendingProposal(this.future, this.submittedAt, assigned);
 	}
 
-	boolean isAt(LogPosition other) {
+	boolean hasPosition(LogPosition other) {
 		return this.position.equals(other);
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingRead.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/PendingRead.java
@@ -9,9 +9,9 @@
  *
  * @param action reads the state and completes the caller's future
  * @param onError fails the caller's future
- * @param since the monotonic clock's reading at submission, in nanoseconds
+ * @param submittedAt the monotonic clock's reading at submission, in nanoseconds
  */
-record PendingRead(Runnable action, Consumer<OperationError> onError, long since) {
+record PendingRead(Runnable action, Consumer<OperationError> onError, long submittedAt) {
 
 	void run() {
 		this.action.run();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
@@ -18,13 +18,13 @@
 
 	private final Map<StreamId, Long> sentAt = new EnumMap<>(StreamId.class);
 
-	private final Map<InstanceId, MemberReport> below = new HashMap<>();
+	private final Map<InstanceId, MemberReport> descendants = new HashMap<>();
 
 	private NodeDescriptor node;
 
 	private boolean leaving;
 
-	private long heardAt;
+	private long lastHeartbeatAt;
 
 	private Coverage coverage = new Coverage(1, 0, 0, List.of());
 
@@ -32,7 +32,7 @@
 
 	private long reportsReceived;
 
-	private Parents parents = Parents.NONE;
+	private ParentList sentParents = ParentList.NONE;
 
 	Child(NodeDescriptor node) {
 		this.node = node;
@@ -44,13 +44,13 @@
 	 * @param heartbeat the heartbeat
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void heard(Heartbeat heartbeat, long now) {
+	void recordHeartbeat(Heartbeat heartbeat, long now) {
 		if (this.node.incarnation().isBefore(heartbeat.node().incarnation())) {
-			restarted();
+			resetAfterRestart();
 		}
 		this.node = heartbeat.node();
 		this.leaving = this.leaving || heartbeat.leaving();
-		this.heardAt = now;
+		this.lastHeartbeatAt = now;
 		this.coverage = heartbeat.coverage();
 		this.acknowledged.put(StreamId.CONFIGURATION, heartbeat.configuration());
 		this.acknowledged.put(StreamId.MEMBERS, heartbeat.members());
@@ -61,11 +61,11 @@
 	 * @param heartbeat the heartbeat
 	 * @return {@code true} if all earlier reports must be discarded
 	 */
-	boolean beginsListing(Heartbeat heartbeat) {
+	boolean startsFullReport(Heartbeat heartbeat) {
 		return heartbeat.resetSequence() > this.resetSequence;
 	}
 
-	void beginListing(long sequence) {
+	void startFullReport(long sequence) {
 		this.resetSequence = sequence;
 		this.reportsReceived = sequence;
 	}
@@ -82,7 +82,7 @@
 		return contiguous && heartbeat.reportSequence() > this.reportsReceived;
 	}
 
-	void received(long sequence) {
+	void markReportsReceived(long sequence) {
 		this.reportsReceived = sequence;
 	}
 
@@ -99,7 +99,7 @@
 		this.sentAt.put(stream, now);
 	}
 
-	void rewind(StreamId stream) {
+	void rewindToAcknowledged(StreamId stream) {
 		this.sent.put(stream, acknowledged(stream).version());
 	}
 
@@ -111,8 +111,8 @@
 		return new MemberReport(this.node, this.leaving ? Presence.LEAVING : Presence.PRESENT);
 	}
 
-	Map<InstanceId, MemberReport> below() {
-		return this.below;
+	Map<InstanceId, MemberReport> descendants() {
+		return this.descendants;
 	}
 
 	NodeDescriptor node() {
@@ -123,8 +123,8 @@
 		return Peer.of(this.node);
 	}
 
-	long heardAt() {
-		return this.heardAt;
+	long lastHeartbeatAt() {
+		return this.lastHeartbeatAt;
 	}
 
 	Coverage coverage() {
@@ -135,15 +135,15 @@
 		return this.reportsReceived;
 	}
 
-	Parents parents() {
-		return this.parents;
+	ParentList sentParents() {
+		return this.sentParents;
 	}
 
-	void markParents(Parents parents) {
-		this.parents = parents;
+	void setSentParents(ParentList parents) {
+		this.sentParents = parents;
 	}
 
-	private void restarted() {
+	private void resetAfterRestart() {
 		this.leaving = false;
 		this.resetSequence = 0;
 		this.reportsReceived = 0;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Children.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Children.java
@@ -15,13 +15,13 @@
  * The children of a node and their reports about their descendants.
  * <p>
  * A descendant is present as long as at least one child reports it. At most
- * {@link SpreadSettings#maxChildren()} children and {@value #MAX_BELOW} descendants are
- * tracked.
+ * {@link SpreadSettings#maxChildren()} children and {@value #MAX_DESCENDANTS} descendants
+ * are tracked.
  */
 final class Children {
 
 	/** The maximum number of descendants that are tracked. */
-	static final int MAX_BELOW = 16_384;
+	static final int MAX_DESCENDANTS = 16_384;
 
 	private final int limit;
 
@@ -29,7 +29,7 @@
 
 	private final Map<InstanceId, Child> children = new LinkedHashMap<>();
 
-	private final Map<InstanceId, Map<InstanceId, MemberReport>> vouchers = new HashMap<>();
+	private final Map<InstanceId, Map<InstanceId, MemberReport>> reportsByNode = new HashMap<>();
 
 	private boolean coverageChanged;
 
@@ -64,18 +64,18 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return the child
 	 */
-	Child heard(Heartbeat heartbeat, long now) {
+	Child applyHeartbeat(Heartbeat heartbeat, long now) {
 		Child child = this.children.computeIfAbsent(heartbeat.node().id(), (id) -> new Child(heartbeat.node()));
 		this.coverageChanged |= !child.coverage().equals(heartbeat.coverage());
-		child.heard(heartbeat, now);
-		vouch(child, child.report());
-		if (child.beginsListing(heartbeat)) {
-			List.copyOf(child.below().keySet()).forEach((id) -> withdraw(child, id));
-			child.beginListing(heartbeat.resetSequence());
+		child.recordHeartbeat(heartbeat, now);
+		putReport(child, child.report());
+		if (child.startsFullReport(heartbeat)) {
+			List.copyOf(child.descendants().keySet()).forEach((id) -> removeReport(child, id));
+			child.startFullReport(heartbeat.resetSequence());
 		}
 		if (child.hasNewReports(heartbeat)) {
-			heartbeat.reports().forEach((report) -> take(child, report));
-			child.received(heartbeat.reportSequence());
+			heartbeat.reports().forEach((report) -> applyReport(child, report));
+			child.markReportsReceived(heartbeat.reportSequence());
 		}
 		return child;
 	}
@@ -87,8 +87,8 @@
 	void remove(InstanceId id) {
 		Child child = this.children.remove(id);
 		if (child != null) {
-			List.copyOf(child.below().keySet()).forEach((below) -> withdraw(child, below));
-			withdraw(child, id);
+			List.copyOf(child.descendants().keySet()).forEach((below) -> removeReport(child, below));
+			removeReport(child, id);
 		}
 	}
 
@@ -101,54 +101,55 @@
 	List<InstanceId> expire(long deadline) {
 		List<InstanceId> expired = this.children.values()
 			.stream()
-			.filter((child) -> child.heardAt() < deadline)
+			.filter((child) -> child.lastHeartbeatAt() < deadline)
 			.map((child) -> child.node().id())
 			.toList();
 		expired.forEach(this::remove);
 		return expired;
 	}
 
-	List<MemberReport> present() {
-		List<MemberReport> reports = new ArrayList<>(this.vouchers.size());
-		this.vouchers.values().forEach((byChild) -> reports.add(newest(byChild.values())));
+	List<MemberReport> presenceReports() {
+		List<MemberReport> reports = new ArrayList<>(this.reportsByNode.size());
+		this.reportsByNode.values().forEach((byChild) -> reports.add(newestReport(byChild.values())));
 		return reports;
 	}
 
-	private void take(Child child, MemberReport report) {
+	private void applyReport(Child child, MemberReport report) {
 		if (report.presence() == Presence.ABSENT) {
-			withdraw(child, report.node().id());
+			removeReport(child, report.node().id());
 		}
 		else if (!report.node().id().equals(child.node().id())) {
-			child.below().put(report.node().id(), report);
-			vouch(child, report);
+			child.descendants().put(report.node().id(), report);
+			putReport(child, report);
 		}
 	}
 
-	private void vouch(Child child, MemberReport report) {
+	private void putReport(Child child, MemberReport report) {
 		InstanceId id = report.node().id();
-		if (this.vouchers.size() >= MAX_BELOW && !this.vouchers.containsKey(id)) {
+		if (this.reportsByNode.size() >= MAX_DESCENDANTS && !this.reportsByNode.containsKey(id)) {
 			return;
 		}
-		Map<InstanceId, MemberReport> reports = this.vouchers.computeIfAbsent(id, (key) -> new HashMap<>(2));
-		Optional<MemberReport> before = reports.isEmpty() ? Optional.empty() : Optional.of(newest(reports.values()));
+		Map<InstanceId, MemberReport> reports = this.reportsByNode.computeIfAbsent(id, (key) -> new HashMap<>(2));
+		Optional<MemberReport> before = reports.isEmpty() ? Optional.empty()
+				: Optional.of(newestReport(reports.values()));
 		reports.put(child.node().id(), report);
-		MemberReport after = newest(reports.values());
+		MemberReport after = newestReport(reports.values());
 		if (before.isEmpty() || !before.get().equals(after)) {
 			this.listener.accept(after);
 		}
 	}
 
-	private void withdraw(Child child, InstanceId id) {
-		child.below().remove(id);
-		Map<InstanceId, MemberReport> reports = this.vouchers.get(id);
+	private void removeReport(Child child, InstanceId id) {
+		child.descendants().remove(id);
+		Map<InstanceId, MemberReport> reports = this.reportsByNode.get(id);
 		MemberReport removed = (reports != null) ? reports.remove(child.node().id()) : null;
 		if (removed != null && reports.isEmpty()) {
-			this.vouchers.remove(id);
+			this.reportsByNode.remove(id);
 			this.listener.accept(new MemberReport(removed.node(), Presence.ABSENT));
 		}
 	}
 
-	private static MemberReport newest(Collection<MemberReport> reports) {
+	private static MemberReport newestReport(Collection<MemberReport> reports) {
 		MemberReport newest = null;
 		for (MemberReport report : reports) {
 			if (newest == null || supersedes(report, newest)) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ConfigurationGate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ConfigurationGate.java
@@ -44,7 +44,7 @@
 		return this.inForce;
 	}
 
-	long numberInForce() {
+	long revisionInForce() {
 		return this.inForce.map(Version::number).orElse(0L);
 	}
 
@@ -53,34 +53,34 @@
 	 * reached it.
 	 * @param version the oldest version that may be activated
 	 */
-	void floorLearnt(Version version) {
+	void floorConfirmed(Version version) {
 		this.floor = Optional.of(version);
-		replaced();
+		activateWholeState();
 	}
 
 	/**
 	 * Activates a delta that the replica has applied.
 	 * @param delta the delta
 	 */
-	void advanced(Delta delta) {
+	void activateDelta(Delta delta) {
 		if (this.inForce.isEmpty()) {
-			replaced();
+			activateWholeState();
 			return;
 		}
-		enforce(delta.changes(), false);
+		activate(delta.changes(), false);
 	}
 
 	/**
 	 * Activates the replica's whole state if it has reached the floor.
 	 */
-	void replaced() {
+	void activateWholeState() {
 		boolean reached = this.floor.isPresent() && !this.replica.version().isBefore(this.floor.get());
 		if (reached || this.inForce.isPresent()) {
-			enforce(this.replica.asChanges(), true);
+			activate(this.replica.asChanges(), true);
 		}
 	}
 
-	private void enforce(List<EntryChange> changes, boolean whole) {
+	private void activate(List<EntryChange> changes, boolean whole) {
 		Version version = this.replica.version();
 		Version before = this.inForce.orElse(Version.ZERO);
 		boolean forward = version.number() >= before.number() && !version.isBefore(before);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/CoverageCalculator.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/CoverageCalculator.java
@@ -43,7 +43,7 @@
 		Coverage coverage = child.coverage();
 		if (coverage.number() < this.number) {
 			addNode(child.node().id(), coverage.number());
-			child.below().keySet().forEach((id) -> addNode(id, coverage.number()));
+			child.descendants().keySet().forEach((id) -> addNode(id, coverage.number()));
 			return;
 		}
 		this.nodes += coverage.nodes();
@@ -61,7 +61,7 @@
 			return;
 		}
 		this.behindCount++;
-		if (this.behind.size() < Coverage.MAX_NAMED) {
+		if (this.behind.size() < Coverage.MAX_LISTED) {
 			this.behind.add(laggard);
 		}
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Distributor.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Distributor.java
@@ -40,13 +40,13 @@
 		Version acknowledged = child.acknowledged(this.stream).version();
 		Version sent = child.sent(this.stream);
 		if (sent.isBefore(acknowledged)) {
-			child.rewind(this.stream);
+			child.rewindToAcknowledged(this.stream);
 		}
-		boolean hasDeltas = this.replica.since(acknowledged).isPresent();
+		boolean hasDeltas = this.replica.deltasSince(acknowledged).isPresent();
 		long timeout = hasDeltas ? this.resendNanos : SNAPSHOT_RESEND_FACTOR * this.resendNanos;
 		boolean overdue = now - child.sentAt(this.stream) > timeout;
 		if (acknowledged.isBefore(sent) && (overdue || (requested && hasDeltas))) {
-			child.rewind(this.stream);
+			child.rewindToAcknowledged(this.stream);
 		}
 	}
 
@@ -56,7 +56,7 @@
 	 * @param term the latest leader term known to this node
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void push(Child child, Term term, long now) {
+	void sendUpdates(Child child, Term term, long now) {
 		if (this.stream == StreamId.MEMBERS && child.node().role() == NodeRole.SIDECAR) {
 			return;
 		}
@@ -64,7 +64,7 @@
 		if (!sent.isBefore(this.replica.version())) {
 			return;
 		}
-		Optional<List<Delta>> deltas = this.replica.since(sent);
+		Optional<List<Delta>> deltas = this.replica.deltasSince(sent);
 		if (deltas.isPresent()) {
 			this.outbox.send(child.peer(), new DeltaUpdate(this.stream, term, deltas.get()));
 		}
@@ -81,7 +81,7 @@
 	 * @param term the latest leader term known to this node
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void repair(Child child, Term term, long now) {
+	void sendSnapshotIfDiverged(Child child, Term term, long now) {
 		Position acknowledged = child.acknowledged(this.stream);
 		Position own = this.replica.position();
 		if (acknowledged.version().equals(own.version()) && acknowledged.digest() != own.digest()) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorAnswer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorResponse.java
@@ -8,9 +8,9 @@
  * @param nonce the nonce of the request
  * @param floor the floor, confirmed by a quorum after the request was sent
  */
-public record FloorAnswer(long nonce, Floor floor) implements SpreadMessage {
+public record FloorResponse(long nonce, Floor floor) implements SpreadMessage {
 
-	public FloorAnswer {
+	public FloorResponse {
 		Preconditions.notNull(floor, "floor");
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorTracker.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorTracker.java
@@ -19,11 +19,11 @@
 
 	private Map<InstanceId, Long> waiting = new HashMap<>();
 
-	private Map<InstanceId, Long> covered = new HashMap<>();
+	private Map<InstanceId, Long> outstanding = new HashMap<>();
 
 	private boolean selfWaiting = true;
 
-	private boolean selfCovered;
+	private boolean selfOutstanding;
 
 	private long nonce;
 
@@ -41,26 +41,26 @@
 	 * @param request the nonce of the child's request
 	 * @return {@code true} if a new request must be sent to the parent
 	 */
-	boolean ask(InstanceId child, long request) {
-		if (Long.valueOf(request).equals(this.covered.get(child))) {
+	boolean addRequest(InstanceId child, long request) {
+		if (Long.valueOf(request).equals(this.outstanding.get(child))) {
 			return false;
 		}
 		this.waiting.put(child, request);
-		return advance();
+		return startNextRequest();
 	}
 
 	/**
 	 * Combines the waiting requests into a new one unless a request is outstanding.
 	 * @return {@code true} if a new request must be sent to the parent
 	 */
-	boolean advance() {
+	boolean startNextRequest() {
 		if (this.nonce != 0 || (this.waiting.isEmpty() && !this.selfWaiting)) {
 			return false;
 		}
 		this.nonce = nextNonce();
-		this.covered = this.waiting;
+		this.outstanding = this.waiting;
 		this.waiting = new HashMap<>();
-		this.selfCovered = this.selfWaiting;
+		this.selfOutstanding = this.selfWaiting;
 		this.selfWaiting = false;
 		return true;
 	}
@@ -71,20 +71,20 @@
 	 * @return the requests that the response completes; none if the nonce is not that of
 	 * the outstanding request
 	 */
-	Answered answer(long answered) {
+	CompletedRequests completeRequest(long answered) {
 		if (answered == 0 || answered != this.nonce) {
-			return new Answered(false, Map.of());
+			return new CompletedRequests(false, Map.of());
 		}
-		Answered result = new Answered(this.selfCovered, this.covered);
+		CompletedRequests result = new CompletedRequests(this.selfOutstanding, this.outstanding);
 		this.nonce = 0;
-		this.covered = new HashMap<>();
-		this.selfCovered = false;
+		this.outstanding = new HashMap<>();
+		this.selfOutstanding = false;
 		return result;
 	}
 
-	void forget(InstanceId child) {
+	void removeChild(InstanceId child) {
 		this.waiting.remove(child);
-		this.covered.remove(child);
+		this.outstanding.remove(child);
 	}
 
 	private long nextNonce() {
@@ -98,7 +98,7 @@
 	 * @param self whether this node's own request is among them
 	 * @param children the children with the nonces of their requests
 	 */
-	record Answered(boolean self, Map<InstanceId, Long> children) {
+	record CompletedRequests(boolean self, Map<InstanceId, Long> children) {
 
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveAnnouncer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveAnnouncer.java
@@ -9,7 +9,7 @@
  */
 final class LeaveAnnouncer {
 
-	private static final int ROUNDS = 8;
+	private static final int MAX_NOTICES = 8;
 
 	private static final long INTERVAL_NANOS = Duration.ofMillis(250).toNanos();
 
@@ -21,7 +21,7 @@
 
 	private boolean leaving;
 
-	private int round;
+	private int noticesSent;
 
 	private long sentAt;
 
@@ -43,7 +43,7 @@
 	}
 
 	void tick(long now) {
-		if (this.leaving && this.round < ROUNDS && now - this.sentAt >= INTERVAL_NANOS) {
+		if (this.leaving && this.noticesSent < MAX_NOTICES && now - this.sentAt >= INTERVAL_NANOS) {
 			send(now);
 		}
 	}
@@ -51,10 +51,10 @@
 	private void send(long now) {
 		this.sentAt = now;
 		if (!this.controls.isEmpty()) {
-			NodeDescriptor control = this.controls.get(this.round % this.controls.size());
+			NodeDescriptor control = this.controls.get(this.noticesSent % this.controls.size());
 			this.outbox.send(Peer.of(control), new LeaveNotice(this.self));
 		}
-		this.round++;
+		this.noticesSent++;
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageDecoder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageDecoder.java
@@ -84,9 +84,9 @@
 				position(proto.getMembers()), proto.getReportsReceived());
 	}
 
-	private static Parents parents(ParentsProto proto) {
-		return new Parents(proto.getParentsList().stream().map(SpreadCodec::fromProto).toList(), proto.getPreferred(),
-				proto.getAdopted());
+	private static ParentList parents(ParentsProto proto) {
+		return new ParentList(proto.getParentsList().stream().map(SpreadCodec::fromProto).toList(),
+				proto.getPreferred(), proto.getAdopted());
 	}
 
 	private static DeltaUpdate deltas(DeltasProto proto) {
@@ -111,9 +111,9 @@
 				new Snapshot(version(proto.getVersion()), entries));
 	}
 
-	private static FloorAnswer floor(FloorProto proto) {
+	private static FloorResponse floor(FloorProto proto) {
 		FencingNumber orders = new FencingNumber(Term.of(proto.getOrderTerm()), proto.getOrderSequence());
-		return new FloorAnswer(proto.getNonce(), new Floor(version(proto.getConfiguration()), orders));
+		return new FloorResponse(proto.getNonce(), new Floor(version(proto.getConfiguration()), orders));
 	}
 
 	private static ProbeResult probeResult(ProbeResultProto proto) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageEncoder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageEncoder.java
@@ -38,7 +38,7 @@
 		else if (message instanceof Beat beat) {
 			envelope.setBeat(beat(beat));
 		}
-		else if (message instanceof Parents parents) {
+		else if (message instanceof ParentList parents) {
 			envelope.setParents(parents(parents));
 		}
 		else if (message instanceof DeltaUpdate update) {
@@ -47,7 +47,7 @@
 		else if (message instanceof SnapshotUpdate update) {
 			envelope.setSnapshot(snapshot(update));
 		}
-		else if (message instanceof FloorAnswer answer) {
+		else if (message instanceof FloorResponse answer) {
 			envelope.setFloor(floor(answer));
 		}
 		else {
@@ -122,7 +122,7 @@
 			.build();
 	}
 
-	private static ParentsProto parents(Parents parents) {
+	private static ParentsProto parents(ParentList parents) {
 		ParentsProto.Builder proto = ParentsProto.newBuilder()
 			.setPreferred(parents.preferred())
 			.setAdopted(parents.adopted());
@@ -161,7 +161,7 @@
 		return EntryProto.newBuilder().setKey(key).setValue(UnsafeByteOperations.unsafeWrap(value.toArray())).build();
 	}
 
-	private static FloorProto floor(FloorAnswer answer) {
+	private static FloorProto floor(FloorResponse answer) {
 		return FloorProto.newBuilder()
 			.setNonce(answer.nonce())
 			.setConfiguration(version(answer.floor().configuration()))
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentLink.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentLink.java
@@ -26,11 +26,11 @@
  */
 final class ParentLink {
 
-	private static final long AVOID_NANOS = 10_000_000_000L;
+	private static final long AVOID_DURATION_NANOS = 10_000_000_000L;
 
 	private static final long MAX_MOVE_DELAY_NANOS = 5_000_000_000L;
 
-	private static final long RETRY_NANOS = 500_000_000L;
+	private static final long MIN_RETRY_DELAY_NANOS = 500_000_000L;
 
 	private static final int MAX_AVOIDED = 64;
 
@@ -46,7 +46,7 @@
 
 	private final Map<InstanceId, Long> avoidUntil = new HashMap<>();
 
-	private Parents candidates = Parents.NONE;
+	private ParentList candidates = ParentList.NONE;
 
 	private Optional<NodeDescriptor> parent = Optional.empty();
 
@@ -56,7 +56,7 @@
 
 	private long attachedAt;
 
-	private long heardAt;
+	private long lastBeatAt;
 
 	private long moveAt = Long.MAX_VALUE;
 
@@ -66,11 +66,11 @@
 
 	private long rootSequence;
 
-	private long rootSeenAt;
+	private long lastRootBeatAt;
 
 	private int staleFactor = 1;
 
-	private double patience;
+	private double rootStaleJitter;
 
 	ParentLink(NodeDescriptor self, List<NodeDescriptor> seeds, SpreadSettings settings, RandomGenerator random,
 			DecisionListener decisions) {
@@ -87,7 +87,7 @@
 		return this.parent;
 	}
 
-	boolean is(InstanceId id) {
+	boolean isParent(InstanceId id) {
 		return this.parent.isPresent() && this.parent.get().id().equals(id);
 	}
 
@@ -112,10 +112,10 @@
 	 * @param leader the leader, or empty if there is none or this node is the leader
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void follow(Optional<NodeDescriptor> leader, long now) {
+	void followLeader(Optional<NodeDescriptor> leader, long now) {
 		this.seeds.clear();
 		leader.ifPresent(this.seeds::add);
-		this.candidates = Parents.NONE;
+		this.candidates = ParentList.NONE;
 		this.avoidUntil.clear();
 		detach();
 		if (leader.isPresent()) {
@@ -131,21 +131,21 @@
 	 */
 	boolean onBeat(Beat beat, long now) {
 		this.confirmed = true;
-		this.heardAt = now;
+		this.lastBeatAt = now;
 		this.stranded = false;
 		int order = beat.rootTerm().compareTo(this.rootTerm);
 		if (order < 0 || (order == 0 && beat.rootSequence() <= this.rootSequence)) {
 			return false;
 		}
-		rootHeard(beat.rootTerm(), beat.rootSequence(), now);
+		recordRootBeat(beat.rootTerm(), beat.rootSequence(), now);
 		this.staleFactor = 1;
 		return true;
 	}
 
-	void rootHeard(Term term, long sequence, long now) {
+	void recordRootBeat(Term term, long sequence, long now) {
 		this.rootTerm = term;
 		this.rootSequence = sequence;
-		this.rootSeenAt = now;
+		this.lastRootBeatAt = now;
 	}
 
 	/**
@@ -157,16 +157,19 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
-	boolean onParents(InstanceId from, Parents parents, long now) {
-		if (!is(from)) {
+	boolean onParentList(InstanceId from, ParentList parents, long now) {
+		if (!isParent(from)) {
 			return false;
 		}
 		this.candidates = parents;
 		if (!parents.adopted()) {
-			this.avoidUntil.put(from, now + AVOID_NANOS);
-			return next("redirected", now);
+			this.avoidUntil.put(from, now + AVOID_DURATION_NANOS);
+			return selectNext("redirected", now);
 		}
-		boolean preferred = parents.parents().stream().limit(parents.preferred()).anyMatch((node) -> is(node.id()));
+		boolean preferred = parents.parents()
+			.stream()
+			.limit(parents.preferred())
+			.anyMatch((node) -> isParent(node.id()));
 		boolean stay = preferred || parents.preferred() == 0;
 		long delay = this.random.nextLong(MAX_MOVE_DELAY_NANOS);
 		this.moveAt = stay ? Long.MAX_VALUE : Math.min(this.moveAt, now + delay);
@@ -179,8 +182,8 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
-	boolean onLost(InstanceId peer, long now) {
-		return is(peer) && fail("connection-lost", now);
+	boolean onConnectionLost(InstanceId peer, long now) {
+		return isParent(peer) && replaceFailedParent("connection-lost", now);
 	}
 
 	/**
@@ -190,28 +193,28 @@
 	 */
 	boolean tick(long now) {
 		if (this.parent.isEmpty()) {
-			return now >= this.retryAt && next("none", now);
+			return now >= this.retryAt && selectNext("none", now);
 		}
 		if (!this.confirmed) {
 			boolean timedOut = now - this.attachedAt > this.settings.connectTimeout().toNanos();
-			return timedOut && fail("no-answer", now);
+			return timedOut && replaceFailedParent("no-answer", now);
 		}
-		if (now - this.heardAt > this.settings.silenceTimeout().toNanos()) {
-			return fail("silent", now);
+		if (now - this.lastBeatAt > this.settings.silenceTimeout().toNanos()) {
+			return replaceFailedParent("silent", now);
 		}
 		if (isRootStale(now)) {
 			this.staleFactor = Math.min(this.staleFactor * 2, SpreadSettings.MAX_STALE_FACTOR);
-			return askControl(now);
+			return attachToControl(now);
 		}
 		if (now >= this.moveAt) {
-			return next("planned", now);
+			return selectNext("planned", now);
 		}
 		return false;
 	}
 
 	private boolean isRootStale(long now) {
 		long timeout = this.settings.rootStaleTimeout().toNanos() * this.staleFactor;
-		return now - Math.max(this.rootSeenAt, this.attachedAt) > timeout + (long) (this.patience * timeout);
+		return now - Math.max(this.lastRootBeatAt, this.attachedAt) > timeout + (long) (this.rootStaleJitter * timeout);
 	}
 
 	/**
@@ -220,24 +223,24 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
-	private boolean askControl(long now) {
+	private boolean attachToControl(long now) {
 		Optional<NodeDescriptor> previous = this.parent;
-		previous.ifPresent((node) -> this.avoidUntil.put(node.id(), now + AVOID_NANOS));
+		previous.ifPresent((node) -> this.avoidUntil.put(node.id(), now + AVOID_DURATION_NANOS));
 		Optional<NodeDescriptor> control = firstUsable(this.seeds);
 		if (control.isEmpty()) {
-			return next("leader-not-heard", now);
+			return selectNext("leader-not-heard", now);
 		}
 		detach();
 		attach(control.get(), "leader-not-heard", now);
 		return true;
 	}
 
-	private boolean fail(String reason, long now) {
-		this.parent.ifPresent((node) -> this.avoidUntil.put(node.id(), now + AVOID_NANOS));
-		return next(reason, now);
+	private boolean replaceFailedParent(String reason, long now) {
+		this.parent.ifPresent((node) -> this.avoidUntil.put(node.id(), now + AVOID_DURATION_NANOS));
+		return selectNext(reason, now);
 	}
 
-	private boolean next(String reason, long now) {
+	private boolean selectNext(String reason, long now) {
 		this.avoidUntil.values().removeIf((until) -> until <= now || this.avoidUntil.size() > MAX_AVOIDED);
 		detach();
 		Optional<NodeDescriptor> candidate = firstUsable(this.candidates.parents());
@@ -245,8 +248,8 @@
 		Optional<NodeDescriptor> chosen = candidate.isPresent() ? candidate : firstUsable(this.seeds);
 		if (chosen.isEmpty()) {
 			this.avoidUntil.clear();
-			this.candidates = Parents.NONE;
-			this.retryAt = now + RETRY_NANOS + this.random.nextLong(RETRY_NANOS);
+			this.candidates = ParentList.NONE;
+			this.retryAt = now + MIN_RETRY_DELAY_NANOS + this.random.nextLong(MIN_RETRY_DELAY_NANOS);
 		}
 		chosen.ifPresent((node) -> attach(node, reason, now));
 		return chosen.isPresent();
@@ -267,8 +270,8 @@
 	private void attach(NodeDescriptor node, String reason, long now) {
 		this.parent = Optional.of(node);
 		this.attachedAt = now;
-		this.patience = this.random.nextDouble();
-		this.heardAt = now;
+		this.rootStaleJitter = this.random.nextDouble();
+		this.lastBeatAt = now;
 		this.decisions.onDecision(DecisionRecord.of(DecisionKind.MEMBERSHIP, this.self.value(), "parent-chosen",
 				Field.of("parent", node.id()), Field.of("reason", reason)));
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Parents.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentList.java
@@ -12,19 +12,19 @@
  * are fallbacks
  * @param adopted whether the sender has accepted the node as a child
  */
-public record Parents(List<NodeDescriptor> parents, int preferred, boolean adopted) implements SpreadMessage {
+public record ParentList(List<NodeDescriptor> parents, int preferred, boolean adopted) implements SpreadMessage {
 
 	/** An empty list. */
-	public static final Parents NONE = new Parents(List.of(), 0, false);
+	public static final ParentList NONE = new ParentList(List.of(), 0, false);
 
-	public Parents {
+	public ParentList {
 		parents = List.copyOf(parents);
 		Preconditions.check(preferred >= 0 && preferred <= parents.size(),
 				"preferred must be between 0 and the number of parents: %d", preferred);
 	}
 
-	Parents withAdopted(boolean adopted) {
-		return new Parents(this.parents, this.preferred, adopted);
+	ParentList withAdopted(boolean adopted) {
+		return new ParentList(this.parents, this.preferred, adopted);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentPlanner.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentPlanner.java
@@ -45,7 +45,7 @@
 		this.outbox = outbox;
 	}
 
-	Parents parentsOf(NodeDescriptor node, long now) {
+	ParentList parentsOf(NodeDescriptor node, long now) {
 		return tree(now).parentsOf(node);
 	}
 
@@ -60,9 +60,9 @@
 		if (child.node().role() == NodeRole.CONTROL) {
 			return;
 		}
-		Parents parents = parentsOf(child.node(), now).withAdopted(true);
-		if (!parents.equals(child.parents())) {
-			child.markParents(parents);
+		ParentList parents = parentsOf(child.node(), now).withAdopted(true);
+		if (!parents.equals(child.sentParents())) {
+			child.setSentParents(parents);
 			this.outbox.send(child.peer(), parents);
 		}
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Prober.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Prober.java
@@ -46,7 +46,7 @@
 			start(from, request, now);
 		}
 		else if (message instanceof ProbeResult result) {
-			this.outbox.add(new SpreadCommand.Probed(from, result));
+			this.outbox.add(new SpreadCommand.ProbeCompleted(from, result));
 		}
 	}
 
@@ -90,7 +90,7 @@
 		ProbeResult result = new ProbeResult(probe.request.nonce(), probe.request.target().id(), incarnation,
 				reachable);
 		if (probe.requester.id().equals(this.self.id())) {
-			this.outbox.add(new SpreadCommand.Probed(probe.requester, result));
+			this.outbox.add(new SpreadCommand.ProbeCompleted(probe.requester, result));
 		}
 		else {
 			this.outbox.send(probe.requester, result);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTree.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTree.java
@@ -56,25 +56,25 @@
 		return tree;
 	}
 
-	Parents parentsOf(NodeDescriptor node) {
+	ParentList parentsOf(NodeDescriptor node) {
 		List<NodeDescriptor> chosen = new ArrayList<>();
 		int rank = relayRank(node);
 		List<NodeDescriptor> domain = this.relays.getOrDefault(node.domain(), List.of());
 		if (node.role() == NodeRole.ENTRY && rank < headCount(node.domain(), 1)) {
-			addNearest(chosen, node, this.controls, PREFERRED_PARENTS);
-			return new Parents(chosen, chosen.size(), false);
+			addBestRanked(chosen, node, this.controls, PREFERRED_PARENTS);
+			return new ParentList(chosen, chosen.size(), false);
 		}
 		boolean relay = node.role() == NodeRole.ENTRY && rank < relayCount(node.domain(), 1);
 		int candidates = Math.min(domain.size(), relay ? headCount(node.domain(), 0) : domain.size());
-		addNearest(chosen, node, domain.subList(0, candidates), PREFERRED_PARENTS);
+		addBestRanked(chosen, node, domain.subList(0, candidates), PREFERRED_PARENTS);
 		if (chosen.isEmpty()) {
-			addNearest(chosen, node, this.allRelays, PREFERRED_PARENTS);
+			addBestRanked(chosen, node, this.allRelays, PREFERRED_PARENTS);
 		}
 		int preferred = chosen.size();
-		addNearest(chosen, node, this.allHeads, FALLBACK_HEADS);
-		addNearest(chosen, node, this.controls, 1);
+		addBestRanked(chosen, node, this.allHeads, FALLBACK_HEADS);
+		addBestRanked(chosen, node, this.controls, 1);
 		preferred = (preferred > 0) ? preferred : chosen.size();
-		return new Parents(chosen, preferred, false);
+		return new ParentList(chosen, preferred, false);
 	}
 
 	private void addNode(NodeDescriptor node) {
@@ -135,17 +135,17 @@
 		return rank;
 	}
 
-	private void addNearest(List<NodeDescriptor> chosen, NodeDescriptor node, List<NodeDescriptor> from, int limit) {
+	private void addBestRanked(List<NodeDescriptor> chosen, NodeDescriptor node, List<NodeDescriptor> from, int limit) {
 		long own = hash(node.id());
-		List<Ranked> ranked = new ArrayList<>(from.size());
+		List<RankedCandidate> ranked = new ArrayList<>(from.size());
 		for (NodeDescriptor parent : from) {
 			if (!parent.id().equals(node.id()) && !contains(chosen, parent.id())) {
-				ranked
-					.add(new Ranked(parent, !parent.region().equals(node.region()), mix(own * 31 + hash(parent.id()))));
+				ranked.add(new RankedCandidate(parent, !parent.region().equals(node.region()),
+						mix(own * 31 + hash(parent.id()))));
 			}
 		}
-		ranked.sort(Comparator.comparing(Ranked::distant).thenComparingLong(Ranked::rank));
-		ranked.stream().limit(limit).map(Ranked::node).forEach(chosen::add);
+		ranked.sort(Comparator.comparing(RankedCandidate::distant).thenComparingLong(RankedCandidate::rank));
+		ranked.stream().limit(limit).map(RankedCandidate::node).forEach(chosen::add);
 	}
 
 	private static boolean contains(List<NodeDescriptor> nodes, InstanceId id) {
@@ -177,7 +177,7 @@
 	 * @param distant whether it is in another region
 	 * @param rank the rendezvous hash of child and candidate; lower is better
 	 */
-	private record Ranked(NodeDescriptor node, boolean distant, long rank) {
+	private record RankedCandidate(NodeDescriptor node, boolean distant, long rank) {
 
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReplicaUpdater.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReplicaUpdater.java
@@ -40,7 +40,7 @@
 	 * @param from the sender
 	 * @return {@code true} if the update may be applied
 	 */
-	boolean accepts(Term sent, Term known, InstanceId from) {
+	boolean acceptsTerm(Term sent, Term known, InstanceId from) {
 		if (sent.isBefore(known)) {
 			this.decisions.onDecision(DecisionRecord.of(DecisionKind.CONFIGURE, this.self.value(), "refused-old-term",
 					Field.of("stream", this.stream), Field.of("from", from), Field.of("term", sent),
@@ -55,16 +55,16 @@
 	 * @param delta the delta
 	 * @return the result
 	 */
-	Applied apply(Delta delta) {
+	UpdateResult apply(Delta delta) {
 		if (!this.replica.version().isBefore(delta.to())) {
-			return Applied.OLD;
+			return UpdateResult.STALE;
 		}
-		if (!this.replica.follows(delta)) {
-			return Applied.GAP;
+		if (!this.replica.isNext(delta)) {
+			return UpdateResult.GAP;
 		}
 		this.replica.apply(delta);
 		this.behind = false;
-		return Applied.DONE;
+		return UpdateResult.DONE;
 	}
 
 	/**
@@ -73,15 +73,15 @@
 	 * @param snapshot the snapshot
 	 * @return the result
 	 */
-	Applied install(Snapshot snapshot) {
+	UpdateResult install(Snapshot snapshot) {
 		int order = snapshot.version().compareTo(this.replica.version());
 		if (order < 0 || (order == 0 && !this.diverged)) {
-			return Applied.OLD;
+			return UpdateResult.STALE;
 		}
 		this.replica.install(snapshot);
 		this.diverged = false;
 		this.behind = false;
-		return Applied.DONE;
+		return UpdateResult.DONE;
 	}
 
 	/**
@@ -92,7 +92,7 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if a resend must be requested
 	 */
-	boolean hasGap(Position parent, long timeoutNanos, long now) {
+	boolean needsResend(Position parent, long timeoutNanos, long now) {
 		int order = parent.version().compareTo(this.replica.version());
 		this.diverged = order == 0 && parent.digest() != this.replica.position().digest();
 		if (order <= 0) {
@@ -114,12 +114,12 @@
 	/**
 	 * The result of an update.
 	 */
-	enum Applied {
+	enum UpdateResult {
 
 		/** The update was applied. */
 		DONE,
 		/** The update was not newer than the replica. */
-		OLD,
+		STALE,
 		/** Updates in between are missing. */
 		GAP
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReportQueue.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReportQueue.java
@@ -16,7 +16,7 @@
 
 	private static final int MAX_BATCH = 256;
 
-	private final Map<InstanceId, Numbered> pending = new LinkedHashMap<>();
+	private final Map<InstanceId, NumberedReport> pending = new LinkedHashMap<>();
 
 	private long sequence;
 
@@ -26,20 +26,20 @@
 
 	void add(MemberReport report) {
 		this.pending.remove(report.node().id());
-		this.pending.put(report.node().id(), new Numbered(++this.sequence, report));
+		this.pending.put(report.node().id(), new NumberedReport(++this.sequence, report));
 	}
 
-	void reset(Collection<MemberReport> all) {
+	void startFullReport(Collection<MemberReport> all) {
 		this.pending.clear();
 		this.resetSequence = ++this.sequence;
 		this.acknowledged = this.sequence;
 		all.forEach(this::add);
 	}
 
-	Batch batch() {
+	Batch nextBatch() {
 		List<MemberReport> reports = new ArrayList<>(Math.min(this.pending.size(), MAX_BATCH));
 		long last = Math.max(this.acknowledged, this.resetSequence);
-		for (Numbered numbered : this.pending.values()) {
+		for (NumberedReport numbered : this.pending.values()) {
 			if (reports.size() == MAX_BATCH) {
 				break;
 			}
@@ -49,8 +49,8 @@
 		return new Batch(last, reports);
 	}
 
-	List<MemberReport> takeAll() {
-		List<MemberReport> reports = this.pending.values().stream().map(Numbered::report).toList();
+	List<MemberReport> drain() {
+		List<MemberReport> reports = this.pending.values().stream().map(NumberedReport::report).toList();
 		this.pending.clear();
 		return reports;
 	}
@@ -61,7 +61,7 @@
 	 * @return {@code false} if the parent has lost acknowledged reports and needs a full
 	 * report
 	 */
-	boolean acknowledge(long received) {
+	boolean removeAcknowledged(long received) {
 		if (received < this.acknowledged) {
 			return false;
 		}
@@ -88,7 +88,7 @@
 	 * @param sequence the sequence number
 	 * @param report the report
 	 */
-	private record Numbered(long sequence, MemberReport report) {
+	private record NumberedReport(long sequence, MemberReport report) {
 
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCommand.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCommand.java
@@ -61,9 +61,9 @@
 	 * @param whole whether the changes are the complete state and all other entries are
 	 * removed
 	 */
-	record MembersInForce(Version version, List<EntryChange> changes, boolean whole) implements SpreadCommand {
+	record MembersUpdated(Version version, List<EntryChange> changes, boolean whole) implements SpreadCommand {
 
-		public MembersInForce {
+		public MembersUpdated {
 			Preconditions.notNull(version, "version");
 			changes = List.copyOf(changes);
 		}
@@ -75,9 +75,9 @@
 	 *
 	 * @param floor the floor
 	 */
-	record FloorLearnt(Floor floor) implements SpreadCommand {
+	record FloorConfirmed(Floor floor) implements SpreadCommand {
 
-		public FloorLearnt {
+		public FloorConfirmed {
 			Preconditions.notNull(floor, "floor");
 		}
 
@@ -89,9 +89,9 @@
 	 *
 	 * @param reports the reports
 	 */
-	record Reported(List<MemberReport> reports) implements SpreadCommand {
+	record ReportsReceived(List<MemberReport> reports) implements SpreadCommand {
 
-		public Reported {
+		public ReportsReceived {
 			reports = List.copyOf(reports);
 		}
 
@@ -102,9 +102,9 @@
 	 *
 	 * @param node the node
 	 */
-	record LeaveReported(NodeDescriptor node) implements SpreadCommand {
+	record LeaveNoticeReceived(NodeDescriptor node) implements SpreadCommand {
 
-		public LeaveReported {
+		public LeaveNoticeReceived {
 			Preconditions.notNull(node, "node");
 		}
 
@@ -117,9 +117,9 @@
 	 * @param prober the node that probed
 	 * @param result the result
 	 */
-	record Probed(Peer prober, ProbeResult result) implements SpreadCommand {
+	record ProbeCompleted(Peer prober, ProbeResult result) implements SpreadCommand {
 
-		public Probed {
+		public ProbeCompleted {
 			Preconditions.notNull(prober, "prober");
 			Preconditions.notNull(result, "result");
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadEvent.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadEvent.java
@@ -69,9 +69,9 @@
 	 *
 	 * @param delta the changes from the previous revision to the committed one
 	 */
-	record Accepted(Delta delta) implements SpreadEvent {
+	record ConfigurationCommitted(Delta delta) implements SpreadEvent {
 
-		public Accepted {
+		public ConfigurationCommitted {
 			Preconditions.notNull(delta, "delta");
 		}
 
@@ -83,9 +83,9 @@
 	 *
 	 * @param snapshot the committed configuration
 	 */
-	record Restored(Snapshot snapshot) implements SpreadEvent {
+	record ConfigurationRestored(Snapshot snapshot) implements SpreadEvent {
 
-		public Restored {
+		public ConfigurationRestored {
 			Preconditions.notNull(snapshot, "snapshot");
 		}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
@@ -42,11 +42,11 @@
 
 	private final ParentLink link;
 
-	private final FloorTracker floors;
+	private final FloorTracker floorTracker;
 
 	private final Prober prober;
 
-	private final LeaveAnnouncer leave;
+	private final LeaveAnnouncer leaveAnnouncer;
 
 	private final Uplink uplink;
 
@@ -54,9 +54,9 @@
 
 	private long now;
 
-	private long beatAt;
+	private long lastBeatAt;
 
-	private long floorReadAt;
+	private long lastFloorReadAt;
 
 	private boolean started;
 
@@ -80,9 +80,9 @@
 		this.link = new ParentLink(self, isControl() ? List.of() : this.controls, settings, random, decisions);
 		this.planner = new ParentPlanner(self.role(), this.controls, settings, directory, this.streams.members(),
 				this.outbox);
-		this.floors = new FloorTracker(random);
+		this.floorTracker = new FloorTracker(random);
 		this.prober = new Prober(self, this.outbox);
-		this.leave = new LeaveAnnouncer(self, this.controls, this.outbox);
+		this.leaveAnnouncer = new LeaveAnnouncer(self, this.controls, this.outbox);
 		this.uplink = new Uplink(self, settings, this.link, this.streams, this.children, reports, this.outbox);
 	}
 
@@ -98,12 +98,12 @@
 			receive(received.from(), received.message());
 		}
 		else if (event instanceof SpreadEvent.PeerLost lost) {
-			parentChanged(this.link.onLost(lost.peer(), now));
+			parentChanged(this.link.onConnectionLost(lost.peer(), now));
 		}
 		else if (event instanceof SpreadEvent.LeaveRequested) {
-			this.leave.start(now);
-			this.uplink.leave();
-			this.uplink.hurry();
+			this.leaveAnnouncer.start(now);
+			this.uplink.markLeaving();
+			this.uplink.requestImmediateHeartbeat();
 		}
 		else {
 			onControlEvent(event);
@@ -182,7 +182,7 @@
 	 * @param key the entry's key
 	 * @return the change that sets it, or empty if there is none
 	 */
-	public List<EntryChange> member(String key) {
+	public List<EntryChange> findMember(String key) {
 		return Optional.ofNullable(this.streams.members().entries().get(key))
 			.map((value) -> List.of(EntryChange.set(key, value)))
 			.orElse(List.of());
@@ -201,40 +201,41 @@
 			return;
 		}
 		this.started = true;
-		if (this.floors.advance()) {
-			floorAsked();
+		if (this.floorTracker.startNextRequest()) {
+			requestFloor();
 		}
 	}
 
 	private void tick() {
-		if (isLeader() && due(this.beatAt, this.settings.beatInterval().toNanos())) {
-			this.link.rootHeard(this.streams.term(), this.link.rootSequence() + 1, this.now);
-			beatAll();
+		if (isLeader() && isDue(this.lastBeatAt, this.settings.beatInterval().toNanos())) {
+			this.link.recordRootBeat(this.streams.term(), this.link.rootSequence() + 1, this.now);
+			sendBeats();
 		}
-		else if (due(this.beatAt, this.settings.beatInterval().toNanos() * 3 / 2)) {
-			beatAll();
+		else if (isDue(this.lastBeatAt, this.settings.beatInterval().toNanos() * 3 / 2)) {
+			sendBeats();
 		}
-		this.children.expire(this.now - this.settings.childTimeout().toNanos()).forEach(this.floors::forget);
+		this.children.expire(this.now - this.settings.childTimeout().toNanos()).forEach(this.floorTracker::removeChild);
 		if (!isLeader()) {
 			parentChanged(this.link.tick(this.now));
 		}
-		if (isControl() && this.floors.nonce() != 0 && due(this.floorReadAt, this.settings.beatInterval().toNanos())) {
+		if (isControl() && this.floorTracker.nonce() != 0
+				&& isDue(this.lastFloorReadAt, this.settings.beatInterval().toNanos())) {
 			readFloor();
 		}
 		this.prober.tick(this.now);
-		this.leave.tick(this.now);
+		this.leaveAnnouncer.tick(this.now);
 		this.planner.refresh(this.children.all(), this.now);
 	}
 
 	private void onControlEvent(SpreadEvent event) {
-		if (event instanceof SpreadEvent.Accepted accepted) {
+		if (event instanceof SpreadEvent.ConfigurationCommitted accepted) {
 			this.streams.apply(StreamId.CONFIGURATION, accepted.delta(), this.children.all(), this.now);
 		}
-		else if (event instanceof SpreadEvent.Restored restored) {
+		else if (event instanceof SpreadEvent.ConfigurationRestored restored) {
 			this.streams.install(StreamId.CONFIGURATION, restored.snapshot(), this.children.all(), this.now);
 		}
 		else if (event instanceof SpreadEvent.FloorRead read) {
-			answerFloor(read.token(), read.floor());
+			onFloorConfirmed(read.token(), read.floor());
 		}
 		else if (event instanceof SpreadEvent.MembersChanged changed) {
 			publishMembers(changed.changes());
@@ -248,19 +249,19 @@
 		if (changed.term().isBefore(this.streams.term())) {
 			return;
 		}
-		this.streams.learn(changed.term());
+		this.streams.advanceTerm(changed.term());
 		this.leader = changed.leader();
 		Optional<NodeDescriptor> newParent = this.leader.filter((id) -> !id.equals(this.self.id()))
-			.flatMap(this::control);
-		this.link.follow(newParent, this.now);
+			.flatMap(this::findControl);
+		this.link.followLeader(newParent, this.now);
 		if (isLeader()) {
-			this.link.rootHeard(this.streams.term(), 0, this.now);
+			this.link.recordRootBeat(this.streams.term(), 0, this.now);
 			publishMembers(List.of());
 		}
 		parentChanged(true);
 	}
 
-	private Optional<NodeDescriptor> control(InstanceId id) {
+	private Optional<NodeDescriptor> findControl(InstanceId id) {
 		return this.controls.stream().filter((control) -> control.id().equals(id)).findFirst();
 	}
 
@@ -277,8 +278,8 @@
 		else if (message instanceof Beat beat) {
 			onBeat(from, beat);
 		}
-		else if (message instanceof Parents parents) {
-			parentChanged(this.link.onParents(from.id(), parents, this.now));
+		else if (message instanceof ParentList parents) {
+			parentChanged(this.link.onParentList(from.id(), parents, this.now));
 		}
 		else if (message instanceof DeltaUpdate update) {
 			this.streams.onDeltas(from.id(), update, this.children.all(), this.now);
@@ -286,8 +287,8 @@
 		else if (message instanceof SnapshotUpdate update) {
 			this.streams.onSnapshot(from.id(), update, this.children.all(), this.now);
 		}
-		else if (message instanceof FloorAnswer answer) {
-			answerFloor(answer.nonce(), answer.floor());
+		else if (message instanceof FloorResponse answer) {
+			onFloorConfirmed(answer.nonce(), answer.floor());
 		}
 		else if (message instanceof LeaveNotice notice) {
 			onLeaveNotice(notice);
@@ -299,10 +300,10 @@
 
 	private void onLeaveNotice(LeaveNotice notice) {
 		if (isLeader()) {
-			this.outbox.add(new SpreadCommand.LeaveReported(notice.node()));
+			this.outbox.add(new SpreadCommand.LeaveNoticeReceived(notice.node()));
 		}
 		else if (isControl()) {
-			this.leader.flatMap(this::control).ifPresent((node) -> this.outbox.send(Peer.of(node), notice));
+			this.leader.flatMap(this::findControl).ifPresent((node) -> this.outbox.send(Peer.of(node), notice));
 		}
 	}
 
@@ -311,32 +312,32 @@
 		if (known.isPresent() && heartbeat.node().incarnation().isBefore(known.get().node().incarnation())) {
 			return;
 		}
-		if (known.isEmpty() && !adopts(from, heartbeat)) {
+		if (known.isEmpty() && !acceptsChild(from, heartbeat)) {
 			return;
 		}
 		boolean isNew = known.isEmpty() || !known.get().node().equals(heartbeat.node());
-		Child child = this.children.heard(heartbeat, this.now);
+		Child child = this.children.applyHeartbeat(heartbeat, this.now);
 		if (isNew) {
-			this.streams.startFrom(child);
-			beat(child);
+			this.streams.initializeSentVersions(child);
+			sendBeat(child);
 			this.planner.send(child, this.now);
 		}
-		if (heartbeat.floorNonce() != 0 && this.floors.ask(child.node().id(), heartbeat.floorNonce())) {
-			floorAsked();
+		if (heartbeat.floorNonce() != 0 && this.floorTracker.addRequest(child.node().id(), heartbeat.floorNonce())) {
+			requestFloor();
 		}
-		this.streams.serve(child, heartbeat.resend(), this.now);
+		this.streams.sendMissingUpdates(child, heartbeat.resend(), this.now);
 	}
 
-	private boolean adopts(Peer from, Heartbeat heartbeat) {
+	private boolean acceptsChild(Peer from, Heartbeat heartbeat) {
 		if (heartbeat.node().role() == NodeRole.CONTROL) {
 			return isLeader();
 		}
 		if (this.self.role() == NodeRole.SIDECAR) {
-			this.outbox.send(from, Parents.NONE);
+			this.outbox.send(from, ParentList.NONE);
 			return false;
 		}
-		boolean hasCapacity = !this.children.isFull() && !this.link.is(from.id());
-		Parents parents = this.planner.parentsOf(heartbeat.node(), this.now);
+		boolean hasCapacity = !this.children.isFull() && !this.link.isParent(from.id());
+		ParentList parents = this.planner.parentsOf(heartbeat.node(), this.now);
 		boolean plannedBelowControl = parents.parents().isEmpty()
 				|| parents.parents().get(0).role() == NodeRole.CONTROL;
 		if (hasCapacity && (!isControl() || heartbeat.stranded() || plannedBelowControl)) {
@@ -347,41 +348,41 @@
 	}
 
 	private void onBeat(Peer from, Beat beat) {
-		if (!this.link.is(from.id())) {
+		if (!this.link.isParent(from.id())) {
 			return;
 		}
 		boolean isNewRootBeat = this.link.onBeat(beat, this.now);
-		this.streams.learn(beat.rootTerm());
+		this.streams.advanceTerm(beat.rootTerm());
 		if (isNewRootBeat) {
-			beatAll();
+			sendBeats();
 		}
-		this.uplink.acknowledge(beat.reportsReceived(), this.now);
-		this.streams.compare(beat, this.now);
+		this.uplink.onReportsAcknowledged(beat.reportsReceived(), this.now);
+		this.streams.compareWithParent(beat, this.now);
 	}
 
-	private void answerFloor(long nonce, Floor floor) {
-		FloorTracker.Answered answered = this.floors.answer(nonce);
-		this.uplink.askFloor(this.floors.nonce());
+	private void onFloorConfirmed(long nonce, Floor floor) {
+		FloorTracker.CompletedRequests answered = this.floorTracker.completeRequest(nonce);
+		this.uplink.setFloorNonce(this.floorTracker.nonce());
 		if (answered.self()) {
-			this.outbox.add(new SpreadCommand.FloorLearnt(floor));
-			this.streams.floorLearnt(floor.configuration());
+			this.outbox.add(new SpreadCommand.FloorConfirmed(floor));
+			this.streams.floorConfirmed(floor.configuration());
 		}
 		answered.children()
 			.forEach((child, request) -> this.children.find(child)
-				.ifPresent((found) -> this.outbox.send(found.peer(), new FloorAnswer(request, floor))));
-		if (this.floors.advance()) {
-			floorAsked();
+				.ifPresent((found) -> this.outbox.send(found.peer(), new FloorResponse(request, floor))));
+		if (this.floorTracker.startNextRequest()) {
+			requestFloor();
 		}
 	}
 
 	private void readFloor() {
-		this.floorReadAt = this.now;
-		this.outbox.add(new SpreadCommand.ReadFloor(this.floors.nonce()));
+		this.lastFloorReadAt = this.now;
+		this.outbox.add(new SpreadCommand.ReadFloor(this.floorTracker.nonce()));
 	}
 
-	private void floorAsked() {
-		this.uplink.askFloor(this.floors.nonce());
-		this.uplink.hurry();
+	private void requestFloor() {
+		this.uplink.setFloorNonce(this.floorTracker.nonce());
+		this.uplink.requestImmediateHeartbeat();
 		if (isControl()) {
 			readFloor();
 		}
@@ -389,21 +390,21 @@
 
 	private void parentChanged(boolean changed) {
 		if (changed) {
-			this.uplink.reset(this.now);
+			this.uplink.startFullReport(this.now);
 		}
 	}
 
-	private void beatAll() {
-		this.beatAt = this.now;
-		this.children.all().forEach(this::beat);
+	private void sendBeats() {
+		this.lastBeatAt = this.now;
+		this.children.all().forEach(this::sendBeat);
 	}
 
-	private void beat(Child child) {
+	private void sendBeat(Child child) {
 		this.outbox.send(child.peer(), new Beat(this.link.rootTerm(), this.link.rootSequence(),
 				this.streams.configuration().position(), this.streams.members().position(), child.reportsReceived()));
 	}
 
-	private boolean due(long since, long interval) {
+	private boolean isDue(long since, long interval) {
 		return this.now - since >= interval;
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamReplica.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamReplica.java
@@ -42,7 +42,7 @@
 		return this.entries;
 	}
 
-	boolean follows(Delta delta) {
+	boolean isNext(Delta delta) {
 		return delta.from().equals(version());
 	}
 
@@ -77,7 +77,7 @@
 	 * @param version the earlier version
 	 * @return the deltas, or empty if they are no longer retained
 	 */
-	Optional<List<Delta>> since(Version version) {
+	Optional<List<Delta>> deltasSince(Version version) {
 		List<Delta> deltas = new ArrayList<>();
 		boolean found = false;
 		for (Delta delta : this.history) {
