--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Streams.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Streams.java
@@ -22,7 +22,7 @@
 
 	private final NodeRole role;
 
-	private final long patienceNanos;
+	private final long gapTimeoutNanos;
 
 	private final Outbox outbox;
 
@@ -40,7 +40,7 @@
 			Outbox outbox) {
 		InstanceId id = self.id();
 		this.role = self.role();
-		this.patienceNanos = settings.beatInterval().toNanos();
+		this.gapTimeoutNanos = settings.beatInterval().toNanos();
 		this.outbox = outbox;
 		this.updaters = Map.of(StreamId.CONFIGURATION,
 				new ReplicaUpdater(id, StreamId.CONFIGURATION, this.configuration, decisions), StreamId.MEMBERS,
@@ -62,27 +62,27 @@
 		return this.gate.inForce();
 	}
 
-	long numberInForce() {
-		return this.gate.numberInForce();
+	long revisionInForce() {
+		return this.gate.revisionInForce();
 	}
 
 	Term term() {
 		return this.term;
 	}
 
-	void learn(Term other) {
+	void advanceTerm(Term other) {
 		this.term = this.term.isBefore(other) ? other : this.term;
 	}
 
-	void floorLearnt(Version floor) {
-		this.gate.floorLearnt(floor);
+	void floorConfirmed(Version floor) {
+		this.gate.floorConfirmed(floor);
 	}
 
-	boolean wantsResend() {
+	boolean needsResend() {
 		return this.resend;
 	}
 
-	boolean takeResend() {
+	boolean pollResend() {
 		boolean requested = this.resend;
 		this.resend = false;
 		return requested;
@@ -105,42 +105,42 @@
 	}
 
 	void onDeltas(InstanceId from, DeltaUpdate update, Collection<Child> children, long now) {
-		if (accepts(update.stream(), update.rootTerm(), from)) {
+		if (acceptsUpdate(update.stream(), update.rootTerm(), from)) {
 			update.deltas().forEach((delta) -> apply(update.stream(), delta, children, now));
 		}
 	}
 
 	void onSnapshot(InstanceId from, SnapshotUpdate update, Collection<Child> children, long now) {
-		if (accepts(update.stream(), update.rootTerm(), from)) {
+		if (acceptsUpdate(update.stream(), update.rootTerm(), from)) {
 			install(update.stream(), update.snapshot(), children, now);
 		}
 	}
 
 	void apply(StreamId stream, Delta delta, Collection<Child> children, long now) {
-		ReplicaUpdater.Applied applied = this.updaters.get(stream).apply(delta);
-		if (applied == ReplicaUpdater.Applied.DONE) {
+		ReplicaUpdater.UpdateResult applied = this.updaters.get(stream).apply(delta);
+		if (applied == ReplicaUpdater.UpdateResult.DONE) {
 			if (stream == StreamId.CONFIGURATION) {
-				this.gate.advanced(delta);
+				this.gate.activateDelta(delta);
 			}
 			else {
-				this.outbox.add(new SpreadCommand.MembersInForce(delta.to(), delta.changes(), false));
+				this.outbox.add(new SpreadCommand.MembersUpdated(delta.to(), delta.changes(), false));
 			}
-			pushAll(children, now);
+			sendUpdatesToAll(children, now);
 		}
-		this.resend |= applied == ReplicaUpdater.Applied.GAP;
+		this.resend |= applied == ReplicaUpdater.UpdateResult.GAP;
 	}
 
 	void install(StreamId stream, Snapshot snapshot, Collection<Child> children, long now) {
-		if (this.updaters.get(stream).install(snapshot) != ReplicaUpdater.Applied.DONE) {
+		if (this.updaters.get(stream).install(snapshot) != ReplicaUpdater.UpdateResult.DONE) {
 			return;
 		}
 		if (stream == StreamId.CONFIGURATION) {
-			this.gate.replaced();
+			this.gate.activateWholeState();
 		}
 		else {
-			this.outbox.add(new SpreadCommand.MembersInForce(snapshot.version(), this.members.asChanges(), true));
+			this.outbox.add(new SpreadCommand.MembersUpdated(snapshot.version(), this.members.asChanges(), true));
 		}
-		pushAll(children, now);
+		sendUpdatesToAll(children, now);
 	}
 
 	/**
@@ -149,10 +149,11 @@
 	 * @param beat the parent's beat
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void compare(Beat beat, long now) {
-		this.resend |= this.updaters.get(StreamId.CONFIGURATION).hasGap(beat.configuration(), this.patienceNanos, now);
+	void compareWithParent(Beat beat, long now) {
+		this.resend |= this.updaters.get(StreamId.CONFIGURATION)
+			.needsResend(beat.configuration(), this.gapTimeoutNanos, now);
 		if (this.role != NodeRole.SIDECAR) {
-			this.resend |= this.updaters.get(StreamId.MEMBERS).hasGap(beat.members(), this.patienceNanos, now);
+			this.resend |= this.updaters.get(StreamId.MEMBERS).needsResend(beat.members(), this.gapTimeoutNanos, now);
 		}
 	}
 
@@ -160,9 +161,9 @@
 	 * Initializes the sent versions of a new child with its acknowledged positions.
 	 * @param child the child
 	 */
-	void startFrom(Child child) {
-		child.rewind(StreamId.CONFIGURATION);
-		child.rewind(StreamId.MEMBERS);
+	void initializeSentVersions(Child child) {
+		child.rewindToAcknowledged(StreamId.CONFIGURATION);
+		child.rewindToAcknowledged(StreamId.MEMBERS);
 	}
 
 	/**
@@ -171,24 +172,24 @@
 	 * @param requested whether the child has requested a resend
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void serve(Child child, boolean requested, long now) {
+	void sendMissingUpdates(Child child, boolean requested, long now) {
 		for (Distributor distributor : this.distributors) {
 			distributor.rewindIfLost(child, requested, now);
-			distributor.push(child, this.term, now);
+			distributor.sendUpdates(child, this.term, now);
 			if (requested) {
-				distributor.repair(child, this.term, now);
+				distributor.sendSnapshotIfDiverged(child, this.term, now);
 			}
 		}
 	}
 
-	private void pushAll(Collection<Child> children, long now) {
+	private void sendUpdatesToAll(Collection<Child> children, long now) {
 		for (Child child : children) {
-			this.distributors.forEach((distributor) -> distributor.push(child, this.term, now));
+			this.distributors.forEach((distributor) -> distributor.sendUpdates(child, this.term, now));
 		}
 	}
 
-	private boolean accepts(StreamId stream, Term sent, InstanceId from) {
-		boolean accepted = this.updaters.get(stream).accepts(sent, this.term, from);
+	private boolean acceptsUpdate(StreamId stream, Term sent, InstanceId from) {
+		boolean accepted = this.updaters.get(stream).acceptsTerm(sent, this.term, from);
 		this.term = accepted ? sent : this.term;
 		return accepted;
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Uplink.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Uplink.java
@@ -20,7 +20,7 @@
 
 	private final Outbox outbox;
 
-	private long numberSent;
+	private long lastSentRevision;
 
 	private long floorNonce;
 
@@ -28,9 +28,9 @@
 
 	private boolean urgent;
 
-	private long sentAt;
+	private long lastHeartbeatAt;
 
-	private long resetAt;
+	private long fullReportStartedAt;
 
 	Uplink(NodeDescriptor self, SpreadSettings settings, ParentLink link, Streams streams, Children children,
 			ReportQueue reports, Outbox outbox) {
@@ -46,15 +46,15 @@
 	/**
 	 * Makes the next flush send a heartbeat regardless of the interval.
 	 */
-	void hurry() {
+	void requestImmediateHeartbeat() {
 		this.urgent = true;
 	}
 
-	void leave() {
+	void markLeaving() {
 		this.leaving = true;
 	}
 
-	void askFloor(long nonce) {
+	void setFloorNonce(long nonce) {
 		this.floorNonce = nonce;
 	}
 
@@ -63,10 +63,10 @@
 	 * reports.
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void reset(long now) {
-		this.resetAt = now;
+	void startFullReport(long now) {
+		this.fullReportStartedAt = now;
 		this.urgent = true;
-		this.reports.reset(this.children.present());
+		this.reports.startFullReport(this.children.presenceReports());
 	}
 
 	/**
@@ -76,15 +76,16 @@
 	 * @param received the sequence number of the last report that the parent has received
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void acknowledge(long received, long now) {
-		boolean accepted = this.reports.acknowledge(received);
-		if (!accepted && now - this.resetAt >= 2 * this.settings.heartbeatInterval().toNanos()) {
-			reset(now);
+	void onReportsAcknowledged(long received, long now) {
+		boolean accepted = this.reports.removeAcknowledged(received);
+		if (!accepted && now - this.fullReportStartedAt >= 2 * this.settings.heartbeatInterval().toNanos()) {
+			startFullReport(now);
 		}
 	}
 
 	Coverage coverage(long number) {
-		return CoverageCalculator.calculate(number, this.self.id(), this.streams.numberInForce(), this.children.all());
+		return CoverageCalculator.calculate(number, this.self.id(), this.streams.revisionInForce(),
+				this.children.all());
 	}
 
 	/**
@@ -96,30 +97,30 @@
 	void flush(boolean leader, long now) {
 		if (leader) {
 			if (!this.reports.isEmpty()) {
-				this.outbox.add(new SpreadCommand.Reported(this.reports.takeAll()));
+				this.outbox.add(new SpreadCommand.ReportsReceived(this.reports.drain()));
 			}
 			return;
 		}
-		boolean regular = now - this.sentAt >= this.settings.heartbeatInterval().toNanos();
-		boolean early = hasNews() && now - this.sentAt >= 2 * this.settings.tickInterval().toNanos();
+		boolean regular = now - this.lastHeartbeatAt >= this.settings.heartbeatInterval().toNanos();
+		boolean early = hasChanges() && now - this.lastHeartbeatAt >= 2 * this.settings.tickInterval().toNanos();
 		if (this.link.parent().isPresent() && (this.urgent || regular || early)) {
 			send(this.link.parent().get(), now);
 		}
 	}
 
-	private boolean hasNews() {
-		return this.streams.wantsResend() || !this.reports.isEmpty() || this.children.coverageChanged()
-				|| this.streams.numberInForce() != this.numberSent;
+	private boolean hasChanges() {
+		return this.streams.needsResend() || !this.reports.isEmpty() || this.children.coverageChanged()
+				|| this.streams.revisionInForce() != this.lastSentRevision;
 	}
 
 	private void send(NodeDescriptor parent, long now) {
-		this.sentAt = now;
+		this.lastHeartbeatAt = now;
 		this.urgent = false;
-		this.numberSent = this.streams.numberInForce();
+		this.lastSentRevision = this.streams.revisionInForce();
 		this.children.clearCoverageChanged();
-		ReportQueue.Batch batch = this.reports.batch();
+		ReportQueue.Batch batch = this.reports.nextBatch();
 		Position configuration = this.streams.configuration().position();
-		Heartbeat heartbeat = new Heartbeat(this.self, this.leaving, this.link.isStranded(), this.streams.takeResend(),
+		Heartbeat heartbeat = new Heartbeat(this.self, this.leaving, this.link.isStranded(), this.streams.pollResend(),
 				configuration, this.streams.members().position(), this.floorNonce,
 				coverage(configuration.version().number()), this.reports.resetSequence(), this.reports.acknowledged(),
 				batch.lastSequence(), batch.reports());
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/RememberedAnswer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/CachedAnswer.java
@@ -7,6 +7,6 @@
  * is reused for other content
  * @param answer the answer
  */
-record RememberedAnswer(String digest, ChangeAnswer answer) {
+record CachedAnswer(String digest, ChangeAnswer answer) {
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ChangeCodec.java
@@ -162,7 +162,7 @@
 				ConfigurationCodec.fromRecord(change.getBackward()));
 	}
 
-	static RememberedAnswerRecord toRecord(ChangeId id, RememberedAnswer answer) {
+	static RememberedAnswerRecord toRecord(ChangeId id, CachedAnswer answer) {
 		return RememberedAnswerRecord.newBuilder()
 			.setChangeId(id.value())
 			.setDigest(answer.digest())
@@ -170,8 +170,8 @@
 			.build();
 	}
 
-	static RememberedAnswer fromRecord(RememberedAnswerRecord answer) {
-		return new RememberedAnswer(answer.getDigest(), fromRecord(answer.getAnswer()));
+	static CachedAnswer fromRecord(RememberedAnswerRecord answer) {
+		return new CachedAnswer(answer.getDigest(), fromRecord(answer.getAnswer()));
 	}
 
 	static ConfigurationLedgerRecord parseLedger(Bytes snapshot) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimAnswerCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimAnswerCodec.java
@@ -81,8 +81,8 @@
 		return Result.failure(OperationError.local(code, Step.CLAIM, message));
 	}
 
-	static Bytes ofResult(Result<ClaimResult> result) {
-		return result.value().map(ClaimAnswerCodec::encode).orElseGet(() -> refused(result.error().orElseThrow()));
+	static Bytes encodeResult(Result<ClaimResult> result) {
+		return result.value().map(ClaimAnswerCodec::encode).orElseGet(() -> encodeError(result.error().orElseThrow()));
 	}
 
 	private static Bytes encode(ClaimResult result) {
@@ -99,11 +99,11 @@
 		return Bytes.of(builder.build().toByteArray());
 	}
 
-	static Bytes ofState(Result<? extends ClaimState> state) {
-		return state.value().map(ClaimAnswerCodec::encode).orElseGet(() -> refused(state.error().orElseThrow()));
+	static Bytes encodeState(Result<? extends ClaimState> state) {
+		return state.value().map(ClaimAnswerCodec::encode).orElseGet(() -> encodeError(state.error().orElseThrow()));
 	}
 
-	static Bytes ofLookup(Optional<ClaimState> state) {
+	static Bytes encodeLookup(Optional<ClaimState> state) {
 		return state.map(ClaimAnswerCodec::encode)
 			.orElseGet(() -> Bytes.of(ClaimAnswerRecord.newBuilder().setAbsent(true).build().toByteArray()));
 	}
@@ -112,7 +112,7 @@
 		return Bytes.of(ClaimAnswerRecord.newBuilder().setState(ClaimRecords.toRecord(state)).build().toByteArray());
 	}
 
-	private static Bytes refused(OperationError error) {
+	private static Bytes encodeError(OperationError error) {
 		RefusedRecord refused = RefusedRecord.newBuilder()
 			.setCode(error.code().name())
 			.setMessage(error.message())
@@ -120,8 +120,8 @@
 		return Bytes.of(ClaimAnswerRecord.newBuilder().setRefused(refused).build().toByteArray());
 	}
 
-	static Bytes malformed() {
-		return refused(OperationError.local(ErrorCode.MALFORMED, Step.CLAIM,
+	static Bytes encodeMalformed() {
+		return encodeError(OperationError.local(ErrorCode.MALFORMED, Step.CLAIM,
 				"the command or query for the claim ledger is malformed"));
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimCommandCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimCommandCodec.java
@@ -38,7 +38,7 @@
 		Preconditions.notBlank(bodyDigest, "bodyDigest");
 		ClaimRequestRecord request = ClaimRequestRecord.newBuilder()
 			.setBodyDigest(bodyDigest)
-			.setAttempt(ClaimRecords.attempt(claim.backendServer(), claim.incarnation()))
+			.setAttempt(ClaimRecords.toAttemptRecord(claim.backendServer(), claim.incarnation()))
 			.build();
 		return encode(command(key, claim.owner()).setClaim(request));
 	}
@@ -50,7 +50,7 @@
 	 * @param answer the whole answer
 	 * @return the encoded command, answered by {@link ClaimAnswerCodec#decodeState}
 	 */
-	public static Bytes finish(ClaimKey key, RequestId owner, RecordedAnswer answer) {
+	public static Bytes recordAnswer(ClaimKey key, RequestId owner, RecordedAnswer answer) {
 		return encode(command(key, owner).setFinish(ClaimRecords.toRecord(answer)));
 	}
 
@@ -74,7 +74,7 @@
 	public static Bytes release(ClaimKey key, NotRunProof proof) {
 		ClaimReleaseRecord release = ClaimReleaseRecord.newBuilder()
 			.setEvidence(proof.evidence().name())
-			.setAttempt(ClaimRecords.attempt(proof.backendServer(), proof.incarnation()))
+			.setAttempt(ClaimRecords.toAttemptRecord(proof.backendServer(), proof.incarnation()))
 			.build();
 		return encode(command(key, proof.owner()).setRelease(release));
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimRecords.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ClaimRecords.java
@@ -59,7 +59,7 @@
 				Bytes.of(answer.getBody().toByteArray()));
 	}
 
-	static AttemptRecord attempt(BackendServerId backendServer, Incarnation incarnation) {
+	static AttemptRecord toAttemptRecord(BackendServerId backendServer, Incarnation incarnation) {
 		return AttemptRecord.newBuilder()
 			.setBackendServer(backendServer.value())
 			.setIncarnation(incarnation.value())
@@ -69,7 +69,7 @@
 	static ClaimStateRecord toRecord(ClaimState state) {
 		ClaimStateRecord.Builder builder = ClaimStateRecord.newBuilder().setOwner(state.owner().value());
 		if (state instanceof ClaimRunning running) {
-			builder.setRunning(attempt(running.backendServer(), running.incarnation()));
+			builder.setRunning(toAttemptRecord(running.backendServer(), running.incarnation()));
 		}
 		else if (state instanceof ClaimCompleted completed) {
 			builder.setCompleted(toRecord(completed.answer()));
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationDelta.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationDelta.java
@@ -50,15 +50,17 @@
 	 * @return the difference that turns {@code before} into {@code after}
 	 */
 	public static ConfigurationDelta between(Configuration before, Configuration after) {
-		Configuration put = new Configuration(DescriptorLists.changed(before.failureDomains(), after.failureDomains()),
-				DescriptorLists.changed(before.services(), after.services()),
-				DescriptorLists.changed(before.accounts(), after.accounts()),
-				DescriptorLists.changed(before.groups(), after.groups()));
+		Configuration put = new Configuration(
+				DescriptorLists.addedOrChanged(before.failureDomains(), after.failureDomains()),
+				DescriptorLists.addedOrChanged(before.services(), after.services()),
+				DescriptorLists.addedOrChanged(before.accounts(), after.accounts()),
+				DescriptorLists.addedOrChanged(before.groups(), after.groups()));
 		return new ConfigurationDelta(put,
-				DescriptorLists.missing(before.failureDomains(), after.failureDomains(), FailureDomainDescriptor::id),
-				DescriptorLists.missing(before.services(), after.services(), ServiceDescriptor::id),
-				DescriptorLists.missing(before.accounts(), after.accounts(), AccountDescriptor::id),
-				DescriptorLists.missing(before.groups(), after.groups(), GroupDescriptor::id));
+				DescriptorLists.removedIds(before.failureDomains(), after.failureDomains(),
+						FailureDomainDescriptor::id),
+				DescriptorLists.removedIds(before.services(), after.services(), ServiceDescriptor::id),
+				DescriptorLists.removedIds(before.accounts(), after.accounts(), AccountDescriptor::id),
+				DescriptorLists.removedIds(before.groups(), after.groups(), GroupDescriptor::id));
 	}
 
 	/**
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationLedger.java
@@ -42,7 +42,7 @@
 	private final NavigableMap<Long, AcceptedChange> history = new TreeMap<>();
 
 	/** In insertion order, so that the oldest answer is evicted first. */
-	private final Map<ChangeId, RememberedAnswer> answers = new LinkedHashMap<>();
+	private final Map<ChangeId, CachedAnswer> answers = new LinkedHashMap<>();
 
 	private Revision revision = Revision.ZERO;
 
@@ -95,15 +95,15 @@
 	public ChangeAnswer apply(LogTime time, ConfigurationChange change) {
 		Preconditions.notNull(time, "time");
 		String digest = ChangeCodec.encode(change).sha256();
-		RememberedAnswer cached = this.answers.get(change.id());
+		CachedAnswer cached = this.answers.get(change.id());
 		if (cached != null) {
-			return cached.digest().equals(digest) ? cached.answer() : reusedIdentifier(change);
+			return cached.digest().equals(digest) ? cached.answer() : reusedChangeId(change);
 		}
-		ChangeAnswer answer = decide(change);
+		ChangeAnswer answer = evaluate(change);
 		if (answer instanceof ChangeAccepted accepted) {
-			accept(time, change, accepted.revision());
+			applyAccepted(time, change, accepted.revision());
 		}
-		remember(change.id(), new RememberedAnswer(digest, answer));
+		cacheAnswer(change.id(), new CachedAnswer(digest, answer));
 		return answer;
 	}
 
@@ -114,33 +114,33 @@
 	 */
 	public ChangeAnswer dryRun(ConfigurationChange change) {
 		Preconditions.notNull(change, "change");
-		RememberedAnswer cached = this.answers.get(change.id());
+		CachedAnswer cached = this.answers.get(change.id());
 		if (cached == null) {
-			return decide(change);
+			return evaluate(change);
 		}
 		boolean resend = cached.digest().equals(ChangeCodec.encode(change).sha256());
-		return resend ? cached.answer() : reusedIdentifier(change);
+		return resend ? cached.answer() : reusedChangeId(change);
 	}
 
-	private static ChangeAnswer reusedIdentifier(ConfigurationChange change) {
+	private static ChangeAnswer reusedChangeId(ConfigurationChange change) {
 		return new ChangeRefused(ErrorCode.INVALID_INPUT,
 				"change " + change.id() + " was submitted before with different content; use another change id");
 	}
 
-	private ChangeAnswer decide(ConfigurationChange change) {
+	private ChangeAnswer evaluate(ConfigurationChange change) {
 		if (!change.expected().equals(this.revision)) {
-			return new ChangeConflict(this.revision, winnerAfter(change.expected()));
+			return new ChangeConflict(this.revision, findWinner(change.expected()));
 		}
 		if (change.content() instanceof Rollback rollback && !canRestore(rollback.to())) {
 			return new ChangeRefused(ErrorCode.NOT_FOUND, "revision " + rollback.to()
 					+ " is not in the history; the oldest that can be restored is " + oldestRestorable());
 		}
-		return ConfigurationValidator.problem(resultOf(change.content()))
+		return ConfigurationValidator.findProblem(resultOf(change.content()))
 			.<ChangeAnswer>map((problem) -> new ChangeRefused(ErrorCode.INVALID_INPUT, problem))
 			.orElseGet(() -> new ChangeAccepted(this.revision.next()));
 	}
 
-	private Optional<ChangeWinner> winnerAfter(Revision expected) {
+	private Optional<ChangeWinner> findWinner(Revision expected) {
 		return Optional.ofNullable(this.history.get(expected.next().value()))
 			.map((winner) -> new ChangeWinner(winner.change(), winner.author()));
 	}
@@ -165,7 +165,7 @@
 		return restored;
 	}
 
-	private void accept(LogTime time, ConfigurationChange change, Revision next) {
+	private void applyAccepted(LogTime time, ConfigurationChange change, Revision next) {
 		Configuration after = resultOf(change.content());
 		ConfigurationDelta forward = ConfigurationDelta.between(this.configuration, after);
 		ConfigurationDelta backward = ConfigurationDelta.between(after, this.configuration);
@@ -180,7 +180,7 @@
 		this.listener.onChange(accepted, after);
 	}
 
-	private void remember(ChangeId id, RememberedAnswer answer) {
+	private void cacheAnswer(ChangeId id, CachedAnswer answer) {
 		this.answers.put(id, answer);
 		if (this.answers.size() > MAX_ANSWERS) {
 			this.answers.remove(this.answers.keySet().iterator().next());
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationValidator.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ConfigurationValidator.java
@@ -17,12 +17,12 @@
 	}
 
 	// Returns a description of the first problem, or empty if the configuration is valid.
-	static Optional<String> problem(Configuration configuration) {
+	static Optional<String> findProblem(Configuration configuration) {
 		Set<ServiceId> services = new HashSet<>(configuration.services().stream().map(ServiceDescriptor::id).toList());
-		return accountProblem(configuration, services).or(() -> groupProblem(configuration, services));
+		return findAccountProblem(configuration, services).or(() -> findGroupProblem(configuration, services));
 	}
 
-	private static Optional<String> accountProblem(Configuration configuration, Set<ServiceId> services) {
+	private static Optional<String> findAccountProblem(Configuration configuration, Set<ServiceId> services) {
 		return configuration.accounts()
 			.stream()
 			.flatMap((account) -> account.services()
@@ -33,7 +33,7 @@
 			.findFirst();
 	}
 
-	private static Optional<String> groupProblem(Configuration configuration, Set<ServiceId> services) {
+	private static Optional<String> findGroupProblem(Configuration configuration, Set<ServiceId> services) {
 		return configuration.groups()
 			.stream()
 			.filter((group) -> !services.contains(group.service()))
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/DescriptorLists.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/DescriptorLists.java
@@ -15,12 +15,12 @@
 	private DescriptorLists() {
 	}
 
-	static <T> List<T> changed(List<T> before, List<T> after) {
+	static <T> List<T> addedOrChanged(List<T> before, List<T> after) {
 		Set<T> unchanged = new HashSet<>(before);
 		return after.stream().filter((descriptor) -> !unchanged.contains(descriptor)).toList();
 	}
 
-	static <T, I> List<I> missing(List<T> before, List<T> after, Function<T, I> id) {
+	static <T, I> List<I> removedIds(List<T> before, List<T> after, Function<T, I> id) {
 		Set<I> remaining = new HashSet<>(after.stream().map(id).toList());
 		return before.stream().map(id).filter((candidate) -> !remaining.contains(candidate)).toList();
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/DocumentLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/DocumentLedger.java
@@ -21,7 +21,7 @@
 
 	private final Consumer<VersionedDocument> listener;
 
-	private VersionedDocument present = VersionedDocument.NONE;
+	private VersionedDocument current = VersionedDocument.NONE;
 
 	/**
 	 * Creates an empty ledger.
@@ -39,37 +39,37 @@
 
 	@Override
 	public Bytes apply(LogTime time, Bytes command) {
-		VersionedDocument.decode(command).ifPresent(this::offer);
-		return version();
+		VersionedDocument.decode(command).ifPresent(this::replaceIfNewer);
+		return encodeVersion();
 	}
 
-	private void offer(VersionedDocument document) {
-		if (document.version() > this.present.version()) {
-			this.present = document;
+	private void replaceIfNewer(VersionedDocument document) {
+		if (document.version() > this.current.version()) {
+			this.current = document;
 			this.listener.accept(document);
 		}
 	}
 
-	private Bytes version() {
-		return Bytes.of(ByteBuffer.allocate(Long.BYTES).putLong(this.present.version()).array());
+	private Bytes encodeVersion() {
+		return Bytes.of(ByteBuffer.allocate(Long.BYTES).putLong(this.current.version()).array());
 	}
 
 	@Override
 	public Bytes query(Bytes query) {
-		return this.present.encode();
+		return this.current.encode();
 	}
 
 	@Override
 	public Bytes snapshot() {
-		return this.present.encode();
+		return this.current.encode();
 	}
 
 	@Override
 	public void restore(Bytes snapshot) {
 		VersionedDocument restored = VersionedDocument.decode(snapshot)
 			.orElseThrow(() -> new IllegalArgumentException("the document in the snapshot is malformed"));
-		boolean newer = restored.version() > this.present.version();
-		this.present = restored;
+		boolean newer = restored.version() > this.current.version();
+		this.current = restored;
 		if (newer) {
 			this.listener.accept(restored);
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/OrderTermsLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/OrderTermsLedger.java
@@ -57,7 +57,7 @@
 	 * @param subject the subject
 	 * @return the term, or empty if none was issued
 	 */
-	public Optional<OrderTerm> newest(String subject) {
+	public Optional<OrderTerm> findLatest(String subject) {
 		return Optional.ofNullable(this.terms.get(subject));
 	}
 
@@ -71,7 +71,7 @@
 
 	@Override
 	public Bytes query(Bytes query) {
-		return newest(query.toText()).map(OrderTermCodec::encode).orElse(Bytes.EMPTY);
+		return findLatest(query.toText()).map(OrderTermCodec::encode).orElse(Bytes.EMPTY);
 	}
 
 	@Override
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonAnswerCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonAnswerCodec.java
@@ -46,7 +46,7 @@
 	 * @return whether the ledger held the fingerprint, or an error if the answer is
 	 * malformed
 	 */
-	public static Result<Boolean> decodeKnown(Bytes encoded) {
+	public static Result<Boolean> decodeCleared(Bytes encoded) {
 		return decode(encoded, PoisonAnswerRecord::getKnown);
 	}
 
@@ -62,23 +62,23 @@
 		}
 	}
 
-	static Bytes done() {
+	static Bytes encodeDone() {
 		return encode(PoisonAnswerRecord.newBuilder().setDone(true));
 	}
 
-	static Bytes isolation(IsolationResult result) {
+	static Bytes encodeIsolation(IsolationResult result) {
 		return encode(PoisonAnswerRecord.newBuilder().setIsolation(result.name()));
 	}
 
-	static Bytes verdict(PoisonVerdict verdict) {
+	static Bytes encodeVerdict(PoisonVerdict verdict) {
 		return encode(PoisonAnswerRecord.newBuilder().setVerdict(verdict.name()));
 	}
 
-	static Bytes known(boolean cleared) {
+	static Bytes encodeCleared(boolean cleared) {
 		return encode(PoisonAnswerRecord.newBuilder().setKnown(cleared));
 	}
 
-	static Bytes malformed() {
+	static Bytes encodeMalformed() {
 		RefusedRecord refused = RefusedRecord.newBuilder()
 			.setCode(ErrorCode.MALFORMED.name())
 			.setMessage("the command or query for the poison ledger is malformed")
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonCommandCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonCommandCodec.java
@@ -22,7 +22,7 @@
 	 * @param report the loss and the requests that were in flight
 	 * @return the encoded command
 	 */
-	public static Bytes charge(CrashReport report) {
+	public static Bytes recordCrash(CrashReport report) {
 		return encode(PoisonCommandRecord.newBuilder().setCharge(PoisonRecords.toRecord(report)));
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ReplicatedClaims.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ReplicatedClaims.java
@@ -24,14 +24,14 @@
 	/** The name of the ledger. */
 	public static final String NAME = "claims";
 
-	private final ClaimLedger claims;
+	private final ClaimLedger ledger;
 
 	/**
 	 * Creates an empty ledger.
 	 * @param settings the limits, which must be the same on all instances
 	 */
 	public ReplicatedClaims(ClaimLedgerSettings settings) {
-		this.claims = new ClaimLedger(settings);
+		this.ledger = new ClaimLedger(settings);
 	}
 
 	@Override
@@ -43,8 +43,8 @@
 	 * Returns the replicated ledger for reading; callers must not change it.
 	 * @return the ledger
 	 */
-	public ClaimLedger claims() {
-		return this.claims;
+	public ClaimLedger ledger() {
+		return this.ledger;
 	}
 
 	@Override
@@ -52,7 +52,7 @@
 		return ClaimCommandCodec.parse(command)
 			.map((parsed) -> apply(time.nanos(), parsed))
 			.value()
-			.orElseGet(ClaimAnswerCodec::malformed);
+			.orElseGet(ClaimAnswerCodec::encodeMalformed);
 	}
 
 	private Bytes apply(long now, ClaimCommandRecord command) {
@@ -60,7 +60,7 @@
 			return dispatch(now, command);
 		}
 		catch (IllegalArgumentException ex) {
-			return ClaimAnswerCodec.malformed();
+			return ClaimAnswerCodec.encodeMalformed();
 		}
 	}
 
@@ -68,17 +68,17 @@
 		ClaimKey key = ClaimRecords.fromRecord(command.getKey());
 		RequestId owner = RequestId.of(command.getOwner());
 		return switch (command.getActionCase()) {
-			case CLAIM -> ClaimAnswerCodec.ofResult(claim(key, owner, command.getClaim(), now));
+			case CLAIM -> ClaimAnswerCodec.encodeResult(claim(key, owner, command.getClaim(), now));
 			case FINISH -> ClaimAnswerCodec
-				.ofState(this.claims.finish(key, owner, ClaimRecords.fromRecord(command.getFinish()), now));
-			case MARK_UNKNOWN -> ClaimAnswerCodec.ofState(this.claims.markUnknown(key, owner, now));
-			case RELEASE -> ClaimAnswerCodec.ofState(release(key, owner, command.getRelease(), now));
-			case ACTION_NOT_SET -> ClaimAnswerCodec.malformed();
+				.encodeState(this.ledger.recordAnswer(key, owner, ClaimRecords.fromRecord(command.getFinish()), now));
+			case MARK_UNKNOWN -> ClaimAnswerCodec.encodeState(this.ledger.markUnknown(key, owner, now));
+			case RELEASE -> ClaimAnswerCodec.encodeState(release(key, owner, command.getRelease(), now));
+			case ACTION_NOT_SET -> ClaimAnswerCodec.encodeMalformed();
 		};
 	}
 
 	private Result<ClaimResult> claim(ClaimKey key, RequestId owner, ClaimRequestRecord request, long now) {
-		return this.claims.claim(key, request.getBodyDigest(), owner,
+		return this.ledger.claim(key, request.getBodyDigest(), owner,
 				BackendServerId.of(request.getAttempt().getBackendServer()),
 				Incarnation.of(request.getAttempt().getIncarnation()), now);
 	}
@@ -87,25 +87,25 @@
 		NotRunProof proof = new NotRunProof(NotRunEvidence.valueOf(release.getEvidence()), owner,
 				BackendServerId.of(release.getAttempt().getBackendServer()),
 				Incarnation.of(release.getAttempt().getIncarnation()));
-		return this.claims.release(key, proof, now).map((claim) -> claim);
+		return this.ledger.release(key, proof, now).map((claim) -> claim);
 	}
 
 	@Override
 	public Bytes query(Bytes query) {
 		return ClaimCommandCodec.parseKey(query)
-			.map((key) -> ClaimAnswerCodec.ofLookup(this.claims.find(key)))
+			.map((key) -> ClaimAnswerCodec.encodeLookup(this.ledger.find(key)))
 			.value()
-			.orElseGet(ClaimAnswerCodec::malformed);
+			.orElseGet(ClaimAnswerCodec::encodeMalformed);
 	}
 
 	@Override
 	public Bytes snapshot() {
-		return ClaimRecords.encode(this.claims.snapshot());
+		return ClaimRecords.encode(this.ledger.snapshot());
 	}
 
 	@Override
 	public void restore(Bytes snapshot) {
-		this.claims.restore(ClaimRecords.decode(snapshot));
+		this.ledger.restore(ClaimRecords.decode(snapshot));
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/ReplicatedPoison.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/ReplicatedPoison.java
@@ -22,7 +22,7 @@
 	/** The name of the ledger. */
 	public static final String NAME = "poison";
 
-	private final PoisonLedger poison;
+	private final PoisonLedger ledger;
 
 	/**
 	 * Creates an empty ledger.
@@ -31,7 +31,7 @@
 	 * isolated run
 	 */
 	public ReplicatedPoison(PoisonLedgerSettings settings, DecisionListener listener) {
-		this.poison = new PoisonLedger(settings, listener);
+		this.ledger = new PoisonLedger(settings, listener);
 	}
 
 	@Override
@@ -43,8 +43,8 @@
 	 * Returns the replicated ledger for reading; callers must not change it.
 	 * @return the ledger
 	 */
-	public PoisonLedger poison() {
-		return this.poison;
+	public PoisonLedger ledger() {
+		return this.ledger;
 	}
 
 	@Override
@@ -53,55 +53,56 @@
 			return dispatch(time.nanos(), PoisonCommandRecord.parseFrom(command.toArray()));
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			return PoisonAnswerCodec.malformed();
+			return PoisonAnswerCodec.encodeMalformed();
 		}
 	}
 
 	private Bytes dispatch(long now, PoisonCommandRecord command) {
 		return switch (command.getActionCase()) {
-			case CHARGE -> charge(PoisonRecords.fromRecord(command.getCharge()), now);
+			case CHARGE -> recordCrash(PoisonRecords.fromRecord(command.getCharge()), now);
 			case ACQUIRE -> acquire(command.getAcquire(), now);
 			case RELEASE -> release(command.getRelease(), now);
-			case CLEAR -> PoisonAnswerCodec.known(this.poison.clear(PoisonRecords.fromRecord(command.getClear()), now));
-			case ACTION_NOT_SET -> PoisonAnswerCodec.malformed();
+			case CLEAR ->
+				PoisonAnswerCodec.encodeCleared(this.ledger.clear(PoisonRecords.fromRecord(command.getClear()), now));
+			case ACTION_NOT_SET -> PoisonAnswerCodec.encodeMalformed();
 		};
 	}
 
-	private Bytes charge(CrashReport report, long now) {
-		this.poison.charge(report, now);
-		return PoisonAnswerCodec.done();
+	private Bytes recordCrash(CrashReport report, long now) {
+		this.ledger.recordCrash(report, now);
+		return PoisonAnswerCodec.encodeDone();
 	}
 
 	private Bytes acquire(IsolationRequestRecord request, long now) {
-		return PoisonAnswerCodec.isolation(this.poison.acquire(PoisonRecords.fromRecord(request.getFingerprint()),
+		return PoisonAnswerCodec.encodeIsolation(this.ledger.acquire(PoisonRecords.fromRecord(request.getFingerprint()),
 				RequestId.of(request.getOwner()), now));
 	}
 
 	private Bytes release(IsolationReleaseRecord release, long now) {
-		this.poison.release(PoisonRecords.fromRecord(release.getFingerprint()), RequestId.of(release.getOwner()),
+		this.ledger.release(PoisonRecords.fromRecord(release.getFingerprint()), RequestId.of(release.getOwner()),
 				IsolationEnd.valueOf(release.getEnd()), now);
-		return PoisonAnswerCodec.done();
+		return PoisonAnswerCodec.encodeDone();
 	}
 
 	@Override
 	public Bytes query(Bytes query) {
 		try {
 			Fingerprint fingerprint = PoisonRecords.fromRecord(FingerprintRecord.parseFrom(query.toArray()));
-			return PoisonAnswerCodec.verdict(this.poison.assess(fingerprint));
+			return PoisonAnswerCodec.encodeVerdict(this.ledger.assess(fingerprint));
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			return PoisonAnswerCodec.malformed();
+			return PoisonAnswerCodec.encodeMalformed();
 		}
 	}
 
 	@Override
 	public Bytes snapshot() {
-		return PoisonRecords.encode(this.poison.snapshot());
+		return PoisonRecords.encode(this.ledger.snapshot());
 	}
 
 	@Override
 	public void restore(Bytes snapshot) {
-		this.poison.restore(PoisonRecords.decode(snapshot));
+		this.ledger.restore(PoisonRecords.decode(snapshot));
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/SlotReservations.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/SlotReservations.java
@@ -56,7 +56,7 @@
 	 * Returns all reservations.
 	 * @return a copy, by client account
 	 */
-	public Map<AccountId, Long> all() {
+	public Map<AccountId, Long> reservations() {
 		return Map.copyOf(this.reservations);
 	}
 
@@ -69,7 +69,7 @@
 	public Bytes apply(LogTime time, Bytes command) {
 		try {
 			SlotReservationRecord record = SlotReservationRecord.parseFrom(command.toArray());
-			return put(AccountId.of(record.getAccount()), record.getSlots()) ? DONE : REFUSED;
+			return setReservation(AccountId.of(record.getAccount()), record.getSlots()) ? DONE : REFUSED;
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
 			return REFUSED;
@@ -101,7 +101,7 @@
 		}
 	}
 
-	private boolean put(AccountId account, long slots) {
+	private boolean setReservation(AccountId account, long slots) {
 		if (slots < 0 || (!this.reservations.containsKey(account) && this.reservations.size() >= MAX_ACCOUNTS)) {
 			return false;
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/DataFolder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/DataFolder.java
@@ -60,7 +60,7 @@
 	}
 
 	// Reads the folder's format, or returns a new one for an empty folder.
-	FolderFormat format(InstanceId instance, long newStorageId) throws IOException {
+	FolderFormat loadFormat(InstanceId instance, long newStorageId) throws IOException {
 		if (Files.exists(this.path.resolve(SYNC_FAILED))) {
 			throw new StorageException("a sync failed in the data folder " + this.path
 					+ ", so its last records cannot be trusted; replace this instance by one with an empty folder");
@@ -89,10 +89,10 @@
 	}
 
 	void writeFormat(FolderFormat format) throws IOException {
-		writeFile(FORMAT, format.text().getBytes(StandardCharsets.UTF_8));
+		writeFile(FORMAT, format.toText().getBytes(StandardCharsets.UTF_8));
 	}
 
-	Path file(String name) {
+	Path resolve(String name) {
 		return this.path.resolve(name);
 	}
 
@@ -109,7 +109,7 @@
 		return name.startsWith(prefix) && !name.equals(LOCK) && !name.endsWith(TEMPORARY);
 	}
 
-	void deleteUnfinished() throws IOException {
+	void deleteTemporaryFiles() throws IOException {
 		try (Stream<Path> files = Files.list(this.path)) {
 			for (Path file : files.filter((found) -> found.toString().endsWith(TEMPORARY)).toList()) {
 				Files.delete(file);
@@ -128,13 +128,13 @@
 			this.fileSync.sync(channel);
 		}
 		Files.move(temporary, this.path.resolve(name), StandardCopyOption.ATOMIC_MOVE);
-		syncNames();
+		syncDirectory();
 	}
 
 	/**
 	 * Syncs the directory, so that created, renamed and deleted files are durable.
 	 */
-	void syncNames() throws IOException {
+	void syncDirectory() throws IOException {
 		try (FileChannel directory = FileChannel.open(this.path, StandardOpenOption.READ)) {
 			this.fileSync.sync(directory);
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/DiskStorage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/DiskStorage.java
@@ -54,9 +54,9 @@
 		this.folder = folder;
 		this.fileSync = fileSync;
 		this.segmentBytes = segmentBytes;
-		FolderFormat format = folder.format(origin.instance(), origin.storageId());
+		FolderFormat format = folder.loadFormat(origin.instance(), origin.storageId());
 		this.storageId = format.storageId();
-		if (format.fresh()) {
+		if (format.uninitialized()) {
 			createFirstSegment(origin);
 			folder.writeFormat(format);
 		}
@@ -138,11 +138,11 @@
 			long firstKept = this.nextSequence;
 			this.segment.close();
 			this.segment = newSegment(true);
-			append(LogCodec.encodeKept(compaction).toArray());
+			append(LogCodec.encodeCompaction(compaction).toArray());
 			syncSegment(this.segment);
 			deleteSegmentsBefore(firstKept);
 			SnapshotFiles.deleteOlderThan(this.folder, compaction.snapshot());
-			this.folder.syncNames();
+			this.folder.syncDirectory();
 		});
 	}
 
@@ -181,10 +181,10 @@
 
 	private Segment newSegment(boolean startsLog) throws IOException {
 		SegmentHeader header = new SegmentHeader(this.random.nextLong(), this.nextSequence, startsLog);
-		Path file = this.folder.file(Segment.name(this.nextSequence));
+		Path file = this.folder.resolve(Segment.name(this.nextSequence));
 		Files.deleteIfExists(file);
 		Segment created = Segment.create(file, header, this.fileSync);
-		this.folder.syncNames();
+		this.folder.syncDirectory();
 		return created;
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/FolderFormat.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/FolderFormat.java
@@ -12,9 +12,9 @@
  * @param version the format version
  * @param instance the instance that the folder belongs to
  * @param storageId the identifier of the folder
- * @param fresh whether the folder was empty, so that it has to be initialized
+ * @param uninitialized whether the folder was empty, so that it has to be initialized
  */
-record FolderFormat(int version, InstanceId instance, long storageId, boolean fresh) {
+record FolderFormat(int version, InstanceId instance, long storageId, boolean uninitialized) {
 
 	static final int VERSION = 1;
 
@@ -31,7 +31,7 @@
 		}
 	}
 
-	String text() {
+	String toText() {
 		return "version=" + this.version + "\ninstance=" + this.instance + "\nstorage-id=" + this.storageId + "\n";
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/FolderOrigin.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/FolderOrigin.java
@@ -6,7 +6,7 @@
 
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.control.log.FoundingBatch;
+import org.comfreywall.control.log.BootstrapBatch;
 import org.comfreywall.control.log.LogBatch;
 
 /**
@@ -33,7 +33,7 @@
 	 */
 	public static FolderOrigin founding(InstanceId instance, List<InstanceId> initialVoters) {
 		Preconditions.check(initialVoters.contains(instance), "initialVoters must contain %s", instance);
-		return new FolderOrigin(instance, FoundingBatch.STORAGE_ID, FoundingBatch.of(initialVoters));
+		return new FolderOrigin(instance, BootstrapBatch.STORAGE_ID, BootstrapBatch.of(initialVoters));
 	}
 
 	/**
@@ -45,7 +45,7 @@
 	 * @return the origin, with a new storage identifier
 	 */
 	public static FolderOrigin joining(InstanceId instance, RandomGenerator random) {
-		long storageId = random.nextLong(FoundingBatch.STORAGE_ID + 1, Long.MAX_VALUE);
+		long storageId = random.nextLong(BootstrapBatch.STORAGE_ID + 1, Long.MAX_VALUE);
 		return new FolderOrigin(instance, storageId, new LogBatch(Optional.empty(), List.of()));
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/MemoryStorage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/MemoryStorage.java
@@ -70,7 +70,7 @@
 		LogReader reader = new LogReader();
 		this.synced.forEach((batch) -> Preconditions.check(LogCodec.decodeBatch(batch, reader).error().isEmpty(),
 				"a batch in memory cannot be decoded"));
-		return reader.finish(this.snapshot);
+		return reader.toDurableState(this.snapshot);
 	}
 
 	@Override
@@ -100,7 +100,7 @@
 		}
 		this.unsynced.clear();
 		this.synced.clear();
-		this.synced.add(LogCodec.encodeKept(compaction));
+		this.synced.add(LogCodec.encodeCompaction(compaction));
 		this.snapshot = Optional.of(compaction.snapshot());
 		return Optional.empty();
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/SegmentRecovery.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/SegmentRecovery.java
@@ -42,7 +42,7 @@
 	}
 
 	DurableState recover() throws IOException {
-		this.folder.deleteUnfinished();
+		this.folder.deleteTemporaryFiles();
 		Optional<Snapshot> snapshot = SnapshotFiles.readNewest(this.folder);
 		LogReader reader = new LogReader();
 		List<SegmentContent> segments = fromLogStart(readSegments());
@@ -51,7 +51,7 @@
 			read(segment, reader);
 		}
 		try {
-			return reader.finish(snapshot);
+			return reader.toDurableState(snapshot);
 		}
 		catch (IllegalArgumentException ex) {
 			throw damage("the log does not continue the newest snapshot: " + ex.getMessage());
@@ -130,7 +130,7 @@
 
 	private void delete(Path file) throws IOException {
 		Files.delete(file);
-		this.folder.syncNames();
+		this.folder.syncDirectory();
 	}
 
 	private static StorageException damage(String problem) {
--- a/comfreywall-control/src/test/java/org/comfreywall/control/lease/LeaseLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/lease/LeaseLedgerTests.java
@@ -82,7 +82,7 @@
 			request(LeaseLedgerTests.this.ledger, "a", demand(20, 0, 0), 60 * SECOND);
 			long later = 60 * SECOND + SECOND / 2;
 			assertThat(request(LeaseLedgerTests.this.ledger, "a", demand(20, 0, 0), later).requests()).isZero();
-			assertThat(LeaseLedgerTests.this.ledger.liveRequests(ACCOUNT, later)).isEqualTo(20);
+			assertThat(LeaseLedgerTests.this.ledger.unexpiredRequests(ACCOUNT, later)).isEqualTo(20);
 		}
 
 		@Test
--- a/comfreywall-control/src/test/java/org/comfreywall/control/ledger/ClaimLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/ledger/ClaimLedgerTests.java
@@ -141,22 +141,22 @@
 		@Test
 		void returnsRecordedAnswer() {
 			claim("k", FIRST, 0);
-			ClaimLedgerTests.this.ledger.finish(key("k"), FIRST, ANSWER, 1);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("k"), FIRST, ANSWER, 1);
 			assertThat(claim("k", SECOND, 2)).isEqualTo(new ClaimFound(new ClaimCompleted(FIRST, ANSWER)));
 		}
 
 		@Test
 		void keepsFirstAnswer() {
 			claim("k", FIRST, 0);
-			ClaimLedgerTests.this.ledger.finish(key("k"), FIRST, ANSWER, 1);
-			ClaimLedgerTests.this.ledger.finish(key("k"), FIRST, answer("late"), 2);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("k"), FIRST, ANSWER, 1);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("k"), FIRST, answer("late"), 2);
 			assertThat(ClaimLedgerTests.this.ledger.find(key("k"))).contains(new ClaimCompleted(FIRST, ANSWER));
 		}
 
 		@Test
 		void rejectsOtherOwner() {
 			claim("k", FIRST, 0);
-			OperationError error = ClaimLedgerTests.this.ledger.finish(key("k"), SECOND, ANSWER, 1)
+			OperationError error = ClaimLedgerTests.this.ledger.recordAnswer(key("k"), SECOND, ANSWER, 1)
 				.error()
 				.orElseThrow();
 			assertThat(error.code()).isEqualTo(ErrorCode.CONFLICT);
@@ -165,7 +165,7 @@
 		@Test
 		void keepsAnswerWhenMarkedUnknownLater() {
 			claim("k", FIRST, 0);
-			ClaimLedgerTests.this.ledger.finish(key("k"), FIRST, ANSWER, 1);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("k"), FIRST, ANSWER, 1);
 			ClaimLedgerTests.this.ledger.markUnknown(key("k"), FIRST, 2);
 			assertThat(ClaimLedgerTests.this.ledger.find(key("k"))).contains(new ClaimCompleted(FIRST, ANSWER));
 		}
@@ -174,14 +174,14 @@
 		void recordsLateAnswerOfUnknownClaim() {
 			claim("k", FIRST, 0);
 			ClaimLedgerTests.this.ledger.markUnknown(key("k"), FIRST, 1);
-			ClaimLedgerTests.this.ledger.finish(key("k"), FIRST, ANSWER, 2);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("k"), FIRST, ANSWER, 2);
 			assertThat(ClaimLedgerTests.this.ledger.find(key("k"))).contains(new ClaimCompleted(FIRST, ANSWER));
 		}
 
 		@Test
 		void treatsTooLargeAnswerAsUnknown() {
 			claim("k", FIRST, 0);
-			ClaimLedgerTests.this.ledger.finish(key("k"), FIRST, answer("longer than ten"), 1);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("k"), FIRST, answer("longer than ten"), 1);
 			assertThat(ClaimLedgerTests.this.ledger.find(key("k"))).contains(new ClaimUnknown(FIRST));
 		}
 
@@ -190,9 +190,9 @@
 			claim("a", FIRST, 0);
 			claim("b", FIRST, 0);
 			claim("c", FIRST, 0);
-			ClaimLedgerTests.this.ledger.finish(key("b"), FIRST, ANSWER, 1);
-			ClaimLedgerTests.this.ledger.finish(key("a"), FIRST, ANSWER, 1);
-			ClaimLedgerTests.this.ledger.finish(key("c"), FIRST, ANSWER, 1);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("b"), FIRST, ANSWER, 1);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("a"), FIRST, ANSWER, 1);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("c"), FIRST, ANSWER, 1);
 			assertThat(ClaimLedgerTests.this.ledger.find(key("b"))).contains(new ClaimUnknown(FIRST));
 			assertThat(ClaimLedgerTests.this.ledger.find(key("a"))).contains(new ClaimCompleted(FIRST, ANSWER));
 			assertThat(ClaimLedgerTests.this.ledger.find(key("c"))).contains(new ClaimCompleted(FIRST, ANSWER));
@@ -234,14 +234,14 @@
 		void restoresEqualLedger() {
 			claim("a", FIRST, 0);
 			claim("b", FIRST, 5);
-			ClaimLedgerTests.this.ledger.finish(key("b"), FIRST, ANSWER, 6);
-			ClaimLedgerTests.this.ledger.finish(key("a"), FIRST, ANSWER, 7);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("b"), FIRST, ANSWER, 6);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("a"), FIRST, ANSWER, 7);
 			ClaimLedger copy = new ClaimLedger(new ClaimLedgerSettings(Duration.ofNanos(100), 3, 10, 16));
 			copy.restore(ClaimLedgerTests.this.ledger.snapshot());
 			claim("c", FIRST, 8);
 			copy.claim(key("c"), "digest", FIRST, BOOKING_1, INCARNATION, 8);
-			ClaimLedgerTests.this.ledger.finish(key("c"), FIRST, ANSWER, 9);
-			copy.finish(key("c"), FIRST, ANSWER, 9);
+			ClaimLedgerTests.this.ledger.recordAnswer(key("c"), FIRST, ANSWER, 9);
+			copy.recordAnswer(key("c"), FIRST, ANSWER, 9);
 			assertThat(copy.snapshot()).isEqualTo(ClaimLedgerTests.this.ledger.snapshot());
 			assertThat(copy.find(key("b"))).contains(new ClaimUnknown(FIRST));
 		}
--- a/comfreywall-control/src/test/java/org/comfreywall/control/ledger/PoisonLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/ledger/PoisonLedgerTests.java
@@ -44,8 +44,8 @@
 		acquire(POISON, RUN, 10);
 		PoisonLedger copy = new PoisonLedger(SETTINGS, DecisionListener.NONE);
 		copy.restore(this.ledger.snapshot());
-		this.ledger.advance(60);
-		copy.advance(60);
+		this.ledger.advanceTime(60);
+		copy.advanceTime(60);
 		assertThat(copy.snapshot()).isEqualTo(this.ledger.snapshot());
 		assertThat(copy.assess(POISON)).isEqualTo(PoisonVerdict.QUARANTINED);
 	}
@@ -64,7 +64,7 @@
 
 	private void report(CrashEvidence evidence, String server, int crash, boolean isolated, long now,
 			Fingerprint... inFlight) {
-		this.ledger.charge(new CrashReport(evidence, BackendServerId.of(server), Incarnation.of(1), crash,
+		this.ledger.recordCrash(new CrashReport(evidence, BackendServerId.of(server), Incarnation.of(1), crash,
 				List.of(inFlight), isolated), now);
 	}
 
@@ -127,7 +127,7 @@
 		@Test
 		void expiresAfterRetention() {
 			crash("a", 0, POISON);
-			PoisonLedgerTests.this.ledger.advance(1000);
+			PoisonLedgerTests.this.ledger.advanceTime(1000);
 			assertVerdict(POISON, PoisonVerdict.CLEAR);
 		}
 
@@ -140,7 +140,7 @@
 			crash("e", 3, fingerprint("y"));
 			assertVerdict(POISON, PoisonVerdict.QUARANTINED);
 			assertVerdict(HARMLESS, PoisonVerdict.CLEAR);
-			assertThat(PoisonLedgerTests.this.ledger.evicted()).isOne();
+			assertThat(PoisonLedgerTests.this.ledger.evictions()).isOne();
 		}
 
 	}
@@ -201,7 +201,7 @@
 		void quarantinesSuspectWhoseSlotExpires() {
 			crash("a", 0, POISON);
 			acquire(POISON, RUN, 10);
-			PoisonLedgerTests.this.ledger.advance(60);
+			PoisonLedgerTests.this.ledger.advanceTime(60);
 			assertVerdict(POISON, PoisonVerdict.QUARANTINED);
 		}
 
@@ -233,7 +233,7 @@
 		void doesNotExplainLossesWhenSlotExpires() {
 			crash("a", 0, POISON, HARMLESS);
 			acquire(HARMLESS, RUN, 10);
-			PoisonLedgerTests.this.ledger.advance(60);
+			PoisonLedgerTests.this.ledger.advanceTime(60);
 			assertVerdict(POISON, PoisonVerdict.SUSPECT);
 		}
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/log/LogCluster.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/log/LogCluster.java
@@ -50,7 +50,7 @@
 		LogCluster cluster = new LogCluster();
 		List<InstanceId> founders = IntStream.rangeClosed(1, size).mapToObj(LogCluster::id).toList();
 		founders.forEach((founder) -> cluster.add(founder,
-				MemoryStorage.with(FoundingBatch.STORAGE_ID, FoundingBatch.of(founders))));
+				MemoryStorage.with(BootstrapBatch.STORAGE_ID, BootstrapBatch.of(founders))));
 		return cluster;
 	}
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/log/ReplicaCoreTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/log/ReplicaCoreTests.java
@@ -32,7 +32,7 @@
 		PeerBody[] bodies = { new VoteRequest(true, true, new LogPosition(4, Term.of(2)), 7, 8),
 				new VoteReply(true, false, 7, 8),
 				new AppendRequest(new LogPosition(1, Term.of(1)), 1, -5,
-						FoundingBatch.of(List.of(LogCluster.id(1))).entries()),
+						BootstrapBatch.of(List.of(LogCluster.id(1))).entries()),
 				new AppendReply(true, 3, Long.MIN_VALUE), new SnapshotReply(1, 2, true, 3), new TransferRequest(),
 				new SnapshotChunk(new LogPosition(2, Term.of(1)), 4, Bytes.ofText("part"), true, 9) };
 		for (PeerBody body : bodies) {
--- a/comfreywall-control/src/test/java/org/comfreywall/control/member/MembershipTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/member/MembershipTests.java
@@ -53,7 +53,7 @@
 
 	@BeforeEach
 	void lead() {
-		this.membership.lead(Map.of(), this.now);
+		this.membership.startLeading(Map.of(), this.now);
 	}
 
 	private void report(Presence presence, NodeDescriptor... nodes) {
@@ -65,7 +65,7 @@
 		publish();
 	}
 
-	private List<ProbeOrder> advance(Duration duration) {
+	private List<ProbeAssignment> advance(Duration duration) {
 		this.now += duration.toNanos();
 		this.membership.tick(this.now);
 		publish();
@@ -79,11 +79,11 @@
 		this.view.apply(changes, false);
 	}
 
-	private void answer(List<ProbeOrder> probes, boolean reachable, int count) {
+	private void answer(List<ProbeAssignment> probes, boolean reachable, int count) {
 		probes.stream().limit(count).forEach((probe) -> answer(probe, reachable));
 	}
 
-	private void answer(ProbeOrder probe, boolean reachable) {
+	private void answer(ProbeAssignment probe, boolean reachable) {
 		NodeDescriptor target = probe.request().target();
 		this.membership.onProbed(probe.prober(),
 				new ProbeResult(probe.request().nonce(), target.id(), target.incarnation(), reachable), this.now);
@@ -97,11 +97,11 @@
 	void waitsForReportsAfterLeaderChangeBeforeProbing() {
 		NodeDescriptor node = entry(1, "d1");
 		MemberRecord record = new MemberRecord(node, MemberState.ACTIVE, 7);
-		EntryChange change = MemberEntries.set(record);
-		this.membership.lead(Map.of(change.key(), change.value().orElseThrow()), this.now);
+		EntryChange change = MemberEntries.toEntryChange(record);
+		this.membership.startLeading(Map.of(change.key(), change.value().orElseThrow()), this.now);
 		assertThat(advance(SETTINGS.grace())).isEmpty();
 		assertThat(advance(SETTINGS.takeoverGrace())).isNotEmpty()
-			.extracting(ProbeOrder::prober)
+			.extracting(ProbeAssignment::prober)
 			.contains(Peer.of(SELF));
 	}
 
@@ -110,7 +110,7 @@
 
 		private final NodeDescriptor suspected = entry(1, "d1");
 
-		private List<ProbeOrder> suspect() {
+		private List<ProbeAssignment> suspect() {
 			report(Presence.PRESENT, this.suspected, entry(2, "d1"), entry(3, "d2"), entry(4, "d3"));
 			advance(Duration.ofSeconds(1));
 			report(Presence.ABSENT, this.suspected);
@@ -119,7 +119,7 @@
 
 		@Test
 		void probesFromSeveralNodesBeforeDeclaringFailure() {
-			assertThat(suspect()).extracting(ProbeOrder::prober).doesNotHaveDuplicates().hasSize(3);
+			assertThat(suspect()).extracting(ProbeAssignment::prober).doesNotHaveDuplicates().hasSize(3);
 			assertThat(isRoutable(this.suspected)).isTrue();
 		}
 
@@ -139,7 +139,7 @@
 
 		@Test
 		void countsRepeatedResultsOfOneProberOnce() {
-			List<ProbeOrder> probes = suspect();
+			List<ProbeAssignment> probes = suspect();
 			answer(probes.get(0), false);
 			answer(probes.get(0), false);
 			advance(Duration.ofSeconds(1));
@@ -148,7 +148,7 @@
 
 		@Test
 		void clearsAMemberThatOneProberReaches() {
-			List<ProbeOrder> probes = suspect();
+			List<ProbeAssignment> probes = suspect();
 			answer(probes.get(0), true);
 			answer(probes.get(1), false);
 			answer(probes.get(2), false);
@@ -180,7 +180,7 @@
 			advance(Duration.ofSeconds(1));
 			report(Presence.ABSENT, domain);
 			MembershipTests.this.publishedChanges = 0;
-			List<ProbeOrder> probes = advance(SETTINGS.grace());
+			List<ProbeAssignment> probes = advance(SETTINGS.grace());
 			assertThat(probes).hasSize(9);
 			answer(probes, false, 9);
 			advance(Duration.ofSeconds(1));
@@ -242,7 +242,7 @@
 			report(Presence.LEAVING, this.node);
 			advance(Duration.ofSeconds(1));
 			MemberRecord stale = new MemberRecord(this.node, MemberState.ACTIVE, 99);
-			MembershipTests.this.view.apply(List.of(MemberEntries.set(stale)), true);
+			MembershipTests.this.view.apply(List.of(MemberEntries.toEntryChange(stale)), true);
 			assertThat(isRoutable(this.node)).isFalse();
 		}
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/order/OrderIssuerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/order/OrderIssuerTests.java
@@ -27,15 +27,15 @@
 	}
 
 	private List<OrderCommand> request(String model) {
-		return this.issuer.on(new OrderEvent.Requested(TARGET, OrderKind.LOAD_MODEL, model, "1"), 0);
+		return this.issuer.handle(new OrderEvent.Requested(TARGET, OrderKind.LOAD_MODEL, model, "1"), 0);
 	}
 
 	private List<OrderCommand> reply(FencingNumber number, OrderStatus status, FencingNumber present) {
-		return this.issuer.on(new OrderEvent.Replied(new OrderReply(TARGET, number, status, present, "")), 0);
+		return this.issuer.handle(new OrderEvent.Replied(new OrderReply(TARGET, number, status, present, "")), 0);
 	}
 
 	private void lead(long term) {
-		this.issuer.on(new OrderEvent.LeadershipGained(Term.of(term)), 0);
+		this.issuer.handle(new OrderEvent.LeadershipGained(Term.of(term)), 0);
 	}
 
 	private static List<FencingNumber> sent(List<OrderCommand> commands) {
@@ -69,14 +69,14 @@
 		lead(4);
 		request("m");
 		assertThat(request("m")).isEmpty();
-		assertThat(this.issuer.open()).isEqualTo(1);
+		assertThat(this.issuer.openOrders()).isEqualTo(1);
 	}
 
 	@Test
 	void resendsSameNumberUntilAnswered() {
 		lead(4);
 		request("m");
-		List<OrderCommand> commands = this.issuer.on(new OrderEvent.Tick(), Duration.ofSeconds(1).toNanos());
+		List<OrderCommand> commands = this.issuer.handle(new OrderEvent.Tick(), Duration.ofSeconds(1).toNanos());
 		assertThat(sent(commands)).containsExactly(number(4, 1));
 	}
 
@@ -108,7 +108,7 @@
 		lead(4);
 		request("m");
 		reply(number(4, 1), OrderStatus.NOT_READY, FencingNumber.ZERO);
-		assertThat(this.issuer.open()).isEqualTo(1);
+		assertThat(this.issuer.openOrders()).isEqualTo(1);
 	}
 
 	@Test
--- a/comfreywall-control/src/test/java/org/comfreywall/control/runtime/ControlNodeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/runtime/ControlNodeTests.java
@@ -18,7 +18,7 @@
 import org.comfreywall.common.result.Result;
 import org.comfreywall.common.time.Clock;
 import org.comfreywall.common.util.Bytes;
-import org.comfreywall.control.log.FoundingBatch;
+import org.comfreywall.control.log.BootstrapBatch;
 import org.comfreywall.control.log.LogSettings;
 import org.comfreywall.control.state.LedgerCommand;
 import org.comfreywall.control.state.OrderTermCodec;
@@ -61,8 +61,8 @@
 
 	private void start(InstanceId instance) {
 		MemoryStorage storage = this.storages.computeIfAbsent(instance,
-				(added) -> MemoryStorage.with(FoundingBatch.STORAGE_ID, FoundingBatch.of(this.instances)));
-		ControlNodeParts dependencies = new ControlNodeParts(instance, storage,
+				(added) -> MemoryStorage.with(BootstrapBatch.STORAGE_ID, BootstrapBatch.of(this.instances)));
+		ControlNodeDependencies dependencies = new ControlNodeDependencies(instance, storage,
 				new StateMachine(List.of(new OrderTermsLedger())), (message) -> {
 					ControlNode peer = this.nodes.get(message.to());
 					if (peer != null) {
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/ChildrenTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/ChildrenTests.java
@@ -27,20 +27,20 @@
 
 	@Test
 	void doesNotAcknowledgeReportsAfterAGap() {
-		Child child = this.children.heard(heartbeat(7, 8, new MemberReport(LEAF, Presence.PRESENT)), 0);
+		Child child = this.children.applyHeartbeat(heartbeat(7, 8, new MemberReport(LEAF, Presence.PRESENT)), 0);
 		assertThat(child.reportsReceived()).isEqualTo(1);
 	}
 
 	@Test
 	void ignoresOutdatedReports() {
-		this.children.heard(heartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
-		this.children.heard(heartbeat(1, 2, new MemberReport(LEAF, Presence.ABSENT)), 0);
+		this.children.applyHeartbeat(heartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
+		this.children.applyHeartbeat(heartbeat(1, 2, new MemberReport(LEAF, Presence.ABSENT)), 0);
 		assertThat(this.reports).doesNotContain(new MemberReport(LEAF, Presence.ABSENT));
 	}
 
 	@Test
 	void reportsAnExpiredChildAndItsDescendantsAsAbsent() {
-		this.children.heard(heartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
+		this.children.applyHeartbeat(heartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
 		this.children.expire(1);
 		assertThat(this.reports).contains(new MemberReport(LEAF, Presence.ABSENT),
 				new MemberReport(RELAY, Presence.ABSENT));
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/RelayTreeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/RelayTreeTests.java
@@ -60,7 +60,7 @@
 	void choosesParentsWithinTheFailureDomain() {
 		RelayTree tree = tree(fleet(800));
 		NodeDescriptor sidecar = fleet(800).get(799);
-		Parents parents = tree.parentsOf(sidecar);
+		ParentList parents = tree.parentsOf(sidecar);
 		assertThat(parents.parents().subList(0, parents.preferred()))
 			.allMatch((parent) -> parent.domain().equals(sidecar.domain()));
 	}
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadCodecTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadCodecTests.java
@@ -30,11 +30,11 @@
 		return List.of(
 				new Heartbeat(NODE, true, true, true, POSITION, POSITION, -7, coverage, 5, 5, 6,
 						List.of(new MemberReport(NODE, Presence.LEAVING))),
-				new Beat(Term.of(3), 12, POSITION, Position.ZERO, 6), new Parents(List.of(NODE), 1, true),
+				new Beat(Term.of(3), 12, POSITION, Position.ZERO, 6), new ParentList(List.of(NODE), 1, true),
 				new DeltaUpdate(StreamId.MEMBERS, Term.of(3), List.of(delta)),
 				new SnapshotUpdate(StreamId.CONFIGURATION, Term.of(3),
 						new Snapshot(Version.of(3, 9), Map.of("a", Bytes.ofText("b")))),
-				new FloorAnswer(-7, new Floor(Version.of(3, 9), new FencingNumber(Term.of(3), 4))),
+				new FloorResponse(-7, new Floor(Version.of(3, 9), new FencingNumber(Term.of(3), 4))),
 				new LeaveNotice(NODE), new Ping(3), new Pong(3, Incarnation.of(2)), new ProbeRequest(4, NODE),
 				new ProbeResult(4, NODE.id(), Incarnation.of(2), true));
 	}
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadNodeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadNodeTests.java
@@ -62,7 +62,7 @@
 
 	private void confirmFloor(long number) {
 		long nonce = attach().floorNonce();
-		receive(new FloorAnswer(nonce, new Floor(Version.of(Math.min(number, 1), number), FencingNumber.ZERO)));
+		receive(new FloorResponse(nonce, new Floor(Version.of(Math.min(number, 1), number), FencingNumber.ZERO)));
 	}
 
 	private static List<Version> inForce(List<SpreadCommand> commands) {
@@ -95,7 +95,7 @@
 		@Test
 		void ignoresFloorOfAnotherRequest() {
 			long nonce = attach().floorNonce();
-			receive(new FloorAnswer(nonce + 1, new Floor(Version.ZERO, FencingNumber.ZERO)));
+			receive(new FloorResponse(nonce + 1, new Floor(Version.ZERO, FencingNumber.ZERO)));
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
 			assertThat(SpreadNodeTests.this.node.inForce()).isEmpty();
 		}
@@ -150,7 +150,7 @@
 		void followsARedirect() {
 			attach();
 			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
-			receive(new Parents(List.of(relay), 1, false));
+			receive(new ParentList(List.of(relay), 1, false));
 			assertThat(SpreadNodeTests.this.node.parent()).contains(relay.id());
 		}
 
@@ -158,7 +158,7 @@
 		void replacesAParentWhoseBeatsStop() {
 			attach();
 			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
-			receive(new Parents(List.of(SpreadNodeTests.this.control, relay), 2, true));
+			receive(new ParentList(List.of(SpreadNodeTests.this.control, relay), 2, true));
 			SpreadNodeTests.this.now += 2 * SECOND;
 			SpreadNodeTests.this.node.on(new SpreadEvent.Tick(), SpreadNodeTests.this.now);
 			assertThat(SpreadNodeTests.this.node.parent()).contains(relay.id());
@@ -168,7 +168,7 @@
 		void replacesAParentWithoutNewLeaderBeats() {
 			attach();
 			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
-			receive(new Parents(List.of(SpreadNodeTests.this.control, relay), 2, true));
+			receive(new ParentList(List.of(SpreadNodeTests.this.control, relay), 2, true));
 			List<InstanceId> parents = new ArrayList<>();
 			for (int i = 0; i < 9; i++) {
 				SpreadNodeTests.this.now += SECOND;
@@ -213,11 +213,11 @@
 			Heartbeat heartbeat = heartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 77);
 			SpreadNodeTests.this.node.on(new SpreadEvent.Received(child, heartbeat), SpreadNodeTests.this.now);
 			Floor floor = new Floor(Version.ZERO, FencingNumber.ZERO);
-			List<SpreadCommand> commands = receive(new FloorAnswer(first, floor));
-			assertThat(Nodes.sent(commands, FloorAnswer.class)).isEmpty();
+			List<SpreadCommand> commands = receive(new FloorResponse(first, floor));
+			assertThat(Nodes.sent(commands, FloorResponse.class)).isEmpty();
 			long second = Nodes.sent(commands, Heartbeat.class).get(0).floorNonce();
-			assertThat(Nodes.sent(receive(new FloorAnswer(second, floor)), FloorAnswer.class))
-				.containsExactly(new FloorAnswer(77, floor));
+			assertThat(Nodes.sent(receive(new FloorResponse(second, floor)), FloorResponse.class))
+				.containsExactly(new FloorResponse(77, floor));
 		}
 
 		@Test
--- a/comfreywall-control/src/test/java/org/comfreywall/control/state/OrderTermsLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/state/OrderTermsLedgerTests.java
@@ -34,7 +34,7 @@
 		Term term = issue("a", "1");
 		OrderTermsLedger restored = new OrderTermsLedger();
 		restored.restore(this.ledger.snapshot());
-		assertThat(restored.newest("group-1")).map(OrderTerm::term).contains(term);
+		assertThat(restored.findLatest("group-1")).map(OrderTerm::term).contains(term);
 	}
 
 	@Test
--- a/comfreywall-control/src/test/java/org/comfreywall/control/state/ReplicatedClaimsTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/state/ReplicatedClaimsTests.java
@@ -65,7 +65,7 @@
 	@Test
 	void keepsAnswerInSnapshots() {
 		claim(LogTime.ZERO, "d", FIRST);
-		this.ledger.apply(LogTime.ZERO, ClaimCommandCodec.finish(KEY, FIRST.owner(), ANSWER));
+		this.ledger.apply(LogTime.ZERO, ClaimCommandCodec.recordAnswer(KEY, FIRST.owner(), ANSWER));
 		ReplicatedClaims restored = new ReplicatedClaims(ClaimLedgerSettings.DEFAULT);
 		restored.restore(this.ledger.snapshot());
 		assertThat(lookup(restored)).contains(new ClaimCompleted(FIRST.owner(), ANSWER));
--- a/comfreywall-control/src/test/java/org/comfreywall/control/state/ReplicatedPoisonTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/state/ReplicatedPoisonTests.java
@@ -35,7 +35,7 @@
 	private final ReplicatedPoison ledger = new ReplicatedPoison(PoisonLedgerSettings.DEFAULT, DecisionListener.NONE);
 
 	private void crash(int number) {
-		this.ledger.apply(LogTime.ZERO, PoisonCommandCodec.charge(new CrashReport(CrashEvidence.BACKEND_CRASHED,
+		this.ledger.apply(LogTime.ZERO, PoisonCommandCodec.recordCrash(new CrashReport(CrashEvidence.BACKEND_CRASHED,
 				BackendServerId.of("b1"), Incarnation.of(1), number, List.of(SUSPECT), false)));
 	}
 
@@ -69,7 +69,7 @@
 	void removesFingerprintOnOperatorCommand() {
 		crash(1);
 		Bytes answer = this.ledger.apply(LATER, PoisonCommandCodec.clear(SUSPECT));
-		assertThat(PoisonAnswerCodec.decodeKnown(answer).value()).contains(true);
+		assertThat(PoisonAnswerCodec.decodeCleared(answer).value()).contains(true);
 		assertThat(verdict(this.ledger)).isEqualTo(PoisonVerdict.CLEAR);
 	}
 
@@ -86,7 +86,7 @@
 	@Test
 	void answersMalformedCommands() {
 		Bytes answer = this.ledger.apply(LogTime.ZERO, Bytes.of(new byte[] { 1 }));
-		assertThat(PoisonAnswerCodec.decodeKnown(answer).error()).isPresent();
+		assertThat(PoisonAnswerCodec.decodeCleared(answer).error()).isPresent();
 	}
 
 }
--- a/comfreywall-control/src/test/java/org/comfreywall/control/state/SlotReservationsTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/state/SlotReservationsTests.java
@@ -24,14 +24,14 @@
 		this.ledger.apply(LogTime.ZERO, SlotReservations.reserve(FARM, 16));
 		SlotReservations copy = new SlotReservations();
 		copy.restore(this.ledger.snapshot());
-		assertThat(copy.all()).isEqualTo(Map.of(FARM, 16L));
+		assertThat(copy.reservations()).isEqualTo(Map.of(FARM, 16L));
 	}
 
 	@Test
 	void refusesMalformedCommand() {
 		Bytes answer = this.ledger.apply(LogTime.ZERO, Bytes.ofText("?"));
 		assertThat(SlotReservations.isDone(answer)).isFalse();
-		assertThat(this.ledger.all()).isEmpty();
+		assertThat(this.ledger.reservations()).isEmpty();
 	}
 
 }
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ControlRole.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ControlRole.java
@@ -32,7 +32,7 @@
 import org.comfreywall.control.log.PeerMessage;
 import org.comfreywall.control.log.ReplicaStatus;
 import org.comfreywall.control.runtime.ControlNode;
-import org.comfreywall.control.runtime.ControlNodeParts;
+import org.comfreywall.control.runtime.ControlNodeDependencies;
 import org.comfreywall.control.runtime.ControlNodeSettings;
 import org.comfreywall.control.state.AcceptedChange;
 import org.comfreywall.control.state.ConfigurationLedger;
@@ -106,7 +106,8 @@
 		this.incarnationTerm = Term.of(parts.transport().self().incarnation().value());
 		LogPeers peers = this.closer
 			.register(new LogPeers(parts.transport(), parts.transport().self().instance(), parts.peers()));
-		ControlNodeParts nodeParts = new ControlNodeParts(parts.transport().self().instance(), parts.storage(),
+		ControlNodeDependencies nodeParts = new ControlNodeDependencies(parts.transport().self().instance(),
+				parts.storage(),
 				new StateMachine(List.of(configuration, new OrderTermsLedger(),
 						new ReplicatedClaims(ClaimLedgerSettings.DEFAULT), poison, reservations)),
 				peers, parts.clock(), parts.random(), decisions, new Invariants(), parts.metrics());
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LoggedReservations.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LoggedReservations.java
@@ -26,7 +26,7 @@
 
 	@Override
 	public CompletionStage<Result<Map<AccountId, Long>>> load() {
-		return this.node.get().read((machine) -> this.reservations.all());
+		return this.node.get().read((machine) -> this.reservations.reservations());
 	}
 
 	@Override
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/PublishedPoison.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/PublishedPoison.java
@@ -59,8 +59,8 @@
 
 	private void publish() {
 		Map<Fingerprint, PoisonVerdict> updated = new HashMap<>();
-		for (PoisonEntry entry : this.replicated.poison().snapshot().entries()) {
-			updated.put(entry.fingerprint(), this.replicated.poison().assess(entry.fingerprint()));
+		for (PoisonEntry entry : this.replicated.ledger().snapshot().entries()) {
+			updated.put(entry.fingerprint(), this.replicated.ledger().assess(entry.fingerprint()));
 		}
 		this.verdicts = Map.copyOf(updated);
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/LocalControl.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/LocalControl.java
@@ -66,7 +66,7 @@
 
 	@Override
 	public synchronized void finish(FinishClaim command) {
-		this.claims.finish(command.key(), command.owner(), command.answer(), now());
+		this.claims.recordAnswer(command.key(), command.owner(), command.answer(), now());
 	}
 
 	@Override
@@ -92,7 +92,7 @@
 
 	@Override
 	public synchronized CompletionStage<Result<Boolean>> charge(CrashReport report) {
-		this.poison.charge(report, now());
+		this.poison.recordCrash(report, now());
 		return completed(Result.success(true));
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RemoteControl.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RemoteControl.java
@@ -81,7 +81,7 @@
 	@Override
 	public void finish(FinishClaim command) {
 		proposeAndLogFailure("finish-claim", ReplicatedClaims.NAME,
-				ClaimCommandCodec.finish(command.key(), command.owner(), command.answer()));
+				ClaimCommandCodec.recordAnswer(command.key(), command.owner(), command.answer()));
 	}
 
 	@Override
@@ -110,7 +110,7 @@
 
 	@Override
 	public CompletionStage<Result<Boolean>> charge(CrashReport report) {
-		return propose(ReplicatedPoison.NAME, PoisonCommandCodec.charge(report), RECORD_TIMEOUT)
+		return propose(ReplicatedPoison.NAME, PoisonCommandCodec.recordCrash(report), RECORD_TIMEOUT)
 			.thenApply((result) -> result.map((answer) -> true));
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LocalReplica.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LocalReplica.java
@@ -24,7 +24,7 @@
 import org.comfreywall.control.log.LogSettings;
 import org.comfreywall.control.log.Role;
 import org.comfreywall.control.runtime.ControlNode;
-import org.comfreywall.control.runtime.ControlNodeParts;
+import org.comfreywall.control.runtime.ControlNodeDependencies;
 import org.comfreywall.control.runtime.ControlNodeSettings;
 import org.comfreywall.control.runtime.PeerSender;
 import org.comfreywall.control.state.DocumentLedger;
@@ -115,8 +115,8 @@
 		DiskStorage storage = opened.value().orElseThrow();
 		this.storageId = storage.storageId();
 		StateMachine machine = new StateMachine(List.of(new DocumentLedger(this.listener)));
-		ControlNodeParts parts = new ControlNodeParts(this.self, storage, machine, this.sender, Clock.system(),
-				new Random(), DecisionListener.NONE, new Invariants(), new MetricRegistry());
+		ControlNodeDependencies parts = new ControlNodeDependencies(this.self, storage, machine, this.sender,
+				Clock.system(), new Random(), DecisionListener.NONE, new Invariants(), new MetricRegistry());
 		this.node = Optional.of(ControlNode.start(parts, SETTINGS));
 		LOG.info("storage-opened", Field.of("storage-id", this.storageId));
 	}
