--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRun.java
@@ -41,7 +41,7 @@
 		settle(schedule);
 		RunChecker checker = this.world.checker();
 		return new RandomRunResult(schedule.steps(), checker.terms(), checker.committed(), checker.acknowledged(),
-				checker.claims(), this.faults.faults(), this.repairs.repairs(), this.world.invariants().breaches(),
+				checker.claims(), this.faults.faults(), this.repairs.repairs(), this.world.invariants().violations(),
 				List.copyOf(checker.violations()));
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/AccountAudit.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/AccountAudit.java
@@ -6,9 +6,9 @@
 import java.util.Map;
 
 import org.comfreywall.common.config.AccountLimits;
+import org.comfreywall.common.lease.GrantorLimits;
 import org.comfreywall.common.lease.LeaseTerms;
 import org.comfreywall.common.lease.LimitDivision;
-import org.comfreywall.common.lease.LimitPart;
 
 /**
  * Watches one client account from outside the cores: what was admitted, what runs and
@@ -50,7 +50,7 @@
 		this.requests = new RateWindow(limits.requestsPerSecond(), this.burstSeconds);
 		this.tokens = new RateWindow(limits.tokensPerSecond(), this.burstSeconds);
 		for (int i = 0; i <= division.reserveGrantors(); i++) {
-			LimitPart part = (i == 0) ? division.primary(limits) : division.reserve(limits);
+			GrantorLimits part = (i == 0) ? division.primaryLimits(limits) : division.reserveLimits(limits);
 			this.requestsByGrantor.add(new RateWindow(part.requestsPerSecond(), this.burstSeconds));
 			this.tokensByGrantor.add(new RateWindow(part.tokensPerSecond(), this.burstSeconds));
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsFleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsFleet.java
@@ -126,7 +126,7 @@
 	}
 
 	long breaches() {
-		return this.invariants.breaches();
+		return this.invariants.violations();
 	}
 
 	private void apply(SimulatedEntry entry, WaitingOffer offer, LimitDecision decision) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
@@ -12,10 +12,10 @@
 import org.comfreywall.common.id.AccountId;
 import org.comfreywall.common.id.Term;
 import org.comfreywall.common.invariant.Invariants;
+import org.comfreywall.common.lease.GrantorLimits;
 import org.comfreywall.common.lease.LeaseGrant;
 import org.comfreywall.common.lease.LeaseRequest;
 import org.comfreywall.common.lease.LimitDivision;
-import org.comfreywall.common.lease.LimitPart;
 import org.comfreywall.control.lease.LeaseLedger;
 import org.comfreywall.control.lease.LeaseRequested;
 import org.comfreywall.control.lease.LedgerCommand;
@@ -65,8 +65,8 @@
 				this.invariants);
 		LimitDivision division = this.settings.limitSettings().division();
 		for (int i = 0; i < this.settings.limits().size(); i++) {
-			LimitPart part = this.primary ? division.primary(this.settings.limits().get(i))
-					: division.reserve(this.settings.limits().get(i));
+			GrantorLimits part = this.primary ? division.primaryLimits(this.settings.limits().get(i))
+					: division.reserveLimits(this.settings.limits().get(i));
 			AccountId account = LimitsFleet.account(i);
 			OptionalLong earlier = OptionalLong.of(this.reserved.getOrDefault(account, 0L));
 			this.ledger.handle(new LimitsChanged(account, Optional.of(part), earlier), now);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchResult.java
@@ -24,7 +24,7 @@
 	static RandomisedSwitchResult of(SwitchWorld world, FaultInjector faults, int stuckWindows) {
 		StepAudit audit = world.audit();
 		return new RandomisedSwitchResult(world.lockStep().completed(), audit.checkedExecutions(), world.link().sent(),
-				audit.commits(), audit.aborts(), faults.counts(), audit.violations(), world.invariants().breaches(),
+				audit.commits(), audit.aborts(), faults.counts(), audit.violations(), world.invariants().violations(),
 				stuckWindows);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MovesMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MovesMeasurement.java
@@ -6,7 +6,7 @@
 import org.comfreywall.bench.BenchOptions;
 import org.comfreywall.bench.Measurement;
 import org.comfreywall.bench.Reporter;
-import org.comfreywall.common.config.PlacementPresets;
+import org.comfreywall.common.config.PlacementPreset;
 import org.comfreywall.common.decision.DecisionListener;
 import org.comfreywall.common.decision.Field;
 import org.comfreywall.common.id.GroupId;
@@ -59,7 +59,7 @@
 	private static MovePlan plan(Random random, String group) {
 		GroupShape shape = PlacementMeasurement.shape(LAYERS, SLOTS);
 		PlacementPlanner planner = new PlacementPlanner(
-				PlannerSettings.of(PlacementPresets.PLUME.weights(), PlacementMeasurement.STORE_RATE),
+				PlannerSettings.of(PlacementPreset.PLUME.weights(), PlacementMeasurement.STORE_RATE),
 				DecisionListener.NONE, new Invariants());
 		double[][] popularity = new double[LAYERS][PlacementMeasurement.EXPERTS];
 		scale(random, popularity, true);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlacementMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlacementMeasurement.java
@@ -7,7 +7,7 @@
 import org.comfreywall.bench.BenchOptions;
 import org.comfreywall.bench.Measurement;
 import org.comfreywall.bench.Reporter;
-import org.comfreywall.common.config.PlacementPresets;
+import org.comfreywall.common.config.PlacementPreset;
 import org.comfreywall.common.decision.Field;
 import org.comfreywall.group.placement.GroupShape;
 import org.comfreywall.group.placement.Placement;
@@ -67,12 +67,12 @@
 
 	private static List<RebalancePolicy> policies(GroupShape shape) {
 		return List.of(new NeverPolicy(), GreedyPolicy.repacking(shape), GreedyPolicy.incremental(shape),
-				new PricedPolicy("plume", PlacementPresets.PLUME.weights(), shape),
-				new PricedPolicy("popelar", PlacementPresets.POPELAR.weights(), shape));
+				new PricedPolicy("plume", PlacementPreset.PLUME.weights(), shape),
+				new PricedPolicy("popelar", PlacementPreset.POPELAR.weights(), shape));
 	}
 
 	private static Placement firstPlacement(long seed, Drift drift, GroupShape shape) {
-		PricedPolicy policy = new PricedPolicy("first", PlacementPresets.PLUME.weights(), shape);
+		PricedPolicy policy = new PricedPolicy("first", PlacementPreset.PLUME.weights(), shape);
 		DriftRun run = new DriftRun(seed, drift, shape);
 		for (int interval = 0; interval < PolicyRun.WARM_UP; interval++) {
 			policy.observe(run.nextCounts());
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlanTime.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlanTime.java
@@ -5,7 +5,7 @@
 import java.util.Random;
 
 import org.comfreywall.bench.Reporter;
-import org.comfreywall.common.config.PlacementPresets;
+import org.comfreywall.common.config.PlacementPreset;
 import org.comfreywall.common.decision.DecisionListener;
 import org.comfreywall.common.decision.Field;
 import org.comfreywall.common.id.GroupId;
@@ -39,8 +39,8 @@
 	private final GroupShape shape = PlacementMeasurement.shape(LAYERS, SLOTS);
 
 	private final PlacementPlanner planner = new PlacementPlanner(
-			PlannerSettings.of(PlacementPresets.PLUME.weights(), PlacementMeasurement.STORE_RATE),
-			DecisionListener.NONE, new Invariants());
+			PlannerSettings.of(PlacementPreset.PLUME.weights(), PlacementMeasurement.STORE_RATE), DecisionListener.NONE,
+			new Invariants());
 
 	private double firstSeconds;
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RequestRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RequestRun.java
@@ -79,7 +79,7 @@
 	}
 
 	long invariantBreaches() {
-		return this.world.invariants().breaches();
+		return this.world.invariants().violations();
 	}
 
 	/**
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/OrderTraffic.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/OrderTraffic.java
@@ -74,7 +74,7 @@
 
 	void floorLearnt(InstanceId sidecar, FencingNumber floor) {
 		if (this.fences.containsKey(sidecar)) {
-			this.fences.get(sidecar).learnFloor(floor);
+			this.fences.get(sidecar).raiseFloor(floor);
 		}
 	}
 
@@ -129,9 +129,9 @@
 		Result<FencingNumber> admitted = fence.admit(order.number());
 		if (admitted.value().isPresent()) {
 			run(order);
-			fence.ended();
+			fence.endOrder();
 		}
-		OrderReply reply = new OrderReply(order.target(), order.number(), status(admitted), fence.present(), "");
+		OrderReply reply = new OrderReply(order.target(), order.number(), status(admitted), fence.currentNumber(), "");
 		transmit(order.target(), control, () -> on(control, new OrderEvent.Replied(reply)));
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/ArgumentCheck.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/ArgumentValidator.java
@@ -14,13 +14,13 @@
  * JCommander would treat a misspelt option as a positional argument and silently drop
  * surplus ones.
  */
-final class ArgumentCheck {
+final class ArgumentValidator {
 
 	private final List<ParameterDescription> options;
 
 	private final int maxPositionals;
 
-	ArgumentCheck(JCommander command) {
+	ArgumentValidator(JCommander command) {
 		this.options = command.getParameters();
 		this.maxPositionals = maxPositionals(Optional.ofNullable(command.getMainParameterValue()));
 	}
@@ -31,7 +31,7 @@
 	 * @throws ParameterException if an option is unknown or there are too many positional
 	 * arguments
 	 */
-	void check(List<String> arguments) {
+	void validate(List<String> arguments) {
 		int positionals = 0;
 		Iterator<String> remaining = arguments.iterator();
 		while (remaining.hasNext()) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/CommandLine.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/CommandLine.java
@@ -83,7 +83,7 @@
 		if (!args.isEmpty() && this.commands.containsKey(args.get(0))) {
 			this.commandName = Optional.of(args.get(0));
 			JCommander command = this.commander.getCommands().get(args.get(0));
-			new ArgumentCheck(command).check(args.subList(1, args.size()));
+			new ArgumentValidator(command).validate(args.subList(1, args.size()));
 		}
 	}
 
@@ -118,8 +118,8 @@
 
 	private ExitCode usageError(String message) {
 		String command = this.commandName.map((name) -> " " + name).orElse("");
-		this.console.note("error: " + message);
-		this.console.note("next: see " + PROGRAM + command + " --help");
+		this.console.printNote("error: " + message);
+		this.console.printNote("next: see " + PROGRAM + command + " --help");
 		return ExitCode.USAGE;
 	}
 
@@ -148,10 +148,10 @@
 	private ExitCode printError(OperationError error, boolean json) {
 		ExitCode exit = ExitCode.of(error.code());
 		if (json) {
-			this.console.out().println(ErrorText.json(error, exit).encodePrettily());
+			this.console.out().println(ErrorFormatter.json(error, exit).encodePrettily());
 		}
 		else {
-			ErrorText.lines(error).forEach(this.console::note);
+			ErrorFormatter.lines(error).forEach(this.console::printNote);
 		}
 		return exit;
 	}
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/ErrorText.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/ErrorFormatter.java
@@ -13,9 +13,9 @@
 /**
  * Formats errors together with a suggested next step.
  */
-final class ErrorText {
+final class ErrorFormatter {
 
-	private ErrorText() {
+	private ErrorFormatter() {
 	}
 
 	static List<String> lines(OperationError error) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AcceptedChange.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AcceptedChange.java
@@ -16,13 +16,13 @@
 public record AcceptedChange(long revision, String changeId, String author, String reason, String time) {
 
 	static List<AcceptedChange> listFrom(JsonObject body) {
-		return JsonValues.objects(body, "changes", AcceptedChange::from);
+		return JsonValues.requiredObjects(body, "changes", AcceptedChange::from);
 	}
 
 	private static AcceptedChange from(JsonObject change) {
-		return new AcceptedChange(JsonValues.number(change, "revision"), JsonValues.textOrEmpty(change, "changeId"),
-				JsonValues.textOrEmpty(change, "author"), JsonValues.textOrEmpty(change, "reason"),
-				JsonValues.textOrEmpty(change, "time"));
+		return new AcceptedChange(JsonValues.requiredLong(change, "revision"),
+				JsonValues.stringOrEmpty(change, "changeId"), JsonValues.stringOrEmpty(change, "author"),
+				JsonValues.stringOrEmpty(change, "reason"), JsonValues.stringOrEmpty(change, "time"));
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminClient.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminClient.java
@@ -33,7 +33,7 @@
 
 	private final HttpClient http;
 
-	private final AdminResponses responses;
+	private final AdminResponseConverter responses;
 
 	/**
 	 * Creates a client without connecting to the daemon.
@@ -46,7 +46,7 @@
 		this.vertx = Vertx
 			.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setFileSystemOptions(files));
 		this.http = this.vertx.createHttpClient(options(target));
-		this.responses = new AdminResponses(target);
+		this.responses = new AdminResponseConverter(target);
 	}
 
 	/**
@@ -71,7 +71,7 @@
 	 * @return the configuration and its revision
 	 */
 	public Result<RevisedConfiguration> configuration() {
-		return get("/v1/configuration").flatMap((body) -> this.responses.read(() -> RevisedConfiguration.from(body)));
+		return get("/v1/configuration").flatMap((body) -> this.responses.decode(() -> RevisedConfiguration.from(body)));
 	}
 
 	/**
@@ -81,7 +81,7 @@
 	 * @return the acceptance or the conflict with an earlier change
 	 */
 	public Result<SubmitResult> submit(ChangeSubmission change) {
-		return exchange(HttpMethod.POST, "/v1/changes", change.toJson()).flatMap(this.responses::submitted);
+		return exchange(HttpMethod.POST, "/v1/changes", change.toJson()).flatMap(this.responses::toSubmitResult);
 	}
 
 	/**
@@ -91,7 +91,7 @@
 	 */
 	public Result<RevisionProgress> progress(long revision) {
 		return get("/v1/revisions/" + revision + "/progress")
-			.flatMap((body) -> this.responses.read(() -> RevisionProgress.from(body)));
+			.flatMap((body) -> this.responses.decode(() -> RevisionProgress.from(body)));
 	}
 
 	/**
@@ -101,7 +101,7 @@
 	 */
 	public Result<List<AcceptedChange>> history(int limit) {
 		return get("/v1/history?limit=" + limit)
-			.flatMap((body) -> this.responses.read(() -> AcceptedChange.listFrom(body)));
+			.flatMap((body) -> this.responses.decode(() -> AcceptedChange.listFrom(body)));
 	}
 
 	/**
@@ -111,7 +111,7 @@
 	 */
 	public Result<List<DecisionView>> decisions(String subject) {
 		return get("/v1/decisions?subject=" + encode(subject))
-			.flatMap((body) -> this.responses.read(() -> DecisionView.listFrom(body)));
+			.flatMap((body) -> this.responses.decode(() -> DecisionView.listFrom(body)));
 	}
 
 	/**
@@ -121,7 +121,7 @@
 	 */
 	public Result<JsonObject> drain(String backendServer) {
 		return exchange(HttpMethod.POST, "/v1/drain", new JsonObject().put("backendServer", backendServer))
-			.flatMap(this.responses::successful);
+			.flatMap(this.responses::toBody);
 	}
 
 	@Override
@@ -130,12 +130,12 @@
 	}
 
 	private Result<JsonObject> get(String path) {
-		return exchange(HttpMethod.GET, path, null).flatMap(this.responses::successful);
+		return exchange(HttpMethod.GET, path, null).flatMap(this.responses::toBody);
 	}
 
 	private Result<AdminResponse> exchange(HttpMethod method, String path, JsonObject body) {
 		RequestOptions request = new RequestOptions().setMethod(method)
-			.setURI(this.target.path(path))
+			.setURI(this.target.resolvePath(path))
 			.setHost(this.target.host())
 			.setPort(this.target.port())
 			.setConnectTimeout(this.target.timeout().toMillis())
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminResponses.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminResponseConverter.java
@@ -19,7 +19,7 @@
 /**
  * Converts responses of the admin API, timeouts and connection failures into results.
  */
-final class AdminResponses {
+final class AdminResponseConverter {
 
 	private static final int CONFLICT = 409;
 
@@ -29,7 +29,7 @@
 
 	private final AdminTarget target;
 
-	AdminResponses(AdminTarget target) {
+	AdminResponseConverter(AdminTarget target) {
 		this.target = target;
 	}
 
@@ -52,20 +52,20 @@
 		}
 	}
 
-	Result<JsonObject> successful(AdminResponse response) {
+	Result<JsonObject> toBody(AdminResponse response) {
 		return response.isSuccessful() ? parseBody(response) : toFailure(response);
 	}
 
-	Result<SubmitResult> submitted(AdminResponse response) {
+	Result<SubmitResult> toSubmitResult(AdminResponse response) {
 		if (response.isSuccessful()) {
-			return parseBody(response).flatMap((body) -> read(() -> SubmitAccepted.from(body)));
+			return parseBody(response).flatMap((body) -> decode(() -> SubmitAccepted.from(body)));
 		}
 		Optional<JsonObject> conflict = findError(response)
 			.filter((error) -> response.status() == CONFLICT && error.containsKey("revision"));
-		return conflict.isPresent() ? read(() -> SubmitConflict.from(conflict.get())) : toFailure(response);
+		return conflict.isPresent() ? decode(() -> SubmitConflict.from(conflict.get())) : toFailure(response);
 	}
 
-	<T> Result<T> read(Supplier<T> reader) {
+	<T> Result<T> decode(Supplier<T> reader) {
 		try {
 			return Result.success(reader.get());
 		}
@@ -108,7 +108,8 @@
 	}
 
 	private <T> Result<T> failure(ErrorCode code, String message) {
-		return Result.failure(OperationError.at(code, Step.SEND, InstanceId.of(this.target.url().toString()), message));
+		return Result
+			.failure(OperationError.atPeer(code, Step.SEND, InstanceId.of(this.target.url().toString()), message));
 	}
 
 	private static ErrorCode defaultCode(int status) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminTarget.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminTarget.java
@@ -45,7 +45,7 @@
 		return this.url.getHost().replaceAll("[\\[\\]]", "");
 	}
 
-	String path(String relative) {
+	String resolvePath(String relative) {
 		String base = (this.url.getRawPath() != null) ? this.url.getRawPath().replaceAll("/+$", "") : "";
 		return base + relative;
 	}
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/DecisionView.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/DecisionView.java
@@ -21,14 +21,15 @@
 	}
 
 	static List<DecisionView> listFrom(JsonObject body) {
-		return JsonValues.objects(body, "records", DecisionView::from);
+		return JsonValues.requiredObjects(body, "records", DecisionView::from);
 	}
 
 	private static DecisionView from(JsonObject record) {
-		List<Field> inputs = JsonValues.objects(record, "inputs",
-				(input) -> new Field(JsonValues.text(input, "key"), JsonValues.textOrEmpty(input, "value")));
-		return new DecisionView(JsonValues.text(record, "kind"), JsonValues.textOrEmpty(record, "subject"),
-				JsonValues.text(record, "result"), inputs);
+		List<Field> inputs = JsonValues.requiredObjects(record, "inputs",
+				(input) -> new Field(JsonValues.requiredString(input, "key"),
+						JsonValues.stringOrEmpty(input, "value")));
+		return new DecisionView(JsonValues.requiredString(record, "kind"), JsonValues.stringOrEmpty(record, "subject"),
+				JsonValues.requiredString(record, "result"), inputs);
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/JsonValues.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/JsonValues.java
@@ -15,25 +15,25 @@
 	private JsonValues() {
 	}
 
-	static long number(JsonObject object, String key) {
+	static long requiredLong(JsonObject object, String key) {
 		return Preconditions.notNull(object.getLong(key), key);
 	}
 
-	static String text(JsonObject object, String key) {
+	static String requiredString(JsonObject object, String key) {
 		return Preconditions.notNull(object.getString(key), key);
 	}
 
-	static String textOrEmpty(JsonObject object, String key) {
+	static String stringOrEmpty(JsonObject object, String key) {
 		Object value = object.getValue(key);
 		return (value != null) ? value.toString() : "";
 	}
 
-	static <T> List<T> objects(JsonObject object, String key, Function<JsonObject, T> reader) {
+	static <T> List<T> requiredObjects(JsonObject object, String key, Function<JsonObject, T> reader) {
 		JsonArray array = Preconditions.notNull(object.getJsonArray(key), key);
 		return array.stream().map((element) -> reader.apply(asObject(element, key))).toList();
 	}
 
-	static List<String> texts(JsonObject object, String key) {
+	static List<String> strings(JsonObject object, String key) {
 		JsonArray array = object.getJsonArray(key, new JsonArray());
 		return array.stream().map(String::valueOf).toList();
 	}
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/RevisedConfiguration.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/RevisedConfiguration.java
@@ -11,7 +11,8 @@
 public record RevisedConfiguration(long revision, String configuration) {
 
 	static RevisedConfiguration from(JsonObject body) {
-		return new RevisedConfiguration(JsonValues.number(body, "revision"), JsonValues.text(body, "configuration"));
+		return new RevisedConfiguration(JsonValues.requiredLong(body, "revision"),
+				JsonValues.requiredString(body, "configuration"));
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/RevisionProgress.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/RevisionProgress.java
@@ -20,8 +20,8 @@
 	}
 
 	static RevisionProgress from(JsonObject body) {
-		return new RevisionProgress(JsonValues.number(body, "revision"), JsonValues.number(body, "members"),
-				JsonValues.number(body, "inForce"), JsonValues.texts(body, "missing"));
+		return new RevisionProgress(JsonValues.requiredLong(body, "revision"), JsonValues.requiredLong(body, "members"),
+				JsonValues.requiredLong(body, "inForce"), JsonValues.strings(body, "missing"));
 	}
 
 	/**
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/SubmitAccepted.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/SubmitAccepted.java
@@ -11,7 +11,7 @@
 public record SubmitAccepted(long revision, boolean applied) implements SubmitResult {
 
 	static SubmitResult from(JsonObject body) {
-		return new SubmitAccepted(JsonValues.number(body, "revision"), body.getBoolean("applied", false));
+		return new SubmitAccepted(JsonValues.requiredLong(body, "revision"), body.getBoolean("applied", false));
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/SubmitConflict.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/SubmitConflict.java
@@ -16,8 +16,9 @@
 		String message) implements SubmitResult {
 
 	static SubmitResult from(JsonObject error) {
-		return new SubmitConflict(JsonValues.number(error, "revision"), JsonValues.textOrEmpty(error, "winnerChangeId"),
-				JsonValues.textOrEmpty(error, "winnerAuthor"), JsonValues.textOrEmpty(error, "message"));
+		return new SubmitConflict(JsonValues.requiredLong(error, "revision"),
+				JsonValues.stringOrEmpty(error, "winnerChangeId"), JsonValues.stringOrEmpty(error, "winnerAuthor"),
+				JsonValues.stringOrEmpty(error, "message"));
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/check/CheckCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/CheckCommand.java
@@ -65,7 +65,7 @@
 	private static List<String> crossCheck(List<CheckedDocument> documents) {
 		FleetRules rules = new FleetRules(
 				documents.stream().flatMap((document) -> document.configuration().stream()).findFirst());
-		return rules.check(documents).stream().map(Problem::toString).toList();
+		return rules.validate(documents).stream().map(Problem::toString).toList();
 	}
 
 	private static Report report(List<CheckedDocument> documents, List<String> together) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentChecker.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentChecker.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 
-import org.comfreywall.cli.init.AnswersCheck;
+import org.comfreywall.cli.init.AnswersValidator;
 import org.comfreywall.common.config.Configuration;
 import org.comfreywall.common.config.toml.ConfigurationReader;
 import org.comfreywall.common.result.Result;
@@ -35,11 +35,11 @@
 	}
 
 	private static CheckedDocument check(String file, String text) {
-		DocumentKind kind = DocumentKind.of(text);
+		DocumentKind kind = DocumentKind.detect(text);
 		return switch (kind) {
 			case SETTINGS -> checkSettings(file, SettingsReader.parse(file, text));
 			case CONFIGURATION -> checkConfiguration(file, kind, ConfigurationReader.parse(file, text));
-			case ANSWERS -> checkConfiguration(file, kind, AnswersCheck.parse(file, text));
+			case ANSWERS -> checkConfiguration(file, kind, AnswersValidator.parse(file, text));
 		};
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentKind.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentKind.java
@@ -25,13 +25,13 @@
 	 * @param text the document in TOML
 	 * @return the kind; a configuration if neither kind has more matches
 	 */
-	static DocumentKind of(String text) {
+	static DocumentKind detect(String text) {
 		Set<String> names = TomlTable.topLevelNames(text);
 		if (names.contains(AnswersKeys.INSTANCE_SECTION)) {
 			return ANSWERS;
 		}
-		long settings = names.stream().filter(SettingsKeys.DOCUMENT.names()::contains).count();
-		long configuration = names.stream().filter(ConfigurationKeys.DOCUMENT.names()::contains).count();
+		long settings = names.stream().filter(SettingsKeys.DOCUMENT.childNames()::contains).count();
+		long configuration = names.stream().filter(ConfigurationKeys.DOCUMENT.childNames()::contains).count();
 		return (settings > configuration) ? SETTINGS : CONFIGURATION;
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/check/FleetRules.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/FleetRules.java
@@ -32,18 +32,18 @@
 		this.configuration = configuration;
 	}
 
-	List<Problem> check(List<CheckedDocument> documents) {
+	List<Problem> validate(List<CheckedDocument> documents) {
 		documents.stream()
 			.flatMap((document) -> document.settings().stream())
 			.flatMap((settings) -> settings.control().stream())
 			.findFirst()
 			.ifPresent((control) -> this.expectedPeers.addAll(control.peers()));
 		return documents.stream()
-			.flatMap((document) -> document.settings().stream().flatMap((s) -> check(document.file(), s)))
+			.flatMap((document) -> document.settings().stream().flatMap((s) -> validate(document.file(), s)))
 			.toList();
 	}
 
-	private Stream<Problem> check(String file, InstanceSettings settings) {
+	private Stream<Problem> validate(String file, InstanceSettings settings) {
 		return Stream
 			.of(checkName(file, settings), checkFailureDomain(file, settings), checkService(file, settings),
 					checkPeers(file, settings), checkControlAddresses(file, settings))
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminCommand.java
@@ -22,7 +22,7 @@
 
 	@Override
 	public Result<Report> run(Console console) {
-		return AdminSession.with(this.admin, console, (client) -> run(client, console));
+		return AdminSession.withClient(this.admin, console, (client) -> run(client, console));
 	}
 
 	abstract Result<Report> run(AdminClient client, Console console);
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminSession.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/AdminSession.java
@@ -24,7 +24,8 @@
 	 * @param action the action
 	 * @return the action's result
 	 */
-	public static <T> Result<T> with(AdminOptions options, Console console, Function<AdminClient, Result<T>> action) {
+	public static <T> Result<T> withClient(AdminOptions options, Console console,
+			Function<AdminClient, Result<T>> action) {
 		try (AdminClient client = new AdminClient(options.target(console))) {
 			return action.apply(client);
 		}
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ApplyCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ApplyCommand.java
@@ -125,10 +125,10 @@
 		}
 		long revision = submitted.revision().getAsLong();
 		Result<RevisionProgress> progress = new ProgressWaiter(client, DurationOption.parse("--timeout", this.timeout))
-			.waitFor(revision);
+			.awaitCompletion(revision);
 		return progress.error()
 			.map((error) -> Result.<Report>failure(progressError(error, revision)))
-			.orElseGet(() -> progress.map(submitted::with));
+			.orElseGet(() -> progress.map(submitted::withProgress));
 	}
 
 	private static OperationError progressError(OperationError error, long revision) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ChangeSubmitter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ChangeSubmitter.java
@@ -32,10 +32,10 @@
 	}
 
 	Result<SubmittedChange> submit(ChangeSubmission change, List<ConfigurationChange> differences) {
-		this.console.note("change-id " + change.changeId() + " on expected revision " + change.expectedRevision());
+		this.console.printNote("change-id " + change.changeId() + " on expected revision " + change.expectedRevision());
 		Result<SubmitResult> result = this.client.submit(change);
 		for (int sent = 1; sent < MAX_SEND_ATTEMPTS && isResponseLost(result); sent++) {
-			this.console.note("no response received; resending the change with the same change-id");
+			this.console.printNote("no response received; resending the change with the same change-id");
 			result = this.client.submit(change);
 		}
 		if (isResponseLost(result)) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/Console.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/Console.java
@@ -23,7 +23,7 @@
 	 * results.
 	 * @param line the note
 	 */
-	public void note(String line) {
+	public void printNote(String line) {
 		this.err.println(line);
 	}
 
@@ -34,7 +34,7 @@
 	 * @throws EOFException if the input has ended
 	 * @throws IOException if the input cannot be read
 	 */
-	public String ask(String prompt) throws IOException {
+	public String readAnswer(String prompt) throws IOException {
 		this.err.print(prompt);
 		this.err.flush();
 		String line = this.in.readLine();
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/JsonTree.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/JsonTreeFormatter.java
@@ -9,17 +9,17 @@
 /**
  * Formats JSON objects as indented text.
  */
-final class JsonTree {
+final class JsonTreeFormatter {
 
 	private static final String INDENT = "  ";
 
 	private final List<String> lines = new ArrayList<>();
 
-	private JsonTree() {
+	private JsonTreeFormatter() {
 	}
 
 	static List<String> lines(JsonObject object) {
-		JsonTree tree = new JsonTree();
+		JsonTreeFormatter tree = new JsonTreeFormatter();
 		object.forEach((member) -> tree.append(member.getKey(), member.getValue(), ""));
 		return tree.lines;
 	}
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ProgressWaiter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ProgressWaiter.java
@@ -23,7 +23,7 @@
 		this.timeout = timeout;
 	}
 
-	Result<RevisionProgress> waitFor(long revision) {
+	Result<RevisionProgress> awaitCompletion(long revision) {
 		long deadline = System.nanoTime() + this.timeout.toNanos();
 		Result<RevisionProgress> progress = this.client.progress(revision);
 		while (!isComplete(progress) && System.nanoTime() < deadline && sleepUntilNextPoll(deadline)) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ReportCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ReportCommand.java
@@ -16,7 +16,7 @@
 
 	@Override
 	Result<Report> run(AdminClient client, Console console) {
-		return client.group(this.group).map((status) -> Report.ok(JsonTree.lines(status), status));
+		return client.group(this.group).map((status) -> Report.ok(JsonTreeFormatter.lines(status), status));
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/StatusCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/StatusCommand.java
@@ -12,7 +12,7 @@
 
 	@Override
 	Result<Report> run(AdminClient client, Console console) {
-		return client.status().map((status) -> Report.ok(JsonTree.lines(status), status));
+		return client.status().map((status) -> Report.ok(JsonTreeFormatter.lines(status), status));
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/SubmittedChange.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/SubmittedChange.java
@@ -17,7 +17,7 @@
  */
 record SubmittedChange(Report report, OptionalLong revision) {
 
-	Report with(RevisionProgress progress) {
+	Report withProgress(RevisionProgress progress) {
 		List<String> lines = new ArrayList<>(this.report.lines());
 		JsonObject json = this.report.json()
 			.put("members", progress.members())
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Answers.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Answers.java
@@ -23,7 +23,7 @@
 	}
 
 	List<InstanceAnswers> controlInstances() {
-		return this.instances.stream().filter((instance) -> instance.holds(Role.CONTROL)).toList();
+		return this.instances.stream().filter((instance) -> instance.hasRole(Role.CONTROL)).toList();
 	}
 
 	Answers withAccounts(List<AccountDescriptor> accounts) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersKeys.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersKeys.java
@@ -66,7 +66,7 @@
 			ValueTypes.oneOf(EngineRole.class), "\"mixed\"",
 			"The engine role of the backend server: which phase of requests it runs.");
 
-	static final KeyDescriptor<Boolean> CHECKS_FENCING = KeyDescriptor.withDefault("engine-checks-fencing",
+	static final KeyDescriptor<Boolean> ENGINE_CHECKS_FENCING = KeyDescriptor.withDefault("engine-checks-fencing",
 			ValueTypes.bool(), "false", "Whether the engine rejects orders with outdated fencing numbers.");
 
 	static final KeyDescriptor<Path> TLS_FOLDER = KeyDescriptor.optional("tls-folder", ValueTypes.path(),
@@ -77,7 +77,7 @@
 
 	static final TableDescriptor INSTANCE = TableDescriptor.repeated(INSTANCE_SECTION, "One daemon.", NAME,
 			FAILURE_DOMAIN, ADDRESS, ROLES, ADMIN_LISTEN, ENTRY_PORT, SIDECAR_PORT, CONTROL_PORT, DATA_FOLDER, SERVICE,
-			BACKEND, ENGINE_ROLE, CHECKS_FENCING, TLS_FOLDER);
+			BACKEND, ENGINE_ROLE, ENGINE_CHECKS_FENCING, TLS_FOLDER);
 
 	/** The schema of the whole document. */
 	public static final TableDescriptor DOCUMENT = TableDescriptor.document("Answers to the questionnaire.", List.of(),
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersReader.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersReader.java
@@ -42,8 +42,9 @@
 	}
 
 	private static Optional<Answers> readAnswers(TomlTable root, Problems problems) {
-		Optional<Configuration> configuration = ConfigurationReader.sections(root, problems);
-		configuration.ifPresent((value) -> new InstanceRules(problems, value).check(root.tables(AnswersKeys.INSTANCE)));
+		Optional<Configuration> configuration = ConfigurationReader.readSections(root, problems);
+		configuration
+			.ifPresent((value) -> new InstanceRules(problems, value).validate(root.tables(AnswersKeys.INSTANCE)));
 		if (!problems.isEmpty()) {
 			return Optional.empty();
 		}
@@ -57,7 +58,7 @@
 				table.value(AnswersKeys.ENTRY_PORT), table.value(AnswersKeys.SIDECAR_PORT),
 				table.value(AnswersKeys.CONTROL_PORT), table.value(AnswersKeys.DATA_FOLDER),
 				table.find(AnswersKeys.SERVICE), table.value(AnswersKeys.BACKEND), table.value(AnswersKeys.ENGINE_ROLE),
-				table.value(AnswersKeys.CHECKS_FENCING), table.find(AnswersKeys.TLS_FOLDER));
+				table.value(AnswersKeys.ENGINE_CHECKS_FENCING), table.find(AnswersKeys.TLS_FOLDER));
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersCheck.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersValidator.java
@@ -6,9 +6,9 @@
 /**
  * Validates answers files without generating files.
  */
-public final class AnswersCheck {
+public final class AnswersValidator {
 
-	private AnswersCheck() {
+	private AnswersValidator() {
 	}
 
 	/**
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersWriter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersWriter.java
@@ -16,9 +16,9 @@
 		TomlWriter writer = new TomlWriter().comment("Answers to the questionnaire of comfreywall init.")
 			.comment("Change them here, or answer again, and run comfreywall init.");
 		ConfigurationTables.of(answers.configuration())
-			.forEach((table) -> writer.element(table.section(), table.fields()));
+			.forEach((table) -> writer.tableArrayElement(table.section(), table.fields()));
 		answers.instances()
-			.forEach((instance) -> writer.element(AnswersKeys.INSTANCE.name(), InstanceTables.fields(instance)));
+			.forEach((instance) -> writer.tableArrayElement(AnswersKeys.INSTANCE.name(), InstanceFields.of(instance)));
 		return writer.toString();
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/ApiKeyGenerator.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/ApiKeyGenerator.java
@@ -19,7 +19,7 @@
 
 	private final RandomGenerator random;
 
-	private final List<ApiKey> generated = new ArrayList<>();
+	private final List<ApiKey> generatedKeys = new ArrayList<>();
 
 	/**
 	 * Creates a generator.
@@ -30,12 +30,12 @@
 		this.random = random;
 	}
 
-	Answers complete(Answers answers) {
+	Answers addMissingKeys(Answers answers) {
 		return answers.withAccounts(answers.configuration().accounts().stream().map(this::withKey).toList());
 	}
 
-	List<ApiKey> generated() {
-		return List.copyOf(this.generated);
+	List<ApiKey> generatedKeys() {
+		return List.copyOf(this.generatedKeys);
 	}
 
 	private AccountDescriptor withKey(AccountDescriptor account) {
@@ -43,7 +43,7 @@
 			return account;
 		}
 		ApiKey key = new ApiKey(account.id(), generateSecret());
-		this.generated.add(key);
+		this.generatedKeys.add(key);
 		return new AccountDescriptor(account.id(), List.of(Bytes.ofText(key.secret()).sha256()), account.limits(),
 				account.highestClass(), account.services());
 	}
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswerTables.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/EarlierAnswers.java
@@ -11,18 +11,18 @@
 /**
  * Lookup of earlier answers by section, element name and key.
  */
-final class AnswerTables {
+final class EarlierAnswers {
 
 	private final List<ConfigurationTable> tables = new ArrayList<>();
 
-	AnswerTables(Answers answers) {
+	EarlierAnswers(Answers answers) {
 		this.tables.addAll(ConfigurationTables.of(answers.configuration()));
 		answers.instances()
 			.forEach((instance) -> this.tables.add(new ConfigurationTable(AnswersKeys.INSTANCE_SECTION, instance.name(),
-					InstanceTables.fields(instance))));
+					InstanceFields.of(instance))));
 	}
 
-	List<String> names(String section) {
+	List<String> elementNames(String section) {
 		return this.tables.stream()
 			.filter((table) -> table.section().equals(section))
 			.map(ConfigurationTable::name)
@@ -30,10 +30,10 @@
 	}
 
 	boolean contains(String section, String name) {
-		return names(section).contains(name);
+		return elementNames(section).contains(name);
 	}
 
-	Optional<String> literal(String section, String name, String key) {
+	Optional<String> findLiteral(String section, String name, String key) {
 		return this.tables.stream()
 			.filter((table) -> table.section().equals(section) && table.name().equals(name))
 			.flatMap((table) -> table.fields().stream())
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InitCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InitCommand.java
@@ -74,13 +74,13 @@
 		}
 		Path folder = Path.of(this.out);
 		ApiKeyGenerator keys = new ApiKeyGenerator(new SecureRandom());
-		return readBase(folder, console).flatMap((base) -> readOrAsk(folder, console).map(keys::complete)
-			.flatMap((complete) -> new FleetWriter(folder, base).write(complete, keys.generated())));
+		return readBase(folder, console).flatMap((base) -> readOrAsk(folder, console).map(keys::addMissingKeys)
+			.flatMap((complete) -> new FleetWriter(folder, base).write(complete, keys.generatedKeys())));
 	}
 
 	private Result<Configuration> readBase(Path folder, Console console) {
 		if (this.againstFleet) {
-			return AdminSession.with(this.admin, console, AdminClient::configuration)
+			return AdminSession.withClient(this.admin, console, AdminClient::configuration)
 				.flatMap((current) -> ConfigurationReader.parse("revision " + current.revision(),
 						current.configuration()));
 		}
@@ -108,7 +108,7 @@
 
 	private static Result<Answers> ask(Console console, Answers earlier, Path folder) {
 		try {
-			String text = new Questionnaire(console, earlier).ask();
+			String text = new Questionnaire(console, earlier).askAll();
 			Result<Answers> answers = AnswersReader.parse(REJECTED.toString(), text);
 			return answers.error()
 				.map((error) -> Result.<Answers>failure(saveRejected(folder, text, error)))
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InstanceAnswers.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InstanceAnswers.java
@@ -37,16 +37,16 @@
 		roles = List.copyOf(roles);
 	}
 
-	boolean holds(Role role) {
+	boolean hasRole(Role role) {
 		return this.roles.contains(role);
 	}
 
-	HostPort at(int port) {
+	HostPort atPort(int port) {
 		return new HostPort(this.address, port);
 	}
 
 	HostPort controlAddress() {
-		return at(this.controlPort);
+		return atPort(this.controlPort);
 	}
 
 }
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InstanceTables.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InstanceFields.java
@@ -13,12 +13,12 @@
  * Converts answers about an instance to TOML fields in canonical order. Fields with the
  * default value and fields of roles that the instance lacks are omitted.
  */
-final class InstanceTables {
+final class InstanceFields {
 
-	private InstanceTables() {
+	private InstanceFields() {
 	}
 
-	static List<TomlField> fields(InstanceAnswers instance) {
+	static List<TomlField> of(InstanceAnswers instance) {
 		List<TomlField> fields = new ArrayList<>();
 		fields.add(text(AnswersKeys.NAME, instance.name()));
 		fields.add(text(AnswersKeys.FAILURE_DOMAIN, instance.failureDomain()));
@@ -26,18 +26,18 @@
 		fields.add(TomlField.of(AnswersKeys.ROLES.name(),
 				instance.roles().stream().sorted().map(ValueTypes::lowerCase).toList()));
 		fields.add(text(AnswersKeys.ADMIN_LISTEN, instance.adminListen()));
-		if (instance.holds(Role.ENTRY)) {
+		if (instance.hasRole(Role.ENTRY)) {
 			fields.add(TomlField.of(AnswersKeys.ENTRY_PORT.name(), instance.entryPort()));
 		}
-		if (instance.holds(Role.CONTROL)) {
+		if (instance.hasRole(Role.CONTROL)) {
 			fields.add(TomlField.of(AnswersKeys.CONTROL_PORT.name(), instance.controlPort()));
 			fields.add(text(AnswersKeys.DATA_FOLDER, instance.dataFolder()));
 		}
-		if (instance.holds(Role.SIDECAR)) {
+		if (instance.hasRole(Role.SIDECAR)) {
 			addSidecar(instance, fields);
 		}
 		optional(AnswersKeys.TLS_FOLDER, instance.tlsFolder()).ifPresent(fields::add);
-		fields.removeIf(InstanceTables::isDefault);
+		fields.removeIf(InstanceFields::isDefault);
 		return fields;
 	}
 
@@ -46,7 +46,7 @@
 		optional(AnswersKeys.SERVICE, instance.service()).ifPresent(fields::add);
 		fields.add(text(AnswersKeys.BACKEND, instance.backend()));
 		fields.add(text(AnswersKeys.ENGINE_ROLE, ValueTypes.lowerCase(instance.engineRole())));
-		fields.add(TomlField.of(AnswersKeys.CHECKS_FENCING.name(), instance.engineChecksFencing()));
+		fields.add(TomlField.of(AnswersKeys.ENGINE_CHECKS_FENCING.name(), instance.engineChecksFencing()));
 	}
 
 	private static boolean isDefault(TomlField field) {
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InstanceRules.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/InstanceRules.java
@@ -33,17 +33,17 @@
 		this.configuration = configuration;
 	}
 
-	void check(List<TomlTable> instances) {
-		instances.forEach(this::check);
+	void validate(List<TomlTable> instances) {
+		instances.forEach(this::validate);
 		long control = instances.stream().filter((table) -> hasRole(table, Role.CONTROL)).count();
-		if (!instances.isEmpty() && (control < 1 || control > SettingsKeys.GREATEST_CONTROL_INSTANCES)) {
+		if (!instances.isEmpty() && (control < 1 || control > SettingsKeys.MAX_CONTROL_INSTANCES)) {
 			this.problems.add("instance", "(" + control + " with the role control)",
-					"1 to " + SettingsKeys.GREATEST_CONTROL_INSTANCES
+					"1 to " + SettingsKeys.MAX_CONTROL_INSTANCES
 							+ " instances with the role \"control\"; 3 tolerate the failure of one");
 		}
 	}
 
-	private void check(TomlTable table) {
+	private void validate(TomlTable table) {
 		String name = table.value(AnswersKeys.NAME);
 		if (!this.seenNames.add(name)) {
 			addProblem(table, AnswersKeys.NAME, name, "a unique name");
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/QuestionFilter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/QuestionFilter.java
@@ -18,7 +18,7 @@
 	private static final Map<String, Role> REQUIRED_ROLES = Map.of(AnswersKeys.ENTRY_PORT.name(), Role.ENTRY,
 			AnswersKeys.SIDECAR_PORT.name(), Role.SIDECAR, AnswersKeys.SERVICE.name(), Role.SIDECAR,
 			AnswersKeys.BACKEND.name(), Role.SIDECAR, AnswersKeys.ENGINE_ROLE.name(), Role.SIDECAR,
-			AnswersKeys.CHECKS_FENCING.name(), Role.SIDECAR, AnswersKeys.CONTROL_PORT.name(), Role.CONTROL,
+			AnswersKeys.ENGINE_CHECKS_FENCING.name(), Role.SIDECAR, AnswersKeys.CONTROL_PORT.name(), Role.CONTROL,
 			AnswersKeys.DATA_FOLDER.name(), Role.CONTROL);
 
 	private static final Set<String> UNIQUE_KEYS = Set.of(AnswersKeys.ADDRESS.name(), "path-prefix",
@@ -27,7 +27,7 @@
 	private QuestionFilter() {
 	}
 
-	static boolean isKept(KeyDescriptor<?> key) {
+	static boolean isCarriedOver(KeyDescriptor<?> key) {
 		return key.name().equals(KEY_HASHES);
 	}
 
@@ -39,7 +39,7 @@
 		return answers.getOrDefault(AnswersKeys.ROLES.name(), "").contains(role);
 	}
 
-	static boolean isShared(KeyDescriptor<?> key) {
+	static boolean isProposedForNext(KeyDescriptor<?> key) {
 		return !UNIQUE_KEYS.contains(key.name());
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Questionnaire.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Questionnaire.java
@@ -9,7 +9,7 @@
 
 import org.comfreywall.cli.command.Console;
 import org.comfreywall.common.toml.KeyDescriptor;
-import org.comfreywall.common.toml.LiteralInput;
+import org.comfreywall.common.toml.LiteralConverter;
 import org.comfreywall.common.toml.TableDescriptor;
 import org.comfreywall.common.toml.TomlField;
 import org.comfreywall.common.toml.TomlWriter;
@@ -33,13 +33,13 @@
 
 	private final Console console;
 
-	private final AnswerTables earlier;
+	private final EarlierAnswers earlier;
 
 	private final TomlWriter answers = new TomlWriter();
 
 	Questionnaire(Console console, Answers earlier) {
 		this.console = console;
-		this.earlier = new AnswerTables(earlier);
+		this.earlier = new EarlierAnswers(earlier);
 	}
 
 	/**
@@ -48,8 +48,8 @@
 	 * values are not checked
 	 * @throws IOException if the input ends or cannot be read
 	 */
-	String ask() throws IOException {
-		this.console.note(
+	String askAll() throws IOException {
+		this.console.printNote(
 				"Press Enter to accept the value in brackets. Separate list items by commas; enter none for an empty list.");
 		for (TableDescriptor section : AnswersKeys.DOCUMENT.tables()) {
 			askSection(section);
@@ -58,12 +58,12 @@
 	}
 
 	private void askSection(TableDescriptor section) throws IOException {
-		this.console.note("");
-		this.console.note(section.name() + ": " + section.doc());
-		String current = TomlField.of(NAMES.name(), this.earlier.names(section.name())).literal();
+		this.console.printNote("");
+		this.console.printNote(section.name() + ": " + section.doc());
+		String current = TomlField.of(NAMES.name(), this.earlier.elementNames(section.name())).literal();
 		String literal = askValue(NAMES, "names", Optional.of(current)).orElse(current);
 		Map<String, String> previous = new LinkedHashMap<>();
-		for (String name : LiteralInput.texts(literal)) {
+		for (String name : LiteralConverter.parseStrings(literal)) {
 			previous = askElement(section, name, previous);
 		}
 	}
@@ -82,38 +82,39 @@
 		}
 		List<TomlField> fields = new ArrayList<>();
 		values.forEach((key, literal) -> fields.add(new TomlField(key, literal)));
-		this.answers.element(section.name(), fields);
+		this.answers.tableArrayElement(section.name(), fields);
 		return values;
 	}
 
 	private Optional<String> findAnswer(TableDescriptor section, KeyDescriptor<?> key, String name,
 			Map<String, String> values, Map<String, String> previous) throws IOException {
-		Optional<String> earlierLiteral = this.earlier.literal(section.name(), name, key.name());
-		if (QuestionFilter.isKept(key)) {
+		Optional<String> earlierLiteral = this.earlier.findLiteral(section.name(), name, key.name());
+		if (QuestionFilter.isCarriedOver(key)) {
 			return earlierLiteral;
 		}
 		if (!QuestionFilter.isAsked(section, key, values)) {
 			return Optional.empty();
 		}
 		Optional<String> proposal = this.earlier.contains(section.name(), name) ? earlierLiteral
-				: Optional.ofNullable(previous.get(key.name())).filter((literal) -> QuestionFilter.isShared(key));
+				: Optional.ofNullable(previous.get(key.name()))
+					.filter((literal) -> QuestionFilter.isProposedForNext(key));
 		return askValue(key, name + " " + key.name(), proposal.or(key::defaultLiteral));
 	}
 
 	private Optional<String> askValue(KeyDescriptor<?> key, String label, Optional<String> proposal)
 			throws IOException {
 		String suffix = proposal.map((literal) -> " [" + (literal.equals("[]") ? "none" : literal) + "]").orElse("");
-		this.console.note("  " + key.doc());
+		this.console.printNote("  " + key.doc());
 		while (true) {
-			String input = this.console.ask("  " + label + suffix + ": ");
+			String input = this.console.readAnswer("  " + label + suffix + ": ");
 			if (input.isEmpty() && (proposal.isPresent() || !key.required())) {
 				return proposal;
 			}
-			Optional<String> literal = LiteralInput.literal(key, input);
+			Optional<String> literal = LiteralConverter.toLiteral(key, input);
 			if (literal.isPresent()) {
 				return literal;
 			}
-			this.console.note("    not allowed; allowed: " + key.type().allowed());
+			this.console.printNote("    not allowed; allowed: " + key.type().allowed());
 		}
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/SettingsGenerator.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/SettingsGenerator.java
@@ -32,16 +32,16 @@
 					TomlField.of("roles", instance.roles().stream().sorted().map(ValueTypes::lowerCase).toList()),
 					TomlField.of("failure-domain", instance.failureDomain()), TomlField.of("region", region(instance))))
 			.table("admin", List.of(TomlField.of("listen", instance.adminListen().toString())));
-		if (instance.holds(Role.ENTRY)) {
+		if (instance.hasRole(Role.ENTRY)) {
 			writer.table("entry", List.of(listen(instance, instance.entryPort()), control()));
 		}
-		if (instance.holds(Role.SIDECAR)) {
+		if (instance.hasRole(Role.SIDECAR)) {
 			writer.table("sidecar", sidecar(instance));
 		}
-		if (instance.holds(Role.CONTROL)) {
+		if (instance.hasRole(Role.CONTROL)) {
 			writer.table("control", List.of(listen(instance, instance.controlPort()),
 					TomlField.of("data-folder", instance.dataFolder().toString())));
-			this.answers.controlInstances().forEach((peer) -> writer.element("control.peer", peer(peer)));
+			this.answers.controlInstances().forEach((peer) -> writer.tableArrayElement("control.peer", peer(peer)));
 		}
 		instance.tlsFolder().ifPresent((folder) -> writer.table("tls", tls(folder.toString())));
 		return writer.toString();
@@ -70,7 +70,7 @@
 	}
 
 	private static TomlField listen(InstanceAnswers instance, int port) {
-		return TomlField.of("listen", instance.at(port).toString());
+		return TomlField.of("listen", instance.atPort(port).toString());
 	}
 
 	private static List<TomlField> peer(InstanceAnswers peer) {
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/AdminCommandTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/AdminCommandTests.java
@@ -16,7 +16,7 @@
  */
 class AdminCommandTests {
 
-	private final AdminStandIn daemon = new AdminStandIn();
+	private final FakeAdminServer daemon = new FakeAdminServer();
 
 	@TempDir
 	private Path folder;
@@ -36,7 +36,7 @@
 
 	@Test
 	void statusPrintsTheResponseAsTree() {
-		this.daemon.on("GET /v1/status", 200,
+		this.daemon.addResponse("GET /v1/status", 200,
 				"{\"revision\":3,\"members\":[{\"name\":\"one\"}],\"roles\":[\"entry\"]}");
 		CommandRun run = run("status");
 		assertThat(run.exit()).isEqualTo(ExitCode.OK);
@@ -45,25 +45,25 @@
 
 	@Test
 	void statusPrintsTheResponseAsJson() {
-		this.daemon.on("GET /v1/status", 200, "{\"revision\":3}");
+		this.daemon.addResponse("GET /v1/status", 200, "{\"revision\":3}");
 		assertThat(run("status", "--json").json()).isEqualTo(new JsonObject().put("revision", 3).put("exitCode", 0));
 	}
 
 	@Test
 	void reportRequestsTheGroup() {
-		this.daemon.on("GET /v1/status/groups/chat%201", 200, "{\"skew\":1.2}");
+		this.daemon.addResponse("GET /v1/status/groups/chat%201", 200, "{\"skew\":1.2}");
 		assertThat(run("report", "chat 1").out()).contains("skew: 1.2");
 	}
 
 	@Test
 	void getPrintsRevisionAndConfiguration() {
-		this.daemon.on("GET /v1/configuration", 200, "{\"revision\":7,\"configuration\":\"x = 1\\n\"}");
+		this.daemon.addResponse("GET /v1/configuration", 200, "{\"revision\":7,\"configuration\":\"x = 1\\n\"}");
 		assertThat(run("get").out()).isEqualTo(String.format("# revision 7%nx = 1%n"));
 	}
 
 	@Test
 	void getWritesFile() throws Exception {
-		this.daemon.on("GET /v1/configuration", 200, "{\"revision\":7,\"configuration\":\"x = 1\\n\"}");
+		this.daemon.addResponse("GET /v1/configuration", 200, "{\"revision\":7,\"configuration\":\"x = 1\\n\"}");
 		Path file = this.folder.resolve("present.toml");
 		assertThat(run("get", "--output", file.toString()).exit()).isEqualTo(ExitCode.OK);
 		assertThat(file).hasContent("x = 1");
@@ -72,7 +72,7 @@
 
 	@Test
 	void drainSendsTheNameOfTheBackendServer() {
-		this.daemon.on("POST /v1/drain", 202, "");
+		this.daemon.addResponse("POST /v1/drain", 202, "");
 		CommandRun run = run("drain", "chat-1");
 		assertThat(run.exit()).isEqualTo(ExitCode.OK);
 		assertThat(this.daemon.bodies()).containsExactly(new JsonObject().put("backendServer", "chat-1"));
@@ -80,7 +80,7 @@
 
 	@Test
 	void drainReportsTheErrorOfTheDaemon() {
-		this.daemon.on("POST /v1/drain", 404,
+		this.daemon.addResponse("POST /v1/drain", 404,
 				"{\"error\":{\"code\":\"NOT_FOUND\",\"step\":\"MEMBERSHIP\",\"peer\":\"one\",\"message\":\"no such server\"}}");
 		CommandRun run = run("drain", "chat-9");
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
@@ -89,7 +89,7 @@
 
 	@Test
 	void explainPrintsDecisionsWithInputs() {
-		this.daemon.on("GET /v1/decisions?subject=r1", 200,
+		this.daemon.addResponse("GET /v1/decisions?subject=r1", 200,
 				"{\"records\":[{\"kind\":\"ROUTE\",\"subject\":\"r1\",\"result\":\"chat-1\","
 						+ "\"inputs\":[{\"key\":\"queue-ms\",\"value\":\"12\"}]}]}");
 		assertThat(run("explain", "r1").out()).contains("ROUTE: chat-1", "  queue-ms = 12");
@@ -97,7 +97,7 @@
 
 	@Test
 	void explainNamesTheDaemonToQueryWhenNoDecisionIsRecorded() {
-		this.daemon.on("GET /v1/decisions?subject=r1", 200, "{\"records\":[]}");
+		this.daemon.addResponse("GET /v1/decisions?subject=r1", 200, "{\"records\":[]}");
 		CommandRun run = run("explain", "r1");
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
 		assertThat(run.err()).contains("query the entry that received the request");
@@ -105,14 +105,14 @@
 
 	@Test
 	void historyListsChanges() {
-		this.daemon.on("GET /v1/history?limit=5", 200,
+		this.daemon.addResponse("GET /v1/history?limit=5", 200,
 				"{\"changes\":[{\"revision\":2,\"changeId\":\"c2\",\"author\":\"ana\",\"reason\":\"more\",\"time\":\"t\"}]}");
 		assertThat(run("history", "--limit", "5").out()).contains("revision 2  t  ana  c2  more");
 	}
 
 	@Test
 	void errorsWithoutErrorObjectReportTheHttpStatus() {
-		this.daemon.on("GET /v1/status", 503, "busy");
+		this.daemon.addResponse("GET /v1/status", 503, "busy");
 		CommandRun run = run("status");
 		assertThat(run.exit()).isEqualTo(ExitCode.UNREACHABLE);
 		assertThat(run.err()).contains("HTTP status 503");
@@ -120,7 +120,7 @@
 
 	@Test
 	void responsesOfAnUnexpectedFormatAreMalformed() {
-		this.daemon.on("GET /v1/history?limit=20", 200, "{\"changes\":[7]}");
+		this.daemon.addResponse("GET /v1/history?limit=20", 200, "{\"changes\":[7]}");
 		CommandRun run = run("history");
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
 		assertThat(run.err()).contains("malformed at step send").doesNotContain("Exception");
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/ApplyCommandTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/ApplyCommandTests.java
@@ -29,7 +29,7 @@
 
 	private static final String DESIRED = "[[failure-domain]]\nname = \"north\"\nregion = \"home\"\n";
 
-	private final AdminStandIn daemon = new AdminStandIn();
+	private final FakeAdminServer daemon = new FakeAdminServer();
 
 	@TempDir
 	private Path folder;
@@ -40,7 +40,7 @@
 	void prepare() throws IOException {
 		this.file = this.folder.resolve("wanted.toml");
 		Files.writeString(this.file, DESIRED);
-		this.daemon.on("GET /v1/configuration", 200, "{\"revision\":4,\"configuration\":\"\"}");
+		this.daemon.addResponse("GET /v1/configuration", 200, "{\"revision\":4,\"configuration\":\"\"}");
 	}
 
 	@AfterEach
@@ -62,7 +62,7 @@
 
 	@Test
 	void submitsTheChangeBasedOnTheCurrentRevision() {
-		this.daemon.on(CHANGES, 200, ACCEPTED);
+		this.daemon.addResponse(CHANGES, 200, ACCEPTED);
 		CommandRun run = applyFile("--author", "ana", "--reason", "grow", "--change-id", "c5");
 		assertThat(run.exit()).isEqualTo(ExitCode.OK);
 		assertThat(run.out()).contains("+ failure-domain north", "accepted as revision 5, change-id c5");
@@ -76,7 +76,7 @@
 
 	@Test
 	void generatesAndPrintsChangeId() {
-		this.daemon.on(CHANGES, 200, ACCEPTED);
+		this.daemon.addResponse(CHANGES, 200, ACCEPTED);
 		CommandRun run = applyFile("--json");
 		String changeId = run.json().getString("changeId");
 		assertThat(run.err()).contains("change-id " + changeId + " on expected revision 4");
@@ -85,7 +85,7 @@
 
 	@Test
 	void reportsTheChangeThatWonAConflict() {
-		this.daemon.on(CHANGES, 409, "{\"error\":{\"code\":\"CONFLICT\",\"message\":\"revision 4 is past\","
+		this.daemon.addResponse(CHANGES, 409, "{\"error\":{\"code\":\"CONFLICT\",\"message\":\"revision 4 is past\","
 				+ "\"winnerChangeId\":\"c4\",\"winnerAuthor\":\"bo\",\"revision\":5}}");
 		CommandRun run = applyFile();
 		assertThat(run.exit()).isEqualTo(ExitCode.CONFLICT);
@@ -95,7 +95,8 @@
 
 	@Test
 	void reportsConflictWithAnUnknownWinner() {
-		this.daemon.on(CHANGES, 409, "{\"error\":{\"code\":\"CONFLICT\",\"message\":\"past\",\"revision\":900}}");
+		this.daemon.addResponse(CHANGES, 409,
+				"{\"error\":{\"code\":\"CONFLICT\",\"message\":\"past\",\"revision\":900}}");
 		CommandRun run = applyFile();
 		assertThat(run.exit()).isEqualTo(ExitCode.CONFLICT);
 		assertThat(run.out()).contains("another change came first; the configuration is at revision 900");
@@ -121,7 +122,7 @@
 
 	@Test
 	void rollsBackToARevision() {
-		this.daemon.on(CHANGES, 200, ACCEPTED);
+		this.daemon.addResponse(CHANGES, 200, ACCEPTED);
 		assertThat(apply("--rollback-to", "2").exit()).isEqualTo(ExitCode.OK);
 		JsonObject body = this.daemon.bodies().get(0);
 		assertThat(body.getLong("rollbackTo")).isEqualTo(2);
@@ -130,7 +131,7 @@
 
 	@Test
 	void sendsAndReportsDryRun() {
-		this.daemon.on(CHANGES, 200, "{\"revision\":5,\"applied\":false}");
+		this.daemon.addResponse(CHANGES, 200, "{\"revision\":5,\"applied\":false}");
 		CommandRun run = applyFile("--dry-run", "--wait");
 		assertThat(run.exit()).isEqualTo(ExitCode.OK);
 		assertThat(run.out()).contains("would be accepted as revision 5");
@@ -142,7 +143,7 @@
 
 		@Test
 		void causeAResendWithTheSameChangeId() {
-			ApplyCommandTests.this.daemon.loseAnswer(CHANGES).on(CHANGES, 200, ACCEPTED);
+			ApplyCommandTests.this.daemon.addDroppedConnection(CHANGES).addResponse(CHANGES, 200, ACCEPTED);
 			CommandRun run = applyFile();
 			assertThat(run.exit()).isEqualTo(ExitCode.OK);
 			List<JsonObject> bodies = ApplyCommandTests.this.daemon.bodies();
@@ -152,7 +153,7 @@
 
 		@Test
 		void endWithTheCommandThatFindsOutTheOutcome() {
-			ApplyCommandTests.this.daemon.loseAnswer(CHANGES);
+			ApplyCommandTests.this.daemon.addDroppedConnection(CHANGES);
 			CommandRun run = applyFile("--change-id", "c5");
 			assertThat(run.exit()).isEqualTo(ExitCode.UNREACHABLE);
 			assertThat(run.err()).contains("--change-id c5 --expected-revision 4", "is not known");
@@ -165,9 +166,9 @@
 
 		@Test
 		void endsWhenEveryMemberHasAppliedTheRevision() {
-			ApplyCommandTests.this.daemon.on(CHANGES, 200, ACCEPTED)
-				.on(PROGRESS, 200, "{\"revision\":5,\"members\":2,\"inForce\":1,\"missing\":[\"two\"]}")
-				.on(PROGRESS, 200, "{\"revision\":5,\"members\":2,\"inForce\":2,\"missing\":[]}");
+			ApplyCommandTests.this.daemon.addResponse(CHANGES, 200, ACCEPTED)
+				.addResponse(PROGRESS, 200, "{\"revision\":5,\"members\":2,\"inForce\":1,\"missing\":[\"two\"]}")
+				.addResponse(PROGRESS, 200, "{\"revision\":5,\"members\":2,\"inForce\":2,\"missing\":[]}");
 			CommandRun run = applyFile("--wait", "--timeout", "1m");
 			assertThat(run.exit()).isEqualTo(ExitCode.OK);
 			assertThat(run.out()).contains("in force on all 2 live members");
@@ -175,8 +176,8 @@
 
 		@Test
 		void reportsTheMissingMembersAfterTheTimeout() {
-			ApplyCommandTests.this.daemon.on(CHANGES, 200, ACCEPTED)
-				.on(PROGRESS, 200, "{\"revision\":5,\"members\":2,\"inForce\":1,\"missing\":[\"two\"]}");
+			ApplyCommandTests.this.daemon.addResponse(CHANGES, 200, ACCEPTED)
+				.addResponse(PROGRESS, 200, "{\"revision\":5,\"members\":2,\"inForce\":1,\"missing\":[\"two\"]}");
 			CommandRun run = applyFile("--wait", "--timeout", "10ms");
 			assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
 			assertThat(run.out()).contains("accepted as revision 5", "in force on 1 of 2 live members; missing: two");
@@ -184,7 +185,7 @@
 
 		@Test
 		void reportsTheAcceptedRevisionWhenProgressIsUnknown() {
-			ApplyCommandTests.this.daemon.on(CHANGES, 200, ACCEPTED).loseAnswer(PROGRESS);
+			ApplyCommandTests.this.daemon.addResponse(CHANGES, 200, ACCEPTED).addDroppedConnection(PROGRESS);
 			CommandRun run = applyFile("--wait", "--timeout", "10ms");
 			assertThat(run.exit()).isEqualTo(ExitCode.UNREACHABLE);
 			assertThat(run.err()).contains("the change was accepted as revision 5");
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/AdminStandIn.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/FakeAdminServer.java
@@ -16,7 +16,7 @@
  * Fake admin API that returns prepared responses in order; the last response for a
  * request is repeated.
  */
-final class AdminStandIn implements AutoCloseable {
+final class FakeAdminServer implements AutoCloseable {
 
 	private static final int CLOSE_CONNECTION = 0;
 
@@ -28,7 +28,7 @@
 
 	private final HttpServer server;
 
-	AdminStandIn() {
+	FakeAdminServer() {
 		this.server = this.vertx.createHttpServer()
 			.requestHandler(this::respond)
 			.listen(0, "127.0.0.1")
@@ -37,13 +37,13 @@
 			.join();
 	}
 
-	AdminStandIn on(String request, int status, String body) {
+	FakeAdminServer addResponse(String request, int status, String body) {
 		this.responses.computeIfAbsent(request, (key) -> new ArrayDeque<>()).add(new Response(status, body));
 		return this;
 	}
 
-	AdminStandIn loseAnswer(String request) {
-		return on(request, CLOSE_CONNECTION, "");
+	FakeAdminServer addDroppedConnection(String request) {
+		return addResponse(request, CLOSE_CONNECTION, "");
 	}
 
 	String url() {
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/admin/AdminResponsesTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/admin/AdminResponseConverterTests.java
@@ -18,9 +18,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link AdminResponses}.
+ * Tests for {@link AdminResponseConverter}.
  */
-class AdminResponsesTests {
+class AdminResponseConverterTests {
 
 	private static final String DECISIONS = "{\"records\":[{\"kind\":\"ROUTE\",\"subject\":\"r1\",\"result\":\"chat-1\","
 			+ "\"inputs\":[{\"key\":\"queue-ms\",\"value\":\"12\"}]}]}";
@@ -28,12 +28,13 @@
 	private static final String ERROR = "{\"error\":{\"code\":\"FENCED\",\"step\":\"ORDER\",\"peer\":\"one\","
 			+ "\"message\":\"old term\"}}";
 
-	private final AdminResponses responses = new AdminResponses(new AdminTarget(URI.create("http://127.0.0.1:9901"),
-			Optional.empty(), Optional.empty(), Optional.empty(), Duration.ofSeconds(1)));
+	private final AdminResponseConverter responses = new AdminResponseConverter(
+			new AdminTarget(URI.create("http://127.0.0.1:9901"), Optional.empty(), Optional.empty(), Optional.empty(),
+					Duration.ofSeconds(1)));
 
 	private Result<List<DecisionView>> decisions(int status, String body) {
-		return this.responses.successful(new AdminResponse(status, body))
-			.flatMap((json) -> this.responses.read(() -> DecisionView.listFrom(json)));
+		return this.responses.toBody(new AdminResponse(status, body))
+			.flatMap((json) -> this.responses.decode(() -> DecisionView.listFrom(json)));
 	}
 
 	@Test
@@ -46,13 +47,13 @@
 
 	@Test
 	void reportsConflictWithoutRevisionAsError() {
-		Result<SubmitResult> result = this.responses.submitted(new AdminResponse(409, "{\"error\":{}}"));
+		Result<SubmitResult> result = this.responses.toSubmitResult(new AdminResponse(409, "{\"error\":{}}"));
 		assertThat(result.error().orElseThrow().code()).isEqualTo(ErrorCode.CONFLICT);
 	}
 
 	@Test
 	void rejectsAcceptanceWithoutRevision() {
-		Result<SubmitResult> result = this.responses.submitted(new AdminResponse(200, "{\"applied\":true}"));
+		Result<SubmitResult> result = this.responses.toSubmitResult(new AdminResponse(200, "{\"applied\":true}"));
 		assertThat(result.error().orElseThrow().code()).isEqualTo(ErrorCode.MALFORMED);
 	}
 
@@ -65,13 +66,13 @@
 	@Property(seed = "2", tries = 2000)
 	void corruptedErrorResponsesStayErrors(@ForAll @IntRange(max = 80) int position, @ForAll char c) {
 		assertThat(decisions(400, withReplacedCharacter(ERROR, position, c)).error()).isPresent();
-		assertThat(this.responses.submitted(new AdminResponse(409, withReplacedCharacter(ERROR, position, c))).error())
-			.isPresent();
+		assertThat(this.responses.toSubmitResult(new AdminResponse(409, withReplacedCharacter(ERROR, position, c)))
+			.error()).isPresent();
 	}
 
 	@Property(seed = "3", tries = 500)
 	void anyBodyGivesEitherValueOrError(@ForAll String body, @ForAll @IntRange(min = 200, max = 599) int status) {
-		Result<JsonObject> result = this.responses.successful(new AdminResponse(status, body));
+		Result<JsonObject> result = this.responses.toBody(new AdminResponse(status, body));
 		assertThat(result.value().isPresent()).isNotEqualTo(result.error().isPresent());
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AttemptTarget.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/attempt/AttemptTarget.java
@@ -40,7 +40,7 @@
 	 * @param other the target to compare with
 	 * @return {@code true} if backend server and incarnation are equal
 	 */
-	public boolean isSameLife(AttemptTarget other) {
+	public boolean hasSameIncarnation(AttemptTarget other) {
 		return this.backendServer.equals(other.backendServer) && this.incarnation.equals(other.incarnation);
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/NotRunProof.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/NotRunProof.java
@@ -31,7 +31,7 @@
 	 * @param claim the claim
 	 * @return {@code true} if owner, backend server and incarnation are equal
 	 */
-	public boolean covers(ClaimRunning claim) {
+	public boolean appliesTo(ClaimRunning claim) {
 		return this.owner.equals(claim.owner()) && this.backendServer.equals(claim.backendServer())
 				&& this.incarnation.equals(claim.incarnation());
 	}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/PlacementPresets.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/PlacementPreset.java
@@ -5,7 +5,7 @@
 /**
  * Named presets of placement weights.
  */
-public enum PlacementPresets {
+public enum PlacementPreset {
 
 	/** Favours low step-time skew over few bytes read. */
 	PLUME(new PlacementWeights(100, 0.02)),
@@ -14,7 +14,7 @@
 
 	private final PlacementWeights weights;
 
-	PlacementPresets(PlacementWeights weights) {
+	PlacementPreset(PlacementWeights weights) {
 		this.weights = weights;
 	}
 
@@ -31,8 +31,8 @@
 	 * @param name the name, such as {@code plume}
 	 * @return the preset, or empty if there is none
 	 */
-	public static Optional<PlacementPresets> find(String name) {
-		for (PlacementPresets preset : values()) {
+	public static Optional<PlacementPreset> find(String name) {
+		for (PlacementPreset preset : values()) {
 			if (preset.name().equalsIgnoreCase(name)) {
 				return Optional.of(preset);
 			}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationKeys.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationKeys.java
@@ -37,7 +37,7 @@
 	private static final ValueType<String> KEY_HASH = ValueTypes
 		.pattern("SHA-256", Pattern.compile("[0-9a-f]{64}"),
 				"the SHA-256 digest of an API key, 64 lower-case hexadecimal digits; never the key itself")
-		.hidden();
+		.asSecret();
 
 	static final KeyDescriptor<String> DOMAIN_NAME = KeyDescriptor.required("name", ValueTypes.name(),
 			"The failure domain's name.");
@@ -69,14 +69,14 @@
 			"The digests of the account's API keys; an account without one is not let in.");
 
 	static final KeyDescriptor<Long> REQUESTS = KeyDescriptor.required("requests-per-second",
-			ValueTypes.integer(1, MAX_LIMIT).in("requests/s"), "Requests admitted over all entries together.");
+			ValueTypes.integer(1, MAX_LIMIT).withUnit("requests/s"), "Requests admitted over all entries together.");
 
 	static final KeyDescriptor<Long> TOKENS = KeyDescriptor.required("tokens-per-second",
-			ValueTypes.integer(1, MAX_LIMIT).in("tokens/s"),
+			ValueTypes.integer(1, MAX_LIMIT).withUnit("tokens/s"),
 			"Tokens, prompt and generated, admitted over all entries together.");
 
 	static final KeyDescriptor<Long> IN_FLIGHT = KeyDescriptor.required("in-flight",
-			ValueTypes.integer(1, MAX_LIMIT).in("requests"), "Requests in flight at one time.");
+			ValueTypes.integer(1, MAX_LIMIT).withUnit("requests"), "Requests in flight at one time.");
 
 	static final KeyDescriptor<PriorityClass> HIGHEST_CLASS = KeyDescriptor.withDefault("highest-class",
 			ValueTypes.oneOf(PriorityClass.class), "\"standard\"",
@@ -106,7 +106,8 @@
 			ValueTypes.decimal(0, MAX_WEIGHT), "The price of one unit of expected step-time skew above 1.");
 
 	static final KeyDescriptor<Double> MOVE_WEIGHT = KeyDescriptor.required("move-weight",
-			ValueTypes.decimal(0, MAX_WEIGHT).in("per GiB"), "The price of one gibibyte read from the weight store.");
+			ValueTypes.decimal(0, MAX_WEIGHT).withUnit("per GiB"),
+			"The price of one gibibyte read from the weight store.");
 
 	static final KeyDescriptor<Boolean> CHECKS_FENCING = KeyDescriptor.withDefault("engine-checks-fencing",
 			ValueTypes.bool(), "false", "Whether the engines refuse orders with old fencing numbers.");
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationReader.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationReader.java
@@ -60,7 +60,7 @@
 	public static Result<Configuration> parse(String file, String text) {
 		Problems problems = new Problems(file);
 		Optional<Configuration> configuration = TomlTable.parse(text, ConfigurationKeys.DOCUMENT, problems)
-			.flatMap((root) -> sections(root, problems));
+			.flatMap((root) -> readSections(root, problems));
 		return configuration.map(Result::success).orElseGet(() -> Result.failure(problems.toError(Step.CONFIGURE)));
 	}
 
@@ -70,8 +70,8 @@
 	 * @param problems collects the problems found
 	 * @return the configuration, or empty if it is invalid
 	 */
-	public static Optional<Configuration> sections(TomlTable root, Problems problems) {
-		new ConfigurationRules(problems).check(root);
+	public static Optional<Configuration> readSections(TomlTable root, Problems problems) {
+		new ConfigurationRules(problems).validate(root);
 		return problems.isEmpty() ? Optional.of(configuration(root)) : Optional.empty();
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationRules.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationRules.java
@@ -29,7 +29,7 @@
 		this.problems = problems;
 	}
 
-	void check(TomlTable root) {
+	void validate(TomlTable root) {
 		checkNames(root.tables(ConfigurationKeys.FAILURE_DOMAIN), ConfigurationKeys.DOMAIN_NAME);
 		checkNames(root.tables(ConfigurationKeys.SERVICE), ConfigurationKeys.SERVICE_NAME);
 		checkNames(root.tables(ConfigurationKeys.ACCOUNT), ConfigurationKeys.ACCOUNT_NAME);
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationWriter.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/toml/ConfigurationWriter.java
@@ -21,7 +21,8 @@
 	public static String write(Configuration configuration) {
 		Preconditions.notNull(configuration, "configuration");
 		TomlWriter writer = new TomlWriter();
-		ConfigurationTables.of(configuration).forEach((table) -> writer.element(table.section(), table.fields()));
+		ConfigurationTables.of(configuration)
+			.forEach((table) -> writer.tableArrayElement(table.section(), table.fields()));
 		return writer.toString();
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/decision/DecisionHistory.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/decision/DecisionHistory.java
@@ -38,7 +38,7 @@
 	 * @param subject the subject, such as a request id
 	 * @return the records, oldest first
 	 */
-	public synchronized List<DecisionRecord> about(String subject) {
+	public synchronized List<DecisionRecord> findBySubject(String subject) {
 		return this.records.stream().filter((record) -> record.subject().equals(subject)).toList();
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/invariant/Invariants.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/invariant/Invariants.java
@@ -37,7 +37,7 @@
 	 * Returns the number of violations since this object was created.
 	 * @return the count
 	 */
-	public long breaches() {
+	public long violations() {
 		return this.violations.sum();
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/lease/LimitPart.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lease/GrantorLimits.java
@@ -9,9 +9,9 @@
  * @param tokensPerSecond tokens per second
  * @param slots in-flight slots
  */
-public record LimitPart(double requestsPerSecond, double tokensPerSecond, long slots) {
+public record GrantorLimits(double requestsPerSecond, double tokensPerSecond, long slots) {
 
-	public LimitPart {
+	public GrantorLimits {
 		Preconditions.check(requestsPerSecond >= 0, "requestsPerSecond must not be negative: %s", requestsPerSecond);
 		Preconditions.check(tokensPerSecond >= 0, "tokensPerSecond must not be negative: %s", tokensPerSecond);
 		Preconditions.check(slots >= 0, "slots must not be negative: %d", slots);
--- a/comfreywall-common/src/main/java/org/comfreywall/common/lease/LeaseTerms.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lease/LeaseTerms.java
@@ -44,7 +44,7 @@
 	 * @param term the lease duration on the grantor's clock
 	 * @return the lease duration on the holder's clock in nanoseconds
 	 */
-	public long holderNanos(Duration term) {
+	public long holderLeaseNanos(Duration term) {
 		return (long) (term.toNanos() * (1 - this.clockDrift) / (1 + this.clockDrift));
 	}
 
@@ -54,7 +54,7 @@
 	 * @param duration the duration on the holder's clock
 	 * @return the time to wait on the grantor's clock in nanoseconds
 	 */
-	public long grantorNanos(Duration duration) {
+	public long grantorWaitNanos(Duration duration) {
 		return (long) Math.ceil(duration.toNanos() * (1 + this.clockDrift) / (1 - this.clockDrift));
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/lease/LimitDivision.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/lease/LimitDivision.java
@@ -28,8 +28,8 @@
 	 * @param limits the limits of a client account
 	 * @return the limits of the primary grantor
 	 */
-	public LimitPart primary(AccountLimits limits) {
-		return new LimitPart(limits.requestsPerSecond() * (1 - this.reserveShare),
+	public GrantorLimits primaryLimits(AccountLimits limits) {
+		return new GrantorLimits(limits.requestsPerSecond() * (1 - this.reserveShare),
 				limits.tokensPerSecond() * (1 - this.reserveShare),
 				limits.inFlight() - reserveSlots(limits) * this.reserveGrantors);
 	}
@@ -39,9 +39,9 @@
 	 * @param limits the limits of a client account
 	 * @return the limits of one reserve grantor
 	 */
-	public LimitPart reserve(AccountLimits limits) {
+	public GrantorLimits reserveLimits(AccountLimits limits) {
 		double share = this.reserveShare / this.reserveGrantors;
-		return new LimitPart(limits.requestsPerSecond() * share, limits.tokensPerSecond() * share,
+		return new GrantorLimits(limits.requestsPerSecond() * share, limits.tokensPerSecond() * share,
 				reserveSlots(limits));
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/metrics/RequestMetrics.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/metrics/RequestMetrics.java
@@ -46,7 +46,7 @@
 	 * @param outcome the outcome
 	 * @param nanos the time since the request arrived, in nanoseconds
 	 */
-	public void ended(AccountId account, Outcome outcome, long nanos) {
+	public void recordOutcome(AccountId account, Outcome outcome, long nanos) {
 		this.registry.counter("requests.ended." + outcome.name()).inc();
 		this.latency.update(account.value(), nanos / NANOS_PER_MICRO);
 	}
@@ -56,7 +56,7 @@
 	 * @param account the client account
 	 * @param nanos the time since the request arrived, in nanoseconds
 	 */
-	public void firstToken(AccountId account, long nanos) {
+	public void recordFirstToken(AccountId account, long nanos) {
 		this.timeToFirstToken.update(account.value(), nanos / NANOS_PER_MICRO);
 	}
 
@@ -65,7 +65,7 @@
 	 * @param account the client account
 	 * @param nanos the time since the previous chunk, in nanoseconds
 	 */
-	public void nextToken(AccountId account, long nanos) {
+	public void recordNextToken(AccountId account, long nanos) {
 		this.betweenTokens.update(account.value(), nanos / NANOS_PER_MICRO);
 	}
 
@@ -74,7 +74,7 @@
 	 * @param account the client account
 	 * @param nanos the time in the queue, in nanoseconds
 	 */
-	public void queued(AccountId account, long nanos) {
+	public void recordQueueing(AccountId account, long nanos) {
 		this.queueing.update(account.value(), nanos / NANOS_PER_MICRO);
 	}
 
@@ -83,7 +83,7 @@
 	 * @param account the client account
 	 * @param count the number of retries
 	 */
-	public void retried(AccountId account, int count) {
+	public void recordRetries(AccountId account, int count) {
 		this.registry.counter("requests.retries").inc(count);
 		this.retries.update(account.value(), count);
 	}
@@ -93,7 +93,7 @@
 	 * @param account the client account
 	 * @param code the error code of the rejection
 	 */
-	public void refused(AccountId account, ErrorCode code) {
+	public void recordRejection(AccountId account, ErrorCode code) {
 		this.registry.counter("requests.refused." + code.name()).inc();
 		this.refusals.update(account.value(), 1);
 	}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/result/OperationError.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/result/OperationError.java
@@ -42,7 +42,7 @@
 	 * @param message the description of the error
 	 * @return the error
 	 */
-	public static OperationError at(ErrorCode code, Step step, InstanceId peer, String message) {
+	public static OperationError atPeer(ErrorCode code, Step step, InstanceId peer, String message) {
 		return new OperationError(code, step, Optional.of(peer), message);
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsKeys.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsKeys.java
@@ -17,17 +17,17 @@
 public final class SettingsKeys {
 
 	/** The maximum number of control instances. */
-	public static final int GREATEST_CONTROL_INSTANCES = 7;
+	public static final int MAX_CONTROL_INSTANCES = 7;
 
 	private static final int ROLE_COUNT = Role.values().length;
 
 	private static final ValueType<List<HostPort>> CONTROL_ADDRESSES = ValueTypes.listOf(ValueTypes.address(), 1,
-			GREATEST_CONTROL_INSTANCES);
+			MAX_CONTROL_INSTANCES);
 
 	static final KeyDescriptor<String> NAME = KeyDescriptor.required("name", ValueTypes.name(),
 			"The instance's name, unique in the fleet; a sidecar's backend server goes by it too.");
 
-	static final KeyDescriptor<List<Role>> ROLES_HELD = KeyDescriptor.required("roles",
+	static final KeyDescriptor<List<Role>> ROLES = KeyDescriptor.required("roles",
 			ValueTypes.listOf(ValueTypes.oneOf(Role.class), 1, ROLE_COUNT),
 			"The roles that the instance holds; each needs its own table below.");
 
@@ -113,12 +113,12 @@
 			SIDECAR_LISTEN, SERVICE, BACKEND, ENGINE_ROLE, ENGINE_CHECKS_FENCING, SIDECAR_CONTROL);
 
 	static final TableDescriptor PEER = TableDescriptor.repeated("peer",
-			"One table for each control instance, this one among them; 1 to " + GREATEST_CONTROL_INSTANCES + ".",
-			PEER_NAME, PEER_ADDRESS);
+			"One table for each control instance, this one among them; 1 to " + MAX_CONTROL_INSTANCES + ".", PEER_NAME,
+			PEER_ADDRESS);
 
 	static final TableDescriptor CONTROL = TableDescriptor
 		.single("control", "Needed by the role `control`.", CONTROL_LISTEN, DATA_FOLDER)
-		.with(PEER);
+		.withTables(PEER);
 
 	static final TableDescriptor TLS = TableDescriptor.single("tls",
 			"Key files of all listeners and of connections between instances; without it connections are plain.",
@@ -126,7 +126,7 @@
 
 	/** The whole document. */
 	public static final TableDescriptor DOCUMENT = TableDescriptor.document("The settings of one instance.",
-			List.of(NAME, ROLES_HELD, FAILURE_DOMAIN, REGION, LOG_LEVEL), List.of(ADMIN, ENTRY, SIDECAR, CONTROL, TLS));
+			List.of(NAME, ROLES, FAILURE_DOMAIN, REGION, LOG_LEVEL), List.of(ADMIN, ENTRY, SIDECAR, CONTROL, TLS));
 
 	private SettingsKeys() {
 	}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsReader.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsReader.java
@@ -53,7 +53,7 @@
 	public static Result<InstanceSettings> parse(String file, String text) {
 		Problems problems = new Problems(file);
 		Optional<TomlTable> document = TomlTable.parse(text, SettingsKeys.DOCUMENT, problems);
-		document.ifPresent((root) -> new SettingsRules(problems).check(root));
+		document.ifPresent((root) -> new SettingsRules(problems).validate(root));
 		if (!problems.isEmpty()) {
 			return Result.failure(problems.toError(Step.SETTINGS));
 		}
@@ -62,9 +62,9 @@
 
 	private static InstanceSettings settings(TomlTable root) {
 		return new InstanceSettings(InstanceId.of(root.value(SettingsKeys.NAME)),
-				Set.copyOf(root.value(SettingsKeys.ROLES_HELD)),
-				FailureDomainId.of(root.value(SettingsKeys.FAILURE_DOMAIN)), root.value(SettingsKeys.REGION),
-				root.value(SettingsKeys.LOG_LEVEL), admin(root.tableOrDefaults(SettingsKeys.ADMIN)),
+				Set.copyOf(root.value(SettingsKeys.ROLES)), FailureDomainId.of(root.value(SettingsKeys.FAILURE_DOMAIN)),
+				root.value(SettingsKeys.REGION), root.value(SettingsKeys.LOG_LEVEL),
+				admin(root.tableOrDefaults(SettingsKeys.ADMIN)),
 				root.table(SettingsKeys.ENTRY).map(SettingsReader::entry),
 				root.table(SettingsKeys.SIDECAR).map(SettingsReader::sidecar),
 				root.table(SettingsKeys.CONTROL).map(SettingsReader::control),
--- a/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsRules.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/settings/SettingsRules.java
@@ -26,8 +26,8 @@
 		this.problems = problems;
 	}
 
-	void check(TomlTable root) {
-		List<Role> roles = root.value(SettingsKeys.ROLES_HELD);
+	void validate(TomlTable root) {
+		List<Role> roles = root.value(SettingsKeys.ROLES);
 		for (Role role : Role.values()) {
 			checkTable(root, role, roles.contains(role));
 		}
@@ -69,9 +69,9 @@
 	}
 
 	private void checkPeers(List<TomlTable> peers, String ownName) {
-		if (peers.isEmpty() || peers.size() > SettingsKeys.GREATEST_CONTROL_INSTANCES) {
+		if (peers.isEmpty() || peers.size() > SettingsKeys.MAX_CONTROL_INSTANCES) {
 			this.problems.add("control.peer", "(" + peers.size() + " tables)",
-					"1 to " + SettingsKeys.GREATEST_CONTROL_INSTANCES + " tables [[control.peer]]");
+					"1 to " + SettingsKeys.MAX_CONTROL_INSTANCES + " tables [[control.peer]]");
 		}
 		Set<String> names = new HashSet<>();
 		Set<HostPort> addresses = new HashSet<>();
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/KeyDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/KeyDescriptor.java
@@ -81,8 +81,8 @@
 		return this.type.converter().apply(node);
 	}
 
-	String shown(JsonNode node) {
-		return this.type.secret() ? "(hidden)" : ShownValue.of(node);
+	String displayText(JsonNode node) {
+		return this.type.secret() ? "(hidden)" : ValueFormatter.format(node);
 	}
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/LiteralInput.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/LiteralConverter.java
@@ -9,11 +9,11 @@
 /**
  * Converts values typed by an operator into TOML literals.
  */
-public final class LiteralInput {
+public final class LiteralConverter {
 
 	private static final String EMPTY_LIST_INPUT = "none";
 
-	private LiteralInput() {
+	private LiteralConverter() {
 	}
 
 	/**
@@ -24,7 +24,7 @@
 	 * @param input the input
 	 * @return the literal, or empty if the input is no valid value of the key
 	 */
-	public static Optional<String> literal(KeyDescriptor<?> key, String input) {
+	public static Optional<String> toLiteral(KeyDescriptor<?> key, String input) {
 		String text = input.strip();
 		Stream<String> literals = Stream.of(TomlField.of(key.name(), text).literal(), booleanLiteral(text), text,
 				listLiteral(text));
@@ -36,7 +36,7 @@
 	 * @param array the array as a TOML literal
 	 * @return the strings
 	 */
-	public static List<String> texts(String array) {
+	public static List<String> parseStrings(String array) {
 		List<String> texts = new ArrayList<>();
 		TomlParser.literal(array).forEach((element) -> texts.add(element.asText()));
 		return texts;
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableDescriptor.java
@@ -62,7 +62,7 @@
 	 * @param inner the nested tables
 	 * @return the descriptor with these tables
 	 */
-	public TableDescriptor with(TableDescriptor... inner) {
+	public TableDescriptor withTables(TableDescriptor... inner) {
 		return new TableDescriptor(this.name, this.repeated, this.doc, this.keys, List.of(inner));
 	}
 
@@ -70,7 +70,7 @@
 	 * Returns the names of all keys and nested tables.
 	 * @return the names in documentation order
 	 */
-	public List<String> names() {
+	public List<String> childNames() {
 		return Stream
 			.concat(this.keys.stream().map(KeyDescriptor::name), this.tables.stream().map(TableDescriptor::name))
 			.toList();
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableValidator.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TableValidator.java
@@ -26,7 +26,7 @@
 	}
 
 	private void reportUnknownKeys(ObjectNode node, TableDescriptor descriptor, String path) {
-		List<String> known = descriptor.names();
+		List<String> known = descriptor.childNames();
 		for (Iterator<String> names = node.fieldNames(); names.hasNext();) {
 			String name = names.next();
 			if (!known.contains(name)) {
@@ -50,7 +50,7 @@
 		}
 		key.convert(value)
 			.ifPresentOrElse((converted) -> table.put(key, converted),
-					() -> this.problems.add(table.fullName(key), key.shown(value), key.type().allowed()));
+					() -> this.problems.add(table.fullName(key), key.displayText(value), key.type().allowed()));
 	}
 
 	private void readTables(TomlTable table, JsonNode value, TableDescriptor inner, String fullName) {
@@ -64,13 +64,13 @@
 			table.add(inner, validate(object, inner, fullName + "."));
 		}
 		else {
-			this.problems.add(fullName, ShownValue.of(value), "a table written as [" + fullName + "]");
+			this.problems.add(fullName, ValueFormatter.format(value), "a table written as [" + fullName + "]");
 		}
 	}
 
 	private void readTableArray(TomlTable table, JsonNode value, TableDescriptor inner, String fullName) {
 		if (!value.isArray()) {
-			this.problems.add(fullName, ShownValue.of(value), "tables written as [[" + fullName + "]]");
+			this.problems.add(fullName, ValueFormatter.format(value), "tables written as [[" + fullName + "]]");
 			return;
 		}
 		for (int i = 0; i < value.size(); i++) {
@@ -79,7 +79,8 @@
 				table.add(inner, validate(object, inner, element + "."));
 			}
 			else {
-				this.problems.add(element, ShownValue.of(value.get(i)), "a table written as [[" + fullName + "]]");
+				this.problems.add(element, ValueFormatter.format(value.get(i)),
+						"a table written as [[" + fullName + "]]");
 			}
 		}
 	}
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlParser.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlParser.java
@@ -53,7 +53,7 @@
 
 	private static ObjectNode read(String text) throws IOException {
 		try (JsonParser parser = FACTORY.createParser(text)) {
-			return new TreeBuilder(parser).build();
+			return new TomlTreeBuilder(parser).build();
 		}
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TreeBuilder.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlTreeBuilder.java
@@ -13,13 +13,13 @@
  * Builds the tree of a document from its tokens, without data binding. The parser limits
  * the nesting depth, so the recursion cannot overflow the stack.
  */
-final class TreeBuilder {
+final class TomlTreeBuilder {
 
 	private final JsonNodeFactory nodes = JsonNodeFactory.instance;
 
 	private final JsonParser parser;
 
-	TreeBuilder(JsonParser parser) {
+	TomlTreeBuilder(JsonParser parser) {
 		this.parser = parser;
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlWriter.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/TomlWriter.java
@@ -39,7 +39,7 @@
 	 * @param fields the table's fields
 	 * @return this writer
 	 */
-	public TomlWriter element(String name, List<TomlField> fields) {
+	public TomlWriter tableArrayElement(String name, List<TomlField> fields) {
 		return writeHeader("[[" + name + "]]").fields(fields);
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/ShownValue.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueFormatter.java
@@ -8,14 +8,14 @@
 /**
  * Formats TOML values for error messages, with long lists truncated.
  */
-final class ShownValue {
+final class ValueFormatter {
 
 	private static final int MAX_SHOWN_ELEMENTS = 5;
 
-	private ShownValue() {
+	private ValueFormatter() {
 	}
 
-	static String of(JsonNode node) {
+	static String format(JsonNode node) {
 		if (node.isTextual()) {
 			return "\"" + node.textValue() + "\"";
 		}
@@ -29,7 +29,7 @@
 		List<String> elements = new ArrayList<>();
 		for (int i = 0; i < Math.min(array.size(), MAX_SHOWN_ELEMENTS); i++) {
 			JsonNode element = array.get(i);
-			elements.add(element.isArray() ? "(a list)" : of(element));
+			elements.add(element.isArray() ? "(a list)" : format(element));
 		}
 		if (array.size() > MAX_SHOWN_ELEMENTS) {
 			elements.add("...");
--- a/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueType.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/toml/ValueType.java
@@ -31,7 +31,7 @@
 	 * @param newUnit the unit of a bare number
 	 * @return the type with this unit
 	 */
-	public ValueType<T> in(String newUnit) {
+	public ValueType<T> withUnit(String newUnit) {
 		return new ValueType<>(this.name, newUnit, this.allowed, this.secret, this.converter);
 	}
 
@@ -39,7 +39,7 @@
 	 * Returns a copy whose values do not appear in error messages.
 	 * @return the type with secret values
 	 */
-	public ValueType<T> hidden() {
+	public ValueType<T> asSecret() {
 		return new ValueType<>(this.name, this.unit, this.allowed, true, this.converter);
 	}
 
--- a/comfreywall-common/src/test/java/org/comfreywall/common/toml/LiteralInputTests.java
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/toml/LiteralConverterTests.java
@@ -9,9 +9,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link LiteralInput}.
+ * Tests for {@link LiteralConverter}.
  */
-class LiteralInputTests {
+class LiteralConverterTests {
 
 	private static final KeyDescriptor<Long> COUNT = KeyDescriptor.required("count", ValueTypes.integer(1, 10), "x");
 
@@ -24,32 +24,32 @@
 
 	@Test
 	void acceptsStringsWithoutQuotes() {
-		assertThat(LiteralInput.literal(NAME, " north ")).contains("\"north\"");
+		assertThat(LiteralConverter.toLiteral(NAME, " north ")).contains("\"north\"");
 	}
 
 	@Test
 	void acceptsOnlyNumbersInRange() {
-		assertThat(LiteralInput.literal(COUNT, "7")).contains("7");
-		assertThat(LiteralInput.literal(COUNT, "11")).isEmpty();
+		assertThat(LiteralConverter.toLiteral(COUNT, "7")).contains("7");
+		assertThat(LiteralConverter.toLiteral(COUNT, "11")).isEmpty();
 	}
 
 	@Test
 	void acceptsYesAndNo() {
-		assertThat(LiteralInput.literal(FLAG, "yes")).contains("true");
-		assertThat(LiteralInput.literal(FLAG, "n")).contains("false");
+		assertThat(LiteralConverter.toLiteral(FLAG, "yes")).contains("true");
+		assertThat(LiteralConverter.toLiteral(FLAG, "n")).contains("false");
 	}
 
 	@Test
 	void acceptsListsSeparatedByCommas() {
-		assertThat(LiteralInput.literal(NAMES, "a, b")).contains("[\"a\", \"b\"]");
-		assertThat(LiteralInput.literal(NAMES, "none")).contains("[]");
-		assertThat(LiteralInput.literal(NAMES, "a, a")).isEmpty();
+		assertThat(LiteralConverter.toLiteral(NAMES, "a, b")).contains("[\"a\", \"b\"]");
+		assertThat(LiteralConverter.toLiteral(NAMES, "none")).contains("[]");
+		assertThat(LiteralConverter.toLiteral(NAMES, "a, a")).isEmpty();
 	}
 
 	@Property(seed = "1", tries = 1000)
 	void returnsOnlyLiteralsThatAreValidForTheKey(@ForAll String input) {
-		LiteralInput.literal(NAMES, input)
-			.ifPresent((literal) -> assertThat(LiteralInput.texts(literal)).hasSizeLessThanOrEqualTo(3));
+		LiteralConverter.toLiteral(NAMES, input)
+			.ifPresent((literal) -> assertThat(LiteralConverter.parseStrings(literal)).hasSizeLessThanOrEqualTo(3));
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
@@ -13,8 +13,8 @@
 import org.comfreywall.common.id.Term;
 import org.comfreywall.common.lease.AccountDemand;
 import org.comfreywall.common.lease.AccountGrant;
+import org.comfreywall.common.lease.GrantorLimits;
 import org.comfreywall.common.lease.LeaseTerms;
-import org.comfreywall.common.lease.LimitPart;
 
 /**
  * Grants shares of one client account's limits to its holders and tracks what they may
@@ -60,7 +60,7 @@
 		this.tokens = new LeaseTokenBucket(term, context.ratesFrom());
 	}
 
-	void configure(LimitPart part) {
+	void configure(GrantorLimits part) {
 		LeaseTerms terms = this.context.terms();
 		double seconds = terms.burst().toNanos() / 1e9;
 		double slowest = 1 - terms.clockDrift();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
@@ -12,10 +12,10 @@
 import org.comfreywall.common.invariant.Invariants;
 import org.comfreywall.common.lease.AccountDemand;
 import org.comfreywall.common.lease.AccountGrant;
+import org.comfreywall.common.lease.GrantorLimits;
 import org.comfreywall.common.lease.LeaseGrant;
 import org.comfreywall.common.lease.LeaseRequest;
 import org.comfreywall.common.lease.LeaseTerms;
-import org.comfreywall.common.lease.LimitPart;
 import org.comfreywall.common.util.Preconditions;
 
 /**
@@ -40,7 +40,7 @@
 
 	private static final int MAX_HOLDER_PROCESSES = 65_536;
 
-	private static final LimitPart NO_LIMITS = new LimitPart(0, 0, 0);
+	private static final GrantorLimits NO_LIMITS = new GrantorLimits(0, 0, 0);
 
 	private final LedgerContext context;
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LedgerContext.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LedgerContext.java
@@ -24,9 +24,9 @@
 
 	static LedgerContext startingAt(Term term, LeaseTerms terms, long now, DecisionListener listener,
 			Invariants invariants) {
-		long longest = terms.grantorNanos(terms.longestRequest());
-		long ratesFrom = now + terms.grantorNanos(terms.rateTerm());
-		long slotsFrom = now + terms.grantorNanos(terms.slotTerm()) + longest;
+		long longest = terms.grantorWaitNanos(terms.longestRequest());
+		long ratesFrom = now + terms.grantorWaitNanos(terms.rateTerm());
+		long slotsFrom = now + terms.grantorWaitNanos(terms.slotTerm()) + longest;
 		return new LedgerContext(term, terms, ratesFrom, slotsFrom, longest, listener, invariants);
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LimitsChanged.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LimitsChanged.java
@@ -4,7 +4,7 @@
 import java.util.OptionalLong;
 
 import org.comfreywall.common.id.AccountId;
-import org.comfreywall.common.lease.LimitPart;
+import org.comfreywall.common.lease.GrantorLimits;
 import org.comfreywall.common.util.Preconditions;
 
 /**
@@ -18,7 +18,7 @@
  * @param earlierSlots the maximum number of in-flight slots that earlier grantors may
  * have granted, or empty if unknown; used only when the ledger adds the client account
  */
-public record LimitsChanged(AccountId account, Optional<LimitPart> part,
+public record LimitsChanged(AccountId account, Optional<GrantorLimits> part,
 		OptionalLong earlierSlots) implements LedgerEvent {
 
 	public LimitsChanged {
@@ -33,7 +33,7 @@
 	 * @param account the client account
 	 * @param part the part of its limits to grant, or empty if it is removed
 	 */
-	public LimitsChanged(AccountId account, Optional<LimitPart> part) {
+	public LimitsChanged(AccountId account, Optional<GrantorLimits> part) {
 		this(account, part, OptionalLong.empty());
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/ClaimLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/ClaimLedger.java
@@ -132,7 +132,7 @@
 		Preconditions.notNull(proof, "proof");
 		advanceTime(now);
 		return findOwned(key, proof.owner()).flatMap((entry) -> {
-			if (entry.state() instanceof ClaimRunning claim && proof.covers(claim)) {
+			if (entry.state() instanceof ClaimRunning claim && proof.appliesTo(claim)) {
 				this.claims.remove(key);
 				return Result.success(claim);
 			}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderIssuer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/order/OrderIssuer.java
@@ -203,7 +203,7 @@
 	}
 
 	private static OperationError error(ErrorCode code, EngineOrder order, String reason) {
-		return OperationError.at(code, Step.ORDER, order.target(), reason);
+		return OperationError.atPeer(code, Step.ORDER, order.target(), reason);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
@@ -158,7 +158,7 @@
 	 * @return the count
 	 */
 	public long breaches() {
-		return this.invariants.breaches();
+		return this.invariants.violations();
 	}
 
 	/**
--- a/comfreywall-control/src/test/java/org/comfreywall/control/lease/LeaseLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/lease/LeaseLedgerTests.java
@@ -13,9 +13,9 @@
 import org.comfreywall.common.invariant.Invariants;
 import org.comfreywall.common.lease.AccountDemand;
 import org.comfreywall.common.lease.AccountGrant;
+import org.comfreywall.common.lease.GrantorLimits;
 import org.comfreywall.common.lease.LeaseRequest;
 import org.comfreywall.common.lease.LeaseTerms;
-import org.comfreywall.common.lease.LimitPart;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -40,7 +40,7 @@
 	private LeaseLedger ledger(long term, long now) {
 		LeaseLedger result = LeaseLedger.create(Term.of(term), this.terms, now, DecisionListener.NONE,
 				new Invariants());
-		result.handle(new LimitsChanged(ACCOUNT, Optional.of(new LimitPart(10, 1000, 8))), now);
+		result.handle(new LimitsChanged(ACCOUNT, Optional.of(new GrantorLimits(10, 1000, 8))), now);
 		return result;
 	}
 
@@ -180,9 +180,8 @@
 		private LeaseLedger successor(long earlierSlots) {
 			LeaseLedger result = LeaseLedger.create(Term.of(2), LeaseLedgerTests.this.terms, 0, DecisionListener.NONE,
 					new Invariants());
-			result.handle(
-					new LimitsChanged(ACCOUNT, Optional.of(new LimitPart(10, 1000, 8)), OptionalLong.of(earlierSlots)),
-					0);
+			result.handle(new LimitsChanged(ACCOUNT, Optional.of(new GrantorLimits(10, 1000, 8)),
+					OptionalLong.of(earlierSlots)), 0);
 			return result;
 		}
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/log/ElectionTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/log/ElectionTests.java
@@ -23,7 +23,7 @@
 
 	@AfterEach
 	void breachesNoInvariant() {
-		assertThat(this.cluster.invariants.breaches()).isZero();
+		assertThat(this.cluster.invariants.violations()).isZero();
 	}
 
 	@Test
--- a/comfreywall-control/src/test/java/org/comfreywall/control/log/ReplicaCoreTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/log/ReplicaCoreTests.java
@@ -24,7 +24,7 @@
 
 	@AfterEach
 	void breachesNoInvariant() {
-		assertThat(this.cluster.invariants.breaches()).isZero();
+		assertThat(this.cluster.invariants.violations()).isZero();
 	}
 
 	@Test
--- a/comfreywall-control/src/test/java/org/comfreywall/control/runtime/ControlNodeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/runtime/ControlNodeTests.java
@@ -52,7 +52,7 @@
 	@AfterEach
 	void stop() {
 		this.nodes.values().forEach(ControlNode::close);
-		assertThat(this.invariants.breaches()).isZero();
+		assertThat(this.invariants.violations()).isZero();
 	}
 
 	private void startAll() {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminServer.java
@@ -121,7 +121,7 @@
 	}
 
 	private void configuration(RoutingContext context) {
-		respond(context, this.configurations.present(),
+		respond(context, this.configurations.currentConfiguration(),
 				(present) -> new JsonObject().put("revision", present.revision().value())
 					.put("configuration", ConfigurationWriter.write(present.configuration())));
 	}
@@ -137,8 +137,8 @@
 
 	private void decisions(RoutingContext context) {
 		String subject = context.request().getParam("subject");
-		respond(context, AdminResponse.ok(AdminJson
-			.decisions((subject != null) ? this.parts.decisions().about(subject) : this.parts.decisions().all())));
+		respond(context, AdminResponse.ok(AdminJson.decisions(
+				(subject != null) ? this.parts.decisions().findBySubject(subject) : this.parts.decisions().all())));
 	}
 
 	private void progress(RoutingContext context) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeEndpoint.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeEndpoint.java
@@ -59,7 +59,7 @@
 					Step.CONFIGURE, "the change requires either 'configuration' or 'rollbackTo'")));
 		}
 		Result<Configuration> submitted = ConfigurationReader.parse("configuration", request.configuration().get());
-		return this.configurations.present()
+		return this.configurations.currentConfiguration()
 			.thenApply((present) -> submitted.flatMap(
 					(after) -> present.map((before) -> ConfigurationDelta.between(before.configuration(), after))));
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ConfigurationService.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ConfigurationService.java
@@ -38,7 +38,7 @@
 		this.control = Preconditions.notNull(control, "control");
 	}
 
-	CompletableFuture<Result<RevisedConfiguration>> present() {
+	CompletableFuture<Result<RevisedConfiguration>> currentConfiguration() {
 		ConfigurationQueryRecord query = ConfigurationQueryRecord.newBuilder().setPresent(true).build();
 		return query(query)
 			.thenApply((result) -> result.map((reply) -> new RevisedConfiguration(Revision.of(reply.getRevision()),
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ControlRole.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ControlRole.java
@@ -95,13 +95,14 @@
 		DecisionListener decisions = parts.decisions();
 		this.members = new MemberTable(parts.clock(), decisions);
 		ConfigurationLedger configuration = new ConfigurationLedger(this::publish);
-		PublishedPoison poison = new PublishedPoison(new ReplicatedPoison(PoisonLedgerSettings.DEFAULT, decisions));
+		PoisonVerdictPublisher poison = new PoisonVerdictPublisher(
+				new ReplicatedPoison(PoisonLedgerSettings.DEFAULT, decisions));
 		SlotReservations reservations = new SlotReservations();
 		FlightEndpoint flights = new FlightEndpoint(poison::verdict, parts.clock());
 		LimitDivision division = LimitSettings.DEFAULT.division();
-		this.primary = new LeaseGrantor(division::primary,
-				Optional.of(new LoggedReservations(this::node, reservations)), parts.clock(), decisions);
-		this.reserve = new LeaseGrantor(division::reserve, Optional.empty(), parts.clock(), decisions);
+		this.primary = new LeaseGrantor(division::primaryLimits,
+				Optional.of(new ReplicatedReservations(this::node, reservations)), parts.clock(), decisions);
+		this.reserve = new LeaseGrantor(division::reserveLimits, Optional.empty(), parts.clock(), decisions);
 		this.isReserve = isReserve(parts);
 		this.incarnationTerm = Term.of(parts.transport().self().incarnation().value());
 		LogPeers peers = this.closer
@@ -113,14 +114,14 @@
 				peers, parts.clock(), parts.random(), decisions, new Invariants(), parts.metrics());
 		this.node = this.closer.register(ControlNode.start(nodeParts, ControlNodeSettings.DEFAULTS));
 		SerialWorker worker = this.closer.register(new SerialWorker("grantor", GRANTOR_QUEUE_CAPACITY));
-		worker.every(GRANTOR_REFRESH_INTERVAL, this::refreshGrantors);
+		worker.scheduleAtFixedRate(GRANTOR_REFRESH_INTERVAL, this::refreshGrantors);
 		server.register(ControlMethods.LOG_TOPIC, (connection, payload) -> receive(payload));
 		server.register(ControlMethods.PROPOSE, this::propose);
 		server.register(ControlMethods.QUERY, this::query);
 		server.register(ControlMethods.HEARTBEAT, this::heartbeat);
 		server.register(ControlMethods.LEASE, this::lease);
-		server.register(ControlMethods.ASK_FLIGHT, (caller, request) -> flights.ask(request));
-		server.register(ControlMethods.END_FLIGHT, (caller, request) -> flights.end(request));
+		server.register(ControlMethods.REQUEST_FLIGHT_PERMIT, (caller, request) -> flights.requestPermit(request));
+		server.register(ControlMethods.REPORT_FLIGHT_END, (caller, request) -> flights.recordEnd(request));
 	}
 
 	/**
@@ -143,12 +144,13 @@
 
 	private CompletionStage<Result<LeaseReply>> lease(PeerIdentity caller, LeaseCall call) {
 		boolean fromReserve = call.getRole().equals(GrantorRole.RESERVE.name());
-		return fromReserve ? this.reserve.answer(call, reserveTerm()) : this.primary.answer(call, primaryTerm());
+		return fromReserve ? this.reserve.handleRequest(call, reserveTerm())
+				: this.primary.handleRequest(call, primaryTerm());
 	}
 
 	private void refreshGrantors() {
-		this.primary.refresh(primaryTerm());
-		this.reserve.refresh(reserveTerm());
+		this.primary.updateTerm(primaryTerm());
+		this.reserve.updateTerm(reserveTerm());
 	}
 
 	private Optional<Term> primaryTerm() {
@@ -164,8 +166,8 @@
 	}
 
 	private void publish(AcceptedChange change, Configuration current) {
-		this.primary.configure(current);
-		this.reserve.configure(current);
+		this.primary.updateConfiguration(current);
+		this.reserve.updateConfiguration(current);
 		this.published.set(new PublishedConfiguration(change.revision(), ConfigurationWriter.write(current)));
 	}
 
@@ -189,7 +191,7 @@
 	}
 
 	private CompletionStage<Result<HeartbeatReply>> heartbeat(PeerIdentity caller, HeartbeatRequest request) {
-		if (!this.members.heard(request.getMember())) {
+		if (!this.members.recordHeartbeat(request.getMember())) {
 			return CompletableFuture.completedFuture(Result.failure(
 					OperationError.local(ErrorCode.FENCED, Step.MEMBERSHIP, "refused heartbeat: a newer incarnation of "
 							+ request.getMember().getInstance() + " is registered, or the member table is full")));
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/FlightEndpoint.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/FlightEndpoint.java
@@ -43,13 +43,13 @@
 		this.guard = new SingleFlightGuard(SingleFlightGuardSettings.DEFAULT, clock.nanoTime());
 	}
 
-	CompletionStage<Result<FlightReply>> ask(FlightRequest request) {
+	CompletionStage<Result<FlightReply>> requestPermit(FlightRequest request) {
 		return answer(() -> FlightReply.newBuilder().setPermit(permit(request).name()).build());
 	}
 
-	CompletionStage<Result<FlightEndReply>> end(FlightEndRequest request) {
+	CompletionStage<Result<FlightEndReply>> recordEnd(FlightEndRequest request) {
 		return answer(() -> {
-			end(request.getFlight(), FlightEnd.valueOf(request.getEnd()));
+			recordEnd(request.getFlight(), FlightEnd.valueOf(request.getEnd()));
 			return FlightEndReply.getDefaultInstance();
 		});
 	}
@@ -63,7 +63,7 @@
 				this.clock.nanoTime());
 	}
 
-	private synchronized void end(FlightRequest request, FlightEnd end) {
+	private synchronized void recordEnd(FlightRequest request, FlightEnd end) {
 		this.guard.recordEnd(fingerprint(request), RequestId.of(request.getRequest()), end, this.clock.nanoTime());
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LeaseGrantor.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LeaseGrantor.java
@@ -15,10 +15,10 @@
 import org.comfreywall.common.id.Term;
 import org.comfreywall.common.invariant.Invariants;
 import org.comfreywall.common.lease.AccountGrant;
+import org.comfreywall.common.lease.GrantorLimits;
 import org.comfreywall.common.lease.LeaseGrant;
 import org.comfreywall.common.lease.LeaseRequest;
 import org.comfreywall.common.lease.LeaseTerms;
-import org.comfreywall.common.lease.LimitPart;
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Result;
@@ -43,7 +43,7 @@
  */
 final class LeaseGrantor {
 
-	private final Function<AccountLimits, LimitPart> limitPart;
+	private final Function<AccountLimits, GrantorLimits> limitPart;
 
 	private final Optional<ReservationPort> reservations;
 
@@ -61,7 +61,7 @@
 
 	private boolean loading;
 
-	LeaseGrantor(Function<AccountLimits, LimitPart> limitPart, Optional<ReservationPort> reservations, Clock clock,
+	LeaseGrantor(Function<AccountLimits, GrantorLimits> limitPart, Optional<ReservationPort> reservations, Clock clock,
 			DecisionListener decisions) {
 		this.limitPart = limitPart;
 		this.reservations = reservations;
@@ -69,7 +69,7 @@
 		this.decisions = decisions;
 	}
 
-	synchronized void configure(Configuration current) {
+	synchronized void updateConfiguration(Configuration current) {
 		Configuration before = this.configuration;
 		this.configuration = current;
 		this.ledger.ifPresent((opened) -> applyLimits(opened, before, current));
@@ -80,7 +80,7 @@
 	 * @param granting the term in which this instance grants, or empty if it is not the
 	 * grantor at present
 	 */
-	synchronized void refresh(Optional<Term> granting) {
+	synchronized void updateTerm(Optional<Term> granting) {
 		Optional<Term> next = granting.filter((present) -> this.ledger.isEmpty() || !present.equals(this.term));
 		next.ifPresent((present) -> {
 			this.ledger = Optional.empty();
@@ -106,8 +106,8 @@
 		}
 	}
 
-	synchronized CompletionStage<Result<LeaseReply>> answer(LeaseCall call, Optional<Term> granting) {
-		refresh(granting);
+	synchronized CompletionStage<Result<LeaseReply>> handleRequest(LeaseCall call, Optional<Term> granting) {
+		updateTerm(granting);
 		if (granting.isEmpty() || this.ledger.isEmpty()) {
 			return failure(ErrorCode.UNAVAILABLE,
 					"this instance is not the grantor, or has not loaded the reservations yet");
@@ -143,7 +143,7 @@
 
 	private CompletionStage<Boolean> ensureReserved(AccountId account) {
 		long outstanding = this.ledger.orElseThrow().outstandingSlots(account, this.clock.nanoTime());
-		return this.reserver.map((current) -> current.cover(account, outstanding))
+		return this.reserver.map((current) -> current.ensureReserved(account, outstanding))
 			.orElseGet(() -> CompletableFuture.completedFuture(true));
 	}
 
@@ -165,7 +165,7 @@
 			.forEach((account) -> setLimit(target, account.id(), Optional.of(this.limitPart.apply(account.limits()))));
 	}
 
-	private void setLimit(LeaseLedger target, AccountId account, Optional<LimitPart> share) {
+	private void setLimit(LeaseLedger target, AccountId account, Optional<GrantorLimits> share) {
 		OptionalLong earlierSlots = this.reserver.map((current) -> OptionalLong.of(current.reserved(account)))
 			.orElseGet(OptionalLong::empty);
 		target.handle(new LimitsChanged(account, share, earlierSlots), this.clock.nanoTime());
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/MemberTable.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/MemberTable.java
@@ -34,7 +34,7 @@
 		this.decisions = Preconditions.notNull(decisions, "decisions");
 	}
 
-	synchronized boolean heard(MemberInfo info) {
+	synchronized boolean recordHeartbeat(MemberInfo info) {
 		Member known = this.members.get(info.getInstance());
 		if (known == null && this.members.size() >= MAX_MEMBERS) {
 			return false;
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/PublishedPoison.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/PoisonVerdictPublisher.java
@@ -15,13 +15,13 @@
  * Replicated ledger that makes its verdicts readable from other threads: publishes an
  * immutable copy after each change.
  */
-final class PublishedPoison implements Ledger {
+final class PoisonVerdictPublisher implements Ledger {
 
 	private final ReplicatedPoison replicated;
 
 	private volatile Map<Fingerprint, PoisonVerdict> verdicts = Map.of();
 
-	PublishedPoison(ReplicatedPoison replicated) {
+	PoisonVerdictPublisher(ReplicatedPoison replicated) {
 		this.replicated = replicated;
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LoggedReservations.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/ReplicatedReservations.java
@@ -13,13 +13,13 @@
 /**
  * Stores reservations of in-flight slots in the replicated log.
  */
-final class LoggedReservations implements ReservationPort {
+final class ReplicatedReservations implements ReservationPort {
 
 	private final Supplier<ControlNode> node;
 
 	private final SlotReservations reservations;
 
-	LoggedReservations(Supplier<ControlNode> node, SlotReservations reservations) {
+	ReplicatedReservations(Supplier<ControlNode> node, SlotReservations reservations) {
 		this.node = node;
 		this.reservations = reservations;
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/SlotReserver.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/SlotReserver.java
@@ -20,7 +20,7 @@
 
 	private final Map<AccountId, Long> reserved;
 
-	private final Map<AccountId, CompletionStage<Boolean>> latest = new HashMap<>();
+	private final Map<AccountId, CompletionStage<Boolean>> latestWrites = new HashMap<>();
 
 	SlotReserver(ReservationPort port, Map<AccountId, Long> durable) {
 		this.port = port;
@@ -37,15 +37,15 @@
 	 * @param outstanding the number of slots that may be in use
 	 * @return completes with whether the latest reservation is durable
 	 */
-	synchronized CompletionStage<Boolean> cover(AccountId account, long outstanding) {
+	synchronized CompletionStage<Boolean> ensureReserved(AccountId account, long outstanding) {
 		long current = reserved(account);
 		long next = SlotReservation.next(current, outstanding);
 		if (next != current) {
 			this.reserved.put(account, next);
-			this.latest.put(account,
+			this.latestWrites.put(account,
 					this.port.reserve(account, next).thenApply((done) -> handleReserved(account, done)));
 		}
-		return this.latest.getOrDefault(account, DONE);
+		return this.latestWrites.getOrDefault(account, DONE);
 	}
 
 	private synchronized boolean handleReserved(AccountId account, boolean done) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ActiveRequest.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ActiveRequest.java
@@ -30,7 +30,7 @@
 
 	private final UnicastProcessor<AnswerPart> answer = UnicastProcessor.create();
 
-	private Optional<BackendServerId> followed = Optional.empty();
+	private Optional<BackendServerId> answeringServer = Optional.empty();
 
 	private long lastChunkAt;
 
@@ -58,12 +58,12 @@
 		return this.arrivedAt + this.request.timeout().toNanos() - now;
 	}
 
-	Optional<BackendServerId> followed() {
-		return this.followed;
+	Optional<BackendServerId> answeringServer() {
+		return this.answeringServer;
 	}
 
-	void follow(BackendServerId server) {
-		this.followed = Optional.of(server);
+	void setAnsweringServer(BackendServerId server) {
+		this.answeringServer = Optional.of(server);
 	}
 
 	boolean deliver(AnswerPart part, RequestMetrics metrics, long now) {
@@ -79,7 +79,7 @@
 	}
 
 	void complete(CompleteRequest result, RequestMetrics metrics, long now) {
-		metrics.ended(this.request.account(), result.outcome(), now - this.arrivedAt);
+		metrics.recordOutcome(this.request.account(), result.outcome(), now - this.arrivedAt);
 		if (result.outcome() == Outcome.COMPLETED) {
 			this.answer.onComplete();
 			return;
@@ -108,10 +108,10 @@
 
 	private void recordLatency(boolean first, RequestMetrics metrics, long now) {
 		if (first) {
-			metrics.firstToken(this.request.account(), now - this.arrivedAt);
+			metrics.recordFirstToken(this.request.account(), now - this.arrivedAt);
 		}
 		else {
-			metrics.nextToken(this.request.account(), now - this.lastChunkAt);
+			metrics.recordNextToken(this.request.account(), now - this.lastChunkAt);
 		}
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
@@ -91,7 +91,7 @@
 		return queued;
 	}
 
-	void finished(ActiveRequest request, Outcome outcome, Optional<OperationError> error) {
+	void handleFinished(ActiveRequest request, Outcome outcome, Optional<OperationError> error) {
 		PermitHolder holder = this.permitHolders.remove(request.request().id());
 		if (holder == null) {
 			return;
@@ -171,7 +171,7 @@
 	private void sendLeaseRequest(SendLeaseRequest command) {
 		GrantorRole role = command.grantor();
 		this.parts.control()
-			.lease(command)
+			.requestLease(command)
 			.thenAccept(
 					(result) -> result.value().ifPresent((grant) -> this.worker.offer(() -> handleGrant(role, grant))));
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerAnswerWriter.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerResponseWriter.java
@@ -22,11 +22,11 @@
  * connection's write queue has room. Confined to the event loop of the caller's
  * connection.
  */
-final class CallerAnswerWriter implements FlowableSubscriber<AnswerPart> {
+final class CallerResponseWriter implements FlowableSubscriber<AnswerPart> {
 
 	static final String OUTCOME_HEADER = "Comfreywall-Outcome";
 
-	private static final EventLog LOG = EventLog.of(CallerAnswerWriter.class);
+	private static final EventLog LOG = EventLog.of(CallerResponseWriter.class);
 
 	private static final int CREDIT_BATCH_PARTS = 16;
 
@@ -44,7 +44,7 @@
 
 	private boolean done;
 
-	CallerAnswerWriter(CallerRequest request, HttpServerResponse response, IntConsumer creditGrant,
+	CallerResponseWriter(CallerRequest request, HttpServerResponse response, IntConsumer creditGrant,
 			Runnable onDisconnect) {
 		this.request = request;
 		this.response = response;
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerServer.java
@@ -99,8 +99,8 @@
 		Scheduler scheduler = Schedulers.from((task) -> context.runOnContext((nothing) -> task.run()));
 		this.engine.run(request)
 			.observeOn(scheduler, false, PREFETCH_MESSAGES)
-			.subscribe(new CallerAnswerWriter(request, response, (parts) -> this.engine.taken(request.id(), parts),
-					() -> this.engine.cancel(request.id())));
+			.subscribe(new CallerResponseWriter(request, response,
+					(parts) -> this.engine.grantCredit(request.id(), parts), () -> this.engine.cancel(request.id())));
 	}
 
 	private static void respondWithError(HttpServerResponse response, ErrorCode code, String message) {
@@ -110,7 +110,7 @@
 	private static void respond(HttpServerResponse response, Problem problem) {
 		response.setStatusCode(problem.status())
 			.putHeader("Content-Type", Problem.CONTENT_TYPE)
-			.putHeader(CallerAnswerWriter.OUTCOME_HEADER, problem.outcome().name())
+			.putHeader(CallerResponseWriter.OUTCOME_HEADER, problem.outcome().name())
 			.end(problem.json(Optional.empty()).toBuffer());
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlCommands.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlCommands.java
@@ -44,32 +44,32 @@
 		this.events = events;
 	}
 
-	void carryOut(RequestCommand command) {
+	void execute(RequestCommand command) {
 		if (command instanceof AcquireClaim claim) {
-			publishReply(this.control.claim(claim), (result) -> claimEvent(claim, result));
+			publishReply(this.control.acquireClaim(claim), (result) -> claimEvent(claim, result));
 		}
 		else if (command instanceof FinishClaim finish) {
-			this.control.finish(finish);
+			this.control.finishClaim(finish);
 		}
 		else if (command instanceof MarkClaimUnknown unknown) {
-			this.control.markUnknown(unknown);
+			this.control.markClaimUnknown(unknown);
 		}
 		else if (command instanceof ReleaseClaim release) {
-			publishReply(this.control.release(release),
+			publishReply(this.control.releaseClaim(release),
 					(result) -> new ClaimReleased(release.proof(), result.value().isPresent()));
 		}
 		else if (command instanceof RequestFlightPermit flight) {
-			publishReply(this.control.askFlight(flight.fingerprint(), flight.request(), flight.cleared()),
+			publishReply(this.control.requestFlightPermit(flight.fingerprint(), flight.request(), flight.cleared()),
 					(permit) -> new FlightAnswered(flight.request(), permit));
 		}
 		else if (command instanceof ReportFlightEnd flight) {
-			this.control.endFlight(flight.fingerprint(), flight.request(), flight.end());
+			this.control.reportFlightEnd(flight.fingerprint(), flight.request(), flight.end());
 		}
 		else if (command instanceof ReleaseIsolation release) {
 			this.control.releaseIsolation(release);
 		}
 		else if (command instanceof RecordCrash crash) {
-			publishReply(this.control.charge(crash.report()), (result) -> new CrashRecorded(crash.request()));
+			publishReply(this.control.recordCrash(crash.report()), (result) -> new CrashRecorded(crash.request()));
 		}
 		else if (command instanceof AcquireIsolation isolation) {
 			acquireIsolation(isolation);
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlPort.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlPort.java
@@ -31,26 +31,26 @@
 	 * @param command the key, the request and the target of its attempt
 	 * @return completes with the result once the claim is durable on a quorum
 	 */
-	CompletionStage<Result<ClaimResult>> claim(AcquireClaim command);
+	CompletionStage<Result<ClaimResult>> acquireClaim(AcquireClaim command);
 
 	/**
 	 * Records the answer of a claimed request.
 	 * @param command the key and the answer
 	 */
-	void finish(FinishClaim command);
+	void finishClaim(FinishClaim command);
 
 	/**
 	 * Records that the outcome of a claimed request is unknown.
 	 * @param command the key
 	 */
-	void markUnknown(MarkClaimUnknown command);
+	void markClaimUnknown(MarkClaimUnknown command);
 
 	/**
 	 * Releases the claim of a request that is proven not to have run.
 	 * @param command the key and the proof
 	 * @return completes with {@code true} once the claim is released, or with an error
 	 */
-	CompletionStage<Result<Boolean>> release(ReleaseClaim command);
+	CompletionStage<Result<Boolean>> releaseClaim(ReleaseClaim command);
 
 	/**
 	 * Requests the slot for an isolated run of a suspect.
@@ -71,7 +71,7 @@
 	 * @param report the crash and the attempts in flight
 	 * @return completes once the crash is recorded, or with an error
 	 */
-	CompletionStage<Result<Boolean>> charge(CrashReport report);
+	CompletionStage<Result<Boolean>> recordCrash(CrashReport report);
 
 	/**
 	 * Requests a permit to run a request concurrently with others of the same
@@ -81,14 +81,14 @@
 	 * @param cleared whether the fingerprint was just found not to be suspect
 	 * @return completes with the decision
 	 */
-	CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request, boolean cleared);
+	CompletionStage<FlightPermit> requestFlightPermit(Fingerprint fingerprint, RequestId request, boolean cleared);
 
 	/**
 	 * Requests shares of client account limits from a grantor.
 	 * @param command the grantor and the lease request
 	 * @return completes with the grant, or with an error
 	 */
-	CompletionStage<Result<LeaseGrant>> lease(SendLeaseRequest command);
+	CompletionStage<Result<LeaseGrant>> requestLease(SendLeaseRequest command);
 
 	/**
 	 * Reports the end of a run, which ends its flight permit.
@@ -96,6 +96,6 @@
 	 * @param request the request
 	 * @param end the result of the run
 	 */
-	void endFlight(Fingerprint fingerprint, RequestId request, FlightEnd end);
+	void reportFlightEnd(Fingerprint fingerprint, RequestId request, FlightEnd end);
 
 }
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
@@ -85,7 +85,7 @@
 
 	private final Map<RequestId, ActiveRequest> active = new HashMap<>();
 
-	private final RoutedAttempts attempts;
+	private final RoutingFeedback attempts;
 
 	private final Deque<RequestEvent> pending = new ArrayDeque<>();
 
@@ -102,7 +102,7 @@
 		this.clock = parts.clock();
 		this.worker = Preconditions.notNull(worker, "worker");
 		this.routers = Preconditions.notNull(routers, "routers");
-		this.attempts = new RoutedAttempts(routers);
+		this.attempts = new RoutingFeedback(routers);
 		this.sidecars = new SidecarDirectory(parts.transport(), worker, new LinkEvents(), this::handle);
 		this.controlCommands = new ControlCommands(parts.control(), (event) -> worker.execute(() -> handle(event)));
 		this.retries = new RetryController(RetrySettings.DEFAULT, parts.random(), parts.decisions());
@@ -145,7 +145,7 @@
 	 * @param request the request
 	 * @param parts the number of parts written to the caller
 	 */
-	void taken(RequestId request, int parts) {
+	void grantCredit(RequestId request, int parts) {
 		this.worker.offer(() -> sendCredit(request, parts));
 	}
 
@@ -154,9 +154,9 @@
 	 * @param sidecar the address of its sidecar
 	 * @return completes when the sidecar is connected for the first time
 	 */
-	CompletableFuture<Void> announce(SidecarAddress sidecar) {
+	CompletableFuture<Void> addBackendServer(SidecarAddress sidecar) {
 		CompletableFuture<Void> reached = new CompletableFuture<>();
-		this.worker.execute(() -> this.sidecars.announce(sidecar, reached));
+		this.worker.execute(() -> this.sidecars.connect(sidecar, reached));
 		return reached;
 	}
 
@@ -242,7 +242,7 @@
 			return;
 		}
 		Duration delay = Duration.ofNanos(Math.max(0, next.getAsLong() - this.clock.nanoTime()));
-		this.timer = Optional.of(this.worker.after(delay, () -> handle(new TimePassed())));
+		this.timer = Optional.of(this.worker.schedule(delay, () -> handle(new TimePassed())));
 	}
 
 	private void execute(RequestCommand command) {
@@ -256,7 +256,7 @@
 			chooseRoute(route);
 		}
 		else if (!sendToSidecar(command)) {
-			this.controlCommands.carryOut(command);
+			this.controlCommands.execute(command);
 		}
 	}
 
@@ -265,19 +265,19 @@
 			start(start);
 		}
 		else if (command instanceof SendSeal seal) {
-			this.sidecars.sendOrLose(seal.target().backendServer(), seal.target().incarnation(),
+			this.sidecars.sendOrReportLost(seal.target().backendServer(), seal.target().incarnation(),
 					EntryFrames.seal(seal));
 		}
 		else if (command instanceof SendResume resume) {
 			setAnsweringServer(resume.attempt().request(), resume.backendServer());
-			this.sidecars.sendOrLose(resume.backendServer(), resume.incarnation(),
+			this.sidecars.sendOrReportLost(resume.backendServer(), resume.incarnation(),
 					EntryFrames.resume(resume, INITIAL_CREDIT_PARTS));
 		}
 		else if (command instanceof SendCancel cancel) {
-			this.sidecars.sendOrLose(cancel.backendServer(), cancel.incarnation(), EntryFrames.cancel(cancel));
+			this.sidecars.sendOrReportLost(cancel.backendServer(), cancel.incarnation(), EntryFrames.cancel(cancel));
 		}
 		else if (command instanceof SendClaimQuery query) {
-			this.sidecars.sendOrLose(query.backendServer(), query.incarnation(),
+			this.sidecars.sendOrReportLost(query.backendServer(), query.incarnation(),
 					EntryFrames.claimQuery(query, CLAIM_QUERY_CREDIT_PARTS));
 		}
 		else if (command instanceof ProbeConnection probe) {
@@ -315,18 +315,18 @@
 		Duration remaining = Duration.ofNanos(Math.max(0, request.remainingNanos(this.clock.nanoTime())));
 		AttemptPayload payload = new AttemptPayload(caller.method(), caller.path(), caller.contentType(), caller.body(),
 				caller.priority(), remaining, caller.key());
-		request.follow(start.target().backendServer());
+		request.setAnsweringServer(start.target().backendServer());
 		boolean sent = this.sidecars.send(start.target().backendServer(), start.target().incarnation(),
 				EntryFrames.start(start, payload, INITIAL_CREDIT_PARTS));
 		if (!sent) {
 			handle(new StartNotSent(start.attempt()));
 			return;
 		}
-		this.attempts.sent(start.attempt());
+		this.attempts.reportSent(start.attempt());
 	}
 
 	private void setAnsweringServer(RequestId request, BackendServerId server) {
-		Optional.ofNullable(this.active.get(request)).ifPresent((found) -> found.follow(server));
+		Optional.ofNullable(this.active.get(request)).ifPresent((found) -> found.setAnsweringServer(server));
 	}
 
 	private void deliver(DeliverPart part) {
@@ -337,17 +337,17 @@
 		boolean first = request.deliver(part.part(), this.metrics, this.clock.nanoTime());
 		if (first) {
 			this.retries.recordLatency(request.request().service(), request.age(this.clock.nanoTime()));
-			this.attempts.firstToken(part.request());
+			this.attempts.reportFirstToken(part.request());
 		}
 	}
 
 	private void complete(CompleteRequest result) {
 		ActiveRequest request = this.active.remove(result.request());
-		this.attempts.ended(result.request(), result.outcome() == Outcome.COMPLETED);
+		this.attempts.reportEnded(result.request(), result.outcome() == Outcome.COMPLETED);
 		if (request == null) {
 			return;
 		}
-		this.gate.finished(request, result.outcome(), result.error());
+		this.gate.handleFinished(request, result.outcome(), result.error());
 		request.complete(result, this.metrics, this.clock.nanoTime());
 	}
 
@@ -356,7 +356,7 @@
 		if (request == null) {
 			return;
 		}
-		request.followed().ifPresent((server) -> this.sidecars.credit(server, id, parts));
+		request.answeringServer().ifPresent((server) -> this.sidecars.sendCredit(server, id, parts));
 	}
 
 	/**
@@ -368,7 +368,7 @@
 		public void onAdmitted(RequestId id, Duration queued) {
 			ActiveRequest request = EntryEngine.this.active.get(id);
 			if (request != null) {
-				EntryEngine.this.metrics.queued(request.request().account(), queued.toNanos());
+				EntryEngine.this.metrics.recordQueueing(request.request().account(), queued.toNanos());
 				track(request);
 			}
 		}
@@ -377,7 +377,7 @@
 		public void onRefused(RequestId id, OperationError error, Duration retryAfter) {
 			ActiveRequest request = EntryEngine.this.active.remove(id);
 			if (request != null) {
-				EntryEngine.this.metrics.refused(request.request().account(), error.code());
+				EntryEngine.this.metrics.recordRejection(request.request().account(), error.code());
 				request.refuse(error, retryAfter);
 			}
 		}
@@ -390,14 +390,14 @@
 	private final class LinkEvents implements SidecarLinkListener {
 
 		@Override
-		public void onReached(SidecarLink link, Incarnation incarnation) {
-			EntryEngine.this.routers.announce(link, incarnation);
-			EntryEngine.this.sidecars.reached(link.server());
+		public void onFirstConnected(SidecarLink link, Incarnation incarnation) {
+			EntryEngine.this.routers.addServer(link, incarnation);
+			EntryEngine.this.sidecars.completeConnect(link.server());
 		}
 
 		@Override
 		public void onLost(SidecarLink link, Incarnation incarnation) {
-			EntryEngine.this.routers.remove(link, incarnation);
+			EntryEngine.this.routers.removeServer(link, incarnation);
 		}
 
 		@Override
@@ -407,7 +407,7 @@
 
 		@Override
 		public void onLoad(SidecarLink link, Load load) {
-			EntryEngine.this.routers.report(link, load);
+			EntryEngine.this.routers.reportLoad(link, load);
 		}
 
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
@@ -41,7 +41,7 @@
 		RouterRegistry routers = new RouterRegistry(self.instance(), parts.domain(), parts.random(), parts.clock(),
 				parts.decisions());
 		this.engine = this.closer.register(new EntryEngine(parts, worker, routers));
-		worker.every(TICK_INTERVAL, this.engine::tick);
+		worker.scheduleAtFixedRate(TICK_INTERVAL, this.engine::tick);
 		RequestResolver resolver = new RequestResolver(parts.configuration(), requestIds(self));
 		this.server = this.closer.register(new CallerServer(parts.vertx(), listen, security, resolver, this.engine));
 	}
@@ -51,8 +51,8 @@
 	 * @param sidecar the address of its sidecar
 	 * @return completes when the sidecar is connected for the first time
 	 */
-	public CompletableFuture<Void> announce(SidecarAddress sidecar) {
-		return this.engine.announce(sidecar);
+	public CompletableFuture<Void> addBackendServer(SidecarAddress sidecar) {
+		return this.engine.addBackendServer(sidecar);
 	}
 
 	/**
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/LocalControl.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/InMemoryControl.java
@@ -37,7 +37,7 @@
  * Keeps claims, suspects and flight permits in memory, for an entry that runs without
  * control instances. Limits are granted in full.
  */
-public final class LocalControl implements ControlPort {
+public final class InMemoryControl implements ControlPort {
 
 	private final Clock clock;
 
@@ -52,30 +52,30 @@
 	 * @param clock the clock that replaces the time of the replicated log
 	 * @param decisions receives a record of each verdict
 	 */
-	public LocalControl(Clock clock, DecisionListener decisions) {
+	public InMemoryControl(Clock clock, DecisionListener decisions) {
 		this.clock = Preconditions.notNull(clock, "clock");
 		this.flights = new SingleFlightGuard(SingleFlightGuardSettings.DEFAULT, clock.nanoTime());
 		this.poison = new PoisonLedger(PoisonLedgerSettings.DEFAULT, decisions);
 	}
 
 	@Override
-	public synchronized CompletionStage<Result<ClaimResult>> claim(AcquireClaim command) {
+	public synchronized CompletionStage<Result<ClaimResult>> acquireClaim(AcquireClaim command) {
 		return completed(this.claims.claim(command.key(), command.bodyDigest(), command.request(),
 				command.target().backendServer(), command.target().incarnation(), now()));
 	}
 
 	@Override
-	public synchronized void finish(FinishClaim command) {
+	public synchronized void finishClaim(FinishClaim command) {
 		this.claims.recordAnswer(command.key(), command.owner(), command.answer(), now());
 	}
 
 	@Override
-	public synchronized void markUnknown(MarkClaimUnknown command) {
+	public synchronized void markClaimUnknown(MarkClaimUnknown command) {
 		this.claims.markUnknown(command.key(), command.owner(), now());
 	}
 
 	@Override
-	public synchronized CompletionStage<Result<Boolean>> release(ReleaseClaim command) {
+	public synchronized CompletionStage<Result<Boolean>> releaseClaim(ReleaseClaim command) {
 		return completed(this.claims.release(command.key(), command.proof(), now()).map((claim) -> true));
 	}
 
@@ -91,13 +91,13 @@
 	}
 
 	@Override
-	public synchronized CompletionStage<Result<Boolean>> charge(CrashReport report) {
+	public synchronized CompletionStage<Result<Boolean>> recordCrash(CrashReport report) {
 		this.poison.recordCrash(report, now());
 		return completed(Result.success(true));
 	}
 
 	@Override
-	public synchronized CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request,
+	public synchronized CompletionStage<FlightPermit> requestFlightPermit(Fingerprint fingerprint, RequestId request,
 			boolean cleared) {
 		if (this.poison.assess(fingerprint) != PoisonVerdict.CLEAR) {
 			return completed(FlightPermit.SUSPECT);
@@ -106,7 +106,7 @@
 	}
 
 	@Override
-	public synchronized CompletionStage<Result<LeaseGrant>> lease(SendLeaseRequest command) {
+	public synchronized CompletionStage<Result<LeaseGrant>> requestLease(SendLeaseRequest command) {
 		List<AccountGrant> grants = command.request()
 			.demands()
 			.stream()
@@ -118,7 +118,7 @@
 	}
 
 	@Override
-	public synchronized void endFlight(Fingerprint fingerprint, RequestId request, FlightEnd end) {
+	public synchronized void reportFlightEnd(Fingerprint fingerprint, RequestId request, FlightEnd end) {
 		this.flights.recordEnd(fingerprint, request, end, now());
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RemoteControl.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RemoteControl.java
@@ -70,7 +70,7 @@
 	}
 
 	@Override
-	public CompletionStage<Result<ClaimResult>> claim(AcquireClaim command) {
+	public CompletionStage<Result<ClaimResult>> acquireClaim(AcquireClaim command) {
 		ClaimRunning claim = new ClaimRunning(command.request(), command.target().backendServer(),
 				command.target().incarnation());
 		return propose(ReplicatedClaims.NAME, ClaimCommandCodec.claim(command.key(), command.bodyDigest(), claim),
@@ -79,19 +79,19 @@
 	}
 
 	@Override
-	public void finish(FinishClaim command) {
+	public void finishClaim(FinishClaim command) {
 		proposeAndLogFailure("finish-claim", ReplicatedClaims.NAME,
 				ClaimCommandCodec.recordAnswer(command.key(), command.owner(), command.answer()));
 	}
 
 	@Override
-	public void markUnknown(MarkClaimUnknown command) {
+	public void markClaimUnknown(MarkClaimUnknown command) {
 		proposeAndLogFailure("mark-claim-unknown", ReplicatedClaims.NAME,
 				ClaimCommandCodec.markUnknown(command.key(), command.owner()));
 	}
 
 	@Override
-	public CompletionStage<Result<Boolean>> release(ReleaseClaim command) {
+	public CompletionStage<Result<Boolean>> releaseClaim(ReleaseClaim command) {
 		return propose(ReplicatedClaims.NAME, ClaimCommandCodec.release(command.key(), command.proof()), CLAIM_TIMEOUT)
 			.thenApply((result) -> result.flatMap(ClaimAnswerCodec::decodeState).map((claim) -> true));
 	}
@@ -109,15 +109,16 @@
 	}
 
 	@Override
-	public CompletionStage<Result<Boolean>> charge(CrashReport report) {
+	public CompletionStage<Result<Boolean>> recordCrash(CrashReport report) {
 		return propose(ReplicatedPoison.NAME, PoisonCommandCodec.recordCrash(report), RECORD_TIMEOUT)
 			.thenApply((result) -> result.map((answer) -> true));
 	}
 
 	@Override
-	public CompletionStage<FlightPermit> askFlight(Fingerprint fingerprint, RequestId request, boolean cleared) {
+	public CompletionStage<FlightPermit> requestFlightPermit(Fingerprint fingerprint, RequestId request,
+			boolean cleared) {
 		return this.control
-			.callOne(fingerprint.hashCode(), ControlMethods.ASK_FLIGHT,
+			.callInstance(fingerprint.hashCode(), ControlMethods.REQUEST_FLIGHT_PERMIT,
 					flightRequest(fingerprint, request).toBuilder().setCleared(cleared).build(), FLIGHT_TIMEOUT)
 			.thenApply((result) -> result.value()
 				.map((reply) -> FlightPermit.valueOf(reply.getPermit()))
@@ -125,21 +126,21 @@
 	}
 
 	@Override
-	public CompletionStage<Result<LeaseGrant>> lease(SendLeaseRequest command) {
+	public CompletionStage<Result<LeaseGrant>> requestLease(SendLeaseRequest command) {
 		LeaseCall call = LeaseCodec.encode(command.grantor(), command.request());
 		CompletableFuture<Result<LeaseReply>> reply = (command.grantor() == GrantorRole.PRIMARY)
 				? this.control.callLeader(ControlMethods.LEASE, call, LEASE_TIMEOUT)
-				: this.control.callLast(ControlMethods.LEASE, call, LEASE_TIMEOUT);
+				: this.control.callReserveGrantor(ControlMethods.LEASE, call, LEASE_TIMEOUT);
 		return reply.thenApply((result) -> result.map(LeaseCodec::decode));
 	}
 
 	@Override
-	public void endFlight(Fingerprint fingerprint, RequestId request, FlightEnd end) {
+	public void reportFlightEnd(Fingerprint fingerprint, RequestId request, FlightEnd end) {
 		FlightEndRequest ended = FlightEndRequest.newBuilder()
 			.setFlight(flightRequest(fingerprint, request))
 			.setEnd(end.name())
 			.build();
-		this.control.callOne(fingerprint.hashCode(), ControlMethods.END_FLIGHT, ended, FLIGHT_TIMEOUT);
+		this.control.callInstance(fingerprint.hashCode(), ControlMethods.REPORT_FLIGHT_END, ended, FLIGHT_TIMEOUT);
 	}
 
 	private void proposeAndLogFailure(String operation, String ledger, Bytes command) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RouterRegistry.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RouterRegistry.java
@@ -65,23 +65,23 @@
 		this.decisions = decisions;
 	}
 
-	void announce(SidecarLink link, Incarnation incarnation) {
-		on(link.service(), new ServerAnnounced(link.server(), incarnation, link.domain(), ServerProfile.DEFAULT));
+	void addServer(SidecarLink link, Incarnation incarnation) {
+		dispatch(link.service(), new ServerAnnounced(link.server(), incarnation, link.domain(), ServerProfile.DEFAULT));
 	}
 
-	void remove(SidecarLink link, Incarnation incarnation) {
-		on(link.service(), new ServerRemoved(link.server(), incarnation));
+	void removeServer(SidecarLink link, Incarnation incarnation) {
+		dispatch(link.service(), new ServerRemoved(link.server(), incarnation));
 	}
 
-	void report(SidecarLink link, Load load) {
+	void reportLoad(SidecarLink link, Load load) {
 		Incarnation incarnation = Incarnation.of(load.getIncarnation());
 		if (load.getLeaving()) {
-			on(link.service(), new ServerLeaving(link.server(), incarnation));
+			dispatch(link.service(), new ServerLeaving(link.server(), incarnation));
 			return;
 		}
 		QueuedTokens queued = new QueuedTokens(load.getQueuedInteractiveTokens(), load.getQueuedStandardTokens(),
 				load.getQueuedBatchTokens());
-		on(link.service(), new LoadReported(new LoadReport(link.server(), incarnation, load.getSequence(),
+		dispatch(link.service(), new LoadReported(new LoadReport(link.server(), incarnation, load.getSequence(),
 				this.clock.nanoTime(), load.getRunning(), 0, queued, 0, 0, 0)));
 	}
 
@@ -89,11 +89,11 @@
 		return router(service).choose(request, this.clock.nanoTime());
 	}
 
-	void sent(ServiceId service, AttemptId attempt, RouteRequest request, RouteChoice choice) {
-		on(service, new AttemptSent(attempt, request, choice));
+	void reportSent(ServiceId service, AttemptId attempt, RouteRequest request, RouteChoice choice) {
+		dispatch(service, new AttemptSent(attempt, request, choice));
 	}
 
-	void on(ServiceId service, RouterEvent event) {
+	void dispatch(ServiceId service, RouterEvent event) {
 		router(service).on(event, this.clock.nanoTime());
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RoutedAttempts.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RoutingFeedback.java
@@ -19,18 +19,18 @@
  * Reports the progress of attempts to the routers that chose their backend servers: each
  * attempt is reported as sent once and as ended once.
  */
-final class RoutedAttempts {
+final class RoutingFeedback {
 
 	private final RouterRegistry routers;
 
 	private final Map<RequestId, RoutedAttempt> latest = new HashMap<>();
 
-	RoutedAttempts(RouterRegistry routers) {
+	RoutingFeedback(RouterRegistry routers) {
 		this.routers = routers;
 	}
 
 	Optional<RouteChoice> choose(CallerRequest request, Set<BackendServerId> excluded) {
-		ended(request.id(), false);
+		reportEnded(request.id(), false);
 		RouteRequest routeRequest = this.routers.routeRequest(request, excluded);
 		Optional<RouteChoice> choice = this.routers.choose(routeRequest, request.service());
 		choice.ifPresent((chosen) -> this.latest.put(request.id(),
@@ -38,26 +38,27 @@
 		return choice;
 	}
 
-	void sent(AttemptId attempt) {
+	void reportSent(AttemptId attempt) {
 		RoutedAttempt chosen = this.latest.get(attempt.request());
 		if (chosen != null && chosen.attempt().isEmpty()) {
 			this.latest.put(attempt.request(), chosen.withAttempt(attempt));
-			this.routers.sent(chosen.service(), attempt, chosen.request(), chosen.choice());
+			this.routers.reportSent(chosen.service(), attempt, chosen.request(), chosen.choice());
 		}
 	}
 
-	void firstToken(RequestId request) {
+	void reportFirstToken(RequestId request) {
 		RoutedAttempt sent = this.latest.get(request);
 		if (sent != null) {
-			sent.attempt().ifPresent((attempt) -> this.routers.on(sent.service(), new FirstTokenReceived(attempt)));
+			sent.attempt()
+				.ifPresent((attempt) -> this.routers.dispatch(sent.service(), new FirstTokenReceived(attempt)));
 		}
 	}
 
-	void ended(RequestId request, boolean whole) {
+	void reportEnded(RequestId request, boolean whole) {
 		RoutedAttempt last = this.latest.remove(request);
 		if (last != null) {
 			last.attempt()
-				.ifPresent((attempt) -> this.routers.on(last.service(),
+				.ifPresent((attempt) -> this.routers.dispatch(last.service(),
 						whole ? new AttemptFinished(attempt) : new AttemptFailed(attempt)));
 		}
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarDirectory.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarDirectory.java
@@ -43,7 +43,7 @@
 		this.events = events;
 	}
 
-	void announce(SidecarAddress sidecar, CompletableFuture<Void> reached) {
+	void connect(SidecarAddress sidecar, CompletableFuture<Void> reached) {
 		this.pendingConnects.put(sidecar.server(), reached);
 		SidecarLink link = new SidecarLink(sidecar, this.transport, this.worker, this.listener);
 		SidecarLink replaced = this.links.put(sidecar.server(), link);
@@ -53,7 +53,7 @@
 		link.open();
 	}
 
-	void reached(BackendServerId server) {
+	void completeConnect(BackendServerId server) {
 		Optional.ofNullable(this.pendingConnects.remove(server)).ifPresent((reached) -> reached.complete(null));
 	}
 
@@ -61,8 +61,8 @@
 		find(server).ifPresent(SidecarLink::probe);
 	}
 
-	void credit(BackendServerId server, RequestId request, int parts) {
-		find(server).ifPresent((link) -> link.life()
+	void sendCredit(BackendServerId server, RequestId request, int parts) {
+		find(server).ifPresent((link) -> link.currentIncarnation()
 			.ifPresent((incarnation) -> link.send(incarnation, EntryFrames.credit(request, parts))));
 	}
 
@@ -82,9 +82,9 @@
 	 * @param incarnation the incarnation that the frame is for
 	 * @param frame the frame
 	 */
-	void sendOrLose(BackendServerId server, Incarnation incarnation, Frame frame) {
+	void sendOrReportLost(BackendServerId server, Incarnation incarnation, Frame frame) {
 		boolean sent = send(server, incarnation, frame);
-		if (!sent && find(server).flatMap(SidecarLink::life).filter(incarnation::equals).isEmpty()) {
+		if (!sent && find(server).flatMap(SidecarLink::currentIncarnation).filter(incarnation::equals).isEmpty()) {
 			this.events.accept(new SidecarLost(server, incarnation));
 		}
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarLink.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarLink.java
@@ -49,7 +49,7 @@
 
 	private final PeerLink link;
 
-	private Optional<Incarnation> life = Optional.empty();
+	private Optional<Incarnation> currentIncarnation = Optional.empty();
 
 	private long window;
 
@@ -86,12 +86,12 @@
 		return this.link.address();
 	}
 
-	Optional<Incarnation> life() {
-		return this.life;
+	Optional<Incarnation> currentIncarnation() {
+		return this.currentIncarnation;
 	}
 
 	Optional<AttemptTarget> target() {
-		return this.life.map((incarnation) -> new AttemptTarget(this.server, incarnation, this.window));
+		return this.currentIncarnation.map((incarnation) -> new AttemptTarget(this.server, incarnation, this.window));
 	}
 
 	boolean send(Incarnation recipient, Frame frame) {
@@ -112,15 +112,15 @@
 
 	private void handleUp(Incarnation incarnation) {
 		this.connected = true;
-		Optional<Incarnation> known = this.life;
+		Optional<Incarnation> known = this.currentIncarnation;
 		if (known.filter(incarnation::equals).isPresent()) {
 			this.listener.onEvent(new ConnectionRestored(this.server, incarnation));
 			return;
 		}
 		reportLost();
-		this.life = Optional.of(incarnation);
+		this.currentIncarnation = Optional.of(incarnation);
 		this.window = 0;
-		this.listener.onReached(this, incarnation);
+		this.listener.onFirstConnected(this, incarnation);
 	}
 
 	private void handleDown() {
@@ -130,8 +130,9 @@
 		this.connected = false;
 		this.outageCount++;
 		long outageNumber = this.outageCount;
-		this.life.ifPresent((incarnation) -> this.listener.onEvent(new ConnectionLost(this.server, incarnation)));
-		this.worker.after(LOST_TIMEOUT, () -> {
+		this.currentIncarnation
+			.ifPresent((incarnation) -> this.listener.onEvent(new ConnectionLost(this.server, incarnation)));
+		this.worker.schedule(LOST_TIMEOUT, () -> {
 			if (!this.connected && this.outageCount == outageNumber) {
 				reportLost();
 			}
@@ -139,8 +140,8 @@
 	}
 
 	private void reportLost() {
-		this.life.ifPresent((incarnation) -> {
-			this.life = Optional.empty();
+		this.currentIncarnation.ifPresent((incarnation) -> {
+			this.currentIncarnation = Optional.empty();
 			this.listener.onEvent(new SidecarLost(this.server, incarnation));
 			this.listener.onLost(this, incarnation);
 		});
@@ -160,7 +161,7 @@
 	}
 
 	private void handleLoad(Load load) {
-		if (this.life.filter((incarnation) -> incarnation.value() == load.getIncarnation()).isPresent()) {
+		if (this.currentIncarnation.filter((incarnation) -> incarnation.value() == load.getIncarnation()).isPresent()) {
 			this.window = Math.max(this.window, load.getWindow());
 			this.listener.onLoad(this, load);
 		}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarLinkListener.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarLinkListener.java
@@ -15,7 +15,7 @@
 	 * @param link the link
 	 * @param incarnation the sidecar's incarnation
 	 */
-	void onReached(SidecarLink link, Incarnation incarnation);
+	void onFirstConnected(SidecarLink link, Incarnation incarnation);
 
 	/**
 	 * Called when an incarnation of the sidecar was replaced by a newer one or stayed
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/http/HttpSecurity.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/http/HttpSecurity.java
@@ -88,7 +88,7 @@
 
 	private static List<FileTime> modified(TlsFiles pem) {
 		try {
-			return pem.modified();
+			return pem.modificationTimes();
 		}
 		catch (IOException ex) {
 			LOG.error("tls-files-unusable", Field.of("error", ex.getMessage()));
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/ConfigurationHolder.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/ConfigurationHolder.java
@@ -56,7 +56,7 @@
 	 * @param revision the revision of the configuration
 	 * @param toml the configuration as TOML
 	 */
-	public void offer(Revision revision, String toml) {
+	public void update(Revision revision, String toml) {
 		Preconditions.notNull(revision, "revision");
 		Result<Configuration> parsed = ConfigurationReader.parse("revision " + revision, toml);
 		parsed.error()
@@ -69,7 +69,7 @@
 	 * Puts the empty configuration in force after a confirmed read found that none has
 	 * been accepted yet. Has no effect if a configuration is in force.
 	 */
-	public void offerEmpty() {
+	public void confirmEmpty() {
 		this.current.compareAndSet(new RevisedConfiguration(Revision.ZERO, Optional.empty()),
 				new RevisedConfiguration(Revision.ZERO, Optional.of(Configuration.EMPTY)));
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/MembershipClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/MembershipClient.java
@@ -40,7 +40,7 @@
 
 	private final List<MemberListener> listeners = new CopyOnWriteArrayList<>();
 
-	private final CompletableFuture<Void> confirmed = new CompletableFuture<>();
+	private final CompletableFuture<Void> firstConfirmation = new CompletableFuture<>();
 
 	private volatile List<MemberInfo> members = List.of();
 
@@ -64,14 +64,14 @@
 	 */
 	public void start() {
 		this.worker.execute(this::sendHeartbeats);
-		this.worker.every(HEARTBEAT_INTERVAL, this::sendHeartbeats);
+		this.worker.scheduleAtFixedRate(HEARTBEAT_INTERVAL, this::sendHeartbeats);
 	}
 
 	/**
 	 * Registers a listener.
 	 * @param listener receives the members; called on the client's worker thread
 	 */
-	public void listen(MemberListener listener) {
+	public void addListener(MemberListener listener) {
 		this.listeners.add(Preconditions.notNull(listener, "listener"));
 	}
 
@@ -87,15 +87,15 @@
 	 * Returns a future for the first confirmed configuration.
 	 * @return completes after the first confirmed reply
 	 */
-	public CompletableFuture<Void> confirmed() {
-		return this.confirmed;
+	public CompletableFuture<Void> firstConfirmation() {
+		return this.firstConfirmation;
 	}
 
 	/**
 	 * Reports to the control instances that this process is leaving, at once and with
 	 * every later heartbeat.
 	 */
-	public void leave() {
+	public void announceLeaving() {
 		this.leaving = true;
 		this.worker.offer(this::sendHeartbeats);
 	}
@@ -110,12 +110,13 @@
 			.setMember(this.self.toBuilder().setLeaving(this.leaving).setRevision(this.holder.revision().value()))
 			.setRevision(this.holder.revision().value())
 			.build();
-		if (!this.confirmed.isDone()) {
+		if (!this.firstConfirmation.isDone()) {
 			HeartbeatRequest first = request.toBuilder().setConfirmed(true).build();
 			handleWhenReceived(this.control.callLeader(ControlMethods.HEARTBEAT, first, HEARTBEAT_TIMEOUT), true);
 		}
-		for (int i = 0; i < this.control.size(); i++) {
-			handleWhenReceived(this.control.callOne(i, ControlMethods.HEARTBEAT, request, HEARTBEAT_TIMEOUT), false);
+		for (int i = 0; i < this.control.instanceCount(); i++) {
+			handleWhenReceived(this.control.callInstance(i, ControlMethods.HEARTBEAT, request, HEARTBEAT_TIMEOUT),
+					false);
 		}
 	}
 
@@ -125,15 +126,15 @@
 	}
 
 	private void handleReply(HeartbeatReply reply, boolean isConfirmed) {
-		boolean current = isConfirmed || this.confirmed.isDone();
+		boolean current = isConfirmed || this.firstConfirmation.isDone();
 		if (current && !reply.getConfiguration().isEmpty()) {
-			this.holder.offer(Revision.of(reply.getRevision()), reply.getConfiguration().toStringUtf8());
+			this.holder.update(Revision.of(reply.getRevision()), reply.getConfiguration().toStringUtf8());
 		}
 		else if (isConfirmed && reply.getRevision() == 0) {
-			this.holder.offerEmpty();
+			this.holder.confirmEmpty();
 		}
 		if (isConfirmed) {
-			this.confirmed.complete(null);
+			this.firstConfirmation.complete(null);
 		}
 		this.members = reply.getMembersList();
 		this.listeners.forEach((listener) -> listener.onMembers(reply.getMembersList()));
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
@@ -49,7 +49,7 @@
 import org.comfreywall.daemon.member.MembershipClient;
 import org.comfreywall.daemon.sidecar.SidecarNode;
 import org.comfreywall.daemon.sidecar.SidecarParts;
-import org.comfreywall.transport.ConnectionTimes;
+import org.comfreywall.transport.ConnectionTimeouts;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.TlsFiles;
 import org.comfreywall.transport.TlsSecurity;
@@ -115,13 +115,13 @@
 		this.closer.register(() -> this.vertx.close().await(5, TimeUnit.SECONDS));
 		Incarnation incarnation = Incarnation.of(System.currentTimeMillis());
 		this.transport = this.closer.register(new Transport(new PeerIdentity(settings.name(), incarnation),
-				ConnectionTimes.DEFAULT, security, TRANSPORT_THREADS));
+				ConnectionTimeouts.DEFAULT, security, TRANSPORT_THREADS));
 		SerialWorker worker = this.closer.register(new SerialWorker("control-client", CONTROL_CLIENT_QUEUE_CAPACITY));
 		storage.ifPresent((opened) -> startControl(settings.control().orElseThrow(), opened));
 		this.control = this.closer.register(new ControlClient(this.transport, controlAddresses(settings), worker));
 		settings.sidecar().ifPresent(this::startSidecar);
 		this.members = this.closer.register(new MembershipClient(this.control, this.configuration, memberInfo()));
-		this.sidecar.ifPresent((node) -> node.onDrainOrdered(this.members::leave));
+		this.sidecar.ifPresent((node) -> node.setDrainListener(this.members::announceLeaving));
 		settings.entry().ifPresent(this::startEntry);
 		this.admin = this.closer.register(new AdminServer(adminParts(), settings.admin().listen(), this.http));
 		this.members.start();
@@ -177,7 +177,7 @@
 	 */
 	public void stop() {
 		LOG.info("stopping", Field.of("instance", this.settings.name()));
-		this.members.leave();
+		this.members.announceLeaving();
 		await(this.sidecar.map(SidecarNode::drain));
 		await(this.entry.map(EntryNode::drain));
 		try {
@@ -219,7 +219,7 @@
 	private void startSidecar(SidecarSettings sidecarSettings) {
 		SidecarParts parts = new SidecarParts(this.vertx, this.transport,
 				BackendServerId.of(this.settings.name().value()), sidecarSettings.backend(),
-				new RemoteControl(this.control)::charge, Clock.system(), this.decisions);
+				new RemoteControl(this.control)::recordCrash, Clock.system(), this.decisions);
 		this.sidecar = Optional.of(this.closer.register(new SidecarNode(parts, sidecarSettings.listen())));
 	}
 
@@ -228,7 +228,7 @@
 				() -> this.configuration.configuration().orElse(Configuration.EMPTY), new RemoteControl(this.control),
 				this.requests, Clock.system(), new SecureRandom(), this.decisions);
 		EntryNode node = this.closer.register(new EntryNode(parts, entrySettings.listen(), this.http));
-		this.members.listen(new SidecarDiscovery(node));
+		this.members.addListener(new SidecarDiscovery(node));
 		this.entry = Optional.of(node);
 	}
 
@@ -238,7 +238,7 @@
 	}
 
 	private Optional<String> notReady() {
-		return this.members.confirmed().isDone() ? Optional.empty()
+		return this.members.firstConfirmation().isDone() ? Optional.empty()
 				: Optional.of("no control instance has confirmed the configuration yet");
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunCommand.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunCommand.java
@@ -34,7 +34,7 @@
 			return FAILED;
 		}
 		LogSetup.install(level(settings.value().orElseThrow().logLevel()));
-		Result<Daemon> started = Daemon.start(settings.value().orElseThrow(), options.found());
+		Result<Daemon> started = Daemon.start(settings.value().orElseThrow(), options.bootstrap());
 		if (started.error().isPresent()) {
 			System.err.println(started.error().get().message());
 			return FAILED;
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunOptions.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunOptions.java
@@ -15,7 +15,7 @@
 	@Parameter(names = "--found",
 			description = "Bootstrap the replicated log from an empty data folder, together with all peers; "
 					+ "use it only once, when the fleet is first set up")
-	private boolean found;
+	private boolean bootstrap;
 
 	@Parameter(names = { "--help", "-h" }, help = true, description = "Print this help")
 	private boolean help;
@@ -24,8 +24,8 @@
 		return this.settings;
 	}
 
-	boolean found() {
-		return this.found;
+	boolean bootstrap() {
+		return this.bootstrap;
 	}
 
 	/**
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/SidecarDiscovery.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/SidecarDiscovery.java
@@ -50,7 +50,7 @@
 		if (!sidecar.equals(this.known.put(sidecar.server(), sidecar))) {
 			LOG.info("backend-server-announced", Field.of("backend-server", sidecar.server()),
 					Field.of("service", sidecar.service()), Field.of("address", sidecar.address()));
-			this.entry.announce(sidecar);
+			this.entry.addBackendServer(sidecar);
 		}
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
@@ -81,7 +81,7 @@
 	 * Checks whether the backend server responds to HTTP requests.
 	 * @return completes with whether it responded in time; never exceptionally
 	 */
-	CompletionStage<Boolean> isAlive() {
+	CompletionStage<Boolean> isResponding() {
 		return this.client.request(loadRequest())
 			.compose(HttpClientRequest::send)
 			.map(true)
@@ -156,7 +156,7 @@
 				}
 				this.ended = true;
 			}
-			this.listener.onFailure(OperationError.at(code, Step.RUN, BackendClient.this.self,
+			this.listener.onFailure(OperationError.atPeer(code, Step.RUN, BackendClient.this.self,
 					"backend server " + BackendClient.this.backend + ": " + cause.getMessage()), sent);
 		}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendRun.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendRun.java
@@ -21,7 +21,7 @@
 		return this.payload;
 	}
 
-	void started(BackendCall running) {
+	void setCall(BackendCall running) {
 		this.call = running;
 	}
 
@@ -31,7 +31,7 @@
 		}
 	}
 
-	void regulate(boolean blocked) {
+	void setPaused(boolean blocked) {
 		if (this.call == null || blocked == this.paused) {
 			return;
 		}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/OutboxRegistry.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/OutboxRegistry.java
@@ -22,7 +22,7 @@
 
 	private long lastLink;
 
-	EntryLink link(PeerConnection connection) {
+	EntryLink findOrCreateLink(PeerConnection connection) {
 		return this.links.computeIfAbsent(connection, (unknown) -> {
 			this.lastLink++;
 			EntryLink link = new EntryLink(unknown.peer().orElseThrow().instance(), this.lastLink);
@@ -77,12 +77,12 @@
 		this.connections.values().forEach((connection) -> connection.send(frame));
 	}
 
-	boolean isBlocked(RequestId request) {
+	boolean areAllFull(RequestId request) {
 		Map<EntryLink, Outbox> byLink = this.outboxes.getOrDefault(request, Map.of());
 		return !byLink.isEmpty() && byLink.values().stream().allMatch(Outbox::isFull);
 	}
 
-	void close(RequestId request) {
+	void closeIfEmpty(RequestId request) {
 		Map<EntryLink, Outbox> byLink = this.outboxes.get(request);
 		if (byLink != null && byLink.values().stream().allMatch(Outbox::isEmpty)) {
 			this.outboxes.remove(request);
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarEngine.java
@@ -132,14 +132,14 @@
 	 * Stores the load last reported by the backend server; called on the worker thread.
 	 * @param reported the load
 	 */
-	void loadReported(BackendLoad reported) {
+	void updateLoad(BackendLoad reported) {
 		this.load = reported;
 	}
 
 	@Override
 	public void onOpen(PeerConnection connection) {
 		offer(connection, () -> {
-			this.outboxes.link(connection);
+			this.outboxes.findOrCreateLink(connection);
 			connection.send(loadFrame());
 		});
 	}
@@ -163,7 +163,7 @@
 	}
 
 	private void process(PeerConnection connection, Frame frame) {
-		EntryLink link = this.outboxes.link(connection);
+		EntryLink link = this.outboxes.findOrCreateLink(connection);
 		if (frame.hasCredit()) {
 			RequestId request = RequestId.of(frame.getCredit().getRequest());
 			this.outboxes.addCredit(request, link, frame.getCredit().getParts());
@@ -259,14 +259,14 @@
 
 	private void startRun(AttemptId attempt) {
 		BackendRun run = this.runs.get(attempt);
-		run.started(this.backend.run(attempt, run.payload(), new RunProgress(attempt)));
+		run.setCall(this.backend.run(attempt, run.payload(), new RunProgress(attempt)));
 	}
 
 	private void updatePaused(RequestId request) {
-		boolean blocked = this.outboxes.isBlocked(request);
+		boolean blocked = this.outboxes.areAllFull(request);
 		this.runs.forEach((attempt, run) -> {
 			if (attempt.request().equals(request)) {
-				run.regulate(blocked);
+				run.setPaused(blocked);
 			}
 		});
 	}
@@ -274,7 +274,7 @@
 	private void finishRun(AttemptId attempt, AttemptEvent event) {
 		if (this.runs.remove(attempt) != null) {
 			handle(event);
-			this.outboxes.close(attempt.request());
+			this.outboxes.closeIfEmpty(attempt.request());
 		}
 	}
 
@@ -283,7 +283,7 @@
 			finishRun(attempt, new RunRefused(attempt));
 			return;
 		}
-		this.backend.isAlive()
+		this.backend.isResponding()
 			.thenAccept((alive) -> this.worker.execute(() -> finishRun(attempt, failureEvent(attempt, alive))));
 	}
 
@@ -301,7 +301,7 @@
 			.setIncarnation(this.self.incarnation().value())
 			.setWindow(this.registry.window())
 			.setSequence(this.loadSequence)
-			.setRunning(Math.max(this.load.running(), this.registry.running()))
+			.setRunning(Math.max(this.load.running(), this.registry.runningCount()))
 			.setQueuedStandardTokens(this.load.queuedTokens())
 			.setLeaving(this.draining)
 			.build();
@@ -363,7 +363,7 @@
 
 		private void abort() {
 			LOG.warn("run-broken-off", Field.of("attempt", this.attempt), Field.of("reason", "task queue is full"));
-			SidecarEngine.this.worker.after(ABORT_DELAY, () -> {
+			SidecarEngine.this.worker.schedule(ABORT_DELAY, () -> {
 				BackendRun run = SidecarEngine.this.runs.get(this.attempt);
 				if (run != null) {
 					run.cancel();
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarNode.java
@@ -47,11 +47,11 @@
 		BackendClient client = this.closer.register(new BackendClient(parts.vertx(), parts.backend(), self));
 		SerialWorker worker = this.closer.register(new SerialWorker("sidecar", TASK_QUEUE_CAPACITY));
 		this.engine = new SidecarEngine(parts, worker, client);
-		worker.every(TICK_INTERVAL, this.engine::tick);
-		worker.every(LOAD_POLL_INTERVAL, () -> pollLoad(client, worker));
+		worker.scheduleAtFixedRate(TICK_INTERVAL, this.engine::tick);
+		worker.scheduleAtFixedRate(LOAD_POLL_INTERVAL, () -> pollLoad(client, worker));
 		RpcServer rpc = new RpcServer();
 		rpc.register(ControlMethods.DRAIN, (caller, request) -> startDrain());
-		rpc.otherFrames(this.engine);
+		rpc.setDefaultListener(this.engine);
 		this.server = this.closer.register(parts.transport().listen(listen, rpc));
 	}
 
@@ -75,7 +75,7 @@
 	 * Sets the listener for drains requested by an operator, replacing an earlier one.
 	 * @param listener called on an event loop; must not block
 	 */
-	public void onDrainOrdered(Runnable listener) {
+	public void setDrainListener(Runnable listener) {
 		this.drainListener = Preconditions.notNull(listener, "listener");
 	}
 
@@ -86,7 +86,7 @@
 	}
 
 	private void pollLoad(BackendClient client, SerialWorker worker) {
-		client.load().thenAccept((load) -> worker.execute(() -> this.engine.loadReported(load)));
+		client.load().thenAccept((load) -> worker.execute(() -> this.engine.updateLoad(load)));
 	}
 
 	@Override
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/FakeBackendServer.java
@@ -24,7 +24,7 @@
  * is a booking; the server counts the bookings of each idempotency key, so that a test
  * can detect a request that ran twice.
  */
-public final class StandInServer implements AutoCloseable {
+public final class FakeBackendServer implements AutoCloseable {
 
 	private static final int DEFAULT_TOKENS = 8;
 
@@ -34,9 +34,9 @@
 
 	private final HttpServer server;
 
-	private final Map<String, AtomicInteger> bookings = new ConcurrentHashMap<>();
+	private final Map<String, AtomicInteger> bookingCount = new ConcurrentHashMap<>();
 
-	private final AtomicLong running = new AtomicLong();
+	private final AtomicLong runningStreams = new AtomicLong();
 
 	private volatile boolean paused;
 
@@ -46,7 +46,7 @@
 	 * @param port the port to listen on; 0 selects a free port
 	 * @param tokenInterval the time between tokens, at least 1 ms
 	 */
-	public StandInServer(Vertx vertx, int port, Duration tokenInterval) {
+	public FakeBackendServer(Vertx vertx, int port, Duration tokenInterval) {
 		this.vertx = Preconditions.notNull(vertx, "vertx");
 		this.tokenMillis = Math.max(1, Preconditions.notNull(tokenInterval, "tokenInterval").toMillis());
 		this.server = vertx.createHttpServer().requestHandler(this::accept).listen(port, "127.0.0.1").await();
@@ -65,8 +65,8 @@
 	 * @param key the booking's idempotency key
 	 * @return the count
 	 */
-	public int bookings(String key) {
-		AtomicInteger count = this.bookings.get(key);
+	public int bookingCount(String key) {
+		AtomicInteger count = this.bookingCount.get(key);
 		return (count != null) ? count.get() : 0;
 	}
 
@@ -74,22 +74,22 @@
 	 * Returns the number of chat completions being streamed.
 	 * @return the count
 	 */
-	public long running() {
-		return this.running.get();
+	public long runningStreams() {
+		return this.runningStreams.get();
 	}
 
 	/**
-	 * Pauses chat completions after their first word until {@link #release()}. Tests use
-	 * it to make streams overlap even if some of them start late.
+	 * Pauses chat completions after their first word until {@link #resumeStreams()}.
+	 * Tests use it to make streams overlap even if some of them start late.
 	 */
-	public void hold() {
+	public void pauseStreams() {
 		this.paused = true;
 	}
 
 	/**
 	 * Resumes paused chat completions.
 	 */
-	public void release() {
+	public void resumeStreams() {
 		this.paused = false;
 	}
 
@@ -113,12 +113,12 @@
 		int tokens = prompt.getInteger("max_tokens", DEFAULT_TOKENS);
 		HttpServerResponse response = request.response().setChunked(true);
 		response.putHeader("Content-Type", "text/event-stream");
-		this.running.incrementAndGet();
+		this.runningStreams.incrementAndGet();
 		AtomicInteger sent = new AtomicInteger();
 		this.vertx.setPeriodic(this.tokenMillis, (timer) -> {
 			if (response.closed()) {
 				this.vertx.cancelTimer(timer);
-				this.running.decrementAndGet();
+				this.runningStreams.decrementAndGet();
 				return;
 			}
 			boolean waits = this.paused && sent.get() > 0;
@@ -127,7 +127,7 @@
 			}
 			if (sent.get() == tokens) {
 				this.vertx.cancelTimer(timer);
-				this.running.decrementAndGet();
+				this.runningStreams.decrementAndGet();
 				response.end("data: [DONE]\n\n");
 				return;
 			}
@@ -138,7 +138,7 @@
 	private void book(HttpServerRequest request, Buffer body) {
 		String key = request.getHeader("Idempotency-Key");
 		int count = (key != null)
-				? this.bookings.computeIfAbsent(key, (unused) -> new AtomicInteger()).incrementAndGet() : 0;
+				? this.bookingCount.computeIfAbsent(key, (unused) -> new AtomicInteger()).incrementAndGet() : 0;
 		request.response()
 			.putHeader("Content-Type", "application/json")
 			.end(new JsonObject().put("path", request.path())
@@ -150,7 +150,7 @@
 	private void load(HttpServerRequest request) {
 		request.response()
 			.putHeader("Content-Type", "application/json")
-			.end(new JsonObject().put("running", this.running.get()).put("queued", 0).toBuffer());
+			.end(new JsonObject().put("running", this.runningStreams.get()).put("queued", 0).toBuffer());
 	}
 
 	private static Buffer token(int index) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInCommand.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/standin/StandInCommand.java
@@ -20,7 +20,7 @@
 	 * @throws Exception if the server cannot start
 	 */
 	public static int run(StandInOptions options) throws Exception {
-		try (StandInServer server = new StandInServer(Vertx.vertx(), options.port(),
+		try (FakeBackendServer server = new FakeBackendServer(Vertx.vertx(), options.port(),
 				Duration.ofMillis(options.tokenInterval()))) {
 			System.out.println("ready backend=http://127.0.0.1:" + server.port());
 			new CountDownLatch(1).await();
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/trial/Trial.java
@@ -29,13 +29,13 @@
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.daemon.entry.EntryNode;
 import org.comfreywall.daemon.entry.EntryParts;
-import org.comfreywall.daemon.entry.LocalControl;
+import org.comfreywall.daemon.entry.InMemoryControl;
 import org.comfreywall.daemon.entry.SidecarAddress;
 import org.comfreywall.daemon.http.HttpSecurity;
 import org.comfreywall.daemon.sidecar.SidecarNode;
 import org.comfreywall.daemon.sidecar.SidecarParts;
-import org.comfreywall.daemon.standin.StandInServer;
-import org.comfreywall.transport.ConnectionTimes;
+import org.comfreywall.daemon.standin.FakeBackendServer;
+import org.comfreywall.transport.ConnectionTimeouts;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.Transport;
 import org.comfreywall.transport.TransportSecurity;
@@ -75,7 +75,7 @@
 
 	private final DecisionHistory decisions = new DecisionHistory(DECISION_HISTORY_CAPACITY);
 
-	private final LocalControl control;
+	private final InMemoryControl control;
 
 	private final EntryNode entry;
 
@@ -89,7 +89,7 @@
 	public Trial(Duration tokenInterval) {
 		this.closer.register(() -> this.vertx.close().await(5, TimeUnit.SECONDS));
 		Configuration configuration = configuration();
-		this.control = new LocalControl(Clock.system(), this.decisions);
+		this.control = new InMemoryControl(Clock.system(), this.decisions);
 		EntryParts parts = new EntryParts(this.vertx, transport("entry-1"), DOMAIN, () -> configuration, this.control,
 				new RequestMetrics(new MetricRegistry()), Clock.system(), RandomGenerator.getDefault(), this.decisions);
 		this.entry = this.closer.register(new EntryNode(parts, LOOPBACK, HttpSecurity.PLAIN));
@@ -125,20 +125,21 @@
 	}
 
 	private void startServer(String name, ServiceId service, Duration tokenInterval) {
-		StandInServer server = this.closer.register(new StandInServer(this.vertx, 0, tokenInterval));
+		FakeBackendServer server = this.closer.register(new FakeBackendServer(this.vertx, 0, tokenInterval));
 		URI address = URI.create("http://127.0.0.1:" + server.port());
 		if (service.equals(MODEL)) {
 			this.modelServer = address;
 		}
 		SidecarParts parts = new SidecarParts(this.vertx, transport("sidecar-" + name), BackendServerId.of(name),
-				address, this.control::charge, Clock.system(), this.decisions);
+				address, this.control::recordCrash, Clock.system(), this.decisions);
 		SidecarNode sidecar = this.closer.register(new SidecarNode(parts, LOOPBACK));
-		this.entry.announce(new SidecarAddress(BackendServerId.of(name), service, DOMAIN, sidecar.address())).join();
+		this.entry.addBackendServer(new SidecarAddress(BackendServerId.of(name), service, DOMAIN, sidecar.address()))
+			.join();
 	}
 
 	private Transport transport(String name) {
 		PeerIdentity self = new PeerIdentity(InstanceId.of(name), Incarnation.of(System.currentTimeMillis()));
-		return this.closer.register(new Transport(self, ConnectionTimes.DEFAULT, TransportSecurity.PLAIN, 1));
+		return this.closer.register(new Transport(self, ConnectionTimeouts.DEFAULT, TransportSecurity.PLAIN, 1));
 	}
 
 	private static Configuration configuration() {
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/control/LeaseGrantorTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/control/LeaseGrantorTests.java
@@ -11,8 +11,8 @@
 import org.comfreywall.common.id.Incarnation;
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.id.Term;
+import org.comfreywall.common.lease.GrantorLimits;
 import org.comfreywall.common.lease.LeaseRequest;
-import org.comfreywall.common.lease.LimitPart;
 import org.comfreywall.common.result.Result;
 import org.comfreywall.common.time.ManualClock;
 import org.comfreywall.entry.limit.GrantorRole;
@@ -29,12 +29,12 @@
 
 	private final CountingPort port = new CountingPort();
 
-	private final LeaseGrantor grantor = new LeaseGrantor((limits) -> new LimitPart(1, 1, 1), Optional.of(this.port),
-			new ManualClock(), DecisionListener.NONE);
+	private final LeaseGrantor grantor = new LeaseGrantor((limits) -> new GrantorLimits(1, 1, 1),
+			Optional.of(this.port), new ManualClock(), DecisionListener.NONE);
 
 	@Test
 	void keepsLedgerWhenLeaderLeaseExpiresWithinTerm() {
-		this.grantor.refresh(Optional.of(Term.of(1)));
+		this.grantor.updateTerm(Optional.of(Term.of(1)));
 		assertThat(answers(1, Optional.empty())).isFalse();
 		assertThat(answers(2, Optional.of(Term.of(1)))).isTrue();
 		assertThat(this.port.loads).isEqualTo(1);
@@ -42,8 +42,8 @@
 
 	@Test
 	void startsNewLedgerInNewTerm() {
-		this.grantor.refresh(Optional.of(Term.of(1)));
-		this.grantor.refresh(Optional.of(Term.of(2)));
+		this.grantor.updateTerm(Optional.of(Term.of(1)));
+		this.grantor.updateTerm(Optional.of(Term.of(2)));
 		assertThat(answers(1, Optional.of(Term.of(2)))).isTrue();
 		assertThat(this.port.loads).isEqualTo(2);
 	}
@@ -51,7 +51,7 @@
 	private boolean answers(long sequence, Optional<Term> granting) {
 		LeaseCall call = LeaseCodec.encode(GrantorRole.PRIMARY,
 				new LeaseRequest(InstanceId.of("entry-1"), Incarnation.of(1), sequence, Term.of(1), List.of()));
-		return this.grantor.answer(call, granting).toCompletableFuture().join().value().isPresent();
+		return this.grantor.handleRequest(call, granting).toCompletableFuture().join().value().isPresent();
 	}
 
 	/**
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/control/SlotReserverTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/control/SlotReserverTests.java
@@ -27,14 +27,14 @@
 
 	@Test
 	void requestsNoReservationWhileTheCurrentOneSuffices() {
-		assertThat(this.reserver.cover(FARM, 8).toCompletableFuture()).isCompletedWithValue(true);
+		assertThat(this.reserver.ensureReserved(FARM, 8).toCompletableFuture()).isCompletedWithValue(true);
 		assertThat(this.requested).isEmpty();
 	}
 
 	@Test
 	void laterGrantWaitsForPendingReservation() {
-		CompletableFuture<Boolean> first = this.reserver.cover(FARM, 9).toCompletableFuture();
-		CompletableFuture<Boolean> second = this.reserver.cover(FARM, 10).toCompletableFuture();
+		CompletableFuture<Boolean> first = this.reserver.ensureReserved(FARM, 9).toCompletableFuture();
+		CompletableFuture<Boolean> second = this.reserver.ensureReserved(FARM, 10).toCompletableFuture();
 		assertThat(this.requested).containsExactly(16L);
 		assertThat(second).isNotDone();
 		this.answers.get(0).complete(true);
@@ -44,10 +44,10 @@
 
 	@Test
 	void requestsReservationAgainAfterFailure() {
-		CompletableFuture<Boolean> first = this.reserver.cover(FARM, 9).toCompletableFuture();
+		CompletableFuture<Boolean> first = this.reserver.ensureReserved(FARM, 9).toCompletableFuture();
 		this.answers.get(0).complete(false);
 		assertThat(first).isCompletedWithValue(false);
-		this.reserver.cover(FARM, 9);
+		this.reserver.ensureReserved(FARM, 9);
 		assertThat(this.requested).containsExactly(16L, 16L);
 	}
 
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/SilentRelay.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/BlackholeProxy.java
@@ -11,7 +11,7 @@
  * TCP proxy that can drop all bytes of the connections open so far without closing them;
  * later connections are forwarded.
  */
-final class SilentRelay {
+final class BlackholeProxy {
 
 	private final Vertx vertx;
 
@@ -21,7 +21,7 @@
 
 	private final AtomicInteger generation = new AtomicInteger();
 
-	SilentRelay(Vertx vertx, HostPort target) {
+	BlackholeProxy(Vertx vertx, HostPort target) {
 		this.vertx = vertx;
 		this.target = target;
 		this.server = vertx.createNetServer().connectHandler(this::handleConnection).listen(0, "127.0.0.1").await();
@@ -31,7 +31,7 @@
 		return new HostPort("127.0.0.1", this.server.actualPort());
 	}
 
-	void silence() {
+	void dropOpenConnections() {
 		this.generation.incrementAndGet();
 	}
 
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/RoutedAttemptsTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/RoutingFeedbackTests.java
@@ -25,9 +25,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link RoutedAttempts}.
+ * Tests for {@link RoutingFeedback}.
  */
-class RoutedAttemptsTests {
+class RoutingFeedbackTests {
 
 	private static final ServiceId SERVICE = ServiceId.of("booking");
 
@@ -40,28 +40,28 @@
 	private final RouterRegistry routers = new RouterRegistry(InstanceId.of("entry-1"), DOMAIN,
 			RandomGeneratorFactory.of("L64X128MixRandom").create(1), new ManualClock(), DecisionListener.NONE);
 
-	private final RoutedAttempts attempts = new RoutedAttempts(this.routers);
+	private final RoutingFeedback attempts = new RoutingFeedback(this.routers);
 
 	@BeforeEach
 	void announce() {
-		this.routers.on(SERVICE, new ServerAnnounced(SERVER, Incarnation.of(1), DOMAIN, ServerProfile.DEFAULT));
+		this.routers.dispatch(SERVICE, new ServerAnnounced(SERVER, Incarnation.of(1), DOMAIN, ServerProfile.DEFAULT));
 	}
 
 	@Test
 	void countsSentAttemptAsInFlightUntilItEnds() {
 		assertThat(this.attempts.choose(request(), Set.of())).isPresent();
-		this.attempts.sent(new AttemptId(REQUEST, 1));
+		this.attempts.reportSent(new AttemptId(REQUEST, 1));
 		assertThat(this.routers.inFlight(SERVICE, SERVER)).isEqualTo(1);
-		this.attempts.ended(REQUEST, true);
+		this.attempts.reportEnded(REQUEST, true);
 		assertThat(this.routers.inFlight(SERVICE, SERVER)).isZero();
 	}
 
 	@Test
 	void endsEarlierAttemptWhenRequestIsRoutedAgain() {
 		this.attempts.choose(request(), Set.of());
-		this.attempts.sent(new AttemptId(REQUEST, 1));
+		this.attempts.reportSent(new AttemptId(REQUEST, 1));
 		this.attempts.choose(request(), Set.of());
-		this.attempts.sent(new AttemptId(REQUEST, 2));
+		this.attempts.reportSent(new AttemptId(REQUEST, 2));
 		assertThat(this.routers.inFlight(SERVICE, SERVER)).isEqualTo(1);
 	}
 
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/SilentConnectionTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/SilentConnectionTests.java
@@ -36,8 +36,8 @@
 import org.comfreywall.daemon.http.HttpSecurity;
 import org.comfreywall.daemon.sidecar.SidecarNode;
 import org.comfreywall.daemon.sidecar.SidecarParts;
-import org.comfreywall.daemon.standin.StandInServer;
-import org.comfreywall.transport.ConnectionTimes;
+import org.comfreywall.daemon.standin.FakeBackendServer;
+import org.comfreywall.transport.ConnectionTimeouts;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.Transport;
 import org.comfreywall.transport.TransportSecurity;
@@ -65,24 +65,25 @@
 
 	private final Vertx vertx = Vertx.vertx();
 
-	private SilentRelay relay;
+	private BlackholeProxy relay;
 
 	private EntryNode entry;
 
 	@BeforeEach
 	void start() throws Exception {
 		this.closer.register(() -> this.vertx.close().await(10, TimeUnit.SECONDS));
-		StandInServer backend = this.closer.register(new StandInServer(this.vertx, 0, Duration.ofMillis(10)));
+		FakeBackendServer backend = this.closer.register(new FakeBackendServer(this.vertx, 0, Duration.ofMillis(10)));
 		SidecarParts sidecarParts = new SidecarParts(this.vertx, transport("sidecar"), BackendServerId.of("chat-1"),
 				URI.create("http://127.0.0.1:" + backend.port()), (report) -> {
 				}, Clock.system(), DecisionListener.NONE);
 		SidecarNode sidecar = this.closer.register(new SidecarNode(sidecarParts, LOOPBACK));
-		this.relay = new SilentRelay(this.vertx, sidecar.address());
+		this.relay = new BlackholeProxy(this.vertx, sidecar.address());
 		EntryParts parts = new EntryParts(this.vertx, transport("entry"), DOMAIN, SilentConnectionTests::configuration,
-				new LocalControl(Clock.system(), DecisionListener.NONE), new RequestMetrics(new MetricRegistry()),
+				new InMemoryControl(Clock.system(), DecisionListener.NONE), new RequestMetrics(new MetricRegistry()),
 				Clock.system(), RandomGenerator.getDefault(), DecisionListener.NONE);
 		this.entry = this.closer.register(new EntryNode(parts, LOOPBACK, HttpSecurity.PLAIN));
-		this.entry.announce(new SidecarAddress(BackendServerId.of("chat-1"), MODEL, DOMAIN, this.relay.address()))
+		this.entry
+			.addBackendServer(new SidecarAddress(BackendServerId.of("chat-1"), MODEL, DOMAIN, this.relay.address()))
 			.get(30, TimeUnit.SECONDS);
 	}
 
@@ -102,7 +103,7 @@
 		HttpResponse<InputStream> answer = HttpClient.newHttpClient()
 			.send(request, HttpResponse.BodyHandlers.ofInputStream());
 		byte[] first = answer.body().readNBytes(1);
-		this.relay.silence();
+		this.relay.dropOpenConnections();
 		String body = new String(first, StandardCharsets.UTF_8)
 				+ new String(answer.body().readAllBytes(), StandardCharsets.UTF_8);
 		String tokens = body.lines()
@@ -116,7 +117,7 @@
 
 	private Transport transport(String name) {
 		PeerIdentity self = new PeerIdentity(InstanceId.of(name), Incarnation.of(1));
-		return this.closer.register(new Transport(self, ConnectionTimes.DEFAULT, TransportSecurity.PLAIN, 1));
+		return this.closer.register(new Transport(self, ConnectionTimeouts.DEFAULT, TransportSecurity.PLAIN, 1));
 	}
 
 	private static Configuration configuration() {
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/Fleet.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/Fleet.java
@@ -23,7 +23,7 @@
 import io.vertx.core.json.JsonObject;
 import org.comfreywall.common.lifecycle.Closer;
 import org.comfreywall.common.util.Bytes;
-import org.comfreywall.daemon.standin.StandInServer;
+import org.comfreywall.daemon.standin.FakeBackendServer;
 
 /**
  * A fleet on loopback: three control instances, two entries and three sidecars, each a
@@ -53,7 +53,7 @@
 
 	private final Map<String, FleetProcess> processes = new HashMap<>();
 
-	private final Map<String, StandInServer> backends = new HashMap<>();
+	private final Map<String, FakeBackendServer> backends = new HashMap<>();
 
 	private final Map<String, Integer> adminPorts = new HashMap<>();
 
@@ -101,20 +101,20 @@
 		return this.processes.get(name);
 	}
 
-	StandInServer backend(String name) {
+	FakeBackendServer backend(String name) {
 		return this.backends.get(name);
 	}
 
-	long running() {
-		return this.backends.values().stream().mapToLong(StandInServer::running).sum();
+	long runningStreams() {
+		return this.backends.values().stream().mapToLong(FakeBackendServer::runningStreams).sum();
 	}
 
-	void holdStreams() {
-		this.backends.values().forEach(StandInServer::hold);
+	void pauseStreams() {
+		this.backends.values().forEach(FakeBackendServer::pauseStreams);
 	}
 
-	void releaseStreams() {
-		this.backends.values().forEach(StandInServer::release);
+	void resumeStreams() {
+		this.backends.values().forEach(FakeBackendServer::resumeStreams);
 	}
 
 	URI entry(String name) {
@@ -291,7 +291,7 @@
 	}
 
 	private void startBackend(String name, String service) throws Exception {
-		StandInServer backend = this.closer.register(new StandInServer(this.vertx, 0, Duration.ofMillis(20)));
+		FakeBackendServer backend = this.closer.register(new FakeBackendServer(this.vertx, 0, Duration.ofMillis(20)));
 		this.backends.put(name, backend);
 		start(name, "sidecar",
 				"[sidecar]\nlisten = \"127.0.0.1:0\"\nservice = \"%s\"\nbackend = \"http://127.0.0.1:%d\"\ncontrol = %s\n"
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/FleetTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/FleetTests.java
@@ -61,7 +61,7 @@
 				last.set(answer.body());
 				return answer.statusCode() == 200;
 			});
-			assertThat(fleet.backend("booking-1").bookings(key)).as(key).isEqualTo(1);
+			assertThat(fleet.backend("booking-1").bookingCount(key)).as(key).isEqualTo(1);
 		}
 		fleet.restart(leader);
 	}
@@ -141,7 +141,7 @@
 		first.keySet()
 			.forEach((key) -> assertThat(repeatOnce(key).headers().firstValue("Comfreywall-Request-Id")).isPresent());
 		first.keySet()
-			.forEach((key) -> assertThat(fleet.backend("booking-1").bookings(key)).as(key).isLessThanOrEqualTo(1));
+			.forEach((key) -> assertThat(fleet.backend("booking-1").bookingCount(key)).as(key).isLessThanOrEqualTo(1));
 	}
 
 	@Test
@@ -150,7 +150,7 @@
 		Fleet.await("a member to drain", () -> fleet.drain("chat-1") == 202);
 		Fleet.await("the drain at the entry", () -> fleet.status("entry-1").encode().contains("leaving"));
 		List<CompletableFuture<HttpResponse<String>>> streams = runningChats(20);
-		assertThat(fleet.backend("chat-1").running()).isZero();
+		assertThat(fleet.backend("chat-1").runningStreams()).isZero();
 		for (CompletableFuture<HttpResponse<String>> stream : streams) {
 			assertThat(stream.get().statusCode()).isEqualTo(200);
 		}
@@ -190,7 +190,7 @@
 		String outcome = answer.headers()
 			.firstValue("Comfreywall-Outcome")
 			.orElse((answer.statusCode() == 200) ? "COMPLETED" : "UNKNOWN");
-		int runs = fleet.backend("booking-1").bookings(key);
+		int runs = fleet.backend("booking-1").bookingCount(key);
 		if (outcome.equals("NOT_RUN")) {
 			assertThat(runs).as(key + " " + answer.body()).isZero();
 		}
@@ -205,14 +205,15 @@
 	 * which the other streams would end.
 	 */
 	private static List<CompletableFuture<HttpResponse<String>>> runningChats(int tokens) throws InterruptedException {
-		fleet.holdStreams();
+		fleet.pauseStreams();
 		try {
 			List<CompletableFuture<HttpResponse<String>>> streams = chats(tokens);
-			Fleet.await(() -> "running streams, " + fleet.running() + " now", () -> fleet.running() >= CHATS);
+			Fleet.await(() -> "running streams, " + fleet.runningStreams() + " now",
+					() -> fleet.runningStreams() >= CHATS);
 			return streams;
 		}
 		finally {
-			fleet.releaseStreams();
+			fleet.resumeStreams();
 		}
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
@@ -151,8 +151,8 @@
 		if (request == null) {
 			return List.of();
 		}
-		long amountUntil = request.sentAt() + this.settings.terms().holderNanos(this.settings.terms().rateTerm());
-		long slotsUntil = request.sentAt() + this.settings.terms().holderNanos(this.settings.terms().slotTerm());
+		long amountUntil = request.sentAt() + this.settings.terms().holderLeaseNanos(this.settings.terms().rateTerm());
+		long slotsUntil = request.sentAt() + this.settings.terms().holderLeaseNanos(this.settings.terms().slotTerm());
 		List<AccountId> result = new ArrayList<>(grant.grants().size());
 		for (AccountGrant each : grant.grants()) {
 			AccountShares shares = this.accounts.get(each.account());
@@ -265,7 +265,7 @@
 		if (limits.isEmpty()) {
 			return Optional.of(LimitKind.NOT_CONFIGURED);
 		}
-		double perSecond = this.settings.division().primary(limits.get()).tokensPerSecond();
+		double perSecond = this.settings.division().primaryLimits(limits.get()).tokensPerSecond();
 		double burst = perSecond * this.settings.terms().burst().toNanos() / 1e9;
 		return (request.tokens() > burst) ? Optional.of(LimitKind.REQUEST_SIZE) : Optional.empty();
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestErrors.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestErrors.java
@@ -52,7 +52,7 @@
 	}
 
 	static OperationError atBackendServer(ErrorCode code, Step step, FollowedAttempt source, String message) {
-		return OperationError.at(code, step, InstanceId.of(source.backendServer().value()), message);
+		return OperationError.atPeer(code, step, InstanceId.of(source.backendServer().value()), message);
 	}
 
 	private static OperationError error(ErrorCode code, Step step, String message) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Router.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/Router.java
@@ -180,7 +180,7 @@
 	 * @return the count, above 0 only if this class has a bug
 	 */
 	public long breaches() {
-		return this.invariants.breaches();
+		return this.invariants.violations();
 	}
 
 	private void onServerOrAttempt(RouterEvent event, long now, List<RouterCommand> commands) {
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/admit/AdmissionControllerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/admit/AdmissionControllerTests.java
@@ -72,7 +72,7 @@
 		controller.offer(request("1", "a", PriorityClass.STANDARD), 0);
 		controller.handleFinished(RequestId.of("1"), FinishKind.ANSWERED, 1);
 		controller.handleFinished(RequestId.of("1"), FinishKind.ANSWERED, 2);
-		assertThat(this.invariants.breaches()).isEqualTo(1);
+		assertThat(this.invariants.violations()).isEqualTo(1);
 	}
 
 	@Nested
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -33,7 +33,7 @@
 import org.comfreywall.gateway.group.DeputyPort;
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 import org.comfreywall.gateway.pool.ServerDirectory;
-import org.comfreywall.transport.ConnectionTimes;
+import org.comfreywall.transport.ConnectionTimeouts;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.Transport;
 import org.comfreywall.transport.TransportSecurity;
@@ -74,8 +74,8 @@
 
 	private static final int WORKER_RING = 64;
 
-	private static final ConnectionTimes TIMES = new ConnectionTimes(Duration.ofMillis(300), Duration.ofMillis(900),
-			Duration.ofMillis(1600), Duration.ofMillis(500));
+	private static final ConnectionTimeouts TIMES = new ConnectionTimeouts(Duration.ofMillis(300),
+			Duration.ofMillis(900), Duration.ofMillis(1600), Duration.ofMillis(500));
 
 	private final EventLoop loop;
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
@@ -12,7 +12,7 @@
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.gateway.group.RankReport;
-import org.comfreywall.transport.ConnectionTimes;
+import org.comfreywall.transport.ConnectionTimeouts;
 import org.comfreywall.transport.PeerIdentity;
 import org.comfreywall.transport.Transport;
 import org.comfreywall.transport.TransportSecurity;
@@ -32,8 +32,8 @@
 	/** Allows for a busy leader; a round trip within a region takes milliseconds. */
 	private static final Duration TIMEOUT = Duration.ofMillis(200);
 
-	private static final ConnectionTimes TIMES = new ConnectionTimes(Duration.ofMillis(1000), Duration.ofMillis(2500),
-			Duration.ofMillis(4000), Duration.ofMillis(500));
+	private static final ConnectionTimeouts TIMES = new ConnectionTimeouts(Duration.ofMillis(1000),
+			Duration.ofMillis(2500), Duration.ofMillis(4000), Duration.ofMillis(500));
 
 	private final Transport transport;
 
