--- a/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchAgentTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchAgentTests.java
@@ -185,7 +185,7 @@
 			order(new ReleaseSwitch(next(), new CommitDecision(BOUNDARY)));
 
 			assertThat(agent().state()).isEqualTo(AgentState.DISMISSED);
-			assertThat(SwitchAgentTests.this.invariants.breaches()).isEqualTo(1);
+			assertThat(SwitchAgentTests.this.invariants.violations()).isEqualTo(1);
 			assertThat(reach(7)).isEmpty();
 		}
 
--- a/comfreywall-group/src/test/java/org/comfreywall/group/moves/MoveSchedulerPropertyTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/moves/MoveSchedulerPropertyTests.java
@@ -65,7 +65,7 @@
 		}
 		assertThat(this.durable).isEmpty();
 		assertThat(this.complete).isNotEmpty();
-		assertThat(this.invariants.breaches()).isZero();
+		assertThat(this.invariants.violations()).isZero();
 		assertRateIsNeverExceeded();
 	}
 
--- a/comfreywall-group/src/test/java/org/comfreywall/group/moves/MoveSchedulerTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/moves/MoveSchedulerTests.java
@@ -120,7 +120,9 @@
 			assertThat(started(new MoveEvent.Tick(), 40 * SECOND)).hasSize(1);
 			assertThat(MoveSchedulerTests.this.scheduler.handle(new MoveEvent.Tick(), 80 * SECOND))
 				.contains(new MoveCommand.DropPlan(FIRST));
-			assertThat(MoveSchedulerTests.this.history.about("a")).last().extracting("result").isEqualTo("cancelled");
+			assertThat(MoveSchedulerTests.this.history.findBySubject("a")).last()
+				.extracting("result")
+				.isEqualTo("cancelled");
 		}
 
 	}
--- a/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementPlannerPropertyTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/placement/PlacementPlannerPropertyTests.java
@@ -44,7 +44,7 @@
 			speeds[random.nextInt(speeds.length)] = 0.5 + random.nextDouble();
 		}
 		assertThat(this.history.all()).hasSize(PLANS);
-		assertThat(this.invariants.breaches()).isZero();
+		assertThat(this.invariants.violations()).isZero();
 	}
 
 	@ParameterizedTest
--- a/comfreywall-group/src/test/java/org/comfreywall/group/straggler/RoleAdvisorTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/straggler/RoleAdvisorTests.java
@@ -26,7 +26,7 @@
 			assertThat(change.to()).isEqualTo(GroupRole.PREFILL);
 			assertThat(change.reason()).contains("prefill utilisation 1.90");
 		});
-		assertThat(this.history.about("chat")).hasSize(1);
+		assertThat(this.history.findBySubject("chat")).hasSize(1);
 	}
 
 	@Test
--- a/comfreywall-group/src/test/java/org/comfreywall/group/straggler/StragglerDetectorTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/straggler/StragglerDetectorTests.java
@@ -49,7 +49,7 @@
 		assertThat(this.commands).singleElement().isInstanceOf(StragglerCommand.ShedExperts.class);
 		assertThat(this.detector.condition(SLOW_RANK)).isEqualTo(RankCondition.SLOW_HARDWARE);
 		assertThat(this.detector.speeds()[SLOW_RANK]).isBetween(0.55, 0.65);
-		assertThat(this.history.about("g")).hasSize(1);
+		assertThat(this.history.findBySubject("g")).hasSize(1);
 	}
 
 	@Test
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptAdmission.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptAdmission.java
@@ -13,20 +13,20 @@
 
 	private final AttemptStore store;
 
-	private final AttemptRuns runs;
+	private final RunningAttempts runs;
 
-	AttemptAdmission(AttemptRegistrySettings settings, AttemptStore store, AttemptRuns runs) {
+	AttemptAdmission(AttemptRegistrySettings settings, AttemptStore store, RunningAttempts runs) {
 		this.settings = settings;
 		this.store = store;
 		this.runs = runs;
 	}
 
-	Optional<AttemptRefusal> refusal(StartReceived start, boolean isRetry, boolean draining, long now) {
+	Optional<AttemptRefusal> findRefusal(StartReceived start, boolean isRetry, boolean draining, long now) {
 		long window = start.target().window();
-		if (this.store.hasRunClaimed(start.attempt().request())) {
+		if (this.store.hasStartedClaim(start.attempt().request())) {
 			return Optional.of(AttemptRefusal.ALREADY_RUNNING);
 		}
-		if (!isRetry && this.store.mayHaveForgotten(window)) {
+		if (!isRetry && this.store.mayHaveExpired(window)) {
 			return Optional.of(AttemptRefusal.STALE_WINDOW);
 		}
 		if (!isRetry && this.store.isClosed(window)) {
@@ -35,15 +35,15 @@
 		if (draining) {
 			return Optional.of(AttemptRefusal.DRAINING);
 		}
-		if (isBusy(start)) {
-			this.store.seal(AttemptRecord.sealed(start.attempt()), now);
+		if (isAtCapacity(start)) {
+			this.store.storeSeal(AttemptRecord.sealed(start.attempt()), now);
 			return Optional.of(AttemptRefusal.BUSY);
 		}
 		return Optional.empty();
 	}
 
-	private boolean isBusy(StartReceived start) {
-		return this.runs.hasSuspect() || this.runs.size() >= this.settings.maxRunning()
+	private boolean isAtCapacity(StartReceived start) {
+		return this.runs.hasIsolated() || this.runs.size() >= this.settings.maxRunning()
 				|| !this.store.hasRoom(start.traits().claimed());
 	}
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptReplies.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptCommandQueue.java
@@ -16,7 +16,7 @@
 /**
  * Collects the commands that result from one event, most of them replies to entries.
  */
-final class AttemptReplies {
+final class AttemptCommandQueue {
 
 	private final Incarnation incarnation;
 
@@ -24,12 +24,12 @@
 
 	private List<AttemptCommand> commands = new ArrayList<>();
 
-	AttemptReplies(Incarnation incarnation, DecisionListener listener) {
+	AttemptCommandQueue(Incarnation incarnation, DecisionListener listener) {
 		this.incarnation = incarnation;
 		this.listener = listener;
 	}
 
-	List<AttemptCommand> take() {
+	List<AttemptCommand> drainCommands() {
 		List<AttemptCommand> result = this.commands;
 		this.commands = new ArrayList<>();
 		return result;
@@ -39,20 +39,20 @@
 		this.commands.add(command);
 	}
 
-	void part(EntryLink link, AttemptRecord record, long sequence, AnswerPart part) {
+	void sendPart(EntryLink link, AttemptRecord record, long sequence, AnswerPart part) {
 		add(new SendPart(link, record.attempt(), this.incarnation, sequence, part));
 	}
 
-	void end(EntryLink link, AttemptId attempt, AttemptEnd end, int crash) {
+	void sendEnd(EntryLink link, AttemptId attempt, AttemptEnd end, int crash) {
 		add(new SendEnd(link, attempt, this.incarnation, end, crash));
 	}
 
-	void refuse(EntryLink link, AttemptId attempt, Incarnation addressed, AttemptRefusal refusal, long window) {
+	void sendRefusal(EntryLink link, AttemptId attempt, Incarnation addressed, AttemptRefusal refusal, long window) {
 		recordDecision(attempt, "refused", Field.of("reason", refusal), Field.of("entry", link.entry()));
 		add(new SendRefusal(link, attempt, addressed, refusal, window));
 	}
 
-	void sealed(EntryLink link, AttemptId attempt) {
+	void sendSealed(EntryLink link, AttemptId attempt) {
 		recordDecision(attempt, "sealed", Field.of("entry", link.entry()));
 		add(new SendSealed(link, attempt, this.incarnation));
 	}
@@ -64,20 +64,20 @@
 	 * @param link the connection
 	 * @param from the sequence number of the first part to send
 	 */
-	void replay(AttemptRecord record, EntryLink link, long from) {
+	void follow(AttemptRecord record, EntryLink link, long from) {
 		if (record.state() == AttemptState.FAILED) {
-			end(link, record.attempt(), record.end(), record.crash());
+			sendEnd(link, record.attempt(), record.end(), record.crash());
 			return;
 		}
-		boolean canFollow = record.canReplayFrom(from) && (record.state().isEnded() || record.follow(link));
+		boolean canFollow = record.canReplayFrom(from) && (record.state().isEnded() || record.addLink(link));
 		if (!canFollow) {
-			end(link, record.attempt(), AttemptEnd.ANSWER_DROPPED, 0);
+			sendEnd(link, record.attempt(), AttemptEnd.ANSWER_DROPPED, 0);
 			return;
 		}
 		add(new SendStarted(link, record.attempt(), this.incarnation));
 		List<AnswerPart> parts = record.parts();
 		for (int i = (int) from; i < parts.size(); i++) {
-			part(link, record, i, parts.get(i));
+			sendPart(link, record, i, parts.get(i));
 		}
 		record.markDelivered();
 	}
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptDrain.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptDrain.java
@@ -9,7 +9,7 @@
 
 	private final AttemptStore store;
 
-	private final AttemptRuns runs;
+	private final RunningAttempts runs;
 
 	private final Duration orphanTime;
 
@@ -17,7 +17,7 @@
 
 	private boolean finished;
 
-	AttemptDrain(AttemptStore store, AttemptRuns runs, Duration orphanTime) {
+	AttemptDrain(AttemptStore store, RunningAttempts runs, Duration orphanTime) {
 		this.store = store;
 		this.runs = runs;
 		this.orphanTime = orphanTime;
@@ -31,16 +31,16 @@
 		return this.started;
 	}
 
-	boolean finish(long now) {
+	boolean tryFinish(long now) {
 		if (!this.started || this.finished || this.runs.size() > 0) {
 			return false;
 		}
 		long bound = now - this.orphanTime.toNanos();
-		this.finished = this.store.ended().stream().noneMatch((record) -> isAwaited(record, bound));
+		this.finished = this.store.endedAttempts().stream().noneMatch((record) -> awaitsDelivery(record, bound));
 		return this.finished;
 	}
 
-	private static boolean isAwaited(AttemptRecord record, long bound) {
+	private static boolean awaitsDelivery(AttemptRecord record, long bound) {
 		return record.state() == AttemptState.FINISHED && !record.isDelivered() && record.endedAt() > bound;
 	}
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRecord.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRecord.java
@@ -33,7 +33,7 @@
 
 	private long storedBytes;
 
-	private boolean dropped;
+	private boolean partsDropped;
 
 	private boolean delivered;
 
@@ -77,66 +77,66 @@
 		return this.traits != null && this.traits.idempotent();
 	}
 
-	boolean allowsAfter(AttemptId next) {
+	boolean permitsRetry(AttemptId next) {
 		boolean retryable = this.state == AttemptState.SEALED || isIdempotent();
 		return retryable && this.state.isEnded() && next.number() > this.attempt.number();
 	}
 
 	// An earlier attempt may have run before this record replaced it, unless this
 	// record seals every attempt of the request.
-	boolean replaced(AttemptId earlier) {
+	boolean mayHaveReplaced(AttemptId earlier) {
 		boolean everyAttempt = this.attempt.equals(AttemptTarget.everyAttemptOf(earlier.request()));
 		return earlier.number() < this.attempt.number() && !everyAttempt;
 	}
 
-	boolean ranClaimed() {
+	boolean isStartedClaim() {
 		return this.traits != null && this.traits.claimed() && this.state != AttemptState.SEALED;
 	}
 
-	void start() {
+	void markStarted() {
 		this.state = AttemptState.RUNNING;
 	}
 
-	void finish() {
+	void markFinished() {
 		this.state = AttemptState.FINISHED;
 		this.delivered = !this.links.isEmpty();
 	}
 
-	void fail(AttemptEnd reason, int crashNumber) {
+	void markFailed(AttemptEnd reason, int crashNumber) {
 		this.state = AttemptState.FAILED;
 		this.end = reason;
 		this.crash = crashNumber;
 	}
 
-	void seal() {
+	void markSealed() {
 		this.state = AttemptState.SEALED;
 	}
 
-	void ended(long now, long window) {
+	void markEnded(long now, long window) {
 		this.links.clear();
 		this.endedAt = now;
 		this.endedWindow = window;
 	}
 
-	long add(AnswerPart part, boolean store) {
-		if (store && !this.dropped) {
+	long addPart(AnswerPart part, boolean store) {
+		if (store && !this.partsDropped) {
 			this.parts.add(part);
 			this.storedBytes += part.size();
 		}
 		else {
-			drop();
+			dropParts();
 		}
 		return this.nextSequence++;
 	}
 
-	void drop() {
+	void dropParts() {
 		this.parts.clear();
 		this.storedBytes = 0;
-		this.dropped = true;
+		this.partsDropped = true;
 	}
 
 	boolean canReplayFrom(long sequence) {
-		return sequence <= this.nextSequence && (!this.dropped || sequence == this.nextSequence);
+		return sequence <= this.nextSequence && (!this.partsDropped || sequence == this.nextSequence);
 	}
 
 	List<AnswerPart> parts() {
@@ -151,7 +151,7 @@
 		return this.links;
 	}
 
-	boolean follow(EntryLink link) {
+	boolean addLink(EntryLink link) {
 		if (this.links.size() >= MAX_LINKS && !this.links.contains(link)) {
 			return false;
 		}
@@ -167,7 +167,7 @@
 		return this.delivered;
 	}
 
-	void linkLost(EntryLink link, long now) {
+	void removeLink(EntryLink link, long now) {
 		if (this.links.remove(link)) {
 			this.lastLinkAt = now;
 		}
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
@@ -41,9 +41,9 @@
 
 	private final AttemptStore store;
 
-	private final AttemptReplies replies;
+	private final AttemptCommandQueue commands;
 
-	private final AttemptRuns runs;
+	private final RunningAttempts runs;
 
 	private final AttemptAdmission admission;
 
@@ -51,7 +51,7 @@
 
 	private final long startedAt;
 
-	private int crashes;
+	private int crashCount;
 
 	private long now;
 
@@ -71,8 +71,8 @@
 		this.settings = Preconditions.notNull(settings, "settings");
 		this.listener = Preconditions.notNull(listener, "listener");
 		this.store = new AttemptStore(settings);
-		this.replies = new AttemptReplies(incarnation, listener);
-		this.runs = new AttemptRuns(Preconditions.notNull(invariants, "invariants"), this.replies);
+		this.commands = new AttemptCommandQueue(incarnation, listener);
+		this.runs = new RunningAttempts(Preconditions.notNull(invariants, "invariants"), this.commands);
 		this.admission = new AttemptAdmission(settings, this.store, this.runs);
 		this.drain = new AttemptDrain(this.store, this.runs, settings.orphanTime());
 		this.startedAt = now;
@@ -90,10 +90,10 @@
 		this.now = Math.max(this.now, time);
 		this.store.advance((this.now - this.startedAt) / this.settings.window().toNanos(), this.now);
 		dispatch(event);
-		if (this.drain.finish(this.now)) {
-			this.replies.add(new FinishDrain());
+		if (this.drain.tryFinish(this.now)) {
+			this.commands.add(new FinishDrain());
 		}
-		return this.replies.take();
+		return this.commands.drainCommands();
 	}
 
 	/**
@@ -116,7 +116,7 @@
 	 * Returns the number of running attempts.
 	 * @return the count
 	 */
-	public int running() {
+	public int runningCount() {
 		return this.runs.size();
 	}
 
@@ -162,7 +162,7 @@
 	private void onStart(StartReceived start) {
 		AttemptId attempt = start.attempt();
 		if (!isAddressed(start.target())) {
-			refuseOtherLife(start.link(), attempt, start.target().incarnation());
+			refuseOtherIncarnation(start.link(), attempt, start.target().incarnation());
 			return;
 		}
 		Optional<AttemptRecord> known = this.store.find(attempt.request());
@@ -170,7 +170,7 @@
 			onKnownStart(start, known.get());
 			return;
 		}
-		Optional<AttemptRefusal> refusal = this.admission.refusal(start, known.isPresent(), isDraining(), this.now);
+		Optional<AttemptRefusal> refusal = this.admission.findRefusal(start, known.isPresent(), isDraining(), this.now);
 		if (refusal.isPresent()) {
 			refuse(start.link(), attempt, refusal.get());
 			return;
@@ -179,26 +179,26 @@
 	}
 
 	private boolean isRetry(StartReceived start, AttemptRecord known) {
-		return start.traits().idempotent() && known.allowsAfter(start.attempt());
+		return start.traits().idempotent() && known.permitsRetry(start.attempt());
 	}
 
 	private void onKnownStart(StartReceived start, AttemptRecord known) {
-		if (known.state() == AttemptState.SEALED && !known.replaced(start.attempt())) {
+		if (known.state() == AttemptState.SEALED && !known.mayHaveReplaced(start.attempt())) {
 			refuse(start.link(), start.attempt(), AttemptRefusal.SEALED);
 		}
 		else if (!known.attempt().equals(start.attempt())) {
 			refuse(start.link(), start.attempt(), AttemptRefusal.ALREADY_RUNNING);
 		}
 		else if (!known.links().contains(start.link())) {
-			this.replies.replay(known, start.link(), 0);
+			this.commands.follow(known, start.link(), 0);
 		}
 	}
 
 	private void accept(StartReceived start) {
 		AttemptRecord record = AttemptRecord.accepted(start.attempt(), start.traits());
-		record.follow(start.link());
+		record.addLink(start.link());
 		this.store.put(record);
-		this.runs.accept(record);
+		this.runs.startOrQueue(record);
 	}
 
 	private void onPart(PartProduced event) {
@@ -208,9 +208,9 @@
 		}
 		AttemptRecord record = known.get();
 		long sequence = this.store.addPart(record, event.part());
-		record.links().forEach((link) -> this.replies.part(link, record, sequence, event.part()));
+		record.links().forEach((link) -> this.commands.sendPart(link, record, sequence, event.part()));
 		if (event.part() instanceof AnswerEnd) {
-			record.finish();
+			record.markFinished();
 			end(record);
 		}
 	}
@@ -218,14 +218,14 @@
 	private void onSeal(SealReceived seal) {
 		AttemptId attempt = seal.attempt();
 		if (!isAddressed(seal.target())) {
-			refuseOtherLife(seal.link(), attempt, seal.target().incarnation());
+			refuseOtherIncarnation(seal.link(), attempt, seal.target().incarnation());
 			return;
 		}
 		Optional<AttemptRecord> known = this.store.find(attempt.request());
 		if (known.isPresent()) {
 			sealKnown(known.get(), attempt, seal.link());
 		}
-		else if (this.store.hasRunClaimed(attempt.request()) || this.store.mayHaveForgotten(seal.target().window())) {
+		else if (this.store.hasStartedClaim(attempt.request()) || this.store.mayHaveExpired(seal.target().window())) {
 			refuse(seal.link(), attempt, AttemptRefusal.STALE_WINDOW);
 		}
 		else {
@@ -236,15 +236,15 @@
 	private void onClaimQuery(ClaimQueryReceived query) {
 		AttemptId everyAttempt = AttemptTarget.everyAttemptOf(query.owner());
 		if (!query.incarnation().equals(this.incarnation)) {
-			refuseOtherLife(query.link(), everyAttempt, query.incarnation());
+			refuseOtherIncarnation(query.link(), everyAttempt, query.incarnation());
 			return;
 		}
 		Optional<AttemptRecord> known = this.store.find(query.owner());
 		if (known.isPresent()) {
 			joinOrSeal(known.get(), everyAttempt, query.link());
 		}
-		else if (this.store.hasRunClaimed(query.owner())) {
-			this.replies.end(query.link(), everyAttempt, AttemptEnd.ANSWER_DROPPED, 0);
+		else if (this.store.hasStartedClaim(query.owner())) {
+			this.commands.sendEnd(query.link(), everyAttempt, AttemptEnd.ANSWER_DROPPED, 0);
 		}
 		else {
 			sealUnknown(everyAttempt, query.link());
@@ -253,22 +253,22 @@
 
 	private void joinOrSeal(AttemptRecord known, AttemptId attempt, EntryLink link) {
 		if (known.state() == AttemptState.SEALED) {
-			this.replies.sealed(link, attempt);
+			this.commands.sendSealed(link, attempt);
 		}
 		else {
-			this.replies.replay(known, link, 0);
+			this.commands.follow(known, link, 0);
 		}
 	}
 
 	private void sealKnown(AttemptRecord known, AttemptId attempt, EntryLink link) {
 		if (known.state() == AttemptState.QUEUED && attempt.equals(known.attempt())) {
-			known.follow(link);
+			known.addLink(link);
 			sealQueued(known);
 		}
-		else if (known.allowsAfter(attempt)) {
+		else if (known.permitsRetry(attempt)) {
 			sealUnknown(attempt, link);
 		}
-		else if (known.replaced(attempt)) {
+		else if (known.mayHaveReplaced(attempt)) {
 			refuse(link, attempt, AttemptRefusal.ALREADY_RUNNING);
 		}
 		else {
@@ -277,15 +277,15 @@
 	}
 
 	private void sealUnknown(AttemptId attempt, EntryLink link) {
-		this.store.seal(AttemptRecord.sealed(attempt), this.now);
-		this.replies.sealed(link, attempt);
+		this.store.storeSeal(AttemptRecord.sealed(attempt), this.now);
+		this.commands.sendSealed(link, attempt);
 	}
 
 	private void sealQueued(AttemptRecord queued) {
 		List<EntryLink> links = List.copyOf(queued.links());
-		queued.seal();
+		queued.markSealed();
 		end(queued);
-		links.forEach((link) -> this.replies.sealed(link, queued.attempt()));
+		links.forEach((link) -> this.commands.sendSealed(link, queued.attempt()));
 	}
 
 	private void onResume(ResumeReceived resume) {
@@ -293,7 +293,7 @@
 		Optional<AttemptRecord> known = this.store.find(attempt.request())
 			.filter((record) -> record.attempt().equals(attempt));
 		if (!resume.incarnation().equals(this.incarnation)) {
-			refuseOtherLife(resume.link(), attempt, resume.incarnation());
+			refuseOtherIncarnation(resume.link(), attempt, resume.incarnation());
 		}
 		else if (known.isEmpty()) {
 			refuse(resume.link(), attempt, AttemptRefusal.STALE_WINDOW);
@@ -302,7 +302,7 @@
 			refuse(resume.link(), attempt, AttemptRefusal.SEALED);
 		}
 		else {
-			this.replies.replay(known.get(), resume.link(), resume.nextSequence());
+			this.commands.follow(known.get(), resume.link(), resume.nextSequence());
 		}
 	}
 
@@ -312,7 +312,7 @@
 		}
 		Optional<AttemptRecord> known = this.store.find(cancel.attempt().request());
 		if (known.isEmpty()) {
-			this.store.seal(AttemptRecord.sealed(cancel.attempt()), this.now);
+			this.store.storeSeal(AttemptRecord.sealed(cancel.attempt()), this.now);
 			return;
 		}
 		AttemptRecord record = known.get();
@@ -328,28 +328,28 @@
 	}
 
 	private void cancelRun(AttemptRecord record) {
-		this.replies.add(new CancelRun(record.attempt()));
+		this.commands.add(new CancelRun(record.attempt()));
 		fail(record, AttemptEnd.CANCELLED, 0);
 	}
 
 	private void onLinkLost(EntryLink link) {
-		this.runs.all().forEach((record) -> record.linkLost(link, this.now));
-		Optional<AttemptRecord> queued = this.runs.queued().filter((record) -> record.links().contains(link));
+		this.runs.all().forEach((record) -> record.removeLink(link, this.now));
+		Optional<AttemptRecord> queued = this.runs.findQueued().filter((record) -> record.links().contains(link));
 		queued.ifPresent((record) -> {
-			record.linkLost(link, this.now);
+			record.removeLink(link, this.now);
 			sealQueued(record);
 		});
 	}
 
 	private void onRunRefused(AttemptRecord record) {
 		List<EntryLink> links = List.copyOf(record.links());
-		record.seal();
+		record.markSealed();
 		end(record);
 		links.forEach((link) -> refuse(link, record.attempt(), AttemptRefusal.BACKEND_UNREACHABLE));
 	}
 
 	private void onBackendCrashed() {
-		this.crashes++;
+		this.crashCount++;
 		List<AttemptRecord> running = this.runs.all();
 		if (running.isEmpty()) {
 			return;
@@ -359,14 +359,14 @@
 			.map((record) -> record.traits().fingerprint())
 			.distinct()
 			.toList();
-		this.replies.add(new ReportCrash(new CrashReport(CrashEvidence.BACKEND_CRASHED, this.backendServer,
-				this.incarnation, this.crashes, inFlight, isolated)));
-		running.forEach((record) -> fail(record, AttemptEnd.CRASHED, this.crashes));
+		this.commands.add(new ReportCrash(new CrashReport(CrashEvidence.BACKEND_CRASHED, this.backendServer,
+				this.incarnation, this.crashCount, inFlight, isolated)));
+		running.forEach((record) -> fail(record, AttemptEnd.CRASHED, this.crashCount));
 	}
 
 	private void onDrainStarted() {
 		this.drain.start();
-		this.runs.queued().ifPresent(this::sealQueued);
+		this.runs.findQueued().ifPresent(this::sealQueued);
 		this.listener.onDecision(DecisionRecord.of(DecisionKind.DRAIN, this.backendServer.toString(), "draining",
 				Field.of("incarnation", this.incarnation), Field.of("running", this.runs.size())));
 	}
@@ -381,13 +381,13 @@
 	}
 
 	private void fail(AttemptRecord record, AttemptEnd reason, int crash) {
-		record.fail(reason, crash);
-		record.links().forEach((link) -> this.replies.end(link, record.attempt(), reason, crash));
+		record.markFailed(reason, crash);
+		record.links().forEach((link) -> this.commands.sendEnd(link, record.attempt(), reason, crash));
 		end(record);
 	}
 
 	private void end(AttemptRecord record) {
-		this.store.end(record, this.now);
+		this.store.markEnded(record, this.now);
 		this.runs.remove(record);
 	}
 
@@ -396,11 +396,11 @@
 	}
 
 	private void refuse(EntryLink link, AttemptId attempt, AttemptRefusal refusal) {
-		this.replies.refuse(link, attempt, this.incarnation, refusal, window());
+		this.commands.sendRefusal(link, attempt, this.incarnation, refusal, window());
 	}
 
-	private void refuseOtherLife(EntryLink link, AttemptId attempt, Incarnation addressed) {
-		this.replies.refuse(link, attempt, addressed, AttemptRefusal.OTHER_INCARNATION, window());
+	private void refuseOtherIncarnation(EntryLink link, AttemptId attempt, Incarnation addressed) {
+		this.commands.sendRefusal(link, attempt, addressed, AttemptRefusal.OTHER_INCARNATION, window());
 	}
 
 }
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptStore.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptStore.java
@@ -31,20 +31,20 @@
 	private final Map<RequestId, AttemptRecord> records = new HashMap<>();
 
 	/** Ended attempts in the order in which they ended. */
-	private final Map<RequestId, AttemptRecord> ended = new LinkedHashMap<>();
+	private final Map<RequestId, AttemptRecord> endedAttempts = new LinkedHashMap<>();
 
 	/**
 	 * End time of each claimed request whose attempt has expired, in nanoseconds; bounded
 	 * by the claim capacity.
 	 */
-	private final Map<RequestId, Long> ranClaims = new LinkedHashMap<>();
+	private final Map<RequestId, Long> startedClaims = new LinkedHashMap<>();
 
 	/** Ended attempts with a stored answer, in the order in which they ended. */
 	private final Set<AttemptRecord> answers = new LinkedHashSet<>();
 
 	private long storedBytes;
 
-	private long forgottenWindow = -1;
+	private long latestExpiredWindow = -1;
 
 	private long closedWindow = -1;
 
@@ -62,13 +62,13 @@
 		return Optional.ofNullable(this.records.get(request));
 	}
 
-	boolean hasRunClaimed(RequestId request) {
-		return this.ranClaims.containsKey(request);
+	boolean hasStartedClaim(RequestId request) {
+		return this.startedClaims.containsKey(request);
 	}
 
 	// An unknown attempt of such a window may have run and expired.
-	boolean mayHaveForgotten(long attemptWindow) {
-		return attemptWindow <= this.forgottenWindow || attemptWindow > this.window;
+	boolean mayHaveExpired(long attemptWindow) {
+		return attemptWindow <= this.latestExpiredWindow || attemptWindow > this.window;
 	}
 
 	// Unknown attempts of such a window are never run.
@@ -77,23 +77,23 @@
 	}
 
 	boolean hasRoom(boolean claimed) {
-		int claims = this.ranClaims.size() + this.records.size();
+		int claims = this.startedClaims.size() + this.records.size();
 		return this.records.size() < this.settings.capacity() && (!claimed || claims < this.settings.claimCapacity());
 	}
 
 	void put(AttemptRecord record) {
 		RequestId request = record.attempt().request();
 		AttemptRecord earlier = this.records.put(request, record);
-		this.ended.remove(request);
+		this.endedAttempts.remove(request);
 		if (earlier != null) {
-			forgetAnswer(earlier);
+			dropAnswer(earlier);
 		}
 	}
 
-	void seal(AttemptRecord sealed, long now) {
+	void storeSeal(AttemptRecord sealed, long now) {
 		if (this.records.size() < this.settings.capacity() || this.records.containsKey(sealed.attempt().request())) {
 			put(sealed);
-			end(sealed, now);
+			markEnded(sealed, now);
 		}
 		else {
 			this.closedWindow = this.window;
@@ -101,63 +101,63 @@
 		}
 	}
 
-	void end(AttemptRecord record, long now) {
-		record.ended(now, this.window);
-		this.ended.put(record.attempt().request(), record);
+	void markEnded(AttemptRecord record, long now) {
+		record.markEnded(now, this.window);
+		this.endedAttempts.put(record.attempt().request(), record);
 		if (record.storedBytes() > 0) {
 			this.answers.add(record);
 		}
 	}
 
 	long addPart(AttemptRecord record, AnswerPart part) {
-		makeRoom(part.size());
+		evictAnswers(part.size());
 		long before = record.storedBytes();
-		long sequence = record.add(part, this.storedBytes + part.size() <= this.settings.maxStoredBytes());
+		long sequence = record.addPart(part, this.storedBytes + part.size() <= this.settings.maxStoredBytes());
 		this.storedBytes += record.storedBytes() - before;
 		return sequence;
 	}
 
 	void advance(long windowByTime, long now) {
 		this.window = Math.max(this.window, windowByTime);
-		Iterator<AttemptRecord> oldest = this.ended.values().iterator();
+		Iterator<AttemptRecord> oldest = this.endedAttempts.values().iterator();
 		while (oldest.hasNext()) {
 			AttemptRecord record = oldest.next();
 			if (record.endedWindow() + this.settings.retainedWindows() >= this.window) {
 				break;
 			}
 			oldest.remove();
-			forget(record);
+			expire(record);
 		}
 		long bound = now - this.settings.claimRetention().toNanos();
-		Iterator<Long> claims = this.ranClaims.values().iterator();
+		Iterator<Long> claims = this.startedClaims.values().iterator();
 		while (claims.hasNext() && claims.next() <= bound) {
 			claims.remove();
 		}
 	}
 
-	Collection<AttemptRecord> ended() {
-		return this.ended.values();
+	Collection<AttemptRecord> endedAttempts() {
+		return this.endedAttempts.values();
 	}
 
-	private void forget(AttemptRecord record) {
+	private void expire(AttemptRecord record) {
 		RequestId request = record.attempt().request();
 		this.records.remove(request);
-		forgetAnswer(record);
-		this.forgottenWindow = Math.max(this.forgottenWindow, record.endedWindow());
-		if (record.ranClaimed()) {
-			this.ranClaims.put(request, record.endedAt());
+		dropAnswer(record);
+		this.latestExpiredWindow = Math.max(this.latestExpiredWindow, record.endedWindow());
+		if (record.isStartedClaim()) {
+			this.startedClaims.put(request, record.endedAt());
 		}
 	}
 
-	private void forgetAnswer(AttemptRecord record) {
+	private void dropAnswer(AttemptRecord record) {
 		this.storedBytes -= record.storedBytes();
 		this.answers.remove(record);
-		record.drop();
+		record.dropParts();
 	}
 
-	private void makeRoom(int bytes) {
+	private void evictAnswers(int bytes) {
 		while (this.storedBytes + bytes > this.settings.maxStoredBytes() && !this.answers.isEmpty()) {
-			forgetAnswer(this.answers.iterator().next());
+			dropAnswer(this.answers.iterator().next());
 		}
 	}
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRuns.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/RunningAttempts.java
@@ -14,28 +14,28 @@
  * The running attempts and the isolated attempt, which runs alone or waits until no other
  * attempt runs.
  */
-final class AttemptRuns {
+final class RunningAttempts {
 
 	private final Invariants invariants;
 
-	private final AttemptReplies replies;
+	private final AttemptCommandQueue commands;
 
 	/** Running attempts; at most {@link AttemptRegistrySettings#maxRunning()}. */
 	private final Map<RequestId, AttemptRecord> running = new LinkedHashMap<>();
 
 	private Optional<AttemptRecord> isolated = Optional.empty();
 
-	AttemptRuns(Invariants invariants, AttemptReplies commands) {
+	RunningAttempts(Invariants invariants, AttemptCommandQueue commands) {
 		this.invariants = invariants;
-		this.replies = commands;
+		this.commands = commands;
 	}
 
-	void accept(AttemptRecord record) {
+	void startOrQueue(AttemptRecord record) {
 		if (record.traits().isolated()) {
 			this.isolated = Optional.of(record);
 		}
 		if (!record.traits().isolated() || this.running.isEmpty()) {
-			run(record);
+			startRun(record);
 		}
 	}
 
@@ -45,15 +45,15 @@
 			this.isolated = Optional.empty();
 		}
 		if (this.running.isEmpty()) {
-			queued().ifPresent(this::run);
+			findQueued().ifPresent(this::startRun);
 		}
 	}
 
-	boolean hasSuspect() {
+	boolean hasIsolated() {
 		return this.isolated.isPresent();
 	}
 
-	Optional<AttemptRecord> queued() {
+	Optional<AttemptRecord> findQueued() {
 		return this.isolated.filter((record) -> record.state() == AttemptState.QUEUED);
 	}
 
@@ -70,13 +70,13 @@
 		return this.running.size();
 	}
 
-	private void run(AttemptRecord record) {
+	private void startRun(AttemptRecord record) {
 		AttemptId attempt = record.attempt();
 		boolean first = record.state() == AttemptState.QUEUED;
 		if (this.invariants.holds(first, "attempt-runs-once", Field.of("attempt", attempt))) {
-			record.start();
+			record.markStarted();
 			this.running.put(attempt.request(), record);
-			this.replies.add(new StartRun(attempt));
+			this.commands.add(new StartRun(attempt));
 		}
 	}
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/fence/OrderFence.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/fence/OrderFence.java
@@ -20,7 +20,7 @@
  * admits no order until a quorum has confirmed the number of the last order issued;
  * otherwise a restarted sidecar could admit an order of a former leader. Orders must
  * reach the engine one at a time and in the order of their admission, so the next one is
- * admitted only after {@link #ended}. Not thread-safe.
+ * admitted only after {@link #endOrder}. Not thread-safe.
  */
 public final class OrderFence {
 
@@ -32,11 +32,11 @@
 
 	private final DecisionListener decisions;
 
-	private FencingNumber present = FencingNumber.ZERO;
+	private FencingNumber currentNumber = FencingNumber.ZERO;
 
-	private boolean learnt;
+	private boolean floorConfirmed;
 
-	private boolean busy;
+	private boolean orderInProgress;
 
 	/**
 	 * Creates a fence without a known number.
@@ -56,10 +56,10 @@
 	 * @param floor the lowest number to admit; a lower one than the current number has no
 	 * effect
 	 */
-	public void learnFloor(FencingNumber floor) {
+	public void raiseFloor(FencingNumber floor) {
 		Preconditions.notNull(floor, "floor");
-		this.learnt = true;
-		this.present = this.present.isBefore(floor) ? floor : this.present;
+		this.floorConfirmed = true;
+		this.currentNumber = this.currentNumber.isBefore(floor) ? floor : this.currentNumber;
 	}
 
 	/**
@@ -72,15 +72,15 @@
 	 */
 	public Result<FencingNumber> admit(FencingNumber number) {
 		Preconditions.notNull(number, "number");
-		if (this.engine == EngineFencing.CHECKED_BY_SIDECAR && !this.learnt) {
+		if (this.engine == EngineFencing.CHECKED_BY_SIDECAR && !this.floorConfirmed) {
 			return refuse(number, ErrorCode.UNAVAILABLE,
 					"the current fencing number is not yet confirmed by a quorum; retry");
 		}
-		if (number.isBefore(this.present)) {
+		if (number.isBefore(this.currentNumber)) {
 			return refuse(number, ErrorCode.FENCED,
-					"the order's fencing number is lower than the current number " + this.present);
+					"the order's fencing number is lower than the current number " + this.currentNumber);
 		}
-		if (this.busy) {
+		if (this.orderInProgress) {
 			return refuse(number, ErrorCode.OVERLOADED, "an earlier order has not ended; retry");
 		}
 		return accept(number);
@@ -90,16 +90,16 @@
 	 * Records that the engine has ended the admitted order, so that the next one may be
 	 * admitted.
 	 */
-	public void ended() {
-		this.busy = false;
+	public void endOrder() {
+		this.orderInProgress = false;
 	}
 
 	/**
 	 * Returns the highest number admitted or confirmed by a quorum.
 	 * @return the number
 	 */
-	public FencingNumber present() {
-		return this.present;
+	public FencingNumber currentNumber() {
+		return this.currentNumber;
 	}
 
 	/**
@@ -108,29 +108,30 @@
 	 * itself
 	 */
 	public boolean isReady() {
-		return this.learnt || this.engine == EngineFencing.CHECKED_BY_ENGINE;
+		return this.floorConfirmed || this.engine == EngineFencing.CHECKED_BY_ENGINE;
 	}
 
 	private Result<FencingNumber> accept(FencingNumber number) {
-		if (!this.invariants.holds(!number.isBefore(this.present), "order-number-never-back",
-				Field.of("present", this.present), Field.of("offered", number))) {
+		if (!this.invariants.holds(!number.isBefore(this.currentNumber), "order-number-never-back",
+				Field.of("present", this.currentNumber), Field.of("offered", number))) {
 			return refuse(number, ErrorCode.INVARIANT,
-					"the order would decrease the current fencing number " + this.present);
+					"the order would decrease the current fencing number " + this.currentNumber);
 		}
-		this.present = number;
-		this.busy = true;
-		decide(number, "admitted");
+		this.currentNumber = number;
+		this.orderInProgress = true;
+		recordDecision(number, "admitted");
 		return Result.success(number);
 	}
 
 	private Result<FencingNumber> refuse(FencingNumber number, ErrorCode code, String reason) {
-		decide(number, "refused");
+		recordDecision(number, "refused");
 		return Result.failure(OperationError.local(code, Step.ORDER, reason));
 	}
 
-	private void decide(FencingNumber number, String result) {
-		this.decisions.onDecision(DecisionRecord.of(DecisionKind.ORDER, this.self.value(), result,
-				Field.of("number", number), Field.of("present", this.present), Field.of("learnt", this.learnt)));
+	private void recordDecision(FencingNumber number, String result) {
+		this.decisions
+			.onDecision(DecisionRecord.of(DecisionKind.ORDER, this.self.value(), result, Field.of("number", number),
+					Field.of("present", this.currentNumber), Field.of("learnt", this.floorConfirmed)));
 	}
 
 }
--- a/comfreywall-sidecar/src/test/java/org/comfreywall/sidecar/fence/OrderFenceTests.java
+++ b/comfreywall-sidecar/src/test/java/org/comfreywall/sidecar/fence/OrderFenceTests.java
@@ -36,38 +36,38 @@
 
 	@Test
 	void rejectsOrderBelowConfirmedNumber() {
-		this.fence.learnFloor(number(3, 5));
+		this.fence.raiseFloor(number(3, 5));
 		assertThat(code(this.fence.admit(number(3, 4)))).isEqualTo(ErrorCode.FENCED);
 	}
 
 	@Test
 	void rejectsOrderOfOlderTerm() {
-		this.fence.learnFloor(number(1, 0));
+		this.fence.raiseFloor(number(1, 0));
 		this.fence.admit(number(2, 1));
-		this.fence.ended();
+		this.fence.endOrder();
 		assertThat(code(this.fence.admit(number(1, 99)))).isEqualTo(ErrorCode.FENCED);
 	}
 
 	@Test
 	void admitsSameOrderAgainAfterItEnded() {
-		this.fence.learnFloor(number(1, 0));
+		this.fence.raiseFloor(number(1, 0));
 		this.fence.admit(number(2, 1));
-		this.fence.ended();
+		this.fence.endOrder();
 		assertThat(this.fence.admit(number(2, 1)).value()).contains(number(2, 1));
 	}
 
 	@Test
 	void admitsOneOrderAtATime() {
-		this.fence.learnFloor(number(1, 0));
+		this.fence.raiseFloor(number(1, 0));
 		this.fence.admit(number(2, 1));
 		assertThat(code(this.fence.admit(number(2, 2)))).isEqualTo(ErrorCode.OVERLOADED);
 	}
 
 	@Test
 	void keepsCurrentNumberWhenLowerFloorArrivesLate() {
-		this.fence.learnFloor(number(3, 5));
-		this.fence.learnFloor(number(2, 1));
-		assertThat(this.fence.present()).isEqualTo(number(3, 5));
+		this.fence.raiseFloor(number(3, 5));
+		this.fence.raiseFloor(number(2, 1));
+		assertThat(this.fence.currentNumber()).isEqualTo(number(3, 5));
 	}
 
 	@Test
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/ConnectionTimes.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/ConnectionTimeouts.java
@@ -14,14 +14,14 @@
  * closed
  * @param connectTimeout the time allowed for opening a connection
  */
-public record ConnectionTimes(Duration heartbeatInterval, Duration suspicionTimeout, Duration idleTimeout,
+public record ConnectionTimeouts(Duration heartbeatInterval, Duration suspicionTimeout, Duration idleTimeout,
 		Duration connectTimeout) {
 
 	/** Defaults for links within a region. */
-	public static final ConnectionTimes DEFAULT = new ConnectionTimes(Duration.ofMillis(300), Duration.ofMillis(900),
-			Duration.ofMillis(2000), Duration.ofMillis(1000));
+	public static final ConnectionTimeouts DEFAULT = new ConnectionTimeouts(Duration.ofMillis(300),
+			Duration.ofMillis(900), Duration.ofMillis(2000), Duration.ofMillis(1000));
 
-	public ConnectionTimes {
+	public ConnectionTimeouts {
 		Preconditions.notNull(heartbeatInterval, "heartbeatInterval");
 		Preconditions.notNull(suspicionTimeout, "suspicionTimeout");
 		Preconditions.notNull(idleTimeout, "idleTimeout");
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerConnection.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerConnection.java
@@ -53,7 +53,7 @@
 		this.channel.close();
 	}
 
-	void identify(PeerIdentity identity) {
+	void setPeer(PeerIdentity identity) {
 		this.peer = identity;
 	}
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerHandler.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerHandler.java
@@ -25,7 +25,7 @@
  */
 final class PeerHandler extends SimpleChannelInboundHandler<Frame> {
 
-	static final int VERSION = 1;
+	static final int PROTOCOL_VERSION = 1;
 
 	private static final EventLog LOG = EventLog.of(PeerHandler.class);
 
@@ -35,7 +35,7 @@
 
 	private final PeerIdentity self;
 
-	private final ConnectionTimes times;
+	private final ConnectionTimeouts timeouts;
 
 	private final PeerListener listener;
 
@@ -43,38 +43,39 @@
 
 	private Future<?> heartbeat;
 
-	private long lastRead;
+	private long lastReadNanos;
 
-	private OperationError reason;
+	private OperationError closeReason;
 
-	PeerHandler(PeerIdentity self, ConnectionTimes timeouts, PeerListener listener) {
+	PeerHandler(PeerIdentity self, ConnectionTimeouts timeouts, PeerListener listener) {
 		this.self = self;
-		this.times = timeouts;
+		this.timeouts = timeouts;
 		this.listener = listener;
 	}
 
 	@Override
 	public void channelActive(ChannelHandlerContext context) {
 		this.connection = new PeerConnection(context.channel());
-		this.lastRead = System.nanoTime();
-		long interval = this.times.heartbeatInterval().toNanos();
+		this.lastReadNanos = System.nanoTime();
+		long interval = this.timeouts.heartbeatInterval().toNanos();
 		this.heartbeat = context.executor()
-			.scheduleAtFixedRate(() -> beat(context), interval, interval, TimeUnit.NANOSECONDS);
-		context.writeAndFlush(greeting());
+			.scheduleAtFixedRate(() -> checkAndSendHeartbeat(context), interval, interval, TimeUnit.NANOSECONDS);
+		context.writeAndFlush(createHello());
 	}
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, Frame frame) {
-		this.lastRead = System.nanoTime();
+		this.lastReadNanos = System.nanoTime();
 		if (this.connection.peer().isEmpty()) {
-			greet(context, frame);
+			handleHello(context, frame);
 			return;
 		}
 		switch (frame.getBodyCase()) {
 			case PING -> context.writeAndFlush(PONG);
 			case PONG -> {
 			}
-			case HELLO, BODY_NOT_SET -> fail(context, ErrorCode.MALFORMED, "unexpected frame " + frame.getBodyCase());
+			case HELLO, BODY_NOT_SET ->
+				closeWithError(context, ErrorCode.MALFORMED, "unexpected frame " + frame.getBodyCase());
 			default -> this.listener.onFrame(this.connection, frame);
 		}
 	}
@@ -82,7 +83,8 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		boolean malformed = cause instanceof DecoderException;
-		fail(context, malformed ? ErrorCode.MALFORMED : ErrorCode.CONNECTION_LOST, String.valueOf(cause.getMessage()));
+		closeWithError(context, malformed ? ErrorCode.MALFORMED : ErrorCode.CONNECTION_LOST,
+				String.valueOf(cause.getMessage()));
 	}
 
 	@Override
@@ -90,43 +92,44 @@
 		if (this.heartbeat != null) {
 			this.heartbeat.cancel(false);
 		}
-		if (this.reason == null) {
-			this.reason = error(ErrorCode.CONNECTION_LOST, "connection closed");
+		if (this.closeReason == null) {
+			this.closeReason = error(ErrorCode.CONNECTION_LOST, "connection closed");
 		}
-		this.listener.onClosed(this.connection, this.reason);
+		this.listener.onClosed(this.connection, this.closeReason);
 	}
 
-	private void greet(ChannelHandlerContext context, Frame frame) {
+	private void handleHello(ChannelHandlerContext context, Frame frame) {
 		if (!frame.hasHello()) {
-			fail(context, ErrorCode.MALFORMED, "expected HELLO as the first frame but received " + frame.getBodyCase());
+			closeWithError(context, ErrorCode.MALFORMED,
+					"expected HELLO as the first frame but received " + frame.getBodyCase());
 			return;
 		}
 		Hello hello = frame.getHello();
-		if (hello.getVersion() != VERSION || hello.getInstance().isBlank()) {
-			fail(context, ErrorCode.MALFORMED, "unsupported protocol version " + hello.getVersion());
+		if (hello.getVersion() != PROTOCOL_VERSION || hello.getInstance().isBlank()) {
+			closeWithError(context, ErrorCode.MALFORMED, "unsupported protocol version " + hello.getVersion());
 			return;
 		}
 		this.connection
-			.identify(new PeerIdentity(InstanceId.of(hello.getInstance()), Incarnation.of(hello.getIncarnation())));
+			.setPeer(new PeerIdentity(InstanceId.of(hello.getInstance()), Incarnation.of(hello.getIncarnation())));
 		this.listener.onOpen(this.connection);
 	}
 
-	private void beat(ChannelHandlerContext context) {
-		long idleNanos = System.nanoTime() - this.lastRead;
-		if (idleNanos > this.times.idleTimeout().toNanos()) {
-			fail(context, ErrorCode.CONNECTION_LOST,
+	private void checkAndSendHeartbeat(ChannelHandlerContext context) {
+		long idleNanos = System.nanoTime() - this.lastReadNanos;
+		if (idleNanos > this.timeouts.idleTimeout().toNanos()) {
+			closeWithError(context, ErrorCode.CONNECTION_LOST,
 					"no frame from the peer for " + TimeUnit.NANOSECONDS.toMillis(idleNanos) + " ms");
 			return;
 		}
-		if (idleNanos > this.times.suspicionTimeout().toNanos()) {
-			this.listener.onSuspicion(this.connection);
+		if (idleNanos > this.timeouts.suspicionTimeout().toNanos()) {
+			this.listener.onSuspected(this.connection);
 		}
 		context.writeAndFlush(PING);
 	}
 
-	private void fail(ChannelHandlerContext context, ErrorCode code, String message) {
-		if (this.reason == null) {
-			this.reason = error(code, message);
+	private void closeWithError(ChannelHandlerContext context, ErrorCode code, String message) {
+		if (this.closeReason == null) {
+			this.closeReason = error(code, message);
 			LOG.warn("connection-failed", Field.of("peer", peerName()), Field.of("code", code),
 					Field.of("reason", message));
 		}
@@ -143,9 +146,9 @@
 		return this.connection.peer().map((peer) -> peer.instance().value()).orElse("unidentified");
 	}
 
-	private Frame greeting() {
+	private Frame createHello() {
 		Hello hello = Hello.newBuilder()
-			.setVersion(VERSION)
+			.setVersion(PROTOCOL_VERSION)
 			.setInstance(this.self.instance().value())
 			.setIncarnation(this.self.incarnation().value())
 			.build();
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLink.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLink.java
@@ -109,18 +109,18 @@
 			}
 			this.connecting = true;
 		}
-		this.transport.connect(this.address, this.events).thenAccept(this::connected);
+		this.transport.connect(this.address, this.events).thenAccept(this::handleConnectResult);
 	}
 
-	private void connected(boolean success) {
+	private void handleConnectResult(boolean success) {
 		if (success) {
 			return;
 		}
-		this.listener.onDown(unreachable());
-		retryLater();
+		this.listener.onDown(connectError());
+		scheduleReconnect();
 	}
 
-	private void retryLater() {
+	private void scheduleReconnect() {
 		long delay;
 		synchronized (this) {
 			this.connecting = false;
@@ -130,10 +130,10 @@
 			delay = ThreadLocalRandom.current().nextLong(this.backoffMillis) + 1;
 			this.backoffMillis = Math.min(this.backoffMillis * 2, MAX_BACKOFF_MILLIS);
 		}
-		this.transport.loops().schedule(this::connect, delay, TimeUnit.MILLISECONDS);
+		this.transport.eventLoops().schedule(this::connect, delay, TimeUnit.MILLISECONDS);
 	}
 
-	private OperationError unreachable() {
+	private OperationError connectError() {
 		return OperationError.local(ErrorCode.CONNECTION_LOST, Step.SEND, "cannot connect to " + this.address);
 	}
 
@@ -165,7 +165,7 @@
 		}
 
 		@Override
-		public void onSuspicion(PeerConnection connection) {
+		public void onSuspected(PeerConnection connection) {
 			if (current().filter(connection::equals).isPresent()) {
 				connect();
 			}
@@ -183,7 +183,7 @@
 				}
 			}
 			if (handshakeFailed) {
-				retryLater();
+				scheduleReconnect();
 			}
 			if (wasCurrent) {
 				PeerLink.this.listener.onDown(reason);
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerListener.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerListener.java
@@ -28,7 +28,7 @@
 	 * suspicion timeout.
 	 * @param connection the connection
 	 */
-	default void onSuspicion(PeerConnection connection) {
+	default void onSuspected(PeerConnection connection) {
 	}
 
 	/**
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsFiles.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsFiles.java
@@ -29,7 +29,7 @@
 	 * @return the times, in the order of the record's components
 	 * @throws IOException if the attributes of a file cannot be read
 	 */
-	public List<FileTime> modified() throws IOException {
+	public List<FileTime> modificationTimes() throws IOException {
 		List<FileTime> times = new ArrayList<>();
 		for (Path file : List.of(this.certificate, this.key, this.trust)) {
 			times.add(Files.getLastModifiedTime(file));
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
@@ -49,7 +49,7 @@
 	public static Result<TlsSecurity> from(TlsFiles files) {
 		Preconditions.notNull(files, "files");
 		try {
-			return Result.success(new TlsSecurity(files, load(files)));
+			return Result.success(new TlsSecurity(files, loadContexts(files)));
 		}
 		catch (IOException | IllegalArgumentException ex) {
 			return Result.failure(OperationError.local(ErrorCode.INVALID_INPUT, Step.SETTINGS,
@@ -58,19 +58,19 @@
 	}
 
 	@Override
-	public List<ChannelHandler> server(Channel channel) {
-		return List.of(current().serverContext().newHandler(channel.alloc()));
+	public List<ChannelHandler> serverHandlers(Channel channel) {
+		return List.of(currentContexts().serverContext().newHandler(channel.alloc()));
 	}
 
 	@Override
-	public List<ChannelHandler> client(Channel channel) {
-		return List.of(current().clientContext().newHandler(channel.alloc()));
+	public List<ChannelHandler> clientHandlers(Channel channel) {
+		return List.of(currentContexts().clientContext().newHandler(channel.alloc()));
 	}
 
-	private synchronized Contexts current() {
+	private synchronized Contexts currentContexts() {
 		try {
-			if (!this.files.modified().equals(this.contexts.modified())) {
-				this.contexts = load(this.files);
+			if (!this.files.modificationTimes().equals(this.contexts.modificationTimes())) {
+				this.contexts = loadContexts(this.files);
 				LOG.info("tls-files-reloaded", Field.of("certificate", this.files.certificate()));
 			}
 		}
@@ -80,8 +80,8 @@
 		return this.contexts;
 	}
 
-	private static Contexts load(TlsFiles files) throws IOException {
-		List<FileTime> modified = files.modified();
+	private static Contexts loadContexts(TlsFiles files) throws IOException {
+		List<FileTime> modified = files.modificationTimes();
 		return new Contexts(modified, createServerContext(files), createClientContext(files));
 	}
 
@@ -103,11 +103,11 @@
 	/**
 	 * TLS contexts with the file versions they were loaded from.
 	 *
-	 * @param modified the modification times of the files
+	 * @param modificationTimes the modification times of the files
 	 * @param serverContext the context for accepted connections
 	 * @param clientContext the context for connections opened by this process
 	 */
-	private record Contexts(List<FileTime> modified, SslContext serverContext, SslContext clientContext) {
+	private record Contexts(List<FileTime> modificationTimes, SslContext serverContext, SslContext clientContext) {
 
 	}
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
@@ -24,11 +24,11 @@
 
 	private final PeerIdentity self;
 
-	private final ConnectionTimes times;
+	private final ConnectionTimeouts timeouts;
 
 	private final TransportSecurity security;
 
-	private final EventLoopGroup loops;
+	private final EventLoopGroup eventLoops;
 
 	/**
 	 * Creates a transport.
@@ -37,12 +37,12 @@
 	 * @param security how connections are secured
 	 * @param threads the number of event loops, at least 1
 	 */
-	public Transport(PeerIdentity self, ConnectionTimes timeouts, TransportSecurity security, int threads) {
+	public Transport(PeerIdentity self, ConnectionTimeouts timeouts, TransportSecurity security, int threads) {
 		this.self = Preconditions.notNull(self, "self");
-		this.times = Preconditions.notNull(timeouts, "timeouts");
+		this.timeouts = Preconditions.notNull(timeouts, "timeouts");
 		this.security = Preconditions.notNull(security, "security");
 		Preconditions.check(threads >= 1, "threads must be at least 1: %d", threads);
-		this.loops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+		this.eventLoops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
 	}
 
 	/**
@@ -57,8 +57,8 @@
 	 * Returns the heartbeat interval and the timeouts of connections.
 	 * @return the timeouts
 	 */
-	public ConnectionTimes times() {
-		return this.times;
+	public ConnectionTimeouts timeouts() {
+		return this.timeouts;
 	}
 
 	/**
@@ -70,12 +70,12 @@
 	public TransportServer listen(HostPort address, PeerListener listener) {
 		Preconditions.notNull(address, "address");
 		Preconditions.notNull(listener, "listener");
-		ServerBootstrap bootstrap = new ServerBootstrap().group(this.loops)
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.eventLoops)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childHandler(new PeerChannelInitializer(this.security::server,
-					() -> new PeerHandler(this.self, this.times, listener)));
+			.childHandler(new PeerChannelInitializer(this.security::serverHandlers,
+					() -> new PeerHandler(this.self, this.timeouts, listener)));
 		Channel channel = bootstrap.bind(socketAddress(address)).syncUninterruptibly().channel();
 		return new TransportServer(channel);
 	}
@@ -91,20 +91,20 @@
 	public CompletableFuture<Boolean> connect(HostPort address, PeerListener listener) {
 		Preconditions.notNull(address, "address");
 		Preconditions.notNull(listener, "listener");
-		Bootstrap bootstrap = new Bootstrap().group(this.loops)
+		Bootstrap bootstrap = new Bootstrap().group(this.eventLoops)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) this.times.connectTimeout().toMillis())
-			.handler(new PeerChannelInitializer(this.security::client,
-					() -> new PeerHandler(this.self, this.times, listener)));
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) this.timeouts.connectTimeout().toMillis())
+			.handler(new PeerChannelInitializer(this.security::clientHandlers,
+					() -> new PeerHandler(this.self, this.timeouts, listener)));
 		CompletableFuture<Boolean> connected = new CompletableFuture<>();
 		ChannelFuture future = bootstrap.connect(socketAddress(address));
 		future.addListener((done) -> connected.complete(done.isSuccess()));
 		return connected;
 	}
 
-	EventLoopGroup loops() {
-		return this.loops;
+	EventLoopGroup eventLoops() {
+		return this.eventLoops;
 	}
 
 	/**
@@ -112,7 +112,7 @@
 	 */
 	@Override
 	public void close() {
-		this.loops.shutdownGracefully(0, this.times.connectTimeout().toMillis(), TimeUnit.MILLISECONDS)
+		this.eventLoops.shutdownGracefully(0, this.timeouts.connectTimeout().toMillis(), TimeUnit.MILLISECONDS)
 			.syncUninterruptibly();
 	}
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TransportSecurity.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TransportSecurity.java
@@ -14,12 +14,12 @@
 	TransportSecurity PLAIN = new TransportSecurity() {
 
 		@Override
-		public List<ChannelHandler> server(Channel channel) {
+		public List<ChannelHandler> serverHandlers(Channel channel) {
 			return List.of();
 		}
 
 		@Override
-		public List<ChannelHandler> client(Channel channel) {
+		public List<ChannelHandler> clientHandlers(Channel channel) {
 			return List.of();
 		}
 
@@ -30,13 +30,13 @@
 	 * @param channel the connection's channel
 	 * @return the handlers, starting with the one nearest to the network
 	 */
-	List<ChannelHandler> server(Channel channel);
+	List<ChannelHandler> serverHandlers(Channel channel);
 
 	/**
 	 * Returns the handlers for a connection opened by this process.
 	 * @param channel the connection's channel
 	 * @return the handlers, starting with the one nearest to the network
 	 */
-	List<ChannelHandler> client(Channel channel);
+	List<ChannelHandler> clientHandlers(Channel channel);
 
 }
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlClient.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlClient.java
@@ -42,7 +42,7 @@
 
 	private final SerialWorker worker;
 
-	private volatile int preferred;
+	private volatile int preferredIndex;
 
 	/**
 	 * Creates a client and starts connecting.
@@ -95,7 +95,7 @@
 			Q request, Duration timeout) {
 		CompletableFuture<Result<R>> done = new CompletableFuture<>();
 		long deadline = System.nanoTime() + timeout.toNanos();
-		new LeaderCall<>(method, request, deadline, done).attempt();
+		new LeaderCall<>(method, request, deadline, done).sendAttempt();
 		return done;
 	}
 
@@ -109,7 +109,7 @@
 	 * @param timeout the longest time to wait for the reply
 	 * @return completes with the reply or an error
 	 */
-	public <Q extends Message, R extends Message> CompletableFuture<Result<R>> callOne(int index,
+	public <Q extends Message, R extends Message> CompletableFuture<Result<R>> callInstance(int index,
 			RpcMethod<Q, R> method, Q request, Duration timeout) {
 		return this.clients.get(Math.floorMod(index, this.clients.size())).call(method, request, timeout);
 	}
@@ -124,8 +124,8 @@
 	 * @param timeout the longest time to wait for the reply
 	 * @return completes with the reply or an error
 	 */
-	public <Q extends Message, R extends Message> CompletableFuture<Result<R>> callLast(RpcMethod<Q, R> method,
-			Q request, Duration timeout) {
+	public <Q extends Message, R extends Message> CompletableFuture<Result<R>> callReserveGrantor(
+			RpcMethod<Q, R> method, Q request, Duration timeout) {
 		Comparator<RpcClient> byName = Comparator
 			.comparing((client) -> client.peer().map((peer) -> peer.instance().value()).orElse(""));
 		RpcClient last = this.clients.stream().max(byName).orElseThrow();
@@ -136,7 +136,7 @@
 	 * Returns the number of control instances.
 	 * @return the count
 	 */
-	public int size() {
+	public int instanceCount() {
 		return this.clients.size();
 	}
 
@@ -145,7 +145,7 @@
 		this.clients.forEach(RpcClient::close);
 	}
 
-	private void prefer(Optional<InstanceId> leader, int tried) {
+	private void updatePreferred(Optional<InstanceId> leader, int tried) {
 		int next = (tried + 1) % this.clients.size();
 		for (int i = 0; i < this.clients.size(); i++) {
 			Optional<InstanceId> instance = this.clients.get(i).peer().map(PeerIdentity::instance);
@@ -153,7 +153,7 @@
 				next = i;
 			}
 		}
-		this.preferred = next;
+		this.preferredIndex = next;
 	}
 
 	private static Bytes bytes(ByteString value) {
@@ -183,29 +183,29 @@
 			this.done = done;
 		}
 
-		void attempt() {
-			int tried = ControlClient.this.preferred;
+		void sendAttempt() {
+			int tried = ControlClient.this.preferredIndex;
 			Duration remaining = Duration.ofNanos(Math.max(1, this.deadline - System.nanoTime()));
 			Duration timeout = (remaining.compareTo(ATTEMPT_TIMEOUT) < 0) ? remaining : ATTEMPT_TIMEOUT;
 			ControlClient.this.clients.get(tried)
 				.call(this.method, this.request, timeout)
-				.thenAccept((result) -> settle(tried, result));
+				.thenAccept((result) -> handleResult(tried, result));
 		}
 
-		private void settle(int tried, Result<R> result) {
+		private void handleResult(int tried, Result<R> result) {
 			Optional<OperationError> error = result.error().filter(this::isRetryable);
 			if (error.isEmpty()) {
 				this.done.complete(result);
 				return;
 			}
-			prefer(error.get().peer(), tried);
+			updatePreferred(error.get().peer(), tried);
 			if (System.nanoTime() + RETRY_DELAY.toNanos() >= this.deadline) {
 				this.done.complete(Result.failure(OperationError.local(ErrorCode.UNAVAILABLE, Step.REPLICATE,
 						"no leader among the control instances replied before the deadline; last error: "
 								+ error.get().message())));
 				return;
 			}
-			ControlClient.this.worker.after(RETRY_DELAY, this::attempt);
+			ControlClient.this.worker.schedule(RETRY_DELAY, this::sendAttempt);
 		}
 
 		private boolean isRetryable(OperationError error) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlMethods.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlMethods.java
@@ -34,12 +34,12 @@
 			HeartbeatRequest.parser(), HeartbeatReply.parser());
 
 	/** Requests a permit to run a request alongside others with the same fingerprint. */
-	public static final RpcMethod<FlightRequest, FlightReply> ASK_FLIGHT = new RpcMethod<>("control.ask-flight",
-			FlightRequest.parser(), FlightReply.parser());
+	public static final RpcMethod<FlightRequest, FlightReply> REQUEST_FLIGHT_PERMIT = new RpcMethod<>(
+			"control.ask-flight", FlightRequest.parser(), FlightReply.parser());
 
 	/** Reports the result of a permitted run. */
-	public static final RpcMethod<FlightEndRequest, FlightEndReply> END_FLIGHT = new RpcMethod<>("control.end-flight",
-			FlightEndRequest.parser(), FlightEndReply.parser());
+	public static final RpcMethod<FlightEndRequest, FlightEndReply> REPORT_FLIGHT_END = new RpcMethod<>(
+			"control.end-flight", FlightEndRequest.parser(), FlightEndReply.parser());
 
 	/** Requests leases of limits; handled by the leader or by the reserve grantor. */
 	public static final RpcMethod<LeaseCall, LeaseReply> LEASE = new RpcMethod<>("control.lease", LeaseCall.parser(),
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcClient.java
@@ -42,13 +42,13 @@
 
 	private static final EventLog LOG = EventLog.of(RpcClient.class);
 
-	private static final int MAX_PENDING = 10_000;
+	private static final int MAX_PENDING_CALLS = 10_000;
 
-	private final AtomicLong ids = new AtomicLong();
+	private final AtomicLong lastCallId = new AtomicLong();
 
-	private final Map<Long, CompletableFuture<Result<ByteString>>> pending = new ConcurrentHashMap<>();
+	private final Map<Long, CompletableFuture<Result<ByteString>>> pendingCalls = new ConcurrentHashMap<>();
 
-	private final Map<String, NoticeHandler> topics = new ConcurrentHashMap<>();
+	private final Map<String, NoticeHandler> noticeHandlers = new ConcurrentHashMap<>();
 
 	private final CompletableFuture<Void> firstConnection = new CompletableFuture<>();
 
@@ -94,7 +94,7 @@
 	 * @param handler receives its notices
 	 */
 	public void register(String topic, NoticeHandler handler) {
-		this.topics.put(Preconditions.notBlank(topic, "topic"), Preconditions.notNull(handler, "handler"));
+		this.noticeHandlers.put(Preconditions.notBlank(topic, "topic"), Preconditions.notNull(handler, "handler"));
 	}
 
 	/**
@@ -125,13 +125,13 @@
 		Preconditions.notNull(request, "request");
 		Preconditions.notNull(timeout, "timeout");
 		Optional<PeerConnection> connection = this.link.current();
-		if (connection.isEmpty() || this.pending.size() >= MAX_PENDING) {
+		if (connection.isEmpty() || this.pendingCalls.size() >= MAX_PENDING_CALLS) {
 			return CompletableFuture
 				.completedFuture(failure(ErrorCode.UNAVAILABLE, "not connected, or too many pending calls"));
 		}
-		long id = this.ids.incrementAndGet();
+		long id = this.lastCallId.incrementAndGet();
 		CompletableFuture<Result<ByteString>> reply = new CompletableFuture<>();
-		this.pending.put(id, reply);
+		this.pendingCalls.put(id, reply);
 		Call call = Call.newBuilder().setId(id).setMethod(method.name()).setPayload(request.toByteString()).build();
 		connection.get().send(Frame.newBuilder().setCall(call).build());
 		return reply
@@ -139,7 +139,7 @@
 					failure(ErrorCode.DEADLINE_EXCEEDED,
 							"no reply to " + method.name() + " within " + timeout.toMillis() + " ms"),
 					timeout.toNanos(), TimeUnit.NANOSECONDS)
-			.whenComplete((result, ex) -> this.pending.remove(id))
+			.whenComplete((result, ex) -> this.pendingCalls.remove(id))
 			.thenApply((result) -> result.flatMap((payload) -> decode(method.replyParser(), payload)));
 	}
 
@@ -164,7 +164,7 @@
 	}
 
 	private void failPending(String message) {
-		for (CompletableFuture<Result<ByteString>> reply : List.copyOf(this.pending.values())) {
+		for (CompletableFuture<Result<ByteString>> reply : List.copyOf(this.pendingCalls.values())) {
 			reply.complete(failure(ErrorCode.CONNECTION_LOST, message));
 		}
 	}
@@ -180,8 +180,8 @@
 		@Override
 		public void onFrame(PeerConnection connection, Frame frame) {
 			switch (frame.getBodyCase()) {
-				case REPLY -> complete(connection, frame.getReply());
-				case NOTICE -> notice(connection, frame.getNotice());
+				case REPLY -> completeCall(connection, frame.getReply());
+				case NOTICE -> handleNotice(connection, frame.getNotice());
 				default -> LOG.debug("frame-ignored", Field.of("frame", frame.getBodyCase()));
 			}
 		}
@@ -191,8 +191,8 @@
 			failPending(reason.message());
 		}
 
-		private void complete(PeerConnection connection, Reply reply) {
-			CompletableFuture<Result<ByteString>> call = RpcClient.this.pending.get(reply.getId());
+		private void completeCall(PeerConnection connection, Reply reply) {
+			CompletableFuture<Result<ByteString>> call = RpcClient.this.pendingCalls.get(reply.getId());
 			if (call == null) {
 				return;
 			}
@@ -201,8 +201,8 @@
 					: Result.success(reply.getPayload()));
 		}
 
-		private void notice(PeerConnection connection, Notice notice) {
-			NoticeHandler handler = RpcClient.this.topics.get(notice.getTopic());
+		private void handleNotice(PeerConnection connection, Notice notice) {
+			NoticeHandler handler = RpcClient.this.noticeHandlers.get(notice.getTopic());
 			if (handler != null) {
 				handler.onNotice(connection, notice.getPayload());
 			}
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcServer.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/rpc/RpcServer.java
@@ -32,11 +32,11 @@
 
 	private static final EventLog LOG = EventLog.of(RpcServer.class);
 
-	private final Map<String, Endpoint<?, ?>> methods = new ConcurrentHashMap<>();
+	private final Map<String, Endpoint<?, ?>> endpoints = new ConcurrentHashMap<>();
 
-	private final Map<String, NoticeHandler> topics = new ConcurrentHashMap<>();
+	private final Map<String, NoticeHandler> noticeHandlers = new ConcurrentHashMap<>();
 
-	private volatile PeerListener others = new RefusingListener();
+	private volatile PeerListener defaultListener = new RejectingListener();
 
 	/**
 	 * Registers the handler of a method.
@@ -48,7 +48,7 @@
 	public <Q extends Message, R extends Message> void register(RpcMethod<Q, R> method, RpcHandler<Q, R> handler) {
 		Preconditions.notNull(method, "method");
 		Preconditions.notNull(handler, "handler");
-		this.methods.put(method.name(), new Endpoint<>(method, handler));
+		this.endpoints.put(method.name(), new Endpoint<>(method, handler));
 	}
 
 	/**
@@ -57,55 +57,56 @@
 	 * @param handler receives its notices
 	 */
 	public void register(String topic, NoticeHandler handler) {
-		this.topics.put(Preconditions.notBlank(topic, "topic"), Preconditions.notNull(handler, "handler"));
+		this.noticeHandlers.put(Preconditions.notBlank(topic, "topic"), Preconditions.notNull(handler, "handler"));
 	}
 
 	/**
 	 * Sets the listener for frames that are neither calls nor notices.
 	 * @param listener the listener
 	 */
-	public void otherFrames(PeerListener listener) {
-		this.others = Preconditions.notNull(listener, "listener");
+	public void setDefaultListener(PeerListener listener) {
+		this.defaultListener = Preconditions.notNull(listener, "listener");
 	}
 
 	@Override
 	public void onOpen(PeerConnection connection) {
-		this.others.onOpen(connection);
+		this.defaultListener.onOpen(connection);
 	}
 
 	@Override
 	public void onFrame(PeerConnection connection, Frame frame) {
 		switch (frame.getBodyCase()) {
-			case CALL -> call(connection, frame.getCall());
-			case NOTICE -> notice(connection, frame.getNotice());
-			default -> this.others.onFrame(connection, frame);
+			case CALL -> handleCall(connection, frame.getCall());
+			case NOTICE -> handleNotice(connection, frame.getNotice());
+			default -> this.defaultListener.onFrame(connection, frame);
 		}
 	}
 
 	@Override
-	public void onSuspicion(PeerConnection connection) {
-		this.others.onSuspicion(connection);
+	public void onSuspected(PeerConnection connection) {
+		this.defaultListener.onSuspected(connection);
 	}
 
 	@Override
 	public void onClosed(PeerConnection connection, OperationError reason) {
-		this.others.onClosed(connection, reason);
+		this.defaultListener.onClosed(connection, reason);
 	}
 
-	private void call(PeerConnection connection, Call call) {
-		Endpoint<?, ?> endpoint = this.methods.get(call.getMethod());
+	private void handleCall(PeerConnection connection, Call call) {
+		Endpoint<?, ?> endpoint = this.endpoints.get(call.getMethod());
 		if (endpoint == null) {
 			String message = "this process has no handler for the method " + call.getMethod();
-			reply(connection, call.getId(), error(ErrorCode.NOT_FOUND, message));
+			sendReply(connection, call.getId(), error(ErrorCode.NOT_FOUND, message));
 			return;
 		}
 		PeerIdentity caller = connection.peer().orElseThrow();
 		endpoint.handle(caller, call.getPayload())
-			.whenComplete((result, failure) -> reply(connection, call.getId(), settle(call, result, failure)));
+			.whenComplete(
+					(result, failure) -> sendReply(connection, call.getId(), resultOrFailure(call, result, failure)));
 	}
 
-	private void notice(PeerConnection connection, Notice notice) {
-		NoticeHandler handler = this.topics.get(notice.getTopic());
+	private void handleNotice(PeerConnection connection, Notice notice) {
+		NoticeHandler handler = this.noticeHandlers.get(notice.getTopic());
 		if (handler == null) {
 			LOG.debug("notice-ignored", Field.of("topic", notice.getTopic()));
 			return;
@@ -113,7 +114,7 @@
 		handler.onNotice(connection, notice.getPayload());
 	}
 
-	private static Result<ByteString> settle(Call call, Result<ByteString> result, Throwable failure) {
+	private static Result<ByteString> resultOrFailure(Call call, Result<ByteString> result, Throwable failure) {
 		if (failure == null) {
 			return result;
 		}
@@ -121,7 +122,7 @@
 		return error(ErrorCode.INVARIANT, "the handler failed: " + failure.getMessage());
 	}
 
-	private static void reply(PeerConnection connection, long id, Result<ByteString> result) {
+	private static void sendReply(PeerConnection connection, long id, Result<ByteString> result) {
 		Reply.Builder reply = Reply.newBuilder().setId(id);
 		result.value().ifPresent(reply::setPayload);
 		result.error().ifPresent((error) -> reply.setError(WireErrors.encode(error)));
@@ -157,7 +158,7 @@
 	/**
 	 * Closes connections that send frames for which no listener is set.
 	 */
-	private static final class RefusingListener implements PeerListener {
+	private static final class RejectingListener implements PeerListener {
 
 		@Override
 		public void onFrame(PeerConnection connection, Frame frame) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/worker/SerialWorker.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/worker/SerialWorker.java
@@ -74,7 +74,7 @@
 	 * @param interval the time between runs
 	 * @return a future that cancels further runs
 	 */
-	public ScheduledFuture<?> every(Duration interval, Runnable task) {
+	public ScheduledFuture<?> scheduleAtFixedRate(Duration interval, Runnable task) {
 		long nanos = interval.toNanos();
 		return this.timer.scheduleAtFixedRate(() -> offer(task), nanos, nanos, TimeUnit.NANOSECONDS);
 	}
@@ -86,7 +86,7 @@
 	 * @param task the task
 	 * @return a future that cancels the run
 	 */
-	public ScheduledFuture<?> after(Duration delay, Runnable task) {
+	public ScheduledFuture<?> schedule(Duration delay, Runnable task) {
 		Runnable offerTask = () -> offer(task);
 		return this.timer.schedule(offerTask, delay.toNanos(), TimeUnit.NANOSECONDS);
 	}
--- a/comfreywall-transport/src/test/java/org/comfreywall/transport/MalformedFrameTests.java
+++ b/comfreywall-transport/src/test/java/org/comfreywall/transport/MalformedFrameTests.java
@@ -33,7 +33,7 @@
 
 	private static final int TIMEOUT_MILLIS = 20_000;
 
-	private final ConnectionTimes times = new ConnectionTimes(Duration.ofSeconds(1), Duration.ofSeconds(30),
+	private final ConnectionTimeouts times = new ConnectionTimeouts(Duration.ofSeconds(1), Duration.ofSeconds(30),
 			Duration.ofSeconds(60), Duration.ofSeconds(10));
 
 	private final Transport transport = new Transport(new PeerIdentity(InstanceId.of("server"), Incarnation.of(1)),
@@ -108,7 +108,7 @@
 
 	private static void sendHello(Socket socket) throws IOException {
 		Hello hello = Hello.newBuilder()
-			.setVersion(PeerHandler.VERSION)
+			.setVersion(PeerHandler.PROTOCOL_VERSION)
 			.setInstance("client")
 			.setIncarnation(1)
 			.build();
--- a/comfreywall-transport/src/test/java/org/comfreywall/transport/TlsSecurityTests.java
+++ b/comfreywall-transport/src/test/java/org/comfreywall/transport/TlsSecurityTests.java
@@ -25,8 +25,8 @@
  */
 class TlsSecurityTests {
 
-	private static final ConnectionTimes TIMES = new ConnectionTimes(Duration.ofSeconds(1), Duration.ofSeconds(30),
-			Duration.ofSeconds(60), Duration.ofSeconds(10));
+	private static final ConnectionTimeouts TIMES = new ConnectionTimeouts(Duration.ofSeconds(1),
+			Duration.ofSeconds(30), Duration.ofSeconds(60), Duration.ofSeconds(10));
 
 	private final Closer closer = new Closer();
 
