Point two doc links at the renamed symbols

Change: both links name what stands in the code now. Found by looking up each link's type and member in the sources; no other is left dangling. Comments only.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonCommandCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonCommandCodec.java
@@ -59,7 +59,7 @@
 	/**
 	 * Encodes an operator's command that removes a fingerprint from the ledger.
 	 * @param fingerprint the fingerprint
-	 * @return the encoded command, answered by {@link PoisonAnswerCodec#decodeKnown}
+	 * @return the encoded command, answered by {@link PoisonAnswerCodec#decodeCleared}
 	 */
 	public static Bytes clear(Fingerprint fingerprint) {
 		return encode(PoisonCommandRecord.newBuilder().setClear(PoisonRecords.toRecord(fingerprint)));
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SingleFlightGuardSettings.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/SingleFlightGuardSettings.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Timeouts and capacity of a {@link FlightGuard}.
+ * Timeouts and capacity of a {@link SingleFlightGuard}.
  *
  * @param flightTime how long a first run blocks other requests with the same fingerprint
  * @param memoryTime how long the result of the last run of a fingerprint is cached
