--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/Arrival.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/Arrival.java
@@ -7,16 +7,16 @@
 /**
  * One request of the workload.
  *
- * @param number its number in order of arrival
- * @param at when it arrives, in nanoseconds
- * @param entry the entry instance that it arrives at
+ * @param number the position in order of arrival, from 0
+ * @param at the time of arrival in nanoseconds
+ * @param entry the index of the entry instance that receives the request
  * @param account the client account
- * @param session the session's number
+ * @param session the number of the session
  * @param priority the priority class
- * @param promptTokens the prompt's tokens
- * @param prompt the prompt's blocks
- * @param outputTokens the tokens to generate
- * @param conversation the blocks of prompt and answer
+ * @param promptTokens the number of tokens in the prompt
+ * @param prompt the blocks of the prompt
+ * @param outputTokens the number of tokens to generate
+ * @param conversation the blocks of the prompt and its answer
  */
 record Arrival(int number, long at, int entry, AccountId account, int session, PriorityClass priority, int promptTokens,
 		PromptChain prompt, int outputTokens, PromptChain conversation) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/DecideMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/DecideMeasurement.java
@@ -17,20 +17,20 @@
 import org.openjdk.jmh.runner.options.VerboseMode;
 
 /**
- * Measures time and allocation of single decisions with JMH, one benchmark class for each
- * core.
+ * Measures the mean time and the allocated bytes of one decision with JMH. Runs each
+ * class of this module whose name ends in {@code Benchmark}.
  */
 public final class DecideMeasurement implements Measurement {
 
-	private static final String BENCHMARKS = "org\\.comfreywall\\.bench\\..*Benchmark\\..*";
+	private static final String BENCHMARK_PATTERN = "org\\.comfreywall\\.bench\\..*Benchmark\\..*";
 
-	private static final String ALLOCATION = "gc.alloc.rate.norm";
+	private static final String ALLOCATION_METRIC = "gc.alloc.rate.norm";
 
-	private static final double TARGET_MICROS = 20;
+	private static final double MAX_MICROS = 20;
 
 	@Override
 	public void run(BenchOptions options, Reporter reporter) throws RunnerException {
-		Options jmh = new OptionsBuilder().include(BENCHMARKS)
+		Options jmh = new OptionsBuilder().include(BENCHMARK_PATTERN)
 			.forks(1)
 			.warmupIterations(3)
 			.warmupTime(TimeValue.seconds(1))
@@ -41,16 +41,16 @@
 			.shouldFailOnError(true)
 			.build();
 		Collection<RunResult> results = new Runner(jmh).run();
-		results.forEach((result) -> report(result, reporter));
+		results.forEach((result) -> reportResult(result, reporter));
 	}
 
-	private static void report(RunResult result, Reporter reporter) {
+	private static void reportResult(RunResult result, Reporter reporter) {
 		Result<?> time = result.getPrimaryResult();
-		String name = name(result);
+		String name = benchmarkName(result);
 		double allocated = result.getSecondaryResults()
 			.entrySet()
 			.stream()
-			.filter((entry) -> entry.getKey().endsWith(ALLOCATION))
+			.filter((entry) -> entry.getKey().endsWith(ALLOCATION_METRIC))
 			.mapToDouble((entry) -> entry.getValue().getScore())
 			.findFirst()
 			.orElse(Double.NaN);
@@ -59,10 +59,10 @@
 				Field.of("best-iteration-us", String.format("%.3f", time.getStatistics().getMin())),
 				Field.of("error-us", String.format("%.3f", time.getScoreError())),
 				Field.of("allocated-bytes", String.format("%.0f", allocated)));
-		reporter.atMost("decide-us-" + name, time.getScore(), TARGET_MICROS);
+		reporter.atMost("decide-us-" + name, time.getScore(), MAX_MICROS);
 	}
 
-	private static String name(RunResult result) {
+	private static String benchmarkName(RunResult result) {
 		String benchmark = result.getParams().getBenchmark();
 		String method = benchmark.substring(benchmark.lastIndexOf('.', benchmark.lastIndexOf('.') - 1) + 1);
 		StringBuilder name = new StringBuilder(method);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/EntryPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/EntryPolicy.java
@@ -4,35 +4,52 @@
 import org.comfreywall.entry.route.LoadReport;
 
 /**
- * The way in which one entry instance chooses workers.
+ * The load-balancing policy of one entry instance.
  */
 interface EntryPolicy {
 
 	/**
-	 * Chooses the worker of an arrival, which is then sent there.
-	 * @param arrival the arrival
-	 * @param now the present time in nanoseconds
-	 * @return the worker's index
+	 * Chooses the backend server to which a request is then sent.
+	 * @param arrival the request
+	 * @param now the current time in nanoseconds
+	 * @return the index of the backend server
 	 */
 	int choose(Arrival arrival, long now);
 
+	/**
+	 * Handles the first token of an answer.
+	 * @param arrival the request
+	 * @param now the current time in nanoseconds
+	 */
 	default void firstToken(Arrival arrival, long now) {
 	}
 
-	default void finished(Arrival arrival, int worker, long now) {
+	/**
+	 * Handles the end of an answer.
+	 * @param arrival the request
+	 * @param server the index of the backend server
+	 * @param now the current time in nanoseconds
+	 */
+	default void finished(Arrival arrival, int server, long now) {
 	}
 
-	default void reported(int worker, LoadReport report, long now) {
+	/**
+	 * Handles a load report of a backend server.
+	 * @param server the index of the backend server
+	 * @param report the load report
+	 * @param now the current time in nanoseconds
+	 */
+	default void reported(int server, LoadReport report, long now) {
 	}
 
 	/**
-	 * Takes in a cache event.
-	 * @param worker the worker's index
+	 * Handles a cache event of a backend server.
+	 * @param server the index of the backend server
 	 * @param event the event
-	 * @param now the present time in nanoseconds
-	 * @return whether the worker is asked for a snapshot
+	 * @param now the current time in nanoseconds
+	 * @return whether to request a snapshot of the cache from the backend server
 	 */
-	default boolean cacheChanged(int worker, CacheEvent event, long now) {
+	default boolean cacheChanged(int server, CacheEvent event, long now) {
 		return false;
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/InFlightPowerOfTwoPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/InFlightPowerOfTwoPolicy.java
@@ -3,8 +3,9 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses, of two workers drawn at random, the one with fewer requests of this entry in
- * flight.
+ * Power of two random choices by requests in flight: draws two backend servers at random
+ * and chooses the one with fewer requests in flight from this entry instance. Requests of
+ * other entry instances are not counted.
  */
 final class InFlightPowerOfTwoPolicy implements EntryPolicy {
 
@@ -12,22 +13,22 @@
 
 	private final RandomGenerator random;
 
-	InFlightPowerOfTwoPolicy(int workers, RandomGenerator random) {
-		this.inFlight = new int[workers];
+	InFlightPowerOfTwoPolicy(int servers, RandomGenerator random) {
+		this.inFlight = new int[servers];
 		this.random = random;
 	}
 
 	@Override
 	public int choose(Arrival arrival, long now) {
-		int[] two = this.random.ints(0, this.inFlight.length).distinct().limit(2).toArray();
-		int chosen = (this.inFlight[two[1]] < this.inFlight[two[0]]) ? two[1] : two[0];
+		int[] candidates = this.random.ints(0, this.inFlight.length).distinct().limit(2).toArray();
+		int chosen = (this.inFlight[candidates[1]] < this.inFlight[candidates[0]]) ? candidates[1] : candidates[0];
 		this.inFlight[chosen]++;
 		return chosen;
 	}
 
 	@Override
-	public void finished(Arrival arrival, int worker, long now) {
-		this.inFlight[worker]--;
+	public void finished(Arrival arrival, int server, long now) {
+		this.inFlight[server]--;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/LeastLoadedPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/LeastLoadedPolicy.java
@@ -5,36 +5,38 @@
 import org.comfreywall.entry.route.LoadReport;
 
 /**
- * Chooses the worker with the fewest requests in the lagged reports, among some drawn at
- * random; equal ones at random.
+ * Power of k random choices by reported load: draws backend servers at random and chooses
+ * the one whose last load report has the fewest running and queued requests. If every
+ * backend server is drawn, this is the least loaded of all. Ties are broken at random.
+ * Reports arrive with a delay, so that the load may be outdated.
  */
 final class LeastLoadedPolicy implements EntryPolicy {
 
 	private final int[] requests;
 
-	private final int draws;
+	private final int choices;
 
 	private final RandomGenerator random;
 
-	LeastLoadedPolicy(int workers, int draws, RandomGenerator random) {
-		this.requests = new int[workers];
-		this.draws = draws;
+	LeastLoadedPolicy(int servers, int choices, RandomGenerator random) {
+		this.requests = new int[servers];
+		this.choices = choices;
 		this.random = random;
 	}
 
 	@Override
 	public int choose(Arrival arrival, long now) {
-		int[] order = this.random.ints(0, this.requests.length).distinct().limit(this.draws).toArray();
-		int best = order[0];
-		for (int worker : order) {
-			best = (this.requests[worker] < this.requests[best]) ? worker : best;
+		int[] candidates = this.random.ints(0, this.requests.length).distinct().limit(this.choices).toArray();
+		int best = candidates[0];
+		for (int server : candidates) {
+			best = (this.requests[server] < this.requests[best]) ? server : best;
 		}
 		return best;
 	}
 
 	@Override
-	public void reported(int worker, LoadReport report, long now) {
-		this.requests[worker] = report.running() + report.queued();
+	public void reported(int server, LoadReport report, long now) {
+		this.requests[server] = report.running() + report.queued();
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/Policies.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/Policies.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /**
- * The policies that are compared.
+ * The load-balancing policies that are compared: the router and the baseline policies.
  */
 final class Policies {
 
@@ -15,12 +15,12 @@
 
 	static Map<String, PolicyFactory> baselines() {
 		Map<String, PolicyFactory> policies = new LinkedHashMap<>();
-		policies.put("random", (entry, workers, random) -> (arrival, now) -> random.nextInt(workers));
-		policies.put("round-robin", (entry, workers, random) -> new RoundRobinPolicy(entry, workers));
-		policies.put("least-loaded", (entry, workers, random) -> new LeastLoadedPolicy(workers, workers, random));
-		policies.put("power-of-two", (entry, workers, random) -> new LeastLoadedPolicy(workers, 2, random));
+		policies.put("random", (entry, servers, random) -> (arrival, now) -> random.nextInt(servers));
+		policies.put("round-robin", (entry, servers, random) -> new RoundRobinPolicy(entry, servers));
+		policies.put("least-loaded", (entry, servers, random) -> new LeastLoadedPolicy(servers, servers, random));
+		policies.put("power-of-two", (entry, servers, random) -> new LeastLoadedPolicy(servers, 2, random));
 		policies.put("power-of-two-in-flight",
-				(entry, workers, random) -> new InFlightPowerOfTwoPolicy(workers, random));
+				(entry, servers, random) -> new InFlightPowerOfTwoPolicy(servers, random));
 		return policies;
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/PolicyFactory.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/PolicyFactory.java
@@ -10,11 +10,11 @@
 
 	/**
 	 * Creates a policy.
-	 * @param entry the entry's index
-	 * @param workers the number of workers
+	 * @param entry the index of the entry instance
+	 * @param servers the number of backend servers
 	 * @param random the source of randomness
 	 * @return the policy
 	 */
-	EntryPolicy create(int entry, int workers, RandomGenerator random);
+	EntryPolicy create(int entry, int servers, RandomGenerator random);
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RoundRobinPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RoundRobinPolicy.java
@@ -1,22 +1,22 @@
 package org.comfreywall.bench.routing;
 
 /**
- * Chooses the workers in turn.
+ * Round robin: chooses the backend servers in turn, starting at a given index.
  */
 final class RoundRobinPolicy implements EntryPolicy {
 
-	private final int workers;
+	private final int servers;
 
 	private int next;
 
-	RoundRobinPolicy(int first, int workers) {
-		this.workers = workers;
+	RoundRobinPolicy(int first, int servers) {
+		this.servers = servers;
 		this.next = first;
 	}
 
 	@Override
 	public int choose(Arrival arrival, long now) {
-		return this.next++ % this.workers;
+		return this.next++ % this.servers;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterBenchmark.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterBenchmark.java
@@ -46,20 +46,21 @@
 import org.openjdk.jmh.annotations.State;
 
 /**
- * Time and allocation of one routing decision, its record included.
+ * Measures the time and allocation of one routing decision, including its decision
+ * record.
  */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 public class RouterBenchmark {
 
-	private static final Incarnation LIFE = Incarnation.of(1);
+	private static final Incarnation INCARNATION = Incarnation.of(1);
 
 	private static final int BLOCKS = 40;
 
 	private static final int BLOCK_TOKENS = 64;
 
-	/** The number of backend servers known. */
+	/** The number of backend servers announced to the router. */
 	@Param({ "16", "4400" })
 	public int workers;
 
@@ -72,7 +73,8 @@
 	private int requests;
 
 	/**
-	 * Announces the servers and tells the load and cached prefixes of those in use.
+	 * Announces the backend servers and sends the router a load report and the cached
+	 * prefixes of each backend server in its subset.
 	 */
 	@Setup
 	public void setUp() {
@@ -80,34 +82,34 @@
 		this.router = new Router(InstanceId.of("entry-0"), RouterSettings.DEFAULTS, (domain) -> 500_000, new Random(1),
 				new DecisionHistory(1024));
 		int entries = Math.max(4, this.workers / 4);
-		Set<InstanceId> all = new HashSet<>();
-		IntStream.range(0, entries).forEach((i) -> all.add(InstanceId.of("entry-" + i)));
-		this.router.on(new EntriesChanged(all), 0);
+		Set<InstanceId> entryIds = new HashSet<>();
+		IntStream.range(0, entries).forEach((i) -> entryIds.add(InstanceId.of("entry-" + i)));
+		this.router.on(new EntriesChanged(entryIds), 0);
 		for (int i = 0; i < this.workers; i++) {
-			this.router.on(new ServerAnnounced(BackendServerId.of("worker-" + i), LIFE,
+			this.router.on(new ServerAnnounced(BackendServerId.of("worker-" + i), INCARNATION,
 					FailureDomainId.of("domain-" + i % 20), ServerProfile.DEFAULT), 0);
 		}
 		this.router.on(new TimePassed(), 0);
-		this.router.subset().forEach(this::tell);
+		this.router.subset().forEach(this::reportLoadAndCache);
 	}
 
 	/**
-	 * Chooses a server for a request with a prompt of 40 blocks.
+	 * Chooses a backend server for a request with a prompt of 40 blocks.
 	 * @return the choice
 	 */
 	@Benchmark
 	public Optional<RouteChoice> choose() {
-		return this.router.choose(request(), this.now);
+		return this.router.choose(nextRequest(), this.now);
 	}
 
 	/**
-	 * Chooses a server, sends the request and ends it.
+	 * Chooses a backend server, records the request as sent and as finished.
 	 * @return the choice
 	 */
 	@Benchmark
 	public RouteChoice chooseSendAndEnd() {
 		this.now += 1_000_000;
-		RouteRequest request = request();
+		RouteRequest request = nextRequest();
 		RouteChoice choice = this.router.choose(request, this.now).orElseThrow();
 		AttemptId attempt = new AttemptId(request.request(), 1);
 		this.router.on(new AttemptSent(attempt, request, choice), this.now);
@@ -115,19 +117,20 @@
 		return choice;
 	}
 
-	private RouteRequest request() {
+	private RouteRequest nextRequest() {
 		this.requests++;
 		SessionId session = new SessionId(AccountId.of("account"), "session-" + this.requests % 1000);
 		return new RouteRequest(RequestId.of("request-" + this.requests), PriorityClass.STANDARD,
 				BLOCKS * BLOCK_TOKENS + 100, this.chain, Optional.of(session), Set.of());
 	}
 
-	private void tell(BackendServerId server) {
+	private void reportLoadAndCache(BackendServerId server) {
 		int number = Integer.parseInt(server.value().substring(server.value().indexOf('-') + 1));
-		this.router.on(new LoadReported(new LoadReport(server, LIFE, 1, this.now, number % 32, 0,
+		this.router.on(new LoadReported(new LoadReport(server, INCARNATION, 1, this.now, number % 32, 0,
 				new QueuedTokens(0, number * 100L % 5000, 0), 20_000_000, 8000, 5)), this.now);
-		long[] held = IntStream.range(0, 1 + number % BLOCKS).mapToLong(this.chain::hash).toArray();
-		this.router.on(new CacheEventReceived(new BlocksStored(server, LIFE, 1, BlockHashes.of(held))), this.now);
+		long[] cached = IntStream.range(0, 1 + number % BLOCKS).mapToLong(this.chain::hash).toArray();
+		this.router.on(new CacheEventReceived(new BlocksStored(server, INCARNATION, 1, BlockHashes.of(cached))),
+				this.now);
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterPolicy.java
@@ -28,7 +28,7 @@
 import org.comfreywall.entry.route.SessionId;
 
 /**
- * Chooses with the project's router.
+ * Chooses backend servers with the {@link Router} under test.
  */
 final class RouterPolicy implements EntryPolicy {
 
@@ -36,13 +36,13 @@
 
 	private final Router router;
 
-	RouterPolicy(int entry, int workers, RandomGenerator random) {
+	RouterPolicy(int entry, int servers, RandomGenerator random) {
 		this.router = new Router(InstanceId.of("entry-" + entry), RouterSettings.DEFAULTS,
 				(domain) -> Simulation.oneWayNanos(entry, Integer.parseInt(domain.value())), random,
 				DecisionListener.NONE);
-		for (int worker = 0; worker < workers; worker++) {
-			this.router.on(new ServerAnnounced(Worker.id(worker), Worker.LIFE,
-					FailureDomainId.of(Integer.toString(Simulation.domain(worker))), PROFILE), 0);
+		for (int server = 0; server < servers; server++) {
+			this.router.on(new ServerAnnounced(Worker.id(server), Worker.LIFE,
+					FailureDomainId.of(Integer.toString(Simulation.domain(server))), PROFILE), 0);
 		}
 	}
 
@@ -52,36 +52,36 @@
 				arrival.promptTokens(), arrival.prompt(),
 				Optional.of(new SessionId(arrival.account(), "session-" + arrival.session())), Set.of());
 		RouteChoice choice = this.router.choose(request, now).orElseThrow();
-		this.router.on(new AttemptSent(attempt(arrival), request, choice), now);
-		return index(choice.server());
+		this.router.on(new AttemptSent(attemptId(arrival), request, choice), now);
+		return serverIndex(choice.server());
 	}
 
 	@Override
 	public void firstToken(Arrival arrival, long now) {
-		this.router.on(new FirstTokenReceived(attempt(arrival)), now);
+		this.router.on(new FirstTokenReceived(attemptId(arrival)), now);
 	}
 
 	@Override
-	public void finished(Arrival arrival, int worker, long now) {
-		this.router.on(new AttemptFinished(attempt(arrival)), now);
+	public void finished(Arrival arrival, int server, long now) {
+		this.router.on(new AttemptFinished(attemptId(arrival)), now);
 	}
 
 	@Override
-	public void reported(int worker, LoadReport report, long now) {
+	public void reported(int server, LoadReport report, long now) {
 		this.router.on(new LoadReported(report), now);
 	}
 
 	@Override
-	public boolean cacheChanged(int worker, CacheEvent event, long now) {
+	public boolean cacheChanged(int server, CacheEvent event, long now) {
 		List<?> commands = this.router.on(new CacheEventReceived(event), now);
 		return !commands.isEmpty();
 	}
 
-	private static AttemptId attempt(Arrival arrival) {
+	private static AttemptId attemptId(Arrival arrival) {
 		return new AttemptId(RequestId.of("request-" + arrival.number()), 1);
 	}
 
-	private static int index(BackendServerId server) {
+	private static int serverIndex(BackendServerId server) {
 		return Integer.parseInt(server.value().substring(server.value().indexOf('-') + 1));
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterRandomMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterRandomMeasurement.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Runs a router on random events and counts violations of what must always hold.
+ * Runs a router on random events and reports each violation of its invariants.
  */
 public final class RouterRandomMeasurement implements Measurement {
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterRandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RouterRandomRun.java
@@ -52,8 +52,8 @@
 import org.comfreywall.entry.route.TimePassed;
 
 /**
- * Feeds a router random events, late, doubled and out of order, and checks from outside
- * what must always hold.
+ * Feeds a router random events, some of them late, duplicated or out of order, and checks
+ * its invariants after each event through its public methods.
  */
 final class RouterRandomRun {
 
@@ -71,9 +71,9 @@
 
 	private final Router router;
 
-	private final long[] announced = new long[SERVERS];
+	private final long[] announcedIncarnations = new long[SERVERS];
 
-	private final long[] ended = new long[SERVERS];
+	private final long[] endedIncarnations = new long[SERVERS];
 
 	private final Map<AttemptId, RouteChoice> inFlight = new HashMap<>();
 
@@ -99,10 +99,15 @@
 				DecisionListener.NONE);
 	}
 
+	/**
+	 * Runs random steps until the given number is reached or too many violations are
+	 * found.
+	 * @param steps the number of steps
+	 */
 	void run(long steps) {
 		for (this.step = 1; this.step <= steps && this.violations.size() < MAX_VIOLATIONS; this.step++) {
 			this.now += this.random.nextInt(20_000_000);
-			act();
+			performRandomAction();
 			checkState();
 		}
 	}
@@ -123,45 +128,45 @@
 		return this.ejections;
 	}
 
-	private void act() {
+	private void performRandomAction() {
 		int draw = this.random.nextInt(100);
 		if (draw < 45) {
 			choose();
 		}
 		else if (draw < 75 && !this.attempts.isEmpty()) {
-			attemptEvent();
+			handleRandomAttemptEvent();
 		}
 		else if (draw < 88) {
-			tell(loadOrCache());
+			handleEvent(randomLoadOrCacheEvent());
 		}
 		else {
-			tell(membership());
+			handleEvent(randomMembershipEvent());
 		}
 	}
 
 	private void choose() {
-		RouteRequest request = request();
-		Optional<RouteChoice> choice = this.router.choose(request, this.now);
+		RouteRequest request = randomRequest();
+		Optional<RouteChoice> chosen = this.router.choose(request, this.now);
 		this.choices++;
-		this.refusals += choice.isEmpty() ? 1 : 0;
-		choice.ifPresent((chosen) -> {
-			check(chosen, request);
+		this.refusals += chosen.isEmpty() ? 1 : 0;
+		chosen.ifPresent((choice) -> {
+			checkChoice(choice, request);
 			if (this.random.nextInt(10) > 0) {
 				AttemptId attempt = new AttemptId(request.request(), 1);
-				tell(new AttemptSent(attempt, request, chosen));
-				this.inFlight.put(attempt, chosen);
+				handleEvent(new AttemptSent(attempt, request, choice));
+				this.inFlight.put(attempt, choice);
 				this.attempts.add(attempt);
 			}
 		});
 	}
 
-	private void check(RouteChoice chosen, RouteRequest request) {
-		int index = index(chosen.server());
-		long life = chosen.incarnation().value();
-		require(life == this.announced[index], "unknown-life-chosen");
-		require(life > this.ended[index], "leaving-or-ended-server-chosen");
-		require(!request.excluded().contains(chosen.server()), "excluded-server-chosen");
-		require(!this.router.ejected(this.now).contains(chosen.server()), "ejected-server-chosen");
+	private void checkChoice(RouteChoice choice, RouteRequest request) {
+		int index = serverIndex(choice.server());
+		long incarnation = choice.incarnation().value();
+		require(incarnation == this.announcedIncarnations[index], "unknown-life-chosen");
+		require(incarnation > this.endedIncarnations[index], "leaving-or-ended-server-chosen");
+		require(!request.excluded().contains(choice.server()), "excluded-server-chosen");
+		require(!this.router.ejected(this.now).contains(choice.server()), "ejected-server-chosen");
 	}
 
 	private void checkState() {
@@ -171,10 +176,10 @@
 		require(ejected.size() <= Math.floor(SETTINGS.ejection().maxEjectedShare() * this.router.subset().size()),
 				"too-many-ejected");
 		for (BackendServerId server : this.router.subset()) {
-			long life = this.announced[index(server)];
+			long incarnation = this.announcedIncarnations[serverIndex(server)];
 			long expected = this.inFlight.values()
 				.stream()
-				.filter((choice) -> choice.server().equals(server) && choice.incarnation().value() == life)
+				.filter((choice) -> choice.server().equals(server) && choice.incarnation().value() == incarnation)
 				.count();
 			require(this.router.inFlight(server) == expected, "in-flight-count-wrong");
 		}
@@ -185,21 +190,21 @@
 		require(this.router.breaches() == 0, "internal-invariant-breached");
 	}
 
-	private void attemptEvent() {
+	private void handleRandomAttemptEvent() {
 		AttemptId attempt = this.attempts.get(this.random.nextInt(this.attempts.size()));
 		int draw = this.random.nextInt(10);
 		if (draw < 3) {
-			tell(new FirstTokenReceived(attempt));
+			handleEvent(new FirstTokenReceived(attempt));
 			return;
 		}
-		tell((draw < 7) ? new AttemptFinished(attempt) : new AttemptFailed(attempt));
+		handleEvent((draw < 7) ? new AttemptFinished(attempt) : new AttemptFailed(attempt));
 		this.inFlight.remove(attempt);
 		if (this.random.nextInt(4) > 0) {
 			this.attempts.remove(attempt);
 		}
 	}
 
-	private void tell(RouterEvent event) {
+	private void handleEvent(RouterEvent event) {
 		for (RouterCommand command : this.router.on(event, this.now)) {
 			if (command instanceof ServerEjected ejected) {
 				this.ejections++;
@@ -208,11 +213,11 @@
 		}
 	}
 
-	private RouterEvent membership() {
+	private RouterEvent randomMembershipEvent() {
 		int index = this.random.nextInt(SERVERS);
 		int draw = this.random.nextInt(20);
 		if (draw < 9) {
-			return announce(index);
+			return randomAnnouncement(index);
 		}
 		if (draw < 14) {
 			return new TimePassed();
@@ -221,53 +226,62 @@
 			return new EntriesChanged(
 					Set.of(InstanceId.of("entry-" + (1 + this.random.nextInt(5))), InstanceId.of("entry-0")));
 		}
-		long life = Math.max(0, this.announced[index] - this.random.nextInt(2));
-		this.ended[index] = Math.max(this.ended[index], life);
-		return (draw < 18) ? new ServerLeaving(server(index), Incarnation.of(life))
-				: new ServerRemoved(server(index), Incarnation.of(life));
+		long incarnation = Math.max(0, this.announcedIncarnations[index] - this.random.nextInt(2));
+		this.endedIncarnations[index] = Math.max(this.endedIncarnations[index], incarnation);
+		return (draw < 18) ? new ServerLeaving(serverId(index), Incarnation.of(incarnation))
+				: new ServerRemoved(serverId(index), Incarnation.of(incarnation));
 	}
 
-	private RouterEvent announce(int index) {
-		long life = Math.max(1, this.announced[index] + this.random.nextInt(3) - 1);
-		if (life > this.ended[index] && life > this.announced[index] && hasRoom(index)) {
-			this.announced[index] = life;
+	private RouterEvent randomAnnouncement(int index) {
+		long incarnation = Math.max(1, this.announcedIncarnations[index] + this.random.nextInt(3) - 1);
+		if (incarnation > this.endedIncarnations[index] && incarnation > this.announcedIncarnations[index]
+				&& acceptsAnnouncement(index)) {
+			this.announcedIncarnations[index] = incarnation;
 		}
-		return new ServerAnnounced(server(index), Incarnation.of(life), FailureDomainId.of("domain-" + index % 3),
+		return new ServerAnnounced(serverId(index), Incarnation.of(incarnation),
+				FailureDomainId.of("domain-" + index % 3),
 				new ServerProfile(8, Duration.ofMillis(10), 8000, index % 2 == 0));
 	}
 
-	private boolean hasRoom(int index) {
-		return this.router.status().servers() < SETTINGS.maxServers() || this.router.isAnnounced(server(index));
+	/**
+	 * Returns whether the router accepts an announcement: it rejects unknown backend
+	 * servers once it has reached its maximum number.
+	 * @param index the index of the backend server
+	 * @return whether the announcement is accepted
+	 */
+	private boolean acceptsAnnouncement(int index) {
+		return this.router.status().servers() < SETTINGS.maxServers() || this.router.isAnnounced(serverId(index));
 	}
 
-	private RouterEvent loadOrCache() {
+	private RouterEvent randomLoadOrCacheEvent() {
 		int index = this.random.nextInt(SERVERS);
-		Incarnation life = Incarnation.of(Math.max(0, this.announced[index] - this.random.nextInt(2)));
+		Incarnation incarnation = Incarnation
+			.of(Math.max(0, this.announcedIncarnations[index] - this.random.nextInt(2)));
 		if (this.random.nextBoolean()) {
-			return new LoadReported(new LoadReport(server(index), life, this.random.nextInt(1000),
+			return new LoadReported(new LoadReport(serverId(index), incarnation, this.random.nextInt(1000),
 					Math.max(0, this.now - this.random.nextInt(2_000_000_000)), this.random.nextInt(10),
 					this.random.nextInt(10),
 					new QueuedTokens(this.random.nextInt(5000), this.random.nextInt(5000), this.random.nextInt(5000)),
 					this.random.nextInt(50_000_000), this.random.nextInt(9000), this.random.nextInt(9)));
 		}
-		return new CacheEventReceived(cacheEvent(server(index), life));
+		return new CacheEventReceived(randomCacheEvent(serverId(index), incarnation));
 	}
 
-	private CacheEvent cacheEvent(BackendServerId server, Incarnation life) {
+	private CacheEvent randomCacheEvent(BackendServerId server, Incarnation incarnation) {
 		long sequence = this.step / 100 + this.random.nextInt(3);
 		BlockHashes hashes = BlockHashes.of(this.random.longs(5, 0, 30).toArray());
 		int draw = this.random.nextInt(10);
 		if (draw < 6) {
-			return new BlocksStored(server, life, sequence, hashes);
+			return new BlocksStored(server, incarnation, sequence, hashes);
 		}
-		return (draw < 9) ? new BlocksRemoved(server, life, sequence, hashes)
-				: new CacheSnapshot(server, life, sequence, hashes);
+		return (draw < 9) ? new BlocksRemoved(server, incarnation, sequence, hashes)
+				: new CacheSnapshot(server, incarnation, sequence, hashes);
 	}
 
-	private RouteRequest request() {
+	private RouteRequest randomRequest() {
 		Set<BackendServerId> excluded = new HashSet<>();
 		for (int i = this.random.nextInt(4); i > 0; i--) {
-			excluded.add(server(this.random.nextInt(SERVERS)));
+			excluded.add(serverId(this.random.nextInt(SERVERS)));
 		}
 		Optional<SessionId> session = this.random.nextBoolean() ? Optional.empty()
 				: Optional.of(new SessionId(AccountId.of("account"), "session-" + this.random.nextInt(20)));
@@ -283,11 +297,11 @@
 		}
 	}
 
-	private static BackendServerId server(int index) {
+	private static BackendServerId serverId(int index) {
 		return BackendServerId.of("worker-" + index);
 	}
 
-	private static int index(BackendServerId server) {
+	private static int serverIndex(BackendServerId server) {
 		return Integer.parseInt(server.value().substring("worker-".length()));
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RunResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RunResult.java
@@ -4,17 +4,17 @@
 import java.util.List;
 
 /**
- * What one run measured.
+ * Collects the times to first token, the throughput and the cache hits of one simulation.
  */
 final class RunResult {
 
-	private static final long MISSING = -1;
+	private static final long NO_FIRST_TOKEN = -1;
 
 	private final long[] firstTokenNanos;
 
-	private final long from;
+	private final long fromNanos;
 
-	private final long until;
+	private final long untilNanos;
 
 	private long promptTokens;
 
@@ -22,51 +22,74 @@
 
 	private long finished;
 
-	private long[] measured = new long[0];
+	private long[] sortedLatencyNanos = new long[0];
 
-	RunResult(int arrivals, long from, long until) {
+	RunResult(int arrivals, long fromNanos, long untilNanos) {
 		this.firstTokenNanos = new long[arrivals];
-		Arrays.fill(this.firstTokenNanos, MISSING);
-		this.from = from;
-		this.until = until;
+		Arrays.fill(this.firstTokenNanos, NO_FIRST_TOKEN);
+		this.fromNanos = fromNanos;
+		this.untilNanos = untilNanos;
 	}
 
-	void firstToken(Arrival arrival, int cached, long time) {
+	/**
+	 * Records the first token of a request.
+	 * @param arrival the request
+	 * @param cachedTokens the number of its prompt tokens found in the prefix cache
+	 * @param time the time in nanoseconds at which the token reached the entry instance
+	 */
+	void firstToken(Arrival arrival, int cachedTokens, long time) {
 		this.firstTokenNanos[arrival.number()] = time - arrival.at();
-		if (arrival.at() >= this.from) {
+		if (arrival.at() >= this.fromNanos) {
 			this.promptTokens += arrival.promptTokens();
-			this.cachedTokens += cached;
+			this.cachedTokens += cachedTokens;
 		}
 	}
 
+	/**
+	 * Records the end of a request.
+	 * @param time the time in nanoseconds
+	 */
 	void finished(long time) {
-		this.finished += (time >= this.from && time < this.until) ? 1 : 0;
+		this.finished += (time >= this.fromNanos && time < this.untilNanos) ? 1 : 0;
 	}
 
+	/**
+	 * Collects the measured times to first token at the end of the simulation.
+	 * @param arrivals all requests of the simulation
+	 */
 	void end(List<Arrival> arrivals) {
-		this.measured = arrivals.stream()
-			.filter((arrival) -> arrival.at() >= this.from && arrival.at() < this.until)
-			.mapToLong(this::nanos)
+		this.sortedLatencyNanos = arrivals.stream()
+			.filter((arrival) -> arrival.at() >= this.fromNanos && arrival.at() < this.untilNanos)
+			.mapToLong(this::latencyNanos)
 			.sorted()
 			.toArray();
 	}
 
+	/**
+	 * Returns a quantile of the time to first token.
+	 * @param quantile the quantile between 0 and 1
+	 * @return the time in milliseconds
+	 */
 	double firstTokenMillis(double quantile) {
-		int index = (int) Math.ceil(quantile * this.measured.length) - 1;
-		return this.measured[Math.max(0, index)] / 1e6;
+		int index = (int) Math.ceil(quantile * this.sortedLatencyNanos.length) - 1;
+		return this.sortedLatencyNanos[Math.max(0, index)] / 1e6;
 	}
 
+	/**
+	 * Returns the share of the prompt tokens that were found in a prefix cache.
+	 * @return the share between 0 and 1
+	 */
 	double hitShare() {
 		return (this.promptTokens > 0) ? (double) this.cachedTokens / this.promptTokens : 0;
 	}
 
 	double finishedPerSecond() {
-		return this.finished * 1e9 / (this.until - this.from);
+		return this.finished * 1e9 / (this.untilNanos - this.fromNanos);
 	}
 
-	private long nanos(Arrival arrival) {
+	private long latencyNanos(Arrival arrival) {
 		long nanos = this.firstTokenNanos[arrival.number()];
-		return (nanos != MISSING) ? nanos : this.until - arrival.at();
+		return (nanos != NO_FIRST_TOKEN) ? nanos : this.untilNanos - arrival.at();
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/Sequence.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/Sequence.java
@@ -1,7 +1,7 @@
 package org.comfreywall.bench.routing;
 
 /**
- * A request on a worker.
+ * A request that is queued or running on a simulated backend server.
  */
 final class Sequence {
 
@@ -13,7 +13,7 @@
 
 	private int remainingTokens;
 
-	private int generated;
+	private int generatedTokens;
 
 	Sequence(Arrival arrival, long order) {
 		this.arrival = arrival;
@@ -28,6 +28,11 @@
 		return this.order;
 	}
 
+	/**
+	 * Starts the prefill. At least one prompt token is computed even if the whole prompt
+	 * is cached.
+	 * @param cachedTokens the number of prompt tokens found in the prefix cache
+	 */
 	void admit(int cachedTokens) {
 		this.uncachedTokens = Math.max(1, this.arrival.promptTokens() - cachedTokens);
 		this.remainingTokens = this.uncachedTokens;
@@ -37,24 +42,32 @@
 		return this.arrival.promptTokens() - this.uncachedTokens;
 	}
 
+	/**
+	 * Returns the number of prompt tokens that are still to be prefilled.
+	 * @return the number of tokens
+	 */
 	int remainingTokens() {
 		return this.remainingTokens;
 	}
 
+	/**
+	 * Records prompt tokens as prefilled.
+	 * @param tokens the number of tokens
+	 */
 	void compute(int tokens) {
 		this.remainingTokens -= tokens;
 	}
 
 	boolean isDecoding() {
-		return this.generated > 0;
+		return this.generatedTokens > 0;
 	}
 
 	void generate() {
-		this.generated++;
+		this.generatedTokens++;
 	}
 
 	boolean isFinished() {
-		return this.generated >= this.arrival.outputTokens();
+		return this.generatedTokens >= this.arrival.outputTokens();
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/Worker.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/Worker.java
@@ -16,11 +16,11 @@
 import org.comfreywall.entry.route.QueuedTokens;
 
 /**
- * A model of an engine with continuous batching, chunked prefill, priorities and a
- * limited prefix cache.
+ * Simulates a backend server whose engine has continuous batching, chunked prefill,
+ * request priorities and a prefix cache of limited size.
  * <p>
- * A step takes a base time, a time for each sequence that decodes and a time for each
- * prompt token computed.
+ * The duration of a step is the sum of a base time, a time per decoding sequence and a
+ * time per prompt token that is prefilled in the step.
  */
 final class Worker {
 
@@ -30,15 +30,15 @@
 
 	private static final long STEP_BASE_NANOS = 15_000_000;
 
-	private static final long STEP_SEQUENCE_NANOS = 300_000;
+	private static final long NANOS_PER_DECODING_SEQUENCE = 300_000;
 
-	private static final long STEP_TOKEN_NANOS = 100_000;
+	private static final long NANOS_PER_PROMPT_TOKEN = 100_000;
 
-	private static final int STEP_MAX_PROMPT_TOKENS = 512;
+	private static final int MAX_PROMPT_TOKENS_PER_STEP = 512;
 
 	private static final int CACHE_BLOCKS = 2000;
 
-	private static final double SMOOTHING = 0.1;
+	private static final double SMOOTHING_FACTOR = 0.1;
 
 	private final int index;
 
@@ -54,19 +54,19 @@
 
 	private final List<Sequence> active = new ArrayList<>();
 
-	private final double slowness;
+	private final double slowdownFactor;
 
-	private long orders;
+	private long nextOrder;
 
-	private long events;
+	private long cacheEventSequence;
 
-	private long reports;
+	private long reportSequence;
 
 	private boolean stepping;
 
 	private long stepStart;
 
-	private int stepTokens;
+	private int stepPromptTokens;
 
 	private double meanStepNanos = STEP_BASE_NANOS;
 
@@ -74,16 +74,16 @@
 
 	private long finished;
 
-	private long finishedAtReport;
+	private long finishedAtLastReport;
 
-	private long reportAt;
+	private long lastReportAt;
 
 	private double finishedPerSecond;
 
-	Worker(int index, double slowness, WorkerListener listener) {
+	Worker(int index, double slowdownFactor, WorkerListener listener) {
 		this.index = index;
 		this.id = id(index);
-		this.slowness = slowness;
+		this.slowdownFactor = slowdownFactor;
 		this.listener = listener;
 	}
 
@@ -92,56 +92,69 @@
 	}
 
 	void submit(Arrival arrival) {
-		this.queue.add(new Sequence(arrival, this.orders++));
+		this.queue.add(new Sequence(arrival, this.nextOrder++));
 	}
 
 	/**
-	 * Starts the next step unless one runs or there is nothing to do.
-	 * @param now the present time in nanoseconds
-	 * @return the step's duration in nanoseconds, 0 if none was started
+	 * Admits queued requests to the batch and starts the next step, unless a step is
+	 * running or there are no requests.
+	 * @param now the current time in nanoseconds
+	 * @return the duration of the step in nanoseconds, 0 if none was started
 	 */
 	long startStep(long now) {
 		if (this.stepping || (this.queue.isEmpty() && this.active.isEmpty())) {
 			return 0;
 		}
-		admit();
+		admitQueued();
 		long decoding = this.active.stream().filter(Sequence::isDecoding).count();
-		this.stepTokens = computePrompts();
+		this.stepPromptTokens = prefill();
 		this.stepping = true;
 		this.stepStart = now;
-		return (long) (this.slowness
-				* (STEP_BASE_NANOS + decoding * STEP_SEQUENCE_NANOS + this.stepTokens * STEP_TOKEN_NANOS));
+		return (long) (this.slowdownFactor * (STEP_BASE_NANOS + decoding * NANOS_PER_DECODING_SEQUENCE
+				+ this.stepPromptTokens * NANOS_PER_PROMPT_TOKEN));
 	}
 
+	/**
+	 * Ends the running step: updates the moving averages, generates one token for each
+	 * sequence without remaining prompt tokens and sends the changes of the prefix cache
+	 * to the listener.
+	 * @param now the current time in nanoseconds
+	 */
 	void endStep(long now) {
 		this.stepping = false;
 		long nanos = now - this.stepStart;
-		this.meanStepNanos += SMOOTHING * (nanos - this.meanStepNanos);
-		if (this.stepTokens == STEP_MAX_PROMPT_TOKENS) {
-			double rate = this.stepTokens * 1e9 / nanos;
+		this.meanStepNanos += SMOOTHING_FACTOR * (nanos - this.meanStepNanos);
+		if (this.stepPromptTokens == MAX_PROMPT_TOKENS_PER_STEP) {
+			double rate = this.stepPromptTokens * 1e9 / nanos;
 			this.prefillTokensPerSecond = (this.prefillTokensPerSecond == 0) ? rate
-					: this.prefillTokensPerSecond + SMOOTHING * (rate - this.prefillTokensPerSecond);
+					: this.prefillTokensPerSecond + SMOOTHING_FACTOR * (rate - this.prefillTokensPerSecond);
 		}
 		this.active.forEach((sequence) -> advance(sequence, now));
 		this.active.removeIf(Sequence::isFinished);
-		tellCache(now);
+		publishCacheEvents(now);
 	}
 
+	/**
+	 * Creates the next load report and updates the moving average of the request
+	 * throughput.
+	 * @param now the current time in nanoseconds
+	 * @return the load report
+	 */
 	LoadReport report(long now) {
-		double seconds = (now - this.reportAt) / 1e9;
-		double rate = (seconds > 0) ? (this.finished - this.finishedAtReport) / seconds : 0;
-		this.finishedPerSecond += SMOOTHING * (rate - this.finishedPerSecond);
-		this.finishedAtReport = this.finished;
-		this.reportAt = now;
-		return new LoadReport(this.id, LIFE, ++this.reports, now, this.active.size(), this.queue.size(), queuedTokens(),
-				(long) this.meanStepNanos, this.prefillTokensPerSecond, this.finishedPerSecond);
+		double seconds = (now - this.lastReportAt) / 1e9;
+		double rate = (seconds > 0) ? (this.finished - this.finishedAtLastReport) / seconds : 0;
+		this.finishedPerSecond += SMOOTHING_FACTOR * (rate - this.finishedPerSecond);
+		this.finishedAtLastReport = this.finished;
+		this.lastReportAt = now;
+		return new LoadReport(this.id, LIFE, ++this.reportSequence, now, this.active.size(), this.queue.size(),
+				queuedTokens(), (long) this.meanStepNanos, this.prefillTokensPerSecond, this.finishedPerSecond);
 	}
 
 	CacheSnapshot snapshot() {
-		return new CacheSnapshot(this.id, LIFE, this.events, this.cache.content());
+		return new CacheSnapshot(this.id, LIFE, this.cacheEventSequence, this.cache.content());
 	}
 
-	private void admit() {
+	private void admitQueued() {
 		while (this.active.size() < SLOTS && !this.queue.isEmpty()) {
 			Sequence sequence = this.queue.poll();
 			int blocks = this.cache.matchedBlocks(sequence.arrival().prompt());
@@ -151,8 +164,8 @@
 		}
 	}
 
-	private int computePrompts() {
-		int budget = STEP_MAX_PROMPT_TOKENS;
+	private int prefill() {
+		int budget = MAX_PROMPT_TOKENS_PER_STEP;
 		for (PriorityClass priority : PriorityClass.values()) {
 			for (Sequence sequence : this.active) {
 				if (sequence.arrival().priority() == priority) {
@@ -162,7 +175,7 @@
 				}
 			}
 		}
-		return STEP_MAX_PROMPT_TOKENS - budget;
+		return MAX_PROMPT_TOKENS_PER_STEP - budget;
 	}
 
 	private void advance(Sequence sequence, long now) {
@@ -181,26 +194,33 @@
 		}
 	}
 
-	private void tellCache(long now) {
+	private void publishCacheEvents(long now) {
 		BlockHashes stored = this.cache.takeStored();
 		if (stored.size() > 0) {
-			this.listener.onCacheEvent(this.index, new BlocksStored(this.id, LIFE, ++this.events, stored), now);
+			this.listener.onCacheEvent(this.index, new BlocksStored(this.id, LIFE, ++this.cacheEventSequence, stored),
+					now);
 		}
 		BlockHashes removed = this.cache.takeRemoved();
 		if (removed.size() > 0) {
-			this.listener.onCacheEvent(this.index, new BlocksRemoved(this.id, LIFE, ++this.events, removed), now);
+			this.listener.onCacheEvent(this.index, new BlocksRemoved(this.id, LIFE, ++this.cacheEventSequence, removed),
+					now);
 		}
 	}
 
+	/**
+	 * Returns the prompt tokens that are still to be prefilled, by priority class.
+	 * Prefixes cached at present are left out for queued requests.
+	 * @return the numbers of tokens
+	 */
 	private QueuedTokens queuedTokens() {
 		long[] tokens = new long[PriorityClass.values().length];
-		this.queue.forEach((sequence) -> tokens[sequence.arrival().priority().ordinal()] += uncached(sequence));
+		this.queue.forEach((sequence) -> tokens[sequence.arrival().priority().ordinal()] += uncachedTokens(sequence));
 		this.active
 			.forEach((sequence) -> tokens[sequence.arrival().priority().ordinal()] += sequence.remainingTokens());
 		return new QueuedTokens(tokens[0], tokens[1], tokens[2]);
 	}
 
-	private int uncached(Sequence sequence) {
+	private int uncachedTokens(Sequence sequence) {
 		Arrival arrival = sequence.arrival();
 		return Math.max(1, arrival.promptTokens() - this.cache.matchedBlocks(arrival.prompt()) * Workload.BLOCK_TOKENS);
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/WorkerCache.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/WorkerCache.java
@@ -10,8 +10,9 @@
 import org.comfreywall.entry.prefix.PromptChain;
 
 /**
- * A prefix cache of limited size; the block used least recently leaves first, and of one
- * prompt the last block.
+ * The prefix cache of a simulated backend server: limited in size and with eviction of
+ * the least recently used block. Of the blocks of one prompt the last is evicted first,
+ * as a block can be reused only if all blocks before it are cached.
  */
 final class WorkerCache {
 
@@ -19,51 +20,70 @@
 
 	private final Map<Long, Boolean> blocks = new LinkedHashMap<>(16, 0.75f, true);
 
-	private final List<Long> stored = new ArrayList<>();
+	private final List<Long> unreportedStored = new ArrayList<>();
 
-	private final List<Long> removed = new ArrayList<>();
+	private final List<Long> unreportedRemoved = new ArrayList<>();
 
 	WorkerCache(int capacity) {
 		this.capacity = capacity;
 	}
 
+	/**
+	 * Returns the length of the longest cached prefix of a prompt.
+	 * @param chain the blocks of the prompt
+	 * @return the number of leading blocks that are cached
+	 */
 	int matchedBlocks(PromptChain chain) {
-		int matched = 0;
-		while (matched < chain.size() && this.blocks.containsKey(chain.hash(matched))) {
-			matched++;
+		int count = 0;
+		while (count < chain.size() && this.blocks.containsKey(chain.hash(count))) {
+			count++;
 		}
-		return matched;
+		return count;
 	}
 
-	void use(PromptChain chain, int count) {
-		for (int i = count - 1; i >= 0; i--) {
+	/**
+	 * Marks the leading blocks of a prompt as used most recently, adds those that are
+	 * missing and evicts blocks while the cache exceeds its capacity.
+	 * @param chain the blocks of the prompt
+	 * @param blockCount the number of leading blocks
+	 */
+	void use(PromptChain chain, int blockCount) {
+		for (int i = blockCount - 1; i >= 0; i--) {
 			if (this.blocks.put(chain.hash(i), true) == null) {
-				this.stored.add(chain.hash(i));
+				this.unreportedStored.add(chain.hash(i));
 			}
 		}
-		Iterator<Long> eldest = this.blocks.keySet().iterator();
+		Iterator<Long> oldest = this.blocks.keySet().iterator();
 		while (this.blocks.size() > this.capacity) {
-			this.removed.add(eldest.next());
-			eldest.remove();
+			this.unreportedRemoved.add(oldest.next());
+			oldest.remove();
 		}
 	}
 
+	/**
+	 * Returns the blocks that were added since the last call.
+	 * @return the hashes of the blocks
+	 */
 	BlockHashes takeStored() {
-		return take(this.stored);
+		return drain(this.unreportedStored);
 	}
 
+	/**
+	 * Returns the blocks that were evicted since the last call.
+	 * @return the hashes of the blocks
+	 */
 	BlockHashes takeRemoved() {
-		return take(this.removed);
+		return drain(this.unreportedRemoved);
 	}
 
 	BlockHashes content() {
 		return BlockHashes.of(this.blocks.keySet().stream().mapToLong(Long::longValue).toArray());
 	}
 
-	private static BlockHashes take(List<Long> hashes) {
-		BlockHashes taken = BlockHashes.of(hashes.stream().mapToLong(Long::longValue).toArray());
+	private static BlockHashes drain(List<Long> hashes) {
+		BlockHashes drained = BlockHashes.of(hashes.stream().mapToLong(Long::longValue).toArray());
 		hashes.clear();
-		return taken;
+		return drained;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/WorkerListener.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/WorkerListener.java
@@ -3,14 +3,32 @@
 import org.comfreywall.entry.prefix.CacheEvent;
 
 /**
- * Receives what happens on a worker.
+ * Receives the events of simulated backend servers.
  */
 interface WorkerListener {
 
-	void onFirstToken(int worker, Sequence sequence, long now);
+	/**
+	 * Handles the first token of a request.
+	 * @param server the index of the backend server
+	 * @param sequence the request on the backend server
+	 * @param now the current time in nanoseconds
+	 */
+	void onFirstToken(int server, Sequence sequence, long now);
 
-	void onFinished(int worker, Sequence sequence, long now);
+	/**
+	 * Handles the end of a request.
+	 * @param server the index of the backend server
+	 * @param sequence the request on the backend server
+	 * @param now the current time in nanoseconds
+	 */
+	void onFinished(int server, Sequence sequence, long now);
 
-	void onCacheEvent(int worker, CacheEvent event, long now);
+	/**
+	 * Handles a change of the prefix cache.
+	 * @param server the index of the backend server
+	 * @param event the change
+	 * @param now the current time in nanoseconds
+	 */
+	void onCacheEvent(int server, CacheEvent event, long now);
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/Workload.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/Workload.java
@@ -11,8 +11,9 @@
 import org.comfreywall.entry.prefix.PromptChain;
 
 /**
- * Generates arrivals: sessions of a few large and several small client accounts, whose
- * prompts begin with one of the account's shared prefixes and grow with each turn.
+ * Generates the requests of a workload. A few large and several small client accounts
+ * hold sessions of several turns. The prompts of a session start with one of the shared
+ * prefixes of its client account and grow with each turn.
  */
 final class Workload {
 
@@ -22,7 +23,7 @@
 
 	private static final int ACCOUNTS = 10;
 
-	private static final double LARGE_SHARE = 0.75;
+	private static final double LARGE_ACCOUNT_SESSION_SHARE = 0.75;
 
 	private static final int LARGE_PREFIXES = 6;
 
@@ -54,7 +55,7 @@
 
 	private final List<Arrival> arrivals = new ArrayList<>();
 
-	private int sessions;
+	private int sessionCount;
 
 	private Workload(long seed, int entries) {
 		this.random = new Random(seed);
@@ -62,25 +63,26 @@
 	}
 
 	/**
-	 * Generates arrivals.
+	 * Generates the requests. Sessions start before time 0, so that the rate of requests
+	 * is steady from time 0 on.
 	 * @param seed the seed of the random numbers
-	 * @param requestsPerSecond the mean rate
-	 * @param seconds the time over which requests arrive
+	 * @param requestsPerSecond the mean rate in requests per second
+	 * @param seconds the time in seconds over which requests arrive
 	 * @param entries the number of entry instances
-	 * @return the arrivals in order of time
+	 * @return the requests in order of arrival
 	 */
 	static List<Arrival> generate(long seed, double requestsPerSecond, int seconds, int entries) {
 		Workload workload = new Workload(seed, entries);
 		double sessionsPerSecond = requestsPerSecond / MEAN_TURNS;
 		double time = -MEAN_TURNS * (MIN_PAUSE_SECONDS + MEAN_EXTRA_PAUSE_SECONDS) * 2;
 		while (time < seconds) {
-			time += workload.exponential(1 / sessionsPerSecond);
-			workload.session(time, seconds);
+			time += workload.randomExponential(1 / sessionsPerSecond);
+			workload.addSession(time, seconds);
 		}
-		return workload.sorted();
+		return workload.sortedAndNumbered();
 	}
 
-	private List<Arrival> sorted() {
+	private List<Arrival> sortedAndNumbered() {
 		this.arrivals.sort(Comparator.comparingLong(Arrival::at));
 		List<Arrival> numbered = new ArrayList<>(this.arrivals.size());
 		for (Arrival arrival : this.arrivals) {
@@ -91,32 +93,32 @@
 		return numbered;
 	}
 
-	private void session(double start, int seconds) {
-		int session = this.sessions++;
-		boolean large = this.random.nextDouble() < LARGE_SHARE;
+	private void addSession(double start, int seconds) {
+		int session = this.sessionCount++;
+		boolean large = this.random.nextDouble() < LARGE_ACCOUNT_SESSION_SHARE;
 		int account = large ? this.random.nextInt(LARGE_ACCOUNTS)
 				: LARGE_ACCOUNTS + this.random.nextInt(ACCOUNTS - LARGE_ACCOUNTS);
 		int prefix = account * LARGE_PREFIXES + this.random.nextInt(large ? LARGE_PREFIXES : SMALL_PREFIXES);
 		int prefixBlocks = MIN_PREFIX_BLOCKS + new Random(prefix).nextInt(MAX_PREFIX_BLOCKS - MIN_PREFIX_BLOCKS + 1);
-		PriorityClass priority = priority();
+		PriorityClass priority = randomPriority();
 		int tokens = prefixBlocks * BLOCK_TOKENS;
 		double time = start;
 		do {
 			tokens += MIN_MESSAGE_TOKENS + this.random.nextInt(MAX_MESSAGE_TOKENS - MIN_MESSAGE_TOKENS + 1);
-			int output = (int) Math.min(MAX_OUTPUT_TOKENS, 1 + exponential(MEAN_OUTPUT_TOKENS));
+			int output = (int) Math.min(MAX_OUTPUT_TOKENS, 1 + randomExponential(MEAN_OUTPUT_TOKENS));
 			if (time >= 0 && time < seconds) {
 				this.arrivals.add(new Arrival(0, (long) (time * 1e9), this.random.nextInt(this.entries),
 						AccountId.of("account-" + account), session, priority, tokens,
-						chain(prefix, prefixBlocks, session, tokens), output,
-						chain(prefix, prefixBlocks, session, tokens + output)));
+						promptChain(prefix, prefixBlocks, session, tokens), output,
+						promptChain(prefix, prefixBlocks, session, tokens + output)));
 			}
 			tokens += output;
-			time += MIN_PAUSE_SECONDS + exponential(MEAN_EXTRA_PAUSE_SECONDS);
+			time += MIN_PAUSE_SECONDS + randomExponential(MEAN_EXTRA_PAUSE_SECONDS);
 		}
 		while (this.random.nextDouble() < CONTINUE_PROBABILITY && tokens < 14_000);
 	}
 
-	private PriorityClass priority() {
+	private PriorityClass randomPriority() {
 		double draw = this.random.nextDouble();
 		if (draw < 0.3) {
 			return PriorityClass.INTERACTIVE;
@@ -124,11 +126,11 @@
 		return (draw < 0.8) ? PriorityClass.STANDARD : PriorityClass.BATCH;
 	}
 
-	private double exponential(double mean) {
+	private double randomExponential(double mean) {
 		return -mean * Math.log(1 - this.random.nextDouble());
 	}
 
-	private static PromptChain chain(int prefix, int prefixBlocks, int session, int tokens) {
+	private static PromptChain promptChain(int prefix, int prefixBlocks, int session, int tokens) {
 		long[] hashes = new long[tokens / BLOCK_TOKENS];
 		for (int i = 0; i < hashes.length; i++) {
 			long owner = (i < prefixBlocks) ? prefix : session + 1000L;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/package-info.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Measurements of routing on seeded arrivals and a queueing model of backend servers.
+ * Measurements of routing with seeded workloads and simulated backend servers.
  */
 package org.comfreywall.bench.routing;
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/routing/RouterRandomRunTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/routing/RouterRandomRunTests.java
@@ -5,12 +5,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests the router on random events.
+ * Tests that the router keeps its invariants under random events, some of which arrive
+ * late, twice or out of order.
  */
 class RouterRandomRunTests {
 
 	@Test
-	void randomEventsViolateNothing() {
+	void randomEventsViolateNoInvariant() {
 		RouterRandomRun run = new RouterRandomRun(11);
 		run.run(100_000);
 		assertThat(run.violations()).isEmpty();
