--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/AccountAudit.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/AccountAudit.java
@@ -11,8 +11,9 @@
 import org.comfreywall.common.lease.LimitDivision;
 
 /**
- * Watches one client account from outside the cores: what was admitted, what runs and
- * what is leased, over all entries.
+ * Checks the limits of one client account over all entry instances, independently of the
+ * code under test: the rate of admitted requests and tokens, the requests in flight and
+ * the leased amounts.
  */
 final class AccountAudit {
 
@@ -28,17 +29,17 @@
 
 	private final List<RateWindow> tokensByGrantor = new ArrayList<>();
 
-	private final LiveGrants liveRequests = new LiveGrants();
+	private final LiveGrants leasedRequests = new LiveGrants();
 
-	private final LiveGrants liveTokens = new LiveGrants();
+	private final LiveGrants leasedTokens = new LiveGrants();
 
 	private final Map<Integer, Long> admittedByEntry = new HashMap<>();
 
-	private long running;
+	private long inFlight;
 
-	private long mostRunning;
+	private long peakInFlight;
 
-	private long mostSlots;
+	private long peakSlots;
 
 	private long offered;
 
@@ -56,32 +57,56 @@
 		}
 	}
 
+	/**
+	 * Records an admitted request.
+	 * @param entry the index of the entry instance
+	 * @param grantor the index of the grantor whose lease was used
+	 * @param tokens the reserved tokens
+	 * @param now the true time in nanoseconds
+	 */
 	void admitted(int entry, int grantor, long tokens, long now) {
 		this.requestsByGrantor.get(grantor).spend(1, now);
 		this.tokensByGrantor.get(grantor).spend(tokens, now);
 		this.requests.spend(1, now);
 		this.tokens.spend(tokens, now);
-		this.running++;
-		this.mostRunning = Math.max(this.mostRunning, this.running);
+		this.inFlight++;
+		this.peakInFlight = Math.max(this.peakInFlight, this.inFlight);
 		this.admittedByEntry.merge(entry, 1L, Long::sum);
 	}
 
 	void ended() {
-		this.running--;
+		this.inFlight--;
 	}
 
+	/**
+	 * Records reserved tokens that were not used and that the grantor took back.
+	 * @param grantor the index of the grantor
+	 * @param tokens the number of tokens
+	 * @param now the true time in nanoseconds
+	 */
 	void refunded(int grantor, long tokens, long now) {
 		this.tokensByGrantor.get(grantor).refund(tokens, now);
 		this.tokens.refund(tokens, now);
 	}
 
-	void granted(long requests, long tokens, long until, long now) {
-		this.liveRequests.add(requests, until, now);
-		this.liveTokens.add(tokens, until, now);
+	/**
+	 * Records a lease.
+	 * @param requests the number of leased requests
+	 * @param tokens the number of leased tokens
+	 * @param expiresAt the true time in nanoseconds at which the lease expires
+	 * @param now the true time in nanoseconds
+	 */
+	void granted(long requests, long tokens, long expiresAt, long now) {
+		this.leasedRequests.add(requests, expiresAt, now);
+		this.leasedTokens.add(tokens, expiresAt, now);
 	}
 
+	/**
+	 * Records the in-flight slots that all entry instances hold or use at present.
+	 * @param slots the number of slots
+	 */
 	void held(long slots) {
-		this.mostSlots = Math.max(this.mostSlots, slots);
+		this.peakSlots = Math.max(this.peakSlots, slots);
 	}
 
 	void offered() {
@@ -96,7 +121,7 @@
 		return this.admittedByEntry.getOrDefault(entry, 0L);
 	}
 
-	long admitted() {
+	long admittedCount() {
 		return this.requests.spent();
 	}
 
@@ -109,31 +134,33 @@
 	}
 
 	/**
-	 * Returns the worst use of the rate limits in any window, over all grantors or of the
-	 * part of one, as a share of the limit or part with its burst.
-	 * @return the share; above 1 a limit was exceeded
+	 * Returns the peak use of a rate limit relative to its burst. Covers the rates of
+	 * requests and tokens, of the whole limit and of the part that each grantor may
+	 * lease.
+	 * @return the share; above 1 if a limit or part was exceeded in some window of time
 	 */
 	double worstWindow() {
-		double all = Math.max(this.requests.worst(), this.tokens.worst());
-		return Math.max(all, Math.max(worst(this.requestsByGrantor), worst(this.tokensByGrantor)));
+		double whole = Math.max(this.requests.worst(), this.tokens.worst());
+		return Math.max(whole, Math.max(worst(this.requestsByGrantor), worst(this.tokensByGrantor)));
 	}
 
 	/**
-	 * Returns the worst number of requests in flight as a share of the limit.
-	 * @return the share; above 1 the limit was exceeded
+	 * Returns the peak number of requests in flight as a share of the limit.
+	 * @return the share; above 1 if the limit was exceeded
 	 */
 	double worstInFlight() {
-		return (double) this.mostRunning / this.limits.inFlight();
+		return (double) this.peakInFlight / this.limits.inFlight();
 	}
 
 	/**
-	 * Returns the worst sum of live leases as a share of the limit.
-	 * @return the share; above 1 the leases exceeded a limit
+	 * Returns the peak sum of unexpired leases as a share of the limit, over requests,
+	 * tokens and in-flight slots.
+	 * @return the share; above 1 if the leases exceeded a limit
 	 */
 	double worstLeases() {
-		double requests = this.liveRequests.most() / (this.limits.requestsPerSecond() * this.burstSeconds);
-		double tokens = this.liveTokens.most() / (this.limits.tokensPerSecond() * this.burstSeconds);
-		double slots = (double) this.mostSlots / this.limits.inFlight();
+		double requests = this.leasedRequests.most() / (this.limits.requestsPerSecond() * this.burstSeconds);
+		double tokens = this.leasedTokens.most() / (this.limits.tokensPerSecond() * this.burstSeconds);
+		double slots = (double) this.peakSlots / this.limits.inFlight();
 		return Math.max(slots, Math.max(requests, tokens));
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/AdmissionBenchmark.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/AdmissionBenchmark.java
@@ -29,19 +29,19 @@
 import org.openjdk.jmh.annotations.State;
 
 /**
- * Times one admission decision together with the end of one request, under load that
- * keeps requests in queue.
+ * Measures the time of one admission decision together with the end of one request, while
+ * other requests are queued.
  */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 public class AdmissionBenchmark {
 
-	private static final long GAP_NANOS = 30_000;
+	private static final long ARRIVAL_INTERVAL_NANOS = 30_000;
 
-	private static final long PATIENCE_NANOS = 2_000_000_000L;
+	private static final long REQUEST_TIMEOUT_NANOS = 2_000_000_000L;
 
-	/** The number of backend workers, four requests running on each. */
+	/** The number of backend servers, each of which runs four requests. */
 	@Param({ "16", "4400" })
 	private int workers;
 
@@ -53,10 +53,10 @@
 
 	private long now;
 
-	private long number;
+	private long requestNumber;
 
 	/**
-	 * Fills the controller until requests queue.
+	 * Fills the controller until requests are queued.
 	 */
 	@Setup
 	public void fill() {
@@ -70,7 +70,7 @@
 			this.accounts[i] = AccountId.of("account-" + i);
 		}
 		for (int i = 0; i < concurrency + 1000; i++) {
-			offer();
+			offerRequest();
 		}
 	}
 
@@ -80,7 +80,7 @@
 	 */
 	@Benchmark
 	public AdmissionResult admit() {
-		AdmissionResult result = offer();
+		AdmissionResult result = offerRequest();
 		for (AdmissionCommand command : this.controller.handleFinished(this.running.removeFirst(), FinishKind.ANSWERED,
 				this.now)) {
 			if (command instanceof StartRequest start) {
@@ -90,14 +90,14 @@
 		return result;
 	}
 
-	private AdmissionResult offer() {
-		this.now += GAP_NANOS;
-		this.number++;
-		RequestId id = RequestId.of("request-" + this.number);
-		AccountId account = this.accounts[(int) (this.number % this.accounts.length)];
-		PriorityClass priority = PriorityClass.values()[(int) (this.number % 3)];
+	private AdmissionResult offerRequest() {
+		this.now += ARRIVAL_INTERVAL_NANOS;
+		this.requestNumber++;
+		RequestId id = RequestId.of("request-" + this.requestNumber);
+		AccountId account = this.accounts[(int) (this.requestNumber % this.accounts.length)];
+		PriorityClass priority = PriorityClass.values()[(int) (this.requestNumber % 3)];
 		AdmissionResult result = this.controller
-			.offer(new AdmissionRequest(id, account, priority, 1, this.now + PATIENCE_NANOS), this.now);
+			.offer(new AdmissionRequest(id, account, priority, 1, this.now + REQUEST_TIMEOUT_NANOS), this.now);
 		if (result.decision() instanceof Admitted) {
 			this.running.addLast(id);
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/DriftingClock.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/DriftingClock.java
@@ -3,33 +3,45 @@
 import java.util.random.RandomGenerator;
 
 /**
- * A monotonic clock whose rate differs from true time and changes now and then.
+ * A monotonic clock with a random offset from true time, whose rate differs from true
+ * time by a limited drift and can change.
  */
 final class DriftingClock {
 
-	private final double greatestDrift;
+	private final double maxDrift;
 
 	private long changedAt;
 
-	private double local;
+	private double localTime;
 
 	private double rate = 1;
 
-	DriftingClock(double greatestDrift, RandomGenerator random) {
-		this.greatestDrift = greatestDrift;
-		this.local = random.nextInt(1_000_000_000);
+	DriftingClock(double maxDrift, RandomGenerator random) {
+		this.maxDrift = maxDrift;
+		this.localTime = random.nextInt(1_000_000_000);
 		changeRate(0, random);
 	}
 
+	/**
+	 * Draws a new rate. Half of the draws are the fastest or slowest allowed rate, the
+	 * others are uniform between them.
+	 * @param trueTime the true time in nanoseconds
+	 * @param random the source of randomness
+	 */
 	void changeRate(long trueTime, RandomGenerator random) {
-		this.local += (trueTime - this.changedAt) * this.rate;
+		this.localTime += (trueTime - this.changedAt) * this.rate;
 		this.changedAt = trueTime;
-		double extreme = random.nextBoolean() ? 1 : -1;
-		this.rate = 1 + this.greatestDrift * (random.nextBoolean() ? extreme : random.nextDouble(-1, 1));
+		double sign = random.nextBoolean() ? 1 : -1;
+		this.rate = 1 + this.maxDrift * (random.nextBoolean() ? sign : random.nextDouble(-1, 1));
 	}
 
+	/**
+	 * Returns the time on this clock.
+	 * @param trueTime the true time in nanoseconds
+	 * @return the local time in nanoseconds
+	 */
 	long read(long trueTime) {
-		return (long) (this.local + (trueTime - this.changedAt) * this.rate);
+		return (long) (this.localTime + (trueTime - this.changedAt) * this.rate);
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/EventQueue.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/EventQueue.java
@@ -4,7 +4,8 @@
 import java.util.PriorityQueue;
 
 /**
- * Runs events in the order of their true time.
+ * The event queue of a discrete-event simulation. Runs events in order of their true
+ * time, and events of the same time in the order in which they were added.
  */
 public final class EventQueue {
 
@@ -13,31 +14,31 @@
 
 	private final PriorityQueue<Event> events = new PriorityQueue<>(ORDER);
 
-	private long number;
+	private long lastNumber;
 
 	private long now;
 
 	/**
-	 * Adds an event.
-	 * @param time its true time in nanoseconds
-	 * @param action what happens
+	 * Schedules an event at a time. An event in the past is due at once.
+	 * @param time the true time in nanoseconds
+	 * @param action the action to run
 	 */
 	public void at(long time, Runnable action) {
-		this.number++;
-		this.events.add(new Event(Math.max(time, this.now), this.number, action));
+		this.lastNumber++;
+		this.events.add(new Event(Math.max(time, this.now), this.lastNumber, action));
 	}
 
 	/**
-	 * Adds an event.
-	 * @param nanos the time until it happens in nanoseconds
-	 * @param action what happens
+	 * Schedules an event after a delay.
+	 * @param delayNanos the delay in nanoseconds
+	 * @param action the action to run
 	 */
-	public void after(long nanos, Runnable action) {
-		at(this.now + nanos, action);
+	public void after(long delayNanos, Runnable action) {
+		at(this.now + delayNanos, action);
 	}
 
 	/**
-	 * Runs the events up to a time.
+	 * Runs all events that are due up to a time, which becomes the current time.
 	 * @param time the true time in nanoseconds
 	 */
 	public void runUntil(long time) {
@@ -50,7 +51,7 @@
 	}
 
 	/**
-	 * Returns the true time.
+	 * Returns the current true time.
 	 * @return the time in nanoseconds
 	 */
 	public long now() {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/FaultyLink.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/FaultyLink.java
@@ -4,48 +4,60 @@
 import java.util.random.RandomGenerator;
 
 /**
- * A link that loses, doubles, delays and reorders messages, and cuts off entries.
+ * A network that loses, duplicates, delays and reorders messages, and in which entry
+ * instances can be partitioned from grantors.
  */
 final class FaultyLink implements Link {
 
-	private static final long MILLI = 1_000_000;
+	private static final long MILLI_NANOS = 1_000_000;
 
 	private final RandomGenerator random;
 
-	private final boolean[][] cut;
+	private final boolean[][] partitioned;
 
-	private boolean healed;
+	private boolean faultsDisabled;
 
 	FaultyLink(RandomGenerator random, int entries, int grantors) {
 		this.random = random;
-		this.cut = new boolean[entries][grantors];
+		this.partitioned = new boolean[entries][grantors];
 	}
 
 	@Override
 	public List<Long> deliver(int entry, int grantor) {
-		if (this.healed) {
-			return List.of(quick());
+		if (this.faultsDisabled) {
+			return List.of(normalDelay());
 		}
-		if (this.cut[entry][grantor] || this.random.nextInt(20) == 0) {
+		if (this.partitioned[entry][grantor] || this.random.nextInt(20) == 0) {
 			return List.of();
 		}
-		long delay = (this.random.nextInt(20) == 0) ? this.random.nextLong(4000 * MILLI) : quick();
-		boolean doubled = this.random.nextInt(20) == 0;
-		return doubled
-				? List.of(delay, delay + this.random.nextLong(this.random.nextBoolean() ? 50 * MILLI : 3000 * MILLI))
+		long delay = (this.random.nextInt(20) == 0) ? this.random.nextLong(4000 * MILLI_NANOS) : normalDelay();
+		boolean duplicated = this.random.nextInt(20) == 0;
+		return duplicated
+				? List.of(delay,
+						delay + this.random.nextLong(this.random.nextBoolean() ? 50 * MILLI_NANOS : 3000 * MILLI_NANOS))
 				: List.of(delay);
 	}
 
+	/**
+	 * Starts or ends a partition between an entry instance and a grantor.
+	 * @param entry the index of the entry instance
+	 * @param grantor the index of the grantor
+	 */
 	void toggleCut(int entry, int grantor) {
-		this.cut[entry][grantor] = !this.cut[entry][grantor];
+		this.partitioned[entry][grantor] = !this.partitioned[entry][grantor];
 	}
 
-	void healed(boolean healed) {
-		this.healed = healed;
+	/**
+	 * Suspends or resumes all faults. Partitions are kept and apply again when faults
+	 * resume.
+	 * @param faultsDisabled whether every message is delivered once, after a short delay
+	 */
+	void setFaultsDisabled(boolean faultsDisabled) {
+		this.faultsDisabled = faultsDisabled;
 	}
 
-	private long quick() {
-		return MILLI / 10 + this.random.nextLong(40 * MILLI);
+	private long normalDelay() {
+		return MILLI_NANOS / 10 + this.random.nextLong(40 * MILLI_NANOS);
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/FleetRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/FleetRun.java
@@ -14,8 +14,9 @@
 import org.comfreywall.entry.limit.LimitSettings;
 
 /**
- * The whole fleet at its peak load: large client accounts offer more than their limits,
- * entries restart, and one region is cut off from the primary grantor for a while.
+ * Simulates a fleet of {@value #ENTRIES} entry instances at peak load. A third of the
+ * large client accounts offer more than their limits, entry instances restart, and one
+ * region is partitioned from the primary grantor for seven seconds.
  */
 final class FleetRun {
 
@@ -25,19 +26,19 @@
 
 	static final int SECONDS = 20;
 
-	private static final long SECOND = 1_000_000_000;
+	private static final long SECOND_NANOS = 1_000_000_000;
 
 	private static final long REQUESTS_PER_SECOND = 33_000;
 
 	private static final int REGIONS = 7;
 
-	private static final double SKEW = 0.9;
+	private static final double ZIPF_EXPONENT = 0.9;
 
-	private static final double TIGHT_LIMIT = 0.7;
+	private static final double TIGHT_LIMIT_TO_LOAD = 0.7;
 
-	private static final double AMPLE_LIMIT = 2;
+	private static final double AMPLE_LIMIT_TO_LOAD = 2;
 
-	private static final long LONGEST_TOKENS = 600;
+	private static final long MAX_TOKENS_PER_REQUEST = 600;
 
 	private final RandomGenerator random;
 
@@ -45,7 +46,7 @@
 
 	private final LimitsFleet fleet;
 
-	private final double[] cumulative = new double[ACCOUNTS];
+	private final double[] cumulativeWeights = new double[ACCOUNTS];
 
 	private final List<AccountLimits> limits = new ArrayList<>();
 
@@ -56,7 +57,7 @@
 	FleetRun(long seed) {
 		this.random = new SplittableRandom(seed);
 		this.link = new RegionLink(this.random, REGIONS);
-		spreadLoad();
+		initializeLoadAndLimits();
 		LimitSettings settings = new LimitSettings(LeaseTerms.DEFAULT, new LimitDivision(0.04, REGIONS),
 				Duration.ofMillis(250), Duration.ofMillis(25));
 		this.fleet = new LimitsFleet(new FleetSettings(ENTRIES, this.limits, settings, 10_000_000, 0.001), this.random,
@@ -64,14 +65,14 @@
 	}
 
 	void run() {
-		this.fleet.events().runUntil(130 * SECOND);
+		this.fleet.events().runUntil(130 * SECOND_NANOS);
 		for (int second = 0; second < SECONDS; second++) {
 			if (second == 8) {
 				this.link.cut(true);
-				this.cutOffAdmitted -= admittedInCutRegion();
+				this.cutOffAdmitted -= countAdmittedInPartitionedRegion();
 			}
 			if (second == 15) {
-				this.cutOffAdmitted += admittedInCutRegion();
+				this.cutOffAdmitted += countAdmittedInPartitionedRegion();
 				this.link.cut(false);
 			}
 			this.fleet.restartEntry(this.random.nextInt(ENTRIES));
@@ -88,22 +89,28 @@
 	}
 
 	long admitted() {
-		return this.fleet.audits().stream().mapToLong(AccountAudit::admitted).sum();
+		return this.fleet.audits().stream().mapToLong(AccountAudit::admittedCount).sum();
 	}
 
 	/**
-	 * Returns what was admitted as a share of what the limits allow of what was offered.
+	 * Returns the admitted requests as a share of those that could have been admitted: of
+	 * each client account the offered requests, up to its limit.
 	 * @return the share
 	 */
 	double admittedOfAllowed() {
 		double allowed = 0;
 		for (int i = 0; i < ACCOUNTS; i++) {
-			double most = this.limits.get(i).requestsPerSecond() * SECONDS;
-			allowed += Math.min(most, this.fleet.audits().get(i).offeredCount());
+			double limit = this.limits.get(i).requestsPerSecond() * SECONDS;
+			allowed += Math.min(limit, this.fleet.audits().get(i).offeredCount());
 		}
 		return admitted() / allowed;
 	}
 
+	/**
+	 * Returns the number of requests that the partitioned region admitted during the
+	 * partition.
+	 * @return the number of requests
+	 */
 	long cutOffAdmitted() {
 		return this.cutOffAdmitted;
 	}
@@ -124,60 +131,70 @@
 		return this.fleet.grantor(0).busyNanos() / 1e3 / this.fleet.grantor(0).demands();
 	}
 
+	/**
+	 * Returns the CPU time of the primary grantor as a share of one core, over
+	 * {@value #SECONDS} simulated seconds.
+	 * @return the share
+	 */
 	double coreShare() {
 		return this.fleet.grantor(0).busyNanos() / 1e9 / SECONDS;
 	}
 
 	double worstWindow() {
-		return worst(AccountAudit::worstWindow);
+		return maxOverAccounts(AccountAudit::worstWindow);
 	}
 
 	double worstInFlight() {
-		return worst(AccountAudit::worstInFlight);
+		return maxOverAccounts(AccountAudit::worstInFlight);
 	}
 
 	double worstLeases() {
-		return worst(AccountAudit::worstLeases);
+		return maxOverAccounts(AccountAudit::worstLeases);
 	}
 
 	long breaches() {
 		return this.fleet.breaches();
 	}
 
-	private void spreadLoad() {
+	/**
+	 * Spreads the load over the client accounts by a Zipf distribution and sets their
+	 * limits in proportion to their load: every third limit is below the load and the
+	 * others are above it, but each is at least one request per second.
+	 */
+	private void initializeLoadAndLimits() {
 		double sum = 0;
 		for (int i = 0; i < ACCOUNTS; i++) {
-			sum += 1 / Math.pow(i + 1, SKEW);
-			this.cumulative[i] = sum;
+			sum += 1 / Math.pow(i + 1, ZIPF_EXPONENT);
+			this.cumulativeWeights[i] = sum;
 		}
-		double before = 0;
+		double previous = 0;
 		for (int i = 0; i < ACCOUNTS; i++) {
-			double rate = REQUESTS_PER_SECOND * (this.cumulative[i] - before) / sum;
-			before = this.cumulative[i];
-			double allowed = (i % 3 == 0) ? TIGHT_LIMIT * rate : AMPLE_LIMIT * rate;
-			long requests = Math.max(1, Math.round(allowed));
-			this.limits.add(new AccountLimits(requests, requests * LONGEST_TOKENS, 2 + requests));
+			double rate = REQUESTS_PER_SECOND * (this.cumulativeWeights[i] - previous) / sum;
+			previous = this.cumulativeWeights[i];
+			double limit = (i % 3 == 0) ? TIGHT_LIMIT_TO_LOAD * rate : AMPLE_LIMIT_TO_LOAD * rate;
+			long requests = Math.max(1, Math.round(limit));
+			this.limits.add(new AccountLimits(requests, requests * MAX_TOKENS_PER_REQUEST, 2 + requests));
 		}
 	}
 
 	private void offerOneSecond() {
-		long gap = SECOND / REQUESTS_PER_SECOND;
-		long end = this.fleet.events().now() + SECOND;
+		long intervalNanos = SECOND_NANOS / REQUESTS_PER_SECOND;
+		long end = this.fleet.events().now() + SECOND_NANOS;
 		while (this.fleet.events().now() < end) {
-			this.fleet.events().runUntil(this.fleet.events().now() + gap);
-			int account = account();
-			this.fleet.offer(this.random.nextInt(ENTRIES), account, this.random.nextLong(LONGEST_TOKENS),
-					this.random.nextLong(SECOND));
+			this.fleet.events().runUntil(this.fleet.events().now() + intervalNanos);
+			int account = randomAccount();
+			this.fleet.offer(this.random.nextInt(ENTRIES), account, this.random.nextLong(MAX_TOKENS_PER_REQUEST),
+					this.random.nextLong(SECOND_NANOS));
 		}
 	}
 
-	private int account() {
-		double value = this.random.nextDouble() * this.cumulative[ACCOUNTS - 1];
-		int index = Arrays.binarySearch(this.cumulative, value);
+	private int randomAccount() {
+		double value = this.random.nextDouble() * this.cumulativeWeights[ACCOUNTS - 1];
+		int index = Arrays.binarySearch(this.cumulativeWeights, value);
 		return (index >= 0) ? index : Math.min(ACCOUNTS - 1, -index - 1);
 	}
 
-	private long admittedInCutRegion() {
+	private long countAdmittedInPartitionedRegion() {
 		long sum = 0;
 		for (AccountAudit audit : this.fleet.audits()) {
 			for (int entry = 1; entry < ENTRIES; entry += REGIONS) {
@@ -187,7 +204,7 @@
 		return sum;
 	}
 
-	private double worst(ToDoubleFunction<AccountAudit> share) {
+	private double maxOverAccounts(ToDoubleFunction<AccountAudit> share) {
 		return this.fleet.audits().stream().mapToDouble(share).max().orElse(0);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsFleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsFleet.java
@@ -26,8 +26,8 @@
 import org.comfreywall.entry.limit.SendLeaseRequest;
 
 /**
- * Entries and grantors joined by links, in virtual time, with an audit of each client
- * account.
+ * Simulates entry instances and lease grantors that exchange messages over a network, in
+ * virtual time. An audit of each client account checks its limits over the whole fleet.
  */
 final class LimitsFleet {
 
@@ -47,7 +47,7 @@
 
 	private final List<AccountAudit> audits = new ArrayList<>();
 
-	private final Map<AccountId, Integer> indexes = new HashMap<>();
+	private final Map<AccountId, Integer> accountIndexes = new HashMap<>();
 
 	private long requestNumber;
 
@@ -56,18 +56,20 @@
 		this.random = random;
 		this.link = link;
 		for (int i = 0; i < settings.limits().size(); i++) {
-			this.indexes.put(account(i), i);
+			this.accountIndexes.put(account(i), i);
 			this.audits.add(new AccountAudit(settings.limits().get(i), settings.limitSettings().terms(),
 					settings.limitSettings().division()));
 		}
-		LimitSource source = (account) -> Optional.ofNullable(this.indexes.get(account)).map(settings.limits()::get);
+		LimitSource limitSource = (account) -> Optional.ofNullable(this.accountIndexes.get(account))
+			.map(settings.limits()::get);
 		for (int i = 0; i <= settings.limitSettings().division().reserveGrantors(); i++) {
-			SimulatedGrantor grantor = new SimulatedGrantor(settings, i == 0, clock(), this.invariants);
+			SimulatedGrantor grantor = new SimulatedGrantor(settings, i == 0, newClock(), this.invariants);
 			grantor.restart(0);
 			this.grantors.add(grantor);
 		}
 		for (int i = 0; i < settings.entries(); i++) {
-			SimulatedEntry entry = new SimulatedEntry(i, clock(), settings.limitSettings(), source, this.invariants);
+			SimulatedEntry entry = new SimulatedEntry(i, newClock(), settings.limitSettings(), limitSource,
+					this.invariants);
 			this.entries.add(entry);
 			this.events.at(random.nextLong(settings.tickNanos()), () -> tick(entry));
 		}
@@ -77,6 +79,13 @@
 		return AccountId.of("account-" + index);
 	}
 
+	/**
+	 * Offers a request to an entry instance.
+	 * @param entryIndex the index of the entry instance
+	 * @param accountIndex the index of the client account
+	 * @param tokens the tokens that the request reserves; a random part of them is used
+	 * @param runNanos the time in nanoseconds that the request runs once it is admitted
+	 */
 	void offer(int entryIndex, int accountIndex, long tokens, long runNanos) {
 		SimulatedEntry entry = this.entries.get(entryIndex);
 		this.requestNumber++;
@@ -84,7 +93,7 @@
 				tokens);
 		this.audits.get(accountIndex).offered();
 		LimitDecision decision = entry.enforcer().offer(request, localTime(entry));
-		apply(entry, new WaitingOffer(accountIndex, request, 0, runNanos), decision);
+		applyDecision(entry, new WaitingOffer(accountIndex, request, 0, runNanos), decision);
 	}
 
 	void restartEntry(int index) {
@@ -101,8 +110,8 @@
 	}
 
 	/**
-	 * Notes the in-flight slots that all entries together hold or use.
-	 * @param accountIndex the client account
+	 * Audits the number of in-flight slots that all entry instances together hold or use.
+	 * @param accountIndex the index of the client account
 	 */
 	void auditSlots(int accountIndex) {
 		AccountId account = account(accountIndex);
@@ -129,9 +138,9 @@
 		return this.invariants.violations();
 	}
 
-	private void apply(SimulatedEntry entry, WaitingOffer offer, LimitDecision decision) {
+	private void applyDecision(SimulatedEntry entry, WaitingOffer offer, LimitDecision decision) {
 		if (decision instanceof LimitAdmitted admitted) {
-			run(entry, offer, admitted.permit());
+			startRequest(entry, offer, admitted.permit());
 		}
 		else if (decision instanceof LimitPending pending) {
 			entry.park(new WaitingOffer(offer.account(), offer.request(), pending.until(), offer.runNanos()));
@@ -141,79 +150,95 @@
 		}
 	}
 
-	private void run(SimulatedEntry entry, WaitingOffer offer, LimitPermit permit) {
+	private void startRequest(SimulatedEntry entry, WaitingOffer offer, LimitPermit permit) {
 		AccountAudit audit = this.audits.get(offer.account());
-		audit.admitted(entry.index(), grantorFor(entry, permit.grantor()), permit.tokens(), this.events.now());
-		long spent = (long) (permit.tokens() * this.random.nextDouble());
+		audit.admitted(entry.index(), grantorIndex(entry, permit.grantor()), permit.tokens(), this.events.now());
+		long usedTokens = (long) (permit.tokens() * this.random.nextDouble());
 		Incarnation incarnation = entry.incarnation();
 		this.events.after(offer.runNanos(), () -> {
 			audit.ended();
 			if (entry.incarnation().equals(incarnation)) {
-				entry.enforcer().returnPermit(permit, spent, localTime(entry));
+				entry.enforcer().returnPermit(permit, usedTokens, localTime(entry));
 			}
 		});
 	}
 
 	private void tick(SimulatedEntry entry) {
 		for (LimitCommand command : entry.enforcer().tick(localTime(entry))) {
-			SendLeaseRequest ask = (SendLeaseRequest) command;
-			int grantor = grantorFor(entry, ask.grantor());
+			SendLeaseRequest message = (SendLeaseRequest) command;
+			int grantor = grantorIndex(entry, message.grantor());
 			long sentAt = this.events.now();
 			for (long delay : this.link.deliver(entry.index(), grantor)) {
-				this.events.after(delay, () -> arrive(entry, ask, grantor, sentAt));
+				this.events.after(delay, () -> handleLeaseRequest(entry, message, grantor, sentAt));
 			}
 		}
 		this.events.after(this.settings.tickNanos(), () -> tick(entry));
 	}
 
-	private void arrive(SimulatedEntry entry, SendLeaseRequest ask, int grantorIndex, long sentAt) {
+	private void handleLeaseRequest(SimulatedEntry entry, SendLeaseRequest message, int grantorIndex, long sentAt) {
 		SimulatedGrantor grantor = this.grantors.get(grantorIndex);
-		Optional<LeaseGrant> grant = grantor.answer(ask.request(), this.events.now());
+		Optional<LeaseGrant> grant = grantor.answer(message.request(), this.events.now());
 		if (grant.isEmpty()) {
 			return;
 		}
-		auditAnswer(grantorIndex, ask.request(), grant.get(), sentAt);
+		auditGrant(grantorIndex, message.request(), grant.get(), sentAt);
 		for (long delay : this.link.deliver(entry.index(), grantorIndex)) {
-			this.events.after(delay, () -> granted(entry, ask.grantor(), grant.get()));
+			this.events.after(delay, () -> handleGrant(entry, message.grantor(), grant.get()));
 		}
 	}
 
-	private void auditAnswer(int grantor, LeaseRequest request, LeaseGrant grant, long sentAt) {
+	/**
+	 * Records the refunds and grants of an answered lease request. Refunds count only in
+	 * the term for which they were sent. The grants are taken as valid for a rate term
+	 * from the time at which the request was sent.
+	 * @param grantor the index of the grantor
+	 * @param request the lease request
+	 * @param grant the answer
+	 * @param sentAt the true time in nanoseconds at which the request was sent
+	 */
+	private void auditGrant(int grantor, LeaseRequest request, LeaseGrant grant, long sentAt) {
 		long now = this.events.now();
 		if (request.term().equals(this.grantors.get(grantor).term())) {
 			for (AccountDemand demand : request.demands()) {
-				audit(demand.account()).refunded(grantor, demand.refundedTokens(), now);
+				auditOf(demand.account()).refunded(grantor, demand.refundedTokens(), now);
 			}
 		}
-		long until = sentAt + this.settings.limitSettings().terms().rateTerm().toNanos();
-		for (AccountGrant each : grant.grants()) {
-			audit(each.account()).granted(each.requests(), each.tokens(), until, now);
+		long expiresAt = sentAt + this.settings.limitSettings().terms().rateTerm().toNanos();
+		for (AccountGrant accountGrant : grant.grants()) {
+			auditOf(accountGrant.account()).granted(accountGrant.requests(), accountGrant.tokens(), expiresAt, now);
 		}
 	}
 
-	private void granted(SimulatedEntry entry, GrantorRole role, LeaseGrant grant) {
+	private void handleGrant(SimulatedEntry entry, GrantorRole role, LeaseGrant grant) {
 		long now = localTime(entry);
 		for (AccountId account : entry.enforcer().handleGrant(role, grant, now)) {
 			for (WaitingOffer offer : entry.unpark(account)) {
-				apply(entry, offer, entry.enforcer().offerAgain(offer.request(), offer.until(), now));
+				applyDecision(entry, offer, entry.enforcer().offerAgain(offer.request(), offer.until(), now));
 			}
 		}
 	}
 
-	private int grantorFor(SimulatedEntry entry, GrantorRole role) {
+	/**
+	 * Returns the index of a grantor. Index 0 is the primary grantor; the reserve
+	 * grantors are spread over the entry instances.
+	 * @param entry the entry instance
+	 * @param role the role of the grantor
+	 * @return the index of the grantor
+	 */
+	private int grantorIndex(SimulatedEntry entry, GrantorRole role) {
 		int reserves = this.settings.limitSettings().division().reserveGrantors();
 		return (role == GrantorRole.PRIMARY) ? 0 : 1 + entry.index() % reserves;
 	}
 
-	private AccountAudit audit(AccountId account) {
-		return this.audits.get(this.indexes.get(account));
+	private AccountAudit auditOf(AccountId account) {
+		return this.audits.get(this.accountIndexes.get(account));
 	}
 
 	private long localTime(SimulatedEntry entry) {
 		return entry.clock().read(this.events.now());
 	}
 
-	private DriftingClock clock() {
+	private DriftingClock newClock() {
 		return new DriftingClock(this.settings.clockDrift(), this.random);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsMeasurement.java
@@ -6,16 +6,17 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Measures leased limits over 1,100 entries with 5,300 client accounts, with churn and
- * the partition of a region, and the share of a limit that one busy entry can use.
+ * Measures leased limits with 1,100 entry instances and 5,300 client accounts, under
+ * restarts and the partition of a region, and the share of a limit that a single busy
+ * entry instance can use.
  * <p>
- * A rate limit with burst holds in a window if what was admitted in it is at most the
- * rate times the window's length plus what the rate brings in two seconds. Tokens count
- * at admission, and refunds once the grantor has taken them back.
+ * A rate limit holds in a window of time if the amount admitted in it is at most the rate
+ * times the length of the window plus the burst, which is two seconds of the rate. Tokens
+ * count when a request is admitted; refunds count once the grantor has taken them back.
  */
 public final class LimitsMeasurement implements Measurement {
 
-	private static final double ENTRY_SHARE = 0.95;
+	private static final double MIN_ENTRY_SHARE = 0.95;
 
 	@Override
 	public void run(BenchOptions options, Reporter reporter) {
@@ -45,13 +46,13 @@
 	private void measureLoneEntry(BenchOptions options, Reporter reporter) {
 		LoneEntryRun cold = new LoneEntryRun(options.seed(), false);
 		cold.run();
-		LoneEntryRun after = new LoneEntryRun(options.seed(), true);
-		after.run();
+		LoneEntryRun afterSharedUse = new LoneEntryRun(options.seed(), true);
+		afterSharedUse.run();
 		reporter.result("lone-entry", Field.of("from-cold-share", format(cold.share())),
-				Field.of("after-shared-use-share", format(after.share())));
-		reporter.atLeast("lone-entry-share-from-cold", cold.share(), ENTRY_SHARE);
-		reporter.atLeast("lone-entry-share-after-shared-use", after.share(), ENTRY_SHARE);
-		reporter.atMost("lone-entry-worst-window-share", Math.max(cold.worstWindow(), after.worstWindow()), 1);
+				Field.of("after-shared-use-share", format(afterSharedUse.share())));
+		reporter.atLeast("lone-entry-share-from-cold", cold.share(), MIN_ENTRY_SHARE);
+		reporter.atLeast("lone-entry-share-after-shared-use", afterSharedUse.share(), MIN_ENTRY_SHARE);
+		reporter.atMost("lone-entry-worst-window-share", Math.max(cold.worstWindow(), afterSharedUse.worstWindow()), 1);
 	}
 
 	private static String format(double value) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/Link.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/Link.java
@@ -3,16 +3,17 @@
 import java.util.List;
 
 /**
- * Decides what becomes of a message between an entry and a grantor.
+ * Simulates the network between entry instances and grantors: decides whether, when and
+ * how often a message is delivered.
  */
 @FunctionalInterface
 interface Link {
 
 	/**
-	 * Returns the delay of each copy that arrives.
-	 * @param entry the index of the entry
-	 * @param grantor the index of the grantor, zero for the primary one
-	 * @return the delays in nanoseconds, none if the message is lost
+	 * Returns the delays after which the copies of one message are delivered.
+	 * @param entry the index of the entry instance
+	 * @param grantor the index of the grantor, 0 for the primary grantor
+	 * @return the delay of each copy in nanoseconds, empty if the message is lost
 	 */
 	List<Long> deliver(int entry, int grantor);
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LiveGrants.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LiveGrants.java
@@ -4,24 +4,24 @@
 import java.util.PriorityQueue;
 
 /**
- * Sums up the granted amounts that a holder may still spend.
+ * Tracks the sum of the grants that have not expired, and its peak.
  */
 final class LiveGrants {
 
-	private final PriorityQueue<Grant> grants = new PriorityQueue<>(Comparator.comparingLong(Grant::until));
+	private final PriorityQueue<Grant> grants = new PriorityQueue<>(Comparator.comparingLong(Grant::expiresAt));
 
-	private long live;
+	private long total;
 
 	private long most;
 
-	void add(long amount, long until, long now) {
-		while (!this.grants.isEmpty() && this.grants.peek().until() <= now) {
-			this.live -= this.grants.poll().amount();
+	void add(long amount, long expiresAt, long now) {
+		while (!this.grants.isEmpty() && this.grants.peek().expiresAt() <= now) {
+			this.total -= this.grants.poll().amount();
 		}
-		if (amount > 0 && until > now) {
-			this.grants.add(new Grant(amount, until));
-			this.live += amount;
-			this.most = Math.max(this.most, this.live);
+		if (amount > 0 && expiresAt > now) {
+			this.grants.add(new Grant(amount, expiresAt));
+			this.total += amount;
+			this.most = Math.max(this.most, this.total);
 		}
 	}
 
@@ -29,7 +29,7 @@
 		return this.most;
 	}
 
-	private record Grant(long amount, long until) {
+	private record Grant(long amount, long expiresAt) {
 
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LoneEntryRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LoneEntryRun.java
@@ -11,19 +11,20 @@
 import org.comfreywall.entry.limit.LimitSettings;
 
 /**
- * One entry offers one and a half times a client account's limit, either from cold or
- * after all entries shared the limit; its admitted rate is taken from two seconds later
- * on.
+ * Measures how much of the limit of a client account one entry instance can use. It
+ * offers one and a half times the limit, either without earlier use or after all entry
+ * instances have used the limit together. Its admitted rate is measured from two seconds
+ * later on.
  */
 final class LoneEntryRun {
 
-	private static final long SECOND = 1_000_000_000;
+	private static final long SECOND_NANOS = 1_000_000_000;
 
 	private static final int ENTRIES = 1100;
 
 	private static final long REQUESTS_PER_SECOND = 1000;
 
-	private static final long TOKENS = 200;
+	private static final long TOKENS_PER_REQUEST = 200;
 
 	private static final long RUN_NANOS = 200_000_000;
 
@@ -33,32 +34,37 @@
 
 	private final LimitsFleet fleet;
 
-	private final boolean shared;
+	private final boolean preloadAllEntries;
 
 	private double share;
 
-	LoneEntryRun(long seed, boolean shared) {
+	LoneEntryRun(long seed, boolean preloadAllEntries) {
 		this.random = new SplittableRandom(seed);
-		this.shared = shared;
+		this.preloadAllEntries = preloadAllEntries;
 		LimitSettings settings = new LimitSettings(LeaseTerms.DEFAULT, new LimitDivision(0.04, 7),
 				Duration.ofMillis(250), Duration.ofMillis(25));
-		AccountLimits limits = new AccountLimits(REQUESTS_PER_SECOND, 10 * REQUESTS_PER_SECOND * TOKENS, 1000);
+		AccountLimits limits = new AccountLimits(REQUESTS_PER_SECOND, 10 * REQUESTS_PER_SECOND * TOKENS_PER_REQUEST,
+				1000);
 		this.fleet = new LimitsFleet(new FleetSettings(ENTRIES, List.of(limits), settings, 5_000_000, 0.001),
 				this.random, new RegionLink(this.random, 7));
 	}
 
 	void run() {
-		this.fleet.events().runUntil(130 * SECOND);
-		if (this.shared) {
-			offer(5, ENTRIES);
+		this.fleet.events().runUntil(130 * SECOND_NANOS);
+		if (this.preloadAllEntries) {
+			offerFor(5, ENTRIES);
 		}
-		offer(2, 1);
+		offerFor(2, 1);
 		long before = this.fleet.audits().get(0).admittedBy(0);
-		offer(MEASURED_SECONDS, 1);
+		offerFor(MEASURED_SECONDS, 1);
 		long admitted = this.fleet.audits().get(0).admittedBy(0) - before;
 		this.share = (double) admitted / (MEASURED_SECONDS * REQUESTS_PER_SECOND);
 	}
 
+	/**
+	 * Returns the admitted rate of the one entry instance as a share of the limit.
+	 * @return the share
+	 */
 	double share() {
 		return this.share;
 	}
@@ -67,12 +73,17 @@
 		return this.fleet.audits().get(0).worstWindow();
 	}
 
-	private void offer(int seconds, int entries) {
-		long gap = SECOND * 2 / (3 * REQUESTS_PER_SECOND);
-		long end = this.fleet.events().now() + seconds * SECOND;
+	/**
+	 * Offers requests at one and a half times the limit.
+	 * @param seconds the duration in seconds
+	 * @param entries the number of entry instances over which the requests are spread
+	 */
+	private void offerFor(int seconds, int entries) {
+		long intervalNanos = SECOND_NANOS * 2 / (3 * REQUESTS_PER_SECOND);
+		long end = this.fleet.events().now() + seconds * SECOND_NANOS;
 		while (this.fleet.events().now() < end) {
-			this.fleet.events().runUntil(this.fleet.events().now() + gap);
-			this.fleet.offer(this.random.nextInt(entries), 0, TOKENS, RUN_NANOS);
+			this.fleet.events().runUntil(this.fleet.events().now() + intervalNanos);
+			this.fleet.offer(this.random.nextInt(entries), 0, TOKENS_PER_REQUEST, RUN_NANOS);
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RandomLimitsMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RandomLimitsMeasurement.java
@@ -6,8 +6,9 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Runs leased limits through random faults and checks from outside that no limit is
- * exceeded and nothing starves.
+ * Runs leased limits under random faults and checks, independently of the code under
+ * test, that no limit is exceeded and that no entry instance is starved of a client
+ * account's limit.
  */
 public final class RandomLimitsMeasurement implements Measurement {
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RandomLimitsResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RandomLimitsResult.java
@@ -1,19 +1,22 @@
 package org.comfreywall.bench.limits;
 
 /**
- * What a randomised run of leased limits saw.
+ * The result of a randomized run of leased limits.
  *
- * @param offered requests offered
- * @param admitted requests admitted
- * @param entryRestarts restarts of entries
- * @param grantorRestarts restarts of grantors
- * @param cuts times that an entry was cut off or joined again
- * @param starvationChecks pairs of entry and client account checked for starvation
- * @param starved pairs that were served nothing although messages flowed
- * @param worstWindow worst use of a rate limit in any window as a share of the limit
- * @param worstInFlight worst number in flight as a share of the limit
- * @param worstLeases worst sum of live leases as a share of the limit
- * @param breaches breaches of invariants inside the cores
+ * @param offered the number of offered requests
+ * @param admitted the number of admitted requests
+ * @param entryRestarts the number of restarts of entry instances
+ * @param grantorRestarts the number of restarts of grantors
+ * @param cuts how often a partition between an entry instance and a grantor started or
+ * ended
+ * @param starvationChecks the number of checks of an entry instance and a client account
+ * for starvation
+ * @param starved the number of checks in which no request was admitted although all
+ * faults were suspended
+ * @param worstWindow the peak use of a rate limit in any window, as a share of its burst
+ * @param worstInFlight the peak number of requests in flight, as a share of the limit
+ * @param worstLeases the peak sum of unexpired leases, as a share of the limit
+ * @param breaches the number of invariant violations found by the code under test itself
  */
 record RandomLimitsResult(long offered, long admitted, long entryRestarts, long grantorRestarts, long cuts,
 		long starvationChecks, long starved, double worstWindow, double worstInFlight, double worstLeases,
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RandomLimitsRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RandomLimitsRun.java
@@ -12,22 +12,25 @@
 import org.comfreywall.entry.limit.LimitSettings;
 
 /**
- * A seeded run of leased limits under faults: each step is one request, restart, cut or
- * change of clocks. Most requests crowd one client account after a pause, so that its
- * limits are used to the full. Every so often all faults stop for a while, after which
- * each entry must have been served for each client account.
+ * Runs leased limits under random faults with a fixed seed. Each step offers requests,
+ * restarts an instance, starts or ends a partition, changes the rates of the clocks, or
+ * lets time pass and picks another hot client account.
+ * <p>
+ * Most requests go to the hot client account, so that its limits are fully used. After
+ * every {@value #STEPS_BETWEEN_STARVATION_CHECKS} steps all faults are suspended and each
+ * entry instance must get requests of each client account admitted.
  */
 final class RandomLimitsRun {
 
-	private static final long MILLI = 1_000_000;
+	private static final long MILLI_NANOS = 1_000_000;
 
-	private static final long SECOND = 1_000_000_000;
+	private static final long SECOND_NANOS = 1_000_000_000;
 
 	private static final int ENTRIES = 6;
 
 	private static final int RESERVE_GRANTORS = 2;
 
-	private static final long STEPS_BETWEEN_CALMS = 10_000;
+	private static final long STEPS_BETWEEN_STARVATION_CHECKS = 10_000;
 
 	private static final LeaseTerms TERMS = new LeaseTerms(Duration.ofSeconds(1), Duration.ofSeconds(3),
 			Duration.ofSeconds(6), Duration.ofSeconds(2), Duration.ofMillis(400), 0.001);
@@ -42,13 +45,13 @@
 
 	private final LimitsFleet fleet;
 
-	private int crowded;
+	private int hotAccount;
 
 	private long entryRestarts;
 
 	private long grantorRestarts;
 
-	private long cuts;
+	private long partitionChanges;
 
 	private long starvationChecks;
 
@@ -59,26 +62,27 @@
 		this.link = new FaultyLink(this.random, ENTRIES, 1 + RESERVE_GRANTORS);
 		LimitSettings settings = new LimitSettings(TERMS, new LimitDivision(0.2, RESERVE_GRANTORS),
 				Duration.ofMillis(250), Duration.ofMillis(25));
-		this.fleet = new LimitsFleet(new FleetSettings(ENTRIES, LIMITS, settings, 5 * MILLI, TERMS.clockDrift()),
+		this.fleet = new LimitsFleet(new FleetSettings(ENTRIES, LIMITS, settings, 5 * MILLI_NANOS, TERMS.clockDrift()),
 				this.random, this.link);
 	}
 
 	RandomLimitsResult run(long steps) {
 		for (long step = 1; step <= steps; step++) {
 			step();
-			if (step % STEPS_BETWEEN_CALMS == 0) {
-				calm();
+			if (step % STEPS_BETWEEN_STARVATION_CHECKS == 0) {
+				checkStarvation();
 			}
 		}
 		List<AccountAudit> audits = this.fleet.audits();
 		return new RandomLimitsResult(audits.stream().mapToLong(AccountAudit::offeredCount).sum(),
-				audits.stream().mapToLong(AccountAudit::admitted).sum(), this.entryRestarts, this.grantorRestarts,
-				this.cuts, this.starvationChecks, this.starved, worst(AccountAudit::worstWindow),
-				worst(AccountAudit::worstInFlight), worst(AccountAudit::worstLeases), this.fleet.breaches());
+				audits.stream().mapToLong(AccountAudit::admittedCount).sum(), this.entryRestarts, this.grantorRestarts,
+				this.partitionChanges, this.starvationChecks, this.starved, maxOverAccounts(AccountAudit::worstWindow),
+				maxOverAccounts(AccountAudit::worstInFlight), maxOverAccounts(AccountAudit::worstLeases),
+				this.fleet.breaches());
 	}
 
 	private void step() {
-		this.fleet.events().runUntil(this.fleet.events().now() + this.random.nextLong(6 * MILLI));
+		this.fleet.events().runUntil(this.fleet.events().now() + this.random.nextLong(6 * MILLI_NANOS));
 		int action = this.random.nextInt(2000);
 		if (action == 0) {
 			this.fleet.restartGrantor(this.random.nextInt(1 + RESERVE_GRANTORS));
@@ -90,63 +94,67 @@
 		}
 		else if (action < 10) {
 			this.link.toggleCut(this.random.nextInt(ENTRIES), this.random.nextInt(1 + RESERVE_GRANTORS));
-			this.cuts++;
+			this.partitionChanges++;
 		}
 		else if (action < 15) {
 			this.fleet.changeClockRates();
 		}
 		else if (action < 20) {
-			this.fleet.events().runUntil(this.fleet.events().now() + this.random.nextLong(6 * SECOND));
-			this.crowded = this.random.nextInt(LIMITS.size());
+			this.fleet.events().runUntil(this.fleet.events().now() + this.random.nextLong(6 * SECOND_NANOS));
+			this.hotAccount = this.random.nextInt(LIMITS.size());
 		}
 		else {
-			volley();
+			offerBurst();
 		}
 		this.fleet.auditSlots(this.random.nextInt(LIMITS.size()));
 	}
 
-	private void volley() {
-		boolean crowded = this.random.nextInt(4) > 0;
-		int account = crowded ? this.crowded : this.random.nextInt(LIMITS.size());
-		int requests = crowded ? this.random.nextInt(8) : 1;
+	private void offerBurst() {
+		boolean hot = this.random.nextInt(4) > 0;
+		int account = hot ? this.hotAccount : this.random.nextInt(LIMITS.size());
+		int requests = hot ? this.random.nextInt(8) : 1;
 		int entry = this.random.nextInt(ENTRIES);
 		for (int i = 0; i < requests; i++) {
-			offer(entry, account, 5 * SECOND);
+			offer(entry, account, 5 * SECOND_NANOS);
 		}
 	}
 
-	private void offer(int entry, int account, long longest) {
-		long most = Math.min(LIMITS.get(account).tokensPerSecond(), 2000);
-		long run = (this.random.nextInt(4) == 0) ? longest : longest / 50;
-		this.fleet.offer(entry, account, this.random.nextLong(most), this.random.nextLong(run));
+	private void offer(int entry, int account, long maxRunNanos) {
+		long maxTokens = Math.min(LIMITS.get(account).tokensPerSecond(), 2000);
+		long runLimit = (this.random.nextInt(4) == 0) ? maxRunNanos : maxRunNanos / 50;
+		this.fleet.offer(entry, account, this.random.nextLong(maxTokens), this.random.nextLong(runLimit));
 	}
 
-	private void calm() {
-		this.link.healed(true);
-		offerFor(25 * SECOND);
-		long[][] before = admitted();
-		offerFor(80 * SECOND);
-		long[][] after = admitted();
+	/**
+	 * Suspends all faults and waits until leases have recovered. Then counts the pairs of
+	 * entry instance and client account of which no request is admitted.
+	 */
+	private void checkStarvation() {
+		this.link.setFaultsDisabled(true);
+		offerFor(25 * SECOND_NANOS);
+		long[][] before = admittedByEntryAndAccount();
+		offerFor(80 * SECOND_NANOS);
+		long[][] after = admittedByEntryAndAccount();
 		for (int i = 0; i < ENTRIES; i++) {
 			for (int j = 0; j < LIMITS.size(); j++) {
 				this.starvationChecks++;
 				this.starved += (after[i][j] == before[i][j]) ? 1 : 0;
 			}
 		}
-		this.link.healed(false);
+		this.link.setFaultsDisabled(false);
 	}
 
 	private void offerFor(long nanos) {
 		long end = this.fleet.events().now() + nanos;
 		while (this.fleet.events().now() < end) {
-			this.fleet.events().runUntil(this.fleet.events().now() + 50 * MILLI);
+			this.fleet.events().runUntil(this.fleet.events().now() + 50 * MILLI_NANOS);
 			for (int i = 0; i < ENTRIES; i++) {
-				offer(i, this.random.nextInt(LIMITS.size()), SECOND);
+				offer(i, this.random.nextInt(LIMITS.size()), SECOND_NANOS);
 			}
 		}
 	}
 
-	private long[][] admitted() {
+	private long[][] admittedByEntryAndAccount() {
 		long[][] result = new long[ENTRIES][LIMITS.size()];
 		for (int i = 0; i < ENTRIES; i++) {
 			for (int j = 0; j < LIMITS.size(); j++) {
@@ -156,7 +164,7 @@
 		return result;
 	}
 
-	private double worst(ToDoubleFunction<AccountAudit> share) {
+	private double maxOverAccounts(ToDoubleFunction<AccountAudit> share) {
 		return this.fleet.audits().stream().mapToDouble(share).max().orElse(0);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RateWindow.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RateWindow.java
@@ -1,46 +1,48 @@
 package org.comfreywall.bench.limits;
 
 /**
- * Finds the most that was spent in any window beyond what the rate allows.
+ * Checks a rate limit with burst by a leaky bucket used as a meter.
  * <p>
- * The excess at a time is the greatest value, over all windows that end then, of what was
- * spent less what was refunded less the rate times the window's length. A limit with a
- * burst holds in every window exactly if the excess never exceeds the burst.
+ * Spent amounts raise the level of the bucket, refunds lower it, and it drains at the
+ * rate of the limit. The level at a time is the maximum, over all windows that end at
+ * that time, of the amount spent less the amount refunded less the rate times the length
+ * of the window. The limit therefore holds in every window exactly if the level never
+ * exceeds the burst.
  */
 final class RateWindow {
 
-	private final double perNano;
+	private final double drainPerNano;
 
 	private final double burst;
 
-	private double excess;
+	private double level;
 
 	private double worst;
 
-	private long changedAt;
+	private long drainedAt;
 
 	private long spent;
 
 	RateWindow(double perSecond, double burstSeconds) {
-		this.perNano = perSecond / 1e9;
+		this.drainPerNano = perSecond / 1e9;
 		this.burst = perSecond * burstSeconds;
 	}
 
 	void spend(long amount, long now) {
-		decay(now);
+		drain(now);
 		this.spent += amount;
-		this.excess += amount;
-		this.worst = Math.max(this.worst, this.excess);
+		this.level += amount;
+		this.worst = Math.max(this.worst, this.level);
 	}
 
 	void refund(long amount, long now) {
-		decay(now);
-		this.excess = Math.max(0, this.excess - amount);
+		drain(now);
+		this.level = Math.max(0, this.level - amount);
 	}
 
 	/**
-	 * Returns the worst excess as a share of the burst.
-	 * @return the share; above 1 the limit was exceeded
+	 * Returns the peak level of the bucket as a share of the burst.
+	 * @return the share; above 1 if the limit was exceeded
 	 */
 	double worst() {
 		return (this.worst > 0) ? this.worst / this.burst : 0;
@@ -50,9 +52,9 @@
 		return this.spent;
 	}
 
-	private void decay(long now) {
-		this.excess = Math.max(0, this.excess - this.perNano * (now - this.changedAt));
-		this.changedAt = now;
+	private void drain(long now) {
+		this.level = Math.max(0, this.level - this.drainPerNano * (now - this.drainedAt));
+		this.drainedAt = now;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RegionLink.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RegionLink.java
@@ -4,11 +4,12 @@
 import java.util.random.RandomGenerator;
 
 /**
- * A link between regions of which one can be cut off from the primary grantor.
+ * A network of regions that rarely loses a message. One region can be partitioned from
+ * the primary grantor; the reserve grantors stay reachable.
  */
 final class RegionLink implements Link {
 
-	private static final long MICRO = 1_000;
+	private static final long MICRO_NANOS = 1_000;
 
 	private final RandomGenerator random;
 
@@ -23,13 +24,17 @@
 
 	@Override
 	public List<Long> deliver(int entry, int grantor) {
-		boolean cutOff = this.cut && grantor == 0 && entry % this.regions == 1;
-		if (cutOff || this.random.nextInt(1000) == 0) {
+		boolean partitioned = this.cut && grantor == 0 && entry % this.regions == 1;
+		if (partitioned || this.random.nextInt(1000) == 0) {
 			return List.of();
 		}
-		return List.of(500 * MICRO + this.random.nextLong(30_000 * MICRO));
+		return List.of(500 * MICRO_NANOS + this.random.nextLong(30_000 * MICRO_NANOS));
 	}
 
+	/**
+	 * Starts or ends the partition.
+	 * @param cut whether the region is partitioned from the primary grantor
+	 */
 	void cut(boolean cut) {
 		this.cut = cut;
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedEntry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedEntry.java
@@ -15,7 +15,8 @@
 import org.comfreywall.entry.limit.LimitSource;
 
 /**
- * One life after another of an entry in virtual time.
+ * Simulates the limit enforcement of an entry instance in virtual time. Each restart
+ * begins a new incarnation.
  */
 final class SimulatedEntry {
 
@@ -35,15 +36,20 @@
 
 	private LimitEnforcer enforcer;
 
-	SimulatedEntry(int index, DriftingClock clock, LimitSettings settings, LimitSource source, Invariants invariants) {
+	SimulatedEntry(int index, DriftingClock clock, LimitSettings settings, LimitSource limitSource,
+			Invariants invariants) {
 		this.index = index;
 		this.clock = clock;
 		this.settings = settings;
-		this.source = source;
+		this.source = limitSource;
 		this.invariants = invariants;
 		restart();
 	}
 
+	/**
+	 * Starts the next incarnation, without the leases and waiting requests of the last
+	 * one.
+	 */
 	void restart() {
 		this.incarnation = this.incarnation.next();
 		this.waiting.clear();
@@ -51,10 +57,19 @@
 				this.source, DecisionListener.NONE, this.invariants);
 	}
 
+	/**
+	 * Adds a request that waits for a grant to its client account.
+	 * @param offer the request
+	 */
 	void park(WaitingOffer offer) {
 		this.waiting.computeIfAbsent(offer.request().account(), (account) -> new ArrayList<>()).add(offer);
 	}
 
+	/**
+	 * Removes and returns the requests of a client account that wait for a grant.
+	 * @param account the client account
+	 * @return the requests in order of arrival
+	 */
 	List<WaitingOffer> unpark(AccountId account) {
 		List<WaitingOffer> result = this.waiting.remove(account);
 		return (result != null) ? result : List.of();
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
@@ -24,11 +24,12 @@
 import org.comfreywall.control.lease.SlotReservation;
 
 /**
- * Runs one lease ledger after another in virtual time.
+ * Simulates a lease grantor in virtual time. Each restart begins a new term with a new
+ * lease ledger.
  */
 final class SimulatedGrantor {
 
-	private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+	private static final ThreadMXBean THREAD_BEAN = ManagementFactory.getThreadMXBean();
 
 	private final FleetSettings settings;
 
@@ -38,8 +39,11 @@
 
 	private final Invariants invariants;
 
-	/** Survives restarts, as the replicated log does. */
-	private final Map<AccountId, Long> reserved = new HashMap<>();
+	/**
+	 * The reserved slots of each client account. Kept across restarts, as they are in the
+	 * replicated log.
+	 */
+	private final Map<AccountId, Long> reservedSlots = new HashMap<>();
 
 	private Term term = Term.ZERO;
 
@@ -58,6 +62,11 @@
 		this.invariants = invariants;
 	}
 
+	/**
+	 * Starts the next term with an empty ledger that knows only the limits and the
+	 * reserved slots.
+	 * @param trueTime the true time in nanoseconds
+	 */
 	void restart(long trueTime) {
 		this.term = this.term.next();
 		long now = this.clock.read(trueTime);
@@ -68,25 +77,32 @@
 			GrantorLimits part = this.primary ? division.primaryLimits(this.settings.limits().get(i))
 					: division.reserveLimits(this.settings.limits().get(i));
 			AccountId account = LimitsFleet.account(i);
-			OptionalLong earlier = OptionalLong.of(this.reserved.getOrDefault(account, 0L));
-			this.ledger.handle(new LimitsChanged(account, Optional.of(part), earlier), now);
+			OptionalLong earlierSlots = OptionalLong.of(this.reservedSlots.getOrDefault(account, 0L));
+			this.ledger.handle(new LimitsChanged(account, Optional.of(part), earlierSlots), now);
 		}
 	}
 
+	/**
+	 * Handles a lease request and adds the CPU time of the current thread to the busy
+	 * time.
+	 * @param request the request
+	 * @param trueTime the true time in nanoseconds
+	 * @return the grant, or empty if the ledger sends none
+	 */
 	Optional<LeaseGrant> answer(LeaseRequest request, long trueTime) {
 		this.asks++;
 		this.demands += request.demands().size();
-		long start = THREADS.getCurrentThreadCpuTime();
+		long start = THREAD_BEAN.getCurrentThreadCpuTime();
 		long now = this.clock.read(trueTime);
 		List<LedgerCommand> commands = this.ledger.handle(new LeaseRequested(request), now);
-		request.demands().forEach((demand) -> reserve(demand.account(), now));
-		this.busyNanos += THREADS.getCurrentThreadCpuTime() - start;
+		request.demands().forEach((demand) -> updateReservedSlots(demand.account(), now));
+		this.busyNanos += THREAD_BEAN.getCurrentThreadCpuTime() - start;
 		return commands.stream().map((command) -> ((SendGrant) command).grant()).findFirst();
 	}
 
-	private void reserve(AccountId account, long now) {
-		long present = this.reserved.getOrDefault(account, 0L);
-		this.reserved.put(account, SlotReservation.next(present, this.ledger.outstandingSlots(account, now)));
+	private void updateReservedSlots(AccountId account, long now) {
+		long current = this.reservedSlots.getOrDefault(account, 0L);
+		this.reservedSlots.put(account, SlotReservation.next(current, this.ledger.outstandingSlots(account, now)));
 	}
 
 	DriftingClock clock() {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/package-info.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Measurements and randomised runs of leased limits and admission.
+ * Measurements and randomized tests of leased limits, and a benchmark of admission.
  */
 package org.comfreywall.bench.limits;
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/limits/RandomLimitsRunTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/limits/RandomLimitsRunTests.java
@@ -6,7 +6,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests leased limits under random faults.
+ * Tests that leased limits are neither exceeded nor starve an entry instance under random
+ * faults.
  */
 class RandomLimitsRunTests {
 
@@ -33,18 +34,18 @@
 	}
 
 	@Test
-	void starvesNothingOnceMessagesFlow() {
+	void starvesNoEntryOnceFaultsHaveEnded() {
 		assertThat(result.starvationChecks()).isPositive();
 		assertThat(result.starved()).isZero();
 	}
 
 	@Test
-	void breachesNoInvariant() {
+	void violatesNoInvariant() {
 		assertThat(result.breaches()).isZero();
 	}
 
 	@Test
-	void meetsTheFaultsItIsMeantFor() {
+	void injectsEachKindOfFault() {
 		assertThat(result.admitted()).isPositive();
 		assertThat(result.entryRestarts()).isPositive();
 		assertThat(result.grantorRestarts()).isPositive();
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/limits/RateWindowTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/limits/RateWindowTests.java
@@ -9,26 +9,26 @@
  */
 class RateWindowTests {
 
-	private static final long SECOND = 1_000_000_000;
+	private static final long SECOND_NANOS = 1_000_000_000;
 
 	private final RateWindow window = new RateWindow(10, 2);
 
 	@Test
 	void allowsTheBurstAndTheRateAfterIt() {
 		this.window.spend(20, 0);
-		this.window.spend(10, SECOND);
+		this.window.spend(10, SECOND_NANOS);
 		assertThat(this.window.worst()).isEqualTo(1);
 	}
 
 	@Test
-	void seesOneRequestTooMany() {
+	void detectsOneRequestAboveTheLimit() {
 		this.window.spend(20, 0);
-		this.window.spend(11, SECOND);
+		this.window.spend(11, SECOND_NANOS);
 		assertThat(this.window.worst()).isGreaterThan(1);
 	}
 
 	@Test
-	void countsRefundsAgainstWhatWasSpent() {
+	void subtractsRefundsFromTheSpentAmount() {
 		this.window.spend(20, 0);
 		this.window.refund(5, 0);
 		this.window.spend(5, 0);
