Reword the overload benches

Callers had patience and sent sendings, a listener heard how they ended, and an overload was a storm. Several counters did not say what they count.

Comments now speak of clients, attempts, timeouts, retries, goodput, recovery time and load shedding, with units. The test of the FIFO baseline is named for what it checks, that it recovers more slowly than admission control; its old name claimed that the baseline never recovers. The checks are unchanged.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/AdmittedService.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/AdmittedService.java
@@ -23,7 +23,8 @@
 import org.comfreywall.entry.admit.StartRequest;
 
 /**
- * Drives an admission controller in virtual time.
+ * A service that passes attempts to the backend servers as an {@link AdmissionController}
+ * decides, in virtual time.
  */
 final class AdmittedService implements ServiceUnderLoad {
 
@@ -54,9 +55,9 @@
 		AdmissionResult result = this.controller.offer(
 				new AdmissionRequest(id, request.account(), request.priority(), 1, request.deadline()),
 				this.events.now());
-		carryOut(result.commands());
+		executeCommands(result.commands());
 		if (result.decision() instanceof Admitted) {
-			start(id, request);
+			startOnPool(id, request);
 		}
 		else if (result.decision() instanceof Queued) {
 			this.queued.put(id, request);
@@ -66,17 +67,17 @@
 		}
 	}
 
-	private void start(RequestId id, SentRequest request) {
+	private void startOnPool(RequestId id, SentRequest request) {
 		this.pool.run(request, () -> {
 			this.callers.answered(request);
-			carryOut(this.controller.handleFinished(id, FinishKind.ANSWERED, this.events.now()));
+			executeCommands(this.controller.handleFinished(id, FinishKind.ANSWERED, this.events.now()));
 		});
 	}
 
-	private void carryOut(List<AdmissionCommand> commands) {
+	private void executeCommands(List<AdmissionCommand> commands) {
 		for (AdmissionCommand command : commands) {
 			if (command instanceof StartRequest start) {
-				start(start.id(), this.queued.remove(start.id()));
+				startOnPool(start.id(), this.queued.remove(start.id()));
 			}
 			else {
 				ShedRequest shed = (ShedRequest) command;
@@ -86,7 +87,7 @@
 	}
 
 	private void tick() {
-		carryOut(this.controller.tick(this.events.now()));
+		executeCommands(this.controller.tick(this.events.now()));
 		this.events.after(TICK_NANOS, this::tick);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/BackendPool.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/BackendPool.java
@@ -3,8 +3,8 @@
 import org.comfreywall.bench.limits.EventQueue;
 
 /**
- * Backend servers that slow down, and lose throughput, when more requests run than they
- * have room for.
+ * Simulates a pool of backend servers. Above {@value #ROOM} concurrent requests each
+ * request becomes slower, and the throughput of the pool falls.
  */
 final class BackendPool {
 
@@ -12,7 +12,7 @@
 
 	static final long MEAN_WORK_NANOS = 100_000_000;
 
-	private static final double LOSS = 0.3;
+	private static final double OVERLOAD_PENALTY = 0.3;
 
 	private final EventQueue events;
 
@@ -23,17 +23,22 @@
 	}
 
 	/**
-	 * Returns the requests a second that the pool can answer at best.
-	 * @return the capacity
+	 * Returns the highest throughput of the pool.
+	 * @return the capacity in requests per second
 	 */
 	static double capacity() {
 		return ROOM * 1e9 / MEAN_WORK_NANOS;
 	}
 
+	/**
+	 * Runs a request.
+	 * @param request the request
+	 * @param ended the action to run at the end of the request
+	 */
 	void run(SentRequest request, Runnable ended) {
 		this.running++;
-		double crowding = Math.max(1, (double) this.running / ROOM);
-		double slowdown = crowding * (1 + LOSS * (crowding - 1));
+		double oversubscription = Math.max(1, (double) this.running / ROOM);
+		double slowdown = oversubscription * (1 + OVERLOAD_PENALTY * (oversubscription - 1));
 		this.events.after((long) (request.work() * slowdown), () -> {
 			this.running--;
 			ended.run();
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/CallerSide.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/CallerSide.java
@@ -1,20 +1,20 @@
 package org.comfreywall.bench.overload;
 
 /**
- * Hears how sendings end.
+ * Receives the outcomes of the attempts of clients.
  */
 interface CallerSide {
 
 	/**
-	 * The answer arrived, perhaps too late.
-	 * @param request the sending
+	 * Handles an answer, which may arrive after the deadline.
+	 * @param request the attempt
 	 */
 	void answered(SentRequest request);
 
 	/**
-	 * The sending was refused or shed.
-	 * @param request the sending
-	 * @param retryAfterNanos when to send again
+	 * Handles an attempt that was refused at admission or shed from the queue.
+	 * @param request the attempt
+	 * @param retryAfterNanos the time in nanoseconds after which the client may retry
 	 */
 	void refused(SentRequest request, long retryAfterNanos);
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/FifoService.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/FifoService.java
@@ -4,7 +4,7 @@
 import java.util.Deque;
 
 /**
- * The baseline: one unbounded queue in order of arrival, without shedding.
+ * The baseline without admission control: one unbounded FIFO queue without load shedding.
  */
 final class FifoService implements ServiceUnderLoad {
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/LoadPhase.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/LoadPhase.java
@@ -1,11 +1,11 @@
 package org.comfreywall.bench.overload;
 
 /**
- * A stretch of constant offered load.
+ * A period of constant offered load.
  *
- * @param name the phase's name
+ * @param name the name of the phase, as it is reported
  * @param load the load as a multiple of the capacity
- * @param seconds its length
+ * @param seconds the duration in seconds
  */
 record LoadPhase(String name, double load, int seconds) {
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/RetryStorm.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/RetryStorm.java
@@ -13,13 +13,13 @@
 import org.comfreywall.entry.retry.RetrySettings;
 
 /**
- * Requests whose every attempt fails.
+ * Simulates a retry storm: requests of which every attempt fails and may be retried.
  */
 final class RetryStorm {
 
 	private static final ServiceId SERVICE = ServiceId.of("drafting");
 
-	private static final long REMAINING_NANOS = 60_000_000_000L;
+	private static final long REMAINING_DEADLINE_NANOS = 60_000_000_000L;
 
 	private final RandomGenerator random;
 
@@ -33,36 +33,41 @@
 		this.accounts = accounts;
 	}
 
+	/**
+	 * Records requests that succeed at the first attempt, which fills the retry budgets.
+	 * @param requests the number of requests
+	 */
 	void healthy(int requests) {
 		for (int i = 0; i < requests; i++) {
-			this.controller.recordFirstAttempt(account(), SERVICE);
+			this.controller.recordFirstAttempt(randomAccount(), SERVICE);
 			this.controller.recordLatency(SERVICE, this.random.nextLong(100_000_000));
 		}
 	}
 
 	/**
-	 * Fails every attempt and counts them.
+	 * Runs requests of which every attempt fails and returns the amplification of load.
 	 * @param requests the number of requests
-	 * @return attempts for each request
+	 * @return the mean number of attempts per request
 	 */
 	double amplification(int requests) {
 		long attempts = 0;
 		for (int i = 0; i < requests; i++) {
-			AccountId account = account();
+			AccountId account = randomAccount();
 			RequestId id = RequestId.of("request-" + i);
 			this.controller.recordFirstAttempt(account, SERVICE);
-			int made = 1;
+			int requestAttempts = 1;
 			while (this.controller
-				.decide(new RetryQuery(id, account, SERVICE, made, RetryCause.CRASHED, REMAINING_NANOS))
+				.decide(new RetryQuery(id, account, SERVICE, requestAttempts, RetryCause.CRASHED,
+						REMAINING_DEADLINE_NANOS))
 				.allowed()) {
-				made++;
+				requestAttempts++;
 			}
-			attempts += made;
+			attempts += requestAttempts;
 		}
 		return (double) attempts / requests;
 	}
 
-	private AccountId account() {
+	private AccountId randomAccount() {
 		return AccountId.of("account-" + this.random.nextInt(this.accounts));
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/SentRequest.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/SentRequest.java
@@ -4,15 +4,17 @@
 import org.comfreywall.common.id.AccountId;
 
 /**
- * One sending of a caller's request.
+ * One attempt of a client to have a request answered.
  *
- * @param number numbers all sendings
+ * @param number the number of this attempt among all attempts of the run, 0 until it is
+ * sent
  * @param account the client account
  * @param priority the priority class
- * @param send the number of this sending of the same request, from 1
- * @param arrivedAt when the request was first sent, in nanoseconds
- * @param deadline when the caller stops waiting for this sending, in nanoseconds
- * @param work the time it takes on an idle backend server, in nanoseconds
+ * @param send the number of this attempt among those of the same request, from 1
+ * @param arrivedAt the time of the first attempt of the request in nanoseconds
+ * @param deadline the time in nanoseconds at which the client gives up this attempt, 0
+ * until it is sent
+ * @param work the duration of the request on an idle backend server in nanoseconds
  */
 record SentRequest(long number, AccountId account, PriorityClass priority, int send, long arrivedAt, long deadline,
 		long work) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/ServiceUnderLoad.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/ServiceUnderLoad.java
@@ -1,13 +1,14 @@
 package org.comfreywall.bench.overload;
 
 /**
- * Takes sendings to the backend servers in some order.
+ * A service that passes the attempts of clients to the backend servers in an order of its
+ * own.
  */
 interface ServiceUnderLoad {
 
 	/**
-	 * Takes a sending.
-	 * @param request the sending
+	 * Receives an attempt of a client.
+	 * @param request the attempt
 	 */
 	void send(SentRequest request);
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/package-info.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Measurements of admission and retries under overload.
+ * Measurements of admission control and retry budgets under overload.
  */
 package org.comfreywall.bench.overload;
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/overload/OverloadRunTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/overload/OverloadRunTests.java
@@ -6,7 +6,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests admission through an overload and after it.
+ * Tests the goodput of admission control during and after an overload.
  */
 class OverloadRunTests {
 
@@ -21,17 +21,17 @@
 	}
 
 	@Test
-	void holdsGoodputAtTwiceTheCapacity() {
+	void keepsGoodputAtTwiceTheCapacity() {
 		assertThat(admitted.goodput(3)).isGreaterThanOrEqualTo(0.95 * admitted.goodput(1));
 	}
 
 	@Test
-	void recoversAfterTheStorm() {
+	void recoversAfterTheOverload() {
 		assertThat(admitted.recoverySeconds()).isLessThanOrEqualTo(5);
 	}
 
 	@Test
-	void baselineInOrderOfArrivalDoesNotRecover() {
+	void recoversFasterThanTheFifoBaseline() {
 		OverloadRun fifo = new OverloadRun(SEED, false, 4);
 		fifo.run();
 		assertThat(fifo.recoverySeconds()).isGreaterThan(admitted.recoverySeconds());
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/overload/RetryStormTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/overload/RetryStormTests.java
@@ -5,19 +5,19 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests the amplification by retries when every attempt fails.
+ * Tests that the retry budget limits the amplification of load when every attempt fails.
  */
 class RetryStormTests {
 
 	private static final long SEED = 1;
 
 	@Test
-	void staysBoundedOverManyClientAccounts() {
+	void amplificationIsBoundedOverManyClientAccounts() {
 		assertThat(new RetryStorm(SEED, 5300).amplification(100_000)).isLessThan(1.1);
 	}
 
 	@Test
-	void staysBoundedAfterBudgetsHaveSavedUp() {
+	void amplificationIsBoundedWithFullRetryBudgets() {
 		RetryStorm storm = new RetryStorm(SEED, 10);
 		storm.healthy(10_000);
 		assertThat(storm.amplification(500)).isLessThan(1.1);
