Name the fields and parameters of the benches for what they hold

Some fields had the name of the method that changes them (offered, refused, finished, cut, worst), the attempt of a client was called request or sent, and the listener of its outcome was called callers.

Fields and parameters are renamed for what they hold; the simulated network is named network throughout. One comment of SimulatedGrantor no longer says that a ledger knows its limits.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/AccountAudit.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/AccountAudit.java
@@ -41,9 +41,9 @@
 
 	private long peakSlots;
 
-	private long offered;
+	private long offeredTotal;
 
-	private long refused;
+	private long refusedTotal;
 
 	AccountAudit(AccountLimits limits, LeaseTerms terms, LimitDivision division) {
 		this.limits = limits;
@@ -110,11 +110,11 @@
 	}
 
 	void offered() {
-		this.offered++;
+		this.offeredTotal++;
 	}
 
 	void refused() {
-		this.refused++;
+		this.refusedTotal++;
 	}
 
 	long admittedBy(int entry) {
@@ -126,11 +126,11 @@
 	}
 
 	long offeredCount() {
-		return this.offered;
+		return this.offeredTotal;
 	}
 
 	long refusedCount() {
-		return this.refused;
+		return this.refusedTotal;
 	}
 
 	/**
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/FleetRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/FleetRun.java
@@ -42,7 +42,7 @@
 
 	private final RandomGenerator random;
 
-	private final RegionLink link;
+	private final RegionLink network;
 
 	private final LimitsFleet fleet;
 
@@ -56,24 +56,24 @@
 
 	FleetRun(long seed) {
 		this.random = new SplittableRandom(seed);
-		this.link = new RegionLink(this.random, REGIONS);
+		this.network = new RegionLink(this.random, REGIONS);
 		initializeLoadAndLimits();
 		LimitSettings settings = new LimitSettings(LeaseTerms.DEFAULT, new LimitDivision(0.04, REGIONS),
 				Duration.ofMillis(250), Duration.ofMillis(25));
 		this.fleet = new LimitsFleet(new FleetSettings(ENTRIES, this.limits, settings, 10_000_000, 0.001), this.random,
-				this.link);
+				this.network);
 	}
 
 	void run() {
 		this.fleet.events().runUntil(130 * SECOND_NANOS);
 		for (int second = 0; second < SECONDS; second++) {
 			if (second == 8) {
-				this.link.cut(true);
+				this.network.cut(true);
 				this.cutOffAdmitted -= countAdmittedInPartitionedRegion();
 			}
 			if (second == 15) {
 				this.cutOffAdmitted += countAdmittedInPartitionedRegion();
-				this.link.cut(false);
+				this.network.cut(false);
 			}
 			this.fleet.restartEntry(this.random.nextInt(ENTRIES));
 			this.restarts++;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsFleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsFleet.java
@@ -35,7 +35,7 @@
 
 	private final RandomGenerator random;
 
-	private final Link link;
+	private final Link network;
 
 	private final EventQueue events = new EventQueue();
 
@@ -51,10 +51,10 @@
 
 	private long requestNumber;
 
-	LimitsFleet(FleetSettings settings, RandomGenerator random, Link link) {
+	LimitsFleet(FleetSettings settings, RandomGenerator random, Link network) {
 		this.settings = settings;
 		this.random = random;
-		this.link = link;
+		this.network = network;
 		for (int i = 0; i < settings.limits().size(); i++) {
 			this.accountIndexes.put(account(i), i);
 			this.audits.add(new AccountAudit(settings.limits().get(i), settings.limitSettings().terms(),
@@ -168,7 +168,7 @@
 			SendLeaseRequest message = (SendLeaseRequest) command;
 			int grantor = grantorIndex(entry, message.grantor());
 			long sentAt = this.events.now();
-			for (long delay : this.link.deliver(entry.index(), grantor)) {
+			for (long delay : this.network.deliver(entry.index(), grantor)) {
 				this.events.after(delay, () -> handleLeaseRequest(entry, message, grantor, sentAt));
 			}
 		}
@@ -182,7 +182,7 @@
 			return;
 		}
 		auditGrant(grantorIndex, message.request(), grant.get(), sentAt);
-		for (long delay : this.link.deliver(entry.index(), grantorIndex)) {
+		for (long delay : this.network.deliver(entry.index(), grantorIndex)) {
 			this.events.after(delay, () -> handleGrant(entry, message.grantor(), grant.get()));
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RandomLimitsRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RandomLimitsRun.java
@@ -41,7 +41,7 @@
 
 	private final RandomGenerator random;
 
-	private final FaultyLink link;
+	private final FaultyLink network;
 
 	private final LimitsFleet fleet;
 
@@ -59,11 +59,11 @@
 
 	RandomLimitsRun(long seed) {
 		this.random = new SplittableRandom(seed);
-		this.link = new FaultyLink(this.random, ENTRIES, 1 + RESERVE_GRANTORS);
+		this.network = new FaultyLink(this.random, ENTRIES, 1 + RESERVE_GRANTORS);
 		LimitSettings settings = new LimitSettings(TERMS, new LimitDivision(0.2, RESERVE_GRANTORS),
 				Duration.ofMillis(250), Duration.ofMillis(25));
 		this.fleet = new LimitsFleet(new FleetSettings(ENTRIES, LIMITS, settings, 5 * MILLI_NANOS, TERMS.clockDrift()),
-				this.random, this.link);
+				this.random, this.network);
 	}
 
 	RandomLimitsResult run(long steps) {
@@ -93,7 +93,7 @@
 			this.entryRestarts++;
 		}
 		else if (action < 10) {
-			this.link.toggleCut(this.random.nextInt(ENTRIES), this.random.nextInt(1 + RESERVE_GRANTORS));
+			this.network.toggleCut(this.random.nextInt(ENTRIES), this.random.nextInt(1 + RESERVE_GRANTORS));
 			this.partitionChanges++;
 		}
 		else if (action < 15) {
@@ -130,7 +130,7 @@
 	 * entry instance and client account of which no request is admitted.
 	 */
 	private void checkStarvation() {
-		this.link.setFaultsDisabled(true);
+		this.network.setFaultsDisabled(true);
 		offerFor(25 * SECOND_NANOS);
 		long[][] before = admittedByEntryAndAccount();
 		offerFor(80 * SECOND_NANOS);
@@ -141,7 +141,7 @@
 				this.starved += (after[i][j] == before[i][j]) ? 1 : 0;
 			}
 		}
-		this.link.setFaultsDisabled(false);
+		this.network.setFaultsDisabled(false);
 	}
 
 	private void offerFor(long nanos) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RateWindow.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RateWindow.java
@@ -17,7 +17,7 @@
 
 	private double level;
 
-	private double worst;
+	private double peakLevel;
 
 	private long drainedAt;
 
@@ -32,7 +32,7 @@
 		drain(now);
 		this.spent += amount;
 		this.level += amount;
-		this.worst = Math.max(this.worst, this.level);
+		this.peakLevel = Math.max(this.peakLevel, this.level);
 	}
 
 	void refund(long amount, long now) {
@@ -45,7 +45,7 @@
 	 * @return the share; above 1 if the limit was exceeded
 	 */
 	double worst() {
-		return (this.worst > 0) ? this.worst / this.burst : 0;
+		return (this.peakLevel > 0) ? this.peakLevel / this.burst : 0;
 	}
 
 	long spent() {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RegionLink.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RegionLink.java
@@ -15,7 +15,7 @@
 
 	private final int regions;
 
-	private boolean cut;
+	private boolean partitioned;
 
 	RegionLink(RandomGenerator random, int regions) {
 		this.random = random;
@@ -24,8 +24,8 @@
 
 	@Override
 	public List<Long> deliver(int entry, int grantor) {
-		boolean partitioned = this.cut && grantor == 0 && entry % this.regions == 1;
-		if (partitioned || this.random.nextInt(1000) == 0) {
+		boolean unreachable = this.partitioned && grantor == 0 && entry % this.regions == 1;
+		if (unreachable || this.random.nextInt(1000) == 0) {
 			return List.of();
 		}
 		return List.of(500 * MICRO_NANOS + this.random.nextLong(30_000 * MICRO_NANOS));
@@ -33,10 +33,10 @@
 
 	/**
 	 * Starts or ends the partition.
-	 * @param cut whether the region is partitioned from the primary grantor
+	 * @param partitioned whether the region is partitioned from the primary grantor
 	 */
-	void cut(boolean cut) {
-		this.cut = cut;
+	void cut(boolean partitioned) {
+		this.partitioned = partitioned;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedEntry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedEntry.java
@@ -30,7 +30,7 @@
 
 	private final Invariants invariants;
 
-	private final Map<AccountId, List<WaitingOffer>> waiting = new HashMap<>();
+	private final Map<AccountId, List<WaitingOffer>> pendingOffers = new HashMap<>();
 
 	private Incarnation incarnation = Incarnation.ZERO;
 
@@ -52,7 +52,7 @@
 	 */
 	void restart() {
 		this.incarnation = this.incarnation.next();
-		this.waiting.clear();
+		this.pendingOffers.clear();
 		this.enforcer = new LimitEnforcer(InstanceId.of("entry-" + this.index), this.incarnation, this.settings,
 				this.source, DecisionListener.NONE, this.invariants);
 	}
@@ -62,7 +62,7 @@
 	 * @param offer the request
 	 */
 	void park(WaitingOffer offer) {
-		this.waiting.computeIfAbsent(offer.request().account(), (account) -> new ArrayList<>()).add(offer);
+		this.pendingOffers.computeIfAbsent(offer.request().account(), (account) -> new ArrayList<>()).add(offer);
 	}
 
 	/**
@@ -71,7 +71,7 @@
 	 * @return the requests in order of arrival
 	 */
 	List<WaitingOffer> unpark(AccountId account) {
-		List<WaitingOffer> result = this.waiting.remove(account);
+		List<WaitingOffer> result = this.pendingOffers.remove(account);
 		return (result != null) ? result : List.of();
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
@@ -63,7 +63,7 @@
 	}
 
 	/**
-	 * Starts the next term with an empty ledger that knows only the limits and the
+	 * Starts the next term with an empty ledger that has only the limits and the
 	 * reserved slots.
 	 * @param trueTime the true time in nanoseconds
 	 */
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/AdmittedService.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/AdmittedService.java
@@ -34,42 +34,42 @@
 
 	private final BackendPool pool;
 
-	private final CallerSide callers;
+	private final CallerSide listener;
 
 	private final AdmissionController controller;
 
 	private final Map<RequestId, SentRequest> queued = new HashMap<>();
 
-	AdmittedService(EventQueue events, BackendPool pool, CallerSide callers, RandomGenerator random) {
+	AdmittedService(EventQueue events, BackendPool pool, CallerSide listener, RandomGenerator random) {
 		this.events = events;
 		this.pool = pool;
-		this.callers = callers;
+		this.listener = listener;
 		this.controller = new AdmissionController(AdmissionSettings.DEFAULT, AccountWeights.EQUAL, random,
 				DecisionListener.NONE, new Invariants());
 		tick();
 	}
 
 	@Override
-	public void send(SentRequest request) {
-		RequestId id = RequestId.of("request-" + request.number());
+	public void send(SentRequest attempt) {
+		RequestId id = RequestId.of("request-" + attempt.number());
 		AdmissionResult result = this.controller.offer(
-				new AdmissionRequest(id, request.account(), request.priority(), 1, request.deadline()),
+				new AdmissionRequest(id, attempt.account(), attempt.priority(), 1, attempt.deadline()),
 				this.events.now());
 		executeCommands(result.commands());
 		if (result.decision() instanceof Admitted) {
-			startOnPool(id, request);
+			startOnPool(id, attempt);
 		}
 		else if (result.decision() instanceof Queued) {
-			this.queued.put(id, request);
+			this.queued.put(id, attempt);
 		}
 		else {
-			this.callers.refused(request, ((Refused) result.decision()).retryAfter().toNanos());
+			this.listener.refused(attempt, ((Refused) result.decision()).retryAfter().toNanos());
 		}
 	}
 
-	private void startOnPool(RequestId id, SentRequest request) {
-		this.pool.run(request, () -> {
-			this.callers.answered(request);
+	private void startOnPool(RequestId id, SentRequest attempt) {
+		this.pool.run(attempt, () -> {
+			this.listener.answered(attempt);
 			executeCommands(this.controller.handleFinished(id, FinishKind.ANSWERED, this.events.now()));
 		});
 	}
@@ -81,7 +81,7 @@
 			}
 			else {
 				ShedRequest shed = (ShedRequest) command;
-				this.callers.refused(this.queued.remove(shed.id()), shed.retryAfter().toNanos());
+				this.listener.refused(this.queued.remove(shed.id()), shed.retryAfter().toNanos());
 			}
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/BackendPool.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/BackendPool.java
@@ -31,15 +31,15 @@
 	}
 
 	/**
-	 * Runs a request.
-	 * @param request the request
-	 * @param ended the action to run at the end of the request
+	 * Runs an attempt.
+	 * @param attempt the attempt
+	 * @param ended the action to run at its end
 	 */
-	void run(SentRequest request, Runnable ended) {
+	void run(SentRequest attempt, Runnable ended) {
 		this.running++;
 		double oversubscription = Math.max(1, (double) this.running / ROOM);
 		double slowdown = oversubscription * (1 + OVERLOAD_PENALTY * (oversubscription - 1));
-		this.events.after((long) (request.work() * slowdown), () -> {
+		this.events.after((long) (attempt.work() * slowdown), () -> {
 			this.running--;
 			ended.run();
 		});
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/CallerSide.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/CallerSide.java
@@ -7,15 +7,15 @@
 
 	/**
 	 * Handles an answer, which may arrive after the deadline.
-	 * @param request the attempt
+	 * @param attempt the attempt
 	 */
-	void answered(SentRequest request);
+	void answered(SentRequest attempt);
 
 	/**
 	 * Handles an attempt that was refused at admission or shed from the queue.
-	 * @param request the attempt
+	 * @param attempt the attempt
 	 * @param retryAfterNanos the time in nanoseconds after which the client may retry
 	 */
-	void refused(SentRequest request, long retryAfterNanos);
+	void refused(SentRequest attempt, long retryAfterNanos);
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/FifoService.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/FifoService.java
@@ -10,20 +10,20 @@
 
 	private final BackendPool pool;
 
-	private final CallerSide callers;
+	private final CallerSide listener;
 
 	private final Deque<SentRequest> queue = new ArrayDeque<>();
 
 	private int running;
 
-	FifoService(BackendPool pool, CallerSide callers) {
+	FifoService(BackendPool pool, CallerSide listener) {
 		this.pool = pool;
-		this.callers = callers;
+		this.listener = listener;
 	}
 
 	@Override
-	public void send(SentRequest request) {
-		this.queue.addLast(request);
+	public void send(SentRequest attempt) {
+		this.queue.addLast(attempt);
 		startNext();
 	}
 
@@ -32,10 +32,10 @@
 			return;
 		}
 		this.running++;
-		SentRequest request = this.queue.removeFirst();
-		this.pool.run(request, () -> {
+		SentRequest attempt = this.queue.removeFirst();
+		this.pool.run(attempt, () -> {
 			this.running--;
-			this.callers.answered(request);
+			this.listener.answered(attempt);
 			startNext();
 		});
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/OverloadRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/OverloadRun.java
@@ -79,21 +79,21 @@
 	}
 
 	@Override
-	public void answered(SentRequest request) {
-		this.pendingAttempts.remove(request.number());
-		if (this.events.now() <= request.deadline()) {
+	public void answered(SentRequest attempt) {
+		this.pendingAttempts.remove(attempt.number());
+		if (this.events.now() <= attempt.deadline()) {
 			this.answeredInTimeBySecond[secondAt(this.events.now())]++;
-			if (request.send() == 1) {
-				this.firstAttemptAnswersBySecond[secondAt(request.arrivedAt())]++;
+			if (attempt.send() == 1) {
+				this.firstAttemptAnswersBySecond[secondAt(attempt.arrivedAt())]++;
 			}
 		}
 	}
 
 	@Override
-	public void refused(SentRequest request, long retryAfterNanos) {
-		this.pendingAttempts.remove(request.number());
-		this.refusalsByPhase.get(request.priority())[phaseAt(this.events.now())]++;
-		scheduleRetry(request, retryAfterNanos);
+	public void refused(SentRequest attempt, long retryAfterNanos) {
+		this.pendingAttempts.remove(attempt.number());
+		this.refusalsByPhase.get(attempt.priority())[phaseAt(this.events.now())]++;
+		scheduleRetry(attempt, retryAfterNanos);
 	}
 
 	/**
@@ -161,27 +161,27 @@
 		sendAttempt(new SentRequest(0, account, priority, 1, this.events.now(), 0, randomWorkNanos()));
 	}
 
-	private void sendAttempt(SentRequest request) {
+	private void sendAttempt(SentRequest unsent) {
 		this.lastAttemptNumber++;
 		long deadline = this.events.now() + ATTEMPT_TIMEOUT_NANOS;
-		SentRequest attempt = new SentRequest(this.lastAttemptNumber, request.account(), request.priority(),
-				request.send(), request.arrivedAt(), deadline, request.work());
+		SentRequest attempt = new SentRequest(this.lastAttemptNumber, unsent.account(), unsent.priority(),
+				unsent.send(), unsent.arrivedAt(), deadline, unsent.work());
 		this.attemptsByPhase.get(attempt.priority())[phaseAt(this.events.now())]++;
 		this.pendingAttempts.add(attempt.number());
 		this.events.at(deadline, () -> handleTimeout(attempt));
 		this.service.send(attempt);
 	}
 
-	private void handleTimeout(SentRequest request) {
-		if (this.pendingAttempts.remove(request.number())) {
-			scheduleRetry(request, RETRY_DELAY_NANOS);
+	private void handleTimeout(SentRequest attempt) {
+		if (this.pendingAttempts.remove(attempt.number())) {
+			scheduleRetry(attempt, RETRY_DELAY_NANOS);
 		}
 	}
 
-	private void scheduleRetry(SentRequest request, long delayNanos) {
-		if (request.send() < this.maxAttempts) {
-			SentRequest next = new SentRequest(0, request.account(), request.priority(), request.send() + 1,
-					request.arrivedAt(), 0, request.work());
+	private void scheduleRetry(SentRequest attempt, long delayNanos) {
+		if (attempt.send() < this.maxAttempts) {
+			SentRequest next = new SentRequest(0, attempt.account(), attempt.priority(), attempt.send() + 1,
+					attempt.arrivedAt(), 0, attempt.work());
 			this.events.after(delayNanos, () -> sendAttempt(next));
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/ServiceUnderLoad.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/ServiceUnderLoad.java
@@ -8,8 +8,8 @@
 
 	/**
 	 * Receives an attempt of a client.
-	 * @param request the attempt
+	 * @param attempt the attempt
 	 */
-	void send(SentRequest request);
+	void send(SentRequest attempt);
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RunResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/routing/RunResult.java
@@ -20,7 +20,7 @@
 
 	private long cachedTokens;
 
-	private long finished;
+	private long finishedRequests;
 
 	private long[] sortedLatencyNanos = new long[0];
 
@@ -50,7 +50,7 @@
 	 * @param time the time in nanoseconds
 	 */
 	void finished(long time) {
-		this.finished += (time >= this.fromNanos && time < this.untilNanos) ? 1 : 0;
+		this.finishedRequests += (time >= this.fromNanos && time < this.untilNanos) ? 1 : 0;
 	}
 
 	/**
@@ -84,7 +84,7 @@
 	}
 
 	double finishedPerSecond() {
-		return this.finished * 1e9 / (this.untilNanos - this.fromNanos);
+		return this.finishedRequests * 1e9 / (this.untilNanos - this.fromNanos);
 	}
 
 	private long latencyNanos(Arrival arrival) {
