--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RegionLink.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RegionLink.java
@@ -4,17 +4,18 @@
 import java.util.random.RandomGenerator;
 
 /**
- * A link between regions of which one can be cut off from the primary grantor.
+ * A network of regions that rarely loses a message. One region can be partitioned from
+ * the primary grantor; the reserve grantors stay reachable.
  */
 final class RegionLink implements Link {
 
-	private static final long MICRO = 1_000;
+	private static final long MICRO_NANOS = 1_000;
 
 	private final RandomGenerator random;
 
 	private final int regions;
 
-	private boolean cut;
+	private boolean partitioned;
 
 	RegionLink(RandomGenerator random, int regions) {
 		this.random = random;
@@ -23,15 +24,19 @@
 
 	@Override
 	public List<Long> deliver(int entry, int grantor) {
-		boolean cutOff = this.cut && grantor == 0 && entry % this.regions == 1;
-		if (cutOff || this.random.nextInt(1000) == 0) {
+		boolean unreachable = this.partitioned && grantor == 0 && entry % this.regions == 1;
+		if (unreachable || this.random.nextInt(1000) == 0) {
 			return List.of();
 		}
-		return List.of(500 * MICRO + this.random.nextLong(30_000 * MICRO));
+		return List.of(500 * MICRO_NANOS + this.random.nextLong(30_000 * MICRO_NANOS));
 	}
 
-	void cut(boolean cut) {
-		this.cut = cut;
+	/**
+	 * Starts or ends the partition.
+	 * @param partitioned whether the region is partitioned from the primary grantor
+	 */
+	void cut(boolean partitioned) {
+		this.partitioned = partitioned;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/AdmittedService.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/AdmittedService.java
@@ -23,7 +23,8 @@
 import org.comfreywall.entry.admit.StartRequest;
 
 /**
- * Drives an admission controller in virtual time.
+ * A service that passes attempts to the backend servers as an {@link AdmissionController}
+ * decides, in virtual time.
  */
 final class AdmittedService implements ServiceUnderLoad {
 
@@ -33,60 +34,60 @@
 
 	private final BackendPool pool;
 
-	private final CallerSide callers;
+	private final CallerSide listener;
 
 	private final AdmissionController controller;
 
 	private final Map<RequestId, SentRequest> queued = new HashMap<>();
 
-	AdmittedService(EventQueue events, BackendPool pool, CallerSide callers, RandomGenerator random) {
+	AdmittedService(EventQueue events, BackendPool pool, CallerSide listener, RandomGenerator random) {
 		this.events = events;
 		this.pool = pool;
-		this.callers = callers;
+		this.listener = listener;
 		this.controller = new AdmissionController(AdmissionSettings.DEFAULT, AccountWeights.EQUAL, random,
 				DecisionListener.NONE, new Invariants());
 		tick();
 	}
 
 	@Override
-	public void send(SentRequest request) {
-		RequestId id = RequestId.of("request-" + request.number());
+	public void send(SentRequest attempt) {
+		RequestId id = RequestId.of("request-" + attempt.number());
 		AdmissionResult result = this.controller.offer(
-				new AdmissionRequest(id, request.account(), request.priority(), 1, request.deadline()),
+				new AdmissionRequest(id, attempt.account(), attempt.priority(), 1, attempt.deadline()),
 				this.events.now());
-		carryOut(result.commands());
+		executeCommands(result.commands());
 		if (result.decision() instanceof Admitted) {
-			start(id, request);
+			startOnPool(id, attempt);
 		}
 		else if (result.decision() instanceof Queued) {
-			this.queued.put(id, request);
+			this.queued.put(id, attempt);
 		}
 		else {
-			this.callers.refused(request, ((Refused) result.decision()).retryAfter().toNanos());
+			this.listener.refused(attempt, ((Refused) result.decision()).retryAfter().toNanos());
 		}
 	}
 
-	private void start(RequestId id, SentRequest request) {
-		this.pool.run(request, () -> {
-			this.callers.answered(request);
-			carryOut(this.controller.handleFinished(id, FinishKind.ANSWERED, this.events.now()));
+	private void startOnPool(RequestId id, SentRequest attempt) {
+		this.pool.run(attempt, () -> {
+			this.listener.answered(attempt);
+			executeCommands(this.controller.handleFinished(id, FinishKind.ANSWERED, this.events.now()));
 		});
 	}
 
-	private void carryOut(List<AdmissionCommand> commands) {
+	private void executeCommands(List<AdmissionCommand> commands) {
 		for (AdmissionCommand command : commands) {
 			if (command instanceof StartRequest start) {
-				start(start.id(), this.queued.remove(start.id()));
+				startOnPool(start.id(), this.queued.remove(start.id()));
 			}
 			else {
 				ShedRequest shed = (ShedRequest) command;
-				this.callers.refused(this.queued.remove(shed.id()), shed.retryAfter().toNanos());
+				this.listener.refused(this.queued.remove(shed.id()), shed.retryAfter().toNanos());
 			}
 		}
 	}
 
 	private void tick() {
-		carryOut(this.controller.tick(this.events.now()));
+		executeCommands(this.controller.tick(this.events.now()));
 		this.events.after(TICK_NANOS, this::tick);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/ServiceUnderLoad.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/overload/ServiceUnderLoad.java
@@ -1,14 +1,15 @@
 package org.comfreywall.bench.overload;
 
 /**
- * Takes sendings to the backend servers in some order.
+ * A service that passes the attempts of clients to the backend servers in an order of its
+ * own.
  */
 interface ServiceUnderLoad {
 
 	/**
-	 * Takes a sending.
-	 * @param request the sending
+	 * Receives an attempt of a client.
+	 * @param attempt the attempt
 	 */
-	void send(SentRequest request);
+	void send(SentRequest attempt);
 
 }
