--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Beat.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Beat.java
@@ -4,14 +4,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A heartbeat from a parent to a child. It passes on the leader's latest beat and
+ * A heartbeat from a parent to a child. It carries the term and sequence number of the
+ * leader's latest heartbeat, which shows that the parent is connected to the leader, and
  * acknowledges the child's reports.
  *
- * @param rootTerm the term of the leader that sent the latest beat received by the parent
- * @param rootSequence the sequence number of that beat within its term
+ * @param rootTerm the term of the latest leader heartbeat that the parent has sent or
+ * received
+ * @param rootSequence the sequence number of that heartbeat within its term
  * @param configuration the parent's position in the configuration stream
  * @param members the parent's position in the membership stream
- * @param reportsReceived the sequence number of the last report received from the child
+ * @param reportsReceived the sequence number of the last report that the parent has
+ * received from the child
  */
 public record Beat(Term rootTerm, long rootSequence, Position configuration, Position members,
 		long reportsReceived) implements SpreadMessage {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
@@ -8,7 +8,8 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * The state that a parent keeps for one child: stream positions, coverage and reports.
+ * A parent's state of one child: the sent and acknowledged stream positions, the coverage
+ * of the child's subtree and the reports about its descendants.
  */
 final class Child {
 
@@ -39,8 +40,8 @@
 	}
 
 	/**
-	 * Records the child's descriptor, coverage and acknowledged positions. What was sent
-	 * to an earlier incarnation is forgotten.
+	 * Records the descriptor, coverage and acknowledged positions of a heartbeat. If the
+	 * child has restarted, the state of its earlier incarnation is reset first.
 	 * @param heartbeat the heartbeat
 	 * @param now the current monotonic time in nanoseconds
 	 */
@@ -57,9 +58,9 @@
 	}
 
 	/**
-	 * Returns whether a heartbeat starts a new full report of the child's descendants.
+	 * Returns whether a heartbeat starts a new full report about the child's descendants.
 	 * @param heartbeat the heartbeat
-	 * @return {@code true} if all earlier reports must be discarded
+	 * @return {@code true} if all earlier reports of the child must be discarded
 	 */
 	boolean startsFullReport(Heartbeat heartbeat) {
 		return heartbeat.resetSequence() > this.resetSequence;
@@ -71,8 +72,8 @@
 	}
 
 	/**
-	 * Returns whether a heartbeat carries reports that have not been applied yet and
-	 * follow the applied ones without a gap.
+	 * Returns whether a heartbeat carries new reports that follow the applied ones
+	 * without a gap.
 	 * @param heartbeat the heartbeat
 	 * @return {@code true} if the reports must be applied
 	 */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Children.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Children.java
@@ -12,18 +12,18 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * The children of a node and their reports about their descendants.
+ * Tracks the children of a node and their reports about descendants.
  * <p>
- * A descendant is present as long as at least one child reports it. At most
- * {@link SpreadSettings#maxChildren()} children and {@value #MAX_DESCENDANTS} descendants
- * are tracked.
+ * A descendant that moves to another parent can be reported by two children at the same
+ * time. It is reported as absent only when no child reports it any longer. At most
+ * {@value #MAX_DESCENDANTS} nodes are tracked.
  */
 final class Children {
 
-	/** The maximum number of descendants that are tracked. */
+	/** The maximum number of tracked nodes, children included. */
 	static final int MAX_DESCENDANTS = 16_384;
 
-	private final int limit;
+	private final int maxChildren;
 
 	private final Consumer<MemberReport> listener;
 
@@ -33,13 +33,13 @@
 
 	private boolean coverageChanged;
 
-	Children(int limit, Consumer<MemberReport> listener) {
-		this.limit = limit;
+	Children(int maxChildren, Consumer<MemberReport> listener) {
+		this.maxChildren = maxChildren;
 		this.listener = listener;
 	}
 
 	boolean isFull() {
-		return this.children.size() >= this.limit;
+		return this.children.size() >= this.maxChildren;
 	}
 
 	boolean coverageChanged() {
@@ -59,7 +59,7 @@
 	}
 
 	/**
-	 * Applies a heartbeat, adding its sender as a child if necessary.
+	 * Applies a child's heartbeat, and adds the sender as a child if it is not one yet.
 	 * @param heartbeat the heartbeat
 	 * @param now the current monotonic time in nanoseconds
 	 * @return the child
@@ -81,21 +81,21 @@
 	}
 
 	/**
-	 * Removes a child and all its reports.
+	 * Removes a child and its reports. The child and descendants that no other child
+	 * reports become absent.
 	 * @param id the child
 	 */
 	void remove(InstanceId id) {
 		Child child = this.children.remove(id);
 		if (child != null) {
-			List.copyOf(child.descendants().keySet()).forEach((below) -> removeReport(child, below));
+			List.copyOf(child.descendants().keySet()).forEach((descendant) -> removeReport(child, descendant));
 			removeReport(child, id);
 		}
 	}
 
 	/**
-	 * Removes the children whose last heartbeat is too old.
-	 * @param deadline the monotonic time in nanoseconds; children whose last heartbeat
-	 * arrived earlier are removed
+	 * Removes the children whose last heartbeat arrived before a deadline.
+	 * @param deadline the deadline as a monotonic time in nanoseconds
 	 * @return the removed children
 	 */
 	List<InstanceId> expire(long deadline) {
@@ -130,12 +130,12 @@
 			return;
 		}
 		Map<InstanceId, MemberReport> reports = this.reportsByNode.computeIfAbsent(id, (key) -> new HashMap<>(2));
-		Optional<MemberReport> before = reports.isEmpty() ? Optional.empty()
+		Optional<MemberReport> previous = reports.isEmpty() ? Optional.empty()
 				: Optional.of(newestReport(reports.values()));
 		reports.put(child.node().id(), report);
-		MemberReport after = newestReport(reports.values());
-		if (before.isEmpty() || !before.get().equals(after)) {
-			this.listener.accept(after);
+		MemberReport current = newestReport(reports.values());
+		if (previous.isEmpty() || !previous.get().equals(current)) {
+			this.listener.accept(current);
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ConfigurationGate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ConfigurationGate.java
@@ -11,9 +11,12 @@
 import org.comfreywall.common.invariant.Invariants;
 
 /**
- * Activates the replicated configuration once it is at least as new as the floor, the
- * version that a quorum confirmed after this node started. Later updates never activate
- * an older version.
+ * Puts the replicated configuration in force.
+ * <p>
+ * The first version to be put in force must not be older than the floor, the version that
+ * a quorum confirmed after this node started. A restarted node therefore never uses a
+ * configuration that was replaced before its start. No later version may be older than
+ * the one in force.
  */
 final class ConfigurationGate {
 
@@ -49,9 +52,8 @@
 	}
 
 	/**
-	 * Sets the floor that a quorum confirmed and activates the configuration if it has
-	 * reached it.
-	 * @param version the oldest version that may be activated
+	 * Sets the floor and activates the replica's state if it is not older.
+	 * @param version the oldest version that may be activated, confirmed by a quorum
 	 */
 	void floorConfirmed(Version version) {
 		this.floor = Optional.of(version);
@@ -59,7 +61,7 @@
 	}
 
 	/**
-	 * Activates a delta that the replica has applied.
+	 * Activates a delta that was applied to the replica.
 	 * @param delta the delta
 	 */
 	void activateDelta(Delta delta) {
@@ -71,20 +73,20 @@
 	}
 
 	/**
-	 * Activates the replica's whole state if it has reached the floor.
+	 * Activates the replica's complete state if it is not older than the floor.
 	 */
 	void activateWholeState() {
-		boolean reached = this.floor.isPresent() && !this.replica.version().isBefore(this.floor.get());
-		if (reached || this.inForce.isPresent()) {
+		boolean floorReached = this.floor.isPresent() && !this.replica.version().isBefore(this.floor.get());
+		if (floorReached || this.inForce.isPresent()) {
 			activate(this.replica.asChanges(), true);
 		}
 	}
 
 	private void activate(List<EntryChange> changes, boolean whole) {
 		Version version = this.replica.version();
-		Version before = this.inForce.orElse(Version.ZERO);
-		boolean forward = version.number() >= before.number() && !version.isBefore(before);
-		if (!this.invariants.holds(forward, "revision-never-back", Field.of("held", before),
+		Version previous = this.inForce.orElse(Version.ZERO);
+		boolean notOlder = version.number() >= previous.number() && !version.isBefore(previous);
+		if (!this.invariants.holds(notOlder, "revision-never-back", Field.of("held", previous),
 				Field.of("offered", version))) {
 			return;
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Coverage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Coverage.java
@@ -5,16 +5,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The progress of a configuration revision in a subtree.
+ * The coverage of a configuration revision: the number of nodes of a subtree at which the
+ * revision is in force and the nodes that lag behind.
  *
- * @param nodes the number of nodes in the subtree, its root included
- * @param number the revision that is in force at all nodes except the lagging ones
- * @param behindCount the number of nodes with an older revision in force
- * @param behind the first {@value #MAX_LISTED} nodes with an older revision in force
+ * @param nodes the number of nodes in the subtree, including its root
+ * @param number the revision, which is in force at all nodes that do not lag behind
+ * @param behindCount the number of nodes at which an older revision is in force
+ * @param behind up to {@value #MAX_LISTED} of these nodes
  */
 public record Coverage(int nodes, long number, int behindCount, List<Laggard> behind) {
 
-	/** The maximum number of lagging nodes that are listed. */
+	/** The maximum number of listed nodes that lag behind. */
 	public static final int MAX_LISTED = 32;
 
 	public Coverage {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/CoverageCalculator.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/CoverageCalculator.java
@@ -7,62 +7,63 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Aggregates the coverage of a configuration revision over a node's subtree.
+ * Calculates the coverage of a configuration revision in a node's subtree.
  */
 final class CoverageCalculator {
 
-	private final long number;
+	private final long revision;
 
-	private final List<Laggard> behind = new ArrayList<>();
+	private final List<Laggard> laggingNodes = new ArrayList<>();
 
-	private int nodes;
+	private int nodeCount;
 
-	private int behindCount;
+	private int laggingCount;
 
-	private CoverageCalculator(long number) {
-		this.number = number;
+	private CoverageCalculator(long revision) {
+		this.revision = revision;
 	}
 
 	/**
-	 * Aggregates the coverage of a node and its children. A child that reports on an
-	 * older revision counts as behind with all its descendants.
-	 * @param number the target revision
+	 * Aggregates a node's own state with the coverage reported by its children. If a
+	 * child's coverage is about an older revision, the child and all its descendants
+	 * count as lagging behind.
+	 * @param revision the revision
 	 * @param self the node
-	 * @param inForce the revision in force at the node
+	 * @param revisionInForce the revision in force at the node
 	 * @param children the node's children
-	 * @return the coverage
+	 * @return the coverage of the revision in the node's subtree
 	 */
-	static Coverage calculate(long number, InstanceId self, long inForce, Collection<Child> children) {
-		CoverageCalculator calculator = new CoverageCalculator(number);
-		calculator.addNode(self, inForce);
-		children.forEach(calculator::add);
-		return new Coverage(calculator.nodes, number, calculator.behindCount, calculator.behind);
+	static Coverage calculate(long revision, InstanceId self, long revisionInForce, Collection<Child> children) {
+		CoverageCalculator calculator = new CoverageCalculator(revision);
+		calculator.addNode(self, revisionInForce);
+		children.forEach(calculator::addSubtree);
+		return new Coverage(calculator.nodeCount, revision, calculator.laggingCount, calculator.laggingNodes);
 	}
 
-	private void add(Child child) {
+	private void addSubtree(Child child) {
 		Coverage coverage = child.coverage();
-		if (coverage.number() < this.number) {
+		if (coverage.number() < this.revision) {
 			addNode(child.node().id(), coverage.number());
 			child.descendants().keySet().forEach((id) -> addNode(id, coverage.number()));
 			return;
 		}
-		this.nodes += coverage.nodes();
-		this.behindCount += coverage.behindCount() - coverage.behind().size();
-		coverage.behind().forEach(this::addLaggard);
+		this.nodeCount += coverage.nodes();
+		this.laggingCount += coverage.behindCount() - coverage.behind().size();
+		coverage.behind().forEach(this::addIfLagging);
 	}
 
-	private void addNode(InstanceId id, long revision) {
-		this.nodes++;
-		addLaggard(new Laggard(id, revision));
+	private void addNode(InstanceId id, long revisionInForce) {
+		this.nodeCount++;
+		addIfLagging(new Laggard(id, revisionInForce));
 	}
 
-	private void addLaggard(Laggard laggard) {
-		if (laggard.number() >= this.number) {
+	private void addIfLagging(Laggard node) {
+		if (node.number() >= this.revision) {
 			return;
 		}
-		this.behindCount++;
-		if (this.behind.size() < Coverage.MAX_LISTED) {
-			this.behind.add(laggard);
+		this.laggingCount++;
+		if (this.laggingNodes.size() < Coverage.MAX_LISTED) {
+			this.laggingNodes.add(node);
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/DeltaUpdate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/DeltaUpdate.java
@@ -6,10 +6,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Sends consecutive deltas of a stream to a child.
+ * A message to a child with consecutive deltas of a stream.
  *
  * @param stream the stream
- * @param rootTerm the latest leader term known to the sender
+ * @param rootTerm the latest leader term that the sender has received
  * @param deltas the deltas, oldest first
  */
 public record DeltaUpdate(StreamId stream, Term rootTerm, List<Delta> deltas) implements SpreadMessage {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Distributor.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Distributor.java
@@ -6,8 +6,8 @@
 import org.comfreywall.common.id.Term;
 
 /**
- * Sends the updates of one stream to the children: deltas while the history reaches back
- * far enough, otherwise a snapshot.
+ * Sends the updates of one stream to the children, as deltas if all of them are retained
+ * and as a snapshot otherwise.
  */
 final class Distributor {
 
@@ -17,21 +17,21 @@
 
 	private final StreamReplica replica;
 
-	private final long resendNanos;
+	private final long resendTimeoutNanos;
 
 	private final Outbox outbox;
 
 	Distributor(StreamId stream, StreamReplica replica, SpreadSettings settings, Outbox outbox) {
 		this.stream = stream;
 		this.replica = replica;
-		this.resendNanos = settings.resendTimeout().toNanos();
+		this.resendTimeoutNanos = settings.resendTimeout().toNanos();
 		this.outbox = outbox;
 	}
 
 	/**
 	 * Resets a child's sent version to the acknowledged one if an update was probably
-	 * lost. Snapshots are resent after {@value #SNAPSHOT_RESEND_FACTOR} times the timeout
-	 * of deltas.
+	 * lost, so that the update is sent again. The timeout of a snapshot is
+	 * {@value #SNAPSHOT_RESEND_FACTOR} times that of deltas.
 	 * @param child the child
 	 * @param requested whether the child has requested a resend
 	 * @param now the current monotonic time in nanoseconds
@@ -43,7 +43,7 @@
 			child.rewindToAcknowledged(this.stream);
 		}
 		boolean hasDeltas = this.replica.deltasSince(acknowledged).isPresent();
-		long timeout = hasDeltas ? this.resendNanos : SNAPSHOT_RESEND_FACTOR * this.resendNanos;
+		long timeout = hasDeltas ? this.resendTimeoutNanos : SNAPSHOT_RESEND_FACTOR * this.resendTimeoutNanos;
 		boolean overdue = now - child.sentAt(this.stream) > timeout;
 		if (acknowledged.isBefore(sent) && (overdue || (requested && hasDeltas))) {
 			child.rewindToAcknowledged(this.stream);
@@ -51,9 +51,10 @@
 	}
 
 	/**
-	 * Sends a child the updates after its sent version.
+	 * Sends a child all updates after its sent version. Sidecars receive no membership
+	 * updates.
 	 * @param child the child
-	 * @param term the latest leader term known to this node
+	 * @param term the latest leader term that this node has received
 	 * @param now the current monotonic time in nanoseconds
 	 */
 	void sendUpdates(Child child, Term term, long now) {
@@ -75,10 +76,10 @@
 	}
 
 	/**
-	 * Sends a child a snapshot if its digest differs from this node's at the same
-	 * version.
+	 * Sends a child a snapshot if its replica has diverged: its digest differs from that
+	 * of this node's replica at the same version.
 	 * @param child the child
-	 * @param term the latest leader term known to this node
+	 * @param term the latest leader term that this node has received
 	 * @param now the current monotonic time in nanoseconds
 	 */
 	void sendSnapshotIfDiverged(Child child, Term term, long now) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/EntryChange.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/EntryChange.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Sets or removes one entry of a stream's state.
+ * A change that sets or removes one entry of a stream's state.
  *
  * @param key the entry's key
  * @param value the new value, or empty to remove the entry
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorTracker.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorTracker.java
@@ -7,11 +7,12 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Requests the floor for a node and its children, with one outstanding request at a time.
+ * Combines the floor requests of a node and its children, so that at most one request to
+ * the parent is outstanding.
  * <p>
- * A response is passed only to those whose request arrived before the outstanding one was
- * sent. Any other response could have been confirmed before the requesting node started,
- * and would then be too old for it.
+ * A response completes only the requests that arrived before the outstanding request was
+ * sent. For a later request the floor could have been read before the requesting node
+ * started, and would be too old for it.
  */
 final class FloorTracker {
 
@@ -38,19 +39,20 @@
 	/**
 	 * Adds a child's request.
 	 * @param child the child
-	 * @param request the nonce of the child's request
+	 * @param childNonce the nonce of the child's request
 	 * @return {@code true} if a new request must be sent to the parent
 	 */
-	boolean addRequest(InstanceId child, long request) {
-		if (Long.valueOf(request).equals(this.outstanding.get(child))) {
+	boolean addRequest(InstanceId child, long childNonce) {
+		if (Long.valueOf(childNonce).equals(this.outstanding.get(child))) {
 			return false;
 		}
-		this.waiting.put(child, request);
+		this.waiting.put(child, childNonce);
 		return startNextRequest();
 	}
 
 	/**
-	 * Combines the waiting requests into a new one unless a request is outstanding.
+	 * Combines the waiting requests into a new one, unless there are none or a request is
+	 * outstanding.
 	 * @return {@code true} if a new request must be sent to the parent
 	 */
 	boolean startNextRequest() {
@@ -66,13 +68,12 @@
 	}
 
 	/**
-	 * Completes the outstanding request.
-	 * @param answered the nonce of the response
-	 * @return the requests that the response completes; none if the nonce is not that of
-	 * the outstanding request
+	 * Completes the outstanding request if a response belongs to it.
+	 * @param responseNonce the nonce of the response
+	 * @return the completed requests, or none if the response belongs to another request
 	 */
-	CompletedRequests completeRequest(long answered) {
-		if (answered == 0 || answered != this.nonce) {
+	CompletedRequests completeRequest(long responseNonce) {
+		if (responseNonce == 0 || responseNonce != this.nonce) {
 			return new CompletedRequests(false, Map.of());
 		}
 		CompletedRequests result = new CompletedRequests(this.selfOutstanding, this.outstanding);
@@ -93,10 +94,10 @@
 	}
 
 	/**
-	 * The requests that a response completes.
+	 * The requests that a response has completed.
 	 *
-	 * @param self whether this node's own request is among them
-	 * @param children the children with the nonces of their requests
+	 * @param self whether this node's own request is completed
+	 * @param children the nonces of the completed requests by child
 	 */
 	record CompletedRequests(boolean self, Map<InstanceId, Long> children) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Heartbeat.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Heartbeat.java
@@ -5,22 +5,23 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A heartbeat from a child to its parent, with the child's stream positions and changes
- * among its descendants.
+ * A heartbeat from a child to its parent. It carries the child's positions in the streams
+ * and reports about its descendants.
  *
  * @param node the sender
- * @param leaving whether the sender accepts no new work
- * @param stranded whether none of the parents assigned to the sender is reachable
- * @param resend whether the sender has detected a gap and requests updates from its
- * positions on
+ * @param leaving whether the sender has stopped accepting new work
+ * @param stranded whether the sender could not reach any of its parent candidates
+ * @param resend whether the sender has missed updates or diverged and requests all
+ * updates after its positions
  * @param configuration the sender's position in the configuration stream
  * @param members the sender's position in the membership stream
- * @param floorNonce the nonce of a request for the floor, or zero if there is none
+ * @param floorNonce the nonce of the sender's outstanding request for the floor, or zero
+ * if it has none
  * @param coverage the coverage of the sender's subtree
- * @param resetSequence the sequence number at which the current full report of the
- * sender's descendants started; the parent discards all earlier reports
- * @param reportBase the sequence number that the parent must have received for the
- * included reports to follow without a gap
+ * @param resetSequence the sequence number at which the sender's latest full report
+ * started; the parent discards all reports before it
+ * @param reportBase the sequence number up to which the parent must have received
+ * reports, so that the included ones follow without a gap
  * @param reportSequence the sequence number of the last included report
  * @param reports the oldest reports that the parent has not acknowledged
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Laggard.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Laggard.java
@@ -4,10 +4,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A node at which an older configuration revision is in force than the target revision.
+ * A node that lags behind: the configuration revision in force at it is older than the
+ * one whose coverage is determined.
  *
  * @param id the node
- * @param number the last revision that the node reported
+ * @param number the last reported revision in force at the node, or zero if it has not
+ * reported any
  */
 public record Laggard(InstanceId id, long number) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveAnnouncer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveAnnouncer.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * Sends leave notices directly to the control instances in turn. It repeats them because
- * messages may be lost, and a control instance that knows no leader drops them.
+ * Sends leave notices directly to the control instances, one after another. A notice is
+ * repeated because messages can be lost and a control instance without a leader drops it.
  */
 final class LeaveAnnouncer {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveNotice.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveNotice.java
@@ -3,9 +3,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Notifies a control instance directly that a node accepts no new work.
+ * A message sent directly to a control instance when a node has stopped accepting new
+ * work.
  *
- * @param node the node that leaves
+ * @param node the leaving node
  */
 public record LeaveNotice(NodeDescriptor node) implements SpreadMessage {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MemberDirectory.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MemberDirectory.java
@@ -6,16 +6,16 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * Decodes the nodes that can be part of the tree from the entries of
- * {@link StreamId#MEMBERS}.
+ * Decodes the entries of the {@link StreamId#MEMBERS} stream.
  */
 @FunctionalInterface
 public interface MemberDirectory {
 
 	/**
-	 * Decodes the nodes that have neither failed nor started to leave.
+	 * Decodes the active members: those that have neither failed nor started to leave.
+	 * Only these are part of the planned relay tree.
 	 * @param entries the entries of the membership stream
-	 * @return the nodes
+	 * @return the active members' nodes
 	 */
 	List<NodeDescriptor> activeNodes(Map<String, Bytes> entries);
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MemberReport.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MemberReport.java
@@ -3,10 +3,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The presence of one incarnation of a node, as reported from a subtree.
+ * A report about the presence of one incarnation of a node in a subtree.
  *
  * @param node the node
- * @param presence whether heartbeats of the node arrive
+ * @param presence the presence of the node
  */
 public record MemberReport(NodeDescriptor node, Presence presence) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageDecoder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageDecoder.java
@@ -28,7 +28,7 @@
 import org.comfreywall.control.generated.VersionProto;
 
 /**
- * Converts Protocol Buffers messages to messages of the relay tree.
+ * Converts Protocol Buffers envelopes to messages of the relay tree.
  */
 final class MessageDecoder {
 
@@ -41,9 +41,9 @@
 
 	static Optional<SpreadMessage> decode(SpreadEnvelopeProto envelope) {
 		return switch (envelope.getBodyCase()) {
-			case HEARTBEAT -> Optional.of(heartbeat(envelope.getHeartbeat()));
-			case BEAT -> Optional.of(beat(envelope.getBeat()));
-			case PARENTS -> Optional.of(parents(envelope.getParents()));
+			case HEARTBEAT -> Optional.of(childHeartbeat(envelope.getHeartbeat()));
+			case BEAT -> Optional.of(parentHeartbeat(envelope.getBeat()));
+			case PARENTS -> Optional.of(candidates(envelope.getParents()));
 			case DELTAS -> Optional.of(deltas(envelope.getDeltas()));
 			case SNAPSHOT -> Optional.of(snapshot(envelope.getSnapshot()));
 			case FLOOR -> Optional.of(floor(envelope.getFloor()));
@@ -58,7 +58,7 @@
 		};
 	}
 
-	private static Heartbeat heartbeat(HeartbeatProto proto) {
+	private static Heartbeat childHeartbeat(HeartbeatProto proto) {
 		List<MemberReport> reports = new ArrayList<>(proto.getReportsCount());
 		for (MemberReportProto report : proto.getReportsList()) {
 			Preconditions.check(report.getPresence() >= 0 && report.getPresence() < PRESENCES.length,
@@ -72,19 +72,19 @@
 	}
 
 	private static Coverage coverage(CoverageProto proto) {
-		List<Laggard> behind = proto.getLaggardsList()
+		List<Laggard> laggingNodes = proto.getLaggardsList()
 			.stream()
 			.map((laggard) -> new Laggard(InstanceId.of(laggard.getId()), laggard.getNumber()))
 			.toList();
-		return new Coverage(proto.getNodes(), proto.getNumber(), proto.getBehindCount(), behind);
+		return new Coverage(proto.getNodes(), proto.getNumber(), proto.getBehindCount(), laggingNodes);
 	}
 
-	private static Beat beat(BeatProto proto) {
+	private static Beat parentHeartbeat(BeatProto proto) {
 		return new Beat(Term.of(proto.getRootTerm()), proto.getRootSequence(), position(proto.getConfiguration()),
 				position(proto.getMembers()), proto.getReportsReceived());
 	}
 
-	private static ParentList parents(ParentsProto proto) {
+	private static ParentList candidates(ParentsProto proto) {
 		return new ParentList(proto.getParentsList().stream().map(SpreadCodec::fromProto).toList(),
 				proto.getPreferred(), proto.getAdopted());
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageEncoder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageEncoder.java
@@ -23,7 +23,7 @@
 import org.comfreywall.control.generated.VersionProto;
 
 /**
- * Converts messages of the relay tree to Protocol Buffers messages.
+ * Converts messages of the relay tree to Protocol Buffers envelopes.
  */
 final class MessageEncoder {
 
@@ -33,13 +33,13 @@
 	static SpreadEnvelopeProto encode(SpreadMessage message) {
 		SpreadEnvelopeProto.Builder envelope = SpreadEnvelopeProto.newBuilder();
 		if (message instanceof Heartbeat heartbeat) {
-			envelope.setHeartbeat(heartbeat(heartbeat));
+			envelope.setHeartbeat(childHeartbeat(heartbeat));
 		}
-		else if (message instanceof Beat beat) {
-			envelope.setBeat(beat(beat));
+		else if (message instanceof Beat heartbeat) {
+			envelope.setBeat(parentHeartbeat(heartbeat));
 		}
-		else if (message instanceof ParentList parents) {
-			envelope.setParents(parents(parents));
+		else if (message instanceof ParentList candidates) {
+			envelope.setParents(candidates(candidates));
 		}
 		else if (message instanceof DeltaUpdate update) {
 			envelope.setDeltas(deltas(update));
@@ -47,16 +47,16 @@
 		else if (message instanceof SnapshotUpdate update) {
 			envelope.setSnapshot(snapshot(update));
 		}
-		else if (message instanceof FloorResponse answer) {
-			envelope.setFloor(floor(answer));
+		else if (message instanceof FloorResponse response) {
+			envelope.setFloor(floor(response));
 		}
 		else {
-			encodeProbe(message, envelope);
+			encodeDirectMessage(message, envelope);
 		}
 		return envelope.build();
 	}
 
-	private static void encodeProbe(SpreadMessage message, SpreadEnvelopeProto.Builder envelope) {
+	private static void encodeDirectMessage(SpreadMessage message, SpreadEnvelopeProto.Builder envelope) {
 		if (message instanceof LeaveNotice notice) {
 			envelope.setLeave(LeaveProto.newBuilder().setNode(SpreadCodec.toProto(notice.node())));
 		}
@@ -80,7 +80,7 @@
 		}
 	}
 
-	private static HeartbeatProto heartbeat(Heartbeat heartbeat) {
+	private static HeartbeatProto childHeartbeat(Heartbeat heartbeat) {
 		HeartbeatProto.Builder proto = HeartbeatProto.newBuilder()
 			.setNode(SpreadCodec.toProto(heartbeat.node()))
 			.setLeaving(heartbeat.leaving())
@@ -106,27 +106,27 @@
 			.setNodes(coverage.nodes())
 			.setNumber(coverage.number())
 			.setBehindCount(coverage.behindCount());
-		for (Laggard laggard : coverage.behind()) {
-			proto.addLaggards(LaggardProto.newBuilder().setId(laggard.id().value()).setNumber(laggard.number()));
+		for (Laggard node : coverage.behind()) {
+			proto.addLaggards(LaggardProto.newBuilder().setId(node.id().value()).setNumber(node.number()));
 		}
 		return proto.build();
 	}
 
-	private static BeatProto beat(Beat beat) {
+	private static BeatProto parentHeartbeat(Beat heartbeat) {
 		return BeatProto.newBuilder()
-			.setRootTerm(beat.rootTerm().value())
-			.setRootSequence(beat.rootSequence())
-			.setConfiguration(position(beat.configuration()))
-			.setMembers(position(beat.members()))
-			.setReportsReceived(beat.reportsReceived())
+			.setRootTerm(heartbeat.rootTerm().value())
+			.setRootSequence(heartbeat.rootSequence())
+			.setConfiguration(position(heartbeat.configuration()))
+			.setMembers(position(heartbeat.members()))
+			.setReportsReceived(heartbeat.reportsReceived())
 			.build();
 	}
 
-	private static ParentsProto parents(ParentList parents) {
+	private static ParentsProto candidates(ParentList candidates) {
 		ParentsProto.Builder proto = ParentsProto.newBuilder()
-			.setPreferred(parents.preferred())
-			.setAdopted(parents.adopted());
-		parents.parents().forEach((parent) -> proto.addParents(SpreadCodec.toProto(parent)));
+			.setPreferred(candidates.preferred())
+			.setAdopted(candidates.adopted());
+		candidates.parents().forEach((candidate) -> proto.addParents(SpreadCodec.toProto(candidate)));
 		return proto.build();
 	}
 
@@ -135,9 +135,11 @@
 			.setStream(update.stream().ordinal())
 			.setRootTerm(update.rootTerm().value());
 		for (Delta delta : update.deltas()) {
-			DeltaProto.Builder one = DeltaProto.newBuilder().setFrom(version(delta.from())).setTo(version(delta.to()));
-			delta.changes().forEach((change) -> one.addChanges(change(change)));
-			proto.addDeltas(one);
+			DeltaProto.Builder deltaProto = DeltaProto.newBuilder()
+				.setFrom(version(delta.from()))
+				.setTo(version(delta.to()));
+			delta.changes().forEach((change) -> deltaProto.addChanges(change(change)));
+			proto.addDeltas(deltaProto);
 		}
 		return proto.build();
 	}
@@ -161,12 +163,12 @@
 		return EntryProto.newBuilder().setKey(key).setValue(UnsafeByteOperations.unsafeWrap(value.toArray())).build();
 	}
 
-	private static FloorProto floor(FloorResponse answer) {
+	private static FloorProto floor(FloorResponse response) {
 		return FloorProto.newBuilder()
-			.setNonce(answer.nonce())
-			.setConfiguration(version(answer.floor().configuration()))
-			.setOrderTerm(answer.floor().orders().term().value())
-			.setOrderSequence(answer.floor().orders().sequence())
+			.setNonce(response.nonce())
+			.setConfiguration(version(response.floor().configuration()))
+			.setOrderTerm(response.floor().orders().term().value())
+			.setOrderSequence(response.floor().orders().sequence())
 			.build();
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/NodeRole.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/NodeRole.java
@@ -1,15 +1,17 @@
 package org.comfreywall.control.spread;
 
 /**
- * Roles of a node in the relay tree.
+ * The role of a node in the relay tree.
  */
 public enum NodeRole {
 
-	/** Holds durable state; the leader among them is the root of the tree. */
+	/**
+	 * A control instance. It stores the replicated log; the leader is the tree's root.
+	 */
 	CONTROL,
-	/** Accepts callers' requests and may relay to other nodes. */
+	/** An instance that accepts clients' requests and can relay to other nodes. */
 	ENTRY,
-	/** Runs beside a backend server and is always a leaf. */
+	/** An instance that runs beside a backend server and is always a leaf. */
 	SIDECAR
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Outbox.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Outbox.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * Collects the commands issued while one event is handled.
+ * Collects the commands that a node issues while it handles one event.
  */
 final class Outbox {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentLink.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentLink.java
@@ -18,11 +18,13 @@
 import org.comfreywall.common.id.Term;
 
 /**
- * Selects a node's parent and monitors it.
+ * Selects a node's parent and monitors it with the heartbeats that it sends.
  * <p>
- * A parent is replaced when it does not respond, when its beats stop, or when its beats
- * carry no new leader beat for too long. The last condition breaks cycles and subtrees
- * that are cut off from the leader.
+ * A parent is replaced if it does not respond, if its heartbeats stop, or if they do not
+ * carry a new root heartbeat within a timeout. A root heartbeat is a heartbeat of the
+ * leader, which the nodes relay down the tree. Only the last condition detects a cycle or
+ * a subtree that has lost its path to the leader, because the parents in it still
+ * respond.
  */
 final class ParentLink {
 
@@ -52,11 +54,11 @@
 
 	private boolean confirmed;
 
-	private boolean stranded;
+	private boolean candidatesUnreachable;
 
 	private long attachedAt;
 
-	private long lastBeatAt;
+	private long lastParentHeartbeatAt;
 
 	private long moveAt = Long.MAX_VALUE;
 
@@ -66,11 +68,11 @@
 
 	private long rootSequence;
 
-	private long lastRootBeatAt;
+	private long lastRootHeartbeatAt;
 
-	private int staleFactor = 1;
+	private int rootTimeoutFactor = 1;
 
-	private double rootStaleJitter;
+	private double rootTimeoutJitter;
 
 	ParentLink(NodeDescriptor self, List<NodeDescriptor> seeds, SpreadSettings settings, RandomGenerator random,
 			DecisionListener decisions) {
@@ -96,7 +98,7 @@
 	}
 
 	boolean isStranded() {
-		return this.stranded;
+		return this.candidatesUnreachable;
 	}
 
 	Term rootTerm() {
@@ -108,7 +110,7 @@
 	}
 
 	/**
-	 * Makes the leader the only candidate and detaches from the current parent.
+	 * Detaches from the current parent and makes the leader the only parent candidate.
 	 * @param leader the leader, or empty if there is none or this node is the leader
 	 * @param now the current monotonic time in nanoseconds
 	 */
@@ -124,61 +126,62 @@
 	}
 
 	/**
-	 * Records a beat from the parent.
-	 * @param beat the beat
+	 * Records a heartbeat from the parent.
+	 * @param heartbeat the heartbeat
 	 * @param now the current monotonic time in nanoseconds
-	 * @return {@code true} if it carries a new beat of the leader
+	 * @return {@code true} if it carries a new root heartbeat
 	 */
-	boolean onBeat(Beat beat, long now) {
+	boolean onBeat(Beat heartbeat, long now) {
 		this.confirmed = true;
-		this.lastBeatAt = now;
-		this.stranded = false;
-		int order = beat.rootTerm().compareTo(this.rootTerm);
-		if (order < 0 || (order == 0 && beat.rootSequence() <= this.rootSequence)) {
+		this.lastParentHeartbeatAt = now;
+		this.candidatesUnreachable = false;
+		int order = heartbeat.rootTerm().compareTo(this.rootTerm);
+		if (order < 0 || (order == 0 && heartbeat.rootSequence() <= this.rootSequence)) {
 			return false;
 		}
-		recordRootBeat(beat.rootTerm(), beat.rootSequence(), now);
-		this.staleFactor = 1;
+		recordRootBeat(heartbeat.rootTerm(), heartbeat.rootSequence(), now);
+		this.rootTimeoutFactor = 1;
 		return true;
 	}
 
 	void recordRootBeat(Term term, long sequence, long now) {
 		this.rootTerm = term;
 		this.rootSequence = sequence;
-		this.lastRootBeatAt = now;
+		this.lastRootHeartbeatAt = now;
 	}
 
 	/**
-	 * Handles the current parent's list of candidates. If the parent rejects this node,
-	 * the next candidate is selected at once; if the parent is not a preferred one, this
-	 * node moves after a random delay so that not all children move at the same time.
+	 * Handles the parent candidates sent by the current parent. If the parent has
+	 * rejected this node, the next candidate is selected immediately. If the parent is
+	 * not a preferred candidate, this node moves after a random delay, so that the
+	 * children of one parent do not all move at the same time.
 	 * @param from the sender
-	 * @param parents the list
+	 * @param received the candidates
 	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
-	boolean onParentList(InstanceId from, ParentList parents, long now) {
+	boolean onParentList(InstanceId from, ParentList received, long now) {
 		if (!isParent(from)) {
 			return false;
 		}
-		this.candidates = parents;
-		if (!parents.adopted()) {
+		this.candidates = received;
+		if (!received.adopted()) {
 			this.avoidUntil.put(from, now + AVOID_DURATION_NANOS);
-			return selectNext("redirected", now);
+			return selectNextParent("redirected", now);
 		}
-		boolean preferred = parents.parents()
+		boolean preferred = received.parents()
 			.stream()
-			.limit(parents.preferred())
+			.limit(received.preferred())
 			.anyMatch((node) -> isParent(node.id()));
-		boolean stay = preferred || parents.preferred() == 0;
+		boolean stay = preferred || received.preferred() == 0;
 		long delay = this.random.nextLong(MAX_MOVE_DELAY_NANOS);
 		this.moveAt = stay ? Long.MAX_VALUE : Math.min(this.moveAt, now + delay);
 		return false;
 	}
 
 	/**
-	 * Replaces the parent if the connection to it was lost.
-	 * @param peer the peer
+	 * Replaces the parent if the lost connection was the one to the parent.
+	 * @param peer the peer to which the connection was lost
 	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
@@ -187,39 +190,41 @@
 	}
 
 	/**
-	 * Replaces the parent if it has failed or a planned move is due.
+	 * Replaces the parent if a timeout has expired or a planned move is due.
 	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
 	boolean tick(long now) {
 		if (this.parent.isEmpty()) {
-			return now >= this.retryAt && selectNext("none", now);
+			return now >= this.retryAt && selectNextParent("none", now);
 		}
 		if (!this.confirmed) {
 			boolean timedOut = now - this.attachedAt > this.settings.connectTimeout().toNanos();
 			return timedOut && replaceFailedParent("no-answer", now);
 		}
-		if (now - this.lastBeatAt > this.settings.silenceTimeout().toNanos()) {
+		if (now - this.lastParentHeartbeatAt > this.settings.silenceTimeout().toNanos()) {
 			return replaceFailedParent("silent", now);
 		}
-		if (isRootStale(now)) {
-			this.staleFactor = Math.min(this.staleFactor * 2, SpreadSettings.MAX_STALE_FACTOR);
+		if (isRootTimedOut(now)) {
+			this.rootTimeoutFactor = Math.min(this.rootTimeoutFactor * 2, SpreadSettings.MAX_STALE_FACTOR);
 			return attachToControl(now);
 		}
 		if (now >= this.moveAt) {
-			return selectNext("planned", now);
+			return selectNextParent("planned", now);
 		}
 		return false;
 	}
 
-	private boolean isRootStale(long now) {
-		long timeout = this.settings.rootStaleTimeout().toNanos() * this.staleFactor;
-		return now - Math.max(this.lastRootBeatAt, this.attachedAt) > timeout + (long) (this.rootStaleJitter * timeout);
+	private boolean isRootTimedOut(long now) {
+		long timeout = this.settings.rootStaleTimeout().toNanos() * this.rootTimeoutFactor;
+		return now - Math.max(this.lastRootHeartbeatAt, this.attachedAt) > timeout
+				+ (long) (this.rootTimeoutJitter * timeout);
 	}
 
 	/**
-	 * Attaches to a control instance, whose planned tree contains no cycles and no
-	 * subtree without a path to the leader.
+	 * Attaches to a control instance. Control instances attach directly to the leader,
+	 * and assign parents from a plan without cycles, so that this node has a path to the
+	 * leader again.
 	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
@@ -228,7 +233,7 @@
 		previous.ifPresent((node) -> this.avoidUntil.put(node.id(), now + AVOID_DURATION_NANOS));
 		Optional<NodeDescriptor> control = firstUsable(this.seeds);
 		if (control.isEmpty()) {
-			return selectNext("leader-not-heard", now);
+			return selectNextParent("leader-not-heard", now);
 		}
 		detach();
 		attach(control.get(), "leader-not-heard", now);
@@ -237,14 +242,14 @@
 
 	private boolean replaceFailedParent(String reason, long now) {
 		this.parent.ifPresent((node) -> this.avoidUntil.put(node.id(), now + AVOID_DURATION_NANOS));
-		return selectNext(reason, now);
+		return selectNextParent(reason, now);
 	}
 
-	private boolean selectNext(String reason, long now) {
+	private boolean selectNextParent(String reason, long now) {
 		this.avoidUntil.values().removeIf((until) -> until <= now || this.avoidUntil.size() > MAX_AVOIDED);
 		detach();
 		Optional<NodeDescriptor> candidate = firstUsable(this.candidates.parents());
-		this.stranded = candidate.isEmpty() && !this.candidates.parents().isEmpty();
+		this.candidatesUnreachable = candidate.isEmpty() && !this.candidates.parents().isEmpty();
 		Optional<NodeDescriptor> chosen = candidate.isPresent() ? candidate : firstUsable(this.seeds);
 		if (chosen.isEmpty()) {
 			this.avoidUntil.clear();
@@ -270,8 +275,8 @@
 	private void attach(NodeDescriptor node, String reason, long now) {
 		this.parent = Optional.of(node);
 		this.attachedAt = now;
-		this.rootStaleJitter = this.random.nextDouble();
-		this.lastBeatAt = now;
+		this.rootTimeoutJitter = this.random.nextDouble();
+		this.lastParentHeartbeatAt = now;
 		this.decisions.onDecision(DecisionRecord.of(DecisionKind.MEMBERSHIP, this.self.value(), "parent-chosen",
 				Field.of("parent", node.id()), Field.of("reason", reason)));
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentList.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentList.java
@@ -5,16 +5,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The candidates for a node's parent, in order of preference.
+ * A message to a child, or to a node that tried to become one, with the candidates for
+ * its parent.
  *
- * @param parents the candidates
- * @param preferred the number of preferred candidates at the head of the list; the others
- * are fallbacks
- * @param adopted whether the sender has accepted the node as a child
+ * @param parents the candidates, in order of preference
+ * @param preferred the number of preferred candidates; the candidates after them are
+ * fallbacks
+ * @param adopted whether the sender has accepted the receiver as a child
  */
 public record ParentList(List<NodeDescriptor> parents, int preferred, boolean adopted) implements SpreadMessage {
 
-	/** An empty list. */
+	/** No candidates, and the receiver is not accepted as a child. */
 	public static final ParentList NONE = new ParentList(List.of(), 0, false);
 
 	public ParentList {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentPlanner.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentPlanner.java
@@ -5,48 +5,51 @@
 import java.util.List;
 
 /**
- * Computes the relay tree from the members and sends children their parent candidates.
+ * Plans the relay tree from the members and sends children their parent candidates. The
+ * plan is recomputed at most once in an interval, which is longer at relays than at
+ * control instances.
  */
 final class ParentPlanner {
 
 	private static final long REFRESH_INTERVAL_NANOS = Duration.ofSeconds(5).toNanos();
 
-	private static final long CONTROL_REPLAN_NANOS = Duration.ofMillis(500).toNanos();
+	private static final long CONTROL_REPLAN_INTERVAL_NANOS = Duration.ofMillis(500).toNanos();
 
-	private static final long RELAY_REPLAN_NANOS = Duration.ofSeconds(5).toNanos();
+	private static final long RELAY_REPLAN_INTERVAL_NANOS = Duration.ofSeconds(5).toNanos();
 
 	private final List<NodeDescriptor> controls;
 
 	private final int fanOut;
 
-	private final long replanNanos;
+	private final long replanIntervalNanos;
 
-	private final MemberDirectory directory;
+	private final MemberDirectory memberDecoder;
 
 	private final StreamReplica members;
 
 	private final Outbox outbox;
 
-	private RelayTree tree;
+	private RelayTree plan;
 
-	private Version plannedFor = Version.ZERO;
+	private Version plannedVersion = Version.ZERO;
 
 	private long plannedAt;
 
 	private long refreshedAt;
 
-	ParentPlanner(NodeRole role, List<NodeDescriptor> controls, SpreadSettings settings, MemberDirectory directory,
+	ParentPlanner(NodeRole role, List<NodeDescriptor> controls, SpreadSettings settings, MemberDirectory memberDecoder,
 			StreamReplica members, Outbox outbox) {
 		this.controls = controls;
 		this.fanOut = settings.fanOut();
-		this.replanNanos = (role == NodeRole.CONTROL) ? CONTROL_REPLAN_NANOS : RELAY_REPLAN_NANOS;
-		this.directory = directory;
+		this.replanIntervalNanos = (role == NodeRole.CONTROL) ? CONTROL_REPLAN_INTERVAL_NANOS
+				: RELAY_REPLAN_INTERVAL_NANOS;
+		this.memberDecoder = memberDecoder;
 		this.members = members;
 		this.outbox = outbox;
 	}
 
 	ParentList parentsOf(NodeDescriptor node, long now) {
-		return tree(now).parentsOf(node);
+		return plan(now).parentsOf(node);
 	}
 
 	void refresh(Collection<Child> children, long now) {
@@ -60,21 +63,22 @@
 		if (child.node().role() == NodeRole.CONTROL) {
 			return;
 		}
-		ParentList parents = parentsOf(child.node(), now).withAdopted(true);
-		if (!parents.equals(child.sentParents())) {
-			child.setSentParents(parents);
-			this.outbox.send(child.peer(), parents);
+		ParentList candidates = parentsOf(child.node(), now).withAdopted(true);
+		if (!candidates.equals(child.sentParents())) {
+			child.setSentParents(candidates);
+			this.outbox.send(child.peer(), candidates);
 		}
 	}
 
-	private RelayTree tree(long now) {
-		boolean outdated = !this.plannedFor.equals(this.members.version());
-		if (this.tree == null || (outdated && now - this.plannedAt >= this.replanNanos)) {
-			this.tree = RelayTree.of(this.directory.activeNodes(this.members.entries()), this.controls, this.fanOut);
+	private RelayTree plan(long now) {
+		boolean outdated = !this.plannedVersion.equals(this.members.version());
+		if (this.plan == null || (outdated && now - this.plannedAt >= this.replanIntervalNanos)) {
+			this.plan = RelayTree.of(this.memberDecoder.activeNodes(this.members.entries()), this.controls,
+					this.fanOut);
 			this.plannedAt = now;
-			this.plannedFor = this.members.version();
+			this.plannedVersion = this.members.version();
 		}
-		return this.tree;
+		return this.plan;
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Peer.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Peer.java
@@ -4,10 +4,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A node and its network address.
+ * The identifier and network address of a node to communicate with.
  *
  * @param id the node
- * @param address host and port
+ * @param address the host and port
  */
 public record Peer(InstanceId id, String address) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Ping.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Ping.java
@@ -1,9 +1,9 @@
 package org.comfreywall.control.spread;
 
 /**
- * Checks whether a node is reachable.
+ * A message that checks whether a node is reachable.
  *
- * @param nonce the nonce that the {@link Pong} returns
+ * @param nonce the nonce that the {@link Pong} must carry
  */
 public record Ping(long nonce) implements SpreadMessage {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Position.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Position.java
@@ -3,11 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The version of a stream that a node has, with a digest to detect divergence at the same
- * version.
+ * A node's position in a stream: the version of its replica and a digest. Replicas that
+ * have the same version but different digests have diverged.
  *
- * @param version the state's version
- * @param digest the digest of the state's entries
+ * @param version the version of the replica
+ * @param digest the digest of the replica's entries
  */
 public record Position(Version version, long digest) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Presence.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Presence.java
@@ -1,15 +1,15 @@
 package org.comfreywall.control.spread;
 
 /**
- * The presence of a node as reported from a subtree.
+ * Whether a node is present in a subtree, as reported by the subtree's root.
  */
 public enum Presence {
 
-	/** The node's heartbeats arrive. */
+	/** The node sends heartbeats to a node of the subtree. */
 	PRESENT,
-	/** The node's heartbeats arrive and announce that it is leaving. */
+	/** The node sends heartbeats that announce that it is leaving. */
 	LEAVING,
-	/** The node's heartbeats no longer arrive in this subtree. */
+	/** No node of the subtree receives heartbeats of the node any longer. */
 	ABSENT
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeRequest.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeRequest.java
@@ -3,8 +3,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Requests that a node check over its own network path whether a suspected node is
- * reachable.
+ * A request of the leader that a node checks, over its own network path, whether a
+ * suspected node is reachable.
  *
  * @param nonce the nonce of the probe
  * @param target the suspected node
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeResult.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeResult.java
@@ -9,7 +9,8 @@
  *
  * @param nonce the nonce of the probe
  * @param target the suspected node
- * @param incarnation the incarnation that responded, or the requested one if none did
+ * @param incarnation the incarnation that responded, or that of the probe request if none
+ * did
  * @param reachable whether the node responded
  */
 public record ProbeResult(long nonce, InstanceId target, Incarnation incarnation,
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Prober.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Prober.java
@@ -8,7 +8,7 @@
 import org.comfreywall.common.id.Incarnation;
 
 /**
- * Pings suspected nodes on behalf of the leader and responds to pings.
+ * Executes the leader's probe requests by pinging suspected nodes, and responds to pings.
  */
 final class Prober {
 
@@ -43,14 +43,14 @@
 			onPong(pong);
 		}
 		else if (message instanceof ProbeRequest request) {
-			start(from, request, now);
+			startProbe(from, request, now);
 		}
 		else if (message instanceof ProbeResult result) {
 			this.outbox.add(new SpreadCommand.ProbeCompleted(from, result));
 		}
 	}
 
-	private void start(Peer requester, ProbeRequest request, long now) {
+	private void startProbe(Peer requester, ProbeRequest request, long now) {
 		if (this.probes.size() >= MAX_PROBES || this.probes.containsKey(request.nonce())) {
 			return;
 		}
@@ -65,12 +65,12 @@
 		}
 		for (Probe probe : List.copyOf(this.probes.values())) {
 			if (now - probe.pingedAt >= PING_INTERVAL_NANOS) {
-				advance(probe, now);
+				pingAgainOrFail(probe, now);
 			}
 		}
 	}
 
-	private void advance(Probe probe, long now) {
+	private void pingAgainOrFail(Probe probe, long now) {
 		if (probe.pings < MAX_PINGS) {
 			ping(probe, now);
 			return;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTree.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTree.java
@@ -12,26 +12,28 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Computes the relay tree from the members. Its levels are control instances, heads (the
- * relays of a failure domain that attach to control instances), other relays and leaves.
+ * The planned relay tree, which determines the parent candidates of each node. Its levels
+ * are control instances, top relays (which attach to control instances), other relays and
+ * leaves.
  * <p>
- * The tree is a pure function of the members. A failure domain has one relay per
- * {@code fanOut} nodes and one head per {@code fanOut} relays. Relays are the entries
- * with the lowest hashes of their identifiers, and heads the relays with the lowest ones.
- * A node's parents are selected by rendezvous hashing, so that a joining or leaving
- * member changes the parents of few others.
+ * The plan depends on nothing but the active members, so that all nodes with the same
+ * members compute the same one. A failure domain has one relay per {@code fanOut} nodes
+ * and one top relay per {@code fanOut} relays, each rounded up. The relays are the
+ * entries with the lowest hashes of their identifiers, and the top relays are the relays
+ * with the lowest ones. Parent candidates are selected by rendezvous hashing, so that a
+ * member that joins or leaves changes the parents of few others.
  */
 final class RelayTree {
 
-	private static final int PREFERRED_PARENTS = 3;
+	private static final int PREFERRED_CANDIDATES = 3;
 
-	private static final int FALLBACK_HEADS = 2;
+	private static final int FALLBACK_TOP_RELAYS = 2;
 
 	private final int fanOut;
 
 	private final List<NodeDescriptor> controls;
 
-	private final Map<FailureDomainId, Integer> sizes = new HashMap<>();
+	private final Map<FailureDomainId, Integer> nodeCounts = new HashMap<>();
 
 	private final Map<FailureDomainId, List<NodeDescriptor>> relays = new HashMap<>();
 
@@ -39,7 +41,7 @@
 
 	private final Map<FailureDomainId, Integer> assignedNodes = new HashMap<>();
 
-	private final List<NodeDescriptor> allHeads = new ArrayList<>();
+	private final List<NodeDescriptor> topRelays = new ArrayList<>();
 
 	private final List<NodeDescriptor> allRelays = new ArrayList<>();
 
@@ -60,19 +62,19 @@
 		List<NodeDescriptor> chosen = new ArrayList<>();
 		int rank = relayRank(node);
 		List<NodeDescriptor> domain = this.relays.getOrDefault(node.domain(), List.of());
-		if (node.role() == NodeRole.ENTRY && rank < headCount(node.domain(), 1)) {
-			addBestRanked(chosen, node, this.controls, PREFERRED_PARENTS);
+		if (node.role() == NodeRole.ENTRY && rank < topRelayCount(node.domain(), 1)) {
+			addByRendezvousHash(chosen, node, this.controls, PREFERRED_CANDIDATES);
 			return new ParentList(chosen, chosen.size(), false);
 		}
 		boolean relay = node.role() == NodeRole.ENTRY && rank < relayCount(node.domain(), 1);
-		int candidates = Math.min(domain.size(), relay ? headCount(node.domain(), 0) : domain.size());
-		addBestRanked(chosen, node, domain.subList(0, candidates), PREFERRED_PARENTS);
+		int candidates = Math.min(domain.size(), relay ? topRelayCount(node.domain(), 0) : domain.size());
+		addByRendezvousHash(chosen, node, domain.subList(0, candidates), PREFERRED_CANDIDATES);
 		if (chosen.isEmpty()) {
-			addBestRanked(chosen, node, this.allRelays, PREFERRED_PARENTS);
+			addByRendezvousHash(chosen, node, this.allRelays, PREFERRED_CANDIDATES);
 		}
 		int preferred = chosen.size();
-		addBestRanked(chosen, node, this.allHeads, FALLBACK_HEADS);
-		addBestRanked(chosen, node, this.controls, 1);
+		addByRendezvousHash(chosen, node, this.topRelays, FALLBACK_TOP_RELAYS);
+		addByRendezvousHash(chosen, node, this.controls, 1);
 		preferred = (preferred > 0) ? preferred : chosen.size();
 		return new ParentList(chosen, preferred, false);
 	}
@@ -81,7 +83,7 @@
 		if (node.role() == NodeRole.CONTROL) {
 			return;
 		}
-		this.sizes.merge(node.domain(), 1, Integer::sum);
+		this.nodeCounts.merge(node.domain(), 1, Integer::sum);
 		this.regions.putIfAbsent(node.domain(), node.region());
 		if (node.role() == NodeRole.ENTRY) {
 			this.relays.computeIfAbsent(node.domain(), (domain) -> new ArrayList<>()).add(node);
@@ -89,8 +91,9 @@
 	}
 
 	/**
-	 * Distributes the nodes of a failure domain without entries over failure domains with
-	 * entries, of the same region if there are any, so that these get enough relays.
+	 * Distributes the nodes of a failure domain without entries over the failure domains
+	 * with entries, so that these get enough relays for them. Failure domains of the same
+	 * region are used if there are any.
 	 * @param domain the failure domain
 	 */
 	private void assignToOtherDomains(FailureDomainId domain) {
@@ -98,12 +101,12 @@
 			return;
 		}
 		String region = this.regions.get(domain);
-		List<FailureDomainId> near = this.relays.keySet()
+		List<FailureDomainId> sameRegion = this.relays.keySet()
 			.stream()
 			.filter((host) -> this.regions.get(host).equals(region))
 			.toList();
-		Collection<FailureDomainId> hosts = near.isEmpty() ? this.relays.keySet() : near;
-		int share = ceilDiv(this.sizes.get(domain), hosts.size());
+		Collection<FailureDomainId> hosts = sameRegion.isEmpty() ? this.relays.keySet() : sameRegion;
+		int share = ceilDiv(this.nodeCounts.get(domain), hosts.size());
 		hosts.forEach((host) -> this.assignedNodes.merge(host, share, Integer::sum));
 	}
 
@@ -112,18 +115,18 @@
 			.sort(Comparator.comparingLong((NodeDescriptor node) -> hash(node.id())).thenComparing(NodeDescriptor::id));
 		int count = Math.min(entries.size(), relayCount(domain, 0));
 		entries.subList(count, entries.size()).clear();
-		List<NodeDescriptor> heads = entries.subList(0, Math.min(count, headCount(domain, 0)));
-		this.allHeads.addAll(heads);
+		List<NodeDescriptor> top = entries.subList(0, Math.min(count, topRelayCount(domain, 0)));
+		this.topRelays.addAll(top);
 		this.allRelays.addAll(entries);
 	}
 
-	private int relayCount(FailureDomainId domain, int added) {
-		int nodes = this.sizes.getOrDefault(domain, 0) + this.assignedNodes.getOrDefault(domain, 0);
-		return ceilDiv(nodes + added, this.fanOut);
+	private int relayCount(FailureDomainId domain, int addedNodes) {
+		int nodes = this.nodeCounts.getOrDefault(domain, 0) + this.assignedNodes.getOrDefault(domain, 0);
+		return ceilDiv(nodes + addedNodes, this.fanOut);
 	}
 
-	private int headCount(FailureDomainId domain, int added) {
-		return ceilDiv(relayCount(domain, added), this.fanOut);
+	private int topRelayCount(FailureDomainId domain, int addedNodes) {
+		return ceilDiv(relayCount(domain, addedNodes), this.fanOut);
 	}
 
 	private int relayRank(NodeDescriptor node) {
@@ -135,16 +138,17 @@
 		return rank;
 	}
 
-	private void addBestRanked(List<NodeDescriptor> chosen, NodeDescriptor node, List<NodeDescriptor> from, int limit) {
+	private void addByRendezvousHash(List<NodeDescriptor> chosen, NodeDescriptor node, List<NodeDescriptor> from,
+			int limit) {
 		long own = hash(node.id());
 		List<RankedCandidate> ranked = new ArrayList<>(from.size());
-		for (NodeDescriptor parent : from) {
-			if (!parent.id().equals(node.id()) && !contains(chosen, parent.id())) {
-				ranked.add(new RankedCandidate(parent, !parent.region().equals(node.region()),
-						mix(own * 31 + hash(parent.id()))));
+		for (NodeDescriptor candidate : from) {
+			if (!candidate.id().equals(node.id()) && !contains(chosen, candidate.id())) {
+				ranked.add(new RankedCandidate(candidate, !candidate.region().equals(node.region()),
+						mix(own * 31 + hash(candidate.id()))));
 			}
 		}
-		ranked.sort(Comparator.comparing(RankedCandidate::distant).thenComparingLong(RankedCandidate::rank));
+		ranked.sort(Comparator.comparing(RankedCandidate::otherRegion).thenComparingLong(RankedCandidate::rank));
 		ranked.stream().limit(limit).map(RankedCandidate::node).forEach(chosen::add);
 	}
 
@@ -171,13 +175,13 @@
 	}
 
 	/**
-	 * A candidate for a node's parent.
+	 * A candidate for a node's parent with its order of preference.
 	 *
 	 * @param node the candidate
-	 * @param distant whether it is in another region
-	 * @param rank the rendezvous hash of child and candidate; lower is better
+	 * @param otherRegion whether the candidate is in another region than the node
+	 * @param rank the rendezvous hash of node and candidate; the lowest is preferred
 	 */
-	private record RankedCandidate(NodeDescriptor node, boolean distant, long rank) {
+	private record RankedCandidate(NodeDescriptor node, boolean otherRegion, long rank) {
 
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReplicaUpdater.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReplicaUpdater.java
@@ -8,7 +8,8 @@
 import org.comfreywall.common.id.Term;
 
 /**
- * Applies updates to the replica of one stream and rejects stale ones.
+ * Applies updates to the replica of one stream, rejects stale updates and detects missing
+ * ones.
  */
 final class ReplicaUpdater {
 
@@ -34,9 +35,10 @@
 	}
 
 	/**
-	 * Returns whether the term of an update is at least as new as the latest known one.
-	 * @param sent the latest leader term known to the sender
-	 * @param known the latest leader term known to this node
+	 * Returns whether the term of an update is not older than this node's term, and
+	 * records the rejection otherwise.
+	 * @param sent the latest leader term that the sender had received
+	 * @param known the latest leader term that this node has received
 	 * @param from the sender
 	 * @return {@code true} if the update may be applied
 	 */
@@ -51,7 +53,7 @@
 	}
 
 	/**
-	 * Applies a delta if it starts at the current version.
+	 * Applies a delta if it starts at the replica's version.
 	 * @param delta the delta
 	 * @return the result
 	 */
@@ -68,8 +70,9 @@
 	}
 
 	/**
-	 * Installs a snapshot if it is newer, or if it has the current version and the last
-	 * comparison of digests showed that the replica has diverged.
+	 * Installs a snapshot if it is newer than the replica. A snapshot of the same version
+	 * is installed only if the last comparison of digests showed that the replica has
+	 * diverged.
 	 * @param snapshot the snapshot
 	 * @return the result
 	 */
@@ -85,12 +88,13 @@
 	}
 
 	/**
-	 * Compares the replica with the parent's position.
+	 * Compares the replica with the parent's position. A resend is needed at once if the
+	 * replica has diverged, and after a timeout if it lags behind.
 	 * @param parent the parent's position
-	 * @param timeoutNanos how long the replica may stay behind the parent before a resend
-	 * is requested, in nanoseconds
+	 * @param timeoutNanos the time in nanoseconds that the replica may lag behind the
+	 * parent
 	 * @param now the current monotonic time in nanoseconds
-	 * @return {@code true} if a resend must be requested
+	 * @return {@code true} if the node must request a resend
 	 */
 	boolean needsResend(Position parent, long timeoutNanos, long now) {
 		int order = parent.version().compareTo(this.replica.version());
@@ -112,15 +116,15 @@
 	}
 
 	/**
-	 * The result of an update.
+	 * The result of applying an update.
 	 */
 	enum UpdateResult {
 
 		/** The update was applied. */
 		DONE,
-		/** The update was not newer than the replica. */
+		/** The update was rejected because it was not newer than the replica. */
 		STALE,
-		/** Updates in between are missing. */
+		/** The update was rejected because updates before it are missing. */
 		GAP
 
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReportQueue.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReportQueue.java
@@ -9,8 +9,8 @@
 import org.comfreywall.common.id.InstanceId;
 
 /**
- * Holds the reports that the parent has not acknowledged, at most one for each node: the
- * latest.
+ * A queue of the member reports that the parent has not acknowledged. It holds only the
+ * latest report about each node.
  */
 final class ReportQueue {
 
@@ -56,10 +56,10 @@
 	}
 
 	/**
-	 * Removes the reports that the parent has received.
+	 * Removes the reports that the parent has acknowledged.
 	 * @param received the sequence number of the last report that the parent has received
-	 * @return {@code false} if the parent has lost acknowledged reports and needs a full
-	 * report
+	 * @return {@code false} if the parent has lost reports that it had acknowledged, and
+	 * therefore needs a full report
 	 */
 	boolean removeAcknowledged(long received) {
 		if (received < this.acknowledged) {
@@ -93,7 +93,7 @@
 	}
 
 	/**
-	 * The oldest unacknowledged reports.
+	 * The oldest unacknowledged reports, at most {@value ReportQueue#MAX_BATCH}.
 	 *
 	 * @param lastSequence the sequence number of the last report
 	 * @param reports the reports
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Snapshot.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Snapshot.java
@@ -11,7 +11,7 @@
  * The complete state of a stream at one version.
  *
  * @param version the version
- * @param entries all entries
+ * @param entries the values of all entries by key
  */
 public record Snapshot(Version version, Map<String, Bytes> entries) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SnapshotUpdate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SnapshotUpdate.java
@@ -4,10 +4,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Sends a snapshot of a stream to a child.
+ * A message to a child with a snapshot of a stream.
  *
  * @param stream the stream
- * @param rootTerm the latest leader term known to the sender
+ * @param rootTerm the latest leader term that the sender has received
  * @param snapshot the snapshot
  */
 public record SnapshotUpdate(StreamId stream, Term rootTerm, Snapshot snapshot) implements SpreadMessage {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCodec.java
@@ -23,7 +23,7 @@
 	}
 
 	/**
-	 * Encodes a message.
+	 * Encodes a message as a Protocol Buffers envelope.
 	 * @param message the message
 	 * @return the encoded message
 	 */
@@ -32,15 +32,15 @@
 	}
 
 	/**
-	 * Decodes a message.
+	 * Decodes a message from a Protocol Buffers envelope.
 	 * @param content the encoded message
-	 * @return the message, or {@link ErrorCode#MALFORMED}
+	 * @return the message, or an error with {@link ErrorCode#MALFORMED}
 	 */
 	public static Result<SpreadMessage> decode(byte[] content) {
 		try {
 			return MessageDecoder.decode(SpreadEnvelopeProto.parseFrom(content))
 				.<Result<SpreadMessage>>map(Result::success)
-				.orElseGet(() -> malformed("the message has no known body"));
+				.orElseGet(() -> malformed("the body is missing or of an unknown type"));
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
 			return malformed(ex.getMessage());
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCommand.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCommand.java
@@ -5,12 +5,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An output of a {@link SpreadCore}.
+ * A command returned by a {@link SpreadCore} for its caller to execute.
  */
 public sealed interface SpreadCommand {
 
 	/**
-	 * Send a message. Delivery is not guaranteed.
+	 * Sends a message. Delivery is not guaranteed.
 	 *
 	 * @param to the receiver
 	 * @param message the message
@@ -25,24 +25,24 @@
 	}
 
 	/**
-	 * Read the floor from the replicated log with a linearizable read that starts after
-	 * this command. Issued by control instances only and repeated until a
-	 * {@link SpreadEvent.FloorRead} with its token arrives.
+	 * Reads the floor from the replicated log with a linearizable read that starts after
+	 * this command was issued. Only control instances issue this command. They repeat it
+	 * until they receive a {@link SpreadEvent.FloorRead} with the same token.
 	 *
-	 * @param token the token that the event returns
+	 * @param token the token that the event must carry
 	 */
 	record ReadFloor(long token) implements SpreadCommand {
 
 	}
 
 	/**
-	 * Use a changed configuration. Not issued before a quorum has confirmed a floor and
-	 * the configuration has reached it.
+	 * Puts a configuration in force. This command is issued only after a quorum has
+	 * confirmed the floor and the configuration is at least as new as the floor.
 	 *
-	 * @param version the version now in force; never older than an earlier one
+	 * @param version the version to put in force, never older than an earlier one
 	 * @param changes the changed entries
-	 * @param whole whether the changes are the complete state and all other entries are
-	 * removed
+	 * @param whole whether the changes are the complete state, so that all other entries
+	 * must be removed
 	 */
 	record ConfigurationInForce(Version version, List<EntryChange> changes, boolean whole) implements SpreadCommand {
 
@@ -54,12 +54,12 @@
 	}
 
 	/**
-	 * Apply changes of the membership; see {@code MemberView}.
+	 * Applies changes of the membership stream to the caller's {@code MemberView}.
 	 *
-	 * @param version the version of the membership stream
+	 * @param version the version of the membership stream after the changes
 	 * @param changes the changed entries
-	 * @param whole whether the changes are the complete state and all other entries are
-	 * removed
+	 * @param whole whether the changes are the complete state, so that all other entries
+	 * must be removed
 	 */
 	record MembersUpdated(Version version, List<EntryChange> changes, boolean whole) implements SpreadCommand {
 
@@ -71,7 +71,7 @@
 	}
 
 	/**
-	 * Use a confirmed floor; a sidecar rejects orders with a lower fencing number.
+	 * Applies a confirmed floor. A sidecar rejects orders with a lower fencing number.
 	 *
 	 * @param floor the floor
 	 */
@@ -84,8 +84,8 @@
 	}
 
 	/**
-	 * Handle reports of members that arrived at the leader; consumed by the membership
-	 * core.
+	 * Handles member reports that the leader has received. The leader's membership core
+	 * executes this command.
 	 *
 	 * @param reports the reports
 	 */
@@ -98,9 +98,10 @@
 	}
 
 	/**
-	 * Handle a leave notice that arrived at the leader; consumed by the membership core.
+	 * Handles a leave notice that the leader has received. The leader's membership core
+	 * executes this command.
 	 *
-	 * @param node the node
+	 * @param node the leaving node
 	 */
 	record LeaveNoticeReceived(NodeDescriptor node) implements SpreadCommand {
 
@@ -111,11 +112,11 @@
 	}
 
 	/**
-	 * Handle the result of a probe that this node requested; consumed by the membership
-	 * core.
+	 * Handles the result of a probe that this node requested. The leader's membership
+	 * core executes this command.
 	 *
-	 * @param prober the node that probed
-	 * @param result the result
+	 * @param prober the node that executed the probe
+	 * @param result the result of the probe
 	 */
 	record ProbeCompleted(Peer prober, ProbeResult result) implements SpreadCommand {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCore.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCore.java
@@ -3,15 +3,16 @@
 import java.util.List;
 
 /**
- * A core of the relay tree without I/O: it handles events and returns commands.
+ * A state machine of the relay tree that performs no I/O. The caller passes it events and
+ * executes the commands that it returns.
  */
 public interface SpreadCore {
 
 	/**
-	 * Handles one event.
+	 * Handles an event.
 	 * @param event the event
 	 * @param now the current monotonic time in nanoseconds
-	 * @return the commands, to be executed in order
+	 * @return the commands to execute, in order
 	 */
 	List<SpreadCommand> on(SpreadEvent event, long now);
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadEvent.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadEvent.java
@@ -8,12 +8,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An input of a {@link SpreadCore}.
+ * An event that a {@link SpreadCore} handles.
  */
 public sealed interface SpreadEvent {
 
 	/**
-	 * Time has passed; due every {@link SpreadSettings#tickInterval()}.
+	 * Advances the time. The caller sends this event every
+	 * {@link SpreadSettings#tickInterval()}.
 	 */
 	record Tick() implements SpreadEvent {
 
@@ -48,10 +49,11 @@
 	}
 
 	/**
-	 * The leader of the replicated log has changed; control instances only.
+	 * The leader of the replicated log has changed. Only control instances handle this
+	 * event.
 	 *
 	 * @param term the current term
-	 * @param leader the leader, or empty if none is known or this instance's leader lease
+	 * @param leader the leader, or empty if there is none or this instance's leader lease
 	 * has expired
 	 */
 	record LeaderChanged(Term term, Optional<InstanceId> leader) implements SpreadEvent {
@@ -64,8 +66,8 @@
 	}
 
 	/**
-	 * The replicated log has committed a revision of the configuration; control instances
-	 * only.
+	 * The replicated log has committed a configuration revision. Only control instances
+	 * handle this event.
 	 *
 	 * @param delta the changes from the previous revision to the committed one
 	 */
@@ -78,8 +80,8 @@
 	}
 
 	/**
-	 * The configuration was read from a snapshot of the replicated log; control instances
-	 * only.
+	 * The configuration was restored from a snapshot of the replicated log. Only control
+	 * instances handle this event.
 	 *
 	 * @param snapshot the committed configuration
 	 */
@@ -92,7 +94,7 @@
 	}
 
 	/**
-	 * The linearizable read of a {@link SpreadCommand.ReadFloor} has completed.
+	 * The linearizable read requested by a {@link SpreadCommand.ReadFloor} has completed.
 	 *
 	 * @param token the command's token
 	 * @param floor the floor, confirmed by a quorum after the command was issued
@@ -106,7 +108,7 @@
 	}
 
 	/**
-	 * The leader's membership has changed; sent by the membership core only.
+	 * The leader's membership core has changed members, which the leader must publish.
 	 *
 	 * @param changes the changed entries
 	 */
@@ -119,7 +121,7 @@
 	}
 
 	/**
-	 * This node accepts no new work from now on.
+	 * The node has stopped accepting new work and must announce that it is leaving.
 	 */
 	record LeaveRequested() implements SpreadEvent {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
@@ -12,11 +12,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The core of one node of the relay tree.
+ * A node of the relay tree: the leader, another control instance, an entry or a sidecar.
  * <p>
- * It selects a parent. It sends configuration, membership and the leader's beats down the
- * tree, and heartbeats, reports, coverage and requests for the floor up. It is not
- * thread-safe.
+ * The node selects its parent. It sends its children the configuration, the membership
+ * and heartbeats that carry the leader's latest sequence number. It sends its parent
+ * heartbeats with member reports, the coverage of its subtree and requests for the floor.
+ * This class is not thread-safe.
  */
 public final class SpreadNode implements SpreadCore {
 
@@ -36,54 +37,57 @@
 
 	private final Streams streams;
 
-	private final ParentPlanner planner;
+	private final ParentPlanner parentPlanner;
 
 	private final Children children;
 
-	private final ParentLink link;
+	private final ParentLink parentSelector;
 
-	private final FloorTracker floorTracker;
+	private final FloorTracker floorRequests;
 
 	private final Prober prober;
 
 	private final LeaveAnnouncer leaveAnnouncer;
 
-	private final Uplink uplink;
+	private final Uplink heartbeatSender;
 
 	private Optional<InstanceId> leader = Optional.empty();
 
 	private long now;
 
-	private long lastBeatAt;
+	private long lastHeartbeatSentAt;
 
 	private long lastFloorReadAt;
 
 	private boolean started;
 
 	/**
-	 * Creates a node without a parent; its only known peers are the control instances.
-	 * @param self the node; its incarnation is greater than that of every earlier start
-	 * @param controls the control instances; their incarnations are not used
+	 * Creates a node without a parent that initially connects to a control instance.
+	 * @param self the node's descriptor, with a greater incarnation than at every earlier
+	 * start
+	 * @param controls the control instances; their incarnations are ignored
 	 * @param settings the settings
-	 * @param directory decodes the entries of the membership stream
+	 * @param memberDecoder the decoder of the membership stream's entries
 	 * @param random the source of randomness
-	 * @param decisions receives the decisions
+	 * @param decisions the listener that records decisions
 	 */
 	public SpreadNode(NodeDescriptor self, List<NodeDescriptor> controls, SpreadSettings settings,
-			MemberDirectory directory, RandomGenerator random, DecisionListener decisions) {
+			MemberDirectory memberDecoder, RandomGenerator random, DecisionListener decisions) {
 		this.self = Preconditions.notNull(self, "self");
 		this.controls = List.copyOf(controls);
 		this.settings = Preconditions.notNull(settings, "settings");
 		this.streams = new Streams(self, settings, this.invariants, decisions, this.outbox);
 		ReportQueue reports = new ReportQueue();
 		this.children = new Children(settings.maxChildren(), reports::add);
-		this.link = new ParentLink(self, isControl() ? List.of() : this.controls, settings, random, decisions);
-		this.planner = new ParentPlanner(self.role(), this.controls, settings, directory, this.streams.members(),
-				this.outbox);
-		this.floorTracker = new FloorTracker(random);
+		this.parentSelector = new ParentLink(self, isControl() ? List.of() : this.controls, settings, random,
+				decisions);
+		this.parentPlanner = new ParentPlanner(self.role(), this.controls, settings, memberDecoder,
+				this.streams.members(), this.outbox);
+		this.floorRequests = new FloorTracker(random);
 		this.prober = new Prober(self, this.outbox);
 		this.leaveAnnouncer = new LeaveAnnouncer(self, this.controls, this.outbox);
-		this.uplink = new Uplink(self, settings, this.link, this.streams, this.children, reports, this.outbox);
+		this.heartbeatSender = new Uplink(self, settings, this.parentSelector, this.streams, this.children, reports,
+				this.outbox);
 	}
 
 	@Override
@@ -98,71 +102,75 @@
 			receive(received.from(), received.message());
 		}
 		else if (event instanceof SpreadEvent.PeerLost lost) {
-			parentChanged(this.link.onConnectionLost(lost.peer(), now));
+			startFullReportIfParentChanged(this.parentSelector.onConnectionLost(lost.peer(), now));
 		}
 		else if (event instanceof SpreadEvent.LeaveRequested) {
 			this.leaveAnnouncer.start(now);
-			this.uplink.markLeaving();
-			this.uplink.requestImmediateHeartbeat();
+			this.heartbeatSender.markLeaving();
+			this.heartbeatSender.requestImmediateHeartbeat();
 		}
 		else {
 			onControlEvent(event);
 		}
-		this.uplink.flush(isLeader(), this.now);
+		this.heartbeatSender.flush(isLeader(), this.now);
 		return this.outbox.drain();
 	}
 
 	/**
-	 * Returns the version of the configuration in force.
-	 * @return the version, or empty if the floor has not been confirmed and reached yet
+	 * Returns the version of the configuration in force at this node.
+	 * @return the version, or empty while the floor is unconfirmed or newer than this
+	 * node's replica
 	 */
 	public Optional<Version> inForce() {
 		return this.streams.inForce();
 	}
 
 	/**
-	 * Returns the current parent.
-	 * @return the parent, or empty if there is none
+	 * Returns the instance of the current parent.
+	 * @return the parent's identifier, or empty if the node has no parent
 	 */
 	public Optional<InstanceId> parent() {
-		return this.link.parent().map(NodeDescriptor::id);
+		return this.parentSelector.parent().map(NodeDescriptor::id);
 	}
 
 	/**
-	 * Returns the coverage of this node's latest configuration revision in its subtree.
-	 * @return the coverage; at the leader, of all nodes that are attached
+	 * Returns the coverage of the latest configuration revision that this node has
+	 * received.
+	 * @return the coverage of this node's subtree, which at the leader contains all
+	 * attached nodes
 	 */
 	public Coverage coverage() {
 		return coverage(this.streams.configuration().version().number());
 	}
 
 	/**
-	 * Returns the coverage of a configuration revision in this node's subtree.
-	 * @param number the revision
-	 * @return the coverage; at the leader, of all nodes that are attached
+	 * Returns the coverage of a configuration revision.
+	 * @param revision the revision
+	 * @return the coverage of this node's subtree, which at the leader contains all
+	 * attached nodes
 	 */
-	public Coverage coverage(long number) {
-		return this.uplink.coverage(number);
+	public Coverage coverage(long revision) {
+		return this.heartbeatSender.coverage(revision);
 	}
 
 	/**
-	 * Returns the number of children.
-	 * @return the count
+	 * Returns the number of nodes that are attached to this node.
+	 * @return the number of children
 	 */
 	public int childCount() {
 		return this.children.all().size();
 	}
 
 	/**
-	 * Returns the number of invariant violations.
-	 * @return the count
+	 * Returns the number of invariant violations detected by this node.
+	 * @return the number of violations
 	 */
 	public long breaches() {
 		return this.invariants.violations();
 	}
 
 	/**
-	 * Returns the latest leader term known to this node.
+	 * Returns the latest leader term that this node has received.
 	 * @return the term
 	 */
 	public Term term() {
@@ -170,7 +178,7 @@
 	}
 
 	/**
-	 * Returns this node's copy of the membership stream.
+	 * Returns a snapshot of this node's replica of the membership stream.
 	 * @return the snapshot
 	 */
 	public Snapshot memberSnapshot() {
@@ -178,9 +186,10 @@
 	}
 
 	/**
-	 * Finds one entry of the membership stream.
+	 * Finds an entry in this node's replica of the membership stream.
 	 * @param key the entry's key
-	 * @return the change that sets it, or empty if there is none
+	 * @return a single change that sets the entry, or an empty list if the entry does not
+	 * exist
 	 */
 	public List<EntryChange> findMember(String key) {
 		return Optional.ofNullable(this.streams.members().entries().get(key))
@@ -201,35 +210,36 @@
 			return;
 		}
 		this.started = true;
-		if (this.floorTracker.startNextRequest()) {
+		if (this.floorRequests.startNextRequest()) {
 			requestFloor();
 		}
 	}
 
 	private void tick() {
-		if (isLeader() && isDue(this.lastBeatAt, this.settings.beatInterval().toNanos())) {
-			this.link.recordRootBeat(this.streams.term(), this.link.rootSequence() + 1, this.now);
-			sendBeats();
+		if (isLeader() && isDue(this.lastHeartbeatSentAt, this.settings.beatInterval().toNanos())) {
+			this.parentSelector.recordRootBeat(this.streams.term(), this.parentSelector.rootSequence() + 1, this.now);
+			sendHeartbeats();
 		}
-		else if (isDue(this.lastBeatAt, this.settings.beatInterval().toNanos() * 3 / 2)) {
-			sendBeats();
+		else if (isDue(this.lastHeartbeatSentAt, this.settings.beatInterval().toNanos() * 3 / 2)) {
+			sendHeartbeats();
 		}
-		this.children.expire(this.now - this.settings.childTimeout().toNanos()).forEach(this.floorTracker::removeChild);
+		this.children.expire(this.now - this.settings.childTimeout().toNanos())
+			.forEach(this.floorRequests::removeChild);
 		if (!isLeader()) {
-			parentChanged(this.link.tick(this.now));
+			startFullReportIfParentChanged(this.parentSelector.tick(this.now));
 		}
-		if (isControl() && this.floorTracker.nonce() != 0
+		if (isControl() && this.floorRequests.nonce() != 0
 				&& isDue(this.lastFloorReadAt, this.settings.beatInterval().toNanos())) {
 			readFloor();
 		}
 		this.prober.tick(this.now);
 		this.leaveAnnouncer.tick(this.now);
-		this.planner.refresh(this.children.all(), this.now);
+		this.parentPlanner.refresh(this.children.all(), this.now);
 	}
 
 	private void onControlEvent(SpreadEvent event) {
-		if (event instanceof SpreadEvent.ConfigurationCommitted accepted) {
-			this.streams.apply(StreamId.CONFIGURATION, accepted.delta(), this.children.all(), this.now);
+		if (event instanceof SpreadEvent.ConfigurationCommitted committed) {
+			this.streams.apply(StreamId.CONFIGURATION, committed.delta(), this.children.all(), this.now);
 		}
 		else if (event instanceof SpreadEvent.ConfigurationRestored restored) {
 			this.streams.install(StreamId.CONFIGURATION, restored.snapshot(), this.children.all(), this.now);
@@ -241,11 +251,11 @@
 			publishMembers(changed.changes());
 		}
 		else if (event instanceof SpreadEvent.LeaderChanged changed) {
-			leaderChanged(changed);
+			onLeaderChanged(changed);
 		}
 	}
 
-	private void leaderChanged(SpreadEvent.LeaderChanged changed) {
+	private void onLeaderChanged(SpreadEvent.LeaderChanged changed) {
 		if (changed.term().isBefore(this.streams.term())) {
 			return;
 		}
@@ -253,12 +263,12 @@
 		this.leader = changed.leader();
 		Optional<NodeDescriptor> newParent = this.leader.filter((id) -> !id.equals(this.self.id()))
 			.flatMap(this::findControl);
-		this.link.followLeader(newParent, this.now);
+		this.parentSelector.followLeader(newParent, this.now);
 		if (isLeader()) {
-			this.link.recordRootBeat(this.streams.term(), 0, this.now);
+			this.parentSelector.recordRootBeat(this.streams.term(), 0, this.now);
 			publishMembers(List.of());
 		}
-		parentChanged(true);
+		startFullReportIfParentChanged(true);
 	}
 
 	private Optional<NodeDescriptor> findControl(InstanceId id) {
@@ -273,13 +283,13 @@
 
 	private void receive(Peer from, SpreadMessage message) {
 		if (message instanceof Heartbeat heartbeat) {
-			onHeartbeat(from, heartbeat);
+			onChildHeartbeat(from, heartbeat);
 		}
-		else if (message instanceof Beat beat) {
-			onBeat(from, beat);
+		else if (message instanceof Beat heartbeat) {
+			onParentHeartbeat(from, heartbeat);
 		}
-		else if (message instanceof ParentList parents) {
-			parentChanged(this.link.onParentList(from.id(), parents, this.now));
+		else if (message instanceof ParentList candidates) {
+			startFullReportIfParentChanged(this.parentSelector.onParentList(from.id(), candidates, this.now));
 		}
 		else if (message instanceof DeltaUpdate update) {
 			this.streams.onDeltas(from.id(), update, this.children.all(), this.now);
@@ -287,8 +297,8 @@
 		else if (message instanceof SnapshotUpdate update) {
 			this.streams.onSnapshot(from.id(), update, this.children.all(), this.now);
 		}
-		else if (message instanceof FloorResponse answer) {
-			onFloorConfirmed(answer.nonce(), answer.floor());
+		else if (message instanceof FloorResponse response) {
+			onFloorConfirmed(response.nonce(), response.floor());
 		}
 		else if (message instanceof LeaveNotice notice) {
 			onLeaveNotice(notice);
@@ -307,28 +317,28 @@
 		}
 	}
 
-	private void onHeartbeat(Peer from, Heartbeat heartbeat) {
-		Optional<Child> known = this.children.find(heartbeat.node().id());
-		if (known.isPresent() && heartbeat.node().incarnation().isBefore(known.get().node().incarnation())) {
+	private void onChildHeartbeat(Peer from, Heartbeat heartbeat) {
+		Optional<Child> existing = this.children.find(heartbeat.node().id());
+		if (existing.isPresent() && heartbeat.node().incarnation().isBefore(existing.get().node().incarnation())) {
 			return;
 		}
-		if (known.isEmpty() && !acceptsChild(from, heartbeat)) {
+		if (existing.isEmpty() && !acceptOrRedirectChild(from, heartbeat)) {
 			return;
 		}
-		boolean isNew = known.isEmpty() || !known.get().node().equals(heartbeat.node());
+		boolean isNew = existing.isEmpty() || !existing.get().node().equals(heartbeat.node());
 		Child child = this.children.applyHeartbeat(heartbeat, this.now);
 		if (isNew) {
 			this.streams.initializeSentVersions(child);
-			sendBeat(child);
-			this.planner.send(child, this.now);
+			sendHeartbeat(child);
+			this.parentPlanner.send(child, this.now);
 		}
-		if (heartbeat.floorNonce() != 0 && this.floorTracker.addRequest(child.node().id(), heartbeat.floorNonce())) {
+		if (heartbeat.floorNonce() != 0 && this.floorRequests.addRequest(child.node().id(), heartbeat.floorNonce())) {
 			requestFloor();
 		}
 		this.streams.sendMissingUpdates(child, heartbeat.resend(), this.now);
 	}
 
-	private boolean acceptsChild(Peer from, Heartbeat heartbeat) {
+	private boolean acceptOrRedirectChild(Peer from, Heartbeat heartbeat) {
 		if (heartbeat.node().role() == NodeRole.CONTROL) {
 			return isLeader();
 		}
@@ -336,71 +346,71 @@
 			this.outbox.send(from, ParentList.NONE);
 			return false;
 		}
-		boolean hasCapacity = !this.children.isFull() && !this.link.isParent(from.id());
-		ParentList parents = this.planner.parentsOf(heartbeat.node(), this.now);
-		boolean plannedBelowControl = parents.parents().isEmpty()
-				|| parents.parents().get(0).role() == NodeRole.CONTROL;
+		boolean hasCapacity = !this.children.isFull() && !this.parentSelector.isParent(from.id());
+		ParentList candidates = this.parentPlanner.parentsOf(heartbeat.node(), this.now);
+		boolean plannedBelowControl = candidates.parents().isEmpty()
+				|| candidates.parents().get(0).role() == NodeRole.CONTROL;
 		if (hasCapacity && (!isControl() || heartbeat.stranded() || plannedBelowControl)) {
 			return true;
 		}
-		this.outbox.send(from, parents.withAdopted(false));
+		this.outbox.send(from, candidates.withAdopted(false));
 		return false;
 	}
 
-	private void onBeat(Peer from, Beat beat) {
-		if (!this.link.isParent(from.id())) {
+	private void onParentHeartbeat(Peer from, Beat heartbeat) {
+		if (!this.parentSelector.isParent(from.id())) {
 			return;
 		}
-		boolean isNewRootBeat = this.link.onBeat(beat, this.now);
-		this.streams.advanceTerm(beat.rootTerm());
-		if (isNewRootBeat) {
-			sendBeats();
+		boolean newRootHeartbeat = this.parentSelector.onBeat(heartbeat, this.now);
+		this.streams.advanceTerm(heartbeat.rootTerm());
+		if (newRootHeartbeat) {
+			sendHeartbeats();
 		}
-		this.uplink.onReportsAcknowledged(beat.reportsReceived(), this.now);
-		this.streams.compareWithParent(beat, this.now);
+		this.heartbeatSender.onReportsAcknowledged(heartbeat.reportsReceived(), this.now);
+		this.streams.compareWithParent(heartbeat, this.now);
 	}
 
 	private void onFloorConfirmed(long nonce, Floor floor) {
-		FloorTracker.CompletedRequests answered = this.floorTracker.completeRequest(nonce);
-		this.uplink.setFloorNonce(this.floorTracker.nonce());
-		if (answered.self()) {
+		FloorTracker.CompletedRequests completed = this.floorRequests.completeRequest(nonce);
+		this.heartbeatSender.setFloorNonce(this.floorRequests.nonce());
+		if (completed.self()) {
 			this.outbox.add(new SpreadCommand.FloorConfirmed(floor));
 			this.streams.floorConfirmed(floor.configuration());
 		}
-		answered.children()
+		completed.children()
 			.forEach((child, request) -> this.children.find(child)
 				.ifPresent((found) -> this.outbox.send(found.peer(), new FloorResponse(request, floor))));
-		if (this.floorTracker.startNextRequest()) {
+		if (this.floorRequests.startNextRequest()) {
 			requestFloor();
 		}
 	}
 
 	private void readFloor() {
 		this.lastFloorReadAt = this.now;
-		this.outbox.add(new SpreadCommand.ReadFloor(this.floorTracker.nonce()));
+		this.outbox.add(new SpreadCommand.ReadFloor(this.floorRequests.nonce()));
 	}
 
 	private void requestFloor() {
-		this.uplink.setFloorNonce(this.floorTracker.nonce());
-		this.uplink.requestImmediateHeartbeat();
+		this.heartbeatSender.setFloorNonce(this.floorRequests.nonce());
+		this.heartbeatSender.requestImmediateHeartbeat();
 		if (isControl()) {
 			readFloor();
 		}
 	}
 
-	private void parentChanged(boolean changed) {
-		if (changed) {
-			this.uplink.startFullReport(this.now);
+	private void startFullReportIfParentChanged(boolean parentChanged) {
+		if (parentChanged) {
+			this.heartbeatSender.startFullReport(this.now);
 		}
 	}
 
-	private void sendBeats() {
-		this.lastBeatAt = this.now;
-		this.children.all().forEach(this::sendBeat);
+	private void sendHeartbeats() {
+		this.lastHeartbeatSentAt = this.now;
+		this.children.all().forEach(this::sendHeartbeat);
 	}
 
-	private void sendBeat(Child child) {
-		this.outbox.send(child.peer(), new Beat(this.link.rootTerm(), this.link.rootSequence(),
+	private void sendHeartbeat(Child child) {
+		this.outbox.send(child.peer(), new Beat(this.parentSelector.rootTerm(), this.parentSelector.rootSequence(),
 				this.streams.configuration().position(), this.streams.members().position(), child.reportsReceived()));
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadSettings.java
@@ -9,16 +9,20 @@
  *
  * @param fanOut the planned number of children of each relay
  * @param maxChildren the maximum number of children that a node accepts
- * @param tickInterval how often a {@link SpreadEvent.Tick} is due
- * @param beatInterval the interval of the leader's beats
- * @param heartbeatInterval the interval of a node's heartbeats while nothing changes
- * @param connectTimeout how long a node waits for the first beat of a new parent
- * @param silenceTimeout the time without a beat from the parent after which another
- * parent is selected
- * @param rootStaleTimeout the time without a new leader beat after which a node attaches
- * to a control instance; randomized up to twice the value, and doubled with each
- * consecutive timeout up to {@value #MAX_STALE_FACTOR} times the value
- * @param childTimeout the time without a heartbeat after which a child is reported absent
+ * @param tickInterval the interval between {@linkplain SpreadEvent.Tick ticks}
+ * @param beatInterval the interval between the leader's heartbeats to its children
+ * @param heartbeatInterval the maximum interval between a node's heartbeats to its
+ * parent; a node with changes sends them earlier
+ * @param connectTimeout the time that a node waits for the first heartbeat of a new
+ * parent before it selects another one
+ * @param silenceTimeout the time without a heartbeat from the parent after which a node
+ * selects another parent
+ * @param rootStaleTimeout the time without a new heartbeat of the leader, relayed by the
+ * parent, after which a node attaches to a control instance; multiplied by a backoff
+ * factor that doubles with each consecutive timeout up to {@value #MAX_STALE_FACTOR}, and
+ * extended by a random part of the result
+ * @param childTimeout the time without a heartbeat after which a child is removed and
+ * reported absent
  * @param resendTimeout the time after which an unacknowledged update is sent again
  */
 public record SpreadSettings(int fanOut, int maxChildren, Duration tickInterval, Duration beatInterval,
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamId.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamId.java
@@ -1,13 +1,13 @@
 package org.comfreywall.control.spread;
 
 /**
- * The streams that are replicated through the relay tree.
+ * A stream of state changes that is replicated through the relay tree.
  */
 public enum StreamId {
 
 	/** The committed configuration, replicated to every node. */
 	CONFIGURATION,
-	/** The members, replicated to control instances and entries. */
+	/** The membership, replicated to control instances and entries. */
 	MEMBERS
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamReplica.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamReplica.java
@@ -12,12 +12,13 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * A node's copy of one stream: its entries, its position and the last
- * {@value #MAX_HISTORY} deltas.
+ * A node's replica of one stream: the entries, the position and the last
+ * {@value #MAX_HISTORY} deltas. The digest is a sum of entry hashes and therefore does
+ * not depend on the order of changes.
  */
 final class StreamReplica {
 
-	/** The maximum number of deltas retained for children that are behind. */
+	/** The maximum number of deltas retained for children that lag behind. */
 	static final int MAX_HISTORY = 256;
 
 	private static final long FNV_OFFSET = 0xcbf29ce484222325L;
@@ -26,7 +27,7 @@
 
 	private final Map<String, Bytes> entries = new HashMap<>();
 
-	private final Deque<Delta> history = new ArrayDeque<>();
+	private final Deque<Delta> recentDeltas = new ArrayDeque<>();
 
 	private Position position = Position.ZERO;
 
@@ -55,16 +56,16 @@
 			digest += change.value().map((value) -> hash(change.key(), value)).orElse(0L);
 		}
 		this.position = new Position(delta.to(), digest);
-		this.history.addLast(delta);
-		if (this.history.size() > MAX_HISTORY) {
-			this.history.removeFirst();
+		this.recentDeltas.addLast(delta);
+		if (this.recentDeltas.size() > MAX_HISTORY) {
+			this.recentDeltas.removeFirst();
 		}
 	}
 
 	void install(Snapshot snapshot) {
 		this.entries.clear();
 		this.entries.putAll(snapshot.entries());
-		this.history.clear();
+		this.recentDeltas.clear();
 		long digest = 0;
 		for (Map.Entry<String, Bytes> entry : this.entries.entrySet()) {
 			digest += hash(entry.getKey(), entry.getValue());
@@ -73,14 +74,14 @@
 	}
 
 	/**
-	 * Finds the deltas from an earlier version to the current one.
+	 * Returns the deltas that lead from an earlier version to the current one.
 	 * @param version the earlier version
-	 * @return the deltas, or empty if they are no longer retained
+	 * @return the deltas, oldest first, or empty if they are not retained
 	 */
 	Optional<List<Delta>> deltasSince(Version version) {
 		List<Delta> deltas = new ArrayList<>();
 		boolean found = false;
-		for (Delta delta : this.history) {
+		for (Delta delta : this.recentDeltas) {
 			found = found || delta.from().equals(version);
 			if (found) {
 				deltas.add(delta);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Streams.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Streams.java
@@ -11,8 +11,8 @@
 import org.comfreywall.common.invariant.Invariants;
 
 /**
- * A node's replicas of the configuration and membership streams, with their distribution
- * to the children.
+ * A node's replicas of the configuration and membership streams. Applies updates of the
+ * parent or the replicated log to them and sends the updates to the children.
  */
 final class Streams {
 
@@ -28,13 +28,13 @@
 
 	private final Map<StreamId, ReplicaUpdater> updaters;
 
-	private final List<Distributor> distributors;
+	private final List<Distributor> updateSenders;
 
-	private final ConfigurationGate gate;
+	private final ConfigurationGate activator;
 
 	private Term term = Term.ZERO;
 
-	private boolean resend;
+	private boolean resendNeeded;
 
 	Streams(NodeDescriptor self, SpreadSettings settings, Invariants invariants, DecisionListener decisions,
 			Outbox outbox) {
@@ -45,9 +45,9 @@
 		this.updaters = Map.of(StreamId.CONFIGURATION,
 				new ReplicaUpdater(id, StreamId.CONFIGURATION, this.configuration, decisions), StreamId.MEMBERS,
 				new ReplicaUpdater(id, StreamId.MEMBERS, this.members, decisions));
-		this.distributors = List.of(new Distributor(StreamId.CONFIGURATION, this.configuration, settings, outbox),
+		this.updateSenders = List.of(new Distributor(StreamId.CONFIGURATION, this.configuration, settings, outbox),
 				new Distributor(StreamId.MEMBERS, this.members, settings, outbox));
-		this.gate = new ConfigurationGate(id, this.configuration, invariants, decisions, outbox);
+		this.activator = new ConfigurationGate(id, this.configuration, invariants, decisions, outbox);
 	}
 
 	StreamReplica configuration() {
@@ -59,49 +59,49 @@
 	}
 
 	Optional<Version> inForce() {
-		return this.gate.inForce();
+		return this.activator.inForce();
 	}
 
 	long revisionInForce() {
-		return this.gate.revisionInForce();
+		return this.activator.revisionInForce();
 	}
 
 	Term term() {
 		return this.term;
 	}
 
-	void advanceTerm(Term other) {
-		this.term = this.term.isBefore(other) ? other : this.term;
+	void advanceTerm(Term received) {
+		this.term = this.term.isBefore(received) ? received : this.term;
 	}
 
 	void floorConfirmed(Version floor) {
-		this.gate.floorConfirmed(floor);
+		this.activator.floorConfirmed(floor);
 	}
 
 	boolean needsResend() {
-		return this.resend;
+		return this.resendNeeded;
 	}
 
 	boolean pollResend() {
-		boolean requested = this.resend;
-		this.resend = false;
+		boolean requested = this.resendNeeded;
+		this.resendNeeded = false;
 		return requested;
 	}
 
 	/**
-	 * Publishes membership changes as the leader.
-	 * @param changes the changes; an empty list publishes the first version of the
-	 * leader's term
-	 * @param children the children to send them to
+	 * Publishes membership changes as a new version of the leader's term.
+	 * @param changes the changes; a new leader publishes an empty list as the first
+	 * version of its term
+	 * @param children the children to which the changes are sent
 	 * @param now the current monotonic time in nanoseconds
 	 */
 	void publishMembers(List<EntryChange> changes, Collection<Child> children, long now) {
-		Version held = this.members.version();
-		if (this.term.isBefore(held.term())) {
+		Version current = this.members.version();
+		if (this.term.isBefore(current.term())) {
 			return;
 		}
-		long number = held.term().equals(this.term) ? held.number() + 1 : 1;
-		apply(StreamId.MEMBERS, new Delta(held, new Version(this.term, number), changes), children, now);
+		long number = current.term().equals(this.term) ? current.number() + 1 : 1;
+		apply(StreamId.MEMBERS, new Delta(current, new Version(this.term, number), changes), children, now);
 	}
 
 	void onDeltas(InstanceId from, DeltaUpdate update, Collection<Child> children, long now) {
@@ -120,14 +120,14 @@
 		ReplicaUpdater.UpdateResult applied = this.updaters.get(stream).apply(delta);
 		if (applied == ReplicaUpdater.UpdateResult.DONE) {
 			if (stream == StreamId.CONFIGURATION) {
-				this.gate.activateDelta(delta);
+				this.activator.activateDelta(delta);
 			}
 			else {
 				this.outbox.add(new SpreadCommand.MembersUpdated(delta.to(), delta.changes(), false));
 			}
 			sendUpdatesToAll(children, now);
 		}
-		this.resend |= applied == ReplicaUpdater.UpdateResult.GAP;
+		this.resendNeeded |= applied == ReplicaUpdater.UpdateResult.GAP;
 	}
 
 	void install(StreamId stream, Snapshot snapshot, Collection<Child> children, long now) {
@@ -135,7 +135,7 @@
 			return;
 		}
 		if (stream == StreamId.CONFIGURATION) {
-			this.gate.activateWholeState();
+			this.activator.activateWholeState();
 		}
 		else {
 			this.outbox.add(new SpreadCommand.MembersUpdated(snapshot.version(), this.members.asChanges(), true));
@@ -144,21 +144,22 @@
 	}
 
 	/**
-	 * Compares the replicas with the parent's positions and requests a resend if one lags
-	 * behind or has diverged.
-	 * @param beat the parent's beat
+	 * Compares the replicas with the parent's positions. The next heartbeat requests a
+	 * resend if a replica lags behind for too long or has diverged.
+	 * @param heartbeat the parent's heartbeat
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void compareWithParent(Beat beat, long now) {
-		this.resend |= this.updaters.get(StreamId.CONFIGURATION)
-			.needsResend(beat.configuration(), this.gapTimeoutNanos, now);
+	void compareWithParent(Beat heartbeat, long now) {
+		this.resendNeeded |= this.updaters.get(StreamId.CONFIGURATION)
+			.needsResend(heartbeat.configuration(), this.gapTimeoutNanos, now);
 		if (this.role != NodeRole.SIDECAR) {
-			this.resend |= this.updaters.get(StreamId.MEMBERS).needsResend(beat.members(), this.gapTimeoutNanos, now);
+			this.resendNeeded |= this.updaters.get(StreamId.MEMBERS)
+				.needsResend(heartbeat.members(), this.gapTimeoutNanos, now);
 		}
 	}
 
 	/**
-	 * Initializes the sent versions of a new child with its acknowledged positions.
+	 * Sets the sent versions of a new child to the versions that it has acknowledged.
 	 * @param child the child
 	 */
 	void initializeSentVersions(Child child) {
@@ -167,24 +168,24 @@
 	}
 
 	/**
-	 * Sends a child the updates that its latest heartbeat does not acknowledge.
+	 * Sends a child the updates that were not sent to it or were probably lost.
 	 * @param child the child
 	 * @param requested whether the child has requested a resend
 	 * @param now the current monotonic time in nanoseconds
 	 */
 	void sendMissingUpdates(Child child, boolean requested, long now) {
-		for (Distributor distributor : this.distributors) {
-			distributor.rewindIfLost(child, requested, now);
-			distributor.sendUpdates(child, this.term, now);
+		for (Distributor updateSender : this.updateSenders) {
+			updateSender.rewindIfLost(child, requested, now);
+			updateSender.sendUpdates(child, this.term, now);
 			if (requested) {
-				distributor.sendSnapshotIfDiverged(child, this.term, now);
+				updateSender.sendSnapshotIfDiverged(child, this.term, now);
 			}
 		}
 	}
 
 	private void sendUpdatesToAll(Collection<Child> children, long now) {
 		for (Child child : children) {
-			this.distributors.forEach((distributor) -> distributor.sendUpdates(child, this.term, now));
+			this.updateSenders.forEach((updateSender) -> updateSender.sendUpdates(child, this.term, now));
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Uplink.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Uplink.java
@@ -1,8 +1,8 @@
 package org.comfreywall.control.spread;
 
 /**
- * Sends heartbeats to the parent: at a regular interval, and earlier when there are
- * changes to report.
+ * Sends heartbeats to the parent at a regular interval, and earlier if there are changes
+ * to report.
  */
 final class Uplink {
 
@@ -10,7 +10,7 @@
 
 	private final SpreadSettings settings;
 
-	private final ParentLink link;
+	private final ParentLink parentSelector;
 
 	private final Streams streams;
 
@@ -26,9 +26,9 @@
 
 	private boolean leaving;
 
-	private boolean urgent;
+	private boolean sendImmediately;
 
-	private long lastHeartbeatAt;
+	private long lastSentAt;
 
 	private long fullReportStartedAt;
 
@@ -36,7 +36,7 @@
 			ReportQueue reports, Outbox outbox) {
 		this.self = self;
 		this.settings = settings;
-		this.link = link;
+		this.parentSelector = link;
 		this.streams = streams;
 		this.children = children;
 		this.reports = reports;
@@ -44,10 +44,11 @@
 	}
 
 	/**
-	 * Makes the next flush send a heartbeat regardless of the interval.
+	 * Makes the next call of {@link #flush(boolean, long)} send a heartbeat regardless of
+	 * the interval.
 	 */
 	void requestImmediateHeartbeat() {
-		this.urgent = true;
+		this.sendImmediately = true;
 	}
 
 	void markLeaving() {
@@ -59,20 +60,20 @@
 	}
 
 	/**
-	 * Starts a new full report of all descendants, for a new parent or one that has lost
-	 * reports.
+	 * Starts a full report about all children and descendants. It is needed if the parent
+	 * has changed or has lost reports that it had acknowledged.
 	 * @param now the current monotonic time in nanoseconds
 	 */
 	void startFullReport(long now) {
 		this.fullReportStartedAt = now;
-		this.urgent = true;
+		this.sendImmediately = true;
 		this.reports.startFullReport(this.children.presenceReports());
 	}
 
 	/**
-	 * Handles the parent's acknowledgement of reports. A full report is repeated only
-	 * after two heartbeat intervals, because beats that the parent sent before receiving
-	 * the last one may still arrive.
+	 * Handles the parent's acknowledgement of reports. A new full report is not started
+	 * within two heartbeat intervals of the last one, because heartbeats that the parent
+	 * sent before it received the last one may still arrive.
 	 * @param received the sequence number of the last report that the parent has received
 	 * @param now the current monotonic time in nanoseconds
 	 */
@@ -83,14 +84,14 @@
 		}
 	}
 
-	Coverage coverage(long number) {
-		return CoverageCalculator.calculate(number, this.self.id(), this.streams.revisionInForce(),
+	Coverage coverage(long revision) {
+		return CoverageCalculator.calculate(revision, this.self.id(), this.streams.revisionInForce(),
 				this.children.all());
 	}
 
 	/**
 	 * Sends a heartbeat to the parent if one is due. The leader has no parent and passes
-	 * the reports to its own membership core.
+	 * pending reports to its own membership core instead.
 	 * @param leader whether this node is the leader
 	 * @param now the current monotonic time in nanoseconds
 	 */
@@ -101,10 +102,10 @@
 			}
 			return;
 		}
-		boolean regular = now - this.lastHeartbeatAt >= this.settings.heartbeatInterval().toNanos();
-		boolean early = hasChanges() && now - this.lastHeartbeatAt >= 2 * this.settings.tickInterval().toNanos();
-		if (this.link.parent().isPresent() && (this.urgent || regular || early)) {
-			send(this.link.parent().get(), now);
+		boolean regular = now - this.lastSentAt >= this.settings.heartbeatInterval().toNanos();
+		boolean early = hasChanges() && now - this.lastSentAt >= 2 * this.settings.tickInterval().toNanos();
+		if (this.parentSelector.parent().isPresent() && (this.sendImmediately || regular || early)) {
+			send(this.parentSelector.parent().get(), now);
 		}
 	}
 
@@ -114,14 +115,14 @@
 	}
 
 	private void send(NodeDescriptor parent, long now) {
-		this.lastHeartbeatAt = now;
-		this.urgent = false;
+		this.lastSentAt = now;
+		this.sendImmediately = false;
 		this.lastSentRevision = this.streams.revisionInForce();
 		this.children.clearCoverageChanged();
 		ReportQueue.Batch batch = this.reports.nextBatch();
 		Position configuration = this.streams.configuration().position();
-		Heartbeat heartbeat = new Heartbeat(this.self, this.leaving, this.link.isStranded(), this.streams.pollResend(),
-				configuration, this.streams.members().position(), this.floorNonce,
+		Heartbeat heartbeat = new Heartbeat(this.self, this.leaving, this.parentSelector.isStranded(),
+				this.streams.pollResend(), configuration, this.streams.members().position(), this.floorNonce,
 				coverage(configuration.version().number()), this.reports.resetSequence(), this.reports.acknowledged(),
 				batch.lastSequence(), batch.reports());
 		this.outbox.send(Peer.of(parent), heartbeat);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Version.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Version.java
@@ -9,7 +9,7 @@
  * The version of a stream's state, ordered by term and number.
  *
  * @param term the leader term in which the state was committed or published
- * @param number the number of the state; for the configuration its revision
+ * @param number the number of the state; for the configuration, its revision
  */
 public record Version(Term term, long number) implements Comparable<Version> {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/package-info.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Dissemination of configuration and membership through a relay tree.
+ * Replication of configuration and membership to all nodes through a relay tree.
  */
 package org.comfreywall.control.spread;
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/ChildrenTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/ChildrenTests.java
@@ -20,27 +20,27 @@
 
 	private final Children children = new Children(4, this.reports::add);
 
-	private static Heartbeat heartbeat(long base, long sequence, MemberReport... reports) {
+	private static Heartbeat childHeartbeat(long base, long sequence, MemberReport... reports) {
 		return new Heartbeat(RELAY, false, false, false, Position.ZERO, Position.ZERO, 0,
 				new Coverage(1, 0, 0, List.of()), 1, base, sequence, List.of(reports));
 	}
 
 	@Test
 	void doesNotAcknowledgeReportsAfterAGap() {
-		Child child = this.children.applyHeartbeat(heartbeat(7, 8, new MemberReport(LEAF, Presence.PRESENT)), 0);
+		Child child = this.children.applyHeartbeat(childHeartbeat(7, 8, new MemberReport(LEAF, Presence.PRESENT)), 0);
 		assertThat(child.reportsReceived()).isEqualTo(1);
 	}
 
 	@Test
 	void ignoresOutdatedReports() {
-		this.children.applyHeartbeat(heartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
-		this.children.applyHeartbeat(heartbeat(1, 2, new MemberReport(LEAF, Presence.ABSENT)), 0);
+		this.children.applyHeartbeat(childHeartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
+		this.children.applyHeartbeat(childHeartbeat(1, 2, new MemberReport(LEAF, Presence.ABSENT)), 0);
 		assertThat(this.reports).doesNotContain(new MemberReport(LEAF, Presence.ABSENT));
 	}
 
 	@Test
 	void reportsAnExpiredChildAndItsDescendantsAsAbsent() {
-		this.children.applyHeartbeat(heartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
+		this.children.applyHeartbeat(childHeartbeat(1, 3, new MemberReport(LEAF, Presence.PRESENT)), 0);
 		this.children.expire(1);
 		assertThat(this.reports).contains(new MemberReport(LEAF, Presence.ABSENT),
 				new MemberReport(RELAY, Presence.ABSENT));
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/Nodes.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/Nodes.java
@@ -21,7 +21,7 @@
 				id + ":7000");
 	}
 
-	static <T> List<T> sent(List<SpreadCommand> commands, Class<T> type) {
+	static <T> List<T> sentMessages(List<SpreadCommand> commands, Class<T> type) {
 		return commands.stream()
 			.filter(SpreadCommand.Send.class::isInstance)
 			.map((command) -> ((SpreadCommand.Send) command).message())
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/RelayTreeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/RelayTreeTests.java
@@ -19,7 +19,7 @@
 
 	private static final int FAN_OUT = 16;
 
-	private static List<NodeDescriptor> fleet(int size) {
+	private static List<NodeDescriptor> nodes(int size) {
 		List<NodeDescriptor> nodes = new ArrayList<>();
 		for (int i = 0; i < size; i++) {
 			nodes.add(Nodes.node("node-" + i, ((i / 4) % 5 == 0) ? NodeRole.ENTRY : NodeRole.SIDECAR, "d" + i % 4));
@@ -33,7 +33,7 @@
 
 	@Test
 	void isIndependentOfTheOrderOfMembers() {
-		List<NodeDescriptor> nodes = fleet(800);
+		List<NodeDescriptor> nodes = nodes(800);
 		List<NodeDescriptor> shuffled = new ArrayList<>(nodes);
 		Collections.shuffle(shuffled, new Random(3));
 		RelayTree one = tree(nodes);
@@ -43,23 +43,23 @@
 
 	@Test
 	void assignsNoMoreThanTheMaximumNumberOfChildren() {
-		RelayTree tree = tree(fleet(1_100));
+		RelayTree tree = tree(nodes(1_100));
 		Map<InstanceId, Integer> children = new HashMap<>();
-		fleet(1_100).forEach((node) -> children.merge(tree.parentsOf(node).parents().get(0).id(), 1, Integer::sum));
+		nodes(1_100).forEach((node) -> children.merge(tree.parentsOf(node).parents().get(0).id(), 1, Integer::sum));
 		assertThat(children.values()).allMatch((count) -> count <= SpreadSettings.DEFAULTS.maxChildren());
 	}
 
 	@Test
 	void connectsEveryNodeToAControlInstance() {
-		List<NodeDescriptor> nodes = fleet(1_100);
+		List<NodeDescriptor> nodes = nodes(1_100);
 		RelayTree tree = tree(nodes);
 		assertThat(nodes).allMatch((node) -> depth(tree, node) <= 3);
 	}
 
 	@Test
-	void choosesParentsWithinTheFailureDomain() {
-		RelayTree tree = tree(fleet(800));
-		NodeDescriptor sidecar = fleet(800).get(799);
+	void prefersCandidatesOfTheSameFailureDomain() {
+		RelayTree tree = tree(nodes(800));
+		NodeDescriptor sidecar = nodes(800).get(799);
 		ParentList parents = tree.parentsOf(sidecar);
 		assertThat(parents.parents().subList(0, parents.preferred()))
 			.allMatch((parent) -> parent.domain().equals(sidecar.domain()));
@@ -67,7 +67,7 @@
 
 	@Test
 	void changesTheParentsOfFewNodesWhenOneLeaves() {
-		List<NodeDescriptor> nodes = fleet(1_100);
+		List<NodeDescriptor> nodes = nodes(1_100);
 		RelayTree before = tree(nodes);
 		RelayTree after = tree(nodes.subList(0, 1_099));
 		long moved = nodes.stream()
@@ -77,9 +77,9 @@
 	}
 
 	@Test
-	void assignsEntriesOfOtherDomainsToNodesOfADomainWithoutEntries() {
+	void assignsRelaysOfOtherDomainsToADomainWithoutEntries() {
 		NodeDescriptor sidecar = Nodes.node("sidecar-lonely", NodeRole.SIDECAR, "d9");
-		assertThat(tree(fleet(100)).parentsOf(sidecar).parents().get(0).role()).isEqualTo(NodeRole.ENTRY);
+		assertThat(tree(nodes(100)).parentsOf(sidecar).parents().get(0).role()).isEqualTo(NodeRole.ENTRY);
 	}
 
 	private static int depth(RelayTree tree, NodeDescriptor node) {
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadNodeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadNodeTests.java
@@ -41,11 +41,11 @@
 				List.of(EntryChange.set("key", Bytes.ofText("value-" + number))));
 	}
 
-	private static Beat beat(long term, long sequence) {
+	private static Beat parentHeartbeat(long term, long sequence) {
 		return new Beat(Term.of(term), sequence, Position.ZERO, Position.ZERO, Long.MAX_VALUE);
 	}
 
-	private static Heartbeat heartbeat(NodeDescriptor from, long floorNonce) {
+	private static Heartbeat childHeartbeat(NodeDescriptor from, long floorNonce) {
 		return new Heartbeat(from, false, false, false, Position.ZERO, Position.ZERO, floorNonce,
 				new Coverage(1, 0, 0, List.of()), 1, 1, 1, List.of());
 	}
@@ -56,8 +56,8 @@
 
 	private Heartbeat attach() {
 		List<SpreadCommand> commands = this.node.on(new SpreadEvent.Tick(), this.now);
-		receive(beat(1, 1));
-		return Nodes.sent(commands, Heartbeat.class).get(0);
+		receive(parentHeartbeat(1, 1));
+		return Nodes.sentMessages(commands, Heartbeat.class).get(0);
 	}
 
 	private void confirmFloor(long number) {
@@ -65,7 +65,7 @@
 		receive(new FloorResponse(nonce, new Floor(Version.of(Math.min(number, 1), number), FencingNumber.ZERO)));
 	}
 
-	private static List<Version> inForce(List<SpreadCommand> commands) {
+	private static List<Version> versionsInForce(List<SpreadCommand> commands) {
 		return Nodes.commands(commands, SpreadCommand.ConfigurationInForce.class)
 			.stream()
 			.map(SpreadCommand.ConfigurationInForce::version)
@@ -80,15 +80,17 @@
 			attach();
 			List<SpreadCommand> commands = receive(
 					new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
-			assertThat(inForce(commands)).isEmpty();
+			assertThat(versionsInForce(commands)).isEmpty();
 		}
 
 		@Test
 		void isNotActivatedBelowTheFloor() {
 			confirmFloor(2);
-			assertThat(inForce(receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))))))
+			assertThat(
+					versionsInForce(receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))))))
 				.isEmpty();
-			assertThat(inForce(receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 2))))))
+			assertThat(
+					versionsInForce(receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 2))))))
 				.containsExactly(Version.of(1, 2));
 		}
 
@@ -111,7 +113,7 @@
 		@Test
 		void rejectsUpdateOfLeaderWithOlderTerm() {
 			confirmFloor(0);
-			receive(beat(5, 1));
+			receive(parentHeartbeat(5, 1));
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(4), List.of(delta(4, 1))));
 			assertThat(SpreadNodeTests.this.node.inForce()).contains(Version.ZERO);
 		}
@@ -122,7 +124,7 @@
 			SpreadNodeTests.this.now += SECOND;
 			List<SpreadCommand> commands = receive(
 					new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 2))));
-			assertThat(Nodes.sent(commands, Heartbeat.class)).anyMatch(Heartbeat::resend);
+			assertThat(Nodes.sentMessages(commands, Heartbeat.class)).anyMatch(Heartbeat::resend);
 		}
 
 		@Test
@@ -132,13 +134,13 @@
 			receive(new Beat(Term.of(1), 2, new Position(Version.of(1, 1), 42), Position.ZERO, Long.MAX_VALUE));
 			List<SpreadCommand> commands = receive(new SnapshotUpdate(StreamId.CONFIGURATION, Term.of(1),
 					new Snapshot(Version.of(1, 1), Map.of("key", Bytes.ofText("right")))));
-			assertThat(inForce(commands)).containsExactly(Version.of(1, 1));
+			assertThat(versionsInForce(commands)).containsExactly(Version.of(1, 1));
 		}
 
 	}
 
 	@Nested
-	class ParentChoice {
+	class ParentSelection {
 
 		@Test
 		void attachesToAControlInstanceFirst() {
@@ -155,7 +157,7 @@
 		}
 
 		@Test
-		void replacesAParentWhoseBeatsStop() {
+		void replacesAParentWhoseHeartbeatsStop() {
 			attach();
 			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
 			receive(new ParentList(List.of(SpreadNodeTests.this.control, relay), 2, true));
@@ -165,14 +167,14 @@
 		}
 
 		@Test
-		void replacesAParentWithoutNewLeaderBeats() {
+		void replacesAParentWithoutNewRootHeartbeats() {
 			attach();
 			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
 			receive(new ParentList(List.of(SpreadNodeTests.this.control, relay), 2, true));
 			List<InstanceId> parents = new ArrayList<>();
 			for (int i = 0; i < 9; i++) {
 				SpreadNodeTests.this.now += SECOND;
-				receive(beat(1, 1));
+				receive(parentHeartbeat(1, 1));
 				SpreadNodeTests.this.node.on(new SpreadEvent.Tick(), SpreadNodeTests.this.now);
 				SpreadNodeTests.this.node.parent().ifPresent(parents::add);
 			}
@@ -180,9 +182,9 @@
 		}
 
 		@Test
-		void doesNotAdoptItsOwnParent() {
+		void doesNotAcceptItsOwnParentAsAChild() {
 			attach();
-			Heartbeat heartbeat = heartbeat(Nodes.node("control-0", NodeRole.ENTRY, "d0"), 0);
+			Heartbeat heartbeat = childHeartbeat(Nodes.node("control-0", NodeRole.ENTRY, "d0"), 0);
 			receive(heartbeat);
 			assertThat(SpreadNodeTests.this.node.childCount()).isZero();
 		}
@@ -197,8 +199,8 @@
 			attach();
 			List<SpreadCommand> commands = SpreadNodeTests.this.node.on(new SpreadEvent.LeaveRequested(),
 					SpreadNodeTests.this.now);
-			assertThat(Nodes.sent(commands, Heartbeat.class)).singleElement().matches(Heartbeat::leaving);
-			assertThat(Nodes.sent(commands, LeaveNotice.class)).hasSize(1);
+			assertThat(Nodes.sentMessages(commands, Heartbeat.class)).singleElement().matches(Heartbeat::leaving);
+			assertThat(Nodes.sentMessages(commands, LeaveNotice.class)).hasSize(1);
 		}
 
 	}
@@ -207,37 +209,37 @@
 	class Relaying {
 
 		@Test
-		void answersAChildOnlyWithAFloorRequestedAfterTheChildsRequest() {
+		void respondsToAChildOnlyWithAFloorRequestedAfterTheChildsRequest() {
 			long first = attach().floorNonce();
 			Peer child = new Peer(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1").id(), "sidecar-1:7000");
-			Heartbeat heartbeat = heartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 77);
+			Heartbeat heartbeat = childHeartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 77);
 			SpreadNodeTests.this.node.on(new SpreadEvent.Received(child, heartbeat), SpreadNodeTests.this.now);
 			Floor floor = new Floor(Version.ZERO, FencingNumber.ZERO);
 			List<SpreadCommand> commands = receive(new FloorResponse(first, floor));
-			assertThat(Nodes.sent(commands, FloorResponse.class)).isEmpty();
-			long second = Nodes.sent(commands, Heartbeat.class).get(0).floorNonce();
-			assertThat(Nodes.sent(receive(new FloorResponse(second, floor)), FloorResponse.class))
+			assertThat(Nodes.sentMessages(commands, FloorResponse.class)).isEmpty();
+			long second = Nodes.sentMessages(commands, Heartbeat.class).get(0).floorNonce();
+			assertThat(Nodes.sentMessages(receive(new FloorResponse(second, floor)), FloorResponse.class))
 				.containsExactly(new FloorResponse(77, floor));
 		}
 
 		@Test
-		void listsChildrenThatLackTheRevision() {
+		void listsChildrenThatLagBehind() {
 			confirmFloor(0);
 			Peer child = new Peer(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1").id(), "sidecar-1:7000");
-			Heartbeat heartbeat = heartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 0);
+			Heartbeat heartbeat = childHeartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 0);
 			SpreadNodeTests.this.node.on(new SpreadEvent.Received(child, heartbeat), SpreadNodeTests.this.now);
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
 			assertThat(SpreadNodeTests.this.node.coverage().behind()).containsExactly(new Laggard(child.id(), 0));
 		}
 
 		@Test
-		void sendsDeltasToAChildThatIsBehind() {
+		void sendsDeltasToAChildThatLagsBehind() {
 			attach();
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
-			Heartbeat heartbeat = heartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 0);
+			Heartbeat heartbeat = childHeartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 0);
 			List<SpreadCommand> commands = SpreadNodeTests.this.node
 				.on(new SpreadEvent.Received(Peer.of(heartbeat.node()), heartbeat), SpreadNodeTests.this.now);
-			assertThat(Nodes.sent(commands, DeltaUpdate.class)).hasSize(1);
+			assertThat(Nodes.sentMessages(commands, DeltaUpdate.class)).hasSize(1);
 		}
 
 	}
