Reword the membership package

The docs spoke of members that are "held back" and of "stamps" and "grace" without an effect. They now describe flap damping, the sequence number of a publication and suspicion. MemberView says which replayed change would make a leaving incarnation active again, and ProberSelector why members that are not reported count as possible probers. Member's setter of its record was an overload of the getter and is now setRecord.

ControlNode's error message names the required role.

Compiled, and the tests of the spread and member packages pass.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ChangeBatcher.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ChangeBatcher.java
@@ -8,7 +8,7 @@
 
 /**
  * Batches changed entries, so that many changes in a short time are published in few
- * messages. Urgent changes are published at once, together with all pending ones.
+ * messages. Urgent changes are published immediately, together with all pending ones.
  */
 final class ChangeBatcher {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
@@ -19,8 +19,8 @@
 import org.comfreywall.control.spread.SpreadSettings;
 
 /**
- * The core of a control instance: a node of the relay tree that also maintains the
- * members while its instance is the leader.
+ * The node of a control instance. It combines a node of the relay tree with a membership
+ * core, which maintains the members while the instance is the leader.
  */
 public final class ControlNode implements SpreadCore {
 
@@ -32,26 +32,26 @@
 
 	/**
 	 * Creates a control instance's node.
-	 * @param self the instance, of role {@link NodeRole#CONTROL}
+	 * @param self the node's descriptor, with the role {@link NodeRole#CONTROL}
 	 * @param controls all control instances
-	 * @param spread the settings of the relay tree
-	 * @param member the settings of the membership core
+	 * @param treeSettings the settings of the relay tree
+	 * @param membershipSettings the settings of the membership core
 	 * @param random the source of randomness
-	 * @param decisions receives the decisions
+	 * @param decisions the listener that records decisions
 	 */
-	public ControlNode(NodeDescriptor self, List<NodeDescriptor> controls, SpreadSettings spread,
-			MembershipSettings member, RandomGenerator random, DecisionListener decisions) {
+	public ControlNode(NodeDescriptor self, List<NodeDescriptor> controls, SpreadSettings treeSettings,
+			MembershipSettings membershipSettings, RandomGenerator random, DecisionListener decisions) {
 		this.self = Preconditions.notNull(self, "self");
-		Preconditions.check(self.role() == NodeRole.CONTROL, "self must be a control instance: %s", self.role());
-		this.node = new SpreadNode(self, controls, spread, MemberEntries::activeNodes, random, decisions);
-		this.membership = new Membership(self, member, random, decisions);
+		Preconditions.check(self.role() == NodeRole.CONTROL, "role must be CONTROL: %s", self.role());
+		this.node = new SpreadNode(self, controls, treeSettings, MemberEntries::activeNodes, random, decisions);
+		this.membership = new Membership(self, membershipSettings, random, decisions);
 	}
 
 	@Override
 	public List<SpreadCommand> on(SpreadEvent event, long now) {
 		List<SpreadCommand> commands = this.node.on(event, now);
 		if (event instanceof SpreadEvent.LeaderChanged changed) {
-			leaderChanged(changed, now);
+			onLeaderChanged(changed, now);
 		}
 		List<SpreadCommand> forwarded = new ArrayList<>(commands.size());
 		dispatch(commands, forwarded, now);
@@ -69,29 +69,32 @@
 	}
 
 	/**
-	 * Returns the node of the relay tree.
-	 * @return the node; callers must not send it events
+	 * Returns this instance's node of the relay tree. Callers must not pass events to it.
+	 * @return the node
 	 */
 	public SpreadNode node() {
 		return this.node;
 	}
 
 	/**
-	 * Returns the coverage of a configuration revision; meaningful at the leader only.
-	 * @param number the revision
-	 * @return the coverage of all members that have not failed; nodes that are currently
-	 * not attached to the tree count as behind
+	 * Returns the coverage of a configuration revision among all members that have not
+	 * failed. Members that are not attached to the tree count as lagging behind. The
+	 * result is complete only at the leader.
+	 * @param revision the revision
+	 * @return the coverage
 	 */
-	public Coverage coverage(long number) {
-		Coverage attached = this.node.coverage(number);
-		List<Laggard> behind = new ArrayList<>(attached.behind());
+	public Coverage coverage(long revision) {
+		Coverage attached = this.node.coverage(revision);
+		List<Laggard> laggingNodes = new ArrayList<>(attached.behind());
 		List<InstanceId> unreported = this.membership.unreportedMembers();
-		unreported.stream().limit(Coverage.MAX_LISTED - behind.size()).forEach((id) -> behind.add(new Laggard(id, 0)));
-		return new Coverage(attached.nodes() + unreported.size(), number, attached.behindCount() + unreported.size(),
-				behind);
+		unreported.stream()
+			.limit(Coverage.MAX_LISTED - laggingNodes.size())
+			.forEach((id) -> laggingNodes.add(new Laggard(id, 0)));
+		return new Coverage(attached.nodes() + unreported.size(), revision, attached.behindCount() + unreported.size(),
+				laggingNodes);
 	}
 
-	private void leaderChanged(SpreadEvent.LeaderChanged changed, long now) {
+	private void onLeaderChanged(SpreadEvent.LeaderChanged changed, long now) {
 		boolean isLeader = changed.leader().filter(this.self.id()::equals).isPresent();
 		if (isLeader && !changed.term().isBefore(this.node.term())) {
 			this.membership.startLeading(this.node.memberSnapshot().entries(), now);
@@ -103,14 +106,14 @@
 
 	private void dispatch(List<SpreadCommand> commands, List<SpreadCommand> forwarded, long now) {
 		for (SpreadCommand command : commands) {
-			if (command instanceof SpreadCommand.ReportsReceived reported) {
-				this.membership.onReports(reported.reports(), now);
+			if (command instanceof SpreadCommand.ReportsReceived received) {
+				this.membership.onReports(received.reports(), now);
 			}
 			else if (command instanceof SpreadCommand.LeaveNoticeReceived leave) {
 				this.membership.onLeave(leave.node(), now);
 			}
-			else if (command instanceof SpreadCommand.ProbeCompleted probed) {
-				this.membership.onProbed(probed.prober(), probed.result(), now);
+			else if (command instanceof SpreadCommand.ProbeCompleted completed) {
+				this.membership.onProbed(completed.prober(), completed.result(), now);
 			}
 			else {
 				forwarded.add(command);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/DomainFailure.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/DomainFailure.java
@@ -4,11 +4,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Marks a whole failure domain as failed with a single entry of the membership stream.
+ * The failure of a whole failure domain, published as a single entry of the membership
+ * stream.
  *
  * @param domain the failure domain
- * @param stamp the stamp of the failure; members of the domain with a smaller stamp have
- * failed
+ * @param stamp the sequence number of this publication; the members of the domain whose
+ * records have smaller sequence numbers have failed
  */
 public record DomainFailure(FailureDomainId domain, long stamp) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/FailureDetector.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/FailureDetector.java
@@ -15,21 +15,22 @@
 import org.comfreywall.control.spread.ProbeResult;
 
 /**
- * Failure detector for members that are no longer reported, based on probes.
+ * Detects failures of members that are no longer reported by having other nodes probe
+ * them.
  * <p>
- * One successful probe clears a member of suspicion. It is declared failed after failed
- * probes by at least {@value #REQUIRED_FAILED_PROBES} different nodes, or by the leader
- * alone if there is no other node to probe it. If no member of a failure domain is
- * reported, only a sample of {@value #DOMAIN_SAMPLE} members is probed, and the domain is
- * declared failed as a whole.
+ * A member is declared failed after failed probes by at least
+ * {@value #REQUIRED_FAILED_PROBERS} different nodes, or by the leader alone if no other
+ * node could probe it. One successful probe ends the suspicion. If no member of a failure
+ * domain is reported, only a sample of {@value #DOMAIN_SAMPLE_SIZE} members is probed,
+ * and the domain is declared failed as a whole.
  */
 final class FailureDetector {
 
 	private static final int MAX_PROBES = 64;
 
-	private static final int REQUIRED_FAILED_PROBES = 2;
+	private static final int REQUIRED_FAILED_PROBERS = 2;
 
-	private static final int DOMAIN_SAMPLE = 3;
+	private static final int DOMAIN_SAMPLE_SIZE = 3;
 
 	private final Peer self;
 
@@ -71,23 +72,24 @@
 	}
 
 	/**
-	 * Evaluates the probes of all suspected members and requests those that are missing.
+	 * Evaluates the probe results of all suspected members, and requests probes of those
+	 * that have not been confirmed as failed.
 	 * @param members all members
 	 * @param now the current monotonic time in nanoseconds
-	 * @return the members and failure domains that have failed
+	 * @return the members and failure domains confirmed as failed
 	 */
 	DetectedFailures detect(Collection<Member> members, long now) {
-		Map<FailureDomainId, DomainSuspects> domains = group(members, now);
+		Map<FailureDomainId, DomainSuspects> domains = groupSuspectsByDomain(members, now);
 		DetectedFailures failures = new DetectedFailures(new ArrayList<>(), new ArrayList<>());
 		long probing = members.stream().filter(Member::isProbing).count();
-		int budget = (int) Math.max(0, MAX_PROBES - probing);
+		int probeBudget = (int) Math.max(0, MAX_PROBES - probing);
 		for (Map.Entry<FailureDomainId, DomainSuspects> entry : domains.entrySet()) {
 			DomainSuspects suspects = entry.getValue();
 			if (suspects.isWholeDomain()) {
-				budget -= detectDomain(entry.getKey(), suspects, members, failures, now);
+				probeBudget -= detectDomain(entry.getKey(), suspects, members, failures, now);
 			}
 			else {
-				budget -= detectMembers(suspects.suspects(), members, failures, budget, now);
+				probeBudget -= detectMembers(suspects.suspects(), members, failures, probeBudget, now);
 			}
 		}
 		return failures;
@@ -95,12 +97,12 @@
 
 	private int detectDomain(FailureDomainId domain, DomainSuspects suspects, Collection<Member> members,
 			DetectedFailures failures, long now) {
-		List<Member> sample = suspects.suspects().subList(0, DOMAIN_SAMPLE);
+		List<Member> sample = suspects.suspects().subList(0, DOMAIN_SAMPLE_SIZE);
 		if (sample.stream().allMatch((member) -> isConfirmedFailed(member, members))) {
 			failures.failedDomains().add(new FailedDomain(domain, suspects.suspects()));
 			return 0;
 		}
-		return probe(sample, members, DOMAIN_SAMPLE, now);
+		return probe(sample, members, DOMAIN_SAMPLE_SIZE, now);
 	}
 
 	private int detectMembers(List<Member> suspects, Collection<Member> members, DetectedFailures failures, int budget,
@@ -143,10 +145,10 @@
 			return false;
 		}
 		int possibleProbers = this.selector.possibleProberCount(member.node(), members);
-		return member.failedProbers().size() >= Math.min(REQUIRED_FAILED_PROBES, possibleProbers);
+		return member.failedProbers().size() >= Math.min(REQUIRED_FAILED_PROBERS, possibleProbers);
 	}
 
-	private static Map<FailureDomainId, DomainSuspects> group(Collection<Member> members, long now) {
+	private static Map<FailureDomainId, DomainSuspects> groupSuspectsByDomain(Collection<Member> members, long now) {
 		Map<FailureDomainId, DomainSuspects> domains = new HashMap<>();
 		for (Member member : members) {
 			if (member.isSuspected(now)) {
@@ -159,7 +161,7 @@
 			members.stream()
 				.filter((member) -> member.state() != MemberState.FAILED)
 				.forEach((member) -> domains.computeIfPresent(member.node().domain(),
-						(domain, suspects) -> suspects.withOneMoreLive()));
+						(domain, suspects) -> suspects.withOneMoreNonFailed()));
 		}
 		return domains;
 	}
@@ -168,16 +170,16 @@
 	 * The suspected members of a failure domain.
 	 *
 	 * @param suspects the suspected members
-	 * @param liveMembers the number of the domain's members that have not failed
+	 * @param nonFailedMembers the number of members of the domain that have not failed
 	 */
-	private record DomainSuspects(List<Member> suspects, int liveMembers) {
+	private record DomainSuspects(List<Member> suspects, int nonFailedMembers) {
 
-		DomainSuspects withOneMoreLive() {
-			return new DomainSuspects(this.suspects, this.liveMembers + 1);
+		DomainSuspects withOneMoreNonFailed() {
+			return new DomainSuspects(this.suspects, this.nonFailedMembers + 1);
 		}
 
 		boolean isWholeDomain() {
-			return this.suspects.size() == this.liveMembers && this.liveMembers >= DOMAIN_SAMPLE;
+			return this.suspects.size() == this.nonFailedMembers && this.nonFailedMembers >= DOMAIN_SAMPLE_SIZE;
 		}
 
 	}
@@ -186,7 +188,7 @@
 	 * A failure domain that has failed as a whole.
 	 *
 	 * @param domain the failure domain
-	 * @param members its members that had not failed before
+	 * @param members the members that had not failed individually before
 	 */
 	record FailedDomain(FailureDomainId domain, List<Member> members) {
 
@@ -200,8 +202,8 @@
 	/**
 	 * Newly detected failures.
 	 *
-	 * @param failed individual members
-	 * @param failedDomains whole failure domains
+	 * @param failed the members that have failed individually
+	 * @param failedDomains the failure domains that have failed as a whole
 	 */
 	record DetectedFailures(List<Member> failed, List<FailedDomain> failedDomains) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
@@ -7,16 +7,17 @@
 import org.comfreywall.control.spread.NodeDescriptor;
 
 /**
- * The leader's state of one member: its published record, presence, probe and damping.
+ * The leader's state of one member: the published record, the presence, the current round
+ * of probes and the flap damping.
  */
 final class Member {
 
-	/** The nodes that could not reach the member in the current round of probes. */
+	/** The probers that could not reach the member in the current round of probes. */
 	private final Set<InstanceId> failedProbers = new HashSet<>();
 
 	private MemberRecord record;
 
-	private boolean left;
+	private boolean everLeaving;
 
 	private boolean reported;
 
@@ -26,7 +27,7 @@
 
 	private long probeNonce;
 
-	private long suspectAfter;
+	private long suspectedFrom;
 
 	private int returnCount;
 
@@ -37,7 +38,7 @@
 	private long failedAt;
 
 	Member(MemberRecord record) {
-		record(record);
+		setRecord(record);
 	}
 
 	NodeDescriptor node() {
@@ -56,21 +57,22 @@
 		return this.record.state();
 	}
 
-	void record(MemberRecord record) {
+	void setRecord(MemberRecord record) {
 		this.record = record;
-		this.left = this.left || record.state() == MemberState.LEAVING;
+		this.everLeaving = this.everLeaving || record.state() == MemberState.LEAVING;
 	}
 
 	/**
-	 * Returns whether the current incarnation was leaving at any time.
-	 * @return {@code true} if the incarnation must not become active again
+	 * Returns whether the current incarnation has ever been leaving. Such an incarnation
+	 * must not become active again.
+	 * @return {@code true} if the incarnation is or has been leaving
 	 */
 	boolean hasLeft() {
-		return this.left;
+		return this.everLeaving;
 	}
 
 	void beginIncarnation() {
-		this.left = false;
+		this.everLeaving = false;
 	}
 
 	boolean isReported() {
@@ -84,11 +86,11 @@
 
 	void markUnreported(long now, long graceNanos) {
 		this.reported = false;
-		this.suspectAfter = now + graceNanos;
+		this.suspectedFrom = now + graceNanos;
 	}
 
 	boolean isSuspected(long now) {
-		return !this.reported && this.record.state() != MemberState.FAILED && now >= this.suspectAfter;
+		return !this.reported && this.record.state() != MemberState.FAILED && now >= this.suspectedFrom;
 	}
 
 	boolean isProbing() {
@@ -121,7 +123,7 @@
 
 	void deferSuspicion(long until) {
 		endProbe();
-		this.suspectAfter = until;
+		this.suspectedFrom = until;
 	}
 
 	int countReturn(long now, long windowNanos) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberEntries.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberEntries.java
@@ -17,8 +17,8 @@
 import org.comfreywall.control.spread.SpreadCodec;
 
 /**
- * Converts members and failed failure domains to and from entries of the membership
- * stream.
+ * Converts records of members and failures of failure domains to and from entries of the
+ * membership stream.
  */
 public final class MemberEntries {
 
@@ -32,9 +32,9 @@
 	}
 
 	/**
-	 * Decodes the nodes that have neither failed nor started to leave.
+	 * Decodes the active members: those that have neither failed nor started to leave.
 	 * @param entries the entries of the membership stream
-	 * @return the nodes
+	 * @return the active members' nodes
 	 */
 	public static List<NodeDescriptor> activeNodes(Map<String, Bytes> entries) {
 		MemberView view = new MemberView();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberRecord.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberRecord.java
@@ -4,12 +4,12 @@
 import org.comfreywall.control.spread.NodeDescriptor;
 
 /**
- * The state of a member as published to all nodes.
+ * A member's state as published in the membership stream.
  *
  * @param node the member
  * @param state the state
- * @param stamp a number that increases with each published change and orders the record
- * relative to failures of its failure domain
+ * @param stamp the sequence number of the publication, which shows whether a failure of
+ * the member's failure domain was published earlier or later
  */
 public record MemberRecord(NodeDescriptor node, MemberState state, long stamp) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberState.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberState.java
@@ -1,15 +1,15 @@
 package org.comfreywall.control.member;
 
 /**
- * States of a member.
+ * The state of a member.
  */
 public enum MemberState {
 
 	/** The member accepts new work. */
 	ACTIVE,
-	/** The member completes its current work and accepts no new work. */
+	/** The member completes its running work and accepts no new work. */
 	LEAVING,
-	/** The leader has confirmed that the member failed. */
+	/** The leader has declared the member failed or delays its return. */
 	FAILED
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberView.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberView.java
@@ -16,7 +16,7 @@
 import org.comfreywall.control.spread.EntryChange;
 
 /**
- * A node's view of the members, updated with the changes of the membership stream.
+ * A node's view of the membership, updated with the changes of the membership stream.
  */
 public final class MemberView {
 
@@ -27,9 +27,9 @@
 	private final Map<FailureDomainId, Long> failedDomains = new HashMap<>();
 
 	/**
-	 * The latest leaving incarnation of each member. It is retained after the member's
-	 * record was removed, because a delayed message or a new leader that missed the leave
-	 * may publish the same incarnation as active again.
+	 * The latest incarnation of each member that has been leaving. It is retained after
+	 * the member's record was removed, because a new leader that has missed the change or
+	 * received a delayed report may publish the same incarnation as active again.
 	 */
 	private final Map<InstanceId, Incarnation> leavingIncarnations = new LinkedHashMap<>() {
 
@@ -43,12 +43,12 @@
 	/**
 	 * Applies changes of the membership stream.
 	 * @param changes the changes
-	 * @param whole whether the changes are the complete state and all other members are
-	 * removed
+	 * @param replaceAll whether the changes are the complete state, so that all other
+	 * members and failures are removed
 	 */
-	public void apply(List<EntryChange> changes, boolean whole) {
+	public void apply(List<EntryChange> changes, boolean replaceAll) {
 		Preconditions.notNull(changes, "changes");
-		if (whole) {
+		if (replaceAll) {
 			this.records.clear();
 			this.failedDomains.clear();
 		}
@@ -82,21 +82,21 @@
 	}
 
 	/**
-	 * Returns all members, failed ones included.
-	 * @return a view of the records
+	 * Returns the records of all members, including failed ones.
+	 * @return an unmodifiable view of the records
 	 */
 	public Collection<MemberRecord> records() {
 		return Collections.unmodifiableCollection(this.records.values());
 	}
 
 	/**
-	 * Returns whether the member of a record accepts new work.
+	 * Returns whether the member described by a record accepts new work.
 	 * @param record a record of this view
 	 * @return {@code true} if the member is active, its incarnation has never been
 	 * leaving and its failure domain has not failed since the record was published
 	 */
 	public boolean isActive(MemberRecord record) {
-		return record.state() == MemberState.ACTIVE && !hasLeft(record) && !isDomainFailedSince(record);
+		return record.state() == MemberState.ACTIVE && !wasLeaving(record) && !isDomainFailedSince(record);
 	}
 
 	boolean isDomainFailedSince(MemberRecord record) {
@@ -113,13 +113,13 @@
 		this.records.put(record.node().id(), record);
 		if (record.state() == MemberState.LEAVING) {
 			this.leavingIncarnations.merge(record.node().id(), record.node().incarnation(),
-					(one, other) -> one.isBefore(other) ? other : one);
+					(previous, current) -> previous.isBefore(current) ? current : previous);
 		}
 	}
 
-	private boolean hasLeft(MemberRecord record) {
-		Incarnation last = this.leavingIncarnations.get(record.node().id());
-		return last != null && !last.isBefore(record.node().incarnation());
+	private boolean wasLeaving(MemberRecord record) {
+		Incarnation lastLeaving = this.leavingIncarnations.get(record.node().id());
+		return lastLeaving != null && !lastLeaving.isBefore(record.node().incarnation());
 	}
 
 	long highestStamp() {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Membership.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Membership.java
@@ -22,20 +22,20 @@
 import org.comfreywall.control.spread.ProbeResult;
 
 /**
- * The leader's membership core: it derives the members from the reports of the relay
- * tree.
+ * The leader's membership core, which maintains the members from the reports that arrive
+ * through the relay tree.
  * <p>
- * A member that is no longer reported is marked as failed only after probes by other
- * nodes over their own network paths have failed as well. Members that return too often
- * are held back with exponentially increasing delays. At most {@value #MAX_MEMBERS}
- * members are tracked.
+ * A member that is no longer reported is declared failed only after probes by other
+ * nodes, over their own network paths, have failed as well. Flap damping delays the
+ * return of a member that fails or restarts too often; the delay doubles with each
+ * further return. At most {@value #MAX_MEMBERS} members are tracked.
  */
 final class Membership {
 
 	/** The maximum number of tracked members. */
 	static final int MAX_MEMBERS = 16_384;
 
-	private static final int MAX_UNDAMPED_RETURNS = 3;
+	private static final int MAX_IMMEDIATE_RETURNS = 3;
 
 	private static final long RETURN_WINDOW_NANOS = Duration.ofMinutes(10).toNanos();
 
@@ -53,7 +53,7 @@
 
 	private boolean leading;
 
-	private long stamp;
+	private long lastSequence;
 
 	Membership(NodeDescriptor self, MembershipSettings settings, RandomGenerator random, DecisionListener decisions) {
 		this.self = self;
@@ -64,8 +64,9 @@
 	}
 
 	/**
-	 * Starts maintaining the members as the leader, from those of the membership stream.
-	 * @param entries the entries of the stream
+	 * Starts maintaining the members as the leader. The initial members are those of the
+	 * membership stream.
+	 * @param entries the entries of the membership stream
 	 * @param now the current monotonic time in nanoseconds
 	 */
 	void startLeading(Map<String, Bytes> entries, long now) {
@@ -73,7 +74,7 @@
 		this.leading = true;
 		MemberView view = new MemberView();
 		entries.forEach(view::applyEntry);
-		this.stamp = view.highestStamp();
+		this.lastSequence = view.highestStamp();
 		view.records().forEach((record) -> restore(record, view.isDomainFailedSince(record), now));
 		handlePresent(new MemberReport(this.self, Presence.PRESENT), now);
 	}
@@ -125,7 +126,7 @@
 		List.copyOf(this.members.values()).forEach((member) -> applyTimeouts(member, now));
 		FailureDetector.DetectedFailures failures = this.failureDetector.detect(this.members.values(), now);
 		failures.failed().forEach((member) -> markFailed(member, now));
-		failures.failedDomains().forEach((failure) -> markDomainFailed(failure, now));
+		failures.failedDomains().forEach((failedDomain) -> markDomainFailed(failedDomain, now));
 	}
 
 	List<EntryChange> takeChanges(long now) {
@@ -137,8 +138,8 @@
 	}
 
 	/**
-	 * Returns the members that have not failed but are currently not reported.
-	 * @return their identifiers
+	 * Returns the members that have not failed but are not reported by any node.
+	 * @return the members' identifiers
 	 */
 	List<InstanceId> unreportedMembers() {
 		List<InstanceId> unreported = new ArrayList<>();
@@ -176,12 +177,12 @@
 		}
 		MemberState state = (report.presence() == Presence.LEAVING) ? MemberState.LEAVING : MemberState.ACTIVE;
 		if (member == null) {
-			member = new Member(new MemberRecord(report.node(), state, ++this.stamp));
+			member = new Member(new MemberRecord(report.node(), state, ++this.lastSequence));
 			this.members.put(member.id(), member);
 			publish(member, state, "joined");
 		}
 		else {
-			member.record(new MemberRecord(report.node(), member.state(), member.record().stamp()));
+			member.setRecord(new MemberRecord(report.node(), member.state(), member.record().stamp()));
 			member.beginIncarnation();
 			handleReturn(member, state, now);
 		}
@@ -200,13 +201,13 @@
 	}
 
 	private void handleReturn(Member member, MemberState state, long now) {
-		int excess = member.countReturn(now, RETURN_WINDOW_NANOS) - MAX_UNDAMPED_RETURNS;
-		if (excess <= 0 || state == MemberState.LEAVING) {
+		int excessReturns = member.countReturn(now, RETURN_WINDOW_NANOS) - MAX_IMMEDIATE_RETURNS;
+		if (excessReturns <= 0 || state == MemberState.LEAVING) {
 			member.holdBack(0);
 			publish(member, state, "returned");
 			return;
 		}
-		long delay = this.settings.damping().toNanos() << Math.min(excess - 1, 10);
+		long delay = this.settings.damping().toNanos() << Math.min(excessReturns - 1, 10);
 		member.holdBack(now + Math.min(delay, this.settings.maxDamping().toNanos()));
 		member.markFailed(now);
 		publish(member, MemberState.FAILED, "held-back");
@@ -214,7 +215,7 @@
 
 	private void markLeaving(Member member) {
 		if (member.state() != MemberState.LEAVING) {
-			member.record(new MemberRecord(member.node(), MemberState.LEAVING, ++this.stamp));
+			member.setRecord(new MemberRecord(member.node(), MemberState.LEAVING, ++this.lastSequence));
 			this.changeBatcher.addUrgent(MemberEntries.toEntryChange(member.record()));
 			recordDecision(member.node(), "leaving");
 		}
@@ -248,24 +249,24 @@
 	}
 
 	private void markFailed(Member member, long now) {
-		Field opinions = Field.of("opinions", member.failedProbers().size());
+		Field failedProbers = Field.of("opinions", member.failedProbers().size());
 		member.markFailed(now);
-		publish(member, MemberState.FAILED, "failed", opinions);
+		publish(member, MemberState.FAILED, "failed", failedProbers);
 	}
 
-	private void markDomainFailed(FailureDetector.FailedDomain failed, long now) {
-		DomainFailure failure = new DomainFailure(failed.domain(), ++this.stamp);
-		for (Member member : failed.members()) {
+	private void markDomainFailed(FailureDetector.FailedDomain failedDomain, long now) {
+		DomainFailure failure = new DomainFailure(failedDomain.domain(), ++this.lastSequence);
+		for (Member member : failedDomain.members()) {
 			member.markFailed(now);
-			member.record(new MemberRecord(member.node(), MemberState.FAILED, member.record().stamp()));
+			member.setRecord(new MemberRecord(member.node(), MemberState.FAILED, member.record().stamp()));
 		}
 		this.changeBatcher.add(MemberEntries.toEntryChange(failure));
-		this.decisions.onDecision(DecisionRecord.of(DecisionKind.MEMBERSHIP, failed.domain().value(), "domain-failed",
-				Field.of("members", failed.members().size())));
+		this.decisions.onDecision(DecisionRecord.of(DecisionKind.MEMBERSHIP, failedDomain.domain().value(),
+				"domain-failed", Field.of("members", failedDomain.members().size())));
 	}
 
 	private void publish(Member member, MemberState state, String reason, Field... inputs) {
-		member.record(new MemberRecord(member.node(), state, ++this.stamp));
+		member.setRecord(new MemberRecord(member.node(), state, ++this.lastSequence));
 		this.changeBatcher.add(MemberEntries.toEntryChange(member.record()));
 		recordDecision(member.node(), reason, inputs);
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MembershipSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MembershipSettings.java
@@ -7,18 +7,20 @@
 /**
  * Settings of the membership core.
  *
- * @param grace the time after a member was last reported until it is probed
- * @param takeoverGrace the time that a new leader waits for members to be reported before
- * it probes them
- * @param probeTimeout the time that the leader waits for the results of probes
+ * @param grace the time after which a member that is no longer reported is suspected and
+ * probed
+ * @param takeoverGrace the time after which a new leader suspects and probes a member
+ * that has not been reported to it yet
+ * @param probeTimeout the time that the leader waits for probe results before it requests
+ * new probes
  * @param reprobeInterval the time after a successful probe until a member that is still
  * not reported is probed again
- * @param publishInterval the minimum interval between publications; joins and failures in
- * between are batched
+ * @param publishInterval the minimum interval between publications, except for urgent
+ * changes; changes in between are batched
  * @param keepFailed the time after which the record of a failed member is removed
- * @param damping the time that the first return beyond the permitted number is held back;
- * doubles with each further return
- * @param maxDamping the maximum time that a return is held back
+ * @param damping the delay of a member's first return that exceeds the number of
+ * immediate returns; doubles with each further return
+ * @param maxDamping the maximum delay of a return
  */
 public record MembershipSettings(Duration grace, Duration takeoverGrace, Duration probeTimeout,
 		Duration reprobeInterval, Duration publishInterval, Duration keepFailed, Duration damping,
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ProbeAssignment.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ProbeAssignment.java
@@ -4,10 +4,10 @@
 import org.comfreywall.control.spread.ProbeRequest;
 
 /**
- * A probe request and the node that must execute it.
+ * The assignment of a probe to the node that executes it.
  *
  * @param prober the node that executes the probe
- * @param request the request
+ * @param request the request to send to the prober
  */
 record ProbeAssignment(Peer prober, ProbeRequest request) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ProberSelector.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ProberSelector.java
@@ -15,7 +15,8 @@
 /**
  * Selects the nodes that probe a suspected node: the leader and up to
  * {@value #MAX_OTHER_PROBERS} active members that are currently reported. Members of
- * other failure domains are preferred, then those that aren't sidecars.
+ * other failure domains than the suspected node's are preferred, and among them those
+ * that are not sidecars.
  */
 final class ProberSelector {
 
@@ -50,12 +51,12 @@
 	}
 
 	/**
-	 * Counts the nodes that could probe a suspected node. Members that are currently not
-	 * reported are included; otherwise a leader that is cut off from all members could
-	 * declare them failed on its own.
+	 * Counts the nodes that could probe a suspected node. Members that are not reported
+	 * are included, because a leader that is partitioned from all other members would
+	 * otherwise declare them failed without the result of another prober.
 	 * @param target the suspected node
 	 * @param members all members
-	 * @return the count, including the leader
+	 * @return the number of nodes, including the leader
 	 */
 	int possibleProberCount(NodeDescriptor target, Collection<Member> members) {
 		long others = members.stream()
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/package-info.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Membership of nodes by incarnation: joining, suspicion, failure and leaving.
+ * The membership of nodes by incarnation: joins, suspicion, failure detection and leaves.
  */
 package org.comfreywall.control.member;
--- a/comfreywall-control/src/test/java/org/comfreywall/control/member/MembershipTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/member/MembershipTests.java
@@ -38,9 +38,9 @@
 
 	private long now;
 
-	private int published;
+	private int publicationCount;
 
-	private int publishedChanges;
+	private int publishedChangeCount;
 
 	private static NodeDescriptor node(String id, NodeRole role, String domain, long incarnation) {
 		return new NodeDescriptor(InstanceId.of(id), Incarnation.of(incarnation), role, "region-1",
@@ -52,7 +52,7 @@
 	}
 
 	@BeforeEach
-	void lead() {
+	void startLeading() {
 		this.membership.startLeading(Map.of(), this.now);
 	}
 
@@ -74,16 +74,16 @@
 
 	private void publish() {
 		List<EntryChange> changes = this.membership.takeChanges(this.now);
-		this.published += changes.isEmpty() ? 0 : 1;
-		this.publishedChanges += changes.size();
+		this.publicationCount += changes.isEmpty() ? 0 : 1;
+		this.publishedChangeCount += changes.size();
 		this.view.apply(changes, false);
 	}
 
-	private void answer(List<ProbeAssignment> probes, boolean reachable, int count) {
-		probes.stream().limit(count).forEach((probe) -> answer(probe, reachable));
+	private void completeProbes(List<ProbeAssignment> probes, boolean reachable, int count) {
+		probes.stream().limit(count).forEach((probe) -> completeProbe(probe, reachable));
 	}
 
-	private void answer(ProbeAssignment probe, boolean reachable) {
+	private void completeProbe(ProbeAssignment probe, boolean reachable) {
 		NodeDescriptor target = probe.request().target();
 		this.membership.onProbed(probe.prober(),
 				new ProbeResult(probe.request().nonce(), target.id(), target.incarnation(), reachable), this.now);
@@ -110,7 +110,7 @@
 
 		private final NodeDescriptor suspected = entry(1, "d1");
 
-		private List<ProbeAssignment> suspect() {
+		private List<ProbeAssignment> removeReportsOfSuspected() {
 			report(Presence.PRESENT, this.suspected, entry(2, "d1"), entry(3, "d2"), entry(4, "d3"));
 			advance(Duration.ofSeconds(1));
 			report(Presence.ABSENT, this.suspected);
@@ -119,46 +119,48 @@
 
 		@Test
 		void probesFromSeveralNodesBeforeDeclaringFailure() {
-			assertThat(suspect()).extracting(ProbeAssignment::prober).doesNotHaveDuplicates().hasSize(3);
+			assertThat(removeReportsOfSuspected()).extracting(ProbeAssignment::prober)
+				.doesNotHaveDuplicates()
+				.hasSize(3);
 			assertThat(isRoutable(this.suspected)).isTrue();
 		}
 
 		@Test
 		void doesNotDeclareFailureAfterOneFailedProbe() {
-			answer(suspect(), false, 1);
+			completeProbes(removeReportsOfSuspected(), false, 1);
 			advance(Duration.ofSeconds(1));
 			assertThat(isRoutable(this.suspected)).isTrue();
 		}
 
 		@Test
 		void declaresFailureAfterTwoFailedProbes() {
-			answer(suspect(), false, 2);
+			completeProbes(removeReportsOfSuspected(), false, 2);
 			advance(Duration.ofSeconds(1));
 			assertThat(isRoutable(this.suspected)).isFalse();
 		}
 
 		@Test
 		void countsRepeatedResultsOfOneProberOnce() {
-			List<ProbeAssignment> probes = suspect();
-			answer(probes.get(0), false);
-			answer(probes.get(0), false);
+			List<ProbeAssignment> probes = removeReportsOfSuspected();
+			completeProbe(probes.get(0), false);
+			completeProbe(probes.get(0), false);
 			advance(Duration.ofSeconds(1));
 			assertThat(isRoutable(this.suspected)).isTrue();
 		}
 
 		@Test
-		void clearsAMemberThatOneProberReaches() {
-			List<ProbeAssignment> probes = suspect();
-			answer(probes.get(0), true);
-			answer(probes.get(1), false);
-			answer(probes.get(2), false);
+		void endsSuspicionOfAMemberThatOneProberReaches() {
+			List<ProbeAssignment> probes = removeReportsOfSuspected();
+			completeProbe(probes.get(0), true);
+			completeProbe(probes.get(1), false);
+			completeProbe(probes.get(2), false);
 			advance(Duration.ofSeconds(1));
 			assertThat(isRoutable(this.suspected)).isTrue();
 		}
 
 		@Test
 		void reactivatesAFailedMemberThatIsReportedAgain() {
-			answer(suspect(), false, 2);
+			completeProbes(removeReportsOfSuspected(), false, 2);
 			advance(Duration.ofSeconds(1));
 			report(Presence.PRESENT, this.suspected);
 			advance(Duration.ofSeconds(1));
@@ -170,7 +172,7 @@
 	@Nested
 	class WholeFailureDomain {
 
-		private NodeDescriptor[] fail() {
+		private NodeDescriptor[] failDomain() {
 			NodeDescriptor[] domain = new NodeDescriptor[50];
 			for (int i = 0; i < domain.length; i++) {
 				domain[i] = entry(i, "d1");
@@ -179,34 +181,34 @@
 			report(Presence.PRESENT, entry(100, "d2"), entry(101, "d3"));
 			advance(Duration.ofSeconds(1));
 			report(Presence.ABSENT, domain);
-			MembershipTests.this.publishedChanges = 0;
+			MembershipTests.this.publishedChangeCount = 0;
 			List<ProbeAssignment> probes = advance(SETTINGS.grace());
 			assertThat(probes).hasSize(9);
-			answer(probes, false, 9);
+			completeProbes(probes, false, 9);
 			advance(Duration.ofSeconds(1));
 			return domain;
 		}
 
 		@Test
 		void isPublishedAsOneChange() {
-			NodeDescriptor[] domain = fail();
-			assertThat(MembershipTests.this.publishedChanges).isEqualTo(1);
+			NodeDescriptor[] domain = failDomain();
+			assertThat(MembershipTests.this.publishedChangeCount).isEqualTo(1);
 			assertThat(domain).noneMatch(MembershipTests.this::isRoutable);
 		}
 
 		@Test
 		void returnsInFewPublications() {
-			NodeDescriptor[] domain = fail();
-			MembershipTests.this.published = 0;
+			NodeDescriptor[] domain = failDomain();
+			MembershipTests.this.publicationCount = 0;
 			report(Presence.PRESENT, domain);
 			advance(Duration.ofSeconds(1));
-			assertThat(MembershipTests.this.published).isLessThanOrEqualTo(2);
+			assertThat(MembershipTests.this.publicationCount).isLessThanOrEqualTo(2);
 			assertThat(domain).allMatch(MembershipTests.this::isRoutable);
 		}
 
 		@Test
 		void keepsMembersFailedThatHaveNotReturned() {
-			NodeDescriptor[] domain = fail();
+			NodeDescriptor[] domain = failDomain();
 			report(Presence.PRESENT, domain[0]);
 			advance(Duration.ofSeconds(1));
 			assertThat(isRoutable(domain[0])).isTrue();
