Name settings and counts in error messages by their meaning

The commands' docs no longer link to types that the file does not use otherwise, and Child's maps of sent and acknowledged versions are plural.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
@@ -106,14 +106,14 @@
 
 	private void dispatch(List<SpreadCommand> commands, List<SpreadCommand> forwarded, long now) {
 		for (SpreadCommand command : commands) {
-			if (command instanceof SpreadCommand.ReportsReceived received) {
-				this.membership.onReports(received.reports(), now);
+			if (command instanceof SpreadCommand.ReportsReceived reports) {
+				this.membership.onReports(reports.reports(), now);
 			}
-			else if (command instanceof SpreadCommand.LeaveNoticeReceived leave) {
-				this.membership.onLeave(leave.node(), now);
+			else if (command instanceof SpreadCommand.LeaveNoticeReceived notice) {
+				this.membership.onLeave(notice.node(), now);
 			}
-			else if (command instanceof SpreadCommand.ProbeCompleted completed) {
-				this.membership.onProbed(completed.prober(), completed.result(), now);
+			else if (command instanceof SpreadCommand.ProbeCompleted probe) {
+				this.membership.onProbed(probe.prober(), probe.result(), now);
 			}
 			else {
 				forwarded.add(command);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/DomainFailure.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/DomainFailure.java
@@ -15,7 +15,7 @@
 
 	public DomainFailure {
 		Preconditions.notNull(domain, "domain");
-		Preconditions.check(stamp >= 0, "stamp must not be negative: %d", stamp);
+		Preconditions.check(stamp >= 0, "sequence must not be negative: %d", stamp);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
@@ -84,9 +84,9 @@
 		endProbe();
 	}
 
-	void markUnreported(long now, long graceNanos) {
+	void markUnreported(long now, long suspicionTimeoutNanos) {
 		this.reported = false;
-		this.suspectedFrom = now + graceNanos;
+		this.suspectedFrom = now + suspicionTimeoutNanos;
 	}
 
 	boolean isSuspected(long now) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberRecord.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberRecord.java
@@ -16,7 +16,7 @@
 	public MemberRecord {
 		Preconditions.notNull(node, "node");
 		Preconditions.notNull(state, "state");
-		Preconditions.check(stamp >= 0, "stamp must not be negative: %d", stamp);
+		Preconditions.check(stamp >= 0, "sequence must not be negative: %d", stamp);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MembershipSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MembershipSettings.java
@@ -32,16 +32,17 @@
 			Duration.ofMinutes(10), Duration.ofSeconds(5), Duration.ofSeconds(60));
 
 	public MembershipSettings {
-		Preconditions.check(!grace.isNegative(), "grace must not be negative: %s", grace);
-		Preconditions.check(takeoverGrace.compareTo(grace) >= 0, "takeoverGrace must be at least grace: %s",
-				takeoverGrace);
+		Preconditions.check(!grace.isNegative(), "suspicionTimeout must not be negative: %s", grace);
+		Preconditions.check(takeoverGrace.compareTo(grace) >= 0,
+				"takeoverSuspicionTimeout must be at least suspicionTimeout: %s", takeoverGrace);
 		Preconditions.check(!probeTimeout.isNegative() && !probeTimeout.isZero(), "probeTimeout must be positive: %s",
 				probeTimeout);
 		Preconditions.notNull(reprobeInterval, "reprobeInterval");
 		Preconditions.notNull(publishInterval, "publishInterval");
-		Preconditions.notNull(keepFailed, "keepFailed");
-		Preconditions.notNull(damping, "damping");
-		Preconditions.check(maxDamping.compareTo(damping) >= 0, "maxDamping must be at least damping: %s", maxDamping);
+		Preconditions.notNull(keepFailed, "failedRetention");
+		Preconditions.notNull(damping, "initialReturnDelay");
+		Preconditions.check(maxDamping.compareTo(damping) >= 0,
+				"maxReturnDelay must be at least initialReturnDelay: %s", maxDamping);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
@@ -13,11 +13,11 @@
  */
 final class Child {
 
-	private final Map<StreamId, Position> acknowledged = new EnumMap<>(StreamId.class);
+	private final Map<StreamId, Position> acknowledgedPositions = new EnumMap<>(StreamId.class);
 
-	private final Map<StreamId, Version> sent = new EnumMap<>(StreamId.class);
+	private final Map<StreamId, Version> sentVersions = new EnumMap<>(StreamId.class);
 
-	private final Map<StreamId, Long> sentAt = new EnumMap<>(StreamId.class);
+	private final Map<StreamId, Long> sentTimes = new EnumMap<>(StreamId.class);
 
 	private final Map<InstanceId, MemberReport> descendants = new HashMap<>();
 
@@ -53,8 +53,8 @@
 		this.leaving = this.leaving || heartbeat.leaving();
 		this.lastHeartbeatAt = now;
 		this.coverage = heartbeat.coverage();
-		this.acknowledged.put(StreamId.CONFIGURATION, heartbeat.configuration());
-		this.acknowledged.put(StreamId.MEMBERS, heartbeat.members());
+		this.acknowledgedPositions.put(StreamId.CONFIGURATION, heartbeat.configuration());
+		this.acknowledgedPositions.put(StreamId.MEMBERS, heartbeat.members());
 	}
 
 	/**
@@ -88,24 +88,24 @@
 	}
 
 	Version sent(StreamId stream) {
-		return this.sent.getOrDefault(stream, Version.ZERO);
+		return this.sentVersions.getOrDefault(stream, Version.ZERO);
 	}
 
 	long sentAt(StreamId stream) {
-		return this.sentAt.getOrDefault(stream, 0L);
+		return this.sentTimes.getOrDefault(stream, 0L);
 	}
 
 	void markSent(StreamId stream, Version version, long now) {
-		this.sent.put(stream, version);
-		this.sentAt.put(stream, now);
+		this.sentVersions.put(stream, version);
+		this.sentTimes.put(stream, now);
 	}
 
 	void rewindToAcknowledged(StreamId stream) {
-		this.sent.put(stream, acknowledged(stream).version());
+		this.sentVersions.put(stream, acknowledged(stream).version());
 	}
 
 	Position acknowledged(StreamId stream) {
-		return this.acknowledged.getOrDefault(stream, Position.ZERO);
+		return this.acknowledgedPositions.getOrDefault(stream, Position.ZERO);
 	}
 
 	MemberReport report() {
@@ -148,7 +148,7 @@
 		this.leaving = false;
 		this.resetSequence = 0;
 		this.reportsReceived = 0;
-		this.sent.clear();
+		this.sentVersions.clear();
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ConfigurationGate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ConfigurationGate.java
@@ -73,7 +73,8 @@
 	}
 
 	/**
-	 * Activates the replica's complete state if it is not older than the floor.
+	 * Activates the replica's complete state, unless no version is in force yet and the
+	 * floor is unknown or newer than the state.
 	 */
 	void activateWholeState() {
 		boolean floorReached = this.floor.isPresent() && !this.replica.version().isBefore(this.floor.get());
@@ -82,7 +83,7 @@
 		}
 	}
 
-	private void activate(List<EntryChange> changes, boolean whole) {
+	private void activate(List<EntryChange> changes, boolean replaceAll) {
 		Version version = this.replica.version();
 		Version previous = this.inForce.orElse(Version.ZERO);
 		boolean notOlder = version.number() >= previous.number() && !version.isBefore(previous);
@@ -91,9 +92,9 @@
 			return;
 		}
 		this.inForce = Optional.of(version);
-		this.outbox.add(new SpreadCommand.ConfigurationInForce(version, changes, whole));
+		this.outbox.add(new SpreadCommand.ConfigurationInForce(version, changes, replaceAll));
 		this.decisions.onDecision(DecisionRecord.of(DecisionKind.CONFIGURE, this.self.value(), "in-force",
-				Field.of("version", version), Field.of("whole", whole)));
+				Field.of("version", version), Field.of("whole", replaceAll)));
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentList.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentList.java
@@ -21,11 +21,11 @@
 	public ParentList {
 		parents = List.copyOf(parents);
 		Preconditions.check(preferred >= 0 && preferred <= parents.size(),
-				"preferred must be between 0 and the number of parents: %d", preferred);
+				"preferredCount must be between 0 and the number of candidates: %d", preferred);
 	}
 
-	ParentList withAdopted(boolean adopted) {
-		return new ParentList(this.parents, this.preferred, adopted);
+	ParentList withAdopted(boolean accepted) {
+		return new ParentList(this.parents, this.preferred, accepted);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCommand.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCommand.java
@@ -5,7 +5,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A command returned by a {@link SpreadCore} for its caller to execute.
+ * A command that a node of the relay tree returns for its caller to execute.
  */
 public sealed interface SpreadCommand {
 
@@ -27,7 +27,7 @@
 	/**
 	 * Reads the floor from the replicated log with a linearizable read that starts after
 	 * this command was issued. Only control instances issue this command. They repeat it
-	 * until they receive a {@link SpreadEvent.FloorRead} with the same token.
+	 * until they receive a {@code FloorRead} event with the same token.
 	 *
 	 * @param token the token that the event must carry
 	 */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadEvent.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadEvent.java
@@ -8,13 +8,12 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An event that a {@link SpreadCore} handles.
+ * An event that a node of the relay tree handles.
  */
 public sealed interface SpreadEvent {
 
 	/**
-	 * Advances the time. The caller sends this event every
-	 * {@link SpreadSettings#tickInterval()}.
+	 * Time has passed. The caller sends this event at the tick interval of the settings.
 	 */
 	record Tick() implements SpreadEvent {
 
@@ -94,7 +93,7 @@
 	}
 
 	/**
-	 * The linearizable read requested by a {@link SpreadCommand.ReadFloor} has completed.
+	 * The linearizable read requested by a {@code ReadFloor} command has completed.
 	 *
 	 * @param token the command's token
 	 * @param floor the floor, confirmed by a quorum after the command was issued
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadSettings.java
@@ -9,7 +9,7 @@
  *
  * @param fanOut the planned number of children of each relay
  * @param maxChildren the maximum number of children that a node accepts
- * @param tickInterval the interval between {@linkplain SpreadEvent.Tick ticks}
+ * @param tickInterval the interval between {@code Tick} events
  * @param beatInterval the interval between the leader's heartbeats to its children
  * @param heartbeatInterval the maximum interval between a node's heartbeats to its
  * parent; a node with changes sends them earlier
@@ -41,15 +41,16 @@
 		Preconditions.check(fanOut >= 2, "fanOut must be at least 2: %d", fanOut);
 		Preconditions.check(maxChildren >= fanOut, "maxChildren must be at least fanOut: %d", maxChildren);
 		Preconditions.check(isPositive(tickInterval), "tickInterval must be positive: %s", tickInterval);
-		Preconditions.check(isPositive(beatInterval), "beatInterval must be positive: %s", beatInterval);
-		Preconditions.check(isPositive(heartbeatInterval), "heartbeatInterval must be positive: %s", heartbeatInterval);
+		Preconditions.check(isPositive(beatInterval), "rootHeartbeatInterval must be positive: %s", beatInterval);
+		Preconditions.check(isPositive(heartbeatInterval), "childHeartbeatInterval must be positive: %s",
+				heartbeatInterval);
 		Preconditions.check(isPositive(connectTimeout), "connectTimeout must be positive: %s", connectTimeout);
 		Preconditions.check(silenceTimeout.compareTo(beatInterval) > 0,
-				"silenceTimeout must be longer than beatInterval: %s", silenceTimeout);
+				"parentTimeout must be longer than rootHeartbeatInterval: %s", silenceTimeout);
 		Preconditions.check(rootStaleTimeout.compareTo(silenceTimeout) > 0,
-				"rootStaleTimeout must be longer than silenceTimeout: %s", rootStaleTimeout);
+				"rootTimeout must be longer than parentTimeout: %s", rootStaleTimeout);
 		Preconditions.check(childTimeout.compareTo(heartbeatInterval) > 0,
-				"childTimeout must be longer than heartbeatInterval: %s", childTimeout);
+				"childTimeout must be longer than childHeartbeatInterval: %s", childTimeout);
 		Preconditions.check(isPositive(resendTimeout), "resendTimeout must be positive: %s", resendTimeout);
 	}
 
