--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryDriver.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryDriver.java
@@ -36,30 +36,30 @@
 import org.comfreywall.sidecar.attempt.StartReceived;
 
 /**
- * Carries out an entry's commands to the ledgers and sidecars.
+ * Executes those commands of an entry that address a sidecar or a ledger.
  */
 final class EntryDriver {
 
-	private static final Duration CLAIM_TIME = Duration.ofMillis(300);
+	private static final Duration CLAIM_TIMEOUT = Duration.ofMillis(300);
 
-	private final World world;
+	private final World simulation;
 
 	private final EntryNode entry;
 
-	EntryDriver(World world, EntryNode entry) {
-		this.world = world;
+	EntryDriver(World simulation, EntryNode entry) {
+		this.simulation = simulation;
 		this.entry = entry;
 	}
 
 	void carryOut(RequestCommand command) {
-		if (!toSidecar(command)) {
-			toLedger(command);
+		if (!executeOnSidecar(command)) {
+			executeOnLedger(command);
 		}
 	}
 
-	private boolean toSidecar(RequestCommand command) {
+	private boolean executeOnSidecar(RequestCommand command) {
 		if (command instanceof SendStart start) {
-			start(start);
+			sendStart(start);
 		}
 		else if (command instanceof SendSeal seal) {
 			send(seal.target().backendServer(), new SealReceived(seal.attempt(), seal.target(), this.entry.link()));
@@ -80,79 +80,79 @@
 		return true;
 	}
 
-	private void start(SendStart start) {
-		SidecarNode sidecar = this.world.sidecar(start.target().backendServer().value());
+	private void sendStart(SendStart start) {
+		SidecarNode sidecar = this.simulation.sidecar(start.target().backendServer().value());
 		Operation operation = this.entry.operation(start.attempt()).orElseThrow();
 		if (!sidecar.isAlive() && sidecar.incarnation().equals(start.target().incarnation())) {
 			this.entry.notSent(start.attempt());
 			return;
 		}
 		StartReceived event = new StartReceived(start.attempt(), start.target(), start.traits(), this.entry.link());
-		this.world.send(this.entry, sidecar, () -> sidecar.start(event, operation));
+		this.simulation.send(this.entry, sidecar, () -> sidecar.start(event, operation));
 	}
 
 	private void send(BackendServerId server, AttemptEvent event) {
-		SidecarNode sidecar = this.world.sidecar(server.value());
-		this.world.send(this.entry, sidecar, () -> sidecar.receive(event));
+		SidecarNode sidecar = this.simulation.sidecar(server.value());
+		this.simulation.send(this.entry, sidecar, () -> sidecar.receive(event));
 	}
 
-	private void toLedger(RequestCommand command) {
+	private void executeOnLedger(RequestCommand command) {
 		if (command instanceof AcquireClaim claim) {
-			claim(claim);
+			acquireClaim(claim);
 		}
 		else if (command instanceof FinishClaim finish) {
-			repeat((ledger) -> ledger.claims()
+			callLedger((ledger) -> ledger.claims()
 				.recordAnswer(finish.key(), finish.owner(), finish.answer(), ledger.logTime()));
 		}
 		else if (command instanceof MarkClaimUnknown mark) {
-			repeat((ledger) -> ledger.claims().markUnknown(mark.key(), mark.owner(), ledger.logTime()));
+			callLedger((ledger) -> ledger.claims().markUnknown(mark.key(), mark.owner(), ledger.logTime()));
 		}
 		else if (command instanceof ReleaseClaim release) {
-			this.world.ledger()
+			this.simulation.ledger()
 				.callUntilAnswered(this.entry, (ledger) -> ledger.release(release.key(), release.proof()),
 						(released) -> this.entry.handle(new ClaimReleased(release.proof(), released)));
 		}
 		else if (command instanceof AcquireIsolation acquire) {
-			this.world.ledger()
+			this.simulation.ledger()
 				.callUntilAnswered(this.entry,
 						(ledger) -> ledger.poison().acquire(acquire.fingerprint(), acquire.request(), ledger.logTime()),
 						(result) -> this.entry
 							.handle(new IsolationAnswered(acquire.request(), acquire.fingerprint(), result)));
 		}
 		else if (command instanceof ReleaseIsolation release) {
-			repeat((ledger) -> ledger.poison()
+			callLedger((ledger) -> ledger.poison()
 				.release(release.fingerprint(), release.request(), release.end(), ledger.logTime()));
 		}
 		else if (command instanceof RecordCrash crash) {
-			this.world.ledger()
+			this.simulation.ledger()
 				.callUntilAnswered(this.entry,
 						LedgerNode.none((ledger) -> ledger.poison().recordCrash(crash.report(), ledger.logTime())),
-						(done) -> this.entry.handle(new CrashRecorded(crash.request())));
+						(result) -> this.entry.handle(new CrashRecorded(crash.request())));
 		}
 	}
 
-	private void repeat(Consumer<LedgerNode> call) {
-		this.world.ledger().callUntilAnswered(this.entry, LedgerNode.none(call), (done) -> {
+	private void callLedger(Consumer<LedgerNode> call) {
+		this.simulation.ledger().callUntilAnswered(this.entry, LedgerNode.none(call), (result) -> {
 		});
 	}
 
-	private void claim(AcquireClaim claim) {
+	private void acquireClaim(AcquireClaim claim) {
 		AtomicBoolean answered = new AtomicBoolean();
-		this.world.ledger()
+		this.simulation.ledger()
 			.call(this.entry,
 					(ledger) -> ledger.claims()
 						.claim(claim.key(), claim.bodyDigest(), claim.request(), claim.target().backendServer(),
 								claim.target().incarnation(), ledger.logTime()),
-					(result) -> claimed(claim, result, answered));
-		this.world.afterIfSame(this.entry, CLAIM_TIME, () -> {
+					(result) -> handleClaimResult(claim, result, answered));
+		this.simulation.afterIfSame(this.entry, CLAIM_TIMEOUT, () -> {
 			if (!answered.get()) {
-				this.entry.handle(new ClaimFailed(claim.request(),
-						OperationError.local(ErrorCode.UNAVAILABLE, Step.CLAIM, "The ledger did not answer in time")));
+				this.entry.handle(new ClaimFailed(claim.request(), OperationError.local(ErrorCode.UNAVAILABLE,
+						Step.CLAIM, "The claim ledger did not answer within the claim timeout")));
 			}
 		});
 	}
 
-	private void claimed(AcquireClaim claim, Result<ClaimResult> result, AtomicBoolean answered) {
+	private void handleClaimResult(AcquireClaim claim, Result<ClaimResult> result, AtomicBoolean answered) {
 		answered.set(true);
 		result.value()
 			.ifPresentOrElse(
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryNode.java
@@ -48,7 +48,8 @@
 import org.comfreywall.sidecar.attempt.LinkLost;
 
 /**
- * An entry with the real tracker and guard, behind a small stand-in driver.
+ * A simulated entry, with the real {@link RequestTracker} and {@link SingleFlightGuard}.
+ * Routing is round robin, and an {@link EntryDriver} calls the sidecars and ledgers.
  */
 final class EntryNode extends Node {
 
@@ -57,31 +58,33 @@
 	static final SingleFlightGuardSettings GUARD = new SingleFlightGuardSettings(Duration.ofSeconds(1),
 			Duration.ofMinutes(10), 100_000);
 
-	private static final RequestTrackerSettings SETTINGS = new RequestTrackerSettings(10_000, Duration.ofMillis(150),
-			Duration.ofMillis(200), Duration.ofMillis(10), Duration.ofMillis(50), Duration.ofSeconds(4), 1024);
+	private static final RequestTrackerSettings TRACKER_SETTINGS = new RequestTrackerSettings(10_000,
+			Duration.ofMillis(150), Duration.ofMillis(200), Duration.ofMillis(10), Duration.ofMillis(50),
+			Duration.ofSeconds(4), 1024);
 
-	private static final Duration RESTART_TIME = Duration.ofMillis(100);
+	private static final Duration RESTART_DELAY = Duration.ofMillis(100);
 
-	private static final Duration VIEW_TIME = Duration.ofMillis(250);
+	/** The maximum age of a sidecar's last published state for routing to it. */
+	private static final Duration VIEW_EXPIRY = Duration.ofMillis(250);
 
-	private static final Duration VERDICT_TIME = Duration.ofMillis(300);
+	private static final Duration VERDICT_REFRESH_INTERVAL = Duration.ofMillis(300);
 
-	private static final Duration PROBE_TIME = Duration.ofMillis(100);
+	private static final Duration PROBE_TIMEOUT = Duration.ofMillis(100);
 
-	private static final Duration GUARD_TIME = Duration.ofMillis(60);
+	private static final Duration GUARD_TIMEOUT = Duration.ofMillis(60);
 
 	private static final int MAX_ATTEMPTS = 5;
 
-	private final World world;
+	private final World simulation;
 
 	private final Map<String, SidecarView> views = new HashMap<>();
 
 	private final Map<RequestId, Sending> sendings = new HashMap<>();
 
-	private final Map<String, Boolean> silent = new HashMap<>();
+	private final Map<String, Boolean> blackholed = new HashMap<>();
 
-	/** When the guard of a request could not be reached for the first time. */
-	private final Map<RequestId, Long> unguarded = new HashMap<>();
+	/** When the guard for a request first did not answer, in virtual nanoseconds. */
+	private final Map<RequestId, Long> guardUnreachableSince = new HashMap<>();
 
 	private final EntryDriver driver;
 
@@ -91,29 +94,29 @@
 
 	private SingleFlightGuard guard;
 
-	private long connection;
+	private long connectionNumber;
 
-	private long routed;
+	private long routedCount;
 
-	private long timerAt;
+	private long timerDueAt;
 
-	EntryNode(World world, String name, int region) {
+	EntryNode(World simulation, String name, int region) {
 		super(name, region);
-		this.world = world;
-		this.driver = new EntryDriver(world, this);
-		reset();
-		learnVerdicts();
+		this.simulation = simulation;
+		this.driver = new EntryDriver(simulation, this);
+		resetState();
+		refreshVerdicts();
 	}
 
 	void accept(Sending sending) {
-		this.world.observer().sent(sending);
+		this.simulation.observer().sent(sending);
 		if (!isAlive()) {
 			sending.abandon();
 			return;
 		}
 		this.sendings.put(sending.id(), sending);
 		PoisonVerdict verdict = this.verdicts.getOrDefault(sending.operation().fingerprint(), PoisonVerdict.CLEAR);
-		handle(new RequestAccepted(sending.operation().spec(sending.id()), this.world.now() + DEADLINE.toNanos(),
+		handle(new RequestAccepted(sending.operation().spec(sending.id()), this.simulation.now() + DEADLINE.toNanos(),
 				verdict));
 	}
 
@@ -121,81 +124,82 @@
 		if (!isAlive()) {
 			return;
 		}
-		List<RequestCommand> commands = this.tracker.handle(event, this.world.now());
-		commands.forEach(this::carryOut);
-		setTimer();
-		if (this.world.faults().crashesEntry(event.getClass())) {
+		List<RequestCommand> commands = this.tracker.handle(event, this.simulation.now());
+		commands.forEach(this::execute);
+		scheduleTimer();
+		if (this.simulation.faults().crashesEntry(event.getClass())) {
 			crash();
 		}
 	}
 
 	void heard(AttemptTarget target, boolean draining) {
-		SidecarView earlier = this.views.get(target.backendServer().value());
-		if (earlier != null && target.incarnation().isBefore(earlier.target().incarnation())) {
+		SidecarView previous = this.views.get(target.backendServer().value());
+		if (previous != null && target.incarnation().isBefore(previous.target().incarnation())) {
 			return;
 		}
-		this.views.put(target.backendServer().value(), new SidecarView(target, draining, this.world.now()));
-		if (earlier != null && earlier.target().incarnation().isBefore(target.incarnation())) {
-			handle(new SidecarLost(target.backendServer(), earlier.target().incarnation()));
+		this.views.put(target.backendServer().value(), new SidecarView(target, draining, this.simulation.now()));
+		if (previous != null && previous.target().incarnation().isBefore(target.incarnation())) {
+			handle(new SidecarLost(target.backendServer(), previous.target().incarnation()));
 		}
 	}
 
 	void crash() {
 		stop();
 		EntryLink link = link();
-		for (SidecarNode sidecar : this.world.sidecars()) {
-			this.world.send(this, sidecar, () -> sidecar.receive(new LinkLost(link)));
+		for (SidecarNode sidecar : this.simulation.sidecars()) {
+			this.simulation.send(this, sidecar, () -> sidecar.receive(new LinkLost(link)));
 		}
-		List<Sending> broken = new ArrayList<>(this.sendings.values());
-		broken.sort(Comparator.comparing((sending) -> sending.id()));
+		List<Sending> interrupted = new ArrayList<>(this.sendings.values());
+		interrupted.sort(Comparator.comparing((sending) -> sending.id()));
 		this.sendings.clear();
-		broken.forEach(Sending::abandon);
-		this.world.after(RESTART_TIME, () -> {
+		interrupted.forEach(Sending::abandon);
+		this.simulation.after(RESTART_DELAY, () -> {
 			restart();
-			reset();
+			resetState();
 		});
 	}
 
 	/**
-	 * Makes the connection to a sidecar silent for good; a new one works.
-	 * @param sidecar the sidecar
+	 * Drops all messages of the current connection to a sidecar. The loss ends when the
+	 * entry opens a new connection.
+	 * @param sidecar the name of the sidecar
 	 */
 	void silence(String sidecar) {
-		this.silent.put(sidecar, true);
+		this.blackholed.put(sidecar, true);
 	}
 
 	boolean isSilent(String sidecar) {
-		return this.silent.getOrDefault(sidecar, false);
+		return this.blackholed.getOrDefault(sidecar, false);
 	}
 
 	EntryLink link() {
-		return new EntryLink(InstanceId.of(name()), this.connection);
+		return new EntryLink(InstanceId.of(name()), this.connectionNumber);
 	}
 
 	SingleFlightGuard guard() {
 		return this.guard;
 	}
 
-	private void carryOut(RequestCommand command) {
+	private void execute(RequestCommand command) {
 		if (command instanceof ChooseRoute route) {
-			long life = life();
-			this.world.afterIfSame(this, Duration.ofNanos(life), () -> route(route));
+			long incarnation = life();
+			this.simulation.afterIfSame(this, Duration.ofNanos(incarnation), () -> chooseRoute(route));
 		}
 		else if (command instanceof DeliverPart part) {
 			Optional.ofNullable(this.sendings.get(part.request())).ifPresent((sending) -> sending.part(part.part()));
 		}
 		else if (command instanceof CompleteRequest complete) {
 			Sending sending = this.sendings.remove(complete.request());
-			this.unguarded.remove(complete.request());
+			this.guardUnreachableSince.remove(complete.request());
 			sending.complete(complete.outcome());
 		}
-		else if (command instanceof RequestFlightPermit ask) {
-			askGuard(ask);
+		else if (command instanceof RequestFlightPermit permit) {
+			requestFlightPermit(permit);
 		}
 		else if (command instanceof ReportFlightEnd end) {
-			EntryNode owner = guardOf(end.fingerprint());
-			this.world.send(this, owner,
-					() -> owner.guard.recordEnd(end.fingerprint(), end.request(), end.end(), this.world.now()));
+			EntryNode owner = guardEntry(end.fingerprint());
+			this.simulation.send(this, owner,
+					() -> owner.guard.recordEnd(end.fingerprint(), end.request(), end.end(), this.simulation.now()));
 		}
 		else if (command instanceof ProbeConnection probe) {
 			probe(probe.backendServer(), probe.incarnation());
@@ -209,131 +213,133 @@
 		return Optional.ofNullable(this.sendings.get(attempt.request())).map(Sending::operation);
 	}
 
-	private void route(ChooseRoute route) {
+	private void chooseRoute(ChooseRoute route) {
 		Set<BackendServerId> excluded = route.excluded();
 		List<SidecarView> candidates = this.views.values()
 			.stream()
-			.filter((view) -> !view.draining() && view.heardAt() + VIEW_TIME.toNanos() >= this.world.now())
+			.filter((view) -> !view.draining() && view.receivedAt() + VIEW_EXPIRY.toNanos() >= this.simulation.now())
 			.filter((view) -> !excluded.contains(view.target().backendServer()))
 			.sorted(Comparator.comparing((view) -> view.target().backendServer()))
 			.toList();
 		if (candidates.isEmpty()) {
-			handle(new RouteUnavailable(route.request(),
-					OperationError.local(ErrorCode.UNAVAILABLE, Step.ROUTE, "No backend server is known")));
+			handle(new RouteUnavailable(route.request(), OperationError.local(ErrorCode.UNAVAILABLE, Step.ROUTE,
+					"No eligible backend server: all are excluded, draining or stale")));
 			return;
 		}
-		SidecarView chosen = candidates.get((int) (this.routed++ % candidates.size()));
+		SidecarView chosen = candidates.get((int) (this.routedCount++ % candidates.size()));
 		handle(new RouteChosen(route.request(), chosen.target()));
 	}
 
-	private void askGuard(RequestFlightPermit ask) {
-		EntryNode owner = guardOf(ask.fingerprint());
+	private void requestFlightPermit(RequestFlightPermit command) {
+		EntryNode owner = guardEntry(command.fingerprint());
 		boolean[] answered = new boolean[1];
-		long life = life();
-		this.world.send(this, owner, () -> {
-			FlightPermit permit = owner.guard.requestPermit(ask.fingerprint(), ask.request(), ask.cleared(),
-					this.world.now());
-			this.world.send(owner, this, () -> {
-				if (!answered[0] && life() == life) {
+		long incarnation = life();
+		this.simulation.send(this, owner, () -> {
+			FlightPermit permit = owner.guard.requestPermit(command.fingerprint(), command.request(), command.cleared(),
+					this.simulation.now());
+			this.simulation.send(owner, this, () -> {
+				if (!answered[0] && life() == incarnation) {
 					answered[0] = true;
-					handle(new FlightAnswered(ask.request(), permit));
+					handle(new FlightAnswered(command.request(), permit));
 				}
 			});
 		});
-		this.world.afterIfSame(this, GUARD_TIME, () -> {
+		this.simulation.afterIfSame(this, GUARD_TIMEOUT, () -> {
 			if (!answered[0]) {
 				answered[0] = true;
-				handle(new FlightAnswered(ask.request(), guardUnreachable(ask.request())));
+				handle(new FlightAnswered(command.request(), permitWithoutGuard(command.request())));
 			}
 		});
 	}
 
-	private FlightPermit guardUnreachable(RequestId request) {
-		long first = this.unguarded.computeIfAbsent(request, (key) -> this.world.now());
-		if (this.world.now() - first < GUARD.flightTime().toNanos()) {
+	// Waits out the flight time, after which a run that the guard allowed no longer
+	// blocks.
+	private FlightPermit permitWithoutGuard(RequestId request) {
+		long since = this.guardUnreachableSince.computeIfAbsent(request, (key) -> this.simulation.now());
+		if (this.simulation.now() - since < GUARD.flightTime().toNanos()) {
 			return FlightPermit.WAIT;
 		}
-		this.unguarded.remove(request);
+		this.guardUnreachableSince.remove(request);
 		return FlightPermit.GO;
 	}
 
-	private EntryNode guardOf(Fingerprint fingerprint) {
-		List<EntryNode> entries = this.world.entries();
+	private EntryNode guardEntry(Fingerprint fingerprint) {
+		List<EntryNode> entries = this.simulation.entries();
 		return entries.get(Math.floorMod(fingerprint.bodyDigest().hashCode(), entries.size()));
 	}
 
-	private void probe(BackendServerId server, Incarnation life) {
-		SidecarNode sidecar = this.world.sidecar(server.value());
+	private void probe(BackendServerId server, Incarnation expected) {
+		SidecarNode sidecar = this.simulation.sidecar(server.value());
 		boolean[] answered = new boolean[1];
-		EntryLink former = link();
-		this.silent.remove(server.value());
-		this.world.send(this, sidecar, () -> {
-			sidecar.receive(new LinkLost(former));
-			boolean same = sidecar.incarnation().equals(life);
-			this.world.send(sidecar, this, () -> {
+		EntryLink oldLink = link();
+		this.blackholed.remove(server.value());
+		this.simulation.send(this, sidecar, () -> {
+			sidecar.receive(new LinkLost(oldLink));
+			boolean same = sidecar.incarnation().equals(expected);
+			this.simulation.send(sidecar, this, () -> {
 				if (!answered[0]) {
 					answered[0] = true;
-					reconnected(server, life, same);
+					handleReconnect(server, expected, same);
 				}
 			});
 		});
-		this.world.afterIfSame(this, PROBE_TIME, () -> {
+		this.simulation.afterIfSame(this, PROBE_TIMEOUT, () -> {
 			if (!answered[0]) {
 				answered[0] = true;
-				handle(new SidecarLost(server, life));
+				handle(new SidecarLost(server, expected));
 			}
 		});
 	}
 
-	private void reconnected(BackendServerId server, Incarnation life, boolean same) {
-		this.connection++;
-		if (same) {
-			handle(new ConnectionLost(server, life));
-			handle(new ConnectionRestored(server, life));
+	private void handleReconnect(BackendServerId server, Incarnation expected, boolean sameIncarnation) {
+		this.connectionNumber++;
+		if (sameIncarnation) {
+			handle(new ConnectionLost(server, expected));
+			handle(new ConnectionRestored(server, expected));
 		}
 		else {
-			handle(new SidecarLost(server, life));
+			handle(new SidecarLost(server, expected));
 		}
 	}
 
 	void notSent(AttemptId attempt) {
-		this.world.afterIfSame(this, Duration.ofMillis(1), () -> handle(new StartNotSent(attempt)));
+		this.simulation.afterIfSame(this, Duration.ofMillis(1), () -> handle(new StartNotSent(attempt)));
 	}
 
-	private void learnVerdicts() {
-		this.world.ledger().call(this, LedgerNode::verdicts, (learned) -> this.verdicts = learned);
-		this.world.after(VERDICT_TIME, this::learnVerdicts);
+	private void refreshVerdicts() {
+		this.simulation.ledger().call(this, LedgerNode::verdicts, (current) -> this.verdicts = current);
+		this.simulation.after(VERDICT_REFRESH_INTERVAL, this::refreshVerdicts);
 	}
 
-	private void setTimer() {
+	private void scheduleTimer() {
 		OptionalLong next = this.tracker.nextTimer();
-		if (next.isEmpty() || next.getAsLong() >= this.timerAt) {
+		if (next.isEmpty() || next.getAsLong() >= this.timerDueAt) {
 			return;
 		}
 		long at = next.getAsLong();
-		this.timerAt = at;
-		this.world.afterIfSame(this, Duration.ofNanos(Math.max(0, at - this.world.now())), () -> {
-			if (this.timerAt == at) {
-				this.timerAt = Long.MAX_VALUE;
+		this.timerDueAt = at;
+		this.simulation.afterIfSame(this, Duration.ofNanos(Math.max(0, at - this.simulation.now())), () -> {
+			if (this.timerDueAt == at) {
+				this.timerDueAt = Long.MAX_VALUE;
 				handle(new TimePassed());
 			}
 		});
 	}
 
-	private void reset() {
-		this.timerAt = Long.MAX_VALUE;
-		this.connection = life() * 1_000_000;
+	private void resetState() {
+		this.timerDueAt = Long.MAX_VALUE;
+		this.connectionNumber = life() * 1_000_000;
 		this.views.clear();
-		this.silent.clear();
-		this.unguarded.clear();
-		this.guard = new SingleFlightGuard(GUARD, this.world.now());
-		this.tracker = new RequestTracker(SETTINGS,
+		this.blackholed.clear();
+		this.guardUnreachableSince.clear();
+		this.guard = new SingleFlightGuard(GUARD, this.simulation.now());
+		this.tracker = new RequestTracker(TRACKER_SETTINGS,
 				(query) -> (query.attempts() < MAX_ATTEMPTS) ? RetryDecision.after(Duration.ofMillis(5))
 						: RetryDecision.stop("attempts"),
-				this.world.invariants(), (record) -> this.world.listener().onDecision(record));
+				this.simulation.invariants(), (record) -> this.simulation.listener().onDecision(record));
 	}
 
-	private record SidecarView(AttemptTarget target, boolean draining, long heardAt) {
+	private record SidecarView(AttemptTarget target, boolean draining, long receivedAt) {
 
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Faults.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Faults.java
@@ -3,40 +3,42 @@
 import java.time.Duration;
 
 /**
- * Decides about faults of processes and backend servers.
+ * Decides when simulated processes and backend servers fail.
  */
 interface Faults {
 
 	/**
-	 * Decides whether an entry crashes right after it handled an event.
+	 * Decides whether an entry crashes immediately after handling an event.
 	 * @param event the kind of event
 	 * @return whether it crashes
 	 */
 	boolean crashesEntry(Class<?> event);
 
 	/**
-	 * Decides whether a sidecar crashes right after it handled an event.
+	 * Decides whether a sidecar crashes immediately after handling an event.
 	 * @param event the kind of event
 	 * @return whether it crashes
 	 */
 	boolean crashesSidecar(Class<?> event);
 
 	/**
-	 * Decides whether a backend server crashes right after its sidecar handled an event.
+	 * Decides whether a backend server crashes immediately after its sidecar has handled
+	 * an event.
 	 * @param event the kind of event
 	 * @return whether it crashes
 	 */
 	boolean crashesBackend(Class<?> event);
 
 	/**
-	 * Decides whether the backend server breaks an answer off instead of its next part.
-	 * @return whether it does
+	 * Decides whether a backend server aborts an answer instead of producing its next
+	 * part.
+	 * @return whether it aborts the answer
 	 */
 	boolean breaksAnswer();
 
 	/**
-	 * Returns how long the backend server takes for the next part of an answer.
-	 * @return the time
+	 * Returns the time a backend server takes to produce the next part of an answer.
+	 * @return the delay
 	 */
 	Duration partTime();
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/LedgerNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/LedgerNode.java
@@ -19,29 +19,30 @@
 import org.comfreywall.control.ledger.PoisonLedgerSettings;
 
 /**
- * Both ledgers as if on a quorum that never fails but may be out of reach.
+ * Holds the claim ledger and the poison ledger. Stands for a quorum that never fails but
+ * may be unreachable.
  */
 final class LedgerNode extends Node {
 
-	/** How long a caller of the ledger waits before it asks again. */
+	/** How long a caller waits for an answer before it repeats a call. */
 	static final Duration REPEAT_TIME = Duration.ofMillis(100);
 
 	static final PoisonLedgerSettings POISON = new PoisonLedgerSettings(Duration.ofHours(1), Duration.ofMillis(800),
 			Duration.ofSeconds(5), 100_000);
 
-	private static final ClaimLedgerSettings CLAIMS = new ClaimLedgerSettings(Duration.ofHours(24), 1_000_000, 1024,
-			256L * 1024 * 1024);
+	private static final ClaimLedgerSettings CLAIM_SETTINGS = new ClaimLedgerSettings(Duration.ofHours(24), 1_000_000,
+			1024, 256L * 1024 * 1024);
 
-	private final World world;
+	private final World simulation;
 
-	private final ClaimLedger claims = new ClaimLedger(CLAIMS);
+	private final ClaimLedger claims = new ClaimLedger(CLAIM_SETTINGS);
 
 	private final PoisonLedger poison;
 
-	LedgerNode(World world) {
+	LedgerNode(World simulation) {
 		super("ledger", 0);
-		this.world = world;
-		this.poison = new PoisonLedger(POISON, (record) -> world.listener().onDecision(record));
+		this.simulation = simulation;
+		this.poison = new PoisonLedger(POISON, (record) -> simulation.listener().onDecision(record));
 	}
 
 	ClaimLedger claims() {
@@ -55,7 +56,7 @@
 	boolean release(ClaimKey key, NotRunProof proof) {
 		boolean released = this.claims.release(key, proof, logTime()).value().isPresent();
 		if (released) {
-			this.world.observer().released(proof.owner());
+			this.simulation.observer().released(proof.owner());
 		}
 		return released;
 	}
@@ -69,18 +70,19 @@
 	}
 
 	/**
-	 * Calls the ledger once; the answer may be late or lost.
+	 * Calls the ledger once. The call and its answer are messages, which may be delayed,
+	 * lost or duplicated. Answers that arrive after a restart of the caller are dropped.
 	 * @param <T> the type of the answer
 	 * @param from the caller
-	 * @param call the call
+	 * @param call the operation to run on the ledger
 	 * @param answer receives each copy of the answer
 	 */
 	<T> void call(Node from, Function<LedgerNode, T> call, Consumer<T> answer) {
-		long life = from.life();
-		this.world.send(from, this, () -> {
+		long incarnation = from.life();
+		this.simulation.send(from, this, () -> {
 			T result = call.apply(this);
-			this.world.send(this, from, () -> {
-				if (from.life() == life) {
+			this.simulation.send(this, from, () -> {
+				if (from.life() == incarnation) {
 					answer.accept(result);
 				}
 			});
@@ -88,29 +90,30 @@
 	}
 
 	/**
-	 * Calls the ledger until it answers or the caller is gone.
+	 * Repeats a call until the ledger has answered or the caller has stopped or
+	 * restarted.
 	 * @param <T> the type of the answer
 	 * @param from the caller
-	 * @param call the call
-	 * @param answer receives the first answer
+	 * @param call the operation to run on the ledger, possibly more than once
+	 * @param answer receives the first answer only
 	 */
 	<T> void callUntilAnswered(Node from, Function<LedgerNode, T> call, Consumer<T> answer) {
-		repeat(from, call, answer, new AtomicBoolean());
+		callAndRetry(from, call, answer, new AtomicBoolean());
 	}
 
 	long logTime() {
-		return this.world.now();
+		return this.simulation.now();
 	}
 
-	private <T> void repeat(Node from, Function<LedgerNode, T> call, Consumer<T> answer, AtomicBoolean answered) {
+	private <T> void callAndRetry(Node from, Function<LedgerNode, T> call, Consumer<T> answer, AtomicBoolean answered) {
 		call(from, call, (result) -> {
 			if (answered.compareAndSet(false, true)) {
 				answer.accept(result);
 			}
 		});
-		this.world.afterIfSame(from, REPEAT_TIME, () -> {
+		this.simulation.afterIfSame(from, REPEAT_TIME, () -> {
 			if (!answered.get()) {
-				repeat(from, call, answer, answered);
+				callAndRetry(from, call, answer, answered);
 			}
 		});
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Network.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Network.java
@@ -4,15 +4,15 @@
 import java.util.List;
 
 /**
- * Decides when each copy of a message arrives.
+ * Decides which messages are lost or duplicated and when each copy arrives.
  */
 interface Network {
 
 	/**
-	 * Plans one message.
+	 * Returns the delay of each copy of a message.
 	 * @param from the sender
 	 * @param to the receiver
-	 * @return the delay of each copy; empty if the message is lost
+	 * @return one delay for each copy; empty if the message is lost
 	 */
 	List<Duration> plan(Node from, Node to);
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Node.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Node.java
@@ -1,7 +1,7 @@
 package org.comfreywall.bench.request;
 
 /**
- * A process in virtual time that can crash and restart.
+ * A simulated process that can crash and restart. Each restart begins a new incarnation.
  */
 abstract class Node {
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Observer.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Observer.java
@@ -12,28 +12,29 @@
 import org.comfreywall.common.result.Outcome;
 
 /**
- * Watches callers and backend servers from outside the cores and notes each breach of
- * what must always hold.
+ * Checks the safety rules of request handling from what callers and backend servers
+ * observe, independently of the state of entries and sidecars, and records each
+ * violation.
  */
 final class Observer {
 
-	/** Backend servers that one request may cost. */
+	/** The maximum number of backend servers that requests with one body may crash. */
 	static final int MAX_LOST = 2;
 
-	private static final int MAX_NOTED = 20;
+	private static final int MAX_VIOLATION_TEXTS = 20;
 
-	private final Map<RequestId, Operation> operations = new HashMap<>();
+	private final Map<RequestId, Operation> operationsByRequest = new HashMap<>();
 
-	private final Map<RequestId, Integer> startsOfSending = new HashMap<>();
+	private final Map<RequestId, Integer> startsByRequest = new HashMap<>();
 
-	private final Map<String, Integer> startsOfOperation = new HashMap<>();
+	private final Map<String, Integer> startsByOperation = new HashMap<>();
 
-	/** How often an operation had run when the claim of a sending was released. */
+	/** The number of runs of the operation when the claim of a request was released. */
 	private final Map<RequestId, Integer> startsAtRelease = new HashMap<>();
 
-	private final Map<String, Integer> lostTo = new HashMap<>();
+	private final Map<String, Integer> crashesByBody = new HashMap<>();
 
-	private final Set<RequestId> toldNotRun = new HashSet<>();
+	private final Set<RequestId> reportedNotRun = new HashSet<>();
 
 	private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
 
@@ -42,26 +43,26 @@
 	private final List<String> notes = new ArrayList<>();
 
 	void sent(Sending sending) {
-		this.operations.put(sending.id(), sending.operation());
+		this.operationsByRequest.put(sending.id(), sending.operation());
 	}
 
-	void started(RequestId request, boolean late) {
-		Operation operation = this.operations.get(request);
-		int ofSending = this.startsOfSending.merge(request, 1, Integer::sum);
-		int ofOperation = this.startsOfOperation.merge(operation.id(), 1, Integer::sum);
-		check(operation.kind() != Operation.Kind.KEYED || ofOperation <= 1, Rule.AT_MOST_ONCE, request);
-		check(operation.kind() != Operation.Kind.UNKEYED || ofSending <= 1, Rule.AT_MOST_ONCE, request);
-		check(!this.toldNotRun.contains(request), Rule.NOT_RUN_IS_TRUE, request);
-		check(!late, Rule.LEAVING_GETS_NO_WORK, request);
+	void started(RequestId request, boolean afterDrainGrace) {
+		Operation operation = this.operationsByRequest.get(request);
+		int startsForRequest = this.startsByRequest.merge(request, 1, Integer::sum);
+		int startsForOperation = this.startsByOperation.merge(operation.id(), 1, Integer::sum);
+		check(operation.kind() != Operation.Kind.KEYED || startsForOperation <= 1, Rule.AT_MOST_ONCE, request);
+		check(operation.kind() != Operation.Kind.UNKEYED || startsForRequest <= 1, Rule.AT_MOST_ONCE, request);
+		check(!this.reportedNotRun.contains(request), Rule.NOT_RUN_IS_TRUE, request);
+		check(!afterDrainGrace, Rule.LEAVING_GETS_NO_WORK, request);
 	}
 
 	void released(RequestId owner) {
-		this.startsAtRelease.put(owner, starts(this.operations.get(owner)));
+		this.startsAtRelease.put(owner, starts(this.operationsByRequest.get(owner)));
 	}
 
 	void lost(RequestId request) {
-		String body = this.operations.get(request).body();
-		check(this.lostTo.merge(body, 1, Integer::sum) <= MAX_LOST, Rule.TWO_LOST_AT_MOST, request);
+		String body = this.operationsByRequest.get(request).body();
+		check(this.crashesByBody.merge(body, 1, Integer::sum) <= MAX_LOST, Rule.TWO_LOST_AT_MOST, request);
 	}
 
 	void told(Sending sending) {
@@ -72,8 +73,8 @@
 			check(sending.isWhole(), Rule.OWN_WHOLE_ANSWER, sending.id());
 		}
 		else if (outcome == Outcome.NOT_RUN) {
-			this.toldNotRun.add(sending.id());
-			check(!this.startsOfSending.containsKey(sending.id()), Rule.NOT_RUN_IS_TRUE, sending.id());
+			this.reportedNotRun.add(sending.id());
+			check(!this.startsByRequest.containsKey(sending.id()), Rule.NOT_RUN_IS_TRUE, sending.id());
 			boolean keyed = sending.operation().kind() == Operation.Kind.KEYED;
 			check(!keyed || this.startsAtRelease.getOrDefault(sending.id(), 1) == 0, Rule.NOT_RUN_IS_TRUE,
 					sending.id());
@@ -85,15 +86,15 @@
 	}
 
 	int starts(Operation operation) {
-		return this.startsOfOperation.getOrDefault(operation.id(), 0);
+		return this.startsByOperation.getOrDefault(operation.id(), 0);
 	}
 
-	int lost(Operation operation) {
-		return this.lostTo.getOrDefault(operation.body(), 0);
+	int crashCount(Operation operation) {
+		return this.crashesByBody.getOrDefault(operation.body(), 0);
 	}
 
 	int worstLost() {
-		return this.lostTo.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+		return this.crashesByBody.values().stream().mapToInt(Integer::intValue).max().orElse(0);
 	}
 
 	int outcomes(Outcome outcome) {
@@ -111,28 +112,31 @@
 	private void check(boolean condition, Rule rule, RequestId request) {
 		if (!condition) {
 			this.breaches.merge(rule, 1, Integer::sum);
-			if (this.notes.size() < MAX_NOTED) {
+			if (this.notes.size() < MAX_VIOLATION_TEXTS) {
 				this.notes.add(rule + " " + request);
 			}
 		}
 	}
 
 	/**
-	 * What must always hold.
+	 * Safety rules.
 	 */
 	enum Rule {
 
 		/** A non-idempotent request runs at most once. */
 		AT_MOST_ONCE,
-		/** A request said not to have run never ran and never runs. */
+		/** A request whose outcome is reported as not run has not run and never will. */
 		NOT_RUN_IS_TRUE,
-		/** Each caller gets the whole answer to its own request. */
+		/**
+		 * A caller receives the parts of its own answer only, in order, and all of them
+		 * if the request completed.
+		 */
 		OWN_WHOLE_ANSWER,
-		/** A leaving backend server gets no new work after 2 s. */
+		/** A backend server starts no run later than 2 s after its drain began. */
 		LEAVING_GETS_NO_WORK,
-		/** No more than two backend servers are lost to one request. */
+		/** Requests with one body crash at most two backend servers. */
 		TWO_LOST_AT_MOST,
-		/** A leaving backend server stops only when nothing runs. */
+		/** A drain ends only after all runs on the backend server have ended. */
 		DRAIN_INTERRUPTS_NOTHING
 
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Operation.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Operation.java
@@ -12,11 +12,11 @@
 import org.comfreywall.entry.request.RequestSpec;
 
 /**
- * What a caller wants done, however often it sends the request.
+ * The work that a caller requests, independent of how often it submits the request.
  *
- * @param id the operation
- * @param kind whether and how it may be repeated
- * @param body the body
+ * @param id the identifier, also used as idempotency key
+ * @param kind whether it may run more than once, and whether it has an idempotency key
+ * @param body the body of the request, which determines its fingerprint
  * @param poison whether it crashes each backend server that runs it
  */
 record Operation(String id, Kind kind, String body, boolean poison) {
@@ -43,11 +43,11 @@
 
 	enum Kind {
 
-		/** May be repeated. */
+		/** May run more than once. */
 		IDEMPOTENT,
-		/** Must not be repeated and has an idempotency key. */
+		/** Must not run more than once; has an idempotency key. */
 		KEYED,
-		/** Must not be repeated and has no key. */
+		/** Must not run more than once; has no idempotency key. */
 		UNKEYED
 
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomCallers.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomCallers.java
@@ -11,29 +11,32 @@
 import org.comfreywall.entry.request.CallerCancelled;
 
 /**
- * Callers who send, send again and lose their patience.
+ * Generates random callers that submit operations, resubmit them to the same or another
+ * entry, and sometimes cancel their requests.
  */
 final class RandomCallers {
 
-	private static final Duration ARRIVAL_TIME = Duration.ofMillis(2);
+	private static final Duration ARRIVAL_INTERVAL = Duration.ofMillis(2);
 
-	private static final int POPULAR_BODIES = 200;
+	private static final int POPULAR_BODY_COUNT = 200;
 
 	private static final int POISON_ONE_IN = 400;
 
 	private static final int CANCEL_ONE_IN = 50;
 
-	private static final int MAX_SENDINGS = 4;
+	/** A submission with this number is the last one: the caller does not repeat it. */
+	private static final int LAST_SUBMISSION = 4;
 
+	/** The number of times that a poison operation is submitted to all entries. */
 	private static final int POISON_ROUNDS = 3;
 
-	private final World world;
+	private final World simulation;
 
 	private final RandomGenerator random;
 
-	private final long steps;
+	private final long targetSubmissions;
 
-	private final Set<Fingerprint> poison = new HashSet<>();
+	private final Set<Fingerprint> poisonFingerprints = new HashSet<>();
 
 	private long operations;
 
@@ -41,12 +44,15 @@
 
 	private long open;
 
-	private long quietUntil;
+	/**
+	 * The virtual time, in nanoseconds, until which no new poison operation is submitted.
+	 */
+	private long poisonPausedUntil;
 
-	RandomCallers(World world, RandomGenerator random, long steps) {
-		this.world = world;
+	RandomCallers(World simulation, RandomGenerator random, long steps) {
+		this.simulation = simulation;
 		this.random = random;
-		this.steps = steps;
+		this.targetSubmissions = steps;
 	}
 
 	long operations() {
@@ -62,19 +68,19 @@
 	}
 
 	boolean isFinished() {
-		return this.sendings >= this.steps;
+		return this.sendings >= this.targetSubmissions;
 	}
 
 	/**
-	 * Sends no poison requests for a while.
-	 * @param duration how long
+	 * Submits no new poison operations for a time.
+	 * @param duration the length of the pause
 	 */
 	void holdPoison(Duration duration) {
-		this.quietUntil = this.world.now() + duration.toNanos();
+		this.poisonPausedUntil = this.simulation.now() + duration.toNanos();
 	}
 
 	boolean isInnocent(Fingerprint fingerprint) {
-		return !this.poison.contains(fingerprint);
+		return !this.poisonFingerprints.contains(fingerprint);
 	}
 
 	void arrive() {
@@ -82,63 +88,63 @@
 			return;
 		}
 		this.operations++;
-		boolean crashes = this.random.nextInt(POISON_ONE_IN) == 0 && this.world.now() >= this.quietUntil;
-		Operation operation = operation(crashes);
+		boolean crashes = this.random.nextInt(POISON_ONE_IN) == 0 && this.simulation.now() >= this.poisonPausedUntil;
+		Operation operation = createOperation(crashes);
 		if (crashes) {
-			this.poison.add(operation.fingerprint());
+			this.poisonFingerprints.add(operation.fingerprint());
 			for (int round = 0; round < POISON_ROUNDS; round++) {
 				Duration wait = Duration.ofMillis(round * this.random.nextInt(1, 3_000));
-				this.world.after(wait, () -> sendEverywhere(operation));
+				this.simulation.after(wait, () -> submitToAllEntries(operation));
 			}
 		}
 		else {
-			send(operation, 1);
+			submit(operation, 1);
 		}
-		this.world.after(ARRIVAL_TIME, this::arrive);
+		this.simulation.after(ARRIVAL_INTERVAL, this::arrive);
 	}
 
-	private Operation operation(boolean crashes) {
+	private Operation createOperation(boolean crashes) {
 		String id = "op" + this.operations;
 		int kind = this.random.nextInt(100);
 		if (kind < 45) {
 			boolean popular = !crashes && this.random.nextBoolean();
-			String body = popular ? "popular" + this.random.nextInt(POPULAR_BODIES) : id;
+			String body = popular ? "popular" + this.random.nextInt(POPULAR_BODY_COUNT) : id;
 			return new Operation(id, Operation.Kind.IDEMPOTENT, body, crashes);
 		}
 		return new Operation(id, (kind < 90) ? Operation.Kind.KEYED : Operation.Kind.UNKEYED, id, crashes);
 	}
 
-	private void sendEverywhere(Operation operation) {
-		this.world.entries().forEach((entry) -> sendTo(entry, operation, MAX_SENDINGS));
+	private void submitToAllEntries(Operation operation) {
+		this.simulation.entries().forEach((entry) -> submitTo(entry, operation, LAST_SUBMISSION));
 	}
 
-	private void send(Operation operation, int number) {
-		EntryNode entry = this.world.entries().get(this.random.nextInt(this.world.entries().size()));
-		sendTo(entry, operation, number);
-		if (this.random.nextInt(20) == 0 && number < MAX_SENDINGS) {
-			this.world.after(Duration.ofNanos(1_000L * this.random.nextInt(50_000)),
-					() -> send(operation, MAX_SENDINGS));
+	private void submit(Operation operation, int submission) {
+		EntryNode entry = this.simulation.entries().get(this.random.nextInt(this.simulation.entries().size()));
+		submitTo(entry, operation, submission);
+		if (this.random.nextInt(20) == 0 && submission < LAST_SUBMISSION) {
+			this.simulation.after(Duration.ofNanos(1_000L * this.random.nextInt(50_000)),
+					() -> submit(operation, LAST_SUBMISSION));
 		}
 	}
 
-	private void sendTo(EntryNode entry, Operation operation, int number) {
+	private void submitTo(EntryNode entry, Operation operation, int submission) {
 		RequestId id = RequestId.of(operation.id() + "-" + this.sendings);
 		this.sendings++;
 		this.open++;
-		entry.accept(new Sending(id, operation, (sending) -> ended(sending, number)));
+		entry.accept(new Sending(id, operation, (sending) -> handleEnd(sending, submission)));
 		if (this.random.nextInt(CANCEL_ONE_IN) == 0) {
-			this.world.after(Duration.ofNanos(1_000L * this.random.nextInt(40_000)),
+			this.simulation.after(Duration.ofNanos(1_000L * this.random.nextInt(40_000)),
 					() -> entry.handle(new CallerCancelled(id)));
 		}
 	}
 
-	private void ended(Sending sending, int number) {
+	private void handleEnd(Sending sending, int submission) {
 		this.open--;
-		sending.outcome().ifPresent((outcome) -> this.world.observer().told(sending));
-		boolean satisfied = sending.outcome().filter((outcome) -> outcome == Outcome.COMPLETED).isPresent();
-		if (!satisfied && number < MAX_SENDINGS && this.random.nextInt(10) < 7) {
-			this.world.after(Duration.ofNanos(1_000L * this.random.nextInt(1, 300_000)),
-					() -> send(sending.operation(), number + 1));
+		sending.outcome().ifPresent((outcome) -> this.simulation.observer().told(sending));
+		boolean completed = sending.outcome().filter((outcome) -> outcome == Outcome.COMPLETED).isPresent();
+		if (!completed && submission < LAST_SUBMISSION && this.random.nextInt(10) < 7) {
+			this.simulation.after(Duration.ofNanos(1_000L * this.random.nextInt(1, 300_000)),
+					() -> submit(sending.operation(), submission + 1));
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomFaults.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomFaults.java
@@ -8,7 +8,7 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Random faults of processes, backend servers and the network.
+ * Injects random faults into processes, backend servers and the network.
  */
 final class RandomFaults implements Faults, Network {
 
@@ -20,22 +20,23 @@
 
 	private static final int FIRST_CRASH_ONE_IN = 4;
 
-	private static final int BROKEN_ONE_IN = 2_000;
+	private static final int ABORT_ONE_IN = 2_000;
 
-	private static final double LOST = 0.002;
+	private static final double LOSS_PROBABILITY = 0.002;
 
-	private static final double DOUBLED = 0.005;
+	private static final double DUPLICATION_PROBABILITY = 0.005;
 
-	private static final double LATE = 0.01;
+	/** Probability of any delay above the usual one. */
+	private static final double LATE_PROBABILITY = 0.01;
 
-	private static final double VERY_LATE = 0.001;
+	private static final double VERY_LATE_PROBABILITY = 0.001;
 
 	private final RandomGenerator random;
 
-	/** Crashes by the kind of event that was handled last. */
+	/** The number of crashes after each kind of event, keyed by process and event. */
 	private final Map<String, Integer> crashes = new TreeMap<>();
 
-	private boolean cut;
+	private boolean partitioned;
 
 	private boolean enabled = true;
 
@@ -43,13 +44,13 @@
 		this.random = random;
 	}
 
-	void cut(boolean now) {
-		this.cut = now;
+	void cut(boolean enabled) {
+		this.partitioned = enabled;
 	}
 
 	void disable() {
 		this.enabled = false;
-		this.cut = false;
+		this.partitioned = false;
 	}
 
 	Map<String, Integer> crashes() {
@@ -58,22 +59,22 @@
 
 	@Override
 	public boolean crashesEntry(Class<?> event) {
-		return crashes("entry", event, ENTRY_CRASH_ONE_IN);
+		return crashesAfter("entry", event, ENTRY_CRASH_ONE_IN);
 	}
 
 	@Override
 	public boolean crashesSidecar(Class<?> event) {
-		return crashes("sidecar", event, SIDECAR_CRASH_ONE_IN);
+		return crashesAfter("sidecar", event, SIDECAR_CRASH_ONE_IN);
 	}
 
 	@Override
 	public boolean crashesBackend(Class<?> event) {
-		return crashes("backend", event, BACKEND_CRASH_ONE_IN);
+		return crashesAfter("backend", event, BACKEND_CRASH_ONE_IN);
 	}
 
 	@Override
 	public boolean breaksAnswer() {
-		return this.enabled && this.random.nextInt(BROKEN_ONE_IN) == 0;
+		return this.enabled && this.random.nextInt(ABORT_ONE_IN) == 0;
 	}
 
 	@Override
@@ -87,39 +88,40 @@
 			return List.of();
 		}
 		if (!this.enabled) {
-			return List.of(usual());
+			return List.of(usualDelay());
 		}
-		boolean apart = this.cut && from.region() != to.region();
-		if (apart || this.random.nextDouble() < LOST) {
+		boolean separated = this.partitioned && from.region() != to.region();
+		if (separated || this.random.nextDouble() < LOSS_PROBABILITY) {
 			return List.of();
 		}
-		List<Duration> copies = new ArrayList<>(List.of(delay()));
-		if (this.random.nextDouble() < DOUBLED) {
-			copies.add(delay());
+		List<Duration> copies = new ArrayList<>(List.of(randomDelay()));
+		if (this.random.nextDouble() < DUPLICATION_PROBABILITY) {
+			copies.add(randomDelay());
 		}
 		return copies;
 	}
 
-	private boolean crashes(String node, Class<?> event, int oneIn) {
-		// A crash follows each kind of event early, also those that arise rarely.
-		int seen = this.crashes.merge(node + ":" + event.getSimpleName(), 0, Integer::sum);
-		int odds = (seen == 0) ? FIRST_CRASH_ONE_IN : oneIn;
-		boolean crash = this.enabled && this.random.nextInt(odds) == 0;
+	private boolean crashesAfter(String node, Class<?> event, int oneIn) {
+		// The probability is high until the first crash, so that the run also covers
+		// crashes after rare events.
+		int crashesSoFar = this.crashes.merge(node + ":" + event.getSimpleName(), 0, Integer::sum);
+		int currentOneIn = (crashesSoFar == 0) ? FIRST_CRASH_ONE_IN : oneIn;
+		boolean crash = this.enabled && this.random.nextInt(currentOneIn) == 0;
 		if (crash) {
 			this.crashes.merge(node + ":" + event.getSimpleName(), 1, Integer::sum);
 		}
 		return crash;
 	}
 
-	private Duration delay() {
-		double kind = this.random.nextDouble();
-		if (kind < VERY_LATE) {
+	private Duration randomDelay() {
+		double draw = this.random.nextDouble();
+		if (draw < VERY_LATE_PROBABILITY) {
 			return Duration.ofMillis(this.random.nextInt(300, 4_000));
 		}
-		return (kind < LATE) ? Duration.ofMillis(this.random.nextInt(5, 100)) : usual();
+		return (draw < LATE_PROBABILITY) ? Duration.ofMillis(this.random.nextInt(5, 100)) : usualDelay();
 	}
 
-	private Duration usual() {
+	private Duration usualDelay() {
 		return Duration.ofNanos(1_000L * this.random.nextInt(100, 2_000));
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RequestRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RequestRun.java
@@ -21,23 +21,24 @@
 import org.comfreywall.sidecar.attempt.AttemptEvent;
 
 /**
- * Runs entries, sidecars and ledgers together under random faults and checks from outside
- * what must always hold.
+ * Simulates entries, sidecars and ledgers under random faults and checks the safety rules
+ * of request handling.
  */
 public final class RequestRun implements Measurement {
 
-	/** The number of sendings when none is given. */
+	/** The number of submissions if the options set none. */
 	static final long DEFAULT_STEPS = 120_000;
 
+	/** The time after the last new operation in which all submissions must end. */
 	private static final Duration SETTLE_TIME = Duration.ofSeconds(30);
 
-	private static final Duration SLICE = Duration.ofSeconds(1);
+	private static final Duration TIME_SLICE = Duration.ofSeconds(1);
 
 	private RandomFaults faults;
 
 	private RandomGenerator random;
 
-	private World world;
+	private World simulation;
 
 	private RandomCallers callers;
 
@@ -52,22 +53,22 @@
 	void run(long seed, long steps) {
 		this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
 		this.faults = new RandomFaults(this.random);
-		this.world = new World(this.faults, this.observer, this.faults);
-		List.of("e1", "e2", "e3").forEach((name) -> this.world.addEntry(name, 0));
-		this.world.addEntry("e4", 1);
-		List.of("s1", "s2", "s3", "s4").forEach((name) -> this.world.addSidecar(name, 0));
-		this.world.addSidecar("s5", 1);
-		this.callers = new RandomCallers(this.world, this.random, steps);
-		this.world.after(SLICE, this.callers::arrive);
-		drainSometimes();
-		cutSometimes();
-		silenceSometimes();
-		clearSometimes();
+		this.simulation = new World(this.faults, this.observer, this.faults);
+		List.of("e1", "e2", "e3").forEach((name) -> this.simulation.addEntry(name, 0));
+		this.simulation.addEntry("e4", 1);
+		List.of("s1", "s2", "s3", "s4").forEach((name) -> this.simulation.addSidecar(name, 0));
+		this.simulation.addSidecar("s5", 1);
+		this.callers = new RandomCallers(this.simulation, this.random, steps);
+		this.simulation.after(TIME_SLICE, this.callers::arrive);
+		scheduleDrains();
+		schedulePartitions();
+		scheduleBlackholesAndStalls();
+		scheduleQuarantineReviews();
 		while (!this.callers.isFinished()) {
-			this.world.runUntil(this.world.now() + SLICE.toNanos());
+			this.simulation.runUntil(this.simulation.now() + TIME_SLICE.toNanos());
 		}
 		this.faults.disable();
-		this.world.runUntil(this.world.now() + SETTLE_TIME.toNanos());
+		this.simulation.runUntil(this.simulation.now() + SETTLE_TIME.toNanos());
 	}
 
 	Observer observer() {
@@ -79,29 +80,30 @@
 	}
 
 	long invariantBreaches() {
-		return this.world.invariants().violations();
+		return this.simulation.invariants().violations();
 	}
 
 	/**
-	 * Returns the kinds of events after which a process never crashed.
-	 * @return the names of the events
+	 * Returns the kinds of events after which no crash was injected. The run covers all
+	 * crash points if there are none.
+	 * @return process and event, such as {@code entry:TimePassed}
 	 */
 	Set<String> eventsWithoutCrash() {
-		Set<String> missing = names("entry:", RequestEvent.class);
-		missing.addAll(names("sidecar:", AttemptEvent.class));
-		missing.addAll(names("backend:", AttemptEvent.class));
+		Set<String> uncovered = eventNames("entry:", RequestEvent.class);
+		uncovered.addAll(eventNames("sidecar:", AttemptEvent.class));
+		uncovered.addAll(eventNames("backend:", AttemptEvent.class));
 		this.faults.crashes().forEach((event, count) -> {
 			if (count > 0) {
-				missing.remove(event);
+				uncovered.remove(event);
 			}
 		});
-		// The backend server is down already when its sidecar handles these.
-		missing.remove("backend:BackendCrashed");
-		missing.remove("backend:RunRefused");
-		return missing;
+		// The backend server is already down when its sidecar handles these events.
+		uncovered.remove("backend:BackendCrashed");
+		uncovered.remove("backend:RunRefused");
+		return uncovered;
 	}
 
-	private static Set<String> names(String prefix, Class<?> events) {
+	private static Set<String> eventNames(String prefix, Class<?> events) {
 		return Arrays.stream(events.getPermittedSubclasses())
 			.map((event) -> prefix + event.getSimpleName())
 			.collect(Collectors.toCollection(TreeSet::new));
@@ -116,7 +118,7 @@
 				Field.of("unknown", this.observer.outcomes(Outcome.UNKNOWN)), Field.of("open", open()),
 				Field.of("crashes", crashes), Field.of("worst-lost", this.observer.worstLost()),
 				Field.of("events-without-crash", eventsWithoutCrash()),
-				Field.of("virtual-seconds", this.world.now() / 1_000_000_000));
+				Field.of("virtual-seconds", this.simulation.now() / 1_000_000_000));
 		this.observer.notes().forEach((note) -> reporter.result("breach", Field.of("what", note)));
 		for (Observer.Rule rule : Observer.Rule.values()) {
 			reporter.atMost(rule.name().toLowerCase(Locale.ROOT).replace('_', '-'), this.observer.breaches(rule), 0);
@@ -126,49 +128,49 @@
 		reporter.atMost("events-without-crash", eventsWithoutCrash().size(), 0);
 	}
 
-	private void drainSometimes() {
-		this.world.after(wait(2, 8), () -> {
-			pick(this.world.sidecars()).drain();
-			drainSometimes();
+	private void scheduleDrains() {
+		this.simulation.after(randomDuration(2, 8), () -> {
+			pickRandom(this.simulation.sidecars()).drain();
+			scheduleDrains();
 		});
 	}
 
-	private void cutSometimes() {
-		this.world.after(wait(15, 40), () -> {
-			Duration length = wait(1, 6);
+	private void schedulePartitions() {
+		this.simulation.after(randomDuration(15, 40), () -> {
+			Duration length = randomDuration(1, 6);
 			this.callers.holdPoison(length.plusSeconds(10));
-			this.world.after(Duration.ofSeconds(9), () -> this.faults.cut(true));
-			this.world.after(length.plusSeconds(9), () -> this.faults.cut(false));
-			cutSometimes();
+			this.simulation.after(Duration.ofSeconds(9), () -> this.faults.cut(true));
+			this.simulation.after(length.plusSeconds(9), () -> this.faults.cut(false));
+			schedulePartitions();
 		});
 	}
 
-	private void silenceSometimes() {
-		this.world.after(wait(1, 3), () -> {
-			pick(this.world.entries()).silence(pick(this.world.sidecars()).name());
-			pick(this.world.sidecars()).stall(wait(0, 2));
-			silenceSometimes();
+	private void scheduleBlackholesAndStalls() {
+		this.simulation.after(randomDuration(1, 3), () -> {
+			pickRandom(this.simulation.entries()).silence(pickRandom(this.simulation.sidecars()).name());
+			pickRandom(this.simulation.sidecars()).stall(randomDuration(0, 2));
+			scheduleBlackholesAndStalls();
 		});
 	}
 
-	private void clearSometimes() {
-		this.world.after(Duration.ofSeconds(10), () -> {
-			LedgerNode ledger = this.world.ledger();
+	private void scheduleQuarantineReviews() {
+		this.simulation.after(Duration.ofSeconds(10), () -> {
+			LedgerNode ledger = this.simulation.ledger();
 			for (PoisonEntry entry : ledger.poison().snapshot().entries()) {
 				if (ledger.poison().assess(entry.fingerprint()) == PoisonVerdict.QUARANTINED
 						&& this.callers.isInnocent(entry.fingerprint())) {
 					ledger.poison().clear(entry.fingerprint(), ledger.logTime());
 				}
 			}
-			clearSometimes();
+			scheduleQuarantineReviews();
 		});
 	}
 
-	private Duration wait(int atLeastSeconds, int atMostSeconds) {
-		return Duration.ofMillis(this.random.nextInt(atLeastSeconds * 1_000, atMostSeconds * 1_000));
+	private Duration randomDuration(int minSeconds, int maxSeconds) {
+		return Duration.ofMillis(this.random.nextInt(minSeconds * 1_000, maxSeconds * 1_000));
 	}
 
-	private <T> T pick(List<T> items) {
+	private <T> T pickRandom(List<T> items) {
 		return items.get(this.random.nextInt(items.size()));
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/ScriptedFaults.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/ScriptedFaults.java
@@ -4,30 +4,31 @@
 import java.util.List;
 
 /**
- * The faults of a trace: none but those that the trace names.
+ * Injects only the network faults that a trace specifies. Crashes in a trace act on the
+ * processes directly.
  */
 final class ScriptedFaults implements Faults, Network {
 
-	private static final Duration DELAY = Duration.ofMillis(1);
+	private static final Duration BASE_DELAY = Duration.ofMillis(1);
 
 	private static final Duration PART_TIME = Duration.ofMillis(5);
 
-	private Duration lateness = Duration.ZERO;
+	private Duration extraDelay = Duration.ZERO;
 
-	private boolean cut;
+	private boolean partitioned;
 
-	private boolean doubled;
+	private boolean duplicating;
 
-	void delayMessages(Duration by) {
-		this.lateness = by;
+	void delayMessages(Duration delay) {
+		this.extraDelay = delay;
 	}
 
 	void doubleMessages(boolean enabled) {
-		this.doubled = enabled;
+		this.duplicating = enabled;
 	}
 
 	void cut(boolean enabled) {
-		this.cut = enabled;
+		this.partitioned = enabled;
 	}
 
 	@Override
@@ -60,11 +61,11 @@
 		if (RandomFaults.isSilent(from, to) || RandomFaults.isSilent(to, from)) {
 			return List.of();
 		}
-		if (this.cut && from.region() != to.region()) {
+		if (this.partitioned && from.region() != to.region()) {
 			return List.of();
 		}
-		Duration delay = DELAY.plus(this.lateness);
-		return this.doubled ? List.of(delay, delay.plus(DELAY)) : List.of(delay);
+		Duration delay = BASE_DELAY.plus(this.extraDelay);
+		return this.duplicating ? List.of(delay, delay.plus(BASE_DELAY)) : List.of(delay);
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Sending.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Sending.java
@@ -11,7 +11,8 @@
 import org.comfreywall.common.result.Outcome;
 
 /**
- * One time that a caller sends an operation, as the caller sees it.
+ * One submission of an operation to an entry, as observed by the caller. A caller may
+ * submit the same operation several times, each time under a new request identifier.
  */
 final class Sending {
 
@@ -53,8 +54,8 @@
 		}
 	}
 
-	void complete(Outcome told) {
-		this.outcome = Optional.of(told);
+	void complete(Outcome reported) {
+		this.outcome = Optional.of(reported);
 		this.listener.accept(this);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/SidecarNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/SidecarNode.java
@@ -44,40 +44,41 @@
 import org.comfreywall.sidecar.attempt.TimePassed;
 
 /**
- * A sidecar with the real registry of attempts, beside a stand-in backend server.
+ * A simulated sidecar, with the real {@link AttemptRegistry} and a fake backend server.
  */
 final class SidecarNode extends Node {
 
 	static final AttemptRegistrySettings SETTINGS = new AttemptRegistrySettings(Duration.ofMillis(500), 4,
 			Duration.ofHours(27), Duration.ofSeconds(1), 20_000, 1_000_000, 400, 4L * 1024 * 1024);
 
-	private static final Duration PUBLISH_TIME = Duration.ofMillis(50);
+	private static final Duration PUBLISH_INTERVAL = Duration.ofMillis(50);
 
-	private static final Duration RESTART_TIME = Duration.ofMillis(150);
+	private static final Duration RESTART_DELAY = Duration.ofMillis(150);
 
-	private static final Duration LEAVING_TIME = Duration.ofSeconds(2);
+	/** The time after the start of a drain in which runs may still be started. */
+	private static final Duration DRAIN_GRACE_PERIOD = Duration.ofSeconds(2);
 
-	private final World world;
+	private final World simulation;
 
 	private final BackendServerId server;
 
 	private final Map<AttemptId, Operation> operations = new HashMap<>();
 
-	private final Set<AttemptId> runs = new HashSet<>();
+	private final Set<AttemptId> runningAttempts = new HashSet<>();
 
 	private AttemptRegistry registry;
 
 	private boolean backendUp = true;
 
-	private long backendLife;
+	private long backendIncarnation;
 
 	private boolean stalled;
 
-	private long drainedAt = Long.MAX_VALUE;
+	private long drainStartedAt = Long.MAX_VALUE;
 
-	SidecarNode(World world, String name, int region) {
+	SidecarNode(World simulation, String name, int region) {
 		super(name, region);
-		this.world = world;
+		this.simulation = simulation;
 		this.server = BackendServerId.of(name);
 		this.registry = createRegistry();
 	}
@@ -91,7 +92,7 @@
 	}
 
 	int running() {
-		return this.runs.size();
+		return this.runningAttempts.size();
 	}
 
 	void start(StartReceived event, Operation operation) {
@@ -103,12 +104,12 @@
 		if (!isAlive()) {
 			return;
 		}
-		this.registry.handle(event, this.world.now()).forEach(this::carryOut);
+		this.registry.handle(event, this.simulation.now()).forEach(this::execute);
 		Class<?> kind = event.getClass();
-		if (isAlive() && this.backendUp && this.world.faults().crashesBackend(kind)) {
+		if (isAlive() && this.backendUp && this.simulation.faults().crashesBackend(kind)) {
 			crashBackend();
 		}
-		if (isAlive() && this.world.faults().crashesSidecar(kind)) {
+		if (isAlive() && this.simulation.faults().crashesSidecar(kind)) {
 			crash();
 		}
 	}
@@ -118,60 +119,60 @@
 			receive(new TimePassed());
 			AttemptTarget target = new AttemptTarget(this.server, incarnation(), this.registry.window());
 			boolean draining = this.registry.isDraining();
-			for (EntryNode entry : this.world.entries()) {
-				this.world.send(this, entry, () -> entry.heard(target, draining));
+			for (EntryNode entry : this.simulation.entries()) {
+				this.simulation.send(this, entry, () -> entry.heard(target, draining));
 			}
 		}
-		this.world.after(PUBLISH_TIME, this::publish);
+		this.simulation.after(PUBLISH_INTERVAL, this::publish);
 	}
 
 	void drain() {
-		this.drainedAt = Math.min(this.drainedAt, this.world.now());
+		this.drainStartedAt = Math.min(this.drainStartedAt, this.simulation.now());
 		receive(new DrainStarted());
 	}
 
 	void crash() {
 		stop();
-		crashRuns();
-		this.world.after(RESTART_TIME, this::comeBack);
+		abortRuns();
+		this.simulation.after(RESTART_DELAY, this::restartProcess);
 	}
 
 	void crashBackend() {
 		this.backendUp = false;
-		crashRuns();
-		this.world.afterIfSame(this, RESTART_TIME, () -> this.backendUp = true);
+		abortRuns();
+		this.simulation.afterIfSame(this, RESTART_DELAY, () -> this.backendUp = true);
 		receive(new BackendCrashed());
 	}
 
 	void stall(Duration duration) {
 		this.stalled = true;
-		this.world.after(duration, () -> this.stalled = false);
+		this.simulation.after(duration, () -> this.stalled = false);
 	}
 
-	private void crashRuns() {
-		this.runs.clear();
-		this.backendLife++;
+	private void abortRuns() {
+		this.runningAttempts.clear();
+		this.backendIncarnation++;
 	}
 
-	private void comeBack() {
+	private void restartProcess() {
 		restart();
 		this.backendUp = true;
-		this.drainedAt = Long.MAX_VALUE;
+		this.drainStartedAt = Long.MAX_VALUE;
 		this.operations.clear();
 		this.registry = createRegistry();
 	}
 
 	private AttemptRegistry createRegistry() {
-		return new AttemptRegistry(this.server, incarnation(), SETTINGS, this.world.invariants(),
-				(record) -> this.world.listener().onDecision(record), this.world.now());
+		return new AttemptRegistry(this.server, incarnation(), SETTINGS, this.simulation.invariants(),
+				(record) -> this.simulation.listener().onDecision(record), this.simulation.now());
 	}
 
-	private void carryOut(AttemptCommand command) {
+	private void execute(AttemptCommand command) {
 		if (command instanceof StartRun start) {
 			startRun(start.attempt());
 		}
 		else if (command instanceof CancelRun cancel) {
-			this.runs.remove(cancel.attempt());
+			this.runningAttempts.remove(cancel.attempt());
 		}
 		else if (command instanceof SendStarted started) {
 			reply(started.link(), new StartedReceived(started.attempt(), this.server, incarnation()));
@@ -191,75 +192,75 @@
 					new RefusalReceived(refusal.attempt(), this.server, refusal.incarnation(), refusal.refusal()));
 		}
 		else if (command instanceof ReportCrash report) {
-			this.world.ledger()
+			this.simulation.ledger()
 				.callUntilAnswered(this,
 						LedgerNode.none((ledger) -> ledger.poison().recordCrash(report.report(), ledger.logTime())),
-						(done) -> {
+						(result) -> {
 						});
 		}
 		else if (command instanceof FinishDrain) {
-			this.world.observer().interrupted(name(), this.runs.size());
+			this.simulation.observer().interrupted(name(), this.runningAttempts.size());
 			crash();
 		}
 	}
 
 	private void reply(EntryLink link, RequestEvent event) {
-		EntryNode entry = this.world.entry(link.entry().value());
-		this.world.send(this, entry, () -> entry.handle(event));
+		EntryNode entry = this.simulation.entry(link.entry().value());
+		this.simulation.send(this, entry, () -> entry.handle(event));
 	}
 
 	private void startRun(AttemptId attempt) {
 		if (!this.backendUp) {
-			this.world.afterIfSame(this, Duration.ofMillis(1), () -> receive(new RunRefused(attempt)));
+			this.simulation.afterIfSame(this, Duration.ofMillis(1), () -> receive(new RunRefused(attempt)));
 			return;
 		}
-		boolean late = this.world.now() - LEAVING_TIME.toNanos() > this.drainedAt;
-		this.world.observer().started(attempt.request(), late);
-		this.runs.add(attempt);
+		boolean afterDrainGrace = this.simulation.now() - DRAIN_GRACE_PERIOD.toNanos() > this.drainStartedAt;
+		this.simulation.observer().started(attempt.request(), afterDrainGrace);
+		this.runningAttempts.add(attempt);
 		Operation operation = this.operations.get(attempt);
 		if (operation.poison()) {
-			ifRunning(attempt, () -> {
-				this.world.observer().lost(attempt.request());
+			scheduleIfRunning(attempt, () -> {
+				this.simulation.observer().lost(attempt.request());
 				crashBackend();
 			});
 		}
 		else {
-			produce(attempt, operation, 0);
+			schedulePart(attempt, operation, 0);
 		}
 	}
 
-	private void produce(AttemptId attempt, Operation operation, int index) {
-		ifRunning(attempt, () -> {
+	private void schedulePart(AttemptId attempt, Operation operation, int index) {
+		scheduleIfRunning(attempt, () -> {
 			if (this.stalled) {
-				produce(attempt, operation, index);
+				schedulePart(attempt, operation, index);
 				return;
 			}
-			if (this.world.faults().breaksAnswer()) {
-				this.runs.remove(attempt);
+			if (this.simulation.faults().breaksAnswer()) {
+				this.runningAttempts.remove(attempt);
 				receive(new RunBroken(attempt));
 				return;
 			}
 			boolean last = index > Operation.CHUNKS;
 			if (last) {
-				this.runs.remove(attempt);
+				this.runningAttempts.remove(attempt);
 			}
-			receive(new PartProduced(attempt, part(operation, index)));
+			receive(new PartProduced(attempt, answerPart(operation, index)));
 			if (!last) {
-				produce(attempt, operation, index + 1);
+				schedulePart(attempt, operation, index + 1);
 			}
 		});
 	}
 
-	private void ifRunning(AttemptId attempt, Runnable action) {
-		long life = this.backendLife;
-		this.world.after(this.world.faults().partTime(), () -> {
-			if (this.backendLife == life && this.runs.contains(attempt)) {
+	private void scheduleIfRunning(AttemptId attempt, Runnable action) {
+		long incarnation = this.backendIncarnation;
+		this.simulation.after(this.simulation.faults().partTime(), () -> {
+			if (this.backendIncarnation == incarnation && this.runningAttempts.contains(attempt)) {
 				action.run();
 			}
 		});
 	}
 
-	private static AnswerPart part(Operation operation, int index) {
+	private static AnswerPart answerPart(Operation operation, int index) {
 		if (index == 0) {
 			return new AnswerHead(200, "text/plain");
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/TraceReplay.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/TraceReplay.java
@@ -10,15 +10,20 @@
 import org.comfreywall.common.id.RequestId;
 
 /**
- * Replays a trace through the real cores and compares the outcomes with the stated ones.
+ * Replays a trace of requests and faults in the simulation and compares the results with
+ * the expectations in the trace.
  * <p>
- * Each line is {@code TIME VERB ARGUMENTS}, with the time in milliseconds after the
- * start, or {@code expect ARGUMENTS} for the state at the end; {@code #} starts a
- * comment.
+ * A line is either {@code TIME VERB ARGUMENTS}, where {@code TIME} is in milliseconds
+ * after the start, or {@code expect ARGUMENTS}, which is checked after the replay.
+ * {@code #} starts a comment.
  */
 final class TraceReplay {
 
-	/** Until then the guards know that no former guard knew a loss. */
+	/**
+	 * Offset of all events except those at time 0. It must exceed the flight time of the
+	 * single-flight guards: until then, a new guard refers requests with unknown
+	 * fingerprints to the poison ledger.
+	 */
 	private static final long START_MILLIS = 2_000;
 
 	private static final long END_MILLIS = 22_000;
@@ -27,7 +32,7 @@
 
 	private final Observer observer = new Observer();
 
-	private final World world = new World(this.faults, this.observer, this.faults);
+	private final World simulation = new World(this.faults, this.observer, this.faults);
 
 	private final Map<String, Sending> sendings = new HashMap<>();
 
@@ -38,76 +43,78 @@
 	/**
 	 * Replays a trace.
 	 * @param lines the lines of the trace
-	 * @return how the replay differs from the stated outcomes; empty if it does not
+	 * @return each difference from an expectation and each violated safety rule; empty if
+	 * there are none
 	 */
 	List<String> replay(List<String> lines) {
 		List<String[]> expectations = new ArrayList<>();
 		for (String line : lines) {
 			String text = line.replaceFirst("#.*", "").trim();
-			String[] words = text.split("\\s+");
+			String[] fields = text.split("\\s+");
 			if (text.startsWith("expect")) {
-				expectations.add(words);
+				expectations.add(fields);
 			}
 			else if (!text.isEmpty()) {
-				long millis = Long.parseLong(words[0]);
-				this.world.after(Duration.ofMillis((millis > 0) ? millis + START_MILLIS : 0), () -> step(words));
+				long millis = Long.parseLong(fields[0]);
+				this.simulation.after(Duration.ofMillis((millis > 0) ? millis + START_MILLIS : 0),
+						() -> execute(fields));
 			}
 		}
-		this.world.runUntil(Duration.ofMillis(END_MILLIS).toNanos());
-		expectations.forEach(this::check);
+		this.simulation.runUntil(Duration.ofMillis(END_MILLIS).toNanos());
+		expectations.forEach(this::checkExpectation);
 		this.differences.addAll(this.observer.notes());
 		return this.differences;
 	}
 
-	private void step(String[] words) {
-		String subject = words[2];
-		switch (words[1]) {
-			case "entry" -> this.world.addEntry(subject, Integer.parseInt(words[3]));
-			case "server" -> this.world.addSidecar(subject, Integer.parseInt(words[3]));
-			case "send" -> send(subject, words);
-			case "crash-entry" -> this.world.entry(subject).crash();
-			case "crash-sidecar" -> this.world.sidecar(subject).crash();
-			case "crash-backend" -> this.world.sidecar(subject).crashBackend();
-			case "drain" -> this.world.sidecar(subject).drain();
-			case "silence" -> this.world.entry(subject).silence(words[3]);
-			case "stall" -> this.world.sidecar(subject).stall(Duration.ofMillis(Long.parseLong(words[3])));
+	private void execute(String[] fields) {
+		String subject = fields[2];
+		switch (fields[1]) {
+			case "entry" -> this.simulation.addEntry(subject, Integer.parseInt(fields[3]));
+			case "server" -> this.simulation.addSidecar(subject, Integer.parseInt(fields[3]));
+			case "send" -> submit(subject, fields);
+			case "crash-entry" -> this.simulation.entry(subject).crash();
+			case "crash-sidecar" -> this.simulation.sidecar(subject).crash();
+			case "crash-backend" -> this.simulation.sidecar(subject).crashBackend();
+			case "drain" -> this.simulation.sidecar(subject).drain();
+			case "silence" -> this.simulation.entry(subject).silence(fields[3]);
+			case "stall" -> this.simulation.sidecar(subject).stall(Duration.ofMillis(Long.parseLong(fields[3])));
 			case "late" -> this.faults.delayMessages(Duration.ofMillis(Long.parseLong(subject)));
 			case "doubled" -> this.faults.doubleMessages(subject.equals("on"));
 			case "cut" -> this.faults.cut(subject.equals("on"));
-			default -> this.differences.add("unknown verb " + words[1]);
+			default -> this.differences.add("unknown verb " + fields[1]);
 		}
 	}
 
-	private void send(String name, String[] words) {
-		Operation operation = this.operations.computeIfAbsent(words[3], (id) -> {
-			boolean poison = words.length > 6 && words[6].equals("poison");
-			Operation.Kind kind = Operation.Kind.valueOf(words[4].toUpperCase(Locale.ROOT));
+	private void submit(String name, String[] fields) {
+		Operation operation = this.operations.computeIfAbsent(fields[3], (id) -> {
+			boolean poison = fields.length > 6 && fields[6].equals("poison");
+			Operation.Kind kind = Operation.Kind.valueOf(fields[4].toUpperCase(Locale.ROOT));
 			return new Operation(id, kind, id, poison);
 		});
-		Sending sending = new Sending(RequestId.of(name), operation, this::ended);
+		Sending sending = new Sending(RequestId.of(name), operation, this::recordOutcome);
 		this.sendings.put(name, sending);
-		this.world.entry(words[5]).accept(sending);
+		this.simulation.entry(fields[5]).accept(sending);
 	}
 
-	private void ended(Sending sending) {
+	private void recordOutcome(Sending sending) {
 		if (sending.outcome().isPresent()) {
 			this.observer.told(sending);
 		}
 	}
 
-	private void check(String[] words) {
-		String actual = switch (words[1]) {
-			case "outcome" -> outcome(this.sendings.get(words[2]));
-			case "runs" -> Integer.toString(this.observer.starts(this.operations.get(words[2])));
-			case "lost" -> Integer.toString(this.observer.lost(this.operations.get(words[2])));
+	private void checkExpectation(String[] fields) {
+		String actual = switch (fields[1]) {
+			case "outcome" -> outcomeName(this.sendings.get(fields[2]));
+			case "runs" -> Integer.toString(this.observer.starts(this.operations.get(fields[2])));
+			case "lost" -> Integer.toString(this.observer.crashCount(this.operations.get(fields[2])));
 			default -> "unknown expectation";
 		};
-		if (!actual.equals(words[3])) {
-			this.differences.add(String.join(" ", words) + " but was " + actual);
+		if (!actual.equals(fields[3])) {
+			this.differences.add(String.join(" ", fields) + " but was " + actual);
 		}
 	}
 
-	private static String outcome(Sending sending) {
+	private static String outcomeName(Sending sending) {
 		if (sending.isAbandoned()) {
 			return "broken";
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/World.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/World.java
@@ -11,11 +11,13 @@
 import org.comfreywall.common.invariant.Invariants;
 
 /**
- * Virtual time, the network and all processes.
+ * Discrete-event simulation of the network, the entries, the sidecars and the ledgers. It
+ * is single-threaded, and actions due at the same time run in the order in which they
+ * were scheduled.
  */
 final class World {
 
-	private final PriorityQueue<Timed> queue = new PriorityQueue<>();
+	private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
 
 	private final Network network;
 
@@ -39,17 +41,17 @@
 
 	private long now;
 
-	private long order;
+	private long nextSequence;
 
-	World(Network network, Observer observer, Faults faults) {
+	World(Network network, Observer ruleChecker, Faults faults) {
 		this.network = network;
-		this.observer = observer;
+		this.observer = ruleChecker;
 		this.faults = faults;
 		this.ledger = new LedgerNode(this);
 	}
 
-	void listenTo(DecisionListener decisions) {
-		this.listener = decisions;
+	void listenTo(DecisionListener listener) {
+		this.listener = listener;
 	}
 
 	EntryNode addEntry(String name, int region) {
@@ -108,10 +110,10 @@
 	}
 
 	/**
-	 * Sends a message; each copy arrives if the receiver is alive then.
+	 * Sends a message. Each copy is delivered if the receiver runs when it arrives.
 	 * @param from the sender
 	 * @param to the receiver
-	 * @param action what the receiver does with each copy
+	 * @param action handles one copy at the receiver
 	 */
 	void send(Node from, Node to, Runnable action) {
 		for (Duration delay : this.network.plan(from, to)) {
@@ -124,39 +126,40 @@
 	}
 
 	/**
-	 * Runs an action unless the process has stopped or restarted until then.
+	 * Runs an action after a delay unless the process has stopped or restarted by then.
 	 * @param node the process
-	 * @param delay how long to wait
+	 * @param delay the delay in virtual time
 	 * @param action the action
 	 */
 	void afterIfSame(Node node, Duration delay, Runnable action) {
-		long life = node.life();
+		long incarnation = node.life();
 		after(delay, () -> {
-			if (node.isAlive() && node.life() == life) {
+			if (node.isAlive() && node.life() == incarnation) {
 				action.run();
 			}
 		});
 	}
 
 	void after(Duration delay, Runnable action) {
-		this.queue.add(new Timed(this.now + delay.toNanos(), this.order++, action));
+		this.queue.add(new ScheduledAction(this.now + delay.toNanos(), this.nextSequence++, action));
 	}
 
 	void runUntil(long time) {
-		while (!this.queue.isEmpty() && this.queue.peek().at() <= time) {
-			Timed next = this.queue.poll();
-			this.now = next.at();
+		while (!this.queue.isEmpty() && this.queue.peek().timeNanos() <= time) {
+			ScheduledAction next = this.queue.poll();
+			this.now = next.timeNanos();
 			next.action().run();
 		}
 		this.now = Math.max(this.now, time);
 	}
 
-	private record Timed(long at, long order, Runnable action) implements Comparable<Timed> {
+	private record ScheduledAction(long timeNanos, long sequence,
+			Runnable action) implements Comparable<ScheduledAction> {
 
 		@Override
-		public int compareTo(Timed other) {
-			int byTime = Long.compare(this.at, other.at);
-			return (byTime != 0) ? byTime : Long.compare(this.order, other.order);
+		public int compareTo(ScheduledAction other) {
+			int byTime = Long.compare(this.timeNanos, other.timeNanos);
+			return (byTime != 0) ? byTime : Long.compare(this.sequence, other.sequence);
 		}
 
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/package-info.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Randomised run and trace replay of the life of requests, in virtual time.
+ * Simulates entries, sidecars and ledgers in virtual time to test request handling, with
+ * random faults or by replaying a recorded trace.
  */
 package org.comfreywall.bench.request;
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/request/RequestRunTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/request/RequestRunTests.java
@@ -6,7 +6,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Runs {@link RequestRun} with a fixed seed.
+ * Tests for {@link RequestRun}.
  */
 class RequestRunTests {
 
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/request/TraceReplayTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/request/TraceReplayTests.java
@@ -14,7 +14,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Replays the traces under the test resources.
+ * Tests for {@link TraceReplay}, with the traces in the test resources.
  */
 class TraceReplayTests {
 
