--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/EventQueue.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/EventQueue.java
@@ -4,33 +4,34 @@
 import java.util.PriorityQueue;
 
 /**
- * Runs actions in the order of their virtual time.
+ * Schedules actions in virtual time. Actions due at the same time run in the order in
+ * which they were scheduled.
  */
 final class EventQueue {
 
 	private final PriorityQueue<Entry> entries = new PriorityQueue<>(
-			Comparator.comparingLong(Entry::at).thenComparingLong(Entry::order));
+			Comparator.comparingLong(Entry::timeNanos).thenComparingLong(Entry::sequence));
 
 	private long now;
 
-	private long order;
+	private long lastSequence;
 
 	long now() {
 		return this.now;
 	}
 
 	void after(long delayNanos, Runnable action) {
-		this.order++;
-		this.entries.add(new Entry(this.now + delayNanos, this.order, action));
+		this.lastSequence++;
+		this.entries.add(new Entry(this.now + delayNanos, this.lastSequence, action));
 	}
 
 	void runNext() {
 		Entry next = this.entries.remove();
-		this.now = next.at();
+		this.now = next.timeNanos();
 		next.action().run();
 	}
 
-	private record Entry(long at, long order, Runnable action) {
+	private record Entry(long timeNanos, long sequence, Runnable action) {
 
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeCoordinator.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeCoordinator.java
@@ -12,27 +12,27 @@
 import org.comfreywall.group.mapswitch.WriteLedger;
 
 /**
- * A control instance that runs one term's coordinator and may die between any two of its
- * commands.
+ * Runs the {@link SwitchCoordinator} of one term and executes its commands. It can be
+ * made to crash between any two commands.
  */
 final class FakeCoordinator {
 
-	private final SwitchWorld world;
+	private final SwitchWorld simulation;
 
 	private final SwitchCoordinator core;
 
-	private long commandsLeft = Long.MAX_VALUE;
+	private long commandsUntilCrash = Long.MAX_VALUE;
 
-	private boolean diesBeforeCommit;
+	private boolean crashesBeforeCommit;
 
-	private boolean diesAfterCommit;
+	private boolean crashesAfterCommit;
 
 	private boolean alive = true;
 
-	FakeCoordinator(SwitchWorld world, Term term) {
-		this.world = world;
-		this.core = new SwitchCoordinator("group", term, world.ranks(), world.coordinatorSettings(),
-				DecisionListener.NONE, world.invariants());
+	FakeCoordinator(SwitchWorld simulation, Term term) {
+		this.simulation = simulation;
+		this.core = new SwitchCoordinator("group", term, simulation.ranks(), simulation.coordinatorSettings(),
+				DecisionListener.NONE, simulation.invariants());
 	}
 
 	void start() {
@@ -47,16 +47,20 @@
 		return this.alive;
 	}
 
+	/**
+	 * Schedules a crash.
+	 * @param commands the number of further commands to execute before the crash
+	 */
 	void dieAfter(long commands) {
-		this.commandsLeft = commands;
+		this.commandsUntilCrash = commands;
 	}
 
 	void dieBeforeCommit() {
-		this.diesBeforeCommit = true;
+		this.crashesBeforeCommit = true;
 	}
 
 	void dieAfterCommit() {
-		this.diesAfterCommit = true;
+		this.crashesAfterCommit = true;
 	}
 
 	void die() {
@@ -67,30 +71,30 @@
 		if (!this.alive) {
 			return;
 		}
-		for (CoordinatorCommand command : this.core.handle(event, this.world.queue().now())) {
-			carryOut(command);
+		for (CoordinatorCommand command : this.core.handle(event, this.simulation.queue().now())) {
+			execute(command);
 		}
 	}
 
-	private void carryOut(CoordinatorCommand command) {
+	private void execute(CoordinatorCommand command) {
 		boolean commit = command instanceof WriteLedger write && write.write() instanceof CommitSwitch;
-		if (this.commandsLeft <= 0 || (commit && this.diesBeforeCommit)) {
+		if (this.commandsUntilCrash <= 0 || (commit && this.crashesBeforeCommit)) {
 			die();
 		}
 		if (!this.alive) {
 			return;
 		}
-		this.commandsLeft--;
+		this.commandsUntilCrash--;
 		if (command instanceof SendOrder send) {
-			this.world.order(send);
+			this.simulation.order(send);
 		}
 		else if (command instanceof WriteLedger write) {
-			this.world.write(this, write.write());
+			this.simulation.write(this, write.write());
 		}
 		else if (command instanceof SwitchEnded ended) {
-			this.world.ended(ended);
+			this.simulation.ended(ended);
 		}
-		if (commit && this.diesAfterCommit) {
+		if (commit && this.crashesAfterCommit) {
 			die();
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeEngine.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeEngine.java
@@ -16,49 +16,50 @@
 import org.comfreywall.group.mapswitch.StepReached;
 
 /**
- * A stand-in engine with memory for the weights in use and one further set; it obeys
- * orders in sequence and asks for each step up to a few ahead.
+ * A simulated engine with memory for the active weights and one staged set. It executes
+ * commands in the order in which they arrive and requests permission for steps in
+ * advance, up to a limit.
  */
 final class FakeEngine {
 
 	private final EngineEnvironment environment;
 
-	private final int ahead;
+	private final int stepsAhead;
 
 	private final boolean checksFencing;
 
-	private final Deque<AgentCommand> orders = new ArrayDeque<>();
+	private final Deque<AgentCommand> pendingCommands = new ArrayDeque<>();
 
 	private Consumer<AgentEvent> agent = (event) -> {
 	};
 
-	private FencingNumber accepted = FencingNumber.ZERO;
+	private FencingNumber lastFencingNumber = FencingNumber.ZERO;
 
-	private Optional<MapRef> active = Optional.empty();
+	private Optional<MapRef> activeMap = Optional.empty();
 
-	private Optional<MapRef> staged = Optional.empty();
+	private Optional<MapRef> stagedMap = Optional.empty();
 
-	private Optional<MapRef> lastGranted = Optional.empty();
+	private Optional<MapRef> grantedMap = Optional.empty();
 
 	private long loadsOrdered;
 
 	private long loadsStarted;
 
-	private long loadsDone;
+	private long loadsCompleted;
 
-	private long granted;
+	private long grantedStep;
 
 	private long started;
 
-	private boolean asking;
+	private boolean requestPending;
 
 	private long readySince;
 
-	FakeEngine(EngineEnvironment environment, int ahead, boolean checksFencing) {
+	FakeEngine(EngineEnvironment environment, int stepsAhead, boolean checksFencing) {
 		this.environment = environment;
-		this.ahead = ahead;
+		this.stepsAhead = stepsAhead;
 		this.checksFencing = checksFencing;
-		this.granted = environment.completed();
+		this.grantedStep = environment.completed();
 		this.started = environment.completed();
 		this.readySince = environment.now();
 	}
@@ -69,13 +70,14 @@
 
 	void connect(Consumer<AgentEvent> newAgent) {
 		this.agent = newAgent;
-		this.asking = false;
-		boolean loading = this.loadsOrdered != this.loadsDone;
-		Optional<MapRef> inUse = this.lastGranted.or(() -> this.active);
-		Optional<MapRef> beside = loading ? Optional.empty() : this.staged.filter((map) -> !inUse.equals(this.staged));
-		long last = this.lastGranted.isPresent() ? this.granted : -1;
-		this.agent.accept(new EngineConnected(last, inUse, beside));
-		ask();
+		this.requestPending = false;
+		boolean loading = this.loadsOrdered != this.loadsCompleted;
+		Optional<MapRef> currentMap = this.grantedMap.or(() -> this.activeMap);
+		Optional<MapRef> otherMap = loading ? Optional.empty()
+				: this.stagedMap.filter((map) -> !currentMap.equals(this.stagedMap));
+		long lastStep = this.grantedMap.isPresent() ? this.grantedStep : -1;
+		this.agent.accept(new EngineConnected(lastStep, currentMap, otherMap));
+		requestNextStep();
 	}
 
 	void disconnect() {
@@ -83,78 +85,78 @@
 		};
 	}
 
-	void obey(AgentCommand order) {
-		FencingNumber number = (order instanceof GrantStep grant) ? grant.number() : ((LoadMap) order).number();
-		if (this.checksFencing && number.isBefore(this.accepted)) {
+	void obey(AgentCommand command) {
+		FencingNumber number = (command instanceof GrantStep grant) ? grant.number() : ((LoadMap) command).number();
+		if (this.checksFencing && number.isBefore(this.lastFencingNumber)) {
 			return;
 		}
-		this.accepted = number;
-		if (order instanceof GrantStep grant) {
-			this.asking = false;
-			this.granted = Math.max(this.granted, grant.step());
-			this.lastGranted = Optional.of(grant.map());
+		this.lastFencingNumber = number;
+		if (command instanceof GrantStep grant) {
+			this.requestPending = false;
+			this.grantedStep = Math.max(this.grantedStep, grant.step());
+			this.grantedMap = Optional.of(grant.map());
 		}
 		else {
 			this.loadsOrdered++;
 		}
-		this.orders.add(order);
-		proceed();
+		this.pendingCommands.add(command);
+		processCommands();
 	}
 
 	void stepCompleted() {
 		this.readySince = this.environment.now();
-		proceed();
-		ask();
+		processCommands();
+		requestNextStep();
 	}
 
-	private void proceed() {
-		while (!this.orders.isEmpty()) {
-			AgentCommand order = this.orders.peek();
-			if (order instanceof GrantStep grant && grant.step() > this.environment.completed() + 1) {
+	private void processCommands() {
+		while (!this.pendingCommands.isEmpty()) {
+			AgentCommand command = this.pendingCommands.peek();
+			if (command instanceof GrantStep grant && grant.step() > this.environment.completed() + 1) {
 				return;
 			}
-			this.orders.remove();
-			if (order instanceof GrantStep grant) {
-				run(grant);
+			this.pendingCommands.remove();
+			if (command instanceof GrantStep grant) {
+				startGrantedStep(grant);
 			}
 			else {
-				load(((LoadMap) order).map());
+				startLoad(((LoadMap) command).map());
 			}
 		}
 	}
 
-	private void run(GrantStep grant) {
+	private void startGrantedStep(GrantStep grant) {
 		if (grant.step() <= this.started) {
 			return;
 		}
-		if (!this.active.equals(Optional.of(grant.map()))) {
-			this.active = this.staged;
-			this.staged = Optional.empty();
+		if (!this.activeMap.equals(Optional.of(grant.map()))) {
+			this.activeMap = this.stagedMap;
+			this.stagedMap = Optional.empty();
 		}
 		this.started = grant.step();
-		this.environment.started(grant.step(), this.active, this.environment.now() - this.readySince);
-		ask();
+		this.environment.started(grant.step(), this.activeMap, this.environment.now() - this.readySince);
+		requestNextStep();
 	}
 
-	private void load(MapRef map) {
+	private void startLoad(MapRef map) {
 		this.loadsStarted++;
-		long load = this.loadsStarted;
-		this.staged = Optional.empty();
+		long number = this.loadsStarted;
+		this.stagedMap = Optional.empty();
 		this.environment.load(() -> {
-			if (load == this.loadsStarted) {
-				this.loadsDone = load;
-				this.staged = Optional.of(map);
+			if (number == this.loadsStarted) {
+				this.loadsCompleted = number;
+				this.stagedMap = Optional.of(map);
 				this.agent.accept(new EngineLoaded(map));
 			}
 		});
 	}
 
-	private void ask() {
+	private void requestNextStep() {
 		long completed = this.environment.completed();
-		long limit = (this.ahead == 0) ? completed + 1 : Math.max(this.started, completed) + this.ahead;
-		if (!this.asking && this.granted + 1 <= limit) {
-			this.asking = true;
-			this.agent.accept(new StepReached(this.granted + 1));
+		long limit = (this.stepsAhead == 0) ? completed + 1 : Math.max(this.started, completed) + this.stepsAhead;
+		if (!this.requestPending && this.grantedStep + 1 <= limit) {
+			this.requestPending = true;
+			this.agent.accept(new StepReached(this.grantedStep + 1));
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeHost.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeHost.java
@@ -17,14 +17,15 @@
 import org.comfreywall.group.mapswitch.SwitchAgent;
 
 /**
- * A backend server with an engine and, beside it, an agent that may restart alone.
+ * A simulated backend server with a {@link FakeEngine} and a real {@link SwitchAgent}.
+ * The agent belongs to the sidecar, which may restart while the engine keeps running.
  */
 final class FakeHost implements EngineEnvironment {
 
-	/** Delay between engine and agent on one instance. */
+	/** One-way delay between the engine and the agent of one backend server. */
 	private static final long LOCAL_NANOS = 50_000;
 
-	private final SwitchWorld world;
+	private final SwitchWorld simulation;
 
 	private final int rank;
 
@@ -36,15 +37,17 @@
 
 	private SwitchAgent agent;
 
-	private int session;
+	/** Incremented when the sidecar stops; messages of an earlier session are dropped. */
+	private int agentSession;
 
-	private long frozenAt = Long.MAX_VALUE;
+	/** The last step completed before the server was replaced. */
+	private long detachedAtStep = Long.MAX_VALUE;
 
-	FakeHost(SwitchWorld world, int rank, String name, int ahead, boolean checksFencing) {
-		this.world = world;
+	FakeHost(SwitchWorld simulation, int rank, String name, int stepsAhead, boolean checksFencing) {
+		this.simulation = simulation;
 		this.rank = rank;
 		this.server = BackendServerId.of(name);
-		this.engine = new FakeEngine(this, ahead, checksFencing);
+		this.engine = new FakeEngine(this, stepsAhead, checksFencing);
 	}
 
 	BackendServerId server() {
@@ -57,32 +60,36 @@
 
 	void startSidecar() {
 		this.incarnation++;
-		this.agent = new SwitchAgent(this.rank, member(), this.world.agentSettings(), DecisionListener.NONE,
-				this.world.invariants());
-		int mine = this.session;
-		this.engine.connect((event) -> this.world.queue().after(LOCAL_NANOS, () -> handle(mine, event)));
+		this.agent = new SwitchAgent(this.rank, member(), this.simulation.agentSettings(), DecisionListener.NONE,
+				this.simulation.invariants());
+		int currentSession = this.agentSession;
+		this.engine.connect((event) -> this.simulation.queue().after(LOCAL_NANOS, () -> handle(currentSession, event)));
 	}
 
 	void stopSidecar() {
-		this.session++;
+		this.agentSession++;
 		this.agent = null;
 		this.engine.disconnect();
 	}
 
+	/**
+	 * Detaches a replaced server from the group: its engine runs on, but observes no
+	 * further completed steps, and the steps that it starts no longer count.
+	 */
 	void freeze() {
-		this.frozenAt = this.world.lockStep().completed();
+		this.detachedAtStep = this.simulation.lockStep().completed();
 	}
 
 	boolean isFrozen() {
-		return this.frozenAt != Long.MAX_VALUE;
+		return this.detachedAtStep != Long.MAX_VALUE;
 	}
 
 	void receive(Member addressee, AgentOrder order) {
-		handle(this.session, new OrderReceived(addressee, order));
+		handle(this.agentSession, new OrderReceived(addressee, order));
 	}
 
 	void tick() {
-		handle(this.session, new AgentTick());
+		handle(this.agentSession, new AgentTick());
 	}
 
 	void stepCompleted() {
@@ -91,43 +98,43 @@
 
 	@Override
 	public long now() {
-		return this.world.queue().now();
+		return this.simulation.queue().now();
 	}
 
 	@Override
 	public long completed() {
-		return Math.min(this.frozenAt, this.world.lockStep().completed());
+		return Math.min(this.detachedAtStep, this.simulation.lockStep().completed());
 	}
 
 	@Override
 	public void started(long step, Optional<MapRef> weights, long waitedNanos) {
 		if (!isFrozen()) {
-			this.world.started(this.rank, step, weights, waitedNanos, this);
+			this.simulation.started(this.rank, step, weights, waitedNanos, this);
 		}
 	}
 
 	@Override
 	public void load(Runnable done) {
-		this.world.queue().after(this.world.loadNanos(), done);
+		this.simulation.queue().after(this.simulation.loadNanos(), done);
 	}
 
 	private void handle(int eventSession, AgentEvent event) {
-		if (eventSession != this.session || this.agent == null) {
+		if (eventSession != this.agentSession || this.agent == null) {
 			return;
 		}
 		List<AgentCommand> commands = this.agent.handle(event, now());
 		for (AgentCommand command : commands) {
 			if (command instanceof SendReport report) {
-				this.world.report(this.rank, report.report());
+				this.simulation.report(this.rank, report.report());
 			}
 			else {
-				this.world.queue().after(LOCAL_NANOS, () -> obey(eventSession, command));
+				this.simulation.queue().after(LOCAL_NANOS, () -> executeOnEngine(eventSession, command));
 			}
 		}
 	}
 
-	private void obey(int orderSession, AgentCommand command) {
-		if (orderSession == this.session) {
+	private void executeOnEngine(int commandSession, AgentCommand command) {
+		if (commandSession == this.agentSession) {
 			this.engine.obey(command);
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FaultCounts.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FaultCounts.java
@@ -1,12 +1,13 @@
 package org.comfreywall.bench.mapswitch;
 
 /**
- * How many faults were injected.
+ * The numbers of faults injected, by kind.
  *
- * @param elections coordinators elected, most beside one that still runs
- * @param restarts sidecars restarted beside a running engine
- * @param replacements servers replaced
- * @param stalls steps that took unusually long on a rank
+ * @param elections coordinators started, most of them while an earlier one was still
+ * running
+ * @param restarts sidecars restarted while their engine kept running
+ * @param replacements backend servers replaced
+ * @param stalls computations of a step that were stalled on one rank
  */
 record FaultCounts(int elections, int restarts, int replacements, int stalls) {
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FaultInjector.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FaultInjector.java
@@ -6,7 +6,8 @@
 import org.comfreywall.group.mapswitch.ArmSwitch;
 
 /**
- * Kills and isolates coordinators, restarts sidecars, replaces servers and stalls ranks.
+ * Injects random faults: crashes coordinators, starts a new coordinator beside the
+ * running one, restarts sidecars, replaces servers and stalls ranks.
  */
 final class FaultInjector {
 
@@ -14,26 +15,29 @@
 
 	private static final long LONGEST_PAUSE_NANOS = Duration.ofMillis(1500).toNanos();
 
-	private static final long LONGEST_OUTAGE_NANOS = Duration.ofMillis(600).toNanos();
+	private static final long MAX_OUTAGE_NANOS = Duration.ofMillis(600).toNanos();
 
-	private static final long STALL_NANOS = Duration.ofMillis(300).toNanos();
+	private static final long MAX_STALL_NANOS = Duration.ofMillis(300).toNanos();
 
-	private static final long REQUEST_NANOS = Duration.ofMillis(150).toNanos();
+	private static final long SWITCH_REQUEST_INTERVAL_NANOS = Duration.ofMillis(150).toNanos();
 
-	private static final long SOON_NANOS = Duration.ofMillis(6).toNanos();
+	private static final long MAX_FAULT_DELAY_NANOS = Duration.ofMillis(6).toNanos();
 
-	/** One arm order in this many brings a fault soon after. */
+	/**
+	 * On average, one in this many arm orders is followed by a fault within
+	 * {@link #MAX_FAULT_DELAY_NANOS}.
+	 */
 	private static final int ARM_ORDERS_PER_FAULT = 40;
 
-	private final SwitchWorld world;
+	private final SwitchWorld simulation;
 
 	private final RandomGenerator random;
 
-	private boolean on;
+	private boolean active;
 
-	private long pauseNanos;
+	private long maxPauseNanos;
 
-	private int weakRank;
+	private int faultProneRank;
 
 	private int elections;
 
@@ -43,8 +47,8 @@
 
 	private int stalls;
 
-	FaultInjector(SwitchWorld world, RandomGenerator random) {
-		this.world = world;
+	FaultInjector(SwitchWorld simulation, RandomGenerator random) {
+		this.simulation = simulation;
 		this.random = random;
 	}
 
@@ -53,89 +57,90 @@
 	}
 
 	void start() {
-		this.on = true;
-		this.weakRank = this.random.nextInt(this.world.ranks());
-		this.pauseNanos = this.random.nextLong(SHORTEST_PAUSE_NANOS, LONGEST_PAUSE_NANOS);
-		scheduleNext();
+		this.active = true;
+		this.faultProneRank = this.random.nextInt(this.simulation.ranks());
+		this.maxPauseNanos = this.random.nextLong(SHORTEST_PAUSE_NANOS, LONGEST_PAUSE_NANOS);
+		scheduleFaults();
 		requestSwitches();
 	}
 
 	void stop() {
-		this.on = false;
-		if (!this.world.leader().isAlive()) {
-			elect();
+		this.active = false;
+		if (!this.simulation.leader().isAlive()) {
+			startCoordinator();
 		}
-		this.world.leader().dieAfter(Long.MAX_VALUE);
+		this.simulation.leader().dieAfter(Long.MAX_VALUE);
 	}
 
 	long computeNanos(long usualNanos) {
-		if (this.on && this.random.nextInt(2000) == 0) {
+		if (this.active && this.random.nextInt(2000) == 0) {
 			this.stalls++;
-			return this.random.nextLong(STALL_NANOS);
+			return this.random.nextLong(MAX_STALL_NANOS);
 		}
 		return usualNanos + this.random.nextLong(usualNanos / 4);
 	}
 
 	void sending(Object message) {
-		if (this.on && message instanceof ArmSwitch && this.random.nextInt(ARM_ORDERS_PER_FAULT) == 0) {
-			this.world.queue().after(this.random.nextLong(SOON_NANOS), this::inject);
+		if (this.active && message instanceof ArmSwitch && this.random.nextInt(ARM_ORDERS_PER_FAULT) == 0) {
+			this.simulation.queue().after(this.random.nextLong(MAX_FAULT_DELAY_NANOS), this::injectFault);
 		}
 	}
 
-	private void scheduleNext() {
-		this.world.queue().after(this.random.nextLong(this.pauseNanos), () -> {
-			if (this.on) {
-				scheduleNext();
+	private void scheduleFaults() {
+		this.simulation.queue().after(this.random.nextLong(this.maxPauseNanos), () -> {
+			if (this.active) {
+				scheduleFaults();
 			}
-			inject();
+			injectFault();
 		});
 	}
 
 	private void requestSwitches() {
-		if (this.on) {
-			this.world.requestSwitch();
-			this.world.queue().after(REQUEST_NANOS, this::requestSwitches);
+		if (this.active) {
+			this.simulation.requestSwitch();
+			this.simulation.queue().after(SWITCH_REQUEST_INTERVAL_NANOS, this::requestSwitches);
 		}
 	}
 
-	private void inject() {
-		if (!this.on) {
+	private void injectFault() {
+		if (!this.active) {
 			return;
 		}
 		switch (this.random.nextInt(5)) {
-			case 0 -> this.world.leader().dieAfter(this.random.nextInt(80));
-			case 1 -> this.world.queue().after(this.random.nextLong(LONGEST_OUTAGE_NANOS), this::electIfDead);
-			case 2 -> elect();
-			case 3 -> replace();
+			case 0 -> this.simulation.leader().dieAfter(this.random.nextInt(80));
+			case 1 ->
+				this.simulation.queue().after(this.random.nextLong(MAX_OUTAGE_NANOS), this::replaceCrashedCoordinator);
+			case 2 -> startCoordinator();
+			case 3 -> replaceServer();
 			default -> restartSidecar();
 		}
 	}
 
-	private void electIfDead() {
-		if (!this.world.leader().isAlive()) {
-			elect();
+	private void replaceCrashedCoordinator() {
+		if (!this.simulation.leader().isAlive()) {
+			startCoordinator();
 		}
 	}
 
-	private void elect() {
+	private void startCoordinator() {
 		this.elections++;
-		this.world.elect();
+		this.simulation.elect();
 	}
 
-	private void replace() {
+	private void replaceServer() {
 		this.replacements++;
-		this.world.replace(anyRank());
+		this.simulation.replace(pickRank());
 	}
 
 	private void restartSidecar() {
 		this.restarts++;
-		FakeHost host = this.world.host(anyRank());
+		FakeHost host = this.simulation.host(pickRank());
 		host.stopSidecar();
-		this.world.queue().after(this.random.nextLong(LONGEST_OUTAGE_NANOS), host::startSidecar);
+		this.simulation.queue().after(this.random.nextLong(MAX_OUTAGE_NANOS), host::startSidecar);
 	}
 
-	private int anyRank() {
-		return this.random.nextBoolean() ? this.weakRank : this.random.nextInt(this.world.ranks());
+	private int pickRank() {
+		return this.random.nextBoolean() ? this.faultProneRank : this.random.nextInt(this.simulation.ranks());
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FaultyPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FaultyPolicy.java
@@ -4,21 +4,21 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Loses, doubles, delays and thereby reorders messages while faults are on.
+ * Loses, duplicates, delays and thereby reorders messages while faults are enabled.
  */
 final class FaultyPolicy implements LinkPolicy {
 
-	private static final long USUAL_NANOS = Duration.ofMillis(1).toNanos();
+	private static final long USUAL_DELAY_RANGE_NANOS = Duration.ofMillis(1).toNanos();
 
-	private static final long SLOW_NANOS = Duration.ofMillis(400).toNanos();
+	private static final long MAX_SLOW_DELAY_NANOS = Duration.ofMillis(400).toNanos();
 
-	private static final long VERY_LATE_NANOS = Duration.ofSeconds(15).toNanos();
+	private static final long MAX_VERY_LATE_DELAY_NANOS = Duration.ofSeconds(15).toNanos();
 
 	private final RandomGenerator random;
 
 	private boolean faulty;
 
-	private double loss;
+	private double lossProbability;
 
 	private int slowRank = Link.LEDGER;
 
@@ -28,7 +28,7 @@
 
 	void startFaults(int ranks) {
 		this.faulty = true;
-		this.loss = this.random.nextDouble(0.3);
+		this.lossProbability = this.random.nextDouble(0.3);
 		this.slowRank = this.random.nextInt(ranks);
 	}
 
@@ -39,27 +39,27 @@
 	@Override
 	public long[] delays(int rank, Object message) {
 		if (!this.faulty) {
-			return new long[] { usual() };
+			return new long[] { usualDelay() };
 		}
-		if (this.random.nextDouble() < this.loss) {
+		if (this.random.nextDouble() < this.lossProbability) {
 			return new long[0];
 		}
 		if (this.random.nextInt(10) == 0) {
-			return new long[] { delay(rank), delay(rank) };
+			return new long[] { randomDelay(rank), randomDelay(rank) };
 		}
-		return new long[] { delay(rank) };
+		return new long[] { randomDelay(rank) };
 	}
 
-	private long delay(int rank) {
-		int luck = this.random.nextInt(100);
-		if (luck == 0) {
-			return this.random.nextLong(VERY_LATE_NANOS);
+	private long randomDelay(int rank) {
+		int percentile = this.random.nextInt(100);
+		if (percentile == 0) {
+			return this.random.nextLong(MAX_VERY_LATE_DELAY_NANOS);
 		}
-		return (luck < 10 || rank == this.slowRank) ? this.random.nextLong(SLOW_NANOS) : usual();
+		return (percentile < 10 || rank == this.slowRank) ? this.random.nextLong(MAX_SLOW_DELAY_NANOS) : usualDelay();
 	}
 
-	private long usual() {
-		return 100_000 + this.random.nextLong(USUAL_NANOS);
+	private long usualDelay() {
+		return 100_000 + this.random.nextLong(USUAL_DELAY_RANGE_NANOS);
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LedgerAudit.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LedgerAudit.java
@@ -17,36 +17,37 @@
 import org.comfreywall.group.mapswitch.SwitchId;
 
 /**
- * Checks from outside the ledger that no write of an older term takes effect and that a
- * commit finds every present member armed.
+ * Checks, independently of the ledger's own rules, that no write of an earlier term takes
+ * effect after a later term was opened, and that a switch is committed only after all
+ * current members have reported that they are armed.
  */
 final class LedgerAudit {
 
 	private final Consumer<String> onViolation;
 
-	private final Map<SwitchId, Set<Member>> armed = new HashMap<>();
+	private final Map<SwitchId, Set<Member>> armedMembers = new HashMap<>();
 
-	private Term latest = Term.ZERO;
+	private Term latestTerm = Term.ZERO;
 
 	LedgerAudit(Consumer<String> onViolation) {
 		this.onViolation = onViolation;
 	}
 
 	void reported(AgentReport report) {
-		if (report instanceof SwitchArmed sent) {
-			this.armed.computeIfAbsent(sent.id(), (id) -> new HashSet<>()).add(sent.member());
+		if (report instanceof SwitchArmed switchArmed) {
+			this.armedMembers.computeIfAbsent(switchArmed.id(), (id) -> new HashSet<>()).add(switchArmed.member());
 		}
 	}
 
 	void written(LedgerWrite write, LedgerState before, LedgerState after) {
-		if (write instanceof OpenTerm && this.latest.isBefore(write.term())) {
-			this.latest = write.term();
+		if (write instanceof OpenTerm && this.latestTerm.isBefore(write.term())) {
+			this.latestTerm = write.term();
 		}
 		if (before.index() == after.index()) {
 			return;
 		}
-		if (write.term().isBefore(this.latest)) {
-			this.onViolation.accept("write of term " + write.term() + " took effect after term " + this.latest);
+		if (write.term().isBefore(this.latestTerm)) {
+			this.onViolation.accept("write of term " + write.term() + " took effect after term " + this.latestTerm);
 		}
 		if (write instanceof CommitSwitch commit) {
 			checkArmed(commit.boundary().decidedBy(), after);
@@ -54,7 +55,7 @@
 	}
 
 	private void checkArmed(SwitchId id, LedgerState state) {
-		Set<Member> members = this.armed.getOrDefault(id, Set.of());
+		Set<Member> members = this.armedMembers.getOrDefault(id, Set.of());
 		if (!members.containsAll(state.members().values())) {
 			this.onViolation.accept("switch " + id + " was committed with unarmed members");
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/Link.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/Link.java
@@ -1,11 +1,12 @@
 package org.comfreywall.bench.mapswitch;
 
 /**
- * Delivers messages as its policy says and counts those sent.
+ * A simulated network link, which delivers messages according to a policy and counts the
+ * messages sent.
  */
 final class Link {
 
-	/** Stands for the ledger in place of a rank. */
+	/** The peer of a message to or from the ledger, in place of a rank. */
 	static final int LEDGER = -1;
 
 	private final EventQueue queue;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LinkPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LinkPolicy.java
@@ -1,16 +1,16 @@
 package org.comfreywall.bench.mapswitch;
 
 /**
- * Decides the fate of each message.
+ * Decides which messages are lost or duplicated and when each copy arrives.
  */
 @FunctionalInterface
 interface LinkPolicy {
 
 	/**
-	 * Returns the delay of each copy that arrives.
-	 * @param rank the rank that sends or receives the message, or -1 for a ledger write
+	 * Returns the delay of each copy of a message.
+	 * @param rank the rank that sends or receives the message, or {@link Link#LEDGER}
 	 * @param message the message
-	 * @return the delays in nanoseconds; none if the message is lost
+	 * @return one delay in nanoseconds for each copy; empty if the message is lost
 	 */
 	long[] delays(int rank, Object message);
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LockStep.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LockStep.java
@@ -4,21 +4,21 @@
 import java.util.function.LongConsumer;
 
 /**
- * Completes a step when every rank has computed it, as the engines' collective operations
- * do.
+ * A barrier that completes a step when all ranks have computed it, as the collective
+ * operations of the engines do.
  */
 final class LockStep {
 
-	private final long[] computed;
+	private final long[] computedSteps;
 
 	private final LongConsumer onCompleted;
 
 	private long completed = -1;
 
 	LockStep(int ranks, LongConsumer onCompleted) {
-		this.computed = new long[ranks];
+		this.computedSteps = new long[ranks];
 		this.onCompleted = onCompleted;
-		Arrays.fill(this.computed, -1);
+		Arrays.fill(this.computedSteps, -1);
 	}
 
 	long completed() {
@@ -26,8 +26,8 @@
 	}
 
 	void computed(int rank, long step) {
-		this.computed[rank] = Math.max(this.computed[rank], step);
-		long slowest = Arrays.stream(this.computed).min().orElseThrow();
+		this.computedSteps[rank] = Math.max(this.computedSteps[rank], step);
+		long slowest = Arrays.stream(this.computedSteps).min().orElseThrow();
 		if (slowest > this.completed) {
 			this.completed = slowest;
 			this.onCompleted.accept(slowest);
@@ -35,7 +35,7 @@
 	}
 
 	void restart(int rank) {
-		this.computed[rank] = this.completed;
+		this.computedSteps[rank] = this.completed;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchResult.java
@@ -5,27 +5,28 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * What a randomised run did and found.
+ * The counts and violations of a randomised run.
  *
- * @param steps the steps completed
- * @param executions the executions of steps by ranks that were checked
- * @param messages the messages sent
- * @param commits the switches committed
- * @param aborts the attempts aborted
+ * @param steps the number of the last completed step
+ * @param executions the number of checked executions, one for each step and rank
+ * @param messages the number of messages sent
+ * @param commits the number of switch attempts committed
+ * @param aborts the number of switch attempts aborted
  * @param faults the faults injected
- * @param violations what the checks found
- * @param invariantBreaches breaches counted inside the cores
- * @param stuckWindows windows without faults in which the group did not go on or did not
- * switch
+ * @param violations a description of each violation, up to a maximum
+ * @param invariantBreaches the number of violated invariants that coordinators and agents
+ * counted
+ * @param stuckWindows the number of windows without faults in which the group completed
+ * no step or committed no switch
  */
 record RandomisedSwitchResult(long steps, long executions, long messages, long commits, long aborts, FaultCounts faults,
 		List<String> violations, long invariantBreaches, int stuckWindows) {
 
-	static RandomisedSwitchResult of(SwitchWorld world, FaultInjector faults, int stuckWindows) {
-		StepAudit audit = world.audit();
-		return new RandomisedSwitchResult(world.lockStep().completed(), audit.checkedExecutions(), world.link().sent(),
-				audit.commits(), audit.aborts(), faults.counts(), audit.violations(), world.invariants().violations(),
-				stuckWindows);
+	static RandomisedSwitchResult of(SwitchWorld simulation, FaultInjector faults, int stuckWindows) {
+		StepAudit audit = simulation.audit();
+		return new RandomisedSwitchResult(simulation.lockStep().completed(), audit.checkedExecutions(),
+				simulation.link().sent(), audit.commits(), audit.aborts(), faults.counts(), audit.violations(),
+				simulation.invariants().violations(), stuckWindows);
 	}
 
 	Field[] fields() {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchRun.java
@@ -13,17 +13,19 @@
 import org.comfreywall.group.mapswitch.CoordinatorSettings;
 
 /**
- * Runs a group through windows with and without faults and checks from outside that maps
- * never mix, decisions never change and the group goes on once messages flow.
+ * Alternates time windows with and without random faults and checks that no two ranks run
+ * a step under different maps, that no decision changes, and that the group completes
+ * steps and switches in each window without faults. The checks do not rely on the state
+ * of coordinators and agents.
  */
 public final class RandomisedSwitchRun implements Measurement {
 
-	/** The number of steps run by default. */
+	/** The number of steps if the options set none. */
 	public static final long DEFAULT_STEPS = 120_000;
 
 	private static final int RANKS = 6;
 
-	private static final int VIOLATIONS_SHOWN = 5;
+	private static final int MAX_VIOLATIONS_PRINTED = 5;
 
 	private static final long STEP_NANOS = Duration.ofMillis(4).toNanos();
 
@@ -31,14 +33,14 @@
 
 	private static final long STAGE_RETRY_NANOS = Duration.ofMillis(100).toNanos();
 
-	private static final long FAULTY_NANOS = Duration.ofSeconds(10).toNanos();
+	private static final long FAULTY_WINDOW_NANOS = Duration.ofSeconds(10).toNanos();
 
-	private static final long QUIET_NANOS = Duration.ofSeconds(6).toNanos();
+	private static final long QUIET_WINDOW_NANOS = Duration.ofSeconds(6).toNanos();
 
-	private static final AgentSettings AGENT = new AgentSettings(Duration.ofMillis(20).toNanos(),
+	private static final AgentSettings AGENT_SETTINGS = new AgentSettings(Duration.ofMillis(20).toNanos(),
 			Duration.ofMillis(40).toNanos());
 
-	private static final long[] LEAD_NANOS = { Duration.ofMillis(6).toNanos(), Duration.ofMillis(25).toNanos(),
+	private static final long[] MIN_LEAD_NANOS = { Duration.ofMillis(6).toNanos(), Duration.ofMillis(25).toNanos(),
 			Duration.ofMillis(80).toNanos() };
 
 	@Override
@@ -47,7 +49,7 @@
 		reporter.result("mapswitch-random", result.fields());
 		result.violations()
 			.stream()
-			.limit(VIOLATIONS_SHOWN)
+			.limit(MAX_VIOLATIONS_PRINTED)
 			.forEach((text) -> reporter.result("violation", Field.of("text", text)));
 		reporter.atMost("violations", result.violations().size(), 0);
 		reporter.atMost("invariant-breaches", result.invariantBreaches(), 0);
@@ -57,50 +59,51 @@
 	static RandomisedSwitchResult execute(long seed, long steps) {
 		RandomGenerator random = new Random(seed);
 		FaultyPolicy policy = new FaultyPolicy(random);
-		SwitchWorld world = new SwitchWorld(settings(random), policy, () -> STEP_NANOS);
-		FaultInjector faults = new FaultInjector(world, random);
-		world.link().usePolicy((rank, message) -> {
+		SwitchWorld simulation = new SwitchWorld(simulationSettings(random), policy, () -> STEP_NANOS);
+		FaultInjector faults = new FaultInjector(simulation, random);
+		simulation.link().usePolicy((rank, message) -> {
 			faults.sending(message);
 			return policy.delays(rank, message);
 		});
-		world.computeTimes(() -> faults.computeNanos(STEP_NANOS));
-		world.start();
-		int stuck = 0;
-		while (stuck == 0 && world.lockStep().completed() < steps) {
-			faultyWindow(world, policy, faults);
-			stuck += quietWindow(world);
+		simulation.computeTimes(() -> faults.computeNanos(STEP_NANOS));
+		simulation.start();
+		int stuckWindows = 0;
+		while (stuckWindows == 0 && simulation.lockStep().completed() < steps) {
+			runFaultyWindow(simulation, policy, faults);
+			stuckWindows += runQuietWindow(simulation);
 		}
-		return RandomisedSwitchResult.of(world, faults, stuck);
+		return RandomisedSwitchResult.of(simulation, faults, stuckWindows);
 	}
 
-	private static WorldSettings settings(RandomGenerator random) {
-		return new WorldSettings(RANKS, AGENT, () -> coordinator(random), AGENT.retryNanos() / 2, LOAD_NANOS,
-				(rank) -> random.nextInt(4), (rank) -> random.nextBoolean(), new AtomicLong()::incrementAndGet);
+	private static WorldSettings simulationSettings(RandomGenerator random) {
+		return new WorldSettings(RANKS, AGENT_SETTINGS, () -> coordinatorSettings(random),
+				AGENT_SETTINGS.retryNanos() / 2, LOAD_NANOS, (rank) -> random.nextInt(4),
+				(rank) -> random.nextBoolean(), new AtomicLong()::incrementAndGet);
 	}
 
-	private static CoordinatorSettings coordinator(RandomGenerator random) {
+	private static CoordinatorSettings coordinatorSettings(RandomGenerator random) {
 		return new CoordinatorSettings(Duration.ofMillis(20).toNanos(), STAGE_RETRY_NANOS,
-				LEAD_NANOS[random.nextInt(LEAD_NANOS.length)], Duration.ofSeconds(1).toNanos(), STEP_NANOS, 10);
+				MIN_LEAD_NANOS[random.nextInt(MIN_LEAD_NANOS.length)], Duration.ofSeconds(1).toNanos(), STEP_NANOS, 10);
 	}
 
-	private static void faultyWindow(SwitchWorld world, FaultyPolicy policy, FaultInjector faults) {
+	private static void runFaultyWindow(SwitchWorld simulation, FaultyPolicy policy, FaultInjector faults) {
 		policy.startFaults(RANKS);
 		faults.start();
-		world.runUntil(world.queue().now() + FAULTY_NANOS);
+		simulation.runUntil(simulation.queue().now() + FAULTY_WINDOW_NANOS);
 		faults.stop();
 		policy.stopFaults();
 	}
 
-	private static int quietWindow(SwitchWorld world) {
-		long end = world.queue().now() + QUIET_NANOS;
-		world.runUntil(end - QUIET_NANOS / 2);
-		long step = world.lockStep().completed();
-		long committed = world.committedSwitches();
-		world.requestSwitch();
-		world.runUntil(end);
-		boolean runs = world.lockStep().completed() > step;
-		boolean switches = world.committedSwitches() > committed;
-		return (runs && switches) ? 0 : 1;
+	private static int runQuietWindow(SwitchWorld simulation) {
+		long end = simulation.queue().now() + QUIET_WINDOW_NANOS;
+		simulation.runUntil(end - QUIET_WINDOW_NANOS / 2);
+		long step = simulation.lockStep().completed();
+		long committed = simulation.committedSwitches();
+		simulation.requestSwitch();
+		simulation.runUntil(end);
+		boolean completesSteps = simulation.lockStep().completed() > step;
+		boolean commitsSwitch = simulation.committedSwitches() > committed;
+		return (completesSteps && commitsSwitch) ? 0 : 1;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/StepAudit.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/StepAudit.java
@@ -17,13 +17,13 @@
 import org.comfreywall.group.mapswitch.Welcome;
 
 /**
- * Checks from outside the cores that all ranks ran each step under one map and that no
- * decision changed.
+ * Checks, independently of coordinators and agents, that all ranks run a step under the
+ * same map, that this is the committed map, and that no decision changes.
  */
 final class StepAudit {
 
-	/** Steps remembered behind the latest one. */
-	private static final int WINDOW = 4096;
+	/** The number of steps before the latest one for which executions are kept. */
+	private static final int RETAINED_STEPS = 4096;
 
 	private final Map<SwitchId, SwitchDecision> decisions = new HashMap<>();
 
@@ -58,31 +58,32 @@
 	}
 
 	/**
-	 * Records that a rank ran a step.
+	 * Records that a rank executed a step and checks the map it used.
 	 * @param rank the rank
 	 * @param step the step
-	 * @param weights the map whose weights the engine really used
+	 * @param weights the map whose weights the engine used; empty if it had none loaded
 	 */
 	void executed(int rank, long step, Optional<MapRef> weights) {
 		this.checkedExecutions++;
 		if (weights.isEmpty()) {
-			violation("rank " + rank + " ran step " + step + " without weights");
+			violation("rank " + rank + " ran step " + step + " without loaded weights");
 			return;
 		}
 		Map<Integer, MapRef> ranks = this.executions.computeIfAbsent(step, (key) -> new HashMap<>());
 		ranks.put(rank, weights.get());
 		ranks.forEach((other, map) -> {
 			if (!map.equals(weights.get())) {
-				violation("step " + step + " ran under " + weights.get() + " on rank " + rank + " and under " + map
-						+ " on rank " + other);
+				violation("step " + step + " ran under map " + weights.get() + " on rank " + rank + " and under map "
+						+ map + " on rank " + other);
 			}
 		});
 		checkAgainstDecisions(step, weights.get());
-		this.executions.headMap(step - WINDOW).clear();
+		this.executions.headMap(step - RETAINED_STEPS).clear();
 	}
 
 	/**
-	 * Forgets what a replaced rank ran in steps that the group has not completed.
+	 * Discards the executions by a rank whose server was replaced, for all steps that the
+	 * group has not completed; the new server executes these steps again.
 	 * @param rank the rank
 	 * @param completed the last step that all ranks completed
 	 */
@@ -91,29 +92,30 @@
 	}
 
 	/**
-	 * Records what a coordinator told a rank.
-	 * @param order the order sent
+	 * Records the decisions in an order sent to a rank and checks that none differs from
+	 * one sent before.
+	 * @param order the order
 	 */
 	void told(AgentOrder order) {
 		if (order instanceof ReleaseSwitch release) {
-			decided(release.decision());
+			recordDecision(release.decision());
 		}
 		else if (order instanceof Welcome welcome) {
-			welcome.timeline().boundaries().forEach((boundary) -> decided(new CommitDecision(boundary)));
+			welcome.timeline().boundaries().forEach((boundary) -> recordDecision(new CommitDecision(boundary)));
 		}
 	}
 
-	private void decided(SwitchDecision decision) {
+	private void recordDecision(SwitchDecision decision) {
 		SwitchDecision first = this.decisions.putIfAbsent(decision.id(), decision);
 		if (first != null && !first.equals(decision)) {
 			violation("decision changed from " + first + " to " + decision);
 		}
 		if (first == null && decision instanceof CommitDecision commit) {
-			committed(commit.boundary());
+			recordBoundary(commit.boundary());
 		}
 	}
 
-	private void committed(MapBoundary boundary) {
+	private void recordBoundary(MapBoundary boundary) {
 		this.boundaries.put(boundary.firstStep(), boundary.map());
 		this.executions.tailMap(boundary.firstStep(), true)
 			.forEach((step, ranks) -> ranks.values().forEach((map) -> checkAgainstDecisions(step, map)));
@@ -122,8 +124,8 @@
 	private void checkAgainstDecisions(long step, MapRef used) {
 		Map.Entry<Long, MapRef> decided = this.boundaries.floorEntry(step);
 		if (decided != null && !decided.getValue().equals(used)) {
-			violation("step " + step + " ran under " + used + " though " + decided.getValue() + " holds from step "
-					+ decided.getKey());
+			violation("step " + step + " ran under map " + used + ", but map " + decided.getValue()
+					+ " was committed from step " + decided.getKey());
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchMeasurement.java
@@ -15,8 +15,8 @@
 import org.comfreywall.group.mapswitch.ReleaseSwitch;
 
 /**
- * Measures the steps that a map switch delays at 32 ranks, as usual and when something
- * goes wrong.
+ * Measures how many steps a map switch delays in a group of 32 ranks, without faults and
+ * with a delayed rank, a lost message or a crash of the coordinator.
  */
 public final class SwitchMeasurement implements Measurement {
 
@@ -28,26 +28,26 @@
 
 	private static final long LOAD_NANOS = Duration.ofSeconds(2).toNanos();
 
-	private static final long ONE_WAY_NANOS = Duration.ofMillis(1).toNanos();
+	private static final long RANK_DELAY_NANOS = Duration.ofMillis(1).toNanos();
 
-	private static final long LEDGER_NANOS = Duration.ofMillis(4).toNanos();
+	private static final long LEDGER_DELAY_NANOS = Duration.ofMillis(4).toNanos();
 
-	private static final long LATE_NANOS = Duration.ofMillis(500).toNanos();
+	private static final long LATE_DELAY_NANOS = Duration.ofMillis(500).toNanos();
 
-	private static final long ELECTION_NANOS = Duration.ofSeconds(2).toNanos();
+	private static final long ELECTION_DELAY_NANOS = Duration.ofSeconds(2).toNanos();
 
 	private static final long WARM_UP_NANOS = Duration.ofSeconds(10).toNanos();
 
-	private static final long LIMIT_NANOS = Duration.ofSeconds(40).toNanos();
+	private static final long TIME_LIMIT_NANOS = Duration.ofSeconds(40).toNanos();
 
 	private final List<SwitchScenario> scenarios = List
-		.of(new SwitchScenario("usual", SwitchMeasurement::usual, (world) -> {
-		}), new SwitchScenario("one-late-rank", SwitchMeasurement::late, (world) -> {
-		}), new SwitchScenario("lost-decision-message", new FirstReleaseLost(), (world) -> {
-		}), new SwitchScenario("coordinator-dies-after-arming", SwitchMeasurement::usual,
-				(world) -> world.leader().dieBeforeCommit()),
-				new SwitchScenario("coordinator-dies-after-decision", SwitchMeasurement::usual,
-						(world) -> world.leader().dieAfterCommit()));
+		.of(new SwitchScenario("usual", SwitchMeasurement::usualDelays, (simulation) -> {
+		}), new SwitchScenario("one-late-rank", SwitchMeasurement::lateRankDelays, (simulation) -> {
+		}), new SwitchScenario("lost-decision-message", new FirstReleaseLost(), (simulation) -> {
+		}), new SwitchScenario("coordinator-dies-after-arming", SwitchMeasurement::usualDelays,
+				(simulation) -> simulation.leader().dieBeforeCommit()),
+				new SwitchScenario("coordinator-dies-after-decision", SwitchMeasurement::usualDelays,
+						(simulation) -> simulation.leader().dieAfterCommit()));
 
 	@Override
 	public void run(BenchOptions options, Reporter reporter) {
@@ -57,59 +57,60 @@
 	}
 
 	private static void measure(SwitchScenario scenario, RandomGenerator random, Reporter reporter) {
-		SwitchWorld world = new SwitchWorld(
+		SwitchWorld simulation = new SwitchWorld(
 				WorldSettings.of(RANKS, AgentSettings.DEFAULT, CoordinatorSettings.DEFAULT, LOAD_NANOS),
-				SwitchMeasurement::usual, () -> STEP_NANOS + random.nextLong(STEP_NANOS / 5));
-		world.start();
-		world.runUntil(WARM_UP_NANOS);
-		world.link().usePolicy(scenario.faults());
-		scenario.prepare().accept(world);
-		world.resetCounters();
-		world.requestSwitch();
-		runUntilSwitched(world);
-		report(scenario, world, reporter);
+				SwitchMeasurement::usualDelays, () -> STEP_NANOS + random.nextLong(STEP_NANOS / 5));
+		simulation.start();
+		simulation.runUntil(WARM_UP_NANOS);
+		simulation.link().usePolicy(scenario.faults());
+		scenario.prepare().accept(simulation);
+		simulation.resetCounters();
+		simulation.requestSwitch();
+		runUntilSwitched(simulation);
+		report(scenario, simulation, reporter);
 	}
 
-	private static void runUntilSwitched(SwitchWorld world) {
-		long end = world.queue().now() + LIMIT_NANOS;
-		Consumer<SwitchWorld> replaceLeader = (dead) -> {
-			dead.elect();
-			dead.requestSwitch();
+	private static void runUntilSwitched(SwitchWorld simulation) {
+		long end = simulation.queue().now() + TIME_LIMIT_NANOS;
+		Consumer<SwitchWorld> replaceCoordinator = (target) -> {
+			target.elect();
+			target.requestSwitch();
 		};
-		boolean electing = false;
-		while (world.queue().now() < end && world.committedSwitches() == 0) {
-			world.queue().runNext();
-			if (!world.leader().isAlive() && !electing) {
-				electing = true;
-				world.queue().after(ELECTION_NANOS, () -> replaceLeader.accept(world));
+		boolean electionScheduled = false;
+		while (simulation.queue().now() < end && simulation.committedSwitches() == 0) {
+			simulation.queue().runNext();
+			if (!simulation.leader().isAlive() && !electionScheduled) {
+				electionScheduled = true;
+				simulation.queue().after(ELECTION_DELAY_NANOS, () -> replaceCoordinator.accept(simulation));
 			}
 		}
-		world.runUntil(world.queue().now() + CoordinatorSettings.DEFAULT.maxLeadNanos());
+		simulation.runUntil(simulation.queue().now() + CoordinatorSettings.DEFAULT.maxLeadNanos());
 	}
 
-	private static void report(SwitchScenario scenario, SwitchWorld world, Reporter reporter) {
+	private static void report(SwitchScenario scenario, SwitchWorld simulation, Reporter reporter) {
 		reporter.result("mapswitch-" + scenario.name(), Field.of("ranks", RANKS),
-				Field.of("steps-delayed", world.delayedSteps()),
-				Field.of("longest-wait-ms", world.longestWaitNanos() / 1_000_000.0),
-				Field.of("messages", world.switchMessages()), Field.of("commits", world.audit().commits() - 1),
-				Field.of("aborts", world.audit().aborts()), Field.of("violations", world.audit().violations().size()));
+				Field.of("steps-delayed", simulation.delayedSteps()),
+				Field.of("longest-wait-ms", simulation.longestWaitNanos() / 1_000_000.0),
+				Field.of("messages", simulation.switchMessages()),
+				Field.of("commits", simulation.audit().commits() - 1), Field.of("aborts", simulation.audit().aborts()),
+				Field.of("violations", simulation.audit().violations().size()));
 		if (scenario.name().equals("usual")) {
-			reporter.atMost("steps-delayed-by-a-usual-switch", world.delayedSteps(), 0);
+			reporter.atMost("steps-delayed-by-a-usual-switch", simulation.delayedSteps(), 0);
 		}
-		reporter.atLeast("committed-" + scenario.name(), world.committedSwitches(), 1);
-		reporter.atMost("violations-" + scenario.name(), world.audit().violations().size(), 0);
+		reporter.atLeast("committed-" + scenario.name(), simulation.committedSwitches(), 1);
+		reporter.atMost("violations-" + scenario.name(), simulation.audit().violations().size(), 0);
 	}
 
-	private static long[] usual(int rank, Object message) {
-		return new long[] { (rank == Link.LEDGER) ? LEDGER_NANOS : ONE_WAY_NANOS };
+	private static long[] usualDelays(int rank, Object message) {
+		return new long[] { (rank == Link.LEDGER) ? LEDGER_DELAY_NANOS : RANK_DELAY_NANOS };
 	}
 
-	private static long[] late(int rank, Object message) {
-		return (rank == LATE_RANK) ? new long[] { LATE_NANOS } : usual(rank, message);
+	private static long[] lateRankDelays(int rank, Object message) {
+		return (rank == LATE_RANK) ? new long[] { LATE_DELAY_NANOS } : usualDelays(rank, message);
 	}
 
 	/**
-	 * Loses the first decision sent to one rank.
+	 * Loses the first message that carries the decision to one rank.
 	 */
 	private static final class FirstReleaseLost implements LinkPolicy {
 
@@ -121,7 +122,7 @@
 				this.lost = true;
 				return new long[0];
 			}
-			return usual(rank, message);
+			return usualDelays(rank, message);
 		}
 
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchScenario.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchScenario.java
@@ -3,11 +3,11 @@
 import java.util.function.Consumer;
 
 /**
- * One situation in which a switch is measured.
+ * The conditions under which one map switch is measured.
  *
- * @param name the situation's name
- * @param faults changes the links
- * @param prepare changes the group before the switch is requested
+ * @param name the name under which results are printed
+ * @param faults the policy for messages during the switch
+ * @param prepare prepares the group before the switch is requested
  */
 record SwitchScenario(String name, LinkPolicy faults, Consumer<SwitchWorld> prepare) {
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchWorld.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchWorld.java
@@ -30,15 +30,17 @@
 import org.comfreywall.group.mapswitch.WriteDurable;
 
 /**
- * One group with its ledger and coordinators, in virtual time.
+ * Discrete-event simulation of one group with its decision ledger and coordinators.
+ * Coordinators of earlier terms and replaced servers keep running, up to a limit, to test
+ * that their messages have no effect.
  */
 final class SwitchWorld {
 
-	/** The greatest number of replaced servers kept running. */
-	private static final int REPLACED_KEPT = 8;
+	/** The maximum number of replaced servers that keep running. */
+	private static final int MAX_REPLACED_HOSTS = 8;
 
-	/** The greatest number of former coordinators kept running. */
-	private static final int FORMER_COORDINATORS_KEPT = 3;
+	/** The maximum number of running coordinators, including the current one. */
+	private static final int MAX_RUNNING_COORDINATORS = 3;
 
 	private final EventQueue queue = new EventQueue();
 
@@ -48,11 +50,12 @@
 
 	private final LedgerAudit ledgerAudit = new LedgerAudit(this.audit::violation);
 
+	/** Steps for which an engine was ready before it had permission to start them. */
 	private final TreeSet<Long> delayedSteps = new TreeSet<>();
 
 	private final List<FakeCoordinator> coordinators = new ArrayList<>();
 
-	private final List<FakeHost> replaced = new ArrayList<>();
+	private final List<FakeHost> replacedHosts = new ArrayList<>();
 
 	private final WorldSettings settings;
 
@@ -79,7 +82,7 @@
 	SwitchWorld(WorldSettings settings, LinkPolicy policy, LongSupplier computeNanos) {
 		this.settings = settings;
 		this.link = new Link(this.queue, policy);
-		this.lockStep = new LockStep(settings.ranks(), this::completed);
+		this.lockStep = new LockStep(settings.ranks(), this::notifyStepCompleted);
 		this.hosts = new FakeHost[settings.ranks()];
 		this.ledger = new DecisionLedger(settings.ranks(), LedgerState.EMPTY);
 		this.computeNanos = computeNanos;
@@ -87,9 +90,9 @@
 
 	void start() {
 		elect();
-		leader().handle(new MapInstallRequested(map()));
+		leader().handle(new MapInstallRequested(requestedMap()));
 		for (int rank = 0; rank < this.hosts.length; rank++) {
-			this.hosts[rank] = newHost(rank);
+			this.hosts[rank] = createHost(rank);
 			this.hosts[rank].startSidecar();
 		}
 		tick();
@@ -174,7 +177,7 @@
 	void elect() {
 		this.term++;
 		this.coordinators.removeIf((coordinator) -> !coordinator.isAlive());
-		if (this.coordinators.size() == FORMER_COORDINATORS_KEPT) {
+		if (this.coordinators.size() == MAX_RUNNING_COORDINATORS) {
 			this.coordinators.remove(0).die();
 		}
 		this.coordinators.add(new FakeCoordinator(this, Term.of(this.term)));
@@ -183,20 +186,20 @@
 
 	MapRef requestSwitch() {
 		this.version++;
-		leader().handle(new SwitchRequested(map()));
-		return map();
+		leader().handle(new SwitchRequested(requestedMap()));
+		return requestedMap();
 	}
 
 	void replace(int rank) {
-		FakeHost former = this.hosts[rank];
-		former.freeze();
-		this.replaced.add(former);
-		if (this.replaced.size() > REPLACED_KEPT) {
-			this.replaced.remove(0).stopSidecar();
+		FakeHost previous = this.hosts[rank];
+		previous.freeze();
+		this.replacedHosts.add(previous);
+		if (this.replacedHosts.size() > MAX_REPLACED_HOSTS) {
+			this.replacedHosts.remove(0).stopSidecar();
 		}
 		this.audit.replaced(rank, this.lockStep.completed());
 		this.lockStep.restart(rank);
-		this.hosts[rank] = newHost(rank);
+		this.hosts[rank] = createHost(rank);
 		this.hosts[rank].startSidecar();
 	}
 
@@ -245,18 +248,18 @@
 		});
 	}
 
-	private MapRef map() {
+	private MapRef requestedMap() {
 		return new MapRef(MapVersion.of(this.version), "content-" + this.version);
 	}
 
-	private FakeHost newHost(int rank) {
+	private FakeHost createHost(int rank) {
 		String name = "server-" + rank + "-" + this.settings.names().getAsLong();
 		return new FakeHost(this, rank, name, this.settings.ahead().applyAsInt(rank),
 				this.settings.checksFencing().test(rank));
 	}
 
 	private void deliver(SendOrder send) {
-		for (FakeHost host : this.replaced) {
+		for (FakeHost host : this.replacedHosts) {
 			deliver(host, send);
 		}
 		deliver(this.hosts[send.rank()], send);
@@ -268,7 +271,7 @@
 		}
 	}
 
-	private void completed(long step) {
+	private void notifyStepCompleted(long step) {
 		for (FakeHost host : this.hosts) {
 			host.stepCompleted();
 		}
@@ -282,7 +285,7 @@
 		}
 		List.copyOf(this.coordinators).forEach((coordinator) -> coordinator.handle(new CoordinatorTick()));
 		Arrays.stream(this.hosts).forEach(FakeHost::tick);
-		this.replaced.forEach(FakeHost::tick);
+		this.replacedHosts.forEach(FakeHost::tick);
 		this.queue.after(this.settings.tickNanos(), this::tick);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/WorldSettings.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/WorldSettings.java
@@ -10,16 +10,18 @@
 import org.comfreywall.group.mapswitch.CoordinatorSettings;
 
 /**
- * Settings of a group in virtual time.
+ * Settings of a {@link SwitchWorld}.
  *
  * @param ranks the number of ranks
- * @param agent the agents' settings
- * @param coordinator gives each coordinator its settings
+ * @param agent the settings of all agents
+ * @param coordinator supplies the settings of each new coordinator
  * @param tickNanos time between ticks, in nanoseconds
  * @param loadNanos time an engine takes to load a map's weights, in nanoseconds
- * @param ahead how many steps ahead a rank's engine asks
- * @param checksFencing whether a rank's engine refuses old fencing numbers
- * @param names gives each server a new number
+ * @param ahead by rank, the number of steps beyond the started one for which an engine
+ * requests permission; 0 to request each step only after the previous one has completed
+ * @param checksFencing by rank, whether an engine rejects commands with an outdated
+ * fencing number
+ * @param names supplies a unique number for the name of each new server
  */
 record WorldSettings(int ranks, AgentSettings agent, Supplier<CoordinatorSettings> coordinator, long tickNanos,
 		long loadNanos, IntUnaryOperator ahead, IntPredicate checksFencing, LongSupplier names) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/package-info.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Measurements and the randomised run of the expert map switch.
+ * Measures switches of the expert map and tests them under random faults, in a
+ * simulation.
  */
 package org.comfreywall.bench.mapswitch;
