Reword the placement measurements of the bench

Comments were short riddles ("goes to the least skew ... whatever it reads", "plans by the price of skew and bytes", "a move of greater worth a byte"), and names such as durable, grants, bounds, targets and draw hid their subject or unit.

Comments now name the cost that each policy minimizes and the forecast it uses, say which layers the planner may change, and describe the tolerances and rate limits with units. "Present placement" became "current placement", as in the planner. Private names follow. Names of results, policies and drifts are unchanged.

The package has no tests of its own.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/Drift.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/Drift.java
@@ -3,17 +3,17 @@
 import java.util.Locale;
 
 /**
- * Ways in which a group's load changes during a run.
+ * The ways in which the load of a group changes during a run.
  */
 enum Drift {
 
-	/** The popularity of every expert follows its own daily curve. */
+	/** The popularity of each expert follows a daily sine curve with its own phase. */
 	DAILY(0.6, false, false),
-	/** Twice a day a quarter of the experts changes popularity at once. */
+	/** The popularity of a quarter of the experts changes abruptly twice a day. */
 	SHIFT(0, true, false),
-	/** Popularity stays as it is. */
+	/** Popularity is constant; only the counts are noisy. */
 	NOISE(0, false, false),
-	/** One rank is slow for a part of the day. */
+	/** Popularity is constant, and one rank is slow for a part of the day. */
 	SLOW_RANK(0, false, true);
 
 	private final double dailyAmplitude;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/DriftRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/DriftRun.java
@@ -6,11 +6,12 @@
 import org.comfreywall.group.placement.GroupShape;
 
 /**
- * The counts of each interval and the true speeds of the ranks on one seeded drift.
+ * Generates the counts of each interval and the true speeds of the ranks for one
+ * simulated load. The same seed gives the same load.
  */
 final class DriftRun {
 
-	/** Intervals of a day, five minutes each. */
+	/** The number of intervals per day; each takes five minutes. */
 	static final int INTERVALS_PER_DAY = 288;
 
 	private static final double TOKENS_PER_INTERVAL = 200_000;
@@ -19,13 +20,13 @@
 
 	private static final double JITTER_DEVIATION = 0.06;
 
-	private static final int SHIFT_EVERY = 120;
+	private static final int SHIFT_INTERVALS = 120;
 
-	private static final double SHIFTED_PART = 0.25;
+	private static final double SHIFTED_FRACTION = 0.25;
 
-	private static final int SLOW_FROM = 90;
+	private static final int SLOW_FROM_INTERVAL = 90;
 
-	private static final int SLOW_UNTIL = 210;
+	private static final int SLOW_UNTIL_INTERVAL = 210;
 
 	private static final double SLOW_SPEED = 0.6;
 
@@ -35,9 +36,9 @@
 
 	private final Drift drift;
 
-	private final double[][] base;
+	private final double[][] basePopularity;
 
-	private final double[][] phases;
+	private final double[][] dailyPhases;
 
 	private final double[] speeds;
 
@@ -46,12 +47,12 @@
 	DriftRun(long seed, Drift drift, GroupShape shape) {
 		this.random = new Random(seed * 31 + drift.ordinal());
 		this.drift = drift;
-		this.base = new double[shape.layers()][shape.experts()];
-		this.phases = new double[shape.layers()][shape.experts()];
+		this.basePopularity = new double[shape.layers()][shape.experts()];
+		this.dailyPhases = new double[shape.layers()][shape.experts()];
 		for (int layer = 0; layer < shape.layers(); layer++) {
 			for (int expert = 0; expert < shape.experts(); expert++) {
-				this.base[layer][expert] = drawBase();
-				this.phases[layer][expert] = this.random.nextDouble();
+				this.basePopularity[layer][expert] = drawBase();
+				this.dailyPhases[layer][expert] = this.random.nextDouble();
 			}
 		}
 		this.speeds = new double[shape.ranks()];
@@ -60,12 +61,13 @@
 
 	double[][] nextCounts() {
 		this.interval++;
-		if (this.drift.shifts() && this.interval % SHIFT_EVERY == 0) {
+		if (this.drift.shifts() && this.interval % SHIFT_INTERVALS == 0) {
 			shift();
 		}
-		boolean slow = this.drift.slowRank() && this.interval >= SLOW_FROM && this.interval < SLOW_UNTIL;
+		boolean slow = this.drift.slowRank() && this.interval >= SLOW_FROM_INTERVAL
+				&& this.interval < SLOW_UNTIL_INTERVAL;
 		this.speeds[SLOW_RANK] = slow ? SLOW_SPEED : 1;
-		double[][] counts = new double[this.base.length][];
+		double[][] counts = new double[this.basePopularity.length][];
 		for (int layer = 0; layer < counts.length; layer++) {
 			counts[layer] = drawCounts(layer);
 		}
@@ -81,9 +83,9 @@
 	}
 
 	private void shift() {
-		for (double[] layer : this.base) {
+		for (double[] layer : this.basePopularity) {
 			for (int expert = 0; expert < layer.length; expert++) {
-				if (this.random.nextDouble() < SHIFTED_PART) {
+				if (this.random.nextDouble() < SHIFTED_FRACTION) {
 					layer[expert] = drawBase();
 				}
 			}
@@ -91,10 +93,11 @@
 	}
 
 	private double[] drawCounts(int layer) {
-		double[] popularity = new double[this.base[layer].length];
+		double[] popularity = new double[this.basePopularity[layer].length];
 		for (int expert = 0; expert < popularity.length; expert++) {
-			double angle = 2 * Math.PI * ((double) this.interval / INTERVALS_PER_DAY + this.phases[layer][expert]);
-			popularity[expert] = this.base[layer][expert] * Math.exp(this.drift.dailyAmplitude() * Math.sin(angle));
+			double angle = 2 * Math.PI * ((double) this.interval / INTERVALS_PER_DAY + this.dailyPhases[layer][expert]);
+			popularity[expert] = this.basePopularity[layer][expert]
+					* Math.exp(this.drift.dailyAmplitude() * Math.sin(angle));
 		}
 		double sum = Arrays.stream(popularity).sum();
 		return Arrays.stream(popularity).map((value) -> drawCount(TOKENS_PER_INTERVAL * value / sum)).toArray();
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/GreedyPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/GreedyPolicy.java
@@ -16,15 +16,16 @@
 import org.comfreywall.group.placement.PopularityEstimator;
 
 /**
- * Goes to the least skew at every interval on smoothed counts, whatever it reads.
+ * Minimizes the skew in each interval, based on the moving average of the counts and
+ * regardless of the bytes to read.
  */
 final class GreedyPolicy implements RebalancePolicy {
 
-	private static final PlacementWeights MOVES_ARE_FREE = new PlacementWeights(1, 0);
+	private static final PlacementWeights SKEW_ONLY = new PlacementWeights(1, 0);
 
 	private final String name;
 
-	private final UnaryOperator<Placement> start;
+	private final UnaryOperator<Placement> startingPlacement;
 
 	private final GroupShape shape;
 
@@ -34,21 +35,22 @@
 
 	private GreedyPolicy(String name, UnaryOperator<Placement> start, GroupShape shape) {
 		this.name = name;
-		this.start = start;
+		this.startingPlacement = start;
 		this.shape = shape;
 		this.estimator = new PopularityEstimator(EstimatorSettings.DEFAULT, shape.layers(), shape.experts());
-		this.planner = new PlacementPlanner(PlannerSettings.of(MOVES_ARE_FREE, PlacementMeasurement.STORE_RATE),
+		this.planner = new PlacementPlanner(PlannerSettings.of(SKEW_ONLY, PlacementMeasurement.STORE_RATE),
 				DecisionListener.NONE, new Invariants());
 	}
 
-	// Improves the present placement.
+	// Plans changes to the current placement.
 	static GreedyPolicy incremental(GroupShape shape) {
 		return new GreedyPolicy("greedy", UnaryOperator.identity(), shape);
 	}
 
-	// Packs all experts anew: hottest replicated most, heaviest copy to the fastest rank.
+	// Plans each placement from scratch: the experts with the most traffic get the most
+	// copies, and the copy with the most traffic goes to the fastest rank.
 	static GreedyPolicy repacking(GroupShape shape) {
-		return new GreedyPolicy("repack", (present) -> Placement.empty(shape), shape);
+		return new GreedyPolicy("repack", (current) -> Placement.empty(shape), shape);
 	}
 
 	@Override
@@ -62,11 +64,11 @@
 	}
 
 	@Override
-	public Placement plan(Placement present, double[] speeds) {
+	public Placement plan(Placement current, double[] speeds) {
 		boolean[] changed = new boolean[this.shape.layers()];
 		Arrays.fill(changed, true);
 		return this.planner
-			.plan(new PlanRequest(GroupId.of(this.name), this.shape, this.start.apply(present),
+			.plan(new PlanRequest(GroupId.of(this.name), this.shape, this.startingPlacement.apply(current),
 					this.estimator.smoothed(), speeds, changed, "interval"))
 			.placement();
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MoveRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MoveRun.java
@@ -19,30 +19,32 @@
 import org.comfreywall.group.moves.WeightStoreBucket;
 
 /**
- * Carries out the commands of a move scheduler in simulated time; every read takes one
- * step of the clock.
+ * Executes the commands of a {@link MoveScheduler} in simulated time, in which each read
+ * from the weight store takes one clock step. Optionally, the coordinator crashes once
+ * and recovers its plans.
  */
 final class MoveRun {
 
+	/** Disables the crash, as no run starts this many reads. */
 	static final int NO_CRASH = Integer.MAX_VALUE;
 
-	private static final long STEP_NANOS = 10_000_000;
+	private static final long CLOCK_STEP_NANOS = 10_000_000;
 
 	private static final double SECOND_NANOS = 1e9;
 
-	private static final int MAXIMUM_STEPS = 1_000_000;
+	private static final int MAX_CLOCK_STEPS = 1_000_000;
 
 	private static final long BURST_BYTES = 64L << 20;
 
-	private final Map<PlanId, MovePlan> durable = new LinkedHashMap<>();
+	private final Map<PlanId, MovePlan> savedPlans = new LinkedHashMap<>();
 
-	private final Map<PlanId, Set<Integer>> staged = new LinkedHashMap<>();
+	private final Map<PlanId, Set<Integer>> stagedMoves = new LinkedHashMap<>();
 
-	private final List<Grant> grants = new ArrayList<>();
+	private final List<StartedRead> startedReads = new ArrayList<>();
 
-	private final int crashAfter;
+	private final int crashAfterReads;
 
-	private List<MoveId> reading = new ArrayList<>();
+	private List<MoveId> activeReads = new ArrayList<>();
 
 	private MoveScheduler scheduler;
 
@@ -51,7 +53,7 @@
 	private int readsOutOfOrder;
 
 	MoveRun(int crashAfter) {
-		this.crashAfter = crashAfter;
+		this.crashAfterReads = crashAfter;
 	}
 
 	void start(MovePlan... plans) {
@@ -60,13 +62,13 @@
 			handle(new MoveEvent.PlanAccepted(plan));
 		}
 		boolean crashed = false;
-		for (int step = 0; step < MAXIMUM_STEPS && !this.durable.isEmpty(); step++) {
-			this.now += STEP_NANOS;
-			if (!crashed && this.grants.size() >= this.crashAfter) {
+		for (int step = 0; step < MAX_CLOCK_STEPS && !this.savedPlans.isEmpty(); step++) {
+			this.now += CLOCK_STEP_NANOS;
+			if (!crashed && this.startedReads.size() >= this.crashAfterReads) {
 				crashed = true;
 				crash();
 			}
-			answerReads();
+			completeReads();
 			handle(new MoveEvent.Tick());
 		}
 	}
@@ -77,52 +79,52 @@
 				new Invariants());
 	}
 
-	// Answers on their way to the old coordinator are lost.
+	// Results of reads in progress do not reach the new coordinator.
 	private void crash() {
-		this.reading.clear();
+		this.activeReads.clear();
 		startScheduler();
-		List.copyOf(this.durable.values())
+		List.copyOf(this.savedPlans.values())
 			.forEach((plan) -> handle(
-					new MoveEvent.PlanRecovered(plan, this.staged.getOrDefault(plan.id(), new TreeSet<>()))));
+					new MoveEvent.PlanRecovered(plan, this.stagedMoves.getOrDefault(plan.id(), new TreeSet<>()))));
 	}
 
-	private void answerReads() {
-		List<MoveId> done = this.reading;
-		this.reading = new ArrayList<>();
-		for (MoveId move : done) {
-			this.staged.computeIfAbsent(move.plan(), (plan) -> new TreeSet<>()).add(move.index());
+	private void completeReads() {
+		List<MoveId> completed = this.activeReads;
+		this.activeReads = new ArrayList<>();
+		for (MoveId move : completed) {
+			this.stagedMoves.computeIfAbsent(move.plan(), (plan) -> new TreeSet<>()).add(move.index());
 			handle(new MoveEvent.MoveStaged(move));
 		}
 	}
 
 	private void handle(MoveEvent event) {
-		this.scheduler.handle(event, this.now).forEach(this::carryOut);
+		this.scheduler.handle(event, this.now).forEach(this::execute);
 	}
 
-	private void carryOut(MoveCommand command) {
+	private void execute(MoveCommand command) {
 		if (command instanceof MoveCommand.SavePlan save) {
-			this.durable.put(save.plan().id(), save.plan());
+			this.savedPlans.put(save.plan().id(), save.plan());
 			handle(new MoveEvent.PlanSaved(save.plan().id()));
 		}
-		else if (command instanceof MoveCommand.PlanStaged done) {
-			this.durable.remove(done.plan());
+		else if (command instanceof MoveCommand.PlanStaged planStaged) {
+			this.savedPlans.remove(planStaged.plan());
 		}
 		else if (command instanceof MoveCommand.StartRead read) {
-			countOrder(read);
-			this.grants.add(new Grant(this.now, read.move().bytes()));
-			this.reading.add(read.id());
+			checkReadOrder(read);
+			this.startedReads.add(new StartedRead(this.now, read.move().bytes()));
+			this.activeReads.add(read.id());
 		}
 	}
 
-	// A read is out of order if a move of greater worth a byte was neither read nor
-	// staged.
-	private void countOrder(MoveCommand.StartRead read) {
-		for (MovePlan plan : this.durable.values()) {
+	// Counts a read as out of order if another move with a higher gain per byte had been
+	// neither started nor staged.
+	private void checkReadOrder(MoveCommand.StartRead read) {
+		for (MovePlan plan : this.savedPlans.values()) {
 			for (int index = 0; index < plan.moves().size(); index++) {
 				MoveId other = new MoveId(plan.id(), index);
-				boolean waiting = !this.reading.contains(other)
-						&& !this.staged.getOrDefault(plan.id(), Set.of()).contains(index);
-				if (waiting && plan.moves().get(index).gainPerByte() > read.move().gainPerByte()) {
+				boolean notStarted = !this.activeReads.contains(other)
+						&& !this.stagedMoves.getOrDefault(plan.id(), Set.of()).contains(index);
+				if (notStarted && plan.moves().get(index).gainPerByte() > read.move().gainPerByte()) {
 					this.readsOutOfOrder++;
 					return;
 				}
@@ -131,11 +133,11 @@
 	}
 
 	int reads() {
-		return this.grants.size();
+		return this.startedReads.size();
 	}
 
 	long bytes() {
-		return this.grants.stream().mapToLong(Grant::bytes).sum();
+		return this.startedReads.stream().mapToLong(StartedRead::bytes).sum();
 	}
 
 	double seconds() {
@@ -143,27 +145,34 @@
 	}
 
 	int unfinished() {
-		return this.durable.size();
+		return this.savedPlans.size();
 	}
 
 	int readsOutOfOrder() {
 		return this.readsOutOfOrder;
 	}
 
+	/**
+	 * Counts the time windows, from the start of one read to the start of another, in
+	 * which more bytes were read than the burst size and the rate limit of the weight
+	 * store allow.
+	 * @return the number of windows
+	 */
 	int windowsAboveRate() {
-		int above = 0;
-		for (int from = 0; from < this.grants.size(); from++) {
+		int windows = 0;
+		for (int from = 0; from < this.startedReads.size(); from++) {
 			long bytes = 0;
-			for (int to = from; to < this.grants.size(); to++) {
-				bytes += this.grants.get(to).bytes();
-				double seconds = (this.grants.get(to).at() - this.grants.get(from).at()) / SECOND_NANOS;
-				above += (bytes > BURST_BYTES + PlacementMeasurement.STORE_RATE * seconds + 1) ? 1 : 0;
+			for (int to = from; to < this.startedReads.size(); to++) {
+				bytes += this.startedReads.get(to).bytes();
+				double seconds = (this.startedReads.get(to).timeNanos() - this.startedReads.get(from).timeNanos())
+						/ SECOND_NANOS;
+				windows += (bytes > BURST_BYTES + PlacementMeasurement.STORE_RATE * seconds + 1) ? 1 : 0;
 			}
 		}
-		return above;
+		return windows;
 	}
 
-	private record Grant(long at, long bytes) {
+	private record StartedRead(long timeNanos, long bytes) {
 
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MovesMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MovesMeasurement.java
@@ -21,18 +21,19 @@
 import org.comfreywall.group.placement.PlannerSettings;
 
 /**
- * Measures the moves of two groups' plans under one weight store's rate, with and without
- * a crash of the coordinator.
+ * Measures how long the moves of two groups take that share the rate limit of one weight
+ * store, with and without a crash of the coordinator.
  */
 public final class MovesMeasurement implements Measurement {
 
 	private static final int LAYERS = 4;
 
-	private static final int SLOTS = 6;
+	private static final int SLOTS_PER_RANK = 6;
 
 	private static final double CHANGE_DEVIATION = 0.5;
 
-	private static final double STORE_TIME_ALLOWANCE = 1.05;
+	/** The maximum ratio of the elapsed time to the time at the full store rate. */
+	private static final double STORE_TIME_TOLERANCE = 1.05;
 
 	@Override
 	public void run(BenchOptions options, Reporter reporter) {
@@ -53,32 +54,32 @@
 		reporter.atMost(name + "-plans-unfinished", run.unfinished(), 0);
 		reporter.atMost(name + "-windows-above-rate", run.windowsAboveRate(), 0);
 		reporter.atMost(name + "-reads-out-of-order", run.readsOutOfOrder(), 0);
-		reporter.atMost(name + "-seconds", run.seconds(), storeSeconds * STORE_TIME_ALLOWANCE);
+		reporter.atMost(name + "-seconds", run.seconds(), storeSeconds * STORE_TIME_TOLERANCE);
 	}
 
 	private static MovePlan plan(Random random, String group) {
-		GroupShape shape = PlacementMeasurement.shape(LAYERS, SLOTS);
+		GroupShape shape = PlacementMeasurement.shape(LAYERS, SLOTS_PER_RANK);
 		PlacementPlanner planner = new PlacementPlanner(
 				PlannerSettings.of(PlacementPreset.PLUME.weights(), PlacementMeasurement.STORE_RATE),
 				DecisionListener.NONE, new Invariants());
 		double[][] popularity = new double[LAYERS][PlacementMeasurement.EXPERTS];
-		scale(random, popularity, true);
+		changePopularity(random, popularity, true);
 		Placement first = plan(planner, group, shape, Placement.empty(shape), popularity).placement();
-		scale(random, popularity, false);
+		changePopularity(random, popularity, false);
 		return new MovePlan(new PlanId(GroupId.of(group), 1), plan(planner, group, shape, first, popularity).moves());
 	}
 
-	private static PlacementPlan plan(PlacementPlanner planner, String group, GroupShape shape, Placement present,
+	private static PlacementPlan plan(PlacementPlanner planner, String group, GroupShape shape, Placement current,
 			double[][] popularity) {
 		double[] speeds = new double[shape.ranks()];
 		Arrays.fill(speeds, 1);
 		boolean[] changed = new boolean[shape.layers()];
 		Arrays.fill(changed, true);
 		return planner
-			.plan(new PlanRequest(GroupId.of(group), shape, present, popularity, speeds, changed, "measurement"));
+			.plan(new PlanRequest(GroupId.of(group), shape, current, popularity, speeds, changed, "measurement"));
 	}
 
-	private static void scale(Random random, double[][] popularity, boolean first) {
+	private static void changePopularity(Random random, double[][] popularity, boolean first) {
 		for (double[] layer : popularity) {
 			Arrays.setAll(layer, (expert) -> first ? Math.exp(random.nextGaussian())
 					: layer[expert] * Math.exp(CHANGE_DEVIATION * random.nextGaussian()));
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/NeverPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/NeverPolicy.java
@@ -3,7 +3,7 @@
 import org.comfreywall.group.placement.Placement;
 
 /**
- * Keeps the first placement.
+ * Keeps the first placement, as a baseline without any moves.
  */
 final class NeverPolicy implements RebalancePolicy {
 
@@ -14,12 +14,12 @@
 
 	@Override
 	public void observe(double[][] counts) {
-		// needs no counts
+		// the placement does not depend on the counts
 	}
 
 	@Override
-	public Placement plan(Placement present, double[] speeds) {
-		return present;
+	public Placement plan(Placement current, double[] speeds) {
+		return current;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlacementMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlacementMeasurement.java
@@ -13,12 +13,12 @@
 import org.comfreywall.group.placement.Placement;
 
 /**
- * Measures skew and bytes of placement policies on the same seeded drifts, and the time
- * of one plan.
+ * Measures the skew and the bytes read under several placement policies on the same
+ * simulated loads, and the CPU time of one plan.
  */
 public final class PlacementMeasurement implements Measurement {
 
-	/** The weight store's rate in bytes a second. */
+	/** The rate limit of the weight store in bytes per second. */
 	static final double STORE_RATE = 256L << 20;
 
 	static final int RANKS = 32;
@@ -27,18 +27,19 @@
 
 	private static final int LAYERS = 4;
 
-	private static final int SLOTS = 6;
+	private static final int SLOTS_PER_RANK = 6;
 
-	private static final int DOMAINS = 3;
+	private static final int FAILURE_DOMAINS = 3;
 
 	private static final long EXPERT_BYTES = 42L << 20;
 
-	private static final double P95_ALLOWANCE = 1.02;
+	/** The maximum ratio to the 95th percentile of the skew under the greedy policies. */
+	private static final double P95_TOLERANCE = 1.02;
 
 	@Override
 	public void run(BenchOptions options, Reporter reporter) {
 		int intervals = (int) options.steps(DriftRun.INTERVALS_PER_DAY);
-		GroupShape shape = shape(LAYERS, SLOTS);
+		GroupShape shape = shape(LAYERS, SLOTS_PER_RANK);
 		for (Drift drift : Drift.values()) {
 			measure(options.seed(), drift, shape, intervals, reporter);
 		}
@@ -49,7 +50,7 @@
 		int[] slotsOfRanks = new int[RANKS];
 		Arrays.fill(slotsOfRanks, slots);
 		int[] domains = new int[RANKS];
-		Arrays.setAll(domains, (rank) -> rank % DOMAINS);
+		Arrays.setAll(domains, (rank) -> rank % FAILURE_DOMAINS);
 		return GroupShape.of(layers, EXPERTS, slotsOfRanks, domains, EXPERT_BYTES);
 	}
 
@@ -62,7 +63,7 @@
 			run.report(reporter, drift);
 			runs.add(run);
 		}
-		targets(drift, runs, reporter);
+		reportTargets(drift, runs, reporter);
 	}
 
 	private static List<RebalancePolicy> policies(GroupShape shape) {
@@ -80,15 +81,15 @@
 		return policy.plan(Placement.empty(shape), run.speeds());
 	}
 
-	private static void targets(Drift drift, List<PolicyRun> runs, Reporter reporter) {
+	private static void reportTargets(Drift drift, List<PolicyRun> runs, Reporter reporter) {
 		PolicyRun never = runs.get(0);
 		PolicyRun repack = runs.get(1);
 		PolicyRun greedy = runs.get(2);
 		PolicyRun plume = runs.get(3);
 		PolicyRun popelar = runs.get(4);
 		String prefix = drift.text() + "-";
-		reporter.atMost(prefix + "plume-skew-p95", plume.p95(), greedy.p95() * P95_ALLOWANCE);
-		reporter.atMost(prefix + "plume-skew-p95-of-repack", plume.p95(), repack.p95() * P95_ALLOWANCE);
+		reporter.atMost(prefix + "plume-skew-p95", plume.p95(), greedy.p95() * P95_TOLERANCE);
+		reporter.atMost(prefix + "plume-skew-p95-of-repack", plume.p95(), repack.p95() * P95_TOLERANCE);
 		if (drift == Drift.NOISE) {
 			reporter.atMost(prefix + "plume-moved-gib", plume.gibibytes(), 0);
 			reporter.atMost(prefix + "popelar-moved-gib", popelar.gibibytes(), 0);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlanTime.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlanTime.java
@@ -18,33 +18,34 @@
 import org.comfreywall.group.placement.PlannerSettings;
 
 /**
- * Measures the processor time of one plan of a full-sized group, which one thread makes.
+ * Measures the CPU time that one thread takes to plan the placement of a full-sized
+ * group.
  */
 final class PlanTime {
 
 	private static final int LAYERS = 58;
 
-	private static final int SLOTS = 6;
+	private static final int SLOTS_PER_RANK = 6;
 
 	private static final int ROUNDS = 5;
 
 	private static final double CHANGE_DEVIATION = 0.3;
 
-	private static final double LONGEST_PLAN_SECONDS = 1;
+	private static final double MAX_PLAN_SECONDS = 1;
 
 	private static final double SECOND_NANOS = 1e9;
 
 	private final Random random;
 
-	private final GroupShape shape = PlacementMeasurement.shape(LAYERS, SLOTS);
+	private final GroupShape shape = PlacementMeasurement.shape(LAYERS, SLOTS_PER_RANK);
 
 	private final PlacementPlanner planner = new PlacementPlanner(
 			PlannerSettings.of(PlacementPreset.PLUME.weights(), PlacementMeasurement.STORE_RATE), DecisionListener.NONE,
 			new Invariants());
 
-	private double firstSeconds;
+	private double firstPlanSeconds;
 
-	private double nextSeconds;
+	private double nextPlanSeconds;
 
 	PlanTime(long seed) {
 		this.random = new Random(seed);
@@ -52,38 +53,39 @@
 
 	void run(Reporter reporter) {
 		double[][] popularity = new double[this.shape.layers()][this.shape.experts()];
-		Arrays.stream(popularity).forEach((layer) -> Arrays.setAll(layer, (expert) -> draw(1)));
+		Arrays.stream(popularity).forEach((layer) -> Arrays.setAll(layer, (expert) -> drawFactor(1)));
 		for (int round = 0; round < ROUNDS; round++) {
-			plan(popularity);
+			measureRound(popularity);
 		}
-		reporter.result("plan-time", Field.of("layers", LAYERS), Field.of("first-plan-cpu-s", this.firstSeconds),
-				Field.of("next-plan-cpu-s", this.nextSeconds));
-		reporter.atMost("first-plan-cpu-s", this.firstSeconds, LONGEST_PLAN_SECONDS);
-		reporter.atMost("next-plan-cpu-s", this.nextSeconds, LONGEST_PLAN_SECONDS);
+		reporter.result("plan-time", Field.of("layers", LAYERS), Field.of("first-plan-cpu-s", this.firstPlanSeconds),
+				Field.of("next-plan-cpu-s", this.nextPlanSeconds));
+		reporter.atMost("first-plan-cpu-s", this.firstPlanSeconds, MAX_PLAN_SECONDS);
+		reporter.atMost("next-plan-cpu-s", this.nextPlanSeconds, MAX_PLAN_SECONDS);
 	}
 
-	// Keeps the times of the last round, when the code is compiled.
-	private void plan(double[][] popularity) {
+	// Overwrites the times of earlier rounds, as only the last round runs fully compiled
+	// code.
+	private void measureRound(double[][] popularity) {
 		long start = cpuNanos();
 		PlacementPlan first = plan(Placement.empty(this.shape), popularity);
-		this.firstSeconds = (cpuNanos() - start) / SECOND_NANOS;
+		this.firstPlanSeconds = (cpuNanos() - start) / SECOND_NANOS;
 		Arrays.stream(popularity)
-			.forEach((layer) -> Arrays.setAll(layer, (expert) -> layer[expert] * draw(CHANGE_DEVIATION)));
+			.forEach((layer) -> Arrays.setAll(layer, (expert) -> layer[expert] * drawFactor(CHANGE_DEVIATION)));
 		start = cpuNanos();
 		plan(first.placement(), popularity);
-		this.nextSeconds = (cpuNanos() - start) / SECOND_NANOS;
+		this.nextPlanSeconds = (cpuNanos() - start) / SECOND_NANOS;
 	}
 
-	private PlacementPlan plan(Placement present, double[][] popularity) {
+	private PlacementPlan plan(Placement current, double[][] popularity) {
 		double[] speeds = new double[this.shape.ranks()];
 		Arrays.fill(speeds, 1);
 		boolean[] changed = new boolean[this.shape.layers()];
 		Arrays.fill(changed, true);
 		return this.planner
-			.plan(new PlanRequest(GroupId.of("g"), this.shape, present, popularity, speeds, changed, "measurement"));
+			.plan(new PlanRequest(GroupId.of("g"), this.shape, current, popularity, speeds, changed, "measurement"));
 	}
 
-	private double draw(double deviation) {
+	private double drawFactor(double deviation) {
 		return Math.exp(deviation * this.random.nextGaussian());
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PolicyRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PolicyRun.java
@@ -16,16 +16,18 @@
 import org.comfreywall.group.straggler.StragglerSettings;
 
 /**
- * Runs one policy on one drift and gathers skew and bytes.
+ * Runs one policy on one simulated load and records the step-time skew and the bytes read
+ * from the weight store.
  */
 final class PolicyRun {
 
-	/** Intervals that are observed before the first plan. */
+	/** The number of intervals observed before the first plan. */
 	static final int WARM_UP = 6;
 
 	private static final double GIBIBYTE = 1L << 30;
 
-	private static final double TIME_DEVIATION = 0.02;
+	/** The standard deviation of a measured step time, relative to the true one. */
+	private static final double STEP_TIME_DEVIATION = 0.02;
 
 	private static final double[] FULL_SPEED = new double[PlacementMeasurement.RANKS];
 
@@ -43,11 +45,11 @@
 
 	private final double[] skews;
 
-	private final double[] bounds;
+	private final double[] skewLowerBounds;
 
-	private long reads;
+	private long readCount;
 
-	private int plans;
+	private int plansWithMoves;
 
 	PolicyRun(GroupShape shape, RebalancePolicy policy, int intervals, long seed) {
 		this.shape = shape;
@@ -56,48 +58,49 @@
 		this.detector = new StragglerDetector(GroupId.of(policy.name()), shape.ranks(), StragglerSettings.DEFAULT,
 				DecisionListener.NONE);
 		this.skews = new double[intervals];
-		this.bounds = new double[intervals];
+		this.skewLowerBounds = new double[intervals];
 	}
 
 	void run(DriftRun drift, Placement first) {
 		for (int interval = 0; interval < WARM_UP; interval++) {
 			this.policy.observe(drift.nextCounts());
 		}
-		Placement present = first;
+		Placement current = first;
 		for (int interval = 0; interval < this.skews.length; interval++) {
-			Placement next = this.policy.plan(present, this.detector.speeds());
-			count(present, next);
-			present = next;
+			Placement next = this.policy.plan(current, this.detector.speeds());
+			countReads(current, next);
+			current = next;
 			double[][] counts = drift.nextCounts();
-			this.skews[interval] = StepSkew.of(this.shape, present, counts, drift.speeds());
-			this.bounds[interval] = StepSkew.lowerBound(this.shape, counts, drift.speeds());
+			this.skews[interval] = StepSkew.of(this.shape, current, counts, drift.speeds());
+			this.skewLowerBounds[interval] = StepSkew.lowerBound(this.shape, counts, drift.speeds());
 			this.policy.observe(counts);
-			this.detector.observe(stepTimes(present, counts, drift.speeds()));
+			this.detector.observe(stepTimes(current, counts, drift.speeds()));
 		}
 	}
 
-	private StepTimes stepTimes(Placement present, double[][] counts, double[] speeds) {
-		double[] load = new double[this.shape.ranks()];
+	private StepTimes stepTimes(Placement current, double[][] counts, double[] speeds) {
+		double[] loads = new double[this.shape.ranks()];
 		for (int layer = 0; layer < this.shape.layers(); layer++) {
-			double[] times = present.rankTimes(this.shape, layer, counts[layer], FULL_SPEED);
-			Arrays.setAll(load, (rank) -> load[rank] + times[rank]);
+			double[] times = current.rankTimes(this.shape, layer, counts[layer], FULL_SPEED);
+			Arrays.setAll(loads, (rank) -> loads[rank] + times[rank]);
 		}
-		double[] busy = new double[load.length];
-		Arrays.setAll(busy, (rank) -> load[rank] / speeds[rank] * (1 + TIME_DEVIATION * this.random.nextGaussian()));
-		return new StepTimes(busy, load);
+		double[] busy = new double[loads.length];
+		Arrays.setAll(busy,
+				(rank) -> loads[rank] / speeds[rank] * (1 + STEP_TIME_DEVIATION * this.random.nextGaussian()));
+		return new StepTimes(busy, loads);
 	}
 
-	private void count(Placement present, Placement next) {
-		int before = (int) this.reads;
+	private void countReads(Placement current, Placement next) {
+		int readsBefore = (int) this.readCount;
 		for (int layer = 0; layer < this.shape.layers(); layer++) {
 			for (int position = 0; position < this.shape.ranks() * this.shape.stride(); position++) {
 				int expert = next.expert(layer, position);
 				boolean read = expert != Placement.EMPTY
-						&& !present.holds(this.shape, layer, position / this.shape.stride(), expert);
-				this.reads += read ? 1 : 0;
+						&& !current.holds(this.shape, layer, position / this.shape.stride(), expert);
+				this.readCount += read ? 1 : 0;
 			}
 		}
-		this.plans += (this.reads > before) ? 1 : 0;
+		this.plansWithMoves += (this.readCount > readsBefore) ? 1 : 0;
 	}
 
 	double mean() {
@@ -111,14 +114,14 @@
 	}
 
 	double gibibytes() {
-		return this.reads * this.shape.expertBytes() / GIBIBYTE;
+		return this.readCount * this.shape.expertBytes() / GIBIBYTE;
 	}
 
 	void report(Reporter reporter, Drift drift) {
 		reporter.result("placement", Field.of("drift", drift.text()), Field.of("policy", this.policy.name()),
 				Field.of("skew-mean", decimal(mean())), Field.of("skew-p95", decimal(p95())),
-				Field.of("skew-bound-mean", decimal(Arrays.stream(this.bounds).average().orElse(1))),
-				Field.of("moved-gib", decimal(gibibytes())), Field.of("plans-with-moves", this.plans));
+				Field.of("skew-bound-mean", decimal(Arrays.stream(this.skewLowerBounds).average().orElse(1))),
+				Field.of("moved-gib", decimal(gibibytes())), Field.of("plans-with-moves", this.plansWithMoves));
 	}
 
 	private static String decimal(double value) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PricedPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PricedPolicy.java
@@ -15,7 +15,9 @@
 import org.comfreywall.group.placement.PopularityEstimator;
 
 /**
- * Plans by the price of skew and bytes on a forecast that ignores noise.
+ * Minimizes the weighted cost of skew and of bytes to read, based on forecast popularity.
+ * The planner moves experts only in layers whose forecast changed beyond noise, or in all
+ * layers if the speed of a rank changed.
  */
 final class PricedPolicy implements RebalancePolicy {
 
@@ -50,14 +52,14 @@
 	}
 
 	@Override
-	public Placement plan(Placement present, double[] speeds) {
+	public Placement plan(Placement current, double[] speeds) {
 		boolean[] changed = this.estimator.pollChanges();
 		if (!Arrays.equals(speeds, this.plannedSpeeds)) {
 			Arrays.fill(changed, true);
 			this.plannedSpeeds = speeds;
 		}
 		return this.planner
-			.plan(new PlanRequest(GroupId.of(this.name), this.shape, present, this.estimator.forecast(), speeds,
+			.plan(new PlanRequest(GroupId.of(this.name), this.shape, current, this.estimator.forecast(), speeds,
 					changed, "interval"))
 			.placement();
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/RebalancePolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/RebalancePolicy.java
@@ -3,7 +3,7 @@
 import org.comfreywall.group.placement.Placement;
 
 /**
- * Decides after each interval which placement the next interval uses.
+ * Decides, between two intervals, on the placement for the next one.
  */
 interface RebalancePolicy {
 
@@ -14,17 +14,17 @@
 	String name();
 
 	/**
-	 * Takes in the counts of an interval without planning.
-	 * @param counts the traffic of each expert, for each layer
+	 * Records the counts of an interval.
+	 * @param counts the traffic of each expert in the interval, for each layer, in tokens
 	 */
 	void observe(double[][] counts);
 
 	/**
-	 * Plans the next interval.
-	 * @param present the present placement
-	 * @param speeds the speeds of the ranks as estimated from the intervals so far
+	 * Plans the placement for the next interval.
+	 * @param current the current placement
+	 * @param speeds the estimated speed of each rank, 1 for a healthy one
 	 * @return the placement of the next interval
 	 */
-	Placement plan(Placement present, double[] speeds);
+	Placement plan(Placement current, double[] speeds);
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/package-info.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Measures placement plans on seeded drifts of expert popularity.
+ * Measures placement policies and weight moves on reproducible simulated loads.
  */
 package org.comfreywall.bench.placement;
