Name submissions alike in the request simulation

Parameters and locals that hold one submission of an operation were called "sending", while the number of a caller's submission was called "submission". They are now "submission" and "submissionNumber".

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryNode.java
@@ -108,16 +108,16 @@
 		refreshVerdicts();
 	}
 
-	void accept(Sending sending) {
-		this.simulation.observer().sent(sending);
+	void accept(Sending submission) {
+		this.simulation.observer().sent(submission);
 		if (!isAlive()) {
-			sending.abandon();
+			submission.abandon();
 			return;
 		}
-		this.sendings.put(sending.id(), sending);
-		PoisonVerdict verdict = this.verdicts.getOrDefault(sending.operation().fingerprint(), PoisonVerdict.CLEAR);
-		handle(new RequestAccepted(sending.operation().spec(sending.id()), this.simulation.now() + DEADLINE.toNanos(),
-				verdict));
+		this.sendings.put(submission.id(), submission);
+		PoisonVerdict verdict = this.verdicts.getOrDefault(submission.operation().fingerprint(), PoisonVerdict.CLEAR);
+		handle(new RequestAccepted(submission.operation().spec(submission.id()),
+				this.simulation.now() + DEADLINE.toNanos(), verdict));
 	}
 
 	void handle(RequestEvent event) {
@@ -150,7 +150,7 @@
 			this.simulation.send(this, sidecar, () -> sidecar.receive(new LinkLost(link)));
 		}
 		List<Sending> interrupted = new ArrayList<>(this.sendings.values());
-		interrupted.sort(Comparator.comparing((sending) -> sending.id()));
+		interrupted.sort(Comparator.comparing((submission) -> submission.id()));
 		this.sendings.clear();
 		interrupted.forEach(Sending::abandon);
 		this.simulation.after(RESTART_DELAY, () -> {
@@ -186,12 +186,13 @@
 			this.simulation.afterIfSame(this, Duration.ofNanos(incarnation), () -> chooseRoute(route));
 		}
 		else if (command instanceof DeliverPart part) {
-			Optional.ofNullable(this.sendings.get(part.request())).ifPresent((sending) -> sending.part(part.part()));
+			Optional.ofNullable(this.sendings.get(part.request()))
+				.ifPresent((submission) -> submission.part(part.part()));
 		}
 		else if (command instanceof CompleteRequest complete) {
-			Sending sending = this.sendings.remove(complete.request());
+			Sending submission = this.sendings.remove(complete.request());
 			this.guardUnreachableSince.remove(complete.request());
-			sending.complete(complete.outcome());
+			submission.complete(complete.outcome());
 		}
 		else if (command instanceof RequestFlightPermit permit) {
 			requestFlightPermit(permit);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Observer.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Observer.java
@@ -42,8 +42,8 @@
 
 	private final List<String> notes = new ArrayList<>();
 
-	void sent(Sending sending) {
-		this.operationsByRequest.put(sending.id(), sending.operation());
+	void sent(Sending submission) {
+		this.operationsByRequest.put(submission.id(), submission.operation());
 	}
 
 	void started(RequestId request, boolean afterDrainGrace) {
@@ -65,19 +65,19 @@
 		check(this.crashesByBody.merge(body, 1, Integer::sum) <= MAX_LOST, Rule.TWO_LOST_AT_MOST, request);
 	}
 
-	void told(Sending sending) {
-		Outcome outcome = sending.outcome().orElseThrow();
+	void told(Sending submission) {
+		Outcome outcome = submission.outcome().orElseThrow();
 		this.outcomes.merge(outcome, 1, Integer::sum);
-		check(sending.isPrefix(), Rule.OWN_WHOLE_ANSWER, sending.id());
+		check(submission.isPrefix(), Rule.OWN_WHOLE_ANSWER, submission.id());
 		if (outcome == Outcome.COMPLETED) {
-			check(sending.isWhole(), Rule.OWN_WHOLE_ANSWER, sending.id());
+			check(submission.isWhole(), Rule.OWN_WHOLE_ANSWER, submission.id());
 		}
 		else if (outcome == Outcome.NOT_RUN) {
-			this.reportedNotRun.add(sending.id());
-			check(!this.startsByRequest.containsKey(sending.id()), Rule.NOT_RUN_IS_TRUE, sending.id());
-			boolean keyed = sending.operation().kind() == Operation.Kind.KEYED;
-			check(!keyed || this.startsAtRelease.getOrDefault(sending.id(), 1) == 0, Rule.NOT_RUN_IS_TRUE,
-					sending.id());
+			this.reportedNotRun.add(submission.id());
+			check(!this.startsByRequest.containsKey(submission.id()), Rule.NOT_RUN_IS_TRUE, submission.id());
+			boolean keyed = submission.operation().kind() == Operation.Kind.KEYED;
+			check(!keyed || this.startsAtRelease.getOrDefault(submission.id(), 1) == 0, Rule.NOT_RUN_IS_TRUE,
+					submission.id());
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomCallers.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomCallers.java
@@ -118,33 +118,33 @@
 		this.simulation.entries().forEach((entry) -> submitTo(entry, operation, LAST_SUBMISSION));
 	}
 
-	private void submit(Operation operation, int submission) {
+	private void submit(Operation operation, int submissionNumber) {
 		EntryNode entry = this.simulation.entries().get(this.random.nextInt(this.simulation.entries().size()));
-		submitTo(entry, operation, submission);
-		if (this.random.nextInt(20) == 0 && submission < LAST_SUBMISSION) {
+		submitTo(entry, operation, submissionNumber);
+		if (this.random.nextInt(20) == 0 && submissionNumber < LAST_SUBMISSION) {
 			this.simulation.after(Duration.ofNanos(1_000L * this.random.nextInt(50_000)),
 					() -> submit(operation, LAST_SUBMISSION));
 		}
 	}
 
-	private void submitTo(EntryNode entry, Operation operation, int submission) {
+	private void submitTo(EntryNode entry, Operation operation, int submissionNumber) {
 		RequestId id = RequestId.of(operation.id() + "-" + this.sendings);
 		this.sendings++;
 		this.open++;
-		entry.accept(new Sending(id, operation, (sending) -> handleEnd(sending, submission)));
+		entry.accept(new Sending(id, operation, (submission) -> handleEnd(submission, submissionNumber)));
 		if (this.random.nextInt(CANCEL_ONE_IN) == 0) {
 			this.simulation.after(Duration.ofNanos(1_000L * this.random.nextInt(40_000)),
 					() -> entry.handle(new CallerCancelled(id)));
 		}
 	}
 
-	private void handleEnd(Sending sending, int submission) {
+	private void handleEnd(Sending submission, int submissionNumber) {
 		this.open--;
-		sending.outcome().ifPresent((outcome) -> this.simulation.observer().told(sending));
-		boolean completed = sending.outcome().filter((outcome) -> outcome == Outcome.COMPLETED).isPresent();
-		if (!completed && submission < LAST_SUBMISSION && this.random.nextInt(10) < 7) {
+		submission.outcome().ifPresent((outcome) -> this.simulation.observer().told(submission));
+		boolean completed = submission.outcome().filter((outcome) -> outcome == Outcome.COMPLETED).isPresent();
+		if (!completed && submissionNumber < LAST_SUBMISSION && this.random.nextInt(10) < 7) {
 			this.simulation.after(Duration.ofNanos(1_000L * this.random.nextInt(1, 300_000)),
-					() -> submit(sending.operation(), submission + 1));
+					() -> submit(submission.operation(), submissionNumber + 1));
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/TraceReplay.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/TraceReplay.java
@@ -91,14 +91,14 @@
 			Operation.Kind kind = Operation.Kind.valueOf(fields[4].toUpperCase(Locale.ROOT));
 			return new Operation(id, kind, id, poison);
 		});
-		Sending sending = new Sending(RequestId.of(name), operation, this::recordOutcome);
-		this.sendings.put(name, sending);
-		this.simulation.entry(fields[5]).accept(sending);
+		Sending submission = new Sending(RequestId.of(name), operation, this::recordOutcome);
+		this.sendings.put(name, submission);
+		this.simulation.entry(fields[5]).accept(submission);
 	}
 
-	private void recordOutcome(Sending sending) {
-		if (sending.outcome().isPresent()) {
-			this.observer.told(sending);
+	private void recordOutcome(Sending submission) {
+		if (submission.outcome().isPresent()) {
+			this.observer.told(submission);
 		}
 	}
 
@@ -114,11 +114,11 @@
 		}
 	}
 
-	private static String outcomeName(Sending sending) {
-		if (sending.isAbandoned()) {
+	private static String outcomeName(Sending submission) {
+		if (submission.isAbandoned()) {
 			return "broken";
 		}
-		return sending.outcome().map((outcome) -> outcome.name().toLowerCase(Locale.ROOT)).orElse("open");
+		return submission.outcome().map((outcome) -> outcome.name().toLowerCase(Locale.ROOT)).orElse("open");
 	}
 
 }
