Reword the measurements of the replicated log

Read badly: doc comments in words of talk ("checks from outside", "knows nothing of", "believes to lead"), names that hid their object (note, carryOut, lose, act, life, known, race), check messages in slogans ("one lease at a time", "a leader gives no orders once another may start"), and bounds that were named as fixed values.

Changed: comments, check messages, private names and locals. RunChecker's recording overload of acknowledged is recordAcknowledgement now; its getter keeps its name. Names and keys of printed results stay.

Checked: formatter, compile of bench and what it depends on; RandomRunTests passed.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/CommitCluster.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/CommitCluster.java
@@ -32,13 +32,14 @@
 import org.comfreywall.control.storage.FolderOrigin;
 
 /**
- * Control nodes in one process with synced files in a temporary folder; messages are
- * encoded and decoded but passed directly.
+ * Runs the control nodes of one cluster in this process. Each node syncs its log to files
+ * in a temporary folder. Messages are encoded and decoded but delivered by a method call
+ * instead of a network.
  */
 final class CommitCluster implements AutoCloseable {
 
-	private static final LogSettings LOG = new LogSettings(Duration.ofMillis(100), Duration.ofSeconds(3), 10, 4096,
-			1 << 20, 65_536, 4 << 20, 1_000_000, 10_000, 256 << 10, 10_000);
+	private static final LogSettings LOG_SETTINGS = new LogSettings(Duration.ofMillis(100), Duration.ofSeconds(3), 10,
+			4096, 1 << 20, 65_536, 4 << 20, 1_000_000, 10_000, 256 << 10, 10_000);
 
 	private final Closer closer = new Closer();
 
@@ -49,25 +50,28 @@
 	CommitCluster(int size, int maxGroup) throws IOException {
 		this.folder = Files.createTempDirectory("control-log");
 		this.closer.register(this::deleteFolder);
-		List<InstanceId> founders = IntStream.rangeClosed(1, size).mapToObj((i) -> InstanceId.of("c" + i)).toList();
-		ControlNodeSettings settings = new ControlNodeSettings(LOG, 200_000, maxGroup, Duration.ofSeconds(30), 500_000);
-		founders.forEach((founder) -> start(founder, founders, settings));
+		List<InstanceId> initialMembers = IntStream.rangeClosed(1, size)
+			.mapToObj((i) -> InstanceId.of("c" + i))
+			.toList();
+		ControlNodeSettings settings = new ControlNodeSettings(LOG_SETTINGS, 200_000, maxGroup, Duration.ofSeconds(30),
+				500_000);
+		initialMembers.forEach((member) -> start(member, initialMembers, settings));
 	}
 
-	private void start(InstanceId instance, List<InstanceId> founders, ControlNodeSettings settings) {
+	private void start(InstanceId instance, List<InstanceId> initialMembers, ControlNodeSettings settings) {
 		DiskStorage storage = DiskStorage
-			.open(this.folder.resolve(instance.value()), FolderOrigin.founding(instance, founders),
+			.open(this.folder.resolve(instance.value()), FolderOrigin.founding(instance, initialMembers),
 					DiskStorage.DEFAULT_SEGMENT_BYTES)
 			.value()
 			.orElseThrow();
-		ControlNodeDependencies parts = new ControlNodeDependencies(instance, storage,
-				new StateMachine(List.of(new ReplicatedClaims(ClaimLedgerSettings.DEFAULT))), this::pass,
+		ControlNodeDependencies dependencies = new ControlNodeDependencies(instance, storage,
+				new StateMachine(List.of(new ReplicatedClaims(ClaimLedgerSettings.DEFAULT))), this::deliver,
 				Clock.system(), new Random(instance.value().hashCode()), DecisionListener.NONE, new Invariants(),
 				new MetricRegistry());
-		this.nodes.put(instance, this.closer.register(ControlNode.start(parts, settings)));
+		this.nodes.put(instance, this.closer.register(ControlNode.start(dependencies, settings)));
 	}
 
-	private void pass(PeerMessage message) {
+	private void deliver(PeerMessage message) {
 		ControlNode peer = this.nodes.get(message.to());
 		if (peer != null) {
 			LogCodec.decodeMessage(LogCodec.encodeMessage(message)).value().ifPresent(peer::receive);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/CommitLoad.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/CommitLoad.java
@@ -21,8 +21,8 @@
 import org.comfreywall.control.state.ReplicatedClaims;
 
 /**
- * Proposes claims with a fixed number in flight and measures the time until each is
- * answered.
+ * Closed-loop load that keeps a fixed number of claims in flight and measures the latency
+ * of each from proposal to answer.
  */
 final class CommitLoad {
 
@@ -40,7 +40,7 @@
 
 	private final AtomicLong failed = new AtomicLong();
 
-	private long number;
+	private long lastClaimNumber;
 
 	CommitLoad(ControlNode leader, int inFlight) {
 		this.leader = leader;
@@ -64,21 +64,21 @@
 
 	private void propose() {
 		Bytes command = nextCommand();
-		long since = System.nanoTime();
-		this.leader.propose(command).thenAccept((result) -> answered(since, result));
+		long proposedAt = System.nanoTime();
+		this.leader.propose(command).thenAccept((result) -> recordAnswer(proposedAt, result));
 	}
 
 	private Bytes nextCommand() {
-		this.number++;
+		this.lastClaimNumber++;
 		ClaimKey key = new ClaimKey(AccountId.of("account-17"), ServiceId.of("booking"),
-				IdempotencyKey.of("0d7f2c1e-8a55-4f0e-9d7c-" + this.number));
-		ClaimRunning claim = new ClaimRunning(RequestId.of("request-" + this.number), BackendServerId.of("booking-3"),
-				Incarnation.of(7));
+				IdempotencyKey.of("0d7f2c1e-8a55-4f0e-9d7c-" + this.lastClaimNumber));
+		ClaimRunning claim = new ClaimRunning(RequestId.of("request-" + this.lastClaimNumber),
+				BackendServerId.of("booking-3"), Incarnation.of(7));
 		return new LedgerCommand(ReplicatedClaims.NAME, ClaimCommandCodec.claim(key, BODY_DIGEST, claim)).encode();
 	}
 
-	private void answered(long since, Result<Bytes> result) {
-		this.latency.recordValue(Math.min(MAX_LATENCY_NANOS, System.nanoTime() - since));
+	private void recordAnswer(long proposedAt, Result<Bytes> result) {
+		this.latency.recordValue(Math.min(MAX_LATENCY_NANOS, System.nanoTime() - proposedAt));
 		if (result.value().isEmpty()) {
 			this.failed.incrementAndGet();
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/CommitLoadResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/CommitLoadResult.java
@@ -3,7 +3,7 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * What a load of proposals measured.
+ * The result of a {@link CommitLoad}.
  *
  * @param count the number of proposals
  * @param elapsedNanos the time from the first proposal to the last answer
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ControlRandomMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ControlRandomMeasurement.java
@@ -6,18 +6,19 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Runs the replicated log under random faults and checks it from outside.
+ * Runs the replicated log under random faults and checks its safety independently of the
+ * invariants that the replica cores check themselves.
  */
 public final class ControlRandomMeasurement implements Measurement {
 
 	private static final long DEFAULT_STEPS = 400_000;
 
-	private static final int[] SIZES = { 3, 5 };
+	private static final int[] CLUSTER_SIZES = { 3, 5 };
 
 	@Override
 	public void run(BenchOptions options, Reporter reporter) {
 		long steps = options.steps(DEFAULT_STEPS);
-		for (int size : SIZES) {
+		for (int size : CLUSTER_SIZES) {
 			report(size, new RandomRun(options.seed(), size).run(steps), options, reporter);
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRun.java
@@ -4,11 +4,12 @@
 import java.util.List;
 
 /**
- * A seeded run of the replicated log under faults.
+ * A simulation of the replicated log under crashes, network faults and membership
+ * changes, seeded to be repeatable.
  */
 final class RandomRun {
 
-	private static final long SETTLE_NANOS = Duration.ofSeconds(10).toNanos();
+	private static final long SETTLE_LIMIT_NANOS = Duration.ofSeconds(10).toNanos();
 
 	private final RunWorld world;
 
@@ -38,26 +39,29 @@
 			schedule.step();
 			this.world.checker().leases(this.world.instances());
 		}
-		settle(schedule);
+		checkRecovery(schedule);
 		RunChecker checker = this.world.checker();
 		return new RandomRunResult(schedule.steps(), checker.terms(), checker.committed(), checker.acknowledged(),
 				checker.claims(), this.faults.faults(), this.repairs.repairs(), this.world.invariants().violations(),
 				List.copyOf(checker.violations()));
 	}
 
-	// After the faults end, a leader must be found that knows all acknowledged changes.
-	private void settle(RunSchedule schedule) {
+	// Ends the faults and restarts the instances that are down or disabled. Within the
+	// limit
+	// one instance must hold the leader lease and have committed every acknowledged
+	// entry.
+	private void checkRecovery(RunSchedule schedule) {
 		this.faults.stop();
-		long end = schedule.now() + SETTLE_NANOS;
-		boolean led = false;
-		while (schedule.now() < end && !led && this.world.checker().violations().isEmpty()) {
+		long end = schedule.now() + SETTLE_LIMIT_NANOS;
+		boolean leaderElected = false;
+		while (schedule.now() < end && !leaderElected && this.world.checker().violations().isEmpty()) {
 			this.world.instances().stream().filter((instance) -> !instance.takesPart()).forEach(RunInstance::restart);
 			schedule.step();
 			this.world.checker().leases(this.world.instances());
-			led = this.world.instances().stream().anyMatch(RunInstance::holdsLease);
+			leaderElected = this.world.instances().stream().anyMatch(RunInstance::holdsLease);
 		}
 		boolean earlierViolation = !this.world.checker().violations().isEmpty();
-		this.world.checker().check(led || earlierViolation, "a leader is found after the faults end");
+		this.world.checker().check(leaderElected || earlierViolation, "a leader is elected after the faults end");
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunChecker.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunChecker.java
@@ -21,7 +21,8 @@
 import org.comfreywall.control.state.ConfigurationChange;
 
 /**
- * Checks from outside what the instances do; knows nothing of the core's own invariants.
+ * Checks the safety of the replicated log from the outputs of the instances alone,
+ * independently of the invariants that the replica cores check themselves.
  */
 final class RunChecker {
 
@@ -79,25 +80,28 @@
 
 	void leads(InstanceId instance, Term term) {
 		InstanceId first = this.leaders.putIfAbsent(term, instance);
-		check(first == null || first.equals(instance), "one leader a term", term, first, instance);
+		check(first == null || first.equals(instance), "at most one leader per term", term, first, instance);
 	}
 
-	// Checks that every instance has the same log up to an index.
+	// Checks by digest that all instances have applied the same entries up to an index.
 	void reached(InstanceId instance, long index, long digest) {
-		Long known = this.digests.putIfAbsent(index, digest);
-		check(known == null || known == digest, "committed entries are never lost nor reordered", instance, index);
+		Long expected = this.digests.putIfAbsent(index, digest);
+		check(expected == null || expected == digest, "committed entries are neither lost nor reordered", instance,
+				index);
 	}
 
-	void acknowledged(long index) {
+	void recordAcknowledgement(long index) {
 		this.acknowledged++;
 		this.acknowledgedIndex = Math.max(this.acknowledgedIndex, index);
 	}
 
-	// Checks that the holder of the lease is the only leader and knows all that was
-	// acknowledged.
+	// Checks that at most one instance holds the leader lease, that it has committed
+	// every
+	// acknowledged entry and that no other instance leads a newer term.
 	void leases(Collection<RunInstance> instances) {
 		List<RunInstance> holders = instances.stream().filter(RunInstance::holdsLease).toList();
-		check(holders.size() <= 1, "one lease at a time", holders.stream().map(RunInstance::id).toList());
+		check(holders.size() <= 1, "at most one instance holds the lease",
+				holders.stream().map(RunInstance::id).toList());
 		holders.forEach((holder) -> checkHolder(holder, instances));
 	}
 
@@ -108,27 +112,30 @@
 		for (RunInstance other : instances) {
 			Optional<ReplicaStatus> seen = other.status().filter((found) -> found.role() == Role.LEADER);
 			boolean newer = seen.filter((found) -> status.term().isBefore(found.term())).isPresent();
-			check(!newer, "a leader gives no orders once another may start", holder.id(), other.id());
+			check(!newer, "no newer leader exists while the lease is held", holder.id(), other.id());
 		}
 	}
 
 	void accepted(Revision revision, ChangeId change) {
 		ChangeId first = this.changes.putIfAbsent(revision, change);
-		check(first == null || first.equals(change), "equal-numbered changes have one winner", revision, first, change);
+		check(first == null || first.equals(change), "at most one change is accepted per revision", revision, first,
+				change);
 		Revision earlier = this.revisions.putIfAbsent(change, revision);
 		check(earlier == null || earlier.equals(revision), "a resent change applies once", change, earlier, revision);
 	}
 
 	void answered(ConfigurationChange change, ChangeAnswer answer) {
 		ChangeAnswer first = this.answers.putIfAbsent(change.id(), answer);
-		check(first == null || first.equals(answer), "a resend gets the first answer", change.id(), first, answer);
+		check(first == null || first.equals(answer), "a resent change gets the first answer", change.id(), first,
+				answer);
 		if (answer instanceof ChangeAccepted accepted) {
 			check(accepted.revision().equals(change.expected().next()), "a change follows the expected revision",
 					change.id());
 		}
 		if (answer instanceof ChangeConflict conflict) {
-			check(change.expected().isBefore(conflict.revision()), "one of equal-numbered changes wins", change.id());
-			check(conflict.winner().isPresent(), "a conflict names the winner", change.id());
+			check(change.expected().isBefore(conflict.revision()), "a conflict has a newer revision than expected",
+					change.id());
+			check(conflict.winner().isPresent(), "a conflict contains the winning change", change.id());
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClaimants.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClaimants.java
@@ -20,55 +20,56 @@
 import org.comfreywall.control.state.ReplicatedClaims;
 
 /**
- * Callers that send the same requests again through several entries at a time.
+ * Clients that claim the same idempotency keys several times at once, as entries do when
+ * a caller resends a request through more than one of them.
  */
 final class RunClaimants {
 
-	private static final long INTERVAL_NANOS = Duration.ofMillis(20).toNanos();
+	private static final long MAX_INTERVAL_NANOS = Duration.ofMillis(20).toNanos();
 
-	private static final int SENDS_A_KEY = 12;
+	private static final int CLAIMS_PER_KEY = 12;
 
-	private static final int KEYS_AT_A_TIME = 4;
+	private static final int CONCURRENT_KEYS = 4;
 
-	private static final double FINISHED_SHARE = 0.5;
+	private static final double RECORDED_ANSWER_SHARE = 0.5;
 
 	private final RunWorld world;
 
-	private int sent;
+	private int claimsSent;
 
 	RunClaimants(RunWorld world) {
 		this.world = world;
 	}
 
 	void start() {
-		this.world.schedule().after(this.world.random().nextLong(INTERVAL_NANOS), () -> {
+		this.world.schedule().after(this.world.random().nextLong(MAX_INTERVAL_NANOS), () -> {
 			claim();
 			start();
 		});
 	}
 
 	private void claim() {
-		this.sent++;
-		int number = this.sent / SENDS_A_KEY + this.world.random().nextInt(KEYS_AT_A_TIME);
+		this.claimsSent++;
+		int number = this.claimsSent / CLAIMS_PER_KEY + this.world.random().nextInt(CONCURRENT_KEYS);
 		ClaimKey key = new ClaimKey(AccountId.of("farm"), ServiceId.of("booking"), IdempotencyKey.of("key-" + number));
-		RequestId owner = RequestId.of("request-" + this.sent);
+		RequestId owner = RequestId.of("request-" + this.claimsSent);
 		ClaimRunning claim = new ClaimRunning(owner, BackendServerId.of("b1"), Incarnation.of(1));
-		submit(ClaimCommandCodec.claim(key, "digest", claim), (answer) -> answered(key, owner, answer));
+		submit(ClaimCommandCodec.claim(key, "digest", claim), (answer) -> handleClaimAnswer(key, owner, answer));
 	}
 
-	private void answered(ClaimKey key, RequestId owner, Bytes answer) {
+	private void handleClaimAnswer(ClaimKey key, RequestId owner, Bytes answer) {
 		boolean granted = ClaimAnswerCodec.decodeResult(answer).value().orElseThrow() instanceof ClaimGranted;
 		if (!granted) {
 			return;
 		}
 		this.world.checker().granted(key, owner);
-		if (this.world.random().nextDouble() < FINISHED_SHARE) {
+		if (this.world.random().nextDouble() < RECORDED_ANSWER_SHARE) {
 			RecordedAnswer recorded = new RecordedAnswer(200, "text/plain", Bytes.ofText("booked"));
-			submit(ClaimCommandCodec.recordAnswer(key, owner, recorded), (finished) -> checkFinished(key, finished));
+			submit(ClaimCommandCodec.recordAnswer(key, owner, recorded), (result) -> checkAnswerRecorded(key, result));
 		}
 	}
 
-	private void checkFinished(ClaimKey key, Bytes answer) {
+	private void checkAnswerRecorded(ClaimKey key, Bytes answer) {
 		boolean recorded = ClaimAnswerCodec.decodeState(answer).value().isPresent();
 		this.world.checker().check(recorded, "a granted claim stays with its owner", key);
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClients.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClients.java
@@ -19,15 +19,16 @@
 import org.comfreywall.control.state.LedgerCommand;
 
 /**
- * Operators that race each other with equal numbers, resend changes and read.
+ * Operators that submit concurrent changes for the same revision, resend earlier changes
+ * and read the configuration.
  */
 final class RunClients {
 
-	private static final long INTERVAL_NANOS = Duration.ofMillis(8).toNanos();
+	private static final long MAX_INTERVAL_NANOS = Duration.ofMillis(8).toNanos();
 
-	private static final int MAX_RACERS = 3;
+	private static final int MAX_CONCURRENT_CHANGES = 3;
 
-	private static final int KEPT_CHANGES = 50;
+	private static final int MAX_RECENT_CHANGES = 50;
 
 	private static final int DOMAINS = 20;
 
@@ -35,25 +36,25 @@
 
 	private final List<ConfigurationChange> recent = new ArrayList<>();
 
-	private Revision known = Revision.ZERO;
+	private Revision latestRevision = Revision.ZERO;
 
-	private long submitted;
+	private long changesCreated;
 
 	RunClients(RunWorld world) {
 		this.world = world;
 	}
 
 	void start() {
-		this.world.schedule().after(this.world.random().nextLong(INTERVAL_NANOS), () -> {
-			act();
+		this.world.schedule().after(this.world.random().nextLong(MAX_INTERVAL_NANOS), () -> {
+			performRandomAction();
 			start();
 		});
 	}
 
-	private void act() {
+	private void performRandomAction() {
 		int choice = this.world.random().nextInt(10);
 		if (choice < 4) {
-			race();
+			submitConcurrently();
 		}
 		else if (choice < 7) {
 			resend();
@@ -63,21 +64,21 @@
 		}
 	}
 
-	private void race() {
-		int racers = 1 + this.world.random().nextInt(MAX_RACERS);
-		Revision expected = this.known;
-		for (int i = 0; i < racers; i++) {
+	private void submitConcurrently() {
+		int changes = 1 + this.world.random().nextInt(MAX_CONCURRENT_CHANGES);
+		Revision expected = this.latestRevision;
+		for (int i = 0; i < changes; i++) {
 			submit(newChange(expected));
 		}
 	}
 
 	private ConfigurationChange newChange(Revision expected) {
-		this.submitted++;
+		this.changesCreated++;
 		FailureDomainId domain = FailureDomainId.of("domain-" + this.world.random().nextInt(DOMAINS));
-		FailureDomainDescriptor descriptor = new FailureDomainDescriptor(domain, "region-" + this.submitted);
+		FailureDomainDescriptor descriptor = new FailureDomainDescriptor(domain, "region-" + this.changesCreated);
 		Configuration put = new Configuration(List.of(descriptor), List.of(), List.of(), List.of());
-		return new ConfigurationChange(ChangeId.of("change-" + this.submitted), expected, "operator", "randomised run",
-				ConfigurationDelta.put(put));
+		return new ConfigurationChange(ChangeId.of("change-" + this.changesCreated), expected, "operator",
+				"randomised run", ConfigurationDelta.put(put));
 	}
 
 	private void resend() {
@@ -87,33 +88,33 @@
 	}
 
 	private void submit(ConfigurationChange change) {
-		if (this.recent.size() == KEPT_CHANGES) {
+		if (this.recent.size() == MAX_RECENT_CHANGES) {
 			this.recent.remove(0);
 		}
 		this.recent.add(change);
 		Bytes command = new LedgerCommand(ConfigurationLedger.NAME, ChangeCodec.encode(change)).encode();
-		this.world.anyLeader().propose(command, (answer) -> answered(change, answer));
+		this.world.anyLeader().propose(command, (answer) -> handleAnswer(change, answer));
 	}
 
-	private void answered(ConfigurationChange change, Bytes encoded) {
+	private void handleAnswer(ConfigurationChange change, Bytes encoded) {
 		ChangeAnswer answer = ChangeCodec.decodeAnswer(encoded).value().orElseThrow();
 		this.world.checker().answered(change, answer);
-		if (answer instanceof ChangeAccepted accepted && this.known.isBefore(accepted.revision())) {
-			this.known = accepted.revision();
+		if (answer instanceof ChangeAccepted accepted && this.latestRevision.isBefore(accepted.revision())) {
+			this.latestRevision = accepted.revision();
 		}
 	}
 
 	private void read() {
 		RunInstance instance = this.world.anyLeader();
-		Revision expected = this.known;
+		Revision expected = this.latestRevision;
 		if (instance.isUp()) {
-			instance.read(() -> readReady(expected, instance.state().configuration().revision()));
+			instance.read(() -> checkRead(expected, instance.state().configuration().revision()));
 		}
 	}
 
-	private void readReady(Revision expected, Revision seen) {
+	private void checkRead(Revision expected, Revision seen) {
 		this.world.checker().read(expected, seen);
-		this.known = this.known.isBefore(seen) ? seen : this.known;
+		this.latestRevision = this.latestRevision.isBefore(seen) ? seen : this.latestRevision;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunFaults.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunFaults.java
@@ -6,18 +6,18 @@
 import org.comfreywall.control.log.TransferRequested;
 
 /**
- * Crashes and restarts instances, fails their syncs, cuts and heals the network, hands
- * leadership over and takes snapshots.
+ * Injects random faults: crashes and restarts instances, fails their syncs, partitions
+ * and heals the network, transfers leadership and takes snapshots.
  */
 final class RunFaults {
 
-	private static final long INTERVAL_NANOS = Duration.ofMillis(300).toNanos();
+	private static final long MAX_INTERVAL_NANOS = Duration.ofMillis(300).toNanos();
 
-	private static final long DOWN_NANOS = Duration.ofMillis(400).toNanos();
+	private static final long MAX_DOWN_NANOS = Duration.ofMillis(400).toNanos();
 
-	private static final long CUT_NANOS = Duration.ofMillis(900).toNanos();
+	private static final long MAX_CUT_NANOS = Duration.ofMillis(900).toNanos();
 
-	private static final int CHOICES = 11;
+	private static final int FAULT_KINDS = 11;
 
 	private static final double MAX_LOSS_SHARE = 0.3;
 
@@ -36,10 +36,10 @@
 	}
 
 	void start() {
-		this.world.schedule().after(this.world.random().nextLong(INTERVAL_NANOS), () -> {
+		this.world.schedule().after(this.world.random().nextLong(MAX_INTERVAL_NANOS), () -> {
 			if (!this.stopped) {
 				this.faults++;
-				act();
+				injectFault();
 				start();
 			}
 		});
@@ -50,14 +50,14 @@
 		this.world.network().heal();
 	}
 
-	private void act() {
-		switch (this.world.random().nextInt(CHOICES)) {
+	private void injectFault() {
+		switch (this.world.random().nextInt(FAULT_KINDS)) {
 			case 0, 1 -> crash(this.world.anyInstance());
 			case 2 -> crash(this.world.anyLeader());
 			case 3 -> this.world.anyInstance().failNextSync();
 			case 4 -> isolate(this.world.anyLeader());
 			case 5 -> partition();
-			case 6 -> lose();
+			case 6 -> startMessageLoss();
 			case 7 -> this.world.anyLeader().event(new TransferRequested(this.world.anyInstance().id()));
 			case 8 -> crashAll();
 			case 9 -> this.world.anyInstance().takeSnapshot();
@@ -65,25 +65,26 @@
 		}
 	}
 
-	private void lose() {
+	private void startMessageLoss() {
 		this.world.network().lossShare(this.world.random().nextDouble() * MAX_LOSS_SHARE);
 		healLater();
 	}
 
 	private void healLater() {
-		this.world.schedule().after(this.world.random().nextLong(CUT_NANOS), this.world.network()::heal);
+		this.world.schedule().after(this.world.random().nextLong(MAX_CUT_NANOS), this.world.network()::heal);
 	}
 
 	private void crash(RunInstance instance) {
 		if (instance.isUp()) {
 			instance.crash();
-			this.world.schedule().after(this.world.random().nextLong(DOWN_NANOS), () -> restart(instance));
+			this.world.schedule().after(this.world.random().nextLong(MAX_DOWN_NANOS), () -> restart(instance));
 		}
 	}
 
-	// As a power loss does; all stand for election at about the same time afterwards.
+	// Crashes all instances at once, as a power failure does. They restart together and
+	// start elections at about the same time.
 	private void crashAll() {
-		long down = this.world.random().nextLong(DOWN_NANOS);
+		long down = this.world.random().nextLong(MAX_DOWN_NANOS);
 		for (RunInstance instance : List.copyOf(this.world.instances())) {
 			instance.crash();
 			this.world.schedule().after(down, () -> restart(instance));
@@ -96,7 +97,7 @@
 		}
 	}
 
-	// Cuts one instance off, in one direction only at times.
+	// Cuts the links of an instance in both directions or in one only.
 	private void isolate(RunInstance instance) {
 		int directions = this.world.random().nextInt(3);
 		healLater();
@@ -113,10 +114,10 @@
 	private void partition() {
 		List<RunInstance> all = List.copyOf(this.world.instances());
 		healLater();
-		int left = this.world.random().nextInt(1 << all.size());
+		int firstSide = this.world.random().nextInt(1 << all.size());
 		for (int i = 0; i < all.size(); i++) {
 			for (int j = 0; j < all.size(); j++) {
-				if ((left >> i & 1) != (left >> j & 1)) {
+				if ((firstSide >> i & 1) != (firstSide >> j & 1)) {
 					this.world.network().cut(all.get(i).id(), all.get(j).id());
 				}
 			}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunInstance.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunInstance.java
@@ -43,7 +43,8 @@
 import org.comfreywall.control.storage.MemoryStorage;
 
 /**
- * One core with a storage in memory, a clock of its own and a state machine.
+ * A simulated instance: a replica core with in-memory storage, a clock of its own and a
+ * state machine.
  */
 final class RunInstance {
 
@@ -57,9 +58,9 @@
 
 	private final RunClock clock;
 
-	private final Map<Long, Consumer<Bytes>> submitted = new HashMap<>();
+	private final Map<Long, Consumer<Bytes>> submittedProposals = new HashMap<>();
 
-	private final TreeMap<Long, Awaited> accepted = new TreeMap<>();
+	private final TreeMap<Long, PendingProposal> acceptedProposals = new TreeMap<>();
 
 	private final Map<Long, Runnable> reads = new HashMap<>();
 
@@ -69,7 +70,7 @@
 
 	private RunState state;
 
-	private int life;
+	private int incarnation;
 
 	private long nextId = 1;
 
@@ -130,7 +131,7 @@
 	}
 
 	void start() {
-		this.life++;
+		this.incarnation++;
 		this.state = new RunState(this.world.checker());
 		this.digest = 0;
 		this.appliedIndex = 0;
@@ -138,15 +139,15 @@
 		ReplicaIdentity identity = new ReplicaIdentity(this.id, this.storage.storageId());
 		this.core = Optional.of(new ReplicaCore(identity, this.world.settings(), this.storage.recovered(),
 				new Random(this.world.random().nextLong()), DecisionListener.NONE, this.world.invariants(), now()));
-		tickLater(this.life);
+		tickLater(this.incarnation);
 	}
 
 	void crash() {
-		this.life++;
+		this.incarnation++;
 		this.core = Optional.empty();
 		this.storage.crash();
-		this.submitted.clear();
-		this.accepted.clear();
+		this.submittedProposals.clear();
+		this.acceptedProposals.clear();
 		this.reads.clear();
 		this.confirmedReads.clear();
 	}
@@ -160,12 +161,12 @@
 		this.storage.failNextSync();
 	}
 
-	private void tickLater(int ofLife) {
+	private void tickLater(int startedAs) {
 		long interval = this.world.settings().heartbeatInterval().toNanos() / 4;
 		this.world.schedule().after(interval, () -> {
-			if (ofLife == this.life) {
+			if (startedAs == this.incarnation) {
 				event(new TimePassed());
-				tickLater(ofLife);
+				tickLater(startedAs);
 			}
 		});
 	}
@@ -176,21 +177,21 @@
 	}
 
 	private void handle(LogEvent event) {
-		this.core.ifPresent((found) -> carryOut(found.handle(event, now())));
+		this.core.ifPresent((found) -> execute(found.handle(event, now())));
 	}
 
 	void propose(Bytes command, Consumer<Bytes> onAnswer) {
 		long proposal = this.nextId++;
-		this.submitted.put(proposal, onAnswer);
+		this.submittedProposals.put(proposal, onAnswer);
 		event(new CommandProposed(proposal, command));
-		this.submitted.remove(proposal);
+		this.submittedProposals.remove(proposal);
 	}
 
 	void changeMembers(MembershipChange change, Runnable onCommit) {
 		long proposal = this.nextId++;
-		this.submitted.put(proposal, (unused) -> onCommit.run());
+		this.submittedProposals.put(proposal, (unused) -> onCommit.run());
 		event(new MembershipProposed(proposal, change));
-		this.submitted.remove(proposal);
+		this.submittedProposals.remove(proposal);
 	}
 
 	void read(Runnable action) {
@@ -215,41 +216,41 @@
 		this.world.checker().reached(this.id, this.appliedIndex, this.digest);
 	}
 
-	private void carryOut(List<LogCommand> commands) {
+	private void execute(List<LogCommand> commands) {
 		for (LogCommand command : commands) {
 			if (command instanceof SendMessage send) {
 				this.world.network().send(send.message());
 			}
 			else if (command instanceof SyncBatch sync) {
 				this.storage.write(sync.batch());
-				syncLater(sync.sequence(), this.life);
+				syncLater(sync.sequence(), this.incarnation);
 			}
 			else if (command instanceof SaveSnapshot save) {
-				save(save);
+				saveSnapshot(save);
 			}
 			else if (command instanceof ApplyEntries apply) {
 				apply.entries().forEach(this::apply);
 			}
 			else {
-				note(command);
+				handleNotification(command);
 			}
 		}
 	}
 
-	private void note(LogCommand command) {
+	private void handleNotification(LogCommand command) {
 		if (command instanceof RoleChanged changed && changed.role() == Role.LEADER) {
 			this.world.checker().leads(this.id, changed.term());
 		}
-		else if (command instanceof ProposalAccepted taken) {
-			Consumer<Bytes> onAnswer = this.submitted.get(taken.proposal());
-			this.accepted.put(taken.position().index(), new Awaited(taken.position(), onAnswer));
+		else if (command instanceof ProposalAccepted proposal) {
+			Consumer<Bytes> onAnswer = this.submittedProposals.get(proposal.proposal());
+			this.acceptedProposals.put(proposal.position().index(), new PendingProposal(proposal.position(), onAnswer));
 		}
 		else if (command instanceof ReadReady ready) {
-			confirm(ready);
+			completeRead(ready);
 		}
 	}
 
-	private void confirm(ReadReady ready) {
+	private void completeRead(ReadReady ready) {
 		Runnable action = this.reads.remove(ready.read());
 		if (ready.index() <= this.appliedIndex) {
 			action.run();
@@ -259,20 +260,20 @@
 		}
 	}
 
-	private void syncLater(long sequence, int ofLife) {
+	private void syncLater(long sequence, int startedAs) {
 		this.world.schedule().after(this.world.random().nextLong(SYNC_NANOS), () -> {
-			if (ofLife != this.life) {
+			if (startedAs != this.incarnation) {
 				return;
 			}
 			event(this.storage.sync().<LogEvent>map(StorageFailed::new).orElseGet(() -> new BatchSynced(sequence)));
 		});
 	}
 
-	private void save(SaveSnapshot save) {
+	private void saveSnapshot(SaveSnapshot save) {
 		if (this.storage.save(save.compaction()).isEmpty() && save.restore()) {
 			restore(save.compaction().snapshot());
 		}
-		syncLater(save.sequence(), this.life);
+		syncLater(save.sequence(), this.incarnation);
 	}
 
 	private void apply(LogEntry entry) {
@@ -283,17 +284,17 @@
 		this.world.checker().reached(this.id, this.appliedIndex, this.digest);
 		Bytes answer = (entry.content() instanceof CommandContent command)
 				? this.state.machine().apply(entry.time(), command.command()).value().orElseThrow() : Bytes.EMPTY;
-		Awaited awaited = this.accepted.remove(entry.index());
-		if (awaited != null && awaited.position().equals(entry.position())) {
-			this.world.checker().acknowledged(entry.index());
-			awaited.onAnswer().accept(answer);
+		PendingProposal pending = this.acceptedProposals.remove(entry.index());
+		if (pending != null && pending.position().equals(entry.position())) {
+			this.world.checker().recordAcknowledgement(entry.index());
+			pending.onAnswer().accept(answer);
 		}
 		this.confirmedReads.headMap(this.appliedIndex, true).values().forEach(Runnable::run);
 		this.confirmedReads.headMap(this.appliedIndex, true).clear();
 	}
 
-	/** A proposal that waits for its position to be applied. */
-	private record Awaited(LogPosition position, Consumer<Bytes> onAnswer) {
+	/** An accepted proposal whose entry has not been applied yet. */
+	private record PendingProposal(LogPosition position, Consumer<Bytes> onAnswer) {
 
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunNetwork.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunNetwork.java
@@ -11,17 +11,18 @@
 import org.comfreywall.control.log.PeerMessage;
 
 /**
- * Delays, reorders, doubles, loses and cuts off messages.
+ * A simulated network that delays, reorders, duplicates and drops messages and cuts
+ * links.
  */
 final class RunNetwork {
 
-	private static final long USUAL_DELAY_NANOS = Duration.ofMillis(6).toNanos();
+	private static final long MAX_USUAL_DELAY_NANOS = Duration.ofMillis(6).toNanos();
 
-	private static final long LONG_DELAY_NANOS = Duration.ofMillis(800).toNanos();
+	private static final long MAX_LONG_DELAY_NANOS = Duration.ofMillis(800).toNanos();
 
 	private static final double LONG_DELAY_SHARE = 0.01;
 
-	private static final double DOUBLED_SHARE = 0.02;
+	private static final double DUPLICATED_SHARE = 0.02;
 
 	private final RunSchedule schedule;
 
@@ -29,7 +30,7 @@
 
 	private final Consumer<PeerMessage> receiver;
 
-	private final Set<Link> cut = new HashSet<>();
+	private final Set<Link> cutLinks = new HashSet<>();
 
 	private double lossShare;
 
@@ -44,19 +45,19 @@
 		if (this.random.nextDouble() >= this.lossShare) {
 			deliverLater(decoded);
 		}
-		if (this.random.nextDouble() < DOUBLED_SHARE) {
+		if (this.random.nextDouble() < DUPLICATED_SHARE) {
 			deliverLater(decoded);
 		}
 	}
 
 	private void deliverLater(PeerMessage message) {
 		boolean late = this.random.nextDouble() < LONG_DELAY_SHARE;
-		long delay = this.random.nextLong(late ? LONG_DELAY_NANOS : USUAL_DELAY_NANOS);
+		long delay = this.random.nextLong(late ? MAX_LONG_DELAY_NANOS : MAX_USUAL_DELAY_NANOS);
 		this.schedule.after(delay, () -> deliver(message));
 	}
 
 	private void deliver(PeerMessage message) {
-		if (!this.cut.contains(new Link(message.from(), message.to()))) {
+		if (!this.cutLinks.contains(new Link(message.from(), message.to()))) {
 			this.receiver.accept(message);
 		}
 	}
@@ -66,15 +67,15 @@
 	}
 
 	void cut(InstanceId from, InstanceId to) {
-		this.cut.add(new Link(from, to));
+		this.cutLinks.add(new Link(from, to));
 	}
 
 	void heal() {
-		this.cut.clear();
+		this.cutLinks.clear();
 		this.lossShare = 0;
 	}
 
-	/** One direction between two instances. */
+	/** One direction of the connection between two instances. */
 	private record Link(InstanceId from, InstanceId to) {
 
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunRepairs.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunRepairs.java
@@ -12,24 +12,24 @@
 import org.comfreywall.control.log.RemoveMember;
 
 /**
- * Destroys an instance together with its disk, replaces it, and often destroys another
- * one right after the repair.
+ * Destroys an instance together with its disk and replaces it by membership changes. Half
+ * of the replacements are followed at once by the loss of another instance.
  */
 final class RunRepairs {
 
-	private static final long RETRY_NANOS = Duration.ofMillis(30).toNanos();
+	private static final long RETRY_INTERVAL_NANOS = Duration.ofMillis(30).toNanos();
 
-	private static final long PAUSE_NANOS = Duration.ofMillis(1500).toNanos();
+	private static final long MAX_PAUSE_NANOS = Duration.ofMillis(1500).toNanos();
 
-	private static final double AT_ONCE_SHARE = 0.5;
+	private static final double IMMEDIATE_REPEAT_SHARE = 0.5;
 
 	private final RunWorld world;
 
-	private List<MembershipChange> plan = List.of();
+	private List<MembershipChange> pendingChanges = List.of();
 
 	private long repairs;
 
-	private long attempt;
+	private long latestAttempt;
 
 	RunRepairs(RunWorld world) {
 		this.world = world;
@@ -40,77 +40,80 @@
 	}
 
 	void start() {
-		this.world.schedule().after(this.world.random().nextLong(PAUSE_NANOS), this::destroyOne);
+		this.world.schedule().after(this.world.random().nextLong(MAX_PAUSE_NANOS), this::destroyInstance);
 	}
 
-	private void destroyOne() {
+	private void destroyInstance() {
 		RunInstance lost = this.world.anyInstance();
 		this.world.destroy(lost);
 		RunInstance added = this.world.addEmpty();
 		MembershipChange add = new AddLearner(added.id(), added.storageId());
 		MembershipChange promote = new PromoteLearner(added.id());
 		MembershipChange remove = new RemoveMember(lost.id());
-		this.plan = this.world.random().nextBoolean() ? List.of(add, promote, remove) : List.of(remove, add, promote);
+		this.pendingChanges = this.world.random().nextBoolean() ? List.of(add, promote, remove)
+				: List.of(remove, add, promote);
 		submitNext();
 	}
 
-	// Submits the next change again and again until the members show it committed.
+	// Resubmits the next change until it is committed.
 	private void submitNext() {
-		if (this.plan.isEmpty()) {
-			finish();
+		if (this.pendingChanges.isEmpty()) {
+			finishReplacement();
 			return;
 		}
-		MembershipChange next = this.plan.get(0);
-		long number = ++this.attempt;
+		MembershipChange next = this.pendingChanges.get(0);
+		long attempt = ++this.latestAttempt;
 		RunInstance leader = this.world.anyLeader();
-		leader.changeMembers(next, () -> committed(next));
-		this.world.schedule().after(RETRY_NANOS, () -> {
-			if (number == this.attempt) {
-				skipIfInForce(next);
+		leader.changeMembers(next, () -> onCommitted(next));
+		this.world.schedule().after(RETRY_INTERVAL_NANOS, () -> {
+			if (attempt == this.latestAttempt) {
+				skipIfCommitted(next);
 				submitNext();
 			}
 		});
 	}
 
-	private void committed(MembershipChange change) {
-		if (!this.plan.isEmpty() && this.plan.get(0).equals(change)) {
-			this.plan = this.plan.subList(1, this.plan.size());
-			this.attempt++;
+	private void onCommitted(MembershipChange change) {
+		if (!this.pendingChanges.isEmpty() && this.pendingChanges.get(0).equals(change)) {
+			this.pendingChanges = this.pendingChanges.subList(1, this.pendingChanges.size());
+			this.latestAttempt++;
 			this.world.schedule().after(0, this::submitNext);
 		}
 	}
 
-	// The answer to an earlier try may have been lost with its leader.
-	private void skipIfInForce(MembershipChange change) {
-		boolean inForce = this.world.instances()
+	// Skips a change that the committed membership already contains: the answer to an
+	// earlier
+	// attempt may have been lost when its leader crashed.
+	private void skipIfCommitted(MembershipChange change) {
+		boolean alreadyCommitted = this.world.instances()
 			.stream()
 			.filter(RunInstance::holdsLease)
 			.anyMatch((leader) -> isCommitted(leader, change));
-		if (inForce && !this.plan.isEmpty() && this.plan.get(0).equals(change)) {
-			this.plan = this.plan.subList(1, this.plan.size());
+		if (alreadyCommitted && !this.pendingChanges.isEmpty() && this.pendingChanges.get(0).equals(change)) {
+			this.pendingChanges = this.pendingChanges.subList(1, this.pendingChanges.size());
 		}
 	}
 
 	private static boolean isCommitted(RunInstance leader, MembershipChange change) {
 		return leader.status()
 			.filter((status) -> status.commitIndex() == status.lastIndex())
-			.filter((status) -> shows(status.membership(), change))
+			.filter((status) -> reflects(status.membership(), change))
 			.isPresent();
 	}
 
-	private static boolean shows(Membership membership, MembershipChange change) {
+	private static boolean reflects(Membership membership, MembershipChange change) {
 		InstanceId instance = change.instance();
 		if (change instanceof RemoveMember) {
 			return membership.find(instance).isEmpty();
 		}
-		boolean wantsVoter = change instanceof PromoteLearner;
-		return membership.find(instance).map(Member::voter).filter((voter) -> voter || !wantsVoter).isPresent();
+		boolean needsVoter = change instanceof PromoteLearner;
+		return membership.find(instance).map(Member::voter).filter((voter) -> voter || !needsVoter).isPresent();
 	}
 
-	private void finish() {
+	private void finishReplacement() {
 		this.repairs++;
-		if (this.world.random().nextDouble() < AT_ONCE_SHARE) {
-			destroyOne();
+		if (this.world.random().nextDouble() < IMMEDIATE_REPEAT_SHARE) {
+			destroyInstance();
 		}
 		else {
 			start();
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunSchedule.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunSchedule.java
@@ -4,7 +4,8 @@
 import java.util.PriorityQueue;
 
 /**
- * Runs actions in the order of their times; counts each as a step.
+ * Discrete-event queue: runs scheduled actions in order of simulated time and counts each
+ * as a step.
  */
 final class RunSchedule {
 
@@ -34,7 +35,7 @@
 		next.action().run();
 	}
 
-	/** An action with its time. */
+	/** An action, its time in nanoseconds and its order of insertion. */
 	private record Scheduled(long time, long order, Runnable action) {
 
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunState.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunState.java
@@ -8,7 +8,8 @@
 import org.comfreywall.control.state.StateMachine;
 
 /**
- * The state machine of one instance; reports each accepted change to the checker.
+ * The replicated state of one instance. Reports each accepted configuration change to the
+ * checker.
  */
 final class RunState {
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunWorld.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunWorld.java
@@ -18,7 +18,8 @@
 import org.comfreywall.control.storage.MemoryStorage;
 
 /**
- * The instances of a randomised run with their network and checker.
+ * The simulated cluster of a randomised run: its instances, network, schedule and
+ * checker.
  */
 final class RunWorld {
 
@@ -27,7 +28,7 @@
 
 	private static final long MAX_CLOCK_OFFSET_NANOS = Duration.ofDays(1).toNanos();
 
-	private static final double MAX_CLOCK_ERROR = 0.04;
+	private static final double MAX_CLOCK_RATE_ERROR = 0.04;
 
 	private final Random random;
 
@@ -46,18 +47,19 @@
 	RunWorld(long seed, int size) {
 		this.random = new Random(seed);
 		this.network = new RunNetwork(this.schedule, this.random, this::deliver);
-		List<InstanceId> founders = IntStream.rangeClosed(1, size).mapToObj(RunWorld::name).toList();
-		founders.forEach((founder) -> add(MemoryStorage.with(BootstrapBatch.STORAGE_ID, BootstrapBatch.of(founders))));
+		List<InstanceId> initialMembers = IntStream.rangeClosed(1, size).mapToObj(RunWorld::instanceId).toList();
+		initialMembers
+			.forEach((member) -> add(MemoryStorage.with(BootstrapBatch.STORAGE_ID, BootstrapBatch.of(initialMembers))));
 	}
 
-	private static InstanceId name(int number) {
+	private static InstanceId instanceId(int number) {
 		return InstanceId.of(String.format("c%03d", number));
 	}
 
 	private RunInstance add(MemoryStorage storage) {
-		double speed = 1 + (2 * this.random.nextDouble() - 1) * MAX_CLOCK_ERROR;
+		double speed = 1 + (2 * this.random.nextDouble() - 1) * MAX_CLOCK_RATE_ERROR;
 		RunClock clock = new RunClock(this.random.nextLong(MAX_CLOCK_OFFSET_NANOS), speed);
-		RunInstance instance = new RunInstance(this, name(this.nextNumber++), storage, clock);
+		RunInstance instance = new RunInstance(this, instanceId(this.nextNumber++), storage, clock);
 		this.instances.put(instance.id(), instance);
 		instance.start();
 		return instance;
@@ -109,7 +111,8 @@
 		return pick(List.copyOf(this.instances.values()));
 	}
 
-	// Picks one that believes to lead, or any instance if there is none.
+	// Picks an instance in the role of leader, which may be of an outdated term, or any
+	// instance if there is none.
 	RunInstance anyLeader() {
 		List<RunInstance> leaders = this.instances.values().stream().filter(RunInstance::isLeader).toList();
 		return leaders.isEmpty() ? anyInstance() : pick(leaders);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/Slope.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/Slope.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * Fits a straight line to measured points by least squares.
+ * Linear regression by ordinary least squares.
  */
 final class Slope {
 
@@ -30,7 +30,6 @@
 		return this.points.stream().mapToDouble((point) -> ofX ? point.x : point.y).average().orElseThrow();
 	}
 
-	/** A measured point. */
 	private record Point(double x, double y) {
 
 	}
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/control/RandomRunTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/control/RandomRunTests.java
@@ -6,7 +6,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests the replicated log with {@link RandomRun}.
+ * Runs the replicated log under random faults with {@link RandomRun}.
  */
 class RandomRunTests {
 
