Rewrap comments of the replicated log's measurements

Read badly: three comments were broken in mid-sentence by the formatter, and a parameter did not say that a callback is dropped if its instance has restarted.

Changed: comments and the parameter's name, expectedIncarnation.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRun.java
@@ -47,9 +47,8 @@
 	}
 
 	// Ends the faults and restarts the instances that are down or disabled. Within the
-	// limit
-	// one instance must hold the leader lease and have committed every acknowledged
-	// entry.
+	// limit one instance must hold the leader lease; the checker verifies that it has
+	// committed every acknowledged entry.
 	private void checkRecovery(RunSchedule schedule) {
 		this.faults.stop();
 		long end = schedule.now() + SETTLE_LIMIT_NANOS;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunChecker.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunChecker.java
@@ -96,8 +96,7 @@
 	}
 
 	// Checks that at most one instance holds the leader lease, that it has committed
-	// every
-	// acknowledged entry and that no other instance leads a newer term.
+	// every acknowledged entry and that no other instance leads a newer term.
 	void leases(Collection<RunInstance> instances) {
 		List<RunInstance> holders = instances.stream().filter(RunInstance::holdsLease).toList();
 		check(holders.size() <= 1, "at most one instance holds the lease",
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunInstance.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunInstance.java
@@ -161,12 +161,12 @@
 		this.storage.failNextSync();
 	}
 
-	private void tickLater(int startedAs) {
+	private void tickLater(int expectedIncarnation) {
 		long interval = this.world.settings().heartbeatInterval().toNanos() / 4;
 		this.world.schedule().after(interval, () -> {
-			if (startedAs == this.incarnation) {
+			if (expectedIncarnation == this.incarnation) {
 				event(new TimePassed());
-				tickLater(startedAs);
+				tickLater(expectedIncarnation);
 			}
 		});
 	}
@@ -260,9 +260,9 @@
 		}
 	}
 
-	private void syncLater(long sequence, int startedAs) {
+	private void syncLater(long sequence, int expectedIncarnation) {
 		this.world.schedule().after(this.world.random().nextLong(SYNC_NANOS), () -> {
-			if (startedAs != this.incarnation) {
+			if (expectedIncarnation != this.incarnation) {
 				return;
 			}
 			event(this.storage.sync().<LogEvent>map(StorageFailed::new).orElseGet(() -> new BatchSynced(sequence)));
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunRepairs.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunRepairs.java
@@ -82,8 +82,7 @@
 	}
 
 	// Skips a change that the committed membership already contains: the answer to an
-	// earlier
-	// attempt may have been lost when its leader crashed.
+	// earlier attempt may have been lost when its leader crashed.
 	private void skipIfCommitted(MembershipChange change) {
 		boolean alreadyCommitted = this.world.instances()
 			.stream()
