--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ChaosNetwork.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ChaosNetwork.java
@@ -13,14 +13,14 @@
 import org.comfreywall.control.spread.NodeDescriptor;
 
 /**
- * Loses, delays, reorders and duplicates messages and cuts links, also in one direction
- * only.
+ * A simulated network that drops, delays, reorders and duplicates messages and cuts
+ * links, also one direction alone.
  */
 final class ChaosNetwork implements Network {
 
-	private static final long CALM_DELAY_NANOS = Duration.ofMillis(1).toNanos();
+	private static final long BASE_DELAY_NANOS = Duration.ofMillis(1).toNanos();
 
-	private static final long MAX_DELAY_NANOS = Duration.ofMillis(1500).toNanos();
+	private static final long MAX_EXTRA_DELAY_NANOS = Duration.ofMillis(1500).toNanos();
 
 	private static final int MAX_CUTS = 40;
 
@@ -28,13 +28,13 @@
 
 	private final Set<Link> cuts = new HashSet<>();
 
-	private Optional<InstanceId> deafened = Optional.empty();
+	private Optional<InstanceId> blockedReceiver = Optional.empty();
 
-	private double loss;
+	private double lossShare;
 
-	private double duplication;
+	private double duplicatedShare;
 
-	private double lateness;
+	private double lateShare;
 
 	ChaosNetwork(long seed) {
 		this.random = new Random(seed);
@@ -42,24 +42,24 @@
 
 	void heal() {
 		this.cuts.clear();
-		this.deafened = Optional.empty();
-		this.loss = 0;
-		this.duplication = 0;
-		this.lateness = 0;
+		this.blockedReceiver = Optional.empty();
+		this.lossShare = 0;
+		this.duplicatedShare = 0;
+		this.lateShare = 0;
 	}
 
 	void disturb() {
-		this.loss = this.random.nextDouble() * this.random.nextDouble() * 0.4;
-		this.duplication = this.random.nextDouble() * 0.1;
-		this.lateness = this.random.nextDouble() * this.random.nextDouble() * 0.5;
+		this.lossShare = this.random.nextDouble() * this.random.nextDouble() * 0.4;
+		this.duplicatedShare = this.random.nextDouble() * 0.1;
+		this.lateShare = this.random.nextDouble() * this.random.nextDouble() * 0.5;
 	}
 
 	/**
-	 * Keeps all messages from a node until the network is healed.
-	 * @param node the node
+	 * Drops all messages to a node until the network is healed.
+	 * @param node the receiver
 	 */
 	void deafen(InstanceId node) {
-		this.deafened = Optional.of(node);
+		this.blockedReceiver = Optional.of(node);
 	}
 
 	void cut(InstanceId from, InstanceId to) {
@@ -68,12 +68,12 @@
 		}
 	}
 
-	void isolate(InstanceId node, List<InstanceId> others, boolean in, boolean out) {
+	void isolate(InstanceId node, List<InstanceId> others, boolean inbound, boolean outbound) {
 		for (InstanceId other : others) {
-			if (in) {
+			if (inbound) {
 				this.cuts.add(new Link(other, node));
 			}
-			if (out) {
+			if (outbound) {
 				this.cuts.add(new Link(node, other));
 			}
 		}
@@ -90,20 +90,21 @@
 
 	@Override
 	public OptionalLong delay(NodeDescriptor from, NodeDescriptor to) {
-		if (isCut(from.id(), to.id()) || this.random.nextDouble() < this.loss) {
+		if (isCut(from.id(), to.id()) || this.random.nextDouble() < this.lossShare) {
 			return OptionalLong.empty();
 		}
-		boolean late = this.random.nextDouble() < this.lateness;
-		return OptionalLong.of(CALM_DELAY_NANOS + (late ? (long) (this.random.nextDouble() * MAX_DELAY_NANOS) : 0));
+		boolean late = this.random.nextDouble() < this.lateShare;
+		return OptionalLong
+			.of(BASE_DELAY_NANOS + (late ? (long) (this.random.nextDouble() * MAX_EXTRA_DELAY_NANOS) : 0));
 	}
 
 	private boolean isCut(InstanceId from, InstanceId to) {
-		return this.cuts.contains(new Link(from, to)) || this.deafened.filter(to::equals).isPresent();
+		return this.cuts.contains(new Link(from, to)) || this.blockedReceiver.filter(to::equals).isPresent();
 	}
 
 	@Override
 	public boolean duplicates() {
-		return this.random.nextDouble() < this.duplication;
+		return this.random.nextDouble() < this.duplicatedShare;
 	}
 
 	private record Link(InstanceId from, InstanceId to) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ControlSpreadMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ControlSpreadMeasurement.java
@@ -18,72 +18,73 @@
 import org.comfreywall.control.spread.SpreadEvent;
 
 /**
- * Measures dissemination and membership on the real cores in virtual time at several
- * sizes.
+ * Measures dissemination and membership at several fleet sizes. Runs the production cores
+ * in virtual time.
  */
 public final class ControlSpreadMeasurement implements Measurement {
 
 	private static final int[] SIZES = { 300, 1_100, 2_750, 5_500 };
 
-	private static final int CHANGES_A_DAY = 4_900;
+	private static final int CHANGES_PER_DAY = 4_900;
 
-	private static final Duration WINDOW = Duration.ofSeconds(53);
+	/** At {@link #CHANGES_PER_DAY}, three changes take this time. */
+	private static final Duration LOAD_WINDOW = Duration.ofSeconds(53);
 
 	private static final int CHANGES_IN_WINDOW = 3;
 
-	private static final double CORE_SHARE_LIMIT = 0.012;
+	private static final double MAX_CORE_SHARE = 0.012;
 
-	private static final double BYTES_A_SECOND_LIMIT = 19_000;
+	private static final double MAX_BYTES_PER_SECOND = 19_000;
 
-	private static final double IN_FORCE_LIMIT_SECONDS = 6;
+	private static final double MAX_SECONDS_UNTIL_IN_FORCE = 6;
 
-	private static final double LEAVE_LIMIT_SECONDS = 2;
+	private static final double MAX_LEAVE_SECONDS = 2;
 
-	private static final double NANOS_A_SECOND = 1e9;
+	private static final double NANOS_PER_SECOND = 1e9;
 
 	private static final Duration STEP = Duration.ofMillis(50);
 
-	private static final Duration PATIENCE = Duration.ofSeconds(40);
+	private static final Duration CONVERGENCE_TIMEOUT = Duration.ofSeconds(40);
 
 	private static final int MISSED_CHANGES = 400;
 
 	@Override
 	public void run(BenchOptions options, Reporter reporter) {
 		warmUp(options.seed());
-		Slopes slopes = new Slopes();
+		LoadBySize loads = new LoadBySize();
 		for (int size : SIZES) {
 			SizedFleet sized = SizedFleet.settled(size, options.seed());
 			reporter.result("control-fleet", Field.of("nodes", size), Field.of("holding", sized.holding()),
 					Field.of("live", sized.live()));
-			measureLoad(sized, size, slopes, reporter);
+			measureLoad(sized, size, loads, reporter);
 			boolean largest = size == SIZES[SIZES.length - 1];
 			measureInForce(sized, size, largest, reporter);
 			measureLeave(sized, size, largest, reporter);
 			measureRecovery(sized, size, reporter);
-			measureDomain(sized, size, reporter);
+			measureDomainFailure(sized, size, reporter);
 		}
-		slopes.report(reporter);
+		loads.report(reporter);
 	}
 
 	private static void warmUp(long seed) {
 		SizedFleet sized = SizedFleet.settled(100, seed);
 		sized.fleet().measured(true);
-		sized.fleet().run(WINDOW.multipliedBy(4));
+		sized.fleet().run(LOAD_WINDOW.multipliedBy(4));
 	}
 
-	private static void measureLoad(SizedFleet sized, int size, Slopes slopes, Reporter reporter) {
+	private static void measureLoad(SizedFleet sized, int size, LoadBySize loads, Reporter reporter) {
 		Fleet fleet = sized.fleet();
 		fleet.measured(true);
 		fleet.nodes().forEach((node) -> node.traffic().reset());
 		for (int i = 0; i < CHANGES_IN_WINDOW; i++) {
-			fleet.run(WINDOW.dividedBy(CHANGES_IN_WINDOW));
+			fleet.run(LOAD_WINDOW.dividedBy(CHANGES_IN_WINDOW));
 			sized.change();
 		}
 		fleet.run(Duration.ofSeconds(1));
 		fleet.measured(false);
-		load("leaf", sized, size, (node) -> isLeaf(node), slopes, reporter);
-		load("relay", sized, size, (node) -> !isLeaf(node) && !isControl(node), slopes, reporter);
-		load("control", sized, size, ControlSpreadMeasurement::isControl, slopes, reporter);
+		reportLoad("leaf", sized, size, (node) -> isLeaf(node), loads, reporter);
+		reportLoad("relay", sized, size, (node) -> !isLeaf(node) && !isControl(node), loads, reporter);
+		reportLoad("control", sized, size, ControlSpreadMeasurement::isControl, loads, reporter);
 	}
 
 	private static boolean isControl(FleetNode node) {
@@ -94,25 +95,25 @@
 		return !isControl(node) && SizedFleet.spreadNode(node).childCount() == 0;
 	}
 
-	private static void load(String part, SizedFleet sized, int size, Predicate<FleetNode> selector, Slopes slopes,
-			Reporter reporter) {
+	private static void reportLoad(String part, SizedFleet sized, int size, Predicate<FleetNode> selector,
+			LoadBySize loads, Reporter reporter) {
 		List<Traffic> traffic = sized.fleet().nodes().stream().filter(selector).map(FleetNode::traffic).toList();
-		double seconds = WINDOW.plusSeconds(1).toNanos() / NANOS_A_SECOND;
-		double bytes = highest(traffic, (one) -> one.bytes() / seconds);
-		double messages = highest(traffic, (one) -> one.messages() / seconds);
-		double core = highest(traffic, (one) -> one.cpuNanos() / seconds / NANOS_A_SECOND);
-		double heartbeats = highest(traffic, (one) -> one.messagesIn() / seconds);
+		double seconds = LOAD_WINDOW.plusSeconds(1).toNanos() / NANOS_PER_SECOND;
+		double bytes = max(traffic, (node) -> node.bytes() / seconds);
+		double messages = max(traffic, (node) -> node.messages() / seconds);
+		double core = max(traffic, (node) -> node.cpuNanos() / seconds / NANOS_PER_SECOND);
+		double messagesIn = max(traffic, (node) -> node.messagesIn() / seconds);
 		reporter.result("control-load", Field.of("part", part), Field.of("nodes", size),
 				Field.of("count", traffic.size()), Field.of("bytes-per-second-max", round(bytes)),
-				Field.of("bytes-per-second-mean", round(mean(traffic, (one) -> one.bytes() / seconds))),
+				Field.of("bytes-per-second-mean", round(mean(traffic, (node) -> node.bytes() / seconds))),
 				Field.of("messages-per-second-max", round(messages)),
-				Field.of("messages-in-per-second-max", round(heartbeats)),
+				Field.of("messages-in-per-second-max", round(messagesIn)),
 				Field.of("core-share-max", String.format("%.5f", core)), Field.of("core-share-mean",
-						String.format("%.5f", mean(traffic, (one) -> one.cpuNanos() / seconds / NANOS_A_SECOND))));
-		slopes.add(part, size, bytes, core);
+						String.format("%.5f", mean(traffic, (node) -> node.cpuNanos() / seconds / NANOS_PER_SECOND))));
+		loads.add(part, size, bytes, core);
 	}
 
-	private static double highest(List<Traffic> traffic, ToDoubleFunction<Traffic> value) {
+	private static double max(List<Traffic> traffic, ToDoubleFunction<Traffic> value) {
 		return traffic.stream().mapToDouble(value).max().orElse(0);
 	}
 
@@ -124,7 +125,7 @@
 		return Math.round(value);
 	}
 
-	private static void measureInForce(SizedFleet sized, int size, boolean target, Reporter reporter) {
+	private static void measureInForce(SizedFleet sized, int size, boolean checkTarget, Reporter reporter) {
 		double steady = secondsUntilInForce(sized);
 		List<InstanceId> relays = new ArrayList<>(sized.fleet()
 			.nodes()
@@ -141,21 +142,21 @@
 		reporter.result("control-in-force", Field.of("nodes", size), Field.of("relays", relays.size()),
 				Field.of("dead-relays", dead.size()), Field.of("seconds", String.format("%.2f", steady)),
 				Field.of("seconds-with-dead-relays", String.format("%.2f", withDead)));
-		if (target) {
-			reporter.atMost("control-in-force-seconds", withDead, IN_FORCE_LIMIT_SECONDS);
+		if (checkTarget) {
+			reporter.atMost("control-in-force-seconds", withDead, MAX_SECONDS_UNTIL_IN_FORCE);
 		}
 	}
 
 	private static double secondsUntilInForce(SizedFleet sized) {
 		long start = sized.fleet().time().now();
 		sized.change();
-		while (sized.holding() < sized.live() && sized.fleet().time().now() - start < PATIENCE.toNanos()) {
+		while (sized.holding() < sized.live() && sized.fleet().time().now() - start < CONVERGENCE_TIMEOUT.toNanos()) {
 			sized.fleet().run(STEP);
 		}
-		return (sized.lastInForceAt() - start) / NANOS_A_SECOND;
+		return (sized.lastInForceAt() - start) / NANOS_PER_SECOND;
 	}
 
-	private static void measureLeave(SizedFleet sized, int size, boolean target, Reporter reporter) {
+	private static void measureLeave(SizedFleet sized, int size, boolean checkTarget, Reporter reporter) {
 		Fleet fleet = sized.fleet();
 		InstanceId leaver = sized.nodes().get(size - 1);
 		long start = fleet.time().now();
@@ -164,22 +165,22 @@
 			.stream()
 			.filter((node) -> node.isAlive() && node.descriptor().role() == NodeRole.ENTRY)
 			.toList();
-		while (routes(entries, leaver) > 0 && fleet.time().now() - start < PATIENCE.toNanos()) {
+		while (countRoutingEntries(entries, leaver) > 0 && fleet.time().now() - start < CONVERGENCE_TIMEOUT.toNanos()) {
 			fleet.run(STEP);
 		}
-		double seconds = (fleet.time().now() - start) / NANOS_A_SECOND;
+		double seconds = (fleet.time().now() - start) / NANOS_PER_SECOND;
 		reporter.result("control-leave", Field.of("nodes", size), Field.of("entries", entries.size()),
 				Field.of("seconds", String.format("%.2f", seconds)),
-				Field.of("still-routing", routes(entries, leaver)));
-		if (target) {
-			reporter.atMost("control-leave-seconds", seconds, LEAVE_LIMIT_SECONDS);
+				Field.of("still-routing", countRoutingEntries(entries, leaver)));
+		if (checkTarget) {
+			reporter.atMost("control-leave-seconds", seconds, MAX_LEAVE_SECONDS);
 		}
 		fleet.crash(leaver);
 		fleet.start(leaver);
 		fleet.run(Duration.ofSeconds(5));
 	}
 
-	private static long routes(List<FleetNode> entries, InstanceId leaver) {
+	private static long countRoutingEntries(List<FleetNode> entries, InstanceId leaver) {
 		return entries.stream().filter((entry) -> {
 			MemberView view = new MemberView();
 			view.apply(SizedFleet.spreadNode(entry).findMember("m/" + leaver), true);
@@ -201,29 +202,30 @@
 		fleet.measured(true);
 		long start = fleet.time().now();
 		fleet.start(id);
-		while (!node.inForce().equals(fleet.lastAccepted()) && fleet.time().now() - start < PATIENCE.toNanos()) {
+		while (!node.inForce().equals(fleet.lastAccepted())
+				&& fleet.time().now() - start < CONVERGENCE_TIMEOUT.toNanos()) {
 			fleet.run(STEP);
 		}
 		fleet.measured(false);
 		reporter.result("control-recovery", Field.of("nodes", size), Field.of("missed-changes", MISSED_CHANGES),
-				Field.of("seconds", String.format("%.2f", (fleet.time().now() - start) / NANOS_A_SECOND)),
+				Field.of("seconds", String.format("%.2f", (fleet.time().now() - start) / NANOS_PER_SECOND)),
 				Field.of("bytes", node.traffic().bytes()), Field.of("messages", node.traffic().messages()));
 	}
 
-	private static void measureDomain(SizedFleet sized, int size, Reporter reporter) {
+	private static void measureDomainFailure(SizedFleet sized, int size, Reporter reporter) {
 		Fleet fleet = sized.fleet();
 		FailureDomainId domain = FailureDomainId.of("domain-11");
 		List<InstanceId> failing = sized.nodes()
 			.stream()
 			.filter((id) -> fleet.node(id).descriptor().domain().equals(domain))
 			.toList();
-		long published = published(fleet);
+		long versionBefore = memberVersion(fleet);
 		failing.forEach(fleet::crash);
-		long fails = messages(fleet, () -> fleet.run(Duration.ofSeconds(20)));
-		long events = published(fleet) - published;
+		long fails = maxControlMessages(fleet, () -> fleet.run(Duration.ofSeconds(20)));
+		long events = memberVersion(fleet) - versionBefore;
 		failing.forEach(fleet::start);
-		long returns = messages(fleet, () -> fleet.run(Duration.ofSeconds(20)));
-		long quiet = messages(fleet, () -> fleet.run(Duration.ofSeconds(20)));
+		long returns = maxControlMessages(fleet, () -> fleet.run(Duration.ofSeconds(20)));
+		long quiet = maxControlMessages(fleet, () -> fleet.run(Duration.ofSeconds(20)));
 		reporter.result("control-domain", Field.of("nodes", size), Field.of("domain-size", failing.size()),
 				Field.of("member-versions-on-failure", events), Field.of("control-messages-in-20s-of-failure", fails),
 				Field.of("control-messages-in-20s-of-return", returns),
@@ -231,11 +233,11 @@
 				Field.of("live", sized.live()));
 	}
 
-	private static long published(Fleet fleet) {
+	private static long memberVersion(Fleet fleet) {
 		return SizedFleet.spreadNode(fleet.node(fleet.leader().orElseThrow())).memberSnapshot().version().number();
 	}
 
-	private static long messages(Fleet fleet, Runnable action) {
+	private static long maxControlMessages(Fleet fleet, Runnable action) {
 		fleet.nodes().forEach((node) -> node.traffic().reset());
 		fleet.measured(true);
 		action.run();
@@ -249,9 +251,11 @@
 	}
 
 	/**
-	 * The highest cost of a node of each part of the tree, by size.
+	 * The highest load of a node in each part of the dissemination tree, by fleet size.
+	 * The growth per 1,000 nodes is taken between the second smallest and the largest
+	 * size.
 	 */
-	private static final class Slopes {
+	private static final class LoadBySize {
 
 		private final List<Sample> samples = new ArrayList<>();
 
@@ -268,9 +272,9 @@
 						Field.of("bytes-per-second-per-1000-nodes", round((large.bytes() - small.bytes()) / nodes)),
 						Field.of("core-share-per-1000-nodes",
 								String.format("%.6f", (large.core() - small.core()) / nodes)),
-						Field.of("changes-a-day", CHANGES_A_DAY));
-				reporter.atMost("control-" + part + "-bytes-per-second", large.bytes(), BYTES_A_SECOND_LIMIT);
-				reporter.atMost("control-" + part + "-core-share", large.core(), CORE_SHARE_LIMIT);
+						Field.of("changes-a-day", CHANGES_PER_DAY));
+				reporter.atMost("control-" + part + "-bytes-per-second", large.bytes(), MAX_BYTES_PER_SECOND);
+				reporter.atMost("control-" + part + "-core-share", large.core(), MAX_CORE_SHARE);
 			}
 		}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Fleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Fleet.java
@@ -36,8 +36,8 @@
 import org.comfreywall.control.spread.Version;
 
 /**
- * Drives the real cores of many nodes in virtual time; the replicated log is replaced by
- * a list of accepted revisions.
+ * Runs the production cores of many nodes in virtual time. A list of accepted revisions
+ * stands in for the replicated log.
  */
 final class Fleet {
 
@@ -69,7 +69,7 @@
 
 	private boolean measured;
 
-	private boolean views;
+	private boolean keepsViews;
 
 	private Term term = Term.ZERO;
 
@@ -92,18 +92,19 @@
 	}
 
 	/**
-	 * Encodes and decodes each message and counts bytes and processor time.
-	 * @param measured whether to do so
+	 * Sets whether each message is encoded and decoded and its bytes and processor time
+	 * are counted.
+	 * @param measured {@code true} to measure
 	 */
 	void measured(boolean measured) {
 		this.measured = measured;
 	}
 
 	/**
-	 * Keeps a decoded view of the members at each entry.
+	 * Maintains a decoded view of the members for each node that receives member updates.
 	 */
 	void withViews() {
-		this.views = true;
+		this.keepsViews = true;
 	}
 
 	VirtualTime time() {
@@ -152,14 +153,14 @@
 	void start(InstanceId id) {
 		FleetNode node = this.nodes.get(id);
 		NodeDescriptor before = node.descriptor();
-		NodeDescriptor life = new NodeDescriptor(id, Incarnation.of(before.incarnation().value() + 1), before.role(),
-				before.region(), before.domain(), before.address());
-		SpreadCore core = (life.role() == NodeRole.CONTROL)
-				? new ControlNode(life, this.controls, this.settings, this.membership, this.random, this.decisions)
-				: new SpreadNode(life, this.controls, this.settings, MemberEntries::activeNodes, this.random,
+		NodeDescriptor restarted = new NodeDescriptor(id, Incarnation.of(before.incarnation().value() + 1),
+				before.role(), before.region(), before.domain(), before.address());
+		SpreadCore core = (restarted.role() == NodeRole.CONTROL)
+				? new ControlNode(restarted, this.controls, this.settings, this.membership, this.random, this.decisions)
+				: new SpreadNode(restarted, this.controls, this.settings, MemberEntries::activeNodes, this.random,
 						this.decisions);
-		node.start(life, core);
-		if (life.role() == NodeRole.CONTROL) {
+		node.start(restarted, core);
+		if (restarted.role() == NodeRole.CONTROL) {
 			List<Delta> onDisk = this.accepted.subList(0, node.accepted());
 			onDisk.forEach((delta) -> handle(node, new SpreadEvent.ConfigurationCommitted(delta)));
 		}
@@ -168,7 +169,7 @@
 	}
 
 	/**
-	 * Ends a node's life; a leader that comes back does not lead its old term again.
+	 * Crashes a node. A leader that crashes does not lead the same term after a restart.
 	 * @param id the node
 	 */
 	void crash(InstanceId id) {
@@ -179,31 +180,32 @@
 	/**
 	 * Makes a control instance the leader of a new term.
 	 * @param id the instance
-	 * @param informed the control instances that learn of it
+	 * @param receivers the control instances that receive the change of leader
 	 */
-	void elect(InstanceId id, Collection<InstanceId> informed) {
+	void elect(InstanceId id, Collection<InstanceId> receivers) {
 		this.term = this.term.next();
 		this.leader = Optional.of(id);
 		Term elected = this.term;
-		informed.forEach(
+		receivers.forEach(
 				(control) -> handle(this.nodes.get(control), new SpreadEvent.LeaderChanged(elected, Optional.of(id))));
 	}
 
-	void accept(List<EntryChange> changes, Collection<InstanceId> informed) {
+	void accept(List<EntryChange> changes, Collection<InstanceId> receivers) {
 		Version held = lastAccepted();
 		Delta delta = new Delta(held, new Version(this.term, held.number() + 1), changes);
 		this.accepted.add(delta);
 		int count = this.accepted.size();
-		for (InstanceId id : informed) {
+		for (InstanceId id : receivers) {
 			long delay = this.leader.filter(id::equals).isPresent() ? 0 : FOLLOWER_DELAY_NANOS;
 			FleetNode node = this.nodes.get(id);
 			SpreadCore core = node.core();
-			this.time.after(delay, () -> acceptIfNext(node, core, delta, count));
+			this.time.after(delay, () -> commitIfNext(node, core, delta, count));
 		}
 	}
 
 	/**
-	 * Hands a control instance all accepted revisions that it has missed.
+	 * Delivers to a control instance all accepted revisions that it has missed, and the
+	 * current leader.
 	 * @param id the instance
 	 */
 	void catchUp(InstanceId id) {
@@ -223,7 +225,7 @@
 		if (this.measured) {
 			node.traffic().spent(THREADS.getCurrentThreadCpuTime() - before);
 		}
-		commands.forEach((command) -> carryOut(node, command));
+		commands.forEach((command) -> execute(node, command));
 	}
 
 	void run(Duration duration) {
@@ -237,20 +239,20 @@
 		}
 	}
 
-	private void acceptIfNext(FleetNode node, SpreadCore core, Delta delta, int count) {
+	private void commitIfNext(FleetNode node, SpreadCore core, Delta delta, int count) {
 		if (node.isAlive() && node.core() == core && node.accepted() == count - 1) {
 			node.accepted(count);
 			handle(node, new SpreadEvent.ConfigurationCommitted(delta));
 		}
 	}
 
-	private void handleIfSame(FleetNode node, SpreadCore core, SpreadEvent event) {
+	private void handleUnlessRestarted(FleetNode node, SpreadCore core, SpreadEvent event) {
 		if (node.core() == core) {
 			handle(node, event);
 		}
 	}
 
-	private void carryOut(FleetNode node, SpreadCommand command) {
+	private void execute(FleetNode node, SpreadCommand command) {
 		if (command instanceof SpreadCommand.Send send) {
 			send(node, send.to(), send.message());
 			return;
@@ -262,7 +264,7 @@
 		else if (command instanceof SpreadCommand.ConfigurationInForce configuration) {
 			node.inForce(configuration.version(), this.time.now());
 		}
-		else if (command instanceof SpreadCommand.MembersUpdated members && this.views) {
+		else if (command instanceof SpreadCommand.MembersUpdated members && this.keepsViews) {
 			node.view().apply(members.changes(), members.whole());
 		}
 	}
@@ -273,7 +275,8 @@
 				&& isConnected(node.descriptor(), this.nodes.get(this.leader.get()).descriptor());
 		if (connected) {
 			Floor floor = new Floor(lastAccepted(), this.lastOrder);
-			this.time.after(READ_DELAY_NANOS, () -> handleIfSame(node, core, new SpreadEvent.FloorRead(token, floor)));
+			this.time.after(READ_DELAY_NANOS,
+					() -> handleUnlessRestarted(node, core, new SpreadEvent.FloorRead(token, floor)));
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetListener.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetListener.java
@@ -5,17 +5,17 @@
 import org.comfreywall.control.spread.SpreadMessage;
 
 /**
- * Watches a fleet from outside the cores.
+ * Receives the commands and messages of all nodes of a fleet.
  */
 interface FleetListener {
 
-	/** Watches nothing. */
+	/** Ignores all commands and messages. */
 	FleetListener NONE = new FleetListener() {
 	};
 
 	/**
-	 * Called for each command but messages.
-	 * @param node the node that gave it
+	 * Called for each command of a core except to send a message.
+	 * @param node the node whose core issued the command
 	 * @param command the command
 	 */
 	default void onCommand(FleetNode node, SpreadCommand command) {
@@ -31,7 +31,7 @@
 	}
 
 	/**
-	 * Called for each message that arrives.
+	 * Called for each message delivered to a running node.
 	 * @param from the sender
 	 * @param to the receiver
 	 * @param message the message
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetNode.java
@@ -7,7 +7,7 @@
 import org.comfreywall.control.spread.Version;
 
 /**
- * One node of a fleet, over all its lives.
+ * One node of a fleet, across all its incarnations.
  */
 final class FleetNode {
 
@@ -47,9 +47,9 @@
 		return this.alive;
 	}
 
-	void start(NodeDescriptor life, SpreadCore started) {
-		this.descriptor = life;
-		this.core = started;
+	void start(NodeDescriptor newDescriptor, SpreadCore newCore) {
+		this.descriptor = newDescriptor;
+		this.core = newCore;
 		this.alive = true;
 		this.inForce = Version.ZERO;
 		this.view = new MemberView();
@@ -73,8 +73,9 @@
 	}
 
 	/**
-	 * Returns how many accepted revisions a control instance holds on disk.
-	 * @return the count
+	 * Returns the number of accepted revisions that a control instance has stored on
+	 * disk.
+	 * @return the number of revisions
 	 */
 	int accepted() {
 		return this.accepted;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetWatcher.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetWatcher.java
@@ -19,25 +19,26 @@
 import org.comfreywall.control.spread.Version;
 
 /**
- * Checks a fleet from outside the cores, over all lives of its nodes.
+ * Checks the safety of a fleet from the commands and messages of its nodes, across all
+ * their incarnations.
  */
 final class FleetWatcher implements FleetListener {
 
-	private static final long OPINION_NANOS = Duration.ofSeconds(15).toNanos();
+	private static final long PROBE_WINDOW_NANOS = Duration.ofSeconds(15).toNanos();
 
 	private final Violations violations;
 
-	private final Map<InstanceId, Long> highest = new HashMap<>();
+	private final Map<InstanceId, Long> highestVersions = new HashMap<>();
 
-	private final Map<InstanceId, Map<InstanceId, Long>> opinions = new HashMap<>();
+	private final Map<InstanceId, Map<InstanceId, Long>> probes = new HashMap<>();
 
-	private final Set<NodeDescriptor> left = new HashSet<>();
+	private final Set<NodeDescriptor> leaveRequests = new HashSet<>();
 
 	private final Map<InstanceId, Set<NodeDescriptor>> seenLeaving = new HashMap<>();
 
 	private Fleet fleet;
 
-	private boolean calm;
+	private boolean faultFree;
 
 	private long failures;
 
@@ -50,16 +51,16 @@
 		watched.decisions(this::onDecision);
 	}
 
-	void calm(boolean settled) {
-		this.calm = settled;
+	void calm(boolean faultFree) {
+		this.faultFree = faultFree;
 	}
 
 	long failures() {
 		return this.failures;
 	}
 
-	void leaveRequested(NodeDescriptor life) {
-		this.left.add(life);
+	void leaveRequested(NodeDescriptor leaver) {
+		this.leaveRequests.add(leaver);
 	}
 
 	void started(InstanceId id) {
@@ -69,54 +70,54 @@
 	@Override
 	public void onCommand(FleetNode node, SpreadCommand command) {
 		if (command instanceof SpreadCommand.ConfigurationInForce configuration) {
-			inForce(node.id(), configuration.version());
+			checkInForce(node.id(), configuration.version());
 		}
 		else if (command instanceof SpreadCommand.MembersUpdated) {
-			membersInForce(node);
+			checkLeaversNotRoutable(node);
 		}
 	}
 
 	@Override
 	public void onSent(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
 		if (message instanceof Ping && from.role() == NodeRole.CONTROL) {
-			noteOpinion(to.id(), from.id());
+			recordProbe(to.id(), from.id());
 		}
 	}
 
 	@Override
 	public void onDelivered(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
 		if (message instanceof ProbeResult result && !result.reachable()) {
-			noteOpinion(result.target(), from.id());
+			recordProbe(result.target(), from.id());
 		}
 	}
 
-	private void noteOpinion(InstanceId target, InstanceId prober) {
-		this.opinions.computeIfAbsent(target, (id) -> new HashMap<>()).put(prober, this.fleet.time().now());
+	private void recordProbe(InstanceId target, InstanceId prober) {
+		this.probes.computeIfAbsent(target, (id) -> new HashMap<>()).put(prober, this.fleet.time().now());
 	}
 
-	private void inForce(InstanceId id, Version version) {
-		long before = this.highest.getOrDefault(id, 0L);
-		this.violations.check(version.number() >= before, "revision-back", "%s went from %d to %s", id, before,
-				version);
-		this.highest.put(id, Math.max(before, version.number()));
+	private void checkInForce(InstanceId id, Version version) {
+		long before = this.highestVersions.getOrDefault(id, 0L);
+		this.violations.check(version.number() >= before, "revision-back", "%s went back from version %d to %s", id,
+				before, version);
+		this.highestVersions.put(id, Math.max(before, version.number()));
 		int index = (int) version.number() - 1;
 		boolean accepted = index < 0
 				|| (index < this.fleet.accepted().size() && this.fleet.accepted().get(index).to().equals(version));
 		this.violations.check(accepted, "never-accepted", "%s put %s in force", id, version);
 	}
 
-	private void membersInForce(FleetNode node) {
-		Set<NodeDescriptor> seen = this.seenLeaving.computeIfAbsent(node.id(), (id) -> new HashSet<>());
-		for (NodeDescriptor life : this.left) {
-			MemberRecord record = node.view().find(life.id()).orElse(null);
-			if (record == null || !record.node().equals(life)) {
+	private void checkLeaversNotRoutable(FleetNode node) {
+		Set<NodeDescriptor> leavingNodes = this.seenLeaving.computeIfAbsent(node.id(), (id) -> new HashSet<>());
+		for (NodeDescriptor leaver : this.leaveRequests) {
+			MemberRecord record = node.view().find(leaver.id()).orElse(null);
+			if (record == null || !record.node().equals(leaver)) {
 				continue;
 			}
-			boolean active = node.view().isRoutable(life.id());
-			this.violations.check(!active || !seen.contains(life), "leave-undone", "%s routes to %s again", node.id(),
-					life.id());
+			boolean active = node.view().isRoutable(leaver.id());
+			this.violations.check(!active || !leavingNodes.contains(leaver), "leave-undone", "%s routes to %s again",
+					node.id(), leaver.id());
 			if (record.state() == MemberState.LEAVING) {
-				seen.add(life);
+				leavingNodes.add(leaver);
 			}
 		}
 	}
@@ -128,7 +129,8 @@
 		}
 		this.failures++;
 		if (domain) {
-			this.violations.check(!this.calm, "live-domain-failed", "%s in calm", decision.subject());
+			this.violations.check(!this.faultFree, "live-domain-failed", "%s declared failed without faults",
+					decision.subject());
 			return;
 		}
 		FleetNode node = this.fleet.node(InstanceId.of(decision.subject()));
@@ -137,14 +139,16 @@
 			.anyMatch((field) -> field.key().equals("incarnation")
 					&& field.value().equals(node.descriptor().incarnation().toString()));
 		if (live) {
-			this.violations.check(!this.calm, "live-member-failed", "%s in calm", node.id());
-			this.violations.check(opinions(node.id()) >= 2, "judged-on-one-word", "%s", node.id());
+			this.violations.check(!this.faultFree, "live-member-failed", "%s declared failed without faults",
+					node.id());
+			this.violations.check(countRecentProbers(node.id()) >= 2, "judged-on-one-word",
+					"%s declared failed with fewer than two recent probers", node.id());
 		}
 	}
 
-	private long opinions(InstanceId id) {
-		long since = this.fleet.time().now() - OPINION_NANOS;
-		return this.opinions.getOrDefault(id, Map.of()).values().stream().filter((at) -> at >= since).count();
+	private long countRecentProbers(InstanceId id) {
+		long since = this.fleet.time().now() - PROBE_WINDOW_NANOS;
+		return this.probes.getOrDefault(id, Map.of()).values().stream().filter((at) -> at >= since).count();
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Network.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Network.java
@@ -5,12 +5,12 @@
 import org.comfreywall.control.spread.NodeDescriptor;
 
 /**
- * Decides the fate of each message.
+ * Simulates delay, loss and duplication of messages.
  */
 interface Network {
 
 	/**
-	 * Decides when a message arrives.
+	 * Returns the delay after which a message is delivered.
 	 * @param from the sender
 	 * @param to the receiver
 	 * @return the delay in nanoseconds, or empty if the message is lost
@@ -18,8 +18,8 @@
 	OptionalLong delay(NodeDescriptor from, NodeDescriptor to);
 
 	/**
-	 * Tells whether a message arrives a second time.
-	 * @return {@code true} to deliver it twice
+	 * Returns whether a message is delivered a second time.
+	 * @return {@code true} if it is delivered twice
 	 */
 	default boolean duplicates() {
 		return false;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/OrderTraffic.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/OrderTraffic.java
@@ -24,8 +24,9 @@
 import org.comfreywall.sidecar.fence.OrderFence;
 
 /**
- * Orders of all control instances, one of them leading rightly, to engines that ignore
- * fencing numbers and outlive their sidecars.
+ * Sends orders from all control instances, only one of which is the current leader. The
+ * simulated engines ignore fencing numbers and keep running when their sidecars restart,
+ * so only the fences of the sidecars can refuse an older order.
  */
 final class OrderTraffic {
 
@@ -33,9 +34,9 @@
 
 	private final Map<InstanceId, OrderFence> fences = new HashMap<>();
 
-	private final Map<InstanceId, FencingNumber> engines = new HashMap<>();
+	private final Map<InstanceId, FencingNumber> executed = new HashMap<>();
 
-	private static final long MAX_LATENESS_NANOS = Duration.ofSeconds(20).toNanos();
+	private static final long MAX_LATE_DELIVERY_NANOS = Duration.ofSeconds(20).toNanos();
 
 	private final Random random;
 
@@ -79,20 +80,20 @@
 	}
 
 	void elected(InstanceId control, Term term) {
-		on(control, new OrderEvent.LeadershipGained(term));
+		handle(control, new OrderEvent.LeadershipGained(term));
 		this.fleet.lastOrder(this.issuers.get(control).lastNumber());
 	}
 
 	void request(InstanceId control, InstanceId sidecar, int version) {
-		on(control, new OrderEvent.Requested(sidecar, OrderKind.LOAD_VERSION, "model", Integer.toString(version)));
+		handle(control, new OrderEvent.Requested(sidecar, OrderKind.LOAD_VERSION, "model", Integer.toString(version)));
 		tick(control);
 	}
 
 	void tick(InstanceId control) {
-		on(control, new OrderEvent.Tick());
+		handle(control, new OrderEvent.Tick());
 	}
 
-	private void on(InstanceId control, OrderEvent event) {
+	private void handle(InstanceId control, OrderEvent event) {
 		OrderIssuer issuer = this.issuers.get(control);
 		if (!this.fleet.node(control).isAlive()) {
 			return;
@@ -103,13 +104,15 @@
 			this.fleet.lastOrder(issuer.lastNumber());
 		}
 		for (OrderCommand command : commands) {
-			if (command instanceof OrderCommand.SendOrder send) {
-				transmit(control, send.order().target(), () -> arrive(control, send.order()));
+			if (command instanceof OrderCommand.SendOrder sent) {
+				send(control, sent.order().target(), () -> deliverOrder(control, sent.order()));
 			}
 		}
 	}
 
-	private void transmit(InstanceId from, InstanceId to, Runnable arrival) {
+	// One message in three is delivered once more, up to 20 s later and even over a cut
+	// link.
+	private void send(InstanceId from, InstanceId to, Runnable arrival) {
 		int copies = this.network.duplicates() ? 2 : 1;
 		for (int i = 0; i < copies; i++) {
 			OptionalLong delay = this.network.delay(this.fleet.node(from).descriptor(),
@@ -117,39 +120,40 @@
 			delay.ifPresent((nanos) -> this.fleet.time().after(nanos, arrival));
 		}
 		if (this.random.nextInt(3) == 0) {
-			this.fleet.time().after((long) (this.random.nextDouble() * MAX_LATENESS_NANOS), arrival);
+			this.fleet.time().after((long) (this.random.nextDouble() * MAX_LATE_DELIVERY_NANOS), arrival);
 		}
 	}
 
-	private void arrive(InstanceId control, EngineOrder order) {
+	private void deliverOrder(InstanceId control, EngineOrder order) {
 		OrderFence fence = this.fences.get(order.target());
 		if (!this.fleet.node(order.target()).isAlive()) {
 			return;
 		}
 		Result<FencingNumber> admitted = fence.admit(order.number());
 		if (admitted.value().isPresent()) {
-			run(order);
+			execute(order);
 			fence.endOrder();
 		}
-		OrderReply reply = new OrderReply(order.target(), order.number(), status(admitted), fence.currentNumber(), "");
-		transmit(order.target(), control, () -> on(control, new OrderEvent.Replied(reply)));
+		OrderReply reply = new OrderReply(order.target(), order.number(), replyStatus(admitted), fence.currentNumber(),
+				"");
+		send(order.target(), control, () -> handle(control, new OrderEvent.Replied(reply)));
 	}
 
-	private void run(EngineOrder order) {
-		FencingNumber before = this.engines.getOrDefault(order.target(), FencingNumber.ZERO);
-		this.violations.check(!order.number().isBefore(before), "older-order-accepted", "%s took %s after %s",
+	private void execute(EngineOrder order) {
+		FencingNumber before = this.executed.getOrDefault(order.target(), FencingNumber.ZERO);
+		this.violations.check(!order.number().isBefore(before), "older-order-accepted", "%s executed order %s after %s",
 				order.target(), order.number(), before);
-		this.engines.put(order.target(), order.number());
+		this.executed.put(order.target(), order.number());
 		this.accepted++;
 	}
 
-	private OrderStatus status(Result<FencingNumber> admitted) {
+	private OrderStatus replyStatus(Result<FencingNumber> admitted) {
 		if (admitted.value().isPresent()) {
 			return OrderStatus.DONE;
 		}
-		boolean old = admitted.error().orElseThrow().code() == ErrorCode.FENCED;
-		this.fenced += old ? 1 : 0;
-		return old ? OrderStatus.FENCED : OrderStatus.NOT_READY;
+		boolean stale = admitted.error().orElseThrow().code() == ErrorCode.FENCED;
+		this.fenced += stale ? 1 : 0;
+		return stale ? OrderStatus.FENCED : OrderStatus.NOT_READY;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/RegionalNetwork.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/RegionalNetwork.java
@@ -6,11 +6,12 @@
 import org.comfreywall.control.spread.NodeDescriptor;
 
 /**
- * Delays as within and between seven regions spread over the globe.
+ * A simulated network with the delays within and between seven regions worldwide. Loses
+ * no message.
  */
 final class RegionalNetwork implements Network {
 
-	private static final long MICROS = 1_000;
+	private static final long NANOS_PER_MICRO = 1_000;
 
 	private static final long WITHIN_DOMAIN_MICROS = 250;
 
@@ -18,7 +19,7 @@
 
 	private static final long NEAREST_REGION_MICROS = 20_000;
 
-	private static final long STEP_MICROS = 25_000;
+	private static final long REGION_STEP_MICROS = 25_000;
 
 	private final Random random;
 
@@ -28,11 +29,11 @@
 
 	@Override
 	public OptionalLong delay(NodeDescriptor from, NodeDescriptor to) {
-		long base = base(from, to) * MICROS;
+		long base = baseMicros(from, to) * NANOS_PER_MICRO;
 		return OptionalLong.of(base + (long) (this.random.nextDouble() * base / 5));
 	}
 
-	private static long base(NodeDescriptor from, NodeDescriptor to) {
+	private static long baseMicros(NodeDescriptor from, NodeDescriptor to) {
 		if (from.domain().equals(to.domain())) {
 			return WITHIN_DOMAIN_MICROS;
 		}
@@ -40,7 +41,7 @@
 			return WITHIN_REGION_MICROS;
 		}
 		int distance = Math.abs(from.region().hashCode() - to.region().hashCode()) % 6;
-		return NEAREST_REGION_MICROS + distance * STEP_MICROS;
+		return NEAREST_REGION_MICROS + distance * REGION_STEP_MICROS;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SizedFleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SizedFleet.java
@@ -16,8 +16,8 @@
 import org.comfreywall.control.spread.SpreadNode;
 
 /**
- * A settled fleet of a given size in seven regions and twenty failure domains, one node
- * in five an entry.
+ * A converged fleet of a given size in seven regions and twenty failure domains. One node
+ * in five is an entry, the others are sidecars.
  */
 final class SizedFleet {
 
@@ -25,15 +25,15 @@
 
 	private static final int DOMAINS = 20;
 
-	private static final int ENTRY_SHARE = 5;
+	private static final int NODES_PER_ENTRY = 5;
 
 	private static final int CHANGE_BYTES = 1_000;
 
 	private static final Duration START_INTERVAL = Duration.ofSeconds(1);
 
-	private static final int STARTS_A_INTERVAL = 300;
+	private static final int STARTS_PER_INTERVAL = 300;
 
-	private static final Duration SETTLE = Duration.ofSeconds(25);
+	private static final Duration SETTLE_TIME = Duration.ofSeconds(25);
 
 	private final Fleet fleet;
 
@@ -54,7 +54,7 @@
 			sized.controls.add(sized.add("control-" + i, NodeRole.CONTROL, i));
 		}
 		for (int i = 0; i < size; i++) {
-			boolean entry = (i / DOMAINS) % ENTRY_SHARE == 0;
+			boolean entry = (i / DOMAINS) % NODES_PER_ENTRY == 0;
 			sized.nodes.add(sized.add("node-" + i, entry ? NodeRole.ENTRY : NodeRole.SIDECAR, i % DOMAINS));
 		}
 		sized.controls.forEach(sized.fleet::start);
@@ -62,11 +62,11 @@
 		sized.change();
 		for (int i = 0; i < size; i++) {
 			sized.fleet.start(sized.nodes.get(i));
-			if (i % STARTS_A_INTERVAL == 0) {
+			if (i % STARTS_PER_INTERVAL == 0) {
 				sized.fleet.run(START_INTERVAL);
 			}
 		}
-		sized.fleet.run(SETTLE);
+		sized.fleet.run(SETTLE_TIME);
 		return sized;
 	}
 
@@ -100,8 +100,8 @@
 	}
 
 	/**
-	 * Returns when the last live node put the newest revision into force.
-	 * @return the clock's reading in nanoseconds
+	 * Returns when the last live node put its revision in force.
+	 * @return the virtual time in nanoseconds
 	 */
 	long lastInForceAt() {
 		return this.fleet.nodes().stream().filter(FleetNode::isAlive).mapToLong(FleetNode::inForceAt).max().orElse(0);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandom.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandom.java
@@ -6,12 +6,12 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Runs dissemination, membership and orders under random faults and reports what was
- * breached.
+ * Runs dissemination, membership and orders under random faults and reports violations of
+ * their invariants.
  */
 public final class SpreadRandom implements Measurement {
 
-	/** The number of steps when none is given. */
+	/** The default number of steps. */
 	public static final long DEFAULT_STEPS = 100_000;
 
 	@Override
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomRun.java
@@ -28,7 +28,8 @@
 import org.comfreywall.control.spread.Version;
 
 /**
- * Alternates between disturbing a fleet at random and letting it settle.
+ * Alternates between rounds of random faults and fault-free periods, at whose end the
+ * fleet must have converged.
  */
 final class SpreadRandomRun {
 
@@ -38,15 +39,15 @@
 
 	private static final int DOMAINS = 4;
 
-	private static final int ORDERED = 6;
+	private static final int ORDER_TARGETS = 6;
 
-	private static final int STEPS_A_ROUND = 1_000;
+	private static final int STEPS_PER_ROUND = 1_000;
 
 	private static final Duration STEP = Duration.ofMillis(30);
 
-	private static final Duration SETTLE = Duration.ofSeconds(45);
+	private static final Duration SETTLE_TIME = Duration.ofSeconds(45);
 
-	private static final Duration LEAVE_LIMIT = Duration.ofSeconds(2);
+	private static final Duration MAX_LEAVE_TIME = Duration.ofSeconds(2);
 
 	private static final MembershipSettings SHORT_DAMPING = new MembershipSettings(Duration.ofSeconds(5),
 			Duration.ofSeconds(12), Duration.ofMillis(2500), Duration.ofSeconds(5), Duration.ofMillis(200),
@@ -103,10 +104,10 @@
 	void run(long limit) {
 		populate();
 		while (this.steps < limit) {
-			settle();
-			disturb(Math.min(STEPS_A_ROUND, limit - this.steps));
+			settleAndCheck();
+			runFaultyRound(Math.min(STEPS_PER_ROUND, limit - this.steps));
 		}
-		settle();
+		settleAndCheck();
 	}
 
 	private void populate() {
@@ -139,59 +140,59 @@
 		this.fleet.start(id);
 	}
 
-	private void disturb(long count) {
+	private void runFaultyRound(long count) {
 		this.watcher.calm(false);
 		if (this.random.nextInt(3) == 0) {
 			this.fleet.leader().ifPresent(this.network::deafen);
 		}
 		for (long i = 0; i < count; i++) {
 			this.steps++;
-			act(this.random.nextInt(100));
+			performRandomAction(this.random.nextInt(100));
 			this.orders.tick(pick(this.controls));
 			this.fleet.run(STEP);
 		}
 	}
 
-	private void act(int dice) {
-		if (dice < 6) {
+	private void performRandomAction(int roll) {
+		if (roll < 6) {
 			accept();
 		}
-		else if (dice < 9) {
-			toggle(pick(this.nodes));
+		else if (roll < 9) {
+			crashOrStart(pick(this.nodes));
 		}
-		else if (dice < 10) {
-			toggle(pick(this.controls));
+		else if (roll < 10) {
+			crashOrStart(pick(this.controls));
 		}
-		else if (dice < 13) {
+		else if (roll < 13) {
 			this.network.cut(pick(all()), pick(all()));
 		}
-		else if (dice < 14) {
-			boolean in = this.random.nextBoolean();
-			this.network.isolate(pick(all()), all(), in, !in || this.random.nextBoolean());
+		else if (roll < 14) {
+			boolean inbound = this.random.nextBoolean();
+			this.network.isolate(pick(all()), all(), inbound, !inbound || this.random.nextBoolean());
 		}
-		else if (dice < 16) {
+		else if (roll < 16) {
 			this.network.disturb();
 		}
-		else if (dice < 20) {
+		else if (roll < 20) {
 			this.network.mendSome();
 		}
-		else if (dice < 21) {
-			electRarely();
+		else if (roll < 21) {
+			electSometimes();
 		}
-		else if (dice < 23) {
-			informOfLeader(pick(this.controls));
+		else if (roll < 23) {
+			catchUpIfConnected(pick(this.controls));
 		}
-		else if (dice < 25) {
+		else if (roll < 25) {
 			leave(pick(this.nodes));
 		}
-		else if (dice < 29) {
+		else if (roll < 29) {
 			sendStaleRevision(pick(this.nodes));
 		}
-		else if (dice < 39) {
-			this.orders.request(pick(this.controls), pick(ordered()), this.orderVersion++);
+		else if (roll < 39) {
+			this.orders.request(pick(this.controls), pick(orderTargets()), this.orderVersion++);
 		}
-		else if (dice < 43) {
-			restart(pick(ordered()));
+		else if (roll < 43) {
+			restart(pick(orderTargets()));
 		}
 	}
 
@@ -205,7 +206,7 @@
 		return list.get(this.random.nextInt(list.size()));
 	}
 
-	private void toggle(InstanceId id) {
+	private void crashOrStart(InstanceId id) {
 		if (!this.fleet.node(id).isAlive()) {
 			start(id);
 		}
@@ -220,11 +221,11 @@
 	}
 
 	/**
-	 * Returns the few nodes whose engines are given orders.
+	 * Returns the nodes whose engines receive orders.
 	 * @return the nodes
 	 */
-	private List<InstanceId> ordered() {
-		return this.nodes.subList(0, ORDERED);
+	private List<InstanceId> orderTargets() {
+		return this.nodes.subList(0, ORDER_TARGETS);
 	}
 
 	private long deadControls() {
@@ -251,7 +252,7 @@
 		}
 	}
 
-	private void electRarely() {
+	private void electSometimes() {
 		if (this.random.nextInt(8) == 0) {
 			elect();
 		}
@@ -264,14 +265,14 @@
 		}
 		InstanceId winner = pick(candidates);
 		this.fleet.catchUp(winner);
-		List<InstanceId> informed = connected(winner).stream()
+		List<InstanceId> receivers = connected(winner).stream()
 			.filter((id) -> id.equals(winner) || this.random.nextInt(4) > 0)
 			.toList();
-		this.fleet.elect(winner, informed);
+		this.fleet.elect(winner, receivers);
 		this.orders.elected(winner, this.fleet.term());
 	}
 
-	private void informOfLeader(InstanceId control) {
+	private void catchUpIfConnected(InstanceId control) {
 		Optional<InstanceId> leader = this.fleet.leader();
 		if (leader.isPresent() && this.network.connects(control, leader.get())) {
 			this.fleet.catchUp(control);
@@ -287,7 +288,8 @@
 	}
 
 	/**
-	 * Sends a node what a leader of an older term holds to be the next revision.
+	 * Sends a node a next revision that was never accepted, as a leader of an older term
+	 * may do. The node must not put it in force.
 	 * @param id the node
 	 */
 	private void sendStaleRevision(InstanceId id) {
@@ -303,17 +305,17 @@
 		}
 	}
 
-	private void settle() {
+	private void settleAndCheck() {
 		this.network.heal();
 		all().stream().filter((id) -> !this.fleet.node(id).isAlive()).forEach(this::start);
 		if (!this.fleet.leader().filter(this::hasQuorum).isPresent()) {
 			elect();
 		}
 		this.controls.forEach(this.fleet::catchUp);
-		this.fleet.run(SETTLE);
+		this.fleet.run(SETTLE_TIME);
 		this.watcher.calm(true);
 		checkConverged();
-		checkLeaving();
+		checkLeave();
 	}
 
 	private void checkConverged() {
@@ -335,13 +337,13 @@
 		}
 	}
 
-	private void checkLeaving() {
+	private void checkLeave() {
 		List<InstanceId> leavers = new ArrayList<>();
 		for (int i = 0; i < 3; i++) {
 			leavers.add(pick(this.nodes));
 		}
 		leavers.forEach(this::leave);
-		this.fleet.run(LEAVE_LIMIT);
+		this.fleet.run(MAX_LEAVE_TIME);
 		for (FleetNode node : this.fleet.nodes()) {
 			boolean entry = node.descriptor().role() == NodeRole.ENTRY;
 			for (InstanceId id : leavers) {
@@ -355,8 +357,8 @@
 
 		@Override
 		public void onCommand(FleetNode node, SpreadCommand command) {
-			if (command instanceof SpreadCommand.FloorConfirmed learnt) {
-				SpreadRandomRun.this.orders.floorLearnt(node.id(), learnt.floor().orders());
+			if (command instanceof SpreadCommand.FloorConfirmed confirmed) {
+				SpreadRandomRun.this.orders.floorLearnt(node.id(), confirmed.floor().orders());
 			}
 			SpreadRandomRun.this.watcher.onCommand(node, command);
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Traffic.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Traffic.java
@@ -1,7 +1,7 @@
 package org.comfreywall.bench.spread;
 
 /**
- * What one node has sent and spent.
+ * The messages and bytes that one node sent and received, and its processor time.
  */
 final class Traffic {
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Violations.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Violations.java
@@ -6,7 +6,7 @@
 import java.util.TreeMap;
 
 /**
- * Counts breaches of what must hold, found from outside the cores.
+ * Counts violations by rule and keeps the first ones as examples.
  */
 final class Violations {
 
@@ -16,13 +16,13 @@
 
 	private final List<String> examples = new ArrayList<>();
 
-	void check(boolean condition, String name, String format, Object... args) {
+	void check(boolean condition, String rule, String format, Object... args) {
 		if (condition) {
 			return;
 		}
-		this.counts.merge(name, 1, Integer::sum);
+		this.counts.merge(rule, 1, Integer::sum);
 		if (this.examples.size() < MAX_EXAMPLES) {
-			this.examples.add(name + ": " + String.format(format, args));
+			this.examples.add(rule + ": " + String.format(format, args));
 		}
 	}
 
@@ -30,8 +30,8 @@
 		return this.counts.values().stream().mapToInt(Integer::intValue).sum();
 	}
 
-	int count(String name) {
-		return this.counts.getOrDefault(name, 0);
+	int count(String rule) {
+		return this.counts.getOrDefault(rule, 0);
 	}
 
 	List<String> examples() {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/VirtualTime.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/VirtualTime.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /**
- * A queue of actions in virtual time.
+ * Discrete-event queue that runs actions in order of virtual time.
  */
 final class VirtualTime {
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/package-info.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Measurements of dissemination, membership and orders.
+ * Measurements and randomised runs of dissemination, membership and orders.
  */
 package org.comfreywall.bench.spread;
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/spread/SpreadRandomTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/spread/SpreadRandomTests.java
@@ -5,7 +5,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Runs dissemination, membership and orders under random faults.
+ * Runs dissemination, membership and orders under random faults with
+ * {@link SpreadRandomRun}.
  */
 class SpreadRandomTests {
 
@@ -20,7 +21,7 @@
 	}
 
 	@Test
-	void triesWhatItIsMeantToTry() {
+	void coversElectionsFailuresAndFencedOrders() {
 		SpreadRandomRun run = new SpreadRandomRun(SEED);
 		run.run(5_000);
 		assertThat(run.fleet().term().value()).isGreaterThan(1);
