Reword the randomised run of the lifecycle of a group

Read badly: servers that die and fall silent, a core called life, methods called choose, computes and carryOut, and counts described without saying that they are counts.

Changed: comments, failure texts, private names, locals and the name of one test. The rule for a justified replacement is stated where it is checked. Names of printed results stay.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/FakeMember.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/FakeMember.java
@@ -6,24 +6,28 @@
 import org.comfreywall.group.mapswitch.Member;
 
 /**
- * A server that may die, stall or fall silent, each until some time.
+ * A simulated backend server that can crash, stall or lose its reports, each until a
+ * given time.
  */
 final class FakeMember {
 
-	/** A recovery shorter than this may pass between two reports unseen. */
-	private static final long UNSEEN_NANOS = 600_000_000;
+	/**
+	 * A shorter recovery may fall between two reports, so the stalls before and after it
+	 * count as one.
+	 */
+	private static final long MIN_VISIBLE_RECOVERY_NANOS = 600_000_000;
 
 	private final BackendServerId server;
 
 	private long incarnation = 1;
 
-	private long deadUntil;
+	private long downUntil;
 
 	private long stalledSince;
 
 	private long stalledUntil;
 
-	private long silentUntil;
+	private long reportsLostUntil;
 
 	private long stalledStep;
 
@@ -42,7 +46,7 @@
 	}
 
 	boolean isDead(long now) {
-		return now < this.deadUntil;
+		return now < this.downUntil;
 	}
 
 	boolean isStalled(long now) {
@@ -50,7 +54,7 @@
 	}
 
 	boolean isSilent(long now) {
-		return now < this.silentUntil;
+		return now < this.reportsLostUntil;
 	}
 
 	long stallLength(long now) {
@@ -58,8 +62,8 @@
 	}
 
 	/**
-	 * Tells whether a report sent at a time or earlier showed that the last stall has
-	 * ended. A server that falls silent in its stall shows it only later.
+	 * Returns whether a report sent at a given time or earlier showed that the last stall
+	 * had ended. A server whose reports are lost shows this only with a later report.
 	 * @param time the time in nanoseconds
 	 * @return {@code true} if such a report was sent
 	 */
@@ -68,28 +72,28 @@
 	}
 
 	/**
-	 * Takes note of a report. The first one after a stall may still show the step at
-	 * which the server stalled.
-	 * @param now the present time in nanoseconds
-	 * @param step the step reported
-	 * @param activity the activity reported
+	 * Records a report that the server sent. The first report after a stall may still
+	 * carry the step at which the server stalled, which does not show a recovery.
+	 * @param now the current time in nanoseconds
+	 * @param step the reported step
+	 * @param activity the reported activity
 	 */
 	void reported(long now, long step, EngineActivity activity) {
-		boolean goesOn = step > this.stalledStep || activity == EngineActivity.WAITING_FOR_PEERS;
-		if (goesOn && now >= this.stalledUntil && this.recoveryReportedAt == Long.MAX_VALUE) {
+		boolean progresses = step > this.stalledStep || activity == EngineActivity.WAITING_FOR_PEERS;
+		if (progresses && now >= this.stalledUntil && this.recoveryReportedAt == Long.MAX_VALUE) {
 			this.recoveryReportedAt = now;
 		}
 	}
 
 	void die(long now, long duration) {
 		this.incarnation++;
-		this.deadUntil = now + duration;
+		this.downUntil = now + duration;
 		this.stalledUntil = 0;
 		this.stalledSince = 0;
 	}
 
 	void stall(long now, long duration, long step) {
-		if (now - this.stalledUntil >= UNSEEN_NANOS) {
+		if (now - this.stalledUntil >= MIN_VISIBLE_RECOVERY_NANOS) {
 			this.stalledSince = now;
 		}
 		this.stalledUntil = now + duration;
@@ -98,7 +102,7 @@
 	}
 
 	void fallSilent(long now, long duration) {
-		this.silentUntil = now + duration;
+		this.reportsLostUntil = now + duration;
 	}
 
 	void restart() {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/LifeWorld.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/LifeWorld.java
@@ -35,7 +35,8 @@
 import org.comfreywall.group.mapswitch.OpenTerm;
 
 /**
- * One group's servers, ledger and life core in virtual time, one tick after the other.
+ * Simulates one group tick by tick in virtual time: its backend servers, its decision
+ * ledger and its lifecycle core.
  */
 final class LifeWorld {
 
@@ -48,7 +49,7 @@
 	private static final Term TERM = Term.of(1);
 
 	private final PriorityQueue<Delivery> deliveries = new PriorityQueue<>(
-			Comparator.comparingLong(Delivery::at).thenComparingLong(Delivery::order));
+			Comparator.comparingLong(Delivery::at).thenComparingLong(Delivery::sequence));
 
 	private final List<String> violations = new ArrayList<>();
 
@@ -62,15 +63,15 @@
 
 	private final DecisionLedger ledger;
 
-	private final GroupLifecycle life;
+	private final GroupLifecycle lifecycle;
 
-	private long slowestMessageNanos = TICK_NANOS;
+	private long maxMessageDelayNanos = TICK_NANOS;
 
 	private long now;
 
 	private long tick;
 
-	private long order;
+	private long lastSequence;
 
 	private long step;
 
@@ -83,7 +84,7 @@
 		this.members = IntStream.range(0, servers).mapToObj((i) -> new FakeMember("server-" + i)).toList();
 		this.ledger = new DecisionLedger(ranks, LedgerState.EMPTY);
 		this.ledger.apply(new OpenTerm(TERM));
-		this.life = new GroupLifecycle("group", ranks, settings, DecisionListener.NONE);
+		this.lifecycle = new GroupLifecycle("group", ranks, settings, DecisionListener.NONE);
 	}
 
 	long now() {
@@ -99,7 +100,7 @@
 	}
 
 	GroupState state() {
-		return this.life.state();
+		return this.lifecycle.state();
 	}
 
 	List<String> violations() {
@@ -111,7 +112,7 @@
 	}
 
 	void slowestMessage(long nanos) {
-		this.slowestMessageNanos = nanos;
+		this.maxMessageDelayNanos = nanos;
 	}
 
 	void runTick() {
@@ -120,102 +121,108 @@
 		while (!this.deliveries.isEmpty() && this.deliveries.peek().at() <= this.now) {
 			handle(this.deliveries.remove().event());
 		}
-		advance();
+		advanceStep();
 		if (this.tick % HEARTBEAT_TICKS == 0) {
 			this.members.forEach(this::report);
 		}
 		handle(new GroupTick());
 	}
 
-	private void advance() {
-		if (this.tick % STEP_TICKS == 0 && heldBack() == 0 && this.ledger.state().members().size() == this.ranks) {
+	private void advanceStep() {
+		if (this.tick % STEP_TICKS == 0 && countBlockedMembers() == 0
+				&& this.ledger.state().members().size() == this.ranks) {
 			this.step++;
 		}
 	}
 
-	private long heldBack() {
-		return this.ledger.state().members().values().stream().filter((member) -> !computes(member)).count();
+	private long countBlockedMembers() {
+		return this.ledger.state().members().values().stream().filter((member) -> !isComputing(member)).count();
 	}
 
-	private boolean computes(Member member) {
-		return find(member).filter((fake) -> !fake.isDead(this.now) && !fake.isStalled(this.now)).isPresent();
+	private boolean isComputing(Member member) {
+		return findServer(member).filter((server) -> !server.isDead(this.now) && !server.isStalled(this.now))
+			.isPresent();
 	}
 
-	private Optional<FakeMember> find(Member member) {
-		return this.members.stream().filter((fake) -> fake.is(member)).findFirst();
+	private Optional<FakeMember> findServer(Member member) {
+		return this.members.stream().filter((server) -> server.is(member)).findFirst();
 	}
 
-	private void report(FakeMember fake) {
-		if (fake.isDead(this.now) || fake.isSilent(this.now)) {
+	private void report(FakeMember server) {
+		if (server.isDead(this.now) || server.isSilent(this.now)) {
 			return;
 		}
-		if (this.ledger.state().members().containsValue(fake.member())) {
-			boolean waits = heldBack() > 0 && !fake.isStalled(this.now);
-			EngineActivity activity = waits ? EngineActivity.WAITING_FOR_PEERS : EngineActivity.COMPUTING;
-			fake.reported(this.now, this.step, activity);
-			send(new HeartbeatReceived(fake.member(), this.step, activity));
+		if (this.ledger.state().members().containsValue(server.member())) {
+			boolean waitsForPeers = countBlockedMembers() > 0 && !server.isStalled(this.now);
+			EngineActivity activity = waitsForPeers ? EngineActivity.WAITING_FOR_PEERS : EngineActivity.COMPUTING;
+			server.reported(this.now, this.step, activity);
+			send(new HeartbeatReceived(server.member(), this.step, activity));
 		}
 		else {
-			send(new MemberAnnounced(fake.member()));
+			send(new MemberAnnounced(server.member()));
 		}
 	}
 
 	private void send(GroupEvent event) {
-		this.order++;
-		this.deliveries.add(new Delivery(this.now + this.random.nextLong(this.slowestMessageNanos), this.order, event));
+		this.lastSequence++;
+		this.deliveries
+			.add(new Delivery(this.now + this.random.nextLong(this.maxMessageDelayNanos), this.lastSequence, event));
 	}
 
 	private void handle(GroupEvent event) {
-		this.life.handle(event, this.now).forEach(this::carryOut);
+		this.lifecycle.handle(event, this.now).forEach(this::execute);
 	}
 
-	private void carryOut(GroupCommand command) {
-		if (command instanceof RequestAssignment choose) {
-			choose(choose);
+	private void execute(GroupCommand command) {
+		if (command instanceof RequestAssignment request) {
+			assign(request);
 		}
 		else if (command instanceof ProbeMember probe) {
-			boolean alive = find(probe.member()).filter((fake) -> !fake.isDead(this.now)).isPresent();
+			boolean alive = findServer(probe.member()).filter((server) -> !server.isDead(this.now)).isPresent();
 			send(alive ? new ProbeAnswered(probe.member()) : new ProbeFailed(probe.member()));
 		}
-		else if (command instanceof ReleaseMember released) {
-			find(released.member()).ifPresent(FakeMember::restart);
+		else if (command instanceof ReleaseMember release) {
+			findServer(release.member()).ifPresent(FakeMember::restart);
 		}
 	}
 
-	private void choose(RequestAssignment choose) {
-		Member present = this.ledger.state().members().get(choose.rank());
-		if (present != null && !present.equals(choose.member())) {
+	private void assign(RequestAssignment request) {
+		Member replaced = this.ledger.state().members().get(request.rank());
+		if (replaced != null && !replaced.equals(request.member())) {
 			this.replacements++;
-			checkReason(present, choose);
+			checkReplacement(replaced, request);
 		}
-		LedgerState state = this.ledger.apply(new AssignMember(TERM, choose.rank(), choose.member())).state();
-		checkServers(state);
+		LedgerState state = this.ledger.apply(new AssignMember(TERM, request.rank(), request.member())).state();
+		checkDistinctServers(state);
 		send(new MembershipDurable(state));
 	}
 
-	private void checkReason(Member present, RequestAssignment choose) {
-		Optional<FakeMember> fake = find(present).filter((found) -> !found.isDead(this.now));
-		boolean stalled = fake.filter(this::stalledLong).isPresent();
-		if (fake.isPresent() && !stalled) {
-			this.violations.add(present + " was replaced by " + choose.member() + " though it runs, at " + this.now);
+	private void checkReplacement(Member replaced, RequestAssignment request) {
+		Optional<FakeMember> server = findServer(replaced).filter((found) -> !found.isDead(this.now));
+		boolean stalled = server.filter(this::stalledLongEnough).isPresent();
+		if (server.isPresent() && !stalled) {
+			this.violations.add(replaced + " was replaced by " + request.member()
+					+ " although it was running, at nanosecond " + this.now);
 		}
 	}
 
-	private boolean stalledLong(FakeMember fake) {
-		return fake.stallLength(this.now) >= this.settings.replaceNanos() - this.slowestMessageNanos
-				&& !fake.showedRecoveryBefore(this.now - this.slowestMessageNanos);
+	// A replacement is justified if the stall lasted for the configured time, less the
+	// longest message delay, and a report of the recovery may still be in flight.
+	private boolean stalledLongEnough(FakeMember server) {
+		return server.stallLength(this.now) >= this.settings.replaceNanos() - this.maxMessageDelayNanos
+				&& !server.showedRecoveryBefore(this.now - this.maxMessageDelayNanos);
 	}
 
-	private void checkServers(LedgerState state) {
+	private void checkDistinctServers(LedgerState state) {
 		Set<BackendServerId> servers = new HashSet<>();
 		state.members().values().forEach((member) -> {
 			if (!servers.add(member.server())) {
-				this.violations.add(member.server() + " holds two ranks");
+				this.violations.add(member.server() + " is assigned to two ranks");
 			}
 		});
 	}
 
-	private record Delivery(long at, long order, GroupEvent event) {
+	private record Delivery(long at, long sequence, GroupEvent event) {
 
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifeResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifeResult.java
@@ -3,16 +3,17 @@
 import java.util.List;
 
 /**
- * What a randomised run did and found.
+ * The result of a randomised run of the lifecycle of a group.
  *
- * @param ticks the ticks run
- * @param steps the steps the group completed
- * @param deaths servers that died
- * @param stalls engines that stalled
- * @param silences servers whose reports were lost for a while
- * @param replacements members chosen in place of another
- * @param violations what the checks found
- * @param stuckWindows windows without faults at whose end the group did not run
+ * @param ticks the number of simulated ticks
+ * @param steps the number of steps that the group completed
+ * @param deaths the number of injected crashes of backend servers
+ * @param stalls the number of injected stalls of engines
+ * @param silences the number of injected periods in which the reports of a backend server
+ * are lost
+ * @param replacements the number of members that were replaced
+ * @param violations the violations of the checks
+ * @param stuckWindows the number of fault-free windows at whose end the group did not run
  */
 record RandomisedLifeResult(long ticks, long steps, int deaths, int stalls, int silences, long replacements,
 		List<String> violations, int stuckWindows) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifeRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifeRun.java
@@ -12,33 +12,34 @@
 import org.comfreywall.group.life.LifecycleSettings;
 
 /**
- * Lets servers die, stall and fall silent and checks from outside that only those that
- * died or stalled are replaced and that the group runs once faults end.
+ * Crashes and stalls the backend servers of a simulated group and loses their reports.
+ * Checks that only crashed or stalled members are replaced and that the group runs again
+ * after the faults end.
  */
 public final class RandomisedLifeRun implements Measurement {
 
-	/** The number of ticks run by default. */
+	/** The default number of ticks. */
 	public static final long DEFAULT_TICKS = 200_000;
 
 	private static final int RANKS = 5;
 
 	private static final int SERVERS = 8;
 
-	private static final int VIOLATIONS_SHOWN = 5;
+	private static final int MAX_REPORTED_VIOLATIONS = 5;
 
 	private static final int TICKS_PER_FAULT = 60;
 
 	private static final long FAULTY_TICKS = 3000;
 
-	private static final long QUIET_TICKS = 1500;
+	private static final long FAULT_FREE_TICKS = 1500;
 
-	private static final long LONGEST_DEATH_NANOS = Duration.ofSeconds(3).toNanos();
+	private static final long MAX_DOWN_NANOS = Duration.ofSeconds(3).toNanos();
 
-	private static final long LONGEST_STALL_NANOS = Duration.ofSeconds(5).toNanos();
+	private static final long MAX_STALL_NANOS = Duration.ofSeconds(5).toNanos();
 
-	private static final long LONGEST_SILENCE_NANOS = Duration.ofSeconds(4).toNanos();
+	private static final long MAX_REPORT_LOSS_NANOS = Duration.ofSeconds(4).toNanos();
 
-	private static final long SLOW_MESSAGE_NANOS = Duration.ofMillis(150).toNanos();
+	private static final long FAULTY_MESSAGE_DELAY_NANOS = Duration.ofMillis(150).toNanos();
 
 	private static final LifecycleSettings SETTINGS = new LifecycleSettings(Duration.ofMillis(400).toNanos(),
 			Duration.ofMillis(300).toNanos(), 2, Duration.ofMillis(300).toNanos(), Duration.ofSeconds(2).toNanos());
@@ -51,7 +52,7 @@
 				Field.of("silences", result.silences()), Field.of("replacements", result.replacements()));
 		result.violations()
 			.stream()
-			.limit(VIOLATIONS_SHOWN)
+			.limit(MAX_REPORTED_VIOLATIONS)
 			.forEach((text) -> reporter.result("violation", Field.of("text", text)));
 		reporter.atMost("violations", result.violations().size(), 0);
 		reporter.atMost("quiet-windows-in-which-the-group-did-not-run", result.stuckWindows(), 0);
@@ -61,19 +62,19 @@
 		RandomGenerator random = new Random(seed);
 		LifeWorld world = new LifeWorld(RANKS, SERVERS, SETTINGS, random);
 		int[] faults = new int[3];
-		int stuck = 0;
-		long done = 0;
-		while (done < ticks) {
+		int stuckWindows = 0;
+		long ticksRun = 0;
+		while (ticksRun < ticks) {
 			runFaultyWindow(world, random, faults);
-			stuck += runQuietWindow(world);
-			done += FAULTY_TICKS + QUIET_TICKS;
+			stuckWindows += runFaultFreeWindow(world);
+			ticksRun += FAULTY_TICKS + FAULT_FREE_TICKS;
 		}
-		return new RandomisedLifeResult(done, world.step(), faults[0], faults[1], faults[2], world.replacements(),
-				world.violations(), stuck);
+		return new RandomisedLifeResult(ticksRun, world.step(), faults[0], faults[1], faults[2], world.replacements(),
+				world.violations(), stuckWindows);
 	}
 
 	private static void runFaultyWindow(LifeWorld world, RandomGenerator random, int[] faults) {
-		world.slowestMessage(SLOW_MESSAGE_NANOS);
+		world.slowestMessage(FAULTY_MESSAGE_DELAY_NANOS);
 		for (int i = 0; i < FAULTY_TICKS; i++) {
 			if (random.nextInt(TICKS_PER_FAULT) == 0) {
 				int kind = random.nextInt(faults.length);
@@ -88,21 +89,21 @@
 	private static void inject(int kind, LifeWorld world, RandomGenerator random) {
 		FakeMember member = world.anyMember();
 		switch (kind) {
-			case 0 -> member.die(world.now(), random.nextLong(LONGEST_DEATH_NANOS));
-			case 1 -> member.stall(world.now(), random.nextLong(LONGEST_STALL_NANOS), world.step());
-			default -> member.fallSilent(world.now(), random.nextLong(LONGEST_SILENCE_NANOS));
+			case 0 -> member.die(world.now(), random.nextLong(MAX_DOWN_NANOS));
+			case 1 -> member.stall(world.now(), random.nextLong(MAX_STALL_NANOS), world.step());
+			default -> member.fallSilent(world.now(), random.nextLong(MAX_REPORT_LOSS_NANOS));
 		}
 	}
 
-	private static int runQuietWindow(LifeWorld world) {
-		for (int i = 0; i < QUIET_TICKS - 100; i++) {
+	private static int runFaultFreeWindow(LifeWorld world) {
+		for (int i = 0; i < FAULT_FREE_TICKS - 100; i++) {
 			world.runTick();
 		}
-		long before = world.step();
+		long stepBefore = world.step();
 		for (int i = 0; i < 100; i++) {
 			world.runTick();
 		}
-		return (world.state() == GroupState.RUNNING && world.step() > before) ? 0 : 1;
+		return (world.state() == GroupState.RUNNING && world.step() > stepBefore) ? 0 : 1;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/package-info.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The randomised run of the life of a group.
+ * A randomised run of the lifecycle of a group.
  */
 package org.comfreywall.bench.life;
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/life/RandomisedLifeRunTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/life/RandomisedLifeRunTests.java
@@ -11,12 +11,12 @@
 class RandomisedLifeRunTests {
 
 	/**
-	 * Seed 5 once replaced a running member, as memberships arrived in another order. In
-	 * seed 11 a server falls silent just before its stall ends.
+	 * Seed 5 guards against replacing a running member when memberships arrive out of
+	 * order. In seed 11 the reports of a server are lost from just before its stall ends.
 	 */
 	@ParameterizedTest
 	@ValueSource(longs = { 3, 5, 11 })
-	void replacesOnlyDeadOrStalledMembersAndRunsOnceFaultsEnd(long seed) {
+	void replacesOnlyCrashedOrStalledMembersAndRunsAfterFaultsEnd(long seed) {
 		RandomisedLifeResult result = RandomisedLifeRun.execute(seed, RandomisedLifeRun.DEFAULT_TICKS);
 
 		assertThat(result.violations()).isEmpty();
