Reword the command line of the measurements

Read badly: a registry that knows, a reporter that remembers, a number of steps asked for, and an error that gave an order instead of the fault.

Checked: formatter, compile of bench and what it depends on; no test covers these files.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/Bench.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/Bench.java
@@ -7,7 +7,7 @@
 
 /**
  * Runs one measurement; exits with 0 if all targets are met, 1 if one is missed and 2 if
- * the command line is wrong.
+ * the command line is invalid.
  */
 public final class Bench {
 
@@ -21,7 +21,7 @@
 	/**
 	 * Runs the measurement named on the command line.
 	 * @param args the command line
-	 * @throws Exception if the measurement cannot be carried out
+	 * @throws Exception if the measurement fails
 	 */
 	public static void main(String[] args) throws Exception {
 		System.exit(run(args));
@@ -45,7 +45,8 @@
 		}
 		Optional<Measurement> measurement = Optional.ofNullable(options.name()).flatMap(registry::find);
 		if (measurement.isEmpty()) {
-			System.err.println("Name one measurement of: " + String.join(", ", registry.names()));
+			System.err
+				.println("Measurement missing or unknown, expected one of: " + String.join(", ", registry.names()));
 			return USAGE;
 		}
 		Reporter reporter = new Reporter(System.out, options.json());
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/BenchOptions.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/BenchOptions.java
@@ -16,7 +16,7 @@
 	@Parameter(names = "--steps", description = "Number of steps of a randomised run; 0 uses the measurement's default")
 	private long steps;
 
-	@Parameter(names = "--json", description = "Print one JSON object a line")
+	@Parameter(names = "--json", description = "Print one JSON object per line")
 	private boolean json;
 
 	@Parameter(names = { "--help", "-h" }, help = true, description = "Print this help")
@@ -31,8 +31,8 @@
 	}
 
 	/**
-	 * Returns the number of steps asked for.
-	 * @param defaultSteps the number used when none was given
+	 * Returns the requested number of steps, or the default if none was requested.
+	 * @param defaultSteps the default of the measurement
 	 * @return the number of steps
 	 */
 	public long steps(long defaultSteps) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -27,7 +27,7 @@
 import org.comfreywall.bench.spread.SpreadRandom;
 
 /**
- * Knows the measurements by name.
+ * Registry of the measurements by their names on the command line.
  */
 final class MeasurementRegistry {
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/Reporter.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/Reporter.java
@@ -11,7 +11,7 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Prints results and targets and remembers which targets were missed.
+ * Prints results and targets as text or JSON and counts the missed targets.
  */
 public final class Reporter {
 
@@ -29,9 +29,9 @@
 	}
 
 	/**
-	 * Prints one result.
-	 * @param name the result's name
-	 * @param fields the measured values, each key with its unit as suffix
+	 * Prints a result.
+	 * @param name the name of the result
+	 * @param fields the measured values; a key ends with the unit of its value
 	 */
 	public void result(String name, Field... fields) {
 		List<Field> all = new ArrayList<>(List.of(fields));
@@ -40,7 +40,7 @@
 	}
 
 	/**
-	 * Prints a target that the value must not exceed.
+	 * Prints an upper bound and whether the value meets it; counts a missed target.
 	 * @param name the target's name
 	 * @param value the measured value
 	 * @param bound the greatest value allowed
@@ -50,7 +50,7 @@
 	}
 
 	/**
-	 * Prints a target that the value must reach.
+	 * Prints a lower bound and whether the value meets it; counts a missed target.
 	 * @param name the target's name
 	 * @param value the measured value
 	 * @param bound the smallest value allowed
@@ -61,7 +61,7 @@
 
 	/**
 	 * Returns the number of targets missed so far.
-	 * @return the count
+	 * @return the number of missed targets
 	 */
 	public int missed() {
 		return this.missed;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/package-info.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Measurements of the decision cores.
+ * Command line of the measurements: options, names and reports.
  */
 package org.comfreywall.bench;
