Reword the checks and measurements of configurations

Read badly: "what is right is worked out", "allowed configurations", "the size designed for", and names such as same, touched, left and right for expected and actual values.

Changed: comments, private names, locals and the name of one test. Names of printed results stay.

Checked: formatter, compile of bench and what it depends on; ConfigurationRunTests passed (1 test).

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/config/ConfigurationMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/config/ConfigurationMeasurement.java
@@ -14,12 +14,12 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Checks reading, writing and comparing on random configurations and measures their time
- * at the size designed for.
+ * Checks writing, reading and comparing of random configurations and measures the time of
+ * each at the design size.
  */
 public final class ConfigurationMeasurement implements Measurement {
 
-	private static final long STANDARD_STEPS = 2_000;
+	private static final long DEFAULT_STEPS = 2_000;
 
 	private static final int WARM_UP_ROUNDS = 10;
 
@@ -30,7 +30,7 @@
 	@Override
 	public void run(BenchOptions options, Reporter reporter) {
 		ConfigurationRun run = new ConfigurationRun(options.seed());
-		long steps = options.steps(STANDARD_STEPS);
+		long steps = options.steps(DEFAULT_STEPS);
 		for (long step = 0; step < steps; step++) {
 			run.step();
 		}
@@ -44,21 +44,21 @@
 		Configuration before = configurations.generate(FleetSize.LARGE);
 		Configuration after = configurations.generate(FleetSize.LARGE);
 		String text = ConfigurationWriter.write(before);
-		double write = median(() -> ConfigurationWriter.write(before));
-		double read = median(() -> ConfigurationReader.parse("large.toml", text));
-		double diff = median(() -> ConfigurationDiff.between(before, after));
+		double write = medianNanos(() -> ConfigurationWriter.write(before));
+		double read = medianNanos(() -> ConfigurationReader.parse("large.toml", text));
+		double diff = medianNanos(() -> ConfigurationDiff.between(before, after));
 		reporter.result("configuration-large", Field.of("accounts", FleetSize.LARGE.accounts()),
 				Field.of("groups", FleetSize.LARGE.groups()),
 				Field.of("size-bytes", text.getBytes(StandardCharsets.UTF_8).length),
-				Field.of("write-ms", milliseconds(write)), Field.of("read-ms", milliseconds(read)),
-				Field.of("diff-ms", milliseconds(diff)));
+				Field.of("write-ms", formatMillis(write)), Field.of("read-ms", formatMillis(read)),
+				Field.of("diff-ms", formatMillis(diff)));
 	}
 
-	private static String milliseconds(double nanos) {
+	private static String formatMillis(double nanos) {
 		return String.format("%.1f", nanos / NANOS_PER_MILLISECOND);
 	}
 
-	private static double median(Runnable work) {
+	private static double medianNanos(Runnable work) {
 		long[] nanos = new long[ROUNDS];
 		for (int i = -WARM_UP_ROUNDS; i < ROUNDS; i++) {
 			long start = System.nanoTime();
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/config/ConfigurationRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/config/ConfigurationRun.java
@@ -16,8 +16,9 @@
 import org.comfreywall.common.config.toml.ConfigurationWriter;
 
 /**
- * Writes, reads and compares random configurations and counts wrong results. What is
- * right is worked out from the records, without the reader's and writer's own tables.
+ * Writes, reads and compares random configurations and counts wrong results. The expected
+ * results are computed from the records, independently of the tables of the reader and
+ * the writer.
  */
 final class ConfigurationRun {
 
@@ -38,13 +39,13 @@
 
 	void step() {
 		Configuration before = this.configurations.generate(FleetSize.SMALL);
-		check(same(before, read(ConfigurationWriter.write(before))));
-		Set<String> touched = new TreeSet<>();
-		Configuration after = changed(before, touched);
+		check(equalIgnoringOrder(before, read(ConfigurationWriter.write(before))));
+		Set<String> changedNames = new TreeSet<>();
+		Configuration after = changeAccounts(before, changedNames);
 		check(ConfigurationWriter.write(after).equals(ConfigurationWriter.write(shuffled(after))));
-		Set<String> found = new TreeSet<>();
-		ConfigurationDiff.between(before, after).stream().map(ConfigurationChange::name).forEach(found::add);
-		check(found.equals(touched));
+		Set<String> reportedNames = new TreeSet<>();
+		ConfigurationDiff.between(before, after).stream().map(ConfigurationChange::name).forEach(reportedNames::add);
+		check(reportedNames.equals(changedNames));
 	}
 
 	private void check(boolean holds) {
@@ -57,13 +58,13 @@
 		return ConfigurationReader.parse("random.toml", text).value().orElse(Configuration.EMPTY);
 	}
 
-	private Configuration changed(Configuration before, Set<String> touched) {
+	private Configuration changeAccounts(Configuration before, Set<String> changedNames) {
 		List<AccountDescriptor> accounts = new ArrayList<>(before.accounts());
 		int changes = this.random.nextInt(4);
 		for (int i = 0; i < changes; i++) {
 			int index = this.random.nextInt(accounts.size());
 			AccountDescriptor old = accounts.get(index);
-			touched.add(old.id().value());
+			changedNames.add(old.id().value());
 			int number = Integer.parseInt(old.id().value().substring("account-".length()));
 			if (this.random.nextBoolean()) {
 				accounts.remove(index);
@@ -86,11 +87,11 @@
 		return copy;
 	}
 
-	private static boolean same(Configuration left, Configuration right) {
-		return new HashSet<>(left.failureDomains()).equals(new HashSet<>(right.failureDomains()))
-				&& services(left).equals(services(right))
-				&& new HashSet<>(left.groups()).equals(new HashSet<>(right.groups()))
-				&& accounts(left).equals(accounts(right));
+	private static boolean equalIgnoringOrder(Configuration expected, Configuration actual) {
+		return new HashSet<>(expected.failureDomains()).equals(new HashSet<>(actual.failureDomains()))
+				&& services(expected).equals(services(actual))
+				&& new HashSet<>(expected.groups()).equals(new HashSet<>(actual.groups()))
+				&& accounts(expected).equals(accounts(actual));
 	}
 
 	private static Set<String> services(Configuration configuration) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/config/FleetSize.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/config/FleetSize.java
@@ -1,7 +1,7 @@
 package org.comfreywall.bench.config;
 
 /**
- * The number of parts of a configuration.
+ * The size of a random configuration.
  *
  * @param failureDomains the number of failure domains
  * @param models the number of models, at least 1
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/config/RandomConfigurations.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/config/RandomConfigurations.java
@@ -21,13 +21,13 @@
 import org.comfreywall.common.util.Bytes;
 
 /**
- * Generates allowed configurations of a given size.
+ * Generates valid random configurations of a given size.
  */
 final class RandomConfigurations {
 
 	private static final int REGIONS = 7;
 
-	private static final int GREATEST_RATE = 100_000;
+	private static final int MAX_LIMIT = 100_000;
 
 	private final RandomGenerator random;
 
@@ -48,14 +48,14 @@
 		if (allowed.isEmpty()) {
 			allowed.add(services.get(0).id());
 		}
-		AccountLimits limits = new AccountLimits(rate(), rate(), rate());
+		AccountLimits limits = new AccountLimits(randomLimit(), randomLimit(), randomLimit());
 		return new AccountDescriptor(AccountId.of("account-" + number),
 				List.of(Bytes.ofText("key " + number + " " + this.random.nextLong()).sha256()), limits,
 				PriorityClass.values()[this.random.nextInt(PriorityClass.values().length)], allowed);
 	}
 
-	private long rate() {
-		return 1 + this.random.nextInt(GREATEST_RATE);
+	private long randomLimit() {
+		return 1 + this.random.nextInt(MAX_LIMIT);
 	}
 
 	private FailureDomainDescriptor failureDomain(int number) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/config/package-info.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/config/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Measurements of reading, writing and comparing configurations.
+ * Checks and measurements of writing, reading and comparing configurations.
  */
 package org.comfreywall.bench.config;
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/config/ConfigurationRunTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/config/ConfigurationRunTests.java
@@ -12,7 +12,7 @@
 	private static final int STEPS = 300;
 
 	@Test
-	void randomConfigurationsSurviveWritingReadingAndComparing() {
+	void writesReadsAndComparesRandomConfigurations() {
 		ConfigurationRun run = new ConfigurationRun(1);
 		for (int step = 0; step < STEPS; step++) {
 			run.step();
