Reword the measurement of the request path

Read badly: "streams meet compiled code", "the way of a request", and a probe that measured "when tokens arrive" without saying that each chunk counts as one token.

Changed: comments, constants' names and locals. Names of printed results stay.

Checked: formatter, compile of bench and what it depends on. The measurement was not run and has no test.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/path/PathMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/path/PathMeasurement.java
@@ -20,12 +20,12 @@
 import org.comfreywall.daemon.trial.Trial;
 
 /**
- * Compares streams through entry and sidecar with streams taken directly from the same
- * stand-in backend server, and measures processor time and memory.
+ * Measures the latency that entry and sidecar add to streams, against direct streams from
+ * the same simulated backend server, and processor time and memory.
  * <p>
- * Bookings run first, so that streams meet compiled code. Caller, entry, sidecar and
- * backend server share one process, so processor time and memory are upper bounds for the
- * entry.
+ * Bookings run first, so that the JIT compiler has compiled the shared code before
+ * streams are measured. Caller, entry, sidecar and backend server share one process, so
+ * processor time and memory are upper bounds for the entry.
  */
 public final class PathMeasurement implements Measurement {
 
@@ -33,9 +33,9 @@
 
 	private static final int TOKENS = 6;
 
-	private static final int WARM_UP = 200;
+	private static final int WARM_UP_STREAMS = 200;
 
-	private static final int STREAMS = 300;
+	private static final int MEASURED_STREAMS = 300;
 
 	private static final int BOOKINGS = 20_000;
 
@@ -61,26 +61,26 @@
 
 	private static void measureStreams(HttpClient client, Trial trial, Reporter reporter) throws Exception {
 		StreamProbe direct = new StreamProbe(client, trial.backend(), TOKENS);
-		StreamProbe through = new StreamProbe(client, trial.entry(), TOKENS);
-		for (int i = 0; i < WARM_UP + STREAMS; i++) {
-			direct.stream(i >= WARM_UP);
-			through.stream(i >= WARM_UP);
+		StreamProbe viaEntry = new StreamProbe(client, trial.entry(), TOKENS);
+		for (int i = 0; i < WARM_UP_STREAMS + MEASURED_STREAMS; i++) {
+			direct.stream(i >= WARM_UP_STREAMS);
+			viaEntry.stream(i >= WARM_UP_STREAMS);
 		}
 		report(reporter, "direct", direct);
-		report(reporter, "through-entry", through);
-		reporter.atMost("added-first-token-p50-ms", added(through.firstToken(), direct.firstToken(), P50), 1);
-		reporter.atMost("added-first-token-p95-ms", added(through.firstToken(), direct.firstToken(), P95), 3);
-		reporter.atMost("added-between-tokens-p95-ms", added(through.betweenTokens(), direct.betweenTokens(), P95), 1);
+		report(reporter, "through-entry", viaEntry);
+		reporter.atMost("added-first-token-p50-ms", added(viaEntry.firstToken(), direct.firstToken(), P50), 1);
+		reporter.atMost("added-first-token-p95-ms", added(viaEntry.firstToken(), direct.firstToken(), P95), 3);
+		reporter.atMost("added-between-tokens-p95-ms", added(viaEntry.betweenTokens(), direct.betweenTokens(), P95), 1);
 	}
 
 	private static void measureBookings(HttpClient client, Trial trial, Reporter reporter) throws Exception {
 		OperatingSystemMXBean system = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
 		book(client, trial, BOOKINGS);
-		long cpu = system.getProcessCpuTime();
-		long begin = System.nanoTime();
+		long cpuBefore = system.getProcessCpuTime();
+		long start = System.nanoTime();
 		book(client, trial, BOOKINGS);
-		double seconds = (System.nanoTime() - begin) / 1e9;
-		double coreMillis = (system.getProcessCpuTime() - cpu) / NANOS_PER_MILLI / BOOKINGS;
+		double seconds = (System.nanoTime() - start) / 1e9;
+		double coreMillis = (system.getProcessCpuTime() - cpuBefore) / NANOS_PER_MILLI / BOOKINGS;
 		reporter.result("bookings", Field.of("count", BOOKINGS), Field.of("concurrency", CONCURRENCY),
 				Field.of("requests-per-second", Math.round(BOOKINGS / seconds)),
 				Field.of("core-ms-per-request", String.format("%.3f", coreMillis)),
@@ -132,7 +132,8 @@
 	}
 
 	private static void report(Reporter reporter, String name, StreamProbe probe) {
-		reporter.result(name, Field.of("streams", STREAMS), millis("first-token-p50-ms", probe.firstToken(), P50),
+		reporter.result(name, Field.of("streams", MEASURED_STREAMS),
+				millis("first-token-p50-ms", probe.firstToken(), P50),
 				millis("first-token-p95-ms", probe.firstToken(), P95),
 				millis("between-tokens-p50-ms", probe.betweenTokens(), P50),
 				millis("between-tokens-p95-ms", probe.betweenTokens(), P95));
@@ -142,8 +143,8 @@
 		return Field.of(key, String.format("%.3f", histogram.getValueAtPercentile(percentile) / NANOS_PER_MILLI));
 	}
 
-	private static double added(Histogram through, Histogram direct, double percentile) {
-		return (through.getValueAtPercentile(percentile) - direct.getValueAtPercentile(percentile)) / NANOS_PER_MILLI;
+	private static double added(Histogram viaEntry, Histogram direct, double percentile) {
+		return (viaEntry.getValueAtPercentile(percentile) - direct.getValueAtPercentile(percentile)) / NANOS_PER_MILLI;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/path/StreamProbe.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/path/StreamProbe.java
@@ -12,13 +12,14 @@
 import org.comfreywall.daemon.trial.Trial;
 
 /**
- * Streams chat completions and measures when tokens arrive.
+ * Streams chat completions and measures the time to the first token and between tokens.
+ * Each chunk read from a body counts as one token.
  */
 final class StreamProbe {
 
-	private static final long MAX_NANOS = 60_000_000_000L;
+	private static final long MAX_LATENCY_NANOS = 60_000_000_000L;
 
-	private static final int DIGITS = 3;
+	private static final int SIGNIFICANT_DIGITS = 3;
 
 	private static final int BUFFER_BYTES = 4096;
 
@@ -28,9 +29,9 @@
 
 	private final int tokens;
 
-	private final Histogram firstToken = new Histogram(1, MAX_NANOS, DIGITS);
+	private final Histogram firstToken = new Histogram(1, MAX_LATENCY_NANOS, SIGNIFICANT_DIGITS);
 
-	private final Histogram betweenTokens = new Histogram(1, MAX_NANOS, DIGITS);
+	private final Histogram betweenTokens = new Histogram(1, MAX_LATENCY_NANOS, SIGNIFICANT_DIGITS);
 
 	StreamProbe(HttpClient client, URI target, int tokens) {
 		this.client = client;
@@ -38,7 +39,7 @@
 		this.tokens = tokens;
 	}
 
-	void stream(boolean recorded) throws IOException, InterruptedException {
+	void stream(boolean measured) throws IOException, InterruptedException {
 		String body = "{\"model\":\"" + Trial.MODEL + "\",\"max_tokens\":" + this.tokens + ",\"user\":\""
 				+ UUID.randomUUID() + "\"}";
 		HttpRequest request = HttpRequest.newBuilder(this.target.resolve("/v1/chat/completions"))
@@ -47,7 +48,7 @@
 			.build();
 		long sent = System.nanoTime();
 		HttpResponse<InputStream> response = this.client.send(request, HttpResponse.BodyHandlers.ofInputStream());
-		read(response.body(), sent, recorded);
+		read(response.body(), sent, measured);
 	}
 
 	Histogram firstToken() {
@@ -58,14 +59,14 @@
 		return this.betweenTokens;
 	}
 
-	private void read(InputStream body, long sent, boolean recorded) throws IOException {
+	private void read(InputStream body, long sent, boolean measured) throws IOException {
 		byte[] buffer = new byte[BUFFER_BYTES];
 		long last = sent;
 		boolean first = true;
 		int count = body.read(buffer);
 		while (count >= 0) {
 			long now = System.nanoTime();
-			if (recorded) {
+			if (measured) {
 				(first ? this.firstToken : this.betweenTokens).recordValue(now - last);
 			}
 			first = false;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/path/package-info.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/path/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Measures the way of a request through entry and sidecar on loopback.
+ * Measures the request path through entry and sidecar over loopback.
  */
 package org.comfreywall.bench.path;
