Name the simulated cluster and group in the randomised runs

Read badly: the fields and locals called world, and fields named after what they cause (faults, repairs) instead of what they are.

Changed: private names and locals in the randomised runs of the replicated log and of a group.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRun.java
@@ -11,56 +11,56 @@
 
 	private static final long SETTLE_LIMIT_NANOS = Duration.ofSeconds(10).toNanos();
 
-	private final RunWorld world;
+	private final RunWorld cluster;
 
-	private final RunClients clients;
+	private final RunClients configurationClients;
 
-	private final RunClaimants claimants;
+	private final RunClaimants claimClients;
 
-	private final RunFaults faults;
+	private final RunFaults faultInjector;
 
-	private final RunRepairs repairs;
+	private final RunRepairs replacer;
 
 	RandomRun(long seed, int instances) {
-		this.world = new RunWorld(seed, instances);
-		this.clients = new RunClients(this.world);
-		this.claimants = new RunClaimants(this.world);
-		this.faults = new RunFaults(this.world);
-		this.repairs = new RunRepairs(this.world);
+		this.cluster = new RunWorld(seed, instances);
+		this.configurationClients = new RunClients(this.cluster);
+		this.claimClients = new RunClaimants(this.cluster);
+		this.faultInjector = new RunFaults(this.cluster);
+		this.replacer = new RunRepairs(this.cluster);
 	}
 
 	RandomRunResult run(long steps) {
-		this.clients.start();
-		this.claimants.start();
-		this.faults.start();
-		this.repairs.start();
-		RunSchedule schedule = this.world.schedule();
-		while (schedule.steps() < steps && this.world.checker().violations().isEmpty()) {
+		this.configurationClients.start();
+		this.claimClients.start();
+		this.faultInjector.start();
+		this.replacer.start();
+		RunSchedule schedule = this.cluster.schedule();
+		while (schedule.steps() < steps && this.cluster.checker().violations().isEmpty()) {
 			schedule.step();
-			this.world.checker().leases(this.world.instances());
+			this.cluster.checker().leases(this.cluster.instances());
 		}
 		checkRecovery(schedule);
-		RunChecker checker = this.world.checker();
+		RunChecker checker = this.cluster.checker();
 		return new RandomRunResult(schedule.steps(), checker.terms(), checker.committed(), checker.acknowledged(),
-				checker.claims(), this.faults.faults(), this.repairs.repairs(), this.world.invariants().violations(),
-				List.copyOf(checker.violations()));
+				checker.claims(), this.faultInjector.faults(), this.replacer.repairs(),
+				this.cluster.invariants().violations(), List.copyOf(checker.violations()));
 	}
 
 	// Ends the faults and restarts the instances that are down or disabled. Within the
 	// limit one instance must hold the leader lease; the checker verifies that it has
 	// committed every acknowledged entry.
 	private void checkRecovery(RunSchedule schedule) {
-		this.faults.stop();
+		this.faultInjector.stop();
 		long end = schedule.now() + SETTLE_LIMIT_NANOS;
 		boolean leaderElected = false;
-		while (schedule.now() < end && !leaderElected && this.world.checker().violations().isEmpty()) {
-			this.world.instances().stream().filter((instance) -> !instance.takesPart()).forEach(RunInstance::restart);
+		while (schedule.now() < end && !leaderElected && this.cluster.checker().violations().isEmpty()) {
+			this.cluster.instances().stream().filter((instance) -> !instance.takesPart()).forEach(RunInstance::restart);
 			schedule.step();
-			this.world.checker().leases(this.world.instances());
-			leaderElected = this.world.instances().stream().anyMatch(RunInstance::holdsLease);
+			this.cluster.checker().leases(this.cluster.instances());
+			leaderElected = this.cluster.instances().stream().anyMatch(RunInstance::holdsLease);
 		}
-		boolean earlierViolation = !this.world.checker().violations().isEmpty();
-		this.world.checker().check(leaderElected || earlierViolation, "a leader is elected after the faults end");
+		boolean earlierViolation = !this.cluster.checker().violations().isEmpty();
+		this.cluster.checker().check(leaderElected || earlierViolation, "a leader is elected after the faults end");
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClaimants.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClaimants.java
@@ -33,16 +33,16 @@
 
 	private static final double RECORDED_ANSWER_SHARE = 0.5;
 
-	private final RunWorld world;
+	private final RunWorld cluster;
 
 	private int claimsSent;
 
-	RunClaimants(RunWorld world) {
-		this.world = world;
+	RunClaimants(RunWorld cluster) {
+		this.cluster = cluster;
 	}
 
 	void start() {
-		this.world.schedule().after(this.world.random().nextLong(MAX_INTERVAL_NANOS), () -> {
+		this.cluster.schedule().after(this.cluster.random().nextLong(MAX_INTERVAL_NANOS), () -> {
 			claim();
 			start();
 		});
@@ -50,7 +50,7 @@
 
 	private void claim() {
 		this.claimsSent++;
-		int number = this.claimsSent / CLAIMS_PER_KEY + this.world.random().nextInt(CONCURRENT_KEYS);
+		int number = this.claimsSent / CLAIMS_PER_KEY + this.cluster.random().nextInt(CONCURRENT_KEYS);
 		ClaimKey key = new ClaimKey(AccountId.of("farm"), ServiceId.of("booking"), IdempotencyKey.of("key-" + number));
 		RequestId owner = RequestId.of("request-" + this.claimsSent);
 		ClaimRunning claim = new ClaimRunning(owner, BackendServerId.of("b1"), Incarnation.of(1));
@@ -62,8 +62,8 @@
 		if (!granted) {
 			return;
 		}
-		this.world.checker().granted(key, owner);
-		if (this.world.random().nextDouble() < RECORDED_ANSWER_SHARE) {
+		this.cluster.checker().granted(key, owner);
+		if (this.cluster.random().nextDouble() < RECORDED_ANSWER_SHARE) {
 			RecordedAnswer recorded = new RecordedAnswer(200, "text/plain", Bytes.ofText("booked"));
 			submit(ClaimCommandCodec.recordAnswer(key, owner, recorded), (result) -> checkAnswerRecorded(key, result));
 		}
@@ -71,11 +71,11 @@
 
 	private void checkAnswerRecorded(ClaimKey key, Bytes answer) {
 		boolean recorded = ClaimAnswerCodec.decodeState(answer).value().isPresent();
-		this.world.checker().check(recorded, "a granted claim stays with its owner", key);
+		this.cluster.checker().check(recorded, "a granted claim stays with its owner", key);
 	}
 
 	private void submit(Bytes command, Consumer<Bytes> onAnswer) {
-		this.world.anyLeader().propose(new LedgerCommand(ReplicatedClaims.NAME, command).encode(), onAnswer);
+		this.cluster.anyLeader().propose(new LedgerCommand(ReplicatedClaims.NAME, command).encode(), onAnswer);
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClients.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClients.java
@@ -32,7 +32,7 @@
 
 	private static final int DOMAINS = 20;
 
-	private final RunWorld world;
+	private final RunWorld cluster;
 
 	private final List<ConfigurationChange> recent = new ArrayList<>();
 
@@ -40,19 +40,19 @@
 
 	private long changesCreated;
 
-	RunClients(RunWorld world) {
-		this.world = world;
+	RunClients(RunWorld cluster) {
+		this.cluster = cluster;
 	}
 
 	void start() {
-		this.world.schedule().after(this.world.random().nextLong(MAX_INTERVAL_NANOS), () -> {
+		this.cluster.schedule().after(this.cluster.random().nextLong(MAX_INTERVAL_NANOS), () -> {
 			performRandomAction();
 			start();
 		});
 	}
 
 	private void performRandomAction() {
-		int choice = this.world.random().nextInt(10);
+		int choice = this.cluster.random().nextInt(10);
 		if (choice < 4) {
 			submitConcurrently();
 		}
@@ -65,7 +65,7 @@
 	}
 
 	private void submitConcurrently() {
-		int changes = 1 + this.world.random().nextInt(MAX_CONCURRENT_CHANGES);
+		int changes = 1 + this.cluster.random().nextInt(MAX_CONCURRENT_CHANGES);
 		Revision expected = this.latestRevision;
 		for (int i = 0; i < changes; i++) {
 			submit(newChange(expected));
@@ -74,7 +74,7 @@
 
 	private ConfigurationChange newChange(Revision expected) {
 		this.changesCreated++;
-		FailureDomainId domain = FailureDomainId.of("domain-" + this.world.random().nextInt(DOMAINS));
+		FailureDomainId domain = FailureDomainId.of("domain-" + this.cluster.random().nextInt(DOMAINS));
 		FailureDomainDescriptor descriptor = new FailureDomainDescriptor(domain, "region-" + this.changesCreated);
 		Configuration put = new Configuration(List.of(descriptor), List.of(), List.of(), List.of());
 		return new ConfigurationChange(ChangeId.of("change-" + this.changesCreated), expected, "operator",
@@ -83,7 +83,7 @@
 
 	private void resend() {
 		if (!this.recent.isEmpty()) {
-			submit(this.recent.get(this.world.random().nextInt(this.recent.size())));
+			submit(this.recent.get(this.cluster.random().nextInt(this.recent.size())));
 		}
 	}
 
@@ -93,19 +93,19 @@
 		}
 		this.recent.add(change);
 		Bytes command = new LedgerCommand(ConfigurationLedger.NAME, ChangeCodec.encode(change)).encode();
-		this.world.anyLeader().propose(command, (answer) -> handleAnswer(change, answer));
+		this.cluster.anyLeader().propose(command, (answer) -> handleAnswer(change, answer));
 	}
 
 	private void handleAnswer(ConfigurationChange change, Bytes encoded) {
 		ChangeAnswer answer = ChangeCodec.decodeAnswer(encoded).value().orElseThrow();
-		this.world.checker().answered(change, answer);
+		this.cluster.checker().answered(change, answer);
 		if (answer instanceof ChangeAccepted accepted && this.latestRevision.isBefore(accepted.revision())) {
 			this.latestRevision = accepted.revision();
 		}
 	}
 
 	private void read() {
-		RunInstance instance = this.world.anyLeader();
+		RunInstance instance = this.cluster.anyLeader();
 		Revision expected = this.latestRevision;
 		if (instance.isUp()) {
 			instance.read(() -> checkRead(expected, instance.state().configuration().revision()));
@@ -113,7 +113,7 @@
 	}
 
 	private void checkRead(Revision expected, Revision seen) {
-		this.world.checker().read(expected, seen);
+		this.cluster.checker().read(expected, seen);
 		this.latestRevision = this.latestRevision.isBefore(seen) ? seen : this.latestRevision;
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunFaults.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunFaults.java
@@ -21,14 +21,14 @@
 
 	private static final double MAX_LOSS_SHARE = 0.3;
 
-	private final RunWorld world;
+	private final RunWorld cluster;
 
 	private boolean stopped;
 
 	private long faults;
 
-	RunFaults(RunWorld world) {
-		this.world = world;
+	RunFaults(RunWorld cluster) {
+		this.cluster = cluster;
 	}
 
 	long faults() {
@@ -36,7 +36,7 @@
 	}
 
 	void start() {
-		this.world.schedule().after(this.world.random().nextLong(MAX_INTERVAL_NANOS), () -> {
+		this.cluster.schedule().after(this.cluster.random().nextLong(MAX_INTERVAL_NANOS), () -> {
 			if (!this.stopped) {
 				this.faults++;
 				injectFault();
@@ -47,78 +47,78 @@
 
 	void stop() {
 		this.stopped = true;
-		this.world.network().heal();
+		this.cluster.network().heal();
 	}
 
 	private void injectFault() {
-		switch (this.world.random().nextInt(FAULT_KINDS)) {
-			case 0, 1 -> crash(this.world.anyInstance());
-			case 2 -> crash(this.world.anyLeader());
-			case 3 -> this.world.anyInstance().failNextSync();
-			case 4 -> isolate(this.world.anyLeader());
+		switch (this.cluster.random().nextInt(FAULT_KINDS)) {
+			case 0, 1 -> crash(this.cluster.anyInstance());
+			case 2 -> crash(this.cluster.anyLeader());
+			case 3 -> this.cluster.anyInstance().failNextSync();
+			case 4 -> isolate(this.cluster.anyLeader());
 			case 5 -> partition();
 			case 6 -> startMessageLoss();
-			case 7 -> this.world.anyLeader().event(new TransferRequested(this.world.anyInstance().id()));
+			case 7 -> this.cluster.anyLeader().event(new TransferRequested(this.cluster.anyInstance().id()));
 			case 8 -> crashAll();
-			case 9 -> this.world.anyInstance().takeSnapshot();
-			default -> this.world.network().heal();
+			case 9 -> this.cluster.anyInstance().takeSnapshot();
+			default -> this.cluster.network().heal();
 		}
 	}
 
 	private void startMessageLoss() {
-		this.world.network().lossShare(this.world.random().nextDouble() * MAX_LOSS_SHARE);
+		this.cluster.network().lossShare(this.cluster.random().nextDouble() * MAX_LOSS_SHARE);
 		healLater();
 	}
 
 	private void healLater() {
-		this.world.schedule().after(this.world.random().nextLong(MAX_CUT_NANOS), this.world.network()::heal);
+		this.cluster.schedule().after(this.cluster.random().nextLong(MAX_CUT_NANOS), this.cluster.network()::heal);
 	}
 
 	private void crash(RunInstance instance) {
 		if (instance.isUp()) {
 			instance.crash();
-			this.world.schedule().after(this.world.random().nextLong(MAX_DOWN_NANOS), () -> restart(instance));
+			this.cluster.schedule().after(this.cluster.random().nextLong(MAX_DOWN_NANOS), () -> restart(instance));
 		}
 	}
 
 	// Crashes all instances at once, as a power failure does. They restart together and
 	// start elections at about the same time.
 	private void crashAll() {
-		long down = this.world.random().nextLong(MAX_DOWN_NANOS);
-		for (RunInstance instance : List.copyOf(this.world.instances())) {
+		long down = this.cluster.random().nextLong(MAX_DOWN_NANOS);
+		for (RunInstance instance : List.copyOf(this.cluster.instances())) {
 			instance.crash();
-			this.world.schedule().after(down, () -> restart(instance));
+			this.cluster.schedule().after(down, () -> restart(instance));
 		}
 	}
 
 	private void restart(RunInstance instance) {
-		if (this.world.instances().contains(instance) && !instance.isUp()) {
+		if (this.cluster.instances().contains(instance) && !instance.isUp()) {
 			instance.start();
 		}
 	}
 
 	// Cuts the links of an instance in both directions or in one only.
 	private void isolate(RunInstance instance) {
-		int directions = this.world.random().nextInt(3);
+		int directions = this.cluster.random().nextInt(3);
 		healLater();
-		for (RunInstance other : this.world.instances()) {
+		for (RunInstance other : this.cluster.instances()) {
 			if (directions != 1) {
-				this.world.network().cut(instance.id(), other.id());
+				this.cluster.network().cut(instance.id(), other.id());
 			}
 			if (directions != 2) {
-				this.world.network().cut(other.id(), instance.id());
+				this.cluster.network().cut(other.id(), instance.id());
 			}
 		}
 	}
 
 	private void partition() {
-		List<RunInstance> all = List.copyOf(this.world.instances());
+		List<RunInstance> all = List.copyOf(this.cluster.instances());
 		healLater();
-		int firstSide = this.world.random().nextInt(1 << all.size());
+		int firstSide = this.cluster.random().nextInt(1 << all.size());
 		for (int i = 0; i < all.size(); i++) {
 			for (int j = 0; j < all.size(); j++) {
 				if ((firstSide >> i & 1) != (firstSide >> j & 1)) {
-					this.world.network().cut(all.get(i).id(), all.get(j).id());
+					this.cluster.network().cut(all.get(i).id(), all.get(j).id());
 				}
 			}
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunInstance.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunInstance.java
@@ -50,7 +50,7 @@
 
 	private static final long SYNC_NANOS = Duration.ofMillis(4).toNanos();
 
-	private final RunWorld world;
+	private final RunWorld cluster;
 
 	private final InstanceId id;
 
@@ -78,12 +78,12 @@
 
 	private long appliedIndex;
 
-	RunInstance(RunWorld world, InstanceId id, MemoryStorage storage, RunClock clock) {
-		this.world = world;
+	RunInstance(RunWorld cluster, InstanceId id, MemoryStorage storage, RunClock clock) {
+		this.cluster = cluster;
 		this.id = id;
 		this.storage = storage;
 		this.clock = clock;
-		this.state = new RunState(world.checker());
+		this.state = new RunState(cluster.checker());
 	}
 
 	InstanceId id() {
@@ -127,18 +127,18 @@
 	}
 
 	private long now() {
-		return this.clock.at(this.world.schedule().now());
+		return this.clock.at(this.cluster.schedule().now());
 	}
 
 	void start() {
 		this.incarnation++;
-		this.state = new RunState(this.world.checker());
+		this.state = new RunState(this.cluster.checker());
 		this.digest = 0;
 		this.appliedIndex = 0;
 		this.storage.recovered().snapshot().ifPresent(this::restore);
 		ReplicaIdentity identity = new ReplicaIdentity(this.id, this.storage.storageId());
-		this.core = Optional.of(new ReplicaCore(identity, this.world.settings(), this.storage.recovered(),
-				new Random(this.world.random().nextLong()), DecisionListener.NONE, this.world.invariants(), now()));
+		this.core = Optional.of(new ReplicaCore(identity, this.cluster.settings(), this.storage.recovered(),
+				new Random(this.cluster.random().nextLong()), DecisionListener.NONE, this.cluster.invariants(), now()));
 		tickLater(this.incarnation);
 	}
 
@@ -162,8 +162,8 @@
 	}
 
 	private void tickLater(int expectedIncarnation) {
-		long interval = this.world.settings().heartbeatInterval().toNanos() / 4;
-		this.world.schedule().after(interval, () -> {
+		long interval = this.cluster.settings().heartbeatInterval().toNanos() / 4;
+		this.cluster.schedule().after(interval, () -> {
 			if (expectedIncarnation == this.incarnation) {
 				event(new TimePassed());
 				tickLater(expectedIncarnation);
@@ -213,13 +213,13 @@
 		this.digest = ByteBuffer.wrap(encoded).getLong();
 		this.appliedIndex = snapshot.position().index();
 		this.state.machine().restore(Bytes.of(Arrays.copyOfRange(encoded, Long.BYTES, encoded.length)));
-		this.world.checker().reached(this.id, this.appliedIndex, this.digest);
+		this.cluster.checker().reached(this.id, this.appliedIndex, this.digest);
 	}
 
 	private void execute(List<LogCommand> commands) {
 		for (LogCommand command : commands) {
 			if (command instanceof SendMessage send) {
-				this.world.network().send(send.message());
+				this.cluster.network().send(send.message());
 			}
 			else if (command instanceof SyncBatch sync) {
 				this.storage.write(sync.batch());
@@ -239,7 +239,7 @@
 
 	private void handleNotification(LogCommand command) {
 		if (command instanceof RoleChanged changed && changed.role() == Role.LEADER) {
-			this.world.checker().leads(this.id, changed.term());
+			this.cluster.checker().leads(this.id, changed.term());
 		}
 		else if (command instanceof ProposalAccepted proposal) {
 			Consumer<Bytes> onAnswer = this.submittedProposals.get(proposal.proposal());
@@ -261,7 +261,7 @@
 	}
 
 	private void syncLater(long sequence, int expectedIncarnation) {
-		this.world.schedule().after(this.world.random().nextLong(SYNC_NANOS), () -> {
+		this.cluster.schedule().after(this.cluster.random().nextLong(SYNC_NANOS), () -> {
 			if (expectedIncarnation != this.incarnation) {
 				return;
 			}
@@ -277,16 +277,16 @@
 	}
 
 	private void apply(LogEntry entry) {
-		this.world.checker()
+		this.cluster.checker()
 			.check(entry.index() == this.appliedIndex + 1, "entries are applied without gaps", this.id, entry.index());
 		this.appliedIndex = entry.index();
 		this.digest = 31 * this.digest + entry.hashCode();
-		this.world.checker().reached(this.id, this.appliedIndex, this.digest);
+		this.cluster.checker().reached(this.id, this.appliedIndex, this.digest);
 		Bytes answer = (entry.content() instanceof CommandContent command)
 				? this.state.machine().apply(entry.time(), command.command()).value().orElseThrow() : Bytes.EMPTY;
 		PendingProposal pending = this.acceptedProposals.remove(entry.index());
 		if (pending != null && pending.position().equals(entry.position())) {
-			this.world.checker().recordAcknowledgement(entry.index());
+			this.cluster.checker().recordAcknowledgement(entry.index());
 			pending.onAnswer().accept(answer);
 		}
 		this.confirmedReads.headMap(this.appliedIndex, true).values().forEach(Runnable::run);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunRepairs.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunRepairs.java
@@ -23,7 +23,7 @@
 
 	private static final double IMMEDIATE_REPEAT_SHARE = 0.5;
 
-	private final RunWorld world;
+	private final RunWorld cluster;
 
 	private List<MembershipChange> pendingChanges = List.of();
 
@@ -31,8 +31,8 @@
 
 	private long latestAttempt;
 
-	RunRepairs(RunWorld world) {
-		this.world = world;
+	RunRepairs(RunWorld cluster) {
+		this.cluster = cluster;
 	}
 
 	long repairs() {
@@ -40,17 +40,17 @@
 	}
 
 	void start() {
-		this.world.schedule().after(this.world.random().nextLong(MAX_PAUSE_NANOS), this::destroyInstance);
+		this.cluster.schedule().after(this.cluster.random().nextLong(MAX_PAUSE_NANOS), this::destroyInstance);
 	}
 
 	private void destroyInstance() {
-		RunInstance lost = this.world.anyInstance();
-		this.world.destroy(lost);
-		RunInstance added = this.world.addEmpty();
+		RunInstance lost = this.cluster.anyInstance();
+		this.cluster.destroy(lost);
+		RunInstance added = this.cluster.addEmpty();
 		MembershipChange add = new AddLearner(added.id(), added.storageId());
 		MembershipChange promote = new PromoteLearner(added.id());
 		MembershipChange remove = new RemoveMember(lost.id());
-		this.pendingChanges = this.world.random().nextBoolean() ? List.of(add, promote, remove)
+		this.pendingChanges = this.cluster.random().nextBoolean() ? List.of(add, promote, remove)
 				: List.of(remove, add, promote);
 		submitNext();
 	}
@@ -63,9 +63,9 @@
 		}
 		MembershipChange next = this.pendingChanges.get(0);
 		long attempt = ++this.latestAttempt;
-		RunInstance leader = this.world.anyLeader();
+		RunInstance leader = this.cluster.anyLeader();
 		leader.changeMembers(next, () -> onCommitted(next));
-		this.world.schedule().after(RETRY_INTERVAL_NANOS, () -> {
+		this.cluster.schedule().after(RETRY_INTERVAL_NANOS, () -> {
 			if (attempt == this.latestAttempt) {
 				skipIfCommitted(next);
 				submitNext();
@@ -77,14 +77,14 @@
 		if (!this.pendingChanges.isEmpty() && this.pendingChanges.get(0).equals(change)) {
 			this.pendingChanges = this.pendingChanges.subList(1, this.pendingChanges.size());
 			this.latestAttempt++;
-			this.world.schedule().after(0, this::submitNext);
+			this.cluster.schedule().after(0, this::submitNext);
 		}
 	}
 
 	// Skips a change that the committed membership already contains: the answer to an
 	// earlier attempt may have been lost when its leader crashed.
 	private void skipIfCommitted(MembershipChange change) {
-		boolean alreadyCommitted = this.world.instances()
+		boolean alreadyCommitted = this.cluster.instances()
 			.stream()
 			.filter(RunInstance::holdsLease)
 			.anyMatch((leader) -> isCommitted(leader, change));
@@ -111,7 +111,7 @@
 
 	private void finishReplacement() {
 		this.repairs++;
-		if (this.world.random().nextDouble() < IMMEDIATE_REPEAT_SHARE) {
+		if (this.cluster.random().nextDouble() < IMMEDIATE_REPEAT_SHARE) {
 			destroyInstance();
 		}
 		else {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifeRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifeRun.java
@@ -60,50 +60,50 @@
 
 	static RandomisedLifeResult execute(long seed, long ticks) {
 		RandomGenerator random = new Random(seed);
-		LifeWorld world = new LifeWorld(RANKS, SERVERS, SETTINGS, random);
+		LifeWorld simulation = new LifeWorld(RANKS, SERVERS, SETTINGS, random);
 		int[] faults = new int[3];
 		int stuckWindows = 0;
 		long ticksRun = 0;
 		while (ticksRun < ticks) {
-			runFaultyWindow(world, random, faults);
-			stuckWindows += runFaultFreeWindow(world);
+			runFaultyWindow(simulation, random, faults);
+			stuckWindows += runFaultFreeWindow(simulation);
 			ticksRun += FAULTY_TICKS + FAULT_FREE_TICKS;
 		}
-		return new RandomisedLifeResult(ticksRun, world.step(), faults[0], faults[1], faults[2], world.replacements(),
-				world.violations(), stuckWindows);
+		return new RandomisedLifeResult(ticksRun, simulation.step(), faults[0], faults[1], faults[2],
+				simulation.replacements(), simulation.violations(), stuckWindows);
 	}
 
-	private static void runFaultyWindow(LifeWorld world, RandomGenerator random, int[] faults) {
-		world.slowestMessage(FAULTY_MESSAGE_DELAY_NANOS);
+	private static void runFaultyWindow(LifeWorld simulation, RandomGenerator random, int[] faults) {
+		simulation.slowestMessage(FAULTY_MESSAGE_DELAY_NANOS);
 		for (int i = 0; i < FAULTY_TICKS; i++) {
 			if (random.nextInt(TICKS_PER_FAULT) == 0) {
 				int kind = random.nextInt(faults.length);
 				faults[kind]++;
-				inject(kind, world, random);
+				inject(kind, simulation, random);
 			}
-			world.runTick();
+			simulation.runTick();
 		}
-		world.slowestMessage(LifeWorld.TICK_NANOS);
+		simulation.slowestMessage(LifeWorld.TICK_NANOS);
 	}
 
-	private static void inject(int kind, LifeWorld world, RandomGenerator random) {
-		FakeMember member = world.anyMember();
+	private static void inject(int kind, LifeWorld simulation, RandomGenerator random) {
+		FakeMember member = simulation.anyMember();
 		switch (kind) {
-			case 0 -> member.die(world.now(), random.nextLong(MAX_DOWN_NANOS));
-			case 1 -> member.stall(world.now(), random.nextLong(MAX_STALL_NANOS), world.step());
-			default -> member.fallSilent(world.now(), random.nextLong(MAX_REPORT_LOSS_NANOS));
+			case 0 -> member.die(simulation.now(), random.nextLong(MAX_DOWN_NANOS));
+			case 1 -> member.stall(simulation.now(), random.nextLong(MAX_STALL_NANOS), simulation.step());
+			default -> member.fallSilent(simulation.now(), random.nextLong(MAX_REPORT_LOSS_NANOS));
 		}
 	}
 
-	private static int runFaultFreeWindow(LifeWorld world) {
+	private static int runFaultFreeWindow(LifeWorld simulation) {
 		for (int i = 0; i < FAULT_FREE_TICKS - 100; i++) {
-			world.runTick();
+			simulation.runTick();
 		}
-		long stepBefore = world.step();
+		long stepBefore = simulation.step();
 		for (int i = 0; i < 100; i++) {
-			world.runTick();
+			simulation.runTick();
 		}
-		return (world.state() == GroupState.RUNNING && world.step() > stepBefore) ? 0 : 1;
+		return (simulation.state() == GroupState.RUNNING && simulation.step() > stepBefore) ? 0 : 1;
 	}
 
 }
