Describe the violations of a randomised log run without a link

Read badly: the link pointed to a package-private type that the record does not use.

Changed: one comment.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRunResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRunResult.java
@@ -13,7 +13,7 @@
  * @param faults the number of injected faults, without disk losses
  * @param repairs the number of lost instances that were replaced
  * @param breaches the number of invariant violations that the replica cores detected
- * @param violations the violations that the {@link RunChecker} detected
+ * @param violations the violations that the checks outside the cores detected
  */
 record RandomRunResult(long steps, long terms, long committed, long acknowledged, long claims, long faults,
 		long repairs, long breaches, List<String> violations) {
