--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/EngineEnvironment.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/EngineEnvironment.java
@@ -20,7 +20,7 @@
 	 * Returns the last step that all ranks have completed.
 	 * @return the step, or -1 if none has been completed
 	 */
-	long completed();
+	long completedStep();
 
 	/**
 	 * Called when the engine starts a step.
@@ -29,12 +29,12 @@
 	 * @param waitedNanos how long the engine was ready before it was permitted to start
 	 * the step, in nanoseconds
 	 */
-	void started(long step, Optional<MapRef> weights, long waitedNanos);
+	void onStepStarted(long step, Optional<MapRef> weights, long waitedNanos);
 
 	/**
 	 * Loads the weights of a map.
 	 * @param done runs when the weights are loaded
 	 */
-	void load(Runnable done);
+	void loadMap(Runnable done);
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/EventQueue.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/EventQueue.java
@@ -20,7 +20,7 @@
 		return this.now;
 	}
 
-	void after(long delayNanos, Runnable action) {
+	void schedule(long delayNanos, Runnable action) {
 		this.lastSequence++;
 		this.entries.add(new Entry(this.now + delayNanos, this.lastSequence, action));
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeCoordinator.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeCoordinator.java
@@ -17,9 +17,9 @@
  */
 final class FakeCoordinator {
 
-	private final SwitchWorld simulation;
+	private final SwitchSimulation simulation;
 
-	private final SwitchCoordinator core;
+	private final SwitchCoordinator coordinator;
 
 	private long commandsUntilCrash = Long.MAX_VALUE;
 
@@ -29,9 +29,9 @@
 
 	private boolean alive = true;
 
-	FakeCoordinator(SwitchWorld simulation, Term term) {
+	FakeCoordinator(SwitchSimulation simulation, Term term) {
 		this.simulation = simulation;
-		this.core = new SwitchCoordinator("group", term, simulation.ranks(), simulation.coordinatorSettings(),
+		this.coordinator = new SwitchCoordinator("group", term, simulation.ranks(), simulation.coordinatorSettings(),
 				DecisionListener.NONE, simulation.invariants());
 	}
 
@@ -39,8 +39,8 @@
 		handle(new CoordinatorStarted());
 	}
 
-	SwitchCoordinator core() {
-		return this.core;
+	SwitchCoordinator coordinator() {
+		return this.coordinator;
 	}
 
 	boolean isAlive() {
@@ -51,19 +51,19 @@
 	 * Schedules a crash.
 	 * @param commands the number of further commands to execute before the crash
 	 */
-	void dieAfter(long commands) {
+	void crashAfterCommands(long commands) {
 		this.commandsUntilCrash = commands;
 	}
 
-	void dieBeforeCommit() {
+	void crashBeforeCommit() {
 		this.crashesBeforeCommit = true;
 	}
 
-	void dieAfterCommit() {
+	void crashAfterCommit() {
 		this.crashesAfterCommit = true;
 	}
 
-	void die() {
+	void crash() {
 		this.alive = false;
 	}
 
@@ -71,7 +71,7 @@
 		if (!this.alive) {
 			return;
 		}
-		for (CoordinatorCommand command : this.core.handle(event, this.simulation.queue().now())) {
+		for (CoordinatorCommand command : this.coordinator.handle(event, this.simulation.queue().now())) {
 			execute(command);
 		}
 	}
@@ -79,23 +79,23 @@
 	private void execute(CoordinatorCommand command) {
 		boolean commit = command instanceof WriteLedger write && write.write() instanceof CommitSwitch;
 		if (this.commandsUntilCrash <= 0 || (commit && this.crashesBeforeCommit)) {
-			die();
+			crash();
 		}
 		if (!this.alive) {
 			return;
 		}
 		this.commandsUntilCrash--;
 		if (command instanceof SendOrder send) {
-			this.simulation.order(send);
+			this.simulation.sendOrder(send);
 		}
 		else if (command instanceof WriteLedger write) {
-			this.simulation.write(this, write.write());
+			this.simulation.sendWrite(this, write.write());
 		}
 		else if (command instanceof SwitchEnded ended) {
-			this.simulation.ended(ended);
+			this.simulation.recordSwitchEnd(ended);
 		}
 		if (commit && this.crashesAfterCommit) {
-			die();
+			crash();
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeEngine.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeEngine.java
@@ -49,7 +49,7 @@
 
 	private long grantedStep;
 
-	private long started;
+	private long startedStep;
 
 	private boolean requestPending;
 
@@ -59,13 +59,13 @@
 		this.environment = environment;
 		this.stepsAhead = stepsAhead;
 		this.checksFencing = checksFencing;
-		this.grantedStep = environment.completed();
-		this.started = environment.completed();
+		this.grantedStep = environment.completedStep();
+		this.startedStep = environment.completedStep();
 		this.readySince = environment.now();
 	}
 
-	long started() {
-		return this.started;
+	long startedStep() {
+		return this.startedStep;
 	}
 
 	void connect(Consumer<AgentEvent> newAgent) {
@@ -85,7 +85,7 @@
 		};
 	}
 
-	void obey(AgentCommand command) {
+	void execute(AgentCommand command) {
 		FencingNumber number = (command instanceof GrantStep grant) ? grant.number() : ((LoadMap) command).number();
 		if (this.checksFencing && number.isBefore(this.lastFencingNumber)) {
 			return;
@@ -103,7 +103,7 @@
 		processCommands();
 	}
 
-	void stepCompleted() {
+	void onStepCompleted() {
 		this.readySince = this.environment.now();
 		processCommands();
 		requestNextStep();
@@ -112,7 +112,7 @@
 	private void processCommands() {
 		while (!this.pendingCommands.isEmpty()) {
 			AgentCommand command = this.pendingCommands.peek();
-			if (command instanceof GrantStep grant && grant.step() > this.environment.completed() + 1) {
+			if (command instanceof GrantStep grant && grant.step() > this.environment.completedStep() + 1) {
 				return;
 			}
 			this.pendingCommands.remove();
@@ -126,15 +126,15 @@
 	}
 
 	private void startGrantedStep(GrantStep grant) {
-		if (grant.step() <= this.started) {
+		if (grant.step() <= this.startedStep) {
 			return;
 		}
 		if (!this.activeMap.equals(Optional.of(grant.map()))) {
 			this.activeMap = this.stagedMap;
 			this.stagedMap = Optional.empty();
 		}
-		this.started = grant.step();
-		this.environment.started(grant.step(), this.activeMap, this.environment.now() - this.readySince);
+		this.startedStep = grant.step();
+		this.environment.onStepStarted(grant.step(), this.activeMap, this.environment.now() - this.readySince);
 		requestNextStep();
 	}
 
@@ -142,7 +142,7 @@
 		this.loadsStarted++;
 		long number = this.loadsStarted;
 		this.stagedMap = Optional.empty();
-		this.environment.load(() -> {
+		this.environment.loadMap(() -> {
 			if (number == this.loadsStarted) {
 				this.loadsCompleted = number;
 				this.stagedMap = Optional.of(map);
@@ -152,8 +152,8 @@
 	}
 
 	private void requestNextStep() {
-		long completed = this.environment.completed();
-		long limit = (this.stepsAhead == 0) ? completed + 1 : Math.max(this.started, completed) + this.stepsAhead;
+		long completed = this.environment.completedStep();
+		long limit = (this.stepsAhead == 0) ? completed + 1 : Math.max(this.startedStep, completed) + this.stepsAhead;
 		if (!this.requestPending && this.grantedStep + 1 <= limit) {
 			this.requestPending = true;
 			this.agent.accept(new StepReached(this.grantedStep + 1));
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeHost.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FakeHost.java
@@ -25,7 +25,7 @@
 	/** One-way delay between the engine and the agent of one backend server. */
 	private static final long LOCAL_NANOS = 50_000;
 
-	private final SwitchWorld simulation;
+	private final SwitchSimulation simulation;
 
 	private final int rank;
 
@@ -43,7 +43,7 @@
 	/** The last step completed before the server was replaced. */
 	private long detachedAtStep = Long.MAX_VALUE;
 
-	FakeHost(SwitchWorld simulation, int rank, String name, int stepsAhead, boolean checksFencing) {
+	FakeHost(SwitchSimulation simulation, int rank, String name, int stepsAhead, boolean checksFencing) {
 		this.simulation = simulation;
 		this.rank = rank;
 		this.server = BackendServerId.of(name);
@@ -63,7 +63,8 @@
 		this.agent = new SwitchAgent(this.rank, member(), this.simulation.agentSettings(), DecisionListener.NONE,
 				this.simulation.invariants());
 		int currentSession = this.agentSession;
-		this.engine.connect((event) -> this.simulation.queue().after(LOCAL_NANOS, () -> handle(currentSession, event)));
+		this.engine
+			.connect((event) -> this.simulation.queue().schedule(LOCAL_NANOS, () -> handle(currentSession, event)));
 	}
 
 	void stopSidecar() {
@@ -76,11 +77,11 @@
 	 * Detaches a replaced server from the group: its engine runs on, but observes no
 	 * further completed steps, and the steps that it starts no longer count.
 	 */
-	void freeze() {
-		this.detachedAtStep = this.simulation.lockStep().completed();
+	void detach() {
+		this.detachedAtStep = this.simulation.stepBarrier().completedStep();
 	}
 
-	boolean isFrozen() {
+	boolean isDetached() {
 		return this.detachedAtStep != Long.MAX_VALUE;
 	}
 
@@ -92,8 +93,8 @@
 		handle(this.agentSession, new AgentTick());
 	}
 
-	void stepCompleted() {
-		this.engine.stepCompleted();
+	void onStepCompleted() {
+		this.engine.onStepCompleted();
 	}
 
 	@Override
@@ -102,20 +103,20 @@
 	}
 
 	@Override
-	public long completed() {
-		return Math.min(this.detachedAtStep, this.simulation.lockStep().completed());
+	public long completedStep() {
+		return Math.min(this.detachedAtStep, this.simulation.stepBarrier().completedStep());
 	}
 
 	@Override
-	public void started(long step, Optional<MapRef> weights, long waitedNanos) {
-		if (!isFrozen()) {
-			this.simulation.started(this.rank, step, weights, waitedNanos, this);
+	public void onStepStarted(long step, Optional<MapRef> weights, long waitedNanos) {
+		if (!isDetached()) {
+			this.simulation.recordStepStart(this.rank, step, weights, waitedNanos, this);
 		}
 	}
 
 	@Override
-	public void load(Runnable done) {
-		this.simulation.queue().after(this.simulation.loadNanos(), done);
+	public void loadMap(Runnable done) {
+		this.simulation.queue().schedule(this.simulation.loadNanos(), done);
 	}
 
 	private void handle(int eventSession, AgentEvent event) {
@@ -125,17 +126,17 @@
 		List<AgentCommand> commands = this.agent.handle(event, now());
 		for (AgentCommand command : commands) {
 			if (command instanceof SendReport report) {
-				this.simulation.report(this.rank, report.report());
+				this.simulation.sendReport(this.rank, report.report());
 			}
 			else {
-				this.simulation.queue().after(LOCAL_NANOS, () -> executeOnEngine(eventSession, command));
+				this.simulation.queue().schedule(LOCAL_NANOS, () -> executeOnEngine(eventSession, command));
 			}
 		}
 	}
 
 	private void executeOnEngine(int commandSession, AgentCommand command) {
 		if (commandSession == this.agentSession) {
-			this.engine.obey(command);
+			this.engine.execute(command);
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FaultInjector.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FaultInjector.java
@@ -29,7 +29,7 @@
 	 */
 	private static final int ARM_ORDERS_PER_FAULT = 40;
 
-	private final SwitchWorld simulation;
+	private final SwitchSimulation simulation;
 
 	private final RandomGenerator random;
 
@@ -47,7 +47,7 @@
 
 	private int stalls;
 
-	FaultInjector(SwitchWorld simulation, RandomGenerator random) {
+	FaultInjector(SwitchSimulation simulation, RandomGenerator random) {
 		this.simulation = simulation;
 		this.random = random;
 	}
@@ -66,10 +66,10 @@
 
 	void stop() {
 		this.active = false;
-		if (!this.simulation.leader().isAlive()) {
+		if (!this.simulation.currentCoordinator().isAlive()) {
 			startCoordinator();
 		}
-		this.simulation.leader().dieAfter(Long.MAX_VALUE);
+		this.simulation.currentCoordinator().crashAfterCommands(Long.MAX_VALUE);
 	}
 
 	long computeNanos(long usualNanos) {
@@ -80,14 +80,14 @@
 		return usualNanos + this.random.nextLong(usualNanos / 4);
 	}
 
-	void sending(Object message) {
+	void onSend(Object message) {
 		if (this.active && message instanceof ArmSwitch && this.random.nextInt(ARM_ORDERS_PER_FAULT) == 0) {
-			this.simulation.queue().after(this.random.nextLong(MAX_FAULT_DELAY_NANOS), this::injectFault);
+			this.simulation.queue().schedule(this.random.nextLong(MAX_FAULT_DELAY_NANOS), this::injectFault);
 		}
 	}
 
 	private void scheduleFaults() {
-		this.simulation.queue().after(this.random.nextLong(this.maxPauseNanos), () -> {
+		this.simulation.queue().schedule(this.random.nextLong(this.maxPauseNanos), () -> {
 			if (this.active) {
 				scheduleFaults();
 			}
@@ -98,7 +98,7 @@
 	private void requestSwitches() {
 		if (this.active) {
 			this.simulation.requestSwitch();
-			this.simulation.queue().after(SWITCH_REQUEST_INTERVAL_NANOS, this::requestSwitches);
+			this.simulation.queue().schedule(SWITCH_REQUEST_INTERVAL_NANOS, this::requestSwitches);
 		}
 	}
 
@@ -107,9 +107,9 @@
 			return;
 		}
 		switch (this.random.nextInt(5)) {
-			case 0 -> this.simulation.leader().dieAfter(this.random.nextInt(80));
-			case 1 ->
-				this.simulation.queue().after(this.random.nextLong(MAX_OUTAGE_NANOS), this::replaceCrashedCoordinator);
+			case 0 -> this.simulation.currentCoordinator().crashAfterCommands(this.random.nextInt(80));
+			case 1 -> this.simulation.queue()
+				.schedule(this.random.nextLong(MAX_OUTAGE_NANOS), this::replaceCrashedCoordinator);
 			case 2 -> startCoordinator();
 			case 3 -> replaceServer();
 			default -> restartSidecar();
@@ -117,26 +117,26 @@
 	}
 
 	private void replaceCrashedCoordinator() {
-		if (!this.simulation.leader().isAlive()) {
+		if (!this.simulation.currentCoordinator().isAlive()) {
 			startCoordinator();
 		}
 	}
 
 	private void startCoordinator() {
 		this.elections++;
-		this.simulation.elect();
+		this.simulation.startCoordinator();
 	}
 
 	private void replaceServer() {
 		this.replacements++;
-		this.simulation.replace(pickRank());
+		this.simulation.replaceServer(pickRank());
 	}
 
 	private void restartSidecar() {
 		this.restarts++;
 		FakeHost host = this.simulation.host(pickRank());
 		host.stopSidecar();
-		this.simulation.queue().after(this.random.nextLong(MAX_OUTAGE_NANOS), host::startSidecar);
+		this.simulation.queue().schedule(this.random.nextLong(MAX_OUTAGE_NANOS), host::startSidecar);
 	}
 
 	private int pickRank() {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FaultyPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/FaultyPolicy.java
@@ -37,7 +37,7 @@
 	}
 
 	@Override
-	public long[] delays(int rank, Object message) {
+	public long[] deliveryDelays(int rank, Object message) {
 		if (!this.faulty) {
 			return new long[] { usualDelay() };
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LedgerAudit.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LedgerAudit.java
@@ -33,13 +33,13 @@
 		this.onViolation = onViolation;
 	}
 
-	void reported(AgentReport report) {
+	void recordReport(AgentReport report) {
 		if (report instanceof SwitchArmed switchArmed) {
 			this.armedMembers.computeIfAbsent(switchArmed.id(), (id) -> new HashSet<>()).add(switchArmed.member());
 		}
 	}
 
-	void written(LedgerWrite write, LedgerState before, LedgerState after) {
+	void recordWrite(LedgerWrite write, LedgerState before, LedgerState after) {
 		if (write instanceof OpenTerm && this.latestTerm.isBefore(write.term())) {
 			this.latestTerm = write.term();
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/Link.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/Link.java
@@ -13,25 +13,25 @@
 
 	private LinkPolicy policy;
 
-	private long sent;
+	private long sentCount;
 
 	Link(EventQueue queue, LinkPolicy policy) {
 		this.queue = queue;
 		this.policy = policy;
 	}
 
-	void usePolicy(LinkPolicy newPolicy) {
+	void setPolicy(LinkPolicy newPolicy) {
 		this.policy = newPolicy;
 	}
 
-	long sent() {
-		return this.sent;
+	long sentCount() {
+		return this.sentCount;
 	}
 
 	void send(int rank, Object message, Runnable delivery) {
-		this.sent++;
-		for (long delay : this.policy.delays(rank, message)) {
-			this.queue.after(delay, delivery);
+		this.sentCount++;
+		for (long delay : this.policy.deliveryDelays(rank, message)) {
+			this.queue.schedule(delay, delivery);
 		}
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LinkPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LinkPolicy.java
@@ -12,6 +12,6 @@
 	 * @param message the message
 	 * @return one delay in nanoseconds for each copy; empty if the message is lost
 	 */
-	long[] delays(int rank, Object message);
+	long[] deliveryDelays(int rank, Object message);
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchResult.java
@@ -22,10 +22,10 @@
 record RandomisedSwitchResult(long steps, long executions, long messages, long commits, long aborts, FaultCounts faults,
 		List<String> violations, long invariantBreaches, int stuckWindows) {
 
-	static RandomisedSwitchResult of(SwitchWorld simulation, FaultInjector faults, int stuckWindows) {
-		StepAudit audit = simulation.audit();
-		return new RandomisedSwitchResult(simulation.lockStep().completed(), audit.checkedExecutions(),
-				simulation.link().sent(), audit.commits(), audit.aborts(), faults.counts(), audit.violations(),
+	static RandomisedSwitchResult of(SwitchSimulation simulation, FaultInjector faults, int stuckWindows) {
+		StepAudit audit = simulation.stepAudit();
+		return new RandomisedSwitchResult(simulation.stepBarrier().completedStep(), audit.checkedExecutions(),
+				simulation.link().sentCount(), audit.commits(), audit.aborts(), faults.counts(), audit.violations(),
 				simulation.invariants().violations(), stuckWindows);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/RandomisedSwitchRun.java
@@ -59,24 +59,24 @@
 	static RandomisedSwitchResult execute(long seed, long steps) {
 		RandomGenerator random = new Random(seed);
 		FaultyPolicy policy = new FaultyPolicy(random);
-		SwitchWorld simulation = new SwitchWorld(simulationSettings(random), policy, () -> STEP_NANOS);
+		SwitchSimulation simulation = new SwitchSimulation(simulationSettings(random), policy, () -> STEP_NANOS);
 		FaultInjector faults = new FaultInjector(simulation, random);
-		simulation.link().usePolicy((rank, message) -> {
-			faults.sending(message);
-			return policy.delays(rank, message);
+		simulation.link().setPolicy((rank, message) -> {
+			faults.onSend(message);
+			return policy.deliveryDelays(rank, message);
 		});
-		simulation.computeTimes(() -> faults.computeNanos(STEP_NANOS));
+		simulation.setComputeTime(() -> faults.computeNanos(STEP_NANOS));
 		simulation.start();
 		int stuckWindows = 0;
-		while (stuckWindows == 0 && simulation.lockStep().completed() < steps) {
+		while (stuckWindows == 0 && simulation.stepBarrier().completedStep() < steps) {
 			runFaultyWindow(simulation, policy, faults);
 			stuckWindows += runQuietWindow(simulation);
 		}
 		return RandomisedSwitchResult.of(simulation, faults, stuckWindows);
 	}
 
-	private static WorldSettings simulationSettings(RandomGenerator random) {
-		return new WorldSettings(RANKS, AGENT_SETTINGS, () -> coordinatorSettings(random),
+	private static SimulationSettings simulationSettings(RandomGenerator random) {
+		return new SimulationSettings(RANKS, AGENT_SETTINGS, () -> coordinatorSettings(random),
 				AGENT_SETTINGS.retryNanos() / 2, LOAD_NANOS, (rank) -> random.nextInt(4),
 				(rank) -> random.nextBoolean(), new AtomicLong()::incrementAndGet);
 	}
@@ -86,7 +86,7 @@
 				MIN_LEAD_NANOS[random.nextInt(MIN_LEAD_NANOS.length)], Duration.ofSeconds(1).toNanos(), STEP_NANOS, 10);
 	}
 
-	private static void runFaultyWindow(SwitchWorld simulation, FaultyPolicy policy, FaultInjector faults) {
+	private static void runFaultyWindow(SwitchSimulation simulation, FaultyPolicy policy, FaultInjector faults) {
 		policy.startFaults(RANKS);
 		faults.start();
 		simulation.runUntil(simulation.queue().now() + FAULTY_WINDOW_NANOS);
@@ -94,14 +94,14 @@
 		policy.stopFaults();
 	}
 
-	private static int runQuietWindow(SwitchWorld simulation) {
+	private static int runQuietWindow(SwitchSimulation simulation) {
 		long end = simulation.queue().now() + QUIET_WINDOW_NANOS;
 		simulation.runUntil(end - QUIET_WINDOW_NANOS / 2);
-		long step = simulation.lockStep().completed();
+		long step = simulation.stepBarrier().completedStep();
 		long committed = simulation.committedSwitches();
 		simulation.requestSwitch();
 		simulation.runUntil(end);
-		boolean completesSteps = simulation.lockStep().completed() > step;
+		boolean completesSteps = simulation.stepBarrier().completedStep() > step;
 		boolean commitsSwitch = simulation.committedSwitches() > committed;
 		return (completesSteps && commitsSwitch) ? 0 : 1;
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/StepAudit.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/StepAudit.java
@@ -51,7 +51,7 @@
 		return this.decisions.size() - commits();
 	}
 
-	void violation(String text) {
+	void addViolation(String text) {
 		if (this.violations.size() < 100) {
 			this.violations.add(text);
 		}
@@ -63,17 +63,17 @@
 	 * @param step the step
 	 * @param weights the map whose weights the engine used; empty if it had none loaded
 	 */
-	void executed(int rank, long step, Optional<MapRef> weights) {
+	void recordExecution(int rank, long step, Optional<MapRef> weights) {
 		this.checkedExecutions++;
 		if (weights.isEmpty()) {
-			violation("rank " + rank + " ran step " + step + " without loaded weights");
+			addViolation("rank " + rank + " ran step " + step + " without loaded weights");
 			return;
 		}
 		Map<Integer, MapRef> ranks = this.executions.computeIfAbsent(step, (key) -> new HashMap<>());
 		ranks.put(rank, weights.get());
 		ranks.forEach((other, map) -> {
 			if (!map.equals(weights.get())) {
-				violation("step " + step + " ran under map " + weights.get() + " on rank " + rank + " and under map "
+				addViolation("step " + step + " ran under map " + weights.get() + " on rank " + rank + " and under map "
 						+ map + " on rank " + other);
 			}
 		});
@@ -87,7 +87,7 @@
 	 * @param rank the rank
 	 * @param completed the last step that all ranks completed
 	 */
-	void replaced(int rank, long completed) {
+	void discardExecutions(int rank, long completed) {
 		this.executions.tailMap(completed, false).values().forEach((ranks) -> ranks.remove(rank));
 	}
 
@@ -96,7 +96,7 @@
 	 * one sent before.
 	 * @param order the order
 	 */
-	void told(AgentOrder order) {
+	void recordOrder(AgentOrder order) {
 		if (order instanceof ReleaseSwitch release) {
 			recordDecision(release.decision());
 		}
@@ -108,7 +108,7 @@
 	private void recordDecision(SwitchDecision decision) {
 		SwitchDecision first = this.decisions.putIfAbsent(decision.id(), decision);
 		if (first != null && !first.equals(decision)) {
-			violation("decision changed from " + first + " to " + decision);
+			addViolation("decision changed from " + first + " to " + decision);
 		}
 		if (first == null && decision instanceof CommitDecision commit) {
 			recordBoundary(commit.boundary());
@@ -124,7 +124,7 @@
 	private void checkAgainstDecisions(long step, MapRef used) {
 		Map.Entry<Long, MapRef> decided = this.boundaries.floorEntry(step);
 		if (decided != null && !decided.getValue().equals(used)) {
-			violation("step " + step + " ran under map " + used + ", but map " + decided.getValue()
+			addViolation("step " + step + " ran under map " + used + ", but map " + decided.getValue()
 					+ " was committed from step " + decided.getKey());
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LockStep.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/StepBarrier.java
@@ -7,35 +7,35 @@
  * A barrier that completes a step when all ranks have computed it, as the collective
  * operations of the engines do.
  */
-final class LockStep {
+final class StepBarrier {
 
 	private final long[] computedSteps;
 
 	private final LongConsumer onCompleted;
 
-	private long completed = -1;
+	private long completedStep = -1;
 
-	LockStep(int ranks, LongConsumer onCompleted) {
+	StepBarrier(int ranks, LongConsumer onCompleted) {
 		this.computedSteps = new long[ranks];
 		this.onCompleted = onCompleted;
 		Arrays.fill(this.computedSteps, -1);
 	}
 
-	long completed() {
-		return this.completed;
+	long completedStep() {
+		return this.completedStep;
 	}
 
-	void computed(int rank, long step) {
+	void recordComputed(int rank, long step) {
 		this.computedSteps[rank] = Math.max(this.computedSteps[rank], step);
 		long slowest = Arrays.stream(this.computedSteps).min().orElseThrow();
-		if (slowest > this.completed) {
-			this.completed = slowest;
+		if (slowest > this.completedStep) {
+			this.completedStep = slowest;
 			this.onCompleted.accept(slowest);
 		}
 	}
 
-	void restart(int rank) {
-		this.computedSteps[rank] = this.completed;
+	void resetRank(int rank) {
+		this.computedSteps[rank] = this.completedStep;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchMeasurement.java
@@ -45,9 +45,9 @@
 		}), new SwitchScenario("one-late-rank", SwitchMeasurement::lateRankDelays, (simulation) -> {
 		}), new SwitchScenario("lost-decision-message", new FirstReleaseLost(), (simulation) -> {
 		}), new SwitchScenario("coordinator-dies-after-arming", SwitchMeasurement::usualDelays,
-				(simulation) -> simulation.leader().dieBeforeCommit()),
+				(simulation) -> simulation.currentCoordinator().crashBeforeCommit()),
 				new SwitchScenario("coordinator-dies-after-decision", SwitchMeasurement::usualDelays,
-						(simulation) -> simulation.leader().dieAfterCommit()));
+						(simulation) -> simulation.currentCoordinator().crashAfterCommit()));
 
 	@Override
 	public void run(BenchOptions options, Reporter reporter) {
@@ -57,12 +57,12 @@
 	}
 
 	private static void measure(SwitchScenario scenario, RandomGenerator random, Reporter reporter) {
-		SwitchWorld simulation = new SwitchWorld(
-				WorldSettings.of(RANKS, AgentSettings.DEFAULT, CoordinatorSettings.DEFAULT, LOAD_NANOS),
+		SwitchSimulation simulation = new SwitchSimulation(
+				SimulationSettings.of(RANKS, AgentSettings.DEFAULT, CoordinatorSettings.DEFAULT, LOAD_NANOS),
 				SwitchMeasurement::usualDelays, () -> STEP_NANOS + random.nextLong(STEP_NANOS / 5));
 		simulation.start();
 		simulation.runUntil(WARM_UP_NANOS);
-		simulation.link().usePolicy(scenario.faults());
+		simulation.link().setPolicy(scenario.linkPolicy());
 		scenario.prepare().accept(simulation);
 		simulation.resetCounters();
 		simulation.requestSwitch();
@@ -70,35 +70,36 @@
 		report(scenario, simulation, reporter);
 	}
 
-	private static void runUntilSwitched(SwitchWorld simulation) {
+	private static void runUntilSwitched(SwitchSimulation simulation) {
 		long end = simulation.queue().now() + TIME_LIMIT_NANOS;
-		Consumer<SwitchWorld> replaceCoordinator = (target) -> {
-			target.elect();
+		Consumer<SwitchSimulation> replaceCoordinator = (target) -> {
+			target.startCoordinator();
 			target.requestSwitch();
 		};
 		boolean electionScheduled = false;
 		while (simulation.queue().now() < end && simulation.committedSwitches() == 0) {
 			simulation.queue().runNext();
-			if (!simulation.leader().isAlive() && !electionScheduled) {
+			if (!simulation.currentCoordinator().isAlive() && !electionScheduled) {
 				electionScheduled = true;
-				simulation.queue().after(ELECTION_DELAY_NANOS, () -> replaceCoordinator.accept(simulation));
+				simulation.queue().schedule(ELECTION_DELAY_NANOS, () -> replaceCoordinator.accept(simulation));
 			}
 		}
 		simulation.runUntil(simulation.queue().now() + CoordinatorSettings.DEFAULT.maxLeadNanos());
 	}
 
-	private static void report(SwitchScenario scenario, SwitchWorld simulation, Reporter reporter) {
+	private static void report(SwitchScenario scenario, SwitchSimulation simulation, Reporter reporter) {
 		reporter.result("mapswitch-" + scenario.name(), Field.of("ranks", RANKS),
 				Field.of("steps-delayed", simulation.delayedSteps()),
 				Field.of("longest-wait-ms", simulation.longestWaitNanos() / 1_000_000.0),
 				Field.of("messages", simulation.switchMessages()),
-				Field.of("commits", simulation.audit().commits() - 1), Field.of("aborts", simulation.audit().aborts()),
-				Field.of("violations", simulation.audit().violations().size()));
+				Field.of("commits", simulation.stepAudit().commits() - 1),
+				Field.of("aborts", simulation.stepAudit().aborts()),
+				Field.of("violations", simulation.stepAudit().violations().size()));
 		if (scenario.name().equals("usual")) {
 			reporter.atMost("steps-delayed-by-a-usual-switch", simulation.delayedSteps(), 0);
 		}
 		reporter.atLeast("committed-" + scenario.name(), simulation.committedSwitches(), 1);
-		reporter.atMost("violations-" + scenario.name(), simulation.audit().violations().size(), 0);
+		reporter.atMost("violations-" + scenario.name(), simulation.stepAudit().violations().size(), 0);
 	}
 
 	private static long[] usualDelays(int rank, Object message) {
@@ -117,7 +118,7 @@
 		private boolean lost;
 
 		@Override
-		public long[] delays(int rank, Object message) {
+		public long[] deliveryDelays(int rank, Object message) {
 			if (!this.lost && rank == LATE_RANK && message instanceof ReleaseSwitch) {
 				this.lost = true;
 				return new long[0];
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchWorld.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SwitchSimulation.java
@@ -34,7 +34,7 @@
  * Coordinators of earlier terms and replaced servers keep running, up to a limit, to test
  * that their messages have no effect.
  */
-final class SwitchWorld {
+final class SwitchSimulation {
 
 	/** The maximum number of replaced servers that keep running. */
 	private static final int MAX_REPLACED_HOSTS = 8;
@@ -46,9 +46,9 @@
 
 	private final Invariants invariants = new Invariants();
 
-	private final StepAudit audit = new StepAudit();
+	private final StepAudit stepAudit = new StepAudit();
 
-	private final LedgerAudit ledgerAudit = new LedgerAudit(this.audit::violation);
+	private final LedgerAudit ledgerAudit = new LedgerAudit(this.stepAudit::addViolation);
 
 	/** Steps for which an engine was ready before it had permission to start them. */
 	private final TreeSet<Long> delayedSteps = new TreeSet<>();
@@ -57,11 +57,11 @@
 
 	private final List<FakeHost> replacedHosts = new ArrayList<>();
 
-	private final WorldSettings settings;
+	private final SimulationSettings settings;
 
 	private final Link link;
 
-	private final LockStep lockStep;
+	private final StepBarrier stepBarrier;
 
 	private final FakeHost[] hosts;
 
@@ -75,22 +75,22 @@
 
 	private long committedSwitches;
 
-	private long term;
+	private long latestTerm;
 
-	private long version = 1;
+	private long latestVersion = 1;
 
-	SwitchWorld(WorldSettings settings, LinkPolicy policy, LongSupplier computeNanos) {
+	SwitchSimulation(SimulationSettings settings, LinkPolicy policy, LongSupplier computeNanos) {
 		this.settings = settings;
 		this.link = new Link(this.queue, policy);
-		this.lockStep = new LockStep(settings.ranks(), this::notifyStepCompleted);
+		this.stepBarrier = new StepBarrier(settings.ranks(), this::notifyStepCompleted);
 		this.hosts = new FakeHost[settings.ranks()];
 		this.ledger = new DecisionLedger(settings.ranks(), LedgerState.EMPTY);
 		this.computeNanos = computeNanos;
 	}
 
 	void start() {
-		elect();
-		leader().handle(new MapInstallRequested(requestedMap()));
+		startCoordinator();
+		currentCoordinator().handle(new MapInstallRequested(requestedMap()));
 		for (int rank = 0; rank < this.hosts.length; rank++) {
 			this.hosts[rank] = createHost(rank);
 			this.hosts[rank].startSidecar();
@@ -110,12 +110,12 @@
 		return this.link;
 	}
 
-	LockStep lockStep() {
-		return this.lockStep;
+	StepBarrier stepBarrier() {
+		return this.stepBarrier;
 	}
 
-	StepAudit audit() {
-		return this.audit;
+	StepAudit stepAudit() {
+		return this.stepAudit;
 	}
 
 	Invariants invariants() {
@@ -123,11 +123,11 @@
 	}
 
 	AgentSettings agentSettings() {
-		return this.settings.agent();
+		return this.settings.agentSettings();
 	}
 
 	CoordinatorSettings coordinatorSettings() {
-		return this.settings.coordinator().get();
+		return this.settings.coordinatorSettings().get();
 	}
 
 	long loadNanos() {
@@ -156,7 +156,7 @@
 		this.delayedSteps.clear();
 	}
 
-	FakeCoordinator leader() {
+	FakeCoordinator currentCoordinator() {
 		return this.coordinators.get(this.coordinators.size() - 1);
 	}
 
@@ -164,7 +164,7 @@
 		return this.hosts[rank];
 	}
 
-	void computeTimes(LongSupplier nanos) {
+	void setComputeTime(LongSupplier nanos) {
 		this.computeNanos = nanos;
 	}
 
@@ -174,43 +174,43 @@
 		}
 	}
 
-	void elect() {
-		this.term++;
+	void startCoordinator() {
+		this.latestTerm++;
 		this.coordinators.removeIf((coordinator) -> !coordinator.isAlive());
 		if (this.coordinators.size() == MAX_RUNNING_COORDINATORS) {
-			this.coordinators.remove(0).die();
+			this.coordinators.remove(0).crash();
 		}
-		this.coordinators.add(new FakeCoordinator(this, Term.of(this.term)));
-		leader().start();
+		this.coordinators.add(new FakeCoordinator(this, Term.of(this.latestTerm)));
+		currentCoordinator().start();
 	}
 
 	MapRef requestSwitch() {
-		this.version++;
-		leader().handle(new SwitchRequested(requestedMap()));
+		this.latestVersion++;
+		currentCoordinator().handle(new SwitchRequested(requestedMap()));
 		return requestedMap();
 	}
 
-	void replace(int rank) {
+	void replaceServer(int rank) {
 		FakeHost previous = this.hosts[rank];
-		previous.freeze();
+		previous.detach();
 		this.replacedHosts.add(previous);
 		if (this.replacedHosts.size() > MAX_REPLACED_HOSTS) {
 			this.replacedHosts.remove(0).stopSidecar();
 		}
-		this.audit.replaced(rank, this.lockStep.completed());
-		this.lockStep.restart(rank);
+		this.stepAudit.discardExecutions(rank, this.stepBarrier.completedStep());
+		this.stepBarrier.resetRank(rank);
 		this.hosts[rank] = createHost(rank);
 		this.hosts[rank].startSidecar();
 	}
 
-	void order(SendOrder send) {
-		this.audit.told(send.order());
+	void sendOrder(SendOrder send) {
+		this.stepAudit.recordOrder(send.order());
 		this.switchMessages++;
 		this.link.send(send.rank(), send.order(), () -> deliver(send));
 	}
 
-	void report(int rank, AgentReport report) {
-		this.ledgerAudit.reported(report);
+	void sendReport(int rank, AgentReport report) {
+		this.ledgerAudit.recordReport(report);
 		if (!(report instanceof StepProgress)) {
 			this.switchMessages++;
 		}
@@ -219,42 +219,42 @@
 		}
 	}
 
-	void write(FakeCoordinator writer, LedgerWrite write) {
+	void sendWrite(FakeCoordinator writer, LedgerWrite write) {
 		this.switchMessages++;
 		this.link.send(Link.LEDGER, write, () -> {
 			LedgerState before = this.ledger.state();
 			LedgerResult result = this.ledger.apply(write);
-			this.ledgerAudit.written(write, before, result.state());
+			this.ledgerAudit.recordWrite(write, before, result.state());
 			this.link.send(Link.LEDGER, result, () -> writer.handle(new WriteDurable(write, result)));
 		});
 	}
 
-	void ended(SwitchEnded ended) {
+	void recordSwitchEnd(SwitchEnded ended) {
 		if (ended.outcome() == SwitchOutcome.COMMITTED) {
 			this.committedSwitches++;
 		}
 	}
 
-	void started(int rank, long step, Optional<MapRef> weights, long waitedNanos, FakeHost host) {
-		this.audit.executed(rank, step, weights);
+	void recordStepStart(int rank, long step, Optional<MapRef> weights, long waitedNanos, FakeHost host) {
+		this.stepAudit.recordExecution(rank, step, weights);
 		if (waitedNanos > 0) {
 			this.delayedSteps.add(step);
 			this.longestWaitNanos = Math.max(this.longestWaitNanos, waitedNanos);
 		}
-		this.queue.after(this.computeNanos.getAsLong(), () -> {
-			if (!host.isFrozen()) {
-				this.lockStep.computed(rank, step);
+		this.queue.schedule(this.computeNanos.getAsLong(), () -> {
+			if (!host.isDetached()) {
+				this.stepBarrier.recordComputed(rank, step);
 			}
 		});
 	}
 
 	private MapRef requestedMap() {
-		return new MapRef(MapVersion.of(this.version), "content-" + this.version);
+		return new MapRef(MapVersion.of(this.latestVersion), "content-" + this.latestVersion);
 	}
 
 	private FakeHost createHost(int rank) {
-		String name = "server-" + rank + "-" + this.settings.names().getAsLong();
-		return new FakeHost(this, rank, name, this.settings.ahead().applyAsInt(rank),
+		String name = "server-" + rank + "-" + this.settings.serverNumbers().getAsLong();
+		return new FakeHost(this, rank, name, this.settings.stepsAhead().applyAsInt(rank),
 				this.settings.checksFencing().test(rank));
 	}
 
@@ -273,20 +273,20 @@
 
 	private void notifyStepCompleted(long step) {
 		for (FakeHost host : this.hosts) {
-			host.stepCompleted();
+			host.onStepCompleted();
 		}
 	}
 
 	private void tick() {
 		for (int rank = 0; rank < this.hosts.length; rank++) {
 			if (!this.ledger.state().isAssigned(rank, this.hosts[rank].member())) {
-				leader().handle(new AssignmentRequested(rank, this.hosts[rank].member()));
+				currentCoordinator().handle(new AssignmentRequested(rank, this.hosts[rank].member()));
 			}
 		}
 		List.copyOf(this.coordinators).forEach((coordinator) -> coordinator.handle(new CoordinatorTick()));
 		Arrays.stream(this.hosts).forEach(FakeHost::tick);
 		this.replacedHosts.forEach(FakeHost::tick);
-		this.queue.after(this.settings.tickNanos(), this::tick);
+		this.queue.schedule(this.settings.tickNanos(), this::tick);
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/Drift.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/Drift.java
@@ -40,7 +40,7 @@
 		return this.slowRank;
 	}
 
-	String text() {
+	String label() {
 		return name().toLowerCase(Locale.ROOT).replace('_', '-');
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/GreedyPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/GreedyPolicy.java
@@ -38,7 +38,7 @@
 		this.startingPlacement = start;
 		this.shape = shape;
 		this.estimator = new PopularityEstimator(EstimatorSettings.DEFAULT, shape.layers(), shape.experts());
-		this.planner = new PlacementPlanner(PlannerSettings.of(SKEW_ONLY, PlacementMeasurement.STORE_RATE),
+		this.planner = new PlacementPlanner(PlannerSettings.of(SKEW_ONLY, PlacementMeasurement.STORE_BYTES_PER_SECOND),
 				DecisionListener.NONE, new Invariants());
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MoveRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MoveRun.java
@@ -56,7 +56,7 @@
 		this.crashAfterReads = crashAfter;
 	}
 
-	void start(MovePlan... plans) {
+	void run(MovePlan... plans) {
 		startScheduler();
 		for (MovePlan plan : plans) {
 			handle(new MoveEvent.PlanAccepted(plan));
@@ -75,8 +75,8 @@
 
 	private void startScheduler() {
 		this.scheduler = new MoveScheduler(MoveSchedulerSettings.DEFAULT,
-				new WeightStoreBucket(PlacementMeasurement.STORE_RATE, BURST_BYTES, this.now), DecisionListener.NONE,
-				new Invariants());
+				new WeightStoreBucket(PlacementMeasurement.STORE_BYTES_PER_SECOND, BURST_BYTES, this.now),
+				DecisionListener.NONE, new Invariants());
 	}
 
 	// Results of reads in progress do not reach the new coordinator.
@@ -132,19 +132,19 @@
 		}
 	}
 
-	int reads() {
+	int readCount() {
 		return this.startedReads.size();
 	}
 
-	long bytes() {
+	long readBytes() {
 		return this.startedReads.stream().mapToLong(StartedRead::bytes).sum();
 	}
 
-	double seconds() {
+	double elapsedSeconds() {
 		return this.now / SECOND_NANOS;
 	}
 
-	int unfinished() {
+	int unfinishedPlans() {
 		return this.savedPlans.size();
 	}
 
@@ -166,7 +166,7 @@
 				bytes += this.startedReads.get(to).bytes();
 				double seconds = (this.startedReads.get(to).timeNanos() - this.startedReads.get(from).timeNanos())
 						/ SECOND_NANOS;
-				windows += (bytes > BURST_BYTES + PlacementMeasurement.STORE_RATE * seconds + 1) ? 1 : 0;
+				windows += (bytes > BURST_BYTES + PlacementMeasurement.STORE_BYTES_PER_SECOND * seconds + 1) ? 1 : 0;
 			}
 		}
 		return windows;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MovesMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/MovesMeasurement.java
@@ -46,21 +46,21 @@
 
 	private static void measure(String name, int crashAfter, MovePlan left, MovePlan right, Reporter reporter) {
 		MoveRun run = new MoveRun(crashAfter);
-		run.start(left, right);
-		double storeSeconds = run.bytes() / PlacementMeasurement.STORE_RATE;
+		run.run(left, right);
+		double storeSeconds = run.readBytes() / PlacementMeasurement.STORE_BYTES_PER_SECOND;
 		reporter.result("moves", Field.of("run", name), Field.of("moves", left.moves().size() + right.moves().size()),
-				Field.of("reads", run.reads()), Field.of("mib", run.bytes() >> 20), Field.of("seconds", run.seconds()),
-				Field.of("store-seconds", storeSeconds));
-		reporter.atMost(name + "-plans-unfinished", run.unfinished(), 0);
+				Field.of("reads", run.readCount()), Field.of("mib", run.readBytes() >> 20),
+				Field.of("seconds", run.elapsedSeconds()), Field.of("store-seconds", storeSeconds));
+		reporter.atMost(name + "-plans-unfinished", run.unfinishedPlans(), 0);
 		reporter.atMost(name + "-windows-above-rate", run.windowsAboveRate(), 0);
 		reporter.atMost(name + "-reads-out-of-order", run.readsOutOfOrder(), 0);
-		reporter.atMost(name + "-seconds", run.seconds(), storeSeconds * STORE_TIME_TOLERANCE);
+		reporter.atMost(name + "-seconds", run.elapsedSeconds(), storeSeconds * STORE_TIME_TOLERANCE);
 	}
 
 	private static MovePlan plan(Random random, String group) {
 		GroupShape shape = PlacementMeasurement.shape(LAYERS, SLOTS_PER_RANK);
 		PlacementPlanner planner = new PlacementPlanner(
-				PlannerSettings.of(PlacementPreset.PLUME.weights(), PlacementMeasurement.STORE_RATE),
+				PlannerSettings.of(PlacementPreset.PLUME.weights(), PlacementMeasurement.STORE_BYTES_PER_SECOND),
 				DecisionListener.NONE, new Invariants());
 		double[][] popularity = new double[LAYERS][PlacementMeasurement.EXPERTS];
 		changePopularity(random, popularity, true);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlacementMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlacementMeasurement.java
@@ -19,7 +19,7 @@
 public final class PlacementMeasurement implements Measurement {
 
 	/** The rate limit of the weight store in bytes per second. */
-	static final double STORE_RATE = 256L << 20;
+	static final double STORE_BYTES_PER_SECOND = 256L << 20;
 
 	static final int RANKS = 32;
 
@@ -75,7 +75,7 @@
 	private static Placement firstPlacement(long seed, Drift drift, GroupShape shape) {
 		PricedPolicy policy = new PricedPolicy("first", PlacementPreset.PLUME.weights(), shape);
 		DriftRun run = new DriftRun(seed, drift, shape);
-		for (int interval = 0; interval < PolicyRun.WARM_UP; interval++) {
+		for (int interval = 0; interval < PolicyRun.WARM_UP_INTERVALS; interval++) {
 			policy.observe(run.nextCounts());
 		}
 		return policy.plan(Placement.empty(shape), run.speeds());
@@ -87,22 +87,23 @@
 		PolicyRun greedy = runs.get(2);
 		PolicyRun plume = runs.get(3);
 		PolicyRun popelar = runs.get(4);
-		String prefix = drift.text() + "-";
-		reporter.atMost(prefix + "plume-skew-p95", plume.p95(), greedy.p95() * P95_TOLERANCE);
-		reporter.atMost(prefix + "plume-skew-p95-of-repack", plume.p95(), repack.p95() * P95_TOLERANCE);
+		String prefix = drift.label() + "-";
+		reporter.atMost(prefix + "plume-skew-p95", plume.p95Skew(), greedy.p95Skew() * P95_TOLERANCE);
+		reporter.atMost(prefix + "plume-skew-p95-of-repack", plume.p95Skew(), repack.p95Skew() * P95_TOLERANCE);
 		if (drift == Drift.NOISE) {
-			reporter.atMost(prefix + "plume-moved-gib", plume.gibibytes(), 0);
-			reporter.atMost(prefix + "popelar-moved-gib", popelar.gibibytes(), 0);
+			reporter.atMost(prefix + "plume-moved-gib", plume.movedGibibytes(), 0);
+			reporter.atMost(prefix + "popelar-moved-gib", popelar.movedGibibytes(), 0);
 			return;
 		}
-		reporter.atMost(prefix + "plume-moved-gib", plume.gibibytes(), greedy.gibibytes() / 2);
-		reporter.atMost(prefix + "popelar-moved-gib", popelar.gibibytes(), greedy.gibibytes() / 10);
-		reporter.atLeast(prefix + "popelar-skew-gain", never.mean() - popelar.mean(),
-				(never.mean() - greedy.mean()) * 2 / 3);
-		reporter.result("placement-share", Field.of("drift", drift.text()),
-				Field.of("plume-bytes-of-greedy", plume.gibibytes() / greedy.gibibytes()),
-				Field.of("popelar-bytes-of-greedy", popelar.gibibytes() / greedy.gibibytes()),
-				Field.of("popelar-gain-of-greedy", (never.mean() - popelar.mean()) / (never.mean() - greedy.mean())));
+		reporter.atMost(prefix + "plume-moved-gib", plume.movedGibibytes(), greedy.movedGibibytes() / 2);
+		reporter.atMost(prefix + "popelar-moved-gib", popelar.movedGibibytes(), greedy.movedGibibytes() / 10);
+		reporter.atLeast(prefix + "popelar-skew-gain", never.meanSkew() - popelar.meanSkew(),
+				(never.meanSkew() - greedy.meanSkew()) * 2 / 3);
+		reporter.result("placement-share", Field.of("drift", drift.label()),
+				Field.of("plume-bytes-of-greedy", plume.movedGibibytes() / greedy.movedGibibytes()),
+				Field.of("popelar-bytes-of-greedy", popelar.movedGibibytes() / greedy.movedGibibytes()),
+				Field.of("popelar-gain-of-greedy",
+						(never.meanSkew() - popelar.meanSkew()) / (never.meanSkew() - greedy.meanSkew())));
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlanTime.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PlanTime.java
@@ -40,8 +40,8 @@
 	private final GroupShape shape = PlacementMeasurement.shape(LAYERS, SLOTS_PER_RANK);
 
 	private final PlacementPlanner planner = new PlacementPlanner(
-			PlannerSettings.of(PlacementPreset.PLUME.weights(), PlacementMeasurement.STORE_RATE), DecisionListener.NONE,
-			new Invariants());
+			PlannerSettings.of(PlacementPreset.PLUME.weights(), PlacementMeasurement.STORE_BYTES_PER_SECOND),
+			DecisionListener.NONE, new Invariants());
 
 	private double firstPlanSeconds;
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PolicyRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PolicyRun.java
@@ -22,7 +22,7 @@
 final class PolicyRun {
 
 	/** The number of intervals observed before the first plan. */
-	static final int WARM_UP = 6;
+	static final int WARM_UP_INTERVALS = 6;
 
 	private static final double GIBIBYTE = 1L << 30;
 
@@ -62,7 +62,7 @@
 	}
 
 	void run(DriftRun drift, Placement first) {
-		for (int interval = 0; interval < WARM_UP; interval++) {
+		for (int interval = 0; interval < WARM_UP_INTERVALS; interval++) {
 			this.policy.observe(drift.nextCounts());
 		}
 		Placement current = first;
@@ -103,25 +103,25 @@
 		this.plansWithMoves += (this.readCount > readsBefore) ? 1 : 0;
 	}
 
-	double mean() {
+	double meanSkew() {
 		return Arrays.stream(this.skews).average().orElse(1);
 	}
 
-	double p95() {
+	double p95Skew() {
 		double[] sorted = this.skews.clone();
 		Arrays.sort(sorted);
 		return sorted[(int) Math.ceil(0.95 * sorted.length) - 1];
 	}
 
-	double gibibytes() {
+	double movedGibibytes() {
 		return this.readCount * this.shape.expertBytes() / GIBIBYTE;
 	}
 
 	void report(Reporter reporter, Drift drift) {
-		reporter.result("placement", Field.of("drift", drift.text()), Field.of("policy", this.policy.name()),
-				Field.of("skew-mean", decimal(mean())), Field.of("skew-p95", decimal(p95())),
+		reporter.result("placement", Field.of("drift", drift.label()), Field.of("policy", this.policy.name()),
+				Field.of("skew-mean", decimal(meanSkew())), Field.of("skew-p95", decimal(p95Skew())),
 				Field.of("skew-bound-mean", decimal(Arrays.stream(this.skewLowerBounds).average().orElse(1))),
-				Field.of("moved-gib", decimal(gibibytes())), Field.of("plans-with-moves", this.plansWithMoves));
+				Field.of("moved-gib", decimal(movedGibibytes())), Field.of("plans-with-moves", this.plansWithMoves));
 	}
 
 	private static String decimal(double value) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PricedPolicy.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/placement/PricedPolicy.java
@@ -35,7 +35,7 @@
 		this.name = name;
 		this.shape = shape;
 		this.estimator = new PopularityEstimator(EstimatorSettings.DEFAULT, shape.layers(), shape.experts());
-		this.planner = new PlacementPlanner(PlannerSettings.of(weights, PlacementMeasurement.STORE_RATE),
+		this.planner = new PlacementPlanner(PlannerSettings.of(weights, PlacementMeasurement.STORE_BYTES_PER_SECOND),
 				DecisionListener.NONE, new Invariants());
 		this.plannedSpeeds = new double[shape.ranks()];
 		Arrays.fill(this.plannedSpeeds, 1);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryDriver.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryDriver.java
@@ -42,16 +42,16 @@
 
 	private static final Duration CLAIM_TIMEOUT = Duration.ofMillis(300);
 
-	private final World simulation;
+	private final Simulation simulation;
 
 	private final EntryNode entry;
 
-	EntryDriver(World simulation, EntryNode entry) {
+	EntryDriver(Simulation simulation, EntryNode entry) {
 		this.simulation = simulation;
 		this.entry = entry;
 	}
 
-	void carryOut(RequestCommand command) {
+	void execute(RequestCommand command) {
 		if (!executeOnSidecar(command)) {
 			executeOnLedger(command);
 		}
@@ -84,7 +84,7 @@
 		SidecarNode sidecar = this.simulation.sidecar(start.target().backendServer().value());
 		Operation operation = this.entry.operation(start.attempt()).orElseThrow();
 		if (!sidecar.isAlive() && sidecar.incarnation().equals(start.target().incarnation())) {
-			this.entry.notSent(start.attempt());
+			this.entry.reportNotSent(start.attempt());
 			return;
 		}
 		StartReceived event = new StartReceived(start.attempt(), start.target(), start.traits(), this.entry.link());
@@ -101,38 +101,40 @@
 			acquireClaim(claim);
 		}
 		else if (command instanceof FinishClaim finish) {
-			callLedger((ledger) -> ledger.claims()
+			callLedger((ledger) -> ledger.claimLedger()
 				.recordAnswer(finish.key(), finish.owner(), finish.answer(), ledger.logTime()));
 		}
 		else if (command instanceof MarkClaimUnknown mark) {
-			callLedger((ledger) -> ledger.claims().markUnknown(mark.key(), mark.owner(), ledger.logTime()));
+			callLedger((ledger) -> ledger.claimLedger().markUnknown(mark.key(), mark.owner(), ledger.logTime()));
 		}
 		else if (command instanceof ReleaseClaim release) {
 			this.simulation.ledger()
-				.callUntilAnswered(this.entry, (ledger) -> ledger.release(release.key(), release.proof()),
+				.callWithRetries(this.entry, (ledger) -> ledger.releaseClaim(release.key(), release.proof()),
 						(released) -> this.entry.handle(new ClaimReleased(release.proof(), released)));
 		}
 		else if (command instanceof AcquireIsolation acquire) {
 			this.simulation.ledger()
-				.callUntilAnswered(this.entry,
-						(ledger) -> ledger.poison().acquire(acquire.fingerprint(), acquire.request(), ledger.logTime()),
+				.callWithRetries(this.entry,
+						(ledger) -> ledger.poisonLedger()
+							.acquire(acquire.fingerprint(), acquire.request(), ledger.logTime()),
 						(result) -> this.entry
 							.handle(new IsolationAnswered(acquire.request(), acquire.fingerprint(), result)));
 		}
 		else if (command instanceof ReleaseIsolation release) {
-			callLedger((ledger) -> ledger.poison()
+			callLedger((ledger) -> ledger.poisonLedger()
 				.release(release.fingerprint(), release.request(), release.end(), ledger.logTime()));
 		}
 		else if (command instanceof RecordCrash crash) {
 			this.simulation.ledger()
-				.callUntilAnswered(this.entry,
-						LedgerNode.none((ledger) -> ledger.poison().recordCrash(crash.report(), ledger.logTime())),
+				.callWithRetries(this.entry,
+						LedgerNode.returningEmpty(
+								(ledger) -> ledger.poisonLedger().recordCrash(crash.report(), ledger.logTime())),
 						(result) -> this.entry.handle(new CrashRecorded(crash.request())));
 		}
 	}
 
 	private void callLedger(Consumer<LedgerNode> call) {
-		this.simulation.ledger().callUntilAnswered(this.entry, LedgerNode.none(call), (result) -> {
+		this.simulation.ledger().callWithRetries(this.entry, LedgerNode.returningEmpty(call), (result) -> {
 		});
 	}
 
@@ -140,11 +142,11 @@
 		AtomicBoolean answered = new AtomicBoolean();
 		this.simulation.ledger()
 			.call(this.entry,
-					(ledger) -> ledger.claims()
+					(ledger) -> ledger.claimLedger()
 						.claim(claim.key(), claim.bodyDigest(), claim.request(), claim.target().backendServer(),
 								claim.target().incarnation(), ledger.logTime()),
 					(result) -> handleClaimResult(claim, result, answered));
-		this.simulation.afterIfSame(this.entry, CLAIM_TIMEOUT, () -> {
+		this.simulation.scheduleUnlessRestarted(this.entry, CLAIM_TIMEOUT, () -> {
 			if (!answered.get()) {
 				this.entry.handle(new ClaimFailed(claim.request(), OperationError.local(ErrorCode.UNAVAILABLE,
 						Step.CLAIM, "The claim ledger did not answer within the claim timeout")));
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/EntryNode.java
@@ -53,9 +53,9 @@
  */
 final class EntryNode extends Node {
 
-	static final Duration DEADLINE = Duration.ofSeconds(4);
+	static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(4);
 
-	static final SingleFlightGuardSettings GUARD = new SingleFlightGuardSettings(Duration.ofSeconds(1),
+	static final SingleFlightGuardSettings GUARD_SETTINGS = new SingleFlightGuardSettings(Duration.ofSeconds(1),
 			Duration.ofMinutes(10), 100_000);
 
 	private static final RequestTrackerSettings TRACKER_SETTINGS = new RequestTrackerSettings(10_000,
@@ -75,11 +75,11 @@
 
 	private static final int MAX_ATTEMPTS = 5;
 
-	private final World simulation;
+	private final Simulation simulation;
 
 	private final Map<String, SidecarView> views = new HashMap<>();
 
-	private final Map<RequestId, Sending> sendings = new HashMap<>();
+	private final Map<RequestId, Submission> submissions = new HashMap<>();
 
 	private final Map<String, Boolean> blackholed = new HashMap<>();
 
@@ -100,7 +100,7 @@
 
 	private long timerDueAt;
 
-	EntryNode(World simulation, String name, int region) {
+	EntryNode(Simulation simulation, String name, int region) {
 		super(name, region);
 		this.simulation = simulation;
 		this.driver = new EntryDriver(simulation, this);
@@ -108,16 +108,16 @@
 		refreshVerdicts();
 	}
 
-	void accept(Sending submission) {
-		this.simulation.observer().sent(submission);
+	void submit(Submission submission) {
+		this.simulation.ruleChecker().recordSubmission(submission);
 		if (!isAlive()) {
-			submission.abandon();
+			submission.loseConnection();
 			return;
 		}
-		this.sendings.put(submission.id(), submission);
+		this.submissions.put(submission.id(), submission);
 		PoisonVerdict verdict = this.verdicts.getOrDefault(submission.operation().fingerprint(), PoisonVerdict.CLEAR);
-		handle(new RequestAccepted(submission.operation().spec(submission.id()),
-				this.simulation.now() + DEADLINE.toNanos(), verdict));
+		handle(new RequestAccepted(submission.operation().requestSpec(submission.id()),
+				this.simulation.now() + REQUEST_TIMEOUT.toNanos(), verdict));
 	}
 
 	void handle(RequestEvent event) {
@@ -132,7 +132,7 @@
 		}
 	}
 
-	void heard(AttemptTarget target, boolean draining) {
+	void updateSidecar(AttemptTarget target, boolean draining) {
 		SidecarView previous = this.views.get(target.backendServer().value());
 		if (previous != null && target.incarnation().isBefore(previous.target().incarnation())) {
 			return;
@@ -149,11 +149,11 @@
 		for (SidecarNode sidecar : this.simulation.sidecars()) {
 			this.simulation.send(this, sidecar, () -> sidecar.receive(new LinkLost(link)));
 		}
-		List<Sending> interrupted = new ArrayList<>(this.sendings.values());
+		List<Submission> interrupted = new ArrayList<>(this.submissions.values());
 		interrupted.sort(Comparator.comparing((submission) -> submission.id()));
-		this.sendings.clear();
-		interrupted.forEach(Sending::abandon);
-		this.simulation.after(RESTART_DELAY, () -> {
+		this.submissions.clear();
+		interrupted.forEach(Submission::loseConnection);
+		this.simulation.schedule(RESTART_DELAY, () -> {
 			restart();
 			resetState();
 		});
@@ -164,11 +164,11 @@
 	 * entry opens a new connection.
 	 * @param sidecar the name of the sidecar
 	 */
-	void silence(String sidecar) {
+	void blackhole(String sidecar) {
 		this.blackholed.put(sidecar, true);
 	}
 
-	boolean isSilent(String sidecar) {
+	boolean isBlackholed(String sidecar) {
 		return this.blackholed.getOrDefault(sidecar, false);
 	}
 
@@ -182,15 +182,15 @@
 
 	private void execute(RequestCommand command) {
 		if (command instanceof ChooseRoute route) {
-			long incarnation = life();
-			this.simulation.afterIfSame(this, Duration.ofNanos(incarnation), () -> chooseRoute(route));
+			long incarnation = incarnationNumber();
+			this.simulation.scheduleUnlessRestarted(this, Duration.ofNanos(incarnation), () -> chooseRoute(route));
 		}
 		else if (command instanceof DeliverPart part) {
-			Optional.ofNullable(this.sendings.get(part.request()))
-				.ifPresent((submission) -> submission.part(part.part()));
+			Optional.ofNullable(this.submissions.get(part.request()))
+				.ifPresent((submission) -> submission.receivePart(part.part()));
 		}
 		else if (command instanceof CompleteRequest complete) {
-			Sending submission = this.sendings.remove(complete.request());
+			Submission submission = this.submissions.remove(complete.request());
 			this.guardUnreachableSince.remove(complete.request());
 			submission.complete(complete.outcome());
 		}
@@ -206,12 +206,12 @@
 			probe(probe.backendServer(), probe.incarnation());
 		}
 		else {
-			this.driver.carryOut(command);
+			this.driver.execute(command);
 		}
 	}
 
 	Optional<Operation> operation(AttemptId attempt) {
-		return Optional.ofNullable(this.sendings.get(attempt.request())).map(Sending::operation);
+		return Optional.ofNullable(this.submissions.get(attempt.request())).map(Submission::operation);
 	}
 
 	private void chooseRoute(ChooseRoute route) {
@@ -234,18 +234,18 @@
 	private void requestFlightPermit(RequestFlightPermit command) {
 		EntryNode owner = guardEntry(command.fingerprint());
 		boolean[] answered = new boolean[1];
-		long incarnation = life();
+		long incarnation = incarnationNumber();
 		this.simulation.send(this, owner, () -> {
 			FlightPermit permit = owner.guard.requestPermit(command.fingerprint(), command.request(), command.cleared(),
 					this.simulation.now());
 			this.simulation.send(owner, this, () -> {
-				if (!answered[0] && life() == incarnation) {
+				if (!answered[0] && incarnationNumber() == incarnation) {
 					answered[0] = true;
 					handle(new FlightAnswered(command.request(), permit));
 				}
 			});
 		});
-		this.simulation.afterIfSame(this, GUARD_TIMEOUT, () -> {
+		this.simulation.scheduleUnlessRestarted(this, GUARD_TIMEOUT, () -> {
 			if (!answered[0]) {
 				answered[0] = true;
 				handle(new FlightAnswered(command.request(), permitWithoutGuard(command.request())));
@@ -257,7 +257,7 @@
 	// blocks.
 	private FlightPermit permitWithoutGuard(RequestId request) {
 		long since = this.guardUnreachableSince.computeIfAbsent(request, (key) -> this.simulation.now());
-		if (this.simulation.now() - since < GUARD.flightTime().toNanos()) {
+		if (this.simulation.now() - since < GUARD_SETTINGS.flightTime().toNanos()) {
 			return FlightPermit.WAIT;
 		}
 		this.guardUnreachableSince.remove(request);
@@ -284,7 +284,7 @@
 				}
 			});
 		});
-		this.simulation.afterIfSame(this, PROBE_TIMEOUT, () -> {
+		this.simulation.scheduleUnlessRestarted(this, PROBE_TIMEOUT, () -> {
 			if (!answered[0]) {
 				answered[0] = true;
 				handle(new SidecarLost(server, expected));
@@ -303,13 +303,13 @@
 		}
 	}
 
-	void notSent(AttemptId attempt) {
-		this.simulation.afterIfSame(this, Duration.ofMillis(1), () -> handle(new StartNotSent(attempt)));
+	void reportNotSent(AttemptId attempt) {
+		this.simulation.scheduleUnlessRestarted(this, Duration.ofMillis(1), () -> handle(new StartNotSent(attempt)));
 	}
 
 	private void refreshVerdicts() {
-		this.simulation.ledger().call(this, LedgerNode::verdicts, (current) -> this.verdicts = current);
-		this.simulation.after(VERDICT_REFRESH_INTERVAL, this::refreshVerdicts);
+		this.simulation.ledger().call(this, LedgerNode::poisonVerdicts, (current) -> this.verdicts = current);
+		this.simulation.schedule(VERDICT_REFRESH_INTERVAL, this::refreshVerdicts);
 	}
 
 	private void scheduleTimer() {
@@ -319,7 +319,7 @@
 		}
 		long at = next.getAsLong();
 		this.timerDueAt = at;
-		this.simulation.afterIfSame(this, Duration.ofNanos(Math.max(0, at - this.simulation.now())), () -> {
+		this.simulation.scheduleUnlessRestarted(this, Duration.ofNanos(Math.max(0, at - this.simulation.now())), () -> {
 			if (this.timerDueAt == at) {
 				this.timerDueAt = Long.MAX_VALUE;
 				handle(new TimePassed());
@@ -329,15 +329,15 @@
 
 	private void resetState() {
 		this.timerDueAt = Long.MAX_VALUE;
-		this.connectionNumber = life() * 1_000_000;
+		this.connectionNumber = incarnationNumber() * 1_000_000;
 		this.views.clear();
 		this.blackholed.clear();
 		this.guardUnreachableSince.clear();
-		this.guard = new SingleFlightGuard(GUARD, this.simulation.now());
+		this.guard = new SingleFlightGuard(GUARD_SETTINGS, this.simulation.now());
 		this.tracker = new RequestTracker(TRACKER_SETTINGS,
 				(query) -> (query.attempts() < MAX_ATTEMPTS) ? RetryDecision.after(Duration.ofMillis(5))
 						: RetryDecision.stop("attempts"),
-				this.simulation.invariants(), (record) -> this.simulation.listener().onDecision(record));
+				this.simulation.invariants(), (record) -> this.simulation.decisionListener().onDecision(record));
 	}
 
 	private record SidecarView(AttemptTarget target, boolean draining, long receivedAt) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Faults.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Faults.java
@@ -34,12 +34,12 @@
 	 * part.
 	 * @return whether it aborts the answer
 	 */
-	boolean breaksAnswer();
+	boolean abortsAnswer();
 
 	/**
 	 * Returns the time a backend server takes to produce the next part of an answer.
 	 * @return the delay
 	 */
-	Duration partTime();
+	Duration answerPartDelay();
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/LedgerNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/LedgerNode.java
@@ -25,46 +25,47 @@
 final class LedgerNode extends Node {
 
 	/** How long a caller waits for an answer before it repeats a call. */
-	static final Duration REPEAT_TIME = Duration.ofMillis(100);
+	static final Duration RETRY_INTERVAL = Duration.ofMillis(100);
 
-	static final PoisonLedgerSettings POISON = new PoisonLedgerSettings(Duration.ofHours(1), Duration.ofMillis(800),
-			Duration.ofSeconds(5), 100_000);
+	static final PoisonLedgerSettings POISON_SETTINGS = new PoisonLedgerSettings(Duration.ofHours(1),
+			Duration.ofMillis(800), Duration.ofSeconds(5), 100_000);
 
 	private static final ClaimLedgerSettings CLAIM_SETTINGS = new ClaimLedgerSettings(Duration.ofHours(24), 1_000_000,
 			1024, 256L * 1024 * 1024);
 
-	private final World simulation;
+	private final Simulation simulation;
 
-	private final ClaimLedger claims = new ClaimLedger(CLAIM_SETTINGS);
+	private final ClaimLedger claimLedger = new ClaimLedger(CLAIM_SETTINGS);
 
-	private final PoisonLedger poison;
+	private final PoisonLedger poisonLedger;
 
-	LedgerNode(World simulation) {
+	LedgerNode(Simulation simulation) {
 		super("ledger", 0);
 		this.simulation = simulation;
-		this.poison = new PoisonLedger(POISON, (record) -> simulation.listener().onDecision(record));
+		this.poisonLedger = new PoisonLedger(POISON_SETTINGS,
+				(record) -> simulation.decisionListener().onDecision(record));
 	}
 
-	ClaimLedger claims() {
-		return this.claims;
+	ClaimLedger claimLedger() {
+		return this.claimLedger;
 	}
 
-	PoisonLedger poison() {
-		return this.poison;
+	PoisonLedger poisonLedger() {
+		return this.poisonLedger;
 	}
 
-	boolean release(ClaimKey key, NotRunProof proof) {
-		boolean released = this.claims.release(key, proof, logTime()).value().isPresent();
+	boolean releaseClaim(ClaimKey key, NotRunProof proof) {
+		boolean released = this.claimLedger.release(key, proof, logTime()).value().isPresent();
 		if (released) {
-			this.simulation.observer().released(proof.owner());
+			this.simulation.ruleChecker().recordClaimRelease(proof.owner());
 		}
 		return released;
 	}
 
-	Map<Fingerprint, PoisonVerdict> verdicts() {
+	Map<Fingerprint, PoisonVerdict> poisonVerdicts() {
 		Map<Fingerprint, PoisonVerdict> verdicts = new HashMap<>();
-		for (PoisonEntry entry : this.poison.snapshot().entries()) {
-			verdicts.put(entry.fingerprint(), this.poison.assess(entry.fingerprint()));
+		for (PoisonEntry entry : this.poisonLedger.snapshot().entries()) {
+			verdicts.put(entry.fingerprint(), this.poisonLedger.assess(entry.fingerprint()));
 		}
 		return verdicts;
 	}
@@ -78,11 +79,11 @@
 	 * @param answer receives each copy of the answer
 	 */
 	<T> void call(Node from, Function<LedgerNode, T> call, Consumer<T> answer) {
-		long incarnation = from.life();
+		long incarnation = from.incarnationNumber();
 		this.simulation.send(from, this, () -> {
 			T result = call.apply(this);
 			this.simulation.send(this, from, () -> {
-				if (from.life() == incarnation) {
+				if (from.incarnationNumber() == incarnation) {
 					answer.accept(result);
 				}
 			});
@@ -97,7 +98,7 @@
 	 * @param call the operation to run on the ledger, possibly more than once
 	 * @param answer receives the first answer only
 	 */
-	<T> void callUntilAnswered(Node from, Function<LedgerNode, T> call, Consumer<T> answer) {
+	<T> void callWithRetries(Node from, Function<LedgerNode, T> call, Consumer<T> answer) {
 		callAndRetry(from, call, answer, new AtomicBoolean());
 	}
 
@@ -111,14 +112,14 @@
 				answer.accept(result);
 			}
 		});
-		this.simulation.afterIfSame(from, REPEAT_TIME, () -> {
+		this.simulation.scheduleUnlessRestarted(from, RETRY_INTERVAL, () -> {
 			if (!answered.get()) {
 				callAndRetry(from, call, answer, answered);
 			}
 		});
 	}
 
-	static <T> Function<LedgerNode, Optional<T>> none(Consumer<LedgerNode> action) {
+	static <T> Function<LedgerNode, Optional<T>> returningEmpty(Consumer<LedgerNode> action) {
 		return (ledger) -> {
 			action.accept(ledger);
 			return Optional.empty();
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Network.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Network.java
@@ -14,6 +14,6 @@
 	 * @param to the receiver
 	 * @return one delay for each copy; empty if the message is lost
 	 */
-	List<Duration> plan(Node from, Node to);
+	List<Duration> deliveryDelays(Node from, Node to);
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Node.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Node.java
@@ -9,7 +9,7 @@
 
 	private final int region;
 
-	private long life = 1;
+	private long incarnationNumber = 1;
 
 	private boolean alive = true;
 
@@ -26,8 +26,8 @@
 		return this.region;
 	}
 
-	final long life() {
-		return this.life;
+	final long incarnationNumber() {
+		return this.incarnationNumber;
 	}
 
 	final boolean isAlive() {
@@ -39,7 +39,7 @@
 	}
 
 	final void restart() {
-		this.life++;
+		this.incarnationNumber++;
 		this.alive = true;
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Operation.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Operation.java
@@ -21,13 +21,13 @@
  */
 record Operation(String id, Kind kind, String body, boolean poison) {
 
-	static final int CHUNKS = 3;
+	static final int ANSWER_CHUNKS = 3;
 
 	private static final AccountId ACCOUNT = AccountId.of("account");
 
 	private static final ServiceId SERVICE = ServiceId.of("service");
 
-	RequestSpec spec(RequestId request) {
+	RequestSpec requestSpec(RequestId request) {
 		Optional<IdempotencyKey> key = (this.kind == Kind.KEYED) ? Optional.of(IdempotencyKey.of(this.id))
 				: Optional.empty();
 		return new RequestSpec(request, fingerprint(), key, this.kind == Kind.IDEMPOTENT, this.kind == Kind.KEYED);
@@ -37,7 +37,7 @@
 		return new Fingerprint(ACCOUNT, SERVICE, Bytes.ofText(this.body).sha256());
 	}
 
-	List<String> answer() {
+	List<String> answerChunks() {
 		return List.of(this.body + "#0;", this.body + "#1;", this.body + "#2;");
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomCallers.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomCallers.java
@@ -30,7 +30,7 @@
 	/** The number of times that a poison operation is submitted to all entries. */
 	private static final int POISON_ROUNDS = 3;
 
-	private final World simulation;
+	private final Simulation simulation;
 
 	private final RandomGenerator random;
 
@@ -38,73 +38,73 @@
 
 	private final Set<Fingerprint> poisonFingerprints = new HashSet<>();
 
-	private long operations;
+	private long operationCount;
 
-	private long sendings;
+	private long submissionCount;
 
-	private long open;
+	private long openCount;
 
 	/**
 	 * The virtual time, in nanoseconds, until which no new poison operation is submitted.
 	 */
 	private long poisonPausedUntil;
 
-	RandomCallers(World simulation, RandomGenerator random, long steps) {
+	RandomCallers(Simulation simulation, RandomGenerator random, long steps) {
 		this.simulation = simulation;
 		this.random = random;
 		this.targetSubmissions = steps;
 	}
 
-	long operations() {
-		return this.operations;
+	long operationCount() {
+		return this.operationCount;
 	}
 
-	long sendings() {
-		return this.sendings;
+	long submissionCount() {
+		return this.submissionCount;
 	}
 
-	long open() {
-		return this.open;
+	long openCount() {
+		return this.openCount;
 	}
 
 	boolean isFinished() {
-		return this.sendings >= this.targetSubmissions;
+		return this.submissionCount >= this.targetSubmissions;
 	}
 
 	/**
 	 * Submits no new poison operations for a time.
 	 * @param duration the length of the pause
 	 */
-	void holdPoison(Duration duration) {
+	void pausePoison(Duration duration) {
 		this.poisonPausedUntil = this.simulation.now() + duration.toNanos();
 	}
 
-	boolean isInnocent(Fingerprint fingerprint) {
+	boolean isHarmless(Fingerprint fingerprint) {
 		return !this.poisonFingerprints.contains(fingerprint);
 	}
 
-	void arrive() {
+	void generateArrivals() {
 		if (isFinished()) {
 			return;
 		}
-		this.operations++;
+		this.operationCount++;
 		boolean crashes = this.random.nextInt(POISON_ONE_IN) == 0 && this.simulation.now() >= this.poisonPausedUntil;
 		Operation operation = createOperation(crashes);
 		if (crashes) {
 			this.poisonFingerprints.add(operation.fingerprint());
 			for (int round = 0; round < POISON_ROUNDS; round++) {
 				Duration wait = Duration.ofMillis(round * this.random.nextInt(1, 3_000));
-				this.simulation.after(wait, () -> submitToAllEntries(operation));
+				this.simulation.schedule(wait, () -> submitToAllEntries(operation));
 			}
 		}
 		else {
 			submit(operation, 1);
 		}
-		this.simulation.after(ARRIVAL_INTERVAL, this::arrive);
+		this.simulation.schedule(ARRIVAL_INTERVAL, this::generateArrivals);
 	}
 
 	private Operation createOperation(boolean crashes) {
-		String id = "op" + this.operations;
+		String id = "op" + this.operationCount;
 		int kind = this.random.nextInt(100);
 		if (kind < 45) {
 			boolean popular = !crashes && this.random.nextBoolean();
@@ -122,28 +122,28 @@
 		EntryNode entry = this.simulation.entries().get(this.random.nextInt(this.simulation.entries().size()));
 		submitTo(entry, operation, submissionNumber);
 		if (this.random.nextInt(20) == 0 && submissionNumber < LAST_SUBMISSION) {
-			this.simulation.after(Duration.ofNanos(1_000L * this.random.nextInt(50_000)),
+			this.simulation.schedule(Duration.ofNanos(1_000L * this.random.nextInt(50_000)),
 					() -> submit(operation, LAST_SUBMISSION));
 		}
 	}
 
 	private void submitTo(EntryNode entry, Operation operation, int submissionNumber) {
-		RequestId id = RequestId.of(operation.id() + "-" + this.sendings);
-		this.sendings++;
-		this.open++;
-		entry.accept(new Sending(id, operation, (submission) -> handleEnd(submission, submissionNumber)));
+		RequestId id = RequestId.of(operation.id() + "-" + this.submissionCount);
+		this.submissionCount++;
+		this.openCount++;
+		entry.submit(new Submission(id, operation, (submission) -> handleEnd(submission, submissionNumber)));
 		if (this.random.nextInt(CANCEL_ONE_IN) == 0) {
-			this.simulation.after(Duration.ofNanos(1_000L * this.random.nextInt(40_000)),
+			this.simulation.schedule(Duration.ofNanos(1_000L * this.random.nextInt(40_000)),
 					() -> entry.handle(new CallerCancelled(id)));
 		}
 	}
 
-	private void handleEnd(Sending submission, int submissionNumber) {
-		this.open--;
-		submission.outcome().ifPresent((outcome) -> this.simulation.observer().told(submission));
+	private void handleEnd(Submission submission, int submissionNumber) {
+		this.openCount--;
+		submission.outcome().ifPresent((outcome) -> this.simulation.ruleChecker().recordOutcome(submission));
 		boolean completed = submission.outcome().filter((outcome) -> outcome == Outcome.COMPLETED).isPresent();
 		if (!completed && submissionNumber < LAST_SUBMISSION && this.random.nextInt(10) < 7) {
-			this.simulation.after(Duration.ofNanos(1_000L * this.random.nextInt(1, 300_000)),
+			this.simulation.schedule(Duration.ofNanos(1_000L * this.random.nextInt(1, 300_000)),
 					() -> submit(submission.operation(), submissionNumber + 1));
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomFaults.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RandomFaults.java
@@ -34,7 +34,7 @@
 	private final RandomGenerator random;
 
 	/** The number of crashes after each kind of event, keyed by process and event. */
-	private final Map<String, Integer> crashes = new TreeMap<>();
+	private final Map<String, Integer> crashCounts = new TreeMap<>();
 
 	private boolean partitioned;
 
@@ -44,7 +44,7 @@
 		this.random = random;
 	}
 
-	void cut(boolean enabled) {
+	void setPartitioned(boolean enabled) {
 		this.partitioned = enabled;
 	}
 
@@ -53,8 +53,8 @@
 		this.partitioned = false;
 	}
 
-	Map<String, Integer> crashes() {
-		return this.crashes;
+	Map<String, Integer> crashCounts() {
+		return this.crashCounts;
 	}
 
 	@Override
@@ -73,18 +73,18 @@
 	}
 
 	@Override
-	public boolean breaksAnswer() {
+	public boolean abortsAnswer() {
 		return this.enabled && this.random.nextInt(ABORT_ONE_IN) == 0;
 	}
 
 	@Override
-	public Duration partTime() {
+	public Duration answerPartDelay() {
 		return Duration.ofNanos(1_000L * this.random.nextInt(500, 10_000));
 	}
 
 	@Override
-	public List<Duration> plan(Node from, Node to) {
-		if (isSilent(from, to) || isSilent(to, from)) {
+	public List<Duration> deliveryDelays(Node from, Node to) {
+		if (isBlackholed(from, to) || isBlackholed(to, from)) {
 			return List.of();
 		}
 		if (!this.enabled) {
@@ -104,11 +104,11 @@
 	private boolean crashesAfter(String node, Class<?> event, int oneIn) {
 		// The probability is high until the first crash, so that the run also covers
 		// crashes after rare events.
-		int crashesSoFar = this.crashes.merge(node + ":" + event.getSimpleName(), 0, Integer::sum);
+		int crashesSoFar = this.crashCounts.merge(node + ":" + event.getSimpleName(), 0, Integer::sum);
 		int currentOneIn = (crashesSoFar == 0) ? FIRST_CRASH_ONE_IN : oneIn;
 		boolean crash = this.enabled && this.random.nextInt(currentOneIn) == 0;
 		if (crash) {
-			this.crashes.merge(node + ":" + event.getSimpleName(), 1, Integer::sum);
+			this.crashCounts.merge(node + ":" + event.getSimpleName(), 1, Integer::sum);
 		}
 		return crash;
 	}
@@ -125,8 +125,8 @@
 		return Duration.ofNanos(1_000L * this.random.nextInt(100, 2_000));
 	}
 
-	static boolean isSilent(Node one, Node other) {
-		return one instanceof EntryNode entry && other instanceof SidecarNode && entry.isSilent(other.name());
+	static boolean isBlackholed(Node one, Node other) {
+		return one instanceof EntryNode entry && other instanceof SidecarNode && entry.isBlackholed(other.name());
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RequestRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RequestRun.java
@@ -38,11 +38,11 @@
 
 	private RandomGenerator random;
 
-	private World simulation;
+	private Simulation simulation;
 
 	private RandomCallers callers;
 
-	private final Observer observer = new Observer();
+	private final RuleChecker ruleChecker = new RuleChecker();
 
 	@Override
 	public void run(BenchOptions options, Reporter reporter) {
@@ -53,13 +53,13 @@
 	void run(long seed, long steps) {
 		this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
 		this.faults = new RandomFaults(this.random);
-		this.simulation = new World(this.faults, this.observer, this.faults);
+		this.simulation = new Simulation(this.faults, this.ruleChecker, this.faults);
 		List.of("e1", "e2", "e3").forEach((name) -> this.simulation.addEntry(name, 0));
 		this.simulation.addEntry("e4", 1);
 		List.of("s1", "s2", "s3", "s4").forEach((name) -> this.simulation.addSidecar(name, 0));
 		this.simulation.addSidecar("s5", 1);
 		this.callers = new RandomCallers(this.simulation, this.random, steps);
-		this.simulation.after(TIME_SLICE, this.callers::arrive);
+		this.simulation.schedule(TIME_SLICE, this.callers::generateArrivals);
 		scheduleDrains();
 		schedulePartitions();
 		scheduleBlackholesAndStalls();
@@ -71,12 +71,12 @@
 		this.simulation.runUntil(this.simulation.now() + SETTLE_TIME.toNanos());
 	}
 
-	Observer observer() {
-		return this.observer;
+	RuleChecker ruleChecker() {
+		return this.ruleChecker;
 	}
 
-	long open() {
-		return this.callers.open();
+	long openCount() {
+		return this.callers.openCount();
 	}
 
 	long invariantBreaches() {
@@ -92,7 +92,7 @@
 		Set<String> uncovered = eventNames("entry:", RequestEvent.class);
 		uncovered.addAll(eventNames("sidecar:", AttemptEvent.class));
 		uncovered.addAll(eventNames("backend:", AttemptEvent.class));
-		this.faults.crashes().forEach((event, count) -> {
+		this.faults.crashCounts().forEach((event, count) -> {
 			if (count > 0) {
 				uncovered.remove(event);
 			}
@@ -110,56 +110,57 @@
 	}
 
 	private void report(long seed, Reporter reporter) {
-		int crashes = this.faults.crashes().values().stream().mapToInt(Integer::intValue).sum();
-		reporter.result("request-random", Field.of("seed", seed), Field.of("sendings", this.callers.sendings()),
-				Field.of("operations", this.callers.operations()),
-				Field.of("completed", this.observer.outcomes(Outcome.COMPLETED)),
-				Field.of("not-run", this.observer.outcomes(Outcome.NOT_RUN)),
-				Field.of("unknown", this.observer.outcomes(Outcome.UNKNOWN)), Field.of("open", open()),
-				Field.of("crashes", crashes), Field.of("worst-lost", this.observer.worstLost()),
+		int crashes = this.faults.crashCounts().values().stream().mapToInt(Integer::intValue).sum();
+		reporter.result("request-random", Field.of("seed", seed), Field.of("sendings", this.callers.submissionCount()),
+				Field.of("operations", this.callers.operationCount()),
+				Field.of("completed", this.ruleChecker.outcomes(Outcome.COMPLETED)),
+				Field.of("not-run", this.ruleChecker.outcomes(Outcome.NOT_RUN)),
+				Field.of("unknown", this.ruleChecker.outcomes(Outcome.UNKNOWN)), Field.of("open", openCount()),
+				Field.of("crashes", crashes), Field.of("worst-lost", this.ruleChecker.maxCrashCount()),
 				Field.of("events-without-crash", eventsWithoutCrash()),
 				Field.of("virtual-seconds", this.simulation.now() / 1_000_000_000));
-		this.observer.notes().forEach((note) -> reporter.result("breach", Field.of("what", note)));
-		for (Observer.Rule rule : Observer.Rule.values()) {
-			reporter.atMost(rule.name().toLowerCase(Locale.ROOT).replace('_', '-'), this.observer.breaches(rule), 0);
+		this.ruleChecker.violationTexts().forEach((note) -> reporter.result("breach", Field.of("what", note)));
+		for (RuleChecker.Rule rule : RuleChecker.Rule.values()) {
+			reporter.atMost(rule.name().toLowerCase(Locale.ROOT).replace('_', '-'), this.ruleChecker.violations(rule),
+					0);
 		}
 		reporter.atMost("invariant-breaches", invariantBreaches(), 0);
-		reporter.atMost("open-sendings", open(), 0);
+		reporter.atMost("open-sendings", openCount(), 0);
 		reporter.atMost("events-without-crash", eventsWithoutCrash().size(), 0);
 	}
 
 	private void scheduleDrains() {
-		this.simulation.after(randomDuration(2, 8), () -> {
-			pickRandom(this.simulation.sidecars()).drain();
+		this.simulation.schedule(randomDuration(2, 8), () -> {
+			pickRandom(this.simulation.sidecars()).startDrain();
 			scheduleDrains();
 		});
 	}
 
 	private void schedulePartitions() {
-		this.simulation.after(randomDuration(15, 40), () -> {
+		this.simulation.schedule(randomDuration(15, 40), () -> {
 			Duration length = randomDuration(1, 6);
-			this.callers.holdPoison(length.plusSeconds(10));
-			this.simulation.after(Duration.ofSeconds(9), () -> this.faults.cut(true));
-			this.simulation.after(length.plusSeconds(9), () -> this.faults.cut(false));
+			this.callers.pausePoison(length.plusSeconds(10));
+			this.simulation.schedule(Duration.ofSeconds(9), () -> this.faults.setPartitioned(true));
+			this.simulation.schedule(length.plusSeconds(9), () -> this.faults.setPartitioned(false));
 			schedulePartitions();
 		});
 	}
 
 	private void scheduleBlackholesAndStalls() {
-		this.simulation.after(randomDuration(1, 3), () -> {
-			pickRandom(this.simulation.entries()).silence(pickRandom(this.simulation.sidecars()).name());
+		this.simulation.schedule(randomDuration(1, 3), () -> {
+			pickRandom(this.simulation.entries()).blackhole(pickRandom(this.simulation.sidecars()).name());
 			pickRandom(this.simulation.sidecars()).stall(randomDuration(0, 2));
 			scheduleBlackholesAndStalls();
 		});
 	}
 
 	private void scheduleQuarantineReviews() {
-		this.simulation.after(Duration.ofSeconds(10), () -> {
+		this.simulation.schedule(Duration.ofSeconds(10), () -> {
 			LedgerNode ledger = this.simulation.ledger();
-			for (PoisonEntry entry : ledger.poison().snapshot().entries()) {
-				if (ledger.poison().assess(entry.fingerprint()) == PoisonVerdict.QUARANTINED
-						&& this.callers.isInnocent(entry.fingerprint())) {
-					ledger.poison().clear(entry.fingerprint(), ledger.logTime());
+			for (PoisonEntry entry : ledger.poisonLedger().snapshot().entries()) {
+				if (ledger.poisonLedger().assess(entry.fingerprint()) == PoisonVerdict.QUARANTINED
+						&& this.callers.isHarmless(entry.fingerprint())) {
+					ledger.poisonLedger().clear(entry.fingerprint(), ledger.logTime());
 				}
 			}
 			scheduleQuarantineReviews();
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Observer.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/RuleChecker.java
@@ -16,10 +16,10 @@
  * observe, independently of the state of entries and sidecars, and records each
  * violation.
  */
-final class Observer {
+final class RuleChecker {
 
 	/** The maximum number of backend servers that requests with one body may crash. */
-	static final int MAX_LOST = 2;
+	static final int MAX_BACKEND_CRASHES = 2;
 
 	private static final int MAX_VIOLATION_TEXTS = 20;
 
@@ -38,15 +38,15 @@
 
 	private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
 
-	private final Map<Rule, Integer> breaches = new EnumMap<>(Rule.class);
+	private final Map<Rule, Integer> violations = new EnumMap<>(Rule.class);
 
-	private final List<String> notes = new ArrayList<>();
+	private final List<String> violationTexts = new ArrayList<>();
 
-	void sent(Sending submission) {
+	void recordSubmission(Submission submission) {
 		this.operationsByRequest.put(submission.id(), submission.operation());
 	}
 
-	void started(RequestId request, boolean afterDrainGrace) {
+	void recordStart(RequestId request, boolean afterDrainGrace) {
 		Operation operation = this.operationsByRequest.get(request);
 		int startsForRequest = this.startsByRequest.merge(request, 1, Integer::sum);
 		int startsForOperation = this.startsByOperation.merge(operation.id(), 1, Integer::sum);
@@ -56,21 +56,21 @@
 		check(!afterDrainGrace, Rule.LEAVING_GETS_NO_WORK, request);
 	}
 
-	void released(RequestId owner) {
-		this.startsAtRelease.put(owner, starts(this.operationsByRequest.get(owner)));
+	void recordClaimRelease(RequestId owner) {
+		this.startsAtRelease.put(owner, startCount(this.operationsByRequest.get(owner)));
 	}
 
-	void lost(RequestId request) {
+	void recordBackendCrash(RequestId request) {
 		String body = this.operationsByRequest.get(request).body();
-		check(this.crashesByBody.merge(body, 1, Integer::sum) <= MAX_LOST, Rule.TWO_LOST_AT_MOST, request);
+		check(this.crashesByBody.merge(body, 1, Integer::sum) <= MAX_BACKEND_CRASHES, Rule.TWO_LOST_AT_MOST, request);
 	}
 
-	void told(Sending submission) {
+	void recordOutcome(Submission submission) {
 		Outcome outcome = submission.outcome().orElseThrow();
 		this.outcomes.merge(outcome, 1, Integer::sum);
-		check(submission.isPrefix(), Rule.OWN_WHOLE_ANSWER, submission.id());
+		check(submission.isAnswerPrefix(), Rule.OWN_WHOLE_ANSWER, submission.id());
 		if (outcome == Outcome.COMPLETED) {
-			check(submission.isWhole(), Rule.OWN_WHOLE_ANSWER, submission.id());
+			check(submission.isAnswerComplete(), Rule.OWN_WHOLE_ANSWER, submission.id());
 		}
 		else if (outcome == Outcome.NOT_RUN) {
 			this.reportedNotRun.add(submission.id());
@@ -81,11 +81,11 @@
 		}
 	}
 
-	void interrupted(String server, int running) {
+	void recordDrainEnd(String server, int running) {
 		check(running == 0, Rule.DRAIN_INTERRUPTS_NOTHING, RequestId.of(server));
 	}
 
-	int starts(Operation operation) {
+	int startCount(Operation operation) {
 		return this.startsByOperation.getOrDefault(operation.id(), 0);
 	}
 
@@ -93,7 +93,7 @@
 		return this.crashesByBody.getOrDefault(operation.body(), 0);
 	}
 
-	int worstLost() {
+	int maxCrashCount() {
 		return this.crashesByBody.values().stream().mapToInt(Integer::intValue).max().orElse(0);
 	}
 
@@ -101,19 +101,19 @@
 		return this.outcomes.getOrDefault(outcome, 0);
 	}
 
-	int breaches(Rule rule) {
-		return this.breaches.getOrDefault(rule, 0);
+	int violations(Rule rule) {
+		return this.violations.getOrDefault(rule, 0);
 	}
 
-	List<String> notes() {
-		return this.notes;
+	List<String> violationTexts() {
+		return this.violationTexts;
 	}
 
 	private void check(boolean condition, Rule rule, RequestId request) {
 		if (!condition) {
-			this.breaches.merge(rule, 1, Integer::sum);
-			if (this.notes.size() < MAX_VIOLATION_TEXTS) {
-				this.notes.add(rule + " " + request);
+			this.violations.merge(rule, 1, Integer::sum);
+			if (this.violationTexts.size() < MAX_VIOLATION_TEXTS) {
+				this.violationTexts.add(rule + " " + request);
 			}
 		}
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/ScriptedFaults.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/ScriptedFaults.java
@@ -19,15 +19,15 @@
 
 	private boolean duplicating;
 
-	void delayMessages(Duration delay) {
+	void setExtraDelay(Duration delay) {
 		this.extraDelay = delay;
 	}
 
-	void doubleMessages(boolean enabled) {
+	void setDuplicating(boolean enabled) {
 		this.duplicating = enabled;
 	}
 
-	void cut(boolean enabled) {
+	void setPartitioned(boolean enabled) {
 		this.partitioned = enabled;
 	}
 
@@ -47,18 +47,18 @@
 	}
 
 	@Override
-	public boolean breaksAnswer() {
+	public boolean abortsAnswer() {
 		return false;
 	}
 
 	@Override
-	public Duration partTime() {
+	public Duration answerPartDelay() {
 		return PART_TIME;
 	}
 
 	@Override
-	public List<Duration> plan(Node from, Node to) {
-		if (RandomFaults.isSilent(from, to) || RandomFaults.isSilent(to, from)) {
+	public List<Duration> deliveryDelays(Node from, Node to) {
+		if (RandomFaults.isBlackholed(from, to) || RandomFaults.isBlackholed(to, from)) {
 			return List.of();
 		}
 		if (this.partitioned && from.region() != to.region()) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/SidecarNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/SidecarNode.java
@@ -58,7 +58,7 @@
 	/** The time after the start of a drain in which runs may still be started. */
 	private static final Duration DRAIN_GRACE_PERIOD = Duration.ofSeconds(2);
 
-	private final World simulation;
+	private final Simulation simulation;
 
 	private final BackendServerId server;
 
@@ -76,7 +76,7 @@
 
 	private long drainStartedAt = Long.MAX_VALUE;
 
-	SidecarNode(World simulation, String name, int region) {
+	SidecarNode(Simulation simulation, String name, int region) {
 		super(name, region);
 		this.simulation = simulation;
 		this.server = BackendServerId.of(name);
@@ -88,10 +88,10 @@
 	}
 
 	Incarnation incarnation() {
-		return Incarnation.of(life());
+		return Incarnation.of(incarnationNumber());
 	}
 
-	int running() {
+	int runningCount() {
 		return this.runningAttempts.size();
 	}
 
@@ -114,19 +114,19 @@
 		}
 	}
 
-	void publish() {
+	void publishState() {
 		if (isAlive()) {
 			receive(new TimePassed());
 			AttemptTarget target = new AttemptTarget(this.server, incarnation(), this.registry.window());
 			boolean draining = this.registry.isDraining();
 			for (EntryNode entry : this.simulation.entries()) {
-				this.simulation.send(this, entry, () -> entry.heard(target, draining));
+				this.simulation.send(this, entry, () -> entry.updateSidecar(target, draining));
 			}
 		}
-		this.simulation.after(PUBLISH_INTERVAL, this::publish);
+		this.simulation.schedule(PUBLISH_INTERVAL, this::publishState);
 	}
 
-	void drain() {
+	void startDrain() {
 		this.drainStartedAt = Math.min(this.drainStartedAt, this.simulation.now());
 		receive(new DrainStarted());
 	}
@@ -134,19 +134,19 @@
 	void crash() {
 		stop();
 		abortRuns();
-		this.simulation.after(RESTART_DELAY, this::restartProcess);
+		this.simulation.schedule(RESTART_DELAY, this::restartProcess);
 	}
 
 	void crashBackend() {
 		this.backendUp = false;
 		abortRuns();
-		this.simulation.afterIfSame(this, RESTART_DELAY, () -> this.backendUp = true);
+		this.simulation.scheduleUnlessRestarted(this, RESTART_DELAY, () -> this.backendUp = true);
 		receive(new BackendCrashed());
 	}
 
 	void stall(Duration duration) {
 		this.stalled = true;
-		this.simulation.after(duration, () -> this.stalled = false);
+		this.simulation.schedule(duration, () -> this.stalled = false);
 	}
 
 	private void abortRuns() {
@@ -164,7 +164,7 @@
 
 	private AttemptRegistry createRegistry() {
 		return new AttemptRegistry(this.server, incarnation(), SETTINGS, this.simulation.invariants(),
-				(record) -> this.simulation.listener().onDecision(record), this.simulation.now());
+				(record) -> this.simulation.decisionListener().onDecision(record), this.simulation.now());
 	}
 
 	private void execute(AttemptCommand command) {
@@ -193,13 +193,14 @@
 		}
 		else if (command instanceof ReportCrash report) {
 			this.simulation.ledger()
-				.callUntilAnswered(this,
-						LedgerNode.none((ledger) -> ledger.poison().recordCrash(report.report(), ledger.logTime())),
+				.callWithRetries(this,
+						LedgerNode.returningEmpty(
+								(ledger) -> ledger.poisonLedger().recordCrash(report.report(), ledger.logTime())),
 						(result) -> {
 						});
 		}
 		else if (command instanceof FinishDrain) {
-			this.simulation.observer().interrupted(name(), this.runningAttempts.size());
+			this.simulation.ruleChecker().recordDrainEnd(name(), this.runningAttempts.size());
 			crash();
 		}
 	}
@@ -211,16 +212,16 @@
 
 	private void startRun(AttemptId attempt) {
 		if (!this.backendUp) {
-			this.simulation.afterIfSame(this, Duration.ofMillis(1), () -> receive(new RunRefused(attempt)));
+			this.simulation.scheduleUnlessRestarted(this, Duration.ofMillis(1), () -> receive(new RunRefused(attempt)));
 			return;
 		}
 		boolean afterDrainGrace = this.simulation.now() - DRAIN_GRACE_PERIOD.toNanos() > this.drainStartedAt;
-		this.simulation.observer().started(attempt.request(), afterDrainGrace);
+		this.simulation.ruleChecker().recordStart(attempt.request(), afterDrainGrace);
 		this.runningAttempts.add(attempt);
 		Operation operation = this.operations.get(attempt);
 		if (operation.poison()) {
 			scheduleIfRunning(attempt, () -> {
-				this.simulation.observer().lost(attempt.request());
+				this.simulation.ruleChecker().recordBackendCrash(attempt.request());
 				crashBackend();
 			});
 		}
@@ -235,12 +236,12 @@
 				schedulePart(attempt, operation, index);
 				return;
 			}
-			if (this.simulation.faults().breaksAnswer()) {
+			if (this.simulation.faults().abortsAnswer()) {
 				this.runningAttempts.remove(attempt);
 				receive(new RunBroken(attempt));
 				return;
 			}
-			boolean last = index > Operation.CHUNKS;
+			boolean last = index > Operation.ANSWER_CHUNKS;
 			if (last) {
 				this.runningAttempts.remove(attempt);
 			}
@@ -253,7 +254,7 @@
 
 	private void scheduleIfRunning(AttemptId attempt, Runnable action) {
 		long incarnation = this.backendIncarnation;
-		this.simulation.after(this.simulation.faults().partTime(), () -> {
+		this.simulation.schedule(this.simulation.faults().answerPartDelay(), () -> {
 			if (this.backendIncarnation == incarnation && this.runningAttempts.contains(attempt)) {
 				action.run();
 			}
@@ -264,10 +265,10 @@
 		if (index == 0) {
 			return new AnswerHead(200, "text/plain");
 		}
-		if (index > Operation.CHUNKS) {
+		if (index > Operation.ANSWER_CHUNKS) {
 			return new AnswerEnd();
 		}
-		return new AnswerChunk(Bytes.ofText(operation.answer().get(index - 1)));
+		return new AnswerChunk(Bytes.ofText(operation.answerChunks().get(index - 1)));
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/World.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Simulation.java
@@ -15,13 +15,13 @@
  * is single-threaded, and actions due at the same time run in the order in which they
  * were scheduled.
  */
-final class World {
+final class Simulation {
 
 	private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
 
 	private final Network network;
 
-	private final Observer observer;
+	private final RuleChecker ruleChecker;
 
 	private final Faults faults;
 
@@ -37,21 +37,21 @@
 
 	private final LedgerNode ledger;
 
-	private DecisionListener listener = DecisionListener.NONE;
+	private DecisionListener decisionListener = DecisionListener.NONE;
 
 	private long now;
 
 	private long nextSequence;
 
-	World(Network network, Observer ruleChecker, Faults faults) {
+	Simulation(Network network, RuleChecker ruleChecker, Faults faults) {
 		this.network = network;
-		this.observer = ruleChecker;
+		this.ruleChecker = ruleChecker;
 		this.faults = faults;
 		this.ledger = new LedgerNode(this);
 	}
 
-	void listenTo(DecisionListener listener) {
-		this.listener = listener;
+	void setDecisionListener(DecisionListener listener) {
+		this.decisionListener = listener;
 	}
 
 	EntryNode addEntry(String name, int region) {
@@ -65,7 +65,7 @@
 		SidecarNode sidecar = new SidecarNode(this, name, region);
 		this.sidecars.add(sidecar);
 		this.sidecarsByName.put(name, sidecar);
-		sidecar.publish();
+		sidecar.publishState();
 		return sidecar;
 	}
 
@@ -73,8 +73,8 @@
 		return this.now;
 	}
 
-	Observer observer() {
-		return this.observer;
+	RuleChecker ruleChecker() {
+		return this.ruleChecker;
 	}
 
 	Faults faults() {
@@ -85,8 +85,8 @@
 		return this.invariants;
 	}
 
-	DecisionListener listener() {
-		return this.listener;
+	DecisionListener decisionListener() {
+		return this.decisionListener;
 	}
 
 	LedgerNode ledger() {
@@ -116,8 +116,8 @@
 	 * @param action handles one copy at the receiver
 	 */
 	void send(Node from, Node to, Runnable action) {
-		for (Duration delay : this.network.plan(from, to)) {
-			after(delay, () -> {
+		for (Duration delay : this.network.deliveryDelays(from, to)) {
+			schedule(delay, () -> {
 				if (to.isAlive()) {
 					action.run();
 				}
@@ -131,16 +131,16 @@
 	 * @param delay the delay in virtual time
 	 * @param action the action
 	 */
-	void afterIfSame(Node node, Duration delay, Runnable action) {
-		long incarnation = node.life();
-		after(delay, () -> {
-			if (node.isAlive() && node.life() == incarnation) {
+	void scheduleUnlessRestarted(Node node, Duration delay, Runnable action) {
+		long incarnation = node.incarnationNumber();
+		schedule(delay, () -> {
+			if (node.isAlive() && node.incarnationNumber() == incarnation) {
 				action.run();
 			}
 		});
 	}
 
-	void after(Duration delay, Runnable action) {
+	void schedule(Duration delay, Runnable action) {
 		this.queue.add(new ScheduledAction(this.now + delay.toNanos(), this.nextSequence++, action));
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Sending.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/Submission.java
@@ -14,21 +14,21 @@
  * One submission of an operation to an entry, as observed by the caller. A caller may
  * submit the same operation several times, each time under a new request identifier.
  */
-final class Sending {
+final class Submission {
 
 	private final RequestId id;
 
 	private final Operation operation;
 
-	private final Consumer<Sending> listener;
+	private final Consumer<Submission> listener;
 
-	private final StringBuilder received = new StringBuilder();
+	private final StringBuilder receivedText = new StringBuilder();
 
 	private Optional<Outcome> outcome = Optional.empty();
 
-	private boolean abandoned;
+	private boolean connectionLost;
 
-	Sending(RequestId id, Operation operation, Consumer<Sending> listener) {
+	Submission(RequestId id, Operation operation, Consumer<Submission> listener) {
 		this.id = id;
 		this.operation = operation;
 		this.listener = listener;
@@ -42,15 +42,15 @@
 		return this.operation;
 	}
 
-	void part(AnswerPart part) {
+	void receivePart(AnswerPart part) {
 		if (part instanceof AnswerHead) {
-			this.received.append("<");
+			this.receivedText.append("<");
 		}
 		else if (part instanceof AnswerChunk chunk) {
-			this.received.append(chunk.payload().toText());
+			this.receivedText.append(chunk.payload().toText());
 		}
 		else if (part instanceof AnswerEnd) {
-			this.received.append(">");
+			this.receivedText.append(">");
 		}
 	}
 
@@ -59,29 +59,29 @@
 		this.listener.accept(this);
 	}
 
-	void abandon() {
-		this.abandoned = true;
+	void loseConnection() {
+		this.connectionLost = true;
 		this.listener.accept(this);
 	}
 
-	boolean isAbandoned() {
-		return this.abandoned;
+	boolean isConnectionLost() {
+		return this.connectionLost;
 	}
 
 	Optional<Outcome> outcome() {
 		return this.outcome;
 	}
 
-	String received() {
-		return this.received.toString();
+	String receivedText() {
+		return this.receivedText.toString();
 	}
 
-	boolean isWhole() {
-		return received().equals("<" + String.join("", this.operation.answer()) + ">");
+	boolean isAnswerComplete() {
+		return receivedText().equals("<" + String.join("", this.operation.answerChunks()) + ">");
 	}
 
-	boolean isPrefix() {
-		return ("<" + String.join("", this.operation.answer()) + ">").startsWith(received());
+	boolean isAnswerPrefix() {
+		return ("<" + String.join("", this.operation.answerChunks()) + ">").startsWith(receivedText());
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/request/TraceReplay.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/request/TraceReplay.java
@@ -30,11 +30,11 @@
 
 	private final ScriptedFaults faults = new ScriptedFaults();
 
-	private final Observer observer = new Observer();
+	private final RuleChecker ruleChecker = new RuleChecker();
 
-	private final World simulation = new World(this.faults, this.observer, this.faults);
+	private final Simulation simulation = new Simulation(this.faults, this.ruleChecker, this.faults);
 
-	private final Map<String, Sending> sendings = new HashMap<>();
+	private final Map<String, Submission> submissions = new HashMap<>();
 
 	private final Map<String, Operation> operations = new HashMap<>();
 
@@ -56,13 +56,13 @@
 			}
 			else if (!text.isEmpty()) {
 				long millis = Long.parseLong(fields[0]);
-				this.simulation.after(Duration.ofMillis((millis > 0) ? millis + START_MILLIS : 0),
+				this.simulation.schedule(Duration.ofMillis((millis > 0) ? millis + START_MILLIS : 0),
 						() -> execute(fields));
 			}
 		}
 		this.simulation.runUntil(Duration.ofMillis(END_MILLIS).toNanos());
 		expectations.forEach(this::checkExpectation);
-		this.differences.addAll(this.observer.notes());
+		this.differences.addAll(this.ruleChecker.violationTexts());
 		return this.differences;
 	}
 
@@ -75,12 +75,12 @@
 			case "crash-entry" -> this.simulation.entry(subject).crash();
 			case "crash-sidecar" -> this.simulation.sidecar(subject).crash();
 			case "crash-backend" -> this.simulation.sidecar(subject).crashBackend();
-			case "drain" -> this.simulation.sidecar(subject).drain();
-			case "silence" -> this.simulation.entry(subject).silence(fields[3]);
+			case "drain" -> this.simulation.sidecar(subject).startDrain();
+			case "silence" -> this.simulation.entry(subject).blackhole(fields[3]);
 			case "stall" -> this.simulation.sidecar(subject).stall(Duration.ofMillis(Long.parseLong(fields[3])));
-			case "late" -> this.faults.delayMessages(Duration.ofMillis(Long.parseLong(subject)));
-			case "doubled" -> this.faults.doubleMessages(subject.equals("on"));
-			case "cut" -> this.faults.cut(subject.equals("on"));
+			case "late" -> this.faults.setExtraDelay(Duration.ofMillis(Long.parseLong(subject)));
+			case "doubled" -> this.faults.setDuplicating(subject.equals("on"));
+			case "cut" -> this.faults.setPartitioned(subject.equals("on"));
 			default -> this.differences.add("unknown verb " + fields[1]);
 		}
 	}
@@ -91,22 +91,22 @@
 			Operation.Kind kind = Operation.Kind.valueOf(fields[4].toUpperCase(Locale.ROOT));
 			return new Operation(id, kind, id, poison);
 		});
-		Sending submission = new Sending(RequestId.of(name), operation, this::recordOutcome);
-		this.sendings.put(name, submission);
-		this.simulation.entry(fields[5]).accept(submission);
+		Submission submission = new Submission(RequestId.of(name), operation, this::recordOutcome);
+		this.submissions.put(name, submission);
+		this.simulation.entry(fields[5]).submit(submission);
 	}
 
-	private void recordOutcome(Sending submission) {
+	private void recordOutcome(Submission submission) {
 		if (submission.outcome().isPresent()) {
-			this.observer.told(submission);
+			this.ruleChecker.recordOutcome(submission);
 		}
 	}
 
 	private void checkExpectation(String[] fields) {
 		String actual = switch (fields[1]) {
-			case "outcome" -> outcomeName(this.sendings.get(fields[2]));
-			case "runs" -> Integer.toString(this.observer.starts(this.operations.get(fields[2])));
-			case "lost" -> Integer.toString(this.observer.crashCount(this.operations.get(fields[2])));
+			case "outcome" -> outcomeName(this.submissions.get(fields[2]));
+			case "runs" -> Integer.toString(this.ruleChecker.startCount(this.operations.get(fields[2])));
+			case "lost" -> Integer.toString(this.ruleChecker.crashCount(this.operations.get(fields[2])));
 			default -> "unknown expectation";
 		};
 		if (!actual.equals(fields[3])) {
@@ -114,8 +114,8 @@
 		}
 	}
 
-	private static String outcomeName(Sending submission) {
-		if (submission.isAbandoned()) {
+	private static String outcomeName(Submission submission) {
+		if (submission.isConnectionLost()) {
 			return "broken";
 		}
 		return submission.outcome().map((outcome) -> outcome.name().toLowerCase(Locale.ROOT)).orElse("open");
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/request/RequestRunTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/request/RequestRunTests.java
@@ -16,11 +16,11 @@
 	void keepsAllRulesUnderRandomFaults() {
 		RequestRun run = new RequestRun();
 		run.run(SEED, RequestRun.DEFAULT_STEPS);
-		assertThat(run.observer().notes()).isEmpty();
+		assertThat(run.ruleChecker().violationTexts()).isEmpty();
 		assertThat(run.invariantBreaches()).isZero();
-		assertThat(run.open()).isZero();
+		assertThat(run.openCount()).isZero();
 		assertThat(run.eventsWithoutCrash()).isEmpty();
-		assertThat(run.observer().outcomes(Outcome.COMPLETED)).isGreaterThan((int) (RequestRun.DEFAULT_STEPS / 2));
+		assertThat(run.ruleChecker().outcomes(Outcome.COMPLETED)).isGreaterThan((int) (RequestRun.DEFAULT_STEPS / 2));
 	}
 
 }
