--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/MeasurementRegistry.java
@@ -9,7 +9,7 @@
 import org.comfreywall.bench.config.ConfigurationMeasurement;
 import org.comfreywall.bench.control.ControlLogMeasurement;
 import org.comfreywall.bench.control.ControlRandomMeasurement;
-import org.comfreywall.bench.life.RandomisedLifeRun;
+import org.comfreywall.bench.life.RandomisedLifecycleRun;
 import org.comfreywall.bench.limits.LimitsMeasurement;
 import org.comfreywall.bench.limits.RandomLimitsMeasurement;
 import org.comfreywall.bench.mapswitch.RandomisedSwitchRun;
@@ -24,7 +24,7 @@
 import org.comfreywall.bench.routing.RoutingMeasurement;
 import org.comfreywall.bench.routing.SubsetsMeasurement;
 import org.comfreywall.bench.spread.ControlSpreadMeasurement;
-import org.comfreywall.bench.spread.SpreadRandom;
+import org.comfreywall.bench.spread.SpreadRandomMeasurement;
 
 /**
  * Registry of the measurements by their names on the command line.
@@ -42,9 +42,9 @@
 		registry.add("control", ControlSpreadMeasurement::new);
 		registry.add("control-log", ControlLogMeasurement::new);
 		registry.add("control-random", ControlRandomMeasurement::new);
-		registry.add("control-spread-random", SpreadRandom::new);
+		registry.add("control-spread-random", SpreadRandomMeasurement::new);
 		registry.add("decide", DecideMeasurement::new);
-		registry.add("group-life-random", RandomisedLifeRun::new);
+		registry.add("group-life-random", RandomisedLifecycleRun::new);
 		registry.add("limits", LimitsMeasurement::new);
 		registry.add("limits-random", RandomLimitsMeasurement::new);
 		registry.add("mapswitch", SwitchMeasurement::new);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/config/ConfigurationMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/config/ConfigurationMeasurement.java
@@ -41,14 +41,14 @@
 	}
 
 	private static void measure(RandomConfigurations configurations, Reporter reporter) {
-		Configuration before = configurations.generate(FleetSize.LARGE);
-		Configuration after = configurations.generate(FleetSize.LARGE);
+		Configuration before = configurations.generate(ConfigurationSize.LARGE);
+		Configuration after = configurations.generate(ConfigurationSize.LARGE);
 		String text = ConfigurationWriter.write(before);
 		double write = medianNanos(() -> ConfigurationWriter.write(before));
 		double read = medianNanos(() -> ConfigurationReader.parse("large.toml", text));
 		double diff = medianNanos(() -> ConfigurationDiff.between(before, after));
-		reporter.result("configuration-large", Field.of("accounts", FleetSize.LARGE.accounts()),
-				Field.of("groups", FleetSize.LARGE.groups()),
+		reporter.result("configuration-large", Field.of("accounts", ConfigurationSize.LARGE.accounts()),
+				Field.of("groups", ConfigurationSize.LARGE.groups()),
 				Field.of("size-bytes", text.getBytes(StandardCharsets.UTF_8).length),
 				Field.of("write-ms", formatMillis(write)), Field.of("read-ms", formatMillis(read)),
 				Field.of("diff-ms", formatMillis(diff)));
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/config/ConfigurationRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/config/ConfigurationRun.java
@@ -38,7 +38,7 @@
 	}
 
 	void step() {
-		Configuration before = this.configurations.generate(FleetSize.SMALL);
+		Configuration before = this.configurations.generate(ConfigurationSize.SMALL);
 		check(equalIgnoringOrder(before, read(ConfigurationWriter.write(before))));
 		Set<String> changedNames = new TreeSet<>();
 		Configuration after = changeAccounts(before, changedNames);
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/config/FleetSize.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/config/ConfigurationSize.java
@@ -8,10 +8,10 @@
  * @param accounts the number of client accounts
  * @param groups the number of groups
  */
-record FleetSize(int failureDomains, int models, int accounts, int groups) {
+record ConfigurationSize(int failureDomains, int models, int accounts, int groups) {
 
-	static final FleetSize SMALL = new FleetSize(3, 2, 10, 2);
+	static final ConfigurationSize SMALL = new ConfigurationSize(3, 2, 10, 2);
 
-	static final FleetSize LARGE = new FleetSize(20, 24, 5_300, 1_094);
+	static final ConfigurationSize LARGE = new ConfigurationSize(20, 24, 5_300, 1_094);
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/config/RandomConfigurations.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/config/RandomConfigurations.java
@@ -35,7 +35,7 @@
 		this.random = random;
 	}
 
-	Configuration generate(FleetSize size) {
+	Configuration generate(ConfigurationSize size) {
 		List<ServiceDescriptor> services = IntStream.range(0, size.models() + 1).mapToObj(this::service).toList();
 		return new Configuration(IntStream.range(0, size.failureDomains()).mapToObj(this::failureDomain).toList(),
 				services, IntStream.range(0, size.accounts()).mapToObj((i) -> account(i, services)).toList(),
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClaimants.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ClaimClients.java
@@ -23,7 +23,7 @@
  * Clients that claim the same idempotency keys several times at once, as entries do when
  * a caller resends a request through more than one of them.
  */
-final class RunClaimants {
+final class ClaimClients {
 
 	private static final long MAX_INTERVAL_NANOS = Duration.ofMillis(20).toNanos();
 
@@ -33,11 +33,11 @@
 
 	private static final double RECORDED_ANSWER_SHARE = 0.5;
 
-	private final RunWorld cluster;
+	private final SimulatedCluster cluster;
 
 	private int claimsSent;
 
-	RunClaimants(RunWorld cluster) {
+	ClaimClients(SimulatedCluster cluster) {
 		this.cluster = cluster;
 	}
 
@@ -62,7 +62,7 @@
 		if (!granted) {
 			return;
 		}
-		this.cluster.checker().granted(key, owner);
+		this.cluster.checker().checkClaimGrant(key, owner);
 		if (this.cluster.random().nextDouble() < RECORDED_ANSWER_SHARE) {
 			RecordedAnswer recorded = new RecordedAnswer(200, "text/plain", Bytes.ofText("booked"));
 			submit(ClaimCommandCodec.recordAnswer(key, owner, recorded), (result) -> checkAnswerRecorded(key, result));
@@ -75,7 +75,7 @@
 	}
 
 	private void submit(Bytes command, Consumer<Bytes> onAnswer) {
-		this.cluster.anyLeader().propose(new LedgerCommand(ReplicatedClaims.NAME, command).encode(), onAnswer);
+		this.cluster.randomLeader().propose(new LedgerCommand(ReplicatedClaims.NAME, command).encode(), onAnswer);
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/CommitLoadResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/CommitLoadResult.java
@@ -16,7 +16,7 @@
 
 	private static final double NANOS_PER_MILLI = 1e6;
 
-	double perSecond() {
+	double proposalsPerSecond() {
 		return this.count * NANOS_PER_SECOND / this.elapsedNanos;
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClients.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ConfigurationClients.java
@@ -22,7 +22,7 @@
  * Operators that submit concurrent changes for the same revision, resend earlier changes
  * and read the configuration.
  */
-final class RunClients {
+final class ConfigurationClients {
 
 	private static final long MAX_INTERVAL_NANOS = Duration.ofMillis(8).toNanos();
 
@@ -32,7 +32,7 @@
 
 	private static final int DOMAINS = 20;
 
-	private final RunWorld cluster;
+	private final SimulatedCluster cluster;
 
 	private final List<ConfigurationChange> recent = new ArrayList<>();
 
@@ -40,7 +40,7 @@
 
 	private long changesCreated;
 
-	RunClients(RunWorld cluster) {
+	ConfigurationClients(SimulatedCluster cluster) {
 		this.cluster = cluster;
 	}
 
@@ -93,19 +93,19 @@
 		}
 		this.recent.add(change);
 		Bytes command = new LedgerCommand(ConfigurationLedger.NAME, ChangeCodec.encode(change)).encode();
-		this.cluster.anyLeader().propose(command, (answer) -> handleAnswer(change, answer));
+		this.cluster.randomLeader().propose(command, (answer) -> handleAnswer(change, answer));
 	}
 
 	private void handleAnswer(ConfigurationChange change, Bytes encoded) {
 		ChangeAnswer answer = ChangeCodec.decodeAnswer(encoded).value().orElseThrow();
-		this.cluster.checker().answered(change, answer);
+		this.cluster.checker().checkAnswer(change, answer);
 		if (answer instanceof ChangeAccepted accepted && this.latestRevision.isBefore(accepted.revision())) {
 			this.latestRevision = accepted.revision();
 		}
 	}
 
 	private void read() {
-		RunInstance instance = this.cluster.anyLeader();
+		SimulatedInstance instance = this.cluster.randomLeader();
 		Revision expected = this.latestRevision;
 		if (instance.isUp()) {
 			instance.read(() -> checkRead(expected, instance.state().configuration().revision()));
@@ -113,7 +113,7 @@
 	}
 
 	private void checkRead(Revision expected, Revision seen) {
-		this.cluster.checker().read(expected, seen);
+		this.cluster.checker().checkRead(expected, seen);
 		this.latestRevision = this.latestRevision.isBefore(seen) ? seen : this.latestRevision;
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ControlLogMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ControlLogMeasurement.java
@@ -39,8 +39,8 @@
 	public void run(BenchOptions options, Reporter reporter) throws Exception {
 		long proposals = options.steps(DEFAULT_PROPOSALS);
 		for (int size : CLUSTER_SIZES) {
-			Slope wall = new Slope();
-			Slope processor = new Slope();
+			LinearRegression wall = new LinearRegression();
+			LinearRegression processor = new LinearRegression();
 			for (int group : COMMIT_GROUP_SIZES) {
 				measure(size, group, Math.min(proposals, MIN_PROPOSALS + (long) group * PROPOSALS_PER_GROUP_MEMBER),
 						wall, processor, reporter);
@@ -49,8 +49,8 @@
 		}
 	}
 
-	private static void measure(int size, int group, long proposals, Slope wall, Slope processor, Reporter reporter)
-			throws Exception {
+	private static void measure(int size, int group, long proposals, LinearRegression wall, LinearRegression processor,
+			Reporter reporter) throws Exception {
 		try (CommitCluster cluster = new CommitCluster(size, group)) {
 			CommitLoad load = new CommitLoad(cluster.awaitLeader(), group);
 			load.run(Math.min(proposals, WARM_UP_PROPOSALS));
@@ -72,14 +72,15 @@
 		reporter.result("control-log", Field.of("instances", size), Field.of("group", group),
 				Field.of("proposals", result.count()), Field.of("failed", result.failed()),
 				Field.of("p50-ms", result.millisAt(50)), Field.of("p95-ms", result.millisAt(95)),
-				Field.of("p99-ms", result.millisAt(99)), Field.of("per-second", Math.round(result.perSecond())),
+				Field.of("p99-ms", result.millisAt(99)),
+				Field.of("per-second", Math.round(result.proposalsPerSecond())),
 				Field.of("processor-us-per-proposal", String.format("%.1f", processorPerProposal / 1e3)));
 		reporter.atMost("control-log-failed-" + size + "-" + group, result.failed(), 0);
 	}
 
 	// The cost of a commit group is a fixed time for its sync, the intercept, plus a time
 	// for each proposal in it, the slope.
-	private static void reportSlopes(int size, Slope wall, Slope processor, Reporter reporter) {
+	private static void reportSlopes(int size, LinearRegression wall, LinearRegression processor, Reporter reporter) {
 		double leaderTimeShare = wall.slope() * TARGET_CLAIMS_PER_SECOND / NANOS_PER_SECOND;
 		reporter.result("control-log-slope", Field.of("instances", size),
 				Field.of("group-fixed-ms", String.format("%.2f", wall.intercept() / 1e6)),
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ControlRandomMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ControlRandomMeasurement.java
@@ -19,11 +19,11 @@
 	public void run(BenchOptions options, Reporter reporter) {
 		long steps = options.steps(DEFAULT_STEPS);
 		for (int size : CLUSTER_SIZES) {
-			report(size, new RandomRun(options.seed(), size).run(steps), options, reporter);
+			report(size, new LogRandomRun(options.seed(), size).run(steps), options, reporter);
 		}
 	}
 
-	private static void report(int size, RandomRunResult result, BenchOptions options, Reporter reporter) {
+	private static void report(int size, LogRandomRunResult result, BenchOptions options, Reporter reporter) {
 		result.violations().forEach((violation) -> reporter.result("violation", Field.of("what", violation)));
 		reporter.result("control-random", Field.of("seed", options.seed()), Field.of("instances", size),
 				Field.of("steps", result.steps()), Field.of("terms", result.terms()),
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunClock.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/DriftingClock.java
@@ -6,9 +6,9 @@
  * @param offsetNanos the reading in nanoseconds at the start of the run
  * @param speed the rate of the clock relative to simulated time
  */
-record RunClock(long offsetNanos, double speed) {
+record DriftingClock(long offsetNanos, double speed) {
 
-	long at(long simulatedNanos) {
+	long readingAt(long simulatedNanos) {
 		return this.offsetNanos + (long) (simulatedNanos * this.speed);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunSchedule.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/EventQueue.java
@@ -7,7 +7,7 @@
  * Discrete-event queue: runs scheduled actions in order of simulated time and counts each
  * as a step.
  */
-final class RunSchedule {
+final class EventQueue {
 
 	private final PriorityQueue<Scheduled> queue = new PriorityQueue<>(
 			Comparator.comparingLong(Scheduled::time).thenComparingLong(Scheduled::order));
@@ -28,7 +28,7 @@
 		this.queue.add(new Scheduled(this.now + nanos, this.steps + this.queue.size(), action));
 	}
 
-	void step() {
+	void runNext() {
 		Scheduled next = this.queue.remove();
 		this.now = next.time();
 		this.steps++;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunFaults.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/FaultInjector.java
@@ -9,7 +9,7 @@
  * Injects random faults: crashes and restarts instances, fails their syncs, partitions
  * and heals the network, transfers leadership and takes snapshots.
  */
-final class RunFaults {
+final class FaultInjector {
 
 	private static final long MAX_INTERVAL_NANOS = Duration.ofMillis(300).toNanos();
 
@@ -21,24 +21,24 @@
 
 	private static final double MAX_LOSS_SHARE = 0.3;
 
-	private final RunWorld cluster;
+	private final SimulatedCluster cluster;
 
 	private boolean stopped;
 
-	private long faults;
+	private long injectedFaults;
 
-	RunFaults(RunWorld cluster) {
+	FaultInjector(SimulatedCluster cluster) {
 		this.cluster = cluster;
 	}
 
-	long faults() {
-		return this.faults;
+	long injectedFaults() {
+		return this.injectedFaults;
 	}
 
 	void start() {
 		this.cluster.schedule().after(this.cluster.random().nextLong(MAX_INTERVAL_NANOS), () -> {
 			if (!this.stopped) {
-				this.faults++;
+				this.injectedFaults++;
 				injectFault();
 				start();
 			}
@@ -52,15 +52,15 @@
 
 	private void injectFault() {
 		switch (this.cluster.random().nextInt(FAULT_KINDS)) {
-			case 0, 1 -> crash(this.cluster.anyInstance());
-			case 2 -> crash(this.cluster.anyLeader());
-			case 3 -> this.cluster.anyInstance().failNextSync();
-			case 4 -> isolate(this.cluster.anyLeader());
+			case 0, 1 -> crash(this.cluster.randomInstance());
+			case 2 -> crash(this.cluster.randomLeader());
+			case 3 -> this.cluster.randomInstance().failNextSync();
+			case 4 -> isolate(this.cluster.randomLeader());
 			case 5 -> partition();
 			case 6 -> startMessageLoss();
-			case 7 -> this.cluster.anyLeader().event(new TransferRequested(this.cluster.anyInstance().id()));
+			case 7 -> this.cluster.randomLeader().process(new TransferRequested(this.cluster.randomInstance().id()));
 			case 8 -> crashAll();
-			case 9 -> this.cluster.anyInstance().takeSnapshot();
+			case 9 -> this.cluster.randomInstance().takeSnapshot();
 			default -> this.cluster.network().heal();
 		}
 	}
@@ -74,7 +74,7 @@
 		this.cluster.schedule().after(this.cluster.random().nextLong(MAX_CUT_NANOS), this.cluster.network()::heal);
 	}
 
-	private void crash(RunInstance instance) {
+	private void crash(SimulatedInstance instance) {
 		if (instance.isUp()) {
 			instance.crash();
 			this.cluster.schedule().after(this.cluster.random().nextLong(MAX_DOWN_NANOS), () -> restart(instance));
@@ -85,23 +85,23 @@
 	// start elections at about the same time.
 	private void crashAll() {
 		long down = this.cluster.random().nextLong(MAX_DOWN_NANOS);
-		for (RunInstance instance : List.copyOf(this.cluster.instances())) {
+		for (SimulatedInstance instance : List.copyOf(this.cluster.instances())) {
 			instance.crash();
 			this.cluster.schedule().after(down, () -> restart(instance));
 		}
 	}
 
-	private void restart(RunInstance instance) {
+	private void restart(SimulatedInstance instance) {
 		if (this.cluster.instances().contains(instance) && !instance.isUp()) {
 			instance.start();
 		}
 	}
 
 	// Cuts the links of an instance in both directions or in one only.
-	private void isolate(RunInstance instance) {
+	private void isolate(SimulatedInstance instance) {
 		int directions = this.cluster.random().nextInt(3);
 		healLater();
-		for (RunInstance other : this.cluster.instances()) {
+		for (SimulatedInstance other : this.cluster.instances()) {
 			if (directions != 1) {
 				this.cluster.network().cut(instance.id(), other.id());
 			}
@@ -112,7 +112,7 @@
 	}
 
 	private void partition() {
-		List<RunInstance> all = List.copyOf(this.cluster.instances());
+		List<SimulatedInstance> all = List.copyOf(this.cluster.instances());
 		healLater();
 		int firstSide = this.cluster.random().nextInt(1 << all.size());
 		for (int i = 0; i < all.size(); i++) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunRepairs.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/InstanceReplacer.java
@@ -15,7 +15,7 @@
  * Destroys an instance together with its disk and replaces it by membership changes. Half
  * of the replacements are followed at once by the loss of another instance.
  */
-final class RunRepairs {
+final class InstanceReplacer {
 
 	private static final long RETRY_INTERVAL_NANOS = Duration.ofMillis(30).toNanos();
 
@@ -23,20 +23,20 @@
 
 	private static final double IMMEDIATE_REPEAT_SHARE = 0.5;
 
-	private final RunWorld cluster;
+	private final SimulatedCluster cluster;
 
 	private List<MembershipChange> pendingChanges = List.of();
 
-	private long repairs;
+	private long replacedInstances;
 
 	private long latestAttempt;
 
-	RunRepairs(RunWorld cluster) {
+	InstanceReplacer(SimulatedCluster cluster) {
 		this.cluster = cluster;
 	}
 
-	long repairs() {
-		return this.repairs;
+	long replacedInstances() {
+		return this.replacedInstances;
 	}
 
 	void start() {
@@ -44,9 +44,9 @@
 	}
 
 	private void destroyInstance() {
-		RunInstance lost = this.cluster.anyInstance();
+		SimulatedInstance lost = this.cluster.randomInstance();
 		this.cluster.destroy(lost);
-		RunInstance added = this.cluster.addEmpty();
+		SimulatedInstance added = this.cluster.addEmptyInstance();
 		MembershipChange add = new AddLearner(added.id(), added.storageId());
 		MembershipChange promote = new PromoteLearner(added.id());
 		MembershipChange remove = new RemoveMember(lost.id());
@@ -63,7 +63,7 @@
 		}
 		MembershipChange next = this.pendingChanges.get(0);
 		long attempt = ++this.latestAttempt;
-		RunInstance leader = this.cluster.anyLeader();
+		SimulatedInstance leader = this.cluster.randomLeader();
 		leader.changeMembers(next, () -> onCommitted(next));
 		this.cluster.schedule().after(RETRY_INTERVAL_NANOS, () -> {
 			if (attempt == this.latestAttempt) {
@@ -86,14 +86,14 @@
 	private void skipIfCommitted(MembershipChange change) {
 		boolean alreadyCommitted = this.cluster.instances()
 			.stream()
-			.filter(RunInstance::holdsLease)
+			.filter(SimulatedInstance::holdsLease)
 			.anyMatch((leader) -> isCommitted(leader, change));
 		if (alreadyCommitted && !this.pendingChanges.isEmpty() && this.pendingChanges.get(0).equals(change)) {
 			this.pendingChanges = this.pendingChanges.subList(1, this.pendingChanges.size());
 		}
 	}
 
-	private static boolean isCommitted(RunInstance leader, MembershipChange change) {
+	private static boolean isCommitted(SimulatedInstance leader, MembershipChange change) {
 		return leader.status()
 			.filter((status) -> status.commitIndex() == status.lastIndex())
 			.filter((status) -> reflects(status.membership(), change))
@@ -110,7 +110,7 @@
 	}
 
 	private void finishReplacement() {
-		this.repairs++;
+		this.replacedInstances++;
 		if (this.cluster.random().nextDouble() < IMMEDIATE_REPEAT_SHARE) {
 			destroyInstance();
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/Slope.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/LinearRegression.java
@@ -6,7 +6,7 @@
 /**
  * Linear regression by ordinary least squares.
  */
-final class Slope {
+final class LinearRegression {
 
 	private final List<Point> points = new ArrayList<>();
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RandomRunResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/LogRandomRunResult.java
@@ -15,7 +15,7 @@
  * @param breaches the number of invariant violations that the replica cores detected
  * @param violations the violations that the checks outside the cores detected
  */
-record RandomRunResult(long steps, long terms, long committed, long acknowledged, long claims, long faults,
+record LogRandomRunResult(long steps, long terms, long committed, long acknowledged, long claims, long faults,
 		long repairs, long breaches, List<String> violations) {
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunState.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ReplicatedState.java
@@ -11,15 +11,15 @@
  * The replicated state of one instance. Reports each accepted configuration change to the
  * checker.
  */
-final class RunState {
+final class ReplicatedState {
 
 	private final ConfigurationLedger configuration;
 
 	private final StateMachine machine;
 
-	RunState(RunChecker checker) {
+	ReplicatedState(SafetyChecker checker) {
 		this.configuration = new ConfigurationLedger(
-				(change, configuration) -> checker.accepted(change.revision(), change.change()));
+				(change, configuration) -> checker.checkAcceptedChange(change.revision(), change.change()));
 		ReplicatedClaims claims = new ReplicatedClaims(ClaimLedgerSettings.DEFAULT);
 		this.machine = new StateMachine(List.of(this.configuration, claims));
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunChecker.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/SafetyChecker.java
@@ -24,11 +24,11 @@
  * Checks the safety of the replicated log from the outputs of the instances alone,
  * independently of the invariants that the replica cores check themselves.
  */
-final class RunChecker {
+final class SafetyChecker {
 
 	private static final int MAX_VIOLATIONS = 20;
 
-	private final RunSchedule schedule;
+	private final EventQueue schedule;
 
 	private final List<String> violations = new ArrayList<>();
 
@@ -48,7 +48,7 @@
 
 	private long acknowledged;
 
-	RunChecker(RunSchedule schedule) {
+	SafetyChecker(EventQueue schedule) {
 		this.schedule = schedule;
 	}
 
@@ -78,13 +78,13 @@
 		}
 	}
 
-	void leads(InstanceId instance, Term term) {
+	void checkLeader(InstanceId instance, Term term) {
 		InstanceId first = this.leaders.putIfAbsent(term, instance);
 		check(first == null || first.equals(instance), "at most one leader per term", term, first, instance);
 	}
 
 	// Checks by digest that all instances have applied the same entries up to an index.
-	void reached(InstanceId instance, long index, long digest) {
+	void checkAppliedPrefix(InstanceId instance, long index, long digest) {
 		Long expected = this.digests.putIfAbsent(index, digest);
 		check(expected == null || expected == digest, "committed entries are neither lost nor reordered", instance,
 				index);
@@ -97,25 +97,25 @@
 
 	// Checks that at most one instance holds the leader lease, that it has committed
 	// every acknowledged entry and that no other instance leads a newer term.
-	void leases(Collection<RunInstance> instances) {
-		List<RunInstance> holders = instances.stream().filter(RunInstance::holdsLease).toList();
+	void checkLeases(Collection<SimulatedInstance> instances) {
+		List<SimulatedInstance> holders = instances.stream().filter(SimulatedInstance::holdsLease).toList();
 		check(holders.size() <= 1, "at most one instance holds the lease",
-				holders.stream().map(RunInstance::id).toList());
+				holders.stream().map(SimulatedInstance::id).toList());
 		holders.forEach((holder) -> checkHolder(holder, instances));
 	}
 
-	private void checkHolder(RunInstance holder, Collection<RunInstance> instances) {
+	private void checkHolder(SimulatedInstance holder, Collection<SimulatedInstance> instances) {
 		ReplicaStatus status = holder.status().orElseThrow();
 		check(status.commitIndex() >= this.acknowledgedIndex, "an acknowledged change is never lost", holder.id(),
 				status.commitIndex(), this.acknowledgedIndex);
-		for (RunInstance other : instances) {
+		for (SimulatedInstance other : instances) {
 			Optional<ReplicaStatus> seen = other.status().filter((found) -> found.role() == Role.LEADER);
 			boolean newer = seen.filter((found) -> status.term().isBefore(found.term())).isPresent();
 			check(!newer, "no newer leader exists while the lease is held", holder.id(), other.id());
 		}
 	}
 
-	void accepted(Revision revision, ChangeId change) {
+	void checkAcceptedChange(Revision revision, ChangeId change) {
 		ChangeId first = this.changes.putIfAbsent(revision, change);
 		check(first == null || first.equals(change), "at most one change is accepted per revision", revision, first,
 				change);
@@ -123,7 +123,7 @@
 		check(earlier == null || earlier.equals(revision), "a resent change applies once", change, earlier, revision);
 	}
 
-	void answered(ConfigurationChange change, ChangeAnswer answer) {
+	void checkAnswer(ConfigurationChange change, ChangeAnswer answer) {
 		ChangeAnswer first = this.answers.putIfAbsent(change.id(), answer);
 		check(first == null || first.equals(answer), "a resent change gets the first answer", change.id(), first,
 				answer);
@@ -138,7 +138,7 @@
 		}
 	}
 
-	void granted(ClaimKey key, RequestId owner) {
+	void checkClaimGrant(ClaimKey key, RequestId owner) {
 		RequestId first = this.claims.putIfAbsent(key, owner);
 		check(first == null || first.equals(owner), "a claim is granted at most once", key, first, owner);
 	}
@@ -147,7 +147,7 @@
 		return this.claims.size();
 	}
 
-	void read(Revision expected, Revision seen) {
+	void checkRead(Revision expected, Revision seen) {
 		check(!seen.isBefore(expected), "a read sees every acknowledged change", expected, seen);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunWorld.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/SimulatedCluster.java
@@ -21,7 +21,7 @@
  * The simulated cluster of a randomised run: its instances, network, schedule and
  * checker.
  */
-final class RunWorld {
+final class SimulatedCluster {
 
 	private static final LogSettings SETTINGS = new LogSettings(Duration.ofMillis(20), Duration.ofMillis(100), 10, 16,
 			1 << 12, 64, 1 << 16, 2000, 8, 512, 50);
@@ -32,22 +32,24 @@
 
 	private final Random random;
 
-	private final RunSchedule schedule = new RunSchedule();
+	private final EventQueue schedule = new EventQueue();
 
-	private final RunChecker checker = new RunChecker(this.schedule);
+	private final SafetyChecker checker = new SafetyChecker(this.schedule);
 
 	private final Invariants invariants = new Invariants();
 
-	private final RunNetwork network;
+	private final SimulatedNetwork network;
 
-	private final Map<InstanceId, RunInstance> instances = new TreeMap<>();
+	private final Map<InstanceId, SimulatedInstance> instances = new TreeMap<>();
 
 	private int nextNumber = 1;
 
-	RunWorld(long seed, int size) {
+	SimulatedCluster(long seed, int size) {
 		this.random = new Random(seed);
-		this.network = new RunNetwork(this.schedule, this.random, this::deliver);
-		List<InstanceId> initialMembers = IntStream.rangeClosed(1, size).mapToObj(RunWorld::instanceId).toList();
+		this.network = new SimulatedNetwork(this.schedule, this.random, this::deliver);
+		List<InstanceId> initialMembers = IntStream.rangeClosed(1, size)
+			.mapToObj(SimulatedCluster::instanceId)
+			.toList();
 		initialMembers
 			.forEach((member) -> add(MemoryStorage.with(BootstrapBatch.STORAGE_ID, BootstrapBatch.of(initialMembers))));
 	}
@@ -56,38 +58,38 @@
 		return InstanceId.of(String.format("c%03d", number));
 	}
 
-	private RunInstance add(MemoryStorage storage) {
+	private SimulatedInstance add(MemoryStorage storage) {
 		double speed = 1 + (2 * this.random.nextDouble() - 1) * MAX_CLOCK_RATE_ERROR;
-		RunClock clock = new RunClock(this.random.nextLong(MAX_CLOCK_OFFSET_NANOS), speed);
-		RunInstance instance = new RunInstance(this, instanceId(this.nextNumber++), storage, clock);
+		DriftingClock clock = new DriftingClock(this.random.nextLong(MAX_CLOCK_OFFSET_NANOS), speed);
+		SimulatedInstance instance = new SimulatedInstance(this, instanceId(this.nextNumber++), storage, clock);
 		this.instances.put(instance.id(), instance);
 		instance.start();
 		return instance;
 	}
 
-	RunInstance addEmpty() {
+	SimulatedInstance addEmptyInstance() {
 		return add(MemoryStorage.empty(this.random.nextLong()));
 	}
 
-	void destroy(RunInstance instance) {
+	void destroy(SimulatedInstance instance) {
 		instance.crash();
 		this.instances.remove(instance.id());
 	}
 
 	private void deliver(PeerMessage message) {
 		Optional.ofNullable(this.instances.get(message.to()))
-			.ifPresent((receiver) -> receiver.event(new MessageReceived(message)));
+			.ifPresent((receiver) -> receiver.process(new MessageReceived(message)));
 	}
 
 	Random random() {
 		return this.random;
 	}
 
-	RunSchedule schedule() {
+	EventQueue schedule() {
 		return this.schedule;
 	}
 
-	RunChecker checker() {
+	SafetyChecker checker() {
 		return this.checker;
 	}
 
@@ -95,7 +97,7 @@
 		return this.invariants;
 	}
 
-	RunNetwork network() {
+	SimulatedNetwork network() {
 		return this.network;
 	}
 
@@ -103,19 +105,19 @@
 		return SETTINGS;
 	}
 
-	Collection<RunInstance> instances() {
+	Collection<SimulatedInstance> instances() {
 		return this.instances.values();
 	}
 
-	RunInstance anyInstance() {
+	SimulatedInstance randomInstance() {
 		return pick(List.copyOf(this.instances.values()));
 	}
 
 	// Picks an instance in the role of leader, which may be of an outdated term, or any
 	// instance if there is none.
-	RunInstance anyLeader() {
-		List<RunInstance> leaders = this.instances.values().stream().filter(RunInstance::isLeader).toList();
-		return leaders.isEmpty() ? anyInstance() : pick(leaders);
+	SimulatedInstance randomLeader() {
+		List<SimulatedInstance> leaders = this.instances.values().stream().filter(SimulatedInstance::isLeader).toList();
+		return leaders.isEmpty() ? randomInstance() : pick(leaders);
 	}
 
 	private <T> T pick(List<T> choices) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunInstance.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/SimulatedInstance.java
@@ -46,17 +46,17 @@
  * A simulated instance: a replica core with in-memory storage, a clock of its own and a
  * state machine.
  */
-final class RunInstance {
+final class SimulatedInstance {
 
 	private static final long SYNC_NANOS = Duration.ofMillis(4).toNanos();
 
-	private final RunWorld cluster;
+	private final SimulatedCluster cluster;
 
 	private final InstanceId id;
 
 	private final MemoryStorage storage;
 
-	private final RunClock clock;
+	private final DriftingClock clock;
 
 	private final Map<Long, Consumer<Bytes>> submittedProposals = new HashMap<>();
 
@@ -68,7 +68,7 @@
 
 	private Optional<ReplicaCore> core = Optional.empty();
 
-	private RunState state;
+	private ReplicatedState state;
 
 	private int incarnation;
 
@@ -78,12 +78,12 @@
 
 	private long appliedIndex;
 
-	RunInstance(RunWorld cluster, InstanceId id, MemoryStorage storage, RunClock clock) {
+	SimulatedInstance(SimulatedCluster cluster, InstanceId id, MemoryStorage storage, DriftingClock clock) {
 		this.cluster = cluster;
 		this.id = id;
 		this.storage = storage;
 		this.clock = clock;
-		this.state = new RunState(cluster.checker());
+		this.state = new ReplicatedState(cluster.checker());
 	}
 
 	InstanceId id() {
@@ -102,7 +102,7 @@
 		return this.appliedIndex;
 	}
 
-	RunState state() {
+	ReplicatedState state() {
 		return this.state;
 	}
 
@@ -110,7 +110,7 @@
 		return this.core.isPresent();
 	}
 
-	boolean takesPart() {
+	boolean isEnabled() {
 		return status().filter((status) -> status.role() != Role.DISABLED).isPresent();
 	}
 
@@ -127,12 +127,12 @@
 	}
 
 	private long now() {
-		return this.clock.at(this.cluster.schedule().now());
+		return this.clock.readingAt(this.cluster.schedule().now());
 	}
 
 	void start() {
 		this.incarnation++;
-		this.state = new RunState(this.cluster.checker());
+		this.state = new ReplicatedState(this.cluster.checker());
 		this.digest = 0;
 		this.appliedIndex = 0;
 		this.storage.recovered().snapshot().ifPresent(this::restore);
@@ -165,13 +165,13 @@
 		long interval = this.cluster.settings().heartbeatInterval().toNanos() / 4;
 		this.cluster.schedule().after(interval, () -> {
 			if (expectedIncarnation == this.incarnation) {
-				event(new TimePassed());
+				process(new TimePassed());
 				tickLater(expectedIncarnation);
 			}
 		});
 	}
 
-	void event(LogEvent event) {
+	void process(LogEvent event) {
 		handle(event);
 		handle(new BatchEnded());
 	}
@@ -183,28 +183,28 @@
 	void propose(Bytes command, Consumer<Bytes> onAnswer) {
 		long proposal = this.nextId++;
 		this.submittedProposals.put(proposal, onAnswer);
-		event(new CommandProposed(proposal, command));
+		process(new CommandProposed(proposal, command));
 		this.submittedProposals.remove(proposal);
 	}
 
 	void changeMembers(MembershipChange change, Runnable onCommit) {
 		long proposal = this.nextId++;
 		this.submittedProposals.put(proposal, (unused) -> onCommit.run());
-		event(new MembershipProposed(proposal, change));
+		process(new MembershipProposed(proposal, change));
 		this.submittedProposals.remove(proposal);
 	}
 
 	void read(Runnable action) {
 		long read = this.nextId++;
 		this.reads.put(read, action);
-		event(new ReadRequested(read));
+		process(new ReadRequested(read));
 	}
 
 	void takeSnapshot() {
 		if (isUp()) {
 			byte[] encoded = this.state.machine().snapshot().toArray();
 			ByteBuffer buffer = ByteBuffer.allocate(Long.BYTES + encoded.length).putLong(this.digest).put(encoded);
-			event(new SnapshotTaken(this.appliedIndex, Bytes.of(buffer.array())));
+			process(new SnapshotTaken(this.appliedIndex, Bytes.of(buffer.array())));
 		}
 	}
 
@@ -213,7 +213,7 @@
 		this.digest = ByteBuffer.wrap(encoded).getLong();
 		this.appliedIndex = snapshot.position().index();
 		this.state.machine().restore(Bytes.of(Arrays.copyOfRange(encoded, Long.BYTES, encoded.length)));
-		this.cluster.checker().reached(this.id, this.appliedIndex, this.digest);
+		this.cluster.checker().checkAppliedPrefix(this.id, this.appliedIndex, this.digest);
 	}
 
 	private void execute(List<LogCommand> commands) {
@@ -239,7 +239,7 @@
 
 	private void handleNotification(LogCommand command) {
 		if (command instanceof RoleChanged changed && changed.role() == Role.LEADER) {
-			this.cluster.checker().leads(this.id, changed.term());
+			this.cluster.checker().checkLeader(this.id, changed.term());
 		}
 		else if (command instanceof ProposalAccepted proposal) {
 			Consumer<Bytes> onAnswer = this.submittedProposals.get(proposal.proposal());
@@ -265,7 +265,7 @@
 			if (expectedIncarnation != this.incarnation) {
 				return;
 			}
-			event(this.storage.sync().<LogEvent>map(StorageFailed::new).orElseGet(() -> new BatchSynced(sequence)));
+			process(this.storage.sync().<LogEvent>map(StorageFailed::new).orElseGet(() -> new BatchSynced(sequence)));
 		});
 	}
 
@@ -281,7 +281,7 @@
 			.check(entry.index() == this.appliedIndex + 1, "entries are applied without gaps", this.id, entry.index());
 		this.appliedIndex = entry.index();
 		this.digest = 31 * this.digest + entry.hashCode();
-		this.cluster.checker().reached(this.id, this.appliedIndex, this.digest);
+		this.cluster.checker().checkAppliedPrefix(this.id, this.appliedIndex, this.digest);
 		Bytes answer = (entry.content() instanceof CommandContent command)
 				? this.state.machine().apply(entry.time(), command.command()).value().orElseThrow() : Bytes.EMPTY;
 		PendingProposal pending = this.acceptedProposals.remove(entry.index());
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/RunNetwork.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/SimulatedNetwork.java
@@ -14,7 +14,7 @@
  * A simulated network that delays, reorders, duplicates and drops messages and cuts
  * links.
  */
-final class RunNetwork {
+final class SimulatedNetwork {
 
 	private static final long MAX_USUAL_DELAY_NANOS = Duration.ofMillis(6).toNanos();
 
@@ -24,7 +24,7 @@
 
 	private static final double DUPLICATED_SHARE = 0.02;
 
-	private final RunSchedule schedule;
+	private final EventQueue schedule;
 
 	private final Random random;
 
@@ -34,7 +34,7 @@
 
 	private double lossShare;
 
-	RunNetwork(RunSchedule schedule, Random random, Consumer<PeerMessage> receiver) {
+	SimulatedNetwork(EventQueue schedule, Random random, Consumer<PeerMessage> receiver) {
 		this.schedule = schedule;
 		this.random = random;
 		this.receiver = receiver;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/LifeWorld.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/GroupSimulation.java
@@ -38,7 +38,7 @@
  * Simulates one group tick by tick in virtual time: its backend servers, its decision
  * ledger and its lifecycle core.
  */
-final class LifeWorld {
+final class GroupSimulation {
 
 	static final long TICK_NANOS = 10_000_000;
 
@@ -59,7 +59,7 @@
 
 	private final int ranks;
 
-	private final List<FakeMember> members;
+	private final List<SimulatedServer> members;
 
 	private final DecisionLedger ledger;
 
@@ -77,11 +77,11 @@
 
 	private long replacements;
 
-	LifeWorld(int ranks, int servers, LifecycleSettings settings, RandomGenerator random) {
+	GroupSimulation(int ranks, int servers, LifecycleSettings settings, RandomGenerator random) {
 		this.ranks = ranks;
 		this.settings = settings;
 		this.random = random;
-		this.members = IntStream.range(0, servers).mapToObj((i) -> new FakeMember("server-" + i)).toList();
+		this.members = IntStream.range(0, servers).mapToObj((i) -> new SimulatedServer("server-" + i)).toList();
 		this.ledger = new DecisionLedger(ranks, LedgerState.EMPTY);
 		this.ledger.apply(new OpenTerm(TERM));
 		this.lifecycle = new GroupLifecycle("group", ranks, settings, DecisionListener.NONE);
@@ -107,11 +107,11 @@
 		return this.violations;
 	}
 
-	FakeMember anyMember() {
+	SimulatedServer randomServer() {
 		return this.members.get(this.random.nextInt(this.members.size()));
 	}
 
-	void slowestMessage(long nanos) {
+	void maxMessageDelay(long nanos) {
 		this.maxMessageDelayNanos = nanos;
 	}
 
@@ -140,22 +140,22 @@
 	}
 
 	private boolean isComputing(Member member) {
-		return findServer(member).filter((server) -> !server.isDead(this.now) && !server.isStalled(this.now))
+		return findServer(member).filter((server) -> !server.isDown(this.now) && !server.isStalled(this.now))
 			.isPresent();
 	}
 
-	private Optional<FakeMember> findServer(Member member) {
-		return this.members.stream().filter((server) -> server.is(member)).findFirst();
+	private Optional<SimulatedServer> findServer(Member member) {
+		return this.members.stream().filter((server) -> server.matches(member)).findFirst();
 	}
 
-	private void report(FakeMember server) {
-		if (server.isDead(this.now) || server.isSilent(this.now)) {
+	private void report(SimulatedServer server) {
+		if (server.isDown(this.now) || server.losesReports(this.now)) {
 			return;
 		}
 		if (this.ledger.state().members().containsValue(server.member())) {
 			boolean waitsForPeers = countBlockedMembers() > 0 && !server.isStalled(this.now);
 			EngineActivity activity = waitsForPeers ? EngineActivity.WAITING_FOR_PEERS : EngineActivity.COMPUTING;
-			server.reported(this.now, this.step, activity);
+			server.recordReport(this.now, this.step, activity);
 			send(new HeartbeatReceived(server.member(), this.step, activity));
 		}
 		else {
@@ -178,11 +178,11 @@
 			assign(request);
 		}
 		else if (command instanceof ProbeMember probe) {
-			boolean alive = findServer(probe.member()).filter((server) -> !server.isDead(this.now)).isPresent();
+			boolean alive = findServer(probe.member()).filter((server) -> !server.isDown(this.now)).isPresent();
 			send(alive ? new ProbeAnswered(probe.member()) : new ProbeFailed(probe.member()));
 		}
 		else if (command instanceof ReleaseMember release) {
-			findServer(release.member()).ifPresent(FakeMember::restart);
+			findServer(release.member()).ifPresent(SimulatedServer::restart);
 		}
 	}
 
@@ -198,7 +198,7 @@
 	}
 
 	private void checkReplacement(Member replaced, RequestAssignment request) {
-		Optional<FakeMember> server = findServer(replaced).filter((found) -> !found.isDead(this.now));
+		Optional<SimulatedServer> server = findServer(replaced).filter((found) -> !found.isDown(this.now));
 		boolean stalled = server.filter(this::stalledLongEnough).isPresent();
 		if (server.isPresent() && !stalled) {
 			this.violations.add(replaced + " was replaced by " + request.member()
@@ -208,9 +208,9 @@
 
 	// A replacement is justified if the stall lasted for the configured time, less the
 	// longest message delay, and a report of the recovery may still be in flight.
-	private boolean stalledLongEnough(FakeMember server) {
+	private boolean stalledLongEnough(SimulatedServer server) {
 		return server.stallLength(this.now) >= this.settings.replaceNanos() - this.maxMessageDelayNanos
-				&& !server.showedRecoveryBefore(this.now - this.maxMessageDelayNanos);
+				&& !server.reportedRecoveryBy(this.now - this.maxMessageDelayNanos);
 	}
 
 	private void checkDistinctServers(LedgerState state) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifeResult.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifecycleResult.java
@@ -15,7 +15,7 @@
  * @param violations the violations of the checks
  * @param stuckWindows the number of fault-free windows at whose end the group did not run
  */
-record RandomisedLifeResult(long ticks, long steps, int deaths, int stalls, int silences, long replacements,
+record RandomisedLifecycleResult(long ticks, long steps, int deaths, int stalls, int silences, long replacements,
 		List<String> violations, int stuckWindows) {
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifeRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/RandomisedLifecycleRun.java
@@ -16,7 +16,7 @@
  * Checks that only crashed or stalled members are replaced and that the group runs again
  * after the faults end.
  */
-public final class RandomisedLifeRun implements Measurement {
+public final class RandomisedLifecycleRun implements Measurement {
 
 	/** The default number of ticks. */
 	public static final long DEFAULT_TICKS = 200_000;
@@ -46,7 +46,7 @@
 
 	@Override
 	public void run(BenchOptions options, Reporter reporter) {
-		RandomisedLifeResult result = execute(options.seed(), options.steps(DEFAULT_TICKS));
+		RandomisedLifecycleResult result = execute(options.seed(), options.steps(DEFAULT_TICKS));
 		reporter.result("group-life-random", Field.of("ticks", result.ticks()), Field.of("steps", result.steps()),
 				Field.of("deaths", result.deaths()), Field.of("stalls", result.stalls()),
 				Field.of("silences", result.silences()), Field.of("replacements", result.replacements()));
@@ -58,9 +58,9 @@
 		reporter.atMost("quiet-windows-in-which-the-group-did-not-run", result.stuckWindows(), 0);
 	}
 
-	static RandomisedLifeResult execute(long seed, long ticks) {
+	static RandomisedLifecycleResult execute(long seed, long ticks) {
 		RandomGenerator random = new Random(seed);
-		LifeWorld simulation = new LifeWorld(RANKS, SERVERS, SETTINGS, random);
+		GroupSimulation simulation = new GroupSimulation(RANKS, SERVERS, SETTINGS, random);
 		int[] faults = new int[3];
 		int stuckWindows = 0;
 		long ticksRun = 0;
@@ -69,12 +69,12 @@
 			stuckWindows += runFaultFreeWindow(simulation);
 			ticksRun += FAULTY_TICKS + FAULT_FREE_TICKS;
 		}
-		return new RandomisedLifeResult(ticksRun, simulation.step(), faults[0], faults[1], faults[2],
+		return new RandomisedLifecycleResult(ticksRun, simulation.step(), faults[0], faults[1], faults[2],
 				simulation.replacements(), simulation.violations(), stuckWindows);
 	}
 
-	private static void runFaultyWindow(LifeWorld simulation, RandomGenerator random, int[] faults) {
-		simulation.slowestMessage(FAULTY_MESSAGE_DELAY_NANOS);
+	private static void runFaultyWindow(GroupSimulation simulation, RandomGenerator random, int[] faults) {
+		simulation.maxMessageDelay(FAULTY_MESSAGE_DELAY_NANOS);
 		for (int i = 0; i < FAULTY_TICKS; i++) {
 			if (random.nextInt(TICKS_PER_FAULT) == 0) {
 				int kind = random.nextInt(faults.length);
@@ -83,19 +83,19 @@
 			}
 			simulation.runTick();
 		}
-		simulation.slowestMessage(LifeWorld.TICK_NANOS);
+		simulation.maxMessageDelay(GroupSimulation.TICK_NANOS);
 	}
 
-	private static void inject(int kind, LifeWorld simulation, RandomGenerator random) {
-		FakeMember member = simulation.anyMember();
+	private static void inject(int kind, GroupSimulation simulation, RandomGenerator random) {
+		SimulatedServer member = simulation.randomServer();
 		switch (kind) {
-			case 0 -> member.die(simulation.now(), random.nextLong(MAX_DOWN_NANOS));
+			case 0 -> member.crash(simulation.now(), random.nextLong(MAX_DOWN_NANOS));
 			case 1 -> member.stall(simulation.now(), random.nextLong(MAX_STALL_NANOS), simulation.step());
-			default -> member.fallSilent(simulation.now(), random.nextLong(MAX_REPORT_LOSS_NANOS));
+			default -> member.loseReports(simulation.now(), random.nextLong(MAX_REPORT_LOSS_NANOS));
 		}
 	}
 
-	private static int runFaultFreeWindow(LifeWorld simulation) {
+	private static int runFaultFreeWindow(GroupSimulation simulation) {
 		for (int i = 0; i < FAULT_FREE_TICKS - 100; i++) {
 			simulation.runTick();
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/life/FakeMember.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/life/SimulatedServer.java
@@ -9,7 +9,7 @@
  * A simulated backend server that can crash, stall or lose its reports, each until a
  * given time.
  */
-final class FakeMember {
+final class SimulatedServer {
 
 	/**
 	 * A shorter recovery may fall between two reports, so the stalls before and after it
@@ -33,7 +33,7 @@
 
 	private long recoveryReportedAt = Long.MAX_VALUE;
 
-	FakeMember(String name) {
+	SimulatedServer(String name) {
 		this.server = BackendServerId.of(name);
 	}
 
@@ -41,11 +41,11 @@
 		return new Member(this.server, Incarnation.of(this.incarnation));
 	}
 
-	boolean is(Member other) {
+	boolean matches(Member other) {
 		return member().equals(other);
 	}
 
-	boolean isDead(long now) {
+	boolean isDown(long now) {
 		return now < this.downUntil;
 	}
 
@@ -53,7 +53,7 @@
 		return now < this.stalledUntil;
 	}
 
-	boolean isSilent(long now) {
+	boolean losesReports(long now) {
 		return now < this.reportsLostUntil;
 	}
 
@@ -67,7 +67,7 @@
 	 * @param time the time in nanoseconds
 	 * @return {@code true} if such a report was sent
 	 */
-	boolean showedRecoveryBefore(long time) {
+	boolean reportedRecoveryBy(long time) {
 		return this.recoveryReportedAt <= time;
 	}
 
@@ -78,14 +78,14 @@
 	 * @param step the reported step
 	 * @param activity the reported activity
 	 */
-	void reported(long now, long step, EngineActivity activity) {
+	void recordReport(long now, long step, EngineActivity activity) {
 		boolean progresses = step > this.stalledStep || activity == EngineActivity.WAITING_FOR_PEERS;
 		if (progresses && now >= this.stalledUntil && this.recoveryReportedAt == Long.MAX_VALUE) {
 			this.recoveryReportedAt = now;
 		}
 	}
 
-	void die(long now, long duration) {
+	void crash(long now, long duration) {
 		this.incarnation++;
 		this.downUntil = now + duration;
 		this.stalledUntil = 0;
@@ -101,7 +101,7 @@
 		this.recoveryReportedAt = Long.MAX_VALUE;
 	}
 
-	void fallSilent(long now, long duration) {
+	void loseReports(long now, long duration) {
 		this.reportsLostUntil = now + duration;
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ControlSpreadMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ControlSpreadMeasurement.java
@@ -53,9 +53,9 @@
 		warmUp(options.seed());
 		LoadBySize loads = new LoadBySize();
 		for (int size : SIZES) {
-			SizedFleet sized = SizedFleet.settled(size, options.seed());
-			reporter.result("control-fleet", Field.of("nodes", size), Field.of("holding", sized.holding()),
-					Field.of("live", sized.live()));
+			SizedFleet sized = SizedFleet.startConverged(size, options.seed());
+			reporter.result("control-fleet", Field.of("nodes", size), Field.of("holding", sized.countUpToDate()),
+					Field.of("live", sized.countLive()));
 			measureLoad(sized, size, loads, reporter);
 			boolean largest = size == SIZES[SIZES.length - 1];
 			measureInForce(sized, size, largest, reporter);
@@ -67,7 +67,7 @@
 	}
 
 	private static void warmUp(long seed) {
-		SizedFleet sized = SizedFleet.settled(100, seed);
+		SizedFleet sized = SizedFleet.startConverged(100, seed);
 		sized.fleet().measured(true);
 		sized.fleet().run(LOAD_WINDOW.multipliedBy(4));
 	}
@@ -78,7 +78,7 @@
 		fleet.nodes().forEach((node) -> node.traffic().reset());
 		for (int i = 0; i < CHANGES_IN_WINDOW; i++) {
 			fleet.run(LOAD_WINDOW.dividedBy(CHANGES_IN_WINDOW));
-			sized.change();
+			sized.acceptChange();
 		}
 		fleet.run(Duration.ofSeconds(1));
 		fleet.measured(false);
@@ -149,8 +149,9 @@
 
 	private static double secondsUntilInForce(SizedFleet sized) {
 		long start = sized.fleet().time().now();
-		sized.change();
-		while (sized.holding() < sized.live() && sized.fleet().time().now() - start < CONVERGENCE_TIMEOUT.toNanos()) {
+		sized.acceptChange();
+		while (sized.countUpToDate() < sized.countLive()
+				&& sized.fleet().time().now() - start < CONVERGENCE_TIMEOUT.toNanos()) {
 			sized.fleet().run(STEP);
 		}
 		return (sized.lastInForceAt() - start) / NANOS_PER_SECOND;
@@ -193,7 +194,7 @@
 		InstanceId id = sized.nodes().get(size / 2);
 		fleet.crash(id);
 		for (int i = 0; i < MISSED_CHANGES; i++) {
-			sized.change();
+			sized.acceptChange();
 			fleet.run(STEP);
 		}
 		fleet.run(Duration.ofSeconds(5));
@@ -229,8 +230,8 @@
 		reporter.result("control-domain", Field.of("nodes", size), Field.of("domain-size", failing.size()),
 				Field.of("member-versions-on-failure", events), Field.of("control-messages-in-20s-of-failure", fails),
 				Field.of("control-messages-in-20s-of-return", returns),
-				Field.of("control-messages-in-20s-quiet", quiet), Field.of("holding", sized.holding()),
-				Field.of("live", sized.live()));
+				Field.of("control-messages-in-20s-quiet", quiet), Field.of("holding", sized.countUpToDate()),
+				Field.of("live", sized.countLive()));
 	}
 
 	private static long memberVersion(Fleet fleet) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ChaosNetwork.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FaultyNetwork.java
@@ -16,7 +16,7 @@
  * A simulated network that drops, delays, reorders and duplicates messages and cuts
  * links, also one direction alone.
  */
-final class ChaosNetwork implements Network {
+final class FaultyNetwork implements Network {
 
 	private static final long BASE_DELAY_NANOS = Duration.ofMillis(1).toNanos();
 
@@ -36,7 +36,7 @@
 
 	private double lateShare;
 
-	ChaosNetwork(long seed) {
+	FaultyNetwork(long seed) {
 		this.random = new Random(seed);
 	}
 
@@ -48,7 +48,7 @@
 		this.lateShare = 0;
 	}
 
-	void disturb() {
+	void randomiseFaults() {
 		this.lossShare = this.random.nextDouble() * this.random.nextDouble() * 0.4;
 		this.duplicatedShare = this.random.nextDouble() * 0.1;
 		this.lateShare = this.random.nextDouble() * this.random.nextDouble() * 0.5;
@@ -58,7 +58,7 @@
 	 * Drops all messages to a node until the network is healed.
 	 * @param node the receiver
 	 */
-	void deafen(InstanceId node) {
+	void blockReceiver(InstanceId node) {
 		this.blockedReceiver = Optional.of(node);
 	}
 
@@ -79,7 +79,7 @@
 		}
 	}
 
-	void mendSome() {
+	void restoreSomeLinks() {
 		List<Link> all = new ArrayList<>(this.cuts);
 		all.stream().filter((link) -> this.random.nextInt(3) > 0).forEach(this.cuts::remove);
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Fleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Fleet.java
@@ -63,9 +63,9 @@
 
 	private final FleetListener listener;
 
-	private DecisionListener decisions = DecisionListener.NONE;
+	private DecisionListener decisionListener = DecisionListener.NONE;
 
-	private MembershipSettings membership = MembershipSettings.DEFAULTS;
+	private MembershipSettings membershipSettings = MembershipSettings.DEFAULTS;
 
 	private boolean measured;
 
@@ -75,7 +75,7 @@
 
 	private Optional<InstanceId> leader = Optional.empty();
 
-	private FencingNumber lastOrder = FencingNumber.ZERO;
+	private FencingNumber lastOrderNumber = FencingNumber.ZERO;
 
 	Fleet(long seed, Network network, FleetListener listener) {
 		this.random = new Random(seed);
@@ -83,12 +83,12 @@
 		this.listener = listener;
 	}
 
-	void decisions(DecisionListener decisions) {
-		this.decisions = decisions;
+	void decisionListener(DecisionListener decisions) {
+		this.decisionListener = decisions;
 	}
 
-	void membership(MembershipSettings other) {
-		this.membership = other;
+	void membershipSettings(MembershipSettings other) {
+		this.membershipSettings = other;
 	}
 
 	/**
@@ -103,7 +103,7 @@
 	/**
 	 * Maintains a decoded view of the members for each node that receives member updates.
 	 */
-	void withViews() {
+	void keepMemberViews() {
 		this.keepsViews = true;
 	}
 
@@ -139,8 +139,8 @@
 		return this.accepted;
 	}
 
-	void lastOrder(FencingNumber number) {
-		this.lastOrder = number;
+	void lastOrderNumber(FencingNumber number) {
+		this.lastOrderNumber = number;
 	}
 
 	void add(NodeDescriptor descriptor) {
@@ -156,12 +156,13 @@
 		NodeDescriptor restarted = new NodeDescriptor(id, Incarnation.of(before.incarnation().value() + 1),
 				before.role(), before.region(), before.domain(), before.address());
 		SpreadCore core = (restarted.role() == NodeRole.CONTROL)
-				? new ControlNode(restarted, this.controls, this.settings, this.membership, this.random, this.decisions)
+				? new ControlNode(restarted, this.controls, this.settings, this.membershipSettings, this.random,
+						this.decisionListener)
 				: new SpreadNode(restarted, this.controls, this.settings, MemberEntries::activeNodes, this.random,
-						this.decisions);
+						this.decisionListener);
 		node.start(restarted, core);
 		if (restarted.role() == NodeRole.CONTROL) {
-			List<Delta> onDisk = this.accepted.subList(0, node.accepted());
+			List<Delta> onDisk = this.accepted.subList(0, node.storedRevisions());
 			onDisk.forEach((delta) -> handle(node, new SpreadEvent.ConfigurationCommitted(delta)));
 		}
 		long phase = (long) (this.random.nextDouble() * this.settings.tickInterval().toNanos());
@@ -210,8 +211,8 @@
 	 */
 	void catchUp(InstanceId id) {
 		FleetNode node = this.nodes.get(id);
-		List<Delta> missed = List.copyOf(this.accepted.subList(node.accepted(), this.accepted.size()));
-		node.accepted(this.accepted.size());
+		List<Delta> missed = List.copyOf(this.accepted.subList(node.storedRevisions(), this.accepted.size()));
+		node.storedRevisions(this.accepted.size());
 		missed.forEach((delta) -> handle(node, new SpreadEvent.ConfigurationCommitted(delta)));
 		handle(node, new SpreadEvent.LeaderChanged(this.term, this.leader));
 	}
@@ -223,7 +224,7 @@
 		long before = this.measured ? THREADS.getCurrentThreadCpuTime() : 0;
 		List<SpreadCommand> commands = node.core().on(event, this.time.now());
 		if (this.measured) {
-			node.traffic().spent(THREADS.getCurrentThreadCpuTime() - before);
+			node.traffic().recordCpuTime(THREADS.getCurrentThreadCpuTime() - before);
 		}
 		commands.forEach((command) -> execute(node, command));
 	}
@@ -240,8 +241,8 @@
 	}
 
 	private void commitIfNext(FleetNode node, SpreadCore core, Delta delta, int count) {
-		if (node.isAlive() && node.core() == core && node.accepted() == count - 1) {
-			node.accepted(count);
+		if (node.isAlive() && node.core() == core && node.storedRevisions() == count - 1) {
+			node.storedRevisions(count);
 			handle(node, new SpreadEvent.ConfigurationCommitted(delta));
 		}
 	}
@@ -274,7 +275,7 @@
 		boolean connected = this.leader.isPresent() && this.nodes.get(this.leader.get()).isAlive()
 				&& isConnected(node.descriptor(), this.nodes.get(this.leader.get()).descriptor());
 		if (connected) {
-			Floor floor = new Floor(lastAccepted(), this.lastOrder);
+			Floor floor = new Floor(lastAccepted(), this.lastOrderNumber);
 			this.time.after(READ_DELAY_NANOS,
 					() -> handleUnlessRestarted(node, core, new SpreadEvent.FloorRead(token, floor)));
 		}
@@ -304,8 +305,8 @@
 	private byte[] encode(FleetNode from, SpreadMessage message) {
 		long before = THREADS.getCurrentThreadCpuTime();
 		byte[] encoded = SpreadCodec.encode(message);
-		from.traffic().spent(THREADS.getCurrentThreadCpuTime() - before);
-		from.traffic().sent(encoded.length);
+		from.traffic().recordCpuTime(THREADS.getCurrentThreadCpuTime() - before);
+		from.traffic().recordSent(encoded.length);
 		return encoded;
 	}
 
@@ -317,8 +318,8 @@
 		if (encoded != null) {
 			long before = THREADS.getCurrentThreadCpuTime();
 			SpreadCodec.decode(encoded);
-			target.traffic().spent(THREADS.getCurrentThreadCpuTime() - before);
-			target.traffic().received(encoded.length);
+			target.traffic().recordCpuTime(THREADS.getCurrentThreadCpuTime() - before);
+			target.traffic().recordReceived(encoded.length);
 		}
 		handle(target, new SpreadEvent.Received(Peer.of(sender), message));
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetWatcher.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetChecker.java
@@ -22,7 +22,7 @@
  * Checks the safety of a fleet from the commands and messages of its nodes, across all
  * their incarnations.
  */
-final class FleetWatcher implements FleetListener {
+final class FleetChecker implements FleetListener {
 
 	private static final long PROBE_WINDOW_NANOS = Duration.ofSeconds(15).toNanos();
 
@@ -40,30 +40,30 @@
 
 	private boolean faultFree;
 
-	private long failures;
+	private long detectedFailures;
 
-	FleetWatcher(Violations violations) {
+	FleetChecker(Violations violations) {
 		this.violations = violations;
 	}
 
-	void watch(Fleet watched) {
+	void attachTo(Fleet watched) {
 		this.fleet = watched;
-		watched.decisions(this::onDecision);
+		watched.decisionListener(this::onDecision);
 	}
 
-	void calm(boolean faultFree) {
+	void faultFree(boolean faultFree) {
 		this.faultFree = faultFree;
 	}
 
-	long failures() {
-		return this.failures;
+	long detectedFailures() {
+		return this.detectedFailures;
 	}
 
-	void leaveRequested(NodeDescriptor leaver) {
+	void recordLeaveRequest(NodeDescriptor leaver) {
 		this.leaveRequests.add(leaver);
 	}
 
-	void started(InstanceId id) {
+	void recordStart(InstanceId id) {
 		this.seenLeaving.remove(id);
 	}
 
@@ -127,7 +127,7 @@
 		if (!domain && !decision.result().equals("failed")) {
 			return;
 		}
-		this.failures++;
+		this.detectedFailures++;
 		if (domain) {
 			this.violations.check(!this.faultFree, "live-domain-failed", "%s declared failed without faults",
 					decision.subject());
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetNode.java
@@ -23,7 +23,7 @@
 
 	private long inForceAt;
 
-	private int accepted;
+	private int storedRevisions;
 
 	private MemberView view = new MemberView();
 
@@ -77,12 +77,12 @@
 	 * disk.
 	 * @return the number of revisions
 	 */
-	int accepted() {
-		return this.accepted;
+	int storedRevisions() {
+		return this.storedRevisions;
 	}
 
-	void accepted(int count) {
-		this.accepted = count;
+	void storedRevisions(int count) {
+		this.storedRevisions = count;
 	}
 
 	MemberView view() {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/OrderTraffic.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/OrderTraffic.java
@@ -46,9 +46,9 @@
 
 	private final Violations violations;
 
-	private long accepted;
+	private long acceptedOrders;
 
-	private long fenced;
+	private long fencedOrders;
 
 	OrderTraffic(Fleet fleet, Network network, Violations violations, long seed) {
 		this.random = new Random(seed);
@@ -57,34 +57,34 @@
 		this.violations = violations;
 	}
 
-	long accepted() {
-		return this.accepted;
+	long acceptedOrders() {
+		return this.acceptedOrders;
 	}
 
-	long fenced() {
-		return this.fenced;
+	long fencedOrders() {
+		return this.fencedOrders;
 	}
 
-	void controlStarted(InstanceId control) {
+	void startControl(InstanceId control) {
 		this.issuers.put(control, new OrderIssuer(DecisionListener.NONE));
 	}
 
-	void sidecarStarted(InstanceId sidecar) {
+	void startSidecar(InstanceId sidecar) {
 		this.fences.put(sidecar, new OrderFence(sidecar, EngineFencing.CHECKED_BY_SIDECAR, DecisionListener.NONE));
 	}
 
-	void floorLearnt(InstanceId sidecar, FencingNumber floor) {
+	void raiseFloor(InstanceId sidecar, FencingNumber floor) {
 		if (this.fences.containsKey(sidecar)) {
 			this.fences.get(sidecar).raiseFloor(floor);
 		}
 	}
 
-	void elected(InstanceId control, Term term) {
+	void gainLeadership(InstanceId control, Term term) {
 		handle(control, new OrderEvent.LeadershipGained(term));
-		this.fleet.lastOrder(this.issuers.get(control).lastNumber());
+		this.fleet.lastOrderNumber(this.issuers.get(control).lastNumber());
 	}
 
-	void request(InstanceId control, InstanceId sidecar, int version) {
+	void requestOrder(InstanceId control, InstanceId sidecar, int version) {
 		handle(control, new OrderEvent.Requested(sidecar, OrderKind.LOAD_VERSION, "model", Integer.toString(version)));
 		tick(control);
 	}
@@ -101,7 +101,7 @@
 		List<OrderCommand> commands = issuer.handle(event, this.fleet.time().now());
 		if (this.fleet.leader().filter(control::equals).isPresent()
 				&& issuer.lastNumber().term().equals(this.fleet.term())) {
-			this.fleet.lastOrder(issuer.lastNumber());
+			this.fleet.lastOrderNumber(issuer.lastNumber());
 		}
 		for (OrderCommand command : commands) {
 			if (command instanceof OrderCommand.SendOrder sent) {
@@ -144,7 +144,7 @@
 		this.violations.check(!order.number().isBefore(before), "older-order-accepted", "%s executed order %s after %s",
 				order.target(), order.number(), before);
 		this.executed.put(order.target(), order.number());
-		this.accepted++;
+		this.acceptedOrders++;
 	}
 
 	private OrderStatus replyStatus(Result<FencingNumber> admitted) {
@@ -152,7 +152,7 @@
 			return OrderStatus.DONE;
 		}
 		boolean stale = admitted.error().orElseThrow().code() == ErrorCode.FENCED;
-		this.fenced += stale ? 1 : 0;
+		this.fencedOrders += stale ? 1 : 0;
 		return stale ? OrderStatus.FENCED : OrderStatus.NOT_READY;
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SizedFleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SizedFleet.java
@@ -48,7 +48,7 @@
 		this.fleet = new Fleet(this.random.nextLong(), new RegionalNetwork(this.random.nextLong()), FleetListener.NONE);
 	}
 
-	static SizedFleet settled(int size, long seed) {
+	static SizedFleet startConverged(int size, long seed) {
 		SizedFleet sized = new SizedFleet(seed);
 		for (int i = 0; i < REGIONS; i++) {
 			sized.controls.add(sized.add("control-" + i, NodeRole.CONTROL, i));
@@ -59,7 +59,7 @@
 		}
 		sized.controls.forEach(sized.fleet::start);
 		sized.fleet.elect(sized.controls.get(0), sized.controls);
-		sized.change();
+		sized.acceptChange();
 		for (int i = 0; i < size; i++) {
 			sized.fleet.start(sized.nodes.get(i));
 			if (i % STARTS_PER_INTERVAL == 0) {
@@ -82,20 +82,20 @@
 		return this.random;
 	}
 
-	void change() {
+	void acceptChange() {
 		byte[] value = new byte[CHANGE_BYTES];
 		this.random.nextBytes(value);
 		this.fleet.accept(List.of(EntryChange.set("key-" + this.random.nextInt(500), Bytes.of(value))), this.controls);
 	}
 
-	long holding() {
+	long countUpToDate() {
 		return this.fleet.nodes()
 			.stream()
 			.filter((node) -> node.isAlive() && node.inForce().equals(this.fleet.lastAccepted()))
 			.count();
 	}
 
-	long live() {
+	long countLive() {
 		return this.fleet.nodes().stream().filter(FleetNode::isAlive).count();
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandom.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomMeasurement.java
@@ -9,7 +9,7 @@
  * Runs dissemination, membership and orders under random faults and reports violations of
  * their invariants.
  */
-public final class SpreadRandom implements Measurement {
+public final class SpreadRandomMeasurement implements Measurement {
 
 	/** The default number of steps. */
 	public static final long DEFAULT_STEPS = 100_000;
@@ -25,8 +25,9 @@
 		reporter.result("control-spread-random", Field.of("seed", options.seed()), Field.of("steps", steps),
 				Field.of("events", run.fleet().time().processed()), Field.of("terms", run.fleet().term()),
 				Field.of("revisions", run.fleet().accepted().size()),
-				Field.of("failures-judged", run.watcher().failures()),
-				Field.of("orders-accepted", run.orders().accepted()), Field.of("orders-fenced", run.orders().fenced()));
+				Field.of("failures-judged", run.checker().detectedFailures()),
+				Field.of("orders-accepted", run.orders().acceptedOrders()),
+				Field.of("orders-fenced", run.orders().fencedOrders()));
 		reporter.atMost("control-spread-random-violations", run.violations().total(), 0);
 	}
 
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomRun.java
@@ -55,11 +55,11 @@
 
 	private final Random random;
 
-	private final ChaosNetwork network;
+	private final FaultyNetwork network;
 
 	private final Violations violations = new Violations();
 
-	private final FleetWatcher watcher = new FleetWatcher(this.violations);
+	private final FleetChecker checker = new FleetChecker(this.violations);
 
 	private final Fleet fleet;
 
@@ -77,11 +77,11 @@
 
 	SpreadRandomRun(long seed) {
 		this.random = new Random(seed);
-		this.network = new ChaosNetwork(this.random.nextLong());
+		this.network = new FaultyNetwork(this.random.nextLong());
 		this.fleet = new Fleet(this.random.nextLong(), this.network, new Listener());
-		this.fleet.withViews();
-		this.fleet.membership(SHORT_DAMPING);
-		this.watcher.watch(this.fleet);
+		this.fleet.keepMemberViews();
+		this.fleet.membershipSettings(SHORT_DAMPING);
+		this.checker.attachTo(this.fleet);
 		this.orders = new OrderTraffic(this.fleet, this.network, this.violations, this.random.nextLong());
 	}
 
@@ -97,8 +97,8 @@
 		return this.orders;
 	}
 
-	FleetWatcher watcher() {
-		return this.watcher;
+	FleetChecker checker() {
+		return this.checker;
 	}
 
 	void run(long limit) {
@@ -130,20 +130,20 @@
 
 	private void start(InstanceId id) {
 		this.leaving.remove(id);
-		this.watcher.started(id);
+		this.checker.recordStart(id);
 		if (this.controls.contains(id)) {
-			this.orders.controlStarted(id);
+			this.orders.startControl(id);
 		}
 		else {
-			this.orders.sidecarStarted(id);
+			this.orders.startSidecar(id);
 		}
 		this.fleet.start(id);
 	}
 
 	private void runFaultyRound(long count) {
-		this.watcher.calm(false);
+		this.checker.faultFree(false);
 		if (this.random.nextInt(3) == 0) {
-			this.fleet.leader().ifPresent(this.network::deafen);
+			this.fleet.leader().ifPresent(this.network::blockReceiver);
 		}
 		for (long i = 0; i < count; i++) {
 			this.steps++;
@@ -171,10 +171,10 @@
 			this.network.isolate(pick(all()), all(), inbound, !inbound || this.random.nextBoolean());
 		}
 		else if (roll < 16) {
-			this.network.disturb();
+			this.network.randomiseFaults();
 		}
 		else if (roll < 20) {
-			this.network.mendSome();
+			this.network.restoreSomeLinks();
 		}
 		else if (roll < 21) {
 			electSometimes();
@@ -189,7 +189,7 @@
 			sendStaleRevision(pick(this.nodes));
 		}
 		else if (roll < 39) {
-			this.orders.request(pick(this.controls), pick(orderTargets()), this.orderVersion++);
+			this.orders.requestOrder(pick(this.controls), pick(orderTargets()), this.orderVersion++);
 		}
 		else if (roll < 43) {
 			restart(pick(orderTargets()));
@@ -245,7 +245,7 @@
 
 	private void accept() {
 		Optional<InstanceId> leader = this.fleet.leader().filter(this::hasQuorum);
-		if (leader.isPresent() && this.fleet.node(leader.get()).accepted() == this.fleet.accepted().size()) {
+		if (leader.isPresent() && this.fleet.node(leader.get()).storedRevisions() == this.fleet.accepted().size()) {
 			EntryChange change = EntryChange.set("key-" + this.random.nextInt(50),
 					Bytes.ofText(Long.toString(this.steps)));
 			this.fleet.accept(List.of(change), connected(leader.get()));
@@ -269,7 +269,7 @@
 			.filter((id) -> id.equals(winner) || this.random.nextInt(4) > 0)
 			.toList();
 		this.fleet.elect(winner, receivers);
-		this.orders.elected(winner, this.fleet.term());
+		this.orders.gainLeadership(winner, this.fleet.term());
 	}
 
 	private void catchUpIfConnected(InstanceId control) {
@@ -282,7 +282,7 @@
 	private void leave(InstanceId id) {
 		FleetNode node = this.fleet.node(id);
 		if (node.isAlive() && this.leaving.add(id)) {
-			this.watcher.leaveRequested(node.descriptor());
+			this.checker.recordLeaveRequest(node.descriptor());
 			this.fleet.handle(node, new SpreadEvent.LeaveRequested());
 		}
 	}
@@ -313,7 +313,7 @@
 		}
 		this.controls.forEach(this.fleet::catchUp);
 		this.fleet.run(SETTLE_TIME);
-		this.watcher.calm(true);
+		this.checker.faultFree(true);
 		checkConverged();
 		checkLeave();
 	}
@@ -358,19 +358,19 @@
 		@Override
 		public void onCommand(FleetNode node, SpreadCommand command) {
 			if (command instanceof SpreadCommand.FloorConfirmed confirmed) {
-				SpreadRandomRun.this.orders.floorLearnt(node.id(), confirmed.floor().orders());
+				SpreadRandomRun.this.orders.raiseFloor(node.id(), confirmed.floor().orders());
 			}
-			SpreadRandomRun.this.watcher.onCommand(node, command);
+			SpreadRandomRun.this.checker.onCommand(node, command);
 		}
 
 		@Override
 		public void onSent(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
-			SpreadRandomRun.this.watcher.onSent(from, to, message);
+			SpreadRandomRun.this.checker.onSent(from, to, message);
 		}
 
 		@Override
 		public void onDelivered(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
-			SpreadRandomRun.this.watcher.onDelivered(from, to, message);
+			SpreadRandomRun.this.checker.onDelivered(from, to, message);
 		}
 
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Traffic.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Traffic.java
@@ -15,17 +15,17 @@
 
 	private long cpuNanos;
 
-	void sent(int bytes) {
+	void recordSent(int bytes) {
 		this.messagesOut++;
 		this.bytesOut += bytes;
 	}
 
-	void received(int bytes) {
+	void recordReceived(int bytes) {
 		this.messagesIn++;
 		this.bytesIn += bytes;
 	}
 
-	void spent(long nanos) {
+	void recordCpuTime(long nanos) {
 		this.cpuNanos += nanos;
 	}
 
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/control/RandomRunTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/control/LogRandomRunTests.java
@@ -6,16 +6,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Runs the replicated log under random faults with {@link RandomRun}.
+ * Runs the replicated log under random faults with {@link LogRandomRun}.
  */
-class RandomRunTests {
+class LogRandomRunTests {
 
 	private static final long STEPS = 100_000;
 
 	@ParameterizedTest
 	@ValueSource(ints = { 3, 5 })
 	void findsNoViolation(int instances) {
-		RandomRunResult result = new RandomRun(1, instances).run(STEPS);
+		LogRandomRunResult result = new LogRandomRun(1, instances).run(STEPS);
 		assertThat(result.violations()).isEmpty();
 		assertThat(result.breaches()).isZero();
 		assertThat(result.steps()).isGreaterThanOrEqualTo(STEPS);
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/life/RandomisedLifeRunTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/life/RandomisedLifecycleRunTests.java
@@ -6,9 +6,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link RandomisedLifeRun}.
+ * Tests for {@link RandomisedLifecycleRun}.
  */
-class RandomisedLifeRunTests {
+class RandomisedLifecycleRunTests {
 
 	/**
 	 * Seed 5 guards against replacing a running member when memberships arrive out of
@@ -17,7 +17,7 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 3, 5, 11 })
 	void replacesOnlyCrashedOrStalledMembersAndRunsAfterFaultsEnd(long seed) {
-		RandomisedLifeResult result = RandomisedLifeRun.execute(seed, RandomisedLifeRun.DEFAULT_TICKS);
+		RandomisedLifecycleResult result = RandomisedLifecycleRun.execute(seed, RandomisedLifecycleRun.DEFAULT_TICKS);
 
 		assertThat(result.violations()).isEmpty();
 		assertThat(result.stuckWindows()).isZero();
--- a/comfreywall-bench/src/test/java/org/comfreywall/bench/spread/SpreadRandomTests.java
+++ b/comfreywall-bench/src/test/java/org/comfreywall/bench/spread/SpreadRandomRunTests.java
@@ -8,14 +8,14 @@
  * Runs dissemination, membership and orders under random faults with
  * {@link SpreadRandomRun}.
  */
-class SpreadRandomTests {
+class SpreadRandomRunTests {
 
 	private static final long SEED = 1;
 
 	@Test
 	void holdsAllInvariantsUnderRandomFaults() {
 		SpreadRandomRun run = new SpreadRandomRun(SEED);
-		run.run(SpreadRandom.DEFAULT_STEPS);
+		run.run(SpreadRandomMeasurement.DEFAULT_STEPS);
 		assertThat(run.violations().examples()).isEmpty();
 		assertThat(run.violations().total()).isZero();
 	}
@@ -25,9 +25,9 @@
 		SpreadRandomRun run = new SpreadRandomRun(SEED);
 		run.run(5_000);
 		assertThat(run.fleet().term().value()).isGreaterThan(1);
-		assertThat(run.watcher().failures()).isPositive();
-		assertThat(run.orders().accepted()).isPositive();
-		assertThat(run.orders().fenced()).isPositive();
+		assertThat(run.checker().detectedFailures()).isPositive();
+		assertThat(run.orders().acceptedOrders()).isPositive();
+		assertThat(run.orders().fencedOrders()).isPositive();
 	}
 
 }
