--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ControlSpreadMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/ControlSpreadMeasurement.java
@@ -15,7 +15,7 @@
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.control.member.MemberView;
 import org.comfreywall.control.spread.NodeRole;
-import org.comfreywall.control.spread.SpreadEvent;
+import org.comfreywall.control.spread.RelayTreeEvent;
 
 /**
  * Measures dissemination and membership at several fleet sizes. Runs the production cores
@@ -161,7 +161,7 @@
 		Fleet fleet = sized.fleet();
 		InstanceId leaver = sized.nodes().get(size - 1);
 		long start = fleet.time().now();
-		fleet.handle(fleet.node(leaver), new SpreadEvent.LeaveRequested());
+		fleet.handle(fleet.node(leaver), new RelayTreeEvent.LeaveRequested());
 		List<FleetNode> entries = fleet.nodes()
 			.stream()
 			.filter((node) -> node.isAlive() && node.descriptor().role() == NodeRole.ENTRY)
@@ -184,7 +184,7 @@
 	private static long countRoutingEntries(List<FleetNode> entries, InstanceId leaver) {
 		return entries.stream().filter((entry) -> {
 			MemberView view = new MemberView();
-			view.apply(SizedFleet.spreadNode(entry).findMember("m/" + leaver), true);
+			view.apply(SizedFleet.spreadNode(entry).findMemberEntry("m/" + leaver), true);
 			return view.isRoutable(leaver);
 		}).count();
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Fleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/Fleet.java
@@ -26,13 +26,13 @@
 import org.comfreywall.control.spread.NodeDescriptor;
 import org.comfreywall.control.spread.NodeRole;
 import org.comfreywall.control.spread.Peer;
-import org.comfreywall.control.spread.SpreadCodec;
-import org.comfreywall.control.spread.SpreadCommand;
-import org.comfreywall.control.spread.SpreadCore;
-import org.comfreywall.control.spread.SpreadEvent;
-import org.comfreywall.control.spread.SpreadMessage;
-import org.comfreywall.control.spread.SpreadNode;
-import org.comfreywall.control.spread.SpreadSettings;
+import org.comfreywall.control.spread.RelayTreeCodec;
+import org.comfreywall.control.spread.RelayTreeCommand;
+import org.comfreywall.control.spread.RelayTreeCore;
+import org.comfreywall.control.spread.RelayTreeEvent;
+import org.comfreywall.control.spread.RelayTreeMessage;
+import org.comfreywall.control.spread.RelayTreeNode;
+import org.comfreywall.control.spread.RelayTreeSettings;
 import org.comfreywall.control.spread.Version;
 
 /**
@@ -55,7 +55,7 @@
 
 	private final List<Delta> accepted = new ArrayList<>();
 
-	private final SpreadSettings settings = SpreadSettings.DEFAULTS;
+	private final RelayTreeSettings settings = RelayTreeSettings.DEFAULTS;
 
 	private final Random random;
 
@@ -155,15 +155,15 @@
 		NodeDescriptor before = node.descriptor();
 		NodeDescriptor restarted = new NodeDescriptor(id, Incarnation.of(before.incarnation().value() + 1),
 				before.role(), before.region(), before.domain(), before.address());
-		SpreadCore core = (restarted.role() == NodeRole.CONTROL)
+		RelayTreeCore core = (restarted.role() == NodeRole.CONTROL)
 				? new ControlNode(restarted, this.controls, this.settings, this.membershipSettings, this.random,
 						this.decisionListener)
-				: new SpreadNode(restarted, this.controls, this.settings, MemberEntries::activeNodes, this.random,
-						this.decisionListener);
+				: new RelayTreeNode(restarted, this.controls, this.settings, MemberEntries::decodeActiveNodes,
+						this.random, this.decisionListener);
 		node.start(restarted, core);
 		if (restarted.role() == NodeRole.CONTROL) {
 			List<Delta> onDisk = this.accepted.subList(0, node.storedRevisions());
-			onDisk.forEach((delta) -> handle(node, new SpreadEvent.ConfigurationCommitted(delta)));
+			onDisk.forEach((delta) -> handle(node, new RelayTreeEvent.ConfigurationCommitted(delta)));
 		}
 		long phase = (long) (this.random.nextDouble() * this.settings.tickInterval().toNanos());
 		this.time.after(phase, () -> tick(node, core));
@@ -187,8 +187,8 @@
 		this.term = this.term.next();
 		this.leader = Optional.of(id);
 		Term elected = this.term;
-		receivers.forEach(
-				(control) -> handle(this.nodes.get(control), new SpreadEvent.LeaderChanged(elected, Optional.of(id))));
+		receivers.forEach((control) -> handle(this.nodes.get(control),
+				new RelayTreeEvent.LeaderChanged(elected, Optional.of(id))));
 	}
 
 	void accept(List<EntryChange> changes, Collection<InstanceId> receivers) {
@@ -199,7 +199,7 @@
 		for (InstanceId id : receivers) {
 			long delay = this.leader.filter(id::equals).isPresent() ? 0 : FOLLOWER_DELAY_NANOS;
 			FleetNode node = this.nodes.get(id);
-			SpreadCore core = node.core();
+			RelayTreeCore core = node.core();
 			this.time.after(delay, () -> commitIfNext(node, core, delta, count));
 		}
 	}
@@ -213,16 +213,16 @@
 		FleetNode node = this.nodes.get(id);
 		List<Delta> missed = List.copyOf(this.accepted.subList(node.storedRevisions(), this.accepted.size()));
 		node.storedRevisions(this.accepted.size());
-		missed.forEach((delta) -> handle(node, new SpreadEvent.ConfigurationCommitted(delta)));
-		handle(node, new SpreadEvent.LeaderChanged(this.term, this.leader));
+		missed.forEach((delta) -> handle(node, new RelayTreeEvent.ConfigurationCommitted(delta)));
+		handle(node, new RelayTreeEvent.LeaderChanged(this.term, this.leader));
 	}
 
-	void handle(FleetNode node, SpreadEvent event) {
+	void handle(FleetNode node, RelayTreeEvent event) {
 		if (!node.isAlive()) {
 			return;
 		}
 		long before = this.measured ? THREADS.getCurrentThreadCpuTime() : 0;
-		List<SpreadCommand> commands = node.core().on(event, this.time.now());
+		List<RelayTreeCommand> commands = node.core().on(event, this.time.now());
 		if (this.measured) {
 			node.traffic().recordCpuTime(THREADS.getCurrentThreadCpuTime() - before);
 		}
@@ -233,51 +233,51 @@
 		this.time.runUntil(this.time.now() + duration.toNanos());
 	}
 
-	private void tick(FleetNode node, SpreadCore core) {
+	private void tick(FleetNode node, RelayTreeCore core) {
 		if (node.isAlive() && node.core() == core) {
-			handle(node, new SpreadEvent.Tick());
+			handle(node, new RelayTreeEvent.Tick());
 			this.time.after(this.settings.tickInterval().toNanos(), () -> tick(node, core));
 		}
 	}
 
-	private void commitIfNext(FleetNode node, SpreadCore core, Delta delta, int count) {
+	private void commitIfNext(FleetNode node, RelayTreeCore core, Delta delta, int count) {
 		if (node.isAlive() && node.core() == core && node.storedRevisions() == count - 1) {
 			node.storedRevisions(count);
-			handle(node, new SpreadEvent.ConfigurationCommitted(delta));
+			handle(node, new RelayTreeEvent.ConfigurationCommitted(delta));
 		}
 	}
 
-	private void handleUnlessRestarted(FleetNode node, SpreadCore core, SpreadEvent event) {
+	private void handleUnlessRestarted(FleetNode node, RelayTreeCore core, RelayTreeEvent event) {
 		if (node.core() == core) {
 			handle(node, event);
 		}
 	}
 
-	private void execute(FleetNode node, SpreadCommand command) {
-		if (command instanceof SpreadCommand.Send send) {
+	private void execute(FleetNode node, RelayTreeCommand command) {
+		if (command instanceof RelayTreeCommand.Send send) {
 			send(node, send.to(), send.message());
 			return;
 		}
 		this.listener.onCommand(node, command);
-		if (command instanceof SpreadCommand.ReadFloor read) {
+		if (command instanceof RelayTreeCommand.ReadFloor read) {
 			readFloor(node, read.token());
 		}
-		else if (command instanceof SpreadCommand.ConfigurationInForce configuration) {
+		else if (command instanceof RelayTreeCommand.ActivateConfiguration configuration) {
 			node.inForce(configuration.version(), this.time.now());
 		}
-		else if (command instanceof SpreadCommand.MembersUpdated members && this.keepsViews) {
-			node.view().apply(members.changes(), members.whole());
+		else if (command instanceof RelayTreeCommand.ApplyMemberChanges members && this.keepsViews) {
+			node.view().apply(members.changes(), members.replaceAll());
 		}
 	}
 
 	private void readFloor(FleetNode node, long token) {
-		SpreadCore core = node.core();
+		RelayTreeCore core = node.core();
 		boolean connected = this.leader.isPresent() && this.nodes.get(this.leader.get()).isAlive()
 				&& isConnected(node.descriptor(), this.nodes.get(this.leader.get()).descriptor());
 		if (connected) {
 			Floor floor = new Floor(lastAccepted(), this.lastOrderNumber);
 			this.time.after(READ_DELAY_NANOS,
-					() -> handleUnlessRestarted(node, core, new SpreadEvent.FloorRead(token, floor)));
+					() -> handleUnlessRestarted(node, core, new RelayTreeEvent.FloorRead(token, floor)));
 		}
 	}
 
@@ -286,7 +286,7 @@
 				|| (this.network.delay(one, other).isPresent() && this.network.delay(other, one).isPresent());
 	}
 
-	private void send(FleetNode from, Peer to, SpreadMessage message) {
+	private void send(FleetNode from, Peer to, RelayTreeMessage message) {
 		FleetNode target = this.nodes.get(to.id());
 		if (target == null) {
 			return;
@@ -302,26 +302,26 @@
 		}
 	}
 
-	private byte[] encode(FleetNode from, SpreadMessage message) {
+	private byte[] encode(FleetNode from, RelayTreeMessage message) {
 		long before = THREADS.getCurrentThreadCpuTime();
-		byte[] encoded = SpreadCodec.encode(message);
+		byte[] encoded = RelayTreeCodec.encode(message);
 		from.traffic().recordCpuTime(THREADS.getCurrentThreadCpuTime() - before);
 		from.traffic().recordSent(encoded.length);
 		return encoded;
 	}
 
-	private void deliver(NodeDescriptor sender, FleetNode target, SpreadMessage message, byte[] encoded) {
+	private void deliver(NodeDescriptor sender, FleetNode target, RelayTreeMessage message, byte[] encoded) {
 		if (!target.isAlive()) {
 			return;
 		}
 		this.listener.onDelivered(sender, target.descriptor(), message);
 		if (encoded != null) {
 			long before = THREADS.getCurrentThreadCpuTime();
-			SpreadCodec.decode(encoded);
+			RelayTreeCodec.decode(encoded);
 			target.traffic().recordCpuTime(THREADS.getCurrentThreadCpuTime() - before);
 			target.traffic().recordReceived(encoded.length);
 		}
-		handle(target, new SpreadEvent.Received(Peer.of(sender), message));
+		handle(target, new RelayTreeEvent.MessageReceived(Peer.of(sender), message));
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetChecker.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetChecker.java
@@ -14,8 +14,8 @@
 import org.comfreywall.control.spread.NodeRole;
 import org.comfreywall.control.spread.Ping;
 import org.comfreywall.control.spread.ProbeResult;
-import org.comfreywall.control.spread.SpreadCommand;
-import org.comfreywall.control.spread.SpreadMessage;
+import org.comfreywall.control.spread.RelayTreeCommand;
+import org.comfreywall.control.spread.RelayTreeMessage;
 import org.comfreywall.control.spread.Version;
 
 /**
@@ -68,24 +68,24 @@
 	}
 
 	@Override
-	public void onCommand(FleetNode node, SpreadCommand command) {
-		if (command instanceof SpreadCommand.ConfigurationInForce configuration) {
+	public void onCommand(FleetNode node, RelayTreeCommand command) {
+		if (command instanceof RelayTreeCommand.ActivateConfiguration configuration) {
 			checkInForce(node.id(), configuration.version());
 		}
-		else if (command instanceof SpreadCommand.MembersUpdated) {
+		else if (command instanceof RelayTreeCommand.ApplyMemberChanges) {
 			checkLeaversNotRoutable(node);
 		}
 	}
 
 	@Override
-	public void onSent(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
+	public void onSent(NodeDescriptor from, NodeDescriptor to, RelayTreeMessage message) {
 		if (message instanceof Ping && from.role() == NodeRole.CONTROL) {
 			recordProbe(to.id(), from.id());
 		}
 	}
 
 	@Override
-	public void onDelivered(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
+	public void onDelivered(NodeDescriptor from, NodeDescriptor to, RelayTreeMessage message) {
 		if (message instanceof ProbeResult result && !result.reachable()) {
 			recordProbe(result.target(), from.id());
 		}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetListener.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetListener.java
@@ -1,8 +1,8 @@
 package org.comfreywall.bench.spread;
 
 import org.comfreywall.control.spread.NodeDescriptor;
-import org.comfreywall.control.spread.SpreadCommand;
-import org.comfreywall.control.spread.SpreadMessage;
+import org.comfreywall.control.spread.RelayTreeCommand;
+import org.comfreywall.control.spread.RelayTreeMessage;
 
 /**
  * Receives the commands and messages of all nodes of a fleet.
@@ -18,7 +18,7 @@
 	 * @param node the node whose core issued the command
 	 * @param command the command
 	 */
-	default void onCommand(FleetNode node, SpreadCommand command) {
+	default void onCommand(FleetNode node, RelayTreeCommand command) {
 	}
 
 	/**
@@ -27,7 +27,7 @@
 	 * @param to the receiver
 	 * @param message the message
 	 */
-	default void onSent(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
+	default void onSent(NodeDescriptor from, NodeDescriptor to, RelayTreeMessage message) {
 	}
 
 	/**
@@ -36,7 +36,7 @@
 	 * @param to the receiver
 	 * @param message the message
 	 */
-	default void onDelivered(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
+	default void onDelivered(NodeDescriptor from, NodeDescriptor to, RelayTreeMessage message) {
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetNode.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FleetNode.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.control.member.MemberView;
 import org.comfreywall.control.spread.NodeDescriptor;
-import org.comfreywall.control.spread.SpreadCore;
+import org.comfreywall.control.spread.RelayTreeCore;
 import org.comfreywall.control.spread.Version;
 
 /**
@@ -15,7 +15,7 @@
 
 	private NodeDescriptor descriptor;
 
-	private SpreadCore core;
+	private RelayTreeCore core;
 
 	private boolean alive;
 
@@ -39,7 +39,7 @@
 		return this.descriptor;
 	}
 
-	SpreadCore core() {
+	RelayTreeCore core() {
 		return this.core;
 	}
 
@@ -47,7 +47,7 @@
 		return this.alive;
 	}
 
-	void start(NodeDescriptor newDescriptor, SpreadCore newCore) {
+	void start(NodeDescriptor newDescriptor, RelayTreeCore newCore) {
 		this.descriptor = newDescriptor;
 		this.core = newCore;
 		this.alive = true;
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SizedFleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SizedFleet.java
@@ -13,7 +13,7 @@
 import org.comfreywall.control.spread.EntryChange;
 import org.comfreywall.control.spread.NodeDescriptor;
 import org.comfreywall.control.spread.NodeRole;
-import org.comfreywall.control.spread.SpreadNode;
+import org.comfreywall.control.spread.RelayTreeNode;
 
 /**
  * A converged fleet of a given size in seven regions and twenty failure domains. One node
@@ -107,8 +107,8 @@
 		return this.fleet.nodes().stream().filter(FleetNode::isAlive).mapToLong(FleetNode::inForceAt).max().orElse(0);
 	}
 
-	static SpreadNode spreadNode(FleetNode node) {
-		return (node.core() instanceof ControlNode control) ? control.node() : (SpreadNode) node.core();
+	static RelayTreeNode spreadNode(FleetNode node) {
+		return (node.core() instanceof ControlNode control) ? control.relayTreeNode() : (RelayTreeNode) node.core();
 	}
 
 	private InstanceId add(String id, NodeRole role, int domain) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/SpreadRandomRun.java
@@ -20,10 +20,10 @@
 import org.comfreywall.control.spread.NodeDescriptor;
 import org.comfreywall.control.spread.NodeRole;
 import org.comfreywall.control.spread.Peer;
-import org.comfreywall.control.spread.SpreadCommand;
-import org.comfreywall.control.spread.SpreadEvent;
-import org.comfreywall.control.spread.SpreadMessage;
-import org.comfreywall.control.spread.SpreadNode;
+import org.comfreywall.control.spread.RelayTreeCommand;
+import org.comfreywall.control.spread.RelayTreeEvent;
+import org.comfreywall.control.spread.RelayTreeMessage;
+import org.comfreywall.control.spread.RelayTreeNode;
 import org.comfreywall.control.spread.StreamId;
 import org.comfreywall.control.spread.Version;
 
@@ -283,7 +283,7 @@
 		FleetNode node = this.fleet.node(id);
 		if (node.isAlive() && this.leaving.add(id)) {
 			this.checker.recordLeaveRequest(node.descriptor());
-			this.fleet.handle(node, new SpreadEvent.LeaveRequested());
+			this.fleet.handle(node, new RelayTreeEvent.LeaveRequested());
 		}
 	}
 
@@ -294,14 +294,14 @@
 	 */
 	private void sendStaleRevision(InstanceId id) {
 		FleetNode node = this.fleet.node(id);
-		SpreadNode core = (SpreadNode) node.core();
+		RelayTreeNode core = (RelayTreeNode) node.core();
 		Version held = node.inForce();
 		Term stale = Term.of(Math.max(held.term().value(), core.term().value() - 1));
 		if (node.isAlive() && stale.isBefore(core.term())) {
 			Delta delta = new Delta(held, new Version(stale, held.number() + 1), List.of());
 			Peer sender = Peer.of(this.fleet.node(pick(this.controls)).descriptor());
-			this.fleet.handle(node,
-					new SpreadEvent.Received(sender, new DeltaUpdate(StreamId.CONFIGURATION, stale, List.of(delta))));
+			this.fleet.handle(node, new RelayTreeEvent.MessageReceived(sender,
+					new DeltaUpdate(StreamId.CONFIGURATION, stale, List.of(delta))));
 		}
 	}
 
@@ -356,20 +356,20 @@
 	private final class Listener implements FleetListener {
 
 		@Override
-		public void onCommand(FleetNode node, SpreadCommand command) {
-			if (command instanceof SpreadCommand.FloorConfirmed confirmed) {
+		public void onCommand(FleetNode node, RelayTreeCommand command) {
+			if (command instanceof RelayTreeCommand.ApplyFloor confirmed) {
 				SpreadRandomRun.this.orders.raiseFloor(node.id(), confirmed.floor().orders());
 			}
 			SpreadRandomRun.this.checker.onCommand(node, command);
 		}
 
 		@Override
-		public void onSent(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
+		public void onSent(NodeDescriptor from, NodeDescriptor to, RelayTreeMessage message) {
 			SpreadRandomRun.this.checker.onSent(from, to, message);
 		}
 
 		@Override
-		public void onDelivered(NodeDescriptor from, NodeDescriptor to, SpreadMessage message) {
+		public void onDelivered(NodeDescriptor from, NodeDescriptor to, RelayTreeMessage message) {
 			SpreadRandomRun.this.checker.onDelivered(from, to, message);
 		}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
@@ -7,28 +7,28 @@
 import org.comfreywall.common.decision.DecisionListener;
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.control.spread.Coverage;
+import org.comfreywall.control.spread.RevisionCoverage;
 import org.comfreywall.control.spread.EntryChange;
-import org.comfreywall.control.spread.Laggard;
+import org.comfreywall.control.spread.LaggingNode;
 import org.comfreywall.control.spread.NodeDescriptor;
 import org.comfreywall.control.spread.NodeRole;
-import org.comfreywall.control.spread.SpreadCommand;
-import org.comfreywall.control.spread.SpreadCore;
-import org.comfreywall.control.spread.SpreadEvent;
-import org.comfreywall.control.spread.SpreadNode;
-import org.comfreywall.control.spread.SpreadSettings;
+import org.comfreywall.control.spread.RelayTreeCommand;
+import org.comfreywall.control.spread.RelayTreeCore;
+import org.comfreywall.control.spread.RelayTreeEvent;
+import org.comfreywall.control.spread.RelayTreeNode;
+import org.comfreywall.control.spread.RelayTreeSettings;
 
 /**
  * The node of a control instance. It combines a node of the relay tree with a membership
  * core, which maintains the members while the instance is the leader.
  */
-public final class ControlNode implements SpreadCore {
+public final class ControlNode implements RelayTreeCore {
 
 	private final NodeDescriptor self;
 
-	private final SpreadNode node;
+	private final RelayTreeNode relayTreeNode;
 
-	private final Membership membership;
+	private final MembershipCore membership;
 
 	/**
 	 * Creates a control instance's node.
@@ -39,31 +39,32 @@
 	 * @param random the source of randomness
 	 * @param decisions the listener that records decisions
 	 */
-	public ControlNode(NodeDescriptor self, List<NodeDescriptor> controls, SpreadSettings treeSettings,
+	public ControlNode(NodeDescriptor self, List<NodeDescriptor> controls, RelayTreeSettings treeSettings,
 			MembershipSettings membershipSettings, RandomGenerator random, DecisionListener decisions) {
 		this.self = Preconditions.notNull(self, "self");
 		Preconditions.check(self.role() == NodeRole.CONTROL, "role must be CONTROL: %s", self.role());
-		this.node = new SpreadNode(self, controls, treeSettings, MemberEntries::activeNodes, random, decisions);
-		this.membership = new Membership(self, membershipSettings, random, decisions);
+		this.relayTreeNode = new RelayTreeNode(self, controls, treeSettings, MemberEntries::decodeActiveNodes, random,
+				decisions);
+		this.membership = new MembershipCore(self, membershipSettings, random, decisions);
 	}
 
 	@Override
-	public List<SpreadCommand> on(SpreadEvent event, long now) {
-		List<SpreadCommand> commands = this.node.on(event, now);
-		if (event instanceof SpreadEvent.LeaderChanged changed) {
+	public List<RelayTreeCommand> on(RelayTreeEvent event, long now) {
+		List<RelayTreeCommand> commands = this.relayTreeNode.on(event, now);
+		if (event instanceof RelayTreeEvent.LeaderChanged changed) {
 			onLeaderChanged(changed, now);
 		}
-		List<SpreadCommand> forwarded = new ArrayList<>(commands.size());
+		List<RelayTreeCommand> forwarded = new ArrayList<>(commands.size());
 		dispatch(commands, forwarded, now);
-		if (event instanceof SpreadEvent.Tick) {
+		if (event instanceof RelayTreeEvent.Tick) {
 			this.membership.tick(now);
 		}
-		for (ProbeAssignment assignment : this.membership.takeProbes()) {
+		for (ProbeAssignment assignment : this.membership.takeProbeAssignments()) {
 			startProbe(assignment, forwarded, now);
 		}
 		List<EntryChange> changes = this.membership.takeChanges(now);
 		if (!changes.isEmpty()) {
-			dispatch(this.node.on(new SpreadEvent.MembersChanged(changes), now), forwarded, now);
+			dispatch(this.relayTreeNode.on(new RelayTreeEvent.MembersChanged(changes), now), forwarded, now);
 		}
 		return forwarded;
 	}
@@ -72,8 +73,8 @@
 	 * Returns this instance's node of the relay tree. Callers must not pass events to it.
 	 * @return the node
 	 */
-	public SpreadNode node() {
-		return this.node;
+	public RelayTreeNode relayTreeNode() {
+		return this.relayTreeNode;
 	}
 
 	/**
@@ -83,37 +84,37 @@
 	 * @param revision the revision
 	 * @return the coverage
 	 */
-	public Coverage coverage(long revision) {
-		Coverage attached = this.node.coverage(revision);
-		List<Laggard> laggingNodes = new ArrayList<>(attached.behind());
+	public RevisionCoverage coverage(long revision) {
+		RevisionCoverage attached = this.relayTreeNode.coverage(revision);
+		List<LaggingNode> laggingNodes = new ArrayList<>(attached.laggingNodes());
 		List<InstanceId> unreported = this.membership.unreportedMembers();
 		unreported.stream()
-			.limit(Coverage.MAX_LISTED - laggingNodes.size())
-			.forEach((id) -> laggingNodes.add(new Laggard(id, 0)));
-		return new Coverage(attached.nodes() + unreported.size(), revision, attached.behindCount() + unreported.size(),
-				laggingNodes);
+			.limit(RevisionCoverage.MAX_LISTED - laggingNodes.size())
+			.forEach((id) -> laggingNodes.add(new LaggingNode(id, 0)));
+		return new RevisionCoverage(attached.nodeCount() + unreported.size(), revision,
+				attached.laggingCount() + unreported.size(), laggingNodes);
 	}
 
-	private void onLeaderChanged(SpreadEvent.LeaderChanged changed, long now) {
+	private void onLeaderChanged(RelayTreeEvent.LeaderChanged changed, long now) {
 		boolean isLeader = changed.leader().filter(this.self.id()::equals).isPresent();
-		if (isLeader && !changed.term().isBefore(this.node.term())) {
-			this.membership.startLeading(this.node.memberSnapshot().entries(), now);
+		if (isLeader && !changed.term().isBefore(this.relayTreeNode.term())) {
+			this.membership.startLeading(this.relayTreeNode.memberSnapshot().entries(), now);
 		}
 		else {
 			this.membership.stopLeading();
 		}
 	}
 
-	private void dispatch(List<SpreadCommand> commands, List<SpreadCommand> forwarded, long now) {
-		for (SpreadCommand command : commands) {
-			if (command instanceof SpreadCommand.ReportsReceived reports) {
+	private void dispatch(List<RelayTreeCommand> commands, List<RelayTreeCommand> forwarded, long now) {
+		for (RelayTreeCommand command : commands) {
+			if (command instanceof RelayTreeCommand.HandleReports reports) {
 				this.membership.onReports(reports.reports(), now);
 			}
-			else if (command instanceof SpreadCommand.LeaveNoticeReceived notice) {
-				this.membership.onLeave(notice.node(), now);
+			else if (command instanceof RelayTreeCommand.HandleLeaveNotice notice) {
+				this.membership.onLeaveNotice(notice.node(), now);
 			}
-			else if (command instanceof SpreadCommand.ProbeCompleted probe) {
-				this.membership.onProbed(probe.prober(), probe.result(), now);
+			else if (command instanceof RelayTreeCommand.HandleProbeResult probe) {
+				this.membership.onProbeResult(probe.prober(), probe.result(), now);
 			}
 			else {
 				forwarded.add(command);
@@ -121,13 +122,13 @@
 		}
 	}
 
-	private void startProbe(ProbeAssignment assignment, List<SpreadCommand> forwarded, long now) {
+	private void startProbe(ProbeAssignment assignment, List<RelayTreeCommand> forwarded, long now) {
 		if (assignment.prober().id().equals(this.self.id())) {
-			SpreadEvent received = new SpreadEvent.Received(assignment.prober(), assignment.request());
-			dispatch(this.node.on(received, now), forwarded, now);
+			RelayTreeEvent received = new RelayTreeEvent.MessageReceived(assignment.prober(), assignment.request());
+			dispatch(this.relayTreeNode.on(received, now), forwarded, now);
 		}
 		else {
-			forwarded.add(new SpreadCommand.Send(assignment.prober(), assignment.request()));
+			forwarded.add(new RelayTreeCommand.Send(assignment.prober(), assignment.request()));
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/DomainFailure.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/DomainFailure.java
@@ -8,14 +8,14 @@
  * stream.
  *
  * @param domain the failure domain
- * @param stamp the sequence number of this publication; the members of the domain whose
- * records have smaller sequence numbers have failed
+ * @param sequence the sequence number of this publication; the members of the domain
+ * whose records have smaller sequence numbers have failed
  */
-public record DomainFailure(FailureDomainId domain, long stamp) {
+public record DomainFailure(FailureDomainId domain, long sequence) {
 
 	public DomainFailure {
 		Preconditions.notNull(domain, "domain");
-		Preconditions.check(stamp >= 0, "sequence must not be negative: %d", stamp);
+		Preconditions.check(sequence >= 0, "sequence must not be negative: %d", sequence);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/FailureDetector.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/FailureDetector.java
@@ -53,13 +53,13 @@
 		this.assignments.clear();
 	}
 
-	List<ProbeAssignment> takeProbes() {
+	List<ProbeAssignment> takeProbeAssignments() {
 		List<ProbeAssignment> taken = List.copyOf(this.assignments);
 		this.assignments.clear();
 		return taken;
 	}
 
-	void onResult(Member member, Peer prober, ProbeResult result, long now) {
+	void onProbeResult(Member member, Peer prober, ProbeResult result, long now) {
 		if (!member.isCurrentProbe(result.nonce())) {
 			return;
 		}
@@ -78,7 +78,7 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return the members and failure domains confirmed as failed
 	 */
-	DetectedFailures detect(Collection<Member> members, long now) {
+	DetectedFailures detectFailures(Collection<Member> members, long now) {
 		Map<FailureDomainId, DomainSuspects> domains = groupSuspectsByDomain(members, now);
 		DetectedFailures failures = new DetectedFailures(new ArrayList<>(), new ArrayList<>());
 		long probing = members.stream().filter(Member::isProbing).count();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/Member.java
@@ -33,7 +33,7 @@
 
 	private long lastReturnAt;
 
-	private long heldBackUntil;
+	private long returnDelayedUntil;
 
 	private long failedAt;
 
@@ -67,7 +67,7 @@
 	 * must not become active again.
 	 * @return {@code true} if the incarnation is or has been leaving
 	 */
-	boolean hasLeft() {
+	boolean wasLeaving() {
 		return this.everLeaving;
 	}
 
@@ -132,8 +132,8 @@
 		return this.returnCount;
 	}
 
-	void holdBack(long until) {
-		this.heldBackUntil = until;
+	void delayReturnUntil(long until) {
+		this.returnDelayedUntil = until;
 	}
 
 	void markFailed(long now) {
@@ -145,8 +145,8 @@
 		return this.failedAt;
 	}
 
-	long heldBackUntil() {
-		return this.heldBackUntil;
+	long returnDelayedUntil() {
+		return this.returnDelayedUntil;
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberEntries.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberEntries.java
@@ -14,7 +14,7 @@
 import org.comfreywall.control.spread.EntryChange;
 import org.comfreywall.control.spread.NodeDescriptor;
 import org.comfreywall.control.spread.NodeRole;
-import org.comfreywall.control.spread.SpreadCodec;
+import org.comfreywall.control.spread.RelayTreeCodec;
 
 /**
  * Converts records of members and failures of failure domains to and from entries of the
@@ -36,7 +36,7 @@
 	 * @param entries the entries of the membership stream
 	 * @return the active members' nodes
 	 */
-	public static List<NodeDescriptor> activeNodes(Map<String, Bytes> entries) {
+	public static List<NodeDescriptor> decodeActiveNodes(Map<String, Bytes> entries) {
 		MemberView view = new MemberView();
 		entries.forEach((key, value) -> view.applyEntry(key, value));
 		List<NodeDescriptor> nodes = new ArrayList<>(entries.size());
@@ -46,9 +46,9 @@
 
 	static EntryChange toEntryChange(MemberRecord record) {
 		MemberRecordProto proto = MemberRecordProto.newBuilder()
-			.setNode(SpreadCodec.toProto(record.node()))
+			.setNode(RelayTreeCodec.toProto(record.node()))
 			.setState(record.state().ordinal())
-			.setStamp(record.stamp())
+			.setStamp(record.sequence())
 			.build();
 		return EntryChange.set(MEMBER_PREFIX + record.node().id(), Bytes.of(proto.toByteArray()));
 	}
@@ -56,7 +56,7 @@
 	static EntryChange toEntryChange(DomainFailure failure) {
 		DomainFailureProto proto = DomainFailureProto.newBuilder()
 			.setFailureDomain(failure.domain().value())
-			.setStamp(failure.stamp())
+			.setStamp(failure.sequence())
 			.build();
 		return EntryChange.set(DOMAIN_PREFIX + failure.domain(), Bytes.of(proto.toByteArray()));
 	}
@@ -77,7 +77,7 @@
 		try {
 			MemberRecordProto proto = MemberRecordProto.parseFrom(value.toArray());
 			boolean known = proto.getState() < STATES.length && proto.getNode().getRole() < NodeRole.values().length;
-			return known ? Optional.of(new MemberRecord(SpreadCodec.fromProto(proto.getNode()),
+			return known ? Optional.of(new MemberRecord(RelayTreeCodec.fromProto(proto.getNode()),
 					STATES[proto.getState()], proto.getStamp())) : Optional.empty();
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberRecord.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberRecord.java
@@ -8,15 +8,15 @@
  *
  * @param node the member
  * @param state the state
- * @param stamp the sequence number of the publication, which shows whether a failure of
- * the member's failure domain was published earlier or later
+ * @param sequence the sequence number of the publication, which shows whether a failure
+ * of the member's failure domain was published earlier or later
  */
-public record MemberRecord(NodeDescriptor node, MemberState state, long stamp) {
+public record MemberRecord(NodeDescriptor node, MemberState state, long sequence) {
 
 	public MemberRecord {
 		Preconditions.notNull(node, "node");
 		Preconditions.notNull(state, "state");
-		Preconditions.check(stamp >= 0, "sequence must not be negative: %d", stamp);
+		Preconditions.check(sequence >= 0, "sequence must not be negative: %d", sequence);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberView.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MemberView.java
@@ -100,13 +100,13 @@
 	}
 
 	boolean isDomainFailedSince(MemberRecord record) {
-		return record.stamp() < this.failedDomains.getOrDefault(record.node().domain(), 0L);
+		return record.sequence() < this.failedDomains.getOrDefault(record.node().domain(), 0L);
 	}
 
 	void applyEntry(String key, Bytes value) {
 		MemberEntries.parseMember(key, value).ifPresent(this::putRecord);
 		MemberEntries.parseDomainFailure(key, value)
-			.ifPresent((failure) -> this.failedDomains.put(failure.domain(), failure.stamp()));
+			.ifPresent((failure) -> this.failedDomains.put(failure.domain(), failure.sequence()));
 	}
 
 	private void putRecord(MemberRecord record) {
@@ -122,8 +122,8 @@
 		return lastLeaving != null && !lastLeaving.isBefore(record.node().incarnation());
 	}
 
-	long highestStamp() {
-		long members = this.records.values().stream().mapToLong(MemberRecord::stamp).max().orElse(0);
+	long highestSequence() {
+		long members = this.records.values().stream().mapToLong(MemberRecord::sequence).max().orElse(0);
 		long domains = this.failedDomains.values().stream().mapToLong(Long::longValue).max().orElse(0);
 		return Math.max(members, domains);
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/Membership.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/MembershipCore.java
@@ -30,7 +30,7 @@
  * return of a member that fails or restarts too often; the delay doubles with each
  * further return. At most {@value #MAX_MEMBERS} members are tracked.
  */
-final class Membership {
+final class MembershipCore {
 
 	/** The maximum number of tracked members. */
 	static final int MAX_MEMBERS = 16_384;
@@ -55,7 +55,8 @@
 
 	private long lastSequence;
 
-	Membership(NodeDescriptor self, MembershipSettings settings, RandomGenerator random, DecisionListener decisions) {
+	MembershipCore(NodeDescriptor self, MembershipSettings settings, RandomGenerator random,
+			DecisionListener decisions) {
 		this.self = self;
 		this.settings = settings;
 		this.decisions = decisions;
@@ -74,7 +75,7 @@
 		this.leading = true;
 		MemberView view = new MemberView();
 		entries.forEach(view::applyEntry);
-		this.lastSequence = view.highestStamp();
+		this.lastSequence = view.highestSequence();
 		view.records().forEach((record) -> restore(record, view.isDomainFailedSince(record), now));
 		handlePresent(new MemberReport(this.self, Presence.PRESENT), now);
 	}
@@ -100,23 +101,23 @@
 		}
 	}
 
-	void onLeave(NodeDescriptor node, long now) {
+	void onLeaveNotice(NodeDescriptor node, long now) {
 		Member member = this.members.get(node.id());
 		if (!this.leading) {
 			return;
 		}
 		if (member == null || member.node().incarnation().isBefore(node.incarnation())) {
 			join(new MemberReport(node, Presence.LEAVING), now);
-			this.members.get(node.id()).markUnreported(now, this.settings.grace().toNanos());
+			this.members.get(node.id()).markUnreported(now, this.settings.suspicionTimeout().toNanos());
 		}
 		else if (member.node().incarnation().equals(node.incarnation())) {
 			markLeaving(member);
 		}
 	}
 
-	void onProbed(Peer prober, ProbeResult result, long now) {
+	void onProbeResult(Peer prober, ProbeResult result, long now) {
 		Optional.ofNullable(this.members.get(result.target()))
-			.ifPresent((member) -> this.failureDetector.onResult(member, prober, result, now));
+			.ifPresent((member) -> this.failureDetector.onProbeResult(member, prober, result, now));
 	}
 
 	void tick(long now) {
@@ -124,7 +125,7 @@
 			return;
 		}
 		List.copyOf(this.members.values()).forEach((member) -> applyTimeouts(member, now));
-		FailureDetector.DetectedFailures failures = this.failureDetector.detect(this.members.values(), now);
+		FailureDetector.DetectedFailures failures = this.failureDetector.detectFailures(this.members.values(), now);
 		failures.failed().forEach((member) -> markFailed(member, now));
 		failures.failedDomains().forEach((failedDomain) -> markDomainFailed(failedDomain, now));
 	}
@@ -133,8 +134,8 @@
 		return this.changeBatcher.takeIfDue(now);
 	}
 
-	List<ProbeAssignment> takeProbes() {
-		return this.failureDetector.takeProbes();
+	List<ProbeAssignment> takeProbeAssignments() {
+		return this.failureDetector.takeProbeAssignments();
 	}
 
 	/**
@@ -153,8 +154,8 @@
 
 	private void restore(MemberRecord record, boolean domainFailed, long now) {
 		MemberState state = domainFailed ? MemberState.FAILED : record.state();
-		Member member = new Member(new MemberRecord(record.node(), state, record.stamp()));
-		member.markUnreported(now, this.settings.takeoverGrace().toNanos());
+		Member member = new Member(new MemberRecord(record.node(), state, record.sequence()));
+		member.markUnreported(now, this.settings.takeoverSuspicionTimeout().toNanos());
 		member.markFailed(now);
 		this.members.put(member.id(), member);
 	}
@@ -182,7 +183,7 @@
 			publish(member, state, "joined");
 		}
 		else {
-			member.setRecord(new MemberRecord(report.node(), member.state(), member.record().stamp()));
+			member.setRecord(new MemberRecord(report.node(), member.state(), member.record().sequence()));
 			member.beginIncarnation();
 			handleReturn(member, state, now);
 		}
@@ -196,19 +197,19 @@
 			markLeaving(member);
 		}
 		else if (member.state() == MemberState.FAILED && !wasReported) {
-			handleReturn(member, member.hasLeft() ? MemberState.LEAVING : MemberState.ACTIVE, now);
+			handleReturn(member, member.wasLeaving() ? MemberState.LEAVING : MemberState.ACTIVE, now);
 		}
 	}
 
 	private void handleReturn(Member member, MemberState state, long now) {
 		int excessReturns = member.countReturn(now, RETURN_WINDOW_NANOS) - MAX_IMMEDIATE_RETURNS;
 		if (excessReturns <= 0 || state == MemberState.LEAVING) {
-			member.holdBack(0);
+			member.delayReturnUntil(0);
 			publish(member, state, "returned");
 			return;
 		}
-		long delay = this.settings.damping().toNanos() << Math.min(excessReturns - 1, 10);
-		member.holdBack(now + Math.min(delay, this.settings.maxDamping().toNanos()));
+		long delay = this.settings.initialReturnDelay().toNanos() << Math.min(excessReturns - 1, 10);
+		member.delayReturnUntil(now + Math.min(delay, this.settings.maxReturnDelay().toNanos()));
 		member.markFailed(now);
 		publish(member, MemberState.FAILED, "held-back");
 	}
@@ -224,20 +225,21 @@
 	private void handleAbsent(NodeDescriptor node, long now) {
 		Member member = this.members.get(node.id());
 		if (member != null && member.isReported() && !node.incarnation().isBefore(member.node().incarnation())) {
-			member.markUnreported(now, this.settings.grace().toNanos());
+			member.markUnreported(now, this.settings.suspicionTimeout().toNanos());
 		}
 	}
 
 	private void applyTimeouts(Member member, long now) {
 		boolean failed = member.state() == MemberState.FAILED;
-		if (failed && member.isReported() && member.heldBackUntil() != 0 && now >= member.heldBackUntil()) {
-			member.holdBack(0);
+		if (failed && member.isReported() && member.returnDelayedUntil() != 0 && now >= member.returnDelayedUntil()) {
+			member.delayReturnUntil(0);
 			publish(member, MemberState.ACTIVE, "released");
 		}
 		else if (member.state() == MemberState.LEAVING && member.isSuspected(now)) {
 			remove(member, "left");
 		}
-		else if (failed && !member.isReported() && now - member.failedAt() >= this.settings.keepFailed().toNanos()) {
+		else if (failed && !member.isReported()
+				&& now - member.failedAt() >= this.settings.failedRetention().toNanos()) {
 			remove(member, "forgotten");
 		}
 	}
@@ -258,7 +260,7 @@
 		DomainFailure failure = new DomainFailure(failedDomain.domain(), ++this.lastSequence);
 		for (Member member : failedDomain.members()) {
 			member.markFailed(now);
-			member.setRecord(new MemberRecord(member.node(), MemberState.FAILED, member.record().stamp()));
+			member.setRecord(new MemberRecord(member.node(), MemberState.FAILED, member.record().sequence()));
 		}
 		this.changeBatcher.add(MemberEntries.toEntryChange(failure));
 		this.decisions.onDecision(DecisionRecord.of(DecisionKind.MEMBERSHIP, failedDomain.domain().value(),
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Child.java
@@ -13,7 +13,7 @@
  */
 final class Child {
 
-	private final Map<StreamId, Position> acknowledgedPositions = new EnumMap<>(StreamId.class);
+	private final Map<StreamId, StreamPosition> acknowledgedPositions = new EnumMap<>(StreamId.class);
 
 	private final Map<StreamId, Version> sentVersions = new EnumMap<>(StreamId.class);
 
@@ -27,13 +27,13 @@
 
 	private long lastHeartbeatAt;
 
-	private Coverage coverage = new Coverage(1, 0, 0, List.of());
+	private RevisionCoverage coverage = new RevisionCoverage(1, 0, 0, List.of());
 
-	private long resetSequence;
+	private long fullReportSequence;
 
-	private long reportsReceived;
+	private long receivedReportSequence;
 
-	private ParentList sentParents = ParentList.NONE;
+	private ParentCandidates sentCandidates = ParentCandidates.NONE;
 
 	Child(NodeDescriptor node) {
 		this.node = node;
@@ -45,7 +45,7 @@
 	 * @param heartbeat the heartbeat
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void recordHeartbeat(Heartbeat heartbeat, long now) {
+	void recordHeartbeat(ChildHeartbeat heartbeat, long now) {
 		if (this.node.incarnation().isBefore(heartbeat.node().incarnation())) {
 			resetAfterRestart();
 		}
@@ -62,13 +62,13 @@
 	 * @param heartbeat the heartbeat
 	 * @return {@code true} if all earlier reports of the child must be discarded
 	 */
-	boolean startsFullReport(Heartbeat heartbeat) {
-		return heartbeat.resetSequence() > this.resetSequence;
+	boolean startsFullReport(ChildHeartbeat heartbeat) {
+		return heartbeat.fullReportSequence() > this.fullReportSequence;
 	}
 
 	void startFullReport(long sequence) {
-		this.resetSequence = sequence;
-		this.reportsReceived = sequence;
+		this.fullReportSequence = sequence;
+		this.receivedReportSequence = sequence;
 	}
 
 	/**
@@ -77,17 +77,17 @@
 	 * @param heartbeat the heartbeat
 	 * @return {@code true} if the reports must be applied
 	 */
-	boolean hasNewReports(Heartbeat heartbeat) {
-		boolean contiguous = heartbeat.resetSequence() == this.resetSequence
-				&& heartbeat.reportBase() <= this.reportsReceived;
-		return contiguous && heartbeat.reportSequence() > this.reportsReceived;
+	boolean hasNewReports(ChildHeartbeat heartbeat) {
+		boolean contiguous = heartbeat.fullReportSequence() == this.fullReportSequence
+				&& heartbeat.baseReportSequence() <= this.receivedReportSequence;
+		return contiguous && heartbeat.lastReportSequence() > this.receivedReportSequence;
 	}
 
 	void markReportsReceived(long sequence) {
-		this.reportsReceived = sequence;
+		this.receivedReportSequence = sequence;
 	}
 
-	Version sent(StreamId stream) {
+	Version sentVersion(StreamId stream) {
 		return this.sentVersions.getOrDefault(stream, Version.ZERO);
 	}
 
@@ -101,14 +101,14 @@
 	}
 
 	void rewindToAcknowledged(StreamId stream) {
-		this.sentVersions.put(stream, acknowledged(stream).version());
+		this.sentVersions.put(stream, acknowledgedPosition(stream).version());
 	}
 
-	Position acknowledged(StreamId stream) {
-		return this.acknowledgedPositions.getOrDefault(stream, Position.ZERO);
+	StreamPosition acknowledgedPosition(StreamId stream) {
+		return this.acknowledgedPositions.getOrDefault(stream, StreamPosition.ZERO);
 	}
 
-	MemberReport report() {
+	MemberReport presenceReport() {
 		return new MemberReport(this.node, this.leaving ? Presence.LEAVING : Presence.PRESENT);
 	}
 
@@ -128,26 +128,26 @@
 		return this.lastHeartbeatAt;
 	}
 
-	Coverage coverage() {
+	RevisionCoverage coverage() {
 		return this.coverage;
 	}
 
-	long reportsReceived() {
-		return this.reportsReceived;
+	long receivedReportSequence() {
+		return this.receivedReportSequence;
 	}
 
-	ParentList sentParents() {
-		return this.sentParents;
+	ParentCandidates sentCandidates() {
+		return this.sentCandidates;
 	}
 
-	void setSentParents(ParentList parents) {
-		this.sentParents = parents;
+	void setSentCandidates(ParentCandidates parents) {
+		this.sentCandidates = parents;
 	}
 
 	private void resetAfterRestart() {
 		this.leaving = false;
-		this.resetSequence = 0;
-		this.reportsReceived = 0;
+		this.fullReportSequence = 0;
+		this.receivedReportSequence = 0;
 		this.sentVersions.clear();
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Heartbeat.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ChildHeartbeat.java
@@ -10,26 +10,28 @@
  *
  * @param node the sender
  * @param leaving whether the sender has stopped accepting new work
- * @param stranded whether the sender could not reach any of its parent candidates
- * @param resend whether the sender has missed updates or diverged and requests all
- * updates after its positions
+ * @param candidatesUnreachable whether the sender could not reach any of its parent
+ * candidates
+ * @param resendRequested whether the sender has missed updates or diverged and requests
+ * all updates after its positions
  * @param configuration the sender's position in the configuration stream
  * @param members the sender's position in the membership stream
  * @param floorNonce the nonce of the sender's outstanding request for the floor, or zero
  * if it has none
  * @param coverage the coverage of the sender's subtree
- * @param resetSequence the sequence number at which the sender's latest full report
+ * @param fullReportSequence the sequence number at which the sender's latest full report
  * started; the parent discards all reports before it
- * @param reportBase the sequence number up to which the parent must have received
+ * @param baseReportSequence the sequence number up to which the parent must have received
  * reports, so that the included ones follow without a gap
- * @param reportSequence the sequence number of the last included report
+ * @param lastReportSequence the sequence number of the last included report
  * @param reports the oldest reports that the parent has not acknowledged
  */
-public record Heartbeat(NodeDescriptor node, boolean leaving, boolean stranded, boolean resend, Position configuration,
-		Position members, long floorNonce, Coverage coverage, long resetSequence, long reportBase, long reportSequence,
-		List<MemberReport> reports) implements SpreadMessage {
+public record ChildHeartbeat(NodeDescriptor node, boolean leaving, boolean candidatesUnreachable,
+		boolean resendRequested, StreamPosition configuration, StreamPosition members, long floorNonce,
+		RevisionCoverage coverage, long fullReportSequence, long baseReportSequence, long lastReportSequence,
+		List<MemberReport> reports) implements RelayTreeMessage {
 
-	public Heartbeat {
+	public ChildHeartbeat {
 		Preconditions.notNull(node, "node");
 		Preconditions.notNull(configuration, "configuration");
 		Preconditions.notNull(members, "members");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Children.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Children.java
@@ -64,18 +64,18 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return the child
 	 */
-	Child applyHeartbeat(Heartbeat heartbeat, long now) {
+	Child applyHeartbeat(ChildHeartbeat heartbeat, long now) {
 		Child child = this.children.computeIfAbsent(heartbeat.node().id(), (id) -> new Child(heartbeat.node()));
 		this.coverageChanged |= !child.coverage().equals(heartbeat.coverage());
 		child.recordHeartbeat(heartbeat, now);
-		putReport(child, child.report());
+		putReport(child, child.presenceReport());
 		if (child.startsFullReport(heartbeat)) {
 			List.copyOf(child.descendants().keySet()).forEach((id) -> removeReport(child, id));
-			child.startFullReport(heartbeat.resetSequence());
+			child.startFullReport(heartbeat.fullReportSequence());
 		}
 		if (child.hasNewReports(heartbeat)) {
 			heartbeat.reports().forEach((report) -> applyReport(child, report));
-			child.markReportsReceived(heartbeat.reportSequence());
+			child.markReportsReceived(heartbeat.lastReportSequence());
 		}
 		return child;
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ConfigurationGate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ConfigurationActivator.java
@@ -18,7 +18,7 @@
  * configuration that was replaced before its start. No later version may be older than
  * the one in force.
  */
-final class ConfigurationGate {
+final class ConfigurationActivator {
 
 	private final InstanceId self;
 
@@ -32,9 +32,9 @@
 
 	private Optional<Version> floor = Optional.empty();
 
-	private Optional<Version> inForce = Optional.empty();
+	private Optional<Version> versionInForce = Optional.empty();
 
-	ConfigurationGate(InstanceId self, StreamReplica replica, Invariants invariants, DecisionListener decisions,
+	ConfigurationActivator(InstanceId self, StreamReplica replica, Invariants invariants, DecisionListener decisions,
 			Outbox outbox) {
 		this.self = self;
 		this.replica = replica;
@@ -43,21 +43,21 @@
 		this.outbox = outbox;
 	}
 
-	Optional<Version> inForce() {
-		return this.inForce;
+	Optional<Version> versionInForce() {
+		return this.versionInForce;
 	}
 
 	long revisionInForce() {
-		return this.inForce.map(Version::number).orElse(0L);
+		return this.versionInForce.map(Version::number).orElse(0L);
 	}
 
 	/**
 	 * Sets the floor and activates the replica's state if it is not older.
 	 * @param version the oldest version that may be activated, confirmed by a quorum
 	 */
-	void floorConfirmed(Version version) {
+	void setFloor(Version version) {
 		this.floor = Optional.of(version);
-		activateWholeState();
+		activateCompleteState();
 	}
 
 	/**
@@ -65,8 +65,8 @@
 	 * @param delta the delta
 	 */
 	void activateDelta(Delta delta) {
-		if (this.inForce.isEmpty()) {
-			activateWholeState();
+		if (this.versionInForce.isEmpty()) {
+			activateCompleteState();
 			return;
 		}
 		activate(delta.changes(), false);
@@ -76,23 +76,23 @@
 	 * Activates the replica's complete state, unless no version is in force yet and the
 	 * floor is unknown or newer than the state.
 	 */
-	void activateWholeState() {
+	void activateCompleteState() {
 		boolean floorReached = this.floor.isPresent() && !this.replica.version().isBefore(this.floor.get());
-		if (floorReached || this.inForce.isPresent()) {
+		if (floorReached || this.versionInForce.isPresent()) {
 			activate(this.replica.asChanges(), true);
 		}
 	}
 
 	private void activate(List<EntryChange> changes, boolean replaceAll) {
 		Version version = this.replica.version();
-		Version previous = this.inForce.orElse(Version.ZERO);
+		Version previous = this.versionInForce.orElse(Version.ZERO);
 		boolean notOlder = version.number() >= previous.number() && !version.isBefore(previous);
 		if (!this.invariants.holds(notOlder, "revision-never-back", Field.of("held", previous),
 				Field.of("offered", version))) {
 			return;
 		}
-		this.inForce = Optional.of(version);
-		this.outbox.add(new SpreadCommand.ConfigurationInForce(version, changes, replaceAll));
+		this.versionInForce = Optional.of(version);
+		this.outbox.add(new RelayTreeCommand.ActivateConfiguration(version, changes, replaceAll));
 		this.decisions.onDecision(DecisionRecord.of(DecisionKind.CONFIGURE, this.self.value(), "in-force",
 				Field.of("version", version), Field.of("whole", replaceAll)));
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/CoverageCalculator.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/CoverageCalculator.java
@@ -13,7 +13,7 @@
 
 	private final long revision;
 
-	private final List<Laggard> laggingNodes = new ArrayList<>();
+	private final List<LaggingNode> laggingNodes = new ArrayList<>();
 
 	private int nodeCount;
 
@@ -33,36 +33,37 @@
 	 * @param children the node's children
 	 * @return the coverage of the revision in the node's subtree
 	 */
-	static Coverage calculate(long revision, InstanceId self, long revisionInForce, Collection<Child> children) {
+	static RevisionCoverage calculate(long revision, InstanceId self, long revisionInForce,
+			Collection<Child> children) {
 		CoverageCalculator calculator = new CoverageCalculator(revision);
 		calculator.addNode(self, revisionInForce);
 		children.forEach(calculator::addSubtree);
-		return new Coverage(calculator.nodeCount, revision, calculator.laggingCount, calculator.laggingNodes);
+		return new RevisionCoverage(calculator.nodeCount, revision, calculator.laggingCount, calculator.laggingNodes);
 	}
 
 	private void addSubtree(Child child) {
-		Coverage coverage = child.coverage();
-		if (coverage.number() < this.revision) {
-			addNode(child.node().id(), coverage.number());
-			child.descendants().keySet().forEach((id) -> addNode(id, coverage.number()));
+		RevisionCoverage coverage = child.coverage();
+		if (coverage.revision() < this.revision) {
+			addNode(child.node().id(), coverage.revision());
+			child.descendants().keySet().forEach((id) -> addNode(id, coverage.revision()));
 			return;
 		}
-		this.nodeCount += coverage.nodes();
-		this.laggingCount += coverage.behindCount() - coverage.behind().size();
-		coverage.behind().forEach(this::addIfLagging);
+		this.nodeCount += coverage.nodeCount();
+		this.laggingCount += coverage.laggingCount() - coverage.laggingNodes().size();
+		coverage.laggingNodes().forEach(this::addIfLagging);
 	}
 
 	private void addNode(InstanceId id, long revisionInForce) {
 		this.nodeCount++;
-		addIfLagging(new Laggard(id, revisionInForce));
+		addIfLagging(new LaggingNode(id, revisionInForce));
 	}
 
-	private void addIfLagging(Laggard node) {
-		if (node.number() >= this.revision) {
+	private void addIfLagging(LaggingNode node) {
+		if (node.revision() >= this.revision) {
 			return;
 		}
 		this.laggingCount++;
-		if (this.laggingNodes.size() < Coverage.MAX_LISTED) {
+		if (this.laggingNodes.size() < RevisionCoverage.MAX_LISTED) {
 			this.laggingNodes.add(node);
 		}
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/DeltaUpdate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/DeltaUpdate.java
@@ -12,7 +12,7 @@
  * @param rootTerm the latest leader term that the sender has received
  * @param deltas the deltas, oldest first
  */
-public record DeltaUpdate(StreamId stream, Term rootTerm, List<Delta> deltas) implements SpreadMessage {
+public record DeltaUpdate(StreamId stream, Term rootTerm, List<Delta> deltas) implements RelayTreeMessage {
 
 	public DeltaUpdate {
 		Preconditions.notNull(stream, "stream");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorTracker.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorRequestTracker.java
@@ -14,7 +14,7 @@
  * sent. For a later request the floor could have been read before the requesting node
  * started, and would be too old for it.
  */
-final class FloorTracker {
+final class FloorRequestTracker {
 
 	private final RandomGenerator random;
 
@@ -26,14 +26,14 @@
 
 	private boolean selfOutstanding;
 
-	private long nonce;
+	private long outstandingNonce;
 
-	FloorTracker(RandomGenerator random) {
+	FloorRequestTracker(RandomGenerator random) {
 		this.random = random;
 	}
 
-	long nonce() {
-		return this.nonce;
+	long outstandingNonce() {
+		return this.outstandingNonce;
 	}
 
 	/**
@@ -56,10 +56,10 @@
 	 * @return {@code true} if a new request must be sent to the parent
 	 */
 	boolean startNextRequest() {
-		if (this.nonce != 0 || (this.waiting.isEmpty() && !this.selfWaiting)) {
+		if (this.outstandingNonce != 0 || (this.waiting.isEmpty() && !this.selfWaiting)) {
 			return false;
 		}
-		this.nonce = nextNonce();
+		this.outstandingNonce = nextNonce();
 		this.outstanding = this.waiting;
 		this.waiting = new HashMap<>();
 		this.selfOutstanding = this.selfWaiting;
@@ -73,11 +73,11 @@
 	 * @return the completed requests, or none if the response belongs to another request
 	 */
 	CompletedRequests completeRequest(long responseNonce) {
-		if (responseNonce == 0 || responseNonce != this.nonce) {
+		if (responseNonce == 0 || responseNonce != this.outstandingNonce) {
 			return new CompletedRequests(false, Map.of());
 		}
 		CompletedRequests result = new CompletedRequests(this.selfOutstanding, this.outstanding);
-		this.nonce = 0;
+		this.outstandingNonce = 0;
 		this.outstanding = new HashMap<>();
 		this.selfOutstanding = false;
 		return result;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorResponse.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/FloorResponse.java
@@ -8,7 +8,7 @@
  * @param nonce the nonce of the request
  * @param floor the floor, confirmed by a quorum after the request was sent
  */
-public record FloorResponse(long nonce, Floor floor) implements SpreadMessage {
+public record FloorResponse(long nonce, Floor floor) implements RelayTreeMessage {
 
 	public FloorResponse {
 		Preconditions.notNull(floor, "floor");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Uplink.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/HeartbeatSender.java
@@ -4,15 +4,15 @@
  * Sends heartbeats to the parent at a regular interval, and earlier if there are changes
  * to report.
  */
-final class Uplink {
+final class HeartbeatSender {
 
 	private final NodeDescriptor self;
 
-	private final SpreadSettings settings;
+	private final RelayTreeSettings settings;
 
-	private final ParentLink parentSelector;
+	private final ParentSelector parentSelector;
 
-	private final Streams streams;
+	private final StreamReplicas streams;
 
 	private final Children children;
 
@@ -32,8 +32,8 @@
 
 	private long fullReportStartedAt;
 
-	Uplink(NodeDescriptor self, SpreadSettings settings, ParentLink link, Streams streams, Children children,
-			ReportQueue reports, Outbox outbox) {
+	HeartbeatSender(NodeDescriptor self, RelayTreeSettings settings, ParentSelector link, StreamReplicas streams,
+			Children children, ReportQueue reports, Outbox outbox) {
 		this.self = self;
 		this.settings = settings;
 		this.parentSelector = link;
@@ -44,8 +44,8 @@
 	}
 
 	/**
-	 * Makes the next call of {@link #flush(boolean, long)} send a heartbeat regardless of
-	 * the interval.
+	 * Makes the next call of {@link #sendIfDue(boolean, long)} send a heartbeat
+	 * regardless of the interval.
 	 */
 	void requestImmediateHeartbeat() {
 		this.sendImmediately = true;
@@ -79,12 +79,12 @@
 	 */
 	void onReportsAcknowledged(long received, long now) {
 		boolean accepted = this.reports.removeAcknowledged(received);
-		if (!accepted && now - this.fullReportStartedAt >= 2 * this.settings.heartbeatInterval().toNanos()) {
+		if (!accepted && now - this.fullReportStartedAt >= 2 * this.settings.childHeartbeatInterval().toNanos()) {
 			startFullReport(now);
 		}
 	}
 
-	Coverage coverage(long revision) {
+	RevisionCoverage coverage(long revision) {
 		return CoverageCalculator.calculate(revision, this.self.id(), this.streams.revisionInForce(),
 				this.children.all());
 	}
@@ -95,14 +95,14 @@
 	 * @param leader whether this node is the leader
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void flush(boolean leader, long now) {
+	void sendIfDue(boolean leader, long now) {
 		if (leader) {
 			if (!this.reports.isEmpty()) {
-				this.outbox.add(new SpreadCommand.ReportsReceived(this.reports.drain()));
+				this.outbox.add(new RelayTreeCommand.HandleReports(this.reports.drain()));
 			}
 			return;
 		}
-		boolean regular = now - this.lastSentAt >= this.settings.heartbeatInterval().toNanos();
+		boolean regular = now - this.lastSentAt >= this.settings.childHeartbeatInterval().toNanos();
 		boolean early = hasChanges() && now - this.lastSentAt >= 2 * this.settings.tickInterval().toNanos();
 		if (this.parentSelector.parent().isPresent() && (this.sendImmediately || regular || early)) {
 			send(this.parentSelector.parent().get(), now);
@@ -120,11 +120,11 @@
 		this.lastSentRevision = this.streams.revisionInForce();
 		this.children.clearCoverageChanged();
 		ReportQueue.Batch batch = this.reports.nextBatch();
-		Position configuration = this.streams.configuration().position();
-		Heartbeat heartbeat = new Heartbeat(this.self, this.leaving, this.parentSelector.isStranded(),
-				this.streams.pollResend(), configuration, this.streams.members().position(), this.floorNonce,
-				coverage(configuration.version().number()), this.reports.resetSequence(), this.reports.acknowledged(),
-				batch.lastSequence(), batch.reports());
+		StreamPosition configuration = this.streams.configuration().position();
+		ChildHeartbeat heartbeat = new ChildHeartbeat(this.self, this.leaving,
+				this.parentSelector.areCandidatesUnreachable(), this.streams.takeResendRequest(), configuration,
+				this.streams.members().position(), this.floorNonce, coverage(configuration.version().number()),
+				this.reports.fullReportSequence(), this.reports.acknowledged(), batch.lastSequence(), batch.reports());
 		this.outbox.send(Peer.of(parent), heartbeat);
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Laggard.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/LaggingNode.java
@@ -8,12 +8,12 @@
  * one whose coverage is determined.
  *
  * @param id the node
- * @param number the last reported revision in force at the node, or zero if it has not
+ * @param revision the last reported revision in force at the node, or zero if it has not
  * reported any
  */
-public record Laggard(InstanceId id, long number) {
+public record LaggingNode(InstanceId id, long revision) {
 
-	public Laggard {
+	public LaggingNode {
 		Preconditions.notNull(id, "id");
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveNotice.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/LeaveNotice.java
@@ -8,7 +8,7 @@
  *
  * @param node the leaving node
  */
-public record LeaveNotice(NodeDescriptor node) implements SpreadMessage {
+public record LeaveNotice(NodeDescriptor node) implements RelayTreeMessage {
 
 	public LeaveNotice {
 		Preconditions.notNull(node, "node");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MemberDirectory.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MemberDecoder.java
@@ -9,7 +9,7 @@
  * Decodes the entries of the {@link StreamId#MEMBERS} stream.
  */
 @FunctionalInterface
-public interface MemberDirectory {
+public interface MemberDecoder {
 
 	/**
 	 * Decodes the active members: those that have neither failed nor started to leave.
@@ -17,6 +17,6 @@
 	 * @param entries the entries of the membership stream
 	 * @return the active members' nodes
 	 */
-	List<NodeDescriptor> activeNodes(Map<String, Bytes> entries);
+	List<NodeDescriptor> decodeActiveNodes(Map<String, Bytes> entries);
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageDecoder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageDecoder.java
@@ -39,7 +39,7 @@
 	private MessageDecoder() {
 	}
 
-	static Optional<SpreadMessage> decode(SpreadEnvelopeProto envelope) {
+	static Optional<RelayTreeMessage> decode(SpreadEnvelopeProto envelope) {
 		return switch (envelope.getBodyCase()) {
 			case HEARTBEAT -> Optional.of(childHeartbeat(envelope.getHeartbeat()));
 			case BEAT -> Optional.of(parentHeartbeat(envelope.getBeat()));
@@ -47,45 +47,45 @@
 			case DELTAS -> Optional.of(deltas(envelope.getDeltas()));
 			case SNAPSHOT -> Optional.of(snapshot(envelope.getSnapshot()));
 			case FLOOR -> Optional.of(floor(envelope.getFloor()));
-			case LEAVE -> Optional.of(new LeaveNotice(SpreadCodec.fromProto(envelope.getLeave().getNode())));
+			case LEAVE -> Optional.of(new LeaveNotice(RelayTreeCodec.fromProto(envelope.getLeave().getNode())));
 			case PING -> Optional.of(new Ping(envelope.getPing().getNonce()));
 			case PONG -> Optional
 				.of(new Pong(envelope.getPong().getNonce(), Incarnation.of(envelope.getPong().getIncarnation())));
 			case PROBE_REQUEST -> Optional.of(new ProbeRequest(envelope.getProbeRequest().getNonce(),
-					SpreadCodec.fromProto(envelope.getProbeRequest().getTarget())));
+					RelayTreeCodec.fromProto(envelope.getProbeRequest().getTarget())));
 			case PROBE_RESULT -> Optional.of(probeResult(envelope.getProbeResult()));
 			case BODY_NOT_SET -> Optional.empty();
 		};
 	}
 
-	private static Heartbeat childHeartbeat(HeartbeatProto proto) {
+	private static ChildHeartbeat childHeartbeat(HeartbeatProto proto) {
 		List<MemberReport> reports = new ArrayList<>(proto.getReportsCount());
 		for (MemberReportProto report : proto.getReportsList()) {
 			Preconditions.check(report.getPresence() >= 0 && report.getPresence() < PRESENCES.length,
 					"unknown presence: %d", report.getPresence());
-			reports.add(new MemberReport(SpreadCodec.fromProto(report.getNode()), PRESENCES[report.getPresence()]));
+			reports.add(new MemberReport(RelayTreeCodec.fromProto(report.getNode()), PRESENCES[report.getPresence()]));
 		}
-		return new Heartbeat(SpreadCodec.fromProto(proto.getNode()), proto.getLeaving(), proto.getStranded(),
+		return new ChildHeartbeat(RelayTreeCodec.fromProto(proto.getNode()), proto.getLeaving(), proto.getStranded(),
 				proto.getResend(), position(proto.getConfiguration()), position(proto.getMembers()),
 				proto.getFloorNonce(), coverage(proto.getCoverage()), proto.getResetSequence(), proto.getReportBase(),
 				proto.getReportSequence(), reports);
 	}
 
-	private static Coverage coverage(CoverageProto proto) {
-		List<Laggard> laggingNodes = proto.getLaggardsList()
+	private static RevisionCoverage coverage(CoverageProto proto) {
+		List<LaggingNode> laggingNodes = proto.getLaggardsList()
 			.stream()
-			.map((laggard) -> new Laggard(InstanceId.of(laggard.getId()), laggard.getNumber()))
+			.map((laggard) -> new LaggingNode(InstanceId.of(laggard.getId()), laggard.getNumber()))
 			.toList();
-		return new Coverage(proto.getNodes(), proto.getNumber(), proto.getBehindCount(), laggingNodes);
+		return new RevisionCoverage(proto.getNodes(), proto.getNumber(), proto.getBehindCount(), laggingNodes);
 	}
 
-	private static Beat parentHeartbeat(BeatProto proto) {
-		return new Beat(Term.of(proto.getRootTerm()), proto.getRootSequence(), position(proto.getConfiguration()),
-				position(proto.getMembers()), proto.getReportsReceived());
+	private static ParentHeartbeat parentHeartbeat(BeatProto proto) {
+		return new ParentHeartbeat(Term.of(proto.getRootTerm()), proto.getRootSequence(),
+				position(proto.getConfiguration()), position(proto.getMembers()), proto.getReportsReceived());
 	}
 
-	private static ParentList candidates(ParentsProto proto) {
-		return new ParentList(proto.getParentsList().stream().map(SpreadCodec::fromProto).toList(),
+	private static ParentCandidates candidates(ParentsProto proto) {
+		return new ParentCandidates(proto.getParentsList().stream().map(RelayTreeCodec::fromProto).toList(),
 				proto.getPreferred(), proto.getAdopted());
 	}
 
@@ -126,8 +126,8 @@
 		return STREAMS[ordinal];
 	}
 
-	private static Position position(PositionProto proto) {
-		return new Position(version(proto.getVersion()), proto.getDigest());
+	private static StreamPosition position(PositionProto proto) {
+		return new StreamPosition(version(proto.getVersion()), proto.getDigest());
 	}
 
 	private static Version version(VersionProto proto) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageEncoder.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/MessageEncoder.java
@@ -30,15 +30,15 @@
 	private MessageEncoder() {
 	}
 
-	static SpreadEnvelopeProto encode(SpreadMessage message) {
+	static SpreadEnvelopeProto encode(RelayTreeMessage message) {
 		SpreadEnvelopeProto.Builder envelope = SpreadEnvelopeProto.newBuilder();
-		if (message instanceof Heartbeat heartbeat) {
+		if (message instanceof ChildHeartbeat heartbeat) {
 			envelope.setHeartbeat(childHeartbeat(heartbeat));
 		}
-		else if (message instanceof Beat heartbeat) {
+		else if (message instanceof ParentHeartbeat heartbeat) {
 			envelope.setBeat(parentHeartbeat(heartbeat));
 		}
-		else if (message instanceof ParentList candidates) {
+		else if (message instanceof ParentCandidates candidates) {
 			envelope.setParents(candidates(candidates));
 		}
 		else if (message instanceof DeltaUpdate update) {
@@ -56,9 +56,9 @@
 		return envelope.build();
 	}
 
-	private static void encodeDirectMessage(SpreadMessage message, SpreadEnvelopeProto.Builder envelope) {
+	private static void encodeDirectMessage(RelayTreeMessage message, SpreadEnvelopeProto.Builder envelope) {
 		if (message instanceof LeaveNotice notice) {
-			envelope.setLeave(LeaveProto.newBuilder().setNode(SpreadCodec.toProto(notice.node())));
+			envelope.setLeave(LeaveProto.newBuilder().setNode(RelayTreeCodec.toProto(notice.node())));
 		}
 		else if (message instanceof Ping ping) {
 			envelope.setPing(PingProto.newBuilder().setNonce(ping.nonce()));
@@ -69,7 +69,7 @@
 		else if (message instanceof ProbeRequest request) {
 			envelope.setProbeRequest(ProbeRequestProto.newBuilder()
 				.setNonce(request.nonce())
-				.setTarget(SpreadCodec.toProto(request.target())));
+				.setTarget(RelayTreeCodec.toProto(request.target())));
 		}
 		else if (message instanceof ProbeResult result) {
 			envelope.setProbeResult(ProbeResultProto.newBuilder()
@@ -80,53 +80,53 @@
 		}
 	}
 
-	private static HeartbeatProto childHeartbeat(Heartbeat heartbeat) {
+	private static HeartbeatProto childHeartbeat(ChildHeartbeat heartbeat) {
 		HeartbeatProto.Builder proto = HeartbeatProto.newBuilder()
-			.setNode(SpreadCodec.toProto(heartbeat.node()))
+			.setNode(RelayTreeCodec.toProto(heartbeat.node()))
 			.setLeaving(heartbeat.leaving())
-			.setStranded(heartbeat.stranded())
-			.setResend(heartbeat.resend())
+			.setStranded(heartbeat.candidatesUnreachable())
+			.setResend(heartbeat.resendRequested())
 			.setConfiguration(position(heartbeat.configuration()))
 			.setMembers(position(heartbeat.members()))
 			.setFloorNonce(heartbeat.floorNonce())
 			.setCoverage(coverage(heartbeat.coverage()))
-			.setResetSequence(heartbeat.resetSequence())
-			.setReportBase(heartbeat.reportBase())
-			.setReportSequence(heartbeat.reportSequence());
+			.setResetSequence(heartbeat.fullReportSequence())
+			.setReportBase(heartbeat.baseReportSequence())
+			.setReportSequence(heartbeat.lastReportSequence());
 		for (MemberReport report : heartbeat.reports()) {
 			proto.addReports(MemberReportProto.newBuilder()
-				.setNode(SpreadCodec.toProto(report.node()))
+				.setNode(RelayTreeCodec.toProto(report.node()))
 				.setPresence(report.presence().ordinal()));
 		}
 		return proto.build();
 	}
 
-	private static CoverageProto coverage(Coverage coverage) {
+	private static CoverageProto coverage(RevisionCoverage coverage) {
 		CoverageProto.Builder proto = CoverageProto.newBuilder()
-			.setNodes(coverage.nodes())
-			.setNumber(coverage.number())
-			.setBehindCount(coverage.behindCount());
-		for (Laggard node : coverage.behind()) {
-			proto.addLaggards(LaggardProto.newBuilder().setId(node.id().value()).setNumber(node.number()));
+			.setNodes(coverage.nodeCount())
+			.setNumber(coverage.revision())
+			.setBehindCount(coverage.laggingCount());
+		for (LaggingNode node : coverage.laggingNodes()) {
+			proto.addLaggards(LaggardProto.newBuilder().setId(node.id().value()).setNumber(node.revision()));
 		}
 		return proto.build();
 	}
 
-	private static BeatProto parentHeartbeat(Beat heartbeat) {
+	private static BeatProto parentHeartbeat(ParentHeartbeat heartbeat) {
 		return BeatProto.newBuilder()
 			.setRootTerm(heartbeat.rootTerm().value())
 			.setRootSequence(heartbeat.rootSequence())
 			.setConfiguration(position(heartbeat.configuration()))
 			.setMembers(position(heartbeat.members()))
-			.setReportsReceived(heartbeat.reportsReceived())
+			.setReportsReceived(heartbeat.receivedReportSequence())
 			.build();
 	}
 
-	private static ParentsProto candidates(ParentList candidates) {
+	private static ParentsProto candidates(ParentCandidates candidates) {
 		ParentsProto.Builder proto = ParentsProto.newBuilder()
-			.setPreferred(candidates.preferred())
-			.setAdopted(candidates.adopted());
-		candidates.parents().forEach((candidate) -> proto.addParents(SpreadCodec.toProto(candidate)));
+			.setPreferred(candidates.preferredCount())
+			.setAdopted(candidates.accepted());
+		candidates.nodes().forEach((candidate) -> proto.addParents(RelayTreeCodec.toProto(candidate)));
 		return proto.build();
 	}
 
@@ -172,7 +172,7 @@
 			.build();
 	}
 
-	private static PositionProto position(Position position) {
+	private static PositionProto position(StreamPosition position) {
 		return PositionProto.newBuilder().setVersion(version(position.version())).setDigest(position.digest()).build();
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Outbox.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Outbox.java
@@ -8,18 +8,18 @@
  */
 final class Outbox {
 
-	private List<SpreadCommand> commands = new ArrayList<>();
+	private List<RelayTreeCommand> commands = new ArrayList<>();
 
-	void send(Peer to, SpreadMessage message) {
-		this.commands.add(new SpreadCommand.Send(to, message));
+	void send(Peer to, RelayTreeMessage message) {
+		this.commands.add(new RelayTreeCommand.Send(to, message));
 	}
 
-	void add(SpreadCommand command) {
+	void add(RelayTreeCommand command) {
 		this.commands.add(command);
 	}
 
-	List<SpreadCommand> drain() {
-		List<SpreadCommand> drained = this.commands;
+	List<RelayTreeCommand> drain() {
+		List<RelayTreeCommand> drained = this.commands;
 		this.commands = new ArrayList<>(Math.min(drained.size(), 16));
 		return drained;
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Beat.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentHeartbeat.java
@@ -13,13 +13,13 @@
  * @param rootSequence the sequence number of that heartbeat within its term
  * @param configuration the parent's position in the configuration stream
  * @param members the parent's position in the membership stream
- * @param reportsReceived the sequence number of the last report that the parent has
- * received from the child
+ * @param receivedReportSequence the sequence number of the last report that the parent
+ * has received from the child
  */
-public record Beat(Term rootTerm, long rootSequence, Position configuration, Position members,
-		long reportsReceived) implements SpreadMessage {
+public record ParentHeartbeat(Term rootTerm, long rootSequence, StreamPosition configuration, StreamPosition members,
+		long receivedReportSequence) implements RelayTreeMessage {
 
-	public Beat {
+	public ParentHeartbeat {
 		Preconditions.notNull(rootTerm, "rootTerm");
 		Preconditions.notNull(configuration, "configuration");
 		Preconditions.notNull(members, "members");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentPlanner.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentPlanner.java
@@ -23,13 +23,13 @@
 
 	private final long replanIntervalNanos;
 
-	private final MemberDirectory memberDecoder;
+	private final MemberDecoder memberDecoder;
 
 	private final StreamReplica members;
 
 	private final Outbox outbox;
 
-	private RelayTree plan;
+	private RelayTreePlan plan;
 
 	private Version plannedVersion = Version.ZERO;
 
@@ -37,7 +37,7 @@
 
 	private long refreshedAt;
 
-	ParentPlanner(NodeRole role, List<NodeDescriptor> controls, SpreadSettings settings, MemberDirectory memberDecoder,
+	ParentPlanner(NodeRole role, List<NodeDescriptor> controls, RelayTreeSettings settings, MemberDecoder memberDecoder,
 			StreamReplica members, Outbox outbox) {
 		this.controls = controls;
 		this.fanOut = settings.fanOut();
@@ -48,32 +48,32 @@
 		this.outbox = outbox;
 	}
 
-	ParentList parentsOf(NodeDescriptor node, long now) {
-		return plan(now).parentsOf(node);
+	ParentCandidates candidatesFor(NodeDescriptor node, long now) {
+		return plan(now).candidatesFor(node);
 	}
 
-	void refresh(Collection<Child> children, long now) {
+	void refreshCandidates(Collection<Child> children, long now) {
 		if (!children.isEmpty() && now - this.refreshedAt >= REFRESH_INTERVAL_NANOS) {
 			this.refreshedAt = now;
-			children.forEach((child) -> send(child, now));
+			children.forEach((child) -> sendCandidates(child, now));
 		}
 	}
 
-	void send(Child child, long now) {
+	void sendCandidates(Child child, long now) {
 		if (child.node().role() == NodeRole.CONTROL) {
 			return;
 		}
-		ParentList candidates = parentsOf(child.node(), now).withAdopted(true);
-		if (!candidates.equals(child.sentParents())) {
-			child.setSentParents(candidates);
+		ParentCandidates candidates = candidatesFor(child.node(), now).withAccepted(true);
+		if (!candidates.equals(child.sentCandidates())) {
+			child.setSentCandidates(candidates);
 			this.outbox.send(child.peer(), candidates);
 		}
 	}
 
-	private RelayTree plan(long now) {
+	private RelayTreePlan plan(long now) {
 		boolean outdated = !this.plannedVersion.equals(this.members.version());
 		if (this.plan == null || (outdated && now - this.plannedAt >= this.replanIntervalNanos)) {
-			this.plan = RelayTree.of(this.memberDecoder.activeNodes(this.members.entries()), this.controls,
+			this.plan = RelayTreePlan.of(this.memberDecoder.decodeActiveNodes(this.members.entries()), this.controls,
 					this.fanOut);
 			this.plannedAt = now;
 			this.plannedVersion = this.members.version();
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentLink.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ParentSelector.java
@@ -26,7 +26,7 @@
  * a subtree that has lost its path to the leader, because the parents in it still
  * respond.
  */
-final class ParentLink {
+final class ParentSelector {
 
 	private static final long AVOID_DURATION_NANOS = 10_000_000_000L;
 
@@ -40,7 +40,7 @@
 
 	private final List<NodeDescriptor> seeds;
 
-	private final SpreadSettings settings;
+	private final RelayTreeSettings settings;
 
 	private final RandomGenerator random;
 
@@ -48,7 +48,7 @@
 
 	private final Map<InstanceId, Long> avoidUntil = new HashMap<>();
 
-	private ParentList candidates = ParentList.NONE;
+	private ParentCandidates candidates = ParentCandidates.NONE;
 
 	private Optional<NodeDescriptor> parent = Optional.empty();
 
@@ -74,7 +74,7 @@
 
 	private double rootTimeoutJitter;
 
-	ParentLink(NodeDescriptor self, List<NodeDescriptor> seeds, SpreadSettings settings, RandomGenerator random,
+	ParentSelector(NodeDescriptor self, List<NodeDescriptor> seeds, RelayTreeSettings settings, RandomGenerator random,
 			DecisionListener decisions) {
 		this.self = self.id();
 		this.seeds = new ArrayList<>(seeds);
@@ -97,7 +97,7 @@
 		return this.confirmed;
 	}
 
-	boolean isStranded() {
+	boolean areCandidatesUnreachable() {
 		return this.candidatesUnreachable;
 	}
 
@@ -117,7 +117,7 @@
 	void followLeader(Optional<NodeDescriptor> leader, long now) {
 		this.seeds.clear();
 		leader.ifPresent(this.seeds::add);
-		this.candidates = ParentList.NONE;
+		this.candidates = ParentCandidates.NONE;
 		this.avoidUntil.clear();
 		detach();
 		if (leader.isPresent()) {
@@ -131,7 +131,7 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if it carries a new root heartbeat
 	 */
-	boolean onBeat(Beat heartbeat, long now) {
+	boolean onHeartbeat(ParentHeartbeat heartbeat, long now) {
 		this.confirmed = true;
 		this.lastParentHeartbeatAt = now;
 		this.candidatesUnreachable = false;
@@ -139,12 +139,12 @@
 		if (order < 0 || (order == 0 && heartbeat.rootSequence() <= this.rootSequence)) {
 			return false;
 		}
-		recordRootBeat(heartbeat.rootTerm(), heartbeat.rootSequence(), now);
+		recordRootHeartbeat(heartbeat.rootTerm(), heartbeat.rootSequence(), now);
 		this.rootTimeoutFactor = 1;
 		return true;
 	}
 
-	void recordRootBeat(Term term, long sequence, long now) {
+	void recordRootHeartbeat(Term term, long sequence, long now) {
 		this.rootTerm = term;
 		this.rootSequence = sequence;
 		this.lastRootHeartbeatAt = now;
@@ -160,20 +160,20 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the parent has changed
 	 */
-	boolean onParentList(InstanceId from, ParentList received, long now) {
+	boolean onParentCandidates(InstanceId from, ParentCandidates received, long now) {
 		if (!isParent(from)) {
 			return false;
 		}
 		this.candidates = received;
-		if (!received.adopted()) {
+		if (!received.accepted()) {
 			this.avoidUntil.put(from, now + AVOID_DURATION_NANOS);
 			return selectNextParent("redirected", now);
 		}
-		boolean preferred = received.parents()
+		boolean preferred = received.nodes()
 			.stream()
-			.limit(received.preferred())
+			.limit(received.preferredCount())
 			.anyMatch((node) -> isParent(node.id()));
-		boolean stay = preferred || received.preferred() == 0;
+		boolean stay = preferred || received.preferredCount() == 0;
 		long delay = this.random.nextLong(MAX_MOVE_DELAY_NANOS);
 		this.moveAt = stay ? Long.MAX_VALUE : Math.min(this.moveAt, now + delay);
 		return false;
@@ -202,11 +202,11 @@
 			boolean timedOut = now - this.attachedAt > this.settings.connectTimeout().toNanos();
 			return timedOut && replaceFailedParent("no-answer", now);
 		}
-		if (now - this.lastParentHeartbeatAt > this.settings.silenceTimeout().toNanos()) {
+		if (now - this.lastParentHeartbeatAt > this.settings.parentTimeout().toNanos()) {
 			return replaceFailedParent("silent", now);
 		}
 		if (isRootTimedOut(now)) {
-			this.rootTimeoutFactor = Math.min(this.rootTimeoutFactor * 2, SpreadSettings.MAX_STALE_FACTOR);
+			this.rootTimeoutFactor = Math.min(this.rootTimeoutFactor * 2, RelayTreeSettings.MAX_ROOT_TIMEOUT_FACTOR);
 			return attachToControl(now);
 		}
 		if (now >= this.moveAt) {
@@ -216,7 +216,7 @@
 	}
 
 	private boolean isRootTimedOut(long now) {
-		long timeout = this.settings.rootStaleTimeout().toNanos() * this.rootTimeoutFactor;
+		long timeout = this.settings.rootTimeout().toNanos() * this.rootTimeoutFactor;
 		return now - Math.max(this.lastRootHeartbeatAt, this.attachedAt) > timeout
 				+ (long) (this.rootTimeoutJitter * timeout);
 	}
@@ -248,12 +248,12 @@
 	private boolean selectNextParent(String reason, long now) {
 		this.avoidUntil.values().removeIf((until) -> until <= now || this.avoidUntil.size() > MAX_AVOIDED);
 		detach();
-		Optional<NodeDescriptor> candidate = firstUsable(this.candidates.parents());
-		this.candidatesUnreachable = candidate.isEmpty() && !this.candidates.parents().isEmpty();
+		Optional<NodeDescriptor> candidate = firstUsable(this.candidates.nodes());
+		this.candidatesUnreachable = candidate.isEmpty() && !this.candidates.nodes().isEmpty();
 		Optional<NodeDescriptor> chosen = candidate.isPresent() ? candidate : firstUsable(this.seeds);
 		if (chosen.isEmpty()) {
 			this.avoidUntil.clear();
-			this.candidates = ParentList.NONE;
+			this.candidates = ParentCandidates.NONE;
 			this.retryAt = now + MIN_RETRY_DELAY_NANOS + this.random.nextLong(MIN_RETRY_DELAY_NANOS);
 		}
 		chosen.ifPresent((node) -> attach(node, reason, now));
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Ping.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Ping.java
@@ -5,6 +5,6 @@
  *
  * @param nonce the nonce that the {@link Pong} must carry
  */
-public record Ping(long nonce) implements SpreadMessage {
+public record Ping(long nonce) implements RelayTreeMessage {
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Pong.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Pong.java
@@ -9,7 +9,7 @@
  * @param nonce the nonce of the ping
  * @param incarnation the sender's incarnation
  */
-public record Pong(long nonce, Incarnation incarnation) implements SpreadMessage {
+public record Pong(long nonce, Incarnation incarnation) implements RelayTreeMessage {
 
 	public Pong {
 		Preconditions.notNull(incarnation, "incarnation");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeRequest.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeRequest.java
@@ -9,7 +9,7 @@
  * @param nonce the nonce of the probe
  * @param target the suspected node
  */
-public record ProbeRequest(long nonce, NodeDescriptor target) implements SpreadMessage {
+public record ProbeRequest(long nonce, NodeDescriptor target) implements RelayTreeMessage {
 
 	public ProbeRequest {
 		Preconditions.notNull(target, "target");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeResult.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ProbeResult.java
@@ -14,7 +14,7 @@
  * @param reachable whether the node responded
  */
 public record ProbeResult(long nonce, InstanceId target, Incarnation incarnation,
-		boolean reachable) implements SpreadMessage {
+		boolean reachable) implements RelayTreeMessage {
 
 	public ProbeResult {
 		Preconditions.notNull(target, "target");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Prober.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/Prober.java
@@ -35,7 +35,7 @@
 	 * @param message the message
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void onMessage(Peer from, SpreadMessage message, long now) {
+	void onMessage(Peer from, RelayTreeMessage message, long now) {
 		if (message instanceof Ping ping) {
 			this.outbox.send(from, new Pong(ping.nonce(), this.self.incarnation()));
 		}
@@ -46,7 +46,7 @@
 			startProbe(from, request, now);
 		}
 		else if (message instanceof ProbeResult result) {
-			this.outbox.add(new SpreadCommand.ProbeCompleted(from, result));
+			this.outbox.add(new RelayTreeCommand.HandleProbeResult(from, result));
 		}
 	}
 
@@ -90,7 +90,7 @@
 		ProbeResult result = new ProbeResult(probe.request.nonce(), probe.request.target().id(), incarnation,
 				reachable);
 		if (probe.requester.id().equals(this.self.id())) {
-			this.outbox.add(new SpreadCommand.ProbeCompleted(probe.requester, result));
+			this.outbox.add(new RelayTreeCommand.HandleProbeResult(probe.requester, result));
 		}
 		else {
 			this.outbox.send(probe.requester, result);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTreeCodec.java
@@ -15,11 +15,11 @@
 /**
  * Encodes and decodes the messages of the relay tree.
  */
-public final class SpreadCodec {
+public final class RelayTreeCodec {
 
 	private static final NodeRole[] ROLES = NodeRole.values();
 
-	private SpreadCodec() {
+	private RelayTreeCodec() {
 	}
 
 	/**
@@ -27,7 +27,7 @@
 	 * @param message the message
 	 * @return the encoded message
 	 */
-	public static byte[] encode(SpreadMessage message) {
+	public static byte[] encode(RelayTreeMessage message) {
 		return MessageEncoder.encode(Preconditions.notNull(message, "message")).toByteArray();
 	}
 
@@ -36,10 +36,10 @@
 	 * @param content the encoded message
 	 * @return the message, or an error with {@link ErrorCode#MALFORMED}
 	 */
-	public static Result<SpreadMessage> decode(byte[] content) {
+	public static Result<RelayTreeMessage> decode(byte[] content) {
 		try {
 			return MessageDecoder.decode(SpreadEnvelopeProto.parseFrom(content))
-				.<Result<SpreadMessage>>map(Result::success)
+				.<Result<RelayTreeMessage>>map(Result::success)
 				.orElseGet(() -> malformed("the body is missing or of an unknown type"));
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
@@ -77,7 +77,7 @@
 				proto.getAddress());
 	}
 
-	private static Result<SpreadMessage> malformed(String reason) {
+	private static Result<RelayTreeMessage> malformed(String reason) {
 		return Result.failure(OperationError.local(ErrorCode.MALFORMED, Step.MEMBERSHIP,
 				"Cannot decode a message of the relay tree: " + reason));
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCommand.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTreeCommand.java
@@ -7,7 +7,7 @@
 /**
  * A command that a node of the relay tree returns for its caller to execute.
  */
-public sealed interface SpreadCommand {
+public sealed interface RelayTreeCommand {
 
 	/**
 	 * Sends a message. Delivery is not guaranteed.
@@ -15,7 +15,7 @@
 	 * @param to the receiver
 	 * @param message the message
 	 */
-	record Send(Peer to, SpreadMessage message) implements SpreadCommand {
+	record Send(Peer to, RelayTreeMessage message) implements RelayTreeCommand {
 
 		public Send {
 			Preconditions.notNull(to, "to");
@@ -31,7 +31,7 @@
 	 *
 	 * @param token the token that the event must carry
 	 */
-	record ReadFloor(long token) implements SpreadCommand {
+	record ReadFloor(long token) implements RelayTreeCommand {
 
 	}
 
@@ -41,12 +41,13 @@
 	 *
 	 * @param version the version to put in force, never older than an earlier one
 	 * @param changes the changed entries
-	 * @param whole whether the changes are the complete state, so that all other entries
-	 * must be removed
+	 * @param replaceAll whether the changes are the complete state, so that all other
+	 * entries must be removed
 	 */
-	record ConfigurationInForce(Version version, List<EntryChange> changes, boolean whole) implements SpreadCommand {
+	record ActivateConfiguration(Version version, List<EntryChange> changes,
+			boolean replaceAll) implements RelayTreeCommand {
 
-		public ConfigurationInForce {
+		public ActivateConfiguration {
 			Preconditions.notNull(version, "version");
 			changes = List.copyOf(changes);
 		}
@@ -58,12 +59,13 @@
 	 *
 	 * @param version the version of the membership stream after the changes
 	 * @param changes the changed entries
-	 * @param whole whether the changes are the complete state, so that all other entries
-	 * must be removed
+	 * @param replaceAll whether the changes are the complete state, so that all other
+	 * entries must be removed
 	 */
-	record MembersUpdated(Version version, List<EntryChange> changes, boolean whole) implements SpreadCommand {
+	record ApplyMemberChanges(Version version, List<EntryChange> changes,
+			boolean replaceAll) implements RelayTreeCommand {
 
-		public MembersUpdated {
+		public ApplyMemberChanges {
 			Preconditions.notNull(version, "version");
 			changes = List.copyOf(changes);
 		}
@@ -75,9 +77,9 @@
 	 *
 	 * @param floor the floor
 	 */
-	record FloorConfirmed(Floor floor) implements SpreadCommand {
+	record ApplyFloor(Floor floor) implements RelayTreeCommand {
 
-		public FloorConfirmed {
+		public ApplyFloor {
 			Preconditions.notNull(floor, "floor");
 		}
 
@@ -89,9 +91,9 @@
 	 *
 	 * @param reports the reports
 	 */
-	record ReportsReceived(List<MemberReport> reports) implements SpreadCommand {
+	record HandleReports(List<MemberReport> reports) implements RelayTreeCommand {
 
-		public ReportsReceived {
+		public HandleReports {
 			reports = List.copyOf(reports);
 		}
 
@@ -103,9 +105,9 @@
 	 *
 	 * @param node the leaving node
 	 */
-	record LeaveNoticeReceived(NodeDescriptor node) implements SpreadCommand {
+	record HandleLeaveNotice(NodeDescriptor node) implements RelayTreeCommand {
 
-		public LeaveNoticeReceived {
+		public HandleLeaveNotice {
 			Preconditions.notNull(node, "node");
 		}
 
@@ -118,9 +120,9 @@
 	 * @param prober the node that executed the probe
 	 * @param result the result of the probe
 	 */
-	record ProbeCompleted(Peer prober, ProbeResult result) implements SpreadCommand {
+	record HandleProbeResult(Peer prober, ProbeResult result) implements RelayTreeCommand {
 
-		public ProbeCompleted {
+		public HandleProbeResult {
 			Preconditions.notNull(prober, "prober");
 			Preconditions.notNull(result, "result");
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadCore.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTreeCore.java
@@ -6,7 +6,7 @@
  * A state machine of the relay tree that performs no I/O. The caller passes it events and
  * executes the commands that it returns.
  */
-public interface SpreadCore {
+public interface RelayTreeCore {
 
 	/**
 	 * Handles an event.
@@ -14,6 +14,6 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return the commands to execute, in order
 	 */
-	List<SpreadCommand> on(SpreadEvent event, long now);
+	List<RelayTreeCommand> on(RelayTreeEvent event, long now);
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadEvent.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTreeEvent.java
@@ -10,12 +10,12 @@
 /**
  * An event that a node of the relay tree handles.
  */
-public sealed interface SpreadEvent {
+public sealed interface RelayTreeEvent {
 
 	/**
 	 * Time has passed. The caller sends this event at the tick interval of the settings.
 	 */
-	record Tick() implements SpreadEvent {
+	record Tick() implements RelayTreeEvent {
 
 	}
 
@@ -25,9 +25,9 @@
 	 * @param from the sender
 	 * @param message the message
 	 */
-	record Received(Peer from, SpreadMessage message) implements SpreadEvent {
+	record MessageReceived(Peer from, RelayTreeMessage message) implements RelayTreeEvent {
 
-		public Received {
+		public MessageReceived {
 			Preconditions.notNull(from, "from");
 			Preconditions.notNull(message, "message");
 		}
@@ -39,9 +39,9 @@
 	 *
 	 * @param peer the peer
 	 */
-	record PeerLost(InstanceId peer) implements SpreadEvent {
+	record ConnectionLost(InstanceId peer) implements RelayTreeEvent {
 
-		public PeerLost {
+		public ConnectionLost {
 			Preconditions.notNull(peer, "peer");
 		}
 
@@ -55,7 +55,7 @@
 	 * @param leader the leader, or empty if there is none or this instance's leader lease
 	 * has expired
 	 */
-	record LeaderChanged(Term term, Optional<InstanceId> leader) implements SpreadEvent {
+	record LeaderChanged(Term term, Optional<InstanceId> leader) implements RelayTreeEvent {
 
 		public LeaderChanged {
 			Preconditions.notNull(term, "term");
@@ -70,7 +70,7 @@
 	 *
 	 * @param delta the changes from the previous revision to the committed one
 	 */
-	record ConfigurationCommitted(Delta delta) implements SpreadEvent {
+	record ConfigurationCommitted(Delta delta) implements RelayTreeEvent {
 
 		public ConfigurationCommitted {
 			Preconditions.notNull(delta, "delta");
@@ -84,7 +84,7 @@
 	 *
 	 * @param snapshot the committed configuration
 	 */
-	record ConfigurationRestored(Snapshot snapshot) implements SpreadEvent {
+	record ConfigurationRestored(Snapshot snapshot) implements RelayTreeEvent {
 
 		public ConfigurationRestored {
 			Preconditions.notNull(snapshot, "snapshot");
@@ -98,7 +98,7 @@
 	 * @param token the command's token
 	 * @param floor the floor, confirmed by a quorum after the command was issued
 	 */
-	record FloorRead(long token, Floor floor) implements SpreadEvent {
+	record FloorRead(long token, Floor floor) implements RelayTreeEvent {
 
 		public FloorRead {
 			Preconditions.notNull(floor, "floor");
@@ -111,7 +111,7 @@
 	 *
 	 * @param changes the changed entries
 	 */
-	record MembersChanged(List<EntryChange> changes) implements SpreadEvent {
+	record MembersChanged(List<EntryChange> changes) implements RelayTreeEvent {
 
 		public MembersChanged {
 			changes = List.copyOf(changes);
@@ -122,7 +122,7 @@
 	/**
 	 * The node has stopped accepting new work and must announce that it is leaving.
 	 */
-	record LeaveRequested() implements SpreadEvent {
+	record LeaveRequested() implements RelayTreeEvent {
 
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SpreadNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTreeNode.java
@@ -19,7 +19,7 @@
  * heartbeats with member reports, the coverage of its subtree and requests for the floor.
  * This class is not thread-safe.
  */
-public final class SpreadNode implements SpreadCore {
+public final class RelayTreeNode implements RelayTreeCore {
 
 	private static final long PARENTS_INTERVAL_NANOS = Duration.ofSeconds(5).toNanos();
 
@@ -29,27 +29,27 @@
 
 	private final List<NodeDescriptor> controls;
 
-	private final SpreadSettings settings;
+	private final RelayTreeSettings settings;
 
 	private final Invariants invariants = new Invariants();
 
 	private final Outbox outbox = new Outbox();
 
-	private final Streams streams;
+	private final StreamReplicas streams;
 
 	private final ParentPlanner parentPlanner;
 
 	private final Children children;
 
-	private final ParentLink parentSelector;
+	private final ParentSelector parentSelector;
 
-	private final FloorTracker floorRequests;
+	private final FloorRequestTracker floorRequests;
 
 	private final Prober prober;
 
 	private final LeaveAnnouncer leaveAnnouncer;
 
-	private final Uplink heartbeatSender;
+	private final HeartbeatSender heartbeatSender;
 
 	private Optional<InstanceId> leader = Optional.empty();
 
@@ -71,40 +71,40 @@
 	 * @param random the source of randomness
 	 * @param decisions the listener that records decisions
 	 */
-	public SpreadNode(NodeDescriptor self, List<NodeDescriptor> controls, SpreadSettings settings,
-			MemberDirectory memberDecoder, RandomGenerator random, DecisionListener decisions) {
+	public RelayTreeNode(NodeDescriptor self, List<NodeDescriptor> controls, RelayTreeSettings settings,
+			MemberDecoder memberDecoder, RandomGenerator random, DecisionListener decisions) {
 		this.self = Preconditions.notNull(self, "self");
 		this.controls = List.copyOf(controls);
 		this.settings = Preconditions.notNull(settings, "settings");
-		this.streams = new Streams(self, settings, this.invariants, decisions, this.outbox);
+		this.streams = new StreamReplicas(self, settings, this.invariants, decisions, this.outbox);
 		ReportQueue reports = new ReportQueue();
 		this.children = new Children(settings.maxChildren(), reports::add);
-		this.parentSelector = new ParentLink(self, isControl() ? List.of() : this.controls, settings, random,
+		this.parentSelector = new ParentSelector(self, isControl() ? List.of() : this.controls, settings, random,
 				decisions);
 		this.parentPlanner = new ParentPlanner(self.role(), this.controls, settings, memberDecoder,
 				this.streams.members(), this.outbox);
-		this.floorRequests = new FloorTracker(random);
+		this.floorRequests = new FloorRequestTracker(random);
 		this.prober = new Prober(self, this.outbox);
 		this.leaveAnnouncer = new LeaveAnnouncer(self, this.controls, this.outbox);
-		this.heartbeatSender = new Uplink(self, settings, this.parentSelector, this.streams, this.children, reports,
-				this.outbox);
+		this.heartbeatSender = new HeartbeatSender(self, settings, this.parentSelector, this.streams, this.children,
+				reports, this.outbox);
 	}
 
 	@Override
-	public List<SpreadCommand> on(SpreadEvent event, long now) {
+	public List<RelayTreeCommand> on(RelayTreeEvent event, long now) {
 		Preconditions.notNull(event, "event");
 		this.now = now;
 		start();
-		if (event instanceof SpreadEvent.Tick) {
+		if (event instanceof RelayTreeEvent.Tick) {
 			tick();
 		}
-		else if (event instanceof SpreadEvent.Received received) {
+		else if (event instanceof RelayTreeEvent.MessageReceived received) {
 			receive(received.from(), received.message());
 		}
-		else if (event instanceof SpreadEvent.PeerLost lost) {
+		else if (event instanceof RelayTreeEvent.ConnectionLost lost) {
 			startFullReportIfParentChanged(this.parentSelector.onConnectionLost(lost.peer(), now));
 		}
-		else if (event instanceof SpreadEvent.LeaveRequested) {
+		else if (event instanceof RelayTreeEvent.LeaveRequested) {
 			this.leaveAnnouncer.start(now);
 			this.heartbeatSender.markLeaving();
 			this.heartbeatSender.requestImmediateHeartbeat();
@@ -112,7 +112,7 @@
 		else {
 			onControlEvent(event);
 		}
-		this.heartbeatSender.flush(isLeader(), this.now);
+		this.heartbeatSender.sendIfDue(isLeader(), this.now);
 		return this.outbox.drain();
 	}
 
@@ -121,8 +121,8 @@
 	 * @return the version, or empty while the floor is unconfirmed or newer than this
 	 * node's replica
 	 */
-	public Optional<Version> inForce() {
-		return this.streams.inForce();
+	public Optional<Version> versionInForce() {
+		return this.streams.versionInForce();
 	}
 
 	/**
@@ -139,7 +139,7 @@
 	 * @return the coverage of this node's subtree, which at the leader contains all
 	 * attached nodes
 	 */
-	public Coverage coverage() {
+	public RevisionCoverage coverage() {
 		return coverage(this.streams.configuration().version().number());
 	}
 
@@ -149,7 +149,7 @@
 	 * @return the coverage of this node's subtree, which at the leader contains all
 	 * attached nodes
 	 */
-	public Coverage coverage(long revision) {
+	public RevisionCoverage coverage(long revision) {
 		return this.heartbeatSender.coverage(revision);
 	}
 
@@ -165,7 +165,7 @@
 	 * Returns the number of invariant violations detected by this node.
 	 * @return the number of violations
 	 */
-	public long breaches() {
+	public long violationCount() {
 		return this.invariants.violations();
 	}
 
@@ -191,7 +191,7 @@
 	 * @return a single change that sets the entry, or an empty list if the entry does not
 	 * exist
 	 */
-	public List<EntryChange> findMember(String key) {
+	public List<EntryChange> findMemberEntry(String key) {
 		return Optional.ofNullable(this.streams.members().entries().get(key))
 			.map((value) -> List.of(EntryChange.set(key, value)))
 			.orElse(List.of());
@@ -216,11 +216,12 @@
 	}
 
 	private void tick() {
-		if (isLeader() && isDue(this.lastHeartbeatSentAt, this.settings.beatInterval().toNanos())) {
-			this.parentSelector.recordRootBeat(this.streams.term(), this.parentSelector.rootSequence() + 1, this.now);
+		if (isLeader() && isDue(this.lastHeartbeatSentAt, this.settings.rootHeartbeatInterval().toNanos())) {
+			this.parentSelector.recordRootHeartbeat(this.streams.term(), this.parentSelector.rootSequence() + 1,
+					this.now);
 			sendHeartbeats();
 		}
-		else if (isDue(this.lastHeartbeatSentAt, this.settings.beatInterval().toNanos() * 3 / 2)) {
+		else if (isDue(this.lastHeartbeatSentAt, this.settings.rootHeartbeatInterval().toNanos() * 3 / 2)) {
 			sendHeartbeats();
 		}
 		this.children.expire(this.now - this.settings.childTimeout().toNanos())
@@ -228,34 +229,34 @@
 		if (!isLeader()) {
 			startFullReportIfParentChanged(this.parentSelector.tick(this.now));
 		}
-		if (isControl() && this.floorRequests.nonce() != 0
-				&& isDue(this.lastFloorReadAt, this.settings.beatInterval().toNanos())) {
+		if (isControl() && this.floorRequests.outstandingNonce() != 0
+				&& isDue(this.lastFloorReadAt, this.settings.rootHeartbeatInterval().toNanos())) {
 			readFloor();
 		}
 		this.prober.tick(this.now);
 		this.leaveAnnouncer.tick(this.now);
-		this.parentPlanner.refresh(this.children.all(), this.now);
+		this.parentPlanner.refreshCandidates(this.children.all(), this.now);
 	}
 
-	private void onControlEvent(SpreadEvent event) {
-		if (event instanceof SpreadEvent.ConfigurationCommitted committed) {
+	private void onControlEvent(RelayTreeEvent event) {
+		if (event instanceof RelayTreeEvent.ConfigurationCommitted committed) {
 			this.streams.apply(StreamId.CONFIGURATION, committed.delta(), this.children.all(), this.now);
 		}
-		else if (event instanceof SpreadEvent.ConfigurationRestored restored) {
+		else if (event instanceof RelayTreeEvent.ConfigurationRestored restored) {
 			this.streams.install(StreamId.CONFIGURATION, restored.snapshot(), this.children.all(), this.now);
 		}
-		else if (event instanceof SpreadEvent.FloorRead read) {
+		else if (event instanceof RelayTreeEvent.FloorRead read) {
 			onFloorConfirmed(read.token(), read.floor());
 		}
-		else if (event instanceof SpreadEvent.MembersChanged changed) {
+		else if (event instanceof RelayTreeEvent.MembersChanged changed) {
 			publishMembers(changed.changes());
 		}
-		else if (event instanceof SpreadEvent.LeaderChanged changed) {
+		else if (event instanceof RelayTreeEvent.LeaderChanged changed) {
 			onLeaderChanged(changed);
 		}
 	}
 
-	private void onLeaderChanged(SpreadEvent.LeaderChanged changed) {
+	private void onLeaderChanged(RelayTreeEvent.LeaderChanged changed) {
 		if (changed.term().isBefore(this.streams.term())) {
 			return;
 		}
@@ -265,7 +266,7 @@
 			.flatMap(this::findControl);
 		this.parentSelector.followLeader(newParent, this.now);
 		if (isLeader()) {
-			this.parentSelector.recordRootBeat(this.streams.term(), 0, this.now);
+			this.parentSelector.recordRootHeartbeat(this.streams.term(), 0, this.now);
 			publishMembers(List.of());
 		}
 		startFullReportIfParentChanged(true);
@@ -281,15 +282,15 @@
 		}
 	}
 
-	private void receive(Peer from, SpreadMessage message) {
-		if (message instanceof Heartbeat heartbeat) {
+	private void receive(Peer from, RelayTreeMessage message) {
+		if (message instanceof ChildHeartbeat heartbeat) {
 			onChildHeartbeat(from, heartbeat);
 		}
-		else if (message instanceof Beat heartbeat) {
+		else if (message instanceof ParentHeartbeat heartbeat) {
 			onParentHeartbeat(from, heartbeat);
 		}
-		else if (message instanceof ParentList candidates) {
-			startFullReportIfParentChanged(this.parentSelector.onParentList(from.id(), candidates, this.now));
+		else if (message instanceof ParentCandidates candidates) {
+			startFullReportIfParentChanged(this.parentSelector.onParentCandidates(from.id(), candidates, this.now));
 		}
 		else if (message instanceof DeltaUpdate update) {
 			this.streams.onDeltas(from.id(), update, this.children.all(), this.now);
@@ -310,14 +311,14 @@
 
 	private void onLeaveNotice(LeaveNotice notice) {
 		if (isLeader()) {
-			this.outbox.add(new SpreadCommand.LeaveNoticeReceived(notice.node()));
+			this.outbox.add(new RelayTreeCommand.HandleLeaveNotice(notice.node()));
 		}
 		else if (isControl()) {
 			this.leader.flatMap(this::findControl).ifPresent((node) -> this.outbox.send(Peer.of(node), notice));
 		}
 	}
 
-	private void onChildHeartbeat(Peer from, Heartbeat heartbeat) {
+	private void onChildHeartbeat(Peer from, ChildHeartbeat heartbeat) {
 		Optional<Child> existing = this.children.find(heartbeat.node().id());
 		if (existing.isPresent() && heartbeat.node().incarnation().isBefore(existing.get().node().incarnation())) {
 			return;
@@ -330,52 +331,52 @@
 		if (isNew) {
 			this.streams.initializeSentVersions(child);
 			sendHeartbeat(child);
-			this.parentPlanner.send(child, this.now);
+			this.parentPlanner.sendCandidates(child, this.now);
 		}
 		if (heartbeat.floorNonce() != 0 && this.floorRequests.addRequest(child.node().id(), heartbeat.floorNonce())) {
 			requestFloor();
 		}
-		this.streams.sendMissingUpdates(child, heartbeat.resend(), this.now);
+		this.streams.sendMissingUpdates(child, heartbeat.resendRequested(), this.now);
 	}
 
-	private boolean acceptOrRedirectChild(Peer from, Heartbeat heartbeat) {
+	private boolean acceptOrRedirectChild(Peer from, ChildHeartbeat heartbeat) {
 		if (heartbeat.node().role() == NodeRole.CONTROL) {
 			return isLeader();
 		}
 		if (this.self.role() == NodeRole.SIDECAR) {
-			this.outbox.send(from, ParentList.NONE);
+			this.outbox.send(from, ParentCandidates.NONE);
 			return false;
 		}
 		boolean hasCapacity = !this.children.isFull() && !this.parentSelector.isParent(from.id());
-		ParentList candidates = this.parentPlanner.parentsOf(heartbeat.node(), this.now);
-		boolean plannedBelowControl = candidates.parents().isEmpty()
-				|| candidates.parents().get(0).role() == NodeRole.CONTROL;
-		if (hasCapacity && (!isControl() || heartbeat.stranded() || plannedBelowControl)) {
+		ParentCandidates candidates = this.parentPlanner.candidatesFor(heartbeat.node(), this.now);
+		boolean plannedBelowControl = candidates.nodes().isEmpty()
+				|| candidates.nodes().get(0).role() == NodeRole.CONTROL;
+		if (hasCapacity && (!isControl() || heartbeat.candidatesUnreachable() || plannedBelowControl)) {
 			return true;
 		}
-		this.outbox.send(from, candidates.withAdopted(false));
+		this.outbox.send(from, candidates.withAccepted(false));
 		return false;
 	}
 
-	private void onParentHeartbeat(Peer from, Beat heartbeat) {
+	private void onParentHeartbeat(Peer from, ParentHeartbeat heartbeat) {
 		if (!this.parentSelector.isParent(from.id())) {
 			return;
 		}
-		boolean newRootHeartbeat = this.parentSelector.onBeat(heartbeat, this.now);
+		boolean newRootHeartbeat = this.parentSelector.onHeartbeat(heartbeat, this.now);
 		this.streams.advanceTerm(heartbeat.rootTerm());
 		if (newRootHeartbeat) {
 			sendHeartbeats();
 		}
-		this.heartbeatSender.onReportsAcknowledged(heartbeat.reportsReceived(), this.now);
+		this.heartbeatSender.onReportsAcknowledged(heartbeat.receivedReportSequence(), this.now);
 		this.streams.compareWithParent(heartbeat, this.now);
 	}
 
 	private void onFloorConfirmed(long nonce, Floor floor) {
-		FloorTracker.CompletedRequests completed = this.floorRequests.completeRequest(nonce);
-		this.heartbeatSender.setFloorNonce(this.floorRequests.nonce());
+		FloorRequestTracker.CompletedRequests completed = this.floorRequests.completeRequest(nonce);
+		this.heartbeatSender.setFloorNonce(this.floorRequests.outstandingNonce());
 		if (completed.self()) {
-			this.outbox.add(new SpreadCommand.FloorConfirmed(floor));
-			this.streams.floorConfirmed(floor.configuration());
+			this.outbox.add(new RelayTreeCommand.ApplyFloor(floor));
+			this.streams.setConfigurationFloor(floor.configuration());
 		}
 		completed.children()
 			.forEach((child, request) -> this.children.find(child)
@@ -387,11 +388,11 @@
 
 	private void readFloor() {
 		this.lastFloorReadAt = this.now;
-		this.outbox.add(new SpreadCommand.ReadFloor(this.floorRequests.nonce()));
+		this.outbox.add(new RelayTreeCommand.ReadFloor(this.floorRequests.outstandingNonce()));
 	}
 
 	private void requestFloor() {
-		this.heartbeatSender.setFloorNonce(this.floorRequests.nonce());
+		this.heartbeatSender.setFloorNonce(this.floorRequests.outstandingNonce());
 		this.heartbeatSender.requestImmediateHeartbeat();
 		if (isControl()) {
 			readFloor();
@@ -410,8 +411,10 @@
 	}
 
 	private void sendHeartbeat(Child child) {
-		this.outbox.send(child.peer(), new Beat(this.parentSelector.rootTerm(), this.parentSelector.rootSequence(),
-				this.streams.configuration().position(), this.streams.members().position(), child.reportsReceived()));
+		this.outbox.send(child.peer(),
+				new ParentHeartbeat(this.parentSelector.rootTerm(), this.parentSelector.rootSequence(),
+						this.streams.configuration().position(), this.streams.members().position(),
+						child.receivedReportSequence()));
 	}
 
 	private boolean isDue(long since, long interval) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTree.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/RelayTreePlan.java
@@ -23,7 +23,7 @@
  * with the lowest ones. Parent candidates are selected by rendezvous hashing, so that a
  * member that joins or leaves changes the parents of few others.
  */
-final class RelayTree {
+final class RelayTreePlan {
 
 	private static final int PREFERRED_CANDIDATES = 3;
 
@@ -45,26 +45,26 @@
 
 	private final List<NodeDescriptor> allRelays = new ArrayList<>();
 
-	private RelayTree(List<NodeDescriptor> controls, int fanOut) {
+	private RelayTreePlan(List<NodeDescriptor> controls, int fanOut) {
 		this.controls = controls;
 		this.fanOut = fanOut;
 	}
 
-	static RelayTree of(List<NodeDescriptor> active, List<NodeDescriptor> controls, int fanOut) {
-		RelayTree tree = new RelayTree(controls, fanOut);
+	static RelayTreePlan of(List<NodeDescriptor> active, List<NodeDescriptor> controls, int fanOut) {
+		RelayTreePlan tree = new RelayTreePlan(controls, fanOut);
 		active.forEach(tree::addNode);
 		tree.regions.keySet().stream().sorted().forEach(tree::assignToOtherDomains);
 		tree.relays.forEach(tree::selectRelays);
 		return tree;
 	}
 
-	ParentList parentsOf(NodeDescriptor node) {
+	ParentCandidates candidatesFor(NodeDescriptor node) {
 		List<NodeDescriptor> chosen = new ArrayList<>();
 		int rank = relayRank(node);
 		List<NodeDescriptor> domain = this.relays.getOrDefault(node.domain(), List.of());
 		if (node.role() == NodeRole.ENTRY && rank < topRelayCount(node.domain(), 1)) {
 			addByRendezvousHash(chosen, node, this.controls, PREFERRED_CANDIDATES);
-			return new ParentList(chosen, chosen.size(), false);
+			return new ParentCandidates(chosen, chosen.size(), false);
 		}
 		boolean relay = node.role() == NodeRole.ENTRY && rank < relayCount(node.domain(), 1);
 		int candidates = Math.min(domain.size(), relay ? topRelayCount(node.domain(), 0) : domain.size());
@@ -76,7 +76,7 @@
 		addByRendezvousHash(chosen, node, this.topRelays, FALLBACK_TOP_RELAYS);
 		addByRendezvousHash(chosen, node, this.controls, 1);
 		preferred = (preferred > 0) ? preferred : chosen.size();
-		return new ParentList(chosen, preferred, false);
+		return new ParentCandidates(chosen, preferred, false);
 	}
 
 	private void addNode(NodeDescriptor node) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReplicaUpdater.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReplicaUpdater.java
@@ -96,7 +96,7 @@
 	 * @param now the current monotonic time in nanoseconds
 	 * @return {@code true} if the node must request a resend
 	 */
-	boolean needsResend(Position parent, long timeoutNanos, long now) {
+	boolean needsResend(StreamPosition parent, long timeoutNanos, long now) {
 		int order = parent.version().compareTo(this.replica.version());
 		this.diverged = order == 0 && parent.digest() != this.replica.position().digest();
 		if (order <= 0) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReportQueue.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/ReportQueue.java
@@ -20,7 +20,7 @@
 
 	private long sequence;
 
-	private long resetSequence;
+	private long fullReportSequence;
 
 	private long acknowledged;
 
@@ -31,14 +31,14 @@
 
 	void startFullReport(Collection<MemberReport> all) {
 		this.pending.clear();
-		this.resetSequence = ++this.sequence;
+		this.fullReportSequence = ++this.sequence;
 		this.acknowledged = this.sequence;
 		all.forEach(this::add);
 	}
 
 	Batch nextBatch() {
 		List<MemberReport> reports = new ArrayList<>(Math.min(this.pending.size(), MAX_BATCH));
-		long last = Math.max(this.acknowledged, this.resetSequence);
+		long last = Math.max(this.acknowledged, this.fullReportSequence);
 		for (NumberedReport numbered : this.pending.values()) {
 			if (reports.size() == MAX_BATCH) {
 				break;
@@ -78,8 +78,8 @@
 		return this.acknowledged;
 	}
 
-	long resetSequence() {
-		return this.resetSequence;
+	long fullReportSequence() {
+		return this.fullReportSequence;
 	}
 
 	/**
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/SnapshotUpdate.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/SnapshotUpdate.java
@@ -10,7 +10,7 @@
  * @param rootTerm the latest leader term that the sender has received
  * @param snapshot the snapshot
  */
-public record SnapshotUpdate(StreamId stream, Term rootTerm, Snapshot snapshot) implements SpreadMessage {
+public record SnapshotUpdate(StreamId stream, Term rootTerm, Snapshot snapshot) implements RelayTreeMessage {
 
 	public SnapshotUpdate {
 		Preconditions.notNull(stream, "stream");
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Position.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamPosition.java
@@ -9,12 +9,12 @@
  * @param version the version of the replica
  * @param digest the digest of the replica's entries
  */
-public record Position(Version version, long digest) {
+public record StreamPosition(Version version, long digest) {
 
 	/** The position before the first update. */
-	public static final Position ZERO = new Position(Version.ZERO, 0);
+	public static final StreamPosition ZERO = new StreamPosition(Version.ZERO, 0);
 
-	public Position {
+	public StreamPosition {
 		Preconditions.notNull(version, "version");
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamReplica.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamReplica.java
@@ -29,9 +29,9 @@
 
 	private final Deque<Delta> recentDeltas = new ArrayDeque<>();
 
-	private Position position = Position.ZERO;
+	private StreamPosition position = StreamPosition.ZERO;
 
-	Position position() {
+	StreamPosition position() {
 		return this.position;
 	}
 
@@ -55,7 +55,7 @@
 			digest -= (previous != null) ? hash(change.key(), previous) : 0;
 			digest += change.value().map((value) -> hash(change.key(), value)).orElse(0L);
 		}
-		this.position = new Position(delta.to(), digest);
+		this.position = new StreamPosition(delta.to(), digest);
 		this.recentDeltas.addLast(delta);
 		if (this.recentDeltas.size() > MAX_HISTORY) {
 			this.recentDeltas.removeFirst();
@@ -70,7 +70,7 @@
 		for (Map.Entry<String, Bytes> entry : this.entries.entrySet()) {
 			digest += hash(entry.getKey(), entry.getValue());
 		}
-		this.position = new Position(snapshot.version(), digest);
+		this.position = new StreamPosition(snapshot.version(), digest);
 	}
 
 	/**
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Streams.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/StreamReplicas.java
@@ -14,7 +14,7 @@
  * A node's replicas of the configuration and membership streams. Applies updates of the
  * parent or the replicated log to them and sends the updates to the children.
  */
-final class Streams {
+final class StreamReplicas {
 
 	private final StreamReplica configuration = new StreamReplica();
 
@@ -28,26 +28,26 @@
 
 	private final Map<StreamId, ReplicaUpdater> updaters;
 
-	private final List<Distributor> updateSenders;
+	private final List<UpdateSender> updateSenders;
 
-	private final ConfigurationGate activator;
+	private final ConfigurationActivator activator;
 
 	private Term term = Term.ZERO;
 
 	private boolean resendNeeded;
 
-	Streams(NodeDescriptor self, SpreadSettings settings, Invariants invariants, DecisionListener decisions,
+	StreamReplicas(NodeDescriptor self, RelayTreeSettings settings, Invariants invariants, DecisionListener decisions,
 			Outbox outbox) {
 		InstanceId id = self.id();
 		this.role = self.role();
-		this.gapTimeoutNanos = settings.beatInterval().toNanos();
+		this.gapTimeoutNanos = settings.rootHeartbeatInterval().toNanos();
 		this.outbox = outbox;
 		this.updaters = Map.of(StreamId.CONFIGURATION,
 				new ReplicaUpdater(id, StreamId.CONFIGURATION, this.configuration, decisions), StreamId.MEMBERS,
 				new ReplicaUpdater(id, StreamId.MEMBERS, this.members, decisions));
-		this.updateSenders = List.of(new Distributor(StreamId.CONFIGURATION, this.configuration, settings, outbox),
-				new Distributor(StreamId.MEMBERS, this.members, settings, outbox));
-		this.activator = new ConfigurationGate(id, this.configuration, invariants, decisions, outbox);
+		this.updateSenders = List.of(new UpdateSender(StreamId.CONFIGURATION, this.configuration, settings, outbox),
+				new UpdateSender(StreamId.MEMBERS, this.members, settings, outbox));
+		this.activator = new ConfigurationActivator(id, this.configuration, invariants, decisions, outbox);
 	}
 
 	StreamReplica configuration() {
@@ -58,8 +58,8 @@
 		return this.members;
 	}
 
-	Optional<Version> inForce() {
-		return this.activator.inForce();
+	Optional<Version> versionInForce() {
+		return this.activator.versionInForce();
 	}
 
 	long revisionInForce() {
@@ -74,15 +74,15 @@
 		this.term = this.term.isBefore(received) ? received : this.term;
 	}
 
-	void floorConfirmed(Version floor) {
-		this.activator.floorConfirmed(floor);
+	void setConfigurationFloor(Version floor) {
+		this.activator.setFloor(floor);
 	}
 
 	boolean needsResend() {
 		return this.resendNeeded;
 	}
 
-	boolean pollResend() {
+	boolean takeResendRequest() {
 		boolean requested = this.resendNeeded;
 		this.resendNeeded = false;
 		return requested;
@@ -123,7 +123,7 @@
 				this.activator.activateDelta(delta);
 			}
 			else {
-				this.outbox.add(new SpreadCommand.MembersUpdated(delta.to(), delta.changes(), false));
+				this.outbox.add(new RelayTreeCommand.ApplyMemberChanges(delta.to(), delta.changes(), false));
 			}
 			sendUpdatesToAll(children, now);
 		}
@@ -135,10 +135,11 @@
 			return;
 		}
 		if (stream == StreamId.CONFIGURATION) {
-			this.activator.activateWholeState();
+			this.activator.activateCompleteState();
 		}
 		else {
-			this.outbox.add(new SpreadCommand.MembersUpdated(snapshot.version(), this.members.asChanges(), true));
+			this.outbox
+				.add(new RelayTreeCommand.ApplyMemberChanges(snapshot.version(), this.members.asChanges(), true));
 		}
 		sendUpdatesToAll(children, now);
 	}
@@ -149,7 +150,7 @@
 	 * @param heartbeat the parent's heartbeat
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void compareWithParent(Beat heartbeat, long now) {
+	void compareWithParent(ParentHeartbeat heartbeat, long now) {
 		this.resendNeeded |= this.updaters.get(StreamId.CONFIGURATION)
 			.needsResend(heartbeat.configuration(), this.gapTimeoutNanos, now);
 		if (this.role != NodeRole.SIDECAR) {
@@ -174,8 +175,8 @@
 	 * @param now the current monotonic time in nanoseconds
 	 */
 	void sendMissingUpdates(Child child, boolean requested, long now) {
-		for (Distributor updateSender : this.updateSenders) {
-			updateSender.rewindIfLost(child, requested, now);
+		for (UpdateSender updateSender : this.updateSenders) {
+			updateSender.rewindIfUpdateLost(child, requested, now);
 			updateSender.sendUpdates(child, this.term, now);
 			if (requested) {
 				updateSender.sendSnapshotIfDiverged(child, this.term, now);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/spread/Distributor.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/spread/UpdateSender.java
@@ -9,7 +9,7 @@
  * Sends the updates of one stream to the children, as deltas if all of them are retained
  * and as a snapshot otherwise.
  */
-final class Distributor {
+final class UpdateSender {
 
 	private static final int SNAPSHOT_RESEND_FACTOR = 5;
 
@@ -21,7 +21,7 @@
 
 	private final Outbox outbox;
 
-	Distributor(StreamId stream, StreamReplica replica, SpreadSettings settings, Outbox outbox) {
+	UpdateSender(StreamId stream, StreamReplica replica, RelayTreeSettings settings, Outbox outbox) {
 		this.stream = stream;
 		this.replica = replica;
 		this.resendTimeoutNanos = settings.resendTimeout().toNanos();
@@ -36,9 +36,9 @@
 	 * @param requested whether the child has requested a resend
 	 * @param now the current monotonic time in nanoseconds
 	 */
-	void rewindIfLost(Child child, boolean requested, long now) {
-		Version acknowledged = child.acknowledged(this.stream).version();
-		Version sent = child.sent(this.stream);
+	void rewindIfUpdateLost(Child child, boolean requested, long now) {
+		Version acknowledged = child.acknowledgedPosition(this.stream).version();
+		Version sent = child.sentVersion(this.stream);
 		if (sent.isBefore(acknowledged)) {
 			child.rewindToAcknowledged(this.stream);
 		}
@@ -61,7 +61,7 @@
 		if (this.stream == StreamId.MEMBERS && child.node().role() == NodeRole.SIDECAR) {
 			return;
 		}
-		Version sent = child.sent(this.stream);
+		Version sent = child.sentVersion(this.stream);
 		if (!sent.isBefore(this.replica.version())) {
 			return;
 		}
@@ -83,8 +83,8 @@
 	 * @param now the current monotonic time in nanoseconds
 	 */
 	void sendSnapshotIfDiverged(Child child, Term term, long now) {
-		Position acknowledged = child.acknowledged(this.stream);
-		Position own = this.replica.position();
+		StreamPosition acknowledged = child.acknowledgedPosition(this.stream);
+		StreamPosition own = this.replica.position();
 		if (acknowledged.version().equals(own.version()) && acknowledged.digest() != own.digest()) {
 			sendSnapshot(child, term);
 			child.markSent(this.stream, own.version(), now);
--- a/comfreywall-control/src/test/java/org/comfreywall/control/member/MembershipTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/member/MembershipCoreTests.java
@@ -24,15 +24,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link Membership} and a {@link MemberView} that applies its changes.
+ * Tests for {@link MembershipCore} and a {@link MemberView} that applies its changes.
  */
-class MembershipTests {
+class MembershipCoreTests {
 
 	private static final MembershipSettings SETTINGS = MembershipSettings.DEFAULTS;
 
 	private static final NodeDescriptor SELF = node("control-0", NodeRole.CONTROL, "d0", 1);
 
-	private final Membership membership = new Membership(SELF, SETTINGS, new Random(1), DecisionListener.NONE);
+	private final MembershipCore membership = new MembershipCore(SELF, SETTINGS, new Random(1), DecisionListener.NONE);
 
 	private final MemberView view = new MemberView();
 
@@ -69,7 +69,7 @@
 		this.now += duration.toNanos();
 		this.membership.tick(this.now);
 		publish();
-		return this.membership.takeProbes();
+		return this.membership.takeProbeAssignments();
 	}
 
 	private void publish() {
@@ -85,7 +85,7 @@
 
 	private void completeProbe(ProbeAssignment probe, boolean reachable) {
 		NodeDescriptor target = probe.request().target();
-		this.membership.onProbed(probe.prober(),
+		this.membership.onProbeResult(probe.prober(),
 				new ProbeResult(probe.request().nonce(), target.id(), target.incarnation(), reachable), this.now);
 	}
 
@@ -99,8 +99,8 @@
 		MemberRecord record = new MemberRecord(node, MemberState.ACTIVE, 7);
 		EntryChange change = MemberEntries.toEntryChange(record);
 		this.membership.startLeading(Map.of(change.key(), change.value().orElseThrow()), this.now);
-		assertThat(advance(SETTINGS.grace())).isEmpty();
-		assertThat(advance(SETTINGS.takeoverGrace())).isNotEmpty()
+		assertThat(advance(SETTINGS.suspicionTimeout())).isEmpty();
+		assertThat(advance(SETTINGS.takeoverSuspicionTimeout())).isNotEmpty()
 			.extracting(ProbeAssignment::prober)
 			.contains(Peer.of(SELF));
 	}
@@ -114,7 +114,7 @@
 			report(Presence.PRESENT, this.suspected, entry(2, "d1"), entry(3, "d2"), entry(4, "d3"));
 			advance(Duration.ofSeconds(1));
 			report(Presence.ABSENT, this.suspected);
-			return advance(SETTINGS.grace());
+			return advance(SETTINGS.suspicionTimeout());
 		}
 
 		@Test
@@ -181,8 +181,8 @@
 			report(Presence.PRESENT, entry(100, "d2"), entry(101, "d3"));
 			advance(Duration.ofSeconds(1));
 			report(Presence.ABSENT, domain);
-			MembershipTests.this.publishedChangeCount = 0;
-			List<ProbeAssignment> probes = advance(SETTINGS.grace());
+			MembershipCoreTests.this.publishedChangeCount = 0;
+			List<ProbeAssignment> probes = advance(SETTINGS.suspicionTimeout());
 			assertThat(probes).hasSize(9);
 			completeProbes(probes, false, 9);
 			advance(Duration.ofSeconds(1));
@@ -192,18 +192,18 @@
 		@Test
 		void isPublishedAsOneChange() {
 			NodeDescriptor[] domain = failDomain();
-			assertThat(MembershipTests.this.publishedChangeCount).isEqualTo(1);
-			assertThat(domain).noneMatch(MembershipTests.this::isRoutable);
+			assertThat(MembershipCoreTests.this.publishedChangeCount).isEqualTo(1);
+			assertThat(domain).noneMatch(MembershipCoreTests.this::isRoutable);
 		}
 
 		@Test
 		void returnsInFewPublications() {
 			NodeDescriptor[] domain = failDomain();
-			MembershipTests.this.publicationCount = 0;
+			MembershipCoreTests.this.publicationCount = 0;
 			report(Presence.PRESENT, domain);
 			advance(Duration.ofSeconds(1));
-			assertThat(MembershipTests.this.publicationCount).isLessThanOrEqualTo(2);
-			assertThat(domain).allMatch(MembershipTests.this::isRoutable);
+			assertThat(MembershipCoreTests.this.publicationCount).isLessThanOrEqualTo(2);
+			assertThat(domain).allMatch(MembershipCoreTests.this::isRoutable);
 		}
 
 		@Test
@@ -244,7 +244,7 @@
 			report(Presence.LEAVING, this.node);
 			advance(Duration.ofSeconds(1));
 			MemberRecord stale = new MemberRecord(this.node, MemberState.ACTIVE, 99);
-			MembershipTests.this.view.apply(List.of(MemberEntries.toEntryChange(stale)), true);
+			MembershipCoreTests.this.view.apply(List.of(MemberEntries.toEntryChange(stale)), true);
 			assertThat(isRoutable(this.node)).isFalse();
 		}
 
@@ -261,9 +261,9 @@
 			report(Presence.LEAVING, this.node);
 			advance(Duration.ofSeconds(1));
 			report(Presence.ABSENT, this.node);
-			advance(SETTINGS.grace());
+			advance(SETTINGS.suspicionTimeout());
 			advance(Duration.ofSeconds(1));
-			assertThat(MembershipTests.this.view.find(this.node.id())).isEmpty();
+			assertThat(MembershipCoreTests.this.view.find(this.node.id())).isEmpty();
 		}
 
 	}
@@ -277,10 +277,10 @@
 				report(Presence.PRESENT, node("entry-1", NodeRole.ENTRY, "d1", incarnation));
 				advance(Duration.ofSeconds(1));
 			}
-			assertThat(MembershipTests.this.view.isRoutable(InstanceId.of("entry-1"))).isFalse();
-			advance(SETTINGS.damping());
+			assertThat(MembershipCoreTests.this.view.isRoutable(InstanceId.of("entry-1"))).isFalse();
+			advance(SETTINGS.initialReturnDelay());
 			advance(Duration.ofSeconds(1));
-			assertThat(MembershipTests.this.view.isRoutable(InstanceId.of("entry-1"))).isTrue();
+			assertThat(MembershipCoreTests.this.view.isRoutable(InstanceId.of("entry-1"))).isTrue();
 		}
 
 		@Test
@@ -288,7 +288,7 @@
 			report(Presence.PRESENT, node("entry-1", NodeRole.ENTRY, "d1", 2));
 			report(Presence.LEAVING, node("entry-1", NodeRole.ENTRY, "d1", 1));
 			advance(Duration.ofSeconds(1));
-			assertThat(MembershipTests.this.view.isRoutable(InstanceId.of("entry-1"))).isTrue();
+			assertThat(MembershipCoreTests.this.view.isRoutable(InstanceId.of("entry-1"))).isTrue();
 		}
 
 	}
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/ChildrenTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/ChildrenTests.java
@@ -20,15 +20,15 @@
 
 	private final Children children = new Children(4, this.reports::add);
 
-	private static Heartbeat childHeartbeat(long base, long sequence, MemberReport... reports) {
-		return new Heartbeat(RELAY, false, false, false, Position.ZERO, Position.ZERO, 0,
-				new Coverage(1, 0, 0, List.of()), 1, base, sequence, List.of(reports));
+	private static ChildHeartbeat childHeartbeat(long base, long sequence, MemberReport... reports) {
+		return new ChildHeartbeat(RELAY, false, false, false, StreamPosition.ZERO, StreamPosition.ZERO, 0,
+				new RevisionCoverage(1, 0, 0, List.of()), 1, base, sequence, List.of(reports));
 	}
 
 	@Test
 	void doesNotAcknowledgeReportsAfterAGap() {
 		Child child = this.children.applyHeartbeat(childHeartbeat(7, 8, new MemberReport(LEAF, Presence.PRESENT)), 0);
-		assertThat(child.reportsReceived()).isEqualTo(1);
+		assertThat(child.receivedReportSequence()).isEqualTo(1);
 	}
 
 	@Test
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/Nodes.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/Nodes.java
@@ -21,16 +21,16 @@
 				id + ":7000");
 	}
 
-	static <T> List<T> sentMessages(List<SpreadCommand> commands, Class<T> type) {
+	static <T> List<T> sentMessages(List<RelayTreeCommand> commands, Class<T> type) {
 		return commands.stream()
-			.filter(SpreadCommand.Send.class::isInstance)
-			.map((command) -> ((SpreadCommand.Send) command).message())
+			.filter(RelayTreeCommand.Send.class::isInstance)
+			.map((command) -> ((RelayTreeCommand.Send) command).message())
 			.filter(type::isInstance)
 			.map(type::cast)
 			.toList();
 	}
 
-	static <T> List<T> commands(List<SpreadCommand> commands, Class<T> type) {
+	static <T> List<T> commands(List<RelayTreeCommand> commands, Class<T> type) {
 		return commands.stream().filter(type::isInstance).map(type::cast).toList();
 	}
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadCodecTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/RelayTreeCodecTests.java
@@ -15,22 +15,23 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link SpreadCodec}.
+ * Tests for {@link RelayTreeCodec}.
  */
-class SpreadCodecTests {
+class RelayTreeCodecTests {
 
 	private static final NodeDescriptor NODE = Nodes.node("entry-1", NodeRole.ENTRY, "d1");
 
-	private static final Position POSITION = new Position(Version.of(3, 9), -5);
+	private static final StreamPosition POSITION = new StreamPosition(Version.of(3, 9), -5);
 
-	static List<SpreadMessage> messages() {
-		Coverage coverage = new Coverage(4, 9, 1, List.of(new Laggard(NODE.id(), 8)));
+	static List<RelayTreeMessage> messages() {
+		RevisionCoverage coverage = new RevisionCoverage(4, 9, 1, List.of(new LaggingNode(NODE.id(), 8)));
 		Delta delta = new Delta(Version.of(3, 8), Version.of(3, 9),
 				List.of(EntryChange.set("a", Bytes.ofText("b")), EntryChange.remove("c")));
 		return List.of(
-				new Heartbeat(NODE, true, true, true, POSITION, POSITION, -7, coverage, 5, 5, 6,
+				new ChildHeartbeat(NODE, true, true, true, POSITION, POSITION, -7, coverage, 5, 5, 6,
 						List.of(new MemberReport(NODE, Presence.LEAVING))),
-				new Beat(Term.of(3), 12, POSITION, Position.ZERO, 6), new ParentList(List.of(NODE), 1, true),
+				new ParentHeartbeat(Term.of(3), 12, POSITION, StreamPosition.ZERO, 6),
+				new ParentCandidates(List.of(NODE), 1, true),
 				new DeltaUpdate(StreamId.MEMBERS, Term.of(3), List.of(delta)),
 				new SnapshotUpdate(StreamId.CONFIGURATION, Term.of(3),
 						new Snapshot(Version.of(3, 9), Map.of("a", Bytes.ofText("b")))),
@@ -41,13 +42,13 @@
 
 	@ParameterizedTest
 	@MethodSource("messages")
-	void decodesEncodedMessage(SpreadMessage message) {
-		assertThat(SpreadCodec.decode(SpreadCodec.encode(message)).value()).contains(message);
+	void decodesEncodedMessage(RelayTreeMessage message) {
+		assertThat(RelayTreeCodec.decode(RelayTreeCodec.encode(message)).value()).contains(message);
 	}
 
 	@Test
 	void reportsMalformedContent() {
-		assertThat(SpreadCodec.decode(new byte[] { 10, 99, 1 }).error()).get()
+		assertThat(RelayTreeCodec.decode(new byte[] { 10, 99, 1 }).error()).get()
 			.matches((error) -> error.code() == ErrorCode.MALFORMED);
 	}
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/SpreadNodeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/RelayTreeNodeTests.java
@@ -17,9 +17,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link SpreadNode}.
+ * Tests for {@link RelayTreeNode}.
  */
-class SpreadNodeTests {
+class RelayTreeNodeTests {
 
 	private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
@@ -27,12 +27,12 @@
 
 	private final Peer controlPeer = Peer.of(this.control);
 
-	private final SpreadNode node = create(Nodes.node("entry-1", NodeRole.ENTRY, "d1"));
+	private final RelayTreeNode node = create(Nodes.node("entry-1", NodeRole.ENTRY, "d1"));
 
 	private long now = SECOND;
 
-	private static SpreadNode create(NodeDescriptor self) {
-		return new SpreadNode(self, List.of(Nodes.CONTROL), SpreadSettings.DEFAULTS, (entries) -> List.of(),
+	private static RelayTreeNode create(NodeDescriptor self) {
+		return new RelayTreeNode(self, List.of(Nodes.CONTROL), RelayTreeSettings.DEFAULTS, (entries) -> List.of(),
 				new Random(1), DecisionListener.NONE);
 	}
 
@@ -41,23 +41,23 @@
 				List.of(EntryChange.set("key", Bytes.ofText("value-" + number))));
 	}
 
-	private static Beat parentHeartbeat(long term, long sequence) {
-		return new Beat(Term.of(term), sequence, Position.ZERO, Position.ZERO, Long.MAX_VALUE);
+	private static ParentHeartbeat parentHeartbeat(long term, long sequence) {
+		return new ParentHeartbeat(Term.of(term), sequence, StreamPosition.ZERO, StreamPosition.ZERO, Long.MAX_VALUE);
 	}
 
-	private static Heartbeat childHeartbeat(NodeDescriptor from, long floorNonce) {
-		return new Heartbeat(from, false, false, false, Position.ZERO, Position.ZERO, floorNonce,
-				new Coverage(1, 0, 0, List.of()), 1, 1, 1, List.of());
+	private static ChildHeartbeat childHeartbeat(NodeDescriptor from, long floorNonce) {
+		return new ChildHeartbeat(from, false, false, false, StreamPosition.ZERO, StreamPosition.ZERO, floorNonce,
+				new RevisionCoverage(1, 0, 0, List.of()), 1, 1, 1, List.of());
 	}
 
-	private List<SpreadCommand> receive(SpreadMessage message) {
-		return this.node.on(new SpreadEvent.Received(this.controlPeer, message), this.now);
+	private List<RelayTreeCommand> receive(RelayTreeMessage message) {
+		return this.node.on(new RelayTreeEvent.MessageReceived(this.controlPeer, message), this.now);
 	}
 
-	private Heartbeat attach() {
-		List<SpreadCommand> commands = this.node.on(new SpreadEvent.Tick(), this.now);
+	private ChildHeartbeat attach() {
+		List<RelayTreeCommand> commands = this.node.on(new RelayTreeEvent.Tick(), this.now);
 		receive(parentHeartbeat(1, 1));
-		return Nodes.sentMessages(commands, Heartbeat.class).get(0);
+		return Nodes.sentMessages(commands, ChildHeartbeat.class).get(0);
 	}
 
 	private void confirmFloor(long number) {
@@ -65,10 +65,10 @@
 		receive(new FloorResponse(nonce, new Floor(Version.of(Math.min(number, 1), number), FencingNumber.ZERO)));
 	}
 
-	private static List<Version> versionsInForce(List<SpreadCommand> commands) {
-		return Nodes.commands(commands, SpreadCommand.ConfigurationInForce.class)
+	private static List<Version> versionsInForce(List<RelayTreeCommand> commands) {
+		return Nodes.commands(commands, RelayTreeCommand.ActivateConfiguration.class)
 			.stream()
-			.map(SpreadCommand.ConfigurationInForce::version)
+			.map(RelayTreeCommand.ActivateConfiguration::version)
 			.toList();
 	}
 
@@ -78,7 +78,7 @@
 		@Test
 		void isNotActivatedBeforeTheFloorIsConfirmed() {
 			attach();
-			List<SpreadCommand> commands = receive(
+			List<RelayTreeCommand> commands = receive(
 					new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
 			assertThat(versionsInForce(commands)).isEmpty();
 		}
@@ -99,7 +99,7 @@
 			long nonce = attach().floorNonce();
 			receive(new FloorResponse(nonce + 1, new Floor(Version.ZERO, FencingNumber.ZERO)));
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
-			assertThat(SpreadNodeTests.this.node.inForce()).isEmpty();
+			assertThat(RelayTreeNodeTests.this.node.versionInForce()).isEmpty();
 		}
 
 		@Test
@@ -107,7 +107,7 @@
 			confirmFloor(0);
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1), delta(1, 2))));
 			receive(new SnapshotUpdate(StreamId.CONFIGURATION, Term.of(1), new Snapshot(Version.of(1, 1), Map.of())));
-			assertThat(SpreadNodeTests.this.node.inForce()).contains(Version.of(1, 2));
+			assertThat(RelayTreeNodeTests.this.node.versionInForce()).contains(Version.of(1, 2));
 		}
 
 		@Test
@@ -115,24 +115,25 @@
 			confirmFloor(0);
 			receive(parentHeartbeat(5, 1));
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(4), List.of(delta(4, 1))));
-			assertThat(SpreadNodeTests.this.node.inForce()).contains(Version.ZERO);
+			assertThat(RelayTreeNodeTests.this.node.versionInForce()).contains(Version.ZERO);
 		}
 
 		@Test
 		void requestsResendWhenAnUpdateIsMissing() {
 			confirmFloor(0);
-			SpreadNodeTests.this.now += SECOND;
-			List<SpreadCommand> commands = receive(
+			RelayTreeNodeTests.this.now += SECOND;
+			List<RelayTreeCommand> commands = receive(
 					new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 2))));
-			assertThat(Nodes.sentMessages(commands, Heartbeat.class)).anyMatch(Heartbeat::resend);
+			assertThat(Nodes.sentMessages(commands, ChildHeartbeat.class)).anyMatch(ChildHeartbeat::resendRequested);
 		}
 
 		@Test
 		void installsSnapshotOfTheSameVersionWhenTheDigestDiffers() {
 			confirmFloor(0);
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
-			receive(new Beat(Term.of(1), 2, new Position(Version.of(1, 1), 42), Position.ZERO, Long.MAX_VALUE));
-			List<SpreadCommand> commands = receive(new SnapshotUpdate(StreamId.CONFIGURATION, Term.of(1),
+			receive(new ParentHeartbeat(Term.of(1), 2, new StreamPosition(Version.of(1, 1), 42), StreamPosition.ZERO,
+					Long.MAX_VALUE));
+			List<RelayTreeCommand> commands = receive(new SnapshotUpdate(StreamId.CONFIGURATION, Term.of(1),
 					new Snapshot(Version.of(1, 1), Map.of("key", Bytes.ofText("right")))));
 			assertThat(versionsInForce(commands)).containsExactly(Version.of(1, 1));
 		}
@@ -145,38 +146,38 @@
 		@Test
 		void attachesToAControlInstanceFirst() {
 			assertThat(attach().node().id().value()).isEqualTo("entry-1");
-			assertThat(SpreadNodeTests.this.node.parent()).contains(SpreadNodeTests.this.control.id());
+			assertThat(RelayTreeNodeTests.this.node.parent()).contains(RelayTreeNodeTests.this.control.id());
 		}
 
 		@Test
 		void followsARedirect() {
 			attach();
 			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
-			receive(new ParentList(List.of(relay), 1, false));
-			assertThat(SpreadNodeTests.this.node.parent()).contains(relay.id());
+			receive(new ParentCandidates(List.of(relay), 1, false));
+			assertThat(RelayTreeNodeTests.this.node.parent()).contains(relay.id());
 		}
 
 		@Test
 		void replacesAParentWhoseHeartbeatsStop() {
 			attach();
 			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
-			receive(new ParentList(List.of(SpreadNodeTests.this.control, relay), 2, true));
-			SpreadNodeTests.this.now += 2 * SECOND;
-			SpreadNodeTests.this.node.on(new SpreadEvent.Tick(), SpreadNodeTests.this.now);
-			assertThat(SpreadNodeTests.this.node.parent()).contains(relay.id());
+			receive(new ParentCandidates(List.of(RelayTreeNodeTests.this.control, relay), 2, true));
+			RelayTreeNodeTests.this.now += 2 * SECOND;
+			RelayTreeNodeTests.this.node.on(new RelayTreeEvent.Tick(), RelayTreeNodeTests.this.now);
+			assertThat(RelayTreeNodeTests.this.node.parent()).contains(relay.id());
 		}
 
 		@Test
 		void replacesAParentWithoutNewRootHeartbeats() {
 			attach();
 			NodeDescriptor relay = Nodes.node("entry-2", NodeRole.ENTRY, "d1");
-			receive(new ParentList(List.of(SpreadNodeTests.this.control, relay), 2, true));
+			receive(new ParentCandidates(List.of(RelayTreeNodeTests.this.control, relay), 2, true));
 			List<InstanceId> parents = new ArrayList<>();
 			for (int i = 0; i < 9; i++) {
-				SpreadNodeTests.this.now += SECOND;
+				RelayTreeNodeTests.this.now += SECOND;
 				receive(parentHeartbeat(1, 1));
-				SpreadNodeTests.this.node.on(new SpreadEvent.Tick(), SpreadNodeTests.this.now);
-				SpreadNodeTests.this.node.parent().ifPresent(parents::add);
+				RelayTreeNodeTests.this.node.on(new RelayTreeEvent.Tick(), RelayTreeNodeTests.this.now);
+				RelayTreeNodeTests.this.node.parent().ifPresent(parents::add);
 			}
 			assertThat(parents).contains(relay.id());
 		}
@@ -184,9 +185,9 @@
 		@Test
 		void doesNotAcceptItsOwnParentAsAChild() {
 			attach();
-			Heartbeat heartbeat = childHeartbeat(Nodes.node("control-0", NodeRole.ENTRY, "d0"), 0);
+			ChildHeartbeat heartbeat = childHeartbeat(Nodes.node("control-0", NodeRole.ENTRY, "d0"), 0);
 			receive(heartbeat);
-			assertThat(SpreadNodeTests.this.node.childCount()).isZero();
+			assertThat(RelayTreeNodeTests.this.node.childCount()).isZero();
 		}
 
 	}
@@ -197,9 +198,10 @@
 		@Test
 		void isSentToParentAndControlInstanceAtOnce() {
 			attach();
-			List<SpreadCommand> commands = SpreadNodeTests.this.node.on(new SpreadEvent.LeaveRequested(),
-					SpreadNodeTests.this.now);
-			assertThat(Nodes.sentMessages(commands, Heartbeat.class)).singleElement().matches(Heartbeat::leaving);
+			List<RelayTreeCommand> commands = RelayTreeNodeTests.this.node.on(new RelayTreeEvent.LeaveRequested(),
+					RelayTreeNodeTests.this.now);
+			assertThat(Nodes.sentMessages(commands, ChildHeartbeat.class)).singleElement()
+				.matches(ChildHeartbeat::leaving);
 			assertThat(Nodes.sentMessages(commands, LeaveNotice.class)).hasSize(1);
 		}
 
@@ -212,12 +214,13 @@
 		void respondsToAChildOnlyWithAFloorRequestedAfterTheChildsRequest() {
 			long first = attach().floorNonce();
 			Peer child = new Peer(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1").id(), "sidecar-1:7000");
-			Heartbeat heartbeat = childHeartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 77);
-			SpreadNodeTests.this.node.on(new SpreadEvent.Received(child, heartbeat), SpreadNodeTests.this.now);
+			ChildHeartbeat heartbeat = childHeartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 77);
+			RelayTreeNodeTests.this.node.on(new RelayTreeEvent.MessageReceived(child, heartbeat),
+					RelayTreeNodeTests.this.now);
 			Floor floor = new Floor(Version.ZERO, FencingNumber.ZERO);
-			List<SpreadCommand> commands = receive(new FloorResponse(first, floor));
+			List<RelayTreeCommand> commands = receive(new FloorResponse(first, floor));
 			assertThat(Nodes.sentMessages(commands, FloorResponse.class)).isEmpty();
-			long second = Nodes.sentMessages(commands, Heartbeat.class).get(0).floorNonce();
+			long second = Nodes.sentMessages(commands, ChildHeartbeat.class).get(0).floorNonce();
 			assertThat(Nodes.sentMessages(receive(new FloorResponse(second, floor)), FloorResponse.class))
 				.containsExactly(new FloorResponse(77, floor));
 		}
@@ -226,19 +229,22 @@
 		void listsChildrenThatLagBehind() {
 			confirmFloor(0);
 			Peer child = new Peer(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1").id(), "sidecar-1:7000");
-			Heartbeat heartbeat = childHeartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 0);
-			SpreadNodeTests.this.node.on(new SpreadEvent.Received(child, heartbeat), SpreadNodeTests.this.now);
+			ChildHeartbeat heartbeat = childHeartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 0);
+			RelayTreeNodeTests.this.node.on(new RelayTreeEvent.MessageReceived(child, heartbeat),
+					RelayTreeNodeTests.this.now);
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
-			assertThat(SpreadNodeTests.this.node.coverage().behind()).containsExactly(new Laggard(child.id(), 0));
+			assertThat(RelayTreeNodeTests.this.node.coverage().laggingNodes())
+				.containsExactly(new LaggingNode(child.id(), 0));
 		}
 
 		@Test
 		void sendsDeltasToAChildThatLagsBehind() {
 			attach();
 			receive(new DeltaUpdate(StreamId.CONFIGURATION, Term.of(1), List.of(delta(1, 1))));
-			Heartbeat heartbeat = childHeartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 0);
-			List<SpreadCommand> commands = SpreadNodeTests.this.node
-				.on(new SpreadEvent.Received(Peer.of(heartbeat.node()), heartbeat), SpreadNodeTests.this.now);
+			ChildHeartbeat heartbeat = childHeartbeat(Nodes.node("sidecar-1", NodeRole.SIDECAR, "d1"), 0);
+			List<RelayTreeCommand> commands = RelayTreeNodeTests.this.node.on(
+					new RelayTreeEvent.MessageReceived(Peer.of(heartbeat.node()), heartbeat),
+					RelayTreeNodeTests.this.now);
 			assertThat(Nodes.sentMessages(commands, DeltaUpdate.class)).hasSize(1);
 		}
 
--- a/comfreywall-control/src/test/java/org/comfreywall/control/spread/RelayTreeTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/spread/RelayTreePlanTests.java
@@ -13,9 +13,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link RelayTree}.
+ * Tests for {@link RelayTreePlan}.
  */
-class RelayTreeTests {
+class RelayTreePlanTests {
 
 	private static final int FAN_OUT = 16;
 
@@ -27,8 +27,8 @@
 		return nodes;
 	}
 
-	private static RelayTree tree(List<NodeDescriptor> nodes) {
-		return RelayTree.of(nodes, List.of(Nodes.CONTROL), FAN_OUT);
+	private static RelayTreePlan tree(List<NodeDescriptor> nodes) {
+		return RelayTreePlan.of(nodes, List.of(Nodes.CONTROL), FAN_OUT);
 	}
 
 	@Test
@@ -36,42 +36,45 @@
 		List<NodeDescriptor> nodes = nodes(800);
 		List<NodeDescriptor> shuffled = new ArrayList<>(nodes);
 		Collections.shuffle(shuffled, new Random(3));
-		RelayTree one = tree(nodes);
-		RelayTree other = tree(shuffled);
-		assertThat(nodes).allMatch((node) -> one.parentsOf(node).equals(other.parentsOf(node)));
+		RelayTreePlan one = tree(nodes);
+		RelayTreePlan other = tree(shuffled);
+		assertThat(nodes).allMatch((node) -> one.candidatesFor(node).equals(other.candidatesFor(node)));
 	}
 
 	@Test
 	void assignsNoMoreThanTheMaximumNumberOfChildren() {
-		RelayTree tree = tree(nodes(1_100));
+		RelayTreePlan tree = tree(nodes(1_100));
 		Map<InstanceId, Integer> children = new HashMap<>();
-		nodes(1_100).forEach((node) -> children.merge(tree.parentsOf(node).parents().get(0).id(), 1, Integer::sum));
-		assertThat(children.values()).allMatch((count) -> count <= SpreadSettings.DEFAULTS.maxChildren());
+		nodes(1_100).forEach((node) -> children.merge(tree.candidatesFor(node).nodes().get(0).id(), 1, Integer::sum));
+		assertThat(children.values()).allMatch((count) -> count <= RelayTreeSettings.DEFAULTS.maxChildren());
 	}
 
 	@Test
 	void connectsEveryNodeToAControlInstance() {
 		List<NodeDescriptor> nodes = nodes(1_100);
-		RelayTree tree = tree(nodes);
+		RelayTreePlan tree = tree(nodes);
 		assertThat(nodes).allMatch((node) -> depth(tree, node) <= 3);
 	}
 
 	@Test
 	void prefersCandidatesOfTheSameFailureDomain() {
-		RelayTree tree = tree(nodes(800));
+		RelayTreePlan tree = tree(nodes(800));
 		NodeDescriptor sidecar = nodes(800).get(799);
-		ParentList parents = tree.parentsOf(sidecar);
-		assertThat(parents.parents().subList(0, parents.preferred()))
+		ParentCandidates parents = tree.candidatesFor(sidecar);
+		assertThat(parents.nodes().subList(0, parents.preferredCount()))
 			.allMatch((parent) -> parent.domain().equals(sidecar.domain()));
 	}
 
 	@Test
 	void changesTheParentsOfFewNodesWhenOneLeaves() {
 		List<NodeDescriptor> nodes = nodes(1_100);
-		RelayTree before = tree(nodes);
-		RelayTree after = tree(nodes.subList(0, 1_099));
+		RelayTreePlan before = tree(nodes);
+		RelayTreePlan after = tree(nodes.subList(0, 1_099));
 		long moved = nodes.stream()
-			.filter((node) -> !before.parentsOf(node).parents().get(0).equals(after.parentsOf(node).parents().get(0)))
+			.filter((node) -> !before.candidatesFor(node)
+				.nodes()
+				.get(0)
+				.equals(after.candidatesFor(node).nodes().get(0)))
 			.count();
 		assertThat(moved).isLessThanOrEqualTo(3 * FAN_OUT);
 	}
@@ -79,14 +82,14 @@
 	@Test
 	void assignsRelaysOfOtherDomainsToADomainWithoutEntries() {
 		NodeDescriptor sidecar = Nodes.node("sidecar-lonely", NodeRole.SIDECAR, "d9");
-		assertThat(tree(nodes(100)).parentsOf(sidecar).parents().get(0).role()).isEqualTo(NodeRole.ENTRY);
+		assertThat(tree(nodes(100)).candidatesFor(sidecar).nodes().get(0).role()).isEqualTo(NodeRole.ENTRY);
 	}
 
-	private static int depth(RelayTree tree, NodeDescriptor node) {
+	private static int depth(RelayTreePlan tree, NodeDescriptor node) {
 		int depth = 0;
 		NodeDescriptor current = node;
 		while (current.role() != NodeRole.CONTROL && depth < 10) {
-			current = tree.parentsOf(current).parents().get(0);
+			current = tree.candidatesFor(current).nodes().get(0);
 			depth++;
 		}
 		return depth;
