Reword the switch protocol and the planning of groups

"Step" meant a pass in one class and a move of the local search in another.

What changed: comments, local variables and private names.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/DelegatedSwitch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/DelegatedSwitch.java
@@ -5,13 +5,13 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A switch that is delegated to a deputy: all that is needed to complete it once every
- * rank has prepared the map.
+ * A switch that is delegated to a deputy: all data that is needed to complete it after
+ * every rank has prepared the map.
  *
  * @param group the service and group, as {@code service/group}
  * @param epoch the group's epoch
  * @param version the version of the map
- * @param step the pass that is held, and the first that runs under the map
+ * @param step the number of the pass to hold, the first that runs under the map
  * @param holder the rank that holds the pass
  * @param servers the backend servers of the group, by rank
  */
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/DeputyPort.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/DeputyPort.java
@@ -11,7 +11,8 @@
 	/**
 	 * Sends a switch to the deputies.
 	 * @param delegatedSwitch the switch
-	 * @return completes when one deputy has confirmed it, or none can be reached
+	 * @return completes when one deputy has confirmed that it stored the switch, or when
+	 * none can be reached
 	 */
 	CompletableFuture<Void> delegate(DelegatedSwitch delegatedSwitch);
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EngineOrder.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EngineOrder.java
@@ -1,8 +1,8 @@
 package org.comfreywall.gateway.group;
 
 /**
- * An order to the engine of one rank. Every order carries the group's epoch, so that an
- * engine refuses an order that arrives after the group was restarted in another epoch.
+ * An order to the engine of one rank. Every order contains the group's epoch, so that an
+ * engine refuses an order that arrives after the group was formed again.
  */
 public sealed interface EngineOrder permits PrepareMap, ArmMap, DisarmMap, HoldStep, ReleaseStep {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EnginePort.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/EnginePort.java
@@ -13,7 +13,7 @@
 	/**
 	 * Sends an order.
 	 * @param server the backend server's identifier
-	 * @param address its address
+	 * @param address the backend server's address
 	 * @param order the order
 	 * @return completes with the answer, or with {@link OrderAnswer#UNKNOWN} if there was
 	 * none; never exceptionally
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
@@ -5,9 +5,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The load of a group's experts, with the slowdown of its ranks.
+ * The load of a group's experts and the slowdown of its ranks, which a plan is computed
+ * from.
  *
- * @param chosen how often each expert is chosen, by set and expert
+ * @param chosen the number of times that each expert was chosen, by set of layers and
+ * expert; only the ratios within a set matter
  * @param slowdown the slowdown factor of each rank against its usual time; 1 if it is
  * healthy
  */
@@ -20,14 +22,14 @@
 
 	/**
 	 * Creates the demand for a group whose ranks are all healthy.
-	 * @param chosen how often each expert is chosen, by set and expert
+	 * @param choiceCounts the number of choices, by set of layers and expert
 	 * @param ranks the number of ranks
 	 * @return the demand
 	 */
-	static ExpertDemand onHealthyRanks(double[][] chosen, int ranks) {
-		double[] slowdown = new double[ranks];
-		Arrays.fill(slowdown, 1);
-		return new ExpertDemand(chosen, slowdown);
+	static ExpertDemand onHealthyRanks(double[][] choiceCounts, int ranks) {
+		double[] slowdowns = new double[ranks];
+		Arrays.fill(slowdowns, 1);
+		return new ExpertDemand(choiceCounts, slowdowns);
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayout.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayout.java
@@ -6,9 +6,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Which experts each rank of a group holds, for each set of layers.
+ * Which experts each rank of a group holds, for each set of layers. All layers of a set
+ * use the same assignment. An expert may have copies on several ranks.
  *
- * @param experts the experts by set and rank
+ * @param experts the numbers of the experts that are held, by set and rank
  */
 public record ExpertLayout(List<List<List<Integer>>> experts) {
 
@@ -18,8 +19,9 @@
 	}
 
 	/**
-	 * Creates a layout with one copy of each expert, assigned to the ranks round-robin.
-	 * @param sets the number of sets
+	 * Creates a layout with one copy of each expert, assigned to the ranks round-robin,
+	 * the same for all sets.
+	 * @param sets the number of sets of layers
 	 * @param experts the number of experts of a set
 	 * @param ranks the number of ranks
 	 * @return the layout
@@ -57,11 +59,11 @@
 	}
 
 	/**
-	 * Computes the load imbalance of the layout: for each set the ratio of the most
-	 * loaded rank to the mean, averaged over the sets. In a pass all ranks wait for the
-	 * most loaded one.
+	 * Computes the load imbalance of the layout: for each set the ratio of the highest
+	 * load of a rank, weighted by its slowdown, to the mean without slowdowns; averaged
+	 * over the sets. In a pass all ranks wait for the most loaded one.
 	 * @param demand the load of the experts and the slowdown of the ranks
-	 * @return the mean ratio, 1 if all ranks take the same time
+	 * @return the mean ratio; 1 if the load is even and no rank is slowed down
 	 */
 	double skew(ExpertDemand demand) {
 		double sum = 0;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayoutPlanner.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayoutPlanner.java
@@ -9,36 +9,39 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Plans a layout close to the present one that lowers the load of the most loaded rank of
+ * Plans a layout close to the current one that lowers the load of the most loaded rank of
  * each set, by greedy local search.
  * <p>
  * For engines that split an expert's work evenly over its copies and limit how many
  * experts a rank may receive in one switch. Popular experts can change every few seconds,
  * so a switch must be quick: ranks copy in parallel, but each rank copies one expert at a
- * time, so a plan spreads its copies over the ranks and limits the copies of each rank
- * over all sets together. Improvements beyond that limit are left to the next switch. The
- * load of a slow rank is weighted by its slowdown factor.
+ * time. A plan therefore spreads its copies over the ranks and limits the copies of each
+ * rank over all sets together. Improvements beyond that limit are left to the next
+ * switch. The load of a slow rank is weighted by its slowdown factor.
  */
 final class ExpertLayoutPlanner {
 
-	/** The most steps for one set; each moves load away from the most loaded rank. */
-	private static final int MAX_STEPS = 150;
+	/**
+	 * Mean number of moves per set at which a plan ends; each moves load away from the
+	 * most loaded rank of one set.
+	 */
+	private static final int MAX_MOVES_PER_SET = 150;
 
 	/**
-	 * A step must lower the cost by this many times the average cost of a rank to be
-	 * worth a copy. The threshold is relative to one rank because in a large group each
-	 * step lowers the total cost by a small share only.
+	 * Minimum reduction of the cost of a set, in multiples of the mean cost of a rank,
+	 * for a move to be worth a copy. The threshold is relative to one rank because in a
+	 * large group each move lowers the total cost by a small share only.
 	 */
-	private static final double WORTHWHILE_RANKS = 1.1;
+	private static final double MIN_COST_REDUCTION_IN_RANKS = 1.1;
 
 	/**
-	 * Experts of the busiest rank that are considered; the others carry too little load
-	 * to matter.
+	 * Number of experts of the most loaded rank that are considered; the others have too
+	 * little load to matter.
 	 */
-	private static final int EXPERTS_TRIED = 3;
+	private static final int MAX_CANDIDATE_EXPERTS = 3;
 
-	/** Least loaded ranks that are considered as targets of a copy. */
-	private static final int RANKS_TRIED = 5;
+	/** Number of the least loaded ranks that are considered as targets of a copy. */
+	private static final int MAX_CANDIDATE_RANKS = 5;
 
 	private final int placesPerRank;
 
@@ -48,10 +51,11 @@
 
 	/**
 	 * Creates a planner.
-	 * @param placesPerRank the most experts of a set on one rank
-	 * @param newPerSet the most experts of one set that one switch may add to a rank
-	 * @param newPerRank the most experts of all sets together that one switch may add to
-	 * a rank
+	 * @param placesPerRank the maximum number of experts of a set on one rank
+	 * @param newPerSet the maximum number of experts of one set that one switch may add
+	 * to a rank
+	 * @param newPerRank the maximum number of experts of all sets together that one
+	 * switch may add to a rank
 	 */
 	ExpertLayoutPlanner(int placesPerRank, int newPerSet, int newPerRank) {
 		Preconditions.check(placesPerRank >= 1, "placesPerRank must be at least 1: %d", placesPerRank);
@@ -64,21 +68,21 @@
 
 	/**
 	 * Plans a layout.
-	 * @param present the layout in force
+	 * @param current the layout in force
 	 * @param demand the load of the experts and the slowdown of the ranks
-	 * @return a layout that one switch can reach, equal to the present one if no step
-	 * pays
+	 * @return a layout that one switch can reach, equal to the current one if no move is
+	 * worth a copy
 	 */
-	ExpertLayout plan(ExpertLayout present, ExpertDemand demand) {
+	ExpertLayout plan(ExpertLayout current, ExpertDemand demand) {
 		List<LayerSetLoads> sets = new ArrayList<>();
-		for (int set = 0; set < present.sets(); set++) {
-			sets.add(LayerSetLoads.of(present.experts().get(set), demand.chosen()[set], demand.slowdown()));
+		for (int set = 0; set < current.sets(); set++) {
+			sets.add(LayerSetLoads.of(current.experts().get(set), demand.chosen()[set], demand.slowdown()));
 		}
-		int[] copies = new int[present.ranks()];
+		int[] copies = new int[current.ranks()];
 		List<LayerSetLoads> improvable = new ArrayList<>(sets);
-		for (int step = 0; step < MAX_STEPS * sets.size() && !improvable.isEmpty(); step++) {
+		for (int move = 0; move < MAX_MOVES_PER_SET * sets.size() && !improvable.isEmpty(); move++) {
 			LayerSetLoads worst = Collections.max(improvable, Comparator.comparingDouble(LayerSetLoads::skew));
-			Optional<Step> best = bestStep(worst, copies);
+			Optional<Move> best = bestMove(worst, copies);
 			if (best.isPresent()) {
 				best.get().apply(worst);
 				worst.recompute();
@@ -91,45 +95,45 @@
 		return new ExpertLayout(sets.stream().map(LayerSetLoads::layout).toList());
 	}
 
-	private Optional<Step> bestStep(LayerSetLoads loads, int[] copies) {
-		double least = loads.cost() * (1 - WORTHWHILE_RANKS / loads.ranks());
-		Step best = null;
-		for (Step step : steps(loads, copies)) {
-			step.apply(loads);
+	private Optional<Move> bestMove(LayerSetLoads loads, int[] copies) {
+		double least = loads.cost() * (1 - MIN_COST_REDUCTION_IN_RANKS / loads.ranks());
+		Move best = null;
+		for (Move move : candidateMoves(loads, copies)) {
+			move.apply(loads);
 			double cost = loads.cost();
-			step.undo(loads);
+			move.undo(loads);
 			if (cost < least) {
 				least = cost;
-				best = step;
+				best = move;
 			}
 		}
 		return Optional.ofNullable(best);
 	}
 
-	private List<Step> steps(LayerSetLoads loads, int[] copies) {
-		List<Step> steps = new ArrayList<>();
+	private List<Move> candidateMoves(LayerSetLoads loads, int[] copies) {
+		List<Move> moves = new ArrayList<>();
 		int busiest = loads.busiest();
-		List<Integer> lightest = loads.lightest(RANKS_TRIED, (rank) -> copies[rank] < this.newPerRank);
-		for (int expert : loads.heaviest(busiest, EXPERTS_TRIED)) {
+		List<Integer> lightest = loads.lightest(MAX_CANDIDATE_RANKS, (rank) -> copies[rank] < this.newPerRank);
+		for (int expert : loads.heaviest(busiest, MAX_CANDIDATE_EXPERTS)) {
 			if (loads.copies(expert) > 1) {
-				steps.add(new Step(busiest, expert, Step.NONE, Step.NONE, Step.NONE));
+				moves.add(new Move(busiest, expert, Move.NONE, Move.NONE, Move.NONE));
 			}
 			for (int rank : lightest) {
 				if (rank != busiest && !loads.holds(rank, expert)) {
-					addCopies(steps, loads, copies, new Transfer(busiest, expert, rank));
+					addMovesFor(moves, loads, copies, new Transfer(busiest, expert, rank));
 				}
 			}
 		}
-		return steps;
+		return moves;
 	}
 
-	private void addCopies(List<Step> steps, LayerSetLoads loads, int[] copies, Transfer transfer) {
+	private void addMovesFor(List<Move> moves, LayerSetLoads loads, int[] copies, Transfer transfer) {
 		int from = transfer.from();
 		int to = transfer.to();
 		int expert = transfer.expert();
-		if (loads.expertsOf(to).size() < this.placesPerRank && isWithinNewPerSet(loads, to, expert, Step.NONE)) {
-			steps.add(new Step(Step.NONE, Step.NONE, to, expert, Step.NONE));
-			steps.add(new Step(from, expert, to, expert, Step.NONE));
+		if (loads.expertsOf(to).size() < this.placesPerRank && isWithinNewPerSet(loads, to, expert, Move.NONE)) {
+			moves.add(new Move(Move.NONE, Move.NONE, to, expert, Move.NONE));
+			moves.add(new Move(from, expert, to, expert, Move.NONE));
 			return;
 		}
 		for (int evicted : loads.expertsOf(to)) {
@@ -137,18 +141,18 @@
 				continue;
 			}
 			if (loads.copies(evicted) > 1) {
-				steps.add(new Step(Step.NONE, Step.NONE, to, expert, evicted));
+				moves.add(new Move(Move.NONE, Move.NONE, to, expert, evicted));
 			}
 			boolean canSwap = copies[from] < this.newPerRank && !loads.holds(from, evicted)
 					&& isWithinNewPerSet(loads, from, evicted, expert);
 			if (canSwap) {
-				steps.add(new Step(from, expert, to, expert, evicted));
+				moves.add(new Move(from, expert, to, expert, evicted));
 			}
 		}
 	}
 
-	// Whether the rank stays within its limit of new experts of this set if it takes
-	// the expert and drops the evicted one.
+	// Returns whether the rank stays within its limit of new experts of this set if the
+	// expert is added to it and the evicted one removed.
 	private boolean isWithinNewPerSet(LayerSetLoads loads, int rank, int expert, int evicted) {
 		int added = loads.mustCopy(rank, expert) ? 1 : 0;
 		for (int held : loads.expertsOf(rank)) {
@@ -166,52 +170,54 @@
 	}
 
 	/**
-	 * A change of one set: the leaving expert is removed from one rank, the coming expert
-	 * is added to another, and the evicted expert is removed there to make room. If there
-	 * are both a leaving and an evicted expert, they swap ranks.
+	 * A move of the local search in one set: an expert is removed from one rank, an
+	 * expert is added to another rank, and an expert is evicted there to make room. Each
+	 * of the three may be {@link #NONE}. If one is removed and one evicted, they swap
+	 * ranks.
 	 */
-	private record Step(int from, int leaving, int to, int coming, int evicted) {
+	private record Move(int from, int removedExpert, int to, int addedExpert, int evictedExpert) {
 
 		static final int NONE = -1;
 
-		// A copy that a later step of the plan evicts stays counted, which leaves a
-		// little of the limit unused.
+		// Adds the copies of this move to the number of copies by rank. A copy that a
+		// later move evicts remains counted, so a little of the limit may stay unused.
 		void countCopies(LayerSetLoads loads, int[] copies) {
-			if (this.coming != NONE && loads.mustCopy(this.to, this.coming)) {
+			if (this.addedExpert != NONE && loads.mustCopy(this.to, this.addedExpert)) {
 				copies[this.to]++;
 			}
-			if (this.evicted != NONE && this.leaving != NONE && loads.mustCopy(this.from, this.evicted)) {
+			if (this.evictedExpert != NONE && this.removedExpert != NONE
+					&& loads.mustCopy(this.from, this.evictedExpert)) {
 				copies[this.from]++;
 			}
 		}
 
 		void apply(LayerSetLoads loads) {
-			if (this.coming != NONE) {
-				loads.add(this.to, this.coming);
+			if (this.addedExpert != NONE) {
+				loads.add(this.to, this.addedExpert);
 			}
-			if (this.evicted != NONE && this.leaving != NONE) {
-				loads.add(this.from, this.evicted);
+			if (this.evictedExpert != NONE && this.removedExpert != NONE) {
+				loads.add(this.from, this.evictedExpert);
 			}
-			if (this.leaving != NONE) {
-				loads.remove(this.from, this.leaving);
+			if (this.removedExpert != NONE) {
+				loads.remove(this.from, this.removedExpert);
 			}
-			if (this.evicted != NONE) {
-				loads.remove(this.to, this.evicted);
+			if (this.evictedExpert != NONE) {
+				loads.remove(this.to, this.evictedExpert);
 			}
 		}
 
 		void undo(LayerSetLoads loads) {
-			if (this.evicted != NONE) {
-				loads.add(this.to, this.evicted);
+			if (this.evictedExpert != NONE) {
+				loads.add(this.to, this.evictedExpert);
 			}
-			if (this.leaving != NONE) {
-				loads.add(this.from, this.leaving);
+			if (this.removedExpert != NONE) {
+				loads.add(this.from, this.removedExpert);
 			}
-			if (this.evicted != NONE && this.leaving != NONE) {
-				loads.remove(this.from, this.evicted);
+			if (this.evictedExpert != NONE && this.removedExpert != NONE) {
+				loads.remove(this.from, this.evictedExpert);
 			}
-			if (this.coming != NONE) {
-				loads.remove(this.to, this.coming);
+			if (this.addedExpert != NONE) {
+				loads.remove(this.to, this.addedExpert);
 			}
 		}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertTraffic.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertTraffic.java
@@ -16,33 +16,37 @@
  * detects shifts of the load.
  * <p>
  * The popular experts may change from one pass to the next and then stay the same for
- * seconds. Choices are aggregated in rounds: a round holds the passes that all ranks, or
- * most of them if reports are late, have reported since the previous round. If a round
- * differs from the earlier ones by more than the usual noise, these are discarded, so
- * that one pass after a shift is enough to plan for it.
+ * seconds. Choices are aggregated in rounds: a round sums the choices in the passes that
+ * all ranks, or most of them if reports are late, have reported since the previous round.
+ * If a round differs from the earlier ones by more than the usual noise, the load has
+ * shifted and the earlier rounds are discarded. So the first round after a shift, which
+ * may be a single pass, is enough to plan for it.
  */
 final class ExpertTraffic {
 
 	/**
-	 * Rounds that a forecast rests on. With one round per pass they span somewhat less
-	 * than the usual time between shifts.
+	 * Maximum number of rounds that are retained for a forecast. With one round per pass
+	 * they span somewhat less than the usual time between shifts.
 	 */
 	private static final int MAX_ROUNDS = 16;
 
 	/**
-	 * Passes kept in an open round while reports of a rank are missing; older ones do not
-	 * reflect the present load.
+	 * Maximum number of passes in a round that is not complete because reports of a rank
+	 * are missing. Older passes are dropped, as they do not reflect the current load.
 	 */
 	private static final int MAX_OPEN_PASSES = 64;
 
-	/** Reports of a pass that have not arrived after this time are late or lost. */
-	private static final long ROUND_NANOS = 200_000_000L;
+	/**
+	 * Time since the last round after which missing reports are considered late or lost,
+	 * and a quorum of the ranks completes the next round.
+	 */
+	private static final long ROUND_TIMEOUT_NANOS = 200_000_000L;
 
 	/**
-	 * Added for each count in a report, as ranks with longer lists of counts report less
-	 * often.
+	 * Time added to the timeout for each count in a report, as ranks with longer lists of
+	 * counts report them less often.
 	 */
-	private static final long ROUND_NANOS_PER_COUNT = 200_000L;
+	private static final long ROUND_TIMEOUT_NANOS_PER_COUNT = 200_000L;
 
 	/**
 	 * Share of the ranks whose reports complete a round if others are late. Ranks serve
@@ -50,12 +54,12 @@
 	 */
 	private static final double QUORUM_SHARE = 0.7;
 
-	/** Initial estimate of the distance between two rounds of the same load. */
+	/** Initial estimate of the noise: the distance between rounds of the same load. */
 	private static final double INITIAL_NOISE = 0.07;
 
 	private static final double NOISE_SMOOTHING = 0.1;
 
-	/** A distance of this many times the usual noise is a shift. */
+	/** A distance above this many times the usual noise is a shift. */
 	private static final double SHIFT_FACTOR = 2.6;
 
 	/** A smaller distance is never a shift: its imbalance costs less than a switch. */
@@ -65,8 +69,8 @@
 	private static final double MAX_NOISE_DISTANCE = 0.25;
 
 	/**
-	 * Share of the mean that is added to each expert, as one that was not chosen recently
-	 * may be chosen soon.
+	 * Share of the mean choices per expert that the forecast adds to each expert, as one
+	 * that was not chosen recently may be chosen soon.
 	 */
 	private static final double FLOOR_SHARE = 0.05;
 
@@ -76,15 +80,15 @@
 
 	private final NavigableMap<Long, PassChoices> passes = new TreeMap<>();
 
-	private final Map<Integer, Long> lastStepByRank = new HashMap<>();
+	private final Map<Integer, Long> lastPassByRank = new HashMap<>();
 
 	private final Deque<double[][]> retainedRounds = new ArrayDeque<>();
 
-	private final long roundNanos;
+	private final long roundTimeoutNanos;
 
-	private long closedStep = Long.MIN_VALUE;
+	private long lastClosedPass = Long.MIN_VALUE;
 
-	private long closedAt = Long.MIN_VALUE / 2;
+	private long roundClosedAt = Long.MIN_VALUE / 2;
 
 	private double noise = INITIAL_NOISE;
 
@@ -95,57 +99,63 @@
 	private long shiftCount;
 
 	/**
-	 * Creates an empty record.
+	 * Creates an instance without any choices.
 	 * @param sets the number of sets of layers
 	 * @param experts the number of experts of a set
 	 */
 	ExpertTraffic(int sets, int experts) {
 		this.sets = sets;
 		this.experts = experts;
-		this.roundNanos = ROUND_NANOS + ROUND_NANOS_PER_COUNT * sets * experts;
+		this.roundTimeoutNanos = ROUND_TIMEOUT_NANOS + ROUND_TIMEOUT_NANOS_PER_COUNT * sets * experts;
 	}
 
 	/**
-	 * Adds the expert choices of one rank's report.
+	 * Adds the expert choices of one rank's report. They are ignored if the pass belongs
+	 * to a round that is already complete.
 	 * @param rank the rank
-	 * @param ranks the number of ranks
-	 * @param step the last pass that the rank had begun when it reported
-	 * @param counts the choices of each expert since the rank's previous counts, set by
-	 * set; empty if they were not read
-	 * @param now the present time in nanoseconds
+	 * @param ranks the number of ranks of the group
+	 * @param pass the last pass that the rank had begun when it reported
+	 * @param counts the number of choices of each expert since the rank's previous
+	 * counts, set by set; ignored if empty, which means that they were not read
+	 * @param now the current time in nanoseconds
 	 */
-	void add(int rank, int ranks, long step, List<Integer> counts, long now) {
-		if (counts.size() != this.sets * this.experts || step <= this.closedStep) {
+	void add(int rank, int ranks, long pass, List<Integer> counts, long now) {
+		if (counts.size() != this.sets * this.experts || pass <= this.lastClosedPass) {
 			return;
 		}
-		PassChoices pass = this.passes.computeIfAbsent(step,
+		PassChoices choices = this.passes.computeIfAbsent(pass,
 				(begun) -> new PassChoices(new double[this.sets][this.experts], new HashSet<>()));
-		pass.add(rank, counts, this.experts);
+		choices.add(rank, counts, this.experts);
 		if (this.passes.size() > MAX_OPEN_PASSES) {
 			this.passes.pollFirstEntry();
 		}
-		this.lastStepByRank.put(rank, step);
-		boolean late = now - this.closedAt > this.roundNanos;
+		this.lastPassByRank.put(rank, pass);
+		boolean late = now - this.roundClosedAt > this.roundTimeoutNanos;
 		closeRound(late ? (int) Math.ceil(QUORUM_SHARE * ranks) : ranks, now);
 	}
 
-	// A round ends with the last pass that enough ranks have reported.
-	private void closeRound(int ranks, long now) {
-		if (this.lastStepByRank.size() < ranks) {
+	// Completes a round if enough ranks have reported. It ends with the last pass that
+	// the required number of ranks have reached.
+	private void closeRound(int requiredRanks, long now) {
+		if (this.lastPassByRank.size() < requiredRanks) {
 			return;
 		}
-		long complete = this.lastStepByRank.values().stream().sorted(Comparator.reverseOrder()).toList().get(ranks - 1);
-		NavigableMap<Long, PassChoices> closing = this.passes.headMap(complete, true);
+		long lastPass = this.lastPassByRank.values()
+			.stream()
+			.sorted(Comparator.reverseOrder())
+			.toList()
+			.get(requiredRanks - 1);
+		NavigableMap<Long, PassChoices> closing = this.passes.headMap(lastPass, true);
 		Set<Integer> reporters = new HashSet<>();
-		closing.values().forEach((pass) -> reporters.addAll(pass.ranks()));
-		if (reporters.size() < ranks) {
+		closing.values().forEach((pass) -> reporters.addAll(pass.reporters()));
+		if (reporters.size() < requiredRanks) {
 			return;
 		}
 		double[][] round = new double[this.sets][this.experts];
-		closing.values().forEach((pass) -> add(round, pass.chosen()));
+		closing.values().forEach((pass) -> add(round, pass.counts()));
 		closing.clear();
-		this.closedStep = complete;
-		this.closedAt = now;
+		this.lastClosedPass = lastPass;
+		this.roundClosedAt = now;
 		addRound(round);
 	}
 
@@ -177,8 +187,8 @@
 	}
 
 	/**
-	 * Returns the number of rounds that the forecast rests on.
-	 * @return the count of rounds since the last shift, up to a maximum
+	 * Returns the number of rounds that the forecast is based on.
+	 * @return the number of rounds since the last shift, up to a maximum
 	 */
 	int retainedRounds() {
 		return this.retainedRounds.size();
@@ -193,18 +203,18 @@
 	}
 
 	/**
-	 * Returns the expected choices of the next second.
-	 * @return the forecast
+	 * Forecasts how the choices of the next second are distributed over the experts.
+	 * @return the choices in the retained rounds, with a minimum for each expert
 	 */
 	TrafficForecast forecast() {
-		double[][] chosen = sum();
-		double total = total(chosen);
-		for (double[] set : chosen) {
+		double[][] counts = sum();
+		double total = total(counts);
+		for (double[] set : counts) {
 			for (int expert = 0; expert < set.length; expert++) {
 				set[expert] += FLOOR_SHARE * total / this.experts;
 			}
 		}
-		return new TrafficForecast(chosen, total, this.drift, this.retainedRounds.size());
+		return new TrafficForecast(counts, total, this.drift, this.retainedRounds.size());
 	}
 
 	private double[][] sum() {
@@ -213,23 +223,25 @@
 		return sum;
 	}
 
-	private static void add(double[][] sum, double[][] chosen) {
+	private static void add(double[][] sum, double[][] counts) {
 		for (int set = 0; set < sum.length; set++) {
 			for (int expert = 0; expert < sum[set].length; expert++) {
-				sum[set][expert] += chosen[set][expert];
+				sum[set][expert] += counts[set][expert];
 			}
 		}
 	}
 
-	private static double total(double[][] chosen) {
+	// Returns the number of choices in the first set.
+	private static double total(double[][] counts) {
 		double sum = 0;
-		for (double count : chosen[0]) {
+		for (double count : counts[0]) {
 			sum += count;
 		}
 		return sum;
 	}
 
-	// Total variation distance between the shares, 0 if they are equal and 1 if disjoint.
+	// Total variation distance between the experts' shares of the choices, averaged over
+	// the sets: 0 if the shares are equal, and 1 if no expert was chosen in both.
 	private static double distance(double[][] one, double[][] other) {
 		double oneTotal = total(one);
 		double otherTotal = total(other);
@@ -243,14 +255,14 @@
 	}
 
 	/**
-	 * The choices of one pass, with the ranks that reported them.
+	 * The number of choices in one pass, by set and expert, and the ranks that reported.
 	 */
-	private record PassChoices(double[][] chosen, Set<Integer> ranks) {
+	private record PassChoices(double[][] counts, Set<Integer> reporters) {
 
 		void add(int rank, List<Integer> counts, int experts) {
-			this.ranks.add(rank);
+			this.reporters.add(rank);
 			for (int i = 0; i < counts.size(); i++) {
-				this.chosen[i / experts][i % experts] += counts.get(i);
+				this.counts[i / experts][i % experts] += counts.get(i);
 			}
 		}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
@@ -14,8 +14,8 @@
 import org.comfreywall.gateway.config.EngineShape;
 
 /**
- * Runs the coordinators of all groups on the leader, and the deputies for switches that
- * another leader delegated to this process. Not thread-safe: used on one thread.
+ * Runs the coordinators of all groups while this process is the leader, and the deputies
+ * of switches that another leader delegated to it. Not thread-safe: used on one thread.
  */
 public final class GroupDriver {
 
@@ -29,7 +29,7 @@
 
 	private final Map<String, RebalanceCoordinator> coordinators = new HashMap<>();
 
-	private final Map<String, DelegatedSwitch> delegated = new HashMap<>();
+	private final Map<String, DelegatedSwitch> delegatedSwitches = new HashMap<>();
 
 	private final Map<String, SwitchDeputy> deputies = new HashMap<>();
 
@@ -56,18 +56,19 @@
 	 * @param service the service that the rank belongs to
 	 * @param shape the shape of the service's engines
 	 * @param report the report
-	 * @param chosen how often its requests chose each expert since its previous report,
-	 * set by set
+	 * @param choiceCounts how often its requests chose each expert since its previous
+	 * counts, set by set; empty if unknown
 	 */
-	public void onRankReport(String service, EngineShape shape, RankReport report, List<Integer> chosen) {
+	public void onRankReport(String service, EngineShape shape, RankReport report, List<Integer> choiceCounts) {
 		this.coordinators.computeIfAbsent(service + "/" + report.group(), (key) -> new RebalanceCoordinator(shape))
-			.addReport(report, chosen, System.nanoTime());
+			.addReport(report, choiceCounts, System.nanoTime());
 	}
 
 	/**
 	 * Receives a switch that the leader delegates to this process.
 	 * @param delegatedSwitch the switch
-	 * @param timeout the timeout after which this process takes the switch over
+	 * @param timeout the time after which this process takes the switch over if it has
+	 * not ended
 	 */
 	public void onSwitchDelegated(DelegatedSwitch delegatedSwitch, Duration timeout) {
 		this.deputies.put(delegatedSwitch.group(),
@@ -75,24 +76,25 @@
 	}
 
 	/**
-	 * Receives the notice that the leader has completed or cancelled a switch.
-	 * @param completed the switch
+	 * Receives the notice that the leader has completed or cancelled a switch, and drops
+	 * its deputy.
+	 * @param ended the switch
 	 */
-	public void onSwitchEnded(DelegatedSwitch completed) {
-		this.deputies.computeIfPresent(completed.group(),
-				(group, deputy) -> deputy.delegatedSwitch().equals(completed) ? null : deputy);
+	public void onSwitchEnded(DelegatedSwitch ended) {
+		this.deputies.computeIfPresent(ended.group(),
+				(group, deputy) -> deputy.delegatedSwitch().equals(ended) ? null : deputy);
 	}
 
 	/**
 	 * Sends the due orders of all coordinators. Coordinators of an earlier term are
 	 * dropped.
-	 * @param present the term in which this process is the leader
+	 * @param currentTerm the term in which this process is the leader
 	 */
-	public void tick(long present) {
-		if (present != this.term) {
+	public void tick(long currentTerm) {
+		if (currentTerm != this.term) {
 			this.coordinators.clear();
-			this.delegated.clear();
-			this.term = present;
+			this.delegatedSwitches.clear();
+			this.term = currentTerm;
 		}
 		List.copyOf(this.coordinators.keySet()).forEach(this::sendDueOrders);
 	}
@@ -113,8 +115,8 @@
 		updateDeputies(group, coordinator);
 	}
 
-	// Sends the next orders at once instead of with the next tick, as a held pass delays
-	// requests.
+	// Sends the next orders at once instead of with the next tick, as a held pass
+	// delays requests.
 	private void onAnswer(String group, RebalanceCoordinator coordinator, RankOrder order, OrderAnswer answer) {
 		coordinator.handleAnswer(order, answer, System.nanoTime());
 		if (answer == OrderAnswer.TAKEN && this.coordinators.get(group) == coordinator) {
@@ -122,16 +124,17 @@
 		}
 	}
 
+	// Delegates a new switch to the deputies, or notifies them that the last one ended.
 	private void updateDeputies(String group, RebalanceCoordinator coordinator) {
-		Optional<DelegatedSwitch> present = coordinator.delegatedSwitch(group);
-		DelegatedSwitch before = this.delegated.get(group);
-		if (present.isPresent() && !present.get().equals(before)) {
-			this.delegated.put(group, present.get());
-			this.deputyPort.delegate(present.get())
-				.thenRunAsync(() -> onDelegationConfirmed(group, coordinator, present.get()), this.executor);
+		Optional<DelegatedSwitch> current = coordinator.delegatedSwitch(group);
+		DelegatedSwitch before = this.delegatedSwitches.get(group);
+		if (current.isPresent() && !current.get().equals(before)) {
+			this.delegatedSwitches.put(group, current.get());
+			this.deputyPort.delegate(current.get())
+				.thenRunAsync(() -> onDelegationConfirmed(group, coordinator, current.get()), this.executor);
 		}
-		else if (present.isEmpty() && before != null) {
-			this.delegated.remove(group);
+		else if (current.isEmpty() && before != null) {
+			this.delegatedSwitches.remove(group);
 			this.deputyPort.notifyEnded(before);
 		}
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/LayerSetLoads.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/LayerSetLoads.java
@@ -8,66 +8,74 @@
 
 /**
  * The load of each rank for one set of layers, updated incrementally while a plan moves
- * experts. Adding or removing a copy takes time in proportion to the copies of that
- * expert, not to the number of ranks.
+ * experts. The load of an expert is split evenly over its copies, and the load of a rank
+ * is weighted by its slowdown factor. Adding or removing a copy takes time in proportion
+ * to the copies of that expert, not to the number of ranks.
  */
 final class LayerSetLoads {
 
-	private final double[] traffic;
+	private final double[] choiceCounts;
 
-	private final double[] slowdown;
+	private final double[] slowdowns;
 
-	private final List<List<Integer>> present;
+	private final List<List<Integer>> expertsInForce;
 
-	private final List<List<Integer>> holders;
+	private final List<List<Integer>> ranksByExpert;
 
-	private final List<List<Integer>> expertsOf;
+	private final List<List<Integer>> expertsByRank;
 
 	private final double[] loads;
 
 	private double cost;
 
-	private LayerSetLoads(double[] traffic, double[] slowdown, List<List<Integer>> present, List<List<Integer>> holders,
-			List<List<Integer>> held) {
-		this.traffic = traffic;
-		this.slowdown = slowdown;
-		this.present = present;
-		this.holders = holders;
-		this.expertsOf = held;
-		this.loads = new double[held.size()];
-	}
-
-	static LayerSetLoads of(List<List<Integer>> experts, double[] traffic, double[] slowdown) {
-		List<List<Integer>> holders = new ArrayList<>();
-		for (int expert = 0; expert < traffic.length; expert++) {
-			holders.add(new ArrayList<>());
+	private LayerSetLoads(double[] choiceCounts, double[] slowdowns, List<List<Integer>> expertsInForce,
+			List<List<Integer>> ranksByExpert, List<List<Integer>> expertsByRank) {
+		this.choiceCounts = choiceCounts;
+		this.slowdowns = slowdowns;
+		this.expertsInForce = expertsInForce;
+		this.ranksByExpert = ranksByExpert;
+		this.expertsByRank = expertsByRank;
+		this.loads = new double[expertsByRank.size()];
+	}
+
+	/**
+	 * Creates the loads of one set.
+	 * @param experts the experts of each rank in the layout in force
+	 * @param choiceCounts the number of times that each expert was chosen
+	 * @param slowdowns the slowdown factor of each rank
+	 * @return the loads
+	 */
+	static LayerSetLoads of(List<List<Integer>> experts, double[] choiceCounts, double[] slowdowns) {
+		List<List<Integer>> ranksByExpert = new ArrayList<>();
+		for (int expert = 0; expert < choiceCounts.length; expert++) {
+			ranksByExpert.add(new ArrayList<>());
 		}
-		List<List<Integer>> held = new ArrayList<>();
+		List<List<Integer>> expertsByRank = new ArrayList<>();
 		for (int rank = 0; rank < experts.size(); rank++) {
-			held.add(new ArrayList<>(experts.get(rank)));
+			expertsByRank.add(new ArrayList<>(experts.get(rank)));
 			for (int expert : experts.get(rank)) {
-				holders.get(expert).add(rank);
+				ranksByExpert.get(expert).add(rank);
 			}
 		}
-		LayerSetLoads set = new LayerSetLoads(traffic, slowdown, experts, holders, held);
+		LayerSetLoads set = new LayerSetLoads(choiceCounts, slowdowns, experts, ranksByExpert, expertsByRank);
 		set.recompute();
 		return set;
 	}
 
-	// Computes loads and cost afresh to remove rounding errors of incremental updates.
+	// Recomputes loads and cost to remove rounding errors of incremental updates.
 	void recompute() {
 		this.cost = 0;
 		for (int rank = 0; rank < this.loads.length; rank++) {
 			this.loads[rank] = 0;
-			for (int expert : this.expertsOf.get(rank)) {
-				this.loads[rank] += share(expert) * this.slowdown[rank];
+			for (int expert : this.expertsByRank.get(rank)) {
+				this.loads[rank] += loadPerCopy(expert) * this.slowdowns[rank];
 			}
 			this.cost += costOf(this.loads[rank]);
 		}
 	}
 
-	private double share(int expert) {
-		return this.traffic[expert] / copies(expert);
+	private double loadPerCopy(int expert) {
+		return this.choiceCounts[expert] / copies(expert);
 	}
 
 	int ranks() {
@@ -75,30 +83,31 @@
 	}
 
 	int copies(int expert) {
-		return this.holders.get(expert).size();
+		return this.ranksByExpert.get(expert).size();
 	}
 
 	List<Integer> expertsOf(int rank) {
-		return this.expertsOf.get(rank);
+		return this.expertsByRank.get(rank);
 	}
 
 	boolean holds(int rank, int expert) {
-		return this.holders.get(expert).contains(rank);
+		return this.ranksByExpert.get(expert).contains(rank);
 	}
 
-	// Whether the rank does not hold the expert in the layout in force and must copy it.
+	// Returns whether the rank must copy the expert because it does not hold it in the
+	// layout in force.
 	boolean mustCopy(int rank, int expert) {
-		return !this.present.get(rank).contains(expert);
+		return !this.expertsInForce.get(rank).contains(expert);
 	}
 
 	List<List<Integer>> layout() {
-		return this.expertsOf.stream().map((experts) -> experts.stream().sorted().toList()).toList();
+		return this.expertsByRank.stream().map((experts) -> experts.stream().sorted().toList()).toList();
 	}
 
 	List<Integer> heaviest(int rank, int most) {
-		return this.expertsOf.get(rank)
+		return this.expertsByRank.get(rank)
 			.stream()
-			.sorted(Comparator.comparingDouble((Integer expert) -> -share(expert)))
+			.sorted(Comparator.comparingDouble((Integer expert) -> -loadPerCopy(expert)))
 			.limit(most)
 			.toList();
 	}
@@ -127,39 +136,40 @@
 	double skew() {
 		double sum = 0;
 		for (int rank = 0; rank < this.loads.length; rank++) {
-			sum += this.loads[rank] / this.slowdown[rank];
+			sum += this.loads[rank] / this.slowdowns[rank];
 		}
 		return (sum > 0) ? this.loads[busiest()] * this.loads.length / sum : 1;
 	}
 
 	void add(int rank, int expert) {
-		double before = (copies(expert) > 0) ? share(expert) : 0;
-		double after = this.traffic[expert] / (copies(expert) + 1);
-		this.holders.get(expert).forEach((holder) -> change(holder, after - before));
-		this.holders.get(expert).add(rank);
-		this.expertsOf.get(rank).add(expert);
-		change(rank, after);
+		double before = (copies(expert) > 0) ? loadPerCopy(expert) : 0;
+		double after = this.choiceCounts[expert] / (copies(expert) + 1);
+		this.ranksByExpert.get(expert).forEach((holder) -> addLoad(holder, after - before));
+		this.ranksByExpert.get(expert).add(rank);
+		this.expertsByRank.get(rank).add(expert);
+		addLoad(rank, after);
 	}
 
 	void remove(int rank, int expert) {
-		double before = share(expert);
-		this.holders.get(expert).remove((Integer) rank);
-		this.expertsOf.get(rank).remove((Integer) expert);
-		change(rank, -before);
+		double before = loadPerCopy(expert);
+		this.ranksByExpert.get(expert).remove((Integer) rank);
+		this.expertsByRank.get(rank).remove((Integer) expert);
+		addLoad(rank, -before);
 		if (copies(expert) > 0) {
-			double after = share(expert);
-			this.holders.get(expert).forEach((holder) -> change(holder, after - before));
+			double after = loadPerCopy(expert);
+			this.ranksByExpert.get(expert).forEach((holder) -> addLoad(holder, after - before));
 		}
 	}
 
-	private void change(int rank, double difference) {
+	private void addLoad(int rank, double difference) {
 		this.cost -= costOf(this.loads[rank]);
-		this.loads[rank] += difference * this.slowdown[rank];
+		this.loads[rank] += difference * this.slowdowns[rank];
 		this.cost += costOf(this.loads[rank]);
 	}
 
-	// The eighth power lets the highest loads dominate, and unlike the maximum it still
-	// decreases with each step if several ranks share the highest load.
+	// The eighth power lets the highest loads dominate. Unlike the maximum,
+	// the sum of the powers decreases with each move also if several ranks
+	// share the highest load.
 	private static double costOf(double load) {
 		double square = load * load;
 		return square * square * square * square;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderAnswer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderAnswer.java
@@ -11,7 +11,7 @@
 	TAKEN,
 	/** The engine refused the order, as its state does not permit it. */
 	REFUSED,
-	/** There was no answer: the order may have been carried out, or may be later. */
+	/** There was no answer; the engine may have executed the order or may do so later. */
 	UNKNOWN
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderRetryTimer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderRetryTimer.java
@@ -4,52 +4,51 @@
 import java.util.Map;
 
 /**
- * Schedules the orders to each rank: the first is due at once, and it is due again after
- * a fixed time without an answer.
+ * Schedules the orders to each rank: an order is due at once, and again after a fixed
+ * interval until {@link #reset} is called.
  */
 final class OrderRetryTimer {
 
-	private final long repeatNanos;
+	private final long retryIntervalNanos;
 
-	private final Map<Integer, Long> sentAt = new HashMap<>();
+	private final Map<Integer, Long> sentAtByRank = new HashMap<>();
 
 	/**
 	 * Creates a timer without any orders sent.
-	 * @param repeatNanos the time in nanoseconds after which an unanswered order is
-	 * resent
+	 * @param retryIntervalNanos the interval in nanoseconds
 	 */
-	OrderRetryTimer(long repeatNanos) {
-		this.repeatNanos = repeatNanos;
+	OrderRetryTimer(long retryIntervalNanos) {
+		this.retryIntervalNanos = retryIntervalNanos;
 	}
 
 	/**
 	 * Returns whether the order to a rank is due now, and if so records it as sent.
 	 * @param rank the rank
-	 * @param now the present time in nanoseconds
+	 * @param now the current time in nanoseconds
 	 * @return {@code true} if the order is due
 	 */
 	boolean markSentIfDue(int rank, long now) {
-		Long last = this.sentAt.get(rank);
-		if (last != null && now - last < this.repeatNanos) {
+		Long last = this.sentAtByRank.get(rank);
+		if (last != null && now - last < this.retryIntervalNanos) {
 			return false;
 		}
-		this.sentAt.put(rank, now);
+		this.sentAtByRank.put(rank, now);
 		return true;
 	}
 
 	/**
-	 * Records that an order was lost, so that it is due again at once.
-	 * @param rank the rank
+	 * Records that an order was not answered, so that it is due again at once.
+	 * @param rank the rank that it was sent to
 	 */
 	void markLost(int rank) {
-		this.sentAt.remove(rank);
+		this.sentAtByRank.remove(rank);
 	}
 
 	/**
-	 * Clears all send times, as other orders follow.
+	 * Clears all send times, so that the first orders of the next phase are due at once.
 	 */
 	void reset() {
-		this.sentAt.clear();
+		this.sentAtByRank.clear();
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RankReport.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RankReport.java
@@ -6,7 +6,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The state of one rank's engine when it was read.
+ * The state of one rank's engine at the time when it was read.
  *
  * @param server the backend server that runs the rank
  * @param group the group
@@ -14,12 +14,12 @@
  * @param rank the rank's number
  * @param size the number of ranks
  * @param open whether the group runs passes
- * @param step the last pass that was begun
+ * @param step the number of the last pass that the group has begun
  * @param mapVersion the version of the map in force
  * @param preparedVersion the version whose experts the rank has copied completely, or 0
  * @param armedVersion the version that the rank is armed to change to, or 0
- * @param heldStep the pass that the rank holds until it is released
- * @param layout the experts that the rank holds, by set
+ * @param heldStep the number of the pass that the rank holds, or empty if it holds none
+ * @param layout the numbers of the experts that the rank holds, by set of layers
  * @param slowdown the rank's slowdown factor against its usual time; 1 if it is healthy
  */
 public record RankReport(String server, String group, long epoch, int rank, int size, boolean open, long step,
@@ -36,8 +36,8 @@
 	}
 
 	/**
-	 * Returns a copy of this report with the given experts.
-	 * @param held the experts that the rank holds, by set
+	 * Returns a copy of this report with another layout.
+	 * @param held the numbers of the experts that the rank holds, by set of layers
 	 * @return the report
 	 */
 	public RankReport withLayout(List<List<Integer>> held) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
@@ -11,47 +11,48 @@
 /**
  * Completes a delegated switch whose coordinator failed while a pass was held.
  * <p>
- * The deputy receives the switch before the pass is held. If no completion notice arrives
- * within the timeout, it repeats the steps for the same pass: hold it, arm all ranks,
- * release it. Orders are idempotent, and an engine refuses an order for a pass that has
- * begun, which happens only after all ranks were armed. So it is safe if the coordinator
- * is still running and both send orders at the same time.
+ * The deputy receives the switch before the pass is held. If no notice that the switch
+ * has ended arrives within the timeout, it sends the orders for the same pass again: hold
+ * it, arm all ranks, release it. It is safe if the coordinator is still running and both
+ * send orders at the same time: orders are idempotent, both release the pass only after
+ * all ranks are armed or after a rollback, and an engine refuses to hold or to arm for a
+ * pass that has begun.
  */
 final class SwitchDeputy {
 
 	private static final EventLog LOG = EventLog.of(SwitchDeputy.class);
 
-	/** Orders without an answer are resent after this time. */
-	private static final long REPEAT_NANOS = 60_000_000L;
+	/** Time after which an order without an answer is resent. */
+	private static final long ORDER_RETRY_INTERVAL_NANOS = 60_000_000L;
 
 	/**
-	 * After this time the deputy gives up, as the next leader takes over the held pass
-	 * that it finds in the ranks' reports.
+	 * Time after the receipt of the switch at which the deputy gives up: the next leader
+	 * takes over a pass that the reports of the ranks show as held ({@link MapSwitch}).
 	 */
-	private static final long GIVE_UP_NANOS = 3_000_000_000L;
+	private static final long GIVE_UP_TIMEOUT_NANOS = 3_000_000_000L;
 
 	private final DelegatedSwitch delegatedSwitch;
 
 	private final long createdAt;
 
-	private final long timeoutNanos;
+	private final long takeoverTimeoutNanos;
 
-	private final OrderRetryTimer retryTimer = new OrderRetryTimer(REPEAT_NANOS);
+	private final OrderRetryTimer retryTimer = new OrderRetryTimer(ORDER_RETRY_INTERVAL_NANOS);
 
-	private final Set<Integer> armed = new HashSet<>();
+	private final Set<Integer> armedRanks = new HashSet<>();
 
 	private Phase phase = Phase.WAITING;
 
 	/**
 	 * Creates a deputy for one switch.
 	 * @param delegatedSwitch the switch
-	 * @param timeoutNanos the time in nanoseconds after which the coordinator is assumed
-	 * to have failed
-	 * @param now the present time in nanoseconds
+	 * @param takeoverTimeoutNanos the time in nanoseconds after which the coordinator is
+	 * assumed to have failed
+	 * @param now the current time in nanoseconds
 	 */
-	SwitchDeputy(DelegatedSwitch delegatedSwitch, long timeoutNanos, long now) {
+	SwitchDeputy(DelegatedSwitch delegatedSwitch, long takeoverTimeoutNanos, long now) {
 		this.delegatedSwitch = delegatedSwitch;
-		this.timeoutNanos = timeoutNanos;
+		this.takeoverTimeoutNanos = takeoverTimeoutNanos;
 		this.createdAt = now;
 	}
 
@@ -61,15 +62,16 @@
 
 	/**
 	 * Returns whether the deputy has nothing left to do.
-	 * @param now the present time in nanoseconds
+	 * @param now the current time in nanoseconds
 	 * @return {@code true} once the pass is released or the deputy has given up
 	 */
 	boolean isDone(long now) {
-		return this.phase == Phase.OVER || now - this.createdAt > GIVE_UP_NANOS;
+		return this.phase == Phase.OVER || now - this.createdAt > GIVE_UP_TIMEOUT_NANOS;
 	}
 
 	/**
-	 * Processes an engine's answer. Answers to orders of an earlier phase are ignored.
+	 * Processes an engine's answer. If there was none, the rank's current order is due
+	 * again at once. Otherwise answers to orders of an earlier phase are ignored.
 	 * @param order the order
 	 * @param answer the answer
 	 */
@@ -78,43 +80,45 @@
 			this.retryTimer.markLost(order.rank());
 		}
 		else if (order.order() instanceof HoldStep && this.phase == Phase.HOLDING) {
-			enter((answer == OrderAnswer.TAKEN) ? Phase.ARMING : Phase.OVER);
+			// Refused if the pass has begun, so there is nothing left to complete.
+			enterPhase((answer == OrderAnswer.TAKEN) ? Phase.ARMING : Phase.OVER);
 		}
 		else if (order.order() instanceof ArmMap && this.phase == Phase.ARMING && answer == OrderAnswer.TAKEN) {
-			this.armed.add(order.rank());
-			if (this.armed.size() == this.delegatedSwitch.servers().size()) {
-				enter(Phase.RELEASING);
+			this.armedRanks.add(order.rank());
+			if (this.armedRanks.size() == this.delegatedSwitch.servers().size()) {
+				enterPhase(Phase.RELEASING);
 			}
 		}
 		else if (order.order() instanceof ReleaseStep && this.phase == Phase.RELEASING) {
 			LOG.warn("map-switched-by-deputy", Field.of("group", this.delegatedSwitch.group()),
 					Field.of("version", this.delegatedSwitch.version()), Field.of("step", this.delegatedSwitch.step()));
-			enter(Phase.OVER);
+			enterPhase(Phase.OVER);
 		}
 	}
 
-	private void enter(Phase next) {
+	private void enterPhase(Phase next) {
 		this.phase = next;
 		this.retryTimer.reset();
 	}
 
 	/**
-	 * Returns the orders that are due.
-	 * @param now the present time in nanoseconds
+	 * Takes the switch over if the timeout has passed, and returns the orders that are
+	 * due.
+	 * @param now the current time in nanoseconds
 	 * @return the orders
 	 */
 	List<RankOrder> tick(long now) {
-		if (this.phase == Phase.WAITING && now - this.createdAt > this.timeoutNanos) {
+		if (this.phase == Phase.WAITING && now - this.createdAt > this.takeoverTimeoutNanos) {
 			LOG.warn("switch-taken-over", Field.of("group", this.delegatedSwitch.group()),
 					Field.of("version", this.delegatedSwitch.version()), Field.of("step", this.delegatedSwitch.step()));
-			enter(Phase.HOLDING);
+			enterPhase(Phase.HOLDING);
 		}
 		long epoch = this.delegatedSwitch.epoch();
-		long step = this.delegatedSwitch.step();
+		long pass = this.delegatedSwitch.step();
 		return switch (this.phase) {
-			case HOLDING -> dueOrders(List.of(this.delegatedSwitch.holder()), new HoldStep(epoch, step), now);
-			case ARMING -> dueOrders(ranksNotArmed(), new ArmMap(epoch, this.delegatedSwitch.version(), step), now);
-			case RELEASING -> dueOrders(List.of(this.delegatedSwitch.holder()), new ReleaseStep(epoch, step), now);
+			case HOLDING -> dueOrders(List.of(this.delegatedSwitch.holder()), new HoldStep(epoch, pass), now);
+			case ARMING -> dueOrders(ranksNotArmed(), new ArmMap(epoch, this.delegatedSwitch.version(), pass), now);
+			case RELEASING -> dueOrders(List.of(this.delegatedSwitch.holder()), new ReleaseStep(epoch, pass), now);
 			case WAITING, OVER -> List.of();
 		};
 	}
@@ -122,7 +126,7 @@
 	private List<Integer> ranksNotArmed() {
 		List<Integer> ranks = new ArrayList<>();
 		for (int rank = 0; rank < this.delegatedSwitch.servers().size(); rank++) {
-			if (!this.armed.contains(rank)) {
+			if (!this.armedRanks.contains(rank)) {
 				ranks.add(rank);
 			}
 		}
@@ -150,7 +154,7 @@
 		ARMING,
 		/** All ranks are armed, and the pass is being released. */
 		RELEASING,
-		/** The pass was released, or the engine refused to hold it. */
+		/** The pass was released, or the holder refused to hold it. */
 		OVER
 
 	}
