Reword the tests of groups

What read badly: FakeGroup named versions and passes by adjectives and didn't say which orders it leaves unanswered; MapSwitchTests had a garbled summary and probabilities without their period; the planner's tests called a demand traffic and the current layout "present".

What changed: comments, local variables and private names; no assertion.

--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ExpertLayoutPlannerTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ExpertLayoutPlannerTests.java
@@ -43,14 +43,14 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
 	void aPlanRespectsTheLimitsOfTheEngines(long seed) {
-		ExpertLayout present = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
+		ExpertLayout current = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
 		for (int shift = 0; shift < 4; shift++) {
-			ExpertLayout planned = this.planner.plan(present, skewedDemand(seed * 10 + shift));
+			ExpertLayout planned = this.planner.plan(current, skewedDemand(seed * 10 + shift));
 			for (int set = 0; set < SETS; set++) {
 				Set<Integer> placed = new HashSet<>();
 				for (int rank = 0; rank < RANKS; rank++) {
 					List<Integer> held = planned.experts().get(set).get(rank);
-					List<Integer> had = present.experts().get(set).get(rank);
+					List<Integer> had = current.experts().get(set).get(rank);
 					placed.addAll(held);
 					assertThat(held).doesNotHaveDuplicates().hasSizeLessThanOrEqualTo(PLACES);
 					assertThat(held.stream().filter((expert) -> !had.contains(expert)).count())
@@ -58,17 +58,17 @@
 				}
 				assertThat(placed).hasSize(EXPERTS);
 			}
-			present = planned;
+			current = planned;
 		}
 	}
 
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
 	void oneSwitchLowersTheSkewByAtLeastAThird(long seed) {
-		ExpertLayout present = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
-		ExpertDemand traffic = skewedDemand(seed);
-		double before = present.skew(traffic);
-		double after = this.planner.plan(present, traffic).skew(traffic);
+		ExpertLayout current = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
+		ExpertDemand demand = skewedDemand(seed);
+		double before = current.skew(demand);
+		double after = this.planner.plan(current, demand).skew(demand);
 		assertThat(after - 1).isLessThan((before - 1) * 2 / 3);
 	}
 
@@ -81,21 +81,21 @@
 	void twoCopiesPerRankRemoveMostOfTheSkewAfterAShift(long seed) {
 		ExpertLayoutPlanner quick = new ExpertLayoutPlanner(PLACES, NEW_PER_SET, 2);
 		ZipfTraffic zipf = new ZipfTraffic(SETS, EXPERTS, 1.1, new Random(seed));
-		ExpertLayout present = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
+		ExpertLayout current = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
 		for (int shift = 0; shift < 6; shift++) {
-			ExpertDemand traffic = ExpertDemand.onHealthyRanks(zipf.traffic(), RANKS);
-			double before = present.skew(traffic);
-			ExpertLayout planned = quick.plan(present, traffic);
-			assertThat(maxCopiesPerRank(present, planned)).isLessThanOrEqualTo(2);
-			assertThat(planned.skew(traffic) - 1).isLessThan((before - 1) / 3);
-			present = quick.plan(planned, traffic);
+			ExpertDemand demand = ExpertDemand.onHealthyRanks(zipf.traffic(), RANKS);
+			double before = current.skew(demand);
+			ExpertLayout planned = quick.plan(current, demand);
+			assertThat(maxCopiesPerRank(current, planned)).isLessThanOrEqualTo(2);
+			assertThat(planned.skew(demand) - 1).isLessThan((before - 1) / 3);
+			current = quick.plan(planned, demand);
 			zipf.shift(0.62);
 		}
 	}
 
 	/**
 	 * Guards against a planner that stops too early on a large group, where many ranks
-	 * are near the highest load and each step lowers the cost by a small share. No rank
+	 * are near the highest load and each move lowers the cost by a small share. No rank
 	 * may have 25 % more than the mean.
 	 */
 	@ParameterizedTest
@@ -104,24 +104,24 @@
 		int ranks = 72;
 		ExpertLayoutPlanner large = new ExpertLayoutPlanner(3, NEW_PER_SET, 15);
 		ZipfTraffic zipf = new ZipfTraffic(12, 144, 0.54, new Random(seed));
-		ExpertLayout present = ExpertLayout.roundRobin(12, 144, ranks);
+		ExpertLayout current = ExpertLayout.roundRobin(12, 144, ranks);
 		for (int shift = 0; shift < 4; shift++) {
-			ExpertDemand traffic = ExpertDemand.onHealthyRanks(zipf.traffic(), ranks);
-			ExpertLayout planned = large.plan(present, traffic);
-			assertThat(maxCopiesPerRank(present, planned)).isLessThanOrEqualTo(15);
-			assertThat(planned.skew(traffic)).isLessThan(1.25);
-			present = planned;
+			ExpertDemand demand = ExpertDemand.onHealthyRanks(zipf.traffic(), ranks);
+			ExpertLayout planned = large.plan(current, demand);
+			assertThat(maxCopiesPerRank(current, planned)).isLessThanOrEqualTo(15);
+			assertThat(planned.skew(demand)).isLessThan(1.25);
+			current = planned;
 			zipf.shift(0.62);
 		}
 	}
 
-	private static int maxCopiesPerRank(ExpertLayout present, ExpertLayout planned) {
+	private static int maxCopiesPerRank(ExpertLayout current, ExpertLayout planned) {
 		int most = 0;
-		for (int rank = 0; rank < present.ranks(); rank++) {
+		for (int rank = 0; rank < current.ranks(); rank++) {
 			int copies = 0;
-			for (int set = 0; set < present.sets(); set++) {
+			for (int set = 0; set < current.sets(); set++) {
 				Set<Integer> copied = new HashSet<>(planned.experts().get(set).get(rank));
-				copied.removeAll(present.experts().get(set).get(rank));
+				copied.removeAll(current.experts().get(set).get(rank));
 				copies += copied.size();
 			}
 			most = Math.max(most, copies);
@@ -131,14 +131,14 @@
 
 	@Test
 	void evenTrafficMovesNothing() {
-		ExpertLayout present = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
+		ExpertLayout current = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
 		double[][] even = new double[SETS][EXPERTS];
 		for (double[] set : even) {
 			Arrays.fill(set, 5);
 		}
 		ExpertDemand demand = ExpertDemand.onHealthyRanks(even, RANKS);
-		assertThat(present.skew(demand)).isEqualTo(1);
-		assertThat(this.planner.plan(present, demand)).isEqualTo(present);
+		assertThat(current.skew(demand)).isEqualTo(1);
+		assertThat(this.planner.plan(current, demand)).isEqualTo(current);
 	}
 
 	/**
@@ -154,11 +154,11 @@
 		Arrays.fill(slowdown, 1);
 		slowdown[5] = 2.88;
 		ExpertDemand demand = new ExpertDemand(zipf.traffic(), slowdown);
-		ExpertLayout present = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
+		ExpertLayout current = ExpertLayout.roundRobin(SETS, EXPERTS, RANKS);
 		for (int round = 0; round < 3; round++) {
-			present = quick.plan(present, demand);
+			current = quick.plan(current, demand);
 		}
-		assertThat(present.skew(demand)).isLessThan(1.5);
+		assertThat(current.skew(demand)).isLessThan(1.5);
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/FakeGroup.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/FakeGroup.java
@@ -10,16 +10,17 @@
 
 /**
  * Simulates the engines of one group in virtual time. They run passes together and answer
- * orders as real engines do, but leave a share of the orders unanswered and carry these
- * out seconds later. Asserts in each pass that all ranks have the same map.
+ * orders as real engines do, but leave a share of the orders unanswered and execute these
+ * 2 to 12 seconds later. A quarter of that share of the other orders is executed at once
+ * but not answered either. Asserts in each pass that all ranks have the same map.
  */
 final class FakeGroup {
 
 	private static final long MILLI = 1_000_000;
 
-	private static final long PASS = 50 * MILLI;
+	private static final long PASS_NANOS = 50 * MILLI;
 
-	private static final long COPY = 800 * MILLI;
+	private static final long COPY_NANOS = 800 * MILLI;
 
 	private final Random random;
 
@@ -27,13 +28,13 @@
 
 	private final List<Rank> ranks = new ArrayList<>();
 
-	private final PriorityQueue<LateOrder> late = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
+	private final PriorityQueue<LateOrder> lateOrders = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
 
 	private long epoch = 1;
 
 	private long step;
 
-	private long nextPass = PASS;
+	private long nextPassAt = PASS_NANOS;
 
 	private long heldSince = -1;
 
@@ -52,43 +53,43 @@
 	}
 
 	void advance(long now) {
-		while (!this.late.isEmpty() && this.late.peek().at <= now) {
-			LateOrder order = this.late.poll();
+		while (!this.lateOrders.isEmpty() && this.lateOrders.peek().at <= now) {
+			LateOrder order = this.lateOrders.poll();
 			apply(order.rank, order.order, order.at);
 		}
-		while (this.nextPass <= now) {
-			beginPass(this.nextPass);
-			this.nextPass += PASS;
+		while (this.nextPassAt <= now) {
+			beginPass(this.nextPassAt);
+			this.nextPassAt += PASS_NANOS;
 		}
 	}
 
 	private void beginPass(long now) {
 		long next = this.step + 1;
-		boolean held = this.ranks.stream().anyMatch((rank) -> rank.held == next);
+		boolean held = this.ranks.stream().anyMatch((rank) -> rank.heldStep == next);
 		if (held) {
 			this.heldSince = (this.heldSince < 0) ? now : this.heldSince;
 			this.longestHold = Math.max(this.longestHold, now - this.heldSince);
-			this.heldNanos += PASS;
+			this.heldNanos += PASS_NANOS;
 			return;
 		}
 		this.heldSince = -1;
 		this.step = next;
 		boolean changed = false;
 		for (Rank rank : this.ranks) {
-			if (rank.armed != 0 && rank.armedStep <= this.step) {
-				rank.map = rank.armed;
-				rank.armed = 0;
+			if (rank.armedVersion != 0 && rank.armedStep <= this.step) {
+				rank.mapVersion = rank.armedVersion;
+				rank.armedVersion = 0;
 				changed = true;
 			}
 		}
 		this.switches += changed ? 1 : 0;
-		long first = this.ranks.get(0).map;
-		assertThat(this.ranks).as("maps at step %d", this.step).allMatch((rank) -> rank.map == first);
+		long first = this.ranks.get(0).mapVersion;
+		assertThat(this.ranks).as("maps at step %d", this.step).allMatch((rank) -> rank.mapVersion == first);
 	}
 
 	OrderAnswer order(int rank, EngineOrder order, long now) {
 		if (this.random.nextDouble() < this.lateShare) {
-			this.late.add(new LateOrder(now + (2000 + this.random.nextInt(10_000)) * MILLI, rank, order));
+			this.lateOrders.add(new LateOrder(now + (2000 + this.random.nextInt(10_000)) * MILLI, rank, order));
 			return OrderAnswer.UNKNOWN;
 		}
 		OrderAnswer answer = apply(rank, order, now);
@@ -101,44 +102,44 @@
 			return OrderAnswer.REFUSED;
 		}
 		if (order instanceof PrepareMap prepare) {
-			if (prepare.version() == rank.preparing && rank.armed == 0) {
+			if (prepare.version() == rank.preparingVersion && rank.armedVersion == 0) {
 				return OrderAnswer.TAKEN;
 			}
-			if (rank.armed != 0 || prepare.version() <= rank.highest) {
+			if (rank.armedVersion != 0 || prepare.version() <= rank.highestVersion) {
 				return OrderAnswer.REFUSED;
 			}
-			rank.highest = prepare.version();
-			rank.preparing = prepare.version();
-			rank.preparedAt = now + COPY;
+			rank.highestVersion = prepare.version();
+			rank.preparingVersion = prepare.version();
+			rank.preparedAt = now + COPY_NANOS;
 			return OrderAnswer.TAKEN;
 		}
 		if (order instanceof ArmMap arm) {
-			if (rank.armed == arm.version() && rank.armedStep == arm.step()) {
+			if (rank.armedVersion == arm.version() && rank.armedStep == arm.step()) {
 				return OrderAnswer.TAKEN;
 			}
-			if (rank.prepared(now) != arm.version() || this.step >= arm.step()) {
+			if (rank.preparedVersion(now) != arm.version() || this.step >= arm.step()) {
 				return OrderAnswer.REFUSED;
 			}
-			rank.armed = arm.version();
+			rank.armedVersion = arm.version();
 			rank.armedStep = arm.step();
 			return OrderAnswer.TAKEN;
 		}
 		if (order instanceof DisarmMap disarm) {
-			if (rank.map == disarm.version()) {
+			if (rank.mapVersion == disarm.version()) {
 				return OrderAnswer.REFUSED;
 			}
-			rank.armed = (rank.armed == disarm.version()) ? 0 : rank.armed;
+			rank.armedVersion = (rank.armedVersion == disarm.version()) ? 0 : rank.armedVersion;
 			return OrderAnswer.TAKEN;
 		}
 		if (order instanceof HoldStep hold) {
-			if (this.step >= hold.step() || (rank.held > this.step && rank.held != hold.step())) {
+			if (this.step >= hold.step() || (rank.heldStep > this.step && rank.heldStep != hold.step())) {
 				return OrderAnswer.REFUSED;
 			}
-			rank.held = hold.step();
+			rank.heldStep = hold.step();
 			return OrderAnswer.TAKEN;
 		}
 		ReleaseStep release = (ReleaseStep) order;
-		rank.held = (rank.held == release.step()) ? -1 : rank.held;
+		rank.heldStep = (rank.heldStep == release.step()) ? -1 : rank.heldStep;
 		return OrderAnswer.TAKEN;
 	}
 
@@ -155,9 +156,9 @@
 
 	RankReport report(int number, long now) {
 		Rank rank = this.ranks.get(number);
-		OptionalLong held = (rank.held > this.step) ? OptionalLong.of(rank.held) : OptionalLong.empty();
-		return new RankReport("s" + number, "g", this.epoch, number, this.ranks.size(), true, this.step, rank.map,
-				rank.prepared(now), rank.armed, held, List.of(List.of(number)), 1);
+		OptionalLong held = (rank.heldStep > this.step) ? OptionalLong.of(rank.heldStep) : OptionalLong.empty();
+		return new RankReport("s" + number, "g", this.epoch, number, this.ranks.size(), true, this.step,
+				rank.mapVersion, rank.preparedVersion(now), rank.armedVersion, held, List.of(List.of(number)), 1);
 	}
 
 	int size() {
@@ -173,7 +174,8 @@
 	}
 
 	/**
-	 * Returns how long passes were held, counted in whole passes.
+	 * Returns the total time that passes were held, in nanoseconds, counted in whole
+	 * passes.
 	 */
 	long heldNanos() {
 		return this.heldNanos;
@@ -185,22 +187,22 @@
 	/** One engine. */
 	private static final class Rank {
 
-		private long map;
+		private long mapVersion;
 
-		private long highest;
+		private long highestVersion;
 
-		private long preparing;
+		private long preparingVersion;
 
 		private long preparedAt;
 
-		private long armed;
+		private long armedVersion;
 
 		private long armedStep;
 
-		private long held = -1;
+		private long heldStep = -1;
 
-		private long prepared(long now) {
-			return (now >= this.preparedAt) ? this.preparing : 0;
+		private long preparedVersion(long now) {
+			return (now >= this.preparedAt) ? this.preparingVersion : 0;
 		}
 
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
@@ -14,8 +14,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link MapSwitch} on engines that leave orders timeouts and carry them out
- * late. {@link FakeGroup} asserts in every pass that all ranks have the same map.
+ * Tests for {@link MapSwitch} with engines that leave some orders unanswered and execute
+ * them late. {@link FakeGroup} asserts in every pass that all ranks have the same map.
  */
 class MapSwitchTests {
 
@@ -29,24 +29,26 @@
 
 	private long term = 1;
 
-	private void run(FakeGroup group, Random random, long seconds, double leaderChange, double crash) {
-		run(group, random, seconds, leaderChange, crash, 240 * MILLI);
+	private void run(FakeGroup group, Random random, long seconds, double leaderChangePerTick, double crashPerTick) {
+		run(group, random, seconds, leaderChangePerTick, crashPerTick, 240 * MILLI);
 	}
 
-	private void run(FakeGroup group, Random random, long seconds, double leaderChange, double crash,
-			long reportInterval) {
+	// Runs coordinator and group; the two probabilities are those of a change of the
+	// leader and of a crash of a rank in each tick.
+	private void run(FakeGroup group, Random random, long seconds, double leaderChangePerTick, double crashPerTick,
+			long reportIntervalNanos) {
 		for (long now = 0; now < seconds * 1000 * MILLI; now += TICK) {
 			group.advance(now);
-			if (now % reportInterval == 0) {
+			if (now % reportIntervalNanos == 0) {
 				for (int rank = 0; rank < group.size(); rank++) {
 					this.mapSwitch.addReport(group.report(rank, now), now);
 				}
 			}
-			if (random.nextDouble() < leaderChange) {
+			if (random.nextDouble() < leaderChangePerTick) {
 				this.mapSwitch = new MapSwitch();
 				this.term++;
 			}
-			if (random.nextDouble() < crash) {
+			if (random.nextDouble() < crashPerTick) {
 				group.reform();
 			}
 			if (this.mapSwitch.canStart(now)) {
@@ -77,7 +79,8 @@
 	}
 
 	/**
-	 * Copies take 800 ms; a prepared map must come into force within six passes of 50 ms.
+	 * Ranks copy for 800 ms; a prepared map must come into force within six passes of 50
+	 * ms.
 	 */
 	@Test
 	void aPreparedMapComesIntoForceWithinAFewPasses() {
@@ -88,9 +91,10 @@
 	}
 
 	/**
-	 * Guards against lost orders that delay a held pass. One order in ten gets no answer,
-	 * which is detected after 50 ms; the resent order must arrive before its pass is due,
-	 * so that on average a switch holds less than one pass.
+	 * Guards against held passes that are delayed by lost orders. One order in ten gets
+	 * no answer, which is detected after 50 ms. A resent order must arrive before its
+	 * pass is due, so that a switch delays passes by less than one pass of 50 ms on
+	 * average.
 	 */
 	@ParameterizedTest
 	@ValueSource(longs = { 41, 42, 43, 44 })
@@ -168,15 +172,15 @@
 
 	@Test
 	void aReportOfAnEarlierEpochIsIgnored() {
-		RankReport old = new RankReport("s", "g", 1, 0, 1, true, 5, 0, 0, 0, OptionalLong.empty(), List.of(List.of(0)),
-				1);
-		RankReport present = new RankReport("s", "g", 2, 0, 1, true, 1, 0, 0, 0, OptionalLong.empty(),
+		RankReport earlier = new RankReport("s", "g", 1, 0, 1, true, 5, 0, 0, 0, OptionalLong.empty(),
 				List.of(List.of(0)), 1);
-		this.mapSwitch.addReport(present, 0);
-		this.mapSwitch.addReport(old, 1);
+		RankReport current = new RankReport("s", "g", 2, 0, 1, true, 1, 0, 0, 0, OptionalLong.empty(),
+				List.of(List.of(0)), 1);
+		this.mapSwitch.addReport(current, 0);
+		this.mapSwitch.addReport(earlier, 1);
 		assertThat(this.mapSwitch.canStart(1)).isFalse();
-		this.mapSwitch.addReport(present, 100 * MILLI);
-		this.mapSwitch.addReport(old, 101 * MILLI);
+		this.mapSwitch.addReport(current, 100 * MILLI);
+		this.mapSwitch.addReport(earlier, 101 * MILLI);
 		assertThat(this.mapSwitch.canStart(2_000 * MILLI)).isTrue();
 	}
 
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PlanScheduleTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PlanScheduleTests.java
@@ -46,7 +46,7 @@
 	}
 
 	/**
-	 * Plans rest on 1, 2, 4, 8 and 16 rounds and then on 16 new ones each.
+	 * Plans are due after rounds 1, 2, 4, 8 and 16, and then after 16 new rounds each.
 	 */
 	@Test
 	void plansLessAndLessOftenWhileTheLoadIsStable() {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/RebalanceCoordinatorTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/RebalanceCoordinatorTests.java
@@ -28,7 +28,8 @@
 
 	private int plans;
 
-	// Adds reports in which one expert is chosen more often than the others.
+	// Adds reports in which one expert is chosen the given times as often as the others,
+	// and counts the orders to prepare a map.
 	private void simulate(int popular, int times, long passMillis, boolean open, long millis) {
 		List<Integer> chosen = choices(popular, times);
 		for (long now = MILLI; now < millis * MILLI; now += 20 * MILLI) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ZipfTraffic.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ZipfTraffic.java
@@ -6,8 +6,8 @@
 import java.util.Random;
 
 /**
- * Generates expert choices by Zipf's law: in each set a few experts get a large share of
- * the choices, and a shift swaps their popularity with others.
+ * Generates expert choices that follow Zipf's law: in each set a few experts get a large
+ * share of the choices. A shift swaps the popularity of experts.
  */
 final class ZipfTraffic {
 
@@ -20,7 +20,7 @@
 	private final List<List<Integer>> ranking = new ArrayList<>();
 
 	/**
-	 * Draws a random popularity ranking for each set.
+	 * Creates a generator with a random popularity ranking for each set.
 	 * @param sets the number of sets
 	 * @param experts the number of experts of a set
 	 * @param exponent the exponent of Zipf's law
@@ -40,8 +40,8 @@
 	}
 
 	/**
-	 * Shuffles a random share of the experts in the popularity ranking.
-	 * @param share the share, from 0 to 1
+	 * Shuffles the ranks of randomly selected experts in the popularity ranking.
+	 * @param share the share of the experts, from 0 to 1
 	 */
 	void shift(double share) {
 		for (List<Integer> order : this.ranking) {
