Reword the fleet

What read badly: three names for one reply in LogBootstrap, a lowest address that is the first in lexicographic order, an incarnation explained by itself, a document without its kind, delegated switches called entrusted and their timeout called patience, constants without their meaning.

What changed: comments, local variables, parameters and private names.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/BootstrapQuorum.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/BootstrapQuorum.java
@@ -12,16 +12,22 @@
  * Chooses the initial voters of the replicated log once, at the process that coordinates
  * the bootstrap.
  * <p>
- * The choice is made when enough processes have registered and no further one did so for
- * a while. It never changes afterwards, so that the log is bootstrapped only once. A
+ * The choice is made when enough processes have registered and no further one has done so
+ * for a while. It never changes afterwards, so that the log is bootstrapped only once. A
  * coordinator that has restarted chooses no voters, as the first start is over.
  */
 final class BootstrapQuorum {
 
-	/** Longest expected gap between the starts of two processes. */
+	/**
+	 * Time without a further candidate after which the voters are chosen; the longest
+	 * expected gap between the starts of two processes.
+	 */
 	private static final Duration QUIET_PERIOD = Duration.ofMillis(700);
 
-	/** Time after which fewer voters are chosen; their number is odd in any case. */
+	/**
+	 * Time after the first registration from which fewer voters than the target are
+	 * chosen. Their number is odd in any case.
+	 */
 	private static final Duration TIMEOUT = Duration.ofSeconds(6);
 
 	private final int targetVoters;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/EventLoopDeputyPort.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/EventLoopDeputyPort.java
@@ -16,14 +16,14 @@
 record EventLoopDeputyPort(Executor loop, GroupMessenger calls) implements DeputyPort {
 
 	@Override
-	public CompletableFuture<Void> delegate(DelegatedSwitch entrusted) {
-		return CompletableFuture.supplyAsync(() -> this.calls.delegate(entrusted), this.loop)
+	public CompletableFuture<Void> delegate(DelegatedSwitch delegatedSwitch) {
+		return CompletableFuture.supplyAsync(() -> this.calls.delegate(delegatedSwitch), this.loop)
 			.thenCompose(Function.identity());
 	}
 
 	@Override
-	public void notifyEnded(DelegatedSwitch entrusted) {
-		this.loop.execute(() -> this.calls.notifyEnded(entrusted));
+	public void notifyEnded(DelegatedSwitch delegatedSwitch) {
+		this.loop.execute(() -> this.calls.notifyEnded(delegatedSwitch));
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetListener.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetListener.java
@@ -24,7 +24,8 @@
 	void onServerChanged(ServerAnnouncement announcement);
 
 	/**
-	 * Called when a backend server was removed because it had been silent for too long.
+	 * Called when a backend server was removed because no announcement of it was received
+	 * for too long.
 	 * @param announcement its last announcement
 	 */
 	void onServerRemoved(ServerAnnouncement announcement);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetMethods.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetMethods.java
@@ -17,13 +17,13 @@
 	static final RpcMethod<FleetNews, FleetNewsReply> ACKNOWLEDGED_UPDATE = new RpcMethod<>("fleet.confirm-news",
 			FleetNews.parser(), FleetNewsReply.parser());
 
-	/** Queries a newer version of the document. */
+	/** Requests the configuration document if the receiver has a newer version. */
 	static final RpcMethod<DocumentRequest, DocumentReply> DOCUMENT = new RpcMethod<>("fleet.document",
 			DocumentRequest.parser(), DocumentReply.parser());
 
 	/**
-	 * Queries the initial voters of the replicated log; only the coordinator of the
-	 * bootstrap chooses them.
+	 * Requests the initial voters of the replicated log from the bootstrap coordinator,
+	 * and registers the sender as a candidate.
 	 */
 	static final RpcMethod<FoundingRequest, FoundingReply> BOOTSTRAP = new RpcMethod<>("fleet.found",
 			FoundingRequest.parser(), FoundingReply.parser());
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -74,7 +74,7 @@
 
 	private static final int WORKER_RING = 64;
 
-	private static final ConnectionTimeouts TIMES = new ConnectionTimeouts(Duration.ofMillis(300),
+	private static final ConnectionTimeouts CONNECTION_TIMEOUTS = new ConnectionTimeouts(Duration.ofMillis(300),
 			Duration.ofMillis(900), Duration.ofMillis(1600), Duration.ofMillis(500));
 
 	private final EventLoop loop;
@@ -135,7 +135,7 @@
 		this.listener = Preconditions.notNull(listener, "listener");
 		this.planner = new VoterPlanner(settings.targetVoters());
 		PeerIdentity self = new PeerIdentity(InstanceId.of(settings.instance()), Incarnation.of(this.incarnation));
-		this.transport = this.closer.register(new Transport(self, TIMES, TransportSecurity.PLAIN, 1));
+		this.transport = this.closer.register(new Transport(self, CONNECTION_TIMEOUTS, TransportSecurity.PLAIN, 1));
 		this.clients = new PeerClients(this.transport);
 		this.groups = new GroupMessenger(settings, this.peers, this.clients, ranks, this::leaderAddress);
 		this.storageWorker = this.closer.register(new SerialWorker("storage", WORKER_RING));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetPeer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetPeer.java
@@ -9,7 +9,7 @@
  * @param instance the name of its instance
  * @param address the address where it accepts connections from its peers
  * @param domain its failure domain
- * @param incarnation orders its incarnations; a restart increases it
+ * @param incarnation the number of its current incarnation, which each restart increases
  * @param storageId the identifier of its data folder; 0 if it has none
  */
 public record FleetPeer(String instance, HostPort address, String domain, long incarnation, long storageId) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/GroupMessenger.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/GroupMessenger.java
@@ -23,18 +23,22 @@
 import org.comfreywall.transport.generated.SwitchNoticeReply;
 
 /**
- * Handles and sends the messages about groups between processes; used on the event loop.
+ * Handles and sends the messages between processes about groups: reports of ranks and
+ * delegated switches. Used on the event loop.
  */
 final class GroupMessenger {
 
 	private static final EventLog LOG = EventLog.of(GroupMessenger.class);
 
-	/** Number of processes besides the coordinator that a switch is delegated to. */
-	private static final int DEPUTIES = 2;
+	/**
+	 * Maximum number of processes besides the coordinator that a switch is delegated to.
+	 */
+	private static final int MAX_DEPUTIES = 2;
 
 	/**
-	 * A switch takes a few round trips once its step is chosen. The timeout of the second
-	 * deputy is twice as long, so that the first one takes over alone.
+	 * Time after which the first deputy takes a switch over; a switch takes a few round
+	 * trips once its pass is chosen. The timeout of the second deputy is twice as long,
+	 * so that the first one takes over alone.
 	 */
 	private static final Duration TAKEOVER_TIMEOUT = Duration.ofMillis(80);
 
@@ -92,21 +96,21 @@
 	}
 
 	Result<SwitchNoticeReply> handleSwitchNotice(SwitchNotice notice) {
-		DelegatedSwitch entrusted = new DelegatedSwitch(notice.getGroup(), notice.getEpoch(), notice.getVersion(),
+		DelegatedSwitch delegatedSwitch = new DelegatedSwitch(notice.getGroup(), notice.getEpoch(), notice.getVersion(),
 				notice.getStep(), notice.getHolder(), notice.getServersList());
 		if (notice.getEnded()) {
-			this.observer.onSwitchEnded(entrusted);
+			this.observer.onSwitchEnded(delegatedSwitch);
 		}
 		else {
-			this.observer.onSwitchDelegated(entrusted, Duration.ofMillis(notice.getPatienceMs()));
+			this.observer.onSwitchDelegated(delegatedSwitch, Duration.ofMillis(notice.getPatienceMs()));
 		}
 		return Result.success(SwitchNoticeReply.getDefaultInstance());
 	}
 
-	CompletableFuture<Void> delegate(DelegatedSwitch entrusted) {
-		this.deputies = this.peers.live(System.nanoTime()).stream().limit(DEPUTIES).toList();
-		LOG.info("switch-entrusted", Field.of("group", entrusted.group()), Field.of("version", entrusted.version()),
-				Field.of("step", entrusted.step()),
+	CompletableFuture<Void> delegate(DelegatedSwitch delegatedSwitch) {
+		this.deputies = this.peers.live(System.nanoTime()).stream().limit(MAX_DEPUTIES).toList();
+		LOG.info("switch-entrusted", Field.of("group", delegatedSwitch.group()),
+				Field.of("version", delegatedSwitch.version()), Field.of("step", delegatedSwitch.step()),
 				Field.of("deputies", this.deputies.stream().map(FleetPeer::address).toList()));
 		CompletableFuture<Void> completed = new CompletableFuture<>();
 		AtomicInteger outstanding = new AtomicInteger(this.deputies.size());
@@ -114,7 +118,7 @@
 			completed.complete(null);
 		}
 		for (int i = 0; i < this.deputies.size(); i++) {
-			SwitchNotice notice = notice(entrusted)
+			SwitchNotice notice = notice(delegatedSwitch)
 				.setPatienceMs((int) TAKEOVER_TIMEOUT.multipliedBy(i + 1L).toMillis())
 				.build();
 			call(this.deputies.get(i), notice).thenAccept((reached) -> {
@@ -126,8 +130,8 @@
 		return completed;
 	}
 
-	void notifyEnded(DelegatedSwitch entrusted) {
-		this.deputies.forEach((deputy) -> call(deputy, notice(entrusted).setEnded(true).build()));
+	void notifyEnded(DelegatedSwitch delegatedSwitch) {
+		this.deputies.forEach((deputy) -> call(deputy, notice(delegatedSwitch).setEnded(true).build()));
 	}
 
 	private CompletableFuture<Boolean> call(FleetPeer deputy, SwitchNotice notice) {
@@ -142,14 +146,14 @@
 			});
 	}
 
-	private static SwitchNotice.Builder notice(DelegatedSwitch entrusted) {
+	private static SwitchNotice.Builder notice(DelegatedSwitch delegatedSwitch) {
 		return SwitchNotice.newBuilder()
-			.setGroup(entrusted.group())
-			.setEpoch(entrusted.epoch())
-			.setVersion(entrusted.version())
-			.setStep(entrusted.step())
-			.setHolder(entrusted.holder())
-			.addAllServers(entrusted.servers());
+			.setGroup(delegatedSwitch.group())
+			.setEpoch(delegatedSwitch.epoch())
+			.setVersion(delegatedSwitch.version())
+			.setStep(delegatedSwitch.step())
+			.setHolder(delegatedSwitch.holder())
+			.addAllServers(delegatedSwitch.servers());
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LeaderDiscovery.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LeaderDiscovery.java
@@ -19,12 +19,15 @@
  */
 final class LeaderDiscovery {
 
-	/** A new leader is elected within this time after the failure of the old one. */
-	private static final Duration AVOIDANCE = Duration.ofMillis(1500);
+	/**
+	 * Time for which redirects to a process that has timed out are ignored. A new leader
+	 * is elected within this time after the failure of the old one.
+	 */
+	private static final Duration AVOIDANCE_PERIOD = Duration.ofMillis(1500);
 
 	/**
-	 * One reply may be lost with its connection; the retry over a new connection shows
-	 * whether the process is alive.
+	 * Consecutive timeouts after which a process is avoided. One reply may be lost with
+	 * its connection; the retry over a new connection shows whether the process is alive.
 	 */
 	private static final int TIMEOUTS_TO_AVOID = 2;
 
@@ -104,7 +107,7 @@
 
 	private boolean isAvoided(HostPort address, long now) {
 		Long since = this.timedOutAt.get(address);
-		return since != null && now - since < AVOIDANCE.toNanos();
+		return since != null && now - since < AVOIDANCE_PERIOD.toNanos();
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LocalReplica.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LocalReplica.java
@@ -41,7 +41,10 @@
 
 	private static final EventLog LOG = EventLog.of(LocalReplica.class);
 
-	/** Each log entry holds a whole document, so the log is compacted often. */
+	/**
+	 * Number of log entries between two snapshots. Each entry contains a whole document,
+	 * so the log is compacted often.
+	 */
 	private static final int SNAPSHOT_INTERVAL = 64;
 
 	private static final int TRAILING_ENTRIES = 16;
@@ -50,15 +53,15 @@
 
 	private static final long SEGMENT_BYTES = 4L << 20;
 
-	private static final int RING_CAPACITY = 4_096;
+	private static final int QUEUE_CAPACITY = 4_096;
 
-	private static final int MAX_GROUP = 256;
+	private static final int MAX_BATCH = 256;
 
 	private static final LogSettings LOG_SETTINGS = new LogSettings(Duration.ofMillis(100), Duration.ofMillis(700),
 			LogSettings.DEFAULTS.clockDriftPercent(), 64, 1 << 20, 256, 4 << 20, MAX_LOG_ENTRIES, TRAILING_ENTRIES,
 			64 << 10, 1_000);
 
-	private static final ControlNodeSettings SETTINGS = new ControlNodeSettings(LOG_SETTINGS, RING_CAPACITY, MAX_GROUP,
+	private static final ControlNodeSettings SETTINGS = new ControlNodeSettings(LOG_SETTINGS, QUEUE_CAPACITY, MAX_BATCH,
 			Duration.ofMillis(1500), SNAPSHOT_INTERVAL);
 
 	private final Path folder;
@@ -90,10 +93,10 @@
 
 	/**
 	 * Opens an empty folder as one of the initial voters.
-	 * @param founders the instances of all initial voters
+	 * @param initialVoters the instances of all initial voters
 	 */
-	void bootstrap(List<String> founders) {
-		open(FolderOrigin.founding(this.self, founders.stream().map(InstanceId::of).toList()));
+	void bootstrap(List<String> initialVoters) {
+		open(FolderOrigin.founding(this.self, initialVoters.stream().map(InstanceId::of).toList()));
 	}
 
 	/**
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogBootstrap.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogBootstrap.java
@@ -18,7 +18,8 @@
 
 /**
  * Opens this process's replica of the replicated log, and bootstraps the log exactly once
- * at the first start of the fleet.
+ * at the first start of the fleet. One process, the bootstrap coordinator, chooses the
+ * initial voters.
  */
 final class LogBootstrap {
 
@@ -26,7 +27,7 @@
 
 	private static final Duration RETRY_INTERVAL = Duration.ofMillis(200);
 
-	private static final Duration TIMEOUT = Duration.ofMillis(500);
+	private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(500);
 
 	private final FleetSettings settings;
 
@@ -58,8 +59,9 @@
 		this.loop.execute(() -> requestInitialVoters(replica));
 	}
 
-	// All processes choose the seed with the lowest address as coordinator, so that the
-	// log is bootstrapped once.
+	// All processes must agree on the coordinator, so that the log is bootstrapped once.
+	// They choose the seed whose address is first in lexicographic order, as the seeds
+	// are the same on all processes at the first start.
 	private void requestInitialVoters(LocalReplica replica) {
 		Optional<HostPort> coordinator = this.settings.seeds()
 			.stream()
@@ -68,14 +70,15 @@
 			return;
 		}
 		FoundingRequest request = FoundingRequest.newBuilder().setMember(FleetCodec.encode(this.self.get())).build();
-		CompletableFuture<Result<FoundingReply>> reply = coordinator.get().equals(this.settings.address())
+		CompletableFuture<Result<FoundingReply>> resultFuture = coordinator.get().equals(this.settings.address())
 				? CompletableFuture.completedFuture(handleRequest(request))
-				: this.clients.findOrOpen(coordinator.get()).call(FleetMethods.BOOTSTRAP, request, TIMEOUT);
-		reply.thenAcceptAsync((answer) -> openWithInitialVoters(replica, answer), this.loop);
+				: this.clients.findOrOpen(coordinator.get()).call(FleetMethods.BOOTSTRAP, request, REQUEST_TIMEOUT);
+		resultFuture.thenAcceptAsync((result) -> openWithInitialVoters(replica, result), this.loop);
 	}
 
-	private void openWithInitialVoters(LocalReplica replica, Result<FoundingReply> answer) {
-		List<String> initialVoters = answer.value()
+	// Requests the initial voters again if the coordinator has not chosen them yet.
+	private void openWithInitialVoters(LocalReplica replica, Result<FoundingReply> result) {
+		List<String> initialVoters = result.value()
 			.map((reply) -> List.copyOf(reply.getFoundersList()))
 			.orElse(List.of());
 		if (initialVoters.isEmpty()) {
@@ -83,9 +86,9 @@
 			return;
 		}
 		LOG.info("log-founded", Field.of("founders", initialVoters), Field.of("self", this.settings.instance()));
-		boolean chosen = initialVoters.contains(this.settings.instance());
+		boolean isInitialVoter = initialVoters.contains(this.settings.instance());
 		this.storageWorker.execute(() -> {
-			if (chosen) {
+			if (isInitialVoter) {
 				replica.bootstrap(initialVoters);
 			}
 			else {
@@ -94,8 +97,12 @@
 		});
 	}
 
+	// Registers the sender as a candidate; the reply is empty until the initial voters
+	// are chosen.
 	Result<FoundingReply> handleRequest(FoundingRequest request) {
 		FoundingReply.Builder reply = FoundingReply.newBuilder();
+		// After the first start no voters are chosen, so that the log is
+		// bootstrapped once.
 		if (this.settings.firstStart()) {
 			FleetCodec.decode(request.getMember())
 				.ifPresent((peer) -> reply.addAllFounders(this.quorum.register(peer, System.nanoTime())));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerTable.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerTable.java
@@ -13,18 +13,22 @@
  */
 final class PeerTable {
 
-	/** A process counts as live until it has missed seven updates in a row. */
+	/**
+	 * Time since its last update for which a process counts as live; seven updates in a
+	 * row are missing by then.
+	 */
 	static final Duration LIVE = Duration.ofMillis(1500);
 
 	/**
-	 * Silent processes are kept for this time, so that those behind a partition still
-	 * count as members and are reconnected to.
+	 * Time for which processes without updates are kept, so that those behind a partition
+	 * still count as members and are reconnected to.
 	 */
 	private static final Duration RETENTION = Duration.ofSeconds(40);
 
 	private final Map<HostPort, Entry> entries = new HashMap<>();
 
-	// Records an update that the process itself sent.
+	// Records an update that was received from the process itself. A process that has
+	// moved to another address is removed from the old one.
 	void recordUpdate(FleetPeer peer, long now) {
 		this.entries.values()
 			.removeIf((other) -> other.peer != null && other.peer.instance().equals(peer.instance())
@@ -35,7 +39,8 @@
 		entry.updateReceived = true;
 	}
 
-	// Adds an address from the settings or from another process.
+	// Adds an address from the settings or from another process. It does not count as
+	// live until an update of it was received.
 	void addAddress(HostPort address, long now) {
 		this.entries.computeIfAbsent(address, (added) -> new Entry(now));
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
@@ -22,17 +22,17 @@
 import org.comfreywall.transport.rpc.RpcClient;
 
 /**
- * Sends the reports of a rank to the leader, and discovers the leader: processes that are
- * not the leader redirect to it.
+ * Sends the reports of a rank to the leader. Discovers the leader by sending reports to
+ * other processes, which redirect to it.
  */
 public final class RankReporter implements AutoCloseable {
 
 	private static final EventLog LOG = EventLog.of(RankReporter.class);
 
 	/** Allows for a busy leader; a round trip within a region takes milliseconds. */
-	private static final Duration TIMEOUT = Duration.ofMillis(200);
+	private static final Duration CALL_TIMEOUT = Duration.ofMillis(200);
 
-	private static final ConnectionTimeouts TIMES = new ConnectionTimeouts(Duration.ofMillis(1000),
+	private static final ConnectionTimeouts CONNECTION_TIMEOUTS = new ConnectionTimeouts(Duration.ofMillis(1000),
 			Duration.ofMillis(2500), Duration.ofMillis(4000), Duration.ofMillis(500));
 
 	private final Transport transport;
@@ -50,11 +50,11 @@
 	 * @param instance the name of this process's instance
 	 * @param seeds the addresses of processes that know the leader
 	 * @param onEnd called on a transport thread when a report was acknowledged or has
-	 * timed out, unless the target has changed in the meantime
+	 * failed, unless reports are sent to another process or over a new connection by then
 	 */
 	public RankReporter(String instance, List<HostPort> seeds, Runnable onEnd) {
 		PeerIdentity self = new PeerIdentity(InstanceId.of(instance), Incarnation.of(System.currentTimeMillis()));
-		this.transport = new Transport(self, TIMES, TransportSecurity.PLAIN, 1);
+		this.transport = new Transport(self, CONNECTION_TIMEOUTS, TransportSecurity.PLAIN, 1);
 		this.onEnd = Preconditions.notNull(onEnd, "onEnd");
 		this.discovery = new LeaderDiscovery(seeds);
 		updateTarget();
@@ -72,10 +72,10 @@
 	 * Sends a report.
 	 * @param service the service that the rank belongs to
 	 * @param report the report
-	 * @param chosen the number of times that the rank's requests were routed to each
-	 * expert since the previous report; empty if unknown
+	 * @param choiceCounts the number of times that the rank's requests were routed to
+	 * each expert since its previous counts, set by set; empty if unknown
 	 */
-	public synchronized void report(String service, RankReport report, List<Integer> chosen) {
+	public synchronized void report(String service, RankReport report, List<Integer> choiceCounts) {
 		RankNotice.Builder notice = RankNotice.newBuilder()
 			.setService(service)
 			.setServer(report.server())
@@ -89,11 +89,12 @@
 			.setPreparedVersion(report.preparedVersion())
 			.setArmedVersion(report.armedVersion())
 			.setHeldStep(report.heldStep().orElse(-1))
-			.addAllChosen(chosen)
+			.addAllChosen(choiceCounts)
 			.setPace(report.slowdown());
 		report.layout().forEach((set) -> notice.addLayout(ExpertList.newBuilder().addAllExperts(set)));
 		RpcClient used = this.client;
-		used.call(RankMethods.RANK, notice.build(), TIMEOUT).thenAccept((reply) -> handleReply(used, reply.value()));
+		used.call(RankMethods.RANK, notice.build(), CALL_TIMEOUT)
+			.thenAccept((reply) -> handleReply(used, reply.value()));
 	}
 
 	private synchronized void handleReply(RpcClient used, Optional<RankNoticeReply> reply) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/SlowRankTracker.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/SlowRankTracker.java
@@ -12,20 +12,20 @@
  */
 final class SlowRankTracker {
 
-	/** Pace from which a rank counts as slow; smaller deviations are not broadcast. */
-	private static final double SLOW = 1.15;
+	/** Slowdown from which a rank counts as slow; smaller ones are not broadcast. */
+	private static final double MIN_SLOWDOWN = 1.15;
 
 	/**
 	 * Ranks report several times a second; without a report for this time a rank no
 	 * longer counts as slow.
 	 */
-	private static final long VALID_NANOS = TimeUnit.SECONDS.toNanos(2);
+	private static final long REPORT_VALIDITY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
 	private final Map<HostPort, Entry> entries = new HashMap<>();
 
 	void addReport(RankReport report, long now) {
 		HostPort.parse(report.server()).ifPresent((address) -> {
-			if (report.slowdown() >= SLOW) {
+			if (report.slowdown() >= MIN_SLOWDOWN) {
 				this.entries.put(address, new Entry(report.slowdown(), now));
 			}
 			else {
@@ -41,13 +41,13 @@
 	 * backend server
 	 */
 	Map<HostPort, Double> slowServers(long now) {
-		this.entries.values().removeIf((entry) -> now - entry.reportedAt() > VALID_NANOS);
+		this.entries.values().removeIf((entry) -> now - entry.reportedAt() > REPORT_VALIDITY_NANOS);
 		Map<HostPort, Double> slow = new HashMap<>();
-		this.entries.forEach((address, entry) -> slow.put(address, entry.pace()));
+		this.entries.forEach((address, entry) -> slow.put(address, entry.slowdown()));
 		return slow;
 	}
 
-	private record Entry(double pace, long reportedAt) {
+	private record Entry(double slowdown, long reportedAt) {
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/UpdateAcknowledgements.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/UpdateAcknowledgements.java
@@ -6,7 +6,8 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Counts the processes that have acknowledged an update.
+ * Counts the acknowledgements of an update, which is complete when all live processes
+ * have replied or failed, and successful if enough processes with a disk acknowledged it.
  */
 final class UpdateAcknowledgements {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/VoterPlanner.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/VoterPlanner.java
@@ -15,7 +15,8 @@
 
 /**
  * Plans the next membership change of the replicated log at the leader, to reach the
- * target number of voters with intact data.
+ * target number of voters with intact data. Changes are made one at a time: a lost voter
+ * is removed only after another process was promoted in its place.
  */
 final class VoterPlanner {
 
@@ -32,8 +33,9 @@
 	/**
 	 * Returns the next change.
 	 * @param current the current membership
-	 * @param live the processes that are live
-	 * @param lost the instances that count as lost, after a long silence
+	 * @param live the live processes
+	 * @param lost the instances of members that count as lost, as no update of them was
+	 * received for a long time
 	 * @return the change, or empty if none is needed
 	 */
 	Optional<MembershipChange> nextChange(Membership current, List<FleetPeer> live, Set<String> lost) {
@@ -67,6 +69,8 @@
 			.map((peer) -> new AddLearner(InstanceId.of(peer.instance()), peer.storageId()));
 	}
 
+	// Returns whether the process is a member but has another data folder than the one
+	// that it joined with.
 	private static boolean hasNewStorage(Membership current, FleetPeer peer) {
 		return peer.isDurable() && current.find(InstanceId.of(peer.instance()))
 			.filter((member) -> member.storageId() != peer.storageId())
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
@@ -145,17 +145,17 @@
 
 	@Test
 	void aSwitchIsDelegatedToTwoOtherProcesses() throws Exception {
-		DelegatedSwitch entrusted = new DelegatedSwitch("s/g", 1, 5, 9, 0, List.of("10.0.0.1:1", "10.0.0.2:1"));
+		DelegatedSwitch delegatedSwitch = new DelegatedSwitch("s/g", 1, 5, 9, 0, List.of("10.0.0.1:1", "10.0.0.2:1"));
 		await(() -> this.members.get(0).node.liveProcesses() == this.members.size());
 		DeputyPort deputies = this.members.get(0).node.deputies();
 		// A notice times out after 200 ms, which is possible on a busy machine, so it is
 		// repeated; the repetition goes to the same two processes.
 		await(() -> {
-			deputies.delegate(entrusted).join();
-			return recorders(entrusted) == 2;
+			deputies.delegate(delegatedSwitch).join();
+			return recorders(delegatedSwitch) == 2;
 		});
-		deputies.notifyEnded(entrusted);
-		await(() -> recorders(entrusted) == 0);
+		deputies.notifyEnded(delegatedSwitch);
+		await(() -> recorders(delegatedSwitch) == 0);
 	}
 
 	/**
@@ -195,8 +195,8 @@
 		}
 	}
 
-	private long recorders(DelegatedSwitch entrusted) {
-		return this.members.stream().filter((member) -> member.observer.contains(entrusted)).count();
+	private long recorders(DelegatedSwitch delegatedSwitch) {
+		return this.members.stream().filter((member) -> member.observer.contains(delegatedSwitch)).count();
 	}
 
 	/** A process of the fleet. */
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/SwitchRecorder.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/SwitchRecorder.java
@@ -15,18 +15,18 @@
 
 	private final Set<DelegatedSwitch> active = ConcurrentHashMap.newKeySet();
 
-	boolean contains(DelegatedSwitch entrusted) {
-		return this.active.contains(entrusted);
+	boolean contains(DelegatedSwitch delegatedSwitch) {
+		return this.active.contains(delegatedSwitch);
 	}
 
 	@Override
-	public void onRankReport(String service, RankReport report, List<Integer> chosen) {
+	public void onRankReport(String service, RankReport report, List<Integer> choiceCounts) {
 		// Reports are not recorded.
 	}
 
 	@Override
-	public void onSwitchDelegated(DelegatedSwitch entrusted, Duration patience) {
-		this.active.add(entrusted);
+	public void onSwitchDelegated(DelegatedSwitch delegatedSwitch, Duration timeout) {
+		this.active.add(delegatedSwitch);
 	}
 
 	@Override
