Reword the pool

What read badly: constants of ServicePool and PoolServer told a circumstance but not what they limit; waits had no unit; an announcement's start in ServerDirectoryTests had no unit.

What changed: comments, local variables and private names.

Compiled with checkstyle. Tests of comfreywall-gateway: 131 run, none failed.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ArrivalRate.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ArrivalRate.java
@@ -12,18 +12,18 @@
 
 	private double meanGapNanos = NANOS_PER_SECOND;
 
-	private long last = Long.MIN_VALUE;
+	private long lastArrival = Long.MIN_VALUE;
 
 	/**
 	 * Records an arrival.
 	 * @param now the current time in nanoseconds
 	 */
 	void recordArrival(long now) {
-		if (this.last != Long.MIN_VALUE) {
-			double gap = Math.min(now - this.last, NANOS_PER_SECOND);
+		if (this.lastArrival != Long.MIN_VALUE) {
+			double gap = Math.min(now - this.lastArrival, NANOS_PER_SECOND);
 			this.meanGapNanos += SMOOTHING * (gap - this.meanGapNanos);
 		}
-		this.last = now;
+		this.lastArrival = now;
 	}
 
 	/**
@@ -32,7 +32,7 @@
 	 * @return the arrivals per second
 	 */
 	double perSecond(long now) {
-		double sinceLast = (this.last != Long.MIN_VALUE) ? now - this.last : NANOS_PER_SECOND;
+		double sinceLast = (this.lastArrival != Long.MIN_VALUE) ? now - this.lastArrival : NANOS_PER_SECOND;
 		return NANOS_PER_SECOND / Math.max(1, Math.max(this.meanGapNanos, sinceLast));
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
@@ -15,14 +15,20 @@
 	/** Weight of a new success or failure; averages over about the last 8 requests. */
 	private static final double ERROR_SMOOTHING = 0.12;
 
-	/** Consecutive connection failures after which the server is ejected for a while. */
+	/**
+	 * Consecutive connection failures after which the server is ejected for a while. The
+	 * time doubles with each further failure, up to a maximum.
+	 */
 	private static final int FAILURES_TO_EJECT = 2;
 
 	private static final long FIRST_EJECTION_NANOS = 500_000_000L;
 
-	private static final long LONGEST_EJECTION_NANOS = 4_000_000_000L;
+	private static final long MAX_EJECTION_NANOS = 4_000_000_000L;
 
-	/** A full server frees a slot after about one forward pass of its engine. */
+	/**
+	 * Time for which a server that rejected a request gets none; a full server frees a
+	 * slot after about one forward pass of its engine.
+	 */
 	private static final long REJECTION_PAUSE_NANOS = 100_000_000L;
 
 	private ServerAnnouncement announcement;
@@ -31,7 +37,7 @@
 
 	private final Map<String, Integer> inFlightByEntry = new HashMap<>();
 
-	private int othersInFlight;
+	private int inFlightOfOtherEntries;
 
 	private double latencyNanos;
 
@@ -62,7 +68,7 @@
 	 * may be out of date
 	 */
 	public int totalInFlight() {
-		return this.inFlight + this.othersInFlight;
+		return this.inFlight + this.inFlightOfOtherEntries;
 	}
 
 	/**
@@ -80,7 +86,7 @@
 	void updateInFlight(String entry, int requests) {
 		int before = this.inFlightByEntry.getOrDefault(entry, 0);
 		this.inFlightByEntry.put(entry, requests);
-		this.othersInFlight += requests - before;
+		this.inFlightOfOtherEntries += requests - before;
 	}
 
 	void recordSent() {
@@ -90,32 +96,32 @@
 	void recordResult(AttemptResult result, long nanos, long now) {
 		this.inFlight--;
 		switch (result) {
-			case ANSWERED -> answered(nanos, 0);
-			case FAILED -> answered(nanos, 1);
-			case BROKEN -> connectionFailed(now);
-			case REJECTED -> rejected(now);
+			case ANSWERED -> recordResponse(nanos, 0);
+			case FAILED -> recordResponse(nanos, 1);
+			case BROKEN -> recordConnectionFailure(now);
+			case REJECTED -> recordRejection(now);
 			case CANCELLED -> {
 			}
 		}
 	}
 
-	private void rejected(long now) {
+	private void recordRejection(long now) {
 		this.pausedUntil = now + REJECTION_PAUSE_NANOS;
 	}
 
-	private void answered(long nanos, double failed) {
+	private void recordResponse(long nanos, double failed) {
 		this.connectionFailures = 0;
 		this.errorRate += ERROR_SMOOTHING * (failed - this.errorRate);
 		this.latencyNanos = (this.latencyNanos == 0) ? nanos
 				: this.latencyNanos + LATENCY_SMOOTHING * (nanos - this.latencyNanos);
 	}
 
-	private void connectionFailed(long now) {
+	private void recordConnectionFailure(long now) {
 		this.connectionFailures++;
 		this.errorRate += ERROR_SMOOTHING * (1 - this.errorRate);
 		if (this.connectionFailures >= FAILURES_TO_EJECT) {
 			long pause = FIRST_EJECTION_NANOS << Math.min(this.connectionFailures - FAILURES_TO_EJECT, 3);
-			this.pausedUntil = now + Math.min(pause, LONGEST_EJECTION_NANOS);
+			this.pausedUntil = now + Math.min(pause, MAX_EJECTION_NANOS);
 		}
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerAnnouncement.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerAnnouncement.java
@@ -4,7 +4,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * State that one incarnation of a backend server announced.
+ * State that a backend server announced. Each start of a server is a new incarnation.
  *
  * @param server the server's identifier
  * @param service the service that it belongs to
@@ -12,7 +12,7 @@
  * @param domain its failure domain
  * @param startedMillis the start of this incarnation, in milliseconds of the server's
  * clock; used only to order incarnations
- * @param sequence orders the announcements of one incarnation
+ * @param sequence the number of the announcement, increasing within an incarnation
  * @param slots the number of requests that it runs concurrently
  * @param state the announced state
  */
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
@@ -32,7 +32,7 @@
 
 	private final Map<String, ReceivedAnnouncement> byServer = new HashMap<>();
 
-	private final Map<HostPort, Long> latestIncarnations = new HashMap<>();
+	private final Map<HostPort, Long> latestStartMillisByAddress = new HashMap<>();
 
 	/**
 	 * Merges an announcement.
@@ -44,15 +44,16 @@
 	public boolean merge(ServerAnnouncement announcement, long receivedAt) {
 		Preconditions.notNull(announcement, "announcement");
 		ReceivedAnnouncement known = this.byServer.get(announcement.server());
-		long latestIncarnation = this.latestIncarnations.getOrDefault(announcement.address(), Long.MIN_VALUE);
-		boolean overtaken = announcement.startedMillis() < latestIncarnation
+		long latestStartMillis = this.latestStartMillisByAddress.getOrDefault(announcement.address(), Long.MIN_VALUE);
+		// A later incarnation has been announced at the same address.
+		boolean superseded = announcement.startedMillis() < latestStartMillis
 				&& announcement.state() == ServerState.READY;
 		boolean full = known == null && this.byServer.size() >= MAX_SERVERS;
-		if (overtaken || full || (known != null && !announcement.replaces(known.announcement()))) {
+		if (superseded || full || (known != null && !announcement.replaces(known.announcement()))) {
 			return false;
 		}
 		this.byServer.put(announcement.server(), new ReceivedAnnouncement(announcement, receivedAt));
-		this.latestIncarnations.merge(announcement.address(), announcement.startedMillis(), Math::max);
+		this.latestStartMillisByAddress.merge(announcement.address(), announcement.startedMillis(), Math::max);
 		return true;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerSelector.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerSelector.java
@@ -21,7 +21,10 @@
  */
 final class ServerSelector {
 
-	/** Random jitter in the cost, in requests; masks the age of the others' counts. */
+	/**
+	 * Maximum random jitter in the cost, in requests. It lets entries with the same
+	 * outdated counts select different servers.
+	 */
 	private static final double JITTER_REQUESTS = 0.6;
 
 	/** Interval at which entries broadcast their counts. */
@@ -32,7 +35,10 @@
 	 */
 	private static final double MAX_RELATIVE_COST = 2;
 
-	/** Two choices are much better than one; a third adds little. */
+	/**
+	 * Minimum number of servers to compare. Two choices are much better than one; a third
+	 * adds little.
+	 */
 	private static final int MIN_SAMPLE_SIZE = 2;
 
 	/**
@@ -88,8 +94,8 @@
 	// All entries see the same least loaded servers until the next update. The sample
 	// shrinks with the number of requests that others place in the meantime.
 	private List<PoolServer> sample(List<PoolServer> free, double lowestLatencyNanos, double othersPerSecond) {
-		double unseen = othersPerSecond * UPDATE_INTERVAL_SECONDS;
-		int size = (int) Math.max(MIN_SAMPLE_SIZE, Math.round(free.size() / Math.max(1, unseen)));
+		double placedByOthers = othersPerSecond * UPDATE_INTERVAL_SECONDS;
+		int size = (int) Math.max(MIN_SAMPLE_SIZE, Math.round(free.size() / Math.max(1, placedByOthers)));
 		if (size >= free.size()) {
 			return free;
 		}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerState.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerState.java
@@ -1,8 +1,8 @@
 package org.comfreywall.gateway.pool;
 
 /**
- * State that a backend server announces; it only ever moves forward within an
- * incarnation.
+ * State that a backend server announces. Within an incarnation it only changes to a later
+ * constant.
  */
 public enum ServerState {
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
@@ -32,9 +32,13 @@
  */
 public final class ServicePool {
 
-	/** Completions that the rate is averaged over; a few seconds of a busy entry. */
+	/**
+	 * Maximum number of completions that the rate is averaged over; a few seconds of a
+	 * busy entry.
+	 */
 	private static final int MAX_COMPLETIONS = 24;
 
+	/** With fewer completions the rate is unknown, and the expected wait is 0. */
 	private static final int MIN_COMPLETIONS = 4;
 
 	private static final long MIN_RETRY_AFTER_NANOS = 200_000_000L;
@@ -47,19 +51,31 @@
 	 */
 	private static final long SHORT_PAUSE_NANOS = 300_000_000L;
 
-	private static final int MAX_WAITING = 2_000;
+	private static final int MAX_QUEUE_LENGTH = 2_000;
 
-	/** Entries send their counts every 200 ms; four lost in a row expire them. */
-	private static final long COUNTS_VALID_NANOS = 900_000_000L;
+	/**
+	 * Time after which the counts received from another entry expire. Entries send them
+	 * every 200 ms, so four in a row are lost by then.
+	 */
+	private static final long COUNTS_VALIDITY_NANOS = 900_000_000L;
 
-	/** Interval at which a few requests probe the group after a group fault. */
-	private static final long HALT_NANOS = 300_000_000L;
+	/**
+	 * Time for which requests are rejected after a group fault. The next requests probe
+	 * whether the group runs again.
+	 */
+	private static final long GROUP_FAULT_REJECTION_NANOS = 300_000_000L;
 
-	/** A group needs about two seconds to detect a lost rank and re-form. */
-	private static final long GROUP_RETRY_NANOS = 2_000_000_000L;
+	/**
+	 * Delay after which the caller of a request rejected by a group fault may retry. A
+	 * group needs about two seconds to detect a lost rank and re-form.
+	 */
+	private static final long GROUP_FAULT_RETRY_AFTER_NANOS = 2_000_000_000L;
 
-	/** Requests that are already late lose least by waiting, so they come last. */
-	private static final Comparator<WaitingRequest> ORDER = Comparator.comparingInt(WaitingRequest::priority)
+	/**
+	 * Order of the queue. Within a priority, requests that were rejected before are late
+	 * already and lose least by waiting, so they come last.
+	 */
+	private static final Comparator<WaitingRequest> QUEUE_ORDER = Comparator.comparingInt(WaitingRequest::priority)
 		.thenComparing(WaitingRequest::rejectedBefore)
 		.thenComparingLong(WaitingRequest::arrival)
 		.thenComparingLong(WaitingRequest::id);
@@ -72,13 +88,13 @@
 
 	private final Map<String, Long> countsReceivedAt = new HashMap<>();
 
-	private final PriorityQueue<WaitingRequest> queue = new PriorityQueue<>(ORDER);
+	private final PriorityQueue<WaitingRequest> queue = new PriorityQueue<>(QUEUE_ORDER);
 
 	private final Deque<Long> completions = new ArrayDeque<>();
 
 	private final ArrivalRate arrivals = new ArrivalRate();
 
-	private long haltedUntil = Long.MIN_VALUE;
+	private long rejectingUntil = Long.MIN_VALUE;
 
 	/**
 	 * Creates a pool without servers.
@@ -142,7 +158,7 @@
 	// The requests of a crashed entry ended with it; its counts must not occupy slots.
 	private void expireCounts(long now) {
 		this.countsReceivedAt.entrySet().removeIf((entry) -> {
-			boolean expired = now - entry.getValue() > COUNTS_VALID_NANOS;
+			boolean expired = now - entry.getValue() > COUNTS_VALIDITY_NANOS;
 			if (expired) {
 				this.servers.values().forEach((server) -> server.updateInFlight(entry.getKey(), 0));
 			}
@@ -158,20 +174,20 @@
 	 */
 	public SlotDecision offer(WaitingRequest request, long now) {
 		this.arrivals.recordArrival(now);
-		if (now < this.haltedUntil) {
-			return refuse(request, "group-fault", GROUP_RETRY_NANOS);
+		if (now < this.rejectingUntil) {
+			return refuse(request, "group-fault", GROUP_FAULT_RETRY_AFTER_NANOS);
 		}
-		boolean othersFirst = this.queue.stream().anyMatch((other) -> ORDER.compare(other, request) < 0);
-		Optional<PoolServer> free = othersFirst ? Optional.empty() : selectServer(request.excluded(), now);
+		boolean othersPrecede = this.queue.stream().anyMatch((other) -> QUEUE_ORDER.compare(other, request) < 0);
+		Optional<PoolServer> free = othersPrecede ? Optional.empty() : selectServer(request.excluded(), now);
 		if (free.isPresent()) {
 			return grant(request, free.get());
 		}
-		if (usable(now + SHORT_PAUSE_NANOS).isEmpty()) {
-			return refuse(request, "no-server", untilUsable(now));
+		if (usableServers(now + SHORT_PAUSE_NANOS).isEmpty()) {
+			return refuse(request, "no-server", nanosUntilUsable(now));
 		}
-		double wait = expectedWait(request, now);
-		if (now + wait > request.latestStart() || this.queue.size() >= MAX_WAITING) {
-			return refuse(request, "no-place-in-time", (long) wait);
+		double waitNanos = expectedWaitNanos(request, now);
+		if (now + waitNanos > request.latestStart() || this.queue.size() >= MAX_QUEUE_LENGTH) {
+			return refuse(request, "no-place-in-time", (long) waitNanos);
 		}
 		this.queue.add(request);
 		return new SlotPending(request.id());
@@ -215,7 +231,7 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public void recordGroupFault(long now) {
-		this.haltedUntil = now + HALT_NANOS;
+		this.rejectingUntil = now + GROUP_FAULT_REJECTION_NANOS;
 	}
 
 	/**
@@ -235,8 +251,9 @@
 	 */
 	public List<SlotDecision> processQueue(long now) {
 		List<SlotDecision> decisions = new ArrayList<>();
-		if (now < this.haltedUntil) {
-			this.queue.forEach((request) -> decisions.add(refuse(request, "group-fault", GROUP_RETRY_NANOS)));
+		if (now < this.rejectingUntil) {
+			this.queue
+				.forEach((request) -> decisions.add(refuse(request, "group-fault", GROUP_FAULT_RETRY_AFTER_NANOS)));
 			this.queue.clear();
 		}
 		Iterator<WaitingRequest> late = this.queue.iterator();
@@ -244,7 +261,7 @@
 			WaitingRequest request = late.next();
 			if (now > request.latestStart()) {
 				late.remove();
-				decisions.add(refuse(request, "waited-in-vain", (long) expectedWait(request, now)));
+				decisions.add(refuse(request, "waited-in-vain", (long) expectedWaitNanos(request, now)));
 			}
 		}
 		List<WaitingRequest> skipped = new ArrayList<>();
@@ -284,20 +301,20 @@
 
 	private Optional<PoolServer> selectServer(Set<String> excluded, long now) {
 		expireCounts(now);
-		List<PoolServer> free = usable(now).stream()
+		List<PoolServer> free = usableServers(now).stream()
 			.filter((server) -> server.freeSlots() > 0 && !excluded.contains(server.announcement().server()))
 			.toList();
 		return this.selector.select(free, this.arrivals.perSecond(now) * this.countsReceivedAt.size());
 	}
 
-	private List<PoolServer> usable(long now) {
+	private List<PoolServer> usableServers(long now) {
 		return this.servers.values()
 			.stream()
 			.filter((server) -> server.acceptsRequests() && !server.isPaused(now))
 			.toList();
 	}
 
-	private long untilUsable(long now) {
+	private long nanosUntilUsable(long now) {
 		return this.servers.values()
 			.stream()
 			.filter(PoolServer::acceptsRequests)
@@ -306,10 +323,11 @@
 			.orElse(MAX_RETRY_AFTER_NANOS / 2);
 	}
 
-	// Slots become free in bursts, as several requests of a batch end with the same
-	// forward pass, so the rate is averaged over many completions.
-	private double expectedWait(WaitingRequest request, long now) {
-		long ahead = this.queue.stream().filter((other) -> ORDER.compare(other, request) < 0).count();
+	// Estimates the wait in nanoseconds from the number of requests ahead and the rate
+	// of completions. Slots become free in bursts, as several requests of a batch end
+	// with the same forward pass, so the rate is averaged over many completions.
+	private double expectedWaitNanos(WaitingRequest request, long now) {
+		long ahead = this.queue.stream().filter((other) -> QUEUE_ORDER.compare(other, request) < 0).count();
 		if (this.completions.size() < MIN_COMPLETIONS) {
 			return 0;
 		}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServerDirectoryTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServerDirectoryTests.java
@@ -17,9 +17,10 @@
 
 	private final ServerDirectory directory = new ServerDirectory();
 
-	private static ServerAnnouncement announcement(String id, int port, long started, long sequence,
+	private static ServerAnnouncement announcement(String id, int port, long startedMillis, long sequence,
 			ServerState state) {
-		return new ServerAnnouncement(id, "service", new HostPort("127.0.0.1", port), "a", started, sequence, 8, state);
+		return new ServerAnnouncement(id, "service", new HostPort("127.0.0.1", port), "a", startedMillis, sequence, 8,
+				state);
 	}
 
 	@Test
