Reword the copies of a plan and the sums of expert choices

What read badly: the planner counted the new copies of each rank in an array named copies, and ExpertTraffic had two methods add for different things.

What changed: comments, local variables and a private name.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayoutPlanner.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayoutPlanner.java
@@ -78,15 +78,15 @@
 		for (int set = 0; set < current.sets(); set++) {
 			sets.add(LayerSetLoads.of(current.experts().get(set), demand.chosen()[set], demand.slowdown()));
 		}
-		int[] copies = new int[current.ranks()];
+		int[] newCopiesByRank = new int[current.ranks()];
 		List<LayerSetLoads> improvable = new ArrayList<>(sets);
 		for (int move = 0; move < MAX_MOVES_PER_SET * sets.size() && !improvable.isEmpty(); move++) {
 			LayerSetLoads worst = Collections.max(improvable, Comparator.comparingDouble(LayerSetLoads::skew));
-			Optional<Move> best = bestMove(worst, copies);
+			Optional<Move> best = bestMove(worst, newCopiesByRank);
 			if (best.isPresent()) {
 				best.get().apply(worst);
 				worst.recompute();
-				best.get().countCopies(worst, copies);
+				best.get().countCopies(worst, newCopiesByRank);
 			}
 			else {
 				improvable.remove(worst);
@@ -95,10 +95,10 @@
 		return new ExpertLayout(sets.stream().map(LayerSetLoads::layout).toList());
 	}
 
-	private Optional<Move> bestMove(LayerSetLoads loads, int[] copies) {
+	private Optional<Move> bestMove(LayerSetLoads loads, int[] newCopiesByRank) {
 		double least = loads.cost() * (1 - MIN_COST_REDUCTION_IN_RANKS / loads.ranks());
 		Move best = null;
-		for (Move move : candidateMoves(loads, copies)) {
+		for (Move move : candidateMoves(loads, newCopiesByRank)) {
 			move.apply(loads);
 			double cost = loads.cost();
 			move.undo(loads);
@@ -110,24 +110,24 @@
 		return Optional.ofNullable(best);
 	}
 
-	private List<Move> candidateMoves(LayerSetLoads loads, int[] copies) {
+	private List<Move> candidateMoves(LayerSetLoads loads, int[] newCopiesByRank) {
 		List<Move> moves = new ArrayList<>();
 		int busiest = loads.busiest();
-		List<Integer> lightest = loads.lightest(MAX_CANDIDATE_RANKS, (rank) -> copies[rank] < this.newPerRank);
+		List<Integer> lightest = loads.lightest(MAX_CANDIDATE_RANKS, (rank) -> newCopiesByRank[rank] < this.newPerRank);
 		for (int expert : loads.heaviest(busiest, MAX_CANDIDATE_EXPERTS)) {
 			if (loads.copies(expert) > 1) {
 				moves.add(new Move(busiest, expert, Move.NONE, Move.NONE, Move.NONE));
 			}
 			for (int rank : lightest) {
 				if (rank != busiest && !loads.holds(rank, expert)) {
-					addMovesFor(moves, loads, copies, new Transfer(busiest, expert, rank));
+					addMovesFor(moves, loads, newCopiesByRank, new Transfer(busiest, expert, rank));
 				}
 			}
 		}
 		return moves;
 	}
 
-	private void addMovesFor(List<Move> moves, LayerSetLoads loads, int[] copies, Transfer transfer) {
+	private void addMovesFor(List<Move> moves, LayerSetLoads loads, int[] newCopiesByRank, Transfer transfer) {
 		int from = transfer.from();
 		int to = transfer.to();
 		int expert = transfer.expert();
@@ -143,7 +143,7 @@
 			if (loads.copies(evicted) > 1) {
 				moves.add(new Move(Move.NONE, Move.NONE, to, expert, evicted));
 			}
-			boolean canSwap = copies[from] < this.newPerRank && !loads.holds(from, evicted)
+			boolean canSwap = newCopiesByRank[from] < this.newPerRank && !loads.holds(from, evicted)
 					&& isWithinNewPerSet(loads, from, evicted, expert);
 			if (canSwap) {
 				moves.add(new Move(from, expert, to, expert, evicted));
@@ -181,13 +181,13 @@
 
 		// Adds the copies of this move to the number of copies by rank. A copy that a
 		// later move evicts remains counted, so a little of the limit may stay unused.
-		void countCopies(LayerSetLoads loads, int[] copies) {
+		void countCopies(LayerSetLoads loads, int[] newCopiesByRank) {
 			if (this.addedExpert != NONE && loads.mustCopy(this.to, this.addedExpert)) {
-				copies[this.to]++;
+				newCopiesByRank[this.to]++;
 			}
 			if (this.evictedExpert != NONE && this.removedExpert != NONE
 					&& loads.mustCopy(this.from, this.evictedExpert)) {
-				copies[this.from]++;
+				newCopiesByRank[this.from]++;
 			}
 		}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertTraffic.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertTraffic.java
@@ -152,7 +152,7 @@
 			return;
 		}
 		double[][] round = new double[this.sets][this.experts];
-		closing.values().forEach((pass) -> add(round, pass.counts()));
+		closing.values().forEach((pass) -> addCounts(round, pass.counts()));
 		closing.clear();
 		this.lastClosedPass = lastPass;
 		this.roundClosedAt = now;
@@ -219,11 +219,11 @@
 
 	private double[][] sum() {
 		double[][] sum = new double[this.sets][this.experts];
-		this.retainedRounds.forEach((round) -> add(sum, round));
+		this.retainedRounds.forEach((round) -> addCounts(sum, round));
 		return sum;
 	}
 
-	private static void add(double[][] sum, double[][] counts) {
+	private static void addCounts(double[][] sum, double[][] counts) {
 		for (int set = 0; set < sum.length; set++) {
 			for (int expert = 0; expert < sum[set].length; expert++) {
 				sum[set][expert] += counts[set][expert];
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/LayerSetLoads.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/LayerSetLoads.java
@@ -175,6 +175,7 @@
 		return square * square * square * square;
 	}
 
+	// Returns the sum of the costs of all ranks, which the local search lowers.
 	double cost() {
 		return this.cost;
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
@@ -14,7 +14,7 @@
  * The deputy receives the switch before the pass is held. If no notice that the switch
  * has ended arrives within the timeout, it sends the orders for the same pass again: hold
  * it, arm all ranks, release it. It is safe if the coordinator is still running and both
- * send orders at the same time: orders are idempotent, both release the pass only after
+ * send orders at the same time: orders are idempotent, the pass is released only after
  * all ranks are armed or after a rollback, and an engine refuses to hold or to arm for a
  * pass that has begun.
  */
