Sort an import after the renames

Cause: ControlNode imported a renamed type out of order, which the linter rejects.

Change: the import moves; nothing else. Found by sorting the imports of all files that the renames changed.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/member/ControlNode.java
@@ -7,7 +7,6 @@
 import org.comfreywall.common.decision.DecisionListener;
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.util.Preconditions;
-import org.comfreywall.control.spread.RevisionCoverage;
 import org.comfreywall.control.spread.EntryChange;
 import org.comfreywall.control.spread.LaggingNode;
 import org.comfreywall.control.spread.NodeDescriptor;
@@ -17,6 +16,7 @@
 import org.comfreywall.control.spread.RelayTreeEvent;
 import org.comfreywall.control.spread.RelayTreeNode;
 import org.comfreywall.control.spread.RelayTreeSettings;
+import org.comfreywall.control.spread.RevisionCoverage;
 
 /**
  * The node of a control instance. It combines a node of the relay tree with a membership
