--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/EventLoopDeputyPort.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/EventLoopDeputyPort.java
@@ -11,19 +11,19 @@
  * Dispatches calls of the thread that coordinates groups to the event loop.
  *
  * @param loop the event loop
- * @param calls sends the messages to the deputies
+ * @param messenger sends the messages to the deputies
  */
-record EventLoopDeputyPort(Executor loop, GroupMessenger calls) implements DeputyPort {
+record EventLoopDeputyPort(Executor loop, GroupMessenger messenger) implements DeputyPort {
 
 	@Override
 	public CompletableFuture<Void> delegate(DelegatedSwitch delegatedSwitch) {
-		return CompletableFuture.supplyAsync(() -> this.calls.delegate(delegatedSwitch), this.loop)
+		return CompletableFuture.supplyAsync(() -> this.messenger.delegate(delegatedSwitch), this.loop)
 			.thenCompose(Function.identity());
 	}
 
 	@Override
 	public void notifyEnded(DelegatedSwitch delegatedSwitch) {
-		this.loop.execute(() -> this.calls.notifyEnded(delegatedSwitch));
+		this.loop.execute(() -> this.messenger.notifyEnded(delegatedSwitch));
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -176,7 +176,7 @@
 		}));
 		this.server.register(FleetMethods.DOCUMENT, (caller, request) -> onLoop(() -> document(request)));
 		this.server.register(FleetMethods.BOOTSTRAP,
-				(caller, request) -> onLoop(() -> this.bootstrap.handleRequest(request)));
+				(caller, request) -> onLoop(() -> this.bootstrap.handleFoundingRequest(request)));
 		this.server.register(RankMethods.RANK, (caller, notice) -> onLoop(() -> this.groups.handleRankNotice(notice)));
 		this.server.register(RankMethods.SWITCH,
 				(caller, notice) -> onLoop(() -> this.groups.handleSwitchNotice(notice)));
@@ -223,9 +223,9 @@
 	public CompletableFuture<Boolean> announceToAll(ServerAnnouncement announcement) {
 		merge(announcement, System.nanoTime());
 		FleetNews update = newUpdate().addServers(FleetCodec.encode(announcement, 0)).build();
-		UpdateAcknowledgements acknowledgements = new UpdateAcknowledgements(this.peers.live(System.nanoTime()),
+		UpdateAcknowledgements acknowledgements = new UpdateAcknowledgements(this.peers.livePeers(System.nanoTime()),
 				this.settings.targetVoters(), this.replica.isPresent());
-		for (FleetPeer peer : this.peers.live(System.nanoTime())) {
+		for (FleetPeer peer : this.peers.livePeers(System.nanoTime())) {
 			this.clients.findOrOpen(peer.address())
 				.call(FleetMethods.ACKNOWLEDGED_UPDATE, update, CALL_TIMEOUT)
 				.thenAcceptAsync((reply) -> acknowledgements.recordReply(peer, reply.value().isPresent()), this.loop);
@@ -296,8 +296,8 @@
 	 * @return {@code false} if it may be partitioned from the fleet
 	 */
 	public boolean reachesMajority() {
-		int known = this.peers.known().size() + 1;
-		return (this.peers.live(System.nanoTime()).size() + 1) * 2 > known;
+		int known = this.peers.knownPeers().size() + 1;
+		return (this.peers.livePeers(System.nanoTime()).size() + 1) * 2 > known;
 	}
 
 	/**
@@ -390,9 +390,10 @@
 			this.listener.onSlowServers(slow);
 		}
 		if (full) {
-			this.peers.known().forEach((peer) -> update.addMembers(FleetCodec.encode(peer)));
-			this.directory.all()
-				.forEach((each) -> update.addServers(FleetCodec.encode(each, this.directory.age(each.server(), now))));
+			this.peers.knownPeers().forEach((peer) -> update.addMembers(FleetCodec.encode(peer)));
+			this.directory.allAnnouncements()
+				.forEach((each) -> update
+					.addServers(FleetCodec.encode(each, this.directory.announcementAgeNanos(each.server(), now))));
 		}
 		else {
 			this.unsentAnnouncements.values().forEach((each) -> update.addServers(FleetCodec.encode(each, 0)));
@@ -527,7 +528,7 @@
 
 	private void updateLiveInstances(long now) {
 		Set<String> liveNow = new HashSet<>();
-		this.peers.live(now).forEach((peer) -> liveNow.add(peer.instance()));
+		this.peers.livePeers(now).forEach((peer) -> liveNow.add(peer.instance()));
 		liveNow.stream()
 			.filter((instance) -> !this.liveInstances.contains(instance))
 			.forEach((instance) -> LOG.info("peer-regained", Field.of("peer", instance)));
@@ -547,7 +548,7 @@
 				lost.add(member.instance().value());
 			}
 		});
-		this.planner.nextChange(node.status().membership(), this.peers.live(now), lost)
+		this.planner.nextChange(node.status().membership(), this.peers.livePeers(now), lost)
 			.ifPresent((change) -> node.changeMembers(change)
 				.thenAccept((result) -> LOG.info("voters-changed", Field.of("change", change),
 						Field.of("error", result.error().map((error) -> error.message()).orElse("none")))));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/GroupMessenger.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/GroupMessenger.java
@@ -78,7 +78,7 @@
 		}
 		RankNoticeReply.Builder reply = RankNoticeReply.newBuilder()
 			.setLeader(address.map(HostPort::toString).orElse(""));
-		this.peers.live(System.nanoTime()).forEach((peer) -> reply.addMembers(peer.address().toString()));
+		this.peers.livePeers(System.nanoTime()).forEach((peer) -> reply.addMembers(peer.address().toString()));
 		return Result.success(reply.addMembers(this.settings.address().toString()).build());
 	}
 
@@ -108,7 +108,7 @@
 	}
 
 	CompletableFuture<Void> delegate(DelegatedSwitch delegatedSwitch) {
-		this.deputies = this.peers.live(System.nanoTime()).stream().limit(MAX_DEPUTIES).toList();
+		this.deputies = this.peers.livePeers(System.nanoTime()).stream().limit(MAX_DEPUTIES).toList();
 		LOG.info("switch-entrusted", Field.of("group", delegatedSwitch.group()),
 				Field.of("version", delegatedSwitch.version()), Field.of("step", delegatedSwitch.step()),
 				Field.of("deputies", this.deputies.stream().map(FleetPeer::address).toList()));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogBootstrap.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogBootstrap.java
@@ -71,7 +71,7 @@
 		}
 		FoundingRequest request = FoundingRequest.newBuilder().setMember(FleetCodec.encode(this.self.get())).build();
 		CompletableFuture<Result<FoundingReply>> resultFuture = coordinator.get().equals(this.settings.address())
-				? CompletableFuture.completedFuture(handleRequest(request))
+				? CompletableFuture.completedFuture(handleFoundingRequest(request))
 				: this.clients.findOrOpen(coordinator.get()).call(FleetMethods.BOOTSTRAP, request, REQUEST_TIMEOUT);
 		resultFuture.thenAcceptAsync((result) -> openWithInitialVoters(replica, result), this.loop);
 	}
@@ -99,7 +99,7 @@
 
 	// Registers the sender as a candidate; the reply is empty until the initial voters
 	// are chosen.
-	Result<FoundingReply> handleRequest(FoundingRequest request) {
+	Result<FoundingReply> handleFoundingRequest(FoundingRequest request) {
 		FoundingReply.Builder reply = FoundingReply.newBuilder();
 		// After the first start no voters are chosen, so that the log is
 		// bootstrapped once.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerClients.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerClients.java
@@ -61,7 +61,7 @@
 			return unknown;
 		});
 		Map<String, RpcClient> connected = new HashMap<>();
-		for (FleetPeer peer : peers.known()) {
+		for (FleetPeer peer : peers.knownPeers()) {
 			RpcClient client = this.byAddress.get(peer.address());
 			if (client != null) {
 				connected.put(peer.instance(), client);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerTable.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerTable.java
@@ -17,7 +17,7 @@
 	 * Time since its last update for which a process counts as live; seven updates in a
 	 * row are missing by then.
 	 */
-	static final Duration LIVE = Duration.ofMillis(1500);
+	static final Duration LIVE_TIMEOUT = Duration.ofMillis(1500);
 
 	/**
 	 * Time for which processes without updates are kept, so that those behind a partition
@@ -63,12 +63,12 @@
 			.findFirst();
 	}
 
-	List<FleetPeer> known() {
+	List<FleetPeer> knownPeers() {
 		return this.entries.values().stream().map((entry) -> entry.peer).filter((peer) -> peer != null).toList();
 	}
 
-	List<FleetPeer> live(long now) {
-		return updatedWithin(LIVE, now);
+	List<FleetPeer> livePeers(long now) {
+		return updatedWithin(LIVE_TIMEOUT, now);
 	}
 
 	List<FleetPeer> updatedWithin(Duration age, long now) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertDemand.java
@@ -8,16 +8,16 @@
  * The load of a group's experts and the slowdown of its ranks, which a plan is computed
  * from.
  *
- * @param chosen the number of times that each expert was chosen, by set of layers and
- * expert; only the ratios within a set matter
- * @param slowdown the slowdown factor of each rank against its usual time; 1 if it is
+ * @param choiceCounts the number of times that each expert was chosen, by set of layers
+ * and expert; only the ratios within a set matter
+ * @param slowdowns the slowdown factor of each rank against its usual time; 1 if it is
  * healthy
  */
-record ExpertDemand(double[][] chosen, double[] slowdown) {
+record ExpertDemand(double[][] choiceCounts, double[] slowdowns) {
 
 	ExpertDemand {
-		Preconditions.notNull(chosen, "chosen");
-		Preconditions.notNull(slowdown, "slowdown");
+		Preconditions.notNull(choiceCounts, "chosen");
+		Preconditions.notNull(slowdowns, "slowdown");
 	}
 
 	/**
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayout.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayout.java
@@ -68,7 +68,7 @@
 	double skew(ExpertDemand demand) {
 		double sum = 0;
 		for (int set = 0; set < sets(); set++) {
-			sum += LayerSetLoads.of(this.experts.get(set), demand.chosen()[set], demand.slowdown()).skew();
+			sum += LayerSetLoads.of(this.experts.get(set), demand.choiceCounts()[set], demand.slowdowns()).skew();
 		}
 		return sum / sets();
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayoutPlanner.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertLayoutPlanner.java
@@ -76,7 +76,7 @@
 	ExpertLayout plan(ExpertLayout current, ExpertDemand demand) {
 		List<LayerSetLoads> sets = new ArrayList<>();
 		for (int set = 0; set < current.sets(); set++) {
-			sets.add(LayerSetLoads.of(current.experts().get(set), demand.chosen()[set], demand.slowdown()));
+			sets.add(LayerSetLoads.of(current.experts().get(set), demand.choiceCounts()[set], demand.slowdowns()));
 		}
 		int[] newCopiesByRank = new int[current.ranks()];
 		List<LayerSetLoads> improvable = new ArrayList<>(sets);
@@ -112,10 +112,11 @@
 
 	private List<Move> candidateMoves(LayerSetLoads loads, int[] newCopiesByRank) {
 		List<Move> moves = new ArrayList<>();
-		int busiest = loads.busiest();
-		List<Integer> lightest = loads.lightest(MAX_CANDIDATE_RANKS, (rank) -> newCopiesByRank[rank] < this.newPerRank);
-		for (int expert : loads.heaviest(busiest, MAX_CANDIDATE_EXPERTS)) {
-			if (loads.copies(expert) > 1) {
+		int busiest = loads.mostLoadedRank();
+		List<Integer> lightest = loads.leastLoadedRanks(MAX_CANDIDATE_RANKS,
+				(rank) -> newCopiesByRank[rank] < this.newPerRank);
+		for (int expert : loads.heaviestExperts(busiest, MAX_CANDIDATE_EXPERTS)) {
+			if (loads.copyCount(expert) > 1) {
 				moves.add(new Move(busiest, expert, Move.NONE, Move.NONE, Move.NONE));
 			}
 			for (int rank : lightest) {
@@ -140,7 +141,7 @@
 			if (!isWithinNewPerSet(loads, to, expert, evicted)) {
 				continue;
 			}
-			if (loads.copies(evicted) > 1) {
+			if (loads.copyCount(evicted) > 1) {
 				moves.add(new Move(Move.NONE, Move.NONE, to, expert, evicted));
 			}
 			boolean canSwap = newCopiesByRank[from] < this.newPerRank && !loads.holds(from, evicted)
@@ -193,31 +194,31 @@
 
 		void apply(LayerSetLoads loads) {
 			if (this.addedExpert != NONE) {
-				loads.add(this.to, this.addedExpert);
+				loads.addCopy(this.to, this.addedExpert);
 			}
 			if (this.evictedExpert != NONE && this.removedExpert != NONE) {
-				loads.add(this.from, this.evictedExpert);
+				loads.addCopy(this.from, this.evictedExpert);
 			}
 			if (this.removedExpert != NONE) {
-				loads.remove(this.from, this.removedExpert);
+				loads.removeCopy(this.from, this.removedExpert);
 			}
 			if (this.evictedExpert != NONE) {
-				loads.remove(this.to, this.evictedExpert);
+				loads.removeCopy(this.to, this.evictedExpert);
 			}
 		}
 
 		void undo(LayerSetLoads loads) {
 			if (this.evictedExpert != NONE) {
-				loads.add(this.to, this.evictedExpert);
+				loads.addCopy(this.to, this.evictedExpert);
 			}
 			if (this.removedExpert != NONE) {
-				loads.add(this.from, this.removedExpert);
+				loads.addCopy(this.from, this.removedExpert);
 			}
 			if (this.evictedExpert != NONE && this.removedExpert != NONE) {
-				loads.remove(this.from, this.evictedExpert);
+				loads.removeCopy(this.from, this.evictedExpert);
 			}
 			if (this.addedExpert != NONE) {
-				loads.remove(this.to, this.addedExpert);
+				loads.removeCopy(this.to, this.addedExpert);
 			}
 		}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertTraffic.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/ExpertTraffic.java
@@ -119,7 +119,7 @@
 	 * counts, set by set; ignored if empty, which means that they were not read
 	 * @param now the current time in nanoseconds
 	 */
-	void add(int rank, int ranks, long pass, List<Integer> counts, long now) {
+	void addReport(int rank, int ranks, long pass, List<Integer> counts, long now) {
 		if (counts.size() != this.sets * this.experts || pass <= this.lastClosedPass) {
 			return;
 		}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/GroupDriver.java
@@ -141,7 +141,7 @@
 
 	// Sends the hold order at once instead of with the next tick.
 	private void onDelegationConfirmed(String group, RebalanceCoordinator coordinator, DelegatedSwitch confirmed) {
-		coordinator.delegationConfirmed(confirmed, System.nanoTime());
+		coordinator.handleDelegationConfirmed(confirmed, System.nanoTime());
 		if (this.coordinators.get(group) == coordinator) {
 			sendDueOrders(group);
 		}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/LayerSetLoads.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/LayerSetLoads.java
@@ -75,14 +75,14 @@
 	}
 
 	private double loadPerCopy(int expert) {
-		return this.choiceCounts[expert] / copies(expert);
+		return this.choiceCounts[expert] / copyCount(expert);
 	}
 
 	int ranks() {
 		return this.loads.length;
 	}
 
-	int copies(int expert) {
+	int copyCount(int expert) {
 		return this.ranksByExpert.get(expert).size();
 	}
 
@@ -104,7 +104,7 @@
 		return this.expertsByRank.stream().map((experts) -> experts.stream().sorted().toList()).toList();
 	}
 
-	List<Integer> heaviest(int rank, int most) {
+	List<Integer> heaviestExperts(int rank, int most) {
 		return this.expertsByRank.get(rank)
 			.stream()
 			.sorted(Comparator.comparingDouble((Integer expert) -> -loadPerCopy(expert)))
@@ -112,7 +112,7 @@
 			.toList();
 	}
 
-	List<Integer> lightest(int most, IntPredicate allowed) {
+	List<Integer> leastLoadedRanks(int most, IntPredicate allowed) {
 		return IntStream.range(0, this.loads.length)
 			.filter(allowed)
 			.boxed()
@@ -121,7 +121,7 @@
 			.toList();
 	}
 
-	int busiest() {
+	int mostLoadedRank() {
 		int busiest = 0;
 		for (int rank = 1; rank < this.loads.length; rank++) {
 			if (this.loads[rank] > this.loads[busiest]) {
@@ -138,24 +138,24 @@
 		for (int rank = 0; rank < this.loads.length; rank++) {
 			sum += this.loads[rank] / this.slowdowns[rank];
 		}
-		return (sum > 0) ? this.loads[busiest()] * this.loads.length / sum : 1;
+		return (sum > 0) ? this.loads[mostLoadedRank()] * this.loads.length / sum : 1;
 	}
 
-	void add(int rank, int expert) {
-		double before = (copies(expert) > 0) ? loadPerCopy(expert) : 0;
-		double after = this.choiceCounts[expert] / (copies(expert) + 1);
+	void addCopy(int rank, int expert) {
+		double before = (copyCount(expert) > 0) ? loadPerCopy(expert) : 0;
+		double after = this.choiceCounts[expert] / (copyCount(expert) + 1);
 		this.ranksByExpert.get(expert).forEach((holder) -> addLoad(holder, after - before));
 		this.ranksByExpert.get(expert).add(rank);
 		this.expertsByRank.get(rank).add(expert);
 		addLoad(rank, after);
 	}
 
-	void remove(int rank, int expert) {
+	void removeCopy(int rank, int expert) {
 		double before = loadPerCopy(expert);
 		this.ranksByExpert.get(expert).remove((Integer) rank);
 		this.expertsByRank.get(rank).remove((Integer) expert);
 		addLoad(rank, -before);
-		if (copies(expert) > 0) {
+		if (copyCount(expert) > 0) {
 			double after = loadPerCopy(expert);
 			this.ranksByExpert.get(expert).forEach((holder) -> addLoad(holder, after - before));
 		}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
@@ -260,7 +260,7 @@
 			return;
 		}
 		if (answer == OrderAnswer.UNKNOWN) {
-			this.retryTimer.markLost(order.rank());
+			this.retryTimer.markUnanswered(order.rank());
 			this.orderUnansweredAt = now;
 			return;
 		}
@@ -361,7 +361,7 @@
 	 * @param delegatedSwitch the switch that was confirmed
 	 * @param now the current time in nanoseconds
 	 */
-	public void delegationConfirmed(DelegatedSwitch delegatedSwitch, long now) {
+	public void handleDelegationConfirmed(DelegatedSwitch delegatedSwitch, long now) {
 		if (this.phase == Phase.ENTRUSTING && delegatedSwitch.step() == this.heldPass
 				&& delegatedSwitch.epoch() == this.epoch) {
 			enterPhase(Phase.HOLDING, now);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderRetryTimer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderRetryTimer.java
@@ -40,7 +40,7 @@
 	 * Records that an order was not answered, so that it is due again at once.
 	 * @param rank the rank that it was sent to
 	 */
-	void markLost(int rank) {
+	void markUnanswered(int rank) {
 		this.sentAtByRank.remove(rank);
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RebalanceCoordinator.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/RebalanceCoordinator.java
@@ -106,7 +106,7 @@
 			this.shiftCountAtPlan = 0;
 		}
 		if (report.epoch() == this.epoch) {
-			this.traffic.add(report.rank(), report.size(), report.step(), choiceCounts, now);
+			this.traffic.addReport(report.rank(), report.size(), report.step(), choiceCounts, now);
 		}
 	}
 
@@ -134,8 +134,8 @@
 	 * @param delegatedSwitch the switch that was confirmed
 	 * @param now the current time in nanoseconds
 	 */
-	public void delegationConfirmed(DelegatedSwitch delegatedSwitch, long now) {
-		this.mapSwitch.delegationConfirmed(delegatedSwitch, now);
+	public void handleDelegationConfirmed(DelegatedSwitch delegatedSwitch, long now) {
+		this.mapSwitch.handleDelegationConfirmed(delegatedSwitch, now);
 	}
 
 	/**
@@ -159,7 +159,7 @@
 
 	private void plan(long term, long now) {
 		TrafficForecast forecast = this.traffic.forecast();
-		if (forecast.total() < MIN_CHOICES_PER_EXPERT * this.shape.experts()) {
+		if (forecast.choicesPerSet() < MIN_CHOICES_PER_EXPERT * this.shape.experts()) {
 			return;
 		}
 		ExpertLayout current = this.mapSwitch.currentLayout(now);
@@ -168,7 +168,7 @@
 		}
 		double[] slowdowns = this.mapSwitch.slowdowns();
 		this.schedule.recordPlan(this.traffic, slowdowns);
-		ExpertDemand demand = new ExpertDemand(forecast.chosen(), slowdowns);
+		ExpertDemand demand = new ExpertDemand(forecast.choiceCounts(), slowdowns);
 		double skewBefore = current.skew(demand);
 		ExpertLayout planned = this.planner.plan(current, demand);
 		double skewAfter = planned.skew(demand);
@@ -191,7 +191,7 @@
 		this.outcomeLoggedAt = now;
 		LOG.info("rebalance", Field.of("outcome", worthwhile ? "switch" : "stay"),
 				Field.of("skew-before", decimal(skewBefore)), Field.of("skew-after", decimal(skewAfter)),
-				Field.of("choices", Math.round(forecast.total())), Field.of("rounds", forecast.rounds()),
+				Field.of("choices", Math.round(forecast.choicesPerSet())), Field.of("rounds", forecast.rounds()),
 				Field.of("drift", decimal(forecast.drift())),
 				Field.of("pass-ms", decimal(this.mapSwitch.averagePassNanos() / 1e6)));
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/SwitchDeputy.java
@@ -77,7 +77,7 @@
 	 */
 	void handleAnswer(RankOrder order, OrderAnswer answer) {
 		if (answer == OrderAnswer.UNKNOWN) {
-			this.retryTimer.markLost(order.rank());
+			this.retryTimer.markUnanswered(order.rank());
 		}
 		else if (order.order() instanceof HoldStep && this.phase == Phase.HOLDING) {
 			// Refused if the pass has begun, so there is nothing left to complete.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -129,7 +129,7 @@
 	 * @param announcement its last announcement
 	 */
 	public void removeServer(ServerAnnouncement announcement) {
-		pool(announcement.service()).remove(announcement.server());
+		pool(announcement.service()).removeServer(announcement.server());
 	}
 
 	/**
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
@@ -72,7 +72,7 @@
 	 * @param now the current time in nanoseconds
 	 * @return the age in nanoseconds; {@link Long#MAX_VALUE} if the server is unknown
 	 */
-	public long age(String server, long now) {
+	public long announcementAgeNanos(String server, long now) {
 		ReceivedAnnouncement latest = this.byServer.get(server);
 		return (latest != null) ? now - latest.receivedAt() : Long.MAX_VALUE;
 	}
@@ -81,7 +81,7 @@
 	 * Returns all announcements, including those of servers that have left.
 	 * @return the announcements
 	 */
-	public List<ServerAnnouncement> all() {
+	public List<ServerAnnouncement> allAnnouncements() {
 		return this.byServer.values().stream().map(ReceivedAnnouncement::announcement).toList();
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
@@ -115,7 +115,7 @@
 		PoolServer known = this.servers.get(announcement.server());
 		boolean sameIncarnation = known != null && known.announcement().startedMillis() == announcement.startedMillis();
 		if (announcement.state() == ServerState.GONE) {
-			remove(announcement.server());
+			removeServer(announcement.server());
 		}
 		else if (sameIncarnation) {
 			known.updateAnnouncement(announcement);
@@ -129,7 +129,7 @@
 	 * Removes a server.
 	 * @param server the server's identifier
 	 */
-	public void remove(String server) {
+	public void removeServer(String server) {
 		this.servers.remove(server);
 	}
 
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ExpertTrafficTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/ExpertTrafficTests.java
@@ -36,7 +36,7 @@
 			this.step++;
 			this.now += 50 * MILLI;
 			for (int rank = 0; rank < RANKS; rank++) {
-				this.traffic.add(rank, RANKS, this.step, counts(popular), this.now);
+				this.traffic.addReport(rank, RANKS, this.step, counts(popular), this.now);
 			}
 		}
 	}
@@ -47,7 +47,7 @@
 		TrafficForecast forecast = this.traffic.forecast();
 		assertThat(forecast.rounds()).isEqualTo(10);
 		assertThat(forecast.drift()).isLessThan(0.01);
-		assertThat(forecast.chosen()[0][0]).isGreaterThan(5 * forecast.chosen()[0][1]);
+		assertThat(forecast.choiceCounts()[0][0]).isGreaterThan(5 * forecast.choiceCounts()[0][1]);
 	}
 
 	@Test
@@ -56,7 +56,7 @@
 		reportPasses(5, 1);
 		TrafficForecast forecast = this.traffic.forecast();
 		assertThat(forecast.rounds()).isEqualTo(1);
-		assertThat(forecast.chosen()[0][5]).isGreaterThan(5 * forecast.chosen()[0][0]);
+		assertThat(forecast.choiceCounts()[0][5]).isGreaterThan(5 * forecast.choiceCounts()[0][0]);
 	}
 
 	@Test
@@ -64,11 +64,13 @@
 		reportPasses(0, 20);
 		this.step++;
 		for (int rank = 1; rank < RANKS; rank++) {
-			this.traffic.add(rank, RANKS, this.step, counts(5), this.now);
+			this.traffic.addReport(rank, RANKS, this.step, counts(5), this.now);
 		}
-		assertThat(this.traffic.forecast().chosen()[0][0]).isGreaterThan(5 * this.traffic.forecast().chosen()[0][5]);
-		this.traffic.add(0, RANKS, this.step, counts(5), this.now);
-		assertThat(this.traffic.forecast().chosen()[0][5]).isGreaterThan(5 * this.traffic.forecast().chosen()[0][0]);
+		assertThat(this.traffic.forecast().choiceCounts()[0][0])
+			.isGreaterThan(5 * this.traffic.forecast().choiceCounts()[0][5]);
+		this.traffic.addReport(0, RANKS, this.step, counts(5), this.now);
+		assertThat(this.traffic.forecast().choiceCounts()[0][5])
+			.isGreaterThan(5 * this.traffic.forecast().choiceCounts()[0][0]);
 	}
 
 	@Test
@@ -78,12 +80,13 @@
 			this.step++;
 			this.now += 50 * MILLI;
 			for (int rank = 1; rank < RANKS; rank++) {
-				this.traffic.add(rank, RANKS, this.step, counts(5), this.now);
+				this.traffic.addReport(rank, RANKS, this.step, counts(5), this.now);
 			}
 		}
-		assertThat(this.traffic.forecast().chosen()[0][5]).isGreaterThan(5 * this.traffic.forecast().chosen()[0][0]);
+		assertThat(this.traffic.forecast().choiceCounts()[0][5])
+			.isGreaterThan(5 * this.traffic.forecast().choiceCounts()[0][0]);
 		long rounds = this.traffic.completedRounds();
-		this.traffic.add(0, RANKS, 20, counts(0), this.now);
+		this.traffic.addReport(0, RANKS, 20, counts(0), this.now);
 		assertThat(this.traffic.completedRounds()).isEqualTo(rounds);
 	}
 
@@ -96,7 +99,7 @@
 				for (int expert = 0; expert < 8; expert++) {
 					counts.add((int) (((expert == 2) ? 300 : 100) * (0.7 + 0.6 * random.nextDouble())));
 				}
-				this.traffic.add(rank, RANKS, pass, counts, pass * 50 * MILLI);
+				this.traffic.addReport(rank, RANKS, pass, counts, pass * 50 * MILLI);
 			}
 		}
 		assertThat(this.traffic.forecast().rounds()).isGreaterThan(12);
@@ -105,7 +108,7 @@
 	@Test
 	void reportsWithoutCountsAreIgnored() {
 		reportPasses(0, 3);
-		this.traffic.add(0, RANKS, this.step + 1, List.of(), this.now);
+		this.traffic.addReport(0, RANKS, this.step + 1, List.of(), this.now);
 		assertThat(this.traffic.completedRounds()).isEqualTo(3);
 	}
 
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/FakeGroup.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/FakeGroup.java
@@ -87,7 +87,7 @@
 		assertThat(this.ranks).as("maps at step %d", this.step).allMatch((rank) -> rank.mapVersion == first);
 	}
 
-	OrderAnswer order(int rank, EngineOrder order, long now) {
+	OrderAnswer handleOrder(int rank, EngineOrder order, long now) {
 		if (this.random.nextDouble() < this.lateShare) {
 			this.lateOrders.add(new LateOrder(now + (2000 + this.random.nextInt(10_000)) * MILLI, rank, order));
 			return OrderAnswer.UNKNOWN;
@@ -146,7 +146,7 @@
 	/**
 	 * Simulates a crash of a rank, after which the group is formed again.
 	 */
-	void reform() {
+	void simulateRankCrash() {
 		this.epoch++;
 		this.heldSince = -1;
 		for (int i = 0; i < this.ranks.size(); i++) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
@@ -49,13 +49,13 @@
 				this.term++;
 			}
 			if (random.nextDouble() < crashPerTick) {
-				group.reform();
+				group.simulateRankCrash();
 			}
 			if (this.mapSwitch.canStart(now)) {
 				this.mapSwitch.start(LAYOUT, this.term, now);
 			}
 			for (RankOrder order : orders(now)) {
-				this.mapSwitch.handleAnswer(order, group.order(order.rank(), order.order(), now), now);
+				this.mapSwitch.handleAnswer(order, group.handleOrder(order.rank(), order.order(), now), now);
 			}
 		}
 	}
@@ -64,7 +64,7 @@
 	private List<RankOrder> orders(long now) {
 		List<RankOrder> orders = new ArrayList<>(this.mapSwitch.tick(now));
 		this.mapSwitch.delegatedSwitch("g").ifPresent((delegatedSwitch) -> {
-			this.mapSwitch.delegationConfirmed(delegatedSwitch, now);
+			this.mapSwitch.handleDelegationConfirmed(delegatedSwitch, now);
 			orders.addAll(this.mapSwitch.tick(now));
 		});
 		return orders;
@@ -116,7 +116,7 @@
 			}
 			long at = now;
 			for (RankOrder order : orders(now)) {
-				OrderAnswer answer = group.order(order.rank(), order.order(), now);
+				OrderAnswer answer = group.handleOrder(order.rank(), order.order(), now);
 				if (answer == OrderAnswer.UNKNOWN) {
 					timeoutAt.add(now + 50 * MILLI);
 					timeouts.add(() -> this.mapSwitch.handleAnswer(order, answer, at + 50 * MILLI));
@@ -158,7 +158,7 @@
 				this.mapSwitch.start(LAYOUT, this.term, now);
 			}
 			for (RankOrder order : this.mapSwitch.tick(now)) {
-				this.mapSwitch.handleAnswer(order, group.order(order.rank(), order.order(), now), now);
+				this.mapSwitch.handleAnswer(order, group.handleOrder(order.rank(), order.order(), now), now);
 			}
 		}
 		assertThat(group.switches()).isPositive();
@@ -167,7 +167,7 @@
 	@Test
 	void ordersOfAnotherEpochAreRefused() {
 		FakeGroup group = new FakeGroup(4, 0, new Random(1));
-		assertThat(group.order(0, new PrepareMap(0, 1, LAYOUT), 0)).isEqualTo(OrderAnswer.REFUSED);
+		assertThat(group.handleOrder(0, new PrepareMap(0, 1, LAYOUT), 0)).isEqualTo(OrderAnswer.REFUSED);
 	}
 
 	@Test
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PlanScheduleTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/PlanScheduleTests.java
@@ -42,7 +42,7 @@
 			chosen.add((expert == popular) ? 9000 : 1000);
 		}
 		this.step++;
-		this.traffic.add(0, 1, this.step, chosen, this.step * ROUND_NANOS);
+		this.traffic.addReport(0, 1, this.step, chosen, this.step * ROUND_NANOS);
 	}
 
 	/**
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/SwitchDeputyTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/SwitchDeputyTests.java
@@ -118,7 +118,7 @@
 			if (delegatedSwitch.isPresent()
 					&& (this.deputy.isEmpty() || !this.deputy.get().delegatedSwitch().equals(delegatedSwitch.get()))) {
 				this.deputy = Optional.of(new SwitchDeputy(delegatedSwitch.get(), TIMEOUT, now));
-				this.coordinator.delegationConfirmed(delegatedSwitch.get(), now);
+				this.coordinator.handleDelegationConfirmed(delegatedSwitch.get(), now);
 			}
 			else if (delegatedSwitch.isEmpty() && !this.completionNoticeLost) {
 				this.deputy = Optional.empty();
@@ -129,7 +129,7 @@
 			for (RankOrder order : orders) {
 				boolean counts = !(order.order() instanceof PrepareMap);
 				if (this.ordersLeft > 0) {
-					OrderAnswer answer = this.group.order(order.rank(), order.order(), now);
+					OrderAnswer answer = this.group.handleOrder(order.rank(), order.order(), now);
 					this.ordersLeft -= counts ? 1 : 0;
 					if (this.ordersLeft > 0) {
 						this.coordinator.handleAnswer(order, answer, now);
@@ -141,8 +141,8 @@
 		private void actAsDeputy(long now) {
 			this.deputy.filter((acting) -> !acting.isDone(now))
 				.ifPresent((acting) -> acting.tick(now)
-					.forEach(
-							(order) -> acting.handleAnswer(order, this.group.order(order.rank(), order.order(), now))));
+					.forEach((order) -> acting.handleAnswer(order,
+							this.group.handleOrder(order.rank(), order.order(), now))));
 		}
 
 	}
