--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
@@ -60,13 +60,13 @@
 		this.tokens = new LeaseTokenBucket(term, context.ratesFrom());
 	}
 
-	void configure(GrantorLimits part) {
+	void configure(GrantorLimits limits) {
 		LeaseTerms terms = this.context.terms();
 		double seconds = terms.burst().toNanos() / 1e9;
 		double slowest = 1 - terms.clockDrift();
-		this.requests.configure(part.requestsPerSecond() * slowest, part.requestsPerSecond() * seconds);
-		this.tokens.configure(part.tokensPerSecond() * slowest, part.tokensPerSecond() * seconds);
-		this.slots = part.slots();
+		this.requests.configure(limits.requestsPerSecond() * slowest, limits.requestsPerSecond() * seconds);
+		this.tokens.configure(limits.tokensPerSecond() * slowest, limits.tokensPerSecond() * seconds);
+		this.slots = limits.slots();
 	}
 
 	AccountGrant handleDemand(HolderKey key, long sequence, Term holderTerm, AccountDemand demand, long now) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/HeldSlots.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/HeldSlots.java
@@ -37,6 +37,7 @@
 		this.usedUntil = requestsEndAt;
 	}
 
+	// Adds a grant. If too many are unconfirmed, the two oldest are merged.
 	void addGrant(SlotGrant grant) {
 		if (this.grants.size() == MAX_GRANTS) {
 			SlotGrant oldest = this.grants.remove(0);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LimitsChanged.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LimitsChanged.java
@@ -16,14 +16,15 @@
  * @param part the part of its limits that this ledger may grant, or empty if the client
  * account was removed
  * @param earlierSlots the maximum number of in-flight slots that earlier grantors may
- * have granted, or empty if unknown; used only when the ledger adds the client account
+ * have granted, or empty if unknown: then the whole slot limit counts as granted until
+ * the earlier grants have expired. Only used when the ledger adds the client account
  */
 public record LimitsChanged(AccountId account, Optional<GrantorLimits> part,
 		OptionalLong earlierSlots) implements LedgerEvent {
 
 	public LimitsChanged {
 		Preconditions.notNull(account, "account");
-		Preconditions.notNull(part, "part");
+		Preconditions.notNull(part, "grantorLimits");
 		Preconditions.notNull(earlierSlots, "earlierSlots");
 	}
 
@@ -31,10 +32,11 @@
 	 * Creates the event without a bound on the slots that earlier grantors may have
 	 * granted.
 	 * @param account the client account
-	 * @param part the part of its limits to grant, or empty if it is removed
+	 * @param grantorLimits the part of its limits that this ledger may grant, or empty if
+	 * the client account was removed
 	 */
-	public LimitsChanged(AccountId account, Optional<GrantorLimits> part) {
-		this(account, part, OptionalLong.empty());
+	public LimitsChanged(AccountId account, Optional<GrantorLimits> grantorLimits) {
+		this(account, grantorLimits, OptionalLong.empty());
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/HardState.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/HardState.java
@@ -11,7 +11,8 @@
  * a reply that depends on it.
  *
  * @param term the newest term seen
- * @param votedFor the candidate that received the vote of this instance in this term
+ * @param votedFor the candidate that received the vote of this instance in this term, or
+ * empty if it has not voted
  */
 public record HardState(Term term, Optional<InstanceId> votedFor) {
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderHandler.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderHandler.java
@@ -195,8 +195,7 @@
 		if (peer != null && peer.matchIndex() == this.state.log().lastIndex()) {
 			this.state.send(target, new TransferRequest());
 			// Steps down in the same call, so that the lease ends before the target can
-			// be
-			// elected.
+			// be elected.
 			this.state.becomeFollower(this.state.term(), Optional.empty());
 		}
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderLease.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderLease.java
@@ -21,10 +21,10 @@
 
 	private final long electedAt;
 
-	LeaderLease(ReplicaState state, Map<InstanceId, FollowerProgress> progress, long electedAt) {
+	LeaderLease(ReplicaState state, Map<InstanceId, FollowerProgress> progress, long electedAtNanos) {
 		this.state = state;
 		this.progress = progress;
-		this.electedAt = electedAt;
+		this.electedAt = electedAtNanos;
 	}
 
 	// Returns the time since the newest message that a quorum replied to was sent, in
@@ -48,9 +48,13 @@
 		if (now - this.electedAt < timeout) {
 			return true;
 		}
+		// 0 for a voter that replied in time, so that the quorum's age is 0 if enough
+		// voters did.
 		return quorumAge((follower) -> follower.repliedWithin(timeout, now) ? 0 : Long.MAX_VALUE) == 0;
 	}
 
+	// Returns the smallest age that a quorum of voters, this instance included, does not
+	// exceed. The age of this instance is 0.
 	private long quorumAge(ToLongFunction<FollowerProgress> age) {
 		Membership membership = this.state.log().membership();
 		long[] ages = membership.voters()
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/PendingReads.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/PendingReads.java
@@ -39,8 +39,8 @@
 
 	// Releases the reads requested before the newest message that a quorum replied to was
 	// sent.
-	void confirm(long quorumAge, long now) {
-		while (!this.pending.isEmpty() && now - this.pending.peekFirst().requestedAt >= quorumAge) {
+	void confirm(long answeredMessageAge, long now) {
+		while (!this.pending.isEmpty() && now - this.pending.peekFirst().requestedAt >= answeredMessageAge) {
 			PendingRead read = this.pending.removeFirst();
 			this.state.emit(new ReadReady(read.read, read.index));
 		}
