Reword crash reports and the poison ledger

Charge, convict and explain stood for recording a loss, quarantining after an isolated run and attributing losses to a known cause. Comments use these terms and say why crash number 0 matches each crash, why a crash replaces the loss of its sidecar, and why losses are attributed only after a crash.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/poison/CrashReport.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/CrashReport.java
@@ -15,7 +15,7 @@
  * @param crash the number of the crash within the sidecar's incarnation, starting at 1,
  * or 0 if the sidecar was lost
  * @param inFlight the fingerprints of the requests in flight
- * @param isolated whether the only request in flight ran isolated
+ * @param isolated whether the only request in flight ran in isolation
  */
 public record CrashReport(CrashEvidence evidence, BackendServerId backendServer, Incarnation incarnation, int crash,
 		List<Fingerprint> inFlight, boolean isolated) {
@@ -25,7 +25,7 @@
 		Preconditions.notNull(backendServer, "backendServer");
 		Preconditions.notNull(incarnation, "incarnation");
 		Preconditions.check((evidence == CrashEvidence.SIDECAR_LOST) ? crash == 0 : crash >= 1,
-				"crash must be 0 if the sidecar was lost and at least 1 otherwise: %d", crash);
+				"crash number must be 0 if the sidecar was lost and at least 1 otherwise: %d", crash);
 		inFlight = List.copyOf(inFlight);
 		Preconditions.check(!isolated || inFlight.size() == 1, "inFlight of an isolated run must have one element: %d",
 				inFlight.size());
--- a/comfreywall-common/src/main/java/org/comfreywall/common/poison/IsolationEnd.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/IsolationEnd.java
@@ -11,7 +11,7 @@
 	 * The backend server was lost during the run, or it is unknown whether it survived.
 	 */
 	LOST,
-	/** The run has not started and never will. */
+	/** The run did not start and will not start later. */
 	NOT_RUN
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/poison/PoisonVerdict.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/PoisonVerdict.java
@@ -5,9 +5,12 @@
  */
 public enum PoisonVerdict {
 
-	/** No crash is attributed to the fingerprint. */
+	/** No loss of a backend server is attributed to the fingerprint. */
 	CLEAR,
-	/** A crash is attributed to the fingerprint; its requests run only in isolation. */
+	/**
+	 * The fingerprint may have caused the loss of a backend server; its requests run only
+	 * in isolation.
+	 */
 	SUSPECT,
 	/** Requests with the fingerprint are rejected. */
 	QUARANTINED
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/CrashCharge.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/CrashCharge.java
@@ -6,20 +6,21 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The loss of a backend server, charged to a fingerprint that was in flight on it.
+ * The loss of a backend server, recorded for a fingerprint that was in flight on it.
  *
  * @param backendServer the backend server that was lost
  * @param incarnation the incarnation of its sidecar
  * @param crash the number of the crash within the incarnation, starting at 1, or 0 if the
  * sidecar was lost
- * @param explained whether the loss is attributed to another, convicted fingerprint
+ * @param explained whether the loss is attributed to a fingerprint that crashed a backend
+ * server in an isolated run; such a loss does not make this fingerprint suspect
  */
 public record CrashCharge(BackendServerId backendServer, Incarnation incarnation, int crash, boolean explained) {
 
 	public CrashCharge {
 		Preconditions.notNull(backendServer, "backendServer");
 		Preconditions.notNull(incarnation, "incarnation");
-		Preconditions.check(crash >= 0, "crash must not be negative: %d", crash);
+		Preconditions.check(crash >= 0, "crash number must not be negative: %d", crash);
 	}
 
 	static CrashCharge of(CrashReport report) {
@@ -34,6 +35,9 @@
 		return this.crash > 0;
 	}
 
+	// Crash number 0 matches each crash of the same incarnation: an entry may report the
+	// loss of the sidecar (0) for the same failure that the sidecar reported as a crash
+	// of its backend server.
 	boolean isSameLoss(CrashCharge other) {
 		boolean sameSidecar = this.backendServer.equals(other.backendServer)
 				&& this.incarnation.equals(other.incarnation);
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonEntry.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonEntry.java
@@ -8,20 +8,25 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The losses of backend servers that the {@link PoisonLedger} charges to one fingerprint.
+ * The losses of backend servers that the {@link PoisonLedger} records for one
+ * fingerprint.
  * <p>
- * Losses attributed to another fingerprint are kept as explained, so that a further crash
- * still counts as the second one.
+ * Losses that are attributed to another fingerprint are kept and marked, so that a
+ * further crash still counts as the second one.
  *
  * @param fingerprint the fingerprint
- * @param charges the losses charged to it, without duplicates, oldest first
+ * @param charges the losses of backend servers on which it was in flight, without
+ * duplicates, oldest first
  * @param convicted whether a backend server was lost while the fingerprint ran in
- * isolation
- * @param changedAt the log time of the last charge or conviction in nanoseconds
+ * isolation, or its isolated run did not end in time
+ * @param changedAt the log time in nanoseconds at which a loss was last recorded
  */
 public record PoisonEntry(Fingerprint fingerprint, List<CrashCharge> charges, boolean convicted, long changedAt) {
 
-	/** Number of crashes that quarantine a fingerprint without an isolated run. */
+	/**
+	 * Number of recorded crashes from which a suspected fingerprint is quarantined
+	 * without an isolated run.
+	 */
 	static final int MAX_CRASHES = 2;
 
 	/** Maximum number of losses kept for one fingerprint. */
@@ -33,24 +38,28 @@
 	}
 
 	PoisonVerdict verdict() {
-		boolean unexplained = this.charges.stream().anyMatch((charge) -> !charge.explained());
+		boolean suspected = this.charges.stream().anyMatch((loss) -> !loss.explained());
 		boolean repeated = this.charges.stream().filter(CrashCharge::isBackendCrash).count() >= MAX_CRASHES;
-		if (this.convicted || (unexplained && repeated)) {
+		if (this.convicted || (suspected && repeated)) {
 			return PoisonVerdict.QUARANTINED;
 		}
-		return unexplained ? PoisonVerdict.SUSPECT : PoisonVerdict.CLEAR;
+		return suspected ? PoisonVerdict.SUSPECT : PoisonVerdict.CLEAR;
 	}
 
-	boolean covers(CrashCharge charge) {
+	// Returns whether a loss is recorded already. The crash of a backend server is not
+	// if only the loss of its sidecar is recorded: only crashes count towards the number
+	// that quarantines, so the crash has to replace that loss.
+	boolean covers(CrashCharge loss) {
 		return this.charges.stream()
-			.anyMatch(
-					(earlier) -> earlier.isSameLoss(charge) && (earlier.isBackendCrash() || !charge.isBackendCrash()));
+			.anyMatch((earlier) -> earlier.isSameLoss(loss) && (earlier.isBackendCrash() || !loss.isBackendCrash()));
 	}
 
-	PoisonEntry withCharge(CrashCharge charge, long now) {
+	// Adds a loss; a crash replaces the recorded loss of its sidecar. Drops the oldest
+	// loss if there are too many.
+	PoisonEntry withCharge(CrashCharge loss, long now) {
 		List<CrashCharge> next = new ArrayList<>(this.charges);
-		next.removeIf(charge::isSameLoss);
-		next.add(charge);
+		next.removeIf(loss::isSameLoss);
+		next.add(loss);
 		if (next.size() > MAX_CHARGES) {
 			next.remove(0);
 		}
@@ -61,9 +70,11 @@
 		return new PoisonEntry(this.fingerprint, this.charges, true, now);
 	}
 
-	PoisonEntry withExplained(List<CrashCharge> losses) {
+	// Marks the recorded losses that are among those attributed to a fingerprint. The
+	// time of the last change stays, as no loss is added.
+	PoisonEntry withExplained(List<CrashCharge> attributed) {
 		List<CrashCharge> next = this.charges.stream()
-			.map((charge) -> losses.stream().anyMatch(charge::isSameLoss) ? charge.asExplained() : charge)
+			.map((loss) -> attributed.stream().anyMatch(loss::isSameLoss) ? loss.asExplained() : loss)
 			.toList();
 		return new PoisonEntry(this.fingerprint, next, this.convicted, this.changedAt);
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedger.java
@@ -20,16 +20,16 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Detects requests that crash backend servers (poison requests): stores which
- * fingerprints were in flight when backend servers were lost, grants suspected ones an
- * isolated run and quarantines those that cause losses.
+ * Detects requests that crash backend servers (poison requests): records for each
+ * fingerprint the losses of backend servers on which it was in flight, grants suspected
+ * fingerprints an isolated run and quarantines those that cause losses.
  * <p>
- * A fingerprint is quarantined once two crashes of backend servers are charged to it, or
- * convicted once a backend server is lost while it runs in isolation. If the sidecar
- * observed the crash of the backend server, the conviction also explains all losses
- * charged to the fingerprint: other fingerprints that were in flight at the same time are
- * cleared unless they are charged with further losses. The ledger is deterministic and
- * its calls are idempotent. Not thread-safe.
+ * A fingerprint is quarantined once two crashes of backend servers are recorded for it,
+ * or once a backend server is lost while it runs in isolation. If the sidecar observed
+ * the crash in the isolated run, all losses recorded for the fingerprint are attributed
+ * to it: other fingerprints that were in flight at these losses are cleared unless
+ * further losses are recorded for them. The ledger is deterministic and its calls are
+ * idempotent. Not thread-safe.
  */
 public final class PoisonLedger {
 
@@ -58,17 +58,18 @@
 	}
 
 	/**
-	 * Charges the loss of a backend server to the requests that were in flight on it.
+	 * Records the loss of a backend server for each fingerprint that was in flight on it.
+	 * If the only request in flight ran in isolation, its fingerprint is quarantined.
 	 * @param report the loss and the requests that were in flight
 	 * @param now the log time in nanoseconds
 	 */
 	public void recordCrash(CrashReport report, long now) {
 		Preconditions.notNull(report, "report");
 		advanceTime(now);
-		CrashCharge charge = CrashCharge.of(report);
-		report.inFlight().forEach((fingerprint) -> recordCrash(fingerprint, charge));
+		CrashCharge loss = CrashCharge.of(report);
+		report.inFlight().forEach((fingerprint) -> recordCrash(fingerprint, loss));
 		if (report.isolated()) {
-			convict(report.inFlight().get(0), charge.isBackendCrash());
+			convict(report.inFlight().get(0), loss.isBackendCrash());
 		}
 	}
 
@@ -77,8 +78,8 @@
 	 * @param fingerprint the suspected fingerprint
 	 * @param owner the request that is to run in isolation
 	 * @param now the log time in nanoseconds
-	 * @return the result; a repeated call of the holder is granted again but does not
-	 * extend the slot
+	 * @return the result; a repeated call of the holder returns the same result but does
+	 * not extend the slot
 	 */
 	public IsolationResult acquire(Fingerprint fingerprint, RequestId owner, long now) {
 		Preconditions.notNull(owner, "owner");
@@ -126,7 +127,7 @@
 	}
 
 	/**
-	 * Removes a fingerprint and the losses charged to it, on behalf of an operator.
+	 * Removes a fingerprint and the losses recorded for it, on behalf of an operator.
 	 * @param fingerprint the fingerprint
 	 * @param now the log time in nanoseconds
 	 * @return whether the ledger held the fingerprint
@@ -141,16 +142,16 @@
 	}
 
 	/**
-	 * Removes expired entries and convicts the holder of an expired slot. Every other
-	 * call that takes a log time does so first.
+	 * Removes expired entries and quarantines the fingerprint whose slot for isolated
+	 * runs has expired. Every other call that takes a log time does so first.
 	 * @param now the log time in nanoseconds
 	 */
 	public void advanceTime(long now) {
 		this.logTime = Math.max(this.logTime, now);
 		if (this.slot.isPresent() && this.slot.get().expiresAt() <= this.logTime) {
-			Fingerprint lost = this.slot.get().fingerprint();
+			Fingerprint isolated = this.slot.get().fingerprint();
 			this.slot = Optional.empty();
-			convict(lost, false);
+			convict(isolated, false);
 		}
 		long cutoff = this.logTime - this.settings.retention().toNanos();
 		List<Fingerprint> expired = new ArrayList<>();
@@ -201,22 +202,25 @@
 		snapshot.entries().forEach((entry) -> this.entries.put(entry.fingerprint(), entry));
 	}
 
-	private void recordCrash(Fingerprint fingerprint, CrashCharge charge) {
+	private void recordCrash(Fingerprint fingerprint, CrashCharge loss) {
 		PoisonEntry entry = this.entries.get(fingerprint);
 		if (entry == null) {
 			evictIfFull();
 			entry = new PoisonEntry(fingerprint, List.of(), false, this.logTime);
 		}
-		if (!entry.covers(charge)) {
-			PoisonEntry charged = entry.withCharge(charge, this.logTime);
-			putLast(charged);
-			recordDecision(fingerprint, charged.verdict().name().toLowerCase(Locale.ROOT),
-					Field.of("backend-server", charge.backendServer()), Field.of("incarnation", charge.incarnation()),
-					Field.of("crash", charge.crash()));
+		if (!entry.covers(loss)) {
+			PoisonEntry updated = entry.withCharge(loss, this.logTime);
+			putLast(updated);
+			recordDecision(fingerprint, updated.verdict().name().toLowerCase(Locale.ROOT),
+					Field.of("backend-server", loss.backendServer()), Field.of("incarnation", loss.incarnation()),
+					Field.of("crash", loss.crash()));
 		}
 	}
 
-	private void convict(Fingerprint fingerprint, boolean explains) {
+	// Quarantines a fingerprint after a loss in its isolated run. All its losses are
+	// attributed to it only if the backend server crashed: a sidecar may be lost, or a
+	// slot expire, for another reason, such as a failure of the instance.
+	private void convict(Fingerprint fingerprint, boolean backendCrashed) {
 		PoisonEntry entry = this.entries.get(fingerprint);
 		if (entry == null) {
 			return;
@@ -225,17 +229,17 @@
 			putLast(entry.asConvicted(this.logTime));
 			recordDecision(fingerprint, "quarantined", Field.of("reason", "lost-in-isolated-run"));
 		}
-		if (explains) {
+		if (backendCrashed) {
 			this.entries.replaceAll((key, other) -> explainLosses(other, entry.charges()));
 		}
 	}
 
 	private PoisonEntry explainLosses(PoisonEntry entry, List<CrashCharge> losses) {
-		PoisonEntry explained = entry.withExplained(losses);
-		if (explained.verdict() != entry.verdict()) {
+		PoisonEntry updated = entry.withExplained(losses);
+		if (updated.verdict() != entry.verdict()) {
 			recordDecision(entry.fingerprint(), "cleared", Field.of("reason", "losses-explained"));
 		}
-		return explained;
+		return updated;
 	}
 
 	private void putLast(PoisonEntry entry) {
@@ -243,6 +247,8 @@
 		this.entries.put(entry.fingerprint(), entry);
 	}
 
+	// Evicts the entry that was changed the longest time ago, a quarantined one only if
+	// all are.
 	private void evictIfFull() {
 		if (this.entries.size() < this.settings.capacity()) {
 			return;
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedgerSettings.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedgerSettings.java
@@ -7,9 +7,10 @@
 /**
  * Limits of a {@link PoisonLedger}; must be equal on all replicas.
  *
- * @param retention how long a fingerprint is kept after its last charge or conviction
- * @param settleTime how long after its last charge a suspected fingerprint must wait for
- * its isolated run; must be long enough for its other runs to end or be cancelled
+ * @param retention how long a fingerprint is kept after its last recorded loss
+ * @param settleTime how long after its last recorded loss a suspected fingerprint must
+ * wait for its isolated run; must be long enough for its other runs to end or be
+ * cancelled
  * @param slotTime how long an isolated run may hold the slot before it counts as a loss
  * @param capacity the maximum number of fingerprints
  */
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonRecords.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonRecords.java
@@ -98,18 +98,18 @@
 				entry.getChangedAtNanos());
 	}
 
-	private static CrashChargeRecord toRecord(CrashCharge charge) {
+	private static CrashChargeRecord toRecord(CrashCharge loss) {
 		return CrashChargeRecord.newBuilder()
-			.setBackendServer(charge.backendServer().value())
-			.setIncarnation(charge.incarnation().value())
-			.setCrash(charge.crash())
-			.setExplained(charge.explained())
+			.setBackendServer(loss.backendServer().value())
+			.setIncarnation(loss.incarnation().value())
+			.setCrash(loss.crash())
+			.setExplained(loss.explained())
 			.build();
 	}
 
-	private static CrashCharge fromRecord(CrashChargeRecord charge) {
-		return new CrashCharge(BackendServerId.of(charge.getBackendServer()), Incarnation.of(charge.getIncarnation()),
-				charge.getCrash(), charge.getExplained());
+	private static CrashCharge fromRecord(CrashChargeRecord loss) {
+		return new CrashCharge(BackendServerId.of(loss.getBackendServer()), Incarnation.of(loss.getIncarnation()),
+				loss.getCrash(), loss.getExplained());
 	}
 
 	private static IsolationSlotRecord toRecord(IsolationSlot slot) {
--- a/comfreywall-control/src/test/java/org/comfreywall/control/ledger/PoisonLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/ledger/PoisonLedgerTests.java
@@ -62,9 +62,9 @@
 		report(CrashEvidence.SIDECAR_LOST, server, 0, false, now, inFlight);
 	}
 
-	private void report(CrashEvidence evidence, String server, int crash, boolean isolated, long now,
+	private void report(CrashEvidence evidence, String server, int crashNumber, boolean isolated, long now,
 			Fingerprint... inFlight) {
-		this.ledger.recordCrash(new CrashReport(evidence, BackendServerId.of(server), Incarnation.of(1), crash,
+		this.ledger.recordCrash(new CrashReport(evidence, BackendServerId.of(server), Incarnation.of(1), crashNumber,
 				List.of(inFlight), isolated), now);
 	}
 
@@ -85,7 +85,7 @@
 	}
 
 	@Nested
-	class Charging {
+	class Recording {
 
 		@Test
 		void suspectsAllRequestsInFlight() {
@@ -211,7 +211,7 @@
 	class Clearing {
 
 		@Test
-		void clearsOtherFingerprintsInFlightWithConvictedOne() {
+		void clearsOtherFingerprintsInFlightWithQuarantinedOne() {
 			crash("a", 0, POISON, HARMLESS);
 			acquire(POISON, RUN, 10);
 			crashIsolated("b", 11, POISON);
@@ -220,7 +220,7 @@
 		}
 
 		@Test
-		void countsExplainedLossTowardsSecondCrash() {
+		void countsLossAttributedToOtherTowardsSecondCrash() {
 			crash("a", 0, POISON, HARMLESS);
 			acquire(HARMLESS, RUN, 10);
 			crashIsolated("b", 11, HARMLESS);
@@ -230,7 +230,7 @@
 		}
 
 		@Test
-		void doesNotExplainLossesWhenSlotExpires() {
+		void doesNotAttributeLossesToHolderOfExpiredSlot() {
 			crash("a", 0, POISON, HARMLESS);
 			acquire(HARMLESS, RUN, 10);
 			PoisonLedgerTests.this.ledger.advanceTime(60);
