Reword candidate selection, the latency window and limits

Limits and best values of the selection had no unit, the window mixed work and cost, the value of an assumed block's sequence number had no reason, and a permit was described as an admission that is returned.

Compiled control, entry and group with their tests. Ran the tests of the poison ledger, leases, log, limits, admission, routing, placement, map switches and requests: 59 passed (tests outside nested classes only). Comments were rewrapped after that run.

--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/LatencyWindow.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/LatencyWindow.java
@@ -4,9 +4,10 @@
 import java.util.Map;
 
 /**
- * Measures the mean run time of the requests in a window by Little's law, as the integral
- * of the running work over the finished work. Unlike a mean over the finished requests,
- * this is not biased towards those that end first.
+ * Measures the mean run time per unit of cost of the requests in a window by Little's
+ * law: the time integral of the running cost, divided by the cost of the requests that
+ * ended. Unlike a mean of the requests that ended, this is not biased towards those that
+ * end first.
  */
 final class LatencyWindow {
 
@@ -38,6 +39,7 @@
 	void requestEnded(FinishKind kind, double cost, long now) {
 		integrateUntil(now);
 		this.running--;
+		// Exactly 0 without running requests, so that rounding errors do not accumulate.
 		this.runningCost = (this.running > 0) ? this.runningCost - cost : 0;
 		this.finishedCost += cost;
 		this.endedCount++;
@@ -58,6 +60,8 @@
 		return this.runningCostIntegral / this.finishedCost;
 	}
 
+	// Returns the share of the ended requests that ended in the given way. At least one
+	// request must have ended.
 	double share(FinishKind kind) {
 		return (double) this.endedByKind.getOrDefault(kind, 0) / this.endedCount;
 	}
@@ -79,6 +83,7 @@
 	}
 
 	private void integrateUntil(long now) {
+		// Both are 0 before the first event, which starts the window.
 		if (this.lastChangeAt == 0 && this.startedAt == 0) {
 			this.startedAt = now;
 		}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantedShare.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantedShare.java
@@ -145,15 +145,15 @@
 		return this.usedSlots > 0 || this.tokenRefund > 0 || slots(now) > 0;
 	}
 
-	private void addAmount(AccountGrant grant, long until) {
+	private void addAmount(AccountGrant grant, long expiresAt) {
 		long repaid = Math.min(this.tokenDebt, grant.tokens());
 		this.tokenDebt -= repaid;
-		SpendableAmount amount = new SpendableAmount(grant.requests(), grant.tokens() - repaid, until);
+		SpendableAmount amount = new SpendableAmount(grant.requests(), grant.tokens() - repaid, expiresAt);
 		if (amount.isEmpty()) {
 			return;
 		}
 		int index = this.amounts.size();
-		while (index > 0 && this.amounts.get(index - 1).until() > until) {
+		while (index > 0 && this.amounts.get(index - 1).until() > expiresAt) {
 			index--;
 		}
 		this.amounts.add(index, amount);
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
@@ -108,14 +108,15 @@
 	/**
 	 * Decides again on a request that is waiting for a share.
 	 * @param request the request
-	 * @param until the end of its wait, from {@link LimitPending#until()}
+	 * @param waitUntil the end of its wait as returned in {@link LimitPending}, in
+	 * nanoseconds on this entry's clock
 	 * @param now this entry's monotonic clock in nanoseconds
 	 * @return whether it is admitted, has to wait longer, or is refused
 	 */
-	public LimitDecision offerAgain(LimitRequest request, long until, long now) {
+	public LimitDecision offerAgain(LimitRequest request, long waitUntil, long now) {
 		Preconditions.notNull(request, "request");
 		AccountShares shares = this.accounts.get(request.account());
-		return (shares != null) ? decide(request, shares, until, now) : offer(request, now);
+		return (shares != null) ? decide(request, shares, waitUntil, now) : offer(request, now);
 	}
 
 	/**
@@ -224,7 +225,7 @@
 		return this.primary.isSilent(this.settings.terms().rateTerm().toNanos(), now);
 	}
 
-	private LimitDecision decide(LimitRequest request, AccountShares shares, long until, long now) {
+	private LimitDecision decide(LimitRequest request, AccountShares shares, long waitUntil, long now) {
 		for (GrantorRole role : GrantorRole.values()) {
 			GrantedShare share = shares.share(role);
 			if (share.canAdmit(request.tokens(), now)) {
@@ -234,8 +235,8 @@
 		}
 		shares.recordUnadmitted(request.tokens());
 		this.accountsWithUnmetDemand.add(shares);
-		if (!shares.hasShortfall(now) && now < until) {
-			return new LimitPending(until);
+		if (!shares.hasShortfall(now) && now < waitUntil) {
+			return new LimitPending(waitUntil);
 		}
 		return refuse(request, findExhaustedLimit(request, shares, now), retryAfter(shares));
 	}
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitPermit.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitPermit.java
@@ -4,7 +4,8 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The admission of one request, returned once when the request has ended.
+ * The permit of one admitted request. The holder returns it exactly once, when the
+ * request has ended.
  *
  * @param account the client account
  * @param grantor the grantor of the share that the request uses
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/BlockLocation.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/prefix/BlockLocation.java
@@ -7,10 +7,15 @@
  * @param cache the state of the server's prefix cache
  * @param sequence the sequence number of the event that reported the block;
  * {@link #ASSUMED} if none did
- * @param recordedAt when it was last reported or assumed, in nanoseconds
+ * @param recordedAt when it was last reported or assumed, in nanoseconds on the entry's
+ * clock
  */
 record BlockLocation(ServerCacheState cache, long sequence, long recordedAt) {
 
+	/**
+	 * Sequence number of an assumed block. It is greater than that of any snapshot, so a
+	 * snapshot does not remove assumed blocks.
+	 */
 	static final long ASSUMED = Long.MAX_VALUE;
 
 	boolean isAssumed() {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/IsolationHandle.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/IsolationHandle.java
@@ -48,9 +48,9 @@
 		return this.held;
 	}
 
-	void recordCrash(FollowedAttempt source, CrashEvidence evidence, int crash) {
+	void recordCrash(FollowedAttempt source, CrashEvidence evidence, int crashNumber) {
 		this.context.emit(new RecordCrash(this.spec.id(), new CrashReport(evidence, source.backendServer(),
-				source.incarnation(), crash, List.of(this.spec.fingerprint()), this.held)));
+				source.incarnation(), crashNumber, List.of(this.spec.fingerprint()), this.held)));
 		release(IsolationEnd.LOST);
 	}
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestStateMachine.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestStateMachine.java
@@ -253,13 +253,13 @@
 		}
 	}
 
-	void attemptEnded(AttemptEnd end, int crash) {
+	void attemptEnded(AttemptEnd end, int crashNumber) {
 		FollowedAttempt source = this.state.followed().orElseThrow();
 		OperationError error = RequestErrors.atBackendServer(ErrorCode.BACKEND_ERROR, Step.RUN, source,
 				"The attempt ended without an answer: " + end);
 		this.state.claim().markUnknown(source.request());
 		if (end == AttemptEnd.CRASHED && !source.isJoined()) {
-			this.state.isolation().recordCrash(source, CrashEvidence.BACKEND_CRASHED, crash);
+			this.state.isolation().recordCrash(source, CrashEvidence.BACKEND_CRASHED, crashNumber);
 			this.state.handleAttemptFailure(RetryCause.CRASHED, error);
 		}
 		else {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CandidateSelector.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/route/CandidateSelector.java
@@ -8,9 +8,9 @@
 import org.comfreywall.common.id.BackendServerId;
 
 /**
- * Selects one of several candidates: the session's server while its expected time is
- * within a margin of the lowest (session affinity), otherwise a random one of those tied
- * for the lowest.
+ * Selects one of several candidates: the server of the request's session if its expected
+ * time to first token exceeds the lowest by at most the session affinity margin,
+ * otherwise a random one of the candidates within the tie margin of the lowest.
  */
 final class CandidateSelector {
 
@@ -30,15 +30,17 @@
 	 * @return the selection
 	 */
 	Selection select(List<Candidate> candidates, Optional<BackendServerId> sessionServer) {
-		double best = minExpectedNanos(candidates);
-		Optional<Candidate> affinity = sessionServer.flatMap((server) -> affinityCandidate(candidates, server, best));
+		double lowestNanos = minExpectedNanos(candidates);
+		Optional<Candidate> affinity = sessionServer
+			.flatMap((server) -> affinityCandidate(candidates, server, lowestNanos));
 		if (affinity.isPresent()) {
 			return new Selection(affinity.get(), 1, true);
 		}
-		double limit = best * (1 + this.settings.relativeTieMargin()) + this.settings.constantTieMargin().toNanos();
+		double maxTiedNanos = lowestNanos * (1 + this.settings.relativeTieMargin())
+				+ this.settings.constantTieMargin().toNanos();
 		List<Candidate> tied = new ArrayList<>(candidates.size());
 		for (Candidate candidate : candidates) {
-			if (candidate.expectedNanos() <= limit) {
+			if (candidate.expectedNanos() <= maxTiedNanos) {
 				tied.add(candidate);
 			}
 		}
@@ -46,17 +48,19 @@
 	}
 
 	private static double minExpectedNanos(List<Candidate> candidates) {
-		double best = Double.MAX_VALUE;
+		double lowestNanos = Double.MAX_VALUE;
 		for (Candidate candidate : candidates) {
-			best = Math.min(best, candidate.expectedNanos());
+			lowestNanos = Math.min(lowestNanos, candidate.expectedNanos());
 		}
-		return best;
+		return lowestNanos;
 	}
 
-	private Optional<Candidate> affinityCandidate(List<Candidate> candidates, BackendServerId server, double best) {
-		double limit = best + this.settings.sessionAffinityMargin().toNanos();
+	private Optional<Candidate> affinityCandidate(List<Candidate> candidates, BackendServerId server,
+			double lowestNanos) {
+		double maxAffinityNanos = lowestNanos + this.settings.sessionAffinityMargin().toNanos();
 		return candidates.stream()
-			.filter((candidate) -> candidate.server().id().equals(server) && candidate.expectedNanos() <= limit)
+			.filter((candidate) -> candidate.server().id().equals(server)
+					&& candidate.expectedNanos() <= maxAffinityNanos)
 			.findFirst();
 	}
 
