Reword the placement check and map switch messages

A rank plus one was called a rank, refusals of an arm order did not say which step and map they mean, and the timer events did not say whose retry interval they follow.

Compiled control, entry and group with their tests.

--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ArmRefusal.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/ArmRefusal.java
@@ -5,11 +5,14 @@
  */
 public enum ArmRefusal {
 
-	/** The rank was already allowed to start the step. */
+	/** The rank was already allowed to start the first step under the new map. */
 	STEP_STARTED,
-	/** The rank has not loaded the map. */
+	/**
+	 * The engine of the rank does not hold the new map, neither as the active map nor
+	 * loaded for a later step (staged).
+	 */
 	NOT_STAGED,
-	/** The rank has not yet run a step under the latest committed map. */
+	/** The rank has not yet started a step under the latest committed map. */
 	BEFORE_LAST_BOUNDARY,
 	/** The rank is armed for another attempt that is still undecided. */
 	OTHER_UNDECIDED
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorSettings.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorSettings.java
@@ -9,10 +9,9 @@
  *
  * @param retryNanos time between repeated orders and writes, in nanoseconds
  * @param stageRetryNanos time between repeated orders to load a map, in nanoseconds
- * @param minLeadNanos minimum time between arming the ranks and the first step under the
- * new map, in nanoseconds
- * @param maxLeadNanos maximum time between arming the ranks and the first step under the
- * new map, in nanoseconds
+ * @param minLeadNanos minimum lead time: the planned time from sending the arm orders to
+ * the expected start of the first step under the new map, in nanoseconds
+ * @param maxLeadNanos maximum lead time, in nanoseconds
  * @param assumedStepNanos step time used until a rank has reported one, in nanoseconds
  * @param maxAttempts maximum number of attempts for each requested switch
  */
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorTick.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CoordinatorTick.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.mapswitch;
 
 /**
- * Periodic timer event, sent at least once per retry interval.
+ * Periodic timer event, sent at least every {@link CoordinatorSettings#retryNanos()}.
  */
 public record CoordinatorTick() implements CoordinatorEvent {
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapBoundary.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapBoundary.java
@@ -16,7 +16,7 @@
 	public MapBoundary {
 		Preconditions.check(firstStep >= 0, "firstStep must not be negative: %d", firstStep);
 		Preconditions.notNull(map, "map");
-		Preconditions.notNull(decidedBy, "decidedBy");
+		Preconditions.notNull(decidedBy, "attemptId");
 	}
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementCheck.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementCheck.java
@@ -1,7 +1,7 @@
 package org.comfreywall.group.placement;
 
 /**
- * Validates placements against a group's shape.
+ * Checks whether placements are valid for a group's shape.
  */
 final class PlacementCheck {
 
@@ -23,15 +23,17 @@
 
 	private static boolean isComplete(GroupShape shape, Placement placement, int layer) {
 		double[] shares = new double[shape.experts()];
-		int[] lastRank = new int[shape.experts()];
+		// Positions are ordered by rank. For each expert: 1 + the last rank with a copy,
+		// or 0 if there is none yet.
+		int[] lastRankPlusOne = new int[shape.experts()];
 		for (int position = 0; position < shape.ranks() * shape.stride(); position++) {
 			int expert = placement.expert(layer, position);
 			if (expert != Placement.EMPTY) {
 				int rank = position / shape.stride();
-				if (position % shape.stride() >= shape.slots(rank) || lastRank[expert] == rank + 1) {
+				if (position % shape.stride() >= shape.slots(rank) || lastRankPlusOne[expert] == rank + 1) {
 					return false;
 				}
-				lastRank[expert] = rank + 1;
+				lastRankPlusOne[expert] = rank + 1;
 				shares[expert] += placement.share(layer, position);
 			}
 		}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementPlanner.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementPlanner.java
@@ -55,12 +55,12 @@
 		if (!plan.isAccepted()) {
 			return plan;
 		}
-		boolean complete = this.invariants.holds(PlacementCheck.isComplete(request.shape(), plan.placement()),
+		boolean valid = this.invariants.holds(PlacementCheck.isComplete(request.shape(), plan.placement()),
 				"every-expert-placed", Field.of("group", request.group()));
 		boolean cheaper = this.invariants.holds(
 				isMandatory(plan) || plan.price().priceAfter() <= plan.price().priceBefore(),
 				"plan-not-dearer-than-staying", Field.of("group", request.group()));
-		if (complete && cheaper) {
+		if (valid && cheaper) {
 			return plan;
 		}
 		return new PlacementPlan(PlanReason.INVARIANT, request.current(), List.of(), plan.price());
