Rename crash records, lease ages and map attempts to plain terms

Cause: charge, convict, explain and covers told the record of crashes in words of a court; CrashReport.crash is a number, LeaderLease.age the age of a message, and LimitsChanged.part the limits of a grantor.

Change: each use renamed as the compiler resolves it: RecordedLoss, lostInIsolation, causeKnown, crashNumber, quorumAnsweredMessageAge and others; imports sorted. Stored records, decisions and fields of messages stay. Nothing else changes.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsFleet.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/LimitsFleet.java
@@ -143,7 +143,7 @@
 			startRequest(entry, offer, admitted.permit());
 		}
 		else if (decision instanceof LimitPending pending) {
-			entry.addPending(new PendingOffer(offer.account(), offer.request(), pending.until(), offer.runNanos()));
+			entry.addPending(new PendingOffer(offer.account(), offer.request(), pending.waitUntil(), offer.runNanos()));
 		}
 		else {
 			this.audits.get(offer.account()).recordRefusal();
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LedgerAudit.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/LedgerAudit.java
@@ -50,7 +50,7 @@
 			this.onViolation.accept("write of term " + write.term() + " took effect after term " + this.latestTerm);
 		}
 		if (write instanceof CommitSwitch commit) {
-			checkArmed(commit.boundary().decidedBy(), after);
+			checkArmed(commit.boundary().attemptId(), after);
 		}
 	}
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/poison/CrashReport.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/poison/CrashReport.java
@@ -12,20 +12,20 @@
  * @param evidence how the loss was detected
  * @param backendServer the lost backend server
  * @param incarnation the incarnation of its sidecar
- * @param crash the number of the crash within the sidecar's incarnation, starting at 1,
- * or 0 if the sidecar was lost
+ * @param crashNumber the number of the crash within the sidecar's incarnation, starting
+ * at 1, or 0 if the sidecar was lost
  * @param inFlight the fingerprints of the requests in flight
  * @param isolated whether the only request in flight ran in isolation
  */
-public record CrashReport(CrashEvidence evidence, BackendServerId backendServer, Incarnation incarnation, int crash,
-		List<Fingerprint> inFlight, boolean isolated) {
+public record CrashReport(CrashEvidence evidence, BackendServerId backendServer, Incarnation incarnation,
+		int crashNumber, List<Fingerprint> inFlight, boolean isolated) {
 
 	public CrashReport {
 		Preconditions.notNull(evidence, "evidence");
 		Preconditions.notNull(backendServer, "backendServer");
 		Preconditions.notNull(incarnation, "incarnation");
-		Preconditions.check((evidence == CrashEvidence.SIDECAR_LOST) ? crash == 0 : crash >= 1,
-				"crash number must be 0 if the sidecar was lost and at least 1 otherwise: %d", crash);
+		Preconditions.check((evidence == CrashEvidence.SIDECAR_LOST) ? crashNumber == 0 : crashNumber >= 1,
+				"crash number must be 0 if the sidecar was lost and at least 1 otherwise: %d", crashNumber);
 		inFlight = List.copyOf(inFlight);
 		Preconditions.check(!isolated || inFlight.size() == 1, "inFlight of an isolated run must have one element: %d",
 				inFlight.size());
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/HeldSlots.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/HeldSlots.java
@@ -41,7 +41,7 @@
 	void addGrant(SlotGrant grant) {
 		if (this.grants.size() == MAX_GRANTS) {
 			SlotGrant oldest = this.grants.remove(0);
-			this.grants.set(0, oldest.merge(this.grants.get(0)));
+			this.grants.set(0, oldest.upperBound(this.grants.get(0)));
 		}
 		this.grants.add(grant);
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
@@ -142,11 +142,11 @@
 
 	private void onLimitsChanged(LimitsChanged event, long now) {
 		AccountLedger ledger = this.accounts.get(event.account());
-		if (ledger == null && event.part().isPresent()) {
+		if (ledger == null && event.grantorLimits().isPresent()) {
 			ledger = add(event, now);
 		}
 		if (ledger != null) {
-			ledger.configure(event.part().orElse(NO_LIMITS));
+			ledger.configure(event.grantorLimits().orElse(NO_LIMITS));
 		}
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LimitsChanged.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LimitsChanged.java
@@ -13,18 +13,18 @@
  * A lowered limit takes effect once the leases granted under the old one have expired.
  *
  * @param account the client account
- * @param part the part of its limits that this ledger may grant, or empty if the client
- * account was removed
+ * @param grantorLimits the part of its limits that this ledger may grant, or empty if the
+ * client account was removed
  * @param earlierSlots the maximum number of in-flight slots that earlier grantors may
  * have granted, or empty if unknown: then the whole slot limit counts as granted until
  * the earlier grants have expired. Only used when the ledger adds the client account
  */
-public record LimitsChanged(AccountId account, Optional<GrantorLimits> part,
+public record LimitsChanged(AccountId account, Optional<GrantorLimits> grantorLimits,
 		OptionalLong earlierSlots) implements LedgerEvent {
 
 	public LimitsChanged {
 		Preconditions.notNull(account, "account");
-		Preconditions.notNull(part, "grantorLimits");
+		Preconditions.notNull(grantorLimits, "grantorLimits");
 		Preconditions.notNull(earlierSlots, "earlierSlots");
 	}
 
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/SlotGrant.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/SlotGrant.java
@@ -12,7 +12,7 @@
 
 	// Returns an upper bound for both grants. It has the newer sequence number, so that
 	// it counts until the holder reports that grant or a later one.
-	SlotGrant merge(SlotGrant newer) {
+	SlotGrant upperBound(SlotGrant newer) {
 		return new SlotGrant(newer.sequence, Math.max(this.slots, newer.slots),
 				Math.max(this.expiresAt, newer.expiresAt));
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonEntry.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonEntry.java
@@ -15,32 +15,32 @@
  * further crash still counts as the second one.
  *
  * @param fingerprint the fingerprint
- * @param charges the losses of backend servers on which it was in flight, without
+ * @param losses the losses of backend servers on which it was in flight, without
  * duplicates, oldest first
- * @param convicted whether a backend server was lost while the fingerprint ran in
+ * @param lostInIsolation whether a backend server was lost while the fingerprint ran in
  * isolation, or its isolated run did not end in time
  * @param changedAt the log time in nanoseconds at which a loss was last recorded
  */
-public record PoisonEntry(Fingerprint fingerprint, List<CrashCharge> charges, boolean convicted, long changedAt) {
+public record PoisonEntry(Fingerprint fingerprint, List<RecordedLoss> losses, boolean lostInIsolation, long changedAt) {
 
 	/**
 	 * Number of recorded crashes from which a suspected fingerprint is quarantined
 	 * without an isolated run.
 	 */
-	static final int MAX_CRASHES = 2;
+	static final int CRASHES_TO_QUARANTINE = 2;
 
 	/** Maximum number of losses kept for one fingerprint. */
-	static final int MAX_CHARGES = 8;
+	static final int MAX_LOSSES = 8;
 
 	public PoisonEntry {
 		Preconditions.notNull(fingerprint, "fingerprint");
-		charges = List.copyOf(charges);
+		losses = List.copyOf(losses);
 	}
 
 	PoisonVerdict verdict() {
-		boolean suspected = this.charges.stream().anyMatch((loss) -> !loss.explained());
-		boolean repeated = this.charges.stream().filter(CrashCharge::isBackendCrash).count() >= MAX_CRASHES;
-		if (this.convicted || (suspected && repeated)) {
+		boolean suspected = this.losses.stream().anyMatch((loss) -> !loss.causeKnown());
+		boolean repeated = this.losses.stream().filter(RecordedLoss::isBackendCrash).count() >= CRASHES_TO_QUARANTINE;
+		if (this.lostInIsolation || (suspected && repeated)) {
 			return PoisonVerdict.QUARANTINED;
 		}
 		return suspected ? PoisonVerdict.SUSPECT : PoisonVerdict.CLEAR;
@@ -49,34 +49,34 @@
 	// Returns whether a loss is recorded already. The crash of a backend server is not
 	// if only the loss of its sidecar is recorded: only crashes count towards the number
 	// that quarantines, so the crash has to replace that loss.
-	boolean covers(CrashCharge loss) {
-		return this.charges.stream()
+	boolean hasRecorded(RecordedLoss loss) {
+		return this.losses.stream()
 			.anyMatch((earlier) -> earlier.isSameLoss(loss) && (earlier.isBackendCrash() || !loss.isBackendCrash()));
 	}
 
 	// Adds a loss; a crash replaces the recorded loss of its sidecar. Drops the oldest
 	// loss if there are too many.
-	PoisonEntry withCharge(CrashCharge loss, long now) {
-		List<CrashCharge> next = new ArrayList<>(this.charges);
+	PoisonEntry withLoss(RecordedLoss loss, long now) {
+		List<RecordedLoss> next = new ArrayList<>(this.losses);
 		next.removeIf(loss::isSameLoss);
 		next.add(loss);
-		if (next.size() > MAX_CHARGES) {
+		if (next.size() > MAX_LOSSES) {
 			next.remove(0);
 		}
-		return new PoisonEntry(this.fingerprint, next, this.convicted, now);
+		return new PoisonEntry(this.fingerprint, next, this.lostInIsolation, now);
 	}
 
-	PoisonEntry asConvicted(long now) {
-		return new PoisonEntry(this.fingerprint, this.charges, true, now);
+	PoisonEntry withLossInIsolation(long now) {
+		return new PoisonEntry(this.fingerprint, this.losses, true, now);
 	}
 
 	// Marks the recorded losses that are among those attributed to a fingerprint. The
 	// time of the last change stays, as no loss is added.
-	PoisonEntry withExplained(List<CrashCharge> attributed) {
-		List<CrashCharge> next = this.charges.stream()
-			.map((loss) -> attributed.stream().anyMatch(loss::isSameLoss) ? loss.asExplained() : loss)
+	PoisonEntry withKnownCauseOf(List<RecordedLoss> attributed) {
+		List<RecordedLoss> next = this.losses.stream()
+			.map((loss) -> attributed.stream().anyMatch(loss::isSameLoss) ? loss.withKnownCause() : loss)
 			.toList();
-		return new PoisonEntry(this.fingerprint, next, this.convicted, this.changedAt);
+		return new PoisonEntry(this.fingerprint, next, this.lostInIsolation, this.changedAt);
 	}
 
 }
--- a/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/ledger/PoisonLedger.java
@@ -66,10 +66,10 @@
 	public void recordCrash(CrashReport report, long now) {
 		Preconditions.notNull(report, "report");
 		advanceTime(now);
-		CrashCharge loss = CrashCharge.of(report);
+		RecordedLoss loss = RecordedLoss.of(report);
 		report.inFlight().forEach((fingerprint) -> recordCrash(fingerprint, loss));
 		if (report.isolated()) {
-			convict(report.inFlight().get(0), loss.isBackendCrash());
+			recordLossInIsolation(report.inFlight().get(0), loss.isBackendCrash());
 		}
 	}
 
@@ -118,7 +118,7 @@
 		}
 		this.slot = Optional.empty();
 		if (end == IsolationEnd.LOST) {
-			convict(fingerprint, false);
+			recordLossInIsolation(fingerprint, false);
 		}
 		else if (end == IsolationEnd.SURVIVED && assess(fingerprint) == PoisonVerdict.SUSPECT) {
 			this.entries.remove(fingerprint);
@@ -151,7 +151,7 @@
 		if (this.slot.isPresent() && this.slot.get().expiresAt() <= this.logTime) {
 			Fingerprint isolated = this.slot.get().fingerprint();
 			this.slot = Optional.empty();
-			convict(isolated, false);
+			recordLossInIsolation(isolated, false);
 		}
 		long cutoff = this.logTime - this.settings.retention().toNanos();
 		List<Fingerprint> expired = new ArrayList<>();
@@ -202,40 +202,40 @@
 		snapshot.entries().forEach((entry) -> this.entries.put(entry.fingerprint(), entry));
 	}
 
-	private void recordCrash(Fingerprint fingerprint, CrashCharge loss) {
+	private void recordCrash(Fingerprint fingerprint, RecordedLoss loss) {
 		PoisonEntry entry = this.entries.get(fingerprint);
 		if (entry == null) {
 			evictIfFull();
 			entry = new PoisonEntry(fingerprint, List.of(), false, this.logTime);
 		}
-		if (!entry.covers(loss)) {
-			PoisonEntry updated = entry.withCharge(loss, this.logTime);
+		if (!entry.hasRecorded(loss)) {
+			PoisonEntry updated = entry.withLoss(loss, this.logTime);
 			putLast(updated);
 			recordDecision(fingerprint, updated.verdict().name().toLowerCase(Locale.ROOT),
 					Field.of("backend-server", loss.backendServer()), Field.of("incarnation", loss.incarnation()),
-					Field.of("crash", loss.crash()));
+					Field.of("crash", loss.crashNumber()));
 		}
 	}
 
 	// Quarantines a fingerprint after a loss in its isolated run. All its losses are
 	// attributed to it only if the backend server crashed: a sidecar may be lost, or a
 	// slot expire, for another reason, such as a failure of the instance.
-	private void convict(Fingerprint fingerprint, boolean backendCrashed) {
+	private void recordLossInIsolation(Fingerprint fingerprint, boolean backendCrashed) {
 		PoisonEntry entry = this.entries.get(fingerprint);
 		if (entry == null) {
 			return;
 		}
-		if (!entry.convicted()) {
-			putLast(entry.asConvicted(this.logTime));
+		if (!entry.lostInIsolation()) {
+			putLast(entry.withLossInIsolation(this.logTime));
 			recordDecision(fingerprint, "quarantined", Field.of("reason", "lost-in-isolated-run"));
 		}
 		if (backendCrashed) {
-			this.entries.replaceAll((key, other) -> explainLosses(other, entry.charges()));
+			this.entries.replaceAll((key, other) -> markCauseKnown(other, entry.losses()));
 		}
 	}
 
-	private PoisonEntry explainLosses(PoisonEntry entry, List<CrashCharge> losses) {
-		PoisonEntry updated = entry.withExplained(losses);
+	private PoisonEntry markCauseKnown(PoisonEntry entry, List<RecordedLoss> losses) {
+		PoisonEntry updated = entry.withKnownCauseOf(losses);
 		if (updated.verdict() != entry.verdict()) {
 			recordDecision(entry.fingerprint(), "cleared", Field.of("reason", "losses-explained"));
 		}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderHandler.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderHandler.java
@@ -31,7 +31,7 @@
 
 	private final MembershipPolicy membershipPolicy;
 
-	private final long electedAt;
+	private final long electedAtNanos;
 
 	private final LogTime electedTime;
 
@@ -43,7 +43,7 @@
 
 	LeaderHandler(ReplicaState state, long now) {
 		this.state = state;
-		this.electedAt = now;
+		this.electedAtNanos = now;
 		this.electedTime = state.log().lastTime();
 		this.lease = new LeaderLease(state, this.progress, now);
 		this.reads = new PendingReads(state);
@@ -172,7 +172,7 @@
 
 	private void afterReply(long now) {
 		advanceCommit();
-		this.reads.confirm(this.lease.age(now), now);
+		this.reads.confirm(this.lease.quorumAnsweredMessageAge(now), now);
 	}
 
 	void onSynced(long now) {
@@ -211,12 +211,12 @@
 	}
 
 	long leaseUntil(long now) {
-		return this.lease.expiresAt(now);
+		return this.lease.expiresAtNanos(now);
 	}
 
 	private LogPosition append(EntryContent content, long now) {
 		LogPosition position = new LogPosition(this.state.log().lastIndex() + 1, this.state.term());
-		long elapsed = (now - this.electedAt) / NANOS_PER_MILLI;
+		long elapsed = (now - this.electedAtNanos) / NANOS_PER_MILLI;
 		this.state.log().append(new LogEntry(position, LogTime.of(this.electedTime.millis() + elapsed), content));
 		return position;
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderLease.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/log/LeaderLease.java
@@ -19,33 +19,33 @@
 
 	private final Map<InstanceId, FollowerProgress> progress;
 
-	private final long electedAt;
+	private final long electedAtNanos;
 
 	LeaderLease(ReplicaState state, Map<InstanceId, FollowerProgress> progress, long electedAtNanos) {
 		this.state = state;
 		this.progress = progress;
-		this.electedAt = electedAtNanos;
+		this.electedAtNanos = electedAtNanos;
 	}
 
 	// Returns the time since the newest message that a quorum replied to was sent, in
 	// nanoseconds.
-	long age(long now) {
+	long quorumAnsweredMessageAge(long now) {
 		return quorumAge((follower) -> follower.answeredMessageAge(now));
 	}
 
 	boolean isInForce(long now) {
-		return age(now) < this.state.settings().leaseDuration().toNanos();
+		return quorumAnsweredMessageAge(now) < this.state.settings().leaseDuration().toNanos();
 	}
 
-	long expiresAt(long now) {
-		return now - age(now) + this.state.settings().leaseDuration().toNanos();
+	long expiresAtNanos(long now) {
+		return now - quorumAnsweredMessageAge(now) + this.state.settings().leaseDuration().toNanos();
 	}
 
 	// Returns whether a quorum replied within the election timeout, or the leader was
 	// elected within it.
 	boolean hasQuorumContact(long now) {
 		long timeout = this.state.settings().electionTimeout().toNanos();
-		if (now - this.electedAt < timeout) {
+		if (now - this.electedAtNanos < timeout) {
 			return true;
 		}
 		// 0 for a voter that replied in time, so that the quorum's age is 0 if enough
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonRecords.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/PoisonRecords.java
@@ -18,10 +18,10 @@
 import org.comfreywall.control.generated.IsolationSlotRecord;
 import org.comfreywall.control.generated.PoisonEntryRecord;
 import org.comfreywall.control.generated.PoisonLedgerRecord;
-import org.comfreywall.control.ledger.CrashCharge;
 import org.comfreywall.control.ledger.IsolationSlot;
 import org.comfreywall.control.ledger.PoisonEntry;
 import org.comfreywall.control.ledger.PoisonLedgerSnapshot;
+import org.comfreywall.control.ledger.RecordedLoss;
 
 /**
  * Converts the data of the poison ledger to and from Protobuf records. Malformed records
@@ -50,7 +50,7 @@
 			.setEvidence(report.evidence().name())
 			.setBackendServer(report.backendServer().value())
 			.setIncarnation(report.incarnation().value())
-			.setCrash(report.crash())
+			.setCrash(report.crashNumber())
 			.addAllInFlight(report.inFlight().stream().map(PoisonRecords::toRecord).toList())
 			.setIsolated(report.isolated())
 			.build();
@@ -86,8 +86,8 @@
 	private static PoisonEntryRecord toRecord(PoisonEntry entry) {
 		return PoisonEntryRecord.newBuilder()
 			.setFingerprint(toRecord(entry.fingerprint()))
-			.addAllCharges(entry.charges().stream().map(PoisonRecords::toRecord).toList())
-			.setConvicted(entry.convicted())
+			.addAllCharges(entry.losses().stream().map(PoisonRecords::toRecord).toList())
+			.setConvicted(entry.lostInIsolation())
 			.setChangedAtNanos(entry.changedAt())
 			.build();
 	}
@@ -98,17 +98,17 @@
 				entry.getChangedAtNanos());
 	}
 
-	private static CrashChargeRecord toRecord(CrashCharge loss) {
+	private static CrashChargeRecord toRecord(RecordedLoss loss) {
 		return CrashChargeRecord.newBuilder()
 			.setBackendServer(loss.backendServer().value())
 			.setIncarnation(loss.incarnation().value())
-			.setCrash(loss.crash())
-			.setExplained(loss.explained())
+			.setCrash(loss.crashNumber())
+			.setExplained(loss.causeKnown())
 			.build();
 	}
 
-	private static CrashCharge fromRecord(CrashChargeRecord loss) {
-		return new CrashCharge(BackendServerId.of(loss.getBackendServer()), Incarnation.of(loss.getIncarnation()),
+	private static RecordedLoss fromRecord(CrashChargeRecord loss) {
+		return new RecordedLoss(BackendServerId.of(loss.getBackendServer()), Incarnation.of(loss.getIncarnation()),
 				loss.getCrash(), loss.getExplained());
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
@@ -114,7 +114,7 @@
 			requestCapacity(request, admitted.permit());
 		}
 		else if (decision instanceof LimitPending pending) {
-			this.pendingRequests.put(id, new PendingRequest(request, limitRequest, pending.until()));
+			this.pendingRequests.put(id, new PendingRequest(request, limitRequest, pending.waitUntil()));
 			requestShares();
 		}
 		else {
@@ -223,7 +223,7 @@
 	 *
 	 * @param request the request
 	 * @param limitRequest the amounts that it needs
-	 * @param until the deadline of its wait, as monotonic time in nanoseconds
+	 * @param waitUntil the deadline of its wait, as monotonic time in nanoseconds
 	 */
 	private record PendingRequest(ActiveRequest request, LimitRequest limitRequest, long until) {
 
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ConcurrencyLimit.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/ConcurrencyLimit.java
@@ -93,15 +93,15 @@
 	}
 
 	private boolean isLongEnough(long now) {
-		return this.window.length(now) >= this.settings.adaptInterval().toNanos();
+		return this.window.elapsedNanos(now) >= this.settings.adaptInterval().toNanos();
 	}
 
 	private void adapt(long now) {
 		boolean reached = this.window.maxRunning() >= REACHED_SHARE * this.limit;
-		if (this.window.share(FinishKind.OVERLOADED) > MAX_FAILURE_SHARE) {
+		if (this.window.shareOfEnded(FinishKind.OVERLOADED) > MAX_FAILURE_SHARE) {
 			setLimit(this.limit * OVERLOAD_DECREASE_FACTOR);
 		}
-		else if (this.window.share(FinishKind.FAILED) <= MAX_FAILURE_SHARE) {
+		else if (this.window.shareOfEnded(FinishKind.FAILED) <= MAX_FAILURE_SHARE) {
 			adjustToLatency(this.window.meanNanosPerCost(), reached, now);
 		}
 		this.window.restart(now);
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/LatencyWindow.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/admit/LatencyWindow.java
@@ -13,9 +13,9 @@
 
 	private final Map<FinishKind, Integer> endedByKind = new EnumMap<>(FinishKind.class);
 
-	private long startedAt;
+	private long startedAtNanos;
 
-	private long lastChangeAt;
+	private long lastChangeAtNanos;
 
 	private int running;
 
@@ -23,9 +23,9 @@
 
 	private double runningCost;
 
-	private double runningCostIntegral;
+	private double runningCostNanos;
 
-	private double finishedCost;
+	private double endedCost;
 
 	private int endedCount;
 
@@ -41,33 +41,33 @@
 		this.running--;
 		// Exactly 0 without running requests, so that rounding errors do not accumulate.
 		this.runningCost = (this.running > 0) ? this.runningCost - cost : 0;
-		this.finishedCost += cost;
+		this.endedCost += cost;
 		this.endedCount++;
 		this.endedByKind.merge(kind, 1, Integer::sum);
 	}
 
 	void restart(long now) {
 		integrateUntil(now);
-		this.startedAt = now;
+		this.startedAtNanos = now;
 		this.maxRunning = this.running;
-		this.runningCostIntegral = 0;
-		this.finishedCost = 0;
+		this.runningCostNanos = 0;
+		this.endedCost = 0;
 		this.endedCount = 0;
 		this.endedByKind.clear();
 	}
 
 	double meanNanosPerCost() {
-		return this.runningCostIntegral / this.finishedCost;
+		return this.runningCostNanos / this.endedCost;
 	}
 
 	// Returns the share of the ended requests that ended in the given way. At least one
 	// request must have ended.
-	double share(FinishKind kind) {
+	double shareOfEnded(FinishKind kind) {
 		return (double) this.endedByKind.getOrDefault(kind, 0) / this.endedCount;
 	}
 
-	long length(long now) {
-		return now - this.startedAt;
+	long elapsedNanos(long now) {
+		return now - this.startedAtNanos;
 	}
 
 	int endedCount() {
@@ -84,13 +84,13 @@
 
 	private void integrateUntil(long now) {
 		// Both are 0 before the first event, which starts the window.
-		if (this.lastChangeAt == 0 && this.startedAt == 0) {
-			this.startedAt = now;
+		if (this.lastChangeAtNanos == 0 && this.startedAtNanos == 0) {
+			this.startedAtNanos = now;
 		}
 		else {
-			this.runningCostIntegral += this.runningCost * (now - this.lastChangeAt);
+			this.runningCostNanos += this.runningCost * (now - this.lastChangeAtNanos);
 		}
-		this.lastChangeAt = now;
+		this.lastChangeAtNanos = now;
 	}
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantedShare.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/GrantedShare.java
@@ -153,7 +153,7 @@
 			return;
 		}
 		int index = this.amounts.size();
-		while (index > 0 && this.amounts.get(index - 1).until() > expiresAt) {
+		while (index > 0 && this.amounts.get(index - 1).expiresAt() > expiresAt) {
 			index--;
 		}
 		this.amounts.add(index, amount);
@@ -165,7 +165,7 @@
 		Iterator<SpendableAmount> iterator = this.amounts.iterator();
 		while (iterator.hasNext()) {
 			SpendableAmount amount = iterator.next();
-			if (now < amount.until()) {
+			if (now < amount.expiresAt()) {
 				return;
 			}
 			this.requests -= amount.requests();
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitPending.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitPending.java
@@ -5,8 +5,8 @@
  * The caller offers the request again when a grant has arrived, and for the last time at
  * the given time.
  *
- * @param until when to stop waiting, in nanoseconds on the entry's clock
+ * @param waitUntil when to stop waiting, in nanoseconds on the entry's clock
  */
-public record LimitPending(long until) implements LimitDecision {
+public record LimitPending(long waitUntil) implements LimitDecision {
 
 }
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/SpendableAmount.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/SpendableAmount.java
@@ -5,12 +5,12 @@
  *
  * @param requests the requests left
  * @param tokens the tokens left
- * @param until when they expire, in nanoseconds on the entry's clock
+ * @param expiresAt when they expire, in nanoseconds on the entry's clock
  */
-record SpendableAmount(long requests, long tokens, long until) {
+record SpendableAmount(long requests, long tokens, long expiresAt) {
 
 	SpendableAmount minus(long requests, long tokens) {
-		return new SpendableAmount(this.requests - requests, this.tokens - tokens, this.until);
+		return new SpendableAmount(this.requests - requests, this.tokens - tokens, this.expiresAt);
 	}
 
 	boolean isEmpty() {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/EndReceived.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/EndReceived.java
@@ -13,11 +13,11 @@
  * @param backendServer the backend server
  * @param incarnation the incarnation of the sidecar
  * @param end how it ended
- * @param crash the number of the crash within the incarnation of the sidecar, starting at
- * 1, or 0 if the backend server did not crash
+ * @param crashNumber the number of the crash within the incarnation of the sidecar,
+ * starting at 1, or 0 if the backend server did not crash
  */
 public record EndReceived(AttemptId attempt, BackendServerId backendServer, Incarnation incarnation, AttemptEnd end,
-		int crash) implements RequestEvent {
+		int crashNumber) implements RequestEvent {
 
 	public EndReceived {
 		Preconditions.notNull(attempt, "attempt");
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTracker.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/request/RequestTracker.java
@@ -153,7 +153,7 @@
 		}
 		else if (event instanceof EndReceived end) {
 			applyToAttempt(end.attempt(), end.backendServer(), end.incarnation(),
-					(machine) -> machine.attemptEnded(end.end(), end.crash()));
+					(machine) -> machine.attemptEnded(end.end(), end.crashNumber()));
 		}
 		else if (event instanceof RefusalReceived refusal) {
 			applyToAttempt(refusal.attempt(), refusal.backendServer(), refusal.incarnation(),
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/limit/LimitEnforcerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/limit/LimitEnforcerTests.java
@@ -79,14 +79,15 @@
 		assertThat(demand.slots()).isEqualTo(1);
 		assertThat(this.enforcer.handleGrant(GrantorRole.PRIMARY, answer(sent, 1, 100, 1), MILLI))
 			.containsExactly(ACCOUNT);
-		assertThat(this.enforcer.offerAgain(request(100), pending.until(), MILLI)).isInstanceOf(LimitAdmitted.class);
+		assertThat(this.enforcer.offerAgain(request(100), pending.waitUntil(), MILLI))
+			.isInstanceOf(LimitAdmitted.class);
 	}
 
 	@Test
 	void refusesRequestWhenNoGrantorRespondsInTime() {
 		LimitPending pending = (LimitPending) this.enforcer.offer(request(0), 0);
 		leaseRequest(GrantorRole.PRIMARY, 0);
-		assertThat(this.enforcer.offerAgain(request(0), pending.until(), pending.until()))
+		assertThat(this.enforcer.offerAgain(request(0), pending.waitUntil(), pending.waitUntil()))
 			.isInstanceOf(LimitRefused.class);
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CommitDecision.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CommitDecision.java
@@ -15,7 +15,7 @@
 
 	@Override
 	public SwitchId id() {
-		return this.boundary.decidedBy();
+		return this.boundary.attemptId();
 	}
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CommitSwitch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/CommitSwitch.java
@@ -19,7 +19,7 @@
 
 	@Override
 	public Term term() {
-		return this.boundary.decidedBy().term();
+		return this.boundary.attemptId().term();
 	}
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/DecisionLedger.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/DecisionLedger.java
@@ -109,7 +109,7 @@
 
 	private LedgerResult commit(CommitSwitch commit) {
 		MapBoundary boundary = commit.boundary();
-		Optional<SwitchDecision> decided = this.state.decisionOf(boundary.decidedBy());
+		Optional<SwitchDecision> decided = this.state.decisionOf(boundary.attemptId());
 		if (decided.isPresent()) {
 			return LedgerResult.decided(this.state, decided.get());
 		}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerState.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/LedgerState.java
@@ -52,7 +52,7 @@
 	 * @return its decision, or empty if it is undecided
 	 */
 	public Optional<SwitchDecision> decisionOf(SwitchId id) {
-		Optional<MapBoundary> boundary = this.timeline.decidedBy(id);
+		Optional<MapBoundary> boundary = this.timeline.findByAttempt(id);
 		if (boundary.isPresent()) {
 			return Optional.of(new CommitDecision(boundary.get()));
 		}
@@ -81,7 +81,7 @@
 
 	LedgerState withBoundary(MapBoundary boundary) {
 		return new LedgerState(this.index + 1, this.term, this.generation, this.members, this.latestIncarnations,
-				this.timeline.with(boundary), boundary.decidedBy());
+				this.timeline.with(boundary), boundary.attemptId());
 	}
 
 	LedgerState withAbort(SwitchId id) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapBoundary.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapBoundary.java
@@ -8,15 +8,15 @@
  *
  * @param firstStep the first step under the map, zero or greater
  * @param map the map
- * @param decidedBy the attempt whose commit set the boundary, or {@link SwitchId#ZERO}
+ * @param attemptId the attempt whose commit set the boundary, or {@link SwitchId#ZERO}
  * for a group's first map
  */
-public record MapBoundary(long firstStep, MapRef map, SwitchId decidedBy) {
+public record MapBoundary(long firstStep, MapRef map, SwitchId attemptId) {
 
 	public MapBoundary {
 		Preconditions.check(firstStep >= 0, "firstStep must not be negative: %d", firstStep);
 		Preconditions.notNull(map, "map");
-		Preconditions.notNull(decidedBy, "attemptId");
+		Preconditions.notNull(attemptId, "attemptId");
 	}
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapTimeline.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/MapTimeline.java
@@ -73,8 +73,8 @@
 	 * @param id the attempt
 	 * @return the boundary, or empty if none of those kept belongs to the attempt
 	 */
-	public Optional<MapBoundary> decidedBy(SwitchId id) {
-		return this.boundaries.stream().filter((boundary) -> boundary.decidedBy().equals(id)).findFirst();
+	public Optional<MapBoundary> findByAttempt(SwitchId id) {
+		return this.boundaries.stream().filter((boundary) -> boundary.attemptId().equals(id)).findFirst();
 	}
 
 }
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RequestedSwitch.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/RequestedSwitch.java
@@ -77,7 +77,7 @@
 	}
 
 	boolean isCurrentAttempt(SwitchId id) {
-		return this.phase != SwitchPhase.STAGING && this.boundary.decidedBy().equals(id);
+		return this.phase != SwitchPhase.STAGING && this.boundary.attemptId().equals(id);
 	}
 
 	boolean isStaged(int rank) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchAgent.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchAgent.java
@@ -211,7 +211,7 @@
 	}
 
 	private void armSwitch(ArmSwitch order, long now) {
-		SwitchId id = order.boundary().decidedBy();
+		SwitchId id = order.boundary().attemptId();
 		if (this.armed.filter((present) -> present.boundary().equals(order.boundary())).isPresent()) {
 			report(new SwitchArmed(this.rank, this.member, id));
 			return;
@@ -222,7 +222,7 @@
 		Optional<ArmRefusal> refusal = checkArmable(order.boundary());
 		if (refusal.isPresent()) {
 			report(new ArmRefused(this.rank, this.member, id, refusal.get(), this.lastStep,
-					this.armed.map((present) -> present.boundary().decidedBy())));
+					this.armed.map((present) -> present.boundary().attemptId())));
 			return;
 		}
 		this.armed = Optional.of(order);
@@ -245,7 +245,7 @@
 
 	private void applyDecision(SwitchDecision decision, long now) {
 		SwitchId id = decision.id();
-		boolean armedForIt = this.armed.filter((arm) -> arm.boundary().decidedBy().equals(id)).isPresent();
+		boolean armedForIt = this.armed.filter((arm) -> arm.boundary().attemptId().equals(id)).isPresent();
 		if (!armedForIt && this.lastDecided.isBefore(id) && decision instanceof CommitDecision) {
 			this.invariants.holds(false, "commit-without-armed-rank", Field.of("member", this.member),
 					Field.of("switch", id));
@@ -339,7 +339,7 @@
 		if (now >= this.nextQueryAt) {
 			this.nextQueryAt = now + this.settings.retryNanos();
 			this.armed
-				.ifPresent((arm) -> report(new DecisionQuery(this.rank, this.member, arm.boundary().decidedBy())));
+				.ifPresent((arm) -> report(new DecisionQuery(this.rank, this.member, arm.boundary().attemptId())));
 		}
 	}
 
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchCoordinator.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchCoordinator.java
@@ -213,7 +213,7 @@
 			releaseRanks(result.decision().get(), now);
 			return;
 		}
-		this.ledgerWrites.add(new AbortSwitch(this.term, commit.boundary().decidedBy()));
+		this.ledgerWrites.add(new AbortSwitch(this.term, commit.boundary().attemptId()));
 	}
 
 	private void releaseRanks(SwitchDecision decision, long now) {
@@ -329,9 +329,9 @@
 	}
 
 	private void abortAttempt(RequestedSwitch active, String reason) {
-		this.recorder.recordAbort(active.boundary().decidedBy(), reason);
+		this.recorder.recordAbort(active.boundary().attemptId(), reason);
 		active.startDeciding();
-		this.ledgerWrites.add(new AbortSwitch(this.term, active.boundary().decidedBy()));
+		this.ledgerWrites.add(new AbortSwitch(this.term, active.boundary().attemptId()));
 	}
 
 	private void handleReleased(RequestedSwitch active, SwitchReleased report, long now) {
--- a/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchRecorder.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/mapswitch/SwitchRecorder.java
@@ -20,7 +20,7 @@
 	}
 
 	void recordArming(MapBoundary boundary, BoundaryChoice choice) {
-		record("armed", Field.of("switch", boundary.decidedBy()), Field.of("map", boundary.map()),
+		record("armed", Field.of("switch", boundary.attemptId()), Field.of("map", boundary.map()),
 				Field.of("first-step", boundary.firstStep()), Field.of("lead-steps", choice.leadSteps()),
 				Field.of("lead-ns", choice.leadNanos()), Field.of("step-ns", choice.stepNanos()));
 	}
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementCheck.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementCheck.java
@@ -12,16 +12,16 @@
 
 	// Returns whether every expert has a copy, all copies are in usable slots, no rank
 	// holds an expert twice, and the shares of each expert add up to 1.
-	static boolean isComplete(GroupShape shape, Placement placement) {
+	static boolean isValid(GroupShape shape, Placement placement) {
 		for (int layer = 0; layer < shape.layers(); layer++) {
-			if (!isComplete(shape, placement, layer)) {
+			if (!isValid(shape, placement, layer)) {
 				return false;
 			}
 		}
 		return true;
 	}
 
-	private static boolean isComplete(GroupShape shape, Placement placement, int layer) {
+	private static boolean isValid(GroupShape shape, Placement placement, int layer) {
 		double[] shares = new double[shape.experts()];
 		// Positions are ordered by rank. For each expert: 1 + the last rank with a copy,
 		// or 0 if there is none yet.
--- a/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementPlanner.java
+++ b/comfreywall-group/src/main/java/org/comfreywall/group/placement/PlacementPlanner.java
@@ -55,7 +55,7 @@
 		if (!plan.isAccepted()) {
 			return plan;
 		}
-		boolean valid = this.invariants.holds(PlacementCheck.isComplete(request.shape(), plan.placement()),
+		boolean valid = this.invariants.holds(PlacementCheck.isValid(request.shape(), plan.placement()),
 				"every-expert-placed", Field.of("group", request.group()));
 		boolean cheaper = this.invariants.holds(
 				isMandatory(plan) || plan.price().priceAfter() <= plan.price().priceBefore(),
--- a/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/DecisionLedgerTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/DecisionLedgerTests.java
@@ -60,7 +60,7 @@
 		void ignoresAbortAfterCommit() {
 			ledger().apply(commit());
 
-			LedgerResult result = ledger().apply(new AbortSwitch(TERM, commit().boundary().decidedBy()));
+			LedgerResult result = ledger().apply(new AbortSwitch(TERM, commit().boundary().attemptId()));
 
 			assertThat(result.decision()).contains(new CommitDecision(commit().boundary()));
 			assertThat(ledger().state().timeline().mapAt(100)).contains(commit().boundary().map());
@@ -68,7 +68,7 @@
 
 		@Test
 		void ignoresCommitAfterAbort() {
-			SwitchId id = commit().boundary().decidedBy();
+			SwitchId id = commit().boundary().attemptId();
 			ledger().apply(new AbortSwitch(TERM, id));
 
 			assertThat(ledger().apply(commit()).decision()).contains(new AbortDecision(id));
@@ -112,7 +112,7 @@
 
 		@Test
 		void abortsAttemptOfEarlierTermInLaterTerm() {
-			SwitchId id = commit().boundary().decidedBy();
+			SwitchId id = commit().boundary().attemptId();
 			ledger().apply(new OpenTerm(TERM.next()));
 
 			assertThat(ledger().apply(new AbortSwitch(TERM.next(), id)).decision()).contains(new AbortDecision(id));
--- a/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchCoordinatorTests.java
+++ b/comfreywall-group/src/test/java/org/comfreywall/group/mapswitch/SwitchCoordinatorTests.java
@@ -149,7 +149,7 @@
 		handle(new CoordinatorTick());
 		report(new MapStaged(0, member(0), SECOND));
 		report(new MapStaged(1, member(1), SECOND));
-		return armOrder().boundary().decidedBy();
+		return armOrder().boundary().attemptId();
 	}
 
 	private ArmSwitch armOrder() {
