Reword the sidecar module

Changed: comments, doc comments, parameters, private fields and locals; each reason was checked in AttemptRegistry, AttemptStore and AttemptRefusal.

Compiled and tested: AttemptRegistryTests (24) and OrderFenceTests (7), all passed.

--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptCommandQueue.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptCommandQueue.java
@@ -43,40 +43,47 @@
 		add(new SendPart(link, record.attempt(), this.incarnation, sequence, part));
 	}
 
-	void sendEnd(EntryLink link, AttemptId attempt, AttemptEnd end, int crash) {
-		add(new SendEnd(link, attempt, this.incarnation, end, crash));
+	void sendEnd(EntryLink link, AttemptId attempt, AttemptEnd end, int crashNumber) {
+		add(new SendEnd(link, attempt, this.incarnation, end, crashNumber));
 	}
 
-	void sendRefusal(EntryLink link, AttemptId attempt, Incarnation addressed, AttemptRefusal refusal, long window) {
+	void sendRefusal(EntryLink link, AttemptId attempt, Incarnation addressedIncarnation, AttemptRefusal refusal,
+			long window) {
 		recordDecision(attempt, "refused", Field.of("reason", refusal), Field.of("entry", link.entry()));
-		add(new SendRefusal(link, attempt, addressed, refusal, window));
+		add(new SendRefusal(link, attempt, addressedIncarnation, refusal, window));
 	}
 
 	void sendSealed(EntryLink link, AttemptId attempt) {
+		// Later copies of a sealed attempt are refused, so a seal counts as a refusal.
 		recordDecision(attempt, "sealed", Field.of("entry", link.entry()));
 		add(new SendSealed(link, attempt, this.incarnation));
 	}
 
 	/**
 	 * Sends the stored parts of an accepted attempt's answer and subscribes the
-	 * connection to the following ones.
+	 * connection to the following ones unless the attempt has ended. Sends only the end
+	 * if the attempt has failed, or {@link AttemptEnd#ANSWER_DROPPED} if the requested
+	 * parts are not available or the attempt has its maximum number of connections.
 	 * @param record the attempt, which must not be sealed
 	 * @param link the connection
-	 * @param from the sequence number of the first part to send
+	 * @param fromSequence the sequence number of the first part to send
 	 */
-	void follow(AttemptRecord record, EntryLink link, long from) {
+	void follow(AttemptRecord record, EntryLink link, long fromSequence) {
 		if (record.state() == AttemptState.FAILED) {
 			sendEnd(link, record.attempt(), record.end(), record.crash());
 			return;
 		}
-		boolean canFollow = record.canReplayFrom(from) && (record.state().isEnded() || record.addLink(link));
-		if (!canFollow) {
+		// Subscribes the connection unless the attempt has ended.
+		boolean linkAccepted = record.canReplayFrom(fromSequence) && (record.state().isEnded() || record.addLink(link));
+		if (!linkAccepted) {
 			sendEnd(link, record.attempt(), AttemptEnd.ANSWER_DROPPED, 0);
 			return;
 		}
 		add(new SendStarted(link, record.attempt(), this.incarnation));
 		List<AnswerPart> parts = record.parts();
-		for (int i = (int) from; i < parts.size(); i++) {
+		// A stored part's index is its sequence number, as either all parts are stored or
+		// none.
+		for (int i = (int) fromSequence; i < parts.size(); i++) {
 			sendPart(link, record, i, parts.get(i));
 		}
 		record.markDelivered();
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptDrain.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptDrain.java
@@ -9,7 +9,7 @@
 
 	private final AttemptStore store;
 
-	private final RunningAttempts runs;
+	private final RunningAttempts runningAttempts;
 
 	private final Duration orphanTime;
 
@@ -17,9 +17,9 @@
 
 	private boolean finished;
 
-	AttemptDrain(AttemptStore store, RunningAttempts runs, Duration orphanTime) {
+	AttemptDrain(AttemptStore store, RunningAttempts runningAttempts, Duration orphanTime) {
 		this.store = store;
-		this.runs = runs;
+		this.runningAttempts = runningAttempts;
 		this.orphanTime = orphanTime;
 	}
 
@@ -31,17 +31,25 @@
 		return this.started;
 	}
 
+	/**
+	 * Completes the drain if no attempt runs and each complete answer was delivered or
+	 * not fetched within the orphan time.
+	 * @param now the time in nanoseconds
+	 * @return {@code true} once, when the drain becomes complete
+	 */
 	boolean tryFinish(long now) {
-		if (!this.started || this.finished || this.runs.size() > 0) {
+		if (!this.started || this.finished || this.runningAttempts.size() > 0) {
 			return false;
 		}
-		long bound = now - this.orphanTime.toNanos();
-		this.finished = this.store.endedAttempts().stream().noneMatch((record) -> awaitsDelivery(record, bound));
+		long resumableSince = now - this.orphanTime.toNanos();
+		this.finished = this.store.endedAttempts()
+			.stream()
+			.noneMatch((record) -> awaitsDelivery(record, resumableSince));
 		return this.finished;
 	}
 
-	private static boolean awaitsDelivery(AttemptRecord record, long bound) {
-		return record.state() == AttemptState.FINISHED && !record.isDelivered() && record.endedAt() > bound;
+	private static boolean awaitsDelivery(AttemptRecord record, long resumableSince) {
+		return record.state() == AttemptState.FINISHED && !record.isDelivered() && record.endedAt() > resumableSince;
 	}
 
 }
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRecord.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRecord.java
@@ -16,7 +16,7 @@
  */
 final class AttemptRecord {
 
-	/** The greatest number of connections that follow one attempt. */
+	/** The greatest number of connections that receive the answer of one attempt. */
 	static final int MAX_LINKS = 8;
 
 	private final AttemptId attempt;
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
@@ -43,7 +43,7 @@
 
 	private final AttemptCommandQueue commands;
 
-	private final RunningAttempts runs;
+	private final RunningAttempts runningAttempts;
 
 	private final AttemptAdmission admission;
 
@@ -72,9 +72,9 @@
 		this.listener = Preconditions.notNull(listener, "listener");
 		this.store = new AttemptStore(settings);
 		this.commands = new AttemptCommandQueue(incarnation, listener);
-		this.runs = new RunningAttempts(Preconditions.notNull(invariants, "invariants"), this.commands);
-		this.admission = new AttemptAdmission(settings, this.store, this.runs);
-		this.drain = new AttemptDrain(this.store, this.runs, settings.orphanTime());
+		this.runningAttempts = new RunningAttempts(Preconditions.notNull(invariants, "invariants"), this.commands);
+		this.admission = new AttemptAdmission(settings, this.store, this.runningAttempts);
+		this.drain = new AttemptDrain(this.store, this.runningAttempts, settings.orphanTime());
 		this.startedAt = now;
 		this.now = now;
 	}
@@ -117,7 +117,7 @@
 	 * @return the count
 	 */
 	public int runningCount() {
-		return this.runs.size();
+		return this.runningAttempts.size();
 	}
 
 	private void dispatch(AttemptEvent event) {
@@ -143,10 +143,10 @@
 			onLinkLost(lost.link());
 		}
 		else if (event instanceof RunRefused refused) {
-			this.runs.find(refused.attempt()).ifPresent(this::onRunRefused);
+			this.runningAttempts.find(refused.attempt()).ifPresent(this::onRunRefused);
 		}
 		else if (event instanceof RunBroken broken) {
-			this.runs.find(broken.attempt()).ifPresent((record) -> fail(record, AttemptEnd.BROKEN, 0));
+			this.runningAttempts.find(broken.attempt()).ifPresent((record) -> fail(record, AttemptEnd.BROKEN, 0));
 		}
 		else if (event instanceof BackendCrashed) {
 			onBackendCrashed();
@@ -182,6 +182,8 @@
 		return start.traits().idempotent() && known.permitsRetry(start.attempt());
 	}
 
+	// Handles a start that is not a permitted retry while an attempt of the request is
+	// stored: a copy of the stored attempt receives its answer, others are refused.
 	private void onKnownStart(StartReceived start, AttemptRecord known) {
 		if (known.state() == AttemptState.SEALED && !known.mayHaveReplaced(start.attempt())) {
 			refuse(start.link(), start.attempt(), AttemptRefusal.SEALED);
@@ -198,11 +200,11 @@
 		AttemptRecord record = AttemptRecord.accepted(start.attempt(), start.traits());
 		record.addLink(start.link());
 		this.store.put(record);
-		this.runs.startOrQueue(record);
+		this.runningAttempts.startOrQueue(record);
 	}
 
 	private void onPart(PartProduced event) {
-		Optional<AttemptRecord> known = this.runs.find(event.attempt());
+		Optional<AttemptRecord> known = this.runningAttempts.find(event.attempt());
 		if (known.isEmpty()) {
 			return;
 		}
@@ -251,6 +253,7 @@
 		}
 	}
 
+	// Confirms the seal if the attempt is sealed, otherwise sends its answer.
 	private void joinOrSeal(AttemptRecord known, AttemptId attempt, EntryLink link) {
 		if (known.state() == AttemptState.SEALED) {
 			this.commands.sendSealed(link, attempt);
@@ -260,6 +263,8 @@
 		}
 	}
 
+	// Handles a seal while an attempt of the request is stored, either the one to seal or
+	// another one.
 	private void sealKnown(AttemptRecord known, AttemptId attempt, EntryLink link) {
 		if (known.state() == AttemptState.QUEUED && attempt.equals(known.attempt())) {
 			known.addLink(link);
@@ -333,8 +338,9 @@
 	}
 
 	private void onLinkLost(EntryLink link) {
-		this.runs.all().forEach((record) -> record.removeLink(link, this.now));
-		Optional<AttemptRecord> queued = this.runs.findQueued().filter((record) -> record.links().contains(link));
+		this.runningAttempts.all().forEach((record) -> record.removeLink(link, this.now));
+		Optional<AttemptRecord> queued = this.runningAttempts.findQueued()
+			.filter((record) -> record.links().contains(link));
 		queued.ifPresent((record) -> {
 			record.removeLink(link, this.now);
 			sealQueued(record);
@@ -350,7 +356,7 @@
 
 	private void onBackendCrashed() {
 		this.crashCount++;
-		List<AttemptRecord> running = this.runs.all();
+		List<AttemptRecord> running = this.runningAttempts.all();
 		if (running.isEmpty()) {
 			return;
 		}
@@ -366,29 +372,29 @@
 
 	private void onDrainStarted() {
 		this.drain.start();
-		this.runs.findQueued().ifPresent(this::sealQueued);
+		this.runningAttempts.findQueued().ifPresent(this::sealQueued);
 		this.listener.onDecision(DecisionRecord.of(DecisionKind.DRAIN, this.backendServer.toString(), "draining",
-				Field.of("incarnation", this.incarnation), Field.of("running", this.runs.size())));
+				Field.of("incarnation", this.incarnation), Field.of("running", this.runningAttempts.size())));
 	}
 
 	private void cancelOrphans() {
 		long detachedBefore = this.now - this.settings.orphanTime().toNanos();
-		for (AttemptRecord record : this.runs.all()) {
+		for (AttemptRecord record : this.runningAttempts.all()) {
 			if (record.links().isEmpty() && record.isIdempotent() && record.lastLinkAt() <= detachedBefore) {
 				cancelRun(record);
 			}
 		}
 	}
 
-	private void fail(AttemptRecord record, AttemptEnd reason, int crash) {
-		record.markFailed(reason, crash);
-		record.links().forEach((link) -> this.commands.sendEnd(link, record.attempt(), reason, crash));
+	private void fail(AttemptRecord record, AttemptEnd reason, int crashNumber) {
+		record.markFailed(reason, crashNumber);
+		record.links().forEach((link) -> this.commands.sendEnd(link, record.attempt(), reason, crashNumber));
 		end(record);
 	}
 
 	private void end(AttemptRecord record) {
 		this.store.markEnded(record, this.now);
-		this.runs.remove(record);
+		this.runningAttempts.remove(record);
 	}
 
 	private boolean isAddressed(AttemptTarget target) {
@@ -399,8 +405,8 @@
 		this.commands.sendRefusal(link, attempt, this.incarnation, refusal, window());
 	}
 
-	private void refuseOtherIncarnation(EntryLink link, AttemptId attempt, Incarnation addressed) {
-		this.commands.sendRefusal(link, attempt, addressed, AttemptRefusal.OTHER_INCARNATION, window());
+	private void refuseOtherIncarnation(EntryLink link, AttemptId attempt, Incarnation addressedIncarnation) {
+		this.commands.sendRefusal(link, attempt, addressedIncarnation, AttemptRefusal.OTHER_INCARNATION, window());
 	}
 
 }
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptStore.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptStore.java
@@ -66,7 +66,8 @@
 		return this.startedClaims.containsKey(request);
 	}
 
-	// An unknown attempt of such a window may have run and expired.
+	// An unknown attempt of such a window may have run and expired. A window later than
+	// the current one is treated in the same way.
 	boolean mayHaveExpired(long attemptWindow) {
 		return attemptWindow <= this.latestExpiredWindow || attemptWindow > this.window;
 	}
@@ -128,9 +129,9 @@
 			oldest.remove();
 			expire(record);
 		}
-		long bound = now - this.settings.claimRetention().toNanos();
+		long expiredUpTo = now - this.settings.claimRetention().toNanos();
 		Iterator<Long> claims = this.startedClaims.values().iterator();
-		while (claims.hasNext() && claims.next() <= bound) {
+		while (claims.hasNext() && claims.next() <= expiredUpTo) {
 			claims.remove();
 		}
 	}
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/CancelReceived.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/CancelReceived.java
@@ -5,7 +5,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An entry cancelled an attempt of an idempotent request.
+ * An entry requested to cancel an attempt. A queued or unknown attempt is sealed, and a
+ * running one is cancelled if its request is idempotent. In all other cases the event has
+ * no effect.
  *
  * @param attempt the attempt
  * @param incarnation the addressed incarnation of the sidecar
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/ClaimQueryReceived.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/ClaimQueryReceived.java
@@ -5,8 +5,9 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * An entry that found the claim of a running request requested to follow the owner's
- * attempt, or to seal it if it has not started.
+ * An entry whose request has the same claimed idempotency key as another request, the
+ * claim's owner, requested the answer of the owner's attempt, or to seal every attempt of
+ * the owner if none was received.
  *
  * @param owner the request that holds the claim
  * @param incarnation the addressed incarnation of the sidecar
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/DrainStarted.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/DrainStarted.java
@@ -1,7 +1,7 @@
 package org.comfreywall.sidecar.attempt;
 
 /**
- * The sidecar was ordered to drain its backend server.
+ * The sidecar was requested to drain its backend server.
  */
 public record DrainStarted() implements AttemptEvent {
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/TimePassed.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/TimePassed.java
@@ -1,7 +1,8 @@
 package org.comfreywall.sidecar.attempt;
 
 /**
- * Clock tick; sent at least once per window.
+ * Clock tick; cancels attempts that have had no connection for too long. Sent at least
+ * once per {@link AttemptRegistrySettings#window()}.
  */
 public record TimePassed() implements AttemptEvent {
 
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/fence/OrderFence.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/fence/OrderFence.java
@@ -26,7 +26,7 @@
 
 	private final InstanceId self;
 
-	private final EngineFencing engine;
+	private final EngineFencing fencing;
 
 	private final Invariants invariants = new Invariants();
 
@@ -41,12 +41,12 @@
 	/**
 	 * Creates a fence without a known number.
 	 * @param self the instance of the sidecar
-	 * @param engine which process checks the numbers
+	 * @param fencing which process checks the numbers
 	 * @param decisions receives a record of each decision
 	 */
-	public OrderFence(InstanceId self, EngineFencing engine, DecisionListener decisions) {
+	public OrderFence(InstanceId self, EngineFencing fencing, DecisionListener decisions) {
 		this.self = Preconditions.notNull(self, "self");
-		this.engine = Preconditions.notNull(engine, "engine");
+		this.fencing = Preconditions.notNull(fencing, "fencing");
 		this.decisions = Preconditions.notNull(decisions, "decisions");
 	}
 
@@ -72,7 +72,7 @@
 	 */
 	public Result<FencingNumber> admit(FencingNumber number) {
 		Preconditions.notNull(number, "number");
-		if (this.engine == EngineFencing.CHECKED_BY_SIDECAR && !this.floorConfirmed) {
+		if (this.fencing == EngineFencing.CHECKED_BY_SIDECAR && !this.floorConfirmed) {
 			return refuse(number, ErrorCode.UNAVAILABLE,
 					"the current fencing number is not yet confirmed by a quorum; retry");
 		}
@@ -108,7 +108,7 @@
 	 * itself
 	 */
 	public boolean isReady() {
-		return this.floorConfirmed || this.engine == EngineFencing.CHECKED_BY_ENGINE;
+		return this.floorConfirmed || this.fencing == EngineFencing.CHECKED_BY_ENGINE;
 	}
 
 	private Result<FencingNumber> accept(FencingNumber number) {
--- a/comfreywall-sidecar/src/test/java/org/comfreywall/sidecar/fence/OrderFenceTests.java
+++ b/comfreywall-sidecar/src/test/java/org/comfreywall/sidecar/fence/OrderFenceTests.java
@@ -17,8 +17,8 @@
 
 	private final OrderFence fence = create(EngineFencing.CHECKED_BY_SIDECAR);
 
-	private static OrderFence create(EngineFencing engine) {
-		return new OrderFence(InstanceId.of("sidecar-1"), engine, DecisionListener.NONE);
+	private static OrderFence create(EngineFencing fencing) {
+		return new OrderFence(InstanceId.of("sidecar-1"), fencing, DecisionListener.NONE);
 	}
 
 	private static FencingNumber number(long term, long sequence) {
