Reword the transport module

Read badly: the permit method did not say that it serializes requests or which instance handles it; parameters that restate the attempt although they are commands; a connect future that does not say whether TLS is done; a priority sent as an ordinal and a frame limit without a word on it; a modification time of 1 ms in a test without a reason; the parameters of SerialWorker.scheduleAtFixedRate documented in the wrong order.

Changed: comments, doc comments and two names in tests.

--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/ConnectionTimeouts.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/ConnectionTimeouts.java
@@ -9,7 +9,7 @@
  *
  * @param heartbeatInterval the time between two heartbeats
  * @param suspicionTimeout the time without a frame from the peer after which the listener
- * is notified, so that it can open a second connection
+ * is notified, so that it can open a replacement connection
  * @param idleTimeout the time without a frame from the peer after which the connection is
  * closed
  * @param connectTimeout the time allowed for opening a connection
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerChannelInitializer.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerChannelInitializer.java
@@ -19,6 +19,7 @@
  */
 final class PeerChannelInitializer extends ChannelInitializer<Channel> {
 
+	/** Must exceed the size of a request body, which is sent in a single frame. */
 	static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
 	private static final int LENGTH_FIELD_BYTES = 4;
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLink.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerLink.java
@@ -114,6 +114,8 @@
 
 	private void handleConnectResult(boolean success) {
 		if (success) {
+			// The TLS handshake and the exchange of identities follow; their result is
+			// passed to the ConnectionEvents.
 			return;
 		}
 		this.listener.onDown(connectError());
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
@@ -43,7 +43,7 @@
 	/**
 	 * Loads the PEM files.
 	 * @param files the files
-	 * @return the security, or an error that gives the reason why the files cannot be
+	 * @return the TLS configuration, or an error with the reason why the files cannot be
 	 * loaded
 	 */
 	public static Result<TlsSecurity> from(TlsFiles files) {
@@ -101,7 +101,7 @@
 	}
 
 	/**
-	 * TLS contexts with the file versions they were loaded from.
+	 * TLS contexts with the modification times of the files that they were loaded from.
 	 *
 	 * @param modificationTimes the modification times of the files
 	 * @param serverContext the context for accepted connections
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
@@ -34,7 +34,7 @@
 	 * Creates a transport.
 	 * @param self the identity that this process sends to its peers
 	 * @param timeouts the heartbeat interval and the timeouts of connections
-	 * @param security how connections are secured
+	 * @param security provides the handlers that secure connections
 	 * @param threads the number of event loops, at least 1
 	 */
 	public Transport(PeerIdentity self, ConnectionTimeouts timeouts, TransportSecurity security, int threads) {
@@ -85,8 +85,9 @@
 	 * has been received.
 	 * @param address the peer's address
 	 * @param listener receives the connection's events
-	 * @return completes with {@code true} once connected, {@code false} if the peer
-	 * cannot be reached; in that case the listener is not called
+	 * @return completes with {@code true} once the TCP connection is established, before
+	 * the TLS handshake and the exchange of identities; {@code false} if the peer cannot
+	 * be reached, in which case the listener is not called
 	 */
 	public CompletableFuture<Boolean> connect(HostPort address, PeerListener listener) {
 		Preconditions.notNull(address, "address");
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/WireErrors.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/WireErrors.java
@@ -34,7 +34,7 @@
 	 * Decodes an error. A code or step that this version does not define is replaced by
 	 * {@link ErrorCode#BACKEND_ERROR} or {@link Step#RUN}.
 	 * @param error the protobuf message
-	 * @param sender the peer that sent it, used if the error names no peer
+	 * @param sender the peer that sent it, used if the error does not contain a peer
 	 * @return the error
 	 */
 	public static OperationError decode(WireError error, InstanceId sender) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptDecoder.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptDecoder.java
@@ -131,6 +131,7 @@
 		};
 	}
 
+	// The ordinal is the index of the constant in PriorityClass.
 	private static PriorityClass priority(int ordinal) {
 		PriorityClass[] all = PriorityClass.values();
 		if (ordinal >= all.length) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/EntryFrames.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/EntryFrames.java
@@ -30,12 +30,14 @@
 
 	/**
 	 * Creates the frame that starts an attempt.
-	 * @param command the attempt
+	 * @param command the command, with the attempt, its target and its traits
 	 * @param payload the HTTP request for the backend server
 	 * @param credit the number of answer parts that the sidecar may send
 	 * @return the frame
 	 */
 	public static Frame start(SendStart command, AttemptPayload payload, int credit) {
+		// The priority is sent as the ordinal of its PriorityClass, so the order of the
+		// constants is part of the protocol.
 		AttemptStart start = AttemptStart.newBuilder()
 			.setAttempt(key(command.attempt()))
 			.setTarget(target(command.target()))
@@ -59,7 +61,7 @@
 
 	/**
 	 * Creates the frame that seals an attempt.
-	 * @param command the attempt
+	 * @param command the command, with the attempt and its target
 	 * @return the frame
 	 */
 	public static Frame seal(SendSeal command) {
@@ -70,7 +72,7 @@
 
 	/**
 	 * Creates the frame that resumes the stream of an answer.
-	 * @param command the attempt and the next part
+	 * @param command the command, with the attempt and the next sequence number
 	 * @param credit the number of answer parts that the sidecar may send
 	 * @return the frame
 	 */
@@ -86,7 +88,7 @@
 
 	/**
 	 * Creates the frame that cancels an attempt.
-	 * @param command the attempt
+	 * @param command the command, with the attempt and the addressed incarnation
 	 * @return the frame
 	 */
 	public static Frame cancel(SendCancel command) {
@@ -99,7 +101,7 @@
 
 	/**
 	 * Creates the frame that queries the attempt of the request that owns a claim.
-	 * @param command the owner and the incarnation of its sidecar
+	 * @param command the command, with the owner and the incarnation of its sidecar
 	 * @param credit the number of answer parts that the sidecar may send
 	 * @return the frame
 	 */
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/SidecarFrames.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/SidecarFrames.java
@@ -27,7 +27,7 @@
 
 	/**
 	 * Creates the frame that reports that an attempt was accepted and may have started.
-	 * @param command the attempt
+	 * @param command the command, with the attempt
 	 * @return the frame
 	 */
 	public static Frame started(SendStarted command) {
@@ -40,7 +40,7 @@
 
 	/**
 	 * Creates the frame that carries one part of an answer.
-	 * @param command the part
+	 * @param command the command, with the attempt and the part
 	 * @return the frame
 	 */
 	public static Frame part(SendPart command) {
@@ -62,7 +62,7 @@
 
 	/**
 	 * Creates the frame that reports that an attempt ended without a complete answer.
-	 * @param command the attempt and the reason
+	 * @param command the command, with the attempt and the reason
 	 * @return the frame
 	 */
 	public static Frame ended(SendEnd command) {
@@ -77,7 +77,7 @@
 
 	/**
 	 * Creates the frame that refuses an attempt.
-	 * @param command the attempt and the reason
+	 * @param command the command, with the attempt and the reason
 	 * @return the frame
 	 */
 	public static Frame refused(SendRefusal command) {
@@ -92,7 +92,7 @@
 
 	/**
 	 * Creates the frame that confirms that an attempt is sealed.
-	 * @param command the attempt
+	 * @param command the command, with the attempt
 	 * @return the frame
 	 */
 	public static Frame sealed(SendSealed command) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlMethods.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/control/ControlMethods.java
@@ -33,11 +33,15 @@
 	public static final RpcMethod<HeartbeatRequest, HeartbeatReply> HEARTBEAT = new RpcMethod<>("control.heartbeat",
 			HeartbeatRequest.parser(), HeartbeatReply.parser());
 
-	/** Requests a permit to run a request alongside others with the same fingerprint. */
+	/**
+	 * Requests a permit to run a request. Until one run with the request's fingerprint
+	 * has completed, other requests with that fingerprint wait for a limited time (single
+	 * flight). Handled by the control instance that the fingerprint's hash selects.
+	 */
 	public static final RpcMethod<FlightRequest, FlightReply> REQUEST_FLIGHT_PERMIT = new RpcMethod<>(
 			"control.ask-flight", FlightRequest.parser(), FlightReply.parser());
 
-	/** Reports the result of a permitted run. */
+	/** Reports the result of a permitted run; handled by the same instance. */
 	public static final RpcMethod<FlightEndRequest, FlightEndReply> REPORT_FLIGHT_END = new RpcMethod<>(
 			"control.end-flight", FlightEndRequest.parser(), FlightEndReply.parser());
 
@@ -45,7 +49,7 @@
 	public static final RpcMethod<LeaseCall, LeaseReply> LEASE = new RpcMethod<>("control.lease", LeaseCall.parser(),
 			LeaseReply.parser());
 
-	/** Orders a sidecar to drain its backend server. */
+	/** Requests a sidecar to drain its backend server; handled by the sidecar. */
 	public static final RpcMethod<DrainRequest, DrainReply> DRAIN = new RpcMethod<>("sidecar.drain",
 			DrainRequest.parser(), DrainReply.parser());
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/worker/SerialWorker.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/worker/SerialWorker.java
@@ -70,8 +70,8 @@
 
 	/**
 	 * Runs a task on this worker at a fixed rate; a run is skipped if the queue is full.
-	 * @param task the task
 	 * @param interval the time between runs
+	 * @param task the task
 	 * @return a future that cancels further runs
 	 */
 	public ScheduledFuture<?> scheduleAtFixedRate(Duration interval, Runnable task) {
--- a/comfreywall-transport/src/test/java/org/comfreywall/transport/MalformedFrameTests.java
+++ b/comfreywall-transport/src/test/java/org/comfreywall/transport/MalformedFrameTests.java
@@ -33,11 +33,11 @@
 
 	private static final int TIMEOUT_MILLIS = 20_000;
 
-	private final ConnectionTimeouts times = new ConnectionTimeouts(Duration.ofSeconds(1), Duration.ofSeconds(30),
+	private final ConnectionTimeouts timeouts = new ConnectionTimeouts(Duration.ofSeconds(1), Duration.ofSeconds(30),
 			Duration.ofSeconds(60), Duration.ofSeconds(10));
 
 	private final Transport transport = new Transport(new PeerIdentity(InstanceId.of("server"), Incarnation.of(1)),
-			this.times, TransportSecurity.PLAIN, 1);
+			this.timeouts, TransportSecurity.PLAIN, 1);
 
 	private final RecordingListener listener = new RecordingListener();
 
@@ -61,6 +61,7 @@
 			sendHello(good);
 			byte[] malformed = new byte[256];
 			new Random(seed).nextBytes(malformed);
+			// A length prefix of 100 bytes, so that the bytes contain a whole frame.
 			malformed[0] = 0;
 			malformed[1] = 0;
 			malformed[2] = 0;
--- a/comfreywall-transport/src/test/java/org/comfreywall/transport/TlsSecurityTests.java
+++ b/comfreywall-transport/src/test/java/org/comfreywall/transport/TlsSecurityTests.java
@@ -25,7 +25,7 @@
  */
 class TlsSecurityTests {
 
-	private static final ConnectionTimeouts TIMES = new ConnectionTimeouts(Duration.ofSeconds(1),
+	private static final ConnectionTimeouts TIMEOUTS = new ConnectionTimeouts(Duration.ofSeconds(1),
 			Duration.ofSeconds(30), Duration.ofSeconds(60), Duration.ofSeconds(10));
 
 	private final Closer closer = new Closer();
@@ -75,17 +75,20 @@
 	private Transport transport(String name, TlsFiles files) {
 		TransportSecurity security = TlsSecurity.from(files).value().orElseThrow();
 		return this.closer
-			.register(new Transport(new PeerIdentity(InstanceId.of(name), Incarnation.of(1)), TIMES, security, 1));
+			.register(new Transport(new PeerIdentity(InstanceId.of(name), Incarnation.of(1)), TIMEOUTS, security, 1));
 	}
 
 	private static void replace(TlsFiles old, TlsFiles renewed) throws Exception {
 		Files.copy(renewed.key(), old.key(), StandardCopyOption.REPLACE_EXISTING);
 		Files.copy(renewed.certificate(), old.certificate(), StandardCopyOption.REPLACE_EXISTING);
+		// A time that differs from that of the old file even if both were written within
+		// the resolution of the file system's clock, so that the change is detected.
 		Files.setLastModifiedTime(old.certificate(), FileTime.fromMillis(1));
 	}
 
 	/**
-	 * Records whether the connection opened before it closed.
+	 * Records whether the peer was accepted: whether the connection opened, or closed
+	 * without having opened.
 	 */
 	private static final class OpenListener implements PeerListener {
 
