Name the idempotency key in the payload's null check

The component "key" of AttemptPayload is an idempotency key, while EntryFrames.key in the same package creates attempt keys. No test or tool matches the message.

--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptPayload.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptPayload.java
@@ -29,7 +29,7 @@
 		Preconditions.notNull(body, "body");
 		Preconditions.notNull(priority, "priority");
 		Preconditions.notNull(remaining, "remaining");
-		Preconditions.notNull(key, "key");
+		Preconditions.notNull(key, "idempotencyKey");
 	}
 
 }
