--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
@@ -140,7 +140,7 @@
 	}
 
 	private static Result<TransportSecurity> security(InstanceSettings settings) {
-		return tlsFiles(settings).map((files) -> TlsSecurity.from(files).<TransportSecurity>map((tls) -> tls))
+		return tlsFiles(settings).map((files) -> TlsSecurity.load(files).<TransportSecurity>map((tls) -> tls))
 			.orElseGet(() -> Result.success(TransportSecurity.PLAIN));
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
@@ -138,7 +138,7 @@
 			}
 			opened.putHeader("Comfreywall-Attempt", attempt.toString());
 			opened.putHeader("Comfreywall-Priority", payload.priority().name().toLowerCase(Locale.ROOT));
-			payload.key().ifPresent((key) -> opened.putHeader("Idempotency-Key", key.value()));
+			payload.idempotencyKey().ifPresent((key) -> opened.putHeader("Idempotency-Key", key.value()));
 			opened.send(Buffer.buffer(payload.body().toArray())).onComplete((result) -> {
 				if (result.succeeded()) {
 					receive(result.result());
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptAdmission.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptAdmission.java
@@ -31,7 +31,7 @@
 	 * @param now the time in nanoseconds
 	 * @return the reason why the attempt must not run, or empty if it may
 	 */
-	Optional<AttemptRefusal> findRefusal(StartReceived start, boolean isRetry, boolean draining, long now) {
+	Optional<AttemptRefusal> checkStart(StartReceived start, boolean isRetry, boolean draining, long now) {
 		long window = start.target().window();
 		if (this.store.hasStartedClaim(start.attempt().request())) {
 			// A claimed attempt of the request has run, and its record has expired. The
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptCommandQueue.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptCommandQueue.java
@@ -29,7 +29,7 @@
 		this.listener = listener;
 	}
 
-	List<AttemptCommand> drainCommands() {
+	List<AttemptCommand> takeCommands() {
 		List<AttemptCommand> result = this.commands;
 		this.commands = new ArrayList<>();
 		return result;
@@ -68,7 +68,7 @@
 	 * @param link the connection
 	 * @param fromSequence the sequence number of the first part to send
 	 */
-	void follow(AttemptRecord record, EntryLink link, long fromSequence) {
+	void replayAndSubscribe(AttemptRecord record, EntryLink link, long fromSequence) {
 		if (record.state() == AttemptState.FAILED) {
 			sendEnd(link, record.attempt(), record.end(), record.crash());
 			return;
--- a/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
+++ b/comfreywall-sidecar/src/main/java/org/comfreywall/sidecar/attempt/AttemptRegistry.java
@@ -93,7 +93,7 @@
 		if (this.drain.tryFinish(this.now)) {
 			this.commands.add(new FinishDrain());
 		}
-		return this.commands.drainCommands();
+		return this.commands.takeCommands();
 	}
 
 	/**
@@ -170,7 +170,7 @@
 			onKnownStart(start, known.get());
 			return;
 		}
-		Optional<AttemptRefusal> refusal = this.admission.findRefusal(start, known.isPresent(), isDraining(), this.now);
+		Optional<AttemptRefusal> refusal = this.admission.checkStart(start, known.isPresent(), isDraining(), this.now);
 		if (refusal.isPresent()) {
 			refuse(start.link(), attempt, refusal.get());
 			return;
@@ -192,7 +192,7 @@
 			refuse(start.link(), start.attempt(), AttemptRefusal.ALREADY_RUNNING);
 		}
 		else if (!known.links().contains(start.link())) {
-			this.commands.follow(known, start.link(), 0);
+			this.commands.replayAndSubscribe(known, start.link(), 0);
 		}
 	}
 
@@ -259,7 +259,7 @@
 			this.commands.sendSealed(link, attempt);
 		}
 		else {
-			this.commands.follow(known, link, 0);
+			this.commands.replayAndSubscribe(known, link, 0);
 		}
 	}
 
@@ -307,7 +307,7 @@
 			refuse(resume.link(), attempt, AttemptRefusal.SEALED);
 		}
 		else {
-			this.commands.follow(known.get(), resume.link(), resume.nextSequence());
+			this.commands.replayAndSubscribe(known.get(), resume.link(), resume.nextSequence());
 		}
 	}
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/TlsSecurity.java
@@ -46,7 +46,7 @@
 	 * @return the TLS configuration, or an error with the reason why the files cannot be
 	 * loaded
 	 */
-	public static Result<TlsSecurity> from(TlsFiles files) {
+	public static Result<TlsSecurity> load(TlsFiles files) {
 		Preconditions.notNull(files, "files");
 		try {
 			return Result.success(new TlsSecurity(files, loadContexts(files)));
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptPayload.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/AttemptPayload.java
@@ -17,10 +17,10 @@
  * @param body the body
  * @param priority the priority class
  * @param remaining the time left until the caller's deadline
- * @param key the caller's idempotency key
+ * @param idempotencyKey the caller's idempotency key
  */
 public record AttemptPayload(String method, String path, String contentType, Bytes body, PriorityClass priority,
-		Duration remaining, Optional<IdempotencyKey> key) {
+		Duration remaining, Optional<IdempotencyKey> idempotencyKey) {
 
 	public AttemptPayload {
 		Preconditions.notBlank(method, "method");
@@ -29,7 +29,7 @@
 		Preconditions.notNull(body, "body");
 		Preconditions.notNull(priority, "priority");
 		Preconditions.notNull(remaining, "remaining");
-		Preconditions.notNull(key, "idempotencyKey");
+		Preconditions.notNull(idempotencyKey, "idempotencyKey");
 	}
 
 }
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/EntryFrames.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/EntryFrames.java
@@ -39,7 +39,7 @@
 		// The priority is sent as the ordinal of its PriorityClass, so the order of the
 		// constants is part of the protocol.
 		AttemptStart start = AttemptStart.newBuilder()
-			.setAttempt(key(command.attempt()))
+			.setAttempt(attemptKey(command.attempt()))
 			.setTarget(target(command.target()))
 			.setAccount(command.traits().fingerprint().account().value())
 			.setService(command.traits().fingerprint().service().value())
@@ -53,7 +53,7 @@
 			.setBody(ByteString.copyFrom(payload.body().toArray()))
 			.setPriority(payload.priority().ordinal())
 			.setRemainingMillis(Math.max(0, payload.remaining().toMillis()))
-			.setIdempotencyKey(payload.key().map(IdempotencyKey::value).orElse(""))
+			.setIdempotencyKey(payload.idempotencyKey().map(IdempotencyKey::value).orElse(""))
 			.setCredit(credit)
 			.build();
 		return Frame.newBuilder().setStart(start).build();
@@ -66,7 +66,9 @@
 	 */
 	public static Frame seal(SendSeal command) {
 		return Frame.newBuilder()
-			.setSeal(AttemptSeal.newBuilder().setAttempt(key(command.attempt())).setTarget(target(command.target())))
+			.setSeal(AttemptSeal.newBuilder()
+				.setAttempt(attemptKey(command.attempt()))
+				.setTarget(target(command.target())))
 			.build();
 	}
 
@@ -79,7 +81,7 @@
 	public static Frame resume(SendResume command, int credit) {
 		return Frame.newBuilder()
 			.setResume(AttemptResume.newBuilder()
-				.setAttempt(key(command.attempt()))
+				.setAttempt(attemptKey(command.attempt()))
 				.setIncarnation(command.incarnation().value())
 				.setNextSequence(command.nextSequence())
 				.setCredit(credit))
@@ -94,7 +96,7 @@
 	public static Frame cancel(SendCancel command) {
 		return Frame.newBuilder()
 			.setCancel(AttemptCancel.newBuilder()
-				.setAttempt(key(command.attempt()))
+				.setAttempt(attemptKey(command.attempt()))
 				.setIncarnation(command.incarnation().value()))
 			.build();
 	}
@@ -124,7 +126,7 @@
 		return Frame.newBuilder().setCredit(Credit.newBuilder().setRequest(request.value()).setParts(parts)).build();
 	}
 
-	static AttemptKey key(AttemptId attempt) {
+	static AttemptKey attemptKey(AttemptId attempt) {
 		return AttemptKey.newBuilder().setRequest(attempt.request().value()).setNumber(attempt.number()).build();
 	}
 
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/SidecarFrames.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/attempt/SidecarFrames.java
@@ -33,7 +33,7 @@
 	public static Frame started(SendStarted command) {
 		return Frame.newBuilder()
 			.setStarted(AttemptStarted.newBuilder()
-				.setAttempt(EntryFrames.key(command.attempt()))
+				.setAttempt(EntryFrames.attemptKey(command.attempt()))
 				.setIncarnation(command.incarnation().value()))
 			.build();
 	}
@@ -45,7 +45,7 @@
 	 */
 	public static Frame part(SendPart command) {
 		AttemptPart.Builder part = AttemptPart.newBuilder()
-			.setAttempt(EntryFrames.key(command.attempt()))
+			.setAttempt(EntryFrames.attemptKey(command.attempt()))
 			.setIncarnation(command.incarnation().value())
 			.setSequence(command.sequence());
 		if (command.part() instanceof AnswerHead head) {
@@ -68,7 +68,7 @@
 	public static Frame ended(SendEnd command) {
 		return Frame.newBuilder()
 			.setEnded(AttemptEnded.newBuilder()
-				.setAttempt(EntryFrames.key(command.attempt()))
+				.setAttempt(EntryFrames.attemptKey(command.attempt()))
 				.setIncarnation(command.incarnation().value())
 				.setEnd(command.end().name())
 				.setCrash(command.crash()))
@@ -83,7 +83,7 @@
 	public static Frame refused(SendRefusal command) {
 		return Frame.newBuilder()
 			.setRefused(AttemptRefused.newBuilder()
-				.setAttempt(EntryFrames.key(command.attempt()))
+				.setAttempt(EntryFrames.attemptKey(command.attempt()))
 				.setIncarnation(command.incarnation().value())
 				.setRefusal(command.refusal().name())
 				.setWindow(command.window()))
@@ -98,7 +98,7 @@
 	public static Frame sealed(SendSealed command) {
 		return Frame.newBuilder()
 			.setSealed(AttemptSealed.newBuilder()
-				.setAttempt(EntryFrames.key(command.attempt()))
+				.setAttempt(EntryFrames.attemptKey(command.attempt()))
 				.setIncarnation(command.incarnation().value()))
 			.build();
 	}
--- a/comfreywall-transport/src/test/java/org/comfreywall/transport/TlsSecurityTests.java
+++ b/comfreywall-transport/src/test/java/org/comfreywall/transport/TlsSecurityTests.java
@@ -58,7 +58,7 @@
 	@Test
 	void reportsMissingFileInError() {
 		Path missing = this.folder.resolve("missing.pem");
-		assertThat(TlsSecurity.from(new TlsFiles(missing, missing, missing)).error().map(OperationError::message))
+		assertThat(TlsSecurity.load(new TlsFiles(missing, missing, missing)).error().map(OperationError::message))
 			.hasValueSatisfying((message) -> assertThat(message).contains("missing.pem"));
 	}
 
@@ -73,7 +73,7 @@
 	}
 
 	private Transport transport(String name, TlsFiles files) {
-		TransportSecurity security = TlsSecurity.from(files).value().orElseThrow();
+		TransportSecurity security = TlsSecurity.load(files).value().orElseThrow();
 		return this.closer
 			.register(new Transport(new PeerIdentity(InstanceId.of(name), Incarnation.of(1)), TIMEOUTS, security, 1));
 	}
