Reword the daemon's admission, routing feedback and start

The fields of Daemon were named after something other than what they hold (members was a client, http was the TLS setup). RoutingFeedback had three names for one map element and a flag `whole`. AdmissionGate had two similar names for a lease request and the offer to its own controller, and its refusals claimed an exceeded limit although a silent grantor or a missing configuration is also a cause.

Fields, private methods and locals are renamed, and comments say why a cost is at least 1, why leaving is announced before the drain, what a cancelled call still reports, and why a message to an unknown peer is dropped. The two refusal messages keep their parts and values.

Compiled with its dependencies. RoutingFeedbackTests, SilentConnectionTests, ChangeRequestTests and LayeringTests pass (8).

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LogPeers.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LogPeers.java
@@ -32,6 +32,8 @@
 	@Override
 	public void send(PeerMessage message) {
 		RpcClient client = this.clients.get(message.to());
+		// A message to an instance that is not a configured peer is dropped:
+		// PeerSender permits the loss of messages.
 		if (client != null) {
 			client.send(ControlMethods.LOG_TOPIC, ByteString.copyFrom(LogCodec.encodeMessage(message).toArray()));
 		}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/PoisonVerdictPublisher.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/PoisonVerdictPublisher.java
@@ -12,17 +12,18 @@
 import org.comfreywall.control.state.ReplicatedPoison;
 
 /**
- * Replicated ledger that makes its verdicts readable from other threads: publishes an
- * immutable copy after each change.
+ * Delegates to the replicated poison ledger and makes its verdicts readable from other
+ * threads: publishes an immutable copy after each applied command and each restored
+ * snapshot.
  */
 final class PoisonVerdictPublisher implements Ledger {
 
-	private final ReplicatedPoison replicated;
+	private final ReplicatedPoison delegate;
 
 	private volatile Map<Fingerprint, PoisonVerdict> verdicts = Map.of();
 
-	PoisonVerdictPublisher(ReplicatedPoison replicated) {
-		this.replicated = replicated;
+	PoisonVerdictPublisher(ReplicatedPoison delegate) {
+		this.delegate = delegate;
 	}
 
 	PoisonVerdict verdict(Fingerprint fingerprint) {
@@ -31,36 +32,36 @@
 
 	@Override
 	public String name() {
-		return this.replicated.name();
+		return this.delegate.name();
 	}
 
 	@Override
 	public Bytes apply(LogTime time, Bytes command) {
-		Bytes answer = this.replicated.apply(time, command);
+		Bytes answer = this.delegate.apply(time, command);
 		publish();
 		return answer;
 	}
 
 	@Override
 	public Bytes query(Bytes query) {
-		return this.replicated.query(query);
+		return this.delegate.query(query);
 	}
 
 	@Override
 	public Bytes snapshot() {
-		return this.replicated.snapshot();
+		return this.delegate.snapshot();
 	}
 
 	@Override
 	public void restore(Bytes snapshot) {
-		this.replicated.restore(snapshot);
+		this.delegate.restore(snapshot);
 		publish();
 	}
 
 	private void publish() {
 		Map<Fingerprint, PoisonVerdict> updated = new HashMap<>();
-		for (PoisonEntry entry : this.replicated.ledger().snapshot().entries()) {
-			updated.put(entry.fingerprint(), this.replicated.ledger().assess(entry.fingerprint()));
+		for (PoisonEntry entry : this.delegate.ledger().snapshot().entries()) {
+			updated.put(entry.fingerprint(), this.delegate.ledger().assess(entry.fingerprint()));
 		}
 		this.verdicts = Map.copyOf(updated);
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
@@ -54,7 +54,7 @@
 
 	private final AdmissionListener listener;
 
-	private final LimitEnforcer limits;
+	private final LimitEnforcer limitEnforcer;
 
 	private final Map<ServiceId, AdmissionController> controllers = new HashMap<>();
 
@@ -66,8 +66,8 @@
 		this.parts = parts;
 		this.worker = worker;
 		this.listener = listener;
-		this.limits = new LimitEnforcer(parts.transport().self().instance(), parts.transport().self().incarnation(),
-				LimitSettings.DEFAULT,
+		this.limitEnforcer = new LimitEnforcer(parts.transport().self().instance(),
+				parts.transport().self().incarnation(), LimitSettings.DEFAULT,
 				(account) -> configuration().account(account).map((descriptor) -> descriptor.limits()),
 				parts.decisions(), new Invariants());
 	}
@@ -75,9 +75,15 @@
 	void offer(ActiveRequest request) {
 		LimitRequest limitRequest = new LimitRequest(request.request().id(), request.request().account(),
 				request.expectedTokens());
-		applyDecision(request, limitRequest, this.limits.offer(limitRequest, now()));
+		applyDecision(request, limitRequest, this.limitEnforcer.offer(limitRequest, now()));
 	}
 
+	/**
+	 * Cancels a request that waits for a share of its limit or for capacity.
+	 * @param id the request
+	 * @return {@code true} if it was waiting and is removed, {@code false} if it is
+	 * running or unknown
+	 */
 	boolean cancel(RequestId id) {
 		if (this.pendingRequests.remove(id) != null) {
 			return true;
@@ -86,7 +92,7 @@
 		boolean queued = holder != null && controller(holder.service()).cancel(id);
 		if (queued) {
 			this.permitHolders.remove(id);
-			this.limits.returnPermit(holder.permit(), 0, now());
+			this.limitEnforcer.returnPermit(holder.permit(), 0, now());
 		}
 		return queued;
 	}
@@ -96,13 +102,13 @@
 		if (holder == null) {
 			return;
 		}
-		this.limits.returnPermit(holder.permit(), request.spentTokens(), now());
+		this.limitEnforcer.returnPermit(holder.permit(), request.spentTokens(), now());
 		execute(holder.service(),
 				controller(holder.service()).handleFinished(request.request().id(), finishKind(outcome, error), now()));
 	}
 
 	void tick() {
-		requestShares();
+		sendDueLeaseRequests();
 		List.copyOf(this.pendingRequests.values()).forEach(this::retryPending);
 		this.controllers.forEach((service, controller) -> execute(service, controller.tick(now())));
 	}
@@ -111,30 +117,36 @@
 		RequestId id = limitRequest.id();
 		this.pendingRequests.remove(id);
 		if (decision instanceof LimitAdmitted admitted) {
-			requestCapacity(request, admitted.permit());
+			offerToController(request, admitted.permit());
 		}
 		else if (decision instanceof LimitPending pending) {
 			this.pendingRequests.put(id, new PendingRequest(request, limitRequest, pending.waitUntil()));
-			requestShares();
+			sendDueLeaseRequests();
 		}
 		else {
 			LimitRefused refused = (LimitRefused) decision;
-			this.listener.onRefused(id,
-					OperationError.local(ErrorCode.LIMIT_EXCEEDED, Step.ADMIT,
-							"limit exceeded for client account " + limitRequest.account() + ": " + refused.kind()),
-					refused.retryAfter());
+			this.listener
+				.onRefused(id,
+						OperationError
+							.local(ErrorCode.LIMIT_EXCEEDED, Step.ADMIT,
+									"the request was not admitted under the limits of client account "
+											+ limitRequest.account() + "; cause: " + refused.kind()),
+						refused.retryAfter());
 		}
 	}
 
 	private void retryPending(PendingRequest request) {
 		applyDecision(request.request(), request.limitRequest(),
-				this.limits.offerAgain(request.limitRequest(), request.until(), now()));
+				this.limitEnforcer.offerAgain(request.limitRequest(), request.waitUntil(), now()));
 	}
 
-	private void requestCapacity(ActiveRequest request, LimitPermit permit) {
+	private void offerToController(ActiveRequest request, LimitPermit permit) {
 		RequestId id = request.request().id();
 		ServiceId service = request.request().service();
 		this.permitHolders.put(id, new PermitHolder(service, permit));
+		// The cost is in tokens. A request to a plain service has 0 expected tokens, but
+		// a
+		// cost must be above zero.
 		AdmissionRequest admission = new AdmissionRequest(id, request.request().account(), request.request().priority(),
 				1 + request.expectedTokens(), now() + request.remainingNanos(now()));
 		AdmissionResult result = controller(service).offer(admission, now());
@@ -161,29 +173,29 @@
 	private void refuse(RequestId id, String reason, Duration retryAfter) {
 		PermitHolder holder = this.permitHolders.remove(id);
 		if (holder != null) {
-			this.limits.returnPermit(holder.permit(), 0, now());
+			this.limitEnforcer.returnPermit(holder.permit(), 0, now());
 		}
-		this.listener.onRefused(id,
-				OperationError.local(ErrorCode.OVERLOADED, Step.ADMIT, "the service is overloaded: " + reason),
-				retryAfter);
+		this.listener.onRefused(id, OperationError.local(ErrorCode.OVERLOADED, Step.ADMIT,
+				"the request was not run, because the service is overloaded; reason: " + reason), retryAfter);
 	}
 
 	private void sendLeaseRequest(SendLeaseRequest command) {
 		GrantorRole role = command.grantor();
+		// A failed request is not retried here: a later tick creates the next one.
 		this.parts.control()
 			.requestLease(command)
 			.thenAccept(
 					(result) -> result.value().ifPresent((grant) -> this.worker.offer(() -> handleGrant(role, grant))));
 	}
 
-	private void requestShares() {
-		this.limits.tick(now()).forEach((command) -> sendLeaseRequest((SendLeaseRequest) command));
+	private void sendDueLeaseRequests() {
+		this.limitEnforcer.tick(now()).forEach((command) -> sendLeaseRequest((SendLeaseRequest) command));
 	}
 
 	private void handleGrant(GrantorRole role, LeaseGrant grant) {
-		Collection<AccountId> served = this.limits.handleGrant(role, grant, now());
+		Collection<AccountId> accountsToRetry = this.limitEnforcer.handleGrant(role, grant, now());
 		for (PendingRequest request : List.copyOf(this.pendingRequests.values())) {
-			if (served.contains(request.limitRequest().account())) {
+			if (accountsToRetry.contains(request.limitRequest().account())) {
 				retryPending(request);
 			}
 		}
@@ -223,9 +235,10 @@
 	 *
 	 * @param request the request
 	 * @param limitRequest the amounts that it needs
-	 * @param waitUntil the deadline of its wait, as monotonic time in nanoseconds
+	 * @param waitUntil the time at which it is refused if no share has arrived, in
+	 * nanoseconds on the entry's monotonic clock
 	 */
-	private record PendingRequest(ActiveRequest request, LimitRequest limitRequest, long until) {
+	private record PendingRequest(ActiveRequest request, LimitRequest limitRequest, long waitUntil) {
 
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RoutingFeedback.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/RoutingFeedback.java
@@ -17,49 +17,50 @@
 
 /**
  * Reports the progress of attempts to the routers that chose their backend servers: each
- * attempt is reported as sent once and as ended once.
+ * attempt that is sent is reported as sent once and as ended once.
  */
 final class RoutingFeedback {
 
 	private final RouterRegistry routers;
 
-	private final Map<RequestId, RoutedAttempt> latest = new HashMap<>();
+	private final Map<RequestId, RoutedAttempt> latestAttempts = new HashMap<>();
 
 	RoutingFeedback(RouterRegistry routers) {
 		this.routers = routers;
 	}
 
 	Optional<RouteChoice> choose(CallerRequest request, Set<BackendServerId> excluded) {
+		// A second choice for a request means that its previous attempt did not complete.
 		reportEnded(request.id(), false);
 		RouteRequest routeRequest = this.routers.routeRequest(request, excluded);
 		Optional<RouteChoice> choice = this.routers.choose(routeRequest, request.service());
-		choice.ifPresent((chosen) -> this.latest.put(request.id(),
+		choice.ifPresent((chosen) -> this.latestAttempts.put(request.id(),
 				new RoutedAttempt(request.service(), routeRequest, chosen, Optional.empty())));
 		return choice;
 	}
 
 	void reportSent(AttemptId attempt) {
-		RoutedAttempt chosen = this.latest.get(attempt.request());
-		if (chosen != null && chosen.attempt().isEmpty()) {
-			this.latest.put(attempt.request(), chosen.withAttempt(attempt));
-			this.routers.reportSent(chosen.service(), attempt, chosen.request(), chosen.choice());
+		RoutedAttempt routed = this.latestAttempts.get(attempt.request());
+		if (routed != null && routed.attempt().isEmpty()) {
+			this.latestAttempts.put(attempt.request(), routed.withAttempt(attempt));
+			this.routers.reportSent(routed.service(), attempt, routed.routeRequest(), routed.choice());
 		}
 	}
 
 	void reportFirstToken(RequestId request) {
-		RoutedAttempt sent = this.latest.get(request);
-		if (sent != null) {
-			sent.attempt()
-				.ifPresent((attempt) -> this.routers.dispatch(sent.service(), new FirstTokenReceived(attempt)));
+		RoutedAttempt routed = this.latestAttempts.get(request);
+		if (routed != null) {
+			routed.attempt()
+				.ifPresent((attempt) -> this.routers.dispatch(routed.service(), new FirstTokenReceived(attempt)));
 		}
 	}
 
-	void reportEnded(RequestId request, boolean whole) {
-		RoutedAttempt last = this.latest.remove(request);
-		if (last != null) {
-			last.attempt()
-				.ifPresent((attempt) -> this.routers.dispatch(last.service(),
-						whole ? new AttemptFinished(attempt) : new AttemptFailed(attempt)));
+	void reportEnded(RequestId request, boolean completed) {
+		RoutedAttempt routed = this.latestAttempts.remove(request);
+		if (routed != null) {
+			routed.attempt()
+				.ifPresent((attempt) -> this.routers.dispatch(routed.service(),
+						completed ? new AttemptFinished(attempt) : new AttemptFailed(attempt)));
 		}
 	}
 
@@ -67,15 +68,15 @@
 	 * The latest attempt of a request.
 	 *
 	 * @param service the request's service
-	 * @param request the route request that the choice was made for
+	 * @param routeRequest the route request that the choice was made for
 	 * @param choice the chosen backend server
-	 * @param attempt the identifier of the attempt, once it was sent
+	 * @param attempt the identifier of the attempt; empty until it is sent
 	 */
-	private record RoutedAttempt(ServiceId service, RouteRequest request, RouteChoice choice,
+	private record RoutedAttempt(ServiceId service, RouteRequest routeRequest, RouteChoice choice,
 			Optional<AttemptId> attempt) {
 
 		RoutedAttempt withAttempt(AttemptId id) {
-			return new RoutedAttempt(this.service, this.request, this.choice, Optional.of(id));
+			return new RoutedAttempt(this.service, this.routeRequest, this.choice, Optional.of(id));
 		}
 
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/Daemon.java
@@ -70,7 +70,7 @@
 
 	private static final EventLog LOG = EventLog.of(Daemon.class);
 
-	private static final int TRANSPORT_THREADS = 2;
+	private static final int EVENT_LOOP_THREADS = 2;
 
 	private static final int DECISION_HISTORY_CAPACITY = 20_000;
 
@@ -86,19 +86,19 @@
 
 	private final MetricRegistry registry = new MetricRegistry();
 
-	private final RequestMetrics requests = new RequestMetrics(this.registry);
+	private final RequestMetrics requestMetrics = new RequestMetrics(this.registry);
 
-	private final ConfigurationHolder configuration = new ConfigurationHolder(this.decisions);
+	private final ConfigurationHolder configurationHolder = new ConfigurationHolder(this.decisions);
 
-	private final HttpSecurity http;
+	private final HttpSecurity httpSecurity;
 
 	private final Vertx vertx;
 
 	private final Transport transport;
 
-	private final ControlClient control;
+	private final ControlClient controlClient;
 
-	private final MembershipClient members;
+	private final MembershipClient membershipClient;
 
 	private Optional<ControlRole> controlRole = Optional.empty();
 
@@ -110,21 +110,23 @@
 
 	private Daemon(InstanceSettings settings, TransportSecurity security, Optional<DiskStorage> storage) {
 		this.settings = settings;
-		this.http = new HttpSecurity(tlsFiles(settings));
-		this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(TRANSPORT_THREADS));
+		this.httpSecurity = new HttpSecurity(tlsFiles(settings));
+		this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(EVENT_LOOP_THREADS));
 		this.closer.register(() -> this.vertx.close().await(5, TimeUnit.SECONDS));
 		Incarnation incarnation = Incarnation.of(System.currentTimeMillis());
 		this.transport = this.closer.register(new Transport(new PeerIdentity(settings.name(), incarnation),
-				ConnectionTimeouts.DEFAULT, security, TRANSPORT_THREADS));
+				ConnectionTimeouts.DEFAULT, security, EVENT_LOOP_THREADS));
 		SerialWorker worker = this.closer.register(new SerialWorker("control-client", CONTROL_CLIENT_QUEUE_CAPACITY));
 		storage.ifPresent((opened) -> startControl(settings.control().orElseThrow(), opened));
-		this.control = this.closer.register(new ControlClient(this.transport, controlAddresses(settings), worker));
+		this.controlClient = this.closer
+			.register(new ControlClient(this.transport, controlAddresses(settings), worker));
 		settings.sidecar().ifPresent(this::startSidecar);
-		this.members = this.closer.register(new MembershipClient(this.control, this.configuration, memberInfo()));
-		this.sidecar.ifPresent((node) -> node.setDrainListener(this.members::announceLeaving));
+		this.membershipClient = this.closer
+			.register(new MembershipClient(this.controlClient, this.configurationHolder, memberInfo()));
+		this.sidecar.ifPresent((node) -> node.setDrainListener(this.membershipClient::announceLeaving));
 		settings.entry().ifPresent(this::startEntry);
-		this.admin = this.closer.register(new AdminServer(adminParts(), settings.admin().listen(), this.http));
-		this.members.start();
+		this.admin = this.closer.register(new AdminServer(adminParts(), settings.admin().listen(), this.httpSecurity));
+		this.membershipClient.start();
 	}
 
 	/**
@@ -173,13 +175,16 @@
 
 	/**
 	 * Shuts down gracefully: leaves the membership, drains the sidecar and the entry,
-	 * each for at most a minute, and closes all roles. A second call has no effect.
+	 * each for at most 60 seconds, and closes all roles. A second call has no effect.
 	 */
 	public void stop() {
 		LOG.info("stopping", Field.of("instance", this.settings.name()));
-		this.members.announceLeaving();
-		await(this.sidecar.map(SidecarNode::drain));
-		await(this.entry.map(EntryNode::drain));
+		// Announced before the drain, so that entries without a connection to this
+		// sidecar
+		// stop adding it. Connected entries receive its state with the load reports.
+		this.membershipClient.announceLeaving();
+		awaitDrain(this.sidecar.map(SidecarNode::drain));
+		awaitDrain(this.entry.map(EntryNode::drain));
 		try {
 			close();
 		}
@@ -195,15 +200,16 @@
 	}
 
 	/**
-	 * Returns the addresses of the running roles.
+	 * Returns the instance's name, the addresses of its entry and its sidecar if it has
+	 * these roles, and the address of its admin server.
 	 * @return key=value pairs, separated by spaces
 	 */
 	public String describe() {
 		StringBuilder text = new StringBuilder("instance=" + this.settings.name());
-		this.entry.ifPresent((node) -> text.append(" entry=" + this.http.scheme() + "://")
+		this.entry.ifPresent((node) -> text.append(" entry=" + this.httpSecurity.scheme() + "://")
 			.append(new HostPort(this.settings.entry().orElseThrow().listen().host(), node.port())));
 		this.sidecar.ifPresent((node) -> text.append(" sidecar=").append(node.address()));
-		return text.append(" admin=" + this.http.scheme() + "://")
+		return text.append(" admin=" + this.httpSecurity.scheme() + "://")
 			.append(new HostPort(this.settings.admin().listen().host(), this.admin.port()))
 			.toString();
 	}
@@ -219,26 +225,28 @@
 	private void startSidecar(SidecarSettings sidecarSettings) {
 		SidecarParts parts = new SidecarParts(this.vertx, this.transport,
 				BackendServerId.of(this.settings.name().value()), sidecarSettings.backend(),
-				new RemoteControl(this.control)::recordCrash, Clock.system(), this.decisions);
+				new RemoteControl(this.controlClient)::recordCrash, Clock.system(), this.decisions);
 		this.sidecar = Optional.of(this.closer.register(new SidecarNode(parts, sidecarSettings.listen())));
 	}
 
 	private void startEntry(EntrySettings entrySettings) {
 		EntryParts parts = new EntryParts(this.vertx, this.transport, this.settings.failureDomain(),
-				() -> this.configuration.configuration().orElse(Configuration.EMPTY), new RemoteControl(this.control),
-				this.requests, Clock.system(), new SecureRandom(), this.decisions);
-		EntryNode node = this.closer.register(new EntryNode(parts, entrySettings.listen(), this.http));
-		this.members.addListener(new SidecarDiscovery(node));
+				() -> this.configurationHolder.configuration().orElse(Configuration.EMPTY),
+				new RemoteControl(this.controlClient), this.requestMetrics, Clock.system(), new SecureRandom(),
+				this.decisions);
+		EntryNode node = this.closer.register(new EntryNode(parts, entrySettings.listen(), this.httpSecurity));
+		this.membershipClient.addListener(new SidecarDiscovery(node));
 		this.entry = Optional.of(node);
 	}
 
 	private AdminParts adminParts() {
-		return new AdminParts(this.vertx, this.transport, this.control, this.members, this.configuration,
-				this.decisions, this.registry, this.requests.histograms(), this::status, this::notReady);
+		return new AdminParts(this.vertx, this.transport, this.controlClient, this.membershipClient,
+				this.configurationHolder, this.decisions, this.registry, this.requestMetrics.histograms(), this::status,
+				this::notReadyReason);
 	}
 
-	private Optional<String> notReady() {
-		return this.members.firstConfirmation().isDone() ? Optional.empty()
+	private Optional<String> notReadyReason() {
+		return this.membershipClient.firstConfirmation().isDone() ? Optional.empty()
 				: Optional.of("no control instance has confirmed the configuration yet");
 	}
 
@@ -279,7 +287,7 @@
 		return addresses.stream().distinct().toList();
 	}
 
-	private static void await(Optional<CompletableFuture<Void>> drained) {
+	private static void awaitDrain(Optional<CompletableFuture<Void>> drained) {
 		drained.ifPresent((future) -> {
 			try {
 				future.get(DRAIN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendCall.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendCall.java
@@ -16,7 +16,8 @@
 	void resume();
 
 	/**
-	 * Aborts the call. The listener receives no event that starts after this returns.
+	 * Aborts the call. Events that arrive after this returns are not passed to the
+	 * listener; one that is being handled on another thread meanwhile may still be.
 	 */
 	void cancel();
 
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/SilentConnectionTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/SilentConnectionTests.java
@@ -65,7 +65,7 @@
 
 	private final Vertx vertx = Vertx.vertx();
 
-	private BlackholeProxy relay;
+	private BlackholeProxy proxy;
 
 	private EntryNode entry;
 
@@ -77,13 +77,13 @@
 				URI.create("http://127.0.0.1:" + backend.port()), (report) -> {
 				}, Clock.system(), DecisionListener.NONE);
 		SidecarNode sidecar = this.closer.register(new SidecarNode(sidecarParts, LOOPBACK));
-		this.relay = new BlackholeProxy(this.vertx, sidecar.address());
+		this.proxy = new BlackholeProxy(this.vertx, sidecar.address());
 		EntryParts parts = new EntryParts(this.vertx, transport("entry"), DOMAIN, SilentConnectionTests::configuration,
 				new InMemoryControl(Clock.system(), DecisionListener.NONE), new RequestMetrics(new MetricRegistry()),
 				Clock.system(), RandomGenerator.getDefault(), DecisionListener.NONE);
 		this.entry = this.closer.register(new EntryNode(parts, LOOPBACK, HttpSecurity.PLAIN));
 		this.entry
-			.addBackendServer(new SidecarAddress(BackendServerId.of("chat-1"), MODEL, DOMAIN, this.relay.address()))
+			.addBackendServer(new SidecarAddress(BackendServerId.of("chat-1"), MODEL, DOMAIN, this.proxy.address()))
 			.get(30, TimeUnit.SECONDS);
 	}
 
@@ -103,7 +103,7 @@
 		HttpResponse<InputStream> answer = HttpClient.newHttpClient()
 			.send(request, HttpResponse.BodyHandlers.ofInputStream());
 		byte[] first = answer.body().readNBytes(1);
-		this.relay.dropOpenConnections();
+		this.proxy.dropOpenConnections();
 		String body = new String(first, StandardCharsets.UTF_8)
 				+ new String(answer.body().readAllBytes(), StandardCharsets.UTF_8);
 		String tokens = body.lines()
