Reword change identifiers, claims and account limits

An identifier was called a name, a key did not say which one it was, and limits were said to be summed although they apply to the sum of an account's requests at all entries. The comments now say who chooses a change's identifier and what a resend receives, and that a claim covers a single attempt.

Comments only. Compiled; LogLineTests and ConfigurationReaderTests and Checkstyle of the module pass.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimMismatch.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimMismatch.java
@@ -1,7 +1,7 @@
 package org.comfreywall.common.claim;
 
 /**
- * The key is already claimed for a request with a different body.
+ * The idempotency key is already claimed for a request with a different body.
  */
 public record ClaimMismatch() implements ClaimResult {
 
--- a/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimRunning.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/claim/ClaimRunning.java
@@ -6,10 +6,10 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * The state of a claim whose request may be running.
+ * The state of a claim whose request may be running. A claim covers a single attempt.
  *
  * @param owner the request that holds the claim
- * @param backendServer the backend server to which the only attempt is addressed
+ * @param backendServer the backend server to which the attempt is addressed
  * @param incarnation the incarnation of the sidecar to which the attempt is addressed
  */
 public record ClaimRunning(RequestId owner, BackendServerId backendServer,
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/AccountDescriptor.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/AccountDescriptor.java
@@ -11,7 +11,7 @@
  *
  * @param id the client account
  * @param keyHashes SHA-256 digests of the account's API keys, in lower-case hexadecimal
- * @param limits the account's limits, summed over all entry instances
+ * @param limits the limits on the account's requests at all entry instances together
  * @param highestClass the highest priority class that the account may request
  * @param services the services that the account may call
  */
--- a/comfreywall-common/src/main/java/org/comfreywall/common/config/AccountLimits.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/config/AccountLimits.java
@@ -3,7 +3,7 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Limits of a client account, summed over all entry instances.
+ * Limits on the requests of a client account at all entry instances together.
  *
  * @param requestsPerSecond requests admitted per second
  * @param tokensPerSecond prompt and generated tokens admitted per second
--- a/comfreywall-common/src/main/java/org/comfreywall/common/id/ChangeId.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/id/ChangeId.java
@@ -3,9 +3,11 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * Identifies a configuration change that an operator submitted.
+ * Identifies a configuration change that an operator submitted. The submitter chooses the
+ * identifier; a change that is sent again under the same identifier receives the answer
+ * of its first submission while that answer is cached.
  *
- * @param value the name, not blank
+ * @param value the identifier, not blank
  */
 public record ChangeId(String value) implements Comparable<ChangeId> {
 
@@ -14,8 +16,8 @@
 	}
 
 	/**
-	 * Creates an identifier from its name.
-	 * @param value the name, not blank
+	 * Creates an identifier.
+	 * @param value the identifier, not blank
 	 * @return the identifier
 	 */
 	public static ChangeId of(String value) {
