Reword the command line's answers and progress polling

"The questionnaire" did not say whose it is, and the results of ProgressWaiter could not be told without its body: the caller receives the last poll, complete or not. A comment says why a millisecond is added to the sleep. Two tests of the check command are named after the missing value that they expect to be reported.

--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentKind.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/check/DocumentKind.java
@@ -16,7 +16,7 @@
 	SETTINGS,
 	/** The configuration of the fleet. */
 	CONFIGURATION,
-	/** Answers to the questionnaire. */
+	/** Answers to the questions of {@code comfreywall init}. */
 	ANSWERS;
 
 	/**
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ProgressWaiter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ProgressWaiter.java
@@ -23,6 +23,13 @@
 		this.timeout = timeout;
 	}
 
+	/**
+	 * Polls until the revision is complete, the timeout elapses or the thread is
+	 * interrupted. A failed poll is repeated.
+	 * @param revision the revision
+	 * @return the result of the last poll; unless the revision is complete, an incomplete
+	 * progress or the error of that poll
+	 */
 	Result<RevisionProgress> awaitCompletion(long revision) {
 		long deadline = System.nanoTime() + this.timeout.toNanos();
 		Result<RevisionProgress> progress = this.client.progress(revision);
@@ -36,9 +43,16 @@
 		return progress.value().filter(RevisionProgress::isComplete).isPresent();
 	}
 
+	/**
+	 * Sleeps until the next poll is due or the deadline has passed.
+	 * @param deadline the deadline as {@link System#nanoTime()}
+	 * @return {@code false} if the thread was interrupted
+	 */
 	private static boolean sleepUntilNextPoll(long deadline) {
 		try {
 			long nanos = Math.min(POLL_INTERVAL_NANOS, Math.max(1, deadline - System.nanoTime()));
+			// toMillis() rounds down; the extra millisecond keeps the last poll from
+			// taking place before the deadline.
 			Thread.sleep(Duration.ofNanos(nanos).toMillis() + 1);
 			return true;
 		}
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Answers.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/Answers.java
@@ -9,7 +9,8 @@
 import org.comfreywall.common.settings.Role;
 
 /**
- * Answers to the questionnaire: the input for a fleet's configuration and settings files.
+ * Answers to the questions of {@code comfreywall init}, from which it generates a fleet's
+ * configuration and settings files.
  *
  * @param configuration the fleet's configuration
  * @param instances the answers about the instances, sorted by name
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersWriter.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/init/AnswersWriter.java
@@ -4,8 +4,8 @@
 import org.comfreywall.common.toml.TomlWriter;
 
 /**
- * Writes answers as TOML in canonical order, so that a later run can read and propose
- * them.
+ * Writes answers as TOML in canonical order, so that a later run of
+ * {@code comfreywall init} can offer them as defaults.
  */
 final class AnswersWriter {
 
--- a/comfreywall-cli/src/test/java/org/comfreywall/cli/check/CheckCommandTests.java
+++ b/comfreywall-cli/src/test/java/org/comfreywall/cli/check/CheckCommandTests.java
@@ -53,7 +53,7 @@
 	}
 
 	@Test
-	void reportsRegionAndServiceThatDiffer() throws IOException {
+	void reportsRegionAndServiceMissingFromConfiguration() throws IOException {
 		String settings = SETTINGS.replace("\"home\"", "\"away\"").replace("\"chat\"", "\"chess\"");
 		CommandRun run = CommandRun.of("check", file("c.toml", CONFIGURATION), file("s.toml", settings));
 		assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
@@ -69,7 +69,7 @@
 	}
 
 	@Test
-	void reportsControlAddressesThatNoPeerHas() throws IOException {
+	void reportsControlAddressMissingFromPeers() throws IOException {
 		String control = """
 				name = "one"
 				roles = ["control"]
