Name the limit check in its refusal, and the engine's routing feedback

The refusal of a request now names the limit check, which also refuses for causes other than an exceeded limit, and keeps the client account and the cause. The field `attempts` of EntryEngine holds the routing feedback, not attempts, and is named after it; its test likewise.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
@@ -125,13 +125,11 @@
 		}
 		else {
 			LimitRefused refused = (LimitRefused) decision;
-			this.listener
-				.onRefused(id,
-						OperationError
-							.local(ErrorCode.LIMIT_EXCEEDED, Step.ADMIT,
-									"the request was not admitted under the limits of client account "
-											+ limitRequest.account() + "; cause: " + refused.kind()),
-						refused.retryAfter());
+			this.listener.onRefused(id,
+					OperationError.local(ErrorCode.LIMIT_EXCEEDED, Step.ADMIT,
+							"the limit check refused a request of client account " + limitRequest.account()
+									+ "; cause: " + refused.kind()),
+					refused.retryAfter());
 		}
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
@@ -85,7 +85,7 @@
 
 	private final Map<RequestId, ActiveRequest> active = new HashMap<>();
 
-	private final RoutingFeedback attempts;
+	private final RoutingFeedback routingFeedback;
 
 	private final Deque<RequestEvent> pending = new ArrayDeque<>();
 
@@ -102,7 +102,7 @@
 		this.clock = parts.clock();
 		this.worker = Preconditions.notNull(worker, "worker");
 		this.routers = Preconditions.notNull(routers, "routers");
-		this.attempts = new RoutingFeedback(routers);
+		this.routingFeedback = new RoutingFeedback(routers);
 		this.sidecars = new SidecarDirectory(parts.transport(), worker, new LinkEvents(), this::handle);
 		this.controlCommands = new ControlCommands(parts.control(), (event) -> worker.execute(() -> handle(event)));
 		this.retries = new RetryController(RetrySettings.DEFAULT, parts.random(), parts.decisions());
@@ -294,7 +294,7 @@
 		if (request == null) {
 			return;
 		}
-		Optional<AttemptTarget> target = this.attempts.choose(request.request(), route.excluded())
+		Optional<AttemptTarget> target = this.routingFeedback.choose(request.request(), route.excluded())
 			.flatMap((choice) -> this.sidecars.target(choice.server(), choice.incarnation()));
 		if (target.isEmpty()) {
 			handle(new RouteUnavailable(route.request(), OperationError.local(ErrorCode.UNAVAILABLE, Step.ROUTE,
@@ -322,7 +322,7 @@
 			handle(new StartNotSent(start.attempt()));
 			return;
 		}
-		this.attempts.reportSent(start.attempt());
+		this.routingFeedback.reportSent(start.attempt());
 	}
 
 	private void setAnsweringServer(RequestId request, BackendServerId server) {
@@ -337,13 +337,13 @@
 		boolean first = request.deliver(part.part(), this.metrics, this.clock.nanoTime());
 		if (first) {
 			this.retries.recordLatency(request.request().service(), request.age(this.clock.nanoTime()));
-			this.attempts.reportFirstToken(part.request());
+			this.routingFeedback.reportFirstToken(part.request());
 		}
 	}
 
 	private void complete(CompleteRequest result) {
 		ActiveRequest request = this.active.remove(result.request());
-		this.attempts.reportEnded(result.request(), result.outcome() == Outcome.COMPLETED);
+		this.routingFeedback.reportEnded(result.request(), result.outcome() == Outcome.COMPLETED);
 		if (request == null) {
 			return;
 		}
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/RoutingFeedbackTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/entry/RoutingFeedbackTests.java
@@ -40,7 +40,7 @@
 	private final RouterRegistry routers = new RouterRegistry(InstanceId.of("entry-1"), DOMAIN,
 			RandomGeneratorFactory.of("L64X128MixRandom").create(1), new ManualClock(), DecisionListener.NONE);
 
-	private final RoutingFeedback attempts = new RoutingFeedback(this.routers);
+	private final RoutingFeedback routingFeedback = new RoutingFeedback(this.routers);
 
 	@BeforeEach
 	void announce() {
@@ -49,19 +49,19 @@
 
 	@Test
 	void countsSentAttemptAsInFlightUntilItEnds() {
-		assertThat(this.attempts.choose(request(), Set.of())).isPresent();
-		this.attempts.reportSent(new AttemptId(REQUEST, 1));
+		assertThat(this.routingFeedback.choose(request(), Set.of())).isPresent();
+		this.routingFeedback.reportSent(new AttemptId(REQUEST, 1));
 		assertThat(this.routers.inFlight(SERVICE, SERVER)).isEqualTo(1);
-		this.attempts.reportEnded(REQUEST, true);
+		this.routingFeedback.reportEnded(REQUEST, true);
 		assertThat(this.routers.inFlight(SERVICE, SERVER)).isZero();
 	}
 
 	@Test
 	void endsEarlierAttemptWhenRequestIsRoutedAgain() {
-		this.attempts.choose(request(), Set.of());
-		this.attempts.reportSent(new AttemptId(REQUEST, 1));
-		this.attempts.choose(request(), Set.of());
-		this.attempts.reportSent(new AttemptId(REQUEST, 2));
+		this.routingFeedback.choose(request(), Set.of());
+		this.routingFeedback.reportSent(new AttemptId(REQUEST, 1));
+		this.routingFeedback.choose(request(), Set.of());
+		this.routingFeedback.reportSent(new AttemptId(REQUEST, 2));
 		assertThat(this.routers.inFlight(SERVICE, SERVER)).isEqualTo(1);
 	}
 
