Rename the settings file option and the versioned configurations

Cause: RunOptions.settings holds a path, and RevisedConfiguration a configuration with its revision.

Change: each use renamed as the compiler resolves it: settingsFile, VersionedConfiguration. Flags and fields of messages stay. Nothing else changes.

--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminClient.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/AdminClient.java
@@ -70,8 +70,9 @@
 	 * Fetches the current configuration.
 	 * @return the configuration and its revision
 	 */
-	public Result<RevisedConfiguration> configuration() {
-		return get("/v1/configuration").flatMap((body) -> this.responses.decode(() -> RevisedConfiguration.from(body)));
+	public Result<VersionedConfiguration> configuration() {
+		return get("/v1/configuration")
+			.flatMap((body) -> this.responses.decode(() -> VersionedConfiguration.from(body)));
 	}
 
 	/**
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/RevisedConfiguration.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/admin/VersionedConfiguration.java
@@ -8,10 +8,10 @@
  * @param revision the revision of the configuration
  * @param configuration the configuration in TOML
  */
-public record RevisedConfiguration(long revision, String configuration) {
+public record VersionedConfiguration(long revision, String configuration) {
 
-	static RevisedConfiguration from(JsonObject body) {
-		return new RevisedConfiguration(JsonValues.requiredLong(body, "revision"),
+	static VersionedConfiguration from(JsonObject body) {
+		return new VersionedConfiguration(JsonValues.requiredLong(body, "revision"),
 				JsonValues.requiredString(body, "configuration"));
 	}
 
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ApplyCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/ApplyCommand.java
@@ -12,8 +12,8 @@
 import io.vertx.core.json.JsonObject;
 import org.comfreywall.cli.admin.AdminClient;
 import org.comfreywall.cli.admin.ChangeSubmission;
-import org.comfreywall.cli.admin.RevisedConfiguration;
 import org.comfreywall.cli.admin.RevisionProgress;
+import org.comfreywall.cli.admin.VersionedConfiguration;
 import org.comfreywall.common.config.Configuration;
 import org.comfreywall.common.config.toml.ConfigurationChange;
 import org.comfreywall.common.config.toml.ConfigurationDiff;
@@ -89,7 +89,7 @@
 		return number != null && number < 0;
 	}
 
-	private Result<Report> submit(AdminClient client, Console console, RevisedConfiguration current,
+	private Result<Report> submit(AdminClient client, Console console, VersionedConfiguration current,
 			Optional<Configuration> desired) {
 		Result<List<ConfigurationChange>> changes = changes(current, desired);
 		return changes.flatMap((list) -> {
@@ -102,7 +102,7 @@
 		});
 	}
 
-	private static Result<List<ConfigurationChange>> changes(RevisedConfiguration current,
+	private static Result<List<ConfigurationChange>> changes(VersionedConfiguration current,
 			Optional<Configuration> desired) {
 		if (desired.isEmpty()) {
 			return Result.success(List.of());
--- a/comfreywall-cli/src/main/java/org/comfreywall/cli/command/GetCommand.java
+++ b/comfreywall-cli/src/main/java/org/comfreywall/cli/command/GetCommand.java
@@ -9,7 +9,7 @@
 import com.beust.jcommander.Parameters;
 import io.vertx.core.json.JsonObject;
 import org.comfreywall.cli.admin.AdminClient;
-import org.comfreywall.cli.admin.RevisedConfiguration;
+import org.comfreywall.cli.admin.VersionedConfiguration;
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Result;
@@ -29,7 +29,7 @@
 		return client.configuration().flatMap(this::report);
 	}
 
-	private Result<Report> report(RevisedConfiguration current) {
+	private Result<Report> report(VersionedConfiguration current) {
 		JsonObject json = new JsonObject().put("revision", current.revision())
 			.put("configuration", current.configuration());
 		if (this.output == null) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ConfigurationService.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ConfigurationService.java
@@ -38,10 +38,10 @@
 		this.control = Preconditions.notNull(control, "control");
 	}
 
-	CompletableFuture<Result<RevisedConfiguration>> currentConfiguration() {
+	CompletableFuture<Result<VersionedConfiguration>> currentConfiguration() {
 		ConfigurationQueryRecord query = ConfigurationQueryRecord.newBuilder().setPresent(true).build();
 		return query(query)
-			.thenApply((result) -> result.map((reply) -> new RevisedConfiguration(Revision.of(reply.getRevision()),
+			.thenApply((result) -> result.map((reply) -> new VersionedConfiguration(Revision.of(reply.getRevision()),
 					ConfigurationCodec.fromRecord(reply.getConfiguration()))));
 	}
 
@@ -87,7 +87,7 @@
 	 * @param revision the revision
 	 * @param configuration the configuration
 	 */
-	record RevisedConfiguration(Revision revision, Configuration configuration) {
+	record VersionedConfiguration(Revision revision, Configuration configuration) {
 
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/ConfigurationHolder.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/member/ConfigurationHolder.java
@@ -21,8 +21,8 @@
 
 	private static final EventLog LOG = EventLog.of(ConfigurationHolder.class);
 
-	private final AtomicReference<RevisedConfiguration> current = new AtomicReference<>(
-			new RevisedConfiguration(Revision.ZERO, Optional.empty()));
+	private final AtomicReference<VersionedConfiguration> current = new AtomicReference<>(
+			new VersionedConfiguration(Revision.ZERO, Optional.empty()));
 
 	private final DecisionListener decisions;
 
@@ -70,13 +70,13 @@
 	 * been accepted yet. Has no effect if a configuration is in force.
 	 */
 	public void confirmEmpty() {
-		this.current.compareAndSet(new RevisedConfiguration(Revision.ZERO, Optional.empty()),
-				new RevisedConfiguration(Revision.ZERO, Optional.of(Configuration.EMPTY)));
+		this.current.compareAndSet(new VersionedConfiguration(Revision.ZERO, Optional.empty()),
+				new VersionedConfiguration(Revision.ZERO, Optional.of(Configuration.EMPTY)));
 	}
 
 	private void replaceIfNewer(Revision revision, Configuration configuration) {
-		RevisedConfiguration before = this.current.getAndUpdate((present) -> present.revision().isBefore(revision)
-				? new RevisedConfiguration(revision, Optional.of(configuration)) : present);
+		VersionedConfiguration before = this.current.getAndUpdate((present) -> present.revision().isBefore(revision)
+				? new VersionedConfiguration(revision, Optional.of(configuration)) : present);
 		if (before.revision().isBefore(revision)) {
 			LOG.info("configuration-in-force", Field.of("revision", revision));
 			this.decisions.onDecision(DecisionRecord.of(DecisionKind.CONFIGURE, "configuration", "revision " + revision,
@@ -87,7 +87,7 @@
 	/**
 	 * The configuration in force and its revision.
 	 */
-	private record RevisedConfiguration(Revision revision, Optional<Configuration> configuration) {
+	private record VersionedConfiguration(Revision revision, Optional<Configuration> configuration) {
 
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunCommand.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunCommand.java
@@ -28,7 +28,7 @@
 	 * @throws Exception if the daemon cannot start
 	 */
 	public static int run(RunOptions options) throws Exception {
-		Result<InstanceSettings> settings = SettingsReader.read(Path.of(options.settings()));
+		Result<InstanceSettings> settings = SettingsReader.read(Path.of(options.settingsFile()));
 		if (settings.error().isPresent()) {
 			System.err.println(settings.error().get().message());
 			return FAILED;
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunOptions.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/run/RunOptions.java
@@ -10,7 +10,7 @@
 public final class RunOptions {
 
 	@Parameter(names = "--settings", description = "The settings file", required = true)
-	private String settings;
+	private String settingsFile;
 
 	@Parameter(names = "--found",
 			description = "Bootstrap the replicated log from an empty data folder, together with all peers; "
@@ -20,8 +20,8 @@
 	@Parameter(names = { "--help", "-h" }, help = true, description = "Print this help")
 	private boolean help;
 
-	String settings() {
-		return this.settings;
+	String settingsFile() {
+		return this.settingsFile;
 	}
 
 	boolean bootstrap() {
