Keep the refusal texts that callers receive

Cause: two details of refusals had been reworded; callers receive them, and the page for those who run the daemon quotes one.

Nothing else changes.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/AdmissionGate.java
@@ -127,8 +127,7 @@
 			LimitRefused refused = (LimitRefused) decision;
 			this.listener.onRefused(id,
 					OperationError.local(ErrorCode.LIMIT_EXCEEDED, Step.ADMIT,
-							"the limit check refused a request of client account " + limitRequest.account()
-									+ "; cause: " + refused.kind()),
+							"limit exceeded for client account " + limitRequest.account() + ": " + refused.kind()),
 					refused.retryAfter());
 		}
 	}
@@ -173,8 +172,9 @@
 		if (holder != null) {
 			this.limitEnforcer.returnPermit(holder.permit(), 0, now());
 		}
-		this.listener.onRefused(id, OperationError.local(ErrorCode.OVERLOADED, Step.ADMIT,
-				"the request was not run, because the service is overloaded; reason: " + reason), retryAfter);
+		this.listener.onRefused(id,
+				OperationError.local(ErrorCode.OVERLOADED, Step.ADMIT, "the service is overloaded: " + reason),
+				retryAfter);
 	}
 
 	private void sendLeaseRequest(SendLeaseRequest command) {
