Reword the entry engine and the classes that it uses

Private names such as active, pending, handling, gate and timer did not say what they hold, the parameter started held a request that had only arrived, and one-word methods (handle, execute, deliver, complete, track) hid their object. Doc comments spoke of feeding the tracker with events or repeated the name of the class.

Rename private fields, private methods, private nested classes and a few parameters; give times in ActiveRequest their unit; describe the drain, the order of events and commands, the cost in tokens and the form of request identifiers. No string changes.

Compiled comfreywall-daemon and the modules that it needs, with Checkstyle. RoutingFeedbackTests (2), TrialTests (4) and LayeringTests (2) passed. The other tests were not run.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ActiveRequest.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ActiveRequest.java
@@ -17,8 +17,9 @@
 import org.comfreywall.entry.request.CompleteRequest;
 
 /**
- * An unfinished request and the stream of its answer. Confined to the entry's worker
- * thread.
+ * An unfinished request and the stream of its answer. After construction, its state is
+ * confined to the entry's worker thread. Times are in nanoseconds on the entry's
+ * monotonic clock.
  */
 final class ActiveRequest {
 
@@ -26,20 +27,20 @@
 
 	private final Fingerprint fingerprint;
 
-	private final long arrivedAt;
+	private final long arrivedAtNanos;
 
 	private final UnicastProcessor<AnswerPart> answer = UnicastProcessor.create();
 
 	private Optional<BackendServerId> answeringServer = Optional.empty();
 
-	private long lastChunkAt;
+	private long lastChunkAtNanos;
 
-	private long chunks;
+	private long deliveredChunks;
 
-	ActiveRequest(CallerRequest request, long arrivedAt) {
+	ActiveRequest(CallerRequest request, long arrivedAtNanos) {
 		this.request = request;
 		this.fingerprint = new Fingerprint(request.account(), request.service(), request.body().sha256());
-		this.arrivedAt = arrivedAt;
+		this.arrivedAtNanos = arrivedAtNanos;
 	}
 
 	CallerRequest request() {
@@ -54,8 +55,13 @@
 		return this.answer;
 	}
 
+	/**
+	 * Returns the time until the deadline.
+	 * @param now the current time
+	 * @return the time in nanoseconds, negative after the deadline
+	 */
 	long remainingNanos(long now) {
-		return this.arrivedAt + this.request.timeout().toNanos() - now;
+		return this.arrivedAtNanos + this.request.timeout().toNanos() - now;
 	}
 
 	Optional<BackendServerId> answeringServer() {
@@ -66,20 +72,28 @@
 		this.answeringServer = Optional.of(server);
 	}
 
+	/**
+	 * Passes a part of the answer to the caller's stream and records the latency of a
+	 * chunk.
+	 * @param part the part
+	 * @param metrics records the latency
+	 * @param now the current time
+	 * @return whether the part is the first chunk of the answer
+	 */
 	boolean deliver(AnswerPart part, RequestMetrics metrics, long now) {
 		boolean first = false;
 		if (part instanceof AnswerChunk) {
-			first = this.lastChunkAt == 0;
-			recordLatency(first, metrics, now);
-			this.lastChunkAt = now;
-			this.chunks++;
+			first = this.lastChunkAtNanos == 0;
+			recordChunkLatency(first, metrics, now);
+			this.lastChunkAtNanos = now;
+			this.deliveredChunks++;
 		}
 		this.answer.onNext(part);
 		return first;
 	}
 
 	void complete(CompleteRequest result, RequestMetrics metrics, long now) {
-		metrics.recordOutcome(this.request.account(), result.outcome(), now - this.arrivedAt);
+		metrics.recordOutcome(this.request.account(), result.outcome(), now - this.arrivedAtNanos);
 		if (result.outcome() == Outcome.COMPLETED) {
 			this.answer.onComplete();
 			return;
@@ -94,24 +108,39 @@
 		this.answer.onError(new RequestFailedException(Outcome.NOT_RUN, error, retryAfter));
 	}
 
+	/**
+	 * Returns the time since the request arrived.
+	 * @param now the current time
+	 * @return the time in nanoseconds
+	 */
 	long age(long now) {
-		return now - this.arrivedAt;
+		return now - this.arrivedAtNanos;
 	}
 
+	/**
+	 * Returns the maximum cost of the request.
+	 * @return the estimated prompt tokens plus the maximum number of generated tokens
+	 */
 	long expectedTokens() {
 		return this.request.promptTokens() + this.request.maxTokens();
 	}
 
+	/**
+	 * Returns the cost of the request so far, with each delivered chunk counted as one
+	 * token.
+	 * @return the estimated prompt tokens plus the delivered chunks, at most
+	 * {@link #expectedTokens()}
+	 */
 	long spentTokens() {
-		return this.request.promptTokens() + Math.min(this.chunks, this.request.maxTokens());
+		return this.request.promptTokens() + Math.min(this.deliveredChunks, this.request.maxTokens());
 	}
 
-	private void recordLatency(boolean first, RequestMetrics metrics, long now) {
+	private void recordChunkLatency(boolean first, RequestMetrics metrics, long now) {
 		if (first) {
-			metrics.recordFirstToken(this.request.account(), now - this.arrivedAt);
+			metrics.recordFirstToken(this.request.account(), now - this.arrivedAtNanos);
 		}
 		else {
-			metrics.recordNextToken(this.request.account(), now - this.lastChunkAt);
+			metrics.recordNextToken(this.request.account(), now - this.lastChunkAtNanos);
 		}
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlCommands.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/ControlCommands.java
@@ -25,8 +25,8 @@
 import org.comfreywall.entry.request.RequestFlightPermit;
 
 /**
- * Executes request commands that are addressed to the control instances and publishes the
- * replies as request events.
+ * Sends request commands to the control instances and publishes their replies as request
+ * events.
  */
 final class ControlCommands {
 
@@ -36,8 +36,8 @@
 
 	/**
 	 * Creates an executor.
-	 * @param control the control instances
-	 * @param events receives the events, on any thread
+	 * @param control sends the commands to the control instances
+	 * @param events receives the replies as events, on any thread
 	 */
 	ControlCommands(ControlPort control, Consumer<RequestEvent> events) {
 		this.control = control;
@@ -46,7 +46,7 @@
 
 	void execute(RequestCommand command) {
 		if (command instanceof AcquireClaim claim) {
-			publishReply(this.control.acquireClaim(claim), (result) -> claimEvent(claim, result));
+			publishReply(this.control.acquireClaim(claim), (result) -> toClaimEvent(claim, result));
 		}
 		else if (command instanceof FinishClaim finish) {
 			this.control.finishClaim(finish);
@@ -76,6 +76,10 @@
 		}
 	}
 
+	/**
+	 * Requests the slot for an isolated run. A failed request publishes no event.
+	 * @param isolation the command
+	 */
 	private void acquireIsolation(AcquireIsolation isolation) {
 		this.control.acquireIsolation(isolation.fingerprint(), isolation.request())
 			.thenAccept((result) -> result.value()
@@ -83,11 +87,11 @@
 					.accept(new IsolationAnswered(isolation.request(), isolation.fingerprint(), granted))));
 	}
 
-	private <T> void publishReply(CompletionStage<T> stage, Function<T, RequestEvent> event) {
-		stage.thenAccept((value) -> this.events.accept(event.apply(value)));
+	private <T> void publishReply(CompletionStage<T> reply, Function<T, RequestEvent> event) {
+		reply.thenAccept((value) -> this.events.accept(event.apply(value)));
 	}
 
-	private static RequestEvent claimEvent(AcquireClaim claim, Result<ClaimResult> result) {
+	private static RequestEvent toClaimEvent(AcquireClaim claim, Result<ClaimResult> result) {
 		return result.value()
 			.<RequestEvent>map((value) -> new ClaimAnswered(claim.request(), claim.target(), value))
 			.orElseGet(() -> new ClaimFailed(claim.request(), result.error().orElseThrow()));
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
@@ -54,8 +54,9 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * Executes the commands of the request tracker and feeds it and the routers with events.
- * Its state is confined to the entry's worker thread.
+ * Drives the request tracker: passes it events, executes the commands that it returns,
+ * and reports the state of attempts and sidecars to the routers. Its state is confined to
+ * the entry's worker thread.
  */
 final class EntryEngine implements AutoCloseable {
 
@@ -75,7 +76,7 @@
 
 	private final RetryController retries;
 
-	private final AdmissionGate gate;
+	private final AdmissionGate admissionGate;
 
 	private final RequestTracker tracker;
 
@@ -83,19 +84,19 @@
 
 	private final ControlCommands controlCommands;
 
-	private final Map<RequestId, ActiveRequest> active = new HashMap<>();
+	private final Map<RequestId, ActiveRequest> activeRequests = new HashMap<>();
 
 	private final RoutingFeedback routingFeedback;
 
-	private final Deque<RequestEvent> pending = new ArrayDeque<>();
+	private final Deque<RequestEvent> pendingEvents = new ArrayDeque<>();
 
 	private final CompletableFuture<Void> drained = new CompletableFuture<>();
 
 	private boolean draining;
 
-	private boolean handling;
+	private boolean handlingEvents;
 
-	private Optional<ScheduledFuture<?>> timer = Optional.empty();
+	private Optional<ScheduledFuture<?>> trackerTimer = Optional.empty();
 
 	EntryEngine(EntryParts parts, SerialWorker worker, RouterRegistry routers) {
 		this.metrics = parts.metrics();
@@ -103,45 +104,48 @@
 		this.worker = Preconditions.notNull(worker, "worker");
 		this.routers = Preconditions.notNull(routers, "routers");
 		this.routingFeedback = new RoutingFeedback(routers);
-		this.sidecars = new SidecarDirectory(parts.transport(), worker, new LinkEvents(), this::handle);
-		this.controlCommands = new ControlCommands(parts.control(), (event) -> worker.execute(() -> handle(event)));
+		this.sidecars = new SidecarDirectory(parts.transport(), worker, new LinkEventHandler(), this::handleEvent);
+		this.controlCommands = new ControlCommands(parts.control(),
+				(event) -> worker.execute(() -> handleEvent(event)));
 		this.retries = new RetryController(RetrySettings.DEFAULT, parts.random(), parts.decisions());
-		this.gate = new AdmissionGate(parts, worker, new AdmissionEvents());
+		this.admissionGate = new AdmissionGate(parts, worker, new AdmissionDecisionHandler());
 		this.tracker = new RequestTracker(RequestTrackerSettings.DEFAULT, this.retries, new Invariants(),
 				parts.decisions());
 	}
 
 	/**
-	 * Runs a request.
+	 * Queues a request for admission and returns the stream of its answer.
 	 * @param request the request
-	 * @return the answer's parts; an incomplete answer ends with a
-	 * {@link RequestFailedException}
+	 * @return the parts of the answer; if the request is refused or its answer stays
+	 * incomplete, the stream ends with a {@link RequestFailedException}
 	 */
 	Flowable<AnswerPart> run(CallerRequest request) {
-		ActiveRequest started = new ActiveRequest(request, this.clock.nanoTime());
-		if (!this.worker.offer(() -> accept(started))) {
+		ActiveRequest activeRequest = new ActiveRequest(request, this.clock.nanoTime());
+		if (!this.worker.offer(() -> accept(activeRequest))) {
 			return Flowable.error(new RequestFailedException(Outcome.NOT_RUN, OperationError.local(ErrorCode.OVERLOADED,
 					Step.ACCEPT, "the task queue of this entry is full; retry later"), RETRY_AFTER));
 		}
-		return started.answer();
+		return activeRequest.answer();
 	}
 
 	/**
-	 * Cancels a request whose caller has disconnected.
+	 * Cancels a request whose caller has disconnected. Before admission, it is removed
+	 * from the queue; afterwards, the request tracker cancels it.
 	 * @param request the request
 	 */
 	void cancel(RequestId request) {
 		this.worker.offer(() -> {
-			if (this.gate.cancel(request)) {
-				this.active.remove(request);
+			if (this.admissionGate.cancel(request)) {
+				this.activeRequests.remove(request);
 				return;
 			}
-			handle(new CallerCancelled(request));
+			handleEvent(new CallerCancelled(request));
 		});
 	}
 
 	/**
-	 * Grants credit for more parts of an answer after the caller's connection took some.
+	 * Grants the answering sidecar credit for as many further parts as were written to
+	 * the caller.
 	 * @param request the request
 	 * @param parts the number of parts written to the caller
 	 */
@@ -161,12 +165,13 @@
 	}
 
 	/**
-	 * Advances the timers of the routers and the admission gate; called periodically on
-	 * the worker thread.
+	 * Advances the timers of the routers and the admission gate, and completes a
+	 * requested drain once no request is active. Called periodically on the worker
+	 * thread.
 	 */
 	void tick() {
 		this.routers.tick();
-		this.gate.tick();
+		this.admissionGate.tick();
 		completeDrain();
 	}
 
@@ -183,7 +188,7 @@
 	}
 
 	private void completeDrain() {
-		if (this.draining && this.active.isEmpty()) {
+		if (this.draining && this.activeRequests.isEmpty()) {
 			this.drained.complete(null);
 		}
 	}
@@ -193,64 +198,74 @@
 		this.sidecars.close();
 	}
 
-	private void accept(ActiveRequest started) {
+	private void accept(ActiveRequest activeRequest) {
 		if (this.draining) {
-			started.refuse(OperationError.local(ErrorCode.UNAVAILABLE, Step.ACCEPT,
+			activeRequest.refuse(OperationError.local(ErrorCode.UNAVAILABLE, Step.ACCEPT,
 					"this entry is shutting down; retry the request"), RETRY_AFTER);
 			return;
 		}
-		this.active.put(started.request().id(), started);
-		this.gate.offer(started);
+		this.activeRequests.put(activeRequest.request().id(), activeRequest);
+		this.admissionGate.offer(activeRequest);
 	}
 
-	private void track(ActiveRequest started) {
-		CallerRequest request = started.request();
+	private void startTracking(ActiveRequest activeRequest) {
+		CallerRequest request = activeRequest.request();
 		this.retries.recordFirstAttempt(request.account(), request.service());
-		RequestSpec spec = new RequestSpec(request.id(), started.fingerprint(), request.key(), request.idempotent(),
-				request.keyRequired());
+		RequestSpec spec = new RequestSpec(request.id(), activeRequest.fingerprint(), request.key(),
+				request.idempotent(), request.keyRequired());
 		long now = this.clock.nanoTime();
-		handle(new RequestAccepted(spec, now + started.remainingNanos(now), PoisonVerdict.CLEAR));
+		handleEvent(new RequestAccepted(spec, now + activeRequest.remainingNanos(now), PoisonVerdict.CLEAR));
 	}
 
-	private void handle(RequestEvent event) {
-		this.pending.addLast(event);
-		if (this.handling) {
+	/**
+	 * Passes an event to the request tracker. An event that a command raises during its
+	 * execution is queued until all commands of the current event are executed, which
+	 * keeps the order in which the tracker returned them.
+	 * @param event the event
+	 */
+	private void handleEvent(RequestEvent event) {
+		this.pendingEvents.addLast(event);
+		if (this.handlingEvents) {
 			return;
 		}
-		this.handling = true;
+		this.handlingEvents = true;
 		try {
-			handlePending();
+			handlePendingEvents();
 		}
 		finally {
-			this.handling = false;
+			this.handlingEvents = false;
 		}
-		scheduleTimer();
+		scheduleTrackerTimer();
 	}
 
-	private void handlePending() {
-		while (!this.pending.isEmpty()) {
-			List<RequestCommand> commands = this.tracker.handle(this.pending.removeFirst(), this.clock.nanoTime());
-			commands.forEach(this::execute);
+	private void handlePendingEvents() {
+		while (!this.pendingEvents.isEmpty()) {
+			List<RequestCommand> commands = this.tracker.handle(this.pendingEvents.removeFirst(),
+					this.clock.nanoTime());
+			commands.forEach(this::executeCommand);
 		}
 	}
 
-	private void scheduleTimer() {
-		this.timer.ifPresent((scheduled) -> scheduled.cancel(false));
+	/**
+	 * Replaces the scheduled timer event by one for the tracker's next timer, if any.
+	 */
+	private void scheduleTrackerTimer() {
+		this.trackerTimer.ifPresent((scheduled) -> scheduled.cancel(false));
 		OptionalLong next = this.tracker.nextTimer();
 		if (next.isEmpty()) {
-			this.timer = Optional.empty();
+			this.trackerTimer = Optional.empty();
 			return;
 		}
 		Duration delay = Duration.ofNanos(Math.max(0, next.getAsLong() - this.clock.nanoTime()));
-		this.timer = Optional.of(this.worker.schedule(delay, () -> handle(new TimePassed())));
+		this.trackerTimer = Optional.of(this.worker.schedule(delay, () -> handleEvent(new TimePassed())));
 	}
 
-	private void execute(RequestCommand command) {
+	private void executeCommand(RequestCommand command) {
 		if (command instanceof DeliverPart part) {
-			deliver(part);
+			deliverPart(part);
 		}
 		else if (command instanceof CompleteRequest result) {
-			complete(result);
+			completeRequest(result);
 		}
 		else if (command instanceof ChooseRoute route) {
 			chooseRoute(route);
@@ -260,6 +275,11 @@
 		}
 	}
 
+	/**
+	 * Sends a command to the sidecar that it addresses.
+	 * @param command the command
+	 * @return {@code false} if the command is not addressed to a sidecar
+	 */
 	private boolean sendToSidecar(RequestCommand command) {
 		if (command instanceof SendStart start) {
 			start(start);
@@ -290,25 +310,25 @@
 	}
 
 	private void chooseRoute(ChooseRoute route) {
-		ActiveRequest request = this.active.get(route.request());
+		ActiveRequest request = this.activeRequests.get(route.request());
 		if (request == null) {
 			return;
 		}
 		Optional<AttemptTarget> target = this.routingFeedback.choose(request.request(), route.excluded())
 			.flatMap((choice) -> this.sidecars.target(choice.server(), choice.incarnation()));
 		if (target.isEmpty()) {
-			handle(new RouteUnavailable(route.request(), OperationError.local(ErrorCode.UNAVAILABLE, Step.ROUTE,
+			handleEvent(new RouteUnavailable(route.request(), OperationError.local(ErrorCode.UNAVAILABLE, Step.ROUTE,
 					"no healthy backend server for service " + request.request().service())));
 			return;
 		}
-		handle(new RouteChosen(route.request(), target.get()));
+		handleEvent(new RouteChosen(route.request(), target.get()));
 	}
 
 	private void start(SendStart start) {
 		RequestId id = start.attempt().request();
-		ActiveRequest request = this.active.get(id);
+		ActiveRequest request = this.activeRequests.get(id);
 		if (request == null) {
-			handle(new StartNotSent(start.attempt()));
+			handleEvent(new StartNotSent(start.attempt()));
 			return;
 		}
 		CallerRequest caller = request.request();
@@ -319,18 +339,18 @@
 		boolean sent = this.sidecars.send(start.target().backendServer(), start.target().incarnation(),
 				EntryFrames.start(start, payload, INITIAL_CREDIT_PARTS));
 		if (!sent) {
-			handle(new StartNotSent(start.attempt()));
+			handleEvent(new StartNotSent(start.attempt()));
 			return;
 		}
 		this.routingFeedback.reportSent(start.attempt());
 	}
 
 	private void setAnsweringServer(RequestId request, BackendServerId server) {
-		Optional.ofNullable(this.active.get(request)).ifPresent((found) -> found.setAnsweringServer(server));
+		Optional.ofNullable(this.activeRequests.get(request)).ifPresent((found) -> found.setAnsweringServer(server));
 	}
 
-	private void deliver(DeliverPart part) {
-		ActiveRequest request = this.active.get(part.request());
+	private void deliverPart(DeliverPart part) {
+		ActiveRequest request = this.activeRequests.get(part.request());
 		if (request == null) {
 			return;
 		}
@@ -341,18 +361,18 @@
 		}
 	}
 
-	private void complete(CompleteRequest result) {
-		ActiveRequest request = this.active.remove(result.request());
+	private void completeRequest(CompleteRequest result) {
+		ActiveRequest request = this.activeRequests.remove(result.request());
 		this.routingFeedback.reportEnded(result.request(), result.outcome() == Outcome.COMPLETED);
 		if (request == null) {
 			return;
 		}
-		this.gate.handleFinished(request, result.outcome(), result.error());
+		this.admissionGate.handleFinished(request, result.outcome(), result.error());
 		request.complete(result, this.metrics, this.clock.nanoTime());
 	}
 
 	private void sendCredit(RequestId id, int parts) {
-		ActiveRequest request = this.active.get(id);
+		ActiveRequest request = this.activeRequests.get(id);
 		if (request == null) {
 			return;
 		}
@@ -360,22 +380,22 @@
 	}
 
 	/**
-	 * Starts or refuses requests according to the admission decision.
+	 * Passes admitted requests to the request tracker and refuses the others.
 	 */
-	private final class AdmissionEvents implements AdmissionListener {
+	private final class AdmissionDecisionHandler implements AdmissionListener {
 
 		@Override
 		public void onAdmitted(RequestId id, Duration queued) {
-			ActiveRequest request = EntryEngine.this.active.get(id);
+			ActiveRequest request = EntryEngine.this.activeRequests.get(id);
 			if (request != null) {
 				EntryEngine.this.metrics.recordQueueing(request.request().account(), queued.toNanos());
-				track(request);
+				startTracking(request);
 			}
 		}
 
 		@Override
 		public void onRefused(RequestId id, OperationError error, Duration retryAfter) {
-			ActiveRequest request = EntryEngine.this.active.remove(id);
+			ActiveRequest request = EntryEngine.this.activeRequests.remove(id);
 			if (request != null) {
 				EntryEngine.this.metrics.recordRejection(request.request().account(), error.code());
 				request.refuse(error, retryAfter);
@@ -387,7 +407,7 @@
 	/**
 	 * Forwards the events of sidecar links to the request tracker and the routers.
 	 */
-	private final class LinkEvents implements SidecarLinkListener {
+	private final class LinkEventHandler implements SidecarLinkListener {
 
 		@Override
 		public void onFirstConnected(SidecarLink link, Incarnation incarnation) {
@@ -402,7 +422,7 @@
 
 		@Override
 		public void onEvent(RequestEvent event) {
-			handle(event);
+			handleEvent(event);
 		}
 
 		@Override
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryNode.java
@@ -14,7 +14,8 @@
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
- * The entry role of a process.
+ * The entry role of a process: accepts requests of callers over HTTP and runs them on
+ * backend servers through the sidecars.
  */
 public final class EntryNode implements AutoCloseable {
 
@@ -29,9 +30,9 @@
 	private final CallerServer server;
 
 	/**
-	 * Starts the role.
+	 * Starts the worker thread and the HTTP server for callers.
 	 * @param parts the dependencies of the role
-	 * @param listen the address on which callers connect
+	 * @param listen the address on which the HTTP server listens
 	 * @param security the TLS settings of callers' connections
 	 */
 	public EntryNode(EntryParts parts, HostPort listen, HttpSecurity security) {
@@ -42,7 +43,7 @@
 				parts.decisions());
 		this.engine = this.closer.register(new EntryEngine(parts, worker, routers));
 		worker.scheduleAtFixedRate(TICK_INTERVAL, this.engine::tick);
-		RequestResolver resolver = new RequestResolver(parts.configuration(), requestIds(self));
+		RequestResolver resolver = new RequestResolver(parts.configuration(), requestIdGenerator(self));
 		this.server = this.closer.register(new CallerServer(parts.vertx(), listen, security, resolver, this.engine));
 	}
 
@@ -56,8 +57,8 @@
 	}
 
 	/**
-	 * Returns the port on which callers are served.
-	 * @return the actual port
+	 * Returns the port on which the HTTP server listens.
+	 * @return the bound port, also if port 0 was configured
 	 */
 	public int port() {
 		return this.server.port();
@@ -76,7 +77,14 @@
 		this.closer.close();
 	}
 
-	private static Supplier<RequestId> requestIds(PeerIdentity self) {
+	/**
+	 * Returns a generator of identifiers {@code INSTANCE.INCARNATION.COUNTER}. The
+	 * counter restarts with the process; the incarnation keeps identifiers unique across
+	 * restarts.
+	 * @param self the identity of this process
+	 * @return the generator
+	 */
+	private static Supplier<RequestId> requestIdGenerator(PeerIdentity self) {
 		AtomicLong next = new AtomicLong();
 		String prefix = self.instance() + "." + Long.toString(self.incarnation().value(), Character.MAX_RADIX) + ".";
 		return () -> RequestId.of(prefix + next.incrementAndGet());
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryParts.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryParts.java
@@ -15,13 +15,13 @@
 /**
  * Dependencies of the entry role.
  *
- * @param vertx runs the HTTP server
+ * @param vertx runs the HTTP server for callers
  * @param transport opens connections to sidecars
  * @param domain the failure domain of this process
  * @param configuration returns the configuration in force
- * @param control accesses the state of the control instances
+ * @param control reads and changes the state kept by the control instances
  * @param metrics records request counts and latencies
- * @param clock the monotonic clock
+ * @param clock the monotonic clock for deadlines, timers and latencies
  * @param random the source of randomness for routing, retries and admission
  * @param decisions receives a record of each decision
  */
