--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ControlLogMeasurement.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/ControlLogMeasurement.java
@@ -9,57 +9,63 @@
 import org.comfreywall.common.decision.Field;
 
 /**
- * Measures the latency and rate of group commits with synced files on 3, 5 and 7
- * instances, and estimates the cost of a proposal by linear regression over the number of
- * proposals in a commit group.
+ * Measures the latency and throughput of proposals to clusters of 3, 5 and 7 control
+ * instances that use group commit and sync their files, and estimates the cost of a
+ * proposal by linear regression over the batch size. Each load keeps as many proposals in
+ * flight as the maximum batch size, and the regression takes this as the number of
+ * proposals in a batch.
  */
 public final class ControlLogMeasurement implements Measurement {
 
 	private static final int[] CLUSTER_SIZES = { 3, 5, 7 };
 
-	private static final int[] COMMIT_GROUP_SIZES = { 1, 16, 256, 2048 };
+	private static final int[] BATCH_SIZES = { 1, 16, 256, 2048 };
 
-	private static final long DEFAULT_PROPOSALS = 40_000;
+	private static final long DEFAULT_MAX_PROPOSALS = 40_000;
 
-	private static final long MIN_PROPOSALS = 300;
+	private static final long BASE_PROPOSALS = 300;
 
 	private static final long WARM_UP_PROPOSALS = 2_000;
 
 	/**
-	 * Measured proposals for each proposal in a commit group. With a group of one, every
-	 * proposal waits for a sync of its own, so fewer proposals are measured.
+	 * The number of measured proposals per unit of the batch size. Small batches need
+	 * more syncs for the same number of proposals, up to one sync for each proposal, so
+	 * fewer proposals are measured.
 	 */
-	private static final int PROPOSALS_PER_GROUP_MEMBER = 300;
+	private static final int PROPOSALS_PER_BATCH_SLOT = 300;
 
-	private static final double TARGET_CLAIMS_PER_SECOND = 33_000;
+	/** The target rate of claims; each claim is one proposal. */
+	private static final double TARGET_PROPOSALS_PER_SECOND = 33_000;
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
 	@Override
 	public void run(BenchOptions options, Reporter reporter) throws Exception {
-		long proposals = options.steps(DEFAULT_PROPOSALS);
-		for (int size : CLUSTER_SIZES) {
-			LinearRegression wall = new LinearRegression();
-			LinearRegression processor = new LinearRegression();
-			for (int group : COMMIT_GROUP_SIZES) {
-				measure(size, group, Math.min(proposals, MIN_PROPOSALS + (long) group * PROPOSALS_PER_GROUP_MEMBER),
-						wall, processor, reporter);
+		long maxProposals = options.steps(DEFAULT_MAX_PROPOSALS);
+		for (int clusterSize : CLUSTER_SIZES) {
+			LinearRegression elapsedPerBatch = new LinearRegression();
+			LinearRegression cpuPerBatch = new LinearRegression();
+			for (int batchSize : BATCH_SIZES) {
+				measure(clusterSize, batchSize,
+						Math.min(maxProposals, BASE_PROPOSALS + (long) batchSize * PROPOSALS_PER_BATCH_SLOT),
+						elapsedPerBatch, cpuPerBatch, reporter);
 			}
-			reportSlopes(size, wall, processor, reporter);
+			reportSlopes(clusterSize, elapsedPerBatch, cpuPerBatch, reporter);
 		}
 	}
 
-	private static void measure(int size, int group, long proposals, LinearRegression wall, LinearRegression processor,
-			Reporter reporter) throws Exception {
-		try (CommitCluster cluster = new CommitCluster(size, group)) {
-			CommitLoad load = new CommitLoad(cluster.awaitLeader(), group);
+	private static void measure(int clusterSize, int batchSize, long proposals, LinearRegression elapsedPerBatch,
+			LinearRegression cpuPerBatch, Reporter reporter) throws Exception {
+		try (CommitCluster cluster = new CommitCluster(clusterSize, batchSize)) {
+			CommitLoad load = new CommitLoad(cluster.awaitLeader(), batchSize);
 			load.run(Math.min(proposals, WARM_UP_PROPOSALS));
-			long before = processCpuNanos();
+			long cpuNanosBefore = processCpuNanos();
 			CommitLoadResult result = load.run(proposals);
-			double processorPerProposal = (double) (processCpuNanos() - before) / proposals;
-			wall.add(group, result.nanosPerProposal() * group);
-			processor.add(group, processorPerProposal * group);
-			report(size, group, result, processorPerProposal, reporter);
+			// CPU time of all instances and of the load, which run in this process.
+			double cpuNanosPerProposal = (double) (processCpuNanos() - cpuNanosBefore) / proposals;
+			elapsedPerBatch.add(batchSize, result.nanosPerProposal() * batchSize);
+			cpuPerBatch.add(batchSize, cpuNanosPerProposal * batchSize);
+			report(clusterSize, batchSize, result, cpuNanosPerProposal, reporter);
 		}
 	}
 
@@ -67,29 +73,33 @@
 		return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean()).getProcessCpuTime();
 	}
 
-	private static void report(int size, int group, CommitLoadResult result, double processorPerProposal,
+	private static void report(int clusterSize, int batchSize, CommitLoadResult result, double cpuNanosPerProposal,
 			Reporter reporter) {
-		reporter.result("control-log", Field.of("instances", size), Field.of("group", group),
+		reporter.result("control-log", Field.of("instances", clusterSize), Field.of("group", batchSize),
 				Field.of("proposals", result.count()), Field.of("failed", result.failed()),
 				Field.of("p50-ms", result.millisAt(50)), Field.of("p95-ms", result.millisAt(95)),
 				Field.of("p99-ms", result.millisAt(99)),
 				Field.of("per-second", Math.round(result.proposalsPerSecond())),
-				Field.of("processor-us-per-proposal", String.format("%.1f", processorPerProposal / 1e3)));
-		reporter.atMost("control-log-failed-" + size + "-" + group, result.failed(), 0);
+				Field.of("processor-us-per-proposal", String.format("%.1f", cpuNanosPerProposal / 1e3)));
+		reporter.atMost("control-log-failed-" + clusterSize + "-" + batchSize, result.failed(), 0);
 	}
 
-	// The cost of a commit group is a fixed time for its sync, the intercept, plus a time
-	// for each proposal in it, the slope.
-	private static void reportSlopes(int size, LinearRegression wall, LinearRegression processor, Reporter reporter) {
-		double leaderTimeShare = wall.slope() * TARGET_CLAIMS_PER_SECOND / NANOS_PER_SECOND;
-		reporter.result("control-log-slope", Field.of("instances", size),
-				Field.of("group-fixed-ms", String.format("%.2f", wall.intercept() / 1e6)),
-				Field.of("us-per-proposal", String.format("%.1f", wall.slope() / 1e3)),
-				Field.of("processor-us-per-proposal", String.format("%.1f", processor.slope() / 1e3)),
+	// Models the time of a batch as linear in its size: the intercept is the fixed
+	// time of a sync, the slope the time for each proposal.
+	private static void reportSlopes(int clusterSize, LinearRegression elapsedPerBatch, LinearRegression cpuPerBatch,
+			Reporter reporter) {
+		// The time that the leader of one log would need for the target rate, without
+		// the fixed time of syncs, as a share of real time. Above 1, the load must be
+		// split over several logs.
+		double leaderTimeShare = elapsedPerBatch.slope() * TARGET_PROPOSALS_PER_SECOND / NANOS_PER_SECOND;
+		reporter.result("control-log-slope", Field.of("instances", clusterSize),
+				Field.of("group-fixed-ms", String.format("%.2f", elapsedPerBatch.intercept() / 1e6)),
+				Field.of("us-per-proposal", String.format("%.1f", elapsedPerBatch.slope() / 1e3)),
+				Field.of("processor-us-per-proposal", String.format("%.1f", cpuPerBatch.slope() / 1e3)),
 				Field.of("time-share-at-33000-per-second", String.format("%.2f", leaderTimeShare)),
 				Field.of("logs-needed-at-33000-per-second", (int) Math.ceil(leaderTimeShare)),
 				Field.of("cores-at-33000-per-second",
-						String.format("%.2f", processor.slope() * TARGET_CLAIMS_PER_SECOND / NANOS_PER_SECOND)));
+						String.format("%.2f", cpuPerBatch.slope() * TARGET_PROPOSALS_PER_SECOND / NANOS_PER_SECOND)));
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/control/LinearRegression.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/control/LinearRegression.java
@@ -17,15 +17,16 @@
 	double slope() {
 		double meanX = mean(true);
 		double meanY = mean(false);
-		double covariance = this.points.stream().mapToDouble((point) -> (point.x - meanX) * (point.y - meanY)).sum();
-		double variance = this.points.stream().mapToDouble((point) -> (point.x - meanX) * (point.x - meanX)).sum();
-		return covariance / variance;
+		double sumOfProducts = this.points.stream().mapToDouble((point) -> (point.x - meanX) * (point.y - meanY)).sum();
+		double sumOfSquares = this.points.stream().mapToDouble((point) -> (point.x - meanX) * (point.x - meanX)).sum();
+		return sumOfProducts / sumOfSquares;
 	}
 
 	double intercept() {
 		return mean(false) - slope() * mean(true);
 	}
 
+	// Returns the mean of x, or that of y if ofX is false.
 	private double mean(boolean ofX) {
 		return this.points.stream().mapToDouble((point) -> ofX ? point.x : point.y).average().orElseThrow();
 	}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/FleetRun.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/FleetRun.java
@@ -14,9 +14,11 @@
 import org.comfreywall.entry.limit.LimitSettings;
 
 /**
- * Simulates a fleet of {@value #ENTRIES} entry instances at peak load. A third of the
- * large client accounts offer more than their limits, entry instances restart, and one
- * region is partitioned from the primary grantor for seven seconds.
+ * Simulates a fleet of {@value #ENTRIES} entry instances under a load of
+ * {@value #OFFERED_REQUESTS_PER_SECOND} requests per second. Every third client account
+ * offers more than its limit on average, entry instances restart, and one region is
+ * partitioned from the primary grantor for seven seconds, from second 8 to second 15 of
+ * the load.
  */
 final class FleetRun {
 
@@ -24,19 +26,20 @@
 
 	static final int ACCOUNTS = 5300;
 
+	/** The duration of the load in simulated seconds. */
 	static final int SECONDS = 20;
 
-	private static final long SECOND_NANOS = 1_000_000_000;
+	private static final long NANOS_PER_SECOND = 1_000_000_000;
 
-	private static final long REQUESTS_PER_SECOND = 33_000;
+	private static final long OFFERED_REQUESTS_PER_SECOND = 33_000;
 
 	private static final int REGIONS = 7;
 
 	private static final double ZIPF_EXPONENT = 0.9;
 
-	private static final double TIGHT_LIMIT_TO_LOAD = 0.7;
+	private static final double TIGHT_LIMIT_TO_LOAD_RATIO = 0.7;
 
-	private static final double AMPLE_LIMIT_TO_LOAD = 2;
+	private static final double AMPLE_LIMIT_TO_LOAD_RATIO = 2;
 
 	private static final long MAX_TOKENS_PER_REQUEST = 600;
 
@@ -46,7 +49,7 @@
 
 	private final LimitsFleet fleet;
 
-	private final double[] cumulativeWeights = new double[ACCOUNTS];
+	private final double[] cumulativeLoadWeights = new double[ACCOUNTS];
 
 	private final List<AccountLimits> limits = new ArrayList<>();
 
@@ -65,10 +68,11 @@
 	}
 
 	void run() {
-		this.fleet.events().runUntil(130 * SECOND_NANOS);
+		this.fleet.events().runUntil(130 * NANOS_PER_SECOND);
 		for (int second = 0; second < SECONDS; second++) {
 			if (second == 8) {
 				this.network.setPartitioned(true);
+				// Subtracts the count at the start; the count at the end is added below.
 				this.admittedDuringPartition -= countAdmittedInPartitionedRegion();
 			}
 			if (second == 15) {
@@ -78,6 +82,8 @@
 			this.fleet.restartEntry(this.random.nextInt(ENTRIES));
 			this.entryRestarts++;
 			offerOneSecond();
+			// The 20 client accounts with the highest load; each audit visits all entry
+			// instances.
 			for (int account = 0; account < 20; account++) {
 				this.fleet.auditSlots(account);
 			}
@@ -93,8 +99,9 @@
 	}
 
 	/**
-	 * Returns the admitted requests as a share of those that could have been admitted: of
-	 * each client account the offered requests, up to its limit.
+	 * Returns the number of admitted requests as a share of the sum, over all client
+	 * accounts, of the lesser of the offered requests and the rate limit times
+	 * {@value #SECONDS} seconds.
 	 * @return the share
 	 */
 	double admittedShareOfAllowed() {
@@ -107,8 +114,8 @@
 	}
 
 	/**
-	 * Returns the number of requests that the partitioned region admitted during the
-	 * partition.
+	 * Returns the number of requests that the entry instances of the partitioned region
+	 * admitted during the partition.
 	 * @return the number of requests
 	 */
 	long admittedDuringPartition() {
@@ -119,14 +126,28 @@
 		return this.entryRestarts;
 	}
 
+	/**
+	 * Returns the number of lease requests to the primary grantor per simulated second of
+	 * the load.
+	 * @return the requests per second
+	 */
 	double leaseRequestsPerSecond() {
 		return (double) this.fleet.grantor(0).leaseRequests() / SECONDS;
 	}
 
+	/**
+	 * Returns the number of account demands to the primary grantor per simulated second
+	 * of the load.
+	 * @return the demands per second
+	 */
 	double demandsPerSecond() {
 		return (double) this.fleet.grantor(0).demands() / SECONDS;
 	}
 
+	/**
+	 * Returns the CPU time of the primary grantor per account demand.
+	 * @return the CPU time in microseconds
+	 */
 	double microsPerDemand() {
 		return this.fleet.grantor(0).busyNanos() / 1e3 / this.fleet.grantor(0).demands();
 	}
@@ -157,46 +178,52 @@
 	}
 
 	/**
-	 * Spreads the load over the client accounts by a Zipf distribution and sets their
-	 * limits in proportion to their load: every third limit is below the load and the
-	 * others are above it, but each is at least one request per second.
+	 * Computes the Zipf-distributed load of the client accounts and sets their limits in
+	 * proportion: of every third account {@value #TIGHT_LIMIT_TO_LOAD_RATIO} times its
+	 * load, of the others {@value #AMPLE_LIMIT_TO_LOAD_RATIO} times, rounded, but at
+	 * least one request per second.
 	 */
 	private void initializeLoadAndLimits() {
 		double sum = 0;
 		for (int i = 0; i < ACCOUNTS; i++) {
 			sum += 1 / Math.pow(i + 1, ZIPF_EXPONENT);
-			this.cumulativeWeights[i] = sum;
+			this.cumulativeLoadWeights[i] = sum;
 		}
 		double previous = 0;
 		for (int i = 0; i < ACCOUNTS; i++) {
-			double rate = REQUESTS_PER_SECOND * (this.cumulativeWeights[i] - previous) / sum;
-			previous = this.cumulativeWeights[i];
-			double limit = (i % 3 == 0) ? TIGHT_LIMIT_TO_LOAD * rate : AMPLE_LIMIT_TO_LOAD * rate;
-			long requests = Math.max(1, Math.round(limit));
-			this.limits.add(new AccountLimits(requests, requests * MAX_TOKENS_PER_REQUEST, 2 + requests));
+			double loadPerSecond = OFFERED_REQUESTS_PER_SECOND * (this.cumulativeLoadWeights[i] - previous) / sum;
+			previous = this.cumulativeLoadWeights[i];
+			double limitPerSecond = (i % 3 == 0) ? TIGHT_LIMIT_TO_LOAD_RATIO * loadPerSecond
+					: AMPLE_LIMIT_TO_LOAD_RATIO * loadPerSecond;
+			long requestsPerSecond = Math.max(1, Math.round(limitPerSecond));
+			// The limits on tokens and in-flight requests leave room: a request takes 300
+			// tokens and runs for half a second on average.
+			this.limits.add(new AccountLimits(requestsPerSecond, requestsPerSecond * MAX_TOKENS_PER_REQUEST,
+					2 + requestsPerSecond));
 		}
 	}
 
 	private void offerOneSecond() {
-		long intervalNanos = SECOND_NANOS / REQUESTS_PER_SECOND;
-		long end = this.fleet.events().now() + SECOND_NANOS;
+		long intervalNanos = NANOS_PER_SECOND / OFFERED_REQUESTS_PER_SECOND;
+		long end = this.fleet.events().now() + NANOS_PER_SECOND;
 		while (this.fleet.events().now() < end) {
 			this.fleet.events().runUntil(this.fleet.events().now() + intervalNanos);
 			int account = randomAccount();
 			this.fleet.offer(this.random.nextInt(ENTRIES), account, this.random.nextLong(MAX_TOKENS_PER_REQUEST),
-					this.random.nextLong(SECOND_NANOS));
+					this.random.nextLong(NANOS_PER_SECOND));
 		}
 	}
 
 	private int randomAccount() {
-		double value = this.random.nextDouble() * this.cumulativeWeights[ACCOUNTS - 1];
-		int index = Arrays.binarySearch(this.cumulativeWeights, value);
+		double target = this.random.nextDouble() * this.cumulativeLoadWeights[ACCOUNTS - 1];
+		int index = Arrays.binarySearch(this.cumulativeLoadWeights, target);
 		return (index >= 0) ? index : Math.min(ACCOUNTS - 1, -index - 1);
 	}
 
 	private long countAdmittedInPartitionedRegion() {
 		long sum = 0;
 		for (AccountAudit audit : this.fleet.audits()) {
+			// Region 1, which RegionalNetwork partitions.
 			for (int entry = 1; entry < ENTRIES; entry += REGIONS) {
 				sum += audit.admittedBy(entry);
 			}
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RegionalNetwork.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/RegionalNetwork.java
@@ -4,35 +4,37 @@
 import java.util.random.RandomGenerator;
 
 /**
- * A network of regions that rarely loses a message. One region can be partitioned from
- * the primary grantor; the reserve grantors stay reachable.
+ * Simulates a network that delivers messages after 0.5 to 30.5 ms and loses one in a
+ * thousand at random. The entry instances are spread round robin over the regions. Region
+ * 1 can be partitioned from the primary grantor, which has index 0; the reserve grantors
+ * stay reachable.
  */
 final class RegionalNetwork implements SimulatedNetwork {
 
-	private static final long MICRO_NANOS = 1_000;
+	private static final long NANOS_PER_MICRO = 1_000;
 
 	private final RandomGenerator random;
 
-	private final int regions;
+	private final int regionCount;
 
 	private boolean partitioned;
 
-	RegionalNetwork(RandomGenerator random, int regions) {
+	RegionalNetwork(RandomGenerator random, int regionCount) {
 		this.random = random;
-		this.regions = regions;
+		this.regionCount = regionCount;
 	}
 
 	@Override
 	public List<Long> deliveryDelays(int entry, int grantor) {
-		boolean unreachable = this.partitioned && grantor == 0 && entry % this.regions == 1;
+		boolean unreachable = this.partitioned && grantor == 0 && entry % this.regionCount == 1;
 		if (unreachable || this.random.nextInt(1000) == 0) {
 			return List.of();
 		}
-		return List.of(500 * MICRO_NANOS + this.random.nextLong(30_000 * MICRO_NANOS));
+		return List.of(500 * NANOS_PER_MICRO + this.random.nextLong(30_000 * NANOS_PER_MICRO));
 	}
 
 	/**
-	 * Starts or ends the partition.
+	 * Starts or ends the partition of region 1 from the primary grantor.
 	 * @param partitioned whether the region is partitioned from the primary grantor
 	 */
 	void setPartitioned(boolean partitioned) {
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
@@ -24,8 +24,8 @@
 import org.comfreywall.control.lease.SlotReservation;
 
 /**
- * Simulates a lease grantor in virtual time. Each restart begins a new term with a new
- * lease ledger.
+ * Simulates a lease grantor in virtual time, on a clock that drifts from it. Each restart
+ * begins a new term with a new lease ledger.
  */
 final class SimulatedGrantor {
 
@@ -33,6 +33,7 @@
 
 	private final FleetSettings settings;
 
+	/** Whether this is the primary grantor rather than a reserve grantor. */
 	private final boolean primary;
 
 	private final DriftingClock clock;
@@ -40,8 +41,8 @@
 	private final Invariants invariants;
 
 	/**
-	 * The reserved slots of each client account. Kept across restarts, as they are in the
-	 * replicated log.
+	 * The reserved slots of each client account. Survives restarts, because a real
+	 * grantor stores its reservations in the replicated log.
 	 */
 	private final Map<AccountId, Long> reservedSlots = new HashMap<>();
 
@@ -51,9 +52,10 @@
 
 	private long leaseRequests;
 
+	/** The number of account demands received in all lease requests. */
 	private long demands;
 
-	private long busyNanos;
+	private long cpuNanos;
 
 	SimulatedGrantor(FleetSettings settings, boolean primary, DriftingClock clock, Invariants invariants) {
 		this.settings = settings;
@@ -63,9 +65,9 @@
 	}
 
 	/**
-	 * Starts the next term with an empty ledger that has only the limits and the reserved
-	 * slots.
-	 * @param trueTime the true time in nanoseconds
+	 * Starts the grantor, or restarts it, in the next term with a new ledger. Of the
+	 * earlier state, only the reserved slots are passed to the new ledger.
+	 * @param trueTime the simulation's time in nanoseconds, without clock drift
 	 */
 	void restart(long trueTime) {
 		this.term = this.term.next();
@@ -74,20 +76,20 @@
 				this.invariants);
 		LimitDivision division = this.settings.limitSettings().division();
 		for (int i = 0; i < this.settings.limits().size(); i++) {
-			GrantorLimits part = this.primary ? division.primaryLimits(this.settings.limits().get(i))
+			GrantorLimits grantorLimits = this.primary ? division.primaryLimits(this.settings.limits().get(i))
 					: division.reserveLimits(this.settings.limits().get(i));
 			AccountId account = LimitsFleet.account(i);
 			OptionalLong earlierSlots = OptionalLong.of(this.reservedSlots.getOrDefault(account, 0L));
-			this.ledger.handle(new LimitsChanged(account, Optional.of(part), earlierSlots), now);
+			this.ledger.handle(new LimitsChanged(account, Optional.of(grantorLimits), earlierSlots), now);
 		}
 	}
 
 	/**
-	 * Handles a lease request and adds the CPU time of the current thread to the busy
-	 * time.
+	 * Handles a lease request and adds the CPU time spent on it to {@link #busyNanos()}.
 	 * @param request the request
-	 * @param trueTime the true time in nanoseconds
-	 * @return the grant, or empty if the ledger sends none
+	 * @param trueTime the simulation's time in nanoseconds, without clock drift
+	 * @return the grant, or empty if the request is out of order or its holder has seen a
+	 * newer term
 	 */
 	Optional<LeaseGrant> handleLeaseRequest(LeaseRequest request, long trueTime) {
 		this.leaseRequests++;
@@ -96,13 +98,13 @@
 		long now = this.clock.read(trueTime);
 		List<LedgerCommand> commands = this.ledger.handle(new LeaseRequested(request), now);
 		request.demands().forEach((demand) -> updateReservedSlots(demand.account(), now));
-		this.busyNanos += THREAD_BEAN.getCurrentThreadCpuTime() - start;
+		this.cpuNanos += THREAD_BEAN.getCurrentThreadCpuTime() - start;
 		return commands.stream().map((command) -> ((SendGrant) command).grant()).findFirst();
 	}
 
 	private void updateReservedSlots(AccountId account, long now) {
-		long current = this.reservedSlots.getOrDefault(account, 0L);
-		this.reservedSlots.put(account, SlotReservation.next(current, this.ledger.outstandingSlots(account, now)));
+		long reserved = this.reservedSlots.getOrDefault(account, 0L);
+		this.reservedSlots.put(account, SlotReservation.next(reserved, this.ledger.outstandingSlots(account, now)));
 	}
 
 	DriftingClock clock() {
@@ -117,12 +119,20 @@
 		return this.leaseRequests;
 	}
 
+	/**
+	 * Returns the number of account demands received in all lease requests.
+	 * @return the number of demands
+	 */
 	long demands() {
 		return this.demands;
 	}
 
+	/**
+	 * Returns the CPU time spent on lease requests.
+	 * @return the CPU time in nanoseconds
+	 */
 	long busyNanos() {
-		return this.busyNanos;
+		return this.cpuNanos;
 	}
 
 }
--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FaultyNetwork.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/spread/FaultyNetwork.java
@@ -13,8 +13,8 @@
 import org.comfreywall.control.spread.NodeDescriptor;
 
 /**
- * A simulated network that drops, delays, reorders and duplicates messages and cuts
- * links, also one direction alone.
+ * A simulated network that drops, delays, reorders and duplicates messages and in which
+ * links can be cut in either direction.
  */
 final class FaultyNetwork implements Network {
 
@@ -22,84 +22,125 @@
 
 	private static final long MAX_EXTRA_DELAY_NANOS = Duration.ofMillis(1500).toNanos();
 
+	/**
+	 * The number of cut links from which on {@link #cut} adds no more. {@link #isolate}
+	 * is not limited.
+	 */
 	private static final int MAX_CUTS = 40;
 
 	private final Random random;
 
-	private final Set<Link> cuts = new HashSet<>();
+	private final Set<DirectedLink> cutLinks = new HashSet<>();
 
 	private Optional<InstanceId> blockedReceiver = Optional.empty();
 
+	/** The share of messages that are lost. */
 	private double lossShare;
 
+	/** The share of messages that are duplicated. */
 	private double duplicatedShare;
 
-	private double lateShare;
+	/** The share of messages that get an extra delay. */
+	private double delayedShare;
 
 	FaultyNetwork(long seed) {
 		this.random = new Random(seed);
 	}
 
+	/**
+	 * Clears all faults: restores all links, unblocks the blocked receiver and sets the
+	 * shares of lost, duplicated and delayed messages to 0.
+	 */
 	void heal() {
-		this.cuts.clear();
+		this.cutLinks.clear();
 		this.blockedReceiver = Optional.empty();
 		this.lossShare = 0;
 		this.duplicatedShare = 0;
-		this.lateShare = 0;
+		this.delayedShare = 0;
 	}
 
+	/**
+	 * Draws new shares of lost, duplicated and delayed messages. Cut links and the
+	 * blocked receiver stay as they are.
+	 */
 	void randomiseFaults() {
+		// A product of two random numbers makes low shares more frequent than high ones.
 		this.lossShare = this.random.nextDouble() * this.random.nextDouble() * 0.4;
 		this.duplicatedShare = this.random.nextDouble() * 0.1;
-		this.lateShare = this.random.nextDouble() * this.random.nextDouble() * 0.5;
+		this.delayedShare = this.random.nextDouble() * this.random.nextDouble() * 0.5;
 	}
 
 	/**
-	 * Drops all messages to a node until the network is healed.
+	 * Drops all messages to a node, in place of the node blocked before, until
+	 * {@link #heal()} clears all faults.
 	 * @param node the receiver
 	 */
 	void blockReceiver(InstanceId node) {
 		this.blockedReceiver = Optional.of(node);
 	}
 
+	/**
+	 * Cuts the link between two nodes in the given direction. Has no effect once
+	 * {@value #MAX_CUTS} links are cut.
+	 * @param from the sender
+	 * @param to the receiver
+	 */
 	void cut(InstanceId from, InstanceId to) {
-		if (this.cuts.size() < MAX_CUTS) {
-			this.cuts.add(new Link(from, to));
+		if (this.cutLinks.size() < MAX_CUTS) {
+			this.cutLinks.add(new DirectedLink(from, to));
 		}
 	}
 
+	/**
+	 * Cuts the links between a node and others.
+	 * @param node the node
+	 * @param others the other nodes
+	 * @param inbound whether to cut the links to the node
+	 * @param outbound whether to cut the links from the node
+	 */
 	void isolate(InstanceId node, List<InstanceId> others, boolean inbound, boolean outbound) {
 		for (InstanceId other : others) {
 			if (inbound) {
-				this.cuts.add(new Link(other, node));
+				this.cutLinks.add(new DirectedLink(other, node));
 			}
 			if (outbound) {
-				this.cuts.add(new Link(node, other));
+				this.cutLinks.add(new DirectedLink(node, other));
 			}
 		}
 	}
 
+	/**
+	 * Restores each cut link with a probability of two thirds.
+	 */
 	void restoreSomeLinks() {
-		List<Link> all = new ArrayList<>(this.cuts);
-		all.stream().filter((link) -> this.random.nextInt(3) > 0).forEach(this.cuts::remove);
+		List<DirectedLink> all = new ArrayList<>(this.cutLinks);
+		all.stream().filter((link) -> this.random.nextInt(3) > 0).forEach(this.cutLinks::remove);
 	}
 
-	boolean connects(InstanceId from, InstanceId to) {
-		return !isCut(from, to) && !isCut(to, from);
+	/**
+	 * Returns whether neither direction between two nodes is blocked. Random loss is not
+	 * considered.
+	 * @param one a node
+	 * @param other the other node
+	 * @return {@code true} if messages can pass both ways
+	 */
+	boolean connects(InstanceId one, InstanceId other) {
+		return !isBlocked(one, other) && !isBlocked(other, one);
 	}
 
 	@Override
 	public OptionalLong delay(NodeDescriptor from, NodeDescriptor to) {
-		if (isCut(from.id(), to.id()) || this.random.nextDouble() < this.lossShare) {
+		if (isBlocked(from.id(), to.id()) || this.random.nextDouble() < this.lossShare) {
 			return OptionalLong.empty();
 		}
-		boolean late = this.random.nextDouble() < this.lateShare;
+		boolean delayed = this.random.nextDouble() < this.delayedShare;
 		return OptionalLong
-			.of(BASE_DELAY_NANOS + (late ? (long) (this.random.nextDouble() * MAX_EXTRA_DELAY_NANOS) : 0));
+			.of(BASE_DELAY_NANOS + (delayed ? (long) (this.random.nextDouble() * MAX_EXTRA_DELAY_NANOS) : 0));
 	}
 
-	private boolean isCut(InstanceId from, InstanceId to) {
-		return this.cuts.contains(new Link(from, to)) || this.blockedReceiver.filter(to::equals).isPresent();
+	private boolean isBlocked(InstanceId from, InstanceId to) {
+		return this.cutLinks.contains(new DirectedLink(from, to))
+				|| this.blockedReceiver.filter(to::equals).isPresent();
 	}
 
 	@Override
@@ -107,7 +148,7 @@
 		return this.random.nextDouble() < this.duplicatedShare;
 	}
 
-	private record Link(InstanceId from, InstanceId to) {
+	private record DirectedLink(InstanceId from, InstanceId to) {
 
 	}
 
