Point a doc link at the renamed simulation

Change: SimulationSettings links to SwitchSimulation. Found by looking up each link's type and member in the sources; no other is left dangling. A comment only.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SimulationSettings.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/mapswitch/SimulationSettings.java
@@ -10,7 +10,7 @@
 import org.comfreywall.group.mapswitch.CoordinatorSettings;
 
 /**
- * Settings of a {@link SwitchWorld}.
+ * Settings of a {@link SwitchSimulation}.
  *
  * @param ranks the number of ranks
  * @param agentSettings the settings of all agents
