--- a/review/1/ReplacedMachine.java
+++ b/review/1/ReplacedMachine.java
@@ -1,6 +1,5 @@
 package review;
 
-import java.nio.file.Path;
 import java.util.List;
 
 /**
@@ -21,18 +20,11 @@
 	private ReplacedMachine() {
 	}
 
-	public static void main(String[] args) throws Exception {
-		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-		Journal journal = new Journal(Path.of(args[0]));
-		int result;
-		try (Platform platform = new Platform(journal)) {
-			result = run(platform, journal, trouble);
-		}
-		journal.add("exit status %d", result);
-		System.exit(result);
+	public static void main(String[] args) {
+		Case.main(args[0], ReplacedMachine::run);
 	}
 
-	private static int run(Platform platform, Journal journal, boolean trouble) throws Exception {
+	static int run(Platform platform, Journal journal, boolean trouble) throws Exception {
 		List<String> first = List.of("a", "b", "c");
 		for (String node : first) {
 			platform.start(node, true, true, first);
--- a/review/lib/Http.java
+++ b/review/lib/Http.java
@@ -47,7 +47,8 @@
 			socket.connect(new InetSocketAddress(host, port), timeoutMillis);
 			socket.setSoTimeout(timeoutMillis);
 			OutputStream out = socket.getOutputStream();
-			out.write((request + "\r\nHost: " + host + "\r\nConnection: close\r\nContent-Type: application/json"
+			String hostLine = request.contains("\r\nHost:") ? "" : "\r\nHost: " + host;
+			out.write((request + hostLine + "\r\nConnection: close\r\nContent-Type: application/json"
 					+ "\r\nContent-Length: " + body.length + "\r\n\r\n")
 				.getBytes(StandardCharsets.US_ASCII));
 			out.write(body);
--- a/review/lib/Platform.java
+++ b/review/lib/Platform.java
@@ -25,8 +25,6 @@
 
 	public static final int FRONT = 8227;
 
-	public static final int READY = 8220;
-
 	public static final int CONTROL = 8229;
 
 	private static final String[] ZONES = { "north", "south", "west" };
@@ -37,6 +35,8 @@
 
 	private final String network;
 
+	private int readyPort = 8220;
+
 	private final Map<String, Process> processes = new LinkedHashMap<>();
 
 	private final Map<String, String> addresses = new LinkedHashMap<>();
@@ -67,6 +67,11 @@
 		return this.addresses.computeIfAbsent(node, (added) -> this.network + (this.addresses.size() + 1));
 	}
 
+	/** Sets the port of the readiness checks; like all ports it is new each day. */
+	public void readyPort(int port) {
+		this.readyPort = port;
+	}
+
 	public List<String> running() {
 		List<String> running = new ArrayList<>();
 		this.processes.forEach((node, process) -> {
@@ -96,7 +101,7 @@
 				disk ? data : ""));
 		text.append("discovery = \"registry\"\nentry = \"vip\"\nheartbeat_ms = 1200\nconfig_mode = \"highest\"\n");
 		text.append("[listen]\nfront = \"%1$s:%2$d\"\nready = \"%1$s:%3$d\"\ncontrol = \"%1$s:%4$d\"\n".formatted(ip,
-				FRONT, READY, CONTROL));
+				FRONT, this.readyPort, CONTROL));
 		text.append("[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n[bounds]\ncontact_ms = 3000\nack_ms = 4000\n");
 		text.append("catch_up_s = 4\ndrain_ms = 2000\ngrace_s = 8\nloss_slack_ms = 200\nconfig_ms = 2000\n");
 		text.append("rollback_slack_ms = 250\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 96\n");
@@ -145,7 +150,7 @@
 	/** Returns the errors that a process wrote to its log. */
 	public String errors(String node) throws IOException {
 		try (Stream<String> lines = Files.lines(this.folder.resolve(node + ".log"))) {
-			return lines.filter((line) -> line.contains("Error"))
+			return lines.filter((line) -> line.contains("Error") || line.contains("Exception"))
 				.distinct()
 				.limit(5)
 				.reduce("errors in the log of " + node + ":", (all, line) -> all + "\n          " + line);
