Show that a restart of all machines forgets an acknowledged leave

The directory of backend servers is kept in memory only. After the processes with a disk were all killed, a heartbeat from before the server's leave is taken for a new server's, and requests go to it again until it exits.

--- a/review/lib/Backend.java
+++ b/review/lib/Backend.java
@@ -61,6 +61,8 @@
 
 	private volatile String state = "ready";
 
+	private volatile boolean left;
+
 	private volatile boolean closed;
 
 	public Backend(Platform platform, Journal journal, String id, String service, int slots, Work work)
@@ -82,7 +84,7 @@
 	/** Sends heartbeats to the nodes from now on. */
 	public void announce(List<String> nodes) {
 		background(() -> {
-			for (int i = 0; !this.closed; i++) {
+			for (int i = 0; !this.closed && !this.left; i++) {
 				if (beat(nodes.get(i % nodes.size()))) {
 					i--;
 					Thread.sleep(1200);
@@ -95,12 +97,32 @@
 	}
 
 	/** Sends one heartbeat and returns whether it was acknowledged. */
-	public synchronized boolean beat(String node) {
-		String body = ("{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"north\",\"version\":\"v1\",\"slots\":%d,"
+	public boolean beat(String node) {
+		return send(heartbeat(), node);
+	}
+
+	/** Returns the body of the next heartbeat. */
+	public synchronized String heartbeat() {
+		return ("{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"north\",\"version\":\"v1\",\"slots\":%d,"
 				+ "\"state\":\"%s\",\"cold_left_ms\":0,\"born\":%d,\"seq\":%d}").formatted(this.service, this.host,
 						PORT, this.slots, this.state, this.born, ++this.seq);
+	}
+
+	/** Sends the body of a heartbeat and returns whether it was acknowledged. */
+	public boolean send(String heartbeat, String node) {
+		return call(node, "heartbeat", heartbeat);
+	}
+
+	/** Sends a leave, stops the heartbeats, and returns whether it was acknowledged. */
+	public boolean leave(String node) {
+		this.left = true;
+		return call(node, "leave", "{\"born\":%d,\"seq\":%d}".formatted(this.born, ++this.seq));
+	}
+
+	private boolean call(String node, String name, String body) {
 		Http.Message answer = Http.call(this.platform.address(node), Platform.CONTROL,
-				"POST /v1/instances/" + this.id + "/heartbeat HTTP/1.1", body.getBytes(StandardCharsets.UTF_8), 1000);
+				"POST /v1/instances/" + this.id + "/" + name + " HTTP/1.1", body.getBytes(StandardCharsets.UTF_8),
+				1000);
 		return answer != null && answer.status() / 100 == 2;
 	}
 
