--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review
 mkdir -p target/review
-javac -Xlint:all -Werror -d target/review review/lib/*.java review/[1-5]/*.java
+javac -Xlint:all -Werror -d target/review review/*.java review/[1-5]/*.java
