--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d target/review ] && [ -f target/comfreywall-platform.jar ] || exit 2
-exec java -Xmx900m -cp target/review review.LargeBodies review/5
+exec java -Xmx128m -cp target/review review.ForgottenLeave review/5
