Treat a stream that ends within an event as broken off

Cause: the end of a body that has neither a length nor chunks was judged by its connection alone. A process that ends closes its connection with FIN, and the decoder then reports the end of the response. Ruled out: a missed reset (told from FIN before).

Change: EventBoundary follows the lines of an event stream. If a stream ends within an event, or without a length before its first one, the attempt is broken: the stream is resumed where that is allowed, otherwise the caller's connection is closed without the last chunk. Streams that end whole stay complete, and so do answers of other media types.

--- /dev/null
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/stream/EventBoundary.java
@@ -0,0 +1,84 @@
+package org.comfreywall.common.stream;
+
+import java.util.Locale;
+
+/**
+ * Tracks whether an event stream is at the end of an event. A stream that ends anywhere
+ * else was broken off, even if its connection was closed in the normal way.
+ * <p>
+ * Lines end with LF, CR or CRLF; an empty line ends an event, and lines that begin with a
+ * colon are comments, which belong to no event (HTML Living Standard, server-sent
+ * events). Not thread-safe.
+ */
+public final class EventBoundary {
+
+	private static final String MEDIA_TYPE = "text/event-stream";
+
+	private boolean lineEmpty = true;
+
+	private boolean comment;
+
+	private boolean afterCarriageReturn;
+
+	private boolean eventOpen;
+
+	private boolean empty = true;
+
+	/**
+	 * Returns whether a response is an event stream.
+	 * @param contentType the content type of the response, may be empty or have
+	 * parameters
+	 * @return {@code true} for {@code text/event-stream}
+	 */
+	public static boolean isEventStream(String contentType) {
+		String type = contentType.split(";", 2)[0].trim();
+		return type.toLowerCase(Locale.ROOT).equals(MEDIA_TYPE);
+	}
+
+	/**
+	 * Reads the next byte of the stream.
+	 * @param next the byte
+	 */
+	public void accept(byte next) {
+		this.empty = false;
+		boolean secondOfCrLf = next == '\n' && this.afterCarriageReturn;
+		this.afterCarriageReturn = next == '\r';
+		if (secondOfCrLf) {
+			return;
+		}
+		if (next == '\n' || next == '\r') {
+			endLine();
+			return;
+		}
+		if (this.lineEmpty) {
+			this.lineEmpty = false;
+			this.comment = next == ':';
+		}
+		this.eventOpen = this.eventOpen || !this.comment;
+	}
+
+	private void endLine() {
+		if (this.lineEmpty) {
+			this.eventOpen = false;
+		}
+		this.lineEmpty = true;
+		this.comment = false;
+	}
+
+	/**
+	 * Returns whether the stream would be broken off if it ended here.
+	 * @return {@code true} within an event or a comment line
+	 */
+	public boolean isWithinEvent() {
+		return this.eventOpen || !this.lineEmpty;
+	}
+
+	/**
+	 * Returns whether no byte has been read.
+	 * @return {@code true} before the first byte
+	 */
+	public boolean isEmpty() {
+		return this.empty;
+	}
+
+}
--- /dev/null
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/stream/EventBoundaryTests.java
@@ -0,0 +1,49 @@
+package org.comfreywall.common.stream;
+
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link EventBoundary}.
+ */
+class EventBoundaryTests {
+
+	private static boolean endsWithinEvent(String stream) {
+		EventBoundary boundary = new EventBoundary();
+		for (byte next : stream.getBytes(StandardCharsets.UTF_8)) {
+			boundary.accept(next);
+		}
+		return boundary.isWithinEvent();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "\n", "data: a\n\n", "data: a\r\n\r\n", "data: a\r\r", "data: a\n\r\n",
+			"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "data: a\n\n\n", ": ping\n", "data: a\n\n: ping\n", ": ping\n\n" })
+	void aStreamMayEndAfterAnEventOrAComment(String stream) {
+		assertThat(endsWithinEvent(stream)).isFalse();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "i", "id: 1", "id: 1\n", "data: a\n", "data: a\r\n", "data: a\r", "data: a\n\ndata: b\n",
+			"data: a\n: ping\n", ": pi", "data: a\n\n: pi" })
+	void aStreamIsBrokenOffWithinAnEventOrAComment(String stream) {
+		assertThat(endsWithinEvent(stream)).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "text/event-stream", "Text/Event-Stream", "text/event-stream; charset=utf-8" })
+	void recognisesTheMediaTypeWithParameters(String contentType) {
+		assertThat(EventBoundary.isEventStream(contentType)).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "application/json", "text/event-streams" })
+	void otherMediaTypesAreNoEventStreams(String contentType) {
+		assertThat(EventBoundary.isEventStream(contentType)).isFalse();
+	}
+
+}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
@@ -1,7 +1,9 @@
 package org.comfreywall.daemon.sidecar;
 
+import java.io.IOException;
 import java.net.URI;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 
 import io.vertx.core.Vertx;
@@ -19,6 +21,7 @@
 import org.comfreywall.common.result.ErrorCode;
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Step;
+import org.comfreywall.common.stream.EventBoundary;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.transport.attempt.AttemptPayload;
@@ -107,6 +110,10 @@
 		this.client.close();
 	}
 
+	private static boolean isLengthDelimited(HttpClientResponse response) {
+		return response.getHeader("Content-Length") != null || response.getHeader("Transfer-Encoding") != null;
+	}
+
 	/**
 	 * A call whose events arrive on the client's event loop. Flow control and
 	 * cancellation come from other threads, so state changes are synchronized.
@@ -119,6 +126,8 @@
 
 		private HttpClientResponse response;
 
+		private Optional<EventBoundary> events = Optional.empty();
+
 		private boolean paused;
 
 		private boolean ended;
@@ -170,15 +179,41 @@
 					opened.pause();
 				}
 			}
+			String header = opened.getHeader("Content-Type");
+			String type = (header != null) ? header : "";
+			if (EventBoundary.isEventStream(type)) {
+				this.events = Optional.of(new EventBoundary());
+			}
 			opened.exceptionHandler((cause) -> fail(ErrorCode.BACKEND_ERROR, cause, true));
-			opened.handler((data) -> {
-				if (isActive()) {
-					this.listener.onChunk(Bytes.of(data.getBytes()));
+			opened.handler((data) -> receive(data.getBytes()));
+			opened.endHandler((end) -> end(isLengthDelimited(opened)));
+			this.listener.onHead(opened.statusCode(), type);
+		}
+
+		private void receive(byte[] data) {
+			if (!isActive()) {
+				return;
+			}
+			this.events.ifPresent((boundary) -> {
+				for (byte next : data) {
+					boundary.accept(next);
 				}
 			});
-			opened.endHandler((end) -> complete());
-			String type = opened.getHeader("Content-Type");
-			this.listener.onHead(opened.statusCode(), (type != null) ? type : "");
+			this.listener.onChunk(Bytes.of(data));
+		}
+
+		private void end(boolean lengthDelimited) {
+			boolean brokenOff = this.events
+				.filter((boundary) -> boundary.isWithinEvent() || (boundary.isEmpty() && !lengthDelimited))
+				.isPresent();
+			if (brokenOff) {
+				// The end of a connection ends a stream without a length even if its
+				// server stopped.
+				fail(ErrorCode.BACKEND_ERROR, new IOException("stream ended within an event"), true);
+			}
+			else {
+				complete();
+			}
 		}
 
 		private void complete() {
--- /dev/null
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/sidecar/BackendClientTests.java
@@ -0,0 +1,130 @@
+package org.comfreywall.daemon.sidecar;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Vertx;
+import org.comfreywall.common.config.PriorityClass;
+import org.comfreywall.common.id.AttemptId;
+import org.comfreywall.common.id.InstanceId;
+import org.comfreywall.common.id.RequestId;
+import org.comfreywall.common.lifecycle.Closer;
+import org.comfreywall.common.result.OperationError;
+import org.comfreywall.common.util.Bytes;
+import org.comfreywall.transport.attempt.AttemptPayload;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link BackendClient}.
+ */
+@Timeout(20)
+class BackendClientTests {
+
+	private static final AttemptPayload PAYLOAD = new AttemptPayload("POST", "/v1/chat/completions", "",
+			Bytes.ofText("{}"), PriorityClass.STANDARD, Duration.ofSeconds(5), Optional.empty());
+
+	private final Closer closer = new Closer();
+
+	private ServerSocket server;
+
+	private BackendClient client;
+
+	@BeforeEach
+	void open() throws Exception {
+		Vertx vertx = Vertx.vertx();
+		this.closer.register(() -> vertx.close().await(10, TimeUnit.SECONDS));
+		this.server = this.closer.register(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+		this.client = this.closer.register(new BackendClient(vertx,
+				URI.create("http://127.0.0.1:" + this.server.getLocalPort()), InstanceId.of("sidecar-1")));
+	}
+
+	@AfterEach
+	void close() throws Exception {
+		this.closer.close();
+	}
+
+	// Answers one call with the given bytes and closes the connection.
+	private String outcomeOf(String answer) throws Exception {
+		CompletableFuture<String> outcome = new CompletableFuture<>();
+		this.client.run(new AttemptId(RequestId.of("r1"), 1), PAYLOAD, new OutcomeListener(outcome));
+		try (Socket connection = this.server.accept()) {
+			readHead(connection);
+			connection.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+		}
+		return outcome.get(10, TimeUnit.SECONDS);
+	}
+
+	private static void readHead(Socket connection) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (!head.toString().endsWith("\r\n\r\n")) {
+			head.append((char) connection.getInputStream().read());
+		}
+	}
+
+	private record OutcomeListener(CompletableFuture<String> outcome) implements BackendListener {
+
+		@Override
+		public void onHead(int status, String contentType) {
+		}
+
+		@Override
+		public void onChunk(Bytes data) {
+		}
+
+		@Override
+		public void onComplete() {
+			this.outcome.complete("complete");
+		}
+
+		@Override
+		public void onFailure(OperationError error, boolean sent) {
+			this.outcome.complete("failed");
+		}
+
+	}
+
+	/**
+	 * Streams without a length, whose end and whose breaking off are both a closed
+	 * connection. A server that stopped within an event must not end a complete answer.
+	 */
+	@Nested
+	class UnframedStreams {
+
+		private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", "data: a\n\nda", "data: a\n\ndata: b\n" })
+		void aStreamThatEndsWithoutAnEventOrWithinOneFails(String events) throws Exception {
+			assertThat(outcomeOf(HEAD + events)).isEqualTo("failed");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "data: a\n\n", "data: a\r\n\r\n", "data: a\n\n: end\n" })
+		void aWholeStreamCompletes(String events) throws Exception {
+			assertThat(outcomeOf(HEAD + events)).isEqualTo("complete");
+		}
+
+		@Test
+		void anotherMediaTypeHasNoEvents() throws Exception {
+			assertThat(outcomeOf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}")).isEqualTo("complete");
+		}
+
+	}
+
+}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -1,6 +1,7 @@
 package org.comfreywall.gateway.http;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import org.comfreywall.common.stream.EventBoundary;
 import org.comfreywall.gateway.pool.AttemptResult;
 import org.comfreywall.gateway.pool.PoolServer;
 import org.comfreywall.gateway.pool.ServicePool;
@@ -42,6 +44,8 @@
 
 	private HttpResponse head;
 
+	private Optional<EventBoundary> events = Optional.empty();
+
 	private ByteArrayOutputStream buffered;
 
 	private boolean discarding;
@@ -141,7 +145,7 @@
 			return;
 		}
 		if (success && this.exchange.response().isStarted()) {
-			this.head = received;
+			begin(received);
 			return;
 		}
 		if (received.status().code() >= 500 && this.exchange.tryTakeRetry("error " + received.status().code())) {
@@ -155,10 +159,18 @@
 			onBroken("stream could not be continued");
 			return;
 		}
-		this.head = received;
+		begin(received);
 		this.buffered = new ByteArrayOutputStream();
 	}
 
+	private void begin(HttpResponse received) {
+		this.head = received;
+		String type = received.headers().get(HttpHeaderNames.CONTENT_TYPE);
+		if (isEventStream() && (type == null || EventBoundary.isEventStream(type))) {
+			this.events = Optional.of(new EventBoundary());
+		}
+	}
+
 	private void discardRest() {
 		this.discarding = true;
 		this.connection.limitRest();
@@ -171,6 +183,10 @@
 			return;
 		}
 		recordPart();
+		this.events.ifPresent((boundary) -> part.forEachByte((next) -> {
+			boundary.accept(next);
+			return true;
+		}));
 		CallerResponse response = this.exchange.response();
 		if (response.isStarted()) {
 			response.writePart(part);
@@ -215,6 +231,10 @@
 		if (this.discarding || this.ended) {
 			return;
 		}
+		if (isBrokenOff()) {
+			onBroken("ended within an event");
+			return;
+		}
 		end(Exchange.resultOf(this.head.status().code()));
 		CallerResponse response = this.exchange.response();
 		if (!response.isStarted() && isEventStream()) {
@@ -229,6 +249,17 @@
 		this.exchange.completed(this.head.status().code());
 	}
 
+	// The end of a connection ends a stream without a length even if its server stopped.
+	private boolean isBrokenOff() {
+		return this.events.filter((boundary) -> boundary.isWithinEvent() || (boundary.isEmpty() && !mayBeEmpty()))
+			.isPresent();
+	}
+
+	// A stream that resumes after its last event has none left.
+	private boolean mayBeEmpty() {
+		return ServerConnection.isLengthDelimited(this.head) || this.exchange.response().lastEventId().isPresent();
+	}
+
 	@Override
 	public void onBroken(String reason) {
 		if (this.discarding || this.ended) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
@@ -54,7 +54,8 @@
 		this.metrics.counter("attempts_broken").inc();
 		LOG.info("attempt-broken", request(exchange), Field.of("server", server.announcement().server()),
 				Field.of("started", server.announcement().startedMillis()), Field.of("reason", reason),
-				Field.of("begun", begun), Field.of("parts", parts(exchange)));
+				Field.of("begun", begun), Field.of("last-event", exchange.response().lastEventId().orElse("none")),
+				Field.of("parts", parts(exchange)));
 	}
 
 	void poison(Exchange exchange, PoisonRefusal refusal) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -153,12 +153,21 @@
 			fail("no request identifier on a reused connection");
 			return;
 		}
-		this.lengthDelimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+		this.lengthDelimited = isLengthDelimited(head);
 		this.reusable = this.reusable && this.lengthDelimited && HttpUtil.isKeepAlive(head);
 		this.idleNanos = idleNanos(head);
 		this.listener.onHead(head);
 	}
 
+	/**
+	 * Returns whether the end of a response can be told from the end of its connection.
+	 * @param head the head of the response
+	 * @return {@code true} if it has a length or comes in chunks
+	 */
+	static boolean isLengthDelimited(HttpResponse head) {
+		return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+	}
+
 	private static long idleNanos(HttpResponse head) {
 		String keepAlive = head.headers().get("Keep-Alive");
 		if (keepAlive == null) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -35,6 +35,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -111,7 +113,7 @@
 	private static GatewayConfiguration configuration() {
 		return new GatewayConfiguration(1,
 				List.of(route("/safe/", RequestKind.IDEMPOTENT, 2), route("/once/", RequestKind.NON_IDEMPOTENT, 1),
-						route("/stream/", RequestKind.RESUMABLE_STREAM, 2)),
+						route("/stream/", RequestKind.RESUMABLE_STREAM, 2), route("/plain/", RequestKind.STREAM, 1)),
 				List.of(new ServiceSettings("service", 10, Optional.empty())),
 				List.of(new ClientAccount("account", List.of("secret"), OptionalInt.empty())), HttpLimits.DEFAULT);
 	}
@@ -297,6 +299,97 @@
 
 	}
 
+	/**
+	 * Streams without a length, whose end and whose breaking off are both a closed
+	 * connection. A server that stopped within an event must not end a complete response.
+	 */
+	@Nested
+	class UnframedStreams {
+
+		private static final String HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: @id\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n";
+
+		private static final String FIRST = "id: 1\ndata: a\n\n";
+
+		private static final String SECOND = "id: 2\ndata: b\n\n";
+
+		@Test
+		void aResumableStreamThatEndsWithinAnEventIsResumedOnAnotherServer() throws Exception {
+			String cut = HEAD + FIRST + "id: 2\nda" + ScriptedServer.CLOSE;
+			announce(GatewayTests.this.first.answer(cut).answer(HEAD + SECOND + ScriptedServer.CLOSE), "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(bodyOf(call("/stream/", "r1"))).isEqualTo(FIRST + SECOND);
+			List<String> requests = new ArrayList<>(GatewayTests.this.first.requests());
+			requests.addAll(GatewayTests.this.second.requests());
+			assertThat(requests).filteredOn((request) -> request.contains("Last-Event-Id: 1")).hasSize(1);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/stream/", "/plain/" })
+		void aStreamThatEndsWithinAnEventDoesNotLookComplete(String path) throws Exception {
+			announce(GatewayTests.this.first.answer(HEAD + FIRST + "id: 2\nda" + ScriptedServer.CLOSE), "s1");
+			assertThat(call(path, "r1")).contains("data: a").doesNotEndWith("0\r\n\r\n");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/stream/", "/plain/" })
+		void aStreamWithoutAnyEventDoesNotLookComplete(String path) throws Exception {
+			announce(GatewayTests.this.first.answer(HEAD + ScriptedServer.CLOSE), "s1");
+			assertThat(call(path, "r1")).startsWith("HTTP/1.1 502");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/stream/", "/plain/" })
+		void aChunkedStreamWhoseLastEventIsNotWholeDoesNotLookComplete(String path) throws Exception {
+			announce(GatewayTests.this.first.answer(EVENTS + "13\r\nid: 1\ndata: a\n\nid: \r\n0\r\n\r\n"), "s1");
+			assertThat(call(path, "r1")).contains("data: a").doesNotEndWith("0\r\n\r\n");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/stream/", "/plain/" })
+		void aWholeStreamStaysComplete(String path) throws Exception {
+			String crLf = "id: 1\r\ndata: a\r\n\r\n";
+			for (String events : List.of(FIRST + SECOND, crLf, FIRST + ": end\n", FIRST + "\n")) {
+				announce(GatewayTests.this.first.answer(HEAD + events + ScriptedServer.CLOSE), "s1");
+				assertThat(bodyOf(call(path, "r1"))).isEqualTo(events);
+			}
+		}
+
+		@Test
+		void aStreamThatResumesAfterItsLastEventMayBeEmpty() throws Exception {
+			announce(GatewayTests.this.first.answer(HEAD + ScriptedServer.CLOSE), "s1");
+			try (Socket socket = connect()) {
+				send(socket, "/stream/", "r1", "Connection: close\r\n", "Last-Event-Id: 2\r\n");
+				String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+				assertThat(answer).startsWith("HTTP/1.1 200").endsWith("0\r\n\r\n");
+			}
+		}
+
+		@Test
+		void anotherMediaTypeHasNoEvents() throws Exception {
+			String json = HEAD.replace("text/event-stream", "application/json") + "{\"a\":1}" + ScriptedServer.CLOSE;
+			announce(GatewayTests.this.first.answer(json), "s1");
+			assertThat(bodyOf(call("/plain/", "r1"))).isEqualTo("{\"a\":1}");
+		}
+
+		// Returns the content of a complete chunked response.
+		private String bodyOf(String response) {
+			assertThat(response).startsWith("HTTP/1.1 200").endsWith("0\r\n\r\n");
+			String chunks = response.substring(response.indexOf("\r\n\r\n") + 4);
+			StringBuilder body = new StringBuilder();
+			int position = 0;
+			while (true) {
+				int line = chunks.indexOf("\r\n", position);
+				int length = Integer.parseInt(chunks.substring(position, line), 16);
+				if (length == 0) {
+					return body.toString();
+				}
+				body.append(chunks, line + 2, line + 2 + length);
+				position = line + 4 + length;
+			}
+		}
+
+	}
+
 	@Nested
 	class LateAnswers {
 
