Replace a voter that stops or is silent before its successor's time is up

One machine at a time was lost.

Cause: a voter was replaced only after 7 s without updates, whether it was lost or had stopped as planned, while its successor is given 4 s. In the time between, the voter that is gone still counts towards the majority. Ruled out: a successor whose log is behind (it had none: it was not a member).

Change: a stopping process says in its updates that it leaves, and a voter that is no longer live (1.5 s) counts as lost. The leader replaces both at once if another process with a disk stays: as a learner first, as a voter when it holds the log on disk, and only then is the old one removed. The next change is planned as soon as one is committed. voters-changed tells the lost instances, and the line leaving marks a planned stop.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -25,6 +26,8 @@
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.control.log.LogCodec;
+import org.comfreywall.control.log.Membership;
+import org.comfreywall.control.log.MembershipChange;
 import org.comfreywall.control.log.PeerMessage;
 import org.comfreywall.control.log.ReplicaStatus;
 import org.comfreywall.control.log.Role;
@@ -64,10 +67,7 @@
 
 	private static final Duration MAINTENANCE_INTERVAL = Duration.ofMillis(300);
 
-	/**
-	 * A voter that is silent for this time counts as lost and is replaced if another
-	 * process with a disk is available.
-	 */
+	/** A process that is silent for this time no longer counts as an entry. */
 	private static final Duration LOST_TIMEOUT = Duration.ofSeconds(7);
 
 	private static final Duration CALL_TIMEOUT = Duration.ofMillis(500);
@@ -121,6 +121,8 @@
 
 	private long updatesSent;
 
+	private boolean leaving;
+
 	/**
 	 * Creates a node and accepts connections from peers.
 	 * @param settings the settings at the start
@@ -335,19 +337,33 @@
 	}
 
 	/**
-	 * Transfers leadership to another live voter, before this process stops.
+	 * Prepares the stop of this process: transfers leadership to another live voter and
+	 * tells the others that it leaves, so that its successor as a voter is one before it
+	 * has ended.
 	 */
-	public void transferLeadership() {
+	public void leave() {
+		this.leaving = true;
+		LOG.info("leaving", Field.of("leader", currentLeader()));
+		transferLeadership();
+		broadcast(newUpdate().build());
+	}
+
+	private void transferLeadership() {
+		Set<String> staying = instances(this.peers.stayingPeers(System.nanoTime()));
 		localNode().filter((node) -> node.status().role() == Role.LEADER)
 			.ifPresent((node) -> node.status()
 				.membership()
 				.voters()
 				.stream()
-				.filter((voter) -> this.liveInstances.contains(voter.instance().value()))
+				.filter((voter) -> staying.contains(voter.instance().value()))
 				.findFirst()
 				.ifPresent((voter) -> node.transferLeadership(voter.instance())));
 	}
 
+	private static Set<String> instances(List<FleetPeer> peers) {
+		return peers.stream().map(FleetPeer::instance).collect(Collectors.toSet());
+	}
+
 	@Override
 	public void close() throws Exception {
 		this.closer.close();
@@ -388,6 +404,7 @@
 	private FleetNews.Builder newUpdate() {
 		return FleetNews.newBuilder()
 			.setSender(FleetCodec.encode(self()))
+			.setLeaving(this.leaving)
 			.setDocumentVersion(this.document.version())
 			.setLeader(currentLeader())
 			.setTerm(Math.max(term(), this.leaderTerm));
@@ -441,7 +458,7 @@
 		if (sender.isEmpty() || sender.get().instance().equals(this.settings.instance())) {
 			return;
 		}
-		this.peers.recordUpdate(sender.get(), now);
+		this.peers.recordUpdate(sender.get(), update.getLeaving(), now);
 		for (FleetMember member : update.getMembersList()) {
 			FleetCodec.decode(member)
 				.filter((peer) -> !peer.address().equals(this.settings.address()))
@@ -567,20 +584,31 @@
 		this.liveInstances = liveNow;
 	}
 
+	// A voter that is silent or stops is replaced at once if another process with a disk
+	// is available: until then it counts towards the majority, and one more lost disk
+	// could leave none.
 	private void planVoters(long now) {
 		ControlNode node = localNode().orElseThrow();
-		Set<String> recent = new HashSet<>(Set.of(this.settings.instance()));
-		this.peers.updatedWithin(LOST_TIMEOUT, now).forEach((peer) -> recent.add(peer.instance()));
-		Set<String> lost = new HashSet<>();
-		node.status().membership().members().forEach((member) -> {
-			if (!recent.contains(member.instance().value())) {
-				lost.add(member.instance().value());
+		Membership membership = node.status().membership();
+		List<FleetPeer> staying = this.peers.stayingPeers(now);
+		Set<String> available = instances(staying);
+		available.add(this.settings.instance());
+		Set<String> lost = membership.members()
+			.stream()
+			.map((member) -> member.instance().value())
+			.filter((instance) -> !available.contains(instance))
+			.collect(Collectors.toSet());
+		this.planner.nextChange(membership, staying, lost).ifPresent((change) -> changeVoters(node, change, lost));
+	}
+
+	private void changeVoters(ControlNode node, MembershipChange change, Set<String> lost) {
+		node.changeMembers(change).thenAcceptAsync((result) -> {
+			LOG.info("voters-changed", Field.of("change", change), Field.of("lost", lost),
+					Field.of("error", result.error().map((error) -> error.message()).orElse("none")));
+			if (result.value().isPresent() && holdsLeaderLease()) {
+				planVoters(System.nanoTime());
 			}
-		});
-		this.planner.nextChange(node.status().membership(), this.peers.livePeers(now), lost)
-			.ifPresent((change) -> node.changeMembers(change)
-				.thenAccept((result) -> LOG.info("voters-changed", Field.of("change", change),
-						Field.of("error", result.error().map((error) -> error.message()).orElse("none")))));
+		}, this.loop);
 	}
 
 	private void receiveLog(ByteString payload) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerTable.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.comfreywall.common.toml.HostPort;
 
@@ -29,12 +30,13 @@
 
 	// Records an update that was received from the process itself. A process that has
 	// moved to another address is removed from the old one.
-	void recordUpdate(FleetPeer peer, long now) {
+	void recordUpdate(FleetPeer peer, boolean leaving, long now) {
 		this.entries.values()
 			.removeIf((other) -> other.peer != null && other.peer.instance().equals(peer.instance())
 					&& !other.peer.address().equals(peer.address()));
 		Entry entry = this.entries.computeIfAbsent(peer.address(), (address) -> new Entry(now));
 		entry.peer = peer;
+		entry.leaving = leaving;
 		entry.lastUpdate = now;
 		entry.updateReceived = true;
 	}
@@ -71,12 +73,17 @@
 		return updatedWithin(LIVE_TIMEOUT, now);
 	}
 
+	// Returns the live processes that do not stop.
+	List<FleetPeer> stayingPeers(long now) {
+		return peers((entry) -> entry.isUpdatedWithin(LIVE_TIMEOUT, now) && !entry.leaving);
+	}
+
 	List<FleetPeer> updatedWithin(Duration age, long now) {
-		return this.entries.values()
-			.stream()
-			.filter((entry) -> entry.updateReceived && now - entry.lastUpdate < age.toNanos())
-			.map((entry) -> entry.peer)
-			.toList();
+		return peers((entry) -> entry.isUpdatedWithin(age, now));
+	}
+
+	private List<FleetPeer> peers(Predicate<Entry> condition) {
+		return this.entries.values().stream().filter(condition).map((entry) -> entry.peer).toList();
 	}
 
 	private static final class Entry {
@@ -87,10 +94,16 @@
 
 		private boolean updateReceived;
 
+		private boolean leaving;
+
 		private Entry(long addedAt) {
 			this.lastUpdate = addedAt;
 		}
 
+		private boolean isUpdatedWithin(Duration age, long now) {
+			return this.updateReceived && now - this.lastUpdate < age.toNanos();
+		}
+
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/VoterPlanner.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/VoterPlanner.java
@@ -33,9 +33,8 @@
 	/**
 	 * Returns the next change.
 	 * @param current the current membership
-	 * @param live the live processes
-	 * @param lost the instances of members that count as lost, as no update of them was
-	 * received for a long time
+	 * @param live the live processes that do not stop
+	 * @param lost the instances of members that count as lost, as they are silent or stop
 	 * @return the change, or empty if none is needed
 	 */
 	Optional<MembershipChange> nextChange(Membership current, List<FleetPeer> live, Set<String> lost) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
@@ -33,6 +33,7 @@
 import org.comfreywall.gateway.pool.ServerState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -48,6 +49,10 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
+	private static final int DISKLESS = 3;
+
+	private static final int SUCCESSOR = 4;
+
 	private final List<Member> members = new ArrayList<>();
 
 	private final List<HostPort> addresses = new ArrayList<>();
@@ -134,12 +139,7 @@
 	void aProcessThatLostItsDiskRejoinsAsAVoterWithTheDocument() throws Exception {
 		propose(0, document(7, "seven"));
 		await(() -> allHaveVersion(7));
-		this.members.get(2).closer.close();
-		try (Stream<Path> files = Files.list(this.disks.resolve("2"))) {
-			for (Path file : files.toList()) {
-				Files.delete(file);
-			}
-		}
+		loseDisk(2);
 		Member empty = new Member(2, false);
 		this.members.set(2, empty);
 		await(() -> empty.node.document().version() == 7);
@@ -147,6 +147,15 @@
 		await(() -> allHaveVersion(8));
 	}
 
+	private void loseDisk(int number) throws Exception {
+		this.members.get(number).closer.close();
+		try (Stream<Path> files = Files.list(this.disks.resolve("" + number))) {
+			for (Path file : files.toList()) {
+				Files.delete(file);
+			}
+		}
+	}
+
 	@Test
 	void aSwitchIsDelegatedToTwoOtherProcesses() throws Exception {
 		DelegatedSwitch delegatedSwitch = new DelegatedSwitch("s/g", 1, 5, 9, 0, List.of("10.0.0.1:1", "10.0.0.2:1"));
@@ -251,6 +260,60 @@
 		return this.members.stream().filter((member) -> member.observer.contains(delegatedSwitch)).count();
 	}
 
+	/**
+	 * A voter that has left still counts towards the majority. If it stays one until long
+	 * after its successor is ready, the loss of one more disk leaves no majority, and the
+	 * acknowledged document cannot be read any more.
+	 */
+	@Nested
+	class Replacement {
+
+		/** The time that a successor is given before another disk may be lost. */
+		private static final Duration CATCH_UP = Duration.ofSeconds(4);
+
+		@Test
+		void aVoterThatStopsAsPlannedIsReplacedBeforeItHasEnded() throws Exception {
+			propose(0, document(7, "seven"));
+			Member successor = startSuccessor();
+			Member stopping = FleetNodeTests.this.members.get(0);
+			stopping.loop.next().submit(stopping.node::leave).get();
+			TimeUnit.MILLISECONDS.sleep(2500);
+			stopping.closer.close();
+			assertSurvivesTheLossOfADisk(successor);
+		}
+
+		@Test
+		void aVoterThatWasLostIsReplacedWithinTheTimeOfItsSuccessor() throws Exception {
+			propose(0, document(7, "seven"));
+			FleetNodeTests.this.members.get(0).closer.close();
+			Member successor = startSuccessor();
+			Thread.sleep(CATCH_UP.toMillis());
+			assertSurvivesTheLossOfADisk(successor);
+		}
+
+		private Member startSuccessor() throws Exception {
+			try (ServerSocket free = new ServerSocket(0, 1,
+					InetAddress.getByName(FleetNodeTests.this.addresses.get(0).host()))) {
+				FleetNodeTests.this.addresses
+					.add(new HostPort(free.getInetAddress().getHostAddress(), free.getLocalPort()));
+			}
+			Member successor = new Member(SUCCESSOR, false);
+			FleetNodeTests.this.members.add(successor);
+			await(() -> successor.node.reachesMajority());
+			return successor;
+		}
+
+		private void assertSurvivesTheLossOfADisk(Member successor) throws Exception {
+			propose(2, document(8, "eight"));
+			loseDisk(1);
+			Member empty = new Member(1, false);
+			FleetNodeTests.this.members.set(1, empty);
+			await(() -> successor.node.readNewest().join().filter((read) -> read.version() == 8).isPresent());
+			propose(2, document(9, "nine"));
+		}
+
+	}
+
 	/** A process of the fleet. */
 	private final class Member implements FleetListener {
 
@@ -279,7 +342,7 @@
 		private Member(int number, boolean firstStart, List<HostPort> seeds) {
 			this.number = number;
 			this.closer.register(() -> this.loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync());
-			Optional<Path> disk = (number < 3) ? Optional.of(FleetNodeTests.this.disks.resolve("" + number))
+			Optional<Path> disk = (number != DISKLESS) ? Optional.of(FleetNodeTests.this.disks.resolve("" + number))
 					: Optional.empty();
 			FleetSettings settings = new FleetSettings("m" + number, "d" + number,
 					FleetNodeTests.this.addresses.get(number), seeds, disk, firstStart, 1);
