Charge requests with crashes within their responses

Cause: PoisonDetector charged only requests without a response, and the first byte of a response cleared a request and its parts of all earlier crashes. Ruled out: evidence that does not reach the other entries.

Change: crashes within a response are charged as well and cleared by a complete response only, as all crashes of a whole request are. All requests on a crashed server had begun, so three crashes are needed, and those that another conviction explains are left out. Entries also exchange which traits were in complete responses. crash-charged tells whether the response had begun.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetCodec.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetCodec.java
@@ -74,9 +74,14 @@
 				.setRequest(charge.request())
 				.addAllSharedParts(charge.sharedParts())
 				.setFingerprint(charge.fingerprint())
+				.setBegun(charge.begun())
 				.setAgeMillis(millis(now - charge.at())));
-		evidence.begun()
-			.forEach((trait, at) -> update.addBegunBuilder().setTrait(trait).setAgeMillis(millis(now - at)));
+		evidence.begun().forEach((trait, at) -> update.addBegun(encode(trait, now - at)));
+		evidence.completed().forEach((trait, at) -> update.addCompleted(encode(trait, now - at)));
+	}
+
+	private static BegunNotice encode(String trait, long ageNanos) {
+		return BegunNotice.newBuilder().setTrait(trait).setAgeMillis(millis(ageNanos)).build();
 	}
 
 	static PoisonEvidence decodePoisonEvidence(FleetNews update, long now) {
@@ -84,14 +89,18 @@
 		for (CrashNotice notice : update.getCrashesList()) {
 			if (!notice.getIncarnation().isBlank() && !notice.getFingerprint().isBlank()) {
 				charges.add(new CrashCharge(notice.getIncarnation(), notice.getRequest(), notice.getSharedPartsList(),
-						notice.getFingerprint(), now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis())));
+						notice.getFingerprint(), notice.getBegun(),
+						now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis())));
 			}
 		}
-		Map<String, Long> begun = new HashMap<>();
-		for (BegunNotice notice : update.getBegunList()) {
-			begun.put(notice.getTrait(), now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis()));
-		}
-		return new PoisonEvidence(charges, begun);
+		return new PoisonEvidence(charges, times(update.getBegunList(), now), times(update.getCompletedList(), now));
+	}
+
+	private static Map<String, Long> times(List<BegunNotice> notices, long now) {
+		Map<String, Long> times = new HashMap<>();
+		notices.forEach(
+				(notice) -> times.put(notice.getTrait(), now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis())));
+		return times;
 	}
 
 	private static int millis(long nanos) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -473,7 +473,7 @@
 			update.getInFlightList().forEach((each) -> requests.put(each.getServer(), each.getRequests()));
 			this.listener.onInFlight(sender.get().instance(), requests);
 		}
-		if (update.getCrashesCount() > 0 || update.getBegunCount() > 0) {
+		if (update.getCrashesCount() > 0 || update.getBegunCount() > 0 || update.getCompletedCount() > 0) {
 			this.listener.onPoisonEvidence(FleetCodec.decodePoisonEvidence(update, now));
 		}
 		if (update.getLeads()) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -236,6 +236,7 @@
 			return;
 		}
 		end(Exchange.resultOf(this.head.status().code()));
+		this.gateway.poison().recordCompleted(this.exchange.traits(), System.nanoTime());
 		CallerResponse response = this.exchange.response();
 		if (!response.isStarted() && isEventStream()) {
 			response.start(this.head, this.exchange.keepAlive());
@@ -269,11 +270,11 @@
 		boolean begun = this.firstPartAt != 0;
 		this.gateway.log().broken(this.exchange, this.server, reason, begun);
 		long now = System.nanoTime();
-		if (!begun && !this.progress.isStalled(now)) {
+		if (!this.progress.isStalled(now)) {
 			this.gateway.poison()
 				.recordBroken(this.server.announcement().address().toString(),
 						this.server.announcement().startedMillis(), this.exchange.requestId(), this.exchange.traits(),
-						now);
+						begun, now);
 		}
 		this.exchange.failed(this.server, reason);
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/poison/CrashCharge.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/poison/CrashCharge.java
@@ -5,15 +5,17 @@
 import org.comfreywall.common.util.Preconditions;
 
 /**
- * A request whose response had not begun when the backend server that ran it crashed.
+ * A request that a backend server ran when it crashed.
  *
  * @param incarnation the incarnation of the server that crashed
  * @param request the request's identifier
  * @param sharedParts the parts of its prompt that other requests may share, in order
  * @param fingerprint the digest that repeats of the request share
+ * @param begun whether its response had begun
  * @param at when its connection broke, in nanoseconds of this process's clock
  */
-public record CrashCharge(String incarnation, String request, List<String> sharedParts, String fingerprint, long at) {
+public record CrashCharge(String incarnation, String request, List<String> sharedParts, String fingerprint,
+		boolean begun, long at) {
 
 	public CrashCharge {
 		Preconditions.notBlank(incarnation, "incarnation");
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/poison/PoisonDetector.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/poison/PoisonDetector.java
@@ -23,12 +23,13 @@
  * Detects which requests crash the backend servers that run them, by a part of the prompt
  * or as a whole, and refuses further ones.
  * <p>
- * A server crashes when the response to such a request begins. A request is therefore
- * charged with a crash if its response had not begun, and a trait is cleared of earlier
- * crashes as soon as the response to any request with it begins. One crash is enough for
- * a part that has never been in a request whose response began, as long as the request
- * has no other such part; parts that have been served before need several crashes, as
- * requests with them may have been in flight by chance.
+ * A server may crash when the response to such a request begins or at any time before it
+ * ends. A crash before the response began is charged to the request until the response to
+ * any request with the same part begins; a crash within the response, and any crash of a
+ * whole request, until such a response is complete. One crash before the response is
+ * enough for a part that has never been in a request whose response began, as long as the
+ * request has no other such part; parts that have been served before, and requests whose
+ * responses had begun, need several crashes, as they may have been in flight by chance.
  * <p>
  * Entries exchange their evidence and each derives the same refusals from it. After a
  * probation period one entry, the same for all, lets a single request pass. Not
@@ -49,6 +50,9 @@
 	/** Crashes of one request and its repeats before it is refused. */
 	private static final int CRASHES_OF_REQUEST = 2;
 
+	/** The same if its response had begun, as it has for all others on the server. */
+	private static final int CRASHES_WITHIN_RESPONSE = 3;
+
 	/**
 	 * Crashes closer together than this count once: servers of a rack or group fail
 	 * together.
@@ -71,27 +75,37 @@
 	/** Time for a single request to begin its response after a probation. */
 	private static final Duration TRIAL_TIME = Duration.ofSeconds(10);
 
-	private static final int MAX_CHARGES = 64;
+	private static final int MAX_CHARGES = 128;
 
-	private static final int MAX_PENDING = 64;
+	/** A crash breaks off all requests on its server. */
+	private static final int MAX_PENDING = 256;
 
 	private static final int MAX_TRAITS = 20_000;
 
 	private final Predicate<String> runsTrial;
 
-	/** When a response last began, by trait; parts only, unless a request is charged. */
+	/** When a response last began, by part. */
 	private final Map<String, Long> begun = new LruMap<>(MAX_TRAITS);
 
+	/**
+	 * When a response was last complete, by trait; parts only, unless a request may be
+	 * charged.
+	 */
+	private final Map<String, Long> completed = new LruMap<>(MAX_TRAITS);
+
 	private final List<PendingCharge> pending = new ArrayList<>();
 
 	private final Map<String, CrashCharge> charges = new LinkedHashMap<>();
 
+	/** Traits with charges that no response has cleared. */
 	private final Set<String> chargedTraits = new HashSet<>();
 
 	private final Map<String, CrashCharge> unsentCharges = new LinkedHashMap<>();
 
 	private final Map<String, Long> unsentBegun = new HashMap<>();
 
+	private final Map<String, Long> unsentCompleted = new HashMap<>();
+
 	/** Refused combinations of traits; a single trait in most cases. */
 	private Map<Set<String>, Conviction> convictions = Map.of();
 
@@ -113,33 +127,50 @@
 	 */
 	public void recordBegun(RequestTraits traits, long now) {
 		traits.sharedParts().forEach((part) -> this.begun.put(part, now));
-		if (this.charges.isEmpty()) {
+		List<String> charged = new ArrayList<>(traits.sharedParts());
+		charged.retainAll(this.chargedTraits);
+		if (!charged.isEmpty()) {
+			charged.forEach(this::share);
+			evaluate();
+		}
+	}
+
+	/**
+	 * Records that the response to a request was complete.
+	 * @param traits the traits of the request
+	 * @param now the current time in nanoseconds
+	 */
+	public void recordCompleted(RequestTraits traits, long now) {
+		traits.sharedParts().forEach((part) -> this.completed.put(part, now));
+		if (this.charges.isEmpty() && this.pending.isEmpty()) {
 			return;
 		}
+		this.completed.put(traits.fingerprint().get(), now);
 		List<String> charged = new ArrayList<>(traits.sharedParts());
 		charged.add(traits.fingerprint().get());
 		charged.retainAll(this.chargedTraits);
 		if (!charged.isEmpty()) {
-			charged.forEach((trait) -> this.begun.put(trait, now));
-			charged.forEach(this::shareBegun);
+			charged.forEach(this::share);
 			evaluate();
 		}
 	}
 
 	/**
-	 * Records that a connection broke before the response to a request began. It is
-	 * charged if the server turns out to have crashed.
+	 * Records that a connection broke before the response to a request was complete. It
+	 * is charged if the server turns out to have crashed.
 	 * @param server the address of the server
 	 * @param startedMillis the start of the server's incarnation
 	 * @param request the request's identifier
 	 * @param traits the traits of the request
+	 * @param begun whether its response had begun
 	 * @param now the current time in nanoseconds
 	 */
-	public void recordBroken(String server, long startedMillis, String request, RequestTraits traits, long now) {
+	public void recordBroken(String server, long startedMillis, String request, RequestTraits traits, boolean begun,
+			long now) {
 		this.pending.removeIf((old) -> now - old.charge().at() > CONFIRMATION_NANOS);
 		if (this.pending.size() < MAX_PENDING) {
 			this.pending.add(new PendingCharge(server, startedMillis, new CrashCharge(server + "@" + startedMillis,
-					request, traits.sharedParts(), traits.fingerprint().get(), now)));
+					request, traits.sharedParts(), traits.fingerprint().get(), begun, now)));
 		}
 	}
 
@@ -158,7 +189,7 @@
 			if (confirmed && now - each.charge().at() <= CONFIRMATION_NANOS) {
 				added |= add(each.charge());
 				this.unsentCharges.put(key(each.charge()), each.charge());
-				each.charge().sharedParts().forEach(this::shareBegun);
+				shareTraits(each.charge());
 			}
 			if (confirmed) {
 				all.remove();
@@ -182,7 +213,8 @@
 			this.charges.remove(key(evicted));
 		}
 		LOG.info("crash-charged", Field.of("request", charge.request()), Field.of("incarnation", charge.incarnation()),
-				Field.of("parts", charge.sharedParts()), Field.of("fingerprint", charge.fingerprint()));
+				Field.of("begun", charge.begun()), Field.of("parts", charge.sharedParts()),
+				Field.of("fingerprint", charge.fingerprint()));
 		return true;
 	}
 
@@ -201,19 +233,12 @@
 	 * @param evidence the evidence
 	 */
 	public void merge(PoisonEvidence evidence) {
-		boolean changed = false;
-		for (Map.Entry<String, Long> each : evidence.begun().entrySet()) {
-			Long before = this.begun.get(each.getKey());
-			if (before == null || each.getValue() - before > MAX_NEWS_DELAY_NANOS) {
-				this.begun.put(each.getKey(), each.getValue());
-				changed = true;
-			}
-		}
+		boolean changed = merge(evidence.begun(), this.begun) | merge(evidence.completed(), this.completed);
 		for (CrashCharge charge : evidence.charges()) {
 			if (add(charge)) {
 				changed = true;
 				// Only this entry may know that requests with these parts were served.
-				charge.sharedParts().forEach(this::shareBegun);
+				shareTraits(charge);
 			}
 		}
 		if (changed) {
@@ -221,6 +246,18 @@
 		}
 	}
 
+	private static boolean merge(Map<String, Long> received, Map<String, Long> known) {
+		boolean changed = false;
+		for (Map.Entry<String, Long> each : received.entrySet()) {
+			Long before = known.get(each.getKey());
+			if (before == null || each.getValue() - before > MAX_NEWS_DELAY_NANOS) {
+				known.put(each.getKey(), each.getValue());
+				changed = true;
+			}
+		}
+		return changed;
+	}
+
 	/**
 	 * Returns the evidence that other entries do not have yet.
 	 * @param full whether to add the evidence that refusals are based on, for entries
@@ -231,23 +268,28 @@
 		if (full) {
 			this.charges.values().stream().filter(this::supportsConviction).forEach((charge) -> {
 				this.unsentCharges.put(key(charge), charge);
-				charge.sharedParts().forEach(this::shareBegun);
+				shareTraits(charge);
 			});
 		}
-		if (this.unsentCharges.isEmpty() && this.unsentBegun.isEmpty()) {
+		if (this.unsentCharges.isEmpty() && this.unsentBegun.isEmpty() && this.unsentCompleted.isEmpty()) {
 			return PoisonEvidence.NONE;
 		}
-		PoisonEvidence unsent = new PoisonEvidence(List.copyOf(this.unsentCharges.values()), this.unsentBegun);
+		PoisonEvidence unsent = new PoisonEvidence(List.copyOf(this.unsentCharges.values()), this.unsentBegun,
+				this.unsentCompleted);
 		this.unsentCharges.clear();
 		this.unsentBegun.clear();
+		this.unsentCompleted.clear();
 		return unsent;
 	}
 
-	private void shareBegun(String trait) {
-		Long at = this.begun.get(trait);
-		if (at != null) {
-			this.unsentBegun.put(trait, at);
-		}
+	private void shareTraits(CrashCharge charge) {
+		charge.sharedParts().forEach(this::share);
+		share(charge.fingerprint());
+	}
+
+	private void share(String trait) {
+		Optional.ofNullable(this.begun.get(trait)).ifPresent((at) -> this.unsentBegun.put(trait, at));
+		Optional.ofNullable(this.completed.get(trait)).ifPresent((at) -> this.unsentCompleted.put(trait, at));
 	}
 
 	/**
@@ -292,8 +334,9 @@
 	private void evaluate() {
 		this.chargedTraits.clear();
 		this.charges.values().forEach((charge) -> {
-			this.chargedTraits.addAll(charge.sharedParts());
-			this.chargedTraits.add(charge.fingerprint());
+			List<String> traits = new ArrayList<>(charge.sharedParts());
+			traits.add(charge.fingerprint());
+			traits.stream().filter((trait) -> isOpen(charge, trait)).forEach(this.chargedTraits::add);
 		});
 		Map<Set<String>, Conviction> found = new LinkedHashMap<>();
 		List<CrashCharge> unexplained = new ArrayList<>(this.charges.values());
@@ -312,7 +355,7 @@
 		for (CrashCharge charge : unexplained) {
 			Set<String> unknown = new TreeSet<>(charge.sharedParts());
 			unknown.removeIf(this.begun::containsKey);
-			if (!unknown.isEmpty()) {
+			if (!charge.begun() && !unknown.isEmpty()) {
 				found.putIfAbsent(unknown, Conviction.of(1, charge.at()));
 			}
 		}
@@ -358,26 +401,31 @@
 		counts.computeIfAbsent(trait, (key) -> {
 			int crashes = 0;
 			long last = Long.MIN_VALUE;
-			List<Long> times = unexplained.stream()
+			List<CrashCharge> open = unexplained.stream()
 				.filter((charge) -> isOpen(charge, trait))
-				.map(CrashCharge::at)
-				.sorted()
+				.sorted(Comparator.comparingLong(CrashCharge::at))
 				.toList();
-			for (long at : times) {
-				if (crashes == 0 || at - last >= SEPARATE_CRASHES_NANOS) {
+			for (CrashCharge charge : open) {
+				// A request that began again on another server was sent there after the
+				// crash of the first one.
+				boolean sentAgain = charge.begun() && charge.fingerprint().equals(trait);
+				if (crashes == 0 || sentAgain || charge.at() - last >= SEPARATE_CRASHES_NANOS) {
 					crashes++;
-					last = at;
+					last = charge.at();
 				}
 			}
-			boolean known = this.begun.containsKey(trait);
-			return new Count(trait, crashes, known ? CRASHES_OF_KNOWN_PART : needed,
+			int least = this.begun.containsKey(trait) ? CRASHES_OF_KNOWN_PART : needed;
+			boolean begun = open.stream().anyMatch(CrashCharge::begun);
+			return new Count(trait, crashes, begun ? Math.max(least, CRASHES_WITHIN_RESPONSE) : least,
 					this.begun.getOrDefault(trait, Long.MIN_VALUE), position, last);
 		});
 	}
 
-	// A response that began after the crash clears the trait of it.
+	// Returns whether no later response has cleared the trait of the crash.
 	private boolean isOpen(CrashCharge charge, String trait) {
-		return charge.hasTrait(trait) && this.begun.getOrDefault(trait, Long.MIN_VALUE) < charge.at();
+		boolean untilComplete = charge.begun() || charge.fingerprint().equals(trait);
+		Map<String, Long> cleared = untilComplete ? this.completed : this.begun;
+		return charge.hasTrait(trait) && cleared.getOrDefault(trait, Long.MIN_VALUE) < charge.at();
 	}
 
 	private record PendingCharge(String server, long startedMillis, CrashCharge charge) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
@@ -211,9 +211,10 @@
 	@Test
 	void evidenceOnCrashesReachesAllProcesses() throws Exception {
 		await(() -> this.members.get(0).node.liveProcesses() == this.members.size());
-		CrashCharge charge = new CrashCharge("10.0.0.1:1@5", "r1", List.of("first", "deadly"), "digest",
+		CrashCharge charge = new CrashCharge("10.0.0.1:1@5", "r1", List.of("first", "deadly"), "digest", true,
 				System.nanoTime() - TimeUnit.SECONDS.toNanos(3));
-		this.members.get(0).ownEvidence.add(new PoisonEvidence(List.of(charge), Map.of("first", charge.at())));
+		this.members.get(0).ownEvidence
+			.add(new PoisonEvidence(List.of(charge), Map.of("first", charge.at()), Map.of("second", charge.at())));
 		await(() -> this.members.stream().skip(1).allMatch((member) -> !member.evidence.isEmpty()));
 		PoisonEvidence received = this.members.get(1).evidence.element();
 		assertThat(received.charges()).singleElement()
@@ -221,6 +222,7 @@
 			.ignoringFields("at")
 			.isEqualTo(charge);
 		assertThat(received.begun()).containsOnlyKeys("first");
+		assertThat(received.completed()).containsOnlyKeys("second");
 		long age = System.nanoTime() - received.charges().get(0).at();
 		assertThat(Duration.ofNanos(age)).isBetween(Duration.ofSeconds(3), TIMEOUT);
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -493,6 +493,54 @@
 			assertThat(server.requests()).noneMatch((request) -> request.contains("a3:200"));
 		}
 
+		/**
+		 * A server may crash after it has begun to respond. The first bytes of a response
+		 * prove nothing about such a request, so that it would crash servers without end.
+		 */
+		@Test
+		void aRequestThatCrashesServersWithinItsResponseIsRefusedAfterTheThirdCrash() throws Exception {
+			String event = "f\r\nid: 1\ndata: b\n\n\r\n";
+			ScriptedServer server = GatewayTests.this.first;
+			for (int start = 1; start <= 3; start++) {
+				server.answer(EVENTS + event + "0\r\n\r\n").answer(EVENTS + event + ScriptedServer.CLOSE);
+				announceStart(server, start);
+				assertThat(call("/plain/sound", "s" + start)).contains("data: b").endsWith("0\r\n\r\n");
+				assertThat(call("/plain/crashing", "c" + start)).contains("data: b").doesNotEndWith("0\r\n\r\n");
+			}
+			server.answer(EVENTS + event + "0\r\n\r\n");
+			announceStart(server, 4);
+			assertThat(call("/plain/crashing", "c4")).startsWith("HTTP/1.1 503").contains("retry-after");
+			assertThat(call("/plain/sound", "s4")).contains("data: b").endsWith("0\r\n\r\n");
+			assertThat(server.requests()).filteredOn((request) -> request.contains("/plain/crashing")).hasSize(3);
+		}
+
+		/**
+		 * Requests that ran on a server that another request crashed are resumed or
+		 * repeated, and must be served once the servers survive.
+		 */
+		@Test
+		void aRequestThatWasCutByTwoCrashesOfOthersIsServed() throws Exception {
+			String event = "f\r\nid: 1\ndata: b\n\n\r\n";
+			ScriptedServer server = GatewayTests.this.first;
+			for (int start = 1; start <= 2; start++) {
+				server.answer(EVENTS + event + ScriptedServer.CLOSE);
+				announceStart(server, start);
+				call("/plain/innocent", "i" + start);
+			}
+			server.answer(EVENTS + event + "0\r\n\r\n");
+			announceStart(server, 3);
+			assertThat(call("/plain/innocent", "i3")).contains("data: b").endsWith("0\r\n\r\n");
+		}
+
+		private void announceStart(ScriptedServer server, int start) throws Exception {
+			onLoop(() -> GatewayTests.this.gateway.updateServer(new ServerAnnouncement("s" + start, "service",
+					new HostPort("127.0.0.1", server.port()), "a", start, 1, 8, ServerState.READY)));
+			if (start > 1) {
+				onLoop(() -> GatewayTests.this.gateway.removeServer(new ServerAnnouncement("s" + (start - 1), "service",
+						new HostPort("127.0.0.1", server.port()), "a", start - 1, 1, 8, ServerState.READY)));
+			}
+		}
+
 		private void restart(ScriptedServer server, String id) throws Exception {
 			onLoop(() -> GatewayTests.this.gateway.updateServer(new ServerAnnouncement("s1", "service",
 					new HostPort("127.0.0.1", server.port()), "a", 1, 2, 8, ServerState.GONE)));
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/poison/PoisonDetectorTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/poison/PoisonDetectorTests.java
@@ -45,7 +45,24 @@
 	}
 
 	private void breakConnection(String server, int started, String parts) {
-		this.detector.recordBroken(server, started, "r" + ++this.requests, request(parts), this.now);
+		this.detector.recordBroken(server, started, "r" + ++this.requests, request(parts), false, this.now);
+	}
+
+	private void complete(String parts) {
+		serve(parts);
+		this.detector.recordCompleted(request(parts), this.now);
+	}
+
+	// Crashes a server within the responses to all these requests.
+	private void crashWithin(String... parts) {
+		this.starts++;
+		for (String each : parts) {
+			serve(each);
+			this.detector.recordBroken("server:" + this.starts, 1, "r" + ++this.requests, request(each), true,
+					this.now);
+		}
+		this.detector.recordCrash("server:" + this.starts, 2, this.now);
+		this.now += seconds(5);
 	}
 
 	private void crash(String... parts) {
@@ -150,6 +167,98 @@
 
 	}
 
+	/**
+	 * Servers that crash after a response began. All requests on such a server have
+	 * begun, so that one crash tells little about each.
+	 */
+	@Nested
+	class CrashesWithinResponses {
+
+		private static final String DEADLY = "first:40,own:90";
+
+		/** After three crashes. */
+		private static final long PROBATION = seconds(30 * 4 * 4);
+
+		@Test
+		void aRequestIsRefusedAfterThreeCrashes() {
+			crashWithin(DEADLY);
+			crashWithin(DEADLY);
+			assertThat(runs(DEADLY)).isTrue();
+			crashWithin(DEADLY);
+			assertThat(runs(DEADLY)).isFalse();
+		}
+
+		@Test
+		void aRequestThatWasSentToAnotherServerAtOnceIsChargedWithBothCrashes() {
+			for (int i = 0; i < 3; i++) {
+				crashWithin(DEADLY);
+				PoisonDetectorTests.this.now -= seconds(4.9);
+			}
+			assertThat(runs(DEADLY)).isFalse();
+		}
+
+		@Test
+		void theFirstBytesOfAResponseClearNothing() {
+			for (int i = 0; i < 3; i++) {
+				crashWithin(DEADLY);
+				serve(DEADLY);
+			}
+			assertThat(runs(DEADLY)).isFalse();
+		}
+
+		@Test
+		void aCompleteResponseClearsTheRequest() {
+			crashWithin(DEADLY);
+			crashWithin(DEADLY);
+			complete(DEADLY);
+			crashWithin(DEADLY);
+			assertThat(runs(DEADLY)).isTrue();
+		}
+
+		@Test
+		void otherRequestsOnTheCrashedServersRun() {
+			for (int i = 0; i < 4; i++) {
+				crashWithin(DEADLY, "first:40,sound:50,own" + i + ":90");
+				complete("first:40,sound:50,more" + i + ":90");
+			}
+			assertThat(runs("first:40,sound:50,own0:90")).isTrue();
+			assertThat(runs("first:40,other:90")).isTrue();
+		}
+
+		@Test
+		void aPartThatIsInAllCrashesAndInNoCompleteResponseIsRefused() {
+			for (int i = 0; i < 3; i++) {
+				crashWithin("first:40,deadly:183,own" + i + ":700");
+				complete("first:40,own" + i + ":90");
+			}
+			assertThat(runs("first:40,deadly:183,own9:600")).isFalse();
+			assertThat(runs("first:40,own9:600")).isTrue();
+		}
+
+		@Test
+		void otherEntriesRefuseAsWell() {
+			PoisonDetector other = new PoisonDetector((trait) -> false);
+			for (int i = 0; i < 3; i++) {
+				crashWithin(DEADLY);
+				other.merge(PoisonDetectorTests.this.detector.takeEvidence(false));
+			}
+			assertThat(other.check(request(DEADLY), 1, PoisonDetectorTests.this.now)).isPresent();
+		}
+
+		@Test
+		void aTrialThatCrashesAServerExtendsTheProbation() {
+			for (int i = 0; i < 3; i++) {
+				crashWithin(DEADLY);
+			}
+			PoisonDetectorTests.this.now += PROBATION;
+			assertThat(runs(DEADLY)).isTrue();
+			crashWithin(DEADLY);
+			PoisonDetectorTests.this.now += PROBATION;
+			assertThat(runs(DEADLY)).isFalse();
+		}
+
+	}
+
 	@Nested
 	class Probation {
 
@@ -239,7 +348,7 @@
 		private static PoisonEvidence delayed(PoisonEvidence evidence) {
 			Map<String, Long> begun = new HashMap<>();
 			evidence.begun().forEach((trait, at) -> begun.put(trait, at + seconds(0.2)));
-			return new PoisonEvidence(evidence.charges(), begun);
+			return new PoisonEvidence(evidence.charges(), begun, evidence.completed());
 		}
 
 		@Test
@@ -310,7 +419,7 @@
 			else if (time >= this.openAt && deadly) {
 				this.crashes++;
 				this.openAt = time + seconds(4);
-				entry.recordBroken("server:1", this.crashes, "r", traits, time);
+				entry.recordBroken("server:1", this.crashes, "r", traits, false, time);
 				entry.recordCrash("server:1", this.crashes + 1, time + seconds(3));
 			}
 			else if (time >= this.openAt) {
