Store departures before they are acknowledged

Cause: a leave was acknowledged when a majority of the processes with a disk had it in memory. After the restart, an announcement from before that arrived late was taken for a new server's. Ruled out: a late announcement that replaces a known leave. On the same path, the leave of an unknown server, or of a later incarnation than the known one, was acknowledged and dropped.

Change: processes with a disk write departures to a file, acknowledge them when they are on the disk and read them at the start; all processes tell them to one that joins. An announcement of that incarnation or an earlier one that it is ready is refused; a server that starts again is taken in.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetCodec.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetCodec.java
@@ -10,10 +10,12 @@
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.gateway.poison.CrashCharge;
 import org.comfreywall.gateway.poison.PoisonEvidence;
+import org.comfreywall.gateway.pool.Departure;
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 import org.comfreywall.gateway.pool.ServerState;
 import org.comfreywall.transport.generated.BegunNotice;
 import org.comfreywall.transport.generated.CrashNotice;
+import org.comfreywall.transport.generated.DepartureNotice;
 import org.comfreywall.transport.generated.FleetMember;
 import org.comfreywall.transport.generated.FleetNews;
 import org.comfreywall.transport.generated.ServerNotice;
@@ -67,6 +69,20 @@
 					ServerState.values()[notice.getState()]));
 	}
 
+	static DepartureNotice encode(Departure departure, long ageNanos) {
+		return DepartureNotice.newBuilder()
+			.setServer(departure.server())
+			.setStartedMillis(departure.startedMillis())
+			.setAgeMillis(millis(ageNanos))
+			.build();
+	}
+
+	static Optional<Departure> decode(DepartureNotice notice) {
+		return Optional.of(notice.getServer())
+			.filter((server) -> !server.isBlank())
+			.map((server) -> new Departure(server, notice.getStartedMillis()));
+	}
+
 	static void encode(PoisonEvidence evidence, FleetNews.Builder update, long now) {
 		evidence.charges()
 			.forEach((charge) -> update.addCrashesBuilder()
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -1,6 +1,7 @@
 package org.comfreywall.gateway.fleet;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -21,7 +23,10 @@
 import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.lifecycle.Closer;
 import org.comfreywall.common.log.EventLog;
+import org.comfreywall.common.result.ErrorCode;
+import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Result;
+import org.comfreywall.common.result.Step;
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.common.util.Preconditions;
@@ -34,6 +39,7 @@
 import org.comfreywall.control.runtime.ControlNode;
 import org.comfreywall.control.state.VersionedDocument;
 import org.comfreywall.gateway.group.DeputyPort;
+import org.comfreywall.gateway.pool.Departure;
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 import org.comfreywall.gateway.pool.ServerDirectory;
 import org.comfreywall.transport.ConnectionTimeouts;
@@ -107,6 +113,8 @@
 
 	private final Optional<PeerFile> peerFile;
 
+	private final Optional<DepartureFile> departureFile;
+
 	private FleetSettings settings;
 
 	private VersionedDocument document = VersionedDocument.NONE;
@@ -143,6 +151,8 @@
 		this.storageWorker = this.closer.register(new SerialWorker("storage", WORKER_RING));
 		this.bootstrap = new LogBootstrap(settings, this::self, this.clients, loop, this.storageWorker);
 		this.peerFile = PeerFile.of(settings);
+		this.departureFile = settings.dataFolder()
+			.map((folder) -> new DepartureFile(folder, this.storageWorker::offer));
 		this.replica = settings.dataFolder()
 			.map((folder) -> new LocalReplica(folder, settings.instance(), this::sendToMember,
 					(newer) -> this.loop.execute(() -> updateDocument(newer))));
@@ -158,7 +168,14 @@
 		this.loop.execute(() -> updateSeeds(this.settings.seeds()));
 		this.replica.ifPresent((opened) -> this.storageWorker.execute(() -> {
 			List<HostPort> peers = this.peerFile.map(PeerFile::load).orElse(List.of());
-			this.loop.execute(() -> addPeers(peers));
+			Map<Departure, Duration> departures = this.departureFile
+				.map((file) -> file.load(System.currentTimeMillis()))
+				.orElse(Map.of());
+			this.loop.execute(() -> {
+				addPeers(peers);
+				long now = System.nanoTime();
+				departures.forEach((departure, age) -> mergeDeparture(departure, now - age.toNanos()));
+			});
 			this.bootstrap.open(opened);
 		}));
 		scheduleRepeatedly(UPDATE_INTERVAL, this::broadcastUpdate);
@@ -174,8 +191,8 @@
 		this.server.register(FleetMethods.UPDATE_TOPIC, (connection, payload) -> receiveUpdate(payload));
 		this.server.register(FleetMethods.ACKNOWLEDGED_UPDATE, (caller, update) -> onLoop(() -> {
 			applyUpdate(update);
-			return Result.success(FleetNewsReply.getDefaultInstance());
-		}));
+			return storeDepartures();
+		}).thenCompose(Function.identity()).thenApply(FleetNode::storeReply));
 		this.server.register(FleetMethods.DOCUMENT, (caller, request) -> onLoop(() -> document(request)));
 		this.server.register(FleetMethods.BOOTSTRAP,
 				(caller, request) -> onLoop(() -> this.bootstrap.handleFoundingRequest(request)));
@@ -185,6 +202,17 @@
 		new LogRequestHandler(this::localNode).register(this.server);
 	}
 
+	private static Result<FleetNewsReply> storeReply(boolean stored) {
+		return stored ? Result.success(FleetNewsReply.getDefaultInstance()) : Result.failure(OperationError
+			.local(ErrorCode.UNAVAILABLE, Step.REPLICATE, "the update is not on disk; send it again"));
+	}
+
+	// Completes with true at once if this process has no disk.
+	private CompletableFuture<Boolean> storeDepartures() {
+		return this.departureFile.map((file) -> file.save(this.directory.departureAges(System.nanoTime())))
+			.orElse(CompletableFuture.completedFuture(true));
+	}
+
 	private <T> CompletionStage<T> onLoop(Supplier<T> action) {
 		return CompletableFuture.supplyAsync(action, this.loop);
 	}
@@ -216,7 +244,8 @@
 	}
 
 	/**
-	 * Applies an announcement and sends it to all live processes, which acknowledge it.
+	 * Applies an announcement that a server leaves and sends it to all live processes,
+	 * which acknowledge it once it is on their disks.
 	 * @param announcement the announcement
 	 * @return completes once every live process has replied or its call has failed;
 	 * {@code true} if the processes with a disk that acknowledged it, including this one,
@@ -224,10 +253,28 @@
 	 */
 	public CompletableFuture<Boolean> announceToAll(ServerAnnouncement announcement) {
 		merge(announcement, System.nanoTime());
-		FleetNews update = newUpdate().addServers(FleetCodec.encode(announcement, 0)).build();
-		UpdateAcknowledgements acknowledgements = new UpdateAcknowledgements(this.peers.livePeers(System.nanoTime()),
-				this.settings.targetVoters(), this.replica.isPresent());
-		for (FleetPeer peer : this.peers.livePeers(System.nanoTime())) {
+		return sendToAll(newUpdate().addServers(FleetCodec.encode(announcement, 0)).build());
+	}
+
+	/**
+	 * Applies the departure of a server, known or not, and sends it to all live
+	 * processes, as {@link #announceToAll} does.
+	 * @param departure the departure
+	 * @return as for {@link #announceToAll}
+	 */
+	public CompletableFuture<Boolean> announceDeparture(Departure departure) {
+		mergeDeparture(departure, System.nanoTime());
+		return sendToAll(newUpdate().addDepartures(FleetCodec.encode(departure, 0)).build());
+	}
+
+	private CompletableFuture<Boolean> sendToAll(FleetNews update) {
+		List<FleetPeer> live = this.peers.livePeers(System.nanoTime());
+		List<FleetPeer> processes = new ArrayList<>(live);
+		processes.add(self());
+		UpdateAcknowledgements acknowledgements = new UpdateAcknowledgements(processes, this.settings.targetVoters());
+		storeDepartures().completeOnTimeout(false, CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+			.thenAcceptAsync((stored) -> acknowledgements.recordReply(self(), stored), this.loop);
+		for (FleetPeer peer : live) {
 			this.clients.findOrOpen(peer.address())
 				.call(FleetMethods.ACKNOWLEDGED_UPDATE, update, CALL_TIMEOUT)
 				.thenAcceptAsync((reply) -> acknowledgements.recordReply(peer, reply.value().isPresent()), this.loop);
@@ -429,6 +476,8 @@
 			this.directory.allAnnouncements()
 				.forEach((each) -> update
 					.addServers(FleetCodec.encode(each, this.directory.announcementAgeNanos(each.server(), now))));
+			this.directory.departureAges(now)
+				.forEach((departure, age) -> update.addDepartures(FleetCodec.encode(departure, age)));
 		}
 		else {
 			this.unsentAnnouncements.values().forEach((each) -> update.addServers(FleetCodec.encode(each, 0)));
@@ -458,6 +507,13 @@
 		if (sender.isEmpty() || sender.get().instance().equals(this.settings.instance())) {
 			return;
 		}
+		boolean joined = this.peers.find(sender.get().instance())
+			.filter((known) -> known.incarnation() == sender.get().incarnation())
+			.isEmpty();
+		if (joined) {
+			// It knows nothing of what this process has announced before.
+			this.updatesSent = 0;
+		}
 		this.peers.recordUpdate(sender.get(), update.getLeaving(), now);
 		for (FleetMember member : update.getMembersList()) {
 			FleetCodec.decode(member)
@@ -465,6 +521,10 @@
 				.ifPresent((peer) -> this.peers.addAddress(peer.address(), now));
 		}
 		this.clients.updateConnections(this.peers, this.settings);
+		update.getDeparturesList()
+			.forEach((notice) -> FleetCodec.decode(notice)
+				.ifPresent((departure) -> mergeDeparture(departure,
+						now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis()))));
 		update.getServersList()
 			.forEach((notice) -> FleetCodec.decode(notice)
 				.ifPresent((server) -> merge(server, now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis()))));
@@ -518,6 +578,14 @@
 		}
 	}
 
+	private void mergeDeparture(Departure departure, long receivedAt) {
+		if (!this.directory.hasLeft(departure.server(), departure.startedMillis())) {
+			LOG.info("server-departed", Field.of("server", departure.server()),
+					Field.of("started", departure.startedMillis()));
+		}
+		this.directory.merge(departure, receivedAt).ifPresent(this.listener::onServerChanged);
+	}
+
 	// A server that restarted under another identifier takes over its address. Requests
 	// for the one before would be rejected as misdirected.
 	private boolean merge(ServerAnnouncement announcement, long receivedAt) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerFile.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerFile.java
@@ -1,17 +1,10 @@
 package org.comfreywall.gateway.fleet;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.Collectors;
 
 import org.comfreywall.common.decision.Field;
 import org.comfreywall.common.log.EventLog;
@@ -30,15 +23,12 @@
 
 	private static final String NAME = "PEERS";
 
-	/** Files with this suffix are deleted when the storage folder is opened. */
-	private static final String TEMPORARY = NAME + ".tmp";
-
-	private final Path folder;
+	private final ReplacedFile file;
 
 	private List<HostPort> saved = List.of();
 
 	PeerFile(Path folder) {
-		this.folder = folder;
+		this.file = new ReplacedFile(folder, NAME);
 	}
 
 	/**
@@ -47,13 +37,8 @@
 	 */
 	List<HostPort> load() {
 		try {
-			if (!Files.exists(this.folder.resolve(NAME))) {
-				return List.of();
-			}
 			List<HostPort> peers = new ArrayList<>();
-			for (String line : Files.readString(this.folder.resolve(NAME)).split("\n")) {
-				HostPort.parse(line).ifPresent(peers::add);
-			}
+			this.file.read().forEach((line) -> HostPort.parse(line).ifPresent(peers::add));
 			this.saved = List.copyOf(peers);
 			return peers;
 		}
@@ -73,14 +58,8 @@
 		if (sorted.isEmpty() || sorted.equals(this.saved)) {
 			return;
 		}
-		String text = sorted.stream().map(HostPort::toString).collect(Collectors.joining("\n", "", "\n"));
-		Path temporary = this.folder.resolve(TEMPORARY);
-		try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-				StandardOpenOption.TRUNCATE_EXISTING)) {
-			channel.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
-			channel.force(true);
-			Files.move(temporary, this.folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE);
-			syncFolder();
+		try {
+			this.file.write(sorted.stream().map(HostPort::toString).toList());
 			this.saved = sorted;
 		}
 		catch (IOException ex) {
@@ -88,12 +67,6 @@
 		}
 	}
 
-	private void syncFolder() throws IOException {
-		try (FileChannel channel = FileChannel.open(this.folder, StandardOpenOption.READ)) {
-			channel.force(true);
-		}
-	}
-
 	/**
 	 * Returns the file in the data folder of a process.
 	 * @param settings the process's settings
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/UpdateAcknowledgements.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/UpdateAcknowledgements.java
@@ -21,16 +21,13 @@
 
 	/**
 	 * Creates a count for one update.
-	 * @param live the processes that the update is sent to
+	 * @param processes the processes that apply the update, including this one
 	 * @param voters the target number of voters; a majority of this number of processes
 	 * with a disk must acknowledge the update
-	 * @param selfDurable whether this process has a disk and counts as well
 	 */
-	UpdateAcknowledgements(List<FleetPeer> live, int voters, boolean selfDurable) {
-		live.forEach((peer) -> this.outstanding.add(peer.instance()));
+	UpdateAcknowledgements(List<FleetPeer> processes, int voters) {
+		processes.forEach((peer) -> this.outstanding.add(peer.instance()));
 		this.durableQuorum = voters / 2 + 1;
-		this.durable = selfDurable ? 1 : 0;
-		completeIfAllReplied();
 	}
 
 	void recordReply(FleetPeer peer, boolean confirmed) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
@@ -34,6 +34,8 @@
 
 	private final Map<HostPort, Long> latestStartMillisByAddress = new HashMap<>();
 
+	private final Map<String, ReceivedDeparture> departures = new HashMap<>();
+
 	/**
 	 * Merges an announcement.
 	 * @param announcement the announcement
@@ -48,15 +50,70 @@
 		// A later incarnation has been announced at the same address.
 		boolean superseded = announcement.startedMillis() < latestStartMillis
 				&& announcement.state() == ServerState.READY;
+		boolean left = announcement.state() == ServerState.READY
+				&& hasLeft(announcement.server(), announcement.startedMillis());
 		boolean full = known == null && this.byServer.size() >= MAX_SERVERS;
-		if (superseded || full || (known != null && !announcement.replaces(known.announcement()))) {
+		if (superseded || left || full || (known != null && !announcement.replaces(known.announcement()))) {
 			return false;
 		}
 		this.byServer.put(announcement.server(), new ReceivedAnnouncement(announcement, receivedAt));
 		this.latestStartMillisByAddress.merge(announcement.address(), announcement.startedMillis(), Math::max);
+		if (announcement.state() != ServerState.READY) {
+			addDeparture(new Departure(announcement.server(), announcement.startedMillis()), receivedAt);
+		}
+		return true;
+	}
+
+	private boolean addDeparture(Departure departure, long receivedAt) {
+		ReceivedDeparture known = this.departures.get(departure.server());
+		boolean full = known == null && this.departures.size() >= MAX_SERVERS;
+		boolean later = known == null || departure.startedMillis() > known.departure().startedMillis();
+		if (full || !later) {
+			return false;
+		}
+		this.departures.put(departure.server(), new ReceivedDeparture(departure, receivedAt));
 		return true;
 	}
 
+	/**
+	 * Merges a departure, after which announcements of the same incarnation that it is
+	 * ready are refused.
+	 * @param departure the departure
+	 * @param receivedAt when the first process of the fleet received it, in nanoseconds
+	 * of this process's clock
+	 * @return the changed announcement, if the server was ready in that incarnation
+	 */
+	public Optional<ServerAnnouncement> merge(Departure departure, long receivedAt) {
+		addDeparture(departure, receivedAt);
+		Optional<ServerAnnouncement> leaving = find(departure.server())
+			.filter((known) -> known.state() == ServerState.READY && known.startedMillis() <= departure.startedMillis())
+			.map((known) -> known.withState(ServerState.LEAVING));
+		leaving.ifPresent((changed) -> merge(changed, receivedAt));
+		return leaving;
+	}
+
+	/**
+	 * Returns whether a server has announced that it leaves.
+	 * @param server the server's identifier
+	 * @param startedMillis the start of its incarnation
+	 * @return {@code true} if that incarnation or a later one leaves or has left
+	 */
+	public boolean hasLeft(String server, long startedMillis) {
+		ReceivedDeparture known = this.departures.get(server);
+		return known != null && startedMillis <= known.departure().startedMillis();
+	}
+
+	/**
+	 * Returns all departures that are retained.
+	 * @param now the current time in nanoseconds
+	 * @return their ages in nanoseconds
+	 */
+	public Map<Departure, Long> departureAges(long now) {
+		Map<Departure, Long> ages = new HashMap<>();
+		this.departures.values().forEach((each) -> ages.put(each.departure(), now - each.receivedAt()));
+		return ages;
+	}
+
 	/**
 	 * Removes the servers that ended before another one started at their address.
 	 * @param announcement an announcement that was merged
@@ -107,6 +164,7 @@
 	 * @return the last announcements of the removed servers
 	 */
 	public List<ServerAnnouncement> removeExpired(long now) {
+		this.departures.values().removeIf((each) -> now - each.receivedAt() > RETENTION.toNanos());
 		List<ServerAnnouncement> removed = new ArrayList<>();
 		Iterator<ReceivedAnnouncement> all = this.byServer.values().iterator();
 		while (all.hasNext()) {
@@ -125,4 +183,10 @@
 	private record ReceivedAnnouncement(ServerAnnouncement announcement, long receivedAt) {
 	}
 
+	/**
+	 * A departure and the time at which the fleet received it, in nanoseconds.
+	 */
+	private record ReceivedDeparture(Departure departure, long receivedAt) {
+	}
+
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
@@ -29,6 +29,7 @@
 import org.comfreywall.gateway.group.RankReport;
 import org.comfreywall.gateway.poison.CrashCharge;
 import org.comfreywall.gateway.poison.PoisonEvidence;
+import org.comfreywall.gateway.pool.Departure;
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 import org.comfreywall.gateway.pool.ServerState;
 import org.junit.jupiter.api.AfterEach;
@@ -262,6 +263,72 @@
 		return this.members.stream().filter((member) -> member.observer.contains(delegatedSwitch)).count();
 	}
 
+	/**
+	 * A server that leaves serves on for a while, and an announcement from before may
+	 * arrive late. If a restart of all processes makes them forget an acknowledged leave,
+	 * that announcement brings the server back into use until it ends.
+	 */
+	@Nested
+	class Departures {
+
+		private ServerAnnouncement announcement(long startedMillis, long sequence, ServerState state) {
+			return new ServerAnnouncement("s", "service", FleetNodeTests.this.addresses.get(0), "a", startedMillis,
+					sequence, 8, state);
+		}
+
+		private void restartAll() throws Exception {
+			for (Member member : FleetNodeTests.this.members) {
+				member.closer.close();
+			}
+			FleetNodeTests.this.members.clear();
+			for (int i = 0; i < 4; i++) {
+				FleetNodeTests.this.members.add(new Member(i, false));
+			}
+			await(() -> FleetNodeTests.this.members.stream().allMatch((member) -> member.node.liveProcesses() == 4));
+		}
+
+		private boolean isReady(Member member) {
+			return member.node.findServer("s").filter((known) -> known.state() == ServerState.READY).isPresent();
+		}
+
+		@Test
+		void anAcknowledgedLeaveIsRememberedAfterARestartOfAllProcesses() throws Exception {
+			propose(0, document(1, "one"));
+			await(() -> FleetNodeTests.this.members.stream().allMatch((member) -> member.node.liveProcesses() == 4));
+			announce(FleetNodeTests.this.members.get(0), announcement(5, 1, ServerState.READY));
+			assertThat(FleetNodeTests.this.members.get(0).announceToAll(announcement(5, 3, ServerState.LEAVING)))
+				.isTrue();
+			restartAll();
+			FleetNodeTests.this.members.forEach((member) -> announce(member, announcement(5, 2, ServerState.READY)));
+			TimeUnit.SECONDS.sleep(1);
+			assertThat(FleetNodeTests.this.members).noneMatch(this::isReady);
+		}
+
+		@Test
+		void theLeaveOfAnUnknownServerHoldsForALateAnnouncement() throws Exception {
+			propose(0, document(1, "one"));
+			await(() -> FleetNodeTests.this.members.stream().allMatch((member) -> member.node.liveProcesses() == 4));
+			Member first = FleetNodeTests.this.members.get(0);
+			assertThat(first.loop.next().submit(() -> first.node.announceDeparture(new Departure("s", 5))).get().get())
+				.isTrue();
+			FleetNodeTests.this.members.forEach((member) -> announce(member, announcement(5, 2, ServerState.READY)));
+			TimeUnit.SECONDS.sleep(1);
+			assertThat(FleetNodeTests.this.members).noneMatch(this::isReady);
+		}
+
+		@Test
+		void aServerThatStartsAgainAtItsAddressIsUsed() throws Exception {
+			propose(0, document(1, "one"));
+			await(() -> FleetNodeTests.this.members.stream().allMatch((member) -> member.node.liveProcesses() == 4));
+			assertThat(FleetNodeTests.this.members.get(0).announceToAll(announcement(5, 3, ServerState.LEAVING)))
+				.isTrue();
+			restartAll();
+			announce(FleetNodeTests.this.members.get(1), announcement(6, 1, ServerState.READY));
+			await(() -> FleetNodeTests.this.members.stream().allMatch(this::isReady));
+		}
+
+	}
+
 	/**
 	 * A voter that has left still counts towards the majority. If it stays one until long
 	 * after its successor is ready, the loss of one more disk leaves no majority, and the
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServerDirectoryTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServerDirectoryTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 
 import org.comfreywall.common.toml.HostPort;
@@ -31,6 +32,31 @@
 		assertThat(this.directory.find("s").orElseThrow().state()).isEqualTo(ServerState.LEAVING);
 	}
 
+	@Test
+	void aDepartureHoldsForItsIncarnationAndEarlierOnes() {
+		this.directory.merge(new Departure("s", 10), 0);
+		assertThat(this.directory.merge(announcement("s", 1, 10, 9, ServerState.READY), 1)).isFalse();
+		assertThat(this.directory.merge(announcement("s", 1, 9, 9, ServerState.READY), 1)).isFalse();
+		assertThat(this.directory.merge(announcement("s", 1, 11, 1, ServerState.READY), 1)).isTrue();
+	}
+
+	@Test
+	void aDepartureMakesAReadyServerLeave() {
+		this.directory.merge(announcement("s", 1, 10, 5, ServerState.READY), 0);
+		assertThat(this.directory.merge(new Departure("s", 9), 1)).isEmpty();
+		assertThat(this.directory.merge(new Departure("s", 10), 1)).isPresent();
+		assertThat(this.directory.find("s").orElseThrow().state()).isEqualTo(ServerState.LEAVING);
+		assertThat(this.directory.merge(new Departure("s", 10), 2)).isEmpty();
+	}
+
+	@Test
+	void aServerThatAnnouncesThatItLeavesHasDeparted() {
+		this.directory.merge(announcement("s", 1, 10, 5, ServerState.LEAVING), 0);
+		assertThat(this.directory.departureAges(7)).containsExactly(Map.entry(new Departure("s", 10), 7L));
+		assertThat(this.directory.hasLeft("s", 10)).isTrue();
+		assertThat(this.directory.hasLeft("s", 11)).isFalse();
+	}
+
 	@Test
 	void aLaterIncarnationOfAServerReplacesTheEarlierOne() {
 		this.directory.merge(announcement("s", 1, 10, 500, ServerState.LEAVING), 0);
