Continue a stream only with an event stream

A stream that broke off at one server was continued with any sealed success of the next one: the text of a 206 or of another media type stood in the middle of the stream, and a 204 ended it as complete.

Cause: Attempt.onHead went by the class of the status. Ruled out by the same tests: errors, redirects, rejections and bytes that are no response neither reach the caller nor end the stream as complete.

Change: only status 200 with the media type of an event stream, or none, continues a stream.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -144,7 +144,7 @@
 			onBroken("success without seal");
 			return;
 		}
-		if (success && this.exchange.response().isStarted()) {
+		if (this.exchange.response().isStarted() && isEventStream(received)) {
 			begin(received);
 			return;
 		}
@@ -165,12 +165,21 @@
 
 	private void begin(HttpResponse received) {
 		this.head = received;
-		String type = received.headers().get(HttpHeaderNames.CONTENT_TYPE);
-		if (isEventStream() && (type == null || EventBoundary.isEventStream(type))) {
+		if (isEventStream(received)) {
 			this.events = Optional.of(new EventBoundary());
 		}
 	}
 
+	private boolean isEventStream(HttpResponse received) {
+		String type = received.headers().get(HttpHeaderNames.CONTENT_TYPE);
+		return isStreamed(received) && (type == null || EventBoundary.isEventStream(type));
+	}
+
+	// Whether parts of the response are forwarded as they arrive.
+	private boolean isStreamed(HttpResponse received) {
+		return this.exchange.isStream() && received.status().equals(HttpResponseStatus.OK);
+	}
+
 	private void discardRest() {
 		this.discarding = true;
 		this.connection.limitRest();
@@ -191,7 +200,7 @@
 		if (response.isStarted()) {
 			response.writePart(part);
 		}
-		else if (isEventStream()) {
+		else if (isStreamed(this.head)) {
 			response.start(this.head, this.exchange.keepAlive());
 			response.writePart(part);
 		}
@@ -212,10 +221,6 @@
 		}
 	}
 
-	private boolean isEventStream() {
-		return this.exchange.isStream() && this.head.status().code() == HttpResponseStatus.OK.code();
-	}
-
 	private void buffer(ByteBuf part) {
 		byte[] bytes = new byte[part.readableBytes()];
 		part.readBytes(bytes);
@@ -238,7 +243,7 @@
 		end(Exchange.resultOf(this.head.status().code()));
 		this.gateway.poison().recordCompleted(this.exchange.traits(), System.nanoTime());
 		CallerResponse response = this.exchange.response();
-		if (!response.isStarted() && isEventStream()) {
+		if (!response.isStarted() && isStreamed(this.head)) {
 			response.start(this.head, this.exchange.keepAlive());
 		}
 		if (response.isStarted()) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -390,6 +390,58 @@
 
 	}
 
+	/**
+	 * A stream that began at one server and is continued by another one. Whatever is not
+	 * the rest of the stream must not reach the caller, who could not tell it from
+	 * events.
+	 */
+	@Nested
+	class ContinuedStreams {
+
+		private static final String CUT = EVENTS + "f\r\nid: 1\ndata: a\n\n\r\n" + ScriptedServer.CLOSE;
+
+		private String continueWith(String answer) throws Exception {
+			announce(GatewayTests.this.first.answer(CUT).answer(answer), "s1");
+			announce(GatewayTests.this.second, "s2");
+			return call("/stream/", "r1");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "500 Error", "502 Bad Gateway", "404 Not Found", "302 Found", "206 Partial Content" })
+		void anotherStatusDoesNotContinueTheStream(String status) throws Exception {
+			String answer = continueWith(
+					"HTTP/1.1 " + status + "\r\nRequest-Id: @id\r\nSeal: e\r\nContent-Length: 9\r\n\r\nno events");
+			assertThat(answer).contains("data: a")
+				.doesNotContain("no events", status, "Seal: e")
+				.doesNotEndWith("0\r\n\r\n");
+		}
+
+		@Test
+		void anEmptySuccessDoesNotEndTheStreamAsComplete() throws Exception {
+			String answer = continueWith("HTTP/1.1 204 No Content\r\nRequest-Id: @id\r\nSeal: e\r\n\r\n");
+			assertThat(answer).contains("data: a").doesNotEndWith("0\r\n\r\n");
+		}
+
+		@Test
+		void aRejectionDoesNotEndTheStreamAsComplete() throws Exception {
+			assertThat(continueWith(FULL)).contains("data: a").doesNotContain("503").doesNotEndWith("0\r\n\r\n");
+		}
+
+		@Test
+		void anotherMediaTypeDoesNotContinueTheStream() throws Exception {
+			String answer = continueWith("HTTP/1.1 200 OK\r\nRequest-Id: @id\r\nSeal: e\r\nContent-Type: text/plain"
+					+ "\r\nContent-Length: 11\r\n\r\nno events\n\n");
+			assertThat(answer).contains("data: a").doesNotContain("no events").doesNotEndWith("0\r\n\r\n");
+		}
+
+		@Test
+		void bytesThatAreNoResponseDoNotReachTheCaller() throws Exception {
+			String answer = continueWith("no events\r\n\r\nno events\r\n\r\n" + ScriptedServer.CLOSE);
+			assertThat(answer).contains("data: a").doesNotContain("no events").doesNotEndWith("0\r\n\r\n");
+		}
+
+	}
+
 	@Nested
 	class LateAnswers {
 
