Bound the load report of a backend server

A faulty server whose load report never ends filled the memory of its sidecar, and all requests of that server ended with it.

Cause: the report was collected without a limit, and the timeout of the request covers its head only. The check whether a server responds left the body unread and the connection open. Ruled out by tests that pass without a change: in the gateway, bodies without end to a caller that reads nothing, and heads, 1xx responses, blank lines and trailers without end, are bounded.

Change: 64 KiB and 1 s for a load report, then the connection is reset; the check resets it after the head.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
@@ -5,7 +5,10 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -35,6 +38,9 @@
 
 	private static final int TIMEOUT_MILLIS = 1000;
 
+	/** A load report is a short JSON object. */
+	private static final int MAX_LOAD_BYTES = 64 << 10;
+
 	private final HttpClient client;
 
 	private final URI backend;
@@ -69,13 +75,13 @@
 
 	/**
 	 * Queries the load of the backend server.
-	 * @return completes with the load, or exceptionally if the server does not respond or
-	 * the response is not valid JSON
+	 * @return completes with the load, or exceptionally if the server does not respond in
+	 * time or the response is too long or not valid JSON
 	 */
 	CompletionStage<BackendLoad> load() {
 		return this.client.request(loadRequest())
 			.compose(HttpClientRequest::send)
-			.compose(HttpClientResponse::body)
+			.compose(BackendClient::boundedBody)
 			.map(BackendClient::parseLoad)
 			.toCompletionStage();
 	}
@@ -87,11 +93,31 @@
 	CompletionStage<Boolean> isResponding() {
 		return this.client.request(loadRequest())
 			.compose(HttpClientRequest::send)
+			// The body may have no end, and nobody needs it.
+			.onSuccess((response) -> response.request().reset())
 			.map(true)
 			.otherwise(false)
 			.toCompletionStage();
 	}
 
+	private static Future<Buffer> boundedBody(HttpClientResponse response) {
+		Promise<Buffer> body = Promise.promise();
+		Buffer collected = Buffer.buffer();
+		response.exceptionHandler(body::tryFail);
+		response.endHandler((end) -> body.tryComplete(collected));
+		response.handler((part) -> {
+			if (collected.length() + part.length() > MAX_LOAD_BYTES) {
+				body.tryFail("the load report exceeds " + MAX_LOAD_BYTES + " bytes");
+			}
+			else {
+				collected.appendBuffer(part);
+			}
+		});
+		return body.future()
+			.timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+			.onFailure((cause) -> response.request().reset());
+	}
+
 	private RequestOptions loadRequest() {
 		return new RequestOptions().setMethod(HttpMethod.GET)
 			.setHost(this.backend.getHost())
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/sidecar/BackendClientTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/sidecar/BackendClientTests.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -39,6 +40,8 @@
 	private static final AttemptPayload PAYLOAD = new AttemptPayload("POST", "/v1/chat/completions", "",
 			Bytes.ofText("{}"), PriorityClass.STANDARD, Duration.ofSeconds(5), Optional.empty());
 
+	private static final long ENDLESS_BYTES = 256L << 20;
+
 	private final Closer closer = new Closer();
 
 	private ServerSocket server;
@@ -77,6 +80,26 @@
 		}
 	}
 
+	// Answers one call with bytes without end and returns how many were taken before the
+	// connection was closed.
+	private long bytesTaken(String head) throws Exception {
+		byte[] repeated = "x".repeat(1 << 16).getBytes(StandardCharsets.US_ASCII);
+		long taken = 0;
+		try (Socket connection = this.server.accept()) {
+			readHead(connection);
+			connection.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+			while (taken < ENDLESS_BYTES) {
+				connection.getOutputStream().write(repeated);
+				taken += repeated.length;
+			}
+		}
+		catch (SocketException ex) {
+			// The client has closed the connection.
+			return taken;
+		}
+		return taken;
+	}
+
 	private record OutcomeListener(CompletableFuture<String> outcome) implements BackendListener {
 
 		@Override
@@ -99,6 +122,29 @@
 
 	}
 
+	/**
+	 * Responses that never end. What nobody needs must not be kept, nor read on and on.
+	 */
+	@Nested
+	class EndlessResponses {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n", "" })
+		void aLoadWithoutEndIsNotKept(String head) throws Exception {
+			CompletableFuture<BackendLoad> load = BackendClientTests.this.client.load().toCompletableFuture();
+			assertThat(bytesTaken(head)).isLessThan(ENDLESS_BYTES);
+			assertThat(load.handle((value, failure) -> failure != null).get(10, TimeUnit.SECONDS)).isTrue();
+		}
+
+		@Test
+		void aCheckReadsNoBody() throws Exception {
+			CompletableFuture<Boolean> responding = BackendClientTests.this.client.isResponding().toCompletableFuture();
+			assertThat(bytesTaken("HTTP/1.1 200 OK\r\n\r\n")).isLessThan(ENDLESS_BYTES);
+			assertThat(responding.get(10, TimeUnit.SECONDS)).isTrue();
+		}
+
+	}
+
 	/**
 	 * Streams without a length, whose end and whose breaking off are both a closed
 	 * connection. A server that stopped within an event must not end a complete answer.
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -128,8 +128,12 @@
 	}
 
 	private void announce(ScriptedServer server, String id) throws Exception {
+		announce(server.port(), id);
+	}
+
+	private void announce(int serverPort, String id) throws Exception {
 		onLoop(() -> this.gateway.updateServer(new ServerAnnouncement(id, "service",
-				new HostPort("127.0.0.1", server.port()), "a", 1, 1, 8, ServerState.READY)));
+				new HostPort("127.0.0.1", serverPort), "a", 1, 1, 8, ServerState.READY)));
 	}
 
 	private Socket connect() throws IOException {
@@ -523,6 +527,52 @@
 
 	}
 
+	/**
+	 * Responses that never end, to callers that read nothing. The entry must not keep
+	 * what the caller does not take.
+	 */
+	@Nested
+	class EndlessResponses {
+
+		/** Far above what sockets and buffers hold, far below what a server sends. */
+		private static final long MAX_TAKEN_BYTES = 64L << 20;
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/safe/", "/stream/", "/plain/" })
+		void aServerIsNotReadFasterThanTheCallerReads(String path) throws Exception {
+			String head = EVENTS.replace("@id", "r1");
+			try (EndlessServer server = new EndlessServer(head, "10000\r\n" + "x".repeat(1 << 16) + "\r\n");
+					Socket socket = connect()) {
+				announce(server.port(), "s1");
+				send(socket, path, "r1");
+				assertThat(server.awaitStandstill()).isBetween(1L, MAX_TAKEN_BYTES);
+				socket.close();
+				assertThat(server.awaitClosed()).isTrue();
+			}
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "x", "\r\n", "HTTP/1.1 100 Continue\r\n\r\n" })
+		void bytesThatNeverBecomeAHeadCloseTheConnection(String repeated) throws Exception {
+			try (EndlessServer server = new EndlessServer("", repeated.repeat(1000))) {
+				announce(server.port(), "s1");
+				assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 502");
+				assertThat(server.awaitClosed()).isTrue();
+			}
+		}
+
+		@Test
+		void trailersWithoutEndCloseTheConnection() throws Exception {
+			String head = EVENTS.replace("@id", "r1") + "0\r\n";
+			try (EndlessServer server = new EndlessServer(head, "X: y\r\n".repeat(1000))) {
+				announce(server.port(), "s1");
+				assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 502");
+				assertThat(server.awaitClosed()).isTrue();
+			}
+		}
+
+	}
+
 	@Nested
 	class Crashing {
 
