Refuse requests that a stopping process may cut

In a planned stop, a request whose last bytes came late was sent to a server and cut without an answer when the process ended; so were requests that waited for their answer at that moment.

Cause: a stop closes idle connections and stops listening, but a connection on which half a request has come is not idle, and nothing compared the request's deadline with the end of the process. The product's own entry refuses all requests during its drain.

Change: once the process no longer listens, it refuses a request as not run if its deadline lies after the end. At the end, requests without a response get their final answer.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
@@ -98,6 +98,12 @@
 		this.context.close();
 	}
 
+	void endExchange() {
+		if (this.exchange != null) {
+			this.exchange.processEnds();
+		}
+	}
+
 	ChannelHandlerContext context() {
 		return this.context;
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
@@ -147,6 +147,11 @@
 		this.service = this.route.pickService(this.gateway.random().nextDouble());
 		this.pool = this.gateway.pool(this.service);
 		this.deadline = this.request.arrival() + timeoutNanos();
+		if (this.gateway.endsBefore(this.deadline)) {
+			// Another entry can take it at once.
+			refuse("stopping", Duration.ZERO);
+			return;
+		}
 		this.timer = this.caller.context()
 			.executor()
 			.schedule(this::timedOut, this.deadline - this.request.arrival(), TimeUnit.NANOSECONDS);
@@ -413,6 +418,17 @@
 	}
 
 	private void timedOut() {
+		end("timeout", DEFAULT_RETRY_AFTER);
+	}
+
+	/**
+	 * Ends the request as this process ends: answers it unless its response has begun.
+	 */
+	void processEnds() {
+		end("process-ends", Duration.ZERO);
+	}
+
+	private void end(String reason, Duration retryAfter) {
 		if (this.done) {
 			return;
 		}
@@ -421,13 +437,13 @@
 		abandon();
 		if (this.response.isStarted()) {
 			this.response.abort();
-			finish("timeout", 0, false);
+			finish(reason, 0, false);
 		}
 		else if (wasSent || this.mayHaveRun) {
-			fail(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout");
+			fail(HttpResponseStatus.GATEWAY_TIMEOUT, reason);
 		}
 		else {
-			refuse("timeout", DEFAULT_RETRY_AFTER);
+			refuse(reason, retryAfter);
 		}
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -87,6 +88,10 @@
 
 	private boolean stopping;
 
+	private boolean stopped;
+
+	private OptionalLong end = OptionalLong.empty();
+
 	private long tickedAt = System.nanoTime();
 
 	private long maxTickDelayNanos;
@@ -195,12 +200,40 @@
 		this.stopping = true;
 	}
 
+	/**
+	 * Closes each connection after its next response, as this process ends.
+	 * @param left the time until it ends
+	 */
+	public void drainConnections(Duration left) {
+		drainConnections();
+		this.end = OptionalLong.of(System.nanoTime() + left.toNanos());
+	}
+
+	/**
+	 * Answers all requests that have no response yet and breaks off the others, as this
+	 * process ends.
+	 */
+	public void endRequests() {
+		List.copyOf(this.callers).forEach(CallerConnection::endExchange);
+	}
+
+	/**
+	 * Returns whether a request that is taken now might be cut by the end of this
+	 * process. While connections are still accepted, callers have nowhere else to go.
+	 * @param deadline the request's deadline in nanoseconds
+	 * @return {@code true} if this process ends before the deadline
+	 */
+	boolean endsBefore(long deadline) {
+		return this.stopped && this.end.isPresent() && this.end.getAsLong() - deadline < 0;
+	}
+
 	/**
 	 * Stops accepting connections, closes idle ones and closes the others after their
 	 * present response, as a later request might not complete before the process exits.
 	 */
 	public void stop() {
 		drainConnections();
+		this.stopped = true;
 		this.servers.forEach(GatewayServer::close);
 		List.copyOf(this.callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -187,6 +187,69 @@
 			assertThatThrownBy(this::connectRepeatedly).isInstanceOf(ConnectException.class);
 		}
 
+		/**
+		 * A request whose last bytes arrive late in a stop may need longer than the
+		 * process has. It must be refused before it reaches a server, as it would be cut
+		 * there.
+		 */
+		@Test
+		void aRequestThatMayNotEndBeforeTheProcessIsRefusedAsNotRun() throws Exception {
+			announce(GatewayTests.this.first.answer(WHOLE), "s1");
+			try (Socket socket = connect()) {
+				beginRequest(socket, "r1");
+				onLoop(() -> GatewayTests.this.gateway.drainConnections(Duration.ofSeconds(2)));
+				onLoop(GatewayTests.this.gateway::stop);
+				assertThat(endRequest(socket)).startsWith("HTTP/1.1 503").contains("retry-after");
+			}
+			assertThat(GatewayTests.this.first.requests()).isEmpty();
+		}
+
+		@Test
+		void aRequestThatEndsBeforeTheProcessIsServed() throws Exception {
+			announce(GatewayTests.this.first.answer(WHOLE), "s1");
+			try (Socket socket = connect()) {
+				beginRequest(socket, "r1");
+				onLoop(() -> GatewayTests.this.gateway.drainConnections(Duration.ofSeconds(4)));
+				onLoop(GatewayTests.this.gateway::stop);
+				assertThat(endRequest(socket)).startsWith("HTTP/1.1 200").endsWith("hello");
+			}
+		}
+
+		/**
+		 * At the end of a stop, callers must learn what is known of their requests
+		 * instead of seeing their connection closed.
+		 */
+		@Test
+		void requestsWithoutAResponseAreAnsweredAtTheEndOfTheStop() throws Exception {
+			announce(GatewayTests.this.first.answer(ScriptedServer.SILENT), "s1");
+			try (Socket socket = connect()) {
+				send(socket, "/once/", "r1");
+				while (GatewayTests.this.first.requests().isEmpty()) {
+					Thread.onSpinWait();
+				}
+				onLoop(GatewayTests.this.gateway::stop);
+				onLoop(GatewayTests.this.gateway::endRequests);
+				// Shorter than the caller's deadline, at which it is answered anyway.
+				socket.setSoTimeout(2000);
+				String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+				assertThat(answer).startsWith("HTTP/1.1 504");
+			}
+		}
+
+		private void beginRequest(Socket socket, String id) throws Exception {
+			socket.getOutputStream()
+				.write(("POST /once/ HTTP/1.1\r\nHost: host\r\nRequest-Id: " + id
+						+ "\r\nKey: secret\r\nWait-Ms: 3000\r\nContent-Length: 4\r\n\r\nbo")
+					.getBytes(StandardCharsets.UTF_8));
+			// Until then the connection is idle and would be closed.
+			TimeUnit.MILLISECONDS.sleep(200);
+		}
+
+		private String endRequest(Socket socket) throws IOException {
+			socket.getOutputStream().write("dy".getBytes(StandardCharsets.UTF_8));
+			return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+		}
+
 		// The event loop closes the socket in its next iteration and may accept until
 		// then.
 		private void connectRepeatedly() throws Exception {
