Close the transport of a reporter outside its lock

Ruled out: a call without end, as calls have a timeout.

Change: the lock covers only the mark that the reporter is closed. Replies and reports that come later are ignored.

RankReporterTests.closesWhileRepliesArrive failed before (not closed within 20 s) and passes.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
@@ -45,6 +45,8 @@
 
 	private RpcClient client;
 
+	private boolean closed;
+
 	/**
 	 * Creates a reporter.
 	 * @param instance the name of this process's instance
@@ -69,13 +71,16 @@
 	}
 
 	/**
-	 * Sends a report.
+	 * Sends a report unless this reporter was closed.
 	 * @param service the service that the rank belongs to
 	 * @param report the report
 	 * @param choiceCounts the number of times that the rank's requests were routed to
 	 * each expert since its previous counts, set by set; empty if unknown
 	 */
 	public synchronized void report(String service, RankReport report, int[] choiceCounts) {
+		if (this.closed) {
+			return;
+		}
 		RankNotice.Builder notice = RankNotice.newBuilder()
 			.setService(service)
 			.setServer(report.server())
@@ -100,7 +105,7 @@
 	}
 
 	private synchronized void handleReply(RpcClient used, Optional<RankNoticeReply> reply) {
-		if (used != this.client) {
+		if (this.closed || used != this.client) {
 			return;
 		}
 		long now = System.nanoTime();
@@ -130,9 +135,15 @@
 		this.client = new RpcClient(this.transport, this.target);
 	}
 
+	// The transport waits for its event loop, which needs the lock to handle a reply.
 	@Override
-	public synchronized void close() {
-		this.client.close();
+	public void close() {
+		RpcClient last;
+		synchronized (this) {
+			this.closed = true;
+			last = this.client;
+		}
+		last.close();
 		this.transport.close();
 	}
 
