Ask one question about the end of an event stream

The entry and the sidecar decided with the same two conditions whether a stream was broken off; EventBoundary answers that now. In the sidecar only streams with status 200 are looked at, as in the entry.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/stream/EventBoundary.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/stream/EventBoundary.java
@@ -66,19 +66,13 @@
 	}
 
 	/**
-	 * Returns whether the stream would be broken off if it ended here.
-	 * @return {@code true} within an event or a comment line
+	 * Returns whether the stream was broken off if it ends here.
+	 * @param mayBeEmpty whether a stream without any event is complete
+	 * @return {@code true} within an event or a comment line, and at the start of a
+	 * stream that must not be empty
 	 */
-	public boolean isWithinEvent() {
-		return this.eventOpen || !this.lineEmpty;
-	}
-
-	/**
-	 * Returns whether no byte has been read.
-	 * @return {@code true} before the first byte
-	 */
-	public boolean isEmpty() {
-		return this.empty;
+	public boolean isBrokenOff(boolean mayBeEmpty) {
+		return this.eventOpen || !this.lineEmpty || (this.empty && !mayBeEmpty);
 	}
 
 }
--- a/comfreywall-common/src/test/java/org/comfreywall/common/stream/EventBoundaryTests.java
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/stream/EventBoundaryTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -17,7 +18,7 @@
 		for (byte next : stream.getBytes(StandardCharsets.UTF_8)) {
 			boundary.accept(next);
 		}
-		return boundary.isWithinEvent();
+		return boundary.isBrokenOff(true);
 	}
 
 	@ParameterizedTest
@@ -34,6 +35,14 @@
 		assertThat(endsWithinEvent(stream)).isTrue();
 	}
 
+	@Test
+	void aStreamThatMustNotBeEmptyNeedsAByte() {
+		EventBoundary boundary = new EventBoundary();
+		assertThat(boundary.isBrokenOff(false)).isTrue();
+		boundary.accept((byte) '\n');
+		assertThat(boundary.isBrokenOff(false)).isFalse();
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "text/event-stream", "Text/Event-Stream", "text/event-stream; charset=utf-8" })
 	void recognisesTheMediaTypeWithParameters(String contentType) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
@@ -1,6 +1,7 @@
 package org.comfreywall.daemon.sidecar;
 
 import java.io.IOException;
+import java.net.HttpURLConnection;
 import java.net.URI;
 import java.util.Locale;
 import java.util.Optional;
@@ -207,7 +208,7 @@
 			}
 			String header = opened.getHeader("Content-Type");
 			String type = (header != null) ? header : "";
-			if (EventBoundary.isEventStream(type)) {
+			if (opened.statusCode() == HttpURLConnection.HTTP_OK && EventBoundary.isEventStream(type)) {
 				this.events = Optional.of(new EventBoundary());
 			}
 			opened.exceptionHandler((cause) -> fail(ErrorCode.BACKEND_ERROR, cause, true));
@@ -229,10 +230,7 @@
 		}
 
 		private void end(boolean lengthDelimited) {
-			boolean brokenOff = this.events
-				.filter((boundary) -> boundary.isWithinEvent() || (boundary.isEmpty() && !lengthDelimited))
-				.isPresent();
-			if (brokenOff) {
+			if (this.events.filter((boundary) -> boundary.isBrokenOff(lengthDelimited)).isPresent()) {
 				// The end of a connection ends a stream without a length even if its
 				// server stopped.
 				fail(ErrorCode.BACKEND_ERROR, new IOException("stream ended within an event"), true);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -257,8 +257,7 @@
 
 	// The end of a connection ends a stream without a length even if its server stopped.
 	private boolean isBrokenOff() {
-		return this.events.filter((boundary) -> boundary.isWithinEvent() || (boundary.isEmpty() && !mayBeEmpty()))
-			.isPresent();
+		return this.events.filter((boundary) -> boundary.isBrokenOff(mayBeEmpty())).isPresent();
 	}
 
 	// A stream that resumes after its last event has none left.
