--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -29,6 +29,7 @@
 import org.comfreywall.common.result.Step;
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Bytes;
+import org.comfreywall.common.util.LruMap;
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.control.log.LogCodec;
 import org.comfreywall.control.log.Membership;
@@ -80,6 +81,8 @@
 
 	private static final int WORKER_RING = 64;
 
+	private static final int MAX_STORED_DEPARTURES = 2000;
+
 	private static final ConnectionTimeouts CONNECTION_TIMEOUTS = new ConnectionTimeouts(Duration.ofMillis(300),
 			Duration.ofMillis(900), Duration.ofMillis(1600), Duration.ofMillis(500));
 
@@ -115,6 +118,8 @@
 
 	private final Optional<DepartureFile> departureFile;
 
+	private final Map<Departure, Boolean> storedDepartures = new LruMap<>(MAX_STORED_DEPARTURES);
+
 	private FleetSettings settings;
 
 	private VersionedDocument document = VersionedDocument.NONE;
@@ -253,7 +258,8 @@
 	 */
 	public CompletableFuture<Boolean> announceToAll(ServerAnnouncement announcement) {
 		merge(announcement, System.nanoTime());
-		return sendToAll(newUpdate().addServers(FleetCodec.encode(announcement, 0)).build());
+		return sendToAll(newUpdate().addServers(FleetCodec.encode(announcement, 0)).build(),
+				new Departure(announcement.server(), announcement.startedMillis()));
 	}
 
 	/**
@@ -264,10 +270,21 @@
 	 */
 	public CompletableFuture<Boolean> announceDeparture(Departure departure) {
 		mergeDeparture(departure, System.nanoTime());
-		return sendToAll(newUpdate().addDepartures(FleetCodec.encode(departure, 0)).build());
+		return sendToAll(newUpdate().addDepartures(FleetCodec.encode(departure, 0)).build(), departure);
 	}
 
-	private CompletableFuture<Boolean> sendToAll(FleetNews update) {
+	/**
+	 * Returns whether a departure was acknowledged by enough processes with a disk. That
+	 * this process knows of it is not enough: it may be lost with the process.
+	 * @param departure the departure
+	 * @return {@code true} if {@link #announceToAll} or {@link #announceDeparture} has
+	 * completed with {@code true} for it at this process
+	 */
+	public boolean isStored(Departure departure) {
+		return this.storedDepartures.containsKey(departure);
+	}
+
+	private CompletableFuture<Boolean> sendToAll(FleetNews update, Departure departure) {
 		List<FleetPeer> live = this.peers.livePeers(System.nanoTime());
 		List<FleetPeer> processes = new ArrayList<>(live);
 		processes.add(self());
@@ -279,7 +296,12 @@
 				.call(FleetMethods.ACKNOWLEDGED_UPDATE, update, CALL_TIMEOUT)
 				.thenAcceptAsync((reply) -> acknowledgements.recordReply(peer, reply.value().isPresent()), this.loop);
 		}
-		return acknowledgements.result();
+		return acknowledgements.result().thenApply((stored) -> {
+			if (stored) {
+				this.storedDepartures.put(departure, true);
+			}
+			return stored;
+		});
 	}
 
 	/**
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
@@ -304,6 +304,35 @@
 			assertThat(FleetNodeTests.this.members).noneMatch(this::isReady);
 		}
 
+		/**
+		 * A process that has heard of a leave must not acknowledge its repetition while
+		 * too few disks have it.
+		 */
+		@Test
+		void aLeaveThatTooFewDisksHaveIsNotStored() throws Exception {
+			propose(0, document(1, "one"));
+			await(() -> FleetNodeTests.this.members.stream().allMatch((member) -> member.node.liveProcesses() == 4));
+			FleetNodeTests.this.members.get(1).closer.close();
+			FleetNodeTests.this.members.get(2).closer.close();
+			ServerAnnouncement leaving = announcement(5, 3, ServerState.LEAVING);
+			Departure departure = new Departure("s", 5);
+			assertThat(FleetNodeTests.this.members.get(0).announceToAll(leaving)).isFalse();
+			assertThat(FleetNodeTests.this.members.get(3).node.findServer("s")).contains(leaving);
+			assertThat(FleetNodeTests.this.members).noneMatch((member) -> member.node.isStored(departure));
+			FleetNodeTests.this.members.set(1, new Member(1, false));
+			await(() -> announceAgain(leaving));
+			assertThat(FleetNodeTests.this.members.get(3).node.isStored(departure)).isTrue();
+		}
+
+		private boolean announceAgain(ServerAnnouncement leaving) {
+			try {
+				return FleetNodeTests.this.members.get(3).announceToAll(leaving);
+			}
+			catch (Exception ex) {
+				throw new AssertionError(ex);
+			}
+		}
+
 		@Test
 		void theLeaveOfAnUnknownServerHoldsForALateAnnouncement() throws Exception {
 			propose(0, document(1, "one"));
