--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
@@ -64,13 +64,15 @@
 		return true;
 	}
 
-	private void addDeparture(Departure departure, long receivedAt) {
+	private boolean addDeparture(Departure departure, long receivedAt) {
 		ReceivedDeparture known = this.departures.get(departure.server());
 		boolean full = known == null && this.departures.size() >= MAX_SERVERS;
 		boolean later = known == null || departure.startedMillis() > known.departure().startedMillis();
-		if (later && !full) {
-			this.departures.put(departure.server(), new ReceivedDeparture(departure, receivedAt));
+		if (full || !later) {
+			return false;
 		}
+		this.departures.put(departure.server(), new ReceivedDeparture(departure, receivedAt));
+		return true;
 	}
 
 	/**
