Ignore announcements for services that are not configured

Change: once the services are known, an announcement for another one has no effect on the servers. It is held in case its service is configured later; a departure that comes with it holds for a server of that service only. What was merged before the first configuration is removed when it arrives.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/GatewayConfiguration.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/GatewayConfiguration.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.comfreywall.common.util.Preconditions;
 
@@ -107,6 +108,14 @@
 		return Optional.ofNullable(this.services.get(name));
 	}
 
+	/**
+	 * Returns the names of all services.
+	 * @return the names
+	 */
+	public Set<String> serviceNames() {
+		return Set.copyOf(this.services.keySet());
+	}
+
 	/**
 	 * Returns the version.
 	 * @return the version
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -252,6 +252,21 @@
 	 * Applies an announcement that a server leaves and sends it to all live processes,
 	 * which acknowledge it once it is on their disks.
 	 * @param announcement the announcement
+	/**
+	 * Sets the configured services. Servers of other services are not used, and what is
+	 * announced for them has no effect on those of the configured ones.
+	 * @param services the names of the services
+	 */
+	public void updateServices(Set<String> services) {
+		this.directory.updateServices(services).forEach((removed) -> {
+			LOG.warn("server-of-unknown-service", Field.of("server", removed.server()),
+					Field.of("service", removed.service()), Field.of("address", removed.address()));
+			this.unsentAnnouncements.remove(removed.server());
+			this.listener.onServerRemoved(removed);
+		});
+		this.directory.takeConfigured().forEach(this::announce);
+	}
+
 	 * @return completes once every live process has replied or its call has failed;
 	 * {@code true} if the processes with a disk that acknowledged it, including this one,
 	 * are a majority of the target number of voters
@@ -261,6 +276,10 @@
 		return sendToAll(newUpdate().addServers(FleetCodec.encode(announcement, 0)).build(),
 				new Departure(announcement.server(), announcement.startedMillis()));
 	}
+		if (!this.directory.isConfigured(announcement.service())) {
+			// Holds for a server of that service only: the announcement may be foreign.
+			return announceDeparture(new Departure(announcement.serviceMember(), announcement.startedMillis()));
+		}
 
 	/**
 	 * Applies the departure of a server, known or not, and sends it to all live
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerAnnouncement.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerAnnouncement.java
@@ -44,6 +44,15 @@
 		return this.sequence > other.sequence;
 	}
 
+	/**
+	 * Returns an identifier of the server as a member of its service, for what must not
+	 * concern a server of the same name in another service.
+	 * @return the identifier
+	 */
+	public String serviceMember() {
+		return this.server + "@" + this.service;
+	}
+
 	/**
 	 * Returns a copy of this announcement with another state.
 	 * @param changed the state
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServerDirectory.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.comfreywall.common.toml.HostPort;
+import org.comfreywall.common.util.LruMap;
 import org.comfreywall.common.util.Preconditions;
 
 /**
@@ -19,6 +21,10 @@
  * ones in any order keep the same one. Servers that have announced that they are leaving
  * are retained for a while, so that a delayed announcement cannot make them available
  * again; the same applies to the latest incarnation at an address.
+ * <p>
+ * Once the services are known, an announcement for another service has no effect on the
+ * servers: it may come from a foreign writer. It is held in case its service is
+ * configured later.
  */
 public final class ServerDirectory {
 
@@ -30,12 +36,67 @@
 
 	private static final int MAX_SERVERS = 20_000;
 
+	private static final int MAX_HELD_ANNOUNCEMENTS = 2_000;
+
 	private final Map<String, ReceivedAnnouncement> byServer = new HashMap<>();
 
 	private final Map<HostPort, Long> latestStartMillisByAddress = new HashMap<>();
 
 	private final Map<String, ReceivedDeparture> departures = new HashMap<>();
 
+	private final Map<String, ReceivedAnnouncement> held = new LruMap<>(MAX_HELD_ANNOUNCEMENTS);
+
+	private Optional<Set<String>> services = Optional.empty();
+
+	/**
+	 * Sets the configured services and removes the servers of all others. Until the first
+	 * call, announcements for any service are merged.
+	 * @param configured the names of the services
+	 * @return the last announcements of the removed servers
+	 */
+	public List<ServerAnnouncement> updateServices(Set<String> configured) {
+		this.services = Optional.of(Set.copyOf(configured));
+		List<ServerAnnouncement> removed = allAnnouncements().stream()
+			.filter((known) -> !isConfigured(known.service()))
+			.toList();
+		if (!removed.isEmpty()) {
+			removed.forEach((known) -> this.byServer.remove(known.server()));
+			// What was removed must not make the other servers at its address seem
+			// outdated.
+			this.latestStartMillisByAddress.clear();
+			allAnnouncements().forEach(this::recordStart);
+		}
+		return removed;
+	}
+
+	/**
+	 * Removes and returns the held announcements whose services have been configured by
+	 * now, to be merged again.
+	 * @return the announcements
+	 */
+	public List<ServerAnnouncement> takeConfigured() {
+		List<ServerAnnouncement> configured = this.held.values()
+			.stream()
+			.map(ReceivedAnnouncement::announcement)
+			.filter((each) -> isConfigured(each.service()))
+			.toList();
+		configured.forEach((each) -> this.held.remove(each.serviceMember()));
+		return configured;
+	}
+
+	/**
+	 * Returns whether a service is configured.
+	 * @param service the name of the service
+	 * @return {@code true} also if the services are not known yet
+	 */
+	public boolean isConfigured(String service) {
+		return this.services.filter((known) -> !known.contains(service)).isEmpty();
+	}
+
+	private void recordStart(ServerAnnouncement announcement) {
+		this.latestStartMillisByAddress.merge(announcement.address(), announcement.startedMillis(), Math::max);
+	}
+
 	/**
 	 * Merges an announcement.
 	 * @param announcement the announcement
@@ -45,19 +106,24 @@
 	 */
 	public boolean merge(ServerAnnouncement announcement, long receivedAt) {
 		Preconditions.notNull(announcement, "announcement");
+		if (!isConfigured(announcement.service())) {
+			this.held.put(announcement.serviceMember(), new ReceivedAnnouncement(announcement, receivedAt));
+			return false;
+		}
 		ReceivedAnnouncement known = this.byServer.get(announcement.server());
 		long latestStartMillis = this.latestStartMillisByAddress.getOrDefault(announcement.address(), Long.MIN_VALUE);
 		// A later incarnation has been announced at the same address.
 		boolean superseded = announcement.startedMillis() < latestStartMillis
 				&& announcement.state() == ServerState.READY;
 		boolean left = announcement.state() == ServerState.READY
-				&& hasLeft(announcement.server(), announcement.startedMillis());
+				&& (hasLeft(announcement.server(), announcement.startedMillis())
+						|| hasLeft(announcement.serviceMember(), announcement.startedMillis()));
 		boolean full = known == null && this.byServer.size() >= MAX_SERVERS;
 		if (superseded || left || full || (known != null && !announcement.replaces(known.announcement()))) {
 			return false;
 		}
 		this.byServer.put(announcement.server(), new ReceivedAnnouncement(announcement, receivedAt));
-		this.latestStartMillisByAddress.merge(announcement.address(), announcement.startedMillis(), Math::max);
+		recordStart(announcement);
 		if (announcement.state() != ServerState.READY) {
 			addDeparture(new Departure(announcement.server(), announcement.startedMillis()), receivedAt);
 		}
@@ -165,6 +231,7 @@
 	 */
 	public List<ServerAnnouncement> removeExpired(long now) {
 		this.departures.values().removeIf((each) -> now - each.receivedAt() > RETENTION.toNanos());
+		this.held.values().removeIf((each) -> now - each.receivedAt() > RETENTION.toNanos());
 		List<ServerAnnouncement> removed = new ArrayList<>();
 		Iterator<ReceivedAnnouncement> all = this.byServer.values().iterator();
 		while (all.hasNext()) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServerDirectoryTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/ServerDirectoryTests.java
@@ -5,9 +5,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 
 import org.comfreywall.common.toml.HostPort;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -97,4 +101,61 @@
 		}
 	}
 
+	/**
+	 * Announcements of another writer for a service that is not configured. If they are
+	 * merged, what the servers say of themselves later seems outdated: also that they
+	 * leave.
+	 */
+	@Nested
+	class ForeignServices {
+
+		private final ServerDirectory directory = ServerDirectoryTests.this.directory;
+
+		private ServerAnnouncement foreign(String id, ServerState state) {
+			return new ServerAnnouncement(id, "other", new HostPort("127.0.0.1", 1), "a", 20, 1, 8, state);
+		}
+
+		private void assertFollowsTheServer() {
+			assertThat(this.directory.merge(announcement("s", 1, 10, 6, ServerState.READY), 2)).isTrue();
+			assertThat(this.directory.merge(announcement("s", 1, 10, 7, ServerState.LEAVING), 3)).isTrue();
+			assertThat(this.directory.find("s").orElseThrow().state()).isEqualTo(ServerState.LEAVING);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "s", "another" })
+		void haveNoEffectOnTheServerAtTheirAddress(String id) {
+			this.directory.updateServices(Set.of("service"));
+			this.directory.merge(announcement("s", 1, 10, 5, ServerState.READY), 0);
+			assertThat(this.directory.merge(foreign(id, ServerState.READY), 1)).isFalse();
+			assertFollowsTheServer();
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "s", "another" })
+		void loseTheirEffectOnceTheServicesAreKnown(String id) {
+			this.directory.merge(foreign(id, ServerState.READY), 1);
+			assertThat(this.directory.updateServices(Set.of("service"))).extracting(ServerAnnouncement::server)
+				.containsExactly(id);
+			assertFollowsTheServer();
+		}
+
+		@Test
+		void areMergedOnceTheirServiceIsConfigured() {
+			this.directory.updateServices(Set.of("service"));
+			this.directory.merge(foreign("new", ServerState.READY), 1);
+			assertThat(this.directory.takeConfigured()).isEmpty();
+			assertThat(this.directory.updateServices(Set.of("service", "other"))).isEmpty();
+			assertThat(this.directory.takeConfigured()).containsExactly(foreign("new", ServerState.READY));
+			assertThat(this.directory.takeConfigured()).isEmpty();
+		}
+
+		@Test
+		void aDepartureAsAMemberOfOneServiceHoldsForThatServiceOnly() {
+			this.directory.merge(new Departure(foreign("s", ServerState.LEAVING).serviceMember(), 20), 0);
+			assertThat(this.directory.merge(announcement("s", 1, 10, 5, ServerState.READY), 1)).isTrue();
+			assertThat(this.directory.merge(foreign("s", ServerState.READY), 2)).isFalse();
+		}
+
+	}
+
 }
