Give a change that is sent again its first answer

Cause: the admin interface turned the submitted configuration into a difference to the present one. Once the change was applied that difference was another one, so the digest differed and the resend was refused (422) as another change under the same id.

Change: the difference is to the revision that the change expects, which the history gives back.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminServer.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/AdminServer.java
@@ -60,7 +60,7 @@
 	 */
 	public AdminServer(AdminParts parts, HostPort listen, HttpSecurity security) {
 		this.parts = Preconditions.notNull(parts, "parts");
-		this.configurations = new ConfigurationService(parts.control());
+		this.configurations = new ConfigurationService(LedgerCalls.through(parts.control()));
 		this.changes = new ChangeEndpoint(this.configurations);
 		HttpServerOptions options = new HttpServerOptions().setHost(listen.host()).setPort(listen.port());
 		this.server = security.create(parts.vertx(), options, ClientAuth.REQUIRED)
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ConfigurationService.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ConfigurationService.java
@@ -1,7 +1,8 @@
 package org.comfreywall.daemon.admin;
 
-import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -23,19 +24,16 @@
 import org.comfreywall.control.state.ConfigurationCodec;
 import org.comfreywall.control.state.ConfigurationLedger;
 import org.comfreywall.control.state.LedgerCommand;
-import org.comfreywall.transport.control.ControlClient;
 
 /**
  * Reads and changes the replicated configuration.
  */
 final class ConfigurationService {
 
-	private static final Duration TIMEOUT = Duration.ofSeconds(5);
+	private final LedgerCalls ledger;
 
-	private final ControlClient control;
-
-	ConfigurationService(ControlClient control) {
-		this.control = Preconditions.notNull(control, "control");
+	ConfigurationService(LedgerCalls ledger) {
+		this.ledger = Preconditions.notNull(ledger, "ledger");
 	}
 
 	CompletableFuture<Result<VersionedConfiguration>> currentConfiguration() {
@@ -45,6 +43,39 @@
 					ConfigurationCodec.fromRecord(reply.getConfiguration()))));
 	}
 
+	/**
+	 * Returns the configuration at a revision, as far as the history goes back.
+	 * @param revision the revision
+	 * @return completes with the configuration, with the present one if the revision is
+	 * not known or too old, or with an error
+	 */
+	CompletableFuture<Result<Configuration>> configurationAt(Revision revision) {
+		return currentConfiguration().thenCompose((current) -> {
+			Optional<VersionedConfiguration> newer = current.value()
+				.filter((present) -> present.revision().value() > revision.value());
+			if (newer.isEmpty()) {
+				return CompletableFuture.completedFuture(current.map(VersionedConfiguration::configuration));
+			}
+			return history(revision)
+				.thenApply((changes) -> changes.map((found) -> revert(newer.get(), revision, found)));
+		});
+	}
+
+	private static Configuration revert(VersionedConfiguration present, Revision to, List<HistoryRecord> changes) {
+		List<HistoryRecord> applied = changes.stream()
+			.filter((change) -> change.getRevision() <= present.revision().value())
+			.sorted(Comparator.comparingLong(HistoryRecord::getRevision).reversed())
+			.toList();
+		if (applied.size() < present.revision().value() - to.value()) {
+			return present.configuration();
+		}
+		Configuration reverted = present.configuration();
+		for (HistoryRecord change : applied) {
+			reverted = ConfigurationCodec.fromRecord(change.getBackward()).applyTo(reverted);
+		}
+		return reverted;
+	}
+
 	CompletableFuture<Result<List<HistoryRecord>>> history(Revision after) {
 		ConfigurationQueryRecord query = ConfigurationQueryRecord.newBuilder().setHistoryAfter(after.value()).build();
 		return query(query).thenApply((result) -> result.map((reply) -> reply.getHistory().getChangesList()));
@@ -52,7 +83,7 @@
 
 	CompletableFuture<Result<ChangeAnswer>> apply(ConfigurationChange change) {
 		Bytes command = new LedgerCommand(ConfigurationLedger.NAME, ChangeCodec.encode(change)).encode();
-		return this.control.propose(command, TIMEOUT).thenApply((result) -> result.flatMap(ChangeCodec::decodeAnswer));
+		return this.ledger.propose().apply(command).thenApply((result) -> result.flatMap(ChangeCodec::decodeAnswer));
 	}
 
 	CompletableFuture<Result<ChangeAnswer>> dryRun(ConfigurationChange change) {
@@ -68,7 +99,7 @@
 
 	private CompletableFuture<Result<ConfigurationReplyRecord>> query(ConfigurationQueryRecord query) {
 		Bytes encoded = new LedgerCommand(ConfigurationLedger.NAME, Bytes.of(query.toByteArray())).encode();
-		return this.control.query(encoded, TIMEOUT).thenApply((result) -> result.flatMap(ConfigurationService::decode));
+		return this.ledger.query().apply(encoded).thenApply((result) -> result.flatMap(ConfigurationService::decode));
 	}
 
 	private static Result<ConfigurationReplyRecord> decode(Bytes answer) {
