Do not round up the slots that earlier grantors reserved

Cause: each new leader counted its predecessor's durable reservation of in-flight slots as outstanding, added its own grants, which holders had inherited from that reservation, and rounded the sum up to a power of two. After a few elections within two minutes the reservation covered the whole limit and every request was refused (FleetTests).

Change: what holders report of earlier grants is counted once, only the slots of the present grantor are rounded up, and no reservation exceeds the limit.

--- a/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
+++ b/comfreywall-bench/src/main/java/org/comfreywall/bench/limits/SimulatedGrantor.java
@@ -104,7 +104,7 @@
 
 	private void updateReservedSlots(AccountId account, long now) {
 		long reserved = this.reservedSlots.getOrDefault(account, 0L);
-		this.reservedSlots.put(account, SlotReservation.next(reserved, this.ledger.outstandingSlots(account, now)));
+		this.reservedSlots.put(account, SlotReservation.next(reserved, this.ledger.slotUse(account, now)));
 	}
 
 	DriftingClock clock() {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
@@ -43,6 +43,9 @@
 
 	private final Map<HolderKey, Holder> holders = new HashMap<>();
 
+	/** The slots of earlier grantors that each holder has reported. */
+	private final Map<HolderKey, Long> reportedSlots = new HashMap<>();
+
 	private final FairDivision division = new FairDivision();
 
 	private long slots;
@@ -87,12 +90,20 @@
 		return grant(holder, sequence, now);
 	}
 
-	long outstandingSlots(long now) {
-		return committedSlots(now) + earlierSlots(now);
+	SlotUse slotUse(long now) {
+		long committed = committedSlots(now);
+		long reservedBefore = (now < this.context.slotsFrom()) ? this.earlierSlots.orElse(this.slots) : 0;
+		return new SlotUse(committed, earlierSlots(now), Math.max(committed, Math.max(this.slots, reservedBefore)));
 	}
 
+	// What a holder has reported is part of what earlier grantors granted and is counted
+	// for that holder. The others can have no more than the rest.
 	private long earlierSlots(long now) {
-		return (now < this.context.slotsFrom()) ? this.earlierSlots.orElse(this.slots) : 0;
+		if (now >= this.context.slotsFrom()) {
+			return 0;
+		}
+		long reported = this.reportedSlots.values().stream().mapToLong(Long::longValue).sum();
+		return Math.max(0, this.earlierSlots.orElse(this.slots) - reported);
 	}
 
 	long committedSlots(long now) {
@@ -129,6 +140,7 @@
 		if (granted) {
 			SlotGrant inherited = new SlotGrant(demand.heldSequence(), demand.heldSlots(), slotsExpireAt(now));
 			holder.addInheritedSlots(inherited);
+			this.reportedSlots.merge(holder.key(), inherited.slots(), Math::max);
 			this.committedSlots += holder.slots().committed(now);
 		}
 	}
--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/LeaseLedger.java
@@ -103,11 +103,11 @@
 	 * grantors.
 	 * @param account the client account
 	 * @param now the grantor's monotonic clock in nanoseconds
-	 * @return the number of slots
+	 * @return the slots
 	 */
-	public long outstandingSlots(AccountId account, long now) {
+	public SlotUse slotUse(AccountId account, long now) {
 		AccountLedger ledger = this.accounts.get(account);
-		return (ledger != null) ? ledger.outstandingSlots(now) : 0;
+		return (ledger != null) ? ledger.slotUse(now) : SlotUse.NONE;
 	}
 
 	/**
--- a/comfreywall-control/src/test/java/org/comfreywall/control/lease/LeaseLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/lease/LeaseLedgerTests.java
@@ -195,8 +195,70 @@
 		void countsSlotsReservedByEarlierGrantorsUntilTheyExpire() {
 			LeaseLedger successor = successor(2);
 			request(successor, "a", demand(0, 0, 3), 2 * SECOND);
-			assertThat(successor.outstandingSlots(ACCOUNT, 2 * SECOND)).isEqualTo(5);
-			assertThat(successor.outstandingSlots(ACCOUNT, 14 * SECOND)).isEqualTo(3);
+			assertThat(successor.slotUse(ACCOUNT, 2 * SECOND).outstanding()).isEqualTo(5);
+			assertThat(successor.slotUse(ACCOUNT, 14 * SECOND).outstanding()).isEqualTo(3);
+		}
+
+	}
+
+	/**
+	 * Leaders that follow one another within the time that a request may take. Each
+	 * reserves slots for what its predecessors may have granted; the limit must not be
+	 * used up by reservations alone.
+	 */
+	@Nested
+	class SuccessiveTakeovers {
+
+		private static final long LIMIT = 400;
+
+		private static final int TAKEOVERS = 12;
+
+		private static final long SLOTS_IN_USE = 20;
+
+		private LeaseLedger grantor(long term, long now, long reserved) {
+			LeaseLedger result = LeaseLedger.create(Term.of(term), LeaseLedgerTests.this.terms, now,
+					DecisionListener.NONE, new Invariants());
+			result.handle(new LimitsChanged(ACCOUNT, Optional.of(new GrantorLimits(10, 1000, LIMIT)),
+					OptionalLong.of(reserved)), now);
+			return result;
+		}
+
+		@Test
+		void leaveSlotsForTheHolders() {
+			long now = 0;
+			long reserved = 0;
+			long held = 0;
+			long heldSequence = 0;
+			for (int term = 1; term <= TAKEOVERS; term++) {
+				now += SECOND / 2;
+				LeaseLedger grantor = grantor(term, now, reserved);
+				for (int i = 0; i < 3; i++) {
+					AccountDemand demand = new AccountDemand(ACCOUNT, 0, 0, 0, 0, SLOTS_IN_USE, held,
+							Term.of(Math.max(1, term - 1)), heldSequence, held);
+					LeaseLedgerTests.this.sequence++;
+					AccountGrant grant = send(grantor, new LeaseRequest(InstanceId.of("a"), Incarnation.of(1),
+							LeaseLedgerTests.this.sequence, Term.of(term), List.of(demand)), now)
+						.orElseThrow();
+					held = grant.slots();
+					heldSequence = LeaseLedgerTests.this.sequence;
+					now += SECOND / 10;
+				}
+				assertThat(held).as("slots in term %d", term).isEqualTo(SLOTS_IN_USE);
+				assertThat(reserved).isLessThan(LIMIT);
+				SlotUse use = grantor.slotUse(ACCOUNT, now);
+				reserved = SlotReservation.next(reserved, use);
+				assertThat(reserved).isGreaterThanOrEqualTo(use.outstanding());
+			}
+		}
+
+		@Test
+		void countWhatAHolderReportsOnce() {
+			LeaseLedger second = grantor(2, 100 * SECOND, 100);
+			AccountDemand held = new AccountDemand(ACCOUNT, 0, 0, 0, 0, 60, 60, Term.of(1), 3, 60);
+			assertThat(request(second, "a", held, 101 * SECOND).slots()).isEqualTo(60);
+			assertThat(second.slotUse(ACCOUNT, 101 * SECOND)).isEqualTo(new SlotUse(60, 40, LIMIT));
+			assertThat(request(second, "b", demand(0, 0, 400), 102 * SECOND).slots()).isEqualTo(300);
+			assertThat(second.slotUse(ACCOUNT, 102 * SECOND).outstanding()).isEqualTo(LIMIT);
 		}
 
 	}
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LeaseGrantor.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/LeaseGrantor.java
@@ -29,6 +29,7 @@
 import org.comfreywall.control.lease.LedgerCommand;
 import org.comfreywall.control.lease.LimitsChanged;
 import org.comfreywall.control.lease.SendGrant;
+import org.comfreywall.control.lease.SlotUse;
 import org.comfreywall.transport.control.LeaseCodec;
 import org.comfreywall.transport.generated.LeaseCall;
 import org.comfreywall.transport.generated.LeaseReply;
@@ -142,8 +143,8 @@
 	}
 
 	private CompletionStage<Boolean> ensureReserved(AccountId account) {
-		long outstanding = this.ledger.orElseThrow().outstandingSlots(account, this.clock.nanoTime());
-		return this.reserver.map((current) -> current.ensureReserved(account, outstanding))
+		SlotUse use = this.ledger.orElseThrow().slotUse(account, this.clock.nanoTime());
+		return this.reserver.map((current) -> current.ensureReserved(account, use))
 			.orElseGet(() -> CompletableFuture.completedFuture(true));
 	}
 
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/SlotReserver.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/control/SlotReserver.java
@@ -7,6 +7,7 @@
 
 import org.comfreywall.common.id.AccountId;
 import org.comfreywall.control.lease.SlotReservation;
+import org.comfreywall.control.lease.SlotUse;
 
 /**
  * Keeps the durable reservations of one term at or above the number of in-flight slots
@@ -34,12 +35,12 @@
 	/**
 	 * Updates the reservation of a client account if the number of its slots requires it.
 	 * @param account the client account
-	 * @param outstanding the number of slots that may be in use
+	 * @param use the slots that may be in use
 	 * @return completes with whether the latest reservation is durable
 	 */
-	synchronized CompletionStage<Boolean> ensureReserved(AccountId account, long outstanding) {
+	synchronized CompletionStage<Boolean> ensureReserved(AccountId account, SlotUse use) {
 		long current = reserved(account);
-		long next = SlotReservation.next(current, outstanding);
+		long next = SlotReservation.next(current, use);
 		if (next != current) {
 			this.reserved.put(account, next);
 			this.latestWrites.put(account,
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/control/SlotReserverTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/control/SlotReserverTests.java
@@ -8,6 +8,7 @@
 
 import org.comfreywall.common.id.AccountId;
 import org.comfreywall.common.result.Result;
+import org.comfreywall.control.lease.SlotUse;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -25,16 +26,20 @@
 
 	private final SlotReserver reserver = new SlotReserver(new ManualPort(), Map.of(FARM, 8L));
 
+	private static SlotUse use(long slots) {
+		return new SlotUse(slots, 0, 400);
+	}
+
 	@Test
 	void requestsNoReservationWhileTheCurrentOneSuffices() {
-		assertThat(this.reserver.ensureReserved(FARM, 8).toCompletableFuture()).isCompletedWithValue(true);
+		assertThat(this.reserver.ensureReserved(FARM, use(8)).toCompletableFuture()).isCompletedWithValue(true);
 		assertThat(this.requested).isEmpty();
 	}
 
 	@Test
 	void laterGrantWaitsForPendingReservation() {
-		CompletableFuture<Boolean> first = this.reserver.ensureReserved(FARM, 9).toCompletableFuture();
-		CompletableFuture<Boolean> second = this.reserver.ensureReserved(FARM, 10).toCompletableFuture();
+		CompletableFuture<Boolean> first = this.reserver.ensureReserved(FARM, use(9)).toCompletableFuture();
+		CompletableFuture<Boolean> second = this.reserver.ensureReserved(FARM, use(10)).toCompletableFuture();
 		assertThat(this.requested).containsExactly(16L);
 		assertThat(second).isNotDone();
 		this.answers.get(0).complete(true);
@@ -44,10 +49,10 @@
 
 	@Test
 	void requestsReservationAgainAfterFailure() {
-		CompletableFuture<Boolean> first = this.reserver.ensureReserved(FARM, 9).toCompletableFuture();
+		CompletableFuture<Boolean> first = this.reserver.ensureReserved(FARM, use(9)).toCompletableFuture();
 		this.answers.get(0).complete(false);
 		assertThat(first).isCompletedWithValue(false);
-		this.reserver.ensureReserved(FARM, 9);
+		this.reserver.ensureReserved(FARM, use(9));
 		assertThat(this.requested).containsExactly(16L, 16L);
 	}
 
