Run repeated tasks again after an unexpected error

Cause: executors drop a repeated task once it has thrown. If the files of a data folder could not be read, or the disk's worker was busy when the founders were named, the replica was never opened.

Change: RepeatedTask logs the error and runs the task again; the replica is opened whatever the files hold, and opening is tried again while the worker is busy.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -55,6 +55,7 @@
 import org.comfreywall.transport.generated.FleetNewsReply;
 import org.comfreywall.transport.rpc.RpcClient;
 import org.comfreywall.transport.rpc.RpcServer;
+import org.comfreywall.transport.worker.RepeatedTask;
 import org.comfreywall.transport.worker.SerialWorker;
 
 /**
@@ -172,23 +173,26 @@
 	public void start() {
 		this.loop.execute(() -> updateSeeds(this.settings.seeds()));
 		this.replica.ifPresent((opened) -> this.storageWorker.execute(() -> {
-			List<HostPort> peers = this.peerFile.map(PeerFile::load).orElse(List.of());
-			Map<Departure, Duration> departures = this.departureFile
-				.map((file) -> file.load(System.currentTimeMillis()))
-				.orElse(Map.of());
-			this.loop.execute(() -> {
-				addPeers(peers);
-				long now = System.nanoTime();
-				departures.forEach((departure, age) -> mergeDeparture(departure, now - age.toNanos()));
-			});
-			this.bootstrap.open(opened);
+			try {
+				loadFiles();
+			}
+			finally {
+				this.bootstrap.open(opened);
+			}
 		}));
-		scheduleRepeatedly(UPDATE_INTERVAL, this::broadcastUpdate);
-		scheduleRepeatedly(MAINTENANCE_INTERVAL, this::maintain);
-	}
-
-	private void scheduleRepeatedly(Duration interval, Runnable task) {
-		this.loop.scheduleWithFixedDelay(task, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
+		RepeatedTask.schedule(this.loop, UPDATE_INTERVAL, "broadcast-update", this::broadcastUpdate);
+		RepeatedTask.schedule(this.loop, MAINTENANCE_INTERVAL, "maintain", this::maintain);
+	}
+
+	private void loadFiles() {
+		List<HostPort> peers = this.peerFile.map(PeerFile::load).orElse(List.of());
+		Map<Departure, Duration> departures = this.departureFile.map((file) -> file.load(System.currentTimeMillis()))
+			.orElse(Map.of());
+		this.loop.execute(() -> {
+			addPeers(peers);
+			long now = System.nanoTime();
+			departures.forEach((departure, age) -> mergeDeparture(departure, now - age.toNanos()));
+		});
 	}
 
 	private void register() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogBootstrap.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LogBootstrap.java
@@ -87,7 +87,7 @@
 		}
 		LOG.info("log-founded", Field.of("founders", initialVoters), Field.of("self", this.settings.instance()));
 		boolean isInitialVoter = initialVoters.contains(this.settings.instance());
-		this.storageWorker.execute(() -> {
+		boolean accepted = this.storageWorker.offer(() -> {
 			if (isInitialVoter) {
 				replica.bootstrap(initialVoters);
 			}
@@ -95,6 +95,11 @@
 				replica.open();
 			}
 		});
+		if (!accepted) {
+			// A slow disk keeps the worker busy.
+			this.loop.schedule(() -> openWithInitialVoters(replica, result), RETRY_INTERVAL.toMillis(),
+					TimeUnit.MILLISECONDS);
+		}
 	}
 
 	// Registers the sender as a candidate; the reply is empty until the initial voters
