Serve again as the same voter after a full disk

Cause: (1) A data folder whose first open failed was never opened again, as maintenance asked for a storage identifier first. (2) A sync that failed on a full disk marked the folder as untrusted, so it was emptied and its process had to join as a new voter; with disks that were full one after another the voters left had no majority, and changes stayed unanswered for good. (3) A replica whose thread had ended with an unexpected error was never opened again.

Change: the first open is tried again with the same content. After a failed sync for lack of space, the records after the last successful sync are cut off, durably, before the folder is opened again; nothing was acknowledged that relied on them. Other failed syncs are handled as before. A replica that has ended is opened again.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNode.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/runtime/ControlNode.java
@@ -180,6 +180,14 @@
 		return this.status;
 	}
 
+	/**
+	 * Returns whether the node processes its inputs.
+	 * @return {@code false} once it was closed or has failed with an unexpected error
+	 */
+	public boolean isRunning() {
+		return !this.ended;
+	}
+
 	/**
 	 * Returns whether this instance holds the leader lease, so that no other instance can
 	 * have been elected yet. Check it immediately before sending each order.
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/DiskStorage.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/DiskStorage.java
@@ -47,6 +47,9 @@
 
 	private boolean unsynced;
 
+	/** The segment that lost unsynced records when the disk was full. */
+	private Optional<Segment> torn = Optional.empty();
+
 	private Optional<OperationError> failure = Optional.empty();
 
 	private DiskStorage(DataFolder folder, FileSync fileSync, long segmentBytes, FolderOrigin origin)
@@ -96,7 +99,7 @@
 		try {
 			return new DiskStorage(folder, fileSync, segmentBytes, origin);
 		}
-		catch (IOException ex) {
+		catch (IOException | RuntimeException ex) {
 			folder.close();
 			throw ex;
 		}
@@ -157,12 +160,34 @@
 		}
 	}
 
+	/**
+	 * Removes the records whose sync failed on a full disk, so that the folder can be
+	 * opened again. What was synced before them is intact, and nothing was acknowledged
+	 * that relies on them. Called after {@link #close()}, until it succeeds.
+	 * @return {@code true} if no such records are left on disk
+	 */
+	public boolean discardUnsynced() {
+		try {
+			if (this.torn.isPresent()) {
+				this.torn.get().truncateToSynced(this.fileSync);
+				this.torn = Optional.empty();
+				LOG.info("unsynced-records-discarded", Field.of("storage-id", this.storageId));
+			}
+			return true;
+		}
+		catch (IOException ex) {
+			LOG.warn("unsynced-records-not-discarded", Field.of("error", ex.getMessage()));
+			return false;
+		}
+	}
+
 	private void createFirstSegment(FolderOrigin origin) throws IOException {
 		this.nextSequence = 1;
-		this.segment = newSegment(true);
-		append(LogCodec.encodeBatch(origin.firstBatch()).toArray());
-		syncSegment(this.segment);
-		this.segment.close();
+		try (Segment first = newSegment(true)) {
+			this.segment = first;
+			append(LogCodec.encodeBatch(origin.firstBatch()).toArray());
+			syncSegment(first);
+		}
 	}
 
 	// Writes one frame. A frame is written only after the previous one is synced, so that
@@ -202,11 +227,22 @@
 			this.unsynced = false;
 		}
 		catch (IOException ex) {
-			this.folder.markSyncFailed();
+			if (isDiskFull(ex)) {
+				this.torn = Optional.of(synced);
+			}
+			else {
+				this.folder.markSyncFailed();
+			}
 			throw ex;
 		}
 	}
 
+	// A full disk loses what was not synced, but unlike a defective one nothing else.
+	private static boolean isDiskFull(IOException ex) {
+		String message = String.valueOf(ex.getMessage());
+		return message.contains("No space left on device") || message.contains("Disk quota exceeded");
+	}
+
 	// Runs an operation unless an earlier one failed; no operation is retried.
 	private Optional<OperationError> attempt(String action, FileOperation operation) {
 		if (this.failure.isPresent()) {
@@ -215,7 +251,7 @@
 		try {
 			operation.run();
 		}
-		catch (IOException ex) {
+		catch (IOException | UncheckedIOException ex) {
 			this.failure = Optional.of(OperationError.local(ErrorCode.STORAGE, Step.STORE,
 					"the " + action + " failed and is not retried: " + ex.getMessage()));
 			LOG.error("storage-failed", Field.of("action", action), Field.of("error", ex.getMessage()));
--- a/comfreywall-control/src/main/java/org/comfreywall/control/storage/Segment.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/storage/Segment.java
@@ -22,16 +22,22 @@
 
 	static final long MAGIC = 0x43465257414c4c31L;
 
+	private final Path file;
+
 	private final FileChannel channel;
 
 	private final long salt;
 
 	private long bytes;
 
-	private Segment(FileChannel channel, long salt) {
+	private long syncedBytes;
+
+	private Segment(Path file, FileChannel channel, long salt) {
+		this.file = file;
 		this.channel = channel;
 		this.salt = salt;
 		this.bytes = HEADER_BYTES;
+		this.syncedBytes = HEADER_BYTES;
 	}
 
 	static String name(long firstSequence) {
@@ -45,7 +51,7 @@
 		try {
 			writeFully(channel, header.encode());
 			fileSync.sync(channel);
-			return new Segment(channel, header.salt());
+			return new Segment(file, channel, header.salt());
 		}
 		catch (IOException ex) {
 			channel.close();
@@ -67,6 +73,16 @@
 
 	void sync(FileSync fileSync) throws IOException {
 		fileSync.sync(this.channel);
+		this.syncedBytes = this.bytes;
+	}
+
+	// Removes all frames after the last one that was synced, also once this segment is
+	// closed.
+	void truncateToSynced(FileSync fileSync) throws IOException {
+		try (FileChannel opened = FileChannel.open(this.file, StandardOpenOption.WRITE)) {
+			opened.truncate(this.syncedBytes);
+			fileSync.sync(opened);
+		}
 	}
 
 	@Override
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -252,10 +252,6 @@
 		}
 	}
 
-	/**
-	 * Applies an announcement that a server leaves and sends it to all live processes,
-	 * which acknowledge it once it is on their disks.
-	 * @param announcement the announcement
 	/**
 	 * Sets the configured services. Servers of other services are not used, and what is
 	 * announced for them has no effect on those of the configured ones.
@@ -271,19 +267,23 @@
 		this.directory.takeConfigured().forEach(this::announce);
 	}
 
+	/**
+	 * Applies an announcement that a server leaves and sends it to all live processes,
+	 * which acknowledge it once it is on their disks.
+	 * @param announcement the announcement
 	 * @return completes once every live process has replied or its call has failed;
 	 * {@code true} if the processes with a disk that acknowledged it, including this one,
 	 * are a majority of the target number of voters
 	 */
 	public CompletableFuture<Boolean> announceToAll(ServerAnnouncement announcement) {
-		merge(announcement, System.nanoTime());
-		return sendToAll(newUpdate().addServers(FleetCodec.encode(announcement, 0)).build(),
-				new Departure(announcement.server(), announcement.startedMillis()));
-	}
 		if (!this.directory.isConfigured(announcement.service())) {
 			// Holds for a server of that service only: the announcement may be foreign.
 			return announceDeparture(new Departure(announcement.serviceMember(), announcement.startedMillis()));
 		}
+		merge(announcement, System.nanoTime());
+		return sendToAll(newUpdate().addServers(FleetCodec.encode(announcement, 0)).build(),
+				new Departure(announcement.server(), announcement.startedMillis()));
+	}
 
 	/**
 	 * Applies the departure of a server, known or not, and sends it to all live
@@ -664,13 +664,13 @@
 		this.directory.removeExpired(now).forEach(this.listener::onServerRemoved);
 		updateLiveInstances(now);
 		this.replica.ifPresent((opened) -> {
-			if (opened.storageId() != 0) {
-				List<HostPort> peers = durablePeers(now);
-				this.storageWorker.offer(() -> {
-					opened.reopenIfFailed();
+			List<HostPort> peers = durablePeers(now);
+			this.storageWorker.offer(() -> {
+				opened.reopenIfFailed();
+				if (opened.storageId() != 0) {
 					this.peerFile.ifPresent((file) -> file.save(peers));
-				});
-			}
+				}
+			});
 		});
 		if (holdsLeaderLease()) {
 			planVoters(now);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LocalReplica.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LocalReplica.java
@@ -74,7 +74,12 @@
 
 	private Optional<ControlNode> node = Optional.empty();
 
-	private long storageId;
+	private Optional<DiskStorage> storage = Optional.empty();
+
+	/** The content of an empty folder; empty until the replica may be opened. */
+	private Optional<FolderOrigin> origin = Optional.empty();
+
+	private volatile long storageId;
 
 	LocalReplica(Path folder, String self, PeerSender sender, Consumer<VersionedDocument> listener) {
 		this.folder = folder;
@@ -96,18 +101,21 @@
 	 * @param initialVoters the instances of all initial voters
 	 */
 	void bootstrap(List<String> initialVoters) {
-		open(FolderOrigin.founding(this.self, initialVoters.stream().map(InstanceId::of).toList()));
+		this.origin = Optional
+			.of(FolderOrigin.founding(this.self, initialVoters.stream().map(InstanceId::of).toList()));
+		openFolder();
 	}
 
 	/**
 	 * Opens the folder. The replica of an empty folder waits until the leader adds it.
 	 */
 	void open() {
-		open(FolderOrigin.joining(this.self, new SecureRandom()));
+		this.origin = Optional.of(FolderOrigin.joining(this.self, new SecureRandom()));
+		openFolder();
 	}
 
-	private void open(FolderOrigin origin) {
-		Result<DiskStorage> opened = DiskStorage.open(this.folder, origin, SEGMENT_BYTES);
+	private void openFolder() {
+		Result<DiskStorage> opened = DiskStorage.open(this.folder, this.origin.orElseThrow(), SEGMENT_BYTES);
 		if (opened.error().isPresent()) {
 			LOG.error("storage-not-opened", Field.of("error", opened.error().get().message()));
 			if (isBeyondRepair(opened.error().get().message())) {
@@ -115,10 +123,13 @@
 			}
 			return;
 		}
-		DiskStorage storage = opened.value().orElseThrow();
-		this.storageId = storage.storageId();
+		DiskStorage open = opened.value().orElseThrow();
+		this.storage = opened.value();
+		this.storageId = open.storageId();
+		// A folder that is emptied from now on must not found the log again.
+		this.origin = Optional.of(FolderOrigin.joining(this.self, new SecureRandom()));
 		StateMachine machine = new StateMachine(List.of(new DocumentLedger(this.listener)));
-		ControlNodeDependencies parts = new ControlNodeDependencies(this.self, storage, machine, this.sender,
+		ControlNodeDependencies parts = new ControlNodeDependencies(this.self, open, machine, this.sender,
 				Clock.system(), new Random(), DecisionListener.NONE, new Invariants(), new MetricRegistry());
 		this.node = Optional.of(ControlNode.start(parts, SETTINGS));
 		LOG.info("storage-opened", Field.of("storage-id", this.storageId));
@@ -142,17 +153,24 @@
 	}
 
 	/**
-	 * Reopens the storage if it has failed or could not be opened.
+	 * Opens the replica again if it has failed, or if it could not be opened when that
+	 * was first tried.
 	 */
 	void reopenIfFailed() {
-		if (this.node.filter((running) -> running.status().role() == Role.DISABLED).isPresent()) {
-			LOG.warn("storage-reopened", Field.of("storage-id", this.storageId));
-			this.node.ifPresent(ControlNode::close);
+		this.node.filter(LocalReplica::hasFailed).ifPresent((failed) -> {
+			LOG.warn("storage-reopened", Field.of("storage-id", this.storageId),
+					Field.of("running", failed.isRunning()));
+			failed.close();
 			this.node = Optional.empty();
+		});
+		boolean intact = this.storage.map(DiskStorage::discardUnsynced).orElse(true);
+		if (this.node.isEmpty() && this.origin.isPresent() && intact) {
+			openFolder();
 		}
-		if (this.node.isEmpty()) {
-			open();
-		}
+	}
+
+	private static boolean hasFailed(ControlNode node) {
+		return !node.isRunning() || node.status().role() == Role.DISABLED;
 	}
 
 	Optional<ControlNode> node() {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,6 +39,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -61,6 +64,8 @@
 	@TempDir
 	private Path disks;
 
+	private final Map<Integer, FaultyDisk> faultyDisks = new HashMap<>();
+
 	@BeforeEach
 	void start() throws IOException {
 		// Uses a loopback address of its own, so that no other process takes the ports.
@@ -83,6 +88,10 @@
 		}
 	}
 
+	private FaultyDisk disk(int number) {
+		return this.faultyDisks.computeIfAbsent(number, (added) -> new FaultyDisk(this.disks));
+	}
+
 	private static void await(BooleanSupplier condition) throws InterruptedException {
 		long end = System.nanoTime() + TIMEOUT.toNanos();
 		while (!condition.getAsBoolean() && System.nanoTime() < end) {
@@ -412,6 +421,114 @@
 
 	}
 
+	/**
+	 * Disks that are full for a while, never two at once. Their processes must serve
+	 * again as the voters that they were, or changes stay unanswered after the last one
+	 * has room.
+	 */
+	@Nested
+	class FullDisks {
+
+		/** Operators try again for this long before a change counts as unanswered. */
+		private static final Duration MAX_RECOVERY = Duration.ofSeconds(4);
+
+		private static final long FULL_MILLIS = 1500;
+
+		private long version = 1;
+
+		private String format(int number) throws IOException {
+			return Files.readString(FleetNodeTests.this.disks.resolve(number + "/FORMAT"));
+		}
+
+		// Proposes documents at all processes in turn while the disk is full.
+		private void fillUp(int number, boolean onSync) throws InterruptedException {
+			if (onSync) {
+				disk(number).refuseSyncs();
+			}
+			else {
+				disk(number).fillUpAfter(0);
+			}
+			long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FULL_MILLIS);
+			while (System.nanoTime() < end) {
+				this.version++;
+				Member member = FleetNodeTests.this.members.get((int) (this.version % 4));
+				member.node.propose(document(this.version, "v" + this.version)).join();
+				TimeUnit.MILLISECONDS.sleep(50);
+			}
+			disk(number).makeRoom();
+		}
+
+		private void assertAcknowledgesChanges() throws InterruptedException {
+			long start = System.nanoTime();
+			this.version++;
+			propose(3, document(this.version, "last"));
+			assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(MAX_RECOVERY);
+			await(() -> allHaveVersion(this.version));
+		}
+
+		@ParameterizedTest
+		@ValueSource(booleans = { false, true })
+		void changesAreAcknowledgedAfterEachDiskWasFullInTurn(boolean onSync) throws Exception {
+			propose(0, document(1, "one"));
+			await(() -> allHaveVersion(1));
+			List<String> formats = List.of(format(0), format(1), format(2));
+			for (int round = 0; round < 2; round++) {
+				for (int number = 0; number < 3; number++) {
+					fillUp(number, onSync);
+				}
+			}
+			assertAcknowledgesChanges();
+			assertThat(List.of(format(0), format(1), format(2))).isEqualTo(formats);
+		}
+
+		@Test
+		void aProcessThatStartedWithAFullDiskVotesOnceThereIsRoom() throws Exception {
+			propose(0, document(1, "one"));
+			await(() -> allHaveVersion(1));
+			String format = format(1);
+			FleetNodeTests.this.members.get(1).closer.close();
+			disk(1).fillUpAfter(0);
+			FleetNodeTests.this.members.set(1, new Member(1, false));
+			TimeUnit.MILLISECONDS.sleep(FULL_MILLIS);
+			disk(1).makeRoom();
+			TimeUnit.MILLISECONDS.sleep(FULL_MILLIS);
+			FleetNodeTests.this.members.get(2).closer.close();
+			FleetNodeTests.this.members.remove(2);
+			propose(0, document(2, "two"));
+			await(() -> allHaveVersion(2));
+			assertThat(format(1)).isEqualTo(format);
+		}
+
+		@Test
+		void aFounderWhoseDiskIsFullAtTheFirstStartVotesOnceThereIsRoom() throws Exception {
+			restartWithEmptyDisks();
+			propose(0, document(1, "one"));
+			disk(1).makeRoom();
+			TimeUnit.MILLISECONDS.sleep(2 * FULL_MILLIS);
+			FleetNodeTests.this.members.get(2).closer.close();
+			FleetNodeTests.this.members.remove(2);
+			propose(0, document(2, "two"));
+			await(() -> allHaveVersion(2));
+		}
+
+		private void restartWithEmptyDisks() throws Exception {
+			propose(0, document(1, "before"));
+			await(() -> allHaveVersion(1));
+			for (Member member : FleetNodeTests.this.members) {
+				member.closer.close();
+			}
+			for (int number = 0; number < 3; number++) {
+				loseDisk(number);
+			}
+			FleetNodeTests.this.members.clear();
+			disk(1).fillUpAfter(2);
+			for (int number = 0; number < 4; number++) {
+				FleetNodeTests.this.members.add(new Member(number, true));
+			}
+		}
+
+	}
+
 	/** A process of the fleet. */
 	private final class Member implements FleetListener {
 
@@ -440,8 +557,8 @@
 		private Member(int number, boolean firstStart, List<HostPort> seeds) {
 			this.number = number;
 			this.closer.register(() -> this.loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync());
-			Optional<Path> disk = (number != DISKLESS) ? Optional.of(FleetNodeTests.this.disks.resolve("" + number))
-					: Optional.empty();
+			Optional<Path> disk = (number != DISKLESS)
+					? Optional.of(disk(number).path(FleetNodeTests.this.disks.resolve("" + number))) : Optional.empty();
 			FleetSettings settings = new FleetSettings("m" + number, "d" + number,
 					FleetNodeTests.this.addresses.get(number), seeds, disk, firstStart, 1);
 			this.node = this.closer.register(new FleetNode(settings, this.loop.next(), this, this.observer));
