Bound the memory of all request bodies in hand

A caller that stopped within a body held its memory for ever. Refusals closed the connection with unread bytes, which resets it, so that the caller could lose the answer.

What does not fit is refused with 503 and Retry-After before it is read, or when a chunked body outgrows the rest; the rest of a refused request is read and dropped for a second. The idle timeout also applies within a body.

Shown by: GatewayTests.LargeBodies (a new setting, so not run on the code before).

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
@@ -1,8 +1,10 @@
 package org.comfreywall.gateway.http;
 
 import java.io.ByteArrayOutputStream;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -12,7 +14,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -34,6 +35,13 @@
 	 */
 	private static final int MAX_PIPELINED = 4;
 
+	/**
+	 * Time for which the rest of a refused request is read and dropped. Closing a
+	 * connection with unread bytes would reset it, and the caller would lose the
+	 * response.
+	 */
+	private static final long LINGER_MILLIS = 1000;
+
 	private final Gateway gateway;
 
 	private final Deque<CallerRequest> pipelined = new ArrayDeque<>();
@@ -44,12 +52,20 @@
 
 	private ByteArrayOutputStream body;
 
+	/** The bytes reserved for the body that is being read. */
+	private long reservedBytes;
+
+	/** The bytes reserved for the body of the request that is being processed. */
+	private long processedBytes;
+
 	private Exchange exchange;
 
 	private boolean closing;
 
 	private ScheduledFuture<?> idleTimer;
 
+	private boolean lingering;
+
 	CallerConnection(Gateway gateway) {
 		this.gateway = gateway;
 	}
@@ -61,7 +77,16 @@
 		startIdleTimer();
 	}
 
-	// The idle timeout applies until the head of the next request has been read.
+	@Override
+	public void channelReadComplete(ChannelHandlerContext read) {
+		if (this.head != null) {
+			// The rest of the body has to arrive within the idle timeout.
+			startIdleTimer();
+		}
+		read.fireChannelReadComplete();
+	}
+
+	// The idle timeout applies while the next byte of a request is awaited.
 	private void startIdleTimer() {
 		cancelIdleTimer();
 		long nanos = this.gateway.limits().idleTimeout().toNanos();
@@ -111,6 +136,9 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext read, HttpObject message) {
 		if (this.closing) {
+			if (this.lingering && message instanceof LastHttpContent) {
+				this.context.close();
+			}
 			return;
 		}
 		if (message.decoderResult().isFailure()) {
@@ -132,11 +160,15 @@
 
 	private void begin(HttpRequest request) {
 		cancelIdleTimer();
+		long length = HttpUtil.getContentLength(request, 0L);
 		this.head = request;
 		this.body = new ByteArrayOutputStream();
-		if (HttpUtil.getContentLength(request, 0L) > this.gateway.limits().maxBodyBytes()) {
+		if (length > this.gateway.limits().maxBodyBytes()) {
 			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 		}
+		else if (!tryReserve(length)) {
+			refuseForMemory();
+		}
 		else if (HttpUtil.is100ContinueExpected(request)) {
 			this.context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
@@ -148,6 +180,10 @@
 			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 			return;
 		}
+		if (!tryReserve(this.body.size() + bytes.readableBytes() - this.reservedBytes)) {
+			refuseForMemory();
+			return;
+		}
 		byte[] part = new byte[bytes.readableBytes()];
 		bytes.readBytes(part);
 		this.body.writeBytes(part);
@@ -156,10 +192,26 @@
 					this.body.toByteArray(), HttpUtil.isKeepAlive(this.head), System.nanoTime());
 			this.head = null;
 			this.body = null;
+			// Fewer bytes than announced end as a malformed request, not here.
+			this.reservedBytes = 0;
+			cancelIdleTimer();
 			enqueue(request);
 		}
 	}
 
+	private boolean tryReserve(long bytes) {
+		boolean reserved = bytes <= 0 || this.gateway.bodies().tryReserve(bytes);
+		if (reserved) {
+			this.reservedBytes += Math.max(0, bytes);
+		}
+		return reserved;
+	}
+
+	private void refuseForMemory() {
+		this.gateway.log().bodyRefused(this.head, this.body.size(), this.gateway.bodies().usedBytes());
+		refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, Optional.of(this.gateway.bodies().retryAfter()));
+	}
+
 	private void enqueue(CallerRequest request) {
 		this.pipelined.addLast(request);
 		if (this.pipelined.size() >= MAX_PIPELINED) {
@@ -172,6 +224,7 @@
 		if (this.exchange == null && !this.pipelined.isEmpty()) {
 			CallerRequest request = this.pipelined.pollFirst();
 			this.context.channel().config().setAutoRead(true);
+			this.processedBytes = request.body().length;
 			this.exchange = new Exchange(this.gateway, this, request);
 			this.exchange.start();
 		}
@@ -183,6 +236,7 @@
 	 */
 	void exchangeEnded(boolean keepAlive) {
 		this.exchange = null;
+		releaseProcessed();
 		if (keepAlive && this.gateway.isStopping()) {
 			// The response head, sent before the stop began, announced keep-alive. A
 			// request that arrives after the close is not processed and can be retried
@@ -199,15 +253,29 @@
 		startNext();
 	}
 
+	private void releaseProcessed() {
+		this.gateway.bodies().release(this.processedBytes);
+		this.processedBytes = 0;
+	}
+
 	private void refuse(HttpResponseStatus status) {
+		refuse(status, Optional.empty());
+	}
+
+	private void refuse(HttpResponseStatus status, Optional<Duration> retryAfter) {
 		this.closing = true;
 		this.head = null;
+		this.body = null;
+		this.gateway.bodies().release(this.reservedBytes);
+		this.reservedBytes = 0;
+		cancelIdleTimer();
 		if (this.exchange != null) {
 			return;
 		}
-		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
-		response.headers().set(HttpHeaderNames.CONNECTION, "close").set(HttpHeaderNames.CONTENT_LENGTH, 0);
-		this.context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+		CallerResponse response = new CallerResponse(this.context, new ResponseTiming(System.nanoTime()));
+		response.sendLastStatus(status, retryAfter);
+		this.lingering = true;
+		this.context.executor().schedule(() -> this.context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	@Override
@@ -225,6 +293,11 @@
 			this.exchange.callerDisconnected();
 			this.exchange = null;
 		}
+		releaseProcessed();
+		this.gateway.bodies().release(this.reservedBytes);
+		this.reservedBytes = 0;
+		this.pipelined.forEach((request) -> this.gateway.bodies().release(request.body().length));
+		this.pipelined.clear();
 	}
 
 	@Override
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
@@ -147,13 +147,28 @@
 	 * @param keepAlive whether the connection stays open
 	 */
 	void sendStatus(HttpResponseStatus status, Optional<Duration> retryAfter, boolean keepAlive) {
+		end(status(status, retryAfter, keepAlive));
+	}
+
+	private FullHttpResponse status(HttpResponseStatus status, Optional<Duration> retryAfter, boolean keepAlive) {
 		this.started = true;
 		FullHttpResponse out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
 		out.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
 		retryAfter.ifPresent((wait) -> out.headers()
 			.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", wait.toMillis() / MILLIS_PER_SECOND)));
 		close(out, keepAlive);
-		end(out);
+		return out;
+	}
+
+	/**
+	 * Sends a response without body that this process generates, after which the
+	 * connection is to be closed by its owner.
+	 * @param status the status
+	 * @param retryAfter the time after which the caller may retry, or empty to send no
+	 * such header
+	 */
+	void sendLastStatus(HttpResponseStatus status, Optional<Duration> retryAfter) {
+		this.context.writeAndFlush(status(status, retryAfter, false), this.context.voidPromise());
 	}
 
 	/**
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -9,7 +9,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
@@ -25,6 +24,7 @@
 import org.comfreywall.gateway.pool.ServicePool;
 import org.comfreywall.gateway.pool.ServiceRetryBudget;
 import org.comfreywall.gateway.pool.SlotDecision;
+import org.comfreywall.transport.worker.RepeatedTask;
 
 /**
  * The state that all requests of this entry share: configuration, server pools, retry
@@ -35,7 +35,7 @@
 	/** A connection that was idle for less than this is almost always still open. */
 	static final long FRESH_CONNECTION_NANOS = 150_000_000L;
 
-	private static final long TICK_MILLIS = 20;
+	private static final Duration TICK = Duration.ofMillis(20);
 
 	/**
 	 * The usual time until a process that has just started has a configuration: after a
@@ -76,6 +76,8 @@
 
 	private final Set<CallerConnection> callers = new HashSet<>();
 
+	private final BodyBudget bodies;
+
 	private final CallerRetryDetector retryDetector = new CallerRetryDetector();
 
 	private Optional<GatewayConfiguration> configuration = Optional.empty();
@@ -113,7 +115,8 @@
 		this.log = new RequestLog(settings.names(), Preconditions.notNull(metrics, "metrics"));
 		this.poison = new PoisonDetector(fleet::isAssigned);
 		this.connections = new ServerConnectionPool(loop, settings.names());
-		loop.next().scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.bodies = new BodyBudget(settings.maxBodyBytes(), random);
+		RepeatedTask.schedule(loop.next(), TICK, "tick", this::tick);
 	}
 
 	/**
@@ -266,6 +269,10 @@
 		return this.configuration;
 	}
 
+	BodyBudget bodies() {
+		return this.bodies;
+	}
+
 	CallerRetryDetector retryDetector() {
 		return this.retryDetector;
 	}
@@ -381,7 +388,7 @@
 
 	private void tick() {
 		long now = System.nanoTime();
-		long delay = now - this.tickedAt - TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS);
+		long delay = now - this.tickedAt - TICK.toNanos();
 		this.maxTickDelayNanos = Math.max(this.maxTickDelayNanos, delay);
 		this.tickedAt = now;
 		List.copyOf(this.pools.values()).forEach(this::dispatchWaiting);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
@@ -2,6 +2,8 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.comfreywall.common.decision.Field;
 import org.comfreywall.common.log.EventLog;
@@ -83,6 +85,13 @@
 				Field.of("ms", nanos / NANOS_PER_MILLI));
 	}
 
+	void bodyRefused(HttpRequest head, int receivedBytes, long usedBytes) {
+		this.metrics.counter("bodies_refused").inc();
+		LOG.info("body-refused", Field.of("request", head.headers().get(this.names.request(), "none")),
+				Field.of("announced", head.headers().get(HttpHeaderNames.CONTENT_LENGTH, "none")),
+				Field.of("received", receivedBytes), Field.of("used", usedBytes));
+	}
+
 	private Counter counter(String reason, int status) {
 		return this.metrics.counter("requests_" + reason.replace(' ', '_') + "_" + status);
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -14,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
@@ -36,6 +38,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -58,6 +62,8 @@
 
 	private static final String EVENTS = "HTTP/1.1 200 OK\r\nRequest-Id: @id\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+	private static final int MAX_BODY_BYTES = 1 << 20;
+
 	private final Closer closer = new Closer();
 
 	private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -101,7 +107,7 @@
 			}
 
 		};
-		GatewaySettings settings = new GatewaySettings("a", NAMES, 0.2, 20, Duration.ofSeconds(10));
+		GatewaySettings settings = new GatewaySettings("a", NAMES, 0.2, 20, Duration.ofSeconds(10), MAX_BODY_BYTES);
 		return new Gateway(settings, this.loop, fleet, new Random(5), new MetricRegistry());
 	}
 
@@ -111,11 +117,15 @@
 	}
 
 	private static GatewayConfiguration configuration() {
-		return new GatewayConfiguration(1,
+		return configuration(1, HttpLimits.DEFAULT);
+	}
+
+	private static GatewayConfiguration configuration(long version, HttpLimits limits) {
+		return new GatewayConfiguration(version,
 				List.of(route("/safe/", RequestKind.IDEMPOTENT, 2), route("/once/", RequestKind.NON_IDEMPOTENT, 1),
 						route("/stream/", RequestKind.RESUMABLE_STREAM, 2), route("/plain/", RequestKind.STREAM, 1)),
 				List.of(new ServiceSettings("service", 10, Optional.empty())),
-				List.of(new ClientAccount("account", List.of("secret"), OptionalInt.empty())), HttpLimits.DEFAULT);
+				List.of(new ClientAccount("account", List.of("secret"), OptionalInt.empty())), limits);
 	}
 
 	private static Route route(String prefix, RequestKind kind, int attempts) {
@@ -136,6 +146,15 @@
 				new HostPort("127.0.0.1", serverPort), "a", 1, 1, 8, ServerState.READY)));
 	}
 
+	private void announceStart(ScriptedServer server, int start) throws Exception {
+		onLoop(() -> this.gateway.updateServer(new ServerAnnouncement("s" + start, "service",
+				new HostPort("127.0.0.1", server.port()), "a", start, 1, 8, ServerState.READY)));
+		if (start > 1) {
+			onLoop(() -> this.gateway.removeServer(new ServerAnnouncement("s" + (start - 1), "service",
+					new HostPort("127.0.0.1", server.port()), "a", start - 1, 1, 8, ServerState.READY)));
+		}
+	}
+
 	private Socket connect() throws IOException {
 		return new Socket(InetAddress.getLoopbackAddress(), this.port);
 	}
@@ -509,6 +528,290 @@
 
 	}
 
+	/**
+	 * Servers that stop within the head of their response and close or reset the
+	 * connection. No caller may get a response that the server did not finish.
+	 */
+	@Nested
+	class CutHeads {
+
+		private static final String HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: @id\r\nSeal: s\r\nContent-Length: 5\r\n";
+
+		private void answerWith(ScriptedServer server, int length, boolean reset) {
+			server.answer(HEAD.substring(0, length) + (reset ? ScriptedServer.RESET : ScriptedServer.CLOSE));
+		}
+
+		// Each length of the head, up to the one that lacks only the empty line.
+		private static IntStream lengths() {
+			return IntStream.rangeClosed(0, HEAD.length())
+				.filter((length) -> isWithinAToken(length) || length % 4 == 0);
+		}
+
+		private static boolean isWithinAToken(int length) {
+			return HEAD.length() - length < 24;
+		}
+
+		@ParameterizedTest
+		@MethodSource("lengths")
+		void aRequestThatMayHaveRunGetsNoSuccess(int length) throws Exception {
+			ScriptedServer server = GatewayTests.this.first;
+			int starts = 0;
+			for (String path : List.of("/once/", "/plain/")) {
+				for (boolean reset : new boolean[] { false, true }) {
+					// A server that was closed twice in a row is ejected unless it starts
+					// again.
+					announceStart(server, ++starts);
+					answerWith(server, length, reset);
+					assertThat(call(path, "r1")).startsWith("HTTP/1.1 502").doesNotContain("200", "Seal");
+				}
+			}
+			assertThat(server.requests()).hasSize(4);
+		}
+
+		@ParameterizedTest
+		@MethodSource("lengths")
+		void aRequestOnAReusedConnectionGetsNoSuccess(int length) throws Exception {
+			ScriptedServer server = GatewayTests.this.first.answer(WHOLE);
+			announce(server, "s1");
+			assertThat(call("/once/", "r1")).endsWith("hello");
+			answerWith(server, length, false);
+			assertThat(call("/once/", "r2")).startsWith("HTTP/1.1 502").doesNotContain("200", "Seal");
+			assertThat(server.requests()).hasSize(2);
+		}
+
+		@ParameterizedTest
+		@ValueSource(ints = { 0, 16, 17, 30, 40, 47, 60, 66, 67 })
+		void anIdempotentRequestGetsTheWholeResponseOfAnotherServer(int length) throws Exception {
+			answerWith(GatewayTests.this.first, Math.min(length, HEAD.length()), false);
+			GatewayTests.this.first.answer(WHOLE);
+			announce(GatewayTests.this.first, "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(call("/safe/", "r1")).startsWith("HTTP/1.1 200").endsWith("\r\n\r\nhello");
+		}
+
+		/**
+		 * A response without a length ends with its connection, so an empty one cannot be
+		 * told from one whose server stopped after its head.
+		 */
+		@ParameterizedTest
+		@ValueSource(strings = { "/once/", "/plain/", "/stream/" })
+		void anEmptySuccessWithoutLengthDoesNotLookComplete(String path) throws Exception {
+			String empty = HEAD.replace("Content-Length: 5\r\n", "") + "\r\n" + ScriptedServer.CLOSE;
+			announce(GatewayTests.this.first.answer(empty), "s1");
+			assertThat(call(path, "r1")).startsWith("HTTP/1.1 502").doesNotContain("Seal");
+		}
+
+		@Test
+		void anEmptySuccessWithALengthIsWhole() throws Exception {
+			announce(GatewayTests.this.first.answer(HEAD.replace("5", "0") + "\r\n"), "s1");
+			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 200").contains("Seal: s").endsWith("\r\n\r\n");
+		}
+
+	}
+
+	/**
+	 * Bodies that are within the limit of a single one, but together would exhaust the
+	 * memory of the entry.
+	 */
+	@Nested
+	class LargeBodies {
+
+		private static final int BODY_BYTES = MAX_BODY_BYTES * 2 / 5;
+
+		private Socket begin(String id, String framing) throws IOException {
+			Socket socket = connect();
+			socket.setSoTimeout(5000);
+			String head = "POST /once/ HTTP/1.1\r\nHost: host\r\nRequest-Id: " + id
+					+ "\r\nKey: secret\r\nWait-Ms: 9000\r\n" + framing + "\r\n\r\n";
+			socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+			return socket;
+		}
+
+		private Socket sendWhole(String id) throws IOException {
+			Socket socket = begin(id, "Content-Length: " + BODY_BYTES);
+			socket.getOutputStream().write(new byte[BODY_BYTES]);
+			return socket;
+		}
+
+		private void awaitRequests(int count) {
+			while (GatewayTests.this.first.requests().size() < count) {
+				Thread.onSpinWait();
+			}
+		}
+
+		private String readHead(Socket socket) throws IOException {
+			StringBuilder head = new StringBuilder();
+			while (!head.toString().endsWith("\r\n\r\n")) {
+				head.append((char) socket.getInputStream().read());
+			}
+			return head.toString();
+		}
+
+		@Test
+		void aBodyThatDoesNotFitIsRefusedAtOnceAsNotRun() throws Exception {
+			announce(GatewayTests.this.first.answer(ScriptedServer.SILENT).answer(ScriptedServer.SILENT), "s1");
+			try (Socket one = sendWhole("r1"); Socket two = sendWhole("r2")) {
+				awaitRequests(2);
+				try (Socket three = begin("r3", "Content-Length: " + BODY_BYTES)) {
+					assertThat(readHead(three)).startsWith("HTTP/1.1 503").contains("retry-after", "close");
+				}
+				assertThat(one.isConnected() && two.isConnected()).isTrue();
+			}
+			assertThat(GatewayTests.this.first.requests()).hasSize(2);
+		}
+
+		@Test
+		void aChunkedBodyThatOutgrowsTheMemoryIsRefused() throws Exception {
+			announce(GatewayTests.this.first.answer(ScriptedServer.SILENT).answer(ScriptedServer.SILENT), "s1");
+			try (Socket one = sendWhole("r1"); Socket two = sendWhole("r2")) {
+				awaitRequests(2);
+				try (Socket three = begin("r3", "Transfer-Encoding: chunked")) {
+					String chunk = Integer.toHexString(BODY_BYTES) + "\r\n" + "x".repeat(BODY_BYTES) + "\r\n";
+					three.getOutputStream().write(chunk.getBytes(StandardCharsets.UTF_8));
+					assertThat(readHead(three)).startsWith("HTTP/1.1 503").contains("retry-after", "close");
+				}
+				assertThat(one.isConnected() && two.isConnected()).isTrue();
+			}
+		}
+
+		@Test
+		void theMemoryIsFreeAgainAfterEachResponse() throws Exception {
+			announce(GatewayTests.this.first, "s1");
+			for (int i = 0; i < 10; i++) {
+				GatewayTests.this.first.answer(WHOLE);
+				try (Socket socket = sendWhole("r" + i)) {
+					assertThat(readHead(socket)).startsWith("HTTP/1.1 200");
+				}
+			}
+		}
+
+		@Test
+		void theMemoryIsFreeAgainOnceCallersHaveLeft() throws Exception {
+			for (int i = 0; i < 10; i++) {
+				Socket socket = begin("r" + i, "Content-Length: " + BODY_BYTES);
+				socket.getOutputStream().write(new byte[BODY_BYTES / 2]);
+				socket.close();
+				awaitNoCallers();
+			}
+			announce(GatewayTests.this.first.answer(WHOLE), "s1");
+			try (Socket socket = sendWhole("last")) {
+				assertThat(readHead(socket)).startsWith("HTTP/1.1 200");
+			}
+		}
+
+		private void awaitNoCallers() throws Exception {
+			while (GatewayTests.this.loop.submit(GatewayTests.this.gateway::openConnections).get() > 0) {
+				TimeUnit.MILLISECONDS.sleep(5);
+			}
+		}
+
+		/** A caller that stops within a body must not hold memory for ever. */
+		@Test
+		void aBodyThatStopsArrivingEndsWithTheIdleTimeout() throws Exception {
+			HttpLimits limits = new HttpLimits(HttpLimits.DEFAULT.maxHeaderBytes(), HttpLimits.DEFAULT.maxBodyBytes(),
+					HttpLimits.DEFAULT.headerTimeout(), Duration.ofMillis(300));
+			onLoop(() -> GatewayTests.this.gateway.configure(configuration(2, limits)));
+			try (Socket socket = begin("r1", "Content-Length: " + BODY_BYTES)) {
+				socket.getOutputStream().write(new byte[10]);
+				assertThat(socket.getInputStream().read()).isEqualTo(-1);
+			}
+		}
+
+	}
+
+	/**
+	 * Streams are ended by time limits only, whether their events come slowly or a byte
+	 * now and then.
+	 */
+	@Nested
+	class SlowStreams {
+
+		private static final String EVENT = "f\r\nid: @n\ndata: b\n\n\r\n";
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/stream/", "/plain/" })
+		void aSlowStreamIsNotCut(String path) throws Exception {
+			StringBuilder slow = new StringBuilder(EVENTS);
+			for (int i = 0; i < 5; i++) {
+				slow.append(EVENT.replace("@n", "" + i)).append(ScriptedServer.PAUSE);
+			}
+			announce(GatewayTests.this.first.answer(slow + "0\r\n\r\n"), "s1");
+			assertThat(call(path, "r1")).contains("id: 0", "id: 4").endsWith("0\r\n\r\n");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/stream/", "/plain/", "/once/", "/safe/" })
+		void aResponseThatNeverEndsIsEndedAtTheDeadline(String path) throws Exception {
+			String drips = "1\r\nx\r\n" + ScriptedServer.PAUSE;
+			announce(GatewayTests.this.first.answer(EVENTS + drips.repeat(60)), "s1");
+			long start = System.nanoTime();
+			assertThat(call(path, "r1")).doesNotEndWith("0\r\n\r\n");
+			assertThat(Duration.ofNanos(System.nanoTime() - start)).isBetween(Duration.ofMillis(2900),
+					Duration.ofMillis(3500));
+			assertThat(GatewayTests.this.first.awaitClosed()).isEqualTo("closed");
+		}
+
+	}
+
+	/**
+	 * Servers that are silent, or that others believe to be gone, while they run
+	 * requests.
+	 */
+	@Nested
+	class SilentServers {
+
+		@ParameterizedTest
+		@EnumSource(ServerState.class)
+		void aRunningRequestIsNeitherCutNorStartedAgainWhateverIsSaidOfItsServer(ServerState state) throws Exception {
+			ScriptedServer server = GatewayTests.this.first;
+			announce(server.answer(ScriptedServer.WAIT + WHOLE), "s1");
+			announce(GatewayTests.this.second, "s2");
+			onLoop(() -> GatewayTests.this.gateway.updateServer(
+					new ServerAnnouncement("s2", "service", new HostPort("127.0.0.1", 1), "a", 1, 2, 8, state)));
+			try (Socket socket = connect()) {
+				send(socket, "/safe/", "r1", "Connection: close\r\n");
+				while (server.requests().isEmpty()) {
+					Thread.onSpinWait();
+				}
+				ServerAnnouncement later = new ServerAnnouncement("s1", "service",
+						new HostPort("127.0.0.1", server.port()), "a", 1, 2, 8, state);
+				onLoop(() -> GatewayTests.this.gateway.updateServer(later));
+				onLoop(() -> GatewayTests.this.gateway.removeServer(later));
+				TimeUnit.MILLISECONDS.sleep(300);
+				server.resume();
+				String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+				assertThat(answer).startsWith("HTTP/1.1 200").endsWith("hello");
+			}
+			assertThat(server.requests()).hasSize(1);
+			assertThat(GatewayTests.this.second.requests()).isEmpty();
+		}
+
+	}
+
+	/**
+	 * A caller that reads slowly pauses the connection to its server. The next request on
+	 * that connection has another caller.
+	 */
+	@Nested
+	class SlowCallers {
+
+		@Test
+		void aConnectionThatASlowCallerPausedServesTheNextRequest() throws Exception {
+			int length = 900_000;
+			String large = WHOLE.replace("Content-Length: 5", "Content-Length: " + length)
+				.replace("hello", "x".repeat(length));
+			announce(GatewayTests.this.first.answer(large).answer(WHOLE), "s1");
+			try (Socket slow = new Socket()) {
+				slow.setReceiveBufferSize(4096);
+				slow.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), GatewayTests.this.port));
+				send(slow, "/plain/", "r1");
+				TimeUnit.MILLISECONDS.sleep(500);
+				assertThat(call("/once/", "r2")).startsWith("HTTP/1.1 200").endsWith("hello");
+			}
+		}
+
+	}
+
 	@Nested
 	class LateAnswers {
 
@@ -697,15 +1000,6 @@
 			assertThat(call("/plain/innocent", "i3")).contains("data: b").endsWith("0\r\n\r\n");
 		}
 
-		private void announceStart(ScriptedServer server, int start) throws Exception {
-			onLoop(() -> GatewayTests.this.gateway.updateServer(new ServerAnnouncement("s" + start, "service",
-					new HostPort("127.0.0.1", server.port()), "a", start, 1, 8, ServerState.READY)));
-			if (start > 1) {
-				onLoop(() -> GatewayTests.this.gateway.removeServer(new ServerAnnouncement("s" + (start - 1), "service",
-						new HostPort("127.0.0.1", server.port()), "a", start - 1, 1, 8, ServerState.READY)));
-			}
-		}
-
 		private void restart(ScriptedServer server, String id) throws Exception {
 			onLoop(() -> GatewayTests.this.gateway.updateServer(new ServerAnnouncement("s1", "service",
 					new HostPort("127.0.0.1", server.port()), "a", 1, 2, 8, ServerState.GONE)));
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ScriptedServer.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ScriptedServer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A backend server that sends prepared bytes as responses, one entry per request.
@@ -19,6 +20,14 @@
 	/** Closes the connection at the end of a response. */
 	static final String CLOSE = "<close>";
 
+	/** Resets the connection at the end of a response. */
+	static final String RESET = "<reset>";
+
+	/** Pauses within a response for a few hundred milliseconds. */
+	static final String PAUSE = "<pause>";
+
+	private static final long PAUSE_MILLIS = 250;
+
 	/** Pauses within a response until {@link #resume} is called. */
 	static final String WAIT = "<wait>";
 
@@ -96,9 +105,12 @@
 				this.requests.add(request);
 				String answer = this.answers.take().replace("@id", header(request, "Request-Id"));
 				if (!answer.equals(SILENT)) {
-					String bytes = answer.replace(CLOSE, "");
+					String bytes = answer.replace(CLOSE, "").replace(RESET, "");
 					write(connection, bytes);
-					if (answer.endsWith(CLOSE)) {
+					if (answer.endsWith(RESET)) {
+						connection.setSoLinger(true, 0);
+					}
+					if (answer.endsWith(CLOSE) || answer.endsWith(RESET)) {
 						return;
 					}
 				}
@@ -119,8 +131,14 @@
 			if (i > 0) {
 				this.released.take();
 			}
-			connection.getOutputStream().write(parts[i].getBytes(StandardCharsets.UTF_8));
-			connection.getOutputStream().flush();
+			String[] pieces = parts[i].split(PAUSE);
+			for (int j = 0; j < pieces.length; j++) {
+				if (j > 0) {
+					TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+				}
+				connection.getOutputStream().write(pieces[j].getBytes(StandardCharsets.UTF_8));
+				connection.getOutputStream().flush();
+			}
 		}
 	}
 
