Take no cut or late response for a caller's own

Cause: (1) A success without a length whose connection was closed after the head was forwarded as a whole, empty response, on both paths. (2) The sidecar of the product's own entry reused connections to its backend server, where nothing tells a late second copy of a response from the response to the next call.

Change: an empty success without a length counts as broken off, except where no body is allowed. Each call of the sidecar has its own connection, on the same instance.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
@@ -52,7 +52,12 @@
 		Preconditions.notNull(vertx, "vertx");
 		this.backend = Preconditions.notNull(backend, "backend");
 		this.self = Preconditions.notNull(self, "self");
+		// A server may send a second copy of a response, late. Nothing in it tells the
+		// copy
+		// from the response to the next call on the same connection, so each call has its
+		// own; the server is on the same instance, where opening one is cheap.
 		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(TIMEOUT_MILLIS)
+			.setKeepAlive(false)
 			.setDecompressionSupported(false);
 		this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
 	}
@@ -137,6 +142,13 @@
 		this.client.close();
 	}
 
+	private static boolean hasBody(HttpClientResponse response) {
+		return !response.request().getMethod().equals(HttpMethod.HEAD)
+				&& response.statusCode() != HttpURLConnection.HTTP_NO_CONTENT
+				&& response.statusCode() != HttpURLConnection.HTTP_RESET
+				&& response.statusCode() != HttpURLConnection.HTTP_NOT_MODIFIED;
+	}
+
 	private static boolean isLengthDelimited(HttpClientResponse response) {
 		return response.getHeader("Content-Length") != null || response.getHeader("Transfer-Encoding") != null;
 	}
@@ -159,6 +171,8 @@
 
 		private boolean ended;
 
+		private boolean receivedBytes;
+
 		VertxBackendCall(BackendListener listener) {
 			this.listener = listener;
 		}
@@ -213,7 +227,7 @@
 			}
 			opened.exceptionHandler((cause) -> fail(ErrorCode.BACKEND_ERROR, cause, true));
 			opened.handler((data) -> receive(data.getBytes()));
-			opened.endHandler((end) -> end(isLengthDelimited(opened)));
+			opened.endHandler((end) -> end(opened));
 			this.listener.onHead(opened.statusCode(), type);
 		}
 
@@ -221,6 +235,7 @@
 			if (!isActive()) {
 				return;
 			}
+			this.receivedBytes = this.receivedBytes || data.length > 0;
 			this.events.ifPresent((boundary) -> {
 				for (byte next : data) {
 					boundary.accept(next);
@@ -229,8 +244,15 @@
 			this.listener.onChunk(Bytes.of(data));
 		}
 
-		private void end(boolean lengthDelimited) {
-			if (this.events.filter((boundary) -> boundary.isBrokenOff(lengthDelimited)).isPresent()) {
+		private void end(HttpClientResponse opened) {
+			boolean lengthDelimited = isLengthDelimited(opened);
+			if (!lengthDelimited && !this.receivedBytes && hasBody(opened)) {
+				// An empty response cannot be told from one whose server stopped after
+				// its
+				// head, and servers state a length of 0.
+				fail(ErrorCode.BACKEND_ERROR, new IOException("response ended after its head"), true);
+			}
+			else if (this.events.filter((boundary) -> boundary.isBrokenOff(lengthDelimited)).isPresent()) {
 				// The end of a connection ends a stream without a length even if its
 				// server stopped.
 				fail(ErrorCode.BACKEND_ERROR, new IOException("stream ended within an event"), true);
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/sidecar/BackendClientTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/sidecar/BackendClientTests.java
@@ -1,6 +1,7 @@
 package org.comfreywall.daemon.sidecar;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import io.vertx.core.Vertx;
 import org.comfreywall.common.config.PriorityClass;
@@ -27,6 +29,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -145,6 +148,131 @@
 
 	}
 
+	/**
+	 * A server that stops within the head of its response. Nothing of it may look
+	 * complete.
+	 */
+	@Nested
+	class CutHeads {
+
+		private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n";
+
+		private static IntStream lengths() {
+			return IntStream.rangeClosed(0, HEAD.length()).filter((length) -> length % 3 == 0 || length > 60);
+		}
+
+		@ParameterizedTest
+		@MethodSource("lengths")
+		void aCutHeadFails(int length) throws Exception {
+			assertThat(outcomeOf(HEAD.substring(0, length))).isEqualTo("failed");
+		}
+
+		@Test
+		void anEmptySuccessWithoutLengthFails() throws Exception {
+			assertThat(outcomeOf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n")).isEqualTo("failed");
+		}
+
+		@Test
+		void anEmptySuccessWithALengthCompletes() throws Exception {
+			assertThat(outcomeOf("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")).isEqualTo("complete");
+		}
+
+	}
+
+	/**
+	 * A server that sends a second copy of its response, late. It must not become the
+	 * response to the next call.
+	 */
+	@Nested
+	class LateCopies {
+
+		private static final String OWN = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+
+		private static final String COPY = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy";
+
+		private void readRequest(Socket connection) throws IOException {
+			readHead(connection);
+			connection.getInputStream().readNBytes(PAYLOAD.body().toArray().length);
+		}
+
+		private CompletableFuture<String> call(String request) {
+			CompletableFuture<String> body = new CompletableFuture<>();
+			BackendClientTests.this.client.run(new AttemptId(RequestId.of(request), 1), PAYLOAD,
+					new BodyListener(body));
+			return body;
+		}
+
+		@Test
+		void reachesNoOtherCall() throws Exception {
+			CompletableFuture<String> first = call("r1");
+			try (Socket one = BackendClientTests.this.server.accept()) {
+				readRequest(one);
+				one.getOutputStream().write(OWN.getBytes(StandardCharsets.US_ASCII));
+				assertThat(first.get(10, TimeUnit.SECONDS)).isEqualTo("own");
+				CompletableFuture<String> second = call("r2");
+				Thread server = new Thread(() -> answerNext(one));
+				server.start();
+				assertThat(second.get(10, TimeUnit.SECONDS)).isEqualTo("own");
+				server.join();
+			}
+		}
+
+		// Sends the copy before the response to the next call, on whichever connection it
+		// comes.
+		private void answerNext(Socket one) {
+			try {
+				one.setSoTimeout(500);
+				if (one.getInputStream().read() >= 0) {
+					readRequest(one);
+					one.getOutputStream().write((COPY + OWN).getBytes(StandardCharsets.US_ASCII));
+					return;
+				}
+			}
+			catch (IOException ex) {
+				// The next call uses another connection.
+			}
+			try (Socket two = BackendClientTests.this.server.accept()) {
+				readRequest(two);
+				two.getOutputStream().write(OWN.getBytes(StandardCharsets.US_ASCII));
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		}
+
+	}
+
+	private static final class BodyListener implements BackendListener {
+
+		private final CompletableFuture<String> body;
+
+		private final StringBuffer received = new StringBuffer();
+
+		private BodyListener(CompletableFuture<String> body) {
+			this.body = body;
+		}
+
+		@Override
+		public void onHead(int status, String contentType) {
+		}
+
+		@Override
+		public void onChunk(Bytes data) {
+			this.received.append(data.toText());
+		}
+
+		@Override
+		public void onComplete() {
+			this.body.complete(this.received.toString());
+		}
+
+		@Override
+		public void onFailure(OperationError error, boolean sent) {
+			this.body.complete("failed");
+		}
+
+	}
+
 	/**
 	 * Streams without a length, whose end and whose breaking off are both a closed
 	 * connection. A server that stopped within an event must not end a complete answer.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -240,6 +241,10 @@
 			onBroken("ended within an event");
 			return;
 		}
+		if (isCutAfterHead()) {
+			onBroken("ended after its head");
+			return;
+		}
 		end(Exchange.resultOf(this.head.status().code()));
 		this.gateway.poison().recordCompleted(this.exchange.traits(), System.nanoTime());
 		CallerResponse response = this.exchange.response();
@@ -260,6 +265,17 @@
 		return this.events.filter((boundary) -> boundary.isBrokenOff(mayBeEmpty())).isPresent();
 	}
 
+	// The end of the connection ends a response without a length. An empty one cannot be
+	// told from one whose server stopped after its head, and servers state a length of 0.
+	private boolean isCutAfterHead() {
+		int status = this.head.status().code();
+		boolean hasBody = !this.exchange.request().method().equals(HttpMethod.HEAD)
+				&& status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.RESET_CONTENT.code()
+				&& status != HttpResponseStatus.NOT_MODIFIED.code();
+		return this.events.isEmpty() && hasBody && this.firstPartAt == 0
+				&& !ServerConnection.isLengthDelimited(this.head);
+	}
+
 	// A stream that resumes after its last event has none left.
 	private boolean mayBeEmpty() {
 		return ServerConnection.isLengthDelimited(this.head) || this.exchange.response().lastEventId().isPresent();
