--- a/comfreywall-common/src/main/java/org/comfreywall/common/log/EventLog.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/log/EventLog.java
@@ -1,6 +1,5 @@
 package org.comfreywall.common.log;
 
-import com.google.common.flogger.FluentLogger;
 import org.comfreywall.common.decision.Field;
 import org.comfreywall.common.util.Preconditions;
 
@@ -9,7 +8,7 @@
  */
 public final class EventLog {
 
-	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+	private static volatile LogSink sink;
 
 	private final String source;
 
@@ -26,13 +25,27 @@
 		return new EventLog(Preconditions.notNull(source, "source").getSimpleName());
 	}
 
+	static void setSink(LogSink newSink) {
+		sink = newSink;
+	}
+
+	// Loads Flogger with the first line, so that processes without it start faster.
+	private static LogSink sink() {
+		LogSink present = sink;
+		if (present == null) {
+			present = new FloggerSink();
+			sink = present;
+		}
+		return present;
+	}
+
 	/**
 	 * Logs an event that requires no action of an operator.
 	 * @param event the event's name, in lower case with dashes
 	 * @param fields the event's fields; must not contain secrets
 	 */
 	public void info(String event, Field... fields) {
-		LOGGER.atInfo().log("%s", new LogLine(this.source, event, fields));
+		sink().write(Severity.INFO, new LogLine(this.source, event, fields));
 	}
 
 	/**
@@ -41,7 +54,7 @@
 	 * @param fields the event's fields; must not contain secrets
 	 */
 	public void warn(String event, Field... fields) {
-		LOGGER.atWarning().log("%s", new LogLine(this.source, event, fields));
+		sink().write(Severity.WARNING, new LogLine(this.source, event, fields));
 	}
 
 	/**
@@ -50,7 +63,7 @@
 	 * @param fields the event's fields; must not contain secrets
 	 */
 	public void error(String event, Field... fields) {
-		LOGGER.atSevere().log("%s", new LogLine(this.source, event, fields));
+		sink().write(Severity.SEVERE, new LogLine(this.source, event, fields));
 	}
 
 	/**
@@ -59,7 +72,7 @@
 	 * @param fields the event's fields; must not contain secrets
 	 */
 	public void debug(String event, Field... fields) {
-		LOGGER.atFine().log("%s", new LogLine(this.source, event, fields));
+		sink().write(Severity.FINE, new LogLine(this.source, event, fields));
 	}
 
 }
--- a/comfreywall-common/src/main/java/org/comfreywall/common/log/LogSetup.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/log/LogSetup.java
@@ -1,5 +1,6 @@
 package org.comfreywall.common.log;
 
+import java.time.Instant;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -31,6 +32,18 @@
 		}
 	}
 
+	/**
+	 * Logs to standard output on the calling thread, without any library. For processes
+	 * that log a line now and then and must start fast. Debugging lines are left out.
+	 */
+	public static void installDirect() {
+		EventLog.setSink((severity, line) -> {
+			if (severity != Severity.FINE) {
+				System.out.println("time=" + Instant.now() + " level=" + severity + " " + line);
+			}
+		});
+	}
+
 	/**
 	 * Logs to standard output through a bounded queue, so that logging never blocks the
 	 * calling thread. Lines that do not fit are dropped and counted.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankMethods.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankMethods.java
@@ -11,8 +11,11 @@
  */
 final class RankMethods {
 
+	/** Name of {@link #RANK}, for callers that do not load its messages. */
+	static final String RANK_NAME = "fleet.rank";
+
 	/** Reports the state of a rank's engine to the leader. */
-	static final RpcMethod<RankNotice, RankNoticeReply> RANK = new RpcMethod<>("fleet.rank", RankNotice.parser(),
+	static final RpcMethod<RankNotice, RankNoticeReply> RANK = new RpcMethod<>(RANK_NAME, RankNotice.parser(),
 			RankNoticeReply.parser());
 
 	/**
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankReporter.java
@@ -1,29 +1,22 @@
 package org.comfreywall.gateway.fleet;
 
+import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
 import org.comfreywall.common.decision.Field;
-import org.comfreywall.common.id.Incarnation;
-import org.comfreywall.common.id.InstanceId;
 import org.comfreywall.common.log.EventLog;
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.gateway.group.RankReport;
-import org.comfreywall.transport.ConnectionTimeouts;
-import org.comfreywall.transport.PeerIdentity;
-import org.comfreywall.transport.Transport;
-import org.comfreywall.transport.TransportSecurity;
-import org.comfreywall.transport.generated.ExpertList;
-import org.comfreywall.transport.generated.RankNotice;
-import org.comfreywall.transport.generated.RankNoticeReply;
-import org.comfreywall.transport.rpc.RpcClient;
 
 /**
  * Sends the reports of a rank to the leader. Discovers the leader by sending reports to
  * other processes, which redirect to it.
+ * <p>
+ * Not thread-safe. It has no thread of its own: {@link #poll()} reads replies and notices
+ * timeouts, and must be called every few tens of milliseconds.
  */
 public final class RankReporter implements AutoCloseable {
 
@@ -32,18 +25,23 @@
 	/** Allows for a busy leader; a round trip within a region takes milliseconds. */
 	private static final Duration CALL_TIMEOUT = Duration.ofMillis(200);
 
-	private static final ConnectionTimeouts CONNECTION_TIMEOUTS = new ConnectionTimeouts(Duration.ofMillis(1000),
-			Duration.ofMillis(2500), Duration.ofMillis(4000), Duration.ofMillis(500));
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(200);
 
-	private final Transport transport;
+	private final String instance;
 
-	private final Runnable onEnd;
+	private final long incarnation = System.currentTimeMillis();
 
 	private final LeaderDiscovery discovery;
 
 	private HostPort target;
 
-	private RpcClient client;
+	private Optional<RankConnection> connection = Optional.empty();
+
+	private boolean pending;
+
+	private long pendingCall;
+
+	private long sentAt;
 
 	private boolean closed;
 
@@ -51,13 +49,9 @@
 	 * Creates a reporter.
 	 * @param instance the name of this process's instance
 	 * @param seeds the addresses of processes that know the leader
-	 * @param onEnd called on a transport thread when a report was acknowledged or has
-	 * failed, unless reports are sent to another process or over a new connection by then
 	 */
-	public RankReporter(String instance, List<HostPort> seeds, Runnable onEnd) {
-		PeerIdentity self = new PeerIdentity(InstanceId.of(instance), Incarnation.of(System.currentTimeMillis()));
-		this.transport = new Transport(self, CONNECTION_TIMEOUTS, TransportSecurity.PLAIN, 1);
-		this.onEnd = Preconditions.notNull(onEnd, "onEnd");
+	public RankReporter(String instance, List<HostPort> seeds) {
+		this.instance = Preconditions.notBlank(instance, "instance");
 		this.discovery = new LeaderDiscovery(seeds);
 		updateTarget();
 	}
@@ -66,85 +60,102 @@
 	 * Adds seeds in front of the processes that are already known.
 	 * @param seeds the addresses of processes that know the leader
 	 */
-	public synchronized void addSeeds(List<HostPort> seeds) {
+	public void addSeeds(List<HostPort> seeds) {
 		this.discovery.addSeeds(seeds);
 	}
 
 	/**
-	 * Sends a report unless this reporter was closed.
+	 * Returns whether the last report was neither acknowledged nor has failed.
+	 * @return {@code true} if another report would not be sent
+	 */
+	public boolean isPending() {
+		return this.pending;
+	}
+
+	/**
+	 * Sends a report unless the last one is pending or this reporter was closed. May wait
+	 * 200 ms for a new connection.
 	 * @param service the service that the rank belongs to
 	 * @param report the report
 	 * @param choiceCounts the number of times that the rank's requests were routed to
 	 * each expert since its previous counts, set by set; empty if unknown
 	 */
-	public synchronized void report(String service, RankReport report, int[] choiceCounts) {
-		if (this.closed) {
+	public void report(String service, RankReport report, int[] choiceCounts) {
+		if (this.closed || this.pending) {
 			return;
 		}
-		RankNotice.Builder notice = RankNotice.newBuilder()
-			.setService(service)
-			.setServer(report.server())
-			.setGroup(report.group())
-			.setEpoch(report.epoch())
-			.setRank(report.rank())
-			.setSize(report.size())
-			.setOpen(report.open())
-			.setStep(report.step())
-			.setMapVersion(report.mapVersion())
-			.setPreparedVersion(report.preparedVersion())
-			.setArmedVersion(report.armedVersion())
-			.setHeldStep(report.heldStep().orElse(-1))
-			.setPace(report.slowdown());
-		for (int count : choiceCounts) {
-			notice.addChosen(count);
+		this.pending = true;
+		this.sentAt = System.nanoTime();
+		try {
+			if (this.connection.isEmpty()) {
+				this.connection = Optional
+					.of(RankConnection.open(this.target, this.instance, this.incarnation, CONNECT_TIMEOUT));
+			}
+			this.pendingCall = this.connection.get()
+				.call(RankMethods.RANK_NAME, RankNoticeEncoder.encode(service, report, choiceCounts));
+		}
+		catch (IOException ex) {
+			handleFailure(ex.getMessage());
 		}
-		report.layout().forEach((set) -> notice.addLayout(ExpertList.newBuilder().addAllExperts(set)));
-		RpcClient used = this.client;
-		used.call(RankMethods.RANK, notice.build(), CALL_TIMEOUT)
-			.thenAccept((reply) -> handleReply(used, reply.value()));
 	}
 
-	private synchronized void handleReply(RpcClient used, Optional<RankNoticeReply> reply) {
-		if (this.closed || used != this.client) {
-			return;
+	/**
+	 * Reads replies and gives a report up that was not acknowledged in time.
+	 */
+	public void poll() {
+		if (this.connection.isPresent()) {
+			try {
+				this.connection.get().poll().forEach(this::handleReply);
+			}
+			catch (IOException ex) {
+				handleFailure(ex.getMessage());
+			}
+		}
+		if (this.pending && System.nanoTime() - this.sentAt > CALL_TIMEOUT.toNanos()) {
+			handleFailure("no reply");
 		}
-		long now = System.nanoTime();
-		if (reply.isPresent()) {
-			List<HostPort> members = new ArrayList<>();
-			reply.get().getMembersList().forEach((member) -> HostPort.parse(member).ifPresent(members::add));
-			this.discovery.handleReply(HostPort.parse(reply.get().getLeader()), members, now);
+	}
+
+	private void handleReply(RankReply reply) {
+		if (!this.pending || reply.call() != this.pendingCall) {
+			return;
 		}
-		else {
-			this.discovery.handleTimeout(now);
-			this.client.close();
-			this.client = new RpcClient(this.transport, this.target);
+		if (!reply.accepted()) {
+			handleFailure("refused");
+			return;
 		}
+		this.pending = false;
+		this.discovery.handleReply(reply.leader(), reply.members(), System.nanoTime());
 		updateTarget();
-		this.onEnd.run();
 	}
 
-	private void updateTarget() {
-		if (this.discovery.current().equals(this.target)) {
-			return;
+	private void handleFailure(String reason) {
+		closeConnection();
+		if (this.pending) {
+			this.pending = false;
+			LOG.debug("report-failed", Field.of("address", this.target), Field.of("reason", reason));
+			this.discovery.handleTimeout(System.nanoTime());
+			updateTarget();
 		}
-		if (this.client != null) {
-			this.client.close();
+	}
+
+	private void updateTarget() {
+		if (!this.discovery.current().equals(this.target)) {
+			closeConnection();
+			this.target = this.discovery.current();
+			LOG.info("reporting-to", Field.of("address", this.target));
 		}
-		this.target = this.discovery.current();
-		LOG.info("reporting-to", Field.of("address", this.target));
-		this.client = new RpcClient(this.transport, this.target);
 	}
 
-	// The transport waits for its event loop, which needs the lock to handle a reply.
+	private void closeConnection() {
+		this.connection.ifPresent(RankConnection::close);
+		this.connection = Optional.empty();
+	}
+
 	@Override
 	public void close() {
-		RpcClient last;
-		synchronized (this) {
-			this.closed = true;
-			last = this.client;
-		}
-		last.close();
-		this.transport.close();
+		this.closed = true;
+		closeConnection();
 	}
 
 }
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerHandler.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerHandler.java
@@ -25,8 +25,6 @@
  */
 final class PeerHandler extends SimpleChannelInboundHandler<Frame> {
 
-	static final int PROTOCOL_VERSION = 1;
-
 	private static final EventLog LOG = EventLog.of(PeerHandler.class);
 
 	private static final Frame PING = Frame.newBuilder().setPing(Ping.getDefaultInstance()).build();
@@ -105,7 +103,7 @@
 			return;
 		}
 		Hello hello = frame.getHello();
-		if (hello.getVersion() != PROTOCOL_VERSION || hello.getInstance().isBlank()) {
+		if (hello.getVersion() != Transport.PROTOCOL_VERSION || hello.getInstance().isBlank()) {
 			closeWithError(context, ErrorCode.MALFORMED, "unsupported protocol version " + hello.getVersion());
 			return;
 		}
@@ -148,7 +146,7 @@
 
 	private Frame createHello() {
 		Hello hello = Hello.newBuilder()
-			.setVersion(PROTOCOL_VERSION)
+			.setVersion(Transport.PROTOCOL_VERSION)
 			.setInstance(this.self.instance().value())
 			.setIncarnation(this.self.incarnation().value())
 			.build();
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/Transport.java
@@ -22,6 +22,9 @@
  */
 public final class Transport implements AutoCloseable {
 
+	/** Version of the protocol between processes, exchanged when a connection opens. */
+	public static final int PROTOCOL_VERSION = 1;
+
 	private final PeerIdentity self;
 
 	private final ConnectionTimeouts timeouts;
