Do not lose tasks that a full queue refuses

Cause: a cancellation, a credit, the loss of a connection or a delayed task was dropped without a word if the queue of the worker was full at that moment: a cancelled request ran on until its deadline, a stream waited for credit for ever, and a call that was to be retried never ended.

Change: SerialWorker.executeEventually tries again until there is room; delayed tasks use it too. Heartbeats of connections are left out where another frame was sent within half of their interval.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/EntryEngine.java
@@ -134,7 +134,7 @@
 	 * @param request the request
 	 */
 	void cancel(RequestId request) {
-		this.worker.offer(() -> {
+		this.worker.executeEventually(() -> {
 			if (this.admissionGate.cancel(request)) {
 				this.activeRequests.remove(request);
 				return;
@@ -150,7 +150,7 @@
 	 * @param parts the number of parts written to the caller
 	 */
 	void grantCredit(RequestId request, int parts) {
-		this.worker.offer(() -> sendCredit(request, parts));
+		this.worker.executeEventually(() -> sendCredit(request, parts));
 	}
 
 	/**
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarLink.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/SidecarLink.java
@@ -186,7 +186,7 @@
 
 		@Override
 		public void onDown(OperationError reason) {
-			SidecarLink.this.worker.offer(SidecarLink.this::handleDown);
+			SidecarLink.this.worker.executeEventually(SidecarLink.this::handleDown);
 		}
 
 		private void offer(PeerConnection connection, Runnable task) {
--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarEngine.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/SidecarEngine.java
@@ -152,7 +152,8 @@
 	@Override
 	public void onClosed(PeerConnection connection, OperationError reason) {
 		LOG.debug("entry-disconnected", Field.of("reason", reason.message()));
-		this.worker.execute(() -> this.outboxes.remove(connection).map(LinkLost::new).ifPresent(this::handle));
+		this.worker
+			.executeEventually(() -> this.outboxes.remove(connection).map(LinkLost::new).ifPresent(this::handle));
 	}
 
 	private void offer(PeerConnection connection, Runnable task) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerConnection.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerConnection.java
@@ -15,6 +15,8 @@
 
 	private volatile PeerIdentity peer;
 
+	private volatile long lastSentNanos = System.nanoTime();
+
 	PeerConnection(Channel channel) {
 		this.channel = channel;
 	}
@@ -26,6 +28,7 @@
 	 */
 	public void send(Frame frame) {
 		Preconditions.notNull(frame, "frame");
+		this.lastSentNanos = System.nanoTime();
 		this.channel.writeAndFlush(frame, this.channel.voidPromise());
 	}
 
@@ -53,6 +56,10 @@
 		this.channel.close();
 	}
 
+	long lastSentNanos() {
+		return this.lastSentNanos;
+	}
+
 	void setPeer(PeerIdentity identity) {
 		this.peer = identity;
 	}
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerHandler.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/PeerHandler.java
@@ -122,7 +122,11 @@
 		if (idleNanos > this.timeouts.suspicionTimeout().toNanos()) {
 			this.listener.onSuspected(this.connection);
 		}
-		context.writeAndFlush(PING);
+		// Any other frame shows the peer as well that this process is alive.
+		long silentNanos = System.nanoTime() - this.connection.lastSentNanos();
+		if (silentNanos > this.timeouts.heartbeatInterval().toNanos() / 2) {
+			context.writeAndFlush(PING);
+		}
 	}
 
 	private void closeWithError(ChannelHandlerContext context, ErrorCode code, String message) {
--- a/comfreywall-transport/src/main/java/org/comfreywall/transport/worker/SerialWorker.java
+++ b/comfreywall-transport/src/main/java/org/comfreywall/transport/worker/SerialWorker.java
@@ -22,6 +22,8 @@
 
 	private static final long CLOSE_TIMEOUT_MILLIS = 2000;
 
+	private static final long FULL_QUEUE_DELAY_MILLIS = 5;
+
 	private final String name;
 
 	private final MpscBlockingConsumerArrayQueue<Runnable> queue;
@@ -68,6 +70,22 @@
 		}
 	}
 
+	/**
+	 * Queues a task as soon as the queue has room. For tasks that must not be lost; they
+	 * may be overtaken by tasks that are queued later.
+	 * @param task the task
+	 */
+	public void executeEventually(Runnable task) {
+		if (!offer(task) && !this.closed) {
+			try {
+				this.timer.schedule(() -> executeEventually(task), FULL_QUEUE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+			}
+			catch (RejectedExecutionException ex) {
+				LOG.debug("task-dropped", Field.of("worker", this.name), Field.of("reason", "closed"));
+			}
+		}
+	}
+
 	/**
 	 * Runs a task on this worker at a fixed rate; a run is skipped if the queue is full.
 	 * @param interval the time between runs
@@ -80,15 +98,13 @@
 	}
 
 	/**
-	 * Runs a task on this worker once after a delay; the run is skipped if the queue is
-	 * full.
+	 * Runs a task on this worker once after a delay, and as soon as the queue has room.
 	 * @param delay the delay
 	 * @param task the task
 	 * @return a future that cancels the run
 	 */
 	public ScheduledFuture<?> schedule(Duration delay, Runnable task) {
-		Runnable offerTask = () -> offer(task);
-		return this.timer.schedule(offerTask, delay.toNanos(), TimeUnit.NANOSECONDS);
+		return this.timer.schedule(() -> executeEventually(task), delay.toNanos(), TimeUnit.NANOSECONDS);
 	}
 
 	/**
