Send only what has changed between entries

Cause: five times a second each entry told all others its requests in flight on every server, and every two seconds all announcements of servers.

Change: updates carry the numbers that have changed and, as before, every tenth carries all of them.

Shown by: InFlightExchangeTests; FleetNodeTests passed.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -73,6 +73,12 @@
 	/** Every tenth update carries the full state, for processes that missed a change. */
 	private static final int UPDATES_PER_FULL_UPDATE = 10;
 
+	/**
+	 * Every fiftieth update also carries all announcements of backend servers, which
+	 * repeat theirs every second or two.
+	 */
+	private static final int UPDATES_PER_DIRECTORY = 50;
+
 	private static final Duration MAINTENANCE_INTERVAL = Duration.ofMillis(300);
 
 	/** A process that is silent for this time no longer counts as an entry. */
@@ -119,6 +125,8 @@
 
 	private final Optional<DepartureFile> departureFile;
 
+	private final InFlightExchange inFlight = new InFlightExchange();
+
 	private final Map<Departure, Boolean> storedDepartures = new LruMap<>(MAX_STORED_DEPARTURES);
 
 	private FleetSettings settings;
@@ -504,9 +512,11 @@
 
 	private void broadcastUpdate() {
 		long now = System.nanoTime();
-		boolean full = this.updatesSent++ % UPDATES_PER_FULL_UPDATE == 0;
-		FleetNews.Builder update = newUpdate().setHasInFlight(true);
-		this.listener.inFlight()
+		boolean full = this.updatesSent % UPDATES_PER_FULL_UPDATE == 0;
+		boolean directoryIncluded = this.updatesSent % UPDATES_PER_DIRECTORY == 0;
+		this.updatesSent++;
+		FleetNews.Builder update = newUpdate().setHasInFlight(full);
+		this.inFlight.numbersToSend(full, this.listener.inFlight())
 			.forEach((server, requests) -> update.addInFlightBuilder().setServer(server).setRequests(requests));
 		if (holdsLeaderLease()) {
 			Map<HostPort, Double> slow = this.groups.slowServers();
@@ -518,11 +528,13 @@
 		FleetCodec.encode(this.listener.poisonEvidence(full), update, now);
 		if (full) {
 			this.peers.knownPeers().forEach((peer) -> update.addMembers(FleetCodec.encode(peer)));
+			this.directory.departureAges(now)
+				.forEach((departure, age) -> update.addDepartures(FleetCodec.encode(departure, age)));
+		}
+		if (directoryIncluded) {
 			this.directory.allAnnouncements()
 				.forEach((each) -> update
 					.addServers(FleetCodec.encode(each, this.directory.announcementAgeNanos(each.server(), now))));
-			this.directory.departureAges(now)
-				.forEach((departure, age) -> update.addDepartures(FleetCodec.encode(departure, age)));
 		}
 		else {
 			this.unsentAnnouncements.values().forEach((each) -> update.addServers(FleetCodec.encode(each, 0)));
@@ -573,11 +585,10 @@
 		update.getServersList()
 			.forEach((notice) -> FleetCodec.decode(notice)
 				.ifPresent((server) -> merge(server, now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis()))));
-		if (update.getHasInFlight()) {
-			Map<String, Integer> requests = new HashMap<>();
-			update.getInFlightList().forEach((each) -> requests.put(each.getServer(), each.getRequests()));
-			this.listener.onInFlight(sender.get().instance(), requests);
-		}
+		Map<String, Integer> numbers = new HashMap<>();
+		update.getInFlightList().forEach((each) -> numbers.put(each.getServer(), each.getRequests()));
+		this.listener.onInFlight(sender.get().instance(),
+				this.inFlight.apply(sender.get().instance(), update.getHasInFlight(), numbers));
 		if (update.getCrashesCount() > 0 || update.getBegunCount() > 0 || update.getCompletedCount() > 0) {
 			this.listener.onPoisonEvidence(FleetCodec.decodePoisonEvidence(update, now));
 		}
@@ -661,6 +672,7 @@
 		long now = System.nanoTime();
 		this.peers.removeExpired(now, this.settings.seeds());
 		this.clients.updateConnections(this.peers, this.settings);
+		this.inFlight.retain(instances(this.peers.knownPeers()));
 		this.directory.removeExpired(now).forEach(this.listener::onServerRemoved);
 		updateLiveInstances(now);
 		this.replica.ifPresent((opened) -> {
