Send each map once to each rank of a large group

A map for 192 ranks is 25 KB of JSON; it was encoded for each rank (0.3 to 0.6 s of processor time for all), and sent again every 300 ms to each rank that had not reported its copy yet, also if it had taken the order.

Shown by: MapSwitchTests.aRankThatTookAMapIsNotSentItAgain (failed before).

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
@@ -43,6 +43,13 @@
 	/** Time after which an order without an answer is resent. */
 	private static final long ORDER_RETRY_INTERVAL_NANOS = 300_000_000L;
 
+	/**
+	 * Time in which a rank that took a map has copied its experts and reported it. The
+	 * map of a large group is tens of kilobytes for each rank; sent again meanwhile, it
+	 * would keep the coordinator's link busy for seconds.
+	 */
+	private static final long PREPARED_REPORT_TIMEOUT_NANOS = 2_000_000_000L;
+
 	/**
 	 * Time after which a switch is dropped if not all ranks have prepared the map.
 	 * Copying experts usually takes a fraction of a second, and the plan is outdated if
@@ -249,8 +256,8 @@
 	/**
 	 * Processes an engine's answer. Answers to orders of an earlier epoch are ignored. If
 	 * an order was not answered, the rank's current order is due again at once. Otherwise
-	 * answers that do not belong to the current phase or pass are ignored, and so are
-	 * those to prepare orders, as reports show which ranks have prepared the map.
+	 * answers that do not belong to the current phase or pass are ignored. Reports show
+	 * which ranks have prepared the map; a rank that took the order is left to copy.
 	 * @param order the order
 	 * @param answer the answer
 	 * @param now the current time in nanoseconds
@@ -265,7 +272,14 @@
 			return;
 		}
 		boolean accepted = answer == OrderAnswer.TAKEN;
-		if (order.order() instanceof HoldStep hold && this.phase == Phase.HOLDING && hold.step() == this.heldPass) {
+		if (order.order() instanceof PrepareMap prepare && this.phase == Phase.PREPARING
+				&& prepare.version() == this.targetVersion) {
+			if (accepted) {
+				this.retryTimer.markTaken(order.rank(), now + PREPARED_REPORT_TIMEOUT_NANOS);
+			}
+		}
+		else if (order.order() instanceof HoldStep hold && this.phase == Phase.HOLDING
+				&& hold.step() == this.heldPass) {
 			handleHoldResult(accepted, now);
 		}
 		else if (order.order() instanceof ArmMap arm && this.phase == Phase.ARMING && arm.step() == this.heldPass) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderRetryTimer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderRetryTimer.java
@@ -36,6 +36,15 @@
 		return true;
 	}
 
+	/**
+	 * Records that an order was taken, so that it is due again only much later.
+	 * @param rank the rank that took it
+	 * @param dueAt when it is due again if it is still needed, in nanoseconds
+	 */
+	void markTaken(int rank, long dueAt) {
+		this.sentAtByRank.put(rank, dueAt - this.retryIntervalNanos);
+	}
+
 	/**
 	 * Records that an order was not answered, so that it is due again at once.
 	 * @param rank the rank that it was sent to
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
@@ -78,6 +78,30 @@
 		assertThat(group.longestHold()).isLessThan(200 * MILLI);
 	}
 
+	/**
+	 * The map of a large group is long. Sent to all ranks again and again while they
+	 * copy, it keeps the coordinator busy until the switch is given up.
+	 */
+	@Test
+	void aRankThatTookAMapIsNotSentItAgain() {
+		FakeGroup group = new FakeGroup(4, 0, new Random(1));
+		List<RankOrder> prepared = new ArrayList<>();
+		for (long now = 0; now < 780 * MILLI; now += TICK) {
+			group.advance(now);
+			for (int rank = 0; rank < group.size(); rank++) {
+				this.mapSwitch.addReport(group.report(rank, now), now);
+			}
+			if (this.mapSwitch.canStart(now)) {
+				this.mapSwitch.start(LAYOUT, this.term, now);
+			}
+			for (RankOrder order : orders(now)) {
+				prepared.add(order);
+				this.mapSwitch.handleAnswer(order, group.handleOrder(order.rank(), order.order(), now), now);
+			}
+		}
+		assertThat(prepared).hasSize(group.size()).allMatch((order) -> order.order() instanceof PrepareMap);
+	}
+
 	/**
 	 * Ranks copy for 800 ms; a prepared map must come into force within six passes of 50
 	 * ms.
