--- /dev/null
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerConnectionTests.java
@@ -0,0 +1,85 @@
+package org.comfreywall.gateway.http;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.DefaultEventLoopGroup;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ServerConnection} without sockets.
+ */
+class ServerConnectionTests {
+
+	private static final HeaderNames NAMES = new HeaderNames("Request-Id", "Wait-Ms", "Seal", "Account", "Key",
+			"Expect-Server", "Not-Run", "Faulty", "Prompt-Parts");
+
+	private static final String RESPONSE = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\nContent-Length: 5\r\n\r\nhello";
+
+	private final EventLoopGroup loop = new DefaultEventLoopGroup(1);
+
+	private final ServerConnection connection = new ServerConnection(new ServerConnectionPool(this.loop, NAMES), "s",
+			NAMES);
+
+	private final EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), this.connection);
+
+	private boolean complete;
+
+	@AfterEach
+	void close() {
+		this.channel.close();
+		this.loop.shutdownGracefully();
+	}
+
+	/**
+	 * The end of a response may be read together with the part that made its slow caller
+	 * pause the connection. The next request on it has another caller.
+	 */
+	@Test
+	void readsAgainAfterAResponseThatEndedWhilePaused() {
+		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		request.headers().set(NAMES.request(), "r1");
+		this.connection.send(request, new PausingListener());
+		this.channel.writeInbound(Unpooled.copiedBuffer(RESPONSE, StandardCharsets.UTF_8));
+		assertThat(this.complete).isTrue();
+		assertThat(this.channel.isOpen()).isTrue();
+		assertThat(this.channel.config().isAutoRead()).isTrue();
+	}
+
+	/** Pauses the connection with the first part of the body. */
+	private final class PausingListener implements AttemptListener {
+
+		@Override
+		public void onHead(HttpResponse head) {
+			// Only the body matters here.
+		}
+
+		@Override
+		public void onBody(ByteBuf part) {
+			ServerConnectionTests.this.connection.pauseReading(true);
+		}
+
+		@Override
+		public void onComplete() {
+			ServerConnectionTests.this.complete = true;
+		}
+
+		@Override
+		public void onBroken(String reason) {
+			throw new AssertionError(reason);
+		}
+
+	}
+
+}
