Do not repeat a map to ranks that refuse it

Change: any answer to a map leaves the rank to copy for 2 s.

Shown by: MapSwitchTests.aRankThatRefusesAMapIsNotSentItAgain (failed before).

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
@@ -44,9 +44,9 @@
 	private static final long ORDER_RETRY_INTERVAL_NANOS = 300_000_000L;
 
 	/**
-	 * Time in which a rank that took a map has copied its experts and reported it. The
-	 * map of a large group is tens of kilobytes for each rank; sent again meanwhile, it
-	 * would keep the coordinator's link busy for seconds.
+	 * Time in which a rank that answered the order has copied its experts and reported
+	 * it. The map of a large group is tens of kilobytes for each rank; sent again
+	 * meanwhile, it would keep the coordinator's link busy for seconds.
 	 */
 	private static final long PREPARED_REPORT_TIMEOUT_NANOS = 2_000_000_000L;
 
@@ -257,7 +257,7 @@
 	 * Processes an engine's answer. Answers to orders of an earlier epoch are ignored. If
 	 * an order was not answered, the rank's current order is due again at once. Otherwise
 	 * answers that do not belong to the current phase or pass are ignored. Reports show
-	 * which ranks have prepared the map; a rank that took the order is left to copy.
+	 * which ranks have prepared the map; a rank that answered the order is left to copy.
 	 * @param order the order
 	 * @param answer the answer
 	 * @param now the current time in nanoseconds
@@ -274,9 +274,9 @@
 		boolean accepted = answer == OrderAnswer.TAKEN;
 		if (order.order() instanceof PrepareMap prepare && this.phase == Phase.PREPARING
 				&& prepare.version() == this.targetVersion) {
-			if (accepted) {
-				this.retryTimer.markTaken(order.rank(), now + PREPARED_REPORT_TIMEOUT_NANOS);
-			}
+			// A rank refuses a version that it has taken before, when its answer was
+			// lost.
+			this.retryTimer.markAnswered(order.rank(), now + PREPARED_REPORT_TIMEOUT_NANOS);
 		}
 		else if (order.order() instanceof HoldStep hold && this.phase == Phase.HOLDING
 				&& hold.step() == this.heldPass) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderRetryTimer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/OrderRetryTimer.java
@@ -37,11 +37,11 @@
 	}
 
 	/**
-	 * Records that an order was taken, so that it is due again only much later.
-	 * @param rank the rank that took it
+	 * Records that an order was answered, so that it is due again only much later.
+	 * @param rank the rank that answered it
 	 * @param dueAt when it is due again if it is still needed, in nanoseconds
 	 */
-	void markTaken(int rank, long dueAt) {
+	void markAnswered(int rank, long dueAt) {
 		this.sentAtByRank.put(rank, dueAt - this.retryIntervalNanos);
 	}
 
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
@@ -84,6 +84,16 @@
 	 */
 	@Test
 	void aRankThatTookAMapIsNotSentItAgain() {
+		assertIsPreparedWithOneOrderForEachRank(OrderAnswer.TAKEN);
+	}
+
+	/** A rank refuses a version that it has taken before, when its answer was lost. */
+	@Test
+	void aRankThatRefusesAMapIsNotSentItAgain() {
+		assertIsPreparedWithOneOrderForEachRank(OrderAnswer.REFUSED);
+	}
+
+	private void assertIsPreparedWithOneOrderForEachRank(OrderAnswer answer) {
 		FakeGroup group = new FakeGroup(4, 0, new Random(1));
 		List<RankOrder> prepared = new ArrayList<>();
 		for (long now = 0; now < 780 * MILLI; now += TICK) {
@@ -96,7 +106,8 @@
 			}
 			for (RankOrder order : orders(now)) {
 				prepared.add(order);
-				this.mapSwitch.handleAnswer(order, group.handleOrder(order.rank(), order.order(), now), now);
+				assertThat(group.handleOrder(order.rank(), order.order(), now)).isEqualTo(OrderAnswer.TAKEN);
+				this.mapSwitch.handleAnswer(order, answer, now);
 			}
 		}
 		assertThat(prepared).hasSize(group.size()).allMatch((order) -> order.order() instanceof PrepareMap);
