--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
@@ -43,6 +43,12 @@
 	/** Time after which an order without an answer is resent. */
 	private static final long ORDER_RETRY_INTERVAL_NANOS = 300_000_000L;
 
+	/**
+	 * Maximum number of ranks that a map is being sent to. More at once would keep the
+	 * coordinator from its requests, and their answers would come too late.
+	 */
+	private static final int MAX_UNANSWERED_MAPS = 32;
+
 	/**
 	 * Time in which a rank that answered the order has copied its experts and reported
 	 * it. The map of a large group is tens of kilobytes for each rank; sent again
@@ -116,6 +122,9 @@
 	// The version that the ranks prepare or are armed for, not the one in force.
 	private long targetVersion;
 
+	// The ranks that have not answered the order to prepare the target version.
+	private final Set<Integer> unansweredMaps = new HashSet<>();
+
 	// Used only to prepare the map; a switch that was taken over needs no layout.
 	private ExpertLayout targetLayout;
 
@@ -249,6 +258,7 @@
 		}
 		this.targetVersion = Math.max(highest, this.targetVersion) + 1;
 		this.targetLayout = planned;
+		this.unansweredMaps.clear();
 		this.takenOver = false;
 		enterPhase(Phase.PREPARING, now);
 	}
@@ -266,6 +276,9 @@
 		if (order.order().epoch() != this.epoch) {
 			return;
 		}
+		if (order.order() instanceof PrepareMap prepare && prepare.version() == this.targetVersion) {
+			this.unansweredMaps.remove(order.rank());
+		}
 		if (answer == OrderAnswer.UNKNOWN) {
 			this.retryTimer.markUnanswered(order.rank());
 			this.orderUnansweredAt = now;
@@ -450,7 +463,11 @@
 		}
 		List<RankOrder> orders = new ArrayList<>();
 		for (RankReport report : this.reports.values()) {
-			if (report.preparedVersion() != this.targetVersion && this.retryTimer.markSentIfDue(report.rank(), now)) {
+			boolean mayBeSent = this.unansweredMaps.size() < MAX_UNANSWERED_MAPS
+					|| this.unansweredMaps.contains(report.rank());
+			if (mayBeSent && report.preparedVersion() != this.targetVersion
+					&& this.retryTimer.markSentIfDue(report.rank(), now)) {
+				this.unansweredMaps.add(report.rank());
 				orders.add(addressTo(report, new PrepareMap(this.epoch, this.targetVersion, this.targetLayout)));
 			}
 		}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/group/MapSwitchTests.java
@@ -87,6 +87,32 @@
 		assertIsPreparedWithOneOrderForEachRank(OrderAnswer.TAKEN);
 	}
 
+	@Test
+	void aMapIsSentToAFewRanksOfALargeGroupAtOnce() {
+		FakeGroup group = new FakeGroup(100, 0, new Random(1));
+		group.advance(0);
+		for (int rank = 0; rank < group.size(); rank++) {
+			this.mapSwitch.addReport(group.report(rank, 0), 0);
+		}
+		long now = 100 * MILLI;
+		for (int rank = 0; rank < group.size(); rank++) {
+			this.mapSwitch.addReport(group.report(rank, now), now);
+		}
+		this.mapSwitch.start(ExpertLayout.roundRobin(1, 100, 100), this.term, now);
+		int sent = 0;
+		List<RankOrder> due = orders(now);
+		while (!due.isEmpty()) {
+			assertThat(due).hasSizeLessThanOrEqualTo(32);
+			assertThat(orders(now)).isEmpty();
+			sent += due.size();
+			for (RankOrder order : due) {
+				this.mapSwitch.handleAnswer(order, OrderAnswer.TAKEN, now);
+			}
+			due = orders(now);
+		}
+		assertThat(sent).isEqualTo(group.size());
+	}
+
 	/** A rank refuses a version that it has taken before, when its answer was lost. */
 	@Test
 	void aRankThatRefusesAMapIsNotSentItAgain() {
