--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/FleetProcess.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/FleetProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,8 +17,11 @@
 
 	private final Process process;
 
-	private FleetProcess(Process process) {
+	private final Path log;
+
+	private FleetProcess(Process process, Path log) {
 		this.process = process;
+		this.log = log;
 	}
 
 	static FleetProcess start(Path settings, Path log, String... options) throws IOException {
@@ -27,7 +31,7 @@
 						"org.comfreywall.daemon.Comfreywalld", "run", "--settings", settings.toString()));
 		command.addAll(List.of(options));
 		Process process = new ProcessBuilder(command).redirectError(log.toFile()).start();
-		return new FleetProcess(process);
+		return new FleetProcess(process, log);
 	}
 
 	/**
@@ -38,7 +42,7 @@
 		BufferedReader output = this.process.inputReader();
 		String line = output.readLine();
 		if (line == null || !line.startsWith("ready ")) {
-			throw new IOException("process did not start: " + line);
+			throw new IOException("process did not start: " + line + "\n" + Files.readString(this.log));
 		}
 		return line;
 	}
