Share what two places wrote twice

Change: ResponseBody serves both paths of requests, MessageBytes the connection and the notices of a rank. The bytes sent are the same.

Checked: formatter and linter clean; RankNoticeEncoder-, RankReporter-, Gateway-, BackendClient-, ChangeEndpoint-, MapSwitch-, RankSidecar-, HttpEnginePort-, SidecarSettings-, PlatformSettings- and PlatformBoundaryTests pass. No test was changed.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
@@ -26,6 +26,7 @@
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Step;
 import org.comfreywall.common.stream.EventBoundary;
+import org.comfreywall.common.stream.ResponseBody;
 import org.comfreywall.common.util.Bytes;
 import org.comfreywall.common.util.Preconditions;
 import org.comfreywall.transport.attempt.AttemptPayload;
@@ -52,10 +53,10 @@
 		Preconditions.notNull(vertx, "vertx");
 		this.backend = Preconditions.notNull(backend, "backend");
 		this.self = Preconditions.notNull(self, "self");
-		// A server may send a second copy of a response, late. Nothing in it tells the
-		// copy
-		// from the response to the next call on the same connection, so each call has its
-		// own; the server is on the same instance, where opening one is cheap.
+		// A server may send a second copy of a response, late. Nothing in it tells
+		// the copy from the response to the next call on the same connection, so
+		// each call has its own; the server is on the same instance, where opening
+		// one is cheap.
 		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(TIMEOUT_MILLIS)
 			.setKeepAlive(false)
 			.setDecompressionSupported(false);
@@ -143,10 +144,7 @@
 	}
 
 	private static boolean hasBody(HttpClientResponse response) {
-		return !response.request().getMethod().equals(HttpMethod.HEAD)
-				&& response.statusCode() != HttpURLConnection.HTTP_NO_CONTENT
-				&& response.statusCode() != HttpURLConnection.HTTP_RESET
-				&& response.statusCode() != HttpURLConnection.HTTP_NOT_MODIFIED;
+		return ResponseBody.isAllowed(response.request().getMethod().name(), response.statusCode());
 	}
 
 	private static boolean isLengthDelimited(HttpClientResponse response) {
@@ -247,9 +245,8 @@
 		private void end(HttpClientResponse opened) {
 			boolean lengthDelimited = isLengthDelimited(opened);
 			if (!lengthDelimited && !this.receivedBytes && hasBody(opened)) {
-				// An empty response cannot be told from one whose server stopped after
-				// its
-				// head, and servers state a length of 0.
+				// An empty response cannot be told from one whose server stopped
+				// after its head, and servers state a length of 0.
 				fail(ErrorCode.BACKEND_ERROR, new IOException("response ended after its head"), true);
 			}
 			else if (this.events.filter((boundary) -> boundary.isBrokenOff(lengthDelimited)).isPresent()) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankConnection.java
@@ -1,6 +1,5 @@
 package org.comfreywall.gateway.fleet;
 
-import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -13,7 +12,6 @@
 import java.util.Optional;
 
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.transport.Transport;
@@ -73,14 +71,12 @@
 		}
 	}
 
-	private static byte[] hello(String instance, long incarnation) throws IOException {
-		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-		CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-		out.writeUInt32(Hello.VERSION_FIELD_NUMBER, Transport.PROTOCOL_VERSION);
-		out.writeString(Hello.INSTANCE_FIELD_NUMBER, instance);
-		out.writeUInt64(Hello.INCARNATION_FIELD_NUMBER, incarnation);
-		out.flush();
-		return bytes.toByteArray();
+	private static byte[] hello(String instance, long incarnation) {
+		return MessageBytes.of(64, (out) -> {
+			out.writeUInt32(Hello.VERSION_FIELD_NUMBER, Transport.PROTOCOL_VERSION);
+			out.writeString(Hello.INSTANCE_FIELD_NUMBER, instance);
+			out.writeUInt64(Hello.INCARNATION_FIELD_NUMBER, incarnation);
+		});
 	}
 
 	/**
@@ -93,24 +89,19 @@
 	 */
 	long call(String method, byte[] payload) throws IOException {
 		long id = ++this.calls;
-		ByteArrayOutputStream bytes = new ByteArrayOutputStream(payload.length + 64);
-		CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-		out.writeUInt64(Call.ID_FIELD_NUMBER, id);
-		out.writeString(Call.METHOD_FIELD_NUMBER, method);
-		out.writeByteArray(Call.PAYLOAD_FIELD_NUMBER, payload);
-		out.flush();
-		queue(Frame.CALL_FIELD_NUMBER, bytes.toByteArray());
+		queue(Frame.CALL_FIELD_NUMBER, MessageBytes.of(payload.length + 64, (out) -> {
+			out.writeUInt64(Call.ID_FIELD_NUMBER, id);
+			out.writeString(Call.METHOD_FIELD_NUMBER, method);
+			out.writeByteArray(Call.PAYLOAD_FIELD_NUMBER, payload);
+		}));
 		this.channel.write(this.unsent);
 		return id;
 	}
 
-	private void queue(int field, byte[] body) throws IOException {
-		ByteArrayOutputStream frame = new ByteArrayOutputStream(body.length + 16);
-		CodedOutputStream out = CodedOutputStream.newInstance(frame);
-		out.writeByteArray(field, body);
-		out.flush();
-		ByteBuffer queued = ByteBuffer.allocate(this.unsent.remaining() + LENGTH_BYTES + frame.size());
-		queued.put(this.unsent).putInt(frame.size()).put(frame.toByteArray()).flip();
+	private void queue(int field, byte[] body) {
+		byte[] frame = MessageBytes.of(body.length + 16, (out) -> out.writeByteArray(field, body));
+		ByteBuffer queued = ByteBuffer.allocate(this.unsent.remaining() + LENGTH_BYTES + frame.length);
+		queued.put(this.unsent).putInt(frame.length).put(frame).flip();
 		this.unsent = queued;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankNoticeEncoder.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/RankNoticeEncoder.java
@@ -1,11 +1,7 @@
 package org.comfreywall.gateway.fleet;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.List;
 
-import com.google.protobuf.CodedOutputStream;
 import org.comfreywall.gateway.group.RankReport;
 import org.comfreywall.transport.generated.ExpertList;
 import org.comfreywall.transport.generated.RankNotice;
@@ -33,9 +29,7 @@
 	 * @return the encoded message
 	 */
 	static byte[] encode(String service, RankReport report, int[] choiceCounts) {
-		ByteArrayOutputStream bytes = new ByteArrayOutputStream(MAX_VARINT_BYTES * choiceCounts.length + 256);
-		try {
-			CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+		return MessageBytes.of(MAX_VARINT_BYTES * choiceCounts.length + 256, (out) -> {
 			out.writeString(RankNotice.SERVER_FIELD_NUMBER, report.server());
 			out.writeString(RankNotice.GROUP_FIELD_NUMBER, report.group());
 			out.writeInt64(RankNotice.EPOCH_FIELD_NUMBER, report.epoch());
@@ -55,32 +49,21 @@
 			}
 			out.writeDouble(RankNotice.PACE_FIELD_NUMBER, report.slowdown());
 			out.writeString(RankNotice.SERVICE_FIELD_NUMBER, service);
-			out.flush();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException("memory cannot be written", ex);
-		}
-		return bytes.toByteArray();
+		});
 	}
 
-	private static byte[] expertList(List<Integer> experts) throws IOException {
-		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-		CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-		out.writeByteArray(ExpertList.EXPERTS_FIELD_NUMBER,
-				varints(experts.stream().mapToInt(Integer::intValue).toArray()));
-		out.flush();
-		return bytes.toByteArray();
+	private static byte[] expertList(List<Integer> experts) {
+		int[] numbers = experts.stream().mapToInt(Integer::intValue).toArray();
+		return MessageBytes.of(32, (out) -> out.writeByteArray(ExpertList.EXPERTS_FIELD_NUMBER, varints(numbers)));
 	}
 
 	// Repeated numbers are packed: a message has them as one field.
-	private static byte[] varints(int[] numbers) throws IOException {
-		ByteArrayOutputStream bytes = new ByteArrayOutputStream(numbers.length + 16);
-		CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-		for (int number : numbers) {
-			out.writeUInt32NoTag(number);
-		}
-		out.flush();
-		return bytes.toByteArray();
+	private static byte[] varints(int[] numbers) {
+		return MessageBytes.of(numbers.length + 16, (out) -> {
+			for (int number : numbers) {
+				out.writeUInt32NoTag(number);
+			}
+		});
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -9,11 +9,11 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import org.comfreywall.common.stream.EventBoundary;
+import org.comfreywall.common.stream.ResponseBody;
 import org.comfreywall.gateway.pool.AttemptResult;
 import org.comfreywall.gateway.pool.PoolServer;
 import org.comfreywall.gateway.pool.ServicePool;
@@ -268,12 +268,9 @@
 	// The end of the connection ends a response without a length. An empty one cannot be
 	// told from one whose server stopped after its head, and servers state a length of 0.
 	private boolean isCutAfterHead() {
-		int status = this.head.status().code();
-		boolean hasBody = !this.exchange.request().method().equals(HttpMethod.HEAD)
-				&& status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.RESET_CONTENT.code()
-				&& status != HttpResponseStatus.NOT_MODIFIED.code();
-		return this.events.isEmpty() && hasBody && this.firstPartAt == 0
-				&& !ServerConnection.isLengthDelimited(this.head);
+		String method = this.exchange.request().method().name();
+		return this.events.isEmpty() && ResponseBody.isAllowed(method, this.head.status().code())
+				&& this.firstPartAt == 0 && !ServerConnection.isLengthDelimited(this.head);
 	}
 
 	// A stream that resumes after its last event has none left.
