--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeEndpoint.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/admin/ChangeEndpoint.java
@@ -59,9 +59,9 @@
 					Step.CONFIGURE, "the change requires either 'configuration' or 'rollbackTo'")));
 		}
 		Result<Configuration> submitted = ConfigurationReader.parse("configuration", request.configuration().get());
-		// A resend of a change that was applied must have the same content as before, so
-		// the
-		// base is the revision that the change expects, not the present one.
+		// A resend of a change that was applied must have the same content as
+		// before, so the base is the revision that the change expects, not the
+		// present one.
 		return this.configurations.configurationAt(request.expected())
 			.thenApply((base) -> submitted
 				.flatMap((after) -> base.map((before) -> ConfigurationDelta.between(before, after))));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/group/MapSwitch.java
@@ -287,8 +287,8 @@
 		boolean accepted = answer == OrderAnswer.TAKEN;
 		if (order.order() instanceof PrepareMap prepare && this.phase == Phase.PREPARING
 				&& prepare.version() == this.targetVersion) {
-			// A rank refuses a version that it has taken before, when its answer was
-			// lost.
+			// A rank refuses a version that it has taken before, when its answer
+			// was lost.
 			this.retryTimer.markAnswered(order.rank(), now + PREPARED_REPORT_TIMEOUT_NANOS);
 		}
 		else if (order.order() instanceof HoldStep hold && this.phase == Phase.HOLDING
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
@@ -207,6 +207,11 @@
 		return reserved;
 	}
 
+	private void releaseReserved() {
+		this.gateway.bodies().release(this.reservedBytes);
+		this.reservedBytes = 0;
+	}
+
 	private void refuseForMemory() {
 		this.gateway.log().bodyRefused(this.head, this.body.size(), this.gateway.bodies().usedBytes());
 		refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, Optional.of(this.gateway.bodies().retryAfter()));
@@ -266,8 +271,7 @@
 		this.closing = true;
 		this.head = null;
 		this.body = null;
-		this.gateway.bodies().release(this.reservedBytes);
-		this.reservedBytes = 0;
+		releaseReserved();
 		cancelIdleTimer();
 		if (this.exchange != null) {
 			return;
@@ -294,8 +298,7 @@
 			this.exchange = null;
 		}
 		releaseProcessed();
-		this.gateway.bodies().release(this.reservedBytes);
-		this.reservedBytes = 0;
+		releaseReserved();
 		this.pipelined.forEach((request) -> this.gateway.bodies().release(request.body().length));
 		this.pipelined.clear();
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -234,8 +234,8 @@
 		this.used = true;
 		boolean idle = this.reusable && this.written && this.channel.isActive();
 		if (idle) {
-			// Reading is paused if the caller was slower than the server; the next one is
-			// not.
+			// Reading is paused if the caller was slower than the server; the next
+			// one is not.
 			pauseReading(false);
 			this.idleSince = System.nanoTime();
 			this.owner.release(this);
