Count a waiting request once in the demand of its client account

Change: AccountShares keeps the ids of the requests that it could not admit since its last lease request and counts each once.

Checked: LimitEnforcerTests.countsARequestThatIsOfferedAgainOnceInItsDemand failed before and passes; all LimitEnforcerTests pass.

--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/AccountShares.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/AccountShares.java
@@ -1,8 +1,11 @@
 package org.comfreywall.entry.limit;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 import org.comfreywall.common.id.AccountId;
+import org.comfreywall.common.id.RequestId;
 import org.comfreywall.common.lease.AccountDemand;
 import org.comfreywall.common.lease.AccountGrant;
 import org.comfreywall.common.lease.LeaseTerms;
@@ -31,7 +34,7 @@
 
 	private final OfferedRate offeredRate;
 
-	private long unadmittedRequests;
+	private final Set<RequestId> unadmittedRequests = new HashSet<>();
 
 	private long maxUnadmittedTokens;
 
@@ -62,12 +65,12 @@
 
 	/**
 	 * Counts a request that could not be admitted, so that the next lease request covers
-	 * it.
-	 * @param tokens the tokens charged for the request
+	 * it. A waiting request is offered every few milliseconds and counts once.
+	 * @param request the request
 	 */
-	void recordUnadmitted(long tokens) {
-		this.unadmittedRequests++;
-		this.maxUnadmittedTokens = Math.max(this.maxUnadmittedTokens, tokens);
+	void recordUnadmitted(LimitRequest request) {
+		this.unadmittedRequests.add(request.id());
+		this.maxUnadmittedTokens = Math.max(this.maxUnadmittedTokens, request.tokens());
 	}
 
 	void recordGrant(AccountDemand demand, AccountGrant grant, long now) {
@@ -94,7 +97,7 @@
 		GrantedShare share = share(role);
 		boolean active = requestMore && isActive(now);
 		double horizon = active ? HORIZON_INTERVALS * this.terms.askInterval().toNanos() : 0;
-		long waitingRequests = active ? this.unadmittedRequests : 0;
+		long waitingRequests = active ? this.unadmittedRequests.size() : 0;
 		double expectedRequests = this.offeredRate.requestsPerNano(now) * horizon;
 		long expectedTokens = Math.round(this.offeredRate.tokensPerNano(now) * horizon);
 		long availableRequests = share.requests(now);
@@ -123,7 +126,7 @@
 	 */
 	void markRequested(long now) {
 		this.lastRequestAt = now;
-		this.unadmittedRequests = 0;
+		this.unadmittedRequests.clear();
 		this.maxUnadmittedTokens = 0;
 	}
 
@@ -167,7 +170,7 @@
 	}
 
 	long unadmittedRequests() {
-		return this.unadmittedRequests;
+		return this.unadmittedRequests.size();
 	}
 
 	private long smallestTokens(double expectedRequests, long expectedTokens) {
--- a/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
+++ b/comfreywall-entry/src/main/java/org/comfreywall/entry/limit/LimitEnforcer.java
@@ -233,7 +233,7 @@
 				return new LimitAdmitted(new LimitPermit(request.account(), role, request.tokens()));
 			}
 		}
-		shares.recordUnadmitted(request.tokens());
+		shares.recordUnadmitted(request);
 		this.accountsWithUnmetDemand.add(shares);
 		if (!shares.hasShortfall(now) && now < waitUntil) {
 			return new LimitPending(waitUntil);
--- a/comfreywall-entry/src/test/java/org/comfreywall/entry/limit/LimitEnforcerTests.java
+++ b/comfreywall-entry/src/test/java/org/comfreywall/entry/limit/LimitEnforcerTests.java
@@ -83,6 +83,17 @@
 			.isInstanceOf(LimitAdmitted.class);
 	}
 
+	@Test
+	void countsARequestThatIsOfferedAgainOnceInItsDemand() {
+		LimitPending pending = (LimitPending) this.enforcer.offer(request(100), 0);
+		for (int i = 1; i < 10; i++) {
+			this.enforcer.offerAgain(request(100), pending.waitUntil(), i);
+		}
+		AccountDemand demand = leaseRequest(GrantorRole.PRIMARY, 10).get().demands().get(0);
+		assertThat(demand.requests()).isEqualTo(1);
+		assertThat(demand.slots()).isEqualTo(1);
+	}
+
 	@Test
 	void refusesRequestWhenNoGrantorRespondsInTime() {
 		LimitPending pending = (LimitPending) this.enforcer.offer(request(0), 0);
