End bodies of which a byte arrives now and then

Cause: each read of a body restarted the idle timer, so a caller that sent a byte every few seconds held its connection, and the memory reserved for the whole body, without end (a report of other operators, here on the way in). Change: a body has the idle timeout plus one second for each KiB that has arrived. A slow but sound one is not cut.

Checked: GatewayTests.LargeBodies.aBodyOfWhichAByteArrivesNowAndThenEnds failed before (3 s of single bytes with an idle timeout of 300 ms) and passes, as does aSlowButSoundBodyIsNotCut; all GatewayTests pass.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
@@ -42,6 +42,11 @@
 	 */
 	private static final long LINGER_MILLIS = 1000;
 
+	/**
+	 * Rate below which a body that takes longer than the idle timeout counts as stalled.
+	 */
+	private static final int MIN_BODY_BYTES_PER_SECOND = 1024;
+
 	private final Gateway gateway;
 
 	private final Deque<CallerRequest> pipelined = new ArrayDeque<>();
@@ -60,6 +65,8 @@
 
 	private Exchange exchange;
 
+	private long bodyStart;
+
 	private boolean closing;
 
 	private ScheduledFuture<?> idleTimer;
@@ -80,16 +87,26 @@
 	@Override
 	public void channelReadComplete(ChannelHandlerContext read) {
 		if (this.head != null) {
-			// The rest of the body has to arrive within the idle timeout.
-			startIdleTimer();
+			startBodyTimer();
 		}
 		read.fireChannelReadComplete();
 	}
 
 	// The idle timeout applies while the next byte of a request is awaited.
 	private void startIdleTimer() {
+		startTimer(this.gateway.limits().idleTimeout().toNanos());
+	}
+
+	// A slow body may take its time, but a caller that sends a byte now and then must not
+	// hold memory for ever.
+	private void startBodyTimer() {
+		long idleTimeout = this.gateway.limits().idleTimeout().toNanos();
+		long allowed = idleTimeout + TimeUnit.SECONDS.toNanos(this.body.size()) / MIN_BODY_BYTES_PER_SECOND;
+		startTimer(Math.min(idleTimeout, this.bodyStart + allowed - System.nanoTime()));
+	}
+
+	private void startTimer(long nanos) {
 		cancelIdleTimer();
-		long nanos = this.gateway.limits().idleTimeout().toNanos();
 		this.idleTimer = this.context.executor().schedule(this::closeIdle, nanos, TimeUnit.NANOSECONDS);
 	}
 
@@ -163,6 +180,7 @@
 		long length = HttpUtil.getContentLength(request, 0L);
 		this.head = request;
 		this.body = new ByteArrayOutputStream();
+		this.bodyStart = System.nanoTime();
 		if (length > this.gateway.limits().maxBodyBytes()) {
 			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 		}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -705,18 +705,48 @@
 			}
 		}
 
-		/** A caller that stops within a body must not hold memory for ever. */
-		@Test
-		void aBodyThatStopsArrivingEndsWithTheIdleTimeout() throws Exception {
+		private void shortenIdleTimeout() throws Exception {
 			HttpLimits limits = new HttpLimits(HttpLimits.DEFAULT.maxHeaderBytes(), HttpLimits.DEFAULT.maxBodyBytes(),
 					HttpLimits.DEFAULT.headerTimeout(), Duration.ofMillis(300));
 			onLoop(() -> GatewayTests.this.gateway.configure(configuration(2, limits)));
+		}
+
+		/** A caller that stops within a body must not hold memory for ever. */
+		@Test
+		void aBodyThatStopsArrivingEndsWithTheIdleTimeout() throws Exception {
+			shortenIdleTimeout();
 			try (Socket socket = begin("r1", "Content-Length: " + BODY_BYTES)) {
 				socket.getOutputStream().write(new byte[10]);
 				assertThat(socket.getInputStream().read()).isEqualTo(-1);
 			}
 		}
 
+		/** Nor may one that sends a byte now and then. */
+		@Test
+		void aBodyOfWhichAByteArrivesNowAndThenEnds() throws Exception {
+			shortenIdleTimeout();
+			try (Socket socket = begin("r1", "Content-Length: " + BODY_BYTES)) {
+				assertThatThrownBy(() -> sendSlowly(socket, new byte[1], 30)).isInstanceOf(IOException.class);
+			}
+		}
+
+		@Test
+		void aSlowButSoundBodyIsNotCut() throws Exception {
+			shortenIdleTimeout();
+			announce(GatewayTests.this.first.answer(WHOLE), "s1");
+			try (Socket socket = begin("r1", "Content-Length: 20000")) {
+				sendSlowly(socket, new byte[2000], 10);
+				assertThat(readHead(socket)).startsWith("HTTP/1.1 200");
+			}
+		}
+
+		private void sendSlowly(Socket socket, byte[] part, int parts) throws Exception {
+			for (int i = 0; i < parts; i++) {
+				TimeUnit.MILLISECONDS.sleep(100);
+				socket.getOutputStream().write(part);
+			}
+		}
+
 	}
 
 	/**
