Limit the requests on a group so that pauses keep their target

Cause: all ranks of a group execute each pass together, so each request in flight lengthens the pauses of all streams, by three times as much while the map has not followed a shift of demand. Change: PauseLimit measures what a request adds to a pause and bounds the requests in flight so that pauses stay within nine tenths of the target also at the highest cost of the last five seconds. It applies to services with the shape of an expert-parallel group and a gap_target_ms, and not where fewer than half of the slots would be used. While it binds, a request is queued for half of the time only that it can lose and still be on time. The line group-load shows requests, limit and pause.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/EngineShape.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/EngineShape.java
@@ -31,4 +31,12 @@
 		Preconditions.notNull(expertCopy, "expertCopy");
 	}
 
+	/**
+	 * Returns the duration of a pass without any request.
+	 * @return the duration
+	 */
+	public Duration passBase() {
+		return this.stepBase.multipliedBy(this.stride);
+	}
+
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/GatewayConfiguration.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/GatewayConfiguration.java
@@ -1,6 +1,8 @@
 package org.comfreywall.gateway.config;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -90,6 +92,22 @@
 		return Optional.ofNullable(best);
 	}
 
+	/**
+	 * Returns the longest pause between two events that the callers of all streams of a
+	 * service accept.
+	 * @param service the service's name
+	 * @return the shortest limit of the routes to the service; empty if none has one
+	 */
+	public Optional<Duration> maxPause(String service) {
+		return this.routesByHost.values()
+			.stream()
+			.flatMap(List::stream)
+			.filter((route) -> route.kind().isStream())
+			.filter((route) -> route.services().stream().anyMatch((target) -> target.service().equals(service)))
+			.flatMap((route) -> route.maxPause().stream())
+			.min(Comparator.naturalOrder());
+	}
+
 	/**
 	 * Finds the client account that holds a key.
 	 * @param key the key
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/Route.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/config/Route.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import org.comfreywall.common.util.Preconditions;
 
@@ -15,6 +16,8 @@
  * @param timeout the maximum time that a request may take
  * @param objective the latency objective for a response, or for the first event of a
  * stream
+ * @param maxPause the longest pause between two events of a stream that callers accept,
+ * if it is limited
  * @param priority the priority under overload, 0 highest
  * @param services the services that the requests are distributed to; at least one has a
  * positive weight
@@ -22,7 +25,7 @@
  * @param open whether requests need no key
  */
 public record Route(String name, String host, String pathPrefix, RequestKind kind, Duration timeout, Duration objective,
-		int priority, List<WeightedService> services, int attempts, boolean open) {
+		Optional<Duration> maxPause, int priority, List<WeightedService> services, int attempts, boolean open) {
 
 	public Route {
 		Preconditions.notNull(name, "name");
@@ -31,6 +34,7 @@
 		Preconditions.notNull(kind, "kind");
 		Preconditions.check(timeout.toNanos() > 0, "timeout must be positive: %s", timeout);
 		Preconditions.notNull(objective, "objective");
+		Preconditions.notNull(maxPause, "maxPause");
 		services = List.copyOf(services);
 		Preconditions.check(services.stream().mapToInt(WeightedService::weight).sum() > 0,
 				"services must have a positive weight in total: %s", services);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -53,6 +53,8 @@
 
 	private long firstPartAt;
 
+	private long lastPartAt;
+
 	private final ServiceProgress progress;
 
 	Attempt(Exchange exchange, Gateway gateway, ServicePool pool, PoolServer server) {
@@ -219,7 +221,9 @@
 		}
 		else {
 			this.progress.advance(now);
+			this.pool.recordPause(now - this.lastPartAt, now);
 		}
+		this.lastPartAt = now;
 	}
 
 	private void buffer(ByteBuf part) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
@@ -202,8 +202,11 @@
 			return;
 		}
 		double wait = Math.min(MAX_WAIT_OBJECTIVES * this.route.objective().toNanos(), MAX_WAIT_SHARE * left);
+		// A stream that has begun is not given up for a new one.
+		long longest = this.mayHaveRun ? (long) wait
+				: this.pool.longestWait(this.route.objective().toNanos(), (long) wait, now);
 		WaitingRequest waiting = new WaitingRequest(this.id, this.priority, this.probableRetry, this.request.arrival(),
-				now + (long) wait, this.excluded);
+				now + longest, this.excluded);
 		this.queued = true;
 		this.queuedAt = now;
 		this.gateway.addWaiting(this.id, this);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -1,6 +1,7 @@
 package org.comfreywall.gateway.http;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -16,9 +17,12 @@
 import org.comfreywall.common.metrics.LabelledHistograms;
 import org.comfreywall.common.toml.HostPort;
 import org.comfreywall.common.util.Preconditions;
+import org.comfreywall.gateway.config.EngineShape;
 import org.comfreywall.gateway.config.GatewayConfiguration;
 import org.comfreywall.gateway.config.HttpLimits;
+import org.comfreywall.gateway.config.ServiceSettings;
 import org.comfreywall.gateway.poison.PoisonDetector;
+import org.comfreywall.gateway.pool.GroupLoad;
 import org.comfreywall.gateway.pool.PoolServer;
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 import org.comfreywall.gateway.pool.ServicePool;
@@ -129,9 +133,17 @@
 			return false;
 		}
 		this.configuration = Optional.of(newer);
+		newer.serviceNames().forEach((service) -> limitPauses(newer, service));
 		return true;
 	}
 
+	// Only the ranks of a group slow each other down.
+	private void limitPauses(GatewayConfiguration newer, String service) {
+		Optional<EngineShape> engine = newer.findService(service).flatMap(ServiceSettings::engine);
+		engine.ifPresent((shape) -> newer.maxPause(service)
+			.ifPresent((target) -> pool(service).limitPauses(target, shape.passBase())));
+	}
+
 	/**
 	 * Adds or updates a backend server by its announcement.
 	 * @param announcement the newest announcement
@@ -381,9 +393,13 @@
 			inFlight += pool.servers().stream().mapToInt(PoolServer::inFlight).sum();
 			free += pool.freeSlots(System.nanoTime());
 		}
+		Optional<GroupLoad> group = this.pools.values()
+			.stream()
+			.flatMap((pool) -> pool.groupLoad(System.nanoTime()).stream())
+			.max(Comparator.comparingInt(GroupLoad::inFlight));
 		Duration delay = Duration.ofNanos(this.maxTickDelayNanos);
 		this.maxTickDelayNanos = 0;
-		return new GatewayLoad(queued, inFlight, free, delay);
+		return new GatewayLoad(queued, inFlight, free, group, delay);
 	}
 
 	private void tick() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
@@ -63,6 +64,16 @@
 	 */
 	private static final long COUNTS_VALIDITY_NANOS = 900_000_000L;
 
+	/** Weight of a new sample of the time to the first part of a response. */
+	private static final double FIRST_PART_SMOOTHING = 0.05;
+
+	/**
+	 * Share of the time that a request can lose and still be on time, which it may spend
+	 * in the queue of a group whose requests are limited. A longer queue serves no more
+	 * requests, but each of them later.
+	 */
+	private static final double MAX_SLACK_SHARE = 0.5;
+
 	/**
 	 * Order of the queue. Within a priority, requests that were rejected before are late
 	 * already and lose least by waiting, so they come last.
@@ -88,6 +99,10 @@
 
 	private final GroupOutage outage = new GroupOutage();
 
+	private double firstPartNanos;
+
+	private Optional<PauseLimit> pauseLimit = Optional.empty();
+
 	/**
 	 * Creates a pool without servers.
 	 * @param domain this entry's failure domain
@@ -126,6 +141,56 @@
 					&& other.announcement().startedMillis() < announcement.startedMillis());
 	}
 
+	/**
+	 * Limits the requests in flight such that the pauses between the events of streams
+	 * stay within a target. Setting the same target again has no effect.
+	 * @param target the longest pause that callers accept
+	 * @param base the duration of a forward pass without any request
+	 */
+	public void limitPauses(Duration target, Duration base) {
+		if (this.pauseLimit.filter((present) -> present.isFor(target, base)).isEmpty()) {
+			this.pauseLimit = Optional.of(new PauseLimit(target, base));
+		}
+	}
+
+	/**
+	 * Records a pause between two events of a stream.
+	 * @param nanos the pause in nanoseconds
+	 * @param now the current time in nanoseconds
+	 */
+	public void recordPause(long nanos, long now) {
+		this.pauseLimit.ifPresent((limit) -> limit.recordPause(nanos, this::inFlight, now));
+	}
+
+	/**
+	 * Returns how long a request may be queued. While the requests in flight are limited,
+	 * one that can no longer be on time would only make another one late, so it is
+	 * rejected.
+	 * @param objective the latency objective of the request, in nanoseconds
+	 * @param longest the longest wait without a limit, in nanoseconds
+	 * @param now the current time in nanoseconds
+	 * @return the longest wait in nanoseconds
+	 */
+	public long longestWait(long objective, long longest, long now) {
+		if (!isLimitReached(now)) {
+			return longest;
+		}
+		return Math.min(longest, (long) Math.max(0, MAX_SLACK_SHARE * (objective - this.firstPartNanos)));
+	}
+
+	/**
+	 * Returns the load of the group.
+	 * @param now the current time in nanoseconds
+	 * @return the load; empty if pauses are not limited
+	 */
+	public Optional<GroupLoad> groupLoad(long now) {
+		return this.pauseLimit.map((present) -> {
+			int limit = present.limit(slots(), now);
+			return new GroupLoad(inFlight(), (limit < Integer.MAX_VALUE) ? OptionalInt.of(limit) : OptionalInt.empty(),
+					present.lastPause());
+		});
+	}
+
 	/**
 	 * Removes a server.
 	 * @param server the server's identifier
@@ -208,6 +273,7 @@
 	public void release(PoolServer server, AttemptResult result, long nanos, long now) {
 		server.recordResult(result, nanos, now);
 		if (result == AttemptResult.ANSWERED) {
+			this.firstPartNanos += FIRST_PART_SMOOTHING * (nanos - this.firstPartNanos);
 			this.outage.recordAnswer(now);
 		}
 		if (result == AttemptResult.ANSWERED || result == AttemptResult.FAILED) {
@@ -324,12 +390,31 @@
 
 	private Optional<PoolServer> selectServer(Set<String> excluded, long now) {
 		expireCounts(now);
+		if (isLimitReached(now)) {
+			return Optional.empty();
+		}
 		List<PoolServer> free = usableServers(now).stream()
 			.filter((server) -> server.freeSlots() > 0 && !excluded.contains(server.announcement().server()))
 			.toList();
 		return this.selector.select(free, this.arrivals.perSecond(now) * this.countsReceivedAt.size());
 	}
 
+	private boolean isLimitReached(long now) {
+		return this.pauseLimit.filter((limit) -> inFlight() >= limit.limit(slots(), now)).isPresent();
+	}
+
+	private int inFlight() {
+		return this.servers.values().stream().mapToInt(PoolServer::totalInFlight).sum();
+	}
+
+	private int slots() {
+		return this.servers.values()
+			.stream()
+			.filter(PoolServer::acceptsRequests)
+			.mapToInt((server) -> server.announcement().slots())
+			.sum();
+	}
+
 	private List<PoolServer> usableServers(long now) {
 		return this.servers.values()
 			.stream()
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/config/GatewayConfigurationTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/config/GatewayConfigurationTests.java
@@ -18,8 +18,8 @@
 	private static final ServiceSettings SERVICE = new ServiceSettings("service", 10, Optional.empty());
 
 	private static Route route(String name, String prefix) {
-		return new Route(name, "host", prefix, RequestKind.IDEMPOTENT, Duration.ofSeconds(1), Duration.ofSeconds(1), 0,
-				List.of(new WeightedService("service", 1)), 1, false);
+		return new Route(name, "host", prefix, RequestKind.IDEMPOTENT, Duration.ofSeconds(1), Duration.ofSeconds(1),
+				Optional.empty(), 0, List.of(new WeightedService("service", 1)), 1, false);
 	}
 
 	private static GatewayConfiguration configuration(List<Route> routes, List<ClientAccount> accounts) {
@@ -55,11 +55,26 @@
 		assertThatIllegalArgumentException().isThrownBy(() -> configuration(List.of(), accounts));
 	}
 
+	@Test
+	void theShortestMaximumPauseOfTheStreamsToAServiceCounts() {
+		GatewayConfiguration configuration = configuration(
+				List.of(stream("/a/", Optional.of(Duration.ofMillis(150))), stream("/b/", Optional.empty()),
+						stream("/c/", Optional.of(Duration.ofMillis(120))), route("plain", "/d/")),
+				List.of());
+		assertThat(configuration.maxPause("service")).contains(Duration.ofMillis(120));
+		assertThat(configuration.maxPause("other")).isEmpty();
+	}
+
+	private static Route stream(String prefix, Optional<Duration> maxPause) {
+		return new Route(prefix, "host", prefix, RequestKind.STREAM, Duration.ofSeconds(1), Duration.ofSeconds(1),
+				maxPause, 0, List.of(new WeightedService("service", 1)), 1, false);
+	}
+
 	@Test
 	void requestsAreDistributedByWeight() {
 		Route split = new Route("split", "host", "/", RequestKind.IDEMPOTENT, Duration.ofSeconds(1),
-				Duration.ofSeconds(1), 0, List.of(new WeightedService("a", 90), new WeightedService("b", 10)), 1,
-				false);
+				Duration.ofSeconds(1), Optional.empty(), 0,
+				List.of(new WeightedService("a", 90), new WeightedService("b", 10)), 1, false);
 		assertThat(split.pickService(0)).isEqualTo("a");
 		assertThat(split.pickService(0.899)).isEqualTo("a");
 		assertThat(split.pickService(0.901)).isEqualTo("b");
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -129,8 +129,8 @@
 	}
 
 	private static Route route(String prefix, RequestKind kind, int attempts) {
-		return new Route(prefix, "host", prefix, kind, Duration.ofSeconds(5), Duration.ofMillis(400), 1,
-				List.of(new WeightedService("service", 1)), attempts, false);
+		return new Route(prefix, "host", prefix, kind, Duration.ofSeconds(5), Duration.ofMillis(400), Optional.empty(),
+				1, List.of(new WeightedService("service", 1)), attempts, false);
 	}
 
 	private void onLoop(Runnable action) throws Exception {
