Test that a begun stream is not given up for a new one

Change: the test for the rule that went in with the limit: a request that may have run waits as long as without a limit.

Checked: GatewayTests.LimitedGroups fails with the rule taken out (the caller gets the first event only) and passes with it.

--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -32,6 +32,7 @@
 import org.comfreywall.gateway.config.WeightedService;
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 import org.comfreywall.gateway.pool.ServerState;
+import org.comfreywall.gateway.pool.ServicePool;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -783,6 +784,80 @@
 
 	}
 
+	/**
+	 * A group on which fewer requests are allowed than its servers have slots, as each
+	 * lengthens the pauses of all streams.
+	 */
+	@Nested
+	class LimitedGroups {
+
+		private static final int HELD = 15;
+
+		private static final String BEGUN = EVENTS + "f\r\nid: 1\ndata: a\n\n\r\n" + ScriptedServer.WAIT + "f\r\nid"
+				+ ScriptedServer.CLOSE;
+
+		private static final String REST = EVENTS + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+
+		private void announceSlots(ScriptedServer server, String id, int slots) throws Exception {
+			onLoop(() -> GatewayTests.this.gateway.updateServer(new ServerAnnouncement(id, "service",
+					new HostPort("127.0.0.1", server.port()), "a", 1, 1, slots, ServerState.READY)));
+		}
+
+		private List<Socket> holdSlots() throws Exception {
+			announceSlots(GatewayTests.this.first, "s1", HELD + 1);
+			List<Socket> held = new ArrayList<>();
+			for (int i = 0; i < HELD; i++) {
+				GatewayTests.this.first.answer(ScriptedServer.SILENT);
+				Socket socket = GatewayTests.this.closer.register(connect());
+				send(socket, "/safe/", "held" + i);
+				held.add(socket);
+			}
+			awaitRequests(HELD);
+			return held;
+		}
+
+		private void awaitRequests(int count) throws Exception {
+			while (GatewayTests.this.first.requests().size() < count) {
+				TimeUnit.MILLISECONDS.sleep(5);
+			}
+		}
+
+		// The 16 requests in flight lengthen pauses to 160 ms; 90 ms are usable, so that
+		// 9 are allowed.
+		private void recordLongPauses() throws Exception {
+			onLoop(() -> {
+				ServicePool pool = GatewayTests.this.gateway.pool("service");
+				pool.limitPauses(Duration.ofMillis(100), Duration.ZERO);
+				for (int i = 0; i < 100; i++) {
+					pool.recordPause(160_000_000, System.nanoTime() + i * 20_000_000L - 2_000_000_000L);
+				}
+			});
+		}
+
+		@Test
+		void aStreamThatHasBegunIsNotGivenUpForANewOne() throws Exception {
+			List<Socket> held = holdSlots();
+			GatewayTests.this.first.answer(BEGUN);
+			GatewayTests.this.second.answer(REST);
+			try (Socket begun = connect()) {
+				send(begun, "/stream/", "r1", "Connection: close\r\n");
+				awaitRequests(HELD + 1);
+				recordLongPauses();
+				announceSlots(GatewayTests.this.second, "s2", 1);
+				GatewayTests.this.first.resume();
+				assertThat(call("/stream/", "r2")).startsWith("HTTP/1.1 503");
+				TimeUnit.MILLISECONDS.sleep(400);
+				for (Socket socket : held) {
+					socket.close();
+				}
+				assertThat(new String(begun.getInputStream().readAllBytes(), StandardCharsets.UTF_8))
+					.contains("data: a", "data: b")
+					.endsWith("0\r\n\r\n");
+			}
+		}
+
+	}
+
 	/**
 	 * Servers that are silent, or that others believe to be gone, while they run
 	 * requests.
