Count only the pauses of a well used group for its limit

Cause: by review. A pass also takes time to read prompts and to copy experts, however few requests are in flight; divided by few of them that looks like a high cost of each, and the limit could hold a group at half of its slots for five seconds when its load rises. Change: costs measured with fewer than half of the slots in use do not count.

Checked: PauseLimitTests.pausesOfAGroupWithFewRequestsLimitNothing failed before (a limit of 318 of 400 slots at 150 requests and pauses of 90 ms) and passes; PauseLimitTests, LimitedGroups, ServicePoolTests pass.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PauseLimit.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PauseLimit.java
@@ -32,8 +32,9 @@
 	private static final double USABLE_SHARE = 0.9;
 
 	/**
-	 * A limit below this share of the slots is not applied. Rejecting that many requests
-	 * costs their callers more than late events cost.
+	 * A limit below this share of the slots is not applied: rejecting that many requests
+	 * costs their callers more than late events cost. Pauses with fewer requests in
+	 * flight are not counted, as reading prompts and copying experts lengthen them too.
 	 */
 	private static final double MIN_SHARE = 0.5;
 
@@ -94,14 +95,15 @@
 			Collections.sort(this.pauses);
 			this.lastPause = this.pauses.get(this.pauses.size() / 2);
 			this.pauses.clear();
-			recordCost(Math.max(0, this.lastPause - this.base.toNanos()) / (double) Math.max(1, inFlight.getAsInt()),
-					now);
+			recordCost(Math.max(1, inFlight.getAsInt()), now);
 		}
 	}
 
 	// A single long pause of this process or of a link is no property of the group.
-	private void recordCost(double cost, long now) {
-		this.previousCost.ifPresent((previous) -> this.costs.addLast(new MeasuredCost(Math.min(previous, cost), now)));
+	private void recordCost(int inFlight, long now) {
+		double cost = Math.max(0, this.lastPause - this.base.toNanos()) / (double) inFlight;
+		this.previousCost
+			.ifPresent((previous) -> this.costs.addLast(new MeasuredCost(Math.min(previous, cost), inFlight, now)));
 		this.previousCost = OptionalDouble.of(cost);
 	}
 
@@ -116,14 +118,19 @@
 		while (!this.costs.isEmpty() && now - this.costs.getFirst().at() > MEMORY_NANOS) {
 			this.costs.removeFirst();
 		}
-		if (this.costs.isEmpty() || allowedBy(this.costs.getLast()) < MIN_SHARE * slots) {
+		double least = MIN_SHARE * slots;
+		List<Double> allowed = this.costs.stream()
+			.filter((measured) -> measured.inFlight() >= least)
+			.map(this::allowedBy)
+			.toList();
+		if (allowed.isEmpty() || allowed.get(allowed.size() - 1) < least) {
 			return Integer.MAX_VALUE;
 		}
-		double lowest = this.costs.stream()
-			.mapToDouble(this::allowedBy)
-			.filter((allowed) -> allowed >= MIN_SHARE * slots)
+		double lowest = allowed.stream()
+			.mapToDouble(Double::doubleValue)
+			.filter((each) -> each >= least)
 			.min()
-			.orElse(Integer.MAX_VALUE);
+			.orElseThrow();
 		return (int) Math.min(Integer.MAX_VALUE, lowest);
 	}
 
@@ -140,7 +147,7 @@
 		return (measured.nanosPerRequest() > 0) ? usable / measured.nanosPerRequest() : Integer.MAX_VALUE;
 	}
 
-	private record MeasuredCost(double nanosPerRequest, long at) {
+	private record MeasuredCost(double nanosPerRequest, int inFlight, long at) {
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/PauseLimitTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/PauseLimitTests.java
@@ -67,6 +67,17 @@
 		assertThat(limit()).isGreaterThan(SLOTS);
 	}
 
+	/**
+	 * Prompts that are read and copies of experts lengthen passes however few requests.
+	 */
+	@Test
+	void pausesOfAGroupWithFewRequestsLimitNothing() {
+		passes(4, 90, 150);
+		assertThat(limit()).isEqualTo(Integer.MAX_VALUE);
+		passes(4, 100, 350);
+		assertThat(limit()).isGreaterThan(SLOTS);
+	}
+
 	@Test
 	void aPauseThatOnlyThisProcessMadeLimitsNothing() {
 		passes(4, 90, 300);
