Wait until a caller is known before its leaving is awaited in a test

The test took "no open connection" for "the caller has left", also before the gateway had accepted its connection; several callers then held their bodies at once, until their ends had been read. Change: the test waits until the gateway knows the caller, then until it does not any more. A second test has 100 callers that leave at once, whose memory has to be free as soon as their connections are gone.

--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -689,10 +689,10 @@
 		@Test
 		void theMemoryIsFreeAgainOnceCallersHaveLeft() throws Exception {
 			for (int i = 0; i < 10; i++) {
-				Socket socket = begin("r" + i, "Content-Length: " + BODY_BYTES);
-				socket.getOutputStream().write(new byte[BODY_BYTES / 2]);
+				Socket socket = beginHalf("r" + i);
+				awaitCallers(1);
 				socket.close();
-				awaitNoCallers();
+				awaitCallers(0);
 			}
 			announce(GatewayTests.this.first.answer(WHOLE), "s1");
 			try (Socket socket = sendWhole("last")) {
@@ -700,12 +700,38 @@
 			}
 		}
 
-		private void awaitNoCallers() throws Exception {
-			while (GatewayTests.this.loop.submit(GatewayTests.this.gateway::openConnections).get() > 0) {
+		private Socket beginHalf(String id) throws IOException {
+			Socket socket = begin(id, "Content-Length: " + BODY_BYTES);
+			socket.getOutputStream().write(new byte[BODY_BYTES / 2]);
+			return socket;
+		}
+
+		private void awaitCallers(int count) throws Exception {
+			while (GatewayTests.this.loop.submit(GatewayTests.this.gateway::openConnections).get() != count) {
 				TimeUnit.MILLISECONDS.sleep(5);
 			}
 		}
 
+		/**
+		 * Callers that leave before the gateway has accepted their connections included.
+		 */
+		@Test
+		void callersThatLeaveAtOnceHoldNoMemory() throws Exception {
+			announce(GatewayTests.this.first.answer(WHOLE), "s1");
+			for (int i = 0; i < 100; i++) {
+				beginHalf("r" + i).close();
+			}
+			try (Socket last = connect()) {
+				String request = "GET /safe/ HTTP/1.1\r\nHost: host\r\nRequest-Id: last\r\nKey: secret\r\n\r\n";
+				last.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+				// Connections are accepted in order, so the others have been as well.
+				assertThat(readHead(last)).startsWith("HTTP/1.1 200");
+				awaitCallers(1);
+				BodyBudget bodies = GatewayTests.this.gateway.bodies();
+				assertThat(GatewayTests.this.loop.submit(bodies::usedBytes).get()).isZero();
+			}
+		}
+
 		private void shortenIdleTimeout() throws Exception {
 			HttpLimits limits = new HttpLimits(HttpLimits.DEFAULT.maxHeaderBytes(), HttpLimits.DEFAULT.maxBodyBytes(),
 					HttpLimits.DEFAULT.headerTimeout(), Duration.ofMillis(300));
