Hold back requests that were read after a pause of the process

Cause: a request that arrives while the process is stopped is read when it runs again, before the end of its connection, and was sent to a backend server at once. Change: for a quarter of a second after a pause of more than a quarter, a request that was read waits for 20 ms; if its caller has left, the end of the connection is read first, and nothing is sent.

Checked: GatewayTests.PausedProcess (a kept connection and one that is accepted after the pause) failed before and passes; all GatewayTests pass.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
@@ -42,6 +42,12 @@
 	 */
 	private static final long LINGER_MILLIS = 1000;
 
+	/**
+	 * Time that a request is held back after a pause of this process. The end of its
+	 * connection, if there is one, is read within one iteration of the event loop.
+	 */
+	private static final long CATCH_UP_MILLIS = 20;
+
 	/**
 	 * Rate below which a body that takes longer than the idle timeout counts as stalled.
 	 */
@@ -240,7 +246,13 @@
 		if (this.pipelined.size() >= MAX_PIPELINED) {
 			this.context.channel().config().setAutoRead(false);
 		}
-		startNext();
+		if (this.gateway.isCatchingUp(System.nanoTime())) {
+			// If the caller has left meanwhile, the end of its connection is read first.
+			this.context.executor().schedule(this::startNext, CATCH_UP_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		else {
+			startNext();
+		}
 	}
 
 	private void startNext() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -41,6 +41,18 @@
 
 	private static final Duration TICK = Duration.ofMillis(20);
 
+	/**
+	 * Time without a tick after which this process counts as having been stopped, for
+	 * instance by a freeze of its machine.
+	 */
+	private static final Duration PAUSE = Duration.ofMillis(250);
+
+	/**
+	 * Time after such a pause in which requests may be read that callers sent during it,
+	 * before the ends of their connections.
+	 */
+	private static final Duration CATCH_UP = Duration.ofMillis(250);
+
 	/**
 	 * The usual time until a process that has just started has a configuration: after a
 	 * restart of the whole fleet a leader is elected within 1.4 s and then announced with
@@ -100,6 +112,8 @@
 
 	private long tickedAt = System.nanoTime();
 
+	private OptionalLong resumedAt = OptionalLong.empty();
+
 	private long maxTickDelayNanos;
 
 	/**
@@ -253,6 +267,17 @@
 		List.copyOf(this.callers).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
 	}
 
+	/**
+	 * Returns whether this process did not run for a while until just now, so that
+	 * callers whose requests it reads may have left.
+	 * @param now the current time in nanoseconds
+	 * @return {@code true} during a short time after a pause
+	 */
+	boolean isCatchingUp(long now) {
+		boolean justResumed = now - this.tickedAt > PAUSE.toNanos();
+		return justResumed || (this.resumedAt.isPresent() && now - this.resumedAt.getAsLong() < CATCH_UP.toNanos());
+	}
+
 	void addServer(GatewayServer server) {
 		this.servers.add(server);
 	}
@@ -406,6 +431,9 @@
 		long now = System.nanoTime();
 		long delay = now - this.tickedAt - TICK.toNanos();
 		this.maxTickDelayNanos = Math.max(this.maxTickDelayNanos, delay);
+		if (delay > PAUSE.toNanos()) {
+			this.resumedAt = OptionalLong.of(now);
+		}
 		this.tickedAt = now;
 		List.copyOf(this.pools.values()).forEach(this::dispatchWaiting);
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -810,6 +811,63 @@
 
 	}
 
+	/**
+	 * Callers that gave up while this process did not run. What they sent is read once it
+	 * runs again, before the end of their connections.
+	 */
+	@Nested
+	class PausedProcess {
+
+		private static final long PAUSE_MILLIS = 600;
+
+		private void pause(CountDownLatch begun) {
+			GatewayTests.this.loop.execute(() -> {
+				begun.countDown();
+				try {
+					TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+				}
+			});
+		}
+
+		private void readUntil(Socket socket, String end) throws IOException {
+			StringBuilder read = new StringBuilder();
+			while (read.indexOf(end) < 0) {
+				read.append((char) socket.getInputStream().read());
+			}
+		}
+
+		private void awaitNoCallers() throws Exception {
+			while (GatewayTests.this.loop.submit(GatewayTests.this.gateway::openConnections).get() > 0) {
+				TimeUnit.MILLISECONDS.sleep(5);
+			}
+		}
+
+		@ParameterizedTest
+		@ValueSource(booleans = { true, false })
+		void aRequestWhoseCallerHasLeftMeanwhileIsNotSent(boolean known) throws Exception {
+			announce(GatewayTests.this.first.answer(WHOLE).answer(WHOLE).answer(WHOLE), "s1");
+			Socket early = GatewayTests.this.closer.register(connect());
+			if (known) {
+				send(early, "/once/", "r0");
+				readUntil(early, "hello");
+			}
+			CountDownLatch begun = new CountDownLatch(1);
+			pause(begun);
+			begun.await();
+			Socket caller = known ? early : connect();
+			send(caller, "/once/", "gone");
+			caller.close();
+			assertThat(call("/once/", "waits")).startsWith("HTTP/1.1 200");
+			early.close();
+			awaitNoCallers();
+			assertThat(GatewayTests.this.first.requests()).noneMatch((request) -> request.contains("Request-Id: gone"));
+		}
+
+	}
+
 	/**
 	 * A group on which fewer requests are allowed than its servers have slots, as each
 	 * lengthens the pauses of all streams.
