--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -157,6 +157,18 @@
 		}
 	}
 
+	private void awaitCallers(int count) throws Exception {
+		while (this.loop.submit(this.gateway::openConnections).get() != count) {
+			TimeUnit.MILLISECONDS.sleep(5);
+		}
+	}
+
+	private void awaitRequests(int count) throws Exception {
+		while (this.first.requests().size() < count) {
+			TimeUnit.MILLISECONDS.sleep(5);
+		}
+	}
+
 	private Socket connect() throws IOException {
 		return new Socket(InetAddress.getLoopbackAddress(), this.port);
 	}
@@ -635,12 +647,6 @@
 			return socket;
 		}
 
-		private void awaitRequests(int count) {
-			while (GatewayTests.this.first.requests().size() < count) {
-				Thread.onSpinWait();
-			}
-		}
-
 		private String readHead(Socket socket) throws IOException {
 			StringBuilder head = new StringBuilder();
 			while (!head.toString().endsWith("\r\n\r\n")) {
@@ -707,12 +713,6 @@
 			return socket;
 		}
 
-		private void awaitCallers(int count) throws Exception {
-			while (GatewayTests.this.loop.submit(GatewayTests.this.gateway::openConnections).get() != count) {
-				TimeUnit.MILLISECONDS.sleep(5);
-			}
-		}
-
 		/**
 		 * Callers that leave before the gateway has accepted their connections included.
 		 */
@@ -839,12 +839,6 @@
 			}
 		}
 
-		private void awaitNoCallers() throws Exception {
-			while (GatewayTests.this.loop.submit(GatewayTests.this.gateway::openConnections).get() > 0) {
-				TimeUnit.MILLISECONDS.sleep(5);
-			}
-		}
-
 		@ParameterizedTest
 		@ValueSource(booleans = { true, false })
 		void aRequestWhoseCallerHasLeftMeanwhileIsNotSent(boolean known) throws Exception {
@@ -862,7 +856,7 @@
 			caller.close();
 			assertThat(call("/once/", "waits")).startsWith("HTTP/1.1 200");
 			early.close();
-			awaitNoCallers();
+			awaitCallers(0);
 			assertThat(GatewayTests.this.first.requests()).noneMatch((request) -> request.contains("Request-Id: gone"));
 		}
 
@@ -900,12 +894,6 @@
 			return held;
 		}
 
-		private void awaitRequests(int count) throws Exception {
-			while (GatewayTests.this.first.requests().size() < count) {
-				TimeUnit.MILLISECONDS.sleep(5);
-			}
-		}
-
 		// The 16 requests in flight lengthen pauses to 160 ms; 90 ms are usable, so that
 		// 9 are allowed.
 		private void recordLongPauses() throws Exception {
