Count the pauses of a group that is a quarter full for its limit

Cause: left out pauses with fewer than half of the slots in use. Change: pauses count from a quarter of the slots in use. The case of pausesOfAGroupWithFewRequestsLimitNothing (150 of 400 slots) was wrong, as that many do foretell the cost; it has 95 of 400 now, with a pause that would limit the group without the rule, and pausesOfAGroupThatIsAThirdFullCount is new and failed before.

Checked: PauseLimitTests (10), LimitedGroups, ServicePoolTests pass.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PauseLimit.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PauseLimit.java
@@ -33,11 +33,17 @@
 
 	/**
 	 * A limit below this share of the slots is not applied: rejecting that many requests
-	 * costs their callers more than late events cost. Pauses with fewer requests in
-	 * flight are not counted, as reading prompts and copying experts lengthen them too.
+	 * costs their callers more than late events cost.
 	 */
 	private static final double MIN_SHARE = 0.5;
 
+	/**
+	 * Pauses with a smaller share of the slots in use are not counted, as reading prompts
+	 * and copying experts lengthen passes however few requests there are. A larger share
+	 * would miss the cost before the first shift of a rising load.
+	 */
+	private static final double MIN_USED_SHARE = 0.25;
+
 	/** Minimum number of pauses whose median is taken; some parts are split or joined. */
 	private static final int MIN_PAUSES = 8;
 
@@ -120,7 +126,7 @@
 		}
 		double least = MIN_SHARE * slots;
 		List<Double> allowed = this.costs.stream()
-			.filter((measured) -> measured.inFlight() >= least)
+			.filter((measured) -> measured.inFlight() >= MIN_USED_SHARE * slots)
 			.map(this::allowedBy)
 			.toList();
 		if (allowed.isEmpty() || allowed.get(allowed.size() - 1) < least) {
