Simplify the limit by pauses and the slots of earlier grantors

PauseLimit collected boxed numbers to filter them again and said "no limit" by a number, which ServicePool turned into an Optional; AccountLedger worked out what was reserved before it in two places; PAUSE in Gateway was a stop of the process, not a pause of a stream. Change: an array and an OptionalInt, with one method that asks for the limit; one method for the earlier reservation; MAX_TICK_DELAY. Behaviour stays.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/lease/AccountLedger.java
@@ -92,18 +92,19 @@
 
 	SlotUse slotUse(long now) {
 		long committed = committedSlots(now);
-		long reservedBefore = (now < this.context.slotsFrom()) ? this.earlierSlots.orElse(this.slots) : 0;
-		return new SlotUse(committed, earlierSlots(now), Math.max(committed, Math.max(this.slots, reservedBefore)));
+		long maximum = Math.max(committed, Math.max(this.slots, reservedBefore(now)));
+		return new SlotUse(committed, earlierSlots(now), maximum);
+	}
+
+	private long reservedBefore(long now) {
+		return (now < this.context.slotsFrom()) ? this.earlierSlots.orElse(this.slots) : 0;
 	}
 
 	// What a holder has reported is part of what earlier grantors granted and is counted
 	// for that holder. The others can have no more than the rest.
 	private long earlierSlots(long now) {
-		if (now >= this.context.slotsFrom()) {
-			return 0;
-		}
 		long reported = this.reportedSlots.values().stream().mapToLong(Long::longValue).sum();
-		return Math.max(0, this.earlierSlots.orElse(this.slots) - reported);
+		return Math.max(0, reservedBefore(now) - reported);
 	}
 
 	long committedSlots(long now) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -45,10 +45,10 @@
 	 * Time without a tick after which this process counts as having been stopped, for
 	 * instance by a freeze of its machine.
 	 */
-	private static final Duration PAUSE = Duration.ofMillis(250);
+	private static final Duration MAX_TICK_DELAY = Duration.ofMillis(250);
 
 	/**
-	 * Time after such a pause in which requests may be read that callers sent during it,
+	 * Time after such a stop in which requests may be read that callers sent during it,
 	 * before the ends of their connections.
 	 */
 	private static final Duration CATCH_UP = Duration.ofMillis(250);
@@ -279,7 +279,7 @@
 	 * @return {@code true} during a short time after a pause
 	 */
 	boolean isCatchingUp(long now) {
-		boolean justResumed = now - this.tickedAt > PAUSE.toNanos();
+		boolean justResumed = now - this.tickedAt > MAX_TICK_DELAY.toNanos();
 		return justResumed || (this.resumedAt.isPresent() && now - this.resumedAt.getAsLong() < CATCH_UP.toNanos());
 	}
 
@@ -436,7 +436,7 @@
 		long now = System.nanoTime();
 		long delay = now - this.tickedAt - TICK.toNanos();
 		this.maxTickDelayNanos = Math.max(this.maxTickDelayNanos, delay);
-		if (delay > PAUSE.toNanos()) {
+		if (delay > MAX_TICK_DELAY.toNanos()) {
 			this.resumedAt = OptionalLong.of(now);
 		}
 		this.tickedAt = now;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PauseLimit.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PauseLimit.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.Deque;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.function.IntSupplier;
 
 import org.comfreywall.common.util.Preconditions;
@@ -117,27 +119,23 @@
 	 * Returns the limit.
 	 * @param slots the slots of the group's servers
 	 * @param now the current time in nanoseconds
-	 * @return the most requests that may be in flight; {@link Integer#MAX_VALUE} if the
-	 * target is kept without a limit or would be missed with any reasonable limit
+	 * @return the most requests that may be in flight; empty if the target is kept
+	 * without a limit or would be missed with any reasonable limit
 	 */
-	int limit(int slots, long now) {
+	OptionalInt limit(int slots, long now) {
 		while (!this.costs.isEmpty() && now - this.costs.getFirst().at() > MEMORY_NANOS) {
 			this.costs.removeFirst();
 		}
 		double least = MIN_SHARE * slots;
-		List<Double> allowed = this.costs.stream()
+		double[] allowed = this.costs.stream()
 			.filter((measured) -> measured.inFlight() >= MIN_USED_SHARE * slots)
-			.map(this::allowedBy)
-			.toList();
-		if (allowed.isEmpty() || allowed.get(allowed.size() - 1) < least) {
-			return Integer.MAX_VALUE;
+			.mapToDouble(this::allowedBy)
+			.toArray();
+		if (allowed.length == 0 || allowed[allowed.length - 1] < least) {
+			return OptionalInt.empty();
 		}
-		double lowest = allowed.stream()
-			.mapToDouble(Double::doubleValue)
-			.filter((each) -> each >= least)
-			.min()
-			.orElseThrow();
-		return (int) Math.min(Integer.MAX_VALUE, lowest);
+		double lowest = Arrays.stream(allowed).filter((each) -> each >= least).min().orElseThrow();
+		return (lowest < Integer.MAX_VALUE) ? OptionalInt.of((int) lowest) : OptionalInt.empty();
 	}
 
 	/**
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
@@ -191,11 +191,7 @@
 	 * @return the load; empty if pauses are not limited
 	 */
 	public Optional<GroupLoad> groupLoad(long now) {
-		return this.pauseLimit.map((present) -> {
-			int limit = present.limit(slots(), now);
-			return new GroupLoad(inFlight(), (limit < Integer.MAX_VALUE) ? OptionalInt.of(limit) : OptionalInt.empty(),
-					present.lastPause());
-		});
+		return this.pauseLimit.map((present) -> new GroupLoad(inFlight(), inFlightLimit(now), present.lastPause()));
 	}
 
 	/**
@@ -407,7 +403,12 @@
 	}
 
 	private boolean isLimitReached(long now) {
-		return this.pauseLimit.filter((limit) -> inFlight() >= limit.limit(slots(), now)).isPresent();
+		OptionalInt limit = inFlightLimit(now);
+		return limit.isPresent() && inFlight() >= limit.getAsInt();
+	}
+
+	private OptionalInt inFlightLimit(long now) {
+		return this.pauseLimit.map((present) -> present.limit(slots(), now)).orElse(OptionalInt.empty());
 	}
 
 	private int inFlight() {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/PauseLimitTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/PauseLimitTests.java
@@ -37,7 +37,7 @@
 	}
 
 	private int limit() {
-		return this.limit.limit(SLOTS, this.now);
+		return this.limit.limit(SLOTS, this.now).orElse(Integer.MAX_VALUE);
 	}
 
 	@Test
