Choose each port of a fleet in tests once

Fleet gave each port back before it chose the next, so two processes of a test could get the same one (13 ports out of 18,000: about 0.4 in 100 starts, by calculation). Change: Fleet remembers the ports that it has chosen.

Checked: FleetTests, 7 tests, passes; no assertion was changed. Formatter and linter clean.

--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/Fleet.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/fleet/Fleet.java
@@ -11,7 +11,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
@@ -61,6 +63,9 @@
 
 	private final int[] controlPorts = new int[CONTROLS];
 
+	/** A chosen port is free until its process listens, so none is chosen twice. */
+	private final Set<Integer> chosenPorts = new HashSet<>();
+
 	private Fleet(Path folder) {
 		this.folder = folder;
 		this.closer.register(() -> this.vertx.close().await());
@@ -332,9 +337,12 @@
 		return this.folder.resolve(name + ".log");
 	}
 
-	private static int freePort() throws IOException {
+	private int freePort() throws IOException {
 		while (true) {
 			int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+			if (!this.chosenPorts.add(port)) {
+				continue;
+			}
 			try (ServerSocket socket = new ServerSocket(port)) {
 				return socket.getLocalPort();
 			}
