Log how responses of servers end and which of them nobody awaited

Cause: for a response that was not the caller's own or not whole, the log could not tell a late copy on a kept connection from a response that was cut off, as it named neither the identifier that came back nor how the response was delimited.

No logic changes.

Measured: the tests of GatewayTests and ServerConnectionTests pass.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -99,6 +99,7 @@
 		}
 		this.connection = opened;
 		this.exchange.connected();
+		this.exchange.recordResponse(ResponseFraming.NONE, opened.responses());
 		this.gateway.log().sent(this.exchange, this.server);
 		opened.send(message(), this);
 	}
@@ -132,6 +133,7 @@
 
 	@Override
 	public void onHead(HttpResponse received) {
+		this.exchange.recordResponse(ResponseFraming.of(received), this.connection.responses());
 		HeaderNames names = this.gateway.names();
 		boolean misdirected = received.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
 		if (misdirected || received.headers().contains(names.notRun())) {
@@ -274,12 +276,12 @@
 	private boolean isCutAfterHead() {
 		String method = this.exchange.request().method().name();
 		return this.events.isEmpty() && ResponseBody.isAllowed(method, this.head.status().code())
-				&& this.firstPartAt == 0 && !ServerConnection.isLengthDelimited(this.head);
+				&& this.firstPartAt == 0 && !ResponseFraming.of(this.head).isDelimited();
 	}
 
 	// A stream that resumes after its last event has none left.
 	private boolean mayBeEmpty() {
-		return ServerConnection.isLengthDelimited(this.head) || this.exchange.response().lastEventId().isPresent();
+		return ResponseFraming.of(this.head).isDelimited() || this.exchange.response().lastEventId().isPresent();
 	}
 
 	@Override
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
@@ -113,6 +113,10 @@
 
 	private int rejections;
 
+	private ResponseFraming framing = ResponseFraming.NONE;
+
+	private int connectionResponses;
+
 	private boolean mayHaveRun;
 
 	private boolean done;
@@ -552,6 +556,32 @@
 		return this.sent;
 	}
 
+	/**
+	 * Records the response that an attempt received.
+	 * @param received how its end is marked
+	 * @param earlier the number of responses that its connection carried before
+	 */
+	void recordResponse(ResponseFraming received, int earlier) {
+		this.framing = received;
+		this.connectionResponses = earlier;
+	}
+
+	/**
+	 * Returns how the end of the last response of a backend server is marked.
+	 * @return the framing, {@link ResponseFraming#NONE} without a response
+	 */
+	ResponseFraming framing() {
+		return this.framing;
+	}
+
+	/**
+	 * Returns how many responses the connection of the last response carried before it.
+	 * @return the number, 0 on a new connection
+	 */
+	int connectionResponses() {
+		return this.connectionResponses;
+	}
+
 	/**
 	 * Returns the result of an attempt by the status of its response.
 	 * @param status the status
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -132,7 +132,7 @@
 		this.random = Preconditions.notNull(random, "random");
 		this.log = new RequestLog(settings.names(), Preconditions.notNull(metrics, "metrics"));
 		this.poison = new PoisonDetector(fleet::isAssigned);
-		this.connections = new ServerConnectionPool(loop, settings.names());
+		this.connections = new ServerConnectionPool(loop, settings.names(), this.log);
 		this.bodies = new BodyBudget(settings.maxBodyBytes(), random);
 		RepeatedTask.schedule(loop.next(), TICK, "tick", this::tick);
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
@@ -56,10 +56,25 @@
 		this.metrics.counter("attempts_broken").inc();
 		LOG.info("attempt-broken", request(exchange), Field.of("server", server.announcement().server()),
 				Field.of("started", server.announcement().startedMillis()), Field.of("reason", reason),
-				Field.of("begun", begun), Field.of("last-event", exchange.response().lastEventId().orElse("none")),
+				Field.of("begun", begun), Field.of("framing", exchange.framing()),
+				Field.of("connection-responses", exchange.connectionResponses()),
+				Field.of("last-event", exchange.response().lastEventId().orElse("none")),
 				Field.of("parts", parts(exchange)));
 	}
 
+	void skipped(ServerConnection connection, HttpResponse head, String awaited) {
+		this.metrics.counter("responses_skipped").inc();
+		LOG.info("response-skipped", Field.of("request", awaited), response(head),
+				Field.of("server", connection.server()), Field.of("status", head.status().code()),
+				Field.of("responses", connection.responses()));
+	}
+
+	void unexpected(ServerConnection connection, HttpResponse head) {
+		this.metrics.counter("responses_unexpected").inc();
+		LOG.info("response-unexpected", response(head), Field.of("server", connection.server()),
+				Field.of("status", head.status().code()), Field.of("responses", connection.responses()));
+	}
+
 	void poison(Exchange exchange, PoisonRefusal refusal) {
 		LOG.info("poison-refused", request(exchange), Field.of("trait", refusal.trait()),
 				Field.of("crashes", refusal.crashes()), Field.of("retry-after-ms", refusal.retryAfter().toMillis()));
@@ -78,7 +93,8 @@
 		LOG.info("request-ended", request(exchange), Field.of("route", exchange.routeName()),
 				Field.of("account", exchange.account()), Field.of("service", exchange.serviceName()),
 				Field.of("outcome", reason), Field.of("status", status), Field.of("sent", exchange.attemptCount()),
-				Field.of("server", exchange.lastServer()),
+				Field.of("server", exchange.lastServer()), Field.of("framing", exchange.framing()),
+				Field.of("connection-responses", exchange.connectionResponses()),
 				Field.of("queued-ms", exchange.queuedNanos() / NANOS_PER_MILLI),
 				Field.of("first-ms", exchange.timing().timeToFirstPartNanos() / NANOS_PER_MILLI),
 				Field.of("pause-ms", exchange.timing().longestPauseNanos() / NANOS_PER_MILLI),
@@ -100,6 +116,10 @@
 		return exchange.request().headers().get(this.names.promptParts(), "none");
 	}
 
+	private Field response(HttpResponse head) {
+		return Field.of("response-to", head.headers().get(this.names.request(), "none"));
+	}
+
 	private Field request(Exchange exchange) {
 		return Field.of("request", exchange.requestId());
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -56,7 +56,7 @@
 
 	private int skippedBytes;
 
-	private boolean used;
+	private int responses;
 
 	private boolean reusable = true;
 
@@ -80,6 +80,14 @@
 		return this.server;
 	}
 
+	/**
+	 * Returns how many responses the connection has carried completely.
+	 * @return the number, without responses that were skipped
+	 */
+	int responses() {
+		return this.responses;
+	}
+
 	void send(FullHttpRequest sent, AttemptListener answers) {
 		this.listener = answers;
 		this.skippedBytes = 0;
@@ -127,6 +135,9 @@
 			return;
 		}
 		if (this.listener == null) {
+			if (message instanceof HttpResponse head) {
+				this.owner.log().unexpected(this, head);
+			}
 			this.reusable = false;
 			this.channel.close();
 			return;
@@ -145,29 +156,21 @@
 		this.skipping = (echoed != null && !echoed.equals(this.request)) || head.status().code() < 200;
 		if (this.skipping) {
 			this.reusable = this.reusable && head.status().code() < 200;
+			this.owner.log().skipped(this, head, this.request);
 			skip(SKIPPED_HEAD_BYTES);
 			return;
 		}
-		if (echoed == null && this.used) {
+		if (echoed == null && this.responses > 0) {
 			// It may belong to an earlier request, such as a repeated rejection.
 			fail("no request identifier on a reused connection");
 			return;
 		}
-		this.lengthDelimited = isLengthDelimited(head);
+		this.lengthDelimited = ResponseFraming.of(head).isDelimited();
 		this.reusable = this.reusable && this.lengthDelimited && HttpUtil.isKeepAlive(head);
 		this.idleNanos = idleNanos(head);
 		this.listener.onHead(head);
 	}
 
-	/**
-	 * Returns whether the end of a response can be told from the end of its connection.
-	 * @param head the head of the response
-	 * @return {@code true} if it has a length or comes in chunks
-	 */
-	static boolean isLengthDelimited(HttpResponse head) {
-		return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-	}
-
 	private static long idleNanos(HttpResponse head) {
 		String keepAlive = head.headers().get("Keep-Alive");
 		if (keepAlive == null) {
@@ -231,7 +234,7 @@
 		AttemptListener ended = this.listener;
 		this.listener = null;
 		this.inAnswer = false;
-		this.used = true;
+		this.responses++;
 		boolean idle = this.reusable && this.written && this.channel.isActive();
 		if (idle) {
 			// Reading is paused if the caller was slower than the server; the next
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnectionPool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnectionPool.java
@@ -36,11 +36,18 @@
 
 	private final HeaderNames names;
 
+	private final RequestLog log;
+
 	private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
 
-	ServerConnectionPool(EventLoopGroup loop, HeaderNames names) {
+	ServerConnectionPool(EventLoopGroup loop, HeaderNames names, RequestLog log) {
 		this.loop = loop;
 		this.names = names;
+		this.log = log;
+	}
+
+	RequestLog log() {
+		return this.log;
 	}
 
 	/**
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerConnectionTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerConnectionTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.DefaultEventLoopGroup;
@@ -29,8 +30,8 @@
 
 	private final EventLoopGroup loop = new DefaultEventLoopGroup(1);
 
-	private final ServerConnection connection = new ServerConnection(new ServerConnectionPool(this.loop, NAMES), "s",
-			NAMES);
+	private final ServerConnection connection = new ServerConnection(
+			new ServerConnectionPool(this.loop, NAMES, new RequestLog(NAMES, new MetricRegistry())), "s", NAMES);
 
 	private final EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), this.connection);
 
