Take a resumed stream without its missing event for broken off

What callers saw (by test): a server stopped within event 2 of a stream, the next one resumed it and stopped right after its head, without a length.

A comment was enough to pass for an event, on first attempts and at the sidecar of the product's own entry, too.

Change: a stream needs a whole event, not a byte, unless its end is marked by a length or the last chunk, also when it resumes. If a server stopped within an event, the stream is not complete before a later server has sent that event, however its response is framed.

The test that an empty response without a length completes a resumed stream was wrong: it cannot be told from a server that stopped after its head. It is replaced by two: one whose end is marked is complete, one without a marked end is not.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/stream/EventBoundary.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/stream/EventBoundary.java
@@ -40,7 +40,6 @@
 	 * @param next the byte
 	 */
 	public void accept(byte next) {
-		this.empty = false;
 		boolean secondOfCrLf = next == '\n' && this.afterCarriageReturn;
 		this.afterCarriageReturn = next == '\r';
 		if (secondOfCrLf) {
@@ -59,6 +58,7 @@
 
 	private void endLine() {
 		if (this.lineEmpty) {
+			this.empty = this.empty && !this.eventOpen;
 			this.eventOpen = false;
 		}
 		this.lineEmpty = true;
@@ -68,8 +68,8 @@
 	/**
 	 * Returns whether the stream was broken off if it ends here.
 	 * @param mayBeEmpty whether a stream without any event is complete
-	 * @return {@code true} within an event or a comment line, and at the start of a
-	 * stream that must not be empty
+	 * @return {@code true} within an event or a comment line, and before the end of the
+	 * first event of a stream that must not be empty
 	 */
 	public boolean isBrokenOff(boolean mayBeEmpty) {
 		return this.eventOpen || !this.lineEmpty || (this.empty && !mayBeEmpty);
--- a/comfreywall-common/src/test/java/org/comfreywall/common/stream/EventBoundaryTests.java
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/stream/EventBoundaryTests.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -14,11 +13,15 @@
 class EventBoundaryTests {
 
 	private static boolean endsWithinEvent(String stream) {
+		return boundaryAfter(stream).isBrokenOff(true);
+	}
+
+	private static EventBoundary boundaryAfter(String stream) {
 		EventBoundary boundary = new EventBoundary();
 		for (byte next : stream.getBytes(StandardCharsets.UTF_8)) {
 			boundary.accept(next);
 		}
-		return boundary.isBrokenOff(true);
+		return boundary;
 	}
 
 	@ParameterizedTest
@@ -35,12 +38,16 @@
 		assertThat(endsWithinEvent(stream)).isTrue();
 	}
 
-	@Test
-	void aStreamThatMustNotBeEmptyNeedsAByte() {
-		EventBoundary boundary = new EventBoundary();
-		assertThat(boundary.isBrokenOff(false)).isTrue();
-		boundary.accept((byte) '\n');
-		assertThat(boundary.isBrokenOff(false)).isFalse();
+	@ParameterizedTest
+	@ValueSource(strings = { "", "\n", ": ping\n", ": ping\n\n", "id: 1\n" })
+	void aStreamThatMustNotBeEmptyIsBrokenOffBeforeTheEndOfItsFirstEvent(String stream) {
+		assertThat(boundaryAfter(stream).isBrokenOff(false)).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "data: a\n\n", ": ping\n\ndata: a\n\n", "data: a\n\n: ping\n" })
+	void aStreamThatMustNotBeEmptyMayEndAfterAnEvent(String stream) {
+		assertThat(boundaryAfter(stream).isBrokenOff(false)).isFalse();
 	}
 
 	@ParameterizedTest
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/sidecar/BackendClientTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/sidecar/BackendClientTests.java
@@ -283,7 +283,7 @@
 		private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
 
 		@ParameterizedTest
-		@ValueSource(strings = { "", "data: a\n\nda", "data: a\n\ndata: b\n" })
+		@ValueSource(strings = { "", ": ping\n\n", "data: a\n\nda", "data: a\n\ndata: b\n" })
 		void aStreamThatEndsWithoutAnEventOrWithinOneFails(String events) throws Exception {
 			assertThat(outcomeOf(HEAD + events)).isEqualTo("failed");
 		}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -243,10 +243,14 @@
 		if (this.discarding || this.ended) {
 			return;
 		}
-		if (isBrokenOff()) {
+		if (endsWithinEvent()) {
 			onBroken("ended within an event");
 			return;
 		}
+		if (lacksEvent()) {
+			onBroken("ended without an expected event");
+			return;
+		}
 		if (isCutAfterHead()) {
 			onBroken("ended after its head");
 			return;
@@ -267,8 +271,16 @@
 	}
 
 	// The end of a connection ends a stream without a length even if its server stopped.
-	private boolean isBrokenOff() {
-		return this.events.filter((boundary) -> boundary.isBrokenOff(mayBeEmpty())).isPresent();
+	private boolean endsWithinEvent() {
+		return this.events.filter((boundary) -> boundary.isBrokenOff(true)).isPresent();
+	}
+
+	// A stream without any event, also one that resumes, cannot be told from one whose
+	// server stopped after its head, unless its end is marked.
+	private boolean lacksEvent() {
+		boolean mayBeEmpty = ResponseFraming.of(this.head).isDelimited();
+		return this.events.filter((boundary) -> boundary.isBrokenOff(mayBeEmpty)).isPresent()
+				|| this.exchange.response().isEventMissing();
 	}
 
 	// The end of the connection ends a response without a length. An empty one cannot be
@@ -279,11 +291,6 @@
 				&& this.firstPartAt == 0 && !ResponseFraming.of(this.head).isDelimited();
 	}
 
-	// A stream that resumes after its last event has none left.
-	private boolean mayBeEmpty() {
-		return ResponseFraming.of(this.head).isDelimited() || this.exchange.response().lastEventId().isPresent();
-	}
-
 	@Override
 	public void onBroken(String reason) {
 		if (this.discarding || this.ended) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -36,6 +37,9 @@
 
 	private EventFramer framer;
 
+	/** The last event before one of which only a part has arrived. */
+	private OptionalLong brokenAfter = OptionalLong.empty();
+
 	private boolean started;
 
 	private boolean keptAlive = true;
@@ -96,12 +100,27 @@
 		return this.keptAlive;
 	}
 
+	/**
+	 * Discards a partial event, before another server resumes the stream.
+	 */
 	void discardPartialEvent() {
 		if (this.framer != null) {
+			if (this.framer.remainder().length > 0) {
+				this.brokenAfter = this.framer.lastId();
+			}
 			this.framer.discardPartialEvent();
 		}
 	}
 
+	/**
+	 * Returns whether the stream has an event that the caller has not received: one of
+	 * which a server had sent a part, and no later server has sent it.
+	 * @return {@code true} if the stream must not end here
+	 */
+	boolean isEventMissing() {
+		return this.brokenAfter.isPresent() && this.brokenAfter.equals(this.framer.lastId());
+	}
+
 	void start(HttpResponse head, boolean keepAlive) {
 		this.started = true;
 		HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -454,16 +454,42 @@
 			}
 		}
 
-		@Test
-		void aStreamThatResumesAfterItsLastEventMayBeEmpty() throws Exception {
-			announce(GatewayTests.this.first.answer(HEAD + ScriptedServer.CLOSE), "s1");
+		private String resume(String rest) throws Exception {
+			announce(GatewayTests.this.first.answer(rest), "s1");
 			try (Socket socket = connect()) {
 				send(socket, "/stream/", "r1", "Connection: close\r\n", "Last-Event-Id: 2\r\n");
-				String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-				assertThat(answer).startsWith("HTTP/1.1 200").endsWith("0\r\n\r\n");
+				return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
 			}
 		}
 
+		@Test
+		void aStreamThatResumesAfterItsLastEventMayBeEmptyIfItsEndIsMarked() throws Exception {
+			assertThat(bodyOf(resume(EVENTS + "0\r\n\r\n"))).isEmpty();
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", ": resumed\n" })
+		void aStreamThatResumesWithoutAnEventDoesNotLookComplete(String rest) throws Exception {
+			assertThat(resume(HEAD + rest + ScriptedServer.CLOSE)).doesNotEndWith("0\r\n\r\n");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", ": resumed\n" })
+		void aBrokenStreamThatResumesWithoutAnEventDoesNotLookComplete(String rest) throws Exception {
+			String cut = HEAD + FIRST + "id: 2\nda" + ScriptedServer.CLOSE;
+			announce(GatewayTests.this.first.answer(cut).answer(HEAD + rest + ScriptedServer.CLOSE), "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(call("/stream/", "r1")).contains("data: a").doesNotEndWith("0\r\n\r\n");
+		}
+
+		@Test
+		void aBrokenStreamThatResumesWithAnEmptyResponseOfStatedLengthDoesNotLookComplete() throws Exception {
+			String cut = HEAD + FIRST + "id: 2\nda" + ScriptedServer.CLOSE;
+			announce(GatewayTests.this.first.answer(cut).answer(EVENTS + "0\r\n\r\n"), "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(call("/stream/", "r1")).contains("data: a").doesNotEndWith("0\r\n\r\n");
+		}
+
 		@Test
 		void anotherMediaTypeHasNoEvents() throws Exception {
 			String json = HEAD.replace("text/event-stream", "application/json") + "{\"a\":1}" + ScriptedServer.CLOSE;
