Close server connections with bytes that no request awaits

What callers saw (soak of real processes whose servers stutter, and by test): a server answered once more, and the copy was cut within its head.

Cause: an idle connection was closed when a message arrived. A part of a head is no message yet; it stayed in the decoder and became the start of the next response. So did bytes that came in the same segment as the end of a response. Boundaries between responses were taken from the decoder alone.

Change: a connection is kept only if nothing is left of what was received when its response is complete, and is closed by any byte that arrives while no request awaits a response.

Shown by: GatewayTests.LateAnswers, aCutCopyAfterAResponse... for each of the 69 lengths of a copy and aCutCopyOnAnIdleConnection... for 8.

--- /dev/null
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ResponseDecoder.java
@@ -0,0 +1,47 @@
+package org.comfreywall.gateway.http;
+
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * Decodes the responses on a connection to a backend server, and closes the connection if
+ * bytes arrive that no request awaits. They may be a part of a head, of which no message
+ * would tell, and which would become the start of the next response.
+ */
+final class ResponseDecoder extends HttpResponseDecoder {
+
+	private static final int MAX_HEADER_BYTES = 16 << 10;
+
+	private final BooleanSupplier idle;
+
+	/**
+	 * Creates a decoder.
+	 * @param idle returns whether no request awaits a response
+	 */
+	ResponseDecoder(BooleanSupplier idle) {
+		super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
+		this.idle = idle;
+	}
+
+	/**
+	 * Returns whether bytes were received that are not decoded yet. After the end of a
+	 * response they belong to no request.
+	 * @return {@code true} if there are such bytes
+	 */
+	boolean hasRemainder() {
+		return actualReadableBytes() > 0;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
+		boolean unexpected = this.idle.getAsBoolean();
+		super.channelRead(context, bytes);
+		if (unexpected) {
+			context.close();
+		}
+	}
+
+}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -4,11 +4,13 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -44,6 +46,8 @@
 
 	private final HeaderNames names;
 
+	private final ResponseDecoder decoder = new ResponseDecoder(() -> this.listener == null);
+
 	private Channel channel;
 
 	private AttemptListener listener;
@@ -80,6 +84,14 @@
 		return this.server;
 	}
 
+	/**
+	 * Returns the handlers for the pipeline of the connection.
+	 * @return the handlers, each for this connection only
+	 */
+	ChannelHandler[] handlers() {
+		return new ChannelHandler[] { new HttpRequestEncoder(), this.decoder, this };
+	}
+
 	/**
 	 * Returns how many responses the connection has carried completely.
 	 * @return the number, without responses that were skipped
@@ -235,7 +247,7 @@
 		this.listener = null;
 		this.inAnswer = false;
 		this.responses++;
-		boolean idle = this.reusable && this.written && this.channel.isActive();
+		boolean idle = this.reusable && this.written && this.channel.isActive() && !this.decoder.hasRemainder();
 		if (idle) {
 			// Reading is paused if the caller was slower than the server; the next
 			// one is not.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnectionPool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnectionPool.java
@@ -13,8 +13,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 
 /**
@@ -30,8 +28,6 @@
 	/** The most idle connections to one server; the oldest ones are closed. */
 	private static final int MAX_IDLE = 12;
 
-	private static final int MAX_HEADER_BYTES = 16 << 10;
-
 	private final EventLoopGroup loop;
 
 	private final HeaderNames names;
@@ -83,8 +79,7 @@
 
 				@Override
 				protected void initChannel(Channel channel) {
-					HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
-					channel.pipeline().addLast(new HttpClientCodec(config, false, false), connection);
+					channel.pipeline().addLast(connection.handlers());
 				}
 
 			})
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -1036,6 +1036,33 @@
 			assertThat(call("/once/", "r1")).endsWith("hello").doesNotContain("older");
 		}
 
+		private static final String COPY = "HTTP/1.1 200 OK\r\nSeal: old\r\nContent-Length: 5\r\nRequest-Id: r1\r\n\r\nolder";
+
+		private static final String OTHER = "HTTP/1.1 404 Not Found\r\nRequest-Id: @id\r\nSeal: s\r\nContent-Length: 4\r\n\r\nnone";
+
+		private static IntStream cuts() {
+			return IntStream.range(1, COPY.length());
+		}
+
+		// The rest of a copy that was cut must not become a part of the next response.
+		@ParameterizedTest
+		@MethodSource("cuts")
+		void aCutCopyAfterAResponseIsNoPartOfTheNextResponse(int length) throws Exception {
+			announce(GatewayTests.this.first.answer(WHOLE + COPY.substring(0, length)).answer(OTHER), "s1");
+			assertThat(call("/once/1", "r1")).endsWith("hello");
+			assertThat(call("/once/2", "r2")).startsWith("HTTP/1.1 404").endsWith("none").doesNotContain("old");
+		}
+
+		@ParameterizedTest
+		@ValueSource(ints = { 1, 15, 17, 26, 60, 65, 66, 70 })
+		void aCutCopyOnAnIdleConnectionClosesIt(int length) throws Exception {
+			String late = WHOLE + ScriptedServer.PAUSE + COPY.substring(0, length);
+			announce(GatewayTests.this.first.answer(late).answer(OTHER), "s1");
+			assertThat(call("/once/1", "r1")).endsWith("hello");
+			assertThat(GatewayTests.this.first.awaitClosed()).isEqualTo("closed");
+			assertThat(call("/once/2", "r2")).startsWith("HTTP/1.1 404").endsWith("none").doesNotContain("old");
+		}
+
 		@Test
 		void anExtraResponseIsDiscarded() throws Exception {
 			announce(GatewayTests.this.first.answer(WHOLE + WHOLE.replace("hello", "extra")).answer(WHOLE), "s1");
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerConnectionTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerConnectionTests.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -33,7 +32,7 @@
 	private final ServerConnection connection = new ServerConnection(
 			new ServerConnectionPool(this.loop, NAMES, new RequestLog(NAMES, new MetricRegistry())), "s", NAMES);
 
-	private final EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), this.connection);
+	private final EmbeddedChannel channel = new EmbeddedChannel(this.connection.handlers());
 
 	private boolean complete;
 
