Reject a response head with another status line in it

What callers saw (by test): a server sent a late copy of an earlier response that was cut within a line of its head, and at once the response to the present request.

Cause: the decoder reads the status line of the second response as the rest of a header or of the reason phrase of the first one. The identifier of the present request follows in the same head, so the response passes for the caller's own.

Change: on a connection that has carried a response, a head with the start of a status line in its reason phrase or in a header is no response, and the connection is closed.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -1,6 +1,7 @@
 package org.comfreywall.gateway.http;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
@@ -40,6 +41,9 @@
 	/** Counted for the head of each skipped response, so that their number is bounded. */
 	private static final int SKIPPED_HEAD_BYTES = 1 << 10;
 
+	/** Begins each status line. */
+	private static final String PROTOCOL = "HTTP/1.";
+
 	private final ServerConnectionPool owner;
 
 	private final String server;
@@ -163,8 +167,12 @@
 	}
 
 	private void head(HttpResponse head) {
-		String echoed = head.headers().get(this.names.request());
 		this.inAnswer = true;
+		if (this.responses > 0 && containsStatusLine(head)) {
+			fail("two responses in one head");
+			return;
+		}
+		String echoed = head.headers().get(this.names.request());
 		this.skipping = (echoed != null && !echoed.equals(this.request)) || head.status().code() < 200;
 		if (this.skipping) {
 			this.reusable = this.reusable && head.status().code() < 200;
@@ -183,6 +191,21 @@
 		this.listener.onHead(head);
 	}
 
+	// A late copy of an earlier response may end within its head, in the middle of a
+	// line;
+	// the status line of the next response is then read as the rest of that line.
+	private static boolean containsStatusLine(HttpResponse head) {
+		if (head.status().reasonPhrase().contains(PROTOCOL)) {
+			return true;
+		}
+		for (Map.Entry<String, String> header : head.headers()) {
+			if (header.getValue().contains(PROTOCOL)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private static long idleNanos(HttpResponse head) {
 		String keepAlive = head.headers().get("Keep-Alive");
 		if (keepAlive == null) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -1063,6 +1063,15 @@
 			assertThat(call("/once/2", "r2")).startsWith("HTTP/1.1 404").endsWith("none").doesNotContain("old");
 		}
 
+		@ParameterizedTest
+		@MethodSource("cuts")
+		void aCutCopyRightBeforeAResponseDoesNotLendItsStatusToIt(int length) throws Exception {
+			announce(GatewayTests.this.first.answer(WHOLE).answer(COPY.substring(0, length) + OTHER), "s1");
+			assertThat(call("/once/1", "r1")).endsWith("hello");
+			String answer = call("/once/2", "r2");
+			assertThat(answer).matches("(?s)HTTP/1.1 (404|502) .*").doesNotContain("old");
+		}
+
 		@Test
 		void anExtraResponseIsDiscarded() throws Exception {
 			announce(GatewayTests.this.first.answer(WHOLE + WHOLE.replace("hello", "extra")).answer(WHOLE), "s1");
