Carry HEAD requests on connections of their own

Cause: whether a response has a body depends on its request, and a late copy answers a request that is over.

Change: HEAD goes on a new connection that is closed after the response, so that each kept connection carries responses with bodies only.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -262,6 +263,9 @@
 	// The server may close a reused connection just as the request arrives. A request
 	// that must not run twice then fails, so it gets a recently used or new connection.
 	private long maxIdleNanos() {
+		if (this.request.method().equals(HttpMethod.HEAD)) {
+			return 0;
+		}
 		return this.route.kind().isRetryable() ? Long.MAX_VALUE : Gateway.FRESH_CONNECTION_NANOS;
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ResponseDecoder.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ResponseDecoder.java
@@ -4,6 +4,8 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
@@ -17,6 +19,8 @@
 
 	private final BooleanSupplier idle;
 
+	private boolean bodyless;
+
 	/**
 	 * Creates a decoder.
 	 * @param idle returns whether no request awaits a response
@@ -26,6 +30,19 @@
 		this.idle = idle;
 	}
 
+	/**
+	 * Sets the method of the request whose response comes next.
+	 * @param method the method; responses to {@code HEAD} have no body
+	 */
+	void expectResponseTo(HttpMethod method) {
+		this.bodyless = method.equals(HttpMethod.HEAD);
+	}
+
+	@Override
+	protected boolean isContentAlwaysEmpty(HttpMessage head) {
+		return this.bodyless || super.isContentAlwaysEmpty(head);
+	}
+
 	/**
 	 * Returns whether bytes were received that are not decoded yet. After the end of a
 	 * response they belong to no request.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -109,6 +110,10 @@
 		this.skippedBytes = 0;
 		this.request = sent.headers().get(this.names.request());
 		this.written = false;
+		this.decoder.expectResponseTo(sent.method());
+		// Whether a late copy of a response has a body depends on the method of a request
+		// that is over, so no connection carries both kinds.
+		this.reusable = this.reusable && !sent.method().equals(HttpMethod.HEAD);
 		this.channel.writeAndFlush(sent).addListener((done) -> {
 			this.written = done.isSuccess();
 			if (!done.isSuccess()) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnectionPool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnectionPool.java
@@ -50,7 +50,7 @@
 	 * Reuses an idle connection or opens one.
 	 * @param server the server
 	 * @param longestIdleNanos the longest time in nanoseconds that a reused connection
-	 * may have been idle
+	 * may have been idle; 0 opens a connection
 	 * @param ready receives the connection
 	 * @param failed called if no connection can be opened
 	 */
@@ -58,7 +58,7 @@
 		long now = System.nanoTime();
 		String key = key(server);
 		Deque<ServerConnection> idleConnections = this.idle.get(key);
-		while (idleConnections != null && !idleConnections.isEmpty()) {
+		while (longestIdleNanos > 0 && idleConnections != null && !idleConnections.isEmpty()) {
 			ServerConnection connection = idleConnections.pollLast();
 			if (connection.isUsable(now, longestIdleNanos)) {
 				ready.accept(connection);
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -1072,6 +1072,22 @@
 			assertThat(answer).matches("(?s)HTTP/1.1 (404|502) .*").doesNotContain("old");
 		}
 
+		@Test
+		void aResponseWithoutABodyDoesNotShiftLaterResponses() throws Exception {
+			String bodyless = WHOLE.replace("hello", "");
+			announce(GatewayTests.this.first.answer(WHOLE).answer(bodyless).answer(WHOLE), "s1");
+			assertThat(call("/once/1", "r1")).endsWith("hello");
+			try (Socket socket = connect()) {
+				socket.getOutputStream()
+					.write(("HEAD /once/2 HTTP/1.1\r\nHost: host\r\nRequest-Id: r2\r\nKey: secret\r\n"
+							+ "Wait-Ms: 3000\r\nConnection: close\r\n\r\n")
+						.getBytes(StandardCharsets.UTF_8));
+				String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+				assertThat(answer).startsWith("HTTP/1.1 200 OK").endsWith("\r\n\r\n").doesNotContain("hello");
+			}
+			assertThat(call("/once/3", "r3")).startsWith("HTTP/1.1 200 OK").endsWith("hello");
+		}
+
 		@Test
 		void anExtraResponseIsDiscarded() throws Exception {
 			announce(GatewayTests.this.first.answer(WHOLE + WHOLE.replace("hello", "extra")).answer(WHOLE), "s1");
