--- a/comfreywall-common/src/main/java/org/comfreywall/common/stream/EventBoundary.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/stream/EventBoundary.java
@@ -24,6 +24,8 @@
 
 	private boolean empty = true;
 
+	private boolean endsLinesWithCrLf;
+
 	/**
 	 * Returns whether a response is an event stream.
 	 * @param contentType the content type of the response, may be empty or have
@@ -43,6 +45,7 @@
 		boolean secondOfCrLf = next == '\n' && this.afterCarriageReturn;
 		this.afterCarriageReturn = next == '\r';
 		if (secondOfCrLf) {
+			this.endsLinesWithCrLf = true;
 			return;
 		}
 		if (next == '\n' || next == '\r') {
@@ -68,11 +71,12 @@
 	/**
 	 * Returns whether the stream was broken off if it ends here.
 	 * @param mayBeEmpty whether a stream without any event is complete
-	 * @return {@code true} within an event or a comment line, and before the end of the
-	 * first event of a stream that must not be empty
+	 * @return {@code true} within an event, a comment line or a line end, and before the
+	 * end of the first event of a stream that must not be empty
 	 */
 	public boolean isBrokenOff(boolean mayBeEmpty) {
-		return this.eventOpen || !this.lineEmpty || (this.empty && !mayBeEmpty);
+		boolean withinLineEnd = this.endsLinesWithCrLf && this.afterCarriageReturn;
+		return this.eventOpen || !this.lineEmpty || withinLineEnd || (this.empty && !mayBeEmpty);
 	}
 
 }
--- a/comfreywall-common/src/test/java/org/comfreywall/common/stream/EventBoundaryTests.java
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/stream/EventBoundaryTests.java
@@ -33,7 +33,7 @@
 
 	@ParameterizedTest
 	@ValueSource(strings = { "i", "id: 1", "id: 1\n", "data: a\n", "data: a\r\n", "data: a\r", "data: a\n\ndata: b\n",
-			"data: a\n: ping\n", ": pi", "data: a\n\n: pi" })
+			"data: a\n: ping\n", ": pi", "data: a\n\n: pi", "data: a\r\n\r" })
 	void aStreamIsBrokenOffWithinAnEventOrAComment(String stream) {
 		assertThat(endsWithinEvent(stream)).isTrue();
 	}
