Reject a head only for a whole status line in it

What callers saw (by test, found in review): since a response on a used connection with a header such as 'Via: HTTP/1.1 proxy' got 502, as the name of the protocol was taken for the start of another response.

Change: only a protocol version that is followed by a status code counts.

Shown by: GatewayTests.LateAnswers.aHeaderThatNamesTheProtocolIsNoSecondResponse, 3 of 3 failed on; the 69 cuts of a copy right before a response pass still.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
@@ -42,8 +43,8 @@
 	/** Counted for the head of each skipped response, so that their number is bounded. */
 	private static final int SKIPPED_HEAD_BYTES = 1 << 10;
 
-	/** Begins each status line. */
-	private static final String PROTOCOL = "HTTP/1.";
+	/** The start of a status line; values such as {@code Via} name only the protocol. */
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d \\d{3}(?: |$)");
 
 	private final ServerConnectionPool owner;
 
@@ -196,15 +197,15 @@
 		this.listener.onHead(head);
 	}
 
-	// A late copy of an earlier response may end within its head, in the middle of a
-	// line;
-	// the status line of the next response is then read as the rest of that line.
+	// The status line of a response is read as the rest of a line of the one before if
+	// that
+	// is a late copy which ends within its head.
 	private static boolean containsStatusLine(HttpResponse head) {
-		if (head.status().reasonPhrase().contains(PROTOCOL)) {
+		if (STATUS_LINE.matcher(head.status().reasonPhrase()).find()) {
 			return true;
 		}
 		for (Map.Entry<String, String> header : head.headers()) {
-			if (header.getValue().contains(PROTOCOL)) {
+			if (STATUS_LINE.matcher(header.getValue()).find()) {
 				return true;
 			}
 		}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -1072,6 +1072,15 @@
 			assertThat(answer).matches("(?s)HTTP/1.1 (404|502) .*").doesNotContain("old");
 		}
 
+		@ParameterizedTest
+		@ValueSource(strings = { "Via: HTTP/1.1 proxy", "Server: BaseHTTP/1.1", "X-Note: speaks HTTP/1.1" })
+		void aHeaderThatNamesTheProtocolIsNoSecondResponse(String header) throws Exception {
+			String proper = WHOLE.replace("Seal: s", header + "\r\nSeal: s");
+			announce(GatewayTests.this.first.answer(proper).answer(proper), "s1");
+			assertThat(call("/once/1", "r1")).startsWith("HTTP/1.1 200").endsWith("hello");
+			assertThat(call("/once/2", "r2")).startsWith("HTTP/1.1 200").endsWith("hello");
+		}
+
 		@Test
 		void aResponseWithoutABodyDoesNotShiftLaterResponses() throws Exception {
 			String bodyless = WHOLE.replace("hello", "");
