Count only a part of an event as a missing event

What callers saw (by test, found in review): since a stream whose events had all arrived, followed by an empty line or a comment and a reset, was closed instead of completed when the next server had no event left.

Cause: whatever had arrived after the last event counted as a part of the next one.

Change: EventBoundary tells a part of an event from a comment or an empty line.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/stream/EventBoundary.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/stream/EventBoundary.java
@@ -68,6 +68,14 @@
 		this.comment = false;
 	}
 
+	/**
+	 * Returns whether a part of an event was read, but not its end.
+	 * @return {@code false} after an event, and within a comment that belongs to none
+	 */
+	public boolean isWithinEvent() {
+		return this.eventOpen;
+	}
+
 	/**
 	 * Returns whether the stream was broken off if it ends here.
 	 * @param mayBeEmpty whether a stream without any event is complete
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
@@ -105,7 +105,7 @@
 	 */
 	void discardPartialEvent() {
 		if (this.framer != null) {
-			if (this.framer.remainder().length > 0) {
+			if (this.framer.isWithinEvent()) {
 				this.brokenAfter = this.framer.lastId();
 			}
 			this.framer.discardPartialEvent();
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EventFramer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EventFramer.java
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import org.comfreywall.common.stream.EventBoundary;
 
 /**
  * Splits an event stream into whole events, so that another backend server can resume it
@@ -57,6 +58,18 @@
 		return this.remainder;
 	}
 
+	/**
+	 * Returns whether a part of an event has arrived that is not whole yet.
+	 * @return {@code false} after an event, and within a comment that belongs to none
+	 */
+	boolean isWithinEvent() {
+		EventBoundary boundary = new EventBoundary();
+		for (byte next : this.remainder) {
+			boundary.accept(next);
+		}
+		return boundary.isWithinEvent();
+	}
+
 	/**
 	 * Discards a partial event, before another server resumes the stream.
 	 */
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -490,6 +490,15 @@
 			assertThat(call("/stream/", "r1")).contains("data: a").doesNotEndWith("0\r\n\r\n");
 		}
 
+		@ParameterizedTest
+		@ValueSource(strings = { "", "\n", ": bye\n", ": by" })
+		void aBrokenStreamWithoutAMissingEventMayResumeWithoutOne(String after) throws Exception {
+			String whole = HEAD + FIRST + after + ScriptedServer.PAUSE + ScriptedServer.RESET;
+			announce(GatewayTests.this.first.answer(whole).answer(EVENTS + "0\r\n\r\n"), "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(call("/stream/", "r1")).contains("data: a").endsWith("0\r\n\r\n");
+		}
+
 		@Test
 		void anotherMediaTypeHasNoEvents() throws Exception {
 			String json = HEAD.replace("text/event-stream", "application/json") + "{\"a\":1}" + ScriptedServer.CLOSE;
