Split only event streams into events

Cause: the framer was chosen by the route, not by the response.

Change: a response that is no event stream is forwarded unchanged, and no other server can resume it.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -206,7 +206,7 @@
 			response.writePart(part);
 		}
 		else if (isStreamed(this.head)) {
-			response.start(this.head, this.exchange.keepAlive());
+			response.start(this.head, this.events.isPresent(), this.exchange.keepAlive());
 			response.writePart(part);
 		}
 		else {
@@ -233,7 +233,7 @@
 		part.readBytes(bytes);
 		this.buffered.writeBytes(bytes);
 		if (this.buffered.size() > MAX_BUFFERED_BYTES) {
-			this.exchange.response().start(this.head, this.exchange.keepAlive());
+			this.exchange.response().start(this.head, false, this.exchange.keepAlive());
 			this.exchange.response().writePart(Unpooled.wrappedBuffer(this.buffered.toByteArray()));
 		}
 	}
@@ -259,7 +259,7 @@
 		this.gateway.poison().recordCompleted(this.exchange.traits(), System.nanoTime());
 		CallerResponse response = this.exchange.response();
 		if (!response.isStarted() && isStreamed(this.head)) {
-			response.start(this.head, this.exchange.keepAlive());
+			response.start(this.head, this.events.isPresent(), this.exchange.keepAlive());
 		}
 		if (response.isStarted()) {
 			response.complete();
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
@@ -121,8 +121,18 @@
 		return this.brokenAfter.isPresent() && this.brokenAfter.equals(this.framer.lastId());
 	}
 
-	void start(HttpResponse head, boolean keepAlive) {
+	/**
+	 * Writes the head of a response whose parts are forwarded as they arrive.
+	 * @param head the server's head
+	 * @param events whether the response is an event stream; any other one is forwarded
+	 * unchanged, and no other server can resume it
+	 * @param keepAlive whether the connection stays open
+	 */
+	void start(HttpResponse head, boolean events, boolean keepAlive) {
 		this.started = true;
+		if (!events) {
+			this.framer = null;
+		}
 		HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
 		EndToEndHeaders.copy(head.headers(), out.headers());
 		out.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -525,6 +525,45 @@
 
 	}
 
+	/**
+	 * Responses on routes of streams that are no event streams. Lines in them that look
+	 * like the identifiers of events are part of their text.
+	 */
+	@Nested
+	class OtherMediaTypes {
+
+		private static final String TEXT = "id: 1\nname: a\n\nid: 1\nname: b\n\n";
+
+		private String text(String status, String body) {
+			return "HTTP/1.1 " + status
+					+ "\r\nRequest-Id: @id\r\nSeal: s\r\nContent-Type: text/yaml\r\nContent-Length: " + body.length()
+					+ "\r\n\r\n" + body;
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/stream/", "/plain/" })
+		void aTextIsForwardedUnchanged(String path) throws Exception {
+			announce(GatewayTests.this.first.answer(text("200 OK", TEXT)), "s1");
+			assertThat(call(path, "r1")).contains(TEXT);
+		}
+
+		@Test
+		void aLongFailureIsForwardedUnchanged() throws Exception {
+			String padding = "x".repeat(80_000);
+			announce(GatewayTests.this.first.answer(text("404 Not Found", TEXT + padding + TEXT)), "s1");
+			assertThat(call("/stream/", "r1")).contains(TEXT + "x").containsPattern("x(\r\n[0-9a-f]+\r\n)?" + TEXT);
+		}
+
+		@Test
+		void aTextThatIsCutDoesNotLookComplete() throws Exception {
+			String cut = text("200 OK", TEXT).replace(TEXT, "id: 1\nname: a\n\n") + ScriptedServer.CLOSE;
+			announce(GatewayTests.this.first.answer(cut).answer(EVENTS + "0\r\n\r\n"), "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(call("/stream/", "r1")).doesNotEndWith("0\r\n\r\n");
+		}
+
+	}
+
 	/**
 	 * A stream that began at one server and is continued by another one. Whatever is not
 	 * the rest of the stream must not reach the caller, who could not tell it from
