--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -1,14 +1,18 @@
 package org.comfreywall.gateway.http;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -38,12 +42,17 @@
 	/** Counted for the head of each skipped response, so that their number is bounded. */
 	private static final int SKIPPED_HEAD_BYTES = 1 << 10;
 
+	/** Begins each status line. */
+	private static final String PROTOCOL = "HTTP/1.";
+
 	private final ServerConnectionPool owner;
 
 	private final String server;
 
 	private final HeaderNames names;
 
+	private final ResponseDecoder decoder = new ResponseDecoder(() -> this.listener == null);
+
 	private Channel channel;
 
 	private AttemptListener listener;
@@ -80,6 +89,14 @@
 		return this.server;
 	}
 
+	/**
+	 * Returns the handlers for the pipeline of the connection.
+	 * @return the handlers, each for this connection only
+	 */
+	ChannelHandler[] handlers() {
+		return new ChannelHandler[] { new HttpRequestEncoder(), this.decoder, this };
+	}
+
 	/**
 	 * Returns how many responses the connection has carried completely.
 	 * @return the number, without responses that were skipped
@@ -93,6 +110,10 @@
 		this.skippedBytes = 0;
 		this.request = sent.headers().get(this.names.request());
 		this.written = false;
+		this.decoder.expectResponseTo(sent.method());
+		// Whether a late copy of a response has a body depends on the method of a request
+		// that is over, so no connection carries both kinds.
+		this.reusable = this.reusable && !sent.method().equals(HttpMethod.HEAD);
 		this.channel.writeAndFlush(sent).addListener((done) -> {
 			this.written = done.isSuccess();
 			if (!done.isSuccess()) {
@@ -151,8 +172,12 @@
 	}
 
 	private void head(HttpResponse head) {
-		String echoed = head.headers().get(this.names.request());
 		this.inAnswer = true;
+		if (this.responses > 0 && containsStatusLine(head)) {
+			fail("two responses in one head");
+			return;
+		}
+		String echoed = head.headers().get(this.names.request());
 		this.skipping = (echoed != null && !echoed.equals(this.request)) || head.status().code() < 200;
 		if (this.skipping) {
 			this.reusable = this.reusable && head.status().code() < 200;
@@ -171,6 +196,21 @@
 		this.listener.onHead(head);
 	}
 
+	// A late copy of an earlier response may end within its head, in the middle of a
+	// line;
+	// the status line of the next response is then read as the rest of that line.
+	private static boolean containsStatusLine(HttpResponse head) {
+		if (head.status().reasonPhrase().contains(PROTOCOL)) {
+			return true;
+		}
+		for (Map.Entry<String, String> header : head.headers()) {
+			if (header.getValue().contains(PROTOCOL)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private static long idleNanos(HttpResponse head) {
 		String keepAlive = head.headers().get("Keep-Alive");
 		if (keepAlive == null) {
@@ -235,7 +275,7 @@
 		this.listener = null;
 		this.inAnswer = false;
 		this.responses++;
-		boolean idle = this.reusable && this.written && this.channel.isActive();
+		boolean idle = this.reusable && this.written && this.channel.isActive() && !this.decoder.hasRemainder();
 		if (idle) {
 			// Reading is paused if the caller was slower than the server; the next
 			// one is not.
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -454,16 +454,42 @@
 			}
 		}
 
-		@Test
-		void aStreamThatResumesAfterItsLastEventMayBeEmpty() throws Exception {
-			announce(GatewayTests.this.first.answer(HEAD + ScriptedServer.CLOSE), "s1");
+		private String resume(String rest) throws Exception {
+			announce(GatewayTests.this.first.answer(rest), "s1");
 			try (Socket socket = connect()) {
 				send(socket, "/stream/", "r1", "Connection: close\r\n", "Last-Event-Id: 2\r\n");
-				String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-				assertThat(answer).startsWith("HTTP/1.1 200").endsWith("0\r\n\r\n");
+				return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
 			}
 		}
 
+		@Test
+		void aStreamThatResumesAfterItsLastEventMayBeEmptyIfItsEndIsMarked() throws Exception {
+			assertThat(bodyOf(resume(EVENTS + "0\r\n\r\n"))).isEmpty();
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", ": resumed\n" })
+		void aStreamThatResumesWithoutAnEventDoesNotLookComplete(String rest) throws Exception {
+			assertThat(resume(HEAD + rest + ScriptedServer.CLOSE)).doesNotEndWith("0\r\n\r\n");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", ": resumed\n" })
+		void aBrokenStreamThatResumesWithoutAnEventDoesNotLookComplete(String rest) throws Exception {
+			String cut = HEAD + FIRST + "id: 2\nda" + ScriptedServer.CLOSE;
+			announce(GatewayTests.this.first.answer(cut).answer(HEAD + rest + ScriptedServer.CLOSE), "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(call("/stream/", "r1")).contains("data: a").doesNotEndWith("0\r\n\r\n");
+		}
+
+		@Test
+		void aBrokenStreamThatResumesWithAnEmptyResponseOfStatedLengthDoesNotLookComplete() throws Exception {
+			String cut = HEAD + FIRST + "id: 2\nda" + ScriptedServer.CLOSE;
+			announce(GatewayTests.this.first.answer(cut).answer(EVENTS + "0\r\n\r\n"), "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(call("/stream/", "r1")).contains("data: a").doesNotEndWith("0\r\n\r\n");
+		}
+
 		@Test
 		void anotherMediaTypeHasNoEvents() throws Exception {
 			String json = HEAD.replace("text/event-stream", "application/json") + "{\"a\":1}" + ScriptedServer.CLOSE;
@@ -1010,6 +1036,58 @@
 			assertThat(call("/once/", "r1")).endsWith("hello").doesNotContain("older");
 		}
 
+		private static final String COPY = "HTTP/1.1 200 OK\r\nSeal: old\r\nContent-Length: 5\r\nRequest-Id: r1\r\n\r\nolder";
+
+		private static final String OTHER = "HTTP/1.1 404 Not Found\r\nRequest-Id: @id\r\nSeal: s\r\nContent-Length: 4\r\n\r\nnone";
+
+		private static IntStream cuts() {
+			return IntStream.range(1, COPY.length());
+		}
+
+		// The rest of a copy that was cut must not become a part of the next response.
+		@ParameterizedTest
+		@MethodSource("cuts")
+		void aCutCopyAfterAResponseIsNoPartOfTheNextResponse(int length) throws Exception {
+			announce(GatewayTests.this.first.answer(WHOLE + COPY.substring(0, length)).answer(OTHER), "s1");
+			assertThat(call("/once/1", "r1")).endsWith("hello");
+			assertThat(call("/once/2", "r2")).startsWith("HTTP/1.1 404").endsWith("none").doesNotContain("old");
+		}
+
+		@ParameterizedTest
+		@ValueSource(ints = { 1, 15, 17, 26, 60, 65, 66, 70 })
+		void aCutCopyOnAnIdleConnectionClosesIt(int length) throws Exception {
+			String late = WHOLE + ScriptedServer.PAUSE + COPY.substring(0, length);
+			announce(GatewayTests.this.first.answer(late).answer(OTHER), "s1");
+			assertThat(call("/once/1", "r1")).endsWith("hello");
+			assertThat(GatewayTests.this.first.awaitClosed()).isEqualTo("closed");
+			assertThat(call("/once/2", "r2")).startsWith("HTTP/1.1 404").endsWith("none").doesNotContain("old");
+		}
+
+		@ParameterizedTest
+		@MethodSource("cuts")
+		void aCutCopyRightBeforeAResponseDoesNotLendItsStatusToIt(int length) throws Exception {
+			announce(GatewayTests.this.first.answer(WHOLE).answer(COPY.substring(0, length) + OTHER), "s1");
+			assertThat(call("/once/1", "r1")).endsWith("hello");
+			String answer = call("/once/2", "r2");
+			assertThat(answer).matches("(?s)HTTP/1.1 (404|502) .*").doesNotContain("old");
+		}
+
+		@Test
+		void aResponseWithoutABodyDoesNotShiftLaterResponses() throws Exception {
+			String bodyless = WHOLE.replace("hello", "");
+			announce(GatewayTests.this.first.answer(WHOLE).answer(bodyless).answer(WHOLE), "s1");
+			assertThat(call("/once/1", "r1")).endsWith("hello");
+			try (Socket socket = connect()) {
+				socket.getOutputStream()
+					.write(("HEAD /once/2 HTTP/1.1\r\nHost: host\r\nRequest-Id: r2\r\nKey: secret\r\n"
+							+ "Wait-Ms: 3000\r\nConnection: close\r\n\r\n")
+						.getBytes(StandardCharsets.UTF_8));
+				String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+				assertThat(answer).startsWith("HTTP/1.1 200 OK").endsWith("\r\n\r\n").doesNotContain("hello");
+			}
+			assertThat(call("/once/3", "r3")).startsWith("HTTP/1.1 200 OK").endsWith("hello");
+		}
+
 		@Test
 		void anExtraResponseIsDiscarded() throws Exception {
 			announce(GatewayTests.this.first.answer(WHOLE + WHOLE.replace("hello", "extra")).answer(WHOLE), "s1");
