Take a response with a copy of itself in it for broken off

What callers saw (by test, found in review): a server answered twice on a connection whose end is the end of the response, or sent less than the stated length and then the whole response again.

Cause: bytes after the own response belong to it as long as only the connection, or a length that was not reached, ends it. Nobody looked at what they are.

Change: a status line where an event should begin ends a stream as broken off, before it is forwarded. A body that is held until it is whole is broken off if it contains the head of a response that names the present request; text about HTTP does not. Idempotent requests and resumable streams go to another server.

Not covered: bodies over 64 KiB, which are forwarded as they arrive, and copies that are cut before the identifier.

--- a/comfreywall-common/src/main/java/org/comfreywall/common/stream/EventBoundary.java
+++ b/comfreywall-common/src/main/java/org/comfreywall/common/stream/EventBoundary.java
@@ -14,6 +14,9 @@
 
 	private static final String MEDIA_TYPE = "text/event-stream";
 
+	/** Begins the head of a response; no field of an event does. */
+	private static final String PROTOCOL = "HTTP/1.";
+
 	private boolean lineEmpty = true;
 
 	private boolean comment;
@@ -22,6 +25,11 @@
 
 	private boolean eventOpen;
 
+	/** Characters of {@link #PROTOCOL} at the start of the event, or -1. */
+	private int matched;
+
+	private boolean followedByResponse;
+
 	private boolean empty = true;
 
 	private boolean endsLinesWithCrLf;
@@ -57,6 +65,14 @@
 			this.comment = next == ':';
 		}
 		this.eventOpen = this.eventOpen || !this.comment;
+		matchProtocol(next);
+	}
+
+	private void matchProtocol(byte next) {
+		if (this.matched >= 0 && this.matched < PROTOCOL.length()) {
+			this.matched = (PROTOCOL.charAt(this.matched) == next) ? this.matched + 1 : -1;
+			this.followedByResponse = this.followedByResponse || this.matched == PROTOCOL.length();
+		}
 	}
 
 	private void endLine() {
@@ -64,6 +80,7 @@
 			this.empty = this.empty && !this.eventOpen;
 			this.eventOpen = false;
 		}
+		this.matched = this.eventOpen ? -1 : 0;
 		this.lineEmpty = true;
 		this.comment = false;
 	}
@@ -76,15 +93,26 @@
 		return this.eventOpen;
 	}
 
+	/**
+	 * Returns whether the head of a response came where an event should begin. The server
+	 * has sent another response in the place of the end of the stream.
+	 * @return {@code true} once the start of a status line was read
+	 */
+	public boolean isFollowedByResponse() {
+		return this.followedByResponse;
+	}
+
 	/**
 	 * Returns whether the stream was broken off if it ends here.
 	 * @param mayBeEmpty whether a stream without any event is complete
-	 * @return {@code true} within an event, a comment line or a line end, and before the
-	 * end of the first event of a stream that must not be empty
+	 * @return {@code true} within an event, a comment line or a line end, before the end
+	 * of the first event of a stream that must not be empty, and if another response
+	 * followed
 	 */
 	public boolean isBrokenOff(boolean mayBeEmpty) {
 		boolean withinLineEnd = this.endsLinesWithCrLf && this.afterCarriageReturn;
-		return this.eventOpen || !this.lineEmpty || withinLineEnd || (this.empty && !mayBeEmpty);
+		return this.followedByResponse || this.eventOpen || !this.lineEmpty || withinLineEnd
+				|| (this.empty && !mayBeEmpty);
 	}
 
 }
--- a/comfreywall-common/src/test/java/org/comfreywall/common/stream/EventBoundaryTests.java
+++ b/comfreywall-common/src/test/java/org/comfreywall/common/stream/EventBoundaryTests.java
@@ -50,6 +50,20 @@
 		assertThat(boundaryAfter(stream).isBrokenOff(false)).isFalse();
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 OK\r\n", "data: a\n\nHTTP/1.0 503 Full\r\nSeal: s\r\n\r\n",
+			": ping\nHTTP/1.1 200 OK\r\n\r\ndata: a\n\n" })
+	void aStreamThatIsFollowedByAnotherResponseIsBrokenOff(String stream) {
+		assertThat(boundaryAfter(stream).isFollowedByResponse()).isTrue();
+		assertThat(endsWithinEvent(stream)).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "data: HTTP/1.1 200 OK\n\n", "data: a\nHTTP/1.1: b\n\n", "HTTP: a\n\n", ": HTTP/1.1\n\n" })
+	void anEventMayNameTheProtocol(String stream) {
+		assertThat(boundaryAfter(stream).isFollowedByResponse()).isFalse();
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "text/event-stream", "Text/Event-Stream", "text/event-stream; charset=utf-8" })
 	void recognisesTheMediaTypeWithParameters(String contentType) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -201,6 +201,11 @@
 			boundary.accept(next);
 			return true;
 		}));
+		if (this.events.filter(EventBoundary::isFollowedByResponse).isPresent()) {
+			this.connection.abort();
+			onBroken("followed by another response");
+			return;
+		}
 		CallerResponse response = this.exchange.response();
 		if (response.isStarted()) {
 			response.writePart(part);
@@ -255,6 +260,10 @@
 			onBroken("ended after its head");
 			return;
 		}
+		if (containsCopy()) {
+			onBroken("another response within its body");
+			return;
+		}
 		end(Exchange.resultOf(this.head.status().code()));
 		this.gateway.poison().recordCompleted(this.exchange.traits(), System.nanoTime());
 		CallerResponse response = this.exchange.response();
@@ -291,6 +300,13 @@
 				&& this.firstPartAt == 0 && !ResponseFraming.of(this.head).isDelimited();
 	}
 
+	// A server that answers twice writes the copy into the body of the first response if
+	// that one has no length, or is shorter than its length.
+	private boolean containsCopy() {
+		String name = this.gateway.names().request();
+		return this.buffered != null && ResponseCopy.isIn(this.buffered.toByteArray(), name, this.exchange.requestId());
+	}
+
 	@Override
 	public void onBroken(String reason) {
 		if (this.discarding || this.ended) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -1129,6 +1129,49 @@
 			assertThat(call("/once/2", "r2")).startsWith("HTTP/1.1 200").endsWith("hello");
 		}
 
+		private static final String UNFRAMED = "HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: @id\r\n\r\nhello";
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", ScriptedServer.PAUSE })
+		void aCopyAfterAResponseWithoutLengthIsNoPartOfIt(String pause) throws Exception {
+			announce(GatewayTests.this.first.answer(UNFRAMED + pause + UNFRAMED + ScriptedServer.CLOSE), "s1");
+			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 502");
+		}
+
+		@Test
+		void anIdempotentRequestGetsTheResponseOfAServerThatAnswersOnce() throws Exception {
+			announce(GatewayTests.this.first.answer(UNFRAMED + UNFRAMED + ScriptedServer.CLOSE).answer(WHOLE), "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(call("/safe/", "r1")).startsWith("HTTP/1.1 200").endsWith("\r\n\r\nhello");
+		}
+
+		@ParameterizedTest
+		@ValueSource(ints = { 0, 3, 100, 300 })
+		void aCopyAfterAResponseThatIsTooShortDoesNotFillIt(int sent) throws Exception {
+			String body = "abcdefgh".repeat(50);
+			String whole = UNFRAMED.replace("\r\n\r\nhello", "\r\nContent-Length: 400\r\n\r\n") + body;
+			String cut = whole.substring(0, whole.length() - body.length() + sent);
+			announce(GatewayTests.this.first.answer(cut + ScriptedServer.PAUSE + whole), "s1");
+			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 502");
+		}
+
+		@Test
+		void aTextAboutTheProtocolIsNoCopy() throws Exception {
+			String text = UNFRAMED + "HTTP/1.1 200 OK\r\nRequest-Id: another\r\n\r\nRequest-Id: @id\r\n";
+			announce(GatewayTests.this.first.answer(text + ScriptedServer.CLOSE), "s1");
+			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 200").endsWith("Request-Id: r1\r\n");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/stream/", "/plain/" })
+		void aCopyAfterAStreamWithoutLengthIsNoPartOfIt(String path) throws Exception {
+			String stream = UNFRAMED.replace("hello", "id: 1\ndata: a\n\n");
+			announce(GatewayTests.this.first.answer(stream + ScriptedServer.PAUSE + stream + ScriptedServer.CLOSE),
+					"s1");
+			String received = call(path, "r1");
+			assertThat(received).containsOnlyOnce("HTTP/1.1").containsOnlyOnce("data: a").doesNotEndWith("0\r\n\r\n");
+		}
+
 		@Test
 		void aResponseWithoutABodyDoesNotShiftLaterResponses() throws Exception {
 			String bodyless = WHOLE.replace("hello", "");
