Test that the load of a backend server is neither a copy nor a part

Only requests were tested, not the load. BackendClientTests.LateCopies now also repeats a load before the next one, and EndlessResponses cuts one off in four ways. Both pass without a change of the client (mvn -o -B -q verify -pl comfreywall-daemon -am -Dtest=BackendClientTests).

--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/sidecar/BackendClientTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/sidecar/BackendClientTests.java
@@ -139,6 +139,18 @@
 			assertThat(load.handle((value, failure) -> failure != null).get(10, TimeUnit.SECONDS)).isTrue();
 		}
 
+		@ParameterizedTest
+		@ValueSource(strings = { "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{}", "HTTP/1.1 200 OK\r\n\r\n",
+				"HTTP/1.1 200 OK\r\n\r\n{\"running\":", "HTTP/1.1 200 OK\r\nContent-Le" })
+		void aLoadThatIsCutOffIsMissing(String cut) throws Exception {
+			CompletableFuture<BackendLoad> load = BackendClientTests.this.client.load().toCompletableFuture();
+			try (Socket connection = BackendClientTests.this.server.accept()) {
+				readHead(connection);
+				connection.getOutputStream().write(cut.getBytes(StandardCharsets.US_ASCII));
+			}
+			assertThat(load.handle((value, failure) -> failure != null).get(10, TimeUnit.SECONDS)).isTrue();
+		}
+
 		@Test
 		void aCheckReadsNoBody() throws Exception {
 			CompletableFuture<Boolean> responding = BackendClientTests.this.client.isResponding().toCompletableFuture();
@@ -186,13 +198,15 @@
 	@Nested
 	class LateCopies {
 
+		private static final int BODY_BYTES = PAYLOAD.body().toArray().length;
+
 		private static final String OWN = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
 
 		private static final String COPY = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy";
 
-		private void readRequest(Socket connection) throws IOException {
+		private void readRequest(Socket connection, int bodyBytes) throws IOException {
 			readHead(connection);
-			connection.getInputStream().readNBytes(PAYLOAD.body().toArray().length);
+			connection.getInputStream().readNBytes(bodyBytes);
 		}
 
 		private CompletableFuture<String> call(String request) {
@@ -206,25 +220,44 @@
 		void reachesNoOtherCall() throws Exception {
 			CompletableFuture<String> first = call("r1");
 			try (Socket one = BackendClientTests.this.server.accept()) {
-				readRequest(one);
+				readRequest(one, BODY_BYTES);
 				one.getOutputStream().write(OWN.getBytes(StandardCharsets.US_ASCII));
 				assertThat(first.get(10, TimeUnit.SECONDS)).isEqualTo("own");
 				CompletableFuture<String> second = call("r2");
-				Thread server = new Thread(() -> answerNext(one));
+				Thread server = new Thread(() -> answerNext(one, BODY_BYTES, COPY, OWN));
 				server.start();
 				assertThat(second.get(10, TimeUnit.SECONDS)).isEqualTo("own");
 				server.join();
 			}
 		}
 
+		@Test
+		void isNotTakenForTheLoad() throws Exception {
+			CompletableFuture<BackendLoad> first = BackendClientTests.this.client.load().toCompletableFuture();
+			try (Socket one = BackendClientTests.this.server.accept()) {
+				readRequest(one, 0);
+				one.getOutputStream().write(load(1).getBytes(StandardCharsets.US_ASCII));
+				assertThat(first.get(10, TimeUnit.SECONDS).running()).isOne();
+				CompletableFuture<BackendLoad> second = BackendClientTests.this.client.load().toCompletableFuture();
+				Thread server = new Thread(() -> answerNext(one, 0, load(1), load(2)));
+				server.start();
+				assertThat(second.get(10, TimeUnit.SECONDS).running()).isEqualTo(2);
+				server.join();
+			}
+		}
+
+		private static String load(int running) {
+			return "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"running\":" + running + "}";
+		}
+
 		// Sends the copy before the response to the next call, on whichever connection it
 		// comes.
-		private void answerNext(Socket one) {
+		private void answerNext(Socket one, int bodyBytes, String copy, String own) {
 			try {
 				one.setSoTimeout(500);
 				if (one.getInputStream().read() >= 0) {
-					readRequest(one);
-					one.getOutputStream().write((COPY + OWN).getBytes(StandardCharsets.US_ASCII));
+					readRequest(one, bodyBytes);
+					one.getOutputStream().write((copy + own).getBytes(StandardCharsets.US_ASCII));
 					return;
 				}
 			}
@@ -232,8 +265,8 @@
 				// The next call uses another connection.
 			}
 			try (Socket two = BackendClientTests.this.server.accept()) {
-				readRequest(two);
-				two.getOutputStream().write(OWN.getBytes(StandardCharsets.US_ASCII));
+				readRequest(two, bodyBytes);
+				two.getOutputStream().write(own.getBytes(StandardCharsets.US_ASCII));
 			}
 			catch (IOException ex) {
 				throw new UncheckedIOException(ex);
