Cut a stream that fails within an event

What callers saw (by test): after a partial event the product's own entry wrote its error event, so `data: par` became the whole event `data: parevent: error` plus the problem, followed by the last chunk; only the trailer told that the answer was broken off.

Cause: CallerResponseWriter did not know whether an event was open.

Change: it follows the stream with EventBoundary. Between events the error event stays; within one the connection is closed without the last chunk, or the HTTP/2 stream is reset. The type of the response is compared as a media type, in any case of letters.

Shown by: CallerResponseWriterTests, 5 of 11 cases failed before; with two for HTTP/2 all 13 pass. FleetTests 7 of 7 on one run, which need not have met a cut.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerResponseWriter.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/entry/CallerResponseWriter.java
@@ -15,6 +15,7 @@
 import org.comfreywall.common.result.OperationError;
 import org.comfreywall.common.result.Outcome;
 import org.comfreywall.common.result.Step;
+import org.comfreywall.common.stream.EventBoundary;
 import org.reactivestreams.Subscription;
 
 /**
@@ -38,8 +39,12 @@
 
 	private final Runnable onDisconnect;
 
+	private final EventBoundary boundary = new EventBoundary();
+
 	private Subscription subscription;
 
+	private boolean eventStream;
+
 	private int writtenParts;
 
 	private boolean done;
@@ -96,6 +101,7 @@
 
 	private void write(AnswerPart part) {
 		if (part instanceof AnswerHead head) {
+			this.eventStream = EventBoundary.isEventStream(head.contentType());
 			this.response.setStatusCode(head.status());
 			if (!head.contentType().isEmpty()) {
 				this.response.putHeader("Content-Type", head.contentType());
@@ -105,7 +111,17 @@
 			this.response.writeHead();
 		}
 		else if (part instanceof AnswerChunk chunk) {
-			this.response.write(Buffer.buffer(chunk.payload().toArray()));
+			byte[] bytes = chunk.payload().toArray();
+			if (this.eventStream) {
+				follow(bytes);
+			}
+			this.response.write(Buffer.buffer(bytes));
+		}
+	}
+
+	private void follow(byte[] bytes) {
+		for (byte next : bytes) {
+			this.boundary.accept(next);
 		}
 	}
 
@@ -133,7 +149,9 @@
 				.end(problem.json(id).toBuffer());
 			return;
 		}
-		if (isEventStream()) {
+		// Within an event, anything written would become a part of it, and the caller
+		// would take it for whole.
+		if (this.eventStream && !this.boundary.isBrokenOff(true)) {
 			this.response.write("event: error\ndata: " + problem.json(id).encode() + "\n\n");
 			this.response.putTrailer(OUTCOME_HEADER, problem.outcome().name());
 			this.response.end();
@@ -142,11 +160,6 @@
 		this.response.reset();
 	}
 
-	private boolean isEventStream() {
-		String type = this.response.headers().get("Content-Type");
-		return type != null && type.startsWith("text/event-stream");
-	}
-
 	private void finish(Outcome outcome) {
 		this.done = true;
 		LOG.info("request-ended", Field.of("request", this.request.id()), Field.of("account", this.request.account()),
