Send 100 Continue only once earlier exchanges have ended

What callers saw (by test): with pipelined requests, a POST with `Expect: 100-continue` before a HEAD was answered with `content-length: 5` and no body, and a HEAD for a stream before such a POST with a stray last chunk. `100 Continue` came before or within the response to an earlier request.

Cause: it was written as soon as the head of its request was read, and through HttpServerCodec, whose encoder takes a method from its queue for each response, interim ones too, so that later responses were encoded as if they were to other requests.

Change: it is sent once no earlier request is being processed or queued, past the codec, and not at all if the body has begun to arrive meanwhile. The time that the body may take counts from then.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.comfreywall.gateway.http;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -12,13 +13,12 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -53,6 +53,8 @@
 	 */
 	private static final int MIN_BODY_BYTES_PER_SECOND = 1024;
 
+	private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
 	private final Gateway gateway;
 
 	private final Deque<CallerRequest> pipelined = new ArrayDeque<>();
@@ -73,6 +75,9 @@
 
 	private long bodyStart;
 
+	/** Whether the caller awaits {@code 100 Continue} before it sends the body. */
+	private boolean continueAwaited;
+
 	private boolean closing;
 
 	private ScheduledFuture<?> idleTimer;
@@ -194,12 +199,28 @@
 			refuseForMemory();
 		}
 		else if (HttpUtil.is100ContinueExpected(request)) {
-			this.context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+			this.continueAwaited = true;
+			sendContinue();
+		}
+	}
+
+	// An interim response must not come before or within the response to an earlier
+	// request. It bypasses the codec, which would count it as the response to a request
+	// and encode later responses as if they were to other methods.
+	private void sendContinue() {
+		if (this.continueAwaited && this.exchange == null && this.pipelined.isEmpty()) {
+			this.continueAwaited = false;
+			this.bodyStart = System.nanoTime();
+			ChannelHandlerContext codec = this.context.pipeline().context(HttpServerCodec.class);
+			codec.writeAndFlush(Unpooled.wrappedBuffer(CONTINUE), codec.voidPromise());
 		}
 	}
 
 	private void collect(HttpContent content) {
 		ByteBuf bytes = content.content();
+		if (bytes.isReadable() || content instanceof LastHttpContent) {
+			this.continueAwaited = false;
+		}
 		if (this.body.size() + bytes.readableBytes() > this.gateway.limits().maxBodyBytes()) {
 			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 			return;
@@ -286,6 +307,7 @@
 		}
 		startIdleTimer();
 		startNext();
+		sendContinue();
 	}
 
 	private void releaseProcessed() {
@@ -299,6 +321,7 @@
 
 	private void refuse(HttpResponseStatus status, Optional<Duration> retryAfter) {
 		this.closing = true;
+		this.continueAwaited = false;
 		this.head = null;
 		this.body = null;
 		releaseReserved();
@@ -322,6 +345,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext inactive) {
 		cancelIdleTimer();
+		this.continueAwaited = false;
 		this.gateway.removeCaller(this);
 		if (this.exchange != null) {
 			this.exchange.callerDisconnected();
