Send nothing to servers that say in a response that they leave

A server that leaves sets Server-Leaving: 1 in all its responses. The gateway did not read the header, so until an announcement arrived callers' requests went on to a server that was about to stop, and queued ones waited for it.

Each response head that is read on a server connection now counts, also that of a failure, a rejection, a stream, a late response or one on an idle connection. The pool keeps it by incarnation: no announcement of it and no removal makes that incarnation ready again. Requests whose connection is still being opened are placed again. Queued requests are refused at once when the last server of the service leaves.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -97,6 +97,12 @@
 			this.gateway.connections().release(opened);
 			return;
 		}
+		if (!this.pool.canStart(this.server)) {
+			opened.close();
+			end(AttemptResult.CANCELLED);
+			this.exchange.notSent();
+			return;
+		}
 		this.connection = opened;
 		this.exchange.connected();
 		this.exchange.recordResponse(ResponseFraming.NONE, opened.responses());
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
@@ -308,6 +308,14 @@
 		}
 	}
 
+	/**
+	 * Called when the backend server stopped accepting requests before this one was sent.
+	 */
+	void notSent() {
+		this.attempt = null;
+		enqueue();
+	}
+
 	void connectFailed(PoolServer server) {
 		recordCrash(server.announcement());
 		exclude(server);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -132,7 +132,8 @@
 		this.random = Preconditions.notNull(random, "random");
 		this.log = new RequestLog(settings.names(), Preconditions.notNull(metrics, "metrics"));
 		this.poison = new PoisonDetector(fleet::isAssigned);
-		this.connections = new ServerConnectionPool(loop, settings.names(), this.log);
+		ServerSignals signals = new ServerSignals(settings.names(), this.log, this::pool);
+		this.connections = new ServerConnectionPool(loop, settings.names(), this.log, signals);
 		this.bodies = new BodyBudget(settings.maxBodyBytes(), random);
 		RepeatedTask.schedule(loop.next(), TICK, "tick", this::tick);
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/HeaderNames.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/HeaderNames.java
@@ -15,9 +15,10 @@
  * @param faultyServer the backend server that caused a rejection
  * @param promptParts the parts of a request's prompt in order, as {@code ID:TOKENS}
  * separated by commas
+ * @param leaving has the value {@code 1} if a backend server accepts no more requests
  */
 public record HeaderNames(String request, String deadline, String seal, String account, String key,
-		String expectedServer, String notRun, String faultyServer, String promptParts) {
+		String expectedServer, String notRun, String faultyServer, String promptParts, String leaving) {
 
 	public HeaderNames {
 		Preconditions.notBlank(request, "request");
@@ -29,6 +30,7 @@
 		Preconditions.notBlank(notRun, "notRun");
 		Preconditions.notBlank(faultyServer, "faultyServer");
 		Preconditions.notBlank(promptParts, "promptParts");
+		Preconditions.notBlank(leaving, "leaving");
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
@@ -10,6 +10,7 @@
 import org.comfreywall.common.metrics.LabelledHistograms;
 import org.comfreywall.gateway.poison.PoisonRefusal;
 import org.comfreywall.gateway.pool.PoolServer;
+import org.comfreywall.gateway.pool.ServerAnnouncement;
 
 /**
  * Logs each decision about a request as one event and updates its metrics.
@@ -65,16 +66,26 @@
 	void skipped(ServerConnection connection, HttpResponse head, String awaited) {
 		this.metrics.counter("responses_skipped").inc();
 		LOG.info("response-skipped", Field.of("request", awaited), response(head),
-				Field.of("server", connection.server()), Field.of("status", head.status().code()),
+				Field.of("server", connection.server().server()), Field.of("status", head.status().code()),
 				Field.of("responses", connection.responses()));
 	}
 
 	void unexpected(ServerConnection connection, HttpResponse head) {
 		this.metrics.counter("responses_unexpected").inc();
-		LOG.info("response-unexpected", response(head), Field.of("server", connection.server()),
+		LOG.info("response-unexpected", response(head), Field.of("server", connection.server().server()),
 				Field.of("status", head.status().code()), Field.of("responses", connection.responses()));
 	}
 
+	void leaving(ServerAnnouncement server, boolean late) {
+		this.metrics.counter("servers_leaving").inc();
+		LOG.info("server-leaving", Field.of("server", server.server()), Field.of("started", server.startedMillis()),
+				Field.of("source", source(late)));
+	}
+
+	private static String source(boolean late) {
+		return late ? "late-response" : "response";
+	}
+
 	void poison(Exchange exchange, PoisonRefusal refusal) {
 		LOG.info("poison-refused", request(exchange), Field.of("trait", refusal.trait()),
 				Field.of("crashes", refusal.crashes()), Field.of("retry-after-ms", refusal.retryAfter().toMillis()));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.comfreywall.gateway.pool.ServerAnnouncement;
 
 /**
  * A connection to one backend server, used for one attempt at a time.
@@ -47,7 +48,7 @@
 
 	private final ServerConnectionPool owner;
 
-	private final String server;
+	private final ServerAnnouncement server;
 
 	private final HeaderNames names;
 
@@ -79,13 +80,13 @@
 
 	private long idleSince;
 
-	ServerConnection(ServerConnectionPool owner, String server, HeaderNames names) {
+	ServerConnection(ServerConnectionPool owner, ServerAnnouncement server, HeaderNames names) {
 		this.owner = owner;
 		this.server = server;
 		this.names = names;
 	}
 
-	String server() {
+	ServerAnnouncement server() {
 		return this.server;
 	}
 
@@ -157,6 +158,7 @@
 		}
 		if (this.listener == null) {
 			if (message instanceof HttpResponse head) {
+				this.owner.observer().onHead(this.server, head, true);
 				this.owner.log().unexpected(this, head);
 			}
 			this.reusable = false;
@@ -173,12 +175,14 @@
 
 	private void head(HttpResponse head) {
 		this.inAnswer = true;
+		String echoed = head.headers().get(this.names.request());
+		boolean late = echoed != null && !echoed.equals(this.request);
+		this.owner.observer().onHead(this.server, head, late);
 		if (this.responses > 0 && containsStatusLine(head)) {
 			fail("two responses in one head");
 			return;
 		}
-		String echoed = head.headers().get(this.names.request());
-		this.skipping = (echoed != null && !echoed.equals(this.request)) || head.status().code() < 200;
+		this.skipping = late || head.status().code() < 200;
 		if (this.skipping) {
 			this.reusable = this.reusable && head.status().code() < 200;
 			this.owner.log().skipped(this, head, this.request);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnectionPool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnectionPool.java
@@ -34,18 +34,25 @@
 
 	private final RequestLog log;
 
+	private final ResponseObserver observer;
+
 	private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
 
-	ServerConnectionPool(EventLoopGroup loop, HeaderNames names, RequestLog log) {
+	ServerConnectionPool(EventLoopGroup loop, HeaderNames names, RequestLog log, ResponseObserver observer) {
 		this.loop = loop;
 		this.names = names;
 		this.log = log;
+		this.observer = observer;
 	}
 
 	RequestLog log() {
 		return this.log;
 	}
 
+	ResponseObserver observer() {
+		return this.observer;
+	}
+
 	/**
 	 * Reuses an idle connection or opens one.
 	 * @param server the server
@@ -56,8 +63,7 @@
 	 */
 	void acquire(ServerAnnouncement server, long longestIdleNanos, Consumer<ServerConnection> ready, Runnable failed) {
 		long now = System.nanoTime();
-		String key = key(server);
-		Deque<ServerConnection> idleConnections = this.idle.get(key);
+		Deque<ServerConnection> idleConnections = this.idle.get(key(server));
 		while (longestIdleNanos > 0 && idleConnections != null && !idleConnections.isEmpty()) {
 			ServerConnection connection = idleConnections.pollLast();
 			if (connection.isUsable(now, longestIdleNanos)) {
@@ -66,11 +72,11 @@
 			}
 			connection.close();
 		}
-		open(server, key, ready, failed);
+		open(server, ready, failed);
 	}
 
-	private void open(ServerAnnouncement server, String key, Consumer<ServerConnection> ready, Runnable failed) {
-		ServerConnection connection = new ServerConnection(this, key, this.names);
+	private void open(ServerAnnouncement server, Consumer<ServerConnection> ready, Runnable failed) {
+		ServerConnection connection = new ServerConnection(this, server, this.names);
 		ChannelFuture attempt = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -95,7 +101,7 @@
 	}
 
 	void release(ServerConnection connection) {
-		Deque<ServerConnection> idleConnections = this.idle.computeIfAbsent(connection.server(),
+		Deque<ServerConnection> idleConnections = this.idle.computeIfAbsent(key(connection.server()),
 				(key) -> new ArrayDeque<>());
 		idleConnections.addLast(connection);
 		if (idleConnections.size() > MAX_IDLE) {
@@ -104,11 +110,12 @@
 	}
 
 	void remove(ServerConnection connection) {
-		Deque<ServerConnection> idleConnections = this.idle.get(connection.server());
+		String key = key(connection.server());
+		Deque<ServerConnection> idleConnections = this.idle.get(key);
 		if (idleConnections != null) {
 			idleConnections.remove(connection);
 			if (idleConnections.isEmpty()) {
-				this.idle.remove(connection.server());
+				this.idle.remove(key);
 			}
 		}
 	}
--- /dev/null
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerSignals.java
@@ -0,0 +1,50 @@
+package org.comfreywall.gateway.http;
+
+import java.util.function.Function;
+
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.comfreywall.gateway.pool.ServerAnnouncement;
+import org.comfreywall.gateway.pool.ServicePool;
+
+/**
+ * Reads what backend servers say of themselves in the heads of their responses, and tells
+ * the pools of their services.
+ */
+final class ServerSignals implements ResponseObserver {
+
+	private final HeaderNames names;
+
+	private final RequestLog log;
+
+	private final Function<String, ServicePool> pools;
+
+	/**
+	 * Creates a reader.
+	 * @param names the names of the headers
+	 * @param log receives the signals
+	 * @param pools returns the pool of a service
+	 */
+	ServerSignals(HeaderNames names, RequestLog log, Function<String, ServicePool> pools) {
+		this.names = names;
+		this.log = log;
+		this.pools = pools;
+	}
+
+	@Override
+	public void onHead(ServerAnnouncement server, HttpResponse head, boolean late) {
+		ServicePool pool = this.pools.apply(server.service());
+		ServerAnnouncement sender = sender(server, head, pool);
+		boolean leaving = head.headers().containsValue(this.names.leaving(), "1", true);
+		if (leaving && pool.recordLeaving(sender)) {
+			this.log.leaving(sender, late);
+		}
+	}
+
+	// A misdirected request has reached another incarnation than the one it was sent to.
+	private static ServerAnnouncement sender(ServerAnnouncement server, HttpResponse head, ServicePool pool) {
+		boolean misdirected = head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+		return misdirected ? pool.findAt(server.address()).orElse(server) : server;
+	}
+
+}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
@@ -49,6 +49,8 @@
 
 	private long pausedUntil;
 
+	private boolean leaving;
+
 	PoolServer(ServerAnnouncement announcement, long now) {
 		this.announcement = announcement;
 		this.pausedUntil = now;
@@ -133,8 +135,16 @@
 		return this.pausedUntil;
 	}
 
+	/**
+	 * Records that the server said in a response that it leaves. No announcement of this
+	 * incarnation makes it accept requests again.
+	 */
+	void recordLeaving() {
+		this.leaving = true;
+	}
+
 	boolean acceptsRequests() {
-		return this.announcement.state() == ServerState.READY;
+		return !this.leaving && this.announcement.state() == ServerState.READY;
 	}
 
 	int freeSlots() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
@@ -18,6 +18,7 @@
 import java.util.random.RandomGenerator;
 
 import org.comfreywall.common.toml.HostPort;
+import org.comfreywall.common.util.LruMap;
 import org.comfreywall.common.util.Preconditions;
 
 /**
@@ -55,6 +56,9 @@
 
 	private static final int MAX_QUEUE_LENGTH = 2_000;
 
+	/** The most servers whose signals are retained. */
+	private static final int MAX_SIGNALS = 20_000;
+
 	/** Share of the delay over which callers return after an outage of a group. */
 	private static final double MAX_OUTAGE_JITTER = 0.3;
 
@@ -89,6 +93,9 @@
 
 	private final Map<String, PoolServer> servers = new HashMap<>();
 
+	/** Start of the latest incarnation that said in a response that it leaves. */
+	private final Map<String, Long> leavingStarts = new LruMap<>(MAX_SIGNALS);
+
 	private final Map<String, Long> countsReceivedAt = new HashMap<>();
 
 	private final PriorityQueue<WaitingRequest> queue = new PriorityQueue<>(QUEUE_ORDER);
@@ -131,7 +138,11 @@
 			known.updateAnnouncement(announcement);
 		}
 		else {
-			this.servers.put(announcement.server(), new PoolServer(announcement, now));
+			PoolServer added = new PoolServer(announcement, now);
+			if (hasLeft(announcement)) {
+				added.recordLeaving();
+			}
+			this.servers.put(announcement.server(), added);
 		}
 	}
 
@@ -202,6 +213,53 @@
 		this.servers.remove(server);
 	}
 
+	/**
+	 * Records that a server said in a response that it leaves. It gets no request from
+	 * now on, whatever that incarnation announces, also after its removal.
+	 * @param server an announcement of the incarnation
+	 * @return {@code true} if this was not known
+	 */
+	public boolean recordLeaving(ServerAnnouncement server) {
+		boolean known = hasLeft(server);
+		if (!known) {
+			this.leavingStarts.put(server.server(), server.startedMillis());
+			findIncarnation(server).ifPresent(PoolServer::recordLeaving);
+		}
+		return !known;
+	}
+
+	private boolean hasLeft(ServerAnnouncement server) {
+		Long start = this.leavingStarts.get(server.server());
+		return start != null && server.startedMillis() <= start;
+	}
+
+	private Optional<PoolServer> findIncarnation(ServerAnnouncement server) {
+		return Optional.ofNullable(this.servers.get(server.server()))
+			.filter((known) -> known.announcement().startedMillis() == server.startedMillis());
+	}
+
+	/**
+	 * Returns whether a request that got a slot may still be sent.
+	 * @param server the server that it is to be sent to
+	 * @return {@code false} if the server has said since that it leaves
+	 */
+	public boolean canStart(PoolServer server) {
+		return !hasLeft(server.announcement());
+	}
+
+	/**
+	 * Finds the latest incarnation at an address.
+	 * @param address the address
+	 * @return its announcement, or empty if no server of the pool has that address
+	 */
+	public Optional<ServerAnnouncement> findAt(HostPort address) {
+		return this.servers.values()
+			.stream()
+			.map(PoolServer::announcement)
+			.filter((server) -> server.address().equals(address))
+			.max(Comparator.comparingLong(ServerAnnouncement::startedMillis));
+	}
+
 	/**
 	 * Records the requests that another entry has in flight.
 	 * @param entry the entry's identifier
@@ -339,6 +397,11 @@
 			});
 			return decisions;
 		}
+		if (!this.servers.isEmpty() && !isAnyAvailable()) {
+			this.queue.forEach((request) -> decisions.add(refuse(request, "no-server", nanosUntilUsable(now))));
+			this.queue.clear();
+			return decisions;
+		}
 		Iterator<WaitingRequest> late = this.queue.iterator();
 		while (late.hasNext()) {
 			WaitingRequest request = late.next();
@@ -430,6 +493,10 @@
 			.toList();
 	}
 
+	private boolean isAnyAvailable() {
+		return this.servers.values().stream().anyMatch(PoolServer::acceptsRequests);
+	}
+
 	private long nanosUntilUsable(long now) {
 		return this.servers.values()
 			.stream()
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerConnectionTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerConnectionTests.java
@@ -12,6 +12,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import org.comfreywall.common.toml.HostPort;
+import org.comfreywall.gateway.pool.ServerAnnouncement;
+import org.comfreywall.gateway.pool.ServerState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -23,14 +26,16 @@
 class ServerConnectionTests {
 
 	private static final HeaderNames NAMES = new HeaderNames("Request-Id", "Wait-Ms", "Seal", "Account", "Key",
-			"Expect-Server", "Not-Run", "Faulty", "Prompt-Parts");
+			"Expect-Server", "Not-Run", "Faulty", "Prompt-Parts", "Leaving");
 
 	private static final String RESPONSE = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\nContent-Length: 5\r\n\r\nhello";
 
 	private final EventLoopGroup loop = new DefaultEventLoopGroup(1);
 
-	private final ServerConnection connection = new ServerConnection(
-			new ServerConnectionPool(this.loop, NAMES, new RequestLog(NAMES, new MetricRegistry())), "s", NAMES);
+	private final ServerConnection connection = new ServerConnection(new ServerConnectionPool(this.loop, NAMES,
+			new RequestLog(NAMES, new MetricRegistry()), (server, head, late) -> {
+			}), new ServerAnnouncement("s", "service", new HostPort("127.0.0.1", 1), "a", 1, 1, 8, ServerState.READY),
+			NAMES);
 
 	private final EmbeddedChannel channel = new EmbeddedChannel(this.connection.handlers());
 
--- /dev/null
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerSignalTests.java
@@ -0,0 +1,140 @@
+package org.comfreywall.gateway.http;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests over sockets for what backend servers say of themselves in their responses.
+ */
+@Timeout(20)
+class ServerSignalTests {
+
+	private static final String WHOLE = "HTTP/1.1 200 OK\r\nRequest-Id: @id\r\nSeal: s\r\nContent-Length: 5\r\n\r\nhello";
+
+	private static final String LEAVING = WHOLE.replace("Seal: s", "Seal: s\r\nLeaving: 1");
+
+	private GatewayFixture gateway;
+
+	private ScriptedServer first;
+
+	private ScriptedServer second;
+
+	@BeforeEach
+	void open() throws Exception {
+		this.gateway = new GatewayFixture();
+		this.first = this.gateway.register(new ScriptedServer());
+		this.second = this.gateway.register(new ScriptedServer());
+	}
+
+	@AfterEach
+	void close() throws Exception {
+		this.gateway.close();
+	}
+
+	private String call(String path, String id) throws Exception {
+		return this.gateway.call(path, id);
+	}
+
+	@Nested
+	class Leaving {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "HTTP/1.1 200 OK\r\nSeal: s", "HTTP/1.1 404 None\r\nSeal: s",
+				"HTTP/1.1 500 Error\r\nSeal: s", "HTTP/1.1 503 Full\r\nNot-Run: 1", "HTTP/1.1 421 Other\r\nNot-Run: 1",
+				"HTTP/1.1 200 OK\r\nContent-Type: text/plain" })
+		void anyResponseOfAServerThatLeavesEndsItsRequests(String status) throws Exception {
+			String head = status + "\r\nRequest-Id: @id\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n";
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(head).answer(WHOLE), "s1", 1);
+			call("/once/", "r1");
+			assertThat(call("/safe/", "r2")).startsWith("HTTP/1.1 503").contains("retry-after");
+			assertThat(ServerSignalTests.this.first.requests()).hasSize(1);
+			assertThat(ServerSignalTests.this.gateway.count("servers_leaving")).isEqualTo(1);
+		}
+
+		@Test
+		void aStreamOfAServerThatLeavesEndsWholeAndOthersGoElsewhere() throws Exception {
+			String stream = "HTTP/1.1 200 OK\r\nRequest-Id: @id\r\nSeal: s\r\nLeaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+					+ "f\r\nid: 1\ndata: b\n\n\r\n" + ScriptedServer.PAUSE + "0\r\n\r\n";
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(stream), "s1", 1);
+			assertThat(call("/stream/", "r1")).contains("data: b").endsWith("0\r\n\r\n");
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.second.answer(WHOLE).answer(WHOLE), "s2", 1);
+			assertThat(call("/safe/", "r2")).endsWith("hello");
+			assertThat(call("/safe/", "r3")).endsWith("hello");
+			assertThat(ServerSignalTests.this.first.requests()).hasSize(1);
+		}
+
+		/**
+		 * A request may reach the successor of the server that it was sent to, which then
+		 * speaks of itself.
+		 */
+		@Test
+		void aMisdirectedRequestTellsThatTheSuccessorLeaves() throws Exception {
+			String misdirected = ScriptedServer.WAIT
+					+ "HTTP/1.1 421 Other\r\nRequest-Id: @id\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n";
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(misdirected).answer(WHOLE),
+					"s1", 1);
+			CompletableFuture<String> refused = ServerSignalTests.this.gateway.callAsync("/once/", "r1");
+			while (ServerSignalTests.this.first.requests().isEmpty()) {
+				TimeUnit.MILLISECONDS.sleep(5);
+			}
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first, "s2", 2);
+			ServerSignalTests.this.first.resume();
+			assertThat(refused.get()).startsWith("HTTP/1.1 503");
+			assertThat(call("/safe/", "r2")).startsWith("HTTP/1.1 503");
+			assertThat(ServerSignalTests.this.first.requests()).hasSize(1);
+		}
+
+		@Test
+		void aLateResponseCounts() throws Exception {
+			String late = LEAVING.replace("@id", "r0");
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(late + WHOLE), "s1", 1);
+			assertThat(call("/once/", "r1")).endsWith("hello");
+			assertThat(call("/once/", "r2")).startsWith("HTTP/1.1 503");
+			assertThat(ServerSignalTests.this.first.requests()).hasSize(1);
+		}
+
+		@Test
+		void aResponseOnAnIdleConnectionCounts() throws Exception {
+			String late = LEAVING.replace("@id", "r0");
+			ServerSignalTests.this.gateway
+				.announce(ServerSignalTests.this.first.answer(WHOLE + ScriptedServer.PAUSE + late), "s1", 1);
+			assertThat(call("/once/", "r1")).endsWith("hello");
+			while (ServerSignalTests.this.gateway.count("servers_leaving") == 0) {
+				TimeUnit.MILLISECONDS.sleep(5);
+			}
+			assertThat(call("/once/", "r2")).startsWith("HTTP/1.1 503");
+		}
+
+		@Test
+		void aNewIncarnationAtItsAddressGetsRequests() throws Exception {
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(LEAVING).answer(WHOLE), "s1",
+					1);
+			assertThat(call("/safe/", "r1")).endsWith("hello");
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first, "s1", 1);
+			assertThat(call("/safe/", "r2")).startsWith("HTTP/1.1 503");
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first, "s2", 2);
+			assertThat(call("/safe/", "r3")).endsWith("hello");
+		}
+
+		@Test
+		void anotherValueOfTheHeaderHasNoEffect() throws Exception {
+			String staying = LEAVING.replace("Leaving: 1", "Leaving: 0");
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(staying).answer(WHOLE), "s1",
+					1);
+			assertThat(call("/safe/", "r1")).endsWith("hello");
+			assertThat(call("/safe/", "r2")).endsWith("hello");
+		}
+
+	}
+
+}
