Send nothing to servers for the time that they ask for

A backend server that rejects a request with 503 may state with Retry-After how long it wants no others. The gateway paused it for 0.1 s whatever it asked for, so it got the next request at once, and callers were told to return after about 0.4 s, to be rejected again.

The pool now rests such a server for the stated time, lengthened at random by up to a fifth and cut to five minutes, and takes it up again within a second with a growing share of its slots. Late responses count as well. Requests go elsewhere; when all servers rest, they are refused at once with the shortest time left, also those that are queued and those that a server has just rejected. Requests whose connection is still being opened are placed again. A rest is kept by incarnation and is no failure of the server. Dates, negative numbers and nonsense are logged and ignored.

LeavingServersTests changes by the new argument of canStart only.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -97,7 +97,7 @@
 			this.gateway.connections().release(opened);
 			return;
 		}
-		if (!this.pool.canStart(this.server)) {
+		if (!this.pool.canStart(this.server, System.nanoTime())) {
 			opened.close();
 			end(AttemptResult.CANCELLED);
 			this.exchange.notSent();
@@ -161,7 +161,7 @@
 		}
 		if (received.status().code() >= 500 && this.exchange.tryTakeRetry("error " + received.status().code())) {
 			discardRest();
-			end(AttemptResult.FAILED);
+			end(Exchange.resultOf(received));
 			this.exchange.sendAgain(this.server);
 			return;
 		}
@@ -261,7 +261,7 @@
 			onBroken("ended after its head");
 			return;
 		}
-		end(Exchange.resultOf(this.head.status().code()));
+		end(Exchange.resultOf(this.head));
 		this.gateway.poison().recordCompleted(this.exchange.traits(), System.nanoTime());
 		CallerResponse response = this.exchange.response();
 		if (!response.isStarted() && isStreamed(this.head)) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
@@ -357,7 +357,7 @@
 			enqueue();
 		}
 		else {
-			giveUp("rejected");
+			giveUp("rejected", this.pool.retryAfterRest(System.nanoTime()).orElse(DEFAULT_RETRY_AFTER));
 		}
 	}
 
@@ -595,12 +595,16 @@
 	}
 
 	/**
-	 * Returns the result of an attempt by the status of its response.
-	 * @param status the status
-	 * @return {@link AttemptResult#FAILED} for status 500 and above
+	 * Returns the result of an attempt by the head of its response.
+	 * @param head the status and headers
+	 * @return {@link AttemptResult#FAILED} for status 500 and above, unless the server
+	 * asks for a time without requests, which is no fault
 	 */
-	static AttemptResult resultOf(int status) {
-		return (status >= 500) ? AttemptResult.FAILED : AttemptResult.ANSWERED;
+	static AttemptResult resultOf(HttpResponse head) {
+		if (RetryAfter.of(head).isPresent()) {
+			return AttemptResult.REJECTED;
+		}
+		return (head.status().code() >= 500) ? AttemptResult.FAILED : AttemptResult.ANSWERED;
 	}
 
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
@@ -1,5 +1,7 @@
 package org.comfreywall.gateway.http;
 
+import java.time.Duration;
+
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -82,6 +84,19 @@
 				Field.of("source", source(late)));
 	}
 
+	void resting(ServerAnnouncement server, Duration asked, Duration left, boolean late) {
+		this.metrics.counter("servers_resting_" + server.service()).inc();
+		LOG.info("server-resting", Field.of("server", server.server()), Field.of("service", server.service()),
+				Field.of("started", server.startedMillis()), Field.of("source", source(late)),
+				Field.of("asked-ms", asked.toMillis()), Field.of("left-ms", left.toMillis()));
+	}
+
+	void timeIgnored(ServerAnnouncement server, HttpResponse head) {
+		LOG.info("retry-after-ignored", Field.of("server", server.server()),
+				Field.of("started", server.startedMillis()),
+				Field.of("value", head.headers().get(HttpHeaderNames.RETRY_AFTER)));
+	}
+
 	private static String source(boolean late) {
 		return late ? "late-response" : "response";
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerSignals.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerSignals.java
@@ -1,5 +1,6 @@
 package org.comfreywall.gateway.http;
 
+import java.time.Duration;
 import java.util.function.Function;
 
 import io.netty.handler.codec.http.HttpResponse;
@@ -39,6 +40,17 @@
 		if (leaving && pool.recordLeaving(sender)) {
 			this.log.leaving(sender, late);
 		}
+		if (RetryAfter.isStated(head)) {
+			RetryAfter.of(head)
+				.ifPresentOrElse((time) -> rest(pool, server, time, late), () -> this.log.timeIgnored(server, head));
+		}
+	}
+
+	private void rest(ServicePool pool, ServerAnnouncement server, Duration time, boolean late) {
+		if (!time.isZero()) {
+			pool.recordRest(server, time, System.nanoTime())
+				.ifPresent((left) -> this.log.resting(server, time, left, late));
+		}
 	}
 
 	// A misdirected request has reached another incarnation than the one it was sent to.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/PoolServer.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * State that one entry keeps for a backend server: the latest announcement, the requests
@@ -51,6 +52,8 @@
 
 	private boolean leaving;
 
+	private Optional<ServerRest> rest = Optional.empty();
+
 	PoolServer(ServerAnnouncement announcement, long now) {
 		this.announcement = announcement;
 		this.pausedUntil = now;
@@ -131,8 +134,20 @@
 		return now < this.pausedUntil;
 	}
 
-	long pausedUntil() {
-		return this.pausedUntil;
+	void recordRest(ServerRest newer) {
+		this.rest = Optional.of(newer);
+	}
+
+	boolean isResting(long now) {
+		return this.rest.filter((present) -> !present.isOver(now)).isPresent();
+	}
+
+	/**
+	 * Returns when the server gets requests again.
+	 * @return the end of its pause and rest, in nanoseconds; may have passed
+	 */
+	long usableAt() {
+		return Math.max(this.pausedUntil, this.rest.map(ServerRest::resumesAt).orElse(this.pausedUntil));
 	}
 
 	/**
@@ -147,8 +162,10 @@
 		return !this.leaving && this.announcement.state() == ServerState.READY;
 	}
 
-	int freeSlots() {
-		return Math.max(0, this.announcement.slots() - totalInFlight());
+	int freeSlots(long now) {
+		int slots = this.announcement.slots();
+		int allowed = this.rest.map((present) -> present.maxInFlight(slots, now)).orElse(slots);
+		return Math.max(0, Math.min(slots - totalInFlight(), allowed - this.inFlight));
 	}
 
 	double latencyNanos() {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/pool/ServicePool.java
@@ -59,6 +59,17 @@
 	/** The most servers whose signals are retained. */
 	private static final int MAX_SIGNALS = 20_000;
 
+	/** The longest time that a server can ask for. */
+	private static final Duration MAX_REST = Duration.ofMinutes(5);
+
+	/** Share of a rest by which it is lengthened at random. */
+	private static final double MAX_REST_JITTER = 0.2;
+
+	private static final double MAX_REST_JITTER_NANOS = 500_000_000;
+
+	/** Share of the delay over which callers return after a rest of all servers. */
+	private static final double MAX_RETURN_JITTER = 0.3;
+
 	/** Share of the delay over which callers return after an outage of a group. */
 	private static final double MAX_OUTAGE_JITTER = 0.3;
 
@@ -96,6 +107,8 @@
 	/** Start of the latest incarnation that said in a response that it leaves. */
 	private final Map<String, Long> leavingStarts = new LruMap<>(MAX_SIGNALS);
 
+	private final Map<String, ServerRest> rests = new LruMap<>(MAX_SIGNALS);
+
 	private final Map<String, Long> countsReceivedAt = new HashMap<>();
 
 	private final PriorityQueue<WaitingRequest> queue = new PriorityQueue<>(QUEUE_ORDER);
@@ -142,6 +155,7 @@
 			if (hasLeft(announcement)) {
 				added.recordLeaving();
 			}
+			findRest(announcement).ifPresent(added::recordRest);
 			this.servers.put(announcement.server(), added);
 		}
 	}
@@ -233,6 +247,51 @@
 		return start != null && server.startedMillis() <= start;
 	}
 
+	/**
+	 * Records that a server asked for a time without requests. The end is delayed at
+	 * random, so that the entries do not return to the server together. A new incarnation
+	 * ends it, removal does not.
+	 * @param server an announcement of the incarnation
+	 * @param time the time that the server asked for; cut to five minutes
+	 * @param now the current time in nanoseconds
+	 * @return the time until the server gets requests again; empty if it rests as long
+	 * already, or if it is an earlier incarnation
+	 */
+	public Optional<Duration> recordRest(ServerAnnouncement server, Duration time, long now) {
+		long nanos = Math.min(time.toNanos(), MAX_REST.toNanos());
+		double jitter = Math.min(MAX_REST_JITTER * nanos, MAX_REST_JITTER_NANOS) * this.random.nextDouble();
+		ServerRest rest = new ServerRest(server.startedMillis(), now + nanos + (long) jitter);
+		ServerRest known = this.rests.get(server.server());
+		boolean superseded = known != null && (known.startedMillis() > rest.startedMillis()
+				|| (known.startedMillis() == rest.startedMillis() && known.resumesAt() >= rest.resumesAt()));
+		if (superseded) {
+			return Optional.empty();
+		}
+		this.rests.put(server.server(), rest);
+		findIncarnation(server).ifPresent((present) -> present.recordRest(rest));
+		return Optional.of(Duration.ofNanos(rest.resumesAt() - now));
+	}
+
+	private Optional<ServerRest> findRest(ServerAnnouncement server) {
+		return Optional.ofNullable(this.rests.get(server.server()))
+			.filter((rest) -> rest.startedMillis() == server.startedMillis());
+	}
+
+	/**
+	 * Returns how long callers are to stay away because all servers rest.
+	 * @param now the current time in nanoseconds
+	 * @return the shortest time left, with random jitter on top; empty if a server does
+	 * not rest, or if none accepts requests
+	 */
+	public Optional<Duration> retryAfterRest(long now) {
+		List<PoolServer> accepting = acceptingServers();
+		if (accepting.isEmpty() || !accepting.stream().allMatch((server) -> server.isResting(now))) {
+			return Optional.empty();
+		}
+		double jitter = 1 + MAX_RETURN_JITTER * this.random.nextDouble();
+		return Optional.of(Duration.ofNanos((long) (Math.max(MIN_RETRY_AFTER_NANOS, nanosUntilUsable(now)) * jitter)));
+	}
+
 	private Optional<PoolServer> findIncarnation(ServerAnnouncement server) {
 		return Optional.ofNullable(this.servers.get(server.server()))
 			.filter((known) -> known.announcement().startedMillis() == server.startedMillis());
@@ -241,10 +300,12 @@
 	/**
 	 * Returns whether a request that got a slot may still be sent.
 	 * @param server the server that it is to be sent to
-	 * @return {@code false} if the server has said since that it leaves
+	 * @param now the current time in nanoseconds
+	 * @return {@code false} if the server has said since that it leaves or rests
 	 */
-	public boolean canStart(PoolServer server) {
-		return !hasLeft(server.announcement());
+	public boolean canStart(PoolServer server, long now) {
+		return !hasLeft(server.announcement())
+				&& findRest(server.announcement()).filter((rest) -> !rest.isOver(now)).isEmpty();
 	}
 
 	/**
@@ -313,10 +374,10 @@
 		if (free.isPresent()) {
 			return grant(request, free.get());
 		}
-		if (usableServers(now + SHORT_PAUSE_NANOS).isEmpty()) {
-			return refuse(request, "no-server", nanosUntilUsable(now));
+		if (usableServers(now + SHORT_PAUSE_NANOS).isEmpty() || !canAwaitServer(request, now)) {
+			return refuseWithoutServer(request, now);
 		}
-		double waitNanos = expectedWaitNanos(request, now);
+		double waitNanos = Math.max(expectedWaitNanos(request, now), nanosUntilRestEnds(now));
 		if (now + waitNanos > request.latestStart() || this.queue.size() >= MAX_QUEUE_LENGTH) {
 			return refuse(request, "no-place-in-time", (long) waitNanos);
 		}
@@ -397,11 +458,7 @@
 			});
 			return decisions;
 		}
-		if (!this.servers.isEmpty() && !isAnyAvailable()) {
-			this.queue.forEach((request) -> decisions.add(refuse(request, "no-server", nanosUntilUsable(now))));
-			this.queue.clear();
-			return decisions;
-		}
+		refuseHopeless(decisions, now);
 		Iterator<WaitingRequest> late = this.queue.iterator();
 		while (late.hasNext()) {
 			WaitingRequest request = late.next();
@@ -424,6 +481,18 @@
 		return decisions;
 	}
 
+	private void refuseHopeless(List<SlotDecision> decisions, long now) {
+		boolean available = this.servers.values().stream().anyMatch((server) -> isAvailableSoon(server, now));
+		this.queue.removeIf((request) -> {
+			boolean awaits = available && request.excluded().isEmpty();
+			boolean refused = !awaits && !canAwaitServer(request, now);
+			if (refused) {
+				decisions.add(refuseWithoutServer(request, now));
+			}
+			return refused;
+		});
+	}
+
 	/**
 	 * Returns the number of queued requests.
 	 * @return the count
@@ -438,7 +507,7 @@
 	 * @return the count
 	 */
 	public int freeSlots(long now) {
-		return usableServers(now).stream().mapToInt(PoolServer::freeSlots).sum();
+		return usableServers(now).stream().mapToInt((server) -> server.freeSlots(now)).sum();
 	}
 
 	/**
@@ -460,7 +529,7 @@
 			return Optional.empty();
 		}
 		List<PoolServer> free = usableServers(now).stream()
-			.filter((server) -> server.freeSlots() > 0 && !excluded.contains(server.announcement().server()))
+			.filter((server) -> server.freeSlots(now) > 0 && !excluded.contains(server.announcement().server()))
 			.toList();
 		return this.selector.select(free, this.arrivals.perSecond(now) * this.countsReceivedAt.size());
 	}
@@ -489,19 +558,39 @@
 	private List<PoolServer> usableServers(long now) {
 		return this.servers.values()
 			.stream()
-			.filter((server) -> server.acceptsRequests() && !server.isPaused(now))
+			.filter((server) -> server.acceptsRequests() && !server.isPaused(now) && !server.isResting(now))
 			.toList();
 	}
 
-	private boolean isAnyAvailable() {
-		return this.servers.values().stream().anyMatch(PoolServer::acceptsRequests);
+	private List<PoolServer> acceptingServers() {
+		return this.servers.values().stream().filter(PoolServer::acceptsRequests).toList();
+	}
+
+	private static boolean isAvailableSoon(PoolServer server, long now) {
+		return server.acceptsRequests() && !server.isResting(now + SHORT_PAUSE_NANOS);
+	}
+
+	// A request without any other server than the excluded ones waits for a new one.
+	private boolean canAwaitServer(WaitingRequest request, long now) {
+		List<PoolServer> accepting = acceptingServers();
+		List<PoolServer> allowed = accepting.stream()
+			.filter((server) -> !request.excluded().contains(server.announcement().server()))
+			.toList();
+		List<PoolServer> awaited = allowed.isEmpty() ? accepting : allowed;
+		return this.servers.isEmpty() || awaited.stream().anyMatch((server) -> isAvailableSoon(server, now));
+	}
+
+	private long nanosUntilRestEnds(long now) {
+		List<PoolServer> accepting = acceptingServers();
+		boolean resting = accepting.stream().allMatch((server) -> server.isResting(now));
+		return resting ? nanosUntilUsable(now) : 0;
 	}
 
 	private long nanosUntilUsable(long now) {
 		return this.servers.values()
 			.stream()
 			.filter(PoolServer::acceptsRequests)
-			.mapToLong((server) -> server.pausedUntil() - now)
+			.mapToLong((server) -> server.usableAt() - now)
 			.min()
 			.orElse(MAX_RETRY_AFTER_NANOS / 2);
 	}
@@ -532,6 +621,13 @@
 				Duration.ofNanos((long) (this.outage.expectedNanos(now) * jitter)));
 	}
 
+	private SlotRefused refuseWithoutServer(WaitingRequest request, long now) {
+		boolean resting = acceptingServers().stream().anyMatch((server) -> server.isResting(now));
+		String reason = resting ? "servers-resting" : "no-server";
+		return retryAfterRest(now).map((time) -> new SlotRefused(request.id(), reason, time))
+			.orElseGet(() -> refuse(request, reason, nanosUntilUsable(now)));
+	}
+
 	private SlotRefused refuse(WaitingRequest request, String reason, long waitNanos) {
 		double nanos = Math.max(MIN_RETRY_AFTER_NANOS, Math.min(waitNanos, MAX_RETRY_AFTER_NANOS));
 		double jitter = 0.75 + 0.5 * this.random.nextDouble();
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerSignalTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerSignalTests.java
@@ -3,6 +3,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import org.comfreywall.gateway.pool.AttemptResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -137,4 +142,104 @@
 
 	}
 
+	@Nested
+	class Resting {
+
+		private static final String REST = "HTTP/1.1 503 Rest\r\nRequest-Id: @id\r\nNot-Run: 1\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n";
+
+		@Test
+		void requestsGoElsewhereUntilTheEndOfTheTime() throws Exception {
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(REST), "s1", 1);
+			assertThat(call("/once/", "r0")).startsWith("HTTP/1.1 503");
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.second, "s2", 1);
+			// Any rejection pauses a server for 100 ms.
+			TimeUnit.MILLISECONDS.sleep(150);
+			for (int i = 1; i <= 20; i++) {
+				ServerSignalTests.this.second.answer(WHOLE);
+				assertThat(call("/safe/", "r" + i)).endsWith("hello");
+			}
+			assertThat(ServerSignalTests.this.first.requests()).hasSize(1);
+			assertThat(ServerSignalTests.this.gateway.count("servers_resting_service")).isEqualTo(1);
+		}
+
+		@Test
+		void aRejectedRequestIsRepeatedElsewhere() throws Exception {
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(ScriptedServer.WAIT + REST),
+					"s1", 1);
+			CompletableFuture<String> answered = ServerSignalTests.this.gateway.callAsync("/safe/", "r1");
+			while (ServerSignalTests.this.first.requests().isEmpty()) {
+				TimeUnit.MILLISECONDS.sleep(5);
+			}
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.second.answer(WHOLE), "s2", 1);
+			ServerSignalTests.this.first.resume();
+			assertThat(answered.get()).endsWith("hello");
+			assertThat(ServerSignalTests.this.first.requests()).hasSize(1);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/safe/", "/once/" })
+		void callersGetTheTimeLeftAtOnceWhenAllServersRest(String path) throws Exception {
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(REST), "s1", 1);
+			assertThat(retryAfter(call(path, "r1"))).isBetween(2.5, 4.0);
+			long asked = System.nanoTime();
+			assertThat(retryAfter(call(path, "r2"))).isBetween(1.5, 4.0);
+			assertThat(System.nanoTime() - asked).isLessThan(TimeUnit.SECONDS.toNanos(1));
+			assertThat(ServerSignalTests.this.first.requests()).hasSize(1);
+		}
+
+		@Test
+		void aServerIsUsedAgainAfterTheTime() throws Exception {
+			String rest = REST.replace("2.5", "0.6");
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(rest).answer(WHOLE), "s1", 1);
+			call("/once/", "r1");
+			assertThat(call("/once/", "r2")).startsWith("HTTP/1.1 503");
+			TimeUnit.MILLISECONDS.sleep(800);
+			assertThat(call("/once/", "r3")).endsWith("hello");
+		}
+
+		@Test
+		void aLateResponseCounts() throws Exception {
+			String late = REST.replace("@id", "r0");
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(late + WHOLE), "s1", 1);
+			assertThat(call("/once/", "r1")).endsWith("hello");
+			assertThat(retryAfter(call("/once/", "r2"))).isBetween(1.5, 4.0);
+			assertThat(ServerSignalTests.this.first.requests()).hasSize(1);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "Sun, 06 Nov 1994 08:49:37 GMT", "-1", "soon", "1e9", "NaN", "", "1,5", "0" })
+		void anUnreadableTimeIsIgnored(String value) throws Exception {
+			String rest = REST.replace("2.5", value);
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(rest).answer(WHOLE), "s1", 1);
+			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 503");
+			TimeUnit.MILLISECONDS.sleep(150);
+			assertThat(call("/once/", "r2")).endsWith("hello");
+		}
+
+		@Test
+		void theTimeCountsWithStatus503Only() throws Exception {
+			String other = REST.replace("503 Rest", "429 Later");
+			ServerSignalTests.this.gateway.announce(ServerSignalTests.this.first.answer(other).answer(WHOLE), "s1", 1);
+			call("/once/", "r1");
+			TimeUnit.MILLISECONDS.sleep(150);
+			assertThat(call("/once/", "r2")).endsWith("hello");
+		}
+
+		@Test
+		void aServerThatAsksForTimeHasNotFailed() {
+			HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+			assertThat(Exchange.resultOf(head)).isEqualTo(AttemptResult.FAILED);
+			head.headers().set("Retry-After", "1.5");
+			assertThat(Exchange.resultOf(head)).isEqualTo(AttemptResult.REJECTED);
+			head.headers().set("Retry-After", "soon");
+			assertThat(Exchange.resultOf(head)).isEqualTo(AttemptResult.FAILED);
+		}
+
+		private double retryAfter(String answer) {
+			assertThat(answer).startsWith("HTTP/1.1 503");
+			return Double.parseDouble(ScriptedServer.header(answer, "retry-after"));
+		}
+
+	}
+
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/LeavingServersTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/pool/LeavingServersTests.java
@@ -46,9 +46,9 @@
 		void aRequestThatGotItsSlotBeforeIsNotSentAnyMore() {
 			LeavingServersTests.this.pool.updateServer(server(0, 1, 1), 0);
 			PoolServer granted = ((SlotGranted) offer(0)).server();
-			assertThat(LeavingServersTests.this.pool.canStart(granted)).isTrue();
+			assertThat(LeavingServersTests.this.pool.canStart(granted, 0)).isTrue();
 			LeavingServersTests.this.pool.recordLeaving(server(0, 1, 1));
-			assertThat(LeavingServersTests.this.pool.canStart(granted)).isFalse();
+			assertThat(LeavingServersTests.this.pool.canStart(granted, 0)).isFalse();
 		}
 
 		@Test
