--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -207,12 +207,17 @@
 			boundary.accept(next);
 			return true;
 		}));
+		if (this.events.filter(EventBoundary::isFollowedByResponse).isPresent()) {
+			this.connection.abort();
+			onBroken("followed by another response");
+			return;
+		}
 		CallerResponse response = this.exchange.response();
 		if (response.isStarted()) {
 			response.writePart(part);
 		}
 		else if (isStreamed(this.head)) {
-			response.start(this.head, this.exchange.keepAlive());
+			response.start(this.head, this.events.isPresent(), this.exchange.keepAlive());
 			response.writePart(part);
 		}
 		else {
@@ -239,7 +244,7 @@
 		part.readBytes(bytes);
 		this.buffered.writeBytes(bytes);
 		if (this.buffered.size() > MAX_BUFFERED_BYTES) {
-			this.exchange.response().start(this.head, this.exchange.keepAlive());
+			this.exchange.response().start(this.head, false, this.exchange.keepAlive());
 			this.exchange.response().writePart(Unpooled.wrappedBuffer(this.buffered.toByteArray()));
 		}
 	}
@@ -261,11 +266,15 @@
 			onBroken("ended after its head");
 			return;
 		}
+		if (containsCopy()) {
+			onBroken("another response within its body");
+			return;
+		}
 		end(Exchange.resultOf(this.head));
 		this.gateway.poison().recordCompleted(this.exchange.traits(), System.nanoTime());
 		CallerResponse response = this.exchange.response();
 		if (!response.isStarted() && isStreamed(this.head)) {
-			response.start(this.head, this.exchange.keepAlive());
+			response.start(this.head, this.events.isPresent(), this.exchange.keepAlive());
 		}
 		if (response.isStarted()) {
 			response.complete();
@@ -297,6 +306,13 @@
 				&& this.firstPartAt == 0 && !ResponseFraming.of(this.head).isDelimited();
 	}
 
+	// A server that answers twice writes the copy into the body of the first response if
+	// that one has no length, or is shorter than its length.
+	private boolean containsCopy() {
+		String name = this.gateway.names().request();
+		return this.buffered != null && ResponseCopy.isIn(this.buffered.toByteArray(), name, this.exchange.requestId());
+	}
+
 	@Override
 	public void onBroken(String reason) {
 		if (this.discarding || this.ended) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -490,6 +490,15 @@
 			assertThat(call("/stream/", "r1")).contains("data: a").doesNotEndWith("0\r\n\r\n");
 		}
 
+		@ParameterizedTest
+		@ValueSource(strings = { "", "\n", ": bye\n", ": by" })
+		void aBrokenStreamWithoutAMissingEventMayResumeWithoutOne(String after) throws Exception {
+			String whole = HEAD + FIRST + after + ScriptedServer.PAUSE + ScriptedServer.RESET;
+			announce(GatewayTests.this.first.answer(whole).answer(EVENTS + "0\r\n\r\n"), "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(call("/stream/", "r1")).contains("data: a").endsWith("0\r\n\r\n");
+		}
+
 		@Test
 		void anotherMediaTypeHasNoEvents() throws Exception {
 			String json = HEAD.replace("text/event-stream", "application/json") + "{\"a\":1}" + ScriptedServer.CLOSE;
@@ -516,6 +525,45 @@
 
 	}
 
+	/**
+	 * Responses on routes of streams that are no event streams. Lines in them that look
+	 * like the identifiers of events are part of their text.
+	 */
+	@Nested
+	class OtherMediaTypes {
+
+		private static final String TEXT = "id: 1\nname: a\n\nid: 1\nname: b\n\n";
+
+		private String text(String status, String body) {
+			return "HTTP/1.1 " + status
+					+ "\r\nRequest-Id: @id\r\nSeal: s\r\nContent-Type: text/yaml\r\nContent-Length: " + body.length()
+					+ "\r\n\r\n" + body;
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/stream/", "/plain/" })
+		void aTextIsForwardedUnchanged(String path) throws Exception {
+			announce(GatewayTests.this.first.answer(text("200 OK", TEXT)), "s1");
+			assertThat(call(path, "r1")).contains(TEXT);
+		}
+
+		@Test
+		void aLongFailureIsForwardedUnchanged() throws Exception {
+			String padding = "x".repeat(80_000);
+			announce(GatewayTests.this.first.answer(text("404 Not Found", TEXT + padding + TEXT)), "s1");
+			assertThat(call("/stream/", "r1")).contains(TEXT + "x").containsPattern("x(\r\n[0-9a-f]+\r\n)?" + TEXT);
+		}
+
+		@Test
+		void aTextThatIsCutDoesNotLookComplete() throws Exception {
+			String cut = text("200 OK", TEXT).replace(TEXT, "id: 1\nname: a\n\n") + ScriptedServer.CLOSE;
+			announce(GatewayTests.this.first.answer(cut).answer(EVENTS + "0\r\n\r\n"), "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(call("/stream/", "r1")).doesNotEndWith("0\r\n\r\n");
+		}
+
+	}
+
 	/**
 	 * A stream that began at one server and is continued by another one. Whatever is not
 	 * the rest of the stream must not reach the caller, who could not tell it from
@@ -1072,6 +1120,58 @@
 			assertThat(answer).matches("(?s)HTTP/1.1 (404|502) .*").doesNotContain("old");
 		}
 
+		@ParameterizedTest
+		@ValueSource(strings = { "Via: HTTP/1.1 proxy", "Server: BaseHTTP/1.1", "X-Note: speaks HTTP/1.1" })
+		void aHeaderThatNamesTheProtocolIsNoSecondResponse(String header) throws Exception {
+			String proper = WHOLE.replace("Seal: s", header + "\r\nSeal: s");
+			announce(GatewayTests.this.first.answer(proper).answer(proper), "s1");
+			assertThat(call("/once/1", "r1")).startsWith("HTTP/1.1 200").endsWith("hello");
+			assertThat(call("/once/2", "r2")).startsWith("HTTP/1.1 200").endsWith("hello");
+		}
+
+		private static final String UNFRAMED = "HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: @id\r\n\r\nhello";
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", ScriptedServer.PAUSE })
+		void aCopyAfterAResponseWithoutLengthIsNoPartOfIt(String pause) throws Exception {
+			announce(GatewayTests.this.first.answer(UNFRAMED + pause + UNFRAMED + ScriptedServer.CLOSE), "s1");
+			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 502");
+		}
+
+		@Test
+		void anIdempotentRequestGetsTheResponseOfAServerThatAnswersOnce() throws Exception {
+			announce(GatewayTests.this.first.answer(UNFRAMED + UNFRAMED + ScriptedServer.CLOSE).answer(WHOLE), "s1");
+			announce(GatewayTests.this.second, "s2");
+			assertThat(call("/safe/", "r1")).startsWith("HTTP/1.1 200").endsWith("\r\n\r\nhello");
+		}
+
+		@ParameterizedTest
+		@ValueSource(ints = { 0, 3, 100, 300 })
+		void aCopyAfterAResponseThatIsTooShortDoesNotFillIt(int sent) throws Exception {
+			String body = "abcdefgh".repeat(50);
+			String whole = UNFRAMED.replace("\r\n\r\nhello", "\r\nContent-Length: 400\r\n\r\n") + body;
+			String cut = whole.substring(0, whole.length() - body.length() + sent);
+			announce(GatewayTests.this.first.answer(cut + ScriptedServer.PAUSE + whole), "s1");
+			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 502");
+		}
+
+		@Test
+		void aTextAboutTheProtocolIsNoCopy() throws Exception {
+			String text = UNFRAMED + "HTTP/1.1 200 OK\r\nRequest-Id: another\r\n\r\nRequest-Id: @id\r\n";
+			announce(GatewayTests.this.first.answer(text + ScriptedServer.CLOSE), "s1");
+			assertThat(call("/once/", "r1")).startsWith("HTTP/1.1 200").endsWith("Request-Id: r1\r\n");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/stream/", "/plain/" })
+		void aCopyAfterAStreamWithoutLengthIsNoPartOfIt(String path) throws Exception {
+			String stream = UNFRAMED.replace("hello", "id: 1\ndata: a\n\n");
+			announce(GatewayTests.this.first.answer(stream + ScriptedServer.PAUSE + stream + ScriptedServer.CLOSE),
+					"s1");
+			String received = call(path, "r1");
+			assertThat(received).containsOnlyOnce("HTTP/1.1").containsOnlyOnce("data: a").doesNotEndWith("0\r\n\r\n");
+		}
+
 		@Test
 		void aResponseWithoutABodyDoesNotShiftLaterResponses() throws Exception {
 			String bodyless = WHOLE.replace("hello", "");
