--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -97,6 +97,12 @@
 			this.gateway.connections().release(opened);
 			return;
 		}
+		if (!this.pool.canStart(this.server, System.nanoTime())) {
+			opened.close();
+			end(AttemptResult.CANCELLED);
+			this.exchange.notSent();
+			return;
+		}
 		this.connection = opened;
 		this.exchange.connected();
 		this.exchange.recordResponse(ResponseFraming.NONE, opened.responses());
@@ -155,7 +161,7 @@
 		}
 		if (received.status().code() >= 500 && this.exchange.tryTakeRetry("error " + received.status().code())) {
 			discardRest();
-			end(AttemptResult.FAILED);
+			end(Exchange.resultOf(received));
 			this.exchange.sendAgain(this.server);
 			return;
 		}
@@ -264,7 +270,7 @@
 			onBroken("another response within its body");
 			return;
 		}
-		end(Exchange.resultOf(this.head.status().code()));
+		end(Exchange.resultOf(this.head));
 		this.gateway.poison().recordCompleted(this.exchange.traits(), System.nanoTime());
 		CallerResponse response = this.exchange.response();
 		if (!response.isStarted() && isStreamed(this.head)) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
@@ -1,5 +1,7 @@
 package org.comfreywall.gateway.http;
 
+import java.time.Duration;
+
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -10,6 +12,7 @@
 import org.comfreywall.common.metrics.LabelledHistograms;
 import org.comfreywall.gateway.poison.PoisonRefusal;
 import org.comfreywall.gateway.pool.PoolServer;
+import org.comfreywall.gateway.pool.ServerAnnouncement;
 
 /**
  * Logs each decision about a request as one event and updates its metrics.
@@ -65,16 +68,39 @@
 	void skipped(ServerConnection connection, HttpResponse head, String awaited) {
 		this.metrics.counter("responses_skipped").inc();
 		LOG.info("response-skipped", Field.of("request", awaited), response(head),
-				Field.of("server", connection.server()), Field.of("status", head.status().code()),
+				Field.of("server", connection.server().server()), Field.of("status", head.status().code()),
 				Field.of("responses", connection.responses()));
 	}
 
 	void unexpected(ServerConnection connection, HttpResponse head) {
 		this.metrics.counter("responses_unexpected").inc();
-		LOG.info("response-unexpected", response(head), Field.of("server", connection.server()),
+		LOG.info("response-unexpected", response(head), Field.of("server", connection.server().server()),
 				Field.of("status", head.status().code()), Field.of("responses", connection.responses()));
 	}
 
+	void leaving(ServerAnnouncement server, boolean late) {
+		this.metrics.counter("servers_leaving").inc();
+		LOG.info("server-leaving", Field.of("server", server.server()), Field.of("started", server.startedMillis()),
+				Field.of("source", source(late)));
+	}
+
+	void resting(ServerAnnouncement server, Duration asked, Duration left, boolean late) {
+		this.metrics.counter("servers_resting_" + server.service()).inc();
+		LOG.info("server-resting", Field.of("server", server.server()), Field.of("service", server.service()),
+				Field.of("started", server.startedMillis()), Field.of("source", source(late)),
+				Field.of("asked-ms", asked.toMillis()), Field.of("left-ms", left.toMillis()));
+	}
+
+	void timeIgnored(ServerAnnouncement server, HttpResponse head) {
+		LOG.info("retry-after-ignored", Field.of("server", server.server()),
+				Field.of("started", server.startedMillis()),
+				Field.of("value", head.headers().get(HttpHeaderNames.RETRY_AFTER)));
+	}
+
+	private static String source(boolean late) {
+		return late ? "late-response" : "response";
+	}
+
 	void poison(Exchange exchange, PoisonRefusal refusal) {
 		LOG.info("poison-refused", request(exchange), Field.of("trait", refusal.trait()),
 				Field.of("crashes", refusal.crashes()), Field.of("retry-after-ms", refusal.retryAfter().toMillis()));
