--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ExpectContinueTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ExpectContinueTests.java
@@ -43,8 +43,7 @@
 @Timeout(20)
 class ExpectContinueTests {
 
-	private static final HeaderNames NAMES = new HeaderNames("Request-Id", "Wait-Ms", "Seal", "Account", "Key",
-			"Expect-Server", "Not-Run", "Faulty", "Prompt-Parts");
+	private static final HeaderNames NAMES = GatewayFixture.NAMES;
 
 	private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayFixture.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayFixture.java
@@ -86,6 +86,20 @@
 				1, List.of(new WeightedService("service", 1)), attempts, false);
 	}
 
+	/**
+	 * Creates a connection to a server without a socket, for an embedded channel.
+	 * @param loop not used by the connection itself
+	 * @return the connection
+	 */
+	static ServerConnection connection(EventLoopGroup loop) {
+		RequestLog log = new RequestLog(NAMES, new MetricRegistry());
+		ServerConnectionPool pool = new ServerConnectionPool(loop, NAMES, log, (server, head, late) -> {
+		});
+		return new ServerConnection(pool,
+				new ServerAnnouncement("s", "service", new HostPort("127.0.0.1", 1), "a", 1, 1, 8, ServerState.READY),
+				NAMES);
+	}
+
 	<T extends AutoCloseable> T register(T resource) {
 		return this.closer.register(resource);
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayTests.java
@@ -53,8 +53,7 @@
 @Timeout(20)
 class GatewayTests {
 
-	private static final HeaderNames NAMES = new HeaderNames("Request-Id", "Wait-Ms", "Seal", "Account", "Key",
-			"Expect-Server", "Not-Run", "Faulty", "Prompt-Parts", "Leaving");
+	private static final HeaderNames NAMES = GatewayFixture.NAMES;
 
 	private static final String WHOLE = "HTTP/1.1 200 OK\r\nRequest-Id: @id\r\nSeal: s\r\nContent-Length: 5\r\n\r\nhello";
 
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/LateResponsesRandomRunTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/LateResponsesRandomRunTests.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Random;
 
-import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.DefaultEventLoopGroup;
@@ -27,8 +26,7 @@
  */
 class LateResponsesRandomRunTests {
 
-	private static final HeaderNames NAMES = new HeaderNames("Request-Id", "Wait-Ms", "Seal", "Account", "Key",
-			"Expect-Server", "Not-Run", "Faulty", "Prompt-Parts");
+	private static final HeaderNames NAMES = GatewayFixture.NAMES;
 
 	private static final int SEEDS = 3000;
 
@@ -56,8 +54,7 @@
 
 	private void play(int seed) {
 		Random random = new Random(seed);
-		ServerConnection connection = new ServerConnection(
-				new ServerConnectionPool(this.loop, NAMES, new RequestLog(NAMES, new MetricRegistry())), "s", NAMES);
+		ServerConnection connection = GatewayFixture.connection(this.loop);
 		EmbeddedChannel channel = new EmbeddedChannel(connection.handlers());
 		List<Reply> sent = new ArrayList<>();
 		for (int i = 0; i < REQUESTS && channel.isOpen(); i++) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerConnectionTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerConnectionTests.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 
-import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.DefaultEventLoopGroup;
@@ -12,9 +11,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
-import org.comfreywall.common.toml.HostPort;
-import org.comfreywall.gateway.pool.ServerAnnouncement;
-import org.comfreywall.gateway.pool.ServerState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -25,17 +21,13 @@
  */
 class ServerConnectionTests {
 
-	private static final HeaderNames NAMES = new HeaderNames("Request-Id", "Wait-Ms", "Seal", "Account", "Key",
-			"Expect-Server", "Not-Run", "Faulty", "Prompt-Parts", "Leaving");
+	private static final HeaderNames NAMES = GatewayFixture.NAMES;
 
 	private static final String RESPONSE = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\nContent-Length: 5\r\n\r\nhello";
 
 	private final EventLoopGroup loop = new DefaultEventLoopGroup(1);
 
-	private final ServerConnection connection = new ServerConnection(new ServerConnectionPool(this.loop, NAMES,
-			new RequestLog(NAMES, new MetricRegistry()), (server, head, late) -> {
-			}), new ServerAnnouncement("s", "service", new HostPort("127.0.0.1", 1), "a", 1, 1, 8, ServerState.READY),
-			NAMES);
+	private final ServerConnection connection = GatewayFixture.connection(this.loop);
 
 	private final EmbeddedChannel channel = new EmbeddedChannel(this.connection.handlers());
 
