Set up the tests of interim responses with the shared fixture

Reading of the change: ExpectContinueTests wrote the set-up of GatewayFixture again, and a comment was wrapped badly.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -201,9 +201,8 @@
 		this.listener.onHead(head);
 	}
 
-	// The status line of a response is read as the rest of a line of the one before if
-	// that
-	// is a late copy which ends within its head.
+	// A late copy may end within its head. The next status line is then read as the rest
+	// of a line of the copy.
 	private static boolean containsStatusLine(HttpResponse head) {
 		if (STATUS_LINE.matcher(head.status().reasonPhrase()).find()) {
 			return true;
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ExpectContinueTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ExpectContinueTests.java
@@ -2,32 +2,14 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
-import com.codahale.metrics.MetricRegistry;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import org.comfreywall.common.lifecycle.Closer;
-import org.comfreywall.common.toml.HostPort;
-import org.comfreywall.gateway.config.ClientAccount;
-import org.comfreywall.gateway.config.GatewayConfiguration;
 import org.comfreywall.gateway.config.HttpLimits;
-import org.comfreywall.gateway.config.RequestKind;
-import org.comfreywall.gateway.config.Route;
-import org.comfreywall.gateway.config.ServiceSettings;
-import org.comfreywall.gateway.config.WeightedService;
-import org.comfreywall.gateway.pool.ServerAnnouncement;
-import org.comfreywall.gateway.pool.ServerState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -43,8 +25,6 @@
 @Timeout(20)
 class ExpectContinueTests {
 
-	private static final HeaderNames NAMES = GatewayFixture.NAMES;
-
 	private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
 	private static final String EXPECT = "Expect: 100-continue\r\n";
@@ -64,9 +44,7 @@
 
 	private static final Duration IDLE_TIMEOUT = Duration.ofMillis(500);
 
-	private final Closer closer = new Closer();
-
-	private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+	private GatewayFixture fixture;
 
 	private ScriptedServer server;
 
@@ -74,55 +52,17 @@
 
 	@BeforeEach
 	void open() throws Exception {
-		this.closer.register(() -> this.loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync());
-		FleetView fleet = new FleetView() {
-
-			@Override
-			public int entries() {
-				return 1;
-			}
-
-			@Override
-			public boolean isCurrent() {
-				return true;
-			}
-
-			@Override
-			public boolean isAssigned(String key) {
-				return true;
-			}
-
-		};
-		GatewaySettings settings = new GatewaySettings("a", NAMES, 0.2, 20, Duration.ofSeconds(10), 1 << 20);
-		Gateway gateway = new Gateway(settings, this.loop, fleet, new Random(5), new MetricRegistry());
-		this.server = this.closer.register(new ScriptedServer());
-		int port = GatewayServer.open(gateway, new HostPort("127.0.0.1", 0)).port();
-		this.loop.submit(() -> {
-			gateway.configure(configuration());
-			gateway.updateServer(new ServerAnnouncement("s1", "service", new HostPort("127.0.0.1", this.server.port()),
-					"a", 1, 1, 8, ServerState.READY));
-		}).get();
-		this.caller = this.closer.register(new Socket(InetAddress.getLoopbackAddress(), port));
+		this.fixture = new GatewayFixture(new HttpLimits(HttpLimits.DEFAULT.maxHeaderBytes(),
+				HttpLimits.DEFAULT.maxBodyBytes(), HttpLimits.DEFAULT.headerTimeout(), IDLE_TIMEOUT));
+		this.server = this.fixture.register(new ScriptedServer());
+		this.fixture.announce(this.server, "s1", 1);
+		this.caller = this.fixture.register(this.fixture.connect());
 		this.caller.setSoTimeout(6000);
 	}
 
-	private static GatewayConfiguration configuration() {
-		HttpLimits limits = new HttpLimits(HttpLimits.DEFAULT.maxHeaderBytes(), HttpLimits.DEFAULT.maxBodyBytes(),
-				HttpLimits.DEFAULT.headerTimeout(), IDLE_TIMEOUT);
-		return new GatewayConfiguration(1,
-				List.of(route("/safe/", RequestKind.IDEMPOTENT), route("/plain/", RequestKind.STREAM)),
-				List.of(new ServiceSettings("service", 10, Optional.empty())),
-				List.of(new ClientAccount("account", List.of("secret"), OptionalInt.empty())), limits);
-	}
-
-	private static Route route(String prefix, RequestKind kind) {
-		return new Route(prefix, "host", prefix, kind, Duration.ofSeconds(5), Duration.ofSeconds(4), Optional.empty(),
-				1, List.of(new WeightedService("service", 1)), 1, false);
-	}
-
 	@AfterEach
 	void close() throws Exception {
-		this.closer.close();
+		this.fixture.close();
 	}
 
 	private static String head(String method, String path, String... headers) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayFixture.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/GatewayFixture.java
@@ -48,6 +48,10 @@
 	private final int port;
 
 	GatewayFixture() throws Exception {
+		this(HttpLimits.DEFAULT);
+	}
+
+	GatewayFixture(HttpLimits limits) throws Exception {
 		this.closer.register(() -> this.loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync());
 		FleetView fleet = new FleetView() {
 
@@ -70,15 +74,15 @@
 		GatewaySettings settings = new GatewaySettings("a", NAMES, 0.2, 20, Duration.ofSeconds(10), 1 << 20);
 		this.gateway = new Gateway(settings, this.loop, fleet, new Random(5), this.metrics);
 		this.port = GatewayServer.open(this.gateway, new HostPort("127.0.0.1", 0)).port();
-		onLoop(() -> this.gateway.configure(configuration()));
+		onLoop(() -> this.gateway.configure(configuration(limits)));
 	}
 
-	private static GatewayConfiguration configuration() {
+	private static GatewayConfiguration configuration(HttpLimits limits) {
 		return new GatewayConfiguration(1,
 				List.of(route("/safe/", RequestKind.IDEMPOTENT, 2), route("/once/", RequestKind.NON_IDEMPOTENT, 1),
-						route("/stream/", RequestKind.RESUMABLE_STREAM, 2)),
+						route("/stream/", RequestKind.RESUMABLE_STREAM, 2), route("/plain/", RequestKind.STREAM, 1)),
 				List.of(new ServiceSettings("service", 10, Optional.empty())),
-				List.of(new ClientAccount("account", List.of("secret"), OptionalInt.empty())), HttpLimits.DEFAULT);
+				List.of(new ClientAccount("account", List.of("secret"), OptionalInt.empty())), limits);
 	}
 
 	private static Route route(String prefix, RequestKind kind, int attempts) {
@@ -118,11 +122,15 @@
 		return this.metrics.counter(counter).getCount();
 	}
 
+	Socket connect() throws IOException {
+		return new Socket(InetAddress.getLoopbackAddress(), this.port);
+	}
+
 	/**
 	 * Sends a request and returns the whole response; the connection ends with it.
 	 */
 	String call(String path, String id) throws IOException {
-		try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), this.port)) {
+		try (Socket socket = connect()) {
 			String lines = "POST " + path + " HTTP/1.1\r\nHost: host\r\nRequest-Id: " + id
 					+ "\r\nKey: secret\r\nWait-Ms: 3000\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody";
 			socket.getOutputStream().write(lines.getBytes(StandardCharsets.UTF_8));
