Log responses that end with their connection

The log had the framing of a response, but not the moment and the state in which its connection ended. response-unmarked names the server, the last event and whether this process was stopping its connections, which tells an end of the server from one of our own. No change of behaviour; counter responses_unmarked.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -270,6 +270,9 @@
 			onBroken("another response within its body");
 			return;
 		}
+		if (!ResponseFraming.of(this.head).isDelimited()) {
+			this.gateway.log().unmarked(this.exchange, this.server, this.gateway.loop().isShuttingDown());
+		}
 		end(Exchange.resultOf(this.head));
 		this.gateway.poison().recordCompleted(this.exchange.traits(), System.nanoTime());
 		CallerResponse response = this.exchange.response();
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
@@ -65,6 +65,14 @@
 				Field.of("parts", parts(exchange)));
 	}
 
+	void unmarked(Exchange exchange, PoolServer server, boolean stopping) {
+		this.metrics.counter("responses_unmarked").inc();
+		LOG.info("response-unmarked", request(exchange), Field.of("server", server.announcement().server()),
+				Field.of("started", server.announcement().startedMillis()), Field.of("stopping", stopping),
+				Field.of("sent", exchange.attemptCount()),
+				Field.of("last-event", exchange.response().lastEventId().orElse("none")));
+	}
+
 	void skipped(ServerConnection connection, HttpResponse head, String awaited) {
 		this.metrics.counter("responses_skipped").inc();
 		LOG.info("response-skipped", Field.of("request", awaited), response(head),
