Show ends that callers see marked and no server marked

UnmarkedEndTests, 13 cases over sockets, all fail on: a stream without a length that stops between two events ends with the last chunk and is not resumed, a text of other media types gets a length, a caller of HTTP/1.0 gets chunks.

--- /dev/null
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/UnmarkedEndTests.java
@@ -0,0 +1,184 @@
+package org.comfreywall.gateway.http;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Responses with neither a length nor chunks, which end with their connection. That end
+ * also comes from a server that stopped, so it proves nothing.
+ */
+class UnmarkedEndTests {
+
+	private static final String HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: @id\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n";
+
+	private static final String CHUNKED = HEAD.replace("Seal", "Transfer-Encoding: chunked\r\nSeal");
+
+	private static final String JSON = HEAD.replace("text/event-stream", "application/json");
+
+	private static final String FIRST = "id: 1\ndata: a\n\n";
+
+	private static final String SECOND = "id: 2\ndata: b\n\n";
+
+	private static final String LAST_CHUNK = "0\r\n\r\n";
+
+	private GatewayFixture gateway;
+
+	private ScriptedServer server;
+
+	private ScriptedServer other;
+
+	@BeforeEach
+	void open() throws Exception {
+		this.gateway = new GatewayFixture();
+		this.server = this.gateway.register(new ScriptedServer());
+		this.other = this.gateway.register(this.server.withSharedResponses());
+	}
+
+	@AfterEach
+	void close() throws Exception {
+		this.gateway.close();
+	}
+
+	private static String chunk(String content) {
+		return Integer.toHexString(content.length()) + "\r\n" + content + "\r\n";
+	}
+
+	private void answer(String... responses) throws Exception {
+		List.of(responses).forEach(this.server::answer);
+		this.gateway.announce(this.server, "s1", 1);
+		this.gateway.announce(this.other, "s2", 1);
+	}
+
+	private static String body(String response) {
+		return response.substring(response.indexOf("\r\n\r\n") + 4);
+	}
+
+	private static void send(Socket socket, String version, String path) throws IOException {
+		String request = "POST " + path + " " + version
+				+ "\r\nHost: host\r\nRequest-Id: r1\r\nKey: secret\r\nWait-Ms: 3000\r\nContent-Length: 4\r\n\r\nbody";
+		socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/** The caller can tell no more of the end than the server has said. */
+	@Nested
+	class PassedOn {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/plain/", "/stream/" })
+		void aStreamWithoutAMarkedEndGetsNoLastChunk(String path) throws Exception {
+			answer(HEAD + FIRST + SECOND + ScriptedServer.CLOSE, HEAD + ScriptedServer.CLOSE);
+			String response = UnmarkedEndTests.this.gateway.call(path, "r1");
+			assertThat(response.toLowerCase()).contains("connection: close").doesNotContain("transfer-encoding");
+			assertThat(body(response)).isEqualTo(FIRST + SECOND);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/plain/", "/once/", "/safe/" })
+		void aTextWithoutAMarkedEndGetsNoLength(String path) throws Exception {
+			answer(JSON + "{\"a\":1" + ScriptedServer.CLOSE);
+			String response = UnmarkedEndTests.this.gateway.call(path, "r1");
+			assertThat(response.toLowerCase()).contains("connection: close")
+				.doesNotContain("transfer-encoding", "content-length");
+			assertThat(body(response)).isEqualTo("{\"a\":1");
+		}
+
+		@Test
+		void aCallerThatMeansToKeepItsConnectionSeesItEnd() throws Exception {
+			answer(HEAD + FIRST + ScriptedServer.CLOSE, HEAD + ScriptedServer.CLOSE);
+			try (Socket socket = UnmarkedEndTests.this.gateway.connect()) {
+				send(socket, "HTTP/1.1", "/plain/");
+				String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+				assertThat(body(response)).isEqualTo(FIRST);
+			}
+		}
+
+		@Test
+		void aStreamThatIsResetEndsWithAReset() throws Exception {
+			answer(HEAD + FIRST + ScriptedServer.PAUSE + ScriptedServer.RESET);
+			assertThatExceptionOfType(SocketException.class)
+				.isThrownBy(() -> UnmarkedEndTests.this.gateway.call("/plain/", "r1"));
+		}
+
+		@Test
+		void aStreamThatEndsWithinAnEventEndsWithAReset() throws Exception {
+			answer(HEAD + FIRST + "id: 2\nda" + ScriptedServer.CLOSE);
+			assertThatExceptionOfType(SocketException.class)
+				.isThrownBy(() -> UnmarkedEndTests.this.gateway.call("/plain/", "r1"));
+		}
+
+	}
+
+	/** Callers that know no chunks. */
+	@Nested
+	class OldCallers {
+
+		@Test
+		void aStreamHasNoChunks() throws Exception {
+			answer(CHUNKED + chunk(FIRST) + LAST_CHUNK);
+			try (Socket socket = UnmarkedEndTests.this.gateway.connect()) {
+				send(socket, "HTTP/1.0", "/plain/");
+				String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+				assertThat(response.toLowerCase()).doesNotContain("transfer-encoding");
+				assertThat(body(response)).isEqualTo(FIRST);
+			}
+		}
+
+		@Test
+		void aStreamThatBreaksOffEndsWithAReset() throws Exception {
+			answer(CHUNKED + chunk(FIRST) + ScriptedServer.CLOSE);
+			try (Socket socket = UnmarkedEndTests.this.gateway.connect()) {
+				send(socket, "HTTP/1.0", "/plain/");
+				assertThatExceptionOfType(SocketException.class)
+					.isThrownBy(() -> socket.getInputStream().readAllBytes());
+			}
+		}
+
+	}
+
+	/** Another server knows whether events are left after the last one. */
+	@Nested
+	class Resumable {
+
+		@Test
+		void aStreamThatStoppedBetweenTwoEventsIsResumed() throws Exception {
+			answer(HEAD + FIRST + ScriptedServer.CLOSE, CHUNKED + chunk(SECOND) + LAST_CHUNK);
+			assertThat(body(UnmarkedEndTests.this.gateway.call("/stream/", "r1"))).isEqualTo(FIRST + SECOND);
+			assertThat(requests()).filteredOn((request) -> request.contains("Last-Event-Id: 1")).hasSize(1);
+		}
+
+		@Test
+		void aStreamThatHadEndedHasNoFurtherEvents() throws Exception {
+			answer(HEAD + FIRST + ScriptedServer.CLOSE, CHUNKED + LAST_CHUNK);
+			assertThat(body(UnmarkedEndTests.this.gateway.call("/stream/", "r1"))).isEqualTo(FIRST);
+		}
+
+		@Test
+		void aResumedStreamWithoutAMarkedEndGetsNoLastChunk() throws Exception {
+			answer(CHUNKED + chunk(FIRST) + ScriptedServer.CLOSE, HEAD + SECOND + ScriptedServer.CLOSE);
+			assertThat(UnmarkedEndTests.this.gateway.call("/stream/", "r1")).contains(FIRST, SECOND)
+				.doesNotEndWith(LAST_CHUNK);
+		}
+
+		private List<String> requests() {
+			return List.of(UnmarkedEndTests.this.server, UnmarkedEndTests.this.other)
+				.stream()
+				.flatMap((each) -> each.requests().stream())
+				.toList();
+		}
+
+	}
+
+}
