End a response without a length only where its end was read

A connection to a backend server that this process closes itself, as when its event loop stops, ended the response on it as complete, and a stream without a length got its last chunk.

Cause: the HTTP decoder ends such a response whenever its channel becomes inactive, and only an error that had been seen before prevented it. Class of fault: the absence of an error is taken for success.

Change: the end of the input is an event of its own (half closure); a connection that closes without it breaks the response off.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ResponseDecoder.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ResponseDecoder.java
@@ -3,6 +3,7 @@
 import java.util.function.BooleanSupplier;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -21,6 +22,10 @@
 
 	private boolean bodyless;
 
+	private boolean inputEnded;
+
+	private boolean closedHere;
+
 	/**
 	 * Creates a decoder.
 	 * @param idle returns whether no request awaits a response
@@ -52,6 +57,27 @@
 		return actualReadableBytes() > 0;
 	}
 
+	/**
+	 * Returns whether this process closed the connection, which also ends the message
+	 * that is being decoded. The server has not ended it then.
+	 * @return {@code true} if the connection was closed and its end was never read
+	 */
+	boolean isClosedHere() {
+		return this.closedHere;
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+		this.inputEnded = this.inputEnded || event instanceof ChannelInputShutdownEvent;
+		super.userEventTriggered(context, event);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) throws Exception {
+		this.closedHere = !this.inputEnded;
+		super.channelInactive(context);
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
 		boolean unexpected = this.idle.getAsBoolean();
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/ServerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -275,6 +276,10 @@
 			fail("reset within an answer without length");
 			return;
 		}
+		if (this.decoder.isClosedHere() && !this.lengthDelimited) {
+			fail("closed here within an answer without length");
+			return;
+		}
 		AttemptListener ended = this.listener;
 		this.listener = null;
 		this.inAnswer = false;
@@ -304,11 +309,22 @@
 	}
 
 	@Override
-	public void channelInactive(ChannelHandlerContext context) {
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			endInput();
+		}
+	}
+
+	private void endInput() {
 		this.owner.remove(this);
 		fail(this.inAnswer ? "closed within the answer" : "closed before an answer");
 	}
 
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		endInput();
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		if (cause instanceof IOException) {
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerConnectionTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/ServerConnectionTests.java
@@ -1,6 +1,8 @@
 package org.comfreywall.gateway.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -54,6 +56,46 @@
 		assertThat(this.channel.config().isAutoRead()).isTrue();
 	}
 
+	/** A connection also closes by this process, such as when its event loop stops. */
+	@Test
+	void aConnectionThatThisProcessClosesDoesNotEndAResponseWithoutLength() {
+		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		request.headers().set(NAMES.request(), "r1");
+		RecordingListener listener = new RecordingListener();
+		this.connection.send(request, listener);
+		this.channel
+			.writeInbound(Unpooled.copiedBuffer(RESPONSE.replace("Content-Length: 5\r\n", ""), StandardCharsets.UTF_8));
+		this.channel.close();
+		assertThat(listener.ends).containsExactly("broken");
+	}
+
+	/** Records how a response ended. */
+	private static final class RecordingListener implements AttemptListener {
+
+		private final List<String> ends = new ArrayList<>();
+
+		@Override
+		public void onHead(HttpResponse head) {
+			// Only the end matters here.
+		}
+
+		@Override
+		public void onBody(ByteBuf part) {
+			// Only the end matters here.
+		}
+
+		@Override
+		public void onComplete() {
+			this.ends.add("complete");
+		}
+
+		@Override
+		public void onBroken(String reason) {
+			this.ends.add("broken");
+		}
+
+	}
+
 	/** Pauses the connection with the first part of the body. */
 	private final class PausingListener implements AttemptListener {
 
