Follow event streams without a length on every route

What callers saw: shown by a test. An event stream without a length that ended within an event was passed on as whole if its route has no streams or its status was not 200, as the events were only followed for status 200 on routes of streams.

Cause: which responses are followed hung on the route, not on what the response says of itself. Change: an event stream whose end is not marked is followed wherever it comes. One with a length or chunks on such a route stays a text, as its end is marked.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -182,11 +182,16 @@
 
 	private void begin(HttpResponse received) {
 		this.head = received;
-		if (isEventStream(received)) {
+		if (isEventStream(received) || isUnmarkedEventStream(received)) {
 			this.events = Optional.of(new EventBoundary());
 		}
 	}
 
+	private boolean isUnmarkedEventStream(HttpResponse received) {
+		return EventBoundary.isEventStream(received.headers().get(HttpHeaderNames.CONTENT_TYPE, ""))
+				&& !ResponseFraming.of(received).isDelimited();
+	}
+
 	private boolean isEventStream(HttpResponse received) {
 		String type = received.headers().get(HttpHeaderNames.CONTENT_TYPE);
 		return isStreamed(received) && (type == null || EventBoundary.isEventStream(type));
@@ -223,7 +228,7 @@
 			response.writePart(part);
 		}
 		else if (isStreamed(this.head)) {
-			response.start(this.head, this.events.isPresent(), this.exchange.keepAlive());
+			response.start(this.head, isEventStream(this.head), this.exchange.keepAlive());
 			response.writePart(part);
 		}
 		else {
@@ -240,7 +245,9 @@
 		}
 		else {
 			this.progress.advance(now);
-			this.events.ifPresent((stream) -> this.pool.recordPause(now - this.lastPartAt, now));
+			if (isEventStream(this.head)) {
+				this.pool.recordPause(now - this.lastPartAt, now);
+			}
 		}
 		this.lastPartAt = now;
 	}
@@ -296,7 +303,7 @@
 			return;
 		}
 		if (!response.isStarted() && isStreamed(this.head)) {
-			response.start(this.head, this.events.isPresent(), this.exchange.keepAlive());
+			response.start(this.head, isEventStream(this.head), this.exchange.keepAlive());
 		}
 		if (response.isStarted()) {
 			response.complete();
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/UnmarkedEndTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/UnmarkedEndTests.java
@@ -118,6 +118,40 @@
 
 	}
 
+	/** Event streams on routes, or with a status, that has no streams. */
+	@Nested
+	class UnexpectedStreams {
+
+		private static final String CUT = FIRST + "id: 2\nda" + ScriptedServer.CLOSE;
+
+		@Test
+		void aStreamThatEndsWithinAnEventIsNotReportedAsComplete() throws Exception {
+			answer(HEAD + CUT);
+			assertThat(UnmarkedEndTests.this.gateway.call("/once/", "r1")).startsWith("HTTP/1.1 502");
+		}
+
+		@Test
+		void anIdempotentRequestGetsTheWholeStreamOfAnotherServer() throws Exception {
+			answer(HEAD + CUT, HEAD + FIRST + SECOND + ScriptedServer.CLOSE);
+			assertThat(UnmarkedEndTests.this.gateway.call("/safe/", "r1")).matches(RawResponse::looksComplete)
+				.endsWith(FIRST + SECOND);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "201 Created", "404 Not Found" })
+		void anotherStatusDoesNotMakeACutStreamComplete(String status) throws Exception {
+			answer(HEAD.replace("200 OK", status) + CUT);
+			assertThat(UnmarkedEndTests.this.gateway.call("/plain/", "r1")).startsWith("HTTP/1.1 502");
+		}
+
+		@Test
+		void aFailureWithALengthMayBeAnyText() throws Exception {
+			answer(HEAD.replace("200 OK", "404 Not Found").replace("Seal", "Content-Length: 4\r\nSeal") + "gone");
+			assertThat(UnmarkedEndTests.this.gateway.call("/plain/", "r1")).startsWith("HTTP/1.1 404").endsWith("gone");
+		}
+
+	}
+
 	/** Callers that know no chunks. */
 	@Nested
 	class OldCallers {
