Break off a resumed stream that leaves out events

Cause: EventFramer filtered events that came twice and let a jump ahead pass. Change: where the identifiers have counted up by 1, the first event of a resumption must be the next one; if not, the attempt counts as broken. Identifiers that jump by themselves prove nothing and pass.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -226,6 +226,10 @@
 		CallerResponse response = this.exchange.response();
 		if (response.isStarted()) {
 			response.writePart(part);
+			if (response.isEventSkipped()) {
+				this.connection.abort();
+				onBroken("events left out");
+			}
 		}
 		else if (isStreamed(this.head)) {
 			response.start(this.head, isEventStream(this.head), this.exchange.keepAlive());
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
@@ -138,6 +138,14 @@
 		return this.brokenAfter.isPresent() && this.brokenAfter.equals(this.framer.lastId());
 	}
 
+	/**
+	 * Returns whether the server that resumed the stream left out events.
+	 * @return {@code true} if the stream must not go on
+	 */
+	boolean isEventSkipped() {
+		return this.framer != null && this.framer.isEventSkipped();
+	}
+
 	/**
 	 * Writes the head of a response whose parts are forwarded as they arrive, in chunks
 	 * if the server marks its end.
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EventFramer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EventFramer.java
@@ -25,6 +25,15 @@
 
 	private boolean splitEvent;
 
+	/** The number of events with an identifier that each followed the one before by 1. */
+	private int counted;
+
+	private boolean countsUp = true;
+
+	private boolean resumed;
+
+	private boolean eventSkipped;
+
 	/**
 	 * Appends bytes of the stream and returns the whole events that the caller does not
 	 * have yet.
@@ -75,6 +84,17 @@
 	 */
 	void discardPartialEvent() {
 		this.remainder = new byte[0];
+		this.resumed = true;
+		this.eventSkipped = false;
+	}
+
+	/**
+	 * Returns whether the server that resumed the stream left out events. This can be
+	 * told only if the identifiers have counted up by 1 until then.
+	 * @return {@code true} from the first event on that is not the next one
+	 */
+	boolean isEventSkipped() {
+		return this.eventSkipped;
 	}
 
 	/**
@@ -113,8 +133,22 @@
 		if (id.isPresent() && id.getAsLong() <= this.lastId) {
 			return;
 		}
-		id.ifPresent((present) -> this.lastId = present);
-		whole.writeBytes(all, start, end - start);
+		id.ifPresent(this::follow);
+		if (!this.eventSkipped) {
+			whole.writeBytes(all, start, end - start);
+		}
+	}
+
+	private void follow(long id) {
+		boolean next = this.counted == 0 || id == this.lastId + 1;
+		if (this.resumed && this.countsUp && this.counted > 1 && !next) {
+			this.eventSkipped = true;
+			return;
+		}
+		this.resumed = false;
+		this.countsUp = this.countsUp && next;
+		this.counted++;
+		this.lastId = id;
 	}
 
 	// Returns the position after the blank line that ends the event, or -1.
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/UnmarkedEndTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/UnmarkedEndTests.java
@@ -118,6 +118,42 @@
 
 	}
 
+	/** A stream that another server resumes after its last event. */
+	@Nested
+	class SkippedEvents {
+
+		private static final String THIRD = "id: 3\ndata: c\n\n";
+
+		private static final String FOURTH = "id: 4\ndata: d\n\n";
+
+		private String resume(String begun, String rest) throws Exception {
+			answer(CHUNKED + chunk(begun) + ScriptedServer.CLOSE, CHUNKED + chunk(rest) + LAST_CHUNK);
+			return UnmarkedEndTests.this.gateway.call("/stream/", "r1");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { FOURTH, "id: 40\ndata: d\n\n" })
+		void aResumedStreamThatLeavesOutEventsDoesNotLookComplete(String rest) throws Exception {
+			assertThat(resume(FIRST + SECOND, rest)).contains(SECOND)
+				.doesNotContain("data: d")
+				.doesNotMatch(RawResponse::looksComplete);
+		}
+
+		@Test
+		void aResumedStreamThatGoesOnIsComplete() throws Exception {
+			String response = resume(FIRST + SECOND, SECOND + THIRD + FOURTH);
+			assertThat(response).matches(RawResponse::looksComplete);
+			assertThat(RawResponse.body(response)).isEqualTo(FIRST + SECOND + THIRD + FOURTH);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { FIRST, FIRST + THIRD, "id: 10\ndata: a\n\nid: 20\ndata: b\n\n" })
+		void identifiersThatDoNotCountMayJump(String begun) throws Exception {
+			assertThat(resume(begun, "id: 70\ndata: e\n\n")).contains("data: e").matches(RawResponse::looksComplete);
+		}
+
+	}
+
 	/** Event streams on routes, or with a status, that has no streams. */
 	@Nested
 	class UnexpectedStreams {
