Do not complete a stream that the sidecar cuts itself

What callers saw: shown by a test. The sidecar of the product's own entry reported a response without a length as complete when its own client closed the connection, as when it stops.

Change: once the client is closed, such an end counts as a failure, whose outcome callers learn as unknown. Test: BackendClientTests aConnectionThatThisProcessCloses... failed before (complete); all 50 pass.

--- a/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
+++ b/comfreywall-daemon/src/main/java/org/comfreywall/daemon/sidecar/BackendClient.java
@@ -49,6 +49,8 @@
 
 	private final InstanceId self;
 
+	private volatile boolean closed;
+
 	BackendClient(Vertx vertx, URI backend, InstanceId self) {
 		Preconditions.notNull(vertx, "vertx");
 		this.backend = Preconditions.notNull(backend, "backend");
@@ -140,6 +142,7 @@
 
 	@Override
 	public void close() {
+		this.closed = true;
 		this.client.close();
 	}
 
@@ -244,7 +247,11 @@
 
 		private void end(HttpClientResponse opened) {
 			boolean lengthDelimited = isLengthDelimited(opened);
-			if (!lengthDelimited && !this.receivedBytes && hasBody(opened)) {
+			boolean unmarked = !lengthDelimited && hasBody(opened);
+			if (unmarked && BackendClient.this.closed) {
+				fail(ErrorCode.BACKEND_ERROR, new IOException("closed here within a response without length"), true);
+			}
+			else if (unmarked && !this.receivedBytes) {
 				// An empty response cannot be told from one whose server stopped
 				// after its head, and servers state a length of 0.
 				fail(ErrorCode.BACKEND_ERROR, new IOException("response ended after its head"), true);
--- a/comfreywall-daemon/src/test/java/org/comfreywall/daemon/sidecar/BackendClientTests.java
+++ b/comfreywall-daemon/src/test/java/org/comfreywall/daemon/sidecar/BackendClientTests.java
@@ -327,6 +327,21 @@
 			assertThat(outcomeOf(HEAD + events)).isEqualTo("complete");
 		}
 
+		@Test
+		void aConnectionThatThisProcessClosesDoesNotCompleteAStream() throws Exception {
+			CompletableFuture<String> outcome = new CompletableFuture<>();
+			OutcomeListener listener = new OutcomeListener(outcome);
+			BackendClientTests.this.client.run(new AttemptId(RequestId.of("r1"), 1), PAYLOAD, listener);
+			try (Socket connection = BackendClientTests.this.server.accept()) {
+				readHead(connection);
+				connection.getOutputStream().write((HEAD + "data: a\n\n").getBytes(StandardCharsets.US_ASCII));
+				// The events have arrived once they are read.
+				TimeUnit.MILLISECONDS.sleep(200);
+				BackendClientTests.this.client.close();
+				assertThat(outcome.get(10, TimeUnit.SECONDS)).isEqualTo("failed");
+			}
+		}
+
 		@Test
 		void anotherMediaTypeHasNoEvents() throws Exception {
 			assertThat(outcomeOf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}")).isEqualTo("complete");
