Keep the connection after a HEAD response without a length

What callers saw: since the response to HEAD on a route of streams closed the connection if its server stated no length, and later requests on it went unanswered.

Cause: whether an end is marked was read from the headers alone; a response without a body ends with its head. Change: Attempt decides it once and passes it on; what is wrong with the end of a response is found in one place.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -232,7 +232,7 @@
 			}
 		}
 		else if (isStreamed(this.head)) {
-			response.start(this.head, isEventStream(this.head), this.exchange.keepAlive());
+			response.start(this.head, isEventStream(this.head), !isUnmarked(), this.exchange.keepAlive());
 			response.writePart(part);
 		}
 		else {
@@ -261,7 +261,7 @@
 		part.readBytes(bytes);
 		this.buffered.writeBytes(bytes);
 		if (this.buffered.size() > MAX_BUFFERED_BYTES) {
-			this.exchange.response().start(this.head, false, this.exchange.keepAlive());
+			this.exchange.response().start(this.head, false, !isUnmarked(), this.exchange.keepAlive());
 			this.exchange.response().writePart(Unpooled.wrappedBuffer(this.buffered.toByteArray()));
 		}
 	}
@@ -271,49 +271,73 @@
 		if (this.discarding || this.ended) {
 			return;
 		}
-		if (endsWithinEvent()) {
-			onBroken("ended within an event");
-			return;
+		if (isUnmarked()) {
+			this.gateway.log().unmarked(this.exchange, this.server, this.gateway.loop().isShuttingDown());
 		}
-		boolean marked = ResponseFraming.of(this.head).isDelimited();
-		if (!marked && this.exchange.isConfirmingEnd() && !this.exchange.isEndRefuted()) {
+		if (confirmsEnd()) {
 			end(Exchange.resultOf(this.head));
 			this.exchange.notContinued();
 			return;
 		}
-		if (lacksEvent()) {
-			onBroken("ended without an expected event");
+		Optional<String> fault = findFault();
+		if (fault.isPresent()) {
+			onBroken(fault.get());
 			return;
 		}
+		end(Exchange.resultOf(this.head));
+		this.gateway.poison().recordCompleted(this.exchange.traits(), System.nanoTime());
+		if (!isUnmarked() || !this.exchange.tryConfirmEnd(this.server)) {
+			writeEnd();
+		}
+	}
+
+	// Only the end of the connection ends the response, which also ends one whose server
+	// stopped.
+	private boolean isUnmarked() {
+		return hasBody() && !ResponseFraming.of(this.head).isDelimited();
+	}
+
+	private boolean hasBody() {
+		return ResponseBody.isAllowed(this.exchange.request().method().name(), this.head.status().code());
+	}
+
+	// A second server without further events agrees with an end, but does not prove it if
+	// its own is not marked either.
+	private boolean confirmsEnd() {
+		return this.exchange.isConfirmingEnd() && !this.exchange.isEndRefuted() && isUnmarked() && !endsWithinEvent();
+	}
+
+	private Optional<String> findFault() {
+		if (endsWithinEvent()) {
+			return Optional.of("ended within an event");
+		}
+		if (lacksEvent()) {
+			return Optional.of("ended without an expected event");
+		}
 		if (isCutAfterHead()) {
-			onBroken("ended after its head");
-			return;
+			return Optional.of("ended after its head");
 		}
 		if (containsCopy()) {
-			onBroken("another response within its body");
-			return;
+			return Optional.of("another response within its body");
 		}
+		return (isUnmarked() && mustBeMarked()) ? Optional.of("end not marked") : Optional.empty();
+	}
+
+	private boolean mustBeMarked() {
+		CallerResponse response = this.exchange.response();
+		return this.exchange.isEndRefuted() || (response.isStarted() && !response.endsWithConnection());
+	}
+
+	private void writeEnd() {
 		CallerResponse response = this.exchange.response();
-		if (!marked && hasBody()) {
-			this.gateway.log().unmarked(this.exchange, this.server, this.gateway.loop().isShuttingDown());
-			if (this.exchange.isEndRefuted() || (response.isStarted() && !response.endsWithConnection())) {
-				onBroken("end not marked");
-				return;
-			}
-		}
-		end(Exchange.resultOf(this.head));
-		this.gateway.poison().recordCompleted(this.exchange.traits(), System.nanoTime());
-		if (!marked && hasBody() && this.exchange.tryConfirmEnd(this.server)) {
-			return;
-		}
 		if (!response.isStarted() && isStreamed(this.head)) {
-			response.start(this.head, isEventStream(this.head), this.exchange.keepAlive());
+			response.start(this.head, isEventStream(this.head), !isUnmarked(), this.exchange.keepAlive());
 		}
 		if (response.isStarted()) {
 			response.complete();
 		}
 		else {
-			response.writeWhole(this.head, this.buffered.toByteArray(), this.exchange.keepAlive());
+			response.writeWhole(this.head, this.buffered.toByteArray(), !isUnmarked(), this.exchange.keepAlive());
 		}
 		this.exchange.completed(this.head.status().code());
 	}
@@ -334,12 +358,7 @@
 	// The end of the connection ends a response without a length. An empty one cannot be
 	// told from one whose server stopped after its head, and servers state a length of 0.
 	private boolean isCutAfterHead() {
-		return this.events.isEmpty() && hasBody() && this.firstPartAt == 0
-				&& !ResponseFraming.of(this.head).isDelimited();
-	}
-
-	private boolean hasBody() {
-		return ResponseBody.isAllowed(this.exchange.request().method().name(), this.head.status().code());
+		return this.events.isEmpty() && isUnmarked() && this.firstPartAt == 0;
 	}
 
 	// A server that answers twice writes the copy into the body of the first response if
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/CallerResponse.java
@@ -152,16 +152,17 @@
 	 * @param head the server's head
 	 * @param events whether the response is an event stream; any other one is forwarded
 	 * unchanged, and no other server can resume it
+	 * @param marked whether the server marks the end
 	 * @param keepAlive whether the connection stays open
 	 */
-	void start(HttpResponse head, boolean events, boolean keepAlive) {
+	void start(HttpResponse head, boolean events, boolean marked, boolean keepAlive) {
 		this.started = true;
 		if (!events) {
 			this.framer = null;
 		}
 		HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
 		EndToEndHeaders.copy(head.headers(), out.headers());
-		if (ResponseFraming.of(head).isDelimited() && this.chunksAllowed) {
+		if (marked && this.chunksAllowed) {
 			out.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 			close(out, keepAlive);
 		}
@@ -198,12 +199,12 @@
 		}
 	}
 
-	void writeWhole(HttpResponse head, byte[] body, boolean keepAlive) {
+	void writeWhole(HttpResponse head, byte[] body, boolean marked, boolean keepAlive) {
 		this.started = true;
 		FullHttpResponse out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(),
 				Unpooled.wrappedBuffer(body));
 		EndToEndHeaders.copy(head.headers(), out.headers());
-		if (body.length > 0 && !ResponseFraming.of(head).isDelimited()) {
+		if (!marked) {
 			endWithConnection(out);
 			end(out);
 			return;
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EndConfirmation.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EndConfirmation.java
@@ -14,7 +14,7 @@
 record EndConfirmation(String lastEvent) {
 
 	/** Refusals for these reasons say that servers have failed. */
-	private static final Set<String> FAULTS = Set.of("group-fault", "no-server", "no-connection");
+	private static final Set<String> FAULTS = Set.of("group-fault", "no-server", "no-connection", "poison");
 
 	EndConfirmation {
 		Preconditions.notNull(lastEvent, "lastEvent");
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
@@ -498,6 +498,7 @@
 	private void giveUp(String reason, Duration retryAfter) {
 		if (this.confirmation.isPresent() && !isEndRefuted() && this.response.endsWithConnection()
 				&& EndConfirmation.isBelievedAfter(reason)) {
+			this.gateway.log().endPassedOn(this, reason);
 			this.response.complete();
 			finish("answered", HttpResponseStatus.OK.code(), false);
 		}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/RequestLog.java
@@ -73,6 +73,12 @@
 				Field.of("last-event", exchange.response().lastEventId().orElse("none")));
 	}
 
+	void endPassedOn(Exchange exchange, String reason) {
+		this.metrics.counter("ends_passed_on").inc();
+		LOG.info("end-passed-on", request(exchange), Field.of("reason", reason),
+				Field.of("last-event", exchange.response().lastEventId().orElse("none")));
+	}
+
 	void skipped(ServerConnection connection, HttpResponse head, String awaited) {
 		this.metrics.counter("responses_skipped").inc();
 		LOG.info("response-skipped", Field.of("request", awaited), response(head),
