Count no event after a hole in a resumed stream

What callers saw: nothing; found by reading. After a hole, an event that followed the last one was counted though it was not forwarded (5, then 4, after 3), so a third server would have been asked for the events after it.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EventFramer.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/EventFramer.java
@@ -130,7 +130,7 @@
 
 	private void addIfNew(ByteBuf whole, byte[] all, int start, int end) {
 		OptionalLong id = idOf(all, start, end);
-		if (id.isPresent() && id.getAsLong() <= this.lastId) {
+		if (this.eventSkipped || (id.isPresent() && id.getAsLong() <= this.lastId)) {
 			return;
 		}
 		id.ifPresent(this::follow);
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/EventFramerTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/http/EventFramerTests.java
@@ -66,4 +66,16 @@
 		}
 	}
 
+	@Test
+	void asksAgainForTheEventThatAResumedStreamLeftOut() {
+		take(event(1) + event(2) + event(3));
+		this.framer.discardPartialEvent();
+		assertThat(take(event(5) + event(4))).isEmpty();
+		assertThat(this.framer.isEventSkipped()).isTrue();
+		assertThat(this.framer.lastId()).hasValue(3);
+		this.framer.discardPartialEvent();
+		assertThat(take(event(4) + event(5))).isEqualTo(event(4) + event(5));
+		assertThat(this.framer.isEventSkipped()).isFalse();
+	}
+
 }
