--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Attempt.java
@@ -45,6 +45,8 @@
 
 	private HttpResponse head;
 
+	private boolean eventStream;
+
 	private Optional<EventBoundary> events = Optional.empty();
 
 	private ByteArrayOutputStream buffered;
@@ -182,7 +184,8 @@
 
 	private void begin(HttpResponse received) {
 		this.head = received;
-		if (isEventStream(received) || isUnmarkedEventStream(received)) {
+		this.eventStream = isEventStream(received);
+		if (this.eventStream || isUnmarkedEventStream(received)) {
 			this.events = Optional.of(new EventBoundary());
 		}
 	}
@@ -232,7 +235,7 @@
 			}
 		}
 		else if (isStreamed(this.head)) {
-			response.start(this.head, isEventStream(this.head), !isUnmarked(), this.exchange.keepAlive());
+			response.start(this.head, this.eventStream, !isUnmarked(), this.exchange.keepAlive());
 			response.writePart(part);
 		}
 		else {
@@ -249,7 +252,7 @@
 		}
 		else {
 			this.progress.advance(now);
-			if (isEventStream(this.head)) {
+			if (this.eventStream) {
 				this.pool.recordPause(now - this.lastPartAt, now);
 			}
 		}
@@ -331,7 +334,7 @@
 	private void writeEnd() {
 		CallerResponse response = this.exchange.response();
 		if (!response.isStarted() && isStreamed(this.head)) {
-			response.start(this.head, isEventStream(this.head), !isUnmarked(), this.exchange.keepAlive());
+			response.start(this.head, this.eventStream, !isUnmarked(), this.exchange.keepAlive());
 		}
 		if (response.isStarted()) {
 			response.complete();
