--- a/review/standins-2/MapCase.java
+++ b/review/standins-2/MapCase.java
@@ -18,7 +18,7 @@
 		int exit = 2;
 		try (Fleet fleet = new Fleet(Path.of(args[0]))) {
 			RankGroup group = new RankGroup(fleet, RANKS, trouble ? RANKS - 1 : -1, 6.0);
-			fleet.startGateways(GATEWAYS, BOUNDS);
+			fleet.startGateways(GATEWAYS, Texts.BOUNDS);
 			if (fleet.configure(CONFIGURATION, GATEWAYS, 25) && fleet.awaitReady(GATEWAYS, 30)) {
 				for (int rank = 0; rank < RANKS; rank++) {
 					fleet.startSidecar("side-" + rank, "lm", group.address(rank), GATEWAYS);
@@ -43,29 +43,6 @@
 		System.exit(exit);
 	}
 
-	private static final String BOUNDS = """
-			seed_lag_s = 3
-			reuse_after_s = 2
-			contact_ms = 3000
-			ack_ms = 4000
-			catch_up_s = 4
-			drain_ms = 2000
-			grace_s = 8
-			loss_slack_ms = 200
-			config_ms = 2000
-			rollback_slack_ms = 250
-			max_skew_ms = 5000
-			strict_revoke = false
-			revoke_ms = 5000
-			retry_ratio = 0.2
-			retry_window_s = 10
-			retry_slack = 96
-			recovery_s = 12
-			pass_ms = 120
-			retry_after_s = 0
-			stall_ms = 1500
-			require_fence = false
-			""";
 
 	private static final String CONFIGURATION = """
 			{"version":7,"routes":[{"name":"r1","host":"a.example","path_prefix":"/a/","kind":"stream","timeout_ms":8000,
