--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -96,28 +96,33 @@
 		return String.join(",", seeds);
 	}
 
-	/** Starts gateways, each with a disk, one in each of as many zones. */
+	/** The most gateways with a disk, and the most zones. */
+	private static final int DISKS = 3;
+
+	/** Starts gateways in three zones; the first three have a disk. */
 	void startGateways(int count, String bounds) throws IOException {
 		for (int i = 0; i < count; i++) {
 			String ip = gatewayIp(i);
 			String node = "front-z" + i;
+			int zones = Math.min(DISKS, count);
 			Path data = Files.createDirectories(this.folder.resolve(node));
 			String seeds = "\"" + seeds(count).replace(",", "\",\"") + "\"";
 			StringBuilder text = new StringBuilder();
 			text.append("node = \"" + node + "\"\nrole = \"gateway\"\nclass = \"front\"\n");
-			text.append("serves = [\"front\",\"control\"]\nip = \"" + ip + "\"\nzone = \"z" + i + "\"\n");
+			text.append("serves = [\"front\",\"control\"]\nip = \"" + ip + "\"\nzone = \"z" + i % zones + "\"\n");
 			text.append("region = \"r\"\nport_range = [" + this.ports[3] + "," + this.ports[3] + "]\n");
-			text.append("seeds = [" + seeds + "]\ntolerated = true\ndata_dir = \"" + data + "\"\n");
+			text.append("seeds = [" + seeds + "]\ntolerated = " + (i < DISKS) + "\ndata_dir = \""
+					+ ((i < DISKS) ? data : "") + "\"\n");
 			text.append("discovery = \"registry\"\nentry = \"vip\"\nheartbeat_ms = 1200\n");
 			text.append("contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\","
 					+ "\"tenants\",\"experts\"]\nconfig_mode = \"highest\"\n[zones]\n");
-			for (int z = 0; z < count; z++) {
+			for (int z = 0; z < zones; z++) {
 				text.append("z" + z + " = \"r\"\n");
 			}
 			text.append("[listen]\nfront = \"" + ip + ":" + this.ports[FRONT] + "\"\nready = \"" + ip + ":"
 					+ this.ports[READY] + "\"\ncontrol = \"" + controlAddress(i) + "\"\n");
 			text.append("[limits]\ncpu_share = 0.675\ncores = 2\nmemory_mb = 430\nmax_fds = 4100\n"
-					+ "link_mbps = 1000.0\ndisk_mb = 64\n[tolerate]\nmachines = " + ((count - 1) / 2)
+					+ "link_mbps = 1000.0\ndisk_mb = 64\n[tolerate]\nmachines = " + ((zones - 1) / 2)
 					+ "\nzones = 0\nregions = 0\n[bounds]\n" + bounds);
 			this.settings.put(node, text.toString());
 			start(node, true);
