Refuse orders of evacuation that were given before a newer one

A gateway that woke from a freeze proposed the end of an earlier evacuation, which its operator had given up there and had acknowledged elsewhere before evacuating again.

Cause: the ledger applied commands in the order of the log, and a command did not tell when it was given. Ruled out: a gateway that forgets the newer order (all had learnt it before the old one was applied).

An order now carries the version of the orders known when its connection was opened, and the ledger refuses it if it would change another version. That holds wherever the order was delayed: before it was read, on its way to the leader, or before a new leader. Repeats still get 200. Gateways state the version only while all known processes with a disk check it, so replicas of the version before don't diverge; commands without it apply as before.

Two assertions of EvacuationLedgerTests compare the answer with its new field now, and one of FleetNodeTests passes the known version; they ask for no less.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/EvacuationCodec.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/EvacuationCodec.java
@@ -1,6 +1,7 @@
 package org.comfreywall.control.state;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -24,24 +25,24 @@
 	 * @return the encoded command
 	 */
 	public static Bytes encode(EvacuationCommand command) {
-		return Bytes.of(EvacuationCommandRecord.newBuilder()
+		EvacuationCommandRecord.Builder encoded = EvacuationCommandRecord.newBuilder()
 			.setFailureDomain(command.domain())
-			.setStart(command.start())
-			.build()
-			.toByteArray());
+			.setStart(command.start());
+		command.knownVersion().ifPresent(encoded::setKnownVersion);
+		return Bytes.of(encoded.build().toByteArray());
 	}
 
 	/**
 	 * Decodes the answer to a command or a query.
 	 * @param answer the encoded answer
-	 * @return the orders after the command; empty if it was refused or the answer is
-	 * malformed
+	 * @return the answer; empty if the command was malformed or beyond a limit, or if the
+	 * answer is malformed
 	 */
-	public static Optional<EvacuationOrders> decodeAnswer(Bytes answer) {
+	public static Optional<EvacuationAnswer> decodeAnswer(Bytes answer) {
 		try {
 			return Optional.of(EvacuationAnswerRecord.parseFrom(answer.toArray()))
 				.filter(EvacuationAnswerRecord::hasOrders)
-				.map((decoded) -> fromRecord(decoded.getOrders()));
+				.map((decoded) -> new EvacuationAnswer(fromRecord(decoded.getOrders()), decoded.getOutdated()));
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
 			return Optional.empty();
@@ -51,17 +52,19 @@
 	static Optional<EvacuationCommand> decodeCommand(Bytes command) {
 		try {
 			EvacuationCommandRecord decoded = EvacuationCommandRecord.parseFrom(command.toArray());
-			return Optional.of(new EvacuationCommand(decoded.getFailureDomain(), decoded.getStart()));
+			OptionalLong known = decoded.hasKnownVersion() ? OptionalLong.of(decoded.getKnownVersion())
+					: OptionalLong.empty();
+			return Optional.of(new EvacuationCommand(decoded.getFailureDomain(), decoded.getStart(), known));
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
 			return Optional.empty();
 		}
 	}
 
-	static Bytes encodeAnswer(Optional<EvacuationOrders> orders) {
-		EvacuationAnswerRecord.Builder answer = EvacuationAnswerRecord.newBuilder();
-		orders.ifPresent((present) -> answer.setOrders(toRecord(present)));
-		return Bytes.of(answer.build().toByteArray());
+	static Bytes encodeAnswer(Optional<EvacuationAnswer> answer) {
+		EvacuationAnswerRecord.Builder encoded = EvacuationAnswerRecord.newBuilder();
+		answer.ifPresent((present) -> encoded.setOrders(toRecord(present.orders())).setOutdated(present.outdated()));
+		return Bytes.of(encoded.build().toByteArray());
 	}
 
 	static Bytes encodeState(EvacuationOrders orders) {
--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/EvacuationLedger.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/EvacuationLedger.java
@@ -11,11 +11,13 @@
 /**
  * Stores which failure domains operators have ordered to evacuate.
  * <p>
- * Commands take effect in the order of the log, so of a start and a finish that cross,
- * the later one in the log wins. A command that changes the set raises the version by 1;
- * a repeat changes nothing and gets the same answer as a command that does. At most
- * {@value #MAX_DOMAINS} failure domains are evacuated at a time. Commands, answers and
- * the state are encoded by {@link EvacuationCodec}.
+ * A command that changes the set raises the version by 1; a repeat changes nothing and
+ * gets the same answer as a command that does. A command that states the version known
+ * when it was given is refused if it would change the set of another version: it may have
+ * been delayed while its operator gave newer orders elsewhere. Commands without a known
+ * version, of which there are some in older logs, take effect in the order of the log. At
+ * most {@value #MAX_DOMAINS} failure domains are evacuated at a time. Commands, answers
+ * and the state are encoded by {@link EvacuationCodec}.
  */
 public final class EvacuationLedger implements Ledger {
 
@@ -55,22 +57,25 @@
 		return EvacuationCodec.encodeAnswer(EvacuationCodec.decodeCommand(command).flatMap(this::apply));
 	}
 
-	private Optional<EvacuationOrders> apply(EvacuationCommand command) {
+	private Optional<EvacuationAnswer> apply(EvacuationCommand command) {
 		Set<String> domains = new HashSet<>(this.current.domains());
 		boolean changed = command.start() ? domains.add(command.domain()) : domains.remove(command.domain());
 		if (domains.size() > MAX_DOMAINS) {
 			return Optional.empty();
 		}
+		if (changed && command.isOutdated(this.current)) {
+			return Optional.of(new EvacuationAnswer(this.current, true));
+		}
 		if (changed) {
 			this.current = new EvacuationOrders(this.current.version() + 1, domains);
 			this.listener.accept(this.current);
 		}
-		return Optional.of(this.current);
+		return Optional.of(new EvacuationAnswer(this.current, false));
 	}
 
 	@Override
 	public Bytes query(Bytes query) {
-		return EvacuationCodec.encodeAnswer(Optional.of(this.current));
+		return EvacuationCodec.encodeAnswer(Optional.of(new EvacuationAnswer(this.current, false)));
 	}
 
 	@Override
--- a/comfreywall-control/src/test/java/org/comfreywall/control/state/EvacuationLedgerTests.java
+++ b/comfreywall-control/src/test/java/org/comfreywall/control/state/EvacuationLedgerTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.comfreywall.common.result.Result;
@@ -24,7 +25,12 @@
 
 	private Optional<EvacuationOrders> apply(String domain, boolean start) {
 		Bytes command = EvacuationCodec.encode(new EvacuationCommand(domain, start));
-		return EvacuationCodec.decodeAnswer(this.ledger.apply(LogTime.ZERO, command));
+		return EvacuationCodec.decodeAnswer(this.ledger.apply(LogTime.ZERO, command)).map(EvacuationAnswer::orders);
+	}
+
+	private EvacuationAnswer apply(String domain, boolean start, long knownVersion) {
+		Bytes command = EvacuationCodec.encode(new EvacuationCommand(domain, start, OptionalLong.of(knownVersion)));
+		return EvacuationCodec.decodeAnswer(this.ledger.apply(LogTime.ZERO, command)).orElseThrow();
 	}
 
 	private static EvacuationOrders orders(long version, String... domains) {
@@ -44,7 +50,40 @@
 		assertThat(apply("a", false)).contains(orders(3, "b"));
 		assertThat(apply("a", false)).contains(orders(3, "b"));
 		assertThat(this.changes).containsExactly(orders(1, "a"), orders(2, "a", "b"), orders(3, "b"));
-		assertThat(EvacuationCodec.decodeAnswer(this.ledger.query(Bytes.EMPTY))).contains(orders(3, "b"));
+		assertThat(EvacuationCodec.decodeAnswer(this.ledger.query(Bytes.EMPTY)))
+			.contains(new EvacuationAnswer(orders(3, "b"), false));
+	}
+
+	/**
+	 * A gateway or a leader that was paused proposes an order that its operator has given
+	 * up and had acknowledged elsewhere; it must not undo the order after that.
+	 */
+	@Test
+	void anOrderThatWasGivenBeforeANewerOneIsRefused() {
+		assertThat(apply("a", true, 0)).isEqualTo(new EvacuationAnswer(orders(1, "a"), false));
+		assertThat(apply("a", false, 1)).isEqualTo(new EvacuationAnswer(orders(2), false));
+		assertThat(apply("a", true, 2)).isEqualTo(new EvacuationAnswer(orders(3, "a"), false));
+		assertThat(apply("a", false, 1)).isEqualTo(new EvacuationAnswer(orders(3, "a"), true));
+		assertThat(this.changes).hasSize(3);
+		assertThat(apply("a", false, 3)).isEqualTo(new EvacuationAnswer(orders(4), false));
+	}
+
+	@Test
+	void aRepeatSucceedsWhateverItsGatewayKnew() {
+		assertThat(apply("a", true, 0)).isEqualTo(new EvacuationAnswer(orders(1, "a"), false));
+		assertThat(apply("a", true, 0)).isEqualTo(new EvacuationAnswer(orders(1, "a"), false));
+		assertThat(apply("a", true, 9)).isEqualTo(new EvacuationAnswer(orders(1, "a"), false));
+	}
+
+	/**
+	 * Logs of earlier versions, and processes of them that propose to a leader of this
+	 * one, state no version.
+	 */
+	@Test
+	void anOrderWithoutAKnownVersionTakesEffectInTheOrderOfTheLog() {
+		apply("a", true, 0);
+		assertThat(apply("a", false)).contains(orders(2));
+		assertThat(apply("a", true)).contains(orders(3, "a"));
 	}
 
 	@Test
@@ -97,7 +136,8 @@
 			Bytes start = EvacuationCodec.encode(new EvacuationCommand("a", true));
 			Result<Bytes> answer = upgraded.apply(LogTime.ZERO,
 					new LedgerCommand(EvacuationLedger.NAME, start).encode());
-			assertThat(answer.value().flatMap(EvacuationCodec::decodeAnswer)).contains(orders(1, "a"));
+			assertThat(answer.value().flatMap(EvacuationCodec::decodeAnswer))
+				.contains(new EvacuationAnswer(orders(1, "a"), false));
 			EvacuationLedger restored = new EvacuationLedger((orders) -> {
 			});
 			new StateMachine(List.of(new DocumentLedger(documents::add), restored)).restore(upgraded.snapshot());
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetCodec.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetCodec.java
@@ -39,6 +39,7 @@
 			.setFailureDomain(peer.domain())
 			.setIncarnation(peer.incarnation())
 			.setStorageId(peer.storageId())
+			.setCommandFormat(peer.commandFormat())
 			.build();
 	}
 
@@ -46,7 +47,7 @@
 		return HostPort.parse(member.getAddress())
 			.filter((address) -> !member.getInstance().isBlank())
 			.map((address) -> new FleetPeer(member.getInstance(), address, member.getFailureDomain(),
-					member.getIncarnation(), member.getStorageId()));
+					member.getIncarnation(), member.getStorageId(), member.getCommandFormat()));
 	}
 
 	static ServerNotice encode(ServerAnnouncement server, long ageNanos) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -36,7 +36,6 @@
 import org.comfreywall.control.log.ReplicaStatus;
 import org.comfreywall.control.log.Role;
 import org.comfreywall.control.runtime.ControlNode;
-import org.comfreywall.control.state.EvacuationCommand;
 import org.comfreywall.control.state.EvacuationOrders;
 import org.comfreywall.control.state.VersionedDocument;
 import org.comfreywall.gateway.group.DeputyPort;
@@ -180,10 +179,11 @@
 			broadcast(newUpdate().build());
 			listener.onDocument(newer);
 		});
-		this.evacuations = new EvacuationSync(loop, this::leaderClient, (newer) -> {
-			broadcast(newUpdate().build());
-			listener.onEvacuations(newer);
-		});
+		this.evacuations = new EvacuationSync(loop, this::leaderClient,
+				() -> CommandFormat.VERSIONED_EVACUATIONS.isSupportedBy(this.peers.knownPeers()), (newer) -> {
+					broadcast(newUpdate().build());
+					listener.onEvacuations(newer);
+				});
 		this.replica = settings.dataFolder()
 			.map((folder) -> new LocalReplica(folder, settings.instance(), this::sendToMember,
 					(newer) -> this.loop.execute(() -> this.documents.update(newer)),
@@ -379,11 +379,31 @@
 	 * repeat changes nothing and gets the same result.
 	 * @param domain the failure domain
 	 * @param start {@code false} to withdraw the order
+	 * @param knownVersion the version of the orders when the operator connected, see
+	 * {@link #evacuationVersionBeforeAccept}; the order has no effect if another one has
+	 * changed them since
 	 * @return {@code true} once the order is stored by a majority of the voters;
-	 * {@code false} if the outcome is unknown
+	 * {@code false} if it had no effect or the outcome is unknown
+	 */
+	public CompletableFuture<Boolean> proposeEvacuation(String domain, boolean start, long knownVersion) {
+		return this.evacuations.propose(domain, start, knownVersion);
+	}
+
+	/**
+	 * Returns the version of the orders of evacuation that this process knew when a
+	 * connection that it accepts now was opened. Called on the event loop.
+	 * @return the version, or an earlier one
+	 */
+	public long evacuationVersionBeforeAccept() {
+		return this.evacuations.versionBeforeAccept(System.nanoTime());
+	}
+
+	/**
+	 * Returns the number of orders of evacuation that were refused as outdated.
+	 * @return the count since the start of this process
 	 */
-	public CompletableFuture<Boolean> proposeEvacuation(String domain, boolean start) {
-		return this.evacuations.propose(new EvacuationCommand(domain, start));
+	public long outdatedEvacuations() {
+		return this.evacuations.outdated();
 	}
 
 	/**
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -346,7 +346,7 @@
 	 * @param now the current time in nanoseconds
 	 * @return {@code true} during a short time after a pause
 	 */
-	boolean isCatchingUp(long now) {
+	public boolean isCatchingUp(long now) {
 		boolean justResumed = now - this.tickedAt > MAX_TICK_DELAY.toNanos();
 		return justResumed || (this.resumedAt.isPresent() && now - this.resumedAt.getAsLong() < CATCH_UP.toNanos());
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
@@ -416,7 +416,8 @@
 	class Evacuations {
 
 		private void order(int member, String domain, boolean start) throws InterruptedException {
-			await(() -> FleetNodeTests.this.members.get(member).node.proposeEvacuation(domain, start).join());
+			FleetNode node = FleetNodeTests.this.members.get(member).node;
+			await(() -> node.proposeEvacuation(domain, start, node.evacuations().version()).join());
 		}
 
 		private void awaitEverywhere(EvacuationOrders expected) throws InterruptedException {
@@ -443,6 +444,25 @@
 			assertThat(late.orders).isEqualTo(orders(3, "d2"));
 		}
 
+		/**
+		 * A gateway that was paused proposes an order of its operator late, after the
+		 * operator had it acknowledged elsewhere and gave the opposite one; also to a new
+		 * leader.
+		 */
+		@Test
+		void anOrderThatIsProposedLateDoesNotUndoANewerOne() throws Exception {
+			order(0, "d1", true);
+			awaitEverywhere(orders(1, "d1"));
+			order(0, "d1", false);
+			order(0, "d1", true);
+			FleetNode late = FleetNodeTests.this.members.get(DISKLESS).node;
+			assertThat(late.proposeEvacuation("d1", false, 1).join()).isFalse();
+			assertThat(late.proposeEvacuation("d1", true, 1).join()).isTrue();
+			assertThat(late.evacuations()).isEqualTo(orders(3, "d1"));
+			assertThat(late.outdatedEvacuations()).isEqualTo(1);
+			awaitEverywhere(orders(3, "d1"));
+		}
+
 		@Test
 		void theLeaderIsLostBetweenTwoOrders() throws Exception {
 			order(0, "d1", true);
@@ -475,7 +495,7 @@
 			FleetNodeTests.this.members.get(1).closer.close();
 			FleetNodeTests.this.members.get(2).closer.close();
 			for (int i = 0; i < 3; i++) {
-				assertThat(FleetNodeTests.this.members.get(0).node.proposeEvacuation("d2", true).join()).isFalse();
+				assertThat(FleetNodeTests.this.members.get(0).node.proposeEvacuation("d2", true, 1).join()).isFalse();
 			}
 			FleetNodeTests.this.members.get(0).closer.close();
 			FleetNodeTests.this.members.get(DISKLESS).closer.close();
