Store the evidence against requests that crash servers in the log

Cause: PoisonDetector kept its evidence in memory, and entries learnt it from each other only. Ruled out: a probation that was over or a response that had cleared it (no such line, 120 s of probation).

The evidence is now stored in a ledger of the replicated log and read by each entry before it serves. Times are log times, so probations go on; what cleared a charge is stored as well, and requests that broke connections to two servers whose crashes are not confirmed yet. Requests never wait for the log. Charges have a bounded size, and no client account can evict the convictions of another one.

--- a/comfreywall-control/src/main/java/org/comfreywall/control/state/StateMachine.java
+++ b/comfreywall-control/src/main/java/org/comfreywall/control/state/StateMachine.java
@@ -80,12 +80,17 @@
 	}
 
 	/**
-	 * Encodes the whole state.
+	 * Encodes the whole state. A ledger with an empty state is left out, as versions
+	 * without it refuse snapshots that contain it.
 	 * @return the encoded state
 	 */
 	public Bytes snapshot() {
 		StateSnapshotRecord.Builder builder = StateSnapshotRecord.newBuilder().setLogTimeMillis(this.time.millis());
-		this.ledgers.values().forEach((ledger) -> builder.addLedgers(toRecord(ledger)));
+		this.ledgers.values()
+			.stream()
+			.map(StateMachine::toRecord)
+			.filter((ledger) -> !ledger.getState().isEmpty())
+			.forEach(builder::addLedgers);
 		return Bytes.of(builder.build().toByteArray());
 	}
 
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/CommandFormat.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/CommandFormat.java
@@ -16,7 +16,10 @@
 	INITIAL,
 
 	/** Orders of evacuation state the version that was known when they were given. */
-	VERSIONED_EVACUATIONS;
+	VERSIONED_EVACUATIONS,
+
+	/** There is a ledger of the evidence against requests that crash backend servers. */
+	POISON_EVIDENCE;
 
 	/** The newest format that this version applies. */
 	static final CommandFormat NEWEST = values()[values().length - 1];
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetCodec.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetCodec.java
@@ -1,6 +1,5 @@
 package org.comfreywall.gateway.fleet;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,15 +8,13 @@
 import java.util.stream.Collectors;
 
 import org.comfreywall.common.toml.HostPort;
-import org.comfreywall.gateway.poison.CrashCharge;
 import org.comfreywall.gateway.poison.PoisonEvidence;
+import org.comfreywall.gateway.poison.PoisonEvidenceCodec;
 import org.comfreywall.gateway.pool.ColdReport;
 import org.comfreywall.gateway.pool.Departure;
 import org.comfreywall.gateway.pool.GroupState;
 import org.comfreywall.gateway.pool.ServerAnnouncement;
 import org.comfreywall.gateway.pool.ServerState;
-import org.comfreywall.transport.generated.BegunNotice;
-import org.comfreywall.transport.generated.CrashNotice;
 import org.comfreywall.transport.generated.DepartureNotice;
 import org.comfreywall.transport.generated.FleetMember;
 import org.comfreywall.transport.generated.FleetNews;
@@ -95,39 +92,15 @@
 	}
 
 	static void encode(PoisonEvidence evidence, FleetNews.Builder update, long now) {
-		evidence.charges()
-			.forEach((charge) -> update.addCrashesBuilder()
-				.setIncarnation(charge.incarnation())
-				.setRequest(charge.request())
-				.addAllSharedParts(charge.sharedParts())
-				.setFingerprint(charge.fingerprint())
-				.setBegun(charge.begun())
-				.setAgeMillis(millis(now - charge.at())));
-		evidence.begun().forEach((trait, at) -> update.addBegun(encode(trait, now - at)));
-		evidence.completed().forEach((trait, at) -> update.addCompleted(encode(trait, now - at)));
-	}
-
-	private static BegunNotice encode(String trait, long ageNanos) {
-		return BegunNotice.newBuilder().setTrait(trait).setAgeMillis(millis(ageNanos)).build();
+		update.addAllCrashes(PoisonEvidenceCodec.notices(evidence.charges(), now))
+			.addAllBegun(PoisonEvidenceCodec.notices(evidence.begun(), now))
+			.addAllCompleted(PoisonEvidenceCodec.notices(evidence.completed(), now));
 	}
 
 	static PoisonEvidence decodePoisonEvidence(FleetNews update, long now) {
-		List<CrashCharge> charges = new ArrayList<>();
-		for (CrashNotice notice : update.getCrashesList()) {
-			if (!notice.getIncarnation().isBlank() && !notice.getFingerprint().isBlank()) {
-				charges.add(new CrashCharge(notice.getIncarnation(), notice.getRequest(), notice.getSharedPartsList(),
-						notice.getFingerprint(), notice.getBegun(),
-						now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis())));
-			}
-		}
-		return new PoisonEvidence(charges, times(update.getBegunList(), now), times(update.getCompletedList(), now));
-	}
-
-	private static Map<String, Long> times(List<BegunNotice> notices, long now) {
-		Map<String, Long> times = new HashMap<>();
-		notices.forEach(
-				(notice) -> times.put(notice.getTrait(), now - TimeUnit.MILLISECONDS.toNanos(notice.getAgeMillis())));
-		return times;
+		return new PoisonEvidence(PoisonEvidenceCodec.charges(update.getCrashesList(), now),
+				PoisonEvidenceCodec.times(update.getBegunList(), now),
+				PoisonEvidenceCodec.times(update.getCompletedList(), now));
 	}
 
 	private static int millis(long nanos) {
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetListener.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetListener.java
@@ -62,7 +62,8 @@
 	void onGroups(List<GroupState> groups);
 
 	/**
-	 * Called when another entry's evidence on crashes of backend servers was received.
+	 * Called when another entry's evidence on crashes of backend servers was received, or
+	 * what the fleet has stored.
 	 * @param evidence the evidence
 	 */
 	void onPoisonEvidence(PoisonEvidence evidence);
@@ -74,6 +75,27 @@
 	 */
 	PoisonEvidence poisonEvidence(boolean full);
 
+	/**
+	 * Returns this entry's observations on crashes that the fleet has yet to store. They
+	 * are returned again only if {@link #onPoisonEvidenceProposed} tells so.
+	 * @return the evidence
+	 */
+	PoisonEvidence takeUnstoredPoisonEvidence();
+
+	/**
+	 * Returns whether this entry refuses requests until the end of a probation.
+	 * @return {@code true} if the time until then must outlast this process
+	 */
+	boolean isPoisonProbationRunning();
+
+	/**
+	 * Called after observations of this entry were proposed to the fleet.
+	 * @param taken what {@link #takeUnstoredPoisonEvidence} has returned
+	 * @param stored {@code false} if they may not have been stored and are to be returned
+	 * again
+	 */
+	void onPoisonEvidenceProposed(PoisonEvidence taken, boolean stored);
+
 	/**
 	 * Returns this entry's counts of requests in flight.
 	 * @return the number of its requests by backend server
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -134,6 +134,8 @@
 
 	private final EvacuationSync evacuations;
 
+	private final PoisonEvidenceSync poison;
+
 	private final InFlightExchange inFlight = new InFlightExchange();
 
 	private final Map<Departure, Boolean> storedDepartures = new LruMap<>(MAX_STORED_DEPARTURES);
@@ -184,6 +186,8 @@
 					broadcast(newUpdate().build());
 					listener.onEvacuations(newer);
 				});
+		this.poison = new PoisonEvidenceSync(loop, this::leaderClient,
+				() -> CommandFormat.POISON_EVIDENCE.isSupportedBy(this.peers.knownPeers()), listener);
 		this.replica = settings.dataFolder()
 			.map((folder) -> new LocalReplica(folder, settings.instance(), this::sendToMember,
 					(newer) -> this.loop.execute(() -> this.documents.update(newer)),
@@ -208,6 +212,8 @@
 			}
 		}));
 		RepeatedTask.schedule(this.loop, UPDATE_INTERVAL, "broadcast-update", this::broadcastUpdate);
+		RepeatedTask.schedule(this.loop, UPDATE_INTERVAL, "store-poison-evidence",
+				() -> this.poison.tick(holdsLeaderLease()));
 		RepeatedTask.schedule(this.loop, MAINTENANCE_INTERVAL, "maintain", this::maintain);
 	}
 
@@ -424,6 +430,15 @@
 		return this.evacuations.readNewest();
 	}
 
+	/**
+	 * Reads the stored evidence on crashes of backend servers from the leader; the
+	 * listener has received it when the read completes.
+	 * @return {@code true}, or {@code false} if the leader did not confirm the read
+	 */
+	public CompletableFuture<Boolean> readPoisonEvidence() {
+		return this.poison.readNewest();
+	}
+
 	private LeaderClient leaderClient() {
 		Optional<RpcClient> client = this.clients.findByInstance(currentLeader());
 		return new LeaderClient(localNode().filter((node) -> node.status().role() == Role.LEADER), client);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LocalReplica.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/LocalReplica.java
@@ -34,6 +34,7 @@
 import org.comfreywall.control.state.VersionedDocument;
 import org.comfreywall.control.storage.DiskStorage;
 import org.comfreywall.control.storage.FolderOrigin;
+import org.comfreywall.gateway.poison.PoisonEvidenceLedger;
 
 /**
  * This process's replica of the replicated log, which is reopened after its storage has
@@ -146,8 +147,8 @@
 		this.storageId = open.storageId();
 		// A folder that is emptied from now on must not found the log again.
 		this.origin = Optional.of(FolderOrigin.joining(this.self, new SecureRandom()));
-		StateMachine machine = new StateMachine(
-				List.of(new DocumentLedger(this.documents), new EvacuationLedger(this.evacuations)));
+		StateMachine machine = new StateMachine(List.of(new DocumentLedger(this.documents),
+				new EvacuationLedger(this.evacuations), new PoisonEvidenceLedger()));
 		ControlNodeDependencies parts = new ControlNodeDependencies(this.self, open, machine, this.sender,
 				Clock.system(), new Random(), DecisionListener.NONE, new Invariants(), new MetricRegistry());
 		this.node = Optional.of(ControlNode.start(parts, SETTINGS));
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Exchange.java
@@ -137,7 +137,7 @@
 		this.timing = new ResponseTiming(request.arrival());
 		this.response = new CallerResponse(caller.context(), this.timing, request.allowsChunks());
 		String parts = request.headers().get(gateway.names().promptParts(), "");
-		this.traits = RequestTraits.parse(parts, this::fingerprint);
+		this.traits = RequestTraits.parse(parts, this::fingerprint, this::account);
 		this.size = RequestSize.parse(request.headers().get(gateway.names().tokenCount(), ""),
 				request.headers().get(gateway.names().lengthHint(), ""));
 	}
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/http/Gateway.java
@@ -142,6 +142,8 @@
 		this.log = new RequestLog(settings.names(), Preconditions.notNull(metrics, "metrics"));
 		metrics.registerGauge("evacuated_domains", () -> this.evacuatedDomains.size());
 		this.poison = new PoisonDetector(fleet::isAssigned);
+		metrics.registerGauge("poison_convictions", this.poison::convictionCount);
+		metrics.registerGauge("poison_evidence_unstored", this.poison::unstoredCount);
 		ServerSignals signals = new ServerSignals(settings.names(), this.log, this::pool);
 		this.connections = new ServerConnectionPool(loop, settings.names(), this.log, signals);
 		this.bodies = new BodyBudget(settings.callers().maxBytes(), random);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/poison/PoisonDetector.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/poison/PoisonDetector.java
@@ -2,17 +2,18 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.comfreywall.common.decision.Field;
 import org.comfreywall.common.log.EventLog;
@@ -31,57 +32,32 @@
  * request has no other such part; parts that have been served before, and requests whose
  * responses had begun, need several crashes, as they may have been in flight by chance.
  * <p>
- * Entries exchange their evidence and each derives the same refusals from it. After a
- * probation period one entry, the same for all, lets a single request pass. Not
- * thread-safe.
+ * Entries exchange their evidence and each derives the same refusals from it. The fleet
+ * stores it ({@link PoisonEvidenceLedger}), so that an entry that starts derives them
+ * too. After a probation period one entry, the same for all, lets a single request pass.
+ * Not thread-safe.
  */
 public final class PoisonDetector {
 
 	private static final EventLog LOG = EventLog.of(PoisonDetector.class);
 
-	/**
-	 * Crashes of a part that was never served before it is refused in any combination.
-	 */
-	private static final int CRASHES_OF_NEW_PART = 2;
-
-	/** Crashes of a part that was served before it is refused. */
-	private static final int CRASHES_OF_KNOWN_PART = 3;
-
-	/** Crashes of one request and its repeats before it is refused. */
-	private static final int CRASHES_OF_REQUEST = 2;
-
-	/** The same if its response had begun, as it has for all others on the server. */
-	private static final int CRASHES_WITHIN_RESPONSE = 3;
-
-	/**
-	 * Crashes closer together than this count once: servers of a rack or group fail
-	 * together.
-	 */
-	private static final long SEPARATE_CRASHES_NANOS = 2_000_000_000L;
-
 	/**
 	 * Time in which a broken connection is confirmed as a crash by the restart of the
 	 * server or by its peers.
 	 */
-	private static final long CONFIRMATION_NANOS = 10_000_000_000L;
-
-	/**
-	 * Entries send times as ages, which seem later by the delay of the message. A time
-	 * that is later by less is taken for the known one; otherwise it would move on each
-	 * time that two entries exchange it, until it passes the crashes that followed it.
-	 */
-	private static final long MAX_NEWS_DELAY_NANOS = 1_000_000_000L;
+	static final long CONFIRMATION_NANOS = 10_000_000_000L;
 
 	/** Time for a single request to begin its response after a probation. */
 	private static final Duration TRIAL_TIME = Duration.ofSeconds(10);
 
-	private static final int MAX_CHARGES = 128;
-
 	/** A crash breaks off all requests on its server. */
 	private static final int MAX_PENDING = 256;
 
 	private static final int MAX_TRAITS = 20_000;
 
+	/** Maximum number of charges, and of times, to store at once. */
+	private static final int MAX_STORED_AT_ONCE = 32;
+
 	private final Predicate<String> runsTrial;
 
 	/** When a response last began, by part. */
@@ -93,21 +69,21 @@
 	 */
 	private final Map<String, Long> completed = new LruMap<>(MAX_TRAITS);
 
-	private final List<PendingCharge> pending = new ArrayList<>();
-
-	private final Map<String, CrashCharge> charges = new LinkedHashMap<>();
+	private final List<CrashCharge> pending = new ArrayList<>();
 
-	/** Traits with charges that no response has cleared. */
-	private final Set<String> chargedTraits = new HashSet<>();
+	private final CrashCharges charges = new CrashCharges();
 
 	private final Map<String, CrashCharge> unsentCharges = new LinkedHashMap<>();
 
-	private final Map<String, Long> unsentBegun = new HashMap<>();
+	private final Set<String> unsentTraits = new HashSet<>();
 
-	private final Map<String, Long> unsentCompleted = new HashMap<>();
+	/** Own observations that the fleet has not stored yet. */
+	private final Map<String, CrashCharge> unstoredCharges = new LinkedHashMap<>();
 
-	/** Refused combinations of traits; a single trait in most cases. */
-	private Map<Set<String>, Conviction> convictions = Map.of();
+	private final Set<String> unstoredTraits = new HashSet<>();
+
+	/** Keys of the pending charges that the fleet has stored. */
+	private final Set<String> storedPending = new HashSet<>();
 
 	private final Map<Set<String>, Trial> trials = new HashMap<>();
 
@@ -126,13 +102,11 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public void recordBegun(RequestTraits traits, long now) {
-		traits.sharedParts().forEach((part) -> this.begun.put(part, now));
-		List<String> charged = new ArrayList<>(traits.sharedParts());
-		charged.retainAll(this.chargedTraits);
-		if (!charged.isEmpty()) {
-			charged.forEach(this::share);
-			evaluate();
-		}
+		traits.sharedParts().forEach((part) -> {
+			this.begun.put(part, now);
+			this.charges.recordBegun(part, now);
+		});
+		shareCleared(traits.sharedParts());
 	}
 
 	/**
@@ -146,11 +120,19 @@
 			return;
 		}
 		this.completed.put(traits.fingerprint().get(), now);
-		List<String> charged = new ArrayList<>(traits.sharedParts());
-		charged.add(traits.fingerprint().get());
-		charged.retainAll(this.chargedTraits);
-		if (!charged.isEmpty()) {
-			charged.forEach(this::share);
+		List<String> all = new ArrayList<>(traits.sharedParts());
+		all.add(traits.fingerprint().get());
+		all.forEach((trait) -> this.charges.recordCompleted(trait, now));
+		shareCleared(all);
+	}
+
+	private void shareCleared(Collection<String> traits) {
+		if (this.charges.isEmpty()) {
+			return;
+		}
+		List<String> open = traits.stream().filter(this.charges::isOpen).toList();
+		if (!open.isEmpty()) {
+			open.forEach(this::share);
 			evaluate();
 		}
 	}
@@ -167,13 +149,19 @@
 	 */
 	public void recordBroken(String server, long startedMillis, String request, RequestTraits traits, boolean begun,
 			long now) {
-		this.pending.removeIf((old) -> now - old.charge().at() > CONFIRMATION_NANOS);
+		removePending((old) -> now - old.at() > CONFIRMATION_NANOS);
 		if (this.pending.size() < MAX_PENDING) {
-			this.pending.add(new PendingCharge(server, startedMillis, new CrashCharge(server + "@" + startedMillis,
-					request, traits.sharedParts(), traits.fingerprint().get(), begun, now)));
+			this.pending.add(new CrashCharge(CrashCharge.incarnation(server, startedMillis), request,
+					traits.sharedParts(), traits.fingerprint().get(), begun, now, traits.account().get())
+				.bounded());
 		}
 	}
 
+	private void removePending(Predicate<CrashCharge> condition) {
+		this.pending.removeIf(condition);
+		this.storedPending.retainAll(this.pending.stream().map(CrashCharge::key).collect(Collectors.toSet()));
+	}
+
 	/**
 	 * Records that a backend server crashed or was restarted.
 	 * @param server the address of the server
@@ -181,18 +169,20 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public void recordCrash(String server, long startedMillis, long now) {
-		Iterator<PendingCharge> all = this.pending.iterator();
+		List<CrashCharge> ended = this.pending.stream()
+			.filter((each) -> each.isEndedBy(server, startedMillis))
+			.toList();
+		if (ended.isEmpty()) {
+			return;
+		}
+		removePending(ended::contains);
 		boolean added = false;
-		while (all.hasNext()) {
-			PendingCharge each = all.next();
-			boolean confirmed = each.server().equals(server) && each.startedMillis() < startedMillis;
-			if (confirmed && now - each.charge().at() <= CONFIRMATION_NANOS) {
-				added |= add(each.charge());
-				this.unsentCharges.put(key(each.charge()), each.charge());
-				shareTraits(each.charge());
-			}
-			if (confirmed) {
-				all.remove();
+		for (CrashCharge each : ended) {
+			if (now - each.at() <= CONFIRMATION_NANOS) {
+				added |= add(each);
+				this.unsentCharges.put(each.key(), each);
+				this.unstoredCharges.put(each.key(), each);
+				each.traits().forEach(this::share);
 			}
 		}
 		if (added) {
@@ -201,61 +191,51 @@
 	}
 
 	private boolean add(CrashCharge charge) {
-		if (this.charges.putIfAbsent(key(charge), charge) != null) {
+		if (this.charges.contains(charge)) {
 			return false;
 		}
-		if (this.charges.size() > MAX_CHARGES) {
-			Iterator<CrashCharge> oldest = this.charges.values().iterator();
-			CrashCharge evicted = oldest.next();
-			while (supportsConviction(evicted) && oldest.hasNext()) {
-				evicted = oldest.next();
-			}
-			this.charges.remove(key(evicted));
-		}
+		boolean added = this.charges.add(charge);
+		charge.traits().forEach((trait) -> {
+			Optional.ofNullable(this.begun.get(trait)).ifPresent((at) -> this.charges.recordBegun(trait, at));
+			Optional.ofNullable(this.completed.get(trait)).ifPresent((at) -> this.charges.recordCompleted(trait, at));
+		});
 		LOG.info("crash-charged", Field.of("request", charge.request()), Field.of("incarnation", charge.incarnation()),
 				Field.of("begun", charge.begun()), Field.of("parts", charge.sharedParts()),
-				Field.of("fingerprint", charge.fingerprint()));
-		return true;
-	}
-
-	private boolean supportsConviction(CrashCharge charge) {
-		return this.convictions.keySet()
-			.stream()
-			.anyMatch((traits) -> traits.stream().allMatch((trait) -> isOpen(charge, trait)));
-	}
-
-	private static String key(CrashCharge charge) {
-		return charge.incarnation() + " " + charge.request();
+				Field.of("fingerprint", charge.fingerprint()), Field.of("kept", added));
+		return added;
 	}
 
 	/**
-	 * Applies the evidence of another entry.
+	 * Applies the evidence of another entry, or what the fleet has stored.
 	 * @param evidence the evidence
 	 */
 	public void merge(PoisonEvidence evidence) {
-		boolean changed = merge(evidence.begun(), this.begun) | merge(evidence.completed(), this.completed);
+		boolean changed = false;
 		for (CrashCharge charge : evidence.charges()) {
-			if (add(charge)) {
+			if (add(charge.bounded())) {
 				changed = true;
 				// Only this entry may know that requests with these parts were served.
-				shareTraits(charge);
+				charge.traits()
+					.filter((trait) -> this.begun.containsKey(trait) || this.completed.containsKey(trait))
+					.forEach(this::share);
 			}
 		}
+		CrashCharges.mergeTimes(evidence.begun(), this.begun);
+		CrashCharges.mergeTimes(evidence.completed(), this.completed);
+		changed |= this.charges.mergeBegun(evidence.begun()) | this.charges.mergeCompleted(evidence.completed());
+		evidence.unconfirmed().forEach(this::addUnconfirmed);
 		if (changed) {
 			evaluate();
 		}
 	}
 
-	private static boolean merge(Map<String, Long> received, Map<String, Long> known) {
-		boolean changed = false;
-		for (Map.Entry<String, Long> each : received.entrySet()) {
-			Long before = known.get(each.getKey());
-			if (before == null || each.getValue() - before > MAX_NEWS_DELAY_NANOS) {
-				known.put(each.getKey(), each.getValue());
-				changed = true;
-			}
+	private void addUnconfirmed(CrashCharge charge) {
+		boolean known = this.charges.contains(charge)
+				|| this.pending.stream().anyMatch((each) -> each.key().equals(charge.key()));
+		if (!known && this.pending.size() < MAX_PENDING) {
+			this.pending.add(charge);
+			this.storedPending.add(charge.key());
 		}
-		return changed;
 	}
 
 	/**
@@ -266,30 +246,100 @@
 	 */
 	public PoisonEvidence takeEvidence(boolean full) {
 		if (full) {
-			this.charges.values().stream().filter(this::supportsConviction).forEach((charge) -> {
-				this.unsentCharges.put(key(charge), charge);
-				shareTraits(charge);
+			this.charges.all().stream().filter(this.charges::supportsConviction).forEach((charge) -> {
+				this.unsentCharges.put(charge.key(), charge);
+				charge.traits().forEach(this.unsentTraits::add);
 			});
 		}
-		if (this.unsentCharges.isEmpty() && this.unsentBegun.isEmpty() && this.unsentCompleted.isEmpty()) {
-			return PoisonEvidence.NONE;
-		}
-		PoisonEvidence unsent = new PoisonEvidence(List.copyOf(this.unsentCharges.values()), this.unsentBegun,
-				this.unsentCompleted);
+		PoisonEvidence unsent = new PoisonEvidence(List.copyOf(this.unsentCharges.values()),
+				timesBegun(this.unsentTraits), timesCompleted(this.unsentTraits));
 		this.unsentCharges.clear();
-		this.unsentBegun.clear();
-		this.unsentCompleted.clear();
-		return unsent;
+		this.unsentTraits.clear();
+		return unsent.isEmpty() ? PoisonEvidence.NONE : unsent;
 	}
 
-	private void shareTraits(CrashCharge charge) {
-		charge.sharedParts().forEach(this::share);
-		share(charge.fingerprint());
+	// Marks what this entry knows of a trait as new to the others and to the fleet.
+	private void share(String trait) {
+		this.unsentTraits.add(trait);
+		this.unstoredTraits.add(trait);
 	}
 
-	private void share(String trait) {
-		Optional.ofNullable(this.begun.get(trait)).ifPresent((at) -> this.unsentBegun.put(trait, at));
-		Optional.ofNullable(this.completed.get(trait)).ifPresent((at) -> this.unsentCompleted.put(trait, at));
+	private Map<String, Long> timesBegun(Collection<String> traits) {
+		return times(traits, this.charges::begun);
+	}
+
+	private Map<String, Long> timesCompleted(Collection<String> traits) {
+		return times(traits, this.charges::completed);
+	}
+
+	private static Map<String, Long> times(Collection<String> traits, Function<String, Optional<Long>> known) {
+		Map<String, Long> times = new HashMap<>();
+		traits.forEach((trait) -> known.apply(trait).ifPresent((at) -> times.put(trait, at)));
+		return times;
+	}
+
+	/**
+	 * Returns observations of this entry that the fleet has yet to store: charges, what
+	 * cleared their traits, and requests that broke several connections, even if no crash
+	 * has been confirmed. If there are many, a part of them. Returns the same again only
+	 * after {@link #recordNotStored}.
+	 * @return the evidence
+	 */
+	public PoisonEvidence takeUnstored() {
+		List<CrashCharge> charged = this.unstoredCharges.values().stream().limit(MAX_STORED_AT_ONCE).toList();
+		charged.forEach((charge) -> this.unstoredCharges.remove(charge.key()));
+		Set<String> traits = this.unstoredTraits.stream().limit(MAX_STORED_AT_ONCE).collect(Collectors.toSet());
+		charged.stream().flatMap(CrashCharge::traits).forEach(traits::add);
+		this.unstoredTraits.removeAll(traits);
+		List<CrashCharge> unconfirmed = this.pending.stream()
+			.filter((charge) -> !this.storedPending.contains(charge.key()) && isRepeated(charge))
+			.limit(MAX_STORED_AT_ONCE)
+			.toList();
+		unconfirmed.forEach((charge) -> this.storedPending.add(charge.key()));
+		return new PoisonEvidence(charged, timesBegun(traits), timesCompleted(traits), unconfirmed);
+	}
+
+	// Connections often break without a crash, but seldom twice for the same request.
+	private boolean isRepeated(CrashCharge charge) {
+		return Stream.concat(this.pending.stream(), this.charges.all().stream())
+			.anyMatch((other) -> other.fingerprint().equals(charge.fingerprint())
+					&& !other.incarnation().equals(charge.incarnation()));
+	}
+
+	/**
+	 * Records that the fleet may not have stored observations of this entry.
+	 * @param taken what {@link #takeUnstored} has returned
+	 */
+	public void recordNotStored(PoisonEvidence taken) {
+		taken.charges().forEach((charge) -> this.unstoredCharges.put(charge.key(), charge));
+		taken.unconfirmed().forEach((charge) -> this.storedPending.remove(charge.key()));
+		this.unstoredTraits.addAll(taken.begun().keySet());
+		this.unstoredTraits.addAll(taken.completed().keySet());
+	}
+
+	/**
+	 * Returns the number of charges and of traits whose observations are to be stored.
+	 * @return the count
+	 */
+	public int unstoredCount() {
+		return this.unstoredCharges.size() + this.unstoredTraits.size();
+	}
+
+	/**
+	 * Returns the number of combinations of traits that are refused.
+	 * @return the count
+	 */
+	public int convictionCount() {
+		return this.charges.convictions().size();
+	}
+
+	/**
+	 * Returns whether requests are refused until the end of a probation.
+	 * @param now the current time in nanoseconds
+	 * @return {@code false} if there are no refusals, or if all wait for a trial
+	 */
+	public boolean isProbationRunning(long now) {
+		return this.charges.convictions().values().stream().anyMatch((conviction) -> now < conviction.until());
 	}
 
 	/**
@@ -300,12 +350,13 @@
 	 * @return the refusal, or empty if it may be sent
 	 */
 	public Optional<PoisonRefusal> check(RequestTraits traits, long request, long now) {
-		if (this.convictions.isEmpty()) {
+		Map<Set<String>, Conviction> convictions = this.charges.convictions();
+		if (convictions.isEmpty()) {
 			return Optional.empty();
 		}
 		Set<String> held = new HashSet<>(traits.sharedParts());
 		held.add(traits.fingerprint().get());
-		return this.convictions.entrySet()
+		return convictions.entrySet()
 			.stream()
 			.filter((entry) -> held.containsAll(entry.getKey()))
 			.filter((entry) -> !isTrial(entry.getKey(), entry.getValue(), request, now))
@@ -332,109 +383,24 @@
 	}
 
 	private void evaluate() {
-		this.chargedTraits.clear();
-		this.charges.values().forEach((charge) -> {
-			List<String> traits = new ArrayList<>(charge.sharedParts());
-			traits.add(charge.fingerprint());
-			traits.stream().filter((trait) -> isOpen(charge, trait)).forEach(this.chargedTraits::add);
-		});
-		Map<Set<String>, Conviction> found = new LinkedHashMap<>();
-		List<CrashCharge> unexplained = new ArrayList<>(this.charges.values());
-		Optional<Count> worst = worst(unexplained);
-		while (worst.isPresent()) {
-			Count convicted = worst.get();
-			found.put(Set.of(convicted.trait()), Conviction.of(convicted.crashes(), convicted.lastCrash()));
-			// The other requests on a crashed server were there by chance.
-			Set<String> explained = new HashSet<>();
-			unexplained.stream()
-				.filter((charge) -> isOpen(charge, convicted.trait()))
-				.forEach((charge) -> explained.add(charge.incarnation()));
-			unexplained.removeIf((charge) -> explained.contains(charge.incarnation()));
-			worst = worst(unexplained);
-		}
-		for (CrashCharge charge : unexplained) {
-			Set<String> unknown = new TreeSet<>(charge.sharedParts());
-			unknown.removeIf(this.begun::containsKey);
-			if (!charge.begun() && !unknown.isEmpty()) {
-				found.putIfAbsent(unknown, Conviction.of(1, charge.at()));
-			}
-		}
-		logChanges(found);
-		this.trials.keySet().retainAll(found.keySet());
-		this.convictions = found;
-	}
-
-	private void logChanges(Map<Set<String>, Conviction> found) {
+		Map<Set<String>, Conviction> before = this.charges.evaluate();
+		Map<Set<String>, Conviction> found = this.charges.convictions();
 		found.forEach((traits, conviction) -> {
-			if (!conviction.equals(this.convictions.get(traits))) {
+			if (!conviction.equals(before.get(traits))) {
 				LOG.warn("poison-convicted", Field.of("traits", traits), Field.of("crashes", conviction.crashes()),
 						Field.of("probation-s", conviction.probation().toSeconds()));
 			}
 		});
-		this.convictions.keySet()
+		before.keySet()
 			.stream()
 			.filter((traits) -> !found.containsKey(traits))
 			.forEach((traits) -> LOG.info("poison-cleared", Field.of("traits", traits)));
-	}
-
-	// Returns the trait with the most crashes, if they are enough. Of several, the one
-	// that was served least recently is the likeliest, then the most specific part.
-	private Optional<Count> worst(List<CrashCharge> unexplained) {
-		Map<String, Count> counts = new LinkedHashMap<>();
-		for (CrashCharge charge : unexplained) {
-			List<String> parts = charge.sharedParts();
-			for (int i = 0; i < parts.size(); i++) {
-				count(counts, unexplained, parts.get(i), i, CRASHES_OF_NEW_PART);
-			}
-			count(counts, unexplained, charge.fingerprint(), parts.size(), CRASHES_OF_REQUEST);
-		}
-		return counts.values()
-			.stream()
-			.filter((count) -> count.crashes() >= count.needed())
-			.max(Comparator.comparingInt(Count::crashes)
-				.thenComparing(Comparator.comparingLong(Count::lastBegun).reversed())
-				.thenComparingInt(Count::position));
-	}
-
-	private void count(Map<String, Count> counts, List<CrashCharge> unexplained, String trait, int position,
-			int needed) {
-		counts.computeIfAbsent(trait, (key) -> {
-			int crashes = 0;
-			long last = Long.MIN_VALUE;
-			List<CrashCharge> open = unexplained.stream()
-				.filter((charge) -> isOpen(charge, trait))
-				.sorted(Comparator.comparingLong(CrashCharge::at))
-				.toList();
-			for (CrashCharge charge : open) {
-				// A request that began again on another server was sent there after the
-				// crash of the first one.
-				boolean sentAgain = charge.begun() && charge.fingerprint().equals(trait);
-				if (crashes == 0 || sentAgain || charge.at() - last >= SEPARATE_CRASHES_NANOS) {
-					crashes++;
-					last = charge.at();
-				}
-			}
-			int least = this.begun.containsKey(trait) ? CRASHES_OF_KNOWN_PART : needed;
-			boolean begun = open.stream().anyMatch(CrashCharge::begun);
-			return new Count(trait, crashes, begun ? Math.max(least, CRASHES_WITHIN_RESPONSE) : least,
-					this.begun.getOrDefault(trait, Long.MIN_VALUE), position, last);
-		});
-	}
-
-	// Returns whether no later response has cleared the trait of the crash.
-	private boolean isOpen(CrashCharge charge, String trait) {
-		boolean untilComplete = charge.begun() || charge.fingerprint().equals(trait);
-		Map<String, Long> cleared = untilComplete ? this.completed : this.begun;
-		return charge.hasTrait(trait) && cleared.getOrDefault(trait, Long.MIN_VALUE) < charge.at();
-	}
-
-	private record PendingCharge(String server, long startedMillis, CrashCharge charge) {
+		this.trials.keySet().retainAll(found.keySet());
+		this.unstoredCharges.values().removeIf((charge) -> !this.charges.contains(charge));
+		this.unstoredTraits.removeIf((trait) -> !this.charges.hasTrait(trait));
 	}
 
 	private record Trial(long request, long until) {
 	}
 
-	private record Count(String trait, int crashes, int needed, long lastBegun, int position, long lastCrash) {
-	}
-
 }
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/poison/RequestTraits.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/poison/RequestTraits.java
@@ -14,12 +14,14 @@
  * one, which belongs to this request or its session alone
  * @param fingerprint computes the digest of path, client account and body, which repeats
  * of the request share
+ * @param account returns the client account; empty if it is not known
  */
-public record RequestTraits(List<String> sharedParts, Supplier<String> fingerprint) {
+public record RequestTraits(List<String> sharedParts, Supplier<String> fingerprint, Supplier<String> account) {
 
 	public RequestTraits {
 		sharedParts = List.copyOf(Preconditions.notNull(sharedParts, "sharedParts"));
 		Preconditions.notNull(fingerprint, "fingerprint");
+		Preconditions.notNull(account, "account");
 	}
 
 	/**
@@ -27,14 +29,15 @@
 	 * @param promptParts the parts as {@code ID:TOKENS}, separated by commas; may be
 	 * empty
 	 * @param fingerprint computes the digest of the request
+	 * @param account returns the client account
 	 * @return the traits
 	 */
-	public static RequestTraits parse(String promptParts, Supplier<String> fingerprint) {
+	public static RequestTraits parse(String promptParts, Supplier<String> fingerprint, Supplier<String> account) {
 		List<String> parts = Arrays.stream(promptParts.split(","))
 			.map((part) -> part.trim().replaceFirst(":.*", ""))
 			.filter((part) -> !part.isEmpty())
 			.toList();
-		return new RequestTraits(parts.subList(0, Math.max(0, parts.size() - 1)), fingerprint);
+		return new RequestTraits(parts.subList(0, Math.max(0, parts.size() - 1)), fingerprint, account);
 	}
 
 }
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/FleetNodeTests.java
@@ -509,6 +509,74 @@
 
 	}
 
+	/**
+	 * Evidence against a request is lost with the processes unless the fleet stores it.
+	 */
+	@Nested
+	class StoredPoisonEvidence {
+
+		private CrashCharge charge(long at) {
+			return new CrashCharge("10.0.0.1:1@5", "r1", List.of("part"), "digest", false, at, "account");
+		}
+
+		private void store(int member) throws InterruptedException {
+			Member observer = FleetNodeTests.this.members.get(member);
+			observer.unstored = new PoisonEvidence(List.of(charge(System.nanoTime())), Map.of(), Map.of());
+			await(() -> observer.evidenceStored);
+		}
+
+		private boolean isKnownTo(Member member) {
+			return member.evidence.stream().flatMap((each) -> each.charges().stream()).anyMatch(this::isThisCharge);
+		}
+
+		private boolean isThisCharge(CrashCharge known) {
+			return known.equals(charge(known.at()));
+		}
+
+		private void stopAll() throws Exception {
+			for (Member member : FleetNodeTests.this.members) {
+				member.closer.close();
+			}
+			FleetNodeTests.this.members.clear();
+		}
+
+		@Test
+		void allProcessesReadItAfterARestartOfAll() throws Exception {
+			store(DISKLESS);
+			stopAll();
+			for (int i = 0; i < 4; i++) {
+				FleetNodeTests.this.members.add(new Member(i, false));
+			}
+			await(() -> FleetNodeTests.this.members.stream().allMatch(this::isKnownTo));
+		}
+
+		@Test
+		void itOutlastsALostDiskAndALossOfPower() throws Exception {
+			store(0);
+			stopAll();
+			try (Stream<Path> files = Files.walk(FleetNodeTests.this.disks.resolve("0"))) {
+				files.sorted((a, b) -> b.compareTo(a)).forEach((file) -> file.toFile().delete());
+			}
+			for (int i = 0; i < 4; i++) {
+				FleetNodeTests.this.members.add(new Member(i, false));
+			}
+			await(() -> FleetNodeTests.this.members.stream().allMatch(this::isKnownTo));
+		}
+
+		/**
+		 * An entry must not send a request before it has read the evidence against it.
+		 */
+		@Test
+		void aProcessThatStartsHasReceivedItWhenItsReadCompletes() throws Exception {
+			store(1);
+			Member late = new Member(SUCCESSOR, false);
+			FleetNodeTests.this.members.add(late);
+			await(() -> late.node.readPoisonEvidence().join());
+			assertThat(isKnownTo(late)).isTrue();
+		}
+
+	}
+
 	/**
 	 * A voter that has left still counts towards the majority. If it stays one until long
 	 * after its successor is ready, the loss of one more disk leaves no majority, and the
@@ -681,6 +749,10 @@
 
 		private final Queue<PoisonEvidence> evidence = new ConcurrentLinkedQueue<>();
 
+		private volatile PoisonEvidence unstored = PoisonEvidence.NONE;
+
+		private volatile boolean evidenceStored;
+
 		private final Queue<PoisonEvidence> ownEvidence = new ConcurrentLinkedQueue<>();
 
 		private final Closer closer = new Closer();
@@ -715,6 +787,24 @@
 			this.evidence.add(received);
 		}
 
+		@Override
+		public PoisonEvidence takeUnstoredPoisonEvidence() {
+			PoisonEvidence taken = this.unstored;
+			this.unstored = PoisonEvidence.NONE;
+			return taken;
+		}
+
+		@Override
+		public boolean isPoisonProbationRunning() {
+			return false;
+		}
+
+		@Override
+		public void onPoisonEvidenceProposed(PoisonEvidence taken, boolean stored) {
+			this.unstored = stored ? PoisonEvidence.NONE : taken;
+			this.evidenceStored = stored;
+		}
+
 		@Override
 		public PoisonEvidence poisonEvidence(boolean full) {
 			return Optional.ofNullable(this.ownEvidence.poll()).orElse(PoisonEvidence.NONE);
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/poison/PoisonDetectorTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/poison/PoisonDetectorTests.java
@@ -33,7 +33,7 @@
 	}
 
 	private static RequestTraits request(String parts) {
-		return RequestTraits.parse(parts, () -> "request of " + parts);
+		return RequestTraits.parse(parts, () -> "request of " + parts, () -> "account");
 	}
 
 	private boolean runs(String parts) {
