Ignore peers that are gone when choosing the format of commands

A gateway proposes commands of a new format only while all known processes with a disk apply it. The table of peers keeps the address of a seed for ever, with what its process last stated. If a seed of the version before was replaced at another address, no gateway would ever have stated the versions of evacuations or stored evidence of crashes.

EvacuationSyncTests.aSeedThatIsGoneDoesNotHoldUpANewFormat.

--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/FleetNode.java
@@ -182,12 +182,12 @@
 			listener.onDocument(newer);
 		});
 		this.evacuations = new EvacuationSync(loop, this::leaderClient,
-				() -> CommandFormat.VERSIONED_EVACUATIONS.isSupportedBy(this.peers.knownPeers()), (newer) -> {
+				() -> isSupported(CommandFormat.VERSIONED_EVACUATIONS), (newer) -> {
 					broadcast(newUpdate().build());
 					listener.onEvacuations(newer);
 				});
-		this.poison = new PoisonEvidenceSync(loop, this::leaderClient,
-				() -> CommandFormat.POISON_EVIDENCE.isSupportedBy(this.peers.knownPeers()), listener);
+		this.poison = new PoisonEvidenceSync(loop, this::leaderClient, () -> isSupported(CommandFormat.POISON_EVIDENCE),
+				listener);
 		this.replica = settings.dataFolder()
 			.map((folder) -> new LocalReplica(folder, settings.instance(), this::sendToMember,
 					(newer) -> this.loop.execute(() -> this.documents.update(newer)),
@@ -439,6 +439,10 @@
 		return this.poison.readNewest();
 	}
 
+	private boolean isSupported(CommandFormat format) {
+		return format.isSupportedBy(this.peers.recentPeers(System.nanoTime()));
+	}
+
 	private LeaderClient leaderClient() {
 		Optional<RpcClient> client = this.clients.findByInstance(currentLeader());
 		return new LeaderClient(localNode().filter((node) -> node.status().role() == Role.LEADER), client);
--- a/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerTable.java
+++ b/comfreywall-gateway/src/main/java/org/comfreywall/gateway/fleet/PeerTable.java
@@ -77,6 +77,13 @@
 		return this.entries.values().stream().map((entry) -> entry.peer).filter((peer) -> peer != null).toList();
 	}
 
+	// Returns the processes that may still take part, also behind a partition. A seed
+	// that
+	// is gone for good is not among them, although its address is kept.
+	List<FleetPeer> recentPeers(long now) {
+		return updatedWithin(RETENTION, now);
+	}
+
 	List<FleetPeer> livePeers(long now) {
 		return updatedWithin(LIVE_TIMEOUT, now);
 	}
--- a/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/EvacuationSyncTests.java
+++ b/comfreywall-gateway/src/test/java/org/comfreywall/gateway/fleet/EvacuationSyncTests.java
@@ -51,4 +51,20 @@
 		assertThat(format.isSupportedBy(List.of(peer("new", 1, format.ordinal()), peer("old", 2, 0)))).isFalse();
 	}
 
+	/**
+	 * The address of a seed is kept for ever, also that of a process of an earlier
+	 * version that was replaced.
+	 */
+	@Test
+	void aSeedThatIsGoneDoesNotHoldUpANewFormat() {
+		FleetPeer seed = peer("old", 2, 0);
+		PeerTable peers = new PeerTable();
+		peers.recordUpdate(seed, false, 0);
+		assertThat(peers.recentPeers(Duration.ofSeconds(10).toNanos())).containsExactly(seed);
+		long later = Duration.ofMinutes(1).toNanos();
+		peers.removeExpired(later, List.of(seed.address()));
+		assertThat(peers.addresses()).containsExactly(seed.address());
+		assertThat(peers.recentPeers(later)).isEmpty();
+	}
+
 }
