Probe for free ports on loopback addresses only

The stand-ins looked for free ports with a listener on the wildcard address. They now bind to the loopback addresses that the cases use, and begin the search at a port that depends on the process, so that cases can run beside each other.

--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -114,7 +114,10 @@
 
 	/** A base of ports that are free on the loopback addresses of all machines. */
 	private static int freePorts() throws IOException {
-		for (int base = 20300; base < 32000; base += 40) {
+		// Cases that run beside each other begin their search at different ports.
+		int first = (int) (ProcessHandle.current().pid() % 280);
+		for (int i = 0; i < 280; i++) {
+			int base = 20300 + (first + i) % 280 * 40;
 			boolean free = true;
 			for (int offset = 0; free && offset < 24; offset++) {
 				free = isFree(base + offset);
@@ -127,14 +130,16 @@
 	}
 
 	private static boolean isFree(int port) {
-		try (ServerSocket probe = new ServerSocket()) {
-			probe.setReuseAddress(true);
-			probe.bind(new InetSocketAddress("0.0.0.0", port));
-			return true;
-		}
-		catch (IOException ex) {
-			return false;
+		for (String address : List.of("127.1.0.10", "127.1.0.11", "127.1.0.12", "127.2.0.10")) {
+			try (ServerSocket probe = new ServerSocket()) {
+				probe.setReuseAddress(true);
+				probe.bind(new InetSocketAddress(InetAddress.getByName(address), port));
+			}
+			catch (IOException ex) {
+				return false;
+			}
 		}
+		return true;
 	}
 
 	<T extends AutoCloseable> T register(T other) {
